--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,1 @@
+"""Sets scenarios up and tears their processes down."""
--- /dev/null
+++ b/martenjunction/callers/plain.py
@@ -0,0 +1,156 @@
+"""Calls to plain services, passed on as they are."""
+
+from tornado import iostream
+
+from martenjunction import errors
+from martenjunction import http_headers
+from martenjunction.callers import handlers
+from martenjunction.cells import broker
+from martenjunction.config import fleet
+from martenjunction.decisions import outcomes
+from martenjunction.decisions import policies
+from martenjunction.endpoints import streams
+from martenjunction.relay import relay
+from martenjunction.relay import requests
+from martenjunction.relay import results
+from martenjunction.relay import sinks
+
+# Statuses whose answers have no body (RFC 9110, section 6.4.1).
+BODILESS = frozenset({204, 304})
+
+
+class PlainHandler(handlers.CallerHandler):
+    """Any method on `/v1/services/NAME/PATH`."""
+
+    SUPPORTED_METHODS = (
+        "GET",
+        "HEAD",
+        "POST",
+        "DELETE",
+        "PATCH",
+        "PUT",
+        "OPTIONS",
+    )
+
+    _relay: relay.Relay | None = None
+
+    async def get(self, name: str, path: str) -> None:
+        """Passes a call on."""
+        await self._pass_on(name, path)
+
+    head = post = delete = patch = put = options = get
+
+    def on_connection_close(self) -> None:
+        """Stops waiting for a caller who left.
+
+        A call that may not be repeated goes on to its end: the service is
+        not to be left in doubt by us.
+        """
+        if self._relay is not None and self._relay.request.repeatable:
+            self._relay.stop(broker.StopReason.CALLER_LEFT)
+
+    async def _pass_on(self, name: str, path: str) -> None:
+        sink = _PlainSink(self)
+        try:
+            request = self._route(name, path)
+            self._relay = self.callers.make_relay(request, sink)
+        except errors.CallerError as error:
+            self.fail(error)
+            return
+        result = await self.callers.run(self._relay)
+        await sink.end(result)
+
+    def _route(self, name: str, path: str) -> requests.RoutedRequest:
+        callers = self.callers
+        service = callers.config.service.get(name)
+        if service is None or service.kind is not fleet.ServiceKind.PLAIN:
+            raise errors.CallerError(
+                404, "unknown-service", f"there is no plain service {name!r}"
+            )
+        kind = self.request.headers.get(http_headers.KIND, name)
+        facts = policies.RequestFacts(
+            workspace=self.workspace.name,
+            kind=kind,
+            model=name,
+            prompt_tokens=1,
+            max_tokens=0,
+            default_class="",
+            labels=self.labels(),
+        )
+        classed = callers.classify(self.workspace, facts)
+        return requests.RoutedRequest(
+            request_id=self.request_id(),
+            workspace=self.workspace.name,
+            kind=kind,
+            service=service,
+            service_class=classed.service_class,
+            repeatable=self._is_repeatable(classed.service_class),
+            arrived=callers.now(),
+            zones=classed.zones,
+            idempotency_key=self.request.headers.get(
+                http_headers.IDEMPOTENCY_KEY, ""
+            ),
+            plain=requests.PlainCall(
+                self.request.method or "GET",
+                self._path(path),
+                self.header_pairs(),
+                self.body or None,
+            ),
+        )
+
+    def _is_repeatable(self, service_class: fleet.ServiceClass) -> bool:
+        return (
+            service_class.repeatable
+            and self.request.method in requests.IDEMPOTENT_METHODS
+            and http_headers.NOT_REPEATABLE not in self.request.headers
+        )
+
+    def _path(self, path: str) -> str:
+        query = self.request.query
+        return f"/{path}?{query}" if query else f"/{path}"
+
+
+class _PlainSink:
+    """Passes status, headers and body on."""
+
+    def __init__(self, handler: PlainHandler) -> None:
+        self._handler = handler
+        self._started = False
+        self._bodiless = handler.request.method == "HEAD"
+
+    async def start(self, head: streams.ResponseHead) -> None:
+        """Sends the status and headers."""
+        self._started = True
+        handler = self._handler
+        reason = handlers.reason_of(head.status)
+        handler.set_status(head.status, reason)
+        handler.clear_header("Content-Type")
+        for name, value in http_headers.to_caller(head.headers):
+            handler.add_header(name, value)
+        self._bodiless = self._bodiless or head.status in BODILESS
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        if self._bodiless:
+            return
+        try:
+            self._handler.write(data)
+            await self._handler.flush()
+        except iostream.StreamClosedError as error:
+            raise sinks.CallerGoneError from error
+
+    async def end(self, result: results.Result) -> None:
+        """Ends the answer; one that broke off ends with its connection."""
+        handler = self._handler
+        failed = result.code is not None
+        if failed and self._started:
+            connection = handler.request.connection
+            stream = getattr(connection, "stream", None)
+            if stream is not None:
+                stream.close()
+            return
+        if result.code is results.FailureCode.CALLER_LEFT:
+            return
+        if failed or result.outcome is not outcomes.Outcome.DONE:
+            handler.write_result(result)
+        await handler.finish()
--- /dev/null
+++ b/martenjunction/callers/service.py
@@ -0,0 +1,294 @@
+"""What a daemon knows and does for callers, apart from HTTP itself."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import logging
+
+import eliot
+
+from martenjunction import errors
+from martenjunction import events
+from martenjunction import metrics
+from martenjunction import timers
+from martenjunction.callers import keys
+from martenjunction.cells import broker
+from martenjunction.claims import keeper
+from martenjunction.config import fleet
+from martenjunction.config import settings as daemon_settings
+from martenjunction.decisions import classing
+from martenjunction.decisions import estimates
+from martenjunction.decisions import outcomes
+from martenjunction.decisions import policies
+from martenjunction.relay import relay
+from martenjunction.relay import requests
+from martenjunction.relay import results
+from martenjunction.relay import sinks
+
+logger = logging.getLogger(__name__)
+
+STALL_INTERVAL = 0.5
+
+# Parts of what the daemon may hold up to which each tier is taken in: the
+# lowest tier is turned away first, and the highest only when all is taken.
+HOLD_LIMITS = {1: 1.0, 2: 0.95, 3: 0.9, 4: 0.85}
+
+# Seconds after which a caller turned away by a full daemon may come back.
+FULL_RETRY_AFTER = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryAddress:
+    """An address that a caller may use."""
+
+    box: str
+    zone: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """The parts of the daemon that serve callers.
+
+    Attributes:
+        tools: What relays need.
+        claims: Keeps keyed requests from running twice.
+        clock: Tells the time.
+        numbers: Counters and histograms.
+        emitter: Where ended requests are announced.
+        entry: Returns the addresses that callers may use, the best first.
+    """
+
+    tools: relay.Tools
+    claims: keeper.ClaimKeeper
+    clock: timers.Timers
+    numbers: metrics.Metrics
+    emitter: events.Events
+    entry: Callable[[], list[EntryAddress]]
+
+
+class CallerService:
+    """Keys, classes, limits and running requests."""
+
+    def __init__(
+        self, settings: daemon_settings.DaemonSettings, parts: Parts
+    ) -> None:
+        """Makes the service with an empty configuration.
+
+        Args:
+            settings: The daemon's settings.
+            parts: What it works with.
+        """
+        self._settings = settings
+        self._parts = parts
+        self._config = fleet.FleetConfig()
+        self._keys = keys.KeyTable(self._config)
+        self._classifier = classing.Classifier(self._config)
+        self._lengths = estimates.LengthEstimates()
+        self._relays: dict[str, relay.Relay] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def settings(self) -> daemon_settings.DaemonSettings:
+        """The daemon's settings."""
+        return self._settings
+
+    @property
+    def config(self) -> fleet.FleetConfig:
+        """The configuration in force."""
+        return self._config
+
+    @property
+    def classifier(self) -> classing.Classifier:
+        """Bindings and policies in force."""
+        return self._classifier
+
+    @property
+    def lengths(self) -> estimates.LengthEstimates:
+        """How long answers get."""
+        return self._lengths
+
+    @property
+    def relays(self) -> dict[str, relay.Relay]:
+        """Requests that are held now, to be read only."""
+        return self._relays
+
+    @property
+    def held(self) -> float:
+        """The part of what the daemon may hold that is taken."""
+        return len(self._relays) / self._settings.max_held
+
+    def set_config(self, config: fleet.FleetConfig) -> None:
+        """Puts a configuration in force for new requests."""
+        old = self._config
+        self._config = config
+        if config.workspace != old.workspace:
+            self._keys = keys.KeyTable(config)
+        same = (config.policy, config.binding, config.classes) == (
+            old.policy,
+            old.binding,
+            old.classes,
+        )
+        if not same:
+            self._classifier = classing.Classifier(config)
+
+    def start(self) -> None:
+        """Begins to look after running requests."""
+        self._parts.clock.subscribe("stalls", STALL_INTERVAL, self._check)
+
+    def authenticate(self, authorization: str) -> fleet.Workspace:
+        """Returns the workspace of an `Authorization` header.
+
+        Raises:
+            CallerError: If there is no such key.
+        """
+        if not authorization:
+            raise errors.CallerError(401, "no-key", "a key is required")
+        workspace = self._keys.find(authorization)
+        if workspace is None:
+            self._parts.numbers.count("keys_refused")
+            raise errors.CallerError(401, "wrong-key", "the key is not known")
+        return workspace
+
+    def classify(
+        self, workspace: fleet.Workspace, facts: policies.RequestFacts
+    ) -> classing.Classed:
+        """Returns the class of a request.
+
+        Raises:
+            CallerError: If the configuration gives it none.
+        """
+        try:
+            return self._classifier.classify(workspace, facts)
+        except errors.MartenjunctionError as error:
+            raise errors.CallerError(503, "no-class", str(error)) from error
+
+    def expected_tokens(
+        self, workspace: str, kind: str, limit: int | None
+    ) -> float:
+        """Returns how long an answer is likely to get, in tokens."""
+        return self._lengths.expected(workspace, kind, limit)
+
+    def entry(self) -> list[EntryAddress]:
+        """Returns the addresses that callers may use, the best first."""
+        return self._parts.entry()
+
+    def now(self) -> float:
+        """Returns seconds on the daemon's clock."""
+        return self._parts.clock.now()
+
+    def make_relay(
+        self, request: requests.RoutedRequest, sink: sinks.Sink
+    ) -> relay.Relay:
+        """Takes a request in.
+
+        Raises:
+            CallerError: If the daemon is too full for its tier.
+        """
+        tier = request.service_class.tier
+        if self.held >= HOLD_LIMITS[tier]:
+            self._parts.numbers.count("turned_away", tier=str(tier))
+            raise errors.CallerError(
+                503, "box-full", "this box is full", FULL_RETRY_AFTER
+            )
+        made = relay.Relay(request, sink, self._parts.tools)
+        self._relays[request.request_id] = made
+        self._idle.clear()
+        return made
+
+    async def run(self, made: relay.Relay) -> results.Result:
+        """Takes a request to its end, and books how it went."""
+        request = made.request
+        action = eliot.start_task(
+            action_type="request",
+            request_id=request.request_id,
+            workspace=request.workspace,
+            service_class=request.service_class.name,
+            tier=request.service_class.tier,
+        )
+        try:
+            result = await self._run_claimed(made)
+        except Exception as error:
+            logger.exception("request %s failed", request.request_id)
+            action.finish(error)
+            return results.Result(
+                outcomes.Outcome.UNKNOWN,
+                results.FailureCode.INTERNAL,
+                "internal error",
+            )
+        finally:
+            del self._relays[request.request_id]
+            if not self._relays:
+                self._idle.set()
+        self._book(request, result)
+        action.add_success_fields(**_log_fields(result))
+        action.finish()
+        return result
+
+    async def wait_idle(self) -> None:
+        """Waits until no request is held."""
+        await self._idle.wait()
+
+    async def _run_claimed(self, made: relay.Relay) -> results.Result:
+        request = made.request
+        if request.repeatable or not request.idempotency_key:
+            return await made.run()
+        refused = await self._parts.claims.claim(request)
+        if refused is not None:
+            return refused
+        result = await made.run()
+        self._parts.claims.settle(request, result.outcome)
+        return result
+
+    def _book(
+        self, request: requests.RoutedRequest, result: results.Result
+    ) -> None:
+        service_class = request.service_class
+        numbers = self._parts.numbers
+        name = service_class.name
+        numbers.count(
+            "requests", outcome=str(result.outcome), service_class=name
+        )
+        if result.code is not None:
+            code = str(result.code)
+            numbers.count("failures", code=code, service_class=name)
+        if result.attains(
+            service_class.first_token, service_class.between_tokens
+        ):
+            numbers.count("attained", service_class=name)
+        if result.first_token_s is not None:
+            numbers.observe(
+                "first_token", result.first_token_s, service_class=name
+            )
+        interval = result.token_interval_s
+        if interval is not None:
+            numbers.observe("between_tokens", interval, service_class=name)
+        numbers.count("tokens", result.tokens, service_class=name)
+        if result.outcome is outcomes.Outcome.DONE and result.tokens:
+            self._lengths.add(request.workspace, request.kind, result.tokens)
+        self._parts.emitter.emit(events.REQUEST_ENDED, request, result)
+
+    def _check(self) -> None:
+        now = self._parts.clock.now()
+        for held in list(self._relays.values()):
+            held.check_stalled(now)
+
+    def stop_all(self) -> None:
+        """Ends all held requests, when a planned stop takes too long."""
+        for held in list(self._relays.values()):
+            held.stop(broker.StopReason.TIME_LIMIT)
+
+
+def _log_fields(result: results.Result) -> dict[str, object]:
+    first = result.first_token_s
+    return {
+        "outcome": str(result.outcome),
+        "code": str(result.code) if result.code else None,
+        "endpoint": result.endpoint,
+        "attempts": result.attempts,
+        "preemptions": result.preemptions,
+        "tokens": result.tokens,
+        "first_token_ms": None if first is None else round(first * 1000, 1),
+        "duration_ms": round(result.duration_s * 1000, 1),
+    }
--- /dev/null
+++ b/martenjunction/cells/broker.py
@@ -0,0 +1,367 @@
+"""The entry daemon's side: which cell is asked, and who owns it now."""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+import logging
+import random
+from typing import Any
+
+from martenjunction import errors
+from martenjunction import mailbox
+from martenjunction import timers
+from martenjunction.cells import directory
+from martenjunction.cells import messages
+from martenjunction.decisions import asks
+
+logger = logging.getLogger(__name__)
+
+# Sends a message to the owner of a cell; returns whether it could be sent.
+SendToOwner = Callable[[str, messages.FromEntry], bool]
+
+# Returns the boxes that may own a cell, the best first, unreachable ones left
+# out; this box is always among them.
+Owners = Callable[[directory.CellInfo], list[str]]
+
+REASSIGN_INTERVAL = 0.1
+
+# Seconds after which what a cell said of itself no longer counts.
+SUMMARY_LIFETIME = 5.0
+
+
+class TicketState(enum.Enum):
+    """Where a request stands with its cell."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    OVER = "over"
+
+
+class NoCellError(errors.MartenjunctionError):
+    """No endpoint of the service is configured."""
+
+
+class StopReason(enum.StrEnum):
+    """Why this daemon itself ends a request or a run."""
+
+    CALLER_LEFT = "caller-left"
+    TIME_LIMIT = "time-limit"
+    STALLED = "stalled"
+    PREEMPTED = "preempted"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stopped:
+    """The request has to stop waiting for its cell."""
+
+    reason: StopReason
+
+
+Verdict = messages.PlaceGranted | messages.RequestShed | Stopped
+
+
+class Ticket:
+    """One request's standing with the cell it was sent to.
+
+    The relay waits on `verdicts`; the broker fills it, and calls
+    `on_preempted` when a running request has to give its place up.
+    """
+
+    def __init__(
+        self, ask: asks.Ask, cell: directory.CellInfo, owner: str
+    ) -> None:
+        self.ask = ask
+        self.cell = cell
+        self.owner = owner
+        self.state = TicketState.WAITING
+        self.endpoint = ""
+        self.granted_at = 0.0
+        self.verdicts: mailbox.Mailbox[Verdict] = mailbox.Mailbox(16)
+        self.on_preempted: Callable[[], None] | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class BrokerCounts:
+    """What a broker did since it started."""
+
+    asked: int = 0
+    moved: int = 0
+    returned: int = 0
+
+
+class Broker:
+    """Places this box's requests with the owners of cells."""
+
+    def __init__(
+        self,
+        box: str,
+        zone: str,
+        clock: timers.Timers,
+        owners: Owners,
+        send: SendToOwner,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Makes a broker that knows no cells yet.
+
+        Args:
+            box: This box.
+            zone: Its availability zone.
+            clock: Tells the time.
+            owners: Tells who may own a cell.
+            send: Sends messages to owners.
+            rng: Draws the two cells that are compared.
+        """
+        self._box = box
+        self._zone = zone
+        self._timers = clock
+        self._owners = owners
+        self._send = send
+        self._rng = rng or random.Random()
+        self._cells: dict[str, directory.CellInfo] = {}
+        self._by_service: dict[str, list[directory.CellInfo]] = {}
+        self._summaries: dict[str, tuple[float, messages.Summary]] = {}
+        self._owner_now: dict[str, str] = {}
+        self._tickets: dict[str, Ticket] = {}
+        self._counts = BrokerCounts()
+        self._handlers: dict[type[Any], Callable[[str, Any], None]] = {
+            messages.PlaceGranted: self._on_granted,
+            messages.RequestShed: self._on_shed,
+            messages.RunPreempted: self._on_preempted,
+            messages.Summary: self._on_summary,
+        }
+
+    @property
+    def counts(self) -> BrokerCounts:
+        """What it did since it started."""
+        return self._counts
+
+    @property
+    def tickets(self) -> dict[str, Ticket]:
+        """Requests with a cell, by id, to be read only."""
+        return self._tickets
+
+    @property
+    def cells(self) -> dict[str, directory.CellInfo]:
+        """The cells it knows, by name, to be read only."""
+        return self._cells
+
+    @property
+    def owners_now(self) -> dict[str, str]:
+        """The owner that is used for each cell in use."""
+        return dict(self._owner_now)
+
+    def set_cells(self, cells: dict[str, directory.CellInfo]) -> None:
+        """Takes in a new layout of cells."""
+        self._cells = cells
+        self._by_service = {}
+        for cell in cells.values():
+            self._by_service.setdefault(cell.service, []).append(cell)
+        self.reassign()
+
+    def place(
+        self, ask: asks.Ask, service: str, zones: tuple[str, ...] = ()
+    ) -> Ticket:
+        """Sends a request to a cell.
+
+        Args:
+            ask: The request, with times on this box's clock.
+            service: The service it needs.
+            zones: Availability zones that the policy prefers.
+
+        Raises:
+            NoCellError: If the service has no endpoint.
+        """
+        cell = self._choose(ask, service, zones)
+        owner = self._owner_of(cell)
+        ticket = Ticket(ask, cell, owner)
+        self._tickets[ask.request_id] = ticket
+        self._counts.asked += 1
+        self._say(ticket, self._ask_message(ticket))
+        return ticket
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Gives a waiting request up, or a place that was not used."""
+        if ticket.state is TicketState.OVER:
+            return
+        self._close(ticket)
+        message = messages.Withdraw(ticket.cell.name, ticket.ask.request_id)
+        self._say(ticket, message)
+
+    def first_token(self, ticket: Ticket, seconds: float) -> None:
+        """Tells the cell that the first token came."""
+        self._say(
+            ticket,
+            messages.FirstToken(
+                ticket.cell.name, ticket.ask.request_id, round(seconds, 4)
+            ),
+        )
+
+    def ended(self, ticket: Ticket, end: asks.RunEnd) -> None:
+        """Gives a place back and tells the cell how the run ended."""
+        if ticket.state is TicketState.OVER:
+            return
+        self._close(ticket)
+        self._say(
+            ticket,
+            messages.RunEnded(
+                ticket.cell.name,
+                end.request_id,
+                str(end.ending),
+                end.first_token_s,
+                end.tokens,
+                end.token_interval_s,
+            ),
+        )
+
+    def receive(self, sender: str, message: messages.FromOwner) -> None:
+        """Takes in what the owner of a cell says."""
+        self._handlers[type(message)](sender, message)
+
+    def reassign(self) -> None:
+        """Moves requests to new owners where the owner has changed.
+
+        What waits keeps its original arrival, and what runs keeps its place:
+        the new owner rebuilds its queue and its accounts from this.
+        """
+        changed = set()
+        for name, known in list(self._owner_now.items()):
+            cell = self._cells.get(name)
+            owner = self._first_owner(cell) if cell is not None else self._box
+            if owner != known:
+                self._owner_now[name] = owner
+                self._summaries.pop(name, None)
+                changed.add(name)
+        if not changed:
+            return
+        for ticket in list(self._tickets.values()):
+            if ticket.cell.name in changed:
+                self._move(ticket)
+
+    def delay(self, cell: str, tier: int) -> float | None:
+        """Returns the delay that a cell last predicted, or None."""
+        entry = self._summaries.get(cell)
+        if entry is None:
+            return None
+        heard, summary = entry
+        if self._timers.now() - heard > SUMMARY_LIFETIME:
+            return None
+        index = min(tier, len(summary.delay)) - 1
+        return summary.delay[index] if summary.delay else None
+
+    # Choosing.
+
+    def _choose(
+        self, ask: asks.Ask, service: str, zones: tuple[str, ...]
+    ) -> directory.CellInfo:
+        cells = self._by_service.get(service, [])
+        if not cells:
+            raise NoCellError(service)
+        near = [cell for cell in cells if cell.zone == self._zone]
+        first = self._rng.choice(near or cells)
+        second = self._rng.choice(cells)
+        preferred = [cell for cell in cells if cell.zone in zones]
+        if preferred:
+            first = self._rng.choice(preferred)
+        return min(
+            (first, second), key=lambda cell: self._price(cell, ask, zones)
+        )
+
+    def _price(
+        self, cell: directory.CellInfo, ask: asks.Ask, zones: tuple[str, ...]
+    ) -> float:
+        price = directory.distance(self._zone, cell.zone)
+        price += self.delay(cell.name, ask.tier) or 0.0
+        if zones and cell.zone not in zones:
+            price += AGAINST_POLICY
+        return price
+
+    def _owner_of(self, cell: directory.CellInfo) -> str:
+        owner = self._owner_now.get(cell.name)
+        if owner is None:
+            owner = self._first_owner(cell)
+            self._owner_now[cell.name] = owner
+        return owner
+
+    def _first_owner(self, cell: directory.CellInfo) -> str:
+        return next(iter(self._owners(cell)), self._box)
+
+    # Speaking to owners.
+
+    def _say(self, ticket: Ticket, message: messages.FromEntry) -> None:
+        if not self._send(ticket.owner, message):
+            # The next round of `reassign` finds another owner and announces
+            # the request there.
+            logger.debug("%s cannot be reached", ticket.owner)
+
+    def _ask_message(self, ticket: Ticket) -> messages.AskPlace:
+        return messages.from_ask(
+            ticket.ask, ticket.cell.name, self._timers.now()
+        )
+
+    def _move(self, ticket: Ticket) -> None:
+        ticket.owner = self._owner_now[ticket.cell.name]
+        ticket.ask = dataclasses.replace(ticket.ask, firm=True)
+        self._counts.moved += 1
+        message: messages.FromEntry = self._ask_message(ticket)
+        if ticket.state is TicketState.RUNNING:
+            running = round(self._timers.now() - ticket.granted_at, 4)
+            message = messages.AnnounceRun(
+                self._ask_message(ticket), ticket.endpoint, running
+            )
+        self._say(ticket, message)
+
+    def _close(self, ticket: Ticket) -> None:
+        ticket.state = TicketState.OVER
+        if self._tickets.get(ticket.ask.request_id) is ticket:
+            del self._tickets[ticket.ask.request_id]
+
+    # Hearing from owners.
+
+    def _on_granted(self, sender: str, message: messages.PlaceGranted) -> None:
+        ticket = self._tickets.get(message.request_id)
+        wanted = (
+            ticket is not None
+            and ticket.owner == sender
+            and ticket.cell.name == message.cell
+            and ticket.state is TicketState.WAITING
+        )
+        if not wanted or ticket is None:
+            # Granted by a former owner, or to a request that is over.
+            self._counts.returned += 1
+            back = messages.Withdraw(message.cell, message.request_id)
+            self._send(sender, back)
+            return
+        ticket.state = TicketState.RUNNING
+        ticket.endpoint = message.endpoint
+        ticket.granted_at = self._timers.now()
+        ticket.verdicts.put(message)
+
+    def _on_shed(self, sender: str, message: messages.RequestShed) -> None:
+        ticket = self._tickets.get(message.request_id)
+        if (
+            ticket is not None
+            and ticket.owner == sender
+            and ticket.state is TicketState.WAITING
+        ):
+            self._close(ticket)
+            ticket.verdicts.put(message)
+
+    def _on_preempted(
+        self, sender: str, message: messages.RunPreempted
+    ) -> None:
+        ticket = self._tickets.get(message.request_id)
+        if (
+            ticket is not None
+            and ticket.owner == sender
+            and ticket.state is TicketState.RUNNING
+            and ticket.on_preempted is not None
+        ):
+            ticket.on_preempted()
+
+    def _on_summary(self, sender: str, message: messages.Summary) -> None:
+        if self._owner_now.get(message.cell, sender) == sender:
+            self._summaries[message.cell] = (self._timers.now(), message)
+
+
+# Seconds that a cell against the policy's preference seems further away.
+AGAINST_POLICY = 2.0
--- /dev/null
+++ b/martenjunction/cells/cell.py
@@ -0,0 +1,273 @@
+"""The task that owns one cell: its queue, its grants and its endpoints."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import logging
+from typing import Any
+
+from martenjunction import mailbox
+from martenjunction import timers
+from martenjunction.cells import messages
+from martenjunction.decisions import asks
+from martenjunction.decisions import dispatcher
+
+logger = logging.getLogger(__name__)
+
+# Sends a message to the entry daemon on a box.
+SendToEntry = Callable[[str, messages.FromOwner], None]
+
+STEP_INTERVAL = 0.02
+REVIEW_INTERVAL = 0.2
+
+# Seconds for which the places of an entry daemon that went silent are kept.
+LOST_ENTRY_GRACE = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FromBox:
+    """A message with the box it came from."""
+
+    entry: str
+    message: messages.FromEntry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointSeen:
+    """What the lists say of one endpoint."""
+
+    name: str
+    slots: int
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointsListed:
+    """All endpoints of the cell, as listed now."""
+
+    endpoints: tuple[EndpointSeen, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointReported:
+    """An endpoint's load report.
+
+    Attributes:
+        endpoint: The endpoint.
+        age: Seconds since the report was true.
+        running: Requests in its batch.
+        waiting: Requests in its own queue.
+    """
+
+    endpoint: str
+    age: float
+    running: int
+    waiting: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointSilent:
+    """An endpoint could not be reached when it was asked for its load."""
+
+    endpoint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryLost:
+    """An entry daemon is believed dead."""
+
+    entry: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepNow:
+    """Time has passed."""
+
+
+Input = (
+    FromBox
+    | EndpointsListed
+    | EndpointReported
+    | EndpointSilent
+    | EntryLost
+    | StepNow
+)
+
+
+class CellTask:
+    """Owns one cell's dispatcher; all that reaches it are messages."""
+
+    def __init__(
+        self,
+        name: str,
+        decider: dispatcher.Dispatcher,
+        clock: timers.Timers,
+        send: SendToEntry,
+    ) -> None:
+        """Makes the task; `start` runs it.
+
+        Args:
+            name: The cell.
+            decider: Decides who gets which place.
+            clock: Tells the time and wakes the task.
+            send: Sends a message to an entry daemon.
+        """
+        self._name = name
+        self._decider = decider
+        self._timers = clock
+        self._send = send
+        self._mailbox: mailbox.Mailbox[Input] = mailbox.Mailbox(100_000)
+        self._task: asyncio.Task[None] | None = None
+        self._subscriptions: list[timers.Subscription] = []
+        self._reviewed = 0.0
+        self._lost: dict[str, float] = {}
+        self._handlers: dict[type[Any], Callable[[Any, float], None]] = {
+            FromBox: self._on_message,
+            EndpointsListed: self._on_listed,
+            EndpointReported: self._on_report,
+            EndpointSilent: self._on_silent,
+            EntryLost: self._on_entry_lost,
+            StepNow: self._on_step,
+        }
+        self._from_entry: dict[type[Any], Callable[[str, Any, float], None]] = {
+            messages.AskPlace: self._on_ask,
+            messages.AnnounceRun: self._on_announce,
+            messages.Withdraw: self._on_withdraw,
+            messages.FirstToken: self._on_first_token,
+            messages.RunEnded: self._on_ended,
+        }
+
+    @property
+    def name(self) -> str:
+        """The cell."""
+        return self._name
+
+    @property
+    def decider(self) -> dispatcher.Dispatcher:
+        """The dispatcher, to be read only."""
+        return self._decider
+
+    def put(self, message: Input) -> None:
+        """Hands the task a message.
+
+        Raises:
+            MailboxFullError: If the task does not keep up.
+        """
+        self._mailbox.put(message)
+
+    def start(self) -> None:
+        """Runs the task in the event loop."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._subscriptions.append(
+            self._timers.subscribe(
+                f"cell {self._name}",
+                STEP_INTERVAL,
+                lambda: self.put(StepNow()),
+            )
+        )
+
+    async def stop(self) -> None:
+        """Ends the task; nobody is told."""
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def summary(self) -> messages.Summary:
+        """Returns what entry daemons are told of the cell."""
+        summary = self._decider.summary(self._timers.now())
+        return messages.from_summary(self._name, summary)
+
+    async def _run(self) -> None:
+        while True:
+            batch = await self._mailbox.get_all()
+            now = self._timers.now()
+            for message in batch:
+                try:
+                    self._handlers[type(message)](message, now)
+                except Exception:
+                    logger.exception("cell %s: message failed", self._name)
+            self._deliver(self._decider.step(now))
+
+    def _deliver(self, decisions: list[asks.Decision]) -> None:
+        for decision in decisions:
+            message = messages.from_decision(self._name, decision)
+            self._send(decision.entry, message)
+
+    def _on_message(self, received: FromBox, now: float) -> None:
+        self._lost.pop(received.entry, None)
+        handler = self._from_entry[type(received.message)]
+        handler(received.entry, received.message, now)
+
+    def _on_ask(
+        self, entry: str, message: messages.AskPlace, now: float
+    ) -> None:
+        ask = messages.to_ask(message, entry, now)
+        self._deliver(self._decider.submit(ask, now))
+
+    def _on_announce(
+        self, entry: str, message: messages.AnnounceRun, now: float
+    ) -> None:
+        ask = messages.to_ask(message.ask, entry, now)
+        granted = now - message.running
+        self._decider.adopt(asks.Run(ask, message.endpoint, granted))
+
+    def _on_withdraw(
+        self, entry: str, message: messages.Withdraw, now: float
+    ) -> None:
+        if self._decider.withdraw(message.request_id):
+            return
+        # The grant crossed the withdrawal; the place was never used.
+        run = self._decider.run(message.request_id)
+        if run is not None and run.ask.entry == entry:
+            end = asks.RunEnd(message.request_id, asks.Ending.CANCELLED)
+            self._decider.ended(end, now)
+
+    def _on_first_token(
+        self, entry: str, message: messages.FirstToken, now: float
+    ) -> None:
+        self._decider.first_token(message.request_id, message.seconds, now)
+
+    def _on_ended(
+        self, entry: str, message: messages.RunEnded, now: float
+    ) -> None:
+        self._decider.ended(messages.to_run_end(message), now)
+
+    def _on_listed(self, listed: EndpointsListed, now: float) -> None:
+        names = {endpoint.name for endpoint in listed.endpoints}
+        for endpoint in listed.endpoints:
+            if endpoint.leaving:
+                self._decider.set_leaving(endpoint.name, now)
+            else:
+                self._decider.set_endpoint(endpoint.name, endpoint.slots, now)
+        for name in list(self._decider.endpoints):
+            if name not in names:
+                self._decider.remove_endpoint(name)
+
+    def _on_report(self, report: EndpointReported, now: float) -> None:
+        self._decider.report(
+            asks.LoadReport(
+                report.endpoint,
+                now - report.age,
+                report.running,
+                report.waiting,
+            ),
+            now,
+        )
+
+    def _on_silent(self, silent: EndpointSilent, now: float) -> None:
+        self._decider.silent(silent.endpoint, now)
+
+    def _on_entry_lost(self, lost: EntryLost, now: float) -> None:
+        self._lost.setdefault(lost.entry, now)
+
+    def _on_step(self, _: StepNow, now: float) -> None:
+        if now - self._reviewed < REVIEW_INTERVAL:
+            return
+        self._reviewed = now
+        self._deliver(self._decider.review(now))
+        for entry, since in list(self._lost.items()):
+            if now - since > LOST_ENTRY_GRACE:
+                del self._lost[entry]
+                self._decider.forget_entry(entry, now)
--- /dev/null
+++ b/martenjunction/cells/host.py
@@ -0,0 +1,167 @@
+"""Runs the cells that this box owns, or is asked to act for."""
+
+from collections.abc import Callable
+import logging
+
+from martenjunction import mailbox
+from martenjunction import timers
+from martenjunction.cells import cell
+from martenjunction.cells import directory
+from martenjunction.cells import messages
+from martenjunction.config import fleet
+from martenjunction.decisions import dispatcher
+
+logger = logging.getLogger(__name__)
+
+MakeDispatcher = Callable[[], dispatcher.Dispatcher]
+
+# Seconds after which a cell that is no longer ours and holds nothing ends.
+IDLE_LIFETIME = 10.0
+
+
+def new_dispatcher() -> dispatcher.Dispatcher:
+    """Makes the dispatcher of a cell with its usual settings."""
+    return dispatcher.Dispatcher(dispatcher.DispatchSettings())
+
+
+class CellHost:
+    """The cells of one box."""
+
+    def __init__(
+        self,
+        clock: timers.Timers,
+        send: cell.SendToEntry,
+        make: MakeDispatcher,
+    ) -> None:
+        """Makes a host without cells.
+
+        Args:
+            clock: Tells the time.
+            send: Sends messages to entry daemons.
+            make: Makes the dispatcher of a cell.
+        """
+        self._timers = clock
+        self._send = send
+        self._make = make
+        self._layout: dict[str, directory.CellInfo] = {}
+        self._endpoints: dict[str, fleet.Endpoint] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._tasks: dict[str, cell.CellTask] = {}
+        self._used: dict[str, float] = {}
+        self._owned: frozenset[str] = frozenset()
+
+    @property
+    def tasks(self) -> dict[str, cell.CellTask]:
+        """The running cells by name, to be read only."""
+        return self._tasks
+
+    def set_layout(
+        self,
+        layout: dict[str, directory.CellInfo],
+        endpoints: dict[str, fleet.Endpoint],
+        leaving: frozenset[str],
+    ) -> None:
+        """Takes in which endpoints there are, and which are leaving."""
+        self._layout = layout
+        self._endpoints = endpoints
+        self._leaving = leaving
+        for name, task in self._tasks.items():
+            task.put(self._listing(name))
+
+    async def set_owned(self, owned: frozenset[str]) -> None:
+        """Starts cells that are ours now and ends idle ones that are not."""
+        self._owned = owned
+        for name in owned:
+            self._task(name)
+        now = self._timers.now()
+        for name, task in list(self._tasks.items()):
+            decider = task.decider
+            busy = decider.waiting or decider.running or name in owned
+            if busy:
+                self._used[name] = now
+            elif now - self._used.get(name, now) > IDLE_LIFETIME:
+                del self._tasks[name]
+                self._used.pop(name, None)
+                await task.stop()
+
+    def receive(self, entry: str, message: messages.FromEntry) -> None:
+        """Hands a message of an entry daemon to its cell."""
+        task = self._task(messages.cell_of(message))
+        try:
+            task.put(cell.FromBox(entry, message))
+        except mailbox.MailboxFullError:
+            logger.warning("cell %s does not keep up", task.name)
+
+    def report(
+        self, endpoint: str, age: float, running: int, waiting: int
+    ) -> None:
+        """Hands an endpoint's load report to the cells that hold it."""
+        self._put_for(
+            endpoint, cell.EndpointReported(endpoint, age, running, waiting)
+        )
+
+    def silent(self, endpoint: str) -> None:
+        """Notes that an endpoint cannot be reached."""
+        self._put_for(endpoint, cell.EndpointSilent(endpoint))
+
+    def entry_lost(self, entry: str) -> None:
+        """Notes that an entry daemon is believed dead."""
+        for task in self._tasks.values():
+            task.put(cell.EntryLost(entry))
+
+    def polled_endpoints(self) -> list[fleet.Endpoint]:
+        """Returns the endpoints of the cells that run here."""
+        names = [
+            endpoint
+            for name in self._tasks
+            if name in self._layout
+            for endpoint in self._layout[name].endpoints
+        ]
+        return [
+            self._endpoints[name] for name in names if name in self._endpoints
+        ]
+
+    def summaries(self) -> list[messages.Summary]:
+        """Returns what entry daemons are told of the cells we own."""
+        return [
+            task.summary()
+            for name, task in self._tasks.items()
+            if name in self._owned
+        ]
+
+    async def stop(self) -> None:
+        """Ends all cells."""
+        for task in list(self._tasks.values()):
+            await task.stop()
+        self._tasks.clear()
+
+    def _put_for(self, endpoint: str, message: cell.Input) -> None:
+        for name, task in self._tasks.items():
+            info = self._layout.get(name)
+            if info is not None and endpoint in info.endpoints:
+                task.put(message)
+
+    def _task(self, name: str) -> cell.CellTask:
+        task = self._tasks.get(name)
+        if task is None:
+            task = cell.CellTask(name, self._make(), self._timers, self._send)
+            self._tasks[name] = task
+            self._used[name] = self._timers.now()
+            task.start()
+            task.put(self._listing(name))
+        return task
+
+    def _listing(self, name: str) -> cell.EndpointsListed:
+        info = self._layout.get(name)
+        names = info.endpoints if info is not None else ()
+        return cell.EndpointsListed(
+            tuple(
+                cell.EndpointSeen(
+                    endpoint,
+                    self._endpoints[endpoint].slots,
+                    endpoint in self._leaving,
+                )
+                for endpoint in names
+                if endpoint in self._endpoints
+            )
+        )
--- /dev/null
+++ b/martenjunction/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps requests with an idempotency key from running twice."""
--- /dev/null
+++ b/martenjunction/claims/keeper.py
@@ -0,0 +1,190 @@
+"""The entry daemon's side of claims, and the shards that this box owns."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import time
+
+import xxhash
+
+from martenjunction import mailbox
+from martenjunction.claims import messages
+from martenjunction.claims import shards
+from martenjunction.decisions import outcomes
+from martenjunction.platform import client
+from martenjunction.relay import requests
+from martenjunction.relay import results
+
+logger = logging.getLogger(__name__)
+
+SHARDS = 64
+
+# Seconds that a claim may take before the request is given up, not run.
+CLAIM_TIMEOUT = 5.0
+RETRY_AFTER = 5.0
+
+Owner = Callable[[str], str]
+Send = Callable[[str, messages.Claim | messages.Settle], bool]
+SendAnswer = Callable[[str, messages.ClaimAnswer], bool]
+
+
+class ClaimKeeper:
+    """Claims keys for this box's requests, and owns some of the shards."""
+
+    def __init__(
+        self,
+        box: str,
+        platform: client.PlatformClient | None,
+        owner: Owner,
+        send: Send,
+        send_answer: SendAnswer,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Makes a keeper that owns nothing yet.
+
+        Args:
+            box: This box.
+            platform: Keeps the claims; None for a daemon without a platform.
+            owner: Returns the box that owns a shard now.
+            send: Sends a claim or an ending to another box.
+            send_answer: Sends an answer to another box.
+            wall_clock: Returns seconds since 1970.
+        """
+        self._box = box
+        self._platform = platform
+        self._owner = owner
+        self._send = send
+        self._send_answer = send_answer
+        self._wall_clock = wall_clock
+        self._waiting: dict[str, asyncio.Future[messages.ClaimState]] = {}
+        self._shards: dict[int, shards.ClaimShard] = {}
+
+    @property
+    def owned(self) -> dict[int, shards.ClaimShard]:
+        """The shards that were owned here, to be read only."""
+        return self._shards
+
+    async def claim(
+        self, request: requests.RoutedRequest
+    ) -> results.Result | None:
+        """Claims the key of a request before it is sent anywhere.
+
+        Returns:
+            None if it may run, or how it ended.
+        """
+        state = await self._state(_claim_of(request))
+        if state is messages.ClaimState.CLAIMED:
+            return None
+        if state is messages.ClaimState.UNAVAILABLE:
+            # The claim may stand all the same; it is taken back.
+            self.settle(request, outcomes.Outcome.NOT_RUN)
+            if request.service_class.unclaimed_in_outage:
+                return None
+            return results.Result(
+                outcomes.Outcome.NOT_RUN,
+                results.FailureCode.CLAIM_UNAVAILABLE,
+                "the key could not be claimed with the platform",
+                RETRY_AFTER,
+            )
+        outcome, code, message = _REFUSALS[state]
+        return results.Result(outcome, code, message)
+
+    def settle(
+        self, request: requests.RoutedRequest, outcome: outcomes.Outcome
+    ) -> None:
+        """Notes how a request that had a key ended."""
+        claim = _claim_of(request)
+        ran = outcome is not outcomes.Outcome.NOT_RUN
+        message = messages.Settle(claim.shard, claim.key, claim.request_id, ran)
+        owner = self._owner(f"claims/{claim.shard}")
+        if owner == self._box:
+            self.receive(self._box, message)
+        else:
+            self._send(owner, message)
+
+    def receive(
+        self, sender: str, message: messages.Claim | messages.Settle
+    ) -> None:
+        """Takes in a claim or an ending as the owner of its shard."""
+        answer: shards.Answer | None = None
+        if isinstance(message, messages.Claim):
+
+            def answer(reply: messages.ClaimAnswer) -> None:
+                self._reply(sender, reply)
+
+        shard = self._shard(message.shard)
+        if shard is not None:
+            try:
+                shard.put(message, answer)
+                return
+            except mailbox.MailboxFullError:
+                logger.warning("claim shard %d is full", message.shard)
+        if answer is not None:
+            state = messages.ClaimState.UNAVAILABLE
+            answer(messages.ClaimAnswer(message.request_id, state))
+
+    def on_answer(self, answer: messages.ClaimAnswer) -> None:
+        """Takes in the answer to a claim of this box."""
+        waiting = self._waiting.get(answer.request_id)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer.state)
+
+    async def stop(self) -> None:
+        """Writes what waits and ends all shards."""
+        for shard in self._shards.values():
+            await shard.stop()
+
+    async def _state(self, claim: messages.Claim) -> messages.ClaimState:
+        waiting: asyncio.Future[messages.ClaimState] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[claim.request_id] = waiting
+        owner = self._owner(f"claims/{claim.shard}")
+        try:
+            if owner == self._box:
+                self.receive(self._box, claim)
+            elif not self._send(owner, claim):
+                return messages.ClaimState.UNAVAILABLE
+            async with asyncio.timeout(CLAIM_TIMEOUT):
+                return await waiting
+        except TimeoutError:
+            return messages.ClaimState.UNAVAILABLE
+        finally:
+            del self._waiting[claim.request_id]
+
+    def _reply(self, sender: str, reply: messages.ClaimAnswer) -> None:
+        if sender == self._box:
+            self.on_answer(reply)
+        else:
+            self._send_answer(sender, reply)
+
+    def _shard(self, number: int) -> shards.ClaimShard | None:
+        if self._platform is None:
+            return None
+        if number not in self._shards:
+            shard = shards.ClaimShard(number, self._platform, self._wall_clock)
+            shard.start()
+            self._shards[number] = shard
+        return self._shards[number]
+
+
+def _claim_of(request: requests.RoutedRequest) -> messages.Claim:
+    text = f"{request.workspace}\x00{request.idempotency_key}"
+    digest = xxhash.xxh3_128(text.encode())
+    number = digest.intdigest() % SHARDS
+    return messages.Claim(number, digest.hexdigest(), request.request_id)
+
+
+# What a caller is told who comes with a key that another request has.
+_REFUSALS = {
+    messages.ClaimState.IN_PROGRESS: (
+        outcomes.Outcome.UNKNOWN,
+        results.FailureCode.ALREADY_CLAIMED,
+        "a request with this key was taken in before; its end is not known",
+    ),
+    messages.ClaimState.RAN: (
+        outcomes.Outcome.DONE,
+        results.FailureCode.ALREADY_RAN,
+        "a request with this key already ran",
+    ),
+}
--- /dev/null
+++ b/martenjunction/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/martenjunction/cmd/daemon.py
@@ -0,0 +1,57 @@
+"""`martenjunction daemon`: the thin shell around the application."""
+
+import asyncio
+import dataclasses
+import os
+import signal
+from typing import Annotated
+
+import cappa
+import uvloop
+
+from martenjunction import application
+from martenjunction import logs
+from martenjunction.config import settings as daemon_settings
+
+
+@cappa.command(help="Run a daemon: martenjunction daemon --config box.ini")
+@dataclasses.dataclass
+class Daemon:
+    """Runs a daemon until it is told to stop."""
+
+    config: Annotated[str, cappa.Arg(long=True, help="The daemon's INI file.")]
+
+    def __call__(self) -> None:
+        """Runs the daemon."""
+        settings = daemon_settings.read_daemon(self.config)
+        logs.start(settings.log, settings.box)
+        run(settings)
+
+
+def run(settings: daemon_settings.DaemonSettings) -> None:
+    """Runs a daemon in an event loop of its own."""
+    if settings.loop == "uvloop":
+        # The library beneath it must not use io_uring.
+        os.environ["UV_USE_IO_URING"] = "0"
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(settings))
+    else:
+        asyncio.run(serve(settings))
+
+
+async def serve(settings: daemon_settings.DaemonSettings) -> None:
+    """Serves until a planned stop has ended.
+
+    SIGTERM and SIGINT begin a planned stop; a second SIGINT ends at once.
+    """
+    daemon = application.Application(settings)
+    loop = asyncio.get_running_loop()
+    stops: list[asyncio.Task[None]] = []
+
+    def stop() -> None:
+        stops.append(loop.create_task(daemon.drain()))
+
+    loop.add_signal_handler(signal.SIGTERM, stop)
+    loop.add_signal_handler(signal.SIGINT, stop)
+    await daemon.start()
+    await daemon.wait_drained()
--- /dev/null
+++ b/martenjunction/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a daemon and the configuration of the fleet."""
--- /dev/null
+++ b/martenjunction/config/fleet.py
@@ -0,0 +1,380 @@
+"""The configuration of the fleet: what operators create and bind."""
+
+import dataclasses
+import enum
+import pathlib
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+from martenjunction import errors
+from martenjunction import registry
+from martenjunction.config import ini
+from martenjunction.config import units
+
+FORBID = pydantic.ConfigDict(extra="forbid")
+
+# The kinds of section, and of object in the platform, by name.
+section_kinds: registry.Registry[type[Any]] = registry.Registry("section")
+
+ANY_KIND = "*"
+
+
+class ServiceKind(enum.StrEnum):
+    """What stands behind a service."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+@section_kinds.register("service")
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """Endpoints that can stand in for one another.
+
+    Attributes:
+        name: The name that callers use for a plain service.
+        kind: `engine` for a model engine, `plain` for any other service.
+        models: Names that callers may give as `model`.
+        cells: Cells in each availability zone.
+    """
+
+    __pydantic_config__ = FORBID
+
+    name: str
+    kind: ServiceKind = ServiceKind.ENGINE
+    models: units.Words = ()
+    cells: Annotated[int, pydantic.Field(ge=1, le=64)] = 1
+
+
+@section_kinds.register("endpoint")
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """One engine or server that answers requests.
+
+    Attributes:
+        name: Its name.
+        service: The service it belongs to.
+        zone: Its availability zone.
+        address: IP number and port of its HTTP server.
+        slots: Requests it may run at once.
+        checks_orders: Whether it checks the fence of an order.
+    """
+
+    __pydantic_config__ = FORBID
+
+    name: str
+    service: str
+    zone: str
+    address: units.Address
+    slots: Annotated[int, pydantic.Field(ge=1, le=4096)] = 8
+    checks_orders: bool = False
+
+
+@section_kinds.register("class")
+@dataclasses.dataclass(frozen=True)
+class ServiceClass:
+    """A promise to a kind of traffic.
+
+    Attributes:
+        name: Its name.
+        tier: 1 is the highest, 4 the lowest.
+        first_token: Target for the first token, in seconds.
+        between_tokens: Target for the mean time between tokens, in seconds.
+        patience: Longest wait, in seconds, that is worth it to the caller.
+        time_limit: Longest time of a whole request, in seconds.
+        repeatable: Whether a request may be sent to an endpoint twice.
+        preemptible: Whether a run may be moved for a higher tier.
+        unclaimed_in_outage: Whether a keyed request that may not be repeated
+            runs while its claim cannot be written to the platform.
+    """
+
+    __pydantic_config__ = FORBID
+
+    name: str
+    tier: Annotated[int, pydantic.Field(ge=1, le=4)]
+    first_token: units.Seconds
+    between_tokens: units.Seconds = 0.07
+    patience: units.Seconds = 20.0
+    time_limit: units.Seconds = 300.0
+    repeatable: bool = True
+    preemptible: bool = True
+    unclaimed_in_outage: bool = False
+
+
+@section_kinds.register("workspace")
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """A customer of the system.
+
+    Attributes:
+        name: Its name.
+        key_hashes: SHA-256 of each of its keys, in hexadecimal.
+        default_class: The class where no binding fits and no policy decides.
+    """
+
+    __pydantic_config__ = FORBID
+
+    name: str
+    key_hashes: units.Words
+    default_class: str
+
+
+@section_kinds.register("binding")
+@dataclasses.dataclass(frozen=True)
+class Binding:
+    """Binds a workspace's requests of one kind to a class.
+
+    Attributes:
+        name: Its name.
+        workspace: The workspace.
+        kind: The request kind; `*` for any.
+        service_class: The class.
+    """
+
+    __pydantic_config__ = FORBID
+
+    name: str
+    workspace: str
+    service_class: str
+    kind: str = ANY_KIND
+
+
+@section_kinds.register("policy")
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """An operator's program.
+
+    Attributes:
+        name: Its name.
+        source: The Starlark text.
+        workspaces: Workspaces it decides for; empty for all.
+    """
+
+    __pydantic_config__ = FORBID
+
+    name: str
+    source: units.Source
+    workspaces: units.Words = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetConfig:
+    """Everything that is in force at one moment.
+
+    Each attribute maps names to one kind of section.
+    """
+
+    service: dict[str, Service] = dataclasses.field(default_factory=dict)
+    endpoint: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
+    classes: dict[str, ServiceClass] = dataclasses.field(default_factory=dict)
+    workspace: dict[str, Workspace] = dataclasses.field(default_factory=dict)
+    binding: dict[str, Binding] = dataclasses.field(default_factory=dict)
+    policy: dict[str, Policy] = dataclasses.field(default_factory=dict)
+
+    def class_for(self, workspace: Workspace, kind: str) -> ServiceClass:
+        """Returns the class that the bindings give a request.
+
+        Raises:
+            MartenjunctionError: If the class is not configured.
+        """
+        name = workspace.default_class
+        for binding in self.binding.values():
+            if binding.workspace != workspace.name:
+                continue
+            if binding.kind == kind:
+                name = binding.service_class
+                break
+            if binding.kind == ANY_KIND:
+                name = binding.service_class
+        try:
+            return self.classes[name]
+        except KeyError:
+            raise errors.MartenjunctionError(
+                f"class {name!r} is not configured"
+            ) from None
+
+    def service_for_model(self, model: str) -> Service | None:
+        """Returns the service that answers for a model."""
+        for service in self.service.values():
+            if model in service.models:
+                return service
+        return None
+
+    def endpoints_of(self, service: str) -> list[Endpoint]:
+        """Returns a service's endpoints."""
+        return [e for e in self.endpoint.values() if e.service == service]
+
+
+@dataclasses.dataclass(frozen=True)
+class Document:
+    """One section, as it is kept in the platform.
+
+    Attributes:
+        kind: The kind of section.
+        name: Its name.
+        values: Key to text, as the operator wrote it.
+    """
+
+    kind: str
+    name: str
+    values: dict[str, str]
+
+    @property
+    def key(self) -> str:
+        """The key of its object in the platform."""
+        return f"{KEY_PREFIX}{self.kind}/{self.name}"
+
+
+KEY_PREFIX = "config/"
+
+# Attributes of FleetConfig whose names differ from their section's.
+_ATTRIBUTES = {"class": "classes"}
+
+
+def parse(section: ini.Section) -> tuple[Document, Any]:
+    """Turns a section titled `kind name` into a document and its value.
+
+    Raises:
+        SettingsError: If the section is not valid.
+    """
+    kind, _, name = section.title.partition(" ")
+    name = name.strip()
+    if kind not in section_kinds:
+        known = ", ".join(section_kinds)
+        raise errors.SettingsError(
+            f"unknown kind of section; known: {known}",
+            section.file,
+            section.title,
+        )
+    if not name or "/" in name:
+        raise errors.SettingsError(
+            "write the kind and a name without a slash",
+            section.file,
+            section.title,
+        )
+    value = ini.validate(section_kinds.get(kind), section, name=name)
+    return Document(kind, name, section.values), value
+
+
+def parse_document(document: Document) -> Any:
+    """Checks a document that came from the platform or a peer.
+
+    Raises:
+        SettingsError: If it is not valid.
+    """
+    title = f"{document.kind} {document.name}"
+    return parse(ini.Section("platform", title, document.values))[1]
+
+
+def to_ini(documents: list[Document]) -> str:
+    """Returns documents in the form of an INI file that can be read again."""
+    lines = []
+    for document in documents:
+        lines.append(f"[{document.kind} {document.name}]")
+        for key, value in document.values.items():
+            text = units.with_margin(value) if "\n" in value else value
+            lines.append(f"{key} = " + text.replace("\n", "\n    "))
+        lines.append("")
+    return "\n".join(lines)
+
+
+def build(values: list[Any]) -> FleetConfig:
+    """Builds the configuration from checked values."""
+    config = FleetConfig()
+    by_type = {section_kinds.get(kind): kind for kind in section_kinds}
+    for value in values:
+        kind = by_type[type(value)]
+        table = getattr(config, _ATTRIBUTES.get(kind, kind))
+        table[value.name] = value
+    return config
+
+
+def read(paths: list[str]) -> tuple[list[Document], FleetConfig]:
+    """Reads configuration files and checks them together.
+
+    Raises:
+        SettingsError: At the first mistake.
+    """
+    documents: list[Document] = []
+    values: list[Any] = []
+    seen: dict[str, ini.Section] = {}
+    for path in paths:
+        for section in ini.read(path):
+            document, value = parse(_with_program(section))
+            if document.key in seen:
+                raise errors.SettingsError(
+                    f"also in {seen[document.key].file}", path, section.title
+                )
+            seen[document.key] = section
+            documents.append(document)
+            values.append(value)
+    config = build(values)
+    for problem in find_problems(config):
+        section = seen[problem.key]
+        raise errors.SettingsError(
+            problem.message, section.file, section.title, problem.field
+        )
+    return documents, config
+
+
+def _with_program(section: ini.Section) -> ini.Section:
+    """Reads the file that a policy names, beside the INI file."""
+    name = section.values.get(PROGRAM_KEY)
+    if name is None or not section.title.startswith("policy "):
+        return section
+    path = pathlib.Path(section.file).parent / name
+    try:
+        source = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise errors.SettingsError(
+            f"{path}: {error.strerror}",
+            section.file,
+            section.title,
+            PROGRAM_KEY,
+        ) from error
+    values = {k: v for k, v in section.values.items() if k != PROGRAM_KEY}
+    values["source"] = source
+    return dataclasses.replace(section, values=values)
+
+
+# In a file, a policy may name the file that holds its program.
+PROGRAM_KEY = "file"
+
+
+@dataclasses.dataclass(frozen=True)
+class Problem:
+    """A reference from one section to another that is not there."""
+
+    key: str
+    field: str
+    message: str
+
+
+# Which field of which kind of section names a section of which other kind.
+_REFERENCES = (
+    ("endpoint", "service", "service"),
+    ("workspace", "default_class", "class"),
+    ("binding", "workspace", "workspace"),
+    ("binding", "service_class", "class"),
+)
+
+
+def find_problems(config: FleetConfig) -> list[Problem]:
+    """Returns references that lead nowhere."""
+    problems = []
+    for kind, field, target in _REFERENCES:
+        table = getattr(config, _ATTRIBUTES.get(kind, kind))
+        targets = getattr(config, _ATTRIBUTES.get(target, target))
+        for value in table.values():
+            name = getattr(value, field)
+            if name not in targets:
+                problems.append(
+                    Problem(
+                        f"{KEY_PREFIX}{kind}/{value.name}",
+                        field,
+                        f"there is no {target} {name!r}",
+                    )
+                )
+    return problems
--- /dev/null
+++ b/martenjunction/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure policy and scheduling: no sockets and no clock of its own."""
--- /dev/null
+++ b/martenjunction/decisions/classing.py
@@ -0,0 +1,83 @@
+"""Which class a request gets, and why."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from martenjunction import errors
+from martenjunction.config import fleet
+from martenjunction.decisions import policies
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Classed:
+    """The class of a request.
+
+    Attributes:
+        service_class: The class.
+        zones: Availability zones that policies prefer, the best first.
+        reasons: How it came about, a sentence a step.
+    """
+
+    service_class: fleet.ServiceClass
+    zones: tuple[str, ...]
+    reasons: tuple[str, ...]
+
+
+class Classifier:
+    """Bindings and policies of one configuration."""
+
+    def __init__(self, config: fleet.FleetConfig) -> None:
+        """Parses the policies; one that cannot be parsed is left out."""
+        self._config = config
+        self._programs: list[tuple[fleet.Policy, policies.Program]] = []
+        self._broken: dict[str, str] = {}
+        for policy in config.policy.values():
+            try:
+                program = policies.Program(policy.name, policy.source)
+            except errors.PolicyError as error:
+                self._broken[policy.name] = str(error)
+            else:
+                self._programs.append((policy, program))
+
+    @property
+    def broken(self) -> dict[str, str]:
+        """Policies that cannot be parsed, with the reason."""
+        return dict(self._broken)
+
+    def programs(self) -> Iterable[policies.Program]:
+        """Yields the policies in force."""
+        for _, program in self._programs:
+            yield program
+
+    def classify(
+        self, workspace: fleet.Workspace, facts: policies.RequestFacts
+    ) -> Classed:
+        """Returns the class of a request.
+
+        Args:
+            workspace: The caller's workspace.
+            facts: What is known of the request.
+
+        Raises:
+            MartenjunctionError: If not even the default class is there.
+        """
+        service_class = self._config.class_for(workspace, facts.kind)
+        reasons = [f"bindings give class {service_class.name}"]
+        facts = dataclasses.replace(facts, default_class=service_class.name)
+        zones: tuple[str, ...] = ()
+        for policy, program in self._programs:
+            if policy.workspaces and workspace.name not in policy.workspaces:
+                continue
+            name = program.classify(facts)
+            if name is not None and name not in self._config.classes:
+                reasons.append(
+                    f"policy {policy.name} names class {name}, which is"
+                    " not configured"
+                )
+            elif name is not None:
+                service_class = self._config.classes[name]
+                reasons.append(f"policy {policy.name} gives class {name}")
+            zones = zones or program.place(facts)
+        if zones:
+            reasons.append(f"policies prefer {', '.join(zones)}")
+        return Classed(service_class, zones, tuple(reasons))
--- /dev/null
+++ b/martenjunction/decisions/endpoint_states.py
@@ -0,0 +1,134 @@
+"""The states of an endpoint, and which event moves it where."""
+
+import dataclasses
+import enum
+
+
+class EndpointState(enum.StrEnum):
+    """Whether an endpoint receives work.
+
+    Attributes:
+        PENDING: Listed, not yet heard from.
+        ROUTING: Receives work.
+        DRAINING: Leaving: receives no new work, finishes what it has.
+        EJECTED: Found slow or broken; receives single trial runs at most.
+    """
+
+    PENDING = "pending"
+    ROUTING = "routing"
+    DRAINING = "draining"
+    EJECTED = "ejected"
+
+
+class EndpointEvent(enum.Enum):
+    """What can happen to an endpoint."""
+
+    HEARD = "heard"
+    OUTLIER = "outlier"
+    TRIAL_PASSED = "trial-passed"
+    TRIAL_FAILED = "trial-failed"
+    LEAVING = "leaving"
+    LISTED_AGAIN = "listed-again"
+
+
+_NEXT: dict[tuple[EndpointState, EndpointEvent], EndpointState] = {
+    (EndpointState.PENDING, EndpointEvent.HEARD): EndpointState.ROUTING,
+    (EndpointState.PENDING, EndpointEvent.LEAVING): EndpointState.DRAINING,
+    (EndpointState.PENDING, EndpointEvent.OUTLIER): EndpointState.EJECTED,
+    (EndpointState.ROUTING, EndpointEvent.OUTLIER): EndpointState.EJECTED,
+    (EndpointState.ROUTING, EndpointEvent.LEAVING): EndpointState.DRAINING,
+    (EndpointState.EJECTED, EndpointEvent.TRIAL_PASSED): EndpointState.ROUTING,
+    (EndpointState.EJECTED, EndpointEvent.LEAVING): EndpointState.DRAINING,
+    (EndpointState.DRAINING, EndpointEvent.LISTED_AGAIN): EndpointState.PENDING,
+}
+
+
+def next_state(state: EndpointState, event: EndpointEvent) -> EndpointState:
+    """Returns the state after an event; most events change nothing."""
+    return _NEXT.get((state, event), state)
+
+
+@dataclasses.dataclass(slots=True)
+class Health:
+    """What speaks for and against one endpoint.
+
+    Attributes:
+        state: Whether it receives work.
+        ratio: Decaying mean of observed over predicted time.
+        samples: Observations since it last changed state.
+        faults: Consecutive runs that broke.
+        ejected_at: When it was last ejected.
+        ejections: Ejections in a row, for the length of the next one.
+    """
+
+    state: EndpointState = EndpointState.PENDING
+    ratio: float = 1.0
+    samples: int = 0
+    faults: int = 0
+    ejected_at: float = 0.0
+    ejections: int = 0
+
+    def move(self, event: EndpointEvent, now: float) -> bool:
+        """Applies an event; returns whether the state changed."""
+        after = next_state(self.state, event)
+        if after is self.state:
+            if event is EndpointEvent.TRIAL_FAILED:
+                self._lengthen(now)
+            return False
+        if after is EndpointState.EJECTED:
+            self._lengthen(now)
+        if event is EndpointEvent.TRIAL_PASSED:
+            self.ejections = 0
+        self.state = after
+        self.ratio = 1.0
+        self.samples = 0
+        self.faults = 0
+        return True
+
+    def observe(self, ratio: float) -> None:
+        """Takes in one observed time over its prediction."""
+        self.samples += 1
+        self.faults = 0
+        self.ratio += (min(ratio, RATIO_CAP) - self.ratio) * RATIO_WEIGHT
+
+    def fault(self) -> None:
+        """Takes in one broken run."""
+        self.faults += 1
+
+    def is_outlier(self, typical: float) -> bool:
+        """Returns whether it is far worse than its cell.
+
+        Args:
+            typical: The median ratio of the cell's endpoints.
+        """
+        if self.faults >= MAX_FAULTS:
+            return True
+        slow = self.ratio > OUTLIER_RATIO * max(typical, 1.0)
+        return self.samples >= MIN_SAMPLES and slow
+
+    def trial_due(self, now: float) -> bool:
+        """Returns whether an ejected endpoint may get a trial run."""
+        pause = min(
+            FIRST_PAUSE * 2.0 ** max(0, self.ejections - 1), LONGEST_PAUSE
+        )
+        return now - self.ejected_at >= pause
+
+    def _lengthen(self, now: float) -> None:
+        self.ejected_at = now
+        self.ejections += 1
+
+
+# An endpoint is an outlier when its times are this many times worse than its
+# cell's, over so many observations, or when so many runs in a row broke.
+OUTLIER_RATIO = 3.0
+MIN_SAMPLES = 3
+MAX_FAULTS = 3
+RATIO_CAP = 20.0
+RATIO_WEIGHT = 0.3
+
+# Seconds before the first trial run after an ejection, and at the most.
+FIRST_PAUSE = 3.0
+LONGEST_PAUSE = 60.0
+
+# No more than this part of a cell is ejected at once.
+MAX_EJECTED = 0.34
--- /dev/null
+++ b/martenjunction/endpoints/loads.py
@@ -0,0 +1,103 @@
+"""Asks endpoints for their load, which they report with a lag."""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+
+import pydantic
+from tornado import ioloop
+
+from martenjunction import errors
+from martenjunction import timers
+from martenjunction.config import fleet
+from martenjunction.endpoints import client
+from martenjunction.endpoints import engine_protocol
+
+logger = logging.getLogger(__name__)
+
+POLL_INTERVAL = 2.0
+MAX_REPORT = 4096
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """An endpoint's own report.
+
+    Attributes:
+        running: Requests that run.
+        waiting: Requests in its own queue.
+        age_ms: Milliseconds since the report was true.
+    """
+
+    running: int
+    waiting: int = 0
+    age_ms: float = 0.0
+
+
+_ADAPTER = pydantic.TypeAdapter(Load)
+
+OnLoad = Callable[[str, Load], None]
+OnSilent = Callable[[str], None]
+
+
+class LoadPoller:
+    """Polls the endpoints of the cells that run on this box."""
+
+    def __init__(
+        self,
+        http: client.EndpointClient,
+        clock: timers.Timers,
+        endpoints: Callable[[], list[fleet.Endpoint]],
+        on_load: OnLoad,
+        on_silent: OnSilent,
+    ) -> None:
+        """Makes a poller; `start` begins.
+
+        Args:
+            http: The client to ask with.
+            clock: Wakes the poller.
+            endpoints: Returns whom to ask.
+            on_load: Called with each report.
+            on_silent: Called with each endpoint that cannot be reached.
+        """
+        self._http = http
+        self._timers = clock
+        self._endpoints = endpoints
+        self._on_load = on_load
+        self._on_silent = on_silent
+        self._asking: set[str] = set()
+        self._due: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Begins to poll."""
+        self._timers.subscribe("loads", POLL_INTERVAL / 20, self._tick)
+
+    def _tick(self) -> None:
+        """Asks those who are due, so that polls are spread over time."""
+        now = self._timers.now()
+        for endpoint in self._endpoints():
+            due = self._due.get(endpoint.name, 0.0)
+            if due <= now and endpoint.name not in self._asking:
+                self._due[endpoint.name] = now + POLL_INTERVAL
+                self._asking.add(endpoint.name)
+                self._start(endpoint)
+
+    def _start(self, endpoint: fleet.Endpoint) -> None:
+        ioloop.IOLoop.current().spawn_callback(self._ask, endpoint)
+
+    async def _ask(self, endpoint: fleet.Endpoint) -> None:
+        request = client.EndpointRequest(
+            "GET", f"http://{endpoint.address}{engine_protocol.LOAD_PATH}", []
+        )
+        stream = self._http.open(request)
+        try:
+            head = await stream.head()
+            body = await stream.read()
+            if head.status == 200 and len(body) <= MAX_REPORT:
+                self._on_load(endpoint.name, _ADAPTER.validate_json(body))
+        except errors.EndpointNotReachedError:
+            self._on_silent(endpoint.name)
+        except (errors.EndpointError, pydantic.ValidationError) as error:
+            logger.info("no load report of %s: %s", endpoint.name, error)
+        finally:
+            self._asking.discard(endpoint.name)
--- /dev/null
+++ b/martenjunction/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that is said to operators."""
--- /dev/null
+++ b/martenjunction/operators/dumps.py
@@ -0,0 +1,119 @@
+"""The state of a daemon's parts in a form that JSON can hold."""
+
+from typing import Any
+
+from martenjunction.cells import broker
+from martenjunction.cells import host
+from martenjunction.claims import keeper
+from martenjunction.config import store
+from martenjunction.decisions import classing
+from martenjunction.decisions import placement
+from martenjunction.peers import hub
+from martenjunction.peers import membership
+
+
+def of_cells(cells: host.CellHost) -> dict[str, Any]:
+    """Returns the cells that run here."""
+    return {
+        name: {
+            "waiting": task.decider.waiting,
+            "running": task.decider.running,
+            "granted": task.decider.counts.granted,
+            "shed": task.decider.counts.shed,
+            "shed_by_tier": task.decider.counts.shed_by_tier,
+            "preempted": task.decider.counts.preempted,
+            "ejected": task.decider.counts.ejected,
+            "endpoints": {
+                endpoint.name: of_endpoint(endpoint)
+                for endpoint in task.decider.endpoints.values()
+            },
+        }
+        for name, task in cells.tasks.items()
+    }
+
+
+def of_endpoint(endpoint: placement.Endpoint) -> dict[str, Any]:
+    """Returns one endpoint as its cell sees it."""
+    return {
+        "state": str(endpoint.health.state),
+        "slots": endpoint.slots,
+        "ours": len(endpoint.runs),
+        "busy": endpoint.busy,
+        "ratio": round(endpoint.health.ratio, 2),
+        "faults": endpoint.health.faults,
+        "interval_ms": round(endpoint.speed.interval_s.value * 1000, 1),
+    }
+
+
+def of_broker(placed: broker.Broker) -> dict[str, Any]:
+    """Returns this box's requests with cells."""
+    states: dict[str, int] = {}
+    for ticket in placed.tickets.values():
+        states[ticket.state.value] = states.get(ticket.state.value, 0) + 1
+    return {
+        "asked": placed.counts.asked,
+        "moved": placed.counts.moved,
+        "returned": placed.counts.returned,
+        "tickets": states,
+        "owners": placed.owners_now,
+    }
+
+
+def of_members(members: membership.Membership) -> dict[str, Any]:
+    """Returns who there is, as this daemon believes."""
+    believed = {member.box for member in members.believed()}
+    return {
+        member.box: {
+            "zone": member.zone,
+            "believed": member.box in believed,
+            "listed": member.listed,
+            "leaving": member.leaving_since is not None,
+            "incarnation": member.incarnation,
+        }
+        for member in members.members.values()
+    }
+
+
+def of_peers(peers: hub.PeerHub) -> dict[str, Any]:
+    """Returns connections and what went over them."""
+    traffic = peers.traffic()
+    return {
+        "connected": sorted(peers.boxes()),
+        "refused": peers.refused,
+        "messages_in": traffic.messages_in,
+        "messages_out": traffic.messages_out,
+        "bytes_in": traffic.bytes_in,
+        "bytes_out": traffic.bytes_out,
+        "messages_out_by_kind": dict(traffic.by_kind),
+    }
+
+
+def of_config(held: store.ConfigStore) -> dict[str, Any]:
+    """Returns which configuration is in force."""
+    return {
+        "revision": held.revision,
+        "digest": f"{held.digest:016x}",
+        "objects": len(held),
+        "rejected": held.rejected,
+    }
+
+
+def of_policies(classifier: classing.Classifier) -> dict[str, Any]:
+    """Returns how the policies fare."""
+    programs = {
+        program.name: {
+            "calls": program.calls,
+            "failures": program.failures,
+            "last_error": program.last_error,
+        }
+        for program in classifier.programs()
+    }
+    return {"programs": programs, "broken": classifier.broken}
+
+
+def of_claims(claims: keeper.ClaimKeeper) -> dict[str, Any]:
+    """Returns the claim shards that were owned here."""
+    return {
+        str(number): {"writes": shard.writes, "conflicts": shard.conflicts}
+        for number, shard in claims.owned.items()
+    }
--- /dev/null
+++ b/martenjunction/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that daemons say to one another."""
--- /dev/null
+++ b/martenjunction/peers/hub.py
@@ -0,0 +1,262 @@
+"""Keeps the connections to other daemons and hands their messages on."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+from typing import Any
+
+from websockets import exceptions as ws_exceptions
+from websockets.asyncio import client as ws_client
+from websockets.asyncio import connection as ws
+from websockets.asyncio import server as ws_server
+
+from martenjunction import errors
+from martenjunction import events
+from martenjunction import timers
+from martenjunction.config import units
+from martenjunction.peers import codec
+from martenjunction.peers import links
+from martenjunction.peers import membership
+from martenjunction.peers import messages
+
+logger = logging.getLogger(__name__)
+
+HEARTBEAT_INTERVAL = 0.5
+
+# Seconds without a word after which a connection is given up.
+SILENCE_LIMIT = 1.5
+
+FIRST_PAUSE = 0.1
+LONGEST_PAUSE = 2.0
+
+# How many boxes beyond its own availability zone a daemon keeps connections
+# to in each other one, once the fleet is too large for all.
+ALL_LINKS_UP_TO = 32
+LINKS_TO_OTHER_ZONE = 2
+
+Receive = Callable[[str, Any], None]
+
+
+class PeerHub:
+    """All connections of one daemon to others."""
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        key: str,
+        clock: timers.Timers,
+        emitter: events.Events,
+        heartbeat: Callable[[], messages.Heartbeat],
+        rng: random.Random | None = None,
+    ) -> None:
+        """Makes a hub; `start` begins.
+
+        Args:
+            members: Who there is.
+            key: The key that daemons share.
+            clock: Tells the time.
+            emitter: Where connections that come and go are announced.
+            heartbeat: Makes the message that says how this daemon is.
+            rng: Jitter.
+        """
+        self._members = members
+        self._key = key
+        self._timers = clock
+        self._events = emitter
+        self._heartbeat = heartbeat
+        self._rng = rng or random.Random()
+        self._links: dict[str, list[links.Link]] = {}
+        self._dialing: dict[str, asyncio.Task[None]] = {}
+        self._handlers: dict[type[Any], Receive] = {}
+        self._server: ws_server.Server | None = None
+        self._refused = 0
+        self._closed_counts = links.LinkCounts()
+        self._wanted: set[str] = set()
+
+    @property
+    def refused(self) -> int:
+        """Connections that were dropped for what the peer said."""
+        return self._refused
+
+    def subscribe(self, kind: type[Any], handler: Receive) -> None:
+        """Has `handler` called with the box and message of each of a type."""
+        self._handlers[kind] = handler
+
+    def reachable(self, box: str) -> bool:
+        """Returns whether a connection to a box stands."""
+        return bool(self._links.get(box))
+
+    def boxes(self) -> list[str]:
+        """Returns the boxes that connections stand to."""
+        return [box for box, standing in self._links.items() if standing]
+
+    def send(self, box: str, message: Any) -> bool:
+        """Sends a message; returns whether there was a connection."""
+        standing = self._links.get(box)
+        return standing[0].send(message) if standing else False
+
+    def broadcast(self, message: Any, zone: str | None = None) -> None:
+        """Sends a message to all connected peers, or to those of one zone."""
+        for standing in list(self._links.values()):
+            if standing and zone in (None, standing[0].member.zone):
+                standing[0].send(message)
+
+    def want(self, box: str) -> None:
+        """Asks for a connection to a box beyond the usual ones."""
+        self._wanted.add(box)
+
+    def traffic(self) -> links.LinkCounts:
+        """Returns what went over all connections so far."""
+        total = links.LinkCounts()
+        total.add(self._closed_counts)
+        for link in self._all_links():
+            total.add(link.counts)
+        return total
+
+    async def start(self) -> None:
+        """Listens for peers and begins to call them."""
+        host, port = units.split_address(self._members.own.peers)
+        self._server = await ws_server.serve(
+            self._answer,
+            host,
+            port,
+            compression=None,
+            ping_interval=None,
+            max_size=codec.MAX_MESSAGE,
+        )
+        self._timers.subscribe("heartbeat", HEARTBEAT_INTERVAL, self._beat)
+        self._timers.subscribe("peers", HEARTBEAT_INTERVAL, self.dial)
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        for task in self._dialing.values():
+            task.cancel()
+        for link in self._all_links():
+            link.close()
+        if self._server is not None:
+            self._server.close()
+
+    def dial(self) -> None:
+        """Calls the peers that we want a connection to and have none."""
+        for member in self._targets():
+            if member.box in self._dialing or self.reachable(member.box):
+                continue
+            task = asyncio.get_running_loop().create_task(self._call(member))
+            self._dialing[member.box] = task
+
+    def _targets(self) -> list[membership.Member]:
+        own = self._members.own
+        others = [m for m in self._members.believed() if m.box != own.box]
+        if len(others) < ALL_LINKS_UP_TO:
+            return others
+        near = [m for m in others if m.zone == own.zone]
+        wanted = [m for m in others if m.box in self._wanted]
+        far = self._links_to_other_zones(others, own.zone)
+        return list({m.box: m for m in near + wanted + far}.values())
+
+    def _links_to_other_zones(
+        self, others: list[membership.Member], zone: str
+    ) -> list[membership.Member]:
+        by_zone: dict[str, list[membership.Member]] = {}
+        for member in others:
+            if member.zone != zone:
+                by_zone.setdefault(member.zone, []).append(member)
+        chosen = []
+        for members in by_zone.values():
+            members.sort(key=lambda m: m.box)
+            chosen.extend(members[:LINKS_TO_OTHER_ZONE])
+        return chosen
+
+    async def _call(self, member: membership.Member) -> None:
+        pause = FIRST_PAUSE
+        try:
+            while self._still_wanted(member.box):
+                if await self._connect(member):
+                    pause = FIRST_PAUSE
+                await asyncio.sleep(pause * (0.5 + self._rng.random()))
+                pause = min(pause * 2.0, LONGEST_PAUSE)
+        finally:
+            self._dialing.pop(member.box, None)
+
+    def _still_wanted(self, box: str) -> bool:
+        if self.reachable(box):
+            return False
+        return any(member.box == box for member in self._targets())
+
+    async def _connect(self, member: membership.Member) -> bool:
+        try:
+            connection = await ws_client.connect(
+                f"ws://{member.peers}/",
+                compression=None,
+                ping_interval=None,
+                max_size=codec.MAX_MESSAGE,
+                open_timeout=links.HANDSHAKE_TIMEOUT,
+                proxy=None,
+            )
+        except (
+            OSError,
+            TimeoutError,
+            ws_exceptions.WebSocketException,
+        ):
+            return False
+        await self._handle(connection, links.introduce)
+        return True
+
+    async def _answer(self, connection: ws_server.ServerConnection) -> None:
+        await self._handle(connection, links.answer)
+
+    async def _handle(
+        self, connection: ws.Connection, handshake: Callable[..., Any]
+    ) -> None:
+        box = "an unknown peer"
+        try:
+            member = await handshake(connection, self._members.own, self._key)
+            box = member.box
+            await self._carry(links.Link(connection, member, self._timers))
+        except errors.PeerError as error:
+            self._refused += 1
+            logger.warning("%s is dropped: %s", box, error)
+        except ws_exceptions.ConnectionClosed:
+            logger.info("%s closed the connection", box)
+        finally:
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def _carry(self, link: links.Link) -> None:
+        self._links.setdefault(link.box, []).append(link)
+        self._members.met(link.member)
+        self._events.emit(events.PEER_CONNECTED, link.box)
+        link.send(self._heartbeat())
+        try:
+            await link.run(lambda message: self._receive(link, message))
+        finally:
+            self._drop(link)
+
+    def _receive(self, link: links.Link, message: Any) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise errors.PeerError(f"unexpected {type(message).__name__}")
+        handler(link.box, message)
+
+    def _drop(self, link: links.Link) -> None:
+        self._closed_counts.add(link.counts)
+        standing = self._links.get(link.box, [])
+        if link in standing:
+            standing.remove(link)
+        if not standing:
+            self._links.pop(link.box, None)
+            self._events.emit(events.PEER_LOST, link.box)
+
+    def _all_links(self) -> list[links.Link]:
+        return [link for standing in self._links.values() for link in standing]
+
+    def _beat(self) -> None:
+        now = self._timers.now()
+        heartbeat = self._heartbeat()
+        for link in self._all_links():
+            if now - link.heard > SILENCE_LIMIT:
+                logger.warning("%s fell silent", link.box)
+                link.close()
+            else:
+                link.send(heartbeat)
--- /dev/null
+++ b/martenjunction/peers/sync.py
@@ -0,0 +1,182 @@
+"""Passes configuration, lists and leaving marks between daemons."""
+
+from collections.abc import Callable
+import logging
+
+from martenjunction.config import store
+from martenjunction.peers import hub
+from martenjunction.peers import membership
+from martenjunction.peers import messages
+from martenjunction.platform import protocol
+
+logger = logging.getLogger(__name__)
+
+# Objects in one message.
+BATCH = 500
+
+OnListed = Callable[[list[protocol.ListedBox]], None]
+
+
+class ConfigSync:
+    """The second way in which a daemon learns what is in force.
+
+    Daemons that follow the platform push what is new to all their peers. Every
+    heartbeat carries the sum over all versions; whoever sees a peer ahead of
+    itself pulls what it lacks. So a daemon without the platform, or one that
+    missed a push, still comes to the same configuration.
+    """
+
+    def __init__(
+        self,
+        peers: hub.PeerHub,
+        held: store.ConfigStore,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Makes the part; `connect` subscribes it.
+
+        Args:
+            peers: The connections.
+            held: The configuration in force.
+            on_change: Called when something new was put in force.
+        """
+        self._peers = peers
+        self._store = held
+        self._on_change = on_change
+        self._boxes: dict[str, protocol.ListedBox] = {}
+        self._pulled: dict[str, tuple[int, int]] = {}
+
+    def connect(
+        self, members: membership.Membership, on_listed: OnListed
+    ) -> None:
+        """Subscribes to what peers say.
+
+        Args:
+            members: Who there is.
+            on_listed: Takes listed boxes.
+        """
+        self._members = members
+        self._on_listed = on_listed
+        self._peers.subscribe(messages.Heartbeat, self._on_heartbeat)
+        self._peers.subscribe(messages.Leaving, self._on_leaving)
+        self._peers.subscribe(messages.PullObjects, self._on_pull)
+        self._peers.subscribe(messages.Objects, self._on_objects)
+        self._peers.subscribe(messages.Boxes, self._on_boxes)
+
+    def heartbeat(self, held: float) -> messages.Heartbeat:
+        """Returns this daemon's heartbeat.
+
+        Args:
+            held: The part of its capacity that is taken.
+        """
+        return messages.Heartbeat(
+            self._store.revision, self._store.digest, round(held, 2)
+        )
+
+    def push(self, objects: list[store.ConfigObject]) -> None:
+        """Sends new objects to the peers of this availability zone."""
+        zone = self._members.own.zone
+        for message in _to_messages(objects):
+            self._peers.broadcast(message, zone)
+
+    def push_boxes(self, boxes: list[protocol.ListedBox]) -> None:
+        """Sends what the list says to the peers of this zone."""
+        self._remember(boxes)
+        self._peers.broadcast(_boxes_message(boxes), self._members.own.zone)
+
+    def announce_leaving(self, own: membership.Member) -> None:
+        """Tells all peers that this daemon is leaving."""
+        self._peers.broadcast(messages.Leaving(own.box, own.incarnation))
+
+    def _remember(self, boxes: list[protocol.ListedBox]) -> None:
+        for box in boxes:
+            self._boxes[box.name] = box
+
+    def _on_heartbeat(self, box: str, beat: messages.Heartbeat) -> None:
+        self._members.heard(box, beat.held)
+        if beat.digest == self._store.digest:
+            return
+        if beat.revision > self._store.revision:
+            self._pull(box, beat, self._store.revision)
+        elif beat.revision == self._store.revision:
+            # Both have seen the newest change, and one of us lacks another.
+            self._pull(box, beat, 0)
+
+    def _pull(self, box: str, beat: messages.Heartbeat, after: int) -> None:
+        """Asks a peer for what we lack, once for each state it showed."""
+        state = (beat.digest, self._store.digest)
+        if self._pulled.get(box) == state:
+            return
+        self._pulled[box] = state
+        self._peers.send(box, messages.PullObjects(after))
+
+    def _on_pull(self, box: str, pull: messages.PullObjects) -> None:
+        for message in _to_messages(self._store.after(pull.after)):
+            self._peers.send(box, message)
+        if self._boxes:
+            self._peers.send(box, _boxes_message(list(self._boxes.values())))
+
+    def _on_objects(self, box: str, message: messages.Objects) -> None:
+        objects = [
+            store.ConfigObject(key, version, values)
+            for key, version, values in zip(
+                message.keys, message.versions, message.values, strict=True
+            )
+        ]
+        if self._store.apply(objects):
+            self._on_change()
+
+    def _on_boxes(self, box: str, message: messages.Boxes) -> None:
+        boxes = [
+            protocol.ListedBox(
+                name,
+                protocol.BoxRole(role),
+                protocol.BoxState(state),
+                zone,
+                callers,
+                operators,
+                peers,
+            )
+            for name, role, state, zone, callers, operators, peers in (
+                message.rows
+            )
+        ]
+        self._remember(boxes)
+        self._on_listed(boxes)
+
+    def _on_leaving(self, box: str, leaving: messages.Leaving) -> None:
+        if self._members.leaving(leaving.box, leaving.incarnation):
+            # Passed on once, for those that have no connection to it.
+            self._peers.broadcast(leaving, self._members.own.zone)
+
+
+def _to_messages(
+    objects: list[store.ConfigObject],
+) -> list[messages.Objects]:
+    return [
+        messages.Objects(
+            tuple(o.key for o in part),
+            tuple(o.version for o in part),
+            tuple(o.values for o in part),
+        )
+        for part in (
+            objects[start : start + BATCH]
+            for start in range(0, len(objects), BATCH)
+        )
+    ]
+
+
+def _boxes_message(boxes: list[protocol.ListedBox]) -> messages.Boxes:
+    return messages.Boxes(
+        tuple(
+            (
+                box.name,
+                str(box.role),
+                str(box.state),
+                box.zone,
+                box.callers,
+                box.operators,
+                box.peers,
+            )
+            for box in boxes
+        )
+    )
--- /dev/null
+++ b/martenjunction/platform/feed.py
@@ -0,0 +1,165 @@
+"""Follows the platform: configuration by watching, boxes by polling.
+
+Only a few daemons of each availability zone follow it all the time; they pass
+on to the others what they learn, so that the platform's calls grow with the
+number of zones rather than with the fleet.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import random
+
+from martenjunction import errors
+from martenjunction import timers
+from martenjunction.config import fleet
+from martenjunction.config import store
+from martenjunction.platform import client
+from martenjunction.platform import configuration
+from martenjunction.platform import protocol
+
+logger = logging.getLogger(__name__)
+
+WATCH_WAIT = 20.0
+BOXES_INTERVAL = 1.0
+FIRST_PAUSE = 0.2
+LONGEST_PAUSE = 5.0
+
+OnObjects = Callable[[list[store.ConfigObject]], None]
+OnBoxes = Callable[[list[protocol.ListedBox]], None]
+
+
+class PlatformFeed:
+    """One daemon's reading of the platform."""
+
+    def __init__(
+        self,
+        platform: client.PlatformClient,
+        clock: timers.Timers,
+        is_watcher: Callable[[], bool],
+        on_objects: OnObjects,
+        on_boxes: OnBoxes,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Makes a feed; `start` begins.
+
+        Args:
+            platform: The platform.
+            clock: Tells the time.
+            is_watcher: Tells whether this daemon follows the platform now.
+            on_objects: Takes configuration objects.
+            on_boxes: Takes listed boxes.
+            rng: Jitter.
+        """
+        self._platform = platform
+        self._timers = clock
+        self._is_watcher = is_watcher
+        self._on_objects = on_objects
+        self._on_boxes = on_boxes
+        self._rng = rng or random.Random()
+        self._after = 0
+        self._boxes_after = 0
+        self._answered: float | None = None
+        self._failures = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def answered_ago(self) -> float | None:
+        """Seconds since the platform last answered, or None for never."""
+        if self._answered is None:
+            return None
+        return self._timers.now() - self._answered
+
+    @property
+    def failures(self) -> int:
+        """Calls that failed since the start."""
+        return self._failures
+
+    async def read_once(self) -> bool:
+        """Reads everything once; returns whether the platform answered."""
+        try:
+            await self._list()
+            await self._poll_boxes()
+        except errors.PlatformError as error:
+            self._failures += 1
+            logger.warning("the platform did not answer: %s", error)
+            return False
+        return True
+
+    def start(self) -> None:
+        """Begins to follow the platform."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._follow(self._watch, 0.0)),
+            loop.create_task(self._follow(self._poll_boxes, BOXES_INTERVAL)),
+        ]
+
+    async def stop(self) -> None:
+        """Stops following."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _follow(
+        self, step: Callable[[], Awaitable[None]], interval: float
+    ) -> None:
+        pause = FIRST_PAUSE
+        while True:
+            if not self._is_watcher():
+                await asyncio.sleep(BOXES_INTERVAL)
+                continue
+            try:
+                await step()
+                pause = FIRST_PAUSE
+                await asyncio.sleep(interval * (0.75 + self._rng.random() / 2))
+            except errors.PlatformError as error:
+                self._failures += 1
+                logger.info("the platform did not answer: %s", error)
+                await asyncio.sleep(pause * (0.5 + self._rng.random()))
+                pause = min(pause * 2.0, LONGEST_PAUSE)
+
+    async def _list(self) -> None:
+        listed = await self._platform.list_objects(fleet.KEY_PREFIX)
+        self._take(listed)
+
+    async def _watch(self) -> None:
+        if self._after == 0:
+            await self._list()
+        changed = await self._platform.watch(
+            fleet.KEY_PREFIX, self._after, WATCH_WAIT
+        )
+        if changed is None:
+            await self._list()
+            return
+        if changed.version < self._after:
+            # The platform went back, after a restore perhaps. What is in
+            # force stays; only what it writes from now on counts.
+            logger.warning(
+                "the platform went back from version %d to %d",
+                self._after,
+                changed.version,
+            )
+        self._take(changed)
+
+    async def _poll_boxes(self) -> None:
+        listed = await self._platform.boxes(self._boxes_after)
+        self._answered = self._timers.now()
+        if listed.version < self._boxes_after:
+            self._boxes_after = 0
+            return
+        self._boxes_after = listed.version
+        if listed.boxes:
+            self._on_boxes(listed.boxes)
+
+    def _take(self, listed: protocol.ObjectList) -> None:
+        self._answered = self._timers.now()
+        self._after = listed.version
+        objects = [
+            store.ConfigObject(
+                item.key, item.version, configuration.values_of(item)
+            )
+            for item in listed.objects
+        ]
+        if objects:
+            self._on_objects(objects)
--- /dev/null
+++ b/martenjunction/platform/protocol.py
@@ -0,0 +1,91 @@
+"""The form of the platform's object API: HTTP and JSON.
+
+Whatever is particular to one platform stays in this module.
+"""
+
+import dataclasses
+import enum
+from typing import Any
+
+import pydantic
+
+OBJECTS_PATH = "/v1/objects"
+WATCH_PATH = "/v1/watch"
+BOXES_PATH = "/v1/boxes"
+VERSION_HEADER = "If-Match"
+
+
+@dataclasses.dataclass(frozen=True)
+class PlatformObject:
+    """One object; `value` is None where it was deleted."""
+
+    key: str
+    version: int
+    value: Any = None
+
+
+@dataclasses.dataclass(frozen=True)
+class ObjectList:
+    """Objects, and the platform's version when they were read."""
+
+    version: int
+    objects: list[PlatformObject]
+
+
+@dataclasses.dataclass(frozen=True)
+class Written:
+    """The version that an update made, or the one that stood against it."""
+
+    version: int
+
+
+class BoxRole(enum.StrEnum):
+    """What a listed box runs."""
+
+    DAEMON = "daemon"
+    ENDPOINT = "endpoint"
+
+
+class BoxState(enum.StrEnum):
+    """What the list says of a box."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclasses.dataclass(frozen=True)
+class ListedBox:
+    """One box of the lagging list.
+
+    Attributes:
+        name: The box, or the endpoint's name in the configuration.
+        role: What it runs.
+        state: What the list says of it.
+        zone: Its availability zone.
+        callers: A daemon's address for callers.
+        operators: A daemon's address for operators.
+        peers: A daemon's address for other daemons.
+    """
+
+    name: str
+    role: BoxRole
+    state: BoxState
+    zone: str = ""
+    callers: str = ""
+    operators: str = ""
+    peers: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class BoxList:
+    """Boxes that changed since a version, and the version now."""
+
+    version: int
+    boxes: list[ListedBox]
+
+
+OBJECT = pydantic.TypeAdapter(PlatformObject)
+OBJECT_LIST = pydantic.TypeAdapter(ObjectList)
+WRITTEN = pydantic.TypeAdapter(Written)
+BOX_LIST = pydantic.TypeAdapter(BoxList)
--- /dev/null
+++ b/martenjunction/relay/__init__.py
@@ -0,0 +1,1 @@
+"""One request, from accept to last byte."""
--- /dev/null
+++ b/martenjunction/relay/relay.py
@@ -0,0 +1,442 @@
+"""Takes one request through its runs: wait, send, pass on, and try again."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+
+from martenjunction import errors
+from martenjunction import timers
+from martenjunction.cells import broker
+from martenjunction.cells import messages
+from martenjunction.config import fleet
+from martenjunction.decisions import asks
+from martenjunction.decisions import outcomes
+from martenjunction.decisions import retries
+from martenjunction.endpoints import client
+from martenjunction.endpoints import streams
+from martenjunction.relay import requests
+from martenjunction.relay import results
+from martenjunction.relay import runs
+from martenjunction.relay import sinks
+
+# Seconds without a byte after which a repeatable run counts as broken: for
+# the first token in multiples of the class target, then between tokens.
+FIRST_TOKEN_STALL = 4.0
+SHORTEST_STALL = 3.0
+
+# Runs that may be resumed at their own endpoint.
+MAX_RESUMES = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Tools:
+    """What all relays of a daemon share.
+
+    Attributes:
+        broker: Places requests with cells.
+        http: The client for endpoints.
+        clock: Tells the time.
+        budget: Limits retries.
+        endpoint: Returns the configuration of an endpoint, or None.
+        rng: Jitter.
+    """
+
+    broker: broker.Broker
+    http: client.EndpointClient
+    clock: timers.Timers
+    budget: retries.RetryBudget
+    endpoint: Callable[[str], fleet.Endpoint | None]
+    rng: random.Random
+
+
+class Relay:
+    """One request at its entry daemon."""
+
+    def __init__(
+        self, request: requests.RoutedRequest, sink: sinks.Sink, tools: Tools
+    ) -> None:
+        """Makes a relay; `run` does the work.
+
+        Args:
+            request: The request.
+            sink: The caller's side.
+            tools: What all relays share.
+        """
+        self._request = request
+        self._sink = sink
+        self._tools = tools
+        make = runs.conversations.get(request.service.kind)
+        self.conversation = make(request)
+        self._progress = outcomes.RequestProgress()
+        self._ticket: broker.Ticket | None = None
+        self._stream: streams.EndpointStream | None = None
+        self._stop: broker.StopReason | None = None
+        self._avoid: frozenset[str] = frozenset()
+        self._preemptions = 0
+        self._resumes = 0
+        self._first_token: float | None = None
+        self._run_first_token: float | None = None
+        self._run_started = 0.0
+        self._heard = 0.0
+        self._writing = False
+        self._endpoint = ""
+
+    @property
+    def request(self) -> requests.RoutedRequest:
+        """The request."""
+        return self._request
+
+    @property
+    def ticket(self) -> broker.Ticket | None:
+        """Where it waits or runs, or None."""
+        return self._ticket
+
+    async def run(self) -> results.Result:
+        """Takes the request to its end.
+
+        Returns:
+            How it ended; it raises nothing.
+        """
+        loop = asyncio.get_running_loop()
+        limit = self._request.service_class.time_limit
+        timer = loop.call_later(limit, self.stop, broker.StopReason.TIME_LIMIT)
+        try:
+            return await self._run()
+        finally:
+            timer.cancel()
+            self._give_up()
+
+    def stop(self, reason: broker.StopReason) -> None:
+        """Ends the request's wait or run now, whatever it is doing."""
+        if self._stop is not None:
+            return
+        self._stop = reason
+        ticket = self._ticket
+        if self._stream is not None:
+            self._cancel_run()
+        elif ticket is not None and ticket.state is broker.TicketState.WAITING:
+            ticket.verdicts.put(broker.Stopped(reason))
+
+    def check_stalled(self, now: float) -> None:
+        """Breaks a repeatable run off that has been silent for too long."""
+        if self._stream is None or self._writing:
+            return
+        if not self._request.repeatable:
+            return
+        limit = SHORTEST_STALL
+        if self._run_first_token is None:
+            target = self._request.service_class.first_token
+            limit = max(limit, target * FIRST_TOKEN_STALL)
+        if now - self._heard > limit:
+            self.stop(broker.StopReason.STALLED)
+
+    async def _run(self) -> results.Result:
+        while True:
+            try:
+                verdict = await self._wait_for_place()
+            except broker.NoCellError:
+                return self._failed(
+                    results.FailureCode.NO_ENDPOINT, "no endpoint is configured"
+                )
+            if isinstance(verdict, messages.RequestShed):
+                return self._shed(verdict)
+            if isinstance(verdict, broker.Stopped):
+                return self._stopped(verdict.reason)
+            ending = await self._run_at(verdict.endpoint)
+            result = self._after(ending)
+            if result is not None:
+                return result
+            await self._pause(ending)
+
+    # Waiting for a place.
+
+    async def _wait_for_place(self) -> broker.Verdict:
+        if self._stop is not None:
+            return broker.Stopped(self._stop)
+        ticket = self._tools.broker.place(
+            self._ask(), self._request.service.name, self._request.zones
+        )
+        ticket.on_preempted = self._on_preempted
+        self._ticket = ticket
+        return await ticket.verdicts.get()
+
+    def _ask(self) -> asks.Ask:
+        request = self._request
+        service_class = request.service_class
+        left = request.expected_tokens - self.conversation.tokens
+        return asks.Ask(
+            request_id=request.request_id,
+            entry="",
+            tier=service_class.tier,
+            class_name=service_class.name,
+            workspace=request.workspace,
+            arrived=request.arrived,
+            target=service_class.first_token,
+            patience=service_class.patience,
+            prompt_tokens=request.prompt_tokens,
+            expected_tokens=max(1.0, left),
+            prefix=request.prefix,
+            preemptible=self._may_be_preempted(),
+            avoid=self._avoid,
+            preemptions=self._preemptions,
+            firm=self._progress.attempts > 0,
+        )
+
+    def _may_be_preempted(self) -> bool:
+        return (
+            self._request.service_class.preemptible
+            and self._request.repeatable
+            and self.conversation.can_continue
+        )
+
+    def _on_preempted(self) -> None:
+        # Between the grant and the first byte sent there is nothing to stop.
+        if self._stream is not None:
+            self.stop(broker.StopReason.PREEMPTED)
+
+    # Running.
+
+    async def _run_at(self, name: str) -> asks.Ending:
+        self._endpoint = name
+        endpoint = self._tools.endpoint(name)
+        if endpoint is None:
+            self._finish_run(asks.Ending.REFUSED)
+            return asks.Ending.REFUSED
+        ending = await self._attempt(endpoint, resume=False)
+        while (
+            ending is asks.Ending.BROKEN
+            and self._stop is None
+            and self.conversation.can_resume
+            and self._resumes < MAX_RESUMES
+        ):
+            self._resumes += 1
+            ending = await self._attempt(endpoint, resume=True)
+        self._finish_run(ending)
+        return ending
+
+    async def _attempt(
+        self, endpoint: fleet.Endpoint, resume: bool
+    ) -> asks.Ending:
+        if self._stop is not None:
+            return asks.Ending.CANCELLED
+        conversation = self.conversation
+        make = conversation.resuming if resume else conversation.opening
+        request = make(endpoint.address)
+        if not resume:
+            self._progress.note(outcomes.Event.SENT)
+            self._run_started = self._tools.clock.now()
+            self._run_first_token = None
+        self._heard = self._tools.clock.now()
+        self._stream = self._tools.http.open(request)
+        try:
+            await conversation.relay(
+                self._stream, _Watched(self, self._sink), self._on_first_token
+            )
+        except sinks.CallerGoneError:
+            self.stop(broker.StopReason.CALLER_LEFT)
+            return self._note(asks.Ending.CANCELLED)
+        except errors.EndpointNotReachedError:
+            # A resumed run was reached before.
+            ending = asks.Ending.BROKEN if resume else asks.Ending.NOT_REACHED
+            return self._note(ending)
+        except errors.EndpointRefusedError:
+            ending = asks.Ending.BROKEN if resume else asks.Ending.REFUSED
+            return self._note(ending)
+        except errors.EndpointError:
+            return self._note(self._broken_ending())
+        finally:
+            self._stream = None
+        return self._note(asks.Ending.COMPLETE)
+
+    def _broken_ending(self) -> asks.Ending:
+        return _STOP_ENDINGS.get(self._stop, asks.Ending.BROKEN)
+
+    def _note(self, ending: asks.Ending) -> asks.Ending:
+        self._progress.note(_EVENTS[ending])
+        return ending
+
+    def _on_first_token(self) -> None:
+        now = self._tools.clock.now()
+        self._heard = now
+        if self._run_first_token is not None:
+            return
+        self._run_first_token = now - self._run_started
+        if self._first_token is None:
+            self._first_token = now - self._request.arrived
+        self._progress.note(outcomes.Event.ANSWERING)
+        if self._ticket is not None:
+            self._tools.broker.first_token(self._ticket, self._run_first_token)
+
+    def _finish_run(self, ending: asks.Ending) -> None:
+        if self._ticket is None:
+            return
+        duration = self._tools.clock.now() - self._run_started
+        interval = None
+        if self._run_first_token is not None and self.conversation.tokens > 1:
+            streaming = duration - self._run_first_token
+            interval = streaming / (self.conversation.tokens - 1)
+        self._tools.broker.ended(
+            self._ticket,
+            asks.RunEnd(
+                self._request.request_id,
+                ending,
+                self._run_first_token,
+                self.conversation.tokens,
+                interval,
+            ),
+        )
+        self._ticket = None
+
+    def _cancel_run(self) -> None:
+        stream = self._stream
+        ticket = self._ticket
+        if stream is not None:
+            self._tools.http.cancel(stream)
+        if ticket is None:
+            return
+        endpoint = self._tools.endpoint(ticket.endpoint)
+        if endpoint is None:
+            return
+        cancelling = self.conversation.cancelling(endpoint.address)
+        if cancelling is not None:
+            # Nothing waits for the answer: the engine also ends a run whose
+            # stream nobody takes up again.
+            self._tools.http.open(cancelling)
+
+    # After a run.
+
+    def _after(self, ending: asks.Ending) -> results.Result | None:
+        """Returns how the request ended, or None to try again."""
+        if ending is asks.Ending.COMPLETE:
+            self._tools.budget.success()
+            return self._result(outcomes.Outcome.DONE)
+        if ending is asks.Ending.PREEMPTED:
+            self._preemptions += 1
+            self._stop = None
+            return None
+        if self._stop is broker.StopReason.STALLED:
+            self._stop = None
+        if self._stop is not None:
+            return self._stopped(self._stop)
+        self._avoid = self._avoid | {self._endpoint}
+        if self._may_try_again():
+            return None
+        return self._failed(
+            results.FailureCode.ENDPOINT_FAILED,
+            "the endpoint did not answer in full",
+        )
+
+    def _may_try_again(self) -> bool:
+        if self._progress.attempts >= retries.MAX_ATTEMPTS + self._preemptions:
+            return False
+        if not self._progress.may_send_again(self._request.repeatable):
+            return False
+        begun = self._progress.outcome is outcomes.Outcome.RAN_PARTLY
+        if begun and not self.conversation.can_continue:
+            return False
+        return self._tools.budget.take()
+
+    async def _pause(self, ending: asks.Ending) -> None:
+        if ending is not asks.Ending.PREEMPTED:
+            jitter = self._tools.rng.random()
+            attempt = self._progress.attempts
+            await asyncio.sleep(retries.pause_before(attempt, jitter))
+
+    def _give_up(self) -> None:
+        """Gives back what is still held, however the request ended."""
+        if self._stream is not None:
+            self._cancel_run()
+        ticket = self._ticket
+        if ticket is None:
+            return
+        if ticket.state is broker.TicketState.RUNNING:
+            self._finish_run(asks.Ending.CANCELLED)
+        else:
+            self._tools.broker.withdraw(ticket)
+
+    # Results.
+
+    def _shed(self, verdict: messages.RequestShed) -> results.Result:
+        return self._failed(
+            results.FailureCode.SHED,
+            f"shed: {verdict.reason}",
+            verdict.retry_after,
+        )
+
+    def _stopped(self, reason: broker.StopReason) -> results.Result:
+        return self._failed(_STOP_CODES[reason], _STOP_MESSAGES[reason])
+
+    def _failed(
+        self,
+        code: results.FailureCode,
+        message: str,
+        retry_after: float | None = None,
+    ) -> results.Result:
+        result = self._result(self._progress.outcome)
+        result.code = code
+        result.message = message
+        result.retry_after = retry_after
+        return result
+
+    def _result(self, outcome: outcomes.Outcome) -> results.Result:
+        return results.Result(
+            outcome=outcome,
+            endpoint=self._endpoint,
+            attempts=self._progress.attempts,
+            preemptions=self._preemptions,
+            tokens=self.conversation.tokens,
+            first_token_s=self._first_token,
+            duration_s=self._tools.clock.now() - self._request.arrived,
+        )
+
+
+class _Watched:
+    """A sink that tells its relay when the caller holds it up."""
+
+    def __init__(self, relay: Relay, sink: sinks.Sink) -> None:
+        self._relay = relay
+        self._sink = sink
+
+    async def start(self, head: streams.ResponseHead) -> None:
+        await self._sink.start(head)
+
+    async def write(self, data: bytes) -> None:
+        self._relay._writing = True
+        try:
+            await self._sink.write(data)
+        finally:
+            self._relay._writing = False
+
+
+# What a run that we broke off ourselves ended by.
+_STOP_ENDINGS: dict[broker.StopReason | None, asks.Ending] = {
+    broker.StopReason.PREEMPTED: asks.Ending.PREEMPTED,
+    broker.StopReason.CALLER_LEFT: asks.Ending.CANCELLED,
+    broker.StopReason.TIME_LIMIT: asks.Ending.CANCELLED,
+    broker.StopReason.STALLED: asks.Ending.BROKEN,
+}
+
+# What an ending means for what the caller may be told.
+_EVENTS: dict[asks.Ending, outcomes.Event] = {
+    asks.Ending.COMPLETE: outcomes.Event.COMPLETE,
+    asks.Ending.NOT_REACHED: outcomes.Event.NOT_REACHED,
+    asks.Ending.REFUSED: outcomes.Event.REFUSED,
+    asks.Ending.BROKEN: outcomes.Event.BROKEN,
+    asks.Ending.CANCELLED: outcomes.Event.BROKEN,
+    asks.Ending.PREEMPTED: outcomes.Event.BROKEN,
+}
+
+_STOP_CODES = {
+    broker.StopReason.CALLER_LEFT: results.FailureCode.CALLER_LEFT,
+    broker.StopReason.TIME_LIMIT: results.FailureCode.TIME_LIMIT,
+    broker.StopReason.STALLED: results.FailureCode.ENDPOINT_FAILED,
+    broker.StopReason.PREEMPTED: results.FailureCode.ENDPOINT_FAILED,
+}
+
+_STOP_MESSAGES = {
+    broker.StopReason.CALLER_LEFT: "the caller left",
+    broker.StopReason.TIME_LIMIT: "the class's time limit has passed",
+    broker.StopReason.STALLED: "the endpoint fell silent",
+    broker.StopReason.PREEMPTED: "preempted",
+}
--- /dev/null
+++ b/martenjunction/timers.py
@@ -0,0 +1,117 @@
+"""The timer service that parts subscribe to."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import logging
+import time
+
+logger = logging.getLogger(__name__)
+
+Tick = Callable[[], None]
+
+
+@dataclasses.dataclass
+class Subscription:
+    """One part's wish to be called at intervals.
+
+    Attributes:
+        name: Shown in the dump and in logs.
+        interval: Seconds between calls.
+        tick: Called without arguments; must not block.
+    """
+
+    name: str
+    interval: float
+    tick: Tick
+    due: float = 0.0
+    active: bool = True
+
+    def cancel(self) -> None:
+        """Ends the subscription."""
+        self.active = False
+
+
+class Timers:
+    """Calls subscribers at their intervals and tells the time.
+
+    All code that decides takes its time from `now`, so that a test can put
+    another clock in its place.
+    """
+
+    RESOLUTION = 0.01
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        """Makes the service.
+
+        Args:
+            clock: Returns seconds on a clock that never goes back.
+        """
+        self._clock = clock
+        self._subscriptions: list[Subscription] = []
+        self._task: asyncio.Task[None] | None = None
+        self._worst_delay = 0.0
+
+    @property
+    def worst_delay(self) -> float:
+        """The longest time, in seconds, that the event loop woke us late."""
+        return self._worst_delay
+
+    def now(self) -> float:
+        """Returns seconds on the service's clock."""
+        return self._clock()
+
+    def subscribe(self, name: str, interval: float, tick: Tick) -> Subscription:
+        """Has `tick` called every `interval` seconds.
+
+        Args:
+            name: Names the subscriber.
+            interval: Seconds, at least `RESOLUTION`.
+            tick: Called without arguments.
+
+        Returns:
+            The subscription, which can be cancelled.
+        """
+        subscription = Subscription(name, max(interval, self.RESOLUTION), tick)
+        subscription.due = self.now() + subscription.interval
+        self._subscriptions.append(subscription)
+        return subscription
+
+    def fire(self) -> None:
+        """Calls every subscriber that is due."""
+        now = self.now()
+        for subscription in list(self._subscriptions):
+            if not subscription.active:
+                self._subscriptions.remove(subscription)
+            elif subscription.due <= now:
+                subscription.due = now + subscription.interval
+                self._call(subscription)
+
+    def start(self) -> None:
+        """Starts calling subscribers from the running event loop."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stops calling subscribers."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            wake = self._next_due()
+            await asyncio.sleep(max(self.RESOLUTION, wake - self.now()))
+            self._worst_delay = max(
+                self._worst_delay * 0.999, self.now() - wake
+            )
+            self.fire()
+
+    def _next_due(self) -> float:
+        horizon = self.now() + 1.0
+        return min((s.due for s in self._subscriptions), default=horizon)
+
+    def _call(self, subscription: Subscription) -> None:
+        try:
+            subscription.tick()
+        except Exception:
+            logger.exception("timer %s failed", subscription.name)
--- /dev/null
+++ b/martenjunction_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool and experiments; never imported by the library."""
--- /dev/null
+++ b/martenjunction_lab/engine.py
@@ -0,0 +1,427 @@
+"""A stand-in of a model engine: batches, caches prefixes, streams, fails."""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+import dataclasses
+import json
+import time
+from typing import Any
+
+from tornado import iostream
+from tornado import web
+
+from martenjunction import http_headers
+from martenjunction.callers import prompts
+from martenjunction.decisions import placement
+from martenjunction.endpoints import engine_protocol
+from martenjunction_lab import answers
+from martenjunction_lab import servers
+
+# Seconds for which a run whose stream broke waits to be resumed.
+ORPHAN_LIFETIME = 1.0
+
+# Ended runs that are remembered.
+MAX_ENDED = 2000
+
+
+@dataclasses.dataclass
+class EngineSpeed:
+    """How fast an engine is.
+
+    Attributes:
+        slots: Requests in its batch.
+        step_s: Seconds a decode step takes with an empty batch.
+        batch_cost: How much a full batch slows a step down, as a part.
+        prefill_s: Seconds to process one prompt token.
+        cache_blocks: Prompt blocks that its cache holds.
+    """
+
+    slots: int = 8
+    step_s: float = 0.02
+    batch_cost: float = 0.5
+    prefill_s: float = 0.00005
+    cache_blocks: int = 2000
+
+
+@dataclasses.dataclass
+class EngineFaults:
+    """How an engine misbehaves.
+
+    Attributes:
+        slow: Every time is multiplied by this.
+        refuse: Answers 503 to new requests.
+        hang: Takes requests and never answers.
+        cut_after: Closes streams in the middle of the event after so many.
+        wrong_id: Answers with another request's id.
+        report_lag_s: Load reports are this old.
+        false_idle: Load reports always say that it is idle.
+    """
+
+    slow: float = 1.0
+    refuse: bool = False
+    hang: bool = False
+    cut_after: int = 0
+    wrong_id: bool = False
+    report_lag_s: float = 0.0
+    false_idle: bool = False
+
+
+class Run:
+    """One request in an engine."""
+
+    def __init__(
+        self,
+        request_id: str,
+        priority: int,
+        body: dict[str, Any],
+        prefill_left: float,
+    ) -> None:
+        self.request_id = request_id
+        self.priority = priority
+        self.model = str(body.get("model", ""))
+        self.mark = answers.mark_of(body.get("messages", []))
+        self.length = answers.length_of(body)
+        going_on = body.get("continue_from") or {}
+        self.first = int(going_on.get("tokens", 0))
+        self.made = self.first
+        self.prefill_left = prefill_left
+        self.cancelled = False
+        self.changed = asyncio.Event()
+        self.readers = 0
+        self.orphaned_at = time.monotonic()
+
+    @property
+    def done(self) -> bool:
+        """Whether all tokens were made."""
+        return self.made >= self.length
+
+    def event(self, index: int) -> bytes:
+        """Returns the event of one token."""
+        data = self._chunk({"content": answers.token(self.mark, index)}, None)
+        return f"id: {index}\ndata: {data}\n\n".encode()
+
+    def closing(self) -> bytes:
+        """Returns the last events of a whole answer."""
+        data = self._chunk({}, "stop", {"completion_tokens": self.length})
+        return f"data: {data}\n\n".encode() + engine_protocol.DONE
+
+    def _chunk(
+        self,
+        delta: dict[str, str],
+        reason: str | None,
+        usage: dict[str, int] | None = None,
+    ) -> str:
+        chunk: dict[str, Any] = {
+            "id": f"chatcmpl-{self.request_id}",
+            "object": "chat.completion.chunk",
+            "created": 0,
+            "model": self.model,
+            "choices": [{"index": 0, "delta": delta, "finish_reason": reason}],
+        }
+        if usage is not None:
+            chunk["usage"] = usage
+        return json.dumps(chunk, separators=(",", ":"))
+
+
+@dataclasses.dataclass
+class EngineCounts:
+    """What an engine did.
+
+    Attributes:
+        started: How often each request was started.
+        tokens_made: Tokens made.
+        tokens_wasted: Tokens of runs that were cancelled or lost.
+    """
+
+    started: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    tokens_made: int = 0
+    tokens_wasted: int = 0
+
+
+class Engine(servers.StandIn):
+    """An engine with continuous batching."""
+
+    def __init__(
+        self,
+        name: str,
+        address: str = "127.0.0.1:0",
+        speed: EngineSpeed | None = None,
+    ) -> None:
+        """Makes an engine; `start` brings it up.
+
+        Args:
+            name: Its name.
+            address: IP number and port.
+            speed: How fast it is.
+        """
+        super().__init__(address)
+        self.name = name
+        self.speed = speed or EngineSpeed()
+        self.faults = EngineFaults()
+        self.counts = EngineCounts()
+        self._runs: dict[str, Run] = {}
+        self._batch: list[Run] = []
+        self._queue: list[Run] = []
+        self._cache: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self._reports: collections.deque[tuple[float, int, int]] = (
+            collections.deque(maxlen=400)
+        )
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def handlers(self) -> list[Any]:
+        """Returns paths and handlers."""
+        arguments = {"engine": self}
+        return [
+            (engine_protocol.CHAT_PATH, _ChatHandler, arguments),
+            (f"{engine_protocol.RUNS_PATH}(.*)", _RunHandler, arguments),
+            (engine_protocol.LOAD_PATH, _LoadHandler, arguments),
+            ("/lab/faults", _FaultsHandler, arguments),
+            ("/lab/counts", _CountsHandler, arguments),
+        ]
+
+    def start(self) -> None:
+        """Brings the engine up with an empty batch."""
+        super().start()
+        self._task = asyncio.get_running_loop().create_task(self._work())
+
+    async def stop(self) -> None:
+        """Ends the engine and loses what it had in hand."""
+        if self._task is not None:
+            self._task.cancel()
+        for run in list(self._runs.values()):
+            self._lose(run)
+        self._runs.clear()
+        self._batch.clear()
+        self._queue.clear()
+        self._cache.clear()
+        await super().stop()
+
+    async def crash(self, down_s: float) -> None:
+        """Ends at once, and comes back after some seconds."""
+        await self.stop()
+        await asyncio.sleep(down_s)
+        self.start()
+
+    @property
+    def load(self) -> tuple[int, int]:
+        """Requests in the batch and in the queue."""
+        return len(self._batch), len(self._queue)
+
+    def report(self) -> dict[str, float]:
+        """Returns the load as it is reported, lag and lies included."""
+        now = time.monotonic()
+        lag = self.faults.report_lag_s
+        running, waiting = self.load
+        self._reports.append((now, running, waiting))
+        measured = now
+        if lag > 0:
+            old = [r for r in self._reports if r[0] <= now - lag]
+            measured, running, waiting = old[-1] if old else (now - lag, 0, 0)
+        if self.faults.false_idle:
+            running = waiting = 0
+        age_ms = (now - measured) * 1000
+        return {"running": running, "waiting": waiting, "age_ms": age_ms}
+
+    def submit(
+        self, request_id: str, priority: int, body: dict[str, Any]
+    ) -> Run:
+        """Takes a request in."""
+        self.counts.started[request_id] += 1
+        uncached = self._uncached(body)
+        prefill = uncached * self.speed.prefill_s
+        run = Run(request_id, priority, body, prefill)
+        self._runs[request_id] = run
+        self._queue.append(run)
+        self._queue.sort(key=lambda queued: queued.priority)
+        self._wake.set()
+        return run
+
+    def find(self, request_id: str) -> Run | None:
+        """Returns a run that can be resumed, or None."""
+        return self._runs.get(request_id)
+
+    def cancel(self, request_id: str) -> bool:
+        """Ends a run; returns whether there was one."""
+        run = self._runs.pop(request_id, None)
+        if run is None:
+            return False
+        self._lose(run)
+        return True
+
+    def _lose(self, run: Run) -> None:
+        if not run.done and not run.cancelled:
+            self.counts.tokens_wasted += run.made - run.first
+        run.cancelled = True
+        run.changed.set()
+
+    def _uncached(self, body: dict[str, Any]) -> int:
+        text = prompts.text_of(body.get("messages", []))
+        tokens = prompts.count_tokens(text)
+        going_on = body.get("continue_from") or {}
+        tokens += int(going_on.get("tokens", 0))
+        for block in prompts.prefix_blocks(text):
+            if block in self._cache:
+                tokens -= placement.BLOCK_TOKENS
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        while len(self._cache) > self.speed.cache_blocks:
+            self._cache.popitem(last=False)
+        return max(1, tokens)
+
+    async def _work(self) -> None:
+        while True:
+            self._fill()
+            if not self._batch:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            step = self._step_time()
+            await asyncio.sleep(step)
+            for run in list(self._batch):
+                self._advance(run, step)
+            self._expire()
+
+    def _fill(self) -> None:
+        while self._queue and len(self._batch) < self.speed.slots:
+            run = self._queue.pop(0)
+            if not run.cancelled:
+                self._batch.append(run)
+
+    def _step_time(self) -> float:
+        full = len(self._batch) / self.speed.slots
+        step = self.speed.step_s * (1.0 + self.speed.batch_cost * full)
+        return step * self.faults.slow
+
+    def _advance(self, run: Run, step: float) -> None:
+        if run.cancelled:
+            self._batch.remove(run)
+            return
+        if run.prefill_left > 0:
+            run.prefill_left -= step / self.faults.slow
+            if run.prefill_left > 0:
+                return
+        run.made += 1
+        self.counts.tokens_made += 1
+        run.changed.set()
+        if run.done:
+            self._batch.remove(run)
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for run in list(self._runs.values()):
+            waited = now - run.orphaned_at
+            if run.readers == 0 and waited > ORPHAN_LIFETIME:
+                self.cancel(run.request_id)
+        while len(self._runs) > MAX_ENDED:
+            self._runs.pop(next(iter(self._runs)))
+
+
+class _EngineHandler(servers.JsonHandler):
+    def initialize(self, engine: Engine) -> None:
+        self._engine = engine
+
+    async def stream(self, run: Run, after: int) -> None:
+        """Streams a run's events after one of them until its end."""
+        engine = self._engine
+        answered = "another" if engine.faults.wrong_id else run.request_id
+        self.set_header(http_headers.REQUEST_ID, answered)
+        self.set_header("Content-Type", "text/event-stream")
+        run.readers += 1
+        try:
+            await self._send(run, after)
+        except iostream.StreamClosedError:
+            return
+        finally:
+            run.readers -= 1
+            run.orphaned_at = time.monotonic()
+
+    async def _send(self, run: Run, after: int) -> None:
+        sent = after
+        while True:
+            if run.cancelled:
+                servers.drop_connection(self)
+                return
+            fresh = b"".join(run.event(i) for i in _range(sent, run.made))
+            sent = max(sent, run.made)
+            if self._cuts(run, sent):
+                self.write(fresh[:-5])
+                await self.flush()
+                servers.drop_connection(self)
+                return
+            if run.done:
+                self.write(fresh + run.closing())
+                await self.finish()
+                return
+            if fresh:
+                self.write(fresh)
+                await self.flush()
+            run.changed.clear()
+            await run.changed.wait()
+
+    def _cuts(self, run: Run, sent: int) -> bool:
+        cut = self._engine.faults.cut_after
+        return 0 < cut <= sent - run.first and not run.done
+
+
+def _range(after: int, made: int) -> Iterator[int]:
+    return iter(range(after + 1, made + 1))
+
+
+class _ChatHandler(_EngineHandler):
+    async def post(self) -> None:
+        engine = self._engine
+        if engine.faults.refuse:
+            self.set_status(503)
+            return
+        if engine.faults.hang:
+            await asyncio.sleep(3600)
+        body = self.body()
+        request_id = self.request.headers.get(http_headers.REQUEST_ID, "")
+        priority = self.request.headers.get(http_headers.PRIORITY, "u=4")
+        run = engine.submit(request_id, int(priority[2:]), body)
+        await self.stream(run, run.first)
+
+
+class _RunHandler(_EngineHandler):
+    async def get(self, request_id: str) -> None:
+        run = self._engine.find(request_id)
+        if run is None:
+            raise web.HTTPError(404)
+        after = int(self.request.headers.get(http_headers.LAST_EVENT_ID, "0"))
+        await self.stream(run, max(after, run.first))
+
+    def delete(self, request_id: str) -> None:
+        if not self._engine.cancel(request_id):
+            raise web.HTTPError(404)
+
+
+class _LoadHandler(_EngineHandler):
+    def get(self) -> None:
+        self.write(self._engine.report())
+
+
+class _FaultsHandler(_EngineHandler):
+    def post(self) -> None:
+        body = self.body()
+        down_s = body.pop("crash_s", None)
+        self._engine.faults = EngineFaults(**body)
+        if down_s is not None:
+            asyncio.ensure_future(self._engine.crash(float(down_s)))
+
+
+class _CountsHandler(_EngineHandler):
+    def get(self) -> None:
+        counts = self._engine.counts
+        self.write(
+            {
+                "started": dict(counts.started),
+                "tokens_made": counts.tokens_made,
+                "tokens_wasted": counts.tokens_wasted,
+            }
+        )
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,43 @@
+"""Builders of test data."""
+
+from martenjunction.decisions import asks
+from martenjunction.decisions import dispatcher
+
+
+def ask(request_id: str = "r1", **changes: object) -> asks.Ask:
+    """Returns an ask of the highest tier that came at time 0."""
+    values: dict[str, object] = {
+        "request_id": request_id,
+        "entry": "box-1",
+        "tier": 1,
+        "class_name": "quote",
+        "workspace": "agents",
+        "arrived": 0.0,
+        "target": 1.0,
+        "patience": 1000.0,
+        "prompt_tokens": 100,
+        "expected_tokens": 50.0,
+    }
+    values.update(changes)
+    return asks.Ask(**values)  # type: ignore[arg-type]
+
+
+def cell(
+    endpoints: int = 1,
+    slots: int = 1,
+    settings: dispatcher.DispatchSettings | None = None,
+) -> dispatcher.Dispatcher:
+    """Returns a dispatcher whose endpoints have been heard from."""
+    made = dispatcher.Dispatcher(settings or dispatcher.DispatchSettings())
+    for number in range(1, endpoints + 1):
+        name = f"e{number}"
+        made.set_endpoint(name, slots, 0.0)
+        made.report(asks.LoadReport(name, 0.0, 0, 0), 0.0)
+    return made
+
+
+def end(
+    request_id: str, ending: asks.Ending = asks.Ending.COMPLETE
+) -> asks.RunEnd:
+    """Returns the end of a run."""
+    return asks.RunEnd(request_id, ending, 0.05, 10, 0.03)
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,67 @@
+"""What a caller may be told, for every order of events."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from martenjunction import errors
+from martenjunction.decisions import outcomes
+
+E = outcomes.Event
+
+
+def after(*events: outcomes.Event) -> outcomes.RequestProgress:
+    progress = outcomes.RequestProgress()
+    for event in events:
+        progress.note(event)
+    return progress
+
+
+@pytest.mark.parametrize(
+    ("events", "outcome"),
+    [
+        ((), "not-run"),
+        ((E.SENT,), "unknown"),
+        ((E.SENT, E.NOT_REACHED), "not-run"),
+        ((E.SENT, E.REFUSED), "not-run"),
+        ((E.SENT, E.BROKEN), "unknown"),
+        ((E.SENT, E.ANSWERING), "ran-partly"),
+        ((E.SENT, E.ANSWERING, E.BROKEN), "ran-partly"),
+        ((E.SENT, E.ANSWERING, E.COMPLETE), "done"),
+        # A refusal by a second endpoint says nothing of the first.
+        ((E.SENT, E.BROKEN, E.SENT, E.REFUSED), "unknown"),
+        ((E.SENT, E.BROKEN, E.SENT, E.NOT_REACHED), "unknown"),
+    ],
+)
+def test_outcome(events: tuple[outcomes.Event, ...], outcome: str) -> None:
+    assert after(*events).outcome == outcome
+
+
+def test_impossible_event_is_an_error() -> None:
+    with pytest.raises(errors.MartenjunctionError):
+        after(E.COMPLETE)
+
+
+def test_not_repeatable_is_sent_again_only_if_not_run() -> None:
+    assert after(E.SENT, E.REFUSED).may_send_again(repeatable=False)
+    assert not after(E.SENT, E.BROKEN).may_send_again(repeatable=False)
+    assert after(E.SENT, E.BROKEN).may_send_again(repeatable=True)
+
+
+@given(st.lists(st.sampled_from(list(outcomes.Event)), max_size=12))
+def test_not_run_is_only_said_when_no_attempt_is_open(
+    events: list[outcomes.Event],
+) -> None:
+    progress = outcomes.RequestProgress()
+    open_attempts = 0
+    for event in events:
+        try:
+            progress.note(event)
+        except errors.MartenjunctionError:
+            return
+        if event is E.SENT:
+            open_attempts += 1
+        if event in (E.NOT_REACHED, E.REFUSED):
+            open_attempts -= 1
+        if progress.outcome == "not-run":
+            assert open_attempts <= 0
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,76 @@
+"""Operators' programs, whole, broken and hostile."""
+
+import pytest
+
+from martenjunction import errors
+from martenjunction.decisions import policies
+
+FACTS = policies.RequestFacts("agents", "quote", "loom-llm", 100, 0, "quote")
+
+
+def program(source: str) -> policies.Program:
+    return policies.Program("p", source)
+
+
+def test_classify_and_place() -> None:
+    made = program(
+        "def classify(request):\n"
+        "    return 'bulk' if request['prompt_tokens'] > 50 else None\n"
+        "def place(request):\n"
+        "    return ['a', 'b']\n"
+    )
+    assert made.classify(FACTS) == "bulk"
+    assert made.place(FACTS) == ("a", "b")
+
+
+def test_parse_error_names_line_and_column() -> None:
+    with pytest.raises(errors.PolicyError, match=r"\(p:1:22\)"):
+        program("def classify(request)\n    return 1\n")
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "for i in range(1000000000):\n        pass",
+        "return classify(request)",
+        "return request.kind",
+        "return 7",
+        "return [1, 2]",
+        "return request['absent']",
+        "fail('no')",
+    ],
+)
+def test_bad_program_gives_no_opinion(body: str) -> None:
+    made = program(f"def classify(request):\n    {body}\n")
+    assert made.classify(FACTS) is None
+    assert made.failures == 1
+    assert made.last_error
+
+
+@pytest.mark.parametrize("operator", ["*", "<<"])
+def test_operators_that_fill_memory_are_refused(operator: str) -> None:
+    with pytest.raises(errors.PolicyError, match="not allowed"):
+        program(f"x = 1 {operator} 1000000000\n")
+
+
+def test_loading_has_a_budget_too() -> None:
+    with pytest.raises(errors.PolicyError, match="cancelled"):
+        program("x = [i for i in range(100000000)]\n")
+
+
+def test_failing_program_rests() -> None:
+    made = program("def classify(request):\n    fail('no')\n")
+    for _ in range(policies.MAX_FAILURES + 10):
+        made.classify(FACTS)
+    assert made.calls == policies.MAX_FAILURES
+
+
+def test_slow_program_rests_at_once() -> None:
+    times = iter([0.0, 1.0])
+    made = policies.Program(
+        "p", "def classify(request):\n    return 'a'\n", lambda: next(times)
+    )
+    made.classify(FACTS)
+    assert made.classify(FACTS) is None
+    assert made.calls == 1
+    assert "longer" in made.last_error
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,87 @@
+"""Runs every check and prints one closing line."""
+
+import dataclasses
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+from xml.etree import ElementTree
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PACKAGES = ["martenjunction", "martenjunction_lab", "tools"]
+
+
+@dataclasses.dataclass
+class Tally:
+    """How many checks passed and failed."""
+
+    passed: int = 0
+    failed: int = 0
+
+
+def run_single(name: str, *command: str) -> Tally:
+    """Runs a tool whose exit code is one check."""
+    code = _run(name, [sys.executable, "-m", *command])
+    return Tally(int(code == 0), int(code != 0))
+
+
+def run_counted(name: str, report: pathlib.Path, *command: str) -> Tally:
+    """Runs a test runner that writes a JUnit report or a folder of them."""
+    code = _run(name, [sys.executable, "-m", *command])
+    files = sorted(report.glob("*.xml")) if report.is_dir() else [report]
+    tally = Tally()
+    for file in files:
+        if file.exists():
+            _add_report(tally, file)
+    if code != 0 and tally.failed == 0:
+        tally.failed = 1
+    return tally
+
+
+def _add_report(tally: Tally, file: pathlib.Path) -> None:
+    for case in ElementTree.parse(file).iter("testcase"):
+        if case.find("skipped") is not None:
+            continue
+        bad = case.find("failure") is not None or case.find("error") is not None
+        tally.failed += bad
+        tally.passed += not bad
+
+
+def _run(name: str, command: list[str]) -> int:
+    print(f"== {name}", flush=True)
+    started = time.monotonic()
+    code = subprocess.run(command, cwd=ROOT, check=False).returncode
+    print(f"-- {name}: {time.monotonic() - started:.1f} s", flush=True)
+    return code
+
+
+def main() -> int:
+    """Runs all checks; returns the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        out = pathlib.Path(folder)
+        unit = out / "unit.xml"
+        features = out / "features"
+        features.mkdir()
+        tallies = [
+            run_single("format", "ruff", "format", "--check", "."),
+            run_single("lint", "ruff", "check", "."),
+            run_single("types", "mypy", *PACKAGES),
+            run_counted("unit", unit, "pytest", "-q", f"--junitxml={unit}"),
+            run_counted(
+                "scenarios",
+                features,
+                "behave",
+                "--junit",
+                f"--junit-directory={features}",
+                "--format=progress",
+            ),
+        ]
+    passed = sum(tally.passed for tally in tallies)
+    failed = sum(tally.failed for tally in tallies)
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
