--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -110,6 +110,8 @@
             self.timers,
             self.events,
             self._heartbeat,
+            settings.listen_peers or settings.peers,
+            settings.seeds,
         )
         self.cells = host.CellHost(
             self.timers,
@@ -378,7 +380,7 @@
             self, self._settings.operator_key
         )
         for application, address in (
-            (callers, self._settings.callers),
+            (callers, self._settings.listen_callers or self._settings.callers),
             (operators, self._settings.operators),
         ):
             server = httpserver.HTTPServer(
--- a/martenjunction/config/settings.py
+++ b/martenjunction/config/settings.py
@@ -22,17 +22,19 @@
         callers: Address for callers.
         operators: Address for operators.
         peers: Address for the other daemons.
+        listen_callers: Where it listens for callers, if that is not the
+            address that they use.
+        listen_peers: The same for other daemons.
         operator_key: Key that operators must show.
         peer_key: Key that daemons share.
         platform: URL of the platform's object API, or empty for none.
         fleet: A configuration file, for a daemon without a platform.
+        seeds: Peer addresses of some boxes, for a start while the platform
+            does not answer.
         log: File for the JSON lines, or `-` for standard error.
         body_limit: Largest request body, in bytes.
         header_limit: Largest request header, in bytes.
-        max_runs: Requests that this daemon may have at endpoints at once.
-        max_held: Requests that this daemon may hold in all.
-        write_window: Seconds between two writes of one stream while the
-            event loop is busy.
+        max_held: Requests that this daemon may hold at once.
         entry_ttl: Seconds for which callers may keep an entry answer.
         drain_limit: Longest planned stop, in seconds.
         loop: `uvloop` or `asyncio`.
@@ -47,14 +49,15 @@
     peers: units.Address
     operator_key: str
     peer_key: str
+    listen_callers: units.Address | None = None
+    listen_peers: units.Address | None = None
     platform: str = ""
     fleet: str = ""
+    seeds: units.Words = ()
     log: str = "-"
     body_limit: units.Bytes = 8 * 1024**2
     header_limit: units.Bytes = 64 * 1024
-    max_runs: Annotated[int, pydantic.Field(ge=1, le=20000)] = 2048
-    max_held: Annotated[int, pydantic.Field(ge=1, le=100000)] = 8192
-    write_window: units.Seconds = 0.02
+    max_held: Annotated[int, pydantic.Field(ge=1, le=20000)] = 2048
     entry_ttl: units.Seconds = 10.0
     drain_limit: units.Seconds = 600.0
     loop: Annotated[str, pydantic.Field(pattern="^(uvloop|asyncio)$")] = (
--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -48,6 +48,8 @@
         clock: timers.Timers,
         emitter: events.Events,
         heartbeat: Callable[[], messages.Heartbeat],
+        listen: str,
+        seeds: tuple[str, ...] = (),
         rng: random.Random | None = None,
     ) -> None:
         """Makes a hub; `start` begins.
@@ -58,6 +60,8 @@
             clock: Tells the time.
             emitter: Where connections that come and go are announced.
             heartbeat: Makes the message that says how this daemon is.
+            listen: Address to listen on.
+            seeds: Addresses to call while nobody else is known.
             rng: Jitter.
         """
         self._members = members
@@ -65,6 +69,8 @@
         self._timers = clock
         self._events = emitter
         self._heartbeat = heartbeat
+        self._listen = listen
+        self._seeds = seeds
         self._rng = rng or random.Random()
         self._links: dict[str, list[links.Link]] = {}
         self._dialing: dict[str, asyncio.Task[None]] = {}
@@ -116,7 +122,7 @@
 
     async def start(self) -> None:
         """Listens for peers and begins to call them."""
-        host, port = units.split_address(self._members.own.peers)
+        host, port = units.split_address(self._listen)
         self._server = await ws_server.serve(
             self._answer,
             host,
@@ -139,7 +145,10 @@
 
     def dial(self) -> None:
         """Calls the peers that we want a connection to and have none."""
-        for member in self._targets():
+        targets = self._targets()
+        if not targets and not self._links:
+            targets = [_unnamed(address) for address in self._seeds]
+        for member in targets:
             if member.box in self._dialing or self.reachable(member.box):
                 continue
             task = asyncio.get_running_loop().create_task(self._call(member))
@@ -171,7 +180,7 @@
     async def _call(self, member: membership.Member) -> None:
         pause = FIRST_PAUSE
         try:
-            while self._still_wanted(member.box):
+            while self._still_wanted(member):
                 if await self._connect(member):
                     pause = FIRST_PAUSE
                 await asyncio.sleep(pause * (0.5 + self._rng.random()))
@@ -179,10 +188,12 @@
         finally:
             self._dialing.pop(member.box, None)
 
-    def _still_wanted(self, box: str) -> bool:
-        if self.reachable(box):
+    def _still_wanted(self, member: membership.Member) -> bool:
+        if self.reachable(member.box):
             return False
-        return any(member.box == box for member in self._targets())
+        if member.box in self._seeds:
+            return not self._links
+        return any(member.box == target.box for target in self._targets())
 
     async def _connect(self, member: membership.Member) -> bool:
         try:
@@ -260,3 +271,8 @@
                 link.close()
             else:
                 link.send(heartbeat)
+
+
+def _unnamed(address: str) -> membership.Member:
+    """Returns a stand-in for a daemon whose name is not known yet."""
+    return membership.Member(address, "", "", "", address)
--- a/martenjunction_lab/demo.py
+++ b/martenjunction_lab/demo.py
@@ -24,6 +24,10 @@
     )
 
 
+def _spec() -> bench.BenchSpec:
+    return bench.BenchSpec(fleets.both(), [fleets.CELLARLINE_ZONES[0]])
+
+
 async def run(seconds: float, seed: int, as_json: bool) -> int:
     """Runs the demonstration.
 
@@ -35,7 +39,7 @@
     Returns:
         The exit code: 0 if nothing was lost or doubled.
     """
-    fleet = bench.Bench(fleets.both())
+    fleet = bench.Bench(_spec())
     await fleet.start()
     arrivals = traffic.draw(streams(seconds), seconds, seed)
     callers = load.Load(fleet.addresses, seed)
@@ -48,13 +52,14 @@
     _print(summary, fleet, seen, as_json)
     callers.close()
     await fleet.stop()
-    bad = sum(row["lost"] + row["doubled"] for row in summary["classes"])
+    bad = summary["doubled_bookings"]
+    bad += sum(row["lost"] + row["doubled"] for row in summary["classes"])
     return 0 if bad == 0 else 1
 
 
 async def serve() -> None:
     """Keeps the fleet running until it is interrupted."""
-    fleet = bench.Bench(fleets.both())
+    fleet = bench.Bench(_spec())
     await fleet.start()
     print("The fleet serves. Try this:\n")
     print(curl_line(fleet.addresses[0]))
@@ -90,19 +95,13 @@
 def _summary(
     fleet: bench.Bench, seen: list[load.Seen], elapsed: float
 ) -> dict[str, Any]:
-    classes = results.by_class(seen, fleet.config)
-    doubled = sum(
-        runs > 1 for p in fleet.plains.values() for runs in p.runs.values()
-    )
-    for row in classes:
-        if row.name in ("bin-tag-check", "booking") and doubled:
-            row.doubled += doubled
+    classes = results.by_class(seen, fleet.outside.config)
     good = sum(s.tokens for s in seen if s.whole)
-    wasted = sum(e.counts.tokens_wasted for e in fleet.engines.values())
     return {
         "classes": [results.as_json(row) for row in classes],
+        "doubled_bookings": fleet.outside.doubled_bookings(),
         "goodput_tokens_s": round(good / elapsed, 1),
-        "wasted_tokens": wasted,
+        "wasted_tokens": fleet.outside.wasted_tokens(),
         "seconds": round(elapsed, 1),
     }
 
@@ -116,7 +115,7 @@
     if as_json:
         print(json.dumps(summary))
         return
-    print(results.table(results.by_class(seen, fleet.config)))
+    print(results.table(results.by_class(seen, fleet.outside.config)))
     print(
         f"\ngoodput {summary['goodput_tokens_s']} tokens/s,"
         f" wasted {summary['wasted_tokens']} tokens"
--- a/martenjunction_lab/fleets.py
+++ b/martenjunction_lab/fleets.py
@@ -1,11 +1,11 @@
 """The users' fleets, smaller, and their traffic."""
 
-from martenjunction_lab import bench
 from martenjunction_lab import engine
+from martenjunction_lab import standins
 from martenjunction_lab import traffic
 
-CELLARLINE_FILE = str(bench.EXAMPLES / "cellarline.ini")
-MILL_FILE = str(bench.EXAMPLES / "mill.ini")
+CELLARLINE_FILE = str(standins.EXAMPLES / "cellarline.ini")
+MILL_FILE = str(standins.EXAMPLES / "mill.ini")
 
 FIELD_KEY = "cellarline-field-key"
 WINERY_KEY = "cellarline-winery-key"
@@ -16,45 +16,49 @@
 OLD = engine.EngineSpeed(slots=6, step_s=0.03, prefill_s=0.0001)
 
 
-def cellarline(daemons: int = 1) -> bench.BenchSpec:
-    """Returns a small fleet of Cellarline's."""
-    zones = ["perth-a", "perth-b", "perth-c"]
-    return bench.BenchSpec(
+CELLARLINE_ZONES = ["perth-a", "perth-b", "perth-c"]
+MILL_ZONES = ["pinetown-a", "pinetown-b", "hammarsdale"]
+
+
+def cellarline() -> standins.Outside:
+    """Returns a small outside of Cellarline's."""
+    return standins.Outside(
         files=[CELLARLINE_FILE],
         engines=[
-            bench.EngineGroup("vintage-lm", "perth-a", 2, NEW),
-            bench.EngineGroup("vintage-lm", "perth-b", 2, OLD),
-            bench.EngineGroup("vintage-lm", "perth-c", 1, OLD),
+            standins.EngineGroup("vintage-lm", "perth-a", 2, NEW),
+            standins.EngineGroup("vintage-lm", "perth-b", 2, OLD),
+            standins.EngineGroup("vintage-lm", "perth-c", 1, OLD),
+        ],
+        plains=[
+            standins.PlainGroup("weighbridge-app", zone, 1)
+            for zone in CELLARLINE_ZONES
         ],
-        plains=[bench.PlainGroup("weighbridge-app", zone, 1) for zone in zones],
-        daemons=[zones[i % 3] for i in range(daemons)],
     )
 
 
-def mill(daemons: int = 1) -> bench.BenchSpec:
-    """Returns a small fleet of the mill's."""
-    zones = ["pinetown-a", "pinetown-b", "hammarsdale"]
-    return bench.BenchSpec(
+def mill() -> standins.Outside:
+    """Returns a small outside of the mill's."""
+    return standins.Outside(
         files=[MILL_FILE],
         engines=[
-            bench.EngineGroup("loom-llm", "pinetown-a", 2, NEW),
-            bench.EngineGroup("loom-llm", "pinetown-b", 2, OLD),
-            bench.EngineGroup("loom-llm", "hammarsdale", 2, OLD),
+            standins.EngineGroup("loom-llm", "pinetown-a", 2, NEW),
+            standins.EngineGroup("loom-llm", "pinetown-b", 2, OLD),
+            standins.EngineGroup("loom-llm", "hammarsdale", 2, OLD),
+        ],
+        plains=[
+            standins.PlainGroup("order-portal", zone, 1) for zone in MILL_ZONES
         ],
-        plains=[bench.PlainGroup("order-portal", zone, 1) for zone in zones],
-        daemons=[zones[i % 3] for i in range(daemons)],
     )
 
 
-def both(daemons: int = 1) -> bench.BenchSpec:
-    """Returns both fleets behind the same daemons, for the demonstration."""
-    first = cellarline(daemons)
-    second = mill(daemons)
-    return bench.BenchSpec(
+def both() -> standins.Outside:
+    """Returns both outsides together, for the demonstration."""
+    first = cellarline()
+    second = mill()
+    return standins.Outside(
         files=first.files + second.files,
         engines=first.engines + second.engines,
         plains=first.plains + second.plains,
-        daemons=first.daemons,
     )
 
 
--- /dev/null
+++ b/martenjunction_lab/standins.py
@@ -0,0 +1,169 @@
+"""The outside of a fleet: platform, engines and plain services."""
+
+import dataclasses
+import pathlib
+
+from martenjunction.config import fleet
+from martenjunction.config import settings as daemon_settings
+from martenjunction.platform import configuration
+from martenjunction.platform import protocol
+from martenjunction_lab import engine
+from martenjunction_lab import plain
+from martenjunction_lab import platform
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineGroup:
+    """Some engines alike.
+
+    Attributes:
+        service: Their service.
+        zone: Their availability zone.
+        count: How many.
+        speed: How fast they are.
+    """
+
+    service: str
+    zone: str
+    count: int
+    speed: engine.EngineSpeed
+
+
+@dataclasses.dataclass(frozen=True)
+class PlainGroup:
+    """Some servers of a plain service."""
+
+    service: str
+    zone: str
+    count: int
+    slots: int = 16
+
+
+@dataclasses.dataclass
+class Outside:
+    """What a fleet's outside is made of.
+
+    Attributes:
+        files: Configuration files, without endpoints.
+        engines: Engines.
+        plains: Servers of plain services.
+    """
+
+    files: list[str]
+    engines: list[EngineGroup]
+    plains: list[PlainGroup]
+
+
+class StandIns:
+    """The outside of a fleet, in this process."""
+
+    def __init__(self, outside: Outside) -> None:
+        """Makes the stand-ins; `start` brings them up."""
+        self._outside = outside
+        self.platform = platform.Platform()
+        self.engines: dict[str, engine.Engine] = {}
+        self.plains: dict[str, plain.PlainService] = {}
+        self.documents: list[fleet.Document] = []
+        self.config = fleet.FleetConfig()
+
+    def start(self) -> None:
+        """Brings everything up and puts the configuration in place."""
+        self.platform.start()
+        self.documents, _ = fleet.read(self._outside.files)
+        for group in self._outside.engines:
+            for _ in range(group.count):
+                self._start_engine(group)
+        for plain_group in self._outside.plains:
+            for _ in range(plain_group.count):
+                self._start_plain(plain_group)
+        values = [fleet.parse_document(d) for d in self.documents]
+        self.config = fleet.build(values)
+        put_documents(self.platform, self.documents)
+
+    async def stop(self) -> None:
+        """Stops everything at once."""
+        for stand_in in [*self.engines.values(), *self.plains.values()]:
+            await stand_in.stop()
+        await self.platform.stop()
+
+    def list_daemon(
+        self,
+        settings: daemon_settings.DaemonSettings,
+        state: protocol.BoxState = protocol.BoxState.LIVE,
+    ) -> None:
+        """Changes what the platform's list says of a daemon."""
+        self.platform.set_box(
+            protocol.ListedBox(
+                settings.box,
+                protocol.BoxRole.DAEMON,
+                state,
+                settings.zone,
+                settings.callers,
+                settings.operators,
+                settings.peers,
+            )
+        )
+
+    def list_endpoint(self, name: str, state: protocol.BoxState) -> None:
+        """Changes what the platform's list says of an endpoint."""
+        self.platform.set_box(
+            protocol.ListedBox(name, protocol.BoxRole.ENDPOINT, state)
+        )
+
+    def doubled_bookings(self) -> int:
+        """Returns how many plain calls were run more than once."""
+        return sum(
+            runs > 1
+            for service in self.plains.values()
+            for runs in service.runs.values()
+        )
+
+    def runs_of(self, booking: str) -> int:
+        """Returns how often a plain call was run, over all servers."""
+        return sum(s.runs[booking] for s in self.plains.values())
+
+    def wasted_tokens(self) -> int:
+        """Returns the tokens of runs that came to nothing."""
+        return sum(e.counts.tokens_wasted for e in self.engines.values())
+
+    def _start_engine(self, group: EngineGroup) -> None:
+        name = f"{group.service}-{len(self.engines) + 1}"
+        speed = dataclasses.replace(group.speed)
+        stand_in = engine.Engine(name, speed=speed)
+        stand_in.start()
+        self.engines[name] = stand_in
+        self._add(name, group, stand_in.address, speed.slots)
+
+    def _start_plain(self, group: PlainGroup) -> None:
+        name = f"{group.service}-{len(self.plains) + 1}"
+        stand_in = plain.PlainService(name)
+        stand_in.start()
+        self.plains[name] = stand_in
+        self._add(name, group, stand_in.address, group.slots)
+
+    def _add(
+        self,
+        name: str,
+        group: EngineGroup | PlainGroup,
+        address: str,
+        slots: int,
+    ) -> None:
+        values = {
+            "service": group.service,
+            "zone": group.zone,
+            "address": address,
+            "slots": str(slots),
+        }
+        self.documents.append(fleet.Document("endpoint", name, values))
+
+
+def put_documents(
+    target: platform.Platform, documents: list[fleet.Document]
+) -> None:
+    """Puts documents into a platform stand-in as an operator would."""
+    for document in documents:
+        held = target.get(document.key)
+        value = configuration.envelope(document.values, "lab", held)
+        target.put(document.key, value, held.version if held else 0)
