Scenarios for every promise and failure; cells span a region by default

With one cell a zone a cell held one engine, which could be neither avoided nor ejected, and a run that kept breaking was given up after three attempts although each of them brought the answer further. Change: behave features with real daemon processes; cells of a small service span the region; a retry avoids cells whose endpoints all failed it; only attempts without gain count against the limit; policies' placement reaches the choice of an endpoint.

--- /dev/null
+++ b/features/2_progress.feature
@@ -0,0 +1,24 @@
+Feature: Every class keeps making progress
+
+  Scenario: The lowest tier moves under a flood of the highest
+    Given 2 daemons before 2 engines of 4 slots
+    When for 12 seconds callers send
+      | kind      | per second |
+      | questions | 40         |
+      | digests   | 0.5        |
+    And all answers are in
+    Then day-digest never stood still for 10 seconds
+    And every caller has a whole answer or a true word
+
+  Scenario: Every tier moves while each of them floods
+    Given 2 daemons before 2 engines of 4 slots
+    When for 10 seconds callers send
+      | kind      | per second |
+      | questions | 20         |
+      | summaries | 20         |
+      | digests   | 20         |
+    And all answers are in
+    Then day-digest never stood still for 10 seconds
+    And block-summary never stood still for 10 seconds
+    And every caller has a whole answer or a true word
+    And the times to come back are spread
--- a/martenjunction/cells/broker.py
+++ b/martenjunction/cells/broker.py
@@ -151,27 +151,37 @@
         return dict(self._owner_now)
 
     def set_cells(self, cells: dict[str, directory.CellInfo]) -> None:
-        """Takes in a new layout of cells."""
+        """Takes in a new layout of cells.
+
+        Requests whose cell is gone are announced to another one.
+        """
         self._cells = cells
         self._by_service = {}
         for cell in cells.values():
             self._by_service.setdefault(cell.service, []).append(cell)
+        for ticket in list(self._tickets.values()):
+            if ticket.cell.name not in cells:
+                self._rehome(ticket)
+            else:
+                ticket.cell = cells[ticket.cell.name]
+        self._owner_now = {
+            name: owner
+            for name, owner in self._owner_now.items()
+            if name in cells
+        }
         self.reassign()
 
-    def place(
-        self, ask: asks.Ask, service: str, zones: tuple[str, ...] = ()
-    ) -> Ticket:
+    def place(self, ask: asks.Ask, service: str) -> Ticket:
         """Sends a request to a cell.
 
         Args:
             ask: The request, with times on this box's clock.
             service: The service it needs.
-            zones: Availability zones that the policy prefers.
 
         Raises:
             NoCellError: If the service has no endpoint.
         """
-        cell = self._choose(ask, service, zones)
+        cell = self._choose(ask, service)
         owner = self._owner_of(cell)
         ticket = Ticket(ask, cell, owner)
         self._tickets[ask.request_id] = ticket
@@ -250,28 +260,25 @@
 
     # Choosing.
 
-    def _choose(
-        self, ask: asks.Ask, service: str, zones: tuple[str, ...]
-    ) -> directory.CellInfo:
+    def _choose(self, ask: asks.Ask, service: str) -> directory.CellInfo:
+        """Takes the better of two cells, the first of them a near one."""
         cells = self._by_service.get(service, [])
         if not cells:
-            raise NoCellError(service)
-        near = [cell for cell in cells if cell.zone == self._zone]
+            raise NoCellError(f"service {service!r} has no endpoint")
+        untried = [c for c in cells if not ask.avoid.issuperset(c.endpoints)]
+        cells = untried or cells
+        near = [c for c in cells if directory.is_within(self._zone, c.place)]
         first = self._rng.choice(near or cells)
         second = self._rng.choice(cells)
-        preferred = [cell for cell in cells if cell.zone in zones]
+        preferred = [c for c in cells if _is_preferred(c, ask)]
         if preferred:
             first = self._rng.choice(preferred)
-        return min(
-            (first, second), key=lambda cell: self._price(cell, ask, zones)
-        )
+        return min((first, second), key=lambda cell: self._price(cell, ask))
 
-    def _price(
-        self, cell: directory.CellInfo, ask: asks.Ask, zones: tuple[str, ...]
-    ) -> float:
-        price = directory.distance(self._zone, cell.zone)
+    def _price(self, cell: directory.CellInfo, ask: asks.Ask) -> float:
+        price = directory.distance(self._zone, cell.place)
         price += self.delay(cell.name, ask.tier) or 0.0
-        if zones and cell.zone not in zones:
+        if ask.zones and not _is_preferred(cell, ask):
             price += AGAINST_POLICY
         return price
 
@@ -310,6 +317,16 @@
             )
         self._say(ticket, message)
 
+    def _rehome(self, ticket: Ticket) -> None:
+        """Finds the cell that has a request's endpoint now, or another."""
+        cells = self._by_service.get(ticket.cell.service, [])
+        fit = [c for c in cells if ticket.endpoint in c.endpoints] or cells
+        if not fit:
+            return
+        ticket.cell = fit[0]
+        self._owner_of(ticket.cell)
+        self._move(ticket)
+
     def _close(self, ticket: Ticket) -> None:
         ticket.state = TicketState.OVER
         if self._tickets.get(ticket.ask.request_id) is ticket:
@@ -363,5 +380,9 @@
             self._summaries[message.cell] = (self._timers.now(), message)
 
 
+def _is_preferred(cell: directory.CellInfo, ask: asks.Ask) -> bool:
+    return any(directory.is_within(z, cell.place) for z in ask.zones)
+
+
 # Seconds that a cell against the policy's preference seems further away.
 AGAINST_POLICY = 2.0
--- a/martenjunction/cells/cell.py
+++ b/martenjunction/cells/cell.py
@@ -38,6 +38,7 @@
 
     name: str
     slots: int
+    zone: str
     leaving: bool
 
 
@@ -240,7 +241,9 @@
             if endpoint.leaving:
                 self._decider.set_leaving(endpoint.name, now)
             else:
-                self._decider.set_endpoint(endpoint.name, endpoint.slots, now)
+                self._decider.set_endpoint(
+                    endpoint.name, endpoint.slots, now, endpoint.zone
+                )
         for name in list(self._decider.endpoints):
             if name not in names:
                 self._decider.remove_endpoint(name)
--- a/martenjunction/cells/directory.py
+++ b/martenjunction/cells/directory.py
@@ -9,44 +9,42 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CellInfo:
-    """One cell: endpoints of one service in one availability zone.
+    """One cell: endpoints of one service, near to one another.
 
     Attributes:
-        name: `service/zone/index`.
+        name: `service/place/index`.
         service: The service.
-        zone: The availability zone.
+        place: The region or the availability zone that it spans.
         endpoints: Names of its endpoints.
     """
 
     name: str
     service: str
-    zone: str
+    place: str
     endpoints: tuple[str, ...]
 
 
-def cell_name(service: str, zone: str, index: int) -> str:
-    """Returns the name of a cell."""
-    return f"{service}/{zone}/{index}"
-
-
 def cells_of(config: fleet.FleetConfig) -> dict[str, CellInfo]:
     """Lays all endpoints out into cells.
 
-    An endpoint's cell depends on its own name and its service's number of
-    cells only, so that it stays where it is when others come and go.
+    An endpoint's cell depends on its own name and its service's settings
+    only, so that it stays where it is when others come and go.
     """
     members: dict[tuple[str, str, int], list[str]] = {}
     for endpoint in config.endpoint.values():
         service = config.service.get(endpoint.service)
         if service is None:
             continue
+        place = endpoint.zone
+        if service.span is fleet.CellSpan.REGION:
+            place = region_of(endpoint.zone)
         index = _index(endpoint.name, service.cells)
-        key = (service.name, endpoint.zone, index)
+        key = (service.name, place, index)
         members.setdefault(key, []).append(endpoint.name)
     cells = {}
-    for (service_name, zone, index), names in sorted(members.items()):
-        name = cell_name(service_name, zone, index)
-        cells[name] = CellInfo(name, service_name, zone, tuple(sorted(names)))
+    for (service_name, place, index), names in sorted(members.items()):
+        name = f"{service_name}/{place}/{index}"
+        cells[name] = CellInfo(name, service_name, place, tuple(sorted(names)))
     return cells
 
 
@@ -66,12 +64,12 @@
 def owner_ranking(cell: CellInfo, boxes: Iterable[BoxPlace]) -> list[str]:
     """Returns the boxes that may own a cell, the best first.
 
-    Boxes in the cell's own availability zone come before all others.
+    Boxes in the place that the cell spans come before all others.
     """
     near: list[str] = []
     far: list[str] = []
     for place in boxes:
-        (near if place.zone == cell.zone else far).append(place.box)
+        (near if is_within(place.zone, cell.place) else far).append(place.box)
     return rendezvous.ranked(near, cell.name) + rendezvous.ranked(
         far, cell.name
     )
@@ -80,10 +78,18 @@
 def region_of(zone: str) -> str:
     """Returns the region of an availability zone written `region/zone`.
 
-    Zones without a region all belong to the same one.
+    Zones written without a region all belong to the same one.
     """
     region, slash, _ = zone.partition("/")
-    return region if slash else ""
+    return region if slash else HOME_REGION
+
+
+HOME_REGION = "home"
+
+
+def is_within(zone: str, place: str) -> bool:
+    """Returns whether a zone is a place, or lies in it."""
+    return place in (zone, region_of(zone))
 
 
 # What it costs to cross zones and regions, in seconds, when cells are chosen.
@@ -91,10 +97,15 @@
 OTHER_REGION = 0.1
 
 
-def distance(zone: str, other: str) -> float:
-    """Returns the price, in seconds, of using another availability zone."""
-    if zone == other:
+def distance(zone: str, place: str) -> float:
+    """Returns the price, in seconds, of using another place.
+
+    Args:
+        zone: The availability zone where one is.
+        place: An availability zone or a region.
+    """
+    if is_within(zone, place):
         return 0.0
-    if region_of(zone) == region_of(other):
+    if region_of(zone) == region_of(place):
         return OTHER_ZONE
     return OTHER_REGION
--- a/martenjunction/cells/host.py
+++ b/martenjunction/cells/host.py
@@ -159,6 +159,7 @@
                 cell.EndpointSeen(
                     endpoint,
                     self._endpoints[endpoint].slots,
+                    self._endpoints[endpoint].zone,
                     endpoint in self._leaving,
                 )
                 for endpoint in names
--- a/martenjunction/cells/messages.py
+++ b/martenjunction/cells/messages.py
@@ -34,6 +34,7 @@
     preemptible: bool
     avoid: tuple[str, ...]
     preemptions: int
+    zones: tuple[str, ...]
     firm: bool
 
 
@@ -162,6 +163,7 @@
         preemptible=message.preemptible,
         avoid=frozenset(message.avoid),
         preemptions=message.preemptions,
+        zones=message.zones,
         firm=message.firm,
     )
 
@@ -183,6 +185,7 @@
         preemptible=ask.preemptible,
         avoid=tuple(sorted(ask.avoid)),
         preemptions=ask.preemptions,
+        zones=ask.zones,
         firm=ask.firm,
     )
 
--- a/martenjunction/cmd/remote.py
+++ b/martenjunction/cmd/remote.py
@@ -84,6 +84,7 @@
     key: str,
     method: str,
     path: str,
+    body: bytes = b"",
 ) -> DaemonAnswer:
     """Asks a daemon on its operators' address.
 
@@ -94,7 +95,7 @@
         method,
         f"http://{address}{path}",
         [("Authorization", f"Bearer {key}")],
-        b"" if method == "POST" else None,
+        body if method == "POST" else None,
     )
     stream = http.open(request)
     parts = []
--- a/martenjunction/config/fleet.py
+++ b/martenjunction/config/fleet.py
@@ -28,6 +28,13 @@
     PLAIN = "plain"
 
 
+class CellSpan(enum.StrEnum):
+    """From where the endpoints of one cell may come."""
+
+    REGION = "region"
+    ZONE = "zone"
+
+
 @section_kinds.register("service")
 @dataclasses.dataclass(frozen=True)
 class Service:
@@ -37,7 +44,9 @@
         name: The name that callers use for a plain service.
         kind: `engine` for a model engine, `plain` for any other service.
         models: Names that callers may give as `model`.
-        cells: Cells in each availability zone.
+        span: `region` while a region has no more endpoints of the service
+            than one cell can hold, which is about 24; `zone` beyond that.
+        cells: Cells in each region or availability zone.
     """
 
     __pydantic_config__ = FORBID
@@ -45,6 +54,7 @@
     name: str
     kind: ServiceKind = ServiceKind.ENGINE
     models: units.Words = ()
+    span: CellSpan = CellSpan.REGION
     cells: Annotated[int, pydantic.Field(ge=1, le=64)] = 1
 
 
--- a/martenjunction/decisions/asks.py
+++ b/martenjunction/decisions/asks.py
@@ -25,6 +25,7 @@
         preemptible: Whether its run may be cancelled and continued.
         avoid: Endpoints that already failed it.
         preemptions: How often it was preempted.
+        zones: Availability zones that the operator's policy prefers.
         firm: Whether it was accepted before (moved, preempted or retried),
             so that it is not shed again.
     """
@@ -43,6 +44,7 @@
     preemptible: bool = False
     avoid: frozenset[str] = frozenset()
     preemptions: int = 0
+    zones: tuple[str, ...] = ()
     firm: bool = False
 
     @property
--- a/martenjunction/decisions/dispatcher.py
+++ b/martenjunction/decisions/dispatcher.py
@@ -125,11 +125,13 @@
 
     # Endpoints come, report and go.
 
-    def set_endpoint(self, name: str, slots: int, now: float) -> None:
+    def set_endpoint(
+        self, name: str, slots: int, now: float, zone: str = ""
+    ) -> None:
         """Adds an endpoint, or changes how many requests it may run."""
         endpoint = self._endpoints.get(name)
         if endpoint is None:
-            self._endpoints[name] = placement.Endpoint(name, slots)
+            self._endpoints[name] = placement.Endpoint(name, slots, zone)
             return
         endpoint.slots = slots
         endpoint.health.move(endpoint_states.EndpointEvent.LISTED_AGAIN, now)
--- a/martenjunction/decisions/placement.py
+++ b/martenjunction/decisions/placement.py
@@ -21,14 +21,16 @@
 class Endpoint:
     """One endpoint as its cell's dispatcher sees it."""
 
-    def __init__(self, name: str, slots: int) -> None:
+    def __init__(self, name: str, slots: int, zone: str = "") -> None:
         """Makes the record of an endpoint that was just listed.
 
         Args:
             name: Its name in the configuration.
             slots: Requests it may run at once.
+            zone: Its availability zone.
         """
         self.name = name
+        self.zone = zone
         self.slots = slots
         self.health = endpoint_states.Health()
         self.speed = estimates.Speed()
@@ -145,6 +147,8 @@
     for endpoint in fit:
         predicted = endpoint.predicted_first_token(ask)
         score = predicted + use * _price(endpoint, predicted, slack, slowest)
+        if ask.zones and endpoint.zone not in ask.zones:
+            score += AGAINST_POLICY
         if best is None or score < best_score:
             best = (endpoint, predicted)
             best_score = score
@@ -163,6 +167,9 @@
     return spare * advantage * FAST_PRICE
 
 
+# Seconds that an endpoint against the policy's preference seems slower.
+AGAINST_POLICY = 0.5
+
 # A request counts as urgent when its predicted time, so many times over,
 # fills its slack.
 URGENCY = 2.0
--- a/martenjunction/decisions/retries.py
+++ b/martenjunction/decisions/retries.py
@@ -52,5 +52,5 @@
 FIRST_PAUSE = 0.05
 LONGEST_PAUSE = 1.0
 
-# Attempts in all, the first one included.
+# Attempts in a row that bring a request no further, the first one included.
 MAX_ATTEMPTS = 3
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -75,6 +75,8 @@
         self._avoid: frozenset[str] = frozenset()
         self._preemptions = 0
         self._resumes = 0
+        self._fruitless = 0
+        self._tokens_before = 0
         self._first_token: float | None = None
         self._run_first_token: float | None = None
         self._run_started = 0.0
@@ -155,7 +157,7 @@
         if self._stop is not None:
             return broker.Stopped(self._stop)
         ticket = self._tools.broker.place(
-            self._ask(), self._request.service.name, self._request.zones
+            self._ask(), self._request.service.name
         )
         ticket.on_preempted = self._on_preempted
         self._ticket = ticket
@@ -180,6 +182,7 @@
             preemptible=self._may_be_preempted(),
             avoid=self._avoid,
             preemptions=self._preemptions,
+            zones=request.zones,
             firm=self._progress.attempts > 0,
         )
 
@@ -199,6 +202,8 @@
 
     async def _run_at(self, name: str) -> asks.Ending:
         self._endpoint = name
+        self._resumes = 0
+        self._tokens_before = self.conversation.tokens
         endpoint = self._tools.endpoint(name)
         if endpoint is None:
             self._finish_run(asks.Ending.REFUSED)
@@ -328,7 +333,11 @@
         )
 
     def _may_try_again(self) -> bool:
-        if self._progress.attempts >= retries.MAX_ATTEMPTS + self._preemptions:
+        # A run that brought the answer further does not count: what ends the
+        # request then is its length, its time limit or the retry budget.
+        gained = self.conversation.tokens > self._tokens_before
+        self._fruitless = 0 if gained else self._fruitless + 1
+        if self._fruitless >= retries.MAX_ATTEMPTS:
             return False
         if not self._progress.may_send_again(self._request.repeatable):
             return False
@@ -340,7 +349,7 @@
     async def _pause(self, ending: asks.Ending) -> None:
         if ending is not asks.Ending.PREEMPTED:
             jitter = self._tools.rng.random()
-            attempt = self._progress.attempts
+            attempt = max(1, self._fruitless)
             await asyncio.sleep(retries.pause_before(attempt, jitter))
 
     def _give_up(self) -> None:
--- a/martenjunction_lab/cluster.py
+++ b/martenjunction_lab/cluster.py
@@ -231,13 +231,21 @@
         answer = await self.ask(box, "GET", "/operator/dump")
         return dict(json.loads(answer))
 
-    async def ask(self, box: str, method: str, path: str) -> bytes:
+    async def explain(self, box: str, question: str) -> dict[str, Any]:
+        """Asks a daemon what a described request would get."""
+        path = "/operator/explain"
+        body = await self.ask(box, "POST", path, question.encode())
+        return dict(json.loads(body))
+
+    async def ask(
+        self, box: str, method: str, path: str, body: bytes = b""
+    ) -> bytes:
         """Asks a daemon on its operators' address."""
         if self._http is None:
             raise RuntimeError("the cluster was not started")
         address = self.daemons[box].settings.operators
         answer = await remote.ask_daemon(
-            self._http, address, bench.OPERATOR_KEY, method, path
+            self._http, address, bench.OPERATOR_KEY, method, path, body
         )
         return answer.body
 
--- a/martenjunction_lab/engine.py
+++ b/martenjunction_lab/engine.py
@@ -130,6 +130,7 @@
 
     Attributes:
         started: How often each request was started.
+        marks: The same by the mark of the prompt.
         tokens_made: Tokens made.
         tokens_wasted: Tokens of runs that were cancelled or lost.
     """
@@ -137,6 +138,9 @@
     started: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    marks: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     tokens_made: int = 0
     tokens_wasted: int = 0
 
@@ -236,6 +240,7 @@
         uncached = self._uncached(body)
         prefill = uncached * self.speed.prefill_s
         run = Run(request_id, priority, body, prefill)
+        self.counts.marks[run.mark] += 1
         self._runs[request_id] = run
         self._queue.append(run)
         self._queue.sort(key=lambda queued: queued.priority)
--- a/martenjunction_lab/load.py
+++ b/martenjunction_lab/load.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import time
+from typing import Any
 
 from martenjunction import errors
 from martenjunction import http_headers
@@ -16,6 +17,9 @@
 
 MAX_TRANSFERS = 4000
 
+# Addresses that a caller tries for one request, as long as nobody listens.
+MAX_ADDRESSES = 4
+
 # Seconds after which a caller gives an answer up.
 CALLER_LIMIT = 180.0
 
@@ -35,6 +39,7 @@
         duration_s: Seconds from the time of arrival to the end.
         retry_after: What a shed caller was told, or None.
         ended: Seconds from the start of the run to the end.
+        address: The daemon that was used last.
     """
 
     arrival: traffic.Arrival
@@ -47,6 +52,7 @@
     duration_s: float = 0.0
     retry_after: float | None = None
     ended: float = 0.0
+    address: str = ""
 
     @property
     def lost(self) -> bool:
@@ -69,20 +75,102 @@
         return streaming / (self.tokens - 1) <= between_tokens
 
 
+class AddressBook:
+    """Which address a caller uses: fixed ones, or what the system answers.
+
+    A caller asks any box it knows, keeps the answer for its time to live and
+    connects there; where nobody listens any more, it takes the next address.
+    """
+
+    # Seconds for which an address that refused a connection is left out.
+    REFUSED_PAUSE = 2.0
+
+    def __init__(
+        self, addresses: list[str], key: str, http: client.EndpointClient
+    ) -> None:
+        """Makes a book that begins with some addresses.
+
+        Args:
+            addresses: Addresses that callers know from elsewhere.
+            key: A workspace's key, to ask with; empty to never ask.
+            http: The client to ask with.
+        """
+        self._known = list(addresses)
+        self._answer = list(addresses)
+        self._key = key
+        self._http = http
+        self._expires = 0.0
+        self._refused: dict[str, float] = {}
+        self._asking: asyncio.Task[None] | None = None
+        self.refusals = 0
+
+    async def pick(self, number: int) -> str:
+        """Returns the address for a request."""
+        if self._key and time.monotonic() >= self._expires:
+            await self._refresh()
+        now = time.monotonic()
+        usable = [a for a in self._answer if self._refused.get(a, 0.0) < now]
+        usable = usable or [
+            a for a in self._known if self._refused.get(a, 0.0) < now
+        ]
+        usable = usable or self._known
+        return usable[number % len(usable)]
+
+    def refused(self, address: str) -> None:
+        """Notes that nobody listens on an address."""
+        self.refusals += 1
+        self._refused[address] = time.monotonic() + self.REFUSED_PAUSE
+
+    async def _refresh(self) -> None:
+        if self._asking is None or self._asking.done():
+            self._asking = asyncio.ensure_future(self._ask())
+        await asyncio.shield(self._asking)
+
+    async def _ask(self) -> None:
+        for address in [*self._answer, *self._known]:
+            if self._refused.get(address, 0.0) >= time.monotonic():
+                continue
+            try:
+                async with asyncio.timeout(1.0):
+                    body = await self._get(address)
+            except (errors.EndpointError, TimeoutError):
+                self._refused[address] = time.monotonic() + self.REFUSED_PAUSE
+                continue
+            self._answer = [row["address"] for row in body["addresses"]]
+            self._expires = time.monotonic() + body["ttl_s"]
+            return
+
+    async def _get(self, address: str) -> dict[str, Any]:
+        stream = self._http.open(
+            client.EndpointRequest(
+                "GET",
+                f"http://{address}/v1/entry",
+                [("Authorization", f"Bearer {self._key}")],
+                once=True,
+            )
+        )
+        await stream.head()
+        return dict(json.loads(await stream.read()))
+
+
 class Load:
     """Sends a run's arrivals to some daemons."""
 
-    def __init__(self, addresses: list[str], seed: int = 0) -> None:
+    def __init__(
+        self, addresses: list[str], seed: int = 0, entry_key: str = ""
+    ) -> None:
         """Makes a load.
 
         Args:
-            addresses: Callers' addresses, used in turn.
+            addresses: Callers' addresses that are known at the start.
             seed: Makes bookings of one run differ from another's.
+            entry_key: A key with which to ask for entry addresses; empty to
+                use the known ones in turn.
         """
-        self._addresses = addresses
         self._seed = seed
         self._http = client.EndpointClient(MAX_TRANSFERS)
         self._started = 0.0
+        self.book = AddressBook(addresses, entry_key, self._http)
         self.seen: list[Seen] = []
         self.in_flight: collections.Counter[str] = collections.Counter()
 
@@ -112,22 +200,35 @@
         return self.seen
 
     async def _send(self, arrival: traffic.Arrival) -> None:
-        address = self._addresses[arrival.number % len(self._addresses)]
         seen = Seen(arrival)
-        self.in_flight[address] += 1
         try:
             async with asyncio.timeout(CALLER_LIMIT):
-                await self._exchange(address, arrival, seen)
+                await self._try_addresses(arrival, seen)
         except errors.EndpointError as error:
             seen.reason = str(error)
         except TimeoutError:
             seen.reason = "no answer in time"
-        finally:
-            self.in_flight[address] -= 1
         seen.ended = self.elapsed
         seen.duration_s = seen.ended - arrival.at
         self.seen.append(seen)
 
+    async def _try_addresses(
+        self, arrival: traffic.Arrival, seen: Seen
+    ) -> None:
+        for attempt in range(MAX_ADDRESSES):
+            address = await self.book.pick(arrival.number + attempt)
+            seen.address = address
+            self.in_flight[address] += 1
+            try:
+                await self._exchange(address, arrival, seen)
+            except errors.EndpointNotReachedError:
+                self.book.refused(address)
+                seen.reason = "no box listens"
+            else:
+                return
+            finally:
+                self.in_flight[address] -= 1
+
     async def _exchange(
         self, address: str, arrival: traffic.Arrival, seen: Seen
     ) -> None:
--- a/martenjunction_lab/platform.py
+++ b/martenjunction_lab/platform.py
@@ -125,6 +125,12 @@
         self._changed = asyncio.Event()
         return True, self._version
 
+    def restore(self, item: protocol.PlatformObject) -> None:
+        """Goes back to an older version of one object, as from a backup."""
+        self._objects[item.key] = item
+        self._version = item.version
+        self._changes.clear()
+
     def list(self, prefix: str) -> protocol.ObjectList:
         """Returns the objects under a prefix."""
         found = [
--- a/martenjunction_lab/standins.py
+++ b/martenjunction_lab/standins.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import pathlib
+from typing import Any
 
 from martenjunction.config import fleet
 from martenjunction.config import settings as daemon_settings
 from martenjunction.platform import configuration
 from martenjunction.platform import protocol
+from martenjunction_lab import answers
 from martenjunction_lab import engine
 from martenjunction_lab import plain
 from martenjunction_lab import platform
@@ -124,6 +126,11 @@
         """Returns how often a plain call was run, over all servers."""
         return sum(s.runs[booking] for s in self.plains.values())
 
+    def starts_of(self, body: dict[str, Any]) -> int:
+        """Returns how often a chat request was started, over all engines."""
+        mark = answers.mark_of(body["messages"])
+        return sum(e.counts.marks[mark] for e in self.engines.values())
+
     def wasted_tokens(self) -> int:
         """Returns the tokens of runs that came to nothing."""
         return sum(e.counts.tokens_wasted for e in self.engines.values())
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,5 +1,6 @@
 """Runs every check and prints one closing line."""
 
+from concurrent import futures
 import dataclasses
 import pathlib
 import subprocess
@@ -9,6 +10,7 @@
 from xml.etree import ElementTree
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+FEATURES_AT_ONCE = 3
 PACKAGES = ["martenjunction", "martenjunction_lab", "tools"]
 
 
@@ -39,6 +41,32 @@
     return tally
 
 
+def run_features(out: pathlib.Path) -> Tally:
+    """Runs the scenarios, a process for each feature, some at a time."""
+    files = sorted((ROOT / "features").glob("*.feature"))
+    with futures.ThreadPoolExecutor(FEATURES_AT_ONCE) as pool:
+        tallies = list(pool.map(lambda file: _run_feature(file, out), files))
+    return Tally(
+        sum(tally.passed for tally in tallies),
+        sum(tally.failed for tally in tallies),
+    )
+
+
+def _run_feature(file: pathlib.Path, out: pathlib.Path) -> Tally:
+    reports = out / file.stem
+    reports.mkdir()
+    return run_counted(
+        f"scenarios of {file.name}",
+        reports,
+        "behave",
+        "--junit",
+        f"--junit-directory={reports}",
+        "--format=progress",
+        "--no-color",
+        str(file.relative_to(ROOT)),
+    )
+
+
 def _add_report(tally: Tally, file: pathlib.Path) -> None:
     for case in ElementTree.parse(file).iter("testcase"):
         if case.find("skipped") is not None:
@@ -49,11 +77,18 @@
 
 
 def _run(name: str, command: list[str]) -> int:
-    print(f"== {name}", flush=True)
     started = time.monotonic()
-    code = subprocess.run(command, cwd=ROOT, check=False).returncode
-    print(f"-- {name}: {time.monotonic() - started:.1f} s", flush=True)
-    return code
+    done = subprocess.run(
+        command,
+        cwd=ROOT,
+        check=False,
+        text=True,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+    seconds = time.monotonic() - started
+    print(f"== {name}: {seconds:.1f} s\n{done.stdout}", flush=True)
+    return done.returncode
 
 
 def main() -> int:
@@ -68,14 +103,7 @@
             run_single("lint", "ruff", "check", "."),
             run_single("types", "mypy", *PACKAGES),
             run_counted("unit", unit, "pytest", "-q", f"--junitxml={unit}"),
-            run_counted(
-                "scenarios",
-                features,
-                "behave",
-                "--junit",
-                f"--junit-directory={features}",
-                "--format=progress",
-            ),
+            run_features(features),
         ]
     passed = sum(tally.passed for tally in tallies)
     failed = sum(tally.failed for tally in tallies)
