Unit and property tests of the dispatcher; unused endpoints are tried again

Cause: an endpoint that once seemed slow was never chosen again, so it could never be found to be fast: a scenario of a returning engine failed now and then. Change: estimates of unused endpoints drift to what is typical; a test for each rule and a stateful property test over arrivals, endings, lags, leaving and changes of owner.

--- a/martenjunction/decisions/dispatcher.py
+++ b/martenjunction/decisions/dispatcher.py
@@ -276,6 +276,7 @@
         """
         for endpoint in self._endpoints.values():
             endpoint.expire_report(now)
+        placement.forget_idle(list(self._endpoints.values()), now)
         for overdue in placement.overdue_runs(self._endpoints.values(), now):
             self._observe(overdue.endpoint, overdue.ratio, now)
         return [
--- a/martenjunction/decisions/estimates.py
+++ b/martenjunction/decisions/estimates.py
@@ -112,6 +112,10 @@
         weight = max(self._weight, 1.0 / (1.0 + self._count))
         self._value += (value - self._value) * weight
 
+    def drift(self, target: float, part: float) -> None:
+        """Moves the mean towards a value without counting as one."""
+        self._value += (target - self._value) * part
+
 
 @dataclasses.dataclass(slots=True)
 class Speed:
--- a/martenjunction/decisions/placement.py
+++ b/martenjunction/decisions/placement.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import statistics
 
 from martenjunction.decisions import asks
 from martenjunction.decisions import endpoint_states
@@ -43,6 +44,12 @@
         )
         self._foreign = 0
         self._reported = -REPORT_LIFETIME
+        self._granted = 0.0
+
+    @property
+    def granted(self) -> float:
+        """When it last got a run."""
+        return self._granted
 
     @property
     def busy(self) -> int:
@@ -62,6 +69,7 @@
     def start(self, run: asks.Run) -> None:
         """Books a run that takes a place."""
         self.runs[run.ask.request_id] = run
+        self._granted = run.granted
         self.remember(run.ask.prefix)
 
     def finish(self, request_id: str, now: float) -> asks.Run | None:
@@ -179,6 +187,29 @@
 FAST_PRICE = 0.5
 
 
+def forget_idle(endpoints: list[Endpoint], now: float) -> None:
+    """Moves what was learnt of unused endpoints towards what is typical.
+
+    An endpoint that once seemed slow would otherwise never be used again, and
+    so never be found to be fast.
+    """
+    routing = endpoint_states.EndpointState.ROUTING
+    usable = [e for e in endpoints if e.health.state is routing]
+    if len(usable) < 2:
+        return
+    typical = statistics.median(e.speed.base_s.value for e in usable)
+    for endpoint in usable:
+        idle = not endpoint.runs and now - endpoint.granted > IDLE_AFTER
+        if idle and endpoint.speed.base_s.value > typical:
+            endpoint.speed.base_s.drift(typical, IDLE_DRIFT)
+
+
+# Seconds without a run after which an endpoint counts as unused, and the part
+# by which its estimate moves each time it is looked at.
+IDLE_AFTER = 2.0
+IDLE_DRIFT = 0.1
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Overdue:
     """A run whose first token is long overdue."""
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,260 @@
+"""The dispatcher's decisions, one rule at a time."""
+
+from martenjunction.decisions import asks
+from martenjunction.decisions import dispatcher
+from martenjunction.decisions import endpoint_states
+from martenjunction.decisions import tiers
+from tests import builders
+
+
+def granted(decisions: list[asks.Decision]) -> list[str]:
+    return [d.request_id for d in decisions if isinstance(d, asks.Grant)]
+
+
+def test_highest_tier_is_granted_first() -> None:
+    cell = builders.cell()
+    for tier in (4, 2, 1, 3):
+        cell.submit(builders.ask(f"t{tier}", tier=tier), 0.0)
+    assert granted(cell.step(0.0)) == ["t1"]
+
+
+def test_least_slack_goes_first_within_a_workspace() -> None:
+    cell = builders.cell()
+    cell.submit(builders.ask("loose", target=5.0), 0.0)
+    cell.submit(builders.ask("tight", target=0.5), 0.0)
+    assert granted(cell.step(0.0)) == ["tight"]
+
+
+def test_past_hope_yields_but_is_finished() -> None:
+    cell = builders.cell()
+    cell.submit(builders.ask("hopeless", arrived=-10.0), 0.0)
+    cell.submit(builders.ask("hopeful"), 0.0)
+    assert granted(cell.step(0.0)) == ["hopeful"]
+    cell.ended(builders.end("hopeful"), 0.1)
+    assert granted(cell.step(0.1)) == ["hopeless"]
+
+
+def test_workspaces_share_by_cost() -> None:
+    cell = builders.cell()
+    for number in range(30):
+        cell.submit(builders.ask(f"big{number}", workspace="big"), 0.0)
+    for number in range(3):
+        cell.submit(builders.ask(f"small{number}", workspace="small"), 0.0)
+    order = _drain(cell, 6)
+    assert sum(name.startswith("small") for name in order) == 3
+
+
+def _drain(cell: dispatcher.Dispatcher, count: int) -> list[str]:
+    order: list[str] = []
+    now = 0.0
+    while len(order) < count:
+        names = granted(cell.step(now))
+        for name in names:
+            cell.ended(builders.end(name), now)
+        order.extend(names)
+        now += 0.01
+    return order
+
+
+def test_lowest_tier_gets_its_share_behind_a_flood() -> None:
+    settings = dispatcher.DispatchSettings(
+        tiers.TierSettings(share=0.1, longest_pause=1000.0)
+    )
+    cell = builders.cell(settings=settings)
+    for number in range(200):
+        cell.submit(builders.ask(f"high{number}", tier=1), 0.0)
+        cell.submit(builders.ask(f"low{number}", tier=4), 0.0)
+    order = _drain(cell, 100)
+    low = sum(name.startswith("low") for name in order)
+    assert 5 <= low <= 15
+
+
+def test_waiting_tier_is_due_after_its_longest_pause() -> None:
+    settings = dispatcher.DispatchSettings(
+        tiers.TierSettings(share=0.0, longest_pause=2.0)
+    )
+    cell = builders.cell(settings=settings)
+    cell.submit(builders.ask("low", tier=4), 0.0)
+    for number in range(10):
+        cell.submit(builders.ask(f"high{number}", tier=1), 0.0)
+    assert granted(cell.step(1.9)) == ["high0"]
+    cell.ended(builders.end("high0"), 2.1)
+    assert granted(cell.step(2.1)) == ["low"]
+
+
+def test_shed_is_told_when_to_come_back() -> None:
+    cell = builders.cell()
+    cell.submit(builders.ask("first"), 0.0)
+    cell.step(0.0)
+    for number in range(20):
+        cell.submit(builders.ask(f"w{number}"), 0.0)
+    decisions = cell.submit(builders.ask("late", patience=0.5), 0.0)
+    assert [type(d) for d in decisions] == [asks.Shed]
+    assert isinstance(decisions[0], asks.Shed)
+    assert decisions[0].retry_after >= 1.0
+
+
+def test_firm_request_is_not_shed() -> None:
+    cell = builders.cell()
+    for number in range(20):
+        cell.submit(builders.ask(f"w{number}"), 0.0)
+    late = builders.ask("moved", patience=0.0, firm=True)
+    assert cell.submit(late, 0.0) == []
+
+
+def test_full_queue_sheds_the_newest_of_the_lowest_tier() -> None:
+    settings = dispatcher.DispatchSettings(max_waiting=3, shed_by_delay=False)
+    cell = builders.cell(endpoints=0, settings=settings)
+    for number in range(3):
+        cell.submit(builders.ask(f"low{number}", tier=4), 0.0)
+    cell.submit(builders.ask("high0"), 0.0)
+    cell.submit(builders.ask("high1"), 0.0)
+    shed = cell.submit(builders.ask("high2"), 0.0)
+    assert [d.request_id for d in shed] == ["low2"]
+
+
+def test_highest_tier_has_the_same_bound_with_lower_ones_waiting() -> None:
+    alone = _accepted_high(low=0)
+    crowded = _accepted_high(low=5)
+    assert alone == crowded
+
+
+def _accepted_high(low: int) -> int:
+    settings = dispatcher.DispatchSettings(max_waiting=5, shed_by_delay=False)
+    cell = builders.cell(endpoints=0, settings=settings)
+    for number in range(low):
+        cell.submit(builders.ask(f"low{number}", tier=4), 0.0)
+    for number in range(20):
+        cell.submit(builders.ask(f"high{number}"), 0.0)
+    return sum(ask.tier == 1 for ask in cell.waiting_asks())
+
+
+def test_urgent_request_preempts_the_lowest_tier_that_lost_least() -> None:
+    cell = builders.cell(slots=3)
+    for tier, at in ((2, 0.0), (4, 0.0), (4, 0.1)):
+        name = f"t{tier}-{at}"
+        cell.submit(
+            builders.ask(name, tier=tier, preemptible=True, arrived=at), at
+        )
+        cell.step(at)
+    cell.submit(builders.ask("urgent", target=0.3, arrived=0.2), 0.2)
+    decisions = cell.step(0.2)
+    assert [d.request_id for d in decisions] == ["t4-0.1"]
+    assert isinstance(decisions[0], asks.Preempt)
+
+
+def test_nothing_is_preempted_for_a_tier_that_is_not_higher() -> None:
+    cell = builders.cell()
+    cell.submit(builders.ask("running", tier=2, preemptible=True), 0.0)
+    cell.step(0.0)
+    for tier in (2, 3, 4):
+        cell.submit(builders.ask(f"t{tier}", tier=tier, target=0.2), 0.0)
+    assert cell.step(0.1) == []
+
+
+def test_preemptions_of_one_request_are_bounded() -> None:
+    cell = builders.cell()
+    often = builders.ask("often", tier=4, preemptible=True, preemptions=2)
+    cell.submit(often, 0.0)
+    cell.step(0.0)
+    cell.submit(builders.ask("urgent", target=0.2), 0.0)
+    assert cell.step(0.05) == []
+
+
+def test_leaving_endpoint_gets_nothing() -> None:
+    cell = builders.cell(endpoints=2)
+    cell.set_leaving("e1", 0.0)
+    for number in range(3):
+        cell.submit(builders.ask(f"r{number}"), 0.0)
+    decisions = cell.step(0.0)
+    assert [d.endpoint for d in decisions if isinstance(d, asks.Grant)] == [
+        "e2"
+    ]
+
+
+def test_failed_endpoint_is_not_the_first_choice_again() -> None:
+    cell = builders.cell(endpoints=2, slots=4)
+    cell.submit(builders.ask("again", avoid=frozenset({"e1"})), 0.0)
+    grant = cell.step(0.0)[0]
+    assert isinstance(grant, asks.Grant)
+    assert grant.endpoint == "e2"
+
+
+def test_slow_endpoint_is_ejected_though_its_reports_lie() -> None:
+    cell = builders.cell(endpoints=3, slots=4)
+    for number in range(12):
+        cell.submit(builders.ask(f"r{number}"), 0.0)
+    cell.step(0.0)
+    for number in range(1, 30):
+        now = number * 0.2
+        for name, seconds in (("e2", 0.05), ("e3", 0.05)):
+            for run in list(cell.endpoints[name].runs.values()):
+                cell.first_token(run.ask.request_id, seconds, now)
+        cell.report(asks.LoadReport("e1", now, 0, 0), now)
+        cell.review(now)
+    state = cell.endpoints["e1"].health.state
+    assert state is endpoint_states.EndpointState.EJECTED
+
+
+def test_not_all_endpoints_are_ejected_at_once() -> None:
+    cell = builders.cell(endpoints=3, slots=1)
+    for round_number in range(10):
+        for number in range(3):
+            name = f"r{round_number}-{number}"
+            cell.submit(builders.ask(name), 0.0)
+        for decision in cell.step(0.0):
+            end = builders.end(decision.request_id, asks.Ending.BROKEN)
+            cell.ended(end, 0.0)
+    states = [e.health.state for e in cell.endpoints.values()]
+    assert states.count(endpoint_states.EndpointState.EJECTED) == 1
+
+
+def test_ejected_endpoint_returns_by_a_trial() -> None:
+    cell = builders.cell(endpoints=2, slots=2)
+    for _ in range(3):
+        cell.silent("e1", 0.0)
+    assert cell.endpoints["e1"].free(1.0) == 0
+    for number in range(3):
+        cell.submit(builders.ask(f"r{number}", arrived=4.0), 4.0)
+    cell.step(4.0)
+    trial = next(iter(cell.endpoints["e1"].runs))
+    cell.first_token(trial, 0.03, 4.1)
+    state = cell.endpoints["e1"].health.state
+    assert state is endpoint_states.EndpointState.ROUTING
+
+
+def test_late_report_counts_only_what_others_run() -> None:
+    cell = builders.cell(slots=4)
+    cell.submit(builders.ask("ours"), 1.0)
+    cell.step(1.0)
+    cell.report(asks.LoadReport("e1", 0.5, 0, 0), 1.1)
+    assert cell.endpoints["e1"].busy == 1
+    cell.report(asks.LoadReport("e1", 1.05, 3, 0), 1.2)
+    assert cell.endpoints["e1"].busy == 3
+
+
+def test_adopted_runs_hold_their_places() -> None:
+    cell = builders.cell()
+    cell.adopt(asks.Run(builders.ask("moved"), "e1", 0.0))
+    cell.submit(builders.ask("next"), 0.0)
+    assert cell.step(0.0) == []
+    cell.ended(builders.end("moved"), 0.1)
+    assert granted(cell.step(0.1)) == ["next"]
+
+
+def test_lost_entry_gives_its_places_back() -> None:
+    cell = builders.cell()
+    cell.submit(builders.ask("gone", entry="box-9"), 0.0)
+    cell.step(0.0)
+    cell.submit(builders.ask("stays"), 0.0)
+    cell.forget_entry("box-9", 0.1)
+    assert granted(cell.step(0.1)) == ["stays"]
+
+
+def test_unused_endpoint_is_tried_again() -> None:
+    cell = builders.cell(endpoints=3, slots=2)
+    cell.endpoints["e1"].speed.base_s.add(2.0)
+    before = cell.endpoints["e1"].speed.base_s.value
+    for number in range(100):
+        cell.review(10.0 + number)
+    assert cell.endpoints["e1"].speed.base_s.value < before / 4
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,207 @@
+"""A random cell, to which anything may happen in any order."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from martenjunction.decisions import asks
+from martenjunction.decisions import dispatcher
+from martenjunction.decisions import endpoint_states
+from martenjunction.decisions import tiers
+from tests import builders
+
+SETTINGS = dispatcher.DispatchSettings(
+    tiers.TierSettings(longest_pause=2.0), max_waiting=12
+)
+NAMES = [f"e{number}" for number in range(1, 4)]
+ENDINGS = [
+    asks.Ending.COMPLETE,
+    asks.Ending.BROKEN,
+    asks.Ending.CANCELLED,
+    asks.Ending.NOT_REACHED,
+]
+
+
+class CellMachine(stateful.RuleBasedStateMachine):
+    """Checks what must hold after every step, whatever comes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.cell = builders.cell(3, 2, SETTINGS)
+        self.waiting: dict[str, asks.Ask] = {}
+        self.running: dict[str, asks.Grant] = {}
+        self.asks: dict[str, asks.Ask] = {}
+        self.leaving: set[str] = set()
+        self.count = 0
+
+    @stateful.rule(
+        tier=st.integers(1, 4),
+        workspace=st.sampled_from(["a", "b"]),
+        patience=st.sampled_from([0.5, 100.0]),
+        preemptible=st.booleans(),
+    )
+    def submit(
+        self, tier: int, workspace: str, patience: float, preemptible: bool
+    ) -> None:
+        self.count += 1
+        ask = builders.ask(
+            f"r{self.count}",
+            tier=tier,
+            workspace=workspace,
+            patience=patience,
+            preemptible=preemptible,
+            arrived=self.now,
+            target=0.3 * tier,
+        )
+        self.asks[ask.request_id] = ask
+        self.waiting[ask.request_id] = ask
+        self.take(self.cell.submit(ask, self.now))
+
+    @stateful.rule(pause=st.sampled_from([0.01, 0.3, 2.5]))
+    def step(self, pause: float) -> None:
+        self.now += pause
+        self.take(self.cell.step(self.now))
+        self.take(self.cell.review(self.now))
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(data=st.data(), ending=st.sampled_from(ENDINGS))
+    def end(self, data: st.DataObject, ending: asks.Ending) -> None:
+        name = data.draw(st.sampled_from(sorted(self.running)))
+        self.cell.first_token(name, 0.05, self.now)
+        self.cell.ended(builders.end(name, ending), self.now)
+        del self.running[name]
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule(data=st.data())
+    def withdraw(self, data: st.DataObject) -> None:
+        name = data.draw(st.sampled_from(sorted(self.waiting)))
+        assert self.cell.withdraw(name)
+        del self.waiting[name]
+
+    @stateful.rule(name=st.sampled_from(NAMES), leaving=st.booleans())
+    def list_endpoint(self, name: str, leaving: bool) -> None:
+        if leaving:
+            self.cell.set_leaving(name, self.now)
+            self.leaving.add(name)
+        else:
+            self.cell.set_endpoint(name, 2, self.now)
+            self.leaving.discard(name)
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES),
+        lag=st.sampled_from([0.0, 1.0, 5.0]),
+        running=st.integers(0, 4),
+    )
+    def report(self, name: str, lag: float, running: int) -> None:
+        measured = self.now - lag
+        report = asks.LoadReport(name, measured, running, 0)
+        self.cell.report(report, self.now)
+
+    @stateful.rule()
+    def change_owner(self) -> None:
+        """Another daemon takes the cell over from what entries announce."""
+        self.cell = builders.cell(3, 2, SETTINGS)
+        for name in self.leaving:
+            self.cell.set_leaving(name, self.now)
+        for name, grant in self.running.items():
+            run = asks.Run(self.asks[name], grant.endpoint, self.now)
+            self.cell.adopt(run)
+        for ask in self.waiting.values():
+            self.cell.submit(_firm(ask), self.now)
+
+    def take(self, decisions: list[asks.Decision]) -> None:
+        for decision in decisions:
+            if isinstance(decision, asks.Grant):
+                self.on_grant(decision)
+            elif isinstance(decision, asks.Shed):
+                self.on_shed(decision)
+            else:
+                self.on_preempt(decision)
+
+    def on_grant(self, grant: asks.Grant) -> None:
+        assert grant.request_id in self.waiting, "granted twice or unasked"
+        assert grant.endpoint not in self.leaving, "a leaving endpoint"
+        del self.waiting[grant.request_id]
+        self.running[grant.request_id] = grant
+
+    def on_shed(self, shed: asks.Shed) -> None:
+        assert shed.request_id in self.waiting, "shed what does not wait"
+        tier = self.asks[shed.request_id].tier
+        del self.waiting[shed.request_id]
+        if shed.reason is asks.ShedReason.QUEUE_FULL:
+            by_tier = [ask.tier for ask in self.waiting.values()]
+            lower = [t for t in by_tier if t > tier]
+            # Of each lower tier only the protected oldest one may be left.
+            assert len(lower) == len(set(lower)), "shed for a lower tier"
+
+    def on_preempt(self, preempt: asks.Preempt) -> None:
+        victim = self.asks[preempt.request_id]
+        assert preempt.request_id in self.running
+        assert victim.tier > preempt.for_tier, "preempted for a lower tier"
+        assert victim.preemptible
+
+    @stateful.invariant()
+    def nothing_is_forgotten(self) -> None:
+        present = {ask.request_id for ask in self.cell.waiting_asks()}
+        assert present == set(self.waiting)
+        assert self.cell.running == len(self.running)
+
+    @stateful.invariant()
+    def places_are_not_given_twice(self) -> None:
+        for endpoint in self.cell.endpoints.values():
+            held = sum(
+                grant.endpoint == endpoint.name
+                for grant in self.running.values()
+            )
+            assert held == len(endpoint.runs)
+
+    @stateful.invariant()
+    def some_endpoint_stays(self) -> None:
+        ejected = [
+            e
+            for e in self.cell.endpoints.values()
+            if e.health.state is endpoint_states.EndpointState.EJECTED
+        ]
+        assert len(ejected) < len(self.cell.endpoints)
+
+    def teardown(self) -> None:
+        """Whatever waits is served once endpoints are well again."""
+        for name in NAMES:
+            self.cell.set_endpoint(name, 2, self.now)
+            report = asks.LoadReport(name, self.now, 0, 0)
+            self.cell.report(report, self.now)
+        self.leaving.clear()
+        for _ in range(400):
+            if not self.waiting and not self.running:
+                return
+            self.now += 0.5
+            for name in NAMES:
+                report = asks.LoadReport(name, self.now, 0, 0)
+                self.cell.report(report, self.now)
+            for name in list(self.running):
+                self.cell.first_token(name, 0.05, self.now)
+                self.cell.ended(builders.end(name), self.now)
+                del self.running[name]
+            self.take(self.cell.step(self.now))
+            self.take(self.cell.review(self.now))
+        raise AssertionError(f"{len(self.waiting)} requests never ended")
+
+
+def _firm(ask: asks.Ask) -> asks.Ask:
+    return builders.ask(
+        ask.request_id,
+        tier=ask.tier,
+        workspace=ask.workspace,
+        patience=ask.patience,
+        preemptible=ask.preemptible,
+        arrived=ask.arrived,
+        target=ask.target,
+        firm=True,
+    )
+
+
+TestCell = CellMachine.TestCase
+TestCell.settings = settings(
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -61,7 +61,7 @@
         "behave",
         "--junit",
         f"--junit-directory={reports}",
-        "--format=progress",
+        "--format=progress3",
         "--no-color",
         str(file.relative_to(ROOT)),
     )
