--- a/features/1_tiers.feature
+++ b/features/1_tiers.feature
@@ -4,7 +4,7 @@
     Given 2 daemons before 2 engines of 4 slots
     When for 6 seconds callers send
       | kind      | per second |
-      | digests   | 30         |
+      | digests   | 12         |
       | questions | 3          |
     And all answers are in
     Then every answer to field-question is whole and its own
--- a/features/2_progress.feature
+++ b/features/2_progress.feature
@@ -4,7 +4,7 @@
     Given 2 daemons before 2 engines of 4 slots
     When for 12 seconds callers send
       | kind      | per second |
-      | questions | 40         |
+      | questions | 30         |
       | digests   | 0.5        |
     And all answers are in
     Then day-digest never stood still for 10 seconds
@@ -14,9 +14,9 @@
     Given 2 daemons before 2 engines of 4 slots
     When for 10 seconds callers send
       | kind      | per second |
-      | questions | 20         |
-      | summaries | 20         |
-      | digests   | 20         |
+      | questions | 12         |
+      | summaries | 12         |
+      | digests   | 12         |
     And all answers are in
     Then day-digest never stood still for 10 seconds
     And block-summary never stood still for 10 seconds
--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -23,6 +23,7 @@
 from martenjunction.cells import directory
 from martenjunction.cells import host
 from martenjunction.cells import messages as cell_messages
+from martenjunction.cells import summaries
 from martenjunction.claims import keeper
 from martenjunction.claims import messages as claim_messages
 from martenjunction.config import fleet
@@ -87,7 +88,10 @@
         self._rng = random.Random()
         self._dumps: dict[str, Callable[[], dict[str, Any]]] = {}
         self._servers: list[httpserver.HTTPServer] = []
+        self._layout: dict[str, directory.CellInfo] = {}
+        self._laid_out: tuple[Any, Any] = ({}, {})
         self._endpoint_states: dict[str, protocol.BoxState] = {}
+        self._summary_gate = summaries.SummaryGate()
         self._draining = False
         self._drained = asyncio.Event()
         self._update_task: asyncio.Task[None] | None = None
@@ -348,6 +352,9 @@
         )
         self.sync.connect(self.members, self._on_listed)
         self.events.connect(events.PEER_LOST, self._on_peer_lost)
+        self.events.connect(
+            events.PEER_CONNECTED, lambda _: self._summary_gate.forget()
+        )
         self.add_dump("daemon", self._describe)
         self.add_dump("config", lambda: dumps.of_config(self.store))
         self.add_dump("members", lambda: dumps.of_members(self.members))
@@ -433,13 +440,18 @@
         )
 
     def _on_config_changed(self) -> None:
-        self.callers.set_config(self.store.config)
-        self._layout_changed()
+        config = self.store.config
+        self.callers.set_config(config)
+        if self._layout_is_old():
+            self._layout_changed()
         self.events.emit(events.CONFIG_CHANGED, self.store.config)
 
     def _layout_changed(self) -> None:
         config = self.store.config
-        layout = directory.cells_of(config)
+        if self._layout_is_old():
+            self._laid_out = (config.service, config.endpoint)
+            self._layout = directory.cells_of(config)
+        layout = self._layout
         leaving = frozenset(
             name
             for name, state in self._endpoint_states.items()
@@ -448,6 +460,14 @@
         self.cells.set_layout(layout, config.endpoint, leaving)
         self.broker.set_cells(layout)
 
+    def _layout_is_old(self) -> bool:
+        # A table that did not change is the same object.
+        config = self.store.config
+        services, endpoints = self._laid_out
+        return config.service is not services or (
+            config.endpoint is not endpoints
+        )
+
     def _on_members_changed(self) -> None:
         self.events.emit(events.MEMBERS_CHANGED)
 
@@ -520,8 +540,11 @@
         return self.peers.send(box, message)
 
     def _send_summaries(self) -> None:
-        for summary in self.cells.summaries():
+        current = self.cells.summaries()
+        for summary in current:
             self.broker.receive(self._settings.box, summary)
+        now = self.timers.now()
+        for summary in self._summary_gate.pass_on(current, now):
             self.peers.broadcast(summary)
 
     def _on_load(self, endpoint: str, load: loads.Load) -> None:
--- a/martenjunction/callers/service.py
+++ b/martenjunction/callers/service.py
@@ -123,14 +123,14 @@
         """Puts a configuration in force for new requests."""
         old = self._config
         self._config = config
-        if config.workspace != old.workspace:
+        # A table that did not change is the same object.
+        if config.workspace is not old.workspace:
             self._keys = keys.KeyTable(config)
-        same = (config.policy, config.binding, config.classes) == (
-            old.policy,
-            old.binding,
-            old.classes,
-        )
-        if not same:
+        if (
+            config.policy is not old.policy
+            or config.binding is not old.binding
+            or config.classes is not old.classes
+        ):
             self._classifier = classing.Classifier(config)
 
     def start(self) -> None:
--- a/martenjunction/cells/broker.py
+++ b/martenjunction/cells/broker.py
@@ -26,7 +26,7 @@
 REASSIGN_INTERVAL = 0.1
 
 # Seconds after which what a cell said of itself no longer counts.
-SUMMARY_LIFETIME = 5.0
+SUMMARY_LIFETIME = 6.0
 
 
 class TicketState(enum.Enum):
@@ -255,8 +255,10 @@
         heard, summary = entry
         if self._timers.now() - heard > SUMMARY_LIFETIME:
             return None
-        index = min(tier, len(summary.delay)) - 1
-        return summary.delay[index] if summary.delay else None
+        if not summary.delay_ms:
+            return None
+        index = min(tier, len(summary.delay_ms)) - 1
+        return summary.delay_ms[index] / 1000
 
     # Choosing.
 
--- a/martenjunction/cells/directory.py
+++ b/martenjunction/cells/directory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import functools
 
 from martenjunction.config import fleet
 from martenjunction.decisions import rendezvous
@@ -48,7 +49,10 @@
     return cells
 
 
+@functools.lru_cache(maxsize=65_536)
 def _index(endpoint: str, cells: int) -> int:
+    if cells == 1:
+        return 0
     indexes = [str(index) for index in range(cells)]
     return int(rendezvous.owner(indexes, endpoint) or 0)
 
@@ -75,6 +79,7 @@
     )
 
 
+@functools.cache
 def region_of(zone: str) -> str:
     """Returns the region of an availability zone written `region/zone`.
 
--- a/martenjunction/cells/messages.py
+++ b/martenjunction/cells/messages.py
@@ -120,13 +120,18 @@
 @codec.message("summary")
 @dataclasses.dataclass(frozen=True, slots=True)
 class Summary:
-    """The state of one cell, for those who choose between cells."""
+    """The state of one cell, for those who choose between cells.
+
+    Attributes:
+        cell: The cell.
+        free: Places free now.
+        delay_ms: Predicted milliseconds of waiting by tier, the highest
+            first.
+    """
 
     cell: str
     free: int
-    slots: int
-    waiting: tuple[int, ...]
-    delay: tuple[float, ...]
+    delay_ms: tuple[int, ...]
 
 
 FromEntry = AskPlace | AnnounceRun | Withdraw | FirstToken | RunEnded
@@ -214,6 +219,5 @@
 
 def from_summary(cell: str, summary: dispatcher.CellSummary) -> Summary:
     """Turns a dispatcher's summary into a message."""
-    return Summary(
-        cell, summary.free, summary.slots, summary.waiting, summary.delay
-    )
+    delay_ms = tuple(round(seconds * 1000) for seconds in summary.delay)
+    return Summary(cell, summary.free, delay_ms)
--- a/martenjunction/config/fleet.py
+++ b/martenjunction/config/fleet.py
@@ -94,6 +94,8 @@
         between_tokens: Target for the mean time between tokens, in seconds.
         patience: Longest wait, in seconds, that is worth it to the caller.
         time_limit: Longest time of a whole request, in seconds.
+        stall: Longest silence of an endpoint, in seconds, before a
+            repeatable request is tried elsewhere.
         repeatable: Whether a request may be sent to an endpoint twice.
         preemptible: Whether a run may be moved for a higher tier.
         unclaimed_in_outage: Whether a keyed request that may not be repeated
@@ -108,6 +110,7 @@
     between_tokens: units.Seconds = 0.07
     patience: units.Seconds = 20.0
     time_limit: units.Seconds = 300.0
+    stall: units.Seconds = 5.0
     repeatable: bool = True
     preemptible: bool = True
     unclaimed_in_outage: bool = False
@@ -183,28 +186,6 @@
     binding: dict[str, Binding] = dataclasses.field(default_factory=dict)
     policy: dict[str, Policy] = dataclasses.field(default_factory=dict)
 
-    def class_for(self, workspace: Workspace, kind: str) -> ServiceClass:
-        """Returns the class that the bindings give a request.
-
-        Raises:
-            MartenjunctionError: If the class is not configured.
-        """
-        name = workspace.default_class
-        for binding in self.binding.values():
-            if binding.workspace != workspace.name:
-                continue
-            if binding.kind == kind:
-                name = binding.service_class
-                break
-            if binding.kind == ANY_KIND:
-                name = binding.service_class
-        try:
-            return self.classes[name]
-        except KeyError:
-            raise errors.MartenjunctionError(
-                f"class {name!r} is not configured"
-            ) from None
-
     def service_for_model(self, model: str) -> Service | None:
         """Returns the service that answers for a model."""
         for service in self.service.values():
@@ -353,6 +334,28 @@
 PROGRAM_KEY = "file"
 
 
+def replace(config: FleetConfig, values: dict[str, Any]) -> FleetConfig:
+    """Returns a configuration with some objects changed.
+
+    Only the tables of the kinds that changed are copied.
+
+    Args:
+        config: What was in force.
+        values: Object keys to checked values; None takes an object out.
+    """
+    tables: dict[str, dict[str, Any]] = {}
+    for key, value in values.items():
+        kind, _, name = key.removeprefix(KEY_PREFIX).partition("/")
+        attribute = _ATTRIBUTES.get(kind, kind)
+        if attribute not in tables:
+            tables[attribute] = dict(getattr(config, attribute))
+        if value is None:
+            tables[attribute].pop(name, None)
+        else:
+            tables[attribute][name] = value
+    return dataclasses.replace(config, **tables)
+
+
 @dataclasses.dataclass(frozen=True)
 class Problem:
     """A reference from one section to another that is not there."""
--- a/martenjunction/config/store.py
+++ b/martenjunction/config/store.py
@@ -37,7 +37,6 @@
 
     def __init__(self) -> None:
         self._objects: dict[str, ConfigObject] = {}
-        self._values: dict[str, Any] = {}
         self._rejected: dict[str, str] = {}
         self._digest = 0
         self._revision = 0
@@ -81,16 +80,16 @@
             Those that were newer.
         """
         newer = []
+        values: dict[str, Any] = {}
         for item in objects:
-            if item.version <= self.version_of(item.key):
-                continue
-            self._take(item)
-            newer.append(item)
-        if newer:
-            self.config = fleet.build(list(self._values.values()))
+            if item.version > self.version_of(item.key):
+                self._take(item, values)
+                newer.append(item)
+        if values:
+            self.config = fleet.replace(self.config, values)
         return newer
 
-    def _take(self, item: ConfigObject) -> None:
+    def _take(self, item: ConfigObject, values: dict[str, Any]) -> None:
         held = self._objects.get(item.key)
         if held is not None:
             self._digest ^= _hash(held)
@@ -99,10 +98,10 @@
         self._revision = max(self._revision, item.version)
         self._rejected.pop(item.key, None)
         if item.values is None:
-            self._values.pop(item.key, None)
+            values[item.key] = None
             return
         try:
-            self._values[item.key] = parse_object(item)
+            values[item.key] = parse_object(item)
         except errors.SettingsError as error:
             # It was accepted all the same, by a daemon of another version
             # perhaps: the last valid value stays in force, and it shows.
--- a/martenjunction/decisions/classing.py
+++ b/martenjunction/decisions/classing.py
@@ -31,6 +31,10 @@
         self._config = config
         self._programs: list[tuple[fleet.Policy, policies.Program]] = []
         self._broken: dict[str, str] = {}
+        self._bound = {
+            (binding.workspace, binding.kind): binding.service_class
+            for binding in config.binding.values()
+        }
         for policy in config.policy.values():
             try:
                 program = policies.Program(policy.name, policy.source)
@@ -61,7 +65,7 @@
         Raises:
             MartenjunctionError: If not even the default class is there.
         """
-        service_class = self._config.class_for(workspace, facts.kind)
+        service_class = self._bound_class(workspace, facts.kind)
         reasons = [f"bindings give class {service_class.name}"]
         facts = dataclasses.replace(facts, default_class=service_class.name)
         zones: tuple[str, ...] = ()
@@ -81,3 +85,16 @@
         if zones:
             reasons.append(f"policies prefer {', '.join(zones)}")
         return Classed(service_class, zones, tuple(reasons))
+
+    def _bound_class(
+        self, workspace: fleet.Workspace, kind: str
+    ) -> fleet.ServiceClass:
+        name = self._bound.get((workspace.name, kind))
+        name = name or self._bound.get((workspace.name, fleet.ANY_KIND))
+        name = name or workspace.default_class
+        try:
+            return self._config.classes[name]
+        except KeyError:
+            raise errors.MartenjunctionError(
+                f"class {name!r} is not configured"
+            ) from None
--- a/martenjunction/decisions/dispatcher.py
+++ b/martenjunction/decisions/dispatcher.py
@@ -9,6 +9,7 @@
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import estimates
 from martenjunction.decisions import placement
+from martenjunction.decisions import places
 from martenjunction.decisions import queues
 from martenjunction.decisions import rates
 from martenjunction.decisions import tiers
@@ -42,14 +43,10 @@
 
     Attributes:
         free: Places free now.
-        slots: Places in all.
-        waiting: Waiting requests by tier, the highest first.
         delay: Predicted seconds of waiting by tier, the highest first.
     """
 
     free: int
-    slots: int
-    waiting: tuple[int, ...]
     delay: tuple[float, ...]
 
 
@@ -86,7 +83,13 @@
         }
         self._shares = tiers.TierShares(settings.sharing)
         self._endpoints: dict[str, placement.Endpoint] = {}
+        self._places = places.Places()
         self._runs: dict[str, asks.Run] = {}
+        self._victims: dict[int, dict[str, asks.Run]] = {
+            tier: {} for tier in self._queues
+        }
+        self._giving_way = 0
+        self._lead = 0.0
         self._hold = estimates.Average(1.0)
         self._grant_rates = {tier: rates.Rate() for tier in self._queues}
         self._seen: dict[int, float] = {}
@@ -131,32 +134,36 @@
         """Adds an endpoint, or changes how many requests it may run."""
         endpoint = self._endpoints.get(name)
         if endpoint is None:
-            self._endpoints[name] = placement.Endpoint(name, slots, zone)
-            return
+            endpoint = placement.Endpoint(name, slots, zone)
+            self._endpoints[name] = endpoint
         endpoint.slots = slots
         endpoint.health.move(endpoint_states.EndpointEvent.LISTED_AGAIN, now)
+        self._places.refresh(endpoint, now)
 
     def set_leaving(self, name: str, now: float) -> None:
         """Gives an endpoint no new work from now on."""
         endpoint = self._endpoints.get(name)
         if endpoint is not None:
             endpoint.health.move(endpoint_states.EndpointEvent.LEAVING, now)
+            self._places.refresh(endpoint, now)
 
     def remove_endpoint(self, name: str) -> None:
         """Forgets an endpoint; its runs end when their entry says so."""
         self._endpoints.pop(name, None)
+        self._places.remove(name)
 
     def report(self, report: asks.LoadReport, now: float) -> None:
         """Takes in an endpoint's lagging word on its load."""
         endpoint = self._endpoints.get(report.endpoint)
         if endpoint is not None:
             endpoint.report(report, now)
+            self._places.refresh(endpoint, now)
 
     def silent(self, name: str, now: float) -> None:
         """Learns that an endpoint could not be reached."""
         endpoint = self._endpoints.get(name)
         if endpoint is not None:
-            self._fault(endpoint, now)
+            self._fault(endpoint, now, reached=False)
 
     # Requests come, run and go.
 
@@ -181,10 +188,10 @@
     def adopt(self, run: asks.Run) -> None:
         """Books a run that an earlier owner of the cell granted."""
         self.withdraw(run.ask.request_id)
-        self._runs[run.ask.request_id] = run
-        endpoint = self._endpoints.get(run.endpoint)
-        if endpoint is not None:
-            endpoint.start(run)
+        known = self._runs.get(run.ask.request_id)
+        if known is not None:
+            self._remove_run(known, run.granted)
+        self._add_run(run, run.granted)
 
     def withdraw(self, request_id: str) -> bool:
         """Forgets a waiting request; returns whether it was waiting."""
@@ -216,19 +223,20 @@
 
     def ended(self, end: asks.RunEnd, now: float) -> None:
         """Gives a run's place back and learns from how it ended."""
-        run = self._runs.pop(end.request_id, None)
+        run = self._runs.get(end.request_id)
         if run is None:
             return
+        self._remove_run(run, now)
         endpoint = self._endpoints.get(run.endpoint)
         if endpoint is None:
             return
-        endpoint.finish(end.request_id, now)
         if end.ending is asks.Ending.COMPLETE:
             self._hold.add(max(0.001, now - run.granted))
         if end.token_interval_s is not None:
             endpoint.speed.interval_s.add(end.token_interval_s)
         if end.ending in asks.FAULTS:
-            self._fault(endpoint, now)
+            reached = end.ending is not asks.Ending.NOT_REACHED
+            self._fault(endpoint, now, reached)
 
     def forget_entry(self, entry: str, now: float) -> None:
         """Drops all requests of an entry daemon that is gone."""
@@ -244,14 +252,14 @@
 
     def predicted_delay(self, tier: int, now: float) -> float:
         """Returns seconds that a new request of a tier would wait."""
-        places = self._places()
-        if places == 0:
+        slots = self._places.slots
+        if slots == 0:
             return NO_PLACE_DELAY
         ahead = sum(
             len(queue) for t, queue in self._queues.items() if t <= tier
         )
-        free = self._free_places(now)
-        by_capacity = max(0, ahead - free) * self._hold.value / places
+        free = self._places.free
+        by_capacity = max(0, ahead - free) * self._hold.value / slots
         own = len(self._queues[tier])
         rate = self._grant_rates[tier].per_second(now)
         if own < MIN_QUEUE_FOR_RATE or rate <= 0.0:
@@ -272,27 +280,39 @@
         """Looks after what only time changes; call it a few times a second.
 
         Returns:
-            Requests that waited longer than their patience, which are shed.
+            Requests that are shed: those whose patience is over, and those
+            past hope that will not be reached before it is.
         """
-        for endpoint in self._endpoints.values():
+        endpoints = list(self._endpoints.values())
+        for endpoint in endpoints:
             endpoint.expire_report(now)
-        placement.forget_idle(list(self._endpoints.values()), now)
-        for overdue in placement.overdue_runs(self._endpoints.values(), now):
+            self._places.refresh(endpoint, now)
+        self._lead = min((e.speed.base_s.value for e in endpoints), default=0.0)
+        placement.forget_idle(endpoints, now)
+        for overdue in placement.overdue_runs(endpoints, now):
             self._observe(overdue.endpoint, overdue.ratio, now)
         return [
             self._shed(ask, asks.ShedReason.DELAY, 0.0)
-            for ask in list(self.waiting_asks())
-            if not ask.firm
-            and now - ask.arrived > ask.patience
-            and self.withdraw(ask.request_id)
+            for ask in self._without_chance(now)
+            if self.withdraw(ask.request_id)
+        ]
+
+    def _without_chance(self, now: float) -> list[asks.Ask]:
+        found = [
+            ask
+            for ask in self.waiting_asks()
+            if not ask.firm and now - ask.arrived > ask.patience
         ]
+        for tier, queue in self._queues.items():
+            rate = self._grant_rates[tier].per_second(now)
+            if rate > 0.0 and self._settings.shed_by_delay:
+                found += queue.without_chance(now, self._lead, rate)
+        return found
 
     def summary(self, now: float) -> CellSummary:
         """Returns what entry daemons are told of this cell."""
         return CellSummary(
-            free=self._free_places(now),
-            slots=self._places(),
-            waiting=tuple(len(queue) for queue in self._queues.values()),
+            free=self._places.free,
             delay=tuple(
                 round(self.predicted_delay(tier, now), 3)
                 for tier in self._queues
@@ -302,14 +322,15 @@
     def _grants(self, now: float) -> Iterator[asks.Grant]:
         held: list[asks.Ask] = []
         while True:
-            free = [e for e in self._endpoints.values() if e.free(now) > 0]
+            free = self._places.open()
             ask = self._next_ask(free, now)
             if ask is None:
                 break
-            chosen = placement.choose(ask, free, self._use(), now)
+            use = self._places.use
+            chosen = placement.choose(ask, free, use, now)
             if chosen is None and self._only_avoided(ask):
                 again = dataclasses.replace(ask, avoid=frozenset())
-                chosen = placement.choose(again, free, self._use(), now)
+                chosen = placement.choose(again, free, use, now)
             if chosen is None:
                 held.append(ask)
                 continue
@@ -351,27 +372,27 @@
             uncached=endpoint.uncached(ask),
             batch=endpoint.busy,
         )
-        endpoint.start(run)
-        self._runs[ask.request_id] = run
+        self._add_run(run, now)
         self._grant_rates[ask.tier].add(now)
         self._counts.granted += 1
         return asks.Grant(ask.request_id, ask.entry, endpoint.name, predicted)
 
     def _preemptions(self, now: float) -> Iterator[asks.Preempt]:
         waiting = self._waiting_tiers()
-        if not waiting or self._free_places(now) > 0:
+        if not waiting or self._places.free > 0:
             return
         tier = waiting[0]
         deadline = self._queues[tier].next_deadline(now)
         if deadline is None or not self._is_urgent(deadline, now):
             return
-        giving_way = sum(run.cancelling for run in self._runs.values())
-        if giving_way >= len(self._queues[tier]):
+        if self._giving_way >= len(self._queues[tier]):
             return
         victim = self._victim(tier)
         if victim is None:
             return
         victim.cancelling = True
+        self._giving_way += 1
+        del self._victims[victim.ask.tier][victim.ask.request_id]
         self._counts.preempted += 1
         yield asks.Preempt(
             victim.ask.request_id, victim.ask.entry, victim.endpoint, tier
@@ -379,29 +400,37 @@
 
     def _is_urgent(self, deadline: float, now: float) -> bool:
         """Whether a waiting request would miss its target by just waiting."""
-        lead = min(
-            (e.speed.base_s.value for e in self._endpoints.values()),
-            default=0.0,
-        )
         until_free = self._hold.value / max(1, len(self._runs))
-        slack = deadline - now - lead
+        slack = deadline - now - self._lead
         return 0.0 < slack < max(PREEMPT_SLACK, PREEMPT_MARGIN * until_free)
 
     def _victim(self, tier: int) -> asks.Run | None:
         """Returns the run that loses least, of the lowest tier below `tier`."""
-        candidates = [
-            run
-            for run in self._runs.values()
-            if run.ask.tier > tier
-            and run.ask.preemptible
-            and not run.cancelling
-            and run.ask.preemptions < self._settings.max_preemptions
-        ]
-        return max(
-            candidates,
-            key=lambda run: (run.ask.tier, run.granted),
-            default=None,
-        )
+        for lower in range(self.TIERS, tier, -1):
+            if self._victims[lower]:
+                return next(reversed(self._victims[lower].values()))
+        return None
+
+    def _add_run(self, run: asks.Run, now: float) -> None:
+        ask = run.ask
+        self._runs[ask.request_id] = run
+        may_move = ask.preemptions < self._settings.max_preemptions
+        if ask.preemptible and may_move:
+            self._victims[ask.tier][ask.request_id] = run
+        endpoint = self._endpoints.get(run.endpoint)
+        if endpoint is not None:
+            endpoint.start(run)
+            self._places.refresh(endpoint, now)
+
+    def _remove_run(self, run: asks.Run, now: float) -> None:
+        ask = run.ask
+        del self._runs[ask.request_id]
+        self._victims[ask.tier].pop(ask.request_id, None)
+        self._giving_way -= run.cancelling
+        endpoint = self._endpoints.get(run.endpoint)
+        if endpoint is not None:
+            endpoint.finish(ask.request_id, now)
+            self._places.refresh(endpoint, now)
 
     def _keep_bound(self, now: float) -> list[asks.Decision]:
         """Sheds the newest of the lowest tier while too many wait.
@@ -451,11 +480,14 @@
                 else endpoint_states.EndpointEvent.TRIAL_FAILED
             )
             endpoint.health.move(event, now)
+            self._places.refresh(endpoint, now)
             return
         self._judge(endpoint, now)
 
-    def _fault(self, endpoint: placement.Endpoint, now: float) -> None:
-        endpoint.health.fault()
+    def _fault(
+        self, endpoint: placement.Endpoint, now: float, reached: bool
+    ) -> None:
+        endpoint.health.fault(reached)
         if endpoint.health.state is endpoint_states.EndpointState.EJECTED:
             endpoint.health.move(
                 endpoint_states.EndpointEvent.TRIAL_FAILED, now
@@ -463,6 +495,8 @@
         self._judge(endpoint, now)
 
     def _judge(self, endpoint: placement.Endpoint, now: float) -> None:
+        if not endpoint.health.may_be_outlier:
+            return
         others = [
             e.health.ratio
             for e in self._endpoints.values()
@@ -475,6 +509,7 @@
             return
         if endpoint.health.move(endpoint_states.EndpointEvent.OUTLIER, now):
             self._counts.ejected += 1
+            self._places.refresh(endpoint, now)
 
     def _may_eject(self) -> bool:
         ejected = sum(
@@ -502,8 +537,8 @@
         )
         if not higher_seen:
             return True
-        kept = int(self._places() * self._settings.sharing.reserve)
-        return self._free_places(now) > kept
+        kept = int(self._places.slots * self._settings.sharing.reserve)
+        return self._places.free > kept
 
     def _only_avoided(self, ask: asks.Ask) -> bool:
         return not any(
@@ -512,23 +547,6 @@
             for e in self._endpoints.values()
         )
 
-    def _places(self) -> int:
-        return sum(
-            e.slots
-            for e in self._endpoints.values()
-            if e.health.state is endpoint_states.EndpointState.ROUTING
-        )
-
-    def _free_places(self, now: float) -> int:
-        return sum(e.free(now) for e in self._endpoints.values())
-
-    def _use(self) -> float:
-        places = self._places()
-        if places == 0:
-            return 1.0
-        busy = sum(e.busy for e in self._endpoints.values())
-        return min(1.0, busy / places)
-
 
 # Predictions below this many seconds are not told apart.
 MIN_PREDICTION = 0.02
--- a/martenjunction/decisions/endpoint_states.py
+++ b/martenjunction/decisions/endpoint_states.py
@@ -59,6 +59,8 @@
         faults: Consecutive runs that broke.
         ejected_at: When it was last ejected.
         ejections: Ejections in a row, for the length of the next one.
+        unreachable: Whether it was ejected because nobody listened there, so
+            that a load report is proof enough that it is back.
     """
 
     state: EndpointState = EndpointState.PENDING
@@ -67,9 +69,12 @@
     faults: int = 0
     ejected_at: float = 0.0
     ejections: int = 0
+    unreachable: bool = False
 
     def move(self, event: EndpointEvent, now: float) -> bool:
         """Applies an event; returns whether the state changed."""
+        if event is EndpointEvent.HEARD and self.unreachable:
+            event = EndpointEvent.TRIAL_PASSED
         after = next_state(self.state, event)
         if after is self.state:
             if event is EndpointEvent.TRIAL_FAILED:
@@ -79,6 +84,8 @@
             self._lengthen(now)
         if event is EndpointEvent.TRIAL_PASSED:
             self.ejections = 0
+        if after is not EndpointState.EJECTED:
+            self.unreachable = False
         self.state = after
         self.ratio = 1.0
         self.samples = 0
@@ -89,11 +96,24 @@
         """Takes in one observed time over its prediction."""
         self.samples += 1
         self.faults = 0
+        self.unreachable = False
         self.ratio += (min(ratio, RATIO_CAP) - self.ratio) * RATIO_WEIGHT
 
-    def fault(self) -> None:
-        """Takes in one broken run."""
-        self.faults += 1
+    def fault(self, reached: bool) -> None:
+        """Takes in one broken run.
+
+        Args:
+            reached: Whether the endpoint was reached at all. Where nobody
+                listens, once is enough.
+        """
+        self.faults += 1 if reached else MAX_FAULTS
+        if not reached:
+            self.unreachable = True
+
+    @property
+    def may_be_outlier(self) -> bool:
+        """Whether it is worth comparing with its cell."""
+        return self.faults >= MAX_FAULTS or self.ratio > OUTLIER_RATIO
 
     def is_outlier(self, typical: float) -> bool:
         """Returns whether it is far worse than its cell.
@@ -127,7 +147,7 @@
 RATIO_WEIGHT = 0.3
 
 # Seconds before the first trial run after an ejection, and at the most.
-FIRST_PAUSE = 3.0
+FIRST_PAUSE = 2.0
 LONGEST_PAUSE = 60.0
 
 # No more than this part of a cell is ejected at once.
--- a/martenjunction/decisions/placement.py
+++ b/martenjunction/decisions/placement.py
@@ -72,12 +72,11 @@
         self._granted = run.granted
         self.remember(run.ask.prefix)
 
-    def finish(self, request_id: str, now: float) -> asks.Run | None:
-        """Gives a run's place back; returns the run if it was booked."""
+    def finish(self, request_id: str, now: float) -> None:
+        """Gives a run's place back."""
         run = self.runs.pop(request_id, None)
         if run is not None:
             self._ended.append((run.granted, now))
-        return run
 
     def report(self, report: asks.LoadReport, now: float) -> None:
         """Takes in a lagging report.
--- a/martenjunction/decisions/queues.py
+++ b/martenjunction/decisions/queues.py
@@ -49,6 +49,26 @@
             return heapq.heappop(self._late)[2]
         return heapq.heappop(self._timely)[2]
 
+    def without_chance(
+        self, now: float, lead: float, rate: float
+    ) -> list[asks.Ask]:
+        """Returns late requests that will not be reached in their patience.
+
+        Args:
+            now: The current time.
+            lead: Seconds that the fastest endpoint needs to a first token.
+            rate: Grants a second that this workspace gets.
+        """
+        self._set_late_aside(now + lead)
+        if self._timely:
+            rate /= LATE_EVERY
+        found = []
+        for position, (_, _, ask) in enumerate(sorted(self._late), start=1):
+            left = ask.patience - (now - ask.arrived)
+            if position > left * rate and not ask.firm:
+                found.append(ask)
+        return found
+
     def _set_late_aside(self, horizon: float) -> None:
         while self._timely and self._timely[0][0] < horizon:
             _, serial, ask = heapq.heappop(self._timely)
@@ -136,6 +156,24 @@
         """Returns the request that was added last, or None."""
         return next(reversed(self._present.values()), None)
 
+    def without_chance(
+        self, now: float, lead: float, rate: float
+    ) -> list[asks.Ask]:
+        """Returns late requests that will not be reached in their patience.
+
+        Args:
+            now: The current time.
+            lead: Seconds that the fastest endpoint needs to a first token.
+            rate: Grants a second that this tier gets.
+        """
+        waiting = [q for q in self._workspaces.values() if len(q)]
+        found = [
+            ask
+            for queue in waiting
+            for ask in queue.without_chance(now, lead, rate / len(waiting))
+        ]
+        return [a for a in found if self._present.get(a.request_id) is a]
+
     def __iter__(self) -> Iterator[asks.Ask]:
         return iter(list(self._present.values()))
 
--- a/martenjunction/decisions/retries.py
+++ b/martenjunction/decisions/retries.py
@@ -4,7 +4,7 @@
 class RetryBudget:
     """Retries as a part of successes, so that they cannot feed a collapse."""
 
-    def __init__(self, ratio: float = 0.2, reserve: float = 10.0) -> None:
+    def __init__(self, ratio: float = 0.2, reserve: float = 50.0) -> None:
         """Makes a budget.
 
         Args:
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -20,11 +20,6 @@
 from martenjunction.relay import runs
 from martenjunction.relay import sinks
 
-# Seconds without a byte after which a repeatable run counts as broken: for
-# the first token in multiples of the class target, then between tokens.
-FIRST_TOKEN_STALL = 4.0
-SHORTEST_STALL = 3.0
-
 # Runs that may be resumed at their own endpoint.
 MAX_RESUMES = 2
 
@@ -126,10 +121,7 @@
             return
         if not self._request.repeatable:
             return
-        limit = SHORTEST_STALL
-        if self._run_first_token is None:
-            target = self._request.service_class.first_token
-            limit = max(limit, target * FIRST_TOKEN_STALL)
+        limit = self._request.service_class.stall
         if now - self._heard > limit:
             self.stop(broker.StopReason.STALLED)
 
@@ -325,14 +317,14 @@
         if self._stop is not None:
             return self._stopped(self._stop)
         self._avoid = self._avoid | {self._endpoint}
-        if self._may_try_again():
+        if self._may_try_again(ending):
             return None
         return self._failed(
             results.FailureCode.ENDPOINT_FAILED,
             "the endpoint did not answer in full",
         )
 
-    def _may_try_again(self) -> bool:
+    def _may_try_again(self, ending: asks.Ending) -> bool:
         # A run that brought the answer further does not count: what ends the
         # request then is its length, its time limit or the retry budget.
         gained = self.conversation.tokens > self._tokens_before
@@ -344,7 +336,9 @@
         begun = self._progress.outcome is outcomes.Outcome.RAN_PARTLY
         if begun and not self.conversation.can_continue:
             return False
-        return self._tools.budget.take()
+        # An attempt that reached nobody cost the endpoints nothing.
+        free = ending is asks.Ending.NOT_REACHED
+        return free or self._tools.budget.take()
 
     async def _pause(self, ending: asks.Ending) -> None:
         if ending is not asks.Ending.PREEMPTED:
--- a/martenjunction_lab/cluster.py
+++ b/martenjunction_lab/cluster.py
@@ -228,8 +228,11 @@
 
     async def dump(self, box: str) -> dict[str, Any]:
         """Returns a daemon's dump."""
-        answer = await self.ask(box, "GET", "/operator/dump")
-        return dict(json.loads(answer))
+        return await self.ask_json(box, "/operator/dump")
+
+    async def ask_json(self, box: str, path: str) -> dict[str, Any]:
+        """Asks a daemon on its operators' address for a JSON object."""
+        return dict(json.loads(await self.ask(box, "GET", path)))
 
     async def explain(self, box: str, question: str) -> dict[str, Any]:
         """Asks a daemon what a described request would get."""
--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -1,6 +1,7 @@
 """Entry point of the `martenjunction-lab` command."""
 
 import dataclasses
+import json
 import logging
 import sys
 from typing import Annotated
@@ -8,7 +9,11 @@
 import cappa
 import uvloop
 
+from martenjunction_lab import baselines
+from martenjunction_lab import compare
 from martenjunction_lab import demo
+from martenjunction_lab import scenarios
+from martenjunction_lab.capacity import page
 
 
 @cappa.command(help="Run both users' fleets under a burst, in one process.")
@@ -34,6 +39,64 @@
         sys.exit(uvloop.run(demo.run(self.seconds, self.seed, self.json)))
 
 
+@cappa.command(help="Send the same load under several policies.")
+@dataclasses.dataclass
+class Compare:
+    """Compares policies."""
+
+    scenario: Annotated[
+        str, cappa.Arg(long=True, help="The situation; all if left out.")
+    ] = ""
+    policies: Annotated[
+        str, cappa.Arg(long=True, help="Policies, comma-separated.")
+    ] = ",".join(baselines.USUAL)
+    seconds: Annotated[
+        float, cappa.Arg(long=True, help="How long requests are sent.")
+    ] = 20.0
+    seed: Annotated[int, cappa.Arg(long=True, help="Decides the load.")] = 1
+    daemons: Annotated[int, cappa.Arg(long=True, help="Daemons.")] = 1
+    json: Annotated[
+        bool, cappa.Arg(long=True, help="Print one JSON object.")
+    ] = False
+
+    def __call__(self) -> None:
+        """Compares them."""
+        names = [self.scenario] if self.scenario else list(scenarios.scenarios)
+        policies = tuple(self.policies.split(","))
+        found = {}
+        for name in names:
+            found[name] = uvloop.run(
+                compare.compare(
+                    name, self.seconds, self.seed, policies, self.daemons
+                )
+            )
+            if not self.json:
+                print(f"== {name}\n{compare.table(found[name])}")
+        if self.json:
+            print(
+                json.dumps(
+                    {
+                        "seed": self.seed,
+                        "runs": [
+                            {"scenario": name, **run.as_json()}
+                            for name, runs in found.items()
+                            for run in runs
+                        ],
+                    }
+                )
+            )
+
+
+@cappa.command(help="Measure slopes and work them out at the target size.")
+@dataclasses.dataclass
+class Capacity:
+    """Prints the tables of docs/CAPACITY.md, measured anew."""
+
+    def __call__(self) -> None:
+        """Measures and prints."""
+        print(page.page(uvloop.run(page.measure())))
+
+
 @cappa.command(
     name="martenjunction-lab", help="Stand-ins, load and experiments."
 )
@@ -41,7 +104,7 @@
 class Lab:
     """The command and its subcommands."""
 
-    subcommand: cappa.Subcommands[Demo]
+    subcommand: cappa.Subcommands[Demo | Compare | Capacity]
 
 
 def main() -> None:
--- a/martenjunction_lab/standins.py
+++ b/martenjunction_lab/standins.py
@@ -51,11 +51,13 @@
         files: Configuration files, without endpoints.
         engines: Engines.
         plains: Servers of plain services.
+        class_values: Values that every class gets besides its own.
     """
 
     files: list[str]
     engines: list[EngineGroup]
     plains: list[PlainGroup]
+    class_values: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class StandIns:
@@ -74,6 +76,9 @@
         """Brings everything up and puts the configuration in place."""
         self.platform.start()
         self.documents, _ = fleet.read(self._outside.files)
+        for document in self.documents:
+            if document.kind == "class":
+                document.values.update(self._outside.class_values)
         for group in self._outside.engines:
             for _ in range(group.count):
                 self._start_engine(group)
--- /dev/null
+++ b/tests/test_endpoint_client.py
@@ -0,0 +1,127 @@
+"""How often a request reaches a server, and what is said of it."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from martenjunction import errors
+from martenjunction.endpoints import client
+
+
+class Server:
+    """Answers calls, and closes without an answer when told to die."""
+
+    def __init__(self) -> None:
+        self.calls: list[bytes] = []
+        self.close_port = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+
+    @property
+    def url(self) -> str:
+        assert self._server is not None
+        return f"http://127.0.0.1:{self._server.sockets[0].getsockname()[1]}/"
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(head.lower().split(b"content-length: ")[1][:1])
+                body = await reader.readexactly(length)
+                self.calls.append(body)
+                if body == b"die":
+                    if self.close_port:
+                        self.stop()
+                    return
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
+@pytest.fixture
+async def server() -> AsyncIterator[Server]:
+    made = Server()
+    await made.start()
+    yield made
+    made.stop()
+
+
+@pytest.fixture
+async def http() -> AsyncIterator[client.EndpointClient]:
+    made = client.EndpointClient(4)
+    yield made
+    made.close()
+
+
+async def call(
+    http: client.EndpointClient, url: str, body: bytes, once: bool
+) -> bytes:
+    request = client.EndpointRequest("POST", url, [], body, once)
+    stream = http.open(request)
+    await stream.head()
+    return await stream.read()
+
+
+async def test_dead_kept_connection_does_not_double_a_call(
+    server: Server, http: client.EndpointClient
+) -> None:
+    assert await call(http, server.url, b"a", once=False) == b"ok"
+    with pytest.raises(errors.EndpointBrokenError):
+        await call(http, server.url, b"die", once=True)
+    assert server.calls.count(b"die") == 1
+
+
+async def test_call_that_was_read_is_never_not_reached(
+    server: Server, http: client.EndpointClient
+) -> None:
+    server.close_port = True
+    url = server.url
+    assert await call(http, url, b"a", once=False) == b"ok"
+    with pytest.raises(errors.EndpointBrokenError):
+        await call(http, url, b"die", once=False)
+
+
+async def test_nobody_listens(http: client.EndpointClient) -> None:
+    with pytest.raises(errors.EndpointNotReachedError):
+        await call(http, "http://127.0.0.1:1/", b"a", once=True)
+
+
+async def test_cancelled_call_ends_at_once(
+    http: client.EndpointClient,
+) -> None:
+    silent = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    port = silent.sockets[0].getsockname()[1]
+    request = client.EndpointRequest(
+        "POST", f"http://127.0.0.1:{port}/", [], b"a"
+    )
+    stream = http.open(request)
+    await asyncio.sleep(0.05)
+    http.cancel(stream)
+    with pytest.raises(errors.EndpointBrokenError):
+        await stream.head()
+    silent.close()
+
+
+async def test_call_cancelled_while_it_queues_is_not_sent(
+    server: Server,
+) -> None:
+    http = client.EndpointClient(1)
+    first = client.EndpointRequest("POST", server.url, [], b"a")
+    http.open(first)
+    queued = http.open(client.EndpointRequest("POST", server.url, [], b"b"))
+    http.cancel(queued)
+    with pytest.raises(errors.EndpointNotReachedError):
+        await queued.head()
+    assert b"b" not in server.calls
+    http.close()
