--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,125 @@
+"""Messages between daemons: whole, strange and hostile."""
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from martenjunction import errors
+from martenjunction import timers
+from martenjunction.cells import messages as cell_messages
+from martenjunction.peers import codec
+from martenjunction.peers import links
+from martenjunction.peers import membership
+from martenjunction.peers import messages
+from tests import builders
+
+MESSAGES = [
+    messages.Heartbeat(7, 2**63, 0.25),
+    messages.Leaving("box-1", 5),
+    messages.Objects(("config/class/a",), (3,), ({"tier": "1"},)),
+    messages.Objects(("config/class/a",), (4,), (None,)),
+    cell_messages.from_ask(builders.ask(), "cell", 1.0),
+    cell_messages.AnnounceRun(
+        cell_messages.from_ask(builders.ask(), "cell", 1.0), "e1", 0.5
+    ),
+    cell_messages.Summary("cell", 3, (0, 10, 20, 30)),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+def test_messages_come_back_as_they_were(message: object) -> None:
+    assert codec.decode_batch(codec.encode_batch([message])) == [message]
+
+
+@given(st.binary(max_size=200))
+def test_rubbish_is_refused(data: bytes) -> None:
+    try:
+        codec.decode_batch(data)
+    except errors.PeerError:
+        return
+
+
+@given(
+    st.recursive(
+        st.none() | st.integers() | st.text(max_size=5) | st.binary(max_size=5),
+        lambda inner: st.lists(inner, max_size=4),
+        max_leaves=20,
+    )
+)
+def test_well_formed_rubbish_is_refused(value: object) -> None:
+    data = cbor2.dumps([["beat", value], value])
+    with pytest.raises(errors.PeerError):
+        codec.decode_batch(data)
+
+
+def test_field_of_a_wrong_type_is_refused() -> None:
+    data = cbor2.dumps([["beat", "seven", 1, 0.5]])
+    with pytest.raises(errors.PeerError, match="beat"):
+        codec.decode_batch(data)
+
+
+def test_proofs_differ_by_side_and_key() -> None:
+    nonce = b"n" * 16
+    assert links.proof("k", "hello", nonce, "b") != links.proof(
+        "k", "welcome", nonce, "b"
+    )
+    assert links.proof("k", "hello", nonce, "b") != links.proof(
+        "other", "hello", nonce, "b"
+    )
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def view(clock: Clock) -> membership.Membership:
+    return membership.Membership(
+        member("own"), timers.Timers(clock), lambda: None
+    )
+
+
+def member(box: str, incarnation: int = 1) -> membership.Member:
+    return membership.Member(box, "zone", "", "", "", incarnation)
+
+
+def believed(members: membership.Membership) -> set[str]:
+    return {m.box for m in members.believed()}
+
+
+def test_listed_daemon_is_believed_until_it_leaves() -> None:
+    members = view(Clock())
+    members.listed(member("other", 0), live=True, leaving=False)
+    assert believed(members) == {"own", "other"}
+    members.listed(member("other", 0), live=True, leaving=True)
+    assert believed(members) == {"own"}
+
+
+def test_heard_daemon_is_believed_though_the_list_lags() -> None:
+    clock = Clock()
+    members = view(clock)
+    members.met(member("other"))
+    assert believed(members) == {"own", "other"}
+    clock.now += membership.HEARD_LIFETIME + 1
+    assert believed(members) == {"own"}
+
+
+def test_leaving_mark_ends_with_a_new_incarnation() -> None:
+    members = view(Clock())
+    members.met(member("other", 1))
+    assert members.leaving("other", 1)
+    assert not members.leaving("other", 1)
+    assert believed(members) == {"own"}
+    members.met(member("other", 2))
+    assert believed(members) == {"own", "other"}
+
+
+def test_late_leaving_mark_does_not_hit_the_next_incarnation() -> None:
+    members = view(Clock())
+    members.met(member("other", 2))
+    assert not members.leaving("other", 1)
+    assert "other" in believed(members)
