Late requests: a margin before a target counts as lost, shed only without a chance

Change: a request counts as late once its slack is below 1.2 times the usual first token; a late one is shed only if what is ahead already takes longer than its patience; one grant in 16, before one in 8, goes to the late. Waste is tokens made that are in no whole answer, so a moved run wastes nothing that its caller keeps.

--- a/martenjunction/decisions/dispatcher.py
+++ b/martenjunction/decisions/dispatcher.py
@@ -89,7 +89,7 @@
             tier: {} for tier in self._queues
         }
         self._giving_way = 0
-        self._lead = 0.0
+        self._first_tokens = estimates.Average(0.05)
         self._hold = estimates.Average(1.0)
         self._grant_rates = {tier: rates.Rate() for tier in self._queues}
         self._seen: dict[int, float] = {}
@@ -217,6 +217,7 @@
             return
         if run.predicted_first_token <= 0.0:
             return
+        self._first_tokens.add(seconds)
         ratio = seconds / max(run.predicted_first_token, MIN_PREDICTION)
         self._observe(endpoint, ratio, now)
         endpoint.speed.learn(seconds, run.uncached, run.batch)
@@ -287,7 +288,6 @@
         for endpoint in endpoints:
             endpoint.expire_report(now)
             self._places.refresh(endpoint, now)
-        self._lead = min((e.speed.base_s.value for e in endpoints), default=0.0)
         placement.forget_idle(endpoints, now)
         for overdue in placement.overdue_runs(endpoints, now):
             self._observe(overdue.endpoint, overdue.ratio, now)
@@ -351,8 +351,7 @@
         tier = waiting[0] if due is None else due
         if due is None and not self._beyond_reserve(tier, now):
             return None
-        lead = min(e.speed.base_s.value for e in free)
-        ask = self._queues[tier].pop(now, lead)
+        ask = self._queues[tier].pop(now, self._lead)
         if ask is not None:
             self._shares.granted(tier, ask.cost, waiting, now)
         return ask
@@ -519,6 +518,11 @@
         most = max(1, int(len(self._endpoints) * endpoint_states.MAX_EJECTED))
         return ejected < most and len(self._endpoints) > 1
 
+    @property
+    def _lead(self) -> float:
+        """Seconds that a first token takes here, with a margin."""
+        return self._first_tokens.value * LEAD_MARGIN
+
     def _waiting_tiers(self) -> list[int]:
         present = []
         for tier, queue in self._queues.items():
@@ -551,6 +555,10 @@
 # Predictions below this many seconds are not told apart.
 MIN_PREDICTION = 0.02
 
+# A request counts as late once its slack is below this many times the usual
+# time to a first token.
+LEAD_MARGIN = 1.2
+
 # The delay that is predicted while no endpoint receives work, in seconds.
 NO_PLACE_DELAY = 5.0
 
--- a/martenjunction/decisions/queues.py
+++ b/martenjunction/decisions/queues.py
@@ -8,7 +8,7 @@
 
 # One grant in so many of a workspace goes to its oldest late request, so that
 # what can no longer meet its target is still finished.
-LATE_EVERY = 8
+LATE_EVERY = 16
 
 # Removed entries stay in the heaps until there are this many of them and they
 # outnumber those present.
@@ -37,7 +37,7 @@
 
         Args:
             now: The current time.
-            lead: Seconds that the fastest endpoint needs to a first token.
+            lead: Seconds that a first token takes.
 
         Raises:
             IndexError: If the queue is empty.
@@ -52,18 +52,20 @@
     def without_chance(
         self, now: float, lead: float, rate: float
     ) -> list[asks.Ask]:
-        """Returns late requests that will not be reached in their patience.
+        """Returns late requests that cannot be reached in their patience.
+
+        They could not even if nothing more came: what is ahead of them takes
+        longer than they may wait.
 
         Args:
             now: The current time.
-            lead: Seconds that the fastest endpoint needs to a first token.
+            lead: Seconds that a first token takes.
             rate: Grants a second that this workspace gets.
         """
         self._set_late_aside(now + lead)
-        if self._timely:
-            rate /= LATE_EVERY
+        ahead = len(self._timely) + 1
         found = []
-        for position, (_, _, ask) in enumerate(sorted(self._late), start=1):
+        for position, (_, _, ask) in enumerate(sorted(self._late), ahead):
             left = ask.patience - (now - ask.arrived)
             if position > left * rate and not ask.firm:
                 found.append(ask)
@@ -127,7 +129,7 @@
 
         Args:
             now: The current time.
-            lead: Seconds that the fastest endpoint needs to a first token.
+            lead: Seconds that a first token takes.
         """
         while self._order:
             virtual_time, workspace = heapq.heappop(self._order)
@@ -163,7 +165,7 @@
 
         Args:
             now: The current time.
-            lead: Seconds that the fastest endpoint needs to a first token.
+            lead: Seconds that a first token takes.
             rate: Grants a second that this tier gets.
         """
         waiting = [q for q in self._workspaces.values() if len(q)]
--- a/martenjunction_lab/demo.py
+++ b/martenjunction_lab/demo.py
@@ -101,7 +101,7 @@
         "classes": [results.as_json(row) for row in classes],
         "doubled_bookings": fleet.outside.doubled_bookings(),
         "goodput_tokens_s": round(good / elapsed, 1),
-        "wasted_tokens": fleet.outside.wasted_tokens(),
+        "wasted_tokens": fleet.outside.tokens_made() - good,
         "seconds": round(elapsed, 1),
     }
 
