--- a/martenjunction_lab/capacity/processes.py
+++ b/martenjunction_lab/capacity/processes.py
@@ -121,11 +121,9 @@
     rows = []
     for size in SIZES:
         spec = cluster.ClusterSpec(_outside(engines), [ZONE] * size)
-        fleet = cluster.Cluster(spec)
-        await fleet.start()
-        await asyncio.sleep(2.0)
-        rows.append((float(size - 1), await idle(fleet)))
-        await fleet.stop()
+        async with cluster.Cluster(spec) as fleet:
+            await asyncio.sleep(2.0)
+            rows.append((float(size - 1), await idle(fleet)))
 
     def slope(name: str, unit: str, field: str) -> fits.Slope:
         points = [
@@ -166,7 +164,12 @@
 
 def _questions(count: int, tokens: int, rate: float) -> list[traffic.Arrival]:
     stream = traffic.Stream(
-        "field-question", fleets.FIELD_KEY, "vintage-lm", "chat", rate
+        "field-question",
+        fleets.FIELD_KEY,
+        "vintage-lm",
+        "chat",
+        rate,
+        answer_tokens=tokens,
     )
     return [
         traffic.Arrival(
@@ -201,16 +204,14 @@
 async def relay(loop: str) -> RelayCost:
     """Measures requests of two lengths through one daemon."""
     spec = cluster.ClusterSpec(_outside(4), [ZONE], loop=loop)
-    fleet = cluster.Cluster(spec)
-    await fleet.start()
-    await _cost_of(fleet, _questions(50, 5, 100.0))
-    quiet = between(await read(fleet, "box-1"), await _later(fleet)).core
-    short = _questions(600, 2, 150.0)
-    long = _questions(300, 120, 30.0)
-    spent_short = await _cost_of(fleet, short) - quiet * short[-1].at
-    spent_long = await _cost_of(fleet, long) - quiet * long[-1].at
-    held = await _held_kb(fleet)
-    await fleet.stop()
+    async with cluster.Cluster(spec) as fleet:
+        await _cost_of(fleet, _questions(50, 5, 100.0))
+        quiet = between(await read(fleet, "box-1"), await _later(fleet)).core
+        short = _questions(600, 2, 150.0)
+        long = _questions(300, 120, 30.0)
+        spent_short = await _cost_of(fleet, short) - quiet * short[-1].at
+        spent_long = await _cost_of(fleet, long) - quiet * long[-1].at
+        held = await _held_kb(fleet)
     request_us = spent_short / len(short) * 1e6
     token_us = (spent_long / len(long) * 1e6 - request_us) / 118
     return RelayCost(loop, request_us, token_us, held)
@@ -253,16 +254,15 @@
 async def changes(daemons: int = 12, count: int = 20) -> ChangeCost:
     """Measures changes one after another in a fleet over three zones."""
     zones = [fleets.CELLARLINE_ZONES[i % 3] for i in range(daemons)]
-    fleet = cluster.Cluster(cluster.ClusterSpec(_outside(4), zones))
-    await fleet.start()
-    quiet = await idle(fleet)
-    before = [await read(fleet, box) for box in fleet.daemons]
-    times = []
-    for turn in range(count):
-        times.append(await _spread(fleet, turn))
-        await asyncio.sleep(0.2)
-    after = [await read(fleet, box) for box in fleet.daemons]
-    await fleet.stop()
+    spec = cluster.ClusterSpec(_outside(4), zones)
+    async with cluster.Cluster(spec) as fleet:
+        quiet = await idle(fleet)
+        before = [await read(fleet, box) for box in fleet.daemons]
+        times = []
+        for turn in range(count):
+            times.append(await _spread(fleet, turn))
+            await asyncio.sleep(0.2)
+        after = [await read(fleet, box) for box in fleet.daemons]
     spent = [between(b, a) for b, a in zip(before, after, strict=True)]
     seconds = after[0].at - before[0].at
     more_bytes = _mean([s.bytes_s for s in spent])
--- a/martenjunction_lab/cluster.py
+++ b/martenjunction_lab/cluster.py
@@ -172,6 +172,19 @@
             await self.add_daemon(f"box-{number}", zone)
         await self.wait_ready()
 
+    async def __aenter__(self) -> "Cluster":
+        """Starts everything, and ends it again if that fails."""
+        try:
+            await self.start()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Ends everything."""
+        await self.stop()
+
     async def add_daemon(
         self, box: str, zone: str, listed: bool = True, seeds: bool = False
     ) -> DaemonProcess:
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the project itself: checks, generated pages, broken builds."""
