Layout of cells kept up to date; claims paced and bounded; polls capped

Change: only cells of changed endpoints are made anew; a shard writes at most five times a second and holds 8,000 claims; polls are capped at five a second.

--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -88,7 +88,8 @@
         self._rng = random.Random()
         self._dumps: dict[str, Callable[[], dict[str, Any]]] = {}
         self._servers: list[httpserver.HTTPServer] = []
-        self._layout: dict[str, directory.CellInfo] = {}
+        self._layout = directory.Layout()
+        self._cell_infos: directory.Cells = {}
         self._laid_out: tuple[Any, Any] = ({}, {})
         self._endpoint_states: dict[str, protocol.BoxState] = {}
         self._summary_gate = summaries.SummaryGate()
@@ -450,8 +451,8 @@
         config = self.store.config
         if self._layout_is_old():
             self._laid_out = (config.service, config.endpoint)
-            self._layout = directory.cells_of(config)
-        layout = self._layout
+            self._cell_infos = self._layout.update(config)
+        layout = self._cell_infos
         leaving = frozenset(
             name
             for name, state in self._endpoint_states.items()
--- a/martenjunction/cells/directory.py
+++ b/martenjunction/cells/directory.py
@@ -25,28 +25,86 @@
     endpoints: tuple[str, ...]
 
 
-def cells_of(config: fleet.FleetConfig) -> dict[str, CellInfo]:
+Cells = dict[str, CellInfo]
+
+
+def cells_of(config: fleet.FleetConfig) -> Cells:
     """Lays all endpoints out into cells.
 
     An endpoint's cell depends on its own name and its service's settings
     only, so that it stays where it is when others come and go.
     """
-    members: dict[tuple[str, str, int], list[str]] = {}
-    for endpoint in config.endpoint.values():
-        service = config.service.get(endpoint.service)
+    return Layout().update(config)
+
+
+class Layout:
+    """The cells of a configuration, kept up to date as endpoints change."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, fleet.Service] = {}
+        self._endpoints: dict[str, fleet.Endpoint] = {}
+        self._cell_of: dict[str, str] = {}
+        self._members: dict[str, set[str]] = {}
+        self._infos: Cells = {}
+
+    def _forget(self) -> None:
+        self._endpoints = {}
+        self._cell_of = {}
+        self._members = {}
+        self._infos = {}
+
+    def update(self, config: fleet.FleetConfig) -> Cells:
+        """Takes in a configuration; returns its cells by name.
+
+        Only the cells of endpoints that are not the same object as before
+        are made anew.
+        """
+        if config.service is not self._services:
+            self._forget()
+            self._services = config.service
+        old = self._endpoints
+        self._endpoints = config.endpoint
+        changed = {
+            name: endpoint
+            for name, endpoint in config.endpoint.items()
+            if old.get(name) is not endpoint
+        }
+        gone = [name for name in old if name not in config.endpoint]
+        touched = {self._take_out(name) for name in (*gone, *changed)}
+        for name, endpoint in changed.items():
+            touched.add(self._put_in(name, endpoint))
+        self._infos = dict(self._infos)
+        for cell in touched - {""}:
+            self._remake(cell)
+        return self._infos
+
+    def _take_out(self, name: str) -> str:
+        cell = self._cell_of.pop(name, "")
+        if cell:
+            self._members[cell].discard(name)
+        return cell
+
+    def _put_in(self, name: str, endpoint: fleet.Endpoint) -> str:
+        service = self._services.get(endpoint.service)
         if service is None:
-            continue
+            return ""
         place = endpoint.zone
         if service.span is fleet.CellSpan.REGION:
             place = region_of(endpoint.zone)
-        index = _index(endpoint.name, service.cells)
-        key = (service.name, place, index)
-        members.setdefault(key, []).append(endpoint.name)
-    cells = {}
-    for (service_name, place, index), names in sorted(members.items()):
-        name = f"{service_name}/{place}/{index}"
-        cells[name] = CellInfo(name, service_name, place, tuple(sorted(names)))
-    return cells
+        cell = f"{service.name}/{place}/{_index(name, service.cells)}"
+        self._cell_of[name] = cell
+        self._members.setdefault(cell, set()).add(name)
+        return cell
+
+    def _remake(self, cell: str) -> None:
+        names = self._members[cell]
+        if not names:
+            del self._members[cell]
+            self._infos.pop(cell, None)
+            return
+        service, _, rest = cell.partition("/")
+        place = rest.rpartition("/")[0]
+        self._infos[cell] = CellInfo(cell, service, place, tuple(sorted(names)))
 
 
 @functools.lru_cache(maxsize=65_536)
--- a/martenjunction/claims/shards.py
+++ b/martenjunction/claims/shards.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import time
 
 import pydantic
 
@@ -16,8 +17,11 @@
 
 KEY_PREFIX = "claims/"
 
-# Seconds that a batch gathers, and tries to write one.
+# Seconds that a batch gathers; seconds between two writes of a shard, so that
+# a flood of claims makes batches larger rather than writes more; and tries to
+# write one batch.
 GATHER = 0.02
+WRITE_INTERVAL = 0.2
 MAX_TRIES = 4
 
 Change = messages.Claim | messages.Settle
@@ -36,6 +40,7 @@
         number: int,
         platform: client.PlatformClient,
         wall_clock: Callable[[], float],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Makes the task; `start` runs it.
 
@@ -43,10 +48,13 @@
             number: The shard.
             platform: Keeps the claims.
             wall_clock: Returns seconds since 1970; only used to expire.
+            clock: Returns seconds that never go back; paces the writes.
         """
         self._key = f"{KEY_PREFIX}{number}"
         self._platform = platform
         self._wall_clock = wall_clock
+        self._clock = clock
+        self._began = -WRITE_INTERVAL
         self._mailbox: mailbox.Mailbox[tuple[Change, Answer | None]] = (
             mailbox.Mailbox(20_000)
         )
@@ -90,7 +98,9 @@
     async def _run(self) -> None:
         while True:
             batch = await self._mailbox.get_all()
-            await asyncio.sleep(GATHER)
+            since = self._clock() - self._began
+            await asyncio.sleep(max(GATHER, WRITE_INTERVAL - since))
+            self._began = self._clock()
             if len(self._mailbox):
                 batch += await self._mailbox.get_all()
             states = await self._carry_out([change for change, _ in batch])
--- a/martenjunction/claims/table.py
+++ b/martenjunction/claims/table.py
@@ -10,6 +10,10 @@
 # Seconds for which a claim stands after it was last written.
 LIFETIME = 24 * 3600.0
 
+# Claims that one shard holds: the platform takes values up to a megabyte, and
+# a claim takes about a hundred bytes.
+MAX_CLAIMS = 8_000
+
 
 @dataclasses.dataclass(slots=True)
 class Entry:
@@ -52,6 +56,8 @@
             now: Wall-clock time, in seconds since 1970.
         """
         entry = self._entries.get(claim.key)
+        if entry is None and len(self._entries) >= MAX_CLAIMS:
+            return messages.ClaimState.UNAVAILABLE
         if entry is None or entry.expires <= now:
             self._entries[claim.key] = Entry(
                 claim.request_id, False, now + LIFETIME
--- a/martenjunction/endpoints/loads.py
+++ b/martenjunction/endpoints/loads.py
@@ -15,7 +15,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Seconds between two polls of an endpoint, and polls a second of all of them:
+# with many endpoints each is asked less often, so that control stays small.
 POLL_INTERVAL = 2.0
+MAX_POLLS = 5.0
 MAX_REPORT = 4096
 
 
@@ -75,10 +78,12 @@
     def _tick(self) -> None:
         """Asks those who are due, so that polls are spread over time."""
         now = self._timers.now()
-        for endpoint in self._endpoints():
+        endpoints = self._endpoints()
+        interval = max(POLL_INTERVAL, len(endpoints) / MAX_POLLS)
+        for endpoint in endpoints:
             due = self._due.get(endpoint.name, 0.0)
             if due <= now and endpoint.name not in self._asking:
-                self._due[endpoint.name] = now + POLL_INTERVAL
+                self._due[endpoint.name] = now + interval
                 self._asking.add(endpoint.name)
                 self._start(endpoint)
 
--- a/martenjunction_lab/capacity/pure.py
+++ b/martenjunction_lab/capacity/pure.py
@@ -154,6 +154,8 @@
     for count in (500, 2_000, 4_000):
         held = store.ConfigStore()
         held.apply(endpoint_objects(count))
+        layout = directory.Layout()
+        layout.update(held.config)
         values = {
             "service": "model-1",
             "zone": "region-1/zone-1",
@@ -163,7 +165,7 @@
         for turn in range(20):
             key = f"config/endpoint/endpoint-{turn}"
             held.apply([store.ConfigObject(key, 100_000 + turn, values)])
-            directory.cells_of(held.config)
+            layout.update(held.config)
         spent = (time.process_time() - started) / 20
         points.append((float(count), spent * 1e3))
     return fits.fit("one change, by configuration objects", "ms", points)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,121 @@
+"""Claims: who may run, after crashes, lost replies and second owners."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from martenjunction.claims import messages
+from martenjunction.claims import shards
+from martenjunction.claims import table
+from martenjunction.endpoints import client
+from martenjunction.platform import client as platform_client
+from martenjunction_lab import platform
+
+
+def claim(key: str, request_id: str) -> messages.Claim:
+    return messages.Claim(0, key, request_id)
+
+
+def settle(key: str, request_id: str, ran: bool) -> messages.Settle:
+    return messages.Settle(0, key, request_id, ran)
+
+
+def test_a_key_is_claimed_once() -> None:
+    held = table.ClaimTable()
+    assert held.claim(claim("k", "r1"), 0.0) == "claimed"
+    assert held.claim(claim("k", "r1"), 1.0) == "claimed"
+    assert held.claim(claim("k", "r2"), 1.0) == "in-progress"
+    assert held.settle(settle("k", "r1", ran=True), 2.0)
+    assert held.claim(claim("k", "r2"), 3.0) == "ran"
+
+
+def test_a_request_that_was_not_run_gives_its_key_back() -> None:
+    held = table.ClaimTable()
+    held.claim(claim("k", "r1"), 0.0)
+    assert not held.settle(settle("k", "r2", ran=False), 1.0)
+    assert held.settle(settle("k", "r1", ran=False), 1.0)
+    assert held.claim(claim("k", "r2"), 2.0) == "claimed"
+
+
+def test_claims_expire_after_their_lifetime() -> None:
+    held = table.ClaimTable()
+    held.claim(claim("k", "r1"), 0.0)
+    assert held.claim(claim("k", "r2"), table.LIFETIME + 1) == "claimed"
+
+
+def test_a_full_shard_claims_nothing_more() -> None:
+    held = table.ClaimTable()
+    for number in range(table.MAX_CLAIMS):
+        held.claim(claim(f"k{number}", "r"), 0.0)
+    assert held.claim(claim("more", "r"), 0.0) == "unavailable"
+    assert held.claim(claim("k0", "r"), 0.0) == "claimed"
+
+
+@pytest.fixture
+async def stand_in() -> AsyncIterator[platform.Platform]:
+    made = platform.Platform(seed=3)
+    made.start()
+    yield made
+    await made.stop()
+
+
+@pytest.fixture
+async def http() -> AsyncIterator[client.EndpointClient]:
+    made = client.EndpointClient(16)
+    yield made
+    made.close()
+
+
+def owner(
+    stand_in: platform.Platform, http: client.EndpointClient
+) -> shards.ClaimShard:
+    api = platform_client.PlatformClient(f"http://{stand_in.address}", http)
+    made = shards.ClaimShard(0, api, lambda: 1000.0)
+    made.start()
+    return made
+
+
+async def ask(
+    shard: shards.ClaimShard, change: messages.Claim
+) -> messages.ClaimState:
+    answered: asyncio.Future[messages.ClaimState] = asyncio.Future()
+    shard.put(change, lambda answer: answered.set_result(answer.state))
+    async with asyncio.timeout(20.0):
+        return await answered
+
+
+async def test_two_owners_never_both_claim_a_key(
+    stand_in: platform.Platform, http: client.EndpointClient
+) -> None:
+    stand_in.faults = platform.PlatformFaults(lose_replies=0.3)
+    owners = [owner(stand_in, http), owner(stand_in, http)]
+    for number in range(12):
+        states = await asyncio.gather(
+            ask(owners[0], claim(f"k{number}", f"a{number}")),
+            ask(owners[1], claim(f"k{number}", f"b{number}")),
+        )
+        assert states.count(messages.ClaimState.CLAIMED) <= 1, states
+    for shard in owners:
+        await shard.stop()
+
+
+async def test_many_claims_make_few_writes(
+    stand_in: platform.Platform, http: client.EndpointClient
+) -> None:
+    shard = owner(stand_in, http)
+    states = await asyncio.gather(
+        *(ask(shard, claim(f"k{n}", f"r{n}")) for n in range(200))
+    )
+    assert set(states) == {messages.ClaimState.CLAIMED}
+    assert shard.writes <= 3
+    await shard.stop()
+
+
+async def test_nothing_is_claimed_while_the_platform_is_down(
+    stand_in: platform.Platform, http: client.EndpointClient
+) -> None:
+    stand_in.faults = platform.PlatformFaults(down=True)
+    shard = owner(stand_in, http)
+    assert await ask(shard, claim("k", "r")) == "unavailable"
+    await shard.stop()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -183,6 +183,29 @@
         assert sorted(directory.cells_of(config)) == names
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from("abcdefgh"), st.sampled_from(["r/1", "r/2", ""])
+        ),
+        max_size=30,
+    )
+)
+def test_layout_kept_up_to_date_is_the_layout_made_anew(
+    changes: list[tuple[str, str]],
+) -> None:
+    services = {"s": fleet.Service("s", span=fleet.CellSpan.ZONE, cells=2)}
+    layout = directory.Layout()
+    endpoints: dict[str, fleet.Endpoint] = {}
+    for name, zone in changes:
+        endpoints = dict(endpoints)
+        endpoints.pop(name, None)
+        if zone:
+            endpoints[name] = _endpoint(name, zone)
+        config = fleet.FleetConfig(services, endpoints)
+        assert layout.update(config) == directory.cells_of(config)
+
+
 def test_owners_come_from_the_place_of_the_cell_first() -> None:
     cell = directory.CellInfo("s/r/1/0", "s", "r/1", ())
     boxes = [
