--- a/martenjunction/claims/shards.py
+++ b/martenjunction/claims/shards.py
@@ -21,7 +21,7 @@
 # a flood of claims makes batches larger rather than writes more; and tries to
 # write one batch.
 GATHER = 0.02
-WRITE_INTERVAL = 0.2
+WRITE_INTERVAL = 0.25
 MAX_TRIES = 4
 
 Change = messages.Claim | messages.Settle
--- a/martenjunction_lab/capacity/page.py
+++ b/martenjunction_lab/capacity/page.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from martenjunction.claims import keeper
+from martenjunction.claims import shards
 from martenjunction_lab.capacity import fits
 from martenjunction_lab.capacity import processes
 from martenjunction_lab.capacity import pure
@@ -127,7 +129,7 @@
     watchers = 2 * t.zones
     reads = watchers * (1.0 + t.changes_s)
     claims = t.requests_s * t.keyed_share
-    claim_writes = min(claims, 64 / (0.02 + 0.005))
+    claim_writes = min(claims, keeper.SHARDS / shards.WRITE_INTERVAL)
     rows: list[Row] = [
         (
             "control of one daemon: bytes a second",
