--- a/features/builders.py
+++ b/features/builders.py
@@ -1,5 +1,7 @@
 """Builders of fleets, traffic and requests for the scenarios."""
 
+from collections.abc import Callable
+
 from martenjunction_lab import cluster
 from martenjunction_lab import engine
 from martenjunction_lab import fleets
@@ -29,43 +31,23 @@
     return cluster.ClusterSpec(outside, zones, proxied=proxied)
 
 
-def question(rate: float, answer: int = 20) -> traffic.Stream:
-    """Returns questions of the highest tier."""
-    return traffic.Stream(
-        "field-question",
-        FIELD_KEY,
-        "vintage-lm",
-        "chat",
-        rate,
-        prompt_tokens=100,
-        answer_tokens=answer,
-    )
+def _chat(
+    service_class: str, key: str, kind: str, prompt: int, answer: int
+) -> Callable[[float], traffic.Stream]:
+    """Returns a builder of chat requests at a rate."""
 
+    def stream(rate: float) -> traffic.Stream:
+        return traffic.Stream(
+            service_class,
+            key,
+            "vintage-lm",
+            kind,
+            rate,
+            prompt_tokens=prompt,
+            answer_tokens=answer,
+        )
 
-def summary(rate: float, answer: int = 40) -> traffic.Stream:
-    """Returns summaries of the second tier."""
-    return traffic.Stream(
-        "block-summary",
-        WINERY_KEY,
-        "vintage-lm",
-        "summary",
-        rate,
-        prompt_tokens=200,
-        answer_tokens=answer,
-    )
-
-
-def digest(rate: float, answer: int = 60) -> traffic.Stream:
-    """Returns digests of the lowest tier."""
-    return traffic.Stream(
-        "day-digest",
-        WINERY_KEY,
-        "vintage-lm",
-        "digest",
-        rate,
-        prompt_tokens=200,
-        answer_tokens=answer,
-    )
+    return stream
 
 
 def bin_tag(rate: float) -> traffic.Stream:
@@ -79,9 +61,10 @@
     )
 
 
+# Of the highest tier, the second, the lowest, and not repeatable.
 STREAMS = {
-    "questions": question,
-    "summaries": summary,
-    "digests": digest,
+    "questions": _chat("field-question", FIELD_KEY, "chat", 100, 20),
+    "summaries": _chat("block-summary", WINERY_KEY, "summary", 200, 40),
+    "digests": _chat("day-digest", WINERY_KEY, "digest", 200, 60),
     "bin-tag checks": bin_tag,
 }
--- a/martenjunction/decisions/retries.py
+++ b/martenjunction/decisions/retries.py
@@ -16,11 +16,6 @@
         self._balance = reserve
         self._refused = 0
 
-    @property
-    def balance(self) -> float:
-        """Retries that may be made now."""
-        return self._balance
-
     @property
     def refused(self) -> int:
         """Retries that were asked for and not granted."""
--- a/martenjunction/peers/membership.py
+++ b/martenjunction/peers/membership.py
@@ -82,11 +82,6 @@
             if member.leaving_since is None and self._is_live(member, now)
         ]
 
-    def reachable_operators(self) -> list[Member]:
-        """Returns daemons that are believed live, leaving or not."""
-        now = self._timers.now()
-        return [m for m in self._members.values() if self._is_live(m, now)]
-
     def listed(self, member: Member, live: bool, leaving: bool) -> None:
         """Takes in what the platform's list says of a daemon."""
         if member.box == self._own.box:
--- a/martenjunction_lab/capacity/pure.py
+++ b/martenjunction_lab/capacity/pure.py
@@ -6,7 +6,6 @@
 import tracemalloc
 
 from martenjunction.cells import directory
-from martenjunction.config import fleet
 from martenjunction.config import store
 from martenjunction.decisions import asks
 from martenjunction.decisions import dispatcher
@@ -169,13 +168,3 @@
         spent = (time.process_time() - started) / 20
         points.append((float(count), spent * 1e3))
     return fits.fit("one change, by configuration objects", "ms", points)
-
-
-def layout_ms(count: int) -> float:
-    """Returns milliseconds of laying endpoints out into cells."""
-    held = store.ConfigStore()
-    held.apply(endpoint_objects(count))
-    config: fleet.FleetConfig = held.config
-    started = time.process_time()
-    directory.cells_of(config)
-    return (time.process_time() - started) * 1e3
--- a/martenjunction_lab/capacity/target.py
+++ b/martenjunction_lab/capacity/target.py
@@ -53,11 +53,6 @@
         """Tokens a second through one daemon."""
         return self.tokens_s / self.daemons
 
-    @property
-    def endpoints_each(self) -> float:
-        """Endpoints in the cells of one daemon."""
-        return self.replicas / self.daemons
-
     @property
     def daemons_a_zone(self) -> float:
         """Daemons in one availability zone."""
--- a/martenjunction_lab/cluster.py
+++ b/martenjunction_lab/cluster.py
@@ -15,7 +15,6 @@
 from martenjunction.cmd import remote
 from martenjunction.config import settings as daemon_settings
 from martenjunction.endpoints import client
-from martenjunction.platform import protocol
 from martenjunction_lab import bench
 from martenjunction_lab import proxies
 from martenjunction_lab import standins
@@ -309,7 +308,3 @@
             len(dump["peers"]["connected"]) >= wanted
             and dump["config"]["objects"] >= known
         )
-
-    def list_box(self, box: str, state: protocol.BoxState) -> None:
-        """Changes what the platform's list says of a daemon."""
-        self.outside.list_daemon(self.daemons[box].settings, state)
--- a/martenjunction_lab/servers.py
+++ b/martenjunction_lab/servers.py
@@ -48,11 +48,6 @@
             await self._server.close_all_connections()
             self._server = None
 
-    @property
-    def listening(self) -> bool:
-        """Whether it listens."""
-        return self._server is not None
-
 
 class JsonHandler(web.RequestHandler):
     """A handler that reads JSON bodies."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -33,13 +33,6 @@
     await made.stop()
 
 
-@pytest.fixture
-async def http() -> AsyncIterator[client.EndpointClient]:
-    made = client.EndpointClient(8)
-    yield made
-    made.close()
-
-
 def question(tokens: int = 20, stream: bool = True) -> dict[str, Any]:
     return {
         "model": "vintage-lm",
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -60,13 +60,6 @@
     await made.stop()
 
 
-@pytest.fixture
-async def http() -> AsyncIterator[client.EndpointClient]:
-    made = client.EndpointClient(16)
-    yield made
-    made.close()
-
-
 def owner(
     stand_in: platform.Platform, http: client.EndpointClient
 ) -> shards.ClaimShard:
--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -57,13 +57,6 @@
     made.stop()
 
 
-@pytest.fixture
-async def http() -> AsyncIterator[client.EndpointClient]:
-    made = client.EndpointClient(4)
-    yield made
-    made.close()
-
-
 async def call(
     http: client.EndpointClient, url: str, body: bytes, once: bool
 ) -> bytes:
