Short streams kept apart from long prompts; subjects placed by an owner

Shared parts were read again since boxes did not agree where a subject belongs.

Change: a quarter of an engine service's endpoints is kept free of long prompts, by rendezvous hashing, alike on all boxes; a subject's owner is taken to hold its shared parts, and reading them again has a cost. The store is asked less often (a watch of 8 s beside a confirmation each 1.5 s). Messages between daemons are checked by msgspec, and the Prometheus library is loaded when first asked for.

--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -12,9 +12,11 @@
 from tornado import httpserver
 from tornado import web
 
+from martenjunction import addresses
 from martenjunction import errors
 from martenjunction import events
 from martenjunction import metrics
+from martenjunction import metrics_text
 from martenjunction import timers
 from martenjunction.callers import chat
 from martenjunction.callers import lists
@@ -30,7 +32,6 @@
 from martenjunction.config import fleet
 from martenjunction.config import settings as daemon_settings
 from martenjunction.config import store
-from martenjunction.config import units
 from martenjunction.decisions import policies
 from martenjunction.decisions import rendezvous
 from martenjunction.decisions import retries
@@ -254,7 +255,8 @@
         """Returns the metrics in the Prometheus text form."""
         traffic = self.peers.traffic()
         calls = self._platform.calls if self._platform else {}
-        return self.metrics.prometheus_text(
+        return metrics_text.render(
+            self.metrics,
             {
                 "held_requests": float(len(self.callers.relays)),
                 "peer_bytes_in": float(traffic.bytes_in),
@@ -262,7 +264,7 @@
                 "platform_calls": float(sum(calls.values())),
                 "config_revision": float(self.store.revision),
                 "loop_delay_s": self.timers.worst_delay,
-            }
+            },
         )
 
     def config_status(self, keys: list[str]) -> dict[str, Any]:
@@ -407,7 +409,7 @@
                 idle_connection_timeout=IDLE_CONNECTION,
                 body_timeout=BODY_TIMEOUT,
             )
-            host_name, port = units.split_address(address)
+            host_name, port = addresses.split_address(address)
             server.listen(port, host_name, backlog=1024)
             self._servers.append(server)
 
--- a/martenjunction/config/units.py
+++ b/martenjunction/config/units.py
@@ -86,9 +86,3 @@
 Source = Annotated[str, pydantic.BeforeValidator(parse_source)]
 Words = Annotated[tuple[str, ...], pydantic.BeforeValidator(parse_words)]
 Address = Annotated[str, pydantic.AfterValidator(check_address)]
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Splits a checked address into host and port."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/endpoint_choice.py
@@ -15,18 +15,37 @@
 # Seconds by which each running request delays the first token of another.
 STEP_S_PER_RUN = 0.001
 
-# Part of a prompt's reading time by which it delays each run beside it.
-HELD_UP_PART = 0.05
+# Seconds by which each request beyond an endpoint's places delays a first
+# token: another one must end first.
+OVER_SLOTS_S = 0.01
 
 # Seconds that an answer from another availability zone takes longer.
 FAR_ZONE_S = 0.0005
 
 # Seconds that a certain failure is worth, as a cost of choosing.
-FAILURE_COST_S = 0.5
+FAILURE_COST_S = 0.1
 
 # Part of the shared prompt that the endpoint to which a subject belongs is
 # taken to hold before we know.
-BELONGS_PART = 0.5
+BELONGS_PART = 1.0
+
+# Seconds that reading one shared token again is worth: the users pay about as
+# much for 6,000 of them as for a long answer that comes late.
+SHARED_TOKEN_COST_S = 0.0001
+
+# Part of an engine service's endpoints that is kept free of long prompts, so
+# that streams with short pauses are not held up.
+SHORT_PART = 0.25
+
+# Cost in seconds of a long prompt on an endpoint kept free of them, and of a
+# short one on the others. The first keeps them apart until the others are
+# this far behind.
+LONG_AMONG_SHORT_S = 0.5
+SHORT_AMONG_LONG_S = 0.2
+
+# A prompt is long when reading it takes more than this part of the shortest
+# pause that any stream of the service may have.
+LONG_PAUSE_PART = 0.2
 
 # Seconds for which another box's word on its runs counts.
 PEER_LOAD_LIFETIME_S = 2.0
@@ -49,6 +68,8 @@
         zone: The box's availability zone.
         is_engine: Whether the service's endpoints are model engines.
         repeatable: Whether it may run more than once.
+        shortest_pause_s: The shortest pause between events that any stream
+            of the service may have; None where there is no such bound.
     """
 
     service: str
@@ -57,6 +78,15 @@
     zone: str
     is_engine: bool
     repeatable: bool
+    shortest_pause_s: float | None = None
+
+    @property
+    def is_long(self) -> bool:
+        """Whether reading its prompt holds up streams beside it."""
+        if self.shortest_pause_s is None:
+            return False
+        reading_s = self.prompt_tokens / PREFILL_TOKENS_PER_S
+        return reading_s > LONG_PAUSE_PART * self.shortest_pause_s
 
     @property
     def subject(self) -> str | None:
@@ -160,24 +190,62 @@
     return max(1.0, demand.prompt_tokens - held)
 
 
-def cost_s(
+def predicted_s(
     record: EndpointRecord, demand: Demand, belongs: bool, now: float
 ) -> float:
-    """Returns the cost, in seconds, of sending a request to an endpoint."""
+    """Predicts seconds to the first token, or to a plain service's answer."""
     running, waiting_tokens = record.load(now)
-    if demand.is_engine:
-        own = unread(record, demand, belongs) / PREFILL_TOKENS_PER_S
-        ahead = waiting_tokens / PREFILL_TOKENS_PER_S
-        steps = running * STEP_S_PER_RUN
-        over = max(0, running + 1 - record.slots) * STEP_S_PER_RUN * 10
-        held_up = own * running * HELD_UP_PART
-        base = (own + ahead + steps + over) * record.slowness.value + held_up
-    else:
+    if not demand.is_engine:
         rounds = 1.0 + max(0.0, (running + 1 - record.slots) / record.slots)
-        busy = running / record.slots
-        base = record.answer_s.value * (rounds + 0.5 * busy)
-    far = FAR_ZONE_S if record.zone != demand.zone else 0.0
-    return base + far + record.failures.value * FAILURE_COST_S
+        return record.answer_s.value * (rounds + 0.5 * running / record.slots)
+    own = unread(record, demand, belongs) / PREFILL_TOKENS_PER_S
+    ahead = waiting_tokens / PREFILL_TOKENS_PER_S
+    over = max(0, running + 1 - record.slots) * OVER_SLOTS_S
+    return (
+        own + ahead + running * STEP_S_PER_RUN + over
+    ) * record.slowness.value
+
+
+def cost_s(
+    record: EndpointRecord,
+    demand: Demand,
+    belongs: bool,
+    for_short: bool,
+    now: float,
+) -> float:
+    """Returns the cost, in seconds, of sending a request to an endpoint.
+
+    Args:
+        record: The endpoint.
+        demand: The request.
+        belongs: Whether the request's subject belongs there.
+        for_short: Whether the endpoint is kept free of long prompts.
+        now: The current time.
+    """
+    cost = predicted_s(record, demand, belongs, now)
+    cost += record.failures.value * FAILURE_COST_S
+    if record.zone != demand.zone:
+        cost += FAR_ZONE_S
+    if demand.is_engine:
+        reading = unread(record, demand, belongs)
+        own_part = demand.prompt_tokens - demand.shared_tokens
+        again = max(0.0, reading - own_part)
+        cost += again * SHARED_TOKEN_COST_S
+        if demand.is_long and for_short:
+            cost += LONG_AMONG_SHORT_S
+        elif not demand.is_long and not for_short:
+            cost += SHORT_AMONG_LONG_S
+    return cost
+
+
+def kept_for_short(ids: Iterable[str], service: str) -> set[str]:
+    """Returns the endpoints of an engine service that get short prompts.
+
+    All boxes come to the same answer from the same list.
+    """
+    order = rendezvous.ranked(ids, f"short {service}")
+    count = round(len(order) * SHORT_PART)
+    return set(order[:count])
 
 
 def choose(
@@ -209,10 +277,24 @@
         if trials:
             return rng.choice(trials)
     fit = [r for r in sound if r.may_get_work(now)] or sound or records
-    owner = None
-    if demand.subject is not None:
-        owner = rendezvous.owner([r.id for r in fit], demand.subject)
+    if not demand.is_engine:
+        return min(
+            fit,
+            key=lambda r: (cost_s(r, demand, False, False, now), rng.random()),
+        )
+    short = kept_for_short([r.id for r in records], demand.service)
+    owner = _owner(fit, demand, short)
     return min(
         fit,
-        key=lambda r: (cost_s(r, demand, r.id == owner, now), rng.random()),
+        key=lambda r: cost_s(r, demand, r.id == owner, r.id in short, now),
     )
+
+
+def _owner(
+    fit: list[EndpointRecord], demand: Demand, short: set[str]
+) -> str | None:
+    """Returns the endpoint to which a request's subject belongs."""
+    if demand.subject is None:
+        return None
+    matching = [r.id for r in fit if (r.id in short) is not demand.is_long]
+    return rendezvous.owner(matching or [r.id for r in fit], demand.subject)
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -324,8 +324,12 @@
         return [member.callers for member in boxes[:MAX_ENTRIES]]
 
     def _metrics_text(self) -> bytes:
+        # Imported when first asked for: it takes 2 MB of a small box.
+        from martenjunction import metrics_text
+
         calls = self.store.calls
-        return self.metrics.prometheus_text(
+        return metrics_text.render(
+            self.metrics,
             {
                 "held_requests": float(len(self._exchanges)),
                 "endpoint_runs": float(self.book.running),
@@ -334,7 +338,7 @@
                 "config_version": float(self.picture.version),
                 "repeats_refused": float(self.budget.refused),
                 "loop_delay_s": self.timers.worst_delay,
-            }
+            },
         )
 
     # What the parts ask of one another.
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -12,6 +12,7 @@
 import h11
 from tornado import iostream
 
+from martenjunction import addresses
 from martenjunction import errors
 from martenjunction.http1 import messages
 from martenjunction.http1 import streams
@@ -72,7 +73,7 @@
         Raises:
             ConnectError: If there is no connection; nothing was sent.
         """
-        host, _, port = self._address.rpartition(":")
+        host, port = addresses.split_address(self._address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         streams.tune(sock)
         stream = iostream.IOStream(
@@ -81,7 +82,7 @@
         self._stream = stream
         try:
             async with asyncio.timeout(timeout_s):
-                await stream.connect((host, int(port)))
+                await stream.connect((host, port))
         except (iostream.StreamClosedError, TimeoutError, OSError) as error:
             self.abort()
             raise errors.ConnectError(f"no connection to {host}") from error
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -12,6 +12,7 @@
 from tornado import iostream
 from tornado import tcpserver
 
+from martenjunction import addresses
 from martenjunction import errors
 from martenjunction.http1 import messages
 from martenjunction.http1 import streams
@@ -340,8 +341,8 @@
         Args:
             address: IP address and port.
         """
-        host, _, port = address.rpartition(":")
-        self.listen(int(port), host, backlog=BACKLOG)
+        host, port = addresses.split_address(address)
+        self.listen(port, host, backlog=BACKLOG)
 
     def close_all(self) -> None:
         """Stops listening and ends every connection at once."""
--- a/martenjunction/metrics.py
+++ b/martenjunction/metrics.py
@@ -5,8 +5,6 @@
 from typing import Any
 
 from hdrh import histogram
-import prometheus_client
-from prometheus_client import core as prometheus
 
 # Histograms hold microseconds, from one to an hour, with two digits.
 LOWEST_US = 1
@@ -60,16 +58,6 @@
             ],
         }
 
-    def prometheus_text(self, gauges: dict[str, float]) -> bytes:
-        """Returns all values in the Prometheus text form.
-
-        Args:
-            gauges: Further values of the moment, by name.
-        """
-        registry = prometheus_client.CollectorRegistry()
-        registry.register(_Collector(self, gauges))
-        return prometheus_client.generate_latest(registry)
-
     def counters(self) -> Iterator[tuple[str, Labels, int]]:
         """Yields each counter."""
         for (name, labels), value in self._counters.items():
@@ -90,52 +78,3 @@
         for q in QUANTILES
     }
     return {"count": recorded.get_total_count(), **values}
-
-
-class _Collector(prometheus_client.registry.Collector):
-    """Turns the values into the families of the Prometheus library."""
-
-    PREFIX = "martenjunction_"
-
-    def __init__(self, metrics: Metrics, gauges: dict[str, float]) -> None:
-        self._metrics = metrics
-        self._gauges = gauges
-
-    def collect(self) -> Iterator[prometheus.Metric]:
-        """Yields all families."""
-        families: dict[str, prometheus.Metric] = {}
-        for name, labels, value in self._metrics.counters():
-            counter = families.setdefault(
-                name,
-                prometheus.CounterMetricFamily(
-                    self.PREFIX + name, name, labels=[key for key, _ in labels]
-                ),
-            )
-            counter.add_metric([v for _, v in labels], value)  # type: ignore[attr-defined]
-        for name, labels, recorded in self._metrics.histograms():
-            summary = families.setdefault(
-                name,
-                prometheus.Metric(self.PREFIX + name, name, "summary"),
-            )
-            self._add_summary(summary, dict(labels), recorded)
-        for name, gauge in self._gauges.items():
-            families[name] = prometheus.GaugeMetricFamily(
-                self.PREFIX + name, name, value=gauge
-            )
-        yield from families.values()
-
-    def _add_summary(
-        self,
-        family: prometheus.Metric,
-        labels: dict[str, str],
-        recorded: histogram.HdrHistogram,
-    ) -> None:
-        for q in QUANTILES:
-            seconds = recorded.get_value_at_percentile(q * 100) / MICROSECONDS
-            family.add_sample(
-                family.name, {**labels, "quantile": str(q)}, seconds
-            )
-        total = recorded.get_total_count()
-        family.add_sample(f"{family.name}_count", labels, total)
-        mean = recorded.get_mean_value() / MICROSECONDS
-        family.add_sample(f"{family.name}_sum", labels, mean * total)
--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -5,7 +5,7 @@
 from typing import TypeVar
 
 import cbor2
-import pydantic
+import msgspec
 
 from martenjunction import errors
 from martenjunction import registry
@@ -20,7 +20,6 @@
 
 message_types: registry.Registry[type[Any]] = registry.Registry("message")
 _tags: dict[type[Any], str] = {}
-_adapters: dict[str, pydantic.TypeAdapter[Any]] = {}
 
 
 def message(tag: str) -> Any:
@@ -75,10 +74,10 @@
     if len(names) != len(parts) - 1:
         raise errors.PeerError(f"{tag} has {len(parts) - 1} fields")
     try:
-        return _adapter(tag, cls).validate_python(
-            _as_mapping(cls, names, parts[1:])
+        return msgspec.convert(
+            _as_mapping(cls, names, parts[1:]), cls, builtin_types=(bytes,)
         )
-    except pydantic.ValidationError as error:
+    except msgspec.ValidationError as error:
         raise errors.PeerError(f"{tag} is not valid") from error
 
 
@@ -104,9 +103,3 @@
                 raise errors.PeerError(f"{field.name} is not valid")
             mapping[field.name] = _as_mapping(inner, inner_names, items)
     return mapping
-
-
-def _adapter(tag: str, cls: type[Any]) -> pydantic.TypeAdapter[Any]:
-    if tag not in _adapters:
-        _adapters[tag] = pydantic.TypeAdapter(cls)
-    return _adapters[tag]
--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -11,10 +11,10 @@
 from websockets.asyncio import connection as ws
 from websockets.asyncio import server as ws_server
 
+from martenjunction import addresses
 from martenjunction import errors
 from martenjunction import events
 from martenjunction import timers
-from martenjunction.config import units
 from martenjunction.peers import codec
 from martenjunction.peers import links
 from martenjunction.peers import membership
@@ -122,7 +122,7 @@
 
     async def start(self) -> None:
         """Listens for peers and begins to call them."""
-        host, port = units.split_address(self._listen)
+        host, port = addresses.split_address(self._listen)
         self._server = await ws_server.serve(
             self._answer,
             host,
--- a/martenjunction/routing/admission.py
+++ b/martenjunction/routing/admission.py
@@ -10,7 +10,7 @@
 
 # Seconds without a confirmed configuration after which an unknown path or key
 # may be one that we have not heard of yet.
-STALE_AFTER_S = 1.8
+STALE_AFTER_S = 2.6
 
 # Seconds after which a client may come back.
 RETRY_NO_CONFIG_S = 0.5
@@ -35,6 +35,8 @@
         key: The key that it came with, where the route needs one.
         deadline: Steady clock until which it may be held.
         urgency: 0 (first) to 9 for a model engine, None for a plain service.
+        shortest_pause_s: The shortest pause between events that any stream
+            of the service may have, or None.
     """
 
     route: model.Route
@@ -43,6 +45,7 @@
     key: str | None
     deadline: float
     urgency: int | None
+    shortest_pause_s: float | None
 
 
 class Admitter:
@@ -115,6 +118,7 @@
             None if workspace is None else facts.key,
             received_at + hold_s,
             urgency,
+            config.shortest_pause_s(service.name),
         )
 
     def still_allowed(self, admission: Admission, received_at: float) -> bool:
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -35,8 +35,22 @@
         self.heard_at = now
         self.waiting = True
         self.unread = int(endpoint_choice.unread(record, demand, False))
-        self.predicted_s = endpoint_choice.cost_s(record, demand, False, now)
+        self.predicted_s = endpoint_choice.predicted_s(
+            record, demand, False, now
+        )
         self.move: bool = False
+        running, unread = record.load(now)
+        self._seen = (running, unread)
+
+    def describe(self) -> dict[str, float]:
+        """Returns what the choice was made from, for the log."""
+        return {
+            "predicted_ms": round(self.predicted_s * 1000, 1),
+            "unread": self.unread,
+            "running": self._seen[0],
+            "ahead": self._seen[1],
+            "slowness": round(self.record.slowness.value, 2),
+        }
 
 
 class EndpointBook:
@@ -61,7 +75,6 @@
         self._records: dict[str, endpoint_choice.EndpointRecord] = {}
         self._tickets: set[RunTicket] = set()
         self._heard: dict[str, float] = {}
-        self._engines: dict[str, model.Service] = {}
 
     @property
     def listed(self) -> endpoint_list.EndpointList:
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -115,6 +115,10 @@
         self._refusals = 0
         self._status = 0
         self._why = ""
+        self._first_at: float | None = None
+        self._last_at = 0.0
+        self._longest_pause_s = 0.0
+        self._choices: list[dict[str, float]] = []
 
     @property
     def ticket(self) -> endpoint_book.RunTicket | None:
@@ -231,6 +235,7 @@
             self._tools.zone,
             taken.service.engine is not None,
             taken.route.repeatable,
+            taken.shortest_pause_s,
         )
 
     async def _next_connection(
@@ -296,6 +301,7 @@
         book = self._tools.book
         ticket = book.begin(endpoint.id, demand, time.monotonic())
         self._running, self._ticket = run, ticket
+        self._choices.append(ticket.describe())
         failed = True
         try:
             run.send(self._request, self._headers(taken, endpoint))
@@ -385,7 +391,9 @@
         """Passes a stream on, event by event."""
         pairs = headers.for_client(head.headers)
         async for events in run.events():
-            self._tools.book.heard(ticket, time.monotonic())
+            now = time.monotonic()
+            self._tools.book.heard(ticket, now)
+            self._note_events(now)
             if not self._connection.answering:
                 self._progress.note(outcomes.Event.ANSWERING)
                 await self._connection.begin(
@@ -402,6 +410,14 @@
         self._progress.note(outcomes.Event.COMPLETE)
         await self._connection.end()
 
+    def _note_events(self, now: float) -> None:
+        if self._first_at is None:
+            self._first_at = now
+        else:
+            pause = now - self._last_at
+            self._longest_pause_s = max(self._longest_pause_s, pause)
+        self._last_at = now
+
     async def _write_new(self, events: list[event_stream.StreamEvent]) -> None:
         """Writes the events that the client does not have yet."""
         fresh = []
@@ -448,11 +464,12 @@
         took = time.monotonic() - self._request.received_at
         route = self._admission.route.name if self._admission else ""
         result = str(self._status or self._ending or "broken")
-        self._tools.metrics.count("requests", route=route, result=result)
-        self._tools.metrics.observe("request_s", took, route=route)
-        kind = "request" if 200 <= self._status < 300 else "request-failed"
+        kind = self._admission.route.kind.value if self._admission else "none"
+        self._tools.metrics.count("requests", kind=kind, result=result)
+        self._tools.metrics.observe("request_s", took, kind=kind)
+        served = 200 <= self._status < 300
         self._tools.log.write(
-            kind,
+            "request" if served else "request-failed",
             id=self._facts.id,
             route=route,
             result=result,
@@ -460,8 +477,20 @@
             why=self._why,
             endpoints=self._offers,
             ms=round(took * 1000, 1),
+            **self._timing(),
         )
 
+    def _timing(self) -> dict[str, object]:
+        """Returns what tells a late answer's cause, for the log."""
+        fields: dict[str, object] = {"choices": self._choices}
+        if self._facts.prompt_tokens:
+            fields["prompt_tokens"] = self._facts.prompt_tokens
+        if self._first_at is not None:
+            first = self._first_at - self._request.received_at
+            fields["first_ms"] = round(first * 1000, 1)
+            fields["pause_ms"] = round(self._longest_pause_s * 1000, 1)
+        return fields
+
 
 def _not_after(event_id: str, delivered: str | None) -> bool:
     """Returns whether an event is one that the client already has."""
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -15,14 +15,14 @@
 
 # Seconds between two questions for the newest configuration. Their answers
 # alone prove that no key was taken away: a watch may be deaf for a while.
-CONFIRM_INTERVAL_S = 0.8
+CONFIRM_INTERVAL_S = 1.5
 
-# Seconds for which a watch waits. Short, so that a silent one is noticed well
-# before a leaving endpoint must get no more work.
-WATCH_WAIT_S = 1.0
+# Seconds for which a watch waits. The store cuts watches that it let go deaf,
+# and a lost connection is found by the calls beside it.
+WATCH_WAIT_S = 8.0
 
 # Seconds between two lists of the boxes' own entries.
-BOXES_INTERVAL_S = 3.0
+BOXES_INTERVAL_S = 4.0
 
 # Seconds for which a box must be silent before its entry is removed.
 DEAD_AFTER_S = 12.0
--- a/martenjunction/routing/model.py
+++ b/martenjunction/routing/model.py
@@ -150,13 +150,26 @@
     _by_host: dict[str, list[Route]] = dataclasses.field(
         default_factory=dict, repr=False
     )
+    _pauses: dict[str, float] = dataclasses.field(
+        default_factory=dict, repr=False
+    )
 
     def __post_init__(self) -> None:
         for route in self.routes:
             self._by_host.setdefault(route.host, []).append(route)
+            if route.gap_target_s is None:
+                continue
+            for target in route.targets:
+                known = self._pauses.get(target.service, route.gap_target_s)
+                shortest = min(known, route.gap_target_s)
+                self._pauses[target.service] = shortest
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
 
+    def shortest_pause_s(self, service: str) -> float | None:
+        """Returns the shortest pause that streams of a service may have."""
+        return self._pauses.get(service)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of a path, or None.
 
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -14,7 +14,7 @@
 from martenjunction.routing import picture
 
 # Seconds without an answer of the store after which peers are asked instead.
-ASK_AFTER_S = 1.3
+ASK_AFTER_S = 2.0
 
 # Seconds between two such questions.
 ASK_INTERVAL_S = 0.4
--- a/martenjunction_lab/proxies.py
+++ b/martenjunction_lab/proxies.py
@@ -6,7 +6,7 @@
 from faulty.core import proxy
 from faulty.middlewares import base
 
-from martenjunction.config import units
+from martenjunction import addresses
 
 
 class Hold(base.BaseMiddleware):  # type: ignore[misc]
@@ -41,8 +41,8 @@
             listen: Address on which it stands in for the target.
             target: Where it sends to.
         """
-        listen_host, listen_port = units.split_address(listen)
-        target_host, target_port = units.split_address(target)
+        listen_host, listen_port = addresses.split_address(listen)
+        target_host, target_port = addresses.split_address(target)
         self._proxy = proxy.FaultyProxy(
             listen_host, listen_port, target_host, target_port
         )
