Late requests are shed early; loads told by urgency; few short streams share long engines

Long prompts overflowed to the engines kept for short streams, queues grew beyond the targets so that most came late, and predictions counted tokens that wait behind a request as ahead of it.

Change: boxes tell each other their load by urgency each 0.2 s; a request whose predicted first event is late while others wait is refused at once and told when to come back; long prompts stay off the engines kept free of them unless little is unread there; their number grows with the short streams that run; clients are sent to their own zone while two boxes there are ready.

--- /dev/null
+++ b/martenjunction/decisions/endpoint_records.py
@@ -0,0 +1,261 @@
+"""What one box knows of one endpoint, and what it predicts from that."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+from martenjunction.decisions import endpoint_states
+from martenjunction.decisions import estimates
+
+# Prompt tokens that an engine reads in a second, until it is learnt.
+PREFILL_TOKENS_PER_S = 50_000.0
+
+# Seconds to a first event that do not depend on the prompt: the way there
+# and back, and the tokens that one event holds.
+FIRST_EVENT_S = 0.03
+
+# Seconds by which each running request delays the first token of another.
+STEP_S_PER_RUN = 0.001
+
+# Seconds by which each request beyond an endpoint's places delays a first
+# token: another one must end first.
+OVER_SLOTS_S = 0.01
+
+# Seconds for which another box's word on its runs counts.
+PEER_LOAD_LIFETIME_S = 1.5
+
+# Seconds for which a refusal keeps an endpoint from being asked again.
+REFUSAL_PAUSE_S = 0.1
+
+# Seconds of an answer by a plain service, until it is learnt.
+PLAIN_ANSWER_S = 0.03
+
+# The urgency that stands for requests of plain services.
+PLAIN_URGENCY = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request asks of an endpoint.
+
+    Attributes:
+        service: The service.
+        parts: Ids and tokens of the parts of its prompt, in order.
+        prompt_tokens: Length of the prompt.
+        zone: The box's availability zone.
+        is_engine: Whether the service's endpoints are model engines.
+        repeatable: Whether it may run more than once.
+        urgency: Rank at an engine; 0 is served first.
+        shortest_pause_s: The shortest pause between events that any stream
+            of the service may have; None where there is no such bound.
+    """
+
+    service: str
+    parts: tuple[tuple[str, int], ...]
+    prompt_tokens: int
+    zone: str
+    is_engine: bool
+    repeatable: bool
+    urgency: int = PLAIN_URGENCY
+    shortest_pause_s: float | None = None
+
+    @property
+    def subject(self) -> str | None:
+        """The last part that other requests may share, or None."""
+        if not self.parts:
+            return None
+        return self.parts[-2 if len(self.parts) > 1 else -1][0]
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may share."""
+        return sum(tokens for _, tokens in self.parts[:-1])
+
+    @property
+    def load_key(self) -> "LoadKey":
+        """What it is counted under."""
+        return LoadKey(self.urgency, self.is_long)
+
+    @property
+    def is_long(self) -> bool:
+        """Whether reading its prompt holds up streams beside it."""
+        if self.shortest_pause_s is None:
+            return False
+        reading_s = self.prompt_tokens / PREFILL_TOKENS_PER_S
+        return reading_s > LONG_PAUSE_PART * self.shortest_pause_s
+
+
+# A prompt is long when reading it takes more than this part of the shortest
+# pause that any stream of the service may have.
+LONG_PAUSE_PART = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadKey:
+    """Requests that are counted together.
+
+    Attributes:
+        urgency: Their rank; 0 is served first.
+        is_long: Whether their prompts hold up streams beside them.
+    """
+
+    urgency: int
+    is_long: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Requests of one key at one endpoint.
+
+    Attributes:
+        running: Requests there, those that wait included.
+        unread: Prompt tokens that the endpoint has yet to read for them.
+    """
+
+    running: int = 0
+    unread: int = 0
+
+
+class EndpointRecord:
+    """What one box learnt of one endpoint."""
+
+    def __init__(
+        self, endpoint_id: str, zone: str, slots: int, cache_tokens: int
+    ) -> None:
+        """Makes the record of an endpoint that was just listed.
+
+        Args:
+            endpoint_id: Its id.
+            zone: Its availability zone.
+            slots: Requests that it runs at once.
+            cache_tokens: Tokens that fit into its memory; 0 for a plain one.
+        """
+        self.id = endpoint_id
+        self.zone = zone
+        self.slots = slots
+        self.cache_tokens = cache_tokens
+        self.failures = estimates.Average(0.0, weight=0.15)
+        self.answer_s = estimates.Average(PLAIN_ANSWER_S, weight=0.15)
+        self.slowness = estimates.Average(1.0, weight=0.1)
+        self.health = endpoint_states.Health(
+            endpoint_states.EndpointState.ROUTING
+        )
+        self.refused_until = 0.0
+        self._own: dict[LoadKey, Load] = {}
+        self._peers: dict[str, tuple[float, dict[LoadKey, Load]]] = {}
+        self._parts: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._held_tokens = 0
+
+    @property
+    def own(self) -> dict[LoadKey, Load]:
+        """What this box has there; to be read only."""
+        return self._own
+
+    @property
+    def own_running(self) -> int:
+        """Requests that this box has there."""
+        return sum(load.running for load in self._own.values())
+
+    def add(self, demand: Demand, running: int, unread: int) -> None:
+        """Books requests of this box that begin there, or end."""
+        load = self._own.setdefault(demand.load_key, Load())
+        load.running += running
+        load.unread += unread
+
+    def take_peer_load(
+        self, box: str, loads: dict[LoadKey, Load], now: float
+    ) -> None:
+        """Notes what another box has there."""
+        self._peers[box] = (now, loads)
+
+    def running(self, now: float) -> int:
+        """Returns the requests of all boxes there."""
+        return sum(load.running for _, load in self._loads(now))
+
+    def ahead(self, urgency: int, now: float) -> int:
+        """Returns the unread tokens of all boxes that go first.
+
+        Args:
+            urgency: Of the request that would wait.
+            now: The current time.
+        """
+        return sum(
+            load.unread
+            for key, load in self._loads(now)
+            if key.urgency <= urgency
+        )
+
+    def short_running(self, now: float) -> int:
+        """Returns the requests of all boxes there with short prompts."""
+        return sum(
+            load.running for key, load in self._loads(now) if not key.is_long
+        )
+
+    def waiting(self, now: float) -> int:
+        """Returns the unread tokens of all boxes there."""
+        return sum(load.unread for _, load in self._loads(now))
+
+    def remember(self, parts: Iterable[tuple[str, int]]) -> None:
+        """Notes the parts of a prompt that was read there."""
+        for name, tokens in parts:
+            old = self._parts.pop(name, 0)
+            self._parts[name] = tokens
+            self._held_tokens += tokens - old
+        while self._held_tokens > self.cache_tokens and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self._held_tokens -= tokens
+
+    def held(self, parts: Iterable[tuple[str, int]]) -> int:
+        """Returns how many tokens at a prompt's start it probably holds."""
+        total = 0
+        for name, tokens in parts:
+            if name not in self._parts:
+                break
+            total += tokens
+        return total
+
+    def may_get_work(self, now: float) -> bool:
+        """Returns whether it is sound, or due for a trial."""
+        if self.health.state is endpoint_states.EndpointState.EJECTED:
+            return self.own_running == 0 and self.health.trial_due(now)
+        return now >= self.refused_until
+
+    def unread(self, demand: Demand, belongs: bool) -> int:
+        """Returns the prompt tokens that it would have to read.
+
+        Args:
+            demand: The request.
+            belongs: Whether the request's subject belongs there, so that
+                another box has probably sent its shared parts already.
+        """
+        held = self.held(demand.parts)
+        if belongs:
+            held = max(held, demand.shared_tokens)
+        return max(1, demand.prompt_tokens - held)
+
+    def predicted_s(self, demand: Demand, unread: int, now: float) -> float:
+        """Predicts seconds to a first event, or to a plain answer.
+
+        Args:
+            demand: The request.
+            unread: Prompt tokens that it would have to read.
+            now: The current time.
+        """
+        running = self.running(now)
+        if not demand.is_engine:
+            over = max(0.0, (running + 1 - self.slots) / self.slots)
+            return self.answer_s.value * (1 + over + 0.5 * running / self.slots)
+        reading = (unread + self.ahead(demand.urgency, now)) / (
+            PREFILL_TOKENS_PER_S
+        )
+        over = max(0, running + 1 - self.slots) * OVER_SLOTS_S
+        steps = running * STEP_S_PER_RUN
+        return (FIRST_EVENT_S + reading + steps + over) * self.slowness.value
+
+    def _loads(self, now: float) -> Iterable[tuple[LoadKey, Load]]:
+        yield from self._own.items()
+        for heard, loads in self._peers.values():
+            if now - heard < PEER_LOAD_LIFETIME_S:
+                yield from loads.items()
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -14,6 +14,7 @@
 from martenjunction.decisions import endpoint_list
 from martenjunction.decisions import key_freshness
 from martenjunction.decisions import repeat_budget
+from martenjunction.decisions import shedding
 from martenjunction.endpoints import pool
 from martenjunction.http1 import messages
 from martenjunction.http1 import server
@@ -54,6 +55,10 @@
 # even when it has nothing to do: three lives of an answer, and some.
 LINGER_S = 3.5
 
+# Ready boxes in a client's own availability zone from which on it is sent to
+# no other: one of them may fail before it asks again.
+ENOUGH_NEAR = 2
+
 METRICS_PATH = b"/metrics"
 DUMP_PATH = b"/dump"
 
@@ -149,6 +154,7 @@
             self.book,
             self.pool,
             self.budget,
+            shedding.DeadlineBook(),
             self.log,
             self.metrics,
             settings.zone,
@@ -252,8 +258,7 @@
             },
             "records": {
                 record.id: {
-                    "running": record.running,
-                    "unread_tokens": record.unread_tokens,
+                    "running": record.own_running,
                     "failures": round(record.failures.value, 3),
                     "slowness": round(record.slowness.value, 3),
                     "health": record.health.state.value,
@@ -319,6 +324,9 @@
         if not boxes:
             # Nobody is known to be ready: better any box than none.
             boxes = self.members.believed()
+        near = [member for member in boxes if member.zone == zone]
+        if len(near) >= ENOUGH_NEAR:
+            boxes = near
         self._rng.shuffle(boxes)
         boxes.sort(key=lambda member: member.zone != zone)
         return [member.callers for member in boxes[:MAX_ENTRIES]]
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -4,6 +4,7 @@
 
 from martenjunction.decisions import endpoint_choice
 from martenjunction.decisions import endpoint_list
+from martenjunction.decisions import endpoint_records
 from martenjunction.decisions import endpoint_states
 from martenjunction.routing import decision_log
 from martenjunction.routing import model
@@ -13,6 +14,7 @@
 # an engine's running streams bring an event every 20 to 250 ms.
 PLAIN_SILENCE_S = 0.4
 ENGINE_SILENCE_S = 1.0
+SINGLE_SILENCE_S = 1.0
 
 # Part by which what was learnt of an endpoint without work moves back towards
 # the best of its service, each time it is looked at.
@@ -24,33 +26,34 @@
 
     def __init__(
         self,
-        record: endpoint_choice.EndpointRecord,
-        demand: endpoint_choice.Demand,
+        choice: endpoint_choice.Choice,
+        demand: endpoint_records.Demand,
         now: float,
     ) -> None:
         """Books a request that is about to be sent."""
-        self.record = record
+        self.record = choice.record
+        self.choice = choice
         self.demand = demand
         self.sent_at = now
         self.heard_at = now
         self.waiting = True
-        self.unread = int(endpoint_choice.unread(record, demand, False))
-        self.predicted_s = endpoint_choice.predicted_s(
-            record, demand, False, now
-        )
-        self.move: bool = False
-        running, unread = record.load(now)
-        self._seen = (running, unread)
-
-    def describe(self) -> dict[str, float]:
-        """Returns what the choice was made from, for the log."""
-        return {
-            "predicted_ms": round(self.predicted_s * 1000, 1),
-            "unread": self.unread,
-            "running": self._seen[0],
-            "ahead": self._seen[1],
-            "slowness": round(self.record.slowness.value, 2),
-        }
+        self.move = False
+
+
+def describe(choice: endpoint_choice.Choice) -> dict[str, float]:
+    """Returns what a choice was made from, for the log."""
+    return {
+        "predicted_ms": round(choice.predicted_s * 1000, 1),
+        "unread": choice.unread,
+        "running": choice.running,
+        "ahead": choice.ahead,
+        "slowness": round(choice.record.slowness.value, 2),
+    }
+
+
+# What one box has at one endpoint: its id, the urgency and whether prompts
+# are long, the requests of that kind and their tokens that are yet unread.
+LoadRow = tuple[str, int, bool, int, int]
 
 
 class EndpointBook:
@@ -72,7 +75,7 @@
         self._listed = listed
         self._log = log
         self._rng = rng
-        self._records: dict[str, endpoint_choice.EndpointRecord] = {}
+        self._records: dict[str, endpoint_records.EndpointRecord] = {}
         self._tickets: set[RunTicket] = set()
         self._heard: dict[str, float] = {}
 
@@ -82,7 +85,7 @@
         return self._listed
 
     @property
-    def records(self) -> dict[str, endpoint_choice.EndpointRecord]:
+    def records(self) -> dict[str, endpoint_records.EndpointRecord]:
         """What was learnt, by endpoint id; to be read only."""
         return self._records
 
@@ -94,10 +97,10 @@
     def choose(
         self,
         service: model.Service,
-        demand: endpoint_choice.Demand,
+        demand: endpoint_records.Demand,
         avoid: set[str],
         now: float,
-    ) -> model.Endpoint | None:
+    ) -> tuple[model.Endpoint, endpoint_choice.Choice] | None:
         """Chooses an endpoint for a request.
 
         Args:
@@ -107,7 +110,8 @@
             now: The current time.
 
         Returns:
-            The endpoint, or None if there is none.
+            The endpoint and what it was chosen from, or None if there is
+            none.
         """
         endpoints = {
             endpoint.id: endpoint
@@ -115,20 +119,20 @@
             if endpoint.id not in avoid
         }
         records = [self._record(e, service) for e in endpoints.values()]
-        chosen = endpoint_choice.choose(records, demand, now, self._rng)
-        return None if chosen is None else endpoints[chosen.id]
+        choice = endpoint_choice.choose(records, demand, now, self._rng)
+        if choice is None:
+            return None
+        return endpoints[choice.record.id], choice
 
     def begin(
         self,
-        endpoint_id: str,
-        demand: endpoint_choice.Demand,
+        choice: endpoint_choice.Choice,
+        demand: endpoint_records.Demand,
         now: float,
     ) -> RunTicket:
-        """Books a request that is sent to an endpoint."""
-        record = self._records[endpoint_id]
-        ticket = RunTicket(record, demand, now)
-        record.running += 1
-        record.unread_tokens += ticket.unread
+        """Books a request that is sent to the chosen endpoint."""
+        ticket = RunTicket(choice, demand, now)
+        choice.record.add(demand, 1, choice.unread)
         self._tickets.add(ticket)
         return ticket
 
@@ -142,21 +146,21 @@
         if not ticket.waiting:
             return
         ticket.waiting = False
-        record.unread_tokens -= ticket.unread
+        record.add(ticket.demand, 0, -ticket.choice.unread)
         if ticket.demand.is_engine:
             record.remember(ticket.demand.parts)
-            took = now - ticket.sent_at
-            ratio = took / max(ticket.predicted_s, FASTEST_FIRST_TOKEN_S)
-            record.slowness.add(min(max(ratio, 0.3), 10.0))
+            # The prediction holds the slowness already.
+            base = ticket.choice.predicted_s / record.slowness.value
+            ratio = (now - ticket.sent_at) / base
+            record.slowness.add(min(max(ratio, SLOWNESS[0]), SLOWNESS[1]))
 
     def end(self, ticket: RunTicket, now: float, failed: bool) -> None:
         """Books the end of a request at an endpoint."""
         record = ticket.record
         self._tickets.discard(ticket)
-        record.running -= 1
-        if ticket.waiting:
-            record.unread_tokens -= ticket.unread
-            ticket.waiting = False
+        unread = ticket.choice.unread if ticket.waiting else 0
+        record.add(ticket.demand, -1, -unread)
+        ticket.waiting = False
         record.failures.add(1.0 if failed else 0.0)
         if not failed and not ticket.demand.is_engine:
             record.answer_s.add(now - ticket.sent_at)
@@ -164,7 +168,7 @@
     def refused(self, endpoint_id: str, now: float) -> None:
         """Notes that an endpoint refused work: it is full or leaves."""
         record = self._records[endpoint_id]
-        record.refused_until = now + endpoint_choice.REFUSAL_PAUSE_S
+        record.refused_until = now + endpoint_records.REFUSAL_PAUSE_S
 
     def not_reached(self, endpoint_id: str, now: float) -> None:
         """Notes that no connection to an endpoint could be had."""
@@ -193,46 +197,54 @@
                 if ticket.record is record:
                     ticket.move = True
         for gone in [i for i in self._records if i not in self._listed.entries]:
-            if self._records[gone].running == 0:
+            if self._records[gone].own_running == 0:
                 del self._records[gone]
                 self._heard.pop(gone, None)
         self._drift()
 
-    def loads(self) -> list[tuple[str, int, int]]:
+    def loads(self) -> list[LoadRow]:
         """Returns what this box has at each endpoint where it has anything."""
         return [
-            (record.id, record.running, record.unread_tokens)
+            (
+                record.id,
+                key.urgency,
+                key.is_long,
+                load.running,
+                max(0, load.unread),
+            )
             for record in self._records.values()
-            if record.running
+            for key, load in record.own.items()
+            if load.running
         ]
 
     def take_peer_loads(
-        self, box: str, loads: list[tuple[str, int, int]], now: float
+        self, box: str, rows: list[LoadRow], now: float
     ) -> None:
         """Notes what another box has at endpoints."""
-        told = {endpoint_id: (runs, rest) for endpoint_id, runs, rest in loads}
+        told: dict[
+            str, dict[endpoint_records.LoadKey, endpoint_records.Load]
+        ] = {}
+        for endpoint_id, urgency, is_long, running, unread in rows:
+            key = endpoint_records.LoadKey(urgency, is_long)
+            loads = told.setdefault(endpoint_id, {})
+            loads[key] = endpoint_records.Load(running, unread)
         for record in self._records.values():
-            runs, rest = told.get(record.id, (0, 0))
-            record.take_peer_load(box, runs, rest, now)
-
-    def silent_tickets(self) -> list[RunTicket]:
-        """Returns requests whose endpoint fell silent."""
-        return [ticket for ticket in self._tickets if ticket.move]
+            record.take_peer_load(box, told.get(record.id, {}), now)
 
     def _record(
         self, endpoint: model.Endpoint, service: model.Service
-    ) -> endpoint_choice.EndpointRecord:
+    ) -> endpoint_records.EndpointRecord:
         record = self._records.get(endpoint.id)
         if record is None:
             cache = service.engine.cache_tokens if service.engine else 0
-            record = endpoint_choice.EndpointRecord(
+            record = endpoint_records.EndpointRecord(
                 endpoint.id, endpoint.zone, endpoint.slots, cache
             )
             self._records[endpoint.id] = record
         return record
 
     def _is_silent(
-        self, record: endpoint_choice.EndpointRecord, now: float
+        self, record: endpoint_records.EndpointRecord, now: float
     ) -> bool:
         if record.health.state is endpoint_states.EndpointState.EJECTED:
             return False
@@ -240,12 +252,15 @@
         if not owed:
             return False
         limit = ENGINE_SILENCE_S if record.cache_tokens else PLAIN_SILENCE_S
+        if len(owed) == 1:
+            # A single answer may take long by itself.
+            limit = max(limit, SINGLE_SILENCE_S)
         since = max(min(owed), self._heard.get(record.id, 0.0))
         return now - since > limit
 
     def _eject(
         self,
-        record: endpoint_choice.EndpointRecord,
+        record: endpoint_records.EndpointRecord,
         why: str,
         now: float,
     ) -> None:
@@ -256,7 +271,7 @@
 
     def _move(
         self,
-        record: endpoint_choice.EndpointRecord,
+        record: endpoint_records.EndpointRecord,
         event: endpoint_states.EndpointEvent,
         now: float,
         why: str = "",
@@ -267,19 +282,19 @@
                 endpoint=record.id,
                 state=record.health.state.value,
                 why=why or event.value,
-                running=record.running,
+                running=record.own_running,
             )
 
     def _drift(self) -> None:
         """Lets what was learnt of endpoints without work fade."""
         for record in self._records.values():
-            if record.running == 0:
+            if record.own_running == 0:
                 record.failures.drift(0.0, IDLE_DRIFT)
                 record.slowness.drift(1.0, IDLE_DRIFT)
                 record.answer_s.drift(
-                    endpoint_choice.PLAIN_ANSWER_S, IDLE_DRIFT
+                    endpoint_records.PLAIN_ANSWER_S, IDLE_DRIFT
                 )
 
 
-# Seconds below which a predicted first token says nothing about slowness.
-FASTEST_FIRST_TOKEN_S = 0.02
+# Bounds of an observed time over its prediction.
+SLOWNESS = (0.3, 10.0)
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -9,8 +9,10 @@
 from martenjunction import errors
 from martenjunction import metrics
 from martenjunction.decisions import endpoint_choice
+from martenjunction.decisions import endpoint_records
 from martenjunction.decisions import outcomes
 from martenjunction.decisions import repeat_budget
+from martenjunction.decisions import shedding
 from martenjunction.endpoints import attempt
 from martenjunction.endpoints import event_stream
 from martenjunction.endpoints import pool
@@ -53,6 +55,7 @@
         book: Knows the endpoints.
         pool: Holds the connections to them.
         budget: Grants repeats.
+        deadlines: Tells requests that come back from new ones.
         log: Told of outcomes.
         metrics: Counts outcomes.
         zone: The box's availability zone.
@@ -63,6 +66,7 @@
     book: endpoint_book.EndpointBook
     pool: pool.EndpointPool
     budget: repeat_budget.RepeatBudget
+    deadlines: shedding.DeadlineBook
     log: decision_log.DecisionLog
     metrics: metrics.Metrics
     zone: str
@@ -78,6 +82,15 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Offer:
+    """An endpoint that may get the request, and a way to it."""
+
+    endpoint: model.Endpoint
+    choice: endpoint_choice.Choice
+    run: attempt.Attempt
+
+
 class _AnswerBrokenError(errors.EndpointError):
     """A stream that the client already gets cannot be continued."""
 
@@ -113,6 +126,7 @@
         self._fallback: _Answer | None = None
         self._delivered_id: str | None = None
         self._refusals = 0
+        self._came_back = False
         self._status = 0
         self._why = ""
         self._first_at: float | None = None
@@ -165,6 +179,9 @@
             self._request.received_at,
         )
         self._admission = taken
+        self._came_back = self._tools.deadlines.came_back(
+            taken.route.name, self._facts.deadline_s
+        )
         self._tools.budget.note_request(
             taken.service.name, self._request.received_at
         )
@@ -197,6 +214,8 @@
             self._why = self._why or str(error)
             self._connection.abort()
             return
+        if isinstance(error, admission.RefusalError):
+            raise error
         if isinstance(error, errors.ConnectionLostError):
             self._ending = Ending.CLIENT_LEFT
         raise error
@@ -218,37 +237,39 @@
     async def _attempts(self, taken: admission.Admission) -> None:
         demand = self._demand(taken)
         while True:
-            connection = await self._next_connection(taken, demand)
-            if connection is None:
+            offer = await self._next_offer(taken, demand)
+            if offer is None:
                 await self._finish_without(taken)
                 return
-            endpoint, opened = connection
-            done = await self._attempt(taken, demand, endpoint, opened)
-            if done:
+            if await self._attempt(taken, demand, offer):
                 return
 
-    def _demand(self, taken: admission.Admission) -> endpoint_choice.Demand:
-        return endpoint_choice.Demand(
+    def _demand(self, taken: admission.Admission) -> endpoint_records.Demand:
+        return endpoint_records.Demand(
             taken.service.name,
             tuple((part.id, part.tokens) for part in self._facts.parts),
             self._facts.prompt_tokens,
             self._tools.zone,
             taken.service.engine is not None,
             taken.route.repeatable,
+            taken.urgency or 0,
             taken.shortest_pause_s,
         )
 
-    async def _next_connection(
-        self, taken: admission.Admission, demand: endpoint_choice.Demand
-    ) -> tuple[model.Endpoint, attempt.Attempt] | None:
+    async def _next_offer(
+        self, taken: admission.Admission, demand: endpoint_records.Demand
+    ) -> _Offer | None:
         """Returns an endpoint that may get the request, and a way to it."""
         while self._may_offer(taken):
             now = time.monotonic()
-            endpoint = self._tools.book.choose(
+            chosen = self._tools.book.choose(
                 taken.service, demand, self._avoid, now
             )
-            if endpoint is None:
+            if chosen is None:
                 return None
+            endpoint, choice = chosen
+            if not self._offers and demand.is_engine:
+                self._shed_if_late(taken, choice, now)
             try:
                 connection = await self._tools.pool.acquire(
                     endpoint, taken.route.repeatable
@@ -266,9 +287,39 @@
                 self._tools.pool.release(endpoint.id, connection)
                 self._avoid.add(endpoint.id)
                 continue
-            return endpoint, attempt.Attempt(connection, self._facts.id)
+            run = attempt.Attempt(connection, self._facts.id)
+            return _Offer(endpoint, choice, run)
         return None
 
+    def _shed_if_late(
+        self,
+        taken: admission.Admission,
+        choice: endpoint_choice.Choice,
+        now: float,
+    ) -> None:
+        """Refuses a request that would come late while others wait.
+
+        Raises:
+            RefusalError: If it is refused; nothing was sent for it.
+        """
+        record = choice.record
+        busy = choice.ahead > 0 or (
+            choice.running >= shedding.BUSY_PART * record.slots
+        )
+        prospect = shedding.Prospect(
+            choice.predicted_s + now - self._request.received_at,
+            taken.route.target_s,
+            taken.deadline - now,
+            self._came_back,
+            busy,
+        )
+        pause = shedding.retry_after_s(prospect)
+        if pause is not None:
+            self._choices.append(endpoint_book.describe(choice))
+            raise admission.RefusalError(
+                503, "shed", "the answer would come late", pause
+            )
+
     def _may_offer(self, taken: admission.Admission) -> bool:
         if len(self._offers) >= MAX_OFFERS:
             return False
@@ -291,17 +342,17 @@
     async def _attempt(
         self,
         taken: admission.Admission,
-        demand: endpoint_choice.Demand,
-        endpoint: model.Endpoint,
-        run: attempt.Attempt,
+        demand: endpoint_records.Demand,
+        offer: _Offer,
     ) -> bool:
         """Sends the request to one endpoint; returns whether it is over."""
+        endpoint, run = offer.endpoint, offer.run
         self._offers.append(endpoint.id)
         self._avoid.add(endpoint.id)
         book = self._tools.book
-        ticket = book.begin(endpoint.id, demand, time.monotonic())
+        ticket = book.begin(offer.choice, demand, time.monotonic())
         self._running, self._ticket = run, ticket
-        self._choices.append(ticket.describe())
+        self._choices.append(endpoint_book.describe(offer.choice))
         failed = True
         try:
             run.send(self._request, self._headers(taken, endpoint))
@@ -475,6 +526,7 @@
             result=result,
             outcome=self._progress.outcome.value,
             why=self._why,
+            came_back=self._came_back,
             endpoints=self._offers,
             ms=round(took * 1000, 1),
             **self._timing(),
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -14,15 +14,20 @@
         ready: Whether clients may be sent to it.
         version: Version of the configuration in force there; 0 for none.
         revision: The store's revision up to which it knows the endpoints.
-        endpoints: Ids of the endpoints where it has requests.
-        running: Requests that it has at each of them.
-        unread: Prompt tokens that each of them has yet to read for it.
+        endpoints: Ids of the endpoints where it has requests; an endpoint
+            stands there once for each kind of request.
+        urgencies: The urgency of those requests.
+        long: Whether their prompts are long.
+        running: How many there are.
+        unread: Prompt tokens that are yet to be read for them.
     """
 
     ready: bool
     version: int
     revision: int
     endpoints: tuple[str, ...]
+    urgencies: tuple[int, ...]
+    long: tuple[bool, ...]
     running: tuple[int, ...]
     unread: tuple[int, ...]
 
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -22,6 +22,9 @@
 # Seconds for which a box's word that it is ready counts.
 STATUS_LIFETIME_S = 1.2
 
+# Seconds between two messages on the load at endpoints, while there is any.
+LOADS_INTERVAL_S = 0.2
+
 # Questions whose sending time is remembered.
 MAX_QUESTIONS = 64
 
@@ -77,6 +80,7 @@
         self._peers.subscribe(messages.Leaving, self._on_leaving)
         self._known.on_left(self._tell_left)
         self._timers.subscribe("ask-view", ASK_INTERVAL_S, self._ask_if_stale)
+        self._timers.subscribe("loads", LOADS_INTERVAL_S, self._tell_loads)
 
     def status(self) -> peer_messages.BoxStatus:
         """Returns how this box is."""
@@ -85,9 +89,11 @@
             self._is_ready(),
             self._known.version,
             self._book.listed.revision,
-            tuple(endpoint for endpoint, _, _ in loads),
-            tuple(running for _, running, _ in loads),
-            tuple(unread for _, _, unread in loads),
+            tuple(row[0] for row in loads),
+            tuple(row[1] for row in loads),
+            tuple(row[2] for row in loads),
+            tuple(row[3] for row in loads),
+            tuple(row[4] for row in loads),
         )
 
     def announce(self) -> None:
@@ -116,7 +122,12 @@
         self._statuses[box] = (now, status)
         self._members.heard(box, 0.0)
         loads = zip(
-            status.endpoints, status.running, status.unread, strict=False
+            status.endpoints,
+            status.urgencies,
+            status.long,
+            status.running,
+            status.unread,
+            strict=False,
         )
         self._book.take_peer_loads(box, list(loads), now)
         if status.version > self._known.version:
@@ -134,6 +145,10 @@
             peer_messages.EndpointsLeft(tuple(ids), self._book.listed.revision)
         )
 
+    def _tell_loads(self) -> None:
+        if self._book.running:
+            self.announce()
+
     def _ask_if_stale(self) -> None:
         age = self._freshness.age_s(self._timers.now())
         if age is None or age > ASK_AFTER_S:
