--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -8,7 +8,7 @@
 from behave import when
 
 from features import builders
-from martenjunction.platform import protocol
+from martenjunction.objects import model
 from martenjunction_lab import cluster
 from martenjunction_lab import engine
 from martenjunction_lab import plain
@@ -191,7 +191,7 @@
     name = _engine(context, number).name
     context.loop.call(
         lambda: context.cluster.outside.list_endpoint(
-            name, protocol.BoxState(state)
+            name, model.BoxState(state)
         )
     )
 
--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -37,14 +37,14 @@
 from martenjunction.decisions import retries
 from martenjunction.endpoints import client
 from martenjunction.endpoints import loads
+from martenjunction.objects import client as object_client
+from martenjunction.objects import feed
+from martenjunction.objects import model
 from martenjunction.operators import dumps
 from martenjunction.operators import handlers as operator_handlers
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.peers import sync
-from martenjunction.platform import client as platform_client
-from martenjunction.platform import feed
-from martenjunction.platform import protocol
 from martenjunction.relay import relay
 
 logger = logging.getLogger(__name__)
@@ -93,7 +93,7 @@
         self._layout = directory.Layout()
         self._cell_infos: directory.Cells = {}
         self._laid_out: tuple[Any, Any] = ({}, {})
-        self._endpoint_states: dict[str, protocol.BoxState] = {}
+        self._endpoint_states: dict[str, model.BoxState] = {}
         self._summary_gate = summaries.SummaryGate()
         self._draining = False
         self._drained = asyncio.Event()
@@ -132,7 +132,7 @@
             self._owners,
             self._send_to_owner,
         )
-        self._platform: platform_client.PlatformClient | None = None
+        self._platform: object_client.ObjectClient | None = None
         self._feed: feed.PlatformFeed | None = None
         if settings.platform:
             self._make_feed(settings.platform)
@@ -235,6 +235,8 @@
         await self.timers.stop()
         await self.cells.stop()
         await self.peers.stop()
+        if self._platform is not None:
+            self._platform.close()
         self._http.close()
 
     def listening_sockets(self) -> list[socket.socket]:
@@ -313,7 +315,7 @@
     # Wiring.
 
     def _make_feed(self, url: str) -> None:
-        self._platform = platform_client.PlatformClient(url, self._http)
+        self._platform = object_client.ObjectClient(url)
         self._feed = feed.PlatformFeed(
             self._platform,
             self.timers,
@@ -430,25 +432,25 @@
             self._on_config_changed()
             self.sync.push(newer)
 
-    def _on_platform_boxes(self, boxes: list[protocol.ListedBox]) -> None:
+    def _on_platform_boxes(self, boxes: list[model.ListedBox]) -> None:
         self._on_listed(boxes)
         self.sync.push_boxes(boxes)
 
-    def _on_listed(self, boxes: list[protocol.ListedBox]) -> None:
+    def _on_listed(self, boxes: list[model.ListedBox]) -> None:
         for box in boxes:
-            if box.role is protocol.BoxRole.ENDPOINT:
+            if box.role is model.BoxRole.ENDPOINT:
                 self._endpoint_states[box.name] = box.state
             else:
                 self._list_daemon(box)
         self._layout_changed()
 
-    def _list_daemon(self, box: protocol.ListedBox) -> None:
+    def _list_daemon(self, box: model.ListedBox) -> None:
         self.members.listed(
             membership.Member(
                 box.name, box.zone, box.callers, box.operators, box.peers
             ),
-            live=box.state is not protocol.BoxState.GONE,
-            leaving=box.state is protocol.BoxState.LEAVING,
+            live=box.state is not model.BoxState.GONE,
+            leaving=box.state is model.BoxState.LEAVING,
         )
 
     def _on_config_changed(self) -> None:
@@ -467,7 +469,7 @@
         leaving = frozenset(
             name
             for name, state in self._endpoint_states.items()
-            if state is not protocol.BoxState.LIVE
+            if state is not model.BoxState.LIVE
         )
         self.cells.set_layout(layout, config.endpoint, leaving)
         self.broker.set_cells(layout)
--- a/martenjunction/claims/keeper.py
+++ b/martenjunction/claims/keeper.py
@@ -11,7 +11,7 @@
 from martenjunction.claims import messages
 from martenjunction.claims import shards
 from martenjunction.decisions import outcomes
-from martenjunction.platform import client
+from martenjunction.objects import client as object_client
 from martenjunction.relay import requests
 from martenjunction.relay import results
 
@@ -34,7 +34,7 @@
     def __init__(
         self,
         box: str,
-        platform: client.PlatformClient | None,
+        platform: object_client.ObjectClient | None,
         owner: Owner,
         send: Send,
         send_answer: SendAnswer,
--- a/martenjunction/claims/shards.py
+++ b/martenjunction/claims/shards.py
@@ -11,7 +11,7 @@
 from martenjunction import mailbox
 from martenjunction.claims import messages
 from martenjunction.claims import table
-from martenjunction.platform import client
+from martenjunction.objects import client as object_client
 
 logger = logging.getLogger(__name__)
 
@@ -38,7 +38,7 @@
     def __init__(
         self,
         number: int,
-        platform: client.PlatformClient,
+        platform: object_client.ObjectClient,
         wall_clock: Callable[[], float],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
--- a/martenjunction/cmd/configure.py
+++ b/martenjunction/cmd/configure.py
@@ -14,9 +14,9 @@
 from martenjunction.cmd import remote
 from martenjunction.config import fleet
 from martenjunction.endpoints import client
-from martenjunction.platform import client as platform_client
-from martenjunction.platform import configuration
-from martenjunction.platform import protocol
+from martenjunction.objects import client as object_client
+from martenjunction.objects import configuration
+from martenjunction.objects import model
 
 ConflictError = configuration.ConflictError
 
@@ -61,7 +61,7 @@
         check.check_policies(config)
 
         async def work(http: client.EndpointClient) -> None:
-            platform = platform_client.PlatformClient(self.platform, http)
+            platform = object_client.ObjectClient(self.platform)
             service = configuration.Configuration(platform, getpass.getuser())
             changes = await service.apply(documents)
             for change in changes:
@@ -77,7 +77,7 @@
     async def _wait(
         self,
         http: client.EndpointClient,
-        platform: platform_client.PlatformClient,
+        platform: object_client.ObjectClient,
         changes: list[configuration.Change],
     ) -> float:
         started = time.monotonic()
@@ -95,14 +95,14 @@
     async def _missing(
         self,
         http: client.EndpointClient,
-        boxes: list[protocol.ListedBox],
+        boxes: list[model.ListedBox],
         changes: list[configuration.Change],
     ) -> set[str]:
         daemons = [
             box
             for box in boxes
-            if box.role is protocol.BoxRole.DAEMON
-            and box.state is protocol.BoxState.LIVE
+            if box.role is model.BoxRole.DAEMON
+            and box.state is model.BoxState.LIVE
         ]
         query = "&".join(f"key={change.key}" for change in changes)
         have = await asyncio.gather(
@@ -117,7 +117,7 @@
     async def _has(
         self,
         http: client.EndpointClient,
-        box: protocol.ListedBox,
+        box: model.ListedBox,
         query: str,
         changes: list[configuration.Change],
     ) -> bool:
@@ -184,7 +184,7 @@
         """Prints a line a version, the newest first."""
 
         async def work(
-            platform: platform_client.PlatformClient,
+            platform: object_client.ObjectClient,
         ) -> list[configuration.Change]:
             service = configuration.Configuration(platform, getpass.getuser())
             return await service.history(self.key)
@@ -207,7 +207,7 @@
         """Writes the version."""
 
         async def work(
-            platform: platform_client.PlatformClient,
+            platform: object_client.ObjectClient,
         ) -> configuration.Change:
             service = configuration.Configuration(platform, getpass.getuser())
             return await service.rollback(self.key, self.version)
@@ -218,7 +218,7 @@
 
 def _current(url: str) -> dict[str, configuration.Change]:
     async def work(
-        platform: platform_client.PlatformClient,
+        platform: object_client.ObjectClient,
     ) -> dict[str, configuration.Change]:
         service = configuration.Configuration(platform, getpass.getuser())
         return await service.current()
--- a/martenjunction/cmd/remote.py
+++ b/martenjunction/cmd/remote.py
@@ -13,7 +13,7 @@
 
 from martenjunction import errors
 from martenjunction.endpoints import client
-from martenjunction.platform import client as platform_client
+from martenjunction.objects import client as object_client
 
 T = TypeVar("T")
 
@@ -68,14 +68,18 @@
 
 
 def with_platform(
-    url: str, work: Callable[[platform_client.PlatformClient], Awaitable[T]]
+    url: str, work: Callable[[object_client.ObjectClient], Awaitable[T]]
 ) -> T:
     """Runs some work with a client of the platform."""
 
-    async def run(http: client.EndpointClient) -> T:
-        return await work(platform_client.PlatformClient(url, http))
+    async def run() -> T:
+        platform = object_client.ObjectClient(url)
+        try:
+            return await work(platform)
+        finally:
+            platform.close()
 
-    return run_with_http(run)
+    return asyncio.run(run())
 
 
 async def ask_daemon(
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -184,7 +184,14 @@
         parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        parser.send(self._request)
+        # The parser must know the method; what was sent stays sent.
+        parser.send(
+            h11.Request(
+                method=self._request.method,
+                target=self._request.target,
+                headers=[(b"Host", b"")],
+            )
+        )
         parser.send(h11.EndOfMessage())
         if rest:
             parser.receive_data(rest)
--- /dev/null
+++ b/martenjunction/objects/__init__.py
@@ -0,0 +1,1 @@
+"""The product's own objects: configuration, claims and the list of boxes."""
--- a/martenjunction/platform/configuration.py
+++ b/martenjunction/objects/configuration.py
@@ -7,8 +7,8 @@
 
 from martenjunction import errors
 from martenjunction.config import fleet
-from martenjunction.platform import client
-from martenjunction.platform import protocol
+from martenjunction.objects import client as object_client
+from martenjunction.objects import model
 
 # Former versions that are kept in an object.
 MAX_HISTORY = 10
@@ -57,7 +57,7 @@
         )
 
 
-def values_of(item: protocol.PlatformObject) -> dict[str, str] | None:
+def values_of(item: model.PlatformObject) -> dict[str, str] | None:
     """Returns the values in a configuration object, or None if deleted."""
     if not isinstance(item.value, dict):
         return None
@@ -84,7 +84,9 @@
 class Configuration:
     """Reads and changes configuration objects."""
 
-    def __init__(self, platform: client.PlatformClient, operator: str) -> None:
+    def __init__(
+        self, platform: object_client.ObjectClient, operator: str
+    ) -> None:
         """Makes the service.
 
         Args:
@@ -186,7 +188,7 @@
                 held = await self._platform.get(key)
                 self._check(held, key, version, values)
             else:
-                return _to_change(protocol.PlatformObject(key, written, value))
+                return _to_change(model.PlatformObject(key, written, value))
         raise errors.PlatformUnavailableError(
             f"it is not known whether {key} was written; run apply again"
         )
@@ -199,7 +201,7 @@
 
     def _check(
         self,
-        held: protocol.PlatformObject | None,
+        held: model.PlatformObject | None,
         key: str,
         version: int,
         values: dict[str, str] | None,
@@ -219,7 +221,7 @@
     return ORDER.index(document.kind), document.name
 
 
-def _to_change(item: protocol.PlatformObject) -> Change:
+def _to_change(item: model.PlatformObject) -> Change:
     value: dict[str, Any] = item.value if isinstance(item.value, dict) else {}
     return Change(
         item.key,
@@ -231,7 +233,7 @@
     )
 
 
-def _former(item: protocol.PlatformObject) -> list[Change]:
+def _former(item: model.PlatformObject) -> list[Change]:
     rows = item.value.get("history", []) if isinstance(item.value, dict) else []
     return [
         Change(
@@ -249,7 +251,7 @@
 def envelope(
     values: dict[str, str] | None,
     operator: str,
-    held: protocol.PlatformObject | None,
+    held: model.PlatformObject | None,
 ) -> dict[str, Any]:
     """Returns what the platform is to keep of a change.
 
@@ -268,7 +270,7 @@
 
 
 def _history_with(
-    held: protocol.PlatformObject | None,
+    held: model.PlatformObject | None,
 ) -> list[dict[str, Any]]:
     if held is None:
         return []
--- a/martenjunction/platform/feed.py
+++ b/martenjunction/objects/feed.py
@@ -15,9 +15,9 @@
 from martenjunction import timers
 from martenjunction.config import fleet
 from martenjunction.config import store
-from martenjunction.platform import client
-from martenjunction.platform import configuration
-from martenjunction.platform import protocol
+from martenjunction.objects import client as object_client
+from martenjunction.objects import configuration
+from martenjunction.objects import model
 
 logger = logging.getLogger(__name__)
 
@@ -27,7 +27,7 @@
 LONGEST_PAUSE = 5.0
 
 OnObjects = Callable[[list[store.ConfigObject]], None]
-OnBoxes = Callable[[list[protocol.ListedBox]], None]
+OnBoxes = Callable[[list[model.ListedBox]], None]
 
 
 class PlatformFeed:
@@ -35,7 +35,7 @@
 
     def __init__(
         self,
-        platform: client.PlatformClient,
+        platform: object_client.ObjectClient,
         clock: timers.Timers,
         is_watcher: Callable[[], bool],
         on_objects: OnObjects,
@@ -152,7 +152,7 @@
         if listed.boxes:
             self._on_boxes(listed.boxes)
 
-    def _take(self, listed: protocol.ObjectList) -> None:
+    def _take(self, listed: model.ObjectList) -> None:
         self._answered = self._timers.now()
         self._after = listed.version
         objects = [
--- a/martenjunction/platform/protocol.py
+++ b/martenjunction/objects/model.py
@@ -1,19 +1,9 @@
-"""The form of the platform's object API: HTTP and JSON.
-
-Whatever is particular to one platform stays in this module.
-"""
+"""Objects that the platform keeps for us, and the list of boxes."""
 
 import dataclasses
 import enum
 from typing import Any
 
-import pydantic
-
-OBJECTS_PATH = "/v1/objects"
-WATCH_PATH = "/v1/watch"
-BOXES_PATH = "/v1/boxes"
-VERSION_HEADER = "If-Match"
-
 
 @dataclasses.dataclass(frozen=True)
 class PlatformObject:
@@ -32,13 +22,6 @@
     objects: list[PlatformObject]
 
 
-@dataclasses.dataclass(frozen=True)
-class Written:
-    """The version that an update made, or the one that stood against it."""
-
-    version: int
-
-
 class BoxRole(enum.StrEnum):
     """What a listed box runs."""
 
@@ -83,9 +66,3 @@
 
     version: int
     boxes: list[ListedBox]
-
-
-OBJECT = pydantic.TypeAdapter(PlatformObject)
-OBJECT_LIST = pydantic.TypeAdapter(ObjectList)
-WRITTEN = pydantic.TypeAdapter(Written)
-BOX_LIST = pydantic.TypeAdapter(BoxList)
--- a/martenjunction/peers/sync.py
+++ b/martenjunction/peers/sync.py
@@ -4,17 +4,17 @@
 import logging
 
 from martenjunction.config import store
+from martenjunction.objects import model
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.peers import messages
-from martenjunction.platform import protocol
 
 logger = logging.getLogger(__name__)
 
 # Objects in one message.
 BATCH = 500
 
-OnListed = Callable[[list[protocol.ListedBox]], None]
+OnListed = Callable[[list[model.ListedBox]], None]
 
 
 class ConfigSync:
@@ -42,7 +42,7 @@
         self._peers = peers
         self._store = held
         self._on_change = on_change
-        self._boxes: dict[str, protocol.ListedBox] = {}
+        self._boxes: dict[str, model.ListedBox] = {}
         self._pulled: dict[str, tuple[int, int]] = {}
 
     def connect(
@@ -78,7 +78,7 @@
         for message in _to_messages(objects):
             self._peers.broadcast(message, zone)
 
-    def push_boxes(self, boxes: list[protocol.ListedBox]) -> None:
+    def push_boxes(self, boxes: list[model.ListedBox]) -> None:
         """Sends what the list says to the peers of this zone."""
         self._remember(boxes)
         self._peers.broadcast(_boxes_message(boxes), self._members.own.zone)
@@ -87,7 +87,7 @@
         """Tells all peers that this daemon is leaving."""
         self._peers.broadcast(messages.Leaving(own.box, own.incarnation))
 
-    def _remember(self, boxes: list[protocol.ListedBox]) -> None:
+    def _remember(self, boxes: list[model.ListedBox]) -> None:
         for box in boxes:
             self._boxes[box.name] = box
 
@@ -127,10 +127,10 @@
 
     def _on_boxes(self, box: str, message: messages.Boxes) -> None:
         boxes = [
-            protocol.ListedBox(
+            model.ListedBox(
                 name,
-                protocol.BoxRole(role),
-                protocol.BoxState(state),
+                model.BoxRole(role),
+                model.BoxState(state),
                 zone,
                 callers,
                 operators,
@@ -165,7 +165,7 @@
     ]
 
 
-def _boxes_message(boxes: list[protocol.ListedBox]) -> messages.Boxes:
+def _boxes_message(boxes: list[model.ListedBox]) -> messages.Boxes:
     return messages.Boxes(
         tuple(
             (
--- a/martenjunction/platform/__init__.py
+++ b/martenjunction/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Everything that is said to the platform."""
+"""The users' platform: its names, formats and calls, and no decisions."""
--- a/martenjunction_lab/platform.py
+++ b/martenjunction_lab/platform.py
@@ -1,20 +1,25 @@
-"""A stand-in of the platform's object API, with lags, limits and outages."""
+"""A stand-in of the platform's store, with lags, limits and outages."""
 
 import asyncio
 import collections
 import dataclasses
+import json
 import random
 import time
 from typing import Any
 
 from tornado import web
 
-from martenjunction.platform import protocol
+from martenjunction.objects import client as object_client
+from martenjunction.objects import model
 from martenjunction_lab import servers
 
 # Changes that a watch can look back on.
 MAX_CHANGES = 10_000
 
+# Objects in one page of a list.
+PAGE = 500
+
 
 @dataclasses.dataclass
 class PlatformFaults:
@@ -23,6 +28,7 @@
     Attributes:
         down: Answers nothing but 503.
         silent: Takes calls and never answers.
+        deaf: Watches hear of no change.
         delay_s: Seconds that every call takes.
         lose_replies: Part of writes that take effect and are not answered.
         list_lag_s: Seconds by which the list of boxes lags.
@@ -32,6 +38,7 @@
 
     down: bool = False
     silent: bool = False
+    deaf: bool = False
     delay_s: float = 0.002
     lose_replies: float = 0.0
     list_lag_s: float = 0.0
@@ -59,8 +66,40 @@
         return True
 
 
+@dataclasses.dataclass(frozen=True)
+class Kept:
+    """An object of the store at one revision; `spec` is None when deleted."""
+
+    kind: str
+    name: str
+    revision: int
+    spec: Any
+
+    def as_json(self) -> dict[str, Any]:
+        """Returns it as the store tells it."""
+        return {
+            "metadata": {
+                "name": self.name,
+                "revision": self.revision,
+                "created": 0,
+                "finalizers": [],
+                "deletion_pending": False,
+            },
+            "spec": self.spec,
+            "status": None,
+        }
+
+
+class ConflictError(Exception):
+    """An object is not at the revision that a write named."""
+
+    def __init__(self, held: Kept) -> None:
+        super().__init__(f"{held.name} is at {held.revision}")
+        self.held = held
+
+
 class Platform(servers.StandIn):
-    """Objects with versions, and the list of boxes."""
+    """Objects by kind and name, under one counter of revisions."""
 
     def __init__(self, address: str = "127.0.0.1:0", seed: int = 0) -> None:
         """Makes a platform; `start` brings it up.
@@ -75,91 +114,89 @@
         self.rng = random.Random(seed)
         self.writes = _Bucket()
         self.reads = _Bucket()
-        self._objects: dict[str, protocol.PlatformObject] = {}
-        self._changes: collections.deque[protocol.PlatformObject] = (
-            collections.deque(maxlen=MAX_CHANGES)
+        self._objects: dict[tuple[str, str], Kept] = {}
+        self._changes: collections.deque[Kept] = collections.deque(
+            maxlen=MAX_CHANGES
         )
         self._version = 0
+        self._oldest = 0
         self._changed = asyncio.Event()
-        self._boxes: list[tuple[float, int, protocol.ListedBox]] = []
-        self._boxes_version = 0
 
     def handlers(self) -> list[Any]:
         """Returns paths and handlers."""
         arguments = {"platform": self}
         return [
-            (f"{protocol.OBJECTS_PATH}/(.+)", _ObjectHandler, arguments),
-            (protocol.OBJECTS_PATH, _ListHandler, arguments),
-            (protocol.WATCH_PATH, _WatchHandler, arguments),
-            (protocol.BOXES_PATH, _BoxesHandler, arguments),
+            ("/objects/([^/]+)/([^/]+)", _ObjectHandler, arguments),
+            ("/objects/([^/]+)", _KindHandler, arguments),
             ("/lab/faults", _FaultsHandler, arguments),
             ("/lab/boxes", _SetBoxesHandler, arguments),
             ("/lab/calls", _CallsHandler, arguments),
         ]
 
+    # The store.
+
     @property
     def version(self) -> int:
-        """The version of the newest change."""
+        """The revision of the newest change."""
         return self._version
 
-    def get(self, key: str) -> protocol.PlatformObject | None:
+    def find(self, kind: str, name: str) -> Kept | None:
         """Returns an object that was not deleted."""
-        item = self._objects.get(key)
-        return item if item is not None and item.value is not None else None
+        held = self._objects.get((kind, name))
+        return held if held is not None and held.spec is not None else None
 
-    def put(self, key: str, value: Any, version: int) -> tuple[bool, int]:
-        """Writes an object that is still at a version.
+    def write(
+        self, kind: str, name: str, spec: Any, revision: int | None = None
+    ) -> Kept:
+        """Writes an object, or deletes it where `spec` is None.
 
-        Returns:
-            Whether it was written, and its version now.
+        Args:
+            kind: Its kind.
+            name: Its name.
+            spec: Its content.
+            revision: The revision it must have, 0 if it must not be there;
+                None for any.
+
+        Raises:
+            ConflictError: If it has another revision.
         """
-        held = self.get(key)
-        current = held.version if held is not None else 0
-        if current != version:
-            return False, current
+        held = self.find(kind, name)
+        current = held.revision if held is not None else 0
+        if revision is not None and revision != current:
+            raise ConflictError(held or Kept(kind, name, 0, None))
+        if held is not None and held.spec == spec:
+            return held
         self._version += 1
-        item = protocol.PlatformObject(key, self._version, value)
-        self._objects[key] = item
-        self._changes.append(item)
-        self._changed.set()
-        self._changed = asyncio.Event()
-        return True, self._version
-
-    def restore(self, item: protocol.PlatformObject) -> None:
-        """Goes back to an older version of one object, as from a backup."""
-        self._objects[item.key] = item
-        self._version = item.version
-        self._changes.clear()
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    def list(self, prefix: str) -> protocol.ObjectList:
-        """Returns the objects under a prefix."""
-        found = [
-            item
-            for key, item in sorted(self._objects.items())
-            if key.startswith(prefix) and item.value is not None
+        kept = Kept(kind, name, self._version, spec)
+        self._objects[(kind, name)] = kept
+        self._changes.append(kept)
+        self._wake()
+        return kept
+
+    def entries(self, kind: str, after: str) -> list[Kept]:
+        """Returns the objects of a kind with names after one, in order."""
+        return [
+            kept
+            for (its, name), kept in sorted(self._objects.items())
+            if its == kind and name > after and kept.spec is not None
         ]
-        return protocol.ObjectList(self._version, found)
 
     async def watch(
-        self, prefix: str, after: int, wait: float
-    ) -> protocol.ObjectList | None:
-        """Waits for changes; None if `after` is too old, or not reached."""
+        self, kind: str, after: int, wait: float
+    ) -> list[Kept] | None:
+        """Waits for changes of a kind; None if the history is gone."""
         deadline = time.monotonic() + wait
         while True:
-            if after > self._version:
-                return None
-            if self._changes and after < self._changes[0].version - 1:
+            if after > self._version or after < self._oldest:
                 return None
-            newer = {
-                item.key: item
-                for item in self._changes
-                if item.version > after and item.key.startswith(prefix)
-            }
+            changes = [
+                kept
+                for kept in self._changes
+                if kept.kind == kind and kept.revision > after
+            ]
             left = deadline - time.monotonic()
-            if newer or left <= 0:
-                return protocol.ObjectList(self._version, [*newer.values()])
+            if left <= 0 or (changes and not self.faults.deaf):
+                return [] if self.faults.deaf else changes
             changed = self._changed
             try:
                 async with asyncio.timeout(left):
@@ -167,38 +204,77 @@
             except TimeoutError:
                 continue
 
-    def set_box(self, box: protocol.ListedBox) -> None:
+    def forget_history(self) -> None:
+        """Drops all changes: watches from before are answered with 410."""
+        self._changes.clear()
+        self._oldest = self._version
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    # What the product keeps there, by its own keys.
+
+    def get(self, key: str) -> model.PlatformObject | None:
+        """Returns an object of the product that was not deleted."""
+        held = self.find(*object_client.split_key(key))
+        if held is None:
+            return None
+        return model.PlatformObject(key, held.revision, held.spec)
+
+    def put(self, key: str, value: Any, version: int) -> tuple[bool, int]:
+        """Writes an object of the product that is still at a version.
+
+        Returns:
+            Whether it was written, and its version now.
+        """
+        kind, name = object_client.split_key(key)
+        try:
+            return True, self.write(kind, name, value, version).revision
+        except ConflictError as error:
+            return False, error.held.revision
+
+    def restore(self, item: model.PlatformObject) -> None:
+        """Goes back to an older version of one object, as from a backup."""
+        kind, name = object_client.split_key(item.key)
+        kept = Kept(kind, name, item.version, item.value)
+        self._objects[(kind, name)] = kept
+        self._version = item.version
+        self._changes.clear()
+        self._oldest = 0
+        self._wake()
+
+    def set_box(self, box: model.ListedBox) -> None:
         """Changes what the list will say of a box, after its lag."""
-        self._boxes_version += 1
-        visible = time.monotonic() + self.faults.list_lag_s
-        self._boxes.append((visible, self._boxes_version, box))
 
-    def boxes(self, after: int) -> protocol.BoxList:
-        """Returns boxes that changed since a version, as far as visible."""
-        now = time.monotonic()
-        visible = [row for row in self._boxes if row[0] <= now]
-        newest = {row[2].name: row for row in visible}
-        version = max((row[1] for row in visible), default=0)
-        changed = [row[2] for row in newest.values() if row[1] > after]
-        return protocol.BoxList(version, changed)
+        def appear() -> None:
+            spec = dataclasses.asdict(box)
+            self.write(object_client.LISTED_KIND, box.name, spec)
 
+        if self.faults.list_lag_s > 0:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.list_lag_s, appear)
+        else:
+            appear()
 
-class _Handler(servers.JsonHandler):
-    kind = ""
 
+class _Handler(servers.JsonHandler):
     def initialize(self, platform: Platform) -> None:
         self._platform = platform
 
     async def prepare(self) -> None:
         platform = self._platform
-        if not self.kind:
+        if not self.request.path.startswith("/objects/"):
             return
-        platform.calls[self.kind] += 1
+        writing = self.request.method != "GET"
+        watching = bool(self.get_argument("watch", ""))
+        kind = "write" if writing else "watch" if watching else "read"
+        platform.calls[kind] += 1
         faults = platform.faults
         if faults.silent:
             await asyncio.sleep(3600)
         await asyncio.sleep(faults.delay_s)
-        writing = self.request.method == "PUT"
         bucket = platform.writes if writing else platform.reads
         rate = faults.writes_per_s if writing else faults.reads_per_s
         if faults.down:
@@ -210,58 +286,82 @@
         self.write({"error": status_code})
         self.finish()
 
-
-class _ObjectHandler(_Handler):
-    kind = "object"
-
-    def get(self, key: str) -> None:
-        item = self._platform.get(key)
-        if item is None:
-            raise web.HTTPError(404)
-        self.write(dataclasses.asdict(item))
-
-    def put(self, key: str) -> None:
+    def change(
+        self, kind: str, name: str, spec: Any, revision: int | None
+    ) -> None:
+        """Carries a write out and answers it, or loses the answer."""
         platform = self._platform
-        version = int(self.request.headers[protocol.VERSION_HEADER])
-        written, current = platform.put(key, self.body(), version)
+        try:
+            kept = platform.write(kind, name, spec, revision)
+        except ConflictError as error:
+            self.set_status(409)
+            kept = error.held
         if platform.rng.random() < platform.faults.lose_replies:
             servers.drop_connection(self)
             return
-        if not written:
-            self.set_status(409)
-        self.write({"version": current})
+        self.write(kept.as_json())
 
 
-class _ListHandler(_Handler):
-    kind = "list"
+class _ObjectHandler(_Handler):
+    def get(self, kind: str, name: str) -> None:
+        kept = self._platform.find(kind, name)
+        if kept is None:
+            raise web.HTTPError(404)
+        self.write(kept.as_json())
 
-    def get(self) -> None:
-        listed = self._platform.list(self.get_argument("prefix", ""))
-        self.write(dataclasses.asdict(listed))
+    def put(self, kind: str, name: str) -> None:
+        if self._platform.find(kind, name) is None:
+            raise web.HTTPError(404)
+        document = self.body()
+        revision = document["metadata"].get("revision")
+        self.change(kind, name, document["spec"], revision)
 
+    def delete(self, kind: str, name: str) -> None:
+        if self._platform.find(kind, name) is None:
+            raise web.HTTPError(404)
+        revision = self.get_argument("revision", "")
+        self.change(kind, name, None, int(revision) if revision else None)
 
-class _WatchHandler(_Handler):
-    kind = "watch"
 
-    async def get(self) -> None:
-        changed = await self._platform.watch(
-            self.get_argument("prefix", ""),
-            int(self.get_argument("after")),
-            float(self.get_argument("wait")),
+class _KindHandler(_Handler):
+    async def get(self, kind: str) -> None:
+        if self.get_argument("watch", ""):
+            await self._watch(kind)
+            return
+        after = self.get_argument("since_rev", "")
+        entries = self._platform.entries(kind, after)
+        self.write(
+            {
+                "entries": [kept.as_json() for kept in entries[:PAGE]],
+                "has_more": len(entries) > PAGE,
+                "current_rev": self._platform.version,
+            }
+        )
+
+    def post(self, kind: str) -> None:
+        document = self.body()
+        name = document["metadata"]["name"]
+        self.change(kind, name, document["spec"], 0)
+
+    async def _watch(self, kind: str) -> None:
+        changes = await self._platform.watch(
+            kind,
+            int(self.get_argument("watch")),
+            float(self.get_argument("wait_ms", "0")) / 1000,
         )
         if self._platform.faults.down:
             raise web.HTTPError(503)
-        if changed is None:
+        if changes is None:
             raise web.HTTPError(410)
-        self.write(dataclasses.asdict(changed))
-
-
-class _BoxesHandler(_Handler):
-    kind = "boxes"
-
-    def get(self) -> None:
-        listed = self._platform.boxes(int(self.get_argument("after", "0")))
-        self.write(dataclasses.asdict(listed))
+        self.write(
+            {
+                "events": [
+                    {"object": kept.as_json(), "deleted": kept.spec is None}
+                    for kept in changes
+                ],
+                "current_rev": self._platform.version,
+            }
+        )
 
 
 class _FaultsHandler(_Handler):
@@ -272,9 +372,9 @@
 class _SetBoxesHandler(_Handler):
     def post(self) -> None:
         for row in self.body()["boxes"]:
-            self._platform.set_box(protocol.ListedBox(**row))
+            self._platform.set_box(model.ListedBox(**row))
 
 
 class _CallsHandler(_Handler):
     def get(self) -> None:
-        self.write({"calls": dict(self._platform.calls)})
+        self.write(json.dumps({"calls": dict(self._platform.calls)}))
--- /dev/null
+++ b/martenjunction_lab/replica.py
@@ -0,0 +1,221 @@
+"""A stand-in of a replica on the users' platform, down to its bytes.
+
+It speaks HTTP by hand, since what it is for is to misbehave: to answer twice,
+with another request's id, in half, or not at all.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+
+
+class Behaviour(enum.Enum):
+    """What a replica makes of a request."""
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+    FAIL = "fail"
+    MISDIRECTED = "misdirected"
+    BARE_503 = "bare-503"
+    RESET = "reset"
+    HANG = "hang"
+    TWICE = "twice"
+    FOREIGN_FIRST = "foreign-first"
+    HALF = "half"
+    UNSEALED = "unsealed"
+
+
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """A request as it arrived.
+
+    Attributes:
+        method: Its method.
+        target: Path and query.
+        headers: Names in lower case, values.
+        body: Its body.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """The request's id."""
+        return self.headers.get("martenjunction-attempt-id", "")
+
+
+class Replica:
+    """One replica of a service."""
+
+    def __init__(self, endpoint_id: str, events: int = 5) -> None:
+        """Makes a replica; `start` brings it up.
+
+        Args:
+            endpoint_id: The id under which it is listed.
+            events: Events in each of its streams.
+        """
+        self.id = endpoint_id
+        self.address = ""
+        self.event_pause_s = 0.01
+        self.break_after: int | None = None
+        self.received: list[Received] = []
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.cancelled: list[str] = []
+        self.connections = 0
+        self._events = events
+        self._plan: collections.deque[Behaviour] = collections.deque()
+        self._default = Behaviour.SERVE
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Begins to listen on a free loopback port."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, backlog=256
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Closes the port and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def plan(self, *behaviours: Behaviour) -> None:
+        """Says what the next requests meet; those after are served."""
+        self._plan.extend(behaviours)
+
+    def always(self, behaviour: Behaviour) -> None:
+        """Says what all requests meet that are not planned for."""
+        self._default = behaviour
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while True:
+                request = await self._read(reader)
+                self.received.append(request)
+                behaviour = (
+                    self._plan.popleft() if self._plan else self._default
+                )
+                if not await self._answer(request, behaviour, reader, writer):
+                    return
+        except (asyncio.IncompleteReadError, OSError):
+            return  # The caller closed the connection.
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _read(self, reader: asyncio.StreamReader) -> Received:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.strip().split("\r\n")
+        method, target, _ = first.split(" ")
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+        length = int(headers.get("content-length", "0"))
+        body = await reader.readexactly(length)
+        return Received(method, target, headers, body)
+
+    async def _answer(
+        self,
+        request: Received,
+        behaviour: Behaviour,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answers a request; returns whether the connection goes on."""
+        if behaviour is Behaviour.HANG:
+            await reader.read()
+            self.cancelled.append(request.id)
+            return False
+        if behaviour in _NOT_RUN:
+            status = _NOT_RUN[behaviour]
+            mark = {"Martenjunction-Not-Executed": "1"}
+            if status == 421:
+                mark = {"Martenjunction-Replica-Id": "another"}
+            writer.write(_whole(status, mark, b""))
+            return True
+        self.runs[request.id] += 1
+        if behaviour is Behaviour.RESET:
+            return False
+        if behaviour is Behaviour.BARE_503:
+            writer.write(_whole(503, {}, b""))
+            return True
+        if request.target.startswith(("/chat/", "/digest/")):
+            return await self._stream(request, reader, writer)
+        answer = self._plain(request, behaviour)
+        if behaviour is Behaviour.HALF:
+            writer.write(answer[:-4])
+            await writer.drain()
+            return False
+        if behaviour is Behaviour.FOREIGN_FIRST:
+            foreign = dataclasses.replace(
+                request,
+                headers={"martenjunction-attempt-id": "foreign"},
+                body=b"foreign",
+            )
+            writer.write(self._plain(foreign, behaviour))
+        writer.write(answer)
+        if behaviour is Behaviour.TWICE:
+            writer.write(answer)
+        return True
+
+    def _plain(self, request: Received, behaviour: Behaviour) -> bytes:
+        headers = {"Martenjunction-Attempt-Id": request.id}
+        if behaviour is not Behaviour.UNSEALED:
+            headers["Martenjunction-Replica-Seal"] = f"seal-{self.id}"
+        headers["Martenjunction-Replica-Load"] = "1,0,6"
+        status = 500 if behaviour is Behaviour.FAIL else 200
+        return _whole(status, headers, b"answer to " + request.body)
+
+    async def _stream(
+        self,
+        request: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\n"
+            + f"Martenjunction-Attempt-Id: {request.id}\r\n".encode()
+            + f"Martenjunction-Replica-Seal: seal-{self.id}\r\n\r\n".encode()
+        )
+        left = asyncio.ensure_future(reader.read(1))
+        for number in range(first, self._events + 1):
+            if self.break_after is not None and number > self.break_after:
+                writer.write(_chunk(b"id: 99\nda"))
+                await writer.drain()
+                return False
+            writer.write(_chunk(f"id: {number}\ndata: t{number}\n\n".encode()))
+            done, _ = await asyncio.wait([left], timeout=self.event_pause_s)
+            if done:
+                self.cancelled.append(request.id)
+                return False
+        left.cancel()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+_NOT_RUN = {Behaviour.REFUSE: 503, Behaviour.MISDIRECTED: 421}
+
+
+def _whole(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def _chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- a/martenjunction_lab/standins.py
+++ b/martenjunction_lab/standins.py
@@ -6,8 +6,8 @@
 
 from martenjunction.config import fleet
 from martenjunction.config import settings as daemon_settings
-from martenjunction.platform import configuration
-from martenjunction.platform import protocol
+from martenjunction.objects import configuration
+from martenjunction.objects import model
 from martenjunction_lab import answers
 from martenjunction_lab import engine
 from martenjunction_lab import plain
@@ -98,13 +98,13 @@
     def list_daemon(
         self,
         settings: daemon_settings.DaemonSettings,
-        state: protocol.BoxState = protocol.BoxState.LIVE,
+        state: model.BoxState = model.BoxState.LIVE,
     ) -> None:
         """Changes what the platform's list says of a daemon."""
         self.platform.set_box(
-            protocol.ListedBox(
+            model.ListedBox(
                 settings.box,
-                protocol.BoxRole.DAEMON,
+                model.BoxRole.DAEMON,
                 state,
                 settings.zone,
                 settings.callers,
@@ -113,10 +113,10 @@
             )
         )
 
-    def list_endpoint(self, name: str, state: protocol.BoxState) -> None:
+    def list_endpoint(self, name: str, state: model.BoxState) -> None:
         """Changes what the platform's list says of an endpoint."""
         self.platform.set_box(
-            protocol.ListedBox(name, protocol.BoxRole.ENDPOINT, state)
+            model.ListedBox(name, model.BoxRole.ENDPOINT, state)
         )
 
     def doubled_bookings(self) -> int:
--- /dev/null
+++ b/tests/routing_builders.py
@@ -0,0 +1,128 @@
+"""Builders of routing data for tests."""
+
+import json
+from typing import Any
+
+from martenjunction.decisions import endpoint_records
+from martenjunction.platform import documents
+from martenjunction.routing import model
+
+HOST = "api.example"
+ENGINE = "engine-service"
+PLAIN = "plain-service"
+KEY = "key-of-one"
+
+
+def route(name: str, prefix: str, **changes: Any) -> dict[str, Any]:
+    """Returns a route of the configuration document."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "route_kind": "safe",
+        "timeout_ms": 2000,
+        "goal_ms": 200,
+        "priority": 1,
+        "service": PLAIN,
+        "max_attempts": 2,
+        "public": False,
+        **changes,
+    }
+
+
+def config_document(version: int = 7, **changes: Any) -> dict[str, Any]:
+    """Returns a configuration document with a route of each kind."""
+    stream = {"service": ENGINE, "gap_goal_ms": 250, "sticky": True}
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "/safe/"),
+            route("unsafe", "/unsafe/", route_kind="unsafe", max_attempts=1),
+            route(
+                "chat",
+                "/chat/",
+                route_kind="streaming",
+                max_attempts=1,
+                priority=0,
+                **stream,
+            ),
+            route(
+                "digest",
+                "/digest/",
+                route_kind="streaming",
+                resumable=True,
+                **stream,
+            ),
+            route("open", "/open/", public=True),
+        ],
+        "services": [
+            {"name": PLAIN, "health_path": "/healthz", "max_conns": 96},
+            {
+                "name": ENGINE,
+                "health_path": "/healthz",
+                "max_conns": 360,
+                "engine": {
+                    "slots": 64,
+                    "kv_capacity": 280000,
+                    "kv_bytes": 18432,
+                    "stride": 6,
+                },
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 65536,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [
+            {"name": "one", "api_keys": [KEY], "priority": 1},
+            {"name": "two", "api_keys": ["key-of-two"]},
+        ],
+        **changes,
+    }
+
+
+def config(version: int = 7, **changes: Any) -> model.RoutingConfig:
+    """Returns the decoded configuration."""
+    document = config_document(version, **changes)
+    return documents.decode_config(json.dumps(document).encode())
+
+
+def endpoint(
+    endpoint_id: str = "e1",
+    state: model.EndpointState = model.EndpointState.READY,
+    service: str = PLAIN,
+) -> model.Endpoint:
+    """Returns an endpoint of the list."""
+    return model.Endpoint(
+        endpoint_id, service, "10.0.0.1:80", "zone-a", 6, state
+    )
+
+
+def record(
+    endpoint_id: str = "e1", cache_tokens: int = 280_000, slots: int = 64
+) -> endpoint_records.EndpointRecord:
+    """Returns the record of an engine that was just listed."""
+    return endpoint_records.EndpointRecord(
+        endpoint_id, "zone-a", slots, cache_tokens
+    )
+
+
+def demand(
+    prompt: tuple[tuple[str, int], ...] = (("a", 100), ("own", 400)),
+    **changes: Any,
+) -> endpoint_records.Demand:
+    """Returns the demand of a request with a short prompt."""
+    values: dict[str, Any] = {
+        "service": ENGINE,
+        "parts": prompt,
+        "prompt_tokens": sum(tokens for _, tokens in prompt),
+        "zone": "zone-a",
+        "is_engine": True,
+        "repeatable": False,
+        "urgency": 1,
+        "shortest_pause_s": 0.25,
+    }
+    values.update(changes)
+    return endpoint_records.Demand(**values)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,8 +8,7 @@
 from martenjunction.claims import messages
 from martenjunction.claims import shards
 from martenjunction.claims import table
-from martenjunction.endpoints import client
-from martenjunction.platform import client as platform_client
+from martenjunction.objects import client as object_client
 from martenjunction_lab import platform
 
 
@@ -60,10 +59,8 @@
     await made.stop()
 
 
-def owner(
-    stand_in: platform.Platform, http: client.EndpointClient
-) -> shards.ClaimShard:
-    api = platform_client.PlatformClient(f"http://{stand_in.address}", http)
+def owner(stand_in: platform.Platform) -> shards.ClaimShard:
+    api = object_client.ObjectClient(f"http://{stand_in.address}")
     made = shards.ClaimShard(0, api, lambda: 1000.0)
     made.start()
     return made
@@ -79,10 +76,10 @@
 
 
 async def test_two_owners_never_both_claim_a_key(
-    stand_in: platform.Platform, http: client.EndpointClient
+    stand_in: platform.Platform,
 ) -> None:
     stand_in.faults = platform.PlatformFaults(lose_replies=0.3)
-    owners = [owner(stand_in, http), owner(stand_in, http)]
+    owners = [owner(stand_in), owner(stand_in)]
     for number in range(12):
         states = await asyncio.gather(
             ask(owners[0], claim(f"k{number}", f"a{number}")),
@@ -94,9 +91,9 @@
 
 
 async def test_many_claims_make_few_writes(
-    stand_in: platform.Platform, http: client.EndpointClient
+    stand_in: platform.Platform,
 ) -> None:
-    shard = owner(stand_in, http)
+    shard = owner(stand_in)
     states = await asyncio.gather(
         *(ask(shard, claim(f"k{n}", f"r{n}")) for n in range(200))
     )
@@ -106,9 +103,9 @@
 
 
 async def test_nothing_is_claimed_while_the_platform_is_down(
-    stand_in: platform.Platform, http: client.EndpointClient
+    stand_in: platform.Platform,
 ) -> None:
     stand_in.faults = platform.PlatformFaults(down=True)
-    shard = owner(stand_in, http)
+    shard = owner(stand_in)
     assert await ask(shard, claim("k", "r")) == "unavailable"
     await shard.stop()
--- /dev/null
+++ b/tests/test_routing_decisions.py
@@ -0,0 +1,294 @@
+"""Pure decisions of the request path: endpoints, freshness, repeats, sheds."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from martenjunction.decisions import endpoint_choice
+from martenjunction.decisions import endpoint_list
+from martenjunction.decisions import endpoint_records
+from martenjunction.decisions import endpoint_states
+from martenjunction.decisions import key_freshness
+from martenjunction.decisions import repeat_budget
+from martenjunction.decisions import shedding
+from martenjunction.routing import model
+from tests import routing_builders as builders
+
+DRAINING = model.EndpointState.DRAINING
+
+
+def listed(*ids: str) -> endpoint_list.EndpointList:
+    made = endpoint_list.EndpointList()
+    made.take_listing([(builders.endpoint(i), 1) for i in ids], 5, now=0.0)
+    return made
+
+
+# The list of endpoints.
+
+
+def test_draining_endpoint_gets_no_work_at_once() -> None:
+    known = listed("e1", "e2")
+    left = known.take_change(
+        builders.endpoint("e1", DRAINING), 6, deleted=False, now=1.0
+    )
+    assert left == ["e1"]
+    assert not known.may_send("e1")
+    assert [e.id for e in known.ready(builders.PLAIN)] == ["e2"]
+
+
+def test_endpoint_that_leaves_does_not_come_back() -> None:
+    known = listed("e1")
+    known.take_change(builders.endpoint("e1", DRAINING), 6, False, 1.0)
+    known.take_change(builders.endpoint("e1"), 7, False, 2.0)
+    assert not known.may_send("e1")
+
+
+def test_deleted_entry_is_gone_and_an_old_one_does_not_bring_it_back() -> None:
+    known = listed("e1")
+    assert known.take_change(builders.endpoint("e1"), 8, True, 1.0) == ["e1"]
+    known.take_change(builders.endpoint("e1"), 7, False, 2.0)
+    assert not known.may_send("e1")
+
+
+def test_entry_missing_from_a_new_list_is_gone() -> None:
+    known = listed("e1", "e2")
+    left = known.take_listing([(builders.endpoint("e2"), 1)], 9, now=1.0)
+    assert left == ["e1"]
+
+
+def test_list_older_than_what_is_known_changes_nothing() -> None:
+    known = listed("e1")
+    known.take_change(builders.endpoint("e2"), 8, False, 1.0)
+    known.advance(8)
+    assert known.take_listing([], 6, now=2.0) == []
+    assert known.may_send("e1") and known.may_send("e2")
+
+
+def test_entry_that_lapsed_in_an_outage_is_kept_until_its_grace_ends() -> None:
+    known = listed("e1")
+    known.store_lost(10.0)
+    known.store_returned(14.0)
+    known.take_listing([], 9, now=14.0)
+    assert known.may_send("e1")
+    assert known.expire(15.9) == []
+    assert known.expire(16.1) == ["e1"]
+    assert not known.may_send("e1")
+
+
+def test_lapsed_entry_that_returns_in_time_stays() -> None:
+    known = listed("e1")
+    known.store_lost(10.0)
+    known.store_returned(14.0)
+    known.take_listing([], 9, now=14.0)
+    known.take_change(builders.endpoint("e1"), 11, False, now=15.0)
+    assert known.expire(17.0) == []
+    assert known.may_send("e1")
+
+
+def test_draining_entry_has_no_grace() -> None:
+    known = listed("e1")
+    known.take_change(builders.endpoint("e1", DRAINING), 6, False, 9.0)
+    known.store_lost(10.0)
+    known.store_returned(14.0)
+    assert known.take_listing([], 9, now=14.0) == ["e1"]
+
+
+def test_short_loss_of_the_store_gives_no_grace() -> None:
+    known = listed("e1")
+    known.store_lost(10.0)
+    known.store_returned(10.2)
+    assert known.take_listing([], 9, now=10.2) == ["e1"]
+
+
+def test_peer_can_tell_that_an_endpoint_leaves() -> None:
+    known = listed("e1")
+    assert known.leave("e1", 6)
+    assert not known.may_send("e1")
+    assert not known.leave("e1", 7)
+
+
+# Freshness of keys.
+
+
+def test_nothing_confirmed_covers_no_request() -> None:
+    fresh = key_freshness.ConfigFreshness(5.0, 0.25)
+    assert not fresh.covers(0.0)
+
+
+def test_confirmation_counts_from_the_question() -> None:
+    fresh = key_freshness.ConfigFreshness(5.0, 0.25)
+    fresh.confirm(asked_at=10.0)
+    assert fresh.covers(14.7)
+    assert not fresh.covers(14.8)
+    fresh.confirm(asked_at=8.0)
+    assert fresh.confirmed_at == 10.0
+
+
+# Repeats.
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0.0, 0.5), st.booleans()), min_size=1, max_size=300
+    )
+)
+def test_repeats_stay_within_ratio_and_allowance_in_every_window(
+    steps: list[tuple[float, bool]],
+) -> None:
+    budget = repeat_budget.RepeatBudget(0.2, 52.0, 10.0, lambda: 6)
+    now = 0.0
+    requests: list[float] = []
+    repeats: list[float] = []
+    for pause, is_request in steps:
+        now += pause
+        if is_request:
+            budget.note_request("s", now)
+            requests.append(now)
+        elif budget.take("s", now):
+            repeats.append(now)
+            in_window = [t for t in repeats if t >= now - 10.0]
+            came = [t for t in requests if t >= now - 10.0]
+            assert len(in_window) <= 0.2 * len(came) + 52.0 / 6
+
+
+# The choice of an endpoint.
+
+
+def choose(
+    records: list[endpoint_records.EndpointRecord],
+    demand: endpoint_records.Demand,
+    now: float = 10.0,
+) -> str:
+    choice = endpoint_choice.choose(records, demand, now, random.Random(1))
+    assert choice is not None
+    return choice.record.id
+
+
+def five() -> list[endpoint_records.EndpointRecord]:
+    return [builders.record(f"e{n}") for n in range(5)]
+
+
+def test_no_endpoint_no_choice() -> None:
+    demand = builders.demand()
+    assert endpoint_choice.choose([], demand, 0.0, random.Random(1)) is None
+
+
+def test_all_boxes_send_a_subject_to_the_same_endpoint() -> None:
+    demand = builders.demand((("s", 6000), ("own", 3000)))
+    chosen = {choose(five()[::step], demand) for step in (1, -1)}
+    assert len(chosen) == 1
+
+
+def test_long_prompts_and_short_ones_go_to_different_endpoints() -> None:
+    longs = {
+        choose(five(), builders.demand(((f"s{n}", 6000), ("own", 3000))))
+        for n in range(40)
+    }
+    shorts = {
+        choose(five(), builders.demand(((f"t{n}", 100), ("own", 400))))
+        for n in range(40)
+    }
+    assert shorts and longs and not shorts & longs
+    assert len(longs) == 4
+
+
+def test_more_endpoints_are_kept_free_while_many_short_streams_run() -> None:
+    records = five()
+    before = endpoint_choice.kept_for_short(records, "s", 10.0)
+    short = builders.demand()
+    for _ in range(40):
+        records[0].add(short, 1, 0)
+    after = endpoint_choice.kept_for_short(records, "s", 10.0)
+    assert before < after
+    assert len(after) == 2
+
+
+def test_subject_leaves_its_endpoint_when_that_is_far_behind() -> None:
+    records = five()
+    demand = builders.demand((("s", 6000), ("own", 3000)))
+    first = choose(records, demand)
+    record = next(r for r in records if r.id == first)
+    record.add(demand, 1, 20_000)
+    assert choose(records, demand) == first
+    record.add(demand, 20, 100_000)
+    assert choose(records, demand) != first
+
+
+def test_less_urgent_tokens_are_not_ahead_of_more_urgent_ones() -> None:
+    record = builders.record()
+    record.add(builders.demand(urgency=5), 1, 50_000)
+    assert record.ahead(0, 0.0) == 0
+    assert record.ahead(5, 0.0) == 50_000
+
+
+def test_peer_loads_count_for_a_while_only() -> None:
+    record = builders.record()
+    key = builders.demand().load_key
+    record.take_peer_load(
+        "box-2", {key: endpoint_records.Load(3, 900)}, now=10.0
+    )
+    assert record.running(10.5) == 3
+    assert record.running(20.0) == 0
+
+
+def test_ejected_endpoint_gets_trials_of_repeatable_requests_only() -> None:
+    records = [builders.record("bad"), builders.record("good")]
+    records[0].health.move(endpoint_states.EndpointEvent.OUTLIER, 0.0)
+    safe = builders.demand(is_engine=False, repeatable=True)
+    unsafe = builders.demand(is_engine=False)
+    assert choose(records, safe, now=1.0) == "good"
+    assert choose(records, safe, now=5.0) == "bad"
+    assert choose(records, unsafe, now=5.0) == "good"
+
+
+def test_memory_of_parts_is_bounded_by_the_endpoint() -> None:
+    record = builders.record(cache_tokens=1000)
+    record.remember([("a", 600)])
+    record.remember([("b", 600)])
+    assert record.held([("a", 600)]) == 0
+    assert record.held([("b", 600)]) == 600
+
+
+# Sheds.
+
+
+def prospect(**changes: object) -> shedding.Prospect:
+    values: dict[str, object] = {
+        "predicted_s": 2.0,
+        "target_s": 1.0,
+        "left_s": 4.0,
+        "came_back": False,
+        "busy": True,
+    }
+    values.update(changes)
+    return shedding.Prospect(**values)  # type: ignore[arg-type]
+
+
+def test_request_that_would_be_late_is_told_when_to_come_back() -> None:
+    pause = shedding.retry_after_s(prospect())
+    assert pause is not None
+    assert shedding.SHORTEST_RETRY_S <= pause <= shedding.LONGEST_RETRY_S
+
+
+def test_nothing_is_refused_while_nobody_waits() -> None:
+    assert shedding.retry_after_s(prospect(busy=False)) is None
+
+
+def test_request_in_time_is_taken() -> None:
+    assert shedding.retry_after_s(prospect(predicted_s=0.5)) is None
+
+
+def test_request_that_came_back_is_taken_late() -> None:
+    late = prospect(came_back=True, left_s=4.0)
+    hopeless = prospect(came_back=True, left_s=2.5)
+    assert shedding.retry_after_s(late) is None
+    assert shedding.retry_after_s(hopeless) is not None
+
+
+def test_request_with_less_time_than_others_came_back() -> None:
+    book = shedding.DeadlineBook()
+    assert not book.came_back("r", 4.0)
+    assert not book.came_back("r", 4.0)
+    assert book.came_back("r", 2.7)
+    assert not book.came_back("r", None)
