--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/endpoint_choice.py
@@ -19,7 +19,7 @@
 
 # Part of an engine service's endpoints that is kept free of long prompts, so
 # that streams with short pauses are not held up.
-SHORT_PART = 0.25
+SHORT_PART = 0.2
 
 # Requests with short prompts at one such endpoint beyond which one more is
 # kept free, and the largest part of the endpoints that may be.
@@ -85,7 +85,7 @@
     if demand.repeatable:
         trials = [r for r in records if r not in sound and r.may_get_work(now)]
         if trials:
-            return _weigh(rng.choice(trials), demand, False, now)
+            return weigh(rng.choice(trials), demand, False, now)
     fit = [r for r in sound if r.may_get_work(now)] or sound or records
     short: set[str] = set()
     owner: str | None = None
@@ -93,7 +93,7 @@
         short = kept_for_short(records, demand.service, now)
         owner = _owner(fit, demand, short)
     rng.shuffle(fit)
-    choices = [_weigh(r, demand, r.id == owner, now) for r in fit]
+    choices = [weigh(r, demand, r.id == owner, now) for r in fit]
     return min(choices, key=lambda c: _cost_s(c, demand, c.record.id in short))
 
 
@@ -111,16 +111,24 @@
     """
     order = rendezvous.ranked([r.id for r in records], f"short {service}")
     running = sum(record.short_running(now) for record in records)
-    count = max(round(len(order) * SHORT_PART), running // SHORT_RUNS)
+    count = max(1, int(len(order) * SHORT_PART), running // SHORT_RUNS)
     return set(order[: min(count, int(len(order) * MOST_SHORT_PART))])
 
 
-def _weigh(
+def weigh(
     record: endpoint_records.EndpointRecord,
     demand: endpoint_records.Demand,
     belongs: bool,
     now: float,
 ) -> Choice:
+    """Returns what is expected of a request at one endpoint.
+
+    Args:
+        record: The endpoint.
+        demand: The request.
+        belongs: Whether the request's subject belongs there.
+        now: The current time.
+    """
     unread = record.unread(demand, belongs)
     return Choice(
         record,
--- a/martenjunction/decisions/endpoint_records.py
+++ b/martenjunction/decisions/endpoint_records.py
@@ -10,6 +10,11 @@
 # Prompt tokens that an engine reads in a second, until it is learnt.
 PREFILL_TOKENS_PER_S = 50_000.0
 
+# Part of that rate up to which long prompts are sent to an engine: while it
+# reads without a break, the streams that it runs get a token only after each
+# piece that it reads, and long answers miss their deadline.
+READING_PART = 0.8
+
 # Seconds to a first event that do not depend on the prompt: the way there
 # and back, and the tokens that one event holds.
 FIRST_EVENT_S = 0.03
@@ -147,6 +152,15 @@
             collections.OrderedDict()
         )
         self._held_tokens = 0
+        self._sent_tokens = 0
+        self._peer_sent: dict[str, int] = {}
+        self._debt = 0.0
+        self._debt_at = 0.0
+
+    @property
+    def sent_tokens(self) -> int:
+        """Unread tokens that this box has sent there since it started."""
+        return self._sent_tokens
 
     @property
     def own(self) -> dict[LoadKey, Load]:
@@ -164,6 +178,27 @@
         load.running += running
         load.unread += unread
 
+    def sent(self, unread: int, now: float) -> None:
+        """Notes that this box sends it tokens to read."""
+        self._sent_tokens += unread
+        self._add_debt(unread, now)
+
+    def take_peer_sent(self, box: str, total: int, now: float) -> None:
+        """Notes how many tokens another box has sent there in its life."""
+        before = self._peer_sent.get(box, total)
+        self._peer_sent[box] = total
+        if total > before:
+            self._add_debt(total - before, now)
+
+    def debt(self, now: float) -> float:
+        """Returns the tokens sent there beyond the rate for long prompts."""
+        paid = (now - self._debt_at) * PREFILL_TOKENS_PER_S * READING_PART
+        return max(0.0, self._debt - paid)
+
+    def _add_debt(self, tokens: int, now: float) -> None:
+        self._debt = self.debt(now) + tokens
+        self._debt_at = now
+
     def take_peer_load(
         self, box: str, loads: dict[LoadKey, Load], now: float
     ) -> None:
@@ -247,9 +282,10 @@
         if not demand.is_engine:
             over = max(0.0, (running + 1 - self.slots) / self.slots)
             return self.answer_s.value * (1 + over + 0.5 * running / self.slots)
-        reading = (unread + self.ahead(demand.urgency, now)) / (
-            PREFILL_TOKENS_PER_S
-        )
+        ahead = float(self.ahead(demand.urgency, now))
+        if demand.is_long:
+            ahead = max(ahead, self.debt(now))
+        reading = (unread + ahead) / PREFILL_TOKENS_PER_S
         over = max(0, running + 1 - self.slots) * OVER_SLOTS_S
         steps = running * STEP_S_PER_RUN
         return (FIRST_EVENT_S + reading + steps + over) * self.slowness.value
--- a/martenjunction/decisions/shedding.py
+++ b/martenjunction/decisions/shedding.py
@@ -6,9 +6,10 @@
 # before it is refused: predictions are rough.
 LATE_PART = 0.7
 
-# Part of a request's time within which the predicted first event of one that
-# comes back must lie; it is served late rather than refused again.
-RETURN_PART = 0.6
+# The same for one that comes back after a refusal. It is worth less than a new
+# one, but to refuse it again costs more; served late, it would only make new
+# ones late as well.
+RETURN_LATE_PART = 1.0
 
 # Part of the longest deadline seen on a route below which a request is taken
 # to be one that comes back after a refusal.
@@ -29,14 +30,12 @@
     Attributes:
         predicted_s: Seconds to its first event.
         target_s: Seconds within which its first event is due.
-        left_s: Seconds for which the client still waits.
         came_back: Whether it was refused before.
         busy: Whether the endpoint has others waiting, or few places left.
     """
 
     predicted_s: float
     target_s: float
-    left_s: float
     came_back: bool
     busy: bool
 
@@ -49,10 +48,8 @@
     """
     if not prospect.busy:
         return None
-    if prospect.came_back:
-        if prospect.predicted_s < RETURN_PART * prospect.left_s:
-            return None
-    elif prospect.predicted_s < LATE_PART * prospect.target_s:
+    part = RETURN_LATE_PART if prospect.came_back else LATE_PART
+    if prospect.predicted_s < part * prospect.target_s:
         return None
     excess = prospect.predicted_s - 0.5 * prospect.target_s
     return min(max(excess, SHORTEST_RETRY_S), LONGEST_RETRY_S)
--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -50,6 +50,8 @@
     kv_bytes: float
     # The wire calls the number of tokens in one event a stride.
     stride: int = 1
+    # Whether an engine keeps copies of the memory of another one's runs.
+    backups: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -183,6 +185,7 @@
             wire.engine.kv_capacity,
             round(wire.engine.kv_bytes),
             max(1, wire.engine.stride),
+            wire.engine.backups,
         )
     return model.Service(wire.name, wire.health_path, wire.max_conns, engine)
 
--- a/martenjunction/platform/headers.py
+++ b/martenjunction/platform/headers.py
@@ -16,6 +16,8 @@
 _EXPECT_ENDPOINT = b"Martenjunction-Expect-Replica"
 _WORKSPACE = b"Martenjunction-Tenant"
 _URGENCY = b"Martenjunction-Request-Urgency"
+_COPY_TO = b"Martenjunction-Kv-Backup"
+_COPY_FROM = b"Kv-From"
 # Carries the parts of the prompt, not a hash.
 _PROMPT_PARTS = b"martenjunction-prefix-hash"
 _TOKENS = b"martenjunction-token-counts"
@@ -100,6 +102,21 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyPlan:
+    """Where the memory of a run is copied to, or comes from.
+
+    Attributes:
+        copy_to: Address of the endpoint that keeps a copy as the run goes
+            on, or None.
+        copied_at: Address of the endpoint that has a copy from which the run
+            continues there, or None.
+    """
+
+    copy_to: str | None = None
+    copied_at: str | None = None
+
+
 def decode_request(headers: messages.Headers) -> RequestFacts:
     """Returns what a request's headers say; what is malformed is left out."""
     found = {name.lower(): value for name, value in reversed(headers)}
@@ -128,6 +145,7 @@
     workspace: str | None,
     urgency: int | None,
     resume_from: str | None = None,
+    copies: "CopyPlan | None" = None,
 ) -> messages.Headers:
     """Returns the headers that an endpoint gets.
 
@@ -140,6 +158,7 @@
         urgency: 0 (first) to 9, or None for a plain service.
         resume_from: Continue after this event, or None to leave that to the
             client's own header.
+        copies: Where the run's memory is copied to or comes from, or None.
     """
     kept = messages.without(headers, _OURS)
     if resume_from is not None:
@@ -153,11 +172,23 @@
         kept.append((_WORKSPACE, workspace.encode()))
     if urgency is not None:
         kept.append((_URGENCY, str(min(urgency, LOWEST_URGENCY)).encode()))
+    if copies is not None and copies.copy_to is not None:
+        kept.append((_COPY_TO, copies.copy_to.encode()))
+    if copies is not None and copies.copied_at is not None:
+        # The run whose copy it is has this request's own id.
+        origin = f"{copies.copied_at}/{request_id_of(headers)}"
+        kept.append((_COPY_FROM, origin.encode()))
     if body_length is not None:
         kept.append((b"Content-Length", str(body_length).encode()))
     return kept
 
 
+def request_id_of(headers: messages.Headers) -> str:
+    """Returns the id in a request's headers; empty if it has none."""
+    value = messages.header(headers, _REQUEST_ID.lower())
+    return "" if value is None else value.decode("latin-1")
+
+
 def for_client(headers: messages.Headers) -> messages.Headers:
     """Returns an endpoint's headers less those of framing."""
     return messages.without(headers, _FRAMING)
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -124,6 +124,17 @@
             return None
         return endpoints[choice.record.id], choice
 
+    def weigh(
+        self,
+        endpoint: model.Endpoint,
+        service: model.Service,
+        demand: endpoint_records.Demand,
+        now: float,
+    ) -> endpoint_choice.Choice:
+        """Returns what is expected of a request at one endpoint."""
+        record = self._record(endpoint, service)
+        return endpoint_choice.weigh(record, demand, False, now)
+
     def begin(
         self,
         choice: endpoint_choice.Choice,
@@ -133,6 +144,8 @@
         """Books a request that is sent to the chosen endpoint."""
         ticket = RunTicket(choice, demand, now)
         choice.record.add(demand, 1, choice.unread)
+        if demand.is_engine:
+            choice.record.sent(choice.unread, now)
         self._tickets.add(ticket)
         return ticket
 
@@ -217,6 +230,23 @@
             if load.running
         ]
 
+    def sent_tokens(self) -> list[tuple[str, int]]:
+        """Returns the tokens that this box has sent to each engine."""
+        return [
+            (record.id, record.sent_tokens)
+            for record in self._records.values()
+            if record.sent_tokens
+        ]
+
+    def take_peer_sent(
+        self, box: str, rows: list[tuple[str, int]], now: float
+    ) -> None:
+        """Notes the tokens that another box has sent to each engine."""
+        for endpoint_id, total in rows:
+            record = self._records.get(endpoint_id)
+            if record is not None:
+                record.take_peer_sent(box, total, now)
+
     def take_peer_loads(
         self, box: str, rows: list[LoadRow], now: float
     ) -> None:
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -89,6 +89,7 @@
     endpoint: model.Endpoint
     choice: endpoint_choice.Choice
     run: attempt.Attempt
+    continues: bool = False
 
 
 class _AnswerBrokenError(errors.EndpointError):
@@ -125,6 +126,8 @@
         self._avoid: set[str] = set()
         self._fallback: _Answer | None = None
         self._delivered_id: str | None = None
+        self._copy: model.Endpoint | None = None
+        self._cut_off = False
         self._refusals = 0
         self._came_back = False
         self._status = 0
@@ -143,7 +146,9 @@
     def movable(self) -> bool:
         """Whether it may be taken from its endpoint and sent to another."""
         taken = self._admission
-        return taken is not None and taken.route.repeatable
+        if taken is None:
+            return False
+        return taken.route.repeatable or self._may_continue()
 
     def move(self) -> None:
         """Takes the request from its endpoint; it goes to another one."""
@@ -260,6 +265,8 @@
         self, taken: admission.Admission, demand: endpoint_records.Demand
     ) -> _Offer | None:
         """Returns an endpoint that may get the request, and a way to it."""
+        if self._cut_off and self._may_continue():
+            return await self._continue_at_copy(taken, demand)
         while self._may_offer(taken):
             now = time.monotonic()
             chosen = self._tools.book.choose(
@@ -291,6 +298,64 @@
             return _Offer(endpoint, choice, run)
         return None
 
+    def _may_continue(self) -> bool:
+        """Returns whether a copy of the run's memory may still be used."""
+        return self._copy is not None and self._tools.book.listed.may_send(
+            self._copy.id
+        )
+
+    async def _continue_at_copy(
+        self, taken: admission.Admission, demand: endpoint_records.Demand
+    ) -> _Offer | None:
+        """Returns the endpoint with a copy of the run, if it can be reached.
+
+        The run goes on there from its memory, so it is still the same run,
+        also where the request may not be repeated.
+        """
+        endpoint = self._copy
+        assert endpoint is not None
+        self._copy = None
+        now = time.monotonic()
+        if taken.deadline - now < LEAST_TIME_S:
+            return None
+        if not self._tools.budget.take(taken.service.name, now):
+            return None
+        choice = self._tools.book.weigh(endpoint, taken.service, demand, now)
+        try:
+            connection = await self._tools.pool.acquire(endpoint, False)
+        except errors.EndpointError as error:
+            self._why = f"{endpoint.id}: {error}"
+            return None
+        run = attempt.Attempt(connection, self._facts.id)
+        return _Offer(endpoint, choice, run, continues=True)
+
+    def _plan_copy(
+        self,
+        taken: admission.Admission,
+        demand: endpoint_records.Demand,
+        offer: _Offer,
+    ) -> headers.CopyPlan | None:
+        """Decides where the run's memory is copied to or comes from."""
+        if offer.continues:
+            return headers.CopyPlan(copied_at=offer.endpoint.address)
+        engine = taken.service.engine
+        if (
+            engine is None
+            or not engine.keeps_copies
+            or taken.route.repeatable
+            or taken.route.kind is not model.RouteKind.STREAM
+            or demand.is_long
+        ):
+            return None
+        now = time.monotonic()
+        chosen = self._tools.book.choose(
+            taken.service, demand, self._avoid, now
+        )
+        if chosen is None:
+            return None
+        self._copy = chosen[0]
+        return headers.CopyPlan(copy_to=self._copy.address)
+
     def _shed_if_late(
         self,
         taken: admission.Admission,
@@ -309,7 +374,6 @@
         prospect = shedding.Prospect(
             choice.predicted_s + now - self._request.received_at,
             taken.route.target_s,
-            taken.deadline - now,
             self._came_back,
             busy,
         )
@@ -355,7 +419,8 @@
         self._choices.append(endpoint_book.describe(offer.choice))
         failed = True
         try:
-            run.send(self._request, self._headers(taken, endpoint))
+            copies = self._plan_copy(taken, demand, offer)
+            run.send(self._request, self._headers(taken, endpoint, copies))
             self._progress.note(outcomes.Event.SENT)
             done = await self._receive(taken, endpoint, run, ticket)
             failed = not done and self._refusals == 0
@@ -364,6 +429,9 @@
             return False
         except errors.EndpointError as error:
             self._why = f"{endpoint.id}: {error}"
+            # Only a run whose connection broke may go on from its copy: one
+            # that ended by itself must not run again.
+            self._cut_off = isinstance(error.__cause__, errors.TransportError)
             book.broken(endpoint.id, time.monotonic())
             self._progress.note(outcomes.Event.BROKEN)
             return False
@@ -377,7 +445,10 @@
             self._tools.pool.release(endpoint.id, run.connection)
 
     def _headers(
-        self, taken: admission.Admission, endpoint: model.Endpoint
+        self,
+        taken: admission.Admission,
+        endpoint: model.Endpoint,
+        copies: headers.CopyPlan | None,
     ) -> messages.Headers:
         request = self._request
         framed = request.body or messages.header(
@@ -392,6 +463,7 @@
             None if workspace is None else workspace.name,
             taken.urgency,
             self._delivered_id,
+            copies,
         )
 
     async def _receive(
--- a/martenjunction/routing/model.py
+++ b/martenjunction/routing/model.py
@@ -72,12 +72,14 @@
         cache_tokens: Tokens that fit into its memory.
         cache_token_bytes: Bytes of memory for one token.
         tokens_per_event: Tokens in one event of a stream.
+        keeps_copies: Whether an engine takes copies of another one's runs.
     """
 
     slots: int
     cache_tokens: int
     cache_token_bytes: int
     tokens_per_event: int
+    keeps_copies: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -20,6 +20,9 @@
         long: Whether their prompts are long.
         running: How many there are.
         unread: Prompt tokens that are yet to be read for them.
+        engines: Ids of the engines that it has sent prompts to.
+        sent: Prompt tokens that each of them had to read for it since it
+            started.
     """
 
     ready: bool
@@ -30,6 +33,8 @@
     long: tuple[bool, ...]
     running: tuple[int, ...]
     unread: tuple[int, ...]
+    engines: tuple[str, ...]
+    sent: tuple[int, ...]
 
 
 @codec.message("ask-view")
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -85,6 +85,7 @@
     def status(self) -> peer_messages.BoxStatus:
         """Returns how this box is."""
         loads = self._book.loads()
+        sent = self._book.sent_tokens()
         return peer_messages.BoxStatus(
             self._is_ready(),
             self._known.version,
@@ -94,6 +95,8 @@
             tuple(row[2] for row in loads),
             tuple(row[3] for row in loads),
             tuple(row[4] for row in loads),
+            tuple(endpoint for endpoint, _ in sent),
+            tuple(tokens for _, tokens in sent),
         )
 
     def announce(self) -> None:
@@ -130,6 +133,8 @@
             strict=False,
         )
         self._book.take_peer_loads(box, list(loads), now)
+        sent = zip(status.engines, status.sent, strict=False)
+        self._book.take_peer_sent(box, list(sent), now)
         if status.version > self._known.version:
             self._ask(box)
 
--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -152,7 +152,8 @@
         if behaviour is Behaviour.BARE_503:
             writer.write(_whole(503, {}, b""))
             return True
-        if request.target.startswith(("/chat/", "/digest/")):
+        streamed = request.target.startswith(("/chat/", "/digest/"))
+        if streamed and behaviour is Behaviour.SERVE:
             return await self._stream(request, reader, writer)
         answer = self._plain(request, behaviour)
         if behaviour is Behaviour.HALF:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -321,6 +321,64 @@
     assert second.received[0].headers["last-event-id"] == "3"
 
 
+async def test_copied_run_goes_on_at_the_endpoint_with_the_copy(
+    fleet: boxes.Boxes,
+) -> None:
+    config = builders.config_document(9)
+    config["services"][1]["engine"]["backups"] = True
+    fleet.configure(config)
+    made = await engines(fleet)
+    await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
+    for stand_in in made:
+        stand_in.break_after = 3
+    task = asyncio.create_task(ask(fleet, "/chat/"))
+    await boxes.until(lambda: arrivals(made) == 1)
+    second = next(s for s in made if not s.received)
+    second.break_after = None
+    head, body = await task
+    first = next(s for s in made if s is not second)
+    assert body == WHOLE_STREAM
+    seal = head.get(b"martenjunction-replica-seal")
+    assert seal == f"seal-{first.id}".encode()
+    sent = first.received[0].headers
+    assert sent["martenjunction-kv-backup"] == second.address
+    got = second.received[0].headers
+    assert got["kv-from"] == f"{second.address}/r1"
+    assert got["last-event-id"] == "3"
+
+
+async def test_run_that_failed_by_itself_does_not_go_on_from_a_copy(
+    fleet: boxes.Boxes,
+) -> None:
+    config = builders.config_document(9)
+    config["services"][1]["engine"]["backups"] = True
+    fleet.configure(config)
+    made = await engines(fleet)
+    await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
+    behave(made, Behaviour.FAIL)
+    head, _ = await ask(fleet, "/chat/")
+    assert head.status == 500
+    assert runs(made) == 1
+
+
+async def test_endpoint_without_the_copy_ends_the_stream_as_broken(
+    fleet: boxes.Boxes,
+) -> None:
+    config = builders.config_document(9)
+    config["services"][1]["engine"]["backups"] = True
+    fleet.configure(config)
+    made = await engines(fleet)
+    await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
+    for stand_in in made:
+        stand_in.break_after = 3
+    task = asyncio.create_task(ask(fleet, "/chat/"))
+    await boxes.until(lambda: arrivals(made) == 1)
+    next(s for s in made if not s.received).plan(Behaviour.REFUSE)
+    with pytest.raises(errors.TransportError):
+        await task
+    assert runs(made) == 1
+
+
 async def test_broken_stream_that_may_not_be_resumed_never_looks_whole(
     fleet: boxes.Boxes,
 ) -> None:
--- /dev/null
+++ b/tests/test_http1.py
@@ -0,0 +1,242 @@
+"""Connections of HTTP/1.1: framing, ends, and what must not be sent twice."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from martenjunction import errors
+from martenjunction.http1 import client
+from martenjunction.http1 import messages
+from martenjunction.http1 import server
+from martenjunction_lab import bench
+
+LIMITS = server.Limits(
+    max_header_bytes=2048,
+    max_body_bytes=1000,
+    header_timeout_s=0.3,
+    idle_timeout_s=30.0,
+)
+
+
+class Echo:
+    """Answers with what it got, and remembers it."""
+
+    def __init__(self) -> None:
+        self.got: list[messages.Request] = []
+        self.left = 0
+        self.hold = asyncio.Event()
+        self.hold.set()
+
+    async def __call__(
+        self, connection: server.ServerConnection, request: messages.Request
+    ) -> None:
+        self.got.append(request)
+        connection.watch_end(self._count)
+        await self.hold.wait()
+        connection.watch_end(None)
+        await connection.answer(200, [], request.target + b"|" + request.body)
+
+    def _count(self) -> None:
+        self.left += 1
+
+
+@pytest.fixture
+async def echo() -> AsyncIterator[tuple[Echo, str]]:
+    handler = Echo()
+    listening = server.Server("test", handler, lambda: LIMITS)
+    address = bench.free_address()
+    listening.listen_on(address)
+    yield handler, address
+    listening.close_all()
+
+
+async def raw(address: str, data: bytes) -> bytes:
+    """Sends bytes and returns all that comes until the connection ends."""
+    host, _, port = address.partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    try:
+        async with asyncio.timeout(10.0):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+POST = b"POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+
+
+async def test_chunked_body_is_read_whole(echo: tuple[Echo, str]) -> None:
+    handler, address = echo
+    answer = await raw(
+        address,
+        POST + b"Transfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+    )
+    assert answer.endswith(b"/x|abcde")
+    assert handler.got[0].body == b"abcde"
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        b"Content-Length: -1\r\n\r\n",
+        b"Bad Name: x\r\n\r\n",
+    ],
+)
+async def test_ambiguous_framing_is_refused(
+    echo: tuple[Echo, str], framing: bytes
+) -> None:
+    handler, address = echo
+    answer = await raw(address, POST + framing)
+    assert answer.startswith((b"HTTP/1.1 400", b"HTTP/1.1 501"))
+    assert not handler.got
+
+
+async def test_body_beyond_the_limit_is_refused_unread(
+    echo: tuple[Echo, str],
+) -> None:
+    handler, address = echo
+    answer = await raw(address, POST + b"Content-Length: 1001\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 413")
+    assert not handler.got
+
+
+async def test_head_beyond_the_limit_is_refused(
+    echo: tuple[Echo, str],
+) -> None:
+    handler, address = echo
+    answer = await raw(address, POST + b"X: " + b"y" * 4000)
+    assert answer.startswith(b"HTTP/1.1 431")
+    assert not handler.got
+
+
+async def test_head_that_never_ends_is_given_up(echo: tuple[Echo, str]) -> None:
+    handler, address = echo
+    assert await raw(address, POST) == b""
+    assert not handler.got
+
+
+async def test_requests_sent_together_are_answered_in_order(
+    echo: tuple[Echo, str],
+) -> None:
+    _, address = echo
+    first = b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+    last = b"GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    answer = await raw(address, first + last)
+    assert answer.count(b"HTTP/1.1 200") == 2
+    assert answer.index(b"/1|") < answer.index(b"/2|")
+
+
+async def test_client_that_leaves_is_noticed_while_it_waits(
+    echo: tuple[Echo, str],
+) -> None:
+    handler, address = echo
+    handler.hold.clear()
+    connection = client.ClientConnection(address)
+    await connection.open(5.0)
+    connection.send(b"GET", b"/x", [(b"Host", b"a")], b"")
+    async with asyncio.timeout(10.0):
+        while not handler.got:
+            await asyncio.sleep(0.01)
+        connection.abort()
+        while not handler.left:
+            await asyncio.sleep(0.01)
+    handler.hold.set()
+
+
+async def test_kept_connection_carries_many_requests(
+    echo: tuple[Echo, str],
+) -> None:
+    _, address = echo
+    connection = client.ClientConnection(address)
+    await connection.open(5.0)
+    for number in range(3):
+        target = f"/{number}".encode()
+        connection.send(b"GET", target, [(b"Host", b"a")], b"")
+        await connection.read_head()
+        assert await connection.read_body() == target + b"|"
+        assert await connection.read_body() == b""
+        assert connection.finish()
+    assert connection.uses == 3
+    connection.abort()
+
+
+async def answering(data: bytes, reset: bool = False) -> asyncio.Server:
+    """Returns a server that sends fixed bytes and ends the connection."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        await writer.drain()
+        if reset:
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+
+async def ask(listening: asyncio.Server) -> tuple[client.ClientConnection, int]:
+    host, port = listening.sockets[0].getsockname()
+    connection = client.ClientConnection(f"{host}:{port}")
+    await connection.open(5.0)
+    connection.send(b"GET", b"/x", [(b"Host", b"a")], b"")
+    head = await connection.read_head()
+    return connection, head.status
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+    ],
+)
+async def test_answer_that_ends_early_is_no_answer(answer: bytes) -> None:
+    listening = await answering(answer)
+    connection, _ = await ask(listening)
+    with pytest.raises(errors.TransportError):
+        while await connection.read_body():
+            pass
+    listening.close()
+
+
+async def test_answer_without_a_length_ends_with_its_connection() -> None:
+    listening = await answering(b"HTTP/1.1 200 OK\r\n\r\nabc")
+    connection, _ = await ask(listening)
+    assert await connection.read_body() == b"abc"
+    assert await connection.read_body() == b""
+    assert not connection.finish()
+    listening.close()
+
+
+async def test_bytes_that_are_no_answer_are_told_apart() -> None:
+    listening = await answering(b"nonsense\r\n\r\n")
+    with pytest.raises(errors.HttpSyntaxError):
+        await ask(listening)
+    listening.close()
+
+
+async def test_closed_connection_takes_no_request() -> None:
+    listening = await answering(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    connection, _ = await ask(listening)
+    assert await connection.read_body() == b""
+    connection.finish()
+    async with asyncio.timeout(10.0):
+        while connection.is_reusable():
+            await asyncio.sleep(0.01)
+    with pytest.raises(errors.ConnectError):
+        connection.send(b"GET", b"/y", [(b"Host", b"a")], b"")
+    listening.close()
+
+
+async def test_nobody_listens() -> None:
+    connection = client.ClientConnection(bench.free_address())
+    with pytest.raises(errors.ConnectError):
+        await connection.open(5.0)
--- /dev/null
+++ b/tests/test_platform_border.py
@@ -0,0 +1,280 @@
+"""The platform's words, decoded once: settings, documents, headers, store."""
+
+from collections.abc import AsyncIterator
+import json
+import pathlib
+
+import pytest
+
+from martenjunction import errors
+from martenjunction.http1 import messages
+from martenjunction.platform import box_settings
+from martenjunction.platform import documents
+from martenjunction.platform import headers
+from martenjunction.platform import store
+from martenjunction.routing import admission
+from martenjunction.routing import model
+from martenjunction_lab import platform
+from tests import routing_builders as builders
+
+SETTINGS = """
+node = "edge-a-1"
+zone = "zone-a"
+region = "region-a"
+seeds = ["10.0.0.1:1", "10.0.0.2:1"]
+unknown = "skipped"
+[listen]
+frontend = "10.0.0.1:8227"
+ready = "10.0.0.1:8220"
+control_plane = "10.0.0.1:8229"
+directory = "10.0.0.1:8224"
+[limits]
+memory_mb = 150
+max_fds = 4100
+[bounds]
+drain_ms = 2000
+grace_s = 8
+revoke_ms = 5000
+fail_closed = true
+retry_ratio = 0.2
+retry_window_s = 10
+retry_slack = 52
+ttl_max_s = 5
+[platform]
+address = "10.200.0.1:8223"
+"""
+
+
+def test_settings_are_read_with_the_projects_names(
+    tmp_path: pathlib.Path,
+) -> None:
+    file = tmp_path / "local.toml"
+    file.write_text(SETTINGS)
+    read = box_settings.read(str(file))
+    assert (read.box, read.callers) == ("edge-a-1", "10.0.0.1:8227")
+    assert read.key_lifetime_s == 5.0
+    assert read.memory_bytes == 150 * 1024 * 1024
+
+
+@pytest.mark.parametrize("broken", ["", "node = ", "node = 'x'"])
+def test_settings_that_lack_something_are_an_error(
+    tmp_path: pathlib.Path, broken: str
+) -> None:
+    file = tmp_path / "local.toml"
+    file.write_text(broken)
+    with pytest.raises(errors.SettingsError):
+        box_settings.read(str(file))
+
+
+def test_configuration_is_decoded() -> None:
+    config = builders.config()
+    digest = config.find_route("API.example:80", "/digest/x")
+    assert digest is not None
+    assert (digest.kind, digest.resumable) == (model.RouteKind.STREAM, True)
+    assert digest.repeatable
+    assert digest.gap_target_s == 0.25
+    assert config.shortest_pause_s(builders.ENGINE) == 0.25
+    assert config.workspaces[builders.KEY].name == "one"
+    assert config.needs_keys
+
+
+def test_longest_prefix_of_the_host_wins() -> None:
+    routes = [builders.route("short", "/a/"), builders.route("long", "/a/b/")]
+    config = builders.config(routes=routes)
+    found = config.find_route(builders.HOST, "/a/b/c")
+    assert found is not None and found.name == "long"
+    assert config.find_route(builders.HOST, "/a") is None
+    assert config.find_route("other.example", "/a/b/c") is None
+
+
+def test_split_route_and_no_keys_at_all() -> None:
+    document = builders.config_document(
+        routes=[
+            builders.route(
+                "s",
+                "/s/",
+                service=None,
+                split=[
+                    {"service": "a", "weight": 90},
+                    {"service": "b", "weight": 10},
+                ],
+            )
+        ]
+    )
+    del document["tenants"]
+    config = documents.decode_config(json.dumps(document).encode())
+    assert [t.service for t in config.routes[0].targets] == ["a", "b"]
+    assert not config.needs_keys
+
+
+def test_unreadable_documents_are_the_platforms_error() -> None:
+    with pytest.raises(errors.PlatformError):
+        documents.decode_config(b"{}")
+    with pytest.raises(errors.PlatformError):
+        documents.decode_endpoint("i", b"[]")
+
+
+def test_prompt_parts_and_counts_are_decoded() -> None:
+    facts = headers.decode_request(
+        [
+            (b"Martenjunction-Attempt-Id", b"r"),
+            (b"Martenjunction-Prefix-Hash", b"aa:10, bb:20,broken,cc:x"),
+            (b"Martenjunction-Token-Counts", b"500,80"),
+            (b"Martenjunction-Deadline-Ms", b"1500"),
+            (b"Authorization", b"bearer  k "),
+        ]
+    )
+    assert [(p.id, p.tokens) for p in facts.parts] == [("aa", 10), ("bb", 20)]
+    assert (facts.prompt_tokens, facts.max_tokens) == (500, 80)
+    assert (facts.deadline_s, facts.key) == (1.5, "k")
+
+
+@pytest.mark.parametrize(
+    ("status", "pairs", "not_run"),
+    [
+        (503, [(b"Martenjunction-Not-Executed", b"1")], True),
+        (421, [], True),
+        (503, [], False),
+        (429, [], False),
+        (500, [(b"Martenjunction-Replica-Seal", b"s")], False),
+    ],
+)
+def test_what_an_endpoint_says_of_not_running(
+    status: int, pairs: messages.Headers, not_run: bool
+) -> None:
+    head = messages.ResponseHead(status, pairs)
+    assert headers.is_not_run(head) is not_run
+
+
+@pytest.mark.parametrize(
+    ("echoed", "status", "ours"),
+    [
+        (b"r", 200, True),
+        (b"x", 200, False),
+        (None, 503, True),
+        (None, 200, False),
+    ],
+)
+def test_answers_are_matched_by_their_id(
+    echoed: bytes | None, status: int, ours: bool
+) -> None:
+    pairs = [] if echoed is None else [(b"martenjunction-attempt-id", echoed)]
+    head = messages.ResponseHead(status, pairs)
+    assert headers.answers_request(head, "r") is ours
+
+
+@pytest.mark.parametrize(
+    ("workspace", "tier", "urgency"),
+    [(None, 0, 0), (None, 2, 2), (0, 2, 2), (1, 0, 3), (3, 2, 9)],
+)
+def test_urgency_goes_by_workspace_then_route(
+    workspace: int | None, tier: int, urgency: int
+) -> None:
+    route = builders.config(
+        routes=[builders.route("r", "/r/", priority=tier)]
+    ).routes[0]
+    whose = model.Workspace("w", workspace)
+    assert admission._urgency(whose, route) == urgency
+
+
+# The store client.
+
+
+@pytest.fixture
+async def stand_in() -> AsyncIterator[platform.Platform]:
+    made = platform.Platform(seed=3)
+    made.start()
+    yield made
+    await made.stop()
+
+
+@pytest.fixture
+async def api(stand_in: platform.Platform) -> AsyncIterator[store.StoreClient]:
+    made = store.StoreClient(stand_in.address)
+    yield made
+    made.close()
+
+
+async def test_objects_are_made_read_replaced_and_removed(
+    api: store.StoreClient,
+) -> None:
+    made = await api.create("k", "a/b", {"x": 1})
+    found = await api.get("k", "a/b")
+    assert found is not None and json.loads(found.spec) == {"x": 1}
+    changed = await api.replace("k", "a/b", {"x": 2}, made.revision)
+    assert changed.revision > made.revision
+    await api.delete("k", "a/b", changed.revision)
+    assert await api.get("k", "a/b") is None
+    await api.delete("k", "a/b", None)
+
+
+async def test_conditional_writes_meet_conflicts(
+    api: store.StoreClient,
+) -> None:
+    made = await api.create("k", "a", 1)
+    with pytest.raises(errors.VersionConflictError) as caught:
+        await api.create("k", "a", 2)
+    assert caught.value.current == made.revision
+    with pytest.raises(errors.VersionConflictError):
+        await api.replace("k", "a", 2, made.revision + 7)
+    with pytest.raises(errors.VersionConflictError):
+        await api.delete("k", "a", made.revision + 7)
+
+
+async def test_long_lists_come_in_pages(
+    stand_in: platform.Platform, api: store.StoreClient
+) -> None:
+    for number in range(1201):
+        stand_in.write("k", f"n{number:05d}", number)
+    listing = await api.list("k")
+    assert len(listing.objects) == 1201
+    assert listing.revision == stand_in.version
+    assert stand_in.calls["read"] == 3
+
+
+async def test_watch_tells_changes_and_ends(
+    stand_in: platform.Platform, api: store.StoreClient
+) -> None:
+    listing = await api.list("k")
+    stand_in.write("k", "a", 1)
+    stand_in.write("other", "b", 1)
+    stand_in.write("k", "a", None)
+    changes = await api.watch("k", listing.revision, 5.0)
+    assert [(c.object.name, c.deleted) for c in changes.changes] == [
+        ("a", False),
+        ("a", True),
+    ]
+
+
+async def test_watch_after_lost_history_says_so(
+    stand_in: platform.Platform, api: store.StoreClient
+) -> None:
+    stand_in.write("k", "a", 1)
+    stand_in.forget_history()
+    with pytest.raises(errors.HistoryLostError):
+        await api.watch("k", 0, 1.0)
+
+
+@pytest.mark.parametrize(
+    ("faults", "error"),
+    [
+        (platform.PlatformFaults(down=True), errors.PlatformRefusedError),
+        (platform.PlatformFaults(silent=True), errors.PlatformUnavailableError),
+        (
+            platform.PlatformFaults(lose_replies=1.0),
+            errors.PlatformUnavailableError,
+        ),
+    ],
+)
+async def test_refused_and_unanswered_calls_are_told_apart(
+    stand_in: platform.Platform,
+    api: store.StoreClient,
+    faults: platform.PlatformFaults,
+    error: type[errors.PlatformError],
+) -> None:
+    stand_in.faults = faults
+    with pytest.raises(error):
+        await api.create("k", "a", 1)
+    stand_in.faults = platform.PlatformFaults()
+    # A connection that owed an answer is not used again.
+    assert (await api.get("k", "a") is None) == (not faults.lose_replies)
