Runs go on from a copy only once it can be there; ejected endpoints are probed

A run that an endpoint reset at once was sent to the engine meant for its copy, which had none yet and reset it too. Found beside it by tests: requests that fail together lengthened an ejection to a minute; an ejected endpoint of a service without repeatable requests never came back; a change that a deaf watch missed waited for the next confirmation.

Change: a run goes on from its copy only when its events came for 0.75 s; only the first failure after a trial is due lengthens an ejection; endpoints that no request tries are asked for their health; the list that a lost watch ends in is taken in; no stream is begun late in a planned stop; messages on loads are bounded in bytes a second; metrics and dump have a port of their own.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -31,6 +31,7 @@
 from martenjunction.routing import follower
 from martenjunction.routing import peer_sync
 from martenjunction.routing import picture
+from martenjunction.routing import prober
 
 # Seconds between two looks at silent endpoints, lapsed entries and moves.
 WATCH_INTERVAL_S = 0.1
@@ -78,7 +79,7 @@
         self.events = events.Events()
         self.metrics = metrics.Metrics()
         self.log = decision_log.DecisionLog(self.timers.now)
-        self._leaving = False
+        self._leaving_since: float | None = None
         self._most_boxes = 1
         self._exchanges: set[exchange.Exchange] = set()
         self._stopped = asyncio.Event()
@@ -149,6 +150,9 @@
             self.log,
             self._is_ready,
         )
+        self.prober = prober.Prober(
+            self.book, self.pool, self.admitter, self.timers
+        )
         self._tools = exchange.Tools(
             self.admitter,
             self.book,
@@ -158,25 +162,30 @@
             self.log,
             self.metrics,
             settings.zone,
-            lambda: self._leaving,
+            self._left_for_s,
         )
         self._callers = server.Server(
             "callers", self._serve_caller, self._limits
         )
         self._ready = server.Server("ready", self._serve_ready)
         self._entry = server.Server("entry", self._serve_entry)
+        self._operator = server.Server("operator", self._serve_operator)
 
     @property
     def leaving(self) -> bool:
         """Whether a planned stop has begun."""
-        return self._leaving
+        return self._leaving_since is not None
 
     async def start(self) -> None:
         """Brings the daemon up; it listens when this returns."""
         self._ready.listen_on(self._settings.ready)
+        self._operator.listen_on(
+            f"{self._settings.ip}:{self._settings.metrics_port}"
+        )
         self._entry.listen_on(self._settings.entry)
         self._callers.listen_on(self._settings.callers)
         self.sync.start()
+        self.prober.start()
         self.follower.start()
         await self.peers.start()
         self.timers.subscribe("watch", WATCH_INTERVAL_S, self._watch)
@@ -194,10 +203,10 @@
 
     async def leave(self) -> None:
         """Stops as planned: clients go elsewhere, what runs is finished."""
-        if self._leaving:
+        if self.leaving:
             return
         began = self.timers.now()
-        self._leaving = True
+        self._leaving_since = began
         self.log.write("stop-begins", held=len(self._exchanges))
         self.members.leaving(self._settings.box, self.members.own.incarnation)
         self.sync.announce_leaving()
@@ -224,8 +233,14 @@
         """Stops at once; requests in flight are cut off."""
         for running in list(self._exchanges):
             running.stop(exchange.Ending.STOPPED)
-        for listening in (self._callers, self._ready, self._entry):
+        for listening in (
+            self._callers,
+            self._ready,
+            self._entry,
+            self._operator,
+        ):
             listening.close_all()
+        await self.prober.stop()
         await self.follower.stop()
         await self.timers.stop()
         await self.peers.stop()
@@ -236,7 +251,7 @@
         now = self.timers.now()
         return {
             "box": self._settings.box,
-            "leaving": self._leaving,
+            "leaving": self.leaving,
             "ready": self._is_ready(),
             "config": {
                 "version": self.picture.version,
@@ -287,6 +302,12 @@
 
     async def _serve_ready(
         self, connection: server.ServerConnection, request: messages.Request
+    ) -> None:
+        status = 200 if self._is_ready() else 503
+        await connection.answer(status, [], b"")
+
+    async def _serve_operator(
+        self, connection: server.ServerConnection, request: messages.Request
     ) -> None:
         if request.path == METRICS_PATH:
             await connection.answer(200, [], self._metrics_text())
@@ -294,8 +315,7 @@
             text = json.dumps(self.dump(), indent=1).encode()
             await connection.answer(200, [], text)
         else:
-            status = 200 if self._is_ready() else 503
-            await connection.answer(status, [], b"")
+            await connection.answer(404, [], b"")
 
     async def _serve_entry(
         self, connection: server.ServerConnection, request: messages.Request
@@ -353,14 +373,20 @@
 
     def _is_ready(self) -> bool:
         config = self.admitter.config
-        if self._leaving or config is None or not self.listed.known:
+        if self.leaving or config is None or not self.listed.known:
             return False
         if not config.needs_keys or not self._settings.keys_fail_closed:
             return True
         return self.freshness.covers(self.timers.now())
 
+    def _left_for_s(self) -> float | None:
+        """Returns for how long a planned stop goes on; None for none."""
+        if self._leaving_since is None:
+            return None
+        return self.timers.now() - self._leaving_since
+
     def _status(self) -> Any:
-        return self.sync.status()
+        return self.sync.heartbeat()
 
     def _limits(self) -> server.Limits:
         config = self.admitter.config
--- a/martenjunction/platform/box_settings.py
+++ b/martenjunction/platform/box_settings.py
@@ -9,6 +9,9 @@
 # Names the file's path in the environment.
 SETTINGS_VARIABLE = "MARTENJUNCTION_SETTINGS"
 
+# The port for metrics and the dump; deploy/system.toml names it too.
+METRICS_PORT = 9464
+
 MEGABYTE = 1024 * 1024
 MS = 0.001
 
@@ -21,6 +24,7 @@
         box: The box's name.
         zone: Its availability zone.
         region: The zone's region.
+        ip: The box's IP address.
         zones: Region of each availability zone.
         callers: Address for clients' requests.
         ready: Address that the platform asks for readiness.
@@ -39,11 +43,13 @@
         retry_window_s: Seconds over which repeats are counted.
         retry_allowance: Repeats allowed whatever the requests.
         max_entry_ttl_s: Longest life of an address answer.
+        metrics_port: Port for metrics and the dump, at the box's IP address.
     """
 
     box: str
     zone: str
     region: str
+    ip: str
     zones: dict[str, str]
     callers: str
     ready: str
@@ -61,6 +67,7 @@
     retry_window_s: float
     retry_allowance: float
     max_entry_ttl_s: float
+    metrics_port: int = METRICS_PORT
 
 
 def read(path: str) -> BoxSettings:
@@ -94,6 +101,7 @@
         box=table["node"],
         zone=table["zone"],
         region=table["region"],
+        ip=table["ip"],
         zones=dict(table.get("zones", {})),
         callers=listen["frontend"],
         ready=listen["ready"],
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -16,6 +16,10 @@
 ENGINE_SILENCE_S = 1.0
 SINGLE_SILENCE_S = 1.0
 
+# Seconds for which an ejected endpoint that is due for a trial waits for a
+# request that may be repeated, before its health is asked instead.
+PROBE_PATIENCE_S = 1.5
+
 # Part by which what was learnt of an endpoint without work moves back towards
 # the best of its service, each time it is looked at.
 IDLE_DRIFT = 0.02
@@ -200,6 +204,26 @@
         if record.health.faults >= endpoint_states.MAX_FAULTS:
             self._eject(record, "answers break off", now)
 
+    def due_for_probe(self, now: float) -> list[str]:
+        """Returns ids of ejected endpoints that no request has tried."""
+        return [
+            record.id
+            for record in self._records.values()
+            if record.health.state is endpoint_states.EndpointState.EJECTED
+            and record.own_running == 0
+            and record.health.trial_due(now - PROBE_PATIENCE_S)
+            and self._listed.may_send(record.id)
+        ]
+
+    def probed(self, endpoint_id: str, sound: bool, now: float) -> None:
+        """Notes the answer to a health check of an ejected endpoint."""
+        record = self._records.get(endpoint_id)
+        if record is None:
+            return
+        passed = endpoint_states.EndpointEvent.TRIAL_PASSED
+        failed = endpoint_states.EndpointEvent.TRIAL_FAILED
+        self._move(record, passed if sound else failed, now, "health check")
+
     def tick(self, now: float) -> None:
         """Looks for silent endpoints and forgets those that are gone."""
         for record in self._records.values():
@@ -296,6 +320,9 @@
     ) -> None:
         event = endpoint_states.EndpointEvent.OUTLIER
         if record.health.state is endpoint_states.EndpointState.EJECTED:
+            if not record.health.trial_due(now):
+                # One of the requests that were sent before it was ejected.
+                return
             event = endpoint_states.EndpointEvent.TRIAL_FAILED
         self._move(record, event, now, why)
 
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -31,6 +31,18 @@
 # Seconds after which a client may come back when no endpoint takes work.
 RETRY_BUSY_S = 0.25
 
+# Seconds after the begin of a planned stop from which on no stream is begun:
+# it would be cut off when the box is killed. Clients know other boxes by then.
+LAST_STREAM_S = 2.8
+
+# Seconds after which a client may come back, at another box.
+RETRY_STOPPING_S = 0.05
+
+# Seconds from a run's first event after which a copy of it is taken to be at
+# its second engine: copies are sent some times a second. A run sent there
+# before its copy would be a second run.
+COPY_AGE_S = 0.75
+
 # Least time, in seconds, for which it is worth sending a request.
 LEAST_TIME_S = 0.01
 
@@ -59,7 +71,8 @@
         log: Told of outcomes.
         metrics: Counts outcomes.
         zone: The box's availability zone.
-        leaving: Returns whether the box is being stopped.
+        leaving_for_s: Returns for how many seconds the box is being stopped,
+            or None if it is not.
     """
 
     admitter: admission.Admitter
@@ -70,7 +83,11 @@
     log: decision_log.DecisionLog
     metrics: metrics.Metrics
     zone: str
-    leaving: Callable[[], bool]
+    leaving_for_s: Callable[[], float | None]
+
+    def closing(self) -> bool:
+        """Returns whether connections end with their answer."""
+        return self.leaving_for_s() is not None
 
 
 @dataclasses.dataclass(slots=True)
@@ -146,9 +163,9 @@
     def movable(self) -> bool:
         """Whether it may be taken from its endpoint and sent to another."""
         taken = self._admission
-        if taken is None:
-            return False
-        return taken.route.repeatable or self._may_continue()
+        # A silent endpoint may still be at work: only what may run twice is
+        # taken from it.
+        return taken is not None and taken.route.repeatable
 
     def move(self) -> None:
         """Takes the request from its endpoint; it goes to another one."""
@@ -184,6 +201,7 @@
             self._request.received_at,
         )
         self._admission = taken
+        self._refuse_if_stopping(taken)
         self._came_back = self._tools.deadlines.came_back(
             taken.route.name, self._facts.deadline_s
         )
@@ -206,6 +224,19 @@
                 self._task.cancel()
         await self._conclude()
 
+    def _refuse_if_stopping(self, taken: admission.Admission) -> None:
+        """Refuses a stream that could outlast this box's planned stop.
+
+        Raises:
+            RefusalError: If the client has to go to another box.
+        """
+        leaving = self._tools.leaving_for_s()
+        streams = taken.route.kind is model.RouteKind.STREAM
+        if leaving is not None and leaving > LAST_STREAM_S and streams:
+            raise admission.RefusalError(
+                503, "stopping", "this box is being stopped", RETRY_STOPPING_S
+            )
+
     async def _conclude(self) -> None:
         """Gives the final answer where the attempts gave none."""
         assert self._task is not None
@@ -300,9 +331,11 @@
 
     def _may_continue(self) -> bool:
         """Returns whether a copy of the run's memory may still be used."""
-        return self._copy is not None and self._tools.book.listed.may_send(
-            self._copy.id
-        )
+        if self._copy is None or self._first_at is None:
+            return False
+        if self._last_at - self._first_at < COPY_AGE_S:
+            return False
+        return self._tools.book.listed.may_send(self._copy.id)
 
     async def _continue_at_copy(
         self, taken: admission.Admission, demand: endpoint_records.Demand
@@ -520,13 +553,13 @@
             if not self._connection.answering:
                 self._progress.note(outcomes.Event.ANSWERING)
                 await self._connection.begin(
-                    head.status, pairs, self._tools.leaving()
+                    head.status, pairs, self._tools.closing()
                 )
                 self._status = head.status
             await self._write_new(events)
         if not self._connection.answering:
             await self._connection.begin(
-                head.status, pairs, self._tools.leaving()
+                head.status, pairs, self._tools.closing()
             )
             self._status = head.status
         run.finish()
@@ -568,7 +601,7 @@
     async def _deliver(self, answer: _Answer) -> None:
         self._status = answer.status
         await self._connection.answer(
-            answer.status, answer.headers, answer.body, self._tools.leaving()
+            answer.status, answer.headers, answer.body, self._tools.closing()
         )
 
     async def _refuse(
@@ -580,7 +613,7 @@
         if retry_after is not None:
             pairs.append(headers.retry_after(retry_after))
         await self._connection.answer(
-            status, pairs, code.encode(), self._tools.leaving()
+            status, pairs, code.encode(), self._tools.closing()
         )
 
     def _account(self) -> None:
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -22,7 +22,7 @@
 WATCH_WAIT_S = 8.0
 
 # Seconds between two lists of the boxes' own entries.
-BOXES_INTERVAL_S = 4.0
+BOXES_INTERVAL_S = 8.0
 
 # Seconds for which a box must be silent before its entry is removed.
 DEAD_AFTER_S = 12.0
@@ -117,6 +117,8 @@
 
     async def _watch_config(self) -> None:
         listing = await self._client.list(documents.CONFIG_KIND)
+        for found in listing.objects:
+            self._take_watched(found)
         after = listing.revision
         while True:
             try:
@@ -127,11 +129,13 @@
                 return
             for change in changes.changes:
                 after = max(after, change.object.revision)
-                if (
-                    change.object.name == documents.CONFIG_NAME
-                    and not change.deleted
-                ):
-                    self._known.take_newer_config(change.object.spec, "watch")
+                if not change.deleted:
+                    self._take_watched(change.object)
+
+    def _take_watched(self, found: store.StoredObject) -> None:
+        """Takes in a configuration that may have been overtaken already."""
+        if found.name == documents.CONFIG_NAME:
+            self._known.take_newer_config(found.spec, "watch")
 
     async def _watch_endpoints(self) -> None:
         listing = await self._client.list(documents.ENDPOINT_KIND)
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -8,12 +8,13 @@
 @codec.message("box-status")
 @dataclasses.dataclass(frozen=True, slots=True)
 class BoxStatus:
-    """How a box is; sent as its heartbeat.
+    """How a box is; without loads, its heartbeat.
 
     Attributes:
         ready: Whether clients may be sent to it.
         version: Version of the configuration in force there; 0 for none.
         revision: The store's revision up to which it knows the endpoints.
+        tells_loads: Whether the fields below are told.
         endpoints: Ids of the endpoints where it has requests; an endpoint
             stands there once for each kind of request.
         urgencies: The urgency of those requests.
@@ -28,6 +29,7 @@
     ready: bool
     version: int
     revision: int
+    tells_loads: bool
     endpoints: tuple[str, ...]
     urgencies: tuple[int, ...]
     long: tuple[bool, ...]
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -5,6 +5,7 @@
 from martenjunction import errors
 from martenjunction import timers
 from martenjunction.decisions import key_freshness
+from martenjunction.peers import codec
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.peers import messages
@@ -25,6 +26,10 @@
 # Seconds between two messages on the load at endpoints, while there is any.
 LOADS_INTERVAL_S = 0.2
 
+# Bytes a second that all such messages of a box may take; with many peers or
+# endpoints they are sent less often.
+LOADS_BYTES_PER_S = 24_000
+
 # Questions whose sending time is remembered.
 MAX_QUESTIONS = 64
 
@@ -70,6 +75,8 @@
         self._statuses: dict[str, tuple[float, peer_messages.BoxStatus]] = {}
         self._questions: dict[int, float] = {}
         self._next_question = 0
+        self._loads_due = 0.0
+        self._told = False
 
     def start(self) -> None:
         """Subscribes to messages and timers."""
@@ -82,14 +89,21 @@
         self._timers.subscribe("ask-view", ASK_INTERVAL_S, self._ask_if_stale)
         self._timers.subscribe("loads", LOADS_INTERVAL_S, self._tell_loads)
 
-    def status(self) -> peer_messages.BoxStatus:
-        """Returns how this box is."""
-        loads = self._book.loads()
-        sent = self._book.sent_tokens()
+    def heartbeat(self) -> peer_messages.BoxStatus:
+        """Returns how this box is, less what it has at endpoints."""
+        return self._status(False, [], [])
+
+    def _status(
+        self,
+        tells_loads: bool,
+        loads: list[endpoint_book.LoadRow],
+        sent: list[tuple[str, int]],
+    ) -> peer_messages.BoxStatus:
         return peer_messages.BoxStatus(
             self._is_ready(),
             self._known.version,
             self._book.listed.revision,
+            tells_loads,
             tuple(row[0] for row in loads),
             tuple(row[1] for row in loads),
             tuple(row[2] for row in loads),
@@ -101,7 +115,7 @@
 
     def announce(self) -> None:
         """Tells all peers at once how this box is."""
-        self._peers.broadcast(self.status())
+        self._peers.broadcast(self.heartbeat())
 
     def announce_leaving(self) -> None:
         """Tells all peers that this box is being stopped as planned."""
@@ -124,6 +138,10 @@
         now = self._timers.now()
         self._statuses[box] = (now, status)
         self._members.heard(box, 0.0)
+        if status.version > self._known.version:
+            self._ask(box)
+        if not status.tells_loads:
+            return
         loads = zip(
             status.endpoints,
             status.urgencies,
@@ -135,8 +153,6 @@
         self._book.take_peer_loads(box, list(loads), now)
         sent = zip(status.engines, status.sent, strict=False)
         self._book.take_peer_sent(box, list(sent), now)
-        if status.version > self._known.version:
-            self._ask(box)
 
     def _on_leaving(self, box: str, message: messages.Leaving) -> None:
         if self._members.leaving(message.box, message.incarnation):
@@ -151,8 +167,20 @@
         )
 
     def _tell_loads(self) -> None:
-        if self._book.running:
-            self.announce()
+        """Tells all peers what this box has at endpoints, while it has any.
+
+        The last message of a busy time tells that nothing is left.
+        """
+        now = self._timers.now()
+        if now < self._loads_due or not (self._book.running or self._told):
+            return
+        status = self._status(
+            True, self._book.loads(), self._book.sent_tokens()
+        )
+        self._told = self._book.running > 0
+        self._peers.broadcast(status)
+        size = len(codec.encode_batch([status])) * len(self._peers.boxes())
+        self._loads_due = now + size / LOADS_BYTES_PER_S
 
     def _ask_if_stale(self) -> None:
         age = self._freshness.age_s(self._timers.now())
--- /dev/null
+++ b/martenjunction/routing/prober.py
@@ -0,0 +1,92 @@
+"""Asks ejected endpoints for their health where no request tries them."""
+
+import asyncio
+
+from martenjunction import errors
+from martenjunction import timers
+from martenjunction.endpoints import pool
+from martenjunction.routing import admission
+from martenjunction.routing import endpoint_book
+from martenjunction.routing import model
+
+# Seconds between two looks at ejected endpoints.
+PROBE_INTERVAL_S = 0.5
+
+# Seconds that a health check may take.
+PROBE_TIMEOUT_S = 0.5
+
+
+class Prober:
+    """Brings endpoints back that get no request that may be repeated."""
+
+    def __init__(
+        self,
+        book: endpoint_book.EndpointBook,
+        connections: pool.EndpointPool,
+        admitter: admission.Admitter,
+        clock: timers.Timers,
+    ) -> None:
+        """Makes a prober; `start` begins.
+
+        Args:
+            book: Knows the ejected endpoints and is told the answers.
+            connections: Connections to endpoints.
+            admitter: Knows the services' health checks.
+            clock: Tells the time.
+        """
+        self._book = book
+        self._connections = connections
+        self._admitter = admitter
+        self._timers = clock
+        self._probes: dict[str, asyncio.Task[None]] = {}
+
+    def start(self) -> None:
+        """Begins to look."""
+        self._timers.subscribe("probes", PROBE_INTERVAL_S, self._look)
+
+    async def stop(self) -> None:
+        """Ends the probes that run."""
+        for probe in self._probes.values():
+            probe.cancel()
+        await asyncio.gather(*self._probes.values(), return_exceptions=True)
+
+    def _look(self) -> None:
+        config = self._admitter.config
+        if config is None:
+            return
+        for endpoint_id in self._book.due_for_probe(self._timers.now()):
+            listed = self._book.listed.entries[endpoint_id]
+            service = config.services.get(listed.endpoint.service)
+            if service is None or endpoint_id in self._probes:
+                continue
+            work = self._probe(listed.endpoint, service.health_path)
+            task = asyncio.get_running_loop().create_task(work)
+            self._probes[endpoint_id] = task
+
+    async def _probe(self, endpoint: model.Endpoint, path: str) -> None:
+        try:
+            sound = await self._ask(endpoint, path)
+            self._book.probed(endpoint.id, sound, self._timers.now())
+        finally:
+            self._probes.pop(endpoint.id, None)
+
+    async def _ask(self, endpoint: model.Endpoint, path: str) -> bool:
+        """Returns whether the endpoint answers that it is healthy."""
+        try:
+            connection = await self._connections.acquire(endpoint, False)
+        except errors.EndpointError:
+            return False
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                host = (b"Host", endpoint.address.encode())
+                connection.send(b"GET", path.encode(), [host], b"")
+                head = await connection.read_head()
+                while await connection.read_body():
+                    pass
+            connection.finish()
+            return head.status == 200
+        except (errors.TransportError, TimeoutError):
+            connection.abort()
+            return False
+        finally:
+            self._connections.release(endpoint.id, connection)
--- a/martenjunction_lab/boxes.py
+++ b/martenjunction_lab/boxes.py
@@ -24,6 +24,8 @@
         "box": box,
         "zone": "zone-a",
         "region": "region-a",
+        "ip": "127.0.0.1",
+        "metrics_port": bench.free_port(),
         "zones": {"zone-a": "region-a"},
         "callers": bench.free_address(),
         "ready": bench.free_address(),
--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -80,6 +80,13 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    async def start_again(self) -> None:
+        """Listens again on the address that it had."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port), backlog=256
+        )
+
     async def stop(self) -> None:
         """Closes the port and every connection."""
         if self._server is not None:
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -21,6 +21,7 @@
 node = "edge-a-1"
 zone = "zone-a"
 region = "region-a"
+ip = "10.0.0.1"
 seeds = ["10.0.0.1:1", "10.0.0.2:1"]
 unknown = "skipped"
 [listen]
