--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -14,7 +14,7 @@
 # an engine's running streams bring an event every 20 to 250 ms.
 PLAIN_SILENCE_S = 0.4
 ENGINE_SILENCE_S = 1.0
-SINGLE_SILENCE_S = 1.0
+SINGLE_SILENCE_S = 1.5
 
 # Seconds for which an ejected endpoint that is due for a trial waits for a
 # request that may be repeated, before its health is asked instead.
