A request's offers and state in modules of their own; one watch, one parse

Change: routing/offers.py chooses the endpoints of one request and holds its state; exchange.py carries it out. One watch in the follower, one parse step in the server, one way into force in the picture.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -29,6 +29,7 @@
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import exchange
 from martenjunction.routing import follower
+from martenjunction.routing import offers
 from martenjunction.routing import peer_sync
 from martenjunction.routing import picture
 from martenjunction.routing import prober
@@ -153,7 +154,7 @@
         self.prober = prober.Prober(
             self.book, self.pool, self.admitter, self.timers
         )
-        self._tools = exchange.Tools(
+        self._tools = offers.Tools(
             self.admitter,
             self.book,
             self.pool,
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -204,12 +204,7 @@
     async def _read_head(self) -> h11.Request | None:
         self._set_timer(self._limits.idle_timeout_s)
         while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise RequestSyntaxError(
-                    error.error_status_hint, str(error)
-                ) from error
+            event = self._next_event()
             if isinstance(event, h11.Request):
                 self._set_timer(None)
                 return event
@@ -223,6 +218,14 @@
                 self._set_timer(self._limits.header_timeout_s)
             self._parser.receive_data(data)
 
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        try:
+            return self._parser.next_event()  # type: ignore[return-value]
+        except h11.RemoteProtocolError as error:
+            raise RequestSyntaxError(
+                error.error_status_hint, str(error)
+            ) from error
+
     def _check_framing(self, request: messages.Request) -> None:
         """Refuses what two readers could take for different messages."""
         names = [name.lower() for name, _ in request.headers]
@@ -238,12 +241,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise RequestSyntaxError(
-                    error.error_status_hint, str(error)
-                ) from error
+            event = self._next_event()
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -119,18 +119,13 @@
         listing = await self._client.list(documents.CONFIG_KIND)
         for found in listing.objects:
             self._take_watched(found)
-        after = listing.revision
-        while True:
-            try:
-                changes = await self._client.watch(
-                    documents.CONFIG_KIND, after, WATCH_WAIT_S
-                )
-            except errors.HistoryLostError:
-                return
-            for change in changes.changes:
-                after = max(after, change.object.revision)
-                if not change.deleted:
-                    self._take_watched(change.object)
+        await self._watch(
+            documents.CONFIG_KIND, listing.revision, self._take_config_change
+        )
+
+    def _take_config_change(self, change: store.Change) -> None:
+        if not change.deleted:
+            self._take_watched(change.object)
 
     def _take_watched(self, found: store.StoredObject) -> None:
         """Takes in a configuration that may have been overtaken already."""
@@ -145,20 +140,29 @@
             listing.revision,
             "store",
         )
-        after = listing.revision
+        await self._watch(
+            documents.ENDPOINT_KIND,
+            listing.revision,
+            self._known.take_endpoint_change,
+        )
+
+    async def _watch(
+        self, kind: str, after: int, take: Callable[[store.Change], None]
+    ) -> None:
+        """Takes in the changes of a kind until the store forgets some.
+
+        An answer without changes moves us no further: a watch that was deaf
+        would otherwise hide what it missed.
+        """
         while True:
             try:
-                changes = await self._client.watch(
-                    documents.ENDPOINT_KIND, after, WATCH_WAIT_S
-                )
+                answer = await self._client.watch(kind, after, WATCH_WAIT_S)
             except errors.HistoryLostError:
                 return
             self._known.store_answered(True)
-            # An answer without changes moves us no further: a watch that was
-            # deaf would otherwise hide what it missed.
-            for change in changes.changes:
+            for change in answer.changes:
                 after = max(after, change.object.revision)
-                self._known.take_endpoint_change(change)
+                take(change)
 
     async def _follow_boxes(self) -> None:
         if not self._recorded:
--- /dev/null
+++ b/martenjunction/routing/offers.py
@@ -0,0 +1,296 @@
+"""Which endpoints one request is offered to, one after the other."""
+
+from collections.abc import Callable
+import dataclasses
+import time
+
+from martenjunction import errors
+from martenjunction import metrics
+from martenjunction.decisions import endpoint_choice
+from martenjunction.decisions import endpoint_records
+from martenjunction.decisions import outcomes
+from martenjunction.decisions import repeat_budget
+from martenjunction.decisions import shedding
+from martenjunction.endpoints import attempt
+from martenjunction.endpoints import pool
+from martenjunction.platform import headers
+from martenjunction.routing import admission
+from martenjunction.routing import decision_log
+from martenjunction.routing import endpoint_book
+from martenjunction.routing import model
+
+# Endpoints that one request is offered to, refusals and failed connections
+# included.
+MAX_OFFERS = 4
+
+# Seconds from a run's first event after which a copy of it is taken to be at
+# its second engine: copies are sent some times a second. A run sent there
+# before its copy would be a second run.
+COPY_AGE_S = 0.75
+
+# Least time, in seconds, for which it is worth sending a request.
+LEAST_TIME_S = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Tools:
+    """What exchanges share.
+
+    Attributes:
+        admitter: Judges requests.
+        book: Knows the endpoints.
+        pool: Holds the connections to them.
+        budget: Grants repeats.
+        deadlines: Tells requests that come back from new ones.
+        log: Told of outcomes.
+        metrics: Counts outcomes.
+        zone: The box's availability zone.
+        leaving_for_s: Returns for how many seconds the box is being stopped,
+            or None if it is not.
+    """
+
+    admitter: admission.Admitter
+    book: endpoint_book.EndpointBook
+    pool: pool.EndpointPool
+    budget: repeat_budget.RepeatBudget
+    deadlines: shedding.DeadlineBook
+    log: decision_log.DecisionLog
+    metrics: metrics.Metrics
+    zone: str
+    leaving_for_s: Callable[[], float | None]
+
+    def closing(self) -> bool:
+        """Returns whether connections end with their answer."""
+        return self.leaving_for_s() is not None
+
+
+@dataclasses.dataclass(slots=True)
+class RequestState:
+    """How far one request has got.
+
+    Attributes:
+        id: The request's id.
+        received_at: Steady clock when its head was complete.
+        came_back: Whether it was refused before.
+        progress: What may be said of it.
+        offers: Ids of the endpoints that it was offered to.
+        choices: What each endpoint was chosen from, for the log.
+        refusals: Endpoints that said that they did not run it.
+        cut_off: Whether the connection of its last run broke.
+        delivered_id: Id of the last event that the client has, or None.
+        first_at: When its first event came, or None.
+        last_at: When its last event came.
+        longest_pause_s: The longest pause between its events.
+        why: Why it failed, for the log; empty if it did not.
+    """
+
+    id: str
+    received_at: float
+    came_back: bool = False
+    progress: outcomes.RequestProgress = dataclasses.field(
+        default_factory=outcomes.RequestProgress
+    )
+    offers: list[str] = dataclasses.field(default_factory=list)
+    choices: list[dict[str, float]] = dataclasses.field(default_factory=list)
+    refusals: int = 0
+    cut_off: bool = False
+    delivered_id: str | None = None
+    first_at: float | None = None
+    last_at: float = 0.0
+    longest_pause_s: float = 0.0
+    why: str = ""
+
+    def note_events(self, now: float) -> None:
+        """Notes that events of its stream came."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            pause = now - self.last_at
+            self.longest_pause_s = max(self.longest_pause_s, pause)
+        self.last_at = now
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """An endpoint that may get the request, and a way to it.
+
+    Attributes:
+        endpoint: The endpoint.
+        choice: What it was chosen from.
+        run: The attempt there, not sent yet.
+        continues: Whether a run goes on there from a copy of its memory.
+    """
+
+    endpoint: model.Endpoint
+    choice: endpoint_choice.Choice
+    run: attempt.Attempt
+    continues: bool = False
+
+
+class Offers:
+    """Chooses the endpoints of one request, within what it allows."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        taken: admission.Admission,
+        demand: endpoint_records.Demand,
+        state: RequestState,
+    ) -> None:
+        """Makes the offers of a request that was taken.
+
+        Args:
+            tools: What exchanges share.
+            taken: How it was taken.
+            demand: What it asks of an endpoint.
+            state: How far it has got.
+        """
+        self._tools = tools
+        self._taken = taken
+        self._demand = demand
+        self._state = state
+        self._avoid: set[str] = set()
+        self._copy: model.Endpoint | None = None
+
+    def sent_to(self, endpoint_id: str) -> None:
+        """Notes that the request goes to an endpoint, which gets it once."""
+        self._state.offers.append(endpoint_id)
+        self._avoid.add(endpoint_id)
+
+    async def next(self) -> Offer | None:
+        """Returns an endpoint that may get the request, and a way to it."""
+        if self._state.cut_off and self._may_continue():
+            return await self._continue_at_copy()
+        while self._may_offer():
+            now = time.monotonic()
+            chosen = self._tools.book.choose(
+                self._taken.service, self._demand, self._avoid, now
+            )
+            if chosen is None:
+                return None
+            endpoint, choice = chosen
+            if not self._state.offers and self._demand.is_engine:
+                self._shed_if_late(choice, now)
+            try:
+                connection = await self._tools.pool.acquire(
+                    endpoint, self._taken.route.repeatable
+                )
+            except errors.EndpointBusyError:
+                self._avoid.add(endpoint.id)
+                continue
+            except errors.EndpointNotReachedError:
+                self._state.offers.append(endpoint.id)
+                self._avoid.add(endpoint.id)
+                self._tools.book.not_reached(endpoint.id, time.monotonic())
+                continue
+            if not self._tools.book.listed.may_send(endpoint.id):
+                # It began to leave while the connection was made.
+                self._tools.pool.release(endpoint.id, connection)
+                self._avoid.add(endpoint.id)
+                continue
+            run = attempt.Attempt(connection, self._state.id)
+            return Offer(endpoint, choice, run)
+        return None
+
+    def _may_continue(self) -> bool:
+        """Returns whether a copy of the run's memory may still be used."""
+        if self._copy is None or self._state.first_at is None:
+            return False
+        if self._state.last_at - self._state.first_at < COPY_AGE_S:
+            return False
+        return self._tools.book.listed.may_send(self._copy.id)
+
+    async def _continue_at_copy(self) -> Offer | None:
+        """Returns the endpoint with a copy of the run, if it can be reached.
+
+        The run goes on there from its memory, so it is still the same run,
+        also where the request may not be repeated.
+        """
+        endpoint = self._copy
+        assert endpoint is not None
+        self._copy = None
+        now = time.monotonic()
+        if self._taken.deadline - now < LEAST_TIME_S:
+            return None
+        if not self._tools.budget.take(self._taken.service.name, now):
+            return None
+        choice = self._tools.book.weigh(
+            endpoint, self._taken.service, self._demand, now
+        )
+        try:
+            connection = await self._tools.pool.acquire(endpoint, False)
+        except errors.EndpointError as error:
+            self._state.why = f"{endpoint.id}: {error}"
+            return None
+        run = attempt.Attempt(connection, self._state.id)
+        return Offer(endpoint, choice, run, continues=True)
+
+    def plan_copy(self, offer: Offer) -> headers.CopyPlan | None:
+        """Decides where the run's memory is copied to or comes from."""
+        if offer.continues:
+            return headers.CopyPlan(copied_at=offer.endpoint.address)
+        engine = self._taken.service.engine
+        if (
+            engine is None
+            or not engine.keeps_copies
+            or self._taken.route.repeatable
+            or self._taken.route.kind is not model.RouteKind.STREAM
+            or self._demand.is_long
+        ):
+            return None
+        now = time.monotonic()
+        chosen = self._tools.book.choose(
+            self._taken.service, self._demand, self._avoid, now
+        )
+        if chosen is None:
+            return None
+        self._copy = chosen[0]
+        return headers.CopyPlan(copy_to=self._copy.address)
+
+    def _shed_if_late(
+        self,
+        choice: endpoint_choice.Choice,
+        now: float,
+    ) -> None:
+        """Refuses a request that would come late while others wait.
+
+        Raises:
+            RefusalError: If it is refused; nothing was sent for it.
+        """
+        record = choice.record
+        busy = choice.ahead > 0 or (
+            choice.running >= shedding.BUSY_PART * record.slots
+        )
+        prospect = shedding.Prospect(
+            choice.predicted_s + now - self._state.received_at,
+            self._taken.route.target_s,
+            self._state.came_back,
+            busy,
+        )
+        pause = shedding.retry_after_s(prospect)
+        if pause is not None:
+            self._state.choices.append(endpoint_book.describe(choice))
+            raise admission.RefusalError(
+                503, "shed", "the answer would come late", pause
+            )
+
+    def _may_offer(self) -> bool:
+        if len(self._state.offers) >= MAX_OFFERS:
+            return False
+        if self._taken.deadline - time.monotonic() < LEAST_TIME_S:
+            return False
+        runs = self._state.progress.attempts - self._state.refusals
+        if runs >= self._taken.route.max_attempts:
+            return False
+        if runs and not self._taken.route.repeatable:
+            return False
+        if not self._tools.admitter.still_allowed(
+            self._taken, self._state.received_at
+        ):
+            self._state.why = "stale-keys"
+            return False
+        if self._state.progress.attempts == 0:
+            return True
+        return self._tools.budget.take(
+            self._taken.service.name, time.monotonic()
+        )
--- a/martenjunction/routing/picture.py
+++ b/martenjunction/routing/picture.py
@@ -79,16 +79,7 @@
             PlatformError: If it cannot be read.
         """
         if spec != self._config_spec:
-            config = documents.decode_config(spec)
-            if self._admitter.put_in_force(config):
-                self._config_spec = spec
-                self._log.write(
-                    "config-in-force",
-                    version=config.version,
-                    routes=len(config.routes),
-                    keys=len(config.workspaces),
-                    source=source,
-                )
+            self.take_newer_config(spec, source)
         self._freshness.confirm(asked_at)
 
     def take_newer_config(self, spec: bytes, source: str) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,7 @@
 from martenjunction import errors
 from martenjunction.http1 import messages
 from martenjunction.routing import exchange
+from martenjunction.routing import offers
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from martenjunction_lab import replica
@@ -336,17 +337,24 @@
     assert second.received[0].headers["last-event-id"] == "3"
 
 
-async def test_copied_run_goes_on_at_the_endpoint_with_the_copy(
+async def engines_that_keep_copies(
     fleet: boxes.Boxes,
-) -> None:
+) -> list[replica.Replica]:
     config = builders.config_document(9)
     config["services"][1]["engine"]["backups"] = True
     fleet.configure(config)
     made = await engines(fleet)
     await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
+    return made
+
+
+async def test_copied_run_goes_on_at_the_endpoint_with_the_copy(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await engines_that_keep_copies(fleet)
     for stand_in in made:
         stand_in.break_after = 3
-        stand_in.event_pause_s = exchange.COPY_AGE_S / 2
+        stand_in.event_pause_s = offers.COPY_AGE_S / 2
     patient = {"Martenjunction-Deadline-Ms": "9000"}
     task = asyncio.create_task(ask(fleet, "/chat/", **patient))
     await boxes.until(lambda: arrivals(made) == 1)
@@ -368,11 +376,7 @@
 async def test_run_whose_copy_cannot_be_there_yet_is_not_sent_to_it(
     fleet: boxes.Boxes, behaviour: Behaviour
 ) -> None:
-    config = builders.config_document(9)
-    config["services"][1]["engine"]["backups"] = True
-    fleet.configure(config)
-    made = await engines(fleet)
-    await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
+    made = await engines_that_keep_copies(fleet)
     behave(made, behaviour)
     for stand_in in made:
         stand_in.break_after = 3
@@ -385,11 +389,7 @@
 async def test_run_that_failed_by_itself_does_not_go_on_from_a_copy(
     fleet: boxes.Boxes,
 ) -> None:
-    config = builders.config_document(9)
-    config["services"][1]["engine"]["backups"] = True
-    fleet.configure(config)
-    made = await engines(fleet)
-    await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
+    made = await engines_that_keep_copies(fleet)
     behave(made, Behaviour.FAIL)
     head, _ = await ask(fleet, "/chat/")
     assert head.status == 500
@@ -399,14 +399,10 @@
 async def test_endpoint_without_the_copy_ends_the_stream_as_broken(
     fleet: boxes.Boxes,
 ) -> None:
-    config = builders.config_document(9)
-    config["services"][1]["engine"]["backups"] = True
-    fleet.configure(config)
-    made = await engines(fleet)
-    await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
+    made = await engines_that_keep_copies(fleet)
     for stand_in in made:
         stand_in.break_after = 3
-        stand_in.event_pause_s = exchange.COPY_AGE_S / 2
+        stand_in.event_pause_s = offers.COPY_AGE_S / 2
     patient = {"Martenjunction-Deadline-Ms": "9000"}
     task = asyncio.create_task(ask(fleet, "/chat/", **patient))
     await boxes.until(lambda: arrivals(made) == 1)
