Repeat windows are pruned as requests come; one swallow, one list of headers

Cause: found on reading the change. The times of a service's requests were dropped only when a repeat was asked for, so a service without repeats kept them all; three functions marked failed futures as seen; hop-by-hop headers stood twice; a ticket kept a time that nobody read.

Change: the window is pruned on each request, with a test that failed first; one streams.swallow; HOP_BY_HOP is made from http_headers; the time is gone. Decisions, answers and bounds stay as they are.

--- a/martenjunction/decisions/repeat_budget.py
+++ b/martenjunction/decisions/repeat_budget.py
@@ -61,7 +61,10 @@
         service: str,
         now: float,
     ) -> None:
-        table.setdefault(service, collections.deque()).append(now)
+        # Counted here too, so that a service without repeats keeps no more
+        # than a window.
+        self._count(table, service, now)
+        table[service].append(now)
 
     def _count(
         self,
@@ -69,9 +72,7 @@
         service: str,
         now: float,
     ) -> int:
-        times = table.get(service)
-        if times is None:
-            return 0
+        times = table.setdefault(service, collections.deque())
         while times and times[0] < now - self._window_s:
             times.popleft()
         return len(times)
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -135,7 +135,7 @@
             written = self._stream.write(data)
         except iostream.StreamClosedError as error:
             raise errors.ConnectError("the connection had ended") from error
-        written.add_done_callback(_swallow)
+        written.add_done_callback(streams.swallow)
 
     async def read_head(self) -> messages.ResponseHead:
         """Waits for the head of the next answer; interim ones are skipped.
@@ -266,9 +266,3 @@
     if match is not None:
         head.keep_alive_s = float(match.group(1))
     return head
-
-
-def _swallow(future: "asyncio.Future[None]") -> None:
-    """Marks a failed write as seen: the read beside it fails as well."""
-    if not future.cancelled():
-        future.exception()
--- a/martenjunction/http1/messages.py
+++ b/martenjunction/http1/messages.py
@@ -3,22 +3,12 @@
 import dataclasses
 from typing import TypeAlias
 
+from martenjunction import http_headers
+
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
-# Headers that concern one connection only (RFC 9110, section 7.6.1).
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
+# Headers that concern one connection only, as they stand on the wire.
+HOP_BY_HOP = frozenset(name.encode() for name in http_headers.HOP_BY_HOP)
 
 
 def header(headers: Headers, name: bytes) -> bytes | None:
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -280,7 +280,7 @@
             written = self._stream.write(data)
         except iostream.StreamClosedError as error:
             raise errors.ConnectionLostError("the client is gone") from error
-        written.add_done_callback(_swallow)
+        written.add_done_callback(streams.swallow)
         return written
 
     async def _flush(self, data: bytes) -> None:
@@ -378,9 +378,3 @@
             await self._handler(connection, request)
             if not connection.next_request():
                 return
-
-
-def _swallow(future: "asyncio.Future[None]") -> None:
-    """Marks a failed write as seen; whoever waits for it still gets it."""
-    if not future.cancelled():
-        future.exception()
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import socket
+from typing import Any
 from typing import cast
 
 from tornado import iostream
@@ -38,8 +39,8 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
 
 
-def _swallow(future: "asyncio.Future[bytes]") -> None:
-    """Marks a failed read as seen; whoever waits for it still gets it."""
+def swallow(future: "asyncio.Future[Any]") -> None:
+    """Marks a failed read or write as seen; whoever waits still gets it."""
     if not future.cancelled():
         future.exception()
 
@@ -122,7 +123,7 @@
         self._stream.close()
 
     def _on_done(self, future: "asyncio.Future[bytes]") -> None:
-        _swallow(future)
+        swallow(future)
         failed = not future.cancelled() and future.exception() is not None
         if failed and self._ended is not None:
             self._ended()
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -39,7 +39,6 @@
         self.choice = choice
         self.demand = demand
         self.sent_at = now
-        self.heard_at = now
         self.waiting = True
         self.move = False
 
@@ -156,7 +155,6 @@
     def heard(self, ticket: RunTicket, now: float) -> None:
         """Notes that bytes of an answer came."""
         record = ticket.record
-        ticket.heard_at = now
         self._heard[record.id] = now
         if record.health.state is endpoint_states.EndpointState.EJECTED:
             self._move(record, endpoint_states.EndpointEvent.TRIAL_PASSED, now)
--- a/tests/test_routing_decisions.py
+++ b/tests/test_routing_decisions.py
@@ -152,6 +152,13 @@
             assert len(in_window) <= 0.2 * len(came) + 52.0 / 6
 
 
+def test_requests_of_a_service_without_repeats_do_not_pile_up() -> None:
+    budget = repeat_budget.RepeatBudget(0.2, 52.0, 10.0, lambda: 6)
+    for second in range(1000):
+        budget.note_request("s", float(second))
+    assert len(budget._requests["s"]) <= 12
+
+
 # The choice of an endpoint.
 
 
