One box of a group reads from the store; the others ask it

In an outage four tasks of each box tried again on their own. A watch on a connection that fell silent was noticed after 9 s only. A peer's list was taken in with the grace for lapsed entries, so a box that the store turned away could keep an endpoint that its peers knew to be gone. The end of an entry that cannot be read was not taken in at all.

Change: decisions/store_readers.py ranks the boxes; the first reads, the others ask it each 0.3 s and read for themselves when they hear nothing fresh for 1.2 to 1.6 s. Views carry what changed and a digest of who may get work. Watches end with the first confirmation that fails and begin anew with the next. The grace follows from how long no box was answered.

--- a/martenjunction/decisions/endpoint_list.py
+++ b/martenjunction/decisions/endpoint_list.py
@@ -1,18 +1,26 @@
 """Which endpoints may get work: the platform's list and what it lacks."""
 
 from collections.abc import Iterable
+from collections.abc import Set
 import dataclasses
 
+import xxhash
+
 from martenjunction.routing import model
 
 # Seconds after the store's return for which an entry that went away during
 # its outage is kept: its endpoint may not have been able to write.
 LAPSE_GRACE_S = 2.0
 
-# Shortest outage, in seconds, during which entries may lapse: endpoints write
-# about every 1.2 s and their entries go after three missed writes, but an
-# outage may have begun before we noticed.
-SHORTEST_LAPSE_S = 1.0
+# Seconds without an answer of the store to any box after which entries may
+# have lapsed. Endpoints write about every 1.2 s and their entries go after
+# three missed writes, so an outage of less than 2.4 s makes none lapse; a box
+# that begins to read in place of another one has waited for 1.7 s at most.
+SHORTEST_LAPSE_S = 2.2
+
+# Endpoints that are gone and whose last revision is remembered, so that late
+# news does not bring them back.
+MAX_GONE = 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,7 +45,7 @@
         self._listed: dict[str, Listed] = {}
         self._gone: dict[str, int] = {}
         self._revision = 0
-        self._lost_at: float | None = None
+        self._store_lost = False
         self._grace_until = 0.0
 
     @property
@@ -64,6 +72,14 @@
             and listed.endpoint.state is model.EndpointState.READY
         ]
 
+    def ready_ids(self) -> list[str]:
+        """Returns the ids of all endpoints that may get new work, in order."""
+        return sorted(i for i in self._listed if self.may_send(i))
+
+    def digest(self) -> int:
+        """Returns a digest of the ids of all that may get new work."""
+        return xxhash.xxh3_64_intdigest(",".join(self.ready_ids()).encode())
+
     def may_send(self, endpoint_id: str) -> bool:
         """Returns whether an endpoint may get new work at this moment."""
         listed = self._listed.get(endpoint_id)
@@ -94,23 +110,81 @@
         present = set()
         for endpoint, entry_revision in entries:
             present.add(endpoint.id)
-            left += self._put(endpoint, entry_revision)
+            left += self.take_change(endpoint, entry_revision)
         for missing in [i for i in self._listed if i not in present]:
-            left += self._remove(missing, revision, now)
+            left += self.take_end(missing, revision, now)
         self._revision = revision
         return left
 
-    def take_change(
+    def take_view(
         self,
-        endpoint: model.Endpoint,
+        changed: Iterable[tuple[model.Endpoint, int]],
+        ready: Set[str],
         revision: int,
-        deleted: bool,
-        now: float,
     ) -> list[str]:
-        """Takes in one change; returns ids that may no longer get work."""
-        if deleted:
-            return self._remove(endpoint.id, revision, now)
-        return self._put(endpoint, revision)
+        """Takes in what another box knows.
+
+        That box has already waited for entries that lapsed, so what it does
+        not have is gone.
+
+        Args:
+            changed: Endpoints whose entries changed, each with its revision.
+            ready: Ids of all endpoints that may get work.
+            revision: The store's revision up to which that box knows.
+
+        Returns:
+            Ids of endpoints that may no longer get work because of it.
+        """
+        if revision < self._revision:
+            return []
+        left: list[str] = []
+        told = set()
+        for endpoint, entry_revision in changed:
+            told.add(endpoint.id)
+            left += self.take_change(endpoint, entry_revision)
+        for missing in [i for i in self._listed if i not in ready | told]:
+            left += self._drop(missing, revision)
+        self._revision = revision
+        return left
+
+    def take_change(self, endpoint: model.Endpoint, revision: int) -> list[str]:
+        """Takes in one entry; returns ids that may no longer get work."""
+        listed = self._listed.get(endpoint.id)
+        if revision <= self._gone.get(endpoint.id, 0):
+            return []
+        if listed is not None and listed.revision > revision:
+            return []
+        was_ready = self.may_send(endpoint.id)
+        if listed is not None and not was_ready:
+            # An endpoint that once said that it leaves does not come back.
+            endpoint = dataclasses.replace(
+                endpoint, state=model.EndpointState.DRAINING
+            )
+        self._listed[endpoint.id] = Listed(endpoint, revision)
+        left = was_ready and endpoint.state is not model.EndpointState.READY
+        return [endpoint.id] if left else []
+
+    def take_end(
+        self, endpoint_id: str, revision: int, now: float
+    ) -> list[str]:
+        """Takes in the end of an entry.
+
+        Args:
+            endpoint_id: The endpoint.
+            revision: The store's revision of that.
+            now: The current time.
+
+        Returns:
+            Ids of endpoints that may no longer get work because of it.
+        """
+        listed = self._listed.get(endpoint_id)
+        if listed is None or listed.revision > revision:
+            return []
+        in_grace = self._store_lost or now < self._grace_until
+        if in_grace and self.may_send(endpoint_id):
+            listed.lapsed = True
+            return []
+        return self._drop(endpoint_id, revision)
 
     def leave(self, endpoint_id: str, revision: int) -> bool:
         """Notes that an endpoint may get no more work.
@@ -136,52 +210,36 @@
         """Notes that all changes up to a revision were taken in."""
         self._revision = max(self._revision, revision)
 
-    def store_lost(self, now: float) -> None:
+    def store_lost(self) -> None:
         """Notes that the store does not answer."""
-        if self._lost_at is None:
-            self._lost_at = now
-
-    def store_returned(self, now: float) -> None:
-        """Notes that the store answers."""
-        if self._lost_at is None:
-            return
-        if now - self._lost_at >= SHORTEST_LAPSE_S:
+        self._store_lost = True
+
+    def store_returned(self, now: float, away_s: float) -> None:
+        """Notes that the store answers.
+
+        Args:
+            now: The current time.
+            away_s: Seconds since it is last known to have answered any box.
+        """
+        self._store_lost = False
+        if away_s >= SHORTEST_LAPSE_S:
             self._grace_until = now + LAPSE_GRACE_S
-        self._lost_at = None
 
     def expire(self, now: float) -> list[str]:
         """Drops lapsed entries whose time is over; returns their ids."""
-        if now < self._grace_until or self._lost_at is not None:
+        if now < self._grace_until or self._store_lost:
             return []
         gone = [i for i, listed in self._listed.items() if listed.lapsed]
         for endpoint_id in gone:
             del self._listed[endpoint_id]
         return gone
 
-    def _put(self, endpoint: model.Endpoint, revision: int) -> list[str]:
-        listed = self._listed.get(endpoint.id)
-        if revision <= self._gone.get(endpoint.id, 0):
-            return []
-        if listed is not None and listed.revision > revision:
-            return []
-        was_ready = self.may_send(endpoint.id)
-        if listed is not None and not was_ready:
-            # An endpoint that once said that it leaves does not come back.
-            endpoint = dataclasses.replace(
-                endpoint, state=model.EndpointState.DRAINING
-            )
-        self._listed[endpoint.id] = Listed(endpoint, revision)
-        left = was_ready and endpoint.state is not model.EndpointState.READY
-        return [endpoint.id] if left else []
-
-    def _remove(self, endpoint_id: str, revision: int, now: float) -> list[str]:
-        listed = self._listed.get(endpoint_id)
-        if listed is None or listed.revision > revision:
-            return []
-        in_grace = self._lost_at is not None or now < self._grace_until
-        if in_grace and self.may_send(endpoint_id):
-            listed.lapsed = True
+    def _drop(self, endpoint_id: str, revision: int) -> list[str]:
+        listed = self._listed[endpoint_id]
+        if listed.revision > revision:
             return []
         del self._listed[endpoint_id]
+        while len(self._gone) >= MAX_GONE:
+            del self._gone[next(iter(self._gone))]
         self._gone[endpoint_id] = revision
         return [endpoint_id]
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -150,6 +150,7 @@
             self.timers,
             self.log,
             self._is_ready,
+            self.follower,
         )
         self.prober = prober.Prober(
             self.book, self.pool, self.admitter, self.timers
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -15,21 +15,25 @@
 
 # Seconds between two questions for the newest configuration. Their answers
 # alone prove that no key was taken away: a watch may be deaf for a while.
-CONFIRM_INTERVAL_S = 1.5
+CONFIRM_INTERVAL_S = 0.6
 
 # Seconds for which a watch waits. The store cuts watches that it let go deaf,
 # and a lost connection is found by the calls beside it.
 WATCH_WAIT_S = 8.0
 
-# Seconds between two lists of the boxes' own entries.
+# Seconds between two lists of the boxes' own entries: of a box that reads for
+# others, and of one that is connected to all it needs already.
 BOXES_INTERVAL_S = 8.0
+BOXES_INTERVAL_BESIDE_S = 30.0
 
 # Seconds for which a box must be silent before its entry is removed.
 DEAD_AFTER_S = 12.0
 
-# Seconds before a failed call is made again: the first and the longest pause.
+# Seconds before a failed call is made again: the first pause, and the longest
+# of the first box of a group and of one that reads in its place.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.5
+LONGEST_PAUSE_BESIDE_S = 1.5
 
 
 class StoreFollower:
@@ -60,26 +64,50 @@
         self._own = own
         self._log = log
         self._rng = rng
-        self._tasks: list[asyncio.Task[None]] = []
+        self._following: asyncio.Task[None] | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self._watches: list[asyncio.Task[None]] = []
+        self._answered = False
+        self._first = True
         self._listed: dict[str, int] = {}
         self._recorded = False
 
+    @property
+    def answered(self) -> bool:
+        """Whether this box reads and the store answered its last question."""
+        return self._answered
+
     def start(self) -> None:
-        """Begins to follow the store."""
+        """Begins to follow the boxes' entries, and to read."""
         loop = asyncio.get_running_loop()
-        for work in (
-            self._confirm_config,
-            self._watch_config,
-            self._watch_endpoints,
-            self._follow_boxes,
-        ):
-            self._tasks.append(loop.create_task(self._repeat(work)))
+        self._following = loop.create_task(self._repeat(self._follow_boxes))
+        self.read(True, True)
+
+    def read(self, wanted: bool, first: bool) -> None:
+        """Begins or ends to read the configuration and the endpoints.
+
+        Args:
+            wanted: Whether this box is to read.
+            first: Whether it is the first of its group, which asks again
+                soonest after a failure.
+        """
+        self._first = first
+        if wanted is (self._reading is not None):
+            return
+        self._log.write("store-reading", reads=wanted, first=first)
+        if wanted:
+            loop = asyncio.get_running_loop()
+            self._reading = loop.create_task(self._read())
+        elif self._reading is not None:
+            self._reading.cancel()
+            self._reading = None
 
     async def stop(self) -> None:
         """Ends the tasks."""
-        for task in self._tasks:
+        tasks = [t for t in (self._following, self._reading) if t is not None]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, *self._watches, return_exceptions=True)
         self._client.close()
 
     async def remove_own_entry(self) -> None:
@@ -99,21 +127,64 @@
                 await work()
                 pause = FIRST_PAUSE_S
             except errors.PlatformError as error:
-                self._known.store_answered(False, str(error))
-                await asyncio.sleep(pause * (0.5 + self._rng.random()))
-                pause = min(pause * 2.0, LONGEST_PAUSE_S)
+                self._log.write("store-call-failed", why=str(error))
+                pause = await self._pause(pause)
+
+    async def _pause(self, pause: float) -> float:
+        """Waits after a failed call; returns the next pause."""
+        await asyncio.sleep(pause * (0.5 + self._rng.random()))
+        longest = LONGEST_PAUSE_S if self._first else LONGEST_PAUSE_BESIDE_S
+        return min(pause * 2.0, longest)
+
+    async def _read(self) -> None:
+        """Confirms the configuration, and watches while that succeeds.
+
+        Watches end with the first confirmation that fails and are begun anew
+        by reading all: what a silent connection missed is found at once when
+        the store answers again.
+        """
+        pause = FIRST_PAUSE_S
+        try:
+            while True:
+                try:
+                    known = await self._confirm_config()
+                except errors.PlatformError as error:
+                    self._end_watches()
+                    self._answered = False
+                    self._known.store_failed(str(error))
+                    pause = await self._pause(pause)
+                    continue
+                self._answered = True
+                self._begin_watches()
+                pause = FIRST_PAUSE_S
+                wait = CONFIRM_INTERVAL_S if known else FIRST_PAUSE_S
+                await asyncio.sleep(wait)
+        finally:
+            self._answered = False
+            self._end_watches()
+
+    def _begin_watches(self) -> None:
+        if self._watches:
+            return
+        loop = asyncio.get_running_loop()
+        for work in (self._watch_config, self._watch_endpoints):
+            self._watches.append(loop.create_task(self._repeat(work)))
+
+    def _end_watches(self) -> None:
+        for task in self._watches:
+            task.cancel()
+        self._watches = []
 
-    async def _confirm_config(self) -> None:
+    async def _confirm_config(self) -> bool:
+        """Asks for the configuration; returns whether there is one."""
         asked_at = time.monotonic()
         found = await self._client.get(
             documents.CONFIG_KIND, documents.CONFIG_NAME
         )
-        self._known.store_answered(True)
+        self._known.store_answered()
         if found is not None:
             self._known.take_config(found.spec, asked_at, "store")
-            await asyncio.sleep(CONFIRM_INTERVAL_S)
-        else:
-            await asyncio.sleep(FIRST_PAUSE_S)
+        return found is not None
 
     async def _watch_config(self) -> None:
         listing = await self._client.list(documents.CONFIG_KIND)
@@ -134,7 +205,6 @@
 
     async def _watch_endpoints(self) -> None:
         listing = await self._client.list(documents.ENDPOINT_KIND)
-        self._known.store_answered(True)
         self._known.take_endpoints(
             [(o.name, o.revision, o.spec) for o in listing.objects],
             listing.revision,
@@ -159,7 +229,6 @@
                 answer = await self._client.watch(kind, after, WATCH_WAIT_S)
             except errors.HistoryLostError:
                 return
-            self._known.store_answered(True)
             for change in answer.changes:
                 after = max(after, change.object.revision)
                 take(change)
@@ -180,8 +249,11 @@
         self._listed = present
         if self._own.box not in present:
             self._recorded = False
-        await self._remove_dead()
-        await asyncio.sleep(BOXES_INTERVAL_S * (0.8 + 0.4 * self._rng.random()))
+        wait = BOXES_INTERVAL_BESIDE_S
+        if self._reading is not None:
+            await self._remove_dead()
+            wait = BOXES_INTERVAL_S
+        await asyncio.sleep(wait * (0.8 + 0.4 * self._rng.random()))
 
     async def _record_own(self) -> None:
         spec = documents.encode_box(self._own)
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -14,6 +14,10 @@
         ready: Whether clients may be sent to it.
         version: Version of the configuration in force there; 0 for none.
         revision: The store's revision up to which it knows the endpoints.
+        reads: Whether it reads from the store and is answered.
+        age_ms: Milliseconds since its configuration was confirmed as the
+            newest; -1 if it never was. A hint only: the message may have been
+            under way for long.
         tells_loads: Whether the fields below are told.
         endpoints: Ids of the endpoints where it has requests; an endpoint
             stands there once for each kind of request.
@@ -29,6 +33,8 @@
     ready: bool
     version: int
     revision: int
+    reads: bool
+    age_ms: int
     tells_loads: bool
     endpoints: tuple[str, ...]
     urgencies: tuple[int, ...]
@@ -48,11 +54,13 @@
         question: Names the question in its answer.
         version: The configuration that the asking box has.
         revision: The revision of the endpoints that it has.
+        digest: A digest of the ids of those that may get work.
     """
 
     question: int
     version: int
     revision: int
+    digest: int
 
 
 @codec.message("view")
@@ -67,9 +75,13 @@
         version: The version of that configuration.
         config: The configuration's document; empty if the asking box has it.
         revision: The store's revision up to which it knows the endpoints.
-        ids: The endpoints' ids; empty if the asking box knows as much.
-        revisions: The revision of each endpoint's entry.
-        entries: Each endpoint's entry.
+        tells_endpoints: Whether the fields below are told; they are not if
+            the asking box knows as much.
+        ready: Ids of all endpoints that may get work.
+        changed: Ids of the endpoints whose entries changed after the
+            revision that the asking box has.
+        revisions: The revision of each changed entry.
+        entries: Each changed entry.
     """
 
     question: int
@@ -77,7 +89,9 @@
     version: int
     config: bytes
     revision: int
-    ids: tuple[str, ...]
+    tells_endpoints: bool
+    ready: tuple[str, ...]
+    changed: tuple[str, ...]
     revisions: tuple[int, ...]
     entries: tuple[bytes, ...]
 
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -5,20 +5,27 @@
 from martenjunction import errors
 from martenjunction import timers
 from martenjunction.decisions import key_freshness
+from martenjunction.decisions import store_readers
 from martenjunction.peers import codec
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.peers import messages
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
+from martenjunction.routing import follower
 from martenjunction.routing import peer_messages
 from martenjunction.routing import picture
 
-# Seconds without an answer of the store after which peers are asked instead.
-ASK_AFTER_S = 2.0
+# Seconds between two questions of a box that does not read from the store, to
+# the one that knows best.
+ASK_INTERVAL_S = 0.3
 
-# Seconds between two such questions.
-ASK_INTERVAL_S = 0.4
+# Seconds without a confirmed configuration after which all peers are asked.
+ASK_ALL_AFTER_S = 2.0
+
+# Seconds between two looks at whether this box is to read, and whether others
+# have to be told what it read.
+ROLE_INTERVAL_S = 0.1
 
 # Seconds for which a box's word that it is ready counts.
 STATUS_LIFETIME_S = 1.2
@@ -51,6 +58,7 @@
         clock: timers.Timers,
         log: decision_log.DecisionLog,
         is_ready: Callable[[], bool],
+        reading: follower.StoreFollower,
     ) -> None:
         """Makes the exchange; `start` begins.
 
@@ -63,6 +71,7 @@
             clock: Tells the time.
             log: Told of what peers say that cannot be used.
             is_ready: Returns whether clients may be sent to this box.
+            reading: Reads from the store where this box has to.
         """
         self._peers = peers
         self._members = members
@@ -72,6 +81,10 @@
         self._timers = clock
         self._log = log
         self._is_ready = is_ready
+        self._reading = reading
+        self._role = store_readers.ReaderRole(members.own.box)
+        self._told_of: tuple[bool, int, int] = (False, 0, 0)
+        self._lacks_entries = False
         self._statuses: dict[str, tuple[float, peer_messages.BoxStatus]] = {}
         self._questions: dict[int, float] = {}
         self._next_question = 0
@@ -86,7 +99,8 @@
         self._peers.subscribe(peer_messages.EndpointsLeft, self._on_left)
         self._peers.subscribe(messages.Leaving, self._on_leaving)
         self._known.on_left(self._tell_left)
-        self._timers.subscribe("ask-view", ASK_INTERVAL_S, self._ask_if_stale)
+        self._timers.subscribe("ask-view", ASK_INTERVAL_S, self._ask_peers)
+        self._timers.subscribe("role", ROLE_INTERVAL_S, self._look)
         self._timers.subscribe("loads", LOADS_INTERVAL_S, self._tell_loads)
 
     def heartbeat(self) -> peer_messages.BoxStatus:
@@ -103,6 +117,8 @@
             self._is_ready(),
             self._known.version,
             self._book.listed.revision,
+            self._reading.answered,
+            self._age_ms(),
             tells_loads,
             tuple(row[0] for row in loads),
             tuple(row[1] for row in loads),
@@ -138,7 +154,8 @@
         now = self._timers.now()
         self._statuses[box] = (now, status)
         self._members.heard(box, 0.0)
-        if status.version > self._known.version:
+        newer = status.revision > self._book.listed.revision
+        if newer or status.version > self._known.version:
             self._ask(box)
         if not status.tells_loads:
             return
@@ -182,11 +199,58 @@
         size = len(codec.encode_batch([status])) * len(self._peers.boxes())
         self._loads_due = now + size / LOADS_BYTES_PER_S
 
-    def _ask_if_stale(self) -> None:
-        age = self._freshness.age_s(self._timers.now())
-        if age is None or age > ASK_AFTER_S:
+    def _look(self) -> None:
+        """Begins or ends to read from the store, and tells news at once."""
+        now = self._timers.now()
+        reads = self._role.decide(
+            self._group(now), self._freshness.age_s(now), now
+        )
+        self._reading.read(reads, self._role.first)
+        news = (
+            self._reading.answered,
+            self._known.version,
+            self._book.listed.revision,
+        )
+        if self._reading.answered and news != self._told_of:
+            self.announce()
+        self._told_of = news
+
+    def _group(self, now: float) -> list[store_readers.PeerAge]:
+        """Returns the boxes among which one reads, less this one."""
+        linked = [m for m in self._members.believed() if self._hears(m, now)]
+        if len(linked) >= hub.ALL_LINKS_UP_TO:
+            zone = self._members.own.zone
+            linked = [m for m in linked if m.zone == zone]
+        return [self._peer_age(member.box, now) for member in linked]
+
+    def _hears(self, member: membership.Member, now: float) -> bool:
+        heard, _ = self._statuses.get(member.box, (None, None))
+        if heard is None or now - heard > STATUS_LIFETIME_S:
+            return False
+        return self._peers.reachable(member.box)
+
+    def _peer_age(self, box: str, now: float) -> store_readers.PeerAge:
+        heard, status = self._statuses[box]
+        age = None
+        if status.age_ms != NEVER_CONFIRMED:
+            age = status.age_ms * MS + now - heard
+        return store_readers.PeerAge(box, status.reads, age)
+
+    def _ask_peers(self) -> None:
+        """Asks the peer that knows best, or all if none knows well."""
+        now = self._timers.now()
+        age = self._freshness.age_s(now)
+        if age is None or age > ASK_ALL_AFTER_S:
             for box in self._peers.boxes():
                 self._ask(box)
+        elif not self._reading.answered:
+            known = [p for p in self._group(now) if p.age_s is not None]
+            if known:
+                self._ask(min(known, key=_ask_order).box)
+
+    def _age_ms(self) -> int:
+        age = self._freshness.age_s(self._timers.now())
+        return NEVER_CONFIRMED if age is None else int(age / MS) + 1
 
     def _ask(self, box: str) -> None:
         self._next_question += 1
@@ -198,26 +262,35 @@
             peer_messages.AskView(
                 self._next_question,
                 self._known.version,
-                self._book.listed.revision,
+                0 if self._lacks_entries else self._book.listed.revision,
+                self._book.listed.digest(),
             ),
         )
 
     def _on_ask(self, box: str, ask: peer_messages.AskView) -> None:
-        age = self._freshness.age_s(self._timers.now())
+        listed = self._book.listed
         newer_config = self._known.version > ask.version
-        newer_list = self._book.listed.revision > ask.revision
-        entries = self._known.entries if newer_list else {}
+        tells = listed.revision >= ask.revision and (
+            listed.revision > ask.revision or listed.digest() != ask.digest
+        )
+        changed = {
+            name: entry
+            for name, entry in self._known.entries.items()
+            if tells and entry[0] > ask.revision
+        }
         self._peers.send(
             box,
             peer_messages.View(
                 ask.question,
-                NEVER_CONFIRMED if age is None else int(age / MS) + 1,
+                self._age_ms(),
                 self._known.version,
                 self._known.config_spec if newer_config else b"",
-                self._book.listed.revision,
-                tuple(entries),
-                tuple(revision for revision, _ in entries.values()),
-                tuple(spec for _, spec in entries.values()),
+                listed.revision,
+                tells,
+                tuple(listed.ready_ids()) if tells else (),
+                tuple(changed),
+                tuple(revision for revision, _ in changed.values()),
+                tuple(spec for _, spec in changed.values()),
             ),
         )
 
@@ -233,6 +306,15 @@
             return
         if view.age_ms >= 0 and view.version == self._known.version:
             self._freshness.confirm(asked_at - view.age_ms * MS)
-        if view.ids and not self._known.store_answers:
-            rows = zip(view.ids, view.revisions, view.entries, strict=False)
-            self._known.take_endpoints(list(rows), view.revision, box)
+        if view.tells_endpoints:
+            rows = zip(view.changed, view.revisions, view.entries, strict=False)
+            self._known.take_view(list(rows), view.ready, view.revision, box)
+        self._lacks_entries = any(
+            endpoint_id not in self._book.listed.entries
+            for endpoint_id in view.ready
+        )
+
+
+def _ask_order(peer: store_readers.PeerAge) -> tuple[bool, float]:
+    """Returns what peers are ordered by when one is asked."""
+    return not peer.reads, peer.age_s or 0.0
--- a/martenjunction/routing/picture.py
+++ b/martenjunction/routing/picture.py
@@ -82,6 +82,38 @@
             self.take_newer_config(spec, source)
         self._freshness.confirm(asked_at)
 
+    def take_view(
+        self,
+        changed: list[tuple[str, int, bytes]],
+        ready: tuple[str, ...],
+        revision: int,
+        source: str,
+    ) -> None:
+        """Takes in what another box knows of the endpoints.
+
+        Args:
+            changed: Id, revision and document of each entry that changed.
+            ready: Ids of all endpoints that may get work.
+            revision: The store's revision up to which that box knows.
+            source: The box, for the log.
+        """
+        if revision < self._listed.revision:
+            return
+        entries = self._decode_all(changed)
+        left = self._listed.take_view(entries, set(ready), revision)
+        for name, entry_revision, spec in changed:
+            self._entries[name] = (entry_revision, spec)
+        for name in [i for i in self._entries if i not in self._listed.entries]:
+            del self._entries[name]
+        self._log.write(
+            "endpoints-told",
+            revision=revision,
+            changed=len(entries),
+            count=len(self._listed.entries),
+            source=source,
+        )
+        self._tell_left(left, revision, source)
+
     def take_newer_config(self, spec: bytes, source: str) -> None:
         """Takes a configuration in that may have been overtaken already.
 
@@ -114,11 +146,7 @@
         """
         if revision < self._listed.revision:
             return
-        entries = []
-        for endpoint_id, entry_revision, spec in objects:
-            endpoint = self._decode(endpoint_id, spec)
-            if endpoint is not None:
-                entries.append((endpoint, entry_revision))
+        entries = self._decode_all(objects)
         left = self._listed.take_listing(entries, revision, self._now())
         self._entries = {i: (r, spec) for i, r, spec in objects}
         self._log.write(
@@ -131,25 +159,21 @@
 
     def take_endpoint_change(self, change: store.Change) -> None:
         """Takes one change of an endpoint's entry in."""
-        name = change.object.name
-        spec = change.object.spec
-        endpoint = self._decode(name, spec)
-        if endpoint is None:
-            return
-        revision = change.object.revision
-        left = self._listed.take_change(
-            endpoint, revision, change.deleted, self._now()
-        )
+        name, revision = change.object.name, change.object.revision
         if change.deleted:
+            # The entry of something that is gone need not be readable.
+            left = self._listed.take_end(name, revision, self._now())
             self._entries.pop(name, None)
+            state = "gone"
         else:
-            self._entries[name] = (revision, spec)
+            endpoint = self._decode(name, change.object.spec)
+            if endpoint is None:
+                return
+            left = self._listed.take_change(endpoint, revision)
+            self._entries[name] = (revision, change.object.spec)
+            state = endpoint.state.value
         self._log.write(
-            "endpoint-changed",
-            endpoint=name,
-            service=endpoint.service,
-            state="gone" if change.deleted else endpoint.state.value,
-            revision=revision,
+            "endpoint-changed", endpoint=name, state=state, revision=revision
         )
         self._listed.advance(revision)
         self._tell_left(left, revision, "store")
@@ -168,24 +192,35 @@
                     source="peer",
                 )
 
-    def store_answered(self, answers: bool, why: str = "") -> None:
-        """Notes whether the store answered a call."""
+    def store_answered(self) -> None:
+        """Notes that the store answered a call."""
         now = self._now()
-        if answers:
-            self._listed.store_returned(now)
-        else:
-            self._listed.store_lost(now)
-        if answers is not self._store_answers:
-            self._store_answers = answers
-            self._log.write(
-                "store-regained" if answers else "store-lost", why=why
-            )
+        age = self._freshness.age_s(now)
+        self._listed.store_returned(now, 0.0 if age is None else age)
+        self._note_store(True, "")
+
+    def store_failed(self, why: str) -> None:
+        """Notes that the store did not answer a call.
+
+        Args:
+            why: What failed, for the log.
+        """
+        self._listed.store_lost()
+        self._note_store(False, why)
 
     def expire(self) -> None:
         """Drops entries that lapsed during an outage and did not return."""
         gone = self._listed.expire(self._now())
         if gone:
             self._log.write("endpoints-lapsed", endpoints=gone)
+            self._on_left(gone)
+
+    def _note_store(self, answers: bool, why: str) -> None:
+        if answers is not self._store_answers:
+            self._store_answers = answers
+            self._log.write(
+                "store-regained" if answers else "store-lost", why=why
+            )
 
     def _tell_left(self, left: list[str], revision: int, source: str) -> None:
         if left:
@@ -194,6 +229,13 @@
             )
             self._on_left(left)
 
+    def _decode_all(
+        self, objects: list[tuple[str, int, bytes]]
+    ) -> list[tuple[model.Endpoint, int]]:
+        """Returns the endpoints of those entries that can be read."""
+        decoded = [(self._decode(i, spec), r) for i, r, spec in objects]
+        return [(e, r) for e, r in decoded if e is not None]
+
     def _decode(self, name: str, spec: bytes) -> model.Endpoint | None:
         try:
             return documents.decode_endpoint(name, spec)
--- /dev/null
+++ b/tests/test_store_readers.py
@@ -0,0 +1,175 @@
+"""Which boxes read from the store, and how the others learn."""
+
+from collections.abc import AsyncIterator
+
+import pytest
+
+from martenjunction.decisions import store_readers
+from martenjunction_lab import boxes
+from tests import routing_builders as builders
+
+PeerAge = store_readers.PeerAge
+
+
+def first_and_others(count: int) -> tuple[str, list[str]]:
+    """Returns the first of some boxes by rank, and the rest in order."""
+    names = [f"box-{number}" for number in range(count)]
+    order = store_readers.rendezvous.ranked(names, store_readers.RANK_KEY)
+    return order[0], order[1:]
+
+
+def ages(names: list[str], reads: bool, age_s: float) -> list[PeerAge]:
+    return [PeerAge(name, reads, age_s) for name in names]
+
+
+def settled(own: str, first: str) -> store_readers.ReaderRole:
+    """Returns the role of a box that relies on the first one."""
+    role = store_readers.ReaderRole(own)
+    role.decide([PeerAge(first, True, 0.1)], 0.1, 0.0)
+    role.decide([PeerAge(first, True, 0.1)], 0.1, 4.0)
+    assert not role.reads
+    return role
+
+
+def test_box_that_just_started_reads() -> None:
+    first, others = first_and_others(3)
+    role = store_readers.ReaderRole(others[0])
+    assert role.decide([PeerAge(first, True, 0.1)], None, 0.0)
+    assert role.decide([PeerAge(first, True, 0.1)], 0.1, 1.0)
+
+
+def test_first_box_always_reads() -> None:
+    first, others = first_and_others(4)
+    role = store_readers.ReaderRole(first)
+    for now in (0.0, 5.0, 50.0):
+        assert role.decide(ages(others, True, 0.1), 0.1, now)
+    assert role.first
+
+
+def test_box_without_others_reads() -> None:
+    role = store_readers.ReaderRole("box-0")
+    assert role.decide([], 0.1, 0.0)
+    assert role.decide([], 9.0, 10.0)
+
+
+def test_stale_box_reads_in_place_of_the_first() -> None:
+    first, others = first_and_others(3)
+    role = settled(others[0], first)
+    silent = [PeerAge(first, False, 1.3)]
+    assert not role.decide(silent, 1.0, 5.0)
+    assert role.decide(silent, 1.3, 5.3)
+
+
+def test_later_ranks_wait_longer_and_all_read_before_a_change_is_due() -> None:
+    first, others = first_and_others(8)
+    begun = []
+    for rank, own in enumerate(others, 1):
+        role = settled(own, first)
+        peers = ages([n for n in [first, *others] if n != own], False, 3.0)
+        age = 0.0
+        while not role.decide(peers, age, 10.0 + age):
+            age += 0.01
+        begun.append((rank, age))
+    times = [age for _, age in begun]
+    assert times == sorted(times)
+    assert times[0] < times[1]
+    assert times[-1] < 1.7
+
+
+def test_box_stops_when_a_better_one_reads_again() -> None:
+    first, others = first_and_others(3)
+    role = settled(others[1], first)
+    assert role.decide([PeerAge(first, False, 2.0)], 2.0, 10.0)
+    back = [PeerAge(first, True, 0.1)]
+    assert role.decide(back, 0.1, 10.0 + store_readers.LEAST_READING_S / 2)
+    assert not role.decide(back, 0.1, 10.1 + store_readers.LEAST_READING_S)
+
+
+def test_box_goes_on_when_the_better_one_only_knows_from_it() -> None:
+    first, others = first_and_others(3)
+    role = settled(others[1], first)
+    role.decide([PeerAge(first, False, 2.0)], 2.0, 10.0)
+    assert role.decide([PeerAge(first, False, 0.1)], 0.1, 20.0)
+
+
+# The same with real boxes before the stand-in of the store.
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[boxes.Boxes]:
+    made = boxes.Boxes()
+    await made.start(builders.config_document(), boxes=3)
+    yield made
+    await made.stop()
+
+
+def readers(fleet: boxes.Boxes) -> list[str]:
+    return [
+        made.members.own.box
+        for made in fleet.gateways
+        if made.follower.answered
+    ]
+
+
+async def test_one_of_several_boxes_reads_and_all_stay_fresh(
+    fleet: boxes.Boxes,
+) -> None:
+    await fleet.add_replica(builders.PLAIN)
+    await fleet.until_listed()
+    await boxes.until(lambda: len(readers(fleet)) == 1)
+    fleet.store.calls.clear()
+    await boxes.until(lambda: fleet.store.calls.total() > 6)
+    assert len(readers(fleet)) == 1
+    assert all(made.dump()["ready"] for made in fleet.gateways)
+
+
+async def test_what_one_box_reads_reaches_the_others(
+    fleet: boxes.Boxes,
+) -> None:
+    one = await fleet.add_replica(builders.PLAIN)
+    await fleet.until_listed()
+    await boxes.until(lambda: len(readers(fleet)) == 1)
+    two = await fleet.add_replica(builders.PLAIN)
+    await fleet.until_listed()
+    fleet.record(one, builders.PLAIN, state="draining")
+    fleet.forget(two)
+    fleet.configure(builders.config_document(version=9))
+    await boxes.until(
+        lambda: all(
+            made.listed.ready_ids() == [] and made.picture.version == 9
+            for made in fleet.gateways
+        )
+    )
+
+
+async def test_another_box_reads_when_the_reader_dies(
+    fleet: boxes.Boxes,
+) -> None:
+    await fleet.add_replica(builders.PLAIN)
+    await fleet.until_listed()
+    await boxes.until(lambda: len(readers(fleet)) == 1)
+    [name] = readers(fleet)
+    [reader] = [m for m in fleet.gateways if m.members.own.box == name]
+    fleet.gateways.remove(reader)
+    await reader.stop()
+    fleet.configure(builders.config_document(version=9))
+    await boxes.until(
+        lambda: all(made.picture.version == 9 for made in fleet.gateways)
+    )
+    assert readers(fleet)
+
+
+async def test_watches_begin_anew_once_a_silent_store_answers(
+    fleet: boxes.Boxes,
+) -> None:
+    gone = await fleet.add_replica(builders.PLAIN)
+    await fleet.until_listed()
+    fleet.store.faults.silent = True
+    await boxes.until(
+        lambda: not any(m.picture.store_answers for m in fleet.gateways)
+    )
+    fleet.forget(gone)
+    fleet.store.faults.silent = False
+    await boxes.until(
+        lambda: all(m.listed.ready_ids() == [] for m in fleet.gateways)
+    )
