Engines get long and short prompts where streams stay in time beside both

Cause: a part of the engines was kept for short prompts on both sites.

Change: whether engines get both follows from the tokens of an event, the time for a piece and the shortest pause; where they do, short prompts avoid engines that read long ones. An ejected engine is no longer the one that is kept. A short prompt is not refused for an engine's slowness, which may come of less urgent prompts.

--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/endpoint_choice.py
@@ -17,8 +17,8 @@
 # much for 6,000 of them as for a long answer that comes late.
 SHARED_TOKEN_COST_S = 0.0001
 
-# Part of an engine service's endpoints that is kept free of long prompts, so
-# that streams with short pauses are not held up.
+# Part of an engine service's endpoints that is kept free of long prompts where
+# reading them would hold up streams with short pauses for too long.
 SHORT_PART = 0.2
 
 # Requests with short prompts at one such endpoint beyond which one more is
@@ -48,6 +48,7 @@
         running: Requests of all boxes there.
         ahead: Unread tokens there that go first.
         waiting: All unread tokens there.
+        queue_s: The prediction at an engine's usual speed.
     """
 
     record: endpoint_records.EndpointRecord
@@ -56,6 +57,7 @@
     running: int
     ahead: int
     waiting: int
+    queue_s: float
 
 
 def choose(
@@ -90,7 +92,7 @@
     short: set[str] = set()
     owner: str | None = None
     if demand.is_engine:
-        short = kept_for_short(records, demand.service, now)
+        short = kept_for_short(fit, demand, now)
         owner = _owner(fit, demand, short)
     rng.shuffle(fit)
     choices = [weigh(r, demand, r.id == owner, now) for r in fit]
@@ -98,18 +100,25 @@
 
 
 def kept_for_short(
-    records: list[endpoint_records.EndpointRecord], service: str, now: float
+    records: list[endpoint_records.EndpointRecord],
+    demand: endpoint_records.Demand,
+    now: float,
 ) -> set[str]:
     """Returns the endpoints of an engine service that get short prompts.
 
+    There are none where streams stay in time beside prompts that are read.
     Boxes that know the same endpoints and loads come to the same answer.
 
     Args:
-        records: All endpoints of the service that are listed as ready.
-        service: The service.
+        records: Endpoints of the service that may get work.
+        demand: A request for the service.
         now: The current time.
     """
-    order = rendezvous.ranked([r.id for r in records], f"short {service}")
+    if demand.reads_beside_streams:
+        return set()
+    order = rendezvous.ranked(
+        [r.id for r in records], f"short {demand.service}"
+    )
     running = sum(record.short_running(now) for record in records)
     count = max(1, int(len(order) * SHORT_PART), running // SHORT_RUNS)
     return set(order[: min(count, int(len(order) * MOST_SHORT_PART))])
@@ -137,6 +146,7 @@
         record.running(now),
         record.ahead(demand.urgency, now),
         record.waiting(now),
+        record.queue_s(demand, unread, now),
     )
 
 
--- a/martenjunction/decisions/endpoint_records.py
+++ b/martenjunction/decisions/endpoint_records.py
@@ -19,6 +19,19 @@
 # and back, and the tokens that one event holds.
 FIRST_EVENT_S = 0.03
 
+# Seconds that an engine takes for one piece of a prompt, that one of its steps
+# takes beside it, and that each running request adds to a step (the users'
+# figures of their engines). A stream gets one token a step, so while prompts
+# are read without a break, each token waits for a piece.
+PIECE_S = 0.036
+STEP_S = 0.0031
+STEP_S_PER_STREAM = 0.0001
+
+# Running requests at which streams must still be in time beside prompts that
+# are read, and the time kept back for the way to the client, in seconds.
+MANY_RUNS = 40
+PAUSE_MARGIN_S = 0.015
+
 # Seconds by which each running request delays the first token of another.
 STEP_S_PER_RUN = 0.001
 
@@ -53,6 +66,7 @@
         urgency: Rank at an engine; 0 is served first.
         shortest_pause_s: The shortest pause between events that any stream
             of the service may have; None where there is no such bound.
+        tokens_per_event: Tokens in one event of a stream.
     """
 
     service: str
@@ -63,6 +77,16 @@
     repeatable: bool
     urgency: int = PLAIN_URGENCY
     shortest_pause_s: float | None = None
+    tokens_per_event: int = 1
+
+    @property
+    def reads_beside_streams(self) -> bool:
+        """Whether streams stay in time while their engine reads prompts."""
+        if self.shortest_pause_s is None:
+            return True
+        step_s = PIECE_S + STEP_S + MANY_RUNS * STEP_S_PER_STREAM
+        pause_s = self.tokens_per_event * step_s
+        return pause_s <= self.shortest_pause_s - PAUSE_MARGIN_S
 
     @property
     def subject(self) -> str | None:
@@ -282,13 +306,36 @@
         if not demand.is_engine:
             over = max(0.0, (running + 1 - self.slots) / self.slots)
             return self.answer_s.value * (1 + over + 0.5 * running / self.slots)
+        expected_s = self.queue_s(demand, unread, now)
+        if demand.reads_beside_streams and not demand.is_long:
+            expected_s += self._held_up_s(demand, now)
+        return expected_s * self.slowness.value
+
+    def _held_up_s(self, demand: Demand, now: float) -> float:
+        """Returns by how much prompts that go later delay a first event.
+
+        Each of the event's tokens waits for a piece that is read beside it.
+        """
+        beside = max(0, self.waiting(now) - self.ahead(demand.urgency, now))
+        reading_s = beside / PREFILL_TOKENS_PER_S
+        return min(reading_s, demand.tokens_per_event * PIECE_S)
+
+    def queue_s(self, demand: Demand, unread: int, now: float) -> float:
+        """Predicts seconds to a first event at an engine's usual speed.
+
+        Args:
+            demand: The request.
+            unread: Prompt tokens that it would have to read.
+            now: The current time.
+        """
+        running = self.running(now)
         ahead = float(self.ahead(demand.urgency, now))
         if demand.is_long:
             ahead = max(ahead, self.debt(now))
         reading = (unread + ahead) / PREFILL_TOKENS_PER_S
         over = max(0, running + 1 - self.slots) * OVER_SLOTS_S
         steps = running * STEP_S_PER_RUN
-        return (FIRST_EVENT_S + reading + steps + over) * self.slowness.value
+        return FIRST_EVENT_S + reading + steps + over
 
     def _loads(self, now: float) -> Iterable[tuple[LoadKey, Load]]:
         yield from self._own.items()
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -212,15 +212,17 @@
                 return
 
     def _demand(self, taken: admission.Admission) -> endpoint_records.Demand:
+        engine = taken.service.engine
         return endpoint_records.Demand(
             taken.service.name,
             tuple((part.id, part.tokens) for part in self._facts.parts),
             self._facts.prompt_tokens,
             self._tools.zone,
-            taken.service.engine is not None,
+            engine is not None,
             taken.route.repeatable,
             taken.urgency or 0,
             taken.shortest_pause_s,
+            1 if engine is None else engine.tokens_per_event,
         )
 
     async def _attempt(
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -261,8 +261,13 @@
         busy = choice.ahead > 0 or (
             choice.running >= shedding.BUSY_PART * record.slots
         )
+        # What made an endpoint slow may be prompts of lower urgency that it
+        # reads: no reason to refuse a short request while those are taken.
+        expected_s = (
+            choice.predicted_s if self._demand.is_long else choice.queue_s
+        )
         prospect = shedding.Prospect(
-            choice.predicted_s + now - self._state.received_at,
+            expected_s + now - self._state.received_at,
             self._taken.route.target_s,
             self._state.came_back,
             busy,
--- a/tests/routing_builders.py
+++ b/tests/routing_builders.py
@@ -123,6 +123,7 @@
         "repeatable": False,
         "urgency": 1,
         "shortest_pause_s": 0.25,
+        "tokens_per_event": 6,
     }
     values.update(changes)
     return endpoint_records.Demand(**values)
--- a/tests/test_routing_decisions.py
+++ b/tests/test_routing_decisions.py
@@ -259,15 +259,56 @@
 
 def test_more_endpoints_are_kept_free_while_many_short_streams_run() -> None:
     records = five()
-    before = endpoint_choice.kept_for_short(records, "s", 10.0)
     short = builders.demand()
+    before = endpoint_choice.kept_for_short(records, short, 10.0)
     for _ in range(40):
         records[0].add(short, 1, 0)
-    after = endpoint_choice.kept_for_short(records, "s", 10.0)
+    after = endpoint_choice.kept_for_short(records, short, 10.0)
     assert before < after
     assert len(after) == 2
 
 
+def test_none_is_kept_free_where_streams_stay_in_time_beside_prompts() -> None:
+    # Five tokens an event, each of them behind a piece: 0.22 s of 0.25.
+    demand = builders.demand(tokens_per_event=5)
+    assert demand.reads_beside_streams
+    assert endpoint_choice.kept_for_short(five(), demand, 10.0) == set()
+    assert not builders.demand(tokens_per_event=6).reads_beside_streams
+
+
+def test_another_endpoint_is_kept_free_when_that_one_is_ejected() -> None:
+    records = five()
+    demand = builders.demand()
+    [kept] = endpoint_choice.kept_for_short(records, demand, 10.0)
+    broken = next(r for r in records if r.id == kept)
+    broken.health.move(endpoint_states.EndpointEvent.OUTLIER, 10.0)
+    assert choose(records, demand) != kept
+    long = builders.demand((("s", 6000), ("own", 3000)))
+    assert choose(records, long) != choose(records, demand)
+
+
+def test_short_prompt_avoids_an_endpoint_that_reads_long_ones() -> None:
+    records = five()
+    short = builders.demand(tokens_per_event=5, urgency=0)
+    long = builders.demand((("s", 6000), ("own", 3000)), urgency=2)
+    for record in records[:4]:
+        record.add(long, 1, 9000)
+    assert choose(records, short) == "e4"
+    # However much is read, an event waits for a piece per token at most.
+    records[0].add(long, 9, 900_000)
+    waits = records[0].predicted_s(short, 500, 10.0)
+    assert waits < 0.3
+
+
+def test_slow_endpoint_changes_the_prediction_but_not_the_queue() -> None:
+    record = builders.record()
+    demand = builders.demand()
+    usual = record.queue_s(demand, 500, 10.0)
+    record.slowness.add(8.0)
+    assert record.predicted_s(demand, 500, 10.0) > usual
+    assert record.queue_s(demand, 500, 10.0) == usual
+
+
 def test_subject_leaves_its_endpoint_when_that_is_far_behind() -> None:
     records = five()
     demand = builders.demand((("s", 6000), ("own", 3000)))
