The loads of all boxes at an endpoint are summed as they come

Cause: each question about an endpoint's load went through what every other box had told: 45 endpoints, 79 boxes and six kinds of requests make some 80,000 steps a choice.

Change: decisions/endpoint_loads.py keeps the sums up to date; records are left with what was learnt of an endpoint.

--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/endpoint_choice.py
@@ -119,7 +119,7 @@
     order = rendezvous.ranked(
         [r.id for r in records], f"short {demand.service}"
     )
-    running = sum(record.short_running(now) for record in records)
+    running = sum(record.loads.short_running(now) for record in records)
     count = max(1, int(len(order) * SHORT_PART), running // SHORT_RUNS)
     return set(order[: min(count, int(len(order) * MOST_SHORT_PART))])
 
@@ -143,9 +143,9 @@
         record,
         unread,
         record.predicted_s(demand, unread, now),
-        record.running(now),
-        record.ahead(demand.urgency, now),
-        record.waiting(now),
+        record.loads.running(now),
+        record.loads.ahead(demand.urgency, now),
+        record.loads.waiting(now),
         record.queue_s(demand, unread, now),
     )
 
--- a/martenjunction/decisions/endpoint_records.py
+++ b/martenjunction/decisions/endpoint_records.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import dataclasses
 
+from martenjunction.decisions import endpoint_loads
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import estimates
 
@@ -39,9 +40,6 @@
 # token: another one must end first.
 OVER_SLOTS_S = 0.01
 
-# Seconds for which another box's word on its runs counts.
-PEER_LOAD_LIFETIME_S = 1.5
-
 # Seconds for which a refusal keeps an endpoint from being asked again.
 REFUSAL_PAUSE_S = 0.1
 
@@ -101,9 +99,9 @@
         return sum(tokens for _, tokens in self.parts[:-1])
 
     @property
-    def load_key(self) -> "LoadKey":
+    def load_key(self) -> endpoint_loads.LoadKey:
         """What it is counted under."""
-        return LoadKey(self.urgency, self.is_long)
+        return endpoint_loads.LoadKey(self.urgency, self.is_long)
 
     @property
     def is_long(self) -> bool:
@@ -119,32 +117,6 @@
 LONG_PAUSE_PART = 0.2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadKey:
-    """Requests that are counted together.
-
-    Attributes:
-        urgency: Their rank; 0 is served first.
-        is_long: Whether their prompts hold up streams beside them.
-    """
-
-    urgency: int
-    is_long: bool
-
-
-@dataclasses.dataclass(slots=True)
-class Load:
-    """Requests of one key at one endpoint.
-
-    Attributes:
-        running: Requests there, those that wait included.
-        unread: Prompt tokens that the endpoint has yet to read for them.
-    """
-
-    running: int = 0
-    unread: int = 0
-
-
 class EndpointRecord:
     """What one box learnt of one endpoint."""
 
@@ -170,8 +142,7 @@
             endpoint_states.EndpointState.ROUTING
         )
         self.refused_until = 0.0
-        self._own: dict[LoadKey, Load] = {}
-        self._peers: dict[str, tuple[float, dict[LoadKey, Load]]] = {}
+        self.loads = endpoint_loads.EndpointLoads()
         self._parts: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -186,22 +157,6 @@
         """Unread tokens that this box has sent there since it started."""
         return self._sent_tokens
 
-    @property
-    def own(self) -> dict[LoadKey, Load]:
-        """What this box has there; to be read only."""
-        return self._own
-
-    @property
-    def own_running(self) -> int:
-        """Requests that this box has there."""
-        return sum(load.running for load in self._own.values())
-
-    def add(self, demand: Demand, running: int, unread: int) -> None:
-        """Books requests of this box that begin there, or end."""
-        load = self._own.setdefault(demand.load_key, Load())
-        load.running += running
-        load.unread += unread
-
     def sent(self, unread: int, now: float) -> None:
         """Notes that this box sends it tokens to read."""
         self._sent_tokens += unread
@@ -223,39 +178,6 @@
         self._debt = self.debt(now) + tokens
         self._debt_at = now
 
-    def take_peer_load(
-        self, box: str, loads: dict[LoadKey, Load], now: float
-    ) -> None:
-        """Notes what another box has there."""
-        self._peers[box] = (now, loads)
-
-    def running(self, now: float) -> int:
-        """Returns the requests of all boxes there."""
-        return sum(load.running for _, load in self._loads(now))
-
-    def ahead(self, urgency: int, now: float) -> int:
-        """Returns the unread tokens of all boxes that go first.
-
-        Args:
-            urgency: Of the request that would wait.
-            now: The current time.
-        """
-        return sum(
-            load.unread
-            for key, load in self._loads(now)
-            if key.urgency <= urgency
-        )
-
-    def short_running(self, now: float) -> int:
-        """Returns the requests of all boxes there with short prompts."""
-        return sum(
-            load.running for key, load in self._loads(now) if not key.is_long
-        )
-
-    def waiting(self, now: float) -> int:
-        """Returns the unread tokens of all boxes there."""
-        return sum(load.unread for _, load in self._loads(now))
-
     def remember(self, parts: Iterable[tuple[str, int]]) -> None:
         """Notes the parts of a prompt that was read there."""
         for name, tokens in parts:
@@ -278,7 +200,7 @@
     def may_get_work(self, now: float) -> bool:
         """Returns whether it is sound, or due for a trial."""
         if self.health.state is endpoint_states.EndpointState.EJECTED:
-            return self.own_running == 0 and self.health.trial_due(now)
+            return self.loads.own_running == 0 and self.health.trial_due(now)
         return now >= self.refused_until
 
     def unread(self, demand: Demand, belongs: bool) -> int:
@@ -302,7 +224,7 @@
             unread: Prompt tokens that it would have to read.
             now: The current time.
         """
-        running = self.running(now)
+        running = self.loads.running(now)
         if not demand.is_engine:
             over = max(0.0, (running + 1 - self.slots) / self.slots)
             return self.answer_s.value * (1 + over + 0.5 * running / self.slots)
@@ -316,7 +238,9 @@
 
         Each of the event's tokens waits for a piece that is read beside it.
         """
-        beside = max(0, self.waiting(now) - self.ahead(demand.urgency, now))
+        beside = max(
+            0, self.loads.waiting(now) - self.loads.ahead(demand.urgency, now)
+        )
         reading_s = beside / PREFILL_TOKENS_PER_S
         return min(reading_s, demand.tokens_per_event * PIECE_S)
 
@@ -328,17 +252,11 @@
             unread: Prompt tokens that it would have to read.
             now: The current time.
         """
-        running = self.running(now)
-        ahead = float(self.ahead(demand.urgency, now))
+        running = self.loads.running(now)
+        ahead = float(self.loads.ahead(demand.urgency, now))
         if demand.is_long:
             ahead = max(ahead, self.debt(now))
         reading = (unread + ahead) / PREFILL_TOKENS_PER_S
         over = max(0, running + 1 - self.slots) * OVER_SLOTS_S
         steps = running * STEP_S_PER_RUN
         return FIRST_EVENT_S + reading + steps + over
-
-    def _loads(self, now: float) -> Iterable[tuple[LoadKey, Load]]:
-        yield from self._own.items()
-        for heard, loads in self._peers.values():
-            if now - heard < PEER_LOAD_LIFETIME_S:
-                yield from loads.items()
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -275,7 +275,7 @@
             },
             "records": {
                 record.id: {
-                    "running": record.own_running,
+                    "running": record.loads.own_running,
                     "failures": round(record.failures.value, 3),
                     "slowness": round(record.slowness.value, 3),
                     "health": record.health.state.value,
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -4,6 +4,7 @@
 
 from martenjunction.decisions import endpoint_choice
 from martenjunction.decisions import endpoint_list
+from martenjunction.decisions import endpoint_loads
 from martenjunction.decisions import endpoint_records
 from martenjunction.decisions import endpoint_states
 from martenjunction.routing import decision_log
@@ -146,7 +147,7 @@
     ) -> RunTicket:
         """Books a request that is sent to the chosen endpoint."""
         ticket = RunTicket(choice, demand, now)
-        choice.record.add(demand, 1, choice.unread)
+        choice.record.loads.add(demand.load_key, 1, choice.unread)
         if demand.is_engine:
             choice.record.sent(choice.unread, now)
         self._tickets.add(ticket)
@@ -161,7 +162,7 @@
         if not ticket.waiting:
             return
         ticket.waiting = False
-        record.add(ticket.demand, 0, -ticket.choice.unread)
+        record.loads.add(ticket.demand.load_key, 0, -ticket.choice.unread)
         if ticket.demand.is_engine:
             record.remember(ticket.demand.parts)
             # The prediction holds the slowness already.
@@ -174,7 +175,7 @@
         record = ticket.record
         self._tickets.discard(ticket)
         unread = ticket.choice.unread if ticket.waiting else 0
-        record.add(ticket.demand, -1, -unread)
+        record.loads.add(ticket.demand.load_key, -1, -unread)
         ticket.waiting = False
         record.failures.add(1.0 if failed else 0.0)
         if not failed and not ticket.demand.is_engine:
@@ -208,7 +209,7 @@
             record.id
             for record in self._records.values()
             if record.health.state is endpoint_states.EndpointState.EJECTED
-            and record.own_running == 0
+            and record.loads.own_running == 0
             and record.health.trial_due(now - PROBE_PATIENCE_S)
             and self._listed.may_send(record.id)
         ]
@@ -232,7 +233,7 @@
                 if ticket.record is record:
                     ticket.move = True
         for gone in [i for i in self._records if i not in self._listed.entries]:
-            if self._records[gone].own_running == 0:
+            if self._records[gone].loads.own_running == 0:
                 del self._records[gone]
                 self._heard.pop(gone, None)
         self._drift()
@@ -248,7 +249,7 @@
                 max(0, load.unread),
             )
             for record in self._records.values()
-            for key, load in record.own.items()
+            for key, load in record.loads.own.items()
             if load.running
         ]
 
@@ -273,15 +274,13 @@
         self, box: str, rows: list[LoadRow], now: float
     ) -> None:
         """Notes what another box has at endpoints."""
-        told: dict[
-            str, dict[endpoint_records.LoadKey, endpoint_records.Load]
-        ] = {}
+        told: dict[str, dict[endpoint_loads.LoadKey, endpoint_loads.Load]] = {}
         for endpoint_id, urgency, is_long, running, unread in rows:
-            key = endpoint_records.LoadKey(urgency, is_long)
+            key = endpoint_loads.LoadKey(urgency, is_long)
             loads = told.setdefault(endpoint_id, {})
-            loads[key] = endpoint_records.Load(running, unread)
+            loads[key] = endpoint_loads.Load(running, unread)
         for record in self._records.values():
-            record.take_peer_load(box, told.get(record.id, {}), now)
+            record.loads.take_peer(box, told.get(record.id, {}), now)
 
     def _record(
         self, endpoint: model.Endpoint, service: model.Service
@@ -337,13 +336,13 @@
                 endpoint=record.id,
                 state=record.health.state.value,
                 why=why or event.value,
-                running=record.own_running,
+                running=record.loads.own_running,
             )
 
     def _drift(self) -> None:
         """Lets what was learnt of endpoints without work fade."""
         for record in self._records.values():
-            if record.own_running == 0:
+            if record.loads.own_running == 0:
                 record.failures.drift(0.0, IDLE_DRIFT)
                 record.slowness.drift(1.0, IDLE_DRIFT)
                 record.answer_s.drift(
--- a/tests/test_routing_decisions.py
+++ b/tests/test_routing_decisions.py
@@ -7,6 +7,7 @@
 
 from martenjunction.decisions import endpoint_choice
 from martenjunction.decisions import endpoint_list
+from martenjunction.decisions import endpoint_loads
 from martenjunction.decisions import endpoint_records
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import key_freshness
@@ -262,7 +263,7 @@
     short = builders.demand()
     before = endpoint_choice.kept_for_short(records, short, 10.0)
     for _ in range(40):
-        records[0].add(short, 1, 0)
+        records[0].loads.add(short.load_key, 1, 0)
     after = endpoint_choice.kept_for_short(records, short, 10.0)
     assert before < after
     assert len(after) == 2
@@ -292,10 +293,10 @@
     short = builders.demand(tokens_per_event=5, urgency=0)
     long = builders.demand((("s", 6000), ("own", 3000)), urgency=2)
     for record in records[:4]:
-        record.add(long, 1, 9000)
+        record.loads.add(long.load_key, 1, 9000)
     assert choose(records, short) == "e4"
     # However much is read, an event waits for a piece per token at most.
-    records[0].add(long, 9, 900_000)
+    records[0].loads.add(long.load_key, 9, 900_000)
     waits = records[0].predicted_s(short, 500, 10.0)
     assert waits < 0.3
 
@@ -314,27 +315,27 @@
     demand = builders.demand((("s", 6000), ("own", 3000)))
     first = choose(records, demand)
     record = next(r for r in records if r.id == first)
-    record.add(demand, 1, 20_000)
+    record.loads.add(demand.load_key, 1, 20_000)
     assert choose(records, demand) == first
-    record.add(demand, 20, 100_000)
+    record.loads.add(demand.load_key, 20, 100_000)
     assert choose(records, demand) != first
 
 
 def test_less_urgent_tokens_are_not_ahead_of_more_urgent_ones() -> None:
     record = builders.record()
-    record.add(builders.demand(urgency=5), 1, 50_000)
-    assert record.ahead(0, 0.0) == 0
-    assert record.ahead(5, 0.0) == 50_000
+    record.loads.add(builders.demand(urgency=5).load_key, 1, 50_000)
+    assert record.loads.ahead(0, 0.0) == 0
+    assert record.loads.ahead(5, 0.0) == 50_000
 
 
 def test_peer_loads_count_for_a_while_only() -> None:
     record = builders.record()
     key = builders.demand().load_key
-    record.take_peer_load(
-        "box-2", {key: endpoint_records.Load(3, 900)}, now=10.0
+    record.loads.take_peer(
+        "box-2", {key: endpoint_loads.Load(3, 900)}, now=10.0
     )
-    assert record.running(10.5) == 3
-    assert record.running(20.0) == 0
+    assert record.loads.running(10.5) == 3
+    assert record.loads.running(20.0) == 0
 
 
 def test_ejected_endpoint_gets_trials_of_repeatable_requests_only() -> None:
