Routes rank before workspaces; no early refusal while lower tiers are served

Change: the urgency is the route's tier, then the workspace's; a request is not refused early while requests of a lower tier run at its service.

--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/endpoint_choice.py
@@ -48,7 +48,6 @@
         running: Requests of all boxes there.
         ahead: Unread tokens there that go first.
         waiting: All unread tokens there.
-        queue_s: The prediction at an engine's usual speed.
     """
 
     record: endpoint_records.EndpointRecord
@@ -57,7 +56,6 @@
     running: int
     ahead: int
     waiting: int
-    queue_s: float
 
 
 def choose(
@@ -146,7 +144,6 @@
         record.loads.running(now),
         record.loads.ahead(demand.urgency, now),
         record.loads.waiting(now),
-        record.queue_s(demand, unread, now),
     )
 
 
--- a/martenjunction/decisions/endpoint_loads.py
+++ b/martenjunction/decisions/endpoint_loads.py
@@ -6,6 +6,11 @@
 PEER_LOAD_LIFETIME_S = 1.5
 
 
+# Urgencies that the tier of one route spans: its requests are ranked among one
+# another by the tiers of their workspaces.
+WORKSPACE_TIERS = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadKey:
     """Requests that are counted together.
@@ -101,6 +106,21 @@
             if key.urgency <= urgency
         )
 
+    def lower_tiers(self, urgency: int, now: float) -> int:
+        """Returns the requests there on routes of a lower tier.
+
+        Args:
+            urgency: Of a request.
+            now: The current time.
+        """
+        self._forget_old(now)
+        tier = urgency // WORKSPACE_TIERS
+        return sum(
+            load.running
+            for key, load in self._total.items()
+            if key.urgency // WORKSPACE_TIERS > tier
+        )
+
     def waiting(self, now: float) -> int:
         """Returns the unread tokens of all boxes there."""
         self._forget_old(now)
--- a/martenjunction/decisions/endpoint_records.py
+++ b/martenjunction/decisions/endpoint_records.py
@@ -228,7 +228,7 @@
         if not demand.is_engine:
             over = max(0.0, (running + 1 - self.slots) / self.slots)
             return self.answer_s.value * (1 + over + 0.5 * running / self.slots)
-        expected_s = self.queue_s(demand, unread, now)
+        expected_s = self._queue_s(demand, unread, now)
         if demand.reads_beside_streams and not demand.is_long:
             expected_s += self._held_up_s(demand, now)
         return expected_s * self.slowness.value
@@ -244,7 +244,7 @@
         reading_s = beside / PREFILL_TOKENS_PER_S
         return min(reading_s, demand.tokens_per_event * PIECE_S)
 
-    def queue_s(self, demand: Demand, unread: int, now: float) -> float:
+    def _queue_s(self, demand: Demand, unread: int, now: float) -> float:
         """Predicts seconds to a first event at an engine's usual speed.
 
         Args:
--- a/martenjunction/routing/admission.py
+++ b/martenjunction/routing/admission.py
@@ -4,6 +4,7 @@
 import random
 
 from martenjunction import errors
+from martenjunction.decisions import endpoint_loads
 from martenjunction.decisions import key_freshness
 from martenjunction.platform import headers
 from martenjunction.routing import model
@@ -16,9 +17,6 @@
 RETRY_NO_CONFIG_S = 0.5
 RETRY_STALE_S = 0.3
 
-# Urgencies that one tier of workspaces spans.
-ROUTE_TIERS = 3
-
 
 class RefusalError(errors.CallerError):
     """A request is refused before anything was sent for it."""
@@ -184,8 +182,9 @@
 
 
 def _urgency(workspace: model.Workspace | None, route: model.Route) -> int:
-    """Returns the rank at the engine: workspaces first, then routes."""
-    tier = min(route.tier, ROUTE_TIERS - 1)
+    """Returns the rank at the engine: routes first, then workspaces."""
+    tier = 0
     if workspace is not None and workspace.tier is not None:
-        tier += ROUTE_TIERS * workspace.tier
-    return min(tier, headers.LOWEST_URGENCY)
+        tier = min(workspace.tier, endpoint_loads.WORKSPACE_TIERS - 1)
+    urgency = route.tier * endpoint_loads.WORKSPACE_TIERS + tier
+    return min(urgency, headers.LOWEST_URGENCY)
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -128,6 +128,21 @@
             return None
         return endpoints[choice.record.id], choice
 
+    def serves_lower_tiers(
+        self, service: model.Service, urgency: int, now: float
+    ) -> bool:
+        """Returns whether requests of a lower tier run at a service.
+
+        Args:
+            service: The service.
+            urgency: Of a request.
+            now: The current time.
+        """
+        return any(
+            self._record(endpoint, service).loads.lower_tiers(urgency, now)
+            for endpoint in self._listed.ready(service.name)
+        )
+
     def weigh(
         self,
         endpoint: model.Endpoint,
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -261,13 +261,14 @@
         busy = choice.ahead > 0 or (
             choice.running >= shedding.BUSY_PART * record.slots
         )
-        # What made an endpoint slow may be prompts of lower urgency that it
-        # reads: no reason to refuse a short request while those are taken.
-        expected_s = (
-            choice.predicted_s if self._demand.is_long else choice.queue_s
-        )
+        if self._tools.book.serves_lower_tiers(
+            self._taken.service, self._demand.urgency, now
+        ):
+            # Those give way to it at the endpoints: it is not refused while
+            # they are taken.
+            return
         prospect = shedding.Prospect(
-            expected_s + now - self._state.received_at,
+            choice.predicted_s + now - self._state.received_at,
             self._taken.route.target_s,
             self._state.came_back,
             busy,
