Large fleets: far boxes are not called silent, loads are scaled, fewer calls at start

Every box read for 3 s at its start (some 40 calls), and a box knew the loads of a third of the fleet only. Messages on loads told all that was ever sent, 45 rows each.

Change: only boxes that a box keeps a connection to can be silent (membership knows which those are, for links, readers and removal alike); a box that just started relies on another one as soon as that reads; what is heard of loads is scaled to the whole fleet; only news of sent tokens are told.

--- a/martenjunction/decisions/endpoint_loads.py
+++ b/martenjunction/decisions/endpoint_loads.py
@@ -42,9 +42,13 @@
 
     The sums are kept up to date, so that weighing an endpoint does not grow
     with the boxes.
+
+    Attributes:
+        scale: By how much more all boxes have than those that were heard.
     """
 
     def __init__(self) -> None:
+        self.scale = 1.0
         self._own: dict[LoadKey, Load] = {}
         self._peers: dict[str, tuple[float, dict[LoadKey, Load]]] = {}
         self._total: dict[LoadKey, Load] = {}
@@ -83,7 +87,7 @@
     def running(self, now: float) -> int:
         """Returns the requests of all boxes there."""
         self._forget_old(now)
-        return sum(load.running for load in self._total.values())
+        return self._all(sum(load.running for load in self._total.values()))
 
     def short_running(self, now: float) -> int:
         """Returns the requests of all boxes there with short prompts."""
@@ -100,10 +104,12 @@
             now: The current time.
         """
         self._forget_old(now)
-        return sum(
-            load.unread
-            for key, load in self._total.items()
-            if key.urgency <= urgency
+        return self._all(
+            sum(
+                load.unread
+                for key, load in self._total.items()
+                if key.urgency <= urgency
+            )
         )
 
     def lower_tiers(self, urgency: int, now: float) -> int:
@@ -124,7 +130,11 @@
     def waiting(self, now: float) -> int:
         """Returns the unread tokens of all boxes there."""
         self._forget_old(now)
-        return sum(load.unread for load in self._total.values())
+        return self._all(sum(load.unread for load in self._total.values()))
+
+    def _all(self, heard: int) -> int:
+        """Returns what all boxes have, from what those that are heard have."""
+        return round(heard * self.scale)
 
     def _count(self, loads: dict[LoadKey, Load], sign: int) -> None:
         for key, load in loads.items():
--- a/martenjunction/decisions/store_readers.py
+++ b/martenjunction/decisions/store_readers.py
@@ -21,7 +21,8 @@
 STALE_STEP_S = 0.1
 LAST_STEP = 5
 
-# Seconds for which a box goes on reading once it has begun.
+# Seconds for which a box goes on reading once it has begun in place of another
+# one. One that just started stops as soon as it can rely on another.
 LEAST_READING_S = 3.0
 
 # Age in seconds up to which a better ranked reader is relied upon.
@@ -77,13 +78,13 @@
             own_age_s: Seconds since what it knows was confirmed, or None.
             now: The current time.
         """
-        if self._since is None:
-            self._since = now
         names = [self._own, *(peer.box for peer in peers)]
         order = rendezvous.ranked(names, RANK_KEY)
         self._rank = order.index(self._own)
         if self._reads:
-            self._reads = self._keeps_reading(order, peers, now)
+            self._reads = own_age_s is None or self._keeps_reading(
+                order, peers, now
+            )
         elif self._rank == 0 or self._is_stale(own_age_s):
             self._reads = True
             self._since = now
--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -32,7 +32,6 @@
 
 # How many boxes beyond its own availability zone a daemon keeps connections
 # to in each other one, once the fleet is too large for all.
-ALL_LINKS_UP_TO = 32
 LINKS_TO_OTHER_ZONE = 2
 
 Receive = Callable[[str, Any], None]
@@ -157,9 +156,7 @@
     def _targets(self) -> list[membership.Member]:
         own = self._members.own
         others = [m for m in self._members.believed() if m.box != own.box]
-        if len(others) < ALL_LINKS_UP_TO:
-            return others
-        near = [m for m in others if m.zone == own.zone]
+        near = [m for m in others if self._members.is_near(m)]
         wanted = [m for m in others if m.box in self._wanted]
         far = self._links_to_other_zones(others, own.zone)
         return list({m.box: m for m in near + wanted + far}.values())
--- a/martenjunction/peers/membership.py
+++ b/martenjunction/peers/membership.py
@@ -12,6 +12,10 @@
 # it is leaving: it was started again meanwhile.
 LEAVING_LIFETIME = 60.0
 
+# Daemons up to which each is connected to all others; in a larger fleet it is
+# connected to those of its availability zone and to a few of each other one.
+ALL_LINKS_UP_TO = 32
+
 
 @dataclasses.dataclass(slots=True)
 class Member:
@@ -84,6 +88,15 @@
             if member.leaving_since is None and self._is_live(member, now)
         ]
 
+    def is_near(self, member: Member) -> bool:
+        """Returns whether this daemon keeps a connection to another one.
+
+        In a large fleet it also has connections to some that are not near,
+        but from their silence nothing follows.
+        """
+        small = len(self.believed()) <= ALL_LINKS_UP_TO
+        return small or member.zone == self._own.zone
+
     def listed(self, member: Member, live: bool, leaving: bool) -> None:
         """Takes in what the platform's list says of a daemon."""
         if member.box == self._own.box:
@@ -134,7 +147,8 @@
     def silent_for(self, seconds: float) -> list[str]:
         """Returns listed boxes that were not heard for so many seconds.
 
-        A box that was never heard counts from when it was first listed.
+        A box that was never heard counts from when it was first listed; one
+        that this daemon is not connected to is not among them.
         """
         now = self._timers.now()
         return [
@@ -142,6 +156,7 @@
             for member in self._members.values()
             if member is not self._own
             and member.listed
+            and self.is_near(member)
             and now - (member.heard or member.listed_since) > seconds
         ]
 
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -82,6 +82,7 @@
         self._records: dict[str, endpoint_records.EndpointRecord] = {}
         self._tickets: set[RunTicket] = set()
         self._heard: dict[str, float] = {}
+        self._scale = 1.0
 
     @property
     def listed(self) -> endpoint_list.EndpointList:
@@ -276,6 +277,12 @@
             if record.sent_tokens
         ]
 
+    def scale_loads(self, scale: float) -> None:
+        """Notes how much more all boxes have than those that are heard."""
+        self._scale = scale
+        for record in self._records.values():
+            record.loads.scale = scale
+
     def take_peer_sent(
         self, box: str, rows: list[tuple[str, int]], now: float
     ) -> None:
@@ -306,6 +313,7 @@
             record = endpoint_records.EndpointRecord(
                 endpoint.id, endpoint.zone, endpoint.slots, cache
             )
+            record.loads.scale = self._scale
             self._records[endpoint.id] = record
         return record
 
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -85,6 +85,7 @@
         self._role = store_readers.ReaderRole(members.own.box)
         self._told_of: tuple[bool, int, int] = (False, 0, 0)
         self._lacks_entries = False
+        self._told_sent: set[tuple[str, int]] = set()
         self._statuses: dict[str, tuple[float, peer_messages.BoxStatus]] = {}
         self._questions: dict[int, float] = {}
         self._next_question = 0
@@ -191,9 +192,10 @@
         now = self._timers.now()
         if now < self._loads_due or not (self._book.running or self._told):
             return
-        status = self._status(
-            True, self._book.loads(), self._book.sent_tokens()
-        )
+        sent = dict(self._book.sent_tokens())
+        news = [row for row in sent.items() if row not in self._told_sent]
+        self._told_sent = set(sent.items())
+        status = self._status(True, self._book.loads(), news)
         self._told = self._book.running > 0
         self._peers.broadcast(status)
         size = len(codec.encode_batch([status])) * len(self._peers.boxes())
@@ -206,6 +208,7 @@
             self._group(now), self._freshness.age_s(now), now
         )
         self._reading.read(reads, self._role.first)
+        self._book.scale_loads(self._unheard_scale())
         news = (
             self._reading.answered,
             self._known.version,
@@ -217,11 +220,20 @@
 
     def _group(self, now: float) -> list[store_readers.PeerAge]:
         """Returns the boxes among which one reads, less this one."""
-        linked = [m for m in self._members.believed() if self._hears(m, now)]
-        if len(linked) >= hub.ALL_LINKS_UP_TO:
-            zone = self._members.own.zone
-            linked = [m for m in linked if m.zone == zone]
-        return [self._peer_age(member.box, now) for member in linked]
+        return [
+            self._peer_age(member.box, now)
+            for member in self._members.believed()
+            if self._members.is_near(member) and self._hears(member, now)
+        ]
+
+    def _unheard_scale(self) -> float:
+        """Returns by how much more all boxes have than those that are heard.
+
+        In a large fleet a box hears few of the other availability zones; it
+        takes them to have as much at the endpoints as those that it hears.
+        """
+        heard = len(self._peers.boxes()) + 1
+        return max(1.0, len(self._members.believed()) / heard)
 
     def _hears(self, member: membership.Member, now: float) -> bool:
         heard, _ = self._statuses.get(member.box, (None, None))
--- a/tests/test_endpoint_loads.py
+++ b/tests/test_endpoint_loads.py
@@ -73,4 +73,12 @@
         )
 
 
+def test_boxes_that_are_not_heard_are_taken_to_have_as_much() -> None:
+    loads = endpoint_loads.EndpointLoads()
+    loads.add(KEYS[0], 2, 900)
+    loads.scale = 2.5
+    assert (loads.running(0.0), loads.waiting(0.0)) == (5, 2250)
+    assert loads.own_running == 2
+
+
 TestSums = Sums.TestCase
