One class of client limits, one settings text, smaller test modules

A lost store was asked again after up to 0.75 s, which is taken from the time in which lapsed entries must be gone.

Change: http1.messages.ClientLimits serves both; builders.settings_text writes the file, and a test compares all that is read from it; an estimate's base class; the tests of the whole path stand in three modules; the first box of a group asks a lost store again after 0.45 s at most.

--- a/martenjunction/decisions/estimates.py
+++ b/martenjunction/decisions/estimates.py
@@ -5,7 +5,25 @@
 DEFAULT_TOKENS = 128.0
 
 
-class DecayingQuantile:
+class _Estimate:
+    """A value that is learnt from others, and how many there were."""
+
+    def __init__(self, start: float) -> None:
+        self._value = start
+        self._count = 0
+
+    @property
+    def value(self) -> float:
+        """The present estimate."""
+        return self._value
+
+    @property
+    def count(self) -> int:
+        """How many values were seen."""
+        return self._count
+
+
+class DecayingQuantile(_Estimate):
     """A quantile that follows a stream of values and forgets old ones.
 
     Each value moves the estimate by a step in proportion to its size: up with
@@ -21,20 +39,9 @@
             start: The estimate before any value.
             step: How fast it moves, as a part of the estimate.
         """
+        super().__init__(start)
         self._quantile = quantile
         self._step = step
-        self._value = start
-        self._count = 0
-
-    @property
-    def value(self) -> float:
-        """The present estimate."""
-        return self._value
-
-    @property
-    def count(self) -> int:
-        """How many values were seen."""
-        return self._count
 
     def add(self, value: float) -> None:
         """Takes one value in."""
@@ -88,23 +95,12 @@
         return min(expected, float(limit)) if limit is not None else expected
 
 
-class Average:
+class Average(_Estimate):
     """A mean that gives recent values more weight."""
 
     def __init__(self, start: float, weight: float = 0.1) -> None:
-        self._value = start
+        super().__init__(start)
         self._weight = weight
-        self._count = 0
-
-    @property
-    def value(self) -> float:
-        """The present mean."""
-        return self._value
-
-    @property
-    def count(self) -> int:
-        """How many values were seen."""
-        return self._count
 
     def add(self, value: float) -> None:
         """Takes one value in."""
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -390,17 +390,9 @@
     def _status(self) -> Any:
         return self.sync.heartbeat()
 
-    def _limits(self) -> server.Limits:
+    def _limits(self) -> messages.ClientLimits:
         config = self.admitter.config
-        if config is None:
-            return server.Limits()
-        limits = config.limits
-        return server.Limits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        )
+        return messages.ClientLimits() if config is None else config.limits
 
     def _connection_share(self, service: str) -> int:
         config = self.admitter.config
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -41,7 +41,6 @@
         self._request: h11.Request | None = None
         self._head: messages.ResponseHead | None = None
         self._closed = False
-        self._uses = 0
         self._idle_since = 0.0
 
     @property
@@ -49,11 +48,6 @@
         """The server's address."""
         return self._address
 
-    @property
-    def uses(self) -> int:
-        """Requests that were sent on it."""
-        return self._uses
-
     @property
     def idle_since(self) -> float:
         """Steady clock when its last answer ended."""
@@ -130,7 +124,6 @@
             data += self._parser.send(h11.Data(data=body)) or b""
         data += self._parser.send(h11.EndOfMessage()) or b""
         self._request = request
-        self._uses += 1
         try:
             written = self._stream.write(data)
         except iostream.StreamClosedError as error:
--- a/martenjunction/http1/messages.py
+++ b/martenjunction/http1/messages.py
@@ -83,3 +83,20 @@
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, or None."""
         return header(self.headers, name)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """What clients may send, and how long they may take.
+
+    Attributes:
+        max_header_bytes: Largest request head.
+        max_body_bytes: Largest body.
+        header_timeout_s: Seconds from a head's first byte to its last.
+        idle_timeout_s: Seconds for which a kept connection may rest.
+    """
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 30.0
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 import http
 import logging
 import time
@@ -26,23 +25,6 @@
 BODY_TIMEOUT_S = 10.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Limits:
-    """What a client may send, and how long it may take.
-
-    Attributes:
-        max_header_bytes: Largest request head.
-        max_body_bytes: Largest body.
-        header_timeout_s: Seconds from a head's first byte to its last.
-        idle_timeout_s: Seconds for which a kept connection may rest.
-    """
-
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_s: float = 5.0
-    idle_timeout_s: float = 30.0
-
-
 class RequestSyntaxError(errors.HttpSyntaxError):
     """A request is refused before it is read in full.
 
@@ -58,7 +40,9 @@
 class ServerConnection:
     """A connection from a client, which may carry many requests."""
 
-    def __init__(self, stream: iostream.IOStream, limits: Limits) -> None:
+    def __init__(
+        self, stream: iostream.IOStream, limits: messages.ClientLimits
+    ) -> None:
         """Takes over an accepted stream.
 
         Args:
@@ -313,7 +297,7 @@
         self,
         name: str,
         handler: Handler,
-        limits: Callable[[], Limits] = Limits,
+        limits: Callable[[], messages.ClientLimits] = messages.ClientLimits,
     ) -> None:
         """Makes a server; `listen_on` begins.
 
--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from martenjunction import errors
+from martenjunction.http1 import messages
 from martenjunction.routing import model
 
 # Kinds and names of objects in the store.
@@ -140,7 +141,7 @@
                 for key in workspace.api_keys
             },
             needs_keys=wire.tenants is not None,
-            limits=model.ClientLimits(
+            limits=messages.ClientLimits(
                 wire.limits.max_header_bytes,
                 wire.limits.max_body_bytes,
                 wire.limits.header_timeout_ms * MS,
--- a/martenjunction/platform/headers.py
+++ b/martenjunction/platform/headers.py
@@ -4,8 +4,7 @@
 
 from martenjunction.http1 import messages
 
-# Paths of calls that come to the daemon.
-READY_PATH = b"/readyz"
+# Path of the call by which clients ask for addresses.
 ENTRY_PATH = b"/resolve"
 
 RETRY_AFTER = b"Retry-After"
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -32,7 +32,7 @@
 # Seconds before a failed call is made again: the first pause, and the longest
 # of the first box of a group and of one that reads in its place.
 FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 0.3
 LONGEST_PAUSE_BESIDE_S = 1.5
 
 
--- a/martenjunction/routing/model.py
+++ b/martenjunction/routing/model.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from martenjunction.http1 import messages
+
 
 class RouteKind(enum.StrEnum):
     """What may be repeated on a route, and how its answers come."""
@@ -112,23 +114,6 @@
     tier: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClientLimits:
-    """What clients may send, and how long they may take.
-
-    Attributes:
-        max_header_bytes: Largest request head.
-        max_body_bytes: Largest body.
-        header_timeout_s: Seconds for a whole head.
-        idle_timeout_s: Seconds for which a kept connection may rest.
-    """
-
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_s: float = 5.0
-    idle_timeout_s: float = 30.0
-
-
 @dataclasses.dataclass(frozen=True)
 class RoutingConfig:
     """One version of the whole configuration; versions only rise.
@@ -148,7 +133,7 @@
     services: dict[str, Service]
     workspaces: dict[str, Workspace]
     needs_keys: bool
-    limits: ClientLimits
+    limits: messages.ClientLimits
     _by_host: dict[str, list[Route]] = dataclasses.field(
         default_factory=dict, repr=False
     )
--- /dev/null
+++ b/tests/gateway_requests.py
@@ -0,0 +1,70 @@
+"""Requests to a box before stand-ins, for tests of the whole path."""
+
+from martenjunction.http1 import messages
+from martenjunction_lab import boxes
+from martenjunction_lab import replica
+from tests import routing_builders as builders
+
+Behaviour = replica.Behaviour
+
+WHOLE_STREAM = b"".join(
+    f"id: {number}\ndata: t{number}\n\n".encode() for number in range(1, 6)
+)
+
+
+def request_headers(request_id: str, **changes: str) -> dict[str, str]:
+    headers = {
+        "Martenjunction-Attempt-Id": request_id,
+        "Martenjunction-Deadline-Ms": "1500",
+        "Authorization": f"Bearer {builders.KEY}",
+        "Martenjunction-Model": "m",
+        "Martenjunction-Token-Counts": "500,80",
+        "Martenjunction-Prefix-Hash": "aa:100,bb:400",
+    }
+    headers.update(changes)
+    return headers
+
+
+async def ask(
+    fleet: boxes.Boxes, path: str, request_id: str = "r1", **changes: str
+) -> tuple[messages.ResponseHead, bytes]:
+    return await boxes.call(
+        fleet.addresses[0],
+        "POST",
+        path,
+        request_headers(request_id, **changes),
+        b"hello",
+    )
+
+
+async def two_plain(fleet: boxes.Boxes) -> list[replica.Replica]:
+    made = [await fleet.add_replica(builders.PLAIN) for _ in range(2)]
+    await fleet.until_listed()
+    return made
+
+
+def behave(made: list[replica.Replica], behaviour: Behaviour) -> None:
+    """Has whichever replica is asked first behave so, once."""
+    for stand_in in made:
+        stand_in.plan(behaviour)
+
+
+def runs(made: list[replica.Replica], request_id: str = "r1") -> int:
+    return sum(stand_in.runs[request_id] for stand_in in made)
+
+
+def arrivals(made: list[replica.Replica]) -> int:
+    return sum(len(stand_in.received) for stand_in in made)
+
+
+async def engines(fleet: boxes.Boxes) -> list[replica.Replica]:
+    made = [
+        await fleet.add_replica(builders.ENGINE, slots=64) for _ in range(2)
+    ]
+    await fleet.until_listed()
+    return made
+
+
+WHOLE_STREAM = b"".join(
+    f"id: {number}\ndata: t{number}\n\n".encode() for number in range(1, 6)
+)
--- a/tests/routing_builders.py
+++ b/tests/routing_builders.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from martenjunction.decisions import endpoint_records
+from martenjunction.platform import box_settings
 from martenjunction.platform import documents
 from martenjunction.routing import model
 
@@ -127,3 +128,34 @@
     }
     values.update(changes)
     return endpoint_records.Demand(**values)
+
+
+def settings_text(settings: box_settings.BoxSettings) -> str:
+    """Returns a settings file as the platform writes it."""
+    return f"""
+node = "{settings.box}"
+zone = "{settings.zone}"
+region = "{settings.region}"
+ip = "{settings.ip}"
+seeds = {json.dumps(list(settings.seeds))}
+unknown = "skipped"
+[listen]
+frontend = "{settings.callers}"
+ready = "{settings.ready}"
+control_plane = "{settings.peers}"
+directory = "{settings.entry}"
+[limits]
+memory_mb = {settings.memory_bytes // (1024 * 1024)}
+max_fds = {settings.max_descriptors}
+[bounds]
+drain_ms = {settings.drain_s * 1000}
+grace_s = {settings.stop_s}
+revoke_ms = {settings.key_lifetime_s * 1000}
+fail_closed = {json.dumps(settings.keys_fail_closed)}
+retry_ratio = {settings.retry_ratio}
+retry_window_s = {settings.retry_window_s}
+retry_slack = {settings.retry_allowance}
+ttl_max_s = {settings.max_entry_ttl_s}
+[platform]
+address = "{settings.store}"
+"""
--- a/tests/test_box_process.py
+++ b/tests/test_box_process.py
@@ -22,36 +22,6 @@
 }
 
 
-def settings_text(settings: box_settings.BoxSettings) -> str:
-    """Returns a settings file as the platform writes it."""
-    return f"""
-node = "{settings.box}"
-zone = "zone-a"
-region = "region-a"
-ip = "{settings.ip}"
-seeds = {json.dumps(list(settings.seeds))}
-[listen]
-frontend = "{settings.callers}"
-ready = "{settings.ready}"
-control_plane = "{settings.peers}"
-directory = "{settings.entry}"
-[limits]
-memory_mb = 150
-max_fds = 4100
-[bounds]
-drain_ms = 2000
-grace_s = 8
-revoke_ms = 5000
-fail_closed = true
-retry_ratio = 0.2
-retry_window_s = 10
-retry_slack = 52
-ttl_max_s = 5
-[platform]
-address = "{settings.store}"
-"""
-
-
 @dataclasses.dataclass
 class Box:
     """A running process and where it serves."""
@@ -83,7 +53,7 @@
     folder: pathlib.Path, settings: box_settings.BoxSettings
 ) -> Box:
     file = folder / f"{settings.box}.toml"
-    file.write_text(settings_text(settings))
+    file.write_text(builders.settings_text(settings))
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
--- /dev/null
+++ b/tests/test_gateway_streams.py
@@ -0,0 +1,159 @@
+"""Streams through a box: pieces, resumption and copies."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from martenjunction import errors
+from martenjunction.decisions import endpoint_loads
+from martenjunction.routing import offers
+from martenjunction_lab import boxes
+from martenjunction_lab import replica
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+
+Behaviour = replica.Behaviour
+
+
+async def test_stream_is_passed_on_whole_with_its_urgency(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await requests.engines(fleet)
+    head, body = await requests.ask(fleet, "/chat/")
+    assert (head.status, body) == (200, requests.WHOLE_STREAM)
+    [got] = [r for stand_in in made for r in stand_in.received]
+    assert got.headers["martenjunction-request-urgency"] == "1"
+
+
+async def test_request_is_not_refused_while_lower_tiers_are_served(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await requests.engines(fleet)
+    box = fleet.gateways[0]
+    service = box.admitter.config.services[builders.ENGINE]  # type: ignore[union-attr]
+    # Other boxes have more there than could be read before the target.
+    chat = builders.demand(urgency=1).load_key
+    digest = builders.demand(urgency=3).load_key
+
+    def told(*keys: endpoint_loads.LoadKey) -> None:
+        rows = [
+            (stand_in.id, key.urgency, key.is_long, 60, 900_000)
+            for stand_in in made
+            for key in keys
+        ]
+        box.book.take_peer_loads("box-9", rows, box.timers.now())
+
+    for endpoint in box.listed.ready(builders.ENGINE):
+        box.book._record(endpoint, service)
+    told(chat)
+    refused, _ = await requests.ask(fleet, "/chat/", "r1")
+    told(chat, digest)
+    served, _ = await requests.ask(fleet, "/chat/", "r2")
+    assert (refused.status, served.status) == (503, 200)
+
+
+async def test_resumable_stream_goes_on_at_another_replica(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await requests.engines(fleet)
+    for stand_in in made:
+        stand_in.break_after = 3
+    task = asyncio.create_task(requests.ask(fleet, "/digest/"))
+    await boxes.until(lambda: requests.arrivals(made) == 1)
+    for stand_in in made:
+        if not stand_in.received:
+            stand_in.break_after = None
+    head, body = await task
+    assert body == requests.WHOLE_STREAM
+    first = next(s for s in made if s.break_after is not None)
+    seal = head.get(b"martenjunction-replica-seal")
+    assert seal == f"seal-{first.id}".encode()
+    second = next(s for s in made if s.break_after is None)
+    assert second.received[0].headers["last-event-id"] == "3"
+
+
+async def engines_that_keep_copies(
+    fleet: boxes.Boxes,
+) -> list[replica.Replica]:
+    config = builders.config_document(9)
+    config["services"][1]["engine"]["backups"] = True
+    fleet.configure(config)
+    made = await requests.engines(fleet)
+    await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
+    return made
+
+
+async def test_copied_run_goes_on_at_the_endpoint_with_the_copy(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await engines_that_keep_copies(fleet)
+    for stand_in in made:
+        stand_in.break_after = 3
+        stand_in.event_pause_s = offers.COPY_AGE_S / 2
+    patient = {"Martenjunction-Deadline-Ms": "9000"}
+    task = asyncio.create_task(requests.ask(fleet, "/chat/", **patient))
+    await boxes.until(lambda: requests.arrivals(made) == 1)
+    second = next(s for s in made if not s.received)
+    second.break_after = None
+    head, body = await task
+    first = next(s for s in made if s is not second)
+    assert body == requests.WHOLE_STREAM
+    seal = head.get(b"martenjunction-replica-seal")
+    assert seal == f"seal-{first.id}".encode()
+    sent = first.received[0].headers
+    assert sent["martenjunction-kv-backup"] == second.address
+    got = second.received[0].headers
+    assert got["kv-from"] == f"{second.address}/r1"
+    assert got["last-event-id"] == "3"
+
+
+@pytest.mark.parametrize("behaviour", [Behaviour.SERVE, Behaviour.RESET])
+async def test_run_whose_copy_cannot_be_there_yet_is_not_sent_to_it(
+    fleet: boxes.Boxes, behaviour: Behaviour
+) -> None:
+    made = await engines_that_keep_copies(fleet)
+    requests.behave(made, behaviour)
+    for stand_in in made:
+        stand_in.break_after = 3
+    with contextlib.suppress(errors.TransportError):
+        head, _ = await requests.ask(fleet, "/chat/")
+        assert head.status in (200, 502)
+    assert requests.arrivals(made) == 1
+
+
+async def test_run_that_failed_by_itself_does_not_go_on_from_a_copy(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await engines_that_keep_copies(fleet)
+    requests.behave(made, Behaviour.FAIL)
+    head, _ = await requests.ask(fleet, "/chat/")
+    assert head.status == 500
+    assert requests.runs(made) == 1
+
+
+async def test_endpoint_without_the_copy_ends_the_stream_as_broken(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await engines_that_keep_copies(fleet)
+    for stand_in in made:
+        stand_in.break_after = 3
+        stand_in.event_pause_s = offers.COPY_AGE_S / 2
+    patient = {"Martenjunction-Deadline-Ms": "9000"}
+    task = asyncio.create_task(requests.ask(fleet, "/chat/", **patient))
+    await boxes.until(lambda: requests.arrivals(made) == 1)
+    next(s for s in made if not s.received).plan(Behaviour.REFUSE)
+    with pytest.raises(errors.TransportError):
+        await task
+    assert requests.runs(made) == 1
+
+
+async def test_broken_stream_that_may_not_be_resumed_never_looks_whole(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await requests.engines(fleet)
+    for stand_in in made:
+        stand_in.break_after = 3
+    with pytest.raises(errors.TransportError):
+        await requests.ask(fleet, "/chat/")
+    assert requests.runs(made) == 1
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,7 +11,7 @@
 from martenjunction.http1 import server
 from martenjunction_lab import bench
 
-LIMITS = server.Limits(
+LIMITS = messages.ClientLimits(
     max_header_bytes=2048,
     max_body_bytes=1000,
     header_timeout_s=0.3,
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         self.got: list[messages.Request] = []
         self.left = 0
+        self.connections: set[server.ServerConnection] = set()
         self.hold = asyncio.Event()
         self.hold.set()
 
@@ -32,6 +33,7 @@
         self, connection: server.ServerConnection, request: messages.Request
     ) -> None:
         self.got.append(request)
+        self.connections.add(connection)
         connection.watch_end(self._count)
         await self.hold.wait()
         connection.watch_end(None)
@@ -151,7 +153,7 @@
 async def test_kept_connection_carries_many_requests(
     echo: tuple[Echo, str],
 ) -> None:
-    _, address = echo
+    handler, address = echo
     connection = client.ClientConnection(address)
     await connection.open(5.0)
     for number in range(3):
@@ -161,7 +163,7 @@
         assert await connection.read_body() == target + b"|"
         assert await connection.read_body() == b""
         assert connection.finish()
-    assert connection.uses == 3
+    assert (len(handler.got), len(handler.connections)) == (3, 1)
     connection.abort()
 
 
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -1,6 +1,7 @@
 """The platform's words, decoded once: settings, documents, headers, store."""
 
 from collections.abc import AsyncIterator
+import dataclasses
 import json
 import pathlib
 
@@ -14,47 +15,20 @@
 from martenjunction.platform import store
 from martenjunction.routing import admission
 from martenjunction.routing import model
+from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from tests import routing_builders as builders
 
-SETTINGS = """
-node = "edge-a-1"
-zone = "zone-a"
-region = "region-a"
-ip = "10.0.0.1"
-seeds = ["10.0.0.1:1", "10.0.0.2:1"]
-unknown = "skipped"
-[listen]
-frontend = "10.0.0.1:8227"
-ready = "10.0.0.1:8220"
-control_plane = "10.0.0.1:8229"
-directory = "10.0.0.1:8224"
-[limits]
-memory_mb = 150
-max_fds = 4100
-[bounds]
-drain_ms = 2000
-grace_s = 8
-revoke_ms = 5000
-fail_closed = true
-retry_ratio = 0.2
-retry_window_s = 10
-retry_slack = 52
-ttl_max_s = 5
-[platform]
-address = "10.200.0.1:8223"
-"""
-
 
 def test_settings_are_read_with_the_projects_names(
     tmp_path: pathlib.Path,
 ) -> None:
+    told = boxes.settings("edge-a-1", "10.200.0.1:8223", metrics_port=9464)
     file = tmp_path / "local.toml"
-    file.write_text(SETTINGS)
+    file.write_text(builders.settings_text(told))
     read = box_settings.read(str(file))
-    assert (read.box, read.callers) == ("edge-a-1", "10.0.0.1:8227")
-    assert read.key_lifetime_s == 5.0
-    assert read.memory_bytes == 150 * 1024 * 1024
+    # The file of this test does not list the availability zones.
+    assert read == dataclasses.replace(told, zones={})
 
 
 @pytest.mark.parametrize("broken", ["", "node = ", "node = 'x'"])
