One late first event no longer makes an engine slow

The first observations weighed 0.5 and 0.33, and a first event that is late by ten times tells of what arrived in the same moment. Requests were then refused early, or sent away from the engine that holds their parts.

Change: an observation weighs 0.05 from the first on, and counts for four times the prediction at most.

--- a/martenjunction/decisions/endpoint_records.py
+++ b/martenjunction/decisions/endpoint_records.py
@@ -46,6 +46,12 @@
 # Seconds of an answer by a plain service, until it is learnt.
 PLAIN_ANSWER_S = 0.03
 
+# Weight of one observation of how slow an engine is, and for how many the
+# start, that it is as fast as usual, stands: single first events are late by
+# several times for what arrives in the same moment, not for the engine.
+SLOWNESS_WEIGHT = 0.05
+SLOWNESS_START = 19
+
 # The urgency that stands for requests of plain services.
 PLAIN_URGENCY = 0
 
@@ -137,7 +143,9 @@
         self.cache_tokens = cache_tokens
         self.failures = estimates.Average(0.0, weight=0.15)
         self.answer_s = estimates.Average(PLAIN_ANSWER_S, weight=0.15)
-        self.slowness = estimates.Average(1.0, weight=0.1)
+        self.slowness = estimates.Average(
+            1.0, SLOWNESS_WEIGHT, start_counts=SLOWNESS_START
+        )
         self.health = endpoint_states.Health(
             endpoint_states.EndpointState.ROUTING
         )
--- a/martenjunction/decisions/estimates.py
+++ b/martenjunction/decisions/estimates.py
@@ -98,14 +98,26 @@
 class Average(_Estimate):
     """A mean that gives recent values more weight."""
 
-    def __init__(self, start: float, weight: float = 0.1) -> None:
+    def __init__(
+        self, start: float, weight: float = 0.1, start_counts: int = 0
+    ) -> None:
+        """Makes a mean.
+
+        Args:
+            start: The mean before any value.
+            weight: The least weight of a new value.
+            start_counts: For how many values the start stands; the first
+                values weigh less then.
+        """
         super().__init__(start)
         self._weight = weight
+        self._start_counts = start_counts
 
     def add(self, value: float) -> None:
         """Takes one value in."""
         self._count += 1
-        weight = max(self._weight, 1.0 / (1.0 + self._count))
+        seen = self._start_counts + self._count
+        weight = max(self._weight, 1.0 / (1.0 + seen))
         self._value += (value - self._value) * weight
 
     def drift(self, target: float, part: float) -> None:
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -25,6 +25,9 @@
 # the best of its service, each time it is looked at.
 IDLE_DRIFT = 0.02
 
+# Bounds of an observed time over its prediction.
+SLOWNESS = (0.3, 4.0)
+
 
 class RunTicket:
     """One request at one endpoint, for the accounts of its load."""
@@ -371,7 +374,3 @@
                 record.answer_s.drift(
                     endpoint_records.PLAIN_ANSWER_S, IDLE_DRIFT
                 )
-
-
-# Bounds of an observed time over its prediction.
-SLOWNESS = (0.3, 10.0)
--- a/tests/test_routing_decisions.py
+++ b/tests/test_routing_decisions.py
@@ -13,6 +13,7 @@
 from martenjunction.decisions import key_freshness
 from martenjunction.decisions import repeat_budget
 from martenjunction.decisions import shedding
+from martenjunction.routing import endpoint_book
 from martenjunction.routing import model
 from tests import routing_builders as builders
 
@@ -349,6 +350,15 @@
     assert choose(records, unsafe, now=5.0) == "good"
 
 
+def test_one_late_first_event_does_not_make_an_engine_slow() -> None:
+    record = builders.record()
+    record.slowness.add(endpoint_book.SLOWNESS[1])
+    assert record.slowness.value < 1.2
+    for _ in range(40):
+        record.slowness.add(endpoint_book.SLOWNESS[1])
+    assert record.slowness.value > 3.0
+
+
 def test_memory_of_parts_is_bounded_by_the_endpoint() -> None:
     record = builders.record(cache_tokens=1000)
     record.remember([("a", 600)])
