--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -62,6 +62,7 @@
         self.address = ""
         self.event_pause_s = 0.01
         self.break_after: int | None = None
+        self.silent_after: int | None = None
         self.received: list[Received] = []
         self.runs: collections.Counter[str] = collections.Counter()
         self.cancelled: list[str] = []
@@ -206,6 +207,10 @@
                 writer.write(_chunk(b"id: 99\nda"))
                 await writer.drain()
                 return False
+            if self.silent_after is not None and number > self.silent_after:
+                await left
+                self.cancelled.append(request.id)
+                return False
             writer.write(_chunk(f"id: {number}\ndata: t{number}\n\n".encode()))
             done, _ = await asyncio.wait([left], timeout=self.event_pause_s)
             if done:
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -78,6 +78,8 @@
 ) -> list[replica.Replica]:
     config = builders.config_document(9)
     config["services"][1]["engine"]["backups"] = True
+    for route in config["routes"]:
+        route["timeout_ms"] = 9000
     fleet.configure(config)
     made = await requests.engines(fleet)
     await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
@@ -108,6 +110,17 @@
     assert got["last-event-id"] == "3"
 
 
+async def test_run_that_falls_silent_is_not_sent_again(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await requests.engines(fleet)
+    for stand_in in made:
+        stand_in.silent_after = 3
+    with contextlib.suppress(errors.TransportError):
+        await requests.ask(fleet, "/chat/")
+    assert requests.arrivals(made) == 1
+
+
 @pytest.mark.parametrize("behaviour", [Behaviour.SERVE, Behaviour.RESET])
 async def test_run_whose_copy_cannot_be_there_yet_is_not_sent_to_it(
     fleet: boxes.Boxes, behaviour: Behaviour
