A kept connection has one state: a request is taken while it is open, or not

Cause: timers, the end of a planned stop and the client's end closed a stream that another task was about to read; the reader went on from its buffer. A stop looked for requests under way, which one that is being read is not yet, and at its limit closed connections before the cancelled requests had answered. Change: http1/connection_state.py; ServerConnection takes a request only while open, and sees an end that came with it (RequestNotTakenError); a time limit that ends beside waiting bytes is looked at again; an idle time that was raised holds for open connections; Server.finish ends each connection once nothing is under way on it; a box's stop waits for that, and gives what it cuts off a final answer first; requests whose target outlasts the stop are refused.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -56,6 +56,9 @@
 # Seconds before the kill at which a stopping box ends what still runs.
 STOP_MARGIN_S = 0.4
 
+# Seconds, of those, for the final answers of what was ended.
+STOP_ANSWERS_S = 0.2
+
 # Seconds for which a stopping box serves clients that kept an old answer,
 # even when it has nothing to do: three lives of an answer, and some.
 LINGER_S = 3.5
@@ -168,6 +171,7 @@
             self.metrics,
             settings.zone,
             self._left_for_s,
+            settings.stop_s - STOP_MARGIN_S,
         )
         self._callers = self._server(
             "callers", self._serve_caller, self._limits
@@ -221,10 +225,12 @@
         removal = asyncio.get_running_loop().create_task(
             self.follower.remove_own_entry()
         )
-        while self.timers.now() < last:
-            idle = not self._exchanges
-            if idle and self.timers.now() - began > LINGER_S:
-                break
+        while self.timers.now() < last and not self._callers.ended:
+            lingered = self.timers.now() - began > LINGER_S
+            if lingered and not self._exchanges:
+                # Requests that are being read are not among the exchanges yet:
+                # each connection says itself when nothing is under way on it.
+                self._callers.finish()
             await asyncio.sleep(WATCH_INTERVAL_S)
         removal.cancel()
         self.log.write("stopped", cut_off=len(self._exchanges))
@@ -236,15 +242,16 @@
         await self._stopped.wait()
 
     async def stop(self) -> None:
-        """Stops at once; requests in flight are cut off."""
+        """Stops at once; requests in flight get a final answer first."""
+        servers = (self._callers, self._ready, self._entry, self._operator)
+        for listening in servers:
+            listening.finish()
         for running in list(self._exchanges):
             running.stop(exchange.Ending.STOPPED)
-        for listening in (
-            self._callers,
-            self._ready,
-            self._entry,
-            self._operator,
-        ):
+        waits = [asyncio.ensure_future(s.wait_ended()) for s in servers]
+        await asyncio.wait(waits, timeout=STOP_ANSWERS_S)
+        for listening, wait in zip(servers, waits, strict=True):
+            wait.cancel()
             listening.close_all()
         await self.prober.stop()
         await self.follower.stop()
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 server that hands on requests byte for byte."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
@@ -50,6 +51,8 @@
         self._limits = limits
         self._on_closed = on_closed
         self._connections: set[server_connection.ServerConnection] = set()
+        self._finishing = False
+        self._ended = asyncio.Event()
 
     @property
     def connections(self) -> int:
@@ -65,6 +68,23 @@
         host, port = addresses.split_address(address)
         self.listen(port, host, backlog=BACKLOG)
 
+    @property
+    def ended(self) -> bool:
+        """Whether it was told to finish and no connection is left."""
+        return self._ended.is_set()
+
+    def finish(self) -> None:
+        """Stops listening and ends connections once nothing is under way."""
+        self.stop()
+        self._finishing = True
+        for connection in list(self._connections):
+            connection.end_when_idle()
+        self._note_ended()
+
+    async def wait_ended(self) -> None:
+        """Waits until no connection is left; `finish` comes first."""
+        await self._ended.wait()
+
     def close_all(self) -> None:
         """Stops listening and ends every connection at once."""
         self.stop()
@@ -76,22 +96,29 @@
     ) -> None:
         """Serves one connection until it ends."""
         streams.tune(stream.socket)
-        connection = server_connection.ServerConnection(stream, self._limits())
+        connection = server_connection.ServerConnection(stream, self._limits)
         self._connections.add(connection)
+        if self._finishing:
+            connection.end_when_idle()
+        reason = closings.CloseReason.FAILED
         try:
             reason = await self._serve(connection)
+        except server_connection.RequestNotTakenError as error:
+            reason = closings.CloseReason.CLIENT
+            closing = connection.closing(self._name)
+            self._on_closed(dataclasses.replace(closing, request=error.request))
         except errors.ConnectionLostError:
             # The client left; whoever served it has noted that.
             reason = closings.CloseReason.CLIENT
         except Exception:
             logger.exception("%s: a connection failed", self._name)
-            reason = closings.CloseReason.FAILED
         finally:
+            connection.abort(reason)
             self._connections.discard(connection)
-        connection.abort(reason)
-        closing = connection.closing(self._name)
-        if closing.reason not in _USUAL:
-            self._on_closed(closing)
+            self._note_ended()
+            closing = connection.closing(self._name)
+            if closing.reason not in _USUAL:
+                self._on_closed(closing)
 
     async def _serve(
         self, connection: server_connection.ServerConnection
@@ -106,13 +133,14 @@
                 return closings.CloseReason.REFUSED
             if request is None:
                 return closings.CloseReason.CLIENT
-            if connection.closed:
-                closing = connection.closing(self._name)
-                self._on_closed(dataclasses.replace(closing, request=request))
             await self._handler(connection, request)
             if not connection.next_request():
                 return closings.CloseReason.LAST_ANSWER
 
+    def _note_ended(self) -> None:
+        if self._finishing and not self._connections:
+            self._ended.set()
+
 
 # Ends that need no line of their own.
 _USUAL = frozenset(
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -11,12 +11,20 @@
 
 from martenjunction import errors
 from martenjunction.http1 import closings
+from martenjunction.http1 import connection_state
 from martenjunction.http1 import messages
 from martenjunction.http1 import streams
 
 # Seconds for which a body may make no progress.
 BODY_TIMEOUT_S = 10.0
 
+# Seconds after which a time limit that ended beside bytes is looked at again:
+# by then the reader has taken them.
+SECOND_LOOK_S = 0.1
+
+_State = connection_state.State
+_Event = connection_state.Event
+
 _KNOWN = {status.value for status in http.HTTPStatus}
 
 
@@ -32,29 +40,49 @@
         super().__init__(message)
 
 
+class RequestNotTakenError(errors.ConnectionLostError):
+    """The connection had ended when its request was read in full.
+
+    Attributes:
+        request: The request, which nobody waits for.
+    """
+
+    def __init__(self, request: messages.Request) -> None:
+        self.request = request
+        super().__init__("the connection ended before its request was taken")
+
+
 class ServerConnection:
-    """A connection from a client, which may carry many requests."""
+    """A connection from a client, which may carry many requests.
+
+    One state says what is under way. Whoever closes the connection and whoever
+    takes a request from it asks that state, so that a request is taken from an
+    open connection only, and one that was taken is not closed by a time limit.
+    """
 
     def __init__(
-        self, stream: iostream.IOStream, limits: messages.ClientLimits
+        self,
+        stream: iostream.IOStream,
+        limits: Callable[[], messages.ClientLimits],
     ) -> None:
         """Takes over an accepted stream.
 
         Args:
             stream: The stream.
-            limits: What the client may do.
+            limits: Returns what the client may do at the moment.
         """
         self._stream = stream
         self._limits = limits
         self._source = streams.ByteSource(stream)
         self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+            h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
         )
         self._answering = False
         self._last = False
         self._timer: asyncio.TimerHandle | None = None
         self._bodiless = False
-        self._under_way = False
+        self._state = _State.RESTING
+        self._ending = False
         self._answered = 0
         self._rested_since = time.monotonic()
         self._peer = _peer_of(stream)
@@ -65,18 +93,10 @@
         """Whether the head of an answer was sent for this request."""
         return self._answering
 
-    @property
-    def idle(self) -> bool:
-        """Whether no byte of a request came since the last answer."""
-        return (
-            self._parser.their_state is h11.IDLE
-            and not self._parser.trailing_data[0]
-        )
-
     @property
     def closed(self) -> bool:
         """Whether the connection has ended."""
-        return self._stream.closed()
+        return self._state is _State.CLOSED or self._stream.closed()
 
     def closing(self, server: str) -> closings.ClosedConnection:
         """Returns how the connection ended, or how it stands if it is open.
@@ -95,6 +115,7 @@
 
         Raises:
             RequestSyntaxError: If it is malformed, too large or too slow.
+            RequestNotTakenError: If the connection ended while it was read.
             ConnectionLostError: If the client went away within it.
         """
         head = await self._read_head()
@@ -115,7 +136,7 @@
                 )
             )
         request.body = await self._read_body()
-        self._under_way = True
+        self._take(request)
         return request
 
     def watch_end(self, callback: Callable[[], None] | None) -> None:
@@ -177,7 +198,7 @@
     def next_request(self) -> bool:
         """Makes ready for the next request; returns whether there may be."""
         self._answering = False
-        if self._last or self._stream.closed():
+        if self._last or self.closed:
             return False
         if (
             self._parser.our_state is not h11.DONE
@@ -185,7 +206,20 @@
         ):
             return False
         self._parser.start_next_cycle()
-        return True
+        self._note(_Event.REQUEST_ENDED)
+        self._rested_since = time.monotonic()
+        if self._parser.trailing_data[0]:
+            self._note(_Event.BYTES_CAME)
+        return not (self._ending and self._close_if_resting())
+
+    def end_when_idle(self) -> None:
+        """Ends the connection, once nothing is under way on it.
+
+        A request that is being read, or whose bytes are here, is still served;
+        its answer says that it is the last.
+        """
+        self._ending = True
+        self._close_if_resting()
 
     def abort(self, reason: closings.CloseReason) -> None:
         """Closes the connection; what is in the socket still goes out.
@@ -196,10 +230,12 @@
         self._set_timer(None)
         if self._closing is None and not self._stream.closed():
             self._closing = self._describe(reason)
+        self._note(_Event.CLOSED)
         self._source.abort()
 
     async def _read_head(self) -> h11.Request | None:
-        self._set_timer(self._limits.idle_timeout_s, closings.CloseReason.IDLE)
+        limits = self._limits()
+        self._set_timer(limits.idle_timeout_s, closings.CloseReason.IDLE)
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
@@ -211,10 +247,10 @@
                 data = await self._source.take()
             except errors.ConnectionLostError:
                 return None
-            if data and self.idle:
+            if data and self._state is _State.RESTING:
+                self._note(_Event.BYTES_CAME)
                 self._set_timer(
-                    self._limits.header_timeout_s,
-                    closings.CloseReason.SLOW_HEAD,
+                    limits.header_timeout_s, closings.CloseReason.SLOW_HEAD
                 )
             self._parser.receive_data(data)
 
@@ -234,7 +270,7 @@
         if coded > 1 or lengths > 1 or (coded and lengths):
             raise RequestSyntaxError(400, "ambiguous framing")
         length = messages.header(request.headers, b"content-length")
-        if length is not None and int(length) > self._limits.max_body_bytes:
+        if length is not None and int(length) > self._limits().max_body_bytes:
             raise RequestSyntaxError(413, "the body is too large")
 
     async def _read_body(self) -> bytes:
@@ -245,7 +281,7 @@
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
-                if size > self._limits.max_body_bytes:
+                if size > self._limits().max_body_bytes:
                     raise RequestSyntaxError(413, "the body is too large")
             elif isinstance(event, h11.EndOfMessage):
                 self._set_timer(None)
@@ -259,7 +295,7 @@
     def _send_head(
         self, status: int, headers: messages.Headers, close: bool
     ) -> None:
-        if close:
+        if close or self._ending:
             headers = [*headers, (b"Connection", b"close")]
             self._last = True
         reason = http.HTTPStatus(status).phrase if status in _KNOWN else ""
@@ -302,10 +338,50 @@
             self._timer = None
         if seconds is not None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(seconds, self.abort, reason)
+            self._timer = loop.call_later(seconds, self._on_time_limit, reason)
+
+    def _on_time_limit(self, reason: closings.CloseReason) -> None:
+        """Closes the connection, unless what it waited for is here."""
+        if self._source.bytes_waiting:
+            # After a hold-up of the event loop the time ends in the pass that
+            # takes the bytes in: 12 of 12 such requests were passed on and
+            # not answered.
+            self._set_timer(SECOND_LOOK_S, reason)
+            return
+        left = self._idle_time_left()
+        if reason is closings.CloseReason.IDLE and left > 0.0:
+            self._set_timer(left, reason)
+            return
+        self.abort(reason)
+
+    def _idle_time_left(self) -> float:
+        """Returns seconds for which it may rest, by the limits of now."""
+        rested = time.monotonic() - self._rested_since
+        return self._limits().idle_timeout_s - rested
+
+    def _take(self, request: messages.Request) -> None:
+        """Takes a request from the connection while that is open.
+
+        Raises:
+            RequestNotTakenError: If it has ended.
+        """
+        # An end that came with the request is seen now: 12 of 12 requests whose
+        # clients had gone were passed on.
+        self._source.prefetch()
+        if self.closed:
+            raise RequestNotTakenError(request)
+        self._note(_Event.REQUEST_TAKEN)
+
+    def _close_if_resting(self) -> bool:
+        """Closes it if nothing is under way; returns whether it is closed."""
+        if self._state is _State.RESTING and not self._source.bytes_waiting:
+            self.abort(closings.CloseReason.STOPPED)
+        return self.closed
+
+    def _note(self, event: connection_state.Event) -> None:
+        self._state = connection_state.after(self._state, event)
 
     def _note_answered(self) -> None:
-        self._under_way = False
         self._answered += 1
         self._rested_since = time.monotonic()
 
@@ -318,7 +394,8 @@
             self._peer,
             time.monotonic() - self._rested_since,
             self._answered,
-            self._under_way,
+            self._state is _State.SERVING
+            and self._parser.our_state is not h11.DONE,
             self._source.bytes_waiting,
         )
 
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -100,17 +100,20 @@
             pending = asyncio.get_running_loop().create_future()
             pending.set_exception(error)
         self._pending = pending
-        pending.add_done_callback(self._on_done)
+        pending.add_done_callback(swallow)
 
     def on_end(self, callback: Callable[[], None] | None) -> None:
-        """Has a callback called when the connection ends while it is read.
+        """Has a callback called when the connection ends, or if it has ended.
 
         Args:
             callback: Called without arguments, or None for no call.
         """
         self._ended = callback
-        if callback is not None:
-            self.prefetch()
+        if callback is None:
+            return
+        self.prefetch()
+        assert self._pending is not None
+        self._pending.add_done_callback(self._on_done)
 
     async def take(self) -> bytes:
         """Waits for bytes.
@@ -132,6 +135,9 @@
                 raise errors.ConnectionLostError("reset") from error
             return b""
         self._pending = None
+        if self._aborted:
+            # Whoever closed the connection decided that nothing is taken.
+            raise errors.ConnectionLostError("aborted")
         return data
 
     def abort(self) -> None:
@@ -140,7 +146,6 @@
         self._stream.close()
 
     def _on_done(self, future: "asyncio.Future[bytes]") -> None:
-        swallow(future)
         failed = not future.cancelled() and future.exception() is not None
         if failed and self._ended is not None:
             self._ended()
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -154,14 +154,18 @@
         await self._conclude()
 
     def _refuse_if_stopping(self, taken: admission.Admission) -> None:
-        """Refuses a stream that could outlast this box's planned stop.
+        """Refuses a request that could outlast this box's planned stop.
 
         Raises:
             RefusalError: If the client has to go to another box.
         """
         leaving = self._tools.leaving_for_s()
-        streams = taken.route.kind is model.RouteKind.STREAM
-        if leaving is not None and leaving > LAST_STREAM_S and streams:
+        if leaving is None:
+            return
+        last = self._tools.stop_limit_s - taken.route.target_s
+        if taken.route.kind is model.RouteKind.STREAM:
+            last = min(last, LAST_STREAM_S)
+        if leaving > last:
             raise admission.RefusalError(
                 503, "stopping", "this box is being stopped", RETRY_STOPPING_S
             )
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -47,6 +47,7 @@
         zone: The box's availability zone.
         leaving_for_s: Returns for how many seconds the box is being stopped,
             or None if it is not.
+        stop_limit_s: Seconds after which a planned stop ends what still runs.
     """
 
     admitter: admission.Admitter
@@ -58,6 +59,7 @@
     metrics: metrics.Metrics
     zone: str
     leaving_for_s: Callable[[], float | None]
+    stop_limit_s: float
 
     def closing(self) -> bool:
         """Returns whether connections end with their answer."""
