The dispatcher is split: waiting, runs, pace, granting, outliers

Cause: decisions/dispatcher.py had grown to 581 lines and held eight ideas side by side: queues by tier, runs and who gives way, what was learnt of speed, the reserve, granting, preemption, outliers, sheds.

Change: each has its module now (waiting_requests, granted_runs, cell_pace, reserve, granting, preemption, outliers, sheds, cell_endpoints for endpoints with their places, dispatch_counts); cell_state holds what they share, and the dispatcher keeps the order in which they are asked. Names that others use stay in dispatcher.py. The baselines turn outliers off by a judge of their own in place of a private method. Decisions stay as they are.

--- /dev/null
+++ b/martenjunction/decisions/cell_endpoints.py
@@ -0,0 +1,89 @@
+"""The endpoints of one cell and their places, kept in step."""
+
+from collections.abc import Set
+
+from martenjunction.decisions import asks
+from martenjunction.decisions import endpoint_states
+from martenjunction.decisions import placement
+from martenjunction.decisions import places
+
+
+class CellEndpoints:
+    """Endpoints by name; each change of one is booked on the places."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, placement.Endpoint] = {}
+        self._places = places.Places()
+
+    @property
+    def by_name(self) -> dict[str, placement.Endpoint]:
+        """The endpoints by name, to be read only."""
+        return self._by_name
+
+    @property
+    def places(self) -> places.Places:
+        """Their places."""
+        return self._places
+
+    def set(self, name: str, slots: int, now: float, zone: str) -> None:
+        """Adds an endpoint, or changes how many requests it may run."""
+        endpoint = self._by_name.get(name)
+        if endpoint is None:
+            endpoint = placement.Endpoint(name, slots, zone)
+            self._by_name[name] = endpoint
+        endpoint.slots = slots
+        endpoint.health.move(endpoint_states.EndpointEvent.LISTED_AGAIN, now)
+        self.refresh(endpoint, now)
+
+    def set_leaving(self, name: str, now: float) -> None:
+        """Gives an endpoint no new work from now on."""
+        endpoint = self._by_name.get(name)
+        if endpoint is not None:
+            endpoint.health.move(endpoint_states.EndpointEvent.LEAVING, now)
+            self.refresh(endpoint, now)
+
+    def remove(self, name: str) -> None:
+        """Forgets an endpoint."""
+        self._by_name.pop(name, None)
+        self._places.remove(name)
+
+    def report(self, report: asks.LoadReport, now: float) -> None:
+        """Takes in an endpoint's lagging word on its load."""
+        endpoint = self._by_name.get(report.endpoint)
+        if endpoint is not None:
+            endpoint.report(report, now)
+            self.refresh(endpoint, now)
+
+    def start(self, run: asks.Run, now: float) -> None:
+        """Books a run that takes a place."""
+        endpoint = self._by_name.get(run.endpoint)
+        if endpoint is not None:
+            endpoint.start(run)
+            self.refresh(endpoint, now)
+
+    def finish(self, run: asks.Run, now: float) -> None:
+        """Gives a run's place back."""
+        endpoint = self._by_name.get(run.endpoint)
+        if endpoint is not None:
+            endpoint.finish(run.ask.request_id, now)
+            self.refresh(endpoint, now)
+
+    def refresh(self, endpoint: placement.Endpoint, now: float) -> None:
+        """Books an endpoint's places as it stands now."""
+        self._places.refresh(endpoint, now)
+
+    def look_after(self, now: float) -> None:
+        """Notes what only time changes."""
+        endpoints = list(self._by_name.values())
+        for endpoint in endpoints:
+            endpoint.expire_report(now)
+            self.refresh(endpoint, now)
+        placement.forget_idle(endpoints, now)
+
+    def routes_beyond(self, avoided: Set[str]) -> bool:
+        """Whether an endpoint receives work that is not to be avoided."""
+        return any(
+            endpoint.name not in avoided
+            and endpoint.health.state is endpoint_states.EndpointState.ROUTING
+            for endpoint in self._by_name.values()
+        )
--- /dev/null
+++ b/martenjunction/decisions/granted_runs.py
@@ -0,0 +1,69 @@
+"""The runs that hold places of one cell, and which of them gives way."""
+
+from collections.abc import Iterator
+
+from martenjunction.decisions import asks
+from martenjunction.decisions import tiers
+
+
+class GrantedRuns:
+    """Runs by request, and by tier those that may be preempted."""
+
+    def __init__(self, max_preemptions: int) -> None:
+        """Makes an account without runs.
+
+        Args:
+            max_preemptions: How often one request may be preempted.
+        """
+        self._max_preemptions = max_preemptions
+        self._runs: dict[str, asks.Run] = {}
+        self._victims: dict[int, dict[str, asks.Run]] = {
+            tier: {} for tier in tiers.TIERS
+        }
+        self._giving_way = 0
+
+    @property
+    def giving_way(self) -> int:
+        """Runs that were told to give their place up and still hold it."""
+        return self._giving_way
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def __contains__(self, request_id: object) -> bool:
+        return request_id in self._runs
+
+    def __iter__(self) -> Iterator[asks.Run]:
+        return iter(list(self._runs.values()))
+
+    def find(self, request_id: str) -> asks.Run | None:
+        """Returns the run of a request, if it holds a place."""
+        return self._runs.get(request_id)
+
+    def add(self, run: asks.Run) -> None:
+        """Books a run that takes a place."""
+        ask = run.ask
+        self._runs[ask.request_id] = run
+        may_move = ask.preemptions < self._max_preemptions
+        if ask.preemptible and may_move and not run.guaranteed:
+            self._victims[ask.tier][ask.request_id] = run
+
+    def remove(self, run: asks.Run) -> None:
+        """Books the end of a run."""
+        ask = run.ask
+        del self._runs[ask.request_id]
+        self._victims[ask.tier].pop(ask.request_id, None)
+        self._giving_way -= run.cancelling
+
+    def victim(self, tier: int) -> asks.Run | None:
+        """Returns the run that loses least, of the lowest tier below `tier`."""
+        for lower in reversed(tiers.TIERS):
+            if lower > tier and self._victims[lower]:
+                return next(reversed(self._victims[lower].values()))
+        return None
+
+    def give_way(self, run: asks.Run) -> None:
+        """Notes that a run was told to give its place up."""
+        run.cancelling = True
+        self._giving_way += 1
+        del self._victims[run.ask.tier][run.ask.request_id]
--- /dev/null
+++ b/martenjunction/decisions/granting.py
@@ -0,0 +1,102 @@
+"""Gives free places to waiting requests, in the order that is due."""
+
+from collections.abc import Iterator
+import dataclasses
+
+from martenjunction.decisions import asks
+from martenjunction.decisions import cell_state
+from martenjunction.decisions import placement
+from martenjunction.decisions import reserve
+
+
+class Granting:
+    """Grants the places of one cell."""
+
+    def __init__(self, cell: cell_state.CellState, reserved: float) -> None:
+        """Makes it.
+
+        Args:
+            cell: The cell.
+            reserved: The part of its places that is kept for higher tiers, 0
+                to 1.
+        """
+        self._cell = cell
+        self._reserve = reserve.Reserve(reserved)
+        self._by_share = False
+
+    def saw(self, tier: int, now: float) -> None:
+        """Notes that a request of a tier came."""
+        self._reserve.saw(tier, now)
+
+    def grants(self, now: float) -> Iterator[asks.Grant]:
+        """Grants, one after the other, what can be granted."""
+        held: list[asks.Ask] = []
+        places = self._cell.endpoints.places
+        while True:
+            free = places.open()
+            ask = self._next_ask(free, now)
+            if ask is None:
+                break
+            chosen = self._choose(ask, free, now)
+            if chosen is None:
+                held.append(ask)
+                continue
+            yield self.grant(ask, chosen[0], chosen[1], now)
+        for ask in held:
+            self._cell.waiting.push(ask, now)
+
+    def grant(
+        self,
+        ask: asks.Ask,
+        endpoint: placement.Endpoint,
+        predicted: float,
+        now: float,
+    ) -> asks.Grant:
+        """Gives a request a place.
+
+        Args:
+            ask: The request.
+            endpoint: Where.
+            predicted: Seconds to its first token.
+            now: The current time.
+        """
+        run = asks.Run(
+            ask,
+            endpoint.name,
+            now,
+            predicted,
+            uncached=endpoint.uncached(ask),
+            batch=endpoint.busy,
+            guaranteed=self._by_share,
+        )
+        self._cell.add_run(run, now)
+        self._cell.pace.granted(ask.tier, now)
+        self._cell.counts.granted += 1
+        return asks.Grant(ask.request_id, ask.entry, endpoint.name, predicted)
+
+    def _next_ask(
+        self, free: list[placement.Endpoint], now: float
+    ) -> asks.Ask | None:
+        if not free:
+            return None
+        waiting = self._cell.waiting
+        present = waiting.tiers()
+        if not present:
+            return None
+        due = waiting.due(present, now)
+        self._by_share = due is not None
+        tier = present[0] if due is None else due
+        places = self._cell.endpoints.places
+        if due is None and not self._reserve.leaves_room(tier, places, now):
+            return None
+        return waiting.take(tier, present, now, self._cell.pace.lead)
+
+    def _choose(
+        self, ask: asks.Ask, free: list[placement.Endpoint], now: float
+    ) -> tuple[placement.Endpoint, float] | None:
+        use = self._cell.endpoints.places.use
+        chosen = placement.choose(ask, free, use, now)
+        if chosen is None and not self._cell.endpoints.routes_beyond(ask.avoid):
+            again = dataclasses.replace(ask, avoid=frozenset())
+            chosen = placement.choose(again, free, use, now)
+        return chosen
--- /dev/null
+++ b/martenjunction/decisions/outliers.py
@@ -0,0 +1,77 @@
+"""Which of a cell's endpoints are far worse than the others."""
+
+import statistics
+
+from martenjunction.decisions import cell_state
+from martenjunction.decisions import endpoint_states
+from martenjunction.decisions import placement
+
+
+class Outliers:
+    """Judges endpoints by what was seen of them, against each other."""
+
+    def __init__(self, cell: cell_state.CellState) -> None:
+        """Makes a judge of a cell's endpoints."""
+        self._endpoints = cell.endpoints
+        self._counts = cell.counts
+
+    def observe(
+        self, endpoint: placement.Endpoint, ratio: float, now: float
+    ) -> None:
+        """Takes in one observed time over its prediction."""
+        endpoint.health.observe(ratio)
+        if endpoint.health.state is endpoint_states.EndpointState.EJECTED:
+            passed = ratio < endpoint_states.OUTLIER_RATIO
+            event = (
+                endpoint_states.EndpointEvent.TRIAL_PASSED
+                if passed
+                else endpoint_states.EndpointEvent.TRIAL_FAILED
+            )
+            endpoint.health.move(event, now)
+            self._endpoints.refresh(endpoint, now)
+            return
+        self.judge(endpoint, now)
+
+    def fault(
+        self, endpoint: placement.Endpoint, now: float, reached: bool
+    ) -> None:
+        """Takes in one run or call that broke.
+
+        Args:
+            endpoint: Where it broke.
+            now: The current time.
+            reached: Whether the endpoint was reached at all.
+        """
+        endpoint.health.fault(reached)
+        if endpoint.health.state is endpoint_states.EndpointState.EJECTED:
+            endpoint.health.move(
+                endpoint_states.EndpointEvent.TRIAL_FAILED, now
+            )
+        self.judge(endpoint, now)
+
+    def judge(self, endpoint: placement.Endpoint, now: float) -> None:
+        """Ejects an endpoint if it is an outlier and enough others are left."""
+        if not endpoint.health.may_be_outlier:
+            return
+        others = [
+            e.health.ratio
+            for e in self._endpoints.by_name.values()
+            if e is not endpoint
+        ]
+        typical = statistics.median(others) if others else 1.0
+        if not endpoint.health.is_outlier(typical):
+            return
+        if not self._may_eject():
+            return
+        if endpoint.health.move(endpoint_states.EndpointEvent.OUTLIER, now):
+            self._counts.ejected += 1
+            self._endpoints.refresh(endpoint, now)
+
+    def _may_eject(self) -> bool:
+        ejected = sum(
+            e.health.state is endpoint_states.EndpointState.EJECTED
+            for e in self._endpoints.by_name.values()
+        )
+        listed = len(self._endpoints.by_name)
+        most = max(1, int(listed * endpoint_states.MAX_EJECTED))
+        return ejected < most and listed > 1
--- /dev/null
+++ b/martenjunction/decisions/preemption.py
@@ -0,0 +1,38 @@
+"""Whether a running request has to give way, and which."""
+
+from martenjunction.decisions import asks
+from martenjunction.decisions import cell_state
+
+# A waiting request is urgent when its slack is below this many seconds, or
+# below this many times the expected wait for a place.
+PREEMPT_SLACK = 0.1
+PREEMPT_MARGIN = 2.0
+
+
+def find_victim(
+    cell: cell_state.CellState, now: float
+) -> tuple[asks.Run, int] | None:
+    """Finds the run that has to give its place up.
+
+    Returns:
+        The run and the tier that it gives way to, or None if none has to.
+    """
+    waiting_tiers = cell.waiting.tiers()
+    if not waiting_tiers or cell.endpoints.places.free > 0:
+        return None
+    tier = waiting_tiers[0]
+    queue = cell.waiting.of_tier(tier)
+    deadline = queue.next_deadline(now)
+    if deadline is None or not _is_urgent(cell, deadline, now):
+        return None
+    if cell.runs.giving_way >= len(queue):
+        return None
+    victim = cell.runs.victim(tier)
+    return (victim, tier) if victim is not None else None
+
+
+def _is_urgent(cell: cell_state.CellState, deadline: float, now: float) -> bool:
+    """Whether a waiting request would miss its target by just waiting."""
+    until_free = cell.pace.hold / max(1, len(cell.runs))
+    slack = deadline - now - cell.pace.lead
+    return 0.0 < slack < max(PREEMPT_SLACK, PREEMPT_MARGIN * until_free)
--- a/martenjunction/decisions/tiers.py
+++ b/martenjunction/decisions/tiers.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# All tiers, the highest first.
+TIERS = range(1, 5)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TierSettings:
--- a/martenjunction_lab/baselines.py
+++ b/martenjunction_lab/baselines.py
@@ -9,6 +9,7 @@
 from martenjunction.decisions import asks
 from martenjunction.decisions import dispatcher
 from martenjunction.decisions import endpoint_states
+from martenjunction.decisions import outliers
 from martenjunction.decisions import placement
 from martenjunction.decisions import tiers
 
@@ -27,6 +28,11 @@
     )
 
 
+class _NoOutliers(outliers.Outliers):
+    def judge(self, endpoint: placement.Endpoint, now: float) -> None:
+        """Finds no endpoint at fault."""
+
+
 class Baseline(dispatcher.Dispatcher):
     """Late binding in order of arrival, with no tiers and no shedding."""
 
@@ -35,6 +41,7 @@
             dispatcher.DispatchSettings(shed_by_delay=False, preempt=False),
             random.Random(SEED),
         )
+        self._outliers = _NoOutliers(self._cell)
         self._line: collections.OrderedDict[str, asks.Ask] = (
             collections.OrderedDict()
         )
@@ -50,7 +57,7 @@
 
     def submit(self, ask: asks.Ask, now: float) -> list[asks.Decision]:
         """Puts a request at the end of the line."""
-        if ask.request_id not in self._runs:
+        if self.run(ask.request_id) is None:
             self._line[ask.request_id] = ask
         return []
 
@@ -70,7 +77,7 @@
             if endpoint is None:
                 break
             del self._line[ask.request_id]
-            decisions.append(self._grant(ask, endpoint, 0.0, now))
+            decisions.append(self._granting.grant(ask, endpoint, 0.0, now))
         return decisions
 
     def _in_order(self) -> list[asks.Ask]:
@@ -79,15 +86,12 @@
     def _usable(self) -> list[placement.Endpoint]:
         gone = endpoint_states.EndpointState.DRAINING
         return [
-            e for e in self._endpoints.values() if e.health.state is not gone
+            e for e in self.endpoints.values() if e.health.state is not gone
         ]
 
     def _choose(self, ask: asks.Ask, now: float) -> placement.Endpoint | None:
         raise NotImplementedError
 
-    def _judge(self, endpoint: placement.Endpoint, now: float) -> None:
-        """Finds no endpoint at fault."""
-
 
 @policies.register("round-robin-fifo")
 class RoundRobin(Baseline):
--- a/tools/broken_builds.py
+++ b/tools/broken_builds.py
@@ -42,9 +42,9 @@
 BUILDS = (
     BrokenBuild(
         "the lowest tier goes first",
-        "martenjunction/decisions/dispatcher.py",
-        "tier = waiting[0] if due is None else due",
-        "tier = waiting[-1]",
+        "martenjunction/decisions/granting.py",
+        "tier = present[0] if due is None else due",
+        "tier = present[-1]",
         "A burst of the lowest tier costs the highest nothing",
     ),
     BrokenBuild(
