The engine stand-in is split: run, batch, prefix cache, load reports

Change: engine_run, engine_batch, engine_cache and engine_reports hold one each. The data classes that others use, the engine's life and its HTTP handlers stay. Behaviour stays as it is.

--- a/martenjunction_lab/engine.py
+++ b/martenjunction_lab/engine.py
@@ -4,7 +4,6 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
-import json
 import time
 from typing import Any
 
@@ -12,10 +11,12 @@
 from tornado import web
 
 from martenjunction import http_headers
-from martenjunction.callers import prompts
-from martenjunction.decisions import placement
 from martenjunction.endpoints import engine_protocol
 from martenjunction_lab import answers
+from martenjunction_lab import engine_batch
+from martenjunction_lab import engine_cache
+from martenjunction_lab import engine_reports
+from martenjunction_lab import engine_run
 from martenjunction_lab import servers
 
 # Seconds for which a run whose stream broke waits to be resumed.
@@ -67,63 +68,6 @@
     false_idle: bool = False
 
 
-class Run:
-    """One request in an engine."""
-
-    def __init__(
-        self,
-        request_id: str,
-        priority: int,
-        body: dict[str, Any],
-        prefill_left: float,
-    ) -> None:
-        self.request_id = request_id
-        self.priority = priority
-        self.model = str(body.get("model", ""))
-        self.mark = answers.mark_of(body.get("messages", []))
-        self.length = answers.length_of(body)
-        going_on = body.get("continue_from") or {}
-        self.first = int(going_on.get("tokens", 0))
-        self.made = self.first
-        self.prefill_left = prefill_left
-        self.cancelled = False
-        self.changed = asyncio.Event()
-        self.readers = 0
-        self.orphaned_at = time.monotonic()
-
-    @property
-    def done(self) -> bool:
-        """Whether all tokens were made."""
-        return self.made >= self.length
-
-    def event(self, index: int) -> bytes:
-        """Returns the event of one token."""
-        data = self._chunk({"content": answers.token(self.mark, index)}, None)
-        return f"id: {index}\ndata: {data}\n\n".encode()
-
-    def closing(self) -> bytes:
-        """Returns the last events of a whole answer."""
-        data = self._chunk({}, "stop", {"completion_tokens": self.length})
-        return f"data: {data}\n\n".encode() + engine_protocol.DONE
-
-    def _chunk(
-        self,
-        delta: dict[str, str],
-        reason: str | None,
-        usage: dict[str, int] | None = None,
-    ) -> str:
-        chunk: dict[str, Any] = {
-            "id": f"chatcmpl-{self.request_id}",
-            "object": "chat.completion.chunk",
-            "created": 0,
-            "model": self.model,
-            "choices": [{"index": 0, "delta": delta, "finish_reason": reason}],
-        }
-        if usage is not None:
-            chunk["usage"] = usage
-        return json.dumps(chunk, separators=(",", ":"))
-
-
 @dataclasses.dataclass
 class EngineCounts:
     """What an engine did.
@@ -164,15 +108,10 @@
         self.speed = speed or EngineSpeed()
         self.faults = EngineFaults()
         self.counts = EngineCounts()
-        self._runs: dict[str, Run] = {}
-        self._batch: list[Run] = []
-        self._queue: list[Run] = []
-        self._cache: collections.OrderedDict[int, None] = (
-            collections.OrderedDict()
-        )
-        self._reports: collections.deque[tuple[float, int, int]] = (
-            collections.deque(maxlen=400)
-        )
+        self._runs: dict[str, engine_run.Run] = {}
+        self._batch = engine_batch.Batch()
+        self._cache = engine_cache.PrefixCache()
+        self._reports = engine_reports.LoadReports()
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -200,7 +139,6 @@
             self._lose(run)
         self._runs.clear()
         self._batch.clear()
-        self._queue.clear()
         self._cache.clear()
         await super().stop()
 
@@ -213,41 +151,32 @@
     @property
     def load(self) -> tuple[int, int]:
         """Requests in the batch and in the queue."""
-        return len(self._batch), len(self._queue)
+        return self._batch.load
 
     def report(self) -> dict[str, float]:
         """Returns the load as it is reported, lag and lies included."""
-        now = time.monotonic()
-        lag = self.faults.report_lag_s
-        running, waiting = self.load
-        self._reports.append((now, running, waiting))
-        measured = now
-        if lag > 0:
-            old = [r for r in self._reports if r[0] <= now - lag]
-            measured, running, waiting = old[-1] if old else (now - lag, 0, 0)
-        if self.faults.false_idle:
-            running = waiting = 0
-        age_ms = (now - measured) * 1000
-        return {"running": running, "waiting": waiting, "age_ms": age_ms}
+        faults = self.faults
+        return self._reports.report(
+            self.load, faults.report_lag_s, faults.false_idle
+        )
 
     def submit(
         self, request_id: str, priority: int, body: dict[str, Any]
-    ) -> Run:
+    ) -> engine_run.Run:
         """Takes a request in."""
         self.counts.started[request_id] += 1
-        uncached = self._uncached(body)
+        uncached = self._cache.take(body, self.speed.cache_blocks)
         prefill = uncached * self.speed.prefill_s
-        run = Run(request_id, priority, body, prefill)
+        run = engine_run.Run(request_id, priority, body, prefill)
         self.counts.marks[run.mark] += 1
         if self.faults.wrong_id:
             run.mark = answers.mark_of(["another"])
         self._runs[request_id] = run
-        self._queue.append(run)
-        self._queue.sort(key=lambda queued: queued.priority)
+        self._batch.add(run)
         self._wake.set()
         return run
 
-    def find(self, request_id: str) -> Run | None:
+    def find(self, request_id: str) -> engine_run.Run | None:
         """Returns a run that can be resumed, or None."""
         return self._runs.get(request_id)
 
@@ -259,62 +188,28 @@
         self._lose(run)
         return True
 
-    def _lose(self, run: Run) -> None:
+    def _lose(self, run: engine_run.Run) -> None:
         run.cancelled = True
         run.changed.set()
 
-    def _uncached(self, body: dict[str, Any]) -> int:
-        text = prompts.text_of(body.get("messages", []))
-        tokens = prompts.count_tokens(text)
-        going_on = body.get("continue_from") or {}
-        tokens += int(going_on.get("tokens", 0))
-        for block in prompts.prefix_blocks(text):
-            if block in self._cache:
-                tokens -= placement.BLOCK_TOKENS
-            self._cache[block] = None
-            self._cache.move_to_end(block)
-        while len(self._cache) > self.speed.cache_blocks:
-            self._cache.popitem(last=False)
-        return max(1, tokens)
-
     async def _work(self) -> None:
         while True:
-            self._fill()
-            if not self._batch:
+            running = self._batch.fill(self.speed.slots)
+            if not running:
                 self._wake.clear()
                 await self._wake.wait()
                 continue
-            step = self._step_time()
+            step = self._step_time(running)
             await asyncio.sleep(step)
-            for run in list(self._batch):
-                self._advance(run, step)
+            made = self._batch.advance(step / self.faults.slow)
+            self.counts.tokens_made += made
             self._expire()
 
-    def _fill(self) -> None:
-        while self._queue and len(self._batch) < self.speed.slots:
-            run = self._queue.pop(0)
-            if not run.cancelled:
-                self._batch.append(run)
-
-    def _step_time(self) -> float:
-        full = len(self._batch) / self.speed.slots
+    def _step_time(self, running: int) -> float:
+        full = running / self.speed.slots
         step = self.speed.step_s * (1.0 + self.speed.batch_cost * full)
         return step * self.faults.slow
 
-    def _advance(self, run: Run, step: float) -> None:
-        if run.cancelled:
-            self._batch.remove(run)
-            return
-        if run.prefill_left > 0:
-            run.prefill_left -= step / self.faults.slow
-            if run.prefill_left > 0:
-                return
-        run.made += 1
-        self.counts.tokens_made += 1
-        run.changed.set()
-        if run.done:
-            self._batch.remove(run)
-
     def _expire(self) -> None:
         now = time.monotonic()
         for run in list(self._runs.values()):
@@ -329,7 +224,7 @@
     def initialize(self, engine: Engine) -> None:
         self._engine = engine
 
-    async def stream(self, run: Run, after: int) -> None:
+    async def stream(self, run: engine_run.Run, after: int) -> None:
         """Streams a run's events after one of them until its end."""
         engine = self._engine
         answered = "another" if engine.faults.wrong_id else run.request_id
@@ -344,7 +239,7 @@
             run.readers -= 1
             run.orphaned_at = time.monotonic()
 
-    async def _send(self, run: Run, after: int) -> None:
+    async def _send(self, run: engine_run.Run, after: int) -> None:
         sent = after
         while True:
             if run.cancelled:
@@ -367,7 +262,7 @@
             run.changed.clear()
             await run.changed.wait()
 
-    def _cuts(self, run: Run, sent: int) -> bool:
+    def _cuts(self, run: engine_run.Run, sent: int) -> bool:
         cut = self._engine.faults.cut_after
         return 0 < cut <= sent - run.first and not run.done
 
