The choice of a cell has its own module; one look-up finds a ticket

Change: cells/cell_choice.py chooses; _ticket_of is asked by the three handlers; REASSIGN_INTERVAL is gone. Behaviour stays as it is.

--- a/martenjunction/cells/broker.py
+++ b/martenjunction/cells/broker.py
@@ -10,6 +10,7 @@
 from martenjunction import errors
 from martenjunction import mailbox
 from martenjunction import timers
+from martenjunction.cells import cell_choice
 from martenjunction.cells import directory
 from martenjunction.cells import messages
 from martenjunction.decisions import asks
@@ -23,11 +24,6 @@
 # out; this box is always among them.
 Owners = Callable[[directory.CellInfo], list[str]]
 
-REASSIGN_INTERVAL = 0.1
-
-# Seconds after which what a cell said of itself no longer counts.
-SUMMARY_LIFETIME = 6.0
-
 
 class TicketState(enum.Enum):
     """Where a request stands with its cell."""
@@ -112,14 +108,13 @@
             rng: Draws the two cells that are compared.
         """
         self._box = box
-        self._zone = zone
         self._timers = clock
         self._owners = owners
         self._send = send
-        self._rng = rng or random.Random()
+        self._choice = cell_choice.CellChoice(
+            zone, clock, rng or random.Random()
+        )
         self._cells: dict[str, directory.CellInfo] = {}
-        self._by_service: dict[str, list[directory.CellInfo]] = {}
-        self._summaries: dict[str, tuple[float, messages.Summary]] = {}
         self._owner_now: dict[str, str] = {}
         self._tickets: dict[str, Ticket] = {}
         self._counts = BrokerCounts()
@@ -156,9 +151,7 @@
         Requests whose cell is gone are announced to another one.
         """
         self._cells = cells
-        self._by_service = {}
-        for cell in cells.values():
-            self._by_service.setdefault(cell.service, []).append(cell)
+        self._choice.set_cells(cells.values())
         for ticket in list(self._tickets.values()):
             if ticket.cell.name not in cells:
                 self._rehome(ticket)
@@ -181,7 +174,9 @@
         Raises:
             NoCellError: If the service has no endpoint.
         """
-        cell = self._choose(ask, service)
+        cell = self._choice.choose(ask, service)
+        if cell is None:
+            raise NoCellError(f"service {service!r} has no endpoint")
         owner = self._owner_of(cell)
         ticket = Ticket(ask, cell, owner)
         self._tickets[ask.request_id] = ticket
@@ -239,7 +234,7 @@
             owner = self._first_owner(cell) if cell is not None else self._box
             if owner != known:
                 self._owner_now[name] = owner
-                self._summaries.pop(name, None)
+                self._choice.forget_summary(name)
                 changed.add(name)
         if not changed:
             return
@@ -249,40 +244,9 @@
 
     def delay(self, cell: str, tier: int) -> float | None:
         """Returns the delay that a cell last predicted, or None."""
-        entry = self._summaries.get(cell)
-        if entry is None:
-            return None
-        heard, summary = entry
-        if self._timers.now() - heard > SUMMARY_LIFETIME:
-            return None
-        if not summary.delay_ms:
-            return None
-        index = min(tier, len(summary.delay_ms)) - 1
-        return summary.delay_ms[index] / 1000
+        return self._choice.delay(cell, tier)
 
-    # Choosing.
-
-    def _choose(self, ask: asks.Ask, service: str) -> directory.CellInfo:
-        """Takes the better of two cells, the first of them a near one."""
-        cells = self._by_service.get(service, [])
-        if not cells:
-            raise NoCellError(f"service {service!r} has no endpoint")
-        untried = [c for c in cells if not ask.avoid.issuperset(c.endpoints)]
-        cells = untried or cells
-        near = [c for c in cells if directory.is_within(self._zone, c.place)]
-        first = self._rng.choice(near or cells)
-        second = self._rng.choice(cells)
-        preferred = [c for c in cells if _is_preferred(c, ask)]
-        if preferred:
-            first = self._rng.choice(preferred)
-        return min((first, second), key=lambda cell: self._price(cell, ask))
-
-    def _price(self, cell: directory.CellInfo, ask: asks.Ask) -> float:
-        price = directory.distance(self._zone, cell.place)
-        price += self.delay(cell.name, ask.tier) or 0.0
-        if ask.zones and not _is_preferred(cell, ask):
-            price += AGAINST_POLICY
-        return price
+    # Owners.
 
     def _owner_of(self, cell: directory.CellInfo) -> str:
         owner = self._owner_now.get(cell.name)
@@ -321,7 +285,7 @@
 
     def _rehome(self, ticket: Ticket) -> None:
         """Finds the cell that has a request's endpoint now, or another."""
-        cells = self._by_service.get(ticket.cell.service, [])
+        cells = self._choice.of_service(ticket.cell.service)
         fit = [c for c in cells if ticket.endpoint in c.endpoints] or cells
         if not fit:
             return
@@ -337,14 +301,10 @@
     # Hearing from owners.
 
     def _on_granted(self, sender: str, message: messages.PlaceGranted) -> None:
-        ticket = self._tickets.get(message.request_id)
-        wanted = (
-            ticket is not None
-            and ticket.owner == sender
-            and ticket.cell.name == message.cell
-            and ticket.state is TicketState.WAITING
+        ticket = self._ticket_of(
+            sender, message.request_id, TicketState.WAITING
         )
-        if not wanted or ticket is None:
+        if ticket is None or ticket.cell.name != message.cell:
             # Granted by a former owner, or to a request that is over.
             self._counts.returned += 1
             back = messages.Withdraw(message.cell, message.request_id)
@@ -356,35 +316,31 @@
         ticket.verdicts.put(message)
 
     def _on_shed(self, sender: str, message: messages.RequestShed) -> None:
-        ticket = self._tickets.get(message.request_id)
-        if (
-            ticket is not None
-            and ticket.owner == sender
-            and ticket.state is TicketState.WAITING
-        ):
+        ticket = self._ticket_of(
+            sender, message.request_id, TicketState.WAITING
+        )
+        if ticket is not None:
             self._close(ticket)
             ticket.verdicts.put(message)
 
     def _on_preempted(
         self, sender: str, message: messages.RunPreempted
     ) -> None:
-        ticket = self._tickets.get(message.request_id)
-        if (
-            ticket is not None
-            and ticket.owner == sender
-            and ticket.state is TicketState.RUNNING
-            and ticket.on_preempted is not None
-        ):
+        ticket = self._ticket_of(
+            sender, message.request_id, TicketState.RUNNING
+        )
+        if ticket is not None and ticket.on_preempted is not None:
             ticket.on_preempted()
 
+    def _ticket_of(
+        self, sender: str, request_id: str, state: TicketState
+    ) -> Ticket | None:
+        """Returns the ticket that the sender owns in a state, or None."""
+        ticket = self._tickets.get(request_id)
+        if ticket is None or ticket.owner != sender:
+            return None
+        return ticket if ticket.state is state else None
+
     def _on_summary(self, sender: str, message: messages.Summary) -> None:
         if self._owner_now.get(message.cell, sender) == sender:
-            self._summaries[message.cell] = (self._timers.now(), message)
-
-
-def _is_preferred(cell: directory.CellInfo, ask: asks.Ask) -> bool:
-    return any(directory.is_within(z, cell.place) for z in ask.zones)
-
-
-# Seconds that a cell against the policy's preference seems further away.
-AGAINST_POLICY = 2.0
+            self._choice.take_summary(message)
--- /dev/null
+++ b/martenjunction/cells/cell_choice.py
@@ -0,0 +1,96 @@
+"""Which cell a request is sent to: what cells said, near, preferred."""
+
+from collections.abc import Iterable
+import random
+
+from martenjunction import timers
+from martenjunction.cells import directory
+from martenjunction.cells import messages
+from martenjunction.decisions import asks
+
+# Seconds after which what a cell said of itself no longer counts.
+SUMMARY_LIFETIME = 6.0
+
+# Seconds that a cell against the policy's preference seems further away.
+AGAINST_POLICY = 2.0
+
+
+class CellChoice:
+    """The cells of each service, and what they last said of themselves."""
+
+    def __init__(
+        self, zone: str, clock: timers.Timers, rng: random.Random
+    ) -> None:
+        """Makes a choice of no cells.
+
+        Args:
+            zone: The availability zone of this box.
+            clock: Tells the time.
+            rng: Draws the two cells that are compared.
+        """
+        self._zone = zone
+        self._timers = clock
+        self._rng = rng
+        self._by_service: dict[str, list[directory.CellInfo]] = {}
+        self._summaries: dict[str, tuple[float, messages.Summary]] = {}
+
+    def set_cells(self, cells: Iterable[directory.CellInfo]) -> None:
+        """Takes in a new layout of cells."""
+        self._by_service = {}
+        for cell in cells:
+            self._by_service.setdefault(cell.service, []).append(cell)
+
+    def of_service(self, service: str) -> list[directory.CellInfo]:
+        """Returns the cells of a service."""
+        return self._by_service.get(service, [])
+
+    def take_summary(self, summary: messages.Summary) -> None:
+        """Takes in what a cell says of itself."""
+        self._summaries[summary.cell] = (self._timers.now(), summary)
+
+    def forget_summary(self, cell: str) -> None:
+        """Forgets what a cell said under another owner."""
+        self._summaries.pop(cell, None)
+
+    def delay(self, cell: str, tier: int) -> float | None:
+        """Returns the delay that a cell last predicted, or None."""
+        entry = self._summaries.get(cell)
+        if entry is None:
+            return None
+        heard, summary = entry
+        if self._timers.now() - heard > SUMMARY_LIFETIME:
+            return None
+        if not summary.delay_ms:
+            return None
+        index = min(tier, len(summary.delay_ms)) - 1
+        return summary.delay_ms[index] / 1000
+
+    def choose(self, ask: asks.Ask, service: str) -> directory.CellInfo | None:
+        """Takes the better of two cells, the first of them a near one.
+
+        Returns:
+            A cell, or None if the service has none.
+        """
+        cells = self.of_service(service)
+        if not cells:
+            return None
+        untried = [c for c in cells if not ask.avoid.issuperset(c.endpoints)]
+        cells = untried or cells
+        near = [c for c in cells if directory.is_within(self._zone, c.place)]
+        first = self._rng.choice(near or cells)
+        second = self._rng.choice(cells)
+        preferred = [c for c in cells if _is_preferred(c, ask)]
+        if preferred:
+            first = self._rng.choice(preferred)
+        return min((first, second), key=lambda cell: self._price(cell, ask))
+
+    def _price(self, cell: directory.CellInfo, ask: asks.Ask) -> float:
+        price = directory.distance(self._zone, cell.place)
+        price += self.delay(cell.name, ask.tier) or 0.0
+        if ask.zones and not _is_preferred(cell, ask):
+            price += AGAINST_POLICY
+        return price
+
+
+def _is_preferred(cell: directory.CellInfo, ask: asks.Ask) -> bool:
+    return any(directory.is_within(z, cell.place) for z in ask.zones)
