References and policies' program files have modules of their own

Change: config/references.py and config/programs.py; _table and _key stand once. Names that others use stay in fleet.py. Behaviour stays as it is.

--- a/martenjunction/config/fleet.py
+++ b/martenjunction/config/fleet.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import pathlib
 from typing import Annotated
 from typing import Any
 
@@ -11,6 +10,8 @@
 from martenjunction import errors
 from martenjunction import registry
 from martenjunction.config import ini
+from martenjunction.config import programs
+from martenjunction.config import references
 from martenjunction.config import units
 
 FORBID = pydantic.ConfigDict(extra="forbid")
@@ -20,6 +21,12 @@
 
 ANY_KIND = "*"
 
+# What the keys of configuration objects in the platform begin with.
+KEY_PREFIX = "config/"
+
+# Attributes of FleetConfig whose names differ from their section's.
+_ATTRIBUTES = {"class": "classes"}
+
 
 class ServiceKind(enum.StrEnum):
     """What stands behind a service."""
@@ -215,13 +222,23 @@
     @property
     def key(self) -> str:
         """The key of its object in the platform."""
-        return f"{KEY_PREFIX}{self.kind}/{self.name}"
+        return _key(self.kind, self.name)
 
 
-KEY_PREFIX = "config/"
+def _key(kind: str, name: str) -> str:
+    """Returns the key of a section's object in the platform."""
+    return f"{KEY_PREFIX}{kind}/{name}"
 
-# Attributes of FleetConfig whose names differ from their section's.
-_ATTRIBUTES = {"class": "classes"}
+
+def _attribute(kind: str) -> str:
+    """Returns the attribute of FleetConfig that holds a kind of section."""
+    return _ATTRIBUTES.get(kind, kind)
+
+
+def _table(config: FleetConfig, kind: str) -> dict[str, Any]:
+    """Returns the sections of a kind by name."""
+    table: dict[str, Any] = getattr(config, _attribute(kind))
+    return table
 
 
 def parse(section: ini.Section) -> tuple[Document, Any]:
@@ -277,8 +294,7 @@
     by_type = {section_kinds.get(kind): kind for kind in section_kinds}
     for value in values:
         kind = by_type[type(value)]
-        table = getattr(config, _ATTRIBUTES.get(kind, kind))
-        table[value.name] = value
+        _table(config, kind)[value.name] = value
     return config
 
 
@@ -293,7 +309,7 @@
     seen: dict[str, ini.Section] = {}
     for path in paths:
         for section in ini.read(path):
-            document, value = parse(_with_program(section))
+            document, value = parse(programs.include(section))
             if document.key in seen:
                 raise errors.SettingsError(
                     f"also in {seen[document.key].file}", path, section.title
@@ -302,38 +318,14 @@
             documents.append(document)
             values.append(value)
     config = build(values)
-    for problem in find_problems(config):
-        section = seen[problem.key]
+    for problem in references.find_problems(lambda k: _table(config, k)):
+        section = seen[_key(problem.kind, problem.name)]
         raise errors.SettingsError(
             problem.message, section.file, section.title, problem.field
         )
     return documents, config
 
 
-def _with_program(section: ini.Section) -> ini.Section:
-    """Reads the file that a policy names, beside the INI file."""
-    name = section.values.get(PROGRAM_KEY)
-    if name is None or not section.title.startswith("policy "):
-        return section
-    path = pathlib.Path(section.file).parent / name
-    try:
-        source = path.read_text(encoding="utf-8")
-    except OSError as error:
-        raise errors.SettingsError(
-            f"{path}: {error.strerror}",
-            section.file,
-            section.title,
-            PROGRAM_KEY,
-        ) from error
-    values = {k: v for k, v in section.values.items() if k != PROGRAM_KEY}
-    values["source"] = source
-    return dataclasses.replace(section, values=values)
-
-
-# In a file, a policy may name the file that holds its program.
-PROGRAM_KEY = "file"
-
-
 def replace(config: FleetConfig, values: dict[str, Any]) -> FleetConfig:
     """Returns a configuration with some objects changed.
 
@@ -346,48 +338,11 @@
     tables: dict[str, dict[str, Any]] = {}
     for key, value in values.items():
         kind, _, name = key.removeprefix(KEY_PREFIX).partition("/")
-        attribute = _ATTRIBUTES.get(kind, kind)
+        attribute = _attribute(kind)
         if attribute not in tables:
-            tables[attribute] = dict(getattr(config, attribute))
+            tables[attribute] = dict(_table(config, kind))
         if value is None:
             tables[attribute].pop(name, None)
         else:
             tables[attribute][name] = value
     return dataclasses.replace(config, **tables)
-
-
-@dataclasses.dataclass(frozen=True)
-class Problem:
-    """A reference from one section to another that is not there."""
-
-    key: str
-    field: str
-    message: str
-
-
-# Which field of which kind of section names a section of which other kind.
-_REFERENCES = (
-    ("endpoint", "service", "service"),
-    ("workspace", "default_class", "class"),
-    ("binding", "workspace", "workspace"),
-    ("binding", "service_class", "class"),
-)
-
-
-def find_problems(config: FleetConfig) -> list[Problem]:
-    """Returns references that lead nowhere."""
-    problems = []
-    for kind, field, target in _REFERENCES:
-        table = getattr(config, _ATTRIBUTES.get(kind, kind))
-        targets = getattr(config, _ATTRIBUTES.get(target, target))
-        for value in table.values():
-            name = getattr(value, field)
-            if name not in targets:
-                problems.append(
-                    Problem(
-                        f"{KEY_PREFIX}{kind}/{value.name}",
-                        field,
-                        f"there is no {target} {name!r}",
-                    )
-                )
-    return problems
