Giving endpoints up and trusting them again has a module of its own

Cause: routing/endpoint_book.py (376 lines) mixed the accounts of requests with the bounds of silence, ejections, trials and probes.

Change: routing/endpoint_trust.py holds these; the book looks the records up and asks it. Behaviour stays as it is.

--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -6,21 +6,10 @@
 from martenjunction.decisions import endpoint_list
 from martenjunction.decisions import endpoint_loads
 from martenjunction.decisions import endpoint_records
-from martenjunction.decisions import endpoint_states
 from martenjunction.routing import decision_log
+from martenjunction.routing import endpoint_trust
 from martenjunction.routing import model
 
-# Seconds without a byte from an endpoint that owes answers, after which it
-# gets no new work. A plain service answers within a few tens of milliseconds,
-# an engine's running streams bring an event every 20 to 250 ms.
-PLAIN_SILENCE_S = 0.4
-ENGINE_SILENCE_S = 1.0
-SINGLE_SILENCE_S = 1.5
-
-# Seconds for which an ejected endpoint that is due for a trial waits for a
-# request that may be repeated, before its health is asked instead.
-PROBE_PATIENCE_S = 1.5
-
 # Part by which what was learnt of an endpoint without work moves back towards
 # the best of its service, each time it is looked at.
 IDLE_DRIFT = 0.02
@@ -80,7 +69,7 @@
             rng: Breaks ties.
         """
         self._listed = listed
-        self._log = log
+        self._trust = endpoint_trust.EndpointTrust(log)
         self._rng = rng
         self._records: dict[str, endpoint_records.EndpointRecord] = {}
         self._tickets: set[RunTicket] = set()
@@ -176,8 +165,7 @@
         """Notes that bytes of an answer came."""
         record = ticket.record
         self._heard[record.id] = now
-        if record.health.state is endpoint_states.EndpointState.EJECTED:
-            self._move(record, endpoint_states.EndpointEvent.TRIAL_PASSED, now)
+        self._trust.heard(record, now)
         if not ticket.waiting:
             return
         ticket.waiting = False
@@ -208,46 +196,36 @@
     def not_reached(self, endpoint_id: str, now: float) -> None:
         """Notes that no connection to an endpoint could be had."""
         record = self._records.get(endpoint_id)
-        if record is None:
-            return
-        record.health.fault(reached=False)
-        self._eject(record, "not reached", now)
+        if record is not None:
+            self._trust.not_reached(record, now)
 
     def broken(self, endpoint_id: str, now: float) -> None:
         """Notes that an endpoint broke an answer off."""
         record = self._records.get(endpoint_id)
-        if record is None:
-            return
-        record.health.fault(reached=True)
-        if record.health.faults >= endpoint_states.MAX_FAULTS:
-            self._eject(record, "answers break off", now)
+        if record is not None:
+            self._trust.broken(record, now)
 
     def due_for_probe(self, now: float) -> list[str]:
         """Returns ids of ejected endpoints that no request has tried."""
         return [
             record.id
             for record in self._records.values()
-            if record.health.state is endpoint_states.EndpointState.EJECTED
-            and record.loads.own_running == 0
-            and record.health.trial_due(now - PROBE_PATIENCE_S)
+            if endpoint_trust.due_for_probe(record, now)
             and self._listed.may_send(record.id)
         ]
 
     def probed(self, endpoint_id: str, sound: bool, now: float) -> None:
         """Notes the answer to a health check of an ejected endpoint."""
         record = self._records.get(endpoint_id)
-        if record is None:
-            return
-        passed = endpoint_states.EndpointEvent.TRIAL_PASSED
-        failed = endpoint_states.EndpointEvent.TRIAL_FAILED
-        self._move(record, passed if sound else failed, now, "health check")
+        if record is not None:
+            self._trust.probed(record, sound, now)
 
     def tick(self, now: float) -> None:
         """Looks for silent endpoints and forgets those that are gone."""
         for record in self._records.values():
             if not self._is_silent(record, now):
                 continue
-            self._eject(record, "silent", now)
+            self._trust.silent(record, now)
             for ticket in self._tickets:
                 if ticket.record is record:
                     ticket.move = True
@@ -323,47 +301,9 @@
     def _is_silent(
         self, record: endpoint_records.EndpointRecord, now: float
     ) -> bool:
-        if record.health.state is endpoint_states.EndpointState.EJECTED:
-            return False
         owed = [t.sent_at for t in self._tickets if t.record is record]
-        if not owed:
-            return False
-        limit = ENGINE_SILENCE_S if record.cache_tokens else PLAIN_SILENCE_S
-        if len(owed) == 1:
-            # A single answer may take long by itself.
-            limit = max(limit, SINGLE_SILENCE_S)
-        since = max(min(owed), self._heard.get(record.id, 0.0))
-        return now - since > limit
-
-    def _eject(
-        self,
-        record: endpoint_records.EndpointRecord,
-        why: str,
-        now: float,
-    ) -> None:
-        event = endpoint_states.EndpointEvent.OUTLIER
-        if record.health.state is endpoint_states.EndpointState.EJECTED:
-            if not record.health.trial_due(now):
-                # One of the requests that were sent before it was ejected.
-                return
-            event = endpoint_states.EndpointEvent.TRIAL_FAILED
-        self._move(record, event, now, why)
-
-    def _move(
-        self,
-        record: endpoint_records.EndpointRecord,
-        event: endpoint_states.EndpointEvent,
-        now: float,
-        why: str = "",
-    ) -> None:
-        if record.health.move(event, now):
-            self._log.write(
-                "endpoint-trust",
-                endpoint=record.id,
-                state=record.health.state.value,
-                why=why or event.value,
-                running=record.loads.own_running,
-            )
+        heard_at = self._heard.get(record.id, 0.0)
+        return endpoint_trust.is_silent(record, owed, heard_at, now)
 
     def _drift(self) -> None:
         """Lets what was learnt of endpoints without work fade."""
