The platform stand-in keeps its objects in a module of their own

Cause: martenjunction_lab/platform.py (380 lines) held objects, revisions, changes and rate limits beside the faults and the HTTP handlers.

Change: platform_objects.py holds the objects and the limits. Behaviour stays as it is.

--- a/martenjunction_lab/platform.py
+++ b/martenjunction_lab/platform.py
@@ -12,11 +12,9 @@
 
 from martenjunction.objects import client as object_client
 from martenjunction.objects import model
+from martenjunction_lab import platform_objects
 from martenjunction_lab import servers
 
-# Changes that a watch can look back on.
-MAX_CHANGES = 10_000
-
 # Objects in one page of a list.
 PAGE = 500
 
@@ -46,58 +44,6 @@
     reads_per_s: float = 0.0
 
 
-class _Bucket:
-    """A rate limit over calls of one kind."""
-
-    def __init__(self) -> None:
-        self._tokens = 0.0
-        self._at = time.monotonic()
-
-    def take(self, rate: float) -> bool:
-        """Takes one call; returns whether it was within the rate."""
-        if rate <= 0:
-            return True
-        now = time.monotonic()
-        self._tokens = min(rate, self._tokens + (now - self._at) * rate)
-        self._at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
-@dataclasses.dataclass(frozen=True)
-class Kept:
-    """An object of the store at one revision; `spec` is None when deleted."""
-
-    kind: str
-    name: str
-    revision: int
-    spec: Any
-
-    def as_json(self) -> dict[str, Any]:
-        """Returns it as the store tells it."""
-        return {
-            "metadata": {
-                "name": self.name,
-                "revision": self.revision,
-                "created": 0,
-                "finalizers": [],
-                "deletion_pending": False,
-            },
-            "spec": self.spec,
-            "status": None,
-        }
-
-
-class ConflictError(Exception):
-    """An object is not at the revision that a write named."""
-
-    def __init__(self, held: Kept) -> None:
-        super().__init__(f"{held.name} is at {held.revision}")
-        self.held = held
-
-
 class Platform(servers.StandIn):
     """Objects by kind and name, under one counter of revisions."""
 
@@ -112,15 +58,9 @@
         self.faults = PlatformFaults()
         self.calls: collections.Counter[str] = collections.Counter()
         self.rng = random.Random(seed)
-        self.writes = _Bucket()
-        self.reads = _Bucket()
-        self._objects: dict[tuple[str, str], Kept] = {}
-        self._changes: collections.deque[Kept] = collections.deque(
-            maxlen=MAX_CHANGES
-        )
-        self._version = 0
-        self._oldest = 0
-        self._changed = asyncio.Event()
+        self.writes = platform_objects.Bucket()
+        self.reads = platform_objects.Bucket()
+        self._objects = platform_objects.Objects()
 
     def handlers(self) -> list[Any]:
         """Returns paths and handlers."""
@@ -138,66 +78,39 @@
     @property
     def version(self) -> int:
         """The revision of the newest change."""
-        return self._version
+        return self._objects.version
 
-    def find(self, kind: str, name: str) -> Kept | None:
+    def find(self, kind: str, name: str) -> platform_objects.Kept | None:
         """Returns an object that was not deleted."""
-        held = self._objects.get((kind, name))
-        return held if held is not None and held.spec is not None else None
+        return self._objects.find(kind, name)
 
     def write(
         self, kind: str, name: str, spec: Any, revision: int | None = None
-    ) -> Kept:
-        """Writes an object, or deletes it where `spec` is None.
-
-        Args:
-            kind: Its kind.
-            name: Its name.
-            spec: Its content.
-            revision: The revision it must have, 0 if it must not be there;
-                None for any.
+    ) -> platform_objects.Kept:
+        """Writes an object, as `platform_objects.Objects.write` does.
 
         Raises:
-            ConflictError: If it has another revision.
+            ConflictError: If it has another revision than it must have.
         """
-        held = self.find(kind, name)
-        current = held.revision if held is not None else 0
-        if revision is not None and revision != current:
-            raise ConflictError(held or Kept(kind, name, 0, None))
-        if held is not None and held.spec == spec:
-            return held
-        self._version += 1
-        kept = Kept(kind, name, self._version, spec)
-        self._objects[(kind, name)] = kept
-        self._changes.append(kept)
-        self._wake()
-        return kept
-
-    def entries(self, kind: str, after: str) -> list[Kept]:
+        return self._objects.write(kind, name, spec, revision)
+
+    def entries(self, kind: str, after: str) -> list[platform_objects.Kept]:
         """Returns the objects of a kind with names after one, in order."""
-        return [
-            kept
-            for (its, name), kept in sorted(self._objects.items())
-            if its == kind and name > after and kept.spec is not None
-        ]
+        return self._objects.entries(kind, after)
 
     async def watch(
         self, kind: str, after: int, wait: float
-    ) -> list[Kept] | None:
+    ) -> list[platform_objects.Kept] | None:
         """Waits for changes of a kind; None if the history is gone."""
         deadline = time.monotonic() + wait
         while True:
-            if after > self._version or after < self._oldest:
+            changes = self._objects.changes(kind, after)
+            if changes is None:
                 return None
-            changes = [
-                kept
-                for kept in self._changes
-                if kept.kind == kind and kept.revision > after
-            ]
             left = deadline - time.monotonic()
             if left <= 0 or (changes and not self.faults.deaf):
                 return [] if self.faults.deaf else changes
-            changed = self._changed
+            changed = self._objects.changed
             try:
                 async with asyncio.timeout(left):
                     await changed.wait()
@@ -206,13 +119,7 @@
 
     def forget_history(self) -> None:
         """Drops all changes: watches from before are answered with 410."""
-        self._changes.clear()
-        self._oldest = self._version
-        self._wake()
-
-    def _wake(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._objects.forget_history()
 
     # What the product keeps there, by its own keys.
 
@@ -232,18 +139,14 @@
         kind, name = object_client.split_key(key)
         try:
             return True, self.write(kind, name, value, version).revision
-        except ConflictError as error:
+        except platform_objects.ConflictError as error:
             return False, error.held.revision
 
     def restore(self, item: model.PlatformObject) -> None:
         """Goes back to an older version of one object, as from a backup."""
         kind, name = object_client.split_key(item.key)
-        kept = Kept(kind, name, item.version, item.value)
-        self._objects[(kind, name)] = kept
-        self._version = item.version
-        self._changes.clear()
-        self._oldest = 0
-        self._wake()
+        kept = platform_objects.Kept(kind, name, item.version, item.value)
+        self._objects.restore(kept)
 
     def set_box(self, box: model.ListedBox) -> None:
         """Changes what the list will say of a box, after its lag."""
@@ -293,7 +196,7 @@
         platform = self._platform
         try:
             kept = platform.write(kind, name, spec, revision)
-        except ConflictError as error:
+        except platform_objects.ConflictError as error:
             self.set_status(409)
             kept = error.held
         if platform.rng.random() < platform.faults.lose_replies:
