Tests of copied runs share their beginning

Cause: two tests in tests/test_gateway_streams.py began with the same eight lines.

Change: begin_copied_run starts the run and returns both engines and the task. It requires that exactly one engine got the request, where before the first that had none was taken. Assertions stay.

--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import pytest
 
 from martenjunction import errors
 from martenjunction.decisions import endpoint_loads
+from martenjunction.http1 import messages
 from martenjunction.routing import offers
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
@@ -86,9 +88,22 @@
     return made
 
 
-async def test_copied_run_goes_on_at_the_endpoint_with_the_copy(
-    fleet: boxes.Boxes,
-) -> None:
+@dataclasses.dataclass(frozen=True)
+class CopiedRun:
+    """A run under way that will break off.
+
+    Attributes:
+        first: The engine that runs it.
+        second: The engine that keeps its copy.
+        task: Asks for it, and returns the answer's head and body.
+    """
+
+    first: replica.Replica
+    second: replica.Replica
+    task: asyncio.Task[tuple[messages.ResponseHead, bytes]]
+
+
+async def begin_copied_run(fleet: boxes.Boxes) -> CopiedRun:
     made = await engines_that_keep_copies(fleet)
     for stand_in in made:
         stand_in.break_after = 3
@@ -96,10 +111,18 @@
     patient = {"Martenjunction-Deadline-Ms": "9000"}
     task = asyncio.create_task(requests.ask(fleet, "/chat/", **patient))
     await boxes.until(lambda: requests.arrivals(made) == 1)
-    second = next(s for s in made if not s.received)
+    [first] = [s for s in made if s.received]
+    [second] = [s for s in made if not s.received]
+    return CopiedRun(first, second, task)
+
+
+async def test_copied_run_goes_on_at_the_endpoint_with_the_copy(
+    fleet: boxes.Boxes,
+) -> None:
+    run = await begin_copied_run(fleet)
+    first, second = run.first, run.second
     second.break_after = None
-    head, body = await task
-    first = next(s for s in made if s is not second)
+    head, body = await run.task
     assert body == requests.WHOLE_STREAM
     seal = head.get(b"martenjunction-replica-seal")
     assert seal == f"seal-{first.id}".encode()
@@ -148,17 +171,11 @@
 async def test_endpoint_without_the_copy_ends_the_stream_as_broken(
     fleet: boxes.Boxes,
 ) -> None:
-    made = await engines_that_keep_copies(fleet)
-    for stand_in in made:
-        stand_in.break_after = 3
-        stand_in.event_pause_s = offers.COPY_AGE_S / 2
-    patient = {"Martenjunction-Deadline-Ms": "9000"}
-    task = asyncio.create_task(requests.ask(fleet, "/chat/", **patient))
-    await boxes.until(lambda: requests.arrivals(made) == 1)
-    next(s for s in made if not s.received).plan(Behaviour.REFUSE)
+    run = await begin_copied_run(fleet)
+    run.second.plan(Behaviour.REFUSE)
     with pytest.raises(errors.TransportError):
-        await task
-    assert requests.runs(made) == 1
+        await run.task
+    assert requests.runs([run.first, run.second]) == 1
 
 
 async def test_broken_stream_that_may_not_be_resumed_never_looks_whole(
