A broken build follows its file

Cause: tools/broken_builds.py named a file that has moved to objects/, so one of its builds could not be made.

Change: its path.

Measured: that build and the one without preemption are noticed by their scenarios; each text to break stands once in its file.

--- a/tools/broken_builds.py
+++ b/tools/broken_builds.py
@@ -147,7 +147,7 @@
     ),
     BrokenBuild(
         "a lost reply of apply is not looked up",
-        "martenjunction/platform/configuration.py",
+        "martenjunction/objects/configuration.py",
         "            if change.change_id == change_id:\n"
         "                return change\n",
         "            continue\n",
