Test that fails: an endpoint's status from 300 to 499 does not reach its client

Cause: Exchange._receive keeps such an answer and ends the attempts; nobody sends it, and the connection is closed as if its last answer had been sent. Change: tests/test_endpoint_failures.py; no mend here.

--- /dev/null
+++ b/tests/test_endpoint_failures.py
@@ -0,0 +1,99 @@
+"""Failures of endpoints that their clients have to be told.
+
+Symptom: a request that an endpoint answered with a status from 300 to 499 was
+passed on, run, and its client's connection closed without an answer.
+
+Sequence: the endpoint answers 404. The exchange keeps the answer for the case
+that no other endpoint has a better one, and says that no other is to be asked.
+Nobody sends it; the handler returns; the connection, with no answer begun on
+it, is taken for one whose last answer was sent.
+
+Cause: an answer that ends the attempts was kept and not sent.
+"""
+
+import asyncio
+
+import pytest
+
+from martenjunction_lab import bench
+from martenjunction_lab import boxes
+from tests import kept_connections
+from tests import routing_builders as builders
+from tests import test_planned_stop
+
+
+class Endpoint:
+    """Answers every request with one status, its id and a seal."""
+
+    def __init__(self, status: int) -> None:
+        self._status = status
+        self.id = "i-status"
+        self.address = bench.free_address()
+        self.runs = 0
+
+    async def start(self) -> None:
+        host, _, port = self.address.partition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.write(await self._answer(head, reader))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _answer(self, head: bytes, reader: asyncio.StreamReader) -> bytes:
+        pairs = dict(
+            line.lower().split(b": ", 1) for line in head.splitlines()[1:-1]
+        )
+        await reader.readexactly(int(pairs.get(b"content-length", b"0")))
+        self.runs += 1
+        return b"\r\n".join(
+            [
+                b"HTTP/1.1 %d X" % self._status,
+                b"Martenjunction-Attempt-Id: "
+                + pairs.get(b"martenjunction-attempt-id", b""),
+                b"Martenjunction-Replica-Seal: 3e1b",
+                b"Content-Length: 0\r\n\r\n",
+            ]
+        )
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
+@pytest.mark.parametrize("status", [301, 304, 400, 404, 409, 422])
+async def test_failure_of_an_endpoint_reaches_its_client(
+    fleet: boxes.Boxes, status: int, path: str
+) -> None:
+    endpoint = Endpoint(status)
+    await endpoint.start()
+    fleet.store.write(
+        "servers",
+        endpoint.id,
+        {
+            "service": builders.PLAIN,
+            "address": endpoint.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+        },
+    )
+    box = fleet.gateways[0]
+    await boxes.until(lambda: endpoint.id in box.listed.entries)
+    await boxes.until(lambda: bool(box.dump()["ready"]))
+    connection = kept_connections.KeptConnection()
+    await connection.connect(fleet.addresses[0])
+    connection.send(test_planned_stop.raw_request("r1", path))
+    answer = await connection.answer()
+    assert endpoint.runs >= 1
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    connection.close()
+    endpoint.stop()
