A request always gets an answer from its server, and a stop waits for half of one

A handler that failed or gave no answer left its client with a closed connection and, in the second case, no line. Half a request held up a stop to its limit (3.8 of 4 s), and the last wait could overshoot, which left 0.1 s before the kill. A connection that was accepted in the pass of the stop was not counted yet. The look for an end at the taking was not what cured it. Change: 502 where a handler gives no answer; a request that is coming in has 1 s of a stop; connections are counted when they are accepted; the last wait of a stop ends at its limit; however long a target is, requests are taken for the first 0.5 s of a stop.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -231,7 +231,8 @@
                 # Requests that are being read are not among the exchanges yet:
                 # each connection says itself when nothing is under way on it.
                 self._callers.finish()
-            await asyncio.sleep(WATCH_INTERVAL_S)
+            left = max(0.0, last - self.timers.now())
+            await asyncio.sleep(min(WATCH_INTERVAL_S, left))
         removal.cancel()
         self.log.write("stopped", cut_off=len(self._exchanges))
         await self.stop()
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -71,7 +71,7 @@
     @property
     def ended(self) -> bool:
         """Whether it was told to finish and no connection is left."""
-        return self._ended.is_set()
+        return self._finishing and not self._connections
 
     def finish(self) -> None:
         """Stops listening and ends connections once nothing is under way."""
@@ -91,15 +91,21 @@
         for connection in list(self._connections):
             connection.abort(closings.CloseReason.STOPPED)
 
-    async def handle_stream(
+    def handle_stream(
         self, stream: iostream.IOStream, address: tuple[str, int]
-    ) -> None:
-        """Serves one connection until it ends."""
+    ) -> Awaitable[None]:
+        """Takes a connection in at once, and serves it until it ends."""
         streams.tune(stream.socket)
         connection = server_connection.ServerConnection(stream, self._limits)
+        # Before its task first runs, so that no stop overlooks it.
         self._connections.add(connection)
         if self._finishing:
             connection.end_when_idle()
+        return self._carry(connection)
+
+    async def _carry(
+        self, connection: server_connection.ServerConnection
+    ) -> None:
         reason = closings.CloseReason.FAILED
         try:
             reason = await self._serve(connection)
@@ -133,10 +139,36 @@
                 return closings.CloseReason.REFUSED
             if request is None:
                 return closings.CloseReason.CLIENT
-            await self._handler(connection, request)
+            await self._handle(connection, request)
+            if connection.unanswered:
+                return closings.CloseReason.FAILED
             if not connection.next_request():
                 return closings.CloseReason.LAST_ANSWER
 
+    async def _handle(
+        self,
+        connection: server_connection.ServerConnection,
+        request: messages.Request,
+    ) -> None:
+        """Has a request answered, also where its handler gives no answer.
+
+        Raises:
+            ConnectionLostError: If the client left.
+        """
+        try:
+            await self._handler(connection, request)
+        except errors.ConnectionLostError:
+            raise
+        except Exception:
+            logger.exception("%s: a handler failed", self._name)
+        if not connection.unanswered or connection.answering:
+            return
+        if not connection.closed:
+            # It may have run: no answer may promise the contrary, and none at
+            # all leaves the client to guess.
+            logger.error("%s: a request was given no answer", self._name)
+            await connection.answer(502, [], b"", close=True)
+
     def _note_ended(self) -> None:
         if self._finishing and not self._connections:
             self._ended.set()
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -22,6 +22,10 @@
 # by then the reader has taken them.
 SECOND_LOOK_S = 0.1
 
+# Seconds for which a request that is coming in may still do so once its
+# connection is to end: half a body held up a planned stop of 4 s to its limit.
+STOP_READ_S = 1.0
+
 _State = connection_state.State
 _Event = connection_state.Event
 
@@ -80,9 +84,11 @@
         self._answering = False
         self._last = False
         self._timer: asyncio.TimerHandle | None = None
+        self._limit = closings.CloseReason.IDLE
         self._bodiless = False
         self._state = _State.RESTING
         self._ending = False
+        self._unanswered = False
         self._answered = 0
         self._rested_since = time.monotonic()
         self._peer = _peer_of(stream)
@@ -93,6 +99,11 @@
         """Whether the head of an answer was sent for this request."""
         return self._answering
 
+    @property
+    def unanswered(self) -> bool:
+        """Whether a request was taken that has no whole answer yet."""
+        return self._unanswered
+
     @property
     def closed(self) -> bool:
         """Whether the connection has ended."""
@@ -218,7 +229,10 @@
         A request that is being read, or whose bytes are here, is still served;
         its answer says that it is the last.
         """
-        self._ending = True
+        if not self._ending:
+            self._ending = True
+            if self._state is _State.READING:
+                self._set_timer(STOP_READ_S, self._limit)
         self._close_if_resting()
 
     def abort(self, reason: closings.CloseReason) -> None:
@@ -337,6 +351,9 @@
             self._timer.cancel()
             self._timer = None
         if seconds is not None:
+            self._limit = reason
+            if self._ending:
+                seconds = min(seconds, STOP_READ_S)
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(seconds, self._on_time_limit, reason)
 
@@ -365,12 +382,12 @@
         Raises:
             RequestNotTakenError: If it has ended.
         """
-        # An end that came with the request is seen now: 12 of 12 requests whose
-        # clients had gone were passed on.
-        self._source.prefetch()
+        # A reader that was woken before the end goes on from its buffer: 12 of
+        # 12 requests were handed on so, each with nobody to answer.
         if self.closed:
             raise RequestNotTakenError(request)
         self._note(_Event.REQUEST_TAKEN)
+        self._unanswered = True
 
     def _close_if_resting(self) -> bool:
         """Closes it if nothing is under way; returns whether it is closed."""
@@ -383,6 +400,7 @@
 
     def _note_answered(self) -> None:
         self._answered += 1
+        self._unanswered = False
         self._rested_since = time.monotonic()
 
     def _describe(
@@ -394,8 +412,7 @@
             self._peer,
             time.monotonic() - self._rested_since,
             self._answered,
-            self._state is _State.SERVING
-            and self._parser.our_state is not h11.DONE,
+            self._unanswered,
             self._source.bytes_waiting,
         )
 
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -26,6 +26,10 @@
 # it would be cut off when the box is killed. Clients know other boxes by then.
 LAST_STREAM_S = 2.8
 
+# Seconds of a planned stop for which all other requests are taken, however long
+# their target is.
+LEAST_SERVED_S = 0.5
+
 # Seconds after which a client may come back, at another box.
 RETRY_STOPPING_S = 0.05
 
@@ -163,6 +167,7 @@
         if leaving is None:
             return
         last = self._tools.stop_limit_s - taken.route.target_s
+        last = max(last, LEAST_SERVED_S)
         if taken.route.kind is model.RouteKind.STREAM:
             last = min(last, LAST_STREAM_S)
         if leaving > last:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -245,3 +245,42 @@
     connection = client.ClientConnection(bench.free_address())
     with pytest.raises(errors.ConnectError):
         await connection.open(5.0)
+
+
+@pytest.mark.parametrize("fails", [True, False])
+async def test_handler_without_an_answer_is_answered_for(fails: bool) -> None:
+    async def handle(
+        connection: server_connection.ServerConnection,
+        request: messages.Request,
+    ) -> None:
+        if fails:
+            raise RuntimeError("a fault of ours")
+
+    listening = server.Server("test", handler=handle)
+    address = bench.free_address()
+    listening.listen_on(address)
+    answer = await raw(address, b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 502")
+    listening.close_all()
+
+
+async def test_connection_accepted_as_a_server_finishes_is_waited_for() -> None:
+    handler = Echo()
+    handler.hold.clear()
+    listening = server.Server("test", handler)
+    address = bench.free_address()
+    listening.listen_on(address)
+    connection = client.ClientConnection(address)
+    await connection.open(5.0)
+    connection.send(b"GET", b"/x", [(b"Host", b"a")], b"")
+    async with asyncio.timeout(10.0):
+        while not listening.connections:
+            await asyncio.sleep(0)
+        listening.finish()
+        assert not listening.ended
+        handler.hold.set()
+        await connection.read_head()
+        assert await connection.read_body() == b"/x|"
+        await listening.wait_ended()
+    assert listening.ended
+    connection.abort()
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -22,7 +22,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-import time
 
 import pytest
 
@@ -71,11 +70,6 @@
     listening.close_all()
 
 
-def hold_up(seconds: float) -> None:
-    """Keeps the event loop from running, as a wait for a core does."""
-    time.sleep(seconds)
-
-
 async def test_request_that_meets_the_idle_time_is_answered(
     served: tuple[Handler, str],
 ) -> None:
@@ -83,7 +77,7 @@
     made = await kept_connections.kept(address, COUNT, GET % 0)
     for connection in made:
         connection.send(GET % 1)
-    hold_up(IDLE_S + 0.1)
+    kept_connections.hold_up(IDLE_S + 0.1)
     answers = [await connection.answer() for connection in made]
     assert handler.got.count(b"/1") == COUNT
     assert sum(b" 200 " in answer for answer in answers) == COUNT
@@ -101,7 +95,7 @@
     await asyncio.sleep(0.05)
     for connection in made:
         connection.send((GET % 1)[9:])
-    hold_up(IDLE_S + 0.1)
+    kept_connections.hold_up(IDLE_S + 0.1)
     answers = [await connection.answer() for connection in made]
     assert sum(b" 200 " in answer for answer in answers) == COUNT
     for connection in made:
@@ -119,7 +113,7 @@
     await asyncio.sleep(0.05)
     for connection in made:
         connection.send(b"cd")
-    hold_up(IDLE_S + 0.1)
+    kept_connections.hold_up(IDLE_S + 0.1)
     answers = [await connection.answer() for connection in made]
     assert sum(b" 200 " in answer for answer in answers) == COUNT
     for connection in made:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -25,12 +25,12 @@
 import pytest
 
 from martenjunction import gateway
+from martenjunction.routing import exchange
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
 from tests import kept_connections
 from tests import routing_builders as builders
-from tests import test_kept_connections
 
 COUNT = 12
 LINGER_S = 1.0
@@ -60,7 +60,7 @@
     await boxes.until(lambda: box.leaving)
     for connection in kept:
         connection.send(raw_request("last", path))
-    test_kept_connections.hold_up(LINGER_S + 0.2)
+    kept_connections.hold_up(LINGER_S + 0.2)
     answers = [await connection.answer() for connection in kept]
     served = sum(b" 200 " in answer for answer in answers)
     assert requests.runs(made, "last") == served
@@ -110,3 +110,49 @@
     assert all([await connection.ended() for connection in kept])
     for connection in kept:
         connection.close()
+
+
+async def test_half_a_request_does_not_hold_up_a_stop(
+    fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(gateway, "LINGER_S", 0.2)
+    await requests.two_plain(fleet)
+    whole = raw_request("half", "/safe/x")
+    kept = await kept_connections.kept(
+        fleet.addresses[0], 2, raw_request("first", "/safe/x")
+    )
+    kept[0].send(whole[:20])
+    kept[1].send(whole[:-2])
+    box = fleet.gateways[0]
+    began = box.timers.now()
+    await box.leave()
+    assert box.timers.now() - began < box._settings.stop_s / 2
+    for connection in kept:
+        assert await connection.ended()
+        connection.close()
+
+
+@pytest.mark.parametrize(("goal_ms", "status"), [(200, b"200"), (3000, b"503")])
+async def test_request_whose_target_outlasts_a_stop_is_refused(
+    goal_ms: int, status: bytes
+) -> None:
+    fleet = boxes.Boxes()
+    routes = [builders.route("safe", "/safe/", goal_ms=goal_ms)]
+    await fleet.start(builders.config_document(routes=routes), boxes=0)
+    await fleet.add_box("box-1", stop_s=2.4)
+    await requests.two_plain(fleet)
+    box = fleet.gateways[0]
+    [connection] = await kept_connections.kept(
+        fleet.addresses[0], 1, raw_request("first", "/safe/x")
+    )
+    stopping = asyncio.create_task(box.leave())
+    await boxes.until(
+        lambda: (box._left_for_s() or 0.0) > exchange.LEAST_SERVED_S
+    )
+    connection.send(raw_request("last", "/safe/x"))
+    answer = await connection.answer()
+    assert answer[9:12] == status
+    assert (b"etry-after" in answer.lower()) == (status == b"503")
+    await stopping
+    connection.close()
+    await fleet.stop()
