The socket decides whether a kept connection carries a request

Cause: the pool and the store's client took a kept connection by what the event loop had seen of it. After a hold-up the connection's end may wait in the socket while a request is served without a further look at it: an unsafe request was sent there and got 502, its outcome unknown. A time-out of a new connection cancelled the task that the connection had woken in the same pass, so a hold-up of more than 0.4 s ejected the endpoint as not reached. A raw OSError (EMFILE when the socket is made, EHOSTUNREACH when it is read) left the pool past its count and the exchange past its answers.

Change: ClientConnection.is_quiet peeks the socket (one system call a request) where a connection is taken; a new one that has ended already gets no request either. The wait for a connection looks at it once more after its time-out. A box without a socket says so by NoSocketError, which is no fault of the endpoint; failed reads become ConnectionLostError. A busy endpoint is named in the request's line.

Conclusion: which connection is used, and what its failure means, is decided by the socket's state at the time of sending.

--- a/martenjunction/endpoints/pool.py
+++ b/martenjunction/endpoints/pool.py
@@ -1,6 +1,5 @@
 """Kept connections to endpoints, below each endpoint's limit."""
 
-import asyncio
 from collections.abc import Callable
 import dataclasses
 import time
@@ -70,7 +69,8 @@
             repeatable: Whether the request may run more than once.
 
         Raises:
-            EndpointBusyError: If this box has as many as it may.
+            EndpointBusyError: If this box has as many as it may, or the
+                endpoint ended a new one at once.
             EndpointNotReachedError: If there is no connection.
         """
         entry = self._endpoints.setdefault(endpoint.id, _Endpoint())
@@ -78,16 +78,14 @@
         if connection is not None:
             return connection
         if entry.open >= self._share(endpoint.service):
-            raise errors.EndpointBusyError(f"{endpoint.id}: no connection left")
+            raise errors.EndpointBusyError("no connection left")
         connection = client.ClientConnection(endpoint.address)
         entry.open += 1
         self._opened += 1
         try:
-            await connection.open(CONNECT_TIMEOUT_S)
-        except errors.ConnectError as error:
-            entry.open -= 1
-            raise errors.EndpointNotReachedError(str(error)) from error
-        except asyncio.CancelledError:
+            await self._open(endpoint, connection)
+        except BaseException:
+            connection.abort()
             entry.open -= 1
             raise
         return connection
@@ -130,6 +128,18 @@
         for entry in self._endpoints.values():
             self._close_idle(entry, lambda _: True)
 
+    async def _open(
+        self, endpoint: model.Endpoint, connection: client.ClientConnection
+    ) -> None:
+        try:
+            await connection.open(CONNECT_TIMEOUT_S)
+        except errors.NoSocketError as error:
+            raise errors.EndpointBusyError(f"no socket: {error}") from error
+        except errors.ConnectError as error:
+            raise errors.EndpointNotReachedError(str(error)) from error
+        if not connection.is_quiet():
+            raise errors.EndpointBusyError("a new connection ended at once")
+
     def _take_idle(
         self, entry: _Endpoint, repeatable: bool
     ) -> client.ClientConnection | None:
@@ -139,7 +149,10 @@
             limit = _keep_s(connection) - IDLE_MARGIN_S
             if not repeatable:
                 limit = min(limit, UNREPEATABLE_IDLE_S)
-            if connection.is_reusable() and now - connection.idle_since < limit:
+            fresh = now - connection.idle_since < limit
+            # The socket is asked: a request that may not be repeated, sent
+            # on a connection that had ended, would get an unknown outcome.
+            if fresh and connection.is_quiet():
                 return connection
             connection.abort()
             entry.open -= 1
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -65,19 +65,21 @@
             timeout_s: Seconds to wait.
 
         Raises:
+            NoSocketError: If this box has no socket for it.
             ConnectError: If there is no connection; nothing was sent.
         """
         host, port = addresses.split_address(self._address)
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        streams.tune(sock)
-        stream = iostream.IOStream(
-            sock, max_buffer_size=streams.MAX_BUFFER_BYTES
-        )
+        stream = _new_stream()
         self._stream = stream
         try:
-            async with asyncio.timeout(timeout_s):
-                await stream.connect((host, port))
-        except (iostream.StreamClosedError, TimeoutError, OSError) as error:
+            connecting = stream.connect((host, port))
+            # A wait looks at the connection after its time-out: one that was
+            # made while the loop was held up counts.
+            await asyncio.wait([connecting], timeout=timeout_s)
+            if not connecting.done():
+                raise TimeoutError
+            connecting.result()
+        except OSError as error:
             self.abort()
             raise errors.ConnectError(f"no connection to {host}") from error
         except asyncio.CancelledError:
@@ -88,8 +90,25 @@
         self._source = streams.ByteSource(stream)
         self._idle_since = time.monotonic()
 
+    @property
+    def readable(self) -> bool:
+        """Whether bytes or an end came that nobody has taken yet.
+
+        It asks the socket as well: while the loop was held up, nobody has
+        seen what came. It takes a system call.
+        """
+        if self._source is None or self._stream is None:
+            return False
+        if self._source.disturbed or self._stream.closed():
+            return True
+        return _has_news(self._stream.socket)
+
+    def is_quiet(self) -> bool:
+        """Returns whether it can carry a request, by the socket's own word."""
+        return self.is_reusable() and not self.readable
+
     def is_reusable(self) -> bool:
-        """Returns whether the idle connection is still quiet and open."""
+        """Returns whether the loop has seen no byte and no end on it."""
         return (
             not self._closed
             and self._stream is not None
@@ -217,7 +236,12 @@
             self.abort()
             return False
         self._parser.start_next_cycle()
-        self._source.prefetch()
+        try:
+            self._source.prefetch()
+        except OSError:
+            # The answer is whole; only the connection is lost.
+            self.abort()
+            return False
         self._idle_since = time.monotonic()
         return True
 
@@ -243,13 +267,42 @@
                 raise errors.HttpSyntaxError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event  # type: ignore[return-value]
-            data = await self._source.take()
+            try:
+                data = await self._source.take()
+            except OSError as error:
+                raise errors.ConnectionLostError(str(error)) from error
             try:
                 self._parser.receive_data(data)
             except RuntimeError as error:
                 raise errors.ConnectionLostError("closed twice") from error
 
 
+def _new_stream() -> iostream.IOStream:
+    """Returns a stream that is not connected yet.
+
+    Raises:
+        NoSocketError: If there is no socket for it.
+    """
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        streams.tune(sock)
+    except OSError as error:
+        raise errors.NoSocketError(str(error)) from error
+    return iostream.IOStream(sock, max_buffer_size=streams.MAX_BUFFER_BYTES)
+
+
+def _has_news(sock: socket.socket) -> bool:
+    """Returns whether bytes or an end wait in a socket."""
+    try:
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        # The connection was reset: a read would tell so.
+        return True
+    return True
+
+
 def _head_of(event: h11.Response) -> messages.ResponseHead:
     headers = [(bytes(n), bytes(v)) for n, v in event.headers.raw_items()]
     head = messages.ResponseHead(event.status_code, headers)
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -177,7 +177,8 @@
                 connection = await self._tools.pool.acquire(
                     endpoint, self._taken.route.repeatable
                 )
-            except errors.EndpointBusyError:
+            except errors.EndpointBusyError as error:
+                self._state.why = f"{endpoint.id}: {error}"
                 self._avoid.add(endpoint.id)
                 continue
             except errors.EndpointNotReachedError:
