Tests: requests whose time-out, move or loss meets what their endpoint sent

Cause: the deadline's timer and the move of a request end a run without a look at its connection; a client's end that is read when the request is served is told one turn after the request was sent; an error that no part expects goes past all answers, and one in the watch of the client leaves the run without an owner.

Change: tests with an endpoint whose bytes are sent by hand. No code changes.

--- a/tests/test_ready_and_closed.py
+++ b/tests/test_ready_and_closed.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 import errno
 import socket
+import time
 from typing import NoReturn
 
 import pytest
@@ -16,7 +18,12 @@
 from martenjunction import errors
 from martenjunction.endpoints import pool
 from martenjunction.http1 import client
+from martenjunction.http1 import messages
+from martenjunction.routing import exchange
 from martenjunction.routing import model
+from martenjunction_lab import boxes
+from martenjunction_lab import replica
+from tests import gateway_requests as requests
 from tests import raw_peers
 from tests import routing_builders as builders
 
@@ -188,3 +195,197 @@
     monkeypatch.setattr(connection._stream, "read_bytes", fail)
     assert not connection.finish()
     assert connection.closed
+
+
+# Requests whose time-out, move or loss meets what their endpoint sent.
+
+
+class FakeConnection:
+    """A client's connection as an exchange sees it."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self.answering = False
+        self.statuses: list[int] = []
+        self.on_watch: Callable[[], None] = lambda: None
+
+    def watch_end(self, callback: Callable[[], None] | None) -> None:
+        if callback is not None:
+            self.on_watch()
+
+    async def answer(self, status: int, *_: object) -> None:
+        self.statuses.append(status)
+
+    def abort(self, *_: object) -> None:
+        self.closed = True
+
+
+def exchange_on(
+    fleet: boxes.Boxes, connection: FakeConnection, path: str = "/unsafe/"
+) -> exchange.Exchange:
+    pairs = [(b"Host", builders.HOST.encode())]
+    pairs += [
+        (name.encode(), value.encode())
+        for name, value in requests.request_headers("r1").items()
+    ]
+    request = messages.Request(
+        b"POST", path.encode(), pairs, received_at=time.monotonic()
+    )
+    return exchange.Exchange(
+        fleet.gateways[0]._tools,
+        connection,  # type: ignore[arg-type]
+        request,
+    )
+
+
+async def list_peer(
+    fleet: boxes.Boxes, peer: raw_peers.RawPeer, service: str
+) -> None:
+    """Lists the peer as the only endpoint of a service."""
+    listed = replica.Replica("i-raw")
+    listed.address = peer.address
+    fleet.replicas.append(listed)
+    fleet.record(listed, service)
+    await fleet.until_listed()
+
+
+def sealed(body: bytes, *more: str) -> bytes:
+    return raw_peers.answer(
+        body,
+        "Martenjunction-Attempt-Id: r1",
+        "Martenjunction-Replica-Seal: seal",
+        *more,
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "service", "body"),
+    [
+        ("/unsafe/", builders.PLAIN, b"answer"),
+        ("/chat/", builders.ENGINE, requests.WHOLE_STREAM),
+    ],
+)
+async def test_answer_that_waits_at_the_deadline_is_delivered(
+    fleet: boxes.Boxes,
+    peer: raw_peers.RawPeer,
+    path: str,
+    service: str,
+    body: bytes,
+) -> None:
+    # Symptom: 504 for a request whose whole answer was at the box in time.
+    # Sequence: the answer arrives while the loop is held up, the deadline
+    # passes. Cause: the timer cancelled the task that the answer had woken.
+    await list_peer(fleet, peer, service)
+    asked = asyncio.create_task(
+        requests.ask(fleet, path, **{"Martenjunction-Deadline-Ms": "300"})
+    )
+    run = await peer.accept()
+    assert await peer.request(run)
+    run.send(sealed(body))
+    raw_peers.hold_up(0.5)
+    head, got = await asked
+    assert (head.status, got) == (200, body)
+
+
+async def test_part_of_an_answer_at_the_deadline_is_given_up(
+    fleet: boxes.Boxes, peer: raw_peers.RawPeer
+) -> None:
+    await list_peer(fleet, peer, builders.PLAIN)
+    asked = asyncio.create_task(
+        requests.ask(fleet, "/unsafe/", **{"Martenjunction-Deadline-Ms": "300"})
+    )
+    run = await peer.accept()
+    assert await peer.request(run)
+    run.send(sealed(b"answer")[:-1])
+    raw_peers.hold_up(0.5)
+    head, _ = await asked
+    assert head.status == 504
+    assert await peer.request(run) == b""
+
+
+async def test_request_whose_answer_waits_is_not_moved(
+    fleet: boxes.Boxes, peer: raw_peers.RawPeer
+) -> None:
+    # Symptom: a request ran twice although its first answer was at the box.
+    # Sequence: the endpoint is called silent in the pass in which its answer
+    # arrives. Cause: the move closed the connection without a look at it.
+    await list_peer(fleet, peer, builders.PLAIN)
+    asked = asyncio.create_task(requests.ask(fleet, "/safe/"))
+    run = await peer.accept()
+    assert await peer.request(run)
+    run.send(sealed(b"answer"))
+    [running] = fleet.gateways[0]._exchanges
+    running.move()
+    head, got = await asked
+    assert (head.status, got) == (200, b"answer")
+    assert len(peer.accepted) == 1
+
+
+async def test_endpoint_that_speaks_again_keeps_its_request(
+    fleet: boxes.Boxes, peer: raw_peers.RawPeer
+) -> None:
+    await list_peer(fleet, peer, builders.ENGINE)
+    asked = asyncio.create_task(requests.ask(fleet, "/digest/"))
+    run = await peer.accept()
+    assert await peer.request(run)
+    [running] = fleet.gateways[0]._exchanges
+    assert running.ticket is not None
+    running.ticket.move = True
+    body = requests.WHOLE_STREAM
+    whole = sealed(body)
+    run.send(whole[: -len(body) + 18])
+    await boxes.until(lambda: not running.ticket.waiting)
+    assert not running.ticket.move
+    run.send(whole[-len(body) + 18 :])
+    _, got = await asked
+    assert got == body
+
+
+async def test_request_of_a_client_that_left_is_not_sent(
+    fleet: boxes.Boxes,
+) -> None:
+    # Symptom: requests reached endpoints and were given up at once. Sequence:
+    # the client's end is read in the pass in which the request is served.
+    # Cause: the end is told one turn after the request was sent.
+    made = await requests.two_plain(fleet)
+    connection = FakeConnection()
+    connection.closed = True
+    with pytest.raises(errors.ConnectionLostError):
+        await exchange_on(fleet, connection).run()
+    assert requests.arrivals(made) == 0
+    assert fleet.gateways[0].book.running == 0
+
+
+async def test_failure_of_the_watch_leaves_no_run_behind(
+    fleet: boxes.Boxes, peer: raw_peers.RawPeer
+) -> None:
+    await list_peer(fleet, peer, builders.PLAIN)
+    connection = FakeConnection()
+
+    def fail() -> NoReturn:
+        raise OSError(errno.EHOSTUNREACH, "No route to host")
+
+    connection.on_watch = fail
+    await exchange_on(fleet, connection).run()
+    assert connection.statuses == [502]
+    await boxes.until(lambda: fleet.gateways[0].book.running == 0)
+
+
+async def test_unexpected_error_after_a_send_is_answered_and_logged(
+    fleet: boxes.Boxes,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # Symptom: a client's connection ended without an answer while its request
+    # ran. Cause: an error that no part expected went past all answers.
+    made = await requests.two_plain(fleet)
+
+    def fail(*_: object) -> NoReturn:
+        raise RuntimeError("a slip of the book")
+
+    monkeypatch.setattr(fleet.gateways[0].book, "heard", fail)
+    head, _ = await requests.ask(fleet, "/unsafe/")
+    assert head.status == 502
+    assert requests.runs(made) == 1
+    assert "RuntimeError" in caplog.text
+    assert "a slip of the book" in caplog.text
