A request ends only after a look at what its endpoint sent

Cause: after a hold-up of the event loop the deadline's timer and the endpoint's whole answer meet in one pass, and the timer cancelled the task that the answer had woken: 504 for an answer that was at the box in time. The move of a request from a silent endpoint closed the connection in the same way, and the mark that it is to be moved outlived the endpoint's next word. A request whose client's end was read while it was served was sent to an endpoint before the end was told. An error that no part expects closed the client's connection without an answer, also after the request was sent; one in the watch of the client left the run without an owner.

Change: at the deadline a run whose connection has something to read gets 0.1 s to be read; a request in that state is not moved, and an endpoint that speaks again keeps its requests. Nothing is sent once the client's connection is closed. Any other error is logged by its name and answered with 502, which promises nothing; it ends the connection only where an answer has begun.

Conclusion: the endpoint's connection decides whether a request is given up.

--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -20,6 +20,10 @@
 # Largest head of an answer, in bytes.
 MAX_HEAD_BYTES = 64 * 1024
 
+# Seconds for which what had come by a time-out may still be read after it:
+# some passes of the event loop after a hold-up.
+READY_GRACE_S = 0.1
+
 _KEEP_ALIVE = re.compile(rb"timeout\s*=\s*([0-9.]+)", re.IGNORECASE)
 
 
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -166,6 +166,7 @@
         record = ticket.record
         self._heard[record.id] = now
         self._trust.heard(record, now)
+        ticket.move = False
         if not ticket.waiting:
             return
         ticket.waiting = False
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import logging
 import time
 
 from martenjunction import errors
@@ -10,6 +11,7 @@
 from martenjunction.decisions import outcomes
 from martenjunction.endpoints import attempt
 from martenjunction.endpoints import event_stream
+from martenjunction.http1 import client
 from martenjunction.http1 import closings
 from martenjunction.http1 import messages
 from martenjunction.http1 import server_connection
@@ -19,6 +21,8 @@
 from martenjunction.routing import model
 from martenjunction.routing import offers
 
+logger = logging.getLogger(__name__)
+
 # Seconds after which a client may come back when no endpoint takes work.
 RETRY_BUSY_S = 0.25
 
@@ -81,6 +85,7 @@
         self._state = offers.RequestState(self._facts.id, request.received_at)
         self._admission: admission.Admission | None = None
         self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
         self._ending: Ending | None = None
         self._running: attempt.Attempt | None = None
         self._ticket: endpoint_book.RunTicket | None = None
@@ -101,8 +106,11 @@
         return taken is not None and taken.route.repeatable
 
     def move(self) -> None:
-        """Takes the request from its endpoint; it goes to another one."""
-        if self._running is not None:
+        """Takes the request from its endpoint; it goes to another one.
+
+        An endpoint whose bytes wait to be read is not silent and keeps it.
+        """
+        if self._running is not None and not self._running.connection.readable:
             self._running.abort()
 
     def stop(self, ending: Ending) -> None:
@@ -124,6 +132,11 @@
             await self._refuse(
                 refusal.status, refusal.code, refusal.retry_after
             )
+        except errors.ConnectionLostError:
+            raise
+        except Exception as error:
+            logger.exception("request %s failed", self._facts.id)
+            await self._fail(error)
         finally:
             self._account()
 
@@ -143,20 +156,31 @@
         )
         loop = asyncio.get_running_loop()
         left = taken.deadline - time.monotonic()
-        timer = loop.call_later(
-            max(0.0, left), lambda: self.stop(Ending.TIMED_OUT)
-        )
+        self._timer = loop.call_later(max(0.0, left), self._on_deadline)
         self._task = loop.create_task(self._attempts(taken))
-        self._connection.watch_end(lambda: self.stop(Ending.CLIENT_LEFT))
         try:
+            self._connection.watch_end(lambda: self.stop(Ending.CLIENT_LEFT))
             await asyncio.wait([self._task])
         finally:
-            timer.cancel()
+            self._timer.cancel()
             self._connection.watch_end(None)
             if not self._task.done():
                 self._task.cancel()
         await self._conclude()
 
+    def _on_deadline(self) -> None:
+        """Ends the request, unless bytes of its endpoint wait to be read.
+
+        After a hold-up of the loop a whole answer may wait there.
+        """
+        running = self._running
+        if running is None or not running.connection.readable:
+            self.stop(Ending.TIMED_OUT)
+            return
+        self._timer = asyncio.get_running_loop().call_later(
+            client.READY_GRACE_S, self.stop, Ending.TIMED_OUT
+        )
+
     def _refuse_if_stopping(self, taken: admission.Admission) -> None:
         """Refuses a request that could outlast this box's planned stop.
 
@@ -194,6 +218,17 @@
             self._ending = Ending.CLIENT_LEFT
         raise error
 
+    async def _fail(self, error: Exception) -> None:
+        """Answers after an error that no part expects.
+
+        What was sent may have run, so nothing is promised.
+        """
+        self._state.why = f"{type(error).__name__}: {error}"
+        if self._connection.answering:
+            self._connection.abort(closings.CloseReason.FAILED)
+        else:
+            await self._refuse(502, "internal-error", None)
+
     async def _give_up(self) -> None:
         self._state.why = self._ending.value if self._ending else "cancelled"
         if self._ending is Ending.CLIENT_LEFT:
@@ -242,8 +277,16 @@
         offer: offers.Offer,
         copies: headers.CopyPlan | None,
     ) -> bool:
-        """Sends the request to one endpoint; returns whether it is over."""
+        """Sends the request to one endpoint; returns whether it is over.
+
+        Raises:
+            ConnectionLostError: If the client left; nothing was sent.
+        """
         endpoint, run = offer.endpoint, offer.run
+        if self._connection.closed:
+            # Its end is told a turn later: the run would be given up at once.
+            self._tools.pool.release(endpoint.id, run.connection)
+            raise errors.ConnectionLostError("the client left")
         book = self._tools.book
         ticket = book.begin(offer.choice, demand, time.monotonic())
         self._running, self._ticket = run, ticket
