Tests: an answer that waits at the end of a planned stop

Cause: the end of a stop cancels a run as the deadline did, without a look at its connection.

Change: a test with an endpoint whose answer waits when the box is stopped. No code changes.

Measured: it fails on the code as it is: 504 "stopped" for a whole answer.

--- a/tests/test_ready_and_closed.py
+++ b/tests/test_ready_and_closed.py
@@ -125,6 +125,19 @@
     assert await peer.request(run) == b""
 
 
+async def test_answer_that_waits_at_the_end_of_a_stop_is_delivered(
+    fleet: boxes.Boxes, peer: raw_peers.RawPeer
+) -> None:
+    await list_peer(fleet, peer, builders.PLAIN)
+    asked = asyncio.create_task(requests.ask(fleet, "/unsafe/"))
+    run = await peer.accept()
+    assert await peer.request(run)
+    run.send(sealed(b"answer"))
+    await fleet.gateways[0].stop()
+    head, got = await asked
+    assert (head.status, got) == (200, b"answer")
+
+
 async def test_request_whose_answer_waits_is_not_moved(
     fleet: boxes.Boxes, peer: raw_peers.RawPeer
 ) -> None:
