A planned stop looks at what an endpoint sent before it ends a run

Cause: the deadline looked at the endpoint's connection first, the end of a stop did not: 504 for an answer that was at the box.

Change: Exchange.stop looks for both; only a client that left ends a run at once.

Conclusion: one place decides whether a run is given up.

--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -114,11 +114,24 @@
             self._running.abort()
 
     def stop(self, ending: Ending) -> None:
-        """Ends the request; its run at an endpoint is ended as well."""
-        if self._ending is None:
-            self._ending = ending
-            if self._task is not None:
-                self._task.cancel()
+        """Ends the request; its run at an endpoint is ended as well.
+
+        Bytes of the endpoint that wait to be read are read first, unless the
+        client has left: after a hold-up of the loop a whole answer may wait.
+        """
+        running = self._running
+        if (
+            ending is Ending.CLIENT_LEFT
+            or running is None
+            or not running.connection.readable
+        ):
+            self._end(ending)
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(
+            client.READY_GRACE_S, self._end, ending
+        )
 
     async def run(self) -> None:
         """Serves the request.
@@ -156,7 +169,9 @@
         )
         loop = asyncio.get_running_loop()
         left = taken.deadline - time.monotonic()
-        self._timer = loop.call_later(max(0.0, left), self._on_deadline)
+        self._timer = loop.call_later(
+            max(0.0, left), self.stop, Ending.TIMED_OUT
+        )
         self._task = loop.create_task(self._attempts(taken))
         try:
             self._connection.watch_end(lambda: self.stop(Ending.CLIENT_LEFT))
@@ -168,18 +183,11 @@
                 self._task.cancel()
         await self._conclude()
 
-    def _on_deadline(self) -> None:
-        """Ends the request, unless bytes of its endpoint wait to be read.
-
-        After a hold-up of the loop a whole answer may wait there.
-        """
-        running = self._running
-        if running is None or not running.connection.readable:
-            self.stop(Ending.TIMED_OUT)
-            return
-        self._timer = asyncio.get_running_loop().call_later(
-            client.READY_GRACE_S, self.stop, Ending.TIMED_OUT
-        )
+    def _end(self, ending: Ending) -> None:
+        if self._ending is None:
+            self._ending = ending
+            if self._task is not None:
+                self._task.cancel()
 
     def _refuse_if_stopping(self, taken: admission.Admission) -> None:
         """Refuses a request that could outlast this box's planned stop.
--- a/martenjunction/timers.py
+++ b/martenjunction/timers.py
@@ -121,6 +121,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+            self._wake = math.inf
 
     async def _run(self) -> None:
         while True:
