Tests of connections that end with a request under way

Cause: whether a caller's connection may be closed and whether a request was taken from it are decided in two places: timers of the HTTP library and the end of a stop close, while its reader has bytes or a handler runs.

Change: tests only, on both event loops. Bench daemons can be given a limit of a planned stop; the stand-in of a plain service can break off.

--- a/martenjunction_lab/bench.py
+++ b/martenjunction_lab/bench.py
@@ -67,12 +67,14 @@
         daemons: Availability zones of the daemons, one each.
         make_dispatcher: Makes the dispatchers of cells, or None.
         entry_ttl: How long callers may keep an entry answer, in seconds.
+        drain_limit: Longest planned stop, in seconds.
     """
 
     outside: standins.Outside
     daemons: list[str]
     make_dispatcher: application.MakeDispatcher | None = None
     entry_ttl: float = 1.0
+    drain_limit: float = 600.0
 
 
 class Bench:
@@ -99,6 +101,9 @@
                 self.outside.platform.address,
                 self._spec.entry_ttl,
             )
+            settings = dataclasses.replace(
+                settings, drain_limit=self._spec.drain_limit
+            )
             self.outside.list_daemon(settings)
             self.daemons.append(
                 application.Application(settings, self._spec.make_dispatcher)
--- a/martenjunction_lab/plain.py
+++ b/martenjunction_lab/plain.py
@@ -23,12 +23,14 @@
         die_after_run: Runs the call, then closes without an answer.
         refuse: Answers 503 and says that it did not run the call.
         false_ids: Answers with another request's id.
+        break_off: Sends a part of an answer, then closes.
     """
 
     delay_s: float = 0.01
     die_after_run: bool = False
     refuse: bool = False
     false_ids: bool = False
+    break_off: bool = False
 
 
 class PlainService(servers.StandIn):
@@ -83,6 +85,11 @@
             return
         answered = "another" if service.faults.false_ids else request_id
         self.set_header(http_headers.REQUEST_ID, answered)
+        if service.faults.break_off:
+            self.write(b"{")
+            await self.flush()
+            servers.drop_connection(self)
+            return
         self.write(
             {
                 "service": service.name,
--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import time
 
 import pytest
 
@@ -118,3 +119,26 @@
         await queued.head()
     assert b"b" not in server.calls
     http.close()
+
+
+async def test_connection_time_that_ends_in_a_hold_up_is_not_reached(
+    server: Server, http: client.EndpointClient
+) -> None:
+    """The time to connect ends while the connection already stands.
+
+    A call of which no byte left may be told as not reached; one that the
+    server took may not.
+    """
+    streams = [
+        http.open(client.EndpointRequest("POST", server.url, [], b"x"))
+        for _ in range(4)
+    ]
+    await asyncio.sleep(0)
+    time.sleep(client.CONNECT_TIMEOUT * 1.2)
+    not_reached = 0
+    for stream in streams:
+        try:
+            assert (await stream.head()).status == 200
+        except errors.EndpointNotReachedError:
+            not_reached += 1
+    assert len(server.calls) == len(streams) - not_reached
