One state a connection says whether a request is under way on it

Cause: the HTTP library's timers for idle connections and bodies close a stream whose reader was already woken; a planned stop looked at requests that are held, not at those being read nor at answers being written, and closed in the same pass in which it ended held requests at its limit. What was read before a close is handed to a handler, which is told nothing of it. Handlers that override `on_connection_close` left the wait for a body open.

Change: `http_server.Server` keeps a stage for each connection, from the first byte of a request to the last byte of its answer; idle time, time for a body and stop ask it before they close. A handler runs nothing for a closed connection; a call that is not to be repeated is not sent once its caller left, and goes on if it runs. Slow heads and bodies are told 408, not run. The daemon logs what it closes with a request under way.

A request that crosses the close of a resting connection on the wire is still lost, as HTTP/1.1 has it.

--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -9,12 +9,12 @@
 import time
 from typing import Any
 
-from tornado import httpserver
 from tornado import web
 
 from martenjunction import addresses
 from martenjunction import errors
 from martenjunction import events
+from martenjunction import http_server
 from martenjunction import metrics
 from martenjunction import metrics_text
 from martenjunction import timers
@@ -64,6 +64,10 @@
 IDLE_CONNECTION = 75.0
 BODY_TIMEOUT = 60.0
 
+# Seconds in which requests that a planned stop ended at its limit get their
+# answers; one that waits for its claim may wait as long as that takes.
+FINAL_ANSWERS = keeper.CLAIM_TIMEOUT + 1.0
+
 MakeDispatcher = host.MakeDispatcher
 
 
@@ -89,7 +93,7 @@
         self.store = store.ConfigStore()
         self._rng = random.Random()
         self._dumps: dict[str, Callable[[], dict[str, Any]]] = {}
-        self._servers: list[httpserver.HTTPServer] = []
+        self._servers: list[http_server.Server] = []
         self._layout = directory.Layout()
         self._cell_infos: directory.Cells = {}
         self._laid_out: tuple[Any, Any] = ({}, {})
@@ -208,17 +212,33 @@
         self.events.emit(events.LEAVING)
         self.sync.announce_leaving(self.members.own)
         self.members.leaving(self._settings.box, self.members.own.incarnation)
+        for server in self._servers:
+            server.end_reuse()
         try:
             async with asyncio.timeout(self._settings.drain_limit):
                 # Callers may keep an old entry answer for this long.
                 await asyncio.sleep(self._settings.entry_ttl)
-                await self.callers.wait_idle()
+                await self._finish_requests()
         except TimeoutError:
-            logger.warning("the planned stop took too long")
-            self.callers.stop_all()
+            await self._end_requests()
         await self.stop()
         self._drained.set()
 
+    async def _finish_requests(self) -> None:
+        for server in self._servers:
+            await server.finish()
+        # A call that may not be repeated goes on when its caller left.
+        await self.callers.wait_idle()
+
+    async def _end_requests(self) -> None:
+        logger.warning("the planned stop took too long")
+        self.callers.stop_all()
+        try:
+            async with asyncio.timeout(FINAL_ANSWERS):
+                await self._finish_requests()
+        except TimeoutError:
+            logger.warning("some callers did not take their last answers")
+
     async def wait_drained(self) -> None:
         """Waits until a planned stop has ended."""
         await self._drained.wait()
@@ -226,7 +246,7 @@
     async def stop(self) -> None:
         """Stops at once; requests in flight are cut off."""
         for server in self._servers:
-            server.stop()
+            server.cut_off()
         for server in self._servers:
             await server.close_all_connections()
         await self.claims.stop()
@@ -404,7 +424,7 @@
             (callers, self._settings.listen_callers or self._settings.callers),
             (operators, self._settings.operators),
         ):
-            server = httpserver.HTTPServer(
+            server = http_server.Server(
                 application,
                 max_header_size=self._settings.header_limit,
                 max_body_size=self._settings.body_limit,
--- a/martenjunction/callers/chat.py
+++ b/martenjunction/callers/chat.py
@@ -54,7 +54,7 @@
             request = self._route(raw, body)
             sink: _StreamSink | _WholeSink
             sink = _StreamSink(self) if body.stream else _WholeSink(self)
-            self._relay = self.callers.make_relay(request, sink)
+            self._relay = self.make_relay(request, sink)
         except errors.CallerError as error:
             self.fail(error)
             return
@@ -62,7 +62,7 @@
         conversation = cast(runs.EngineConversation, self._relay.conversation)
         await sink.end(result, conversation)
 
-    def on_connection_close(self) -> None:
+    def on_left(self) -> None:
         """Cancels the run of a caller who left."""
         if self._relay is not None:
             self._relay.stop(broker.StopReason.CALLER_LEFT)
--- a/martenjunction/callers/handlers.py
+++ b/martenjunction/callers/handlers.py
@@ -5,15 +5,21 @@
 from typing import Any
 import uuid
 
+import eliot
 from tornado import iostream
 from tornado import web
 
 from martenjunction import errors
 from martenjunction import http_headers
+from martenjunction import http_server
 from martenjunction.callers import service
 from martenjunction.config import fleet
 from martenjunction.decisions import outcomes
+from martenjunction.http1 import closings
+from martenjunction.relay import relay
+from martenjunction.relay import requests
 from martenjunction.relay import results
+from martenjunction.relay import sinks
 
 
 @web.stream_request_body
@@ -26,6 +32,8 @@
         self._body = bytearray()
         self._workspace: fleet.Workspace | None = None
         self._failed = False
+        self._request_id = uuid.uuid4().hex
+        self._close_logged = False
 
     @property
     def callers(self) -> service.CallerService:
@@ -54,6 +62,40 @@
         except errors.CallerError as error:
             self.fail(error)
 
+    def on_connection_close(self) -> None:
+        """Ends the wait for a body, and what runs for the request."""
+        super().on_connection_close()
+        self.on_left()
+        self._note_close()
+
+    def on_left(self) -> None:
+        """Called when the connection closes before the answer is whole."""
+
+    def break_off(self) -> None:
+        """Closes the connection within an answer that broke off."""
+        broken = closings.CloseReason.ANSWER_BROKEN
+        http_server.cut_off(self.request.connection, broken)
+        self._note_close()
+
+    def make_relay(
+        self, request: requests.RoutedRequest, sink: sinks.Sink
+    ) -> relay.Relay:
+        """Takes a request in, unless nobody is there to be answered.
+
+        The library hands on what it had read when its connection closed, and
+        tells no handler of a close that came before.
+
+        Raises:
+            CallerError: If the connection is closed, or the daemon too full.
+        """
+        if http_server.is_closed(self.request.connection):
+            self._log_close(http_server.AFTER_CLOSE)
+            code = results.FailureCode.CALLER_LEFT
+            raise errors.CallerError(
+                results.STATUS[code], str(code), "the connection is closed"
+            )
+        return self._callers.make_relay(request, sink)
+
     def data_received(self, chunk: bytes) -> None:
         """Collects the body, up to the limit."""
         if self._failed:
@@ -137,8 +179,24 @@
         }
 
     def request_id(self) -> str:
-        """Returns a new id; a caller's own is not trusted to be unique."""
-        return uuid.uuid4().hex
+        """Returns our own id; a caller's is not trusted to be unique."""
+        return self._request_id
+
+    def _note_close(self) -> None:
+        """Logs that the daemon, not the caller, closed the connection."""
+        why = http_server.close_reason(self.request.connection)
+        if why is not closings.CloseReason.CLIENT:
+            self._log_close(http_server.CLOSED)
+
+    def _log_close(self, kind: str) -> None:
+        if self._close_logged:
+            return
+        self._close_logged = True
+        eliot.log_message(
+            kind,
+            request_id=self._request_id,
+            why=http_server.close_reason(self.request.connection),
+        )
 
     def _check_length(self, length: str | None) -> None:
         limit = self._callers.settings.body_limit
--- a/martenjunction/callers/plain.py
+++ b/martenjunction/callers/plain.py
@@ -40,20 +40,24 @@
 
     head = post = delete = patch = put = options = get
 
-    def on_connection_close(self) -> None:
+    def on_left(self) -> None:
         """Stops waiting for a caller who left.
 
-        A call that may not be repeated goes on to its end: the service is
-        not to be left in doubt by us.
+        A call that may not be repeated and that runs goes on to its end: the
+        service is not to be left in doubt by us.
         """
-        if self._relay is not None and self._relay.request.repeatable:
+        if self._relay is None:
+            return
+        if self._relay.request.repeatable:
             self._relay.stop(broker.StopReason.CALLER_LEFT)
+        else:
+            self._relay.stop_after_run(broker.StopReason.CALLER_LEFT)
 
     async def _pass_on(self, name: str, path: str) -> None:
         sink = _PlainSink(self)
         try:
             request = self._route(name, path)
-            self._relay = self.callers.make_relay(request, sink)
+            self._relay = self.make_relay(request, sink)
         except errors.CallerError as error:
             self.fail(error)
             return
@@ -144,10 +148,7 @@
         handler = self._handler
         failed = result.code is not None
         if failed and self._started:
-            connection = handler.request.connection
-            stream = getattr(connection, "stream", None)
-            if stream is not None:
-                stream.close()
+            handler.break_off()
             return
         if result.code is results.FailureCode.CALLER_LEFT:
             return
--- a/martenjunction/callers/service.py
+++ b/martenjunction/callers/service.py
@@ -36,6 +36,9 @@
 # Seconds after which a caller turned away by a full daemon may come back.
 FULL_RETRY_AFTER = 2.0
 
+# The same for a daemon whose planned stop has reached its limit.
+LEAVING_RETRY_AFTER = 1.0
+
 
 @dataclasses.dataclass(frozen=True)
 class EntryAddress:
@@ -86,6 +89,7 @@
         self._classifier = classing.Classifier(self._config)
         self._lengths = estimates.LengthEstimates()
         self._relays: dict[str, relay.Relay] = {}
+        self._stopped = False
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -184,8 +188,12 @@
         """Takes a request in.
 
         Raises:
-            CallerError: If the daemon is too full for its tier.
+            CallerError: If the daemon is too full for its tier, or ends.
         """
+        if self._stopped:
+            raise errors.CallerError(
+                503, "box-leaving", "this box leaves", LEAVING_RETRY_AFTER
+            )
         tier = request.service_class.tier
         if self.held >= HOLD_LIMITS[tier]:
             self._parts.numbers.count("turned_away", tier=str(tier))
@@ -275,7 +283,11 @@
             held.check_stalled(now)
 
     def stop_all(self) -> None:
-        """Ends all held requests, when a planned stop takes too long."""
+        """Ends all held requests, when a planned stop takes too long.
+
+        Later ones are turned away: each is told before the process ends.
+        """
+        self._stopped = True
         for held in list(self._relays.values()):
             held.stop(broker.StopReason.TIME_LIMIT)
 
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -124,6 +124,18 @@
     """The connection ended before the message was whole."""
 
 
+class ConnectionCutError(TransportError):
+    """This daemon itself closed a connection.
+
+    Attributes:
+        why: The word for it in the log.
+    """
+
+    def __init__(self, why: str) -> None:
+        self.why = why
+        super().__init__(f"closed here: {why}")
+
+
 class HttpSyntaxError(TransportError):
     """The peer's bytes are not a message of HTTP/1.1."""
 
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -67,6 +67,7 @@
         self._ticket: broker.Ticket | None = None
         self._stream: streams.EndpointStream | None = None
         self._stop: broker.StopReason | None = None
+        self._stop_after_run: broker.StopReason | None = None
         self._avoid: frozenset[str] = frozenset()
         self._preemptions = 0
         self._resumes = 0
@@ -120,6 +121,13 @@
         elif ticket is not None and ticket.state is broker.TicketState.WAITING:
             ticket.verdicts.put(broker.Stopped(reason))
 
+    def stop_after_run(self, reason: broker.StopReason) -> None:
+        """Lets a run under way end and sends nothing more."""
+        if self._stream is None:
+            self.stop(reason)
+        else:
+            self._stop_after_run = reason
+
     def check_stalled(self, now: float) -> None:
         """Breaks a repeatable run off that has been silent for too long."""
         if self._stream is None or self._writing:
@@ -319,8 +327,9 @@
             return None
         if self._stop is broker.StopReason.STALLED:
             self._stop = None
-        if self._stop is not None:
-            return self._stopped(self._stop)
+        reason = self._stop or self._stop_after_run
+        if reason is not None:
+            return self._stopped(reason)
         self._avoid = self._avoid | {self._endpoint}
         if self._may_try_again(ending):
             return None
--- a/tests/test_callers_stop.py
+++ b/tests/test_callers_stop.py
@@ -30,6 +30,7 @@
 
 from martenjunction import application
 from martenjunction import http_headers
+from martenjunction import http_server
 from martenjunction import mailbox
 from martenjunction.callers import handlers
 from martenjunction.cells import broker
@@ -280,6 +281,24 @@
             assert await caller.rest() == b""
 
 
+async def test_head_that_has_begun_gets_its_own_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(application, "IDLE_CONNECTION", SHORT)
+    monkeypatch.setattr(http_server, "HEAD_TIMEOUT", 2 * SHORT)
+    async with running(spec()) as fleet:
+        late, never = await callers_of(fleet, 2)
+        whole = request(MODELS)
+        for caller in (late, never):
+            caller.send(whole[:20])
+        await asyncio.sleep(2 * SHORT)
+        late.send(whole[20:])
+        assert (await late.answer())[0] == 200
+        status, head, _ = await never.answer()
+        assert (status, field(head, http_headers.OUTCOME)) == (408, "not-run")
+        assert await never.rest() == b""
+
+
 async def test_body_before_the_end_of_its_time_is_taken(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tools/broken_builds.py
+++ b/tools/broken_builds.py
@@ -127,7 +127,7 @@
         "a planned stop does not wait",
         "martenjunction/application.py",
         "                await asyncio.sleep(self._settings.entry_ttl)\n"
-        "                await self.callers.wait_idle()",
+        "                await self._finish_requests()",
         "                await asyncio.sleep(0)",
         "One daemon is stopped under load",
     ),
