--- /dev/null
+++ b/martenjunction/layouts.py
@@ -0,0 +1,80 @@
+"""What the platform's list and the configuration mean for the cells."""
+
+from martenjunction.cells import broker
+from martenjunction.cells import directory
+from martenjunction.cells import host
+from martenjunction.config import store
+from martenjunction.objects import model
+from martenjunction.peers import membership
+
+
+class LayoutKeeper:
+    """Keeps the cells of a daemon in step with lists and configuration."""
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        held: store.ConfigStore,
+        cells: host.CellHost,
+        asked: broker.Broker,
+    ) -> None:
+        """Makes a keeper that knows no endpoint yet.
+
+        Args:
+            members: Is told of the daemons that are listed.
+            held: The configuration in force.
+            cells: The cells that this daemon owns.
+            asked: Places requests with cells.
+        """
+        self._members = members
+        self._store = held
+        self._cells = cells
+        self._broker = asked
+        self._layout = directory.Layout()
+        self._infos: directory.Cells = {}
+        self._laid_out: tuple[object, object] = ({}, {})
+        self._endpoint_states: dict[str, model.BoxState] = {}
+
+    def on_listed(self, boxes: list[model.ListedBox]) -> None:
+        """Takes in a part of the platform's list."""
+        for box in boxes:
+            if box.role is model.BoxRole.ENDPOINT:
+                self._endpoint_states[box.name] = box.state
+            else:
+                self._list_daemon(box)
+        self._change()
+
+    def on_config_changed(self) -> None:
+        """Takes in the configuration in force."""
+        if self._is_old():
+            self._change()
+
+    def _list_daemon(self, box: model.ListedBox) -> None:
+        self._members.listed(
+            membership.Member(
+                box.name, box.zone, box.callers, box.operators, box.peers
+            ),
+            live=box.state is not model.BoxState.GONE,
+            leaving=box.state is model.BoxState.LEAVING,
+        )
+
+    def _change(self) -> None:
+        config = self._store.config
+        if self._is_old():
+            self._laid_out = (config.service, config.endpoint)
+            self._infos = self._layout.update(config)
+        leaving = frozenset(
+            name
+            for name, state in self._endpoint_states.items()
+            if state is not model.BoxState.LIVE
+        )
+        self._cells.set_layout(self._infos, config.endpoint, leaving)
+        self._broker.set_cells(self._infos)
+
+    def _is_old(self) -> bool:
+        # A table that did not change is the same object.
+        config = self._store.config
+        services, endpoints = self._laid_out
+        return config.service is not services or (
+            config.endpoint is not endpoints
+        )
--- a/martenjunction/operators/dumps.py
+++ b/martenjunction/operators/dumps.py
@@ -8,6 +8,8 @@
 from martenjunction.config import store
 from martenjunction.decisions import classing
 from martenjunction.decisions import placement
+from martenjunction.objects import client as object_client
+from martenjunction.objects import feed
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 
@@ -117,3 +119,18 @@
         str(number): {"writes": shard.writes, "conflicts": shard.conflicts}
         for number, shard in claims.owned.items()
     }
+
+
+def of_platform(
+    followed: feed.PlatformFeed,
+    platform: object_client.ObjectClient,
+    watcher: bool,
+) -> dict[str, Any]:
+    """Returns what this daemon asks of the platform, and how it answers."""
+    return {
+        "configured": True,
+        "watcher": watcher,
+        "answered_ago_s": followed.answered_ago,
+        "failures": followed.failures,
+        "calls": platform.calls,
+    }
--- /dev/null
+++ b/martenjunction/wiring.py
@@ -0,0 +1,107 @@
+"""Which part of a daemon takes in which message of its peers."""
+
+from martenjunction.cells import broker
+from martenjunction.cells import host
+from martenjunction.cells import messages as cell_messages
+from martenjunction.cells import summaries
+from martenjunction.claims import keeper
+from martenjunction.claims import messages as claim_messages
+from martenjunction.peers import hub
+
+# What entry daemons tell the owner of a cell.
+TO_OWNER = (
+    cell_messages.AskPlace,
+    cell_messages.AnnounceRun,
+    cell_messages.Withdraw,
+    cell_messages.FirstToken,
+    cell_messages.RunEnded,
+)
+
+# What owners of cells tell entry daemons.
+TO_ENTRY = (
+    cell_messages.PlaceGranted,
+    cell_messages.RequestShed,
+    cell_messages.RunPreempted,
+    cell_messages.Summary,
+)
+
+# What entry daemons tell the owner of a shard of claims.
+TO_SHARD = (claim_messages.Claim, claim_messages.Settle)
+
+
+class CellLinks:
+    """Takes messages between entry daemons and owners of cells to either."""
+
+    def __init__(self, box: str, peers: hub.PeerHub) -> None:
+        """Makes links; they carry nothing before `connect`.
+
+        Args:
+            box: This box, whose messages to itself use no connection.
+            peers: The connections to other boxes.
+        """
+        self._box = box
+        self._peers = peers
+        self._gate = summaries.SummaryGate()
+
+    def connect(self, cells: host.CellHost, asked: broker.Broker) -> None:
+        """Has messages go to the parts that take them in.
+
+        Args:
+            cells: The cells that this daemon owns.
+            asked: Places this daemon's requests with cells.
+        """
+        self._cells = cells
+        self._broker = asked
+        for to_owner in TO_OWNER:
+            self._peers.subscribe(to_owner, cells.receive)
+        for to_entry in TO_ENTRY:
+            self._peers.subscribe(to_entry, asked.receive)
+
+    def to_entry(self, box: str, message: cell_messages.FromOwner) -> None:
+        """Sends what the owner of a cell tells an entry daemon."""
+        if box == self._box:
+            self._broker.receive(box, message)
+        else:
+            self._peers.send(box, message)
+
+    def to_owner(self, box: str, message: cell_messages.FromEntry) -> bool:
+        """Sends what an entry daemon tells the owner of a cell.
+
+        Returns:
+            Whether it could be sent.
+        """
+        if box == self._box:
+            self._cells.receive(box, message)
+            return True
+        return self._peers.send(box, message)
+
+    def send_summaries(self, now: float) -> None:
+        """Tells all boxes of the cells here, as far as there is news.
+
+        Args:
+            now: Seconds on the daemon's clock.
+        """
+        current = self._cells.summaries()
+        for summary in current:
+            self._broker.receive(self._box, summary)
+        for summary in self._gate.pass_on(current, now):
+            self._peers.broadcast(summary)
+
+    def tell_all_again(self) -> None:
+        """Forgets what was told: a box came that has not heard it."""
+        self._gate.forget()
+
+
+def connect_claims(peers: hub.PeerHub, claims: keeper.ClaimKeeper) -> None:
+    """Has messages on claims go to their keeper.
+
+    Args:
+        peers: Where they come from.
+        claims: Keeps keyed requests from running twice.
+    """
+    for to_shard in TO_SHARD:
+        peers.subscribe(to_shard, claims.receive)
+    peers.subscribe(
+        claim_messages.ClaimAnswer,
+        lambda _, answer: claims.on_answer(answer),
+    )
--- a/tests/test_callers_stop.py
+++ b/tests/test_callers_stop.py
@@ -28,9 +28,9 @@
 import pytest
 import uvloop
 
-from martenjunction import application
 from martenjunction import http_headers
 from martenjunction import http_server
+from martenjunction import listeners
 from martenjunction import mailbox
 from martenjunction.callers import handlers
 from martenjunction.cells import broker
@@ -261,7 +261,7 @@
 async def test_request_before_the_end_of_the_idle_time_is_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(application, "IDLE_CONNECTION", SHORT)
+    monkeypatch.setattr(listeners, "IDLE_CONNECTION", SHORT)
     async with running(spec()) as fleet:
         callers = await callers_of(fleet)
         await asyncio.sleep(SHORT - BEFORE_END)
@@ -275,7 +275,7 @@
 async def test_connection_that_rests_is_closed_at_its_idle_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(application, "IDLE_CONNECTION", SHORT)
+    monkeypatch.setattr(listeners, "IDLE_CONNECTION", SHORT)
     async with running(spec()) as fleet:
         for caller in await callers_of(fleet):
             assert await caller.rest() == b""
@@ -284,7 +284,7 @@
 async def test_head_that_has_begun_gets_its_own_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(application, "IDLE_CONNECTION", SHORT)
+    monkeypatch.setattr(listeners, "IDLE_CONNECTION", SHORT)
     monkeypatch.setattr(http_server, "HEAD_TIMEOUT", 2 * SHORT)
     async with running(spec()) as fleet:
         late, never = await callers_of(fleet, 2)
@@ -302,7 +302,7 @@
 async def test_body_before_the_end_of_its_time_is_taken(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(application, "BODY_TIMEOUT", SHORT)
+    monkeypatch.setattr(listeners, "BODY_TIMEOUT", SHORT)
     async with running(spec()) as fleet:
         callers = await callers_of(fleet)
         whole = request(CHAT, chat(5, stream=False))
@@ -319,7 +319,7 @@
 async def test_body_that_does_not_come_is_told_not_run(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(application, "BODY_TIMEOUT", SHORT)
+    monkeypatch.setattr(listeners, "BODY_TIMEOUT", SHORT)
     async with running(spec()) as fleet:
         (caller,) = await callers_of(fleet, 1)
         caller.send(request(CHAT, chat(5))[:-10])
--- a/tools/broken_builds.py
+++ b/tools/broken_builds.py
@@ -125,10 +125,10 @@
     ),
     BrokenBuild(
         "a planned stop does not wait",
-        "martenjunction/application.py",
-        "                await asyncio.sleep(self._settings.entry_ttl)\n"
-        "                await self._finish_requests()",
-        "                await asyncio.sleep(0)",
+        "martenjunction/planned_stop.py",
+        "            await asyncio.sleep(settings.entry_ttl)\n"
+        "            await _finish_requests(listening, callers)",
+        "            await asyncio.sleep(0)",
         "One daemon is stopped under load",
     ),
     BrokenBuild(
