--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -17,6 +17,7 @@
 from martenjunction import addresses
 from martenjunction import errors
 from martenjunction.http1 import messages
+from martenjunction.http1 import peeks
 from martenjunction.http1 import streams
 
 # Largest head of an answer, in bytes.
@@ -107,7 +108,7 @@
             return False
         if self._source.disturbed or self._stream.closed():
             return True
-        return _has_news(self._stream.socket)
+        return peeks.peek(self._stream.socket) is not peeks.Waiting.NOTHING
 
     def is_quiet(self) -> bool:
         """Returns whether it can carry a request, by the socket's own word."""
@@ -323,18 +324,6 @@
     return iostream.IOStream(sock, max_buffer_size=streams.MAX_BUFFER_BYTES)
 
 
-def _has_news(sock: socket.socket) -> bool:
-    """Returns whether bytes or an end wait in a socket."""
-    try:
-        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        # The connection was reset: a read would tell so.
-        return True
-    return True
-
-
 def _head_of(event: h11.Response) -> messages.ResponseHead:
     headers = [(bytes(n), bytes(v)) for n, v in event.headers.raw_items()]
     head = messages.ResponseHead(event.status_code, headers)
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -9,6 +9,7 @@
 from tornado import iostream
 
 from martenjunction import errors
+from martenjunction.http1 import peeks
 
 # Bytes taken from a socket at once.
 CHUNK_BYTES = 64 * 1024
@@ -76,14 +77,7 @@
             return not failed
         if self._stream.closed():
             return False
-        try:
-            waiting = self._stream.socket.recv(
-                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
-            )
-        except OSError:
-            # Nothing there, or reset: the read under way tells which.
-            return False
-        return bool(waiting)
+        return peeks.peek(self._stream.socket) is peeks.Waiting.BYTES
 
     def prefetch(self) -> None:
         """Begins the next read without waiting for it."""
--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections.abc import Awaitable
 import enum
-import socket
 from typing import Any
 from typing import cast
 
@@ -23,6 +22,7 @@
 from martenjunction import http_headers
 from martenjunction.decisions import outcomes
 from martenjunction.http1 import closings
+from martenjunction.http1 import peeks
 
 # Seconds that a head gets which had begun when the idle time ended.
 HEAD_TIMEOUT = 10.0
@@ -182,7 +182,8 @@
         Closed then, a request would be lost that came in time: it has come
         when the event loop was held up over the end of a time.
         """
-        return not self._stream.reading() or _bytes_wait(self._stream)
+        waiting = peeks.peek(self._stream.socket)
+        return not self._stream.reading() or waiting is peeks.Waiting.BYTES
 
     @property
     def _head_began(self) -> bool:
@@ -288,16 +289,6 @@
     return cast(http1connection.HTTP1ServerConnection, server_conn).stream
 
 
-def _bytes_wait(stream: iostream.IOStream) -> bool:
-    if stream.socket is None:
-        return False
-    try:
-        return bool(stream.socket.recv(1, socket.MSG_PEEK))
-    except OSError:
-        # Nothing came, or the peer is gone, which the reader is told.
-        return False
-
-
 _SLOW = {
     Stage.HEAD: closings.CloseReason.SLOW_HEAD,
     Stage.BODY: closings.CloseReason.SLOW_BODY,
