--- a/tests/gateway_requests.py
+++ b/tests/gateway_requests.py
@@ -63,8 +63,3 @@
     ]
     await fleet.until_listed()
     return made
-
-
-WHOLE_STREAM = b"".join(
-    f"id: {number}\ndata: t{number}\n\n".encode() for number in range(1, 6)
-)
