A stop ends when its last connection does; the head behind a request has its limit

Change: the stop looks before it sleeps; why is client-left; the time of a head holds for it (a test that failed first).

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -225,12 +225,14 @@
         removal = asyncio.get_running_loop().create_task(
             self.follower.remove_own_entry()
         )
-        while self.timers.now() < last and not self._callers.ended:
+        while self.timers.now() < last:
             lingered = self.timers.now() - began > LINGER_S
             if lingered and not self._exchanges:
                 # Requests that are being read are not among the exchanges yet:
                 # each connection says itself when nothing is under way on it.
                 self._callers.finish()
+            if self._callers.ended:
+                break
             left = max(0.0, last - self.timers.now())
             await asyncio.sleep(min(WATCH_INTERVAL_S, left))
         removal.cancel()
--- /dev/null
+++ b/martenjunction/http1/framing.py
@@ -0,0 +1,24 @@
+"""Whether a request's length can be told in one way only."""
+
+from martenjunction.http1 import messages
+from martenjunction.http1 import request_errors
+
+
+def check(request: messages.Request, max_body_bytes: int) -> None:
+    """Refuses what two readers could take for different messages.
+
+    Args:
+        request: The request, its head read.
+        max_body_bytes: Largest body.
+
+    Raises:
+        RequestSyntaxError: If it is refused.
+    """
+    names = [name.lower() for name, _ in request.headers]
+    coded = names.count(b"transfer-encoding")
+    lengths = names.count(b"content-length")
+    if coded > 1 or lengths > 1 or (coded and lengths):
+        raise request_errors.RequestSyntaxError(400, "ambiguous framing")
+    length = messages.header(request.headers, b"content-length")
+    if length is not None and int(length) > max_body_bytes:
+        raise request_errors.RequestSyntaxError(413, "the body is too large")
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -13,6 +13,7 @@
 from martenjunction import errors
 from martenjunction.http1 import closings
 from martenjunction.http1 import messages
+from martenjunction.http1 import request_errors
 from martenjunction.http1 import server_connection
 from martenjunction.http1 import streams
 
@@ -109,7 +110,7 @@
         reason = closings.CloseReason.FAILED
         try:
             reason = await self._serve(connection)
-        except server_connection.RequestNotTakenError as error:
+        except request_errors.RequestNotTakenError as error:
             reason = closings.CloseReason.CLIENT
             closing = connection.closing(self._name)
             self._on_closed(dataclasses.replace(closing, request=error.request))
@@ -133,7 +134,7 @@
         while True:
             try:
                 request = await connection.read_request()
-            except server_connection.RequestSyntaxError as error:
+            except request_errors.RequestSyntaxError as error:
                 logger.info("%s: request refused: %s", self._name, error)
                 await connection.answer(error.status, [], b"", close=True)
                 return closings.CloseReason.REFUSED
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -12,7 +12,9 @@
 from martenjunction import errors
 from martenjunction.http1 import closings
 from martenjunction.http1 import connection_state
+from martenjunction.http1 import framing
 from martenjunction.http1 import messages
+from martenjunction.http1 import request_errors
 from martenjunction.http1 import streams
 
 # Seconds for which a body may make no progress.
@@ -32,30 +34,6 @@
 _KNOWN = {status.value for status in http.HTTPStatus}
 
 
-class RequestSyntaxError(errors.HttpSyntaxError):
-    """A request is refused before it is read in full.
-
-    Attributes:
-        status: The HTTP status to answer with.
-    """
-
-    def __init__(self, status: int, message: str) -> None:
-        self.status = status
-        super().__init__(message)
-
-
-class RequestNotTakenError(errors.ConnectionLostError):
-    """The connection had ended when its request was read in full.
-
-    Attributes:
-        request: The request, which nobody waits for.
-    """
-
-    def __init__(self, request: messages.Request) -> None:
-        self.request = request
-        super().__init__("the connection ended before its request was taken")
-
-
 class ServerConnection:
     """A connection from a client, which may carry many requests.
 
@@ -91,7 +69,7 @@
         self._unanswered = False
         self._answered = 0
         self._rested_since = time.monotonic()
-        self._peer = _peer_of(stream)
+        self._peer = streams.peer_address(stream)
         self._closing: closings.ClosedConnection | None = None
 
     @property
@@ -139,7 +117,7 @@
             received_at=time.monotonic(),
         )
         self._bodiless = request.method == b"HEAD"
-        self._check_framing(request)
+        framing.check(request, self._limits().max_body_bytes)
         if self._parser.they_are_waiting_for_100_continue:
             self._write(
                 self._parser.send(
@@ -249,7 +227,12 @@
 
     async def _read_head(self) -> h11.Request | None:
         limits = self._limits()
-        self._set_timer(limits.idle_timeout_s, closings.CloseReason.IDLE)
+        if self._state is _State.READING:
+            self._set_timer(
+                limits.header_timeout_s, closings.CloseReason.SLOW_HEAD
+            )
+        else:
+            self._set_timer(limits.idle_timeout_s, closings.CloseReason.IDLE)
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
@@ -272,21 +255,10 @@
         try:
             return self._parser.next_event()  # type: ignore[return-value]
         except h11.RemoteProtocolError as error:
-            raise RequestSyntaxError(
+            raise request_errors.RequestSyntaxError(
                 error.error_status_hint, str(error)
             ) from error
 
-    def _check_framing(self, request: messages.Request) -> None:
-        """Refuses what two readers could take for different messages."""
-        names = [name.lower() for name, _ in request.headers]
-        coded = names.count(b"transfer-encoding")
-        lengths = names.count(b"content-length")
-        if coded > 1 or lengths > 1 or (coded and lengths):
-            raise RequestSyntaxError(400, "ambiguous framing")
-        length = messages.header(request.headers, b"content-length")
-        if length is not None and int(length) > self._limits().max_body_bytes:
-            raise RequestSyntaxError(413, "the body is too large")
-
     async def _read_body(self) -> bytes:
         parts: list[bytes] = []
         size = 0
@@ -296,7 +268,9 @@
                 parts.append(bytes(event.data))
                 size += len(event.data)
                 if size > self._limits().max_body_bytes:
-                    raise RequestSyntaxError(413, "the body is too large")
+                    raise request_errors.RequestSyntaxError(
+                        413, "the body is too large"
+                    )
             elif isinstance(event, h11.EndOfMessage):
                 self._set_timer(None)
                 return b"".join(parts)
@@ -385,7 +359,7 @@
         # A reader that was woken before the end goes on from its buffer: 12 of
         # 12 requests were handed on so, each with nobody to answer.
         if self.closed:
-            raise RequestNotTakenError(request)
+            raise request_errors.RequestNotTakenError(request)
         self._note(_Event.REQUEST_TAKEN)
         self._unanswered = True
 
@@ -415,12 +389,3 @@
             self._unanswered,
             self._source.bytes_waiting,
         )
-
-
-def _peer_of(stream: iostream.IOStream) -> str:
-    """Returns the client's address, or no text if it has gone already."""
-    try:
-        host, port = stream.socket.getpeername()
-    except OSError:
-        return ""
-    return f"{host}:{port}"
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -40,6 +40,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
 
 
+def peer_address(stream: iostream.IOStream) -> str:
+    """Returns the peer's IP address and port, or no text if it has gone."""
+    try:
+        host, port = stream.socket.getpeername()
+    except OSError:
+        return ""
+    return f"{host}:{port}"
+
+
 def swallow(future: "asyncio.Future[Any]") -> None:
     """Marks a failed read or write as seen; whoever waits still gets it."""
     if not future.cancelled():
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -293,6 +293,7 @@
         endpoint, run = offer.endpoint, offer.run
         if self._connection.closed:
             # Its end is told a turn later: the run would be given up at once.
+            self._state.why = Ending.CLIENT_LEFT.value
             self._tools.pool.release(endpoint.id, run.connection)
             raise errors.ConnectionLostError("the client left")
         book = self._tools.book
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -165,3 +165,27 @@
     for connection in made:
         connection.close()
     listening.close_all()
+
+
+async def test_begin_of_a_request_behind_another_has_the_time_of_a_head() -> (
+    None
+):
+    limits = messages.ClientLimits(header_timeout_s=0.2, idle_timeout_s=60.0)
+    handler = Handler()
+    listening = server.Server(
+        "test", handler, lambda: limits, handler.closed.append
+    )
+    address = bench.free_address()
+    listening.listen_on(address)
+    connection = kept_connections.KeptConnection()
+    await connection.connect(address)
+    connection.send(GET % 1 + (GET % 2)[:9])
+    assert b" 200 " in await connection.answer()
+    assert await connection.ended()
+    async with asyncio.timeout(kept_connections.PATIENCE_S):
+        while not handler.closed:
+            await asyncio.sleep(0.01)
+    [closed] = handler.closed
+    assert closed.reason is closings.CloseReason.SLOW_HEAD
+    connection.close()
+    listening.close_all()
