The replica stand-in keeps its connection after a stream, and may queue requests

Cause: a stream's watch for its caller's end was cancelled and not awaited. The next read on that connection found it still under way and raised, and the stand-in dropped the connection: no box had a kept connection to an engine stand-in after a stream. Change: the watch is awaited; queue_s holds a request before it runs, and the ids whose caller left meanwhile are among the cancelled ones.

--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -57,10 +57,14 @@
         Args:
             endpoint_id: The id under which it is listed.
             events: Events in each of its streams.
+
+        `event_pause_s` is the time between events and `queue_s` that for
+        which a request waits before it runs, both in seconds.
         """
         self.id = endpoint_id
         self.address = ""
         self.event_pause_s = 0.01
+        self.queue_s = 0.0
         self.break_after: int | None = None
         self.silent_after: int | None = None
         self.received: list[Received] = []
@@ -154,6 +158,9 @@
                 mark = {"Martenjunction-Replica-Id": "another"}
             writer.write(_whole(status, mark, b""))
             return True
+        if self.queue_s and await self._leaves_queue(reader):
+            self.cancelled.append(request.id)
+            return False
         self.runs[request.id] += 1
         if behaviour is Behaviour.RESET:
             return False
@@ -180,6 +187,13 @@
             writer.write(answer)
         return True
 
+    async def _leaves_queue(self, reader: asyncio.StreamReader) -> bool:
+        """Has a request wait; returns whether its caller left meanwhile."""
+        left = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait([left], timeout=self.queue_s)
+        await _end_read(left)
+        return bool(done)
+
     def _plain(self, request: Received, behaviour: Behaviour) -> bytes:
         headers = {"Martenjunction-Attempt-Id": request.id}
         if behaviour is not Behaviour.UNSEALED:
@@ -216,7 +230,7 @@
             if done:
                 self.cancelled.append(request.id)
                 return False
-        left.cancel()
+        await _end_read(left)
         writer.write(b"0\r\n\r\n")
         return True
 
@@ -224,6 +238,12 @@
 _NOT_RUN = {Behaviour.REFUSE: 503, Behaviour.MISDIRECTED: 421}
 
 
+async def _end_read(pending: asyncio.Future[bytes]) -> None:
+    """Ends a read; a reader refuses the next one while it is under way."""
+    pending.cancel()
+    await asyncio.wait([pending])
+
+
 def _whole(status: int, headers: dict[str, str], body: bytes) -> bytes:
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
