Builders of box processes in a module of their own

Cause: other tests need boxes as processes. Each test box had one of a few fixed IP addresses for its metrics port, so two runs of the tests on one machine could take it from each other. A process whose output nobody reads is not reported as ended by the event loop of Python 3.11 once its pipe is full.

--- a/tests/test_box_process.py
+++ b/tests/test_box_process.py
@@ -2,8 +2,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-import dataclasses
-import json
 import os
 import pathlib
 import signal
@@ -11,9 +9,9 @@
 
 import pytest
 
-from martenjunction import errors
 from martenjunction.platform import box_settings
 from martenjunction_lab import boxes
+from tests import box_processes
 from tests import routing_builders as builders
 
 HEADERS = {
@@ -22,48 +20,6 @@
 }
 
 
-@dataclasses.dataclass
-class Box:
-    """A running process and where it serves."""
-
-    settings: box_settings.BoxSettings
-    process: asyncio.subprocess.Process
-
-    async def until_ready(self) -> None:
-        async with asyncio.timeout(30.0):
-            while True:
-                try:
-                    head, _ = await boxes.call(
-                        self.settings.ready, "GET", "/readyz"
-                    )
-                except errors.TransportError:
-                    head = None
-                if head is not None and head.status == 200:
-                    return
-                await asyncio.sleep(0.05)
-
-    async def log(self) -> list[dict[str, object]]:
-        """Returns the lines written until the process ended."""
-        assert self.process.stdout is not None
-        text = await self.process.stdout.read()
-        return [json.loads(line) for line in text.splitlines()]
-
-
-async def start(
-    folder: pathlib.Path, settings: box_settings.BoxSettings
-) -> Box:
-    file = folder / f"{settings.box}.toml"
-    file.write_text(builders.settings_text(settings))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "martenjunction.cmd.box",
-        env={**os.environ, box_settings.SETTINGS_VARIABLE: str(file)},
-        stdout=asyncio.subprocess.PIPE,
-    )
-    return Box(settings, process)
-
-
 @pytest.fixture
 async def fleet() -> AsyncIterator[boxes.Boxes]:
     made = boxes.Boxes()
@@ -73,17 +29,12 @@
     await made.stop()
 
 
-def settings_of(fleet: boxes.Boxes, box: str) -> box_settings.BoxSettings:
-    # The port for metrics is fixed: each process here has an IP of its own.
-    settings = boxes.settings(box, fleet.store.address)
-    number = int(box.rpartition("-")[2]) + 1
-    return dataclasses.replace(settings, ip=f"127.0.0.{number}")
-
-
 async def test_box_serves_logs_and_stops_as_planned(
     fleet: boxes.Boxes, tmp_path: pathlib.Path
 ) -> None:
-    box = await start(tmp_path, settings_of(fleet, "box-1"))
+    box = await box_processes.start(
+        tmp_path, box_processes.settings_of(fleet, "box-1")
+    )
     await box.until_ready()
     head, body = await boxes.call(
         box.settings.callers, "POST", "/safe/x", HEADERS, b"hello"
@@ -109,7 +60,10 @@
     fleet: boxes.Boxes, tmp_path: pathlib.Path
 ) -> None:
     made = [
-        await start(tmp_path, settings_of(fleet, f"box-{n}")) for n in (1, 2)
+        await box_processes.start(
+            tmp_path, box_processes.settings_of(fleet, f"box-{n}")
+        )
+        for n in (1, 2)
     ]
     for box in made:
         await box.until_ready()
@@ -126,7 +80,7 @@
         await made[1].process.wait()
         while await addresses() == both:
             await asyncio.sleep(0.05)
-        made[1] = await start(tmp_path, made[1].settings)
+        made[1] = await box_processes.start(tmp_path, made[1].settings)
         while await addresses() != both:
             await asyncio.sleep(0.05)
     for box in made:
