--- a/tests/kept_connections.py
+++ b/tests/kept_connections.py
@@ -79,3 +79,11 @@
     for connection in made:
         assert b" 200 " in await connection.answer()
     return made
+
+
+async def served(made: list[KeptConnection]) -> int:
+    """Returns how many connections get a whole 200 next, and closes all."""
+    answers = [await connection.answer() for connection in made]
+    for connection in made:
+        connection.close()
+    return sum(b" 200 " in answer for answer in answers)
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -78,11 +78,8 @@
     for connection in made:
         connection.send(GET % 1)
     kept_connections.hold_up(IDLE_S + 0.1)
-    answers = [await connection.answer() for connection in made]
+    assert await kept_connections.served(made) == COUNT
     assert handler.got.count(b"/1") == COUNT
-    assert sum(b" 200 " in answer for answer in answers) == COUNT
-    for connection in made:
-        connection.close()
 
 
 async def test_head_that_meets_its_time_limit_is_answered(
@@ -96,10 +93,7 @@
     for connection in made:
         connection.send((GET % 1)[9:])
     kept_connections.hold_up(IDLE_S + 0.1)
-    answers = [await connection.answer() for connection in made]
-    assert sum(b" 200 " in answer for answer in answers) == COUNT
-    for connection in made:
-        connection.close()
+    assert await kept_connections.served(made) == COUNT
 
 
 async def test_body_that_meets_its_time_limit_is_answered(
@@ -114,10 +108,7 @@
     for connection in made:
         connection.send(b"cd")
     kept_connections.hold_up(IDLE_S + 0.1)
-    answers = [await connection.answer() for connection in made]
-    assert sum(b" 200 " in answer for answer in answers) == COUNT
-    for connection in made:
-        connection.close()
+    assert await kept_connections.served(made) == COUNT
 
 
 async def test_request_whose_client_has_gone_is_not_handed_on(
@@ -160,10 +151,7 @@
     await asyncio.sleep(1.5 * IDLE_S)
     for connection in made:
         connection.send(GET % 1)
-    answers = [await connection.answer() for connection in made]
-    assert sum(b" 200 " in answer for answer in answers) == COUNT
-    for connection in made:
-        connection.close()
+    assert await kept_connections.served(made) == COUNT
     listening.close_all()
 
 
