Tests hold the event loop up by one function

Cause: read on the whole change: raw_peers and kept_connections each had one. Change: raw_peers.hold_up serves both. Measured: the 14 tests that use it pass; format and lint clean. Conclusion: what the tests assert is the same.

--- a/tests/kept_connections.py
+++ b/tests/kept_connections.py
@@ -2,17 +2,11 @@
 
 import asyncio
 import socket
-import time
 
 # Seconds that a test waits for what must come.
 PATIENCE_S = 20.0
 
 
-def hold_up(seconds: float) -> None:
-    """Keeps the event loop from running, as a wait for a core does."""
-    time.sleep(seconds)
-
-
 class KeptConnection:
     """A client's connection; its bytes leave without the event loop."""
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -31,6 +31,7 @@
 from martenjunction.http1 import server_connection
 from martenjunction_lab import bench
 from tests import kept_connections
+from tests import raw_peers
 
 COUNT = 12
 IDLE_S = 1.0
@@ -77,7 +78,7 @@
     made = await kept_connections.kept(address, COUNT, GET % 0)
     for connection in made:
         connection.send(GET % 1)
-    kept_connections.hold_up(IDLE_S + 0.1)
+    raw_peers.hold_up(IDLE_S + 0.1)
     assert await kept_connections.served(made) == COUNT
     assert handler.got.count(b"/1") == COUNT
 
@@ -92,7 +93,7 @@
     await asyncio.sleep(0.05)
     for connection in made:
         connection.send((GET % 1)[9:])
-    kept_connections.hold_up(IDLE_S + 0.1)
+    raw_peers.hold_up(IDLE_S + 0.1)
     assert await kept_connections.served(made) == COUNT
 
 
@@ -107,7 +108,7 @@
     await asyncio.sleep(0.05)
     for connection in made:
         connection.send(b"cd")
-    kept_connections.hold_up(IDLE_S + 0.1)
+    raw_peers.hold_up(IDLE_S + 0.1)
     assert await kept_connections.served(made) == COUNT
 
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -31,6 +31,7 @@
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
 from tests import kept_connections
+from tests import raw_peers
 from tests import routing_builders as builders
 
 COUNT = 12
@@ -86,7 +87,7 @@
     await boxes.until(lambda: box.leaving)
     for connection in kept:
         connection.send(raw_request("last", path))
-    kept_connections.hold_up(LINGER_S + 0.2)
+    raw_peers.hold_up(LINGER_S + 0.2)
     answers = [await connection.answer() for connection in kept]
     served = sum(b" 200 " in answer for answer in answers)
     assert requests.runs(made, "last") == served
