Engine figures are learnt; long prompts avoid streams that run

And the set of endpoints kept for short streams shrank while they still ran there: one prompt of 16,450 unread tokens made 25 of them late at once. Change: decisions/engine_figures.py learns both from first events and pauses, shared by votes of the boxes; a stream with the service's shortest pause counts as short; a long prompt's cost beside short streams grows with their number.

--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/endpoint_choice.py
@@ -26,10 +26,13 @@
 SHORT_RUNS = 14
 MOST_SHORT_PART = 0.5
 
-# Cost in seconds of a long prompt on an endpoint kept free of them: the lower
-# one as long as all that is unread there is read within a part of the
-# shortest pause that streams may have, the higher one beyond.
+# Cost in seconds of a long prompt where it is read beside short streams: the
+# first one as long as all that is unread there is read within a part of the
+# shortest pause that streams may have; beyond that, for each of them, since
+# all that run there come late at once. An endpoint that is kept free of long
+# prompts costs as much as one with many.
 LONG_BESIDE_SHORT_S = 0.15
+LONG_A_SHORT_STREAM_S = 0.15
 LONG_AMONG_SHORT_S = 3.0
 HELD_UP_PART = 0.25
 
@@ -48,6 +51,7 @@
         running: Requests of all boxes there.
         ahead: Unread tokens there that go first.
         waiting: All unread tokens there.
+        short_running: Requests with short prompts there.
     """
 
     record: endpoint_records.EndpointRecord
@@ -56,6 +60,7 @@
     running: int
     ahead: int
     waiting: int
+    short_running: int = 0
 
 
 def choose(
@@ -144,6 +149,7 @@
         record.loads.running(now),
         record.loads.ahead(demand.urgency, now),
         record.loads.waiting(now),
+        record.loads.short_running(now),
     )
 
 
@@ -159,21 +165,28 @@
         own_part = demand.prompt_tokens - demand.shared_tokens
         again = max(0, choice.unread - own_part)
         cost += again * SHARED_TOKEN_COST_S
-        if demand.is_long and for_short:
-            cost += _beside_short_s(choice, demand)
+        if demand.is_long:
+            cost += _beside_short_s(choice, demand, for_short)
         elif not demand.is_long and not for_short:
             cost += SHORT_AMONG_LONG_S
     return cost
 
 
-def _beside_short_s(choice: Choice, demand: endpoint_records.Demand) -> float:
-    """Returns the cost of a long prompt beside short streams."""
-    unread = choice.unread + choice.waiting
-    held_up_s = unread / endpoint_records.PREFILL_TOKENS_PER_S
-    pause_s = demand.shortest_pause_s or 0.0
-    if held_up_s <= HELD_UP_PART * pause_s:
+def _beside_short_s(
+    choice: Choice, demand: endpoint_records.Demand, for_short: bool
+) -> float:
+    """Returns the cost of a long prompt beside short streams.
+
+    Streams that run at an endpoint that is no longer kept for them count as
+    well: 16,450 tokens beside 25 of them made all 25 late.
+    """
+    if demand.reads_beside_streams or not (for_short or choice.short_running):
+        return 0.0
+    held_up_s = demand.figures.reading_s(choice.unread + choice.waiting)
+    if held_up_s <= HELD_UP_PART * (demand.shortest_pause_s or 0.0):
         return LONG_BESIDE_SHORT_S
-    return LONG_AMONG_SHORT_S
+    harm_s = choice.short_running * LONG_A_SHORT_STREAM_S
+    return max(harm_s, LONG_AMONG_SHORT_S if for_short else 0.0)
 
 
 def _owner(
--- a/martenjunction/decisions/endpoint_records.py
+++ b/martenjunction/decisions/endpoint_records.py
@@ -6,12 +6,10 @@
 
 from martenjunction.decisions import endpoint_loads
 from martenjunction.decisions import endpoint_states
+from martenjunction.decisions import engine_figures
 from martenjunction.decisions import estimates
 
-# Prompt tokens that an engine reads in a second, until it is learnt.
-PREFILL_TOKENS_PER_S = 50_000.0
-
-# Part of that rate up to which long prompts are sent to an engine: while it
+# Part of its rate up to which long prompts are sent to an engine: while it
 # reads without a break, the streams that it runs get a token only after each
 # piece that it reads, and long answers miss their deadline.
 READING_PART = 0.8
@@ -20,17 +18,7 @@
 # and back, and the tokens that one event holds.
 FIRST_EVENT_S = 0.03
 
-# Seconds that an engine takes for one piece of a prompt, that one of its steps
-# takes beside it, and that each running request adds to a step (the users'
-# figures of their engines). A stream gets one token a step, so while prompts
-# are read without a break, each token waits for a piece.
-PIECE_S = 0.036
-STEP_S = 0.0031
-STEP_S_PER_STREAM = 0.0001
-
-# Running requests at which streams must still be in time beside prompts that
-# are read, and the time kept back for the way to the client, in seconds.
-MANY_RUNS = 40
+# Time kept back of a pause, in seconds, for the way to the client.
 PAUSE_MARGIN_S = 0.015
 
 # Seconds by which each running request delays the first token of another.
@@ -70,7 +58,10 @@
         urgency: Rank at an engine; 0 is served first.
         shortest_pause_s: The shortest pause between events that any stream
             of the service may have; None where there is no such bound.
+        pause_s: The longest pause between its own events; None where there is
+            no such bound.
         tokens_per_event: Tokens in one event of a stream.
+        figures: What is learnt of the service's engines.
     """
 
     service: str
@@ -81,15 +72,16 @@
     repeatable: bool
     urgency: int = PLAIN_URGENCY
     shortest_pause_s: float | None = None
+    pause_s: float | None = None
     tokens_per_event: int = 1
+    figures: engine_figures.EngineFigures = engine_figures.EngineFigures()
 
     @property
     def reads_beside_streams(self) -> bool:
         """Whether streams stay in time while their engine reads prompts."""
         if self.shortest_pause_s is None:
             return True
-        step_s = PIECE_S + STEP_S + MANY_RUNS * STEP_S_PER_STREAM
-        pause_s = self.tokens_per_event * step_s
+        pause_s = self.tokens_per_event * self.figures.reading_token_s
         return pause_s <= self.shortest_pause_s - PAUSE_MARGIN_S
 
     @property
@@ -111,16 +103,25 @@
 
     @property
     def is_long(self) -> bool:
-        """Whether reading its prompt holds up streams beside it."""
+        """Whether reading its prompt holds up streams beside it.
+
+        One that may itself not pause for longer than those is long only where
+        it would hold them up alone: among long prompts it would come late.
+        """
         if self.shortest_pause_s is None:
             return False
-        reading_s = self.prompt_tokens / PREFILL_TOKENS_PER_S
-        return reading_s > LONG_PAUSE_PART * self.shortest_pause_s
+        part = LONG_PAUSE_PART
+        if self.pause_s is not None and self.pause_s <= self.shortest_pause_s:
+            part = LONG_ALONE_PART
+        reading_s = self.figures.reading_s(self.prompt_tokens)
+        return reading_s > part * self.shortest_pause_s
 
 
 # A prompt is long when reading it takes more than this part of the shortest
-# pause that any stream of the service may have.
+# pause that any stream of the service may have; where its own stream may not
+# pause for longer either, more than the second part.
 LONG_PAUSE_PART = 0.2
+LONG_ALONE_PART = 0.5
 
 
 class EndpointRecord:
@@ -150,6 +151,7 @@
             endpoint_states.EndpointState.ROUTING
         )
         self.refused_until = 0.0
+        self.figures = engine_figures.EngineFigures()
         self.loads = endpoint_loads.EndpointLoads()
         self._parts: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
@@ -179,8 +181,8 @@
 
     def debt(self, now: float) -> float:
         """Returns the tokens sent there beyond the rate for long prompts."""
-        paid = (now - self._debt_at) * PREFILL_TOKENS_PER_S * READING_PART
-        return max(0.0, self._debt - paid)
+        rate = self.figures.prefill_tokens_per_s * READING_PART
+        return max(0.0, self._debt - (now - self._debt_at) * rate)
 
     def _add_debt(self, tokens: int, now: float) -> None:
         self._debt = self.debt(now) + tokens
@@ -249,8 +251,8 @@
         beside = max(
             0, self.loads.waiting(now) - self.loads.ahead(demand.urgency, now)
         )
-        reading_s = beside / PREFILL_TOKENS_PER_S
-        return min(reading_s, demand.tokens_per_event * PIECE_S)
+        longest_s = demand.tokens_per_event * demand.figures.reading_token_s
+        return min(demand.figures.reading_s(beside), longest_s)
 
     def _queue_s(self, demand: Demand, unread: int, now: float) -> float:
         """Predicts seconds to a first event at an engine's usual speed.
@@ -264,7 +266,7 @@
         ahead = float(self.loads.ahead(demand.urgency, now))
         if demand.is_long:
             ahead = max(ahead, self.debt(now))
-        reading = (unread + ahead) / PREFILL_TOKENS_PER_S
+        reading = demand.figures.reading_s(unread + ahead)
         over = max(0, running + 1 - self.slots) * OVER_SLOTS_S
         steps = running * STEP_S_PER_RUN
         return FIRST_EVENT_S + reading + steps + over
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -7,6 +7,7 @@
 from martenjunction.decisions import endpoint_list
 from martenjunction.decisions import endpoint_loads
 from martenjunction.decisions import endpoint_records
+from martenjunction.decisions import engine_figures
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_trust
 from martenjunction.routing import model
@@ -22,6 +23,9 @@
 # Bounds of an observed time over its prediction.
 SLOWNESS = (0.3, 4.0)
 
+# How slow an engine may be for the figures of its service to be learnt from it.
+SLOW = 1.5
+
 
 class RunTicket:
     """One request at one endpoint, for the accounts of its load."""
@@ -43,6 +47,7 @@
         self.choice = choice
         self.demand = demand
         self.sent_at = now
+        self.heard_at = now
         self.waiting = True
         self.move = False
 
@@ -85,6 +90,9 @@
         self._records: dict[str, endpoint_records.EndpointRecord] = {}
         self._tickets: set[RunTicket] = set()
         self._heard: dict[str, float] = {}
+        self._learners: dict[str, engine_figures.FiguresLearner] = {}
+        self._told_figures: dict[str, engine_figures.EngineFigures] = {}
+        self._log = log
         self._scale = 1.0
         self._looked_at = math.inf
         self._held_up_s = 0.0
@@ -99,6 +107,15 @@
         """What was learnt, by endpoint id; to be read only."""
         return self._records
 
+    def figures(self, service: str) -> engine_figures.EngineFigures:
+        """Returns what is learnt of the engines of a service."""
+        return self._learner(service).figures
+
+    @property
+    def learners(self) -> dict[str, engine_figures.FiguresLearner]:
+        """What learns of engines, by service; to be read only."""
+        return self._learners
+
     @property
     def running(self) -> int:
         """Requests at endpoints now."""
@@ -174,14 +191,23 @@
         self._tickets.add(ticket)
         return ticket
 
-    def heard(self, ticket: RunTicket, now: float) -> None:
-        """Notes that bytes of an answer came."""
+    def heard(self, ticket: RunTicket, now: float, events: int = 0) -> None:
+        """Notes that bytes of an answer came.
+
+        Args:
+            ticket: The run.
+            now: The current time.
+            events: Whole events of a stream among them.
+        """
         record = ticket.record
         listened = self._listened(now)
         self._heard[record.id] = listened
         self._trust.heard(record, now)
         ticket.move = False
+        pause_s = listened - ticket.heard_at
+        ticket.heard_at = listened
         if not ticket.waiting:
+            self._learn_pause(ticket, pause_s, events, now)
             return
         ticket.waiting = False
         record.loads.add(ticket.demand.load_key, 0, -ticket.choice.unread)
@@ -189,8 +215,23 @@
             record.remember(ticket.demand.parts)
             # The prediction holds the slowness already.
             base = ticket.choice.predicted_s / record.slowness.value
-            ratio = (listened - ticket.sent_at) / base
+            ratio = pause_s / base
             record.slowness.add(min(max(ratio, SLOWNESS[0]), SLOWNESS[1]))
+            if ticket.choice.waiting == 0:
+                learner = self._learner(ticket.demand.service)
+                learner.prompt_read(ticket.choice.unread, pause_s)
+
+    def _learn_pause(
+        self, ticket: RunTicket, pause_s: float, events: int, now: float
+    ) -> None:
+        """Learns from a pause of a stream beside prompts that are read."""
+        record = ticket.record
+        if not events or not record.loads.waiting(now):
+            return
+        if record.slowness.value > SLOW:
+            return
+        tokens = events * ticket.demand.tokens_per_event
+        self._learner(ticket.demand.service).paused(pause_s / tokens)
 
     def end(self, ticket: RunTicket, now: float, failed: bool) -> None:
         """Books the end of a request at an endpoint."""
@@ -251,6 +292,8 @@
                 del self._records[gone]
                 self._heard.pop(gone, None)
         self._drift()
+        for service, learner in self._learners.items():
+            self._settle(service, learner, now)
 
     def loads(self) -> list[LoadRow]:
         """Returns what this box has at each endpoint where it has anything."""
@@ -290,6 +333,16 @@
             if record is not None:
                 record.take_peer_sent(box, total, now)
 
+    def take_peer_figures(
+        self,
+        box: str,
+        service: str,
+        learnt: engine_figures.LearntFigures,
+        now: float,
+    ) -> None:
+        """Notes what another box learnt of the engines of a service."""
+        self._learner(service).take_peer(box, learnt, now)
+
     def take_peer_loads(
         self, box: str, rows: list[LoadRow], now: float
     ) -> None:
@@ -302,6 +355,11 @@
         for record in self._records.values():
             record.loads.take_peer(box, told.get(record.id, {}), now)
 
+    def _learner(self, service: str) -> engine_figures.FiguresLearner:
+        return self._learners.setdefault(
+            service, engine_figures.FiguresLearner()
+        )
+
     def _record(
         self, endpoint: model.Endpoint, service: model.Service
     ) -> endpoint_records.EndpointRecord:
@@ -313,6 +371,8 @@
             )
             record.loads.scale = self._scale
             self._records[endpoint.id] = record
+        if service.engine is not None:
+            record.figures = self.figures(service.name)
         return record
 
     def _listened(self, now: float) -> float:
@@ -326,6 +386,24 @@
     def _late(self, now: float) -> float:
         return max(0.0, now - self._looked_at - LONGEST_LOOK_S)
 
+    def _settle(
+        self, service: str, learner: engine_figures.FiguresLearner, now: float
+    ) -> None:
+        """Works a service's figures out anew, and logs a change of them."""
+        learner.settle(now)
+        figures = learner.figures
+        told = self._told_figures.get(service, engine_figures.EngineFigures())
+        if figures.is_like(told):
+            return
+        self._told_figures[service] = figures
+        self._log.write(
+            "engine-figures",
+            service=service,
+            tokens_per_s=round(figures.prefill_tokens_per_s),
+            reading_token_ms=round(figures.reading_token_s * 1000, 1),
+            boxes=learner.voters,
+        )
+
     def _is_silent(
         self, record: endpoint_records.EndpointRecord, now: float
     ) -> bool:
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -275,7 +275,9 @@
             taken.route.repeatable,
             taken.urgency or 0,
             taken.shortest_pause_s,
+            taken.route.gap_target_s,
             1 if engine is None else engine.tokens_per_event,
+            self._tools.book.figures(taken.service.name),
         )
 
     async def _attempt(
@@ -404,7 +406,7 @@
         pairs = headers.for_client(head.headers)
         async for events in run.events():
             now = time.monotonic()
-            self._tools.book.heard(ticket, now)
+            self._tools.book.heard(ticket, now, len(events))
             self._state.note_events(now)
             if not self._connection.answering:
                 self._state.progress.note(outcomes.Event.ANSWERING)
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -28,6 +28,11 @@
         engines: Ids of the engines that it has sent prompts to.
         sent: Prompt tokens that each of them had to read for it since it
             started.
+        learnt_of: Engine services of which the box learnt something.
+        prefill_rates: Prompt tokens that their engines read in a second; 0
+            where too few were seen.
+        reading_token_us: Microseconds that a token of their streams takes
+            while prompts are read beside it; 0 where too few were seen.
     """
 
     ready: bool
@@ -43,6 +48,9 @@
     unread: tuple[int, ...]
     engines: tuple[str, ...]
     sent: tuple[int, ...]
+    learnt_of: tuple[str, ...]
+    prefill_rates: tuple[int, ...]
+    reading_token_us: tuple[int, ...]
 
 
 @codec.message("ask-view")
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -5,6 +5,7 @@
 
 from martenjunction import errors
 from martenjunction import timers
+from martenjunction.decisions import engine_figures
 from martenjunction.decisions import key_freshness
 from martenjunction.decisions import store_readers
 from martenjunction.peers import codec
@@ -44,6 +45,7 @@
 # A box without a confirmed configuration says so by this age.
 NEVER_CONFIRMED = -1
 MS = 0.001
+US = 0.000001
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,6 +132,7 @@
         loads: list[endpoint_book.LoadRow],
         sent: list[tuple[str, int]],
     ) -> peer_messages.BoxStatus:
+        learnt = self._learnt()
         return peer_messages.BoxStatus(
             self._is_ready(),
             self._known.version,
@@ -144,8 +147,22 @@
             tuple(row[4] for row in loads),
             tuple(endpoint for endpoint, _ in sent),
             tuple(tokens for _, tokens in sent),
+            tuple(learnt),
+            tuple(round(f.prefill_tokens_per_s or 0) for f in learnt.values()),
+            tuple(
+                round((f.reading_token_s or 0) / US) for f in learnt.values()
+            ),
         )
 
+    def _learnt(self) -> dict[str, engine_figures.LearntFigures]:
+        """Returns what this box learnt of engines, by service."""
+        nothing = engine_figures.LearntFigures()
+        return {
+            service: learner.own
+            for service, learner in self._book.learners.items()
+            if learner.own != nothing
+        }
+
     def announce(self) -> None:
         """Tells all peers at once how this box is."""
         self._peers.broadcast(self.heartbeat())
@@ -170,6 +187,7 @@
         newer = status.revision > self._book.listed.revision
         if newer or status.version > self._known.version:
             self._ask(box)
+        self._take_learnt(box, status, now)
         if not status.tells_loads:
             return
         loads = zip(
@@ -184,6 +202,21 @@
         sent = zip(status.engines, status.sent, strict=False)
         self._book.take_peer_sent(box, list(sent), now)
 
+    def _take_learnt(
+        self, box: str, status: peer_messages.BoxStatus, now: float
+    ) -> None:
+        rows = zip(
+            status.learnt_of,
+            status.prefill_rates,
+            status.reading_token_us,
+            strict=False,
+        )
+        for service, rate, token_us in rows:
+            learnt = engine_figures.LearntFigures(
+                rate or None, token_us * US or None
+            )
+            self._book.take_peer_figures(box, service, learnt, now)
+
     def _on_leaving(self, box: str, message: messages.Leaving) -> None:
         if self._members.leaving(message.box, message.incarnation):
             self._log.write("box-leaves", leaving=message.box, told_by=box)
--- a/tests/routing_builders.py
+++ b/tests/routing_builders.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from martenjunction.decisions import endpoint_records
+from martenjunction.decisions import engine_figures
 from martenjunction.platform import box_settings
 from martenjunction.platform import documents
 from martenjunction.routing import model
@@ -110,6 +111,11 @@
     )
 
 
+# Figures learnt of an engine that reads 50,000 tokens a second and whose
+# streams get a token each 43.1 ms meanwhile.
+FIGURES = engine_figures.EngineFigures(50_000.0, 0.0431)
+
+
 def demand(
     prompt: tuple[tuple[str, int], ...] = (("a", 100), ("own", 400)),
     **changes: Any,
@@ -125,6 +131,7 @@
         "urgency": 1,
         "shortest_pause_s": 0.25,
         "tokens_per_event": 6,
+        "figures": FIGURES,
     }
     values.update(changes)
     return endpoint_records.Demand(**values)
