Engines are divided between long and short prompts by what is asked

Cause: a fixed part of the engines, plus one for each 14 short streams, was kept from long prompts. When captions burst and engines were lost, two of four engines read almost nothing beside 30 short streams while the other two were asked for 50,000 to 70,000 tokens a second, and most captions were refused. Change: decisions/reading_demand.py counts what requests ask to be read, refused ones included, and boxes tell each other; the division follows it, and the places that short streams take. A choice in the log names its endpoint, debt and short streams. What boxes tell of loads is bounded in messages too, and only what a peer told or told last is taken anew.

--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/endpoint_choice.py
@@ -1,6 +1,7 @@
 """Which endpoint a request goes to."""
 
 import dataclasses
+import math
 import random
 
 from martenjunction.decisions import endpoint_records
@@ -17,13 +18,16 @@
 # much for 6,000 of them as for a long answer that comes late.
 SHARED_TOKEN_COST_S = 0.0001
 
-# Part of an engine service's endpoints that is kept free of long prompts where
-# reading them would hold up streams with short pauses for too long.
-SHORT_PART = 0.2
+# Part of an engine's time in which it may read short prompts before streams
+# beside them wait for piece after piece, and long ones before they queue for
+# longer than reading them takes. Endpoints are divided by what is asked of
+# each kind over its part.
+SHORT_READING_PART = 0.4
+LONG_READING_PART = 0.7
 
-# Requests with short prompts at one such endpoint beyond which one more is
-# kept free, and the largest part of the endpoints that may be.
-SHORT_RUNS = 14
+# Part of an engine's places that short streams take where it is kept for them,
+# and the largest part of the endpoints that may be kept.
+SHORT_PLACES_PART = 0.6
 MOST_SHORT_PART = 0.5
 
 # Cost in seconds of a long prompt where it is read beside short streams: the
@@ -52,6 +56,7 @@
         ahead: Unread tokens there that go first.
         waiting: All unread tokens there.
         short_running: Requests with short prompts there.
+        debt: Tokens sent there beyond the rate for long prompts.
     """
 
     record: endpoint_records.EndpointRecord
@@ -61,6 +66,7 @@
     ahead: int
     waiting: int
     short_running: int = 0
+    debt: int = 0
 
 
 def choose(
@@ -122,8 +128,12 @@
     order = rendezvous.ranked(
         [r.id for r in records], f"short {demand.service}"
     )
+    short = demand.asked.short / SHORT_READING_PART
+    asked = short + demand.asked.long / LONG_READING_PART
+    count = round(len(order) * short / asked) if asked else 0
     running = sum(record.loads.short_running(now) for record in records)
-    count = max(1, int(len(order) * SHORT_PART), running // SHORT_RUNS)
+    places = sum(record.slots for record in records) / max(1, len(records))
+    count = max(1, count, math.ceil(running / (places * SHORT_PLACES_PART)))
     return set(order[: min(count, int(len(order) * MOST_SHORT_PART))])
 
 
@@ -150,6 +160,7 @@
         record.loads.ahead(demand.urgency, now),
         record.loads.waiting(now),
         record.loads.short_running(now),
+        round(record.debt(now)),
     )
 
 
--- a/martenjunction/decisions/endpoint_loads.py
+++ b/martenjunction/decisions/endpoint_loads.py
@@ -92,8 +92,12 @@
     def short_running(self, now: float) -> int:
         """Returns the requests of all boxes there with short prompts."""
         self._forget_old(now)
-        return sum(
-            load.running for key, load in self._total.items() if not key.is_long
+        return self._all(
+            sum(
+                load.running
+                for key, load in self._total.items()
+                if not key.is_long
+            )
         )
 
     def ahead(self, urgency: int, now: float) -> int:
--- a/martenjunction/decisions/endpoint_records.py
+++ b/martenjunction/decisions/endpoint_records.py
@@ -8,6 +8,7 @@
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import engine_figures
 from martenjunction.decisions import estimates
+from martenjunction.decisions import reading_demand
 
 # Part of its rate up to which long prompts are sent to an engine: while it
 # reads without a break, the streams that it runs get a token only after each
@@ -62,6 +63,7 @@
             no such bound.
         tokens_per_event: Tokens in one event of a stream.
         figures: What is learnt of the service's engines.
+        asked: What all requests of the service ask to be read.
     """
 
     service: str
@@ -75,6 +77,7 @@
     pause_s: float | None = None
     tokens_per_event: int = 1
     figures: engine_figures.EngineFigures = engine_figures.EngineFigures()
+    asked: reading_demand.ReadingRates = reading_demand.ReadingRates()
 
     @property
     def reads_beside_streams(self) -> bool:
--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -42,9 +42,26 @@
     return _tags[type(value)]
 
 
+class Encoded:
+    """A message as bytes, so that one for many peers is encoded once."""
+
+    __slots__ = ("data", "tag")
+
+    def __init__(self, value: Any) -> None:
+        self.tag = _tags[type(value)]
+        self.data: bytes = cbor2.dumps([self.tag, *_fields(value)])
+
+
+def join(messages: list[Encoded]) -> bytes:
+    """Returns the bytes of some messages."""
+    # An array of the messages, whose number its head gives (RFC 8949, 3.1).
+    head = cbor2.dumps([None] * len(messages))[: -len(messages) or None]
+    return b"".join((head, *(message.data for message in messages)))
+
+
 def encode_batch(values: list[Any]) -> bytes:
     """Returns the bytes of some messages."""
-    return cbor2.dumps([[_tags[type(v)], *_fields(v)] for v in values])
+    return join([Encoded(value) for value in values])
 
 
 def decode_batch(data: bytes) -> list[Any]:
@@ -70,7 +87,7 @@
     if not isinstance(tag, str) or tag not in message_types:
         raise errors.PeerError(f"unknown message {tag!r}")
     cls = message_types.get(tag)
-    names = [field.name for field in dataclasses.fields(cls)]
+    names = _shape(cls).names
     if len(names) != len(parts) - 1:
         raise errors.PeerError(f"{tag} has {len(parts) - 1} fields")
     try:
@@ -84,22 +101,48 @@
 def _fields(value: Any) -> list[Any]:
     return [
         _fields(item) if dataclasses.is_dataclass(item) else item
-        for item in (
-            getattr(value, field.name) for field in dataclasses.fields(value)
-        )
+        for item in (getattr(value, name) for name in _shape(type(value)).names)
     ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Shape:
+    """The fields of a data class.
+
+    Attributes:
+        names: Their names in order.
+        inner: Those that hold a data class themselves.
+    """
+
+    names: tuple[str, ...]
+    inner: dict[str, type[Any]]
+
+
+_shapes: dict[type[Any], _Shape] = {}
+
+
+def _shape(cls: type[Any]) -> _Shape:
+    """Returns the fields of a data class, looked up once a class."""
+    if cls not in _shapes:
+        fields = dataclasses.fields(cls)
+        inner = {
+            field.name: field.type
+            for field in fields
+            if isinstance(field.type, type)
+            and dataclasses.is_dataclass(field.type)
+        }
+        _shapes[cls] = _Shape(tuple(field.name for field in fields), inner)
+    return _shapes[cls]
+
+
 def _as_mapping(
-    cls: type[Any], names: list[str], values: list[Any]
+    cls: type[Any], names: tuple[str, ...], values: list[Any]
 ) -> dict[str, Any]:
     mapping = dict(zip(names, values, strict=True))
-    for field in dataclasses.fields(cls):
-        inner = field.type
-        if isinstance(inner, type) and dataclasses.is_dataclass(inner):
-            inner_names = [f.name for f in dataclasses.fields(inner)]
-            items = mapping[field.name]
-            if not isinstance(items, list) or len(items) != len(inner_names):
-                raise errors.PeerError(f"{field.name} is not valid")
-            mapping[field.name] = _as_mapping(inner, inner_names, items)
+    for name, inner in _shape(cls).inner.items():
+        inner_names = _shape(inner).names
+        items = mapping[name]
+        if not isinstance(items, list) or len(items) != len(inner_names):
+            raise errors.PeerError(f"{name} is not valid")
+        mapping[name] = _as_mapping(inner, inner_names, items)
     return mapping
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -2,15 +2,16 @@
 
 import math
 import random
+from typing import Any
 
 from martenjunction.decisions import endpoint_choice
 from martenjunction.decisions import endpoint_list
 from martenjunction.decisions import endpoint_loads
 from martenjunction.decisions import endpoint_records
-from martenjunction.decisions import engine_figures
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_trust
 from martenjunction.routing import model
+from martenjunction.routing import service_engines
 
 # Longest time, in seconds, between two looks at silent endpoints that counts
 # as listened: looks are due each 0.1 s, and beyond this the box was held up.
@@ -52,13 +53,16 @@
         self.move = False
 
 
-def describe(choice: endpoint_choice.Choice) -> dict[str, float]:
+def describe(choice: endpoint_choice.Choice) -> dict[str, Any]:
     """Returns what a choice was made from, for the log."""
     return {
+        "endpoint": choice.record.id,
         "predicted_ms": round(choice.predicted_s * 1000, 1),
         "unread": choice.unread,
         "running": choice.running,
         "ahead": choice.ahead,
+        "debt": choice.debt,
+        "short": choice.short_running,
         "slowness": round(choice.record.slowness.value, 2),
     }
 
@@ -90,9 +94,8 @@
         self._records: dict[str, endpoint_records.EndpointRecord] = {}
         self._tickets: set[RunTicket] = set()
         self._heard: dict[str, float] = {}
-        self._learners: dict[str, engine_figures.FiguresLearner] = {}
-        self._told_figures: dict[str, engine_figures.EngineFigures] = {}
-        self._log = log
+        self._engines = service_engines.ServiceEngines(log)
+        self._told_by: dict[str, set[str]] = {}
         self._scale = 1.0
         self._looked_at = math.inf
         self._held_up_s = 0.0
@@ -107,14 +110,10 @@
         """What was learnt, by endpoint id; to be read only."""
         return self._records
 
-    def figures(self, service: str) -> engine_figures.EngineFigures:
-        """Returns what is learnt of the engines of a service."""
-        return self._learner(service).figures
-
     @property
-    def learners(self) -> dict[str, engine_figures.FiguresLearner]:
-        """What learns of engines, by service; to be read only."""
-        return self._learners
+    def engines(self) -> service_engines.ServiceEngines:
+        """What is known of the engines of each service."""
+        return self._engines
 
     @property
     def running(self) -> int:
@@ -218,8 +217,9 @@
             ratio = pause_s / base
             record.slowness.add(min(max(ratio, SLOWNESS[0]), SLOWNESS[1]))
             if ticket.choice.waiting == 0:
-                learner = self._learner(ticket.demand.service)
-                learner.prompt_read(ticket.choice.unread, pause_s)
+                self._engines.note_read(
+                    ticket.demand.service, ticket.choice.unread, pause_s
+                )
 
     def _learn_pause(
         self, ticket: RunTicket, pause_s: float, events: int, now: float
@@ -231,7 +231,7 @@
         if record.slowness.value > SLOW:
             return
         tokens = events * ticket.demand.tokens_per_event
-        self._learner(ticket.demand.service).paused(pause_s / tokens)
+        self._engines.note_paused(ticket.demand.service, pause_s / tokens)
 
     def end(self, ticket: RunTicket, now: float, failed: bool) -> None:
         """Books the end of a request at an endpoint."""
@@ -292,8 +292,7 @@
                 del self._records[gone]
                 self._heard.pop(gone, None)
         self._drift()
-        for service, learner in self._learners.items():
-            self._settle(service, learner, now)
+        self._engines.settle(now)
 
     def loads(self) -> list[LoadRow]:
         """Returns what this box has at each endpoint where it has anything."""
@@ -333,16 +332,6 @@
             if record is not None:
                 record.take_peer_sent(box, total, now)
 
-    def take_peer_figures(
-        self,
-        box: str,
-        service: str,
-        learnt: engine_figures.LearntFigures,
-        now: float,
-    ) -> None:
-        """Notes what another box learnt of the engines of a service."""
-        self._learner(service).take_peer(box, learnt, now)
-
     def take_peer_loads(
         self, box: str, rows: list[LoadRow], now: float
     ) -> None:
@@ -352,13 +341,15 @@
             key = endpoint_loads.LoadKey(urgency, is_long)
             loads = told.setdefault(endpoint_id, {})
             loads[key] = endpoint_loads.Load(running, unread)
-        for record in self._records.values():
-            record.loads.take_peer(box, told.get(record.id, {}), now)
-
-    def _learner(self, service: str) -> engine_figures.FiguresLearner:
-        return self._learners.setdefault(
-            service, engine_figures.FiguresLearner()
-        )
+        # Only what it tells, or told last: with 56 engines it tells of a few.
+        before = self._told_by.get(box, set())
+        self._told_by[box] = set(told)
+        if not told:
+            del self._told_by[box]
+        for endpoint_id in before | set(told):
+            record = self._records.get(endpoint_id)
+            if record is not None:
+                record.loads.take_peer(box, told.get(endpoint_id, {}), now)
 
     def _record(
         self, endpoint: model.Endpoint, service: model.Service
@@ -372,7 +363,7 @@
             record.loads.scale = self._scale
             self._records[endpoint.id] = record
         if service.engine is not None:
-            record.figures = self.figures(service.name)
+            record.figures = self._engines.figures(service.name)
         return record
 
     def _listened(self, now: float) -> float:
@@ -386,24 +377,6 @@
     def _late(self, now: float) -> float:
         return max(0.0, now - self._looked_at - LONGEST_LOOK_S)
 
-    def _settle(
-        self, service: str, learner: engine_figures.FiguresLearner, now: float
-    ) -> None:
-        """Works a service's figures out anew, and logs a change of them."""
-        learner.settle(now)
-        figures = learner.figures
-        told = self._told_figures.get(service, engine_figures.EngineFigures())
-        if figures.is_like(told):
-            return
-        self._told_figures[service] = figures
-        self._log.write(
-            "engine-figures",
-            service=service,
-            tokens_per_s=round(figures.prefill_tokens_per_s),
-            reading_token_ms=round(figures.reading_token_s * 1000, 1),
-            boxes=learner.voters,
-        )
-
     def _is_silent(
         self, record: endpoint_records.EndpointRecord, now: float
     ) -> bool:
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -266,6 +266,7 @@
 
     def _demand(self, taken: admission.Admission) -> endpoint_records.Demand:
         engine = taken.service.engine
+        engines = self._tools.book.engines
         return endpoint_records.Demand(
             taken.service.name,
             tuple((part.id, part.tokens) for part in self._facts.parts),
@@ -277,7 +278,8 @@
             taken.shortest_pause_s,
             taken.route.gap_target_s,
             1 if engine is None else engine.tokens_per_event,
-            self._tools.book.figures(taken.service.name),
+            engines.figures(taken.service.name),
+            engines.asked(taken.service.name, time.monotonic()),
         )
 
     async def _attempt(
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import time
+from typing import Any
 
 from martenjunction import errors
 from martenjunction import metrics
@@ -93,7 +94,7 @@
         default_factory=outcomes.RequestProgress
     )
     offers: list[str] = dataclasses.field(default_factory=list)
-    choices: list[dict[str, float]] = dataclasses.field(default_factory=list)
+    choices: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     refusals: int = 0
     cut_off: bool = False
     delivered_id: str | None = None
@@ -172,6 +173,12 @@
                 return None
             endpoint, choice = chosen
             if not self._state.offers and self._demand.is_engine:
+                self._tools.book.engines.note_asked(
+                    self._demand.service,
+                    choice.unread,
+                    self._demand.is_long,
+                    now,
+                )
                 self._shed_if_late(choice, now)
             try:
                 connection = await self._tools.pool.acquire(
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -28,11 +28,14 @@
         engines: Ids of the engines that it has sent prompts to.
         sent: Prompt tokens that each of them had to read for it since it
             started.
-        learnt_of: Engine services of which the box learnt something.
+        learnt_of: Engine services that the box has seen requests for.
         prefill_rates: Prompt tokens that their engines read in a second; 0
             where too few were seen.
         reading_token_us: Microseconds that a token of their streams takes
             while prompts are read beside it; 0 where too few were seen.
+        short_asked: Prompt tokens a second that its requests with short
+            prompts ask to be read.
+        long_asked: The same of requests with long prompts.
     """
 
     ready: bool
@@ -51,6 +54,8 @@
     learnt_of: tuple[str, ...]
     prefill_rates: tuple[int, ...]
     reading_token_us: tuple[int, ...]
+    short_asked: tuple[int, ...]
+    long_asked: tuple[int, ...]
 
 
 @codec.message("ask-view")
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -5,7 +5,6 @@
 
 from martenjunction import errors
 from martenjunction import timers
-from martenjunction.decisions import engine_figures
 from martenjunction.decisions import key_freshness
 from martenjunction.decisions import store_readers
 from martenjunction.peers import codec
@@ -35,8 +34,9 @@
 # Seconds between two messages on the load at endpoints, while there is any.
 LOADS_INTERVAL_S = 0.2
 
-# Bytes a second that all such messages of a box may take; with many peers or
-# endpoints they are sent less often.
+# Such messages that a box sends in a second to all its peers together, and
+# their bytes; with many peers or endpoints they are sent less often.
+LOADS_MESSAGES_PER_S = 72
 LOADS_BYTES_PER_S = 24_000
 
 # Questions whose sending time is remembered.
@@ -45,7 +45,6 @@
 # A box without a confirmed configuration says so by this age.
 NEVER_CONFIRMED = -1
 MS = 0.001
-US = 0.000001
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,7 +131,7 @@
         loads: list[endpoint_book.LoadRow],
         sent: list[tuple[str, int]],
     ) -> peer_messages.BoxStatus:
-        learnt = self._learnt()
+        engines = self._book.engines.rows(self._timers.now())
         return peer_messages.BoxStatus(
             self._is_ready(),
             self._known.version,
@@ -147,22 +146,13 @@
             tuple(row[4] for row in loads),
             tuple(endpoint for endpoint, _ in sent),
             tuple(tokens for _, tokens in sent),
-            tuple(learnt),
-            tuple(round(f.prefill_tokens_per_s or 0) for f in learnt.values()),
-            tuple(
-                round((f.reading_token_s or 0) / US) for f in learnt.values()
-            ),
+            tuple(row[0] for row in engines),
+            tuple(row[1] for row in engines),
+            tuple(row[2] for row in engines),
+            tuple(row[3] for row in engines),
+            tuple(row[4] for row in engines),
         )
 
-    def _learnt(self) -> dict[str, engine_figures.LearntFigures]:
-        """Returns what this box learnt of engines, by service."""
-        nothing = engine_figures.LearntFigures()
-        return {
-            service: learner.own
-            for service, learner in self._book.learners.items()
-            if learner.own != nothing
-        }
-
     def announce(self) -> None:
         """Tells all peers at once how this box is."""
         self._peers.broadcast(self.heartbeat())
@@ -187,7 +177,15 @@
         newer = status.revision > self._book.listed.revision
         if newer or status.version > self._known.version:
             self._ask(box)
-        self._take_learnt(box, status, now)
+        engines = zip(
+            status.learnt_of,
+            status.prefill_rates,
+            status.reading_token_us,
+            status.short_asked,
+            status.long_asked,
+            strict=False,
+        )
+        self._book.engines.take_peer(box, engines, now)
         if not status.tells_loads:
             return
         loads = zip(
@@ -202,21 +200,6 @@
         sent = zip(status.engines, status.sent, strict=False)
         self._book.take_peer_sent(box, list(sent), now)
 
-    def _take_learnt(
-        self, box: str, status: peer_messages.BoxStatus, now: float
-    ) -> None:
-        rows = zip(
-            status.learnt_of,
-            status.prefill_rates,
-            status.reading_token_us,
-            strict=False,
-        )
-        for service, rate, token_us in rows:
-            learnt = engine_figures.LearntFigures(
-                rate or None, token_us * US or None
-            )
-            self._book.take_peer_figures(box, service, learnt, now)
-
     def _on_leaving(self, box: str, message: messages.Leaving) -> None:
         if self._members.leaving(message.box, message.incarnation):
             self._log.write("box-leaves", leaving=message.box, told_by=box)
@@ -243,8 +226,10 @@
         status = self._status(True, self._book.loads(), news)
         self._told = self._book.running > 0
         self._peers.broadcast(status)
-        size = len(codec.encode_batch([status])) * len(self._peers.boxes())
-        self._loads_due = now + size / LOADS_BYTES_PER_S
+        peers = len(self._peers.boxes())
+        size = peers * len(codec.Encoded(status).data)
+        wait_s = max(size / LOADS_BYTES_PER_S, peers / LOADS_MESSAGES_PER_S)
+        self._loads_due = now + wait_s
 
     def _look(self) -> None:
         """Begins or ends to read from the store, and tells news at once."""
