A message for all peers is encoded once; links to other zones are spread

Cause: with 87 boxes peers' messages took the most processor time. A status for 36 peers was encoded 36 times, the fields of a message were looked up anew for each, a heartbeat followed a status told a moment before, and all boxes chose the same two of each other zone, which held some 86 links. Change: codec.Encoded holds a message as bytes; a status told to all stands for the heartbeat; boxes of other zones are ranked by rendezvous.

--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import math
 import random
 from typing import Any
 
@@ -15,6 +16,7 @@
 from martenjunction import errors
 from martenjunction import events
 from martenjunction import timers
+from martenjunction.decisions import rendezvous
 from martenjunction.peers import codec
 from martenjunction.peers import links
 from martenjunction.peers import membership
@@ -24,6 +26,10 @@
 
 HEARTBEAT_INTERVAL = 0.5
 
+# Part of that time for which a message of the same kind that went to all for
+# another reason stands for the heartbeat.
+DUE_PART = 0.8
+
 # Seconds without a word after which a connection is given up.
 SILENCE_LIMIT = 1.5
 
@@ -78,6 +84,8 @@
         self._refused = 0
         self._closed_counts = links.LinkCounts()
         self._wanted: set[str] = set()
+        self._beat_kind: type[Any] | None = None
+        self._beat_at = -math.inf
 
     @property
     def refused(self) -> int:
@@ -103,9 +111,12 @@
 
     def broadcast(self, message: Any, zone: str | None = None) -> None:
         """Sends a message to all connected peers, or to those of one zone."""
+        encoded = codec.Encoded(message)
         for standing in list(self._links.values()):
             if standing and zone in (None, standing[0].member.zone):
-                standing[0].send(message)
+                standing[0].send(encoded)
+        if zone is None and type(message) is self._beat_kind:
+            self._beat_at = self._timers.listened()
 
     def want(self, box: str) -> None:
         """Asks for a connection to a box beyond the usual ones."""
@@ -168,10 +179,15 @@
         for member in others:
             if member.zone != zone:
                 by_zone.setdefault(member.zone, []).append(member)
-        chosen = []
+        chosen: list[membership.Member] = []
         for members in by_zone.values():
-            members.sort(key=lambda m: m.box)
-            chosen.extend(members[:LINKS_TO_OTHER_ZONE])
+            # Each box has an order of its own: by name, the first two boxes
+            # of a zone would hold the links of all others.
+            order = rendezvous.ranked(
+                [m.box for m in members], self._members.own.box
+            )
+            near = set(order[:LINKS_TO_OTHER_ZONE])
+            chosen.extend(m for m in members if m.box in near)
         return chosen
 
     async def _call(self, member: membership.Member) -> None:
@@ -261,13 +277,14 @@
 
     def _beat(self) -> None:
         now = self._timers.listened()
-        heartbeat = self._heartbeat()
         for link in self._all_links():
             if now - link.heard > SILENCE_LIMIT:
                 logger.warning("%s fell silent", link.box)
                 link.close()
-            else:
-                link.send(heartbeat)
+        heartbeat = self._heartbeat()
+        self._beat_kind = type(heartbeat)
+        if now - self._beat_at >= HEARTBEAT_INTERVAL * DUE_PART:
+            self.broadcast(heartbeat)
 
 
 def _unnamed(address: str) -> membership.Member:
--- a/martenjunction/peers/links.py
+++ b/martenjunction/peers/links.py
@@ -82,7 +82,9 @@
         self._connection = connection
         self._member = member
         self._timers = clock
-        self._unsent: mailbox.Mailbox[Any] = mailbox.Mailbox(MAX_UNSENT)
+        self._unsent: mailbox.Mailbox[codec.Encoded] = mailbox.Mailbox(
+            MAX_UNSENT
+        )
         self._heard = clock.listened()
         self._counts = LinkCounts()
         self._closed = False
@@ -108,9 +110,15 @@
         return self._counts
 
     def send(self, message: Any) -> bool:
-        """Queues a message; returns whether the connection stands."""
+        """Queues a message; returns whether the connection stands.
+
+        Args:
+            message: The message, or the bytes that it was encoded to before.
+        """
         if self._closed:
             return False
+        if not isinstance(message, codec.Encoded):
+            message = codec.Encoded(message)
         try:
             self._unsent.put(message)
         except mailbox.MailboxFullError:
@@ -159,7 +167,7 @@
         try:
             while True:
                 batch = await self._unsent.get_all()
-                frame = codec.encode_batch(batch)
+                frame = codec.join(batch)
                 self._counts.messages_out += len(batch)
                 self._count_kinds(batch)
                 self._counts.bytes_out += len(frame)
@@ -167,9 +175,9 @@
         except ws_exceptions.ConnectionClosed:
             return
 
-    def _count_kinds(self, batch: list[Any]) -> None:
+    def _count_kinds(self, batch: list[codec.Encoded]) -> None:
         for message in batch:
-            self._counts.by_kind[codec.tag_of(message)] += 1
+            self._counts.by_kind[message.tag] += 1
 
 
 async def answer(
