A request's account and a box's dump have modules of their own

Change: routing/request_account.py and routing/box_dump.py; the dump shows what is learnt of engines and asked of them. Behaviour is the same but for that.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -27,6 +27,7 @@
 from martenjunction.platform import headers
 from martenjunction.platform import store
 from martenjunction.routing import admission
+from martenjunction.routing import box_dump
 from martenjunction.routing import closing_log
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
@@ -264,44 +265,22 @@
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of the parts, keys left out."""
-        now = self.timers.now()
         return {
             "box": self._settings.box,
             "leaving": self.leaving,
             "ready": self._is_ready(),
-            "config": {
-                "version": self.picture.version,
-                "age_s": self.freshness.age_s(now),
-            },
-            "store": {
-                "answers": self.picture.store_answers,
-                "calls": self.store.calls,
-            },
-            "endpoints": {
-                endpoint_id: {
-                    "state": listed.endpoint.state.value,
-                    "service": listed.endpoint.service,
-                    "lapsed": listed.lapsed,
-                    "revision": listed.revision,
-                    "connections": self.pool.open_connections(endpoint_id),
-                }
-                for endpoint_id, listed in self.listed.entries.items()
-            },
-            "records": {
-                record.id: {
-                    "running": record.loads.own_running,
-                    "failures": round(record.failures.value, 3),
-                    "slowness": round(record.slowness.value, 3),
-                    "health": record.health.state.value,
-                }
-                for record in self.book.records.values()
-            },
-            "peers": {
-                member.box: self.peers.reachable(member.box)
-                for member in self.members.members.values()
-            },
             "held": len(self._exchanges),
-            "log_lines_left_out": self.log.left_out,
+            **box_dump.parts(
+                self.picture,
+                self.freshness,
+                self.store,
+                self.book,
+                self.pool,
+                self.peers,
+                self.members,
+                self.log,
+                self.timers.now(),
+            ),
         }
 
     def _server(
--- /dev/null
+++ b/martenjunction/routing/box_dump.py
@@ -0,0 +1,67 @@
+"""The state of a box's parts, as an operator is shown it."""
+
+from typing import Any
+
+from martenjunction.decisions import key_freshness
+from martenjunction.endpoints import pool
+from martenjunction.peers import hub
+from martenjunction.peers import membership
+from martenjunction.platform import store
+from martenjunction.routing import decision_log
+from martenjunction.routing import endpoint_book
+from martenjunction.routing import picture
+
+
+def parts(
+    known: picture.Picture,
+    freshness: key_freshness.ConfigFreshness,
+    client: store.StoreClient,
+    book: endpoint_book.EndpointBook,
+    connections: pool.EndpointPool,
+    peers: hub.PeerHub,
+    members: membership.Membership,
+    log: decision_log.DecisionLog,
+    now: float,
+) -> dict[str, Any]:
+    """Returns the state of the parts; keys are left out.
+
+    Args:
+        known: What was read from the store.
+        freshness: How old the configuration is.
+        client: The store's client.
+        book: What is known of endpoints.
+        connections: Connections to them.
+        peers: Connections to the other boxes.
+        members: Which boxes there are.
+        log: The log.
+        now: The current time.
+    """
+    return {
+        "config": {"version": known.version, "age_s": freshness.age_s(now)},
+        "store": {"answers": known.store_answers, "calls": client.calls},
+        "endpoints": {
+            endpoint_id: {
+                "state": listed.endpoint.state.value,
+                "service": listed.endpoint.service,
+                "lapsed": listed.lapsed,
+                "revision": listed.revision,
+                "connections": connections.open_connections(endpoint_id),
+            }
+            for endpoint_id, listed in book.listed.entries.items()
+        },
+        "records": {
+            record.id: {
+                "running": record.loads.own_running,
+                "failures": round(record.failures.value, 3),
+                "slowness": round(record.slowness.value, 3),
+                "health": record.health.state.value,
+            }
+            for record in book.records.values()
+        },
+        "engines": book.engines.dump(now),
+        "peers": {
+            member.box: peers.reachable(member.box)
+            for member in members.members.values()
+        },
+        "log_lines_left_out": log.left_out,
+    }
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -20,6 +20,7 @@
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import model
 from martenjunction.routing import offers
+from martenjunction.routing import request_account
 
 logger = logging.getLogger(__name__)
 
@@ -471,37 +472,15 @@
         )
 
     def _account(self) -> None:
-        took = time.monotonic() - self._request.received_at
-        route = self._admission.route.name if self._admission else ""
-        result = str(self._status or self._ending or "broken")
-        kind = self._admission.route.kind.value if self._admission else "none"
-        self._tools.metrics.count("requests", kind=kind, result=result)
-        self._tools.metrics.observe("request_s", took, kind=kind)
-        served = self._state.progress.outcome is outcomes.Outcome.DONE
-        self._tools.log.write(
-            "request" if served else "request-failed",
-            id=self._facts.id,
-            route=route,
-            result=result,
-            outcome=self._state.progress.outcome.value,
-            why=self._state.why,
-            came_back=self._state.came_back,
-            endpoints=self._state.offers,
-            ms=round(took * 1000, 1),
-            **self._timing(),
+        taken = self._admission
+        request_account.note(
+            self._tools,
+            self._state,
+            None if taken is None else taken.route,
+            str(self._status or self._ending or "broken"),
+            self._facts.prompt_tokens,
         )
 
-    def _timing(self) -> dict[str, object]:
-        """Returns what tells a late answer's cause, for the log."""
-        fields: dict[str, object] = {"choices": self._state.choices}
-        if self._facts.prompt_tokens:
-            fields["prompt_tokens"] = self._facts.prompt_tokens
-        if self._state.first_at is not None:
-            first = self._state.first_at - self._request.received_at
-            fields["first_ms"] = round(first * 1000, 1)
-            fields["pause_ms"] = round(self._state.longest_pause_s * 1000, 1)
-        return fields
-
 
 def _not_after(event_id: str, delivered: str | None) -> bool:
     """Returns whether an event is one that the client already has."""
--- /dev/null
+++ b/martenjunction/routing/request_account.py
@@ -0,0 +1,56 @@
+"""What is counted and logged of a request that has ended."""
+
+import time
+
+from martenjunction.decisions import outcomes
+from martenjunction.routing import model
+from martenjunction.routing import offers
+
+
+def note(
+    tools: offers.Tools,
+    state: offers.RequestState,
+    route: model.Route | None,
+    result: str,
+    prompt_tokens: int,
+) -> None:
+    """Counts a request and writes its line of the log.
+
+    Args:
+        tools: Holds the log and the counters.
+        state: How far it got.
+        route: Its route, or None if it was not taken.
+        result: The status that its client got, or why there was none.
+        prompt_tokens: Length of its prompt; 0 for a plain service's.
+    """
+    took_s = time.monotonic() - state.received_at
+    kind = "none" if route is None else route.kind.value
+    tools.metrics.count("requests", kind=kind, result=result)
+    tools.metrics.observe("request_s", took_s, kind=kind)
+    served = state.progress.outcome is outcomes.Outcome.DONE
+    tools.log.write(
+        "request" if served else "request-failed",
+        id=state.id,
+        route="" if route is None else route.name,
+        result=result,
+        outcome=state.progress.outcome.value,
+        why=state.why,
+        came_back=state.came_back,
+        endpoints=state.offers,
+        ms=round(took_s * 1000, 1),
+        **_timing(state, prompt_tokens),
+    )
+
+
+def _timing(
+    state: offers.RequestState, prompt_tokens: int
+) -> dict[str, object]:
+    """Returns what tells a late answer's cause."""
+    fields: dict[str, object] = {"choices": state.choices}
+    if prompt_tokens:
+        fields["prompt_tokens"] = prompt_tokens
+    if state.first_at is not None:
+        first_s = state.first_at - state.received_at
+        fields["first_ms"] = round(first_s * 1000, 1)
+        fields["pause_ms"] = round(state.longest_pause_s * 1000, 1)
+    return fields
--- a/martenjunction/routing/service_engines.py
+++ b/martenjunction/routing/service_engines.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from martenjunction.decisions import engine_figures
 from martenjunction.decisions import reading_demand
@@ -99,6 +100,13 @@
             rates = reading_demand.ReadingRates(short, long)
             service.demand.take_peer(box, rates, now)
 
+    def dump(self, now: float) -> dict[str, dict[str, float | None]]:
+        """Returns what is counted with, by service."""
+        return {
+            name: _told(service, now)
+            for name, service in self._services.items()
+        }
+
     def settle(self, now: float) -> None:
         """Works all figures out anew, and logs those that changed."""
         for name, service in self._services.items():
@@ -107,18 +115,26 @@
             if figures.is_like(service.logged):
                 continue
             service.logged = figures
-            asked = service.demand.total(now)
             self._log.write(
-                "engine-figures",
-                service=name,
-                tokens_per_s=round(figures.prefill_tokens_per_s),
-                reading_token_ms=round(figures.reading_token_s * 1000, 1),
-                boxes=service.learner.voters,
-                short_asked=round(asked.short),
-                long_asked=round(asked.long),
+                "engine-figures", service=name, **_told(service, now)
             )
 
     def _service(self, name: str) -> _Service:
         if name not in self._services:
             self._services[name] = _Service()
         return self._services[name]
+
+
+def _told(service: _Service, now: float) -> dict[str, float | None]:
+    """Returns what is known of one service, for people."""
+    figures = service.learner.figures
+    asked = service.demand.total(now)
+    return {
+        "tokens_per_s": round(figures.prefill_tokens_per_s),
+        "reading_token_ms": None
+        if math.isinf(figures.reading_token_s)
+        else round(figures.reading_token_s * 1000, 1),
+        "boxes": service.learner.voters,
+        "short_asked": round(asked.short),
+        "long_asked": round(asked.long),
+    }
