Loads are replayed against the decisions in simulated time

Change: martenjunction_lab/replays: engines that read pieces between steps, loads by name, the policy with one mechanism left out, and a command that prints them side by side. The boxes' own books decide. Choice.busy stands where the choice is.

--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/endpoint_choice.py
@@ -7,6 +7,7 @@
 from martenjunction.decisions import endpoint_records
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import rendezvous
+from martenjunction.decisions import shedding
 
 # Seconds that an answer from another availability zone takes longer.
 FAR_ZONE_S = 0.0005
@@ -70,6 +71,12 @@
     debt: int = 0
     again: int = 0
 
+    @property
+    def busy(self) -> bool:
+        """Whether others wait there, or few of its places are left."""
+        places = shedding.BUSY_PART * self.record.slots
+        return self.ahead > 0 or self.running >= places
+
 
 def choose(
     records: list[endpoint_records.EndpointRecord],
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -275,10 +275,6 @@
         Raises:
             RefusalError: If it is refused; nothing was sent for it.
         """
-        record = choice.record
-        busy = choice.ahead > 0 or (
-            choice.running >= shedding.BUSY_PART * record.slots
-        )
         if self._tools.book.serves_lower_tiers(
             self._taken.service, self._demand.urgency, now
         ):
@@ -289,7 +285,7 @@
             choice.predicted_s + now - self._state.received_at,
             self._taken.route.target_s,
             self._state.came_back,
-            busy,
+            choice.busy,
         )
         pause = shedding.retry_after_s(prospect)
         if pause is not None:
--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -14,6 +14,9 @@
 from martenjunction_lab import demo
 from martenjunction_lab import scenarios
 from martenjunction_lab.capacity import page
+from martenjunction_lab.replays import ablations
+from martenjunction_lab.replays import loads
+from martenjunction_lab.replays import report
 
 
 @cappa.command(help="Run both users' fleets under a burst, in one process.")
@@ -87,6 +90,24 @@
             )
 
 
+@cappa.command(help="Replay loads in simulated time, with parts left out.")
+@dataclasses.dataclass
+class Replay:
+    """Replays loads against the present policy and its ablations."""
+
+    load: Annotated[
+        str, cappa.Arg(long=True, help="The load; all if left out.")
+    ] = ""
+    without: Annotated[
+        str, cappa.Arg(long=True, help="Ablations, comma-separated.")
+    ] = ",".join(["none", *(n for n in ablations.ablations if n != "none")])
+
+    def __call__(self) -> None:
+        """Replays and prints."""
+        for name in [self.load] if self.load else list(loads.loads):
+            print(f"== {name}\n{report.table(name, self.without.split(','))}")
+
+
 @cappa.command(help="Measure slopes and work them out at the target size.")
 @dataclasses.dataclass
 class Capacity:
@@ -104,7 +125,7 @@
 class Lab:
     """The command and its subcommands."""
 
-    subcommand: cappa.Subcommands[Demo | Compare | Capacity]
+    subcommand: cappa.Subcommands[Demo | Compare | Replay | Capacity]
 
 
 def main() -> None:
--- /dev/null
+++ b/martenjunction_lab/replays/__init__.py
@@ -0,0 +1,1 @@
+"""Loads replayed against the decisions of boxes, in simulated time."""
--- /dev/null
+++ b/martenjunction_lab/replays/ablations.py
@@ -0,0 +1,87 @@
+"""The present policy with one mechanism left out, by name."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+from typing import Any
+
+from martenjunction import registry
+from martenjunction.decisions import endpoint_choice
+from martenjunction.decisions import endpoint_records
+from martenjunction.decisions import engine_figures
+from martenjunction.decisions import rendezvous
+from martenjunction.decisions import shedding
+
+Ablation = Callable[[], contextlib.AbstractContextManager[None]]
+
+# What was counted with before figures were learnt.
+FIRST_FIGURES = engine_figures.EngineFigures(50_000.0, 0.0431)
+
+# Short streams for each of which one more engine was kept before.
+OLD_SHORT_RUNS = 14
+
+ablations: registry.Registry[Ablation] = registry.Registry("ablation")
+
+
+@ablations.register("none")
+@contextlib.contextmanager
+def none() -> Iterator[None]:
+    """Leaves nothing out."""
+    yield
+
+
+@ablations.register("figures-learnt")
+def figures() -> contextlib.AbstractContextManager[None]:
+    """Counts with the figures of the first users' engines."""
+    fixed = property(lambda _: FIRST_FIGURES)
+    return _put(engine_figures.FiguresLearner, "figures", fixed)
+
+
+@ablations.register("division-by-demand")
+def division() -> contextlib.AbstractContextManager[None]:
+    """Keeps an engine for each so many short streams."""
+
+    def kept(
+        records: list[endpoint_records.EndpointRecord],
+        demand: endpoint_records.Demand,
+        now: float,
+    ) -> set[str]:
+        if demand.reads_beside_streams:
+            return set()
+        order = rendezvous.ranked(
+            [record.id for record in records], f"short {demand.service}"
+        )
+        running = sum(record.loads.short_running(now) for record in records)
+        count = max(1, len(order) // 5, running // OLD_SHORT_RUNS)
+        most = int(len(order) * endpoint_choice.MOST_SHORT_PART)
+        return set(order[: min(count, most)])
+
+    return _put(endpoint_choice, "kept_for_short", kept)
+
+
+@ablations.register("running-streams-avoided")
+def avoided() -> contextlib.AbstractContextManager[None]:
+    """Lets long prompts beside short streams outside the kept engines."""
+    return _put(endpoint_choice, "LONG_A_SHORT_STREAM_S", 0.0)
+
+
+@ablations.register("early-refusal")
+def refusal() -> contextlib.AbstractContextManager[None]:
+    """Refuses nothing."""
+    return _put(shedding, "retry_after_s", lambda prospect: None)
+
+
+@ablations.register("shared-parts")
+def shared() -> contextlib.AbstractContextManager[None]:
+    """Places prompts wherever least waits, whatever is held there."""
+    return _put(endpoint_choice, "SHARED_TOKEN_COST_S", 0.0)
+
+
+@contextlib.contextmanager
+def _put(where: Any, name: str, value: Any) -> Iterator[None]:
+    before = vars(where)[name]
+    setattr(where, name, value)
+    try:
+        yield
+    finally:
+        setattr(where, name, before)
--- /dev/null
+++ b/martenjunction_lab/replays/loads.py
@@ -0,0 +1,171 @@
+"""Loads that are replayed, by name."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import random
+
+from martenjunction import registry
+from martenjunction_lab.replays import engines
+
+SEED = 21
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """Requests of one kind.
+
+    Attributes:
+        name: Names it.
+        urgency: Its rank; 0 is served first.
+        per_s: Requests in a second.
+        shared_tokens: Tokens of the part that requests on a subject share.
+        subjects: How many subjects there are.
+        own_tokens: Tokens of a prompt's own part, in the mean.
+        events: Events of an answer, in the mean.
+        target_s: Seconds to a first event.
+        pause_s: Longest pause between events.
+        worth: What an answer in time is worth.
+    """
+
+    name: str
+    urgency: int
+    per_s: float
+    shared_tokens: int
+    subjects: int
+    own_tokens: float
+    events: float
+    target_s: float
+    pause_s: float
+    worth: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Burst:
+    """Some seconds in which more requests of a kind come."""
+
+    kind: str
+    begins_s: float
+    ends_s: float
+    times: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What comes, and at which engines.
+
+    Attributes:
+        engine_kind: What the engines are like.
+        engines: How many there are.
+        kinds: The requests.
+        bursts: When more of them come.
+        lost: Seconds at which an engine is lost, for good.
+        warm_s: Seconds at the start, while engines hold nothing, whose requests
+            do not count.
+        length_s: How long requests come.
+        boxes: Boxes that decide, each for its part of the requests.
+    """
+
+    engine_kind: engines.EngineKind
+    engines: int
+    kinds: tuple[Kind, ...]
+    bursts: tuple[Burst, ...] = ()
+    lost: tuple[float, ...] = ()
+    warm_s: float = 5.0
+    length_s: float = 20.0
+    boxes: int = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request.
+
+    Attributes:
+        at_s: When it comes.
+        kind: Its kind.
+        subject: Its subject.
+        own_tokens: Tokens of its own part.
+        events: Events of its answer.
+    """
+
+    at_s: float
+    kind: Kind
+    subject: str
+    own_tokens: int
+    events: int
+
+
+DRAFT = Kind("draft", 2, 8.0, 3_780, 74, 2_890, 17, 0.6, 0.3, 3.6)
+SHORT = Kind("short", 0, 16.0, 198, 40, 628, 97, 0.6, 0.2, 1.7)
+
+loads: registry.Registry[Callable[[], Load]] = registry.Registry("load")
+
+
+@loads.register("drafts-burst")
+def drafts_burst() -> Load:
+    """Long prompts come twice as often beside streams that may not pause."""
+    return Load(
+        engines.SECOND,
+        5,
+        (DRAFT, SHORT),
+        (Burst("draft", 6.0, 15.0, 2.1),),
+    )
+
+
+@loads.register("engine-lost")
+def engine_lost() -> Load:
+    """The same, and two of five engines are lost."""
+    return dataclasses.replace(drafts_burst(), lost=(7.0, 10.0))
+
+
+@loads.register("streams-that-read-little")
+def streams_that_read_little() -> Load:
+    """Many streams run that ask for little, while long prompts burst."""
+    short = dataclasses.replace(SHORT, per_s=8.0, events=170, own_tokens=300.0)
+    return Load(
+        engines.SECOND, 5, (DRAFT, short), (Burst("draft", 6.0, 15.0, 3.0),)
+    )
+
+
+@loads.register("first-engines")
+def first_engines() -> Load:
+    """Streams that stay in time beside prompts, on faster engines."""
+    return Load(
+        engines.FIRST,
+        5,
+        (DRAFT, dataclasses.replace(SHORT, pause_s=0.25)),
+        (Burst("draft", 6.0, 15.0, 2.1),),
+    )
+
+
+def arrivals(load: Load) -> Iterator[Arrival]:
+    """Draws the requests of a load; the same ones each time."""
+    rng = random.Random(SEED)
+    drawn = []
+    for kind in load.kinds:
+        at_s = 0.0
+        while True:
+            times = [
+                burst.times
+                for burst in load.bursts
+                if burst.kind == kind.name
+                and burst.begins_s <= at_s < burst.ends_s
+            ]
+            at_s += rng.expovariate(kind.per_s * max(times, default=1.0))
+            if at_s > load.length_s:
+                break
+            drawn.append(
+                Arrival(
+                    at_s,
+                    kind,
+                    f"{kind.name}-{rng.randrange(kind.subjects)}",
+                    _spread(rng, kind.own_tokens),
+                    _spread(rng, kind.events),
+                )
+            )
+    return iter(sorted(drawn, key=lambda arrival: arrival.at_s))
+
+
+def _spread(rng: random.Random, mean: float) -> int:
+    """Draws a length: half of them below 0.7 of the mean, some far above."""
+    return max(1, round(mean * min(5.0, rng.lognormvariate(-0.32, 0.8))))
--- /dev/null
+++ b/martenjunction_lab/replays/replay.py
@@ -0,0 +1,282 @@
+"""Replays a load against the decisions of boxes, in simulated time.
+
+The boxes hold the same books of endpoints as daemons; only connections and
+engines are simulated. The same load and policy give the same outcome.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import Any
+
+from martenjunction.decisions import endpoint_list
+from martenjunction.decisions import endpoint_records
+from martenjunction.decisions import shedding
+from martenjunction.routing import decision_log
+from martenjunction.routing import endpoint_book
+from martenjunction.routing import model
+from martenjunction_lab.replays import engines
+from martenjunction_lab.replays import loads
+
+SERVICE = "engines"
+ZONE = "zone-a"
+CACHE_TOKENS = 400_000
+
+# Seconds between two looks of a box, and between two messages to the others.
+LOOK_S = 0.1
+TELL_S = 0.2
+
+# Seconds for which requests are served after the last one came.
+TAIL_S = 12.0
+
+
+@dataclasses.dataclass(slots=True)
+class KindResult:
+    """What became of the requests of one kind.
+
+    Attributes:
+        asked: Requests that came.
+        in_time: Those with a first event and all pauses in time.
+        late: Those answered in full, but late.
+        refused: Those refused before any work was done for them.
+        lost: Those whose engine was lost.
+    """
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    lost: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Request:
+    arrival: loads.Arrival
+    book: endpoint_book.EndpointBook
+    ticket: endpoint_book.RunTicket
+    heard_at: float
+    late: bool = False
+    first: bool = True
+
+    @property
+    def at(self) -> str:
+        return self.ticket.record.id
+
+
+class Replay:
+    """One load under one policy."""
+
+    def __init__(self, load: loads.Load) -> None:
+        """Makes a replay; `run` carries it out."""
+        self._load = load
+        self._engines = {
+            f"e{number}": engines.Engine(f"e{number}", load.engine_kind)
+            for number in range(load.engines)
+        }
+        self._service = model.Service(
+            SERVICE,
+            "/healthz",
+            360,
+            model.Engine(
+                load.engine_kind.slots,
+                CACHE_TOKENS,
+                0,
+                load.engine_kind.tokens_per_event,
+            ),
+        )
+        self._books = [self._book(number) for number in range(load.boxes)]
+        self._requests: dict[int, _Request] = {}
+        self._stepping: set[str] = set()
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._order = itertools.count()
+        self._shortest = min(kind.pause_s for kind in load.kinds)
+        self._uncounted = KindResult()
+        self.results = {kind.name: KindResult() for kind in load.kinds}
+
+    @property
+    def worth(self) -> float:
+        """The part of all worth that was served in time."""
+        kinds = [(kind, self.results[kind.name]) for kind in self._load.kinds]
+        asked = sum(kind.worth * found.asked for kind, found in kinds)
+        return sum(kind.worth * found.in_time for kind, found in kinds) / asked
+
+    def run(self) -> dict[str, KindResult]:
+        """Replays the load; returns what became of it, by kind."""
+        for number, arrival in enumerate(loads.arrivals(self._load)):
+            self._at(arrival.at_s, self._come, number, arrival)
+        end_s = self._load.length_s + TAIL_S
+        for at_s in self._load.lost:
+            self._at(at_s, self._lose)
+        for index in range(len(self._books)):
+            # Boxes do not look and tell at the same moment.
+            offset = 0.01 * index
+            self._every(offset + LOOK_S, LOOK_S, end_s, self._look, index)
+            self._every(offset + TELL_S, TELL_S, end_s, self._tell, index)
+        while self._events:
+            now, _, call = heapq.heappop(self._events)
+            call(now)
+        return self.results
+
+    def _book(self, number: int) -> endpoint_book.EndpointBook:
+        listed = endpoint_list.EndpointList()
+        endpoints = [
+            model.Endpoint(
+                name,
+                SERVICE,
+                "127.0.0.1:1",
+                ZONE,
+                self._load.engine_kind.slots,
+                model.EndpointState.READY,
+            )
+            for name in self._engines
+        ]
+        listed.take_listing([(e, 1) for e in endpoints], 1, 0.0)
+        return endpoint_book.EndpointBook(
+            listed, decision_log.DecisionLog(lambda: 0.0), random.Random(number)
+        )
+
+    def _at(self, at_s: float, call: Callable[..., None], *args: Any) -> None:
+        heapq.heappush(
+            self._events,
+            (at_s, next(self._order), lambda now: call(now, *args)),
+        )
+
+    def _every(
+        self,
+        at_s: float,
+        pause_s: float,
+        end_s: float,
+        call: Callable[..., None],
+        index: int,
+    ) -> None:
+        def again(now: float) -> None:
+            call(now, index)
+            if now + pause_s < end_s:
+                self._at(now + pause_s, again)
+
+        self._at(at_s, again)
+
+    def _look(self, now: float, index: int) -> None:
+        self._books[index].tick(now)
+
+    def _tell(self, now: float, index: int) -> None:
+        book = self._books[index]
+        for other in self._books:
+            if other is not book:
+                name = f"box-{index}"
+                other.take_peer_loads(name, book.loads(), now)
+                other.take_peer_sent(name, book.sent_tokens(), now)
+                other.engines.take_peer(name, book.engines.rows(now), now)
+
+    def _come(self, now: float, number: int, arrival: loads.Arrival) -> None:
+        kind = arrival.kind
+        book = self._books[number % len(self._books)]
+        result = self._result(arrival)
+        result.asked += 1
+        demand = self._demand(book, number, arrival, now)
+        chosen = book.choose(self._service, demand, set(), now)
+        if chosen is None:
+            result.refused += 1
+            return
+        endpoint, choice = chosen
+        book.engines.note_asked(SERVICE, choice.unread, demand.is_long, now)
+        pause_s = shedding.retry_after_s(
+            shedding.Prospect(
+                choice.predicted_s, kind.target_s, False, choice.busy
+            )
+        )
+        if pause_s is not None and not book.serves_lower_tiers(
+            self._service, demand.urgency, now
+        ):
+            result.refused += 1
+            return
+        ticket = book.begin(choice, demand, now)
+        self._requests[number] = _Request(arrival, book, ticket, now)
+        engine = self._engines[endpoint.id]
+        engine.submit(
+            engines.Run(
+                number, demand.urgency, demand.prompt_tokens, arrival.events
+            ),
+            demand.parts[:-1],
+        )
+        self._wake(now, engine)
+
+    def _demand(
+        self,
+        book: endpoint_book.EndpointBook,
+        number: int,
+        arrival: loads.Arrival,
+        now: float,
+    ) -> endpoint_records.Demand:
+        kind = arrival.kind
+        return endpoint_records.Demand(
+            SERVICE,
+            (
+                (arrival.subject, kind.shared_tokens),
+                (f"own-{number}", arrival.own_tokens),
+            ),
+            kind.shared_tokens + arrival.own_tokens,
+            ZONE,
+            True,
+            False,
+            kind.urgency,
+            self._shortest,
+            kind.pause_s,
+            self._load.engine_kind.tokens_per_event,
+            book.engines.figures(SERVICE),
+            book.engines.asked(SERVICE, now),
+        )
+
+    def _wake(self, now: float, engine: engines.Engine) -> None:
+        if engine.name not in self._stepping and not engine.idle:
+            self._stepping.add(engine.name)
+            seconds, made = engine.step()
+            self._at(now + seconds, self._made, engine, made)
+
+    def _made(
+        self, now: float, engine: engines.Engine, made: list[engines.Run]
+    ) -> None:
+        self._stepping.discard(engine.name)
+        if engine.name not in self._engines:
+            return
+        for run in made:
+            self._event(now, run)
+        self._wake(now, engine)
+
+    def _event(self, now: float, run: engines.Run) -> None:
+        request = self._requests[run.number]
+        kind = request.arrival.kind
+        waited = now - request.heard_at
+        request.late |= waited > (
+            kind.target_s if request.first else kind.pause_s
+        )
+        request.first = False
+        request.heard_at = now
+        request.book.heard(request.ticket, now, 1)
+        if run.events:
+            return
+        del self._requests[run.number]
+        request.book.end(request.ticket, now, failed=False)
+        result = self._result(request.arrival)
+        if request.late:
+            result.late += 1
+        else:
+            result.in_time += 1
+
+    def _result(self, arrival: loads.Arrival) -> KindResult:
+        if arrival.at_s < self._load.warm_s:
+            return self._uncounted
+        return self.results[arrival.kind.name]
+
+    def _lose(self, now: float) -> None:
+        name = min(self._engines)
+        del self._engines[name]
+        held = [n for n, r in self._requests.items() if r.at == name]
+        for number in held:
+            request = self._requests.pop(number)
+            request.book.end(request.ticket, now, failed=True)
+            self._result(request.arrival).lost += 1
+        for book in self._books:
+            book.listed.leave(name, 2)
