Sums of an endpoint's loads are kept, not made anew for each look

Cause: weighing an endpoint summed the loads of all kinds of requests up to seven times, for each request at each endpoint. Change: EndpointLoads keeps the sums of running, unread and short requests. The property test of the sums covers it.

--- a/martenjunction/decisions/endpoint_loads.py
+++ b/martenjunction/decisions/endpoint_loads.py
@@ -52,6 +52,9 @@
         self._own: dict[LoadKey, Load] = {}
         self._peers: dict[str, tuple[float, dict[LoadKey, Load]]] = {}
         self._total: dict[LoadKey, Load] = {}
+        self._all_running = 0
+        self._all_unread = 0
+        self._all_short = 0
         # No peer's word is older than this.
         self._oldest = 0.0
 
@@ -67,10 +70,10 @@
 
     def add(self, key: LoadKey, running: int, unread: int) -> None:
         """Books requests of this box that begin there, or end."""
-        for table in (self._own, self._total):
-            load = table.setdefault(key, Load())
-            load.running += running
-            load.unread += unread
+        load = self._own.setdefault(key, Load())
+        load.running += running
+        load.unread += unread
+        self._add_total(key, running, unread)
 
     def take_peer(
         self, box: str, loads: dict[LoadKey, Load], now: float
@@ -87,18 +90,12 @@
     def running(self, now: float) -> int:
         """Returns the requests of all boxes there."""
         self._forget_old(now)
-        return self._all(sum(load.running for load in self._total.values()))
+        return self._all(self._all_running)
 
     def short_running(self, now: float) -> int:
         """Returns the requests of all boxes there with short prompts."""
         self._forget_old(now)
-        return self._all(
-            sum(
-                load.running
-                for key, load in self._total.items()
-                if not key.is_long
-            )
-        )
+        return self._all(self._all_short)
 
     def ahead(self, urgency: int, now: float) -> int:
         """Returns the unread tokens of all boxes that go first.
@@ -134,7 +131,7 @@
     def waiting(self, now: float) -> int:
         """Returns the unread tokens of all boxes there."""
         self._forget_old(now)
-        return self._all(sum(load.unread for load in self._total.values()))
+        return self._all(self._all_unread)
 
     def _all(self, heard: int) -> int:
         """Returns what all boxes have, from what those that are heard have."""
@@ -142,9 +139,16 @@
 
     def _count(self, loads: dict[LoadKey, Load], sign: int) -> None:
         for key, load in loads.items():
-            total = self._total.setdefault(key, Load())
-            total.running += sign * load.running
-            total.unread += sign * load.unread
+            self._add_total(key, sign * load.running, sign * load.unread)
+
+    def _add_total(self, key: LoadKey, running: int, unread: int) -> None:
+        total = self._total.setdefault(key, Load())
+        total.running += running
+        total.unread += unread
+        self._all_running += running
+        self._all_unread += unread
+        if not key.is_long:
+            self._all_short += running
 
     def _forget_old(self, now: float) -> None:
         if not self._peers or now - self._oldest < PEER_LOAD_LIFETIME_S:
