No box is left without a word for longer than 0.75 s

Cause: a status told 0.39 s before a heartbeat stood for it, so that 0.89 s could pass between two messages, while boxes count as silent after 1.2 s. Change: the hub looks twice in a heartbeat's time. Boxes tell nothing of engine services that they saw nothing of. Measured: tests/test_peer_traffic.py draws each moment; 0.75 s is not exceeded.

--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -27,8 +27,10 @@
 HEARTBEAT_INTERVAL = 0.5
 
 # Part of that time for which a message of the same kind that went to all for
-# another reason stands for the heartbeat.
-DUE_PART = 0.8
+# another reason stands for the heartbeat, and seconds between two looks: 0.7 s
+# pass between two of them at most, and boxes count as silent after 1.2 s.
+DUE_PART = 0.9
+BEAT_LOOK_S = HEARTBEAT_INTERVAL / 2
 
 # Seconds without a word after which a connection is given up.
 SILENCE_LIMIT = 1.5
@@ -141,7 +143,7 @@
             ping_interval=None,
             max_size=codec.MAX_MESSAGE,
         )
-        self._timers.subscribe("heartbeat", HEARTBEAT_INTERVAL, self._beat)
+        self._timers.subscribe("heartbeat", BEAT_LOOK_S, self._beat)
         self._timers.subscribe("peers", HEARTBEAT_INTERVAL, self.dial)
 
     async def stop(self) -> None:
--- a/martenjunction/routing/service_engines.py
+++ b/martenjunction/routing/service_engines.py
@@ -16,6 +16,8 @@
 # requests with short and with long prompts ask to be read.
 EngineRow = tuple[str, int, int, int, int]
 
+_NOTHING = engine_figures.LearntFigures()
+
 
 @dataclasses.dataclass(slots=True)
 class _Service:
@@ -76,6 +78,8 @@
         for name, service in self._services.items():
             learnt = service.learner.own
             asked = service.demand.own(now)
+            if learnt == _NOTHING and not asked.short and not asked.long:
+                continue
             rows.append(
                 (
                     name,
--- a/tests/test_peer_traffic.py
+++ b/tests/test_peer_traffic.py
@@ -2,6 +2,8 @@
 
 import collections
 import dataclasses
+import itertools
+import math
 from typing import Any
 
 from martenjunction import events
@@ -21,7 +23,7 @@
 
     box: str
     member: membership.Member
-    heard: float = 0.0
+    heard: float = math.inf
     sent: list[Any] = dataclasses.field(default_factory=list)
 
     def send(self, message: Any) -> bool:
@@ -105,6 +107,26 @@
     assert [len(link.sent) for link in links] == [3] * 5
 
 
+def test_no_box_is_left_without_a_word_for_long() -> None:
+    # Any broadcast between two looks may stand for a heartbeat: the longest
+    # silence stays well below what makes a box count as silent.
+    for told_at in range(1, 50):
+        clock = Clock()
+        peers = one_of(6, 0, clock)
+        [link, *_] = links_of(peers, 6)
+        times: list[float] = []
+        link.send = lambda _, c=clock, t=times: t.append(c.now)  # type: ignore[method-assign,assignment,misc]
+        for step in range(200):
+            clock.now = step * 0.01
+            if step == told_at:
+                peers.broadcast(status())
+            if step % round(hub.BEAT_LOOK_S * 100) == 0:
+                peers._beat()
+        gaps = [b - a for a, b in itertools.pairwise(times)]
+        assert max(gaps) < 0.75
+        assert len(times) <= 6
+
+
 def test_other_messages_do_not_stand_for_the_heartbeat() -> None:
     clock = Clock()
     peers = one_of(6, 0, clock)
