--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -37,11 +37,6 @@
     return decorate
 
 
-def tag_of(value: Any) -> str:
-    """Returns the tag of a message."""
-    return _tags[type(value)]
-
-
 class Encoded:
     """A message as bytes, so that one for many peers is encoded once."""
 
