News of the configuration is small, goes first and is asked of few

Cause: a late box kept itself late. Each status of a peer that told of a newer version, and each round of questions to all peers, was answered with the whole document; only 64 questions were remembered and later answers thrown away; the reader, drawn without regard to its link, took 370 kB in each 0.6 s and handed it to each box of its availability zone. Full links then made peers silent, and 981 handshakes in 10 s failed. Its class: work that lateness itself asks for, without a bound, over a path shared with what would end the lateness.

Change: readers hand a change to the boxes that lack it, as what differs from the version before (documents as differences); it is taken in whoever brings it and whenever. Two questions are under way at most, for as long as answers take. News go before statuses, of which only the newest waits; a peer that does not take frames gets no more statuses. Wide links read first, and large documents are asked for less often over thin ones; an answer of the store that still comes is waited for. Links are given up after 3 s in place of 1.5 s. Logged: config-behind, and behind_ms in config-in-force.

A tenth of the processor time that a box uses is still too little in the simulation.

--- a/martenjunction/decisions/store_readers.py
+++ b/martenjunction/decisions/store_readers.py
@@ -2,7 +2,8 @@
 
 One box of a group reads; the others ask it. There is no agreement and none is
 needed: a box that hears nothing fresh for too long reads for itself, and two
-readers cost some calls and nothing else.
+readers cost some calls and nothing else. Boxes with wide links go first: a
+reader takes the whole configuration in at each confirmation.
 """
 
 from collections.abc import Sequence
@@ -25,6 +26,13 @@
 # one. One that just started stops as soon as it can rely on another.
 LEAST_READING_S = 3.0
 
+# Seconds between two questions of a reader for the newest configuration, at
+# least and at most, and the part of its link that their answers may take: 370
+# kB each 0.6 s fill a link of 5 Mbit/s.
+CONFIRM_INTERVAL_S = 0.6
+LONGEST_INTERVAL_S = 3.0
+CONFIRM_LINK_PART = 0.2
+
 # Age in seconds up to which a better ranked reader is relied upon.
 FRESH_S = 0.9
 
@@ -37,23 +45,38 @@
         box: The box.
         reads: Whether it reads from the store and is answered.
         age_s: Seconds since what it knows was confirmed, or None for never.
+        link_kb: Kilobytes a second that its link carries.
     """
 
     box: str
     reads: bool
     age_s: float | None
+    link_kb: int = 0
+
+
+def confirm_interval_s(document_bytes: int, link_bytes_s: float) -> float:
+    """Returns the seconds between two questions of a reader.
+
+    Args:
+        document_bytes: Size of the configuration, which each answer brings.
+        link_bytes_s: Bytes a second that the reader's link carries.
+    """
+    paced = document_bytes / (link_bytes_s * CONFIRM_LINK_PART)
+    return min(max(CONFIRM_INTERVAL_S, paced), LONGEST_INTERVAL_S)
 
 
 class ReaderRole:
     """Whether one box reads from the store."""
 
-    def __init__(self, own: str) -> None:
+    def __init__(self, own: str, link_kb: int = 0) -> None:
         """Makes a role; a box that just started reads.
 
         Args:
             own: The box's name.
+            link_kb: Kilobytes a second that its link carries.
         """
         self._own = own
+        self._link_kb = link_kb
         self._rank = 0
         self._reads = True
         self._since: float | None = None
@@ -73,8 +96,10 @@
             own_age_s: Seconds since what it knows was confirmed, or None.
             now: The current time.
         """
-        names = [self._own, *(peer.box for peer in peers)]
-        order = rendezvous.ranked(names, RANK_KEY)
+        links = {peer.box: peer.link_kb for peer in peers}
+        links[self._own] = self._link_kb
+        order = rendezvous.ranked(links, RANK_KEY)
+        order.sort(key=lambda box: links[box], reverse=True)
         self._rank = order.index(self._own)
         if self._reads:
             self._reads = own_age_s is None or self._keeps_reading(
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -103,7 +103,7 @@
             own, self.timers, self._on_members_changed
         )
         self.freshness = key_freshness.ConfigFreshness(
-            settings.key_lifetime_s, KEY_MARGIN_S
+            settings.key_lifetime_s, KEY_MARGIN_S, settings.change_s
         )
         self.admitter = admission.Admitter(
             self.freshness, settings.keys_fail_closed, self._rng
@@ -138,6 +138,7 @@
             ),
             self.log,
             self._rng,
+            settings.link_bytes_s,
         )
         self.peers = hub.PeerHub(
             self.members,
@@ -147,6 +148,7 @@
             self._status,
             settings.peers,
             settings.seeds,
+            silence_limit=peer_sync.LINK_SILENCE_S,
         )
         self.sync = peer_sync.PeerSync(
             self.peers,
@@ -158,6 +160,7 @@
             self.log,
             self._is_ready,
             self.follower,
+            settings.link_bytes_s,
         )
         self.prober = prober.Prober(
             self.book, self.pool, self.admitter, self.timers
--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -13,25 +13,34 @@
 T = TypeVar("T")
 
 # The version of the messages; daemons of unlike versions do not talk.
-PROTOCOL = 3
+PROTOCOL = 4
 
 # The largest message that is read, in bytes.
 MAX_MESSAGE = 4 * 1024 * 1024
 
 message_types: registry.Registry[type[Any]] = registry.Registry("message")
 _tags: dict[type[Any], str] = {}
+_urgent: set[str] = set()
+_replacing: set[str] = set()
 
 
-def message(tag: str) -> Any:
+def message(tag: str, urgent: bool = False, replaces: bool = False) -> Any:
     """Returns a decorator that makes a data class a message.
 
     Args:
         tag: Names the message on the wire.
+        urgent: Whether it goes before others that wait for a connection.
+        replaces: Whether it takes the place of an earlier one that was not
+            sent yet; its method `after` returns what then is to be sent.
     """
 
     def decorate(cls: type[T]) -> type[T]:
         message_types.register(tag)(cls)
         _tags[cls] = tag
+        if urgent:
+            _urgent.add(tag)
+        if replaces:
+            _replacing.add(tag)
         return cls
 
     return decorate
@@ -40,12 +49,23 @@
 class Encoded:
     """A message as bytes, so that one for many peers is encoded once."""
 
-    __slots__ = ("data", "tag")
+    __slots__ = ("data", "tag", "value")
 
     def __init__(self, value: Any) -> None:
+        self.value = value
         self.tag = _tags[type(value)]
         self.data: bytes = cbor2.dumps([self.tag, *_fields(value)])
 
+    @property
+    def urgent(self) -> bool:
+        """Whether it goes before others that wait for a connection."""
+        return self.tag in _urgent
+
+    @property
+    def replaces(self) -> bool:
+        """Whether it takes the place of one that was not sent yet."""
+        return self.tag in _replacing
+
 
 def join(messages: list[Encoded]) -> bytes:
     """Returns the bytes of some messages."""
--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -58,6 +58,7 @@
         listen: str,
         seeds: tuple[str, ...] = (),
         rng: random.Random | None = None,
+        silence_limit: float = SILENCE_LIMIT,
     ) -> None:
         """Makes a hub; `start` begins.
 
@@ -70,7 +71,10 @@
             listen: Address to listen on.
             seeds: Addresses to call while nobody else is known.
             rng: Jitter.
+            silence_limit: Seconds without a word after which a connection is
+                given up.
         """
+        self._silence_limit = silence_limit
         self._members = members
         self._key = key
         self._timers = clock
@@ -142,6 +146,7 @@
             compression=None,
             ping_interval=None,
             max_size=codec.MAX_MESSAGE,
+            write_limit=links.WRITE_LIMIT,
         )
         self._timers.subscribe("heartbeat", BEAT_LOOK_S, self._beat)
         self._timers.subscribe("peers", HEARTBEAT_INTERVAL, self.dial)
@@ -217,6 +222,7 @@
                 compression=None,
                 ping_interval=None,
                 max_size=codec.MAX_MESSAGE,
+                write_limit=links.WRITE_LIMIT,
                 open_timeout=links.HANDSHAKE_TIMEOUT,
                 proxy=None,
             )
@@ -280,9 +286,11 @@
     def _beat(self) -> None:
         now = self._timers.listened()
         for link in self._all_links():
-            if now - link.heard > SILENCE_LIMIT:
+            if now - link.heard > self._silence_limit:
                 logger.warning("%s fell silent", link.box)
                 link.close()
+            else:
+                link.look()
         heartbeat = self._heartbeat()
         self._beat_kind = type(heartbeat)
         if now - self._beat_at >= HEARTBEAT_INTERVAL * DUE_PART:
--- a/martenjunction/peers/links.py
+++ b/martenjunction/peers/links.py
@@ -17,16 +17,19 @@
 from martenjunction import mailbox
 from martenjunction import timers
 from martenjunction.peers import codec
+from martenjunction.peers import flow
 from martenjunction.peers import membership
 from martenjunction.peers import messages
+from martenjunction.peers import outbox
 
 logger = logging.getLogger(__name__)
 
 HANDSHAKE_TIMEOUT = 2.0
 NONCE_BYTES = 16
 
-# Messages that may wait for a slow peer before the connection is closed.
-MAX_UNSENT = 20_000
+# Bytes that are handed to a connection before its peer has taken them: what
+# waits beyond them can still be put in order.
+WRITE_LIMIT = 8 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,9 +85,8 @@
         self._connection = connection
         self._member = member
         self._timers = clock
-        self._unsent: mailbox.Mailbox[codec.Encoded] = mailbox.Mailbox(
-            MAX_UNSENT
-        )
+        self._flow = flow.FlowControl(clock.now)
+        self._unsent = outbox.Outbox(self._flow)
         self._heard = clock.listened()
         self._counts = LinkCounts()
         self._closed = False
@@ -127,6 +129,10 @@
             return False
         return True
 
+    def look(self) -> None:
+        """Has the writer look whether the peer is owed a word."""
+        self._unsent.wake()
+
     def close(self) -> None:
         """Ends the connection without waiting for the peer."""
         self._closed = True
@@ -159,15 +165,20 @@
         if isinstance(frame, str):
             raise errors.PeerError("a text frame")
         self._counts.bytes_in += len(frame)
-        for message in codec.decode_batch(frame):
+        batch = codec.decode_batch(self._flow.take_frame(frame))
+        for message in batch:
             self._counts.messages_in += 1
             receive(message)
+        if batch:
+            self._flow.note_taken()
+        self._unsent.wake()
 
     async def _write(self) -> None:
         try:
             while True:
                 batch = await self._unsent.get_all()
-                frame = codec.join(batch)
+                head = self._flow.begin_frame(bool(batch))
+                frame = head + codec.join(batch)
                 self._counts.messages_out += len(batch)
                 self._count_kinds(batch)
                 self._counts.bytes_out += len(frame)
--- a/martenjunction/platform/box_settings.py
+++ b/martenjunction/platform/box_settings.py
@@ -13,6 +13,8 @@
 METRICS_PORT = 9464
 
 MEGABYTE = 1024 * 1024
+MEGABIT = 1_000_000
+BITS_PER_BYTE = 8
 MS = 0.001
 
 
@@ -34,10 +36,13 @@
         store: Address of the platform's store.
         memory_bytes: Limit on the process's memory.
         max_descriptors: Limit on its descriptors.
+        link_bytes_s: Bytes a second that its link carries, each way.
         drain_s: Seconds within which a leaving endpoint gets no more work.
         stop_s: Seconds from the signal to stop to the kill.
         key_lifetime_s: Seconds for which a key may be honoured after the
             configuration that removes it.
+        change_s: Seconds within which a change of the configuration has to be
+            in force.
         keys_fail_closed: Whether that holds for a box without the store too.
         retry_ratio: Repeats allowed for each request.
         retry_window_s: Seconds over which repeats are counted.
@@ -59,9 +64,11 @@
     store: str
     memory_bytes: int
     max_descriptors: int
+    link_bytes_s: float
     drain_s: float
     stop_s: float
     key_lifetime_s: float
+    change_s: float
     keys_fail_closed: bool
     retry_ratio: float
     retry_window_s: float
@@ -112,9 +119,11 @@
         store=table["platform"]["address"],
         memory_bytes=int(limits["memory_mb"]) * MEGABYTE,
         max_descriptors=int(limits["max_fds"]),
+        link_bytes_s=limits["link_mbps"] * MEGABIT / BITS_PER_BYTE,
         drain_s=bounds["drain_ms"] * MS,
         stop_s=float(bounds["grace_s"]),
         key_lifetime_s=bounds["revoke_ms"] * MS,
+        change_s=bounds["config_ms"] * MS,
         keys_fail_closed=bool(bounds["fail_closed"]),
         retry_ratio=float(bounds["retry_ratio"]),
         retry_window_s=float(bounds["retry_window_s"]),
--- a/martenjunction/platform/store.py
+++ b/martenjunction/platform/store.py
@@ -11,9 +11,12 @@
 from martenjunction import errors
 from martenjunction.http1 import client
 
-# Seconds for a connection, and for an answer beyond a watch's own wait.
+# Seconds for a connection, for the head of an answer beyond a watch's own wait
+# and for each further part of it, and for all its parts. A document of 370 kB
+# takes 0.6 s over a link of 5 Mbit/s, and more beside other traffic.
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
+BODY_TIMEOUT_S = 4.0
 
 # Connections that are kept for later calls.
 KEPT_CONNECTIONS = 3
@@ -260,9 +263,8 @@
             async with connection.answer_within(timeout_s):
                 connection.send(method.encode(), path.encode(), headers, body)
                 head = await connection.read_head()
-                parts = []
-                while part := await connection.read_body():
-                    parts.append(part)
+            async with connection.answer_within(BODY_TIMEOUT_S):
+                answer = await _body(connection)
         except (errors.TransportError, TimeoutError) as error:
             connection.abort()
             raise errors.PlatformUnavailableError(
@@ -273,7 +275,7 @@
             raise
         if connection.finish():
             self._keep(connection)
-        return head.status, b"".join(parts)
+        return head.status, answer
 
     async def _connect(self) -> client.ClientConnection:
         while self._kept:
@@ -295,6 +297,16 @@
             connection.abort()
 
 
+async def _body(connection: client.ClientConnection) -> bytes:
+    parts: list[bytes] = []
+    while True:
+        async with connection.answer_within(CALL_TIMEOUT_S):
+            part = await connection.read_body()
+        if not part:
+            return b"".join(parts)
+        parts.append(part)
+
+
 def _path(
     kind: str, name: str | None = None, query: dict[str, str] | None = None
 ) -> str:
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -7,16 +7,13 @@
 import time
 
 from martenjunction import errors
+from martenjunction.decisions import store_readers
 from martenjunction.peers import membership
 from martenjunction.platform import documents
 from martenjunction.platform import store
 from martenjunction.routing import decision_log
 from martenjunction.routing import picture
 
-# Seconds between two questions for the newest configuration. Their answers
-# alone prove that no key was taken away: a watch may be deaf for a while.
-CONFIRM_INTERVAL_S = 0.6
-
 # Seconds for which a watch waits. The store cuts watches that it let go deaf,
 # and a lost connection is found by the calls beside it.
 WATCH_WAIT_S = 8.0
@@ -54,6 +51,7 @@
         own: documents.BoxEntry,
         log: decision_log.DecisionLog,
         rng: random.Random,
+        link_bytes_s: float,
     ) -> None:
         """Makes a follower; `start` begins.
 
@@ -64,7 +62,10 @@
             own: What this box records of itself.
             log: Told of failed calls.
             rng: Jitter.
+            link_bytes_s: Bytes a second that this box's link carries.
         """
+        self._link_bytes_s = link_bytes_s
+        self._document_bytes = 0
         self._client = client
         self._known = known
         self._members = members
@@ -167,7 +168,7 @@
                 self._begin_watches()
                 if known:
                     pause = FIRST_PAUSE_S
-                    await asyncio.sleep(CONFIRM_INTERVAL_S)
+                    await asyncio.sleep(self._confirm_interval_s())
                 else:
                     # The watch tells of the first one.
                     pause = await self._pause(pause)
@@ -187,6 +188,16 @@
             task.cancel()
         self._watches = []
 
+    def _confirm_interval_s(self) -> float:
+        """Returns the seconds until the configuration is asked for again.
+
+        The answer alone proves that no key was taken away: a watch may be deaf
+        for a while.
+        """
+        return store_readers.confirm_interval_s(
+            self._document_bytes, self._link_bytes_s
+        )
+
     async def _confirm_config(self) -> bool:
         """Asks for the configuration; returns whether there is one."""
         asked_at = time.monotonic()
@@ -195,6 +206,7 @@
         )
         self._known.store_answered()
         if found is not None:
+            self._document_bytes = len(found.spec)
             self._known.take_config(found.spec, asked_at, "store")
         return found is not None
 
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -5,7 +5,7 @@
 from martenjunction.peers import codec
 
 
-@codec.message("box-status")
+@codec.message("box-status", replaces=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class BoxStatus:
     """How a box is; without loads, its heartbeat.
@@ -18,6 +18,7 @@
         age_ms: Milliseconds since its configuration was confirmed as the
             newest; -1 if it never was. A hint only: the message may have been
             under way for long.
+        link_kb: Kilobytes a second that its link carries.
         tells_loads: Whether the fields below are told.
         endpoints: Ids of the endpoints where it has requests; an endpoint
             stands there once for each kind of request.
@@ -43,6 +44,7 @@
     revision: int
     reads: bool
     age_ms: int
+    link_kb: int
     tells_loads: bool
     endpoints: tuple[str, ...]
     urgencies: tuple[int, ...]
@@ -57,8 +59,34 @@
     short_asked: tuple[int, ...]
     long_asked: tuple[int, ...]
 
-
-@codec.message("ask-view")
+    def after(self, older: "BoxStatus") -> "BoxStatus":
+        """Returns this status in place of itself and one that was not sent.
+
+        Args:
+            older: The earlier status; what it alone tells is kept.
+        """
+        if not older.tells_loads:
+            return self
+        if not self.tells_loads:
+            return dataclasses.replace(
+                self,
+                tells_loads=True,
+                endpoints=older.endpoints,
+                urgencies=older.urgencies,
+                long=older.long,
+                running=older.running,
+                unread=older.unread,
+                engines=older.engines,
+                sent=older.sent,
+            )
+        sent = dict(zip(older.engines, older.sent, strict=True))
+        sent.update(zip(self.engines, self.sent, strict=True))
+        return dataclasses.replace(
+            self, engines=tuple(sent), sent=tuple(sent.values())
+        )
+
+
+@codec.message("ask-view", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskView:
     """A box wants to know what another one read from the store.
@@ -76,7 +104,7 @@
     digest: int
 
 
-@codec.message("view")
+@codec.message("view", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
     """What a box read from the store.
@@ -86,7 +114,6 @@
         age_ms: Milliseconds since its configuration was confirmed as the
             newest; -1 if it never was.
         version: The version of that configuration.
-        config: The configuration's document; empty if the asking box has it.
         revision: The store's revision up to which it knows the endpoints.
         tells_endpoints: Whether the fields below are told; they are not if
             the asking box knows as much.
@@ -100,7 +127,6 @@
     question: int
     age_ms: int
     version: int
-    config: bytes
     revision: int
     tells_endpoints: bool
     ready: tuple[str, ...]
@@ -109,7 +135,25 @@
     entries: tuple[bytes, ...]
 
 
-@codec.message("endpoints-left")
+@codec.message("config-news", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigNews:
+    """A configuration that is in force at the sender.
+
+    Attributes:
+        version: Its version.
+        base: The version that it is told as a difference from; 0 if whole.
+        digest: A digest of its document.
+        difference: What differs; see `peers.document_delta`.
+    """
+
+    version: int
+    base: int
+    digest: int
+    difference: bytes
+
+
+@codec.message("endpoints-left", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointsLeft:
     """Endpoints that may get no more work, by the store's word.
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -6,6 +6,7 @@
 from martenjunction import errors
 from martenjunction import timers
 from martenjunction.decisions import key_freshness
+from martenjunction.decisions import peer_questions
 from martenjunction.decisions import store_readers
 from martenjunction.peers import codec
 from martenjunction.peers import hub
@@ -21,8 +22,9 @@
 # the one that knows best.
 ASK_INTERVAL_S = 0.3
 
-# Seconds without a confirmed configuration after which all peers are asked.
-ASK_ALL_AFTER_S = 2.0
+# Seconds without a confirmed configuration after which peers of other groups
+# are asked as well.
+ASK_FAR_AFTER_S = 2.0
 
 # Seconds between two looks at whether this box is to read, and whether others
 # have to be told what it read.
@@ -31,6 +33,11 @@
 # Seconds for which a box's word that it is ready counts.
 STATUS_LIFETIME_S = 1.2
 
+# Seconds without a word after which a connection is given up. A box counts as
+# silent long before; a new connection costs both sides two handshakes, which a
+# box that is short of time can afford least.
+LINK_SILENCE_S = 3.0
+
 # Seconds between two messages on the load at endpoints, while there is any.
 LOADS_INTERVAL_S = 0.2
 
@@ -39,12 +46,10 @@
 LOADS_MESSAGES_PER_S = 72
 LOADS_BYTES_PER_S = 24_000
 
-# Questions whose sending time is remembered.
-MAX_QUESTIONS = 64
-
 # A box without a confirmed configuration says so by this age.
 NEVER_CONFIRMED = -1
 MS = 0.001
+KB = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +81,7 @@
         log: decision_log.DecisionLog,
         is_ready: Callable[[], bool],
         reading: follower.StoreFollower,
+        link_bytes_s: float,
     ) -> None:
         """Makes the exchange; `start` begins.
 
@@ -89,6 +95,7 @@
             log: Told of what peers say that cannot be used.
             is_ready: Returns whether clients may be sent to this box.
             reading: Reads from the store where this box has to.
+            link_bytes_s: Bytes a second that this box's link carries.
         """
         self._peers = peers
         self._members = members
@@ -99,13 +106,13 @@
         self._log = log
         self._is_ready = is_ready
         self._reading = reading
-        self._role = store_readers.ReaderRole(members.own.box)
+        self._link_kb = int(link_bytes_s / KB)
+        self._role = store_readers.ReaderRole(members.own.box, self._link_kb)
         self._told_of: tuple[bool, int, int] = (False, 0, 0)
         self._lacks_entries = False
         self._told_sent: set[tuple[str, int]] = set()
         self._statuses: dict[str, _Told] = {}
-        self._questions: dict[int, float] = {}
-        self._next_question = 0
+        self._questions = peer_questions.PeerQuestions()
         self._loads_due = 0.0
         self._told = False
 
@@ -114,6 +121,7 @@
         self._peers.subscribe(peer_messages.BoxStatus, self._on_status)
         self._peers.subscribe(peer_messages.AskView, self._on_ask)
         self._peers.subscribe(peer_messages.View, self._on_view)
+        self._peers.subscribe(peer_messages.ConfigNews, self._on_config_news)
         self._peers.subscribe(peer_messages.EndpointsLeft, self._on_left)
         self._peers.subscribe(messages.Leaving, self._on_leaving)
         self._known.on_left(self._tell_left)
@@ -138,6 +146,7 @@
             self._book.listed.revision,
             self._reading.answered,
             self._age_ms(),
+            self._link_kb,
             tells_loads,
             tuple(row[0] for row in loads),
             tuple(row[1] for row in loads),
@@ -174,8 +183,8 @@
         now = self._timers.now()
         self._statuses[box] = _Told(now, self._timers.listened(), status)
         self._members.heard(box, 0.0)
-        newer = status.revision > self._book.listed.revision
-        if newer or status.version > self._known.version:
+        behind = self._hear_of(status.version, box)
+        if behind or status.revision > self._book.listed.revision:
             self._ask(box)
         engines = zip(
             status.learnt_of,
@@ -200,6 +209,32 @@
         sent = zip(status.engines, status.sent, strict=False)
         self._book.take_peer_sent(box, list(sent), now)
 
+    def _hear_of(self, version: int, box: str) -> bool:
+        """Notes a version in force at a peer; returns whether it is newer."""
+        if version <= self._known.version:
+            return False
+        if self._freshness.heard_of(version, self._timers.now()):
+            self._log.write(
+                "config-behind",
+                version=self._known.version,
+                newer=version,
+                told_by=box,
+            )
+        return True
+
+    def _on_config_news(self, box: str, news: peer_messages.ConfigNews) -> None:
+        """Takes a configuration in, whoever brings it and whenever."""
+        if not self._hear_of(news.version, box):
+            return
+        try:
+            spec = self._known.documents.document_in(news)
+            if spec is not None:
+                self._known.take_newer_config(spec, box)
+                return
+        except (errors.PeerError, errors.PlatformError) as error:
+            self._log.write("peer-config-unreadable", peer=box, why=str(error))
+        self._ask(box)
+
     def _on_leaving(self, box: str, message: messages.Leaving) -> None:
         if self._members.leaving(message.box, message.incarnation):
             self._log.write("box-leaves", leaving=message.box, told_by=box)
@@ -234,6 +269,7 @@
     def _look(self) -> None:
         """Begins or ends to read from the store, and tells news at once."""
         now = self._timers.now()
+        self._freshness.nobody_has(above=self._newest_told())
         reads = self._role.decide(
             self._group(now), self._freshness.age_s(now), now
         )
@@ -245,14 +281,48 @@
             self._book.listed.revision,
         )
         if self._reading.answered and news != self._told_of:
+            if self._told_of[1] not in (0, self._known.version):
+                self._tell_config()
             self.announce()
         self._told_of = news
 
+    def _tell_config(self) -> None:
+        """Hands a change to the peers that lack it, without a question.
+
+        Those that lack more than this change ask. A change that a box of the
+        group brought was handed to the others by that one.
+        """
+        news = self._known.documents.news_of_last()
+        near = {member.box for member in self._members.near()}
+        if news is None or self._known.config_from in near:
+            return
+        for box in self._peers.boxes():
+            told = self._statuses.get(box)
+            if told is None or told.status.version < news.version:
+                self._peers.send(box, news)
+
+    def _newest_told(self) -> int:
+        """Returns the newest version in force at a box that is heard."""
+        listened = self._timers.listened()
+        return max(
+            (
+                told.status.version
+                for told in self._statuses.values()
+                if listened - told.listened_at <= STATUS_LIFETIME_S
+            ),
+            default=0,
+        )
+
     def _group(self, now: float) -> list[store_readers.PeerAge]:
         """Returns the boxes among which one reads, less this one."""
+        return self._ages(self._members.near(), now)
+
+    def _ages(
+        self, members: list[membership.Member], now: float
+    ) -> list[store_readers.PeerAge]:
         return [
             self._peer_age(member.box, now)
-            for member in self._members.near()
+            for member in members
             if self._hears(member)
         ]
 
@@ -278,42 +348,51 @@
         age = None
         if told.status.age_ms != NEVER_CONFIRMED:
             age = told.status.age_ms * MS + now - told.at
-        return store_readers.PeerAge(box, told.status.reads, age)
+        return store_readers.PeerAge(
+            box, told.status.reads, age, told.status.link_kb
+        )
 
     def _ask_peers(self) -> None:
-        """Asks the peer that knows best, or all if none knows well."""
+        """Asks the peer that knows best and answers."""
         now = self._timers.now()
         age = self._freshness.age_s(now)
-        if age is None or age > ASK_ALL_AFTER_S:
-            for box in self._peers.boxes():
-                self._ask(box)
-        elif not self._reading.answered:
-            known = [p for p in self._group(now) if p.age_s is not None]
-            if known:
-                self._ask(min(known, key=_ask_order).box)
+        if self._reading.answered:
+            return
+        group = self._group(now)
+        if age is None or age > ASK_FAR_AFTER_S:
+            group = self._ages(self._members.believed(), now)
+        known = [p for p in group if p.age_s is not None]
+        silent = self._questions.unanswered_by(now)
+        if known:
+            best = min(known, key=lambda p: (p.box in silent, *_ask_order(p)))
+            self._ask(best.box)
 
     def _age_ms(self) -> int:
         age = self._freshness.age_s(self._timers.now())
         return NEVER_CONFIRMED if age is None else int(age / MS) + 1
 
     def _ask(self, box: str) -> None:
-        self._next_question += 1
-        self._questions[self._next_question] = self._timers.now()
-        while len(self._questions) > MAX_QUESTIONS:
-            del self._questions[next(iter(self._questions))]
-        self._peers.send(
+        """Asks a peer, unless enough questions are under way."""
+        number = self._questions.ask(box, self._timers.now())
+        if number is None:
+            return
+        sent = self._peers.send(
             box,
             peer_messages.AskView(
-                self._next_question,
+                number,
                 self._known.version,
                 0 if self._lacks_entries else self._book.listed.revision,
                 self._book.listed.digest(),
             ),
         )
+        if not sent:
+            self._questions.lost(box)
 
     def _on_ask(self, box: str, ask: peer_messages.AskView) -> None:
         listed = self._book.listed
-        newer_config = self._known.version > ask.version
+        news = self._known.documents.news_for(ask.version)
+        if news is not None:
+            self._peers.send(box, news)
         tells = listed.revision >= ask.revision and (
             listed.revision > ask.revision or listed.digest() != ask.digest
         )
@@ -328,7 +407,6 @@
                 ask.question,
                 self._age_ms(),
                 self._known.version,
-                self._known.config_spec if newer_config else b"",
                 listed.revision,
                 tells,
                 tuple(listed.ready_ids()) if tells else (),
@@ -339,16 +417,9 @@
         )
 
     def _on_view(self, box: str, view: peer_messages.View) -> None:
-        asked_at = self._questions.pop(view.question, None)
-        if asked_at is None:
-            return
-        try:
-            if view.config:
-                self._known.take_newer_config(view.config, box)
-        except errors.PlatformError as error:
-            self._log.write("peer-view-unreadable", peer=box, why=str(error))
-            return
-        if view.age_ms >= 0 and view.version == self._known.version:
+        asked_at = self._questions.answered(view.question)
+        same = view.version == self._known.version
+        if asked_at is not None and view.age_ms >= 0 and same:
             self._freshness.confirm(asked_at - view.age_ms * MS)
         if view.tells_endpoints:
             rows = zip(view.changed, view.revisions, view.entries, strict=False)
--- a/martenjunction/routing/picture.py
+++ b/martenjunction/routing/picture.py
@@ -8,6 +8,7 @@
 from martenjunction.platform import documents
 from martenjunction.platform import store
 from martenjunction.routing import admission
+from martenjunction.routing import config_documents
 from martenjunction.routing import decision_log
 from martenjunction.routing import model
 
@@ -38,6 +39,8 @@
         self._log = log
         self._now = now
         self._config_spec = b""
+        self._config_from = ""
+        self._documents = config_documents.ConfigDocuments()
         self._entries: dict[str, tuple[int, bytes]] = {}
         self._on_left: Callable[[list[str]], None] = lambda ids: None
         self._store_answers: bool | None = None
@@ -49,9 +52,14 @@
         return 0 if config is None else config.version
 
     @property
-    def config_spec(self) -> bytes:
-        """The document of the configuration in force."""
-        return self._config_spec
+    def config_from(self) -> str:
+        """Who told the configuration in force: a box, or what was read."""
+        return self._config_from
+
+    @property
+    def documents(self) -> config_documents.ConfigDocuments:
+        """The documents of the last configurations in force."""
+        return self._documents
 
     @property
     def entries(self) -> dict[str, tuple[int, bytes]]:
@@ -78,8 +86,7 @@
         Raises:
             PlatformError: If it cannot be read.
         """
-        if spec != self._config_spec:
-            self.take_newer_config(spec, source)
+        self.take_newer_config(spec, source)
         self._freshness.confirm(asked_at)
 
     def take_view(
@@ -120,15 +127,21 @@
         Raises:
             PlatformError: If it cannot be read.
         """
+        if spec == self._config_spec:
+            return
         config = documents.decode_config(spec)
         if self._admitter.put_in_force(config):
             self._config_spec = spec
+            self._config_from = source
+            self._documents.keep(config.version, spec)
+            behind_s = self._freshness.caught_up(config.version, self._now())
             self._log.write(
                 "config-in-force",
                 version=config.version,
                 routes=len(config.routes),
                 keys=len(config.workspaces),
                 source=source,
+                behind_ms=round(behind_s * 1000),
             )
 
     def take_endpoints(
--- a/martenjunction/timers.py
+++ b/martenjunction/timers.py
@@ -112,6 +112,21 @@
                 subscription.due = now + subscription.interval
                 self._call(subscription)
 
+    def rest_until(self, wake: float) -> None:
+        """Notes that nothing is to be called before a moment."""
+        self._wake = wake
+
+    def wake(self) -> None:
+        """Calls every subscriber that is due, at or after that moment."""
+        now = self.now()
+        late = now - self._wake
+        self._worst_delay = max(self._worst_delay * 0.999, late)
+        self._held_up_s += self._late(now)
+        self._wake = math.inf
+        if late > HELD_UP_S and self._held_up is not None:
+            self._held_up(late)
+        self.fire()
+
     def start(self) -> None:
         """Starts calling subscribers from the running event loop."""
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -125,16 +140,10 @@
 
     async def _run(self) -> None:
         while True:
-            self._wake = self._next_due()
-            await asyncio.sleep(max(self.RESOLUTION, self._wake - self.now()))
-            now = self.now()
-            late = now - self._wake
-            self._worst_delay = max(self._worst_delay * 0.999, late)
-            self._held_up_s += self._late(now)
-            self._wake = math.inf
-            if late > HELD_UP_S and self._held_up is not None:
-                self._held_up(late)
-            self.fire()
+            wake = self._next_due()
+            self.rest_until(wake)
+            await asyncio.sleep(max(self.RESOLUTION, wake - self.now()))
+            self.wake()
 
     def _late(self, now: float) -> float:
         """Returns for how long, in seconds, the loop is held up by now."""
--- a/martenjunction_lab/spread/fleet.py
+++ b/martenjunction_lab/spread/fleet.py
@@ -14,6 +14,7 @@
 from martenjunction import timers
 from martenjunction.decisions import endpoint_list
 from martenjunction.decisions import key_freshness
+from martenjunction.decisions import store_readers
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing import admission
@@ -26,9 +27,8 @@
 # Seconds between two looks at a box's timers.
 TICK_S = 0.05
 
-# Seconds of a call to the store, and between two confirmations of a reader.
+# Seconds of a call to the store.
 STORE_S = 0.004
-CONFIRM_S = 0.6
 
 # Processor seconds to decode a byte of a configuration: 25 ms for 368 kB.
 DECODE_BYTE_S = 68e-9
@@ -140,7 +140,10 @@
             self.answered = False
         else:
             self._take(now)
-        self._fleet.simulation.at(now + CONFIRM_S, self._confirm)
+        pause_s = store_readers.confirm_interval_s(
+            len(self._fleet.newest), self._fleet.site.link_bytes_s
+        )
+        self._fleet.simulation.at(now + pause_s, self._confirm)
 
     def _take(self, asked_at: float) -> None:
         spec = self._fleet.newest
@@ -173,7 +176,7 @@
         self.slow = slow
         self.clock = timers.Timers(simulation)
         self.members = membership.Membership(member, self.clock, lambda: None)
-        self.freshness = key_freshness.ConfigFreshness(5.0, 0.25)
+        self.freshness = key_freshness.ConfigFreshness(5.0, 0.25, 3.0)
         log = decision_log.DecisionLog(simulation)
         listed = endpoint_list.EndpointList()
         book = endpoint_book.EndpointBook(listed, log, random.Random(1))
@@ -192,6 +195,7 @@
             self._heartbeat,
             "",
             rng=random.Random(1),
+            silence_limit=peer_sync.LINK_SILENCE_S,
         )
         self.sync = peer_sync.PeerSync(
             self.peers,
@@ -203,6 +207,7 @@
             log,
             lambda: True,
             self.reading,  # type: ignore[arg-type]
+            site.link_bytes_s,
         )
 
     def _heartbeat(self) -> Any:
@@ -213,8 +218,10 @@
         self.known.take_config(spec, asked_at, "store")
 
     def _decode(self, spec: bytes, source: str) -> None:
-        self.machine.spend(len(spec) * DECODE_BYTE_S)
+        before = self.known.version
         self._decoded(spec, source)
+        if self.known.version != before:
+            self.machine.spend(len(spec) * DECODE_BYTE_S)
 
 
 class Fleet:
@@ -288,10 +295,11 @@
             seen = self._seen[box.member.box]
             if not seen or seen[-1][1] != box.known.version:
                 seen.append((self.simulation.now, box.known.version))
-            box.clock.fire()
+            box.clock.wake()
             self._tick(box, TICK_S)
 
         due = self.simulation.now + after_s
+        box.clock.rest_until(due)
         self.simulation.at(due, lambda: box.machine.work(0.0, look))
 
     def _connect(self, one: _Box, two: _Box) -> None:
--- a/martenjunction_lab/spread/network.py
+++ b/martenjunction_lab/spread/network.py
@@ -12,8 +12,10 @@
 from typing import Any
 
 from martenjunction.peers import codec
+from martenjunction.peers import flow
 from martenjunction.peers import links
 from martenjunction.peers import membership
+from martenjunction.peers import outbox
 
 # Seconds of one way between two boxes.
 DELAY_S = 0.001
@@ -28,7 +30,7 @@
 FRAME_S = 100e-6
 MESSAGE_S = 40e-6
 
-# Processor seconds to encode and hand over one message to one connection.
+# Processor seconds to hand one frame over to one connection.
 SEND_S = 30e-6
 
 
@@ -148,7 +150,8 @@
         self._machine = machine
         self._receive = receive
         self._lost = lost
-        self._unsent: list[tuple[Any, int]] = []
+        self._flow = flow.FlowControl(simulation)
+        self._unsent = outbox.Outbox(self._flow)
         self._under_way = 0
         self._other: Connection | None = None
         self._closed = False
@@ -163,46 +166,55 @@
             return False
         if not isinstance(message, codec.Encoded):
             message = codec.Encoded(message)
-        self._machine.spend(SEND_S)
         self.counts.messages_out += 1
         self.counts.by_kind[message.tag] += 1
-        self._unsent.append((message, len(message.data)))
+        self._unsent.put(message)
         self._pump()
         return True
 
+    def look(self) -> None:
+        """Sends what may be sent now, as `links.Link.look` does."""
+        self._pump()
+
     def close(self) -> None:
         """Ends the connection at both ends."""
         for end in (self, self._other):
             if end is not None and not end._closed:
                 end._closed = True
-                end._unsent.clear()
+                end._unsent.take_all()
                 end._lost(end)
 
     def _pump(self) -> None:
-        if not self._unsent or self._under_way >= WINDOW_BYTES:
-            return
         other = self._other
-        if self._closed or other is None:
+        if self._closed or other is None or self._under_way >= WINDOW_BYTES:
+            return
+        batch = self._unsent.take_all()
+        if not batch and not self._flow.owes_word:
             return
-        batch, self._unsent = self._unsent, []
-        size = sum(part for _, part in batch)
-        self._under_way += size
+        self._machine.spend(SEND_S)
+        head = self._flow.begin_frame(bool(batch))
+        frame = head + codec.join(batch)
+        self._under_way += len(frame)
         cost = FRAME_S + MESSAGE_S * len(batch)
         self._machine.send(
-            size,
+            len(frame),
             other._machine,
             lambda: other._machine.work(
-                cost, lambda: self._taken(other, batch, size)
+                cost, lambda: self._taken(other, frame)
             ),
         )
 
-    def _taken(
-        self, other: "Connection", batch: list[tuple[Any, int]], size: int
-    ) -> None:
-        self._under_way -= size
+    def _taken(self, other: "Connection", frame: bytes) -> None:
+        self._under_way -= len(frame)
         if not other._closed:
-            other.heard = self._simulation.now
-            for message, _ in batch:
-                [decoded] = codec.decode_batch(codec.join([message]))
-                other._receive(other, decoded)
+            other._read(frame)
+        self._pump()
+
+    def _read(self, frame: bytes) -> None:
+        self.heard = self._simulation.now
+        batch = codec.decode_batch(self._flow.take_frame(frame))
+        for message in batch:
+            self._receive(self, message)
+        if batch:
+            self._flow.note_taken()
         self._pump()
--- a/tests/routing_builders.py
+++ b/tests/routing_builders.py
@@ -154,10 +154,12 @@
 [limits]
 memory_mb = {settings.memory_bytes // (1024 * 1024)}
 max_fds = {settings.max_descriptors}
+link_mbps = {settings.link_bytes_s * 8 / 1_000_000}
 [bounds]
 drain_ms = {settings.drain_s * 1000}
 grace_s = {settings.stop_s}
 revoke_ms = {settings.key_lifetime_s * 1000}
+config_ms = {settings.change_s * 1000}
 fail_closed = {json.dumps(settings.keys_fail_closed)}
 retry_ratio = {settings.retry_ratio}
 retry_window_s = {settings.retry_window_s}
--- /dev/null
+++ b/tests/test_document_delta.py
@@ -0,0 +1,57 @@
+"""Documents told as what differs from one that the other side has."""
+
+import zlib
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from martenjunction import errors
+from martenjunction.peers import document_delta
+from martenjunction_lab.spread import fleet
+
+# Documents of few kinds of pieces, so that many are alike.
+documents = st.lists(
+    st.sampled_from([b'{"a":1}', b'{"b":2}', b",", b"}", b"[", b'{"c"']),
+    max_size=30,
+).map(b"".join)
+
+
+@given(documents, documents)
+def test_difference_leads_to_the_document(base: bytes, target: bytes) -> None:
+    difference = document_delta.encode(base, target)
+    assert document_delta.apply(base, difference) == target
+
+
+@given(st.binary(max_size=200), documents)
+def test_rubbish_is_refused(difference: bytes, base: bytes) -> None:
+    with pytest.raises(errors.PeerError):
+        document_delta.apply(base, difference)
+
+
+@given(
+    st.recursive(
+        st.integers() | st.text(max_size=3) | st.none(),
+        lambda inner: st.lists(inner, max_size=3),
+        max_leaves=10,
+    )
+)
+def test_well_formed_rubbish_is_refused(value: object) -> None:
+    packed = zlib.compress(cbor2.dumps([[0, 2], value]))
+    with pytest.raises(errors.PeerError):
+        document_delta.apply(b"{}", packed)
+
+
+def test_difference_that_grows_without_bound_is_refused() -> None:
+    base = b"x" * (document_delta.MAX_BYTES // 4)
+    packed = zlib.compress(cbor2.dumps([[0, 1]] * 8))
+    with pytest.raises(errors.PeerError, match="too large"):
+        document_delta.apply(base, packed)
+
+
+def test_difference_is_small_where_little_changed() -> None:
+    base, target = fleet.document(7, 1452), fleet.document(8, 1452)
+    assert len(document_delta.encode(base, target)) < len(target) // 100
+    whole = document_delta.encode(b"", target)
+    assert len(whole) < len(target) // 8
--- /dev/null
+++ b/tests/test_peer_flow.py
@@ -0,0 +1,210 @@
+"""What waits for a peer: news first, one status, and no more than it takes."""
+
+import dataclasses
+import random
+from typing import Any
+
+import pytest
+
+from martenjunction import errors
+from martenjunction import mailbox
+from martenjunction.decisions import peer_questions
+from martenjunction.peers import codec
+from martenjunction.peers import flow
+from martenjunction.peers import messages
+from martenjunction.peers import outbox
+from martenjunction.routing import peer_messages
+
+NEWS = peer_messages.ConfigNews(8, 7, 1, b"")
+
+
+def status(**changes: Any) -> peer_messages.BoxStatus:
+    empty: tuple[Any, ...] = ()
+    made = peer_messages.BoxStatus(
+        True, 1, 1, True, 0, 0, False, *(empty for _ in range(12))
+    )
+    return dataclasses.replace(made, **changes)
+
+
+def with_loads(endpoint: str, engine: str, sent: int) -> Any:
+    return status(
+        tells_loads=True,
+        endpoints=(endpoint,),
+        urgencies=(0,),
+        long=(False,),
+        running=(1,),
+        unread=(5,),
+        engines=(engine,),
+        sent=(sent,),
+    )
+
+
+def values(queue: outbox.Outbox) -> list[Any]:
+    return [message.value for message in queue.take_all()]
+
+
+class Clock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def control(clock: Clock | None = None) -> flow.FlowControl:
+    return flow.FlowControl(clock or Clock())
+
+
+def stalled() -> flow.FlowControl:
+    """Returns the control of a connection whose peer takes nothing."""
+    made = control()
+    for _ in range(flow.MOST_UNTAKEN):
+        made.begin_frame(True)
+    return made
+
+
+def test_news_go_before_what_waits_and_one_status_is_kept() -> None:
+    queue = outbox.Outbox(control())
+    leaving = messages.Leaving("box-1", 5)
+    for message in (status(version=1), leaving, status(version=2), NEWS):
+        queue.put(codec.Encoded(message))
+    assert values(queue) == [NEWS, leaving, status(version=2)]
+
+
+def test_other_messages_keep_their_order_and_number() -> None:
+    queue = outbox.Outbox(stalled())
+    pulls = [messages.PullObjects(3), messages.PullObjects(4)]
+    for pull in pulls:
+        queue.put(codec.Encoded(pull))
+    assert values(queue) == pulls
+
+
+def test_status_that_was_not_sent_leaves_what_it_alone_told() -> None:
+    queue = outbox.Outbox(control())
+    queue.put(codec.Encoded(with_loads("e1", "e1", 10)))
+    queue.put(codec.Encoded(with_loads("e2", "e2", 20)))
+    queue.put(codec.Encoded(status(version=3)))
+    [told] = values(queue)
+    assert (told.version, told.tells_loads) == (3, True)
+    assert told.endpoints == ("e2",)
+    assert dict(zip(told.engines, told.sent, strict=True)) == {
+        "e1": 10,
+        "e2": 20,
+    }
+
+
+def test_peer_that_takes_nothing_gets_news_but_no_status() -> None:
+    queue = outbox.Outbox(stalled())
+    queue.put(codec.Encoded(status(version=1)))
+    queue.put(codec.Encoded(NEWS))
+    assert values(queue) == [NEWS]
+    assert len(queue) == 1
+
+
+def test_status_goes_once_frames_were_taken() -> None:
+    own, other = stalled(), control()
+    queue = outbox.Outbox(own)
+    queue.put(codec.Encoded(status(version=1)))
+    other.note_taken()
+    own.take_frame(other.begin_frame(True))
+    assert values(queue) == [status(version=1)]
+
+
+def test_peer_that_took_a_frame_late_gets_one_at_a_time() -> None:
+    clock = Clock()
+    own, other = control(clock), control(clock)
+    own.begin_frame(True)
+    other.note_taken()
+    clock.now = flow.LATE_S + 0.1
+    own.take_frame(other.begin_frame(True))
+    own.begin_frame(True)
+    assert not own.is_open
+
+
+def test_frames_that_were_never_sent_cannot_be_taken() -> None:
+    other = control()
+    other.note_taken()
+    with pytest.raises(errors.PeerError):
+        control().take_frame(other.begin_frame(True))
+    with pytest.raises(errors.PeerError):
+        control().take_frame(b"abc")
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_two_sides_that_both_wait_never_stop_for_good(seed: int) -> None:
+    draw = random.Random(seed)
+    clock = Clock()
+    sides = [control(clock), control(clock)]
+    wires: list[list[tuple[bytes, bool]]] = [[], []]
+    sent = [0, 0]
+    for _ in range(4000):
+        clock.now += 0.05
+        one = draw.randrange(2)
+        own = sides[one]
+        if draw.random() < 0.5 and (own.is_open or own.owes_word):
+            counts = own.is_open
+            sent[one] += counts
+            wires[one].append((own.begin_frame(counts), counts))
+        elif wires[1 - one]:
+            frame, counts = wires[1 - one].pop(0)
+            own.take_frame(frame)
+            if counts:
+                own.note_taken()
+    assert min(sent) > 150
+
+
+async def test_writer_waits_until_the_peer_is_owed_a_word() -> None:
+    own = stalled()
+    queue = outbox.Outbox(own)
+    queue.put(codec.Encoded(status()))
+    for _ in range(flow.TOLD_AFTER):
+        own.note_taken()
+    assert await queue.get_all() == []
+
+
+def test_messages_for_a_peer_that_is_far_behind_are_bounded() -> None:
+    queue = outbox.Outbox(control(), limit=3)
+    for _ in range(3):
+        queue.put(codec.Encoded(NEWS))
+    with pytest.raises(mailbox.MailboxFullError):
+        queue.put(codec.Encoded(NEWS))
+
+
+# Questions to peers.
+
+
+def test_few_questions_are_under_way_however_late_answers_are() -> None:
+    # A box that was late asked all its peers each 0.3 s and forgot all but the
+    # last 64 questions, so that answers after some 0.5 s were thrown away.
+    for answer_s in (0.05, 0.5, 1.0, 3.0):
+        questions = peer_questions.PeerQuestions()
+        under_way: list[tuple[float, int]] = []
+        asked = answered = 0
+        for step in range(1000):
+            now = step * 0.01
+            for due, number in [q for q in under_way if q[0] <= now]:
+                under_way.remove((due, number))
+                answered += questions.answered(number) is not None
+            for peer in range(36):
+                number = questions.ask(f"box-{peer}", now)
+                if number is not None:
+                    asked += 1
+                    under_way.append((now + answer_s, number))
+        assert answered == asked - len(under_way)
+        most, wait_s = (
+            peer_questions.MOST_UNDER_WAY,
+            peer_questions.FIRST_WAIT_S,
+        )
+        assert asked <= most * (10.0 / min(answer_s, wait_s) + 1)
+        assert len(under_way) <= most * (answer_s / wait_s + 1)
+
+
+def test_peer_is_not_asked_twice_at_a_time() -> None:
+    questions = peer_questions.PeerQuestions()
+    assert questions.ask("box-1", 0.0) is not None
+    assert questions.ask("box-1", 0.1) is None
+    assert questions.unanswered_by(0.1) == {"box-1"}
+    questions.lost("box-1")
+    assert questions.ask("box-1", 0.2) is not None
--- a/tests/test_peer_traffic.py
+++ b/tests/test_peer_traffic.py
@@ -30,6 +30,9 @@
         self.sent.append(message)
         return True
 
+    def look(self) -> None:
+        pass
+
 
 class Clock:
     def __init__(self) -> None:
@@ -47,7 +50,7 @@
 def status() -> peer_messages.BoxStatus:
     empty: tuple[Any, ...] = ()
     return peer_messages.BoxStatus(
-        True, 1, 1, True, 0, False, *(empty for _ in range(12))
+        True, 1, 1, True, 0, 0, False, *(empty for _ in range(12))
     )
 
 
--- a/tests/test_routing_decisions.py
+++ b/tests/test_routing_decisions.py
@@ -19,12 +19,12 @@
 
 
 def test_nothing_confirmed_covers_no_request() -> None:
-    fresh = key_freshness.ConfigFreshness(5.0, 0.25)
+    fresh = key_freshness.ConfigFreshness(5.0, 0.25, 2.0)
     assert not fresh.covers(0.0)
 
 
 def test_confirmation_counts_from_the_question() -> None:
-    fresh = key_freshness.ConfigFreshness(5.0, 0.25)
+    fresh = key_freshness.ConfigFreshness(5.0, 0.25, 2.0)
     fresh.confirm(asked_at=10.0)
     assert fresh.covers(14.7)
     assert not fresh.covers(14.8)
