A box that lags refuses, and requests that waited are judged anew

Cause: where keys do not fail closed nothing kept a box that knew of a newer configuration from running what the older one allows; and a request that waited in its box while a change came in force was sent by the route that it was taken on: only its key was looked at again.

Change: a box that has heard of a change for 0.6 of the time within which it has to be in force, and does not have it, answers 503 with a time to come back and says that it is not ready. Versions count that a box tells which is heard now, so what only a lost box knew keeps none from serving. Before each send the route and the service are looked up in the newest configuration.

Result: tests/test_behind.py, of which those on lagging and on moved routes cannot pass on the code before (it has neither).

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -391,6 +391,8 @@
         config = self.admitter.config
         if self.leaving or config is None or not self.listed.known:
             return False
+        if self.freshness.lags(self.timers.now()):
+            return False
         if not config.needs_keys or not self._settings.keys_fail_closed:
             return True
         return self.freshness.covers(self.timers.now())
--- a/martenjunction/routing/admission.py
+++ b/martenjunction/routing/admission.py
@@ -35,6 +35,9 @@
         urgency: 0 (first) to 9 for a model engine, None for a plain service.
         shortest_pause_s: The shortest pause between events that any stream
             of the service may have, or None.
+        host: The host that it came for.
+        path: Its path.
+        version: The configuration that it was judged by.
     """
 
     route: model.Route
@@ -44,6 +47,9 @@
     deadline: float
     urgency: int | None
     shortest_pause_s: float | None
+    host: str
+    path: str
+    version: int
 
 
 class Admitter:
@@ -97,6 +103,13 @@
             raise RefusalError(
                 503, "no-config", "no configuration yet", RETRY_NO_CONFIG_S
             )
+        if self._freshness.lags(received_at):
+            raise RefusalError(
+                503,
+                "behind",
+                "a newer configuration is not in force here yet",
+                RETRY_STALE_S,
+            )
         route = config.find_route(facts.host, path)
         if route is None:
             self._refuse_if_stale(received_at)
@@ -117,21 +130,42 @@
             received_at + hold_s,
             urgency,
             config.shortest_pause_s(service.name),
+            facts.host,
+            path,
+            config.version,
         )
 
-    def still_allowed(self, admission: Admission, received_at: float) -> bool:
+    def still_allowed(
+        self, admission: Admission, received_at: float, now: float
+    ) -> bool:
         """Returns whether a request may be sent to an endpoint now.
 
         Args:
             admission: How it was taken.
             received_at: When it came.
+            now: The current time.
         """
+        if self._freshness.lags(now) or not self._still_routed(admission):
+            return False
         if admission.key is None or self._config is None:
             return True
         if admission.key not in self._config.workspaces:
             return False
         return not self._fail_closed or self._freshness.covers(received_at)
 
+    def _still_routed(self, admission: Admission) -> bool:
+        """Returns whether the newest configuration sends it where it goes.
+
+        A request may wait in its box while a change comes in force.
+        """
+        config = self._config
+        if config is None or config.version == admission.version:
+            return True
+        route = config.find_route(admission.host, admission.path)
+        return route is not None and any(
+            target.service == admission.service.name for target in route.targets
+        )
+
     def _workspace(
         self,
         config: model.RoutingConfig,
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -305,9 +305,9 @@
         if runs and not self._taken.route.repeatable:
             return False
         if not self._tools.admitter.still_allowed(
-            self._taken, self._state.received_at
+            self._taken, self._state.received_at, time.monotonic()
         ):
-            self._state.why = "stale-keys"
+            self._state.why = "no-longer-allowed"
             return False
         if self._state.progress.attempts == 0:
             return True
--- /dev/null
+++ b/tests/test_behind.py
@@ -0,0 +1,192 @@
+"""A box that knows of a change which it does not have."""
+
+import dataclasses
+import random
+
+import pytest
+
+from martenjunction.decisions import key_freshness
+from martenjunction.decisions import store_readers
+from martenjunction.platform import headers
+from martenjunction.routing import admission
+from martenjunction.routing import config_documents
+from martenjunction.routing import peer_messages
+from martenjunction_lab import boxes
+from martenjunction_lab.spread import fleet as spread
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+
+CHANGE_S = 2.0
+SERVED_S = CHANGE_S * key_freshness.SERVED_BEHIND_PART
+
+
+def freshness() -> key_freshness.ConfigFreshness:
+    return key_freshness.ConfigFreshness(5.0, 0.25, CHANGE_S)
+
+
+def facts(key: str = builders.KEY) -> headers.RequestFacts:
+    return headers.decode_request(
+        [
+            (b"Host", builders.HOST.encode()),
+            (b"Authorization", f"Bearer {key}".encode()),
+        ]
+    )
+
+
+def test_box_lags_until_it_has_what_it_heard_of() -> None:
+    known = freshness()
+    assert known.heard_of(8, 1.0)
+    assert not known.heard_of(8, 1.5)
+    assert known.heard_of(9, 1.6)
+    assert not known.lags(0.9 + SERVED_S)
+    assert known.lags(1.1 + SERVED_S)
+    assert known.caught_up(8, 3.0) == pytest.approx(2.0)
+    assert known.behind_s(3.0) == pytest.approx(1.4)
+    known.caught_up(9, 3.1)
+    assert not known.lags(100.0)
+
+
+def test_what_only_a_box_knew_that_is_gone_keeps_none_from_serving() -> None:
+    known = freshness()
+    known.heard_of(9, 0.0)
+    known.nobody_has(above=8)
+    assert not known.lags(100.0)
+
+
+def admitter(known: key_freshness.ConfigFreshness) -> admission.Admitter:
+    made = admission.Admitter(known, False, random.Random(1))
+    made.put_in_force(builders.config(7))
+    return made
+
+
+def test_box_that_lags_refuses_what_a_change_may_have_taken_away() -> None:
+    # A box that was behind for seconds, and knew it from its peers, ran
+    # requests with keys that the change took away: where keys do not fail
+    # closed nothing kept it from that.
+    known = freshness()
+    judge = admitter(known)
+    taken = judge.admit(facts(), "/safe/x", 0.0)
+    known.heard_of(8, 0.0)
+    late = SERVED_S + 0.1
+    with pytest.raises(admission.RefusalError) as refusal:
+        judge.admit(facts(), "/safe/x", late)
+    assert refusal.value.status == 503
+    assert refusal.value.retry_after is not None
+    assert judge.still_allowed(taken, 0.0, SERVED_S)
+    assert not judge.still_allowed(taken, 0.0, late)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"routes": []},
+        {"routes": [builders.route("safe", "/safe/", service=builders.ENGINE)]},
+        {"tenants": []},
+    ],
+    ids=["route gone", "route moved", "key gone"],
+)
+def test_request_that_waited_is_judged_by_the_change(
+    changes: dict[str, object],
+) -> None:
+    # Requests waited in their box for up to 0.9 s before they were sent on; a
+    # change of their route that came in force meanwhile was not looked at.
+    judge = admitter(freshness())
+    taken = judge.admit(facts(), "/safe/x", 0.0)
+    judge.put_in_force(builders.config(8, **changes))
+    assert not judge.still_allowed(taken, 0.0, 0.5)
+
+
+def test_request_that_waited_goes_on_where_its_route_stands() -> None:
+    judge = admitter(freshness())
+    taken = judge.admit(facts(), "/safe/x", 0.0)
+    judge.put_in_force(builders.config(8))
+    assert judge.still_allowed(taken, 0.0, 0.5)
+
+
+# Documents that a box can tell as differences.
+
+
+def kept(*versions: int) -> config_documents.ConfigDocuments:
+    made = config_documents.ConfigDocuments()
+    for version in versions:
+        made.keep(version, spread.document(version, 60))
+    return made
+
+
+def test_box_that_lacks_few_changes_gets_the_difference() -> None:
+    news = kept(5, 6, 7).news_for(6)
+    assert news is not None
+    assert (news.version, news.base) == (7, 6)
+    assert kept(6).document_in(news) == spread.document(7, 60)
+    assert kept(5).document_in(news) is None
+
+
+def test_box_that_lacks_many_changes_gets_the_whole_document() -> None:
+    news = kept(*range(1, 9)).news_for(2)
+    assert news is not None
+    assert news.base == config_documents.NO_BASE
+    assert kept().document_in(news) == spread.document(8, 60)
+    assert kept(8).news_for(8) is None
+
+
+def test_difference_from_another_document_of_that_version_is_refused() -> None:
+    news = kept(5, 6).news_for(5)
+    assert news is not None
+    other = config_documents.ConfigDocuments()
+    other.keep(5, spread.document(5, 61))
+    with pytest.raises(config_documents.errors.PeerError):
+        other.document_in(news)
+
+
+async def test_news_count_whoever_brings_them_and_whenever(
+    fleet: boxes.Boxes,
+) -> None:
+    box = fleet.gateways[0]
+    await boxes.until(lambda: box.picture.version == 7)
+    spec = spread.document(9, 3)
+    newer = config_documents.ConfigDocuments()
+    newer.keep(9, spec)
+    news = newer.news_for(0)
+    assert news is not None
+    broken = dataclasses.replace(news, difference=b"rubbish")
+    box.sync._on_config_news("box-2", broken)
+    assert box.picture.version == 7
+    box.sync._on_config_news("box-2", news)
+    assert box.picture.version == 9
+    stale = peer_messages.ConfigNews(8, 0, 0, b"")
+    box.sync._on_config_news("box-2", stale)
+    assert box.picture.version == 9
+
+
+async def test_box_that_lags_says_that_it_is_not_ready(
+    fleet: boxes.Boxes,
+) -> None:
+    await requests.two_plain(fleet)
+    box = fleet.gateways[0]
+    box.freshness.heard_of(99, box.timers.now() - CHANGE_S)
+    assert box.freshness.lags(box.timers.now())
+    assert not box.dump()["ready"]
+
+
+# Which box reads, and how often.
+
+
+def test_box_with_the_widest_link_reads() -> None:
+    # The reader of a group was drawn without regard to its link, and one of 5
+    # Mbit/s was to take 370 kB in each 0.6 s.
+    wide = store_readers.PeerAge("wide", True, 0.1, 12_500)
+    thin = [store_readers.PeerAge(f"b{n}", False, 0.1, 625) for n in range(20)]
+    own = store_readers.ReaderRole("own", 625)
+    assert not own.decide([wide, *thin], 0.1, 0.0)
+    assert not own.first
+    widest = store_readers.ReaderRole("own", 12_500)
+    widest.decide(thin, 0.1, 0.0)
+    assert widest.first
+
+
+def test_large_documents_are_asked_for_less_often_over_thin_links() -> None:
+    pause = store_readers.confirm_interval_s
+    assert pause(15_000, 625_000.0) == store_readers.CONFIRM_INTERVAL_S
+    assert pause(370_000, 12_500_000.0) == store_readers.CONFIRM_INTERVAL_S
+    assert pause(370_000, 1_250_000.0) == pytest.approx(1.48)
+    assert pause(4_000_000, 625_000.0) == store_readers.LONGEST_INTERVAL_S
