Entries are checked field by field; an endpoint is its name and its start

Cause: an entry without a state was taken as ready, one with the address 'nowhere' as an endpoint, and one that became unreadable stayed in use; one unreadable entry of a box ended each list of boxes; an unreadable configuration counted as a lost store. An endpoint that started again under its name kept what was believed of the earlier start, and what ran there was waited for.

Endpoint.id joins the entry's name and the moment of the start, so that what is learnt, told, marked or gone belongs to one start; the later one is told by the store's revision. Runs of an earlier start are lost; requests name the entry.

--- a/martenjunction/decisions/endpoint_list.py
+++ b/martenjunction/decisions/endpoint_list.py
@@ -19,9 +19,10 @@
 # that begins to read in place of another one has waited for 1.7 s at most.
 SHORTEST_LAPSE_S = 2.2
 
-# Endpoints that are gone and whose last revision is remembered, so that late
-# news does not bring them back.
+# Entries that are gone and whose last revision is remembered, so that late news
+# does not bring them back; and endpoints that started again.
 MAX_GONE = 1024
+MAX_RESTARTED = 256
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,10 +41,17 @@
 
 
 class EndpointList:
-    """The endpoints of all services, as one box knows them."""
+    """The endpoints of all services, as one box knows them.
+
+    An endpoint that starts again under the name that it had is another one.
+    Which start is the later one follows from the store's revision of the
+    entry: a clock that jumped back must not make it the earlier one for good.
+    """
 
     def __init__(self) -> None:
         self._listed: dict[str, Listed] = {}
+        self._starts: dict[str, str] = {}
+        self._restarted: dict[str, None] = {}
         self._gone: dict[str, int] = {}
         self._revision = 0
         self._store_lost = False
@@ -65,6 +73,15 @@
         """All entries by endpoint id, to be read only."""
         return self._listed
 
+    @property
+    def names(self) -> Set[str]:
+        """The names of all entries, to be read only."""
+        return self._starts.keys()
+
+    def restarted(self, endpoint_id: str) -> bool:
+        """Returns whether an endpoint was lost, as it started again."""
+        return endpoint_id in self._restarted
+
     def ready(self, service: str) -> list[model.Endpoint]:
         """Returns a service's endpoints that may get new work."""
         return [
@@ -110,7 +127,7 @@
             Ids of endpoints that may no longer get work because of it.
         """
         return self._take_all(
-            entries, set(), revision, lambda i: self.take_end(i, revision, now)
+            entries, set(), revision, lambda i: self._end(i, revision, now)
         )
 
     def take_view(
@@ -138,11 +155,13 @@
 
     def take_change(self, endpoint: model.Endpoint, revision: int) -> list[str]:
         """Takes in one entry; returns ids that may no longer get work."""
-        listed = self._listed.get(endpoint.id)
-        if revision <= self._gone.get(endpoint.id, 0):
+        known = self._listed.get(self._starts.get(endpoint.entry, ""))
+        if revision <= self._gone.get(endpoint.entry, 0):
             return []
-        if listed is not None and listed.revision > revision:
+        if known is not None and known.revision > revision:
             return []
+        ended = self._end_earlier(endpoint, known)
+        listed = self._listed.get(endpoint.id)
         was_ready = self.may_send(endpoint.id)
         if listed is not None and not was_ready:
             # An endpoint that once said that it leaves does not come back.
@@ -153,21 +172,50 @@
         if is_ready != was_ready:
             self._digest = None
         self._listed[endpoint.id] = Listed(endpoint, revision)
-        return [endpoint.id] if was_ready and not is_ready else []
+        self._starts[endpoint.entry] = endpoint.id
+        return [*ended, endpoint.id] if was_ready and not is_ready else ended
 
-    def take_end(
-        self, endpoint_id: str, revision: int, now: float
-    ) -> list[str]:
+    def take_end(self, entry: str, revision: int, now: float) -> list[str]:
         """Takes in the end of an entry.
 
         Args:
-            endpoint_id: The endpoint.
+            entry: The entry's name.
             revision: The store's revision of that.
             now: The current time.
 
         Returns:
             Ids of endpoints that may no longer get work because of it.
         """
+        return self._end(self._starts.get(entry, ""), revision, now)
+
+    def take_foreign(self, entry: str, revision: int) -> list[str]:
+        """Takes in that an entry names no endpoint any more.
+
+        Args:
+            entry: The entry's name.
+            revision: The store's revision of that.
+
+        Returns:
+            Ids of endpoints that may no longer get work because of it.
+        """
+        known = self._starts.get(entry)
+        return [] if known is None else self._drop(known, revision)
+
+    def _end_earlier(
+        self, endpoint: model.Endpoint, known: Listed | None
+    ) -> list[str]:
+        """Ends an earlier start of an endpoint; returns its id if listed."""
+        if known is None or known.endpoint.id == endpoint.id:
+            return []
+        earlier = known.endpoint.id
+        self._remove(earlier)
+        while len(self._restarted) >= MAX_RESTARTED:
+            del self._restarted[next(iter(self._restarted))]
+        self._restarted[earlier] = None
+        self._restarted.pop(endpoint.id, None)
+        return [earlier]
+
+    def _end(self, endpoint_id: str, revision: int, now: float) -> list[str]:
         listed = self._listed.get(endpoint_id)
         if listed is None or listed.revision > revision:
             return []
@@ -259,7 +307,9 @@
     def _remove(self, endpoint_id: str) -> None:
         if self.may_send(endpoint_id):
             self._digest = None
-        del self._listed[endpoint_id]
+        entry = self._listed.pop(endpoint_id).endpoint.entry
+        if self._starts.get(entry) == endpoint_id:
+            del self._starts[entry]
 
     def _drop(self, endpoint_id: str, revision: int) -> list[str]:
         listed = self._listed[endpoint_id]
@@ -268,5 +318,5 @@
         self._remove(endpoint_id)
         while len(self._gone) >= MAX_GONE:
             del self._gone[next(iter(self._gone))]
-        self._gone[endpoint_id] = revision
+        self._gone[listed.endpoint.entry] = revision
         return [endpoint_id]
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -381,6 +381,7 @@
                 "store_calls": float(sum(calls.values())),
                 "config_version": float(self.picture.version),
                 "repeats_refused": float(self.budget.refused),
+                "entries_unreadable": float(self.picture.unreadable),
                 "loop_delay_s": self.timers.worst_delay,
             },
         )
@@ -425,8 +426,7 @@
         self.picture.expire()
         self.book.tick(now)
         for running in self._exchanges:
-            ticket = running.ticket
-            if ticket is not None and ticket.move and running.movable:
+            if running.to_be_moved:
                 running.move()
 
     def _note_held_up(self, late_s: float) -> None:
--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -1,10 +1,14 @@
 """The platform's documents, decoded once into the project's types."""
 
+import ipaddress
 import math
+from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import msgspec
 
+from martenjunction import addresses
 from martenjunction import errors
 from martenjunction.http1 import messages
 from martenjunction.routing import model
@@ -16,6 +20,16 @@
 BOX_KIND = "martenjunction-boxes"
 
 MS = 0.001
+LAST_PORT = 65535
+
+# What the decoder raises on rubbish: its own errors, and those of Python on
+# text that is no Unicode, numbers that are too long and depth without end.
+_UNREADABLE = (
+    msgspec.MsgspecError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
 
 # A route without a time limit of its own is held this long at most, seconds.
 DEFAULT_TIMEOUT_S = 60.0
@@ -84,13 +98,24 @@
     tenants: list[_Workspace] | None = None
 
 
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Endpoint(msgspec.Struct):
-    service: str
-    address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    cold_left_ms: float = 0.0
+    """An entry of the replicas' list; one that lacks a field is not theirs."""
+
+    service: _Name
+    address: _Name
+    zone: _Name
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)]
+    seq: _Count
+    # Unix milliseconds of its start, where replicas may start again under the
+    # name that they had.
+    born: _Count | None = None
 
 
 class BoxEntry(msgspec.Struct, frozen=True):
@@ -105,11 +130,11 @@
         leaving: Whether it is being stopped as planned.
     """
 
-    box: str
-    zone: str
+    box: _Name
+    zone: _Name
     callers: str
     peers: str
-    incarnation: int
+    incarnation: _Count
     leaving: bool = False
 
 
@@ -148,7 +173,7 @@
                 wire.limits.idle_timeout_ms * MS,
             ),
         )
-    except (msgspec.MsgspecError, KeyError) as error:
+    except (*_UNREADABLE, KeyError) as error:
         raise errors.PlatformError(f"unreadable config: {error}") from error
 
 
@@ -203,32 +228,55 @@
     """
     try:
         wire = msgspec.json.decode(spec, type=_Endpoint)
-    except msgspec.MsgspecError as error:
+        _check_address(wire.address)
+    except _UNREADABLE as error:
         raise errors.PlatformError(f"unreadable entry: {error}") from error
     ready = wire.state == "ready"
     return model.Endpoint(
-        id=name,
+        id=name if wire.born is None else f"{name}/{wire.born}",
         service=wire.service,
         address=wire.address,
         zone=wire.zone,
-        slots=max(1, wire.slots),
+        slots=wire.slots,
         state=model.EndpointState.READY
         if ready
         else model.EndpointState.DRAINING,
         cold_s=wire.cold_left_ms * MS,
+        name=name,
     )
 
 
-def decode_box(spec: bytes) -> BoxEntry:
+def _check_address(address: str) -> None:
+    """Checks an IP address and a port.
+
+    Raises:
+        ValueError: If it is none.
+    """
+    host, port = addresses.split_address(address)
+    ipaddress.ip_address(host)
+    if not 0 < port <= LAST_PORT:
+        raise ValueError(f"no port: {port}")
+
+
+def decode_box(name: str, spec: bytes) -> BoxEntry:
     """Returns a daemon's own entry.
 
+    Args:
+        name: The entry's name, which is the box's.
+        spec: The entry's JSON.
+
     Raises:
-        PlatformError: If it cannot be read.
+        PlatformError: If it cannot be read, or is not that box's.
     """
     try:
-        return msgspec.json.decode(spec, type=BoxEntry)
-    except msgspec.MsgspecError as error:
+        entry = msgspec.json.decode(spec, type=BoxEntry)
+        _check_address(entry.callers)
+        _check_address(entry.peers)
+    except _UNREADABLE as error:
         raise errors.PlatformError(f"unreadable box: {error}") from error
+    if entry.box != name:
+        raise errors.PlatformError(f"the entry of box {entry.box}")
+    return entry
 
 
 def encode_box(entry: BoxEntry) -> dict[str, Any]:
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -29,7 +29,12 @@
 
 
 class RunTicket:
-    """One request at one endpoint, for the accounts of its load."""
+    """One request at one endpoint, for the accounts of its load.
+
+    Attributes:
+        move: Whether it should be taken from its endpoint, which is silent.
+        lost: Whether its run ended with its endpoint, which started again.
+    """
 
     def __init__(
         self,
@@ -51,6 +56,7 @@
         self.heard_at = now
         self.waiting = True
         self.move = False
+        self.lost = False
 
 
 def describe(choice: endpoint_choice.Choice) -> dict[str, Any]:
@@ -289,6 +295,11 @@
             for ticket in self._tickets:
                 if ticket.record is record:
                     ticket.move = True
+        for ticket in self._tickets:
+            # The connection may stay open: a box that is cut off from the
+            # endpoint learns of its new start from the store or a peer.
+            if self._listed.restarted(ticket.record.id):
+                ticket.lost = True
         for gone in [i for i in self._records if i not in self._listed.entries]:
             if self._records[gone].loads.own_running == 0:
                 del self._records[gone]
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -99,15 +99,17 @@
         return self._ticket
 
     @property
-    def movable(self) -> bool:
-        """Whether it may be taken from its endpoint and sent to another."""
-        taken = self._admission
+    def to_be_moved(self) -> bool:
+        """Whether it is to be taken from its endpoint."""
+        ticket, taken = self._ticket, self._admission
+        if ticket is None or taken is None:
+            return False
         # A silent endpoint may still be at work: only what may run twice is
-        # taken from it.
-        return taken is not None and taken.route.repeatable
+        # taken from it. One that started again is not.
+        return ticket.lost or (ticket.move and taken.route.repeatable)
 
     def move(self) -> None:
-        """Takes the request from its endpoint; it goes to another one.
+        """Takes the request from its endpoint; it may go to another one.
 
         An endpoint whose bytes wait to be read is not silent and keeps it.
         """
@@ -348,7 +350,7 @@
             request.headers,
             len(request.body) if framed else None,
             taken.deadline - time.monotonic(),
-            endpoint.id,
+            endpoint.entry,
             None if workspace is None else workspace.name,
             taken.urgency,
             self._state.delivered_id,
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -78,6 +78,7 @@
         self._answered = False
         self._first = True
         self._listed: dict[str, int] = {}
+        self._foreign: dict[str, int] = {}
         self._recorded = False
         self._recorded_at = 0.0
         self._met = False
@@ -264,7 +265,9 @@
         listing = await self._client.list(documents.BOX_KIND, may_be_old=True)
         present: dict[str, int] = {}
         for found in listing.objects:
-            entry = documents.decode_box(found.spec)
+            entry = self._decode_box(found)
+            if entry is None:
+                continue
             present[entry.box] = found.revision
             self._members.listed(_member(entry), True, entry.leaving)
         for gone in set(self._listed) - set(present):
@@ -285,6 +288,20 @@
             wait = BOXES_INTERVAL_S
         await asyncio.sleep(wait * (0.8 + 0.4 * self._rng.random()))
 
+    def _decode_box(
+        self, found: store.StoredObject
+    ) -> documents.BoxEntry | None:
+        """Returns a box's entry; None for one that another writer made."""
+        try:
+            return documents.decode_box(found.name, found.spec)
+        except errors.PlatformError as error:
+            if self._foreign.get(found.name) != found.revision:
+                self._foreign[found.name] = found.revision
+                self._log.write(
+                    "entry-unreadable", entry=found.name, why=str(error)
+                )
+            return None
+
     async def _record_own(self) -> None:
         spec = documents.encode_box(self._own)
         try:
--- a/martenjunction/routing/model.py
+++ b/martenjunction/routing/model.py
@@ -183,13 +183,16 @@
     """One start of one replica of a service.
 
     Attributes:
-        id: Names this start; no other ever has it.
+        id: Names this start among all that are known; its entry's name, with
+            the moment of the start where the entry tells it.
         service: The service that it serves.
         address: IP address and port.
         zone: Its availability zone.
         slots: Requests that it works on at once.
         state: What it says of itself.
         cold_s: Seconds from its start for which it is slow.
+        name: The name of its entry, if not `id`: what it answers to, and what
+            it keeps when it starts again.
     """
 
     id: str
@@ -199,3 +202,9 @@
     slots: int
     state: EndpointState
     cold_s: float = 0.0
+    name: str = ""
+
+    @property
+    def entry(self) -> str:
+        """The name of its entry."""
+        return self.name or self.id
--- a/martenjunction/routing/picture.py
+++ b/martenjunction/routing/picture.py
@@ -12,6 +12,9 @@
 from martenjunction.routing import decision_log
 from martenjunction.routing import model
 
+# Entries that cannot be read which are remembered, so as to be logged once.
+MAX_FOREIGN = 256
+
 
 class Picture:
     """The one place where news from the store or from peers is taken in."""
@@ -44,6 +47,13 @@
         self._entries: dict[str, tuple[int, bytes]] = {}
         self._on_left: Callable[[list[str]], None] = lambda ids: None
         self._store_answers: bool | None = None
+        self._foreign: dict[str, bytes] = {}
+        self._unreadable = 0
+
+    @property
+    def unreadable(self) -> int:
+        """Entries and configurations so far that could not be read."""
+        return self._unreadable
 
     @property
     def version(self) -> int:
@@ -78,15 +88,18 @@
     def take_config(self, spec: bytes, asked_at: float, source: str) -> None:
         """Takes a configuration in that was the newest at a moment.
 
+        One that cannot be read confirms nothing.
+
         Args:
             spec: Its document.
             asked_at: Steady clock when it was asked for.
             source: Who told it, for the log.
-
-        Raises:
-            PlatformError: If it cannot be read.
         """
-        self.take_newer_config(spec, source)
+        try:
+            self.take_newer_config(spec, source)
+        except errors.PlatformError as error:
+            self._note_foreign(documents.CONFIG_NAME, spec, error)
+            return
         self._freshness.confirm(asked_at)
 
     def take_view(
@@ -106,11 +119,11 @@
         """
         if revision < self._listed.revision:
             return
-        entries = self._decode_all(changed)
-        left = self._listed.take_view(entries, set(ready), revision)
+        entries, left = self._decode_all(changed)
+        left += self._listed.take_view(entries, set(ready), revision)
         for name, entry_revision, spec in changed:
             self._entries[name] = (entry_revision, spec)
-        for name in [i for i in self._entries if i not in self._listed.entries]:
+        for name in [i for i in self._entries if i not in self._listed.names]:
             del self._entries[name]
         self._log.write(
             "endpoints-told",
@@ -159,8 +172,8 @@
         """
         if revision < self._listed.revision:
             return
-        entries = self._decode_all(objects)
-        left = self._listed.take_listing(entries, revision, self._now())
+        entries, left = self._decode_all(objects)
+        left += self._listed.take_listing(entries, revision, self._now())
         self._entries = {i: (r, spec) for i, r, spec in objects}
         self._log.write(
             "endpoints-listed",
@@ -177,20 +190,27 @@
             # The entry of something that is gone need not be readable.
             left = self._listed.take_end(name, revision, self._now())
             self._entries.pop(name, None)
-            state = "gone"
+            self._foreign.pop(name, None)
+            self._log_endpoint(name, "gone", revision)
         else:
-            endpoint = self._decode(name, change.object.spec)
-            if endpoint is None:
-                return
-            left = self._listed.take_change(endpoint, revision)
-            self._entries[name] = (revision, change.object.spec)
-            state = endpoint.state.value
-        self._log.write(
-            "endpoint-changed", endpoint=name, state=state, revision=revision
-        )
+            entries, left = self._decode_all(
+                [(name, revision, change.object.spec)]
+            )
+            for endpoint, _ in entries:
+                left += self._listed.take_change(endpoint, revision)
+                self._entries[name] = (revision, change.object.spec)
+                self._log_endpoint(endpoint.id, endpoint.state.value, revision)
         self._listed.advance(revision)
         self._tell_left(left, revision, "store")
 
+    def _log_endpoint(self, endpoint: str, state: str, revision: int) -> None:
+        self._log.write(
+            "endpoint-changed",
+            endpoint=endpoint,
+            state=state,
+            revision=revision,
+        )
+
     def take_left(self, ids: tuple[str, ...], revision: int) -> None:
         """Takes in a peer's word that endpoints may get no more work."""
         for endpoint_id in ids:
@@ -244,14 +264,36 @@
 
     def _decode_all(
         self, objects: list[tuple[str, int, bytes]]
-    ) -> list[tuple[model.Endpoint, int]]:
-        """Returns the endpoints of those entries that can be read."""
-        decoded = [(self._decode(i, spec), r) for i, r, spec in objects]
-        return [(e, r) for e, r in decoded if e is not None]
+    ) -> tuple[list[tuple[model.Endpoint, int]], list[str]]:
+        """Decodes entries; one that cannot be read names no endpoint.
 
-    def _decode(self, name: str, spec: bytes) -> model.Endpoint | None:
-        try:
-            return documents.decode_endpoint(name, spec)
-        except errors.PlatformError as error:
-            self._log.write("entry-unreadable", entry=name, why=str(error))
-            return None
+        Returns:
+            The endpoints with their entries' revisions, and the ids of those
+            whose entries became unreadable.
+        """
+        decoded: list[tuple[model.Endpoint, int]] = []
+        ended: list[str] = []
+        for name, revision, spec in objects:
+            try:
+                decoded.append(
+                    (documents.decode_endpoint(name, spec), revision)
+                )
+            except errors.PlatformError as error:
+                self._note_foreign(name, spec, error)
+                ended += self._listed.take_foreign(name, revision)
+                self._entries.pop(name, None)
+            else:
+                self._foreign.pop(name, None)
+        return decoded, ended
+
+    def _note_foreign(
+        self, name: str, spec: bytes, error: errors.PlatformError
+    ) -> None:
+        """Logs and counts what cannot be read, once a change."""
+        if self._foreign.get(name) == spec:
+            return
+        if len(self._foreign) >= MAX_FOREIGN:
+            self._foreign.clear()
+        self._foreign[name] = spec
+        self._unreadable += 1
+        self._log.write("entry-unreadable", entry=name, why=str(error))
--- a/martenjunction_lab/boxes.py
+++ b/martenjunction_lab/boxes.py
@@ -106,8 +106,17 @@
         service: str,
         state: str = "ready",
         slots: int = 6,
+        **changes: Any,
     ) -> None:
-        """Writes a replica's entry."""
+        """Writes a replica's entry.
+
+        Args:
+            made: The replica.
+            service: The service that it serves.
+            state: What it says of itself.
+            slots: Requests that it works on at once.
+            changes: Further fields, and others in place of its own.
+        """
         self.store.write(
             documents.ENDPOINT_KIND,
             made.id,
@@ -120,6 +129,7 @@
                 "state": state,
                 "cold_left_ms": 0,
                 "seq": 1,
+                **changes,
             },
         )
 
--- /dev/null
+++ b/tests/test_entries.py
@@ -0,0 +1,214 @@
+"""Entries of the store that another writer made, or that cannot be read."""
+
+import json
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from martenjunction import errors
+from martenjunction.platform import documents
+from martenjunction.routing import model
+from martenjunction_lab import boxes
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+
+ENTRY: dict[str, Any] = {
+    "service": builders.PLAIN,
+    "address": "10.0.0.1:80",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 4,
+    "born": 1767295651795,
+}
+
+FOREIGN = [
+    *({"lacks": name} for name in ENTRY if name != "born"),
+    {"state": "resting"},
+    {"state": 1},
+    {"seq": "4"},
+    {"seq": -1},
+    {"seq": 1.5},
+    {"born": "soon"},
+    {"born": 1.5},
+    {"born": -1},
+    {"address": ""},
+    {"address": "nowhere"},
+    {"address": "10.0.0.1"},
+    {"address": "10.0.0.1:0"},
+    {"address": "10.0.0.1:70000"},
+    {"address": "10.0.0.300:80"},
+    {"address": 7},
+    {"cold_left_ms": -1},
+    {"cold_left_ms": "0"},
+    {"slots": 0},
+    {"slots": "6"},
+    {"service": ""},
+    {"service": None},
+    {"zone": 1},
+]
+
+
+def spec(**changes: Any) -> bytes:
+    entry = {**ENTRY, **changes}
+    entry.pop(entry.pop("lacks", ""), None)
+    return json.dumps(entry).encode()
+
+
+def test_entry_of_a_replica_names_an_endpoint() -> None:
+    found = documents.decode_endpoint("i-1", spec(phase="x", models=[{}]))
+    assert (found.entry, found.address) == ("i-1", "10.0.0.1:80")
+    assert found.state is model.EndpointState.READY
+    old = documents.decode_endpoint("i-1", spec(lacks="born"))
+    assert (old.id, old.entry) == ("i-1", "i-1")
+
+
+@pytest.mark.parametrize("changes", FOREIGN, ids=str)
+def test_what_is_no_such_entry_names_no_endpoint(changes: Any) -> None:
+    # An entry without a state was taken as ready, and so was one with the
+    # address "nowhere" or a negative time.
+    with pytest.raises(errors.PlatformError):
+        documents.decode_endpoint("i-1", spec(**changes))
+
+
+anything = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+box_entry = {
+    "box": "box-1",
+    "zone": "zone-a",
+    "callers": "10.0.0.1:1",
+    "peers": "10.0.0.1:2",
+    "incarnation": 5,
+}
+near = st.one_of(
+    *(
+        st.builds(lambda d, k, v: {**d, k: v}, st.just(known), keys, anything)
+        for known in (ENTRY, box_entry, builders.config_document())
+        for keys in [st.sampled_from(sorted(known))]
+    )
+)
+decoders = st.sampled_from(
+    [
+        lambda data: documents.decode_endpoint("i-1", data),
+        lambda data: documents.decode_box("box-1", data),
+        documents.decode_config,
+    ]
+)
+
+
+@given(decoders, st.binary(max_size=60) | (anything | near).map(json.dumps))
+def test_decoders_refuse_rubbish_by_one_error(decode: Any, data: Any) -> None:
+    try:
+        decode(data if isinstance(data, bytes) else data.encode())
+    except errors.PlatformError:
+        return
+
+
+def test_rubbish_that_is_deep_is_refused() -> None:
+    with pytest.raises(errors.PlatformError):
+        documents.decode_config(b'{"x":' + b"[" * 100_000)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"box": "box-2"},
+        {"callers": "nowhere"},
+        {"peers": ""},
+        {"incarnation": "5"},
+        {"zone": None},
+    ],
+    ids=str,
+)
+def test_foreign_entry_of_a_box_is_refused(changes: Any) -> None:
+    data = json.dumps({**box_entry, **changes}).encode()
+    with pytest.raises(errors.PlatformError):
+        documents.decode_box("box-1", data)
+
+
+# Through the whole path.
+
+
+@pytest.mark.parametrize("foreign", ["{}", '"?"', "7", "[]"])
+async def test_foreign_entry_costs_the_others_nothing(
+    fleet: boxes.Boxes, foreign: str
+) -> None:
+    made = await requests.two_plain(fleet)
+    for number in range(54):
+        fleet.record(made[0], builders.PLAIN, address=f"127.0.0.1:{number + 1}")
+        entry = fleet.store.find(documents.ENDPOINT_KIND, made[0].id)
+        assert entry is not None
+        fleet.store.write(
+            documents.ENDPOINT_KIND, f"more-{number}", dict(entry.spec)
+        )
+    fleet.record(made[0], builders.PLAIN)
+    box = fleet.gateways[0]
+    await boxes.until(lambda: len(box.listed.entries) == 56)
+    fleet.store.write(documents.ENDPOINT_KIND, "more-7", json.loads(foreign))
+    await boxes.until(lambda: not box.listed.may_send("more-7"))
+    await boxes.until(lambda: box.listed.may_send(made[0].id))
+    assert len(box.listed.ready_ids()) == 55
+    assert box.picture.unreadable == 1
+    fleet.store.forget_history()
+    calls = box.store.calls["list"]
+    await boxes.until(lambda: box.store.calls["list"] > calls)
+    assert len(box.listed.ready_ids()) == 55
+    assert box.picture.unreadable == 1
+
+
+async def test_entry_that_becomes_unreadable_names_no_endpoint(
+    fleet: boxes.Boxes,
+) -> None:
+    # The change was logged and passed over: work went on to an endpoint of
+    # which nothing was known any more.
+    made = await requests.two_plain(fleet)
+    box = fleet.gateways[0]
+    fleet.record(made[0], builders.PLAIN, address="nowhere")
+    await boxes.until(lambda: not box.listed.may_send(made[0].id))
+    for number in range(6):
+        head, _ = await requests.ask(fleet, "/safe/", f"r{number}")
+        assert head.status == 200
+    assert not made[0].received
+    fleet.record(made[0], builders.PLAIN)
+    await boxes.until(lambda: box.listed.may_send(made[0].id))
+
+
+async def test_unreadable_entry_of_a_box_leaves_the_others_known() -> None:
+    # One such entry ended each list of boxes, so that no box was found by it.
+    made = boxes.Boxes()
+    made.store.start()
+    made.store.write(documents.BOX_KIND, "a-first", {"box": 7})
+    made.configure(builders.config_document())
+    await made.add_box("box-1")
+    await made.add_box("box-2")
+    one = made.gateways[0]
+    await boxes.until(lambda: "box-2" in one.members.members)
+    await made.stop()
+
+
+async def test_unreadable_configuration_is_no_loss_of_the_store(
+    fleet: boxes.Boxes,
+) -> None:
+    box = fleet.gateways[0]
+    await boxes.until(lambda: box.picture.version == 7)
+    fleet.configure({"version": "eight"})
+    calls = box.store.calls["get"]
+    await boxes.until(lambda: box.store.calls["get"] > calls + 2)
+    assert box.picture.version == 7
+    assert box.picture.store_answers
+    fleet.configure(builders.config_document(9))
+    await boxes.until(lambda: box.picture.version == 9)
--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,176 @@
+"""Endpoints that start again under the id that they had."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from martenjunction.decisions import endpoint_list
+from martenjunction.routing import model
+from martenjunction_lab import boxes
+from martenjunction_lab import replica
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+
+Behaviour = replica.Behaviour
+DRAINING = model.EndpointState.DRAINING
+
+
+def life(
+    born: int, state: model.EndpointState = model.EndpointState.READY
+) -> model.Endpoint:
+    return dataclasses.replace(
+        builders.endpoint(f"e1/{born}", state), name="e1"
+    )
+
+
+def known_with(endpoint: model.Endpoint) -> endpoint_list.EndpointList:
+    made = endpoint_list.EndpointList()
+    made.take_listing([(endpoint, 3)], 5, now=0.0)
+    return made
+
+
+def test_later_life_takes_the_place_of_the_earlier_one() -> None:
+    known = known_with(life(1))
+    assert known.take_change(life(2), 6) == ["e1/1"]
+    assert known.ready_ids() == ["e1/2"]
+    assert known.restarted("e1/1") and not known.restarted("e1/2")
+
+
+def test_life_is_later_by_the_revision_not_by_its_clock() -> None:
+    known = known_with(life(2000))
+    known.take_change(life(1000), 6)
+    assert known.ready_ids() == ["e1/1000"]
+
+
+def test_late_word_of_the_earlier_life_changes_nothing() -> None:
+    known = known_with(life(1))
+    known.take_change(life(2), 6)
+    assert known.take_change(life(1, DRAINING), 5) == []
+    assert not known.leave("e1/1", 7)
+    assert known.ready_ids() == ["e1/2"]
+    assert known.take_end("e1", 5, 1.0) == []
+    assert known.ready_ids() == ["e1/2"]
+    assert known.take_end("e1", 8, 1.0) == ["e1/2"]
+    assert known.take_change(life(1), 7) == []
+    assert known.ready_ids() == []
+
+
+def test_mark_of_leaving_ends_with_the_life() -> None:
+    known = known_with(life(1))
+    known.take_change(life(1, DRAINING), 6)
+    known.take_change(life(2), 7)
+    assert known.may_send("e1/2")
+
+
+def test_restart_found_with_a_list_has_no_grace() -> None:
+    known = known_with(life(1))
+    known.store_lost()
+    known.store_returned(14.0, away_s=4.0)
+    assert known.take_listing([(life(2), 8)], 9, now=14.0) == ["e1/1"]
+    assert known.ready_ids() == ["e1/2"]
+
+
+def test_restart_that_a_peer_tells_of() -> None:
+    known = known_with(life(1))
+    assert known.take_view([(life(2), 8)], {"e1/2"}, 9) == ["e1/1"]
+    assert known.ready_ids() == ["e1/2"]
+
+
+# With a box before stand-ins.
+
+
+async def started_again(fleet: boxes.Boxes, made: replica.Replica) -> str:
+    """Has a replica's entry say that it started again; returns the life."""
+    fleet.record(made, builders.PLAIN, born=2)
+    now = f"{made.id}/2"
+    box = fleet.gateways[0]
+    await boxes.until(lambda: box.listed.may_send(now))
+    return now
+
+
+async def with_one(
+    fleet: boxes.Boxes, service: str = builders.PLAIN
+) -> replica.Replica:
+    made = await fleet.add_replica(service)
+    fleet.record(made, service, born=1)
+    box = fleet.gateways[0]
+    await boxes.until(lambda: box.listed.may_send(f"{made.id}/1"))
+    return made
+
+
+async def test_request_names_the_id_alone(fleet: boxes.Boxes) -> None:
+    made = await with_one(fleet)
+    head, _ = await requests.ask(fleet, "/safe/")
+    assert head.status == 200
+    [received] = made.received
+    assert received.headers["martenjunction-expect-replica"] == made.id
+
+
+@pytest.mark.parametrize(
+    ("path", "status"), [("/unsafe/", 502), ("/safe/", 200)]
+)
+async def test_what_ran_there_when_it_started_again_is_lost(
+    fleet: boxes.Boxes, path: str, status: int
+) -> None:
+    # The earlier life says nothing any more, and its connections stay open.
+    made = await with_one(fleet)
+    made.plan(Behaviour.HANG)
+    asking = asyncio.create_task(requests.ask(fleet, path))
+    await boxes.until(lambda: bool(made.received))
+    await started_again(fleet, made)
+    head, _ = await asking
+    assert head.status == status
+    assert len(made.received) == (2 if status == 200 else 1)
+
+
+async def test_stream_of_the_earlier_life_ends(fleet: boxes.Boxes) -> None:
+    made = await with_one(fleet, builders.ENGINE)
+    made.plan(Behaviour.HANG)
+    asking = asyncio.create_task(requests.ask(fleet, "/chat/"))
+    await boxes.until(lambda: bool(made.received))
+    fleet.record(made, builders.ENGINE, born=2)
+    head, _ = await asking
+    assert head.status == 502
+
+
+async def test_what_was_believed_of_it_ends_with_its_life(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await with_one(fleet)
+    box = fleet.gateways[0]
+    await requests.ask(fleet, "/safe/")
+    record = box.book.records[f"{made.id}/1"]
+    record.slowness.add(5.0)
+    record.refused_until = box.timers.now() + 100.0
+    for _ in range(9):
+        box.book.broken(f"{made.id}/1", box.timers.now())
+    assert record.health.state == "ejected"
+    life_now = await started_again(fleet, made)
+    head, _ = await requests.ask(fleet, "/safe/")
+    assert head.status == 200
+    fresh = box.book.records[life_now]
+    assert fresh is not record
+    assert fresh.health.state == "routing"
+    assert fresh.slowness.value < 2.0
+    await boxes.until(lambda: f"{made.id}/1" not in box.book.records)
+
+
+async def test_peers_word_on_the_earlier_life_does_not_count() -> None:
+    made = boxes.Boxes()
+    await made.start(builders.config_document(), boxes=2)
+    one = await made.add_replica(builders.PLAIN)
+    made.record(one, builders.PLAIN, born=1)
+    await boxes.until(
+        lambda: all(b.listed.may_send("i-1/1") for b in made.gateways)
+    )
+    made.record(one, builders.PLAIN, born=2)
+    await boxes.until(
+        lambda: all(b.listed.may_send("i-1/2") for b in made.gateways)
+    )
+    box = made.gateways[0]
+    box.picture.take_left(("i-1/1",), box.listed.revision + 5)
+    box.book.take_peer_loads("box-2", [("i-1/1", 0, False, 9, 900)], 0.0)
+    still = box.listed.may_send("i-1/2")
+    await made.stop()
+    assert still
