--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -17,6 +17,7 @@
 from martenjunction_lab.replays import ablations
 from martenjunction_lab.replays import loads
 from martenjunction_lab.replays import report
+from martenjunction_lab.spread import table
 
 
 @cappa.command(help="Run both users' fleets under a burst, in one process.")
@@ -42,6 +43,18 @@
         sys.exit(uvloop.run(demo.run(self.seconds, self.seed, self.json)))
 
 
+@cappa.command(help="Let simulated boxes hear of configurations.")
+@dataclasses.dataclass
+class Spread:
+    """Prints how long changes take until they are in force."""
+
+    def __call__(self) -> None:
+        """Simulates the fleets."""
+        logging.disable(logging.WARNING)
+        for line in table.text():
+            print(line, flush=True)
+
+
 @cappa.command(help="Send the same load under several policies.")
 @dataclasses.dataclass
 class Compare:
@@ -125,7 +138,7 @@
 class Lab:
     """The command and its subcommands."""
 
-    subcommand: cappa.Subcommands[Demo | Compare | Replay | Capacity]
+    subcommand: cappa.Subcommands[Demo | Compare | Replay | Spread | Capacity]
 
 
 def main() -> None:
--- a/tools/play_days.py
+++ b/tools/play_days.py
@@ -19,7 +19,7 @@
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-TABLE = ROOT / "days" / "kinds.toml"
+TABLE = ROOT / "tools" / "kinds.toml"
 
 # Seconds of traffic at which troubles of a day begin.
 STARTS_S = (3.0, 12.0, 21.0)
