--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -156,6 +156,50 @@
     await boxes.until(lambda: f"{made.id}/1" not in box.book.records)
 
 
+async def test_parts_held_and_copies_end_with_the_life(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await with_one(fleet, builders.ENGINE)
+    box = fleet.gateways[0]
+    await requests.ask(fleet, "/chat/")
+    record = box.book.records[f"{made.id}/1"]
+    assert record.held([("aa", 100), ("bb", 400)]) == 500
+    fleet.record(made, builders.ENGINE, born=2)
+    await boxes.until(lambda: box.listed.may_send(f"{made.id}/2"))
+    # A copy of a run's memory is asked after by the life that holds it.
+    assert not box.listed.may_send(f"{made.id}/1")
+    await requests.ask(fleet, "/chat/", "r2")
+    fresh = box.book.records[f"{made.id}/2"]
+    assert fresh is not record
+    # Its own part has to be read again.
+    assert fresh.sent_tokens >= 400
+
+
+async def test_endpoint_that_was_silent_starts_again_trusted(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await with_one(fleet)
+    box = fleet.gateways[0]
+    made.always(Behaviour.HANG)
+    asking = [
+        asyncio.create_task(requests.ask(fleet, "/unsafe/", f"r{n}"))
+        for n in range(3)
+    ]
+    record = box.book.records
+    await boxes.until(
+        lambda: (
+            record[f"{made.id}/1"].health.state == "ejected"
+            if f"{made.id}/1" in record
+            else False
+        )
+    )
+    made.always(Behaviour.SERVE)
+    await started_again(fleet, made)
+    assert {(await call)[0].status for call in asking} == {502}
+    head, _ = await requests.ask(fleet, "/unsafe/", "later")
+    assert head.status == 200
+
+
 async def test_peers_word_on_the_earlier_life_does_not_count() -> None:
     made = boxes.Boxes()
     await made.start(builders.config_document(), boxes=2)
