A test of answers of the store that still come

Cause: the longer time for a large document had no test. Change: one test. Result: passes; with the store's client as it was before the mend it fails (no answer to get).

--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -59,6 +59,30 @@
     assert await peer.request(other_side) == b""
 
 
+async def test_answer_of_the_store_that_still_comes_is_waited_for(
+    peer: raw_peers.RawPeer,
+) -> None:
+    # A document of 370 kB takes 0.6 s over a thin link, and longer beside other
+    # traffic: calls were given up after a second, and made again over the link
+    # that was full.
+    calls = store.StoreClient(peer.address)
+    asking = asyncio.create_task(calls.get("config", "main"))
+    other_side = await peer.accept()
+    assert await peer.request(other_side)
+    whole = raw_peers.answer(OBJECT)
+    parts = 4
+    cut = len(whole) - len(OBJECT)
+    other_side.send(whole[:cut])
+    for number in range(parts):
+        await asyncio.sleep(store.CALL_TIMEOUT_S / 2)
+        begin = number * len(OBJECT) // parts
+        end = (number + 1) * len(OBJECT) // parts
+        other_side.send(OBJECT[begin:end])
+    found = await asking
+    assert found is not None and found.revision == 3
+    calls.close()
+
+
 async def test_call_to_the_store_leaves_a_connection_that_had_ended(
     peer: raw_peers.RawPeer,
 ) -> None:
