A box whose document is unlike a peer's asks for the whole one

Cause: found on the last read of the change. Where a difference leads to another digest, the box asked again by its version, and the peer told the same difference again, without end.

Change: the next question says that nothing is held, until another version is in force.

Result: the test fails on the code before (it asks by version 7) and passes; 26 passed in tests/test_behind.py and tests/test_store_readers.py.

--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -110,6 +110,8 @@
         self._role = store_readers.ReaderRole(members.own.box, self._link_kb)
         self._told_of: tuple[bool, int, int] = (False, 0, 0)
         self._lacks_entries = False
+        # The version whose document here is unlike that of a peer.
+        self._unlike_version: int | None = None
         self._told_sent: set[tuple[str, int]] = set()
         self._statuses: dict[str, _Told] = {}
         self._questions = peer_questions.PeerQuestions()
@@ -232,6 +234,8 @@
                 self._known.take_newer_config(spec, box)
                 return
         except (errors.PeerError, errors.PlatformError) as error:
+            # Asked by its version, the peer would tell the same difference.
+            self._unlike_version = self._known.version
             self._log.write("peer-config-unreadable", peer=box, why=str(error))
         self._ask(box)
 
@@ -376,11 +380,12 @@
         number = self._questions.ask(box, self._timers.now())
         if number is None:
             return
+        unlike = self._unlike_version == self._known.version
         sent = self._peers.send(
             box,
             peer_messages.AskView(
                 number,
-                self._known.version,
+                0 if unlike else self._known.version,
                 0 if self._lacks_entries else self._book.listed.revision,
                 self._book.listed.digest(),
             ),
--- a/tests/test_behind.py
+++ b/tests/test_behind.py
@@ -158,6 +158,32 @@
     assert box.picture.version == 9
 
 
+async def test_box_whose_document_differs_asks_for_the_whole_one(
+    fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # It asked again for what differs from a document that it does not have.
+    box = fleet.gateways[0]
+    await boxes.until(lambda: box.picture.version == 7)
+    asked: list[peer_messages.AskView] = []
+
+    def send(peer: str, message: peer_messages.AskView) -> bool:
+        asked.append(message)
+        return True
+
+    monkeypatch.setattr(box.sync._peers, "send", send)
+    other = kept(7, 8)
+    news = other.news_for(7)
+    assert news is not None
+    box.sync._on_config_news("box-2", news)
+    assert [message.version for message in asked] == [0]
+    whole = other.news_for(0)
+    assert whole is not None
+    box.sync._on_config_news("box-2", whole)
+    assert box.picture.version == 8
+    box.sync._ask("box-3")
+    assert asked[-1].version == 8
+
+
 async def test_box_that_lags_says_that_it_is_not_ready(
     fleet: boxes.Boxes,
 ) -> None:
