Requests that are sent again can be told by their content

Cause: lines of the log name a request by its id, which differs with each try, so what ended endpoint after endpoint was told by the length of its prompt. Change: each request's line has a digest of its caller and one of its content; alike on all boxes of a fleet. Conclusion: the lines can tell the hypotheses apart; no logic is changed.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -37,6 +37,7 @@
 from martenjunction.routing import peer_sync
 from martenjunction.routing import picture
 from martenjunction.routing import prober
+from martenjunction.routing import request_content
 
 # Seconds between two looks at silent endpoints, lapsed entries and moves.
 WATCH_INTERVAL_S = 0.1
@@ -176,6 +177,7 @@
             settings.zone,
             self._left_for_s,
             settings.stop_s - STOP_MARGIN_S,
+            request_content.ContentKeys(_peer_key(settings)),
         )
         self._callers = self._server(
             "callers", self._serve_caller, self._limits
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -83,7 +83,11 @@
         self._connection = connection
         self._request = request
         self._facts = headers.decode_request(request.headers)
-        self._state = offers.RequestState(self._facts.id, request.received_at)
+        self._state = offers.RequestState(
+            self._facts.id,
+            request.received_at,
+            tools.contents.key(request, self._facts),
+        )
         self._admission: admission.Admission | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -19,6 +19,7 @@
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import model
+from martenjunction.routing import request_content
 
 # Endpoints that one request is offered to, refusals and failed connections
 # included.
@@ -55,6 +56,7 @@
         leaving_for_s: Returns for how many seconds the box is being stopped,
             or None if it is not.
         stop_limit_s: Seconds after which a planned stop ends what still runs.
+        contents: Tells requests that are sent again from others.
     """
 
     admitter: admission.Admitter
@@ -67,6 +69,7 @@
     zone: str
     leaving_for_s: Callable[[], float | None]
     stop_limit_s: float
+    contents: request_content.ContentKeys
 
     def closing(self) -> bool:
         """Returns whether connections end with their answer."""
@@ -80,6 +83,7 @@
     Attributes:
         id: The request's id.
         received_at: Steady clock when its head was complete.
+        content: Its caller and what it asks for.
         came_back: Whether it was refused before.
         progress: What may be said of it.
         offers: Ids of the endpoints that it was offered to.
@@ -95,6 +99,7 @@
 
     id: str
     received_at: float
+    content: request_content.ContentKey
     came_back: bool = False
     progress: outcomes.RequestProgress = dataclasses.field(
         default_factory=outcomes.RequestProgress
--- a/martenjunction/routing/request_account.py
+++ b/martenjunction/routing/request_account.py
@@ -37,6 +37,7 @@
         why=state.why,
         came_back=state.came_back,
         endpoints=state.offers,
+        content=str(state.content),
         ms=round(took_s * 1000, 1),
         **_timing(state, prompt_tokens),
     )
