--- /dev/null
+++ b/tests/test_ending_requests.py
@@ -0,0 +1,66 @@
+"""Requests under which endpoints end, sent again and again.
+
+On six boxes before five engines one request ended ten engines in 13 seconds,
+another one twelve. Its client sent it again each time, with another id and to
+another box, and no box knew that endpoints had ended under it before: the log
+had 9,424 prompt tokens at every end and no answer to them. A box that might
+repeat it sent it to the next engine as soon as the first had ended. After the
+third end, three more arrivals are borne from when all boxes can know of it.
+"""
+
+import dataclasses
+
+import pytest
+
+from martenjunction_lab import ending_requests
+from tests import routing_builders as builders
+
+# Arrivals that are borne after the third end is known.
+MOST_LATE = 3
+
+SHORT = ending_requests.Trial(seconds=6.0, back_s=1.0)
+INNOCENT = dataclasses.replace(
+    SHORT, fatal=0, alike=0.3, own_ends=12, own_ends_at_once=4
+)
+
+
+async def play(
+    trial: ending_requests.Trial, **changes: object
+) -> ending_requests.Outcome:
+    played = dataclasses.replace(trial, **changes)  # type: ignore[arg-type]
+    fleet = ending_requests.EndingFleet(played)
+    return await fleet.run(builders.config_document())
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"kind": "safe"},
+        {"kind": "unsafe"},
+        {"kind": "digest"},
+        {"kind": "chat"},
+        {"kind": "safe", "fatal": 2},
+        {"kind": "digest", "burst": 4},
+    ],
+)
+async def test_request_that_ends_endpoints_is_stopped(
+    changes: dict[str, object],
+) -> None:
+    seen = await play(SHORT, **changes)
+    assert seen.ended >= ending_requests.KNOWN_AFTER
+    assert seen.late_arrivals <= MOST_LATE
+
+
+async def test_boxes_that_start_later_know_of_it() -> None:
+    seen = await play(SHORT, seconds=9.0, replaced=True)
+    assert seen.late_arrivals <= MOST_LATE
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe", "digest", "chat"])
+async def test_popular_request_is_served_while_endpoints_end(
+    kind: str,
+) -> None:
+    seen = await play(INNOCENT, kind=kind)
+    assert seen.own_ends == INNOCENT.own_ends
+    assert seen.innocent_shut_out == 0
+    assert seen.alike[200] > 0
