Requests that end endpoint after endpoint are tried alone, then quarantined

Cause: no box remembered a request beyond its own exchange, and a request that may be repeated went to the next endpoint as soon as the first had broken. Change: a run that breaks off asks the endpoint's port whether it has ended; all boxes tell each other under which contents endpoints ended. Such a content runs once at a time, where fewest others run, and after three ends or more one after the other, as many as chance hardly brings about, it gets a final answer. One whole answer clears it. New software, changed settings, time or an operator's word let it be tried once. A box without a link to others calls them as soon as it knows of them.

--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/endpoint_choice.py
@@ -83,6 +83,7 @@
     demand: endpoint_records.Demand,
     now: float,
     rng: random.Random,
+    apart: bool = False,
 ) -> Choice | None:
     """Chooses an endpoint.
 
@@ -94,6 +95,7 @@
         demand: The request.
         now: The current time.
         rng: Breaks ties.
+        apart: Whether it is chosen among the sound ones where fewest run.
 
     Returns:
         The choice, or None if there is no endpoint.
@@ -102,11 +104,14 @@
         return None
     ejected = endpoint_states.EndpointState.EJECTED
     sound = [r for r in records if r.health.state is not ejected]
-    if demand.repeatable:
+    if demand.repeatable and not apart:
         trials = [r for r in records if r not in sound and r.may_get_work(now)]
         if trials:
             return weigh(rng.choice(trials), demand, False, now)
     fit = [r for r in sound if r.may_get_work(now)] or sound or records
+    if apart:
+        fewest = min(r.loads.running(now) for r in fit)
+        fit = [r for r in fit if r.loads.running(now) <= fewest]
     short: set[str] = set()
     owner: str | None = None
     if demand.is_engine:
--- a/martenjunction/endpoints/pool.py
+++ b/martenjunction/endpoints/pool.py
@@ -75,8 +75,18 @@
         """
         entry = self._endpoints.setdefault(endpoint.id, _Endpoint())
         connection = self._take_idle(entry, repeatable)
-        if connection is not None:
-            return connection
+        return connection or await self.connect(endpoint)
+
+    async def connect(
+        self, endpoint: model.Endpoint
+    ) -> client.ClientConnection:
+        """Returns a new connection, also where others are idle.
+
+        Raises:
+            EndpointBusyError: As `acquire` does.
+            EndpointNotReachedError: If there is no connection.
+        """
+        entry = self._endpoints.setdefault(endpoint.id, _Endpoint())
         if entry.open >= self._share(endpoint.service):
             raise errors.EndpointBusyError("no connection left")
         connection = client.ClientConnection(endpoint.address)
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -116,6 +116,10 @@
     """There is no connection: no byte of the request was sent."""
 
 
+class PortRefusedError(ConnectError):
+    """Nobody listens at the address: the server has ended."""
+
+
 class NoSocketError(ConnectError):
     """This box has no socket left: it says nothing of the server."""
 
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -31,6 +31,7 @@
 from martenjunction.routing import closing_log
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
+from martenjunction.routing import endpoint_ends
 from martenjunction.routing import exchange
 from martenjunction.routing import follower
 from martenjunction.routing import offers
@@ -38,6 +39,7 @@
 from martenjunction.routing import picture
 from martenjunction.routing import prober
 from martenjunction.routing import request_content
+from martenjunction.routing import suspects
 
 # Seconds between two looks at silent endpoints, lapsed entries and moves.
 WATCH_INTERVAL_S = 0.1
@@ -163,6 +165,16 @@
             self.follower,
             settings.link_bytes_s,
         )
+        self.ends = endpoint_ends.EndpointEnds(self.book, self.pool)
+        self.suspects = suspects.Suspects(
+            self.listed,
+            self.ends,
+            self.peers,
+            self.members,
+            self.timers,
+            self.events,
+            self.log,
+        )
         self.prober = prober.Prober(
             self.book, self.pool, self.admitter, self.timers
         )
@@ -178,6 +190,8 @@
             self._left_for_s,
             settings.stop_s - STOP_MARGIN_S,
             request_content.ContentKeys(_peer_key(settings)),
+            self.suspects,
+            self.ends,
         )
         self._callers = self._server(
             "callers", self._serve_caller, self._limits
@@ -200,6 +214,7 @@
         self._entry.listen_on(self._settings.entry)
         self._callers.listen_on(self._settings.callers)
         self.sync.start()
+        self.suspects.start()
         self.prober.start()
         self.follower.start()
         await self.peers.start()
@@ -263,6 +278,7 @@
             wait.cancel()
             listening.close_all()
         await self.prober.stop()
+        await self.ends.stop()
         await self.follower.stop()
         await self.timers.stop()
         await self.peers.stop()
@@ -286,6 +302,7 @@
                 self.log,
                 self.timers.now(),
             ),
+            "suspects": self.suspects.dump(),
         }
 
     def _server(
@@ -383,6 +400,8 @@
                 "store_calls": float(sum(calls.values())),
                 "config_version": float(self.picture.version),
                 "repeats_refused": float(self.budget.refused),
+                "suspects": float(len(self.suspects.dump())),
+                "quarantined_refused": float(self.suspects.refused),
                 "entries_unreadable": float(self.picture.unreadable),
                 "loop_delay_s": self.timers.worst_delay,
             },
@@ -422,6 +441,10 @@
 
     def _on_members_changed(self) -> None:
         self._most_boxes = max(self._most_boxes, len(self.members.members))
+        if not self.peers.boxes():
+            # Until the next beat, up to 0.5 s, it would serve without what
+            # the others know of requests that end endpoints.
+            self.peers.dial()
 
     def _watch(self) -> None:
         now = self.timers.now()
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -73,6 +73,7 @@
 
         Raises:
             NoSocketError: If this box has no socket for it.
+            PortRefusedError: If nobody listens there.
             ConnectError: If there is no connection; nothing was sent.
         """
         host, port = addresses.split_address(self._address)
@@ -88,6 +89,8 @@
             connecting.result()
         except OSError as error:
             self.abort()
+            if _is_refusal(error):
+                raise errors.PortRefusedError(f"{host} refuses") from error
             raise errors.ConnectError(f"no connection to {host}") from error
         except asyncio.CancelledError:
             self.abort()
@@ -324,6 +327,13 @@
     return iostream.IOStream(sock, max_buffer_size=streams.MAX_BUFFER_BYTES)
 
 
+def _is_refusal(error: OSError) -> bool:
+    """Returns whether a connection was refused, by the system's word."""
+    if isinstance(error, iostream.StreamClosedError):
+        return isinstance(error.real_error, ConnectionRefusedError)
+    return isinstance(error, ConnectionRefusedError)
+
+
 def _head_of(event: h11.Response) -> messages.ResponseHead:
     headers = [(bytes(n), bytes(v)) for n, v in event.headers.raw_items()]
     head = messages.ResponseHead(event.status_code, headers)
--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -243,6 +243,7 @@
         else model.EndpointState.DRAINING,
         cold_s=wire.cold_left_ms * MS,
         name=name,
+        version=wire.version,
     )
 
 
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -132,6 +132,7 @@
         demand: endpoint_records.Demand,
         avoid: set[str],
         now: float,
+        apart: bool = False,
     ) -> tuple[model.Endpoint, endpoint_choice.Choice] | None:
         """Chooses an endpoint for a request.
 
@@ -140,6 +141,7 @@
             demand: What the request asks.
             avoid: Ids of endpoints that already failed it.
             now: The current time.
+            apart: Whether it goes where fewest others run.
 
         Returns:
             The endpoint and what it was chosen from, or None if there is
@@ -151,7 +153,7 @@
             if endpoint.id not in avoid
         }
         records = [self._record(e, service) for e in endpoints.values()]
-        choice = endpoint_choice.choose(records, demand, now, self._rng)
+        choice = endpoint_choice.choose(records, demand, now, self._rng, apart)
         if choice is None:
             return None
         return endpoints[choice.record.id], choice
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -305,6 +305,7 @@
         if self._connection.closed:
             # Its end is told a turn later: the run would be given up at once.
             self._state.why = Ending.CLIENT_LEFT.value
+            offer.permit.close()
             self._tools.pool.release(endpoint.id, run.connection)
             raise errors.ConnectionLostError("the client left")
         book = self._tools.book
@@ -315,7 +316,7 @@
         try:
             run.send(self._request, self._headers(taken, endpoint, copies))
             self._state.progress.note(outcomes.Event.SENT)
-            done = await self._receive(taken, endpoint, run, ticket)
+            done = await self._receive(taken, offer, ticket)
             failed = not done and self._state.refusals == 0
             return done
         except errors.EndpointNotReachedError:
@@ -329,6 +330,11 @@
             )
             book.broken(endpoint.id, time.monotonic())
             self._state.progress.note(outcomes.Event.BROKEN)
+            if self._state.cut_off:
+                # Sent on at once, a request that ends what runs it ended the
+                # next endpoint as well, and so on, twelve in a row.
+                offer.permit.broken(endpoint)
+                await self._tools.ends.ask(endpoint)
             return False
         except BaseException:
             run.abort()
@@ -337,6 +343,7 @@
         finally:
             self._running = self._ticket = None
             book.end(ticket, time.monotonic(), failed)
+            offer.permit.close()
             self._tools.pool.release(endpoint.id, run.connection)
 
     def _headers(
@@ -364,10 +371,10 @@
     async def _receive(
         self,
         taken: admission.Admission,
-        endpoint: model.Endpoint,
-        run: attempt.Attempt,
+        offer: offers.Offer,
         ticket: endpoint_book.RunTicket,
     ) -> bool:
+        endpoint, run = offer.endpoint, offer.run
         head = await run.head()
         if headers.is_not_run(head):
             await run.body()
@@ -382,11 +389,12 @@
             run.abort()
             raise errors.EndpointBrokenError("a success without its seal")
         if success and taken.route.kind is model.RouteKind.STREAM:
-            await self._pass_events(head, run, ticket)
+            await self._pass_events(head, offer, ticket)
             return True
         body = await run.body()
         self._tools.book.heard(ticket, time.monotonic())
         run.finish()
+        offer.permit.answered()
         answer = _Answer(head.status, headers.for_client(head.headers), body)
         if success:
             self._state.progress.note(outcomes.Event.COMPLETE)
@@ -408,10 +416,11 @@
     async def _pass_events(
         self,
         head: messages.ResponseHead,
-        run: attempt.Attempt,
+        offer: offers.Offer,
         ticket: endpoint_book.RunTicket,
     ) -> None:
         """Passes a stream on, event by event."""
+        run = offer.run
         pairs = headers.for_client(head.headers)
         async for events in run.events():
             now = time.monotonic()
@@ -430,6 +439,7 @@
             )
             self._status = head.status
         run.finish()
+        offer.permit.answered()
         self._state.progress.note(outcomes.Event.COMPLETE)
         await self._connection.end()
 
--- a/martenjunction/routing/model.py
+++ b/martenjunction/routing/model.py
@@ -193,6 +193,7 @@
         cold_s: Seconds from its start for which it is slow.
         name: The name of its entry, if not `id`: what it answers to, and what
             it keeps when it starts again.
+        version: The version of its software.
     """
 
     id: str
@@ -203,6 +204,7 @@
     state: EndpointState
     cold_s: float = 0.0
     name: str = ""
+    version: str = ""
 
     @property
     def entry(self) -> str:
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -18,8 +18,10 @@
 from martenjunction.routing import admission
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
+from martenjunction.routing import endpoint_ends
 from martenjunction.routing import model
 from martenjunction.routing import request_content
+from martenjunction.routing import suspects
 
 # Endpoints that one request is offered to, refusals and failed connections
 # included.
@@ -57,6 +59,8 @@
             or None if it is not.
         stop_limit_s: Seconds after which a planned stop ends what still runs.
         contents: Tells requests that are sent again from others.
+        suspects: Knows requests under which endpoints ended.
+        ends: Finds out whether endpoints have ended.
     """
 
     admitter: admission.Admitter
@@ -70,6 +74,8 @@
     leaving_for_s: Callable[[], float | None]
     stop_limit_s: float
     contents: request_content.ContentKeys
+    suspects: suspects.Suspects
+    ends: endpoint_ends.EndpointEnds
 
     def closing(self) -> bool:
         """Returns whether connections end with their answer."""
@@ -132,12 +138,14 @@
         endpoint: The endpoint.
         choice: What it was chosen from.
         run: The attempt there, not sent yet.
+        permit: Leave to send it there.
         continues: Whether a run goes on there from a copy of its memory.
     """
 
     endpoint: model.Endpoint
     choice: endpoint_choice.Choice
     run: attempt.Attempt
+    permit: suspects.Permit
     continues: bool = False
 
 
@@ -172,13 +180,57 @@
         self._avoid.add(endpoint_id)
 
     async def next(self) -> Offer | None:
-        """Returns an endpoint that may get the request, and a way to it."""
+        """Returns an endpoint that may get the request, and a way to it.
+
+        Raises:
+            RefusalError: If no endpoint may get it, and none did.
+        """
+        while True:
+            permit = await self._permit()
+            if permit is None:
+                return None
+            offer = None
+            try:
+                offer = await self._find(permit)
+            finally:
+                if offer is None:
+                    permit.close()
+            if offer is None or permit.stands():
+                return offer
+            # An endpoint ended under it meanwhile.
+            permit.close()
+            self._tools.pool.release(offer.endpoint.id, offer.run.connection)
+
+    async def _permit(self) -> suspects.Permit | None:
+        """Returns leave to send the request; None if it may run no more.
+
+        Raises:
+            RefusalError: If it may not be sent, and never ran.
+        """
+        try:
+            return await self._tools.suspects.permit(
+                self._state.content, self._taken.service, self._taken.deadline
+            )
+        except admission.RefusalError as refusal:
+            if self._state.progress.outcome is outcomes.Outcome.NOT_RUN:
+                raise
+            self._state.why = refusal.code
+            return None
+
+    async def _find(self, permit: suspects.Permit) -> Offer | None:
         if self._state.cut_off and self._may_continue():
-            return await self._continue_at_copy()
+            return await self._continue_at_copy(permit)
+        barred = permit.avoided(
+            self._tools.book.listed.ready(self._taken.service.name)
+        )
         while self._may_offer():
             now = time.monotonic()
             chosen = self._tools.book.choose(
-                self._taken.service, self._demand, self._avoid, now
+                self._taken.service,
+                self._demand,
+                self._avoid | barred,
+                now,
+                permit.apart,
             )
             if chosen is None:
                 return None
@@ -210,7 +262,7 @@
                 self._avoid.add(endpoint.id)
                 continue
             run = attempt.Attempt(connection, self._state.id)
-            return Offer(endpoint, choice, run)
+            return Offer(endpoint, choice, run, permit)
         return None
 
     def _may_continue(self) -> bool:
@@ -221,7 +273,7 @@
             return False
         return self._tools.book.listed.may_send(self._copy.id)
 
-    async def _continue_at_copy(self) -> Offer | None:
+    async def _continue_at_copy(self, permit: suspects.Permit) -> Offer | None:
         """Returns the endpoint with a copy of the run, if it can be reached.
 
         The run goes on there from its memory, so it is still the same run,
@@ -244,7 +296,7 @@
             self._state.why = f"{endpoint.id}: {error}"
             return None
         run = attempt.Attempt(connection, self._state.id)
-        return Offer(endpoint, choice, run, continues=True)
+        return Offer(endpoint, choice, run, permit, continues=True)
 
     def plan_copy(self, offer: Offer) -> headers.CopyPlan | None:
         """Decides where the run's memory is copied to or comes from."""
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -165,3 +165,35 @@
 
     ids: tuple[str, ...]
     revision: int
+
+
+@codec.message("suspects", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspects:
+    """What a box holds against requests under which endpoints ended.
+
+    See `decisions.suspicion`; the fields have an item for each request.
+
+    Attributes:
+        callers: Digests of the callers.
+        contents: Digests of what they ask for.
+        services: The services.
+        epochs: Times that each was cleared.
+        ends: Ids of the endpoints that ended under it since.
+        generations: The generation of each of those runs.
+        builds: What ran at those endpoints.
+        tries: Runs that began on their own.
+        quarantined: Whether it is not sent any more.
+        releases: How often time has let it be tried since.
+    """
+
+    callers: tuple[bytes, ...]
+    contents: tuple[bytes, ...]
+    services: tuple[str, ...]
+    epochs: tuple[int, ...]
+    ends: tuple[tuple[str, ...], ...]
+    generations: tuple[tuple[int, ...], ...]
+    builds: tuple[tuple[str, ...], ...]
+    tries: tuple[int, ...]
+    quarantined: tuple[bool, ...]
+    releases: tuple[int, ...]
--- /dev/null
+++ b/martenjunction/routing/suspect_news.py
@@ -0,0 +1,81 @@
+"""What boxes tell each other of suspected requests."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from martenjunction.decisions import suspect_table
+from martenjunction.decisions import suspicion
+from martenjunction.routing import peer_messages
+from martenjunction.routing import request_content
+
+# The longest name of an endpoint or build that is taken from a peer.
+MAX_NAME = 256
+
+
+def encode(
+    suspects: Iterable[suspect_table.Suspect],
+) -> peer_messages.Suspects:
+    """Returns the message that tells of some requests."""
+    rows = [(suspect.key, suspect.held) for suspect in suspects]
+    return peer_messages.Suspects(
+        tuple(key.caller for key, _ in rows),
+        tuple(key.content for key, _ in rows),
+        tuple(held.service for _, held in rows),
+        tuple(held.epoch for _, held in rows),
+        tuple(tuple(held.ends) for _, held in rows),
+        tuple(tuple(held.ends.values()) for _, held in rows),
+        tuple(tuple(sorted(held.builds)) for _, held in rows),
+        tuple(held.tries for _, held in rows),
+        tuple(held.quarantined for _, held in rows),
+        tuple(held.releases for _, held in rows),
+    )
+
+
+def decode(
+    news: peer_messages.Suspects,
+) -> Iterator[tuple[request_content.ContentKey, suspicion.Suspicion]]:
+    """Yields what a message tells of each request.
+
+    What cannot be true is left out: a digest of another length, a count or a
+    generation below its least value, names that are too long.
+    """
+    rows = zip(
+        news.callers,
+        news.contents,
+        news.services,
+        news.epochs,
+        news.ends,
+        news.generations,
+        news.builds,
+        news.tries,
+        news.quarantined,
+        news.releases,
+        strict=False,
+    )
+    for row in rows:
+        caller, content, service, epoch, ends, generations = row[:6]
+        builds, tries, quarantined, releases = row[6:]
+        if len(caller) != request_content.CALLER_BYTES:
+            continue
+        if len(content) != request_content.CONTENT_BYTES:
+            continue
+        if (
+            min(epoch, tries, releases, 0) < 0
+            or min(generations, default=1) < 1
+        ):
+            continue
+        if any(len(name) > MAX_NAME for name in (service, *ends, *builds)):
+            continue
+        key = request_content.ContentKey(caller, content)
+        yield (
+            key,
+            suspicion.Suspicion(
+                service,
+                epoch,
+                dict(zip(ends, generations, strict=False)),
+                frozenset(builds),
+                tries,
+                quarantined,
+                releases,
+            ),
+        )
--- /dev/null
+++ b/martenjunction/routing/suspects.py
@@ -0,0 +1,406 @@
+"""Keeps requests under which endpoints end from doing it again."""
+
+import asyncio
+import collections
+import dataclasses
+from typing import Any
+
+import xxhash
+
+from martenjunction import events
+from martenjunction import timers
+from martenjunction.decisions import endpoint_list
+from martenjunction.decisions import suspect_table
+from martenjunction.peers import hub
+from martenjunction.peers import membership
+from martenjunction.routing import admission
+from martenjunction.routing import decision_log
+from martenjunction.routing import endpoint_ends
+from martenjunction.routing import model
+from martenjunction.routing import peer_messages
+from martenjunction.routing import request_content
+from martenjunction.routing import suspect_news
+
+# Suspected requests that a box tells of on a new connection, those with the
+# most against them first; more than a flood of them would fill thin links.
+TOLD_TO_NEW = 64
+
+# Seconds for which a run that broke off waits for proof that its endpoint has
+# ended: an entry is written anew within some seconds of the new start.
+UNSURE_S = 8.0
+MAX_UNSURE = 256
+
+# Seconds between two looks at those and at what may be forgotten.
+LOOK_INTERVAL_S = 0.1
+
+# The longest part of the time that is left for which a request waits while
+# another run of its content is tried.
+MOST_WAIT_PART = 0.5
+
+# The answer to a request that is not sent.
+QUARANTINED_STATUS = 503
+QUARANTINED_CODE = "ends-endpoints"
+
+
+class Permit:
+    """Leave to send a request once, and what is learnt from that run."""
+
+    def __init__(
+        self,
+        suspects: "Suspects",
+        key: request_content.ContentKey,
+        service: model.Service,
+        ruling: suspect_table.Ruling,
+    ) -> None:
+        """Makes a permit; `Suspects.permit` gives it.
+
+        Args:
+            suspects: Keeps what is learnt.
+            key: The request.
+            service: The service.
+            ruling: Why it may be sent.
+        """
+        self._suspects = suspects
+        self.key = key
+        self.service = service
+        self.ruling = ruling
+        self._settled = False
+
+    @property
+    def apart(self) -> bool:
+        """Whether it goes where fewest others run."""
+        return self.ruling.verdict is suspect_table.Verdict.ALONE
+
+    def stands(self) -> bool:
+        """Returns whether nothing came up against it since it was given."""
+        return self._suspects.stands(self)
+
+    def avoided(self, endpoints: list[model.Endpoint]) -> set[str]:
+        """Returns the endpoints to which it must not be sent."""
+        builds = self.ruling.avoid_builds
+        return {e.id for e in endpoints if build(e, self.service) in builds}
+
+    def answered(self) -> None:
+        """Notes that the endpoint answered in full: it did not end."""
+        if not self._settled:
+            self._settled = True
+            self._suspects.note_answer(self)
+
+    def broken(self, endpoint: model.Endpoint) -> None:
+        """Notes that the run broke off; its endpoint may have ended."""
+        self._suspects.note_unsure(self, endpoint)
+
+    def ended(self, endpoint: model.Endpoint) -> None:
+        """Notes that its endpoint ended under it."""
+        if not self._settled:
+            self._settled = True
+            self._suspects.note_end(self, endpoint)
+
+    def close(self) -> None:
+        """Notes that the run is over, whatever came of it."""
+        if self.apart and not self._settled:
+            self._suspects.end_trial(self)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Unsure:
+    permit: Permit
+    endpoint: model.Endpoint
+    at: float
+
+
+class Suspects:
+    """One box's knowledge of requests that end endpoints."""
+
+    def __init__(
+        self,
+        listed: endpoint_list.EndpointList,
+        ends: endpoint_ends.EndpointEnds,
+        peers: hub.PeerHub,
+        members: membership.Membership,
+        clock: timers.Timers,
+        emitter: events.Events,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        """Makes it; `start` begins to listen to the other boxes.
+
+        Args:
+            listed: The endpoints.
+            ends: Finds out whether endpoints have ended.
+            peers: Connections to the other boxes.
+            members: Which boxes there are.
+            clock: Tells the time.
+            emitter: Announces new connections to boxes.
+            log: Told of what is believed of requests.
+        """
+        self._listed = listed
+        self._peers = peers
+        self._members = members
+        self._timers = clock
+        self._events = emitter
+        self._log = log
+        self._table = suspect_table.SuspectTable()
+        self._unsure: collections.deque[_Unsure] = collections.deque(
+            maxlen=MAX_UNSURE
+        )
+        self._waiting: dict[
+            request_content.ContentKey, set[asyncio.Future[None]]
+        ] = {}
+        self._untold: dict[
+            request_content.ContentKey, suspect_table.Suspect
+        ] = {}
+        self._refused = 0
+        ends.on_ended(self._settle_unsure)
+
+    @property
+    def refused(self) -> int:
+        """Requests so far that were not sent, being quarantined."""
+        return self._refused
+
+    @property
+    def table(self) -> suspect_table.SuspectTable:
+        """What is known, to be read only."""
+        return self._table
+
+    def start(self) -> None:
+        """Listens to the other boxes."""
+        self._peers.subscribe(peer_messages.Suspects, self._on_news)
+        self._events.connect(events.PEER_CONNECTED, self._greet)
+        self._timers.subscribe("suspects", LOOK_INTERVAL_S, self._look)
+
+    async def permit(
+        self,
+        key: request_content.ContentKey,
+        service: model.Service,
+        deadline: float,
+    ) -> Permit:
+        """Waits until a request may be sent to an endpoint.
+
+        Args:
+            key: The request.
+            service: The service.
+            deadline: Steady clock until which it may be held.
+
+        Raises:
+            RefusalError: If it may not.
+        """
+        began = self._timers.now()
+        until = began + (deadline - began) * MOST_WAIT_PART
+        while True:
+            now = self._timers.now()
+            ruling = self._table.judge(key, self._builds(service, key), now)
+            if ruling.verdict is suspect_table.Verdict.QUARANTINED:
+                self._refuse(key, ruling)
+            if ruling.verdict is suspect_table.Verdict.WAIT:
+                if now < until:
+                    await self._wait(key, min(ruling.again_s, until - now))
+                    continue
+                ruling = self._table.patience_ends(key)
+            return self._give(key, service, ruling, now)
+
+    def stands(self, permit: Permit) -> bool:
+        """Returns whether nothing came up since a permit was given."""
+        suspect = self._table.find(permit.key)
+        if suspect is None:
+            return True
+        ruling, held = permit.ruling, suspect.held
+        if held.epoch != ruling.epoch:
+            return not held.generation
+        return held.generation < ruling.generation
+
+    def note_answer(self, permit: Permit) -> None:
+        """Notes that an endpoint answered a run in full."""
+        now = self._timers.now()
+        cleared = self._table.note_answer(permit.key, permit.service.name, now)
+        if cleared is not None:
+            self._log.write(
+                "request-cleared", content=str(permit.key), why="answered"
+            )
+            self._tell(cleared)
+
+    def note_end(self, permit: Permit, endpoint: model.Endpoint) -> None:
+        """Notes that an endpoint ended under a run."""
+        now = self._timers.now()
+        changed = self._table.note_end(
+            permit.key,
+            permit.service.name,
+            endpoint.id,
+            permit.ruling,
+            build(endpoint, permit.service),
+            now,
+        )
+        if changed is not None:
+            self._write("request-suspected", changed, endpoint=endpoint.id)
+            self._tell(changed)
+
+    def note_unsure(self, permit: Permit, endpoint: model.Endpoint) -> None:
+        """Notes that a run broke off, and that its endpoint may have ended."""
+        self._unsure.append(_Unsure(permit, endpoint, self._timers.now()))
+
+    def end_trial(self, permit: Permit) -> None:
+        """Notes that a run on its own showed nothing."""
+        self._table.end_trial(permit.key)
+        self._wake(permit.key)
+
+    def lift(self, name: str) -> bool:
+        """Clears a request by an operator's word; returns whether there was.
+
+        Args:
+            name: The request's content, as logs and the dump name it.
+        """
+        for suspect in self._table:
+            if str(suspect.key) != name:
+                continue
+            cleared = self._table.clear(suspect.key, self._timers.now())
+            if cleared is None:
+                return False
+            self._log.write("request-cleared", content=name, why="operator")
+            self._tell(cleared)
+            return True
+        return False
+
+    def dump(self) -> list[dict[str, Any]]:
+        """Returns what is held against each suspected request."""
+        now = self._timers.now()
+        return [
+            _describe(suspect, self._table.ends_needed(suspect, now))
+            for suspect in self._table
+            if suspect.held.generation
+        ]
+
+    def _give(
+        self,
+        key: request_content.ContentKey,
+        service: model.Service,
+        ruling: suspect_table.Ruling,
+        now: float,
+    ) -> Permit:
+        if ruling.verdict is suspect_table.Verdict.ALONE:
+            tried = self._table.begin_trial(key, now)
+            if tried is not None:
+                self._write("request-tried", tried)
+                self._tell(tried)
+        return Permit(self, key, service, ruling)
+
+    def _refuse(
+        self, key: request_content.ContentKey, ruling: suspect_table.Ruling
+    ) -> None:
+        self._refused += 1
+        raise admission.RefusalError(
+            QUARANTINED_STATUS,
+            QUARANTINED_CODE,
+            "endpoints ended under it one after the other",
+            ruling.again_s,
+        )
+
+    def _builds(
+        self, service: model.Service, key: request_content.ContentKey
+    ) -> frozenset[str]:
+        """Returns what runs at a service, where it matters."""
+        suspect = self._table.find(key)
+        if suspect is None or not suspect.held.quarantined:
+            return frozenset()
+        ready = self._listed.ready(service.name)
+        return frozenset(build(endpoint, service) for endpoint in ready)
+
+    async def _wait(
+        self, key: request_content.ContentKey, wait_s: float
+    ) -> None:
+        """Waits for news of a request, or until some time has passed."""
+        news: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        waiting = self._waiting.setdefault(key, set())
+        waiting.add(news)
+        try:
+            await asyncio.wait([news], timeout=wait_s)
+        finally:
+            waiting.discard(news)
+            if not waiting:
+                self._waiting.pop(key, None)
+
+    def _wake(self, key: request_content.ContentKey) -> None:
+        for news in self._waiting.get(key, ()):
+            if not news.done():
+                news.set_result(None)
+
+    def _tell(self, suspect: suspect_table.Suspect) -> None:
+        """Tells all boxes, and the requests that wait here."""
+        self._wake(suspect.key)
+        if not self._untold:
+            # What comes up in one turn of the loop goes in one message.
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._untold[suspect.key] = suspect
+
+    def _flush(self) -> None:
+        untold = list(self._untold.values())
+        self._untold.clear()
+        self._peers.broadcast(suspect_news.encode(untold))
+
+    def _greet(self, box: str) -> None:
+        """Tells a box that was not connected what is held against whom."""
+        known = [s for s in self._table if s.held.generation]
+        known.sort(key=suspect_table.weight, reverse=True)
+        if known:
+            self._peers.send(box, suspect_news.encode(known[:TOLD_TO_NEW]))
+
+    def _on_news(self, box: str, news: peer_messages.Suspects) -> None:
+        now = self._timers.now()
+        linked = len(self._peers.boxes()) + 1
+        passes_on = linked < len(self._members.believed())
+        outdated = []
+        for key, held in suspect_news.decode(news):
+            changed = self._table.take(key, held, now)
+            known = self._table.find(key)
+            if changed is not None:
+                self._write("request-suspected", changed, told_by=box)
+                self._wake(key)
+                # What this box concludes by what it has seen of others is
+                # news to all: its sender alone may not have seen enough.
+                if passes_on or changed.held.quarantined > held.quarantined:
+                    self._tell(changed)
+            elif known is not None and held.epoch < known.held.epoch:
+                outdated.append(known)
+        if outdated:
+            # Else what it holds against them would not count anywhere.
+            self._peers.send(box, suspect_news.encode(outdated))
+
+    def _settle_unsure(self, endpoint_id: str) -> None:
+        """Takes in that an endpoint has ended, where runs broke off before."""
+        for run in list(self._unsure):
+            if run.endpoint.id == endpoint_id:
+                self._unsure.remove(run)
+                run.permit.ended(run.endpoint)
+
+    def _look(self) -> None:
+        now = self._timers.now()
+        while self._unsure and now - self._unsure[0].at > UNSURE_S:
+            self._unsure.popleft()
+        for run in list(self._unsure):
+            if self._listed.restarted(run.endpoint.id):
+                self._settle_unsure(run.endpoint.id)
+        self._table.forget(now)
+
+    def _write(
+        self, kind: str, suspect: suspect_table.Suspect, **fields: Any
+    ) -> None:
+        needed = self._table.ends_needed(suspect, self._timers.now())
+        self._log.write(kind, **_describe(suspect, needed), **fields)
+
+
+def build(endpoint: model.Endpoint, service: model.Service) -> str:
+    """Names what runs at an endpoint: its software and its configuration."""
+    config = xxhash.xxh3_64_hexdigest(repr(service).encode())
+    return f"{endpoint.version}/{config}"
+
+
+def _describe(suspect: suspect_table.Suspect, needed: int) -> dict[str, Any]:
+    held = suspect.held
+    return {
+        "content": str(suspect.key),
+        "service": held.service,
+        "ends": dict(held.ends),
+        "in_a_row": held.generation,
+        "needed": needed,
+        "quarantined": held.quarantined,
+        "tries": held.tries,
+        "epoch": held.epoch,
+    }
