Suspects: modules parted, an operator's lift, tests of each piece

Cause: one module held permits, news between boxes and the table's use; a permit listed all endpoints for each request; in a large fleet each suspect was passed on alone. Change: permits, the exchange with other boxes and the keeper are modules of their own; endpoints are listed only where software is barred; what is passed on goes out some times a second; a request is cleared by POST /lift.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -73,6 +73,10 @@
 
 METRICS_PATH = b"/metrics"
 DUMP_PATH = b"/dump"
+LIFT_PATH = b"/lift"
+
+# Names the quarantined request in a call to lift.
+CONTENT_FIELD = "content"
 
 
 class Gateway:
@@ -347,6 +351,9 @@
         elif request.path == DUMP_PATH:
             text = json.dumps(self.dump(), indent=1).encode()
             await connection.answer(200, [], text)
+        elif request.path == LIFT_PATH and request.method == b"POST":
+            known = self.suspects.lift(_query(request).get(CONTENT_FIELD, ""))
+            await connection.answer(200 if known else 404, [], b"")
         else:
             await connection.answer(404, [], b"")
 
@@ -358,8 +365,7 @@
         if request.path != headers.ENTRY_PATH:
             await connection.answer(404, [], b"")
             return
-        query = request.target.partition(b"?")[2].decode("latin-1")
-        _, zone = documents.decode_entry_question(dict(parse.parse_qsl(query)))
+        _, zone = documents.decode_entry_question(_query(request))
         addresses = self._entries(zone)
         if not addresses:
             await connection.answer(503, [], b"")
@@ -462,6 +468,12 @@
         self.pool.expire()
 
 
+def _query(request: messages.Request) -> dict[str, str]:
+    """Returns the fields of a request's query."""
+    text = request.target.partition(b"?")[2].decode("latin-1")
+    return dict(parse.parse_qsl(text))
+
+
 def _peer_key(settings: box_settings.BoxSettings) -> str:
     """Returns a key that all boxes of one platform share.
 
--- a/martenjunction/routing/model.py
+++ b/martenjunction/routing/model.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import xxhash
+
 from martenjunction.http1 import messages
 
 
@@ -210,3 +212,9 @@
     def entry(self) -> str:
         """The name of its entry."""
         return self.name or self.id
+
+
+def build(endpoint: Endpoint, service: Service) -> str:
+    """Names what runs at an endpoint: its software and its configuration."""
+    config = xxhash.xxh3_64_hexdigest(repr(service).encode())
+    return f"{endpoint.version}/{config}"
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -20,6 +20,7 @@
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import endpoint_ends
 from martenjunction.routing import model
+from martenjunction.routing import permits
 from martenjunction.routing import request_content
 from martenjunction.routing import suspects
 
@@ -145,7 +146,7 @@
     endpoint: model.Endpoint
     choice: endpoint_choice.Choice
     run: attempt.Attempt
-    permit: suspects.Permit
+    permit: permits.Permit
     continues: bool = False
 
 
@@ -201,7 +202,7 @@
             permit.close()
             self._tools.pool.release(offer.endpoint.id, offer.run.connection)
 
-    async def _permit(self) -> suspects.Permit | None:
+    async def _permit(self) -> permits.Permit | None:
         """Returns leave to send the request; None if it may run no more.
 
         Raises:
@@ -217,12 +218,10 @@
             self._state.why = refusal.code
             return None
 
-    async def _find(self, permit: suspects.Permit) -> Offer | None:
+    async def _find(self, permit: permits.Permit) -> Offer | None:
         if self._state.cut_off and self._may_continue():
             return await self._continue_at_copy(permit)
-        barred = permit.avoided(
-            self._tools.book.listed.ready(self._taken.service.name)
-        )
+        barred = permit.avoided()
         while self._may_offer():
             now = time.monotonic()
             chosen = self._tools.book.choose(
@@ -273,7 +272,7 @@
             return False
         return self._tools.book.listed.may_send(self._copy.id)
 
-    async def _continue_at_copy(self, permit: suspects.Permit) -> Offer | None:
+    async def _continue_at_copy(self, permit: permits.Permit) -> Offer | None:
         """Returns the endpoint with a copy of the run, if it can be reached.
 
         The run goes on there from its memory, so it is still the same run,
--- a/martenjunction/routing/suspects.py
+++ b/martenjunction/routing/suspects.py
@@ -5,25 +5,20 @@
 import dataclasses
 from typing import Any
 
-import xxhash
-
 from martenjunction import events
 from martenjunction import timers
 from martenjunction.decisions import endpoint_list
 from martenjunction.decisions import suspect_table
+from martenjunction.decisions import suspicion
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing import admission
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_ends
 from martenjunction.routing import model
-from martenjunction.routing import peer_messages
+from martenjunction.routing import permits
 from martenjunction.routing import request_content
-from martenjunction.routing import suspect_news
-
-# Suspected requests that a box tells of on a new connection, those with the
-# most against them first; more than a flood of them would fill thin links.
-TOLD_TO_NEW = 64
+from martenjunction.routing import suspect_sync
 
 # Seconds for which a run that broke off waits for proof that its endpoint has
 # ended: an entry is written anew within some seconds of the new start.
@@ -42,69 +37,9 @@
 QUARANTINED_CODE = "ends-endpoints"
 
 
-class Permit:
-    """Leave to send a request once, and what is learnt from that run."""
-
-    def __init__(
-        self,
-        suspects: "Suspects",
-        key: request_content.ContentKey,
-        service: model.Service,
-        ruling: suspect_table.Ruling,
-    ) -> None:
-        """Makes a permit; `Suspects.permit` gives it.
-
-        Args:
-            suspects: Keeps what is learnt.
-            key: The request.
-            service: The service.
-            ruling: Why it may be sent.
-        """
-        self._suspects = suspects
-        self.key = key
-        self.service = service
-        self.ruling = ruling
-        self._settled = False
-
-    @property
-    def apart(self) -> bool:
-        """Whether it goes where fewest others run."""
-        return self.ruling.verdict is suspect_table.Verdict.ALONE
-
-    def stands(self) -> bool:
-        """Returns whether nothing came up against it since it was given."""
-        return self._suspects.stands(self)
-
-    def avoided(self, endpoints: list[model.Endpoint]) -> set[str]:
-        """Returns the endpoints to which it must not be sent."""
-        builds = self.ruling.avoid_builds
-        return {e.id for e in endpoints if build(e, self.service) in builds}
-
-    def answered(self) -> None:
-        """Notes that the endpoint answered in full: it did not end."""
-        if not self._settled:
-            self._settled = True
-            self._suspects.note_answer(self)
-
-    def broken(self, endpoint: model.Endpoint) -> None:
-        """Notes that the run broke off; its endpoint may have ended."""
-        self._suspects.note_unsure(self, endpoint)
-
-    def ended(self, endpoint: model.Endpoint) -> None:
-        """Notes that its endpoint ended under it."""
-        if not self._settled:
-            self._settled = True
-            self._suspects.note_end(self, endpoint)
-
-    def close(self) -> None:
-        """Notes that the run is over, whatever came of it."""
-        if self.apart and not self._settled:
-            self._suspects.end_trial(self)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Unsure:
-    permit: Permit
+    permit: permits.Permit
     endpoint: model.Endpoint
     at: float
 
@@ -134,8 +69,6 @@
             log: Told of what is believed of requests.
         """
         self._listed = listed
-        self._peers = peers
-        self._members = members
         self._timers = clock
         self._events = emitter
         self._log = log
@@ -146,12 +79,17 @@
         self._waiting: dict[
             request_content.ContentKey, set[asyncio.Future[None]]
         ] = {}
-        self._untold: dict[
-            request_content.ContentKey, suspect_table.Suspect
-        ] = {}
+        self._sync = suspect_sync.SuspectSync(
+            self._table, peers, members, self._take
+        )
         self._refused = 0
         ends.on_ended(self._settle_unsure)
 
+    @property
+    def listed(self) -> endpoint_list.EndpointList:
+        """The endpoints, to be read only."""
+        return self._listed
+
     @property
     def refused(self) -> int:
         """Requests so far that were not sent, being quarantined."""
@@ -164,8 +102,7 @@
 
     def start(self) -> None:
         """Listens to the other boxes."""
-        self._peers.subscribe(peer_messages.Suspects, self._on_news)
-        self._events.connect(events.PEER_CONNECTED, self._greet)
+        self._sync.start(self._events)
         self._timers.subscribe("suspects", LOOK_INTERVAL_S, self._look)
 
     async def permit(
@@ -173,7 +110,7 @@
         key: request_content.ContentKey,
         service: model.Service,
         deadline: float,
-    ) -> Permit:
+    ) -> permits.Permit:
         """Waits until a request may be sent to an endpoint.
 
         Args:
@@ -198,7 +135,7 @@
                 ruling = self._table.patience_ends(key)
             return self._give(key, service, ruling, now)
 
-    def stands(self, permit: Permit) -> bool:
+    def stands(self, permit: permits.Permit) -> bool:
         """Returns whether nothing came up since a permit was given."""
         suspect = self._table.find(permit.key)
         if suspect is None:
@@ -208,7 +145,7 @@
             return not held.generation
         return held.generation < ruling.generation
 
-    def note_answer(self, permit: Permit) -> None:
+    def note_answer(self, permit: permits.Permit) -> None:
         """Notes that an endpoint answered a run in full."""
         now = self._timers.now()
         cleared = self._table.note_answer(permit.key, permit.service.name, now)
@@ -218,7 +155,9 @@
             )
             self._tell(cleared)
 
-    def note_end(self, permit: Permit, endpoint: model.Endpoint) -> None:
+    def note_end(
+        self, permit: permits.Permit, endpoint: model.Endpoint
+    ) -> None:
         """Notes that an endpoint ended under a run."""
         now = self._timers.now()
         changed = self._table.note_end(
@@ -226,18 +165,20 @@
             permit.service.name,
             endpoint.id,
             permit.ruling,
-            build(endpoint, permit.service),
+            model.build(endpoint, permit.service),
             now,
         )
         if changed is not None:
             self._write("request-suspected", changed, endpoint=endpoint.id)
             self._tell(changed)
 
-    def note_unsure(self, permit: Permit, endpoint: model.Endpoint) -> None:
+    def note_unsure(
+        self, permit: permits.Permit, endpoint: model.Endpoint
+    ) -> None:
         """Notes that a run broke off, and that its endpoint may have ended."""
         self._unsure.append(_Unsure(permit, endpoint, self._timers.now()))
 
-    def end_trial(self, permit: Permit) -> None:
+    def end_trial(self, permit: permits.Permit) -> None:
         """Notes that a run on its own showed nothing."""
         self._table.end_trial(permit.key)
         self._wake(permit.key)
@@ -274,13 +215,13 @@
         service: model.Service,
         ruling: suspect_table.Ruling,
         now: float,
-    ) -> Permit:
+    ) -> permits.Permit:
         if ruling.verdict is suspect_table.Verdict.ALONE:
             tried = self._table.begin_trial(key, now)
             if tried is not None:
                 self._write("request-tried", tried)
                 self._tell(tried)
-        return Permit(self, key, service, ruling)
+        return permits.Permit(self, key, service, ruling)
 
     def _refuse(
         self, key: request_content.ContentKey, ruling: suspect_table.Ruling
@@ -301,7 +242,7 @@
         if suspect is None or not suspect.held.quarantined:
             return frozenset()
         ready = self._listed.ready(service.name)
-        return frozenset(build(endpoint, service) for endpoint in ready)
+        return frozenset(model.build(endpoint, service) for endpoint in ready)
 
     async def _wait(
         self, key: request_content.ContentKey, wait_s: float
@@ -325,43 +266,22 @@
     def _tell(self, suspect: suspect_table.Suspect) -> None:
         """Tells all boxes, and the requests that wait here."""
         self._wake(suspect.key)
-        if not self._untold:
-            # What comes up in one turn of the loop goes in one message.
-            asyncio.get_running_loop().call_soon(self._flush)
-        self._untold[suspect.key] = suspect
-
-    def _flush(self) -> None:
-        untold = list(self._untold.values())
-        self._untold.clear()
-        self._peers.broadcast(suspect_news.encode(untold))
-
-    def _greet(self, box: str) -> None:
-        """Tells a box that was not connected what is held against whom."""
-        known = [s for s in self._table if s.held.generation]
-        known.sort(key=suspect_table.weight, reverse=True)
-        if known:
-            self._peers.send(box, suspect_news.encode(known[:TOLD_TO_NEW]))
-
-    def _on_news(self, box: str, news: peer_messages.Suspects) -> None:
-        now = self._timers.now()
-        linked = len(self._peers.boxes()) + 1
-        passes_on = linked < len(self._members.believed())
-        outdated = []
-        for key, held in suspect_news.decode(news):
-            changed = self._table.take(key, held, now)
-            known = self._table.find(key)
-            if changed is not None:
-                self._write("request-suspected", changed, told_by=box)
-                self._wake(key)
-                # What this box concludes by what it has seen of others is
-                # news to all: its sender alone may not have seen enough.
-                if passes_on or changed.held.quarantined > held.quarantined:
-                    self._tell(changed)
-            elif known is not None and held.epoch < known.held.epoch:
-                outdated.append(known)
-        if outdated:
-            # Else what it holds against them would not count anywhere.
-            self._peers.send(box, suspect_news.encode(outdated))
+        self._sync.tell(suspect)
+
+    def _take(
+        self,
+        box: str,
+        key: request_content.ContentKey,
+        held: suspicion.Suspicion,
+    ) -> suspect_table.Suspect | None:
+        """Takes in what another box holds; returns what changed by it."""
+        changed = self._table.take(key, held, self._timers.now())
+        if changed is not None:
+            cleared = not changed.held.generation
+            kind = "request-cleared" if cleared else "request-suspected"
+            self._write(kind, changed, told_by=box)
+            self._wake(key)
+        return changed
 
     def _settle_unsure(self, endpoint_id: str) -> None:
         """Takes in that an endpoint has ended, where runs broke off before."""
@@ -378,6 +298,7 @@
             if self._listed.restarted(run.endpoint.id):
                 self._settle_unsure(run.endpoint.id)
         self._table.forget(now)
+        self._sync.pass_on()
 
     def _write(
         self, kind: str, suspect: suspect_table.Suspect, **fields: Any
@@ -386,12 +307,6 @@
         self._log.write(kind, **_describe(suspect, needed), **fields)
 
 
-def build(endpoint: model.Endpoint, service: model.Service) -> str:
-    """Names what runs at an endpoint: its software and its configuration."""
-    config = xxhash.xxh3_64_hexdigest(repr(service).encode())
-    return f"{endpoint.version}/{config}"
-
-
 def _describe(suspect: suspect_table.Suspect, needed: int) -> dict[str, Any]:
     held = suspect.held
     return {
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,232 @@
+"""Requests under which endpoints end, through a box before stand-ins."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from martenjunction.decisions import endpoint_hazard
+from martenjunction.decisions import suspect_table
+from martenjunction.routing import admission
+from martenjunction.routing import model
+from martenjunction.routing import permits
+from martenjunction.routing import request_content
+from martenjunction.routing import suspects
+from martenjunction_lab import boxes
+from martenjunction_lab import replica
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+
+Behaviour = replica.Behaviour
+PATIENT = {"Martenjunction-Deadline-Ms": "9000"}
+
+
+def only_suspect(fleet: boxes.Boxes) -> suspect_table.Suspect | None:
+    held = [s for s in fleet.gateways[0].suspects.table if s.held.generation]
+    assert len(held) <= 1
+    return held[0] if held else None
+
+
+def service(fleet: boxes.Boxes) -> model.Service:
+    config = fleet.gateways[0].admitter.config
+    assert config is not None
+    return config.services[builders.PLAIN]
+
+
+async def permit(
+    fleet: boxes.Boxes, key: request_content.ContentKey
+) -> permits.Permit:
+    box = fleet.gateways[0]
+    return await box.suspects.permit(
+        key, service(fleet), box.timers.now() + 2.0
+    )
+
+
+async def broken_under(
+    fleet: boxes.Boxes, path: str = "/unsafe/"
+) -> request_content.ContentKey:
+    """Has endpoints end under a request until it is quarantined."""
+    made = [await fleet.add_replica(builders.PLAIN) for _ in range(3)]
+    await fleet.until_listed()
+    for number in range(20):
+        await requests.ask(fleet, "/safe/", f"other-{number}")
+    for stand_in in made:
+        stand_in.plan(Behaviour.HANG)
+    for number in range(endpoint_hazard.LEAST_ENDS):
+        asking = asyncio.create_task(
+            requests.ask(fleet, path, f"r{number}", **PATIENT)
+        )
+        await boxes.until(lambda n=number: running(made, f"r{n}"))  # type: ignore[misc]
+        [at] = [s for s in made if running([s], f"r{number}")]
+        await at.stop()
+        head, _ = await asking
+        assert head.status == 502
+    suspect = only_suspect(fleet)
+    assert suspect is not None
+    for stand_in in made:
+        await stand_in.start_again()
+        fleet.record(stand_in, builders.PLAIN, born=2)
+    await boxes.until(
+        lambda: all(
+            fleet.gateways[0].listed.may_send(f"{stand_in.id}/2")
+            for stand_in in made
+        )
+    )
+    return suspect.key
+
+
+def running(made: list[replica.Replica], request_id: str) -> bool:
+    return any(
+        received.id == request_id
+        for stand_in in made
+        for received in stand_in.received
+    )
+
+
+async def test_quarantined_request_gets_a_final_answer_that_is_true(
+    fleet: boxes.Boxes,
+) -> None:
+    await broken_under(fleet)
+    before = requests.arrivals(fleet.replicas)
+    head, body = await requests.ask(fleet, "/unsafe/", "again")
+    assert (head.status, body) == (503, suspects.QUARANTINED_CODE.encode())
+    again_s = float(head.get(b"retry-after") or 0)
+    assert again_s > suspect_table.FIRST_RELEASE_S / 2
+    assert requests.arrivals(fleet.replicas) == before
+    # Another content of the same caller is served.
+    head, _ = await requests.ask(fleet, "/unsafe/other", "other")
+    assert head.status == 200
+
+
+async def test_operator_sees_and_lifts_it(fleet: boxes.Boxes) -> None:
+    key = await broken_under(fleet)
+    box = fleet.gateways[0]
+    address = f"127.0.0.1:{box._settings.metrics_port}"
+    dump = await boxes.call_json(address, "/dump")
+    [row] = dump["suspects"]
+    assert (row["content"], row["quarantined"]) == (str(key), True)
+    target = f"/lift?content={key}"
+    head, _ = await boxes.call(address, "POST", "/lift?content=unknown")
+    assert head.status == 404
+    head, _ = await boxes.call(address, "GET", target)
+    assert head.status == 404
+    head, _ = await boxes.call(address, "POST", target)
+    assert head.status == 200
+    head, _ = await requests.ask(fleet, "/unsafe/", "again")
+    assert head.status == 200
+    assert (await boxes.call_json(address, "/dump"))["suspects"] == []
+
+
+async def test_new_software_is_tried_where_it_runs(fleet: boxes.Boxes) -> None:
+    await broken_under(fleet)
+    mended = await fleet.add_replica(builders.PLAIN)
+    fleet.record(mended, builders.PLAIN, version="v2")
+    box = fleet.gateways[0]
+    await boxes.until(
+        lambda: any(
+            listed.endpoint.version == "v2"
+            for listed in box.listed.entries.values()
+        )
+    )
+    head, _ = await requests.ask(fleet, "/unsafe/", "again")
+    assert head.status == 200
+    assert running([mended], "again")
+    # It was answered: nothing is held against it any more.
+    assert only_suspect(fleet) is None
+
+
+async def test_other_boxes_and_a_later_one_know_of_it(
+    fleet: boxes.Boxes,
+) -> None:
+    await fleet.add_box("box-2")
+    key = await broken_under(fleet)
+    await fleet.add_box("box-3")
+
+    def known(box: int) -> bool:
+        suspect = fleet.gateways[box].suspects.table.find(key)
+        return suspect is not None and suspect.held.quarantined
+
+    await boxes.until(lambda: known(1) and known(2))
+
+
+async def test_run_that_breaks_off_at_a_live_endpoint_is_no_end(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await requests.two_plain(fleet)
+    requests.behave(made, Behaviour.RESET)
+    head, _ = await requests.ask(fleet, "/unsafe/")
+    assert head.status == 502
+    assert only_suspect(fleet) is None
+
+
+async def test_endpoint_that_leaves_and_ends_is_no_end(
+    fleet: boxes.Boxes,
+) -> None:
+    [made] = [await fleet.add_replica(builders.PLAIN)]
+    await fleet.until_listed()
+    made.plan(Behaviour.HANG)
+    asking = asyncio.create_task(requests.ask(fleet, "/unsafe/", **PATIENT))
+    await boxes.until(lambda: bool(made.received))
+    fleet.record(made, builders.PLAIN, state="draining")
+    box = fleet.gateways[0]
+    await boxes.until(lambda: not box.listed.may_send(made.id))
+    await made.stop()
+    await asking
+    assert only_suspect(fleet) is None
+
+
+async def test_end_that_shows_by_the_next_start_counts(
+    fleet: boxes.Boxes,
+) -> None:
+    # The port answers again before it is asked: only the entry tells.
+    [made] = [await fleet.add_replica(builders.PLAIN)]
+    fleet.record(made, builders.PLAIN, born=1)
+    box = fleet.gateways[0]
+    await boxes.until(lambda: box.listed.may_send(f"{made.id}/1"))
+    made.plan(Behaviour.RESET)
+    await requests.ask(fleet, "/unsafe/")
+    assert only_suspect(fleet) is None
+    fleet.record(made, builders.PLAIN, born=2)
+    await boxes.until(lambda: only_suspect(fleet) is not None)
+
+
+async def test_request_waits_for_a_trial_and_goes_on_as_it_ends(
+    fleet: boxes.Boxes,
+) -> None:
+    await requests.two_plain(fleet)
+    key = request_content.ContentKey(b"c" * 8, b"q" * 16)
+    at = builders.endpoint()
+    (await permit(fleet, key)).ended(at)
+    first = await permit(fleet, key)
+    assert first.apart
+    second = asyncio.create_task(permit(fleet, key))
+    await asyncio.sleep(0.05)
+    assert not second.done()
+    first.answered()
+    assert not (await second).apart
+
+
+async def test_permit_does_not_stand_once_an_endpoint_ended(
+    fleet: boxes.Boxes,
+) -> None:
+    await requests.two_plain(fleet)
+    key = request_content.ContentKey(b"c" * 8, b"q" * 16)
+    one, two = await permit(fleet, key), await permit(fleet, key)
+    assert two.stands()
+    one.ended(builders.endpoint())
+    assert not two.stands()
+
+
+async def test_quarantine_is_refused_to_a_permit(fleet: boxes.Boxes) -> None:
+    await requests.two_plain(fleet)
+    key = request_content.ContentKey(b"c" * 8, b"q" * 16)
+    for number in range(10):
+        try:
+            made = await permit(fleet, key)
+        except admission.RefusalError as refusal:
+            assert refusal.status == 503
+            assert number >= endpoint_hazard.LEAST_ENDS
+            return
+        at = dataclasses.replace(builders.endpoint(f"e{number}"), version="v1")
+        made.ended(at)
+    pytest.fail("it was never refused")
