--- /dev/null
+++ b/martenjunction/routing/endpoint_runs.py
@@ -0,0 +1,274 @@
+"""The runs of one request at endpoints, one after the other."""
+
+import dataclasses
+import time
+
+from martenjunction import errors
+from martenjunction.decisions import endpoint_records
+from martenjunction.decisions import outcomes
+from martenjunction.endpoints import attempt
+from martenjunction.endpoints import event_stream
+from martenjunction.http1 import messages
+from martenjunction.http1 import server_connection
+from martenjunction.platform import headers
+from martenjunction.routing import admission
+from martenjunction.routing import endpoint_book
+from martenjunction.routing import model
+from martenjunction.routing import offers
+
+# Statuses by which an endpoint's answer would promise that nothing ran.
+PROMISES = frozenset({408, 421, 429, 503})
+
+# Why a request ends whose client is gone.
+CLIENT_LEFT = "client-left"
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """An endpoint's whole answer that the client may get."""
+
+    status: int
+    headers: messages.Headers
+    body: bytes
+
+
+class EndpointRuns:
+    """Sends a request to endpoints and passes on what they answer."""
+
+    def __init__(
+        self,
+        tools: offers.Tools,
+        connection: server_connection.ServerConnection,
+        request: messages.Request,
+        state: offers.RequestState,
+        taken: admission.Admission,
+    ) -> None:
+        """Makes the runs of a request that was taken.
+
+        Args:
+            tools: What exchanges share.
+            connection: The client's connection.
+            request: The request, read in full.
+            state: How far it has got.
+            taken: How it was taken.
+        """
+        self._tools = tools
+        self._connection = connection
+        self._request = request
+        self._state = state
+        self._taken = taken
+        self._running: attempt.Attempt | None = None
+        self._ticket: endpoint_book.RunTicket | None = None
+        self._fallback: Answer | None = None
+
+    @property
+    def ticket(self) -> endpoint_book.RunTicket | None:
+        """The run at an endpoint, or None."""
+        return self._ticket
+
+    @property
+    def fallback(self) -> Answer | None:
+        """An endpoint's failure that the client gets for want of better."""
+        return self._fallback
+
+    @property
+    def to_be_moved(self) -> bool:
+        """Whether it is to be taken from its endpoint."""
+        ticket = self._ticket
+        if ticket is None:
+            return False
+        # A silent endpoint may still be at work: only what may run twice is
+        # taken from it. One that started again is not.
+        return ticket.lost or (ticket.move and self._taken.route.repeatable)
+
+    @property
+    def readable(self) -> bool:
+        """Whether bytes of the endpoint wait to be read."""
+        return self._running is not None and self._running.connection.readable
+
+    def move(self) -> None:
+        """Takes the request from its endpoint; it may go to another one.
+
+        An endpoint whose bytes wait to be read is not silent and keeps it.
+        """
+        if self._running is not None and not self.readable:
+            self._running.abort()
+
+    async def run(
+        self,
+        demand: endpoint_records.Demand,
+        offer: offers.Offer,
+        copies: headers.CopyPlan | None,
+    ) -> bool:
+        """Sends the request to one endpoint; returns whether it is over.
+
+        Raises:
+            ConnectionLostError: If the client left; nothing was sent.
+        """
+        endpoint, run = offer.endpoint, offer.run
+        if self._connection.closed:
+            # Its end is told a turn later: the run would be given up at once.
+            self._state.why = CLIENT_LEFT
+            offer.permit.close()
+            self._tools.pool.release(endpoint.id, run.connection)
+            raise errors.ConnectionLostError("the client left")
+        book = self._tools.book
+        ticket = book.begin(offer.choice, demand, time.monotonic())
+        self._running, self._ticket = run, ticket
+        self._state.choices.append(endpoint_book.describe(offer.choice))
+        failed = True
+        try:
+            run.send(self._request, self._headers(endpoint, copies))
+            self._state.progress.note(outcomes.Event.SENT)
+            done = await self._receive(offer, ticket)
+            failed = not done and self._state.refusals == 0
+            return done
+        except errors.EndpointNotReachedError:
+            return False
+        except errors.EndpointError as error:
+            self._state.why = f"{endpoint.id}: {error}"
+            # Only a run whose connection broke may go on from its copy: one
+            # that ended by itself must not run again.
+            self._state.cut_off = isinstance(
+                error.__cause__, errors.TransportError
+            )
+            book.broken(endpoint.id, time.monotonic())
+            self._state.progress.note(outcomes.Event.BROKEN)
+            if self._state.cut_off:
+                # Sent on at once, a request that ends what runs it ended the
+                # next endpoint as well, and so on, twelve in a row.
+                offer.permit.broken(endpoint)
+                await self._tools.ends.ask(endpoint)
+            return False
+        except BaseException:
+            run.abort()
+            failed = False
+            raise
+        finally:
+            self._running = self._ticket = None
+            book.end(ticket, time.monotonic(), failed)
+            offer.permit.close()
+            self._tools.pool.release(endpoint.id, run.connection)
+
+    def _headers(
+        self,
+        endpoint: model.Endpoint,
+        copies: headers.CopyPlan | None,
+    ) -> messages.Headers:
+        request = self._request
+        framed = request.body or messages.header(
+            request.headers, b"content-length"
+        )
+        workspace = self._taken.workspace
+        return headers.for_endpoint(
+            request.headers,
+            len(request.body) if framed else None,
+            self._taken.deadline - time.monotonic(),
+            endpoint.entry,
+            None if workspace is None else workspace.name,
+            self._taken.urgency,
+            self._state.delivered_id,
+            copies,
+        )
+
+    async def _receive(
+        self,
+        offer: offers.Offer,
+        ticket: endpoint_book.RunTicket,
+    ) -> bool:
+        endpoint, run = offer.endpoint, offer.run
+        head = await run.head()
+        if headers.is_not_run(head):
+            await run.body()
+            run.finish()
+            self._state.refusals += 1
+            self._state.progress.note(outcomes.Event.REFUSED)
+            self._tools.book.refused(endpoint.id, time.monotonic())
+            self._state.why = f"{endpoint.id}: refused with {head.status}"
+            return False
+        success = 200 <= head.status < 300
+        if success and not headers.is_sealed(head):
+            run.abort()
+            raise errors.EndpointBrokenError("a success without its seal")
+        if success and self._taken.route.kind is model.RouteKind.STREAM:
+            await self._pass_events(head, offer, ticket)
+            return True
+        body = await run.body()
+        self._tools.book.heard(ticket, time.monotonic())
+        run.finish()
+        offer.permit.answered()
+        answer = Answer(head.status, headers.for_client(head.headers), body)
+        if success:
+            self._state.progress.note(outcomes.Event.COMPLETE)
+            await self.deliver(answer)
+            return True
+        self._state.progress.note(outcomes.Event.BROKEN)
+        self._state.why = f"{endpoint.id}: status {head.status}"
+        if head.status in PROMISES:
+            # It may have run, so the client must not read a promise.
+            return False
+        if head.status < 500:
+            # The endpoint's last word: 12 of 12 such answers were kept for want
+            # of a better one, and their clients got none.
+            await self.deliver(answer)
+            return True
+        self._fallback = answer
+        return False
+
+    async def _pass_events(
+        self,
+        head: messages.ResponseHead,
+        offer: offers.Offer,
+        ticket: endpoint_book.RunTicket,
+    ) -> None:
+        """Passes a stream on, event by event."""
+        run = offer.run
+        pairs = headers.for_client(head.headers)
+        async for events in run.events():
+            now = time.monotonic()
+            self._tools.book.heard(ticket, now, len(events))
+            self._state.note_events(now)
+            if not self._connection.answering:
+                self._state.progress.note(outcomes.Event.ANSWERING)
+                await self._connection.begin(
+                    head.status, pairs, self._tools.closing()
+                )
+                self._state.status = head.status
+            await self._write_new(events)
+        if not self._connection.answering:
+            await self._connection.begin(
+                head.status, pairs, self._tools.closing()
+            )
+            self._state.status = head.status
+        run.finish()
+        offer.permit.answered()
+        self._state.progress.note(outcomes.Event.COMPLETE)
+        await self._connection.end()
+
+    async def _write_new(self, events: list[event_stream.StreamEvent]) -> None:
+        """Writes the events that the client does not have yet."""
+        fresh = []
+        for event in events:
+            if event.id is not None:
+                if _not_after(event.id, self._state.delivered_id):
+                    continue
+                self._state.delivered_id = event.id
+            fresh.append(event.data)
+        if fresh:
+            await self._connection.write(b"".join(fresh))
+
+    async def deliver(self, answer: Answer) -> None:
+        """Gives the client an endpoint's whole answer."""
+        self._state.status = answer.status
+        await self._connection.answer(
+            answer.status, answer.headers, answer.body, self._tools.closing()
+        )
+
+
+def _not_after(event_id: str, delivered: str | None) -> bool:
+    """Returns whether an event is one that the client already has."""
+    if delivered is None:
+        return False
+    if event_id.isdigit() and delivered.isdigit():
+        return int(event_id) <= int(delivered)
+    return event_id == delivered
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -101,6 +101,7 @@
         first_at: When its first event came, or None.
         last_at: When its last event came.
         longest_pause_s: The longest pause between its events.
+        status: The status that the client got; 0 before that.
         why: Why it failed, for the log; empty if it did not.
     """
 
@@ -119,6 +120,7 @@
     first_at: float | None = None
     last_at: float = 0.0
     longest_pause_s: float = 0.0
+    status: int = 0
     why: str = ""
 
     def note_events(self, now: float) -> None:
