--- /dev/null
+++ b/tests/ending_table.py
@@ -0,0 +1,64 @@
+"""Plays requests that end endpoints, and endpoints that end by themselves.
+
+    python -m tests.ending_table ROW[,ROW...] FIRST_SEED LAST_SEED
+
+prints a line for each row and seed; the rows stand in `ROWS`.
+"""
+
+import asyncio
+import logging
+import sys
+
+from martenjunction_lab import ending_requests
+from tests import routing_builders as builders
+
+Trial = ending_requests.Trial
+OWN = {"fatal": 0, "alike": 0.3, "own_ends": 18}
+
+# Some changes of the usual trial each.
+ROWS: dict[str, dict[str, object]] = {
+    "repeatable": {},
+    "not-repeatable": {"kind": "unsafe"},
+    "stream": {"kind": "digest"},
+    "stream-not-repeatable": {"kind": "chat"},
+    "two": {"fatal": 2},
+    "copies": {"burst": 4},
+    "replaced": {"replaced": True},
+    "none": {"fatal": 0},
+    "own": OWN,
+    "own-not-repeatable": {**OWN, "kind": "unsafe"},
+    "own-stream": {**OWN, "kind": "digest", "own_ends_at_once": 3},
+    "own-chat": {**OWN, "kind": "chat", "own_ends_at_once": 6},
+    "own-half": {
+        **OWN,
+        "kind": "unsafe",
+        "own_ends": 120,
+        "own_ends_at_once": 12,
+        "back_s": 1.0,
+    },
+}
+
+
+async def play(row: str, seed: int) -> str:
+    """Plays one row with one seed; returns its line."""
+    trial = Trial(seed=seed, **ROWS[row])  # type: ignore[arg-type]
+    fleet = ending_requests.EndingFleet(trial)
+    seen = await fleet.run(builders.config_document())
+    return (
+        f"{row} seed {seed}: ended {seen.ended}, late {seen.late_arrivals},"
+        f" by themselves {seen.own_ends}, served {seen.served} of {seen.sent},"
+        f" alike {dict(seen.alike)}, shut out {seen.innocent_shut_out}"
+    )
+
+
+def main() -> None:
+    """Plays what the command line names."""
+    logging.disable(logging.CRITICAL)
+    rows, first, last = sys.argv[1].split(","), *map(int, sys.argv[2:4])
+    for row in rows:
+        for seed in range(first, last + 1):
+            print(asyncio.run(play(row, seed)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
