--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -156,6 +156,7 @@
             mark = {"Martenjunction-Not-Executed": "1"}
             if status == 421:
                 mark = {"Martenjunction-Replica-Id": "another"}
+            mark.update(self._notices(request, status))
             writer.write(_whole(status, mark, b""))
             return True
         if self.queue_s and await self._leaves_queue(reader):
@@ -187,6 +188,10 @@
             writer.write(answer)
         return True
 
+    def _notices(self, request: Received, status: int) -> dict[str, str]:
+        """Returns what the head of an answer says of this replica."""
+        return {}
+
     async def _leaves_queue(self, reader: asyncio.StreamReader) -> bool:
         """Has a request wait; returns whether its caller left meanwhile."""
         left = asyncio.ensure_future(reader.read(1))
@@ -200,6 +205,7 @@
             headers["Martenjunction-Replica-Seal"] = f"seal-{self.id}"
         headers["Martenjunction-Replica-Load"] = "1,0,6"
         status = 500 if behaviour is Behaviour.FAIL else 200
+        headers.update(self._notices(request, status))
         return _whole(status, headers, b"answer to " + request.body)
 
     async def _stream(
@@ -209,12 +215,14 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         first = int(request.headers.get("last-event-id", "0")) + 1
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            b"Transfer-Encoding: chunked\r\n"
-            + f"Martenjunction-Attempt-Id: {request.id}\r\n".encode()
-            + f"Martenjunction-Replica-Seal: seal-{self.id}\r\n\r\n".encode()
-        )
+        pairs = {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+            "Martenjunction-Attempt-Id": request.id,
+            "Martenjunction-Replica-Seal": f"seal-{self.id}",
+            **self._notices(request, 200),
+        }
+        writer.write(_head(200, pairs))
         left = asyncio.ensure_future(reader.read(1))
         for number in range(first, self._events + 1):
             if self.break_after is not None and number > self.break_after:
@@ -245,9 +253,13 @@
 
 
 def _whole(status: int, headers: dict[str, str], body: bytes) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    return _head(status, {"Content-Length": str(len(body)), **headers}) + body
+
+
+def _head(status: int, headers: dict[str, str]) -> bytes:
+    lines = [f"HTTP/1.1 {status} X"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
 def _chunk(data: bytes) -> bytes:
--- /dev/null
+++ b/tests/telling_table.py
@@ -0,0 +1,71 @@
+"""Plays endpoints that say in answers that they leave or want rest.
+
+    python -m tests.telling_table ROW[,ROW...] FIRST_SEED LAST_SEED
+
+prints a line for each row and seed; the rows stand in `ROWS`.
+"""
+
+import asyncio
+import logging
+import sys
+
+from martenjunction_lab import telling_endpoints
+from tests import routing_builders as builders
+
+Trial = telling_endpoints.Trial
+REST = {"word": telling_endpoints.Word.REST, "tell_engines": 0}
+
+# Some changes of the usual trial each.
+ROWS: dict[str, dict[str, object]] = {
+    "leaving": {},
+    "leaving-and-back": {"back_at_s": 6.0},
+    "leaving-then-refusing": {
+        "word": telling_endpoints.Word.LEAVING_THEN_REFUSING
+    },
+    "rest": REST,
+    "rest-not-repeatable": {**REST, "routes": ("unsafe",)},
+    "rest-engines": {**REST, "tell_plain": 0, "tell_engines": 3},
+    "rest-of-all": {**REST, "tell_plain": 10, "for_s": 2.5},
+    "rest-of-all-coming-back": {
+        **REST,
+        "tell_plain": 10,
+        "for_s": 2.5,
+        "rest_s": 0.4,
+        "comes_back": True,
+    },
+    "none": {**REST, "tell_plain": 0},
+}
+
+
+async def play(row: str, seed: int) -> str:
+    """Plays one row with one seed; returns its line."""
+    trial = Trial(seed=seed, **ROWS[row])  # type: ignore[arg-type]
+    fleet = telling_endpoints.TellingFleet(trial)
+    seen = await fleet.run(builders.config_document())
+    share = "-"
+    if seen.returns:
+        plain = fleet.names(telling_endpoints.PLAIN)
+        share = f"{seen.share_of_returned(plain):.2f}"
+    return (
+        f"{row} seed {seed}: late {seen.late_from_told} from told"
+        f" {seen.late_from_any} from any, rests {len(seen.refusals)}"
+        f" broken {seen.broken} most {max(seen.in_rest, default=0)},"
+        f" served {seen.served} of {seen.sent} {dict(seen.statuses)},"
+        f" share of returned {share},"
+        f" longest refusal {max(seen.refused_s, default=0.0):.3f} s,"
+        f" told to come back in {max(seen.back_in_s, default=0.0):.2f} s"
+        " at most"
+    )
+
+
+def main() -> None:
+    """Plays what the command line names."""
+    logging.disable(logging.CRITICAL)
+    rows, first, last = sys.argv[1].split(","), *map(int, sys.argv[2:4])
+    for row in rows:
+        for seed in range(first, last + 1):
+            print(asyncio.run(play(row, seed)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
