An endpoint that asks for rest gets it, and returns with one request first

Callers saw: two engines that turned everything away with a time of rest were offered request after request; those that had come back once were refused for good while three engines served. Cause: the time was read nowhere. A refusal kept its endpoint from being asked for 0.1 s whatever it asked for, as a preference, and the one that refuses at once has the fewest running and is chosen first. Change: a time of rest binds its box: the endpoint is no choice until its end, for first offers, repeats, trials, copies, health checks and requests that waited for a connection. Where all of a service rest, the caller gets 503 at once and the time when the first is back. Other boxes are not told: the rest is asked of one box, and each learns its own by one refusal. Conclusion: the rule is kept because an endpoint that rests is no choice, asked again as the request is sent.

--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/endpoint_choice.py
@@ -87,8 +87,9 @@
 ) -> Choice | None:
     """Chooses an endpoint.
 
-    Endpoints that are ejected or refused work a moment ago are taken only
-    where there is no other; a trial goes to a request that may be repeated.
+    None that wants rest is taken. Those that are ejected or refused work a
+    moment ago are taken only where there is no other; a trial goes to a request
+    that may be repeated.
 
     Args:
         records: Endpoints that are listed as ready.
@@ -98,8 +99,9 @@
         apart: Whether it is chosen among the sound ones where fewest run.
 
     Returns:
-        The choice, or None if there is no endpoint.
+        The choice, or None if no endpoint may get it.
     """
+    records = [r for r in records if r.accepts(now)]
     if not records:
         return None
     ejected = endpoint_states.EndpointState.EJECTED
--- a/martenjunction/decisions/endpoint_records.py
+++ b/martenjunction/decisions/endpoint_records.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from martenjunction.decisions import endpoint_loads
+from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import engine_figures
 from martenjunction.decisions import estimates
@@ -29,9 +30,6 @@
 # token: another one must end first.
 OVER_SLOTS_S = 0.01
 
-# Seconds for which a refusal keeps an endpoint from being asked again.
-REFUSAL_PAUSE_S = 0.1
-
 # Seconds of an answer by a plain service, until it is learnt.
 PLAIN_ANSWER_S = 0.03
 
@@ -153,7 +151,7 @@
         self.health = endpoint_states.Health(
             endpoint_states.EndpointState.ROUTING
         )
-        self.refused_until = 0.0
+        self.refusals = endpoint_refusals.Refusals()
         self.figures = engine_figures.EngineFigures()
         self.loads = endpoint_loads.EndpointLoads()
         self._parts: collections.OrderedDict[str, int] = (
@@ -210,11 +208,15 @@
             total += tokens
         return total
 
+    def accepts(self, now: float) -> bool:
+        """Returns whether it may be sent a request at all."""
+        return self.refusals.accepts(self.loads.own_running, now)
+
     def may_get_work(self, now: float) -> bool:
         """Returns whether it is sound, or due for a trial."""
         if self.health.state is endpoint_states.EndpointState.EJECTED:
             return self.loads.own_running == 0 and self.health.trial_due(now)
-        return now >= self.refused_until
+        return not self.refusals.pauses(now)
 
     def unread(self, demand: Demand, belongs: bool) -> int:
         """Returns the prompt tokens that it would have to read.
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -175,7 +175,7 @@
             self.listed, self.peers, self.members, self.log
         )
         self.notices = endpoint_notices.EndpointNotices(
-            self.leaving_endpoints, self.log
+            self.leaving_endpoints, self.book, self.timers.now, self.log
         )
         self.pool.on_head(self.notices.take)
         self.ends = endpoint_ends.EndpointEnds(self.book, self.pool)
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -8,6 +8,7 @@
 from martenjunction.decisions import endpoint_list
 from martenjunction.decisions import endpoint_loads
 from martenjunction.decisions import endpoint_records
+from martenjunction.decisions import endpoint_refusals
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_trust
 from martenjunction.routing import model
@@ -164,7 +165,52 @@
         To be asked again right before a request is sent: what an endpoint
         said of itself since it was chosen must not be passed over.
         """
-        return self._listed.may_send(endpoint_id)
+        record = self._records.get(endpoint_id)
+        return self._listed.may_send(endpoint_id) and (
+            record is None or record.accepts(now)
+        )
+
+    def opens_in_s(self, service: model.Service, now: float) -> float | None:
+        """Returns when a request that no endpoint may be sent can come back.
+
+        That is once the first endpoint of its service takes work again.
+
+        Args:
+            service: The service.
+            now: The current time.
+
+        Returns:
+            Seconds from now; None where one may be sent some now, or none is
+            known.
+        """
+        times = [
+            record.refusals.opens_in_s(record.loads.own_running, now)
+            for record in (
+                self._record(endpoint, service)
+                for endpoint in self._listed.ready(service.name)
+            )
+        ]
+        first_s = min(times, default=0.0)
+        if not first_s:
+            return None
+        # Clients that are told alike come back in the same moment.
+        return first_s + self._rng.uniform(0.0, endpoint_refusals.RETURN_STEP_S)
+
+    def rest(self, endpoint_id: str, seconds: float, now: float) -> float:
+        """Notes that an endpoint wants nothing from this box for some time.
+
+        Args:
+            endpoint_id: The endpoint.
+            seconds: For how long it asks.
+            now: The current time.
+
+        Returns:
+            Seconds by which its rest got longer; 0 if it did not.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None:
+            return 0.0
+        return record.refusals.ask_rest(seconds, self._rng.random(), now)
 
     def serves_lower_tiers(
         self, service: model.Service, urgency: int, now: float
@@ -218,6 +264,7 @@
         listened = self._listened(now)
         self._heard[record.id] = listened
         self._trust.heard(record, now)
+        record.refusals.answer()
         ticket.move = False
         pause_s = listened - ticket.heard_at
         ticket.heard_at = listened
@@ -258,14 +305,16 @@
         unread = ticket.choice.unread if ticket.waiting else 0
         record.loads.add(ticket.demand.load_key, -1, -unread)
         ticket.waiting = False
-        record.failures.add(1.0 if failed else 0.0)
+        if not (failed and now < record.refusals.rest_until):
+            # A rest keeps work from it by itself, and after the rest it has
+            # its share again.
+            record.failures.add(1.0 if failed else 0.0)
         if not failed and not ticket.demand.is_engine:
             record.answer_s.add(self._listened(now) - ticket.sent_at)
 
     def refused(self, endpoint_id: str, now: float) -> None:
         """Notes that an endpoint refused work: it is full or leaves."""
-        record = self._records[endpoint_id]
-        record.refused_until = now + endpoint_records.REFUSAL_PAUSE_S
+        self._records[endpoint_id].refusals.refuse(now)
 
     def not_reached(self, endpoint_id: str, now: float) -> None:
         """Notes that no connection to an endpoint could be had."""
@@ -280,12 +329,15 @@
             self._trust.broken(record, now)
 
     def due_for_probe(self, now: float) -> list[str]:
-        """Returns ids of ejected endpoints that no request has tried."""
+        """Returns ids of ejected endpoints that no request has tried.
+
+        Health checks are requests: one that wants rest gets none.
+        """
         return [
             record.id
             for record in self._records.values()
             if endpoint_trust.due_for_probe(record, now)
-            and self._listed.may_send(record.id)
+            and self.accepts(record.id, now)
         ]
 
     def probed(self, endpoint_id: str, sound: bool, now: float) -> None:
@@ -311,7 +363,12 @@
             if self._listed.restarted(ticket.record.id):
                 ticket.lost = True
         for gone in [i for i in self._records if i not in self._listed.entries]:
-            if self._records[gone].loads.own_running == 0:
+            record = self._records[gone]
+            # What it asked for holds if its entry comes back, but not for
+            # another start of it.
+            rests = now < record.refusals.rest_until
+            kept = rests and not self._listed.restarted(gone)
+            if record.loads.own_running == 0 and not kept:
                 del self._records[gone]
                 self._heard.pop(gone, None)
         self._drift()
--- a/martenjunction/routing/endpoint_notices.py
+++ b/martenjunction/routing/endpoint_notices.py
@@ -1,8 +1,11 @@
 """What endpoints say of themselves in answers, and who is told of it."""
 
+from collections.abc import Callable
+
 from martenjunction.http1 import messages
 from martenjunction.platform import notices
 from martenjunction.routing import decision_log
+from martenjunction.routing import endpoint_book
 from martenjunction.routing import leaving_sync
 from martenjunction.routing import model
 
@@ -17,15 +20,21 @@
     def __init__(
         self,
         leaving: leaving_sync.LeavingSync,
+        book: endpoint_book.EndpointBook,
+        now: Callable[[], float],
         log: decision_log.DecisionLog,
     ) -> None:
         """Makes it.
 
         Args:
-            leaving: Told of endpoints that leave.
+            leaving: Told of endpoints that leave, for all boxes.
+            book: Told of endpoints that want rest, from this box alone.
+            now: Returns seconds on the steady clock.
             log: Told of what cannot be read.
         """
         self._leaving = leaving
+        self._book = book
+        self._now = now
         self._log = log
 
     def take(
@@ -36,12 +45,7 @@
         if notice.leaves:
             self._leaving.say_leaving(endpoint.id)
         if notice.rest_s:
-            self._log.write(
-                "endpoint-wants-rest",
-                endpoint=endpoint.id,
-                status=head.status,
-                rest_s=notice.rest_s,
-            )
+            self._rest(endpoint, head.status, notice.rest_s)
         if notice.unreadable:
             self._log.write(
                 "endpoint-notice-unreadable",
@@ -49,3 +53,16 @@
                 status=head.status,
                 value=notice.unreadable,
             )
+
+    def _rest(
+        self, endpoint: model.Endpoint, status: int, asked_s: float
+    ) -> None:
+        longer_s = self._book.rest(endpoint.id, asked_s, self._now())
+        if longer_s:
+            self._log.write(
+                "endpoint-rests",
+                endpoint=endpoint.id,
+                status=status,
+                asked_s=asked_s,
+                longer_s=round(longer_s, 3),
+            )
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -240,7 +240,7 @@
         while True:
             offer = await chosen.next()
             if offer is None:
-                await self._finish_without(runs)
+                await self._finish_without(taken, runs)
                 return
             chosen.sent_to(offer.endpoint.id)
             copies = chosen.plan_copy(offer)
@@ -265,7 +265,9 @@
             engines.asked(taken.service.name, time.monotonic()),
         )
 
-    async def _finish_without(self, runs: endpoint_runs.EndpointRuns) -> None:
+    async def _finish_without(
+        self, taken: admission.Admission, runs: endpoint_runs.EndpointRuns
+    ) -> None:
         """Ends a request that no further endpoint may get."""
         if self._connection.answering:
             raise _AnswerBrokenError(
@@ -274,10 +276,20 @@
         if runs.fallback is not None:
             await runs.deliver(runs.fallback)
         elif self._state.progress.outcome is outcomes.Outcome.NOT_RUN:
+            await self._refuse_unsent(taken)
+        else:
+            await self._refuse(502, "unknown-outcome", None)
+
+    async def _refuse_unsent(self, taken: admission.Admission) -> None:
+        """Tells a client when an endpoint may be sent its request."""
+        opens_in_s = self._tools.book.opens_in_s(
+            taken.service, time.monotonic()
+        )
+        if opens_in_s is None:
             self._state.why = self._state.why or "no endpoint takes it"
             await self._refuse(503, "not-run", RETRY_BUSY_S)
         else:
-            await self._refuse(502, "unknown-outcome", None)
+            await self._refuse(503, "endpoints-rest", opens_in_s)
 
     async def _refuse(
         self, status: int, code: str, retry_after: float | None
--- /dev/null
+++ b/tests/test_endpoint_refusals.py
@@ -0,0 +1,216 @@
+"""What a box makes of an endpoint's refusals, and of the rest it asks for."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from martenjunction.decisions import endpoint_choice
+from martenjunction.decisions import endpoint_records
+from martenjunction.decisions import endpoint_refusals
+from martenjunction.decisions import endpoint_states
+from martenjunction_lab import boxes
+from martenjunction_lab import replica
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+
+Behaviour = replica.Behaviour
+
+NOW = 100.0
+PLAIN = builders.demand(is_engine=False, repeatable=True)
+
+
+def resting(rest_s: float = 3.0) -> endpoint_refusals.Refusals:
+    made = endpoint_refusals.Refusals()
+    made.ask_rest(rest_s, 0.0, NOW)
+    return made
+
+
+def test_rest_binds_until_its_end() -> None:
+    made = resting()
+    assert not made.accepts(0, NOW + 2.99)
+    assert made.accepts(0, NOW + 3.0)
+    assert made.opens_in_s(0, NOW + 1.0) == pytest.approx(2.0)
+
+
+def test_shorter_rest_does_not_cut_an_earlier_one_off() -> None:
+    made = resting()
+    assert made.ask_rest(1.0, 0.0, NOW + 1.0) == 0.0
+    assert not made.accepts(0, NOW + 2.5)
+    assert made.ask_rest(1.0, 0.0, NOW + 2.5) == pytest.approx(0.5)
+    assert not made.accepts(0, NOW + 3.4)
+
+
+def test_rest_is_bounded() -> None:
+    made = resting(1e12)
+    assert made.accepts(0, NOW + 1.1 * endpoint_refusals.MAX_REST_S)
+
+
+def test_endpoint_returns_with_one_request_until_it_answers() -> None:
+    made = resting()
+    after = NOW + 3.0
+    assert made.accepts(0, after)
+    assert not made.accepts(1, after)
+    assert made.opens_in_s(1, after) == endpoint_refusals.RETURN_STEP_S
+    assert made.accepts(1, after + endpoint_refusals.RETURN_STEP_S)
+    made.answer()
+    assert made.accepts(50, after)
+
+
+def test_boxes_return_one_after_the_other() -> None:
+    first, last = endpoint_refusals.Refusals(), endpoint_refusals.Refusals()
+    first.ask_rest(3.0, 0.0, NOW)
+    last.ask_rest(3.0, 1.0, NOW)
+    assert first.accepts(0, NOW + 3.0) and not last.accepts(0, NOW + 3.0)
+    spread_s = 3.0 * endpoint_refusals.SPREAD_PART
+    assert last.accepts(0, NOW + 3.0 + spread_s)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0.0, 5.0), st.floats(0.0, 9.0), st.floats(0.0, 1.0)
+        ),
+        max_size=12,
+    )
+)
+def test_no_time_of_rest_is_ever_cut_short(
+    asks: list[tuple[float, float, float]],
+) -> None:
+    made = endpoint_refusals.Refusals()
+    now = NOW
+    ends = []
+    for pause_s, rest_s, drawn in asks:
+        now += pause_s
+        made.ask_rest(rest_s, drawn, now)
+        ends.append(now + rest_s)
+        made.refuse(now)
+        assert made.rest_until >= max(ends) or not any(
+            end > now for end in ends
+        )
+
+
+def choose(
+    records: list[endpoint_records.EndpointRecord],
+    demand: endpoint_records.Demand = PLAIN,
+    apart: bool = False,
+) -> str | None:
+    chosen = endpoint_choice.choose(
+        records, demand, NOW, random.Random(1), apart
+    )
+    return None if chosen is None else chosen.record.id
+
+
+@pytest.mark.parametrize("apart", [False, True])
+def test_endpoint_that_rests_is_no_choice_for_want_of_a_better(
+    apart: bool,
+) -> None:
+    rests = builders.record("e1")
+    rests.refusals.ask_rest(3.0, 0.0, NOW)
+    assert choose([rests], apart=apart) is None
+    ejected = builders.record("e2")
+    ejected.health.move(endpoint_states.EndpointEvent.OUTLIER, NOW)
+    assert choose([rests, ejected], apart=apart) == "e2"
+
+
+def test_endpoint_that_rests_gets_no_trial() -> None:
+    rests = builders.record("e1")
+    rests.health.move(endpoint_states.EndpointEvent.OUTLIER, NOW - 50.0)
+    rests.refusals.ask_rest(3.0, 0.0, NOW)
+    assert choose([rests, builders.record("e2")]) == "e2"
+
+
+# The whole path.
+
+
+class Resting(replica.Replica):
+    """A replica that asks for rest as it refuses."""
+
+    rest = "30"
+
+    def _notices(
+        self, request: replica.Received, status: int
+    ) -> dict[str, str]:
+        return {"Retry-After": self.rest} if status in (429, 503) else {}
+
+
+async def add_resting(fleet: boxes.Boxes, endpoint_id: str) -> Resting:
+    made = Resting(endpoint_id)
+    await made.start()
+    made.always(Behaviour.REFUSE)
+    fleet.replicas.append(made)
+    fleet.record(made, builders.PLAIN)
+    await fleet.until_listed()
+    return made
+
+
+async def test_caller_is_told_when_the_first_endpoint_is_back(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await add_resting(fleet, "i-1")
+    first, _ = await requests.ask(fleet, "/unsafe/", "r1")
+    second, body = await requests.ask(fleet, "/unsafe/", "r2")
+    assert (first.status, second.status) == (503, 503)
+    assert body == b"endpoints-rest"
+    assert len(made.received) == 1
+    told_s = float(second.get(b"retry-after") or b"0")
+    # Within what it asked for and the spread of those that come back.
+    most_s = 30.0 + endpoint_refusals.MOST_SPREAD_S
+    assert 0.0 < told_s <= most_s + endpoint_refusals.RETURN_STEP_S
+
+
+async def test_health_check_does_not_break_a_rest(fleet: boxes.Boxes) -> None:
+    made = await add_resting(fleet, "i-1")
+    await requests.ask(fleet, "/unsafe/")
+    box = fleet.gateways[0]
+    for _ in range(9):
+        box.book.broken(made.id, box.timers.now() - 60.0)
+    assert box.book.records[made.id].health.state == "ejected"
+    assert box.book.due_for_probe(box.timers.now()) == []
+    assert box.book.due_for_probe(box.timers.now() + 60.0) == [made.id]
+
+
+async def test_rest_that_cannot_be_read_is_none(fleet: boxes.Boxes) -> None:
+    made = await add_resting(fleet, "i-1")
+    made.rest = "Wed, 21 Oct 2026 07:28:00 GMT"
+    for number in range(3):
+        await requests.ask(fleet, "/unsafe/", f"r{number}")
+    assert len(made.received) == 3
+
+
+async def test_rest_outlives_an_entry_that_goes_and_comes_back(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await add_resting(fleet, "i-1")
+    await requests.ask(fleet, "/unsafe/", "r1")
+    box = fleet.gateways[0]
+    fleet.forget(made)
+    await boxes.until(lambda: made.id not in box.listed.entries)
+    box.book.tick(box.timers.now())
+    fleet.record(made, builders.PLAIN)
+    await fleet.until_listed()
+    await requests.ask(fleet, "/unsafe/", "r2")
+    assert len(made.received) == 1
+
+
+async def test_request_that_waits_for_a_connection_is_judged_again(
+    fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    made = await requests.two_plain(fleet)
+    box = fleet.gateways[0]
+    acquire = box.pool.acquire
+    asked: list[str] = []
+
+    async def ask_rest_meanwhile(endpoint, repeatable):  # type: ignore[no-untyped-def]
+        connection = await acquire(endpoint, repeatable)
+        asked.append(endpoint.id)
+        if len(asked) == 1:
+            box.book.rest(endpoint.id, 30.0, box.timers.now())
+        return connection
+
+    monkeypatch.setattr(box.pool, "acquire", ask_rest_meanwhile)
+    head, _ = await requests.ask(fleet, "/safe/")
+    assert head.status == 200
+    [first] = [m for m in made if m.id == asked[0]]
+    assert not first.received
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -142,7 +142,8 @@
     await requests.ask(fleet, "/safe/")
     record = box.book.records[f"{made.id}/1"]
     record.slowness.add(5.0)
-    record.refused_until = box.timers.now() + 100.0
+    record.refusals.refuse(box.timers.now())
+    box.book.rest(f"{made.id}/1", 100.0, box.timers.now())
     for _ in range(9):
         box.book.broken(f"{made.id}/1", box.timers.now())
     assert record.health.state == "ejected"
--- a/tests/test_resting_endpoints.py
+++ b/tests/test_resting_endpoints.py
@@ -6,7 +6,8 @@
 The log has 32 requests that were refused by those two in that time: each was
 chosen with 0 to 2 requests running there, while others ran up to 4. Three of
 them, which had come back after a refusal, were refused for good, as no repeat
-was left, with three engines that served.
+was left, with three engines that served. No head of an answer was searched for
+`Retry-After`: each refusal kept its endpoint from being asked for 0.1 s.
 """
 
 import dataclasses
