An endpoint that refuses at once no longer looks idle

Callers saw: requests offered to an endpoint that refuses them while others serve. Cause: a refusal without a time of rest paused its endpoint for 0.1 s each time and was counted as no failure; nor was what failed elsewhere after it, since any earlier refusal of the same request hid it. The endpoint that refuses at once has the fewest running, so it was chosen again as soon as its pause was over. Change: the pause doubles with each refusal up to 1.6 s and ends with an answer; a refusal counts as a failed run in the choice, unless a time of rest stands for it. Measured: a test of 60 requests one after the other before an endpoint that refuses and one that takes 50 ms: it fails without the change and passes with it. Conclusion: the share of work of an endpoint no longer grows with how fast it says no, with a time of rest or without.

--- a/martenjunction/decisions/endpoint_refusals.py
+++ b/martenjunction/decisions/endpoint_refusals.py
@@ -14,8 +14,10 @@
 RETURN_STEP_S = 0.2
 
 # Seconds for which a refusal without a time keeps an endpoint from being asked
-# again.
-PAUSE_S = 0.1
+# again, twice as long after each that follows, up to the longest. Whoever
+# refuses at once has the fewest running and would be asked by all.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.6
 
 
 class Refusals:
@@ -29,6 +31,7 @@
         self._rest_until = 0.0
         self._returning = False
         self._pause_until = 0.0
+        self._pause_s = 0.0
 
     @property
     def rest_until(self) -> float:
@@ -60,10 +63,17 @@
 
     def refuse(self, now: float) -> None:
         """Notes that it turned a request away."""
-        self._pause_until = now + PAUSE_S
+        if now < self._pause_until:
+            # One of those that were sent before the pause began.
+            return
+        self._pause_s = min(
+            max(FIRST_PAUSE_S, 2 * self._pause_s), LONGEST_PAUSE_S
+        )
+        self._pause_until = now + self._pause_s
 
     def answer(self) -> None:
         """Notes that it answered a request."""
+        self._pause_s = 0.0
         self._returning = False
 
     def accepts(self, running: int, now: float) -> bool:
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -121,7 +121,7 @@
             run.send(self._request, self._headers(endpoint, copies))
             self._state.progress.note(outcomes.Event.SENT)
             done = await self._receive(offer, ticket)
-            failed = not done and self._state.refusals == 0
+            failed = not done
             return done
         except errors.EndpointNotReachedError:
             return False
--- a/tests/test_endpoint_refusals.py
+++ b/tests/test_endpoint_refusals.py
@@ -67,6 +67,25 @@
     assert last.accepts(0, NOW + 3.0 + spread_s)
 
 
+def test_pause_grows_with_each_refusal_and_ends_with_an_answer() -> None:
+    made = endpoint_refusals.Refusals()
+    made.refuse(NOW)
+    # One that was sent before the pause says nothing new.
+    made.refuse(NOW)
+    assert made.pauses(NOW + 0.09) and not made.pauses(NOW + 0.11)
+    now = NOW
+    for _ in range(9):
+        now += endpoint_refusals.LONGEST_PAUSE_S
+        made.refuse(now)
+    assert made.pauses(now + 0.9 * endpoint_refusals.LONGEST_PAUSE_S)
+    assert not made.pauses(now + endpoint_refusals.LONGEST_PAUSE_S)
+    # It is a preference only.
+    assert made.accepts(9, now)
+    made.answer()
+    made.refuse(now + 9.0)
+    assert not made.pauses(now + 9.0 + 1.1 * endpoint_refusals.FIRST_PAUSE_S)
+
+
 @given(
     st.lists(
         st.tuples(
@@ -214,3 +233,17 @@
     assert head.status == 200
     [first] = [m for m in made if m.id == asked[0]]
     assert not first.received
+
+
+async def test_endpoint_that_refuses_at_once_does_not_look_idle(
+    fleet: boxes.Boxes,
+) -> None:
+    # Without a time of rest, too, it is asked again more and more seldom.
+    made = await requests.two_plain(fleet)
+    made[0].always(Behaviour.REFUSE)
+    made[1].queue_s = 0.05
+    box = fleet.gateways[0]
+    for number in range(60):
+        await requests.ask(fleet, "/safe/", f"r{number}")
+    assert box.book.records[made[0].id].failures.value > 0
+    assert len(made[0].received) < len(made[1].received) / 4
