A health check that another endpoint answers brings nothing back

Callers saw, by reading: requests offered again to an endpoint that was given up, as another service's endpoint at its address is healthy; it answers 421 to each. Cause: the id in the answer to a health check was read nowhere. Change: an answer that names another id is no health of the one that was asked. Measured: the test fails without the change, and passes with it.

--- a/martenjunction/platform/notices.py
+++ b/martenjunction/platform/notices.py
@@ -36,6 +36,21 @@
 NOTHING = EndpointNotice()
 
 
+def is_of_another(head: messages.ResponseHead, endpoint: str) -> bool:
+    """Returns whether another endpoint than the one that was asked answers.
+
+    Addresses are used again by other services' endpoints.
+
+    Args:
+        head: The head of the answer.
+        endpoint: Id of the endpoint in its entry.
+    """
+    named = head.get(_ENDPOINT)
+    if head.status == _MISDIRECTED:
+        return True
+    return named is not None and named != endpoint.encode()
+
+
 def notice_of(head: messages.ResponseHead, endpoint: str) -> EndpointNotice:
     """Returns what an answer says of the endpoint that was asked.
 
@@ -46,10 +61,7 @@
         head: The head of the answer.
         endpoint: Id of the endpoint in its entry.
     """
-    named = head.get(_ENDPOINT)
-    if head.status == _MISDIRECTED:
-        return NOTHING
-    if named is not None and named != endpoint.encode():
+    if is_of_another(head, endpoint):
         return NOTHING
     leaving = (head.get(_LEAVING) or b"").strip()
     rest = (head.get(_REST) or b"").strip()
--- a/martenjunction/routing/prober.py
+++ b/martenjunction/routing/prober.py
@@ -5,6 +5,7 @@
 from martenjunction import errors
 from martenjunction import timers
 from martenjunction.endpoints import pool
+from martenjunction.platform import notices
 from martenjunction.routing import admission
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import model
@@ -84,7 +85,9 @@
                 while await connection.read_body():
                     pass
             connection.finish()
-            return head.status == 200
+            # Another one at its address is sound, and is not it.
+            is_it = not notices.is_of_another(head, endpoint.entry)
+            return head.status == 200 and is_it
         except (errors.TransportError, TimeoutError):
             connection.abort()
             return False
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -4,6 +4,9 @@
 
 from martenjunction.http1 import messages
 from martenjunction.platform import notices
+from martenjunction_lab import boxes
+from martenjunction_lab import replica
+from tests import routing_builders as builders
 
 
 def notice(
@@ -60,3 +63,31 @@
     assert notice(503, **other) == notices.NOTHING
     own = {"Martenjunction_Replica_Id": "e1", **named}
     assert notice(503, **own) == notices.EndpointNotice(True, 3.0)
+
+
+class Named(replica.Replica):
+    """A replica that names an id in all its answers."""
+
+    named = "i-1"
+
+    def _notices(
+        self, request: replica.Received, status: int
+    ) -> dict[str, str]:
+        return {"Martenjunction-Replica-Id": self.named}
+
+
+async def test_health_of_another_endpoint_at_its_address_is_not_its_own(
+    fleet: boxes.Boxes,
+) -> None:
+    # An endpoint that was given up was trusted again, as the one of another
+    # service that has its address by now is healthy.
+    made = Named("i-1")
+    await made.start()
+    fleet.replicas.append(made)
+    fleet.record(made, builders.PLAIN)
+    await fleet.until_listed()
+    box = fleet.gateways[0]
+    endpoint = box.listed.entries["i-1"].endpoint
+    assert await box.prober._ask(endpoint, "/healthz")
+    made.named = "i-2"
+    assert not await box.prober._ask(endpoint, "/healthz")
