The dump and metrics show endpoints that leave and that rest

Cause: only log lines told of them. Change: `leaving` and `rests_s` in the dump, two gauges in /metrics. Measured: covered by the tests of refusals. Conclusion: an operator sees the present state without the log.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -408,6 +408,7 @@
         from martenjunction import metrics_text
 
         calls = self.store.calls
+        now = self.timers.now()
         return metrics_text.render(
             self.metrics,
             {
@@ -417,6 +418,8 @@
                 "store_calls": float(sum(calls.values())),
                 "config_version": float(self.picture.version),
                 "repeats_refused": float(self.budget.refused),
+                "endpoints_leaving": float(len(self.listed.leaving)),
+                "endpoints_resting": float(self.book.resting(now)),
                 "suspects": float(len(self.suspects.dump())),
                 "quarantined_refused": float(self.suspects.refused),
                 "entries_unreadable": float(self.picture.unreadable),
--- a/martenjunction/routing/box_dump.py
+++ b/martenjunction/routing/box_dump.py
@@ -55,9 +55,13 @@
                 "failures": round(record.failures.value, 3),
                 "slowness": round(record.slowness.value, 3),
                 "health": record.health.state.value,
+                "rests_s": round(record.refusals.rest_until - now, 3)
+                if now < record.refusals.rest_until
+                else 0.0,
             }
             for record in book.records.values()
         },
+        "leaving": book.listed.leaving,
         "engines": book.engines.dump(now),
         "peers": {
             member.box: peers.reachable(member.box)
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -196,6 +196,13 @@
         # Clients that are told alike come back in the same moment.
         return first_s + self._rng.uniform(0.0, endpoint_refusals.RETURN_STEP_S)
 
+    def resting(self, now: float) -> int:
+        """Returns how many endpoints want nothing from this box."""
+        return sum(
+            now < record.refusals.rest_until
+            for record in self._records.values()
+        )
+
     def rest(self, endpoint_id: str, seconds: float, now: float) -> float:
         """Notes that an endpoint wants nothing from this box for some time.
 
--- a/tests/test_endpoint_refusals.py
+++ b/tests/test_endpoint_refusals.py
@@ -174,6 +174,9 @@
     assert body == b"endpoints-rest"
     assert len(made.received) == 1
     told_s = float(second.get(b"retry-after") or b"0")
+    shown = fleet.gateways[0].dump()["records"][made.id]["rests_s"]
+    assert 0.0 < shown <= 30.0 + endpoint_refusals.MOST_SPREAD_S
+    assert b"endpoints_resting 1.0" in fleet.gateways[0]._metrics_text()
     # Within what it asked for and the spread of those that come back.
     most_s = 30.0 + endpoint_refusals.MOST_SPREAD_S
     assert 0.0 < told_s <= most_s + endpoint_refusals.RETURN_STEP_S
