Decisions of cells and of boxes are packages of their own

Cause: one flat folder held both families, so that a newcomer could not tell which module decides for which daemon; and three packages below `routing` used its model. Change: `decisions/cells` and `decisions/boxes`, what both use stays above them; the routing configuration and the endpoints as data are `martenjunction/model.py`. Moves and imports only. Conclusion: no arrow runs from the ground floor back up to `routing`.

--- a/martenjunction/callers/prompts.py
+++ b/martenjunction/callers/prompts.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from martenjunction.decisions import placement
+from martenjunction.decisions.cells import placement
 
 CHARACTERS_PER_TOKEN = 4
 MAX_BLOCKS = 16
--- a/martenjunction/cells/broker.py
+++ b/martenjunction/cells/broker.py
@@ -13,7 +13,7 @@
 from martenjunction.cells import cell_choice
 from martenjunction.cells import directory
 from martenjunction.cells import messages
-from martenjunction.decisions import asks
+from martenjunction.decisions.cells import asks
 
 logger = logging.getLogger(__name__)
 
--- a/martenjunction/cells/cell.py
+++ b/martenjunction/cells/cell.py
@@ -9,8 +9,8 @@
 from martenjunction import mailbox
 from martenjunction import timers
 from martenjunction.cells import messages
-from martenjunction.decisions import asks
-from martenjunction.decisions import dispatcher
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import dispatcher
 
 logger = logging.getLogger(__name__)
 
--- a/martenjunction/cells/cell_choice.py
+++ b/martenjunction/cells/cell_choice.py
@@ -6,7 +6,7 @@
 from martenjunction import timers
 from martenjunction.cells import directory
 from martenjunction.cells import messages
-from martenjunction.decisions import asks
+from martenjunction.decisions.cells import asks
 
 # Seconds after which what a cell said of itself no longer counts.
 SUMMARY_LIFETIME = 6.0
--- a/martenjunction/cells/host.py
+++ b/martenjunction/cells/host.py
@@ -9,7 +9,7 @@
 from martenjunction.cells import directory
 from martenjunction.cells import messages
 from martenjunction.config import fleet
-from martenjunction.decisions import dispatcher
+from martenjunction.decisions.cells import dispatcher
 
 logger = logging.getLogger(__name__)
 
--- a/martenjunction/cells/messages.py
+++ b/martenjunction/cells/messages.py
@@ -5,8 +5,8 @@
 
 import dataclasses
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import dispatcher
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import dispatcher
 from martenjunction.peers import codec
 
 
--- /dev/null
+++ b/martenjunction/decisions/boxes/__init__.py
@@ -0,0 +1,1 @@
+"""What a box on the platform decides: endpoints, readers, suspects."""
--- a/martenjunction/decisions/endpoint_choice.py
+++ b/martenjunction/decisions/boxes/endpoint_choice.py
@@ -4,10 +4,10 @@
 import math
 import random
 
-from martenjunction.decisions import endpoint_records
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import rendezvous
-from martenjunction.decisions import shedding
+from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.decisions.boxes import shedding
 
 # Seconds that an answer from another availability zone takes longer.
 FAR_ZONE_S = 0.0005
--- a/martenjunction/decisions/endpoint_list.py
+++ b/martenjunction/decisions/boxes/endpoint_list.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from martenjunction.routing import model
+from martenjunction import model
 
 # Seconds after the store's return for which an entry that went away during
 # its outage is kept: its endpoint may not have been able to write.
--- a/martenjunction/decisions/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -4,12 +4,12 @@
 from collections.abc import Iterable
 import dataclasses
 
-from martenjunction.decisions import endpoint_loads
-from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions import endpoint_states
-from martenjunction.decisions import engine_figures
 from martenjunction.decisions import estimates
-from martenjunction.decisions import reading_demand
+from martenjunction.decisions.boxes import endpoint_loads
+from martenjunction.decisions.boxes import endpoint_refusals
+from martenjunction.decisions.boxes import engine_figures
+from martenjunction.decisions.boxes import reading_demand
 
 # Part of its rate up to which long prompts are sent to an engine: while it
 # reads without a break, the streams that it runs get a token only after each
--- a/martenjunction/decisions/suspect_table.py
+++ b/martenjunction/decisions/boxes/suspect_table.py
@@ -5,8 +5,8 @@
 import dataclasses
 import enum
 
-from martenjunction.decisions import endpoint_hazard
-from martenjunction.decisions import suspicion
+from martenjunction.decisions.boxes import endpoint_hazard
+from martenjunction.decisions.boxes import suspicion
 from martenjunction.routing import request_content
 
 # Requests that are suspected, and how many of them one caller may have: beyond
--- a/martenjunction/decisions/cell_endpoints.py
+++ b/martenjunction/decisions/cells/cell_endpoints.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Set
 
-from martenjunction.decisions import asks
 from martenjunction.decisions import endpoint_states
-from martenjunction.decisions import placement
-from martenjunction.decisions import places
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import placement
+from martenjunction.decisions.cells import places
 
 
 class CellEndpoints:
--- a/martenjunction/decisions/cell_pace.py
+++ b/martenjunction/decisions/cells/cell_pace.py
@@ -1,10 +1,10 @@
 """How fast a cell grants places, and the delay that follows from it."""
 
 from martenjunction.decisions import estimates
-from martenjunction.decisions import places
-from martenjunction.decisions import rates
-from martenjunction.decisions import tiers
-from martenjunction.decisions import waiting_requests
+from martenjunction.decisions.cells import places
+from martenjunction.decisions.cells import rates
+from martenjunction.decisions.cells import tiers
+from martenjunction.decisions.cells import waiting_requests
 
 # A request counts as late once its slack is below this many times the usual
 # time to a first token.
--- a/martenjunction/decisions/cell_state.py
+++ b/martenjunction/decisions/cells/cell_state.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import cell_endpoints
-from martenjunction.decisions import cell_pace
-from martenjunction.decisions import dispatch_counts
-from martenjunction.decisions import granted_runs
-from martenjunction.decisions import waiting_requests
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import cell_endpoints
+from martenjunction.decisions.cells import cell_pace
+from martenjunction.decisions.cells import dispatch_counts
+from martenjunction.decisions.cells import granted_runs
+from martenjunction.decisions.cells import waiting_requests
 
 
 @dataclasses.dataclass(slots=True)
--- a/martenjunction/decisions/dispatcher.py
+++ b/martenjunction/decisions/cells/dispatcher.py
@@ -4,17 +4,17 @@
 import dataclasses
 import random
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import cell_state
-from martenjunction.decisions import dispatch_counts
-from martenjunction.decisions import granted_runs
-from martenjunction.decisions import granting
-from martenjunction.decisions import outliers
-from martenjunction.decisions import placement
-from martenjunction.decisions import preemption
-from martenjunction.decisions import sheds
-from martenjunction.decisions import tiers
-from martenjunction.decisions import waiting_requests
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import cell_state
+from martenjunction.decisions.cells import dispatch_counts
+from martenjunction.decisions.cells import granted_runs
+from martenjunction.decisions.cells import granting
+from martenjunction.decisions.cells import outliers
+from martenjunction.decisions.cells import placement
+from martenjunction.decisions.cells import preemption
+from martenjunction.decisions.cells import sheds
+from martenjunction.decisions.cells import tiers
+from martenjunction.decisions.cells import waiting_requests
 
 # Predictions below this many seconds are not told apart.
 MIN_PREDICTION = 0.02
--- a/martenjunction/decisions/granted_runs.py
+++ b/martenjunction/decisions/cells/granted_runs.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import tiers
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import tiers
 
 
 class GrantedRuns:
--- a/martenjunction/decisions/granting.py
+++ b/martenjunction/decisions/cells/granting.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterator
 import dataclasses
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import cell_state
-from martenjunction.decisions import placement
-from martenjunction.decisions import reserve
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import cell_state
+from martenjunction.decisions.cells import placement
+from martenjunction.decisions.cells import reserve
 
 
 class Granting:
--- a/martenjunction/decisions/outliers.py
+++ b/martenjunction/decisions/cells/outliers.py
@@ -2,9 +2,9 @@
 
 import statistics
 
-from martenjunction.decisions import cell_state
 from martenjunction.decisions import endpoint_states
-from martenjunction.decisions import placement
+from martenjunction.decisions.cells import cell_state
+from martenjunction.decisions.cells import placement
 
 
 class Outliers:
--- a/martenjunction/decisions/placement.py
+++ b/martenjunction/decisions/cells/placement.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 import dataclasses
 
-from martenjunction.decisions import asks
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import estimates
+from martenjunction.decisions.cells import asks
 
 # Prompt tokens in one block, the unit in which cached prefixes are compared.
 BLOCK_TOKENS = 64
--- a/martenjunction/decisions/places.py
+++ b/martenjunction/decisions/cells/places.py
@@ -1,7 +1,7 @@
 """Counts of free and taken places, kept up to date as endpoints change."""
 
 from martenjunction.decisions import endpoint_states
-from martenjunction.decisions import placement
+from martenjunction.decisions.cells import placement
 
 
 class Places:
--- a/martenjunction/decisions/preemption.py
+++ b/martenjunction/decisions/cells/preemption.py
@@ -1,7 +1,7 @@
 """Whether a running request has to give way, and which."""
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import cell_state
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import cell_state
 
 # A waiting request is urgent when its slack is below this many seconds, or
 # below this many times the expected wait for a place.
--- a/martenjunction/decisions/queues.py
+++ b/martenjunction/decisions/cells/queues.py
@@ -4,7 +4,7 @@
 import heapq
 import itertools
 
-from martenjunction.decisions import asks
+from martenjunction.decisions.cells import asks
 
 # One grant in so many of a workspace goes to its oldest late request, so that
 # what can no longer meet its target is still finished.
--- a/martenjunction/decisions/reserve.py
+++ b/martenjunction/decisions/cells/reserve.py
@@ -1,6 +1,6 @@
 """Places that are kept free for higher tiers."""
 
-from martenjunction.decisions import places
+from martenjunction.decisions.cells import places
 
 # Seconds for which places stay reserved after a higher tier was last seen.
 RESERVE_MEMORY = 10.0
--- a/martenjunction/decisions/sheds.py
+++ b/martenjunction/decisions/cells/sheds.py
@@ -2,8 +2,8 @@
 
 import random
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import dispatch_counts
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import dispatch_counts
 
 # Bounds of the seconds after which a shed caller is told to come back.
 MIN_RETRY_AFTER = 1.0
--- a/martenjunction/decisions/waiting_requests.py
+++ b/martenjunction/decisions/cells/waiting_requests.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterator
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import queues
-from martenjunction.decisions import tiers
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import queues
+from martenjunction.decisions.cells import tiers
 
 
 class WaitingRequests:
--- a/martenjunction/endpoints/pool.py
+++ b/martenjunction/endpoints/pool.py
@@ -5,9 +5,9 @@
 import time
 
 from martenjunction import errors
+from martenjunction import model
 from martenjunction.http1 import client
 from martenjunction.http1 import messages
-from martenjunction.routing import model
 
 # Seconds for a new connection. Endpoints answer within milliseconds; one that
 # does not is taken as unreachable and the request goes elsewhere.
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -12,10 +12,10 @@
 from martenjunction import events
 from martenjunction import metrics
 from martenjunction import timers
-from martenjunction.decisions import endpoint_list
-from martenjunction.decisions import key_freshness
-from martenjunction.decisions import repeat_budget
-from martenjunction.decisions import shedding
+from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import key_freshness
+from martenjunction.decisions.boxes import repeat_budget
+from martenjunction.decisions.boxes import shedding
 from martenjunction.endpoints import pool
 from martenjunction.http1 import messages
 from martenjunction.http1 import server
--- a/martenjunction/operators/dumps.py
+++ b/martenjunction/operators/dumps.py
@@ -7,7 +7,7 @@
 from martenjunction.claims import keeper
 from martenjunction.config import store
 from martenjunction.decisions import classing
-from martenjunction.decisions import placement
+from martenjunction.decisions.cells import placement
 from martenjunction.objects import client as object_client
 from martenjunction.objects import feed
 from martenjunction.peers import hub
--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -10,8 +10,8 @@
 
 from martenjunction import addresses
 from martenjunction import errors
+from martenjunction import model
 from martenjunction.http1 import messages
-from martenjunction.routing import model
 
 # Kinds and names of objects in the store.
 CONFIG_KIND = "config"
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -10,9 +10,9 @@
 from martenjunction.cells import broker
 from martenjunction.cells import messages
 from martenjunction.config import fleet
-from martenjunction.decisions import asks
 from martenjunction.decisions import outcomes
 from martenjunction.decisions import retries
+from martenjunction.decisions.cells import asks
 from martenjunction.endpoints import client
 from martenjunction.endpoints import streams
 from martenjunction.relay import requests
--- a/martenjunction/routing/admission.py
+++ b/martenjunction/routing/admission.py
@@ -4,10 +4,10 @@
 import random
 
 from martenjunction import errors
-from martenjunction.decisions import endpoint_loads
-from martenjunction.decisions import key_freshness
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_loads
+from martenjunction.decisions.boxes import key_freshness
 from martenjunction.platform import headers
-from martenjunction.routing import model
 
 # Seconds without a confirmed configuration after which an unknown path or key
 # may be one that we have not heard of yet.
--- a/martenjunction/routing/box_dump.py
+++ b/martenjunction/routing/box_dump.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from martenjunction.decisions import key_freshness
+from martenjunction.decisions.boxes import key_freshness
 from martenjunction.endpoints import pool
 from martenjunction.peers import hub
 from martenjunction.peers import membership
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -4,14 +4,14 @@
 import random
 from typing import Any
 
-from martenjunction.decisions import endpoint_choice
-from martenjunction.decisions import endpoint_list
-from martenjunction.decisions import endpoint_loads
-from martenjunction.decisions import endpoint_records
-from martenjunction.decisions import endpoint_refusals
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_choice
+from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import endpoint_loads
+from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.decisions.boxes import endpoint_refusals
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_trust
-from martenjunction.routing import model
 from martenjunction.routing import service_engines
 
 # Longest time, in seconds, between two looks at silent endpoints that counts
--- a/martenjunction/routing/endpoint_ends.py
+++ b/martenjunction/routing/endpoint_ends.py
@@ -9,9 +9,9 @@
 import time
 
 from martenjunction import errors
+from martenjunction import model
 from martenjunction.endpoints import pool
 from martenjunction.routing import endpoint_book
-from martenjunction.routing import model
 
 # Seconds that a request waits for the answer before it goes on: connections
 # are made or refused within some milliseconds, and a repeat should not be late
--- a/martenjunction/routing/endpoint_notices.py
+++ b/martenjunction/routing/endpoint_notices.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 
+from martenjunction import model
 from martenjunction.http1 import messages
 from martenjunction.platform import notices
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import leaving_sync
-from martenjunction.routing import model
 
 
 class EndpointNotices:
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -4,8 +4,9 @@
 import time
 
 from martenjunction import errors
-from martenjunction.decisions import endpoint_records
+from martenjunction import model
 from martenjunction.decisions import outcomes
+from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.endpoints import attempt
 from martenjunction.endpoints import event_stream
 from martenjunction.http1 import messages
@@ -13,7 +14,6 @@
 from martenjunction.platform import headers
 from martenjunction.routing import admission
 from martenjunction.routing import endpoint_book
-from martenjunction.routing import model
 from martenjunction.routing import offers
 
 # Statuses by which an endpoint's answer would promise that nothing ran.
--- a/martenjunction/routing/endpoint_trust.py
+++ b/martenjunction/routing/endpoint_trust.py
@@ -1,7 +1,7 @@
 """When an endpoint is given up, and when it is trusted again."""
 
-from martenjunction.decisions import endpoint_records
 from martenjunction.decisions import endpoint_states
+from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.routing import decision_log
 
 # Seconds without a byte from an endpoint that owes answers, after which it
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -6,8 +6,9 @@
 import time
 
 from martenjunction import errors
-from martenjunction.decisions import endpoint_records
+from martenjunction import model
 from martenjunction.decisions import outcomes
+from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.http1 import client
 from martenjunction.http1 import closings
 from martenjunction.http1 import messages
@@ -16,7 +17,6 @@
 from martenjunction.routing import admission
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import endpoint_runs
-from martenjunction.routing import model
 from martenjunction.routing import offers
 from martenjunction.routing import request_account
 
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -7,7 +7,7 @@
 import time
 
 from martenjunction import errors
-from martenjunction.decisions import store_readers
+from martenjunction.decisions.boxes import store_readers
 from martenjunction.peers import membership
 from martenjunction.platform import documents
 from martenjunction.platform import store
--- a/martenjunction/routing/leaving_sync.py
+++ b/martenjunction/routing/leaving_sync.py
@@ -1,7 +1,7 @@
 """Tells the other boxes which endpoints said that they leave."""
 
 from martenjunction import events
-from martenjunction.decisions import endpoint_list
+from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing import decision_log
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -7,11 +7,12 @@
 
 from martenjunction import errors
 from martenjunction import metrics
-from martenjunction.decisions import endpoint_choice
-from martenjunction.decisions import endpoint_records
+from martenjunction import model
 from martenjunction.decisions import outcomes
-from martenjunction.decisions import repeat_budget
-from martenjunction.decisions import shedding
+from martenjunction.decisions.boxes import endpoint_choice
+from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.decisions.boxes import repeat_budget
+from martenjunction.decisions.boxes import shedding
 from martenjunction.endpoints import attempt
 from martenjunction.endpoints import pool
 from martenjunction.platform import headers
@@ -19,7 +20,6 @@
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import endpoint_ends
-from martenjunction.routing import model
 from martenjunction.routing import permits
 from martenjunction.routing import request_content
 from martenjunction.routing import suspects
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -184,7 +184,7 @@
 class Suspects:
     """What a box holds against requests under which endpoints ended.
 
-    See `decisions.suspicion`; the fields have an item for each request.
+    See `decisions.boxes.suspicion`; the fields have an item for each request.
 
     Attributes:
         callers: Digests of the callers.
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -5,9 +5,9 @@
 
 from martenjunction import errors
 from martenjunction import timers
-from martenjunction.decisions import key_freshness
-from martenjunction.decisions import peer_questions
-from martenjunction.decisions import store_readers
+from martenjunction.decisions.boxes import key_freshness
+from martenjunction.decisions.boxes import peer_questions
+from martenjunction.decisions.boxes import store_readers
 from martenjunction.peers import codec
 from martenjunction.peers import hub
 from martenjunction.peers import membership
--- a/martenjunction/routing/permits.py
+++ b/martenjunction/routing/permits.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
-from martenjunction.decisions import endpoint_list
-from martenjunction.decisions import suspect_table
-from martenjunction.routing import model
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import suspect_table
 from martenjunction.routing import request_content
 
 
--- a/martenjunction/routing/picture.py
+++ b/martenjunction/routing/picture.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable
 
 from martenjunction import errors
-from martenjunction.decisions import endpoint_list
-from martenjunction.decisions import key_freshness
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import key_freshness
 from martenjunction.platform import documents
 from martenjunction.platform import store
 from martenjunction.routing import admission
 from martenjunction.routing import config_documents
 from martenjunction.routing import decision_log
-from martenjunction.routing import model
 
 # Entries that cannot be read which are remembered, so as to be logged once.
 MAX_FOREIGN = 256
--- a/martenjunction/routing/prober.py
+++ b/martenjunction/routing/prober.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from martenjunction import errors
+from martenjunction import model
 from martenjunction import timers
 from martenjunction.endpoints import pool
 from martenjunction.platform import notices
 from martenjunction.routing import admission
 from martenjunction.routing import endpoint_book
-from martenjunction.routing import model
 
 # Seconds between two looks at ejected endpoints.
 PROBE_INTERVAL_S = 0.5
--- a/martenjunction/routing/request_account.py
+++ b/martenjunction/routing/request_account.py
@@ -2,8 +2,8 @@
 
 import time
 
+from martenjunction import model
 from martenjunction.decisions import outcomes
-from martenjunction.routing import model
 from martenjunction.routing import offers
 
 
--- a/martenjunction/routing/service_engines.py
+++ b/martenjunction/routing/service_engines.py
@@ -4,8 +4,8 @@
 import dataclasses
 import math
 
-from martenjunction.decisions import engine_figures
-from martenjunction.decisions import reading_demand
+from martenjunction.decisions.boxes import engine_figures
+from martenjunction.decisions.boxes import reading_demand
 from martenjunction.routing import decision_log
 
 US = 0.000001
--- a/martenjunction/routing/suspect_news.py
+++ b/martenjunction/routing/suspect_news.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
-from martenjunction.decisions import suspect_table
-from martenjunction.decisions import suspicion
+from martenjunction.decisions.boxes import suspect_table
+from martenjunction.decisions.boxes import suspicion
 from martenjunction.routing import peer_messages
 from martenjunction.routing import request_content
 
--- a/martenjunction/routing/suspect_sync.py
+++ b/martenjunction/routing/suspect_sync.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from martenjunction import events
-from martenjunction.decisions import suspect_table
-from martenjunction.decisions import suspicion
+from martenjunction.decisions.boxes import suspect_table
+from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing import peer_messages
--- a/martenjunction/routing/suspects.py
+++ b/martenjunction/routing/suspects.py
@@ -7,16 +7,16 @@
 from typing import Any
 
 from martenjunction import events
+from martenjunction import model
 from martenjunction import timers
-from martenjunction.decisions import endpoint_list
-from martenjunction.decisions import suspect_table
-from martenjunction.decisions import suspicion
+from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import suspect_table
+from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing import admission
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_ends
-from martenjunction.routing import model
 from martenjunction.routing import permits
 from martenjunction.routing import request_content
 from martenjunction.routing import suspect_sync
--- a/martenjunction_lab/baselines.py
+++ b/martenjunction_lab/baselines.py
@@ -6,12 +6,12 @@
 import random
 
 from martenjunction import registry
-from martenjunction.decisions import asks
-from martenjunction.decisions import dispatcher
 from martenjunction.decisions import endpoint_states
-from martenjunction.decisions import outliers
-from martenjunction.decisions import placement
-from martenjunction.decisions import tiers
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import dispatcher
+from martenjunction.decisions.cells import outliers
+from martenjunction.decisions.cells import placement
+from martenjunction.decisions.cells import tiers
 
 MakeDispatcher = Callable[[], dispatcher.Dispatcher]
 
--- a/martenjunction_lab/capacity/pure.py
+++ b/martenjunction_lab/capacity/pure.py
@@ -7,9 +7,9 @@
 
 from martenjunction.cells import directory
 from martenjunction.config import store
-from martenjunction.decisions import asks
-from martenjunction.decisions import dispatcher
 from martenjunction.decisions import policies
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import dispatcher
 from martenjunction_lab.capacity import fits
 
 ROUNDS = 2_000
--- a/martenjunction_lab/engine_cache.py
+++ b/martenjunction_lab/engine_cache.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from martenjunction.callers import prompts
-from martenjunction.decisions import placement
+from martenjunction.decisions.cells import placement
 
 
 class PrefixCache:
--- a/martenjunction_lab/replays/ablations.py
+++ b/martenjunction_lab/replays/ablations.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 from martenjunction import registry
-from martenjunction.decisions import endpoint_choice
-from martenjunction.decisions import endpoint_records
-from martenjunction.decisions import engine_figures
 from martenjunction.decisions import rendezvous
-from martenjunction.decisions import shedding
+from martenjunction.decisions.boxes import endpoint_choice
+from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.decisions.boxes import engine_figures
+from martenjunction.decisions.boxes import shedding
 
 Ablation = Callable[[], contextlib.AbstractContextManager[None]]
 
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -11,12 +11,12 @@
 import random
 from typing import Any
 
-from martenjunction.decisions import endpoint_list
-from martenjunction.decisions import endpoint_records
-from martenjunction.decisions import shedding
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.decisions.boxes import shedding
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
-from martenjunction.routing import model
 from martenjunction_lab.replays import engines
 from martenjunction_lab.replays import loads
 
--- a/martenjunction_lab/spread/fleet.py
+++ b/martenjunction_lab/spread/fleet.py
@@ -12,9 +12,9 @@
 
 from martenjunction import events
 from martenjunction import timers
-from martenjunction.decisions import endpoint_list
-from martenjunction.decisions import key_freshness
-from martenjunction.decisions import store_readers
+from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import key_freshness
+from martenjunction.decisions.boxes import store_readers
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing import admission
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,7 +1,7 @@
 """Builders of test data."""
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import dispatcher
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import dispatcher
 
 
 def ask(request_id: str = "r1", **changes: object) -> asks.Ask:
--- a/tests/raw_peers.py
+++ b/tests/raw_peers.py
@@ -7,7 +7,7 @@
 import time
 from typing import NoReturn
 
-from martenjunction.routing import model
+from martenjunction import model
 from tests import routing_builders as builders
 
 HOLD_UP_S = 0.15
--- a/tests/routing_builders.py
+++ b/tests/routing_builders.py
@@ -3,11 +3,11 @@
 import json
 from typing import Any
 
-from martenjunction.decisions import endpoint_records
-from martenjunction.decisions import engine_figures
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.decisions.boxes import engine_figures
 from martenjunction.platform import box_settings
 from martenjunction.platform import documents
-from martenjunction.routing import model
 
 HOST = "api.example"
 ENGINE = "engine-service"
--- a/tests/test_behind.py
+++ b/tests/test_behind.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from martenjunction.decisions import key_freshness
-from martenjunction.decisions import store_readers
+from martenjunction.decisions.boxes import key_freshness
+from martenjunction.decisions.boxes import store_readers
 from martenjunction.platform import headers
 from martenjunction.routing import admission
 from martenjunction.routing import config_documents
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -8,7 +8,7 @@
 from martenjunction.cells import broker
 from martenjunction.cells import directory
 from martenjunction.cells import messages
-from martenjunction.decisions import asks
+from martenjunction.decisions.cells import asks
 from tests import builders
 
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,9 +1,9 @@
 """The dispatcher's decisions, one rule at a time."""
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import dispatcher
 from martenjunction.decisions import endpoint_states
-from martenjunction.decisions import tiers
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import dispatcher
+from martenjunction.decisions.cells import tiers
 from tests import builders
 
 
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -5,8 +5,8 @@
 import pytest
 import xxhash
 
-from martenjunction.decisions import endpoint_list
-from martenjunction.routing import model
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_list
 from tests import routing_builders as builders
 
 DRAINING = model.EndpointState.DRAINING
--- a/tests/test_endpoint_loads.py
+++ b/tests/test_endpoint_loads.py
@@ -5,7 +5,7 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
-from martenjunction.decisions import endpoint_loads
+from martenjunction.decisions.boxes import endpoint_loads
 
 KEYS = [
     endpoint_loads.LoadKey(urgency, is_long)
--- a/tests/test_engine_figures.py
+++ b/tests/test_engine_figures.py
@@ -6,9 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from martenjunction.decisions import endpoint_choice
-from martenjunction.decisions import endpoint_records
-from martenjunction.decisions import engine_figures
+from martenjunction.decisions.boxes import endpoint_choice
+from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.decisions.boxes import engine_figures
 from tests import routing_builders as builders
 
 # Seconds for each token while an engine reads piece after piece, and while it
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -8,8 +8,8 @@
 import pytest
 
 from martenjunction import errors
+from martenjunction import model
 from martenjunction.platform import documents
-from martenjunction.routing import model
 from martenjunction_lab import boxes
 from tests import gateway_requests as requests
 from tests import routing_builders as builders
--- a/tests/test_gateway_engines.py
+++ b/tests/test_gateway_engines.py
@@ -7,7 +7,7 @@
 import pytest
 
 from martenjunction import errors
-from martenjunction.decisions import engine_figures
+from martenjunction.decisions.boxes import engine_figures
 from martenjunction.platform import documents
 from martenjunction.routing import offers
 from martenjunction.routing import service_engines
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -7,10 +7,10 @@
 import pytest
 
 from martenjunction import errors
-from martenjunction.decisions import endpoint_loads
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.http1 import client
 from martenjunction.http1 import messages
-from martenjunction.routing import model
 from martenjunction.routing import offers
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
--- a/tests/test_leaving_spread.py
+++ b/tests/test_leaving_spread.py
@@ -6,10 +6,10 @@
 import pytest
 
 from martenjunction import events
-from martenjunction.decisions import endpoint_list
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.routing import decision_log
 from martenjunction.routing import leaving_sync
-from martenjunction.routing import model
 from tests import linked_boxes
 from tests import routing_builders as builders
 
--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -8,7 +8,7 @@
 from martenjunction import errors
 from martenjunction import events
 from martenjunction import timers
-from martenjunction.decisions import endpoint_list
+from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.endpoints import pool
 from martenjunction.http1 import client
 from martenjunction.peers import hub
--- a/tests/test_peer_flow.py
+++ b/tests/test_peer_flow.py
@@ -8,7 +8,7 @@
 
 from martenjunction import errors
 from martenjunction import mailbox
-from martenjunction.decisions import peer_questions
+from martenjunction.decisions.boxes import peer_questions
 from martenjunction.peers import codec
 from martenjunction.peers import flow
 from martenjunction.peers import messages
--- a/tests/test_peer_traffic.py
+++ b/tests/test_peer_traffic.py
@@ -8,7 +8,7 @@
 
 from martenjunction import events
 from martenjunction import timers
-from martenjunction.decisions import endpoint_loads
+from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.peers import codec
 from martenjunction.peers import hub
 from martenjunction.peers import membership
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -8,13 +8,13 @@
 import pytest
 
 from martenjunction import errors
+from martenjunction import model
 from martenjunction.http1 import messages
 from martenjunction.platform import box_settings
 from martenjunction.platform import documents
 from martenjunction.platform import headers
 from martenjunction.platform import store
 from martenjunction.routing import admission
-from martenjunction.routing import model
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from tests import routing_builders as builders
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -4,10 +4,10 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from martenjunction.decisions import asks
-from martenjunction.decisions import dispatcher
 from martenjunction.decisions import endpoint_states
-from martenjunction.decisions import tiers
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import dispatcher
+from martenjunction.decisions.cells import tiers
 from tests import builders
 
 SETTINGS = dispatcher.DispatchSettings(
--- a/tests/test_reading_demand.py
+++ b/tests/test_reading_demand.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from martenjunction.decisions import endpoint_choice
-from martenjunction.decisions import reading_demand
+from martenjunction.decisions.boxes import endpoint_choice
+from martenjunction.decisions.boxes import reading_demand
 from tests import routing_builders as builders
 
 RATES = reading_demand.ReadingRates
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from martenjunction.decisions import endpoint_list
-from martenjunction.routing import model
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_list
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
--- a/tests/test_routing_decisions.py
+++ b/tests/test_routing_decisions.py
@@ -5,13 +5,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from martenjunction.decisions import endpoint_choice
-from martenjunction.decisions import endpoint_loads
-from martenjunction.decisions import endpoint_records
 from martenjunction.decisions import endpoint_states
-from martenjunction.decisions import key_freshness
-from martenjunction.decisions import repeat_budget
-from martenjunction.decisions import shedding
+from martenjunction.decisions.boxes import endpoint_choice
+from martenjunction.decisions.boxes import endpoint_loads
+from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.decisions.boxes import key_freshness
+from martenjunction.decisions.boxes import repeat_budget
+from martenjunction.decisions.boxes import shedding
 from martenjunction.routing import endpoint_book
 from tests import routing_builders as builders
 
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from martenjunction.decisions import store_readers
+from martenjunction.decisions.boxes import store_readers
 from martenjunction_lab import boxes
 from tests import routing_builders as builders
 
--- a/tests/test_suspect_spread.py
+++ b/tests/test_suspect_spread.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from martenjunction.decisions import suspect_table
-from martenjunction.decisions import suspicion
+from martenjunction.decisions.boxes import suspect_table
+from martenjunction.decisions.boxes import suspicion
 from martenjunction.routing import request_content
 from martenjunction.routing import suspect_sync
 from tests import linked_boxes
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from martenjunction.decisions import endpoint_hazard
-from martenjunction.decisions import suspect_table
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_hazard
+from martenjunction.decisions.boxes import suspect_table
 from martenjunction.routing import admission
-from martenjunction.routing import model
 from martenjunction.routing import permits
 from martenjunction.routing import request_content
 from martenjunction.routing import suspects
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 import pytest
 
-from martenjunction.decisions import endpoint_hazard
-from martenjunction.decisions import suspect_table
-from martenjunction.decisions import suspicion
+from martenjunction.decisions.boxes import endpoint_hazard
+from martenjunction.decisions.boxes import suspect_table
+from martenjunction.decisions.boxes import suspicion
 from martenjunction.routing import peer_messages
 from martenjunction.routing import request_content
 from martenjunction.routing import suspect_news
--- a/tools/broken_builds.py
+++ b/tools/broken_builds.py
@@ -42,21 +42,21 @@
 BUILDS = (
     BrokenBuild(
         "the lowest tier goes first",
-        "martenjunction/decisions/granting.py",
+        "martenjunction/decisions/cells/granting.py",
         "tier = present[0] if due is None else due",
         "tier = present[-1]",
         "A burst of the lowest tier costs the highest nothing",
     ),
     BrokenBuild(
         "nothing is preempted",
-        "martenjunction/decisions/dispatcher.py",
+        "martenjunction/decisions/cells/dispatcher.py",
         "if self._settings.preempt:",
         "if False:",
         "A run of a lower tier is moved for a higher one",
     ),
     BrokenBuild(
         "no share for lower tiers",
-        "martenjunction/decisions/tiers.py",
+        "martenjunction/decisions/cells/tiers.py",
         "        if not overdue:\n            return None\n",
         "        return None\n",
         "The lowest tier moves under a flood of the highest",
