--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -135,8 +135,8 @@
             book.broken(endpoint.id, time.monotonic())
             self._state.progress.note(outcomes.Event.BROKEN)
             if self._state.cut_off:
-                # Sent on at once, a request that ends what runs it would end the
-                # next endpoint as well, and so on.
+                # Sent on at once, a request that ends what runs it would end
+                # the next endpoint as well, and so on.
                 offer.permit.broken(endpoint)
                 await self._tools.ends.ask(endpoint)
             return False
