--- a/martenjunction_lab/telling_endpoints.py
+++ b/martenjunction_lab/telling_endpoints.py
@@ -137,6 +137,7 @@
         barred: Boxes and endpoints that came back, which get no work from
             there at the end.
         statuses: What clients got; 0 for none.
+        codes: What they were told with a 503.
         refused_s: Seconds until clients got a 503.
         back_in_s: What these were told as the time to come back.
     """
@@ -153,6 +154,9 @@
     statuses: collections.Counter[int] = dataclasses.field(
         default_factory=collections.Counter
     )
+    codes: collections.Counter[bytes] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     refused_s: list[float] = dataclasses.field(default_factory=list)
     back_in_s: list[float] = dataclasses.field(default_factory=list)
 
@@ -426,7 +430,7 @@
         number = self.draw.randrange(len(self._fleet.gateways))
         sent_at = time.monotonic()
         try:
-            head, _ = await boxes.call(
+            head, body = await boxes.call(
                 self._fleet.addresses[number],
                 "POST",
                 f"/{route}/{number}",
@@ -446,6 +450,7 @@
         told = head.get(b"retry-after")
         back_in_s = None if told is None else float(told)
         if head.status == 503:
+            self.outcome.codes[body] += 1
             self.outcome.refused_s.append(time.monotonic() - sent_at)
             self.outcome.back_in_s.append(back_in_s or 0.0)
         return head.status, back_in_s
--- a/tests/routing_builders.py
+++ b/tests/routing_builders.py
@@ -85,6 +85,17 @@
     }
 
 
+def patient_config_document() -> dict[str, Any]:
+    """Returns a configuration whose targets a busy machine meets as well.
+
+    With the usual ones, requests are shed for the machine's own slowness.
+    """
+    document = config_document()
+    for made in document["routes"]:
+        made["goal_ms"] = 1500
+    return document
+
+
 def config(version: int = 7, **changes: Any) -> model.RoutingConfig:
     """Returns the decoded configuration."""
     document = config_document(version, **changes)
