One reading of Retry-After, and refusals beside what both kinds of daemon use

Cause: the product's own daemons are to read the header as well. Change: the number is read in `http_headers`; `decisions/endpoint_refusals.py` stands with what cells and boxes share. No behaviour changes. Conclusion: neither is written twice.

--- a/martenjunction/decisions/boxes/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterable
 import dataclasses
 
+from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import estimates
 from martenjunction.decisions.boxes import endpoint_loads
-from martenjunction.decisions.boxes import endpoint_refusals
 from martenjunction.decisions.boxes import engine_figures
 from martenjunction.decisions.boxes import reading_demand
 
--- a/martenjunction/http_headers.py
+++ b/martenjunction/http_headers.py
@@ -1,6 +1,7 @@
 """Header names, and which headers pass through."""
 
 from collections.abc import Iterable
+import re
 
 # Of the project.
 OUTCOME = "X-Martenjunction-Outcome"
@@ -35,6 +36,8 @@
 _REQUEST_OWN = frozenset({"host", "content-length", "expect", "authorization"})
 _RESPONSE_OWN = frozenset({"date", "server", "content-length"})
 
+_SECONDS = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+
 Pairs = list[tuple[str, str]]
 
 
@@ -59,3 +62,12 @@
 def to_caller(pairs: Pairs) -> Pairs:
     """Returns the endpoint's headers that a caller gets."""
     return _pass_on(pairs, _RESPONSE_OWN)
+
+
+def seconds_of(value: str) -> float | None:
+    """Returns the seconds that a `Retry-After` header tells.
+
+    Fractions are taken; a date is not, nor is anything else that is no number.
+    """
+    text = value.strip()
+    return float(text) if _SECONDS.fullmatch(text) else None
--- a/martenjunction/platform/notices.py
+++ b/martenjunction/platform/notices.py
@@ -1,8 +1,8 @@
 """What an endpoint says of itself in the head of any answer."""
 
 import dataclasses
-import re
 
+from martenjunction import http_headers
 from martenjunction.http1 import messages
 
 _LEAVING = b"server-leaving"
@@ -15,8 +15,6 @@
 # Answered by an endpoint that is not the one that was meant.
 _MISDIRECTED = 421
 
-_SECONDS = re.compile(rb"\d{1,15}(\.\d{1,15})?")
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointNotice:
@@ -64,17 +62,16 @@
     if is_of_another(head, endpoint):
         return NOTHING
     leaving = (head.get(_LEAVING) or b"").strip()
-    rest = (head.get(_REST) or b"").strip()
-    if head.status not in _TURNED_AWAY:
-        rest = b""
     unreadable = b""
     if leaving not in (b"", b"0", b"1"):
         unreadable = leaving
     rest_s = 0.0
-    if _SECONDS.fullmatch(rest):
-        rest_s = float(rest)
-    elif rest:
-        unreadable = rest
+    rest = head.get(_REST)
+    if rest is not None and head.status in _TURNED_AWAY:
+        told_s = http_headers.seconds_of(rest.decode("latin-1"))
+        if told_s is None:
+            unreadable = rest
+        rest_s = told_s or 0.0
     return EndpointNotice(
         leaving == b"1", rest_s, unreadable[:64].decode("latin-1")
     )
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from martenjunction import model
+from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.decisions.boxes import endpoint_records
-from martenjunction.decisions.boxes import endpoint_refusals
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_trust
 from martenjunction.routing import service_engines
--- a/tests/test_endpoint_refusals.py
+++ b/tests/test_endpoint_refusals.py
@@ -6,10 +6,10 @@
 from hypothesis import strategies as st
 import pytest
 
+from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_records
-from martenjunction.decisions.boxes import endpoint_refusals
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
