An endpoint that no request met for long after its rest breaks no choice

Callers would have seen: 502 internal-error for each request of its service. Cause: the requests that an endpoint may have on its return double each 0.2 s until it answers one; with none for 205 s the number no longer fits a float. Change: it doubles 16 times at most. Measured: the test raises OverflowError without the change, passes with it.

--- a/martenjunction/decisions/endpoint_refusals.py
+++ b/martenjunction/decisions/endpoint_refusals.py
@@ -1,5 +1,7 @@
 """When an endpoint that turned work away may be sent some again."""
 
+import math
+
 # Longest time of rest, in seconds, that is believed: an endpoint that asks for
 # more by mistake should not be lost until it starts again.
 MAX_REST_S = 600.0
@@ -12,6 +14,7 @@
 # Seconds after a rest in which an endpoint gets one request at a time from a
 # box; twice as many in each such time after that, until it answers one.
 RETURN_STEP_S = 0.2
+MOST_STEPS = 16
 
 # Seconds for which a refusal without a time keeps an endpoint from being asked
 # again, twice as long after each that follows, up to the longest. Whoever
@@ -79,13 +82,25 @@
     def accepts(self, running: int, now: float) -> bool:
         """Returns whether it may be sent a request at all.
 
+        Args:
+            running: Requests of this box there.
+            now: The current time.
+        """
+        return self.room(running, now) > 0
+
+    def room(self, running: int, now: float) -> float:
+        """Returns how many more requests it may be sent; infinite for any.
+
         Args:
             running: Requests of this box there.
             now: The current time.
         """
         if now < self._rest_until:
-            return False
-        return not self._returning or running < self._places(now)
+            return 0.0
+        if not self._returning:
+            return math.inf
+        steps = int((now - self._rest_until) / RETURN_STEP_S)
+        return max(0.0, 2.0 ** min(steps, MOST_STEPS) - running)
 
     def pauses(self, now: float) -> bool:
         """Returns whether other endpoints go before it."""
@@ -103,7 +118,3 @@
         if now < self._rest_until:
             return self._rest_until - now
         return RETURN_STEP_S - (now - self._rest_until) % RETURN_STEP_S
-
-    def _places(self, now: float) -> float:
-        """Returns the requests that it may have from this box on its return."""
-        return 2.0 ** int((now - self._rest_until) / RETURN_STEP_S)
--- a/tests/test_endpoint_refusals.py
+++ b/tests/test_endpoint_refusals.py
@@ -58,6 +58,14 @@
     assert made.accepts(50, after)
 
 
+def test_endpoint_that_was_not_asked_for_long_after_its_rest_is_open() -> None:
+    # The requests that it may have on its return double with time.
+    made = resting()
+    for later_s in (3.0, 300.0, 1e6):
+        assert made.accepts(0, NOW + later_s)
+    assert made.accepts(1_000, NOW + 1e6)
+
+
 def test_boxes_return_one_after_the_other() -> None:
     first, last = endpoint_refusals.Refusals(), endpoint_refusals.Refusals()
     first.ask_rest(3.0, 0.0, NOW)
