The product's own daemons let endpoints rest that ask for it

Callers saw, by reading: an engine or plain service that refuses at once has its place free at once, and the owner of its cell grants it to the next request; the time for which it wants nothing was read nowhere. Change: the refusal carries the time from the head to the cell's owner, which grants no place of that endpoint until its end, then one run until it answers; one that refuses without a time goes after others for a while. Where all of a cell rest, a request that cannot outwait the first is shed at once. Conclusion: one owner hears all refusals of its cell, so nothing has to be told. A new owner learns of a rest by one refusal.

--- a/martenjunction/cells/broker.py
+++ b/martenjunction/cells/broker.py
@@ -215,6 +215,7 @@
                 end.first_token_s,
                 end.tokens,
                 end.token_interval_s,
+                end.rest_s,
             ),
         )
 
--- a/martenjunction/cells/messages.py
+++ b/martenjunction/cells/messages.py
@@ -84,6 +84,7 @@
     first_token_s: float | None
     tokens: int
     token_interval_s: float | None
+    rest_s: float
 
 
 @codec.message("grant")
@@ -203,6 +204,7 @@
         first_token_s=message.first_token_s,
         tokens=message.tokens,
         token_interval_s=message.token_interval_s,
+        rest_s=message.rest_s,
     )
 
 
--- a/martenjunction/decisions/cells/asks.py
+++ b/martenjunction/decisions/cells/asks.py
@@ -161,6 +161,7 @@
         first_token_s: Seconds from grant to the first token, or None.
         tokens: Tokens received.
         token_interval_s: Mean seconds between tokens, or None.
+        rest_s: Seconds of rest that its endpoint asked for as it refused.
     """
 
     request_id: str
@@ -168,6 +169,7 @@
     first_token_s: float | None = None
     tokens: int = 0
     token_interval_s: float | None = None
+    rest_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/martenjunction/decisions/cells/cell_endpoints.py
+++ b/martenjunction/decisions/cells/cell_endpoints.py
@@ -72,6 +72,36 @@
         """Books an endpoint's places as it stands now."""
         self._places.refresh(endpoint, now)
 
+    def refused(self, name: str, rest_s: float, now: float) -> None:
+        """Notes that an endpoint turned a run away.
+
+        Args:
+            name: The endpoint.
+            rest_s: Seconds for which it wants nothing; 0 if it did not say.
+            now: The current time.
+        """
+        endpoint = self._by_name[name]
+        endpoint.refusals.refuse(now)
+        if rest_s:
+            # Its cell has one owner: there is nobody to return before or after.
+            endpoint.refusals.ask_rest(rest_s, 0.0, now)
+        self.refresh(endpoint, now)
+
+    def answered(self, name: str, now: float) -> None:
+        """Notes that an endpoint answers a run."""
+        endpoint = self._by_name[name]
+        endpoint.refusals.answer()
+        self.refresh(endpoint, now)
+
+    def rest_left_s(self, now: float) -> float:
+        """Returns seconds until the first that rests is back; 0 for none."""
+        ends = [
+            endpoint.refusals.rest_until - now
+            for endpoint in self._by_name.values()
+            if endpoint.rests(now)
+        ]
+        return min(ends, default=0.0)
+
     def look_after(self, now: float) -> None:
         """Notes what only time changes."""
         endpoints = list(self._by_name.values())
--- a/martenjunction/decisions/cells/cell_state.py
+++ b/martenjunction/decisions/cells/cell_state.py
@@ -44,4 +44,7 @@
 
     def predicted_delay(self, tier: int, now: float) -> float:
         """Returns seconds that a new request of a tier would wait."""
+        rest_s = self.endpoints.rest_left_s(now)
+        if rest_s and not self.endpoints.places.slots:
+            return rest_s
         return self.pace.delay(tier, self.waiting, self.endpoints.places, now)
--- a/martenjunction/decisions/cells/placement.py
+++ b/martenjunction/decisions/cells/placement.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import dataclasses
 
+from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import estimates
 from martenjunction.decisions.cells import asks
@@ -33,6 +34,7 @@
         self.zone = zone
         self.slots = slots
         self.health = endpoint_states.Health()
+        self.refusals = endpoint_refusals.Refusals()
         self.speed = estimates.Speed()
         self.runs: dict[str, asks.Run] = {}
         self._ended: collections.deque[tuple[float, float]] = (
@@ -55,14 +57,19 @@
         """Places that are taken, by our runs or by others."""
         return len(self.runs) + self._foreign
 
+    def rests(self, now: float) -> bool:
+        """Returns whether it wants nothing at this moment."""
+        return now < self.refusals.rest_until
+
     def free(self, now: float) -> int:
         """Returns the places that a new run may take."""
+        room = self.refusals.room(len(self.runs), now)
         state = self.health.state
         if state is endpoint_states.EndpointState.ROUTING:
-            return max(0, self.slots - self.busy)
+            return int(min(max(0, self.slots - self.busy), room))
         if state is endpoint_states.EndpointState.EJECTED:
             trial = not self.runs and self.health.trial_due(now)
-            return int(trial)
+            return int(trial and room > 0)
         return 0
 
     def start(self, run: asks.Run) -> None:
@@ -146,6 +153,8 @@
     fit = [e for e in free if e.name not in ask.avoid]
     if not fit:
         return None
+    # The place of one that refuses at once is free again at once.
+    fit = [e for e in fit if not e.refusals.pauses(now)] or fit
     slowest = max(e.speed.interval_s.value for e in fit)
     slack = max(0.0, ask.deadline - now)
     best: tuple[Endpoint, float] | None = None
--- a/martenjunction/decisions/cells/places.py
+++ b/martenjunction/decisions/cells/places.py
@@ -44,7 +44,8 @@
         self._unbook(endpoint.name)
         free = endpoint.free(now)
         routing = endpoint_states.EndpointState.ROUTING
-        slots = endpoint.slots if endpoint.health.state is routing else 0
+        receives = endpoint.health.state is routing and not endpoint.rests(now)
+        slots = endpoint.slots if receives else 0
         busy = endpoint.busy
         self._booked[endpoint.name] = (free, slots, busy)
         self._free += free
--- a/martenjunction/endpoints/engine_protocol.py
+++ b/martenjunction/endpoints/engine_protocol.py
@@ -102,7 +102,7 @@
         EndpointBrokenError: If the engine failed.
     """
     if head.status in REFUSED_STATUS:
-        raise errors.EndpointRefusedError(f"status {head.status}")
+        raise errors.EndpointRefusedError(f"status {head.status}", head.rest_s)
     if head.status == 404:
         raise errors.EndpointBrokenError("the engine does not have the run")
     if head.status >= 500:
--- a/martenjunction/endpoints/plain_protocol.py
+++ b/martenjunction/endpoints/plain_protocol.py
@@ -48,4 +48,4 @@
     if answered is not None and answered != request_id:
         raise errors.EndpointMismatchError(f"the answer is to {answered!r}")
     if head.status == 503 and head.get(RAN_HEADER) == "no":
-        raise errors.EndpointRefusedError("status 503, not run")
+        raise errors.EndpointRefusedError("status 503, not run", head.rest_s)
--- a/martenjunction/endpoints/streams.py
+++ b/martenjunction/endpoints/streams.py
@@ -31,6 +31,12 @@
                 return value
         return None
 
+    @property
+    def rest_s(self) -> float:
+        """Seconds for which its endpoint wants nothing; 0 for none."""
+        told = self.get(http_headers.RETRY_AFTER)
+        return 0.0 if told is None else http_headers.seconds_of(told) or 0.0
+
 
 class EndpointStream:
     """The answer to one request, as its entry daemon reads it.
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -75,7 +75,15 @@
 
 
 class EndpointRefusedError(EndpointError):
-    """The endpoint said that it refused the request before running it."""
+    """The endpoint said that it refused the request before running it.
+
+    Attributes:
+        rest_s: Seconds for which it wants nothing; 0 if it did not say.
+    """
+
+    def __init__(self, message: str, rest_s: float = 0.0) -> None:
+        self.rest_s = rest_s
+        super().__init__(message)
 
 
 class EndpointBrokenError(EndpointError):
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -71,6 +71,7 @@
         self._avoid: frozenset[str] = frozenset()
         self._preemptions = 0
         self._resumes = 0
+        self._rest_s = 0.0
         self._fruitless = 0
         self._tokens_before = 0
         self._first_token: float | None = None
@@ -208,6 +209,7 @@
     async def _run_at(self, name: str) -> asks.Ending:
         self._endpoint = name
         self._resumes = 0
+        self._rest_s = 0.0
         self._tokens_before = self.conversation.tokens
         endpoint = self._tools.endpoint(name)
         if endpoint is None:
@@ -250,7 +252,8 @@
             # A resumed run was reached before.
             ending = asks.Ending.BROKEN if resume else asks.Ending.NOT_REACHED
             return self._note(ending)
-        except errors.EndpointRefusedError:
+        except errors.EndpointRefusedError as refusal:
+            self._rest_s = refusal.rest_s
             ending = asks.Ending.BROKEN if resume else asks.Ending.REFUSED
             return self._note(ending)
         except errors.EndpointError:
@@ -294,6 +297,7 @@
                 self._run_first_token,
                 self.conversation.tokens,
                 interval,
+                self._rest_s,
             ),
         )
         self._ticket = None
