A test of engines that rest, through the product's whole path

Change: the lab's engine refuses with a time of rest and counts it; four callers before one that refuses and seems the faster one. Conclusion: the time reaches the owner from the head of the answer.

--- a/martenjunction_lab/engine.py
+++ b/martenjunction_lab/engine.py
@@ -52,6 +52,7 @@
     Attributes:
         slow: Every time is multiplied by this.
         refuse: Answers 503 to new requests.
+        rest_s: Seconds of rest that it asks for then; 0 for none.
         hang: Takes requests and never answers.
         cut_after: Closes streams in the middle of the event after so many.
         wrong_id: Gives another request's answer, under its id.
@@ -61,6 +62,7 @@
 
     slow: float = 1.0
     refuse: bool = False
+    rest_s: float = 0.0
     hang: bool = False
     cut_after: int = 0
     wrong_id: bool = False
@@ -76,6 +78,7 @@
         started: How often each request was started.
         marks: The same by the mark of the prompt.
         tokens_made: Tokens made, for whatever end.
+        refused: Requests that were refused.
     """
 
     started: collections.Counter[str] = dataclasses.field(
@@ -85,6 +88,7 @@
         default_factory=collections.Counter
     )
     tokens_made: int = 0
+    refused: int = 0
 
 
 class Engine(servers.StandIn):
@@ -275,7 +279,11 @@
     async def post(self) -> None:
         engine = self._engine
         if engine.faults.refuse:
+            engine.counts.refused += 1
             self.set_status(503)
+            if engine.faults.rest_s:
+                rest = f"{engine.faults.rest_s:g}"
+                self.set_header(http_headers.RETRY_AFTER, rest)
             return
         if engine.faults.hang:
             await asyncio.sleep(3600)
--- a/tests/test_cell_rests.py
+++ b/tests/test_cell_rests.py
@@ -12,7 +12,11 @@
 from martenjunction.endpoints import engine_protocol
 from martenjunction.endpoints import plain_protocol
 from martenjunction.endpoints import streams
+from martenjunction_lab import bench
 from tests import builders
+from tests import caller_builders
+
+fleet = caller_builders.fleet
 
 REST_S = 3.0
 REFUSED = asks.Ending.REFUSED
@@ -105,3 +109,25 @@
     with pytest.raises(errors.EndpointRefusedError) as refusal:
         protocol.check_head(head, "r1")  # type: ignore[attr-defined]
     assert refusal.value.rest_s == rest_s
+
+
+async def test_engine_that_asks_for_rest_gets_it_from_all_callers(
+    fleet: bench.Bench,
+) -> None:
+    resting, serving = fleet.outside.engines.values()
+    resting.faults.refuse = True
+    resting.faults.rest_s = 60.0
+    # So that the one that refuses at once seems the better one.
+    serving.faults.slow = 5.0
+    callers = await caller_builders.callers_of(fleet, 4)
+    for number in range(8):
+        for caller in callers:
+            # Unlike prompts: none belongs where an earlier one was read.
+            text = f"{id(caller)} {number}" * 40
+            body = caller_builders.chat(2, text, stream=False)
+            caller.send(caller_builders.request(caller_builders.CHAT, body))
+        for caller in callers:
+            assert (await caller.answer())[0] == 200
+    # Those that were under way with the first that it refused.
+    assert 0 < resting.counts.refused <= len(callers)
+    assert serving.counts.started.total() == 8 * len(callers)
