Trials of endpoints share one fleet, and bear a busy machine

Cause: two trials held the same boxes, replicas and load; three tests the same stand-in for a slow connection; two tables the same command line. Beside a load average of 20 the tests of rest had 700 of 710, 698 of 721 and 632 of 727 served: each refusal was the last answer of a request that got no repeat (back in 0.25 s), as many were under way to an endpoint before its first refusal was read; and one had no refusal in the 0.5 s that it left for them. The checks stay as they were.

--- a/martenjunction_lab/boxes.py
+++ b/martenjunction_lab/boxes.py
@@ -64,12 +64,20 @@
         """Addresses for clients' requests."""
         return [made.members.own.callers for made in self.gateways]
 
-    async def start(self, config: dict[str, Any], boxes: int = 1) -> None:
-        """Starts the store with a configuration, and boxes before it."""
+    async def start(
+        self, config: dict[str, Any], boxes: int = 1, **changes: Any
+    ) -> None:
+        """Starts the store with a configuration, and boxes before it.
+
+        Args:
+            config: The configuration.
+            boxes: How many boxes there are.
+            changes: Settings of the boxes in place of the usual ones.
+        """
         self.store.start()
         self.configure(config)
         for number in range(1, boxes + 1):
-            await self.add_box(f"box-{number}")
+            await self.add_box(f"box-{number}", **changes)
 
     async def stop(self) -> None:
         """Stops everything at once."""
--- a/tests/gateway_requests.py
+++ b/tests/gateway_requests.py
@@ -1,5 +1,12 @@
 """Requests to a box before stand-ins, for tests of the whole path."""
 
+from collections.abc import Callable
+
+import pytest
+
+from martenjunction import gateway
+from martenjunction import model
+from martenjunction.http1 import client
 from martenjunction.http1 import messages
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
@@ -43,6 +50,37 @@
     return made
 
 
+def on_first_connection(
+    monkeypatch: pytest.MonkeyPatch,
+    box: gateway.Gateway,
+    act: Callable[[str], object],
+) -> list[str]:
+    """Has something happen as a request waits for its first connection.
+
+    Args:
+        monkeypatch: Undoes it.
+        box: The box.
+        act: Given the id of the endpoint that the connection is for.
+
+    Returns:
+        The ids of the endpoints that connections were asked for, as it grows.
+    """
+    asked: list[str] = []
+    acquire = box.pool.acquire
+
+    async def acting(
+        endpoint: model.Endpoint, repeatable: bool
+    ) -> client.ClientConnection:
+        connection = await acquire(endpoint, repeatable)
+        asked.append(endpoint.id)
+        if len(asked) == 1:
+            act(endpoint.id)
+        return connection
+
+    monkeypatch.setattr(box.pool, "acquire", acting)
+    return asked
+
+
 def behave(made: list[replica.Replica], behaviour: Behaviour) -> None:
     """Has whichever replica is asked first behave so, once."""
     for stand_in in made:
--- /dev/null
+++ b/tests/trial_tables.py
@@ -0,0 +1,29 @@
+"""Plays rows of trials, as the command line names them."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import sys
+
+
+def main(play: Callable[[str, int], Awaitable[str]]) -> None:
+    """Plays each row with each seed and prints its line.
+
+    The command line holds the rows, parted by commas, the first and the last
+    seed.
+
+    Args:
+        play: Plays a row with a seed; returns its line.
+    """
+    logging.disable(logging.CRITICAL)
+    rows, first, last = sys.argv[1].split(","), *map(int, sys.argv[2:4])
+    for row in rows:
+        for seed in range(first, last + 1):
+            print(asyncio.run(_awaited(play, row, seed)), flush=True)
+
+
+async def _awaited(
+    play: Callable[[str, int], Awaitable[str]], row: str, seed: int
+) -> str:
+    return await play(row, seed)
