Streams from before a rest do not end an endpoint's slow return

Callers would have seen: all that wait go at once to an endpoint whose rest is over, where a stream from before went on, and are refused. Cause: any bytes heard from the endpoint counted as an answer to what it was sent after its rest. Change: only what was sent after the rest ends the return, on boxes and in cells. Conclusion: found on reading the diff. Nothing else follows from it where nobody asks for rest.

--- a/martenjunction/decisions/cells/cell_endpoints.py
+++ b/martenjunction/decisions/cells/cell_endpoints.py
@@ -87,10 +87,10 @@
             endpoint.refusals.ask_rest(rest_s, 0.0, now)
         self.refresh(endpoint, now)
 
-    def answered(self, name: str, now: float) -> None:
+    def answered(self, run: asks.Run, now: float) -> None:
         """Notes that an endpoint answers a run."""
-        endpoint = self._by_name[name]
-        endpoint.refusals.answer()
+        endpoint = self._by_name[run.endpoint]
+        endpoint.refusals.answer(run.granted)
         self.refresh(endpoint, now)
 
     def rest_left_s(self, now: float) -> float:
--- a/martenjunction/decisions/cells/dispatcher.py
+++ b/martenjunction/decisions/cells/dispatcher.py
@@ -177,7 +177,7 @@
         endpoint = self._cell.endpoints.by_name.get(run.endpoint)
         if endpoint is None:
             return
-        self._cell.endpoints.answered(endpoint.name, now)
+        self._cell.endpoints.answered(run, now)
         if run.predicted_first_token <= 0.0:
             return
         self._cell.pace.first_token(seconds)
@@ -195,7 +195,7 @@
         if endpoint is None:
             return
         if end.ending is asks.Ending.COMPLETE:
-            self._cell.endpoints.answered(endpoint.name, now)
+            self._cell.endpoints.answered(run, now)
             self._cell.pace.completed(now - run.granted)
         if end.ending is asks.Ending.REFUSED:
             self._cell.endpoints.refused(endpoint.name, end.rest_s, now)
--- a/martenjunction/decisions/endpoint_refusals.py
+++ b/martenjunction/decisions/endpoint_refusals.py
@@ -74,10 +74,17 @@
         )
         self._pause_until = now + self._pause_s
 
-    def answer(self) -> None:
-        """Notes that it answered a request."""
+    def answer(self, sent_at: float) -> None:
+        """Notes that it answered a request.
+
+        What it had before its rest says nothing of how it takes more.
+
+        Args:
+            sent_at: When that was sent.
+        """
         self._pause_s = 0.0
-        self._returning = False
+        if sent_at >= self._rest_until:
+            self._returning = False
 
     def accepts(self, running: int, now: float) -> bool:
         """Returns whether it may be sent a request at all.
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -42,19 +42,22 @@
         choice: endpoint_choice.Choice,
         demand: endpoint_records.Demand,
         now: float,
+        listened: float,
     ) -> None:
         """Books a request that is about to be sent.
 
         Args:
             choice: Where it goes.
             demand: What it asks.
-            now: The current time, on the book's clock of what was listened.
+            now: The current time.
+            listened: The same, on the book's clock of what was listened.
         """
         self.record = choice.record
         self.choice = choice
         self.demand = demand
-        self.sent_at = now
-        self.heard_at = now
+        self.began_at = now
+        self.sent_at = listened
+        self.heard_at = listened
         self.waiting = True
         self.move = False
         self.lost = False
@@ -252,7 +255,7 @@
         now: float,
     ) -> RunTicket:
         """Books a request that is sent to the chosen endpoint."""
-        ticket = RunTicket(choice, demand, self._listened(now))
+        ticket = RunTicket(choice, demand, now, self._listened(now))
         choice.record.loads.add(demand.load_key, 1, choice.unread)
         if demand.is_engine:
             choice.record.sent(choice.unread, now)
@@ -271,7 +274,7 @@
         listened = self._listened(now)
         self._heard[record.id] = listened
         self._trust.heard(record, now)
-        record.refusals.answer()
+        record.refusals.answer(ticket.began_at)
         ticket.move = False
         pause_s = listened - ticket.heard_at
         ticket.heard_at = listened
--- a/tests/test_endpoint_refusals.py
+++ b/tests/test_endpoint_refusals.py
@@ -54,10 +54,20 @@
     assert not made.accepts(1, after)
     assert made.opens_in_s(1, after) == endpoint_refusals.RETURN_STEP_S
     assert made.accepts(1, after + endpoint_refusals.RETURN_STEP_S)
-    made.answer()
+    made.answer(sent_at=after)
     assert made.accepts(50, after)
 
 
+@pytest.mark.parametrize("heard_at", [NOW + 1.0, NOW + 3.1])
+def test_answer_to_an_earlier_request_does_not_end_its_return(
+    heard_at: float,
+) -> None:
+    # Streams that ran there before go on, in its rest and after it.
+    made = resting()
+    made.answer(sent_at=NOW - 1.0)
+    assert not made.accepts(1, max(heard_at, NOW + 3.0))
+
+
 def test_endpoint_that_was_not_asked_for_long_after_its_rest_is_open() -> None:
     # The requests that it may have on its return double with time.
     made = resting()
@@ -89,7 +99,7 @@
     assert not made.pauses(now + endpoint_refusals.LONGEST_PAUSE_S)
     # It is a preference only.
     assert made.accepts(9, now)
-    made.answer()
+    made.answer(sent_at=now)
     made.refuse(now + 9.0)
     assert not made.pauses(now + 9.0 + 1.1 * endpoint_refusals.FIRST_PAUSE_S)
 
