A line of the log for a limit that an endpoint names

Change: the heads of answers are searched for it; a decimal number, the least one of several; anything else is unreadable. Each box logs what changes by its own answers.

--- a/martenjunction/endpoints/streams.py
+++ b/martenjunction/endpoints/streams.py
@@ -35,7 +35,7 @@
     def rest_s(self) -> float:
         """Seconds for which its endpoint wants nothing; 0 for none."""
         told = self.get(http_headers.RETRY_AFTER)
-        return 0.0 if told is None else http_headers.seconds_of(told) or 0.0
+        return 0.0 if told is None else http_headers.decimal_of(told) or 0.0
 
 
 class EndpointStream:
--- a/martenjunction/http1/messages.py
+++ b/martenjunction/http1/messages.py
@@ -84,6 +84,14 @@
         """Returns the first value of a header, or None."""
         return header(self.headers, name)
 
+    def all(self, name: bytes) -> list[bytes]:
+        """Returns all values of a header.
+
+        Args:
+            name: The name in lower case.
+        """
+        return [value for key, value in self.headers if key.lower() == name]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientLimits:
--- a/martenjunction/http_headers.py
+++ b/martenjunction/http_headers.py
@@ -36,7 +36,7 @@
 _REQUEST_OWN = frozenset({"host", "content-length", "expect", "authorization"})
 _RESPONSE_OWN = frozenset({"date", "server", "content-length"})
 
-_SECONDS = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+_DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 Pairs = list[tuple[str, str]]
 
@@ -64,10 +64,10 @@
     return _pass_on(pairs, _RESPONSE_OWN)
 
 
-def seconds_of(value: str) -> float | None:
-    """Returns the seconds that a `Retry-After` header tells.
+def decimal_of(value: str) -> float | None:
+    """Returns the decimal number that a header tells, such as `Retry-After`.
 
     Fractions are taken; a date is not, nor is anything else that is no number.
     """
     text = value.strip()
-    return float(text) if _SECONDS.fullmatch(text) else None
+    return float(text) if _DECIMAL.fullmatch(text) else None
--- a/martenjunction/platform/notices.py
+++ b/martenjunction/platform/notices.py
@@ -7,6 +7,7 @@
 
 _LEAVING = b"server-leaving"
 _REST = b"retry-after"
+_LIMIT = b"server-limit"
 _ENDPOINT = b"martenjunction-replica-id"
 
 # Statuses with which an endpoint turns work away and may ask for rest.
@@ -23,11 +24,14 @@
     Attributes:
         leaves: Whether it gets no more work, for good.
         rest_s: Seconds for which it wants nothing from this box; 0 for none.
+        limit_per_s: Requests a second that it takes from all boxes together;
+            None where it names none that can be read.
         unreadable: A value that says neither, for the log; empty for none.
     """
 
     leaves: bool = False
     rest_s: float = 0.0
+    limit_per_s: float | None = None
     unreadable: str = ""
 
 
@@ -53,7 +57,8 @@
     """Returns what an answer says of the endpoint that was asked.
 
     Nothing, where another endpoint answers at its address. A time of rest is
-    a number of seconds, of which there may be fractions; a date is none.
+    a number of seconds, of which there may be fractions; a date is none. Of
+    several limits the least one holds.
 
     Args:
         head: The head of the answer.
@@ -68,10 +73,20 @@
     rest_s = 0.0
     rest = head.get(_REST)
     if rest is not None and head.status in _TURNED_AWAY:
-        told_s = http_headers.seconds_of(rest.decode("latin-1"))
+        told_s = http_headers.decimal_of(rest.decode("latin-1"))
         if told_s is None:
             unreadable = rest
         rest_s = told_s or 0.0
+    limits: list[float] = []
+    for limit in head.all(_LIMIT):
+        per_s = http_headers.decimal_of(limit.decode("latin-1"))
+        if per_s is None:
+            unreadable = limit
+        else:
+            limits.append(per_s)
     return EndpointNotice(
-        leaving == b"1", rest_s, unreadable[:64].decode("latin-1")
+        leaving == b"1",
+        rest_s,
+        min(limits, default=None),
+        unreadable[:64].decode("latin-1"),
     )
--- a/martenjunction/routing/endpoint_notices.py
+++ b/martenjunction/routing/endpoint_notices.py
@@ -10,6 +10,10 @@
 from martenjunction.routing import leaving_sync
 
 
+# Endpoints whose limits are remembered; the oldest give way.
+MAX_LIMITS = 1024
+
+
 class EndpointNotices:
     """The one place that the heads of all endpoints' answers pass.
 
@@ -36,6 +40,7 @@
         self._book = book
         self._now = now
         self._log = log
+        self._limits: dict[str, float] = {}
 
     def take(
         self, endpoint: model.Endpoint, head: messages.ResponseHead
@@ -46,6 +51,7 @@
             self._leaving.say_leaving(endpoint.id)
         if notice.rest_s:
             self._rest(endpoint, head.status, notice.rest_s)
+        self._note_limit(endpoint, notice.limit_per_s)
         if notice.unreadable:
             self._log.write(
                 "endpoint-notice-unreadable",
@@ -54,6 +60,22 @@
                 value=notice.unreadable,
             )
 
+    def _note_limit(
+        self, endpoint: model.Endpoint, per_s: float | None
+    ) -> None:
+        before = self._limits.get(endpoint.id)
+        if per_s == before:
+            return
+        if per_s is None:
+            del self._limits[endpoint.id]
+        else:
+            while len(self._limits) >= MAX_LIMITS:
+                del self._limits[next(iter(self._limits))]
+            self._limits[endpoint.id] = per_s
+        self._log.write(
+            "endpoint-limit", endpoint=endpoint.id, per_s=per_s, before=before
+        )
+
     def _rest(
         self, endpoint: model.Endpoint, status: int, asked_s: float
     ) -> None:
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -51,6 +51,31 @@
     assert notice(500, Retry_After="3") == notices.NOTHING
 
 
+@pytest.mark.parametrize("status", [200, 404, 429, 500, 503])
+@pytest.mark.parametrize(
+    ("value", "per_s"), [("2.1", 2.1), (" 1 ", 1.0), ("0", 0.0), ("0.25", 0.25)]
+)
+def test_any_answer_names_a_limit_in_requests_a_second(
+    status: int, value: str, per_s: float
+) -> None:
+    assert notice(status, Server_Limit=value).limit_per_s == per_s
+
+
+@pytest.mark.parametrize(
+    "value", ["-1", "+2", "nan", "inf", "1e9", "two", "", "2, 1", "9" * 40]
+)
+def test_limit_that_is_no_number_is_told_as_unreadable(value: str) -> None:
+    told = notice(200, Server_Limit=value)
+    assert told.limit_per_s is None
+    assert told.unreadable == value[:64]
+
+
+def test_of_several_limits_the_least_one_holds() -> None:
+    pairs = [(b"Server-Limit", v) for v in (b"3", b"1.5", b"many")]
+    told = notices.notice_of(messages.ResponseHead(200, pairs), "e1")
+    assert told == notices.EndpointNotice(limit_per_s=1.5, unreadable="many")
+
+
 @pytest.mark.parametrize("value", ["0", "", "yes"])
 def test_other_values_do_not_say_that_it_leaves(value: str) -> None:
     assert not notice(200, Server_Leaving=value).leaves
