--- a/martenjunction/routing/endpoint_notices.py
+++ b/martenjunction/routing/endpoint_notices.py
@@ -9,7 +9,6 @@
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import leaving_sync
 
-
 # Endpoints whose limits are remembered; the oldest give way.
 MAX_LIMITS = 1024
 
