Endpoints that name a limit get no more than that from all boxes together

What callers saw: nothing; what an endpoint in need saw: it named the requests a second that it takes, and went on getting 3 to 13 times as many. Cause: no head of an answer was searched for the limit, and what boxes decide about an endpoint they decide each by itself, while this is one number for all of them. Change: one box, the endpoint's holder, gives leave for each request; the others ask it right before they send, whatever they send: first offers, repeats, trials, runs from a copy, health checks. Boxes tell each other the word, its changes and its end. Callers whom nobody takes get 503 'endpoints-limited' at once, with a time. A box that does not hear the holder sends nothing.

--- a/martenjunction/decisions/boxes/endpoint_choice.py
+++ b/martenjunction/decisions/boxes/endpoint_choice.py
@@ -117,8 +117,11 @@
     short: set[str] = set()
     owner: str | None = None
     if demand.is_engine:
-        short = kept_for_short(fit, demand, now)
-        owner = _owner(fit, demand, short)
+        # What takes only so many requests a second can be no home of any kind
+        # of them, and is not open to all requests alike.
+        homes = [r for r in fit if not r.limited] or fit
+        short = kept_for_short(homes, demand, now)
+        owner = _owner(homes, demand, short)
     rng.shuffle(fit)
     choices = [weigh(r, demand, r.id == owner, now) for r in fit]
     return min(choices, key=lambda c: _cost_s(c, demand, c.record.id in short))
@@ -193,7 +196,7 @@
         cost += choice.again * SHARED_TOKEN_COST_S
         if demand.is_long:
             cost += _beside_short_s(choice, demand, for_short)
-        elif not demand.is_long and not for_short:
+        elif not for_short and not record.limited:
             cost += SHORT_AMONG_LONG_S
     return cost
 
--- a/martenjunction/decisions/boxes/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -152,6 +152,7 @@
             endpoint_states.EndpointState.ROUTING
         )
         self.refusals = endpoint_refusals.Refusals()
+        self.limited = False
         self.figures = engine_figures.EngineFigures()
         self.loads = endpoint_loads.EndpointLoads()
         self._parts: collections.OrderedDict[str, int] = (
--- /dev/null
+++ b/martenjunction/decisions/boxes/limit_leaves.py
@@ -0,0 +1,76 @@
+"""Leave to send to an endpoint that names a limit, as its holder gives it.
+
+One box, the endpoint's holder, gives leave for each request that any box sends
+there. Boxes may disagree on who that is for some seconds.
+"""
+
+# Part of a limit that a holder gives leave for, and the part in the first
+# seconds, in which another box may still take itself for the holder: together
+# they stay within one and a half times the limit.
+GRANTED_PART = 0.9
+FIRST_PART = 0.6
+FIRST_S = 4.0
+
+# Requests a second for which leave is given whatever the limit: what takes none
+# at all would never be heard to take some again.
+LEAST_PER_S = 0.5
+
+# Requests for which leave is kept at most while nobody asks: two holders with
+# more would exceed the limit, and at the least rate two with as many.
+MOST_KEPT = 2.0
+MOST_KEPT_SLOW = 1.0
+
+# What may be lacking to a whole request by rounding.
+ROUNDING = 1e-6
+
+# The longest time, in seconds, after which a box is told to ask again.
+LONGEST_TURN_S = 2.0
+
+
+class LeaveBucket:
+    """Leave for one endpoint, as one holder gives it."""
+
+    def __init__(self, now: float) -> None:
+        """Makes one that has nothing to give yet.
+
+        A box that becomes the holder does not know what was given before.
+
+        Args:
+            now: The current time.
+        """
+        self._began = now
+        self._kept = 0.0
+        self._counted_at = now
+        self._last_turn = now
+
+    def take(self, limit_per_s: float, heard_part: float, now: float) -> float:
+        """Gives leave for a request if there is some.
+
+        Args:
+            limit_per_s: The endpoint's limit.
+            heard_part: Part of the boxes that the holder hears, itself among
+                them: those beyond a cut have a holder of their own.
+            now: The current time.
+
+        Returns:
+            0 if it is given, else the seconds after which to ask again. Those
+            who ask in vain are told one turn after the other, so that not all
+            of them come back for one request.
+        """
+        part = FIRST_PART if now - self._began < FIRST_S else GRANTED_PART
+        per_s = max(LEAST_PER_S, limit_per_s * part * heard_part)
+        most = MOST_KEPT if per_s > LEAST_PER_S else MOST_KEPT_SLOW
+        gained = max(0.0, now - self._counted_at) * per_s
+        self._kept = min(most, self._kept + gained)
+        self._counted_at = now
+        if self._kept >= 1.0 - ROUNDING:
+            self._kept -= 1.0
+            return 0.0
+        next_s = (1.0 - self._kept) / per_s
+        turn = max(now + next_s, self._last_turn + 1.0 / per_s)
+        self._last_turn = min(turn, now + max(next_s, LONGEST_TURN_S))
+        return self._last_turn - now
+
+    def put_back(self) -> None:
+        """Takes leave back that was not used."""
+        self._kept += 1.0
--- a/martenjunction/decisions/endpoint_refusals.py
+++ b/martenjunction/decisions/endpoint_refusals.py
@@ -64,6 +64,18 @@
         self._returning = True
         return longer_s
 
+    def return_from(self, now: float) -> None:
+        """Notes that it takes work again, of which it had little.
+
+        As after a rest it gets one request first: it looks idle to all boxes.
+
+        Args:
+            now: The current time.
+        """
+        if now >= self._rest_until:
+            self._rest_until = now
+            self._returning = True
+
     def refuse(self, now: float) -> None:
         """Notes that it turned a request away."""
         if now < self._pause_until:
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -35,7 +35,9 @@
 from martenjunction.routing import endpoint_notices
 from martenjunction.routing import exchange
 from martenjunction.routing import follower
+from martenjunction.routing import leaves
 from martenjunction.routing import leaving_sync
+from martenjunction.routing import limit_sync
 from martenjunction.routing import offers
 from martenjunction.routing import peer_sync
 from martenjunction.routing import picture
@@ -174,8 +176,23 @@
         self.leaving_endpoints = leaving_sync.LeavingSync(
             self.listed, self.peers, self.members, self.log
         )
+        self.limits = limit_sync.LimitSync(
+            self.book, self.peers, self.members, self.timers, self.log
+        )
+        self.leaves = leaves.Leaves(
+            self.book,
+            self.limits,
+            self.peers,
+            self.members,
+            self.sync.heard,
+            self.timers,
+        )
         self.notices = endpoint_notices.EndpointNotices(
-            self.leaving_endpoints, self.book, self.timers.now, self.log
+            self.leaving_endpoints,
+            self.limits,
+            self.book,
+            self.timers.now,
+            self.log,
         )
         self.pool.on_head(self.notices.take)
         self.ends = endpoint_ends.EndpointEnds(self.book, self.pool)
@@ -190,7 +207,7 @@
             self._rng,
         )
         self.prober = prober.Prober(
-            self.book, self.pool, self.admitter, self.timers
+            self.book, self.pool, self.admitter, self.leaves, self.timers
         )
         self._tools = offers.Tools(
             self.admitter,
@@ -206,6 +223,7 @@
             request_content.ContentKeys(_peer_key(settings)),
             self.suspects,
             self.ends,
+            self.leaves,
         )
         self._callers = self._server(
             "callers", self._serve_caller, self._limits
@@ -230,6 +248,8 @@
         self.sync.start()
         self.suspects.start()
         self.leaving_endpoints.start(self.events)
+        self.limits.start(self.events)
+        self.leaves.start()
         self.prober.start()
         self.follower.start()
         await self.peers.start()
@@ -317,6 +337,7 @@
                 self.log,
                 self.timers.now(),
             ),
+            "limits": self.leaves.dump(),
             "suspects": self.suspects.dump(),
         }
 
@@ -420,6 +441,9 @@
                 "repeats_refused": float(self.budget.refused),
                 "endpoints_leaving": float(len(self.listed.leaving)),
                 "endpoints_resting": float(self.book.resting(now)),
+                "endpoints_limited": float(len(self.book.limits.limited())),
+                "leaves_given": float(self.leaves.given),
+                "leaves_refused": float(self.leaves.refused),
                 "suspects": float(len(self.suspects.dump())),
                 "quarantined_refused": float(self.suspects.refused),
                 "entries_unreadable": float(self.picture.unreadable),
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -56,6 +56,7 @@
         self._head: messages.ResponseHead | None = None
         self._closed = False
         self._idle_since = 0.0
+        self._sent_at = 0.0
 
     @property
     def address(self) -> str:
@@ -186,6 +187,7 @@
             data += self._parser.send(h11.Data(data=body)) or b""
         data += self._parser.send(h11.EndOfMessage()) or b""
         self._request = request
+        self._sent_at = time.monotonic()
         try:
             written = self._stream.write(data)
         except iostream.StreamClosedError as error:
@@ -203,6 +205,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._head = _head_of(event)
+                self._head.asked_at = self._sent_at
                 self._on_head(self._head)
                 return self._head
             if isinstance(event, h11.ConnectionClosed):
--- a/martenjunction/http1/messages.py
+++ b/martenjunction/http1/messages.py
@@ -73,12 +73,14 @@
         keep_alive_s: Seconds for which the server keeps the connection idle,
             or None if it did not say.
         closes: Whether the server ends the connection after the answer.
+        asked_at: Steady clock when the request was sent that it came after.
     """
 
     status: int
     headers: Headers
     keep_alive_s: float | None = None
     closes: bool = False
+    asked_at: float = 0.0
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, or None."""
--- a/martenjunction/platform/notices.py
+++ b/martenjunction/platform/notices.py
@@ -9,6 +9,7 @@
 _REST = b"retry-after"
 _LIMIT = b"server-limit"
 _ENDPOINT = b"martenjunction-replica-id"
+_REQUEST = b"martenjunction-attempt-id"
 
 # Statuses with which an endpoint turns work away and may ask for rest.
 _TURNED_AWAY = frozenset({429, 503})
@@ -26,12 +27,14 @@
         rest_s: Seconds for which it wants nothing from this box; 0 for none.
         limit_per_s: Requests a second that it takes from all boxes together;
             None where it names none that can be read.
+        unlimited: Whether it answers a request and names no limit.
         unreadable: A value that says neither, for the log; empty for none.
     """
 
     leaves: bool = False
     rest_s: float = 0.0
     limit_per_s: float | None = None
+    unlimited: bool = False
     unreadable: str = ""
 
 
@@ -77,8 +80,9 @@
         if told_s is None:
             unreadable = rest
         rest_s = told_s or 0.0
+    named = head.all(_LIMIT)
     limits: list[float] = []
-    for limit in head.all(_LIMIT):
+    for limit in named:
         per_s = http_headers.decimal_of(limit.decode("latin-1"))
         if per_s is None:
             unreadable = limit
@@ -88,5 +92,6 @@
         leaving == b"1",
         rest_s,
         min(limits, default=None),
+        not named and head.get(_REQUEST) is not None,
         unreadable[:64].decode("latin-1"),
     )
--- a/martenjunction/routing/endpoint_book.py
+++ b/martenjunction/routing/endpoint_book.py
@@ -7,6 +7,7 @@
 from martenjunction import model
 from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions.boxes import endpoint_choice
+from martenjunction.decisions.boxes import endpoint_limits
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.decisions.boxes import endpoint_records
@@ -105,6 +106,7 @@
         self._tickets: set[RunTicket] = set()
         self._heard: dict[str, float] = {}
         self._engines = service_engines.ServiceEngines(log)
+        self._limits = endpoint_limits.LimitTable()
         self._told_by: dict[str, set[str]] = {}
         self._scale = 1.0
         self._looked_at = math.inf
@@ -125,6 +127,11 @@
         """What is known of the engines of each service."""
         return self._engines
 
+    @property
+    def limits(self) -> endpoint_limits.LimitTable:
+        """The requests a second that endpoints take."""
+        return self._limits
+
     @property
     def running(self) -> int:
         """Requests at endpoints now."""
@@ -155,6 +162,7 @@
             endpoint.id: endpoint
             for endpoint in self._listed.ready(service.name)
             if endpoint.id not in avoid
+            and self._limits.is_open(endpoint.id, now)
         }
         records = [self._record(e, service) for e in endpoints.values()]
         choice = endpoint_choice.choose(records, demand, now, self._rng, apart)
@@ -187,7 +195,10 @@
             known.
         """
         times = [
-            record.refusals.opens_in_s(record.loads.own_running, now)
+            max(
+                record.refusals.opens_in_s(record.loads.own_running, now),
+                self._limits.opens_in_s(record.id, now),
+            )
             for record in (
                 self._record(endpoint, service)
                 for endpoint in self._listed.ready(service.name)
@@ -199,6 +210,24 @@
         # Clients that are told alike come back in the same moment.
         return first_s + self._rng.uniform(0.0, endpoint_refusals.RETURN_STEP_S)
 
+    def limited(self, service: str) -> bool:
+        """Returns whether an endpoint of a service names a limit."""
+        return any(
+            self._limits.per_s(endpoint.id) is not None
+            for endpoint in self._listed.ready(service)
+        )
+
+    def unlimited(self, endpoint_id: str, now: float) -> None:
+        """Notes that an endpoint names no limit any more.
+
+        Args:
+            endpoint_id: The endpoint.
+            now: The current time.
+        """
+        record = self._records.get(endpoint_id)
+        if record is not None:
+            record.refusals.return_from(now)
+
     def resting(self, now: float) -> int:
         """Returns how many endpoints want nothing from this box."""
         return sum(
@@ -348,6 +377,7 @@
             for record in self._records.values()
             if endpoint_trust.due_for_probe(record, now)
             and self.accepts(record.id, now)
+            and self._limits.is_open(record.id, now)
         ]
 
     def probed(self, endpoint_id: str, sound: bool, now: float) -> None:
@@ -454,6 +484,7 @@
             self._records[endpoint.id] = record
         if service.engine is not None:
             record.figures = self._engines.figures(service.name)
+        record.limited = self._limits.per_s(endpoint.id) is not None
         return record
 
     def _listened(self, now: float) -> float:
--- a/martenjunction/routing/endpoint_notices.py
+++ b/martenjunction/routing/endpoint_notices.py
@@ -8,9 +8,7 @@
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import leaving_sync
-
-# Endpoints whose limits are remembered; the oldest give way.
-MAX_LIMITS = 1024
+from martenjunction.routing import limit_sync
 
 
 class EndpointNotices:
@@ -23,6 +21,7 @@
     def __init__(
         self,
         leaving: leaving_sync.LeavingSync,
+        limits: limit_sync.LimitSync,
         book: endpoint_book.EndpointBook,
         now: Callable[[], float],
         log: decision_log.DecisionLog,
@@ -31,15 +30,17 @@
 
         Args:
             leaving: Told of endpoints that leave, for all boxes.
+            limits: Told of those that take so many requests a second, from
+                all boxes.
             book: Told of endpoints that want rest, from this box alone.
             now: Returns seconds on the steady clock.
             log: Told of what cannot be read.
         """
         self._leaving = leaving
+        self._limits = limits
         self._book = book
         self._now = now
         self._log = log
-        self._limits: dict[str, float] = {}
 
     def take(
         self, endpoint: model.Endpoint, head: messages.ResponseHead
@@ -50,7 +51,8 @@
             self._leaving.say_leaving(endpoint.id)
         if notice.rest_s:
             self._rest(endpoint, head.status, notice.rest_s)
-        self._note_limit(endpoint, notice.limit_per_s)
+        if notice.limit_per_s is not None or notice.unlimited:
+            self._limits.say(endpoint.id, notice.limit_per_s, head.asked_at)
         if notice.unreadable:
             self._log.write(
                 "endpoint-notice-unreadable",
@@ -59,22 +61,6 @@
                 value=notice.unreadable,
             )
 
-    def _note_limit(
-        self, endpoint: model.Endpoint, per_s: float | None
-    ) -> None:
-        before = self._limits.get(endpoint.id)
-        if per_s == before:
-            return
-        if per_s is None:
-            del self._limits[endpoint.id]
-        else:
-            while len(self._limits) >= MAX_LIMITS:
-                del self._limits[next(iter(self._limits))]
-            self._limits[endpoint.id] = per_s
-        self._log.write(
-            "endpoint-limit", endpoint=endpoint.id, per_s=per_s, before=before
-        )
-
     def _rest(
         self, endpoint: model.Endpoint, status: int, asked_s: float
     ) -> None:
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -291,11 +291,17 @@
         opens_in_s = self._tools.book.opens_in_s(
             taken.service, time.monotonic()
         )
-        if opens_in_s is None:
+        limited = self._tools.book.limited(taken.service.name)
+        if limited and (opens_in_s is not None or self._state.got_no_leave):
+            # One that gave it no leave may give the next request some.
+            await self._refuse(
+                503, "endpoints-limited", opens_in_s or RETRY_BUSY_S
+            )
+        elif opens_in_s is not None:
+            await self._refuse(503, "endpoints-rest", opens_in_s)
+        else:
             self._state.why = self._state.why or "no endpoint takes it"
             await self._refuse(503, "not-run", RETRY_BUSY_S)
-        else:
-            await self._refuse(503, "endpoints-rest", opens_in_s)
 
     async def _refuse(
         self, status: int, code: str, retry_after: float | None
--- /dev/null
+++ b/martenjunction/routing/leaves.py
@@ -0,0 +1,302 @@
+"""Leave to send a request to an endpoint that takes only so many a second."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from martenjunction import timers
+from martenjunction.decisions import rendezvous
+from martenjunction.decisions.boxes import limit_leaves
+from martenjunction.peers import hub
+from martenjunction.peers import membership
+from martenjunction.routing import endpoint_book
+from martenjunction.routing import limit_sync
+from martenjunction.routing import peer_messages
+
+# Seconds that a request waits for the holder's answer before it goes elsewhere.
+ANSWER_LIMIT_S = 0.06
+
+# Seconds for which an endpoint whose holder did not answer gets nothing from
+# this box.
+NO_ANSWER_PAUSE_S = 0.25
+
+# Boxes that may pass a question on: in a large fleet the first one that is
+# asked is most often not the holder, but one that hears it.
+MOST_HOPS = 2
+
+# Questions that a box passed on, or buckets that it keeps, at the most.
+MAX_PASSED_ON = 1024
+MAX_BUCKETS = 1024
+
+# Seconds after which a bucket that nobody asked for is forgotten; it begins
+# empty again.
+BUCKET_LIFETIME_S = 10.0
+LOOK_INTERVAL_S = 1.0
+
+MS = 0.001
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave:
+    """Leave to send one request.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        giver: The box that gave it; None where none is needed.
+    """
+
+    endpoint_id: str
+    giver: str | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    leaves: limit_leaves.LeaveBucket
+    asked_at: float
+
+
+class Leaves:
+    """The one gate that each request to an endpoint passes."""
+
+    def __init__(
+        self,
+        book: endpoint_book.EndpointBook,
+        words: limit_sync.LimitSync,
+        peers: hub.PeerHub,
+        members: membership.Membership,
+        heard: Callable[[], list[membership.Member]],
+        clock: timers.Timers,
+    ) -> None:
+        """Makes it; `start` begins to answer the other boxes.
+
+        Args:
+            book: Knows the endpoints' limits.
+            words: Told of what other boxes know of them.
+            peers: Connections to the other boxes.
+            members: Which boxes there are.
+            heard: Returns the other boxes that are heard.
+            clock: Tells the time.
+        """
+        self._limits = book.limits
+        self._words = words
+        self._peers = peers
+        self._members = members
+        self._heard = heard
+        self._timers = clock
+        self._buckets: dict[str, _Bucket] = {}
+        self._asked: dict[int, asyncio.Future[peer_messages.LeaveAnswer]] = {}
+        self._passed_on: dict[int, tuple[str, int]] = {}
+        self._last = 0
+        self._refused = 0
+        self._given = 0
+
+    @property
+    def refused(self) -> int:
+        """Requests that got no leave."""
+        return self._refused
+
+    @property
+    def given(self) -> int:
+        """Requests that this box gave leave for, also those of other boxes."""
+        return self._given
+
+    def start(self) -> None:
+        """Listens to the other boxes."""
+        self._peers.subscribe(peer_messages.AskLeave, self._on_ask)
+        self._peers.subscribe(peer_messages.LeaveAnswer, self._on_answer)
+        self._peers.subscribe(peer_messages.LeaveUnused, self._on_unused)
+        self._timers.subscribe("leaves", LOOK_INTERVAL_S, self._forget)
+
+    def holder(self, endpoint_id: str) -> str:
+        """Returns the box that this one asks for leave; its own if it holds."""
+        group = self._group(endpoint_id, self._heard())
+        found = rendezvous.owner([m.box for m in group], endpoint_id)
+        return found or self._members.own.box
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the limits, and who gives leave, by endpoint."""
+        now = self._timers.now()
+        return {
+            endpoint_id: {
+                "per_s": self._limits.per_s(endpoint_id),
+                "holder": self.holder(endpoint_id),
+                "opens_in_s": round(
+                    self._limits.opens_in_s(endpoint_id, now), 3
+                ),
+            }
+            for endpoint_id in self._limits.limited()
+        }
+
+    async def take(self, endpoint_id: str) -> Leave | None:
+        """Returns leave to send a request to an endpoint now.
+
+        To be asked right before it is sent.
+
+        Args:
+            endpoint_id: The endpoint.
+
+        Returns:
+            The leave; None if there is none now, or nobody gives it.
+        """
+        if self._limits.per_s(endpoint_id) is None:
+            return Leave(endpoint_id)
+        if not self._limits.is_open(endpoint_id, self._timers.now()):
+            self._refused += 1
+            return None
+        holder = self.holder(endpoint_id)
+        if holder == self._members.own.box:
+            wait_s = self._give(endpoint_id)
+        else:
+            wait_s = await self._ask(holder, endpoint_id)
+        self._limits.close(endpoint_id, self._timers.now() + wait_s)
+        if wait_s:
+            self._refused += 1
+            return None
+        return Leave(endpoint_id, holder)
+
+    def put_back(self, leave: Leave) -> None:
+        """Takes leave back that was not used, as nothing was sent."""
+        if leave.giver == self._members.own.box:
+            self._put_back(leave.endpoint_id)
+        elif leave.giver is not None:
+            unused = peer_messages.LeaveUnused(leave.endpoint_id, 0)
+            self._peers.send(leave.giver, unused)
+
+    def _group(
+        self, endpoint_id: str, others: list[membership.Member]
+    ) -> list[membership.Member]:
+        """Returns the boxes among which the holder is, of some and this one.
+
+        In a large fleet those are of one availability zone, as a box hears
+        few of the others; they know best who of them is there.
+        """
+        believed = self._members.believed()
+        own = self._members.own
+        # A box that is being stopped is no holder for the others any more.
+        boxes = [own, *others] if own in believed or not others else others
+        if len(believed) <= membership.ALL_LINKS_UP_TO:
+            return boxes
+        zones = {member.zone for member in boxes}
+        zone = rendezvous.owner(zones, endpoint_id)
+        return [member for member in boxes if member.zone == zone]
+
+    def _give(self, endpoint_id: str) -> float:
+        """Gives leave as the holder; returns seconds to wait, 0 if given."""
+        now = self._timers.now()
+        limit = self._limits.per_s(endpoint_id)
+        if limit is None:
+            return 0.0
+        bucket = self._buckets.get(endpoint_id)
+        if bucket is None:
+            while len(self._buckets) >= MAX_BUCKETS:
+                del self._buckets[next(iter(self._buckets))]
+            bucket = _Bucket(limit_leaves.LeaveBucket(now), now)
+            self._buckets[endpoint_id] = bucket
+        bucket.asked_at = now
+        wait_s = bucket.leaves.take(limit, self._heard_part(endpoint_id), now)
+        self._given += not wait_s
+        return wait_s
+
+    def _heard_part(self, endpoint_id: str) -> float:
+        heard = self._group(endpoint_id, self._heard())
+        own = self._members.own
+        others = [m for m in self._members.believed() if m is not own]
+        return min(1.0, len(heard) / len(self._group(endpoint_id, others)))
+
+    def _put_back(self, endpoint_id: str) -> None:
+        bucket = self._buckets.get(endpoint_id)
+        if bucket is not None:
+            bucket.leaves.put_back()
+
+    async def _ask(self, holder: str, endpoint_id: str) -> float:
+        """Asks another box for leave; returns seconds to wait, 0 if given."""
+        answered: asyncio.Future[peer_messages.LeaveAnswer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        number = self._next()
+        self._asked[number] = answered
+        # One question at a time: the others of this box go elsewhere.
+        self._limits.close(endpoint_id, self._timers.now() + ANSWER_LIMIT_S)
+        question = peer_messages.AskLeave(
+            number, self._words.word(endpoint_id), 0
+        )
+        try:
+            if self._peers.send(holder, question):
+                await asyncio.wait([answered], timeout=ANSWER_LIMIT_S)
+        finally:
+            del self._asked[number]
+        if not answered.done():
+            return NO_ANSWER_PAUSE_S
+        return answered.result().wait_ms * MS
+
+    def _next(self) -> int:
+        self._last += 1
+        return self._last
+
+    def _on_ask(self, box: str, ask: peer_messages.AskLeave) -> None:
+        endpoint_id = ask.word.endpoint
+        self._words.take(box, ask.word)
+        holder = self.holder(endpoint_id)
+        if holder == self._members.own.box:
+            self._answer(box, ask.number, endpoint_id, self._give(endpoint_id))
+            return
+        if ask.hops < MOST_HOPS and holder != box:
+            number = self._next()
+            onward = peer_messages.AskLeave(
+                number, self._words.word(endpoint_id), ask.hops + 1
+            )
+            if self._peers.send(holder, onward):
+                while len(self._passed_on) >= MAX_PASSED_ON:
+                    del self._passed_on[next(iter(self._passed_on))]
+                self._passed_on[number] = (box, ask.number)
+                return
+        self._answer(box, ask.number, endpoint_id, NO_ANSWER_PAUSE_S)
+
+    def _answer(
+        self, box: str, number: int, endpoint_id: str, wait_s: float
+    ) -> None:
+        # A wait that is rounded to nothing would read as leave.
+        wait_ms = int(wait_s / MS) + 1 if wait_s else 0
+        self._peers.send(
+            box,
+            peer_messages.LeaveAnswer(
+                number, self._words.word(endpoint_id), wait_ms
+            ),
+        )
+
+    def _on_answer(self, box: str, answer: peer_messages.LeaveAnswer) -> None:
+        self._words.take(box, answer.word)
+        passed_on = self._passed_on.pop(answer.number, None)
+        if passed_on is not None:
+            asker, number = passed_on
+            word = self._words.word(answer.word.endpoint)
+            onward = peer_messages.LeaveAnswer(number, word, answer.wait_ms)
+            self._peers.send(asker, onward)
+            return
+        waiting = self._asked.get(answer.number)
+        if waiting is None:
+            if not answer.wait_ms:
+                unused = peer_messages.LeaveUnused(answer.word.endpoint, 0)
+                self._peers.send(box, unused)
+        elif not waiting.done():
+            waiting.set_result(answer)
+
+    def _on_unused(self, box: str, unused: peer_messages.LeaveUnused) -> None:
+        holder = self.holder(unused.endpoint)
+        if holder == self._members.own.box:
+            self._put_back(unused.endpoint)
+        elif unused.hops < MOST_HOPS and holder != box:
+            self._peers.send(
+                holder,
+                dataclasses.replace(unused, hops=unused.hops + 1),
+            )
+
+    def _forget(self) -> None:
+        now = self._timers.now()
+        for endpoint_id in [
+            i
+            for i, bucket in self._buckets.items()
+            if now - bucket.asked_at > BUCKET_LIFETIME_S
+        ]:
+            del self._buckets[endpoint_id]
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -1,5 +1,6 @@
 """Which endpoints one request is offered to, one after the other."""
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 import time
@@ -15,11 +16,13 @@
 from martenjunction.decisions.boxes import shedding
 from martenjunction.endpoints import attempt
 from martenjunction.endpoints import pool
+from martenjunction.http1 import client
 from martenjunction.platform import headers
 from martenjunction.routing import admission
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import endpoint_ends
+from martenjunction.routing import leaves
 from martenjunction.routing import permits
 from martenjunction.routing import request_content
 from martenjunction.routing import suspects
@@ -60,6 +63,7 @@
         contents: Tells requests that are sent again from others.
         suspects: Knows requests under which endpoints ended.
         ends: Finds out whether endpoints have ended.
+        leaves: Gives leave to send to endpoints that name a limit.
     """
 
     admitter: admission.Admitter
@@ -75,6 +79,7 @@
     contents: request_content.ContentKeys
     suspects: suspects.Suspects
     ends: endpoint_ends.EndpointEnds
+    leaves: leaves.Leaves
 
     def closing(self) -> bool:
         """Returns whether connections end with their answer."""
@@ -94,6 +99,7 @@
         offers: Ids of the endpoints that it was offered to.
         choices: What each endpoint was chosen from, for the log.
         refusals: Endpoints that said that they did not run it.
+        got_no_leave: Whether an endpoint that names a limit took no more.
         cut_off: Whether the connection of its last run broke.
         delivered_id: Id of the last event that the client has, or None.
         first_at: When its first event came, or None.
@@ -113,6 +119,7 @@
     offers: list[str] = dataclasses.field(default_factory=list)
     choices: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     refusals: int = 0
+    got_no_leave: bool = False
     cut_off: bool = False
     delivered_id: str | None = None
     first_at: float | None = None
@@ -139,7 +146,8 @@
         endpoint: The endpoint.
         choice: What it was chosen from.
         run: The attempt there, not sent yet.
-        permit: Leave to send it there.
+        permit: Says that the request may run, and keeps account of it.
+        leave: Leave to send one more request there.
         continues: Whether a run goes on there from a copy of its memory.
     """
 
@@ -147,6 +155,7 @@
     choice: endpoint_choice.Choice
     run: attempt.Attempt
     permit: permits.Permit
+    leave: leaves.Leave
     continues: bool = False
 
 
@@ -174,11 +183,13 @@
         self._state = state
         self._avoid: set[str] = set()
         self._copy: model.Endpoint | None = None
+        self._repeat_granted = False
 
     def sent_to(self, endpoint_id: str) -> None:
         """Notes that the request goes to an endpoint, which gets it once."""
         self._state.offers.append(endpoint_id)
         self._avoid.add(endpoint_id)
+        self._repeat_granted = False
 
     async def next(self) -> Offer | None:
         """Returns an endpoint that may get the request, and a way to it.
@@ -200,6 +211,7 @@
                 return offer
             # An endpoint ended under it meanwhile.
             permit.close()
+            self._tools.leaves.put_back(offer.leave)
             self._tools.pool.release(offer.endpoint.id, offer.run.connection)
 
     async def _permit(self) -> permits.Permit | None:
@@ -255,13 +267,35 @@
                 self._avoid.add(endpoint.id)
                 self._tools.book.not_reached(endpoint.id, time.monotonic())
                 continue
-            if not self._tools.book.accepts(endpoint.id, time.monotonic()):
-                # It began to leave while the connection was made.
-                self._tools.pool.release(endpoint.id, connection)
+            leave = await self._leave(endpoint, connection)
+            if leave is None:
                 self._avoid.add(endpoint.id)
                 continue
             run = attempt.Attempt(connection, self._state.id)
-            return Offer(endpoint, choice, run, permit)
+            return Offer(endpoint, choice, run, permit, leave)
+        return None
+
+    async def _leave(
+        self, endpoint: model.Endpoint, connection: client.ClientConnection
+    ) -> leaves.Leave | None:
+        """Returns leave to send the request; else lets the connection go.
+
+        What the endpoint said of itself while the connection was made, or the
+        leave was asked for, must not be passed over.
+        """
+        leave = None
+        try:
+            leave = await self._tools.leaves.take(endpoint.id)
+            if leave is None:
+                self._state.got_no_leave = True
+            elif self._tools.book.accepts(endpoint.id, time.monotonic()):
+                return leave
+            else:
+                self._tools.leaves.put_back(leave)
+        except asyncio.CancelledError:
+            self._tools.pool.release(endpoint.id, connection)
+            raise
+        self._tools.pool.release(endpoint.id, connection)
         return None
 
     def _may_continue(self) -> bool:
@@ -294,12 +328,11 @@
         except errors.EndpointError as error:
             self._state.why = f"{endpoint.id}: {error}"
             return None
-        if not self._tools.book.accepts(endpoint.id, time.monotonic()):
-            # It began to leave while the connection was made.
-            self._tools.pool.release(endpoint.id, connection)
+        leave = await self._leave(endpoint, connection)
+        if leave is None:
             return None
         run = attempt.Attempt(connection, self._state.id)
-        return Offer(endpoint, choice, run, permit, continues=True)
+        return Offer(endpoint, choice, run, permit, leave, continues=True)
 
     def plan_copy(self, offer: Offer) -> headers.CopyPlan | None:
         """Decides where the run's memory is copied to or comes from."""
@@ -317,8 +350,10 @@
         ):
             return None
         now = time.monotonic()
+        # A run could not go on at once where leave has to be waited for.
+        limited = set(self._tools.book.limits.limited())
         chosen = self._tools.book.choose(
-            self._taken.service, self._demand, self._avoid, now
+            self._taken.service, self._demand, self._avoid | limited, now
         )
         if chosen is None:
             return None
@@ -371,6 +406,9 @@
             return False
         if self._state.progress.attempts == 0:
             return True
-        return self._tools.budget.take(
-            self._taken.service.name, time.monotonic()
-        )
+        if not self._repeat_granted:
+            # Once for what is sent, however many endpoints do not take it.
+            self._repeat_granted = self._tools.budget.take(
+                self._taken.service.name, time.monotonic()
+            )
+        return self._repeat_granted
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -179,6 +179,104 @@
     ids: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitWord:
+    """What a box knows of the limit of an endpoint.
+
+    Attributes:
+        endpoint: The endpoint's id, of one start.
+        per_s: Requests a second that it takes from all boxes; None for no
+            limit.
+        age_ms: Milliseconds since the box that heard it first did so; None if
+            nothing was heard.
+    """
+
+    endpoint: str
+    per_s: float | None
+    age_ms: int | None
+
+
+@codec.message("endpoint-limits", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointLimits:
+    """Endpoints that take only so many requests a second.
+
+    The first three have an item for each endpoint; see `LimitWord`.
+
+    Attributes:
+        endpoints: Their ids.
+        per_s: Requests a second that each takes.
+        ages_ms: Milliseconds since that was first heard.
+        first_hand: Whether the sender heard it from the endpoints.
+    """
+
+    endpoints: tuple[str, ...]
+    per_s: tuple[float | None, ...]
+    ages_ms: tuple[int | None, ...]
+    first_hand: bool
+
+    @classmethod
+    def of(cls, words: list[LimitWord], first_hand: bool) -> "EndpointLimits":
+        """Returns the message that tells some words."""
+        return cls(
+            tuple(word.endpoint for word in words),
+            tuple(word.per_s for word in words),
+            tuple(word.age_ms for word in words),
+            first_hand,
+        )
+
+    def words(self) -> list[LimitWord]:
+        """Returns what it tells of each endpoint."""
+        rows = zip(self.endpoints, self.per_s, self.ages_ms, strict=False)
+        return [LimitWord(*row) for row in rows]
+
+
+@codec.message("ask-leave", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskLeave:
+    """A box wants to send a request to an endpoint that names a limit.
+
+    Attributes:
+        number: Names the question in its answer.
+        word: The endpoint, and what is known of its limit.
+        hops: Boxes that passed the question on.
+    """
+
+    number: int
+    word: LimitWord
+    hops: int
+
+
+@codec.message("leave-answer", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveAnswer:
+    """Leave to send a request, or the time to ask again.
+
+    Attributes:
+        number: The question.
+        word: The endpoint, and what is known of its limit.
+        wait_ms: Milliseconds after which to ask again; 0 if leave is given.
+    """
+
+    number: int
+    word: LimitWord
+    wait_ms: int
+
+
+@codec.message("leave-unused", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveUnused:
+    """A request for which leave was given was not sent.
+
+    Attributes:
+        endpoint: The endpoint.
+        hops: Boxes that passed this on.
+    """
+
+    endpoint: str
+    hops: int
+
+
 @codec.message("suspects", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspects:
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -181,6 +181,10 @@
             if self._hears(member) and self._statuses[member.box].status.ready
         ]
 
+    def heard(self) -> list[membership.Member]:
+        """Returns the other boxes that are believed and heard."""
+        return [m for m in self._members.believed() if self._hears(m)]
+
     def _on_status(self, box: str, status: peer_messages.BoxStatus) -> None:
         now = self._timers.now()
         self._statuses[box] = _Told(now, self._timers.listened(), status)
--- a/martenjunction_lab/limit_outcome.py
+++ b/martenjunction_lab/limit_outcome.py
@@ -18,6 +18,20 @@
 MORE = 5
 
 
+def allowed(limit_per_s: float) -> float:
+    """Returns the requests that a limit allows in a window."""
+    return PART * WINDOW_S * limit_per_s + MORE
+
+
+def most_in_window(times: list[float]) -> int:
+    """Returns the most of some moments that lie in one window."""
+    ordered = sorted(times)
+    return max(
+        bisect.bisect_left(ordered, at + WINDOW_S) - number
+        for number, at in enumerate(ordered)
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
     """A request that reached an endpoint.
@@ -166,8 +180,7 @@
             if limit is None:
                 continue
             first = bisect.bisect_left(counted, at - WINDOW_S)
-            allowed = PART * WINDOW_S * limit + MORE
-            parts.append((number + 1 - first) / allowed)
+            parts.append((number + 1 - first) / allowed(limit))
         return parts
 
 
--- /dev/null
+++ b/tests/limited_fleet.py
@@ -0,0 +1,124 @@
+"""Boxes of a large fleet that ask each other for leave, in simulated time."""
+
+import asyncio
+import dataclasses
+import random
+from typing import Any
+
+from martenjunction import timers
+from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.peers import membership
+from martenjunction.routing import decision_log
+from martenjunction.routing import endpoint_book
+from martenjunction.routing import leaves
+from martenjunction.routing import limit_sync
+from tests import linked_boxes
+from tests import routing_builders as builders
+
+ENDPOINT = "e1"
+
+# Passes of the loop in which a question goes two hops and its answer back.
+PASSES = 12
+STEP_S = 0.02
+
+
+@dataclasses.dataclass
+class Members:
+    """What one box believes of the others: all are there."""
+
+    own: membership.Member
+    all: list[membership.Member]
+
+    def believed(self) -> list[membership.Member]:
+        return self.all
+
+
+class Box:
+    """One box: its words and its leave.
+
+    Attributes:
+        heard: Names of the boxes that it hears.
+    """
+
+    def __init__(
+        self,
+        fleet: "LimitedBoxes",
+        node: linked_boxes.Node,
+        members: list[membership.Member],
+    ) -> None:
+        own = next(m for m in members if m.box == node.name)
+        clock = timers.Timers(lambda: fleet.now)
+        log = decision_log.DecisionLog(clock.now)
+        listed = endpoint_list.EndpointList()
+        listed.take_listing([(builders.endpoint(ENDPOINT), 3)], 5, now=0.0)
+        self.heard = set(node.links)
+        self.book = endpoint_book.EndpointBook(listed, log, random.Random(1))
+        believed: Any = Members(own, members)
+        peers: Any = node
+        self.limits = limit_sync.LimitSync(
+            self.book, peers, believed, clock, log
+        )
+        self.leaves = leaves.Leaves(
+            self.book,
+            self.limits,
+            peers,
+            believed,
+            lambda: [m for m in members if m.box in self.heard],
+            clock,
+        )
+        self.limits.start(node.emitter)
+        self.leaves.start()
+
+
+class LimitedBoxes:
+    """Boxes with the links of a large fleet, before one endpoint.
+
+    Attributes:
+        now: The time, in seconds.
+        sends: When leave to send was had.
+    """
+
+    def __init__(self, seed: int = 1) -> None:
+        self.now = 0.0
+        self.sends: list[float] = []
+        self.linked = linked_boxes.LinkedBoxes()
+        members = [
+            membership.Member(node.name, f"zone-{node.zone}", "", "", "")
+            for node in self.linked.nodes.values()
+        ]
+        self.boxes = {
+            name: Box(self, node, members)
+            for name, node in self.linked.nodes.items()
+        }
+        self.draw = random.Random(seed)
+
+    def hear(self, box: str, per_s: float | None) -> None:
+        """Has an answer to a box name a limit."""
+        self.boxes[box].limits.say(ENDPOINT, per_s, self.now)
+
+    async def run(self, seconds: float, asks_per_s: float) -> None:
+        """Lets drawn boxes ask for leave to send."""
+        until = self.now + seconds
+        names = list(self.boxes)
+        owed = 0.0
+        while self.now < until:
+            self.now += STEP_S
+            owed += asks_per_s * STEP_S
+            asking = []
+            while owed >= 1.0:
+                owed -= 1.0
+                asking.append(self.boxes[self.draw.choice(names)])
+            questions = [
+                asyncio.ensure_future(box.leaves.take(ENDPOINT))
+                for box in asking
+            ]
+            await self.settle()
+            for question in questions:
+                assert question.done()
+                if question.result() is not None:
+                    self.sends.append(self.now)
+
+    async def settle(self) -> None:
+        """Lets messages arrive."""
+        for _ in range(PASSES):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_leaves.py
@@ -0,0 +1,108 @@
+"""Leave to send, asked of one box by all others of a large fleet."""
+
+import pytest
+
+from martenjunction.decisions.boxes import limit_leaves
+from martenjunction.routing import leaves
+from martenjunction.routing import peer_messages
+from martenjunction_lab import limit_outcome
+from tests import limited_fleet
+from tests import linked_boxes
+
+ENDPOINT = limited_fleet.ENDPOINT
+
+
+async def told(per_s: float) -> limited_fleet.LimitedBoxes:
+    fleet = limited_fleet.LimitedBoxes()
+    fleet.hear("box-0", per_s)
+    await fleet.settle()
+    return fleet
+
+
+async def test_all_boxes_hear_of_a_limit_and_of_its_end() -> None:
+    fleet = await told(2.0)
+    limits = [box.book.limits for box in fleet.boxes.values()]
+    assert {known.per_s(ENDPOINT) for known in limits} == {2.0}
+    assert fleet.linked.sent <= fleet.linked.links
+    fleet.now += 1.0
+    fleet.hear("box-40", None)
+    await fleet.settle()
+    assert {known.per_s(ENDPOINT) for known in limits} == {None}
+
+
+@pytest.mark.parametrize("limit", [1.0, 20.0])
+async def test_a_large_fleet_keeps_to_a_limit_and_uses_half_of_it(
+    limit: float,
+) -> None:
+    fleet = await told(limit)
+    before = fleet.linked.sent
+    seconds = 12.0
+    await fleet.run(seconds, asks_per_s=120.0)
+    most = limit_outcome.most_in_window(fleet.sends)
+    assert most <= limit_outcome.allowed(limit)
+    assert len(fleet.sends) >= 0.5 * limit * seconds
+    # Each box asks in vain once in the longest turn at most, and a question
+    # goes over as many links as it may, there and back.
+    asked = linked_boxes.BOXES / limit_leaves.LONGEST_TURN_S + limit
+    hops = 2 * (1 + leaves.MOST_HOPS)
+    assert fleet.linked.sent - before <= seconds * asked * hops
+
+
+async def test_boxes_that_lose_the_holder_ask_the_next() -> None:
+    fleet = await told(20.0)
+    holders = {box.leaves.holder(ENDPOINT) for box in fleet.boxes.values()}
+    final = {h for h in holders if fleet.boxes[h].leaves.holder(ENDPOINT) == h}
+    assert len(final) == 1
+    [gone] = final
+    for box in fleet.boxes.values():
+        box.heard.discard(gone)
+    await fleet.run(4.0, asks_per_s=60.0)
+    assert len(fleet.sends) >= 0.5 * 20.0 * 4.0
+
+
+async def test_leave_that_was_not_used_reaches_the_holder_again() -> None:
+    fleet = await told(2.0)
+    fleet.now += 10.0
+    for box in fleet.boxes.values():
+        holder = box.leaves.holder(ENDPOINT)
+        if fleet.boxes[holder].leaves.holder(ENDPOINT) != holder:
+            asker = box
+    assert await asker.leaves.take(ENDPOINT) is None
+    fleet.now += 2.0
+    leave = await asker.leaves.take(ENDPOINT)
+    assert leave is not None
+    asker.leaves.put_back(leave)
+    await fleet.settle()
+    assert await asker.leaves.take(ENDPOINT) is not None
+
+
+async def test_holder_that_does_not_answer_costs_little(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(leaves, "ANSWER_LIMIT_S", 0.01)
+    fleet = await told(2.0)
+    asker, holder = next(
+        (box, box.leaves.holder(ENDPOINT))
+        for name, box in fleet.boxes.items()
+        if box.leaves.holder(ENDPOINT) != name
+    )
+    node = fleet.linked.nodes[holder]
+    node.subscribe(peer_messages.AskLeave, lambda box, message: None)
+    assert await asker.leaves.take(ENDPOINT) is None
+    # Nobody asks it again at once.
+    before = fleet.linked.sent
+    assert await asker.leaves.take(ENDPOINT) is None
+    assert fleet.linked.sent == before
+
+
+async def test_box_that_holds_old_news_learns_of_the_end_from_the_holder() -> (
+    None
+):
+    fleet = await told(2.0)
+    fleet.now += 1.0
+    for name, box in fleet.boxes.items():
+        if name != "box-3":
+            box.book.limits.take(ENDPOINT, None, fleet.now)
+    asker = fleet.boxes["box-3"]
+    assert await asker.leaves.take(ENDPOINT) is not None
+    assert asker.book.limits.per_s(ENDPOINT) is None
--- /dev/null
+++ b/tests/test_limit_gate.py
@@ -0,0 +1,196 @@
+"""Each way to send something to an endpoint asks for leave, where it has to."""
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from martenjunction import errors
+from martenjunction_lab import boxes
+from martenjunction_lab import replica
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+
+Behaviour = replica.Behaviour
+
+
+class Limited(replica.Replica):
+    """A replica that names a limit in its answers."""
+
+    limit: str | None = "1"
+
+    def _notices(
+        self, request: replica.Received, status: int
+    ) -> dict[str, str]:
+        return {} if self.limit is None else {"Server-Limit": self.limit}
+
+
+async def limited(
+    fleet: boxes.Boxes, service: str, count: int
+) -> list[Limited]:
+    """Returns replicas of a service that name limits."""
+    made = [Limited(f"i-{number}") for number in range(1, count + 1)]
+    for one in made:
+        await one.start()
+        fleet.replicas.append(one)
+        fleet.record(one, service)
+    await fleet.until_listed()
+    return made
+
+
+def say(fleet: boxes.Boxes, made: Limited, limit: float) -> None:
+    """Has all boxes hear of a limit, as if the replica had named it."""
+    for box in fleet.gateways:
+        box.limits.say(made.id, limit, time.monotonic())
+
+
+async def test_request_that_nobody_may_be_sent_is_refused_at_once(
+    fleet: boxes.Boxes,
+) -> None:
+    [made] = await limited(fleet, builders.PLAIN, 1)
+    assert (await requests.ask(fleet, "/safe/"))[0].status == 200
+    head, body = await requests.ask(fleet, "/safe/", "r2")
+    assert (head.status, body) == (503, b"endpoints-limited")
+    assert 0.0 < float(head.get(b"retry-after") or b"0") <= 4.0
+    assert len(made.received) == 1
+
+
+async def test_request_that_comes_back_when_it_was_told_is_served(
+    fleet: boxes.Boxes,
+) -> None:
+    [made] = await limited(fleet, builders.PLAIN, 1)
+    made.limit = "20"
+    await requests.ask(fleet, "/safe/")
+    head, _ = await requests.ask(fleet, "/safe/", "r2")
+    assert head.status == 503
+    await asyncio.sleep(float(head.get(b"retry-after") or b"0"))
+    head, _ = await requests.ask(fleet, "/safe/", "r3")
+    assert head.status == 200
+
+
+@pytest.mark.parametrize("path", ["/safe/", "/unsafe/", "/digest/", "/chat/"])
+async def test_requests_go_where_no_leave_is_needed(
+    fleet: boxes.Boxes, path: str
+) -> None:
+    engine = path in ("/digest/", "/chat/")
+    service = builders.ENGINE if engine else builders.PLAIN
+    made = await limited(fleet, service, 2)
+    made[1].limit = None
+    say(fleet, made[0], 0.0)
+    for number in range(6):
+        head, _ = await requests.ask(fleet, path, f"r{number}")
+        assert head.status == 200
+    assert not made[0].received
+
+
+async def test_repeat_asks_for_leave(fleet: boxes.Boxes) -> None:
+    made = await limited(fleet, builders.PLAIN, 2)
+    made[1].limit = None
+    made[1].always(Behaviour.FAIL)
+    say(fleet, made[0], 0.0)
+    head, _ = await requests.ask(fleet, "/safe/")
+    assert head.status == 500
+    assert not made[0].received
+
+
+async def test_health_check_asks_for_leave(fleet: boxes.Boxes) -> None:
+    [made] = await limited(fleet, builders.PLAIN, 1)
+    say(fleet, made, 0.0)
+    box = fleet.gateways[0]
+    await box.prober._probe(box.listed.entries[made.id].endpoint, "/healthz")
+    assert not made.received
+
+
+async def test_limit_that_begins_while_a_request_waits_for_a_connection(
+    fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    made = await requests.two_plain(fleet)
+    box = fleet.gateways[0]
+    asked = requests.on_first_connection(
+        monkeypatch,
+        box,
+        lambda endpoint: box.limits.say(endpoint, 0.0, time.monotonic()),
+    )
+    head, _ = await asyncio.wait_for(requests.ask(fleet, "/safe/"), 10.0)
+    assert head.status == 200
+    [first] = [m for m in made if m.id == asked[0]]
+    assert not first.received
+
+
+async def test_run_is_not_copied_to_an_endpoint_that_names_a_limit(
+    fleet: boxes.Boxes,
+) -> None:
+    config = builders.config_document(9)
+    config["services"][1]["engine"]["backups"] = True
+    fleet.configure(config)
+    made = await limited(fleet, builders.ENGINE, 2)
+    made[1].limit = None
+    say(fleet, made[0], 20.0)
+    await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
+    await requests.ask(fleet, "/chat/")
+    [got] = made[1].received
+    assert "martenjunction-kv-backup" not in got.headers
+
+
+async def test_leave_for_what_is_not_sent_is_given_back(
+    fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    [made] = await limited(fleet, builders.PLAIN, 1)
+    say(fleet, made, 20.0)
+    box = fleet.gateways[0]
+    returned: list[str] = []
+    monkeypatch.setattr(
+        box.leaves, "put_back", lambda leave: returned.append(leave.endpoint_id)
+    )
+    await requests.ask(fleet, "/safe/")
+    await asyncio.sleep(0.2)
+    # It begins to leave while the request asks for leave.
+    take = box.leaves.take
+
+    async def taking(endpoint_id: str) -> object:
+        leave = await take(endpoint_id)
+        box.listed.say_leaving(endpoint_id)
+        return leave
+
+    monkeypatch.setattr(box.leaves, "take", taking)
+    with contextlib.suppress(errors.TransportError):
+        await requests.ask(fleet, "/safe/", "r2")
+    assert not made.received
+    assert returned == [made.id]
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [Behaviour.SERVE, Behaviour.REFUSE, Behaviour.FAIL, Behaviour.BARE_503],
+)
+async def test_any_answer_names_a_limit(
+    fleet: boxes.Boxes, behaviour: Behaviour
+) -> None:
+    [made] = await limited(fleet, builders.PLAIN, 1)
+    made.always(behaviour)
+    await requests.ask(fleet, "/safe/")
+    assert fleet.gateways[0].book.limits.per_s(made.id) == 1.0
+
+
+async def test_answer_to_a_health_check_does_not_end_a_limit(
+    fleet: boxes.Boxes,
+) -> None:
+    [made] = await limited(fleet, builders.PLAIN, 1)
+    box = fleet.gateways[0]
+    say(fleet, made, 2.0)
+    made.limit = None
+    made.always(Behaviour.REFUSE)
+    await box.prober._ask(box.listed.entries[made.id].endpoint, "/healthz")
+    assert made.received
+    assert box.book.limits.per_s(made.id) == 2.0
+
+
+async def test_dump_tells_limits_and_who_gives_leave(
+    fleet: boxes.Boxes,
+) -> None:
+    [made] = await limited(fleet, builders.PLAIN, 1)
+    await requests.ask(fleet, "/safe/")
+    box = fleet.gateways[0]
+    told = box.dump()["limits"][made.id]
+    assert (told["per_s"], told["holder"]) == (1.0, box.members.own.box)
--- a/tests/test_limited_endpoints.py
+++ b/tests/test_limited_endpoints.py
@@ -3,7 +3,10 @@
 An engine named 2.1 requests a second in its answers from 8.0 s on. In the 4 s
 from 11.025 s on it got 31 requests, from all six boxes, where 18 are allowed;
 another one that named 1 got 13 in the 4 s from 18.086 s on, of 11. No line of
-any log tells of a limit.
+any log told of a limit, and the log has 2 to 6 requests there of each of five
+boxes in those 4 s: as many as before, the busiest engine of five. No head of an
+answer was searched for a limit. It is one number for all boxes together, so no
+box can keep to it alone; one gives leave for all of them.
 """
 
 import dataclasses
@@ -46,3 +49,29 @@
     used = seen.used().values()
     assert sum(used) / len(used) >= LEAST_USED
     assert seen.served >= 0.99 * seen.sent
+
+
+@pytest.mark.parametrize("limit", ["0", "0.5"])
+async def test_endpoint_that_takes_nearly_nothing_gets_little(
+    limit: str,
+) -> None:
+    seen = await play(limit=limit)
+    assert seen.windows()
+    assert seen.broken == 0
+    assert seen.served >= 0.99 * seen.sent
+
+
+async def test_endpoint_whose_limit_ends_gets_its_work_again() -> None:
+    seen = await play(limit="1", ends_s=6.0, seconds=10.0)
+    assert seen.broken == 0
+    assert all(seen.work_after_end(2.0).values())
+    assert seen.served >= 0.99 * seen.sent
+
+
+async def test_all_endpoints_of_a_service_may_name_limits() -> None:
+    seen = await play(tell_plain=SHORT.plain, tell_engines=0)
+    assert seen.windows()
+    assert seen.broken == 0
+    assert set(seen.statuses) <= {200, 503}
+    assert {r.code for r in seen.refusals} == {"endpoints-limited"}
+    assert all(r.back_in_s for r in seen.refusals)
--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -123,6 +123,7 @@
         None,  # type: ignore[arg-type]
         connections,
         None,  # type: ignore[arg-type]
+        None,  # type: ignore[arg-type]
         timers.Timers(),
     )
     asking = asyncio.create_task(
