A box that was held up draws again before it tries a suspected request

What callers saw: a request under which endpoints end was begun by two to six boxes within 1 ms, and reached more endpoints than it should. Cause: each box waits for a drawn time, up to 0.06 s, so that one hears of another's trial; a hold-up ends all waits at once, before what was told meanwhile is read. Change: a wait that ended more than 0.03 s late is drawn again.

--- a/martenjunction/routing/suspects.py
+++ b/martenjunction/routing/suspects.py
@@ -147,8 +147,7 @@
             elif (
                 ruling.verdict is suspect_table.Verdict.ALONE and not staggered
             ):
-                staggered = True
-                await self._wait(key, self._rng.uniform(0.0, STAGGER_S))
+                staggered = await self._stagger(key) or now >= until
                 continue
             return self._give(key, service, ruling, now)
 
@@ -261,6 +260,17 @@
         ready = self._listed.ready(service.name)
         return frozenset(model.build(endpoint, service) for endpoint in ready)
 
+    async def _stagger(self, key: request_content.ContentKey) -> bool:
+        """Waits for a drawn time; returns whether it ended in time.
+
+        A loop that was held up has not read yet what other boxes told
+        meanwhile: all of them would begin a trial in the same moment.
+        """
+        wait_s = self._rng.uniform(0.0, STAGGER_S)
+        due = self._timers.now() + wait_s
+        await self._wait(key, wait_s)
+        return self._timers.now() - due <= timers.HELD_UP_S
+
     async def _wait(
         self, key: request_content.ContentKey, wait_s: float
     ) -> None:
