--- a/martenjunction_lab/bench.py
+++ b/martenjunction_lab/bench.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import os
 import random
 import socket
 
@@ -18,13 +19,23 @@
 # take a port between its choice here and its use.
 PORTS = range(10_000, 32_000)
 
+# Ports that a process takes before any others, so that processes of tests
+# that run beside each other do not take one between its choice and its use.
+OWN_PORTS = 2_000
+
 _given: set[int] = set()
 
 
+def _own_ports() -> range:
+    first = PORTS.start + os.getpid() * OWN_PORTS % len(PORTS)
+    return range(first, min(first + OWN_PORTS, PORTS.stop))
+
+
 def free_port() -> int:
     """Returns a loopback port that is free now, and no port twice."""
     while True:
-        port = random.choice(PORTS)
+        few_given = len(_given) < OWN_PORTS // 2
+        port = random.choice(_own_ports() if few_given else PORTS)
         if port in _given:
             continue
         with socket.socket() as probe:
