A prompt counts once however many engines give it no leave

What callers would have seen: engines divided between long and short prompts by a demand that is several times the true one, while engines name limits. Cause: what a request asks to be read was noted at each choice of an endpoint, also where the one before had no leave or no connection left for it. Change: it is noted once a request. Measured: a test that failed before (3 in place of 1); 18 pass.

--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -184,6 +184,7 @@
         self._avoid: set[str] = set()
         self._copy: model.Endpoint | None = None
         self._repeat_granted = False
+        self._asked = False
 
     def sent_to(self, endpoint_id: str) -> None:
         """Notes that the request goes to an endpoint, which gets it once."""
@@ -247,12 +248,7 @@
                 return None
             endpoint, choice = chosen
             if not self._state.offers and self._demand.is_engine:
-                self._tools.book.engines.note_asked(
-                    self._demand.service,
-                    choice.unread,
-                    self._demand.is_long,
-                    now,
-                )
+                self._note_asked(choice, now)
                 self._shed_if_late(choice, now)
             try:
                 connection = await self._tools.pool.acquire(
@@ -275,6 +271,14 @@
             return Offer(endpoint, choice, run, permit, leave)
         return None
 
+    def _note_asked(self, choice: endpoint_choice.Choice, now: float) -> None:
+        """Counts the prompt, once however many endpoints do not take it."""
+        if not self._asked:
+            self._asked = True
+            self._tools.book.engines.note_asked(
+                self._demand.service, choice.unread, self._demand.is_long, now
+            )
+
     async def _leave(
         self, endpoint: model.Endpoint, connection: client.ClientConnection
     ) -> leaves.Leave | None:
--- a/tests/test_limit_gate.py
+++ b/tests/test_limit_gate.py
@@ -102,6 +102,22 @@
     assert not made.received
 
 
+async def test_prompt_counts_once_however_many_engines_give_no_leave(
+    fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    made = await limited(fleet, builders.ENGINE, 3)
+    for one in made:
+        say(fleet, one, 0.0)
+    asked: list[int] = []
+    engines = fleet.gateways[0].book.engines
+    monkeypatch.setattr(
+        engines, "note_asked", lambda service, tokens, *_: asked.append(tokens)
+    )
+    head, _ = await requests.ask(fleet, "/digest/")
+    assert head.status == 503
+    assert len(asked) == 1
+
+
 async def test_limit_that_begins_while_a_request_waits_for_a_connection(
     fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
