Requests to endpoints that name a limit are granted: one word for it

Cause: 'leave' named the right to send, beside endpoints that leave and a box's own planned stop, 'leave()'; a newcomer could not tell them apart. Change: grants, a holder's grant bucket, 'grants_given' and 'grants_refused' in the metrics; the reason for one holder stands at the gate. Conclusion: nothing is decided otherwise.

--- a/martenjunction/decisions/boxes/endpoint_limits.py
+++ b/martenjunction/decisions/boxes/endpoint_limits.py
@@ -25,8 +25,7 @@
     Attributes:
         per_s: Requests a second; None if it has no limit any more.
         since: Steady clock when that was first heard.
-        closed_until: Steady clock until which this box has no leave to send
-            there.
+        closed_until: Steady clock until which this box is granted nothing.
     """
 
     per_s: float | None
@@ -118,14 +117,14 @@
         return not self.opens_in_s(endpoint_id, now)
 
     def opens_in_s(self, endpoint_id: str, now: float) -> float:
-        """Returns the seconds until this box may ask for leave; 0 for now."""
+        """Returns the seconds until this box may ask for a grant; 0 for now."""
         word = self._words.get(endpoint_id)
         if word is None or word.per_s is None:
             return 0.0
         return max(0.0, word.closed_until - now)
 
     def close(self, endpoint_id: str, until: float) -> None:
-        """Notes that this box gets no leave before a moment."""
+        """Notes that this box is granted nothing before a moment."""
         word = self._words.get(endpoint_id)
         if word is not None:
             word.closed_until = until
--- a/martenjunction/decisions/boxes/limit_leaves.py
+++ b/martenjunction/decisions/boxes/grant_bucket.py
@@ -1,22 +1,22 @@
-"""Leave to send to an endpoint that names a limit, as its holder gives it.
+"""How the holder of an endpoint that names a limit grants requests to it.
 
-One box, the endpoint's holder, gives leave for each request that any box sends
-there. Boxes may disagree on who that is for some seconds.
+One box, the endpoint's holder, grants each request that any box sends there.
+Boxes may disagree on who that is for some seconds.
 """
 
-# Part of a limit that a holder gives leave for, and the part in the first
-# seconds, in which another box may still take itself for the holder: together
-# they stay within one and a half times the limit.
+# Part of a limit that a holder grants, and the part in its first seconds, in
+# which another box may still take itself for the holder: together they stay
+# within one and a half times the limit.
 GRANTED_PART = 0.9
 FIRST_PART = 0.6
 FIRST_S = 4.0
 
-# Requests a second for which leave is given whatever the limit: what takes none
-# at all would never be heard to take some again.
+# Requests a second that are granted whatever the limit: what takes none at all
+# would never be heard to take some again.
 LEAST_PER_S = 0.5
 
-# Requests for which leave is kept at most while nobody asks: two holders with
-# more would exceed the limit, and at the least rate two with as many.
+# Grants that are kept at most while nobody asks: two holders with more would
+# exceed the limit, and at the least rate two with as many.
 MOST_KEPT = 2.0
 MOST_KEPT_SLOW = 1.0
 
@@ -27,13 +27,13 @@
 LONGEST_TURN_S = 2.0
 
 
-class LeaveBucket:
-    """Leave for one endpoint, as one holder gives it."""
+class GrantBucket:
+    """A token bucket for one endpoint, at one holder."""
 
     def __init__(self, now: float) -> None:
-        """Makes one that has nothing to give yet.
+        """Makes an empty bucket.
 
-        A box that becomes the holder does not know what was given before.
+        A box that becomes the holder does not know what was granted before.
 
         Args:
             now: The current time.
@@ -44,7 +44,7 @@
         self._last_turn = now
 
     def take(self, limit_per_s: float, heard_part: float, now: float) -> float:
-        """Gives leave for a request if there is some.
+        """Grants a request if there is room for it.
 
         Args:
             limit_per_s: The endpoint's limit.
@@ -53,7 +53,7 @@
             now: The current time.
 
         Returns:
-            0 if it is given, else the seconds after which to ask again. Those
+            0 if it is granted, else the seconds after which to ask again. Those
             who ask in vain are told one turn after the other, so that not all
             of them come back for one request.
         """
@@ -72,5 +72,5 @@
         return self._last_turn - now
 
     def put_back(self) -> None:
-        """Takes leave back that was not used."""
+        """Takes a grant back that was not used."""
         self._kept += 1.0
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -35,13 +35,13 @@
 from martenjunction.routing import endpoint_notices
 from martenjunction.routing import exchange
 from martenjunction.routing import follower
-from martenjunction.routing import leaves
 from martenjunction.routing import leaving_sync
 from martenjunction.routing import limit_sync
 from martenjunction.routing import offers
 from martenjunction.routing import peer_sync
 from martenjunction.routing import picture
 from martenjunction.routing import prober
+from martenjunction.routing import rate_grants
 from martenjunction.routing import request_content
 from martenjunction.routing import suspects
 
@@ -179,7 +179,7 @@
         self.limits = limit_sync.LimitSync(
             self.book, self.peers, self.members, self.timers, self.log
         )
-        self.leaves = leaves.Leaves(
+        self.grants = rate_grants.RateGrants(
             self.book,
             self.limits,
             self.peers,
@@ -207,7 +207,7 @@
             self._rng,
         )
         self.prober = prober.Prober(
-            self.book, self.pool, self.admitter, self.leaves, self.timers
+            self.book, self.pool, self.admitter, self.grants, self.timers
         )
         self._tools = offers.Tools(
             self.admitter,
@@ -223,7 +223,7 @@
             request_content.ContentKeys(_peer_key(settings)),
             self.suspects,
             self.ends,
-            self.leaves,
+            self.grants,
         )
         self._callers = self._server(
             "callers", self._serve_caller, self._limits
@@ -249,7 +249,7 @@
         self.suspects.start()
         self.leaving_endpoints.start(self.events)
         self.limits.start(self.events)
-        self.leaves.start()
+        self.grants.start()
         self.prober.start()
         self.follower.start()
         await self.peers.start()
@@ -337,7 +337,7 @@
                 self.log,
                 self.timers.now(),
             ),
-            "limits": self.leaves.dump(),
+            "limits": self.grants.dump(),
             "suspects": self.suspects.dump(),
         }
 
@@ -442,8 +442,8 @@
                 "endpoints_leaving": float(len(self.listed.leaving)),
                 "endpoints_resting": float(self.book.resting(now)),
                 "endpoints_limited": float(len(self.book.limits.limited())),
-                "leaves_given": float(self.leaves.given),
-                "leaves_refused": float(self.leaves.refused),
+                "grants_given": float(self.grants.given),
+                "grants_refused": float(self.grants.refused),
                 "suspects": float(len(self.suspects.dump())),
                 "quarantined_refused": float(self.suspects.refused),
                 "entries_unreadable": float(self.picture.unreadable),
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -110,7 +110,7 @@
             # Its end is told a turn later: the run would be given up at once.
             self._state.why = CLIENT_LEFT
             offer.permit.close()
-            self._tools.leaves.put_back(offer.leave)
+            self._tools.grants.put_back(offer.grant)
             self._tools.pool.release(endpoint.id, run.connection)
             raise errors.ConnectionLostError("the client left")
         book = self._tools.book
@@ -125,7 +125,7 @@
             failed = not done
             return done
         except errors.EndpointNotReachedError:
-            self._tools.leaves.put_back(offer.leave)
+            self._tools.grants.put_back(offer.grant)
             return False
         except errors.EndpointError as error:
             self._state.why = f"{endpoint.id}: {error}"
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -292,8 +292,8 @@
             taken.service, time.monotonic()
         )
         limited = self._tools.book.limited(taken.service.name)
-        if limited and (opens_in_s is not None or self._state.got_no_leave):
-            # One that gave it no leave may give the next request some.
+        if limited and (opens_in_s is not None or self._state.got_no_grant):
+            # One that took no more may take the next request.
             await self._refuse(
                 503, "endpoints-limited", opens_in_s or RETRY_BUSY_S
             )
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -22,8 +22,8 @@
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_book
 from martenjunction.routing import endpoint_ends
-from martenjunction.routing import leaves
 from martenjunction.routing import permits
+from martenjunction.routing import rate_grants
 from martenjunction.routing import request_content
 from martenjunction.routing import suspects
 
@@ -63,7 +63,7 @@
         contents: Tells requests that are sent again from others.
         suspects: Knows requests under which endpoints ended.
         ends: Finds out whether endpoints have ended.
-        leaves: Gives leave to send to endpoints that name a limit.
+        grants: Gates requests to endpoints that name a limit.
     """
 
     admitter: admission.Admitter
@@ -79,7 +79,7 @@
     contents: request_content.ContentKeys
     suspects: suspects.Suspects
     ends: endpoint_ends.EndpointEnds
-    leaves: leaves.Leaves
+    grants: rate_grants.RateGrants
 
     def closing(self) -> bool:
         """Returns whether connections end with their answer."""
@@ -99,7 +99,7 @@
         offers: Ids of the endpoints that it was offered to.
         choices: What each endpoint was chosen from, for the log.
         refusals: Endpoints that said that they did not run it.
-        got_no_leave: Whether an endpoint that names a limit took no more.
+        got_no_grant: Whether an endpoint that names a limit took no more.
         cut_off: Whether the connection of its last run broke.
         delivered_id: Id of the last event that the client has, or None.
         first_at: When its first event came, or None.
@@ -119,7 +119,7 @@
     offers: list[str] = dataclasses.field(default_factory=list)
     choices: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     refusals: int = 0
-    got_no_leave: bool = False
+    got_no_grant: bool = False
     cut_off: bool = False
     delivered_id: str | None = None
     first_at: float | None = None
@@ -147,7 +147,7 @@
         choice: What it was chosen from.
         run: The attempt there, not sent yet.
         permit: Says that the request may run, and keeps account of it.
-        leave: Leave to send one more request there.
+        grant: Part of the endpoint's limit that the request takes.
         continues: Whether a run goes on there from a copy of its memory.
     """
 
@@ -155,7 +155,7 @@
     choice: endpoint_choice.Choice
     run: attempt.Attempt
     permit: permits.Permit
-    leave: leaves.Leave
+    grant: rate_grants.RateGrant
     continues: bool = False
 
 
@@ -212,7 +212,7 @@
                 return offer
             # An endpoint ended under it meanwhile.
             permit.close()
-            self._tools.leaves.put_back(offer.leave)
+            self._tools.grants.put_back(offer.grant)
             self._tools.pool.release(offer.endpoint.id, offer.run.connection)
 
     async def _permit(self) -> permits.Permit | None:
@@ -263,12 +263,12 @@
                 self._avoid.add(endpoint.id)
                 self._tools.book.not_reached(endpoint.id, time.monotonic())
                 continue
-            leave = await self._leave(endpoint, connection)
-            if leave is None:
+            grant = await self._grant(endpoint, connection)
+            if grant is None:
                 self._avoid.add(endpoint.id)
                 continue
             run = attempt.Attempt(connection, self._state.id)
-            return Offer(endpoint, choice, run, permit, leave)
+            return Offer(endpoint, choice, run, permit, grant)
         return None
 
     def _note_asked(self, choice: endpoint_choice.Choice, now: float) -> None:
@@ -279,23 +279,23 @@
                 self._demand.service, choice.unread, self._demand.is_long, now
             )
 
-    async def _leave(
+    async def _grant(
         self, endpoint: model.Endpoint, connection: client.ClientConnection
-    ) -> leaves.Leave | None:
-        """Returns leave to send the request; else lets the connection go.
+    ) -> rate_grants.RateGrant | None:
+        """Returns a grant to send the request, else lets the connection go.
 
         What the endpoint said of itself while the connection was made, or the
-        leave was asked for, must not be passed over.
+        grant was asked for, must not be passed over.
         """
-        leave = None
+        grant = None
         try:
-            leave = await self._tools.leaves.take(endpoint.id)
-            if leave is None:
-                self._state.got_no_leave = True
+            grant = await self._tools.grants.take(endpoint.id)
+            if grant is None:
+                self._state.got_no_grant = True
             elif self._tools.book.accepts(endpoint.id, time.monotonic()):
-                return leave
+                return grant
             else:
-                self._tools.leaves.put_back(leave)
+                self._tools.grants.put_back(grant)
         except asyncio.CancelledError:
             self._tools.pool.release(endpoint.id, connection)
             raise
@@ -332,11 +332,11 @@
         except errors.EndpointError as error:
             self._state.why = f"{endpoint.id}: {error}"
             return None
-        leave = await self._leave(endpoint, connection)
-        if leave is None:
+        grant = await self._grant(endpoint, connection)
+        if grant is None:
             return None
         run = attempt.Attempt(connection, self._state.id)
-        return Offer(endpoint, choice, run, permit, leave, continues=True)
+        return Offer(endpoint, choice, run, permit, grant, continues=True)
 
     def plan_copy(self, offer: Offer) -> headers.CopyPlan | None:
         """Decides where the run's memory is copied to or comes from."""
@@ -354,7 +354,7 @@
         ):
             return None
         now = time.monotonic()
-        # A run could not go on at once where leave has to be waited for.
+        # A run could not go on at once where a grant has to be waited for.
         limited = set(self._tools.book.limits.limited())
         chosen = self._tools.book.choose(
             self._taken.service, self._demand, self._avoid | limited, now
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -231,9 +231,9 @@
         return [LimitWord(*row) for row in rows]
 
 
-@codec.message("ask-leave", urgent=True)
+@codec.message("ask-rate-grant", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
-class AskLeave:
+class AskGrant:
     """A box wants to send a request to an endpoint that names a limit.
 
     Attributes:
@@ -247,15 +247,15 @@
     hops: int
 
 
-@codec.message("leave-answer", urgent=True)
+@codec.message("rate-grant-answer", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
-class LeaveAnswer:
-    """Leave to send a request, or the time to ask again.
+class GrantAnswer:
+    """A grant to send one request, or the time to ask again.
 
     Attributes:
         number: The question.
         word: The endpoint, and what is known of its limit.
-        wait_ms: Milliseconds after which to ask again; 0 if leave is given.
+        wait_ms: Milliseconds after which to ask again; 0 if it is granted.
     """
 
     number: int
@@ -263,10 +263,10 @@
     wait_ms: int
 
 
-@codec.message("leave-unused", urgent=True)
+@codec.message("rate-grant-unused", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
-class LeaveUnused:
-    """A request for which leave was given was not sent.
+class GrantUnused:
+    """A request that was granted was not sent.
 
     Attributes:
         endpoint: The endpoint.
--- a/martenjunction/routing/prober.py
+++ b/martenjunction/routing/prober.py
@@ -9,7 +9,7 @@
 from martenjunction.platform import notices
 from martenjunction.routing import admission
 from martenjunction.routing import endpoint_book
-from martenjunction.routing import leaves
+from martenjunction.routing import rate_grants
 
 # Seconds between two looks at ejected endpoints.
 PROBE_INTERVAL_S = 0.5
@@ -26,7 +26,7 @@
         book: endpoint_book.EndpointBook,
         connections: pool.EndpointPool,
         admitter: admission.Admitter,
-        gate: leaves.Leaves,
+        gate: rate_grants.RateGrants,
         clock: timers.Timers,
     ) -> None:
         """Makes a prober; `start` begins.
@@ -35,13 +35,13 @@
             book: Knows the ejected endpoints and is told the answers.
             connections: Connections to endpoints.
             admitter: Knows the services' health checks.
-            gate: Gives leave to send to endpoints that name a limit.
+            gate: Gates requests to endpoints that name a limit.
             clock: Tells the time.
         """
         self._book = book
         self._connections = connections
         self._admitter = admitter
-        self._leaves = gate
+        self._gate = gate
         self._timers = clock
         self._probes: dict[str, asyncio.Task[None]] = {}
 
@@ -71,7 +71,7 @@
     async def _probe(self, endpoint: model.Endpoint, path: str) -> None:
         try:
             # A health check is a request like any other there.
-            if await self._leaves.take(endpoint.id) is None:
+            if await self._gate.take(endpoint.id) is None:
                 return
             sound = await self._ask(endpoint, path)
             self._book.probed(endpoint.id, sound, self._timers.now())
--- a/martenjunction/routing/leaves.py
+++ b/martenjunction/routing/rate_grants.py
@@ -1,4 +1,4 @@
-"""Leave to send a request to an endpoint that takes only so many a second."""
+"""Grants to send requests to endpoints that take only so many a second."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,7 +7,7 @@
 
 from martenjunction import timers
 from martenjunction.decisions import rendezvous
-from martenjunction.decisions.boxes import limit_leaves
+from martenjunction.decisions.boxes import grant_bucket
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing import endpoint_book
@@ -38,12 +38,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Leave:
-    """Leave to send one request.
+class RateGrant:
+    """A request that may be sent.
 
     Attributes:
         endpoint_id: The endpoint.
-        giver: The box that gave it; None where none is needed.
+        giver: The box that granted it; None where none has to.
     """
 
     endpoint_id: str
@@ -52,12 +52,16 @@
 
 @dataclasses.dataclass(slots=True)
 class _Bucket:
-    leaves: limit_leaves.LeaveBucket
+    grants: grant_bucket.GrantBucket
     asked_at: float
 
 
-class Leaves:
-    """The one gate that each request to an endpoint passes."""
+class RateGrants:
+    """The one gate that each request to an endpoint passes.
+
+    A limit is one number for all boxes, so what each of them decides by itself
+    adds up to more: one box, the endpoint's holder, grants each request.
+    """
 
     def __init__(
         self,
@@ -85,7 +89,7 @@
         self._heard = heard
         self._timers = clock
         self._buckets: dict[str, _Bucket] = {}
-        self._asked: dict[int, asyncio.Future[peer_messages.LeaveAnswer]] = {}
+        self._asked: dict[int, asyncio.Future[peer_messages.GrantAnswer]] = {}
         self._passed_on: dict[int, tuple[str, int]] = {}
         self._last = 0
         self._refused = 0
@@ -93,29 +97,29 @@
 
     @property
     def refused(self) -> int:
-        """Requests that got no leave."""
+        """Requests that were not granted."""
         return self._refused
 
     @property
     def given(self) -> int:
-        """Requests that this box gave leave for, also those of other boxes."""
+        """Requests that this box granted, also those of other boxes."""
         return self._given
 
     def start(self) -> None:
         """Listens to the other boxes."""
-        self._peers.subscribe(peer_messages.AskLeave, self._on_ask)
-        self._peers.subscribe(peer_messages.LeaveAnswer, self._on_answer)
-        self._peers.subscribe(peer_messages.LeaveUnused, self._on_unused)
-        self._timers.subscribe("leaves", LOOK_INTERVAL_S, self._forget)
+        self._peers.subscribe(peer_messages.AskGrant, self._on_ask)
+        self._peers.subscribe(peer_messages.GrantAnswer, self._on_answer)
+        self._peers.subscribe(peer_messages.GrantUnused, self._on_unused)
+        self._timers.subscribe("rate-grants", LOOK_INTERVAL_S, self._forget)
 
     def holder(self, endpoint_id: str) -> str:
-        """Returns the box that this one asks for leave; its own if it holds."""
+        """Returns the box that grants requests, as far as this one knows."""
         group = self._group(endpoint_id, self._heard())
         found = rendezvous.owner([m.box for m in group], endpoint_id)
         return found or self._members.own.box
 
     def dump(self) -> dict[str, Any]:
-        """Returns the limits, and who gives leave, by endpoint."""
+        """Returns the limits, and who grants requests, by endpoint."""
         now = self._timers.now()
         return {
             endpoint_id: {
@@ -128,8 +132,8 @@
             for endpoint_id in self._limits.limited()
         }
 
-    async def take(self, endpoint_id: str) -> Leave | None:
-        """Returns leave to send a request to an endpoint now.
+    async def take(self, endpoint_id: str) -> RateGrant | None:
+        """Returns a grant to send a request to an endpoint now.
 
         To be asked right before it is sent.
 
@@ -137,10 +141,10 @@
             endpoint_id: The endpoint.
 
         Returns:
-            The leave; None if there is none now, or nobody gives it.
+            The grant; None if there is none now, or nobody gives it.
         """
         if self._limits.per_s(endpoint_id) is None:
-            return Leave(endpoint_id)
+            return RateGrant(endpoint_id)
         if not self._limits.is_open(endpoint_id, self._timers.now()):
             self._refused += 1
             return None
@@ -153,15 +157,15 @@
         if wait_s:
             self._refused += 1
             return None
-        return Leave(endpoint_id, holder)
+        return RateGrant(endpoint_id, holder)
 
-    def put_back(self, leave: Leave) -> None:
-        """Takes leave back that was not used, as nothing was sent."""
-        if leave.giver == self._members.own.box:
-            self._put_back(leave.endpoint_id)
-        elif leave.giver is not None:
-            unused = peer_messages.LeaveUnused(leave.endpoint_id, 0)
-            self._peers.send(leave.giver, unused)
+    def put_back(self, grant: RateGrant) -> None:
+        """Takes a grant back that was not used, as nothing was sent."""
+        if grant.giver == self._members.own.box:
+            self._put_back(grant.endpoint_id)
+        elif grant.giver is not None:
+            unused = peer_messages.GrantUnused(grant.endpoint_id, 0)
+            self._peers.send(grant.giver, unused)
 
     def _group(
         self, endpoint_id: str, others: list[membership.Member]
@@ -182,7 +186,11 @@
         return [member for member in boxes if member.zone == zone]
 
     def _give(self, endpoint_id: str) -> float:
-        """Gives leave as the holder; returns seconds to wait, 0 if given."""
+        """Grants a request, as the holder.
+
+        Returns:
+            0 if it is granted, else seconds after which to ask again.
+        """
         now = self._timers.now()
         limit = self._limits.per_s(endpoint_id)
         if limit is None:
@@ -191,10 +199,10 @@
         if bucket is None:
             while len(self._buckets) >= MAX_BUCKETS:
                 del self._buckets[next(iter(self._buckets))]
-            bucket = _Bucket(limit_leaves.LeaveBucket(now), now)
+            bucket = _Bucket(grant_bucket.GrantBucket(now), now)
             self._buckets[endpoint_id] = bucket
         bucket.asked_at = now
-        wait_s = bucket.leaves.take(limit, self._heard_part(endpoint_id), now)
+        wait_s = bucket.grants.take(limit, self._heard_part(endpoint_id), now)
         self._given += not wait_s
         return wait_s
 
@@ -207,18 +215,18 @@
     def _put_back(self, endpoint_id: str) -> None:
         bucket = self._buckets.get(endpoint_id)
         if bucket is not None:
-            bucket.leaves.put_back()
+            bucket.grants.put_back()
 
     async def _ask(self, holder: str, endpoint_id: str) -> float:
-        """Asks another box for leave; returns seconds to wait, 0 if given."""
-        answered: asyncio.Future[peer_messages.LeaveAnswer] = (
+        """Asks another box for a grant; returns what `_give` does."""
+        answered: asyncio.Future[peer_messages.GrantAnswer] = (
             asyncio.get_running_loop().create_future()
         )
         number = self._next()
         self._asked[number] = answered
         # One question at a time: the others of this box go elsewhere.
         self._limits.close(endpoint_id, self._timers.now() + ANSWER_LIMIT_S)
-        question = peer_messages.AskLeave(
+        question = peer_messages.AskGrant(
             number, self._words.word(endpoint_id), 0
         )
         try:
@@ -234,7 +242,7 @@
         self._last += 1
         return self._last
 
-    def _on_ask(self, box: str, ask: peer_messages.AskLeave) -> None:
+    def _on_ask(self, box: str, ask: peer_messages.AskGrant) -> None:
         endpoint_id = ask.word.endpoint
         self._words.take(box, ask.word)
         holder = self.holder(endpoint_id)
@@ -243,7 +251,7 @@
             return
         if ask.hops < MOST_HOPS and holder != box:
             number = self._next()
-            onward = peer_messages.AskLeave(
+            onward = peer_messages.AskGrant(
                 number, self._words.word(endpoint_id), ask.hops + 1
             )
             if self._peers.send(holder, onward):
@@ -256,33 +264,33 @@
     def _answer(
         self, box: str, number: int, endpoint_id: str, wait_s: float
     ) -> None:
-        # A wait that is rounded to nothing would read as leave.
+        # A wait that is rounded to nothing would read as a grant.
         wait_ms = int(wait_s / MS) + 1 if wait_s else 0
         self._peers.send(
             box,
-            peer_messages.LeaveAnswer(
+            peer_messages.GrantAnswer(
                 number, self._words.word(endpoint_id), wait_ms
             ),
         )
 
-    def _on_answer(self, box: str, answer: peer_messages.LeaveAnswer) -> None:
+    def _on_answer(self, box: str, answer: peer_messages.GrantAnswer) -> None:
         self._words.take(box, answer.word)
         passed_on = self._passed_on.pop(answer.number, None)
         if passed_on is not None:
             asker, number = passed_on
             word = self._words.word(answer.word.endpoint)
-            onward = peer_messages.LeaveAnswer(number, word, answer.wait_ms)
+            onward = peer_messages.GrantAnswer(number, word, answer.wait_ms)
             self._peers.send(asker, onward)
             return
         waiting = self._asked.get(answer.number)
         if waiting is None:
             if not answer.wait_ms:
-                unused = peer_messages.LeaveUnused(answer.word.endpoint, 0)
+                unused = peer_messages.GrantUnused(answer.word.endpoint, 0)
                 self._peers.send(box, unused)
         elif not waiting.done():
             waiting.set_result(answer)
 
-    def _on_unused(self, box: str, unused: peer_messages.LeaveUnused) -> None:
+    def _on_unused(self, box: str, unused: peer_messages.GrantUnused) -> None:
         holder = self.holder(unused.endpoint)
         if holder == self._members.own.box:
             self._put_back(unused.endpoint)
