The product's own daemons keep to the limits that endpoints name

What an endpoint would have seen: named to the product's own daemons, its limit changed nothing: a cell's owner granted a place as soon as one was free. Cause: the same as on the users' platform: no head of an answer was searched for it. Change: an entry daemon tells with a run's end what the head of its answer said; the owner, which grants all runs of its cell, keeps a grant bucket for each such endpoint. Places that it does not take are none that others could wait for. A run that is resumed at its engine after a break is not granted anew.

--- a/martenjunction/cells/broker.py
+++ b/martenjunction/cells/broker.py
@@ -216,6 +216,8 @@
                 end.tokens,
                 end.token_interval_s,
                 end.rest_s,
+                end.answered,
+                end.limit_per_s,
             ),
         )
 
--- a/martenjunction/cells/messages.py
+++ b/martenjunction/cells/messages.py
@@ -85,6 +85,8 @@
     tokens: int
     token_interval_s: float | None
     rest_s: float
+    answered: bool
+    limit_per_s: float | None
 
 
 @codec.message("grant")
@@ -205,6 +207,8 @@
         tokens=message.tokens,
         token_interval_s=message.token_interval_s,
         rest_s=message.rest_s,
+        answered=message.answered,
+        limit_per_s=message.limit_per_s,
     )
 
 
--- a/martenjunction/decisions/cells/asks.py
+++ b/martenjunction/decisions/cells/asks.py
@@ -162,6 +162,9 @@
         tokens: Tokens received.
         token_interval_s: Mean seconds between tokens, or None.
         rest_s: Seconds of rest that its endpoint asked for as it refused.
+        answered: Whether the head of an answer came.
+        limit_per_s: Requests a second that its endpoint then said it takes;
+            None for no limit.
     """
 
     request_id: str
@@ -170,6 +173,8 @@
     tokens: int = 0
     token_interval_s: float | None = None
     rest_s: float = 0.0
+    answered: bool = False
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/martenjunction/decisions/cells/cell_endpoints.py
+++ b/martenjunction/decisions/cells/cell_endpoints.py
@@ -93,6 +93,20 @@
         endpoint.refusals.answer(run.granted)
         self.refresh(endpoint, now)
 
+    def names_limit(
+        self, run: asks.Run, per_s: float | None, now: float
+    ) -> None:
+        """Notes the requests a second that an endpoint says it takes.
+
+        Args:
+            run: The run that was answered.
+            per_s: The limit that it names; None for none.
+            now: The current time.
+        """
+        endpoint = self._by_name[run.endpoint]
+        endpoint.names_limit(per_s, run, now)
+        self.refresh(endpoint, now)
+
     def rest_left_s(self, now: float) -> float:
         """Returns seconds until the first that rests is back; 0 for none."""
         ends = [
--- a/martenjunction/decisions/cells/dispatcher.py
+++ b/martenjunction/decisions/cells/dispatcher.py
@@ -199,6 +199,8 @@
             self._cell.pace.completed(now - run.granted)
         if end.ending is asks.Ending.REFUSED:
             self._cell.endpoints.refused(endpoint.name, end.rest_s, now)
+        if end.answered:
+            self._cell.endpoints.names_limit(run, end.limit_per_s, now)
         if end.token_interval_s is not None:
             endpoint.speed.interval_s.add(end.token_interval_s)
         if end.ending in asks.FAULTS:
--- a/martenjunction/decisions/cells/placement.py
+++ b/martenjunction/decisions/cells/placement.py
@@ -7,6 +7,7 @@
 from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import estimates
+from martenjunction.decisions import grant_bucket
 from martenjunction.decisions.cells import asks
 
 # Prompt tokens in one block, the unit in which cached prefixes are compared.
@@ -35,6 +36,9 @@
         self.slots = slots
         self.health = endpoint_states.Health()
         self.refusals = endpoint_refusals.Refusals()
+        self._limit_per_s: float | None = None
+        self._limit_since = 0.0
+        self._bucket: grant_bucket.GrantBucket | None = None
         self.speed = estimates.Speed()
         self.runs: dict[str, asks.Run] = {}
         self._ended: collections.deque[tuple[float, float]] = (
@@ -61,9 +65,37 @@
         """Returns whether it wants nothing at this moment."""
         return now < self.refusals.rest_until
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """Requests a second that it takes; None for no limit."""
+        return self._limit_per_s
+
+    def names_limit(
+        self, per_s: float | None, run: asks.Run, now: float
+    ) -> None:
+        """Takes in what an answer says of the requests a second it takes.
+
+        Args:
+            per_s: The limit that it names; None for none.
+            run: The run that was answered. One that was granted before the
+                limit changed says what held before.
+            now: The current time.
+        """
+        if per_s == self._limit_per_s or run.granted < self._limit_since:
+            return
+        if per_s is None:
+            self._bucket = None
+            self.refusals.return_from(now)
+        elif self._bucket is None:
+            self._bucket = grant_bucket.GrantBucket(now)
+        self._limit_per_s = per_s
+        self._limit_since = now
+
     def free(self, now: float) -> int:
         """Returns the places that a new run may take."""
         room = self.refusals.room(len(self.runs), now)
+        if self._bucket is not None and self._limit_per_s is not None:
+            room = min(room, self._bucket.room(self._limit_per_s, now))
         state = self.health.state
         if state is endpoint_states.EndpointState.ROUTING:
             return int(min(max(0, self.slots - self.busy), room))
@@ -76,6 +108,8 @@
         """Books a run that takes a place."""
         self.runs[run.ask.request_id] = run
         self._granted = run.granted
+        if self._bucket is not None and self._limit_per_s is not None:
+            self._bucket.take(self._limit_per_s, 1.0, run.granted)
         self.remember(run.ask.prefix)
 
     def finish(self, request_id: str, now: float) -> None:
--- a/martenjunction/decisions/cells/places.py
+++ b/martenjunction/decisions/cells/places.py
@@ -47,6 +47,9 @@
         receives = endpoint.health.state is routing and not endpoint.rests(now)
         slots = endpoint.slots if receives else 0
         busy = endpoint.busy
+        if endpoint.limit_per_s is not None:
+            # What it does not take is no place that others could wait for.
+            slots = min(slots, busy + free)
         self._booked[endpoint.name] = (free, slots, busy)
         self._free += free
         self._slots += slots
--- a/martenjunction/decisions/boxes/grant_bucket.py
+++ b/martenjunction/decisions/grant_bucket.py
@@ -57,12 +57,7 @@
             who ask in vain are told one turn after the other, so that not all
             of them come back for one request.
         """
-        part = FIRST_PART if now - self._began < FIRST_S else GRANTED_PART
-        per_s = max(LEAST_PER_S, limit_per_s * part * heard_part)
-        most = MOST_KEPT if per_s > LEAST_PER_S else MOST_KEPT_SLOW
-        gained = max(0.0, now - self._counted_at) * per_s
-        self._kept = min(most, self._kept + gained)
-        self._counted_at = now
+        per_s = self._count(limit_per_s, heard_part, now)
         if self._kept >= 1.0 - ROUNDING:
             self._kept -= 1.0
             return 0.0
@@ -71,6 +66,28 @@
         self._last_turn = min(turn, now + max(next_s, LONGEST_TURN_S))
         return self._last_turn - now
 
+    def room(self, limit_per_s: float, now: float) -> int:
+        """Returns the requests that would be granted now, where all are heard.
+
+        Args:
+            limit_per_s: The endpoint's limit.
+            now: The current time.
+        """
+        self._count(limit_per_s, 1.0, now)
+        return int(self._kept + ROUNDING)
+
+    def _count(
+        self, limit_per_s: float, heard_part: float, now: float
+    ) -> float:
+        """Counts what came since; returns the requests a second."""
+        part = FIRST_PART if now - self._began < FIRST_S else GRANTED_PART
+        per_s = max(LEAST_PER_S, limit_per_s * part * heard_part)
+        most = MOST_KEPT if per_s > LEAST_PER_S else MOST_KEPT_SLOW
+        gained = max(0.0, now - self._counted_at) * per_s
+        self._kept = min(most, self._kept + gained)
+        self._counted_at = max(now, self._counted_at)
+        return per_s
+
     def put_back(self) -> None:
         """Takes a grant back that was not used."""
         self._kept += 1.0
--- a/martenjunction/endpoints/streams.py
+++ b/martenjunction/endpoints/streams.py
@@ -37,6 +37,12 @@
         told = self.get(http_headers.RETRY_AFTER)
         return 0.0 if told is None else http_headers.decimal_of(told) or 0.0
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """Requests a second that its endpoint takes; None if it names none."""
+        named = self.get(http_headers.LIMIT)
+        return None if named is None else http_headers.decimal_of(named)
+
 
 class EndpointStream:
     """The answer to one request, as its entry daemon reads it.
@@ -114,6 +120,11 @@
         """Whether nothing more comes from the endpoint."""
         return self._ended
 
+    @property
+    def told(self) -> ResponseHead | None:
+        """The status and headers, once they have come."""
+        return self._head
+
     async def head(self) -> ResponseHead:
         """Waits for the status and headers.
 
--- a/martenjunction/http_headers.py
+++ b/martenjunction/http_headers.py
@@ -11,6 +11,9 @@
 CLASS = "X-Service-Class"
 LABEL_PREFIX = "X-Label-"
 
+# Requests a second that an endpoint takes from all daemons together.
+LIMIT = "Server-Limit"
+
 # Of the field.
 IDEMPOTENCY_KEY = "Idempotency-Key"
 RETRY_AFTER = "Retry-After"
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -72,6 +72,7 @@
         self._preemptions = 0
         self._resumes = 0
         self._rest_s = 0.0
+        self._told: streams.ResponseHead | None = None
         self._fruitless = 0
         self._tokens_before = 0
         self._first_token: float | None = None
@@ -210,6 +211,7 @@
         self._endpoint = name
         self._resumes = 0
         self._rest_s = 0.0
+        self._told = None
         self._tokens_before = self.conversation.tokens
         endpoint = self._tools.endpoint(name)
         if endpoint is None:
@@ -259,6 +261,7 @@
         except errors.EndpointError:
             return self._note(self._broken_ending())
         finally:
+            self._told = self._stream.told or self._told
             self._stream = None
         return self._note(asks.Ending.COMPLETE)
 
@@ -298,6 +301,8 @@
                 self.conversation.tokens,
                 interval,
                 self._rest_s,
+                self._told is not None,
+                None if self._told is None else self._told.limit_per_s,
             ),
         )
         self._ticket = None
--- a/martenjunction/routing/rate_grants.py
+++ b/martenjunction/routing/rate_grants.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from martenjunction import timers
+from martenjunction.decisions import grant_bucket
 from martenjunction.decisions import rendezvous
-from martenjunction.decisions.boxes import grant_bucket
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing import endpoint_book
--- a/martenjunction_lab/engine.py
+++ b/martenjunction_lab/engine.py
@@ -53,6 +53,7 @@
         slow: Every time is multiplied by this.
         refuse: Answers 503 to new requests.
         rest_s: Seconds of rest that it asks for then; 0 for none.
+        limit: Requests a second that it says it takes; empty for no limit.
         hang: Takes requests and never answers.
         cut_after: Closes streams in the middle of the event after so many.
         wrong_id: Gives another request's answer, under its id.
@@ -63,6 +64,7 @@
     slow: float = 1.0
     refuse: bool = False
     rest_s: float = 0.0
+    limit: str = ""
     hang: bool = False
     cut_after: int = 0
     wrong_id: bool = False
@@ -278,6 +280,8 @@
 class _ChatHandler(_EngineHandler):
     async def post(self) -> None:
         engine = self._engine
+        if engine.faults.limit:
+            self.set_header(http_headers.LIMIT, engine.faults.limit)
         if engine.faults.refuse:
             engine.counts.refused += 1
             self.set_status(503)
--- /dev/null
+++ b/tests/test_cell_limits.py
@@ -0,0 +1,128 @@
+"""Endpoints that name a limit to the product's own daemons.
+
+The owner of a cell grants all runs at its endpoints, so the sum is its own;
+it read no limit, and granted a place as soon as one was free.
+"""
+
+import time
+
+import pytest
+
+from martenjunction.decisions.cells import asks
+from martenjunction.decisions.cells import dispatcher
+from martenjunction.endpoints import streams
+from martenjunction_lab import bench
+from martenjunction_lab import limit_outcome
+from tests import builders
+from tests import caller_builders
+
+fleet = caller_builders.fleet
+
+RUN_S = 0.2
+STEP_S = 0.02
+
+
+def play(
+    cell: dispatcher.Dispatcher,
+    limits: dict[str, float | None],
+    began: float,
+    seconds: float,
+) -> list[tuple[float, str]]:
+    """Keeps requests waiting in a cell, and answers its runs.
+
+    Args:
+        cell: The cell.
+        limits: What each endpoint names.
+        began: When, in seconds.
+        seconds: For how long.
+
+    Returns:
+        When each run was granted, and where.
+    """
+    made: list[tuple[float, str]] = []
+    running: list[tuple[float, str, str]] = []
+    for step in range(round(seconds / STEP_S)):
+        now = began + step * STEP_S
+        for ends, request_id, endpoint in list(running):
+            if ends <= now:
+                running.remove((ends, request_id, endpoint))
+                end = asks.RunEnd(
+                    request_id,
+                    asks.Ending.COMPLETE,
+                    answered=True,
+                    limit_per_s=limits[endpoint],
+                )
+                cell.ended(end, now)
+        cell.submit(builders.ask(f"r{now:.2f}", arrived=now), now)
+        cell.review(now)
+        for grant in cell.step(now):
+            if isinstance(grant, asks.Grant):
+                made.append((now, grant.endpoint))
+                running.append((now + RUN_S, grant.request_id, grant.endpoint))
+    return made
+
+
+def times(made: list[tuple[float, str]], endpoint: str) -> list[float]:
+    return [at for at, name in made if name == endpoint]
+
+
+def test_endpoint_is_granted_no_more_than_its_limit_and_most_of_it() -> None:
+    cell = builders.cell(endpoints=2, slots=4)
+    made = play(cell, {"e1": 2.0, "e2": None}, 0.0, 20.0)
+    granted = [at for at in times(made, "e1") if at > 1.0]
+    most = limit_outcome.most_in_window(granted)
+    assert most <= limit_outcome.allowed(2.0)
+    assert len(granted) >= 0.5 * 2.0 * 19.0
+    assert len(times(made, "e2")) > 10 * len(granted)
+
+
+def test_endpoint_whose_limit_ends_gets_its_work_again() -> None:
+    cell = builders.cell(endpoints=2, slots=4)
+    play(cell, {"e1": 2.0, "e2": None}, 0.0, 8.0)
+    made = play(cell, {"e1": None, "e2": None}, 8.0, 4.0)
+    assert len([at for at in times(made, "e1") if at > 10.0]) > 20
+
+
+def test_run_that_was_granted_before_the_word_does_not_end_it() -> None:
+    cell = builders.cell(endpoints=1, slots=2)
+    for name in ("long", "short"):
+        cell.submit(builders.ask(name), 0.0)
+    assert len(cell.step(0.0)) == 2
+    for name, limit, now in (("short", 2.0, 1.0), ("long", None, 1.1)):
+        end = asks.RunEnd(
+            name, asks.Ending.COMPLETE, answered=True, limit_per_s=limit
+        )
+        cell.ended(end, now)
+    cell.submit(builders.ask("third"), 1.1)
+    assert cell.step(1.1) == []
+
+
+@pytest.mark.parametrize(
+    ("value", "per_s"), [("2.1", 2.1), ("0", 0.0), ("many", None), (None, None)]
+)
+def test_head_tells_a_limit(value: str | None, per_s: float | None) -> None:
+    pairs = [] if value is None else [("Server-Limit", value)]
+    assert streams.ResponseHead(200, pairs).limit_per_s == per_s
+
+
+async def test_engine_that_takes_nearly_nothing_gets_little_from_all_callers(
+    fleet: bench.Bench,
+) -> None:
+    limited, serving = fleet.outside.engines.values()
+    limited.faults.limit = "0"
+    # So that the one that has little to do seems the better one.
+    serving.faults.slow = 5.0
+    callers = await caller_builders.callers_of(fleet, 4)
+    began = time.monotonic()
+    for number in range(8):
+        for caller in callers:
+            # Unlike prompts: none belongs where an earlier one was read.
+            text = f"{id(caller)} {number}" * 40
+            body = caller_builders.chat(2, text, stream=False)
+            caller.send(caller_builders.request(caller_builders.CHAT, body))
+        for caller in callers:
+            assert (await caller.answer())[0] == 200
+    windows = 1 + (time.monotonic() - began) / limit_outcome.WINDOW_S
+    # Those that were under way before its first word was heard, and the rest.
+    most = len(callers) + windows * limit_outcome.allowed(0.0)
+    assert 0 < limited.counts.started.total() <= most
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 import pytest
 
+from martenjunction.decisions import grant_bucket
 from martenjunction.decisions.boxes import endpoint_limits
-from martenjunction.decisions.boxes import grant_bucket
 from martenjunction_lab import limit_outcome
 
 Change = endpoint_limits.Change
--- a/tests/test_rate_grants.py
+++ b/tests/test_rate_grants.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from martenjunction.decisions.boxes import grant_bucket
+from martenjunction.decisions import grant_bucket
 from martenjunction.routing import peer_messages
 from martenjunction.routing import rate_grants
 from martenjunction_lab import limit_outcome
