Trials of endpoints share how replicas are made and the busiest are chosen

Cause: the trial of limits wrote again what the trial of endpoints that leave had, and two tests of cells the same rounds of chats. Change: one copy each, in the trial fleet and in the builders of callers. Conclusion: no test checks less.

--- a/martenjunction_lab/limited_endpoints.py
+++ b/martenjunction_lab/limited_endpoints.py
@@ -134,12 +134,9 @@
     async def run(self, config: dict[str, Any]) -> limit_outcome.Outcome:
         """Plays the trial under a configuration; returns what was seen."""
         trial = self.trial
-        names = [f"i-{n}" for n in range(1, trial.plain + trial.engines + 1)]
-        made = [LimitedReplica(name, self) for name in names]
-        services = {
-            trial_fleet.PLAIN: made[: trial.plain],
-            trial_fleet.ENGINE: made[trial.plain :],
-        }
+        services = trial_fleet.in_services(
+            lambda name: LimitedReplica(name, self), trial.plain, trial.engines
+        )
         try:
             await self.start(config, trial.boxes, services)
             for work in (self._name(), self._join(), self._cut()):
@@ -172,7 +169,13 @@
     async def _name(self) -> None:
         trial = self.trial
         await asyncio.sleep(trial.from_s)
-        chosen = self._busiest()
+        chosen = self.busiest(
+            (a.endpoint for a in self.outcome.arrivals),
+            {
+                trial_fleet.PLAIN: trial.tell_plain,
+                trial_fleet.ENGINE: trial.tell_engines,
+            },
+        )
         for made in chosen:
             made.turns_away = trial.turns_away
         self._say(chosen, trial.limit)
@@ -192,18 +195,6 @@
                 )
             )
 
-    def _busiest(self) -> list[LimitedReplica]:
-        """Returns the busiest endpoints, as many as are to name a limit."""
-        busy = collections.Counter(a.endpoint for a in self.outcome.arrivals)
-        chosen: list[LimitedReplica] = []
-        for service, count in (
-            (trial_fleet.PLAIN, self.trial.tell_plain),
-            (trial_fleet.ENGINE, self.trial.tell_engines),
-        ):
-            ranked = sorted(self.of(service), key=lambda made: -busy[made.id])
-            chosen += ranked[:count]
-        return chosen
-
     async def _join(self) -> None:
         if self.trial.joins_s is None:
             return
--- a/martenjunction_lab/telling_endpoints.py
+++ b/martenjunction_lab/telling_endpoints.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import collections
 import dataclasses
 import enum
 import time
@@ -133,12 +132,9 @@
     async def run(self, config: dict[str, Any]) -> telling_outcome.Outcome:
         """Plays the trial under a configuration; returns what was seen."""
         trial = self.trial
-        names = [f"i-{n}" for n in range(1, trial.plain + trial.engines + 1)]
-        made = [TellingReplica(name, self) for name in names]
-        services = {
-            trial_fleet.PLAIN: made[: trial.plain],
-            trial_fleet.ENGINE: made[trial.plain :],
-        }
+        services = trial_fleet.in_services(
+            lambda name: TellingReplica(name, self), trial.plain, trial.engines
+        )
         try:
             await self.start(
                 config,
@@ -186,22 +182,16 @@
 
     # What is played.
 
-    def _chosen(self) -> list[TellingReplica]:
-        """Returns the busiest endpoints, as many as are to say something."""
-        busy = collections.Counter(a.endpoint[0] for a in self.outcome.arrivals)
-        chosen: list[TellingReplica] = []
-        for service, count in (
-            (trial_fleet.PLAIN, self.trial.tell_plain),
-            (trial_fleet.ENGINE, self.trial.tell_engines),
-        ):
-            ranked = sorted(self.of(service), key=lambda made: -busy[made.id])
-            chosen += ranked[:count]
-        return chosen
-
     async def _tell(self) -> None:
         trial = self.trial
         await asyncio.sleep(trial.from_s)
-        chosen = self._chosen()
+        chosen = self.busiest(
+            (a.endpoint[0] for a in self.outcome.arrivals),
+            {
+                trial_fleet.PLAIN: trial.tell_plain,
+                trial_fleet.ENGINE: trial.tell_engines,
+            },
+        )
         for made in chosen:
             made.word = trial.word
         if trial.word is Word.REST:
--- a/martenjunction_lab/trial_fleet.py
+++ b/martenjunction_lab/trial_fleet.py
@@ -1,7 +1,10 @@
 """Boxes before replicas of a plain service and of engines, under a load."""
 
 import asyncio
+import collections
+from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterable
 import random
 import time
 from typing import Any
@@ -24,6 +27,20 @@
 Made = TypeVar("Made", bound=replica.Replica)
 
 
+def in_services(
+    make: Callable[[str], Made], plain: int, engines: int
+) -> dict[str, list[Made]]:
+    """Returns replicas of both services, not started yet.
+
+    Args:
+        make: Makes one of a name.
+        plain: Replicas of the plain service.
+        engines: Replicas of the engines' service.
+    """
+    made = [make(f"i-{number}") for number in range(1, plain + engines + 1)]
+    return {PLAIN: made[:plain], ENGINE: made[plain:]}
+
+
 class TrialFleet(Generic[Made]):
     """Boxes and replicas that a trial plays with.
 
@@ -80,6 +97,22 @@
         """Returns a service's replicas."""
         return [m for m in self.made if self._services[m.id] == service]
 
+    def busiest(
+        self, arrived_at: Iterable[str], tell: dict[str, int]
+    ) -> list[Made]:
+        """Returns the busiest endpoints of each service.
+
+        Args:
+            arrived_at: Names of the endpoints that got requests.
+            tell: How many are wanted of each service.
+        """
+        busy = collections.Counter(arrived_at)
+        chosen: list[Made] = []
+        for service, count in tell.items():
+            ranked = sorted(self.of(service), key=lambda one: -busy[one.id])
+            chosen += ranked[:count]
+        return chosen
+
     def start_of(self, one: Made) -> int:
         """Returns the number of a replica's present start, from 1 on."""
         return self._starts[one.id]
--- a/tests/caller_builders.py
+++ b/tests/caller_builders.py
@@ -214,6 +214,17 @@
     return made
 
 
+async def ask_in_rounds(callers: list[Caller], rounds: int) -> None:
+    """Has all callers send a chat at once, again and again; all are served."""
+    for number in range(rounds):
+        for caller in callers:
+            # Unlike prompts: none belongs where an earlier one was read.
+            text = f"{id(caller)} {number}" * 40
+            caller.send(request(CHAT, chat(2, text, stream=False)))
+        for caller in callers:
+            assert (await caller.answer())[0] == 200
+
+
 async def until_held(fleet: bench.Bench, count: int) -> None:
     async with asyncio.timeout(LIMIT):
         while len(fleet.daemons[0].callers.relays) != count:
--- a/tests/test_cell_limits.py
+++ b/tests/test_cell_limits.py
@@ -114,14 +114,7 @@
     serving.faults.slow = 5.0
     callers = await caller_builders.callers_of(fleet, 4)
     began = time.monotonic()
-    for number in range(8):
-        for caller in callers:
-            # Unlike prompts: none belongs where an earlier one was read.
-            text = f"{id(caller)} {number}" * 40
-            body = caller_builders.chat(2, text, stream=False)
-            caller.send(caller_builders.request(caller_builders.CHAT, body))
-        for caller in callers:
-            assert (await caller.answer())[0] == 200
+    await caller_builders.ask_in_rounds(callers, 8)
     windows = 1 + (time.monotonic() - began) / limit_outcome.WINDOW_S
     # Those that were under way before its first word was heard, and the rest.
     most = len(callers) + windows * limit_outcome.allowed(0.0)
--- a/tests/test_cell_rests.py
+++ b/tests/test_cell_rests.py
@@ -120,14 +120,7 @@
     # So that the one that refuses at once seems the better one.
     serving.faults.slow = 5.0
     callers = await caller_builders.callers_of(fleet, 4)
-    for number in range(8):
-        for caller in callers:
-            # Unlike prompts: none belongs where an earlier one was read.
-            text = f"{id(caller)} {number}" * 40
-            body = caller_builders.chat(2, text, stream=False)
-            caller.send(caller_builders.request(caller_builders.CHAT, body))
-        for caller in callers:
-            assert (await caller.answer())[0] == 200
+    await caller_builders.ask_in_rounds(callers, 8)
     # Those that were under way with the first that it refused.
     assert 0 < resting.counts.refused <= len(callers)
     assert serving.counts.started.total() == 8 * len(callers)
