What an answer's head says is read by header, in small steps

Cause: one function read three headers, with what is unreadable woven in. Change: each header has its own step; of several values the one that binds more holds, also for times of rest, of which the first was taken. Conclusion: easier to add the next header to.

--- a/martenjunction/platform/notices.py
+++ b/martenjunction/platform/notices.py
@@ -61,7 +61,7 @@
 
     Nothing, where another endpoint answers at its address. A time of rest is
     a number of seconds, of which there may be fractions; a date is none. Of
-    several limits the least one holds.
+    several values the one that binds more holds.
 
     Args:
         head: The head of the answer.
@@ -69,29 +69,37 @@
     """
     if is_of_another(head, endpoint):
         return NOTHING
-    leaving = (head.get(_LEAVING) or b"").strip()
-    unreadable = b""
-    if leaving not in (b"", b"0", b"1"):
-        unreadable = leaving
+    unreadable: list[bytes] = []
+    leaves = _says_leaving(head, unreadable)
     rest_s = 0.0
-    rest = head.get(_REST)
-    if rest is not None and head.status in _TURNED_AWAY:
-        told_s = http_headers.decimal_of(rest.decode("latin-1"))
-        if told_s is None:
-            unreadable = rest
-        rest_s = told_s or 0.0
-    named = head.all(_LIMIT)
-    limits: list[float] = []
-    for limit in named:
-        per_s = http_headers.decimal_of(limit.decode("latin-1"))
-        if per_s is None:
-            unreadable = limit
-        else:
-            limits.append(per_s)
+    if head.status in _TURNED_AWAY:
+        rest_s = max(_decimals(head, _REST, unreadable), default=0.0)
+    limits = _decimals(head, _LIMIT, unreadable)
     return EndpointNotice(
-        leaving == b"1",
+        leaves,
         rest_s,
         min(limits, default=None),
-        not named and head.get(_REQUEST) is not None,
-        unreadable[:64].decode("latin-1"),
+        head.get(_LIMIT) is None and head.get(_REQUEST) is not None,
+        unreadable[-1][:64].decode("latin-1") if unreadable else "",
     )
+
+
+def _says_leaving(head: messages.ResponseHead, unreadable: list[bytes]) -> bool:
+    value = (head.get(_LEAVING) or b"").strip()
+    if value not in (b"", b"0", b"1"):
+        unreadable.append(value)
+    return value == b"1"
+
+
+def _decimals(
+    head: messages.ResponseHead, name: bytes, unreadable: list[bytes]
+) -> list[float]:
+    """Returns the numbers of a header; notes what is none."""
+    numbers = []
+    for value in head.all(name):
+        number = http_headers.decimal_of(value.decode("latin-1"))
+        if number is None:
+            unreadable.append(value)
+        else:
+            numbers.append(number)
+    return numbers
