Where no endpoint takes more, what was refused of a higher tier goes first

What callers would have seen: with all endpoints of a service limited, a lower tier that asks more often was served and the higher one refused. Cause: grants go to whoever asks, and nobody waits for one. Change: for a second after a request was refused so, lower tiers of its service are held back on that box, but for each eighth request; what needs no grant is not. Conclusion: each box judges by its own callers.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -16,6 +16,7 @@
 from martenjunction.decisions.boxes import key_freshness
 from martenjunction.decisions.boxes import repeat_budget
 from martenjunction.decisions.boxes import shedding
+from martenjunction.decisions.boxes import tier_precedence
 from martenjunction.endpoints import pool
 from martenjunction.http1 import messages
 from martenjunction.http1 import server
@@ -224,6 +225,7 @@
             self.suspects,
             self.ends,
             self.grants,
+            tier_precedence.TierPrecedence(),
         )
         self._callers = self._server(
             "callers", self._serve_caller, self._limits
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -293,6 +293,9 @@
         )
         limited = self._tools.book.limited(taken.service.name)
         if limited and (opens_in_s is not None or self._state.got_no_grant):
+            self._tools.precedence.note_refused(
+                taken.service.name, taken.route.tier, time.monotonic()
+            )
             # One that took no more may take the next request.
             await self._refuse(
                 503, "endpoints-limited", opens_in_s or RETRY_BUSY_S
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -14,6 +14,7 @@
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import repeat_budget
 from martenjunction.decisions.boxes import shedding
+from martenjunction.decisions.boxes import tier_precedence
 from martenjunction.endpoints import attempt
 from martenjunction.endpoints import pool
 from martenjunction.http1 import client
@@ -64,6 +65,7 @@
         suspects: Knows requests under which endpoints ended.
         ends: Finds out whether endpoints have ended.
         grants: Gates requests to endpoints that name a limit.
+        precedence: Knows which tiers go first there.
     """
 
     admitter: admission.Admitter
@@ -80,6 +82,7 @@
     suspects: suspects.Suspects
     ends: endpoint_ends.EndpointEnds
     grants: rate_grants.RateGrants
+    precedence: tier_precedence.TierPrecedence
 
     def closing(self) -> bool:
         """Returns whether connections end with their answer."""
@@ -247,6 +250,9 @@
             if chosen is None:
                 return None
             endpoint, choice = chosen
+            if choice.record.limited and self._is_held_back(now):
+                self._avoid.update(self._tools.book.limits.limited())
+                continue
             if not self._state.offers and self._demand.is_engine:
                 self._note_asked(choice, now)
                 self._shed_if_late(choice, now)
@@ -271,6 +277,15 @@
             return Offer(endpoint, choice, run, permit, grant)
         return None
 
+    def _is_held_back(self, now: float) -> bool:
+        """Returns whether higher tiers go first where grants are scarce."""
+        if not self._state.got_no_grant:
+            self._state.got_no_grant = self._tools.precedence.holds_back(
+                self._taken.service.name, self._taken.route.tier, now
+            )
+            return self._state.got_no_grant
+        return False
+
     def _note_asked(self, choice: endpoint_choice.Choice, now: float) -> None:
         """Counts the prompt, once however many endpoints do not take it."""
         if not self._asked:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -37,6 +37,7 @@
     """One box: its words and its grants.
 
     Attributes:
+        name: Its name.
         heard: Names of the boxes that it hears.
     """
 
@@ -51,6 +52,7 @@
         log = decision_log.DecisionLog(clock.now)
         listed = endpoint_list.EndpointList()
         listed.take_listing([(builders.endpoint(ENDPOINT), 3)], 5, now=0.0)
+        self.name = node.name
         self.heard = set(node.links)
         self.book = endpoint_book.EndpointBook(listed, log, random.Random(1))
         believed: Any = Members(own, members)
--- a/tests/test_limit_gate.py
+++ b/tests/test_limit_gate.py
@@ -10,45 +10,16 @@
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
+from tests import limited_replicas
 from tests import routing_builders as builders
 
 Behaviour = replica.Behaviour
 
 
-class Limited(replica.Replica):
-    """A replica that names a limit in its answers."""
-
-    limit: str | None = "1"
-
-    def _notices(
-        self, request: replica.Received, status: int
-    ) -> dict[str, str]:
-        return {} if self.limit is None else {"Server-Limit": self.limit}
-
-
-async def limited(
-    fleet: boxes.Boxes, service: str, count: int
-) -> list[Limited]:
-    """Returns replicas of a service that name limits."""
-    made = [Limited(f"i-{number}") for number in range(1, count + 1)]
-    for one in made:
-        await one.start()
-        fleet.replicas.append(one)
-        fleet.record(one, service)
-    await fleet.until_listed()
-    return made
-
-
-def say(fleet: boxes.Boxes, made: Limited, limit: float) -> None:
-    """Has all boxes hear of a limit, as if the replica had named it."""
-    for box in fleet.gateways:
-        box.limits.say(made.id, limit, time.monotonic())
-
-
 async def test_request_that_nobody_may_be_sent_is_refused_at_once(
     fleet: boxes.Boxes,
 ) -> None:
-    [made] = await limited(fleet, builders.PLAIN, 1)
+    [made] = await limited_replicas.start(fleet, builders.PLAIN, 1)
     assert (await requests.ask(fleet, "/safe/"))[0].status == 200
     head, body = await requests.ask(fleet, "/safe/", "r2")
     assert (head.status, body) == (503, b"endpoints-limited")
@@ -59,7 +30,7 @@
 async def test_request_that_comes_back_when_it_was_told_is_served(
     fleet: boxes.Boxes,
 ) -> None:
-    [made] = await limited(fleet, builders.PLAIN, 1)
+    [made] = await limited_replicas.start(fleet, builders.PLAIN, 1)
     made.limit = "20"
     await requests.ask(fleet, "/safe/")
     head, _ = await requests.ask(fleet, "/safe/", "r2")
@@ -75,9 +46,9 @@
 ) -> None:
     engine = path in ("/digest/", "/chat/")
     service = builders.ENGINE if engine else builders.PLAIN
-    made = await limited(fleet, service, 2)
+    made = await limited_replicas.start(fleet, service, 2)
     made[1].limit = None
-    say(fleet, made[0], 0.0)
+    limited_replicas.say(fleet, made[0], 0.0)
     for number in range(6):
         head, _ = await requests.ask(fleet, path, f"r{number}")
         assert head.status == 200
@@ -85,18 +56,18 @@
 
 
 async def test_repeat_needs_a_grant(fleet: boxes.Boxes) -> None:
-    made = await limited(fleet, builders.PLAIN, 2)
+    made = await limited_replicas.start(fleet, builders.PLAIN, 2)
     made[1].limit = None
     made[1].always(Behaviour.FAIL)
-    say(fleet, made[0], 0.0)
+    limited_replicas.say(fleet, made[0], 0.0)
     head, _ = await requests.ask(fleet, "/safe/")
     assert head.status == 500
     assert not made[0].received
 
 
 async def test_health_check_needs_a_grant(fleet: boxes.Boxes) -> None:
-    [made] = await limited(fleet, builders.PLAIN, 1)
-    say(fleet, made, 0.0)
+    [made] = await limited_replicas.start(fleet, builders.PLAIN, 1)
+    limited_replicas.say(fleet, made, 0.0)
     box = fleet.gateways[0]
     await box.prober._probe(box.listed.entries[made.id].endpoint, "/healthz")
     assert not made.received
@@ -105,9 +76,9 @@
 async def test_prompt_counts_once_however_many_engines_take_no_more(
     fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    made = await limited(fleet, builders.ENGINE, 3)
+    made = await limited_replicas.start(fleet, builders.ENGINE, 3)
     for one in made:
-        say(fleet, one, 0.0)
+        limited_replicas.say(fleet, one, 0.0)
     asked: list[int] = []
     engines = fleet.gateways[0].book.engines
     monkeypatch.setattr(
@@ -140,9 +111,9 @@
     config = builders.config_document(9)
     config["services"][1]["engine"]["backups"] = True
     fleet.configure(config)
-    made = await limited(fleet, builders.ENGINE, 2)
+    made = await limited_replicas.start(fleet, builders.ENGINE, 2)
     made[1].limit = None
-    say(fleet, made[0], 20.0)
+    limited_replicas.say(fleet, made[0], 20.0)
     await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
     await requests.ask(fleet, "/chat/")
     [got] = made[1].received
@@ -152,8 +123,8 @@
 async def test_grant_for_what_is_not_sent_is_given_back(
     fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    [made] = await limited(fleet, builders.PLAIN, 1)
-    say(fleet, made, 20.0)
+    [made] = await limited_replicas.start(fleet, builders.PLAIN, 1)
+    limited_replicas.say(fleet, made, 20.0)
     box = fleet.gateways[0]
     returned: list[str] = []
     monkeypatch.setattr(
@@ -183,7 +154,7 @@
 async def test_any_answer_names_a_limit(
     fleet: boxes.Boxes, behaviour: Behaviour
 ) -> None:
-    [made] = await limited(fleet, builders.PLAIN, 1)
+    [made] = await limited_replicas.start(fleet, builders.PLAIN, 1)
     made.always(behaviour)
     await requests.ask(fleet, "/safe/")
     assert fleet.gateways[0].book.limits.per_s(made.id) == 1.0
@@ -192,9 +163,9 @@
 async def test_answer_to_a_health_check_does_not_end_a_limit(
     fleet: boxes.Boxes,
 ) -> None:
-    [made] = await limited(fleet, builders.PLAIN, 1)
+    [made] = await limited_replicas.start(fleet, builders.PLAIN, 1)
     box = fleet.gateways[0]
-    say(fleet, made, 2.0)
+    limited_replicas.say(fleet, made, 2.0)
     made.limit = None
     made.always(Behaviour.REFUSE)
     await box.prober._ask(box.listed.entries[made.id].endpoint, "/healthz")
@@ -205,7 +176,7 @@
 async def test_dump_tells_limits_and_who_grants_requests(
     fleet: boxes.Boxes,
 ) -> None:
-    [made] = await limited(fleet, builders.PLAIN, 1)
+    [made] = await limited_replicas.start(fleet, builders.PLAIN, 1)
     await requests.ask(fleet, "/safe/")
     box = fleet.gateways[0]
     told = box.dump()["limits"][made.id]
--- a/tests/test_rate_grants.py
+++ b/tests/test_rate_grants.py
@@ -95,6 +95,35 @@
     assert fleet.linked.sent == before
 
 
+async def test_grant_that_comes_too_late_is_given_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The holder, or the asking box, was suspended meanwhile.
+    monkeypatch.setattr(rate_grants, "ANSWER_LIMIT_S", 0.01)
+    fleet = await told(2.0)
+    asker, holder = next(
+        (box, fleet.boxes[box.grants.holder(ENDPOINT)])
+        for box in fleet.boxes.values()
+        if fleet.boxes[box.grants.holder(ENDPOINT)].grants.holder(ENDPOINT)
+        == box.grants.holder(ENDPOINT)
+        != box.name
+    )
+    await holder.grants.take(ENDPOINT)
+    fleet.now += 10.0
+    questions: list[tuple[str, peer_messages.AskGrant]] = []
+    fleet.linked.nodes[holder.name].subscribe(
+        peer_messages.AskGrant, lambda *question: questions.append(question)
+    )
+    assert await asker.grants.take(ENDPOINT) is None
+    holder.grants._on_ask(*questions[0])
+    assert holder.grants.given == 1
+    await fleet.settle()
+    # Both that are kept at most are there again.
+    assert await holder.grants.take(ENDPOINT) is not None
+    assert await holder.grants.take(ENDPOINT) is not None
+    assert await holder.grants.take(ENDPOINT) is None
+
+
 async def test_box_that_holds_old_news_learns_of_the_end_from_the_holder() -> (
     None
 ):
--- /dev/null
+++ b/tests/test_tier_precedence.py
@@ -0,0 +1,77 @@
+"""Which tier goes first where all endpoints of a service name limits."""
+
+import asyncio
+import time
+
+from martenjunction.decisions.boxes import tier_precedence
+from martenjunction_lab import boxes
+from tests import gateway_requests as requests
+from tests import limited_replicas
+from tests import routing_builders as builders
+
+
+def held_back(
+    made: tier_precedence.TierPrecedence, tier: int, now: float
+) -> int:
+    """Returns how many of some requests of a tier are held back."""
+    return sum(
+        made.holds_back("s", tier, now)
+        for _ in range(2 * tier_precedence.SHARE_OF)
+    )
+
+
+def test_lower_tiers_are_held_back_but_for_a_share() -> None:
+    made = tier_precedence.TierPrecedence()
+    assert held_back(made, 1, 0.0) == 0
+    made.note_refused("s", 1, 0.0)
+    assert held_back(made, 0, 0.1) == 0
+    assert held_back(made, 1, 0.1) == 0
+    assert held_back(made, 2, 0.1) == 2 * tier_precedence.SHARE_OF - 2
+    assert not made.holds_back("other", 2, 0.1)
+
+
+def test_lower_tiers_go_on_once_nothing_is_refused() -> None:
+    made = tier_precedence.TierPrecedence()
+    made.note_refused("s", 0, 0.0)
+    assert held_back(made, 1, tier_precedence.HELD_S) == 0
+
+
+def test_services_are_bounded() -> None:
+    made = tier_precedence.TierPrecedence()
+    for number in range(2 * tier_precedence.MAX_SERVICES):
+        made.note_refused(f"s{number}", 0, 0.0)
+    assert len(made._services) == tier_precedence.MAX_SERVICES
+
+
+async def test_request_of_a_higher_tier_gets_the_grant(
+    fleet: boxes.Boxes,
+) -> None:
+    # A lower tier asks twice as often: it got two of three grants.
+    config = builders.config_document(9)
+    config["routes"][0]["priority"] = 0
+    fleet.configure(config)
+    await limited_replicas.start(fleet, builders.PLAIN, 1, limit="5")
+    await boxes.until(lambda: fleet.gateways[0].picture.version == 9)
+    served = {"/safe/": 0, "/unsafe/": 0}
+    until = time.monotonic() + 4.0
+    number = 0
+    while time.monotonic() < until:
+        for path in ("/unsafe/", "/safe/", "/unsafe/"):
+            number += 1
+            head, _ = await requests.ask(fleet, path, f"r{number}")
+            served[path] += head.status == 200
+        await asyncio.sleep(0.05)
+    assert served["/safe/"] > 2 * served["/unsafe/"] > 0
+
+
+async def test_lower_tier_goes_where_no_grant_is_needed(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await limited_replicas.start(fleet, builders.PLAIN, 2, limit="5")
+    made[1].limit = None
+    limited_replicas.say(fleet, made[0], 5.0)
+    box = fleet.gateways[0]
+    box._tools.precedence.note_refused(builders.PLAIN, -1, box.timers.now())
+    for number in range(10):
+        head, _ = await requests.ask(fleet, "/safe/", f"r{number}")
+        assert head.status == 200
