A limit that binds nothing binds no cell either

What callers would have seen: an engine that names 1e9 requests a second to the product's own daemons got its next runs two at a time. Cause: only boxes on the users' platform took such a limit for none. Change: the bound stands beside the bucket, and both kinds of daemon ask it.

--- a/martenjunction/decisions/boxes/endpoint_limits.py
+++ b/martenjunction/decisions/boxes/endpoint_limits.py
@@ -8,9 +8,7 @@
 from collections.abc import Container
 import dataclasses
 
-# Limits from which on they bind nothing, in requests a second: to keep account
-# of each request would cost more than such an endpoint could lose.
-MOST_PER_S = 1000.0
+from martenjunction.decisions import grant_bucket
 
 # Words that are remembered, and seconds for which one is that its endpoint has
 # no limit any more: late news of its limit must not bring that back.
@@ -87,7 +85,7 @@
         Returns:
             What changed, or None.
         """
-        per_s = _binding(per_s)
+        per_s = grant_bucket.binding(per_s)
         word = self._words.get(endpoint_id)
         may_be_older = word is not None and asked_at < word.since
         if may_be_older and not _binds_more(per_s, self.per_s(endpoint_id)):
@@ -110,7 +108,7 @@
         word = self._words.get(endpoint_id)
         if word is not None and since <= word.since:
             return None
-        return self._set(endpoint_id, _binding(per_s), since)
+        return self._set(endpoint_id, grant_bucket.binding(per_s), since)
 
     def is_open(self, endpoint_id: str, now: float) -> bool:
         """Returns whether a request may be meant for an endpoint now."""
@@ -159,11 +157,6 @@
         return Change(before, per_s)
 
 
-def _binding(per_s: float | None) -> float | None:
-    """Returns a limit if it binds anything, else None."""
-    return None if per_s is None or per_s >= MOST_PER_S else per_s
-
-
 def _binds_more(per_s: float | None, other: float | None) -> bool:
     """Returns whether a limit binds more than another one."""
     return per_s is not None and (other is None or per_s < other)
--- a/martenjunction/decisions/cells/placement.py
+++ b/martenjunction/decisions/cells/placement.py
@@ -81,6 +81,7 @@
                 limit changed says what held before.
             now: The current time.
         """
+        per_s = grant_bucket.binding(per_s)
         if per_s == self._limit_per_s or run.granted < self._limit_since:
             return
         if per_s is None:
--- a/martenjunction/decisions/grant_bucket.py
+++ b/martenjunction/decisions/grant_bucket.py
@@ -4,6 +4,10 @@
 Boxes may disagree on who that is for some seconds.
 """
 
+# Limits from which on they bind nothing, in requests a second: to keep account
+# of each request would cost more than such an endpoint could lose.
+MOST_PER_S = 1000.0
+
 # Part of a limit that a holder grants, and the part in its first seconds, in
 # which another box may still take itself for the holder: together they stay
 # within one and a half times the limit.
@@ -27,6 +31,13 @@
 LONGEST_TURN_S = 2.0
 
 
+def binding(limit_per_s: float | None) -> float | None:
+    """Returns a limit if it binds anything, else None."""
+    if limit_per_s is None or limit_per_s >= MOST_PER_S:
+        return None
+    return limit_per_s
+
+
 class GrantBucket:
     """A token bucket for one endpoint, at one holder."""
 
--- a/tests/test_cell_limits.py
+++ b/tests/test_cell_limits.py
@@ -83,6 +83,19 @@
     assert len([at for at in times(made, "e1") if at > 10.0]) > 20
 
 
+def test_limit_that_binds_nothing_is_none() -> None:
+    cell = builders.cell(endpoints=1, slots=8)
+    cell.submit(builders.ask("first"), 0.0)
+    assert len(cell.step(0.0)) == 1
+    end = asks.RunEnd(
+        "first", asks.Ending.COMPLETE, answered=True, limit_per_s=1e9
+    )
+    cell.ended(end, 0.1)
+    for number in range(8):
+        cell.submit(builders.ask(f"r{number}"), 0.1)
+    assert len(cell.step(0.1)) == 8
+
+
 def test_run_that_was_granted_before_the_word_does_not_end_it() -> None:
     cell = builders.cell(endpoints=1, slots=2)
     for name in ("long", "short"):
