The product's own daemons have a header of their own for limits

Cause: they read the header of the users' platform, whose names stand in its folder alone. Change: 'X-Martenjunction-Limit' on the product's own interface. Conclusion: nothing is decided otherwise.

--- a/martenjunction/http_headers.py
+++ b/martenjunction/http_headers.py
@@ -12,7 +12,7 @@
 LABEL_PREFIX = "X-Label-"
 
 # Requests a second that an endpoint takes from all daemons together.
-LIMIT = "Server-Limit"
+LIMIT = "X-Martenjunction-Limit"
 
 # Of the field.
 IDEMPOTENCY_KEY = "Idempotency-Key"
--- a/tests/test_cell_limits.py
+++ b/tests/test_cell_limits.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from martenjunction import http_headers
 from martenjunction.decisions.cells import asks
 from martenjunction.decisions.cells import dispatcher
 from martenjunction.endpoints import streams
@@ -114,7 +115,7 @@
     ("value", "per_s"), [("2.1", 2.1), ("0", 0.0), ("many", None), (None, None)]
 )
 def test_head_tells_a_limit(value: str | None, per_s: float | None) -> None:
-    pairs = [] if value is None else [("Server-Limit", value)]
+    pairs = [] if value is None else [(http_headers.LIMIT, value)]
     assert streams.ResponseHead(200, pairs).limit_per_s == per_s
 
 
