Three tests of what changes while a connection is made share one course

Cause: that an endpoint begins to leave, asks for rest or names a limit while a request waits for its connection was tested by the same ten lines three times; a cell and its endpoint took in a limit by the same name with their arguments in another order. Change: one course in the builders of requests, which keeps both assertions; one order. Conclusion: nothing is checked less; no behaviour changes.

--- a/martenjunction/decisions/cells/cell_endpoints.py
+++ b/martenjunction/decisions/cells/cell_endpoints.py
@@ -104,7 +104,7 @@
             now: The current time.
         """
         endpoint = self._by_name[run.endpoint]
-        endpoint.names_limit(per_s, run, now)
+        endpoint.names_limit(run, per_s, now)
         self.refresh(endpoint, now)
 
     def rest_left_s(self, now: float) -> float:
--- a/martenjunction/decisions/cells/placement.py
+++ b/martenjunction/decisions/cells/placement.py
@@ -71,14 +71,14 @@
         return self._limit_per_s
 
     def names_limit(
-        self, per_s: float | None, run: asks.Run, now: float
+        self, run: asks.Run, per_s: float | None, now: float
     ) -> None:
         """Takes in what an answer says of the requests a second it takes.
 
         Args:
-            per_s: The limit that it names; None for none.
             run: The run that was answered. One that was granted before the
                 limit changed says what held before.
+            per_s: The limit that it names; None for none.
             now: The current time.
         """
         per_s = grant_bucket.binding(per_s)
--- a/tests/gateway_requests.py
+++ b/tests/gateway_requests.py
@@ -1,5 +1,6 @@
 """Requests to a box before stand-ins, for tests of the whole path."""
 
+import asyncio
 from collections.abc import Callable
 
 import pytest
@@ -81,6 +82,29 @@
     return asked
 
 
+async def begin_at_one_that_changes(
+    fleet: boxes.Boxes,
+    monkeypatch: pytest.MonkeyPatch,
+    act: Callable[[gateway.Gateway, str], object],
+) -> None:
+    """Has an endpoint say something while a request waits for a connection.
+
+    The request is served, and that endpoint gets nothing.
+
+    Args:
+        fleet: A box without endpoints.
+        monkeypatch: Undoes it.
+        act: Given the box and the id of the endpoint that was chosen first.
+    """
+    made = await two_plain(fleet)
+    box = fleet.gateways[0]
+    asked = on_first_connection(monkeypatch, box, lambda i: act(box, i))
+    head, _ = await asyncio.wait_for(ask(fleet, "/safe/"), 10.0)
+    assert head.status == 200
+    [first] = [m for m in made if m.id == asked[0]]
+    assert not first.received
+
+
 def behave(made: list[replica.Replica], behaviour: Behaviour) -> None:
     """Has whichever replica is asked first behave so, once."""
     for stand_in in made:
--- a/tests/test_endpoint_refusals.py
+++ b/tests/test_endpoint_refusals.py
@@ -237,17 +237,11 @@
 async def test_request_that_waits_for_a_connection_is_judged_again(
     fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    made = await requests.two_plain(fleet)
-    box = fleet.gateways[0]
-    asked = requests.on_first_connection(
+    await requests.begin_at_one_that_changes(
+        fleet,
         monkeypatch,
-        box,
-        lambda name: box.book.rest(name, 30.0, box.timers.now()),
+        lambda box, name: box.book.rest(name, 30.0, box.timers.now()),
     )
-    head, _ = await requests.ask(fleet, "/safe/")
-    assert head.status == 200
-    [first] = [m for m in made if m.id == asked[0]]
-    assert not first.received
 
 
 async def test_endpoint_that_refuses_at_once_does_not_look_idle(
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -9,7 +9,6 @@
 searched for it; that an endpoint leaves was known from its entry alone.
 """
 
-import asyncio
 import contextlib
 import dataclasses
 
@@ -122,12 +121,6 @@
 async def test_request_that_waits_for_a_connection_is_judged_again(
     fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    made = await requests.two_plain(fleet)
-    box = fleet.gateways[0]
-    asked = requests.on_first_connection(
-        monkeypatch, box, box.listed.say_leaving
+    await requests.begin_at_one_that_changes(
+        fleet, monkeypatch, lambda box, name: box.listed.say_leaving(name)
     )
-    head, _ = await asyncio.wait_for(requests.ask(fleet, "/safe/"), 10.0)
-    assert head.status == 200
-    [first] = [m for m in made if m.id == asked[0]]
-    assert not first.received
--- a/tests/test_limit_gate.py
+++ b/tests/test_limit_gate.py
@@ -92,17 +92,11 @@
 async def test_limit_that_begins_while_a_request_waits_for_a_connection(
     fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    made = await requests.two_plain(fleet)
-    box = fleet.gateways[0]
-    asked = requests.on_first_connection(
+    await requests.begin_at_one_that_changes(
+        fleet,
         monkeypatch,
-        box,
-        lambda endpoint: box.limits.say(endpoint, 0.0, time.monotonic()),
+        lambda box, name: box.limits.say(name, 0.0, time.monotonic()),
     )
-    head, _ = await asyncio.wait_for(requests.ask(fleet, "/safe/"), 10.0)
-    assert head.status == 200
-    [first] = [m for m in made if m.id == asked[0]]
-    assert not first.received
 
 
 async def test_run_is_not_copied_to_an_endpoint_that_names_a_limit(
