--- a/martenjunction/decisions/boxes/endpoint_list.py
+++ b/martenjunction/decisions/boxes/endpoint_list.py
@@ -8,21 +8,30 @@
 import xxhash
 
 from martenjunction import model
+from martenjunction import revisions
 
 # Seconds after the store's return for which an entry that went away during
 # its outage is kept: its endpoint may not have been able to write.
 LAPSE_GRACE_S = 2.0
 
+# Seconds after the store is restored from a copy for which restored entries of
+# ended endpoints stay unconfirmed. Endpoints write about every 1.2 s and the
+# store drops an entry after three missed writes, so an entry that exists for
+# longer is being written by its endpoint.
+CONFIRMATION_S = 5.0
+
 # Seconds without an answer of the store to any box after which entries may
 # have lapsed. Endpoints write about every 1.2 s and their entries go after
 # three missed writes, so an outage of less than 2.4 s makes none lapse; a box
 # that begins to read in place of another one has waited for 1.7 s at most.
 SHORTEST_LAPSE_S = 2.2
 
-# Entries that are gone and whose last revision is remembered, so that late news
-# does not bring them back; endpoints that started again; and those that said
+# Limits on the remembered state: removed entries with their last revision, so
+# that late updates do not add them again; ended endpoints, so that a restored
+# copy of the store does not; restarted endpoints; and endpoints that announced
 # that they leave.
 MAX_GONE = 1024
+MAX_ENDED = 1024
 MAX_RESTARTED = 256
 MAX_LEAVING = 1024
 
@@ -38,7 +47,7 @@
     """
 
     endpoint: model.Endpoint
-    revision: int
+    revision: revisions.Revision
     lapsed: bool = False
 
 
@@ -55,21 +64,27 @@
         self._starts: dict[str, str] = {}
         self._restarted: dict[str, None] = {}
         self._leaving: dict[str, None] = {}
-        self._gone: dict[str, int] = {}
-        self._revision = 0
+        self._gone: dict[str, revisions.Revision] = {}
+        self._ended: dict[str, revisions.Revision] = {}
+        self._unconfirmed: dict[str, Listed] = {}
+        self._unconfirmed_until = 0.0
+        self._revision = revisions.NONE
+        # The first known revision of the store's current era.
+        self._era_start = revisions.NONE
         self._store_lost = False
         self._grace_until = 0.0
+        self._restore_grace_until = 0.0
         self._digest: int | None = None
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> revisions.Revision:
         """The store's revision up to which changes are known."""
         return self._revision
 
     @property
     def known(self) -> bool:
         """Whether a list was ever taken in."""
-        return self._revision > 0
+        return self._revision > revisions.NONE
 
     @property
     def entries(self) -> dict[str, Listed]:
@@ -120,8 +135,8 @@
 
     def take_listing(
         self,
-        entries: Iterable[tuple[model.Endpoint, int]],
-        revision: int,
+        entries: Iterable[tuple[model.Endpoint, revisions.Revision]],
+        revision: revisions.Revision,
         now: float,
     ) -> list[str]:
         """Takes in a whole list.
@@ -140,36 +155,66 @@
 
     def take_view(
         self,
-        changed: Iterable[tuple[model.Endpoint, int]],
+        changed: Iterable[tuple[model.Endpoint, revisions.Revision]],
         ready: Set[str],
-        revision: int,
+        revision: revisions.Revision,
+        now: float,
     ) -> list[str]:
         """Takes in what another box knows.
 
         That box has already waited for entries that lapsed, so what it does
-        not have is gone.
+        not have is gone. Right after the store was restored, such entries get
+        the grace period instead, as that box may have started since.
 
         Args:
             changed: Endpoints whose entries changed, each with its revision.
             ready: Ids of all endpoints that may get work.
             revision: The store's revision up to which that box knows.
+            now: The current time.
 
         Returns:
             Ids of endpoints that may no longer get work because of it.
         """
+
+        def end(endpoint_id: str) -> list[str]:
+            if now < self._restore_grace_until:
+                return self._end(endpoint_id, revision, now)
+            return self._drop(endpoint_id, revision)
+
         told = [(_told_by_box(e, ready), its) for e, its in changed]
-        return self._take_all(
-            told, ready, revision, lambda i: self._drop(i, revision)
-        )
+        return self._take_all(told, ready, revision, end)
+
+    def begin_era(self, revision: revisions.Revision, now: float) -> None:
+        """Handles a restore of the store from an older copy.
 
-    def take_change(self, endpoint: model.Endpoint, revision: int) -> list[str]:
+        Entries that are missing from the copy are kept for a grace period, and
+        restored entries of ended endpoints stay unconfirmed for a while.
+
+        Args:
+            revision: The first known revision of the new era.
+            now: The current time.
+        """
+        self._era_start = revision
+        self._restore_grace_until = now + LAPSE_GRACE_S
+        self._grace_until = max(self._grace_until, self._restore_grace_until)
+        self._unconfirmed_until = now + CONFIRMATION_S
+        self._unconfirmed.clear()
+
+    def take_change(
+        self, endpoint: model.Endpoint, revision: revisions.Revision
+    ) -> list[str]:
         """Takes in one entry; returns ids that may no longer get work."""
+        if self._is_unconfirmed(endpoint.id, revision):
+            self._unconfirmed[endpoint.id] = Listed(endpoint, revision)
+            return []
         known = self._listed.get(self._starts.get(endpoint.entry, ""))
-        if revision <= self._gone.get(endpoint.entry, 0):
+        if revision <= self._gone.get(endpoint.entry, revisions.NONE):
             return []
         if known is not None and known.revision > revision:
             return []
-        ended = self._end_earlier(endpoint, known)
+        ended = self._end_earlier(endpoint, known, revision)
+        self._ended.pop(endpoint.id, None)
+        self._unconfirmed.pop(endpoint.id, None)
         listed = self._listed.get(endpoint.id)
         was_ready = self.may_send(endpoint.id)
         known_to_leave = listed is not None and not was_ready
@@ -186,7 +231,20 @@
         self._starts[endpoint.entry] = endpoint.id
         return [*ended, endpoint.id] if was_ready and not is_ready else ended
 
-    def take_end(self, entry: str, revision: int, now: float) -> list[str]:
+    def _is_unconfirmed(
+        self, endpoint_id: str, revision: revisions.Revision
+    ) -> bool:
+        """Returns whether an entry of an ended endpoint is only restored."""
+        ended = self._ended.get(endpoint_id)
+        return (
+            ended is not None
+            and ended.era < revision.era
+            and revision <= self._era_start
+        )
+
+    def take_end(
+        self, entry: str, revision: revisions.Revision, now: float
+    ) -> list[str]:
         """Takes in the end of an entry.
 
         Args:
@@ -197,9 +255,14 @@
         Returns:
             Ids of endpoints that may no longer get work because of it.
         """
+        for endpoint_id, unconfirmed in list(self._unconfirmed.items()):
+            if unconfirmed.endpoint.entry == entry:
+                del self._unconfirmed[endpoint_id]
         return self._end(self._starts.get(entry, ""), revision, now)
 
-    def take_foreign(self, entry: str, revision: int) -> list[str]:
+    def take_foreign(
+        self, entry: str, revision: revisions.Revision
+    ) -> list[str]:
         """Takes in that an entry names no endpoint any more.
 
         Args:
@@ -213,20 +276,25 @@
         return [] if known is None else self._drop(known, revision)
 
     def _end_earlier(
-        self, endpoint: model.Endpoint, known: Listed | None
+        self,
+        endpoint: model.Endpoint,
+        known: Listed | None,
+        revision: revisions.Revision,
     ) -> list[str]:
         """Ends an earlier start of an endpoint; returns its id if listed."""
         if known is None or known.endpoint.id == endpoint.id:
             return []
         earlier = known.endpoint.id
-        self._remove(earlier)
+        self._remove(earlier, revision)
         while len(self._restarted) >= MAX_RESTARTED:
             del self._restarted[next(iter(self._restarted))]
         self._restarted[earlier] = None
         self._restarted.pop(endpoint.id, None)
         return [earlier]
 
-    def _end(self, endpoint_id: str, revision: int, now: float) -> list[str]:
+    def _end(
+        self, endpoint_id: str, revision: revisions.Revision, now: float
+    ) -> list[str]:
         listed = self._listed.get(endpoint_id)
         if listed is None or listed.revision > revision:
             return []
@@ -236,7 +304,7 @@
             return []
         return self._drop(endpoint_id, revision)
 
-    def leave(self, endpoint_id: str, revision: int) -> bool:
+    def leave(self, endpoint_id: str, revision: revisions.Revision) -> bool:
         """Notes that an endpoint may get no more work.
 
         Args:
@@ -249,11 +317,26 @@
         listed = self._listed.get(endpoint_id)
         if not self.may_send(endpoint_id) or listed is None:
             return False
-        if listed.revision > revision:
+        if listed.revision > revision and not self._unchanged_since_restore(
+            listed.revision, revision
+        ):
             return False
         self._set_draining(listed)
         return True
 
+    def _unchanged_since_restore(
+        self, held: revisions.Revision, told: revisions.Revision
+    ) -> bool:
+        """Returns whether an entry has not been written since the restore.
+
+        A revision of an earlier era then counts as newer than the entry.
+
+        Args:
+            held: The revision of the listed entry.
+            told: The revision that another box reports.
+        """
+        return told.era < held.era and held <= self._era_start
+
     def say_leaving(self, endpoint_id: str) -> bool:
         """Takes in that an endpoint says itself that it leaves.
 
@@ -281,7 +364,7 @@
         )
         self._digest = None
 
-    def advance(self, revision: int) -> None:
+    def advance(self, revision: revisions.Revision) -> None:
         """Notes that all changes up to a revision were taken in."""
         self._revision = max(self._revision, revision)
 
@@ -301,19 +384,33 @@
             self._grace_until = now + LAPSE_GRACE_S
 
     def expire(self, now: float) -> list[str]:
-        """Drops lapsed entries whose time is over; returns their ids."""
-        if now < self._grace_until or self._store_lost:
+        """Drops lapsed entries whose time is over; returns their ids.
+
+        Also accepts unconfirmed entries once `CONFIRMATION_S` has passed.
+        """
+        if self._store_lost:
+            return []
+        if now >= self._unconfirmed_until:
+            self._accept_unconfirmed()
+        if now < self._grace_until:
             return []
         gone = [i for i, listed in self._listed.items() if listed.lapsed]
         for endpoint_id in gone:
-            self._remove(endpoint_id)
+            self._remove(endpoint_id, self._revision)
         return gone
 
+    def _accept_unconfirmed(self) -> None:
+        unconfirmed, self._unconfirmed = self._unconfirmed, {}
+        for endpoint_id, entry in unconfirmed.items():
+            self._ended.pop(endpoint_id, None)
+            if entry.endpoint.entry not in self._starts:
+                self.take_change(entry.endpoint, entry.revision)
+
     def _take_all(
         self,
-        entries: Iterable[tuple[model.Endpoint, int]],
+        entries: Iterable[tuple[model.Endpoint, revisions.Revision]],
         others: Set[str],
-        revision: int,
+        revision: revisions.Revision,
         end: Callable[[str], list[str]],
     ) -> list[str]:
         """Takes in entries, and the end of all that are not there.
@@ -336,21 +433,28 @@
             left += self.take_change(endpoint, its_revision)
         for missing in [i for i in self._listed if i not in present]:
             left += end(missing)
+        for missing in [i for i in self._unconfirmed if i not in present]:
+            del self._unconfirmed[missing]
         self._revision = revision
         return left
 
-    def _remove(self, endpoint_id: str) -> None:
+    def _remove(self, endpoint_id: str, revision: revisions.Revision) -> None:
         if self.may_send(endpoint_id):
             self._digest = None
+        while len(self._ended) >= MAX_ENDED:
+            del self._ended[next(iter(self._ended))]
+        self._ended[endpoint_id] = revision
         entry = self._listed.pop(endpoint_id).endpoint.entry
         if self._starts.get(entry) == endpoint_id:
             del self._starts[entry]
 
-    def _drop(self, endpoint_id: str, revision: int) -> list[str]:
+    def _drop(
+        self, endpoint_id: str, revision: revisions.Revision
+    ) -> list[str]:
         listed = self._listed[endpoint_id]
         if listed.revision > revision:
             return []
-        self._remove(endpoint_id)
+        self._remove(endpoint_id, revision)
         while len(self._gone) >= MAX_GONE:
             del self._gone[next(iter(self._gone))]
         self._gone[listed.endpoint.entry] = revision
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -448,6 +448,7 @@
                 "grants_refused": float(self.grants.refused),
                 "suspects": float(len(self.suspects.dump())),
                 "quarantined_refused": float(self.suspects.refused),
+                "store_returns": float(self.picture.store_returns),
                 "entries_unreadable": float(self.picture.unreadable),
                 "loop_delay_s": self.timers.worst_delay,
             },
--- a/martenjunction/objects/client.py
+++ b/martenjunction/objects/client.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from martenjunction import errors
+from martenjunction import revisions
 from martenjunction.objects import model
 from martenjunction.platform import store
 
@@ -68,10 +69,11 @@
             if version == 0:
                 written = await self._store.create(kind, name, value)
             else:
-                written = await self._store.replace(kind, name, value, version)
+                expected = revisions.Revision(self._store.era, version)
+                written = await self._store.replace(kind, name, value, expected)
         except errors.VersionConflictError as error:
             raise errors.VersionConflictError(key, error.current) from error
-        return written.revision
+        return written.revision.number
 
     async def list_objects(self, prefix: str) -> model.ObjectList:
         """Returns all objects whose keys begin with a prefix.
@@ -85,7 +87,7 @@
         kind, _ = split_key(prefix)
         listing = await self._store.list(kind)
         return model.ObjectList(
-            listing.revision,
+            listing.revision.number,
             [_object(prefix + found.name, found) for found in listing.objects],
         )
 
@@ -108,14 +110,17 @@
         """
         kind, _ = split_key(prefix)
         try:
-            answer = await self._store.watch(kind, after, wait)
+            revision = revisions.Revision(self._store.era, after)
+            answer = await self._store.watch(kind, revision, wait)
         except errors.HistoryLostError:
             return None
         newest = {change.object.name: change for change in answer.changes}
         return model.ObjectList(
-            answer.revision,
+            answer.revision.number,
             [
-                model.PlatformObject(prefix + name, change.object.revision)
+                model.PlatformObject(
+                    prefix + name, change.object.revision.number
+                )
                 if change.deleted
                 else _object(prefix + name, change.object)
                 for name, change in newest.items()
@@ -133,13 +138,15 @@
             boxes = [
                 msgspec.json.decode(found.spec, type=model.ListedBox)
                 for found in listing.objects
-                if found.revision > after
+                if found.revision.number > after
             ]
         except msgspec.MsgspecError as error:
             raise errors.PlatformUnavailableError(
                 f"the list cannot be read: {error}"
             ) from error
-        newest = max((found.revision for found in listing.objects), default=0)
+        newest = max(
+            (found.revision.number for found in listing.objects), default=0
+        )
         return model.BoxList(newest, boxes)
 
 
@@ -156,4 +163,4 @@
         raise errors.PlatformUnavailableError(
             f"{key} cannot be read: {error}"
         ) from error
-    return model.PlatformObject(key, found.revision, value)
+    return model.PlatformObject(key, found.revision.number, value)
--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -13,7 +13,7 @@
 T = TypeVar("T")
 
 # The version of the messages; daemons of unlike versions do not talk.
-PROTOCOL = 7
+PROTOCOL = 8
 
 # The largest message that is read, in bytes.
 MAX_MESSAGE = 4 * 1024 * 1024
--- a/martenjunction/platform/store.py
+++ b/martenjunction/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import dataclasses
 from typing import Any
 from urllib import parse
@@ -9,7 +10,9 @@
 import msgspec
 
 from martenjunction import errors
+from martenjunction import revisions
 from martenjunction.http1 import client
+from martenjunction.http1 import messages
 
 # Seconds for a connection, for the head of an answer beyond a watch's own wait
 # and for each further part of it, and for all its parts. A document of 370 kB
@@ -26,6 +29,10 @@
 
 _JSON = (b"Content-Type", b"application/json")
 
+# Header of all answers; increases each time the store is restored from a copy.
+_ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 18
+
 
 class _Meta(msgspec.Struct):
     name: str
@@ -65,7 +72,7 @@
     """
 
     name: str
-    revision: int
+    revision: revisions.Revision
     spec: bytes
 
 
@@ -74,7 +81,7 @@
     """All objects of a kind, and the store's revision then."""
 
     objects: tuple[StoredObject, ...]
-    revision: int
+    revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,7 +97,22 @@
     """Changes since a revision, in order, and the revision after them."""
 
     changes: tuple[Change, ...]
-    revision: int
+    revision: revisions.Revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """One answer of the store.
+
+    Attributes:
+        status: The HTTP status.
+        body: The whole body.
+        era: The era of the store that the answer belongs to.
+    """
+
+    status: int
+    body: bytes
+    era: int
 
 
 class StoreClient:
@@ -105,22 +127,42 @@
         self._address = address
         self._kept: list[client.ClientConnection] = []
         self._calls: collections.Counter[str] = collections.Counter()
+        self._era = 0
+        self._on_era_change: Callable[[int], None] = lambda era: None
+
+    @property
+    def era(self) -> int:
+        """The highest known era of the store; 0 if none is known."""
+        return self._era
 
     @property
     def calls(self) -> dict[str, int]:
         """Calls made so far, by what they did."""
         return dict(self._calls)
 
+    def on_era_change(self, callback: Callable[[int], None]) -> None:
+        """Sets the callback for new eras; the first one is not reported."""
+        self._on_era_change = callback
+
+    def update_era(self, era: int) -> None:
+        """Records the store's era, as reported by an answer or a peer."""
+        if era <= self._era:
+            return
+        is_change = self._era > 0
+        self._era = era
+        if is_change:
+            self._on_era_change(era)
+
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Returns an object as it stands now, or None.
 
         Raises:
             PlatformError: If there is no answer.
         """
-        status, body = await self._call("get", "GET", _path(kind, name))
-        if status == 404:
+        answer = await self._call("get", "GET", _path(kind, name))
+        if answer.status == 404:
             return None
-        return _object(_decode(status, body, _Object))
+        return _object(_decode(answer, _Object), answer.era)
 
     async def list(self, kind: str, may_be_old: bool = False) -> Listing:
         """Returns all objects of a kind as they stand now.
@@ -135,22 +177,31 @@
         """
         objects: list[StoredObject] = []
         after: str | None = None
+        era: int | None = None
         for _ in range(MAX_PAGES):
             query = {} if after is None else {"since_rev": after}
             if may_be_old:
                 query["allow_stale"] = "1"
             path = _path(kind, query=query)
-            status, body = await self._call("list", "GET", path)
-            page = _decode(status, body, _Listing)
-            objects.extend(_object(entry) for entry in page.entries)
+            answer = await self._call("list", "GET", path)
+            page = _decode(answer, _Listing)
+            if era not in (None, answer.era):
+                raise errors.PlatformRefusedError(
+                    f"pages of {kind} are from eras {era} and {answer.era}"
+                )
+            era = answer.era
+            objects.extend(_object(entry, era) for entry in page.entries)
             if not page.has_more or not page.entries:
-                return Listing(tuple(objects), page.current_rev)
+                revision = revisions.Revision(era, page.current_rev)
+                return Listing(tuple(objects), revision)
             # Pages go on after a name, although the field speaks of a
             # revision.
             after = page.entries[-1].metadata.name
         raise errors.PlatformRefusedError(f"{kind} has too many pages")
 
-    async def watch(self, kind: str, after: int, wait_s: float) -> Changes:
+    async def watch(
+        self, kind: str, after: revisions.Revision, wait_s: float
+    ) -> Changes:
         """Waits for changes of a kind.
 
         Args:
@@ -159,25 +210,33 @@
             wait_s: Seconds to wait for the first change.
 
         Raises:
-            HistoryLostError: If the store dropped changes since `after`.
+            HistoryLostError: If the store dropped changes since `after`, or
+                was restored from a copy since then.
             PlatformError: If there is no answer.
         """
-        query = {"watch": str(after), "wait_ms": str(round(wait_s * 1000))}
-        status, body = await self._call(
+        wait_ms = str(round(wait_s * 1000))
+        query = {"watch": str(after.number), "wait_ms": wait_ms}
+        answer = await self._call(
             "watch",
             "GET",
             _path(kind, query=query),
             timeout_s=wait_s + CALL_TIMEOUT_S,
         )
-        if status == 410:
+        if answer.status == 410:
             raise errors.HistoryLostError(f"changes after {after} are gone")
-        answer = _decode(status, body, _Events)
+        decoded = _decode(answer, _Events)
+        if answer.era != after.era:
+            # The store may have reused this number and passed it again, so that
+            # changes would be missed.
+            raise errors.HistoryLostError(
+                f"{after} is not from era {answer.era}"
+            )
         return Changes(
             tuple(
-                Change(_object(event.object), event.deleted)
-                for event in answer.events
+                Change(_object(event.object, answer.era), event.deleted)
+                for event in decoded.events
             ),
-            answer.current_rev,
+            revisions.Revision(answer.era, decoded.current_rev),
         )
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
@@ -192,7 +251,11 @@
         return await self._write("create", "POST", _path(kind), name, document)
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int | None
+        self,
+        kind: str,
+        name: str,
+        spec: Any,
+        revision: revisions.Revision | None,
     ) -> StoredObject:
         """Replaces an object's content.
 
@@ -209,26 +272,30 @@
         """
         metadata: dict[str, Any] = {"name": name}
         if revision is not None:
-            metadata["revision"] = revision
+            self._check_era(name, revision)
+            metadata["revision"] = revision.number
         document = {"metadata": metadata, "spec": spec}
         path = _path(kind, name)
         return await self._write("replace", "PUT", path, name, document)
 
-    async def delete(self, kind: str, name: str, revision: int | None) -> None:
+    async def delete(
+        self, kind: str, name: str, revision: revisions.Revision | None
+    ) -> None:
         """Removes an object; one that is not there is no error.
 
         Raises:
             VersionConflictError: If it has another revision.
             PlatformError: If it was not, or may not have been, removed.
         """
-        query = {} if revision is None else {"revision": str(revision)}
-        status, body = await self._call(
-            "delete", "DELETE", _path(kind, name, query)
-        )
-        if status == 409:
-            raise errors.VersionConflictError(name, _revision_in(body))
-        if status not in (200, 204, 404):
-            _decode(status, body, _Object)
+        query = {}
+        if revision is not None:
+            self._check_era(name, revision)
+            query["revision"] = str(revision.number)
+        answer = await self._call("delete", "DELETE", _path(kind, name, query))
+        if answer.status == 409:
+            raise errors.VersionConflictError(name, _revision_in(answer.body))
+        if answer.status not in (200, 204, 404):
+            _decode(answer, _Object)
 
     def close(self) -> None:
         """Ends all kept connections."""
@@ -240,10 +307,21 @@
         self, what: str, method: str, path: str, name: str, document: Any
     ) -> StoredObject:
         body = msgspec.json.encode(document)
-        status, answer = await self._call(what, method, path, body)
-        if status == 409:
-            raise errors.VersionConflictError(name, _revision_in(answer))
-        return _object(_decode(status, answer, _Object))
+        answer = await self._call(what, method, path, body)
+        if answer.status == 409:
+            raise errors.VersionConflictError(name, _revision_in(answer.body))
+        return _object(_decode(answer, _Object), answer.era)
+
+    def _check_era(self, name: str, revision: revisions.Revision) -> None:
+        """Rejects a condition on a revision of an earlier era.
+
+        The store may have reused its number for another change.
+
+        Raises:
+            VersionConflictError: If the revision is of an earlier era.
+        """
+        if revision.era < self.era:
+            raise errors.VersionConflictError(name, 0)
 
     async def _call(
         self,
@@ -252,7 +330,7 @@
         path: str,
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         """Makes one call; a connection without an answer is not used again."""
         self._calls[what] += 1
         connection = await self._connect()
@@ -264,7 +342,7 @@
                 connection.send(method.encode(), path.encode(), headers, body)
                 head = await connection.read_head()
             async with connection.answer_within(BODY_TIMEOUT_S):
-                answer = await _body(connection)
+                content = await _body(connection)
         except (errors.TransportError, TimeoutError) as error:
             connection.abort()
             raise errors.PlatformUnavailableError(
@@ -273,9 +351,18 @@
         except asyncio.CancelledError:
             connection.abort()
             raise
+        era = _era_in(head)
+        if era is None:
+            era = self.era
+        if era < self.era:
+            connection.abort()
+            raise errors.PlatformUnavailableError(
+                f"answer to {what} is from era {era}, before {self.era}"
+            )
         if connection.finish():
             self._keep(connection)
-        return head.status, answer
+        self.update_era(era)
+        return _Answer(head.status, content, era)
 
     async def _connect(self) -> client.ClientConnection:
         while self._kept:
@@ -316,19 +403,26 @@
     return f"{path}?{parse.urlencode(query)}" if query else path
 
 
-def _object(wire: _Object) -> StoredObject:
-    return StoredObject(
-        wire.metadata.name, wire.metadata.revision, bytes(wire.spec)
-    )
+def _era_in(head: messages.ResponseHead) -> int | None:
+    """Returns the era in the head of an answer, or None."""
+    value = messages.header(head.headers, _ERA_HEADER)
+    if value is None or len(value) > MAX_ERA_DIGITS or not value.isdigit():
+        return None
+    return int(value)
+
+
+def _object(wire: _Object, era: int) -> StoredObject:
+    revision = revisions.Revision(era, wire.metadata.revision)
+    return StoredObject(wire.metadata.name, revision, bytes(wire.spec))
 
 
-def _decode(status: int, body: bytes, wanted: Any) -> Any:
-    if status in (429, 503):
-        raise errors.PlatformRefusedError(f"status {status}")
-    if status not in (200, 201):
-        raise errors.PlatformUnavailableError(f"status {status}")
+def _decode(answer: _Answer, wanted: Any) -> Any:
+    if answer.status in (429, 503):
+        raise errors.PlatformRefusedError(f"status {answer.status}")
+    if answer.status not in (200, 201):
+        raise errors.PlatformUnavailableError(f"status {answer.status}")
     try:
-        return msgspec.json.decode(body, type=wanted)
+        return msgspec.json.decode(answer.body, type=wanted)
     except msgspec.MsgspecError as error:
         raise errors.PlatformUnavailableError(
             f"the answer cannot be read: {error}"
--- a/martenjunction/routing/box_dump.py
+++ b/martenjunction/routing/box_dump.py
@@ -38,13 +38,19 @@
     """
     return {
         "config": {"version": known.version, "age_s": freshness.age_s(now)},
-        "store": {"answers": known.store_answers, "calls": client.calls},
+        "store": {
+            "answers": known.store_answers,
+            "calls": client.calls,
+            "era": client.era,
+            "returns": known.store_returns,
+        },
         "endpoints": {
             endpoint_id: {
                 "state": listed.endpoint.state.value,
                 "service": listed.endpoint.service,
                 "lapsed": listed.lapsed,
-                "revision": listed.revision,
+                "era": listed.revision.era,
+                "revision": listed.revision.number,
                 "connections": connections.open_connections(endpoint_id),
             }
             for endpoint_id, listed in book.listed.entries.items()
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -7,6 +7,7 @@
 import time
 
 from martenjunction import errors
+from martenjunction import revisions
 from martenjunction.decisions.boxes import store_readers
 from martenjunction.peers import membership
 from martenjunction.platform import documents
@@ -77,17 +78,22 @@
         self._watches: list[asyncio.Task[None]] = []
         self._answered = False
         self._first = True
-        self._listed: dict[str, int] = {}
-        self._foreign: dict[str, int] = {}
+        self._listed: dict[str, revisions.Revision] = {}
+        self._foreign: dict[str, revisions.Revision] = {}
         self._recorded = False
         self._recorded_at = 0.0
         self._met = False
+        client.on_era_change(self._on_era_change)
 
     @property
     def answered(self) -> bool:
         """Whether this box reads and the store answered its last question."""
         return self._answered
 
+    def update_era(self, era: int) -> None:
+        """Records the store's era, as reported by another box."""
+        self._client.update_era(era)
+
     def start(self) -> None:
         """Begins to follow the boxes' entries, and to read."""
         loop = asyncio.get_running_loop()
@@ -189,6 +195,18 @@
             task.cancel()
         self._watches = []
 
+    def _on_era_change(self, era: int) -> None:
+        """Restarts the watches, as the store was restored from a copy."""
+        self._log.write("store-era-changed", era=era)
+        # A pending watch may get no event for the restore. The restart is
+        # deferred because the caller may be one of the watches to cancel.
+        asyncio.get_running_loop().call_soon(self._restart_watches)
+
+    def _restart_watches(self) -> None:
+        if self._watches:
+            self._end_watches()
+            self._begin_watches()
+
     def _confirm_interval_s(self) -> float:
         """Returns the seconds until the configuration is asked for again.
 
@@ -242,7 +260,10 @@
         )
 
     async def _watch(
-        self, kind: str, after: int, take: Callable[[store.Change], None]
+        self,
+        kind: str,
+        after: revisions.Revision,
+        take: Callable[[store.Change], None],
     ) -> None:
         """Takes in the changes of a kind until the store forgets some.
 
@@ -263,7 +284,7 @@
             await self._record_own()
         # Peers tell what is newer, and entries are removed under a condition.
         listing = await self._client.list(documents.BOX_KIND, may_be_old=True)
-        present: dict[str, int] = {}
+        present: dict[str, revisions.Revision] = {}
         for found in listing.objects:
             entry = self._decode_box(found)
             if entry is None:
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from martenjunction import revisions
 from martenjunction.peers import codec
 
 
@@ -41,7 +42,7 @@
 
     ready: bool
     version: int
-    revision: int
+    revision: revisions.Revision
     reads: bool
     age_ms: int
     link_kb: int
@@ -100,7 +101,7 @@
 
     question: int
     version: int
-    revision: int
+    revision: revisions.Revision
     digest: int
 
 
@@ -120,20 +121,32 @@
         ready: Ids of all endpoints that may get work.
         changed: Ids of the endpoints whose entries changed after the
             revision that the asking box has.
-        revisions: The revision of each changed entry.
+        eras: The era of each changed entry's revision.
+        numbers: The number of each changed entry's revision.
         entries: Each changed entry.
     """
 
     question: int
     age_ms: int
     version: int
-    revision: int
+    revision: revisions.Revision
     tells_endpoints: bool
     ready: tuple[str, ...]
     changed: tuple[str, ...]
-    revisions: tuple[int, ...]
+    eras: tuple[int, ...]
+    numbers: tuple[int, ...]
     entries: tuple[bytes, ...]
 
+    def rows(self) -> list[tuple[str, revisions.Revision, bytes]]:
+        """Returns id, revision and document of each changed entry."""
+        columns = zip(
+            self.changed, self.eras, self.numbers, self.entries, strict=False
+        )
+        return [
+            (name, revisions.Revision(era, number), entry)
+            for name, era, number, entry in columns
+        ]
+
 
 @codec.message("config-news", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -164,7 +177,7 @@
     """
 
     ids: tuple[str, ...]
-    revision: int
+    revision: revisions.Revision
 
 
 @codec.message("endpoints-leaving", urgent=True)
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from martenjunction import errors
+from martenjunction import revisions
 from martenjunction import timers
 from martenjunction.decisions.boxes import key_freshness
 from martenjunction.decisions.boxes import peer_questions
@@ -108,7 +109,7 @@
         self._reading = reading
         self._link_kb = int(link_bytes_s / KB)
         self._role = store_readers.ReaderRole(members.own.box, self._link_kb)
-        self._told_of: tuple[bool, int, int] = (False, 0, 0)
+        self._told_of = (False, 0, revisions.NONE)
         self._lacks_entries = False
         # The version whose document here is unlike that of a peer.
         self._unlike_version: int | None = None
@@ -189,6 +190,7 @@
         now = self._timers.now()
         self._statuses[box] = _Told(now, self._timers.listened(), status)
         self._members.heard(box, 0.0)
+        self._reading.update_era(status.revision.era)
         behind = self._hear_of(status.version, box)
         if behind or status.revision > self._book.listed.revision:
             self._ask(box)
@@ -390,7 +392,9 @@
             peer_messages.AskView(
                 number,
                 0 if unlike else self._known.version,
-                0 if self._lacks_entries else self._book.listed.revision,
+                revisions.NONE
+                if self._lacks_entries
+                else self._book.listed.revision,
                 self._book.listed.digest(),
             ),
         )
@@ -407,8 +411,8 @@
         )
         changed = {
             name: entry
-            for name, entry in self._known.entries.items()
-            if tells and entry[0] > ask.revision
+            for name, entry in (self._known.entries if tells else {}).items()
+            if entry[0] > ask.revision
         }
         self._peers.send(
             box,
@@ -420,7 +424,8 @@
                 tells,
                 tuple(listed.ready_ids()) if tells else (),
                 tuple(changed),
-                tuple(revision for revision, _ in changed.values()),
+                tuple(revision.era for revision, _ in changed.values()),
+                tuple(revision.number for revision, _ in changed.values()),
                 tuple(spec for _, spec in changed.values()),
             ),
         )
@@ -431,8 +436,7 @@
         if asked_at is not None and view.age_ms >= 0 and same:
             self._freshness.confirm(asked_at - view.age_ms * MS)
         if view.tells_endpoints:
-            rows = zip(view.changed, view.revisions, view.entries, strict=False)
-            self._known.take_view(list(rows), view.ready, view.revision, box)
+            self._known.take_view(view.rows(), view.ready, view.revision, box)
         self._lacks_entries = any(
             endpoint_id not in self._book.listed.entries
             for endpoint_id in view.ready
--- a/martenjunction/routing/picture.py
+++ b/martenjunction/routing/picture.py
@@ -4,6 +4,7 @@
 
 from martenjunction import errors
 from martenjunction import model
+from martenjunction import revisions
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import key_freshness
 from martenjunction.platform import documents
@@ -44,17 +45,23 @@
         self._config_spec = b""
         self._config_from = ""
         self._documents = config_documents.ConfigDocuments()
-        self._entries: dict[str, tuple[int, bytes]] = {}
+        self._entries: dict[str, tuple[revisions.Revision, bytes]] = {}
         self._on_left: Callable[[list[str]], None] = lambda ids: None
         self._store_answers: bool | None = None
         self._foreign: dict[str, bytes] = {}
         self._unreadable = 0
+        self._store_returns = 0
 
     @property
     def unreadable(self) -> int:
         """Entries and configurations so far that could not be read."""
         return self._unreadable
 
+    @property
+    def store_returns(self) -> int:
+        """Restores of the store from a copy, seen since this box started."""
+        return self._store_returns
+
     @property
     def version(self) -> int:
         """Version of the configuration in force; 0 for none."""
@@ -72,9 +79,10 @@
         return self._documents
 
     @property
-    def entries(self) -> dict[str, tuple[int, bytes]]:
-        """Revision and document of each endpoint's entry, to be read only."""
-        return self._entries
+    def entries(self) -> dict[str, tuple[revisions.Revision, bytes]]:
+        """Revision and document of each listed endpoint's entry."""
+        names = self._listed.names
+        return {i: row for i, row in self._entries.items() if i in names}
 
     @property
     def store_answers(self) -> bool:
@@ -104,9 +112,9 @@
 
     def take_view(
         self,
-        changed: list[tuple[str, int, bytes]],
+        changed: list[tuple[str, revisions.Revision, bytes]],
         ready: tuple[str, ...],
-        revision: int,
+        revision: revisions.Revision,
         source: str,
     ) -> None:
         """Takes in what another box knows of the endpoints.
@@ -119,15 +127,19 @@
         """
         if revision < self._listed.revision:
             return
+        self._check_era(revision, source)
         entries, left = self._decode_all(changed)
-        left += self._listed.take_view(entries, set(ready), revision)
+        left += self._listed.take_view(
+            entries, set(ready), revision, self._now()
+        )
         for name, entry_revision, spec in changed:
             self._entries[name] = (entry_revision, spec)
         for name in [i for i in self._entries if i not in self._listed.names]:
             del self._entries[name]
         self._log.write(
             "endpoints-told",
-            revision=revision,
+            era=revision.era,
+            revision=revision.number,
             changed=len(entries),
             count=len(self._listed.entries),
             source=source,
@@ -159,8 +171,8 @@
 
     def take_endpoints(
         self,
-        objects: list[tuple[str, int, bytes]],
-        revision: int,
+        objects: list[tuple[str, revisions.Revision, bytes]],
+        revision: revisions.Revision,
         source: str,
     ) -> None:
         """Takes a whole list of endpoints in.
@@ -172,12 +184,14 @@
         """
         if revision < self._listed.revision:
             return
+        self._check_era(revision, source)
         entries, left = self._decode_all(objects)
         left += self._listed.take_listing(entries, revision, self._now())
         self._entries = {i: (r, spec) for i, r, spec in objects}
         self._log.write(
             "endpoints-listed",
-            revision=revision,
+            era=revision.era,
+            revision=revision.number,
             count=len(entries),
             source=source,
         )
@@ -203,15 +217,36 @@
         self._listed.advance(revision)
         self._tell_left(left, revision, "store")
 
-    def _log_endpoint(self, endpoint: str, state: str, revision: int) -> None:
+    def _check_era(self, revision: revisions.Revision, source: str) -> None:
+        """Handles a restore of the store since the last list or view."""
+        known = self._listed.revision
+        if not self._listed.known or revision.era <= known.era:
+            return
+        self._store_returns += 1
+        self._log.write(
+            "store-restored",
+            era=revision.era,
+            revision=revision.number,
+            known_era=known.era,
+            known_revision=known.number,
+            source=source,
+        )
+        self._listed.begin_era(revision, self._now())
+
+    def _log_endpoint(
+        self, endpoint: str, state: str, revision: revisions.Revision
+    ) -> None:
         self._log.write(
             "endpoint-changed",
             endpoint=endpoint,
             state=state,
-            revision=revision,
+            era=revision.era,
+            revision=revision.number,
         )
 
-    def take_left(self, ids: tuple[str, ...], revision: int) -> None:
+    def take_left(
+        self, ids: tuple[str, ...], revision: revisions.Revision
+    ) -> None:
         """Takes in a peer's word that endpoints may get no more work."""
         for endpoint_id in ids:
             listed = self._listed.entries.get(endpoint_id)
@@ -221,7 +256,8 @@
                     endpoint=endpoint_id,
                     service=listed.endpoint.service,
                     state="leaving",
-                    revision=revision,
+                    era=revision.era,
+                    revision=revision.number,
                     source="peer",
                 )
 
@@ -255,23 +291,29 @@
                 "store-regained" if answers else "store-lost", why=why
             )
 
-    def _tell_left(self, left: list[str], revision: int, source: str) -> None:
+    def _tell_left(
+        self, left: list[str], revision: revisions.Revision, source: str
+    ) -> None:
         if left:
             self._log.write(
-                "endpoints-left", endpoints=left, revision=revision, via=source
+                "endpoints-left",
+                endpoints=left,
+                era=revision.era,
+                revision=revision.number,
+                via=source,
             )
             self._on_left(left)
 
     def _decode_all(
-        self, objects: list[tuple[str, int, bytes]]
-    ) -> tuple[list[tuple[model.Endpoint, int]], list[str]]:
+        self, objects: list[tuple[str, revisions.Revision, bytes]]
+    ) -> tuple[list[tuple[model.Endpoint, revisions.Revision]], list[str]]:
         """Decodes entries; one that cannot be read names no endpoint.
 
         Returns:
             The endpoints with their entries' revisions, and the ids of those
             whose entries became unreadable.
         """
-        decoded: list[tuple[model.Endpoint, int]] = []
+        decoded: list[tuple[model.Endpoint, revisions.Revision]] = []
         ended: list[str] = []
         for name, revision, spec in objects:
             try:
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from martenjunction import model
+from martenjunction import revisions
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import shedding
@@ -132,7 +133,8 @@
             )
             for name in self._engines
         ]
-        listed.take_listing([(e, 1) for e in endpoints], 1, 0.0)
+        first = revisions.Revision(1, 1)
+        listed.take_listing([(e, first) for e in endpoints], first, 0.0)
         return endpoint_book.EndpointBook(
             listed, decision_log.DecisionLog(lambda: 0.0), random.Random(number)
         )
@@ -279,4 +281,4 @@
             request.book.end(request.ticket, now, failed=True)
             self._result(request.arrival).lost += 1
         for book in self._books:
-            book.listed.leave(name, 2)
+            book.listed.leave(name, revisions.Revision(1, 2))
--- a/martenjunction_lab/spread/fleet.py
+++ b/martenjunction_lab/spread/fleet.py
@@ -127,6 +127,9 @@
         elif not wanted:
             self._wanted = self.answered = False
 
+    def update_era(self, era: int) -> None:
+        """Does nothing, as this store is never restored from a copy."""
+
     def news(self) -> None:
         """Lets a watch tell of a new configuration."""
         if self.answered:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -51,7 +51,11 @@
         clock = timers.Timers(lambda: fleet.now)
         log = decision_log.DecisionLog(clock.now)
         listed = endpoint_list.EndpointList()
-        listed.take_listing([(builders.endpoint(ENDPOINT), 3)], 5, now=0.0)
+        listed.take_listing(
+            [(builders.endpoint(ENDPOINT), builders.rev(3))],
+            builders.rev(5),
+            now=0.0,
+        )
         self.name = node.name
         self.heard = set(node.links)
         self.book = endpoint_book.EndpointBook(listed, log, random.Random(1))
--- a/tests/routing_builders.py
+++ b/tests/routing_builders.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from martenjunction import model
+from martenjunction import revisions
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import engine_figures
 from martenjunction.platform import box_settings
@@ -15,6 +16,11 @@
 KEY = "key-of-one"
 
 
+def rev(number: int, era: int = 1) -> revisions.Revision:
+    """Returns a revision of the store, by default of the first era."""
+    return revisions.Revision(era, number)
+
+
 def route(name: str, prefix: str, **changes: Any) -> dict[str, Any]:
     """Returns a route of the configuration document."""
     return {
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -10,17 +10,20 @@
 from tests import routing_builders as builders
 
 DRAINING = model.EndpointState.DRAINING
+rev = builders.rev
 
 
 def listed(*ids: str) -> endpoint_list.EndpointList:
     made = endpoint_list.EndpointList()
-    made.take_listing([(builders.endpoint(i), 1) for i in ids], 5, now=0.0)
+    made.take_listing(
+        [(builders.endpoint(i), rev(1)) for i in ids], rev(5), now=0.0
+    )
     return made
 
 
 def test_draining_endpoint_gets_no_work_at_once() -> None:
     known = listed("e1", "e2")
-    left = known.take_change(builders.endpoint("e1", DRAINING), 6)
+    left = known.take_change(builders.endpoint("e1", DRAINING), rev(6))
     assert left == ["e1"]
     assert not known.may_send("e1")
     assert [e.id for e in known.ready(builders.PLAIN)] == ["e2"]
@@ -28,29 +31,31 @@
 
 def test_endpoint_that_leaves_does_not_come_back() -> None:
     known = listed("e1")
-    known.take_change(builders.endpoint("e1", DRAINING), 6)
-    known.take_change(builders.endpoint("e1"), 7)
+    known.take_change(builders.endpoint("e1", DRAINING), rev(6))
+    known.take_change(builders.endpoint("e1"), rev(7))
     assert not known.may_send("e1")
 
 
 def test_deleted_entry_is_gone_and_an_old_one_does_not_bring_it_back() -> None:
     known = listed("e1")
-    assert known.take_end("e1", 8, 1.0) == ["e1"]
-    known.take_change(builders.endpoint("e1"), 7)
+    assert known.take_end("e1", rev(8), 1.0) == ["e1"]
+    known.take_change(builders.endpoint("e1"), rev(7))
     assert not known.may_send("e1")
 
 
 def test_entry_missing_from_a_new_list_is_gone() -> None:
     known = listed("e1", "e2")
-    left = known.take_listing([(builders.endpoint("e2"), 1)], 9, now=1.0)
+    left = known.take_listing(
+        [(builders.endpoint("e2"), rev(1))], rev(9), now=1.0
+    )
     assert left == ["e1"]
 
 
 def test_list_older_than_what_is_known_changes_nothing() -> None:
     known = listed("e1")
-    known.take_change(builders.endpoint("e2"), 8)
-    known.advance(8)
-    assert known.take_listing([], 6, now=2.0) == []
+    known.take_change(builders.endpoint("e2"), rev(8))
+    known.advance(rev(8))
+    assert known.take_listing([], rev(6), now=2.0) == []
     assert known.may_send("e1") and known.may_send("e2")
 
 
@@ -58,7 +63,7 @@
     known = listed("e1")
     known.store_lost()
     known.store_returned(14.0, away_s=4.0)
-    known.take_listing([], 9, now=14.0)
+    known.take_listing([], rev(9), now=14.0)
     assert known.may_send("e1")
     assert known.expire(15.9) == []
     assert known.expire(16.1) == ["e1"]
@@ -69,25 +74,25 @@
     known = listed("e1")
     known.store_lost()
     known.store_returned(14.0, away_s=4.0)
-    known.take_listing([], 9, now=14.0)
-    known.take_change(builders.endpoint("e1"), 11)
+    known.take_listing([], rev(9), now=14.0)
+    known.take_change(builders.endpoint("e1"), rev(11))
     assert known.expire(17.0) == []
     assert known.may_send("e1")
 
 
 def test_draining_entry_has_no_grace() -> None:
     known = listed("e1")
-    known.take_change(builders.endpoint("e1", DRAINING), 6)
+    known.take_change(builders.endpoint("e1", DRAINING), rev(6))
     known.store_lost()
     known.store_returned(14.0, away_s=4.0)
-    assert known.take_listing([], 9, now=14.0) == ["e1"]
+    assert known.take_listing([], rev(9), now=14.0) == ["e1"]
 
 
 def test_short_loss_of_the_store_gives_no_grace() -> None:
     known = listed("e1")
     known.store_lost()
     known.store_returned(10.2, away_s=0.2)
-    assert known.take_listing([], 9, now=10.2) == ["e1"]
+    assert known.take_listing([], rev(9), now=10.2) == ["e1"]
 
 
 def test_box_that_others_kept_informed_gives_no_grace() -> None:
@@ -95,13 +100,13 @@
     known = listed("e1")
     known.store_lost()
     known.store_returned(20.0, away_s=0.9)
-    assert known.take_listing([], 9, now=20.0) == ["e1"]
+    assert known.take_listing([], rev(9), now=20.0) == ["e1"]
 
 
 def test_lapsed_entry_waits_while_the_store_is_lost_again() -> None:
     known = listed("e1")
     known.store_returned(14.0, away_s=4.0)
-    known.take_listing([], 9, now=14.0)
+    known.take_listing([], rev(9), now=14.0)
     known.store_lost()
     assert known.expire(17.0) == []
     known.store_returned(18.0, away_s=3.0)
@@ -112,44 +117,45 @@
 def test_endpoint_that_another_box_does_not_have_is_gone_at_once() -> None:
     known = listed("e1", "e2")
     known.store_lost()
-    assert known.take_view([], {"e2"}, 9) == ["e1"]
+    assert known.take_view([], {"e2"}, rev(9), 1.0) == ["e1"]
     assert not known.may_send("e1") and known.may_send("e2")
 
 
 def test_view_brings_what_changed_and_keeps_the_rest() -> None:
     known = listed("e1", "e2")
     changed = [
-        (builders.endpoint("e2", DRAINING), 7),
-        (builders.endpoint("e3"), 8),
+        (builders.endpoint("e2", DRAINING), rev(7)),
+        (builders.endpoint("e3"), rev(8)),
     ]
-    assert known.take_view(changed, {"e1", "e3"}, 8) == ["e2"]
+    assert known.take_view(changed, {"e1", "e3"}, rev(8), 1.0) == ["e2"]
     assert known.ready_ids() == ["e1", "e3"]
-    assert known.revision == 8
+    assert known.revision == rev(8)
 
 
 def test_older_view_changes_nothing() -> None:
     known = listed("e1")
-    assert known.take_view([], set(), 4) == []
+    assert known.take_view([], set(), rev(4), 1.0) == []
     assert known.may_send("e1")
 
 
 def test_digest_tells_lists_apart() -> None:
     known, other = listed("e1", "e2"), listed("e2", "e1")
     assert known.digest() == other.digest()
-    other.leave("e1", 6)
+    other.leave("e1", rev(6))
     assert known.digest() != other.digest()
 
 
 IDS = st.sampled_from(["e1", "e2", "e3", "e4"])
 STATES = st.sampled_from(list(model.EndpointState))
-REVISIONS = st.integers(1, 30)
+REVISIONS = st.builds(rev, st.integers(1, 30), st.integers(1, 3))
 ENTRIES = st.lists(
     st.tuples(st.builds(builders.endpoint, IDS, STATES), REVISIONS)
 )
 TIMES = st.floats(0.0, 20.0)
 CHANGES = st.one_of(
     st.tuples(st.just("take_listing"), ENTRIES, REVISIONS, TIMES),
-    st.tuples(st.just("take_view"), ENTRIES, st.sets(IDS), REVISIONS),
+    st.tuples(st.just("take_view"), ENTRIES, st.sets(IDS), REVISIONS, TIMES),
+    st.tuples(st.just("begin_era"), REVISIONS, TIMES),
     st.tuples(
         st.just("take_change"),
         st.builds(builders.endpoint, IDS, STATES),
@@ -187,10 +193,10 @@
 
     monkeypatch.setattr(known, "ready_ids", counted)
     known.digest()
-    known.take_change(builders.endpoint("e1"), 6)
+    known.take_change(builders.endpoint("e1"), rev(6))
     known.digest()
     assert made == [["e1", "e2"]]
-    known.leave("e1", 7)
+    known.leave("e1", rev(7))
     known.digest()
     known.digest()
     assert made == [["e1", "e2"], ["e2"]]
@@ -200,13 +206,13 @@
     known = listed()
     for number in range(endpoint_list.MAX_GONE + 50):
         gone = builders.endpoint(f"e{number}")
-        known.take_change(gone, 6 + 2 * number)
-        known.take_end(gone.id, 7 + 2 * number, 1.0)
+        known.take_change(gone, rev(6 + 2 * number))
+        known.take_end(gone.id, rev(7 + 2 * number), 1.0)
     assert len(known._gone) == endpoint_list.MAX_GONE
 
 
 def test_peer_can_tell_that_an_endpoint_leaves() -> None:
     known = listed("e1")
-    assert known.leave("e1", 6)
+    assert known.leave("e1", rev(6))
     assert not known.may_send("e1")
-    assert not known.leave("e1", 7)
+    assert not known.leave("e1", rev(7))
--- a/tests/test_leaving_spread.py
+++ b/tests/test_leaving_spread.py
@@ -13,6 +13,8 @@
 from tests import linked_boxes
 from tests import routing_builders as builders
 
+rev = builders.rev
+
 
 def start(number: int) -> model.Endpoint:
     return dataclasses.replace(builders.endpoint(f"e1/{number}"), name="e1")
@@ -20,7 +22,7 @@
 
 def listed() -> endpoint_list.EndpointList:
     made = endpoint_list.EndpointList()
-    made.take_listing([(start(1), 3)], 5, now=0.0)
+    made.take_listing([(start(1), rev(3))], rev(5), now=0.0)
     return made
 
 
@@ -28,9 +30,9 @@
     known = listed()
     assert known.say_leaving("e1/1")
     assert not known.say_leaving("e1/1")
-    known.take_change(start(1), 6)
-    known.take_listing([(start(1), 7)], 8, now=1.0)
-    known.take_view([(start(1), 9)], {"e1/1"}, 9)
+    known.take_change(start(1), rev(6))
+    known.take_listing([(start(1), rev(7))], rev(8), now=1.0)
+    known.take_view([(start(1), rev(9))], {"e1/1"}, rev(9), 1.0)
     assert known.ready_ids() == []
 
 
@@ -38,30 +40,30 @@
     known = listed()
     known.say_leaving("e1/1")
     known.store_lost()
-    known.take_listing([], 6, now=1.0)
+    known.take_listing([], rev(6), now=1.0)
     known.store_returned(9.0, away_s=8.0)
-    known.take_change(start(1), 7)
+    known.take_change(start(1), rev(7))
     assert known.ready_ids() == []
 
 
 def test_word_of_an_endpoint_that_is_listed_later_holds() -> None:
     known = endpoint_list.EndpointList()
     assert known.say_leaving("e1/1")
-    known.take_listing([(start(1), 3)], 5, now=0.0)
+    known.take_listing([(start(1), rev(3))], rev(5), now=0.0)
     assert known.ready_ids() == []
 
 
 def test_endpoint_that_starts_again_has_said_nothing() -> None:
     known = listed()
     known.say_leaving("e1/1")
-    known.take_change(start(2), 6)
+    known.take_change(start(2), rev(6))
     assert known.ready_ids() == ["e1/2"]
 
 
 def test_what_another_box_does_not_send_to_leaves() -> None:
     known = listed()
     # Its entry says ready, and the box that tells it sends it nothing.
-    known.take_view([(start(1), 9)], set(), 9)
+    known.take_view([(start(1), rev(9))], set(), rev(9), 1.0)
     assert known.ready_ids() == []
 
 
--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -22,6 +22,9 @@
 from tests import raw_peers
 from tests import routing_builders as builders
 
+# Era 0, as the answers in these tests have no era header.
+REVISION = builders.rev(3, era=0)
+
 # Calls to the store, and health checks.
 
 OBJECT = (
@@ -37,12 +40,12 @@
     # held up, the time-out is due. Cause: the time-out cancelled the read.
     monkeypatch.setattr(store, "CALL_TIMEOUT_S", raw_peers.HOLD_UP_S / 2)
     calls = store.StoreClient(peer.address)
-    asking = asyncio.create_task(calls.watch("config", 3, 0.0))
+    asking = asyncio.create_task(calls.watch("config", REVISION, 0.0))
     other_side = await peer.accept()
     assert await peer.request(other_side)
     other_side.send(raw_peers.answer(b'{"current_rev": 5, "events": []}'))
     raw_peers.hold_up()
-    assert (await asking).revision == 5
+    assert (await asking).revision.number == 5
     calls.close()
 
 
@@ -51,7 +54,7 @@
 ) -> None:
     monkeypatch.setattr(store, "CALL_TIMEOUT_S", raw_peers.HOLD_UP_S / 2)
     calls = store.StoreClient(peer.address)
-    asking = asyncio.create_task(calls.watch("config", 3, 0.0))
+    asking = asyncio.create_task(calls.watch("config", REVISION, 0.0))
     other_side = await peer.accept()
     assert await peer.request(other_side)
     with pytest.raises(errors.PlatformUnavailableError):
@@ -79,7 +82,7 @@
         end = (number + 1) * len(OBJECT) // parts
         other_side.send(OBJECT[begin:end])
     found = await asking
-    assert found is not None and found.revision == 3
+    assert found is not None and found.revision.number == 3
     calls.close()
 
 
@@ -145,7 +148,9 @@
 def book_with_runs(count: int) -> endpoint_book.EndpointBook:
     """Returns a book whose only endpoint runs some requests since 0.0."""
     listed = endpoint_list.EndpointList()
-    listed.take_listing([(builders.endpoint(), 1)], 5, now=0.0)
+    listed.take_listing(
+        [(builders.endpoint(), builders.rev(1))], builders.rev(5), now=0.0
+    )
     book = endpoint_book.EndpointBook(
         listed, decision_log.DecisionLog(lambda: 0.0), random.Random(1)
     )
--- a/tests/test_peer_flow.py
+++ b/tests/test_peer_flow.py
@@ -14,6 +14,7 @@
 from martenjunction.peers import messages
 from martenjunction.peers import outbox
 from martenjunction.routing import peer_messages
+from tests import routing_builders as builders
 
 NEWS = peer_messages.ConfigNews(8, 7, 1, b"")
 
@@ -21,7 +22,7 @@
 def status(**changes: Any) -> peer_messages.BoxStatus:
     empty: tuple[Any, ...] = ()
     made = peer_messages.BoxStatus(
-        True, 1, 1, True, 0, 0, False, *(empty for _ in range(12))
+        True, 1, builders.rev(1), True, 0, 0, False, *(empty for _ in range(12))
     )
     return dataclasses.replace(made, **changes)
 
--- a/tests/test_peer_traffic.py
+++ b/tests/test_peer_traffic.py
@@ -13,6 +13,7 @@
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing import peer_messages
+from tests import routing_builders as builders
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 
@@ -50,7 +51,7 @@
 def status() -> peer_messages.BoxStatus:
     empty: tuple[Any, ...] = ()
     return peer_messages.BoxStatus(
-        True, 1, 1, True, 0, 0, False, *(empty for _ in range(12))
+        True, 1, builders.rev(1), True, 0, 0, False, *(empty for _ in range(12))
     )
 
 
@@ -89,7 +90,7 @@
 def test_message_for_all_is_encoded_once() -> None:
     peers = one_of(30, 0, Clock())
     links = links_of(peers, 30)
-    peers.broadcast(peer_messages.EndpointsLeft(("e1",), 7))
+    peers.broadcast(peer_messages.EndpointsLeft(("e1",), builders.rev(7)))
     first = links[0].sent[0]
     assert isinstance(first, codec.Encoded)
     assert all(link.sent == [first] for link in links)
@@ -136,7 +137,7 @@
     links = links_of(peers, 6)
     peers._beat()
     clock.now = 0.45
-    peers.broadcast(peer_messages.EndpointsLeft(("e1",), 7))
+    peers.broadcast(peer_messages.EndpointsLeft(("e1",), builders.rev(7)))
     clock.now = 0.5
     peers._beat()
     kinds = [message.tag for message in links[0].sent]
@@ -146,7 +147,8 @@
 def test_batches_of_any_size_come_back() -> None:
     for count in (1, 23, 24, 255, 256):
         batch = [
-            peer_messages.EndpointsLeft((f"e{n}",), n) for n in range(count)
+            peer_messages.EndpointsLeft((f"e{n}",), builders.rev(n))
+            for n in range(count)
         ]
         assert codec.decode_batch(codec.encode_batch(batch)) == batch
 
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -189,11 +189,12 @@
     made = await api.create("k", "a", 1)
     with pytest.raises(errors.VersionConflictError) as caught:
         await api.create("k", "a", 2)
-    assert caught.value.current == made.revision
+    assert caught.value.current == made.revision.number
+    later = dataclasses.replace(made.revision, number=made.revision.number + 7)
     with pytest.raises(errors.VersionConflictError):
-        await api.replace("k", "a", 2, made.revision + 7)
+        await api.replace("k", "a", 2, later)
     with pytest.raises(errors.VersionConflictError):
-        await api.delete("k", "a", made.revision + 7)
+        await api.delete("k", "a", later)
 
 
 async def test_long_lists_come_in_pages(
@@ -203,7 +204,7 @@
         stand_in.write("k", f"n{number:05d}", number)
     listing = await api.list("k")
     assert len(listing.objects) == 1201
-    assert listing.revision == stand_in.version
+    assert listing.revision == builders.rev(stand_in.version)
     assert stand_in.calls["read"] == 3
 
 
@@ -227,7 +228,7 @@
     stand_in.write("k", "a", 1)
     stand_in.forget_history()
     with pytest.raises(errors.HistoryLostError):
-        await api.watch("k", 0, 1.0)
+        await api.watch("k", builders.rev(0), 1.0)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -14,6 +14,7 @@
 
 Behaviour = replica.Behaviour
 DRAINING = model.EndpointState.DRAINING
+rev = builders.rev
 
 
 def life(
@@ -26,40 +27,40 @@
 
 def known_with(endpoint: model.Endpoint) -> endpoint_list.EndpointList:
     made = endpoint_list.EndpointList()
-    made.take_listing([(endpoint, 3)], 5, now=0.0)
+    made.take_listing([(endpoint, rev(3))], rev(5), now=0.0)
     return made
 
 
 def test_later_life_takes_the_place_of_the_earlier_one() -> None:
     known = known_with(life(1))
-    assert known.take_change(life(2), 6) == ["e1/1"]
+    assert known.take_change(life(2), rev(6)) == ["e1/1"]
     assert known.ready_ids() == ["e1/2"]
     assert known.restarted("e1/1") and not known.restarted("e1/2")
 
 
 def test_life_is_later_by_the_revision_not_by_its_clock() -> None:
     known = known_with(life(2000))
-    known.take_change(life(1000), 6)
+    known.take_change(life(1000), rev(6))
     assert known.ready_ids() == ["e1/1000"]
 
 
 def test_late_word_of_the_earlier_life_changes_nothing() -> None:
     known = known_with(life(1))
-    known.take_change(life(2), 6)
-    assert known.take_change(life(1, DRAINING), 5) == []
-    assert not known.leave("e1/1", 7)
+    known.take_change(life(2), rev(6))
+    assert known.take_change(life(1, DRAINING), rev(5)) == []
+    assert not known.leave("e1/1", rev(7))
     assert known.ready_ids() == ["e1/2"]
-    assert known.take_end("e1", 5, 1.0) == []
+    assert known.take_end("e1", rev(5), 1.0) == []
     assert known.ready_ids() == ["e1/2"]
-    assert known.take_end("e1", 8, 1.0) == ["e1/2"]
-    assert known.take_change(life(1), 7) == []
+    assert known.take_end("e1", rev(8), 1.0) == ["e1/2"]
+    assert known.take_change(life(1), rev(7)) == []
     assert known.ready_ids() == []
 
 
 def test_mark_of_leaving_ends_with_the_life() -> None:
     known = known_with(life(1))
-    known.take_change(life(1, DRAINING), 6)
-    known.take_change(life(2), 7)
+    known.take_change(life(1, DRAINING), rev(6))
+    known.take_change(life(2), rev(7))
     assert known.may_send("e1/2")
 
 
@@ -67,13 +68,15 @@
     known = known_with(life(1))
     known.store_lost()
     known.store_returned(14.0, away_s=4.0)
-    assert known.take_listing([(life(2), 8)], 9, now=14.0) == ["e1/1"]
+    assert known.take_listing([(life(2), rev(8))], rev(9), now=14.0) == ["e1/1"]
     assert known.ready_ids() == ["e1/2"]
 
 
 def test_restart_that_a_peer_tells_of() -> None:
     known = known_with(life(1))
-    assert known.take_view([(life(2), 8)], {"e1/2"}, 9) == ["e1/1"]
+    assert known.take_view([(life(2), rev(8))], {"e1/2"}, rev(9), 1.0) == [
+        "e1/1"
+    ]
     assert known.ready_ids() == ["e1/2"]
 
 
@@ -214,7 +217,8 @@
         lambda: all(b.listed.may_send("i-1/2") for b in made.gateways)
     )
     box = made.gateways[0]
-    box.picture.take_left(("i-1/1",), box.listed.revision + 5)
+    later = rev(box.listed.revision.number + 5)
+    box.picture.take_left(("i-1/1",), later)
     box.book.take_peer_loads("box-2", [("i-1/1", 0, False, 9, 900)], 0.0)
     still = box.listed.may_send("i-1/2")
     await made.stop()
