--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -31,6 +31,10 @@
 # Seconds between the first two lists of a box that was just started.
 FIRST_BOXES_INTERVAL_S = 3.0
 
+# Upper bound in seconds of the random delay before a box checks its own entry
+# after the store was restored; spreads the calls of a large fleet.
+OWN_ENTRY_JITTER_S = 1.0
+
 # Seconds for which a box must be silent before its entry is removed.
 DEAD_AFTER_S = 12.0
 
@@ -83,6 +87,10 @@
         self._recorded = False
         self._recorded_at = 0.0
         self._met = False
+        self._leaving = False
+        # The store's era in which the own entry was last checked or written.
+        self._own_entry_era = 0
+        self._era_changed = asyncio.Event()
         client.on_era_change(self._on_era_change)
 
     @property
@@ -129,6 +137,7 @@
 
     async def remove_own_entry(self) -> None:
         """Removes this box's entry; a failure is logged and left."""
+        self._leaving = True
         try:
             await self._client.delete(
                 documents.BOX_KIND, self._own.box, revision=None
@@ -198,6 +207,7 @@
     def _on_era_change(self, era: int) -> None:
         """Restarts the watches, as the store was restored from a copy."""
         self._log.write("store-era-changed", era=era)
+        self._era_changed.set()
         # A pending watch may get no event for the restore. The restart is
         # deferred because the caller may be one of the watches to cancel.
         asyncio.get_running_loop().call_soon(self._restart_watches)
@@ -280,8 +290,7 @@
                 take(change)
 
     async def _follow_boxes(self) -> None:
-        if not self._recorded:
-            await self._record_own()
+        await self._ensure_own_entry()
         # Peers tell what is newer, and entries are removed under a condition.
         listing = await self._client.list(documents.BOX_KIND, may_be_old=True)
         present: dict[str, revisions.Revision] = {}
@@ -307,7 +316,39 @@
         elif self._reading is not None:
             await self._remove_dead()
             wait = BOXES_INTERVAL_S
-        await asyncio.sleep(wait * (0.8 + 0.4 * self._rng.random()))
+        await self._wait_for_next_list(wait * (0.8 + 0.4 * self._rng.random()))
+
+    async def _wait_for_next_list(self, wait_s: float) -> None:
+        """Waits until the next list is due or the store's era changes."""
+        self._era_changed.clear()
+        if self._client.era == self._own_entry_era:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._era_changed.wait()
+            except TimeoutError:
+                return
+        await asyncio.sleep(OWN_ENTRY_JITTER_S * self._rng.random())
+
+    async def _ensure_own_entry(self) -> None:
+        """Writes the own entry if the store lacks it or holds another version.
+
+        A restored store may lack the entry or hold one from an earlier start.
+        A box that is being stopped removes a restored entry instead.
+        """
+        era = self._client.era
+        known = self._recorded or self._leaving
+        if known and era != self._own_entry_era:
+            found = await self._client.get(documents.BOX_KIND, self._own.box)
+            if self._leaving:
+                await self._client.delete(
+                    documents.BOX_KIND, self._own.box, revision=None
+                )
+            elif found is None or self._decode_box(found) != self._own:
+                self._log.write("own-entry-reverted", present=found is not None)
+                self._recorded = False
+            self._own_entry_era = era
+        if not self._recorded and not self._leaving:
+            await self._record_own()
 
     def _decode_box(
         self, found: store.StoredObject
@@ -334,6 +375,7 @@
             )
         self._recorded = True
         self._recorded_at = time.monotonic()
+        self._own_entry_era = self._client.era
 
     async def _remove_dead(self) -> None:
         """Removes entries of boxes that nobody has heard for long."""
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -179,6 +179,36 @@
     assert all(box.listed.may_send(late.id) for box in fleet.gateways)
 
 
+async def test_entries_of_all_boxes_are_written_again(
+    fleet: boxes.Boxes,
+) -> None:
+    names = [f"box-{number}" for number in (1, 2, 3)]
+    before = [fleet.store.find(documents.BOX_KIND, name) for name in names]
+    assert None not in before
+    copy = fleet.store.copy()
+    for key in [k for k in copy.objects if k[0] == documents.BOX_KIND]:
+        del copy.objects[key]
+    fleet.store.go_back(copy)
+    await boxes.until(
+        lambda: all(fleet.store.find(documents.BOX_KIND, n) for n in names)
+    )
+
+
+async def test_restored_entry_of_a_box_that_is_being_stopped_is_removed(
+    fleet: boxes.Boxes,
+) -> None:
+    copy = fleet.store.copy()
+    stopping = fleet.gateways[0]
+    await stopping.follower.remove_own_entry()
+    assert fleet.store.find(documents.BOX_KIND, "box-1") is None
+    restore_store(fleet, copy)
+    assert fleet.store.find(documents.BOX_KIND, "box-1") is not None
+    await boxes.until(
+        lambda: fleet.store.find(documents.BOX_KIND, "box-1") is None
+    )
+    await check_updates_arrive(fleet)
+
+
 async def test_restore_is_counted_in_dump_and_metrics(
     fleet: boxes.Boxes,
 ) -> None:
