--- a/martenjunction/routing/picture.py
+++ b/martenjunction/routing/picture.py
@@ -96,7 +96,9 @@
     def take_config(self, spec: bytes, asked_at: float, source: str) -> None:
         """Takes a configuration in that was the newest at a moment.
 
-        One that cannot be read confirms nothing.
+        A configuration that cannot be decoded, or that is older than the one
+        in force, does not count as a confirmation. A store restored from an
+        older copy returns such an older version.
 
         Args:
             spec: Its document.
@@ -104,10 +106,18 @@
             source: Who told it, for the log.
         """
         try:
-            self.take_newer_config(spec, source)
+            version = self.take_newer_config(spec, source)
         except errors.PlatformError as error:
             self._note_foreign(documents.CONFIG_NAME, spec, error)
             return
+        if version < self.version:
+            self._log.write(
+                "config-older",
+                version=version,
+                in_force=self.version,
+                source=source,
+            )
+            return
         self._freshness.confirm(asked_at)
 
     def take_view(
@@ -146,14 +156,17 @@
         )
         self._tell_left(left, revision, source)
 
-    def take_newer_config(self, spec: bytes, source: str) -> None:
+    def take_newer_config(self, spec: bytes, source: str) -> int:
         """Takes a configuration in that may have been overtaken already.
 
+        Returns:
+            The version of the given configuration.
+
         Raises:
             PlatformError: If it cannot be read.
         """
         if spec == self._config_spec:
-            return
+            return self.version
         config = documents.decode_config(spec)
         if self._admitter.put_in_force(config):
             self._config_spec = spec
@@ -168,6 +181,7 @@
                 source=source,
                 behind_ms=round(behind_s * 1000),
             )
+        return config.version
 
     def take_endpoints(
         self,
--- a/martenjunction_lab/spread/fleet.py
+++ b/martenjunction_lab/spread/fleet.py
@@ -220,11 +220,12 @@
         """Takes in what the store answered."""
         self.known.take_config(spec, asked_at, "store")
 
-    def _decode(self, spec: bytes, source: str) -> None:
+    def _decode(self, spec: bytes, source: str) -> int:
         before = self.known.version
-        self._decoded(spec, source)
+        version = self._decoded(spec, source)
         if self.known.version != before:
             self.machine.spend(len(spec) * DECODE_BYTE_S)
+        return version
 
 
 class Fleet:
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -8,6 +8,8 @@
 import asyncio
 from collections.abc import AsyncIterator
 import dataclasses
+import json
+import random
 from typing import Any
 
 import pytest
@@ -16,7 +18,11 @@
 from martenjunction import model
 from martenjunction import revisions
 from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import key_freshness
 from martenjunction.platform import store
+from martenjunction.routing import admission
+from martenjunction.routing import decision_log
+from martenjunction.routing import picture
 from martenjunction_lab import platform
 from tests import routing_builders as builders
 
@@ -173,6 +179,30 @@
     assert not known.leave("e1", rev(50))
 
 
+# The configuration.
+
+
+def encode_config(version: int) -> bytes:
+    return json.dumps(builders.config_document(version)).encode()
+
+
+def test_older_configuration_is_not_a_confirmation() -> None:
+    freshness = key_freshness.ConfigFreshness(5.0, 0.25, 2.0)
+    log = decision_log.DecisionLog(lambda: 0.0)
+    known = picture.Picture(
+        admission.Admitter(freshness, True, random.Random(1)),
+        endpoint_list.EndpointList(),
+        freshness,
+        log,
+        lambda: 0.0,
+    )
+    known.take_config(encode_config(9), 1.0, "store")
+    known.take_config(encode_config(7), 2.0, "store")
+    assert (known.version, freshness.confirmed_at) == (9, 1.0)
+    known.take_config(encode_config(9), 3.0, "store")
+    assert freshness.confirmed_at == 3.0
+
+
 # Calls to the store.
 
 
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -16,6 +16,7 @@
 from martenjunction_lab import boxes
 from martenjunction_lab import platform_objects
 from martenjunction_lab import replica
+from tests import gateway_requests as requests
 from tests import routing_builders as builders
 
 # Revisions written between the copy and the restore.
@@ -223,3 +224,23 @@
     fleet: boxes.Boxes,
 ) -> None:
     assert all(b.dump()["store"]["returns"] == 0 for b in fleet.gateways)
+
+
+async def test_keys_expire_while_the_store_has_an_older_config() -> None:
+    fleet = boxes.Boxes()
+    await fleet.start(builders.config_document(7), key_lifetime_s=1.9)
+    await fleet.add_replica(builders.PLAIN)
+    await fleet.until_listed()
+    copy = fleet.store.copy()
+    fleet.configure(builders.config_document(8))
+    [box] = fleet.gateways
+    await boxes.until(lambda: box.picture.version == 8)
+    fleet.store.go_back(copy)
+    await boxes.until(lambda: not box.freshness.covers(box.timers.now()))
+    refused, _ = await requests.ask(fleet, "/safe/")
+    fleet.configure(builders.config_document(9))
+    await boxes.until(lambda: box.freshness.covers(box.timers.now()))
+    served, _ = await requests.ask(fleet, "/safe/")
+    await fleet.stop()
+    assert (refused.status, served.status) == (503, 200)
+    assert refused.get(b"retry-after") is not None
