--- a/martenjunction/decisions/boxes/suspect_table.py
+++ b/martenjunction/decisions/boxes/suspect_table.py
@@ -65,6 +65,7 @@
         epoch: In which it is sent.
         again_s: Seconds after which the verdict may be another one.
         avoid_builds: Builds to which it must not be sent.
+        trial: Number of the trial under which the run is sent; 0 if none.
     """
 
     verdict: Verdict
@@ -72,6 +73,7 @@
     epoch: int = 0
     again_s: float = 0.0
     avoid_builds: frozenset[str] = frozenset()
+    trial: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,14 +169,6 @@
             return Ruling(Verdict.ALONE, generation, held.epoch)
         return Ruling(Verdict.QUARANTINED, again_s=release_s)
 
-    def patience_ends(self, key: request_content.ContentKey) -> Ruling:
-        """Returns the ruling for a request that waited for long enough."""
-        suspect = self._suspects.get(key)
-        if suspect is None:
-            return Ruling(Verdict.FREE)
-        held = suspect.held
-        return Ruling(Verdict.ALONE, held.generation + 1, held.epoch)
-
     def begin_trial(
         self, key: request_content.ContentKey, now: float
     ) -> Suspect | None:
@@ -189,10 +183,15 @@
             suspect.changed_at = now
         return suspect
 
-    def end_trial(self, key: request_content.ContentKey) -> None:
-        """Notes that such a run showed nothing: others need not wait."""
+    def end_trial(self, key: request_content.ContentKey, trial: int) -> None:
+        """Notes that a trial was inconclusive, so that others need not wait.
+
+        Args:
+            key: The request.
+            trial: The trial's number; a later trial is not affected.
+        """
         suspect = self._suspects.get(key)
-        if suspect is not None:
+        if suspect is not None and suspect.held.tries == trial:
             suspect.trial_until = 0.0
 
     def note_end(
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -205,7 +205,7 @@
             self.timers,
             self.events,
             self.log,
-            self._rng,
+            self.sync.heard,
         )
         self.prober = prober.Prober(
             self.book, self.pool, self.admitter, self.grants, self.timers
--- /dev/null
+++ b/martenjunction/routing/holders.py
@@ -0,0 +1,72 @@
+"""Selects the box that decides for all boxes about a key."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+
+from martenjunction.decisions import rendezvous
+from martenjunction.peers import membership
+
+
+class HolderSelector:
+    """Selects the holder of a key from the boxes that this box hears.
+
+    Boxes that hear the same set of boxes select the same holder. In a large
+    fleet a box hears only a few boxes of other availability zones. The box it
+    selects there may not be the holder, but hears more of that zone and can
+    forward the request.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        heard: Callable[[], list[membership.Member]],
+    ) -> None:
+        """Initializes the selector.
+
+        Args:
+            members: The boxes of the fleet.
+            heard: Returns the other boxes that this box hears.
+        """
+        self._members = members
+        self._heard = heard
+
+    @property
+    def own_box(self) -> str:
+        """The name of this box."""
+        return self._members.own.box
+
+    def holder(self, key: str, excluded: Collection[str] = ()) -> str:
+        """Returns the holder of a key.
+
+        Args:
+            key: The key.
+            excluded: Boxes not to select, such as those that do not answer.
+        """
+        heard = [m for m in self._heard() if m.box not in excluded]
+        group = self._group(key, heard)
+        return rendezvous.owner([m.box for m in group], key) or self.own_box
+
+    def heard_part(self, key: str) -> float:
+        """Returns the fraction of the candidate boxes that this box hears."""
+        heard = self._group(key, self._heard())
+        own = self._members.own
+        others = [m for m in self._members.believed() if m is not own]
+        return min(1.0, len(heard) / len(self._group(key, others)))
+
+    def _group(
+        self, key: str, others: list[membership.Member]
+    ) -> list[membership.Member]:
+        """Returns the candidates for the holder among this box and others.
+
+        In a large fleet all candidates are in one availability zone: boxes
+        hear most of their own zone, but only a few boxes of other zones.
+        """
+        believed = self._members.believed()
+        own = self._members.own
+        # Other boxes no longer select a box that is shutting down.
+        boxes = [own, *others] if own in believed or not others else others
+        if len(believed) <= membership.ALL_LINKS_UP_TO:
+            return boxes
+        zones = {member.zone for member in boxes}
+        zone = rendezvous.owner(zones, key)
+        return [member for member in boxes if member.zone == zone]
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -320,3 +320,57 @@
     tries: tuple[int, ...]
     quarantined: tuple[bool, ...]
     releases: tuple[int, ...]
+
+
+@codec.message("ask-trial", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskTrial:
+    """Asks the holder for a trial of a suspected request.
+
+    Attributes:
+        number: Correlates the answer with this message.
+        suspect: The request and the sender's record of it.
+        builds: Builds of the endpoints to which it may be sent.
+        hops: Number of boxes that forwarded this message.
+    """
+
+    number: int
+    suspect: Suspects
+    builds: tuple[str, ...]
+    hops: int
+
+
+@codec.message("trial-answer", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrialAnswer:
+    """Grants or denies a trial of a suspected request.
+
+    Attributes:
+        number: The number of the `AskTrial` message.
+        granted: Whether the trial may begin.
+        wait_ms: Milliseconds after which to ask again, if it was denied.
+        suspect: The request and the sender's record of it.
+    """
+
+    number: int
+    granted: bool
+    wait_ms: int
+    suspect: Suspects
+
+
+@codec.message("trial-over", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrialOver:
+    """Reports that a trial was inconclusive, so that another may begin.
+
+    Attributes:
+        caller: Digest of the caller.
+        content: Digest of the request content.
+        trial: The trial's number, as assigned by the holder.
+        hops: Number of boxes that forwarded this message.
+    """
+
+    caller: bytes
+    content: bytes
+    trial: int
+    hops: int
--- a/martenjunction/routing/rate_grants.py
+++ b/martenjunction/routing/rate_grants.py
@@ -7,10 +7,10 @@
 
 from martenjunction import timers
 from martenjunction.decisions import grant_bucket
-from martenjunction.decisions import rendezvous
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing import endpoint_book
+from martenjunction.routing import holders
 from martenjunction.routing import limit_sync
 from martenjunction.routing import peer_messages
 
@@ -85,8 +85,7 @@
         self._limits = book.limits
         self._words = words
         self._peers = peers
-        self._members = members
-        self._heard = heard
+        self._selector = holders.HolderSelector(members, heard)
         self._timers = clock
         self._buckets: dict[str, _Bucket] = {}
         self._asked: dict[int, asyncio.Future[peer_messages.GrantAnswer]] = {}
@@ -114,9 +113,7 @@
 
     def holder(self, endpoint_id: str) -> str:
         """Returns the box that grants requests, as far as this one knows."""
-        group = self._group(endpoint_id, self._heard())
-        found = rendezvous.owner([m.box for m in group], endpoint_id)
-        return found or self._members.own.box
+        return self._selector.holder(endpoint_id)
 
     def dump(self) -> dict[str, Any]:
         """Returns the limits, and who grants requests, by endpoint."""
@@ -149,7 +146,7 @@
             self._refused += 1
             return None
         holder = self.holder(endpoint_id)
-        if holder == self._members.own.box:
+        if holder == self._selector.own_box:
             wait_s = self._give(endpoint_id)
         else:
             wait_s = await self._ask(holder, endpoint_id)
@@ -161,30 +158,12 @@
 
     def put_back(self, grant: RateGrant) -> None:
         """Takes a grant back that was not used, as nothing was sent."""
-        if grant.giver == self._members.own.box:
+        if grant.giver == self._selector.own_box:
             self._put_back(grant.endpoint_id)
         elif grant.giver is not None:
             unused = peer_messages.GrantUnused(grant.endpoint_id, 0)
             self._peers.send(grant.giver, unused)
 
-    def _group(
-        self, endpoint_id: str, others: list[membership.Member]
-    ) -> list[membership.Member]:
-        """Returns the boxes among which the holder is, of some and this one.
-
-        In a large fleet those are of one availability zone, as a box hears
-        few of the others; they know best who of them is there.
-        """
-        believed = self._members.believed()
-        own = self._members.own
-        # A box that is being stopped is no holder for the others any more.
-        boxes = [own, *others] if own in believed or not others else others
-        if len(believed) <= membership.ALL_LINKS_UP_TO:
-            return boxes
-        zones = {member.zone for member in boxes}
-        zone = rendezvous.owner(zones, endpoint_id)
-        return [member for member in boxes if member.zone == zone]
-
     def _give(self, endpoint_id: str) -> float:
         """Grants a request, as the holder.
 
@@ -202,16 +181,12 @@
             bucket = _Bucket(grant_bucket.GrantBucket(now), now)
             self._buckets[endpoint_id] = bucket
         bucket.asked_at = now
-        wait_s = bucket.grants.take(limit, self._heard_part(endpoint_id), now)
+        wait_s = bucket.grants.take(
+            limit, self._selector.heard_part(endpoint_id), now
+        )
         self._given += not wait_s
         return wait_s
 
-    def _heard_part(self, endpoint_id: str) -> float:
-        heard = self._group(endpoint_id, self._heard())
-        own = self._members.own
-        others = [m for m in self._members.believed() if m is not own]
-        return min(1.0, len(heard) / len(self._group(endpoint_id, others)))
-
     def _put_back(self, endpoint_id: str) -> None:
         bucket = self._buckets.get(endpoint_id)
         if bucket is not None:
@@ -246,7 +221,7 @@
         endpoint_id = ask.word.endpoint
         self._words.take(box, ask.word)
         holder = self.holder(endpoint_id)
-        if holder == self._members.own.box:
+        if holder == self._selector.own_box:
             self._answer(box, ask.number, endpoint_id, self._give(endpoint_id))
             return
         if ask.hops < MOST_HOPS and holder != box:
@@ -292,7 +267,7 @@
 
     def _on_unused(self, box: str, unused: peer_messages.GrantUnused) -> None:
         holder = self.holder(unused.endpoint)
-        if holder == self._members.own.box:
+        if holder == self._selector.own_box:
             self._put_back(unused.endpoint)
         elif unused.hops < MOST_HOPS and holder != box:
             self._peers.send(
--- a/martenjunction/routing/suspects.py
+++ b/martenjunction/routing/suspects.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import dataclasses
-import random
 from typing import Any
+from typing import NoReturn
 
 from martenjunction import events
 from martenjunction import model
@@ -17,9 +18,11 @@
 from martenjunction.routing import admission
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_ends
+from martenjunction.routing import holders
 from martenjunction.routing import permits
 from martenjunction.routing import request_content
 from martenjunction.routing import suspect_sync
+from martenjunction.routing import trial_grants
 
 # Seconds for which a run that broke off waits for proof that its endpoint has
 # ended: an entry is written anew within some seconds of the new start.
@@ -30,14 +33,10 @@
 LOOK_INTERVAL_S = 0.1
 
 # The longest part of the time that is left for which a request waits while
-# another run of its content is tried.
+# another run of its content is tried. It is then refused: sending it would send
+# all requests that began to wait at the same time at once.
 MOST_WAIT_PART = 0.5
 
-# The longest time, in seconds, that a box draws to wait for before it tries a
-# suspect: copies that come to several boxes at once would all be tried, before
-# one box hears of another's trial some milliseconds later.
-STAGGER_S = 0.06
-
 # The answer to a request that is not sent.
 QUARANTINED_STATUS = 503
 QUARANTINED_CODE = "ends-endpoints"
@@ -62,7 +61,7 @@
         clock: timers.Timers,
         emitter: events.Events,
         log: decision_log.DecisionLog,
-        rng: random.Random,
+        heard: Callable[[], list[membership.Member]],
     ) -> None:
         """Makes it; `start` begins to listen to the other boxes.
 
@@ -74,9 +73,8 @@
             clock: Tells the time.
             emitter: Announces new connections to boxes.
             log: Told of what is believed of requests.
-            rng: Draws how long this box waits before it tries a suspect.
+            heard: Returns the other boxes that this box hears.
         """
-        self._rng = rng
         self._listed = listed
         self._timers = clock
         self._events = emitter
@@ -91,6 +89,15 @@
         self._sync = suspect_sync.SuspectSync(
             self._table, peers, members, self._take
         )
+        self._trials = trial_grants.TrialGrants(
+            self._table,
+            peers,
+            holders.HolderSelector(members, heard),
+            clock,
+            self._decide_trial,
+            self._take,
+            self._end_trial,
+        )
         self._refused = 0
         ends.on_ended(self._settle_unsure)
 
@@ -112,6 +119,7 @@
     def start(self) -> None:
         """Listens to the other boxes."""
         self._sync.start(self._events)
+        self._trials.start()
         self._timers.subscribe("suspects", LOOK_INTERVAL_S, self._look)
 
     async def permit(
@@ -132,24 +140,41 @@
         """
         began = self._timers.now()
         until = began + (deadline - began) * MOST_WAIT_PART
-        staggered = False
         while True:
-            now = self._timers.now()
-            ruling = self._table.judge(key, self._builds(service, key), now)
+            builds = self._builds(service, key)
+            ruling = self._table.judge(key, builds, self._timers.now())
             if ruling.verdict is suspect_table.Verdict.QUARANTINED:
-                self._refuse(key, ruling)
-            if ruling.verdict is suspect_table.Verdict.WAIT:
-                if now < until:
-                    staggered = False
-                    await self._wait(key, min(ruling.again_s, until - now))
+                self._refuse(ruling.again_s)
+            if ruling.verdict is suspect_table.Verdict.FREE:
+                return permits.Permit(self, key, service, ruling)
+            wait_s = ruling.again_s
+            if ruling.verdict is suspect_table.Verdict.ALONE:
+                answer = await self._trials.ask(key, builds)
+                permit = self._trial_permit(key, service, ruling)
+                if answer.granted and permit.stands():
+                    return permit
+                now = self._timers.now()
+                if self._table.judge(key, builds, now).verdict is not (
+                    ruling.verdict
+                ):
                     continue
-                ruling = self._table.patience_ends(key)
-            elif (
-                ruling.verdict is suspect_table.Verdict.ALONE and not staggered
-            ):
-                staggered = await self._stagger(key) or now >= until
-                continue
-            return self._give(key, service, ruling, now)
+                wait_s = answer.wait_s
+            left_s = until - self._timers.now()
+            if left_s <= 0.0:
+                self._refuse(wait_s)
+            await self._wait(key, min(wait_s, left_s))
+
+    def _trial_permit(
+        self,
+        key: request_content.ContentKey,
+        service: model.Service,
+        ruling: suspect_table.Ruling,
+    ) -> permits.Permit:
+        """Returns a permit for the latest trial of a request."""
+        suspect = self._table.find(key)
+        trial = 0 if suspect is None else suspect.held.tries
+        trial_ruling = dataclasses.replace(ruling, trial=trial)
+        return permits.Permit(self, key, service, trial_ruling)
 
     def stands(self, permit: permits.Permit) -> bool:
         """Returns whether nothing came up since a permit was given."""
@@ -196,8 +221,8 @@
 
     def end_trial(self, permit: permits.Permit) -> None:
         """Notes that a run on its own showed nothing."""
-        self._table.end_trial(permit.key)
-        self._wake(permit.key)
+        self._trials.report_over(permit.key, permit.ruling.trial)
+        self._end_trial(permit.key, permit.ruling.trial)
 
     def lift(self, name: str) -> bool:
         """Clears a request by an operator's word; returns whether there was.
@@ -225,29 +250,33 @@
             if suspect.held.generation
         ]
 
-    def _give(
-        self,
-        key: request_content.ContentKey,
-        service: model.Service,
-        ruling: suspect_table.Ruling,
-        now: float,
-    ) -> permits.Permit:
-        if ruling.verdict is suspect_table.Verdict.ALONE:
-            tried = self._table.begin_trial(key, now)
-            if tried is not None:
-                self._write("request-tried", tried)
-                self._tell(tried)
-        return permits.Permit(self, key, service, ruling)
-
-    def _refuse(
-        self, key: request_content.ContentKey, ruling: suspect_table.Ruling
-    ) -> None:
+    def _decide_trial(
+        self, key: request_content.ContentKey, builds: frozenset[str]
+    ) -> trial_grants.TrialRuling:
+        """Decides, as the holder of a request, whether a trial may begin."""
+        now = self._timers.now()
+        ruling = self._table.judge(key, builds, now)
+        if ruling.verdict is suspect_table.Verdict.FREE:
+            return trial_grants.TrialRuling(True)
+        if ruling.verdict is not suspect_table.Verdict.ALONE:
+            return trial_grants.TrialRuling(False, ruling.again_s)
+        suspect = self._table.begin_trial(key, now)
+        if suspect is not None:
+            self._write("request-tried", suspect)
+            self._tell(suspect)
+        return trial_grants.TrialRuling(True)
+
+    def _end_trial(self, key: request_content.ContentKey, trial: int) -> None:
+        self._table.end_trial(key, trial)
+        self._wake(key)
+
+    def _refuse(self, again_s: float) -> NoReturn:
         self._refused += 1
         raise admission.RefusalError(
             QUARANTINED_STATUS,
             QUARANTINED_CODE,
             "endpoints ended under it one after the other",
-            ruling.again_s,
+            again_s,
         )
 
     def _builds(
@@ -260,17 +289,6 @@
         ready = self._listed.ready(service.name)
         return frozenset(model.build(endpoint, service) for endpoint in ready)
 
-    async def _stagger(self, key: request_content.ContentKey) -> bool:
-        """Waits for a drawn time; returns whether it ended in time.
-
-        A loop that was held up has not read yet what other boxes told
-        meanwhile: all of them would begin a trial in the same moment.
-        """
-        wait_s = self._rng.uniform(0.0, STAGGER_S)
-        due = self._timers.now() + wait_s
-        await self._wait(key, wait_s)
-        return self._timers.now() - due <= timers.HELD_UP_S
-
     async def _wait(
         self, key: request_content.ContentKey, wait_s: float
     ) -> None:
--- /dev/null
+++ b/martenjunction/routing/trial_grants.py
@@ -0,0 +1,247 @@
+"""Serializes the trials of a suspected request across all boxes."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from martenjunction import timers
+from martenjunction.decisions.boxes import suspect_table
+from martenjunction.decisions.boxes import suspicion
+from martenjunction.peers import hub
+from martenjunction.routing import holders
+from martenjunction.routing import peer_messages
+from martenjunction.routing import request_content
+from martenjunction.routing import suspect_news
+
+# Timeout in seconds for the holder's answer, after which the next-ranked box is
+# asked. Stalls of this box's event loop do not count.
+ANSWER_LIMIT_S = 0.4
+
+# Boxes that are asked before this box decides locally.
+MAX_BOXES_ASKED = 2
+
+# Maximum number of times a message is forwarded. In a large fleet the first box
+# asked is usually not the holder, but a box that hears it.
+MOST_HOPS = 2
+
+MS = 0.001
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrialRuling:
+    """Whether a trial of a suspected request may begin.
+
+    Attributes:
+        granted: Whether it may begin.
+        wait_s: Seconds after which to ask again, if it was denied.
+    """
+
+    granted: bool
+    wait_s: float = 0.0
+
+
+DecideTrial = Callable[
+    [request_content.ContentKey, frozenset[str]], TrialRuling
+]
+TakeSuspicion = Callable[
+    [str, request_content.ContentKey, suspicion.Suspicion], Any
+]
+EndTrial = Callable[[request_content.ContentKey, int], None]
+
+
+class TrialGrants:
+    """Asks other boxes for trials, and answers them as the holder.
+
+    Boxes that decide independently start concurrent trials before they learn
+    of each other's. The holder of a content, on which all boxes agree, grants
+    one trial at a time.
+    """
+
+    def __init__(
+        self,
+        table: suspect_table.SuspectTable,
+        peers: hub.PeerHub,
+        selector: holders.HolderSelector,
+        clock: timers.Timers,
+        decide: DecideTrial,
+        take: TakeSuspicion,
+        end: EndTrial,
+    ) -> None:
+        """Initializes the grants; `start` subscribes to peer messages.
+
+        Args:
+            table: The suspected requests that this box knows.
+            peers: Connections to the other boxes.
+            selector: Selects the holder of a request.
+            clock: Tells the time.
+            decide: Grants or denies a trial, as the holder.
+            take: Merges another box's record of a request.
+            end: Ends an inconclusive trial, as the holder.
+        """
+        self._table = table
+        self._peers = peers
+        self._selector = selector
+        self._timers = clock
+        self._decide = decide
+        self._take = take
+        self._end = end
+        self._asked: dict[int, asyncio.Future[peer_messages.TrialAnswer]] = {}
+        self._last = 0
+        self._relay_tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Subscribes to messages from the other boxes."""
+        self._peers.subscribe(peer_messages.AskTrial, self._on_ask)
+        self._peers.subscribe(peer_messages.TrialAnswer, self._on_answer)
+        self._peers.subscribe(peer_messages.TrialOver, self._on_over)
+
+    async def ask(
+        self, key: request_content.ContentKey, builds: frozenset[str]
+    ) -> TrialRuling:
+        """Asks the holder for a trial of a suspected request.
+
+        If the holder does not answer, the next-ranked box decides; two trials
+        may then run concurrently.
+
+        Args:
+            key: The request.
+            builds: Builds of the endpoints to which it may be sent.
+        """
+        unresponsive: set[str] = set()
+        while len(unresponsive) < MAX_BOXES_ASKED:
+            holder = self._selector.holder(str(key), unresponsive)
+            if holder == self._selector.own_box:
+                break
+            ruling = await self._ask(
+                holder, key, builds, MOST_HOPS if unresponsive else 0
+            )
+            if ruling is not None:
+                return ruling
+            unresponsive.add(holder)
+        return self._decide(key, builds)
+
+    def report_over(self, key: request_content.ContentKey, trial: int) -> None:
+        """Reports an inconclusive trial of this box to the holder.
+
+        Args:
+            key: The request.
+            trial: The trial's number.
+        """
+        holder = self._selector.holder(str(key))
+        if holder != self._selector.own_box:
+            over = peer_messages.TrialOver(key.caller, key.content, trial, 0)
+            self._peers.send(holder, over)
+
+    async def _ask(
+        self,
+        holder: str,
+        key: request_content.ContentKey,
+        builds: frozenset[str],
+        hops: int,
+    ) -> TrialRuling | None:
+        """Asks a box for a trial; returns None if it does not answer."""
+        suspect = self._table.find(key)
+        if suspect is None:
+            return TrialRuling(False)
+        self._last += 1
+        number = self._last
+        answered: asyncio.Future[peer_messages.TrialAnswer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._asked[number] = answered
+        question = peer_messages.AskTrial(
+            number, suspect_news.encode([suspect]), tuple(sorted(builds)), hops
+        )
+        try:
+            if not self._peers.send(holder, question):
+                return None
+            await self._wait(answered)
+        finally:
+            del self._asked[number]
+        if not answered.done():
+            return None
+        answer = answered.result()
+        return TrialRuling(answer.granted, answer.wait_ms * MS)
+
+    async def _wait(self, answered: asyncio.Future[Any]) -> None:
+        until = self._timers.listened() + ANSWER_LIMIT_S
+        while not answered.done():
+            left_s = until - self._timers.listened()
+            if left_s <= 0.0:
+                return
+            await asyncio.wait([answered], timeout=left_s)
+
+    def _on_ask(self, box: str, ask: peer_messages.AskTrial) -> None:
+        for key, held in suspect_news.decode(ask.suspect):
+            self._take(box, key, held)
+            holder = self._selector.holder(str(key))
+            own = holder == self._selector.own_box
+            if own or ask.hops >= MOST_HOPS or holder == box:
+                self._answer(box, ask, key, self._decide_for(ask, key))
+            else:
+                self._relay(box, ask, key, holder)
+
+    def _decide_for(
+        self, ask: peer_messages.AskTrial, key: request_content.ContentKey
+    ) -> TrialRuling:
+        return self._decide(key, frozenset(ask.builds))
+
+    def _relay(
+        self,
+        box: str,
+        ask: peer_messages.AskTrial,
+        key: request_content.ContentKey,
+        holder: str,
+    ) -> None:
+        """Forwards a message to the holder and its answer back to `box`.
+
+        If the holder does not answer, nothing is sent back, so that `box` can
+        tell a timeout from a denial.
+        """
+
+        async def forward() -> None:
+            builds = frozenset(ask.builds)
+            ruling = await self._ask(holder, key, builds, ask.hops + 1)
+            if ruling is not None:
+                self._answer(box, ask, key, ruling)
+
+        task = asyncio.get_running_loop().create_task(forward())
+        self._relay_tasks.add(task)
+        task.add_done_callback(self._relay_tasks.discard)
+
+    def _answer(
+        self,
+        box: str,
+        ask: peer_messages.AskTrial,
+        key: request_content.ContentKey,
+        ruling: TrialRuling,
+    ) -> None:
+        suspect = self._table.find(key)
+        known = [] if suspect is None else [suspect]
+        wait_ms = int(ruling.wait_s / MS) + 1
+        self._peers.send(
+            box,
+            peer_messages.TrialAnswer(
+                ask.number, ruling.granted, wait_ms, suspect_news.encode(known)
+            ),
+        )
+
+    def _on_answer(self, box: str, answer: peer_messages.TrialAnswer) -> None:
+        waiting = self._asked.get(answer.number)
+        for key, held in suspect_news.decode(answer.suspect):
+            self._take(box, key, held)
+            if answer.granted and waiting is None:
+                # Nobody waits for the answer any more: release the trial.
+                self.report_over(key, held.tries)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+    def _on_over(self, box: str, over: peer_messages.TrialOver) -> None:
+        key = request_content.ContentKey(over.caller, over.content)
+        holder = self._selector.holder(str(key))
+        if holder == self._selector.own_box:
+            self._end(key, over.trial)
+        elif over.hops < MOST_HOPS and holder != box:
+            forwarded = dataclasses.replace(over, hops=over.hops + 1)
+            self._peers.send(holder, forwarded)
--- /dev/null
+++ b/tests/test_suspect_trials.py
@@ -0,0 +1,304 @@
+"""Trials of a suspected request run one at a time across the fleet.
+
+Guards against concurrent trials, begun by boxes that decide independently or
+by requests whose wait ends at the same time: each of them may end an endpoint.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+import time
+from typing import Any
+
+import pytest
+
+from martenjunction import gateway
+from martenjunction import model
+from martenjunction import timers
+from martenjunction.decisions.boxes import suspect_table
+from martenjunction.peers import codec
+from martenjunction.peers import membership
+from martenjunction.routing import admission
+from martenjunction.routing import holders
+from martenjunction.routing import peer_messages
+from martenjunction.routing import permits
+from martenjunction.routing import request_content
+from martenjunction.routing import suspect_news
+from martenjunction.routing import trial_grants
+from martenjunction_lab import boxes
+from tests import limited_fleet
+from tests import linked_boxes
+from tests import routing_builders as builders
+
+KEY = request_content.ContentKey(b"c" * 8, b"q" * 16)
+BOXES = 6
+
+# Seconds within which permits are granted on an idle machine.
+SETTLE_S = 0.3
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[boxes.Boxes]:
+    made = boxes.Boxes()
+    await made.start(builders.config_document(), boxes=BOXES)
+    for _ in range(2):
+        await made.add_replica(builders.PLAIN)
+    await made.until_listed()
+    await boxes.until(
+        lambda: all(len(b.sync.heard()) == BOXES - 1 for b in made.gateways)
+    )
+    yield made
+    await made.stop()
+
+
+def service(box: gateway.Gateway) -> model.Service:
+    config = box.admitter.config
+    assert config is not None
+    return config.services[builders.PLAIN]
+
+
+async def permit(box: gateway.Gateway, left_s: float = 20.0) -> permits.Permit:
+    deadline = box.timers.now() + left_s
+    return await box.suspects.permit(KEY, service(box), deadline)
+
+
+def request_permits(
+    fleet: boxes.Boxes, left_s: float = 20.0
+) -> list[asyncio.Task[permits.Permit]]:
+    """Requests a permit on all boxes concurrently."""
+    return [asyncio.create_task(permit(b, left_s)) for b in fleet.gateways]
+
+
+def granted_permits(
+    pending: list[asyncio.Task[permits.Permit]],
+) -> list[permits.Permit]:
+    return [task.result() for task in pending if task.done()]
+
+
+async def until_suspected(fleet: boxes.Boxes, ends: int) -> None:
+    def known(box: gateway.Gateway) -> bool:
+        suspect = box.suspects.table.find(KEY)
+        return suspect is not None and len(suspect.held.ends) == ends
+
+    await boxes.until(lambda: all(known(box) for box in fleet.gateways))
+
+
+async def make_suspected(fleet: boxes.Boxes) -> None:
+    """Ends an endpoint under the request and waits until all boxes know."""
+    first = await permit(fleet.gateways[0])
+    at = dataclasses.replace(builders.endpoint("e1"), version="v1")
+    first.ended(at)
+    await until_suspected(fleet, 1)
+
+
+def trial_count(box: gateway.Gateway) -> int:
+    suspect = box.suspects.table.find(KEY)
+    return 0 if suspect is None else suspect.held.tries
+
+
+def find_holder(fleet: boxes.Boxes) -> gateway.Gateway:
+    box = fleet.gateways[0]
+    name = holders.HolderSelector(box.members, box.sync.heard).holder(str(KEY))
+    return next(b for b in fleet.gateways if b.members.own.box == name)
+
+
+async def cancel(pending: list[asyncio.Task[permits.Permit]]) -> None:
+    for task in pending:
+        task.cancel()
+    await asyncio.gather(*pending, return_exceptions=True)
+
+
+async def test_stalled_boxes_run_one_trial_at_a_time(
+    fleet: boxes.Boxes,
+) -> None:
+    await make_suspected(fleet)
+    pending = request_permits(fleet)
+    for _ in range(3):
+        await asyncio.sleep(0)
+        time.sleep(3 * timers.HELD_UP_S)
+    await asyncio.sleep(SETTLE_S)
+    [first] = granted_permits(pending)
+    assert first.apart
+    # Once the first trial's end is known, exactly one more may begin.
+    first.ended(builders.endpoint("e2"))
+    await until_suspected(fleet, 2)
+    await asyncio.sleep(SETTLE_S)
+    assert len(granted_permits(pending)) == 2
+    await cancel(pending)
+
+
+async def test_requests_are_refused_when_their_wait_ends(
+    fleet: boxes.Boxes,
+) -> None:
+    await make_suspected(fleet)
+    trial = await permit(fleet.gateways[1])
+    assert trial.apart
+    pending = request_permits(fleet, left_s=1.0)
+    done = await asyncio.gather(*pending, return_exceptions=True)
+    for refusal in done:
+        assert isinstance(refusal, admission.RefusalError)
+        assert refusal.status == 503
+        assert refusal.retry_after is not None and refusal.retry_after > 0
+
+
+async def test_answered_trial_releases_all_waiting_requests(
+    fleet: boxes.Boxes,
+) -> None:
+    await make_suspected(fleet)
+    trial = await permit(fleet.gateways[1])
+    pending = request_permits(fleet)
+    await asyncio.sleep(SETTLE_S)
+    assert granted_permits(pending) == []
+    trial.answered()
+    assert not any(p.apart for p in await asyncio.gather(*pending))
+
+
+async def test_inconclusive_trial_lets_the_next_begin_at_once(
+    fleet: boxes.Boxes,
+) -> None:
+    await make_suspected(fleet)
+    box = next(b for b in fleet.gateways if b is not find_holder(fleet))
+    for _ in range(3):
+        began = time.monotonic()
+        trial = await permit(box)
+        assert trial.apart
+        assert time.monotonic() - began < suspect_table.TRIAL_S
+        trial.close()
+
+
+async def test_unresponsive_holder_is_skipped(
+    fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await make_suspected(fleet)
+    unresponsive = find_holder(fleet)
+    trials = unresponsive.suspects._trials
+    denied = trial_grants.TrialRuling(False)
+    monkeypatch.setattr(trials, "_decide_for", lambda *args: denied)
+    monkeypatch.setattr(trials, "_answer", lambda *args: None)
+    others = [b for b in fleet.gateways if b is not unresponsive]
+    pending = [asyncio.create_task(permit(box)) for box in others]
+    await asyncio.sleep(trial_grants.ANSWER_LIMIT_S + SETTLE_S)
+    [first] = granted_permits(pending)
+    assert first.apart
+    await cancel(pending)
+
+
+async def test_restarted_holder_assumes_that_a_trial_is_running(
+    fleet: boxes.Boxes,
+) -> None:
+    await make_suspected(fleet)
+    box = next(b for b in fleet.gateways if b is not find_holder(fleet))
+    trial = await permit(box)
+    assert trial.apart
+    holder = find_holder(fleet)
+    holder.suspects.table._suspects.clear()
+    suspect = box.suspects.table.find(KEY)
+    assert suspect is not None
+    # Makes this box ask the holder, which has lost its record of the trial.
+    suspect.trial_until = 0.0
+    pending = asyncio.create_task(permit(box))
+    await asyncio.sleep(SETTLE_S)
+    assert not pending.done()
+    assert (await pending).apart
+
+
+async def test_trial_of_a_cancelled_request_is_released_at_once(
+    fleet: boxes.Boxes,
+) -> None:
+    await make_suspected(fleet)
+    box = next(b for b in fleet.gateways if b is not find_holder(fleet))
+    cancelled = asyncio.create_task(permit(box))
+    await asyncio.sleep(0)
+    await cancel([cancelled])
+    holder = find_holder(fleet)
+    await boxes.until(lambda: trial_count(holder) == 1)
+    await asyncio.sleep(SETTLE_S)
+    suspect = holder.suspects.table.find(KEY)
+    assert suspect is not None and suspect.trial_until == 0.0
+
+
+async def test_request_quarantined_by_the_holder_is_refused_at_once(
+    fleet: boxes.Boxes,
+) -> None:
+    await make_suspected(fleet)
+    suspect = find_holder(fleet).suspects.table.find(KEY)
+    assert suspect is not None
+    suspect.held.quarantined = True
+    box = next(b for b in fleet.gateways if b is not find_holder(fleet))
+    began = time.monotonic()
+    with pytest.raises(admission.RefusalError):
+        await permit(box)
+    assert time.monotonic() - began < SETTLE_S
+
+
+async def test_isolated_box_grants_its_own_trials(fleet: boxes.Boxes) -> None:
+    await make_suspected(fleet)
+    box = fleet.gateways[0]
+    for other in fleet.gateways[1:]:
+        await other.stop()
+    del fleet.gateways[1:]
+    assert (await permit(box)).apart
+
+
+class TrialNode:
+    """The suspect table and trial grants of one box."""
+
+    def __init__(
+        self, linked: linked_boxes.Node, members: list[membership.Member]
+    ) -> None:
+        self.table = suspect_table.SuspectTable()
+        self.granted = 0
+        own = next(m for m in members if m.box == linked.name)
+        believed: Any = limited_fleet.Members(own, members)
+        peers: Any = linked
+        heard = [m for m in members if m.box in linked.links]
+        self.trials = trial_grants.TrialGrants(
+            self.table,
+            peers,
+            holders.HolderSelector(believed, lambda: heard),
+            timers.Timers(),
+            self._decide,
+            lambda box, key, held: self.table.take(key, held, 0.0),
+            lambda key, trial: self.table.end_trial(key, trial),
+        )
+        self.trials.start()
+
+    def _decide(
+        self, key: request_content.ContentKey, builds: frozenset[str]
+    ) -> trial_grants.TrialRuling:
+        ruling = self.table.judge(key, builds, 0.0)
+        if ruling.verdict is not suspect_table.Verdict.ALONE:
+            return trial_grants.TrialRuling(False, ruling.again_s)
+        self.table.begin_trial(key, 0.0)
+        self.granted += 1
+        return trial_grants.TrialRuling(True)
+
+
+async def test_one_of_87_boxes_grants_one_trial() -> None:
+    linked = linked_boxes.LinkedBoxes()
+    members = [
+        membership.Member(node.name, f"zone-{node.zone}", "", "", "")
+        for node in linked.nodes.values()
+    ]
+    nodes = [TrialNode(node, members) for node in linked.nodes.values()]
+    for node in nodes:
+        ruling = suspect_table.Ruling(suspect_table.Verdict.FREE)
+        node.table.note_end(KEY, builders.PLAIN, "e1", ruling, "v1", 0.0)
+    pending = [node.trials.ask(KEY, frozenset()) for node in nodes]
+    rulings = await asyncio.gather(*pending)
+    assert sum(ruling.granted for ruling in rulings) == 1
+    assert sum(node.granted for node in nodes) == 1
+
+
+def test_trial_messages_round_trip() -> None:
+    table = suspect_table.SuspectTable()
+    ruling = suspect_table.Ruling(suspect_table.Verdict.FREE)
+    changed = table.note_end(KEY, builders.PLAIN, "e1", ruling, "v1", 0.0)
+    assert changed is not None
+    news = suspect_news.encode([changed])
+    batch = [
+        peer_messages.AskTrial(3, news, ("v1",), 1),
+        peer_messages.TrialAnswer(3, True, 1, news),
+        peer_messages.TrialOver(KEY.caller, KEY.content, 2, 0),
+    ]
+    assert codec.decode_batch(codec.encode_batch(batch)) == batch
