--- a/martenjunction/routing/permits.py
+++ b/martenjunction/routing/permits.py
@@ -54,6 +54,7 @@
         self.service = service
         self.ruling = ruling
         self._settled = False
+        self._broken = False
 
     @property
     def apart(self) -> bool:
@@ -80,6 +81,7 @@
 
     def broken(self, endpoint: model.Endpoint) -> None:
         """Notes that the run broke off; its endpoint may have ended."""
+        self._broken = True
         self._suspects.note_unsure(self, endpoint)
 
     def ended(self, endpoint: model.Endpoint) -> None:
@@ -89,6 +91,11 @@
             self._suspects.note_end(self, endpoint)
 
     def close(self) -> None:
-        """Notes that the run is over, whatever came of it."""
-        if self.apart and not self._settled:
+        """Notes that the run is over, whatever came of it.
+
+        A run that broke off does not end its trial: the end of its endpoint
+        may be confirmed only later, and a trial that began before then could
+        end another endpoint.
+        """
+        if self.apart and not self._settled and not self._broken:
             self._suspects.end_trial(self)
--- a/tests/test_suspect_trials.py
+++ b/tests/test_suspect_trials.py
@@ -166,6 +166,24 @@
         trial.close()
 
 
+async def test_broken_trial_delays_the_next_until_the_end_is_known(
+    fleet: boxes.Boxes,
+) -> None:
+    # Guards against starting the next trial between the moment a run breaks
+    # off and the confirmation that its endpoint has ended.
+    await make_suspected(fleet)
+    trial = await permit(fleet.gateways[1])
+    trial.broken(builders.endpoint("e2"))
+    trial.close()
+    pending = request_permits(fleet)
+    await asyncio.sleep(SETTLE_S)
+    assert granted_permits(pending) == []
+    trial.ended(builders.endpoint("e2"))
+    await asyncio.sleep(SETTLE_S)
+    assert len(granted_permits(pending)) == 1
+    await cancel(pending)
+
+
 async def test_unresponsive_holder_is_skipped(
     fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
