--- a/martenjunction/decisions/boxes/suspect_table.py
+++ b/martenjunction/decisions/boxes/suspect_table.py
@@ -169,6 +169,27 @@
             return Ruling(Verdict.ALONE, generation, held.epoch)
         return Ruling(Verdict.QUARANTINED, again_s=release_s)
 
+    def ruling_after_wait(
+        self, key: request_content.ContentKey, now: float
+    ) -> Ruling | None:
+        """Returns the ruling for a request whose wait for a trial has expired.
+
+        Args:
+            key: The request.
+            now: The current time.
+
+        Returns:
+            A ruling to send the request if it is not suspected or if this box
+            saw its content answered within `ANSWERED_S`; otherwise None.
+        """
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return Ruling(Verdict.FREE)
+        if suspect.held.quarantined or not self._was_answered(key, now):
+            return None
+        held = suspect.held
+        return Ruling(Verdict.ALONE, held.generation + 1, held.epoch)
+
     def begin_trial(
         self, key: request_content.ContentKey, now: float
     ) -> Suspect | None:
--- a/martenjunction/routing/suspects.py
+++ b/martenjunction/routing/suspects.py
@@ -159,9 +159,13 @@
                 ):
                     continue
                 wait_s = answer.wait_s
-            left_s = until - self._timers.now()
+            now = self._timers.now()
+            left_s = until - now
             if left_s <= 0.0:
-                self._refuse(wait_s)
+                final_ruling = self._table.ruling_after_wait(key, now)
+                if final_ruling is None:
+                    self._refuse(wait_s)
+                return permits.Permit(self, key, service, final_ruling)
             await self._wait(key, min(wait_s, left_s))
 
     def _trial_permit(
--- a/tests/test_suspect_trials.py
+++ b/tests/test_suspect_trials.py
@@ -141,6 +141,23 @@
         assert refusal.retry_after is not None and refusal.retry_after > 0
 
 
+async def test_recently_answered_content_is_sent_when_its_wait_ends(
+    fleet: boxes.Boxes,
+) -> None:
+    box = fleet.gateways[1]
+    (await permit(box)).answered()
+    for number in range(2):
+        endpoint = builders.endpoint(f"e{number}")
+        (await permit(box)).ended(endpoint)
+        await until_suspected(fleet, number + 1)
+    trial = await permit(box)
+    assert trial.apart
+    assert (await permit(box, left_s=0.5)).apart
+    # A box that saw no answer still refuses the request.
+    with pytest.raises(admission.RefusalError):
+        await permit(fleet.gateways[2], left_s=0.5)
+
+
 async def test_answered_trial_releases_all_waiting_requests(
     fleet: boxes.Boxes,
 ) -> None:
