--- a/martenjunction/decisions/boxes/suspect_table.py
+++ b/martenjunction/decisions/boxes/suspect_table.py
@@ -29,6 +29,11 @@
 # Seconds for which others wait while one run of a suspect is tried.
 TRIAL_S = 1.0
 
+# Seconds after which a trial that is still running has outlived the runs under
+# which endpoints ended. Less than `TRIAL_S`, so that the other boxes are told
+# before their waits end.
+OUTLIVED_S = 0.8
+
 # Seconds after which a quarantined request is tried once more, how much longer
 # that is each time, and at most.
 FIRST_RELEASE_S = 120.0
@@ -140,10 +145,9 @@
             return self._judge_quarantined(suspect, builds, now)
         if suspect.trial_until > now:
             return Ruling(Verdict.WAIT, again_s=suspect.trial_until - now)
-        # One outage ends many runs of a popular request at once; and a run
-        # that was tried for long enough has outlived the first ones.
-        outlived = suspect.trial_until > 0.0
-        if generation == 2 and (outlived or self._was_answered(key, now)):
+        # One outage ends many runs of a popular request at once; and a trial
+        # still running after `OUTLIVED_S` has outlived the first ones.
+        if generation == 2 and (held.outlived or self._was_answered(key, now)):
             return free
         return Ruling(Verdict.ALONE, generation, held.epoch)
 
@@ -215,6 +219,27 @@
         if suspect is not None and suspect.held.tries == trial:
             suspect.trial_until = 0.0
 
+    def note_outlived(
+        self, key: request_content.ContentKey, epoch: int
+    ) -> Suspect | None:
+        """Notes that a trial is still running after `OUTLIVED_S`.
+
+        Args:
+            key: The request.
+            epoch: The epoch in which the trial began.
+
+        Returns:
+            The suspect if it changed, otherwise None.
+        """
+        suspect = self._suspects.get(key)
+        if suspect is None or suspect.held.epoch != epoch:
+            return None
+        if suspect.held.outlived or suspect.held.generation != 1:
+            return None
+        suspect.held.outlived = True
+        suspect.trial_until = 0.0
+        return suspect
+
     def note_end(
         self,
         key: request_content.ContentKey,
@@ -290,11 +315,14 @@
             suspect = self._add(key, suspicion.Suspicion(held.service), now)
         before = suspect.held.generation
         tried = (suspect.held.epoch, suspect.held.tries)
+        was_outlived = suspect.held.outlived
         if not suspect.held.merge(held):
             return None
         self._changed(suspect, before, now)
         if (suspect.held.epoch, suspect.held.tries) > tried and held.tries:
             suspect.trial_until = now + TRIAL_S
+        if suspect.held.outlived and not was_outlived:
+            suspect.trial_until = 0.0
         return suspect
 
     def forget(self, now: float) -> None:
--- a/martenjunction/decisions/boxes/suspicion.py
+++ b/martenjunction/decisions/boxes/suspicion.py
@@ -27,6 +27,8 @@
         tries: Runs that began on purpose, one at a time, in this epoch.
         quarantined: Whether no box sends it to endpoints any more.
         releases: How often time has let it be tried again since.
+        outlived: Whether a trial in this epoch was still running after
+            `suspect_table.OUTLIVED_S`.
     """
 
     service: str
@@ -36,6 +38,7 @@
     tries: int = 0
     quarantined: bool = False
     releases: int = 0
+    outlived: bool = False
 
     @property
     def generation(self) -> int:
@@ -64,6 +67,7 @@
         self.tries = 0
         self.quarantined = False
         self.releases = 0
+        self.outlived = False
 
     def merge(self, other: "Suspicion") -> bool:
         """Takes in what another box holds; returns whether it is news."""
@@ -78,6 +82,7 @@
         self.tries = max(self.tries, other.tries)
         self.quarantined = self.quarantined or other.quarantined
         self.releases = max(self.releases, other.releases)
+        self.outlived = self.outlived or other.outlived
         return self._facts() != before
 
     def _facts(self) -> tuple[object, ...]:
@@ -88,6 +93,7 @@
             self.tries,
             self.quarantined,
             self.releases,
+            self.outlived,
         )
 
     def _add_ends(self, ends: dict[str, int]) -> None:
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -308,6 +308,7 @@
         tries: Runs that began on their own.
         quarantined: Whether it is not sent any more.
         releases: How often time has let it be tried since.
+        outlived: Whether a trial was reported as still running.
     """
 
     callers: tuple[bytes, ...]
@@ -320,6 +321,7 @@
     tries: tuple[int, ...]
     quarantined: tuple[bool, ...]
     releases: tuple[int, ...]
+    outlived: tuple[bool, ...]
 
 
 @codec.message("ask-trial", urgent=True)
--- a/martenjunction/routing/permits.py
+++ b/martenjunction/routing/permits.py
@@ -55,6 +55,12 @@
         self.ruling = ruling
         self._settled = False
         self._broken = False
+        self._closed = False
+
+    @property
+    def running(self) -> bool:
+        """Whether no end of its run has been noted."""
+        return not (self._settled or self._broken or self._closed)
 
     @property
     def apart(self) -> bool:
@@ -97,5 +103,6 @@
         may be confirmed only later, and a trial that began before then could
         end another endpoint.
         """
+        self._closed = True
         if self.apart and not self._settled and not self._broken:
             self._suspects.end_trial(self)
--- a/martenjunction/routing/suspect_news.py
+++ b/martenjunction/routing/suspect_news.py
@@ -28,6 +28,7 @@
         tuple(held.tries for _, held in rows),
         tuple(held.quarantined for _, held in rows),
         tuple(held.releases for _, held in rows),
+        tuple(held.outlived for _, held in rows),
     )
 
 
@@ -50,11 +51,12 @@
         news.tries,
         news.quarantined,
         news.releases,
+        news.outlived,
         strict=False,
     )
     for row in rows:
         caller, content, service, epoch, ends, generations = row[:6]
-        builds, tries, quarantined, releases = row[6:]
+        builds, tries, quarantined, releases, outlived = row[6:]
         if len(caller) != request_content.CALLER_BYTES:
             continue
         if len(content) != request_content.CONTENT_BYTES:
@@ -77,5 +79,6 @@
                 tries,
                 quarantined,
                 releases,
+                outlived,
             ),
         )
--- a/martenjunction/routing/suspects.py
+++ b/martenjunction/routing/suspects.py
@@ -83,6 +83,7 @@
         self._unsure: collections.deque[_Unsure] = collections.deque(
             maxlen=MAX_UNSURE
         )
+        self._running_trials: list[tuple[float, permits.Permit]] = []
         self._waiting: dict[
             request_content.ContentKey, set[asyncio.Future[None]]
         ] = {}
@@ -152,6 +153,8 @@
                 answer = await self._trials.ask(key, builds)
                 permit = self._trial_permit(key, service, ruling)
                 if answer.granted and permit.stands():
+                    began_at = self._timers.listened()
+                    self._running_trials.append((began_at, permit))
                     return permit
                 now = self._timers.now()
                 if self._table.judge(key, builds, now).verdict is not (
@@ -346,9 +349,29 @@
         for run in list(self._unsure):
             if self._listed.restarted(run.endpoint.id):
                 self._settle_unsure(run.endpoint.id)
+        self._report_outlived_trials()
         self._table.forget(now)
         self._sync.pass_on()
 
+    def _report_outlived_trials(self) -> None:
+        """Tells all boxes of trials still running after `OUTLIVED_S`.
+
+        Time during which the event loop is blocked does not count.
+        """
+        now = self._timers.listened()
+        running_trials = self._running_trials
+        self._running_trials = []
+        for began_at, permit in running_trials:
+            if not permit.running:
+                continue
+            if now - began_at < suspect_table.OUTLIVED_S:
+                self._running_trials.append((began_at, permit))
+                continue
+            suspect = self._table.note_outlived(permit.key, permit.ruling.epoch)
+            if suspect is not None:
+                self._write("request-outlived", suspect)
+                self._tell(suspect)
+
     def _write(
         self, kind: str, suspect: suspect_table.Suspect, **fields: Any
     ) -> None:
--- a/tests/test_suspect_trials.py
+++ b/tests/test_suspect_trials.py
@@ -141,6 +141,31 @@
         assert refusal.retry_after is not None and refusal.retry_after > 0
 
 
+async def test_outlived_trial_releases_all_waiting_requests(
+    fleet: boxes.Boxes,
+) -> None:
+    await make_suspected(fleet)
+    trial = await permit(fleet.gateways[1])
+    assert trial.apart
+    pending = request_permits(fleet)
+    await asyncio.sleep(suspect_table.TRIAL_S + SETTLE_S)
+    assert not any(p.apart for p in await asyncio.gather(*pending))
+
+
+async def test_request_after_a_broken_trial_is_a_trial_again(
+    fleet: boxes.Boxes,
+) -> None:
+    await make_suspected(fleet)
+    trial = await permit(fleet.gateways[1])
+    trial.broken(builders.endpoint("e2"))
+    trial.close()
+    pending = request_permits(fleet)
+    await asyncio.sleep(suspect_table.TRIAL_S + SETTLE_S)
+    [second] = granted_permits(pending)
+    assert second.apart
+    await cancel(pending)
+
+
 async def test_recently_answered_content_is_sent_when_its_wait_ends(
     fleet: boxes.Boxes,
 ) -> None:
@@ -225,6 +250,9 @@
     box = next(b for b in fleet.gateways if b is not find_holder(fleet))
     trial = await permit(box)
     assert trial.apart
+    # A trial that keeps running would release the pending request.
+    trial.broken(builders.endpoint("e2"))
+    trial.close()
     holder = find_holder(fleet)
     holder.suspects.table._suspects.clear()
     suspect = box.suspects.table.find(KEY)
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -28,6 +28,7 @@
     tries=st.integers(0, 3),
     quarantined=st.booleans(),
     releases=st.integers(0, 2),
+    outlived=st.booleans(),
 )
 
 
@@ -191,9 +192,25 @@
     table.end(key(), "e1")
     table.made.begin_trial(key(), table.now)
     table.now += suspect_table.TRIAL_S + 0.1
+    # Without a report that it is still running, the trial may have broken off.
+    assert table.verdict(key()) is Verdict.ALONE
+    assert table.made.note_outlived(key(), 0) is not None
     assert table.verdict(key()) is Verdict.FREE
 
 
+def test_outlived_trial_frees_the_request_until_the_next_end() -> None:
+    table, other = Table(), Table()
+    table.end(key(), "e1")
+    table.made.begin_trial(key(), table.now)
+    suspect = table.made.note_outlived(key(), 0)
+    assert suspect is not None
+    other.made.take(key(), suspect.held, other.now)
+    assert other.verdict(key()) is Verdict.FREE
+    other.end(key(), "e2")
+    assert other.verdict(key()) is Verdict.ALONE
+    assert other.made.note_outlived(key(), 0) is None
+
+
 def test_one_answer_clears_it() -> None:
     table = Table()
     table.quarantine(key())
@@ -309,6 +326,7 @@
         tries=(0,) * count,
         quarantined=(False,) * count,
         releases=(0,) * count,
+        outlived=(False,) * count,
     )
     assert [found for found, _ in suspect_news.decode(news)] == [key()]
 
