--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,10 @@
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
 
+# Imported before any test runs. Otherwise its pytest plugin imports it in the
+# terminal summary, where parsing it for assertion rewriting can fail on Python
+# 3.11 with "SystemError: AST constructor recursion depth mismatch".
+import hypothesis  # noqa: F401
 import pytest
 
 from martenjunction.endpoints import client
