Learn about engines from prompts that were read alone

Callers waited for up to 2 s for some 20 s after engines had answered with errors. A 500 that comes after 25 ms was taken for a first event: it was learnt as a prompt prefilled in 10 ms, as a fast engine, and its parts as cached there. The prefill rate rose tenfold on all boxes at once, so that prompts piled up.

Bytes of any response count for liveness; only events of a successful stream are learnt from, and of a resumed run only the pauses. Observed rates expire after 30 s, and the learnt rate moves by a factor of 1.25 a second at most.

--- a/martenjunction/decisions/boxes/engine_profiles.py
+++ b/martenjunction/decisions/boxes/engine_profiles.py
@@ -46,6 +46,13 @@
 # underestimates both the pause and the rate.
 ESTIMATE_QUANTILE = 0.75
 
+# Seconds after which an observed prefill no longer counts.
+PREFILL_LIFETIME_S = 30.0
+
+# Maximum factor by which the learned prefill rate changes in a second. The
+# first rate that is learned replaces the initial one at once.
+MAX_RATE_CHANGE_PER_S = 1.25
+
 # Relative change of an estimate above which it is logged.
 LOGGED_CHANGE = 0.1
 
@@ -122,13 +129,16 @@
     """
 
     def __init__(self) -> None:
-        self._rates: collections.deque[float] = collections.deque(
+        self._new_rates: list[float] = []
+        self._rates: collections.deque[tuple[float, float]] = collections.deque(
             maxlen=MAX_PREFILLS
         )
         self._pauses = _PauseEstimator()
         self._own = ProfileEstimate()
         self._peers: dict[str, tuple[float, ProfileEstimate]] = {}
         self._figures = EngineProfile()
+        self._learned = ProfileEstimate()
+        self._recomputed_at = 0.0
 
     @property
     def profile(self) -> EngineProfile:
@@ -153,7 +163,7 @@
             seconds: Time from sending the request to the first event.
         """
         if tokens >= MIN_PREFILL_TOKENS and seconds > FIRST_EVENT_BASE_S:
-            self._rates.append(tokens / (seconds - FIRST_EVENT_BASE_S))
+            self._new_rates.append(tokens / (seconds - FIRST_EVENT_BASE_S))
 
     def record_pause(self, token_s: float) -> None:
         """Records the time per token of a stream during prefill.
@@ -171,10 +181,9 @@
 
     def recompute(self, now: float) -> None:
         """Recomputes the profile and drops expired ones of other boxes."""
-        rate = None
-        if len(self._rates) >= MIN_PREFILLS:
-            rate = _quantile(self._rates, RATE_QUANTILE)
-        self._own = ProfileEstimate(rate, self._pauses.estimate)
+        self._own = ProfileEstimate(
+            self._estimate_rate(now), self._pauses.estimate
+        )
         for box, (reported_at, _) in list(self._peers.items()):
             if now - reported_at > PEER_ESTIMATE_LIFETIME_S:
                 del self._peers[box]
@@ -182,24 +191,51 @@
             self._own,
             *(estimate for _, estimate in self._peers.values()),
         ]
-        previous = self._figures
+        rate = _combine(e.prefill_tokens_per_s for e in estimates)
+        interval_s = _combine(e.prefill_token_interval_s for e in estimates)
+        elapsed_s = min(max(0.0, now - self._recomputed_at), 1.0)
+        limit = MAX_RATE_CHANGE_PER_S**elapsed_s
+        self._recomputed_at = now
+        learned = self._learned = ProfileEstimate(
+            _approach(self._learned.prefill_tokens_per_s, rate, limit),
+            interval_s or self._learned.prefill_token_interval_s,
+        )
         self._figures = EngineProfile(
-            _combine(
-                (estimate.prefill_tokens_per_s for estimate in estimates),
-                previous.prefill_tokens_per_s,
-            ),
-            _combine(
-                (estimate.prefill_token_interval_s for estimate in estimates),
-                previous.prefill_token_interval_s,
-            ),
+            learned.prefill_tokens_per_s or INITIAL_PREFILL_TOKENS_PER_S,
+            learned.prefill_token_interval_s or INITIAL_TOKEN_INTERVAL_S,
         )
 
+    def _estimate_rate(self, now: float) -> float | None:
+        """Returns this box's estimate of the prefill rate, or None."""
+        self._rates.extend((now, rate) for rate in self._new_rates)
+        self._new_rates.clear()
+        while self._rates and now - self._rates[0][0] > PREFILL_LIFETIME_S:
+            self._rates.popleft()
+        if len(self._rates) < MIN_PREFILLS:
+            return None
+        return _quantile((rate for _, rate in self._rates), RATE_QUANTILE)
+
 
 def _quantile(values: Iterable[float], quantile: float) -> float:
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
 
 
-def _combine(estimates: Iterable[float | None], default: float) -> float:
+def _combine(estimates: Iterable[float | None]) -> float | None:
     known = [estimate for estimate in estimates if estimate is not None]
-    return _quantile(known, ESTIMATE_QUANTILE) if known else default
+    return _quantile(known, ESTIMATE_QUANTILE) if known else None
+
+
+def _approach(
+    previous: float | None, value: float | None, limit: float
+) -> float | None:
+    """Returns a value, or the one within a factor of the previous value.
+
+    Args:
+        previous: The previous value; None if there is none.
+        value: The new value; None if there is none.
+        limit: The maximum factor, at least 1.
+    """
+    if value is None or previous is None:
+        return previous if value is None else value
+    return min(max(value, previous / limit), previous * limit)
--- a/martenjunction/routing/endpoint_registry.py
+++ b/martenjunction/routing/endpoint_registry.py
@@ -39,6 +39,8 @@
             should be moved to another one.
         endpoint_restarted: Whether the endpoint restarted, which ended the
             run.
+        resumed: Whether the run continues an earlier one, so that only a part
+            of its prompt is read.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         demand: endpoint_records.Demand,
         now: float,
         listened: float,
+        resumed: bool = False,
     ) -> None:
         """Initializes the ticket of a request that is about to be sent.
 
@@ -55,6 +58,7 @@
             demand: The resources that the request needs.
             now: The current time.
             listened: The current time on the registry's listening clock.
+            resumed: Whether the run continues an earlier one.
         """
         self.record = choice.record
         self.choice = choice
@@ -65,6 +69,7 @@
         self.waiting = True
         self.move_requested = False
         self.endpoint_restarted = False
+        self.resumed = resumed
 
 
 def describe(choice: endpoint_choice.Choice) -> dict[str, Any]:
@@ -292,24 +297,31 @@
         choice: endpoint_choice.Choice,
         demand: endpoint_records.Demand,
         now: float,
+        resumed: bool = False,
     ) -> RunTicket:
-        """Records that a request is sent to the selected endpoint."""
-        ticket = RunTicket(choice, demand, now, self._listening_time(now))
+        """Records that a request is sent to the selected endpoint.
+
+        Args:
+            choice: The selected endpoint.
+            demand: The resources that the request needs.
+            now: The current time.
+            resumed: Whether the run continues an earlier one.
+        """
+        ticket = RunTicket(
+            choice, demand, now, self._listening_time(now), resumed
+        )
         choice.record.loads.add(demand.load_key, 1, choice.prefill_tokens)
         if demand.is_engine:
             choice.record.record_sent(choice.prefill_tokens, now)
         self._tickets.add(ticket)
         return ticket
 
-    def note_response(
-        self, ticket: RunTicket, now: float, events: int = 0
-    ) -> None:
-        """Records that response bytes were received.
+    def note_response(self, ticket: RunTicket, now: float) -> None:
+        """Records that an endpoint responded, whatever the response is.
 
         Args:
             ticket: The run.
             now: The current time.
-            events: The number of complete stream events among them.
         """
         record = ticket.record
         listened = self._listening_time(now)
@@ -317,33 +329,48 @@
         self._ejection.note_response(record, now)
         record.refusals.record_answer(ticket.started_at)
         ticket.move_requested = False
-        pause_s = listened - ticket.last_received_at
         ticket.last_received_at = listened
+
+    def note_events(self, ticket: RunTicket, now: float, events: int) -> None:
+        """Records events of a successful stream, and learns from them.
+
+        Args:
+            ticket: The run.
+            now: The current time.
+            events: The number of complete events.
+        """
+        pause_s = self._listening_time(now) - ticket.last_received_at
+        self.note_response(ticket, now)
         if not ticket.waiting:
             self._learn_pause(ticket, pause_s, events, now)
             return
         ticket.waiting = False
-        record.loads.add(
+        ticket.record.loads.add(
             ticket.demand.load_key, 0, -ticket.choice.prefill_tokens
         )
         if ticket.demand.is_engine:
-            record.record_cached(ticket.demand.parts)
-            # The prediction already includes the slowness factor.
-            base = ticket.choice.predicted_s / record.slowness.value
-            ratio = pause_s / base
-            record.slowness.add(
-                min(max(ratio, SLOWNESS_BOUNDS[0]), SLOWNESS_BOUNDS[1])
+            ticket.record.record_cached(ticket.demand.parts)
+            if not ticket.resumed:
+                self._learn_first_event(ticket, pause_s)
+
+    def _learn_first_event(self, ticket: RunTicket, seconds: float) -> None:
+        """Learns from the time to the first event of a prompt that was read."""
+        record = ticket.record
+        # The prediction already includes the slowness factor.
+        ratio = seconds * record.slowness.value / ticket.choice.predicted_s
+        record.slowness.add(
+            min(max(ratio, SLOWNESS_BOUNDS[0]), SLOWNESS_BOUNDS[1])
+        )
+        if (
+            ticket.choice.tokens_ahead == 0
+            and ticket.choice.repeated_prefill_tokens == 0
+        ):
+            # Excludes prompts with shared parts that count as uncached. The
+            # engine may have cached them unknown to this box, so that a
+            # restarted box would greatly overestimate its engines.
+            self._engines.note_prefill_time(
+                ticket.demand.service, ticket.choice.prefill_tokens, seconds
             )
-            if (
-                ticket.choice.tokens_ahead == 0
-                and ticket.choice.repeated_prefill_tokens == 0
-            ):
-                # Excludes prompts with shared parts that count as uncached.
-                # The engine may have cached them unknown to this box, so that
-                # a restarted box would greatly overestimate its engines.
-                self._engines.note_prefill_time(
-                    ticket.demand.service, ticket.choice.prefill_tokens, pause_s
-                )
 
     def _learn_pause(
         self, ticket: RunTicket, pause_s: float, events: int, now: float
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -126,7 +126,12 @@
             self._context.pool.release(endpoint.id, run.connection)
             raise errors.ConnectionLostError("the client left")
         registry = self._context.registry
-        ticket = registry.begin(offer.choice, demand, time.monotonic())
+        ticket = registry.begin(
+            offer.choice,
+            demand,
+            time.monotonic(),
+            offer.continues or self._state.delivered_id is not None,
+        )
         self._running, self._ticket = run, ticket
         self._state.choices.append(endpoint_registry.describe(offer.choice))
         failed = True
@@ -242,7 +247,7 @@
         pairs = headers.client_headers(head.headers)
         async for events in run.events():
             now = time.monotonic()
-            self._context.registry.note_response(ticket, now, len(events))
+            self._context.registry.note_events(ticket, now, len(events))
             self._state.note_events(now)
             if not self._connection.answering:
                 self._state.progress.record(outcomes.Event.ANSWERING)
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -272,7 +272,7 @@
         )
         request.first = False
         request.heard_at = now
-        request.book.note_response(request.ticket, now, 1)
+        request.book.note_events(request.ticket, now, 1)
         if run.events:
             return
         del self._requests[run.number]
