Report usage from the one box that holds the duties

One box now holds the duties by a record in the store that it confirms right before each call; boxes count the requests that began to run and tell them as rows that only grow. docs/design/duties.md has the ways weighed.

The client of the store shares its connections with that of the duties. tests/test_store_returns.py reaches the address where it now lies.

Deployments without duties make no call more (test_duties).

--- /dev/null
+++ b/martenjunction/decisions/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the duties of the fleet."""
--- /dev/null
+++ b/martenjunction/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties of the fleet that one box at a time performs."""
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -44,6 +44,14 @@
     """The platform responded that it did not execute the call."""
 
 
+class EnginesUnavailableError(PlatformRefusedError):
+    """The platform has no more engines of the ordered kind at present."""
+
+
+class DutyRejectedError(PlatformError):
+    """The platform rejected a call of a duty for good."""
+
+
 class ObjectMissingError(PlatformRefusedError):
     """The platform has no object of the name that a call is to change."""
 
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -17,6 +17,7 @@
 from martenjunction.decisions.boxes import load_shedding
 from martenjunction.decisions.boxes import retry_budget
 from martenjunction.decisions.boxes import tier_precedence
+from martenjunction.duties import fleet_duties
 from martenjunction.endpoints import pool
 from martenjunction.http1 import messages
 from martenjunction.http1 import server
@@ -257,6 +258,7 @@
         self.prober = prober.Prober(
             self.registry, self.pool, self.admitter, self.grants, self.timers
         )
+        self.duties = self._build_duties()
         self._context = offers.ExchangeContext(
             self.admitter,
             self.registry,
@@ -273,6 +275,7 @@
             self.liveness,
             self.grants,
             tier_precedence.TierPrecedence(),
+            self.duties,
         )
         self._callers = self._server(
             "callers", self._serve_caller, self._limits
@@ -304,6 +307,7 @@
         self.usage.start()
         self.prober.start()
         self.follower.start()
+        self.duties.start(self.events)
         await self.peers.start()
         self.timers.subscribe("watch", WATCH_INTERVAL_S, self._watch)
         self.timers.subscribe("idle", IDLE_CHECK_INTERVAL_S, self._close_idle)
@@ -337,9 +341,9 @@
         self.box_states.leave()
         self.sync.announce()
         deadline = started_at + self._settings.stop_s - STOP_MARGIN_S
-        removal = asyncio.get_running_loop().create_task(
-            self.follower.remove_own_entry()
-        )
+        loop = asyncio.get_running_loop()
+        release = loop.create_task(self.duties.leave())
+        removal = loop.create_task(self.follower.remove_own_entry())
         while self.timers.now() < deadline:
             lingered = self.timers.now() - started_at > LINGER_S
             if lingered and not self._exchanges:
@@ -351,6 +355,7 @@
             remaining = max(0.0, deadline - self.timers.now())
             await asyncio.sleep(min(WATCH_INTERVAL_S, remaining))
         removal.cancel()
+        release.cancel()
         self.usage.write()
         self.log.write("stopped", cut_off=len(self._exchanges))
         await self.stop()
@@ -372,6 +377,7 @@
         for listening, wait in zip(servers, waits, strict=True):
             wait.cancel()
             listening.close_all()
+        await self.duties.stop()
         await self.prober.stop()
         await self.liveness.stop()
         await self.follower.stop()
@@ -399,8 +405,25 @@
             ),
             "limits": self.grants.dump(),
             "suspects": self.quarantine.dump(),
+            "duties": self.duties.dump(),
         }
 
+    def _build_duties(
+        self,
+    ) -> fleet_duties.FleetDuties | fleet_duties.NoDuties:
+        if self._settings.duties is None:
+            return fleet_duties.NoDuties()
+        return fleet_duties.FleetDuties(
+            self._settings.duties,
+            self.members,
+            self.overlay,
+            self.peers,
+            self.store,
+            self.timers,
+            self.log,
+            self._rng,
+        )
+
     def _server(
         self,
         name: str,
@@ -522,6 +545,7 @@
                 "store_returns": float(self.store_cache.store_returns),
                 "entries_unreadable": float(self.store_cache.unreadable),
                 "loop_delay_s": self.timers.worst_delay,
+                **self.duties.counters(),
             },
         )
 
--- a/martenjunction/platform/box_settings.py
+++ b/martenjunction/platform/box_settings.py
@@ -1,6 +1,7 @@
 """The settings file that the platform provides on each box."""
 
 import dataclasses
+import enum
 import tomllib
 from typing import Any
 
@@ -12,12 +13,45 @@
 # Port for metrics and the dump; must match deploy/system.toml.
 METRICS_PORT = 9464
 
+# Calls of duties per second, where the platform names no limit.
+DEFAULT_DUTY_CALLS_PER_S = 10.0
+
 MEGABYTE = 1024 * 1024
 MEGABIT = 1_000_000
 BITS_PER_BYTE = 8
 MS = 0.001
 
 
+class Duty(enum.StrEnum):
+    """A duty of the fleet, by the platform's name."""
+
+    USAGE = "metering"
+    SCALING = "autoscaling"
+
+
+@dataclasses.dataclass(frozen=True)
+class DutySettings:
+    """The duties that one box of the fleet performs at a time.
+
+    Attributes:
+        address: IP address and port of the service that takes their calls.
+        kinds: The duties.
+        no_return_s: Seconds within which the holder may not change to another
+            box and back.
+        window_s: Seconds of a window of usage.
+        usage_due_s: Seconds after the end of a window at which its usage is
+            due.
+        calls_per_s: Calls per second that the service takes from all boxes.
+    """
+
+    address: str
+    kinds: frozenset[Duty]
+    no_return_s: float
+    window_s: float
+    usage_due_s: float
+    calls_per_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class BoxSettings:
     """The settings of a box.
@@ -51,6 +85,8 @@
         retry_allowance: Retries allowed independently of the request count.
         max_entry_ttl_s: Maximum TTL of a resolve response in seconds.
         first_start: Whether the whole fleet starts for the first time.
+        duties: The duties of the fleet that one box performs; None if there are
+            none.
         metrics_port: Port for metrics and the dump, at the box's IP address.
     """
 
@@ -78,6 +114,7 @@
     retry_allowance: float
     max_entry_ttl_s: float
     first_start: bool = False
+    duties: DutySettings | None = None
     metrics_port: int = METRICS_PORT
 
 
@@ -137,4 +174,33 @@
         retry_allowance=float(bounds["retry_slack"]),
         max_entry_ttl_s=float(bounds["ttl_max_s"]),
         first_start=bool(table.get("bootstrap", False)),
+        duties=_decode_duties(table.get("cloud", {}), bounds),
+    )
+
+
+def _decode_duties(
+    cloud: dict[str, Any], bounds: dict[str, Any]
+) -> DutySettings | None:
+    """Decodes the duties; None if the deployment has none.
+
+    Raises:
+        KeyError: If a field is missing.
+        ValueError: If a value is out of range.
+    """
+    known = {duty.value for duty in Duty}
+    kinds = frozenset(
+        Duty(name) for name in cloud.get("duties", ()) if name in known
+    )
+    if not kinds:
+        return None
+    window_s = float(bounds["window_s"])
+    if window_s <= 0:
+        raise ValueError(f"window_s is {window_s}")
+    return DutySettings(
+        address=cloud["address"],
+        kinds=kinds,
+        no_return_s=bounds["lease_ms"] * MS,
+        window_s=window_s,
+        usage_due_s=float(bounds["usage_late_s"]),
+        calls_per_s=float(cloud.get("duty_per_s", DEFAULT_DUTY_CALLS_PER_S)),
     )
--- a/martenjunction/platform/store.py
+++ b/martenjunction/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's object store that counts its calls."""
 
-import asyncio
 import collections
 from collections.abc import Callable
 import dataclasses
@@ -11,25 +10,16 @@
 
 from martenjunction import errors
 from martenjunction import revisions
-from martenjunction.http1 import client
 from martenjunction.http1 import messages
+from martenjunction.platform import http_calls
 
-# Timeouts in seconds: to connect; for the head of a response, in addition to
-# the wait of a watch, and for each part of the body; and for the whole body. A
-# document of 370 kB takes 0.6 s over a link of 5 Mbit/s, and longer if there is
-# other traffic.
-CONNECT_TIMEOUT_S = 0.5
+# Timeout in seconds for the head of a response, in addition to the wait of a
+# watch.
 CALL_TIMEOUT_S = 1.0
-BODY_TIMEOUT_S = 4.0
-
-# Maximum number of idle connections that are kept for later calls.
-MAX_IDLE_CONNECTIONS = 3
 
 # Maximum number of pages of a list.
 MAX_PAGES = 200
 
-_JSON = (b"Content-Type", b"application/json")
-
 # Header of all responses; increases when the store is restored from a backup.
 _ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 18
@@ -125,8 +115,7 @@
         Args:
             address: IP address and port of the store.
         """
-        self._address = address
-        self._idle: list[client.ClientConnection] = []
+        self._http = http_calls.HttpCalls(address)
         self._calls: collections.Counter[str] = collections.Counter()
         self._era = 0
         self._on_era_change: Callable[[int], None] = lambda era: None
@@ -307,9 +296,7 @@
 
     def close(self) -> None:
         """Closes all idle connections."""
-        for connection in self._idle:
-            connection.abort()
-        self._idle.clear()
+        self._http.close()
 
     async def _write(
         self, operation: str, method: str, path: str, name: str, document: Any
@@ -343,24 +330,9 @@
     ) -> _Response:
         """Makes a call and closes the connection if no response is received."""
         self._calls[operation] += 1
-        connection = await self._connect()
-        headers = [(b"Host", self._address.encode())]
-        if body:
-            headers += [_JSON, (b"Content-Length", str(len(body)).encode())]
-        try:
-            async with connection.response_timeout(timeout_s):
-                connection.send(method.encode(), path.encode(), headers, body)
-                head = await connection.read_head()
-            async with connection.response_timeout(BODY_TIMEOUT_S):
-                content = await _body(connection)
-        except (errors.TransportError, TimeoutError) as error:
-            connection.abort()
-            raise errors.PlatformUnavailableError(
-                f"no response to {operation}: {error or 'time-out'}"
-            ) from error
-        except asyncio.CancelledError:
-            connection.abort()
-            raise
+        head, content, connection = await self._http.call(
+            operation, method, path, body, timeout_s
+        )
         era = _era_in(head)
         if era is None:
             era = self.era
@@ -369,40 +341,10 @@
             raise errors.PlatformUnavailableError(
                 f"response to {operation} is from era {era}, before {self.era}"
             )
-        if connection.finish():
-            self._release(connection)
+        self._http.release(connection)
         self.update_era(era)
         return _Response(head.status, content, era)
 
-    async def _connect(self) -> client.ClientConnection:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_quiet():
-                return connection
-            connection.abort()
-        connection = client.ClientConnection(self._address)
-        try:
-            await connection.open(CONNECT_TIMEOUT_S)
-        except errors.ConnectError as error:
-            raise errors.PlatformUnavailableError(str(error)) from error
-        return connection
-
-    def _release(self, connection: client.ClientConnection) -> None:
-        if len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
-            connection.abort()
-
-
-async def _body(connection: client.ClientConnection) -> bytes:
-    parts: list[bytes] = []
-    while True:
-        async with connection.response_timeout(CALL_TIMEOUT_S):
-            part = await connection.read_body()
-        if not part:
-            return b"".join(parts)
-        parts.append(part)
-
 
 def _path(
     kind: str, name: str | None = None, query: dict[str, str] | None = None
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -60,6 +60,7 @@
         self._running: attempt.Attempt | None = None
         self._ticket: endpoint_registry.RunTicket | None = None
         self._fallback: Answer | None = None
+        self._run_counted = False
 
     @property
     def ticket(self) -> endpoint_registry.RunTicket | None:
@@ -133,6 +134,7 @@
             offer.continues or self._state.delivered_id is not None,
         )
         self._running, self._ticket = run, ticket
+        self._run_counted = False
         self._state.choices.append(endpoint_registry.describe(offer.choice))
         failed = True
         try:
@@ -216,6 +218,8 @@
             return True
         body = await run.body()
         self._context.registry.note_response(ticket, time.monotonic())
+        if self._admitted.service.engine is None:
+            self._count_run(offer)
         run.finish()
         offer.permit.record_answer()
         answer = Answer(head.status, headers.client_headers(head.headers), body)
@@ -248,6 +252,7 @@
         async for events in run.events():
             now = time.monotonic()
             self._context.registry.note_events(ticket, now, len(events))
+            self._count_run(offer)
             self._state.note_events(now)
             if not self._connection.answering:
                 self._state.progress.record(outcomes.Event.ANSWERING)
@@ -266,6 +271,19 @@
         self._state.progress.record(outcomes.Event.COMPLETE)
         await self._connection.end()
 
+    def _count_run(self, offer: offers.Offer) -> None:
+        """Counts a run for the usage of its workspace, once.
+
+        A run that continues at another engine from a copy is the same run.
+        """
+        if self._run_counted or offer.continues:
+            return
+        self._run_counted = True
+        workspace = self._admitted.workspace
+        self._context.usage.record_run(
+            None if workspace is None else workspace.name
+        )
+
     async def _write_undelivered(
         self, events: list[event_stream.StreamEvent]
     ) -> None:
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -5,6 +5,7 @@
 import dataclasses
 import time
 from typing import Any
+from typing import Protocol
 
 from martenjunction import errors
 from martenjunction import metrics
@@ -45,6 +46,13 @@
 MIN_TIME_LEFT_S = 0.01
 
 
+class UsageMeter(Protocol):
+    """Counts the requests that began to run."""
+
+    def record_run(self, workspace: str | None) -> None:
+        """Counts a request of a workspace; None for one without any."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ExchangeContext:
     """The objects shared by all exchanges.
@@ -67,6 +75,7 @@
         liveness: Checks whether endpoints crashed.
         grants: Grants requests to endpoints with a rate limit.
         precedence: Decides which tiers go first at those endpoints.
+        usage: Counts the requests that began to run.
     """
 
     admitter: admission.Admitter
@@ -84,6 +93,7 @@
     liveness: endpoint_liveness.EndpointLiveness
     grants: rate_grants.RateGrants
     precedence: tier_precedence.TierPrecedence
+    usage: UsageMeter
 
     def closing(self) -> bool:
         """Returns whether connections close after their response."""
--- /dev/null
+++ b/martenjunction_lab/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Boxes that perform duties, in simulated time."""
--- a/martenjunction_lab/platform.py
+++ b/martenjunction_lab/platform.py
@@ -49,6 +49,48 @@
     reads_per_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class DutyCall:
+    """A call of a duty, as it arrived.
+
+    Attributes:
+        path: What is called: usage or scale.
+        holder: The daemon that holds the duty.
+        fence: Its fencing token.
+        body: What it says.
+    """
+
+    path: str
+    holder: str
+    fence: int
+    body: dict[str, Any]
+
+
+class DutyLog:
+    """The calls of duties that were accepted, and how the next ones fare."""
+
+    def __init__(self) -> None:
+        """Makes an empty log that accepts all calls."""
+        self.accepted: list[DutyCall] = []
+        self.statuses: collections.deque[int] = collections.deque()
+
+    @property
+    def usage(self) -> dict[int, dict[str, int]]:
+        """The counts of each window that was reported."""
+        return {
+            call.body["window_id"]: call.body["counts"]
+            for call in self.accepted
+            if call.path == "usage"
+        }
+
+    def take(self, call: DutyCall) -> int:
+        """Takes a call; returns the status of its answer."""
+        status = self.statuses.popleft() if self.statuses else 200
+        if status == 200:
+            self.accepted.append(call)
+        return status
+
+
 class Platform(servers.StandIn):
     """Objects by kind and name, under one counter of revisions."""
 
@@ -65,6 +107,7 @@
         self.rng = random.Random(seed)
         self.writes = platform_objects.Bucket()
         self.reads = platform_objects.Bucket()
+        self.duties = DutyLog()
         self._objects = platform_objects.Objects()
 
     def handlers(self) -> list[Any]:
@@ -73,6 +116,7 @@
         return [
             ("/objects/([^/]+)/([^/]+)", _ObjectHandler, arguments),
             ("/objects/([^/]+)", _KindHandler, arguments),
+            ("/(usage|scale)", _DutyHandler, arguments),
             ("/lab/faults", _FaultsHandler, arguments),
             ("/lab/boxes", _SetBoxesHandler, arguments),
             ("/lab/calls", _CallsHandler, arguments),
@@ -296,6 +340,19 @@
         )
 
 
+class _DutyHandler(_Handler):
+    def post(self, path: str) -> None:
+        headers = self.request.headers
+        call = DutyCall(
+            path,
+            headers["Martenjunction-Duty-Holder"],
+            int(headers["Martenjunction-Fencing-Token"]),
+            self.body(),
+        )
+        self.set_status(self._platform.duties.take(call))
+        self.write({})
+
+
 class _FaultsHandler(_Handler):
     def post(self) -> None:
         self._platform.faults = PlatformFaults(**self.body())
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,276 @@
+"""End-to-end tests of duties, and tests of their parts."""
+
+import asyncio
+import json
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from martenjunction import errors
+from martenjunction.decisions.duties import true_time
+from martenjunction.decisions.duties import usage_counts
+from martenjunction.duties import fleet_duties
+from martenjunction.duties import messages
+from martenjunction.duties import record
+from martenjunction.peers import codec
+from martenjunction.platform import box_settings
+from martenjunction_lab import boxes
+from martenjunction_lab import platform
+from martenjunction_lab import replica
+from tests import duty_builders
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+
+
+async def test_usage_of_all_boxes_is_reported_once() -> None:
+    made = await duty_builders.start(box_settings.Duty.USAGE)
+    for _ in range(2):
+        await made.add_replica(builders.PLAIN)
+    await made.until_listed()
+    for number in range(30):
+        address = made.addresses[number % len(made.addresses)]
+        headers = requests.request_headers(f"r{number}")
+        head, _ = await boxes.call(address, "POST", "/safe/", headers, b"hello")
+        assert head.status == 200
+    duties = made.store.duties
+
+    def reported() -> int:
+        return sum(sum(counts.values()) for counts in duties.usage.values())
+
+    await boxes.until(lambda: reported() == 30)
+    assert {name for counts in duties.usage.values() for name in counts} == {
+        "one"
+    }
+    windows = [c.body["window_id"] for c in duties.accepted]
+    assert len(windows) == len(set(windows))
+    assert len({(c.holder, c.fence) for c in duties.accepted}) == 1
+    holding = [
+        box.dump()["duties"]["phase"] == "holding" for box in made.gateways
+    ]
+    assert sum(holding) == 1
+    await made.stop()
+
+
+async def test_failed_answers_and_refusals_are_counted_as_they_ran() -> None:
+    # A plain endpoint's failure ran; a request that an endpoint turned away,
+    # and one without a key, did not.
+    made = await duty_builders.start(box_settings.Duty.USAGE, number=1)
+    stand_in = await made.add_replica(builders.PLAIN)
+    await made.until_listed()
+    stand_in.plan(replica.Behaviour.REFUSE, replica.Behaviour.FAIL)
+    address = made.addresses[0]
+    headers = requests.request_headers("r1")
+    await boxes.call(address, "POST", "/unsafe/", headers, b"hello")
+    headers = requests.request_headers("r2")
+    await boxes.call(address, "POST", "/unsafe/", headers, b"hello")
+    headers = requests.request_headers("r3", Authorization="Bearer none")
+    await boxes.call(address, "POST", "/unsafe/", headers, b"hello")
+    duties = made.store.duties
+    await boxes.until(lambda: any(duties.usage.values()))
+    await asyncio.sleep(1.5 * duty_builders.WINDOW_S)
+    assert [c for c in duties.usage.values() if c] == [{"one": 1}]
+    await made.stop()
+
+
+async def test_reports_are_repeated_until_they_are_accepted() -> None:
+    made = await duty_builders.start(box_settings.Duty.USAGE, number=1)
+    duties = made.store.duties
+    duties.statuses.extend([429, 503, 500])
+    await boxes.until(lambda: len(duties.accepted) >= 3)
+    counters = made.gateways[0].duties.counters()
+    assert counters["duty_calls"] >= 6
+    assert counters["usage_unknown_outcome"] == 1
+    assert counters["usage_windows_given_up"] == 0
+    await made.stop()
+
+
+async def test_report_that_is_rejected_is_given_up() -> None:
+    made = await duty_builders.start(box_settings.Duty.USAGE, number=1)
+    duties = made.store.duties
+    duties.statuses.append(400)
+    await boxes.until(lambda: len(duties.accepted) >= 2)
+    counters = made.gateways[0].duties.counters()
+    assert counters["usage_windows_given_up"] == 1
+    await made.stop()
+
+
+async def test_planned_stop_hands_duties_over() -> None:
+    made = await duty_builders.start(box_settings.Duty.USAGE)
+    duties = made.store.duties
+    await boxes.until(lambda: bool(duties.accepted))
+    first = duties.accepted[-1]
+    [stopping] = [
+        box for box in made.gateways if box.members.own.box == first.holder
+    ]
+    leaving = asyncio.get_running_loop().create_task(stopping.leave())
+    await boxes.until(lambda: duties.accepted[-1].holder != first.holder)
+    assert duties.accepted[-1].fence > first.fence
+    await leaving
+    made.gateways.remove(stopping)
+    await made.stop()
+
+
+async def test_deployment_without_duties_makes_no_calls(
+    fleet: boxes.Boxes,
+) -> None:
+    assert isinstance(fleet.gateways[0].duties, fleet_duties.NoDuties)
+    await asyncio.sleep(0.5)
+    assert fleet.store.find(record.KIND, record.NAME) is None
+    assert fleet.store.duties.accepted == []
+    assert fleet.gateways[0].dump()["duties"] == {}
+
+
+def settings_table(**cloud: object) -> dict[str, object]:
+    bounds = {
+        "window_s": 5,
+        "usage_late_s": 10,
+        "lease_ms": 3000,
+        **{"drain_ms": 1, "grace_s": 8, "revoke_ms": 1, "config_ms": 1},
+    }
+    return {"cloud": cloud, "bounds": bounds}
+
+
+def test_settings_of_duties_are_checked() -> None:
+    table = settings_table(
+        address="10.0.0.1:80", duties=["metering", "unknown"], duty_per_s=50
+    )
+    decoded = box_settings._decode_duties(table["cloud"], table["bounds"])  # type: ignore[arg-type]
+    assert decoded is not None
+    assert decoded.kinds == {box_settings.Duty.USAGE}
+    assert decoded.no_return_s == 3.0
+    none = settings_table(address="10.0.0.1:80", duties=[])
+    assert box_settings._decode_duties(none["cloud"], none["bounds"]) is None  # type: ignore[arg-type]
+    broken = {**table["bounds"], "window_s": 0}  # type: ignore[dict-item]
+    with pytest.raises(ValueError, match="window_s"):
+        box_settings._decode_duties(table["cloud"], broken)  # type: ignore[arg-type]
+
+
+ROWS = st.lists(
+    st.builds(
+        usage_counts.Row,
+        st.integers(0, 3),
+        st.integers(5, 7),
+        st.sampled_from(["a", "b"]),
+        st.integers(1, 9),
+    ),
+    max_size=20,
+)
+
+
+@given(ROWS, st.randoms(use_true_random=False))
+def test_counts_do_not_depend_on_order_or_repetition(
+    rows: list[usage_counts.Row], rng: random.Random
+) -> None:
+    one = usage_counts.UsageCounts(99)
+    other = usage_counts.UsageCounts(99)
+    one.merge(rows, 7)
+    shuffled = [*rows, *rows]
+    rng.shuffle(shuffled)
+    for row in shuffled:
+        other.merge([row], 7)
+    for window in (5, 6, 7):
+        assert one.totals(window) == other.totals(window)
+
+
+@given(ROWS)
+def test_counts_reach_the_holder_over_any_path(
+    rows: list[usage_counts.Row],
+) -> None:
+    # A relay tells what changed, and all of it to a new next box.
+    relay = usage_counts.UsageCounts(1)
+    holder = usage_counts.UsageCounts(2)
+    for row in rows:
+        relay.merge([row], 7)
+        if row.count % 2:
+            holder.merge(relay.take_changes(), 7)
+    relay.take_changes()
+    relay.mark_changed()
+    holder.merge(relay.take_changes(), 7)
+    for window in (5, 6, 7):
+        assert holder.totals(window) == relay.totals(window)
+
+
+def test_settled_windows_take_no_counts() -> None:
+    counts = usage_counts.UsageCounts(1)
+    counts.record("a", 5)
+    counts.settle(5)
+    counts.record("a", 5)
+    counts.merge([usage_counts.Row(2, 4, "a", 3)], 6)
+    assert counts.windows == []
+    assert counts.take_changes() == []
+
+
+@given(ROWS)
+def test_rows_round_trip(rows: list[usage_counts.Row]) -> None:
+    data = codec.encode_batch([messages.encode_rows(rows)])
+    [message] = codec.decode_batch(data)
+    assert messages.decode_rows(message) == rows
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        messages.UsageRows((1,), (1, 2), (0,), (1,), ("a",)),
+        messages.UsageRows((1,), (1,), (1,), (1,), ("a",)),
+        messages.UsageRows((1,), (-1,), (0,), (1,), ("a",)),
+        messages.UsageRows((2**64,), (1,), (0,), (1,), ("a",)),
+    ],
+)
+def test_malformed_rows_are_rejected(message: messages.UsageRows) -> None:
+    with pytest.raises(errors.PeerError):
+        messages.decode_rows(message)
+
+
+@pytest.mark.parametrize("spec", [b"", b"[]", b'{"holder": 3}', b"{}"])
+def test_malformed_records_are_rejected(spec: bytes) -> None:
+    with pytest.raises(errors.PlatformError):
+        record.decode(spec)
+
+
+def test_record_round_trips() -> None:
+    made = record.DutyRecord(
+        "b",
+        1,
+        2,
+        False,
+        4,
+        (record.Window(5, {"a": 1}),),
+        (record.Order("s", "z", True, 3),),
+    )
+    text = json.dumps(
+        {
+            "holder": "b",
+            "incarnation": 1,
+            "fence": 2,
+            "settled": 4,
+            "windows": [{"number": 5, "counts": {"a": 1}}],
+            "orders": [
+                {"service": "s", "zone": "z", "reclaimable": True, "count": 3}
+            ],
+        }
+    )
+    assert record.decode(text.encode()) == made
+
+
+def test_jumps_of_the_clock_do_not_move_the_windows() -> None:
+    clock = true_time.TrueTime(1000.0, 0.0)
+    for now in range(1, 11):
+        clock.update(1002.0 + now, float(now))
+    assert clock.at(10.0) == 1010.0
+    for now in range(11, 21):
+        clock.update(1000.1 + now, float(now))
+    assert 1020.0 < clock.at(20.0) < 1020.1
+    for now in range(21, 90):
+        clock.update(1002.0 + now, float(now))
+    assert clock.at(89.0) == pytest.approx(1091.0, abs=0.01)
+
+
+def test_platform_keeps_no_refused_calls() -> None:
+    log = platform.DutyLog()
+    log.statuses.append(503)
+    call = platform.DutyCall("usage", "b", 1, {"window_id": 1, "counts": {}})
+    assert log.take(call) == 503
+    assert log.take(call) == 200
+    assert log.usage == {1: {}}
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -75,7 +75,7 @@
 def disconnect_store(box: gateway.Gateway) -> None:
     """Points a box at an address where no store listens."""
     box.store.close()
-    box.store._address = bench.free_address()
+    box.store._http._address = bench.free_address()
 
 
 async def check_updates_arrive(fleet: boxes.Boxes) -> None:
