Count engines as standing that are listed one by one

The holder made its first orders when 11 of 30 engines were listed, took 11 for what is needed, and let all 30 go once 18 others served. What stands is now the most that is listed within 10 s; the test replays the listing and failed before.

--- a/martenjunction/decisions/duties/engine_orders.py
+++ b/martenjunction/decisions/duties/engine_orders.py
@@ -30,6 +30,9 @@
 PEAK_INTERVAL_S = 60.0
 PEAK_INTERVALS = 5
 
+# Seconds in which engines that stood before are still being listed.
+STANDING_S = 10.0
+
 # Minimum seconds between two orders of one kind in one zone.
 ORDER_INTERVAL_S = 2.0
 
@@ -135,6 +138,10 @@
         self._ordered = {
             subject: _Ordered(count, now) for subject, count in orders.items()
         }
+        self._inherited = sum(
+            count for subject, count in orders.items() if subject.reclaimable
+        )
+        self._began_at = now
         self._standing: int | None = None
         self._peaks: collections.deque[float] = collections.deque(
             [0.0], maxlen=PEAK_INTERVALS
@@ -174,11 +181,13 @@
             demand: What is asked of them.
             now: The current time.
         """
-        if self._standing is None:
-            if not any(ready.values()):
-                # Nothing is known of the engines yet.
-                return {}
-            self._standing = self._count_standing(terms, ready)
+        if not any(ready.values()) and self._standing is None:
+            # Nothing is known of the engines yet.
+            return {}
+        if now - self._began_at < STANDING_S or self._standing is None:
+            self._standing = max(
+                self._standing or 0, self._count_standing(terms, ready)
+            )
         for subject, ordered in self._ordered.items():
             ordered.reached = max(ordered.reached, ready.get(subject, 0))
         self._need = self._needed(terms, demand, now)
@@ -198,14 +207,9 @@
     ) -> int:
         """Returns the need that what stands was meant for."""
         zones = len(terms.zone_prices)
-        reclaimable = sum(
-            ordered.count
-            for subject, ordered in self._ordered.items()
-            if subject.reclaimable
-        )
-        if reclaimable and zones > 1:
-            return math.floor(reclaimable * (zones - 1) / zones)
-        return sum(ready.values())
+        if self._inherited and zones > 1:
+            return math.floor(self._inherited * (zones - 1) / zones)
+        return sum(n for s, n in ready.items() if not s.reclaimable)
 
     def _needed(self, terms: Terms, demand: Demand, now: float) -> int:
         if now - self._interval_began_at >= PEAK_INTERVAL_S:
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -158,6 +158,26 @@
         assert planner.plan(TERMS, ALL_RECLAIMABLE, idle, 0.25 * step) == {}
 
 
+def test_engines_that_are_listed_one_by_one_all_count_as_standing() -> None:
+    # The first orders were made when 11 of 30 engines were listed, so that 18
+    # reclaimable engines replaced all 30: for 9 s of the calm day 0.42 to 0.65
+    # of what was owed was earned.
+    planner = engine_orders.OrderPlanner({}, 0.0)
+    idle = Demand(0.0, 50_000.0, 0, 64)
+    ready: dict[Subject, int] = {}
+    now = 0.0
+    while now < 9.0:
+        now += 0.25
+        for subject in STANDING:
+            ready[subject] = min(10, int(4 * now))
+        booted = 10 if now > 7.0 else 6 if now > 5.0 else 0
+        ready.update(dict.fromkeys(ALL_RECLAIMABLE, booted))
+        orders = order_all(planner, ready, idle, now)
+        if booted < 10:
+            assert not any(not subject.reclaimable for subject in orders)
+    assert planner.need == 30
+
+
 def test_nothing_is_ordered_while_no_engine_is_known() -> None:
     planner = engine_orders.OrderPlanner({}, 0.0)
     assert planner.plan(TERMS, {}, CALM, 1.0) == {}
