Remove the entries of dead boxes of all zones

Beyond 32 boxes one box reads for the fleet, and removed the entries of dead boxes of its own zone alone; a box that starts takes the others for live until it fails to connect. The reader now removes those that are called silent in any zone. A live box beyond a cut hears that it was called silent once the cut has healed, and writes its entry again.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -203,6 +203,7 @@
             self._rng,
         )
         self.sync = peer_sync.PeerSync(
+        self.box_states.on_contradicted(self.follower.check_own_entry)
             self.peers,
             self.members,
             self.store_cache,
--- a/martenjunction/peers/membership.py
+++ b/martenjunction/peers/membership.py
@@ -241,8 +241,8 @@
         """Returns listed boxes that have been silent for the given seconds.
 
         The time counts from the last heartbeat, or from the first listing of a
-        box without any. Boxes that are not monitored are left out, and in a
-        large fleet those that other boxes tell of.
+        box without any. In a large fleet, boxes that others tell of are left
+        out, and those of other zones unless they are called silent.
         """
         now = self._timers.stall_adjusted_now()
         is_full_mesh = self.is_full_mesh
@@ -251,7 +251,10 @@
             for member in self._members.values()
             if member is not self._own
             and member.listed
-            and self._is_monitored(member, is_full_mesh)
+            and (
+                self._is_monitored(member, is_full_mesh)
+                or member.silent_since is not None
+            )
             and (is_full_mesh or not member.told)
             and now - _last_sign(member) > seconds
         ]
--- a/martenjunction/routing/box_state_sync.py
+++ b/martenjunction/routing/box_state_sync.py
@@ -108,6 +108,7 @@
         self._table = box_states.BoxStateTable(_first_row(members.own))
         self._pending: dict[str, tuple[box_states.BoxState, str]] = {}
         self._missing_since: dict[str, float] = {}
+        self._on_contradicted: Callable[[], None] = lambda: None
 
     def start(self, emitter: events.Events) -> None:
         """Subscribes to messages, connections and timers.
@@ -127,6 +128,10 @@
             "compare-states", COMPARE_INTERVAL_S, self._compare
         )
 
+    def on_contradicted(self, callback: Callable[[], None]) -> None:
+        """Sets the callback for having been called silent by others."""
+        self._on_contradicted = callback
+
     def is_ready(self, box: str) -> bool:
         """Returns whether a box last said that it accepts clients."""
         row = self._table.find(box)
@@ -184,7 +189,9 @@
         ]
         own = self._members.own.box
         for changed in changes:
-            if changed.box != own:
+            if changed.box == own:
+                self._on_contradicted()
+            else:
                 self._apply(changed)
         for changed in changes:
             self._pass_on(changed, box)
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -46,6 +46,9 @@
 # Seconds of silence after which a box's entry is removed.
 DEAD_AFTER_S = 12.0
 
+# Era in which no entry was ever checked.
+UNCHECKED_ERA = -1
+
 # Back-off in seconds after a failed call: the initial value, the maximum for
 # the first box of a group, and the maximum for a box that reads in its place.
 INITIAL_BACKOFF_S = 0.1
@@ -158,6 +161,11 @@
         await asyncio.gather(*tasks, *self._watch_tasks, return_exceptions=True)
         self._client.close()
 
+    def check_own_entry(self) -> None:
+        """Checks this box's entry soon: others may have removed it."""
+        self._own_entry_era = UNCHECKED_ERA
+        self._era_changed.set()
+
     async def remove_own_entry(self) -> None:
         """Removes this box's entry; a failure is logged but not retried."""
         self._leaving = True
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -219,3 +219,20 @@
     assert box.store_cache.store_answers
     fleet.configure(builders.config_document(9))
     await boxes.until(lambda: box.store_cache.version == 9)
+
+
+async def test_entry_that_others_removed_is_written_again(
+    fleet: boxes.Boxes,
+) -> None:
+    # Beyond a cut of 12 s a live box counts as dead, and the reader removes its
+    # entry. It hears that it was called silent once the cut has healed.
+    box = fleet.gateways[0]
+    name = box.members.own.box
+    await boxes.until(
+        lambda: fleet.store.find(documents.BOX_KIND, name) is not None
+    )
+    fleet.store.write(documents.BOX_KIND, name, None)
+    box.box_states._on_contradicted()
+    await boxes.until(
+        lambda: fleet.store.find(documents.BOX_KIND, name) is not None
+    )
