Let no call of a duty arrive after it was given up

Found on reading: a call that timed out stayed in the kernel's buffer, and over a link that was cut or loses packets it could arrive seconds later, behind a call of the next holder with a higher fence. Connections of such calls are reset now, which discards what was not delivered.

A record of a restored store could also let a window be reported again, with other counts; windows that boxes know as reported are left out. Tests for both, and for a call that may not be sent any more.

--- a/martenjunction/duties/usage_duty.py
+++ b/martenjunction/duties/usage_duty.py
@@ -79,8 +79,10 @@
     def prepare(self, held: record.DutyRecord, now: float) -> record.DutyRecord:
         """Records the windows that are complete."""
         complete = self._complete_window(now)
-        first = held.last_window + 1
-        if held.last_window < 0:
+        # The record of a restored store may be older than what was reported.
+        last = max(held.last_window, self._counts.settled)
+        first = last + 1
+        if last < 0:
             first = max(0, complete - FIRST_BACKLOG + 1)
         if complete < first:
             return held
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -10,6 +10,7 @@
 import contextlib
 import re
 import socket
+import struct
 import time
 
 import h11
@@ -28,6 +29,9 @@
 # read: a few iterations of the event loop after it was blocked.
 READY_GRACE_S = 0.1
 
+# Value of SO_LINGER by which closing a socket resets the connection (socket(7)).
+_NO_LINGER = struct.pack("ii", 1, 0)
+
 _KEEP_ALIVE_TIMEOUT = re.compile(
     rb"timeout\s*=\s*(\d+(?:\.\d+)?)", re.IGNORECASE
 )
@@ -311,6 +315,17 @@
         elif self._stream is not None:
             self._stream.close()
 
+    def reset(self) -> None:
+        """Closes the connection, and discards what was not delivered yet.
+
+        Otherwise the kernel would go on sending it for seconds.
+        """
+        if self._stream is not None and not self._stream.closed():
+            self._stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+            )
+        self.abort()
+
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         if self._source is None:
             raise errors.ConnectionLostError("not connected")
--- a/martenjunction/platform/duty_calls.py
+++ b/martenjunction/platform/duty_calls.py
@@ -49,7 +49,8 @@
         Args:
             address: IP address and port of the service.
         """
-        self._http = http_calls.HttpCalls(address)
+        # A call of a former holder must not arrive after one of the next.
+        self._http = http_calls.HttpCalls(address, discards=True)
         self._counts: collections.Counter[str] = collections.Counter()
 
     @property
--- a/martenjunction/platform/http_calls.py
+++ b/martenjunction/platform/http_calls.py
@@ -23,13 +23,15 @@
 class HttpCalls:
     """Makes calls with JSON bodies to one address."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, discards: bool = False) -> None:
         """Initializes the calls; connections are made on first use.
 
         Args:
             address: IP address and port.
+            discards: Whether a call that is given up must not arrive later.
         """
         self._address = address
+        self._discards = discards
         self._idle: list[client.ClientConnection] = []
 
     async def call(
@@ -77,15 +79,21 @@
             async with connection.response_timeout(BODY_TIMEOUT_S):
                 content = await _body(connection)
         except (errors.TransportError, TimeoutError) as error:
-            connection.abort()
+            self._give_up(connection)
             raise errors.PlatformUnavailableError(
                 f"no response to {operation}: {error or 'time-out'}"
             ) from error
         except asyncio.CancelledError:
-            connection.abort()
+            self._give_up(connection)
             raise
         return head, content, connection
 
+    def _give_up(self, connection: client.ClientConnection) -> None:
+        if self._discards:
+            connection.reset()
+        else:
+            connection.abort()
+
     def release(self, connection: client.ClientConnection) -> None:
         """Keeps a connection for later calls, if it may carry one."""
         if connection.finish():
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -14,8 +14,10 @@
 from martenjunction.duties import fleet_duties
 from martenjunction.duties import messages
 from martenjunction.duties import record
+from martenjunction.duties import usage_duty
 from martenjunction.peers import codec
 from martenjunction.platform import box_settings
+from martenjunction.platform import http_calls
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from martenjunction_lab import replica
@@ -282,3 +284,69 @@
     assert log.take(call) == 503
     assert log.take(call) == 200
     assert log.usage == {1: {}}
+
+
+async def test_call_that_is_given_up_does_not_arrive_later() -> None:
+    # A call of a former holder that the kernel goes on sending over a link that
+    # was cut could arrive after a call of the next one.
+    ended: asyncio.Future[Exception | bytes] = (
+        asyncio.get_running_loop().create_future()
+    )
+
+    async def never_answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        try:
+            ended.set_result(await reader.read())
+        except ConnectionResetError as error:
+            ended.set_result(error)
+        writer.close()
+
+    server = await asyncio.start_server(never_answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    calls = http_calls.HttpCalls(f"{host}:{port}", discards=True)
+    with pytest.raises(errors.PlatformUnavailableError):
+        await calls.call("usage", "POST", "/usage", b"", 0.2)
+    assert isinstance(await ended, ConnectionResetError)
+    server.close()
+
+
+async def test_call_that_may_not_be_sent_any_more_is_not() -> None:
+    received = []
+
+    async def note(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        received.append(await reader.read())
+
+    server = await asyncio.start_server(note, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    calls = http_calls.HttpCalls(f"{host}:{port}")
+    with pytest.raises(errors.PlatformRefusedError):
+        await calls.call(
+            "usage", "POST", "/usage", b"{}", 0.2, may_send=lambda: False
+        )
+    calls.close()
+    await asyncio.sleep(0.05)
+    assert received == [b""]
+    server.close()
+
+
+def test_restored_record_lets_no_window_be_reported_again() -> None:
+    # The store went back to an older copy: the record lacks windows that were
+    # reported, and the boxes have dropped their counts.
+    counts = usage_counts.UsageCounts(1)
+    duty = usage_duty.UsageDuty(
+        duty_builders.duty_settings("10.0.0.1:80", box_settings.Duty.USAGE),
+        counts,
+        None,  # type: ignore[arg-type]
+        lambda now: now,
+        None,  # type: ignore[arg-type]
+        random.Random(1),
+    )
+    counts.settle(107)
+    older = record.DutyRecord("b", 1, 2, settled=101)
+    duty.begin(older, 110.0)
+    wanted = duty.prepare(older, 111.0)
+    assert [window.number for window in wanted.windows] == [108]
