--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -29,7 +29,7 @@
 # read: a few iterations of the event loop after it was blocked.
 READY_GRACE_S = 0.1
 
-# Value of SO_LINGER by which closing a socket resets the connection (socket(7)).
+# Value of SO_LINGER by which closing a socket resets it (socket(7)).
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 _KEEP_ALIVE_TIMEOUT = re.compile(
