Share what fails at endpoints, and replay loads at their worst

Each of 88 boxes sends an endpoint a request every few seconds, so that one that failed all of them for 7 s got its share to the end: no box learnt of it alone. Rates of ended and failed requests go with the sums of loads, and between the boxes of a small fleet as messages while something fails. An endpoint's failures are the higher of what this box and what all boxes saw, as they may concern one zone.

martenjunction-lab replay has three loads more (engines that leave in a burst, chats after long prompts, one workspace about few subjects), and four ways more of refusing and of placing by shared parts.

--- a/martenjunction/decisions/boxes/endpoint_choice.py
+++ b/martenjunction/decisions/boxes/endpoint_choice.py
@@ -65,6 +65,7 @@
             prompts.
         repeated_prefill_tokens: Tokens to prefill that belong to parts shared
             with other requests.
+        failure_part: The part of the requests that fail there.
     """
 
     record: endpoint_records.EndpointRecord
@@ -76,6 +77,7 @@
     short_running: int = 0
     debt: int = 0
     repeated_prefill_tokens: int = 0
+    failure_part: float = 0.0
 
     @property
     def busy(self) -> bool:
@@ -191,6 +193,7 @@
         record.loads.short_running(now),
         round(record.debt(now)),
         max(0, unread - (demand.prompt_tokens - demand.shared_tokens)),
+        record.failure_part(now),
     )
 
 
@@ -199,7 +202,7 @@
 ) -> float:
     """Returns the cost of a choice in seconds."""
     record = choice.record
-    cost = choice.predicted_s + record.failures.value * FAILURE_COST_S
+    cost = choice.predicted_s + choice.failure_part * FAILURE_COST_S
     if record.zone != demand.zone:
         cost += CROSS_ZONE_LATENCY_S
     if demand.is_engine:
--- /dev/null
+++ b/martenjunction/decisions/boxes/endpoint_outcomes.py
@@ -0,0 +1,59 @@
+"""How many requests fail at an endpoint, over all boxes.
+
+Answers the load pattern of hundreds of boxes before a service whose endpoint
+fails while its health check is good: each box sends it a request every few
+seconds only, so that alone it learns of the failures when they are over.
+"""
+
+from martenjunction.decisions import estimates
+
+# Time constant in seconds of the rates.
+DECAY_S = 3.0
+
+# Requests without a failure that an endpoint is credited with, so that a single
+# failure does not count as if all failed.
+PRIOR_REQUESTS = 3.0
+
+# Seconds after which what another box reported expires.
+PEER_LIFETIME_S = 2.0
+
+
+class EndpointOutcomes:
+    """Rates of requests that ended and that failed at one endpoint."""
+
+    def __init__(self) -> None:
+        self._ended = estimates.DecayingRate(DECAY_S)
+        self._failed = estimates.DecayingRate(DECAY_S)
+        self._peers: dict[str, tuple[float, float, float]] = {}
+
+    def record(self, failed: bool, now: float) -> None:
+        """Records the end of a request of this box."""
+        self._ended.add(1.0, now)
+        if failed:
+            self._failed.add(1.0, now)
+
+    def own_rates(self, now: float) -> tuple[float, float]:
+        """Returns this box's requests that ended and failed per second."""
+        return self._ended.rate(now), self._failed.rate(now)
+
+    def update_peer(
+        self, source: str, ended: float, failed: float, now: float
+    ) -> None:
+        """Replaces the rates of another box, or of all others together."""
+        if ended > 0:
+            self._peers[source] = now, ended, failed
+        else:
+            self._peers.pop(source, None)
+
+    def failure_part(self, now: float) -> float:
+        """Returns the part of the requests of all boxes that fail."""
+        ended, failed = self.own_rates(now)
+        if not self._peers and not failed:
+            return 0.0
+        for source, (at, peer_ended, peer_failed) in list(self._peers.items()):
+            if now - at > PEER_LIFETIME_S:
+                del self._peers[source]
+                continue
+            ended += peer_ended
+            failed += peer_failed
+        return failed / (ended + PRIOR_REQUESTS / DECAY_S)
--- a/martenjunction/decisions/boxes/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -8,6 +8,7 @@
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import estimates
 from martenjunction.decisions.boxes import endpoint_loads
+from martenjunction.decisions.boxes import endpoint_outcomes
 from martenjunction.decisions.boxes import engine_profiles
 from martenjunction.decisions.boxes import prefill_demand
 
@@ -155,6 +156,7 @@
         self.slots = slots
         self.cache_tokens = cache_tokens
         self.failures = estimates.Average(0.0, weight=0.15)
+        self.outcomes = endpoint_outcomes.EndpointOutcomes()
         self.response_s = estimates.Average(INITIAL_RESPONSE_S, weight=0.15)
         self.slowness = estimates.Average(
             1.0, SLOWNESS_WEIGHT, start_counts=SLOWNESS_INITIAL_WEIGHT
@@ -191,6 +193,14 @@
             or abs(self.response_s.value - INITIAL_RESPONSE_S) > NEGLIGIBLE
         )
 
+    def failure_part(self, now: float) -> float:
+        """Returns the part of the requests that fail there.
+
+        It is the higher one of what this box and what all boxes saw: failures
+        may concern the callers of one availability zone alone.
+        """
+        return max(self.failures.value, self.outcomes.failure_part(now))
+
     def decay(self, part: float) -> None:
         """Moves the statistics back towards their best-case values.
 
--- a/martenjunction/decisions/boxes/load_sums.py
+++ b/martenjunction/decisions/boxes/load_sums.py
@@ -64,6 +64,8 @@
         sent_per_s: Prompt tokens per second sent to each engine, by its key.
         demand: Prefill demand of each engine service.
         estimates: Estimates of the engine profile of each service.
+        outcomes: Requests that ended and that failed at each endpoint per
+            second, by its key.
     """
 
     loads: dict[RowKey, endpoint_loads.Load] = dataclasses.field(
@@ -76,6 +78,9 @@
     estimates: dict[str, list[Estimate]] = dataclasses.field(
         default_factory=dict
     )
+    outcomes: dict[int, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
     def add(self, other: "LoadSums") -> None:
         """Adds the loads of other boxes."""
@@ -88,6 +93,9 @@
                 known.backlog_tokens += load.backlog_tokens
         for number, rate in other.sent_per_s.items():
             self.sent_per_s[number] = self.sent_per_s.get(number, 0.0) + rate
+        for number, (ended, failed) in other.outcomes.items():
+            known_ended, known_failed = self.outcomes.get(number, (0.0, 0.0))
+            self.outcomes[number] = known_ended + ended, known_failed + failed
         for service, rates in other.demand.items():
             sum_so_far = self.demand.get(service, prefill_demand.PrefillRates())
             self.demand[service] = prefill_demand.PrefillRates(
@@ -115,6 +123,12 @@
             own_rate = part.sent_per_s.get(number, 0.0)
             if rate > own_rate:
                 rest.sent_per_s[number] = rate - own_rate
+        for number, (ended, failed) in self.outcomes.items():
+            own_ended, own_failed = part.outcomes.get(number, (0.0, 0.0))
+            rest.outcomes[number] = (
+                max(0.0, ended - own_ended),
+                max(0.0, failed - own_failed),
+            )
         for service, rates in self.demand.items():
             own_rates = part.demand.get(service, prefill_demand.PrefillRates())
             rest.demand[service] = prefill_demand.PrefillRates(
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -44,6 +44,7 @@
 from martenjunction.routing import limit_sync
 from martenjunction.routing import load_exchange
 from martenjunction.routing import offers
+from martenjunction.routing import outcome_report
 from martenjunction.routing import peer_stamps
 from martenjunction.routing import peer_sync
 from martenjunction.routing import prober
@@ -202,8 +203,8 @@
             self._is_ready,
             self._rng,
         )
-        self.sync = peer_sync.PeerSync(
         self.box_states.on_contradicted(self.follower.check_own_entry)
+        self.sync = peer_sync.PeerSync(
             self.peers,
             self.members,
             self.store_cache,
@@ -219,6 +220,9 @@
         self.load_exchange = load_exchange.LoadExchange(
             self.overlay, self.peers, self.registry, self.timers, self._rng
         )
+        self.outcomes = outcome_report.OutcomeReports(
+            self.peers, self.registry, self.overlay, self.timers
+        )
         self.usage = usage_log.UsageLog(
             self.timers, self.peers, lambda: self.store.calls, self.log
         )
@@ -302,6 +306,7 @@
         self.sync.start()
         self.box_states.start(self.events)
         self.load_exchange.start(self.events)
+        self.outcomes.start()
         self.quarantine.start()
         self.leaving_endpoints.start(self.events)
         self.limits.start(self.events)
--- a/martenjunction/routing/endpoint_registry.py
+++ b/martenjunction/routing/endpoint_registry.py
@@ -83,6 +83,7 @@
         "debt": choice.debt,
         "short": choice.short_running,
         "slowness": round(choice.record.slowness.value, 2),
+        "failing": round(choice.failure_part, 2),
     }
 
 
@@ -92,6 +93,14 @@
 LoadRow = tuple[str, int, bool, int, int]
 
 
+# Requests of one box at one endpoint: endpoint id, requests that ended and
+# requests that failed, each per second.
+OutcomeRow = tuple[str, float, float]
+
+# Rate of ended requests per second below which an endpoint is not reported.
+MIN_OUTCOMES_PER_S = 0.02
+
+
 class EndpointRegistry:
     """Tracks the endpoints of all services and selects one per request."""
 
@@ -395,6 +404,7 @@
             # The back-off alone keeps work away; afterwards the endpoint gets
             # its full share again.
             record.failures.add(1.0 if failed else 0.0)
+            record.outcomes.record(failed, now)
         if not failed and not ticket.demand.is_engine:
             record.response_s.add(self._listening_time(now) - ticket.sent_at)
 
@@ -491,6 +501,25 @@
             if record.sent_tokens
         ]
 
+    def outcome_rows(self, now: float) -> list[OutcomeRow]:
+        """Returns what ended and failed through this box, for the others."""
+        rows = (
+            (record.id, *record.outcomes.own_rates(now))
+            for record in self._records.values()
+        )
+        return [row for row in rows if row[1] >= MIN_OUTCOMES_PER_S]
+
+    def update_peer_outcomes(
+        self, source: str, rows: list[OutcomeRow], now: float
+    ) -> None:
+        """Replaces what another box, or all others, reported."""
+        known = {
+            endpoint_id: (ended, failed) for endpoint_id, ended, failed in rows
+        }
+        for record in self._records.values():
+            ended, failed = known.get(record.id, (0.0, 0.0))
+            record.outcomes.update_peer(source, ended, failed, now)
+
     def set_load_scale(self, scale: float) -> None:
         """Sets the ratio of the total load to the load of reachable boxes."""
         self._scale = scale
--- a/martenjunction/routing/fleet_loads.py
+++ b/martenjunction/routing/fleet_loads.py
@@ -42,6 +42,9 @@
             rate = record.sent_per_s(now)
             if rate >= 1.0:
                 own.sent_per_s[load_sums.endpoint_key(record.id)] = rate
+        for endpoint_id, ended, failed in self._registry.outcome_rows(now):
+            key_number = load_sums.endpoint_key(endpoint_id)
+            own.outcomes[key_number] = ended, failed
         for name, rate, token_us, short, long in self._registry.engines.rows(
             now
         ):
@@ -79,6 +82,12 @@
             records[endpoint_id].update_fleet_rate(
                 others.sent_per_s.get(number, 0.0), now
             )
+        outcomes = [
+            (ids[number], ended, failed)
+            for number, (ended, failed) in others.outcomes.items()
+            if number in ids
+        ]
+        self._registry.update_peer_outcomes(FLEET, outcomes, now)
         self._apply_engines(others, now)
 
     def _apply_engines(self, others: load_sums.LoadSums, now: float) -> None:
--- a/martenjunction/routing/load_messages.py
+++ b/martenjunction/routing/load_messages.py
@@ -1,5 +1,6 @@
 """Messages with sums of the loads of many boxes."""
 
+from collections.abc import Iterable
 import dataclasses
 from typing import TypeVar
 
@@ -15,6 +16,9 @@
 MAX_COUNT = 2**40
 MAX_HEIGHT = 64
 
+# Rates of outcomes are told as integers of this part of a request per second.
+OUTCOME_UNIT_PER_S = 0.01
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Sums:
@@ -28,6 +32,9 @@
         running: For each row, the requests in flight.
         backlog: For each row, their prompt tokens that are not prefilled yet.
         sent_per_s: For each endpoint, the prompt tokens sent per second.
+        ended: For each endpoint, the requests that ended, in hundredths per
+            second.
+        failed: For each endpoint, those of them that failed.
         services: Engine services with prefill demand.
         short_demand: Their demand by short prompts, in tokens per second.
         long_demand: Their demand by long prompts, in tokens per second.
@@ -43,6 +50,8 @@
     running: tuple[int, ...]
     backlog: tuple[int, ...]
     sent_per_s: tuple[int, ...]
+    ended: tuple[int, ...]
+    failed: tuple[int, ...]
     services: tuple[str, ...]
     short_demand: tuple[int, ...]
     long_demand: tuple[int, ...]
@@ -98,8 +107,13 @@
     _check(message)
     result = load_sums.LoadSums()
     row = 0
-    for endpoint, count, sent in zip(
-        message.endpoints, message.row_counts, message.sent_per_s, strict=True
+    for endpoint, count, sent, ended, failed in zip(
+        message.endpoints,
+        message.row_counts,
+        message.sent_per_s,
+        message.ended,
+        message.failed,
+        strict=True,
     ):
         for _ in range(count):
             kind = message.kinds[row]
@@ -110,6 +124,11 @@
             row += 1
         if sent:
             result.sent_per_s[endpoint] = float(sent)
+        if ended:
+            result.outcomes[endpoint] = (
+                ended * OUTCOME_UNIT_PER_S,
+                failed * OUTCOME_UNIT_PER_S,
+            )
     for name, short, long in zip(
         message.services, message.short_demand, message.long_demand, strict=True
     ):
@@ -125,7 +144,7 @@
 
 def _encode(kind: type[T], sums: load_sums.LoadSums, height: int) -> T:
     rows: dict[int, list[tuple[int, int, int]]] = {
-        endpoint: [] for endpoint in sums.sent_per_s
+        endpoint: [] for endpoint in (*sums.sent_per_s, *sums.outcomes)
     }
     for (endpoint, key), load in sums.loads.items():
         rows.setdefault(endpoint, []).append(
@@ -152,6 +171,8 @@
         sent_per_s=tuple(
             round(sums.sent_per_s.get(endpoint, 0.0)) for endpoint in rows
         ),
+        ended=_hundredths(sums, rows, 0),
+        failed=_hundredths(sums, rows, 1),
         services=tuple(services),
         short_demand=tuple(round(rates.short) for rates in demand),
         long_demand=tuple(round(rates.long) for rates in demand),
@@ -162,6 +183,17 @@
     )
 
 
+def _hundredths(
+    sums: load_sums.LoadSums, endpoints: Iterable[int], column: int
+) -> tuple[int, ...]:
+    """Returns one of the two rates of outcomes at each endpoint."""
+    none = (0.0, 0.0)
+    return tuple(
+        round(sums.outcomes.get(endpoint, none)[column] / OUTCOME_UNIT_PER_S)
+        for endpoint in endpoints
+    )
+
+
 def _check(message: LoadSum | LoadTotal) -> None:
     """Checks that the columns of a message fit together.
 
@@ -174,6 +206,8 @@
     lengths_fit = (
         len(message.row_counts) == endpoints
         and len(message.sent_per_s) == endpoints
+        and len(message.ended) == endpoints
+        and len(message.failed) == endpoints
         and sum(message.row_counts) == rows
         and len(message.running) == rows
         and len(message.backlog) == rows
@@ -191,6 +225,8 @@
         message.running,
         message.backlog,
         message.sent_per_s,
+        message.ended,
+        message.failed,
         message.short_demand,
         message.long_demand,
         *message.estimates,
--- /dev/null
+++ b/martenjunction/routing/outcome_report.py
@@ -0,0 +1,114 @@
+"""Reports what failed at endpoints to each box of a small fleet."""
+
+import dataclasses
+
+from martenjunction import errors
+from martenjunction import timers
+from martenjunction.peers import codec
+from martenjunction.peers import hub
+from martenjunction.routing import endpoint_registry
+from martenjunction.routing import fleet_overlay
+
+# Interval in seconds between two reports.
+REPORT_INTERVAL_S = 0.5
+
+# Rates are told as integers of this part of a request per second.
+UNIT_PER_S = 0.01
+
+MAX_ROWS = 4096
+MAX_RATE = 2**40
+
+
+@codec.message("endpoint-outcomes", replaces=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutcomeReport:
+    """Requests of the sender that ended; the fields have an item a row.
+
+    Attributes:
+        endpoints: Ids of the endpoints.
+        ended: Requests that ended there, in hundredths per second.
+        failed: Those of them that failed, in hundredths per second.
+    """
+
+    endpoints: tuple[str, ...]
+    ended: tuple[int, ...]
+    failed: tuple[int, ...]
+
+    def after(self, older: "OutcomeReport") -> "OutcomeReport":
+        """Returns this report, which replaces an earlier one."""
+        return self
+
+
+class OutcomeReports:
+    """Exchanges reports; in a large fleet, sums of loads carry the same."""
+
+    def __init__(
+        self,
+        peers: hub.PeerHub,
+        registry: endpoint_registry.EndpointRegistry,
+        place: fleet_overlay.FleetOverlay,
+        clock: timers.Timers,
+    ) -> None:
+        """Initializes the exchange; `start` subscribes.
+
+        Args:
+            peers: Connections to the other boxes.
+            registry: The endpoints and their records.
+            place: Tells whether the fleet is large.
+            clock: The clock and timers.
+        """
+        self._peers = peers
+        self._registry = registry
+        self._place = place
+        self._timers = clock
+        self._has_reported = False
+
+    def start(self) -> None:
+        """Subscribes to messages and timers."""
+        self._peers.subscribe(OutcomeReport, self._on_report)
+        self._timers.subscribe(
+            "endpoint-outcomes", REPORT_INTERVAL_S, self._report
+        )
+
+    def _report(self) -> None:
+        """Reports to all peers while an endpoint fails some requests."""
+        now = self._timers.now()
+        rows = self._registry.outcome_rows(now)
+        has_failures = any(failed for _, _, failed in rows)
+        if self._place.is_sparse or not (has_failures or self._has_reported):
+            return
+        self._has_reported = has_failures
+        self._peers.broadcast(
+            OutcomeReport(
+                tuple(row[0] for row in rows),
+                tuple(round(row[1] / UNIT_PER_S) for row in rows),
+                tuple(round(row[2] / UNIT_PER_S) for row in rows),
+            )
+        )
+
+    def _on_report(self, box: str, message: OutcomeReport) -> None:
+        rows = _decode(message)
+        if not self._place.is_sparse:
+            self._registry.update_peer_outcomes(box, rows, self._timers.now())
+
+
+def _decode(
+    message: OutcomeReport,
+) -> list[endpoint_registry.OutcomeRow]:
+    """Returns the rows of a report.
+
+    Raises:
+        PeerError: If the columns do not fit or a number is out of range.
+    """
+    columns = (message.endpoints, message.ended, message.failed)
+    if len({len(column) for column in columns}) != 1:
+        raise errors.PeerError("the columns of endpoint outcomes do not fit")
+    if len(message.endpoints) > MAX_ROWS:
+        raise errors.PeerError("too many rows of endpoint outcomes")
+    for value in (*message.ended, *message.failed):
+        if not 0 <= value <= MAX_RATE:
+            raise errors.PeerError("an endpoint outcome is out of range")
+    return [
+        (endpoint, ended * UNIT_PER_S, failed * UNIT_PER_S)
+        for endpoint, ended, failed in zip(*columns, strict=True)
+    ]
--- a/martenjunction_lab/replays/ablations.py
+++ b/martenjunction_lab/replays/ablations.py
@@ -71,6 +71,30 @@
     return _put(load_shedding, "retry_after_s", lambda prospect: None)
 
 
+@ablations.register("refusal-at-the-target")
+def late_refusal() -> contextlib.AbstractContextManager[None]:
+    """Refuses only what is predicted beyond its whole target."""
+    return _put(load_shedding, "LATE_FRACTION", 1.0)
+
+
+@ablations.register("refusal-at-half-the-target")
+def early() -> contextlib.AbstractContextManager[None]:
+    """Refuses what is predicted beyond half of its target."""
+    return _put(load_shedding, "LATE_FRACTION", 0.5)
+
+
+@ablations.register("shared-parts-count-less")
+def shared_less() -> contextlib.AbstractContextManager[None]:
+    """Counts a part that is read again for a third."""
+    return _put(endpoint_choice, "SHARED_PREFILL_COST_S", 0.00003)
+
+
+@ablations.register("shared-parts-count-more")
+def shared_more() -> contextlib.AbstractContextManager[None]:
+    """Counts a part that is read again three times."""
+    return _put(endpoint_choice, "SHARED_PREFILL_COST_S", 0.0003)
+
+
 @ablations.register("shared-parts")
 def shared() -> contextlib.AbstractContextManager[None]:
     """Places prompts wherever least waits, whatever is held there."""
--- a/martenjunction_lab/replays/loads.py
+++ b/martenjunction_lab/replays/loads.py
@@ -60,6 +60,9 @@
         kinds: The requests.
         bursts: When more of them come.
         lost: Seconds at which an engine is lost, for good.
+        leaving: Seconds at which some engines say that they leave, and how many
+            do; they are gone `notice_s` later.
+        notice_s: Seconds between the two.
         warm_s: Seconds at the start, while engines hold nothing, whose requests
             do not count.
         length_s: How long requests come.
@@ -73,6 +76,8 @@
     kinds: tuple[Kind, ...]
     bursts: tuple[Burst, ...] = ()
     lost: tuple[float, ...] = ()
+    leaving: tuple[tuple[float, int], ...] = ()
+    notice_s: float = 2.0
     warm_s: float = 5.0
     length_s: float = 20.0
     boxes: int = 4
@@ -161,6 +166,55 @@
     )
 
 
+SHIFTED_SUMMARY = Kind("summary", 4, 54.0, 6_300, 390, 2_890, 7, 1.5, 1.2, 1.4)
+SHIFTED_DIGEST = Kind("digest", 2, 36.0, 568, 550, 1_800, 3, 0.5, 0.5, 1.1)
+SHIFTED_CHAT = Kind("chat", 0, 16.0, 172, 180, 543, 40, 0.3, 0.3, 5.0)
+SHIFTED_ENGINE = engines.EngineKind(64, 0.0031, 0.0001, 56_900.0, 2_048, 7)
+
+
+@loads.register("zone-leaves-in-a-burst")
+def zone_leaves_in_a_burst() -> Load:
+    """A third of the engines leave soon, in a burst of long prompts."""
+    return Load(
+        SHIFTED_ENGINE,
+        15,
+        (SHIFTED_SUMMARY, SHIFTED_DIGEST, SHIFTED_CHAT),
+        (Burst("summary", 6.0, 15.0, 2.6),),
+        leaving=((9.0, 5),),
+        length_s=18.0,
+        boxes=12,
+    )
+
+
+@loads.register("chats-after-summaries")
+def chats_after_summaries() -> Load:
+    """Long prompts come three times as often, and short chats burst after."""
+    return Load(
+        SHIFTED_ENGINE,
+        10,
+        (SHIFTED_SUMMARY, SHIFTED_DIGEST, SHIFTED_CHAT),
+        (Burst("summary", 5.0, 11.0, 3.0), Burst("chat", 10.0, 16.0, 2.5)),
+        length_s=18.0,
+        boxes=12,
+    )
+
+
+@loads.register("few-subjects")
+def few_subjects() -> Load:
+    """One workspace asks six times as much, about few subjects."""
+    crowd = dataclasses.replace(
+        SHIFTED_SUMMARY, name="crowd", per_s=12.0, subjects=3
+    )
+    return Load(
+        SHIFTED_ENGINE,
+        10,
+        (SHIFTED_SUMMARY, SHIFTED_DIGEST, SHIFTED_CHAT, crowd),
+        (Burst("crowd", 6.0, 13.0, 6.0),),
+        length_s=18.0,
+        boxes=12,
+    )
+
+
 def arrivals(load: Load) -> Iterator[Arrival]:
     """Draws the requests of a load; the same ones each time."""
     rng = random.Random(SEED)
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -116,6 +116,8 @@
         end_s = self._load.length_s + TAIL_S
         for at_s in self._load.lost:
             self._at(at_s, self._lose)
+        for at_s, count in self._load.leaving:
+            self._at(at_s, self._leave, count)
         for index in range(len(self._books)):
             # Boxes do not look and tell at the same moment.
             offset = 0.01 * index
@@ -288,8 +290,15 @@
             return self._uncounted
         return self.results[arrival.kind.name]
 
-    def _lose(self, now: float) -> None:
-        name = min(self._engines)
+    def _leave(self, now: float, count: int) -> None:
+        """Lets some engines say that they leave; they serve for a while."""
+        for name in sorted(self._engines)[:count]:
+            for book in self._books:
+                book.listed.mark_draining(name, revisions.Revision(1, 2))
+            self._at(now + self._load.notice_s, self._lose, name)
+
+    def _lose(self, now: float, name: str | None = None) -> None:
+        name = min(self._engines) if name is None else name
         del self._engines[name]
         held = [n for n, r in self._requests.items() if r.at == name]
         for number in held:
