--- a/martenjunction_lab/duties/market.py
+++ b/martenjunction_lab/duties/market.py
@@ -31,6 +31,19 @@
 ZONES = {"zone-a": 0.85, "zone-b": 1.2, "zone-c": 1.0}
 TERMS = engine_orders.Terms(1, 20, 4.0, 0.15, ZONES)
 
+# Seconds before the first requests in which engines are paid for.
+LEAD_S = 16.0
+
+# Time constant in seconds of the rate at which prompt tokens are asked.
+RATE_DECAY_S = 3.0
+
+# Requests in flight for each engine that is busy, and for each second of an
+# engine that waits.
+RUNS_PER_ENGINE = 2
+RUNS_PER_ENGINE_S = 20
+
+NEGLIGIBLE = 1e-9
+
 # Engines that stand at the start in each zone, all regular.
 STANDING = 10
 
@@ -268,77 +281,100 @@
         name: The policy.
         seed: Decides how long a notice is.
     """
-    rng = random.Random(seed)
-    policy = policies.get(name)(load)
-    markets = {
-        Subject(zone, kind): _Market(0 if kind else STANDING)
-        for zone in ZONES
-        for kind in (False, True)
-    }
-    outcome = Outcome()
-    losses = sorted(load.losses, key=lambda loss: loss.at_s)
-    # What waits, by the time since when: the oldest first.
-    waiting: list[list[float]] = []
-    rate = 0.0
-    now = -16.0
-    while now < load.length_s:
-        while losses and losses[0].at_s <= now:
-            lost = losses.pop(0)
-            notice_s = rng.uniform(*NOTICE_S)
-            markets[Subject(lost.zone, True)].take_away(now + notice_s)
-        asked = load.asked(now) if now >= 0 else 0.0
-        rate += (asked - rate) * STEP_S / 3.0
-        running = round(20 * sum(amount for _, amount in waiting) + 2 * asked)
+    return _Play(load, policies.get(name)(load), random.Random(seed)).run()
+
+
+class _Play:
+    """One load under one policy."""
+
+    def __init__(self, load: Load, policy: Policy, rng: random.Random) -> None:
+        self._load = load
+        self._policy = policy
+        self._rng = rng
+        self._losses = sorted(load.losses, key=lambda loss: loss.at_s)
+        self._markets = {
+            Subject(zone, kind): _Market(0 if kind else STANDING)
+            for zone in ZONES
+            for kind in (False, True)
+        }
+        # What waits, since when, the oldest first.
+        self._waiting: list[list[float]] = []
+        self._asked_rate = 0.0
+        self._outcome = Outcome()
+
+    def run(self) -> Outcome:
+        now = -LEAD_S
+        while now < self._load.length_s:
+            asked = self._load.asked(now) if now >= 0 else 0.0
+            self._take_away(now)
+            self._order(asked, now)
+            self._serve(asked, now)
+            self._pay(now)
+            now += STEP_S
+        return self._outcome
+
+    def _take_away(self, now: float) -> None:
+        while self._losses and self._losses[0].at_s <= now:
+            lost = self._losses.pop(0)
+            gone_at = now + self._rng.uniform(*NOTICE_S)
+            self._markets[Subject(lost.zone, True)].take_away(gone_at)
+
+    def _order(self, asked: float, now: float) -> None:
+        self._asked_rate += (asked - self._asked_rate) * STEP_S / RATE_DECAY_S
+        waiting = sum(amount for _, amount in self._waiting)
         demand = engine_orders.Demand(
-            rate * ENGINE_RATE, ENGINE_RATE, running, SLOTS
+            self._asked_rate * ENGINE_RATE,
+            ENGINE_RATE,
+            round(RUNS_PER_ENGINE_S * waiting + RUNS_PER_ENGINE * asked),
+            SLOTS,
         )
-        ready = {s: m.ready(now) for s, m in markets.items()}
-        for subject, count in policy.plan(ready, demand, now).items():
-            market = markets[subject]
-            dry = subject.reclaimable and any(
-                loss.at_s <= now < loss.at_s + loss.gone_s
-                for loss in load.losses
-                if loss.everywhere or loss.zone == subject.zone
-            )
-            if count == market.desired == market.ready(now):
-                continue
-            outcome.orders += 1
-            if dry and count > market.ready(now):
-                policy.refused(subject, now)
-                continue
+        ready = {s: m.ready(now) for s, m in self._markets.items()}
+        orders = self._policy.plan(ready, demand, now)
+        for subject, count in orders.items():
+            self._carry_out(subject, count, now)
+
+    def _carry_out(self, subject: Subject, count: int, now: float) -> None:
+        market = self._markets[subject]
+        if count == market.desired == market.ready(now):
+            return
+        self._outcome.orders += 1
+        if count > market.ready(now) and self._is_dry(subject, now):
+            self._policy.refused(subject, now)
+        else:
             market.order(count, now, TERMS.boot_s)
-        _serve(waiting, asked, markets, now, outcome)
-        now += STEP_S
-    return outcome
-
-
-def _serve(
-    waiting: list[list[float]],
-    asked: float,
-    markets: Mapping[Subject, _Market],
-    now: float,
-    outcome: Outcome,
-) -> None:
-    """Lets the engines work for a step, and counts what is late."""
-    if asked:
-        waiting.append([now, asked * STEP_S])
-        outcome.asked += asked * STEP_S
-    capacity = STEP_S * sum(m.serving(now) for m in markets.values())
-    while waiting and (capacity > 0 or now - waiting[0][0] > GIVEN_UP_S):
-        since, amount = waiting[0]
-        if now - since > GIVEN_UP_S:
-            outcome.late += amount
-            waiting.pop(0)
-            continue
-        done = min(amount, capacity)
-        capacity -= done
-        if now - since > LATE_S:
-            outcome.late += done
-        waiting[0][1] -= done
-        if waiting[0][1] <= 1e-9:
-            waiting.pop(0)
-    for subject, market in markets.items():
-        price = ZONES[subject.zone]
-        if subject.reclaimable:
-            price *= TERMS.reclaimable_price or 1.0
-        outcome.cost += STEP_S * market.paid(now) * price
+
+    def _is_dry(self, subject: Subject, now: float) -> bool:
+        return subject.reclaimable and any(
+            loss.at_s <= now < loss.at_s + loss.gone_s
+            for loss in self._load.losses
+            if loss.everywhere or loss.zone == subject.zone
+        )
+
+    def _serve(self, asked: float, now: float) -> None:
+        """Lets the engines work for a step, and counts what is late."""
+        if asked:
+            self._waiting.append([now, asked * STEP_S])
+            self._outcome.asked += asked * STEP_S
+        capacity = STEP_S * sum(m.serving(now) for m in self._markets.values())
+        while self._waiting:
+            since, amount = self._waiting[0]
+            if now - since > GIVEN_UP_S:
+                self._outcome.late += amount
+                self._waiting.pop(0)
+                continue
+            done = min(amount, capacity)
+            if done <= 0:
+                return
+            capacity -= done
+            if now - since > LATE_S:
+                self._outcome.late += done
+            self._waiting[0][1] -= done
+            if self._waiting[0][1] <= NEGLIGIBLE:
+                self._waiting.pop(0)
+
+    def _pay(self, now: float) -> None:
+        for subject, market in self._markets.items():
+            price = ZONES[subject.zone]
+            if subject.reclaimable:
+                price *= TERMS.reclaimable_price or 1.0
+            self._outcome.cost += STEP_S * market.paid(now) * price
