Tell rates of outcomes of endpoints that fail alone

Rates go out for endpoints that fail some requests, at this box or another, and nothing is decayed for the others.

--- a/martenjunction/decisions/boxes/endpoint_outcomes.py
+++ b/martenjunction/decisions/boxes/endpoint_outcomes.py
@@ -14,6 +14,9 @@
 # failure does not count as if all failed.
 PRIOR_REQUESTS = 3.0
 
+# Failures per second below which an endpoint does not count as failing.
+NEGLIGIBLE_PER_S = 0.02
+
 # Seconds after which what another box reported expires.
 PEER_LIFETIME_S = 2.0
 
@@ -25,12 +28,19 @@
         self._ended = estimates.DecayingRate(DECAY_S)
         self._failed = estimates.DecayingRate(DECAY_S)
         self._peers: dict[str, tuple[float, float, float]] = {}
+        self._is_failing = False
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether a request failed there lately, at any box."""
+        return self._is_failing
 
     def record(self, failed: bool, now: float) -> None:
         """Records the end of a request of this box."""
         self._ended.add(1.0, now)
         if failed:
             self._failed.add(1.0, now)
+            self._is_failing = True
 
     def own_rates(self, now: float) -> tuple[float, float]:
         """Returns this box's requests that ended and failed per second."""
@@ -40,20 +50,24 @@
         self, source: str, ended: float, failed: float, now: float
     ) -> None:
         """Replaces the rates of another box, or of all others together."""
-        if ended > 0:
-            self._peers[source] = now, ended, failed
-        else:
-            self._peers.pop(source, None)
+        self._peers[source] = now, ended, failed
+        if failed:
+            self._is_failing = True
+
+    def remove_peer(self, source: str) -> None:
+        """Removes the rates of another box, which reports none any more."""
+        self._peers.pop(source, None)
 
     def failure_part(self, now: float) -> float:
         """Returns the part of the requests of all boxes that fail."""
-        ended, failed = self.own_rates(now)
-        if not self._peers and not failed:
+        if not self._is_failing:
             return 0.0
+        ended, failed = self.own_rates(now)
         for source, (at, peer_ended, peer_failed) in list(self._peers.items()):
             if now - at > PEER_LIFETIME_S:
                 del self._peers[source]
                 continue
             ended += peer_ended
             failed += peer_failed
+        self._is_failing = failed >= NEGLIGIBLE_PER_S
         return failed / (ended + PRIOR_REQUESTS / DECAY_S)
--- a/martenjunction/routing/endpoint_registry.py
+++ b/martenjunction/routing/endpoint_registry.py
@@ -97,9 +97,6 @@
 # requests that failed, each per second.
 OutcomeRow = tuple[str, float, float]
 
-# Rate of ended requests per second below which an endpoint is not reported.
-MIN_OUTCOMES_PER_S = 0.02
-
 
 class EndpointRegistry:
     """Tracks the endpoints of all services and selects one per request."""
@@ -126,6 +123,7 @@
         self._engines = service_engines.ServiceEngines(log)
         self._limits = endpoint_limits.LimitTable()
         self._reported_by: dict[str, set[str]] = {}
+        self._outcomes_by: dict[str, set[str]] = {}
         self._scale = 1.0
         self._last_tick_at = math.inf
         self._stalled_s = 0.0
@@ -502,23 +500,30 @@
         ]
 
     def outcome_rows(self, now: float) -> list[OutcomeRow]:
-        """Returns what ended and failed through this box, for the others."""
-        rows = (
+        """Returns what ended and failed at endpoints that fail some requests.
+
+        They fail at this box or at others, whose rates this box's rates are
+        added to.
+        """
+        return [
             (record.id, *record.outcomes.own_rates(now))
             for record in self._records.values()
-        )
-        return [row for row in rows if row[1] >= MIN_OUTCOMES_PER_S]
+            if record.outcomes.failure_part(now)
+        ]
 
     def update_peer_outcomes(
         self, source: str, rows: list[OutcomeRow], now: float
     ) -> None:
         """Replaces what another box, or all others, reported."""
-        known = {
-            endpoint_id: (ended, failed) for endpoint_id, ended, failed in rows
-        }
-        for record in self._records.values():
-            ended, failed = known.get(record.id, (0.0, 0.0))
-            record.outcomes.update_peer(source, ended, failed, now)
+        reported = {row[0] for row in rows}
+        for gone in self._outcomes_by.get(source, set()) - reported:
+            if gone in self._records:
+                self._records[gone].outcomes.remove_peer(source)
+        self._outcomes_by[source] = reported
+        for endpoint_id, ended, failed in rows:
+            record = self._records.get(endpoint_id)
+            if record is not None:
+                record.outcomes.update_peer(source, ended, failed, now)
 
     def set_load_scale(self, scale: float) -> None:
         """Sets the ratio of the total load to the load of reachable boxes."""
--- a/martenjunction/routing/load_messages.py
+++ b/martenjunction/routing/load_messages.py
@@ -32,9 +32,10 @@
         running: For each row, the requests in flight.
         backlog: For each row, their prompt tokens that are not prefilled yet.
         sent_per_s: For each endpoint, the prompt tokens sent per second.
-        ended: For each endpoint, the requests that ended, in hundredths per
+        failing: Keys of the endpoints that fail some requests.
+        ended: For each of them, the requests that ended, in hundredths per
             second.
-        failed: For each endpoint, those of them that failed.
+        failed: For each of them, those that failed.
         services: Engine services with prefill demand.
         short_demand: Their demand by short prompts, in tokens per second.
         long_demand: Their demand by long prompts, in tokens per second.
@@ -50,6 +51,7 @@
     running: tuple[int, ...]
     backlog: tuple[int, ...]
     sent_per_s: tuple[int, ...]
+    failing: tuple[int, ...]
     ended: tuple[int, ...]
     failed: tuple[int, ...]
     services: tuple[str, ...]
@@ -107,13 +109,8 @@
     _check(message)
     result = load_sums.LoadSums()
     row = 0
-    for endpoint, count, sent, ended, failed in zip(
-        message.endpoints,
-        message.row_counts,
-        message.sent_per_s,
-        message.ended,
-        message.failed,
-        strict=True,
+    for endpoint, count, sent in zip(
+        message.endpoints, message.row_counts, message.sent_per_s, strict=True
     ):
         for _ in range(count):
             kind = message.kinds[row]
@@ -124,11 +121,13 @@
             row += 1
         if sent:
             result.sent_per_s[endpoint] = float(sent)
-        if ended:
-            result.outcomes[endpoint] = (
-                ended * OUTCOME_UNIT_PER_S,
-                failed * OUTCOME_UNIT_PER_S,
-            )
+    for endpoint, ended, failed in zip(
+        message.failing, message.ended, message.failed, strict=True
+    ):
+        result.outcomes[endpoint] = (
+            ended * OUTCOME_UNIT_PER_S,
+            failed * OUTCOME_UNIT_PER_S,
+        )
     for name, short, long in zip(
         message.services, message.short_demand, message.long_demand, strict=True
     ):
@@ -144,7 +143,7 @@
 
 def _encode(kind: type[T], sums: load_sums.LoadSums, height: int) -> T:
     rows: dict[int, list[tuple[int, int, int]]] = {
-        endpoint: [] for endpoint in (*sums.sent_per_s, *sums.outcomes)
+        endpoint: [] for endpoint in sums.sent_per_s
     }
     for (endpoint, key), load in sums.loads.items():
         rows.setdefault(endpoint, []).append(
@@ -171,8 +170,9 @@
         sent_per_s=tuple(
             round(sums.sent_per_s.get(endpoint, 0.0)) for endpoint in rows
         ),
-        ended=_hundredths(sums, rows, 0),
-        failed=_hundredths(sums, rows, 1),
+        failing=tuple(sums.outcomes),
+        ended=_hundredths(ended for ended, _ in sums.outcomes.values()),
+        failed=_hundredths(failed for _, failed in sums.outcomes.values()),
         services=tuple(services),
         short_demand=tuple(round(rates.short) for rates in demand),
         long_demand=tuple(round(rates.long) for rates in demand),
@@ -183,15 +183,8 @@
     )
 
 
-def _hundredths(
-    sums: load_sums.LoadSums, endpoints: Iterable[int], column: int
-) -> tuple[int, ...]:
-    """Returns one of the two rates of outcomes at each endpoint."""
-    none = (0.0, 0.0)
-    return tuple(
-        round(sums.outcomes.get(endpoint, none)[column] / OUTCOME_UNIT_PER_S)
-        for endpoint in endpoints
-    )
+def _hundredths(rates: Iterable[float]) -> tuple[int, ...]:
+    return tuple(round(rate / OUTCOME_UNIT_PER_S) for rate in rates)
 
 
 def _check(message: LoadSum | LoadTotal) -> None:
@@ -206,8 +199,8 @@
     lengths_fit = (
         len(message.row_counts) == endpoints
         and len(message.sent_per_s) == endpoints
-        and len(message.ended) == endpoints
-        and len(message.failed) == endpoints
+        and len(message.ended) == len(message.failing)
+        and len(message.failed) == len(message.failing)
         and sum(message.row_counts) == rows
         and len(message.running) == rows
         and len(message.backlog) == rows
--- a/martenjunction/routing/outcome_report.py
+++ b/martenjunction/routing/outcome_report.py
@@ -74,10 +74,9 @@
         """Reports to all peers while an endpoint fails some requests."""
         now = self._timers.now()
         rows = self._registry.outcome_rows(now)
-        has_failures = any(failed for _, _, failed in rows)
-        if self._place.is_sparse or not (has_failures or self._has_reported):
+        if self._place.is_sparse or not (rows or self._has_reported):
             return
-        self._has_reported = has_failures
+        self._has_reported = bool(rows)
         self._peers.broadcast(
             OutcomeReport(
                 tuple(row[0] for row in rows),
