Use the terms of the field for what boxes tell of duties

Heartbeats, timeouts, rows that are sent and backups of the holder's own counts; the rule, the messages' fields and the texts of the log are as they were.

--- a/martenjunction/decisions/duties/engine_orders.py
+++ b/martenjunction/decisions/duties/engine_orders.py
@@ -117,12 +117,12 @@
     Attributes:
         count: The number of engines.
         at: When it was made.
-        reached: The most engines that were ready since then.
+        max_ready: The most engines that were ready since then.
     """
 
     count: int
     at: float
-    reached: int = 0
+    max_ready: int = 0
 
 
 class OrderPlanner:
@@ -164,7 +164,7 @@
         ordered = self._ordered.get(subject)
         if ordered is not None:
             # None of them is on the way; they are ordered again later.
-            ordered.reached = ordered.count
+            ordered.max_ready = ordered.count
 
     def plan(
         self,
@@ -189,7 +189,7 @@
                 self._standing or 0, self._count_standing(terms, ready)
             )
         for subject, ordered in self._ordered.items():
-            ordered.reached = max(ordered.reached, ready.get(subject, 0))
+            ordered.max_ready = max(ordered.max_ready, ready.get(subject, 0))
         self._need = self._needed(terms, demand, now)
         wanted = self._wanted(terms, ready, demand, now)
         return {
@@ -233,7 +233,7 @@
         wanted = self._wanted_reclaimable(terms, ready, now)
         present = sum(n for s, n in ready.items() if s.reclaimable)
         booting = sum(
-            max(0, ordered.count - ordered.reached)
+            max(0, ordered.count - ordered.max_ready)
             for subject, ordered in self._ordered.items()
             if subject.reclaimable
             and now - ordered.at < terms.boot_s + BOOT_MARGIN_S
@@ -299,7 +299,7 @@
             self._lacking_since = None
             if booting:
                 return {}
-            return self._swapped(zones, ready, standing, present, demand, now)
+            return self._make_room(zones, ready, standing, present, demand, now)
         if self._lacking_since is None:
             self._lacking_since = now
         if now - self._lacking_since < LACKING_AFTER_S:
@@ -315,7 +315,7 @@
                 total += more
         return wanted
 
-    def _swapped(
+    def _make_room(
         self,
         zones: list[str],
         ready: Mapping[Subject, int],
@@ -337,8 +337,8 @@
                 continue
             if self._is_unavailable(subject, now):
                 continue
-            is_proven = ready.get(subject, 0) > 0
-            fewer = min(standing[zone], spare if is_proven else 1)
+            is_available = ready.get(subject, 0) > 0
+            fewer = min(standing[zone], spare if is_available else 1)
             if fewer > 0:
                 wanted[Subject(zone, False)] = standing[zone] - fewer
                 spare -= fewer
@@ -359,7 +359,7 @@
         subject = Subject(zone, True)
         ordered = self._ordered.get(subject)
         present = ready.get(subject, 0)
-        if ordered is not None and present < ordered.reached:
+        if ordered is not None and present < ordered.max_ready:
             # They were taken away, and may not be available again soon.
             return present
         return reclaimable.get(subject, present)
@@ -388,6 +388,6 @@
         ):
             return True
         present = ready.get(subject, 0)
-        was_taken = present < ordered.reached
+        was_taken = present < ordered.max_ready
         is_late = now - ordered.at >= terms.boot_s + BOOT_MARGIN_S
         return (was_taken or is_late) and present < min(count, ordered.count)
--- a/martenjunction/decisions/duties/lease.py
+++ b/martenjunction/decisions/duties/lease.py
@@ -8,7 +8,7 @@
 - The holder makes a call only shortly after the store has confirmed that the
   record is still its own; `CALL_BEGIN_S` and `CALL_TIMEOUT_S` bound how long
   such a call may take.
-- Other boxes hear signs of life of the holder from each other. One that hears
+- Other boxes hear heartbeats of the holder from each other. One that hears
   none for a lease, and then finds the record unchanged, takes the record over
   with a higher fence.
 - The new holder waits for `TAKEOVER_WAIT_S` before its first call. Calls of the
@@ -105,7 +105,7 @@
         Args:
             box: The box.
             incarnation: The start of its daemon.
-            lease_s: Seconds without a sign of life after which the duties are
+            lease_s: Seconds without a heartbeat after which the duties are
                 taken over.
             now: The current time on the monotonic clock.
         """
@@ -116,8 +116,8 @@
         self._seen: SeenRecord | None = None
         self._has_read = False
         self._is_vacant = False
-        self._sign_at = now
-        self._patience_s = lease_s
+        self._heard_at = now
+        self._timeout_s = lease_s
         self._acts_from = now
         self._confirmed_at: float | None = None
 
@@ -141,8 +141,8 @@
         """Whether the record is this box's as far as it knows."""
         return self._phase in (Phase.WAITING, Phase.HOLDING)
 
-    def note_news(self, told: SeenRecord, now: float) -> None:
-        """Records a sign of life of a holder, told by another box.
+    def note_heartbeat(self, told: SeenRecord, now: float) -> None:
+        """Records a heartbeat of a holder, told by another box.
 
         Args:
             told: The record as its holder last saw it.
@@ -156,13 +156,13 @@
             return
         if self._seen is None or told.revision > self._seen.revision:
             self._seen = told
-        self._sign_at = now
-        self._patience_s = self._lease_s
+        self._heard_at = now
+        self._timeout_s = self._lease_s
 
     def note_record(
         self,
         found: SeenRecord | None,
-        quiet_s: float,
+        max_unchanged_s: float,
         asked_at: float,
         now: float,
     ) -> None:
@@ -170,7 +170,7 @@
 
         Args:
             found: The record; None if there is none.
-            quiet_s: Longest time in seconds for which a holder that works
+            max_unchanged_s: Longest time in seconds for which a working holder
                 leaves the record unchanged.
             asked_at: When the request to the store was sent.
             now: The current time.
@@ -182,10 +182,10 @@
         is_new = self._seen is None or found.revision > self._seen.revision
         if is_new and self._seen is not None and not self.holds:
             # The holder works, although no box tells of it.
-            self._patience_s = self._lease_s + quiet_s
+            self._timeout_s = self._lease_s + max_unchanged_s
         if is_new:
             self._seen = found
-            self._sign_at = now
+            self._heard_at = now
         if not self._is_own(found.tenure):
             if self.holds:
                 self._follow()
@@ -206,7 +206,7 @@
             return False
         if self._seen is not None:
             return False
-        return now - self._sign_at >= _rank_delay_s(rank + 1)
+        return now - self._heard_at >= _rank_delay_s(rank + 1)
 
     def wants_duties(self, rank: int, now: float) -> bool:
         """Returns whether this box should take the duties over.
@@ -219,7 +219,7 @@
         """
         if self._phase is not Phase.FOLLOWING:
             return False
-        return now - self._sign_at >= self._takeover_s(rank)
+        return now - self._heard_at >= self._takeover_s(rank)
 
     def next_tenure(self, era: int) -> Tenure:
         """Returns the tenure to write in order to take the duties over.
@@ -252,7 +252,7 @@
         """Records that the store took a new version of the own record."""
         self._seen = written
         if self.holds:
-            self._sign_at = now
+            self._heard_at = now
             self._confirmed_at = asked_at
 
     def note_conflict(self) -> None:
@@ -284,12 +284,12 @@
     def _takeover_s(self, rank: int) -> float:
         delay_s = _rank_delay_s(rank)
         if self._seen is None:
-            return delay_s if self._is_vacant else self._patience_s + delay_s
+            return delay_s if self._is_vacant else self._timeout_s + delay_s
         tenure = self._seen.tenure
         if tenure.holder == self._box:
             # The earlier daemon of this box has ended.
             return 0.0
-        return delay_s if tenure.released else self._patience_s + delay_s
+        return delay_s if tenure.released else self._timeout_s + delay_s
 
     def _is_own(self, tenure: Tenure) -> bool:
         return (
@@ -301,7 +301,7 @@
         self._phase = Phase.WAITING
         self._acts_from = now + TAKEOVER_WAIT_S
         self._confirmed_at = confirmed_at
-        self._sign_at = now
+        self._heard_at = now
 
     def _follow(self) -> None:
         self._phase = Phase.FOLLOWING
--- a/martenjunction/duties/duty_sync.py
+++ b/martenjunction/duties/duty_sync.py
@@ -15,20 +15,20 @@
 from martenjunction.peers import hub
 from martenjunction.routing import fleet_overlay
 
-# Intervals in seconds of the holder's signs of life, of telling what was
+# Intervals in seconds of the holder's heartbeats, of telling what was
 # counted, and of comparing the time of day.
-NEWS_INTERVAL_S = 1.0
+HEARTBEAT_INTERVAL_S = 1.0
 ROWS_INTERVAL_S = 0.3
 CLOCK_INTERVAL_S = 1.0
 
 # Number of boxes that the holder tells its own counts.
-WITNESSES = 2
+BACKUPS = 2
 
 
 class DutySync:
-    """Exchanges signs of life and counts of usage between boxes.
+    """Exchanges heartbeats and counts of usage between boxes.
 
-    Signs of life are passed on to all boxes, over every link. Counts go to the
+    Heartbeats are passed on to all boxes, over every link. Counts go to the
     holder over its direct link, or up the tree; the root passes them on.
     """
 
@@ -70,7 +70,7 @@
         self._timers = clock
         self._wall_clock = wall_clock
         self._number = 0
-        self._news: messages.DutyNews | None = None
+        self._heartbeat: messages.DutyHeartbeat | None = None
         self._hop: str | None = None
 
     def start(self, emitter: events.Events) -> None:
@@ -79,26 +79,28 @@
         Args:
             emitter: Announces new connections to boxes.
         """
-        self._peers.subscribe(messages.DutyNews, self._on_news)
+        self._peers.subscribe(messages.DutyHeartbeat, self._on_heartbeat)
         self._peers.subscribe(messages.UsageRows, self._on_rows)
         emitter.connect(events.PEER_CONNECTED, self._on_connected)
-        self._holder.on_change(self._tell_news)
-        self._timers.subscribe("duty-news", NEWS_INTERVAL_S, self._check_news)
-        self._timers.subscribe("usage-rows", ROWS_INTERVAL_S, self.tell_rows)
+        self._holder.on_change(self._send_heartbeat)
+        self._timers.subscribe(
+            "duty-heartbeat", HEARTBEAT_INTERVAL_S, self._check_heartbeat
+        )
+        self._timers.subscribe("usage-rows", ROWS_INTERVAL_S, self.send_rows)
         self._timers.subscribe("true-time", CLOCK_INTERVAL_S, self._compare)
 
     def current_window(self, now: float) -> int:
         """Returns the window of usage at a monotonic time."""
         return int(self._wall.at(now) // self._window_s)
 
-    def tell_rows(self) -> None:
+    def send_rows(self) -> None:
         """Tells the next box towards the holder what changed."""
         hop = self._next_hop()
         if hop != self._hop:
             self._hop = hop
             self._counts.mark_changed()
         if self._lease.holds:
-            self._tell_witnesses()
+            self._send_to_backups()
             return
         if hop is None:
             return
@@ -106,28 +108,28 @@
         if rows and not self._peers.send_soon(hop, messages.encode_rows(rows)):
             self._hop = None
 
-    def _tell_witnesses(self) -> None:
+    def _send_to_backups(self) -> None:
         """Tells some boxes this holder's own counts.
 
         The next holder has them from there if this box ends.
         """
         rows = self._counts.take_own_changes()
         if rows:
-            witnesses = sorted(self._peers.boxes())[:WITNESSES]
-            self._peers.send_to(witnesses, messages.encode_rows(rows))
+            backups = sorted(self._peers.boxes())[:BACKUPS]
+            self._peers.send_to(backups, messages.encode_rows(rows))
 
-    def _check_news(self) -> None:
+    def _check_heartbeat(self) -> None:
         if self._holder.works:
-            self._tell_news()
+            self._send_heartbeat()
 
-    def _tell_news(self) -> None:
+    def _send_heartbeat(self) -> None:
         """Tells all boxes that this one holds the duties, or gave them up."""
         seen = self._lease.seen
         held = self._holder.held
         if seen is None:
             return
         self._number += 1
-        self._news = messages.DutyNews(
+        self._heartbeat = messages.DutyHeartbeat(
             held.holder,
             held.incarnation,
             held.fence,
@@ -137,13 +139,13 @@
             self._number,
             held.last_window,
         )
-        self._peers.broadcast(self._news)
+        self._peers.broadcast(self._heartbeat)
 
-    def _on_news(self, box: str, message: messages.DutyNews) -> None:
-        known = self._news
+    def _on_heartbeat(self, box: str, message: messages.DutyHeartbeat) -> None:
+        known = self._heartbeat
         if known is not None and _order(message) <= _order(known):
             return
-        self._news = message
+        self._heartbeat = message
         revision = revisions.Revision(message.era, message.revision)
         tenure = lease.Tenure(
             message.holder,
@@ -151,7 +153,7 @@
             message.fence,
             message.released,
         )
-        self._lease.note_news(
+        self._lease.note_heartbeat(
             lease.SeenRecord(tenure, revision), self._timers.now()
         )
         self._counts.settle(message.settled)
@@ -163,8 +165,8 @@
         if box == self._hop:
             # It may have started again, without what it was told before.
             self._hop = None
-        if self._news is not None:
-            self._peers.send(box, self._news)
+        if self._heartbeat is not None:
+            self._peers.send(box, self._heartbeat)
 
     def _on_rows(self, box: str, message: messages.UsageRows) -> None:
         window = self.current_window(self._timers.now())
@@ -187,5 +189,5 @@
         self._wall.update(self._wall_clock(), self._timers.now())
 
 
-def _order(news: messages.DutyNews) -> tuple[int, int]:
-    return news.fence, news.number
+def _order(heartbeat: messages.DutyHeartbeat) -> tuple[int, int]:
+    return heartbeat.fence, heartbeat.number
--- a/martenjunction/duties/holder.py
+++ b/martenjunction/duties/holder.py
@@ -41,7 +41,7 @@
         duty_lease: lease.DutyLease,
         client: store.StoreClient,
         performed: list[duty.Duty],
-        quiet_s: float,
+        max_unchanged_s: float,
         rank: Callable[[], int],
         clock: timers.Timers,
         log: decision_log.DecisionLog,
@@ -53,7 +53,7 @@
             duty_lease: The view of who holds the duties.
             client: The store's client.
             performed: The duties.
-            quiet_s: Longest time in seconds for which a holder that works
+            max_unchanged_s: Longest time in seconds for which a working holder
                 leaves the record unchanged.
             rank: Returns the order in which this box takes the duties over.
             clock: The clock.
@@ -63,7 +63,7 @@
         self._lease = duty_lease
         self._store = client
         self._duties = performed
-        self._quiet_s = quiet_s
+        self._max_unchanged_s = max_unchanged_s
         self._rank = rank
         self._timers = clock
         self._log = log
@@ -240,12 +240,12 @@
         held_before = self._lease.holds
         if found is None:
             self._record, self._revision = record.EMPTY, None
-            self._lease.note_record(None, self._quiet_s, asked_at, now)
+            self._lease.note_record(None, self._max_unchanged_s, asked_at, now)
         else:
             self._record = record.decode(found.spec)
             self._revision = found.revision
             seen = lease.SeenRecord(self._record.tenure, found.revision)
-            self._lease.note_record(seen, self._quiet_s, asked_at, now)
+            self._lease.note_record(seen, self._max_unchanged_s, asked_at, now)
         self._note_success()
         if self._lease.holds and not held_before:
             self._begin()
--- a/martenjunction/duties/messages.py
+++ b/martenjunction/duties/messages.py
@@ -13,10 +13,10 @@
 MAX_KEY = 2**64
 
 
-@codec.message("duty-news")
+@codec.message("duty-heartbeat")
 @dataclasses.dataclass(frozen=True, slots=True)
-class DutyNews:
-    """A sign of life of the holder of the duties.
+class DutyHeartbeat:
+    """A heartbeat of the holder of the duties.
 
     Attributes:
         holder: The box.
