Keep engines for the loss of two zones, and count runs that broke without a crash

Each of three zones now holds two thirds of the need, so that one alone can carry most of it; 60 engines in place of 45 in full size. What holders of before ordered is read with the same rule.

--- a/martenjunction/decisions/duties/engine_orders.py
+++ b/martenjunction/decisions/duties/engine_orders.py
@@ -8,7 +8,7 @@
   rises at once, and falls only when the peak has passed for some minutes: an
   engine that is let go loses its cache.
 - Reclaimable engines are spread so that those that remain after the loss of any
-  one zone meet the need.
+  one zone meet the need, and after that of any two zones a part of it.
 - What is taken away is ordered again, and regular engines fill what is missing
   meanwhile, as soon as the first word of it comes.
 - A holder that has just begun takes what stands for the need.
@@ -26,6 +26,9 @@
 TARGET_PREFILL_FRACTION = 0.6
 TARGET_SLOT_FRACTION = 0.5
 
+# Part of the need that reclaimable engines meet after the loss of two zones.
+TWO_ZONES_FRACTION = 2 / 3
+
 # Length in seconds of the intervals whose peaks are kept, and their number.
 PEAK_INTERVAL_S = 60.0
 PEAK_INTERVALS = 5
@@ -208,7 +211,8 @@
         """Returns the need that what stands was meant for."""
         zones = len(terms.zone_prices)
         if self._inherited and zones > 1:
-            return math.floor(self._inherited * (zones - 1) / zones)
+            each = self._inherited / zones
+            return math.floor(each / _zone_share(zones))
         return sum(n for s, n in ready.items() if not s.reclaimable)
 
     def _needed(self, terms: Terms, demand: Demand, now: float) -> int:
@@ -254,8 +258,8 @@
             return {}
         subjects = [Subject(zone, True) for zone in zones]
         available = [s for s in subjects if not self._is_unavailable(s, now)]
-        remaining = max(1, len(available) - 1)
-        each = max(terms.least, math.ceil(self._need / remaining))
+        each = math.ceil(self._need * _zone_share(len(available)))
+        each = max(terms.least, each)
         return {
             s: min(each, max(0, terms.most - self._regular(s.zone, ready)))
             for s in available
@@ -391,3 +395,10 @@
         was_taken = present < ordered.max_ready
         is_late = now - ordered.at >= terms.boot_s + BOOT_MARGIN_S
         return (was_taken or is_late) and present < min(count, ordered.count)
+
+
+def _zone_share(zones: int) -> float:
+    """Returns the part of the need that is ordered in each of some zones."""
+    if zones < 3:
+        return 1.0
+    return max(1 / (zones - 1), TWO_ZONES_FRACTION / (zones - 2))
--- a/martenjunction/routing/endpoint_liveness.py
+++ b/martenjunction/routing/endpoint_liveness.py
@@ -48,19 +48,22 @@
         """Sets the callback for endpoints found to have crashed."""
         self._on_ended = callback
 
-    async def check(self, endpoint: model.Endpoint) -> None:
+    async def check(self, endpoint: model.Endpoint) -> bool:
         """Checks whether an endpoint crashed.
 
         If it has, the callback is usually called before this method returns.
         The wait is bounded by a timeout, so it may also be called later.
+
+        Returns:
+            Whether it is known to have crashed.
         """
         listed = self._registry.listed
         if listed.restarted(endpoint.id):
             self._on_ended(endpoint.id)
-            return
+            return True
         if not listed.is_ready(endpoint.id):
             # A planned shutdown is in progress or complete.
-            return
+            return False
         check_task = self._checks.get(endpoint.id)
         if check_task is None:
             loop = asyncio.get_running_loop()
@@ -69,6 +72,7 @@
         elif check_task.done() and check_task.result():
             self._on_ended(endpoint.id)
         await asyncio.wait([check_task], timeout=CHECK_TIMEOUT_S)
+        return check_task.done() and check_task.result()
 
     async def stop(self) -> None:
         """Cancels the running checks."""
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -159,8 +159,8 @@
                 # Checked before the retry: a request that crashes its endpoint
                 # would otherwise crash one endpoint after another.
                 offer.permit.record_broken_run(endpoint)
-                self._count_run(offer)
-                await self._context.liveness.check(endpoint)
+                if not await self._context.liveness.check(endpoint):
+                    self._count_run(offer)
             return False
         except BaseException:
             run.abort()
@@ -274,7 +274,8 @@
     def _count_run(self, offer: offers.Offer) -> None:
         """Counts a run for the usage of its workspace, once.
 
-        Failures ran as well, and so did most requests whose connection broke.
+        Failures ran as well, and so did most requests whose connection broke,
+        unless their endpoint crashed.
         A run that continues at another engine from a copy is the same run.
         """
         if self._run_counted or offer.continues:
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -14,7 +14,7 @@
 TERMS = market.TERMS
 CALM = Demand(200_000.0, 45_000.0, 60, 64)
 STANDING = {Subject(zone, False): 10 for zone in TERMS.zone_prices}
-ALL_RECLAIMABLE = {Subject(zone, True): 15 for zone in TERMS.zone_prices}
+ALL_RECLAIMABLE = {Subject(zone, True): 20 for zone in TERMS.zone_prices}
 
 
 def settled_planner() -> engine_orders.OrderPlanner:
@@ -56,7 +56,7 @@
         later |= order_all(planner, ready, CALM, now)
     assert {later[subject] for subject in STANDING} == {0}
     # The room that the regular engines leave is used.
-    assert later[Subject("zone-a", True)] == 15
+    assert later[Subject("zone-a", True)] == 20
 
 
 def test_remaining_zones_meet_the_need_after_the_loss_of_one() -> None:
@@ -66,6 +66,14 @@
         assert remaining >= planner.need
 
 
+def test_one_zone_meets_a_part_of_the_need_after_the_loss_of_two() -> None:
+    # Two zones of three were lost within 2 s, and half of what was needed did
+    # all the work until others had booted: 0.910 was served instead of 0.922.
+    planner = settled_planner()
+    [kept, *_] = ALL_RECLAIMABLE.values()
+    assert kept >= engine_orders.TWO_ZONES_FRACTION * planner.need
+
+
 def test_loss_is_made_good_at_the_first_word() -> None:
     # Engines that were taken away counted as still booting, and were ordered
     # again after 8 s only: for 12 s a third of the engines carried a burst, and
@@ -73,7 +81,7 @@
     planner = settled_planner()
     ready = {**ALL_RECLAIMABLE}
     ready[Subject("zone-c", True)] = 0
-    assert order_all(planner, ready, CALM, 20.0)[Subject("zone-c", True)] >= 15
+    assert order_all(planner, ready, CALM, 20.0)[Subject("zone-c", True)] >= 20
     planner.note_unavailable(Subject("zone-c", True), 20.0)
     ready[Subject("zone-b", True)] = 0
     orders: dict[Subject, int] = {}
@@ -81,7 +89,7 @@
         orders |= order_all(planner, ready, CALM, 21.0 + 0.25 * step)
         planner.note_unavailable(Subject("zone-b", True), 21.0 + 0.25 * step)
     regular = sum(n for s, n in orders.items() if not s.reclaimable)
-    assert regular + 15 >= planner.need
+    assert regular + 20 >= planner.need
 
 
 def test_regular_engines_leave_again_once_the_others_are_back() -> None:
@@ -99,17 +107,16 @@
     # Regular engines took all the room of a zone that had lost the others, so
     # that none could come back, and stayed for the rest of the day.
     planner = settled_planner()
-    terms = dataclasses.replace(TERMS, most=15)
     lost, regular = Subject("zone-c", True), Subject("zone-c", False)
     planner.note_ordered(lost, 0, 20.0)
-    planner.note_ordered(regular, 15, 20.0)
-    ready = {**ALL_RECLAIMABLE, lost: 0, regular: 15}
+    planner.note_ordered(regular, 20, 20.0)
+    ready = {**ALL_RECLAIMABLE, lost: 0, regular: 20}
     demand = dataclasses.replace(CALM, prefill_per_s=900_000.0)
     now = 30.0
-    planner.plan(terms, ready, demand, now)
+    planner.plan(TERMS, ready, demand, now)
     while now < 120.0:
         now += 0.25
-        orders = planner.plan(terms, ready, CALM, now)
+        orders = planner.plan(TERMS, ready, CALM, now)
         for subject, count in orders.items():
             planner.note_ordered(subject, count, now)
             ready[subject] = count
