Remove what the code of duties had twice or did not use

- Duties are built from the registry that they are filed in; it was filled and never read, beside a chain of conditions.
- The terms of orders are those of the configuration; a second data class had the same fields.
- One unit for rates of outcomes, in both kinds of messages.
- The ready endpoints are listed once a plan, not twice.
- A setting and an argument that nothing read are gone; a released tenure is derived from the record's.

No behaviour changes; tests keep their assertions.

--- a/martenjunction/decisions/boxes/endpoint_outcomes.py
+++ b/martenjunction/decisions/boxes/endpoint_outcomes.py
@@ -5,6 +5,8 @@
 seconds only, so that alone it learns of the failures when they are over.
 """
 
+from collections.abc import Iterable
+
 from martenjunction.decisions import estimates
 
 # Time constant in seconds of the rates.
@@ -17,6 +19,9 @@
 # Failures per second below which an endpoint does not count as failing.
 NEGLIGIBLE_PER_S = 0.02
 
+# Rates are told as integers of this part of a request per second.
+UNIT_PER_S = 0.01
+
 # Seconds after which what another box reported expires.
 PEER_LIFETIME_S = 2.0
 
@@ -71,3 +76,8 @@
             failed += peer_failed
         self._is_failing = failed >= NEGLIGIBLE_PER_S
         return failed / (ended + PRIOR_REQUESTS / DECAY_S)
+
+
+def to_units(rates: Iterable[float]) -> tuple[int, ...]:
+    """Returns rates per second as integers, for messages."""
+    return tuple(round(rate / UNIT_PER_S) for rate in rates)
--- a/martenjunction/decisions/duties/engine_orders.py
+++ b/martenjunction/decisions/duties/engine_orders.py
@@ -21,6 +21,8 @@
 import dataclasses
 import math
 
+from martenjunction import model
+
 # Fraction of the engines' prefill rate that the demand may take at its peak,
 # and the same for the slots.
 TARGET_PREFILL_FRACTION = 0.6
@@ -54,26 +56,6 @@
 SHRINK_FRACTION = 0.75
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Terms:
-    """The terms on which engines of a service can be ordered.
-
-    Attributes:
-        least: Minimum number of engines in a zone, of both kinds together.
-        most: Maximum number of engines in a zone, of both kinds together.
-        boot_s: Seconds from an order until an engine serves.
-        reclaimable_price: Price of a reclaimable engine, as a fraction of that
-            of a regular one; None if there are none.
-        zone_prices: Price of a regular engine by zone.
-    """
-
-    least: int
-    most: int
-    boot_s: float
-    reclaimable_price: float | None
-    zone_prices: Mapping[str, float]
-
-
 @dataclasses.dataclass(frozen=True, order=True, slots=True)
 class Subject:
     """What an order is about.
@@ -171,7 +153,7 @@
 
     def plan(
         self,
-        terms: Terms,
+        terms: model.Scaling,
         ready: Mapping[Subject, int],
         demand: Demand,
         now: float,
@@ -206,7 +188,7 @@
         self._ordered[subject] = _Ordered(count, now)
 
     def _count_standing(
-        self, terms: Terms, ready: Mapping[Subject, int]
+        self, terms: model.Scaling, ready: Mapping[Subject, int]
     ) -> int:
         """Returns the need that what stands was meant for."""
         zones = len(terms.zone_prices)
@@ -215,7 +197,7 @@
             return math.floor(each / _zone_share(zones))
         return sum(n for s, n in ready.items() if not s.reclaimable)
 
-    def _needed(self, terms: Terms, demand: Demand, now: float) -> int:
+    def _needed(self, terms: model.Scaling, demand: Demand, now: float) -> int:
         if now - self._interval_began_at >= PEAK_INTERVAL_S:
             self._interval_began_at = now
             self._intervals += 1
@@ -229,7 +211,7 @@
 
     def _wanted(
         self,
-        terms: Terms,
+        terms: model.Scaling,
         ready: Mapping[Subject, int],
         demand: Demand,
         now: float,
@@ -250,7 +232,7 @@
         return wanted
 
     def _wanted_reclaimable(
-        self, terms: Terms, ready: Mapping[Subject, int], now: float
+        self, terms: model.Scaling, ready: Mapping[Subject, int], now: float
     ) -> dict[Subject, int]:
         """Returns how many reclaimable engines are wanted in each zone."""
         zones = sorted(terms.zone_prices)
@@ -267,7 +249,7 @@
 
     def _wanted_regular(
         self,
-        terms: Terms,
+        terms: model.Scaling,
         ready: Mapping[Subject, int],
         reclaimable: Mapping[Subject, int],
         present: int,
@@ -376,7 +358,7 @@
         subject: Subject,
         count: int,
         ready: Mapping[Subject, int],
-        terms: Terms,
+        terms: model.Scaling,
         now: float,
     ) -> bool:
         """Returns whether an order differs enough from the last one."""
--- a/martenjunction/duties/duty.py
+++ b/martenjunction/duties/duty.py
@@ -3,12 +3,18 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import random
 from typing import Any
 from typing import Protocol
 
+from martenjunction import model
 from martenjunction import registry
+from martenjunction.decisions.duties import usage_counts
 from martenjunction.duties import record
+from martenjunction.platform import box_settings
 from martenjunction.platform import duty_calls
+from martenjunction.routing import decision_log
+from martenjunction.routing import endpoint_registry
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,4 +46,29 @@
         """Returns the state of the duty, for diagnostics."""
 
 
-duties: registry.Registry[Callable[..., Duty]] = registry.Registry("duty")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What duties are built from.
+
+    Attributes:
+        settings: The duties of the deployment.
+        counts: The counts of usage.
+        calls: Makes the calls of duties.
+        wall_time: Returns seconds since 1970 at a monotonic time.
+        config: Returns the configuration in force, or None.
+        endpoints: The endpoints, their loads, and the demand.
+        log: Receives what is decided.
+        rng: Random source for jitter.
+    """
+
+    settings: box_settings.DutySettings
+    counts: usage_counts.UsageCounts
+    calls: duty_calls.DutyCalls
+    wall_time: Callable[[float], float]
+    config: Callable[[], model.RoutingConfig | None]
+    endpoints: endpoint_registry.EndpointRegistry
+    log: decision_log.DecisionLog
+    rng: random.Random
+
+
+builders: registry.Registry[Callable[[Parts], Duty]] = registry.Registry("duty")
--- a/martenjunction/duties/duty_sync.py
+++ b/martenjunction/duties/duty_sync.py
@@ -34,7 +34,6 @@
 
     def __init__(
         self,
-        box: str,
         duty_holder: holder.DutyHolder,
         duty_lease: lease.DutyLease,
         counts: usage_counts.UsageCounts,
@@ -48,7 +47,6 @@
         """Initializes the exchange; `start` subscribes to messages.
 
         Args:
-            box: This box.
             duty_holder: Performs the duties.
             duty_lease: The view of who holds them.
             counts: The counts of usage.
@@ -59,7 +57,6 @@
             clock: The clock and timers.
             wall_clock: Returns the time of day of this box.
         """
-        self._box = box
         self._holder = duty_holder
         self._lease = duty_lease
         self._counts = counts
--- a/martenjunction/duties/fleet_duties.py
+++ b/martenjunction/duties/fleet_duties.py
@@ -14,8 +14,8 @@
 from martenjunction.duties import duty
 from martenjunction.duties import duty_sync
 from martenjunction.duties import holder
-from martenjunction.duties import scaling_duty
-from martenjunction.duties import usage_duty
+from martenjunction.duties import scaling_duty  # noqa: F401
+from martenjunction.duties import usage_duty  # noqa: F401
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.platform import box_settings
@@ -98,17 +98,21 @@
         self._counts = usage_counts.UsageCounts(
             usage_counts.source_key(own.box, own.incarnation)
         )
-        performed: list[duty.Duty] = []
-        if box_settings.Duty.USAGE in settings.kinds:
-            performed.append(
-                usage_duty.UsageDuty(
-                    settings, self._counts, self._calls, wall.at, log, rng
-                )
-            )
-        if box_settings.Duty.SCALING in settings.kinds:
-            performed.append(
-                scaling_duty.ScalingDuty(config, registry, self._calls, log)
-            )
+        parts = duty.Parts(
+            settings,
+            self._counts,
+            self._calls,
+            wall.at,
+            config,
+            registry,
+            log,
+            rng,
+        )
+        performed = [
+            duty.builders.get(kind)(parts)
+            for kind in box_settings.Duty
+            if kind in settings.kinds
+        ]
         self._holder = holder.DutyHolder(
             own.box,
             self._lease,
@@ -120,7 +124,6 @@
             log,
         )
         self._sync = duty_sync.DutySync(
-            own.box,
             self._holder,
             self._lease,
             self._counts,
--- a/martenjunction/duties/holder.py
+++ b/martenjunction/duties/holder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 from typing import Any
 
 from martenjunction import errors
@@ -115,12 +116,7 @@
         self._lease.release()
         if not held:
             return
-        tenure = lease.Tenure(
-            self._record.holder,
-            self._record.incarnation,
-            self._record.fence,
-            released=True,
-        )
+        tenure = dataclasses.replace(self._record.tenure, released=True)
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
                 await self._write(self._record.with_tenure(tenure))
--- a/martenjunction/duties/scaling_duty.py
+++ b/martenjunction/duties/scaling_duty.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -27,7 +28,6 @@
 SHOWN_ORDERS = 8
 
 
-@duty.duties.register(box_settings.Duty.SCALING)
 class ScalingDuty:
     """Plans orders, records them, and sends them."""
 
@@ -123,17 +123,14 @@
                 },
                 now,
             )
-        terms = engine_orders.Terms(
-            scaling.least,
-            scaling.most,
-            scaling.boot_s,
-            scaling.reclaimable_price,
-            dict(scaling.zone_prices),
+        endpoints = self._registry.listed.ready(service.name)
+        ready = collections.Counter(
+            engine_orders.Subject(endpoint.zone, endpoint.reclaimable)
+            for endpoint in endpoints
         )
-        ready = self._ready(service.name)
-        demand = self._demand(service, now)
+        demand = self._demand(service, endpoints, now)
         changed = []
-        for subject, count in planner.plan(terms, ready, demand, now).items():
+        for subject, count in planner.plan(scaling, ready, demand, now).items():
             planner.note_ordered(subject, count, now)
             order = record.Order(
                 service.name, subject.zone, subject.reclaimable, count
@@ -143,24 +140,18 @@
             self._explain(order, planner, ready, demand)
         return changed
 
-    def _ready(self, service: str) -> dict[engine_orders.Subject, int]:
-        counts: collections.Counter[engine_orders.Subject] = (
-            collections.Counter(
-                engine_orders.Subject(endpoint.zone, endpoint.reclaimable)
-                for endpoint in self._registry.listed.ready(service)
-            )
-        )
-        return dict(counts)
-
     def _demand(
-        self, service: model.Service, now: float
+        self,
+        service: model.Service,
+        endpoints: list[model.Endpoint],
+        now: float,
     ) -> engine_orders.Demand:
         engines = self._registry.engines
         rates = engines.prefill_demand(service.name, now)
         assert service.engine is not None
         running = sum(
             self._registry.records[endpoint.id].loads.running(now)
-            for endpoint in self._registry.listed.ready(service.name)
+            for endpoint in endpoints
             if endpoint.id in self._registry.records
         )
         return engine_orders.Demand(
@@ -174,7 +165,7 @@
         self,
         order: record.Order,
         planner: engine_orders.OrderPlanner,
-        ready: dict[engine_orders.Subject, int],
+        ready: Mapping[engine_orders.Subject, int],
         demand: engine_orders.Demand,
     ) -> None:
         line = {
@@ -232,3 +223,9 @@
 
 def _key(order: record.Order) -> tuple[str, str, bool]:
     return order.service, order.zone, order.reclaimable
+
+
+@duty.builders.register(box_settings.Duty.SCALING)
+def build(parts: duty.Parts) -> ScalingDuty:
+    """Builds the duty."""
+    return ScalingDuty(parts.config, parts.endpoints, parts.calls, parts.log)
--- a/martenjunction/duties/usage_duty.py
+++ b/martenjunction/duties/usage_duty.py
@@ -32,7 +32,6 @@
 MAX_PAUSE_S = 4.0
 
 
-@duty.duties.register(box_settings.Duty.USAGE)
 class UsageDuty:
     """Records the counts of a window, sends them, and settles the window."""
 
@@ -163,3 +162,16 @@
         pause_s = self._pause_s.get(number, MIN_PAUSE_S)
         self._pause_s[number] = min(2 * pause_s, MAX_PAUSE_S)
         self._next_at[number] = now + pause_s * self._rng.uniform(0.5, 1.5)
+
+
+@duty.builders.register(box_settings.Duty.USAGE)
+def build(parts: duty.Parts) -> UsageDuty:
+    """Builds the duty."""
+    return UsageDuty(
+        parts.settings,
+        parts.counts,
+        parts.calls,
+        parts.wall_time,
+        parts.log,
+        parts.rng,
+    )
--- a/martenjunction/model.py
+++ b/martenjunction/model.py
@@ -1,5 +1,6 @@
 """Data classes of the routing configuration and the endpoints."""
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -105,7 +106,7 @@
     most: int
     boot_s: float
     reclaimable_price: float | None
-    zone_prices: tuple[tuple[str, float], ...]
+    zone_prices: Mapping[str, float] = dataclasses.field(hash=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/martenjunction/platform/box_settings.py
+++ b/martenjunction/platform/box_settings.py
@@ -13,9 +13,6 @@
 # Port for metrics and the dump; must match deploy/system.toml.
 METRICS_PORT = 9464
 
-# Calls of duties per second, where the platform names no limit.
-DEFAULT_DUTY_CALLS_PER_S = 10.0
-
 MEGABYTE = 1024 * 1024
 MEGABIT = 1_000_000
 BITS_PER_BYTE = 8
@@ -41,7 +38,6 @@
         window_s: Seconds of a window of usage.
         usage_due_s: Seconds after the end of a window at which its usage is
             due.
-        calls_per_s: Calls per second that the service takes from all boxes.
     """
 
     address: str
@@ -49,7 +45,6 @@
     no_return_s: float
     window_s: float
     usage_due_s: float
-    calls_per_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -202,5 +197,4 @@
         no_return_s=bounds["lease_ms"] * MS,
         window_s=window_s,
         usage_due_s=float(bounds["usage_late_s"]),
-        calls_per_s=float(cloud.get("duty_per_s", DEFAULT_DUTY_CALLS_PER_S)),
     )
--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -239,7 +239,7 @@
             wire.scaling.max,
             wire.scaling.boot_s,
             wire.scaling.spot_price,
-            tuple(sorted(wire.scaling.zone_prices.items())),
+            dict(sorted(wire.scaling.zone_prices.items())),
         )
     return model.Service(
         wire.name, wire.health_path, wire.max_conns, engine, scaling
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -275,8 +275,8 @@
         """Counts a run for the usage of its workspace, once.
 
         Failures ran as well, and so did most requests whose connection broke,
-        unless their endpoint crashed.
-        A run that continues at another engine from a copy is the same run.
+        unless their endpoint crashed. A run that continues at another engine
+        from a copy is the same run.
         """
         if self._run_counted or offer.continues:
             return
--- a/martenjunction/routing/load_messages.py
+++ b/martenjunction/routing/load_messages.py
@@ -1,11 +1,11 @@
 """Messages with sums of the loads of many boxes."""
 
-from collections.abc import Iterable
 import dataclasses
 from typing import TypeVar
 
 from martenjunction import errors
 from martenjunction.decisions.boxes import endpoint_loads
+from martenjunction.decisions.boxes import endpoint_outcomes
 from martenjunction.decisions.boxes import load_sums
 from martenjunction.decisions.boxes import prefill_demand
 from martenjunction.peers import codec
@@ -16,9 +16,6 @@
 MAX_COUNT = 2**40
 MAX_HEIGHT = 64
 
-# Rates of outcomes are told as integers of this part of a request per second.
-OUTCOME_UNIT_PER_S = 0.01
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Sums:
@@ -125,8 +122,8 @@
         message.failing, message.ended, message.failed, strict=True
     ):
         result.outcomes[endpoint] = (
-            ended * OUTCOME_UNIT_PER_S,
-            failed * OUTCOME_UNIT_PER_S,
+            ended * endpoint_outcomes.UNIT_PER_S,
+            failed * endpoint_outcomes.UNIT_PER_S,
         )
     for name, short, long in zip(
         message.services, message.short_demand, message.long_demand, strict=True
@@ -171,8 +168,12 @@
             round(sums.sent_per_s.get(endpoint, 0.0)) for endpoint in rows
         ),
         failing=tuple(sums.outcomes),
-        ended=_hundredths(ended for ended, _ in sums.outcomes.values()),
-        failed=_hundredths(failed for _, failed in sums.outcomes.values()),
+        ended=endpoint_outcomes.to_units(
+            ended for ended, _ in sums.outcomes.values()
+        ),
+        failed=endpoint_outcomes.to_units(
+            failed for _, failed in sums.outcomes.values()
+        ),
         services=tuple(services),
         short_demand=tuple(round(rates.short) for rates in demand),
         long_demand=tuple(round(rates.long) for rates in demand),
@@ -183,10 +184,6 @@
     )
 
 
-def _hundredths(rates: Iterable[float]) -> tuple[int, ...]:
-    return tuple(round(rate / OUTCOME_UNIT_PER_S) for rate in rates)
-
-
 def _check(message: LoadSum | LoadTotal) -> None:
     """Checks that the columns of a message fit together.
 
--- a/martenjunction/routing/outcome_report.py
+++ b/martenjunction/routing/outcome_report.py
@@ -4,6 +4,7 @@
 
 from martenjunction import errors
 from martenjunction import timers
+from martenjunction.decisions.boxes import endpoint_outcomes
 from martenjunction.peers import codec
 from martenjunction.peers import hub
 from martenjunction.routing import endpoint_registry
@@ -12,9 +13,6 @@
 # Interval in seconds between two reports.
 REPORT_INTERVAL_S = 0.5
 
-# Rates are told as integers of this part of a request per second.
-UNIT_PER_S = 0.01
-
 MAX_ROWS = 4096
 MAX_RATE = 2**40
 
@@ -80,8 +78,8 @@
         self._peers.broadcast(
             OutcomeReport(
                 tuple(row[0] for row in rows),
-                tuple(round(row[1] / UNIT_PER_S) for row in rows),
-                tuple(round(row[2] / UNIT_PER_S) for row in rows),
+                endpoint_outcomes.to_units(row[1] for row in rows),
+                endpoint_outcomes.to_units(row[2] for row in rows),
             )
         )
 
@@ -107,7 +105,8 @@
     for value in (*message.ended, *message.failed):
         if not 0 <= value <= MAX_RATE:
             raise errors.PeerError("an endpoint outcome is out of range")
+    unit = endpoint_outcomes.UNIT_PER_S
     return [
-        (endpoint, ended * UNIT_PER_S, failed * UNIT_PER_S)
+        (endpoint, ended * unit, failed * unit)
         for endpoint, ended, failed in zip(*columns, strict=True)
     ]
--- a/martenjunction_lab/duties/fleet.py
+++ b/martenjunction_lab/duties/fleet.py
@@ -40,7 +40,6 @@
     no_return_s=NO_RETURN_S,
     window_s=WINDOW_S,
     usage_due_s=USAGE_DUE_S,
-    calls_per_s=50.0,
 )
 
 
@@ -175,7 +174,6 @@
             self.log,
         )
         self.sync = duty_sync.DutySync(
-            name,
             self.holder,
             self.lease,
             self.counts,
--- a/martenjunction_lab/duties/market.py
+++ b/martenjunction_lab/duties/market.py
@@ -11,6 +11,7 @@
 import math
 import random
 
+from martenjunction import model
 from martenjunction import registry
 from martenjunction.decisions.duties import engine_orders
 
@@ -29,7 +30,7 @@
 NOTICE_S = (2.0, 2.9)
 
 ZONES = {"zone-a": 0.85, "zone-b": 1.2, "zone-c": 1.0}
-TERMS = engine_orders.Terms(1, 20, 4.0, 0.15, ZONES)
+TERMS = model.Scaling(1, 20, 4.0, 0.15, ZONES)
 
 # Seconds before the first requests in which engines are paid for.
 LEAD_S = 16.0
--- a/tests/duty_builders.py
+++ b/tests/duty_builders.py
@@ -24,7 +24,6 @@
         no_return_s=0.5,
         window_s=WINDOW_S,
         usage_due_s=5.0,
-        calls_per_s=50.0,
     )
 
 
