Let no regular engine go while others boot or demand was high lately

Change: room is made for reclaimable engines only once all regular ones serve, and out of what the highest demand of the last 10 s did not need.

--- a/martenjunction/decisions/duties/engine_orders.py
+++ b/martenjunction/decisions/duties/engine_orders.py
@@ -52,6 +52,10 @@
 RELEASE_AFTER_S = 1.5
 LACKING_AFTER_S = 0.2
 
+# Seconds over which the highest demand counts when regular engines are let go
+# to make room for others.
+RECENT_S = 10.0
+
 # Fraction below the ordered number at which a lower one is ordered.
 SHRINK_FRACTION = 0.75
 
@@ -133,6 +137,9 @@
         )
         self._interval_began_at = now
         self._intervals = 0
+        self._recent: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
         self._unavailable: dict[Subject, float] = {}
         self._dispensable_since: float | None = None
         self._lacking_since: float | None = None
@@ -176,7 +183,7 @@
         for subject, ordered in self._ordered.items():
             ordered.max_ready = max(ordered.max_ready, ready.get(subject, 0))
         self._need = self._needed(terms, demand, now)
-        wanted = self._wanted(terms, ready, demand, now)
+        wanted = self._wanted(terms, ready, now)
         return {
             subject: count
             for subject, count in sorted(wanted.items())
@@ -203,6 +210,9 @@
             self._intervals += 1
             self._peaks.append(0.0)
         self._peaks[-1] = max(self._peaks[-1], demand.engines)
+        self._recent.append((now, demand.engines))
+        while now - self._recent[0][0] > RECENT_S:
+            self._recent.popleft()
         peak = math.ceil(max(self._peaks))
         if self._intervals < PEAK_INTERVALS:
             peak = max(peak, self._standing or 0)
@@ -213,7 +223,6 @@
         self,
         terms: model.Scaling,
         ready: Mapping[Subject, int],
-        demand: Demand,
         now: float,
     ) -> dict[Subject, int]:
         wanted = self._wanted_reclaimable(terms, ready, now)
@@ -225,9 +234,7 @@
             and now - ordered.at < terms.boot_s + BOOT_MARGIN_S
         )
         wanted.update(
-            self._wanted_regular(
-                terms, ready, wanted, present, booting, demand, now
-            )
+            self._wanted_regular(terms, ready, wanted, present, booting, now)
         )
         return wanted
 
@@ -254,7 +261,6 @@
         reclaimable: Mapping[Subject, int],
         present: int,
         booting: int,
-        demand: Demand,
         now: float,
     ) -> dict[Subject, int]:
         """Returns how many regular engines are wanted in each zone.
@@ -265,7 +271,6 @@
             reclaimable: Reclaimable engines that are wanted.
             present: Reclaimable engines that are ready.
             booting: Reclaimable engines that were ordered lately.
-            demand: What is asked at present.
             now: The current time.
         """
         zones = sorted(terms.zone_prices, key=lambda z: terms.zone_prices[z])
@@ -285,7 +290,7 @@
             self._lacking_since = None
             if booting:
                 return {}
-            return self._make_room(zones, ready, standing, present, demand, now)
+            return self._make_room(zones, ready, present, now)
         if self._lacking_since is None:
             self._lacking_since = now
         if now - self._lacking_since < LACKING_AFTER_S:
@@ -305,17 +310,21 @@
         self,
         zones: list[str],
         ready: Mapping[Subject, int],
-        standing: Mapping[str, int],
         present: int,
-        demand: Demand,
         now: float,
     ) -> dict[Subject, int]:
         """Returns orders that make room for reclaimable engines.
 
-        Only what the demand of the moment does not need is let go, and a single
-        engine as long as it is not known whether others are to be had.
+        Only what the recent demand did not need is let go, and a single engine
+        as long as it is not known whether others are to be had. While regular
+        engines boot, none is: little gets through then to be measured.
         """
-        spare = present + sum(standing.values()) - math.ceil(demand.engines)
+        standing = {zone: self._regular(zone, ready) for zone in zones}
+        serving = {zone: ready.get(Subject(zone, False), 0) for zone in zones}
+        if any(serving[zone] < standing[zone] for zone in zones):
+            return {}
+        recent = max(engines for _, engines in self._recent)
+        spare = present + sum(serving.values()) - math.ceil(recent)
         wanted = {}
         for zone in reversed(zones):
             subject = Subject(zone, True)
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -125,6 +125,32 @@
     assert ready[lost] >= 10
 
 
+def test_booting_engines_are_not_let_go_while_demand_is_high() -> None:
+    # Two of three zones were lost in a burst. The regular engines that were
+    # ordered for them counted as spare while they booted, as little got
+    # through to be asked, and were let go and ordered again four times: three
+    # of eight engines came 4 s late or not at all.
+    planner = settled_planner()
+    ready = dict(ALL_RECLAIMABLE)
+    burst = dataclasses.replace(CALM, prefill_per_s=900_000.0)
+    ebb = dataclasses.replace(CALM, prefill_per_s=500_000.0)
+    planner.plan(TERMS, ready, burst, 11.0)
+    for zone in ("zone-b", "zone-c"):
+        ready[Subject(zone, True)] = 0
+    regular: dict[Subject, int] = {}
+    now = 12.0
+    while now < 19.0:
+        demand = burst if now < 14.0 or now > 16.0 else ebb
+        for subject, count in order_all(planner, ready, demand, now).items():
+            if subject.reclaimable:
+                planner.note_unavailable(subject, now)
+                continue
+            assert count >= regular.get(subject, 0)
+            regular[subject] = count
+        now += 0.25
+    assert sum(regular.values()) + 20 >= planner.need
+
+
 def test_unavailable_engines_are_asked_for_at_intervals() -> None:
     planner = settled_planner()
     lost = Subject("zone-c", True)
