Weigh a few engines that are drawn in place of all where many boxes decide

Cause: boxes that decide by the same totals, 0.3 s old, all send to the engine that was the least loaded.

Change: engines are drawn for each request, the fewer the more the other boxes send meanwhile (all where that is little, two at least), beside those that hold shared parts of the prompt. Where a box is alone, or others send little, all are weighed as before.

--- a/martenjunction/decisions/boxes/endpoint_choice.py
+++ b/martenjunction/decisions/boxes/endpoint_choice.py
@@ -6,6 +6,7 @@
 
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import rendezvous
+from martenjunction.decisions.boxes import candidates
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import load_shedding
 
@@ -128,9 +129,10 @@
     if demand.is_engine:
         # Rate-limited endpoints cannot take all requests of a kind, so they are
         # excluded from reservation and affinity.
-        candidates = [r for r in eligible if not r.limited] or eligible
-        reserved = reserved_for_short(candidates, demand, now)
-        owner = _affinity_owner(candidates, demand, reserved)
+        unlimited = [r for r in eligible if not r.limited] or eligible
+        reserved = reserved_for_short(unlimited, demand, now)
+        owner = _affinity_owner(unlimited, demand, reserved)
+        eligible = candidates.sample(eligible, demand, reserved, owner, rng)
     rng.shuffle(eligible)
     choices = [evaluate(r, demand, r.id == owner, now) for r in eligible]
     return min(
--- a/martenjunction/decisions/boxes/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -72,6 +72,8 @@
         tokens_per_event: Tokens in one event of a stream.
         profile: Performance profile of the service's engines.
         prefill_rates: Prefill demand of all requests of the service.
+        peer_prefill_per_s: Prompt tokens per second that are asked of the
+            service's engines through other boxes.
     """
 
     service: str
@@ -86,6 +88,7 @@
     tokens_per_event: int = 1
     profile: engine_profiles.EngineProfile = engine_profiles.EngineProfile()
     prefill_rates: prefill_demand.PrefillRates = prefill_demand.PrefillRates()
+    peer_prefill_per_s: float = 0.0
 
     @property
     def tolerates_prefill(self) -> bool:
--- a/martenjunction/decisions/boxes/prefill_demand.py
+++ b/martenjunction/decisions/boxes/prefill_demand.py
@@ -58,15 +58,17 @@
         """Replaces the demand reported by another box."""
         self._peers[box] = (now, rates)
 
-    def total_rates(self, now: float) -> PrefillRates:
-        """Returns the demand of all boxes with a current report."""
+    def peer_rates(self, now: float) -> PrefillRates:
+        """Returns the demand of the other boxes with a current report."""
         for box, (reported_at, _) in list(self._peers.items()):
             if now - reported_at > PEER_LIFETIME_S:
                 del self._peers[box]
-        rates = [
-            self.own_rates(now),
-            *(reported for _, reported in self._peers.values()),
-        ]
+        rates = [reported for _, reported in self._peers.values()]
         return PrefillRates(
             sum(rate.short for rate in rates), sum(rate.long for rate in rates)
         )
+
+    def total_rates(self, now: float) -> PrefillRates:
+        """Returns the demand of all boxes with a current report."""
+        own, peers = self.own_rates(now), self.peer_rates(now)
+        return PrefillRates(own.short + peers.short, own.long + peers.long)
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -269,8 +269,10 @@
     def _demand(self, admitted: admission.Admission) -> endpoint_records.Demand:
         engine = admitted.service.engine
         engines = self._context.registry.engines
+        name = admitted.service.name
+        now = time.monotonic()
         return endpoint_records.Demand(
-            admitted.service.name,
+            name,
             tuple((part.id, part.tokens) for part in self._facts.parts),
             self._facts.prompt_tokens,
             self._context.zone,
@@ -280,8 +282,9 @@
             admitted.shortest_pause_s,
             admitted.route.gap_target_s,
             1 if engine is None else engine.tokens_per_event,
-            engines.profile(admitted.service.name),
-            engines.prefill_demand(admitted.service.name, time.monotonic()),
+            engines.profile(name),
+            engines.prefill_demand(name, now),
+            engines.peer_prefill_per_s(name, now),
         )
 
     async def _finish_without_endpoint(
--- a/martenjunction/routing/service_engines.py
+++ b/martenjunction/routing/service_engines.py
@@ -54,6 +54,11 @@
         """Returns the learned profile of the engines of a service."""
         return self._service(service).learner.profile
 
+    def peer_prefill_per_s(self, service: str, now: float) -> float:
+        """Returns the prefill demand of a service at the other boxes."""
+        rates = self._service(service).demand.peer_rates(now)
+        return rates.short + rates.long
+
     def prefill_demand(
         self, service: str, now: float
     ) -> prefill_demand.PrefillRates:
--- a/martenjunction_lab/replays/ablations.py
+++ b/martenjunction_lab/replays/ablations.py
@@ -7,6 +7,7 @@
 
 from martenjunction import registry
 from martenjunction.decisions import rendezvous
+from martenjunction.decisions.boxes import candidates
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import engine_profiles
@@ -101,6 +102,18 @@
     return _put(endpoint_choice, "SHARED_PREFILL_COST_S", 0.0)
 
 
+@ablations.register("sample-of-engines")
+def sample() -> contextlib.AbstractContextManager[None]:
+    """Weighs all engines for each request."""
+
+    def whole(
+        records: list[endpoint_records.EndpointRecord], *_: Any
+    ) -> list[endpoint_records.EndpointRecord]:
+        return records
+
+    return _put(candidates, "sample", whole)
+
+
 @contextlib.contextmanager
 def _put(where: Any, name: str, value: Any) -> Iterator[None]:
     before = vars(where)[name]
--- a/martenjunction_lab/replays/loads.py
+++ b/martenjunction_lab/replays/loads.py
@@ -63,12 +63,15 @@
         leaving: Seconds at which some engines say that they leave, and how many
             do; they are gone `notice_s` later.
         notice_s: Seconds between the two.
+        joining: Seconds at which some new engines are ready, and how many are;
+            they hold nothing.
         warm_s: Seconds at the start, while engines hold nothing, whose requests
             do not count.
         length_s: How long requests come.
         boxes: Boxes that decide, each for its part of the requests.
         sums_s: Seconds between two totals of all boxes' loads, as in a large
             fleet; None where each box tells each other one.
+        seed: Draws the requests.
     """
 
     engine_kind: engines.EngineKind
@@ -78,10 +81,12 @@
     lost: tuple[float, ...] = ()
     leaving: tuple[tuple[float, int], ...] = ()
     notice_s: float = 2.0
+    joining: tuple[tuple[float, int], ...] = ()
     warm_s: float = 5.0
     length_s: float = 20.0
     boxes: int = 4
     sums_s: float | None = None
+    seed: int = SEED
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,9 +220,28 @@
     )
 
 
+@loads.register("engines-join-in-a-burst")
+def engines_join_in_a_burst() -> Load:
+    """Over half of the engines leave in a burst, and empty ones come.
+
+    Many boxes decide by the same totals, which are old.
+    """
+    return Load(
+        SHIFTED_ENGINE,
+        12,
+        (SHIFTED_SUMMARY, SHIFTED_DIGEST, SHIFTED_CHAT),
+        (Burst("summary", 5.0, 13.0, 1.6),),
+        leaving=((6.0, 4), (7.3, 3)),
+        joining=((11.0, 3), (13.0, 3)),
+        length_s=15.0,
+        boxes=44,
+        sums_s=0.4,
+    )
+
+
 def arrivals(load: Load) -> Iterator[Arrival]:
     """Draws the requests of a load; the same ones each time."""
-    rng = random.Random(SEED)
+    rng = random.Random(load.seed)
     drawn = []
     for kind in load.kinds:
         at_s = 0.0
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -98,6 +98,8 @@
         self._stepping: set[str] = set()
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = itertools.count()
+        self._joined = itertools.count()
+        self._leaving: set[str] = set()
         self._shortest = min(kind.pause_s for kind in load.kinds)
         self._uncounted = KindResult()
         self.results = {kind.name: KindResult() for kind in load.kinds}
@@ -118,6 +120,8 @@
             self._at(at_s, self._lose)
         for at_s, count in self._load.leaving:
             self._at(at_s, self._leave, count)
+        for at_s, count in self._load.joining:
+            self._at(at_s, self._join, count)
         for index in range(len(self._books)):
             # Boxes do not look and tell at the same moment.
             offset = 0.01 * index
@@ -133,23 +137,23 @@
 
     def _book(self, number: int) -> endpoint_registry.EndpointRegistry:
         listed = endpoint_list.EndpointList()
-        endpoints = [
-            model.Endpoint(
-                name,
-                SERVICE,
-                "127.0.0.1:1",
-                ZONE,
-                self._load.engine_kind.slots,
-                model.EndpointState.READY,
-            )
-            for name in self._engines
-        ]
+        endpoints = [self._endpoint(name) for name in self._engines]
         first = revisions.Revision(1, 1)
         listed.apply_listing([(e, first) for e in endpoints], first, 0.0)
         return endpoint_registry.EndpointRegistry(
             listed, decision_log.DecisionLog(lambda: 0.0), random.Random(number)
         )
 
+    def _endpoint(self, name: str) -> model.Endpoint:
+        return model.Endpoint(
+            name,
+            SERVICE,
+            "127.0.0.1:1",
+            ZONE,
+            self._load.engine_kind.slots,
+            model.EndpointState.READY,
+        )
+
     def _at(self, at_s: float, call: Callable[..., None], *args: Any) -> None:
         heapq.heappush(
             self._events,
@@ -247,6 +251,7 @@
             self._load.engine_kind.tokens_per_event,
             book.engines.profile(SERVICE),
             book.engines.prefill_demand(SERVICE, now),
+            book.engines.peer_prefill_per_s(SERVICE, now),
         )
 
     def _wake(self, now: float, engine: engines.Engine) -> None:
@@ -292,11 +297,23 @@
 
     def _leave(self, now: float, count: int) -> None:
         """Lets some engines say that they leave; they serve for a while."""
-        for name in sorted(self._engines)[:count]:
+        for name in sorted(set(self._engines) - self._leaving)[:count]:
+            self._leaving.add(name)
             for book in self._books:
                 book.listed.mark_draining(name, revisions.Revision(1, 2))
             self._at(now + self._load.notice_s, self._lose, name)
 
+    def _join(self, now: float, count: int) -> None:
+        """Lets some empty engines be listed."""
+        for _ in range(count):
+            name = f"new-{next(self._joined)}"
+            kind = self._load.engine_kind
+            self._engines[name] = engines.Engine(name, kind)
+            for book in self._books:
+                book.listed.apply_entry(
+                    self._endpoint(name), revisions.Revision(1, 2)
+                )
+
     def _lose(self, now: float, name: str | None = None) -> None:
         name = min(self._engines) if name is None else name
         del self._engines[name]
--- a/tests/test_replays.py
+++ b/tests/test_replays.py
@@ -76,3 +76,14 @@
     now = replayed("drafts-burst")
     before = replayed("drafts-burst", "shared-parts")
     assert now.worth > before.worth
+
+
+def test_boxes_with_old_loads_do_not_all_choose_the_same_engine() -> None:
+    # 17 boxes sent 28 prompts to two engines within 0.5 s of their start, as
+    # all saw them empty: first events came after up to 3 s where 0.04 to 1.2 s
+    # were predicted.
+    now = replayed("engines-join-in-a-burst")
+    before = replayed("engines-join-in-a-burst", "sample-of-engines")
+    assert now.worth > before.worth + 0.05
+    late = now.results["summary"].late
+    assert late < 0.9 * before.results["summary"].late
