Weigh the engines that hold all shared parts of a prompt beside those drawn

Cause: prompts share a first part with a quarter of all others and a second one with a few. Nearly every engine holds the first part, so nearly all were weighed again, and the draw changed nothing for the longest prompts.

Change: an engine counts as a holder if it holds all parts that may be shared. The lab's load of engines that join has prompts of two shared parts.

The other loads have prompts of one shared part and are as before.

--- a/martenjunction/decisions/boxes/candidates.py
+++ b/martenjunction/decisions/boxes/candidates.py
@@ -5,8 +5,8 @@
 one that was the least loaded, until the next totals: worst where empty engines
 join in a burst. So engines are drawn, the fewer the more prompts the other
 boxes send meanwhile; two are enough to keep the loads even (the power of two
-choices: Azar and others, 1994; Mitzenmacher, 1996). Those that hold shared
-parts of the prompt are weighed as well.
+choices: Azar and others, 1994; Mitzenmacher, 1996). Those that hold all shared
+parts of the prompt are weighed as well; nearly all hold the first ones.
 """
 
 from collections.abc import Sequence
@@ -48,11 +48,18 @@
     holders = [
         r
         for r in records
-        if (r.id == owner or r.cached_tokens(demand.parts)) and r not in drawn
+        if (r.id == owner or _holds_shared(r, demand)) and r not in drawn
     ]
     return drawn + holders
 
 
+def _holds_shared(
+    record: endpoint_records.EndpointRecord, demand: endpoint_records.Demand
+) -> bool:
+    shared = demand.shared_tokens
+    return 0 < shared <= record.cached_tokens(demand.parts)
+
+
 def _count(engines: int, demand: endpoint_records.Demand) -> int:
     """Returns the number of engines to draw.
 
--- a/martenjunction_lab/replays/loads.py
+++ b/martenjunction_lab/replays/loads.py
@@ -21,6 +21,8 @@
         per_s: Requests in a second.
         shared_tokens: Tokens of the part that requests on a subject share.
         subjects: How many subjects there are.
+        stem_tokens: Tokens of the part before it, which many subjects share.
+        stems: How many such parts there are.
         own_tokens: Tokens of a prompt's own part, in the mean.
         events: Events of an answer, in the mean.
         target_s: Seconds to a first event.
@@ -38,6 +40,8 @@
     target_s: float
     pause_s: float
     worth: float
+    stem_tokens: int = 0
+    stems: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,14 +100,14 @@
     Attributes:
         at_s: When it comes.
         kind: Its kind.
-        subject: Its subject.
+        shared: The parts that it shares with others, with their tokens.
         own_tokens: Tokens of its own part.
         events: Events of its answer.
     """
 
     at_s: float
     kind: Kind
-    subject: str
+    shared: tuple[tuple[str, int], ...]
     own_tokens: int
     events: int
 
@@ -174,6 +178,9 @@
 SHIFTED_SUMMARY = Kind("summary", 4, 54.0, 6_300, 390, 2_890, 7, 1.5, 1.2, 1.4)
 SHIFTED_DIGEST = Kind("digest", 2, 36.0, 568, 550, 1_800, 3, 0.5, 0.5, 1.1)
 SHIFTED_CHAT = Kind("chat", 0, 16.0, 172, 180, 543, 40, 0.3, 0.3, 5.0)
+STEMMED_SUMMARY = dataclasses.replace(
+    SHIFTED_SUMMARY, shared_tokens=3_780, stem_tokens=2_520, stems=4
+)
 SHIFTED_ENGINE = engines.EngineKind(64, 0.0031, 0.0001, 56_900.0, 2_048, 7)
 
 
@@ -229,7 +236,7 @@
     return Load(
         SHIFTED_ENGINE,
         12,
-        (SHIFTED_SUMMARY, SHIFTED_DIGEST, SHIFTED_CHAT),
+        (STEMMED_SUMMARY, SHIFTED_DIGEST, SHIFTED_CHAT),
         (Burst("summary", 5.0, 13.0, 1.6),),
         leaving=((6.0, 4), (7.3, 3)),
         joining=((11.0, 3), (13.0, 3)),
@@ -259,7 +266,7 @@
                 Arrival(
                     at_s,
                     kind,
-                    f"{kind.name}-{rng.randrange(kind.subjects)}",
+                    _shared_parts(kind, rng.randrange(kind.subjects)),
                     _spread(rng, kind.own_tokens),
                     _spread(rng, kind.events),
                 )
@@ -267,6 +274,15 @@
     return iter(sorted(drawn, key=lambda arrival: arrival.at_s))
 
 
+def _shared_parts(kind: Kind, subject: int) -> tuple[tuple[str, int], ...]:
+    """Returns the stem of a subject, if there is one, and the subject."""
+    part = f"{kind.name}-{subject}", kind.shared_tokens
+    if not kind.stem_tokens:
+        return (part,)
+    stem = f"{kind.name}-stem-{subject % kind.stems}", kind.stem_tokens
+    return stem, part
+
+
 def _spread(rng: random.Random, mean: float) -> int:
     """Draws a length: half of them below 0.7 of the mean, some far above."""
     return max(1, round(mean * min(5.0, rng.lognormvariate(-0.32, 0.8))))
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -237,11 +237,8 @@
         kind = arrival.kind
         return endpoint_records.Demand(
             SERVICE,
-            (
-                (arrival.subject, kind.shared_tokens),
-                (f"own-{number}", arrival.own_tokens),
-            ),
-            kind.shared_tokens + arrival.own_tokens,
+            (*arrival.shared, (f"own-{number}", arrival.own_tokens)),
+            sum(tokens for _, tokens in arrival.shared) + arrival.own_tokens,
             ZONE,
             True,
             False,
--- a/tests/test_replays.py
+++ b/tests/test_replays.py
@@ -1,5 +1,6 @@
 """Replays loads in simulated time, with and without each mechanism."""
 
+import dataclasses
 import functools
 
 import pytest
@@ -10,9 +11,12 @@
 
 
 @functools.cache
-def replayed(load: str, without: str = "none") -> replay.Replay:
+def replayed(
+    load: str, without: str = "none", seed: int = loads.SEED
+) -> replay.Replay:
     with ablations.ablations.get(without)():
-        run = replay.Replay(loads.loads.get(load)())
+        drawn = dataclasses.replace(loads.loads.get(load)(), seed=seed)
+        run = replay.Replay(drawn)
         run.run()
     return run
 
@@ -82,8 +86,11 @@
     # 17 boxes sent 28 prompts to two engines within 0.5 s of their start, as
     # all saw them empty: first events came after up to 3 s where 0.04 to 1.2 s
     # were predicted.
-    now = replayed("engines-join-in-a-burst")
-    before = replayed("engines-join-in-a-burst", "sample-of-engines")
-    assert now.worth > before.worth + 0.05
-    late = now.results["summary"].late
-    assert late < 0.9 * before.results["summary"].late
+    load = "engines-join-in-a-burst"
+    seeds = range(21, 24)
+    now = [replayed(load, seed=seed) for seed in seeds]
+    before = [replayed(load, "sample-of-engines", seed) for seed in seeds]
+    gained = sum(run.worth for run in now) - sum(run.worth for run in before)
+    assert gained > 0.05 * len(seeds)
+    late = sum(run.results["summary"].late for run in now)
+    assert late < 0.9 * sum(run.results["summary"].late for run in before)
