--- a/martenjunction/decisions/boxes/candidates.py
+++ b/martenjunction/decisions/boxes/candidates.py
@@ -42,24 +42,19 @@
     count = _count(len(records), demand)
     if count >= len(records):
         return list(records)
-    meant = [r for r in records if (r.id in reserved) is not demand.is_long]
+    is_long, shared = demand.is_long, demand.shared_tokens
+    meant = [r for r in records if (r.id in reserved) is not is_long]
     meant = meant or list(records)
     drawn = rng.sample(meant, min(count, len(meant)))
     holders = [
         r
         for r in records
-        if (r.id == owner or _holds_shared(r, demand)) and r not in drawn
+        if (r.id == owner or 0 < shared <= r.cached_tokens(demand.parts))
+        and r not in drawn
     ]
     return drawn + holders
 
 
-def _holds_shared(
-    record: endpoint_records.EndpointRecord, demand: endpoint_records.Demand
-) -> bool:
-    shared = demand.shared_tokens
-    return 0 < shared <= record.cached_tokens(demand.parts)
-
-
 def _count(engines: int, demand: endpoint_records.Demand) -> int:
     """Returns the number of engines to draw.
 
