Replay clients that leave early, ask again, and come back after a refusal

The lab's clients never came back, so that a refusal had no later cost. Now a load may have clients that leave before their first event and ask another box at once, and ones that come back when they were told to; the target counts from the first ask.

No decision changes yet.

--- a/martenjunction_lab/replays/engines.py
+++ b/martenjunction_lab/replays/engines.py
@@ -79,6 +79,11 @@
         self._queue.append(run)
         self._queue.sort(key=lambda queued: queued.urgency)
 
+    def cancel(self, number: int) -> None:
+        """Drops a request whose client has left."""
+        self._queue = [run for run in self._queue if run.number != number]
+        self._running = [run for run in self._running if run.number != number]
+
     def step(self) -> tuple[float, list[Run]]:
         """Takes one step.
 
--- a/martenjunction_lab/replays/loads.py
+++ b/martenjunction_lab/replays/loads.py
@@ -10,6 +10,9 @@
 
 SEED = 21
 
+# Part of the target after which an impatient client leaves.
+PATIENCE = 0.3
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kind:
@@ -75,6 +78,9 @@
         boxes: Boxes that decide, each for its part of the requests.
         sums_s: Seconds between two totals of all boxes' loads, as in a large
             fleet; None where each box tells each other one.
+        impatient: Part of the clients that leave when no event has come in
+            `PATIENCE` of the target, and ask again at once.
+        returns: Whether refused clients come back, once, when they are told to.
         seed: Draws the requests.
     """
 
@@ -90,6 +96,8 @@
     length_s: float = 20.0
     boxes: int = 4
     sums_s: float | None = None
+    impatient: float = 0.0
+    returns: bool = False
     seed: int = SEED
 
 
@@ -103,6 +111,7 @@
         shared: The parts that it shares with others, with their tokens.
         own_tokens: Tokens of its own part.
         events: Events of its answer.
+        impatient: Whether its client leaves early, and asks again.
     """
 
     at_s: float
@@ -110,6 +119,7 @@
     shared: tuple[tuple[str, int], ...]
     own_tokens: int
     events: int
+    impatient: bool = False
 
 
 DRAFT = Kind("draft", 2, 8.0, 3_780, 74, 2_890, 17, 0.6, 0.3, 3.6)
@@ -246,6 +256,17 @@
     )
 
 
+@loads.register("clients-leave-and-repeat")
+def clients_leave_and_repeat() -> Load:
+    """A third of the clients leave early and ask again, in a burst.
+
+    Refused clients come back when they are told to.
+    """
+    return dataclasses.replace(
+        chats_after_summaries(), impatient=0.35, returns=True
+    )
+
+
 def arrivals(load: Load) -> Iterator[Arrival]:
     """Draws the requests of a load; the same ones each time."""
     rng = random.Random(load.seed)
@@ -269,6 +290,7 @@
                     _shared_parts(kind, rng.randrange(kind.subjects)),
                     _spread(rng, kind.own_tokens),
                     _spread(rng, kind.events),
+                    bool(load.impatient) and rng.random() < load.impatient,
                 )
             )
     return iter(sorted(drawn, key=lambda arrival: arrival.at_s))
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -35,6 +35,10 @@
 TAIL_S = 12.0
 
 
+# Numbers of requests that are asked again begin here.
+FIRST_REPEAT = 1_000_000
+
+
 @dataclasses.dataclass(slots=True)
 class KindResult:
     """What became of the requests of one kind.
@@ -99,6 +103,7 @@
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = itertools.count()
         self._joined = itertools.count()
+        self._repeated = itertools.count(FIRST_REPEAT)
         self._leaving: set[str] = set()
         self._shortest = min(kind.pause_s for kind in load.kinds)
         self._uncounted = KindResult()
@@ -193,14 +198,18 @@
             part.apply(total, now)
 
     def _come(self, now: float, number: int, arrival: loads.Arrival) -> None:
-        kind = arrival.kind
+        self._result(arrival).asked += 1
+        self._ask(now, number, arrival, False)
+
+    def _ask(
+        self, now: float, number: int, arrival: loads.Arrival, again: bool
+    ) -> None:
+        """Decides on a request, which may have been refused before."""
         book = self._books[number % len(self._books)]
-        result = self._result(arrival)
-        result.asked += 1
         demand = self._demand(book, number, arrival, now)
         chosen = book.choose(self._service, demand, set(), now)
         if chosen is None:
-            result.refused += 1
+            self._result(arrival).refused += 1
             return
         endpoint, choice = chosen
         book.engines.note_prefill_demand(
@@ -208,16 +217,20 @@
         )
         pause_s = load_shedding.retry_after_s(
             load_shedding.AdmissionForecast(
-                choice.predicted_s, kind.target_s, False, choice.busy
+                choice.predicted_s, arrival.kind.target_s, again, choice.busy
             )
         )
         if pause_s is not None and not book.serves_lower_tiers(
             self._service, demand.urgency, now
         ):
-            result.refused += 1
+            if self._load.returns and not again:
+                other = next(self._repeated)
+                self._at(now + pause_s, self._ask, other, arrival, True)
+            else:
+                self._result(arrival).refused += 1
             return
         ticket = book.begin(choice, demand, now)
-        self._requests[number] = _Request(arrival, book, ticket, now)
+        self._requests[number] = _Request(arrival, book, ticket, arrival.at_s)
         engine = self._engines[endpoint.id]
         engine.submit(
             engines.Run(
@@ -225,8 +238,21 @@
             ),
             demand.parts[:-1],
         )
+        if arrival.impatient and not again:
+            patience_s = loads.PATIENCE * arrival.kind.target_s
+            self._at(now + patience_s, self._leave_unanswered, number)
         self._wake(now, engine)
 
+    def _leave_unanswered(self, now: float, number: int) -> None:
+        """Lets a client without an event leave, and ask another box at once."""
+        request = self._requests.get(number)
+        if request is None or not request.first:
+            return
+        del self._requests[number]
+        request.book.end(request.ticket, now, failed=False)
+        self._engines[request.at].cancel(number)
+        self._ask(now, next(self._repeated), request.arrival, True)
+
     def _demand(
         self,
         book: endpoint_registry.EndpointRegistry,
@@ -268,7 +294,10 @@
         self._wake(now, engine)
 
     def _event(self, now: float, run: engines.Run) -> None:
-        request = self._requests[run.number]
+        request = self._requests.get(run.number)
+        if request is None:
+            # Its client left during the step.
+            return
         kind = request.arrival.kind
         waited = now - request.heard_at
         request.late |= waited > (
