Bound the wait for regular engines that boot

Found on reading the change: an order beyond a bound of the platform is cut, so that fewer regular engines serve than were ordered; they then counted as booting for as long as the order stood, and no room was made for reclaimable ones.

Regular engines boot for as long as reclaimable ones do, 4 s beyond the time in the settings, by the same count. The new test failed before.

--- a/martenjunction/decisions/duties/engine_orders.py
+++ b/martenjunction/decisions/duties/engine_orders.py
@@ -227,12 +227,7 @@
     ) -> dict[Subject, int]:
         wanted = self._wanted_reclaimable(terms, ready, now)
         present = sum(n for s, n in ready.items() if s.reclaimable)
-        booting = sum(
-            max(0, ordered.count - ordered.max_ready)
-            for subject, ordered in self._ordered.items()
-            if subject.reclaimable
-            and now - ordered.at < terms.boot_s + BOOT_MARGIN_S
-        )
+        booting = self._booting(True, terms, now)
         wanted.update(
             self._wanted_regular(terms, ready, wanted, present, booting, now)
         )
@@ -288,7 +283,8 @@
         if total + booting >= missing:
             # Those on the way will do; none is let go before they serve.
             self._lacking_since = None
-            if booting:
+            # Little gets through to be measured while engines boot.
+            if booting or self._booting(False, terms, now):
                 return {}
             return self._make_room(zones, ready, present, now)
         if self._lacking_since is None:
@@ -316,15 +312,12 @@
         """Returns orders that make room for reclaimable engines.
 
         Only what the recent demand did not need is let go, and a single engine
-        as long as it is not known whether others are to be had. While regular
-        engines boot, none is: little gets through then to be measured.
+        as long as it is not known whether others are to be had.
         """
         standing = {zone: self._regular(zone, ready) for zone in zones}
-        serving = {zone: ready.get(Subject(zone, False), 0) for zone in zones}
-        if any(serving[zone] < standing[zone] for zone in zones):
-            return {}
+        serving = sum(ready.get(Subject(zone, False), 0) for zone in zones)
         recent = max(engines for _, engines in self._recent)
-        spare = present + sum(serving.values()) - math.ceil(recent)
+        spare = present + serving - math.ceil(recent)
         wanted = {}
         for zone in reversed(zones):
             subject = Subject(zone, True)
@@ -339,6 +332,17 @@
                 spare -= fewer
         return wanted
 
+    def _booting(
+        self, reclaimable: bool, terms: model.Scaling, now: float
+    ) -> int:
+        """Returns the engines of a kind that were ordered lately and boot."""
+        return sum(
+            max(0, ordered.count - ordered.max_ready)
+            for subject, ordered in self._ordered.items()
+            if subject.reclaimable is reclaimable
+            and now - ordered.at < terms.boot_s + BOOT_MARGIN_S
+        )
+
     def _regular(self, zone: str, ready: Mapping[Subject, int]) -> int:
         subject = Subject(zone, False)
         ordered = self._ordered.get(subject)
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -151,6 +151,27 @@
     assert sum(regular.values()) + 20 >= planner.need
 
 
+def test_regular_engines_that_never_boot_do_not_keep_the_others() -> None:
+    # An order beyond a bound of the platform is cut, so that fewer serve than
+    # were ordered for as long as the order stands.
+    planner = settled_planner()
+    lost, regular = Subject("zone-c", True), Subject("zone-c", False)
+    planner.note_ordered(lost, 0, 20.0)
+    planner.note_ordered(regular, 20, 20.0)
+    ready = {**ALL_RECLAIMABLE, lost: 0, regular: 18}
+    busy = dataclasses.replace(CALM, prefill_per_s=1_300_000.0)
+    planner.plan(TERMS, ready, busy, 22.0)
+    assert planner.need > 40
+    now, ordered = 22.0, 20
+    while now < 60.0:
+        now += 0.25
+        orders = order_all(planner, ready, CALM, now)
+        ordered = orders.get(regular, ordered)
+        ready[regular] = min(18, ordered)
+        ready[lost] = orders.get(lost, ready[lost])
+    assert ordered == 0
+
+
 def test_unavailable_engines_are_asked_for_at_intervals() -> None:
     planner = settled_planner()
     lost = Subject("zone-c", True)
