Tell why endpoints are not reached, and how many are given up

A box without links and a box before dead endpoints wrote the same line, `not reached`. `endpoint-trust` now names the cause, a time-out or a refusal, and /metrics has the failed connections by cause beside endpoints listed and ejected: all ejected on a few boxes and none on the others are links, all on all boxes are endpoints.

--- a/martenjunction/endpoints/pool.py
+++ b/martenjunction/endpoints/pool.py
@@ -1,5 +1,6 @@
 """Pool of keep-alive connections, limited per endpoint."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import time
@@ -52,6 +53,7 @@
         self._connection_limit = connection_limit
         self._endpoints: dict[str, _Endpoint] = {}
         self._opened = 0
+        self._failed: collections.Counter[str] = collections.Counter()
         self._on_head: OnHead = lambda endpoint, head: None
 
     @property
@@ -59,6 +61,11 @@
         """Number of connections opened since the start."""
         return self._opened
 
+    @property
+    def failed(self) -> dict[str, int]:
+        """Numbers of connections that failed since the start, by cause."""
+        return dict(self._failed)
+
     def open_connections(self, endpoint_id: str) -> int:
         """Returns the number of open connections to an endpoint."""
         entry = self._endpoints.get(endpoint_id)
@@ -156,8 +163,11 @@
         try:
             await connection.open(CONNECT_TIMEOUT_S)
         except errors.NoSocketError as error:
+            self._failed["no-socket"] += 1
             raise errors.EndpointBusyError(f"no socket: {error}") from error
         except errors.ConnectError as error:
+            refused = isinstance(error, errors.PortRefusedError)
+            self._failed["refused" if refused else "not-reached"] += 1
             raise errors.EndpointNotReachedError(str(error)) from error
         if not connection.is_quiet():
             raise errors.EndpointBusyError("new connection closed immediately")
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -542,6 +542,14 @@
                 "held_requests": float(len(self._exchanges)),
                 "endpoint_runs": float(self.registry.running),
                 "endpoint_connections_opened": float(self.pool.total_opened),
+                **{
+                    f"endpoint_connections_{cause.replace('-', '_')}": float(
+                        count
+                    )
+                    for cause, count in self.pool.failed.items()
+                },
+                "endpoints_listed": float(len(self.endpoint_list.entries)),
+                "endpoints_ejected": float(self.registry.ejected_count()),
                 "store_calls": float(sum(calls.values())),
                 "config_version": float(self.store_cache.version),
                 "repeats_refused": float(self.budget.refused),
--- a/martenjunction/routing/endpoint_ejection.py
+++ b/martenjunction/routing/endpoint_ejection.py
@@ -72,11 +72,11 @@
             self._apply(record, endpoint_states.EndpointEvent.TRIAL_PASSED, now)
 
     def note_unreachable(
-        self, record: endpoint_records.EndpointRecord, now: float
+        self, record: endpoint_records.EndpointRecord, now: float, cause: str
     ) -> None:
         """Ejects an endpoint to which no connection could be made."""
         record.health.fault(reached=False)
-        self._eject(record, "not reached", now)
+        self._eject(record, f"not reached: {cause}", now)
 
     def note_broken_response(
         self, record: endpoint_records.EndpointRecord, now: float
--- a/martenjunction/routing/endpoint_liveness.py
+++ b/martenjunction/routing/endpoint_liveness.py
@@ -96,7 +96,9 @@
             connection = await self._connections.connect(endpoint)
         except errors.EndpointNotReachedError as error:
             # Spares the other runs there from detecting this one by one.
-            self._registry.note_unreachable(endpoint.id, time.monotonic())
+            self._registry.note_unreachable(
+                endpoint.id, time.monotonic(), str(error)
+            )
             return isinstance(error.__cause__, errors.PortRefusedError)
         except errors.EndpointError:
             return False
--- a/martenjunction/routing/endpoint_registry.py
+++ b/martenjunction/routing/endpoint_registry.py
@@ -6,6 +6,7 @@
 
 from martenjunction import model
 from martenjunction.decisions import endpoint_refusals
+from martenjunction.decisions import endpoint_states
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_limits
 from martenjunction.decisions.boxes import endpoint_list
@@ -153,6 +154,14 @@
         """The number of in-flight requests."""
         return len(self._tickets)
 
+    def ejected_count(self) -> int:
+        """Returns the number of listed endpoints that are ejected."""
+        return sum(
+            record.health.state is endpoint_states.EndpointState.EJECTED
+            for record in self._records.values()
+            if record.id in self._listed.entries
+        )
+
     def choose(
         self,
         service: model.Service,
@@ -410,11 +419,19 @@
         """Records that an endpoint, full or leaving, refused a request."""
         self._records[endpoint_id].refusals.record_refusal(now)
 
-    def note_unreachable(self, endpoint_id: str, now: float) -> None:
-        """Records that no connection to an endpoint could be made."""
+    def note_unreachable(
+        self, endpoint_id: str, now: float, cause: str
+    ) -> None:
+        """Records that no connection to an endpoint could be made.
+
+        Args:
+            endpoint_id: The endpoint.
+            now: The current time.
+            cause: The error, for the log.
+        """
         record = self._records.get(endpoint_id)
         if record is not None:
-            self._ejection.note_unreachable(record, now)
+            self._ejection.note_unreachable(record, now, cause)
 
     def note_broken_response(self, endpoint_id: str, now: float) -> None:
         """Records that a response of an endpoint was broken off."""
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -277,11 +277,11 @@
                 self._state.failure = f"{endpoint.id}: {error}"
                 self._avoid.add(endpoint.id)
                 continue
-            except errors.EndpointNotReachedError:
+            except errors.EndpointNotReachedError as error:
                 self._state.offers.append(endpoint.id)
                 self._avoid.add(endpoint.id)
                 self._context.registry.note_unreachable(
-                    endpoint.id, time.monotonic()
+                    endpoint.id, time.monotonic(), str(error)
                 )
                 continue
             grant = await self._grant(endpoint, connection)
