--- a/martenjunction/decisions/boxes/box_states.py
+++ b/martenjunction/decisions/boxes/box_states.py
@@ -19,12 +19,21 @@
 
 
 class State(enum.IntEnum):
-    """What is known of a box; of two words of one age the higher one holds."""
+    """What is known of a box; of two words of one age the higher one holds.
+
+    Attributes:
+        READY: It accepts clients.
+        CUT_OFF: It accepts clients, but its own connections reach no endpoint.
+        UNREADY: It accepts no clients.
+        LEAVING: It is shutting down.
+        SILENT: Other boxes do not reach it.
+    """
 
     READY = 0
-    UNREADY = 1
-    LEAVING = 2
-    SILENT = 3
+    CUT_OFF = 1
+    UNREADY = 2
+    LEAVING = 3
+    SILENT = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +45,7 @@
         zone: Its availability zone.
         callers: Its address for callers.
         peers: Its address for other boxes.
+        tunnels: Its address for tunnels to endpoints; "" for none.
         link_kb: Bandwidth of its link in kilobytes per second.
         incarnation: Increases with each start; 0 if it is only listed.
         number: Increases with each change of the box's own word.
@@ -46,6 +56,7 @@
     zone: str
     callers: str
     peers: str
+    tunnels: str
     link_kb: int
     incarnation: int
     number: int
--- a/martenjunction/endpoints/pool.py
+++ b/martenjunction/endpoints/pool.py
@@ -3,7 +3,10 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import enum
+import functools
 import time
+from typing import Protocol
 
 from martenjunction import errors
 from martenjunction import model
@@ -30,6 +33,59 @@
 
 
 OnHead = Callable[[model.Endpoint, messages.ResponseHead], None]
+OnConnectionHead = Callable[[messages.ResponseHead], None]
+
+
+class Reuse(enum.Enum):
+    """Whether an idle connection may carry a request.
+
+    Attributes:
+        NOW: It may.
+        LATER: Not at the moment.
+        NEVER: It is to be closed.
+    """
+
+    NOW = "now"
+    LATER = "later"
+    NEVER = "never"
+
+
+class Connector(Protocol):
+    """Opens connections to endpoints."""
+
+    async def open(
+        self, endpoint: model.Endpoint, on_head: OnConnectionHead
+    ) -> client.ClientConnection:
+        """Returns a new connection.
+
+        Raises:
+            NoSocketError: If this box has no socket.
+            PortRefusedError: If the endpoint refuses the connection.
+            ConnectError: If the endpoint is not reached.
+        """
+
+    def reuse(
+        self, endpoint_id: str, connection: client.ClientConnection
+    ) -> Reuse:
+        """Returns whether an idle connection may carry a request."""
+
+
+class DirectConnector:
+    """Opens connections of this box alone."""
+
+    async def open(
+        self, endpoint: model.Endpoint, on_head: OnConnectionHead
+    ) -> client.ClientConnection:
+        """Returns a new connection; see `Connector.open`."""
+        connection = client.ClientConnection(endpoint.address, on_head)
+        await connection.open(CONNECT_TIMEOUT_S)
+        return connection
+
+    def reuse(
+        self, endpoint_id: str, connection: client.ClientConnection
+    ) -> Reuse:
+        """Returns that it may."""
+        return Reuse.NOW
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,13 +99,20 @@
 class EndpointPool:
     """Connections of this box to all endpoints."""
 
-    def __init__(self, connection_limit: Callable[[str], int]) -> None:
+    def __init__(
+        self,
+        connection_limit: Callable[[str], int],
+        connector: Connector | None = None,
+    ) -> None:
         """Initializes an empty pool.
 
         Args:
             connection_limit: Returns the maximum number of connections of this
                 box to an endpoint of a service.
+            connector: Opens the connections; if left out, they are all
+                connections of this box alone.
         """
+        self._connector = connector or DirectConnector()
         self._connection_limit = connection_limit
         self._endpoints: dict[str, _Endpoint] = {}
         self._opened = 0
@@ -90,7 +153,7 @@
             EndpointNotReachedError: If the connection cannot be opened.
         """
         entry = self._endpoints.setdefault(endpoint.id, _Endpoint())
-        connection = self._acquire_idle(entry, repeatable)
+        connection = self._acquire_idle(endpoint.id, entry, repeatable)
         return connection or await self.connect(endpoint)
 
     async def connect(
@@ -105,18 +168,13 @@
         entry = self._endpoints.setdefault(endpoint.id, _Endpoint())
         if entry.open >= self._connection_limit(endpoint.service):
             raise errors.EndpointBusyError("connection limit reached")
-        connection = client.ClientConnection(
-            endpoint.address, lambda head: self._on_head(endpoint, head)
-        )
         entry.open += 1
         self._opened += 1
         try:
-            await self._open(endpoint, connection)
+            return await self._open(endpoint)
         except BaseException:
-            connection.abort()
             entry.open -= 1
             raise
-        return connection
 
     def release(
         self, endpoint_id: str, connection: client.ClientConnection
@@ -142,26 +200,23 @@
     def expire(self) -> None:
         """Closes connections whose idle time has expired."""
         now = time.monotonic()
-        for entry in self._endpoints.values():
-            self._close_idle(
-                entry,
-                lambda c: (
-                    not c.is_reusable()
-                    or now - c.idle_since
-                    > _keep_alive_s(c) - IDLE_TIMEOUT_MARGIN_S
-                ),
-            )
+        for endpoint_id, entry in self._endpoints.items():
+            if entry.idle:
+                self._close_idle(
+                    entry,
+                    functools.partial(self._is_expired, endpoint_id, now),
+                )
 
     def close(self) -> None:
         """Closes all idle connections."""
         for entry in self._endpoints.values():
             self._close_idle(entry, lambda _: True)
 
-    async def _open(
-        self, endpoint: model.Endpoint, connection: client.ClientConnection
-    ) -> None:
+    async def _open(self, endpoint: model.Endpoint) -> client.ClientConnection:
         try:
-            await connection.open(CONNECT_TIMEOUT_S)
+            connection = await self._connector.open(
+                endpoint, lambda head: self._on_head(endpoint, head)
+            )
         except errors.NoSocketError as error:
             self._failed["no-socket"] += 1
             raise errors.EndpointBusyError(f"no socket: {error}") from error
@@ -170,18 +225,33 @@
             self._failed["refused" if refused else "not-reached"] += 1
             raise errors.EndpointNotReachedError(str(error)) from error
         if not connection.is_quiet():
+            connection.abort()
             raise errors.EndpointBusyError("new connection closed immediately")
+        return connection
+
+    def _is_expired(
+        self, endpoint_id: str, now: float, connection: client.ClientConnection
+    ) -> bool:
+        idle_s = now - connection.idle_since
+        return (
+            not connection.is_reusable()
+            or idle_s > _keep_alive_s(connection) - IDLE_TIMEOUT_MARGIN_S
+            or self._connector.reuse(endpoint_id, connection) is Reuse.NEVER
+        )
 
     def _acquire_idle(
-        self, entry: _Endpoint, repeatable: bool
+        self, endpoint_id: str, entry: _Endpoint, repeatable: bool
     ) -> client.ClientConnection | None:
         now = time.monotonic()
-        while entry.idle:
-            connection = entry.idle.pop()
+        for connection in reversed(list(entry.idle)):
+            reuse = self._connector.reuse(endpoint_id, connection)
+            if reuse is Reuse.LATER:
+                continue
+            entry.idle.remove(connection)
             limit = _keep_alive_s(connection) - IDLE_TIMEOUT_MARGIN_S
             if not repeatable:
                 limit = min(limit, MAX_UNREPEATABLE_IDLE_S)
-            fresh = now - connection.idle_since < limit
+            fresh = reuse is Reuse.NOW and now - connection.idle_since < limit
             # The socket itself is checked: a request that may not be repeated
             # would have an unknown outcome if sent on a closed connection.
             if fresh and connection.is_quiet():
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -12,11 +12,14 @@
 from martenjunction import events
 from martenjunction import metrics
 from martenjunction import timers
+from martenjunction.decisions.boxes import box_states
 from martenjunction.decisions.boxes import config_freshness
 from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.decisions.boxes import load_shedding
 from martenjunction.decisions.boxes import retry_budget
 from martenjunction.decisions.boxes import tier_precedence
+from martenjunction.decisions.boxes import tunnel_choice
 from martenjunction.decisions.duties import lease
 from martenjunction.duties import fleet_duties
 from martenjunction.endpoints import pool
@@ -34,6 +37,7 @@
 from martenjunction.routing import box_state_sync
 from martenjunction.routing import closing_log
 from martenjunction.routing import decision_log
+from martenjunction.routing import endpoint_connector
 from martenjunction.routing import endpoint_liveness
 from martenjunction.routing import endpoint_notices
 from martenjunction.routing import endpoint_registry
@@ -49,10 +53,13 @@
 from martenjunction.routing import peer_sync
 from martenjunction.routing import prober
 from martenjunction.routing import rate_grants
+from martenjunction.routing import reachable_boxes
 from martenjunction.routing import request_content
 from martenjunction.routing import request_quarantine
 from martenjunction.routing import store_cache
 from martenjunction.routing import usage_log
+from martenjunction.tunnels import dialer
+from martenjunction.tunnels import server as tunnel_server
 
 # Seconds between checks for silent endpoints, expired entries and requests
 # that should move to another endpoint.
@@ -70,9 +77,6 @@
 # before a graceful shutdown ends.
 ENTRY_TTL_S = 1.0
 
-# Maximum number of addresses in a resolve response.
-MAX_ENTRIES = 64
-
 # Seconds before the platform kills a stopping box at which the box ends the
 # requests that are still in flight.
 STOP_MARGIN_S = 0.4
@@ -86,11 +90,6 @@
 # ENTRY_TTL_S plus a margin.
 LINGER_S = 3.5
 
-# Minimum number of ready boxes in a client's own availability zone for a
-# resolve response to omit other zones. One box is not enough because it may
-# fail before the client resolves again.
-MIN_READY_IN_ZONE = 2
-
 KB = 1000
 
 # Seconds after the first start of the whole fleet at which seeds are connected
@@ -133,6 +132,7 @@
             settings.peers,
             incarnation=time.time_ns(),
             link_kb=int(settings.link_bytes_s / KB),
+            tunnels=settings.tunnels,
         )
         self.members = membership.Membership(
             own, self.timers, self._on_members_changed
@@ -154,7 +154,35 @@
             self.log,
             self.timers.now,
         )
-        self.pool = pool.EndpointPool(self._connection_share)
+        self.paths = endpoint_paths.EndpointPaths()
+        self.tunnel_dialer = dialer.TunnelDialer(
+            settings.box,
+            _peer_key(settings),
+            lambda: self.reachable.tunnel_peers(),
+            lambda box: self.reachable.reaches(box),
+            tunnel_choice.TunnelPeers(settings.zone, self._rng),
+            self.timers,
+        )
+        self.connector = endpoint_connector.EndpointConnector(
+            self.paths,
+            self.endpoint_list,
+            self.tunnel_dialer,
+            self.timers,
+            self.log,
+            self._rng,
+        )
+        self.registry.observe_paths(self.connector)
+        self.connector.on_cut(self._on_path_cut)
+        self.tunnels = tunnel_server.TunnelServer(
+            _peer_key(settings),
+            self.endpoint_list,
+            self.paths,
+            self.connector.confirm_failure,
+            lambda: not self.leaving,
+            settings.max_descriptors,
+            self.timers,
+        )
+        self.pool = pool.EndpointPool(self._connection_share, self.connector)
         self.budget = retry_budget.RetryBudget(
             settings.retry_ratio,
             settings.retry_allowance,
@@ -173,6 +201,7 @@
                 settings.peers,
                 own.incarnation,
                 link_kb=own.link_kb,
+                tunnels=own.tunnels,
             ),
             self.log,
             self._rng,
@@ -200,7 +229,7 @@
             self.members,
             self.timers,
             self.log,
-            self._is_ready,
+            self._state,
             self._rng,
         )
         self.box_states.on_contradicted(self.follower.check_own_entry)
@@ -213,10 +242,20 @@
             self.timers,
             self.log,
             self._is_ready,
+            lambda: self.connector.reaches_endpoints,
             self.follower,
             self.overlay,
             stamps,
         )
+        self.reachable = reachable_boxes.ReachableBoxes(
+            self.members,
+            self.overlay,
+            self.sync,
+            self.box_states,
+            self._is_ready,
+            lambda: self.connector.reaches_endpoints,
+            self._rng,
+        )
         self.load_exchange = load_exchange.LoadExchange(
             self.overlay, self.peers, self.registry, self.timers, self._rng
         )
@@ -249,7 +288,7 @@
         )
         self.pool.on_head(self.notices.take)
         self.liveness = endpoint_liveness.EndpointLiveness(
-            self.registry, self.pool
+            self.registry, self.pool, self.connector.confirm_failure
         )
         self.quarantine = request_quarantine.RequestQuarantine(
             self.endpoint_list,
@@ -303,6 +342,8 @@
         )
         self._entry.listen_on(self._settings.entry)
         self._callers.listen_on(self._settings.callers)
+        if self._settings.tunnels:
+            self.tunnels.listen_on(self._settings.tunnels)
         self.sync.start()
         self.box_states.start(self.events)
         self.load_exchange.start(self.events)
@@ -313,6 +354,7 @@
         self.grants.start()
         self.usage.start()
         self.prober.start()
+        self.connector.start()
         self.follower.start()
         self.duties.start(self.events)
         await self.peers.start()
@@ -357,7 +399,7 @@
                 # Requests that are still being read have no exchange yet, so
                 # each connection checks that it is idle before it closes.
                 self._callers.finish()
-            if self._callers.ended:
+            if self._callers.ended and not self.tunnels.open:
                 break
             remaining = max(0.0, deadline - self.timers.now())
             await asyncio.sleep(min(WATCH_INTERVAL_S, remaining))
@@ -384,9 +426,11 @@
         for listening, wait in zip(servers, waits, strict=True):
             wait.cancel()
             listening.close_all()
+        self.tunnels.close_all()
         await self.duties.stop()
         await self.prober.stop()
         await self.liveness.stop()
+        await self.connector.stop()
         await self.follower.stop()
         await self.timers.stop()
         await self.peers.stop()
@@ -493,7 +537,7 @@
             await connection.answer(404, [], b"")
             return
         _, zone = documents.decode_resolve_query(_query_fields(request))
-        addresses = self._entries(zone)
+        addresses = self.reachable.entries(zone)
         if not addresses:
             await connection.answer(503, [], b"")
             return
@@ -504,31 +548,6 @@
             documents.encode_resolve_response(addresses, ttl),
         )
 
-    def _entries(self, zone: str) -> list[str]:
-        """Returns box addresses for a client, those in its zone first."""
-        boxes = self._ready_boxes()
-        if self._is_ready():
-            boxes.append(self.members.own)
-        if not boxes:
-            # No box is known to be ready; any live box is better than none.
-            boxes = self.members.live_members()
-        same_zone = [member for member in boxes if member.zone == zone]
-        if len(same_zone) >= MIN_READY_IN_ZONE:
-            boxes = same_zone
-        self._rng.shuffle(boxes)
-        boxes.sort(key=lambda member: member.zone != zone)
-        return [member.callers for member in boxes[:MAX_ENTRIES]]
-
-    def _ready_boxes(self) -> list[membership.Member]:
-        """Returns the other boxes that accept clients."""
-        if not self.overlay.is_sparse:
-            return self.sync.ready_boxes()
-        return [
-            member
-            for member in self.sync.responsive_peers()
-            if self.box_states.is_ready(member.box)
-        ]
-
     def _metrics_text(self) -> bytes:
         # Imported on first use because it takes 2 MB of memory, which matters
         # on a small box.
@@ -548,6 +567,10 @@
                     )
                     for cause, count in self.pool.failed.items()
                 },
+                "tunnels_opened": float(self.tunnel_dialer.opened),
+                "tunnels_failed": float(self.tunnel_dialer.failed),
+                "tunnels_open_for_peers": float(self.tunnels.open),
+                "tunnels_served": float(self.tunnels.served),
                 "endpoints_listed": float(len(self.endpoint_list.entries)),
                 "endpoints_ejected": float(self.registry.ejected_count()),
                 "store_calls": float(sum(calls.values())),
@@ -586,6 +609,19 @@
             return True
         return self.freshness.allows_keys_at(self.timers.now())
 
+    def _state(self) -> box_states.State:
+        """Returns the state of this box, unless it leaves."""
+        if not self._is_ready():
+            return box_states.State.UNREADY
+        if not self.connector.reaches_endpoints:
+            return box_states.State.CUT_OFF
+        return box_states.State.READY
+
+    def _on_path_cut(self, endpoint_id: str, connections_lost: bool) -> None:
+        self.registry.note_path_cut(
+            endpoint_id, connections_lost, self.timers.now()
+        )
+
     def _stopping_for_s(self) -> float | None:
         """Returns seconds since a graceful shutdown began, or None."""
         if self._leaving_since is None:
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -16,7 +16,6 @@
 import h11
 from tornado import iostream
 
-from martenjunction import addresses
 from martenjunction import errors
 from martenjunction.http1 import messages
 from martenjunction.http1 import peeks
@@ -70,6 +69,11 @@
         """The server's IP address and port."""
         return self._address
 
+    @property
+    def is_direct(self) -> bool:
+        """Whether this box is connected to the server itself."""
+        return True
+
     @property
     def idle_since(self) -> float:
         """Monotonic time at which the last response was complete."""
@@ -91,26 +95,11 @@
             PortRefusedError: If the connection is refused.
             ConnectError: If the connection fails; nothing was sent.
         """
-        host, port = addresses.split_address(self._address)
-        stream = _new_stream()
+        stream = streams.new_stream()
         self._stream = stream
         try:
-            connecting = stream.connect((host, port))
-            # Unlike wait_for, wait leaves the future to be checked after the
-            # timeout: a connection that was established while the event loop
-            # was blocked still counts.
-            await asyncio.wait([connecting], timeout=timeout_s)
-            if not connecting.done():
-                raise TimeoutError
-            connecting.result()
-        except OSError as error:
-            self.abort()
-            if _is_refusal(error):
-                raise errors.PortRefusedError(
-                    f"{host} refused the connection"
-                ) from error
-            raise errors.ConnectError(f"cannot connect to {host}") from error
-        except asyncio.CancelledError:
+            await streams.connect(stream, self._address, timeout_s)
+        except (errors.ConnectError, asyncio.CancelledError):
             self.abort()
             raise
         if self._closed:
@@ -348,27 +337,6 @@
                 ) from error
 
 
-def _new_stream() -> iostream.IOStream:
-    """Returns a stream over a new, unconnected socket.
-
-    Raises:
-        NoSocketError: If no socket can be created.
-    """
-    try:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        streams.set_socket_options(sock)
-    except OSError as error:
-        raise errors.NoSocketError(str(error)) from error
-    return iostream.IOStream(sock, max_buffer_size=streams.MAX_BUFFER_BYTES)
-
-
-def _is_refusal(error: OSError) -> bool:
-    """Returns whether the error is or wraps ECONNREFUSED."""
-    if isinstance(error, iostream.StreamClosedError):
-        return isinstance(error.real_error, ConnectionRefusedError)
-    return isinstance(error, ConnectionRefusedError)
-
-
 def _parse_head(event: h11.Response) -> messages.ResponseHead:
     headers = [(bytes(n), bytes(v)) for n, v in event.headers.raw_items()]
     head = messages.ResponseHead(event.status_code, headers)
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -8,6 +8,7 @@
 
 from tornado import iostream
 
+from martenjunction import addresses
 from martenjunction import errors
 from martenjunction.http1 import peeks
 
@@ -41,6 +42,59 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
 
 
+def new_stream() -> iostream.IOStream:
+    """Returns a stream over a new, unconnected socket.
+
+    Raises:
+        NoSocketError: If no socket can be created.
+    """
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        set_socket_options(sock)
+    except OSError as error:
+        raise errors.NoSocketError(str(error)) from error
+    return iostream.IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
+
+
+async def connect(
+    stream: iostream.IOStream, address: str, timeout_s: float
+) -> None:
+    """Connects a new stream; the caller closes it after a failure.
+
+    Args:
+        stream: The stream.
+        address: IP address and port.
+        timeout_s: Timeout in seconds.
+
+    Raises:
+        PortRefusedError: If the connection is refused.
+        ConnectError: If the connection fails.
+    """
+    host, port = addresses.split_address(address)
+    try:
+        connecting = stream.connect((host, port))
+        # Unlike wait_for, wait leaves the future to be checked after the
+        # timeout: a connection that was established while the event loop was
+        # blocked still counts.
+        await asyncio.wait([connecting], timeout=timeout_s)
+        if not connecting.done():
+            raise TimeoutError
+        connecting.result()
+    except OSError as error:
+        if _is_refusal(error):
+            raise errors.PortRefusedError(
+                f"{host} refused the connection"
+            ) from error
+        raise errors.ConnectError(f"cannot connect to {host}") from error
+
+
+def _is_refusal(error: OSError) -> bool:
+    """Returns whether the error is or wraps ECONNREFUSED."""
+    if isinstance(error, iostream.StreamClosedError):
+        return isinstance(error.real_error, ConnectionRefusedError)
+    return isinstance(error, ConnectionRefusedError)
+
+
 def peer_address(stream: iostream.IOStream) -> str:
     """Returns the peer's IP address and port, or "" if disconnected."""
     try:
--- a/martenjunction/peers/links.py
+++ b/martenjunction/peers/links.py
@@ -281,6 +281,7 @@
             own.callers,
             own.operators,
             own.peers,
+            own.tunnels,
             own.link_kb,
             own.incarnation,
             proof(key, "welcome", hello.nonce, own.box),
@@ -313,6 +314,7 @@
             own.callers,
             own.operators,
             own.peers,
+            own.tunnels,
             own.link_kb,
             own.incarnation,
             nonce,
@@ -337,6 +339,7 @@
         message.peers,
         message.incarnation,
         link_kb=message.link_kb,
+        tunnels=message.tunnels,
     )
 
 
--- a/martenjunction/peers/membership.py
+++ b/martenjunction/peers/membership.py
@@ -42,6 +42,7 @@
         told: Whether other daemons told of it and did not call it silent.
         silent_since: Time when it was first called silent, by this daemon or
             others, from `Timers.listened`, or None.
+        tunnels: Its address for tunnels to endpoints; "" for none.
     """
 
     box: str
@@ -58,6 +59,7 @@
     link_kb: int = 0
     told: bool = False
     silent_since: float | None = None
+    tunnels: str = ""
 
 
 class Membership:
@@ -160,6 +162,7 @@
         before = (known.listed, known.leaving_since, known.silent_since)
         known.listed = live
         known.link_kb = known.link_kb or member.link_kb
+        known.tunnels = known.tunnels or member.tunnels
         if live and member.incarnation > known.incarnation:
             # The entry is of a later start than the one that was silent.
             known.silent_since = None
@@ -190,6 +193,7 @@
             member.listed_since = self._timers.stall_adjusted_now()
             self._members[member.box] = known = member
         known.link_kb = known.link_kb or member.link_kb
+        known.tunnels = known.tunnels or member.tunnels
         known.told = not silent
         if not silent:
             known.silent_since = None
@@ -213,6 +217,7 @@
         current = self._members[member.box]
         current.last_heartbeat_at = self._timers.stall_adjusted_now()
         current.link_kb = current.link_kb or member.link_kb
+        current.tunnels = member.tunnels
         current.silent_since = None
         self._changed()
 
--- a/martenjunction/peers/messages.py
+++ b/martenjunction/peers/messages.py
@@ -20,6 +20,7 @@
     """The connecting daemon identifies and authenticates itself.
 
     Attributes:
+        tunnels: The daemon's address for tunnels to endpoints; "" for none.
         link_kb: Bandwidth of the daemon's link in kilobytes per second; 0 if
             unknown.
         incarnation: Increases with each start of the daemon.
@@ -33,6 +34,7 @@
     callers: str
     operators: str
     peers: str
+    tunnels: str
     link_kb: int
     incarnation: int
     nonce: bytes
@@ -49,6 +51,7 @@
     callers: str
     operators: str
     peers: str
+    tunnels: str
     link_kb: int
     incarnation: int
     proof: bytes
--- a/martenjunction/platform/box_settings.py
+++ b/martenjunction/platform/box_settings.py
@@ -61,6 +61,7 @@
         ready: Address of the readiness check.
         entry: Address where clients resolve the gateways' addresses.
         peers: Address for other daemons.
+        tunnels: Address for other daemons' tunnels to endpoints; "" for none.
         seeds: Addresses of daemons of some boxes, which may no longer exist.
         store: Address of the platform's store.
         memory_bytes: Limit on the process's memory in bytes.
@@ -111,6 +112,7 @@
     first_start: bool = False
     duties: DutySettings | None = None
     metrics_port: int = METRICS_PORT
+    tunnels: str = ""
 
 
 def read(path: str) -> BoxSettings:
@@ -170,9 +172,16 @@
         max_entry_ttl_s=float(bounds["ttl_max_s"]),
         first_start=bool(table.get("bootstrap", False)),
         duties=_decode_duties(table.get("cloud", {}), bounds),
+        tunnels=_tunnels_address(table),
     )
 
 
+def _tunnels_address(table: dict[str, Any]) -> str:
+    """Returns an address within the range of ports for daemons, or ""."""
+    ports = table.get("port_range", ())
+    return f"{table['ip']}:{int(ports[0])}" if ports else ""
+
+
 def _decode_duties(
     cloud: dict[str, Any], bounds: dict[str, Any]
 ) -> DutySettings | None:
--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -144,6 +144,7 @@
         leaving: Whether the daemon is shutting down gracefully.
         link_kb: Bandwidth of the box's link in kilobytes per second; 0 if
             unknown.
+        tunnels: The daemon's address for tunnels to endpoints; "" for none.
     """
 
     box: _NonEmptyStr
@@ -153,6 +154,7 @@
     incarnation: _NonNegativeInt
     leaving: bool = False
     link_kb: _NonNegativeInt = 0
+    tunnels: str = ""
 
 
 _KINDS = {
@@ -307,6 +309,8 @@
         entry = msgspec.json.decode(spec, type=BoxEntry)
         _check_address(entry.callers)
         _check_address(entry.peers)
+        if entry.tunnels:
+            _check_address(entry.tunnels)
     except _DECODE_ERRORS as error:
         raise errors.PlatformError(f"malformed box entry: {error}") from error
     if entry.box != name:
--- a/martenjunction/routing/box_state_sync.py
+++ b/martenjunction/routing/box_state_sync.py
@@ -50,6 +50,7 @@
     zones: tuple[str, ...]
     callers: tuple[str, ...]
     peers: tuple[str, ...]
+    tunnels: tuple[str, ...]
     link_kb: tuple[int, ...]
     incarnations: tuple[int, ...]
     numbers: tuple[int, ...]
@@ -80,7 +81,7 @@
         members: membership.Membership,
         clock: timers.Timers,
         log: decision_log.DecisionLog,
-        is_ready: Callable[[], bool],
+        own_state: Callable[[], box_states.State],
         rng: random.Random,
         call_later: CallLater | None = None,
     ) -> None:
@@ -92,7 +93,7 @@
             members: The boxes of the fleet; updated with what is told of them.
             clock: The clock and timers.
             log: Records boxes that are called silent.
-            is_ready: Returns whether this box accepts clients.
+            own_state: Returns the state of this box, unless it leaves.
             rng: Draws the boxes to compare tables with.
             call_later: Calls a function after some seconds; the event loop does
                 if left out.
@@ -104,7 +105,7 @@
         self._members = members
         self._timers = clock
         self._log = log
-        self._is_ready = is_ready
+        self._own_state = own_state
         self._table = box_states.BoxStateTable(_first_row(members.own))
         self._pending: dict[str, tuple[box_states.BoxState, str]] = {}
         self._missing_since: dict[str, float] = {}
@@ -135,6 +136,14 @@
     def is_ready(self, box: str) -> bool:
         """Returns whether a box last said that it accepts clients."""
         row = self._table.find(box)
+        return row is not None and row.state in (
+            box_states.State.READY,
+            box_states.State.CUT_OFF,
+        )
+
+    def reaches_endpoints(self, box: str) -> bool:
+        """Returns whether a ready box last said that it reaches endpoints."""
+        row = self._table.find(box)
         return row is not None and row.state is box_states.State.READY
 
     def leave(self) -> None:
@@ -143,10 +152,7 @@
 
     def _check(self) -> None:
         if self._table.own.state is not box_states.State.LEAVING:
-            ready = self._is_ready()
-            self._set_own(
-                box_states.State.READY if ready else box_states.State.UNREADY
-            )
+            self._set_own(self._own_state())
 
     def _set_own(self, state: box_states.State) -> None:
         changed = self._table.set_own(state, self._timers.now())
@@ -210,6 +216,7 @@
                 row.peers,
                 row.incarnation,
                 link_kb=row.link_kb,
+                tunnels=row.tunnels,
             ),
             row.state is box_states.State.SILENT,
         )
@@ -276,6 +283,7 @@
         member.zone,
         member.callers,
         member.peers,
+        member.tunnels,
         member.link_kb,
         member.incarnation,
         0,
@@ -290,6 +298,7 @@
         tuple(row.zone for row in listed),
         tuple(row.callers for row in listed),
         tuple(row.peers for row in listed),
+        tuple(row.tunnels for row in listed),
         tuple(row.link_kb for row in listed),
         tuple(row.incarnation for row in listed),
         tuple(row.number for row in listed),
--- a/martenjunction/routing/endpoint_ejection.py
+++ b/martenjunction/routing/endpoint_ejection.py
@@ -11,6 +11,12 @@
 ENGINE_SILENCE_TIMEOUT_S = 1.0
 SINGLE_SILENCE_TIMEOUT_S = 1.5
 
+# Time, in seconds, without a byte from such an endpoint, beyond a multiple of
+# the predicted time, after which the path to it is checked.
+PLAIN_QUIET_S = 0.1
+ENGINE_QUIET_S = 0.3
+QUIET_FACTOR = 2.0
+
 # Time, in seconds, for which an ejected endpoint due for a trial waits for a
 # repeatable request before it is probed with a health check.
 PROBE_DELAY_S = 1.5
@@ -44,6 +50,27 @@
     return now - since > timeout_s
 
 
+def is_quiet(
+    record: endpoint_records.EndpointRecord,
+    pending_since: list[float],
+    expected_s: float,
+    last_received_at: float,
+    now: float,
+) -> bool:
+    """Returns whether the path to an endpoint is worth a check.
+
+    Args:
+        record: The endpoint.
+        pending_since: The send times of its pending requests.
+        expected_s: Predicted seconds to the first byte of the slowest of them.
+        last_received_at: When the last byte was received; 0 for never.
+        now: The current time.
+    """
+    base_s = ENGINE_QUIET_S if record.cache_tokens else PLAIN_QUIET_S
+    since = max(min(pending_since), last_received_at)
+    return now - since > base_s + QUIET_FACTOR * expected_s
+
+
 def due_for_probe(record: endpoint_records.EndpointRecord, now: float) -> bool:
     """Returns whether an ejected endpoint needs a health check."""
     return (
@@ -92,6 +119,17 @@
         """Ejects a silent endpoint."""
         self._eject(record, "silent", now)
 
+    def reinstate(
+        self, record: endpoint_records.EndpointRecord, now: float
+    ) -> None:
+        """Reinstates an ejected endpoint that a peer reaches."""
+        self._apply(
+            record,
+            endpoint_states.EndpointEvent.TRIAL_PASSED,
+            now,
+            "a peer reaches it",
+        )
+
     def note_probe_result(
         self, record: endpoint_records.EndpointRecord, healthy: bool, now: float
     ) -> None:
--- a/martenjunction/routing/endpoint_liveness.py
+++ b/martenjunction/routing/endpoint_liveness.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import time
 
@@ -23,6 +24,7 @@
 RESULT_TTL_S = 0.25
 
 EndCallback = Callable[[str], None]
+Confirm = Callable[[str], Awaitable[bool]]
 
 
 class EndpointLiveness:
@@ -32,13 +34,17 @@
         self,
         registry: endpoint_registry.EndpointRegistry,
         connections: pool.EndpointPool,
+        confirm: Confirm | None = None,
     ) -> None:
         """Initializes the checker.
 
         Args:
             registry: The endpoint registry; records unreachable endpoints.
             connections: The connection pool.
+            confirm: Returns whether a refused connection is the endpoint's
+                failure; it always is if left out.
         """
+        self._confirm = confirm
         self._registry = registry
         self._connections = connections
         self._checks: dict[str, asyncio.Task[bool]] = {}
@@ -99,7 +105,9 @@
             self._registry.note_unreachable(
                 endpoint.id, time.monotonic(), str(error)
             )
-            return isinstance(error.__cause__, errors.PortRefusedError)
+            if not isinstance(error.__cause__, errors.PortRefusedError):
+                return False
+            return self._confirm is None or await self._confirm(endpoint.id)
         except errors.EndpointError:
             return False
         self._connections.release(endpoint.id, connection)
--- a/martenjunction/routing/endpoint_registry.py
+++ b/martenjunction/routing/endpoint_registry.py
@@ -3,6 +3,7 @@
 import math
 import random
 from typing import Any
+from typing import Protocol
 
 from martenjunction import model
 from martenjunction.decisions import endpoint_refusals
@@ -42,6 +43,7 @@
             run.
         resumed: Whether the run continues an earlier one, so that only a part
             of its prompt is read.
+        direct: Whether its connection is this box's own.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         now: float,
         listened: float,
         resumed: bool = False,
+        direct: bool = True,
     ) -> None:
         """Initializes the ticket of a request that is about to be sent.
 
@@ -60,6 +63,7 @@
             now: The current time.
             listened: The current time on the registry's listening clock.
             resumed: Whether the run continues an earlier one.
+            direct: Whether its connection is this box's own.
         """
         self.record = choice.record
         self.choice = choice
@@ -71,6 +75,7 @@
         self.move_requested = False
         self.endpoint_restarted = False
         self.resumed = resumed
+        self.direct = direct
 
 
 def describe(choice: endpoint_choice.Choice) -> dict[str, Any]:
@@ -99,6 +104,32 @@
 OutcomeRow = tuple[str, float, float]
 
 
+class EndpointPathObserver(Protocol):
+    """Knows the paths of this box to endpoints."""
+
+    def is_trusted(self, endpoint_id: str) -> bool:
+        """Returns whether a failure may be held against the endpoint."""
+
+    def note_heard(self, endpoint_id: str, now: float) -> None:
+        """Records bytes that came over an own connection."""
+
+    def check(self, endpoint_id: str) -> None:
+        """Checks the path to an endpoint that is unusually quiet."""
+
+
+class _NoPaths:
+    """Paths that are never in doubt."""
+
+    def is_trusted(self, endpoint_id: str) -> bool:
+        return True
+
+    def note_heard(self, endpoint_id: str, now: float) -> None:
+        pass
+
+    def check(self, endpoint_id: str) -> None:
+        pass
+
+
 class EndpointRegistry:
     """Tracks the endpoints of all services and selects one per request."""
 
@@ -128,6 +159,7 @@
         self._scale = 1.0
         self._last_tick_at = math.inf
         self._stalled_s = 0.0
+        self._paths: EndpointPathObserver = _NoPaths()
 
     @property
     def listed(self) -> endpoint_list.EndpointList:
@@ -154,6 +186,29 @@
         """The number of in-flight requests."""
         return len(self._tickets)
 
+    def observe_paths(self, paths: EndpointPathObserver) -> None:
+        """Sets the object that knows the paths of this box to endpoints."""
+        self._paths = paths
+
+    def note_path_cut(
+        self, endpoint_id: str, connections_lost: bool, now: float
+    ) -> None:
+        """Records that a peer reaches an endpoint and this box does not.
+
+        Args:
+            endpoint_id: The endpoint.
+            connections_lost: Whether its open connections are lost as well.
+            now: The current time.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None:
+            return
+        self._ejection.reinstate(record, now)
+        if connections_lost:
+            for ticket in self._tickets:
+                if ticket.record is record and ticket.direct:
+                    ticket.move_requested = True
+
     def ejected_count(self) -> int:
         """Returns the number of listed endpoints that are ejected."""
         return sum(
@@ -314,6 +369,7 @@
         demand: endpoint_records.Demand,
         now: float,
         resumed: bool = False,
+        direct: bool = True,
     ) -> RunTicket:
         """Records that a request is sent to the selected endpoint.
 
@@ -322,9 +378,10 @@
             demand: The resources that the request needs.
             now: The current time.
             resumed: Whether the run continues an earlier one.
+            direct: Whether its connection is this box's own.
         """
         ticket = RunTicket(
-            choice, demand, now, self._listening_time(now), resumed
+            choice, demand, now, self._listening_time(now), resumed, direct
         )
         choice.record.loads.add(demand.load_key, 1, choice.prefill_tokens)
         if demand.is_engine:
@@ -342,6 +399,8 @@
         record = ticket.record
         listened = self._listening_time(now)
         self._last_received[record.id] = listened
+        if ticket.direct:
+            self._paths.note_heard(record.id, now)
         self._ejection.note_response(record, now)
         record.refusals.record_answer(ticket.started_at)
         ticket.move_requested = False
@@ -407,9 +466,11 @@
         unread = ticket.choice.prefill_tokens if ticket.waiting else 0
         record.loads.add(ticket.demand.load_key, -1, -unread)
         ticket.waiting = False
-        if not (failed and now < record.refusals.backoff_until):
+        in_backoff = now < record.refusals.backoff_until
+        if not failed or (not in_backoff and self._paths.is_trusted(record.id)):
             # The back-off alone keeps work away; afterwards the endpoint gets
-            # its full share again.
+            # its full share again. A path that is in doubt says nothing about
+            # the endpoint, here or at the boxes that are told of failures.
             record.failures.add(1.0 if failed else 0.0)
             record.outcomes.record(failed, now)
         if not failed and not ticket.demand.is_engine:
@@ -470,6 +531,8 @@
             pending.setdefault(ticket.record.id, []).append(ticket)
         for tickets in pending.values():
             if not self._is_silent(tickets, now):
+                if self._is_quiet(tickets, now):
+                    self._paths.check(tickets[0].record.id)
                 continue
             self._ejection.note_silence(tickets[0].record, now)
             for ticket in tickets:
@@ -618,6 +681,18 @@
             self._listening_time(now),
         )
 
+    def _is_quiet(self, tickets: list[RunTicket], now: float) -> bool:
+        """Returns whether an endpoint is quiet for longer than expected."""
+        return endpoint_ejection.is_quiet(
+            tickets[0].record,
+            [ticket.sent_at for ticket in tickets],
+            max(t.choice.predicted_s for t in tickets if t.waiting)
+            if any(t.waiting for t in tickets)
+            else 0.0,
+            self._last_received.get(tickets[0].record.id, 0.0),
+            self._listening_time(now),
+        )
+
     def _decay_idle(self) -> None:
         """Decays the statistics of idle endpoints to their best-case values."""
         for record in self._records.values():
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -132,6 +132,7 @@
             demand,
             time.monotonic(),
             offer.continues or self._state.delivered_id is not None,
+            run.connection.is_direct,
         )
         self._running, self._ticket = run, ticket
         self._run_counted = False
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/follower.py
@@ -455,4 +455,5 @@
         entry.peers,
         entry.incarnation,
         link_kb=entry.link_kb,
+        tunnels=entry.tunnels,
     )
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -13,6 +13,7 @@
 
     Attributes:
         ready: Whether the box accepts clients.
+        reaches: Whether its own connections reach endpoints.
         version: Version of the configuration in force; 0 for none.
         revision: The store's revision up to which it knows the endpoints.
         reads: Whether it reads from the store and gets answers.
@@ -43,6 +44,7 @@
     """
 
     ready: bool
+    reaches: bool
     version: int
     revision: revisions.Revision
     reads: bool
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/peer_sync.py
@@ -60,6 +60,7 @@
         clock: timers.Timers,
         log: decision_log.DecisionLog,
         is_ready: Callable[[], bool],
+        reaches_endpoints: Callable[[], bool],
         reader: follower.StoreFollower,
         place: fleet_overlay.FleetOverlay,
         stamps: peer_stamps.PeerStamps,
@@ -75,6 +76,8 @@
             clock: The clock and timers.
             log: Records configuration changes and unusable messages.
             is_ready: Returns whether this box accepts clients.
+            reaches_endpoints: Returns whether its own connections reach
+                endpoints.
             reader: Reads from the store when this box is a reader.
             place: The place of this box in the trees of a large fleet.
             stamps: The stamps of frames to and from peers.
@@ -89,6 +92,7 @@
         self._timers = clock
         self._log = log
         self._is_ready = is_ready
+        self._reaches_endpoints = reaches_endpoints
         self._reader = reader
         self._reading = store_reading.StoreReading(
             reader, members, place, clock
@@ -140,6 +144,7 @@
         engines = self._registry.engines.rows(self._timers.now())
         return peer_messages.BoxStatus(
             self._is_ready(),
+            self._reaches_endpoints(),
             self._cache.version,
             self._registry.listed.revision,
             self._reader.is_synced,
@@ -177,6 +182,10 @@
             if self._views.is_ready(member.box)
         ]
 
+    def reaches_endpoints(self, box: str) -> bool:
+        """Returns whether a ready box lately said that it reaches endpoints."""
+        return self._views.reaches_endpoints(box)
+
     def responsive_peers(self) -> list[membership.Member]:
         """Returns the live boxes that can be asked.
 
--- a/martenjunction/routing/peer_views.py
+++ b/martenjunction/routing/peer_views.py
@@ -26,6 +26,7 @@
             box's event loop, to detect that the box is silent.
         stamp: What the box knows.
         ready: Whether the box accepts clients.
+        reaches: Whether its own connections reach endpoints.
         link_kb: Bandwidth of its link in kilobytes per second.
     """
 
@@ -33,6 +34,7 @@
     listened_at: float
     stamp: peer_stamps.PeerStamp
     ready: bool
+    reaches: bool
     link_kb: int
 
 
@@ -55,15 +57,15 @@
         stamp = peer_stamps.PeerStamp(
             status.age_ms, status.version, status.revision, status.reads, False
         )
-        self._record(box, stamp, status.ready, status.link_kb)
+        self._record(box, stamp, status.ready, status.reaches, status.link_kb)
 
     def record_stamp(self, box: str, stamp: peer_stamps.PeerStamp) -> None:
         """Records the stamp of a frame."""
         known = self._views.get(box)
         if known is None:
-            self._record(box, stamp, False, 0)
+            self._record(box, stamp, False, True, 0)
         else:
-            self._record(box, stamp, known.ready, known.link_kb)
+            self._record(box, stamp, known.ready, known.reaches, known.link_kb)
 
     def is_recent(self, box: str) -> bool:
         """Returns whether something came from a connected box lately."""
@@ -78,6 +80,10 @@
         """Returns whether a box lately said that it accepts clients."""
         return self.is_recent(box) and self._views[box].ready
 
+    def reaches_endpoints(self, box: str) -> bool:
+        """Returns whether a ready box lately said that it reaches endpoints."""
+        return self.is_ready(box) and self._views[box].reaches
+
     def version(self, box: str) -> int:
         """Returns the version of a box's configuration; 0 if unknown."""
         known = self._views.get(box)
@@ -116,13 +122,19 @@
         )
 
     def _record(
-        self, box: str, stamp: peer_stamps.PeerStamp, ready: bool, link_kb: int
+        self,
+        box: str,
+        stamp: peer_stamps.PeerStamp,
+        ready: bool,
+        reaches: bool,
+        link_kb: int,
     ) -> None:
         self._views[box] = PeerView(
             self._timers.now(),
             self._timers.stall_adjusted_now(),
             stamp,
             ready,
+            reaches,
             link_kb,
         )
 
--- /dev/null
+++ b/martenjunction/tunnels/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to endpoints through another box, one hop."""
--- /dev/null
+++ b/martenjunction/tunnels/server.py
@@ -0,0 +1,255 @@
+"""Connects to endpoints for peers whose own connections fail."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+import logging
+import math
+
+from tornado import iostream
+from tornado import tcpserver
+
+from martenjunction import addresses
+from martenjunction import errors
+from martenjunction import model
+from martenjunction import timers
+from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import endpoint_paths
+from martenjunction.http1 import streams
+from martenjunction.tunnels import framing
+from martenjunction.tunnels import handshake
+
+logger = logging.getLogger(__name__)
+
+# Seconds within which a request for a tunnel must arrive.
+REQUEST_TIMEOUT_S = 2.0
+
+# Seconds within which the endpoint must accept the connection.
+CONNECT_TIMEOUT_S = 0.25
+
+# Bytes that may wait for a slow receiver. The other side's end is noticed late
+# while more than that wait.
+MAX_WAITING_BYTES = 256 * 1024
+
+# Part of this box's descriptors for tunnels, which take two each.
+DESCRIPTORS_FRACTION = 0.25
+
+# Minimum seconds between log lines about requests that are malformed.
+LOG_INTERVAL_S = 60.0
+
+BACKLOG = 256
+
+
+class _End(enum.Enum):
+    """How one side of a tunnel ended."""
+
+    CLOSED = "closed"
+    BROKEN = "broken"
+
+
+class TunnelServer(tcpserver.TCPServer):
+    """Passes bytes between peers and endpoints."""
+
+    def __init__(
+        self,
+        key: str,
+        listed: endpoint_list.EndpointList,
+        paths: endpoint_paths.EndpointPaths,
+        confirm: Callable[[str], Awaitable[bool]],
+        accepts: Callable[[], bool],
+        max_descriptors: int,
+        clock: timers.Timers,
+    ) -> None:
+        """Initializes the server; `listen_on` starts it.
+
+        Args:
+            key: The key that all boxes share.
+            listed: The endpoints, as listed for this box.
+            paths: The paths of this box to them.
+            confirm: Returns whether a failed connection is the endpoint's
+                failure.
+            accepts: Returns whether new tunnels are opened.
+            max_descriptors: File descriptors of this box.
+            clock: Provides the time.
+        """
+        super().__init__(max_buffer_size=streams.MAX_BUFFER_BYTES)
+        self._key = key
+        self._listed = listed
+        self._paths = paths
+        self._confirm = confirm
+        self._accepts = accepts
+        self._max_tunnels = int(max_descriptors * DESCRIPTORS_FRACTION / 2)
+        self._timers = clock
+        self._streams: set[iostream.IOStream] = set()
+        self._tunnels = 0
+        self._served = 0
+        self._logged_at = -math.inf
+
+    @property
+    def open(self) -> int:
+        """Number of open tunnels."""
+        return self._tunnels
+
+    @property
+    def served(self) -> int:
+        """Number of tunnels opened for peers since the start."""
+        return self._served
+
+    def listen_on(self, address: str) -> None:
+        """Starts to listen.
+
+        Args:
+            address: IP address and port.
+        """
+        host, port = addresses.split_address(address)
+        self.listen(port, host, backlog=BACKLOG)
+
+    def close_all(self) -> None:
+        """Stops listening and closes all tunnels immediately."""
+        self.stop()
+        for stream in list(self._streams):
+            stream.close()
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[str, int]
+    ) -> None:
+        """Serves one peer's connection."""
+        self._streams.add(stream)
+        try:
+            streams.set_socket_options(stream.socket)
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                data = await stream.read_until(
+                    handshake.END, max_bytes=handshake.MAX_BYTES
+                )
+            await self._serve(stream, data)
+        except (
+            OSError,
+            iostream.UnsatisfiableReadError,
+        ) as error:
+            # The peer left or sent no request; there is nobody to answer.
+            logger.debug("a tunnel from %s ended: %s", address[0], error)
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+
+    async def _serve(self, stream: iostream.IOStream, data: bytes) -> None:
+        try:
+            request = handshake.decode_request(data, self._key)
+        except errors.PeerError as error:
+            self._log_malformed(error)
+            await stream.write(
+                handshake.encode_answer(handshake.Status.FORBIDDEN)
+            )
+            return
+        upstream = None
+        try:
+            status = self._check(request)
+            if status is handshake.Status.CONNECTED:
+                upstream = streams.new_stream()
+                status = await self._connect(upstream, request)
+            await stream.write(handshake.encode_answer(status))
+            if upstream is not None and status is handshake.Status.CONNECTED:
+                await self._pass_on(stream, upstream)
+        except errors.NoSocketError:
+            await stream.write(
+                handshake.encode_answer(handshake.Status.NO_PATH)
+            )
+        finally:
+            if upstream is not None:
+                self._streams.discard(upstream)
+                upstream.close()
+
+    def _check(self, request: handshake.TunnelRequest) -> handshake.Status:
+        """Returns `CONNECTED` if a tunnel may be opened."""
+        listed = self._listed.entries.get(request.endpoint_id)
+        if (
+            listed is None
+            or listed.endpoint.address != request.address
+            or listed.endpoint.state is not model.EndpointState.READY
+            or not self._listed.is_ready(request.endpoint_id)
+        ):
+            return handshake.Status.UNKNOWN
+        if (
+            not self._accepts()
+            or self._tunnels >= self._max_tunnels
+            or not self._paths.is_trusted(request.endpoint_id)
+        ):
+            return handshake.Status.NO_PATH
+        return handshake.Status.CONNECTED
+
+    async def _connect(
+        self, upstream: iostream.IOStream, request: handshake.TunnelRequest
+    ) -> handshake.Status:
+        """Connects to the endpoint; a failure puts the own path in doubt."""
+        self._streams.add(upstream)
+        endpoint_id = request.endpoint_id
+        try:
+            await streams.connect(upstream, request.address, CONNECT_TIMEOUT_S)
+        except errors.ConnectError as error:
+            refused = isinstance(error, errors.PortRefusedError)
+            self._paths.note_failed(endpoint_id, refused, self._timers.now())
+            if not await self._confirm(endpoint_id):
+                return handshake.Status.NO_PATH
+            return (
+                handshake.Status.REFUSED
+                if refused
+                else handshake.Status.TIMED_OUT
+            )
+        self._paths.note_connected(endpoint_id, self._timers.now())
+        return handshake.Status.CONNECTED
+
+    async def _pass_on(
+        self, stream: iostream.IOStream, upstream: iostream.IOStream
+    ) -> None:
+        """Passes bytes both ways until one side ends.
+
+        The peer never closes its sending side alone, so its end ends the
+        endpoint's connection as well, and thereby what runs there.
+        """
+        self._tunnels += 1
+        self._served += 1
+        loop = asyncio.get_running_loop()
+        from_peer = loop.create_task(_copy(stream, upstream, False))
+        from_endpoint = loop.create_task(_copy(upstream, stream, True))
+        copies = {from_peer, from_endpoint}
+        try:
+            await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+            if not stream.closed():
+                # The endpoint ended; what it sent before is still passed on.
+                await asyncio.wait([from_endpoint])
+            if (
+                from_endpoint.done()
+                and from_endpoint.result() is _End.CLOSED
+                and not stream.closed()
+            ):
+                await stream.write(framing.END)
+        finally:
+            self._tunnels -= 1
+            for one in copies:
+                one.cancel()
+            await asyncio.gather(*copies, return_exceptions=True)
+
+    def _log_malformed(self, error: errors.PeerError) -> None:
+        now = self._timers.now()
+        if now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            logger.warning("refusing a tunnel: %s", error)
+
+
+async def _copy(
+    source: iostream.IOStream, target: iostream.IOStream, framed: bool
+) -> _End:
+    """Passes bytes on; returns how the source, or the target, ended."""
+    waiting = 0
+    try:
+        while True:
+            data = await source.read_bytes(streams.CHUNK_BYTES, partial=True)
+            written = target.write(framing.encode(data) if framed else data)
+            written.add_done_callback(streams.retrieve_exception)
+            waiting += len(data)
+            if waiting > MAX_WAITING_BYTES:
+                await written
+                waiting = 0
+    except iostream.StreamClosedError as error:
+        return _End.CLOSED if error.real_error is None else _End.BROKEN
--- a/martenjunction_lab/boxes.py
+++ b/martenjunction_lab/boxes.py
@@ -31,6 +31,7 @@
         "ready": bench.free_address(),
         "entry": bench.free_address(),
         "peers": bench.free_address(),
+        "tunnels": bench.free_address(),
         "seeds": (),
         "store": store,
         "memory_bytes": 150 * 1024 * 1024,
--- a/martenjunction_lab/endpoint_links.py
+++ b/martenjunction_lab/endpoint_links.py
@@ -49,22 +49,32 @@
         self._flows.set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self.mode = Mode.OPEN
         self.connects = 0
 
     async def start(self) -> tuple[str, int]:
         """Begins to listen; returns the address."""
         self._server = await asyncio.start_server(
-            self._relay, "127.0.0.1", 0, backlog=256
+            self._accept, "127.0.0.1", 0, backlog=256
         )
         host, port = self._server.sockets[0].getsockname()
         return host, port
 
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.ensure_future(self._relay(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def stop(self) -> None:
         """Ends all connections."""
         if self._server is not None:
             self._server.close()
         self._reset()
+        for task in self._tasks:
+            task.cancel()
 
     def set_mode(self, mode: Mode) -> None:
         """Changes what happens to connections from now on."""
@@ -122,8 +132,10 @@
         """Initializes a table whose links are open."""
         self._links: dict[tuple[str, str], _Link] = {}
         self._ways: dict[tuple[str, str], tuple[str, int]] = {}
-        self._refused = _refusing_address()
+        refusing = _refusing_socket()
+        self._refused: tuple[str, int] = refusing.getsockname()
         self._hanging, self._sockets = _hanging_address()
+        self._sockets.append(refusing)
 
     async def add(self, boxes: list[str], target: str) -> None:
         """Puts links before an endpoint.
@@ -208,12 +220,14 @@
     writer.transport.abort()
 
 
-def _refusing_address() -> tuple[str, int]:
-    """Returns an address at which nothing listens."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        host, port = sock.getsockname()
-    return host, port
+def _refusing_socket() -> socket.socket:
+    """Returns a socket whose address refuses connections.
+
+    It stays bound, so that no other process listens there.
+    """
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    return sock
 
 
 def _hanging_address() -> tuple[tuple[str, int], list[socket.socket]]:
@@ -230,5 +244,5 @@
         sock.setblocking(False)
         sock.connect_ex(listening.getsockname())
         sockets.append(sock)
-    host, port = listening.getsockname()
-    return (host, port), sockets
+    address: tuple[str, int] = listening.getsockname()
+    return address, sockets
--- a/martenjunction_lab/spread/fleet.py
+++ b/martenjunction_lab/spread/fleet.py
@@ -12,6 +12,7 @@
 
 from martenjunction import events
 from martenjunction import timers
+from martenjunction.decisions.boxes import box_states
 from martenjunction.decisions.boxes import config_freshness
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import store_readers
@@ -224,6 +225,7 @@
             self.clock,
             log,
             lambda: True,
+            lambda: True,
             self.reading,  # type: ignore[arg-type]
             self.place,
             self.stamps,
@@ -234,7 +236,7 @@
             self.members,
             self.clock,
             log,
-            lambda: True,
+            lambda: box_states.State.READY,
             random.Random(1),
             lambda s, call: simulation.at(simulation.now + s, call),
         )
--- a/martenjunction_lab/unlinked_boxes.py
+++ b/martenjunction_lab/unlinked_boxes.py
@@ -141,7 +141,7 @@
     return waits[len(waits) // 2] if waits else 0.0
 
 
-class _LinkedBoxes(boxes.Boxes):
+class LinkedBoxes(boxes.Boxes):
     """Boxes whose connections are known as their own."""
 
     async def add_box(self, box: str, **changes: Any) -> gateway.Gateway:
@@ -162,7 +162,7 @@
             trial: What is played.
         """
         super().__init__(trial.seed)
-        self.boxes = _LinkedBoxes()
+        self.boxes = LinkedBoxes()
         self.trial = trial
         self.outcome = Outcome(trial)
         self._links = endpoint_links.LinkTable()
@@ -225,7 +225,7 @@
         cut_off = set(self.boxes.addresses[: self.trial.cut_boxes])
         while time.monotonic() < until:
             for made in gateways[self.trial.cut_boxes :]:
-                named = cut_off & set(made._entries("zone-a"))
+                named = cut_off & set(made.reachable.entries("zone-a"))
                 after_s = time.monotonic() - self._cut_at
                 self.outcome.named.append((after_s, len(named)))
             await asyncio.sleep(ENTRY_INTERVAL_S)
--- a/tests/routing_builders.py
+++ b/tests/routing_builders.py
@@ -156,11 +156,13 @@
 
 def settings_text(settings: box_settings.BoxSettings) -> str:
     """Returns the settings file that the platform would write."""
+    first_port = int(settings.tunnels.rpartition(":")[2])
     return f"""
 node = "{settings.box}"
 zone = "{settings.zone}"
 region = "{settings.region}"
 ip = "{settings.ip}"
+port_range = [{first_port}, {first_port + 15}]
 seeds = {json.dumps(list(settings.seeds))}
 unknown = "skipped"
 [listen]
--- a/tests/test_box_states.py
+++ b/tests/test_box_states.py
@@ -13,7 +13,7 @@
 
 
 def row(box: str, state: State = State.READY, number: int = 1) -> Row:
-    return Row(box, "zone-a", "1:1", "1:2", 100, 7, number, state)
+    return Row(box, "zone-a", "1:1", "1:2", "1:3", 100, 7, number, state)
 
 
 def table(own: str = "own") -> box_states.BoxStateTable:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -158,7 +158,7 @@
     return {
         address
         for zone in ("zone-0", "zone-1")
-        for address in gateway._entries(zone)  # type: ignore[attr-defined]
+        for address in gateway.reachable.entries(zone)  # type: ignore[attr-defined]
     }
 
 
--- a/tests/test_peer_flow.py
+++ b/tests/test_peer_flow.py
@@ -22,7 +22,15 @@
 def status(**changes: Any) -> peer_messages.BoxStatus:
     empty: tuple[Any, ...] = ()
     initial = peer_messages.BoxStatus(
-        True, 1, builders.rev(1), True, 0, 0, False, *(empty for _ in range(12))
+        True,
+        True,
+        1,
+        builders.rev(1),
+        True,
+        0,
+        0,
+        False,
+        *(empty for _ in range(12)),
     )
     return dataclasses.replace(initial, **changes)
 
--- a/tests/test_peer_stamps.py
+++ b/tests/test_peer_stamps.py
@@ -36,7 +36,7 @@
 
 def states_message(**changes: object) -> box_state_sync.BoxStates:
     row = box_states.BoxState(
-        "a", "zone-a", "1:1", "1:2", 9, 7, 1, box_states.State.READY
+        "a", "zone-a", "1:1", "1:2", "1:3", 9, 7, 1, box_states.State.READY
     )
     message = box_state_sync._encode([row])
     return dataclasses.replace(message, **changes)  # type: ignore[arg-type]
--- a/tests/test_peer_traffic.py
+++ b/tests/test_peer_traffic.py
@@ -52,7 +52,15 @@
 def status() -> peer_messages.BoxStatus:
     empty: tuple[Any, ...] = ()
     return peer_messages.BoxStatus(
-        True, 1, builders.rev(1), True, 0, 0, False, *(empty for _ in range(12))
+        True,
+        True,
+        1,
+        builders.rev(1),
+        True,
+        0,
+        0,
+        False,
+        *(empty for _ in range(12)),
     )
 
 
