Leave boxes that reach no endpoint out of entry answers

Clients were sent to boxes without links to endpoints to the end of the cut: an entry answer named each box that was ready. Such boxes are left out while a quarter of the ready ones is left: fewer could not take the clients of all, and these boxes serve through their peers.

--- a/martenjunction/decisions/boxes/entry_choice.py
+++ b/martenjunction/decisions/boxes/entry_choice.py
@@ -1,7 +1,8 @@
 """The boxes whose addresses a client is given.
 
 Answers the load pattern in which clients keep choosing boxes that serve them
-worse: those of another availability zone.
+worse: boxes that reach no endpoint by themselves are left out while enough
+others are left to take their clients.
 """
 
 from collections.abc import Iterable
@@ -16,6 +17,10 @@
 # fail before the client resolves again.
 MIN_READY_IN_ZONE = 2
 
+# Minimum part of the ready boxes that must reach endpoints for the others to be
+# left out. Fewer could not take the clients of all.
+MIN_REACHING_FRACTION = 0.25
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryBox:
@@ -24,10 +29,12 @@
     Attributes:
         address: Its address for clients' requests.
         zone: Its availability zone.
+        reaches: Whether its own connections reach endpoints.
     """
 
     address: str
     zone: str
+    reaches: bool = True
 
 
 def select(
@@ -41,6 +48,9 @@
         rng: Spreads the clients.
     """
     chosen = list(boxes)
+    reaching = [box for box in chosen if box.reaches]
+    if len(reaching) >= MIN_REACHING_FRACTION * len(chosen):
+        chosen = reaching
     same_zone = [box for box in chosen if box.zone == zone]
     if len(same_zone) >= MIN_READY_IN_ZONE:
         chosen = same_zone
--- a/martenjunction/routing/reachable_boxes.py
+++ b/martenjunction/routing/reachable_boxes.py
@@ -79,9 +79,16 @@
             zone: The client's availability zone.
         """
         own = self._members.own
-        boxes = [entry_choice.EntryBox(m.callers, m.zone) for m in self.ready()]
+        boxes = [
+            entry_choice.EntryBox(m.callers, m.zone, self.reaches(m.box))
+            for m in self.ready()
+        ]
         if self._is_ready():
-            boxes.append(entry_choice.EntryBox(own.callers, own.zone))
+            boxes.append(
+                entry_choice.EntryBox(
+                    own.callers, own.zone, self._reaches_endpoints()
+                )
+            )
         if not boxes:
             # No box is known to be ready; any live box is better than none.
             boxes = [
--- a/tests/test_endpoint_paths.py
+++ b/tests/test_endpoint_paths.py
@@ -1,10 +1,11 @@
-"""Decisions on the own paths to endpoints."""
+"""Decisions on the own paths to endpoints, and on boxes named to clients."""
 
 import random
 
 import pytest
 
 from martenjunction.decisions.boxes import endpoint_paths
+from martenjunction.decisions.boxes import entry_choice
 from martenjunction.decisions.boxes import tunnel_choice
 
 State = endpoint_paths.PathState
@@ -150,3 +151,27 @@
     choice.note_failed("a", 5.0)
     assert choice.select([peer("a")], 5.5) == []
     assert choice.select([peer("a")], 5.0 + tunnel_choice.PENALTY_S)
+
+
+def entries(*reaching: bool) -> list[entry_choice.EntryBox]:
+    return [
+        entry_choice.EntryBox(str(number), "zone-a", reaches)
+        for number, reaches in enumerate(reaching)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("boxes", "named"),
+    [
+        (entries(True, True, False), {"0", "1"}),
+        (entries(True, False, False, False), {"0"}),
+        (entries(False, False), {"0", "1"}),
+        (entries(True, *[False] * 5), {"0", "1", "2", "3", "4", "5"}),
+        ([], set()),
+    ],
+)
+def test_boxes_that_reach_no_endpoint_are_left_out_while_enough_are_left(
+    boxes: list[entry_choice.EntryBox], named: set[str]
+) -> None:
+    chosen = entry_choice.select(boxes, "zone-a", random.Random(1))
+    assert set(chosen) == named
