Grant places at endpoints that fall over when they reject

Endpoints may say in all answers that they fall over when they turn more than N requests away in a second.

The holder of an endpoint, which grants rates already, now grants places there, as many as it has slots, and keeps questions in line until one is returned. The word is told to all boxes like a limit and counts for all endpoints of a service. Nothing is asked where no endpoint says so.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -35,6 +35,7 @@
 from martenjunction.routing import admission
 from martenjunction.routing import box_dump
 from martenjunction.routing import box_state_sync
+from martenjunction.routing import brittleness_sync
 from martenjunction.routing import closing_log
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_connector
@@ -271,6 +272,9 @@
         self.limits = limit_sync.LimitSync(
             self.registry, self.peers, self.members, self.timers, self.log
         )
+        self.brittleness = brittleness_sync.BrittlenessSync(
+            self.registry, self.peers, self.members, self.timers, self.log
+        )
         self.grants = rate_grants.RateGrants(
             self.registry,
             self.limits,
@@ -282,6 +286,7 @@
         self.notices = endpoint_notices.EndpointNotices(
             self.leaving_endpoints,
             self.limits,
+            self.brittleness,
             self.registry,
             self.timers.now,
             self.log,
@@ -351,6 +356,7 @@
         self.quarantine.start()
         self.leaving_endpoints.start(self.events)
         self.limits.start(self.events)
+        self.brittleness.start(self.events)
         self.grants.start()
         self.usage.start()
         self.prober.start()
@@ -579,6 +585,9 @@
                 "endpoints_leaving": float(len(self.endpoint_list.leaving)),
                 "endpoints_resting": float(self.registry.backoff_count(now)),
                 "endpoints_limited": float(len(self.registry.limits.limited())),
+                "endpoints_brittle": float(
+                    len(self.registry.brittle.limited())
+                ),
                 "grants_given": float(self.grants.granted),
                 "grants_refused": float(self.grants.refused),
                 "suspects": float(len(self.quarantine.dump())),
--- a/martenjunction/platform/notices.py
+++ b/martenjunction/platform/notices.py
@@ -8,6 +8,7 @@
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
 _LIMIT = b"server-limit"
+_BRITTLE = b"server-brittle"
 _ENDPOINT_ID = b"martenjunction-replica-id"
 _REQUEST_ID = b"martenjunction-attempt-id"
 
@@ -28,6 +29,11 @@
         limit_per_s: Rate limit of the endpoint in requests per second from all
             boxes together; None if there is no valid one.
         has_no_limit: Whether the response answers a request and has no limit.
+        rejections_per_s: Rejections a second for want of room, of requests of
+            all boxes, beyond which the endpoint crashes; None if there is no
+            valid number.
+        is_not_brittle: Whether the response answers a request and names no such
+            number.
         unreadable: A malformed value, for the log; empty if there is none.
     """
 
@@ -35,6 +41,8 @@
     backoff_s: float = 0.0
     limit_per_s: float | None = None
     has_no_limit: bool = False
+    rejections_per_s: float | None = None
+    is_not_brittle: bool = False
     unreadable: str = ""
 
 
@@ -78,11 +86,15 @@
     if head.status in _REJECTION_STATUSES:
         rest_s = max(_decimals(head, _RETRY_AFTER, malformed), default=0.0)
     limits = _decimals(head, _LIMIT, malformed)
+    rejections = _decimals(head, _BRITTLE, malformed)
+    answers_request = head.get(_REQUEST_ID) is not None
     return EndpointNotice(
         leaves,
         rest_s,
         min(limits, default=None),
-        head.get(_LIMIT) is None and head.get(_REQUEST_ID) is not None,
+        head.get(_LIMIT) is None and answers_request,
+        min(rejections, default=None),
+        head.get(_BRITTLE) is None and answers_request,
         malformed[-1][:64].decode("latin-1") if malformed else "",
     )
 
--- a/martenjunction/routing/endpoint_notices.py
+++ b/martenjunction/routing/endpoint_notices.py
@@ -5,6 +5,7 @@
 from martenjunction import model
 from martenjunction.http1 import messages
 from martenjunction.platform import notices
+from martenjunction.routing import brittleness_sync
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_registry
 from martenjunction.routing import leaving_sync
@@ -23,6 +24,7 @@
         self,
         leaving: leaving_sync.LeavingSync,
         limits: limit_sync.LimitSync,
+        brittleness: brittleness_sync.BrittlenessSync,
         registry: endpoint_registry.EndpointRegistry,
         now: Callable[[], float],
         log: decision_log.DecisionLog,
@@ -32,12 +34,14 @@
         Args:
             leaving: Receives leaving endpoints, for all boxes.
             limits: Receives rate limits, which are shared by all boxes.
+            brittleness: Receives the rejections a second that endpoints bear.
             registry: Receives back-off requests, which apply to this box only.
             now: Returns the steady-clock time in seconds.
             log: Receives a line for each malformed notice.
         """
         self._leaving = leaving
         self._limits = limits
+        self._brittleness = brittleness
         self._registry = registry
         self._now = now
         self._log = log
@@ -55,6 +59,10 @@
             self._limits.report_limit(
                 endpoint.id, notice.limit_per_s, head.sent_at
             )
+        if notice.rejections_per_s is not None or notice.is_not_brittle:
+            self._brittleness.report_limit(
+                endpoint.id, notice.rejections_per_s, head.sent_at
+            )
         if notice.unreadable:
             self._log.write(
                 "endpoint-notice-unreadable",
--- a/martenjunction/routing/endpoint_registry.py
+++ b/martenjunction/routing/endpoint_registry.py
@@ -154,6 +154,7 @@
         self._last_received: dict[str, float] = {}
         self._engines = service_engines.ServiceEngines(log)
         self._limits = endpoint_limits.LimitTable()
+        self._brittle = endpoint_limits.LimitTable()
         self._reported_by: dict[str, set[str]] = {}
         self._outcomes_by: dict[str, set[str]] = {}
         self._scale = 1.0
@@ -181,6 +182,11 @@
         """The rate limits of endpoints, in requests per second."""
         return self._limits
 
+    @property
+    def brittle(self) -> endpoint_limits.LimitTable:
+        """The rejections per second beyond which endpoints crash."""
+        return self._brittle
+
     @property
     def running(self) -> int:
         """The number of in-flight requests."""
@@ -244,6 +250,7 @@
             for endpoint in self._listed.ready(service.name)
             if endpoint.id not in avoid
             and self._limits.is_open(endpoint.id, now)
+            and self._brittle.is_open(endpoint.id, now)
         }
         records = [self._record(e, service) for e in endpoints.values()]
         choice = endpoint_choice.choose(records, demand, now, self._rng, apart)
@@ -278,6 +285,7 @@
             max(
                 record.refusals.opens_in_s(record.loads.own_running, now),
                 self._limits.opens_in_s(record.id, now),
+                self._brittle.opens_in_s(record.id, now),
             )
             for record in (
                 self._record(endpoint, service)
@@ -299,6 +307,23 @@
             for endpoint in self._listed.ready(service)
         )
 
+    def is_brittle(self, service: str) -> bool:
+        """Returns whether endpoints of a service crash when they reject."""
+        return any(
+            self._brittle.per_s(endpoint.id) is not None
+            for endpoint in self._listed.ready(service)
+        )
+
+    def place_opens_in_s(self, service: str, now: float) -> float:
+        """Returns the seconds until a place may be asked for; 0 for now."""
+        return min(
+            (
+                self._brittle.opens_in_s(endpoint.id, now)
+                for endpoint in self._listed.ready(service)
+            ),
+            default=0.0,
+        )
+
     def clear_limit(self, endpoint_id: str, now: float) -> None:
         """Records that an endpoint no longer announces a rate limit.
 
@@ -512,6 +537,7 @@
             if endpoint_ejection.due_for_probe(record, now)
             and self.accepts(record.id, now)
             and self._limits.is_open(record.id, now)
+            and self._brittle.is_open(record.id, now)
         ]
 
     def note_probe_result(
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -138,13 +138,16 @@
         self._run_counted = False
         self._state.choices.append(endpoint_registry.describe(offer.choice))
         failed = True
+        aborted = True
         try:
             run.send(self._request, self._build_headers(endpoint, copies))
             self._state.progress.record(outcomes.Event.SENT)
             finished = await self._receive(offer, ticket)
             failed = not finished
+            aborted = False
             return finished
         except errors.EndpointNotReachedError:
+            aborted = False
             self._context.grants.refund(offer.grant)
             return False
         except errors.EndpointError as error:
@@ -171,6 +174,7 @@
             self._running = self._ticket = None
             registry.end(ticket, time.monotonic(), failed)
             offer.permit.close()
+            self._context.grants.release(offer.grant, aborted)
             self._context.pool.release(endpoint.id, run.connection)
 
     def _build_headers(
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -307,7 +307,10 @@
         opens_in_s = self._context.registry.opens_in_s(
             admitted.service, time.monotonic()
         )
-        limited = self._context.registry.limited(admitted.service.name)
+        service = admitted.service.name
+        limited = self._context.registry.limited(
+            service
+        ) or self._context.registry.is_brittle(service)
         if limited and (opens_in_s is not None or self._state.grant_denied):
             self._context.precedence.record_refusal(
                 admitted.service.name, admitted.route.tier, time.monotonic()
--- a/martenjunction/routing/limit_sync.py
+++ b/martenjunction/routing/limit_sync.py
@@ -35,8 +35,15 @@
 
     A limit applies to all boxes together. A box that does not know it would go
     on sending until it receives an answer with the limit itself.
+
+    Attributes:
+        message: The type of the messages to peers.
+        log_kind: The kind of the log lines.
     """
 
+    message: type[peer_messages.EndpointLimits] = peer_messages.EndpointLimits
+    log_kind = "endpoint-limit"
+
     def __init__(
         self,
         registry: endpoint_registry.EndpointRegistry,
@@ -55,7 +62,7 @@
             log: Records each limit that begins, changes or ends.
         """
         self._registry = registry
-        self._limits = registry.limits
+        self._limits = self._table_of(registry)
         self._peers = peers
         self._members = members
         self._timers = clock
@@ -69,9 +76,9 @@
         Args:
             emitter: Announces new connections to boxes.
         """
-        self._peers.subscribe(peer_messages.EndpointLimits, self._on_limits)
+        self._peers.subscribe(self.message, self._on_limits)
         emitter.connect(events.PEER_CONNECTED, self._on_connected)
-        self._timers.subscribe("limits", CHECK_INTERVAL_S, self._check)
+        self._timers.subscribe(self.log_kind, CHECK_INTERVAL_S, self._check)
 
     def report_limit(
         self, endpoint_id: str, per_s: float | None, asked_at: float
@@ -121,7 +128,7 @@
         age_s: float,
     ) -> None:
         self._log.write(
-            "endpoint-limit",
+            self.log_kind,
             endpoint=endpoint_id,
             per_s=change.per_s,
             before=change.before,
@@ -129,7 +136,15 @@
             age_ms=round(age_s / MS),
         )
         if change.per_s is None:
-            self._registry.clear_limit(endpoint_id, self._timers.now())
+            self._on_cleared(endpoint_id)
+
+    def _table_of(
+        self, registry: endpoint_registry.EndpointRegistry
+    ) -> endpoint_limits.LimitTable:
+        return registry.limits
+
+    def _on_cleared(self, endpoint_id: str) -> None:
+        self._registry.clear_limit(endpoint_id, self._timers.now())
 
     def _check(self) -> None:
         now = self._timers.now()
@@ -158,9 +173,7 @@
     def _broadcast(self, endpoint_ids: Iterable[str], hops: int) -> None:
         reports = [self.report(endpoint_id) for endpoint_id in endpoint_ids]
         if reports:
-            self._peers.broadcast(
-                peer_messages.EndpointLimits.of(reports, hops)
-            )
+            self._peers.broadcast(self.message.of(reports, hops))
 
     def _on_connected(self, box: str) -> None:
         """Sends the latest limits to a newly connected box."""
@@ -169,9 +182,7 @@
         )
         reports = [self.report(i) for i, _ in newest[:MAX_ON_CONNECT]]
         if reports:
-            self._peers.send(
-                box, peer_messages.EndpointLimits.of(reports, MAX_HOPS)
-            )
+            self._peers.send(box, self.message.of(reports, MAX_HOPS))
 
     def _on_limits(
         self, box: str, message: peer_messages.EndpointLimits
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -42,6 +42,12 @@
 # copies cost more than they save.
 MAX_COPIED_BYTES = 60_000_000
 
+# Minimum time, in seconds, for which a request waits for room at endpoints that
+# must not turn requests away, and the part of its latency target for which it
+# waits at most.
+MIN_HOLD_S = 0.01
+MAX_HOLD_FRACTION = 0.5
+
 # Minimum time before the deadline, in seconds, for sending a request.
 MIN_TIME_LEFT_S = 0.01
 
@@ -199,6 +205,7 @@
         self._copy_endpoint: model.Endpoint | None = None
         self._repeat_granted = False
         self._demand_noted = False
+        self._denied: set[str] = set()
 
     def note_sent(self, endpoint_id: str) -> None:
         """Records that the request is sent to an endpoint, at most once."""
@@ -261,6 +268,8 @@
                 permit.isolated,
             )
             if chosen is None:
+                if await self._wait_for_place(now):
+                    continue
                 return None
             endpoint, choice = chosen
             if choice.record.limited and self._should_yield(now):
@@ -287,11 +296,35 @@
             grant = await self._grant(endpoint, connection)
             if grant is None:
                 self._avoid.add(endpoint.id)
+                self._denied.add(endpoint.id)
                 continue
             run = attempt.Attempt(connection, self._state.id)
             return Offer(endpoint, choice, run, permit, grant)
         return None
 
+    async def _wait_for_place(self, now: float) -> bool:
+        """Waits for room at endpoints that must not turn requests away.
+
+        Returns:
+            Whether to select an endpoint again. A request that would wait for
+            too long is refused, so that its client may come back.
+        """
+        service = self._admitted.service
+        registry = self._context.registry
+        if not registry.is_brittle(service.name):
+            return False
+        wait_s = max(MIN_HOLD_S, registry.place_opens_in_s(service.name, now))
+        held_s = now + wait_s - self._state.received_at
+        if (
+            held_s > MAX_HOLD_FRACTION * self._admitted.route.target_s
+            or now + wait_s > self._admitted.deadline - MIN_TIME_LEFT_S
+        ):
+            return False
+        await asyncio.sleep(wait_s)
+        self._avoid -= self._denied
+        self._denied.clear()
+        return True
+
     def _should_yield(self, now: float) -> bool:
         """Returns whether rate-limited endpoints are left to higher tiers."""
         if not self._state.grant_denied:
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -247,6 +247,26 @@
         return [LimitReport(*row) for row in rows]
 
 
+@codec.message("brittle-endpoints", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrittleEndpoints(EndpointLimits):
+    """Rejections a second beyond which endpoints crash, like limits."""
+
+
+@codec.message("place-released", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceReleased:
+    """Returns a place at a brittle endpoint to its holder.
+
+    Attributes:
+        endpoint: The endpoint's id.
+        hops: Number of boxes that forwarded this message.
+    """
+
+    endpoint: str
+    hops: int
+
+
 @codec.message("ask-rate-grant", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskGrant:
--- a/martenjunction/routing/prober.py
+++ b/martenjunction/routing/prober.py
@@ -71,9 +71,13 @@
     async def _probe(self, endpoint: model.Endpoint, path: str) -> None:
         try:
             # A health check counts towards the rate limit like any request.
-            if await self._gate.acquire(endpoint.id) is None:
+            grant = await self._gate.acquire(endpoint.id)
+            if grant is None:
                 return
-            healthy = await self._ask(endpoint, path)
+            try:
+                healthy = await self._ask(endpoint, path)
+            finally:
+                self._gate.release(grant, False)
             self._registry.note_probe_result(
                 endpoint.id, healthy, self._timers.now()
             )
--- a/martenjunction/routing/rate_grants.py
+++ b/martenjunction/routing/rate_grants.py
@@ -13,6 +13,7 @@
 from martenjunction.routing import holders
 from martenjunction.routing import limit_sync
 from martenjunction.routing import peer_messages
+from martenjunction.routing import place_grants
 
 # Timeout in seconds for the holder's answer, after which a request is sent to
 # another endpoint.
@@ -34,20 +35,25 @@
 BUCKET_LIFETIME_S = 10.0
 CLEANUP_INTERVAL_S = 1.0
 
+# Seconds after which the place of a request that was aborted is returned.
+ABORT_DELAY_S = 0.1
+
 MS = 0.001
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class RateGrant:
     """A grant to send one request to an endpoint.
 
     Attributes:
         endpoint_id: The endpoint.
         granter: The box that granted it; None if the endpoint has no limit.
+        has_place: Whether it includes a place that is to be returned.
     """
 
     endpoint_id: str
     granter: str | None = None
+    has_place: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,10 +65,11 @@
 
 
 class RateGrants:
-    """Admits each request to an endpoint within the endpoint's rate limit.
+    """Admits each request to an endpoint within the endpoint's limits.
 
-    A limit applies to all boxes together. Boxes that decide independently would
-    exceed it in total, so one box, the endpoint's holder, grants each request.
+    A rate limit, or the room of a brittle endpoint, applies to all boxes
+    together. Boxes that decide independently would exceed it in total, so one
+    box, the endpoint's holder, grants each request.
     """
 
     def __init__(
@@ -84,7 +91,11 @@
             responsive_peers: Returns the live peers with a recent status.
             clock: The clock and timers.
         """
+        self._registry = registry
         self._limits = registry.limits
+        self._brittle = registry.brittle
+        self._members = members
+        self._places = place_grants.PlaceGrants(registry, clock)
         self._limit_sync = sync
         self._peers = peers
         self._selector = holders.HolderSelector(members, responsive_peers)
@@ -111,6 +122,7 @@
         self._peers.subscribe(peer_messages.AskGrant, self._on_ask)
         self._peers.subscribe(peer_messages.GrantAnswer, self._on_answer)
         self._peers.subscribe(peer_messages.GrantUnused, self._on_unused)
+        self._peers.subscribe(peer_messages.PlaceReleased, self._on_released)
         self._timers.subscribe(
             "rate-grants", CLEANUP_INTERVAL_S, self._remove_unused_buckets
         )
@@ -142,36 +154,109 @@
         Returns:
             The grant; None if it is denied or the holder does not answer.
         """
-        if self._limits.per_s(endpoint_id) is None:
+        is_brittle = self._brittle.per_s(endpoint_id) is not None
+        if self._limits.per_s(endpoint_id) is None and not is_brittle:
             return RateGrant(endpoint_id)
-        if not self._limits.is_open(endpoint_id, self._timers.now()):
+        now = self._timers.now()
+        if not (
+            self._limits.is_open(endpoint_id, now)
+            and self._brittle.is_open(endpoint_id, now)
+        ):
             self._denied += 1
             return None
         holder = self.holder(endpoint_id)
         if holder == self._selector.own_box:
-            wait_s = self._grant(endpoint_id)
+            wait_s = await self._decide_own(endpoint_id)
         else:
             wait_s = await self._ask(holder, endpoint_id)
-        self._limits.block_until(endpoint_id, self._timers.now() + wait_s)
+        self._block_until(endpoint_id, self._timers.now() + wait_s)
         if wait_s:
             self._denied += 1
             return None
-        return RateGrant(endpoint_id, holder)
+        return RateGrant(endpoint_id, holder, is_brittle)
+
+    def release(self, grant: RateGrant, aborted: bool) -> None:
+        """Returns the place of a request that ended.
+
+        Args:
+            grant: The grant; nothing happens if its place was returned.
+            aborted: Whether this box ended the request, so that the endpoint
+                takes a moment to notice.
+        """
+        if not grant.has_place:
+            return
+        grant.has_place = False
+        if aborted:
+            asyncio.get_running_loop().call_later(
+                ABORT_DELAY_S, self._return_place, grant
+            )
+        else:
+            self._return_place(grant)
+
+    def _return_place(self, grant: RateGrant) -> None:
+        if grant.granter == self._selector.own_box:
+            self._places.release(grant.endpoint_id, grant.granter)
+        elif grant.granter is not None:
+            released = peer_messages.PlaceReleased(grant.endpoint_id, 0)
+            self._peers.send_soon(grant.granter, released)
 
     def refund(self, grant: RateGrant) -> None:
         """Returns an unused grant, as its request was not sent."""
+        grant.has_place = False
         if grant.granter == self._selector.own_box:
-            self._refund(grant.endpoint_id)
+            self._refund(grant.endpoint_id, grant.granter)
         elif grant.granter is not None:
             unused = peer_messages.GrantUnused(grant.endpoint_id, 0)
             self._peers.send_soon(grant.granter, unused)
 
-    def _grant(self, endpoint_id: str) -> float:
-        """Grants or denies a request, as the holder.
+    async def _decide_own(self, endpoint_id: str) -> float:
+        """Decides about a request of this box, as the holder.
 
         Returns:
             0 if it is granted, else the seconds after which to retry.
         """
+        decided: asyncio.Future[float] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def answer(wait_s: float) -> bool:
+            if decided.done():
+                return False
+            decided.set_result(wait_s)
+            return True
+
+        self._decide(endpoint_id, self._selector.own_box, answer)
+        return await decided
+
+    def _decide(
+        self, endpoint_id: str, box: str, answer: place_grants.Answer
+    ) -> None:
+        """Decides about a request, as the holder.
+
+        Args:
+            endpoint_id: The endpoint.
+            box: The box that asks, or that forwarded its message.
+            answer: Called with the result.
+        """
+        wait_s = self._grant_rate(endpoint_id)
+        if wait_s or self._brittle.per_s(endpoint_id) is None:
+            answer(wait_s)
+            return
+
+        def answer_place(wait_s: float) -> bool:
+            bucket = self._buckets.get(endpoint_id)
+            if wait_s and bucket is not None:
+                bucket.grants.refund()
+            return answer(wait_s)
+
+        self._places.ask(
+            endpoint_id,
+            box,
+            self._selector.reachable_fraction(endpoint_id),
+            answer_place,
+        )
+
+    def _grant_rate(self, endpoint_id: str) -> float:
         now = self._timers.now()
         limit = self._limits.per_s(endpoint_id)
         if limit is None:
@@ -189,10 +274,15 @@
         self._granted += not wait_s
         return wait_s
 
-    def _refund(self, endpoint_id: str) -> None:
+    def _refund(self, endpoint_id: str, box: str) -> None:
         bucket = self._buckets.get(endpoint_id)
         if bucket is not None:
             bucket.grants.refund()
+        self._places.release(endpoint_id, box)
+
+    def _block_until(self, endpoint_id: str, until: float) -> None:
+        self._limits.block_until(endpoint_id, until)
+        self._brittle.block_until(endpoint_id, until)
 
     async def _ask(self, holder: str, endpoint_id: str) -> float:
         """Requests a grant from another box; returns the same as `_grant`."""
@@ -201,17 +291,20 @@
         )
         number = self._next_number()
         self._pending[number] = response
-        # Only one grant request is in flight per endpoint; meanwhile other
-        # requests of this box are sent to other endpoints.
+        # Only one request for a part of a rate is in flight per endpoint;
+        # meanwhile other requests of this box are sent to other endpoints.
         self._limits.block_until(
             endpoint_id, self._timers.now() + ANSWER_LIMIT_S
         )
         message = peer_messages.AskGrant(
             number, self._limit_sync.report(endpoint_id), 0
         )
+        limit_s = ANSWER_LIMIT_S
+        if self._brittle.per_s(endpoint_id) is not None:
+            limit_s += place_grants.MAX_QUEUE_S
         try:
             if self._peers.send_soon(holder, message):
-                await asyncio.wait([response], timeout=ANSWER_LIMIT_S)
+                await asyncio.wait([response], timeout=limit_s)
         finally:
             del self._pending[number]
         if not response.done():
@@ -227,7 +320,13 @@
         self._limit_sync.merge(box, ask.report)
         holder = self.holder(endpoint_id)
         if holder == self._selector.own_box:
-            self._answer(box, ask.number, endpoint_id, self._grant(endpoint_id))
+            number = ask.number
+
+            def answer(wait_s: float) -> bool:
+                self._answer(box, number, endpoint_id, wait_s)
+                return True
+
+            self._decide(endpoint_id, box, answer)
             return
         if ask.hops < MAX_HOPS and holder != box:
             number = self._next_number()
@@ -275,15 +374,29 @@
     def _on_unused(self, box: str, unused: peer_messages.GrantUnused) -> None:
         holder = self.holder(unused.endpoint)
         if holder == self._selector.own_box:
-            self._refund(unused.endpoint)
+            self._refund(unused.endpoint, box)
         elif unused.hops < MAX_HOPS and holder != box:
             self._peers.send_soon(
                 holder,
                 dataclasses.replace(unused, hops=unused.hops + 1),
             )
 
+    def _on_released(
+        self, box: str, released: peer_messages.PlaceReleased
+    ) -> None:
+        holder = self.holder(released.endpoint)
+        if holder == self._selector.own_box:
+            self._places.release(released.endpoint, box)
+        elif released.hops < MAX_HOPS and holder != box:
+            self._peers.send_soon(
+                holder,
+                dataclasses.replace(released, hops=released.hops + 1),
+            )
+
     def _remove_unused_buckets(self) -> None:
         now = self._timers.now()
+        live = {member.box for member in self._members.live_members()}
+        self._places.clean_up(live)
         for endpoint_id in [
             i
             for i, bucket in self._buckets.items()
--- a/martenjunction_lab/trial_fleet.py
+++ b/martenjunction_lab/trial_fleet.py
@@ -122,12 +122,21 @@
         await one.start_again()
         self.record(one)
 
-    def record(self, one: Made) -> None:
-        """Writes the entry of a replica's next start."""
+    def record(self, one: Made, slots: int | None = None) -> None:
+        """Writes the entry of a replica's next start.
+
+        Args:
+            one: The replica.
+            slots: Requests that it works on at once; those of its service if
+                left out.
+        """
         self._starts[one.id] = self._starts.get(one.id, 0) + 1
         service = self._services[one.id]
         self.boxes.record(
-            one, service, slots=SLOTS[service], born=self._starts[one.id]
+            one,
+            service,
+            slots=slots or SLOTS[service],
+            born=self._starts[one.id],
         )
 
     async def send_steadily(
