--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -18,11 +18,13 @@
 # Maximum bytes that one connection may buffer unread or unsent.
 MAX_BUFFER_BYTES = 16 * 1024 * 1024
 
-# Milliseconds for which sent data may stay unacknowledged (tcp(7)).
+# Milliseconds for which sent data, or a keep-alive probe, may stay
+# unacknowledged (tcp(7)). Where it is set, it decides when probes give up.
 USER_TIMEOUT_MS = 3000
 
 # Seconds without traffic before the first keep-alive probe, seconds between
-# probes, and number of unanswered probes that end a connection (tcp(7)).
+# probes, and number of unanswered probes that end a connection where no user
+# timeout does (tcp(7)).
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
