--- a/martenjunction/endpoints/pool.py
+++ b/martenjunction/endpoints/pool.py
@@ -10,13 +10,10 @@
 
 from martenjunction import errors
 from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.http1 import client
 from martenjunction.http1 import messages
 
-# Connect timeout in seconds. Endpoints accept within milliseconds; one that
-# does not is considered unreachable, and the request goes to another endpoint.
-CONNECT_TIMEOUT_S = 0.4
-
 # Fraction of an endpoint's connection limit that all boxes together use.
 CONNECTION_LIMIT_FRACTION = 0.85
 
@@ -78,7 +75,7 @@
     ) -> client.ClientConnection:
         """Returns a new connection; see `Connector.open`."""
         connection = client.ClientConnection(endpoint.address, on_head)
-        await connection.open(CONNECT_TIMEOUT_S)
+        await connection.open(endpoint_paths.CONNECT_TIMEOUT_S)
         return connection
 
     def reuse(
