Hold tunnels to their promises on broken builds

Not noticed at first, and mended here: a box that tries its own lost path for others, failures over paths in doubt that count, refusals of all endpoints that count as crashes.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -13,6 +13,7 @@
 
 from martenjunction import errors
 from martenjunction import gateway
+from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.http1 import client
 from martenjunction.http1 import streams
 from martenjunction.tunnels import framing
@@ -198,18 +199,22 @@
 ) -> None:
     [one, _] = await linked.add_endpoints()
     linked.cut(Mode.REFUSE)
-    for number in range(4):
-        assert (await linked.send(f"r{number}", "safe"))[0] == 200
     box = linked.cut_off
     [name] = [
         name
         for name, listed in box.endpoint_list.entries.items()
         if listed.endpoint.address == one.address
     ]
+    async with asyncio.timeout(5.0):
+        while box.paths.state(name) is not endpoint_paths.PathState.CUT:
+            assert (await linked.send("r1", "safe"))[0] == 200
     request = handshake.TunnelRequest(name, one.address, "box-2")
     key = box.tunnel_dialer._key
+    before = linked.links.connects(CUT_OFF)
     assert await ask(box, request, key) == handshake.Status.NO_PATH
     assert box.tunnels.served == 0
+    # Checks of paths go on beside the request.
+    assert linked.links.connects(CUT_OFF) - before <= 1
 
 
 @pytest.mark.parametrize("data", [b"GET / HTTP/1.1\r\n\r\n", b"\xff\r\n\r\n"])
@@ -347,6 +352,9 @@
     linked.cut(mode)
     answers = await asyncio.gather(*sending)
     assert [status for status, _ in answers] == [200] * 6
+    for record in linked.cut_off.registry.records.values():
+        assert record.failures.value == 0.0
+        assert record.outcomes.failure_part(time.monotonic()) == 0.0
     await asyncio.sleep(1.0)
     for box in linked.others:
         assert box.registry.ejected_count() == 0
@@ -358,6 +366,29 @@
         assert not box.quarantine.dump()
 
 
+async def test_refusals_of_all_endpoints_are_no_crashes_under_requests(
+    linked: LinkedFleet,
+) -> None:
+    # Guards against a box that calls its lost links crashes where no peer is
+    # there to contradict.
+    made = await linked.add_endpoints(4)
+    for one in made:
+        one.queue_s = 0.1
+    for box in linked.others:
+        box.tunnels.close_all()
+    sending = [
+        asyncio.ensure_future(linked.send(f"r{number}", "safe"))
+        for number in range(6)
+    ]
+    await asyncio.sleep(0.05)
+    linked.cut(Mode.RESET)
+    answers = await asyncio.gather(*sending)
+    assert not any(status == 200 for status, _ in answers)
+    await asyncio.sleep(0.3)
+    for box in linked.boxes.gateways:
+        assert not box.quarantine.dump()
+
+
 async def test_large_bodies_in_tunnels_delay_no_change_of_configuration(
     linked: LinkedFleet,
 ) -> None:
