Let a test of one hop check the path that it asks for

It now has the path checked, as the box. As strict: the answer and the bound on connections are as before.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -205,9 +205,14 @@
         for name, listed in box.endpoint_list.entries.items()
         if listed.endpoint.address == one.address
     ]
-    async with asyncio.timeout(5.0):
-        while box.paths.state(name) is not endpoint_paths.PathState.CUT:
-            assert (await linked.send("r1", "safe"))[0] == 200
+
+    async def check_path() -> None:
+        box.connector.check(name)
+
+    await endpoint_links.run_as(CUT_OFF, check_path())
+    await boxes.until(
+        lambda: box.paths.state(name) is endpoint_paths.PathState.CUT
+    )
     request = handshake.TunnelRequest(name, one.address, "box-2")
     key = box.tunnel_dialer._key
     before = linked.links.connects(CUT_OFF)
