Notice crashes under requests without asking a peer

Cause: the check for a crash opened a connection as requests do, and so asked up to three peers, each of which tried three other endpoints, before it knew.

The check now tries the box's own way alone, and a few other endpoints if that is refused. A peer answers at once that an endpoint refused it.

What it costs: a part of the links that is reset, while the rest works, counts as a crash under what ran there, as before the mend.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -178,7 +178,6 @@
             _peer_key(settings),
             self.endpoint_list,
             self.paths,
-            self.connector.confirm_failure,
             lambda: not self.leaving,
             settings.max_descriptors,
             self.timers,
@@ -293,7 +292,7 @@
         )
         self.pool.on_head(self.notices.take)
         self.liveness = endpoint_liveness.EndpointLiveness(
-            self.registry, self.pool, self.connector.confirm_failure
+            self.registry, self.connector.is_down
         )
         self.quarantine = request_quarantine.RequestQuarantine(
             self.endpoint_list,
--- a/martenjunction/routing/endpoint_connector.py
+++ b/martenjunction/routing/endpoint_connector.py
@@ -189,6 +189,32 @@
         if now - last_at >= MIN_CHECK_DISTANCE_S:
             self._start_check(endpoint_id, self._check_any)
 
+    async def is_down(self, endpoint: model.Endpoint) -> bool:
+        """Returns whether an endpoint's port refuses connections.
+
+        Asks no peer: a request that crashes endpoints is to be noticed before
+        it is sent again. Another error is no evidence.
+
+        Args:
+            endpoint: The endpoint.
+
+        Raises:
+            EndpointNotReachedError: If it is not reached for another reason.
+        """
+        if self._paths.state(endpoint.id) in (_State.CUT, _State.RETURNING):
+            return False
+        try:
+            # A new connection, because an idle one may be closing already.
+            connection = await self._open_direct(endpoint, _ignore_head)
+        except errors.NoSocketError:
+            return False
+        except errors.ConnectError as error:
+            if isinstance(error, errors.PortRefusedError):
+                return await self.confirm_failure(endpoint.id)
+            raise errors.EndpointNotReachedError(str(error)) from error
+        connection.abort()
+        return False
+
     async def confirm_failure(self, endpoint_id: str) -> bool:
         """Returns whether a failed connection is the endpoint's failure.
 
--- a/martenjunction/routing/endpoint_liveness.py
+++ b/martenjunction/routing/endpoint_liveness.py
@@ -11,7 +11,6 @@
 
 from martenjunction import errors
 from martenjunction import model
-from martenjunction.endpoints import pool
 from martenjunction.routing import endpoint_registry
 
 # Maximum time, in seconds, that a request waits for the check. Connections are
@@ -24,7 +23,7 @@
 RESULT_TTL_S = 0.25
 
 EndCallback = Callable[[str], None]
-Confirm = Callable[[str], Awaitable[bool]]
+IsDown = Callable[[model.Endpoint], Awaitable[bool]]
 
 
 class EndpointLiveness:
@@ -33,20 +32,17 @@
     def __init__(
         self,
         registry: endpoint_registry.EndpointRegistry,
-        connections: pool.EndpointPool,
-        confirm: Confirm | None = None,
+        is_down: IsDown,
     ) -> None:
         """Initializes the checker.
 
         Args:
             registry: The endpoint registry; records unreachable endpoints.
-            connections: The connection pool.
-            confirm: Returns whether a refused connection is the endpoint's
-                failure; it always is if left out.
+            is_down: Returns whether an endpoint's port refuses connections;
+                see `EndpointConnector.is_down`.
         """
-        self._confirm = confirm
         self._registry = registry
-        self._connections = connections
+        self._is_down = is_down
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._on_ended: EndCallback = lambda endpoint_id: None
 
@@ -98,17 +94,14 @@
 
     async def _refuses_connections(self, endpoint: model.Endpoint) -> bool:
         try:
-            # A new connection, because an idle one may be closing already.
-            connection = await self._connections.connect(endpoint)
+            is_down = await self._is_down(endpoint)
         except errors.EndpointNotReachedError as error:
-            # Spares the other runs there from detecting this one by one.
-            self._registry.note_unreachable(
-                endpoint.id, time.monotonic(), str(error)
-            )
-            if not isinstance(error.__cause__, errors.PortRefusedError):
-                return False
-            return self._confirm is None or await self._confirm(endpoint.id)
-        except errors.EndpointError:
+            self._note_unreachable(endpoint, str(error))
             return False
-        self._connections.release(endpoint.id, connection)
-        return False
+        if is_down:
+            self._note_unreachable(endpoint, "connection refused")
+        return is_down
+
+    def _note_unreachable(self, endpoint: model.Endpoint, cause: str) -> None:
+        # Spares the other runs there from detecting this one by one.
+        self._registry.note_unreachable(endpoint.id, time.monotonic(), cause)
--- a/martenjunction/tunnels/server.py
+++ b/martenjunction/tunnels/server.py
@@ -1,7 +1,6 @@
 """Connects to endpoints for peers whose own connections fail."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 import enum
 import logging
@@ -56,7 +55,6 @@
         key: str,
         listed: endpoint_list.EndpointList,
         paths: endpoint_paths.EndpointPaths,
-        confirm: Callable[[str], Awaitable[bool]],
         accepts: Callable[[], bool],
         max_descriptors: int,
         clock: timers.Timers,
@@ -67,8 +65,6 @@
             key: The key that all boxes share.
             listed: The endpoints, as listed for this box.
             paths: The paths of this box to them.
-            confirm: Returns whether a failed connection is the endpoint's
-                failure.
             accepts: Returns whether new tunnels are opened.
             max_descriptors: File descriptors of this box.
             clock: Provides the time.
@@ -77,7 +73,6 @@
         self._key = key
         self._listed = listed
         self._paths = paths
-        self._confirm = confirm
         self._accepts = accepts
         self._max_tunnels = int(max_descriptors * DESCRIPTORS_FRACTION / 2)
         self._timers = clock
@@ -189,8 +184,6 @@
         except errors.ConnectError as error:
             refused = isinstance(error, errors.PortRefusedError)
             self._paths.note_failed(endpoint_id, refused, self._timers.now())
-            if not await self._confirm(endpoint_id):
-                return handshake.Status.NO_PATH
             return (
                 handshake.Status.REFUSED
                 if refused
--- a/martenjunction_lab/unlinked_boxes.py
+++ b/martenjunction_lab/unlinked_boxes.py
@@ -135,6 +135,26 @@
     return sum(one.status == 200 for one in tries) / len(tries)
 
 
+def extra_wait_s(tries: list[Try], others: list[Try]) -> float:
+    """Returns by how much longer a typical wait is than that of others.
+
+    Compares each route with itself: a stream takes longer than a plain answer,
+    and the median of both together depends on how many there were of each.
+
+    Args:
+        tries: The requests.
+        others: The requests to compare with.
+
+    Returns:
+        The largest difference of medians of one route, in seconds.
+    """
+    return max(
+        typical_wait_s([one for one in tries if one.route == route])
+        - typical_wait_s([one for one in others if one.route == route])
+        for route in ROUTES
+    )
+
+
 def typical_wait_s(tries: list[Try]) -> float:
     """Returns the median wait for a success, in seconds; 0 of none."""
     waits = sorted(one.waited_s for one in tries if one.status == 200)
