Log and count the software versions that wrote a stream

The lines of a request named endpoints only, and not where a client had taken a stream up, so that a stream of two versions inside one answer could not be told from one over a client's tries. Each choice now has its version, a line has stream_version, resume_from and resumes, and stream_continuations counts the runs that went on, by who took the stream up and by version.

--- a/martenjunction/platform/headers.py
+++ b/martenjunction/platform/headers.py
@@ -11,6 +11,7 @@
 LAST_EVENT_ID = b"Last-Event-Id"
 
 _REQUEST_ID = b"Martenjunction-Attempt-Id"
+_RESUMES = b"resumes"
 _DEADLINE = b"Martenjunction-Deadline-Ms"
 _EXPECT_ENDPOINT = b"Martenjunction-Expect-Replica"
 _WORKSPACE = b"Martenjunction-Tenant"
@@ -75,6 +76,8 @@
         prompt_tokens: Length of the prompt in tokens.
         max_tokens: Maximum number of tokens to generate.
         resume_from: Id of the last event that the client received, or None.
+        resumes: Id of the request that brought the first event of the stream,
+            or empty if the client names none.
     """
 
     id: str
@@ -85,6 +88,7 @@
     prompt_tokens: int
     max_tokens: int
     resume_from: str | None
+    resumes: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,6 +138,7 @@
         prompt_tokens=tokens[0] if tokens else 0,
         max_tokens=tokens[1] if len(tokens) > 1 else 0,
         resume_from=None if event_id is None else event_id.decode("latin-1"),
+        resumes=by_name.get(_RESUMES, b"").decode("latin-1").strip(),
     )
 
 
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -136,7 +136,13 @@
         )
         self._running, self._ticket = run, ticket
         self._run_counted = False
-        self._state.choices.append(endpoint_registry.describe(offer.choice))
+        self._state.choices.append(
+            {
+                **endpoint_registry.describe(offer.choice),
+                "version": endpoint.version,
+            }
+        )
+        self._count_continuation(endpoint)
         failed = True
         aborted = True
         try:
@@ -259,6 +265,8 @@
             self._context.registry.note_events(ticket, now, len(events))
             self._count_run(offer)
             self._state.note_events(now)
+            if self._state.stream_version is None:
+                self._state.stream_version = offer.endpoint.version
             if not self._connection.answering:
                 self._state.progress.record(outcomes.Event.ANSWERING)
                 await self._connection.begin(
@@ -276,6 +284,21 @@
         self._state.progress.record(outcomes.Event.COMPLETE)
         await self._connection.end()
 
+    def _count_continuation(self, endpoint: model.Endpoint) -> None:
+        """Counts a run that continues a stream, by software version."""
+        if self._state.delivered_id is None and not self._state.resume_from:
+            return
+        begun = self._state.stream_version
+        if begun is None:
+            relation = "unknown"
+        else:
+            relation = "same" if begun == endpoint.version else "other"
+        self._context.metrics.count(
+            "stream_continuations",
+            by="client" if self._state.delivered_id is None else "box",
+            version=relation,
+        )
+
     def _count_run(self, offer: offers.Offer) -> None:
         """Counts a run for the usage of its workspace, once.
 
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -79,6 +79,7 @@
             self._facts.id,
             request.received_at,
             context.content_keys.key(request, self._facts),
+            resume_from=self._facts.resume_from or "",
         )
         self._admission: admission.Admission | None = None
         self._task: asyncio.Task[None] | None = None
@@ -344,5 +345,5 @@
             self._state,
             None if admitted is None else admitted.route,
             str(self._state.status or self._ending or "broken"),
-            self._facts.prompt_tokens,
+            self._facts,
         )
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -121,6 +121,10 @@
         refusals: The number of endpoints that reported not running it.
         grant_denied: Whether an endpoint's rate limit left no grant for it.
         connection_broken: Whether the connection of the last run broke.
+        resume_from: Id of the last event that the client has of an earlier
+            response, or empty if it takes up no stream.
+        stream_version: Software version that wrote the first event of the
+            stream, or None if there is none or it is not known.
         delivered_id: Id of the last event sent to the client, or None.
         first_event_at: When the first event was received, or None.
         last_event_at: When the last event was received.
@@ -141,6 +145,8 @@
     refusals: int = 0
     grant_denied: bool = False
     connection_broken: bool = False
+    resume_from: str = ""
+    stream_version: str | None = None
     delivered_id: str | None = None
     first_event_at: float | None = None
     last_event_at: float = 0.0
--- a/martenjunction/routing/request_account.py
+++ b/martenjunction/routing/request_account.py
@@ -4,6 +4,7 @@
 
 from martenjunction import model
 from martenjunction.decisions import outcomes
+from martenjunction.platform import headers
 from martenjunction.routing import offers
 
 
@@ -12,7 +13,7 @@
     state: offers.RequestState,
     route: model.Route | None,
     result: str,
-    prompt_tokens: int,
+    facts: headers.RequestMetadata,
 ) -> None:
     """Counts a request and writes its log line.
 
@@ -21,7 +22,7 @@
         state: The progress of the request.
         route: The route, or None if the request was not admitted.
         result: The status sent to the client, or why none was sent.
-        prompt_tokens: The prompt length; 0 for a plain service.
+        facts: The decoded headers.
     """
     duration_s = time.monotonic() - state.received_at
     kind = "none" if route is None else route.kind.value
@@ -39,10 +40,24 @@
         endpoints=state.offers,
         content=str(state.content),
         ms=round(duration_s * 1000, 1),
-        **_timing_fields(state, prompt_tokens),
+        **_timing_fields(state, facts.prompt_tokens),
+        **_stream_fields(state, facts),
     )
 
 
+def _stream_fields(
+    state: offers.RequestState, facts: headers.RequestMetadata
+) -> dict[str, object]:
+    """Returns the fields that tell where a stream began and was taken up."""
+    fields: dict[str, object] = {}
+    if state.stream_version is not None:
+        fields["stream_version"] = state.stream_version
+    if state.resume_from:
+        fields["resume_from"] = state.resume_from
+        fields["resumes"] = facts.resumes
+    return fields
+
+
 def _timing_fields(
     state: offers.RequestState, prompt_tokens: int
 ) -> dict[str, object]:
