Reproduce streams that hold events of two software versions

Six boxes, ten engines of two versions, a third of the runs break off inside an event, clients take broken streams up at another box.

--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -192,6 +192,19 @@
         """Returns what the head of an answer says of this replica."""
         return {}
 
+    def _event_text(self, number: int) -> str:
+        """Returns the data of an event."""
+        return f"t{number}"
+
+    def _breaks_after(self, request: Received, first: int) -> int | None:
+        """Returns the last event of a run that breaks off; None for none.
+
+        Args:
+            request: The request.
+            first: The first event that the run writes.
+        """
+        return self.break_after
+
     async def _leaves_queue(self, reader: asyncio.StreamReader) -> bool:
         """Has a request wait; returns whether its caller left meanwhile."""
         left = asyncio.ensure_future(reader.read(1))
@@ -224,8 +237,9 @@
         }
         writer.write(_head(200, pairs))
         left = asyncio.ensure_future(reader.read(1))
+        break_after = self._breaks_after(request, first)
         for number in range(first, self._events + 1):
-            if self.break_after is not None and number > self.break_after:
+            if break_after is not None and number > break_after:
                 writer.write(_chunk(b"id: 99\nda"))
                 await writer.drain()
                 return False
@@ -233,7 +247,8 @@
                 await left
                 self.cancelled.append(request.id)
                 return False
-            writer.write(_chunk(f"id: {number}\ndata: t{number}\n\n".encode()))
+            text = self._event_text(number)
+            writer.write(_chunk(f"id: {number}\ndata: {text}\n\n".encode()))
             done, _ = await asyncio.wait([left], timeout=self.event_pause_s)
             if done:
                 self.cancelled.append(request.id)
--- a/martenjunction_lab/trial_fleet.py
+++ b/martenjunction_lab/trial_fleet.py
@@ -137,8 +137,13 @@
             service,
             slots=slots or SLOTS[service],
             born=self._starts[one.id],
+            **self._entry_fields(one),
         )
 
+    def _entry_fields(self, one: Made) -> dict[str, str]:
+        """Returns what a replica's entry says in place of the usual."""
+        return {}
+
     async def send_steadily(
         self, per_s: float, until: float, send: Any
     ) -> None:
