Continue streams only at the software version that began them

Cause: whatever went on with a stream chose its endpoint like a new request, by load, cache and health. Inside one answer the box knew the version and did not weigh it; the copy of a run's memory was kept at any version; and a box at which a client took a stream up had no way to know where it began.

Now the version binds from the first event that a client is sent: the next run, the copy and a move go there or nowhere. That box records the origin and tells two boxes that it is connected to, before the event is written; a box at which a stream is taken up asks those that it is connected to, which pass the question on in a large fleet. Where nothing is recorded, the version follows from a service having had only one for as long as the stream may last, else the client gets 503 with a time. A box that is stopped hands its records over. A split route is bound to the service as well.

Why it holds: an unknown origin is refused, so that no run of another version is ever sent; records outlive their box at two others.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -59,6 +59,7 @@
 from martenjunction.routing import request_quarantine
 from martenjunction.routing import store_cache
 from martenjunction.routing import usage_log
+from martenjunction.streams import origins
 from martenjunction.tunnels import dialer
 from martenjunction.tunnels import server as tunnel_server
 
@@ -304,6 +305,14 @@
             self.log,
             self.sync.responsive_peers,
         )
+        self.origins = origins.StreamOrigins(
+            self.endpoint_list,
+            self.peers,
+            self.members,
+            self.timers,
+            self.log,
+            lambda: self.freshness.age_s(self.timers.now()),
+        )
         self.prober = prober.Prober(
             self.registry, self.pool, self.admitter, self.grants, self.timers
         )
@@ -325,6 +334,8 @@
             self.grants,
             tier_precedence.TierPrecedence(),
             self.duties,
+            origins.StreamKeys(_peer_key(settings)),
+            self.origins,
         )
         self._callers = self._server(
             "callers", self._serve_caller, self._limits
@@ -357,6 +368,7 @@
         self.limits.start(self.events)
         self.brittleness.start(self.events)
         self.grants.start()
+        self.origins.start()
         self.usage.start()
         self.prober.start()
         self.connector.start()
@@ -394,6 +406,7 @@
         self.sync.announce_leaving()
         self.box_states.leave()
         self.sync.announce()
+        self.origins.hand_over()
         deadline = started_at + self._settings.stop_s - STOP_MARGIN_S
         loop = asyncio.get_running_loop()
         release = loop.create_task(self.duties.leave())
@@ -589,6 +602,7 @@
                 ),
                 "grants_given": float(self.grants.granted),
                 "grants_refused": float(self.grants.refused),
+                "stream_origins": float(self.origins.count),
                 "suspects": float(len(self.quarantine.dump())),
                 "quarantined_refused": float(self.quarantine.refused),
                 "store_returns": float(self.store_cache.store_returns),
--- a/martenjunction/routing/admission.py
+++ b/martenjunction/routing/admission.py
@@ -144,6 +144,24 @@
             config.version,
         )
 
+    def at_service(self, admission: Admission, name: str) -> Admission | None:
+        """Returns an admission to another service of the same route.
+
+        Args:
+            admission: The admitted request.
+            name: The service.
+
+        Returns:
+            The admission, or None if the route has no such service.
+        """
+        if name == admission.service.name:
+            return admission
+        service = self._config.services.get(name) if self._config else None
+        targets = {target.service for target in admission.route.targets}
+        if service is None or name not in targets:
+            return None
+        return dataclasses.replace(admission, service=service)
+
     def still_allowed(
         self, admission: Admission, received_at: float, now: float
     ) -> bool:
--- a/martenjunction/routing/endpoint_registry.py
+++ b/martenjunction/routing/endpoint_registry.py
@@ -258,6 +258,21 @@
             return None
         return endpoints[choice.record.id], choice
 
+    def other_versions(self, service: str, version: str | None) -> set[str]:
+        """Returns the ids of a service's endpoints of other software versions.
+
+        Args:
+            service: The service.
+            version: The software version; None for any.
+        """
+        if version is None:
+            return set()
+        return {
+            endpoint.id
+            for endpoint in self._listed.ready(service)
+            if endpoint.version != version
+        }
+
     def accepts(self, endpoint_id: str, now: float) -> bool:
         """Returns whether an endpoint currently accepts work.
 
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -7,6 +7,7 @@
 from martenjunction import model
 from martenjunction.decisions import outcomes
 from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.decisions.boxes import stream_table
 from martenjunction.endpoints import attempt
 from martenjunction.endpoints import event_stream
 from martenjunction.http1 import messages
@@ -265,9 +266,8 @@
             self._context.registry.note_events(ticket, now, len(events))
             self._count_run(offer)
             self._state.note_events(now)
-            if self._state.stream_version is None:
-                self._state.stream_version = offer.endpoint.version
             if not self._connection.answering:
+                self._record_origin(offer.endpoint)
                 self._state.progress.record(outcomes.Event.ANSWERING)
                 await self._connection.begin(
                     head.status, pairs, self._context.closing()
@@ -284,6 +284,24 @@
         self._state.progress.record(outcomes.Event.COMPLETE)
         await self._connection.end()
 
+    def _record_origin(self, endpoint: model.Endpoint) -> None:
+        """Records which version began a stream, before its first event is sent.
+
+        A stream that the client takes up is recorded again: the boxes that
+        knew of it may have ended.
+        """
+        if self._state.stream_version is None:
+            self._state.stream_version = endpoint.version
+        route = self._admitted.route
+        if route.resumable:
+            self._context.origins.record(
+                self._state.stream_key,
+                stream_table.StreamOrigin(
+                    endpoint.service, self._state.stream_version
+                ),
+                route.timeout_s,
+            )
+
     def _count_continuation(self, endpoint: model.Endpoint) -> None:
         """Counts a run that continues a stream, by software version."""
         if self._state.delivered_id is None and not self._state.resume_from:
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -43,6 +43,15 @@
 RETRY_STOPPING_S = 0.05
 
 
+# Retry-After, in seconds, if no endpoint of a stream's version accepts it. One
+# that crashed takes seconds to start again.
+RETRY_VERSION_S = 1.0
+
+# Retry-After, in seconds, if it is not known where a stream began. Another box
+# may know it.
+RETRY_UNKNOWN_STREAM_S = 0.1
+
+
 class Ending(enum.StrEnum):
     """Why a request ended before its response."""
 
@@ -79,6 +88,9 @@
             self._facts.id,
             request.received_at,
             context.content_keys.key(request, self._facts),
+            context.stream_keys.key(
+                self._facts.key, self._facts.resumes or self._facts.id
+            ),
             resume_from=self._facts.resume_from or "",
         )
         self._admission: admission.Admission | None = None
@@ -255,6 +267,7 @@
     async def _run_attempts(
         self, admitted: admission.Admission, runs: endpoint_runs.EndpointRuns
     ) -> None:
+        admitted = await self._bind_stream(admitted)
         demand = self._demand(admitted)
         chosen = offers.Offers(self._context, admitted, demand, self._state)
         while True:
@@ -267,6 +280,38 @@
             if await runs.run(demand, offer, copies):
                 return
 
+    async def _bind_stream(
+        self, admitted: admission.Admission
+    ) -> admission.Admission:
+        """Binds a stream that the client takes up to where it began.
+
+        Returns:
+            The admission to the service where it began.
+
+        Raises:
+            RefusalError: If no box can tell where it began.
+        """
+        takes_up = self._facts.resume_from or self._facts.resumes
+        if admitted.route.kind is not model.RouteKind.STREAM or not takes_up:
+            return admitted
+        origin = await self._context.origins.find(
+            self._state.stream_key,
+            admitted.service.name,
+            admitted.route.timeout_s,
+        )
+        bound = None
+        if origin is not None:
+            self._state.stream_version = origin.version
+            bound = self._context.admitter.at_service(admitted, origin.service)
+        if bound is None:
+            raise admission.RefusalError(
+                503,
+                "stream-unknown",
+                "it is not known where this stream began",
+                RETRY_UNKNOWN_STREAM_S,
+            )
+        return bound
+
     def _demand(self, admitted: admission.Admission) -> endpoint_records.Demand:
         engine = admitted.service.engine
         engines = self._context.registry.engines
@@ -322,6 +367,11 @@
             )
         elif opens_in_s is not None:
             await self._refuse(503, "endpoints-rest", opens_in_s)
+        elif self._state.stream_version is not None:
+            self._state.failure = (
+                self._state.failure or "no endpoint of the stream's version"
+            )
+            await self._refuse(503, "not-run", RETRY_VERSION_S)
         else:
             self._state.failure = self._state.failure or "no endpoint available"
             await self._refuse(503, "not-run", RETRY_BUSY_S)
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -15,6 +15,7 @@
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import load_shedding
 from martenjunction.decisions.boxes import retry_budget
+from martenjunction.decisions.boxes import stream_table
 from martenjunction.decisions.boxes import tier_precedence
 from martenjunction.endpoints import attempt
 from martenjunction.endpoints import pool
@@ -28,6 +29,7 @@
 from martenjunction.routing import rate_grants
 from martenjunction.routing import request_content
 from martenjunction.routing import request_quarantine
+from martenjunction.streams import origins
 
 # Maximum number of endpoints tried per request, including refusals and failed
 # connections.
@@ -82,6 +84,8 @@
         grants: Grants requests to endpoints with a rate limit.
         precedence: Decides which tiers go first at those endpoints.
         usage: Counts the requests that began to run.
+        stream_keys: Computes the keys of streams.
+        origins: Knows at which software version streams began.
     """
 
     admitter: admission.Admitter
@@ -100,6 +104,8 @@
     grants: rate_grants.RateGrants
     precedence: tier_precedence.TierPrecedence
     usage: UsageMeter
+    stream_keys: origins.StreamKeys
+    origins: origins.StreamOrigins
 
     def closing(self) -> bool:
         """Returns whether connections close after their response."""
@@ -123,6 +129,7 @@
         connection_broken: Whether the connection of the last run broke.
         resume_from: Id of the last event that the client has of an earlier
             response, or empty if it takes up no stream.
+        stream_key: Identifies the stream over the client's tries.
         stream_version: Software version that wrote the first event of the
             stream, or None if there is none or it is not known.
         delivered_id: Id of the last event sent to the client, or None.
@@ -136,6 +143,7 @@
     id: str
     received_at: float
     content: request_content.ContentKey
+    stream_key: stream_table.StreamKey
     is_retry: bool = False
     progress: outcomes.RequestProgress = dataclasses.field(
         default_factory=outcomes.RequestProgress
@@ -263,9 +271,11 @@
     async def _select_endpoint(self, permit: permits.Permit) -> Offer | None:
         if self._state.connection_broken and self._may_continue():
             return await self._continue_at_copy(permit)
-        excluded = permit.excluded_ids()
         while self._may_offer():
             now = time.monotonic()
+            excluded = permit.excluded_ids() | self._other_versions(
+                self._state.stream_version
+            )
             chosen = self._context.registry.choose(
                 self._admitted.service,
                 self._demand,
@@ -308,6 +318,12 @@
             return Offer(endpoint, choice, run, permit, grant)
         return None
 
+    def _other_versions(self, version: str | None) -> set[str]:
+        """Returns the ids of endpoints of other software versions."""
+        return self._context.registry.other_versions(
+            self._admitted.service.name, version
+        )
+
     async def _wait_for_place(self, now: float) -> bool:
         """Waits for room at endpoints that must not turn requests away.
 
@@ -366,7 +382,9 @@
             grant = await self._context.grants.acquire(endpoint.id)
             if grant is None:
                 self._state.grant_denied = True
-            elif self._context.registry.accepts(endpoint.id, time.monotonic()):
+            elif self._is_unchanged(endpoint) and (
+                self._context.registry.accepts(endpoint.id, time.monotonic())
+            ):
                 return grant
             else:
                 self._context.grants.refund(grant)
@@ -376,10 +394,19 @@
         self._context.pool.release(endpoint.id, connection)
         return None
 
+    def _is_unchanged(self, endpoint: model.Endpoint) -> bool:
+        """Returns whether an endpoint still has the version of its choice."""
+        listed = self._context.registry.listed.entries.get(endpoint.id)
+        return (
+            listed is not None and listed.endpoint.version == endpoint.version
+        )
+
     def _may_continue(self) -> bool:
         """Returns whether the run can resume from the copy of its memory."""
         if self._copy_endpoint is None or self._state.first_event_at is None:
             return False
+        if self._copy_endpoint.version != self._state.stream_version:
+            return False
         if (
             self._state.last_event_at - self._state.first_event_at
             < MIN_COPY_AGE_S
@@ -436,9 +463,10 @@
             return None
         now = time.monotonic()
         # At a rate-limited endpoint the run would have to wait for a grant.
-        limited = set(self._context.registry.limits.limited())
+        excluded = set(self._context.registry.limits.limited())
+        excluded |= self._other_versions(offer.endpoint.version)
         chosen = self._context.registry.choose(
-            self._admitted.service, self._demand, self._avoid | limited, now
+            self._admitted.service, self._demand, self._avoid | excluded, now
         )
         if chosen is None:
             return None
--- /dev/null
+++ b/martenjunction/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Continuation of streams at the software version that began them."""
--- /dev/null
+++ b/martenjunction/streams/messages.py
@@ -0,0 +1,73 @@
+"""Messages about the software versions that began streams."""
+
+import dataclasses
+
+from martenjunction.peers import codec
+
+
+@codec.message("stream-origins", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigins:
+    """Streams that began; the fields have an item for each.
+
+    Attributes:
+        callers: Digests of the callers.
+        streams: Digests of the ids of the requests that began them.
+        services: The services.
+        versions: Software versions of the endpoints that began them.
+        lifetimes_ms: Milliseconds for which they may still be taken up.
+    """
+
+    callers: tuple[bytes, ...]
+    streams: tuple[bytes, ...]
+    services: tuple[str, ...]
+    versions: tuple[str, ...]
+    lifetimes_ms: tuple[int, ...]
+
+
+@codec.message("ask-stream-origin", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskStreamOrigin:
+    """Asks where a stream began.
+
+    Attributes:
+        box: The box that wants to know.
+        number: Correlates the answer with this message; unique for `box`.
+        caller: Digest of the caller.
+        stream: Digest of the id of the request that began it.
+        service: The service to which it is routed now.
+        lifetime_ms: Milliseconds for which a stream of its route may be taken
+            up.
+        hops: Number of boxes that forwarded this message.
+    """
+
+    box: str
+    number: int
+    caller: bytes
+    stream: bytes
+    service: str
+    lifetime_ms: int
+    hops: int
+
+
+@codec.message("stream-origin-answer", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOriginAnswer:
+    """Tells where a stream began.
+
+    Attributes:
+        box: The box that wants to know.
+        number: The number of the `AskStreamOrigin` message.
+        found: Whether the origin is known.
+        recorded: Whether it was recorded; otherwise it follows from there
+            having been a single version.
+        service: The service, if the origin is known.
+        version: The software version, if the origin is known.
+    """
+
+    box: str
+    number: int
+    found: bool
+    recorded: bool
+    service: str
+    version: str
--- /dev/null
+++ b/martenjunction/streams/origins.py
@@ -0,0 +1,263 @@
+"""Tells other boxes where streams began, and finds out from them."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import xxhash
+
+from martenjunction import timers
+from martenjunction.decisions import rendezvous
+from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import served_versions
+from martenjunction.decisions.boxes import stream_table
+from martenjunction.peers import hub
+from martenjunction.peers import membership
+from martenjunction.routing import decision_log
+from martenjunction.streams import messages
+from martenjunction.streams import queries
+
+# Linked boxes that are told where a stream began. Boxes may end together, this
+# one included.
+BOXES_TOLD = 2
+
+# Interval in seconds of looks at the listed versions and of the removal of
+# expired records.
+CHECK_INTERVAL_S = 0.5
+
+# Maximum age in seconds of what this box knows of the store for concluding that
+# a service has a single version.
+MAX_LIST_AGE_S = 2.6
+
+# Maximum length of a service or version name accepted from a peer, and maximum
+# lifetime of a record.
+MAX_NAME = 256
+MAX_LIFETIME_MS = 600_000
+
+# Size of the digest of a request id, in bytes.
+STREAM_BYTES = 16
+CALLER_BYTES = 8
+
+MS = 0.001
+
+
+class StreamOrigins:
+    """Knows at which software version streams began.
+
+    The box that sends a client the first event of a stream records its origin
+    and tells some of the boxes that it is connected to. A box at which a client
+    takes up a stream asks the boxes that it is connected to; in a large fleet
+    they pass the question on.
+
+    Attributes:
+        boxes_told: Number of boxes that are told of each stream.
+    """
+
+    boxes_told: int = BOXES_TOLD
+
+    def __init__(
+        self,
+        listed: endpoint_list.EndpointList,
+        peers: hub.PeerHub,
+        members: membership.Membership,
+        clock: timers.Timers,
+        log: decision_log.DecisionLog,
+        list_age_s: Callable[[], float | None],
+    ) -> None:
+        """Initializes the records; `start` subscribes to peer messages.
+
+        Args:
+            listed: The endpoints.
+            peers: Connections to the other boxes.
+            members: The boxes of the fleet.
+            clock: The clock and timers.
+            log: Records streams whose origin is not known.
+            list_age_s: Returns the age in seconds of what this box knows of
+                the store, or None.
+        """
+        self._listed = listed
+        self._peers = peers
+        self._members = members
+        self._timers = clock
+        self._log = log
+        self._list_age_s = list_age_s
+        self._table = stream_table.StreamTable()
+        self._versions = served_versions.ServedVersions()
+        self._pending: dict[str, list[stream_table.StreamRecord]] = {}
+        self._queries = queries.OriginQueries(
+            peers, members, clock, self._find_locally
+        )
+
+    @property
+    def count(self) -> int:
+        """Number of streams whose origin is recorded."""
+        return len(self._table)
+
+    def start(self) -> None:
+        """Subscribes to peer messages and timers."""
+        self._peers.subscribe(messages.StreamOrigins, self._on_origins)
+        self._queries.start()
+        self._timers.subscribe("streams", CHECK_INTERVAL_S, self._check)
+
+    def record(
+        self,
+        key: stream_table.StreamKey,
+        origin: stream_table.StreamOrigin,
+        lifetime_s: float,
+    ) -> None:
+        """Records that a client is sent the first event of a stream.
+
+        Args:
+            key: The stream.
+            origin: Where it began.
+            lifetime_s: Seconds for which it may be taken up.
+        """
+        expires_at = self._timers.now() + lifetime_s
+        self._tell([self._table.record(key, origin, expires_at)])
+
+    async def find(
+        self, key: stream_table.StreamKey, service: str, lifetime_s: float
+    ) -> stream_table.StreamOrigin | None:
+        """Finds out where a stream that a client takes up began.
+
+        Args:
+            key: The stream.
+            service: The service to which it is routed now.
+            lifetime_s: Seconds for which a stream of its route may be taken up.
+
+        Returns:
+            The origin, or None if no box can tell.
+        """
+        found = self._find_locally(key, service, lifetime_s)
+        if not found.recorded:
+            found = await self._queries.ask(key, service, lifetime_s, found)
+        origin = found.origin
+        if not found.recorded and self._contradicts(origin, lifetime_s):
+            origin = None
+        if origin is None:
+            self._log.write("stream-unknown", stream=str(key), service=service)
+        return origin
+
+    def hand_over(self) -> None:
+        """Tells other boxes of all streams, before this box stops."""
+        self._tell(self._table)
+
+    def _contradicts(
+        self, origin: stream_table.StreamOrigin | None, lifetime_s: float
+    ) -> bool:
+        """Returns whether this box knows versions besides a concluded one."""
+        if origin is None:
+            return False
+        known = self._versions.versions(
+            origin.service, lifetime_s, self._timers.now()
+        )
+        return bool(known - {origin.version})
+
+    def _find_locally(
+        self, key: stream_table.StreamKey, service: str, lifetime_s: float
+    ) -> stream_table.Finding:
+        now = self._timers.now()
+        record = self._table.find(key, now)
+        if record is not None:
+            return stream_table.Finding(record.origin, recorded=True)
+        age_s = self._list_age_s()
+        if age_s is None or age_s > MAX_LIST_AGE_S:
+            return stream_table.UNKNOWN
+        self._look(now)
+        version = self._versions.only_version(service, lifetime_s, now)
+        if version is None:
+            return stream_table.UNKNOWN
+        return stream_table.Finding(stream_table.StreamOrigin(service, version))
+
+    def _tell(self, records: Iterable[stream_table.StreamRecord]) -> None:
+        live = {member.box for member in self._members.live_members()}
+        linked = [box for box in self._peers.boxes() if box in live]
+        if not linked:
+            return
+        if not self._pending:
+            asyncio.get_running_loop().call_soon(self._flush)
+        for record in records:
+            told = rendezvous.ranked(linked, str(record.key))
+            for box in told[: self.boxes_told]:
+                self._pending.setdefault(box, []).append(record)
+
+    def _flush(self) -> None:
+        pending, self._pending = self._pending, {}
+        now = self._timers.now()
+        for box, records in pending.items():
+            self._peers.send(box, _encode(records, now))
+
+    def _on_origins(self, box: str, message: messages.StreamOrigins) -> None:
+        now = self._timers.now()
+        rows = zip(
+            message.callers,
+            message.streams,
+            message.services,
+            message.versions,
+            message.lifetimes_ms,
+            strict=False,
+        )
+        for caller, stream, service, version, lifetime_ms in rows:
+            if len(caller) != CALLER_BYTES or len(stream) != STREAM_BYTES:
+                continue
+            if max(len(service), len(version)) > MAX_NAME:
+                continue
+            lifetime_s = min(max(0, lifetime_ms), MAX_LIFETIME_MS) * MS
+            self._table.record(
+                stream_table.StreamKey(caller, stream),
+                stream_table.StreamOrigin(service, version),
+                now + lifetime_s,
+            )
+
+    def _check(self) -> None:
+        now = self._timers.now()
+        self._table.expire(now)
+        if self._listed.has_listing:
+            self._look(now)
+
+    def _look(self, now: float) -> None:
+        self._versions.look(
+            (listed.endpoint for listed in self._listed.entries.values()), now
+        )
+
+
+class StreamKeys:
+    """Computes stream keys, which are equal on all boxes of a fleet."""
+
+    def __init__(self, fleet_key: str) -> None:
+        """Initializes the hash seed.
+
+        Args:
+            fleet_key: A secret shared by all boxes of a fleet.
+        """
+        self._seed = xxhash.xxh3_64_intdigest(fleet_key.encode())
+
+    def key(self, api_key: str | None, request: str) -> stream_table.StreamKey:
+        """Returns the key of a stream.
+
+        Args:
+            api_key: The API key of the caller, or None.
+            request: Id of the request that brought the first event.
+        """
+        caller = (api_key or "").encode("latin-1")
+        return stream_table.StreamKey(
+            xxhash.xxh3_64_digest(caller, seed=self._seed),
+            xxhash.xxh3_128_digest(request.encode("latin-1"), seed=self._seed),
+        )
+
+
+def _encode(
+    records: list[stream_table.StreamRecord], now: float
+) -> messages.StreamOrigins:
+    known = [
+        (record.key, record.origin, int((record.expires_at - now) / MS))
+        for record in records
+        if record.origin is not None
+    ]
+    return messages.StreamOrigins(
+        tuple(key.caller for key, _, _ in known),
+        tuple(key.stream for key, _, _ in known),
+        tuple(origin.service for _, origin, _ in known),
+        tuple(origin.version for _, origin, _ in known),
+        tuple(left_ms for _, _, left_ms in known),
+    )
--- /dev/null
+++ b/martenjunction/streams/queries.py
@@ -0,0 +1,203 @@
+"""Asks the connected boxes where a stream began, and answers them."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from martenjunction import timers
+from martenjunction.decisions.boxes import stream_table
+from martenjunction.peers import hub
+from martenjunction.peers import membership
+from martenjunction.streams import messages
+
+# Seconds for which a box that asks waits for answers, and by which a box that
+# passes a question on waits less, so that its own answer is in time. Stalls of
+# the event loop do not count.
+ANSWER_TIMEOUT_S = 0.25
+HOP_S = 0.04
+
+# Maximum number of times that a question is passed on, and questions that are
+# remembered so that each box passes one on once.
+MAX_HOPS = 5
+MAX_REMEMBERED = 1024
+
+MS = 0.001
+
+FindLocally = Callable[
+    [stream_table.StreamKey, str, float], stream_table.Finding
+]
+_QuestionId = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Question:
+    """A question that waits for answers.
+
+    Attributes:
+        awaited: Boxes that have not answered yet.
+        findings: What this box and those that answered know.
+        done: Set when no further answer is needed.
+    """
+
+    awaited: set[str]
+    findings: list[stream_table.Finding]
+    done: asyncio.Future[None]
+
+
+class OriginQueries:
+    """Questions to the connected boxes, and those that they ask.
+
+    Where a box is not connected to all others, the boxes that it asks ask
+    further ones.
+    """
+
+    def __init__(
+        self,
+        peers: hub.PeerHub,
+        members: membership.Membership,
+        clock: timers.Timers,
+        find_locally: FindLocally,
+    ) -> None:
+        """Initializes the queries; `start` subscribes to peer messages.
+
+        Args:
+            peers: Connections to the other boxes.
+            members: The boxes of the fleet.
+            clock: The clock and timers.
+            find_locally: Returns what this box knows of a stream.
+        """
+        self._peers = peers
+        self._members = members
+        self._timers = clock
+        self._find_locally = find_locally
+        self._last_number = 0
+        self._questions: dict[_QuestionId, _Question] = {}
+        self._passed_on: collections.OrderedDict[_QuestionId, None] = (
+            collections.OrderedDict()
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Subscribes to messages from the other boxes."""
+        self._peers.subscribe(messages.AskStreamOrigin, self._on_ask)
+        self._peers.subscribe(messages.StreamOriginAnswer, self._on_answer)
+
+    async def ask(
+        self,
+        key: stream_table.StreamKey,
+        service: str,
+        lifetime_s: float,
+        own: stream_table.Finding,
+    ) -> stream_table.Finding:
+        """Asks the connected boxes where a stream began.
+
+        Args:
+            key: The stream.
+            service: The service to which it is routed now.
+            lifetime_s: Seconds for which a stream of its route may be taken up.
+            own: What this box knows.
+
+        Returns:
+            What all boxes know that answered in time.
+        """
+        self._last_number += 1
+        question = messages.AskStreamOrigin(
+            self._members.own.box,
+            self._last_number,
+            key.caller,
+            key.stream,
+            service,
+            int(lifetime_s / MS),
+            0,
+        )
+        return await self._ask(question, self._peers.boxes(), own)
+
+    async def _ask(
+        self,
+        ask: messages.AskStreamOrigin,
+        boxes: list[str],
+        own: stream_table.Finding,
+    ) -> stream_table.Finding:
+        if not boxes:
+            return own
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        question = _Question(set(boxes), [own], done)
+        question_id = (ask.box, ask.number)
+        self._questions[question_id] = question
+        try:
+            self._peers.send_to(boxes, ask)
+            await self._wait(done, ANSWER_TIMEOUT_S - HOP_S * ask.hops)
+        finally:
+            del self._questions[question_id]
+        return stream_table.combine(question.findings)
+
+    async def _wait(self, done: asyncio.Future[None], limit_s: float) -> None:
+        until = self._timers.stall_adjusted_now() + limit_s
+        while not done.done():
+            left_s = until - self._timers.stall_adjusted_now()
+            if left_s <= 0.0:
+                return
+            await asyncio.wait([done], timeout=left_s)
+
+    def _on_ask(self, box: str, ask: messages.AskStreamOrigin) -> None:
+        key = stream_table.StreamKey(ask.caller, ask.stream)
+        own = self._find_locally(key, ask.service, ask.lifetime_ms * MS)
+        others = [b for b in self._peers.boxes() if b not in (box, ask.box)]
+        if own.recorded or not others or not self._passes_on(ask):
+            self._answer(box, ask, own)
+            return
+
+        async def pass_on() -> None:
+            further = dataclasses.replace(ask, hops=ask.hops + 1)
+            self._answer(box, ask, await self._ask(further, others, own))
+
+        task = asyncio.get_running_loop().create_task(pass_on())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _passes_on(self, ask: messages.AskStreamOrigin) -> bool:
+        """Returns whether boxes that the sender may not reach are asked."""
+        linked = len(self._peers.boxes()) + 1
+        if ask.hops >= MAX_HOPS or linked >= len(self._members.live_members()):
+            return False
+        question_id = (ask.box, ask.number)
+        if ask.box == self._members.own.box or question_id in self._passed_on:
+            return False
+        self._passed_on[question_id] = None
+        if len(self._passed_on) > MAX_REMEMBERED:
+            self._passed_on.popitem(last=False)
+        return True
+
+    def _answer(
+        self,
+        box: str,
+        ask: messages.AskStreamOrigin,
+        finding: stream_table.Finding,
+    ) -> None:
+        origin = finding.origin
+        self._peers.send(
+            box,
+            messages.StreamOriginAnswer(
+                ask.box,
+                ask.number,
+                origin is not None,
+                finding.recorded,
+                "" if origin is None else origin.service,
+                "" if origin is None else origin.version,
+            ),
+        )
+
+    def _on_answer(self, box: str, answer: messages.StreamOriginAnswer) -> None:
+        question = self._questions.get((answer.box, answer.number))
+        if question is None:
+            return
+        origin = None
+        if answer.found:
+            origin = stream_table.StreamOrigin(answer.service, answer.version)
+        question.findings.append(stream_table.Finding(origin, answer.recorded))
+        question.awaited.discard(box)
+        if (answer.recorded or not question.awaited) and (
+            not question.done.done()
+        ):
+            question.done.set_result(None)
--- /dev/null
+++ b/tests/test_stream_origins.py
@@ -0,0 +1,233 @@
+"""Knowledge of the software version that began a stream."""
+
+import asyncio
+from collections.abc import Callable
+import types
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from martenjunction import timers
+from martenjunction.decisions.boxes import served_versions
+from martenjunction.decisions.boxes import stream_table
+from martenjunction.streams import queries
+from martenjunction_lab import boxes
+from martenjunction_lab import replica
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+
+OLD = stream_table.StreamOrigin("s", "v1")
+NEW = stream_table.StreamOrigin("s", "v2")
+
+
+def key(number: int, caller: int = 0) -> stream_table.StreamKey:
+    return stream_table.StreamKey(
+        caller.to_bytes(8, "big"), number.to_bytes(16, "big")
+    )
+
+
+def test_origin_is_forgotten_after_its_lifetime() -> None:
+    table = stream_table.StreamTable()
+    table.record(key(1), OLD, 10.0)
+    assert table.find(key(1), 9.9).origin == OLD  # type: ignore[union-attr]
+    assert table.find(key(1), 10.0) is None
+    table.expire(10.0)
+    assert len(table) == 0
+
+
+def test_id_that_began_two_streams_has_no_origin() -> None:
+    table = stream_table.StreamTable()
+    table.record(key(1), OLD, 10.0)
+    table.record(key(1), NEW, 10.0)
+    assert table.find(key(1), 1.0).origin is None  # type: ignore[union-attr]
+
+
+def test_caller_with_many_streams_pushes_out_its_own(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(stream_table, "MAX_STREAMS", 8)
+    table = stream_table.StreamTable()
+    table.record(key(1, caller=1), OLD, 10.0)
+    for number in range(2, 40):
+        table.record(key(number, caller=2), NEW, 10.0)
+    assert len(table) == 8
+    assert table.find(key(1, caller=1), 1.0) is not None
+    assert table.find(key(39, caller=2), 1.0) is not None
+
+
+findings = st.builds(
+    stream_table.Finding, st.sampled_from([None, OLD, NEW]), st.booleans()
+)
+
+
+@given(st.lists(findings, max_size=6))
+def test_findings_that_contradict_each_other_tell_nothing(
+    found: list[stream_table.Finding],
+) -> None:
+    result = stream_table.combine(found)
+    deciding = [f for f in found if f.recorded] or [
+        f for f in found if f.origin is not None
+    ]
+    origins = {f.origin for f in deciding}
+    expected = origins.pop() if len(origins) == 1 else None
+    assert result.origin == expected
+    assert stream_table.combine(reversed(found)) == result
+
+
+def engine(number: int, version: str) -> Any:
+    return types.SimpleNamespace(id=f"e{number}", service="s", version=version)
+
+
+def watched(*versions: str, for_s: int) -> served_versions.ServedVersions:
+    """Returns what a box knows that saw some versions for some seconds."""
+    watching = served_versions.ServedVersions()
+    listed = [engine(n, version) for n, version in enumerate(versions)]
+    for second in range(for_s + 1):
+        watching.look(listed, float(second))
+    return watching
+
+
+def test_single_version_is_concluded_only_after_the_life_of_a_stream() -> None:
+    assert watched("v1", for_s=4).only_version("s", 5.0, 4.0) is None
+    assert watched("v1", for_s=5).only_version("s", 5.0, 5.0) == "v1"
+    assert watched("v1", "v2", for_s=9).only_version("s", 5.0, 9.0) is None
+
+
+def test_version_that_left_counts_for_the_life_of_a_stream() -> None:
+    watching = watched("v1", "v2", for_s=9)
+    for second in range(10, 16):
+        watching.look([engine(1, "v2")], float(second))
+        is_old_possible = second - 9 <= 5
+        expected = None if is_old_possible else "v2"
+        assert watching.only_version("s", 5.0, float(second)) == expected
+
+
+def test_box_that_was_suspended_concludes_nothing() -> None:
+    watching = watched("v1", for_s=9)
+    watching.look([engine(1, "v1")], 60.0)
+    assert watching.only_version("s", 5.0, 60.0) is None
+
+
+class Line:
+    """Boxes of which each is connected to the next one only."""
+
+    def __init__(self, count: int, knows: dict[int, Any]) -> None:
+        self.boxes = [f"box-{number}" for number in range(count)]
+        self.asked = 0
+        self._handlers: dict[tuple[str, type], Callable[..., None]] = {}
+        self.queries = [
+            self._queries(number, knows.get(number, stream_table.UNKNOWN))
+            for number in range(count)
+        ]
+
+    def _queries(self, number: int, known: Any) -> queries.OriginQueries:
+        box = self.boxes[number]
+        linked = [
+            self.boxes[n]
+            for n in (number - 1, number + 1)
+            if 0 <= n < len(self.boxes)
+        ]
+
+        def send(to: str, message: Any) -> bool:
+            self.asked += 1
+            handler = self._handlers[(to, type(message))]
+            asyncio.get_running_loop().call_soon(handler, box, message)
+            return True
+
+        peers: Any = types.SimpleNamespace(
+            boxes=lambda: linked,
+            send=send,
+            send_to=lambda to, m: [send(one, m) for one in to],
+            subscribe=lambda kind, handler: self._handlers.update(
+                {(box, kind): handler}
+            ),
+        )
+        members: Any = types.SimpleNamespace(
+            own=types.SimpleNamespace(box=box),
+            live_members=lambda: self.boxes,
+        )
+        made = queries.OriginQueries(
+            peers, members, timers.Timers(), lambda *_: known
+        )
+        made.start()
+        return made
+
+
+async def ask(line: Line) -> stream_table.Finding:
+    return await line.queries[0].ask(key(1), "s", 5.0, stream_table.UNKNOWN)
+
+
+async def test_boxes_pass_a_question_on_to_those_that_the_asker_lacks() -> None:
+    recorded = stream_table.Finding(NEW, recorded=True)
+    concluded = stream_table.Finding(OLD)
+    line = Line(5, {1: concluded, 4: recorded})
+    assert await ask(line) == recorded
+
+
+async def test_question_that_no_box_can_answer_ends_without_a_wait() -> None:
+    line = Line(4, {})
+    async with asyncio.timeout(queries.ANSWER_TIMEOUT_S / 2):
+        assert await ask(line) == stream_table.UNKNOWN
+    assert line.asked == 2 * 3
+
+
+async def two_versions(fleet: boxes.Boxes) -> list[replica.Replica]:
+    """Adds an engine of each of two versions."""
+    made = await requests.engines(fleet)
+    fleet.record(made[1], builders.ENGINE, version="v2", seq=2, slots=64)
+    box = fleet.gateways[0]
+    await boxes.until(
+        lambda: box.endpoint_list.entries[made[1].id].endpoint.version == "v2"
+    )
+    return made
+
+
+@pytest.mark.parametrize(
+    ("changes", "status"),
+    [
+        ({"Resumes": "r1", "Last-Event-Id": "2"}, 200),
+        ({"Resumes": "r1"}, 200),
+        ({"Last-Event-Id": "2"}, 503),
+        ({"Resumes": "r2", "Last-Event-Id": "2"}, 503),
+        ({"Resumes": "r" * 10_000, "Last-Event-Id": "2"}, 503),
+        ({"Resumes": "", "Last-Event-Id": "2"}, 503),
+        (
+            {
+                "Resumes": "r1",
+                "Last-Event-Id": "2",
+                "Authorization": "Bearer key-of-two",
+            },
+            503,
+        ),
+    ],
+)
+async def test_stream_is_taken_up_only_where_its_origin_is_known(
+    fleet: boxes.Boxes, changes: dict[str, str], status: int
+) -> None:
+    made = await two_versions(fleet)
+    await requests.ask(fleet, "/digest/", "r1")
+    [began] = [m for m in made if m.received]
+    head, body = await requests.ask(fleet, "/digest/", "r9", **changes)
+    assert head.status == status
+    if status == 200:
+        assert [m.id for m in made if len(m.received) == 2] == [began.id]
+    else:
+        assert body == b"stream-unknown"
+        assert float(head.get(b"retry-after") or 0.0) > 0.0
+
+
+async def test_stream_whose_version_is_gone_is_refused_not_moved(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await two_versions(fleet)
+    await requests.ask(fleet, "/digest/", "r1")
+    [began] = [m for m in made if m.received]
+    fleet.forget(began)
+    box = fleet.gateways[0]
+    await boxes.until(lambda: began.id not in box.endpoint_list.entries)
+    taken_up = {"Resumes": "r1", "Last-Event-Id": "2"}
+    head, _ = await requests.ask(fleet, "/digest/", "r9", **taken_up)
+    assert head.status == 503
+    assert requests.arrivals(made) == 1
