--- a/martenjunction_lab/versioned_streams.py
+++ b/martenjunction_lab/versioned_streams.py
@@ -5,11 +5,14 @@
 """
 
 import asyncio
+import collections
 import dataclasses
+import statistics
 import time
 from typing import Any
 
 from martenjunction import errors
+from martenjunction import gateway
 from martenjunction.endpoints import event_stream
 from martenjunction.http1 import client
 from martenjunction_lab import boxes
@@ -83,6 +86,8 @@
             served.
         gone_on: Those that brought an event, or the end of the stream.
         refused: Codes of the refusals.
+        first_event_s: Seconds to the first event of each stream that began.
+        messages: Messages between boxes by kind.
     """
 
     streams: int = 0
@@ -92,7 +97,13 @@
     whole: int = 0
     taken_up: int = 0
     gone_on: int = 0
-    refused: dict[str, int] = dataclasses.field(default_factory=dict)
+    refused: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    first_event_s: list[float] = dataclasses.field(default_factory=list)
+    messages: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     @property
     def begun_share(self) -> float:
@@ -104,6 +115,21 @@
         """The share of streams taken up that go on."""
         return self.gone_on / max(1, self.taken_up)
 
+    @property
+    def told(self) -> int:
+        """Messages that told where streams began."""
+        return self.messages["stream-origins"]
+
+    @property
+    def asked(self) -> int:
+        """Messages that asked where a stream began."""
+        return self.messages["ask-stream-origin"]
+
+    @property
+    def first_event_ms(self) -> float:
+        """The median time to the first event, in milliseconds."""
+        return statistics.median(self.first_event_s or [0.0]) * 1000
+
 
 class _ClientStream:
     """What a client has of one stream.
@@ -193,10 +219,15 @@
                 self.spawn(self._end_boxes(until))
             await self.send_steadily(trial.per_s, until, self._stream)
             await self.settle()
+            self._count_messages(self.boxes.gateways)
         finally:
             await self.stop()
         return self.outcome
 
+    def _count_messages(self, ended: list[gateway.Gateway]) -> None:
+        for box in ended:
+            self.outcome.messages.update(box.peers.traffic().by_kind)
+
     def _entry_fields(self, one: VersionedReplica) -> dict[str, str]:
         return {"version": one.version}
 
@@ -229,6 +260,7 @@
             number += 1
             ended = self.draw.choice(self.boxes.gateways)
             self.boxes.gateways.remove(ended)
+            self._count_messages([ended])
             await ended.stop()
             new = await self.boxes.add_box(f"box-new-{number}")
             self.boxes.gateways.remove(new)
@@ -271,6 +303,7 @@
         pairs = self._headers(request_id, held)
         address = self.draw.choice(self.boxes.gateways).members.own.callers
         connection = client.ClientConnection(address)
+        began_at = time.monotonic()
         try:
             async with asyncio.timeout(DEADLINE_S):
                 await connection.open(1.0)
@@ -278,13 +311,14 @@
                 head = await connection.read_head()
                 if head.status != 200:
                     code = (await connection.read_body()).decode("latin-1")
-                    self.outcome.refused[code] = (
-                        self.outcome.refused.get(code, 0) + 1
-                    )
+                    self.outcome.refused[code] += 1
                     return float(head.get(b"retry-after") or 0.05)
                 splitter = event_stream.EventSplitter()
                 while part := await connection.read_body():
                     for event in splitter.feed(part):
+                        if not held.last_event:
+                            taken_s = time.monotonic() - began_at
+                            self.outcome.first_event_s.append(taken_s)
                         held.take(request_id, event)
                 held.end()
         except (errors.TransportError, TimeoutError):
