--- a/martenjunction/routing/request_account.py
+++ b/martenjunction/routing/request_account.py
@@ -7,6 +7,9 @@
 from martenjunction.platform import headers
 from martenjunction.routing import offers
 
+# Maximum number of parts of a prompt that are logged.
+MAX_PARTS_LOGGED = 16
+
 
 def record_result(
     context: offers.ExchangeContext,
@@ -29,6 +32,7 @@
     context.metrics.count("requests", kind=kind, result=result)
     context.metrics.observe("request_s", duration_s, kind=kind)
     served = state.progress.outcome is outcomes.Outcome.DONE
+    shared = {} if served else _part_fields(facts)
     context.log.write(
         "request" if served else "request-failed",
         id=state.id,
@@ -42,9 +46,16 @@
         ms=round(duration_s * 1000, 1),
         **_timing_fields(state, facts.prompt_tokens),
         **_stream_fields(state, facts),
+        **shared,
     )
 
 
+def _part_fields(facts: headers.RequestMetadata) -> dict[str, object]:
+    """Returns the parts that a failed request shares with others."""
+    shared = [part.id for part in facts.parts[:-1]]
+    return {"parts": shared[:MAX_PARTS_LOGGED]} if shared else {}
+
+
 def _stream_fields(
     state: offers.RequestState, facts: headers.RequestMetadata
 ) -> dict[str, object]:
