Quarantine parts of prompts under which endpoints crash

Cause: the quarantine knows a request by its caller and whole content. No two of these requests were alike, so each crash began the count anew (706 of 717 lines with one crash, none quarantined).

Now crashes are held against the parts of the runs that had just begun at the endpoint, or might have. Sound parts are in as many crashes as the one that causes them; what tells them apart is that their other runs live: a run that has written for 0.4 s, or ended well, takes back what was held against its parts before it began. A part with three to five crashes in a row, by the rate at which other runs crash, is quarantined on all boxes, and its crashes are taken back from all other parts. Its holder tries it after 20 s, 80 s and so on.

Why it holds: the count rises with each crash under the part, whatever else the request holds, and a popular part lives elsewhere between two crashes.

--- a/martenjunction/decisions/boxes/suspect_table.py
+++ b/martenjunction/decisions/boxes/suspect_table.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 import dataclasses
 import enum
+from typing import Any
 
 from martenjunction.decisions.boxes import crash_rates
 from martenjunction.decisions.boxes import suspicion
@@ -165,7 +166,7 @@
     ) -> SuspectDecision:
         evidence = suspect.evidence
         generation = evidence.generation + 1
-        delay_s = suspect.changed_at + release_delay_s(evidence) - now
+        delay_s = suspect.changed_at + self.release_delay_s(evidence) - now
         if suspect.trial_until > now:
             return SuspectDecision(
                 Verdict.QUARANTINED, recheck_after_s=suspect.trial_until - now
@@ -308,10 +309,7 @@
             The suspect if it was cleared, otherwise None.
         """
         self._crash_rate(service).record_answer(now)
-        self._answered[key] = now
-        self._answered.move_to_end(key)
-        if len(self._answered) > MAX_ANSWERED:
-            self._answered.popitem(last=False)
+        self._remember_answer(key, now)
         return self.clear(key, now)
 
     def clear(
@@ -394,6 +392,11 @@
             minimum, needed - max(0, concurrent) // CONCURRENT_PER_CONSECUTIVE
         )
 
+    def release_delay_s(self, evidence: suspicion.Suspicion) -> float:
+        """Returns the seconds until a quarantined request's next trial."""
+        delay_s = INITIAL_RELEASE_S * RELEASE_FACTOR**evidence.releases
+        return min(delay_s, MAX_RELEASE_S)
+
     def _update_times(self, suspect: Suspect, before: int, now: float) -> None:
         """Updates a suspect's times after a change of its evidence.
 
@@ -407,6 +410,14 @@
         if evidence.generation != before:
             suspect.trial_until = 0.0
 
+    def _remember_answer(
+        self, key: request_content.ContentKey, now: float
+    ) -> None:
+        self._answered[key] = now
+        self._answered.move_to_end(key)
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
+
     def _was_answered(
         self, key: request_content.ContentKey, now: float
     ) -> bool:
@@ -447,13 +458,27 @@
             del self._counts_by_caller[caller]
 
 
-def release_delay_s(evidence: suspicion.Suspicion) -> float:
-    """Returns the delay in seconds until a quarantined request's next trial."""
-    delay_s = INITIAL_RELEASE_S * RELEASE_FACTOR**evidence.releases
-    return min(delay_s, MAX_RELEASE_S)
-
-
 def weight(suspect: Suspect) -> tuple[bool, int, float]:
     """Returns a sort key that orders the least suspected request first."""
     evidence = suspect.evidence
     return evidence.quarantined, evidence.generation, suspect.changed_at
+
+
+def describe(suspect: Suspect, needed: int) -> dict[str, Any]:
+    """Returns a suspect's evidence, for the log and the dump.
+
+    Args:
+        suspect: The suspect.
+        needed: Number of consecutive crashes that put it in quarantine.
+    """
+    held = suspect.evidence
+    return {
+        "content": str(suspect.key),
+        "service": held.service,
+        "ends": dict(held.crashes),
+        "in_a_row": held.generation,
+        "needed": needed,
+        "quarantined": held.quarantined,
+        "tries": held.trials,
+        "epoch": held.epoch,
+    }
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -32,6 +32,7 @@
 from martenjunction.platform import documents
 from martenjunction.platform import headers
 from martenjunction.platform import store
+from martenjunction.prompt_parts import quarantine as part_quarantine
 from martenjunction.routing import admission
 from martenjunction.routing import box_dump
 from martenjunction.routing import box_state_sync
@@ -295,6 +296,15 @@
         self.liveness = endpoint_liveness.EndpointLiveness(
             self.registry, self.connector.is_down
         )
+        self.parts = part_quarantine.PartQuarantine(
+            self.endpoint_list,
+            self.peers,
+            self.members,
+            self.timers,
+            self.events,
+            self.log,
+            self.sync.responsive_peers,
+        )
         self.quarantine = request_quarantine.RequestQuarantine(
             self.endpoint_list,
             self.liveness,
@@ -304,6 +314,7 @@
             self.events,
             self.log,
             self.sync.responsive_peers,
+            self.parts,
         )
         self.origins = origins.StreamOrigins(
             self.endpoint_list,
@@ -364,6 +375,7 @@
         self.load_exchange.start(self.events)
         self.outcomes.start()
         self.quarantine.start()
+        self.parts.start()
         self.leaving_endpoints.start(self.events)
         self.limits.start(self.events)
         self.brittleness.start(self.events)
@@ -474,6 +486,7 @@
             ),
             "limits": self.grants.dump(),
             "suspects": self.quarantine.dump(),
+            "suspected_parts": self.parts.dump(),
             "duties": self.duties.dump(),
         }
 
@@ -605,6 +618,8 @@
                 "stream_origins": float(self.origins.count),
                 "suspects": float(len(self.quarantine.dump())),
                 "quarantined_refused": float(self.quarantine.refused),
+                "suspected_parts": float(len(self.parts.dump())),
+                "quarantined_parts_refused": float(self.parts.refused),
                 "store_returns": float(self.store_cache.store_returns),
                 "entries_unreadable": float(self.store_cache.unreadable),
                 "loop_delay_s": self.timers.worst_delay,
--- /dev/null
+++ b/martenjunction/prompt_parts/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of parts of prompts that crash endpoints."""
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -233,7 +233,7 @@
         self._context.registry.note_response(ticket, time.monotonic())
         self._count_run(offer)
         run.finish()
-        offer.permit.record_answer()
+        offer.permit.record_answer(success)
         answer = Answer(head.status, headers.client_headers(head.headers), body)
         if success:
             self._state.progress.record(outcomes.Event.COMPLETE)
@@ -266,6 +266,7 @@
             self._context.registry.note_events(ticket, now, len(events))
             self._count_run(offer)
             self._state.note_events(now)
+            offer.permit.note_events(now)
             if not self._connection.answering:
                 self._record_origin(offer.endpoint)
                 self._state.progress.record(outcomes.Event.ANSWERING)
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/exchange.py
@@ -268,6 +268,10 @@
         self, admitted: admission.Admission, runs: endpoint_runs.EndpointRuns
     ) -> None:
         admitted = await self._bind_stream(admitted)
+        if admitted.service.engine is not None:
+            self._state.part_keys = self._context.content_keys.part_keys(
+                admitted.service.name, self._facts
+            )
         demand = self._demand(admitted)
         chosen = offers.Offers(self._context, admitted, demand, self._state)
         while True:
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/offers.py
@@ -130,6 +130,7 @@
         resume_from: Id of the last event that the client has of an earlier
             response, or empty if it takes up no stream.
         stream_key: Identifies the stream over the client's tries.
+        part_keys: The parts of the prompt that other requests share.
         stream_version: Software version that wrote the first event of the
             stream, or None if there is none or it is not known.
         delivered_id: Id of the last event sent to the client, or None.
@@ -144,6 +145,7 @@
     received_at: float
     content: request_content.ContentKey
     stream_key: stream_table.StreamKey
+    part_keys: tuple[request_content.ContentKey, ...] = ()
     is_retry: bool = False
     progress: outcomes.RequestProgress = dataclasses.field(
         default_factory=outcomes.RequestProgress
@@ -261,6 +263,7 @@
                 self._state.content,
                 self._admitted.service,
                 self._admitted.deadline,
+                self._state.part_keys,
             )
         except admission.RefusalError as refusal:
             if self._state.progress.outcome is outcomes.Outcome.NOT_RUN:
--- a/martenjunction/routing/peer_messages.py
+++ b/martenjunction/routing/peer_messages.py
@@ -347,6 +347,15 @@
     outlived: tuple[bool, ...]
 
 
+@codec.message("suspected-parts", urgent=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartRecords(SuspectRecords):
+    """Records of suspected parts of prompts, like those of requests.
+
+    The callers are digests of the services, the contents those of the parts.
+    """
+
+
 @codec.message("ask-trial", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskTrial:
--- a/martenjunction/routing/permits.py
+++ b/martenjunction/routing/permits.py
@@ -1,12 +1,18 @@
 """Permits to send a request to an endpoint, which record the result."""
 
+import time
 from typing import Protocol
 
 from martenjunction import model
 from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import part_table
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.routing import request_content
 
+# Status and error code of the answer to a request that is quarantined.
+QUARANTINED_STATUS = 503
+QUARANTINED_CODE = "ends-endpoints"
+
 
 class PermitIssuer(Protocol):
     """Records the results of runs; implemented by `routing.suspects`."""
@@ -32,6 +38,9 @@
     def end_trial(self, permit: "Permit") -> None:
         """Records that an isolated trial run was inconclusive."""
 
+    def record_lived(self, run: part_table.PartRun) -> None:
+        """Records that a run has outlived its begin."""
+
 
 class Permit:
     """Permits one run of a request and records its result."""
@@ -42,6 +51,7 @@
         key: request_content.ContentKey,
         service: model.Service,
         ruling: suspect_table.SuspectDecision,
+        parts: part_table.PartRun,
     ) -> None:
         """Initializes the permit.
 
@@ -50,11 +60,14 @@
             key: The content key of the request.
             service: The service.
             ruling: The decision that allows the run.
+            parts: The parts of the run's prompt.
         """
         self._issuer = issuer
         self.key = key
         self.service = service
         self.ruling = ruling
+        self.parts = parts
+        self.broke_at: float | None = None
         self._result_known = False
         self._broken = False
         self._closed = False
@@ -67,6 +80,10 @@
     @property
     def isolated(self) -> bool:
         """Whether the endpoint with the fewest runs is preferred."""
+        return self._is_trial or self.parts.isolated
+
+    @property
+    def _is_trial(self) -> bool:
         return self.ruling.verdict is suspect_table.Verdict.ALONE
 
     def is_valid(self) -> bool:
@@ -75,7 +92,7 @@
 
     def excluded_ids(self) -> set[str]:
         """Returns the ids of endpoints that must not run the request."""
-        builds = self.ruling.avoid_builds
+        builds = self.ruling.avoid_builds | self.parts.avoid_builds
         if not builds:
             return set()
         ready = self._issuer.listed.ready(self.service.name)
@@ -83,15 +100,35 @@
             e.id for e in ready if model.build_id(e, self.service) in builds
         }
 
-    def record_answer(self) -> None:
-        """Records a complete response: the endpoint did not crash."""
+    def note_events(self, now: float) -> None:
+        """Records that events of the run arrived.
+
+        Args:
+            now: The current time.
+        """
+        run = self.parts
+        if run.first_event_at is None:
+            run.first_event_at = now
+        elif not run.has_lived and not run.may_have_crashed(now):
+            self._issuer.record_lived(run)
+
+    def record_answer(self, served: bool = True) -> None:
+        """Records a complete response: the endpoint did not crash.
+
+        Args:
+            served: Whether it is a success. With another one, the endpoint may
+                not have begun to write.
+        """
         if not self._result_known:
             self._result_known = True
             self._issuer.record_answer(self)
+            if served and not self.parts.has_lived:
+                self._issuer.record_lived(self.parts)
 
     def record_broken_run(self, endpoint: model.Endpoint) -> None:
         """Records that the run broke off and the endpoint may have crashed."""
         self._broken = True
+        self.broke_at = time.monotonic()
         self._issuer.note_unconfirmed_end(self, endpoint)
 
     def record_crash(self, endpoint: model.Endpoint) -> None:
@@ -108,5 +145,5 @@
         could crash a second endpoint.
         """
         self._closed = True
-        if self.isolated and not self._result_known and not self._broken:
+        if self._is_trial and not self._result_known and not self._broken:
             self._issuer.end_trial(self)
--- a/martenjunction/routing/request_content.py
+++ b/martenjunction/routing/request_content.py
@@ -11,6 +11,9 @@
 CALLER_BYTES = 8
 CONTENT_BYTES = 16
 
+# Maximum number of parts of a request that are told apart.
+MAX_PARTS = 128
+
 # Size of the length prefix of each hashed part, in bytes.
 LENGTH_BYTES = 8
 
@@ -66,3 +69,24 @@
             digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
             digest.update(part)
         return ContentKey(caller, digest.digest())
+
+    def part_keys(
+        self, service: str, facts: headers.RequestMetadata
+    ) -> tuple[ContentKey, ...]:
+        """Returns the keys of the parts that a request shares with others.
+
+        The last part belongs to the request itself or its session.
+
+        Args:
+            service: The service.
+            facts: The decoded headers.
+        """
+        owner = xxhash.xxh3_64_digest(service.encode(), seed=self._seed)
+        shared = dict.fromkeys(part.id for part in facts.parts[:-1])
+        return tuple(
+            ContentKey(
+                owner,
+                xxhash.xxh3_128_digest(name.encode("latin-1"), seed=self._seed),
+            )
+            for name in list(shared)[:MAX_PARTS]
+        )
--- a/martenjunction/routing/request_quarantine.py
+++ b/martenjunction/routing/request_quarantine.py
@@ -11,10 +11,12 @@
 from martenjunction import model
 from martenjunction import timers
 from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import part_table
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
 from martenjunction.peers import membership
+from martenjunction.prompt_parts import quarantine
 from martenjunction.routing import admission
 from martenjunction.routing import decision_log
 from martenjunction.routing import endpoint_liveness
@@ -37,10 +39,6 @@
 # that began to wait at the same time at once.
 MAX_WAIT_FRACTION = 0.5
 
-# Status and error code of the answer to a quarantined request.
-QUARANTINED_STATUS = 503
-QUARANTINED_CODE = "ends-endpoints"
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _UnconfirmedCrash:
@@ -75,6 +73,7 @@
         emitter: events.Events,
         log: decision_log.DecisionLog,
         responsive_peers: Callable[[], list[membership.Member]],
+        parts: quarantine.PartQuarantine,
     ) -> None:
         """Initializes the quarantine; `start` subscribes to peer messages.
 
@@ -87,7 +86,9 @@
             emitter: Announces new connections to boxes.
             log: Records changes of suspected requests.
             responsive_peers: Returns the live peers with a recent status.
+            parts: Decides by the parts of prompts.
         """
+        self._parts = parts
         self._listed = listed
         self._timers = clock
         self._events = emitter
@@ -141,6 +142,7 @@
         key: request_content.ContentKey,
         service: model.Service,
         deadline: float,
+        part_keys: tuple[request_content.ContentKey, ...] = (),
     ) -> permits.Permit:
         """Waits until a request may be sent to an endpoint.
 
@@ -148,6 +150,7 @@
             key: The request.
             service: The service.
             deadline: Time on the steady clock until which it may be held.
+            part_keys: The parts of its prompt that others share.
 
         Returns:
             A permit to send the request.
@@ -163,11 +166,11 @@
             if ruling.verdict is suspect_table.Verdict.QUARANTINED:
                 self._refuse(ruling.recheck_after_s)
             if ruling.verdict is suspect_table.Verdict.FREE:
-                return permits.Permit(self, key, service, ruling)
+                return self._permit(key, service, ruling, part_keys)
             wait_s = ruling.recheck_after_s
             if ruling.verdict is suspect_table.Verdict.ALONE:
                 answer = await self._trials.ask(key, builds)
-                permit = self._trial_permit(key, service, ruling)
+                permit = self._trial_permit(key, service, ruling, part_keys)
                 if answer.granted and permit.is_valid():
                     began_at = self._timers.stall_adjusted_now()
                     self._running_trials.append((began_at, permit))
@@ -184,7 +187,7 @@
                 final_ruling = self._table.decide_after_wait(key, now)
                 if final_ruling is None:
                     self._refuse(wait_s)
-                return permits.Permit(self, key, service, final_ruling)
+                return self._permit(key, service, final_ruling, part_keys)
             await self._wait(key, min(wait_s, left_s))
 
     def _trial_permit(
@@ -192,15 +195,28 @@
         key: request_content.ContentKey,
         service: model.Service,
         ruling: suspect_table.SuspectDecision,
+        part_keys: tuple[request_content.ContentKey, ...],
     ) -> permits.Permit:
         """Returns a permit for the latest trial of a request."""
         suspect = self._table.find(key)
         trial = 0 if suspect is None else suspect.evidence.trials
         trial_ruling = dataclasses.replace(ruling, trial=trial)
-        return permits.Permit(self, key, service, trial_ruling)
+        return self._permit(key, service, trial_ruling, part_keys)
+
+    def _permit(
+        self,
+        key: request_content.ContentKey,
+        service: model.Service,
+        ruling: suspect_table.SuspectDecision,
+        part_keys: tuple[request_content.ContentKey, ...],
+    ) -> permits.Permit:
+        parts = self._parts.admit(service, part_keys)
+        return permits.Permit(self, key, service, ruling, parts)
 
     def is_valid(self, permit: permits.Permit) -> bool:
         """Returns whether no crash was recorded since a permit was issued."""
+        if not self._parts.is_valid(permit.parts):
+            return False
         suspect = self._table.find(permit.key)
         if suspect is None:
             return True
@@ -221,11 +237,16 @@
             )
             self._announce(cleared)
 
+    def record_lived(self, run: part_table.PartRun) -> None:
+        """Records that a run has outlived its begin."""
+        self._parts.record_lived(run)
+
     def record_crash(
         self, permit: permits.Permit, endpoint: model.Endpoint
     ) -> None:
         """Records that an endpoint crashed during a run."""
         now = self._timers.now()
+        self._parts.record_crash(permit, endpoint)
         changed = self._table.record_crash(
             permit.key,
             permit.service.name,
@@ -257,11 +278,14 @@
         """Clears a suspected request at an operator's command.
 
         Args:
-            name: The request's content key, as shown in logs and the dump.
+            name: The key of the request, or of the part of a prompt, as shown
+                in logs and the dump.
 
         Returns:
             Whether a matching request was cleared.
         """
+        if self._parts.lift(name):
+            return True
         for suspect in self._table:
             if str(suspect.key) != name:
                 continue
@@ -277,7 +301,9 @@
         """Returns the records of all suspected requests."""
         now = self._timers.now()
         return [
-            _describe(suspect, self._table.crashes_needed(suspect, now))
+            suspect_table.describe(
+                suspect, self._table.crashes_needed(suspect, now)
+            )
             for suspect in self._table
             if suspect.evidence.generation
         ]
@@ -305,8 +331,8 @@
     def _refuse(self, again_s: float) -> NoReturn:
         self._refused += 1
         raise admission.RefusalError(
-            QUARANTINED_STATUS,
-            QUARANTINED_CODE,
+            permits.QUARANTINED_STATUS,
+            permits.QUARANTINED_CODE,
             "quarantined: several endpoints crashed during this request",
             again_s,
         )
@@ -409,18 +435,6 @@
         self, kind: str, suspect: suspect_table.Suspect, **fields: Any
     ) -> None:
         needed = self._table.crashes_needed(suspect, self._timers.now())
-        self._log.write(kind, **_describe(suspect, needed), **fields)
-
-
-def _describe(suspect: suspect_table.Suspect, needed: int) -> dict[str, Any]:
-    held = suspect.evidence
-    return {
-        "content": str(suspect.key),
-        "service": held.service,
-        "ends": dict(held.crashes),
-        "in_a_row": held.generation,
-        "needed": needed,
-        "quarantined": held.quarantined,
-        "tries": held.trials,
-        "epoch": held.epoch,
-    }
+        self._log.write(
+            kind, **suspect_table.describe(suspect, needed), **fields
+        )
--- a/martenjunction/routing/suspect_codec.py
+++ b/martenjunction/routing/suspect_codec.py
@@ -14,10 +14,16 @@
 
 def encode(
     suspects: Iterable[suspect_table.Suspect],
+    message: type[peer_messages.SuspectRecords] = peer_messages.SuspectRecords,
 ) -> peer_messages.SuspectRecords:
-    """Returns a message with the records of suspected requests."""
+    """Returns a message with the records of suspects.
+
+    Args:
+        suspects: The suspects.
+        message: The type of the message.
+    """
     rows = [(suspect.key, suspect.evidence) for suspect in suspects]
-    return peer_messages.SuspectRecords(
+    return message(
         tuple(key.caller for key, _ in rows),
         tuple(key.content for key, _ in rows),
         tuple(held.service for _, held in rows),
--- a/martenjunction/routing/suspect_sync.py
+++ b/martenjunction/routing/suspect_sync.py
@@ -1,7 +1,8 @@
-"""Synchronizes the suspected requests between boxes."""
+"""Synchronizes suspected requests, or parts of prompts, between boxes."""
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from martenjunction import events
 from martenjunction.decisions.boxes import suspect_table
@@ -37,6 +38,9 @@
         peers: hub.PeerHub,
         members: membership.Membership,
         merge: MergeSuspicion,
+        message: type[
+            peer_messages.SuspectRecords
+        ] = peer_messages.SuspectRecords,
     ) -> None:
         """Initializes the exchange; `start` subscribes to peer messages.
 
@@ -46,7 +50,9 @@
             members: The boxes of the fleet.
             merge: Merges another box's record of a request; returns the result
                 if it changed.
+            message: The type of the messages.
         """
+        self._message = message
         self._table = table
         self._peers = peers
         self._members = members
@@ -60,7 +66,7 @@
         Args:
             emitter: Announces new connections to boxes.
         """
-        self._peers.subscribe(peer_messages.SuspectRecords, self._on_suspects)
+        self._peers.subscribe(self._message, self._on_suspects)
         emitter.connect(events.PEER_CONNECTED, self._on_connected)
 
     def announce(self, suspect: suspect_table.Suspect) -> None:
@@ -73,9 +79,14 @@
         """Forwards pending changes to boxes that their sender may not reach."""
         self._broadcast(self._pending_forwards)
 
+    def _encode(
+        self, suspects: Iterable[suspect_table.Suspect]
+    ) -> peer_messages.SuspectRecords:
+        return suspect_codec.encode(suspects, self._message)
+
     def _broadcast(self, batch: _Batch) -> None:
         if batch:
-            self._peers.broadcast(suspect_codec.encode(batch.values()))
+            self._peers.broadcast(self._encode(batch.values()))
             batch.clear()
 
     def _on_connected(self, box: str) -> None:
@@ -83,7 +94,7 @@
         known = [s for s in self._table if s.evidence.generation]
         known.sort(key=suspect_table.weight, reverse=True)
         if known:
-            self._peers.send(box, suspect_codec.encode(known[:MAX_ON_CONNECT]))
+            self._peers.send(box, self._encode(known[:MAX_ON_CONNECT]))
 
     def _on_suspects(
         self, box: str, message: peer_messages.SuspectRecords
@@ -106,4 +117,4 @@
         if outdated:
             # Without the current epoch, crashes that the sender records would
             # be ignored by all other boxes.
-            self._peers.send(box, suspect_codec.encode(outdated))
+            self._peers.send(box, self._encode(outdated))
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -11,7 +11,6 @@
 from martenjunction.routing import admission
 from martenjunction.routing import permits
 from martenjunction.routing import request_content
-from martenjunction.routing import request_quarantine
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
@@ -93,7 +92,7 @@
     head, body = await requests.ask(fleet, "/unsafe/", "again")
     assert (head.status, body) == (
         503,
-        request_quarantine.QUARANTINED_CODE.encode(),
+        permits.QUARANTINED_CODE.encode(),
     )
     again_s = float(head.get(b"retry-after") or 0)
     assert again_s > suspect_table.INITIAL_RELEASE_S / 2
