--- a/martenjunction/prompt_parts/quarantine.py
+++ b/martenjunction/prompt_parts/quarantine.py
@@ -36,8 +36,13 @@
 
     All boxes share what endpoints crashed under. A quarantined part is tried
     again now and then by one box, its holder.
+
+    Attributes:
+        table_type: Decides which parts are quarantined.
     """
 
+    table_type: type[part_table.PartTable] = part_table.PartTable
+
     def __init__(
         self,
         listed: endpoint_list.EndpointList,
@@ -63,7 +68,7 @@
         self._timers = clock
         self._events = emitter
         self._log = log
-        self._table = part_table.PartTable()
+        self._table = self.table_type()
         self._selector = holders.HolderSelector(members, responsive_peers)
         self._sync = suspect_sync.SuspectSync(
             self._table, peers, members, self._merge, peer_messages.PartRecords
