Clear a part only where it lives on the software that crashed

Where a fix of the endpoints' software is rolled out, a quarantined part is tried on the new build, lives there, and was then free everywhere: endpoints of the old build crashed anew until it was quarantined again, and so on. A run now speaks for its parts on its own build only, or once endpoints of the builds that crashed are gone; until then the part's holder sends it to the others, one at a time.

The test row {"immune": 8} asks for it.

--- a/martenjunction/decisions/boxes/part_table.py
+++ b/martenjunction/decisions/boxes/part_table.py
@@ -11,6 +11,7 @@
 spectra.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -44,6 +45,7 @@
             evidence and the generation of this run.
         isolated: Whether it is a trial of a quarantined part.
         avoid_builds: Builds to which it must not be sent.
+        build: Build of the endpoint that it was sent to.
         first_event_at: When its first event came, or None.
         has_lived: Whether it has outlived its begin.
     """
@@ -54,6 +56,7 @@
     generations: dict[PartKey, tuple[int, int]]
     isolated: bool = False
     avoid_builds: frozenset[str] = frozenset()
+    build: str = ""
     first_event_at: float | None = None
     has_lived: bool = False
 
@@ -139,12 +142,19 @@
         return changed
 
     def record_lived(
-        self, run: PartRun, now: float
+        self,
+        run: PartRun,
+        ready_builds: Callable[[], frozenset[str]],
+        now: float,
     ) -> list[suspect_table.Suspect]:
         """Records that a run has outlived its begin.
 
+        It speaks for its parts only on its build, or once endpoints of the
+        builds that crashed are gone.
+
         Args:
             run: The run.
+            ready_builds: Returns the builds of the service's ready endpoints.
             now: The current time.
 
         Returns:
@@ -158,6 +168,9 @@
             suspect = self.find(key)
             if suspect is None or not suspect.evidence.generation:
                 continue
+            builds = suspect.evidence.builds
+            if run.build not in builds and builds & ready_builds():
+                continue
             times = self._crashed_at.get(key, {})
             later = {
                 endpoint_id
--- a/martenjunction/prompt_parts/quarantine.py
+++ b/martenjunction/prompt_parts/quarantine.py
@@ -102,10 +102,7 @@
         run = self._table.begin(service.name, keys, now)
         if not suspects:
             return run
-        builds = frozenset(
-            model.build_id(endpoint, service)
-            for endpoint in self._listed.ready(service.name)
-        )
+        builds = self._ready_builds(service)
         rulings = [
             self._table.decide(suspect.key, builds, now) for suspect in suspects
         ]
@@ -151,11 +148,14 @@
             ),
         )
 
-    def record_lived(self, run: part_table.PartRun) -> None:
+    def record_lived(self, permit: permits.Permit) -> None:
         """Records that a run has outlived its begin."""
-        self._announce(
-            "part-cleared", self._table.record_lived(run, self._timers.now())
+        run, service = permit.parts, permit.service
+        now = self._timers.now()
+        cleared = self._table.record_lived(
+            run, lambda: self._ready_builds(service), now
         )
+        self._announce("part-cleared", cleared)
 
     def lift(self, name: str) -> bool:
         """Clears a suspected part at an operator's command.
@@ -184,6 +184,12 @@
             if suspect.evidence.generation
         ]
 
+    def _ready_builds(self, service: model.Service) -> frozenset[str]:
+        ready = self._listed.ready(service.name)
+        return frozenset(
+            model.build_id(endpoint, service) for endpoint in ready
+        )
+
     def _refuse(self, again_s: float) -> NoReturn:
         self._refused += 1
         raise admission.RefusalError(
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/endpoint_runs.py
@@ -136,6 +136,7 @@
             run.connection.is_direct,
         )
         self._running, self._ticket = run, ticket
+        offer.permit.note_sent(endpoint)
         self._run_counted = False
         self._state.choices.append(
             {
--- a/martenjunction/routing/permits.py
+++ b/martenjunction/routing/permits.py
@@ -38,7 +38,7 @@
     def end_trial(self, permit: "Permit") -> None:
         """Records that an isolated trial run was inconclusive."""
 
-    def record_lived(self, run: part_table.PartRun) -> None:
+    def record_lived(self, permit: "Permit") -> None:
         """Records that a run has outlived its begin."""
 
 
@@ -100,6 +100,11 @@
             e.id for e in ready if model.build_id(e, self.service) in builds
         }
 
+    def note_sent(self, endpoint: model.Endpoint) -> None:
+        """Records that the run is sent to an endpoint."""
+        if self.parts.keys:
+            self.parts.build = model.build_id(endpoint, self.service)
+
     def note_events(self, now: float) -> None:
         """Records that events of the run arrived.
 
@@ -110,7 +115,7 @@
         if run.first_event_at is None:
             run.first_event_at = now
         elif not run.has_lived and not run.may_have_crashed(now):
-            self._issuer.record_lived(run)
+            self._issuer.record_lived(self)
 
     def record_answer(self, served: bool = True) -> None:
         """Records a complete response: the endpoint did not crash.
@@ -123,7 +128,7 @@
             self._result_known = True
             self._issuer.record_answer(self)
             if served and not self.parts.has_lived:
-                self._issuer.record_lived(self.parts)
+                self._issuer.record_lived(self)
 
     def record_broken_run(self, endpoint: model.Endpoint) -> None:
         """Records that the run broke off and the endpoint may have crashed."""
--- a/martenjunction/routing/request_quarantine.py
+++ b/martenjunction/routing/request_quarantine.py
@@ -11,7 +11,6 @@
 from martenjunction import model
 from martenjunction import timers
 from martenjunction.decisions.boxes import endpoint_list
-from martenjunction.decisions.boxes import part_table
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
@@ -237,9 +236,9 @@
             )
             self._announce(cleared)
 
-    def record_lived(self, run: part_table.PartRun) -> None:
+    def record_lived(self, permit: permits.Permit) -> None:
         """Records that a run has outlived its begin."""
-        self._parts.record_lived(run)
+        self._parts.record_lived(permit)
 
     def record_crash(
         self, permit: permits.Permit, endpoint: model.Endpoint
--- a/martenjunction_lab/crashing_parts.py
+++ b/martenjunction_lab/crashing_parts.py
@@ -47,6 +47,7 @@
             before it crashes engines.
         company: Parts beside the first that sound requests draw from.
         writes: Whether engines write events before they crash.
+        immune: Engines of another software version, which do not crash.
         own_ends: Engines that crash by themselves, over the whole trial.
         own_ends_at_once: How many of them crash at the same moment.
         boxes: How many boxes there are.
@@ -67,6 +68,7 @@
     sound_until_s: float = 0.0
     company: int = 8
     writes: bool = False
+    immune: int = 0
     own_ends: int = 0
     own_ends_at_once: int = 1
     boxes: int = 6
@@ -146,6 +148,7 @@
         self._fleet = fleet
         self.event_pause_s = 0.02
         self.crashed = False
+        self.immune = False
 
     async def _answer(
         self,
@@ -158,7 +161,7 @@
         part = fleet.fatal_part(request)
         if part is not None:
             fleet.outcome.arrivals.setdefault(part, []).append(time.monotonic())
-            if fleet.is_fatal_now:
+            if fleet.is_fatal_now and not self.immune:
                 asyncio.get_running_loop().call_later(
                     fleet.draw.uniform(*fleet.trial.run_s),
                     lambda: fleet.crash(self, part),
@@ -196,6 +199,8 @@
             CrashingReplica(f"i-{number}", self)
             for number in range(1, trial.engines + 1)
         ]
+        for one in made[: trial.immune]:
+            one.immune = True
         try:
             await self.start(config, trial.boxes, {trial_fleet.ENGINE: made})
             began = time.monotonic()
@@ -215,6 +220,9 @@
             await self.stop()
         return self.outcome
 
+    def _entry_fields(self, one: CrashingReplica) -> dict[str, str]:
+        return {"version": "v2" if one.immune else "v1"}
+
     def fatal_part(self, request: replica.Received) -> str | None:
         """Returns the part of a request that crashes engines, or None."""
         prompt = request.headers.get("martenjunction-prefix-hash", "")
--- a/martenjunction_lab/part_scores.py
+++ b/martenjunction_lab/part_scores.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import math
 
 from martenjunction.decisions.boxes import part_table
@@ -32,11 +33,14 @@
         )
 
     def record_lived(
-        self, run: part_table.PartRun, now: float
+        self,
+        run: part_table.PartRun,
+        ready_builds: Callable[[], frozenset[str]],
+        now: float,
     ) -> list[suspect_table.Suspect]:
         """Counts a run that lived; only trials clear a quarantined part."""
         if run.isolated:
-            return super().record_lived(run, now)
+            return super().record_lived(run, ready_builds, now)
         run.has_lived = True
         for key in run.keys:
             self._lived[key].append(now)
--- a/tests/parts_table.py
+++ b/tests/parts_table.py
@@ -29,6 +29,7 @@
     "slow": {"fatal_per_s": 1.0},
     "few-engines": {"engines": 5, "fatal_per_s": 1.0},
     "rare-company": {"company": 1, "fatal_per_s": 2.0},
+    "immune": {"immune": 8},
     "own": OWN,
     "own-half": {**OWN, "own_ends": 48, "own_ends_at_once": 8},
     "beside-own": {"own_ends": 24, "own_ends_at_once": 4},
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -33,6 +33,7 @@
         {"fatal": 2},
         {"sound_until_s": 3.0, "seconds": 14.0},
         {"path": "/chat/a", "writes": True},
+        {"immune": 8},
     ],
 )
 async def test_part_that_crashes_endpoints_is_stopped(
--- a/tests/test_part_table.py
+++ b/tests/test_part_table.py
@@ -32,12 +32,21 @@
     def __init__(self) -> None:
         self.table = part_table.PartTable()
         self.now = 100.0
+        self.builds = frozenset({BUILD})
         self._crashed = 0
         for _ in range(BACKGROUND):
-            self.table.record_lived(self.begin(key("background")), self.now)
+            self.lived(self.begin(key("background")))
 
-    def begin(self, *keys: request_content.ContentKey) -> part_table.PartRun:
-        return self.table.begin(SERVICE, keys, self.now)
+    def begin(
+        self, *keys: request_content.ContentKey, build: str = BUILD
+    ) -> part_table.PartRun:
+        run = self.table.begin(SERVICE, keys, self.now)
+        run.build = build
+        return run
+
+    def lived(self, run: part_table.PartRun) -> None:
+        """Has a run outlive its begin."""
+        self.table.record_lived(run, lambda: self.builds, self.now)
 
     def crash(self, *runs: part_table.PartRun) -> None:
         """Crashes one endpoint at which some runs are in progress."""
@@ -48,13 +57,15 @@
                 run, f"e{self._crashed}", BUILD, self.now, self.now
             )
 
-    def live(self, *keys: request_content.ContentKey) -> None:
+    def live(
+        self, *keys: request_content.ContentKey, build: str = BUILD
+    ) -> None:
         """Plays a run that begins to write and lives."""
-        run = self.begin(*keys)
+        run = self.begin(*keys, build=build)
         self.now += 0.05
         run.first_event_at = self.now
         self.now += part_table.LIVED_S
-        self.table.record_lived(run, self.now)
+        self.lived(run)
 
     def quarantined(self) -> set[request_content.ContentKey]:
         return {s.key for s in self.table if s.evidence.quarantined}
@@ -91,7 +102,7 @@
     early = play.begin(POPULAR)
     early.first_event_at = play.now
     play.crash(play.begin(POPULAR))
-    play.table.record_lived(early, play.now + part_table.LIVED_S)
+    play.lived(early)
     evidence = play.table.find(POPULAR).evidence  # type: ignore[union-attr]
     assert evidence.crashes == {"e2": 1}
 
@@ -148,6 +159,20 @@
     assert other.avoid_builds == builds
 
 
+def test_run_on_another_build_speaks_for_a_part_once_the_first_is_gone() -> (
+    None
+):
+    play = Play()
+    for _ in range(3):
+        play.crash(play.begin(FATAL))
+    play.builds = frozenset({BUILD, "v2/c"})
+    play.live(FATAL, build="v2/c")
+    assert play.quarantined() == {FATAL}
+    play.builds = frozenset({"v2/c"})
+    play.live(FATAL, build="v2/c")
+    assert play.quarantined() == set()
+
+
 def test_boxes_that_hear_of_the_same_crashes_agree() -> None:
     play, peer = Play(), part_table.PartTable()
     for _ in range(3):
--- a/tests/test_streams_large_fleet.py
+++ b/tests/test_streams_large_fleet.py
@@ -14,6 +14,9 @@
 ORIGIN = stream_table.StreamOrigin(builders.ENGINE, "v1")
 STEP_S = 0.001
 
+# Connections of a box, over each of which it passes a question on once.
+MAX_LINKS = 12
+
 
 class OriginFleet:
     """Simulated boxes that tell and ask each other where streams began."""
@@ -76,5 +79,6 @@
         before = simulated.asked()
         origin, seconds = await simulated.take_up(taken_up, key)
         await simulated.advance(0.3)
+        assert simulated.asked() - before <= MAX_LINKS * count
         assert origin == ORIGIN
         assert seconds < queries.ANSWER_TIMEOUT_S
