--- a/martenjunction/decisions/boxes/part_table.py
+++ b/martenjunction/decisions/boxes/part_table.py
@@ -17,7 +17,7 @@
 
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing import request_content
+from martenjunction.routing.access import request_content
 
 # Seconds from its first event after which a run has lived: an endpoint that
 # crashes under a part does so soon after it begins to write.
--- a/martenjunction/decisions/boxes/suspect_table.py
+++ b/martenjunction/decisions/boxes/suspect_table.py
@@ -8,7 +8,7 @@
 
 from martenjunction.decisions.boxes import crash_rates
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing import request_content
+from martenjunction.routing.access import request_content
 
 # Maximum number of suspects, and maximum per caller. Beyond the latter, the
 # caller's least suspected request is evicted.
--- a/martenjunction/duties/duty.py
+++ b/martenjunction/duties/duty.py
@@ -13,8 +13,8 @@
 from martenjunction.duties import record
 from martenjunction.platform import box_settings
 from martenjunction.platform import duty_calls
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.log import decision_log
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/martenjunction/duties/duty_sync.py
+++ b/martenjunction/duties/duty_sync.py
@@ -13,7 +13,7 @@
 from martenjunction.duties import holder
 from martenjunction.duties import messages
 from martenjunction.peers import hub
-from martenjunction.routing import fleet_overlay
+from martenjunction.routing.fleet import fleet_overlay
 
 # Intervals in seconds of the holder's heartbeats, of telling what was
 # counted, and of comparing the time of day.
--- a/martenjunction/duties/fleet_duties.py
+++ b/martenjunction/duties/fleet_duties.py
@@ -21,9 +21,9 @@
 from martenjunction.platform import box_settings
 from martenjunction.platform import duty_calls
 from martenjunction.platform import store
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import fleet_overlay
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.fleet import fleet_overlay
+from martenjunction.routing.log import decision_log
 
 
 class NoDuties:
--- a/martenjunction/duties/holder.py
+++ b/martenjunction/duties/holder.py
@@ -13,7 +13,7 @@
 from martenjunction.duties import record
 from martenjunction.platform import duty_calls
 from martenjunction.platform import store
-from martenjunction.routing import decision_log
+from martenjunction.routing.log import decision_log
 
 # Interval in seconds at which this box looks whether something is due.
 CHECK_S = 0.25
--- a/martenjunction/duties/scaling_duty.py
+++ b/martenjunction/duties/scaling_duty.py
@@ -14,8 +14,8 @@
 from martenjunction.duties import record
 from martenjunction.platform import box_settings
 from martenjunction.platform import duty_calls
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.log import decision_log
 
 # Seconds after taking the duties over before the first order, in which the
 # other boxes' loads and the list of endpoints arrive.
--- a/martenjunction/duties/usage_duty.py
+++ b/martenjunction/duties/usage_duty.py
@@ -12,7 +12,7 @@
 from martenjunction.duties import record
 from martenjunction.platform import box_settings
 from martenjunction.platform import duty_calls
-from martenjunction.routing import decision_log
+from martenjunction.routing.log import decision_log
 
 # Seconds after the end of a window at which its counts are recorded: boxes tell
 # theirs each 0.3 s over a few hops, and after a lost parent again.
--- a/martenjunction/prompt_parts/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Quarantine of parts of prompts that crash endpoints."""
--- /dev/null
+++ b/martenjunction/routing/access/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests, and keys of what they ask for."""
--- a/martenjunction/routing/box_dump.py
+++ b/martenjunction/routing/box_dump.py
@@ -7,9 +7,9 @@
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.platform import store
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import store_cache
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.store import store_cache
 
 
 def component_states(
--- /dev/null
+++ b/martenjunction/routing/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""What a box knows of endpoints, and its connections to them."""
--- a/martenjunction/routing/endpoint_connector.py
+++ b/martenjunction/routing/endpoints/endpoint_connector.py
@@ -15,7 +15,7 @@
 from martenjunction.http1 import client
 from martenjunction.http1 import messages
 from martenjunction.http1 import streams
-from martenjunction.routing import decision_log
+from martenjunction.routing.log import decision_log
 from martenjunction.tunnels import connection as tunnel_connection
 from martenjunction.tunnels import dialer
 
--- a/martenjunction/routing/endpoint_ejection.py
+++ b/martenjunction/routing/endpoints/endpoint_ejection.py
@@ -2,7 +2,7 @@
 
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions.boxes import endpoint_records
-from martenjunction.routing import decision_log
+from martenjunction.routing.log import decision_log
 
 # Time, in seconds, without a byte from an endpoint with pending responses,
 # after which it is ejected. A plain service answers within tens of
--- a/martenjunction/routing/endpoint_liveness.py
+++ b/martenjunction/routing/endpoints/endpoint_liveness.py
@@ -11,7 +11,7 @@
 
 from martenjunction import errors
 from martenjunction import model
-from martenjunction.routing import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_registry
 
 # Maximum time, in seconds, that a request waits for the check. Connections are
 # made or refused within a few milliseconds, and a retry should not be delayed
--- a/martenjunction/routing/endpoint_registry.py
+++ b/martenjunction/routing/endpoints/endpoint_registry.py
@@ -13,9 +13,9 @@
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.decisions.boxes import endpoint_records
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_ejection
-from martenjunction.routing import service_engines
+from martenjunction.routing.endpoints import endpoint_ejection
+from martenjunction.routing.endpoints import service_engines
+from martenjunction.routing.log import decision_log
 
 # Maximum time between two ticks, in seconds, that counts as listening time.
 # Ticks are due every 0.1 s; a longer gap means that this box was stalled.
--- a/martenjunction/routing/service_engines.py
+++ b/martenjunction/routing/endpoints/service_engines.py
@@ -6,7 +6,7 @@
 
 from martenjunction.decisions.boxes import engine_profiles
 from martenjunction.decisions.boxes import prefill_demand
-from martenjunction.routing import decision_log
+from martenjunction.routing.log import decision_log
 
 MICROSECOND_S = 0.000001
 
--- /dev/null
+++ b/martenjunction/routing/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The boxes of the fleet: their trees, states and holders."""
--- a/martenjunction/routing/box_state_sync.py
+++ b/martenjunction/routing/fleet/box_state_sync.py
@@ -14,8 +14,8 @@
 from martenjunction.peers import codec
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing import decision_log
-from martenjunction.routing import fleet_overlay
+from martenjunction.routing.fleet import fleet_overlay
+from martenjunction.routing.log import decision_log
 
 # Seconds for which changes are gathered before they are passed on together.
 GATHER_S = 0.03
--- a/martenjunction/routing/peer_views.py
+++ b/martenjunction/routing/fleet/peer_views.py
@@ -6,8 +6,8 @@
 from martenjunction.decisions.boxes import store_readers
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing import peer_messages
-from martenjunction.routing import peer_stamps
+from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.messages import peer_stamps
 
 # Seconds for which what was heard is valid.
 LIFETIME_S = 1.2
--- /dev/null
+++ b/martenjunction/routing/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of endpoints, and grants to send to them."""
--- a/martenjunction/routing/brittleness_sync.py
+++ b/martenjunction/routing/limits/brittleness_sync.py
@@ -2,9 +2,9 @@
 
 from martenjunction import events
 from martenjunction.decisions.boxes import endpoint_limits
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import limit_sync
-from martenjunction.routing import peer_messages
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.limits import limit_sync
+from martenjunction.routing.messages import peer_messages
 
 
 class BrittlenessSync(limit_sync.LimitSync):
--- a/martenjunction/routing/endpoint_notices.py
+++ b/martenjunction/routing/limits/endpoint_notices.py
@@ -5,11 +5,11 @@
 from martenjunction import model
 from martenjunction.http1 import messages
 from martenjunction.platform import notices
-from martenjunction.routing import brittleness_sync
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import leaving_sync
-from martenjunction.routing import limit_sync
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.limits import brittleness_sync
+from martenjunction.routing.limits import leaving_sync
+from martenjunction.routing.limits import limit_sync
+from martenjunction.routing.log import decision_log
 
 
 class EndpointNotices:
--- a/martenjunction/routing/leaving_sync.py
+++ b/martenjunction/routing/limits/leaving_sync.py
@@ -4,8 +4,8 @@
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing import decision_log
-from martenjunction.routing import peer_messages
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.messages import peer_messages
 
 # Maximum number of endpoints sent on a new connection, the latest ones; more
 # would saturate links of low bandwidth.
--- a/martenjunction/routing/limit_sync.py
+++ b/martenjunction/routing/limits/limit_sync.py
@@ -7,9 +7,9 @@
 from martenjunction.decisions.boxes import endpoint_limits
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import peer_messages
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.messages import peer_messages
 
 # Minimum interval in seconds between two messages of a box about one endpoint.
 # An endpoint that changes its limit in each answer would otherwise saturate
--- a/martenjunction/routing/place_grants.py
+++ b/martenjunction/routing/limits/place_grants.py
@@ -7,7 +7,7 @@
 
 from martenjunction import timers
 from martenjunction.decisions.boxes import place_table
-from martenjunction.routing import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_registry
 
 # Seconds for which a request waits in line for a place. Without lines, boxes
 # would ask for one endpoint after the other, and the more the fuller all are.
--- a/martenjunction/routing/prober.py
+++ b/martenjunction/routing/limits/prober.py
@@ -7,9 +7,9 @@
 from martenjunction import timers
 from martenjunction.endpoints import pool
 from martenjunction.platform import notices
-from martenjunction.routing import admission
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import rate_grants
+from martenjunction.routing.access import admission
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.limits import rate_grants
 
 # Interval, in seconds, at which ejected endpoints are checked.
 PROBE_INTERVAL_S = 0.5
--- a/martenjunction/routing/rate_grants.py
+++ b/martenjunction/routing/limits/rate_grants.py
@@ -9,11 +9,11 @@
 from martenjunction.decisions import grant_bucket
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import holders
-from martenjunction.routing import limit_sync
-from martenjunction.routing import peer_messages
-from martenjunction.routing import place_grants
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.fleet import holders
+from martenjunction.routing.limits import limit_sync
+from martenjunction.routing.limits import place_grants
+from martenjunction.routing.messages import peer_messages
 
 # Timeout in seconds for the holder's answer, after which a request is sent to
 # another endpoint.
--- /dev/null
+++ b/martenjunction/routing/log/__init__.py
@@ -0,0 +1,1 @@
+"""Structured log of decisions, connections and usage."""
--- a/martenjunction/routing/closing_log.py
+++ b/martenjunction/routing/log/closing_log.py
@@ -2,7 +2,7 @@
 
 from martenjunction.http1 import close_reports
 from martenjunction.platform import headers
-from martenjunction.routing import decision_log
+from martenjunction.routing.log import decision_log
 
 
 class ClosingLog:
--- a/martenjunction/routing/usage_log.py
+++ b/martenjunction/routing/log/usage_log.py
@@ -7,7 +7,7 @@
 
 from martenjunction import timers
 from martenjunction.peers import hub
-from martenjunction.routing import decision_log
+from martenjunction.routing.log import decision_log
 
 # Interval in seconds between two log lines.
 INTERVAL_S = 10.0
--- /dev/null
+++ b/martenjunction/routing/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between boxes, and what each frame tells."""
--- /dev/null
+++ b/martenjunction/routing/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests and parts of prompts that crash endpoints."""
--- a/martenjunction/prompt_parts/quarantine.py
+++ b/martenjunction/routing/quarantine/part_quarantine.py
@@ -14,13 +14,13 @@
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing import admission
-from martenjunction.routing import decision_log
-from martenjunction.routing import holders
-from martenjunction.routing import peer_messages
-from martenjunction.routing import permits
-from martenjunction.routing import request_content
-from martenjunction.routing import suspect_sync
+from martenjunction.routing.access import admission
+from martenjunction.routing.access import request_content
+from martenjunction.routing.fleet import holders
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.quarantine import permits
+from martenjunction.routing.quarantine import suspect_sync
 
 # Retry-After, in seconds, if another box would have to try a part.
 RETRY_AT_HOLDER_S = 1.0
--- a/martenjunction/routing/permits.py
+++ b/martenjunction/routing/quarantine/permits.py
@@ -7,7 +7,7 @@
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import part_table
 from martenjunction.decisions.boxes import suspect_table
-from martenjunction.routing import request_content
+from martenjunction.routing.access import request_content
 
 # Status and error code of the answer to a request that is quarantined.
 QUARANTINED_STATUS = 503
@@ -15,7 +15,7 @@
 
 
 class PermitIssuer(Protocol):
-    """Records the results of runs; implemented by `routing.suspects`."""
+    """Records the results of runs; implemented by `request_quarantine`."""
 
     @property
     def listed(self) -> endpoint_list.EndpointList:
--- a/martenjunction/routing/request_quarantine.py
+++ b/martenjunction/routing/quarantine/request_quarantine.py
@@ -15,15 +15,15 @@
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.prompt_parts import quarantine
-from martenjunction.routing import admission
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_liveness
-from martenjunction.routing import holders
-from martenjunction.routing import permits
-from martenjunction.routing import request_content
-from martenjunction.routing import suspect_sync
-from martenjunction.routing import trial_grants
+from martenjunction.routing.access import admission
+from martenjunction.routing.access import request_content
+from martenjunction.routing.endpoints import endpoint_liveness
+from martenjunction.routing.fleet import holders
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.quarantine import part_quarantine
+from martenjunction.routing.quarantine import permits
+from martenjunction.routing.quarantine import suspect_sync
+from martenjunction.routing.quarantine import trial_grants
 
 # Seconds for which a run that broke off waits for proof that its endpoint
 # crashed: a restarted endpoint rewrites its entry within some seconds.
@@ -72,7 +72,7 @@
         emitter: events.Events,
         log: decision_log.DecisionLog,
         responsive_peers: Callable[[], list[membership.Member]],
-        parts: quarantine.PartQuarantine,
+        parts: part_quarantine.PartQuarantine,
     ) -> None:
         """Initializes the quarantine; `start` subscribes to peer messages.
 
--- a/martenjunction/routing/suspect_codec.py
+++ b/martenjunction/routing/quarantine/suspect_codec.py
@@ -5,8 +5,8 @@
 
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing import peer_messages
-from martenjunction.routing import request_content
+from martenjunction.routing.access import request_content
+from martenjunction.routing.messages import peer_messages
 
 # Maximum length of a service, endpoint or build name accepted from a peer.
 MAX_NAME = 256
--- a/martenjunction/routing/suspect_sync.py
+++ b/martenjunction/routing/quarantine/suspect_sync.py
@@ -9,9 +9,9 @@
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing import peer_messages
-from martenjunction.routing import request_content
-from martenjunction.routing import suspect_codec
+from martenjunction.routing.access import request_content
+from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.quarantine import suspect_codec
 
 # Maximum number of suspected requests sent on a new connection, by descending
 # weight. A larger number would saturate links of low bandwidth.
--- a/martenjunction/routing/trial_grants.py
+++ b/martenjunction/routing/quarantine/trial_grants.py
@@ -9,10 +9,10 @@
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
-from martenjunction.routing import holders
-from martenjunction.routing import peer_messages
-from martenjunction.routing import request_content
-from martenjunction.routing import suspect_codec
+from martenjunction.routing.access import request_content
+from martenjunction.routing.fleet import holders
+from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.quarantine import suspect_codec
 
 # Timeout in seconds for the holder's answer, after which the next-ranked box is
 # asked. Stalls of this box's event loop do not count.
--- /dev/null
+++ b/martenjunction/routing/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of an admitted request."""
--- a/martenjunction/routing/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -13,9 +13,9 @@
 from martenjunction.http1 import messages
 from martenjunction.http1 import server_connection
 from martenjunction.platform import headers
-from martenjunction.routing import admission
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import offers
+from martenjunction.routing.access import admission
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.requests import offers
 
 # Statuses that would tell the client that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
--- a/martenjunction/routing/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -14,11 +14,11 @@
 from martenjunction.http1 import messages
 from martenjunction.http1 import server_connection
 from martenjunction.platform import headers
-from martenjunction.routing import admission
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import endpoint_runs
-from martenjunction.routing import offers
-from martenjunction.routing import request_account
+from martenjunction.routing.access import admission
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.requests import endpoint_runs
+from martenjunction.routing.requests import offers
+from martenjunction.routing.requests import request_account
 
 logger = logging.getLogger(__name__)
 
--- a/martenjunction/routing/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -21,15 +21,15 @@
 from martenjunction.endpoints import pool
 from martenjunction.http1 import client
 from martenjunction.platform import headers
-from martenjunction.routing import admission
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_liveness
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import permits
-from martenjunction.routing import rate_grants
-from martenjunction.routing import request_content
-from martenjunction.routing import request_quarantine
-from martenjunction.streams import origins
+from martenjunction.routing.access import admission
+from martenjunction.routing.access import request_content
+from martenjunction.routing.endpoints import endpoint_liveness
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.limits import rate_grants
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.quarantine import permits
+from martenjunction.routing.quarantine import request_quarantine
+from martenjunction.routing.streams import origins
 
 # Maximum number of endpoints tried per request, including refusals and failed
 # connections.
--- a/martenjunction/routing/request_account.py
+++ b/martenjunction/routing/requests/request_account.py
@@ -5,7 +5,7 @@
 from martenjunction import model
 from martenjunction.decisions import outcomes
 from martenjunction.platform import headers
-from martenjunction.routing import offers
+from martenjunction.routing.requests import offers
 
 # Maximum number of parts of a prompt that are logged.
 MAX_PARTS_LOGGED = 16
--- /dev/null
+++ b/martenjunction/routing/store/__init__.py
@@ -0,0 +1,1 @@
+"""This box's copy of the platform's store."""
--- a/martenjunction/routing/config_documents.py
+++ b/martenjunction/routing/store/config_documents.py
@@ -6,7 +6,7 @@
 
 from martenjunction import errors
 from martenjunction.peers import document_delta
-from martenjunction.routing import peer_messages
+from martenjunction.routing.messages import peer_messages
 
 # Number of documents kept as bases of deltas. A box that lacks more changes
 # gets the full document. A document with 48 routes takes 15 kB.
--- a/martenjunction/routing/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -12,8 +12,8 @@
 from martenjunction.peers import membership
 from martenjunction.platform import documents
 from martenjunction.platform import store
-from martenjunction.routing import decision_log
-from martenjunction.routing import store_cache
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.store import store_cache
 
 # Timeout in seconds of a watch call. The store closes watches that it no longer
 # feeds, and a lost connection is detected by the other calls.
--- a/martenjunction/routing/store_cache.py
+++ b/martenjunction/routing/store/store_cache.py
@@ -9,9 +9,9 @@
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.platform import documents
 from martenjunction.platform import store
-from martenjunction.routing import admission
-from martenjunction.routing import config_documents
-from martenjunction.routing import decision_log
+from martenjunction.routing.access import admission
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.store import config_documents
 
 # Maximum number of unreadable entries remembered, so that each is logged once.
 MAX_UNREADABLE = 256
--- a/martenjunction/routing/store_reading.py
+++ b/martenjunction/routing/store/store_reading.py
@@ -5,8 +5,8 @@
 from martenjunction import timers
 from martenjunction.decisions.boxes import store_readers
 from martenjunction.peers import membership
-from martenjunction.routing import fleet_overlay
-from martenjunction.routing import follower
+from martenjunction.routing.fleet import fleet_overlay
+from martenjunction.routing.store import follower
 
 # Seconds after the start for which this box waits for the first list of boxes
 # before it reads from the store.
--- a/martenjunction/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -13,9 +13,9 @@
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing import decision_log
-from martenjunction.streams import messages
-from martenjunction.streams import queries
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.streams import messages
+from martenjunction.routing.streams import queries
 
 # Linked boxes that are told where a stream began. Boxes may end together, this
 # one included.
--- a/martenjunction/streams/queries.py
+++ b/martenjunction/routing/streams/queries.py
@@ -9,7 +9,7 @@
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.streams import messages
+from martenjunction.routing.streams import messages
 
 # Seconds for which a box that asks waits for answers, and by which a box that
 # passes a question on waits less, so that its own answer is in time. Stalls of
--- /dev/null
+++ b/martenjunction/routing/sync/__init__.py
@@ -0,0 +1,1 @@
+"""What boxes tell each other all the time."""
--- a/martenjunction/routing/fleet_loads.py
+++ b/martenjunction/routing/sync/fleet_loads.py
@@ -3,7 +3,7 @@
 from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.decisions.boxes import load_sums
 from martenjunction.decisions.boxes import prefill_demand
-from martenjunction.routing import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_registry
 
 # Name under which the loads of all other boxes are counted.
 FLEET = "fleet"
--- a/martenjunction/routing/load_exchange.py
+++ b/martenjunction/routing/sync/load_exchange.py
@@ -8,10 +8,10 @@
 from martenjunction.decisions.boxes import overlay
 from martenjunction.decisions.boxes import sum_wave
 from martenjunction.peers import hub
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import fleet_loads
-from martenjunction.routing import fleet_overlay
-from martenjunction.routing import load_messages
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.fleet import fleet_overlay
+from martenjunction.routing.messages import load_messages
+from martenjunction.routing.sync import fleet_loads
 
 # Interval in seconds at which this box looks whether its sum is due.
 CHECK_INTERVAL_S = 0.1
--- a/martenjunction/routing/load_report.py
+++ b/martenjunction/routing/sync/load_report.py
@@ -5,9 +5,9 @@
 from martenjunction import timers
 from martenjunction.peers import codec
 from martenjunction.peers import hub
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import fleet_overlay
-from martenjunction.routing import peer_messages
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.fleet import fleet_overlay
+from martenjunction.routing.messages import peer_messages
 
 # Interval in seconds between load reports while this box has load at endpoints.
 LOADS_INTERVAL_S = 0.2
--- a/martenjunction/routing/outcome_report.py
+++ b/martenjunction/routing/sync/outcome_report.py
@@ -7,8 +7,8 @@
 from martenjunction.decisions.boxes import endpoint_outcomes
 from martenjunction.peers import codec
 from martenjunction.peers import hub
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import fleet_overlay
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.fleet import fleet_overlay
 
 # Interval in seconds between two reports.
 REPORT_INTERVAL_S = 0.5
--- a/martenjunction/routing/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -12,16 +12,16 @@
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.peers import messages
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import fleet_overlay
-from martenjunction.routing import follower
-from martenjunction.routing import load_report
-from martenjunction.routing import peer_messages
-from martenjunction.routing import peer_stamps
-from martenjunction.routing import peer_views
-from martenjunction.routing import store_cache
-from martenjunction.routing import store_reading
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.fleet import fleet_overlay
+from martenjunction.routing.fleet import peer_views
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.messages import peer_stamps
+from martenjunction.routing.store import follower
+from martenjunction.routing.store import store_cache
+from martenjunction.routing.store import store_reading
+from martenjunction.routing.sync import load_report
 
 # Interval in seconds at which a box that does not read from the store queries
 # the most up-to-date peer.
--- a/martenjunction/routing/reachable_boxes.py
+++ b/martenjunction/routing/sync/reachable_boxes.py
@@ -6,9 +6,9 @@
 from martenjunction.decisions.boxes import entry_choice
 from martenjunction.decisions.boxes import tunnel_choice
 from martenjunction.peers import membership
-from martenjunction.routing import box_state_sync
-from martenjunction.routing import fleet_overlay
-from martenjunction.routing import peer_sync
+from martenjunction.routing.fleet import box_state_sync
+from martenjunction.routing.fleet import fleet_overlay
+from martenjunction.routing.sync import peer_sync
 
 
 class ReachableBoxes:
--- a/martenjunction_lab/duties/fleet.py
+++ b/martenjunction_lab/duties/fleet.py
@@ -22,7 +22,7 @@
 from martenjunction.duties import holder
 from martenjunction.duties import usage_duty
 from martenjunction.platform import box_settings
-from martenjunction.routing import decision_log
+from martenjunction.routing.log import decision_log
 from martenjunction_lab.duties import platform
 
 WINDOW_S = 5.0
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -17,9 +17,9 @@
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import load_shedding
 from martenjunction.decisions.boxes import load_sums
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import fleet_loads
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.sync import fleet_loads
 from martenjunction_lab.replays import engines
 from martenjunction_lab.replays import loads
 
--- a/martenjunction_lab/spread/fleet.py
+++ b/martenjunction_lab/spread/fleet.py
@@ -18,15 +18,15 @@
 from martenjunction.decisions.boxes import store_readers
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing import admission
-from martenjunction.routing import box_state_sync
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import fleet_overlay
-from martenjunction.routing import load_exchange
-from martenjunction.routing import peer_stamps
-from martenjunction.routing import peer_sync
-from martenjunction.routing import store_cache
+from martenjunction.routing.access import admission
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.fleet import box_state_sync
+from martenjunction.routing.fleet import fleet_overlay
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.messages import peer_stamps
+from martenjunction.routing.store import store_cache
+from martenjunction.routing.sync import load_exchange
+from martenjunction.routing.sync import peer_sync
 from martenjunction_lab.spread import network
 
 # Seconds between two looks at a box's timers.
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -8,10 +8,10 @@
 from martenjunction import timers
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.peers import membership
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import limit_sync
-from martenjunction.routing import rate_grants
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.limits import limit_sync
+from martenjunction.routing.limits import rate_grants
+from martenjunction.routing.log import decision_log
 from tests import linked_boxes
 from tests import routing_builders as builders
 
--- a/tests/parts_table.py
+++ b/tests/parts_table.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from martenjunction.decisions.boxes import part_table
-from martenjunction.prompt_parts import quarantine
+from martenjunction.routing.quarantine import part_quarantine
 from martenjunction_lab import crashing_parts
 from martenjunction_lab import part_scores
 from tests import routing_builders as builders
@@ -48,7 +48,7 @@
 
 async def _run_way(row: str, way: str, seed: int) -> str:
     trial = dataclasses.replace(Trial(seed=seed), **ROWS[row])  # type: ignore[arg-type]
-    quarantine.PartQuarantine.table_type = WAYS[way]
+    part_quarantine.PartQuarantine.table_type = WAYS[way]
     fleet = crashing_parts.CrashingFleet(trial)
     outcome = await fleet.run(builders.relaxed_config_document())
     before, after = outcome.begun(known=False), outcome.begun(known=True)
--- a/tests/test_behind.py
+++ b/tests/test_behind.py
@@ -8,9 +8,9 @@
 from martenjunction.decisions.boxes import config_freshness
 from martenjunction.decisions.boxes import store_readers
 from martenjunction.platform import headers
-from martenjunction.routing import admission
-from martenjunction.routing import config_documents
-from martenjunction.routing import peer_messages
+from martenjunction.routing.access import admission
+from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.store import config_documents
 from martenjunction_lab import boxes
 from martenjunction_lab.spread import fleet as spread
 from tests import gateway_requests as requests
--- a/tests/test_endpoint_outcomes.py
+++ b/tests/test_endpoint_outcomes.py
@@ -9,11 +9,11 @@
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_outcomes
 from martenjunction.decisions.boxes import load_sums
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import fleet_loads
-from martenjunction.routing import load_messages
-from martenjunction.routing import outcome_report
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.messages import load_messages
+from martenjunction.routing.sync import fleet_loads
+from martenjunction.routing.sync import outcome_report
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from martenjunction import errors
-from martenjunction.routing import exchange
+from martenjunction.routing.requests import exchange
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from martenjunction_lab import replica
--- a/tests/test_gateway_engines.py
+++ b/tests/test_gateway_engines.py
@@ -9,8 +9,8 @@
 from martenjunction import errors
 from martenjunction.decisions.boxes import engine_profiles
 from martenjunction.platform import documents
-from martenjunction.routing import offers
-from martenjunction.routing import service_engines
+from martenjunction.routing.endpoints import service_engines
+from martenjunction.routing.requests import offers
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from tests import gateway_requests as requests
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -9,7 +9,7 @@
 from martenjunction import errors
 from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.http1 import messages
-from martenjunction.routing import offers
+from martenjunction.routing.requests import offers
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -9,8 +9,8 @@
 
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import engine_profiles
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.log import decision_log
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
--- a/tests/test_leaving_spread.py
+++ b/tests/test_leaving_spread.py
@@ -8,8 +8,8 @@
 from martenjunction import events
 from martenjunction import model
 from martenjunction.decisions.boxes import endpoint_list
-from martenjunction.routing import decision_log
-from martenjunction.routing import leaving_sync
+from martenjunction.routing.limits import leaving_sync
+from martenjunction.routing.log import decision_log
 from tests import linked_boxes
 from tests import routing_builders as builders
 
--- a/tests/test_load_sums.py
+++ b/tests/test_load_sums.py
@@ -12,7 +12,7 @@
 from martenjunction.decisions.boxes import prefill_demand
 from martenjunction.decisions.boxes import sum_wave
 from martenjunction.peers import codec
-from martenjunction.routing import load_messages
+from martenjunction.routing.messages import load_messages
 
 Load = endpoint_loads.Load
 LONG = endpoint_loads.LoadKey(2, True)
--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -14,10 +14,10 @@
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.platform import store
-from martenjunction.routing import decision_log
-from martenjunction.routing import endpoint_ejection
-from martenjunction.routing import endpoint_registry
-from martenjunction.routing import prober
+from martenjunction.routing.endpoints import endpoint_ejection
+from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.limits import prober
+from martenjunction.routing.log import decision_log
 from martenjunction_lab import boxes
 from tests import raw_peers
 from tests import routing_builders as builders
--- a/tests/test_part_table.py
+++ b/tests/test_part_table.py
@@ -7,7 +7,7 @@
 from martenjunction.decisions.boxes import part_table
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.platform import headers
-from martenjunction.routing import request_content
+from martenjunction.routing.access import request_content
 from martenjunction_lab import boxes
 from tests import gateway_requests as requests
 from tests import routing_builders as builders
--- a/tests/test_peer_flow.py
+++ b/tests/test_peer_flow.py
@@ -13,7 +13,7 @@
 from martenjunction.peers import flow
 from martenjunction.peers import messages
 from martenjunction.peers import outbox
-from martenjunction.routing import peer_messages
+from martenjunction.routing.messages import peer_messages
 from tests import routing_builders as builders
 
 URGENT = peer_messages.ConfigUpdate(8, 7, 1, b"")
--- a/tests/test_peer_stamps.py
+++ b/tests/test_peer_stamps.py
@@ -7,8 +7,8 @@
 from martenjunction import errors
 from martenjunction.decisions.boxes import box_states
 from martenjunction.decisions.boxes import store_readers
-from martenjunction.routing import box_state_sync
-from martenjunction.routing import peer_stamps
+from martenjunction.routing.fleet import box_state_sync
+from martenjunction.routing.messages import peer_stamps
 from tests import routing_builders as builders
 
 STAMP = peer_stamps.PeerStamp(1200, 2**40, builders.rev(7, 2), True, False)
--- a/tests/test_peer_traffic.py
+++ b/tests/test_peer_traffic.py
@@ -13,7 +13,7 @@
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.peers import topology
-from martenjunction.routing import peer_messages
+from martenjunction.routing.messages import peer_messages
 from tests import routing_builders as builders
 
 ZONES = ("zone-a", "zone-b", "zone-c")
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -14,7 +14,7 @@
 from martenjunction.platform import documents
 from martenjunction.platform import headers
 from martenjunction.platform import store
-from martenjunction.routing import admission
+from martenjunction.routing.access import admission
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from tests import routing_builders as builders
--- a/tests/test_rate_grants.py
+++ b/tests/test_rate_grants.py
@@ -3,8 +3,8 @@
 import pytest
 
 from martenjunction.decisions import grant_bucket
-from martenjunction.routing import peer_messages
-from martenjunction.routing import rate_grants
+from martenjunction.routing.limits import rate_grants
+from martenjunction.routing.messages import peer_messages
 from martenjunction_lab import limit_outcome
 from tests import limited_fleet
 from tests import linked_boxes
--- a/tests/test_ready_and_closed.py
+++ b/tests/test_ready_and_closed.py
@@ -14,7 +14,7 @@
 
 from martenjunction import errors
 from martenjunction.http1 import messages
-from martenjunction.routing import exchange
+from martenjunction.routing.requests import exchange
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
--- a/tests/test_request_content.py
+++ b/tests/test_request_content.py
@@ -6,7 +6,7 @@
 
 from martenjunction.http1 import messages
 from martenjunction.platform import headers
-from martenjunction.routing import request_content
+from martenjunction.routing.access import request_content
 
 FLEET = "one fleet"
 REQUEST = messages.Request(
--- a/tests/test_routing_decisions.py
+++ b/tests/test_routing_decisions.py
@@ -12,7 +12,7 @@
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import load_shedding
 from martenjunction.decisions.boxes import retry_budget
-from martenjunction.routing import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_registry
 from tests import routing_builders as builders
 
 # Freshness of the configuration.
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -20,9 +20,9 @@
 from martenjunction.decisions.boxes import config_freshness
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.platform import store
-from martenjunction.routing import admission
-from martenjunction.routing import decision_log
-from martenjunction.routing import store_cache
+from martenjunction.routing.access import admission
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.store import store_cache
 from martenjunction_lab import platform
 from tests import routing_builders as builders
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -12,7 +12,7 @@
 from martenjunction import timers
 from martenjunction.decisions.boxes import served_versions
 from martenjunction.decisions.boxes import stream_table
-from martenjunction.streams import queries
+from martenjunction.routing.streams import queries
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
--- a/tests/test_streams_large_fleet.py
+++ b/tests/test_streams_large_fleet.py
@@ -6,8 +6,8 @@
 import pytest
 
 from martenjunction.decisions.boxes import stream_table
-from martenjunction.streams import origins
-from martenjunction.streams import queries
+from martenjunction.routing.streams import origins
+from martenjunction.routing.streams import queries
 from martenjunction_lab.spread import fleet
 from tests import routing_builders as builders
 
--- a/tests/test_suspect_spread.py
+++ b/tests/test_suspect_spread.py
@@ -6,8 +6,8 @@
 
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing import request_content
-from martenjunction.routing import suspect_sync
+from martenjunction.routing.access import request_content
+from martenjunction.routing.quarantine import suspect_sync
 from tests import linked_boxes
 
 SERVICE = "engine-service"
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -8,9 +8,9 @@
 from martenjunction import model
 from martenjunction.decisions.boxes import crash_rates
 from martenjunction.decisions.boxes import suspect_table
-from martenjunction.routing import admission
-from martenjunction.routing import permits
-from martenjunction.routing import request_content
+from martenjunction.routing.access import admission
+from martenjunction.routing.access import request_content
+from martenjunction.routing.quarantine import permits
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -10,9 +10,9 @@
 from martenjunction.decisions.boxes import crash_rates
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing import peer_messages
-from martenjunction.routing import request_content
-from martenjunction.routing import suspect_codec
+from martenjunction.routing.access import request_content
+from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.quarantine import suspect_codec
 
 SERVICE = "engine-service"
 Verdict = suspect_table.Verdict
--- a/tests/versioned_table.py
+++ b/tests/versioned_table.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from martenjunction.streams import origins
+from martenjunction.routing.streams import origins
 from martenjunction_lab import versioned_streams
 from tests import routing_builders as builders
 from tests import trial_tables
