--- a/martenjunction/decisions/boxes/part_table.py
+++ b/martenjunction/decisions/boxes/part_table.py
@@ -15,9 +15,9 @@
 from collections.abc import Iterable
 import dataclasses
 
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing.access import request_content
 
 # Seconds from its first event after which a run has lived: an endpoint that
 # crashes under a part does so soon after it begins to write.
@@ -30,7 +30,7 @@
 RELEASE_FACTOR = 4.0
 MAX_RELEASE_S = 3600.0
 
-PartKey = request_content.ContentKey
+PartKey = content_key.ContentKey
 
 
 @dataclasses.dataclass(slots=True)
--- a/martenjunction/decisions/boxes/suspect_table.py
+++ b/martenjunction/decisions/boxes/suspect_table.py
@@ -6,9 +6,9 @@
 import enum
 from typing import Any
 
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import crash_rates
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing.access import request_content
 
 # Maximum number of suspects, and maximum per caller. Beyond the latter, the
 # caller's least suspected request is evicted.
@@ -95,7 +95,7 @@
         trial_until: Time until which a trial may be running.
     """
 
-    key: request_content.ContentKey
+    key: content_key.ContentKey
     evidence: suspicion.Suspicion
     changed_at: float
     trial_until: float = 0.0
@@ -106,12 +106,12 @@
 
     def __init__(self) -> None:
         """Initializes an empty table."""
-        self._suspects: dict[request_content.ContentKey, Suspect] = {}
+        self._suspects: dict[content_key.ContentKey, Suspect] = {}
         self._counts_by_caller: collections.Counter[bytes] = (
             collections.Counter()
         )
         self._answered: collections.OrderedDict[
-            request_content.ContentKey, float
+            content_key.ContentKey, float
         ] = collections.OrderedDict()
         self._crash_rates: dict[str, crash_rates.CrashRate] = {}
 
@@ -121,13 +121,13 @@
     def __iter__(self) -> Iterator[Suspect]:
         return iter(self._suspects.values())
 
-    def find(self, key: request_content.ContentKey) -> Suspect | None:
+    def find(self, key: content_key.ContentKey) -> Suspect | None:
         """Returns a suspect, or None if the request is not suspected."""
         return self._suspects.get(key)
 
     def decide(
         self,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         builds: frozenset[str],
         now: float,
     ) -> SuspectDecision:
@@ -184,7 +184,7 @@
         return SuspectDecision(Verdict.QUARANTINED, recheck_after_s=delay_s)
 
     def decide_after_wait(
-        self, key: request_content.ContentKey, now: float
+        self, key: content_key.ContentKey, now: float
     ) -> SuspectDecision | None:
         """Returns the decision for a request after its wait has expired.
 
@@ -209,7 +209,7 @@
         )
 
     def begin_trial(
-        self, key: request_content.ContentKey, now: float
+        self, key: content_key.ContentKey, now: float
     ) -> Suspect | None:
         """Records the start of a trial run of a suspect."""
         suspect = self._suspects.get(key)
@@ -222,7 +222,7 @@
             suspect.changed_at = now
         return suspect
 
-    def end_trial(self, key: request_content.ContentKey, trial: int) -> None:
+    def end_trial(self, key: content_key.ContentKey, trial: int) -> None:
         """Ends an inconclusive trial, so that other runs stop waiting.
 
         Args:
@@ -234,7 +234,7 @@
             suspect.trial_until = 0.0
 
     def record_outlived(
-        self, key: request_content.ContentKey, epoch: int
+        self, key: content_key.ContentKey, epoch: int
     ) -> Suspect | None:
         """Records that a trial is still running after `OUTLIVED_S`.
 
@@ -256,7 +256,7 @@
 
     def record_crash(
         self,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         service: str,
         endpoint_id: str,
         decision: SuspectDecision,
@@ -296,7 +296,7 @@
         return suspect
 
     def record_answer(
-        self, key: request_content.ContentKey, service: str, now: float
+        self, key: content_key.ContentKey, service: str, now: float
     ) -> Suspect | None:
         """Records that an endpoint answered a run, which clears the request.
 
@@ -312,9 +312,7 @@
         self._remember_answer(key, now)
         return self.clear(key, now)
 
-    def clear(
-        self, key: request_content.ContentKey, now: float
-    ) -> Suspect | None:
+    def clear(self, key: content_key.ContentKey, now: float) -> Suspect | None:
         """Clears the evidence against a request.
 
         Args:
@@ -334,7 +332,7 @@
 
     def merge_peer(
         self,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         evidence: suspicion.Suspicion,
         now: float,
     ) -> Suspect | None:
@@ -410,17 +408,13 @@
         if evidence.generation != before:
             suspect.trial_until = 0.0
 
-    def _remember_answer(
-        self, key: request_content.ContentKey, now: float
-    ) -> None:
+    def _remember_answer(self, key: content_key.ContentKey, now: float) -> None:
         self._answered[key] = now
         self._answered.move_to_end(key)
         if len(self._answered) > MAX_ANSWERED:
             self._answered.popitem(last=False)
 
-    def _was_answered(
-        self, key: request_content.ContentKey, now: float
-    ) -> bool:
+    def _was_answered(self, key: content_key.ContentKey, now: float) -> bool:
         answered_at = self._answered.get(key)
         return answered_at is not None and now - answered_at <= ANSWERED_S
 
@@ -432,7 +426,7 @@
 
     def _add(
         self,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         evidence: suspicion.Suspicion,
         now: float,
     ) -> Suspect:
--- a/martenjunction/routing/access/request_content.py
+++ b/martenjunction/routing/access/request_content.py
@@ -1,16 +1,11 @@
 """Content keys, which identify requests that are sent again."""
 
-import dataclasses
-
 import xxhash
 
+from martenjunction.decisions.boxes import content_key
 from martenjunction.http1 import messages
 from martenjunction.platform import headers
 
-# Sizes of the two digests, in bytes.
-CALLER_BYTES = 8
-CONTENT_BYTES = 16
-
 # Maximum number of parts of a request that are told apart.
 MAX_PARTS = 128
 
@@ -18,25 +13,6 @@
 LENGTH_BYTES = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ContentKey:
-    """Identifies a request by caller and content.
-
-    Values that differ between retries are left out. The two digests are kept
-    separate, so that a forged hash collision affects only its own caller.
-
-    Attributes:
-        caller: The digest of the caller's key.
-        content: The digest of method, host, path, query and body.
-    """
-
-    caller: bytes
-    content: bytes
-
-    def __str__(self) -> str:
-        return f"{self.caller.hex()}-{self.content.hex()}"
-
-
 class ContentKeys:
     """Computes content keys, which are equal on all boxes of a fleet."""
 
@@ -50,7 +26,7 @@
 
     def key(
         self, request: messages.Request, facts: headers.RequestMetadata
-    ) -> ContentKey:
+    ) -> content_key.ContentKey:
         """Returns the content key of a complete request.
 
         Takes 4 us plus 42 us per megabyte of the body (processor time, minimum
@@ -68,11 +44,11 @@
         for part in (request.method, host, request.target, request.body):
             digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
             digest.update(part)
-        return ContentKey(caller, digest.digest())
+        return content_key.ContentKey(caller, digest.digest())
 
     def part_keys(
         self, service: str, facts: headers.RequestMetadata
-    ) -> tuple[ContentKey, ...]:
+    ) -> tuple[content_key.ContentKey, ...]:
         """Returns the keys of the parts that a request shares with others.
 
         The last part belongs to the request itself or its session.
@@ -84,7 +60,7 @@
         owner = xxhash.xxh3_64_digest(service.encode(), seed=self._seed)
         shared = dict.fromkeys(part.id for part in facts.parts[:-1])
         return tuple(
-            ContentKey(
+            content_key.ContentKey(
                 owner,
                 xxhash.xxh3_128_digest(name.encode("latin-1"), seed=self._seed),
             )
--- a/martenjunction/routing/quarantine/part_quarantine.py
+++ b/martenjunction/routing/quarantine/part_quarantine.py
@@ -8,6 +8,7 @@
 from martenjunction import events
 from martenjunction import model
 from martenjunction import timers
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import part_table
 from martenjunction.decisions.boxes import suspect_table
@@ -15,7 +16,6 @@
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing.access import admission
-from martenjunction.routing.access import request_content
 from martenjunction.routing.fleet import holders
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.messages import peer_messages
@@ -28,7 +28,7 @@
 # Interval in seconds of the removal of expired records.
 CHECK_INTERVAL_S = 1.0
 
-PartKey = request_content.ContentKey
+PartKey = content_key.ContentKey
 
 
 class PartQuarantine:
--- a/martenjunction/routing/quarantine/permits.py
+++ b/martenjunction/routing/quarantine/permits.py
@@ -4,10 +4,10 @@
 from typing import Protocol
 
 from martenjunction import model
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import part_table
 from martenjunction.decisions.boxes import suspect_table
-from martenjunction.routing.access import request_content
 
 # Status and error code of the answer to a request that is quarantined.
 QUARANTINED_STATUS = 503
@@ -48,7 +48,7 @@
     def __init__(
         self,
         issuer: "PermitIssuer",
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         service: model.Service,
         ruling: suspect_table.SuspectDecision,
         parts: part_table.PartRun,
--- a/martenjunction/routing/quarantine/request_quarantine.py
+++ b/martenjunction/routing/quarantine/request_quarantine.py
@@ -10,13 +10,13 @@
 from martenjunction import events
 from martenjunction import model
 from martenjunction import timers
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing.access import admission
-from martenjunction.routing.access import request_content
 from martenjunction.routing.endpoints import endpoint_liveness
 from martenjunction.routing.fleet import holders
 from martenjunction.routing.log import decision_log
@@ -98,7 +98,7 @@
         )
         self._running_trials: list[tuple[float, permits.Permit]] = []
         self._waiting: dict[
-            request_content.ContentKey, set[asyncio.Future[None]]
+            content_key.ContentKey, set[asyncio.Future[None]]
         ] = {}
         self._sync = suspect_sync.SuspectSync(
             self._table, peers, members, self._merge
@@ -138,10 +138,10 @@
 
     async def permit(
         self,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         service: model.Service,
         deadline: float,
-        part_keys: tuple[request_content.ContentKey, ...] = (),
+        part_keys: tuple[content_key.ContentKey, ...] = (),
     ) -> permits.Permit:
         """Waits until a request may be sent to an endpoint.
 
@@ -191,10 +191,10 @@
 
     def _trial_permit(
         self,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         service: model.Service,
         ruling: suspect_table.SuspectDecision,
-        part_keys: tuple[request_content.ContentKey, ...],
+        part_keys: tuple[content_key.ContentKey, ...],
     ) -> permits.Permit:
         """Returns a permit for the latest trial of a request."""
         suspect = self._table.find(key)
@@ -204,10 +204,10 @@
 
     def _permit(
         self,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         service: model.Service,
         ruling: suspect_table.SuspectDecision,
-        part_keys: tuple[request_content.ContentKey, ...],
+        part_keys: tuple[content_key.ContentKey, ...],
     ) -> permits.Permit:
         parts = self._parts.admit(service, part_keys)
         return permits.Permit(self, key, service, ruling, parts)
@@ -308,7 +308,7 @@
         ]
 
     def _decide_trial(
-        self, key: request_content.ContentKey, builds: frozenset[str]
+        self, key: content_key.ContentKey, builds: frozenset[str]
     ) -> trial_grants.TrialRuling:
         """Decides, as the holder of a request, whether a trial may begin."""
         now = self._timers.now()
@@ -323,7 +323,7 @@
             self._announce(suspect)
         return trial_grants.TrialRuling(True)
 
-    def _end_trial(self, key: request_content.ContentKey, trial: int) -> None:
+    def _end_trial(self, key: content_key.ContentKey, trial: int) -> None:
         self._table.end_trial(key, trial)
         self._wake(key)
 
@@ -337,7 +337,7 @@
         )
 
     def _ready_builds(
-        self, service: model.Service, key: request_content.ContentKey
+        self, service: model.Service, key: content_key.ContentKey
     ) -> frozenset[str]:
         """Returns a service's ready builds; empty unless quarantined."""
         suspect = self._table.find(key)
@@ -348,9 +348,7 @@
             model.build_id(endpoint, service) for endpoint in ready
         )
 
-    async def _wait(
-        self, key: request_content.ContentKey, wait_s: float
-    ) -> None:
+    async def _wait(self, key: content_key.ContentKey, wait_s: float) -> None:
         """Waits until a request's record changes or the timeout expires."""
         waiter: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
@@ -364,7 +362,7 @@
             if not waiting:
                 self._waiting.pop(key, None)
 
-    def _wake(self, key: request_content.ContentKey) -> None:
+    def _wake(self, key: content_key.ContentKey) -> None:
         for waiter in self._waiting.get(key, ()):
             if not waiter.done():
                 waiter.set_result(None)
@@ -377,7 +375,7 @@
     def _merge(
         self,
         box: str,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         held: suspicion.Suspicion,
     ) -> suspect_table.Suspect | None:
         """Merges another box's record; returns the result if it changed."""
--- a/martenjunction/routing/quarantine/suspect_codec.py
+++ b/martenjunction/routing/quarantine/suspect_codec.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing.access import request_content
 from martenjunction.routing.messages import peer_messages
 
 # Maximum length of a service, endpoint or build name accepted from a peer.
@@ -40,7 +40,7 @@
 
 def decode(
     message: peer_messages.SuspectRecords,
-) -> Iterator[tuple[request_content.ContentKey, suspicion.Suspicion]]:
+) -> Iterator[tuple[content_key.ContentKey, suspicion.Suspicion]]:
     """Yields the key and the record of each request in a message.
 
     Invalid records are skipped: those with a digest of the wrong length, a
@@ -63,9 +63,9 @@
     for row in rows:
         caller, content, service, epoch, crashes, generations = row[:6]
         builds, tries, quarantined, releases, outlived = row[6:]
-        if len(caller) != request_content.CALLER_BYTES:
+        if len(caller) != content_key.CALLER_BYTES:
             continue
-        if len(content) != request_content.CONTENT_BYTES:
+        if len(content) != content_key.CONTENT_BYTES:
             continue
         if (
             min(epoch, tries, releases, 0) < 0
@@ -74,7 +74,7 @@
             continue
         if any(len(name) > MAX_NAME for name in (service, *crashes, *builds)):
             continue
-        key = request_content.ContentKey(caller, content)
+        key = content_key.ContentKey(caller, content)
         yield (
             key,
             suspicion.Suspicion(
--- a/martenjunction/routing/quarantine/suspect_sync.py
+++ b/martenjunction/routing/quarantine/suspect_sync.py
@@ -5,11 +5,11 @@
 from collections.abc import Iterable
 
 from martenjunction import events
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing.access import request_content
 from martenjunction.routing.messages import peer_messages
 from martenjunction.routing.quarantine import suspect_codec
 
@@ -23,10 +23,10 @@
 GATHER_S = 0.03
 
 MergeSuspicion = Callable[
-    [str, request_content.ContentKey, suspicion.Suspicion],
+    [str, content_key.ContentKey, suspicion.Suspicion],
     suspect_table.Suspect | None,
 ]
-_Batch = dict[request_content.ContentKey, suspect_table.Suspect]
+_Batch = dict[content_key.ContentKey, suspect_table.Suspect]
 
 
 class SuspectSync:
--- a/martenjunction/routing/quarantine/trial_grants.py
+++ b/martenjunction/routing/quarantine/trial_grants.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from martenjunction import timers
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
-from martenjunction.routing.access import request_content
 from martenjunction.routing.fleet import holders
 from martenjunction.routing.messages import peer_messages
 from martenjunction.routing.quarantine import suspect_codec
@@ -41,13 +41,11 @@
     wait_s: float = 0.0
 
 
-DecideTrial = Callable[
-    [request_content.ContentKey, frozenset[str]], TrialRuling
-]
+DecideTrial = Callable[[content_key.ContentKey, frozenset[str]], TrialRuling]
 MergeSuspicion = Callable[
-    [str, request_content.ContentKey, suspicion.Suspicion], Any
+    [str, content_key.ContentKey, suspicion.Suspicion], Any
 ]
-EndTrial = Callable[[request_content.ContentKey, int], None]
+EndTrial = Callable[[content_key.ContentKey, int], None]
 
 
 class TrialGrants:
@@ -97,7 +95,7 @@
         self._peers.subscribe(peer_messages.TrialOver, self._on_over)
 
     async def ask(
-        self, key: request_content.ContentKey, builds: frozenset[str]
+        self, key: content_key.ContentKey, builds: frozenset[str]
     ) -> TrialRuling:
         """Asks the holder for a trial of a suspected request.
 
@@ -121,7 +119,7 @@
             unresponsive.add(holder)
         return self._decide(key, builds)
 
-    def report_over(self, key: request_content.ContentKey, trial: int) -> None:
+    def report_over(self, key: content_key.ContentKey, trial: int) -> None:
         """Reports an inconclusive trial of this box to the holder.
 
         Args:
@@ -136,7 +134,7 @@
     async def _ask(
         self,
         holder: str,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         builds: frozenset[str],
         hops: int,
     ) -> TrialRuling | None:
@@ -183,7 +181,7 @@
                 self._relay(box, ask, key, holder)
 
     def _decide_for(
-        self, ask: peer_messages.AskTrial, key: request_content.ContentKey
+        self, ask: peer_messages.AskTrial, key: content_key.ContentKey
     ) -> TrialRuling:
         return self._decide(key, frozenset(ask.builds))
 
@@ -191,7 +189,7 @@
         self,
         box: str,
         ask: peer_messages.AskTrial,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         holder: str,
     ) -> None:
         """Forwards a message to the holder and its answer back to `box`.
@@ -214,7 +212,7 @@
         self,
         box: str,
         ask: peer_messages.AskTrial,
-        key: request_content.ContentKey,
+        key: content_key.ContentKey,
         ruling: TrialRuling,
     ) -> None:
         suspect = self._table.find(key)
@@ -238,7 +236,7 @@
             waiting.set_result(answer)
 
     def _on_over(self, box: str, over: peer_messages.TrialOver) -> None:
-        key = request_content.ContentKey(over.caller, over.content)
+        key = content_key.ContentKey(over.caller, over.content)
         holder = self._selector.holder(str(key))
         if holder == self._selector.own_box:
             self._end(key, over.trial)
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -11,6 +11,7 @@
 from martenjunction import metrics
 from martenjunction import model
 from martenjunction.decisions import outcomes
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import load_shedding
@@ -143,9 +144,9 @@
 
     id: str
     received_at: float
-    content: request_content.ContentKey
+    content: content_key.ContentKey
     stream_key: stream_table.StreamKey
-    part_keys: tuple[request_content.ContentKey, ...] = ()
+    part_keys: tuple[content_key.ContentKey, ...] = ()
     is_retry: bool = False
     progress: outcomes.RequestProgress = dataclasses.field(
         default_factory=outcomes.RequestProgress
--- a/tests/test_part_table.py
+++ b/tests/test_part_table.py
@@ -3,11 +3,11 @@
 import pytest
 
 from martenjunction import model
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import crash_rates
 from martenjunction.decisions.boxes import part_table
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.platform import headers
-from martenjunction.routing.access import request_content
 from martenjunction_lab import boxes
 from tests import gateway_requests as requests
 from tests import routing_builders as builders
@@ -19,8 +19,8 @@
 BACKGROUND = 200
 
 
-def key(name: str) -> request_content.ContentKey:
-    return request_content.ContentKey(b"\0" * 8, name.encode().ljust(16))
+def key(name: str) -> content_key.ContentKey:
+    return content_key.ContentKey(b"\0" * 8, name.encode().ljust(16))
 
 
 POPULAR, OTHER, FATAL = key("popular"), key("other"), key("fatal")
@@ -38,7 +38,7 @@
             self.lived(self.begin(key("background")))
 
     def begin(
-        self, *keys: request_content.ContentKey, build: str = BUILD
+        self, *keys: content_key.ContentKey, build: str = BUILD
     ) -> part_table.PartRun:
         run = self.table.begin(SERVICE, keys, self.now)
         run.build = build
@@ -57,9 +57,7 @@
                 run, f"e{self._crashed}", BUILD, self.now, self.now
             )
 
-    def live(
-        self, *keys: request_content.ContentKey, build: str = BUILD
-    ) -> None:
+    def live(self, *keys: content_key.ContentKey, build: str = BUILD) -> None:
         """Plays a run that begins to write and lives."""
         run = self.begin(*keys, build=build)
         self.now += 0.05
@@ -67,7 +65,7 @@
         self.now += part_table.LIVED_S
         self.lived(run)
 
-    def quarantined(self) -> set[request_content.ContentKey]:
+    def quarantined(self) -> set[content_key.ContentKey]:
         return {s.key for s in self.table if s.evidence.quarantined}
 
 
--- a/tests/test_request_content.py
+++ b/tests/test_request_content.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from martenjunction.decisions.boxes import content_key
 from martenjunction.http1 import messages
 from martenjunction.platform import headers
 from martenjunction.routing.access import request_content
@@ -24,7 +25,7 @@
 
 def key(
     request: messages.Request, fleet: str = FLEET
-) -> request_content.ContentKey:
+) -> content_key.ContentKey:
     keys = request_content.ContentKeys(fleet)
     return keys.key(request, headers.decode_request(request.headers))
 
--- a/tests/test_suspect_spread.py
+++ b/tests/test_suspect_spread.py
@@ -4,14 +4,14 @@
 
 import pytest
 
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing.access import request_content
 from martenjunction.routing.quarantine import suspect_sync
 from tests import linked_boxes
 
 SERVICE = "engine-service"
-KEY = request_content.ContentKey(b"c" * 8, b"q" * 16)
+KEY = content_key.ContentKey(b"c" * 8, b"q" * 16)
 
 
 class Node:
@@ -106,7 +106,7 @@
     fleet = Fleet()
     nodes = list(fleet.nodes.values())
     for number, node in enumerate(nodes[:at_once]):
-        key = request_content.ContentKey(b"c" * 8, bytes([number]) * 16)
+        key = content_key.ContentKey(b"c" * 8, bytes([number]) * 16)
         ruling = node.table.decide(key, frozenset(), 0.0)
         changed = node.table.record_crash(key, SERVICE, "e1", ruling, "v1", 0.0)
         assert changed is not None
@@ -122,7 +122,7 @@
     fleet = Fleet()
     judge = fleet.nodes["box-80"]
     for number in range(50):
-        other = request_content.ContentKey(b"o" * 8, bytes([number]) * 16)
+        other = content_key.ContentKey(b"o" * 8, bytes([number]) * 16)
         judge.table.record_answer(other, SERVICE, 0.0)
     for number, name in enumerate(["box-0", "box-40", judge.name]):
         assert not any(node.known.quarantined for node in fleet.nodes.values())
--- a/tests/test_suspect_trials.py
+++ b/tests/test_suspect_trials.py
@@ -15,11 +15,11 @@
 from martenjunction import gateway
 from martenjunction import model
 from martenjunction import timers
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.peers import codec
 from martenjunction.peers import membership
 from martenjunction.routing.access import admission
-from martenjunction.routing.access import request_content
 from martenjunction.routing.fleet import holders
 from martenjunction.routing.messages import peer_messages
 from martenjunction.routing.quarantine import permits
@@ -30,7 +30,7 @@
 from tests import linked_boxes
 from tests import routing_builders as builders
 
-KEY = request_content.ContentKey(b"c" * 8, b"q" * 16)
+KEY = content_key.ContentKey(b"c" * 8, b"q" * 16)
 BOXES = 6
 
 # Seconds within which permits are granted on an idle machine.
@@ -331,7 +331,7 @@
         self.trials.start()
 
     def _decide(
-        self, key: request_content.ContentKey, builds: frozenset[str]
+        self, key: content_key.ContentKey, builds: frozenset[str]
     ) -> trial_grants.TrialRuling:
         ruling = self.table.decide(key, builds, 0.0)
         if ruling.verdict is not suspect_table.Verdict.ALONE:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -6,10 +6,10 @@
 import pytest
 
 from martenjunction import model
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import crash_rates
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.routing.access import admission
-from martenjunction.routing.access import request_content
 from martenjunction.routing.quarantine import permits
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
@@ -35,7 +35,7 @@
 
 
 async def permit(
-    fleet: boxes.Boxes, key: request_content.ContentKey
+    fleet: boxes.Boxes, key: content_key.ContentKey
 ) -> permits.Permit:
     box = fleet.gateways[0]
     return await box.quarantine.permit(
@@ -45,7 +45,7 @@
 
 async def quarantine_request(
     fleet: boxes.Boxes, path: str = "/unsafe/"
-) -> request_content.ContentKey:
+) -> content_key.ContentKey:
     """Crashes endpoints during runs of a request until it is quarantined."""
     made = [await fleet.add_replica(builders.PLAIN) for _ in range(3)]
     await fleet.until_listed()
@@ -201,7 +201,7 @@
     fleet: boxes.Boxes,
 ) -> None:
     await requests.two_plain(fleet)
-    key = request_content.ContentKey(b"c" * 8, b"q" * 16)
+    key = content_key.ContentKey(b"c" * 8, b"q" * 16)
     at = builders.endpoint()
     (await permit(fleet, key)).record_crash(at)
     first = await permit(fleet, key)
@@ -217,7 +217,7 @@
     fleet: boxes.Boxes,
 ) -> None:
     await requests.two_plain(fleet)
-    key = request_content.ContentKey(b"c" * 8, b"q" * 16)
+    key = content_key.ContentKey(b"c" * 8, b"q" * 16)
     one, two = await permit(fleet, key), await permit(fleet, key)
     assert two.is_valid()
     one.record_crash(builders.endpoint())
@@ -226,7 +226,7 @@
 
 async def test_no_permit_is_issued_in_quarantine(fleet: boxes.Boxes) -> None:
     await requests.two_plain(fleet)
-    key = request_content.ContentKey(b"c" * 8, b"q" * 16)
+    key = content_key.ContentKey(b"c" * 8, b"q" * 16)
     for number in range(10):
         try:
             made = await permit(fleet, key)
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 import pytest
 
+from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import crash_rates
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing.access import request_content
 from martenjunction.routing.messages import peer_messages
 from martenjunction.routing.quarantine import suspect_codec
 
@@ -32,10 +32,10 @@
 )
 
 
-def key(number: int = 0, caller: int = 0) -> request_content.ContentKey:
-    return request_content.ContentKey(
-        caller.to_bytes(request_content.CALLER_BYTES, "big"),
-        number.to_bytes(request_content.CONTENT_BYTES, "big"),
+def key(number: int = 0, caller: int = 0) -> content_key.ContentKey:
+    return content_key.ContentKey(
+        caller.to_bytes(content_key.CALLER_BYTES, "big"),
+        number.to_bytes(content_key.CONTENT_BYTES, "big"),
     )
 
 
@@ -130,16 +130,16 @@
             self.made.record_answer(key(1000 + number), SERVICE, self.now)
 
     def judge(
-        self, which: request_content.ContentKey
+        self, which: content_key.ContentKey
     ) -> suspect_table.SuspectDecision:
         return self.made.decide(which, self.builds, self.now)
 
-    def verdict(self, which: request_content.ContentKey) -> Verdict:
+    def verdict(self, which: content_key.ContentKey) -> Verdict:
         return self.judge(which).verdict
 
     def end(
         self,
-        which: request_content.ContentKey,
+        which: content_key.ContentKey,
         endpoint: str,
         ruling: suspect_table.SuspectDecision | None = None,
         build: str = "v1",
@@ -153,7 +153,7 @@
             self.now,
         )
 
-    def quarantine(self, which: request_content.ContentKey) -> None:
+    def quarantine(self, which: content_key.ContentKey) -> None:
         for number in range(crash_rates.MIN_CRASHES):
             self.end(which, f"{which.content.hex()}-{number}")
         assert self.verdict(which) is Verdict.QUARANTINED
