Settle on one of two links that boxes open to each other at once

Each end sent over the link that it had registered first, which need not be the same: both links stayed open, each carrying frames one way, or one was closed for silence some seconds after the start of a calm fleet.

Now both ends use the link that the first box by name opened; the other one is closed by its opener a second later. A link that is opened later, or by a newer start of the box, replaces the current one. Large fleets are as before, where the second link may be one that its opener closes as a spare.

--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -44,6 +44,10 @@
 # was opened for a single message.
 SPARE_LIFETIME_S = 8.0
 
+# Maximum seconds between two links that count as opened at the same moment,
+# because each box called the other.
+SIMULTANEOUS_S = 1.0
+
 # Minimum seconds between log lines about connections closed for an error.
 REFUSAL_LOG_INTERVAL_S = 60.0
 
@@ -381,7 +385,9 @@
             )
 
     async def _run_link(self, link: links.Link) -> None:
-        self._links.setdefault(link.box, []).append(link)
+        open_links = self._links.setdefault(link.box, [])
+        is_preferred = not open_links or self._replaces(link, open_links[0])
+        open_links.insert(0 if is_preferred else len(open_links), link)
         self._members.record_connected(link.member)
         self._events.emit(events.PEER_CONNECTED, link.box)
         link.send(self._heartbeat())
@@ -392,6 +398,35 @@
         finally:
             self._remove_link(link)
 
+    def _replaces(self, link: links.Link, current: links.Link) -> bool:
+        """Returns whether a new link is used in place of the current one.
+
+        Of two that were opened at the same moment, both ends use the one that
+        the first box by name opened. A later one is opened only by a box that
+        lost the current one.
+        """
+        if link.member.incarnation != current.member.incarnation:
+            return link.member.incarnation > current.member.incarnation
+        if self._topology.is_sparse:
+            # The other link may be one that its opener closes as a spare one.
+            return False
+        if link.opened_at - current.opened_at > SIMULTANEOUS_S:
+            return True
+        own_is_first = self._members.own.box < link.box
+        return link.dialed == own_is_first
+
+    def _close_surplus(self, now: float) -> None:
+        """Closes the links that this box opened and does not use.
+
+        What was sent on them is received by then.
+        """
+        if self._topology.is_sparse:
+            return
+        for open_links in list(self._links.values()):
+            for surplus in open_links[1:]:
+                if surplus.dialed and now - surplus.opened_at > SIMULTANEOUS_S:
+                    surplus.close()
+
     def _receive(self, link: links.Link, message: Any) -> None:
         handler = self._handlers.get(type(message))
         if handler is None:
@@ -419,6 +454,7 @@
         limit_s = self._silence_limit
         if self._topology.is_sparse:
             limit_s = min(limit_s, SPARSE_SILENCE_TIMEOUT_S)
+        self._close_surplus(now)
         for link in self._all_links():
             if now - link.last_received_at > limit_s:
                 logger.warning(
--- a/martenjunction/peers/links.py
+++ b/martenjunction/peers/links.py
@@ -134,7 +134,7 @@
         self._timers = clock
         self._flow = flow.FlowControl(clock.now)
         self._outbox = outbox.Outbox(self._flow)
-        self._last_received_at = clock.stall_adjusted_now()
+        self._opened_at = self._last_received_at = clock.stall_adjusted_now()
         self._counts = LinkCounts()
         self._closed = False
 
@@ -153,6 +153,11 @@
         """Whether this daemon opened the connection."""
         return self._dialed
 
+    @property
+    def opened_at(self) -> float:
+        """Time of the handshake, from `Timers.stall_adjusted_now`."""
+        return self._opened_at
+
     @property
     def last_sent_at(self) -> float:
         """Time of the last frame to the peer on the steady clock."""
--- a/martenjunction_lab/spread/network.py
+++ b/martenjunction_lab/spread/network.py
@@ -150,7 +150,7 @@
         self._stamps = stamps
         self.member = member
         self.box = member.box
-        self.last_received_at = simulation.now
+        self.opened_at = self.last_received_at = simulation.now
         self.counts = links.LinkCounts()
         self._simulation = simulation
         self._machine = machine
