Try a part soon that lived before its crashes, and let it explain nothing yet

A part that lived in the last minute is now tried after 2 s, and takes no evidence from others before that trial has crashed its engine; else a wrong one would hide the cause.

--- a/martenjunction/decisions/boxes/part_table.py
+++ b/martenjunction/decisions/boxes/part_table.py
@@ -30,6 +30,10 @@
 RELEASE_FACTOR = 4.0
 MAX_RELEASE_S = 3600.0
 
+# Seconds until the first trial of a part that lived shortly before: where
+# endpoints crash faster than runs live, it may have been beside by chance.
+CHECK_RELEASE_S = 2.0
+
 PartKey = content_key.ContentKey
 
 
@@ -193,22 +197,49 @@
                 endpoint_id: known.get(endpoint_id, now)
                 for endpoint_id in changed.evidence.crashes
             }
-            if changed.evidence.quarantined:
+            if self._is_certain(changed):
                 self._explain_others(changed, now)
         return changed
 
-    def release_delay_s(self, evidence: suspicion.Suspicion) -> float:
-        """Returns the seconds until a quarantined part's next trial."""
-        delay_s = INITIAL_RELEASE_S * RELEASE_FACTOR**evidence.releases
+    def release_delay_s(self, suspect: suspect_table.Suspect) -> float:
+        """Returns the seconds until a quarantined part's next trial.
+
+        A part that lived lately is tried once soon.
+        """
+        releases = suspect.evidence.releases
+        if self._lived_lately(suspect):
+            if not releases:
+                return CHECK_RELEASE_S
+            releases -= 1
+        delay_s = INITIAL_RELEASE_S * RELEASE_FACTOR**releases
         return min(delay_s, MAX_RELEASE_S)
 
+    def _lived_lately(self, suspect: suspect_table.Suspect) -> bool:
+        """Returns whether a run lived shortly before the crashes."""
+        return suspect.evidence.outlived or self._was_answered(
+            suspect.key, suspect.changed_at
+        )
+
+    def _is_certain(self, suspect: suspect_table.Suspect) -> bool:
+        """Returns whether a part is quarantined and explains its crashes.
+
+        One that lived lately may have been beside the cause by chance until
+        a trial of it crashes its endpoint as well.
+        """
+        evidence = suspect.evidence
+        return evidence.quarantined and (
+            evidence.releases > 0 or not self._lived_lately(suspect)
+        )
+
     def _blamed(self, run: PartRun, endpoint_id: str) -> tuple[PartKey, ...]:
         """Returns the parts of a run that may have crashed its endpoint."""
-        guilty = tuple(s.key for s in self.quarantined(run.keys))
+        guilty = tuple(
+            s.key for s in self.quarantined(run.keys) if self._is_certain(s)
+        )
         if guilty:
             return guilty
         explained = any(
-            suspect.evidence.quarantined
+            self._is_certain(suspect)
             and suspect.evidence.service == run.service
             and endpoint_id in suspect.evidence.crashes
             for suspect in self
@@ -233,6 +264,7 @@
         before = suspect.evidence.generation
         if not suspect.evidence.record_crash(endpoint_id, generation, build):
             return None
+        suspect.evidence.outlived |= self._was_answered(key, now)
         self._update_times(suspect, before, now)
         return suspect
 
@@ -264,7 +296,7 @@
             )
             worst.evidence.quarantined = True
         for suspect in changed:
-            if suspect.evidence.quarantined:
+            if self._is_certain(suspect):
                 self._explain_others(suspect, now)
 
     def _explain_others(
--- a/martenjunction/decisions/boxes/suspect_table.py
+++ b/martenjunction/decisions/boxes/suspect_table.py
@@ -166,7 +166,7 @@
     ) -> SuspectDecision:
         evidence = suspect.evidence
         generation = evidence.generation + 1
-        delay_s = suspect.changed_at + self.release_delay_s(evidence) - now
+        delay_s = suspect.changed_at + self.release_delay_s(suspect) - now
         if suspect.trial_until > now:
             return SuspectDecision(
                 Verdict.QUARANTINED, recheck_after_s=suspect.trial_until - now
@@ -390,9 +390,10 @@
             minimum, needed - max(0, concurrent) // CONCURRENT_PER_CONSECUTIVE
         )
 
-    def release_delay_s(self, evidence: suspicion.Suspicion) -> float:
+    def release_delay_s(self, suspect: Suspect) -> float:
         """Returns the seconds until a quarantined request's next trial."""
-        delay_s = INITIAL_RELEASE_S * RELEASE_FACTOR**evidence.releases
+        releases = suspect.evidence.releases
+        delay_s = INITIAL_RELEASE_S * RELEASE_FACTOR**releases
         return min(delay_s, MAX_RELEASE_S)
 
     def _update_times(self, suspect: Suspect, before: int, now: float) -> None:
--- a/martenjunction/decisions/boxes/suspicion.py
+++ b/martenjunction/decisions/boxes/suspicion.py
@@ -30,7 +30,8 @@
         quarantined: Whether boxes have stopped sending the request.
         releases: Number of trials allowed by expired back-off since then.
         outlived: Whether a trial in this epoch was still running after
-            `suspect_table.OUTLIVED_S`.
+            `suspect_table.OUTLIVED_S`. Of a part of prompts, whether a run with
+            it lived in the minute before it was suspected.
     """
 
     service: str
--- a/tests/test_part_table.py
+++ b/tests/test_part_table.py
@@ -125,6 +125,21 @@
     assert play.table.find(OTHER).evidence.generation == 0  # type: ignore[union-attr]
 
 
+def test_part_that_lived_lately_does_not_explain_crashes_before_its_trial() -> (
+    None
+):
+    play = Play()
+    play.live(OTHER, POPULAR)
+    for _ in range(4):
+        play.crash(play.begin(OTHER), play.begin(POPULAR))
+    assert play.quarantined() == {OTHER, POPULAR}
+    play.crash(play.begin(OTHER, FATAL))
+    assert play.table.find(FATAL) is not None
+    play.table.begin_trial(OTHER, play.now)
+    play.crash(play.begin(OTHER, key("beside")))
+    assert play.table.find(key("beside")) is None
+
+
 def test_parts_that_always_come_together_are_blamed_at_the_last() -> None:
     play = Play()
     for _ in range(4):
@@ -157,6 +172,23 @@
     assert other.avoid_builds == builds
 
 
+def test_part_that_lived_lately_is_tried_soon_and_then_rarely() -> None:
+    play = Play()
+    play.live(OTHER)
+    for _ in range(4):
+        play.crash(play.begin(OTHER))
+    delays = []
+    for _ in range(3):
+        suspect = play.table.find(OTHER)
+        assert suspect is not None
+        assert suspect.evidence.quarantined
+        delays.append(play.table.release_delay_s(suspect))
+        play.table.begin_trial(OTHER, play.now)
+        play.crash(play.begin(OTHER))
+    first, later = part_table.CHECK_RELEASE_S, part_table.INITIAL_RELEASE_S
+    assert delays == [first, later, later * part_table.RELEASE_FACTOR]
+
+
 def test_run_on_another_build_speaks_for_a_part_once_the_first_is_gone() -> (
     None
 ):
