Wait for the end of a trial before a part explains crashes

A part that lived lately took evidence from others as soon as its trial began; it does so once the trial has ended and did not clear it. Found on reading; the test has a run beside the trial now.

--- a/martenjunction/decisions/boxes/part_table.py
+++ b/martenjunction/decisions/boxes/part_table.py
@@ -133,7 +133,7 @@
         self._crash_rate(run.service).record_crash(endpoint_id, now)
         if not run.may_have_crashed(broke_at):
             return []
-        blamed = self._blamed(run, endpoint_id)
+        blamed = self._blamed(run, endpoint_id, now)
         changed = [
             suspect
             for key in blamed
@@ -197,7 +197,7 @@
                 endpoint_id: known.get(endpoint_id, now)
                 for endpoint_id in changed.evidence.crashes
             }
-            if self._is_certain(changed):
+            if self._is_certain(changed, now):
                 self._explain_others(changed, now)
         return changed
 
@@ -220,26 +220,31 @@
             suspect.key, suspect.changed_at
         )
 
-    def _is_certain(self, suspect: suspect_table.Suspect) -> bool:
+    def _is_certain(self, suspect: suspect_table.Suspect, now: float) -> bool:
         """Returns whether a part is quarantined and explains its crashes.
 
         One that lived lately may have been beside the cause by chance until
-        a trial of it crashes its endpoint as well.
+        a trial of it has ended and did not clear it.
         """
         evidence = suspect.evidence
-        return evidence.quarantined and (
-            evidence.releases > 0 or not self._lived_lately(suspect)
-        )
-
-    def _blamed(self, run: PartRun, endpoint_id: str) -> tuple[PartKey, ...]:
+        if not evidence.quarantined:
+            return False
+        was_tried = evidence.releases > 0 and suspect.trial_until <= now
+        return was_tried or not self._lived_lately(suspect)
+
+    def _blamed(
+        self, run: PartRun, endpoint_id: str, now: float
+    ) -> tuple[PartKey, ...]:
         """Returns the parts of a run that may have crashed its endpoint."""
         guilty = tuple(
-            s.key for s in self.quarantined(run.keys) if self._is_certain(s)
+            suspect.key
+            for suspect in self.quarantined(run.keys)
+            if self._is_certain(suspect, now)
         )
         if guilty:
             return guilty
         explained = any(
-            self._is_certain(suspect)
+            self._is_certain(suspect, now)
             and suspect.evidence.service == run.service
             and endpoint_id in suspect.evidence.crashes
             for suspect in self
@@ -296,7 +301,7 @@
             )
             worst.evidence.quarantined = True
         for suspect in changed:
-            if self._is_certain(suspect):
+            if self._is_certain(suspect, now):
                 self._explain_others(suspect, now)
 
     def _explain_others(
--- a/tests/test_part_table.py
+++ b/tests/test_part_table.py
@@ -136,6 +136,7 @@
     play.crash(play.begin(OTHER, FATAL))
     assert play.table.find(FATAL) is not None
     play.table.begin_trial(OTHER, play.now)
+    play.crash(play.begin(OTHER), play.begin(OTHER, key("beside-the-trial")))
     play.crash(play.begin(OTHER, key("beside")))
     assert play.table.find(key("beside")) is None
 
