--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -19,6 +19,7 @@
 from martenjunction.routing.requests import endpoint_runs
 from martenjunction.routing.requests import offers
 from martenjunction.routing.requests import request_account
+from martenjunction.routing.requests import stream_binding
 
 logger = logging.getLogger(__name__)
 
@@ -47,10 +48,6 @@
 # that crashed takes seconds to start again.
 RETRY_VERSION_S = 1.0
 
-# Retry-After, in seconds, if it is not known where a stream began. Another box
-# may know it.
-RETRY_UNKNOWN_STREAM_S = 0.1
-
 
 class Ending(enum.StrEnum):
     """Why a request ended before its response."""
@@ -267,7 +264,10 @@
     async def _run_attempts(
         self, admitted: admission.Admission, runs: endpoint_runs.EndpointRuns
     ) -> None:
-        admitted = await self._bind_stream(admitted)
+        bound = await stream_binding.bind(
+            self._context, self._facts, self._state, admitted
+        )
+        admitted, self._state.stream_version = bound.admitted, bound.version
         if admitted.service.engine is not None:
             self._state.part_keys = self._context.content_keys.part_keys(
                 admitted.service.name, self._facts
@@ -284,38 +284,6 @@
             if await runs.run(demand, offer, copies):
                 return
 
-    async def _bind_stream(
-        self, admitted: admission.Admission
-    ) -> admission.Admission:
-        """Binds a stream that the client takes up to where it began.
-
-        Returns:
-            The admission to the service where it began.
-
-        Raises:
-            RefusalError: If no box can tell where it began.
-        """
-        takes_up = self._facts.resume_from or self._facts.resumes
-        if admitted.route.kind is not model.RouteKind.STREAM or not takes_up:
-            return admitted
-        origin = await self._context.origins.find(
-            self._state.stream_key,
-            admitted.service.name,
-            admitted.route.timeout_s,
-        )
-        bound = None
-        if origin is not None:
-            self._state.stream_version = origin.version
-            bound = self._context.admitter.at_service(admitted, origin.service)
-        if bound is None:
-            raise admission.RefusalError(
-                503,
-                "stream-unknown",
-                "it is not known where this stream began",
-                RETRY_UNKNOWN_STREAM_S,
-            )
-        return bound
-
     def _demand(self, admitted: admission.Admission) -> endpoint_records.Demand:
         engine = admitted.service.engine
         engines = self._context.registry.engines
