--- a/martenjunction/routing/quarantine/part_quarantine.py
+++ b/martenjunction/routing/quarantine/part_quarantine.py
@@ -18,7 +18,7 @@
 from martenjunction.routing.access import admission
 from martenjunction.routing.fleet import holders
 from martenjunction.routing.log import decision_log
-from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.messages import suspect_messages
 from martenjunction.routing.quarantine import permits
 from martenjunction.routing.quarantine import suspect_sync
 
@@ -71,7 +71,11 @@
         self._table = self.table_type()
         self._selector = holders.HolderSelector(members, responsive_peers)
         self._sync = suspect_sync.SuspectSync(
-            self._table, peers, members, self._merge, peer_messages.PartRecords
+            self._table,
+            peers,
+            members,
+            self._merge,
+            suspect_messages.PartRecords,
         )
         self._refused = 0
 
--- a/martenjunction/routing/quarantine/suspect_codec.py
+++ b/martenjunction/routing/quarantine/suspect_codec.py
@@ -6,7 +6,7 @@
 from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.messages import suspect_messages
 
 # Maximum length of a service, endpoint or build name accepted from a peer.
 MAX_NAME = 256
@@ -14,8 +14,10 @@
 
 def encode(
     suspects: Iterable[suspect_table.Suspect],
-    message: type[peer_messages.SuspectRecords] = peer_messages.SuspectRecords,
-) -> peer_messages.SuspectRecords:
+    message: type[
+        suspect_messages.SuspectRecords
+    ] = suspect_messages.SuspectRecords,
+) -> suspect_messages.SuspectRecords:
     """Returns a message with the records of suspects.
 
     Args:
@@ -39,7 +41,7 @@
 
 
 def decode(
-    message: peer_messages.SuspectRecords,
+    message: suspect_messages.SuspectRecords,
 ) -> Iterator[tuple[content_key.ContentKey, suspicion.Suspicion]]:
     """Yields the key and the record of each request in a message.
 
--- a/martenjunction/routing/quarantine/suspect_sync.py
+++ b/martenjunction/routing/quarantine/suspect_sync.py
@@ -10,7 +10,7 @@
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
 from martenjunction.peers import membership
-from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.messages import suspect_messages
 from martenjunction.routing.quarantine import suspect_codec
 
 # Maximum number of suspected requests sent on a new connection, by descending
@@ -39,8 +39,8 @@
         members: membership.Membership,
         merge: MergeSuspicion,
         message: type[
-            peer_messages.SuspectRecords
-        ] = peer_messages.SuspectRecords,
+            suspect_messages.SuspectRecords
+        ] = suspect_messages.SuspectRecords,
     ) -> None:
         """Initializes the exchange; `start` subscribes to peer messages.
 
@@ -81,7 +81,7 @@
 
     def _encode(
         self, suspects: Iterable[suspect_table.Suspect]
-    ) -> peer_messages.SuspectRecords:
+    ) -> suspect_messages.SuspectRecords:
         return suspect_codec.encode(suspects, self._message)
 
     def _broadcast(self, batch: _Batch) -> None:
@@ -97,7 +97,7 @@
             self._peers.send(box, self._encode(known[:MAX_ON_CONNECT]))
 
     def _on_suspects(
-        self, box: str, message: peer_messages.SuspectRecords
+        self, box: str, message: suspect_messages.SuspectRecords
     ) -> None:
         linked = len(self._peers.boxes()) + 1
         should_forward = linked < len(self._members.live_members())
--- a/martenjunction/routing/quarantine/trial_grants.py
+++ b/martenjunction/routing/quarantine/trial_grants.py
@@ -11,7 +11,7 @@
 from martenjunction.decisions.boxes import suspicion
 from martenjunction.peers import hub
 from martenjunction.routing.fleet import holders
-from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.messages import suspect_messages
 from martenjunction.routing.quarantine import suspect_codec
 
 # Timeout in seconds for the holder's answer, after which the next-ranked box is
@@ -84,15 +84,17 @@
         self._decide = decide
         self._merge = merge
         self._end = end
-        self._pending: dict[int, asyncio.Future[peer_messages.TrialAnswer]] = {}
+        self._pending: dict[
+            int, asyncio.Future[suspect_messages.TrialAnswer]
+        ] = {}
         self._last_number = 0
         self._relay_tasks: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
         """Subscribes to messages from the other boxes."""
-        self._peers.subscribe(peer_messages.AskTrial, self._on_ask)
-        self._peers.subscribe(peer_messages.TrialAnswer, self._on_answer)
-        self._peers.subscribe(peer_messages.TrialOver, self._on_over)
+        self._peers.subscribe(suspect_messages.AskTrial, self._on_ask)
+        self._peers.subscribe(suspect_messages.TrialAnswer, self._on_answer)
+        self._peers.subscribe(suspect_messages.TrialOver, self._on_over)
 
     async def ask(
         self, key: content_key.ContentKey, builds: frozenset[str]
@@ -128,7 +130,7 @@
         """
         holder = self._selector.holder(str(key))
         if holder != self._selector.own_box:
-            over = peer_messages.TrialOver(key.caller, key.content, trial, 0)
+            over = suspect_messages.TrialOver(key.caller, key.content, trial, 0)
             self._peers.send_soon(holder, over)
 
     async def _ask(
@@ -144,11 +146,11 @@
             return TrialRuling(False)
         self._last_number += 1
         number = self._last_number
-        response: asyncio.Future[peer_messages.TrialAnswer] = (
+        response: asyncio.Future[suspect_messages.TrialAnswer] = (
             asyncio.get_running_loop().create_future()
         )
         self._pending[number] = response
-        message = peer_messages.AskTrial(
+        message = suspect_messages.AskTrial(
             number, suspect_codec.encode([suspect]), tuple(sorted(builds)), hops
         )
         try:
@@ -170,7 +172,7 @@
                 return
             await asyncio.wait([response], timeout=left_s)
 
-    def _on_ask(self, box: str, ask: peer_messages.AskTrial) -> None:
+    def _on_ask(self, box: str, ask: suspect_messages.AskTrial) -> None:
         for key, held in suspect_codec.decode(ask.suspect):
             self._merge(box, key, held)
             holder = self._selector.holder(str(key))
@@ -181,14 +183,14 @@
                 self._relay(box, ask, key, holder)
 
     def _decide_for(
-        self, ask: peer_messages.AskTrial, key: content_key.ContentKey
+        self, ask: suspect_messages.AskTrial, key: content_key.ContentKey
     ) -> TrialRuling:
         return self._decide(key, frozenset(ask.builds))
 
     def _relay(
         self,
         box: str,
-        ask: peer_messages.AskTrial,
+        ask: suspect_messages.AskTrial,
         key: content_key.ContentKey,
         holder: str,
     ) -> None:
@@ -211,7 +213,7 @@
     def _answer(
         self,
         box: str,
-        ask: peer_messages.AskTrial,
+        ask: suspect_messages.AskTrial,
         key: content_key.ContentKey,
         ruling: TrialRuling,
     ) -> None:
@@ -220,12 +222,14 @@
         wait_ms = int(ruling.wait_s / MS) + 1
         self._peers.send(
             box,
-            peer_messages.TrialAnswer(
+            suspect_messages.TrialAnswer(
                 ask.number, ruling.granted, wait_ms, suspect_codec.encode(known)
             ),
         )
 
-    def _on_answer(self, box: str, answer: peer_messages.TrialAnswer) -> None:
+    def _on_answer(
+        self, box: str, answer: suspect_messages.TrialAnswer
+    ) -> None:
         waiting = self._pending.get(answer.number)
         for key, held in suspect_codec.decode(answer.suspect):
             self._merge(box, key, held)
@@ -235,7 +239,7 @@
         if waiting is not None and not waiting.done():
             waiting.set_result(answer)
 
-    def _on_over(self, box: str, over: peer_messages.TrialOver) -> None:
+    def _on_over(self, box: str, over: suspect_messages.TrialOver) -> None:
         key = content_key.ContentKey(over.caller, over.content)
         holder = self._selector.holder(str(key))
         if holder == self._selector.own_box:
--- a/tests/test_suspect_trials.py
+++ b/tests/test_suspect_trials.py
@@ -21,7 +21,7 @@
 from martenjunction.peers import membership
 from martenjunction.routing.access import admission
 from martenjunction.routing.fleet import holders
-from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.messages import suspect_messages
 from martenjunction.routing.quarantine import permits
 from martenjunction.routing.quarantine import suspect_codec
 from martenjunction.routing.quarantine import trial_grants
@@ -364,8 +364,8 @@
     assert changed is not None
     message = suspect_codec.encode([changed])
     batch = [
-        peer_messages.AskTrial(3, message, ("v1",), 1),
-        peer_messages.TrialAnswer(3, True, 1, message),
-        peer_messages.TrialOver(KEY.caller, KEY.content, 2, 0),
+        suspect_messages.AskTrial(3, message, ("v1",), 1),
+        suspect_messages.TrialAnswer(3, True, 1, message),
+        suspect_messages.TrialOver(KEY.caller, KEY.content, 2, 0),
     ]
     assert codec.decode_batch(codec.encode_batch(batch)) == batch
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -11,7 +11,7 @@
 from martenjunction.decisions.boxes import crash_rates
 from martenjunction.decisions.boxes import suspect_table
 from martenjunction.decisions.boxes import suspicion
-from martenjunction.routing.messages import peer_messages
+from martenjunction.routing.messages import suspect_messages
 from martenjunction.routing.quarantine import suspect_codec
 
 SERVICE = "engine-service"
@@ -325,7 +325,7 @@
     ]
     columns = list(zip(*rows, strict=True))
     count = len(rows)
-    news = peer_messages.SuspectRecords(
+    news = suspect_messages.SuspectRecords(
         *columns,  # type: ignore[arg-type]
         builds=((),) * count,
         tries=(0,) * count,
