--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import types
 from typing import Any
 
@@ -231,3 +232,66 @@
     head, _ = await requests.ask(fleet, "/digest/", "r9", **taken_up)
     assert head.status == 503
     assert requests.arrivals(made) == 1
+
+
+async def test_copy_of_a_run_is_kept_at_its_version(
+    fleet: boxes.Boxes,
+) -> None:
+    document = builders.config_document(9)
+    document["services"][1]["engine"]["backups"] = True
+    fleet.configure(document)
+    await two_versions(fleet)
+    box = fleet.gateways[0]
+    await boxes.until(lambda: box.store_cache.version == 9)
+    third = await fleet.add_replica(builders.ENGINE, slots=64)
+    fleet.record(third, builders.ENGINE, version="v2", seq=2, slots=64)
+    await boxes.until(
+        lambda: (
+            len(box.endpoint_list.entries) == len(fleet.replicas)
+            and len(box.registry.other_versions(builders.ENGINE, "v2")) == 1
+        )
+    )
+    versions = {
+        listed.endpoint.address: listed.endpoint.version
+        for listed in box.endpoint_list.entries.values()
+    }
+    copies = []
+    for number in range(12):
+        await requests.ask(fleet, "/chat/", f"r{number}")
+    for stand_in in fleet.replicas:
+        for got in stand_in.received:
+            copy = got.headers.get("martenjunction-kv-backup")
+            copies.append((versions[stand_in.address], copy))
+    assert {versions[copy] for began, copy in copies if copy} == {"v2"}
+    assert {began for began, copy in copies if copy} == {"v2"}
+
+
+async def test_endpoint_whose_version_changes_before_the_send_is_not_used(
+    fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    made = await requests.engines(fleet)
+    box = fleet.gateways[0]
+
+    def change_version(endpoint_id: str) -> None:
+        listed = box.endpoint_list.entries[endpoint_id]
+        changed = dataclasses.replace(listed.endpoint, version="v9")
+        box.endpoint_list.apply_entry(changed, listed.revision)
+
+    asked = requests.on_first_connection(monkeypatch, box, change_version)
+    head, _ = await requests.ask(fleet, "/digest/")
+    assert head.status == 200
+    assert [m.id for m in made if m.received] == [asked[1]]
+    assert asked[1] != asked[0]
+
+
+async def test_box_that_stops_hands_its_records_over(
+    fleet: boxes.Boxes,
+) -> None:
+    others = [await fleet.add_box(f"box-{number}") for number in (2, 3)]
+    first = fleet.gateways[0]
+    await boxes.until(lambda: len(first.peers.boxes()) == len(others))
+    expires_at = first.timers.now() + 60.0
+    first.origins._table.record(key(1), OLD, expires_at)
+    assert [box.origins.count for box in others] == [0, 0]
+    await first.leave()
+    assert [box.origins.count for box in others] == [1, 1]
