Let processes of tests claim the ports that they draw from

Ranges were chosen by the process id modulo eleven and not held, so that two processes could draw from one. Now a process claims a range by listening on its first port.

--- a/martenjunction_lab/bench.py
+++ b/martenjunction_lab/bench.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import os
 import random
 import socket
 
@@ -19,23 +18,42 @@
 # take a port between its choice here and its use.
 PORTS = range(10_000, 32_000)
 
-# Ports that a process takes before any others, so that processes of tests
-# that run beside each other do not take one between its choice and its use.
-OWN_PORTS = 2_000
+# Ports of a range that a process claims, so that processes of tests that run
+# beside each other do not take a port between its choice and its use.
+RANGE_PORTS = 500
 
 _given: set[int] = set()
+_claimed: list[range] = []
+_claims: list[socket.socket] = []
 
 
-def _own_ports() -> range:
-    first = PORTS.start + os.getpid() * OWN_PORTS % len(PORTS)
-    return range(first, min(first + OWN_PORTS, PORTS.stop))
+def _claim_range() -> range:
+    """Claims a range of ports by listening on its first one until the end.
+
+    Raises:
+        OSError: If other processes have claimed all of them.
+    """
+    starts = list(PORTS[::RANGE_PORTS])
+    random.shuffle(starts)
+    for start in starts:
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", start))
+            claim.listen(1)
+        except OSError:
+            claim.close()
+            continue
+        _claims.append(claim)
+        return range(start + 1, start + RANGE_PORTS)
+    raise OSError("no range of ports is left")
 
 
 def free_port() -> int:
     """Returns a loopback port that is free now, and no port twice."""
     while True:
-        few_given = len(_given) < OWN_PORTS // 2
-        port = random.choice(_own_ports() if few_given else PORTS)
+        if len(_given) >= RANGE_PORTS // 2 * len(_claimed):
+            _claimed.append(_claim_range())
+        port = random.choice(random.choice(_claimed))
         if port in _given:
             continue
         with socket.socket() as probe:
