Test streams that end with their connection

The users' pages allow answers with neither a length nor chunks: one that ends inside an event goes on elsewhere, or does not look complete. The code did both already; the tests pass on it as it was.

--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -58,14 +58,17 @@
             endpoint_id: The id under which it is listed.
             events: Events in each of its streams.
 
-        `event_pause_s` is the time between events and `queue_s` that for
-        which a request waits before it runs, both in seconds.
+        `framed` says whether streams come in chunks, rather than end with
+        their connection; `event_pause_s` is the time between events and
+        `queue_s` that for which a request waits before it runs, both in
+        seconds.
         """
         self.id = endpoint_id
         self.address = ""
         self.event_pause_s = 0.01
         self.queue_s = 0.0
         self.break_after: int | None = None
+        self.framed = True
         self.silent_after: int | None = None
         self.received: list[Received] = []
         self.runs: collections.Counter[str] = collections.Counter()
@@ -230,30 +233,40 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         pairs = {
             "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked",
             "Martenjunction-Attempt-Id": request.id,
             "Martenjunction-Replica-Seal": f"seal-{self.id}",
             **self._notices(request, 200),
         }
+        if self.framed:
+            pairs["Transfer-Encoding"] = "chunked"
+        part = _chunk if self.framed else bytes
         writer.write(_head(200, pairs))
         left = asyncio.ensure_future(reader.read(1))
         break_after = self._breaks_after(request, first)
         for number in range(first, self._events + 1):
             if break_after is not None and number > break_after:
-                writer.write(_chunk(b"id: 99\nda"))
+                writer.write(part(b"id: 99\nda"))
                 await writer.drain()
+                if not self.framed:
+                    writer.close()
+                    await writer.wait_closed()
                 return False
             if self.silent_after is not None and number > self.silent_after:
                 await left
                 self.cancelled.append(request.id)
                 return False
             text = self._event_text(number)
-            writer.write(_chunk(f"id: {number}\ndata: {text}\n\n".encode()))
+            writer.write(part(f"id: {number}\ndata: {text}\n\n".encode()))
             done, _ = await asyncio.wait([left], timeout=self.event_pause_s)
             if done:
                 self.cancelled.append(request.id)
                 return False
         await _end_read(left)
+        if not self.framed:
+            await writer.drain()
+            writer.close()
+            await writer.wait_closed()
+            return False
         writer.write(b"0\r\n\r\n")
         return True
 
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -201,3 +201,38 @@
     with pytest.raises(errors.TransportError):
         await requests.ask(fleet, "/chat/")
     assert requests.runs(made) == 1
+
+
+async def test_stream_that_ends_with_its_connection_is_forwarded_whole(
+    fleet: boxes.Boxes,
+) -> None:
+    for stand_in in await requests.engines(fleet):
+        stand_in.framed = False
+    head, body = await requests.ask(fleet, "/chat/")
+    assert (head.status, body) == (200, requests.WHOLE_STREAM)
+
+
+async def test_unframed_stream_that_ends_within_an_event_resumes(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await requests.engines(fleet)
+    for stand_in in made:
+        stand_in.framed = False
+        stand_in.break_after = 3
+    task = asyncio.create_task(requests.ask(fleet, "/digest/"))
+    await boxes.until(lambda: requests.arrivals(made) == 1)
+    [second] = [s for s in made if not s.received]
+    second.break_after = None
+    _, body = await task
+    assert body == requests.WHOLE_STREAM
+    assert second.received[0].headers["last-event-id"] == "3"
+
+
+async def test_unframed_stream_that_ends_within_an_event_is_not_complete(
+    fleet: boxes.Boxes,
+) -> None:
+    for stand_in in await requests.engines(fleet):
+        stand_in.framed = False
+        stand_in.break_after = 3
+    with pytest.raises(errors.TransportError):
+        await requests.ask(fleet, "/chat/")
