--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -15,7 +15,7 @@
 MIN_BEGUN = 0.5
 MIN_SOUND = 20
 
-SHORT = crashing_parts.Trial(seconds=11.0, begins_s=2.0)
+SHORT = crashing_parts.Trial(seconds=15.0, begins_s=2.0)
 
 
 async def run_trial(**changes: object) -> crashing_parts.Outcome:
