--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
 CONTACT_S = 3.2
 MEASURED_S = 2.0
 OUTAGES = 11
-LIMIT_S = 100.0
+LIMIT_S = 96.0
 # How long the requests are followed once the rule is broken.
 AFTER_S = 15.0
 
