Log how long a box takes the store to have been away

When boxes refused a whole service after an outage of the store, no line of the log told which of them kept the endpoints whose entries had lapsed, and why. So it could not be told whether a box measured the outage too short, began its grace anew, or only followed another box.

store-regained now has away_ms and grace_ms.

--- a/martenjunction/decisions/boxes/endpoint_list.py
+++ b/martenjunction/decisions/boxes/endpoint_list.py
@@ -398,6 +398,10 @@
         if away_s >= MIN_LAPSE_OUTAGE_S:
             self._grace_until = now + LAPSE_GRACE_S
 
+    def grace_left_s(self, now: float) -> float:
+        """Returns the seconds for which lapsed entries are still kept."""
+        return max(0.0, self._grace_until - now)
+
     def expire(self, now: float) -> list[str]:
         """Removes lapsed entries after the grace period; returns their ids.
 
--- a/martenjunction/routing/store/store_cache.py
+++ b/martenjunction/routing/store/store_cache.py
@@ -299,7 +299,13 @@
         now = self._now()
         age = self._freshness.age_s(now)
         self._listed.store_returned(now, 0.0 if age is None else age)
-        self._update_store_state(True, "")
+        if not self._store_answers:
+            self._store_answers = True
+            self._log.write(
+                "store-regained",
+                away_ms=None if age is None else round(age * 1000),
+                grace_ms=round(self._listed.grace_left_s(now) * 1000),
+            )
 
     def store_failed(self, why: str) -> None:
         """Records that a call to the store failed.
@@ -308,7 +314,9 @@
             why: The reason, for the log.
         """
         self._listed.store_lost()
-        self._update_store_state(False, why)
+        if self._store_answers is not False:
+            self._store_answers = False
+            self._log.write("store-lost", why=why)
 
     def expire(self) -> None:
         """Drops entries that lapsed during an outage and did not return."""
@@ -317,13 +325,6 @@
             self._log.write("endpoints-lapsed", endpoints=gone)
             self._on_removed(gone)
 
-    def _update_store_state(self, answers: bool, why: str) -> None:
-        if answers is not self._store_answers:
-            self._store_answers = answers
-            self._log.write(
-                "store-regained" if answers else "store-lost", why=why
-            )
-
     def _report_removed(
         self, removed: list[str], revision: revisions.Revision, source: str
     ) -> None:
