Keep endpoints whose entries lapsed, on all boxes alike

Cause: a box took the age of its configuration for the length of the outage. A box that regained the store second had just been told the configuration by the first one, so it gave lapsed entries no grace, dropped them, and told the others "no longer available". That one message stood for leaving endpoints, which is final, and for missing, unreadable and replaced entries, which are not; the receivers held all of them for leaving, whatever the store said later.

Evidence: with the line added before, edge-4 regains the store with away_ms 4295 and grace_ms 2000, edge-5 0.3 s later with 332 and 0; right after that edge-5 logs endpoints-left for the three endpoints, and the others log them as leaving.

Change: - StoreContact: when the store answered any box, and was away before. Frames tell it, and observations are merged; the grace is the same for all boxes, begins anew where the store is lost within it, and ends once the store has answered for 2 s. - entry_states: one table of what news of an entry does. Boxes tell the cause. Leaving is final; each other state ends when the entry is written again. - EndedEndpoints: what a box read itself binds it against views of others; what was only reported ends with the view of a box that has the entry. A reader that does not see a reported removal in the store within 1 s lists anew, so that a wrong report ends by itself. - A view names its lapsed and leaving endpoints, so that a box that starts in the grace neither ends endpoints of others nor lacks them.

The fix works because the second box now has the same outage as the first, and because no report but an endpoint's own leave outlives the next write of its entry.

Tests that named the former interface (store_lost, store_returned, ids without a cause) use the new one with the same demands. The test that a box updated by peers gives no grace now states what it took for granted: that the store served those peers all the time.

--- /dev/null
+++ b/martenjunction/decisions/boxes/entry_table.py
@@ -0,0 +1,195 @@
+"""Table of the endpoints that a box holds, and of those that have ended."""
+
+from collections.abc import Set
+import dataclasses
+
+import xxhash
+
+from martenjunction import model
+from martenjunction import revisions
+from martenjunction.decisions.boxes import ended_endpoints
+from martenjunction.decisions.boxes import entry_states
+from martenjunction.decisions.boxes import restored_entries
+
+# Maximum number of endpoints that announced that they are leaving.
+MAX_LEAVING = 1024
+
+Listed = entry_states.Listed
+EntryState = entry_states.EntryState
+EntryNews = entry_states.EntryNews
+RemovalCause = entry_states.RemovalCause
+
+
+class EntryTable:
+    """Entries by endpoint id, and endpoints that are leaving or have ended."""
+
+    def __init__(self) -> None:
+        self._listed: dict[str, Listed] = {}
+        self._current_ids: dict[str, str] = {}
+        self._leaving: dict[str, None] = {}
+        self._ended = ended_endpoints.EndedEndpoints()
+        self._restored = restored_entries.RestoredEntries()
+        self._digest: int | None = None
+
+    @property
+    def entries(self) -> dict[str, Listed]:
+        """All entries by endpoint id; read-only."""
+        return self._listed
+
+    @property
+    def entry_names(self) -> Set[str]:
+        """The names of all entries; read-only."""
+        return self._current_ids.keys()
+
+    @property
+    def leaving(self) -> list[str]:
+        """Ids of the listed endpoints that announced that they are leaving."""
+        return [i for i in self._leaving if i in self._listed]
+
+    @property
+    def lapsed(self) -> list[str]:
+        """Ids of the endpoints whose entries are missing for the moment."""
+        return [i for i, listed in self._listed.items() if listed.lapsed]
+
+    def ready(self, service: str) -> list[model.Endpoint]:
+        """Returns the endpoints of a service that may receive new requests."""
+        return [
+            listed.endpoint
+            for listed in self._listed.values()
+            if listed.endpoint.service == service
+            and entry_states.gets_requests(listed.state)
+        ]
+
+    def ready_ids(self) -> list[str]:
+        """Returns the sorted ids of endpoints that may receive new requests."""
+        return sorted(i for i in self._listed if self.is_ready(i))
+
+    def digest(self) -> int:
+        """Returns a digest of the ids of ready endpoints."""
+        if self._digest is None:
+            ids = ",".join(self.ready_ids())
+            self._digest = xxhash.xxh3_64_intdigest(ids.encode())
+        return self._digest
+
+    def is_ready(self, endpoint_id: str) -> bool:
+        """Returns whether an endpoint may receive new requests now."""
+        return entry_states.gets_requests(self.state(endpoint_id))
+
+    def state(self, endpoint_id: str) -> EntryState:
+        """Returns what is held of an endpoint's entry."""
+        listed = self._listed.get(endpoint_id)
+        return EntryState.UNLISTED if listed is None else listed.state
+
+    def current(self, entry: str) -> Listed | None:
+        """Returns the endpoint that is listed under an entry's name."""
+        return self._listed.get(self._current_ids.get(entry, ""))
+
+    def restarted(self, endpoint_id: str) -> bool:
+        """Returns whether an endpoint was lost because it restarted."""
+        return self._ended.restarted(endpoint_id)
+
+    def removal_cause(self, endpoint_id: str) -> RemovalCause:
+        """Returns why an endpoint may get no more requests."""
+        if self.state(endpoint_id) is EntryState.LEAVING:
+            return RemovalCause.LEAVING
+        removed = self._ended.removal(endpoint_id)
+        return RemovalCause.MISSING if removed is None else removed.cause
+
+    def mark_leaving(self, endpoint_id: str) -> bool:
+        """Records that an endpoint itself announced that it is leaving.
+
+        This is final for this incarnation, whatever its entry says.
+
+        Args:
+            endpoint_id: The endpoint; it need not be listed.
+
+        Returns:
+            Whether this was unknown before.
+        """
+        if endpoint_id in self._leaving:
+            return False
+        while len(self._leaving) >= MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[endpoint_id] = None
+        listed = self._listed.get(endpoint_id)
+        if listed is not None:
+            self._store(listed.endpoint, listed.revision, EntryNews.LEAVING)
+        return True
+
+    def _is_current(
+        self, endpoint_id: str, reported: revisions.Revision
+    ) -> bool:
+        """Returns whether a box that reports an endpoint knows its entry.
+
+        Args:
+            endpoint_id: The endpoint.
+            reported: The revision that the report rests on.
+        """
+        listed = self.entries.get(endpoint_id)
+        if listed is None:
+            return False
+        return listed.revision <= reported or self._restored.is_unwritten(
+            listed.revision, reported
+        )
+
+    def _apply_entry(
+        self, endpoint: model.Endpoint, revision: revisions.Revision
+    ) -> None:
+        """Lists an endpoint as its entry describes it."""
+        leaves = endpoint.state is not model.EndpointState.READY
+        if leaves or endpoint.id in self._leaving:
+            self._store(endpoint, revision, EntryNews.LEAVING)
+            self.mark_leaving(endpoint.id)
+        else:
+            self._store(endpoint, revision, EntryNews.PRESENT)
+
+    def _set_lapsed(self, listed: Listed, reported: bool) -> None:
+        """Records that an entry is missing and kept for the grace period."""
+        listed.reported = reported and (listed.reported or not listed.lapsed)
+        listed.state = EntryState.LAPSED
+
+    def _pop(self, endpoint_id: str) -> Listed:
+        """Removes an endpoint that is listed."""
+        if self.is_ready(endpoint_id):
+            self._digest = None
+        listed = self._listed.pop(endpoint_id)
+        entry = listed.endpoint.entry
+        if self._current_ids.get(entry) == endpoint_id:
+            del self._current_ids[entry]
+        return listed
+
+    def _store(
+        self,
+        endpoint: model.Endpoint,
+        revision: revisions.Revision,
+        news: EntryNews,
+    ) -> None:
+        """Lists an endpoint in the state that follows from news of it."""
+        before = self.state(endpoint.id)
+        state = entry_states.next_state(before, news)
+        if state is EntryState.LEAVING:
+            endpoint = dataclasses.replace(
+                endpoint, state=model.EndpointState.DRAINING
+            )
+        if entry_states.gets_requests(before) != entry_states.gets_requests(
+            state
+        ):
+            self._digest = None
+        self._listed[endpoint.id] = Listed(endpoint, revision, state)
+        self._current_ids[endpoint.entry] = endpoint.id
+
+    def _remove(
+        self,
+        endpoint_id: str,
+        revision: revisions.Revision,
+        cause: RemovalCause,
+        reported: bool = False,
+    ) -> list[str]:
+        """Removes an endpoint; returns its id in a list if it was listed."""
+        if not self._is_current(endpoint_id, revision):
+            return []
+        self._pop(endpoint_id)
+        self._ended.note_ended(
+            endpoint_id, ended_endpoints.Removal(revision, cause, reported)
+        )
+        return [endpoint_id]
--- a/martenjunction/decisions/boxes/store_readers.py
+++ b/martenjunction/decisions/boxes/store_readers.py
@@ -29,9 +29,11 @@
 MIN_READING_S = 3.0
 
 # Minimum and maximum seconds between a reader's queries for the newest
-# configuration, and the fraction of its link that the responses may use: 370 kB
-# every 0.6 s saturate a link of 5 Mbit/s.
+# configuration, the minimum after an outage of the store until all live
+# endpoints have written their entries again, and the fraction of its link that
+# the responses may use: 370 kB every 0.6 s saturate a link of 5 Mbit/s.
 CONFIRM_INTERVAL_S = 0.6
+GRACE_CONFIRM_INTERVAL_S = 0.2
 MAX_CONFIRM_INTERVAL_S = 3.0
 CONFIRM_LINK_FRACTION = 0.2
 
@@ -63,15 +65,20 @@
     link_kb: int = 0
 
 
-def confirm_interval_s(document_bytes: int, link_bytes_s: float) -> float:
+def confirm_interval_s(
+    document_bytes: int, link_bytes_s: float, in_grace: bool = False
+) -> float:
     """Returns the seconds between two queries of a reader.
 
     Args:
         document_bytes: Size of the configuration, which each response contains.
         link_bytes_s: Bandwidth of the reader's link in bytes per second.
+        in_grace: Whether the reader has to tell when entries of endpoints that
+            are still missing after an outage are to be dropped.
     """
+    shortest = GRACE_CONFIRM_INTERVAL_S if in_grace else CONFIRM_INTERVAL_S
     paced = document_bytes / (link_bytes_s * CONFIRM_LINK_FRACTION)
-    return min(max(CONFIRM_INTERVAL_S, paced), MAX_CONFIRM_INTERVAL_S)
+    return min(max(shortest, paced), MAX_CONFIRM_INTERVAL_S)
 
 
 def start_wait_s(rank: int) -> float:
--- a/martenjunction/peers/links.py
+++ b/martenjunction/peers/links.py
@@ -48,8 +48,16 @@
     def make(self) -> bytes:
         """Returns the bytes for a frame that is about to be sent."""
 
+    def take_early(self, asked_at: float | None, data: bytes) -> None:
+        """Processes the bytes of a frame before the frame's messages.
+
+        Args:
+            asked_at: As for `take`.
+            data: The bytes.
+        """
+
     def take(self, box: str, asked_at: float | None, data: bytes) -> None:
-        """Processes the bytes of a received frame.
+        """Processes the bytes of a received frame after its messages.
 
         Args:
             box: The sender.
@@ -68,6 +76,9 @@
         """Returns no bytes."""
         return b""
 
+    def take_early(self, asked_at: float | None, data: bytes) -> None:
+        """Does nothing."""
+
     def take(self, box: str, asked_at: float | None, data: bytes) -> None:
         """Does nothing."""
 
@@ -234,11 +245,13 @@
         if len(payload) < size:
             raise errors.PeerError("a frame is shorter than its stamp")
         batch = codec.decode_batch(payload[size:])
+        asked_at = self._flow.acked_sent_at
+        self._stamps.take_early(asked_at, payload[:size])
         for message in batch:
             self._counts.messages_in += 1
             receive(message)
         # Afterwards, as the messages may bring what the stamp tells of.
-        self._stamps.take(self.box, self._flow.acked_sent_at, payload[:size])
+        self._stamps.take(self.box, asked_at, payload[:size])
         if batch:
             self._flow.record_processed()
         self._outbox.wake()
--- a/martenjunction/routing/messages/peer_messages.py
+++ b/martenjunction/routing/messages/peer_messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from martenjunction import revisions
+from martenjunction.decisions.boxes import entry_states
 from martenjunction.peers import codec
 
 
@@ -123,6 +124,10 @@
         has_endpoints: Whether the fields below are set; they are not if the
             receiver is up to date.
         ready: Ids of all available endpoints.
+        lapsed: Ids of those of them whose entries are missing since an outage
+            of the store.
+        leaving: Ids of the listed endpoints that announced that they are
+            leaving.
         changed: Ids of the endpoints whose entries changed after the
             receiver's revision.
         eras: The era of each changed entry's revision.
@@ -136,6 +141,8 @@
     revision: revisions.Revision
     has_endpoints: bool
     ready: tuple[str, ...]
+    lapsed: tuple[str, ...]
+    leaving: tuple[str, ...]
     changed: tuple[str, ...]
     eras: tuple[int, ...]
     numbers: tuple[int, ...]
@@ -175,14 +182,31 @@
 class EndpointsRemoved:
     """Endpoints that are no longer available according to the store.
 
+    The first two fields have an item for each endpoint.
+
     Attributes:
         ids: Their ids.
-        revision: The store's revision of the change.
+        causes: Why they are not available; see `entry_states.RemovalCause`.
+        revision: The store's revision that this rests on.
     """
 
     ids: tuple[str, ...]
+    causes: tuple[str, ...]
     revision: revisions.Revision
 
+    def rows(self) -> list[tuple[str, entry_states.RemovalCause]]:
+        """Returns the id and the cause of each endpoint.
+
+        A cause that this box does not know ends with the entry's next write, as
+        a missing entry does.
+        """
+        known = {cause.value: cause for cause in entry_states.RemovalCause}
+        missing = entry_states.RemovalCause.MISSING
+        return [
+            (endpoint_id, known.get(cause, missing))
+            for endpoint_id, cause in zip(self.ids, self.causes, strict=False)
+        ]
+
 
 @codec.message("endpoints-leaving", urgent=True)
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/martenjunction/routing/messages/peer_stamps.py
+++ b/martenjunction/routing/messages/peer_stamps.py
@@ -6,13 +6,16 @@
 
 from martenjunction import errors
 from martenjunction import revisions
+from martenjunction.decisions.boxes import store_contact
 
 # Age that a box reports if its configuration was never confirmed.
 NEVER_CONFIRMED = -1
 
-_FORMAT = struct.Struct(">iQQQB")
+_FORMAT = struct.Struct(">iQQQBiii")
+_CONTACT = struct.Struct(">Biii")
 _READS = 1
 _FED = 2
+_SETTLED = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +30,7 @@
         reads: Whether it reads from the store and gets answers.
         fed: Whether its confirmation is its own or comes from its parent, so
             that a box below it may rely on it.
+        contact: When the store answered any box, and was away before.
     """
 
     age_ms: int
@@ -34,6 +38,7 @@
     revision: revisions.Revision
     reads: bool
     fed: bool
+    contact: store_contact.ContactAges = store_contact.NO_CONTACT
 
 
 class PeerStamps:
@@ -49,21 +54,28 @@
         self._take: Callable[[str, float | None, PeerStamp], None] = (
             lambda box, asked_at, stamp: None
         )
+        self._note_contact: Callable[
+            [store_contact.ContactAges, float | None], None
+        ] = lambda contact, asked_at: None
 
     def connect(
         self,
         make: Callable[[], PeerStamp],
         take: Callable[[str, float | None, PeerStamp], None],
+        note_contact: Callable[[store_contact.ContactAges, float | None], None],
     ) -> None:
-        """Sets the source of this box's stamps and the user of received ones.
+        """Sets the source of this box's stamps and the users of received ones.
 
         Args:
             make: Returns what this box knows.
             take: Called with the sender, the time at which this box sent the
                 last frame that the sender had processed, and the stamp.
+            note_contact: Called before, with the sender's contact with the
+                store and the same time.
         """
         self._make = make
         self._take = take
+        self._note_contact = note_contact
 
     def make(self) -> bytes:
         """Returns the bytes for a frame that is about to be sent."""
@@ -73,16 +85,33 @@
             stamp.version,
             stamp.revision.era,
             stamp.revision.number,
-            _READS * stamp.reads | _FED * stamp.fed,
+            _READS * stamp.reads
+            | _FED * stamp.fed
+            | _SETTLED * stamp.contact.is_settled,
+            stamp.contact.lost_ms,
+            stamp.contact.since_ms,
+            stamp.contact.until_ms,
         )
 
+    def take_early(self, asked_at: float | None, data: bytes) -> None:
+        """Processes what the messages of a received frame are judged by.
+
+        Raises:
+            PeerError: If an age cannot be.
+        """
+        contact = _contact_in(data)
+        ages = (contact.lost_ms, contact.since_ms, contact.until_ms)
+        if min(ages) < store_contact.UNKNOWN_AGE_MS:
+            raise errors.PeerError(f"a stamp has ages {ages}")
+        self._note_contact(contact, asked_at)
+
     def take(self, box: str, asked_at: float | None, data: bytes) -> None:
         """Processes the bytes of a received frame.
 
         Raises:
             PeerError: If the age cannot be.
         """
-        age_ms, version, era, number, flags = _FORMAT.unpack(data)
+        age_ms, version, era, number, flags, *_ = _FORMAT.unpack(data)
         if age_ms < NEVER_CONFIRMED:
             raise errors.PeerError(f"a stamp has age {age_ms}")
         self._take(
@@ -94,5 +123,12 @@
                 revisions.Revision(era, number),
                 bool(flags & _READS),
                 bool(flags & _FED),
+                _contact_in(data),
             ),
         )
+
+
+def _contact_in(data: bytes) -> store_contact.ContactAges:
+    """Returns the contact with the store that a stamp tells."""
+    flags, lost, since, until = _CONTACT.unpack(data[-_CONTACT.size :])
+    return store_contact.ContactAges(lost, since, until, bool(flags & _SETTLED))
--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -213,6 +213,9 @@
                     continue
                 self._synced = True
                 self._start_watches()
+                if self._cache.needs_reading():
+                    self._log.write("store-read-again")
+                    self._restart_watches()
                 if known:
                     backoff_s = INITIAL_BACKOFF_S
                     await asyncio.sleep(self._confirm_interval_s())
@@ -255,7 +258,7 @@
         to deliver changes for a while.
         """
         return store_readers.confirm_interval_s(
-            self._document_bytes, self._link_bytes_s
+            self._document_bytes, self._link_bytes_s, self._cache.in_grace
         )
 
     async def _confirm_config(self) -> bool:
@@ -264,7 +267,7 @@
         found = await self._client.get(
             documents.CONFIG_KIND, documents.CONFIG_NAME
         )
-        self._cache.store_answered()
+        self._cache.store_answered(asked_at)
         if found is not None:
             self._document_bytes = len(found.spec)
             self._cache.apply_config(found.spec, asked_at, "store")
--- a/martenjunction/routing/store/store_cache.py
+++ b/martenjunction/routing/store/store_cache.py
@@ -11,10 +11,9 @@
 from martenjunction.platform import store
 from martenjunction.routing.access import admission
 from martenjunction.routing.log import decision_log
+from martenjunction.routing.messages import peer_messages
 from martenjunction.routing.store import config_documents
-
-# Maximum number of unreadable entries remembered, so that each is logged once.
-MAX_UNREADABLE = 256
+from martenjunction.routing.store import unreadable_entries
 
 
 class StoreCache:
@@ -48,14 +47,13 @@
         self._entries: dict[str, tuple[revisions.Revision, bytes]] = {}
         self._on_removed: Callable[[list[str]], None] = lambda ids: None
         self._store_answers: bool | None = None
-        self._unreadable_entries: dict[str, bytes] = {}
-        self._unreadable_count = 0
+        self._unreadable = unreadable_entries.UnreadableEntries(log)
         self._store_restores = 0
 
     @property
     def unreadable(self) -> int:
         """Number of unreadable entries and configurations so far."""
-        return self._unreadable_count
+        return self._unreadable.count
 
     @property
     def store_returns(self) -> int:
@@ -110,7 +108,7 @@
         try:
             version = self.apply_newer_config(spec, source)
         except errors.PlatformError as error:
-            self._note_unreadable(documents.CONFIG_NAME, spec, error)
+            self._unreadable.add(documents.CONFIG_NAME, spec, error)
             return
         if version < self.version:
             self._log.write(
@@ -122,44 +120,50 @@
             return
         self._freshness.confirm(asked_at)
 
-    def apply_view(
-        self,
-        changed: list[tuple[str, revisions.Revision, bytes]],
-        ready: tuple[str, ...],
-        revision: revisions.Revision,
-        source: str,
-    ) -> None:
+    def apply_view(self, view: peer_messages.View, source: str) -> None:
         """Applies the endpoints as known by another box.
 
         Args:
-            changed: Id, revision and document of each changed entry.
-            ready: Ids of all available endpoints.
-            revision: The store's revision up to which that box knows them.
+            view: What the box knows.
             source: The box, for the log.
         """
+        revision = view.revision
         if revision < self._listed.revision:
             return
         self._check_era(revision, source)
-        entries, removed = self._decode_all(changed)
+        rows = view.rows()
+        entries, removed = self._decode_all(rows)
         removed += self._listed.apply_peer_view(
-            entries, set(ready), revision, self._now()
+            entries,
+            set(view.ready),
+            revision,
+            self._now(),
+            set(view.lapsed),
+            set(view.leaving),
         )
-        for name, entry_revision, spec in changed:
+        for name, entry_revision, spec in rows:
             self._entries[name] = (entry_revision, spec)
-        for name in [
-            i for i in self._entries if i not in self._listed.entry_names
-        ]:
-            del self._entries[name]
+        self._forget_unlisted()
         self._log.write(
             "endpoints-told",
             era=revision.era,
             revision=revision.number,
             changed=len(entries),
             count=len(self._listed.entries),
+            lapsed=len(view.lapsed),
             source=source,
         )
         self._report_removed(removed, revision, source)
 
+    def _forget_unlisted(self) -> None:
+        """Drops the documents of entries that are no longer listed.
+
+        Those of lapsed entries are kept, for boxes that start meanwhile.
+        """
+        names = self._listed.entry_names
+        for name in [i for i in self._entries if i not in names]:
+            del self._entries[name]
+
     def apply_newer_config(self, spec: bytes, source: str) -> int:
         """Applies a configuration unless a newer one is in force.
 
@@ -211,12 +215,14 @@
         self._check_era(revision, source)
         entries, removed = self._decode_all(objects)
         removed += self._listed.apply_listing(entries, revision, self._now())
-        self._entries = {i: (r, spec) for i, r, spec in objects}
+        self._entries.update({i: (r, spec) for i, r, spec in objects})
+        self._forget_unlisted()
         self._log.write(
             "endpoints-listed",
             era=revision.era,
             revision=revision.number,
             count=len(entries),
+            lapsed=self._listed.lapsed,
             source=source,
         )
         self._report_removed(removed, revision, source)
@@ -227,8 +233,9 @@
         if change.deleted:
             # A deletion applies even if the entry is unreadable.
             removed = self._listed.apply_removal(name, revision, self._now())
-            self._entries.pop(name, None)
-            self._unreadable_entries.pop(name, None)
+            if name not in self._listed.entry_names:
+                self._entries.pop(name, None)
+            self._unreadable.remove(name)
             self._log_endpoint(name, "gone", revision)
         else:
             entries, removed = self._decode_all(
@@ -268,43 +275,63 @@
             revision=revision.number,
         )
 
-    def apply_removals(
-        self, ids: tuple[str, ...], revision: revisions.Revision
-    ) -> bool:
+    def apply_report(self, report: peer_messages.EndpointsRemoved) -> bool:
         """Applies a peer's report that endpoints are no longer available.
 
         Returns:
             Whether any of it was new.
         """
         is_new = False
-        for endpoint_id in ids:
-            listed = self._listed.entries.get(endpoint_id)
-            if listed is not None and self._listed.mark_draining(
-                endpoint_id, revision
+        for endpoint_id, cause in report.rows():
+            if self._listed.apply_report(
+                endpoint_id, cause, report.revision, self._now()
             ):
                 self._log.write(
                     "endpoint-changed",
                     endpoint=endpoint_id,
-                    service=listed.endpoint.service,
-                    state="leaving",
-                    era=revision.era,
-                    revision=revision.number,
+                    state=self._listed.state(endpoint_id).value,
+                    cause=cause.value,
+                    era=report.revision.era,
+                    revision=report.revision.number,
                     source="peer",
                 )
                 is_new = True
         return is_new
 
-    def store_answered(self) -> None:
-        """Records that the store answered a call."""
+    def removal_report(self, ids: list[str]) -> peer_messages.EndpointsRemoved:
+        """Returns the report to peers that endpoints are not available."""
+        return peer_messages.EndpointsRemoved(
+            tuple(ids),
+            tuple(self._listed.removal_cause(i).value for i in ids),
+            self._listed.revision,
+        )
+
+    def needs_reading(self) -> bool:
+        """Returns whether a box that reads should list the endpoints again.
+
+        Peers reported entries as missing, and the watch does not bear it out.
+        """
+        return self._listed.needs_reading(self._now())
+
+    @property
+    def in_grace(self) -> bool:
+        """Whether the store is back but entries may still be missing."""
+        return self._listed.contact.in_grace
+
+    def store_answered(self, asked_at: float) -> None:
+        """Records that the store answered a call.
+
+        Args:
+            asked_at: Time of the call on the steady clock.
+        """
         now = self._now()
-        age = self._freshness.age_s(now)
-        self._listed.store_returned(now, 0.0 if age is None else age)
+        self._listed.contact.note_answered(asked_at, now)
         if not self._store_answers:
             self._store_answers = True
             self._log.write(
                 "store-regained",
-                away_ms=None if age is None else round(age * 1000),
-                grace_ms=round(self._listed.grace_left_s(now) * 1000),
+                away_ms=round(self._listed.contact.outage_s * 1000),
+                in_grace=self._listed.contact.in_grace,
             )
 
     def store_failed(self, why: str) -> None:
@@ -313,7 +340,7 @@
         Args:
             why: The reason, for the log.
         """
-        self._listed.store_lost()
+        self._listed.contact.note_failed(self._now())
         if self._store_answers is not False:
             self._store_answers = False
             self._log.write("store-lost", why=why)
@@ -351,25 +378,12 @@
         removed: list[str] = []
         for name, revision, spec in objects:
             try:
-                decoded.append(
-                    (documents.decode_endpoint(name, spec), revision)
-                )
+                endpoint = documents.decode_endpoint(name, spec)
             except errors.PlatformError as error:
-                self._note_unreadable(name, spec, error)
+                self._unreadable.add(name, spec, error)
                 removed += self._listed.apply_unparsable(name, revision)
                 self._entries.pop(name, None)
             else:
-                self._unreadable_entries.pop(name, None)
+                decoded.append((endpoint, revision))
+                self._unreadable.remove(name)
         return decoded, removed
-
-    def _note_unreadable(
-        self, name: str, spec: bytes, error: errors.PlatformError
-    ) -> None:
-        """Logs and counts an unreadable entry once per change."""
-        if self._unreadable_entries.get(name) == spec:
-            return
-        if len(self._unreadable_entries) >= MAX_UNREADABLE:
-            self._unreadable_entries.clear()
-        self._unreadable_entries[name] = spec
-        self._unreadable_count += 1
-        self._log.write("entry-unreadable", entry=name, why=str(error))
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -8,6 +8,7 @@
 from martenjunction.decisions.boxes import config_freshness
 from martenjunction.decisions.boxes import overlay
 from martenjunction.decisions.boxes import peer_queries
+from martenjunction.decisions.boxes import store_contact
 from martenjunction.decisions.boxes import store_readers
 from martenjunction.peers import hub
 from martenjunction.peers import membership
@@ -122,7 +123,9 @@
         )
         self._peers.subscribe(peer_messages.EndpointsRemoved, self._on_removed)
         self._peers.subscribe(messages.Leaving, self._on_leaving)
-        self._stamps.connect(self._stamp, self._on_stamp)
+        self._stamps.connect(
+            self._stamp, self._on_stamp, self._on_store_contact
+        )
         self._place.use_links(self._views.is_recent)
         self._cache.on_endpoints_removed(self._broadcast_removed)
         self._timers.subscribe(
@@ -241,8 +244,15 @@
             self._registry.listed.revision,
             reads,
             reads or self._is_fed,
+            self._registry.listed.contact.ages(self._timers.now()),
         )
 
+    def _on_store_contact(
+        self, ages: store_contact.ContactAges, asked_at: float | None
+    ) -> None:
+        contact = self._registry.listed.contact
+        contact.note_told(ages, asked_at, self._timers.now())
+
     def _on_stamp(
         self, box: str, asked_at: float | None, stamp: peer_stamps.PeerStamp
     ) -> None:
@@ -308,17 +318,13 @@
     def _on_removed(
         self, box: str, message: peer_messages.EndpointsRemoved
     ) -> None:
-        if self._cache.apply_removals(message.ids, message.revision):
+        if self._cache.apply_report(message):
             linked = set(self._peers.boxes())
             if self._place.is_sparse:
                 self._peers.send_to(linked - {box}, message)
 
     def _broadcast_removed(self, ids: list[str]) -> None:
-        self._peers.broadcast(
-            peer_messages.EndpointsRemoved(
-                tuple(ids), self._registry.listed.revision
-            )
-        )
+        self._peers.broadcast(self._cache.removal_report(ids))
 
     def _update_role(self) -> None:
         """Starts or stops reading the store and announces changes at once."""
@@ -451,6 +457,8 @@
                 listed.revision,
                 has_endpoints,
                 tuple(listed.ready_ids()) if has_endpoints else (),
+                tuple(listed.lapsed) if has_endpoints else (),
+                tuple(listed.leaving) if has_endpoints else (),
                 tuple(changed),
                 tuple(revision.era for revision, _ in changed.values()),
                 tuple(revision.number for revision, _ in changed.values()),
@@ -464,12 +472,12 @@
         if asked_at is not None and view.age_ms >= 0 and same:
             self._freshness.confirm(asked_at - view.age_ms * MS)
         if view.has_endpoints:
-            self._cache.apply_view(view.rows(), view.ready, view.revision, box)
+            self._cache.apply_view(view, box)
             if self._place.is_sparse:
                 self._announce_change()
+        entries = self._registry.listed.entries
         self._is_missing_entries = any(
-            endpoint_id not in self._registry.listed.entries
-            for endpoint_id in view.ready
+            i not in entries and i not in view.lapsed for i in view.ready
         )
 
 
--- a/martenjunction_lab/platform.py
+++ b/martenjunction_lab/platform.py
@@ -30,6 +30,7 @@
         down: Answers nothing but 503.
         old_lists_empty: Lists that may be old are from before any object.
         silent: Takes calls and never answers.
+        resets: Closes the connection of every call.
         deaf: Watches hear of no change.
         delay_s: Seconds that every call takes.
         lose_replies: Part of writes that take effect and are not answered.
@@ -41,6 +42,7 @@
     down: bool = False
     old_lists_empty: bool = False
     silent: bool = False
+    resets: bool = False
     deaf: bool = False
     delay_s: float = 0.002
     lose_replies: float = 0.0
@@ -245,8 +247,7 @@
             kind = "old-read"
         platform.calls[kind] += 1
         faults = platform.faults
-        if faults.silent:
-            await asyncio.sleep(3600)
+        await self.meet_outage()
         await asyncio.sleep(faults.delay_s)
         bucket = platform.writes if writing else platform.reads
         rate = faults.writes_per_s if writing else faults.reads_per_s
@@ -255,6 +256,14 @@
         if not bucket.take(rate):
             raise web.HTTPError(429)
 
+    async def meet_outage(self) -> None:
+        """Leaves a call without an answer while the store is away."""
+        if self._platform.faults.silent:
+            await asyncio.sleep(3600)
+        if self._platform.faults.resets:
+            servers.drop_connection(self)
+            await asyncio.sleep(3600)
+
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         self.set_header(ERA, str(self._platform.era))
         self.write({"error": status_code})
@@ -325,6 +334,7 @@
             int(self.get_argument("watch")),
             float(self.get_argument("wait_ms", "0")) / 1000,
         )
+        await self.meet_outage()
         if self._platform.faults.down:
             raise web.HTTPError(503)
         if changes is None:
--- a/martenjunction_lab/spread/network.py
+++ b/martenjunction_lab/spread/network.py
@@ -228,9 +228,11 @@
         size = self._stamps.size
         batch = codec.decode_batch(payload[size:])
         self.counts.messages_in += len(batch)
+        asked_at = self._flow.acked_sent_at
+        self._stamps.take_early(asked_at, payload[:size])
         for message in batch:
             self._receive(self, message)
-        self._stamps.take(self.box, self._flow.acked_sent_at, payload[:size])
+        self._stamps.take(self.box, asked_at, payload[:size])
         if batch:
             self._flow.record_processed()
         self._pump()
--- a/tests/routing_builders.py
+++ b/tests/routing_builders.py
@@ -7,6 +7,7 @@
 from martenjunction import revisions
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import engine_profiles
+from martenjunction.decisions.boxes import store_contact
 from martenjunction.platform import box_settings
 from martenjunction.platform import documents
 
@@ -119,6 +120,26 @@
     )
 
 
+def answer_calls(
+    contact: store_contact.StoreContact, since: float, until: float
+) -> None:
+    """Records that the store answered calls of a box all the time."""
+    at = since
+    while at < until:
+        contact.note_answered(at, at)
+        at += 0.2
+    contact.note_answered(until, until)
+
+
+def lose_store(
+    contact: store_contact.StoreContact, lost_at: float, back_at: float
+) -> None:
+    """Records that the store answered no call of a box for a while."""
+    contact.note_answered(lost_at, lost_at)
+    contact.note_failed((lost_at + back_at) / 2)
+    contact.note_answered(back_at, back_at)
+
+
 def record(
     endpoint_id: str = "e1", cache_tokens: int = 280_000, slots: int = 64
 ) -> endpoint_records.EndpointRecord:
--- a/tests/test_leaving_spread.py
+++ b/tests/test_leaving_spread.py
@@ -8,6 +8,7 @@
 from martenjunction import events
 from martenjunction import model
 from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import entry_table
 from martenjunction.routing.limits import leaving_sync
 from martenjunction.routing.log import decision_log
 from tests import linked_boxes
@@ -39,9 +40,8 @@
 def test_announcement_outlives_a_removed_and_restored_entry() -> None:
     known = listed()
     known.mark_leaving("e1/1")
-    known.store_lost()
-    known.apply_listing([], rev(6), now=1.0)
-    known.store_returned(9.0, away_s=8.0)
+    builders.lose_store(known.contact, 1.0, 9.0)
+    known.apply_listing([], rev(6), now=9.0)
     known.apply_entry(endpoint_start(1), rev(7))
     assert known.ready_ids() == []
 
@@ -69,9 +69,9 @@
 
 def test_number_of_announcements_is_bounded() -> None:
     known = listed()
-    for number in range(2 * endpoint_list.MAX_LEAVING):
+    for number in range(2 * entry_table.MAX_LEAVING):
         known.mark_leaving(f"e{number}")
-    assert len(known._leaving) == endpoint_list.MAX_LEAVING
+    assert len(known._leaving) == entry_table.MAX_LEAVING
 
 
 class Fleet:
--- a/tests/test_peer_stamps.py
+++ b/tests/test_peer_stamps.py
@@ -6,34 +6,62 @@
 
 from martenjunction import errors
 from martenjunction.decisions.boxes import box_states
+from martenjunction.decisions.boxes import store_contact
 from martenjunction.decisions.boxes import store_readers
 from martenjunction.routing.fleet import box_state_sync
 from martenjunction.routing.messages import peer_stamps
 from tests import routing_builders as builders
 
-STAMP = peer_stamps.PeerStamp(1200, 2**40, builders.rev(7, 2), True, False)
+STAMP = peer_stamps.PeerStamp(
+    1200,
+    2**40,
+    builders.rev(7, 2),
+    True,
+    False,
+    store_contact.ContactAges(6000, 2000, store_contact.MAX_AGE_MS, True),
+)
+
+
+def ignore(*_: object) -> None:
+    """Ignores a stamp."""
 
 
 def test_stamps_round_trip() -> None:
     taken = []
     sender, receiver = peer_stamps.PeerStamps(), peer_stamps.PeerStamps()
-    sender.connect(lambda: STAMP, lambda *_: None)
-    receiver.connect(lambda: STAMP, lambda *args: taken.append(args))
+    sender.connect(lambda: STAMP, ignore, ignore)
+    receiver.connect(
+        lambda: STAMP,
+        lambda *args: taken.append(args),
+        lambda *args: taken.append(args),
+    )
     data = sender.make()
     assert len(data) == peer_stamps.PeerStamps.size
+    receiver.take_early(3.0, data)
     receiver.take("box-1", 3.0, data)
-    assert taken == [("box-1", 3.0, STAMP)]
+    assert taken == [(STAMP.contact, 3.0), ("box-1", 3.0, STAMP)]
 
 
 def test_stamp_with_an_age_that_cannot_be_is_rejected() -> None:
     sender = peer_stamps.PeerStamps()
     sender.connect(
-        lambda: dataclasses.replace(STAMP, age_ms=-2), lambda *_: None
+        lambda: dataclasses.replace(STAMP, age_ms=-2), ignore, ignore
     )
     with pytest.raises(errors.PeerError):
         sender.take("box-1", None, sender.make())
 
 
+@pytest.mark.parametrize("field", ["lost_ms", "since_ms", "until_ms"])
+def test_stamp_with_a_contact_that_cannot_be_is_rejected(field: str) -> None:
+    sender = peer_stamps.PeerStamps()
+    contact = dataclasses.replace(STAMP.contact, **{field: -2})
+    sender.connect(
+        lambda: dataclasses.replace(STAMP, contact=contact), ignore, ignore
+    )
+    with pytest.raises(errors.PeerError):
+        sender.take_early(None, sender.make())
+
+
 def states_message(**changes: object) -> box_state_sync.BoxStates:
     row = box_states.BoxState(
         "a", "zone-a", "1:1", "1:2", "1:3", 9, 7, 1, box_states.State.READY
--- a/tests/test_peer_traffic.py
+++ b/tests/test_peer_traffic.py
@@ -96,10 +96,16 @@
     return links
 
 
+def removed(endpoint_id: str, revision: int) -> peer_messages.EndpointsRemoved:
+    return peer_messages.EndpointsRemoved(
+        (endpoint_id,), ("missing",), builders.rev(revision)
+    )
+
+
 def test_broadcast_message_is_encoded_once() -> None:
     peers = hub_of(30, 0, Clock())
     links = links_of(peers, 30)
-    peers.broadcast(peer_messages.EndpointsRemoved(("e1",), builders.rev(7)))
+    peers.broadcast(removed("e1", 7))
     first = links[0].sent[0]
     assert isinstance(first, codec.Encoded)
     assert all(link.sent == [first] for link in links)
@@ -146,7 +152,7 @@
     links = links_of(peers, 6)
     peers._send_heartbeat()
     clock.now = 0.45
-    peers.broadcast(peer_messages.EndpointsRemoved(("e1",), builders.rev(7)))
+    peers.broadcast(removed("e1", 7))
     clock.now = 0.5
     peers._send_heartbeat()
     kinds = [message.tag for message in links[0].sent]
@@ -155,10 +161,7 @@
 
 def test_batches_of_any_size_round_trip() -> None:
     for count in (1, 23, 24, 255, 256):
-        batch = [
-            peer_messages.EndpointsRemoved((f"e{n}",), builders.rev(n))
-            for n in range(count)
-        ]
+        batch = [removed(f"e{n}", n) for n in range(count)]
         assert codec.decode_batch(codec.encode_batch(batch)) == batch
 
 
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -7,6 +7,8 @@
 
 from martenjunction import model
 from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import entry_states
+from martenjunction.routing.messages import peer_messages
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
@@ -66,8 +68,7 @@
 
 def test_restart_found_in_a_listing_has_no_grace() -> None:
     known = known_with(incarnation(1))
-    known.store_lost()
-    known.store_returned(14.0, away_s=4.0)
+    builders.lose_store(known.contact, 10.0, 14.0)
     assert known.apply_listing(
         [(incarnation(2), rev(8))], rev(9), now=14.0
     ) == ["e1/1"]
@@ -222,7 +223,10 @@
     )
     box = made.gateways[0]
     later = rev(box.endpoint_list.revision.number + 5)
-    box.store_cache.apply_removals(("i-1/1",), later)
+    for cause in entry_states.RemovalCause:
+        box.store_cache.apply_report(
+            peer_messages.EndpointsRemoved(("i-1/1",), (cause.value,), later)
+        )
     box.registry.update_peer_loads("box-2", [("i-1/1", 0, False, 9, 900)], 0.0)
     is_ready = box.endpoint_list.is_ready("i-1/2")
     await made.stop()
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -19,6 +19,7 @@
 from martenjunction import revisions
 from martenjunction.decisions.boxes import config_freshness
 from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import restored_entries
 from martenjunction.platform import store
 from martenjunction.routing.access import admission
 from martenjunction.routing.log import decision_log
@@ -122,7 +123,7 @@
     known = list_with_unconfirmed_entry()
     assert known.ready_ids() == ["e1"]
     known.apply_removal("e2", rev(33, era=2), 13.6)
-    known.expire(10.0 + endpoint_list.CONFIRMATION_S)
+    known.expire(10.0 + restored_entries.CONFIRMATION_S)
     assert known.ready_ids() == ["e1"]
 
 
@@ -133,7 +134,7 @@
     )
     assert known.ready_ids() == ["e1"]
     known.apply_peer_view([], {"e1"}, rev(32, era=2), 12.0)
-    known.expire(10.0 + endpoint_list.CONFIRMATION_S)
+    known.expire(10.0 + restored_entries.CONFIRMATION_S)
     assert known.ready_ids() == ["e1"]
 
 
@@ -145,9 +146,9 @@
 
 def test_restored_entry_is_accepted_after_the_confirmation_time() -> None:
     known = list_with_unconfirmed_entry()
-    known.expire(9.9 + endpoint_list.CONFIRMATION_S)
+    known.expire(9.9 + restored_entries.CONFIRMATION_S)
     assert known.ready_ids() == ["e1"]
-    known.expire(10.0 + endpoint_list.CONFIRMATION_S)
+    known.expire(10.0 + restored_entries.CONFIRMATION_S)
     assert known.ready_ids() == ["e1", "e2"]
 
 
