Miss no change between the pages of a list

Cause: StoreClient.list gave the list the revision of its last page, and the watch went on from there. What changed on earlier pages meanwhile was reported by neither.

Change: the list has the revision of its first page. The watch then repeats some changes, which are applied by revision and so change nothing twice. The product's own daemons read through the same client.

--- a/martenjunction/platform/store.py
+++ b/martenjunction/platform/store.py
@@ -69,7 +69,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind at a revision of the store."""
+    """All objects of a kind.
+
+    Attributes:
+        objects: The objects; those of later pages may have changed after
+            `revision`.
+        revision: The store's revision from which a watch reports all changes
+            that the list may lack.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: revisions.Revision
@@ -167,7 +174,7 @@
         """
         objects: list[StoredObject] = []
         after: str | None = None
-        era: int | None = None
+        first: revisions.Revision | None = None
         for _ in range(MAX_PAGES):
             query = {} if after is None else {"since_rev": after}
             if allow_stale:
@@ -175,15 +182,16 @@
             path = _path(kind, query=query)
             response = await self._call("list", "GET", path)
             page = _decode(response, _Listing)
-            if era not in (None, response.era):
+            era = response.era
+            # Entries of earlier pages may change before the later pages.
+            first = first or revisions.Revision(era, page.current_rev)
+            if era != first.era:
                 raise errors.PlatformRefusedError(
-                    f"pages of {kind} are from eras {era} and {response.era}"
+                    f"pages of {kind} are from eras {first.era} and {era}"
                 )
-            era = response.era
             objects.extend(_object(entry, era) for entry in page.entries)
             if not page.has_more or not page.entries:
-                revision = revisions.Revision(era, page.current_rev)
-                return Listing(tuple(objects), revision)
+                return Listing(tuple(objects), first)
             # Despite the parameter's name, the next page starts after a name,
             # not a revision.
             after = page.entries[-1].metadata.name
