Begin one reading for all reports that are due

A reader that checks reports of its peers began its reading anew after each confirmation, 0.6 s apart, as long as the reports stood. A list of several pages at a slow store takes longer, and would never have ended.

Cause: reports were settled by the end of a reading only.

--- a/martenjunction/decisions/boxes/endpoint_list.py
+++ b/martenjunction/decisions/boxes/endpoint_list.py
@@ -1,6 +1,7 @@
 """List of the endpoints, with a grace period for entries that lapse."""
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 from collections.abc import Set
 import dataclasses
 
@@ -47,9 +48,12 @@
         """Whether a full listing was ever applied."""
         return self._revision > revisions.NONE
 
-    def needs_reading(self, now: float) -> bool:
-        """Returns whether a box that reads should list all entries again."""
-        return self._unchecked.are_due(now)
+    def begin_report_check(self, now: float) -> bool:
+        """Returns whether a box that reads has to list all entries again.
+
+        The next call returns that only after further reports.
+        """
+        return self._unchecked.begin_check(now)
 
     def apply_listing(
         self,
@@ -79,7 +83,7 @@
 
     def apply_peer_view(
         self,
-        changed: Iterable[tuple[model.Endpoint, revisions.Revision]],
+        changed: Sequence[tuple[model.Endpoint, revisions.Revision]],
         ready: Set[str],
         revision: revisions.Revision,
         now: float,
@@ -366,11 +370,6 @@
         if listed is not None and listed.state is EntryState.READY:
             self._set_lapsed(listed, reported=True)
 
-    def _end_reported_lapse(self, listed: entry_states.Listed) -> None:
-        """Handles an entry that one box reports as missing and another has."""
-        if listed.reported:
-            listed.state = EntryState.READY
-
     def _remove_previous(
         self,
         endpoint: model.Endpoint,
--- a/martenjunction/decisions/boxes/entry_table.py
+++ b/martenjunction/decisions/boxes/entry_table.py
@@ -148,6 +148,11 @@
         listed.reported = reported and (listed.reported or not listed.lapsed)
         listed.state = EntryState.LAPSED
 
+    def _end_reported_lapse(self, listed: Listed) -> None:
+        """Handles an entry that one box reports as missing and another has."""
+        if listed.reported:
+            listed.state = EntryState.READY
+
     def _pop(self, endpoint_id: str) -> Listed:
         """Removes an endpoint that is listed."""
         if self.is_ready(endpoint_id):
--- a/martenjunction/decisions/boxes/unchecked_reports.py
+++ b/martenjunction/decisions/boxes/unchecked_reports.py
@@ -29,12 +29,19 @@
         self._reported_at.pop(entry, None)
 
     def settle_all(self) -> None:
-        """Records that this box has read all entries."""
+        """Records that this box reads all entries."""
         self._reported_at.clear()
 
-    def are_due(self, now: float) -> bool:
-        """Returns whether the store should be read again."""
-        return any(
+    def begin_check(self, now: float) -> bool:
+        """Returns whether the store should be read again.
+
+        All reports then count as checked, so that a reading that takes long is
+        not begun anew.
+        """
+        is_due = any(
             now - reported_at >= REPORT_CHECK_S
             for reported_at in self._reported_at.values()
         )
+        if is_due:
+            self.settle_all()
+        return is_due
--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -213,7 +213,7 @@
                     continue
                 self._synced = True
                 self._start_watches()
-                if self._cache.needs_reading():
+                if self._cache.begin_report_check():
                     self._log.write("store-read-again")
                     self._restart_watches()
                 if known:
--- a/martenjunction/routing/store/store_cache.py
+++ b/martenjunction/routing/store/store_cache.py
@@ -306,12 +306,12 @@
             self._listed.revision,
         )
 
-    def needs_reading(self) -> bool:
-        """Returns whether a box that reads should list the endpoints again.
+    def begin_report_check(self) -> bool:
+        """Returns whether a box that reads has to list the endpoints again.
 
         Peers reported entries as missing, and the watch does not bear it out.
         """
-        return self._listed.needs_reading(self._now())
+        return self._listed.begin_report_check(self._now())
 
     @property
     def in_grace(self) -> bool:
