--- a/martenjunction/__main__.py
+++ b/martenjunction/__main__.py
@@ -1,6 +1,6 @@
 """Runs the command line with `python -m martenjunction`."""
 
-from martenjunction.cmd import main
+from martenjunction.cmd import entry
 
 if __name__ == "__main__":
-    main.main()
+    entry.main()
--- /dev/null
+++ b/martenjunction/cmd/box_daemon.py
@@ -0,0 +1,60 @@
+"""Runs the daemon of a box on the platform.
+
+It imports only what the daemon needs because a box is restarted often.
+"""
+
+import asyncio
+import logging
+import os
+import signal
+
+from martenjunction import errors
+from martenjunction import gateway
+from martenjunction import logs
+from martenjunction.cmd import early_signals
+from martenjunction.platform import box_settings
+
+
+async def serve(path: str) -> None:
+    """Serves until a graceful shutdown has completed.
+
+    SIGTERM starts a graceful shutdown; SIGHUP reloads the settings.
+
+    Args:
+        path: The settings file.
+
+    Raises:
+        SettingsError: If the settings are invalid.
+    """
+    settings = box_settings.read(path)
+    logs.start_bounded(settings.box)
+    daemon = gateway.Gateway(settings)
+    loop = asyncio.get_running_loop()
+    stops: list[asyncio.Task[None]] = []
+
+    def stop() -> None:
+        stops.append(loop.create_task(daemon.leave()))
+
+    def reload() -> None:
+        try:
+            daemon.reload(box_settings.read(path))
+        except errors.SettingsError as error:
+            daemon.log.write("reload-failed", why=str(error))
+
+    loop.add_signal_handler(signal.SIGTERM, stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    await daemon.start()
+    # A stop needs a daemon that was started completely.
+    early_signals.release()
+    await daemon.wait_stopped()
+
+
+def run() -> int:
+    """Runs the daemon; returns the exit code."""
+    path = os.environ.get(box_settings.SETTINGS_VARIABLE, "")
+    try:
+        asyncio.run(serve(path))
+    except errors.SettingsError as error:
+        logging.getLogger(__name__).error("%s", error)
+        return 1
+    return 0
--- a/martenjunction/cmd/daemon.py
+++ b/martenjunction/cmd/daemon.py
@@ -11,6 +11,7 @@
 
 from martenjunction import application
 from martenjunction import logs
+from martenjunction.cmd import early_signals
 from martenjunction.config import settings as daemon_settings
 
 
@@ -42,7 +43,7 @@
 async def serve(settings: daemon_settings.DaemonSettings) -> None:
     """Serves until a graceful shutdown has completed.
 
-    SIGTERM and SIGINT start a graceful shutdown.
+    SIGTERM, SIGINT and SIGHUP start a graceful shutdown.
     """
     daemon = application.Application(settings)
     loop = asyncio.get_running_loop()
@@ -51,7 +52,9 @@
     def stop() -> None:
         stops.append(loop.create_task(daemon.drain()))
 
-    loop.add_signal_handler(signal.SIGTERM, stop)
-    loop.add_signal_handler(signal.SIGINT, stop)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, stop)
     await daemon.start()
+    # A stop needs a daemon that was started completely.
+    early_signals.release()
     await daemon.wait_drained()
--- a/martenjunction/cmd/main.py
+++ b/martenjunction/cmd/main.py
@@ -1,4 +1,4 @@
-"""Entry point of the `martenjunction` command."""
+"""The `martenjunction` command and its subcommands."""
 
 import dataclasses
 import sys
