--- a/martenjunction/endpoints/attempt.py
+++ b/martenjunction/endpoints/attempt.py
@@ -35,6 +35,7 @@
         """
         self._connection = connection
         self._request_id = request_id
+        self._identified = False
 
     @property
     def connection(self) -> client.ClientConnection:
@@ -71,6 +72,7 @@
             for _ in range(MAX_RESPONSE_HEADS):
                 head = await self._connection.read_head()
                 if headers.answers_request(head, self._request_id):
+                    self._identified = headers.has_request_id(head)
                     return head
                 while await self._connection.read_body():
                     pass
@@ -114,8 +116,18 @@
             raise errors.EndpointBrokenError("stream ended within an event")
 
     def finish(self) -> None:
-        """Prepares the connection for another request, or closes it."""
-        self._connection.finish()
+        """Prepares the connection for another request, or closes it.
+
+        A connection with a response that lacks the request's id is closed. Such
+        a response may arrive a second time where the next one is due, and
+        nothing would tell the two apart.
+        """
+        if self._identified:
+            self._connection.finish()
+        else:
+            # Rejections are frequent under overload; a reset leaves no port
+            # waiting.
+            self._connection.reset()
 
     def abort(self) -> None:
         """Closes the connection, so that the endpoint cancels the request."""
--- a/martenjunction/platform/headers.py
+++ b/martenjunction/platform/headers.py
@@ -211,6 +211,11 @@
     return echoed.decode("latin-1") == request_id
 
 
+def has_request_id(head: messages.ResponseHead) -> bool:
+    """Returns whether a response names the request that it answers."""
+    return head.get(_REQUEST_ID.lower()) is not None
+
+
 def was_not_executed(head: messages.ResponseHead) -> bool:
     """Returns whether the endpoint reports that it did not run the request."""
     return head.status == 421 or head.get(_NOT_RUN) is not None
--- a/martenjunction/routing/limits/prober.py
+++ b/martenjunction/routing/limits/prober.py
@@ -85,9 +85,13 @@
             self._probes.pop(endpoint.id, None)
 
     async def _ask(self, endpoint: model.Endpoint, path: str) -> bool:
-        """Returns whether the endpoint reports itself healthy."""
+        """Returns whether the endpoint reports itself healthy.
+
+        Uses a connection of its own: responses to health checks carry no id, so
+        that a late response to another request would be taken for one.
+        """
         try:
-            connection = await self._connections.acquire(endpoint, False)
+            connection = await self._connections.connect(endpoint)
         except errors.EndpointError:
             return False
         try:
@@ -97,12 +101,11 @@
                 head = await connection.read_head()
                 while await connection.read_body():
                     pass
-            connection.finish()
             # Another endpoint that took over its address may be healthy.
             is_same = not notices.is_from_other_endpoint(head, endpoint.entry)
             return head.status == 200 and is_same
         except (errors.TransportError, TimeoutError):
-            connection.abort()
             return False
         finally:
+            connection.abort()
             self._connections.release(endpoint.id, connection)
--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -160,7 +160,7 @@
             if status == 421:
                 mark = {"Martenjunction-Replica-Id": "another"}
             mark.update(self._notices(request, status))
-            writer.write(_whole(status, mark, b""))
+            writer.write(whole(status, mark, b""))
             return True
         if self.queue_s and await self._leaves_queue(reader):
             self.cancelled.append(request.id)
@@ -169,7 +169,7 @@
         if behaviour is Behaviour.RESET:
             return False
         if behaviour is Behaviour.BARE_503:
-            writer.write(_whole(503, self._notices(request, 503), b""))
+            writer.write(whole(503, self._notices(request, 503), b""))
             return True
         streamed = request.target.startswith(("/chat/", "/digest/"))
         if streamed and behaviour is Behaviour.SERVE:
@@ -222,7 +222,7 @@
         headers["Martenjunction-Replica-Load"] = "1,0,6"
         status = 500 if behaviour is Behaviour.FAIL else 200
         headers.update(self._notices(request, status))
-        return _whole(status, headers, b"answer to " + request.body)
+        return whole(status, headers, b"answer to " + request.body)
 
     async def _stream(
         self,
@@ -280,7 +280,8 @@
     await asyncio.wait([pending])
 
 
-def _whole(status: int, headers: dict[str, str], body: bytes) -> bytes:
+def whole(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    """Returns the bytes of a whole answer."""
     return _head(status, {"Content-Length": str(len(body)), **headers}) + body
 
 
