--- a/martenjunction/cmd/box_daemon.py
+++ b/martenjunction/cmd/box_daemon.py
@@ -11,6 +11,7 @@
 from martenjunction import errors
 from martenjunction import gateway
 from martenjunction import logs
+from martenjunction import process_memory
 from martenjunction.cmd import early_signals
 from martenjunction.platform import box_settings
 
@@ -51,6 +52,7 @@
 
 def run() -> int:
     """Runs the daemon; returns the exit code."""
+    process_memory.return_large_blocks()
     path = os.environ.get(box_settings.SETTINGS_VARIABLE, "")
     try:
         asyncio.run(serve(path))
--- a/martenjunction/endpoints/attempt.py
+++ b/martenjunction/endpoints/attempt.py
@@ -5,6 +5,7 @@
 
 from martenjunction import errors
 from martenjunction.endpoints import event_stream
+from martenjunction.http1 import body_buffer
 from martenjunction.http1 import client
 from martenjunction.http1 import messages
 from martenjunction.platform import headers
@@ -83,21 +84,19 @@
         self.abort()
         raise errors.EndpointMismatchError("only responses to other requests")
 
-    async def body(self) -> bytes:
+    async def body(self) -> messages.Body:
         """Reads the complete body.
 
         Raises:
             EndpointBrokenError: If it is truncated or too large.
         """
-        parts = []
-        size = 0
+        body = body_buffer.BodyBuffer()
         async for part in self._read_parts():
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BUFFERED_BODY_BYTES:
+            body.append(part)
+            if body.size > MAX_BUFFERED_BODY_BYTES:
                 self.abort()
                 raise errors.EndpointBrokenError("response body too large")
-        return b"".join(parts)
+        return body.take()
 
     async def events(self) -> AsyncIterator[list[event_stream.StreamEvent]]:
         """Yields complete events as they arrive.
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -165,7 +165,7 @@
         method: bytes,
         target: bytes,
         headers: messages.Headers,
-        body: bytes,
+        body: messages.Body,
     ) -> None:
         """Writes a complete request to the socket.
 
@@ -176,22 +176,24 @@
             body: The complete body.
 
         Raises:
-            ConnectError: If the connection is closed; nothing was sent.
+            ConnectError: If the connection is closed; the request was not sent
+                completely.
         """
         if not self.is_reusable() or self._stream is None:
             raise errors.ConnectError("the connection is closed")
         request = h11.Request(method=method, target=target, headers=headers)
-        data = self._parser.send(request) or b""
+        events: list[h11.Event] = [request]
         if body:
-            data += self._parser.send(h11.Data(data=body)) or b""
-        data += self._parser.send(h11.EndOfMessage()) or b""
+            events.append(h11.Data(data=body))  # type: ignore[arg-type]
+        pieces = []
+        for event in (*events, h11.EndOfMessage()):
+            pieces += self._parser.send_with_data_passthrough(event) or []
         self._request = request
         self._sent_at = time.monotonic()
         try:
-            written = self._stream.write(data)
+            streams.write(self._stream, pieces)
         except iostream.StreamClosedError as error:
             raise errors.ConnectError("the connection is closed") from error
-        written.add_done_callback(streams.retrieve_exception)
 
     async def read_head(self) -> messages.ResponseHead:
         """Reads the head of the next final response; skips interim responses.
--- a/martenjunction/http1/messages.py
+++ b/martenjunction/http1/messages.py
@@ -7,6 +7,9 @@
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
+# A bytearray that was received is passed on as it is, without a copy.
+Body: TypeAlias = bytes | bytearray
+
 # Hop-by-hop headers, in lower case.
 HOP_BY_HOP = frozenset(name.encode() for name in http_headers.HOP_BY_HOP)
 
@@ -54,7 +57,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes = b""
+    body: Body = b""
     received_at: float = 0.0
 
     @property
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -142,6 +142,8 @@
             if request is None:
                 return close_reports.CloseReason.CLIENT
             await self._handle(connection, request)
+            # Its body would be held until the next request is complete.
+            del request
             if connection.unanswered:
                 return close_reports.CloseReason.FAILED
             if not connection.prepare_next_request():
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import http
 import time
@@ -10,6 +11,7 @@
 from tornado import iostream
 
 from martenjunction import errors
+from martenjunction.http1 import body_buffer
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import connection_state
 from martenjunction.http1 import framing
@@ -123,12 +125,10 @@
         self._bodiless = request.method == b"HEAD"
         framing.check(request, self._limits().max_body_bytes)
         if self._parser.they_are_waiting_for_100_continue:
-            self._write(
-                self._parser.send(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
+            self._write_event(
+                h11.InformationalResponse(status_code=100, headers=[])
             )
-        request.body = await self._read_body()
+        request.body = await self._read_body(framing.length_of(request))
         self._accept_request(request)
         return request
 
@@ -140,7 +140,7 @@
         self,
         status: int,
         headers: messages.Headers,
-        body: bytes,
+        body: messages.Body,
         close: bool = False,
     ) -> None:
         """Sends a complete response.
@@ -156,9 +156,8 @@
         """
         length = (b"Content-Length", str(len(body)).encode())
         self._send_head(status, [*headers, length], close)
-        data = b"" if self._bodiless or not body else self._data(body)
-        end = self._parser.send(h11.EndOfMessage()) or b""
-        await self._flush(data + end)
+        shown = b"" if self._bodiless else body
+        await self._flush([*self._pieces(shown), *self._pieces(None)])
         self._record_response()
 
     async def begin(
@@ -177,7 +176,7 @@
         Raises:
             ConnectionLostError: If the client disconnected.
         """
-        await self._flush(self._data(data))
+        await self._flush(self._pieces(data))
 
     async def end(self) -> None:
         """Completes the response.
@@ -185,7 +184,7 @@
         Raises:
             ConnectionLostError: If the client disconnected.
         """
-        await self._flush(self._parser.send(h11.EndOfMessage()) or b"")
+        await self._flush(self._pieces(None))
         self._record_response()
 
     def prepare_next_request(self) -> bool:
@@ -265,21 +264,24 @@
                 error.error_status_hint, str(error)
             ) from error
 
-    async def _read_body(self) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+    async def _read_body(self, length: int | None) -> messages.Body:
+        """Reads the body.
+
+        Args:
+            length: Its length in bytes, or None if it is not known.
+        """
+        body = body_buffer.BodyBuffer(length)
         while True:
             event = self._next_event()
             if isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > self._limits().max_body_bytes:
+                body.append(event.data)
+                if body.size > self._limits().max_body_bytes:
                     raise request_errors.RequestSyntaxError(
                         413, "request body too large"
                     )
             elif isinstance(event, h11.EndOfMessage):
                 self._set_timer(None)
-                return b"".join(parts)
+                return body.take()
             elif event is h11.NEED_DATA:
                 self._set_timer(
                     BODY_TIMEOUT_S, close_reports.CloseReason.SLOW_BODY
@@ -300,25 +302,35 @@
         head = h11.Response(
             status_code=status, headers=headers, reason=reason.encode()
         )
-        data = self._parser.send(head)
         self._response_started = True
-        self._write(data)
-
-    def _data(self, data: bytes) -> bytes:
-        return self._parser.send(h11.Data(data=data)) or b""
+        self._write_event(head)
+
+    def _write_event(self, event: h11.Event) -> None:
+        data = self._parser.send(event)
+        self._write([data] if data else [])
+
+    def _pieces(self, data: messages.Body | None) -> Sequence[messages.Body]:
+        """Returns the pieces of a part of the body; None ends the body."""
+        if data is None:
+            event: h11.Event = h11.EndOfMessage()
+        elif data:
+            event = h11.Data(data=data)  # type: ignore[arg-type]
+        else:
+            return []
+        return self._parser.send_with_data_passthrough(event) or []
 
-    def _write(self, data: bytes | None) -> "asyncio.Future[None] | None":
-        if not data:
+    def _write(
+        self, pieces: Sequence[messages.Body]
+    ) -> "asyncio.Future[None] | None":
+        if not any(pieces):
             return None
         try:
-            written = self._stream.write(data)
+            return streams.write(self._stream, pieces)
         except iostream.StreamClosedError as error:
             raise errors.ConnectionLostError("client disconnected") from error
-        written.add_done_callback(streams.retrieve_exception)
-        return written
 
-    async def _flush(self, data: bytes) -> None:
-        written = self._write(data)
+    async def _flush(self, pieces: Sequence[messages.Body]) -> None:
+        written = self._write(pieces)
         if written is None:
             return
         try:
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import socket
 from typing import Any
 from typing import cast
@@ -10,6 +11,7 @@
 
 from martenjunction import addresses
 from martenjunction import errors
+from martenjunction.http1 import messages
 from martenjunction.http1 import peeks
 
 # Maximum bytes per read of a socket.
@@ -18,6 +20,9 @@
 # Maximum bytes that one connection may buffer unread or unsent.
 MAX_BUFFER_BYTES = 16 * 1024 * 1024
 
+# Size in bytes up to which the pieces of a message are joined for one write.
+MAX_JOINED_BYTES = 16 * 1024
+
 # Milliseconds for which sent data, or a keep-alive probe, may stay
 # unacknowledged (tcp(7)). Where it is set, it decides when probes give up.
 USER_TIMEOUT_MS = 3000
@@ -106,6 +111,30 @@
     return f"{host}:{port}"
 
 
+def write(
+    stream: iostream.IOStream, pieces: Sequence[messages.Body]
+) -> "asyncio.Future[None]":
+    """Writes the pieces of a message; large ones are not copied.
+
+    Args:
+        stream: The stream.
+        pieces: The pieces, at least one of which is not empty.
+
+    Returns:
+        A future that is done once the socket has accepted all of them.
+
+    Raises:
+        StreamClosedError: If the stream is closed; the last piece was not
+            written.
+    """
+    if sum(map(len, pieces)) <= MAX_JOINED_BYTES:
+        pieces = [b"".join(pieces)]
+    written = [stream.write(memoryview(piece)) for piece in pieces if piece]
+    for future in written:
+        future.add_done_callback(retrieve_exception)
+    return written[-1]
+
+
 def retrieve_exception(future: "asyncio.Future[Any]") -> None:
     """Marks a future's exception as retrieved; awaiting still raises it."""
     if not future.cancelled():
@@ -160,7 +189,12 @@
             pending = asyncio.get_running_loop().create_future()
             pending.set_exception(error)
         self._pending = pending
-        pending.add_done_callback(retrieve_exception)
+        if pending.done():
+            # A callback would hold the data until the reader waits, which it
+            # does not do while more is there to read.
+            retrieve_exception(pending)
+        else:
+            pending.add_done_callback(retrieve_exception)
 
     def on_end(self, callback: Callable[[], None] | None) -> None:
         """Sets the callback for the end of the connection.
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -30,7 +30,7 @@
 
     status: int
     headers: messages.Headers
-    body: bytes
+    body: messages.Body
 
 
 class EndpointRuns:
--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -59,7 +59,8 @@
             events: Events in each of its streams.
 
         `framed` says whether streams come in chunks, rather than end with
-        their connection; `event_pause_s` is the time between events and
+        their connection, and `echoes` whether answers hold the body of the
+        request; `event_pause_s` is the time between events and
         `queue_s` that for which a request waits before it runs, both in
         seconds.
         """
@@ -69,6 +70,7 @@
         self.queue_s = 0.0
         self.break_after: int | None = None
         self.framed = True
+        self.echoes = True
         self.silent_after: int | None = None
         self.received: list[Received] = []
         self.runs: collections.Counter[str] = collections.Counter()
@@ -118,6 +120,8 @@
         try:
             while True:
                 request = await self._read(reader)
+                if not self.echoes:
+                    request = dataclasses.replace(request, body=b"")
                 self.received.append(request)
                 behaviour = (
                     self._plan.popleft() if self._plan else self._default
