--- a/martenjunction/decisions/boxes/ended_endpoints.py
+++ b/martenjunction/decisions/boxes/ended_endpoints.py
@@ -8,14 +8,12 @@
 """
 
 import dataclasses
-from typing import TypeVar
 
 from martenjunction import model
 from martenjunction import revisions
+from martenjunction.decisions import bounded
 from martenjunction.decisions.boxes import entry_states
 
-V = TypeVar("V")
-
 # Maximum number of removed entries, ended endpoints, and restarted endpoints
 # that are remembered.
 MAX_REMOVED = 1024
@@ -62,17 +60,17 @@
 
     def note_ended(self, endpoint_id: str, removal: Removal) -> None:
         """Records that an endpoint was removed from the list."""
-        _add_bounded(self._endpoints, endpoint_id, removal, MAX_ENDED)
+        bounded.put(self._endpoints, endpoint_id, removal, MAX_ENDED)
 
     def note_entry_removed(
         self, entry: str, revision: revisions.Revision
     ) -> None:
         """Records that the store does not have an entry any more."""
-        _add_bounded(self._entries, entry, revision, MAX_REMOVED)
+        bounded.put(self._entries, entry, revision, MAX_REMOVED)
 
     def note_restarted(self, previous: str, current: str) -> None:
         """Records that one start of an endpoint replaced another one."""
-        _add_bounded(self._restarted, previous, None, MAX_RESTARTED)
+        bounded.put(self._restarted, previous, None, MAX_RESTARTED)
         self._restarted.pop(current, None)
 
     def note_listed(self, endpoint_id: str) -> None:
@@ -109,11 +107,3 @@
         if gone_at is None or revision > gone_at:
             return False
         return evidence.reported or evidence.revision < gone_at
-
-
-def _add_bounded(memory: dict[str, V], key: str, value: V, limit: int) -> None:
-    """Adds an item; the oldest ones are dropped beyond the limit."""
-    memory.pop(key, None)
-    while len(memory) >= limit:
-        del memory[next(iter(memory))]
-    memory[key] = value
--- a/martenjunction/decisions/boxes/endpoint_limits.py
+++ b/martenjunction/decisions/boxes/endpoint_limits.py
@@ -9,6 +9,7 @@
 from collections.abc import Container
 import dataclasses
 
+from martenjunction.decisions import bounded
 from martenjunction.decisions import grant_bucket
 
 # Maximum number of remembered reports, and the seconds for which the removal of
@@ -156,10 +157,8 @@
         before = None if report is None else report.per_s
         if per_s == before:
             return None
-        self._reports.pop(endpoint_id, None)
-        while len(self._reports) >= MAX_REPORTS:
-            del self._reports[next(iter(self._reports))]
-        self._reports[endpoint_id] = LimitReport(per_s, since)
+        report = LimitReport(per_s, since)
+        bounded.put(self._reports, endpoint_id, report, MAX_REPORTS)
         return LimitChange(before, per_s)
 
 
--- a/martenjunction/decisions/boxes/tier_precedence.py
+++ b/martenjunction/decisions/boxes/tier_precedence.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 
+from martenjunction.decisions import bounded
+
 # Seconds for which lower tiers yield after a refusal of a higher tier, whose
 # callers retry within that time.
 YIELD_S = 1.0
@@ -40,9 +42,8 @@
         """
         state = self._services.get(service)
         if state is None:
-            while len(self._services) >= MAX_SERVICES:
-                del self._services[next(iter(self._services))]
-            state = self._services[service] = _ServiceState()
+            state = _ServiceState()
+            bounded.put(self._services, service, state, MAX_SERVICES)
         state.refused_at[tier] = now
 
     def should_yield(self, service: str, tier: int, now: float) -> bool:
--- a/martenjunction/routing/limits/rate_grants.py
+++ b/martenjunction/routing/limits/rate_grants.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from martenjunction import timers
+from martenjunction.decisions import bounded
 from martenjunction.decisions import grant_bucket
 from martenjunction.peers import hub
 from martenjunction.peers import membership
@@ -263,10 +264,8 @@
             return 0.0
         bucket = self._buckets.get(endpoint_id)
         if bucket is None:
-            while len(self._buckets) >= MAX_BUCKETS:
-                del self._buckets[next(iter(self._buckets))]
             bucket = _Bucket(grant_bucket.GrantBucket(now), now)
-            self._buckets[endpoint_id] = bucket
+            bounded.put(self._buckets, endpoint_id, bucket, MAX_BUCKETS)
         bucket.used_at = now
         wait_s = bucket.grants.take(
             limit, self._selector.reachable_fraction(endpoint_id), now
@@ -334,9 +333,8 @@
                 number, self._limit_sync.report(endpoint_id), ask.hops + 1
             )
             if self._peers.send_soon(holder, forwarded):
-                while len(self._forwarded) >= MAX_FORWARDED:
-                    del self._forwarded[next(iter(self._forwarded))]
-                self._forwarded[number] = (box, ask.number)
+                asked_by = (box, ask.number)
+                bounded.put(self._forwarded, number, asked_by, MAX_FORWARDED)
                 return
         self._answer(box, ask.number, endpoint_id, NO_ANSWER_BACKOFF_S)
 
