Take entry states from the table wherever they change

`EntryTable` set some states beside the table, and its callers named the cause of a removal on their own. Every change now goes through `next_state`, and the cause follows from the news.

--- a/martenjunction/decisions/boxes/endpoint_list.py
+++ b/martenjunction/decisions/boxes/endpoint_list.py
@@ -211,9 +211,7 @@
         if current is None:
             return []
         self._ended.note_entry_removed(entry, revision)
-        return self._remove(
-            current.endpoint.id, revision, RemovalCause.WITHDRAWN
-        )
+        return self._remove(current.endpoint.id, revision, EntryNews.WITHDRAWN)
 
     def apply_report(
         self,
@@ -241,7 +239,9 @@
         if cause is RemovalCause.MISSING:
             self._apply_missing(endpoint_id, revision, True, now)
         else:
-            self._remove(endpoint_id, revision, cause, reported=True)
+            self._remove(
+                endpoint_id, revision, EntryNews.WITHDRAWN, reported=True
+            )
         return self.state(endpoint_id) is not before
 
     def mark_draining(
@@ -285,7 +285,7 @@
             removed += self._remove(
                 endpoint_id,
                 max(self._revision, listed.revision),
-                RemovalCause.MISSING,
+                EntryNews.GRACE_ENDED,
                 listed.reported,
             )
         return removed
@@ -354,9 +354,7 @@
             return []
         if not reported:
             self._ended.note_entry_removed(listed.endpoint.entry, revision)
-        return self._remove(
-            endpoint_id, revision, RemovalCause.MISSING, reported
-        )
+        return self._remove(endpoint_id, revision, news, reported)
 
     def _add_lapsed(
         self, endpoint: model.Endpoint, revision: revisions.Revision
@@ -381,7 +379,7 @@
             return []
         previous = current.endpoint.id
         self._ended.note_restarted(previous, endpoint.id)
-        return self._remove(previous, revision, RemovalCause.WITHDRAWN)
+        return self._remove(previous, revision, EntryNews.WITHDRAWN)
 
 
 def _as_reported_by_box(
--- a/martenjunction/decisions/boxes/entry_states.py
+++ b/martenjunction/decisions/boxes/entry_states.py
@@ -113,6 +113,20 @@
 }
 
 
+# What other boxes are told of news that ends a listed endpoint.
+_CAUSE = {
+    EntryNews.MISSING: RemovalCause.MISSING,
+    EntryNews.MISSING_IN_GRACE: RemovalCause.MISSING,
+    EntryNews.GRACE_ENDED: RemovalCause.MISSING,
+    EntryNews.WITHDRAWN: RemovalCause.WITHDRAWN,
+}
+
+
+def removal_cause(news: EntryNews) -> RemovalCause:
+    """Returns the cause to report for news that removes an endpoint."""
+    return _CAUSE[news]
+
+
 def next_state(state: EntryState, news: EntryNews) -> EntryState:
     """Returns the state after news; news without an entry changes nothing."""
     return _NEXT.get((state, news), state)
--- a/martenjunction/decisions/boxes/entry_table.py
+++ b/martenjunction/decisions/boxes/entry_table.py
@@ -7,6 +7,7 @@
 
 from martenjunction import model
 from martenjunction import revisions
+from martenjunction.decisions import bounded
 from martenjunction.decisions.boxes import ended_endpoints
 from martenjunction.decisions.boxes import entry_states
 from martenjunction.decisions.boxes import restored_entries
@@ -108,9 +109,7 @@
         """
         if endpoint_id in self._leaving:
             return False
-        while len(self._leaving) >= MAX_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
-        self._leaving[endpoint_id] = None
+        bounded.put(self._leaving, endpoint_id, None, MAX_LEAVING)
         listed = self._listed.get(endpoint_id)
         if listed is not None:
             self._store(listed.endpoint, listed.revision, EntryNews.LEAVING)
@@ -146,12 +145,16 @@
     def _set_lapsed(self, listed: Listed, reported: bool) -> None:
         """Records that an entry is missing and kept for the grace period."""
         listed.reported = reported and (listed.reported or not listed.lapsed)
-        listed.state = EntryState.LAPSED
+        listed.state = entry_states.next_state(
+            listed.state, EntryNews.MISSING_IN_GRACE
+        )
 
     def _end_reported_lapse(self, listed: Listed) -> None:
         """Handles an entry that one box reports as missing and another has."""
         if listed.reported:
-            listed.state = EntryState.READY
+            listed.state = entry_states.next_state(
+                listed.state, EntryNews.PRESENT
+            )
 
     def _pop(self, endpoint_id: str) -> Listed:
         """Removes an endpoint that is listed."""
@@ -187,13 +190,17 @@
         self,
         endpoint_id: str,
         revision: revisions.Revision,
-        cause: RemovalCause,
+        news: EntryNews,
         reported: bool = False,
     ) -> list[str]:
-        """Removes an endpoint; returns its id in a list if it was listed."""
+        """Removes an endpoint if news ends it; returns its id in a list."""
         if not self._is_current(endpoint_id, revision):
             return []
+        state = entry_states.next_state(self.state(endpoint_id), news)
+        if state is not EntryState.UNLISTED:
+            return []
         self._pop(endpoint_id)
+        cause = entry_states.removal_cause(news)
         self._ended.note_ended(
             endpoint_id, ended_endpoints.Removal(revision, cause, reported)
         )
