Decode the stamp of a frame once

A stamp was unpacked before the messages of its frame, in part, and once more after them. The link decodes it once and hands over the result. tests/test_peer_stamps.py follows the interface; what it asserts is the same.

--- a/martenjunction/peers/links.py
+++ b/martenjunction/peers/links.py
@@ -48,22 +48,25 @@
     def make(self) -> bytes:
         """Returns the bytes for a frame that is about to be sent."""
 
-    def take_early(self, asked_at: float | None, data: bytes) -> None:
-        """Processes the bytes of a frame before the frame's messages.
+    def decode(self, data: bytes) -> Any:
+        """Returns the stamp whose bytes a received frame has."""
+
+    def take_early(self, asked_at: float | None, stamp: Any) -> None:
+        """Processes a stamp before the messages of its frame.
 
         Args:
             asked_at: As for `take`.
-            data: The bytes.
+            stamp: The decoded stamp.
         """
 
-    def take(self, box: str, asked_at: float | None, data: bytes) -> None:
-        """Processes the bytes of a received frame after its messages.
+    def take(self, box: str, asked_at: float | None, stamp: Any) -> None:
+        """Processes a stamp after the messages of its frame.
 
         Args:
             box: The sender.
             asked_at: Time at which this box sent the last frame that the
                 sender had processed when it made the bytes, or None.
-            data: The bytes.
+            stamp: The decoded stamp.
         """
 
 
@@ -76,10 +79,13 @@
         """Returns no bytes."""
         return b""
 
-    def take_early(self, asked_at: float | None, data: bytes) -> None:
+    def decode(self, data: bytes) -> None:
+        """Returns no stamp."""
+
+    def take_early(self, asked_at: float | None, stamp: None) -> None:
         """Does nothing."""
 
-    def take(self, box: str, asked_at: float | None, data: bytes) -> None:
+    def take(self, box: str, asked_at: float | None, stamp: None) -> None:
         """Does nothing."""
 
 
@@ -246,12 +252,13 @@
             raise errors.PeerError("a frame is shorter than its stamp")
         batch = codec.decode_batch(payload[size:])
         asked_at = self._flow.acked_sent_at
-        self._stamps.take_early(asked_at, payload[:size])
+        stamp = self._stamps.decode(payload[:size])
+        self._stamps.take_early(asked_at, stamp)
         for message in batch:
             self._counts.messages_in += 1
             receive(message)
         # Afterwards, as the messages may bring what the stamp tells of.
-        self._stamps.take(self.box, asked_at, payload[:size])
+        self._stamps.take(self.box, asked_at, stamp)
         if batch:
             self._flow.record_processed()
         self._outbox.wake()
--- a/martenjunction/routing/messages/peer_stamps.py
+++ b/martenjunction/routing/messages/peer_stamps.py
@@ -12,7 +12,6 @@
 NEVER_CONFIRMED = -1
 
 _FORMAT = struct.Struct(">iQQQBiii")
-_CONTACT = struct.Struct(">Biii")
 _READS = 1
 _FED = 2
 _SETTLED = 4
@@ -93,42 +92,40 @@
             stamp.contact.until_ms,
         )
 
-    def take_early(self, asked_at: float | None, data: bytes) -> None:
+    def decode(self, data: bytes) -> PeerStamp:
+        """Returns the stamp whose bytes a received frame has."""
+        age_ms, version, era, number, flags, lost, since, until = (
+            _FORMAT.unpack(data)
+        )
+        return PeerStamp(
+            age_ms,
+            version,
+            revisions.Revision(era, number),
+            bool(flags & _READS),
+            bool(flags & _FED),
+            store_contact.ContactAges(
+                lost, since, until, bool(flags & _SETTLED)
+            ),
+        )
+
+    def take_early(self, asked_at: float | None, stamp: PeerStamp) -> None:
         """Processes what the messages of a received frame are judged by.
 
         Raises:
             PeerError: If an age cannot be.
         """
-        contact = _contact_in(data)
+        contact = stamp.contact
         ages = (contact.lost_ms, contact.since_ms, contact.until_ms)
         if min(ages) < store_contact.UNKNOWN_AGE_MS:
             raise errors.PeerError(f"a stamp has ages {ages}")
         self._note_contact(contact, asked_at)
 
-    def take(self, box: str, asked_at: float | None, data: bytes) -> None:
-        """Processes the bytes of a received frame.
+    def take(self, box: str, asked_at: float | None, stamp: PeerStamp) -> None:
+        """Processes the rest of a stamp.
 
         Raises:
             PeerError: If the age cannot be.
         """
-        age_ms, version, era, number, flags, *_ = _FORMAT.unpack(data)
-        if age_ms < NEVER_CONFIRMED:
-            raise errors.PeerError(f"a stamp has age {age_ms}")
-        self._take(
-            box,
-            asked_at,
-            PeerStamp(
-                age_ms,
-                version,
-                revisions.Revision(era, number),
-                bool(flags & _READS),
-                bool(flags & _FED),
-                _contact_in(data),
-            ),
-        )
-
-
-def _contact_in(data: bytes) -> store_contact.ContactAges:
-    """Returns the contact with the store that a stamp tells."""
-    flags, lost, since, until = _CONTACT.unpack(data[-_CONTACT.size :])
-    return store_contact.ContactAges(lost, since, until, bool(flags & _SETTLED))
+        if stamp.age_ms < NEVER_CONFIRMED:
+            raise errors.PeerError(f"a stamp has age {stamp.age_ms}")
+        self._take(box, asked_at, stamp)
--- a/martenjunction_lab/spread/network.py
+++ b/martenjunction_lab/spread/network.py
@@ -229,10 +229,11 @@
         batch = codec.decode_batch(payload[size:])
         self.counts.messages_in += len(batch)
         asked_at = self._flow.acked_sent_at
-        self._stamps.take_early(asked_at, payload[:size])
+        stamp = self._stamps.decode(payload[:size])
+        self._stamps.take_early(asked_at, stamp)
         for message in batch:
             self._receive(self, message)
-        self._stamps.take(self.box, asked_at, payload[:size])
+        self._stamps.take(self.box, asked_at, stamp)
         if batch:
             self._flow.record_processed()
         self._pump()
--- a/tests/test_peer_stamps.py
+++ b/tests/test_peer_stamps.py
@@ -37,8 +37,9 @@
     )
     data = sender.make()
     assert len(data) == peer_stamps.PeerStamps.size
-    receiver.take_early(3.0, data)
-    receiver.take("box-1", 3.0, data)
+    stamp = receiver.decode(data)
+    receiver.take_early(3.0, stamp)
+    receiver.take("box-1", 3.0, stamp)
     assert taken == [(STAMP.contact, 3.0), ("box-1", 3.0, STAMP)]
 
 
@@ -48,7 +49,7 @@
         lambda: dataclasses.replace(STAMP, age_ms=-2), ignore, ignore
     )
     with pytest.raises(errors.PeerError):
-        sender.take("box-1", None, sender.make())
+        sender.take("box-1", None, sender.decode(sender.make()))
 
 
 @pytest.mark.parametrize("field", ["lost_ms", "since_ms", "until_ms"])
@@ -59,7 +60,7 @@
         lambda: dataclasses.replace(STAMP, contact=contact), ignore, ignore
     )
     with pytest.raises(errors.PeerError):
-        sender.take_early(None, sender.make())
+        sender.take_early(None, sender.decode(sender.make()))
 
 
 def states_message(**changes: object) -> box_state_sync.BoxStates:
