Read the length of a body once, and reword comments

`framing.check` returns the length that it has checked. A `del` that changed nothing leaves the server, as the exchange drops the body; comments that told measurements give the reason instead. Bodies that wait are inserted in order rather than sorted each time.

--- a/martenjunction/decisions/boxes/memory_budget.py
+++ b/martenjunction/decisions/boxes/memory_budget.py
@@ -7,6 +7,7 @@
 is never given up for another one.
 """
 
+import bisect
 import dataclasses
 import enum
 
@@ -163,8 +164,7 @@
         """
         self._number += 1
         body = WaitingBody(tier, self._number, size)
-        self._waiting.append(body)
-        self._waiting.sort()
+        bisect.insort(self._waiting, body)
         refused = []
         while len(self._waiting) > 1 and self._waiting_bytes() > self.capacity:
             refused.append(self._waiting.pop())
--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -4,13 +4,16 @@
 from martenjunction.http1 import request_errors
 
 
-def check(request: messages.Request, max_body_bytes: int) -> None:
+def check(request: messages.Request, max_body_bytes: int) -> int | None:
     """Rejects framing that two parsers could interpret differently.
 
     Args:
         request: The request, with its head read.
         max_body_bytes: Maximum size of the body.
 
+    Returns:
+        The length of the body in bytes, or None if it is chunked.
+
     Raises:
         RequestSyntaxError: If the framing is ambiguous or the body too large.
     """
@@ -19,19 +22,9 @@
     lengths = names.count(b"content-length")
     if coded > 1 or lengths > 1 or (coded and lengths):
         raise request_errors.RequestSyntaxError(400, "ambiguous framing")
-    length = length_of(request)
-    if length is not None and length > max_body_bytes:
+    if coded:
+        return None
+    length = int(messages.header(request.headers, b"content-length") or 0)
+    if length > max_body_bytes:
         raise request_errors.RequestSyntaxError(413, "request body too large")
-
-
-def length_of(request: messages.Request) -> int | None:
-    """Returns the length of the body in bytes, or None if it is chunked.
-
-    Args:
-        request: The request, with its head read.
-    """
-    length = messages.header(request.headers, b"content-length")
-    if length is not None:
-        return int(length)
-    chunked = messages.header(request.headers, b"transfer-encoding")
-    return None if chunked is not None else 0
+    return length
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -151,8 +151,6 @@
                 await self._handle(connection, request)
             finally:
                 connection.release(request)
-            # Its body would be held until the next request is complete.
-            del request
             if connection.unanswered:
                 return close_reports.CloseReason.FAILED
             if not connection.prepare_next_request():
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -27,8 +27,8 @@
 TIMEOUT_EXTENSION_S = 0.1
 
 # Seconds within which a partly received request must be complete once its
-# connection is shutting down: without this limit, an incomplete body delayed a
-# graceful shutdown of 4 s until its deadline.
+# connection is shutting down: an incomplete body would delay the shutdown until
+# its deadline.
 SHUTDOWN_READ_TIMEOUT_S = 1.0
 
 _State = connection_state.State
@@ -128,8 +128,11 @@
             received_at=time.monotonic(),
         )
         self._bodiless = request.method == b"HEAD"
-        framing.check(request, self._limits().max_body_bytes)
-        await self._reserve(request)
+        max_body_bytes = self._limits().max_body_bytes
+        length = framing.check(request, max_body_bytes)
+        await self._reserve(
+            request, max_body_bytes if length is None else length
+        )
         if self._parser.they_are_waiting_for_100_continue:
             self._write_event(
                 h11.InformationalResponse(status_code=100, headers=[])
@@ -148,11 +151,6 @@
         """Gives back the memory that was reserved for a request."""
         self._reduce_reserved(request, 0)
 
-    def _reduce_reserved(self, request: messages.Request, size: int) -> None:
-        if request.reserved > size:
-            self._gate.release(request.reserved - size)
-            request.reserved = size
-
     def on_disconnect(self, callback: Callable[[], None] | None) -> None:
         """Sets the callback for a client that disconnects, or None."""
         self._source.on_end(callback)
@@ -285,17 +283,19 @@
                 error.error_status_hint, str(error)
             ) from error
 
-    async def _reserve(self, request: messages.Request) -> None:
-        """Waits for the memory of the body."""
-        size = framing.length_of(request)
-        if size is None:
-            size = self._limits().max_body_bytes
+    async def _reserve(self, request: messages.Request, size: int) -> None:
+        """Waits for the memory of a body of at most `size` bytes."""
         if not size:
             return
         reservation = await self._gate.reserve(request, size)
         request.reserved = reservation.size
         request.discarded = not reservation.keeps_body
 
+    def _reduce_reserved(self, request: messages.Request, size: int) -> None:
+        if request.reserved > size:
+            self._gate.release(request.reserved - size)
+            request.reserved = size
+
     async def _read_body(self, request: messages.Request) -> messages.Body:
         body = bytearray()
         size = 0
@@ -408,9 +408,8 @@
         Raises:
             RequestNotTakenError: If the connection is closed.
         """
-        # A reader that was woken before the close continues from its buffer:
-        # without this check, 12 of 12 requests were passed on although no
-        # response could be sent.
+        # A reader that was woken before the close continues from its buffer. No
+        # response could be sent to what it still reads.
         if self.closed:
             raise request_errors.RequestNotTakenError(request)
         self._transition(_Event.REQUEST_TAKEN)
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -148,8 +148,8 @@
         finally:
             if self._runs is not None:
                 self._runs.close()
-            # After a failure, the request may be part of a reference cycle with
-            # the exception, and would keep its body.
+            # Its connection keeps the request until the next one is complete,
+            # and an exception may keep it for longer.
             self._request.body = b""
             self._record_result()
 
