Predict the wait for a slot by urgency

At most half of the engines are reserved for short prompts, one of three, and a request weighed engines drawn among those meant for it: short prompts weighed that one alone. Its 64 slots were taken by chats that held one for 4.8 s on average, others waited, and the prediction counted 10 ms for each request beyond the slots.

The prediction now has the wait for a slot: the requests as urgent or more beyond the slots, by how long requests hold one at this engine, less the part of the slots that more urgent requests take. Short prompts weigh as many engines as others do, also those not reserved for them. Lines of requests have `hold_ms`.

--- a/martenjunction/decisions/boxes/candidates.py
+++ b/martenjunction/decisions/boxes/candidates.py
@@ -46,6 +46,10 @@
     meant = [r for r in records if (r.id in reserved) is not is_long]
     meant = meant or list(records)
     drawn = rng.sample(meant, min(count, len(meant)))
+    if len(drawn) < count and not is_long:
+        # Where few engines are reserved, short prompts would all go to them.
+        others = [r for r in records if r.id not in reserved]
+        drawn += rng.sample(others, min(count - len(drawn), len(others)))
     holders = [
         r
         for r in records
--- a/martenjunction/decisions/boxes/endpoint_loads.py
+++ b/martenjunction/decisions/boxes/endpoint_loads.py
@@ -114,6 +114,22 @@
             )
         )
 
+    def running_at_least(self, urgency: int, now: float) -> int:
+        """Returns the number of requests that are served first.
+
+        Args:
+            urgency: Urgency of the request that would queue.
+            now: The current time.
+        """
+        self._expire_peers(now)
+        return self._extrapolate(
+            sum(
+                load.running
+                for key, load in self._total.items()
+                if key.urgency <= urgency
+            )
+        )
+
     def running_below(self, urgency: int, now: float) -> int:
         """Returns the number of requests on routes of a lower tier.
 
--- a/martenjunction/decisions/boxes/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -27,9 +27,13 @@
 # Delay in seconds of a first token by each running request.
 STEP_DELAY_S = 0.001
 
-# Delay in seconds of a first token by each request beyond the number of slots:
-# another request must complete first.
-QUEUE_DELAY_S = 0.01
+# Initial estimate of the seconds for which a request holds a slot of an engine,
+# and the weight of one observation.
+INITIAL_HOLD_S = 0.6
+HOLD_WEIGHT = 0.05
+
+# Maximum fraction of the slots that count as taken by more urgent requests.
+MAX_PREFERRED_FRACTION = 0.95
 
 # Initial estimate in seconds of a plain service's response time.
 INITIAL_RESPONSE_S = 0.03
@@ -161,6 +165,7 @@
         self.failures = estimates.Average(0.0, weight=0.15)
         self.outcomes = endpoint_outcomes.EndpointOutcomes()
         self.response_s = estimates.Average(INITIAL_RESPONSE_S, weight=0.15)
+        self.hold_s = estimates.Average(INITIAL_HOLD_S, HOLD_WEIGHT)
         self.slowness = estimates.Average(
             1.0, SLOWNESS_WEIGHT, start_counts=SLOWNESS_INITIAL_WEIGHT
         )
@@ -340,6 +345,24 @@
         if demand.is_long:
             ahead = max(ahead, self.debt(now))
         prefill_s = demand.profile.prefill_s(unread + ahead)
-        queue_s = max(0, running + 1 - self.slots) * QUEUE_DELAY_S
         steps_s = running * STEP_DELAY_S
-        return FIRST_EVENT_BASE_S + prefill_s + steps_s + queue_s
+        slot_s = self._slot_wait_s(demand.urgency, now)
+        return FIRST_EVENT_BASE_S + prefill_s + steps_s + slot_s
+
+    def _slot_wait_s(self, urgency: int, now: float) -> float:
+        """Predicts the seconds until an engine has a slot for a request.
+
+        A slot that becomes free goes to the most urgent request that waits, so
+        what is as urgent or more, beyond the number of slots, comes first.
+        Slots become free at the rate at which requests that hold them end.
+
+        Args:
+            urgency: The urgency of the request.
+            now: The current time.
+        """
+        if self.loads.running(now) < self.slots:
+            return 0.0
+        ahead = max(0, self.loads.running_at_least(urgency, now) - self.slots)
+        preferred = self.loads.running_at_least(urgency - 1, now) / self.slots
+        left = 1.0 - min(preferred, MAX_PREFERRED_FRACTION)
+        return (ahead + 1) * self.hold_s.value / (self.slots * left)
--- a/martenjunction/routing/endpoints/endpoint_registry.py
+++ b/martenjunction/routing/endpoints/endpoint_registry.py
@@ -37,6 +37,7 @@
     """Tracks one in-flight request at one endpoint.
 
     Attributes:
+        first_event_at: Listening time of the first event of a stream, or None.
         move_requested: Whether the endpoint is silent, so that the request
             should be moved to another one.
         endpoint_restarted: Whether the endpoint restarted, which ended the
@@ -72,6 +73,7 @@
         self.sent_at = listened
         self.last_received_at = listened
         self.waiting = True
+        self.first_event_at: float | None = None
         self.move_requested = False
         self.endpoint_restarted = False
         self.resumed = resumed
@@ -88,6 +90,7 @@
         "ahead": choice.tokens_ahead,
         "debt": choice.debt,
         "short": choice.short_running,
+        "hold_ms": round(choice.record.hold_s.value * 1000, 1),
         "slowness": round(choice.record.slowness.value, 2),
         "failing": round(choice.failure_part, 2),
     }
@@ -460,6 +463,7 @@
             self._learn_pause(ticket, pause_s, events, now)
             return
         ticket.waiting = False
+        ticket.first_event_at = ticket.last_received_at
         ticket.record.loads.add(
             ticket.demand.load_key, 0, -ticket.choice.prefill_tokens
         )
@@ -513,6 +517,8 @@
             # the endpoint, here or at the boxes that are told of failures.
             record.failures.add(1.0 if failed else 0.0)
             record.outcomes.record(failed, now)
+        if ticket.first_event_at is not None:
+            record.hold_s.add(self._listening_time(now) - ticket.first_event_at)
         if not failed and not ticket.demand.is_engine:
             record.response_s.add(self._listening_time(now) - ticket.sent_at)
 
