Test the decisions on duties one by one

Six of twelve single changes to the lease went unnoticed by all tests of the duties: the seeded faults draw the moments that tell them apart rarely, or another mechanism covers them. tests/test_lease_decisions.py fails on each of the six and on two more, and tools/broken_builds.py keeps them; it takes ids of tests as well as names of scenarios, and a check that does not run no longer counts as one that noticed.

No fault was found in the lease itself.

--- a/tools/broken_builds.py
+++ b/tools/broken_builds.py
@@ -1,7 +1,7 @@
-"""Breaks copies of the project on purpose, and sees that a scenario notices.
+"""Breaks copies of the project on purpose, and sees that a check notices.
 
-Each broken build undoes one mechanism. A scenario that still passes on it
-proves nothing of that mechanism.
+Each broken build undoes one mechanism. A scenario or test that still passes on
+it proves nothing of that mechanism.
 """
 
 from concurrent import futures
@@ -13,9 +13,22 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-COPIED = ("martenjunction", "martenjunction_lab", "features", "examples")
+COPIED = (
+    "martenjunction",
+    "martenjunction_lab",
+    "features",
+    "examples",
+    "tests",
+    "pyproject.toml",
+)
 AT_ONCE = 3
 
+# How behave and pytest end where a check failed.
+CHECK_FAILED = 1
+
+LEASE = "martenjunction/decisions/duties/lease.py"
+LEASE_TESTS = "tests/test_lease_decisions.py"
+
 
 @dataclasses.dataclass(frozen=True)
 class BrokenBuild:
@@ -26,7 +39,7 @@
         file: Where.
         old: The text that does it.
         new: What stands there in its place.
-        scenario: The scenario that has to notice.
+        scenario: The scenario that has to notice, or the id of a test.
         also: A second mechanism that has to go as well, since each of the two
             is enough: file, old and new text.
     """
@@ -167,9 +180,97 @@
         "return False",
         "A slow engine that reports no load is found",
     ),
+    BrokenBuild(
+        "a confirmation counts from its answer",
+        LEASE,
+        """        elif self.holds:
+            self._confirmed_at = asked_at
+""",
+        """        elif self.holds:
+            self._confirmed_at = now
+""",
+        f"{LEASE_TESTS}::test_confirmation_counts_from_its_request",
+    ),
+    BrokenBuild(
+        "a write confirms from its answer",
+        LEASE,
+        """            self._heard_at = now
+            self._confirmed_at = asked_at
+""",
+        """            self._heard_at = now
+            self._confirmed_at = now
+""",
+        f"{LEASE_TESTS}::test_own_write_confirms_from_its_request",
+    ),
+    BrokenBuild(
+        "a conflict ends no confirmation",
+        LEASE,
+        """revision last seen.\"\"\"
+        self._confirmed_at = None
+""",
+        """revision last seen.\"\"\"
+""",
+        f"{LEASE_TESTS}::test_conflict_ends_the_confirmation",
+    ),
+    BrokenBuild(
+        "a heartbeat of a later holder ends no tenure",
+        LEASE,
+        "if told.tenure.fence > self._fence and self.holds:",
+        "if False:",
+        f"{LEASE_TESTS}::test_heartbeat_of_a_later_holder_ends_the_tenure",
+    ),
+    BrokenBuild(
+        "a heartbeat of a former holder is taken",
+        LEASE,
+        "if told.tenure.fence < self._fence:",
+        "if False:",
+        f"{LEASE_TESTS}::test_heartbeat_of_a_former_holder_delays_no_takeover",
+    ),
+    BrokenBuild(
+        "a box that gave the duties up stays in its phase",
+        LEASE,
+        "self._phase = Phase.RELEASED",
+        "pass",
+        f"{LEASE_TESTS}::test_box_that_gave_the_duties_up_takes_none",
+    ),
+    BrokenBuild(
+        "a holder goes on without its record",
+        LEASE,
+        """        if found is None:
+            if self.holds:
+                self._follow()
+            return
+""",
+        """        if found is None:
+            return
+""",
+        f"{LEASE_TESTS}::test_record_that_is_gone_ends_the_tenure",
+    ),
+    BrokenBuild(
+        "a new holder waits for no calls",
+        LEASE,
+        "self._acts_from = now + TAKEOVER_WAIT_S",
+        "self._acts_from = now",
+        f"{LEASE_TESTS}::test_new_holder_waits_for_the_calls_of_the_former_one",
+    ),
 )
 
 
+def _copy(name: str, copy: pathlib.Path) -> None:
+    source = ROOT / name
+    if source.is_dir():
+        shutil.copytree(source, copy / name)
+    else:
+        shutil.copy(source, copy / name)
+
+
+def _command(check: str) -> list[str]:
+    """Returns the arguments of `python -m` that run a scenario or a test."""
+    if "::" in check:
+        return ["pytest", "-q", "--no-header", "-p", "no:cacheprovider", check]
+    return ["behave", "--name", check, "--no-color", "--format=progress3"]
+
+
 def _edit(copy: pathlib.Path, name: str, old: str, new: str) -> None:
     file = copy / name
     text = file.read_text(encoding="utf-8")
@@ -179,33 +280,26 @@
 
 
 def notices(build: BrokenBuild) -> bool:
-    """Returns whether the scenario fails on the broken build."""
+    """Returns whether the scenario or test fails on the broken build."""
     with tempfile.TemporaryDirectory() as folder:
         copy = pathlib.Path(folder)
         for name in COPIED:
-            shutil.copytree(ROOT / name, copy / name)
+            _copy(name, copy)
         _edit(copy, build.file, build.old, build.new)
         if build.also is not None:
             _edit(copy, *build.also)
         done = subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "behave",
-                "--name",
-                build.scenario,
-                "--no-color",
-                "--format=progress3",
-            ],
+            [sys.executable, "-m", *_command(build.scenario)],
             cwd=copy,
             check=False,
             capture_output=True,
             text=True,
         )
-    ran = "1 scenario passed" in done.stdout or done.returncode != 0
-    if not ran:
-        raise SystemExit(f"{build.name}: the scenario did not run")
-    return done.returncode != 0
+    passed = "1 scenario passed" in done.stdout or " passed in" in done.stdout
+    failed = done.returncode == CHECK_FAILED
+    if not (passed or failed):
+        raise SystemExit(f"{build.name}: the check did not run")
+    return failed
 
 
 def main() -> int:
