Test that SIGHUP stops a daemon that is still starting

The daemon has taken SIGHUP for a graceful stop since signals are held until their handlers are installed, and no test sent it one: the tests had SIGTERM to both programs and SIGHUP to a box.

--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -139,14 +139,25 @@
     )
 
 
-@pytest.mark.parametrize("start", [start_box, start_daemon])
+@pytest.mark.parametrize(
+    ("start", "number"),
+    [
+        (start_box, signal.SIGTERM),
+        (start_daemon, signal.SIGTERM),
+        (start_daemon, signal.SIGHUP),
+    ],
+)
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_signal_to_stop_before_its_handler_stops_gracefully(
-    start: object, seed: int, fleet: boxes.Boxes, tmp_path: pathlib.Path
+    start: object,
+    number: signal.Signals,
+    seed: int,
+    fleet: boxes.Boxes,
+    tmp_path: pathlib.Path,
 ) -> None:
     program = await start(fleet, tmp_path)  # type: ignore[operator]
     try:
-        await program.send(signal.SIGTERM, seed)
+        await program.send(number, seed)
         assert await program.exit_code(END_LIMIT_S) == 0
     finally:
         await program.discard()
