Sum the loads that go before a request in one place

`tokens_ahead` and `running_at_least` selected the same loads, each with a loop of its own. What they return is the same. The prediction of the wait for a slot names its source.

--- a/martenjunction/decisions/boxes/endpoint_loads.py
+++ b/martenjunction/decisions/boxes/endpoint_loads.py
@@ -105,14 +105,8 @@
             urgency: Urgency of the request that would queue.
             now: The current time.
         """
-        self._expire_peers(now)
-        return self._extrapolate(
-            sum(
-                load.backlog_tokens
-                for key, load in self._total.items()
-                if key.urgency <= urgency
-            )
-        )
+        ahead = self._served_first(urgency, now)
+        return self._extrapolate(sum(load.backlog_tokens for load in ahead))
 
     def running_at_least(self, urgency: int, now: float) -> int:
         """Returns the number of requests that are served first.
@@ -121,14 +115,8 @@
             urgency: Urgency of the request that would queue.
             now: The current time.
         """
-        self._expire_peers(now)
-        return self._extrapolate(
-            sum(
-                load.running
-                for key, load in self._total.items()
-                if key.urgency <= urgency
-            )
-        )
+        ahead = self._served_first(urgency, now)
+        return self._extrapolate(sum(load.running for load in ahead))
 
     def running_below(self, urgency: int, now: float) -> int:
         """Returns the number of requests on routes of a lower tier.
@@ -150,6 +138,13 @@
         self._expire_peers(now)
         return self._extrapolate(self._total_backlog)
 
+    def _served_first(self, urgency: int, now: float) -> list[Load]:
+        """Returns the reported loads that go before a request."""
+        self._expire_peers(now)
+        return [
+            load for key, load in self._total.items() if key.urgency <= urgency
+        ]
+
     def _extrapolate(self, reported: int) -> int:
         """Extrapolates a total of the reporting boxes to all boxes."""
         return round(reported * self.scale)
--- a/martenjunction/decisions/boxes/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -354,7 +354,8 @@
 
         A slot that becomes free goes to the most urgent request that waits, so
         what is as urgent or more, beyond the number of slots, comes first.
-        Slots become free at the rate at which requests that hold them end.
+        Slots become free at the rate at which requests that hold them end, and
+        more urgent ones take their part of it (Cobham, 1954).
 
         Args:
             urgency: The urgency of the request.
