Give the event loop its turn beside peers that never pause

Callers saw: beside one client or endpoint that sends chunks of one byte as fast as the socket takes them, a box answered nobody, not even health checks, for up to 30 s, and no time limit ended the sender.

Cause: a read of data that is ready does not suspend its task, so the loops around reads and the parser ran for as long as bytes came. A time limit that was due beside waiting bytes was extended again and again.

Change: each connection has a budget of bytes and of parsed parts (fair_turns.py). A reader that spent it waits in a queue that all connections share and from which one continues in each iteration of the event loop. A chunked body whose framing outweighs its data by 16 KB ends the request (400) or the answer; so do more than eight interim responses. Time limits beside waiting bytes are extended by 0.04 s once while the reader keeps up. Events are split without searching the same bytes again.

--- a/martenjunction/endpoints/attempt.py
+++ b/martenjunction/endpoints/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from martenjunction import errors
+from martenjunction import fair_turns
 from martenjunction.endpoints import event_stream
 from martenjunction.http1 import client
 from martenjunction.http1 import messages
@@ -17,6 +18,9 @@
 # Maximum size of a response that is buffered completely, in bytes.
 MAX_BUFFERED_BODY_BYTES = 8 * 1024 * 1024
 
+# Maximum number of events that are forwarded in one write.
+MAX_EVENTS_AT_ONCE = 64
+
 
 class Attempt:
     """An attempt to send a request over one connection.
@@ -111,9 +115,10 @@
         """
         splitter = event_stream.EventSplitter()
         async for part in self._read_parts():
-            events = splitter.feed(part)
-            if events:
+            events = splitter.feed(part, MAX_EVENTS_AT_ONCE)
+            while events:
                 yield events
+                events = await self._next_events(splitter, len(events))
         if splitter.partial:
             self.abort()
             raise errors.EndpointBrokenError("stream ended within an event")
@@ -136,6 +141,15 @@
         """Closes the connection, so that the endpoint cancels the request."""
         self._connection.abort()
 
+    async def _next_events(
+        self, splitter: event_stream.EventSplitter, taken: int
+    ) -> list[event_stream.StreamEvent]:
+        """Returns further events of the same part, in a later turn."""
+        if taken < MAX_EVENTS_AT_ONCE:
+            return []
+        await self._connection.pause_after(taken * fair_turns.EVENT_COST)
+        return splitter.feed(b"", MAX_EVENTS_AT_ONCE)
+
     async def _read_parts(self) -> AsyncIterator[bytes]:
         try:
             while part := await self._connection.read_body():
--- a/martenjunction/endpoints/event_stream.py
+++ b/martenjunction/endpoints/event_stream.py
@@ -2,12 +2,16 @@
 
 import dataclasses
 import re
+import sys
 
 from martenjunction import errors
 
 # Maximum size of an event, in bytes.
 MAX_EVENT_BYTES = 1024 * 1024
 
+# Maximum size of the line ends that separate events, in bytes.
+_SEPARATOR_BYTES = 4
+
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
@@ -29,29 +33,48 @@
     """Buffers bytes until an event is complete."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        # Position up to which the buffer holds no blank line.
+        self._searched = 0
 
     @property
     def partial(self) -> bool:
         """Whether bytes of an incomplete event are buffered."""
         return bool(self._buffer.strip(b"\r\n"))
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
+    def feed(
+        self, data: bytes, max_events: int = sys.maxsize
+    ) -> list[StreamEvent]:
         """Adds received bytes; returns the events that are now complete.
 
+        Args:
+            data: The bytes; may be empty.
+            max_events: Maximum number of events to return. If it returns so
+                many, more may be complete; feed it empty bytes to get them.
+
         Raises:
             EndpointBrokenError: If an event exceeds the maximum size.
         """
-        rest = self._buffer + data
-        events = []
+        self._buffer += data
+        events: list[StreamEvent] = []
         start = 0
-        for match in _BLANK_LINE.finditer(rest):
-            piece = rest[start : match.end()]
+        while len(events) < max_events:
+            match = _BLANK_LINE.search(self._buffer, max(start, self._searched))
+            if match is None:
+                break
+            events.append(_event(bytes(self._buffer[start : match.end()])))
             start = match.end()
-            found = _ID.search(piece)
-            name = found.group(1).decode("latin-1") if found else None
-            events.append(StreamEvent(piece, name))
-        self._buffer = rest[start:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise errors.EndpointBrokenError("event too large")
+            self._searched = start
+        del self._buffer[:start]
+        self._searched = 0
+        if len(events) < max_events:
+            self._searched = max(0, len(self._buffer) - _SEPARATOR_BYTES + 1)
+            if len(self._buffer) > MAX_EVENT_BYTES:
+                raise errors.EndpointBrokenError("event too large")
         return events
+
+
+def _event(data: bytes) -> StreamEvent:
+    found = _ID.search(data)
+    name = found.group(1).decode("latin-1") if found else None
+    return StreamEvent(data, name)
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -17,6 +17,8 @@
 from tornado import iostream
 
 from martenjunction import errors
+from martenjunction import fair_turns
+from martenjunction.http1 import framing
 from martenjunction.http1 import messages
 from martenjunction.http1 import peeks
 from martenjunction.http1 import streams
@@ -24,10 +26,16 @@
 # Maximum size of a response head, in bytes.
 MAX_HEAD_BYTES = 64 * 1024
 
+# Maximum number of interim responses before a final one.
+MAX_INTERIM_RESPONSES = 8
+
 # Seconds after a timeout in which data that had already arrived may still be
 # read: a few iterations of the event loop after it was blocked.
 READY_GRACE_S = 0.1
 
+# The same while the reader keeps up with a server that never pauses.
+READING_GRACE_S = 0.04
+
 # Value of SO_LINGER by which closing a socket resets it (socket(7)).
 _NO_LINGER = struct.pack("ii", 1, 0)
 
@@ -60,6 +68,7 @@
         )
         self._request: h11.Request | None = None
         self._head: messages.ResponseHead | None = None
+        self._chunked: framing.ChunkedBody | None = None
         self._closed = False
         self._idle_since = 0.0
         self._sent_at = 0.0
@@ -120,6 +129,18 @@
             return True
         return peeks.peek(self._stream.socket) is not peeks.PendingInput.NOTHING
 
+    @property
+    def grace_s(self) -> float:
+        """Seconds for which a timeout that is due waits for a ready response.
+
+        It is 0 if no data and no end of the connection is pending.
+        """
+        if self._source is None or not self.readable:
+            return 0.0
+        if self._source.keeps_up and self._source.bytes_waiting:
+            return READING_GRACE_S
+        return READY_GRACE_S
+
     def is_quiet(self) -> bool:
         """Returns whether it is reusable and its socket has nothing pending."""
         return self.is_reusable() and not self.readable
@@ -141,8 +162,7 @@
         async with asyncio.timeout(None) as deadline:
 
             def expire() -> None:
-                grace_s = READY_GRACE_S if self.readable else 0.0
-                deadline.reschedule(loop.time() + grace_s)
+                deadline.reschedule(loop.time() + self.grace_s)
 
             timer = loop.call_later(timeout_s, expire)
             try:
@@ -202,17 +222,15 @@
             ConnectionLostError: If the connection is closed before it.
             HttpSyntaxError: If the data is not a valid response.
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                self._head = _parse_head(event)
-                self._head.sent_at = self._sent_at
-                self._on_head(self._head)
-                return self._head
+                return self._take_head(event)
             if isinstance(event, h11.ConnectionClosed):
                 raise errors.ConnectionLostError("closed before a response")
             if not isinstance(event, h11.InformationalResponse):
                 raise errors.HttpSyntaxError("expected a response head")
+        raise errors.HttpSyntaxError("too many interim responses")
 
     async def read_body(self) -> bytes:
         """Returns the next part of the body, or empty bytes at its end.
@@ -228,6 +246,16 @@
             return b""
         raise errors.ConnectionLostError("closed within a response")
 
+    async def pause_after(self, cost: int) -> None:
+        """Counts further work on a response; pauses if it took the turn.
+
+        Args:
+            cost: The work, as a number of bytes that are read.
+        """
+        if self._source is not None:
+            self._source.turns.spend(cost)
+            await self._source.turns.pause_if_spent()
+
     def expect_another_response(self) -> None:
         """Prepares to read one more response to the request that was sent.
 
@@ -317,20 +345,40 @@
             )
         self.abort()
 
+    def _take_head(self, event: h11.Response) -> messages.ResponseHead:
+        head = _parse_head(event)
+        head.sent_at = self._sent_at
+        self._head = head
+        self._chunked = None
+        if head.get(b"transfer-encoding") is not None:
+            rest = len(self._parser.trailing_data[0])
+            self._chunked = framing.ChunkedBody(rest)
+        self._on_head(head)
+        return head
+
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         if self._source is None:
             raise errors.ConnectionLostError("not connected")
+        turns = self._source.turns
         while True:
+            await turns.pause_if_spent()
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
                 raise errors.HttpSyntaxError(str(error)) from error
             if event is not h11.NEED_DATA:
+                self._count(event)
                 return event  # type: ignore[return-value]
+            if self._chunked is not None and self._chunked.is_excessive:
+                raise errors.HttpSyntaxError(
+                    "the framing of a body outweighs its data"
+                )
             try:
                 data = await self._source.read()
             except OSError as error:
                 raise errors.ConnectionLostError(str(error)) from error
+            if self._chunked is not None:
+                self._chunked.note_received(len(data))
             try:
                 self._parser.receive_data(data)
             except RuntimeError as error:
@@ -338,6 +386,16 @@
                     "data after the end of the connection"
                 ) from error
 
+    def _count(self, event: object) -> None:
+        """Counts the cost and the data of a part of a response."""
+        assert self._source is not None
+        if not isinstance(event, h11.Data):
+            self._source.turns.spend(fair_turns.HEAD_COST)
+            return
+        self._source.turns.spend(fair_turns.PART_COST)
+        if self._chunked is not None:
+            self._chunked.note_data(len(event.data))
+
 
 def _parse_head(event: h11.Response) -> messages.ResponseHead:
     headers = [(bytes(n), bytes(v)) for n, v in event.headers.raw_items()]
--- a/martenjunction/http1/close_reports.py
+++ b/martenjunction/http1/close_reports.py
@@ -16,6 +16,7 @@
     STOPPED = "stop"
     ANSWER_BROKEN = "answer-broken"
     LAST_ANSWER = "last-answer"
+    FRAMING = "excess-framing"
     REFUSED = "request-refused"
     FAILED = "internal-error"
     CLIENT = "client"
--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -1,8 +1,47 @@
-"""Checks that the framing of a request is unambiguous."""
+"""Checks that framing is unambiguous, and bounds that of chunked bodies."""
 
 from martenjunction.http1 import messages
 from martenjunction.http1 import request_errors
 
+# Bytes by which the framing of a chunked body may outweigh its data.
+MAX_EXCESS_BYTES = 16 * 1024
+
+
+class ChunkedBody:
+    """Compares the framing of a chunked body with its data.
+
+    Tiny chunks and chunk extensions cost processor time without bringing data,
+    and a limit of the body's size does not count them.
+    """
+
+    def __init__(self, received: int) -> None:
+        """Initializes a body.
+
+        Args:
+            received: Bytes of it that were received together with its head.
+        """
+        self._received = received
+        self._data = 0
+
+    @property
+    def received(self) -> int:
+        """Bytes received, including the framing."""
+        return self._received
+
+    @property
+    def is_excessive(self) -> bool:
+        """Whether the framing outweighs the data; all is to be parsed first."""
+        framing = self._received - self._data
+        return framing > self._data + MAX_EXCESS_BYTES
+
+    def note_received(self, size: int) -> None:
+        """Counts bytes that were received."""
+        self._received += size
+
+    def note_data(self, size: int) -> None:
+        """Counts bytes of data that were parsed."""
+        self._data += size
+
 
 def check(request: messages.Request, max_body_bytes: int) -> int | None:
     """Rejects framing that two parsers could interpret differently.
--- a/martenjunction/http1/request_errors.py
+++ b/martenjunction/http1/request_errors.py
@@ -1,6 +1,7 @@
 """Errors for requests that a server does not pass to its handler."""
 
 from martenjunction import errors
+from martenjunction.http1 import close_reports
 from martenjunction.http1 import messages
 
 
@@ -9,10 +10,17 @@
 
     Attributes:
         status: HTTP status of the response.
+        reason: Why the connection is closed after it.
     """
 
-    def __init__(self, status: int, message: str) -> None:
+    def __init__(
+        self,
+        status: int,
+        message: str,
+        reason: close_reports.CloseReason = close_reports.CloseReason.REFUSED,
+    ) -> None:
         self.status = status
+        self.reason = reason
         super().__init__(message)
 
 
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -144,7 +144,7 @@
             except request_errors.RequestSyntaxError as error:
                 logger.info("%s: request rejected: %s", self._name, error)
                 await connection.answer(error.status, [], b"", close=True)
-                return close_reports.CloseReason.REFUSED
+                return error.reason
             if request is None:
                 return close_reports.CloseReason.CLIENT
             try:
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -11,6 +11,7 @@
 from tornado import iostream
 
 from martenjunction import errors
+from martenjunction import fair_turns
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import connection_state
@@ -26,6 +27,9 @@
 # enough for the reader to consume them.
 TIMEOUT_EXTENSION_S = 0.1
 
+# The same, once, while the reader keeps up with a client that never pauses.
+READING_EXTENSION_S = 0.04
+
 # Seconds within which a partly received request must be complete once its
 # connection is shutting down: an incomplete body would delay the shutdown until
 # its deadline.
@@ -137,8 +141,11 @@
             self._write_event(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
+        chunked = None
+        if length is None:
+            chunked = framing.ChunkedBody(len(self._parser.trailing_data[0]))
         try:
-            request.body = await self._read_body(request)
+            request.body = await self._read_body(request, chunked)
             self._accept_request(request)
         except BaseException:
             self.release(request)
@@ -257,9 +264,12 @@
             self._set_timer(
                 limits.idle_timeout_s, close_reports.CloseReason.IDLE
             )
+        turns = self._source.turns
         while True:
+            await turns.pause_if_spent()
             event = self._next_event()
             if isinstance(event, h11.Request):
+                turns.spend(fair_turns.HEAD_COST)
                 self._set_timer(None)
                 return event
             if event is not h11.NEED_DATA:
@@ -296,13 +306,20 @@
             self._gate.release(request.reserved - size)
             request.reserved = size
 
-    async def _read_body(self, request: messages.Request) -> messages.Body:
+    async def _read_body(
+        self, request: messages.Request, chunked: framing.ChunkedBody | None
+    ) -> messages.Body:
         body = bytearray()
         size = 0
+        turns = self._source.turns
         while True:
+            await turns.pause_if_spent()
             event = self._next_event()
             if isinstance(event, h11.Data):
+                turns.spend(fair_turns.PART_COST)
                 size += len(event.data)
+                if chunked is not None:
+                    chunked.note_data(len(event.data))
                 if not request.discarded:
                     body += event.data
                 if size > self._limits().max_body_bytes:
@@ -316,7 +333,16 @@
                 self._set_timer(
                     BODY_TIMEOUT_S, close_reports.CloseReason.SLOW_BODY
                 )
-                self._parser.receive_data(await self._source.read())
+                if chunked is not None and chunked.is_excessive:
+                    raise request_errors.RequestSyntaxError(
+                        400,
+                        "the framing of a body outweighs its data",
+                        close_reports.CloseReason.FRAMING,
+                    )
+                data = await self._source.read()
+                if chunked is not None:
+                    chunked.note_received(len(data))
+                self._parser.receive_data(data)
             else:
                 raise errors.ConnectionLostError("closed within a request body")
 
@@ -372,6 +398,7 @@
         self,
         seconds: float | None,
         reason: close_reports.CloseReason = close_reports.CloseReason.IDLE,
+        final: bool = False,
     ) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -381,15 +408,23 @@
             if self._shutting_down:
                 seconds = min(seconds, SHUTDOWN_READ_TIMEOUT_S)
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(seconds, self._on_timeout, reason)
+            self._timer = loop.call_later(
+                seconds, self._on_timeout, reason, final
+            )
 
-    def _on_timeout(self, reason: close_reports.CloseReason) -> None:
+    def _on_timeout(
+        self, reason: close_reports.CloseReason, final: bool
+    ) -> None:
         """Closes the connection unless the awaited bytes have arrived."""
-        if self._source.bytes_waiting:
+        keeps_up = self._state is _State.READING and self._source.keeps_up
+        if self._source.bytes_waiting and not (final and keeps_up):
             # After the event loop was blocked, the timeout expires in the same
             # iteration that reads the bytes: the request would be passed on
             # and its connection closed without a response.
-            self._set_timer(TIMEOUT_EXTENSION_S, reason)
+            extension_s = (
+                READING_EXTENSION_S if keeps_up else TIMEOUT_EXTENSION_S
+            )
+            self._set_timer(extension_s, reason, final=keeps_up)
             return
         left = self._remaining_idle_s()
         if reason is close_reports.CloseReason.IDLE and left > 0.0:
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+import math
 import socket
+import time
 from typing import Any
 from typing import cast
 
@@ -11,6 +13,7 @@
 
 from martenjunction import addresses
 from martenjunction import errors
+from martenjunction import fair_turns
 from martenjunction.http1 import messages
 from martenjunction.http1 import peeks
 
@@ -34,6 +37,10 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
 
+# Seconds since the last read within which a reader is taken to keep up with
+# its peer.
+READ_LAG_S = 0.02
+
 
 def set_socket_options(sock: socket.socket) -> None:
     """Sets socket options that detect an unreachable peer in seconds."""
@@ -158,6 +165,13 @@
         self._pending: asyncio.Future[bytes] | None = None
         self._end_callback: Callable[[], None] | None = None
         self._aborted = False
+        self._last_read_at = -math.inf
+        self._turns = fair_turns.TurnBudget()
+
+    @property
+    def turns(self) -> fair_turns.TurnBudget:
+        """The connection's share of the event loop."""
+        return self._turns
 
     @property
     def has_pending_result(self) -> bool:
@@ -174,6 +188,15 @@
             return False
         return peeks.peek(self._stream.socket) is peeks.PendingInput.BYTES
 
+    @property
+    def keeps_up(self) -> bool:
+        """Whether the reader has just read.
+
+        What waits is then no sign that the event loop was blocked: the peer may
+        send without a pause, and time limits have to end that.
+        """
+        return time.monotonic() - self._last_read_at <= READ_LAG_S
+
     def prefetch(self) -> None:
         """Starts the next read without waiting for it."""
         if self._pending is not None:
@@ -221,9 +244,12 @@
         Raises:
             ConnectionLostError: If the connection was reset or aborted.
         """
+        await self._turns.pause_if_spent()
         self.prefetch()
         pending = self._pending
         assert pending is not None
+        if not pending.done():
+            self._turns.renew()
         try:
             data = await asyncio.shield(pending)
         except iostream.StreamClosedError as error:
@@ -235,6 +261,8 @@
         if self._aborted:
             # Data that arrived before the abort is discarded.
             raise errors.ConnectionLostError("aborted")
+        self._last_read_at = time.monotonic()
+        self._turns.spend(fair_turns.PART_COST + len(data))
         return data
 
     def abort(self) -> None:
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -91,6 +91,13 @@
         """Whether bytes from the endpoint are waiting to be read."""
         return self._running is not None and self._running.connection.readable
 
+    @property
+    def grace_s(self) -> float:
+        """Seconds to wait for what the endpoint has already sent, or 0."""
+        if self._running is None:
+            return 0.0
+        return self._running.connection.grace_s
+
     def move(self) -> None:
         """Aborts the current run, so that another endpoint may be tried.
 
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -9,7 +9,6 @@
 from martenjunction import model
 from martenjunction.decisions import outcomes
 from martenjunction.decisions.boxes import endpoint_records
-from martenjunction.http1 import client
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import messages
 from martenjunction.http1 import server_connection
@@ -118,14 +117,14 @@
         client disconnected: after a stall of the event loop, the complete
         response may be waiting.
         """
-        runs = self._runs
-        if ending is Ending.CLIENT_LEFT or runs is None or not runs.readable:
+        grace_s = 0.0 if self._runs is None else self._runs.grace_s
+        if ending is Ending.CLIENT_LEFT or not grace_s:
             self._end(ending)
             return
         if self._timer is not None:
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(
-            client.READY_GRACE_S, self._end, ending
+            grace_s, self._end, ending
         )
 
     async def run(self) -> None:
