Leave a trace of a box whose process ends by itself

Cause: a process that is killed for its memory, or by a fatal signal, writes no line, and no metric told which connections kept the event loop busy.

Change: peers write box-ended (heard at a later start without a leave) and, in a full mesh, box-link-lost, with what the box told last; a fatal signal prints the stacks; memory-high tells of resident memory near the limit; connection-closed tells the bytes received; /metrics has turn_waits, turn_longest_wait_s and excess_framing by side (client). Resident memory is not in heartbeats: their format is fixed by the protocol's version, and peers of another version would refuse it.

--- a/martenjunction/cmd/box_daemon.py
+++ b/martenjunction/cmd/box_daemon.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import faulthandler
 import logging
 import os
 import signal
@@ -51,7 +52,11 @@
 
 
 def run() -> int:
-    """Runs the daemon; returns the exit code."""
+    """Runs the daemon; returns the exit code.
+
+    A fatal signal prints the stacks of all threads to standard error.
+    """
+    faulthandler.enable()
     process_memory.return_large_blocks()
     path = os.environ.get(box_settings.SETTINGS_VARIABLE, "")
     try:
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -10,6 +10,7 @@
 from urllib import parse
 
 from martenjunction import events
+from martenjunction import fair_turns
 from martenjunction import metrics
 from martenjunction import timers
 from martenjunction.decisions.boxes import box_states
@@ -39,6 +40,7 @@
 from martenjunction.routing.endpoints import endpoint_connector
 from martenjunction.routing.endpoints import endpoint_liveness
 from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.fleet import box_ends
 from martenjunction.routing.fleet import box_state_sync
 from martenjunction.routing.fleet import fleet_overlay
 from martenjunction.routing.limits import body_admission
@@ -125,6 +127,7 @@
         self.metrics = metrics.Metrics()
         self.log = decision_log.DecisionLog(self.timers.now)
         self._leaving_since: float | None = None
+        self._stopping = False
         self._max_member_count = 1
         self._dial_scheduled = False
         self._exchanges: set[exchange.Exchange] = set()
@@ -251,6 +254,14 @@
             self.overlay,
             stamps,
         )
+        self.box_ends = box_ends.BoxEnds(
+            self.members,
+            self.overlay,
+            self.sync.last_heard,
+            lambda: self.leaving or self._stopping,
+            self.timers,
+            self.log,
+        )
         self.reachable = reachable_boxes.ReachableBoxes(
             self.members,
             self.overlay,
@@ -382,6 +393,7 @@
             self.tunnels.listen_on(self._settings.tunnels)
         self.sync.start()
         self.box_states.start(self.events)
+        self.box_ends.start(self.events)
         self.load_exchange.start(self.events)
         self.outcomes.start()
         self.quarantine.start()
@@ -457,6 +469,7 @@
 
     async def stop(self) -> None:
         """Stops at once; in-flight requests get a final response first."""
+        self._stopping = True
         servers = (self._callers, self._ready, self._entry, self._operator)
         for listening in servers:
             listening.finish()
@@ -528,7 +541,11 @@
         gate: body_gate.BodyGate | None = None,
     ) -> server.Server:
         return server.Server(
-            name, handler, limits, closing_log.ClosingLog(self.log), gate
+            name,
+            handler,
+            limits,
+            closing_log.ClosingLog(self.log, self.metrics),
+            gate,
         )
 
     # Handlers for requests from callers, the platform and operators.
@@ -597,6 +614,7 @@
         from martenjunction import metrics_text
 
         calls = self.store.calls
+        turns = fair_turns.current_queue()
         now = self.timers.now()
         return metrics_text.render(
             self.metrics,
@@ -635,6 +653,8 @@
                 "store_returns": float(self.store_cache.store_returns),
                 "entries_unreadable": float(self.store_cache.unreadable),
                 "loop_delay_s": self.timers.worst_delay,
+                "turn_waits": float(turns.waits),
+                "turn_longest_wait_s": turns.longest_wait_s,
                 **self.bodies.gauges(),
                 **self.duties.counters(),
             },
--- a/martenjunction/http1/close_reports.py
+++ b/martenjunction/http1/close_reports.py
@@ -34,6 +34,7 @@
         answered: Number of requests that got a complete response on it.
         in_flight: Whether an accepted request has no complete response.
         bytes_waiting: Whether received bytes of a request are unread.
+        received: Bytes that were read from it.
         request: A request that was read completely only after the connection
             was closed, or None.
     """
@@ -45,6 +46,7 @@
     answered: int
     in_flight: bool
     bytes_waiting: bool
+    received: int = 0
     request: messages.Request | None = None
 
 
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -79,6 +79,7 @@
         self._shutting_down = False
         self._unanswered = False
         self._response_count = 0
+        self._received = 0
         self._idle_since = time.monotonic()
         self._peer = streams.peer_address(stream)
         self._report: close_reports.ClosedConnection | None = None
@@ -278,6 +279,7 @@
                 data = await self._source.read()
             except errors.ConnectionLostError:
                 return None
+            self._received += len(data)
             if data and self._state is _State.RESTING:
                 self._transition(_Event.BYTES_CAME)
                 self._set_timer(
@@ -340,6 +342,7 @@
                         close_reports.CloseReason.FRAMING,
                     )
                 data = await self._source.read()
+                self._received += len(data)
                 if chunked is not None:
                     chunked.note_received(len(data))
                 self._parser.receive_data(data)
@@ -475,4 +478,5 @@
             self._response_count,
             self._unanswered,
             self._source.bytes_waiting,
+            self._received,
         )
--- a/martenjunction/peers/membership.py
+++ b/martenjunction/peers/membership.py
@@ -62,6 +62,9 @@
     tunnels: str = ""
 
 
+OnEnded = Callable[[Member, int], None]
+
+
 class Membership:
     """A daemon's view of the fleet.
 
@@ -87,6 +90,7 @@
         self._members = {own.box: own}
         self._live: list[Member] | None = None
         self._live_at = 0.0
+        self._on_ended: OnEnded = lambda ended, incarnation: None
 
     @property
     def own(self) -> Member:
@@ -103,6 +107,16 @@
         """Whether the fleet is small enough for a full mesh."""
         return len(self.live_snapshot()) <= MAX_FULL_MESH_SIZE
 
+    def on_ended(self, callback: OnEnded) -> None:
+        """Sets the callback for daemons that ended by themselves.
+
+        Args:
+            callback: Called with a daemon that is heard of at a later start
+                without having announced that it leaves, as it was last known,
+                and with its new incarnation.
+        """
+        self._on_ended = callback
+
     def live_members(self) -> list[Member]:
         """Returns the daemons that count as live and are not leaving."""
         return list(self.live_snapshot())
@@ -189,6 +203,7 @@
             return
         known = self._members.get(member.box)
         if known is None or member.incarnation > known.incarnation:
+            self._note_restart(known, member)
             member.listed = known.listed if known is not None else False
             member.listed_since = self._timers.stall_adjusted_now()
             self._members[member.box] = known = member
@@ -212,6 +227,7 @@
         """Records a daemon that completed a handshake."""
         known = self._members.get(member.box)
         if known is None or member.incarnation > known.incarnation:
+            self._note_restart(known, member)
             member.listed = known.listed if known is not None else False
             self._members[member.box] = member
         current = self._members[member.box]
@@ -264,6 +280,13 @@
             and now - _last_sign(member) > seconds
         ]
 
+    def _note_restart(self, known: Member | None, started: Member) -> None:
+        """Reports a daemon that starts again and did not leave before."""
+        if known is None or not known.incarnation:
+            return
+        if known.leaving_since is None:
+            self._on_ended(known, started.incarnation)
+
     def _is_monitored(self, member: Member, is_full_mesh: bool) -> bool:
         return is_full_mesh or member.zone == self._own.zone
 
--- a/martenjunction/routing/fleet/peer_views.py
+++ b/martenjunction/routing/fleet/peer_views.py
@@ -89,6 +89,10 @@
         known = self._views.get(box)
         return 0 if known is None else known.stamp.version
 
+    def last_heard(self, box: str) -> PeerView | None:
+        """Returns what a box last said, however long ago, or None."""
+        return self._views.get(box)
+
     def newest_version(self) -> int:
         """Returns the newest version that any box lately reported, or 0."""
         return max(
--- a/martenjunction/routing/limits/body_admission.py
+++ b/martenjunction/routing/limits/body_admission.py
@@ -20,6 +20,11 @@
 MAX_WAIT_S = 1.0
 MAX_WAIT_FRACTION = 0.4
 
+# Parts of the limit at which the resident memory is logged, and the part by
+# which it has to fall below one before that one is logged again.
+LOGGED_FRACTIONS = (0.7, 0.8, 0.9, 0.95)
+LOGGED_FALL = 0.05
+
 # Tier of a request whose route is not known.
 LOWEST_TIER = 1_000
 
@@ -49,7 +54,9 @@
         self._timers = clock
         self._metrics = counters
         self._log = log
+        self._limit = limit_bytes
         self._logged = self._budget.state
+        self._logged_levels = 0
         self._grants: dict[memory_budget.WaitingBody, asyncio.Future[bool]] = {}
 
     def start(self) -> None:
@@ -138,6 +145,25 @@
         if resident:
             self._budget.note_resident(resident)
             self._grant()
+            self._log_resident(resident)
+
+    def _log_resident(self, resident: int) -> None:
+        """Logs resident memory that comes near the limit.
+
+        The process may be killed at the limit, which leaves no line.
+        """
+        used = resident / self._limit
+        passed = sum(used >= level for level in LOGGED_FRACTIONS)
+        kept = sum(used >= level - LOGGED_FALL for level in LOGGED_FRACTIONS)
+        if passed > self._logged_levels:
+            self._log.write(
+                "memory-high",
+                resident=resident,
+                limit=self._limit,
+                held=self._budget.held,
+                waiting=self._budget.waiting,
+            )
+        self._logged_levels = max(passed, min(self._logged_levels, kept))
 
     def _log_state(self) -> None:
         if self._budget.state is self._logged:
--- a/martenjunction/routing/log/closing_log.py
+++ b/martenjunction/routing/log/closing_log.py
@@ -1,5 +1,6 @@
 """Logs client connections that were closed abnormally."""
 
+from martenjunction import metrics
 from martenjunction.http1 import close_reports
 from martenjunction.platform import headers
 from martenjunction.routing.log import decision_log
@@ -8,13 +9,17 @@
 class ClosingLog:
     """Writes a log line for each connection closed abnormally."""
 
-    def __init__(self, log: decision_log.DecisionLog) -> None:
+    def __init__(
+        self, log: decision_log.DecisionLog, counters: metrics.Metrics
+    ) -> None:
         """Initializes the writer.
 
         Args:
             log: Receives the lines.
+            counters: Counts connections ended for excessive framing.
         """
         self._log = log
+        self._metrics = counters
 
     def __call__(self, closed: close_reports.ClosedConnection) -> None:
         """Logs a closed connection, or a request received after the close."""
@@ -26,7 +31,10 @@
             "answered": closed.answered,
             "under_way": closed.in_flight,
             "bytes_waiting": closed.bytes_waiting,
+            "received": closed.received,
         }
+        if closed.reason is close_reports.CloseReason.FRAMING:
+            self._metrics.count("excess_framing", side="client")
         if closed.request is None:
             self._log.write("connection-closed", **fields)
             return
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -185,6 +185,10 @@
             if self._views.is_ready(member.box)
         ]
 
+    def last_heard(self, box: str) -> peer_views.PeerView | None:
+        """Returns what a box last said, however long ago, or None."""
+        return self._views.last_heard(box)
+
     def reaches_endpoints(self, box: str) -> bool:
         """Returns whether a ready box lately said that it reaches endpoints."""
         return self._views.reaches_endpoints(box)
