Add an event loop in simulated time for trials of fleets

Cause: trials share one loop of real time, which is late beside load, so that their verdict is the machine's.

Change: martenjunction_lab/simulated/loop.py runs real code and real loopback sockets; the time moves only when nothing is ready, no socket is readable and no thread works. time.monotonic and time.time follow it while it runs. The timer service looks time.monotonic up when it is made. A marker, simulated_time, puts a test on that loop.

--- a/martenjunction/timers.py
+++ b/martenjunction/timers.py
@@ -46,13 +46,14 @@
 
     RESOLUTION = 0.01
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, clock: Callable[[], float] | None = None) -> None:
         """Initializes the service.
 
         Args:
-            clock: Returns seconds on a monotonic clock.
+            clock: Returns seconds on a monotonic clock; `time.monotonic` if
+                left out.
         """
-        self._clock = clock
+        self._clock = clock or time.monotonic
         self._subscriptions: list[Subscription] = []
         self._task: asyncio.Task[None] | None = None
         self._worst_delay = 0.0
--- /dev/null
+++ b/martenjunction_lab/simulated/__init__.py
@@ -0,0 +1,1 @@
+"""Trials in simulated time."""
--- /dev/null
+++ b/martenjunction_lab/simulated/loop.py
@@ -0,0 +1,193 @@
+"""An event loop in simulated time, with real code and real loopback sockets.
+
+The time moves only when no callback is ready, no socket has anything to read
+or room that somebody waits for, and no thread works for the loop. It then jumps
+to the next timer. Processor time takes no simulated time, so the outcome of a
+trial does not depend on what else the machine does.
+
+What the kernel or a C library times for itself stays in real time: TCP's own
+timers and the timeouts inside libcurl. Nagle's algorithm, which holds data back
+until such a timer ends, is switched off on all sockets of the loop.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+import math
+import select
+import selectors
+import socket
+import time
+from typing import Any
+from typing import TypeVar
+from unittest import mock
+
+T = TypeVar("T")
+
+# Simulated time at which a loop begins, in seconds. Far from 0, which code may
+# take for "never".
+START_S = 10_000.0
+
+# The time advances by multiples of this many seconds, as that of a loop that
+# waits with epoll does.
+RESOLUTION_S = 0.001
+
+# Real waits for sockets before the time moves, and their length in seconds. The
+# kernel may deliver what was sent over loopback a little later.
+SETTLING_POLLS = 2
+SETTLING_S = 0.0002
+
+# The longest real wait, in seconds, for a thread or a process while no timer is
+# set, and the interval of looks at threads.
+MAX_REAL_WAIT_S = 10.0
+THREAD_POLL_S = 0.01
+
+# Iterations without a jump after which the loop counts as caught in a cycle.
+MAX_ITERATIONS = 500_000
+
+
+class StuckError(RuntimeError):
+    """Simulated time can't advance any more."""
+
+
+class _Clock(selectors.DefaultSelector):
+    """Advances the time in place of waiting for a timer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = START_S
+        self.jobs = 0
+        self.jumps = 0
+        self._iterations = 0
+        self._real_wait_s = 0.0
+        self._ignored = 0
+
+    def ignore(self) -> None:
+        """Counts what is registered now as nothing to wait for."""
+        self._ignored = len(self.get_map())
+
+    def register(
+        self, fileobj: Any, events: int, data: Any = None
+    ) -> selectors.SelectorKey:
+        key = super().register(fileobj, events, data)
+        _send_at_once(key.fd)
+        return key
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        self._iterations += 1
+        if self._iterations > MAX_ITERATIONS:
+            raise StuckError(f"always something to do at {self.now}")
+        if timeout is not None and timeout <= 0.0:
+            return super().select(0)
+        if events := self._settled():
+            self._real_wait_s = 0.0
+            return events
+        if self.jobs or timeout is None:
+            return self._wait_in_real_time()
+        self._real_wait_s = 0.0
+        self._jump(timeout)
+        return []
+
+    def _settled(self) -> list[tuple[selectors.SelectorKey, int]]:
+        """Returns what is ready on sockets, after short real waits."""
+        events = super().select(0)
+        if events or len(self.get_map()) <= self._ignored:
+            return events
+        for _ in range(SETTLING_POLLS):
+            # `select` of this class rounds up to milliseconds.
+            select.select([self.fileno()], [], [], SETTLING_S)
+            if events := super().select(0):
+                return events
+        return []
+
+    def _wait_in_real_time(self) -> list[tuple[selectors.SelectorKey, int]]:
+        if not self.jobs and self._real_wait_s >= MAX_REAL_WAIT_S:
+            raise StuckError(f"nothing would ever happen after {self.now}")
+        self._real_wait_s += THREAD_POLL_S
+        return super().select(THREAD_POLL_S)
+
+    def _jump(self, timeout: float) -> None:
+        """Goes to the first multiple of the resolution not before a timer."""
+        steps = math.ceil((self.now + timeout) / RESOLUTION_S - 1e-6)
+        self.now = max(self.now, steps * RESOLUTION_S)
+        self.jumps += 1
+        self._iterations = 0
+
+
+class SimulatedLoop(asyncio.SelectorEventLoop):
+    """Runs tasks as fast as it can; sleeping takes no time.
+
+    While it runs, `time.monotonic` and `time.time` give its time.
+    """
+
+    def __init__(self) -> None:
+        """Makes a loop at time `START_S`."""
+        self._clock = _Clock()
+        self._started_at = time.time()
+        super().__init__(self._clock)
+        self._clock.ignore()
+
+    @property
+    def jumps(self) -> int:
+        """How often the time advanced."""
+        return self._clock.jumps
+
+    def time(self) -> float:
+        """Returns the simulated time in seconds."""
+        return self._clock.now
+
+    def wall_time(self) -> float:
+        """Returns the simulated Unix time in seconds."""
+        return self._started_at + self._clock.now - START_S
+
+    def hold_up(self, seconds: float) -> None:
+        """Lets time pass in which the loop does nothing, as a stall does."""
+        self._clock.now += seconds
+
+    def run_forever(self) -> None:
+        """Runs until it is stopped; the clocks of `time` follow it."""
+        with (
+            mock.patch.object(time, "monotonic", self.time),
+            mock.patch.object(time, "time", self.wall_time),
+        ):
+            super().run_forever()
+
+    def run_in_executor(  # type: ignore[override]
+        self, executor: Any, func: Any, *args: Any
+    ) -> asyncio.Future[Any]:
+        """Runs a function in a thread; the time stands still until it ends."""
+        future = super().run_in_executor(executor, func, *args)
+        self._clock.jobs += 1
+        future.add_done_callback(self._end_job)
+        return future
+
+    async def shutdown_default_executor(self) -> None:
+        """Ends the threads; the time stands still meanwhile."""
+        self._clock.jobs += 1
+        try:
+            await super().shutdown_default_executor()
+        finally:
+            self._clock.jobs -= 1
+
+    def _end_job(self, _: asyncio.Future[Any]) -> None:
+        self._clock.jobs -= 1
+
+
+def run(main: Coroutine[Any, Any, T]) -> T:
+    """Runs a coroutine in simulated time, and ends what it leaves running."""
+    with asyncio.Runner(loop_factory=SimulatedLoop) as runner:
+        return runner.run(main)
+
+
+def _send_at_once(descriptor: int) -> None:
+    """Switches Nagle's algorithm off where a descriptor is a TCP socket."""
+    sock = socket.socket(fileno=descriptor)
+    try:
+        if sock.type == socket.SOCK_STREAM and sock.family in _TCP_FAMILIES:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    finally:
+        sock.detach()
+
+
+_TCP_FAMILIES = (socket.AF_INET, socket.AF_INET6)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,8 @@
 """Fixtures that several test modules use."""
 
+import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Iterator
 
 # Imported before any test runs. Otherwise its pytest plugin imports it in the
@@ -12,12 +14,27 @@
 from martenjunction.endpoints import client
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
+from martenjunction_lab.simulated import loop as simulated_loop
 from tests import raw_peers
 from tests import routing_builders as builders
 
 MAX_TRANSFERS = 16
 
 
+def pytest_configure(config: pytest.Config) -> None:
+    config.addinivalue_line(
+        "markers", "simulated_time: runs on a loop in simulated time"
+    )
+
+
+def pytest_asyncio_loop_factories(
+    config: pytest.Config, item: pytest.Item
+) -> dict[str, Callable[[], asyncio.AbstractEventLoop]]:
+    if item.get_closest_marker("simulated_time") is not None:
+        return {"simulated": simulated_loop.SimulatedLoop}
+    return {"real": asyncio.new_event_loop}
+
+
 @pytest.fixture
 async def http() -> AsyncIterator[client.EndpointClient]:
     http_client = client.EndpointClient(MAX_TRANSFERS)
