Let tunnels give the event loop its turn

TunnelServer's copy loop went on without suspending while bytes were ready on one side and the other accepted them.

The copy loop counts its reads against a budget. A request for a tunnel and its answer are one bounded read each and stay as they are.

--- a/martenjunction/tunnels/server.py
+++ b/martenjunction/tunnels/server.py
@@ -11,6 +11,7 @@
 
 from martenjunction import addresses
 from martenjunction import errors
+from martenjunction import fair_turns
 from martenjunction import model
 from martenjunction import timers
 from martenjunction.decisions.boxes import endpoint_list
@@ -235,9 +236,17 @@
 ) -> _End:
     """Passes bytes on; returns how the source, or the target, ended."""
     waiting = 0
+    turns = fair_turns.TurnBudget()
     try:
         while True:
-            data = await source.read_bytes(streams.CHUNK_BYTES, partial=True)
+            await turns.pause_if_spent()
+            reading = asyncio.ensure_future(
+                source.read_bytes(streams.CHUNK_BYTES, partial=True)
+            )
+            if not reading.done():
+                turns.renew()
+            data = await reading
+            turns.spend(fair_turns.PART_COST + len(data))
             written = target.write(framing.encode(data) if framed else data)
             written.add_done_callback(streams.retrieve_exception)
             waiting += len(data)
