Bound stale answers, and close a connection whose event is too large

Cause: a response to another request was skipped without a bound on its bytes, so that an endless one took the client's whole time; an event of more than 1 MB ended the run, but its connection went back to the pool within a response. No line told of answers that are invalid.

Change: a skipped body is bounded like a buffered one (8 MB); the connection is closed after any broken stream; answer-invalid tells endpoint, address, request, reason and bytes; excess_framing counts by side (endpoint) where the reason is errors.ExcessFramingError.

--- a/martenjunction/endpoints/attempt.py
+++ b/martenjunction/endpoints/attempt.py
@@ -41,12 +41,18 @@
         self._connection = connection
         self._request_id = request_id
         self._identified = False
+        self._received = 0
 
     @property
     def connection(self) -> client.ClientConnection:
         """Connection of the attempt."""
         return self._connection
 
+    @property
+    def received(self) -> int:
+        """Bytes of bodies that were received."""
+        return self._received
+
     def send(self, request: messages.Request, pairs: messages.Headers) -> None:
         """Writes the request to the socket.
 
@@ -70,7 +76,8 @@
         Skips stale responses to other requests.
 
         Raises:
-            EndpointBrokenError: If no response arrives.
+            EndpointBrokenError: If no response arrives, or a stale one is too
+                large.
             EndpointMismatchError: If only stale responses arrive.
         """
         try:
@@ -79,8 +86,7 @@
                 if headers.answers_request(head, self._request_id):
                     self._identified = headers.has_request_id(head)
                     return head
-                while await self._connection.read_body():
-                    pass
+                await self._skip_body()
                 self._connection.expect_another_response()
         except errors.TransportError as error:
             self.abort()
@@ -111,17 +117,20 @@
 
         Raises:
             EndpointBrokenError: If the stream is truncated, also if it ends
-                within an event.
+                within an event, or if an event is too large.
         """
         splitter = event_stream.EventSplitter()
-        async for part in self._read_parts():
-            events = splitter.feed(part, MAX_EVENTS_AT_ONCE)
-            while events:
-                yield events
-                events = await self._next_events(splitter, len(events))
-        if splitter.partial:
+        try:
+            async for part in self._read_parts():
+                events = splitter.feed(part, MAX_EVENTS_AT_ONCE)
+                while events:
+                    yield events
+                    events = await self._next_events(splitter, len(events))
+            if splitter.partial:
+                raise errors.EndpointBrokenError("stream ended within an event")
+        except errors.EndpointBrokenError:
             self.abort()
-            raise errors.EndpointBrokenError("stream ended within an event")
+            raise
 
     def finish(self) -> None:
         """Prepares the connection for another request, or closes it.
@@ -141,6 +150,18 @@
         """Closes the connection, so that the endpoint cancels the request."""
         self._connection.abort()
 
+    async def _skip_body(self) -> None:
+        """Reads the body of a response to another request."""
+        size = 0
+        while part := await self._connection.read_body():
+            size += len(part)
+            self._received += len(part)
+            if size > MAX_BUFFERED_BODY_BYTES:
+                self.abort()
+                raise errors.EndpointBrokenError(
+                    "body of a response to another request too large"
+                )
+
     async def _next_events(
         self, splitter: event_stream.EventSplitter, taken: int
     ) -> list[event_stream.StreamEvent]:
@@ -153,6 +174,7 @@
     async def _read_parts(self) -> AsyncIterator[bytes]:
         try:
             while part := await self._connection.read_body():
+                self._received += len(part)
                 yield part
         except errors.TransportError as error:
             self.abort()
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -164,5 +164,9 @@
     """The received bytes are not a valid HTTP/1.1 message."""
 
 
+class ExcessFramingError(HttpSyntaxError):
+    """The framing of a body outweighs its data."""
+
+
 class HistoryLostError(PlatformError):
     """The platform no longer has the changes since the requested revision."""
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -174,6 +174,7 @@
                 error.__cause__, errors.TransportError
             )
             registry.note_broken_response(endpoint.id, time.monotonic())
+            self._report_invalid(endpoint, run, error)
             self._state.progress.record(outcomes.Event.BROKEN)
             if self._state.connection_broken:
                 # Checked before the retry: a request that crashes its endpoint
@@ -193,6 +194,27 @@
             self._context.grants.release(offer.grant, aborted)
             self._context.pool.release(endpoint.id, run.connection)
 
+    def _report_invalid(
+        self,
+        endpoint: model.Endpoint,
+        run: attempt.Attempt,
+        error: errors.EndpointError,
+    ) -> None:
+        """Logs a response that was invalid or too large, not broken off."""
+        cause = error.__cause__
+        if isinstance(cause, errors.ConnectionLostError):
+            return
+        if isinstance(cause, errors.ExcessFramingError):
+            self._context.metrics.count("excess_framing", side="endpoint")
+        self._context.log.write(
+            "answer-invalid",
+            id=self._state.id,
+            endpoint=endpoint.id,
+            address=endpoint.address,
+            why=str(error),
+            received=run.received,
+        )
+
     def _build_headers(
         self,
         endpoint: model.Endpoint,
