--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -144,7 +144,7 @@
             except request_errors.RequestSyntaxError as error:
                 logger.info("%s: request rejected: %s", self._name, error)
                 await connection.answer(error.status, [], b"", close=True)
-                await connection.drop_unread()
+                await connection.drop_unread(error.reason)
                 return error.reason
             if request is None:
                 return close_reports.CloseReason.CLIENT
@@ -155,7 +155,9 @@
             if connection.unanswered:
                 return close_reports.CloseReason.FAILED
             if connection.unread:
-                await connection.drop_unread()
+                await connection.drop_unread(
+                    close_reports.CloseReason.LAST_ANSWER
+                )
             if not connection.prepare_next_request():
                 return close_reports.CloseReason.LAST_ANSWER
 
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -232,11 +232,21 @@
             self._transition(_Event.BYTES_CAME)
         return not (self._shutting_down and self._close_if_idle())
 
-    async def drop_unread(self) -> None:
-        """Drops what the client still sends after the last response."""
+    async def drop_unread(self, reason: close_reports.CloseReason) -> None:
+        """Drops what the client still sends after the last response.
+
+        Args:
+            reason: Reason for the report. The client may close the connection
+                meanwhile.
+        """
         self._set_timer(None)
-        if not self.closed:
-            self._received += await discarding.drop(self._stream, self._source)
+        if self.closed:
+            return
+        report = self._build_report(reason)
+        dropped = await discarding.drop(self._stream, self._source)
+        self._received += dropped
+        if self._report is None:
+            self._report = dataclasses.replace(report, received=self._received)
 
     def close_when_idle(self) -> None:
         """Closes the connection as soon as it is idle.
