Play trials of fleets in simulated time

Cause: beside load, the loop that boxes, endpoints and clients share is late, and trials fail for the machine.

Change: eight files of trials carry the marker simulated_time; their bounds, seeds and checks are as they were.

--- a/martenjunction_lab/simulated/loop.py
+++ b/martenjunction_lab/simulated/loop.py
@@ -13,6 +13,7 @@
 import asyncio
 from collections.abc import Coroutine
 import math
+import random
 import select
 import selectors
 import socket
@@ -45,6 +46,10 @@
 MAX_ITERATIONS = 500_000
 
 
+# Seeds that are drawn are below this number.
+MAX_SEED = 1_000_000
+
+
 class StuckError(RuntimeError):
     """Simulated time can't advance any more."""
 
@@ -118,16 +123,32 @@
 class SimulatedLoop(asyncio.SelectorEventLoop):
     """Runs tasks as fast as it can; sleeping takes no time.
 
-    While it runs, `time.monotonic` and `time.time` give its time.
+    While it runs, `time.monotonic` and `time.time` give its time, and
+    generators of random numbers that are made without a seed get one that is
+    drawn from the loop's. A run is repeated as it was under the same seed and
+    the same `PYTHONHASHSEED`, as far as the kernel delivers in the same order.
     """
 
-    def __init__(self) -> None:
-        """Makes a loop at time `START_S`."""
+    def __init__(self, seed: int | None = None) -> None:
+        """Makes a loop at time `START_S`.
+
+        Args:
+            seed: Decides what code leaves to chance; drawn if left out.
+        """
+        if seed is None:
+            seed = random.SystemRandom().randrange(MAX_SEED)
+        self._seed = seed
+        self._generator = _seeded_generator(seed)
         self._clock = _Clock()
         self._started_at = time.time()
         super().__init__(self._clock)
         self._clock.ignore()
 
+    @property
+    def seed(self) -> int:
+        """What decides what code leaves to chance."""
+        return self._seed
+
     @property
     def jumps(self) -> int:
         """How often the time advanced."""
@@ -146,10 +167,11 @@
         self._clock.now += seconds
 
     def run_forever(self) -> None:
-        """Runs until it is stopped; the clocks of `time` follow it."""
+        """Runs until it is stopped; clocks and generators follow it."""
         with (
             mock.patch.object(time, "monotonic", self.time),
             mock.patch.object(time, "time", self.wall_time),
+            mock.patch.object(random, "Random", self._generator),
         ):
             super().run_forever()
 
@@ -174,12 +196,25 @@
         self._clock.jobs -= 1
 
 
-def run(main: Coroutine[Any, Any, T]) -> T:
+def run(main: Coroutine[Any, Any, T], seed: int | None = None) -> T:
     """Runs a coroutine in simulated time, and ends what it leaves running."""
-    with asyncio.Runner(loop_factory=SimulatedLoop) as runner:
+    with asyncio.Runner(loop_factory=lambda: SimulatedLoop(seed)) as runner:
         return runner.run(main)
 
 
+def _seeded_generator(seed: int) -> type[random.Random]:
+    """Returns a class whose objects are seeded one after the other."""
+    seeds = random.Random(seed)
+
+    class Generator(random.Random):
+        """A generator that has a seed even if it is made without one."""
+
+        def __init__(self, own: Any = None) -> None:
+            super().__init__(seeds.getrandbits(64) if own is None else own)
+
+    return Generator
+
+
 def _send_at_once(descriptor: int) -> None:
     """Switches Nagle's algorithm off where a descriptor is a TCP socket."""
     sock = socket.socket(fileno=descriptor)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,14 @@
 MAX_TRANSFERS = 16
 
 
+def pytest_addoption(parser: pytest.Parser) -> None:
+    parser.addoption(
+        "--simulated-seed",
+        type=int,
+        help="decides what tests in simulated time leave to chance",
+    )
+
+
 def pytest_configure(config: pytest.Config) -> None:
     config.addinivalue_line(
         "markers", "simulated_time: runs on a loop in simulated time"
@@ -31,10 +39,17 @@
     config: pytest.Config, item: pytest.Item
 ) -> dict[str, Callable[[], asyncio.AbstractEventLoop]]:
     if item.get_closest_marker("simulated_time") is not None:
-        return {"simulated": simulated_loop.SimulatedLoop}
+        return {"simulated": lambda: _simulated_loop(item)}
     return {"real": asyncio.new_event_loop}
 
 
+def _simulated_loop(item: pytest.Item) -> asyncio.AbstractEventLoop:
+    """Returns a loop whose seed is shown if the test fails."""
+    loop = simulated_loop.SimulatedLoop(item.config.option.simulated_seed)
+    print(f"--simulated-seed {loop.seed}")
+    return loop
+
+
 @pytest.fixture
 async def http() -> AsyncIterator[client.EndpointClient]:
     http_client = client.EndpointClient(MAX_TRANSFERS)
--- a/tests/test_brittle_endpoints.py
+++ b/tests/test_brittle_endpoints.py
@@ -17,6 +17,8 @@
 from martenjunction_lab import brittle_endpoints
 from tests import routing_builders as builders
 
+pytestmark = pytest.mark.simulated_time
+
 MIN_SERVED = 0.99
 
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -7,6 +7,8 @@
 from martenjunction_lab import crashing_parts
 from tests import routing_builders as builders
 
+pytestmark = pytest.mark.simulated_time
+
 # Requests with a part that are tolerated after all boxes should know of it.
 MAX_LATE_ARRIVALS = 3
 
--- a/tests/test_ending_requests.py
+++ b/tests/test_ending_requests.py
@@ -15,6 +15,8 @@
 from martenjunction_lab import ending_requests
 from tests import routing_builders as builders
 
+pytestmark = pytest.mark.simulated_time
+
 # Number of arrivals tolerated after the third crash is known.
 MAX_LATE_ARRIVALS = 3
 
--- a/tests/test_limited_endpoints.py
+++ b/tests/test_limited_endpoints.py
@@ -15,6 +15,8 @@
 from martenjunction_lab import limited_endpoints
 from tests import routing_builders as builders
 
+pytestmark = pytest.mark.simulated_time
+
 SHORT = limited_endpoints.Trial(from_s=1.0, seconds=9.0)
 
 # Minimum fraction of a limit to be used if there is enough demand.
--- a/tests/test_resting_endpoints.py
+++ b/tests/test_resting_endpoints.py
@@ -19,6 +19,8 @@
 from martenjunction_lab import trial_fleet
 from tests import routing_builders as builders
 
+pytestmark = pytest.mark.simulated_time
+
 # On a busy machine many requests are in flight to an endpoint before its first
 # refusal is read. The retry budget covers all of them, so that a refusal for
 # lack of retries is not mistaken for one for lack of endpoints.
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -3,10 +3,14 @@
 import asyncio
 import time
 
+import pytest
+
 from martenjunction_lab import replica
 from martenjunction_lab import trial_fleet
 from tests import routing_builders as builders
 
+pytestmark = pytest.mark.simulated_time
+
 SILENT_S = 1.2
 SENT_S = 7.0
 
--- a/tests/test_simulated_loop.py
+++ b/tests/test_simulated_loop.py
@@ -1,6 +1,7 @@
 """The event loop in simulated time."""
 
 import asyncio
+import random
 import threading
 import time
 
@@ -198,3 +199,19 @@
     assert not isinstance(
         asyncio.get_running_loop(), simulated_loop.SimulatedLoop
     )
+
+
+def test_seed_decides_what_code_leaves_to_chance() -> None:
+    async def main() -> list[float]:
+        return [random.Random().random(), random.Random().random()]
+
+    drawn = [simulated_loop.run(main(), seed) for seed in (1, 1, 2, None)]
+    assert drawn[0] == drawn[1]
+    assert len({one for each in drawn for one in each}) == 6
+
+
+def test_own_seed_of_a_generator_holds() -> None:
+    async def main() -> float:
+        return random.Random(5).random()
+
+    assert simulated_loop.run(main(), 1) == random.Random(5).random()
--- a/tests/test_unlinked_boxes.py
+++ b/tests/test_unlinked_boxes.py
@@ -11,6 +11,8 @@
 from martenjunction_lab import unlinked_boxes
 from tests import routing_builders as builders
 
+pytestmark = pytest.mark.simulated_time
+
 Mode = unlinked_boxes.Mode
 
 SHORT = unlinked_boxes.Trial(cut_s=1.0, cut_for_s=6.0, after_s=2.0)
--- a/tests/test_versioned_streams.py
+++ b/tests/test_versioned_streams.py
@@ -7,6 +7,8 @@
 from martenjunction_lab import versioned_streams
 from tests import routing_builders as builders
 
+pytestmark = pytest.mark.simulated_time
+
 # Streams of two versions that are tolerated over all boxes.
 MAX_MIXED = 2
 
