Add a lab tool that plays peers that send without a pause

What a box's other clients bear beside a peer that sends as fast as its socket takes it could only be seen with one-off scripts.

martenjunction-lab senders runs a box process, 20 clients on kept connections and 1 or more senders in a process of their own, and prints for each form the loop's delay, the others' latency, /readyz, memory and how the senders ended.

--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import logging
+import pathlib
 import sys
 from typing import Annotated
 
@@ -14,6 +15,8 @@
 from martenjunction_lab import demo
 from martenjunction_lab import scenarios
 from martenjunction_lab.capacity import page
+from martenjunction_lab.fast_senders import forms
+from martenjunction_lab.fast_senders import trial
 from martenjunction_lab.replays import ablations
 from martenjunction_lab.replays import loads
 from martenjunction_lab.replays import report
@@ -131,6 +134,36 @@
         print(page.page(uvloop.run(page.measure())))
 
 
+@cappa.command(help="Let peers send without a pause, beside other clients.")
+@dataclasses.dataclass
+class Senders:
+    """Prints a table of what a box and its clients bear."""
+
+    form: Annotated[
+        str, cappa.Arg(long=True, help="Part of a form's name; all if empty.")
+    ] = ""
+    count: Annotated[
+        int, cappa.Arg(long=True, help="Senders at once; 0 for none.")
+    ] = 1
+    clients: Annotated[int, cappa.Arg(long=True, help="Other clients.")] = 20
+    seconds: Annotated[
+        float, cappa.Arg(long=True, help="How long the others send.")
+    ] = 3.5
+    code: Annotated[
+        pathlib.Path, cappa.Arg(long=True, help="Folder of the box's code.")
+    ] = pathlib.Path()
+
+    def __call__(self) -> None:
+        """Plays one form after the other."""
+        chosen = [form for n, form in forms.FORMS.items() if self.form in n]
+        print(trial.headings())
+        for form in chosen if self.count else [None]:
+            played = trial.Trial(
+                form, self.count, self.clients, self.seconds, self.code
+            )
+            print(trial.row(played, uvloop.run(trial.play(played))), flush=True)
+
+
 @cappa.command(
     name="martenjunction-lab", help="Stand-ins, load and experiments."
 )
@@ -138,7 +171,9 @@
 class Lab:
     """The command and its subcommands."""
 
-    subcommand: cappa.Subcommands[Demo | Compare | Replay | Spread | Capacity]
+    subcommand: cappa.Subcommands[
+        Demo | Compare | Replay | Spread | Capacity | Senders
+    ]
 
 
 def main() -> None:
--- /dev/null
+++ b/martenjunction_lab/fast_senders/trial.py
@@ -0,0 +1,182 @@
+"""Plays fast senders against a box and describes what was seen."""
+
+import asyncio
+import collections
+import dataclasses
+import pathlib
+import statistics
+import tempfile
+
+from martenjunction_lab import boxes
+from martenjunction_lab import replica
+from martenjunction_lab.fast_senders import forms
+from martenjunction_lab.fast_senders import others
+from martenjunction_lab.fast_senders import processes
+from martenjunction_lab.fast_senders import sender
+
+REPLICAS = 3
+SLOTS = 32
+
+# Seconds after which a box that is ready has taken its state in.
+SETTLE_S = 0.5
+
+# Seconds before the senders begin, in which the others' connections open.
+LEAD_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True)
+class Trial:
+    """What is played.
+
+    Attributes:
+        form: What the senders send; nobody sends if it is None.
+        senders: How many send at once.
+        clients: Other clients.
+        seconds: For how long the other clients send requests.
+        code: Folder with the code that the box runs.
+    """
+
+    form: forms.Form | None = None
+    senders: int = 1
+    clients: int = 20
+    seconds: float = 3.5
+    code: pathlib.Path = pathlib.Path()
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What was seen.
+
+    Attributes:
+        seen: What the other clients saw.
+        base_delay_s: The box's event loop delay before, in seconds.
+        ends: How the senders' connections ended.
+    """
+
+    seen: others.Seen
+    base_delay_s: float = 0.0
+    ends: list[sender.End] = dataclasses.field(default_factory=list)
+
+
+async def play(trial: Trial) -> Outcome:
+    """Plays a trial.
+
+    Raises:
+        TimeoutError: If the box does not get ready.
+    """
+    fleet = boxes.Boxes()
+    await fleet.start(processes.config_document(), boxes=0)
+    for _ in range(REPLICAS):
+        await fleet.add_replica(processes.PLAIN, slots=SLOTS)
+    settings = processes.own_settings(fleet)
+    playing = None
+    if trial.form is not None:
+        playing = processes.SenderProcess(
+            trial.form, trial.senders, settings.callers
+        )
+        await playing.start()
+        stand_in = replica.Replica("sender")
+        stand_in.address = playing.address
+        fleet.record(stand_in, processes.SENDER, slots=2 * trial.senders)
+    try:
+        with tempfile.TemporaryDirectory() as name:
+            async with processes.box(
+                settings, trial.code, pathlib.Path(name)
+            ) as pid:
+                await asyncio.sleep(SETTLE_S)
+                made = others.Others(settings, pid, trial.clients)
+                return await _play(trial, made, playing)
+    finally:
+        if playing is not None:
+            await playing.stop()
+        await fleet.stop()
+
+
+async def _play(
+    trial: Trial,
+    made: others.Others,
+    playing: processes.SenderProcess | None,
+) -> Outcome:
+    # The first call has the box import what it needs for it.
+    await made.loop_delay()
+    await made.run(LEAD_S)
+    base_delay_s = await made.loop_delay()
+    if playing is not None:
+        playing.begin()
+    outcome = Outcome(await made.run(trial.seconds), base_delay_s)
+    if playing is not None:
+        outcome.ends = await playing.stop()
+    return outcome
+
+
+HEADINGS = (
+    "form",
+    "senders",
+    "loop held up at most",
+    "others: median, 99th in 100, longest",
+    "answered, failed",
+    "/readyz at most",
+    "memory",
+    "senders' ends",
+)
+
+
+def headings() -> str:
+    """Returns the first lines of a table."""
+    return f"{_line(HEADINGS)}\n{_line(['---'] * len(HEADINGS))}"
+
+
+def row(trial: Trial, outcome: Outcome) -> str:
+    """Returns the line of a trial in a table."""
+    seen = outcome.seen
+    waits = sorted(seen.waits) or [0.0]
+    form = trial.form
+    failed = "".join(
+        f", {count} x {status or 'none'}"
+        for status, count in sorted(seen.failures.items())
+    )
+    cells = (
+        f"{form.side}: {form.name}" if form else "nobody",
+        str(trial.senders) if form else "",
+        _loop_delay(outcome),
+        f"{statistics.median(waits) * 1000:.0f},"
+        f" {waits[len(waits) * 99 // 100] * 1000:.0f},"
+        f" {waits[-1] * 1000:.0f} ms",
+        f"{len(seen.waits)}, {seen.failures.total()}{failed}",
+        f"{max(seen.ready_waits) * 1000:.0f} ms",
+        f"{seen.memory / 2**20:.0f} MB",
+        _ends(outcome.ends, form is not None),
+    )
+    return _line(cells)
+
+
+def _loop_delay(outcome: Outcome) -> str:
+    """Describes the longest delay, which an earlier one may hide."""
+    worst = max(outcome.seen.delays, default=0.0)
+    hidden = worst <= outcome.base_delay_s
+    return f"{'under ' if hidden else ''}{worst * 1000:.0f} ms"
+
+
+def _ends(ends: list[sender.End], sent: bool) -> str:
+    if not ends:
+        return "none" if sent else ""
+    by_status: dict[int, list[sender.End]] = collections.defaultdict(list)
+    for end in ends:
+        by_status[end.status].append(end)
+    return "; ".join(
+        f"{len(found)} x {status or 'closed'} after"
+        f" {_range([end.after_s for end in found])} s,"
+        f" {max(end.size for end in found) / 1e6:.1f} MB"
+        for status, found in sorted(by_status.items())
+    )
+
+
+def _range(values: list[float]) -> str:
+    least, most = min(values), max(values)
+    if most - least < 0.01:
+        return f"{most:.2f}"
+    return f"{least:.2f} to {most:.2f}"
+
+
+def _line(cells: list[str] | tuple[str, ...]) -> str:
+    return f"| {' | '.join(cells)} |"
