--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -142,9 +142,7 @@
     form: Annotated[
         str, cappa.Arg(long=True, help="Part of a form's name; all if empty.")
     ] = ""
-    count: Annotated[
-        int, cappa.Arg(long=True, help="Senders at once; 0 for none.")
-    ] = 1
+    count: Annotated[int, cappa.Arg(long=True, help="Senders at once.")] = 1
     clients: Annotated[int, cappa.Arg(long=True, help="Other clients.")] = 20
     seconds: Annotated[
         float, cappa.Arg(long=True, help="How long the others send.")
@@ -157,7 +155,7 @@
         """Plays one form after the other."""
         chosen = [form for n, form in forms.FORMS.items() if self.form in n]
         print(trial.headings())
-        for form in chosen if self.count else [None]:
+        for form in [None, *chosen]:
             played = trial.Trial(
                 form, self.count, self.clients, self.seconds, self.code
             )
--- a/martenjunction_lab/fast_senders/others.py
+++ b/martenjunction_lab/fast_senders/others.py
@@ -133,7 +133,8 @@
     async def _note_ready(self) -> None:
         began_at = time.monotonic()
         with contextlib.suppress(errors.TransportError, TimeoutError):
-            await boxes.call(self._settings.ready, "GET", "/readyz")
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                await boxes.call(self._settings.ready, "GET", "/readyz")
         self._seen.ready_waits.append(time.monotonic() - began_at)
 
     async def _sample_metrics(self) -> None:
--- a/martenjunction_lab/fast_senders/trial.py
+++ b/martenjunction_lab/fast_senders/trial.py
@@ -20,9 +20,6 @@
 # Seconds after which a box that is ready has taken its state in.
 SETTLE_S = 0.5
 
-# Seconds before the senders begin, in which the others' connections open.
-LEAD_S = 0.3
-
 
 @dataclasses.dataclass(frozen=True)
 class Trial:
@@ -32,13 +29,15 @@
         form: What the senders send; nobody sends if it is None.
         senders: How many send at once.
         clients: Other clients.
-        seconds: For how long the other clients send requests.
+        lead_s: For how long the other clients send before the senders begin.
+        seconds: For how long they send beside the senders.
         code: Folder with the code that the box runs.
     """
 
     form: forms.Form | None = None
     senders: int = 1
     clients: int = 20
+    lead_s: float = 0.3
     seconds: float = 3.5
     code: pathlib.Path = pathlib.Path()
 
@@ -48,11 +47,13 @@
     """What was seen.
 
     Attributes:
-        seen: What the other clients saw.
+        lead: What the other clients saw before the senders began.
+        seen: What they saw beside the senders.
         base_delay_s: The box's event loop delay before, in seconds.
         ends: How the senders' connections ended.
     """
 
+    lead: others.Seen
     seen: others.Seen
     base_delay_s: float = 0.0
     ends: list[sender.End] = dataclasses.field(default_factory=list)
@@ -99,11 +100,12 @@
 ) -> Outcome:
     # The first call has the box import what it needs for it.
     await made.loop_delay()
-    await made.run(LEAD_S)
+    lead = await made.run(trial.lead_s)
     base_delay_s = await made.loop_delay()
     if playing is not None:
         playing.begin()
-    outcome = Outcome(await made.run(trial.seconds), base_delay_s)
+    seen = await made.run(trial.seconds)
+    outcome = Outcome(lead, seen, base_delay_s)
     if playing is not None:
         outcome.ends = await playing.stop()
     return outcome
@@ -145,7 +147,7 @@
         f"{len(seen.waits)}, {seen.failures.total()}{failed}",
         f"{max(seen.ready_waits) * 1000:.0f} ms",
         f"{seen.memory / 2**20:.0f} MB",
-        _ends(outcome.ends, form is not None),
+        _ends(outcome.ends, form) if form else "",
     )
     return _line(cells)
 
@@ -157,20 +159,27 @@
     return f"{'under ' if hidden else ''}{worst * 1000:.0f} ms"
 
 
-def _ends(ends: list[sender.End], sent: bool) -> str:
-    if not ends:
-        return "none" if sent else ""
+def _ends(ends: list[sender.End], form: forms.Form) -> str:
     by_status: dict[int, list[sender.End]] = collections.defaultdict(list)
     for end in ends:
         by_status[end.status].append(end)
-    return "; ".join(
-        f"{len(found)} x {status or 'closed'} after"
-        f" {_range([end.after_s for end in found])} s,"
-        f" {max(end.size for end in found) / 1e6:.1f} MB"
-        for status, found in sorted(by_status.items())
+    return (
+        "; ".join(
+            f"{len(found)} x {status or 'closed'} after"
+            f" {_range([end.after_s for end in found])} s{_size(found, form)}"
+            for status, found in sorted(by_status.items())
+        )
+        or "none"
     )
 
 
+def _size(ends: list[sender.End], form: forms.Form) -> str:
+    """Describes what clients sent; endpoints do not tell it."""
+    if form.side is forms.Side.ENDPOINT:
+        return ""
+    return f", {max(end.size for end in ends) / 1e6:.1f} MB"
+
+
 def _range(values: list[float]) -> str:
     least, most = min(values), max(values)
     if most - least < 0.01:
