Compare the latency beside fast senders with that before them

The machine's load changes between runs, so that a run without senders is no measure for one that is played minutes later. The table has both in each line.

--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -157,7 +157,11 @@
         print(trial.headings())
         for form in [None, *chosen]:
             played = trial.Trial(
-                form, self.count, self.clients, self.seconds, self.code
+                form,
+                self.count,
+                self.clients,
+                seconds=self.seconds,
+                code=self.code,
             )
             print(trial.row(played, uvloop.run(trial.play(played))), flush=True)
 
--- a/martenjunction_lab/fast_senders/trial.py
+++ b/martenjunction_lab/fast_senders/trial.py
@@ -37,7 +37,7 @@
     form: forms.Form | None = None
     senders: int = 1
     clients: int = 20
-    lead_s: float = 0.3
+    lead_s: float = 1.0
     seconds: float = 3.5
     code: pathlib.Path = pathlib.Path()
 
@@ -115,7 +115,8 @@
     "form",
     "senders",
     "loop held up at most",
-    "others: median, 99th in 100, longest",
+    "others before: median, 99th in 100, longest",
+    "others beside",
     "answered, failed",
     "/readyz at most",
     "memory",
@@ -131,7 +132,6 @@
 def row(trial: Trial, outcome: Outcome) -> str:
     """Returns the line of a trial in a table."""
     seen = outcome.seen
-    waits = sorted(seen.waits) or [0.0]
     form = trial.form
     failed = "".join(
         f", {count} x {status or 'none'}"
@@ -141,9 +141,8 @@
         f"{form.side}: {form.name}" if form else "nobody",
         str(trial.senders) if form else "",
         _loop_delay(outcome),
-        f"{statistics.median(waits) * 1000:.0f},"
-        f" {waits[len(waits) * 99 // 100] * 1000:.0f},"
-        f" {waits[-1] * 1000:.0f} ms",
+        _latencies(outcome.lead.waits),
+        _latencies(seen.waits),
         f"{len(seen.waits)}, {seen.failures.total()}{failed}",
         f"{max(seen.ready_waits) * 1000:.0f} ms",
         f"{seen.memory / 2**20:.0f} MB",
@@ -152,6 +151,18 @@
     return _line(cells)
 
 
+def _latencies(waits: list[float]) -> str:
+    if not waits:
+        return "none"
+    ordered = sorted(waits)
+    chosen = (
+        statistics.median(ordered),
+        ordered[len(ordered) * 99 // 100],
+        ordered[-1],
+    )
+    return f"{', '.join(f'{value * 1000:.0f}' for value in chosen)} ms"
+
+
 def _loop_delay(outcome: Outcome) -> str:
     """Describes the longest delay, which an earlier one may hide."""
     worst = max(outcome.seen.delays, default=0.0)
