Measure the turns of a box's event loop in processor time

The loop's delay and the others' latency grow with the machine's load. The box now runs with a probe that records long callbacks and iterations in processor time, and the lab's own hold-up is shown beside what its clients saw.

--- a/martenjunction_lab/fast_senders/others.py
+++ b/martenjunction_lab/fast_senders/others.py
@@ -24,8 +24,8 @@
 
 # Seconds between samples.
 READY_INTERVAL_S = 0.05
-METRICS_INTERVAL_S = 1.0
 MEMORY_INTERVAL_S = 0.01
+OWN_INTERVAL_S = 0.005
 
 _LOOP_DELAY = re.compile(rb"^\w*loop_delay_s ([\d.e+-]+)$", re.MULTILINE)
 
@@ -38,8 +38,9 @@
         waits: Seconds to each answer of the others.
         failures: Failed requests of the others by status; 0 for no answer.
         ready_waits: Seconds to each answer of `/readyz`.
-        delays: Samples of the box's event loop delay, in seconds.
         memory: Most resident memory of the box, in bytes.
+        own_delay_s: Longest delay of the event loop of the clients, in seconds,
+            by which all that they see may be late.
     """
 
     waits: list[float] = dataclasses.field(default_factory=list)
@@ -47,8 +48,8 @@
         default_factory=collections.Counter
     )
     ready_waits: list[float] = dataclasses.field(default_factory=list)
-    delays: list[float] = dataclasses.field(default_factory=list)
     memory: int = 0
+    own_delay_s: float = 0.0
 
 
 class Others:
@@ -75,8 +76,8 @@
         until = time.monotonic() + seconds
         samplers = [
             asyncio.create_task(self._sample_ready()),
-            asyncio.create_task(self._sample_metrics()),
             asyncio.create_task(self._sample_memory()),
+            asyncio.create_task(self._sample_own_delay()),
         ]
         numbers = range(self._clients)
         await asyncio.gather(*(self._send_all(n, until) for n in numbers))
@@ -85,10 +86,17 @@
             sampler.cancel()
         return self._seen
 
-    async def loop_delay(self) -> float:
-        """Returns the box's recent event loop delay, in seconds."""
+    async def loop_delay(self) -> float | None:
+        """Returns the box's recent event loop delay, in seconds.
+
+        The answer is a long turn itself. It is None if the box does not answer.
+        """
         address = f"{self._settings.ip}:{box_settings.METRICS_PORT}"
-        _, text = await boxes.call(address, "GET", "/metrics")
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                _, text = await boxes.call(address, "GET", "/metrics")
+        except (errors.TransportError, TimeoutError):
+            return None
         found = _LOOP_DELAY.search(text)
         assert found is not None
         return float(found.group(1))
@@ -137,14 +145,15 @@
                 await boxes.call(self._settings.ready, "GET", "/readyz")
         self._seen.ready_waits.append(time.monotonic() - began_at)
 
-    async def _sample_metrics(self) -> None:
-        while True:
-            with contextlib.suppress(errors.TransportError, TimeoutError):
-                self._seen.delays.append(await self.loop_delay())
-            await asyncio.sleep(METRICS_INTERVAL_S)
-
     async def _sample_memory(self) -> None:
         while True:
             used: int = self._process.memory_info().rss
             self._seen.memory = max(self._seen.memory, used)
             await asyncio.sleep(MEMORY_INTERVAL_S)
+
+    async def _sample_own_delay(self) -> None:
+        while True:
+            began_at = time.monotonic()
+            await asyncio.sleep(OWN_INTERVAL_S)
+            late_s = time.monotonic() - began_at - OWN_INTERVAL_S
+            self._seen.own_delay_s = max(self._seen.own_delay_s, late_s)
--- a/martenjunction_lab/fast_senders/processes.py
+++ b/martenjunction_lab/fast_senders/processes.py
@@ -15,11 +15,15 @@
 from martenjunction_lab import boxes
 from martenjunction_lab import settings_files
 from martenjunction_lab.fast_senders import forms
+from martenjunction_lab.fast_senders import probed_box
 from martenjunction_lab.fast_senders import sender
 
 READY_LIMIT_S = 30.0
 READY_INTERVAL_S = 0.05
 
+# Where a box's long turns are recorded.
+TURNS_FILE = "turns"
+
 PLAIN = "plain-service"
 SENDER = "sender-service"
 
@@ -68,14 +72,16 @@
     }
 
 
-def own_settings(fleet: boxes.Boxes) -> box_settings.BoxSettings:
-    """Returns settings with a random loopback address.
+def own_settings(
+    fleet: boxes.Boxes, name: str = "box-1"
+) -> box_settings.BoxSettings:
+    """Returns a box's settings with a random loopback address.
 
     The port of the metrics is the same for all boxes.
     """
     parts = (127, *(random.randint(1, 254) for _ in range(3)))
     return boxes.settings(
-        "box-1",
+        name,
         fleet.store.address,
         ip=".".join(str(part) for part in parts),
         memory_bytes=300 * 2**20,
@@ -104,8 +110,8 @@
     with (folder / "box.log").open("wb") as log:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "martenjunction.cmd.box",
+            probed_box.__file__,
+            str(folder / TURNS_FILE),
             cwd=code,
             env={**os.environ, box_settings.SETTINGS_VARIABLE: str(file)},
             stdout=log,
@@ -119,6 +125,26 @@
         await _kill(process)
 
 
+def longest_turn(
+    folder: pathlib.Path, kind: str, since: float, until: float
+) -> float:
+    """Returns a box's longest turn, in seconds of processor time.
+
+    Args:
+        folder: The folder for its files.
+        kind: A kind of turns.
+        since: Steady time after which a turn ended.
+        until: Steady time before which it began.
+    """
+    longest = 0.0
+    for line in (folder / TURNS_FILE).read_text().splitlines():
+        ended_at, its, spent = line.split()
+        began_at = float(ended_at) - float(spent)
+        if its == kind and began_at < until and float(ended_at) >= since:
+            longest = max(longest, float(spent))
+    return longest
+
+
 async def _is_ready(address: str) -> bool:
     try:
         head, _ = await boxes.call(address, "GET", "/readyz")
--- a/martenjunction_lab/fast_senders/trial.py
+++ b/martenjunction_lab/fast_senders/trial.py
@@ -6,11 +6,13 @@
 import pathlib
 import statistics
 import tempfile
+import time
 
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from martenjunction_lab.fast_senders import forms
 from martenjunction_lab.fast_senders import others
+from martenjunction_lab.fast_senders import probed_box
 from martenjunction_lab.fast_senders import processes
 from martenjunction_lab.fast_senders import sender
 
@@ -48,14 +50,24 @@
 
     Attributes:
         lead: What the other clients saw before the senders began.
+        base_delay_s: The box's event loop delay then, in seconds.
         seen: What they saw beside the senders.
-        base_delay_s: The box's event loop delay before, in seconds.
+        delay_s: The box's event loop delay then, or None if it did not answer.
+        turns_s: The longest turns of each kind beside the senders, in seconds
+            of processor time.
         ends: How the senders' connections ended.
     """
 
     lead: others.Seen
-    seen: others.Seen
-    base_delay_s: float = 0.0
+    base_delay_s: float
+    seen: others.Seen = dataclasses.field(default_factory=others.Seen)
+    delay_s: float | None = None
+    turns_s: dict[str, float] = dataclasses.field(
+        default_factory=lambda: {
+            probed_box.CALLBACK: 0.0,
+            probed_box.ITERATION: 0.0,
+        }
+    )
     ends: list[sender.End] = dataclasses.field(default_factory=list)
 
 
@@ -86,7 +98,7 @@
             ) as pid:
                 await asyncio.sleep(SETTLE_S)
                 made = others.Others(settings, pid, trial.clients)
-                return await _play(trial, made, playing)
+                return await _play(trial, made, playing, pathlib.Path(name))
     finally:
         if playing is not None:
             await playing.stop()
@@ -97,24 +109,33 @@
     trial: Trial,
     made: others.Others,
     playing: processes.SenderProcess | None,
+    folder: pathlib.Path,
 ) -> Outcome:
     # The first call has the box import what it needs for it.
     await made.loop_delay()
     lead = await made.run(trial.lead_s)
     base_delay_s = await made.loop_delay()
+    outcome = Outcome(lead, base_delay_s or 0.0)
+    began_at = time.monotonic()
     if playing is not None:
         playing.begin()
-    seen = await made.run(trial.seconds)
-    outcome = Outcome(lead, seen, base_delay_s)
+    outcome.seen = await made.run(trial.seconds)
     if playing is not None:
         outcome.ends = await playing.stop()
+    ended_at = time.monotonic()
+    outcome.delay_s = await made.loop_delay()
+    for kind in outcome.turns_s:
+        outcome.turns_s[kind] = processes.longest_turn(
+            folder, kind, began_at, ended_at
+        )
     return outcome
 
 
 HEADINGS = (
     "form",
     "senders",
-    "loop held up at most",
+    "longest callback, iteration",
+    "box, clients held up at most",
     "others before: median, 99th in 100, longest",
     "others beside",
     "answered, failed",
@@ -140,7 +161,8 @@
     cells = (
         f"{form.side}: {form.name}" if form else "nobody",
         str(trial.senders) if form else "",
-        _loop_delay(outcome),
+        _turns(outcome),
+        f"{_loop_delay(outcome)}, {seen.own_delay_s * 1000:.0f} ms",
         _latencies(outcome.lead.waits),
         _latencies(seen.waits),
         f"{len(seen.waits)}, {seen.failures.total()}{failed}",
@@ -151,6 +173,18 @@
     return _line(cells)
 
 
+def _turns(outcome: Outcome) -> str:
+    if outcome.delay_s is None:
+        return "not ended"
+    least_s = probed_box.LEAST_S
+    return ", ".join(
+        f"{seconds * 1000:.0f} ms"
+        if seconds >= least_s
+        else f"under {least_s * 1000:.0f} ms"
+        for seconds in outcome.turns_s.values()
+    )
+
+
 def _latencies(waits: list[float]) -> str:
     if not waits:
         return "none"
@@ -165,9 +199,10 @@
 
 def _loop_delay(outcome: Outcome) -> str:
     """Describes the longest delay, which an earlier one may hide."""
-    worst = max(outcome.seen.delays, default=0.0)
-    hidden = worst <= outcome.base_delay_s
-    return f"{'under ' if hidden else ''}{worst * 1000:.0f} ms"
+    if outcome.delay_s is None:
+        return "no answer"
+    hidden = outcome.delay_s <= outcome.base_delay_s
+    return f"{'under ' if hidden else ''}{outcome.delay_s * 1000:.0f} ms"
 
 
 def _ends(ends: list[sender.End], form: forms.Form) -> str:
