--- a/martenjunction_lab/fast_senders/processes.py
+++ b/martenjunction_lab/fast_senders/processes.py
@@ -41,6 +41,7 @@
             _route("safe", "/safe/"),
             _route("sender", "/sender/", **sent),
             _route("sender-stream", "/sender-stream/", **sent, **stream),
+            _route("chat", "/chat/", **sent, **stream),
         ],
         "services": [
             {"name": name, "health_path": "/healthz", "max_conns": 360}
--- a/martenjunction_lab/fast_senders/usual.py
+++ b/martenjunction_lab/fast_senders/usual.py
@@ -20,7 +20,6 @@
 from martenjunction.http1 import client
 from martenjunction_lab import boxes
 from martenjunction_lab import trial_fleet
-from martenjunction_lab.fast_senders import forms
 from martenjunction_lab.fast_senders import processes
 
 EVENTS = 1000
@@ -49,7 +48,7 @@
 KINDS = (
     Kind("body of 64 KB", "/safe/x", 64 * 1024, 100),
     Kind("body of 4 MB", "/safe/x", 3_999_000, 8),
-    Kind(f"stream of {EVENTS} events", forms.STREAM_PATH, 5, 4),
+    Kind(f"stream of {EVENTS} events", "/chat/x", 5, 4),
 )
 
 
