Leave the turn of the metrics answer out of what is measured

It goes on after the answer was received and showed as a turn of 16 to 19 ms in runs without any sender.

--- a/martenjunction_lab/fast_senders/trial.py
+++ b/martenjunction_lab/fast_senders/trial.py
@@ -22,6 +22,9 @@
 # Seconds after which a box that is ready has taken its state in.
 SETTLE_S = 0.5
 
+# Seconds after which a turn has ended whose answer was received.
+ANSWER_TURN_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True)
 class Trial:
@@ -116,6 +119,8 @@
     lead = await made.run(trial.lead_s)
     base_delay_s = await made.loop_delay()
     outcome = Outcome(lead, base_delay_s or 0.0)
+    # The turn of that answer goes on after it was sent.
+    await asyncio.sleep(ANSWER_TURN_S)
     began_at = time.monotonic()
     if playing is not None:
         playing.begin()
