Tell a peer that never pauses by the turns that it spent

Requests under way got 504 at the limit of a planned stop although their answers waited: a reader that had read within 20 ms counted as one that keeps up, also right after the process had been suspended, and a time limit then waited for 0.04 s or not at all. Whether the peer spent its share of the event loop within 0.1 s tells the two apart.

--- a/martenjunction/fair_turns.py
+++ b/martenjunction/fair_turns.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections
+import math
 import time
 import weakref
 
@@ -27,6 +28,10 @@
 # The same for the head of a message.
 HEAD_COST = 32 * 1024
 
+# Seconds within which a connection whose data is always ready spends its
+# budget again, also beside other such connections.
+SPENT_LATELY_S = 0.1
+
 
 class TurnQueue:
     """Readers that wait; one of them continues in each iteration."""
@@ -93,6 +98,12 @@
     def __init__(self) -> None:
         """Makes an unspent budget."""
         self._spent = 0
+        self._spent_at = -math.inf
+
+    @property
+    def spent_lately(self) -> bool:
+        """Whether the budget was spent within the last `SPENT_LATELY_S`."""
+        return time.monotonic() - self._spent_at <= SPENT_LATELY_S
 
     def spend(self, cost: int) -> None:
         """Counts bytes that were read, or the cost of what was parsed."""
@@ -106,4 +117,5 @@
         """Waits for the next turn of this connection if its budget is spent."""
         if self._spent >= TURN_BYTES:
             self._spent = 0
+            self._spent_at = time.monotonic()
             await current_queue().wait()
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -33,7 +33,7 @@
 # read: a few iterations of the event loop after it was blocked.
 READY_GRACE_S = 0.1
 
-# The same while the reader keeps up with a server that never pauses.
+# The same for a server that sends without a pause.
 READING_GRACE_S = 0.04
 
 # Value of SO_LINGER by which closing a socket resets it (socket(7)).
@@ -137,7 +137,7 @@
         """
         if self._source is None or not self.readable:
             return 0.0
-        if self._source.keeps_up and self._source.bytes_waiting:
+        if self._source.never_pauses and self._source.bytes_waiting:
             return READING_GRACE_S
         return READY_GRACE_S
 
@@ -243,6 +243,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            self._chunked = None
             return b""
         raise errors.ConnectionLostError("closed within a response")
 
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -28,7 +28,7 @@
 # enough for the reader to consume them.
 TIMEOUT_EXTENSION_S = 0.1
 
-# The same, once, while the reader keeps up with a client that never pauses.
+# The same, once, for a client that sends without a pause.
 READING_EXTENSION_S = 0.04
 
 # Seconds within which a partly received request must be complete once its
@@ -480,15 +480,16 @@
         self, reason: close_reports.CloseReason, final: bool
     ) -> None:
         """Closes the connection unless the awaited bytes have arrived."""
-        keeps_up = self._state is _State.READING and self._source.keeps_up
-        if self._source.bytes_waiting and not (final and keeps_up):
+        reading = self._state is _State.READING
+        endless = reading and self._source.never_pauses
+        if self._source.bytes_waiting and not (final and endless):
             # After the event loop was blocked, the timeout expires in the same
             # iteration that reads the bytes: the request would be passed on
             # and its connection closed without a response.
             extension_s = (
-                READING_EXTENSION_S if keeps_up else TIMEOUT_EXTENSION_S
+                READING_EXTENSION_S if endless else TIMEOUT_EXTENSION_S
             )
-            self._set_timer(extension_s, reason, final=keeps_up)
+            self._set_timer(extension_s, reason, final=endless)
             return
         left = self._remaining_idle_s()
         if reason is close_reports.CloseReason.IDLE and left > 0.0:
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -3,9 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
-import math
 import socket
-import time
 from typing import Any
 from typing import cast
 
@@ -37,10 +35,6 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
 
-# Seconds since the last read within which a reader is taken to keep up with
-# its peer.
-READ_LAG_S = 0.02
-
 
 def set_socket_options(sock: socket.socket) -> None:
     """Sets socket options that detect an unreachable peer in seconds."""
@@ -165,7 +159,6 @@
         self._pending: asyncio.Future[bytes] | None = None
         self._end_callback: Callable[[], None] | None = None
         self._aborted = False
-        self._last_read_at = -math.inf
         self._turns = fair_turns.TurnBudget()
 
     @property
@@ -189,13 +182,13 @@
         return peeks.peek(self._stream.socket) is peeks.PendingInput.BYTES
 
     @property
-    def keeps_up(self) -> bool:
-        """Whether the reader has just read.
+    def never_pauses(self) -> bool:
+        """Whether the peer sends faster than its share of the event loop.
 
-        What waits is then no sign that the event loop was blocked: the peer may
-        send without a pause, and time limits have to end that.
+        What waits is then no sign that the event loop was blocked, and time
+        limits have to end such a connection.
         """
-        return time.monotonic() - self._last_read_at <= READ_LAG_S
+        return self._turns.spent_lately
 
     def prefetch(self) -> None:
         """Starts the next read without waiting for it."""
@@ -261,7 +254,6 @@
         if self._aborted:
             # Data that arrived before the abort is discarded.
             raise errors.ConnectionLostError("aborted")
-        self._last_read_at = time.monotonic()
         self._turns.spend(fair_turns.PART_COST + len(data))
         return data
 
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -247,6 +247,20 @@
             await read_all(connection)
 
 
+async def test_framing_of_one_answer_does_not_count_for_the_next(
+    peer: raw_peers.RawPeer,
+) -> None:
+    stale = ANSWER + b"\r\n" + chunks(1, 4_000) + LAST_CHUNK
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Long: " + b"x" * 60_000
+    data = stale + head + b"\r\n\r\nok"
+    async with asking(peer, data) as connection:
+        await connection.read_head()
+        assert len(await read_all(connection)) == 4_000
+        connection.expect_another_response()
+        await connection.read_head()
+        assert await read_all(connection) == b"ok"
+
+
 async def test_interim_responses_without_end_are_an_error(
     peer: raw_peers.RawPeer,
 ) -> None:
