Let the daemon's HTTP server share turns and bound framing

Cause: tornado 6.6.1 pauses within a body after 256 chunks or 256 KB, so one connection keeps the event loop for some milliseconds only; but each connection goes on in each iteration, max_body_size does not count framing, and the body timeout was put off for as long as unread bytes were there.

Change: handle_stream replaces the accepted stream, which was not used yet, by a FairStream over the same socket. Its reads count against a TurnBudget; once it is spent, a read ends in a later turn of the queue that all connections share. A chunked body whose framing outweighs its data gets 400 (ChunkedBody). The body timeout ends a client whose bytes are always ready. A read that waits for its turn on a connection that was closed locally fails, so that a request that was rejected does not run.

--- /dev/null
+++ b/martenjunction/fair_streams.py
@@ -0,0 +1,132 @@
+"""Streams of tornado's HTTP server that share the event loop fairly."""
+
+import asyncio
+from collections.abc import Awaitable
+import math
+import time
+from typing import cast
+
+from tornado import httputil
+from tornado import iostream
+
+from martenjunction import errors
+from martenjunction import fair_turns
+from martenjunction.http1 import framing
+from martenjunction.http1 import streams
+
+
+class FairStream(iostream.IOStream):
+    """A server's stream that waits for its turn once its budget is spent.
+
+    tornado's own pauses let each connection go on in each iteration of the
+    event loop, and its limit of a body's size does not count the framing. A
+    read of a body whose framing outweighs its data raises `HTTPInputError`,
+    which tornado answers with 400.
+    """
+
+    _turns: fair_turns.TurnBudget
+    _body: framing.ChunkedBody
+    _last_ready_at: float
+    _waits: bool
+
+    @classmethod
+    def over(cls, stream: iostream.IOStream) -> "FairStream":
+        """Returns a stream that replaces one that was not used yet."""
+        made = cls(
+            stream.socket,
+            max_buffer_size=stream.max_buffer_size,
+            read_chunk_size=stream.read_chunk_size,
+        )
+        made._turns = fair_turns.TurnBudget()
+        made._body = framing.ChunkedBody(0)
+        made._last_ready_at = -math.inf
+        made._waits = False
+        return made
+
+    @property
+    def keeps_up(self) -> bool:
+        """Whether a read has just found data, or waits for its turn.
+
+        What waits in the socket is then no sign that the event loop was
+        blocked: the peer may send without a pause.
+        """
+        idle_s = time.monotonic() - self._last_ready_at
+        return self._waits or idle_s <= streams.READ_LAG_S
+
+    def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Reads the head of a request; see `IOStream.read_until_regex`."""
+        self._body = framing.ChunkedBody(0)
+        reading = super().read_until_regex(regex, max_bytes)
+        return self._in_turn(reading, fair_turns.HEAD_COST, None)
+
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Reads the head of a chunk; see `IOStream.read_until`.
+
+        Raises:
+            HTTPInputError: If the framing of the body outweighs its data.
+        """
+        if self._body.is_excessive:
+            raise httputil.HTTPInputError(
+                "the framing of a body outweighs its data"
+            )
+        reading = super().read_until(delimiter, max_bytes)
+        return self._in_turn(reading, fair_turns.PART_COST, False)
+
+    def read_bytes(
+        self, num_bytes: int, partial: bool = False
+    ) -> Awaitable[bytes]:
+        """Reads data of a body, or the end of a chunk if not partial."""
+        reading = super().read_bytes(num_bytes, partial)
+        return self._in_turn(reading, fair_turns.PART_COST, partial)
+
+    def _in_turn(
+        self, awaitable: Awaitable[bytes], cost: int, is_data: bool | None
+    ) -> Awaitable[bytes]:
+        """Returns a read that ends in a turn of this connection.
+
+        Args:
+            awaitable: A read of the library.
+            cost: Cost of the read, in addition to its bytes.
+            is_data: Whether it reads data of a body; None for a head.
+        """
+        # Tornado's futures are asyncio futures.
+        reading = cast("asyncio.Future[bytes]", awaitable)
+        if not reading.done():
+            self._turns.renew()
+            reading.add_done_callback(
+                lambda done: self._note(done, cost, is_data)
+            )
+            return reading
+        self._last_ready_at = time.monotonic()
+        self._note(reading, cost, is_data)
+        if not self._turns.is_spent:
+            return reading
+        waiting = asyncio.ensure_future(self._wait_for_turn(reading))
+        waiting.add_done_callback(streams.retrieve_exception)
+        return waiting
+
+    async def _wait_for_turn(self, reading: "asyncio.Future[bytes]") -> bytes:
+        self._waits = True
+        try:
+            await self._turns.pause_if_spent()
+        finally:
+            self._waits = False
+        if isinstance(self.error, errors.LocalCloseError):
+            raise iostream.StreamClosedError(real_error=self.error)
+        return await reading
+
+    def _note(
+        self, reading: "asyncio.Future[bytes]", cost: int, is_data: bool | None
+    ) -> None:
+        """Counts the cost and the bytes of a read that is done."""
+        if reading.cancelled() or reading.exception() is not None:
+            return
+        size = len(reading.result())
+        self._turns.spend(cost + size)
+        if is_data is not None:
+            self._body.note_received(size)
+            self._body.note_data(size if is_data else 0)
--- a/martenjunction/fair_turns.py
+++ b/martenjunction/fair_turns.py
@@ -105,6 +105,11 @@
         """Whether the budget was spent within the last `SPENT_LATELY_S`."""
         return time.monotonic() - self._spent_at <= SPENT_LATELY_S
 
+    @property
+    def is_spent(self) -> bool:
+        """Whether the reader has to wait for its next turn."""
+        return self._spent >= TURN_BYTES
+
     def spend(self, cost: int) -> None:
         """Counts bytes that were read, or the cost of what was parsed."""
         self._spent += cost
@@ -115,7 +120,7 @@
 
     async def pause_if_spent(self) -> None:
         """Waits for the next turn of this connection if its budget is spent."""
-        if self._spent >= TURN_BYTES:
+        if self.is_spent:
             self._spent = 0
             self._spent_at = time.monotonic()
             await current_queue().wait()
--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -20,6 +20,7 @@
 from tornado import web
 
 from martenjunction import errors
+from martenjunction import fair_streams
 from martenjunction import http_headers
 from martenjunction.decisions import outcomes
 from martenjunction.http1 import close_reports
@@ -109,8 +110,9 @@
         self, stream: iostream.IOStream, address: tuple[Any, ...]
     ) -> None:
         """Starts to serve a connection."""
-        self._open_connections[stream] = _Connection(stream, self._timeouts)
-        super().handle_stream(stream, address)
+        fair = fair_streams.FairStream.over(stream)
+        self._open_connections[fair] = _Connection(fair, self._timeouts)
+        super().handle_stream(fair, address)
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
@@ -131,7 +133,9 @@
     """Tracks whether a request is in flight on a connection."""
 
     def __init__(
-        self, stream: iostream.IOStream, timeouts: dict[Stage, float | None]
+        self,
+        stream: fair_streams.FairStream,
+        timeouts: dict[Stage, float | None],
     ) -> None:
         """Initializes the state of a newly accepted connection.
 
@@ -200,6 +204,11 @@
         waiting = peeks.peek(self._stream.socket)
         return not self._stream.reading() or waiting is peeks.PendingInput.BYTES
 
+    @property
+    def _sends_without_pause(self) -> bool:
+        """Whether the client sends a body faster than it is read."""
+        return self._stage is Stage.BODY and self._stream.keeps_up
+
     @property
     def _head_started(self) -> bool:
         # tornado has no public API for this.
@@ -213,7 +222,7 @@
             self._timer = self._loop.call_later(seconds, self._on_timeout)
 
     def _on_timeout(self) -> None:
-        if self._has_unread_bytes:
+        if self._has_unread_bytes and not self._sends_without_pause:
             self._set_timer(RECHECK_INTERVAL)
         elif not self.in_request:
             self.close()
--- a/tests/test_fair_turns_elsewhere.py
+++ b/tests/test_fair_turns_elsewhere.py
@@ -1,12 +1,17 @@
 """What is read in one turn of the event loop beside the HTTP/1 connections."""
 
 import asyncio
+from collections.abc import AsyncIterator
+import contextlib
 from types import SimpleNamespace
 from typing import cast
 
 import pytest
+from tornado import http1connection
 from tornado import iostream
+from tornado import web
 
+from martenjunction import http_server
 from martenjunction.http1 import streams
 from martenjunction.tunnels import framing
 from martenjunction.tunnels import server as tunnel_server
@@ -16,6 +21,14 @@
 # Maximum number of parsed frames or chunks in one turn.
 MAX_PARTS = 1024
 
+# Number of connections that send at the same time.
+SENDERS = 20
+
+# Timeout of a request body in seconds, and seconds until it must have ended the
+# connection.
+BODY_TIMEOUT_S = 0.5
+ENDED_S = 5.0
+
 # Maximum bytes that a tunnel passes on in one turn.
 MAX_COPIED_BYTES = 512 * 1024
 
@@ -112,3 +125,101 @@
     assert target.written == reads * size
     assert counts.longest * size <= MAX_COPIED_BYTES
     assert counts.longest <= MAX_PARTS // 8
+
+
+# The HTTP server of a daemon.
+
+
+@web.stream_request_body
+class DroppingHandler(web.RequestHandler):
+    """Answers with the size of a body that it does not keep."""
+
+    def prepare(self) -> None:
+        self._size = 0
+
+    def data_received(self, chunk: bytes) -> None:
+        self._size += len(chunk)
+
+    def post(self) -> None:
+        self.finish(str(self._size))
+
+
+@contextlib.asynccontextmanager
+async def served(body_timeout_s: float = 60.0) -> AsyncIterator[str]:
+    """Yields the address of a server whose bodies have no maximum size."""
+    server = http_server.Server(
+        web.Application([("/.*", DroppingHandler)]),
+        max_body_size=2**40,
+        idle_connection_timeout=60.0,
+        body_timeout=body_timeout_s,
+    )
+    server.listen(0, "127.0.0.1")
+    [listening] = server._sockets.values()
+    host, port = listening.getsockname()
+    yield f"{host}:{port}"
+    server.abort()
+    await server.close_all_connections()
+
+
+def request_head(framing_header: str) -> bytes:
+    return (
+        "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        f"{framing_header}\r\n\r\n"
+    ).encode()
+
+
+CHUNKED = request_head("Transfer-Encoding: chunked")
+
+
+def chunk(size: int) -> bytes:
+    return b"%x\r\n%b\r\n" % (size, b"x" * size)
+
+
+async def answers_to(
+    data: bytes, count: int
+) -> tuple[list[bytes], turn_counts.TurnCount]:
+    """Sends the same data over several connections at the same time."""
+    counts = turn_counts.TurnCount()
+    async with served() as address:
+        senders = [turn_counts.FastSender(address, data) for _ in range(count)]
+        with pytest.MonkeyPatch.context() as patch, counts.start():
+            parse = counts.counting(http1connection.parse_hex_int)
+            patch.setattr(http1connection, "parse_hex_int", parse)
+            answers = await asyncio.gather(*(one.answer() for one in senders))
+        for one in senders:
+            one.close()
+    return answers, counts
+
+
+async def test_daemon_parses_chunks_of_all_connections_in_short_turns() -> None:
+    chunks = 1200
+    data = CHUNKED + chunk(16) * chunks + b"0\r\n\r\n"
+    answers, counts = await answers_to(data, SENDERS)
+    assert {answer.split(b"\r\n")[0] for answer in answers} == {
+        b"HTTP/1.1 200 OK"
+    }
+    assert {answer.split(b"\r\n\r\n")[1] for answer in answers} == {
+        str(16 * chunks).encode()
+    }
+    assert counts.total == SENDERS * (chunks + 1)
+    assert counts.longest <= MAX_PARTS
+
+
+async def test_daemon_refuses_a_body_whose_framing_outweighs_its_data() -> None:
+    data = CHUNKED + chunk(1) * 40_000 + b"0\r\n\r\n"
+    [answer], counts = await answers_to(data, 1)
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert counts.total < 5_000
+
+
+async def test_daemon_ends_a_body_whose_bytes_are_always_ready() -> None:
+    chunks = chunk(16) * 4096
+    async with served(BODY_TIMEOUT_S) as address:
+        sender = turn_counts.FastSender(address, CHUNKED, chunks, 2**20)
+        try:
+            async with asyncio.timeout(ENDED_S):
+                answer = await sender.answer()
+        finally:
+            sender.close()
+    # The answer may be lost where unread bytes reset the connection.
+    assert answer.startswith(b"HTTP/1.1 408 ") or not answer
--- a/tests/turn_counts.py
+++ b/tests/turn_counts.py
@@ -51,16 +51,32 @@
 class FastSender:
     """Sends bytes from a thread as fast as the socket takes them."""
 
-    def __init__(self, address: str, data: bytes) -> None:
-        """Connects and sends; closes the connection at the end."""
+    def __init__(
+        self, address: str, data: bytes, then: bytes = b"", times: int = 0
+    ) -> None:
+        """Connects and sends.
+
+        Args:
+            address: IP address and port.
+            data: Bytes to send.
+            then: Bytes to send repeatedly after them.
+            times: How often.
+        """
         host, port = address.rsplit(":", 1)
         self._data = data
+        self._then = then
+        self._times = times
         self._socket = socket.create_connection((host, int(port)))
         self._socket.settimeout(SENDER_TIMEOUT_S)
         self._thread = threading.Thread(target=self._send, daemon=True)
         self._thread.start()
 
+    async def answer(self) -> bytes:
+        """Returns the answer, up to the end of the connection."""
+        return await asyncio.to_thread(self._receive)
+
     def close(self) -> None:
+        """Ends the connection and waits until the thread has ended."""
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._thread.join()
@@ -69,4 +85,12 @@
     def _send(self) -> None:
         with contextlib.suppress(OSError):
             self._socket.sendall(self._data)
-            self._socket.shutdown(socket.SHUT_WR)
+            for _ in range(self._times):
+                self._socket.sendall(self._then)
+
+    def _receive(self) -> bytes:
+        received = b""
+        with contextlib.suppress(ConnectionError):
+            while data := self._socket.recv(64 * 1024):
+                received += data
+        return received
