Let peers' connections give the event loop its turn

Cause: the websockets library parses all frames of a read at once, 43,690 empty ones in 256 KB, and a message that is queued is received without suspending. No handshake is needed to send them. A frame of the handshake could be as long as any other, and was decoded before its sender had proved anything.

Change: both ends use connections (the library's create_connection) that parse 512 bytes at a time, count frames and bytes against a TurnBudget, and stop reading until their turn; they also stop while the queue of frames is full, so that Link.run processes no more a turn than was parsed. A frame of the handshake has at most 16 KB.

--- /dev/null
+++ b/martenjunction/peers/fair_connections.py
@@ -0,0 +1,96 @@
+"""Websockets that share the event loop fairly with other connections.
+
+The library parses all frames of a read at once: a read of 256 KB may hold
+43,690 empty frames, and their sender need not be authenticated.
+"""
+
+import asyncio
+from typing import Any
+
+from websockets.asyncio import client as ws_client
+from websockets.asyncio import connection as ws
+from websockets.asyncio import server as ws_server
+from websockets.frames import Frame
+
+from martenjunction import fair_turns
+
+# Bytes that are parsed at once. They hold 85 empty frames of a client.
+PIECE_BYTES = 512
+
+
+class _FairConnection(ws.Connection):
+    """Parses what it receives in pieces, within a budget a turn."""
+
+    @property
+    def _must_wait(self) -> bool:
+        """Whether no more frames may be parsed in this turn."""
+        return (
+            self._turns.is_spent
+            or self.recv_messages.paused
+            or self.transport.is_closing()
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begins to receive."""
+        super().connection_made(transport)
+        self._turns = fair_turns.TurnBudget()
+        self._unparsed = bytearray()
+        self._parsing = False
+        self._waiting: asyncio.Task[None] | None = None
+        # The queue of frames resumes reading; unparsed bytes go first.
+        self.recv_messages.resume = self._parse
+
+    def data_received(self, data: bytes) -> None:
+        """Receives bytes, some of which may be parsed in later turns."""
+        self._unparsed += data
+        self._parse()
+
+    def process_event(self, event: Any) -> None:
+        """Processes a frame or a message of the handshake."""
+        self._turns.spend(
+            fair_turns.PART_COST
+            if isinstance(event, Frame)
+            else fair_turns.HEAD_COST
+        )
+        super().process_event(event)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the connection; what is not parsed yet is discarded."""
+        self._unparsed.clear()
+        if self._waiting is not None:
+            self._waiting.cancel()
+        super().connection_lost(exc)
+
+    def _parse(self) -> None:
+        """Parses pieces until the budget is spent or the queue is full."""
+        if self._parsing or self._waiting is not None:
+            return
+        self._parsing = True
+        try:
+            while self._unparsed and not self._must_wait:
+                piece = bytes(self._unparsed[:PIECE_BYTES])
+                del self._unparsed[:PIECE_BYTES]
+                self._turns.spend(len(piece))
+                super().data_received(piece)
+        finally:
+            self._parsing = False
+        if self._turns.is_spent and not self.transport.is_closing():
+            self.transport.pause_reading()
+            self._waiting = self.loop.create_task(self._parse_in_turn())
+        elif self._must_wait:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    async def _parse_in_turn(self) -> None:
+        await self._turns.pause_if_spent()
+        self._waiting = None
+        self._parse()
+
+
+class FairServerConnection(_FairConnection, ws_server.ServerConnection):
+    """A connection that a peer opened."""
+
+
+class FairClientConnection(_FairConnection, ws_client.ClientConnection):
+    """A connection to a peer."""
--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -18,6 +18,7 @@
 from martenjunction import events
 from martenjunction import timers
 from martenjunction.peers import codec
+from martenjunction.peers import fair_connections
 from martenjunction.peers import links
 from martenjunction.peers import membership
 from martenjunction.peers import messages
@@ -221,6 +222,7 @@
             self._accept,
             host,
             port,
+            create_connection=fair_connections.FairServerConnection,
             compression=None,
             ping_interval=None,
             max_size=codec.MAX_MESSAGE,
@@ -331,6 +333,7 @@
         try:
             connection = await ws_client.connect(
                 f"ws://{member.peers}/",
+                create_connection=fair_connections.FairClientConnection,
                 compression=None,
                 ping_interval=None,
                 max_size=codec.MAX_MESSAGE,
--- a/martenjunction/peers/links.py
+++ b/martenjunction/peers/links.py
@@ -28,6 +28,10 @@
 HANDSHAKE_TIMEOUT = 2.0
 NONCE_BYTES = 16
 
+# Maximum size in bytes of a frame of the handshake. Its sender is not
+# authenticated yet.
+MAX_HANDSHAKE_BYTES = 16 * 1024
+
 # High-water mark of a connection's write buffer in bytes. Messages beyond it
 # stay in the outbox, where they can still be reordered or replaced.
 WRITE_LIMIT = 8 * 1024
@@ -380,6 +384,8 @@
         raise errors.PeerError("no frame during the handshake") from error
     if isinstance(frame, str):
         raise errors.PeerError("unexpected text frame")
+    if len(frame) > MAX_HANDSHAKE_BYTES:
+        raise errors.PeerError("a frame of the handshake is too long")
     for message in codec.decode_batch(frame):
         if isinstance(message, kind):
             return message
--- a/tests/test_fair_turns_elsewhere.py
+++ b/tests/test_fair_turns_elsewhere.py
@@ -10,11 +10,22 @@
 from tornado import http1connection
 from tornado import iostream
 from tornado import web
+from websockets import protocol
+from websockets.asyncio import client as ws_client
 
+from martenjunction import events
 from martenjunction import http_server
+from martenjunction import timers
 from martenjunction.http1 import streams
+from martenjunction.peers import codec
+from martenjunction.peers import hub
+from martenjunction.peers import links
+from martenjunction.peers import membership
+from martenjunction.peers import messages
 from martenjunction.tunnels import framing
 from martenjunction.tunnels import server as tunnel_server
+from martenjunction_lab import bench
+from martenjunction_lab import boxes
 from tests import raw_peers
 from tests import turn_counts
 
@@ -223,3 +234,101 @@
             sender.close()
     # The answer may be lost where unread bytes reset the connection.
     assert answer.startswith(b"HTTP/1.1 408 ") or not answer
+
+
+# Connections between boxes.
+
+KEY = "key"
+
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n"
+    b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+    b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+)
+
+# A frame without data, as a client sends it.
+EMPTY_PING = b"\x89\x80\x00\x00\x00\x00"
+
+# A frame of a link that acknowledges nothing and has no messages.
+EMPTY_BATCH = b"\x00\x00\x00\x00" + codec.encode_batch([])
+
+
+def member(name: str) -> membership.Member:
+    return membership.Member(name, "zone-a", "", "", "", 1)
+
+
+def new_hub(address: str) -> hub.PeerHub:
+    clock = timers.Timers()
+    return hub.PeerHub(
+        membership.Membership(member("box-1"), clock, lambda: None),
+        KEY,
+        clock,
+        events.Events(),
+        lambda: messages.Heartbeat(0, 0, 0.0),
+        address,
+    )
+
+
+@pytest.fixture
+async def listening() -> AsyncIterator[tuple[hub.PeerHub, str]]:
+    address = bench.free_address()
+    made = new_hub(address)
+    await made.start()
+    yield made, address
+    await made.stop()
+
+
+async def test_unauthenticated_peer_takes_short_turns(
+    monkeypatch: pytest.MonkeyPatch,
+    listening: tuple[hub.PeerHub, str],
+) -> None:
+    counts = turn_counts.TurnCount()
+    receive = counts.counting(protocol.Protocol.recv_frame)
+    monkeypatch.setattr(protocol.Protocol, "recv_frame", lambda *a: receive(*a))
+    frames = 20_000
+    with counts.start():
+        sender = turn_counts.FastSender(
+            listening[1], UPGRADE + EMPTY_PING * frames
+        )
+        await boxes.until(lambda: counts.total >= frames)
+    sender.close()
+    assert counts.longest <= MAX_PARTS
+
+
+async def test_link_processes_queued_frames_in_short_turns(
+    monkeypatch: pytest.MonkeyPatch,
+    listening: tuple[hub.PeerHub, str],
+) -> None:
+    counts = turn_counts.TurnCount()
+    read = counts.counting(links.Link._read)
+    monkeypatch.setattr(links.Link, "_read", lambda *a: read(*a))
+    frames = 20_000
+    async with ws_client.connect(
+        f"ws://{listening[1]}/", compression=None, proxy=None
+    ) as connection:
+        await links.perform_client_handshake(connection, member("box-2"), KEY)
+        with counts.start():
+            for _ in range(frames):
+                connection.protocol.send_binary(EMPTY_BATCH)
+            connection.transport.write(
+                b"".join(connection.protocol.data_to_send())
+            )
+            await boxes.until(lambda: counts.total == frames)
+        assert listening[0].is_connected("box-2")
+    assert counts.longest <= MAX_PARTS // 4
+
+
+async def test_long_frame_of_the_handshake_is_refused_undecoded(
+    monkeypatch: pytest.MonkeyPatch,
+    listening: tuple[hub.PeerHub, str],
+) -> None:
+    counts = turn_counts.TurnCount()
+    decode = counts.counting(codec.decode_batch)
+    monkeypatch.setattr(codec, "decode_batch", decode)
+    async with ws_client.connect(
+        f"ws://{listening[1]}/", compression=None, proxy=None
+    ) as connection:
+        await connection.recv()
+        await connection.send(b"\x80" * (links.MAX_HANDSHAKE_BYTES + 1))
+        await boxes.until(lambda: listening[0].refused == 1)
+    assert not counts.total
