Bring the daemon's streams and peers' connections to one measure of pauses

Both measured whether the reader had just read, which is also so right after the process was suspended.

--- a/martenjunction/fair_streams.py
+++ b/martenjunction/fair_streams.py
@@ -2,8 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable
-import math
-import time
 from typing import cast
 
 from tornado import httputil
@@ -26,7 +24,6 @@
 
     _turns: fair_turns.TurnBudget
     _body: framing.ChunkedBody
-    _last_ready_at: float
     _waits: bool
 
     @classmethod
@@ -39,19 +36,17 @@
         )
         made._turns = fair_turns.TurnBudget()
         made._body = framing.ChunkedBody(0)
-        made._last_ready_at = -math.inf
         made._waits = False
         return made
 
     @property
-    def keeps_up(self) -> bool:
-        """Whether a read has just found data, or waits for its turn.
+    def never_pauses(self) -> bool:
+        """Whether the peer sends faster than its share of the event loop.
 
         What waits in the socket is then no sign that the event loop was
-        blocked: the peer may send without a pause.
+        blocked.
         """
-        idle_s = time.monotonic() - self._last_ready_at
-        return self._waits or idle_s <= streams.READ_LAG_S
+        return self._waits or self._turns.spent_lately
 
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
@@ -69,7 +64,7 @@
         Raises:
             HTTPInputError: If the framing of the body outweighs its data.
         """
-        if self._body.is_excessive:
+        if self._body.is_excessive(parsed=True):
             raise httputil.HTTPInputError(
                 "the framing of a body outweighs its data"
             )
@@ -101,7 +96,6 @@
                 lambda done: self._note(done, cost, is_data)
             )
             return reading
-        self._last_ready_at = time.monotonic()
         self._note(reading, cost, is_data)
         if not self._turns.is_spent:
             return reading
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -393,7 +393,7 @@
             return
         self._source.turns.spend(fair_turns.PART_COST)
         if self._chunked is not None:
-            self._chunked.note_data(event)
+            self._chunked.note_data(len(event.data), event.chunk_end)
             _check_framing(self._chunked, parsed=False)
 
 
--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -1,7 +1,5 @@
 """Checks that framing is unambiguous, and bounds that of chunked bodies."""
 
-import h11
-
 from martenjunction.http1 import messages
 from martenjunction.http1 import request_errors
 
@@ -50,10 +48,10 @@
         """Counts bytes that were received."""
         self._received += size
 
-    def note_data(self, part: h11.Data) -> None:
-        """Counts a part of the data that was parsed."""
-        self._data += len(part.data)
-        if part.chunk_end:
+    def note_data(self, size: int, ends_chunk: bool = False) -> None:
+        """Counts bytes of data that were parsed."""
+        self._data += size
+        if ends_chunk:
             self._parsed_framing += MIN_CHUNK_FRAMING_BYTES
 
 
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -377,7 +377,7 @@
                 turns.spend(fair_turns.PART_COST)
                 size += len(event.data)
                 if chunked is not None:
-                    chunked.note_data(event)
+                    chunked.note_data(len(event.data), event.chunk_end)
                     _check_framing(chunked, parsed=False)
                 if not request.discarded:
                     body += event.data
--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -207,7 +207,7 @@
     @property
     def _sends_without_pause(self) -> bool:
         """Whether the client sends a body faster than it is read."""
-        return self._stage is Stage.BODY and self._stream.keeps_up
+        return self._stage is Stage.BODY and self._stream.never_pauses
 
     @property
     def _head_started(self) -> bool:
--- a/martenjunction/peers/fair_connections.py
+++ b/martenjunction/peers/fair_connections.py
@@ -14,8 +14,8 @@
 
 from martenjunction import fair_turns
 
-# Bytes that are parsed at once. They hold 85 empty frames of a client.
-PIECE_BYTES = 512
+# Bytes that are parsed at once. They hold 341 empty frames of a client.
+PIECE_BYTES = 2048
 
 
 class _FairConnection(ws.Connection):
@@ -42,6 +42,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Receives bytes, some of which may be parsed in later turns."""
+        if self._waiting is None:
+            # A loop reads from each connection once in an iteration.
+            self._turns.renew()
         self._unparsed += data
         self._parse()
 
