Keep what has arrived while its reader waits for its turn

A request, or an answer, that had arrived in whole was closed or timed out when its reader waited in the queue at the time limit: bytes in the parser did not count as waiting. They count now, and a time limit that ends beside a peer that never pauses lets the parser take what was read before it. tests/test_fair_turns.py: both tests of arrived messages failed before.

--- a/martenjunction/fair_turns.py
+++ b/martenjunction/fair_turns.py
@@ -16,17 +16,17 @@
 
 # What one connection may read before it waits for its turn, in bytes. A turn
 # takes a few milliseconds at most.
-TURN_BYTES = 256 * 1024
+TURN_BYTES = 2 * 1024 * 1024
 
 # What a read costs beside its bytes, and what it costs to parse and forward a
 # part of a message, as a number of bytes that are read.
-PART_COST = 4 * 1024
+PART_COST = 32 * 1024
 
 # The same for an event of a stream, several of which a part may hold.
-EVENT_COST = 1024
+EVENT_COST = 8 * 1024
 
 # The same for the head of a message.
-HEAD_COST = 32 * 1024
+HEAD_COST = 256 * 1024
 
 # Seconds within which a connection whose data is always ready spends its
 # budget again, also beside other such connections.
@@ -99,6 +99,12 @@
         """Makes an unspent budget."""
         self._spent = 0
         self._spent_at = -math.inf
+        self._waiting = False
+
+    @property
+    def waiting(self) -> bool:
+        """Whether the reader waits for its turn, with data that is ready."""
+        return self._waiting
 
     @property
     def spent_lately(self) -> bool:
@@ -123,4 +129,8 @@
         if self.is_spent:
             self._spent = 0
             self._spent_at = time.monotonic()
-            await current_queue().wait()
+            self._waiting = True
+            try:
+                await current_queue().wait()
+            finally:
+                self._waiting = False
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -120,12 +120,17 @@
     def readable(self) -> bool:
         """Whether unread data or an end of the connection is pending.
 
-        Also peeks at the socket, with one system call: the event loop does not
-        see what arrives while it is blocked.
+        Data of a reader that waits for its turn counts as unread. Also peeks at
+        the socket, with one system call: the event loop does not see what
+        arrives while it is blocked.
         """
         if self._source is None or self._stream is None:
             return False
-        if self._source.has_pending_result or self._stream.closed():
+        if (
+            self._source.turns.waiting
+            or self._source.has_pending_result
+            or self._stream.closed()
+        ):
             return True
         return peeks.peek(self._stream.socket) is not peeks.PendingInput.NOTHING
 
@@ -368,6 +373,8 @@
             except h11.RemoteProtocolError as error:
                 raise errors.HttpSyntaxError(str(error)) from error
             if event is not h11.NEED_DATA:
+                if framing.has_too_many_fields(event):
+                    raise errors.HttpSyntaxError("too many header fields")
                 self._count(event)
                 return event  # type: ignore[return-value]
             if self._chunked is not None:
--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -1,5 +1,7 @@
 """Checks that framing is unambiguous, and bounds that of chunked bodies."""
 
+import h11
+
 from martenjunction.http1 import messages
 from martenjunction.http1 import request_errors
 
@@ -9,6 +11,20 @@
 # Bytes of framing that the shortest chunk has.
 MIN_CHUNK_FRAMING_BYTES = len(b"1\r\n") + len(b"\r\n")
 
+# Maximum number of header fields of a message, or of its trailer.
+MAX_FIELDS = 100
+
+
+def has_too_many_fields(event: object) -> bool:
+    """Returns whether a part of a message has too many header fields.
+
+    Parsing them takes longer than their bytes suggest.
+    """
+    with_fields = (h11.Request, h11.InformationalResponse, h11.Response)
+    if isinstance(event, (*with_fields, h11.EndOfMessage)):
+        return len(event.headers) > MAX_FIELDS
+    return False
+
 
 class ChunkedBody:
     """Compares the framing of a chunked body with its data.
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -75,6 +75,8 @@
         self._close_announced = False
         self._timer: asyncio.TimerHandle | None = None
         self._timeout_reason = close_reports.CloseReason.IDLE
+        # Set after a timeout, until the data that was read before is parsed.
+        self._expired: close_reports.CloseReason | None = None
         self._bodiless = False
         self._state = _State.RESTING
         self._shutting_down = False
@@ -293,10 +295,9 @@
             if event is not h11.NEED_DATA:
                 return None
             try:
-                data = await self._source.read()
+                data = await self._read()
             except errors.ConnectionLostError:
                 return None
-            self._received += len(data)
             if data and self._state is _State.RESTING:
                 self._transition(_Event.BYTES_CAME)
                 self._set_timer(
@@ -304,13 +305,32 @@
                 )
             self._parser.receive_data(data)
 
+    async def _read(self) -> bytes:
+        """Waits for data.
+
+        Raises:
+            ConnectionLostError: If the client disconnected, or did not pause
+                until after a timeout.
+        """
+        if self._expired is not None:
+            self.abort(self._expired)
+            raise errors.ConnectionLostError("timed out")
+        data = await self._source.read()
+        self._received += len(data)
+        return data
+
     def _next_event(self) -> h11.Event | type[h11.NEED_DATA]:
         try:
-            return self._parser.next_event()  # type: ignore[return-value]
+            event = self._parser.next_event()
         except h11.RemoteProtocolError as error:
             raise request_errors.RequestSyntaxError(
                 error.error_status_hint, str(error)
             ) from error
+        if framing.has_too_many_fields(event):
+            raise request_errors.RequestSyntaxError(
+                431, "too many header fields"
+            )
+        return event  # type: ignore[return-value]
 
     async def _take_body(
         self, request: messages.Request, length: int | None, max_bytes: int
@@ -391,6 +411,7 @@
                         self._set_timer(None)
                         return b""
             elif isinstance(event, h11.EndOfMessage):
+                turns.spend(fair_turns.PART_COST)
                 self._set_timer(None)
                 return body
             elif event is h11.NEED_DATA:
@@ -399,8 +420,7 @@
                 )
                 if chunked is not None:
                     _check_framing(chunked, parsed=True)
-                data = await self._source.read()
-                self._received += len(data)
+                data = await self._read()
                 if chunked is not None:
                     chunked.note_received(len(data))
                 self._parser.receive_data(data)
@@ -464,6 +484,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        self._expired = None
         if seconds is not None:
             self._timeout_reason = reason
             if self._shutting_down:
@@ -479,7 +500,10 @@
         """Closes the connection unless the awaited bytes have arrived."""
         reading = self._state is _State.READING
         endless = reading and self._source.never_pauses
-        if self._source.bytes_waiting and not (final and endless):
+        if final and endless:
+            self._expired = reason
+            return
+        if self._source.bytes_waiting:
             # After the event loop was blocked, the timeout expires in the same
             # iteration that reads the bytes: the request would be passed on
             # and its connection closed without a response.
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -173,7 +173,9 @@
 
     @property
     def bytes_waiting(self) -> bool:
-        """Whether unread bytes are in the buffer or in the socket."""
+        """Whether bytes are unread, or their reader waits for its turn."""
+        if self._turns.waiting and not self._aborted:
+            return True
         if self._pending is not None and self._pending.done():
             failed = self._pending.cancelled() or self._pending.exception()
             return not failed
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -21,6 +21,7 @@
 from martenjunction import fair_turns
 from martenjunction.endpoints import event_stream
 from martenjunction.http1 import client
+from martenjunction.http1 import framing
 from martenjunction.http1 import messages
 from martenjunction.http1 import server
 from martenjunction.http1 import server_connection
@@ -29,6 +30,9 @@
 
 LIMIT_S = 30.0
 
+# Longer than a stop gives a request that is partly received.
+STOP_READ_S = server_connection.SHUTDOWN_READ_TIMEOUT_S + 0.05
+
 # Parts of a message that one connection may have parsed in a turn.
 MAX_PARTS = fair_turns.TURN_BYTES // fair_turns.PART_COST + 1
 
@@ -96,7 +100,7 @@
 
 
 @contextlib.asynccontextmanager
-async def serving() -> AsyncIterator[str]:
+async def serving() -> AsyncIterator[tuple[str, server.Server]]:
     async def answer(
         connection: server_connection.ServerConnection,
         request: messages.Request,
@@ -107,7 +111,7 @@
     address = bench.free_address()
     listening.listen_on(address)
     try:
-        yield address
+        yield address, listening
     finally:
         listening.close_all()
 
@@ -192,7 +196,7 @@
     counter: PartCounter,
 ) -> None:
     data = HEAD + b"\r\n" + chunks(16, 20_000) + LAST_CHUNK
-    async with serving() as address:
+    async with serving() as (address, _):
         answer = await answers_to(address, data, lambda a: b"320000" in a)
     assert answer.startswith(b"HTTP/1.1 200")
     assert counter.most <= MAX_PARTS
@@ -202,7 +206,7 @@
     counter: PartCounter,
 ) -> None:
     data = b"GET / HTTP/1.1\r\nHost: api.example\r\n\r\n" * 2_000
-    async with serving() as address:
+    async with serving() as (address, _):
         answer = await answers_to(
             address, data, lambda a: a.count(b"HTTP/1.1 200") == 2_000
         )
@@ -220,6 +224,68 @@
     assert counter.most <= MAX_PARTS
 
 
+async def test_request_that_has_arrived_outlasts_a_stop() -> None:
+    # The reader waits for its turn, with the rest of the request in the
+    # parser, when the time limit of a stop ends.
+    data = HEAD + b"\r\n" + chunks(16, 2_900) + LAST_CHUNK
+
+    async with serving() as (address, listening):
+
+        async def stop_and_block() -> None:
+            for _ in range(8):
+                await asyncio.sleep(0)
+            while not fair_turns.current_queue().waits:
+                await asyncio.sleep(0)
+            listening.finish()
+            raw_peers.block_event_loop(STOP_READ_S)
+
+        blocking = asyncio.ensure_future(stop_and_block())
+        answer = await answers_to(address, data, lambda a: b"46400" in a)
+        await blocking
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
+async def test_answer_that_has_arrived_outlasts_its_time_limit(
+    peer: raw_peers.RawPeer,
+) -> None:
+    data = ANSWER + b"\r\n" + chunks(16, 2_900) + LAST_CHUNK
+    async with asking(peer, data) as connection:
+        await connection.read_head()
+        async with connection.response_timeout(raw_peers.BLOCK_S / 2):
+            reading = asyncio.ensure_future(read_all(connection))
+            while not fair_turns.current_queue().waits:
+                await asyncio.sleep(0)
+            raw_peers.block_event_loop()
+            assert len(await reading) == 46_400
+
+
+FIELDS = b"".join(b"F%d: 1\r\n" % n for n in range(framing.MAX_FIELDS + 1))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\nHost: api.example\r\n" + FIELDS + b"\r\n",
+        HEAD + b"\r\n" + chunks(1, 1) + b"0\r\n" + FIELDS + b"\r\n",
+    ],
+    ids=["head", "trailer"],
+)
+async def test_request_of_too_many_fields_is_refused(data: bytes) -> None:
+    async with serving() as (address, _):
+        answer = await answers_to(address, data, lambda a: b"\r\n\r\n" in a)
+    assert answer.startswith(b"HTTP/1.1 431")
+
+
+@pytest.mark.parametrize("status", [b"103 Early Hints", b"200 OK"])
+async def test_answer_of_too_many_fields_is_an_error(
+    status: bytes, peer: raw_peers.RawPeer
+) -> None:
+    data = b"HTTP/1.1 " + status + b"\r\n" + FIELDS + b"\r\n"
+    async with asking(peer, data) as connection:
+        with pytest.raises(errors.HttpSyntaxError):
+            await connection.read_head()
+
+
 EXCESSIVE = {
     "chunks-of-one-byte": chunks(1, 100_000),
     "chunk-extensions": (b"1;" + b"e" * 1_000 + b"\r\nx\r\n") * 2_000,
@@ -231,7 +297,7 @@
     body: bytes,
 ) -> None:
     data = HEAD + b"\r\n" + body
-    async with serving() as address:
+    async with serving() as (address, _):
         answer = await answers_to(address, data, lambda a: b"\r\n\r\n" in a)
     # The close may reset the connection before the answer is read.
     assert answer == b"" or answer.startswith(b"HTTP/1.1 400")
