Reserve little memory for a chunked body that is refused

Cause: a chunked body has the memory of the largest one reserved, also where the key is unknown, so that clients without any right could take what others wait for.

Change: where the head is refused, 64 KB are reserved; the rest only if the request is admitted by the time that more of it comes.

--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -345,6 +345,9 @@
         size = max_bytes if length is None else length
         if length is not None and self._leaves_unread(request, length):
             return b""
+        if length is None and self._gate.refuses(request):
+            # More is not read unless the request is admitted by then.
+            size = min(size, discarding.MAX_READ_BYTES)
         await self._reserve(request, size)
         if length is not None and self._leaves_unread(request, length):
             return b""
@@ -355,7 +358,7 @@
         chunked = None
         if length is None:
             chunked = framing.ChunkedBody(len(self._parser.trailing_data[0]))
-        return await self._read_body(request, chunked)
+        return await self._read_body(request, chunked, max_bytes)
 
     def _leaves_unread(self, request: messages.Request, size: int) -> bool:
         """Leaves the rest of a large body unread if its request is refused.
@@ -371,11 +374,11 @@
         return self._unread
 
     async def _reserve(self, request: messages.Request, size: int) -> None:
-        """Waits for the memory of a body of at most `size` bytes."""
-        if not size:
+        """Waits for memory for `size` more bytes of a body."""
+        if size <= 0:
             return
         reservation = await self._gate.reserve(request, size)
-        request.reserved = reservation.size
+        request.reserved += reservation.size
         request.discarded = not reservation.keeps_body
 
     def _reduce_reserved(self, request: messages.Request, size: int) -> None:
@@ -384,7 +387,10 @@
             request.reserved = size
 
     async def _read_body(
-        self, request: messages.Request, chunked: framing.ChunkedBody | None
+        self,
+        request: messages.Request,
+        chunked: framing.ChunkedBody | None,
+        max_bytes: int,
     ) -> messages.Body:
         body = bytearray()
         size = 0
@@ -407,8 +413,11 @@
                     )
                 if not decided and size > discarding.MAX_READ_BYTES:
                     decided = True
+                    self._set_timer(None)
+                    if self._leaves_unread(request, size):
+                        return b""
+                    await self._reserve(request, max_bytes - request.reserved)
                     if self._leaves_unread(request, size):
-                        self._set_timer(None)
                         return b""
             elif isinstance(event, h11.EndOfMessage):
                 turns.spend(fair_turns.PART_COST)
--- a/tests/test_refused_bodies.py
+++ b/tests/test_refused_bodies.py
@@ -236,6 +236,18 @@
 
     def __init__(self, refuses: Callable[[], bool]) -> None:
         self._refuses = refuses
+        self.held = 0
+        self.most_held = 0
+
+    async def reserve(
+        self, request: messages.Request, size: int
+    ) -> body_gate.Reservation:
+        self.held += size
+        self.most_held = max(self.most_held, self.held)
+        return body_gate.Reservation(size, True)
+
+    def release(self, size: int) -> None:
+        self.held -= size
 
     def refuses(self, request: messages.Request) -> bool:
         return self._refuses()
@@ -266,12 +278,13 @@
 
     def __init__(self, refuses: Callable[[], bool]) -> None:
         self.handler = Handler()
+        self.gate = Gate(refuses)
         self.address = bench.free_address()
         self.server = server.Server(
             "test",
             self.handler,
             lambda: messages.ClientLimits(max_body_bytes=4 * MB),
-            gate=Gate(refuses),
+            gate=self.gate,
         )
         self.server.listen_on(self.address)
 
@@ -359,4 +372,19 @@
     client.close()
     assert head.startswith(b"HTTP/1.1 200 ")
     assert listening.handler.bodies == [0x48000]
+    assert listening.gate.most_held == 4 * MB
+    await boxes.until(lambda: listening.gate.held == 0)
     listening.server.close_all()
+
+
+async def test_refused_chunked_body_holds_little_memory() -> None:
+    listening = Listening(lambda: True)
+    client = await connect(listening.address)
+    client.send_head("/x", "", "Transfer-Encoding: chunked")
+    client.send(b"20000\r\n" + bytes(0x20000))
+    head, _ = await client.answer()
+    client.close()
+    await listening.until_unconnected()
+    assert head.startswith(b"HTTP/1.1 401 ")
+    assert listening.gate.most_held == discarding.MAX_READ_BYTES
+    assert listening.gate.held == 0
