Take an endpoint's tiny chunks in short turns in the daemon

Cause: libcurl calls back for each chunk of a body, and the buffer of a stream was bounded in bytes only, so that 64 KB of chunks of one byte were taken in one call of the library.

Change: a transfer is paused at 64 pieces, too; libcurl then joins what waits. A reader counts the pieces against a TurnBudget and waits for its turn.

--- a/martenjunction/endpoints/streams.py
+++ b/martenjunction/endpoints/streams.py
@@ -7,11 +7,16 @@
 import pycurl
 
 from martenjunction import errors
+from martenjunction import fair_turns
 from martenjunction import http_headers
 
 # Bytes that are buffered for a slow caller before the transfer is paused.
 MAX_BUFFERED_BYTES = 64 * 1024
 
+# Pieces that are buffered before the transfer is paused. The client library
+# passes each chunk of a body as a piece, however small.
+MAX_BUFFERED_PIECES = 64
+
 # Maximum size of the response headers, in bytes.
 MAX_HEADER_BYTES = 64 * 1024
 
@@ -58,6 +63,7 @@
         self._size = 0
         self._paused = False
         self._wake = asyncio.Event()
+        self._turns = fair_turns.TurnBudget()
         self._head: ResponseHead | None = None
         self._head_lines: list[bytes] = []
         self._head_size = 0
@@ -89,7 +95,10 @@
         """Buffers a part of the body, or pauses the transfer."""
         if self.aborted:
             return 0
-        if self._size >= MAX_BUFFERED_BYTES:
+        if (
+            self._size >= MAX_BUFFERED_BYTES
+            or len(self._chunks) >= MAX_BUFFERED_PIECES
+        ):
             self._paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
         self._chunks.append(chunk)
@@ -149,6 +158,7 @@
         Raises:
             EndpointError: If the transfer failed.
         """
+        await self._turns.pause_if_spent()
         while not self._chunks:
             if self._ended:
                 if self._error is not None:
@@ -156,6 +166,7 @@
                 return b""
             await self._wait()
         data = b"".join(self._chunks)
+        self._turns.spend(fair_turns.PART_COST * len(self._chunks))
         self._chunks.clear()
         self._size = 0
         self._resume()
--- a/tests/test_fair_turns_elsewhere.py
+++ b/tests/test_fair_turns_elsewhere.py
@@ -16,6 +16,8 @@
 from martenjunction import events
 from martenjunction import http_server
 from martenjunction import timers
+from martenjunction.endpoints import client
+from martenjunction.endpoints import streams as endpoint_streams
 from martenjunction.http1 import streams
 from martenjunction.peers import codec
 from martenjunction.peers import hub
@@ -236,6 +238,40 @@
     assert answer.startswith(b"HTTP/1.1 408 ") or not answer
 
 
+# The client of a daemon.
+
+
+async def test_tiny_chunks_of_an_endpoint_take_short_turns(
+    monkeypatch: pytest.MonkeyPatch,
+    peer: raw_peers.RawPeer,
+    http: client.EndpointClient,
+) -> None:
+    counts = turn_counts.TurnCount()
+    on_body = counts.counting(endpoint_streams.EndpointStream.on_body)
+    monkeypatch.setattr(
+        endpoint_streams.EndpointStream, "on_body", lambda *a: on_body(*a)
+    )
+    chunks = 50_000
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    stream = http.open(
+        client.EndpointRequest("GET", f"http://{peer.address}/", [])
+    )
+    accepted = await peer.accept()
+    await peer.request(accepted)
+    data = head + chunk(1) * chunks + b"0\r\n\r\n"
+    sending = asyncio.ensure_future(
+        asyncio.get_running_loop().sock_sendall(accepted, data)
+    )
+    await stream.head()
+    received = 0
+    with counts.start():
+        while part := await stream.read():
+            received += len(part)
+    await sending
+    assert received == chunks
+    assert counts.longest <= MAX_PARTS
+
+
 # Connections between boxes.
 
 KEY = "key"
