--- a/martenjunction/tunnels/server.py
+++ b/martenjunction/tunnels/server.py
@@ -40,6 +40,9 @@
 
 BACKLOG = 256
 
+# Cost of a byte that is passed on, as a multiple of one that is only read.
+COPY_COST_FACTOR = 4
+
 
 class _End(enum.Enum):
     """How one side of a tunnel ended."""
@@ -246,7 +249,7 @@
             if not reading.done():
                 turns.renew()
             data = await reading
-            turns.spend(fair_turns.PART_COST + len(data))
+            turns.spend(fair_turns.PART_COST + COPY_COST_FACTOR * len(data))
             written = target.write(framing.encode(data) if framed else data)
             written.add_done_callback(streams.retrieve_exception)
             waiting += len(data)
