Tell how a connection ended whose request was under way

A client that left, a reset and a user timeout looked alike: no line told of any. The hypotheses on requests lost on kept connections need them apart.

--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -408,10 +408,12 @@
     """Rejects a body whose framing outweighs its data.
 
     Raises:
-        HttpSyntaxError: If it does.
+        ExcessFramingError: If it does.
     """
     if body.is_excessive(parsed):
-        raise errors.HttpSyntaxError("the framing of a body outweighs its data")
+        raise errors.ExcessFramingError(
+            "the framing of a body outweighs its data"
+        )
 
 
 def _parse_head(event: h11.Response) -> messages.ResponseHead:
--- a/martenjunction/http1/close_reports.py
+++ b/martenjunction/http1/close_reports.py
@@ -35,6 +35,8 @@
         in_flight: Whether an accepted request has no complete response.
         bytes_waiting: Whether received bytes of a request are unread.
         received: Bytes that were read from it.
+        error: The socket's error that ended it, or "" if there was none, as
+            where the client closed it in an orderly way.
         request: A request that was read completely only after the connection
             was closed, or None.
     """
@@ -47,6 +49,7 @@
     in_flight: bool
     bytes_waiting: bool
     received: int = 0
+    error: str = ""
     request: messages.Request | None = None
 
 
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -131,7 +131,7 @@
             self._connections.discard(connection)
             self._check_ended()
             closing = connection.closing(self._name)
-            if closing.reason not in _UNREPORTED:
+            if closing.in_flight or closing.reason not in _UNREPORTED:
                 self._on_closed(closing)
 
     async def _serve(
@@ -190,7 +190,7 @@
             self._ended.set()
 
 
-# Expected reasons, which are not reported.
+# Expected reasons, which are not reported unless a request is in flight.
 _UNREPORTED = frozenset(
     {close_reports.CloseReason.CLIENT, close_reports.CloseReason.LAST_ANSWER}
 )
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -571,6 +571,7 @@
             self._unanswered,
             self._source.bytes_waiting,
             self._received,
+            "" if self._stream.error is None else repr(self._stream.error),
         )
 
 
--- a/martenjunction/routing/log/closing_log.py
+++ b/martenjunction/routing/log/closing_log.py
@@ -32,6 +32,7 @@
             "under_way": closed.in_flight,
             "bytes_waiting": closed.bytes_waiting,
             "received": closed.received,
+            "error": closed.error,
         }
         if closed.reason is close_reports.CloseReason.FRAMING:
             self._metrics.count("excess_framing", side="client")
