--- a/martenjunction/fair_turns.py
+++ b/martenjunction/fair_turns.py
@@ -26,7 +26,7 @@
 EVENT_COST = 8 * 1024
 
 # The same for the head of a message.
-HEAD_COST = 256 * 1024
+HEAD_COST = 512 * 1024
 
 # Seconds within which a connection whose data is always ready spends its
 # budget again, also beside other such connections.
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -395,11 +395,11 @@
     def _count(self, event: object) -> None:
         """Counts the cost and the data of a part of a response."""
         assert self._source is not None
-        if not isinstance(event, h11.Data):
-            self._source.turns.spend(fair_turns.HEAD_COST)
-            return
-        self._source.turns.spend(fair_turns.PART_COST)
-        if self._chunked is not None:
+        is_part = isinstance(event, (h11.Data, h11.EndOfMessage))
+        self._source.turns.spend(
+            fair_turns.PART_COST if is_part else fair_turns.HEAD_COST
+        )
+        if isinstance(event, h11.Data) and self._chunked is not None:
             self._chunked.note_data(len(event.data), event.chunk_end)
             _check_framing(self._chunked, parsed=False)
 
