--- a/martenjunction/fair_turns.py
+++ b/martenjunction/fair_turns.py
@@ -16,17 +16,17 @@
 
 # What one connection may read before it waits for its turn, in bytes. A turn
 # takes a few milliseconds at most.
-TURN_BYTES = 2 * 1024 * 1024
+TURN_BYTES = 1024 * 1024
 
 # What a read costs beside its bytes, and what it costs to parse and forward a
 # part of a message, as a number of bytes that are read.
-PART_COST = 32 * 1024
+PART_COST = 16 * 1024
 
 # The same for an event of a stream, several of which a part may hold.
-EVENT_COST = 8 * 1024
+EVENT_COST = 4 * 1024
 
 # The same for the head of a message.
-HEAD_COST = 512 * 1024
+HEAD_COST = 256 * 1024
 
 # Seconds within which a connection whose data is always ready spends its
 # budget again, also beside other such connections.
--- a/martenjunction/tunnels/framing.py
+++ b/martenjunction/tunnels/framing.py
@@ -22,7 +22,7 @@
 MAX_FRAMES_AT_ONCE = 128
 
 # What it costs to decode a frame, as a number of bytes that are read.
-FRAME_COST = 4 * 1024
+FRAME_COST = 2 * 1024
 
 
 def encode(data: bytes) -> bytes:
--- a/martenjunction/tunnels/server.py
+++ b/martenjunction/tunnels/server.py
@@ -41,7 +41,7 @@
 BACKLOG = 256
 
 # Cost of a byte that is passed on, as a multiple of one that is only read.
-COPY_COST_FACTOR = 4
+COPY_COST_FACTOR = 2
 
 
 class _End(enum.Enum):
