Tell an answer that was broken off from one that is invalid

The parser's error at the end of a connection is a lost connection now; a stream that ends within an event has an error of its own.

--- a/martenjunction/endpoints/attempt.py
+++ b/martenjunction/endpoints/attempt.py
@@ -127,7 +127,9 @@
                     yield events
                     events = await self._next_events(splitter, len(events))
             if splitter.partial:
-                raise errors.EndpointBrokenError("stream ended within an event")
+                raise errors.StreamTruncatedError(
+                    "stream ended within an event"
+                )
         except errors.EndpointBrokenError:
             self.abort()
             raise
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -102,6 +102,10 @@
     """The response is incomplete or missing; the request may have run."""
 
 
+class StreamTruncatedError(EndpointBrokenError):
+    """A stream ended within an event."""
+
+
 class EndpointMismatchError(EndpointError):
     """The response belongs to another request."""
 
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -371,6 +371,9 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
+                if self._parser.trailing_data[1]:
+                    # The server closed the connection before the end.
+                    raise errors.ConnectionLostError(str(error)) from error
                 raise errors.HttpSyntaxError(str(error)) from error
             if event is not h11.NEED_DATA:
                 if framing.has_too_many_fields(event):
--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -14,16 +14,20 @@
 # Maximum number of header fields of a message, or of its trailer.
 MAX_FIELDS = 100
 
+_WITH_FIELDS = (
+    h11.Request,
+    h11.InformationalResponse,
+    h11.Response,
+    h11.EndOfMessage,
+)
+
 
 def has_too_many_fields(event: object) -> bool:
     """Returns whether a part of a message has too many header fields.
 
     Parsing them takes longer than their bytes suggest.
     """
-    with_fields = (h11.Request, h11.InformationalResponse, h11.Response)
-    if isinstance(event, (*with_fields, h11.EndOfMessage)):
-        return len(event.headers) > MAX_FIELDS
-    return False
+    return isinstance(event, _WITH_FIELDS) and len(event.headers) > MAX_FIELDS
 
 
 class ChunkedBody:
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -202,7 +202,9 @@
     ) -> None:
         """Logs a response that was invalid or too large, not broken off."""
         cause = error.__cause__
-        if isinstance(cause, errors.ConnectionLostError):
+        if isinstance(cause, errors.ConnectionLostError) or isinstance(
+            error, errors.StreamTruncatedError
+        ):
             return
         if isinstance(cause, errors.ExcessFramingError):
             self._context.metrics.count("excess_framing", side="endpoint")
