--- a/martenjunction_lab/fast_senders/sender.py
+++ b/martenjunction_lab/fast_senders/sender.py
@@ -12,6 +12,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import select
 import socket
 import sys
@@ -180,7 +181,11 @@
                 end = self._run_once(f"s{number}-{self._starts[number]}")
             except OSError:
                 end = End(0.0, CLOSED, 0)
-            print(json.dumps(dataclasses.asdict(end)), flush=True)
+            # In one piece, since other senders write as well.
+            os.write(
+                sys.stdout.fileno(),
+                json.dumps(dataclasses.asdict(end)).encode() + b"\n",
+            )
             time.sleep(REST_S)
 
     def _run_once(self, request_id: str) -> End:
