Let threads of earlier tests end before a signal is held

test_held_signals_are_delivered_on_release failed once, in a whole run alone on the machine. Cause: signals are held by the calling thread, and asyncio's thread that waits for the process of the test before took the signal.

--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -12,6 +12,7 @@
 import random
 import signal
 import sys
+import threading
 
 import pytest
 
@@ -39,6 +40,9 @@
 # Seconds to wait for the signals to be held.
 HOLD_LIMIT_S = 0.05
 
+# Seconds within which threads of earlier tests end.
+THREAD_LIMIT_S = 10.0
+
 # Seconds within which a program that was stopped exits.
 END_LIMIT_S = 30.0
 
@@ -177,6 +181,12 @@
 
 def test_held_signals_are_delivered_on_release() -> None:
     received: list[int] = []
+    # A thread that waits for a process of an earlier test would take the
+    # signal: only this thread holds it.
+    for thread in threading.enumerate():
+        if thread is not threading.current_thread():
+            thread.join(THREAD_LIMIT_S)
+            assert not thread.is_alive()
     earlier = signal.signal(
         signal.SIGHUP, lambda number, _: received.append(number)
     )
