Take the wait for a turn from the budget, and drop an unused property

FairStream kept a flag beside TurnBudget.waiting, which says the same; ChunkedBody.received had no caller. Behaviour as before. Formatter, linter and types pass, and tests/test_fair_turns.py with test_fair_turns_elsewhere.py (29 passed); no whole run of the checks was made on it.

--- a/martenjunction/fair_streams.py
+++ b/martenjunction/fair_streams.py
@@ -24,7 +24,6 @@
 
     _turns: fair_turns.TurnBudget
     _body: framing.ChunkedBody
-    _waits: bool
 
     @classmethod
     def over(cls, stream: iostream.IOStream) -> "FairStream":
@@ -36,7 +35,6 @@
         )
         made._turns = fair_turns.TurnBudget()
         made._body = framing.ChunkedBody(0)
-        made._waits = False
         return made
 
     @property
@@ -46,7 +44,7 @@
         What waits in the socket is then no sign that the event loop was
         blocked.
         """
-        return self._waits or self._turns.spent_lately
+        return self._turns.waiting or self._turns.spent_lately
 
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
@@ -104,11 +102,7 @@
         return waiting
 
     async def _wait_for_turn(self, reading: "asyncio.Future[bytes]") -> bytes:
-        self._waits = True
-        try:
-            await self._turns.pause_if_spent()
-        finally:
-            self._waits = False
+        await self._turns.pause_if_spent()
         if isinstance(self.error, errors.LocalCloseError):
             raise iostream.StreamClosedError(real_error=self.error)
         return await reading
--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -47,11 +47,6 @@
         self._data = 0
         self._parsed_framing = 0
 
-    @property
-    def received(self) -> int:
-        """Bytes received, including the framing."""
-        return self._received
-
     def is_excessive(self, parsed: bool) -> bool:
         """Returns whether the framing outweighs the data.
 
