--- a/martenjunction_lab/fast_senders/processes.py
+++ b/martenjunction_lab/fast_senders/processes.py
@@ -30,6 +30,9 @@
 # Time limits of the routes to sending endpoints, in milliseconds.
 TIMEOUT_MS = 2000
 
+# Limit of a box's memory, in bytes.
+MEMORY_BYTES = 300 * 2**20
+
 
 def config_document() -> dict[str, Any]:
     """Returns a configuration with routes to usual and sending endpoints."""
@@ -74,7 +77,7 @@
 
 
 def own_settings(
-    fleet: boxes.Boxes, name: str = "box-1"
+    fleet: boxes.Boxes, name: str = "box-1", memory_bytes: int = MEMORY_BYTES
 ) -> box_settings.BoxSettings:
     """Returns a box's settings with a random loopback address.
 
@@ -85,7 +88,7 @@
         name,
         fleet.store.address,
         ip=".".join(str(part) for part in parts),
-        memory_bytes=300 * 2**20,
+        memory_bytes=memory_bytes,
     )
 
 
--- a/martenjunction_lab/fast_senders/trial.py
+++ b/martenjunction_lab/fast_senders/trial.py
@@ -37,6 +37,8 @@
         lead_s: For how long the other clients send before the senders begin.
         seconds: For how long they send beside the senders.
         code: Folder with the code that the box runs.
+        memory_bytes: The box's limit of memory, in bytes, which nothing
+            enforces here.
     """
 
     form: forms.Form | None = None
@@ -45,6 +47,7 @@
     lead_s: float = 1.0
     seconds: float = 3.5
     code: pathlib.Path = pathlib.Path()
+    memory_bytes: int = processes.MEMORY_BYTES
 
 
 @dataclasses.dataclass
@@ -84,7 +87,7 @@
     await fleet.start(processes.config_document(), boxes=0)
     for _ in range(REPLICAS):
         await fleet.add_replica(processes.PLAIN, slots=SLOTS)
-    settings = processes.own_settings(fleet)
+    settings = processes.own_settings(fleet, memory_bytes=trial.memory_bytes)
     playing = None
     if trial.form is not None:
         playing = processes.SenderProcess(
