Bound the answers that a box holds, and give up what costs least first

Twenty endpoints that answered without end brought a box over its limit of memory, at which its process is killed with all that it has under way: 198 MB where the limit is 150, and 817 MB (in bytes) with a hundred where it is 315. Twenty clients with endless bodies brought it to 323 MB.

Nothing bounded answers; each could grow to 8 MB. Bodies that were refused were kept by the exceptions that refused them until the client had its refusal, while their reservation was given back already.

Answers and bodies now share one budget, which leaves a quarter of the limit free. An answer with a length waits unread until it fits. Those without one may take half together; beyond it the largest of the workspace that holds most is given up, and freed at once, since its reader may wait for its turn. Exceptions keep no bodies.

Boxes that share a process with others have no resident memory of their own, so that levels of one would follow that of all.

--- /dev/null
+++ b/martenjunction/decisions/boxes/answer_memory.py
@@ -0,0 +1,191 @@
+"""Decides which answers a box goes on reading while its memory is limited.
+
+Load pattern: endpoints answer faster than clients read, or without end, many at
+once. An answer is held until its client has it. One that announces its length
+waits, unread, until all of it fits, so that each that was begun can end. One
+that does not is known to be endless only after it was read. Such answers share
+a part of the memory, and beyond it the largest one of the workspace that holds
+most is given up. Small answers never wait and are never given up.
+"""
+
+import collections
+import dataclasses
+
+from martenjunction.decisions.boxes import memory_budget
+
+# Size in bytes up to which an answer is neither delayed nor given up.
+SMALL_ANSWER_BYTES = 64 * 1024
+
+# Part of the capacity that answers without a length may take together. The rest
+# is left to those with a length and to bodies of requests.
+UNSIZED_FRACTION = 0.5
+
+# Bytes that a growing buffer takes for each byte that it holds.
+GROWTH_FACTOR = 1.125
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class HeldAnswer:
+    """What is held of one answer.
+
+    Attributes:
+        workspace: Whose request it answers; None without any.
+        sized: Whether all of it was reserved in advance.
+        size: Bytes that are held.
+        given_up: Whether it was chosen to be given up.
+    """
+
+    workspace: str | None
+    sized: bool = False
+    size: int = 0
+    given_up: bool = False
+
+    @property
+    def is_small(self) -> bool:
+        """Whether it is neither delayed nor given up."""
+        return self.size <= SMALL_ANSWER_BYTES
+
+    @property
+    def counted(self) -> int:
+        """Bytes of memory that count for it, with its connection's buffers."""
+        if self.is_small:
+            return self.size
+        buffers = memory_budget.CONNECTION_BYTES
+        return int(self.size * GROWTH_FACTOR) + buffers
+
+
+class AnswerMemory:
+    """The answers that a box holds, and those that wait to be read."""
+
+    def __init__(self, budget: memory_budget.MemoryBudget) -> None:
+        """Initializes it without answers.
+
+        Args:
+            budget: What the box holds for others.
+        """
+        self._budget = budget
+        self._waiting: collections.OrderedDict[HeldAnswer, int] = (
+            collections.OrderedDict()
+        )
+        self._unsized: set[HeldAnswer] = set()
+        self._unsized_bytes = 0
+
+    @property
+    def waiting(self) -> int:
+        """Number of answers that wait to be read."""
+        return len(self._waiting)
+
+    @property
+    def unsized_bytes(self) -> int:
+        """Bytes of the answers without a length that are not small."""
+        return self._unsized_bytes
+
+    def reserve(self, answer: HeldAnswer, size: int) -> bool:
+        """Reserves all of an answer.
+
+        Args:
+            answer: The answer, of which nothing is held.
+            size: Its length in bytes.
+
+        Returns:
+            Whether it may be read; otherwise it waits until `next_granted`
+            returns it.
+        """
+        answer.sized = True
+        if size > SMALL_ANSWER_BYTES and (
+            self._waiting or not self._fits(answer, size)
+        ):
+            self._waiting[answer] = size
+            return False
+        self._set_size(answer, size)
+        return True
+
+    def next_granted(self) -> HeldAnswer | None:
+        """Reserves the first answer that waits, if it fits."""
+        if not self._waiting:
+            return None
+        answer, size = next(iter(self._waiting.items()))
+        if not self._fits(answer, size):
+            return None
+        del self._waiting[answer]
+        self._set_size(answer, size)
+        return answer
+
+    def resize(self, answer: HeldAnswer, size: int) -> None:
+        """Counts what is held of an answer now.
+
+        Args:
+            answer: The answer.
+            size: Bytes that are held of it.
+        """
+        if answer.sized and size <= answer.size:
+            return
+        self._set_size(answer, size)
+
+    def excess(self) -> list[HeldAnswer]:
+        """Returns the answers to give up; each is returned once."""
+        chosen = []
+        while self._unsized and self._is_excessive():
+            chosen.append(self._give_up_largest())
+        return chosen
+
+    def shed(self) -> HeldAnswer | None:
+        """Returns one more answer to give up, or None if there is none."""
+        return self._give_up_largest() if self._unsized else None
+
+    def end(self, answer: HeldAnswer) -> None:
+        """Counts an answer as no longer held or waiting."""
+        self._waiting.pop(answer, None)
+        self._set_size(answer, 0)
+
+    def _give_up_largest(self) -> HeldAnswer:
+        """Chooses an answer, and counts it as no longer held.
+
+        Its memory is free once its reader has run. Until then, it must not
+        have another one given up.
+        """
+        answer = self._largest()
+        self._set_size(answer, 0)
+        answer.given_up = True
+        return answer
+
+    def _set_size(self, answer: HeldAnswer, size: int) -> None:
+        if answer.given_up:
+            return
+        before = answer.counted
+        answer.size = size
+        grown = answer.counted - before
+        if grown > 0:
+            self._budget.hold(grown)
+        elif grown < 0:
+            self._budget.give_back(-grown)
+        if answer.sized:
+            return
+        if answer in self._unsized:
+            self._unsized_bytes -= before
+            self._unsized.discard(answer)
+        if not answer.is_small:
+            self._unsized.add(answer)
+            self._unsized_bytes += answer.counted
+
+    def _fits(self, answer: HeldAnswer, size: int) -> bool:
+        whole = HeldAnswer(answer.workspace, True, size).counted
+        held = self._budget.held
+        return not held or held + whole <= self._budget.capacity
+
+    def _is_excessive(self) -> bool:
+        capacity = self._budget.capacity
+        return (
+            self._unsized_bytes > UNSIZED_FRACTION * capacity
+            or self._budget.held > capacity
+        )
+
+    def _largest(self) -> HeldAnswer:
+        by_workspace: collections.Counter[str | None] = collections.Counter()
+        for answer in self._unsized:
+            by_workspace[answer.workspace] += answer.counted
+        workspace = by_workspace.most_common(1)[0][0]
+        return max(
+            (one for one in self._unsized if one.workspace == workspace),
+            key=lambda one: one.size,
+        )
--- a/martenjunction/decisions/boxes/memory_budget.py
+++ b/martenjunction/decisions/boxes/memory_budget.py
@@ -13,7 +13,7 @@
 
 # Part of the limit that is kept free: for growth of the box's own state between
 # two samples, and for bytes between the socket and a body.
-RESERVE_FRACTION = 0.15
+RESERVE_FRACTION = 0.25
 
 # Part of the limit that bodies may take however much the process needs.
 MIN_FRACTION = 0.125
@@ -143,7 +143,7 @@
         return True
 
     def hold(self, size: int) -> None:
-        """Counts bytes that cannot wait, such as those of a response."""
+        """Counts bytes that cannot wait."""
         self._held += size
 
     def give_back(self, size: int) -> None:
--- a/martenjunction/endpoints/attempt.py
+++ b/martenjunction/endpoints/attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from typing import Protocol
 
 from martenjunction import errors
 from martenjunction import fair_turns
@@ -22,6 +23,30 @@
 MAX_EVENTS_AT_ONCE = 64
 
 
+class AnswerHolder(Protocol):
+    """Counts the memory of a response, and may refuse it."""
+
+    async def begin(
+        self, length: int | None, discard: Callable[[], None]
+    ) -> None:
+        """Waits for the memory of a response.
+
+        Args:
+            length: Its length in bytes, or None if it is not announced.
+            discard: Called when it is given up; frees what is held of it.
+        """
+
+    def resize(self, size: int) -> None:
+        """Counts how many bytes are held of it now.
+
+        Raises:
+            AnswerGivenUpError: If there is no memory for it any more.
+        """
+
+    def drop(self) -> None:
+        """Gives back the memory of the response that was begun last."""
+
+
 class Attempt:
     """An attempt to send a request over one connection.
 
@@ -41,6 +66,7 @@
         self._connection = connection
         self._request_id = request_id
         self._identified = False
+        self._length: int | None = None
         self._received = 0
 
     @property
@@ -85,6 +111,7 @@
                 head = await self._connection.read_head()
                 if headers.answers_request(head, self._request_id):
                     self._identified = headers.has_request_id(head)
+                    self._length = head.length
                     return head
                 await self._skip_body()
                 self._connection.expect_another_response()
@@ -94,43 +121,64 @@
         self.abort()
         raise errors.EndpointMismatchError("only responses to other requests")
 
-    async def body(self, on_part: Callable[[int], None]) -> messages.Body:
+    async def body(self, holder: AnswerHolder) -> messages.Body:
         """Reads the complete body.
 
         Args:
-            on_part: Called with the size of each part, in bytes.
+            holder: Grants its memory.
 
         Raises:
             EndpointBrokenError: If it is truncated or too large.
+            AnswerGivenUpError: If there is no memory for it.
         """
+        if (self._length or 0) > MAX_BUFFERED_BODY_BYTES:
+            self.abort()
+            raise errors.EndpointBrokenError("response body too large")
         body = bytearray()
-        async for part in self._read_parts():
-            body += part
-            on_part(len(part))
-            if len(body) > MAX_BUFFERED_BODY_BYTES:
-                self.abort()
-                raise errors.EndpointBrokenError("response body too large")
+        try:
+            await holder.begin(self._length, body.clear)
+            async for part in self._read_parts():
+                body += part
+                holder.resize(len(body))
+                if len(body) > MAX_BUFFERED_BODY_BYTES:
+                    raise errors.EndpointBrokenError("response body too large")
+            # It may have been given up since its last part.
+            holder.resize(len(body))
+        except BaseException:
+            # The exception keeps this frame, and with it the body.
+            body.clear()
+            holder.drop()
+            self.abort()
+            raise
         return body
 
-    async def events(self) -> AsyncIterator[list[event_stream.StreamEvent]]:
+    async def events(
+        self, holder: AnswerHolder
+    ) -> AsyncIterator[list[event_stream.StreamEvent]]:
         """Yields complete events as they arrive.
 
+        Args:
+            holder: Counts the memory of what is not complete yet.
+
         Raises:
             EndpointBrokenError: If the stream is truncated, also if it ends
                 within an event, or if an event is too large.
+            AnswerGivenUpError: If there is no memory for an event.
         """
         splitter = event_stream.EventSplitter()
+        await holder.begin(None, splitter.discard)
         try:
             async for part in self._read_parts():
                 events = splitter.feed(part, MAX_EVENTS_AT_ONCE)
                 while events:
                     yield events
                     events = await self._next_events(splitter, len(events))
+                holder.resize(splitter.buffered)
             if splitter.partial:
                 raise errors.StreamTruncatedError(
                     "stream ended within an event"
                 )
-        except errors.EndpointBrokenError:
+        except (errors.EndpointBrokenError, errors.AnswerGivenUpError):
             self.abort()
             raise
 
--- a/martenjunction/endpoints/event_stream.py
+++ b/martenjunction/endpoints/event_stream.py
@@ -37,12 +37,23 @@
         self._buffer = bytearray()
         # Position up to which the buffer holds no blank line.
         self._searched = 0
+        self._discarded = False
 
     @property
     def partial(self) -> bool:
         """Whether bytes of an incomplete event are buffered."""
         return bool(self._buffer.strip(b"\r\n"))
 
+    @property
+    def buffered(self) -> int:
+        """Bytes of an event that is not complete yet."""
+        return len(self._buffer)
+
+    def discard(self) -> None:
+        """Frees what is buffered; nothing more is returned."""
+        self._buffer.clear()
+        self._discarded = True
+
     def feed(
         self, data: bytes, max_events: int = sys.maxsize
     ) -> list[StreamEvent]:
@@ -55,7 +66,10 @@
 
         Raises:
             EndpointBrokenError: If an event exceeds the maximum size.
+            AnswerGivenUpError: If it was discarded.
         """
+        if self._discarded:
+            raise errors.AnswerGivenUpError("no memory for an event")
         self._buffer += data
         events: list[StreamEvent] = []
         start = 0
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -102,6 +102,10 @@
     """The response is incomplete or missing; the request may have run."""
 
 
+class AnswerGivenUpError(EndpointError):
+    """This box has no memory for a response; the request ran."""
+
+
 class StreamTruncatedError(EndpointBrokenError):
     """A stream ended within an event."""
 
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -43,11 +43,13 @@
 from martenjunction.routing.fleet import box_ends
 from martenjunction.routing.fleet import box_state_sync
 from martenjunction.routing.fleet import fleet_overlay
+from martenjunction.routing.limits import answer_admission
 from martenjunction.routing.limits import body_admission
 from martenjunction.routing.limits import brittleness_sync
 from martenjunction.routing.limits import endpoint_notices
 from martenjunction.routing.limits import leaving_sync
 from martenjunction.routing.limits import limit_sync
+from martenjunction.routing.limits import memory_guard
 from martenjunction.routing.limits import prober
 from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.log import closing_log
@@ -118,11 +120,17 @@
 class Gateway:
     """One box's daemon on the platform, as a library object."""
 
-    def __init__(self, settings: box_settings.BoxSettings) -> None:
+    def __init__(
+        self,
+        settings: box_settings.BoxSettings,
+        resident_bytes: Callable[[], int] | None = None,
+    ) -> None:
         """Initializes the gateway; `start` brings it up.
 
         Args:
             settings: The box's settings.
+            resident_bytes: Returns the box's resident memory; that of the
+                process if left out.
         """
         self._settings = settings
         self._rng = random.Random()
@@ -350,6 +358,17 @@
             self.timers,
             self.metrics,
             self.log,
+            resident_bytes,
+        )
+        self.answers = answer_admission.AnswerAdmission(
+            self.bodies, self.metrics
+        )
+        self.memory = memory_guard.MemoryGuard(
+            settings.memory_bytes,
+            self.bodies,
+            self.answers,
+            self.pool,
+            self.log,
         )
         self.duties = self._build_duties()
         self._context = offers.ExchangeContext(
@@ -371,10 +390,14 @@
             self.duties,
             origins.StreamKeys(_peer_key(settings)),
             self.origins,
-            self.bodies,
+            self.answers,
         )
         self._callers = self._server(
-            "callers", self._serve_caller, self._limits, self.bodies
+            "callers",
+            self._serve_caller,
+            self._limits,
+            self.bodies,
+            lambda: self.memory.accepts_clients,
         )
         self._ready = self._server("ready", self._serve_ready)
         self._entry = self._server("entry", self._serve_entry)
@@ -543,6 +566,7 @@
         handler: server.Handler,
         limits: Callable[[], messages.ClientLimits] = lambda: SERVICE_LIMITS,
         gate: body_gate.BodyGate | None = None,
+        accepts: Callable[[], bool] = lambda: True,
     ) -> server.Server:
         return server.Server(
             name,
@@ -550,6 +574,7 @@
             limits,
             closing_log.ClosingLog(self.log, self.metrics),
             gate,
+            accepts,
         )
 
     # Handlers for requests from callers, the platform and operators.
@@ -660,6 +685,8 @@
                 "turn_waits": float(turns.waits),
                 "turn_longest_wait_s": turns.longest_wait_s,
                 **self.bodies.gauges(),
+                **self.answers.gauges(),
+                **self.memory.gauges(),
                 **self.duties.counters(),
             },
         )
@@ -677,6 +704,8 @@
         config = self.admitter.config
         if self.leaving or config is None or not self.endpoint_list.has_listing:
             return False
+        if not self.memory.accepts_clients:
+            return False
         if self.freshness.is_lagging(self.timers.now()):
             return False
         if not config.needs_keys or not self._settings.keys_fail_closed:
--- a/martenjunction/http1/messages.py
+++ b/martenjunction/http1/messages.py
@@ -95,6 +95,14 @@
         """Returns the first value of a header, or None."""
         return header(self.headers, name)
 
+    @property
+    def length(self) -> int | None:
+        """Length of the body in bytes, or None if it is not announced."""
+        if self.get(b"transfer-encoding") is not None:
+            return None
+        value = self.get(b"content-length")
+        return None if value is None else int(value)
+
     def all(self, name: bytes) -> list[bytes]:
         """Returns all values of a header.
 
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -38,6 +38,7 @@
         limits: Callable[[], messages.ClientLimits] = messages.ClientLimits,
         on_closed: close_reports.OnClosed = close_reports.ignore_report,
         gate: body_gate.BodyGate | None = None,
+        accepts: Callable[[], bool] = lambda: True,
     ) -> None:
         """Initializes the server; `listen_on` starts it.
 
@@ -49,6 +50,8 @@
             on_closed: Called for each connection that was not closed by its
                 client or after a response that announced the close.
             gate: Grants the memory of request bodies; unlimited if left out.
+            accepts: Returns whether new connections are served; otherwise they
+                are closed, with nothing read from them.
         """
         super().__init__(max_buffer_size=streams.MAX_BUFFER_BYTES)
         self._name = name
@@ -56,6 +59,7 @@
         self._limits = limits
         self._on_closed = on_closed
         self._gate = gate or body_gate.OpenGate()
+        self._accepts = accepts
         self._connections: set[server_connection.ServerConnection] = set()
         self._finishing = False
         self._ended = asyncio.Event()
@@ -99,8 +103,11 @@
 
     def handle_stream(
         self, stream: iostream.IOStream, address: tuple[str, int]
-    ) -> Awaitable[None]:
+    ) -> Awaitable[None] | None:
         """Registers a connection and returns the task that serves it."""
+        if not self._accepts():
+            stream.close()
+            return None
         streams.set_socket_options(stream.socket)
         connection = server_connection.ServerConnection(
             stream, self._limits, self._gate
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -393,6 +393,21 @@
         max_bytes: int,
     ) -> messages.Body:
         body = bytearray()
+        try:
+            return await self._read_parts(body, request, chunked, max_bytes)
+        except BaseException:
+            # The exception keeps its frames, and with them the body, until the
+            # client has its refusal.
+            body.clear()
+            raise
+
+    async def _read_parts(
+        self,
+        body: bytearray,
+        request: messages.Request,
+        chunked: framing.ChunkedBody | None,
+        max_bytes: int,
+    ) -> messages.Body:
         size = 0
         decided = chunked is None
         turns = self._source.turns
--- a/martenjunction/routing/limits/body_admission.py
+++ b/martenjunction/routing/limits/body_admission.py
@@ -1,6 +1,7 @@
 """Has request bodies wait for memory, and refuses them when it runs short."""
 
 import asyncio
+from collections.abc import Callable
 
 from martenjunction import metrics
 from martenjunction import process_memory
@@ -39,6 +40,7 @@
         clock: timers.Timers,
         counters: metrics.Metrics,
         log: decision_log.DecisionLog,
+        resident_bytes: Callable[[], int] | None = None,
     ) -> None:
         """Initializes the admission; `start` begins to sample the memory.
 
@@ -48,7 +50,10 @@
             clock: Provides periodic callbacks.
             counters: Counts bodies that waited and that were refused.
             log: Records changes of the state.
+            resident_bytes: Returns the resident memory, or 0 if it is unknown;
+                that of this process if left out.
         """
+        self._resident_bytes = resident_bytes
         self._budget = memory_budget.MemoryBudget(limit_bytes)
         self._admitter = admitter
         self._timers = clock
@@ -58,12 +63,35 @@
         self._logged = self._budget.state
         self._logged_levels = 0
         self._grants: dict[memory_budget.WaitingBody, asyncio.Future[bool]] = {}
+        self._refusing = False
+        self._on_room: Callable[[], None] = lambda: None
+        self._on_sample: Callable[[int], None] = lambda resident: None
+
+    @property
+    def budget(self) -> memory_budget.MemoryBudget:
+        """What is held for others."""
+        return self._budget
 
     def start(self) -> None:
         """Starts to sample the process's memory."""
         self._sample()
         self._timers.subscribe("memory", SAMPLE_INTERVAL_S, self._sample)
 
+    def on_room(self, callback: Callable[[], None]) -> None:
+        """Sets the callback for memory that was given back.
+
+        It is called before bodies that wait are granted.
+        """
+        self._on_room = callback
+
+    def on_sample(self, callback: Callable[[int], None]) -> None:
+        """Sets the callback for samples of the resident memory, in bytes."""
+        self._on_sample = callback
+
+    def set_refusing(self, refusing: bool) -> None:
+        """Sets whether bodies that do not fit are refused, not delayed."""
+        self._refusing = refusing
+
     def gauges(self) -> dict[str, float]:
         """Returns the values for metrics."""
         return {
@@ -90,7 +118,9 @@
         limit_s = MAX_WAIT_S
         if facts.deadline_s is not None:
             limit_s = min(limit_s, MAX_WAIT_FRACTION * facts.deadline_s)
-        granted = await self._wait(size, self._tier(facts, request), limit_s)
+        granted = not self._refusing and await self._wait(
+            size, self._tier(facts, request), limit_s
+        )
         self._metrics.count(
             "memory_bodies", result="waited" if granted else "refused"
         )
@@ -102,10 +132,17 @@
     def release(self, size: int) -> None:
         """Gives back memory that was reserved or held."""
         self._budget.give_back(size)
-        self._grant()
+        self.grant()
+
+    def grant(self) -> None:
+        """Grants what waits and fits, after memory was given back."""
+        self._on_room()
+        while (body := self._budget.next_taken()) is not None:
+            self._grants.pop(body).set_result(True)
+        self._log_state()
 
     def hold(self, size: int) -> None:
-        """Counts bytes that cannot wait, such as those of a response."""
+        """Counts bytes that cannot wait."""
         self._budget.hold(size)
 
     async def _wait(self, size: int, tier: int, limit_s: float) -> bool:
@@ -132,12 +169,7 @@
         del self._grants[body]
         self._budget.leave(body, refused)
         # The next one may be smaller.
-        self._grant()
-
-    def _grant(self) -> None:
-        while (body := self._budget.next_taken()) is not None:
-            self._grants.pop(body).set_result(True)
-        self._log_state()
+        self.grant()
 
     def _tier(
         self, facts: headers.RequestMetadata, request: messages.Request
@@ -149,11 +181,13 @@
         return LOWEST_TIER if route is None else route.tier
 
     def _sample(self) -> None:
-        resident = process_memory.resident_bytes()
+        measure = self._resident_bytes or process_memory.resident_bytes
+        resident = measure()
         if resident:
             self._budget.note_resident(resident)
-            self._grant()
+            self.grant()
             self._log_resident(resident)
+            self._on_sample(resident)
 
     def _log_resident(self, resident: int) -> None:
         """Logs resident memory that comes near the limit.
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -62,7 +62,10 @@
         self._ticket: endpoint_registry.RunTicket | None = None
         self._fallback: Answer | None = None
         self._run_counted = False
-        self._held = 0
+        workspace = admitted.workspace
+        self._answers = context.answers.holder(
+            None if workspace is None else workspace.name
+        )
 
     @property
     def ticket(self) -> endpoint_registry.RunTicket | None:
@@ -246,7 +249,7 @@
         endpoint, run = offer.endpoint, offer.run
         head = await run.head()
         if headers.was_not_executed(head):
-            await run.body(self._hold)
+            await run.body(self._answers)
             run.finish()
             self._state.refusals += 1
             self._state.progress.record(outcomes.Event.REFUSED)
@@ -262,7 +265,7 @@
         if success and self._admitted.route.kind is model.RouteKind.STREAM:
             await self._forward_events(head, offer, ticket)
             return True
-        body = await run.body(self._hold)
+        body = await run.body(self._answers)
         self._context.registry.note_response(ticket, time.monotonic())
         self._count_run(offer)
         run.finish()
@@ -294,7 +297,7 @@
         """Forwards a stream event by event."""
         run = offer.run
         pairs = headers.client_headers(head.headers)
-        async for events in run.events():
+        async for events in run.events(self._answers):
             now = time.monotonic()
             self._context.registry.note_events(ticket, now, len(events))
             self._count_run(offer)
@@ -382,13 +385,7 @@
 
     def close(self) -> None:
         """Gives back the memory of the responses."""
-        if self._held:
-            self._context.bodies.release(self._held)
-            self._held = 0
-
-    def _hold(self, size: int) -> None:
-        self._context.bodies.hold(size)
-        self._held += size
+        self._answers.close()
 
     async def deliver(self, answer: Answer) -> None:
         """Sends a complete response to the client."""
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -26,7 +26,7 @@
 from martenjunction.routing.access import request_content
 from martenjunction.routing.endpoints import endpoint_liveness
 from martenjunction.routing.endpoints import endpoint_registry
-from martenjunction.routing.limits import body_admission
+from martenjunction.routing.limits import answer_admission
 from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.quarantine import permits
@@ -88,7 +88,7 @@
         usage: Counts the requests that began to run.
         stream_keys: Computes the keys of streams.
         origins: Knows at which software version streams began.
-        bodies: Counts the memory that bodies take.
+        answers: Grants the memory of answers.
     """
 
     admitter: admission.Admitter
@@ -109,7 +109,7 @@
     usage: UsageMeter
     stream_keys: origins.StreamKeys
     origins: origins.StreamOrigins
-    bodies: body_admission.BodyAdmission
+    answers: answer_admission.AnswerAdmission
 
     def closing(self) -> bool:
         """Returns whether connections close after their response."""
--- a/martenjunction_lab/boxes.py
+++ b/martenjunction_lab/boxes.py
@@ -94,7 +94,11 @@
 
     async def add_box(self, box: str, **changes: Any) -> gateway.Gateway:
         """Starts a box."""
-        made = gateway.Gateway(settings(box, self.store.address, **changes))
+        # Boxes of one process have no resident memory of their own.
+        made = gateway.Gateway(
+            settings(box, self.store.address, **changes),
+            resident_bytes=lambda: 0,
+        )
         await made.start()
         self.gateways.append(made)
         return made
--- /dev/null
+++ b/tests/test_answer_memory.py
@@ -0,0 +1,165 @@
+"""Decisions on the memory of answers, and on what is given up first.
+
+Guards against bytes that are counted but never given back, and against answers
+without a length that leave no memory to those with one.
+"""
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from martenjunction.decisions.boxes import answer_memory
+from martenjunction.decisions.boxes import memory_budget
+from martenjunction.decisions.boxes import memory_levels
+
+MB = 1_000_000
+LIMIT_BYTES = 150 * MB
+
+Level = memory_levels.Level
+
+
+def made(capacity: int = 40 * MB) -> answer_memory.AnswerMemory:
+    """Returns a memory without answers."""
+    budget = memory_budget.MemoryBudget(LIMIT_BYTES)
+    reserve = memory_budget.RESERVE_FRACTION * LIMIT_BYTES
+    budget.note_resident(int(LIMIT_BYTES - reserve - capacity))
+    return answer_memory.AnswerMemory(budget)
+
+
+def unsized(
+    memory: answer_memory.AnswerMemory, size: int, workspace: str | None = None
+) -> answer_memory.HeldAnswer:
+    """Returns an answer without a length, of which some is held."""
+    answer = answer_memory.HeldAnswer(workspace)
+    memory.resize(answer, size)
+    return answer
+
+
+def test_answers_without_a_length_leave_memory_to_those_with_one() -> None:
+    memory = made()
+    endless = [unsized(memory, 4 * MB) for _ in range(20)]
+    memory.excess()
+    kept = [answer for answer in endless if not answer.given_up]
+    assert kept
+    share = answer_memory.UNSIZED_FRACTION * 40 * MB
+    assert memory.unsized_bytes <= share
+    sized = answer_memory.HeldAnswer(None)
+    assert memory.reserve(sized, 4 * MB)
+
+
+def test_workspace_that_holds_most_gives_up_its_largest_answer() -> None:
+    memory = made()
+    alone = unsized(memory, 8 * MB, "one")
+    first, largest = (unsized(memory, s * MB, "two") for s in (5, 6))
+    assert memory.excess() == [largest]
+    assert not alone.given_up
+    assert not first.given_up
+
+
+def test_small_answers_are_neither_delayed_nor_given_up() -> None:
+    memory = made()
+    memory.reserve(answer_memory.HeldAnswer(None), 40 * MB)
+    size = answer_memory.SMALL_ANSWER_BYTES
+    small = [unsized(memory, size) for _ in range(100)]
+    assert not memory.excess()
+    assert not any(answer.given_up for answer in small)
+    assert memory.reserve(answer_memory.HeldAnswer(None), size)
+
+
+def test_answers_with_a_length_are_read_in_the_order_of_arrival() -> None:
+    memory = made()
+    answers = [answer_memory.HeldAnswer(None) for _ in range(4)]
+    granted = [memory.reserve(answer, 15 * MB) for answer in answers]
+    assert granted == [True, True, False, False]
+    # One that would fit does not overtake.
+    assert not memory.reserve(answer_memory.HeldAnswer(None), MB)
+    assert memory.next_granted() is None
+    memory.end(answers[0])
+    assert memory.next_granted() is answers[2]
+    memory.end(answers[3])
+    assert memory.waiting == 1
+
+
+def test_level_holds_until_memory_has_fallen_well_below_it() -> None:
+    levels = memory_levels.MemoryLevels(100)
+    seen = []
+    for used in (50, 60, 58, 54, 76, 72, 71, 69, 90, 81, 10):
+        levels.note(used)
+        seen.append(levels.level)
+    assert seen == [
+        Level.NORMAL,
+        Level.TRIM,
+        Level.TRIM,
+        Level.NORMAL,
+        Level.SHED_ANSWERS,
+        Level.SHED_ANSWERS,
+        Level.SHED_ANSWERS,
+        Level.REFUSE_BODIES,
+        Level.REFUSE_CLIENTS,
+        Level.REFUSE_CLIENTS,
+        Level.NORMAL,
+    ]
+
+
+class Answers(stateful.RuleBasedStateMachine):
+    """What is entered is given back, whatever happens to the answers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.budget = memory_budget.MemoryBudget(LIMIT_BYTES)
+        self.memory = answer_memory.AnswerMemory(self.budget)
+        self.held: list[answer_memory.HeldAnswer] = []
+        self.waiting: list[answer_memory.HeldAnswer] = []
+
+    @stateful.rule(
+        size=strategies.integers(0, 12 * MB),
+        workspace=strategies.sampled_from(["one", "two", None]),
+    )
+    def reserve(self, size: int, workspace: str | None) -> None:
+        answer = answer_memory.HeldAnswer(workspace)
+        granted = self.memory.reserve(answer, size)
+        (self.held if granted else self.waiting).append(answer)
+
+    @stateful.rule(workspace=strategies.sampled_from(["one", "two", None]))
+    def begin_unsized(self, workspace: str | None) -> None:
+        self.held.append(answer_memory.HeldAnswer(workspace))
+
+    @stateful.precondition(lambda self: self.held)
+    @stateful.rule(size=strategies.integers(0, 12 * MB), data=strategies.data())
+    def resize(self, size: int, data: strategies.DataObject) -> None:
+        answer = data.draw(strategies.sampled_from(self.held))
+        if answer.sized:
+            return
+        self.memory.resize(answer, size)
+        for given_up in self.memory.excess():
+            assert given_up in self.held
+            assert not given_up.is_small or given_up.size == 0
+
+    @stateful.precondition(lambda self: self.held or self.waiting)
+    @stateful.rule(data=strategies.data())
+    def end(self, data: strategies.DataObject) -> None:
+        answer = data.draw(strategies.sampled_from(self.held + self.waiting))
+        (self.held if answer in self.held else self.waiting).remove(answer)
+        self.memory.end(answer)
+        while (granted := self.memory.next_granted()) is not None:
+            self.waiting.remove(granted)
+            self.held.append(granted)
+
+    @stateful.rule()
+    def shed(self) -> None:
+        answer = self.memory.shed()
+        assert answer is None or answer in self.held
+
+    @stateful.invariant()
+    def counts_what_is_held(self) -> None:
+        assert self.budget.held == sum(one.counted for one in self.held)
+        assert self.memory.waiting == len(self.waiting)
+        big = [one for one in self.held if not (one.sized or one.is_small)]
+        assert self.memory.unsized_bytes == sum(one.counted for one in big)
+
+    def teardown(self) -> None:
+        for answer in self.held + self.waiting:
+            self.memory.end(answer)
+        assert self.budget.held == 0
+
+
+TestAnswers = Answers.TestCase
