Grant an answer's memory only to a reader that still waits

A request was ended, its reader's wait was cancelled, and memory given back before the reader ran was granted to it: InvalidStateError where the memory was given back, in another request. The grant is set only if the wait was not cancelled; the reader gives back what was reserved.

--- a/martenjunction/routing/limits/answer_admission.py
+++ b/martenjunction/routing/limits/answer_admission.py
@@ -143,4 +143,6 @@
 
     def _grant(self) -> None:
         while (answer := self._memory.next_granted()) is not None:
-            self._grants[answer].set_result(None)
+            grant = self._grants[answer]
+            if not grant.done():
+                grant.set_result(None)
--- a/tests/test_answers_in_short_memory.py
+++ b/tests/test_answers_in_short_memory.py
@@ -79,6 +79,26 @@
     assert gauge(fleet, "memory_held_bytes") == LIMIT_BYTES
 
 
+async def test_answer_is_granted_as_its_client_leaves(
+    fleet: boxes.Boxes, endless: endless_endpoints.EndlessEndpoint
+) -> None:
+    # A cancelled wait ends only in the next iteration of the event loop.
+    await until_known(fleet, endless)
+    box = fleet.gateways[0]
+    box.bodies.hold(LIMIT_BYTES)
+    asking = asyncio.create_task(
+        requests.ask(fleet, "/unsafe/", "r1", **DEADLINE)
+    )
+    await boxes.until(lambda: gauge(fleet, "memory_answers_waiting") == 1)
+    [running] = box._exchanges
+    assert running._task is not None
+    running._task.cancel()
+    box.bodies.release(LIMIT_BYTES)
+    head, _ = await asking
+    assert head.status == 504
+    assert gauge(fleet, "memory_held_bytes") == 0
+
+
 @pytest.mark.parametrize(
     ("path", "status"), [("/unsafe/", 502), ("/safe/", 200)]
 )
