Weigh other engines where those drawn for short prompts have no free slot

Cause: a short prompt weighs two engines drawn from those reserved for short prompts. Others were weighed only where fewer are reserved than are drawn. With 14 reserved ones all had 22 requests for 12 slots, while others ran 5.

Change: a short prompt weighs an engine that is not reserved in place of each drawn one without a free slot, and of each one that there is not to draw. This holds the rule that adds others where few are reserved, and its test is as before. Long prompts stay off reserved engines, and no more engines are drawn where none is reserved, so the draw still keeps boxes with old loads apart.

--- a/martenjunction/decisions/boxes/candidates.py
+++ b/martenjunction/decisions/boxes/candidates.py
@@ -7,6 +7,10 @@
 boxes send meanwhile; two are enough to keep the loads even (the power of two
 choices: Azar and others, 1994; Mitzenmacher, 1996). Those that hold all shared
 parts of the prompt are weighed as well; nearly all hold the first ones.
+
+Short prompts are drawn for the engines reserved for them. Where many engines
+are gone, these have no free slot while the others do, so a short prompt weighs
+an engine that is not reserved in place of each one that it does not find free.
 """
 
 from collections.abc import Sequence
@@ -28,6 +32,7 @@
     demand: endpoint_records.Demand,
     reserved: set[str],
     owner: str | None,
+    now: float,
     rng: random.Random,
 ) -> list[endpoint_records.EndpointRecord]:
     """Returns the engines to weigh for a request.
@@ -37,6 +42,7 @@
         demand: The request.
         reserved: Ids of the engines reserved for short prompts.
         owner: Id of the engine with affinity for the request, or None.
+        now: The current time.
         rng: Draws engines among those that are meant for the request.
     """
     count = _count(len(records), demand)
@@ -44,12 +50,13 @@
         return list(records)
     is_long, shared = demand.is_long, demand.shared_tokens
     meant = [r for r in records if (r.id in reserved) is not is_long]
-    meant = meant or list(records)
+    others = [r for r in records if (r.id in reserved) is is_long]
+    if not meant:
+        meant, others = others, []
     drawn = rng.sample(meant, min(count, len(meant)))
-    if len(drawn) < count and not is_long:
-        # Where few engines are reserved, short prompts would all go to them.
-        others = [r for r in records if r.id not in reserved]
-        drawn += rng.sample(others, min(count - len(drawn), len(others)))
+    missing = count - sum(r.has_free_slot(now) for r in drawn)
+    if not is_long:
+        drawn += rng.sample(others, min(missing, len(others)))
     holders = [
         r
         for r in records
--- a/martenjunction/decisions/boxes/endpoint_choice.py
+++ b/martenjunction/decisions/boxes/endpoint_choice.py
@@ -137,7 +137,9 @@
         unlimited = [r for r in eligible if not r.limited] or eligible
         reserved = reserved_for_short(unlimited, demand, now)
         owner = _affinity_owner(unlimited, demand, reserved)
-        eligible = candidates.sample(eligible, demand, reserved, owner, rng)
+        eligible = candidates.sample(
+            eligible, demand, reserved, owner, now, rng
+        )
     rng.shuffle(eligible)
     choices = [evaluate(r, demand, r.id == owner, now) for r in eligible]
     return min(
--- a/martenjunction/decisions/boxes/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -285,6 +285,10 @@
             return self.loads.own_running == 0 and self.health.trial_due(now)
         return not self.refusals.is_deprioritized(now)
 
+    def has_free_slot(self, now: float) -> bool:
+        """Returns whether a request there would not wait for a slot."""
+        return self.loads.running(now) < self.slots
+
     def prefill_tokens(self, demand: Demand, has_affinity: bool) -> int:
         """Returns the prompt tokens that the endpoint would have to prefill.
 
@@ -361,7 +365,7 @@
             urgency: The urgency of the request.
             now: The current time.
         """
-        if self.loads.running(now) < self.slots:
+        if self.has_free_slot(now):
             return 0.0
         ahead = max(0, self.loads.running_at_least(urgency, now) - self.slots)
         preferred = self.loads.running_at_least(urgency - 1, now) / self.slots
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -7,8 +7,10 @@
 from hypothesis import strategies as st
 
 from martenjunction.decisions.boxes import candidates
+from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.decisions.boxes import endpoint_records
 
+NOW = 1.0
 SHARED = ("part", 4_000)
 LONG = endpoint_records.Demand(
     "engines",
@@ -21,6 +23,7 @@
     pause_s=1.0,
     peer_prefill_per_s=1e7,
 )
+SHORT = dataclasses.replace(LONG, parts=(("own", 500),), prompt_tokens=500)
 
 
 def engine_records(count: int) -> list[endpoint_records.EndpointRecord]:
@@ -30,6 +33,11 @@
     ]
 
 
+def fill(record: endpoint_records.EndpointRecord) -> None:
+    """Lets chats take all slots of an engine."""
+    record.loads.add(endpoint_loads.LoadKey(0, False), record.slots, 0)
+
+
 @given(
     count=st.integers(1, 40),
     holding=st.sets(st.integers(0, 39), max_size=5),
@@ -46,7 +54,9 @@
             record.record_cached([SHARED])
     kept = {f"e{number}" for number in reserved}
     owner = records[seed % count].id
-    weighed = candidates.sample(records, LONG, kept, owner, random.Random(seed))
+    weighed = candidates.sample(
+        records, LONG, kept, owner, NOW, random.Random(seed)
+    )
     ids = [record.id for record in weighed]
     assert len(set(ids)) == len(ids) >= 1
     assert holders | {owner} <= set(ids)
@@ -63,7 +73,7 @@
     drawn = [
         record.id
         for _ in range(2_000)
-        for record in candidates.sample(records, LONG, set(), None, rng)
+        for record in candidates.sample(records, LONG, set(), None, NOW, rng)
     ]
     counts = [drawn.count(record.id) for record in records]
     assert max(counts) < 1.3 * min(counts)
@@ -72,5 +82,53 @@
 def test_all_engines_are_weighed_where_other_boxes_send_little() -> None:
     records = engine_records(10)
     calm = dataclasses.replace(LONG, peer_prefill_per_s=1_000.0)
-    sampled = candidates.sample(records, calm, set(), None, random.Random(1))
+    sampled = candidates.sample(
+        records, calm, set(), None, NOW, random.Random(1)
+    )
     assert sampled == records
+
+
+@given(
+    reserved=st.integers(1, 20),
+    others=st.integers(2, 20),
+    full=st.sets(st.integers(0, 19)),
+    seed=st.integers(0, 1_000),
+)
+def test_short_prompts_weigh_others_where_reserved_engines_have_no_free_slot(
+    reserved: int, others: int, full: set[int], seed: int
+) -> None:
+    records = engine_records(reserved + others)
+    kept = {record.id for record in records[:reserved]}
+    for record in records[:reserved]:
+        if int(record.id[1:]) in full:
+            fill(record)
+    weighed = candidates.sample(
+        records, SHORT, kept, None, NOW, random.Random(seed)
+    )
+    free = [record for record in weighed if record.has_free_slot(NOW)]
+    meant = [record for record in weighed if record.id in kept]
+    assert len(free) == min(candidates.MIN_DRAWN, len(records))
+    assert len(meant) == min(candidates.MIN_DRAWN, reserved)
+
+
+def test_long_prompts_weigh_no_reserved_engine_where_others_are_full() -> None:
+    records = engine_records(8)
+    kept = {record.id for record in records[:4]}
+    for record in records[4:]:
+        fill(record)
+    for seed in range(50):
+        rng = random.Random(seed)
+        weighed = candidates.sample(records, LONG, kept, None, NOW, rng)
+        assert not kept & {record.id for record in weighed}
+
+
+def test_engines_are_drawn_as_few_where_none_is_reserved_and_all_are_full() -> (
+    None
+):
+    records = engine_records(8)
+    for record in records:
+        fill(record)
+    for seed in range(50):
+        rng = random.Random(seed)
+        weighed = candidates.sample(records, SHORT, set(), None, NOW, rng)
+        assert len(weighed) == candidates.MIN_DRAWN
--- a/tests/test_slot_queues.py
+++ b/tests/test_slot_queues.py
@@ -14,6 +14,7 @@
 from martenjunction_lab import slot_queues
 from tests import routing_builders as builders
 
+NOW = 1.0
 SLOTS = 4
 HOLD_S = 2.0
 
@@ -74,7 +75,7 @@
         record.id
         for seed in range(50)
         for record in candidates.sample(
-            records, demand, {"e0"}, None, random.Random(seed)
+            records, demand, {"e0"}, None, NOW, random.Random(seed)
         )
     }
     assert drawn == {"e0", "e1", "e2"}
