End an idle time that a timer reaches a moment early

In real time the same costs some calls of the timer; no caller loses anything by it.

An idle time counts as over when no more than 1 ms of it is left.

--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -31,6 +31,10 @@
 # The same, once, for a client that sends without a pause.
 READING_EXTENSION_S = 0.04
 
+# Timers may fire early by the resolution of the clock. An idle time is over if
+# no more than this is left of it, in seconds.
+TIMER_TOLERANCE_S = 0.001
+
 # Seconds within which a partly received request must be complete once its
 # connection is shutting down: an incomplete body would delay the shutdown until
 # its deadline.
@@ -537,7 +541,10 @@
             self._set_timer(extension_s, reason, final=endless)
             return
         left = self._remaining_idle_s()
-        if reason is close_reports.CloseReason.IDLE and left > 0.0:
+        if (
+            reason is close_reports.CloseReason.IDLE
+            and left > TIMER_TOLERANCE_S
+        ):
             self._set_timer(left, reason)
             return
         self.abort(reason)
--- a/tests/test_changes_within_requests.py
+++ b/tests/test_changes_within_requests.py
@@ -6,11 +6,14 @@
 """
 
 import random
+import time
 
 import pytest
 
+from martenjunction.http1 import close_reports
 from tests import gateway_requests
 from tests import request_changes
+from tests import whole_answers
 
 pytestmark = pytest.mark.simulated_time
 
@@ -40,6 +43,9 @@
 DRAWN = 60
 MAX_PAUSE_S = 0.3
 
+# Seconds by which a timer fires early: below the resolution of the clock.
+EARLY_S = 1e-9
+
 
 def allowed_statuses(moment: Moment) -> frozenset[int]:
     if moment in request_changes.RUNNING:
@@ -103,3 +109,22 @@
         )
         print(result.answer.status, result.answer.whole, result.runs)
         check(moment, kind, result)
+
+
+async def test_idle_time_is_over_where_a_timer_fires_early() -> None:
+    # Guards against a timer that is set again and again for less than the
+    # clock resolves, with no time in between.
+    site = request_changes.Site()
+    await site.start()
+    client = whole_answers.Client(site.fleet.addresses[0])
+    await client.open()
+    await client.send("r0", "/safe/first", b"first")
+    assert (await client.receive()).whole
+    [connection] = site.box._callers._connections
+    idle_s = site.box._limits().idle_timeout_s
+    connection._idle_since = time.monotonic() - idle_s + EARLY_S
+    assert connection._remaining_idle_s() > 0.0
+    connection._on_timeout(close_reports.CloseReason.IDLE, False)
+    assert connection.closed
+    client.close()
+    await site.stop()
