Weigh one other engine for each drawn one without a free slot, not more

Cause: with one engine reserved of three, a short prompt drew two others as soon as the reserved one was full, so that all boxes weighed all engines by loads that are some tenths of a second old.

Change: the others are as many as the drawn engines without a free slot, or as many as there were too few reserved ones to draw, whichever is more. Where two reserved engines are drawn full, two others are weighed as before.

--- a/martenjunction/decisions/boxes/candidates.py
+++ b/martenjunction/decisions/boxes/candidates.py
@@ -10,7 +10,7 @@
 
 Short prompts are drawn for the engines reserved for them. Where many engines
 are gone, these have no free slot while the others do, so a short prompt weighs
-an engine that is not reserved in place of each one that it does not find free.
+as many engines that are not reserved as it draws without a free slot.
 """
 
 from collections.abc import Sequence
@@ -54,8 +54,9 @@
     if not meant:
         meant, others = others, []
     drawn = rng.sample(meant, min(count, len(meant)))
-    missing = count - sum(r.has_free_slot(now) for r in drawn)
     if not is_long:
+        full = sum(not r.has_free_slot(now) for r in drawn)
+        missing = max(count - len(drawn), full)
         drawn += rng.sample(others, min(missing, len(others)))
     holders = [
         r
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -105,10 +105,14 @@
     weighed = candidates.sample(
         records, SHORT, kept, None, NOW, random.Random(seed)
     )
-    free = [record for record in weighed if record.has_free_slot(NOW)]
     meant = [record for record in weighed if record.id in kept]
-    assert len(free) == min(candidates.MIN_DRAWN, len(records))
+    full_ones = [r for r in meant if not r.has_free_slot(NOW)]
     assert len(meant) == min(candidates.MIN_DRAWN, reserved)
+    assert any(record.has_free_slot(NOW) for record in weighed)
+    # Few are weighed, so that boxes with old loads do not choose the same one.
+    assert len(weighed) == max(
+        candidates.MIN_DRAWN, len(meant) + len(full_ones)
+    )
 
 
 def test_long_prompts_weigh_no_reserved_engine_where_others_are_full() -> None:
