Tell a FIN, a reset and a time-out of a client apart in the log

Lines connection-closed have client_end (open, fin, reset, timed-out, failed): how the client had ended its side when the box closed the connection, also where only a look at the socket saw it. The kernel reports a reset once, so a look that found one left an end without an error behind; its error is now kept. A line has the id of the request that was under way. A connection whose client the kernel gave up on is told even if its last answer counts as sent.

--- a/martenjunction/http1/close_reports.py
+++ b/martenjunction/http1/close_reports.py
@@ -5,6 +5,7 @@
 import enum
 
 from martenjunction.http1 import messages
+from martenjunction.http1 import peer_ends
 
 
 class CloseReason(enum.StrEnum):
@@ -39,6 +40,9 @@
             where the client closed it in an orderly way.
         request: A request that was read completely only after the connection
             was closed, or None.
+        peer_end: How the client had ended its side by then.
+        unanswered: The accepted request that has no complete response, or
+            None.
     """
 
     server: str
@@ -51,6 +55,8 @@
     received: int = 0
     error: str = ""
     request: messages.Request | None = None
+    peer_end: peer_ends.PeerEnd = peer_ends.PeerEnd.OPEN
+    unanswered: messages.Request | None = None
 
 
 OnClosed = Callable[[ClosedConnection], None]
--- a/martenjunction/http1/peeks.py
+++ b/martenjunction/http1/peeks.py
@@ -18,16 +18,28 @@
     The event loop sees pending data only in its next iteration, and not at all
     while it is blocked.
 
+    Args:
+        sock: A connected socket, or None if it was closed.
+    """
+    return peek_with_error(sock)[0]
+
+
+def peek_with_error(
+    sock: socket.socket | None,
+) -> tuple[PendingInput, OSError | None]:
+    """Returns what `peek` does, and the error that ended the connection.
+
+    The kernel reports an error once: the next read finds an orderly end.
+
     Args:
         sock: A connected socket, or None if it was closed.
     """
     if sock is None:
-        return PendingInput.END
+        return PendingInput.END, None
     try:
         waiting = sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
-        return PendingInput.NOTHING
-    except OSError:
-        # The connection was reset; a read would raise the same error.
-        return PendingInput.END
-    return PendingInput.BYTES if waiting else PendingInput.END
+        return PendingInput.NOTHING, None
+    except OSError as error:
+        return PendingInput.END, error
+    return PendingInput.BYTES if waiting else PendingInput.END, None
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -14,6 +14,7 @@
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import messages
+from martenjunction.http1 import peer_ends
 from martenjunction.http1 import request_errors
 from martenjunction.http1 import server_connection
 from martenjunction.http1 import streams
@@ -48,7 +49,8 @@
                 response.
             limits: Returns the current limits for clients.
             on_closed: Called for each connection that was not closed by its
-                client or after a response that announced the close.
+                client or after a response that announced the close, and for
+                those whose client was not reached any more.
             gate: Grants the memory of request bodies; unlimited if left out.
             accepts: Returns whether new connections are served; otherwise they
                 are closed, with nothing read from them.
@@ -138,7 +140,7 @@
             self._connections.discard(connection)
             self._check_ended()
             closing = connection.closing(self._name)
-            if closing.in_flight or closing.reason not in _UNREPORTED:
+            if _is_reported(closing):
                 self._on_closed(closing)
 
     async def _serve(
@@ -197,6 +199,20 @@
             self._ended.set()
 
 
+def _is_reported(closing: close_reports.ClosedConnection) -> bool:
+    """Returns whether a closed connection is reported.
+
+    The kernel may have held the end of a response when it gave up on a client.
+    """
+    return (
+        closing.in_flight
+        or closing.reason not in _UNREPORTED
+        or closing.peer_end in _UNREACHED
+    )
+
+
+_UNREACHED = frozenset({peer_ends.PeerEnd.TIMED_OUT, peer_ends.PeerEnd.FAILED})
+
 # Expected reasons, which are not reported unless a request is in flight.
 _UNREPORTED = frozenset(
     {close_reports.CloseReason.CLIENT, close_reports.CloseReason.LAST_ANSWER}
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -84,7 +84,7 @@
         self._bodiless = False
         self._state = _State.RESTING
         self._shutting_down = False
-        self._unanswered = False
+        self._unanswered: messages.Request | None = None
         self._unread = False
         self._response_count = 0
         self._received = 0
@@ -105,7 +105,7 @@
     @property
     def unanswered(self) -> bool:
         """Whether an accepted request has no complete response yet."""
-        return self._unanswered
+        return self._unanswered is not None
 
     @property
     def closed(self) -> bool:
@@ -565,7 +565,7 @@
         if self.closed:
             raise request_errors.RequestNotTakenError(request)
         self._transition(_Event.REQUEST_TAKEN)
-        self._unanswered = True
+        self._unanswered = request
 
     def _close_if_idle(self) -> bool:
         """Closes an idle connection; returns whether it is closed."""
@@ -578,22 +578,26 @@
 
     def _record_response(self) -> None:
         self._response_count += 1
-        self._unanswered = False
+        self._unanswered = None
         self._idle_since = time.monotonic()
 
     def _build_report(
         self, reason: close_reports.CloseReason
     ) -> close_reports.ClosedConnection:
+        # Asked first: it may find the error.
+        peer_end = self._source.peer_end
         return close_reports.ClosedConnection(
             "",
             reason,
             self._peer,
             time.monotonic() - self._idle_since,
             self._response_count,
-            self._unanswered,
+            self.unanswered,
             self._source.bytes_waiting,
             self._received,
-            "" if self._stream.error is None else repr(self._stream.error),
+            "" if self._source.error is None else repr(self._source.error),
+            peer_end=peer_end,
+            unanswered=self._unanswered,
         )
 
 
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -14,6 +14,7 @@
 from martenjunction import fair_turns
 from martenjunction.http1 import messages
 from martenjunction.http1 import peeks
+from martenjunction.http1 import peer_ends
 
 # Maximum bytes per read of a socket.
 CHUNK_BYTES = 64 * 1024
@@ -159,6 +160,8 @@
         self._pending: asyncio.Future[bytes] | None = None
         self._end_callback: Callable[[], None] | None = None
         self._aborted = False
+        self._peek_error: OSError | None = None
+        self._end_at_abort = peer_ends.PeerEnd.OPEN
         self._turns = fair_turns.TurnBudget()
 
     @property
@@ -181,7 +184,22 @@
             return not failed
         if self._stream.closed():
             return False
-        return peeks.peek(self._stream.socket) is peeks.PendingInput.BYTES
+        return self._peek() is peeks.PendingInput.BYTES
+
+    @property
+    def error(self) -> BaseException | None:
+        """The error that ended the connection, or None."""
+        return self._stream.error or self._peek_error
+
+    @property
+    def peer_end(self) -> peer_ends.PeerEnd:
+        """How the peer ended its sending side before this one was closed."""
+        if self._aborted:
+            return self._end_at_abort
+        ended = self._stream.closed() or self._peek() is peeks.PendingInput.END
+        if self.error is not None:
+            return peer_ends.classify(self.error)
+        return peer_ends.PeerEnd.FIN if ended else peer_ends.PeerEnd.OPEN
 
     @property
     def never_pauses(self) -> bool:
@@ -261,9 +279,16 @@
 
     def abort(self) -> None:
         """Closes the connection; a pending read fails."""
+        self._end_at_abort = self.peer_end
         self._aborted = True
         self._stream.close()
 
+    def _peek(self) -> peeks.PendingInput:
+        """Peeks at the socket; keeps an error, which is reported only once."""
+        pending, error = peeks.peek_with_error(self._stream.socket)
+        self._peek_error = self._peek_error or error
+        return pending
+
     def _on_read_done(self, future: "asyncio.Future[bytes]") -> None:
         failed = not future.cancelled() and future.exception() is not None
         if failed and self._end_callback is not None:
--- a/martenjunction/routing/log/closing_log.py
+++ b/martenjunction/routing/log/closing_log.py
@@ -23,7 +23,7 @@
 
     def __call__(self, closed: close_reports.ClosedConnection) -> None:
         """Logs a closed connection, or a request received after the close."""
-        fields = {
+        fields: dict[str, object] = {
             "server": closed.server,
             "why": closed.reason.value,
             "client": closed.client,
@@ -33,11 +33,14 @@
             "bytes_waiting": closed.bytes_waiting,
             "received": closed.received,
             "error": closed.error,
+            "client_end": closed.peer_end.value,
         }
+        request = closed.request or closed.unanswered
+        if request is not None:
+            fields["id"] = headers.decode_request(request.headers).id
         if closed.reason is close_reports.CloseReason.FRAMING:
             self._metrics.count("excess_framing", side="client")
         if closed.request is None:
             self._log.write("connection-closed", **fields)
             return
-        facts = headers.decode_request(closed.request.headers)
-        self._log.write("request-after-close", id=facts.id, **fields)
+        self._log.write("request-after-close", **fields)
--- a/tests/whole_answers.py
+++ b/tests/whole_answers.py
@@ -37,19 +37,19 @@
         """Makes a client of a box; `open` connects it."""
         self._address = address
         self._parser = h11.Connection(h11.CLIENT)
-        self._socket = socket.socket()
+        self.socket = socket.socket()
 
     async def open(self) -> None:
         """Connects; the receive buffer is as small as the kernel permits."""
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        self._socket.setblocking(False)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.socket.setblocking(False)
         host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
-        await loop.sock_connect(self._socket, (host, int(port)))
+        await loop.sock_connect(self.socket, (host, int(port)))
 
     def close(self) -> None:
         """Closes the connection."""
-        self._socket.close()
+        self.socket.close()
 
     async def send(
         self,
@@ -112,13 +112,13 @@
     async def _write(self, data: bytes | None) -> None:
         loop = asyncio.get_running_loop()
         try:
-            await loop.sock_sendall(self._socket, data or b"")
+            await loop.sock_sendall(self.socket, data or b"")
         except OSError:
             return  # The answer may be there all the same.
 
     async def _read(self) -> bytes:
         loop = asyncio.get_running_loop()
         try:
-            return await loop.sock_recv(self._socket, 256 * 1024)
+            return await loop.sock_recv(self.socket, 256 * 1024)
         except OSError:
             return b""
