Let a client that is alive read its answer late

What callers saw: an answer broken off after 3.3 s in which the client read nothing, although it was alive and its request had 30 s. The kernel reset the connection (ETIMEDOUT), with 100 KB even after the box had counted the request as answered.

Cause: TCP_USER_TIMEOUT of 3 s on clients' connections. It is meant for peers that fell silent, but counts a closed window as well, whatever probes the peer acknowledges.

Connections of clients have no user timeout while nothing is sent: keep-alive probes end them after 4 s of silence (3 s before). While a response is sent it is 60 s, the default time limit of a route; the deadline of the request ends it before. The price: a client that loses power within a stream is found by the end of its stream or deadline, or after 60 s, not after 3 s. Endpoints, tunnels and links to peers keep 3 s.

The test of a client that the kernel gave up on sets its short time after the response, as the box lifts its own one there.

--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -110,7 +110,7 @@
         if not self._accepts():
             stream.close()
             return None
-        streams.set_socket_options(stream.socket)
+        streams.set_client_options(stream.socket)
         connection = server_connection.ServerConnection(
             stream, self._limits, self._gate
         )
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -232,6 +232,7 @@
         ):
             return False
         self._parser.start_next_cycle()
+        streams.limit_unread(self._stream, False)
         self._transition(_Event.REQUEST_ENDED)
         self._idle_since = time.monotonic()
         if self._parser.trailing_data[0]:
@@ -468,6 +469,7 @@
             status_code=status, headers=headers, reason=reason.encode()
         )
         self._response_started = True
+        streams.limit_unread(self._stream, True)
         self._write_event(head)
 
     def _write_event(self, event: h11.Event) -> None:
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -37,12 +37,30 @@
 KEEPALIVE_COUNT = 2
 
 
+# Milliseconds for which a client may take nothing of a response. Not less than
+# the default time limit of a route, which ends a response that comes too late.
+UNREAD_TIMEOUT_MS = 60_000
+
+
 def set_socket_options(sock: socket.socket) -> None:
-    """Sets socket options that detect an unreachable peer in seconds."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    """Sets socket options that detect an unreachable peer in seconds.
+
+    A peer that does not read for as long counts as unreachable, too.
+    """
+    set_client_options(sock)
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
     )
+
+
+def set_client_options(sock: socket.socket) -> None:
+    """Sets socket options of a client's connection.
+
+    Probes detect an unreachable client in seconds while nothing is sent to it.
+    A user timeout would end connections of clients that are alive and do not
+    read: it counts a closed window, although the client acknowledges probes.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(
@@ -51,6 +69,22 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
 
 
+def limit_unread(stream: iostream.IOStream, limited: bool) -> None:
+    """Limits the time for which a client may take nothing, or lifts the limit.
+
+    Args:
+        stream: The client's stream.
+        limited: Whether a response is sent. While nothing is sent, the limit
+            would take the place of the number of probes.
+    """
+    if not stream.closed():
+        stream.socket.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNREAD_TIMEOUT_MS if limited else 0,
+        )
+
+
 def new_stream() -> iostream.IOStream:
     """Returns a stream over a new, unconnected socket.
 
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -166,10 +166,11 @@
     await client.send("r0", "/safe/a", b"hello")
     assert (await client.receive()).whole
     [connection] = site.box._callers._connections
+    await client.send("r1", "/safe/a", b"x" * UNREAD_BYTES)
+    await boxes.until(lambda: connection._response_count == 2)
     connection._stream.socket.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, GIVE_UP_MS
     )
-    await client.send("r1", "/safe/a", b"x" * UNREAD_BYTES)
     line = await closed_line(log)
     assert (line["why"], line["under_way"]) == ("client", False)
     assert (line["answered"], line["client_end"]) == (2, "timed-out")
