Keep a reset that a look at the socket found

What callers could see: an answer without a length, reset half-way, as a whole one. The kernel reports a reset once. A look at the socket, as a time limit that is due or a request that is to be moved takes it, used the report up; the read after it found an orderly end, which completes such an answer.

The receiving side keeps the error that a look found, and reads fail with it. No record shows this case; it was found beside the log's field for a client's end.

--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -20,7 +20,6 @@
 from martenjunction import fair_turns
 from martenjunction.http1 import framing
 from martenjunction.http1 import messages
-from martenjunction.http1 import peeks
 from martenjunction.http1 import streams
 
 # Maximum size of a response head, in bytes.
@@ -132,7 +131,7 @@
             or self._stream.closed()
         ):
             return True
-        return peeks.peek(self._stream.socket) is not peeks.PendingInput.NOTHING
+        return self._source.socket_ready
 
     @property
     def grace_s(self) -> float:
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -220,6 +220,11 @@
             return False
         return self._peek() is peeks.PendingInput.BYTES
 
+    @property
+    def socket_ready(self) -> bool:
+        """Whether a read of the socket would not wait."""
+        return self._peek() is not peeks.PendingInput.NOTHING
+
     @property
     def error(self) -> BaseException | None:
         """The error that ended the connection, or None."""
@@ -301,7 +306,7 @@
             data = await asyncio.shield(pending)
         except iostream.StreamClosedError as error:
             self._pending = None
-            if error.real_error is not None or self._aborted:
+            if self.error is not None or self._aborted:
                 raise errors.ConnectionLostError("reset") from error
             return b""
         self._pending = None
