Write down how a client's end is read, and what a FIN counts as

A FIN with a request under way goes on counting as the client's leaving: a socket that is closed whole sends the same, and runs of clients that left have to stop within half a second. A test pins down that the run is cancelled within that time, that no byte is sent, and that the line says fin.

--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -4,6 +4,7 @@
 FIN, reset the connection, or could not be reached any more.
 """
 
+import asyncio
 from collections.abc import Callable
 import errno
 import socket
@@ -33,6 +34,9 @@
 GIVE_UP_MS = 300
 UNREAD_BYTES = 200_000
 
+# Seconds within which the run of a client that left is cancelled.
+CANCELLED_S = 0.5
+
 
 def half_close(sock: socket.socket) -> None:
     sock.shutdown(socket.SHUT_WR)
@@ -100,6 +104,24 @@
     client.close()
 
 
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+async def test_client_that_ends_its_sending_side_has_left(
+    fleet: boxes.Boxes, kind: str
+) -> None:
+    # A FIN alone does not tell whether the client still reads; its run is
+    # cancelled in time for the case that it does not.
+    client, log = await hanging_request(fleet, kind)
+    half_close(client.socket)
+    async with asyncio.timeout(CANCELLED_S):
+        while not any(made.cancelled for made in fleet.replicas):
+            await asyncio.sleep(0.01)
+    answer = await client.receive()
+    assert (answer.status, answer.body, answer.whole) == (0, b"", False)
+    assert (await closed_line(log))["client_end"] == "fin"
+    assert gateway_requests.arrivals(fleet.replicas) == 1
+    client.close()
+
+
 @pytest.mark.parametrize(("end", "told"), ENDS)
 async def test_end_that_only_a_peek_saw_is_told(
     fleet: boxes.Boxes, end: End, told: str
