Check the address of an endpoint entry with the C library first

A box decodes 12,000 endpoint entries of a list in one turn of its event loop, and half of that time went into the module ipaddress, which parses each address in Python.

inet_pton takes a subset of the IPv4 addresses that ipaddress takes; all others still go to ipaddress, so that the same entries are accepted.

--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import math
+import socket
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -290,7 +291,11 @@
         ValueError: If the address is invalid.
     """
     host, port = addresses.split_address(address)
-    ipaddress.ip_address(host)
+    try:
+        # Faster than the module ipaddress, which knows all forms.
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        ipaddress.ip_address(host)
     if not 0 < port <= MAX_PORT:
         raise ValueError(f"invalid port: {port}")
 
