Decode and apply a list of endpoints in turns of the event loop

A box that reads from the store decoded and applied a list of 12,000 endpoint entries in one turn of its event loop; nobody else was served for 485 to 777 ms.

The list is now decoded 200 entries a turn, and applied 200 entries a turn to a draft of the endpoint list, which replaces the list at once. A draft is not adopted if the list has changed since it was copied: the entries are then applied to a new draft, and after five of them in one turn, so that changes that never pause cannot keep the list out. Others see the state before or the one after; a cancelled reader changes nothing, neither counts nor log lines. Entries of the list no longer change in place, so that a copy of the table is cheap.

The strategies of test_endpoint_list.py are moved to endpoint_changes.py and used by both tests; the test that used them is unchanged.

Shown failing: with all entries in one turn, the tests count 607 entries a turn where 200 are allowed.

--- a/martenjunction/decisions/boxes/ended_endpoints.py
+++ b/martenjunction/decisions/boxes/ended_endpoints.py
@@ -58,6 +58,14 @@
         self._endpoints: dict[str, Removal] = {}
         self._restarted: dict[str, None] = {}
 
+    def copy(self) -> "EndedEndpoints":
+        """Returns a copy that changes independently."""
+        made = EndedEndpoints()
+        made._entries = dict(self._entries)
+        made._endpoints = dict(self._endpoints)
+        made._restarted = dict(self._restarted)
+        return made
+
     def note_ended(self, endpoint_id: str, removal: Removal) -> None:
         """Records that an endpoint was removed from the list."""
         bounded.put(self._endpoints, endpoint_id, removal, MAX_ENDED)
--- a/martenjunction/decisions/boxes/endpoint_list.py
+++ b/martenjunction/decisions/boxes/endpoint_list.py
@@ -1,17 +1,17 @@
 """List of the endpoints, with a grace period for entries that lapse."""
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
 from collections.abc import Set
 import dataclasses
+import itertools
 
 from martenjunction import model
 from martenjunction import revisions
 from martenjunction.decisions.boxes import ended_endpoints
 from martenjunction.decisions.boxes import entry_states
 from martenjunction.decisions.boxes import entry_table
-from martenjunction.decisions.boxes import store_contact
-from martenjunction.decisions.boxes import unchecked_reports
 
 EntryState = entry_states.EntryState
 EntryNews = entry_states.EntryNews
@@ -27,33 +27,14 @@
     incarnation look older for good.
     """
 
-    def __init__(self) -> None:
-        super().__init__()
-        self._contact = store_contact.StoreContact()
-        self._unchecked = unchecked_reports.UncheckedReports()
-        self._revision = revisions.NONE
-
-    @property
-    def contact(self) -> store_contact.StoreContact:
-        """When the store answered any box, and was away."""
-        return self._contact
-
-    @property
-    def revision(self) -> revisions.Revision:
-        """Revision of the store up to which changes have been applied."""
-        return self._revision
-
-    @property
-    def has_listing(self) -> bool:
-        """Whether a full listing was ever applied."""
-        return self._revision > revisions.NONE
-
     def begin_report_check(self, now: float) -> bool:
         """Returns whether a box that reads has to list all entries again.
 
         The next call returns that only after further reports.
         """
-        return self._unchecked.begin_check(now)
+        is_due = self._unchecked.begin_check(now)
+        self._changes += is_due
+        return is_due
 
     def apply_listing(
         self,
@@ -71,10 +52,31 @@
         Returns:
             Ids of endpoints that may no longer receive requests as a result.
         """
+        steps = self.listing_steps(entries, revision, now)
+        return list(itertools.chain.from_iterable(steps))
+
+    def listing_steps(
+        self,
+        entries: Iterable[tuple[model.Endpoint, revisions.Revision]],
+        revision: revisions.Revision,
+        now: float,
+    ) -> Iterator[list[str]]:
+        """Applies a full listing in steps, one for each entry.
+
+        Args:
+            entries: Endpoints with the revisions of their entries.
+            revision: The store's revision of the listing.
+            now: The current time.
+
+        Yields:
+            Ids of endpoints that may no longer receive requests as a result of
+            the step.
+        """
         if revision < self._revision:
-            return []
+            return
+        self._changes += 1
         self._unchecked.settle_all()
-        return self._take_all(
+        yield from self._take_steps(
             entries,
             set(),
             ended_endpoints.Evidence(revision, reported=False),
@@ -106,17 +108,19 @@
         """
         if revision < self._revision:
             return []
+        self._changes += 1
         reported = [
             (_as_reported_by_box(e, ready), entry_revision)
             for e, entry_revision in changed
             if e.id not in lapsed
         ]
-        removed = self._take_all(
+        steps = self._take_steps(
             reported,
             (ready | leaving) - lapsed,
             ended_endpoints.Evidence(revision, reported=True),
             now,
         )
+        removed = list(itertools.chain.from_iterable(steps))
         for endpoint, entry_revision in changed:
             if endpoint.id in lapsed and self._in_grace(now):
                 self._add_lapsed(endpoint, entry_revision)
@@ -135,6 +139,7 @@
             revision: The first known revision of the new era.
             now: The current time.
         """
+        self._changes += 1
         self._restored.begin_era(revision, now)
 
     def apply_entry(
@@ -154,6 +159,7 @@
         Returns:
             Ids of endpoints that may no longer receive requests as a result.
         """
+        self._changes += 1
         removal = self._ended.removal(endpoint.id)
         listed = entry_states.Listed(endpoint, revision)
         if self._restored.hold_back(listed, removal):
@@ -187,6 +193,7 @@
         Returns:
             Ids of endpoints that may no longer receive requests as a result.
         """
+        self._changes += 1
         self._restored.drop_entry(entry)
         self._unchecked.settle(entry)
         current = self.current(entry)
@@ -210,6 +217,7 @@
         current = self.current(entry)
         if current is None:
             return []
+        self._changes += 1
         self._ended.note_entry_removed(entry, revision)
         return self._remove(current.endpoint.id, revision, EntryNews.WITHDRAWN)
 
@@ -235,6 +243,7 @@
             return self.mark_draining(endpoint_id, revision)
         if not self._is_current(endpoint_id, revision):
             return False
+        self._changes += 1
         before = self.state(endpoint_id)
         if cause is RemovalCause.MISSING:
             self._apply_missing(endpoint_id, revision, True, now)
@@ -264,7 +273,9 @@
 
     def advance(self, revision: revisions.Revision) -> None:
         """Records that all changes up to a revision have been applied."""
-        self._revision = max(self._revision, revision)
+        if revision > self._revision:
+            self._changes += 1
+            self._revision = revision
 
     def expire(self, now: float) -> list[str]:
         """Removes lapsed entries after the grace period; returns their ids.
@@ -274,6 +285,7 @@
         if self._contact.is_lost:
             return []
         for restored in self._restored.pop_confirmed(now):
+            self._changes += 1
             self._ended.note_listed(restored.endpoint.id)
             if restored.endpoint.entry not in self.entry_names:
                 self.apply_entry(restored.endpoint, restored.revision)
@@ -281,6 +293,7 @@
             return []
         removed: list[str] = []
         for endpoint_id in self.lapsed:
+            self._changes += 1
             listed = self.entries[endpoint_id]
             removed += self._remove(
                 endpoint_id,
@@ -290,16 +303,13 @@
             )
         return removed
 
-    def _in_grace(self, now: float) -> bool:
-        return self._contact.in_grace or self._restored.in_grace(now)
-
-    def _take_all(
+    def _take_steps(
         self,
         entries: Iterable[tuple[model.Endpoint, revisions.Revision]],
         others: Set[str],
         evidence: ended_endpoints.Evidence,
         now: float,
-    ) -> list[str]:
+    ) -> Iterator[list[str]]:
         """Applies entries and handles all endpoints that are not present.
 
         Args:
@@ -308,53 +318,20 @@
             evidence: How this box came to know of the entries.
             now: The current time.
 
-        Returns:
-            Ids of endpoints that may no longer receive requests as a result.
+        Yields:
+            Ids of endpoints that may no longer receive requests as a result of
+            one entry.
         """
         present = set(others)
-        removed: list[str] = []
         for endpoint, revision in entries:
             present.add(endpoint.id)
-            removed += self.apply_entry(endpoint, revision, evidence)
+            yield self.apply_entry(endpoint, revision, evidence)
         for missing in [i for i in self.entries if i not in present]:
-            removed += self._apply_missing(
+            yield self._apply_missing(
                 missing, evidence.revision, evidence.reported, now
             )
         self._restored.keep_only(present)
         self._revision = evidence.revision
-        return removed
-
-    def _apply_missing(
-        self,
-        endpoint_id: str,
-        revision: revisions.Revision,
-        reported: bool,
-        now: float,
-    ) -> list[str]:
-        """Handles an entry that the store does not have.
-
-        Args:
-            endpoint_id: The endpoint; it need not be listed.
-            revision: The store's revision at which it is missing.
-            reported: Whether only another box reported it.
-            now: The current time.
-
-        Returns:
-            The id in a list if the endpoint was removed.
-        """
-        listed = self.entries.get(endpoint_id)
-        if listed is None or not self._is_current(endpoint_id, revision):
-            return []
-        if reported and not listed.lapsed:
-            self._unchecked.add(listed.endpoint.entry, now)
-        in_grace = self._in_grace(now)
-        news = EntryNews.MISSING_IN_GRACE if in_grace else EntryNews.MISSING
-        if entry_states.next_state(listed.state, news) is EntryState.LAPSED:
-            self._set_lapsed(listed, reported)
-            return []
-        if not reported:
-            self._ended.note_entry_removed(listed.endpoint.entry, revision)
-        return self._remove(endpoint_id, revision, news, reported)
 
     def _add_lapsed(
         self, endpoint: model.Endpoint, revision: revisions.Revision
@@ -368,19 +345,6 @@
         if listed is not None and listed.state is EntryState.READY:
             self._set_lapsed(listed, reported=True)
 
-    def _remove_previous(
-        self,
-        endpoint: model.Endpoint,
-        current: entry_states.Listed | None,
-        revision: revisions.Revision,
-    ) -> list[str]:
-        """Removes a previous incarnation; returns its id in a list, if any."""
-        if current is None or current.endpoint.id == endpoint.id:
-            return []
-        previous = current.endpoint.id
-        self._ended.note_restarted(previous, endpoint.id)
-        return self._remove(previous, revision, EntryNews.WITHDRAWN)
-
 
 def _as_reported_by_box(
     endpoint: model.Endpoint, ready: Set[str]
--- a/martenjunction/decisions/boxes/entry_states.py
+++ b/martenjunction/decisions/boxes/entry_states.py
@@ -68,7 +68,7 @@
     WITHDRAWN = "withdrawn"
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
     """An entry of the list.
 
--- a/martenjunction/decisions/boxes/entry_table.py
+++ b/martenjunction/decisions/boxes/entry_table.py
@@ -1,7 +1,9 @@
 """Table of the endpoints that a box holds, and of those that have ended."""
 
 from collections.abc import Set
+import copy
 import dataclasses
+from typing import Self
 
 import xxhash
 
@@ -11,6 +13,8 @@
 from martenjunction.decisions.boxes import ended_endpoints
 from martenjunction.decisions.boxes import entry_states
 from martenjunction.decisions.boxes import restored_entries
+from martenjunction.decisions.boxes import store_contact
+from martenjunction.decisions.boxes import unchecked_reports
 
 # Maximum number of endpoints that announced that they are leaving.
 MAX_LEAVING = 1024
@@ -31,6 +35,28 @@
         self._ended = ended_endpoints.EndedEndpoints()
         self._restored = restored_entries.RestoredEntries()
         self._digest: int | None = None
+        self._contact = store_contact.StoreContact()
+        self._unchecked = unchecked_reports.UncheckedReports()
+        self._revision = revisions.NONE
+        # The number of changes so far, and that of the table that this one is a
+        # draft of when it was copied.
+        self._changes = 0
+        self._drafted_at = 0
+
+    @property
+    def contact(self) -> store_contact.StoreContact:
+        """When the store answered any box, and was away."""
+        return self._contact
+
+    @property
+    def revision(self) -> revisions.Revision:
+        """Revision of the store up to which changes have been applied."""
+        return self._revision
+
+    @property
+    def has_listing(self) -> bool:
+        """Whether a full listing was ever applied."""
+        return self._revision > revisions.NONE
 
     @property
     def entries(self) -> dict[str, Listed]:
@@ -52,6 +78,10 @@
         """Ids of the endpoints whose entries are missing for the moment."""
         return [i for i, listed in self._listed.items() if listed.lapsed]
 
+    def is_new_era(self, revision: revisions.Revision) -> bool:
+        """Returns whether the store was restored before a later revision."""
+        return self.has_listing and revision.era > self._revision.era
+
     def ready(self, service: str) -> list[model.Endpoint]:
         """Returns the endpoints of a service that may receive new requests."""
         return [
@@ -96,6 +126,44 @@
         removed = self._ended.removal(endpoint_id)
         return RemovalCause.MISSING if removed is None else removed.cause
 
+    def draft(self) -> Self:
+        """Returns a copy to change in several steps; see `adopt`.
+
+        It shares the contact with the store, which it only reads.
+        """
+        made = copy.copy(self)
+        made._listed = dict(self._listed)
+        made._current_ids = dict(self._current_ids)
+        made._leaving = dict(self._leaving)
+        made._ended = self._ended.copy()
+        made._restored = self._restored.copy()
+        made._unchecked = self._unchecked.copy()
+        made._drafted_at = self._changes
+        return made
+
+    def adopt(self, draft: Self) -> bool:
+        """Takes the state of a draft over, which must not be used any more.
+
+        Args:
+            draft: A draft of this table.
+
+        Returns:
+            Whether it was taken over. It is not if this table has changed
+            since it was copied.
+        """
+        if draft._drafted_at != self._changes:
+            return False
+        self._changes += 1
+        self._listed = draft._listed
+        self._current_ids = draft._current_ids
+        self._leaving = draft._leaving
+        self._ended = draft._ended
+        self._restored = draft._restored
+        self._unchecked = draft._unchecked
+        self._revision = draft._revision
+        self._digest = draft._digest
+        return True
+
     def mark_leaving(self, endpoint_id: str) -> bool:
         """Records that an endpoint itself announced that it is leaving.
 
@@ -109,6 +177,7 @@
         """
         if endpoint_id in self._leaving:
             return False
+        self._changes += 1
         bounded.put(self._leaving, endpoint_id, None, MAX_LEAVING)
         listed = self._listed.get(endpoint_id)
         if listed is not None:
@@ -144,16 +213,20 @@
 
     def _set_lapsed(self, listed: Listed, reported: bool) -> None:
         """Records that an entry is missing and kept for the grace period."""
-        listed.reported = reported and (listed.reported or not listed.lapsed)
-        listed.state = entry_states.next_state(
-            listed.state, EntryNews.MISSING_IN_GRACE
+        self._listed[listed.endpoint.id] = dataclasses.replace(
+            listed,
+            state=entry_states.next_state(
+                listed.state, EntryNews.MISSING_IN_GRACE
+            ),
+            reported=reported and (listed.reported or not listed.lapsed),
         )
 
     def _end_reported_lapse(self, listed: Listed) -> None:
         """Handles an entry that one box reports as missing and another has."""
         if listed.reported:
-            listed.state = entry_states.next_state(
-                listed.state, EntryNews.PRESENT
+            self._listed[listed.endpoint.id] = dataclasses.replace(
+                listed,
+                state=entry_states.next_state(listed.state, EntryNews.PRESENT),
             )
 
     def _pop(self, endpoint_id: str) -> Listed:
@@ -205,3 +278,51 @@
             endpoint_id, ended_endpoints.Removal(revision, cause, reported)
         )
         return [endpoint_id]
+
+    def _in_grace(self, now: float) -> bool:
+        return self._contact.in_grace or self._restored.in_grace(now)
+
+    def _apply_missing(
+        self,
+        endpoint_id: str,
+        revision: revisions.Revision,
+        reported: bool,
+        now: float,
+    ) -> list[str]:
+        """Handles an entry that the store does not have.
+
+        Args:
+            endpoint_id: The endpoint; it need not be listed.
+            revision: The store's revision at which it is missing.
+            reported: Whether only another box reported it.
+            now: The current time.
+
+        Returns:
+            The id in a list if the endpoint was removed.
+        """
+        listed = self.entries.get(endpoint_id)
+        if listed is None or not self._is_current(endpoint_id, revision):
+            return []
+        if reported and not listed.lapsed:
+            self._unchecked.add(listed.endpoint.entry, now)
+        in_grace = self._in_grace(now)
+        news = EntryNews.MISSING_IN_GRACE if in_grace else EntryNews.MISSING
+        if entry_states.next_state(listed.state, news) is EntryState.LAPSED:
+            self._set_lapsed(listed, reported)
+            return []
+        if not reported:
+            self._ended.note_entry_removed(listed.endpoint.entry, revision)
+        return self._remove(endpoint_id, revision, news, reported)
+
+    def _remove_previous(
+        self,
+        endpoint: model.Endpoint,
+        current: entry_states.Listed | None,
+        revision: revisions.Revision,
+    ) -> list[str]:
+        """Removes a previous incarnation; returns its id in a list, if any."""
+        if current is None or current.endpoint.id == endpoint.id:
+            return []
+        previous = current.endpoint.id
+        self._ended.note_restarted(previous, endpoint.id)
+        return self._remove(previous, revision, EntryNews.WITHDRAWN)
--- a/martenjunction/decisions/boxes/restored_entries.py
+++ b/martenjunction/decisions/boxes/restored_entries.py
@@ -1,6 +1,7 @@
 """Entries that came back with a store that was restored from an older copy."""
 
 from collections.abc import Set
+import copy
 
 from martenjunction import revisions
 from martenjunction.decisions.boxes import ended_endpoints
@@ -24,6 +25,12 @@
         self._era_start = revisions.NONE
         self._grace_until = 0.0
 
+    def copy(self) -> "RestoredEntries":
+        """Returns a copy that changes independently."""
+        made = copy.copy(self)
+        made._unconfirmed = dict(self._unconfirmed)
+        return made
+
     def begin_era(self, revision: revisions.Revision, now: float) -> None:
         """Handles a restore of the store.
 
--- a/martenjunction/decisions/boxes/unchecked_reports.py
+++ b/martenjunction/decisions/boxes/unchecked_reports.py
@@ -19,6 +19,12 @@
     def __init__(self) -> None:
         self._reported_at: dict[str, float] = {}
 
+    def copy(self) -> "UncheckedReports":
+        """Returns a copy that changes independently."""
+        made = UncheckedReports()
+        made._reported_at = dict(self._reported_at)
+        return made
+
     def add(self, entry: str, now: float) -> None:
         """Records that another box reported an entry as missing."""
         if len(self._reported_at) < MAX_REPORTS:
--- a/martenjunction/fair_turns.py
+++ b/martenjunction/fair_turns.py
@@ -10,8 +10,11 @@
 
 import asyncio
 import collections
+from collections.abc import AsyncIterator
+from collections.abc import Iterable
 import math
 import time
+from typing import TypeVar
 import weakref
 
 # What one connection may read before it waits for its turn, in bytes. A turn
@@ -33,6 +36,9 @@
 SPENT_LATELY_S = 0.1
 
 
+T = TypeVar("T")
+
+
 class TurnQueue:
     """Readers that wait; one of them continues in each iteration."""
 
@@ -134,3 +140,19 @@
                 await current_queue().wait()
             finally:
                 self._waiting = False
+
+
+async def in_turns(items: Iterable[T], per_turn: int) -> AsyncIterator[T]:
+    """Yields items, a limited number in each turn of the event loop.
+
+    Args:
+        items: The items.
+        per_turn: The number of items of a turn.
+
+    Yields:
+        Each of the items.
+    """
+    for number, item in enumerate(items, start=1):
+        yield item
+        if number % per_turn == 0:
+            await current_queue().wait()
--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -292,7 +292,7 @@
 
     async def _watch_endpoints(self) -> None:
         listing = await self._client.list(documents.ENDPOINT_KIND)
-        self._cache.apply_listing(
+        await self._cache.apply_listing(
             [(o.name, o.revision, o.spec) for o in listing.objects],
             listing.revision,
             "store",
--- a/martenjunction/routing/store/store_cache.py
+++ b/martenjunction/routing/store/store_cache.py
@@ -1,6 +1,7 @@
 """A box's local copy of the store's configuration and endpoints."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from martenjunction import errors
 from martenjunction import model
@@ -13,6 +14,7 @@
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.messages import peer_messages
 from martenjunction.routing.store import config_documents
+from martenjunction.routing.store import listing_turns
 from martenjunction.routing.store import unreadable_entries
 
 
@@ -130,7 +132,9 @@
         revision = view.revision
         if revision < self._listed.revision:
             return
-        self._check_era(revision, source)
+        if self._listed.is_new_era(revision):
+            self._note_era(self._listed.revision, revision, source)
+            self._listed.begin_era(revision, self._now())
         rows = view.rows()
         entries, removed = self._decode_all(rows)
         removed += self._listed.apply_peer_view(
@@ -197,13 +201,16 @@
             )
         return config.version
 
-    def apply_listing(
+    async def apply_listing(
         self,
-        objects: list[tuple[str, revisions.Revision, bytes]],
+        objects: Sequence[listing_turns.Row],
         revision: revisions.Revision,
         source: str,
     ) -> None:
-        """Applies a complete list of endpoints.
+        """Applies a complete list of endpoints; it is decoded in turns.
+
+        Nothing changes if the call is cancelled, or if a newer list or view is
+        applied meanwhile.
 
         Args:
             objects: Id, revision and document of each entry.
@@ -212,20 +219,25 @@
         """
         if revision < self._listed.revision:
             return
-        self._check_era(revision, source)
-        entries, removed = self._decode_all(objects)
-        removed += self._listed.apply_listing(entries, revision, self._now())
-        self._entries.update({i: (r, spec) for i, r, spec in objects})
+        decoded = await listing_turns.decode(objects)
+        applied = await listing_turns.apply(
+            self._listed, decoded, revision, self._now
+        )
+        if applied is None:
+            return
+        self._note_era(applied.known, revision, source)
+        self._unreadable.update(decoded.rows.keys(), decoded.unreadable)
+        self._entries.update(decoded.rows)
         self._forget_unlisted()
         self._log.write(
             "endpoints-listed",
             era=revision.era,
             revision=revision.number,
-            count=len(entries),
+            count=len(decoded.entries),
             lapsed=self._listed.lapsed,
             source=source,
         )
-        self._report_removed(removed, revision, source)
+        self._report_removed(applied.removed, revision, source)
 
     def apply_endpoint_change(self, change: store.Change) -> None:
         """Applies a change of one endpoint's entry."""
@@ -248,10 +260,14 @@
         self._listed.advance(revision)
         self._report_removed(removed, revision, "store")
 
-    def _check_era(self, revision: revisions.Revision, source: str) -> None:
-        """Handles a restore of the store since the last list or view."""
-        known = self._listed.revision
-        if not self._listed.has_listing or revision.era <= known.era:
+    def _note_era(
+        self,
+        known: revisions.Revision,
+        revision: revisions.Revision,
+        source: str,
+    ) -> None:
+        """Counts and logs a restore of the store since a known revision."""
+        if known == revisions.NONE or revision.era <= known.era:
             return
         self._store_restores += 1
         self._log.write(
@@ -262,7 +278,6 @@
             known_revision=known.number,
             source=source,
         )
-        self._listed.begin_era(revision, self._now())
 
     def _log_endpoint(
         self, endpoint: str, state: str, revision: revisions.Revision
@@ -374,16 +389,10 @@
             The endpoints with their entries' revisions, and the ids of the
             endpoints whose entries became unreadable.
         """
-        decoded: list[tuple[model.Endpoint, revisions.Revision]] = []
+        decoded = listing_turns.decode_at_once(objects)
+        self._unreadable.update(decoded.rows.keys(), decoded.unreadable)
         removed: list[str] = []
-        for name, revision, spec in objects:
-            try:
-                endpoint = documents.decode_endpoint(name, spec)
-            except errors.PlatformError as error:
-                self._unreadable.add(name, spec, error)
-                removed += self._listed.apply_unparsable(name, revision)
-                self._entries.pop(name, None)
-            else:
-                decoded.append((endpoint, revision))
-                self._unreadable.remove(name)
-        return decoded, removed
+        for (name, revision, _), _ in decoded.unreadable:
+            removed += self._listed.apply_unparsable(name, revision)
+            self._entries.pop(name, None)
+        return decoded.entries, removed
--- a/martenjunction/routing/store/unreadable_entries.py
+++ b/martenjunction/routing/store/unreadable_entries.py
@@ -1,11 +1,18 @@
 """Entries of the store that cannot be decoded, each logged once per change."""
 
+from collections.abc import Sequence
+from collections.abc import Set
+
 from martenjunction import errors
+from martenjunction import revisions
 from martenjunction.routing.log import decision_log
 
 # Maximum number of unreadable entries remembered, so that each is logged once.
 MAX_UNREADABLE = 256
 
+# Name, revision and document of an entry.
+Row = tuple[str, revisions.Revision, bytes]
+
 
 class UnreadableEntries:
     """Logs and counts unreadable entries."""
@@ -44,3 +51,20 @@
     def remove(self, name: str) -> None:
         """Records that an entry is readable or gone."""
         self._entries.pop(name, None)
+
+    def update(
+        self,
+        names: Set[str],
+        unreadable: Sequence[tuple[Row, errors.PlatformError]],
+    ) -> None:
+        """Records which entries of a list are unreadable.
+
+        Args:
+            names: The names of all its entries.
+            unreadable: Those that cannot be decoded, each with the reason.
+        """
+        readable = names - {name for (name, _, _), _ in unreadable}
+        for name in self._entries.keys() & readable:
+            del self._entries[name]
+        for (name, _, spec), error in unreadable:
+            self.add(name, spec, error)
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -1,7 +1,5 @@
 """Tests of the endpoint list: updates, grace periods and removals."""
 
-import operator
-
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -12,6 +10,7 @@
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import entry_states
 from martenjunction.decisions.boxes import store_contact
+from tests import endpoint_changes
 from tests import routing_builders as builders
 
 DRAINING = model.EndpointState.DRAINING
@@ -154,53 +153,13 @@
     assert known.digest() != other.digest()
 
 
-IDS = st.sampled_from(["e1", "e2", "e3", "e4"])
-STATES = st.sampled_from(list(model.EndpointState))
-REVISIONS = st.builds(rev, st.integers(1, 30), st.integers(1, 3))
-ENTRIES = st.lists(
-    st.tuples(st.builds(builders.endpoint, IDS, STATES), REVISIONS)
-)
-TIMES = st.floats(0.0, 20.0)
-CHANGES = st.one_of(
-    st.tuples(st.just("apply_listing"), ENTRIES, REVISIONS, TIMES),
-    st.tuples(
-        st.just("apply_peer_view"),
-        ENTRIES,
-        st.sets(IDS),
-        REVISIONS,
-        TIMES,
-        st.sets(IDS),
-        st.sets(IDS),
-    ),
-    st.tuples(
-        st.just("apply_report"),
-        IDS,
-        st.sampled_from(list(entry_states.RemovalCause)),
-        REVISIONS,
-        TIMES,
-    ),
-    st.tuples(st.just("begin_era"), REVISIONS, TIMES),
-    st.tuples(
-        st.just("apply_entry"),
-        st.builds(builders.endpoint, IDS, STATES),
-        REVISIONS,
-    ),
-    st.tuples(st.just("apply_removal"), IDS, REVISIONS, TIMES),
-    st.tuples(st.just("mark_draining"), IDS, REVISIONS),
-    st.tuples(st.just("expire"), TIMES),
-    st.tuples(st.just("mark_leaving"), IDS),
-    st.tuples(st.just("contact.note_failed"), TIMES),
-    st.tuples(st.just("contact.note_answered"), TIMES, TIMES),
-)
-
-
-@given(st.lists(CHANGES, max_size=30))
+@given(st.lists(endpoint_changes.CHANGES, max_size=30))
 def test_digest_matches_a_recomputed_one_after_any_changes(
     changes: list[tuple[object, ...]],
 ) -> None:
     known = listed("e1", "e2")
-    for name, *arguments in changes:
-        operator.attrgetter(str(name))(known)(*arguments)
+    for change in changes:
+        endpoint_changes.apply(known, change)
         ids = ",".join(known.ready_ids())
         assert known.digest() == xxhash.xxh3_64_intdigest(ids.encode())
 
