Let no signal end the requests under way

SIGINT, SIGQUIT, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR and SIGSTKFLT had their default actions: the process ended at once, all requests under way got no answer, and the log held no line.

SIGINT and SIGQUIT now stop as SIGTERM does, since whoever sends them wants the process to end, and each signal with an effect leaves a line. The others are ignored, from the first line of the program on. They have no handlers because frames of handlers nest where signals come together, on the 16 KB stack of faulthandler: with eight handled signals pending at the end of the start, the process ended with SIGSEGV.

--- a/martenjunction/cmd/box_daemon.py
+++ b/martenjunction/cmd/box_daemon.py
@@ -8,20 +8,21 @@
 import gc
 import logging
 import os
-import signal
 
 from martenjunction import errors
 from martenjunction import gateway
 from martenjunction import logs
 from martenjunction import process_memory
 from martenjunction.cmd import early_signals
+from martenjunction.cmd import signal_handlers
 from martenjunction.platform import box_settings
 
 
 async def serve(path: str) -> None:
     """Serves until a graceful shutdown has completed.
 
-    SIGTERM starts a graceful shutdown; SIGHUP reloads the settings.
+    SIGTERM starts a graceful shutdown; SIGHUP reloads the settings. What other
+    signals do, `signal_handlers` says.
 
     Args:
         path: The settings file.
@@ -44,8 +45,13 @@
         except errors.SettingsError as error:
             daemon.log.write("reload-failed", why=str(error))
 
-    loop.add_signal_handler(signal.SIGTERM, stop)
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    signal_handlers.install(
+        {
+            signal_handlers.Effect.STOP: stop,
+            signal_handlers.Effect.RELOAD: reload,
+        },
+        daemon.log,
+    )
     await daemon.start()
     # A stop needs a daemon that was started completely.
     early_signals.release()
--- a/tests/box_processes.py
+++ b/tests/box_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import json
@@ -86,14 +87,15 @@
 
 
 async def start(
-    folder: pathlib.Path, settings: box_settings.BoxSettings
+    folder: pathlib.Path,
+    settings: box_settings.BoxSettings,
+    program: Sequence[str] = ("-m", "martenjunction.cmd.box"),
 ) -> Box:
     file = folder / f"{settings.box}.toml"
     file.write_text(builders.settings_text(settings))
     process = await asyncio.create_subprocess_exec(
         sys.executable,
-        "-m",
-        "martenjunction.cmd.box",
+        *program,
         env={**os.environ, box_settings.SETTINGS_VARIABLE: str(file)},
         stdout=asyncio.subprocess.PIPE,
     )
