Pause accepting while the process lacks descriptors

Where no descriptor was left, each iteration of the event loop tried to accept again and raised, since the listening socket stays readable: a box took a whole core, and wrote an error in every iteration, for as long as it lasted.

The servers now wait 0.1 s and try again, with a line at most every 10 s. Kept connections are served meanwhile, and new ones as soon as there are descriptors.

--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -7,10 +7,10 @@
 import logging
 
 from tornado import iostream
-from tornado import tcpserver
 
 from martenjunction import addresses
 from martenjunction import errors
+from martenjunction.http1 import accepting
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import messages
@@ -29,7 +29,7 @@
 ]
 
 
-class Server(tcpserver.TCPServer):
+class Server(accepting.AcceptingServer):
     """Accepts connections and calls a handler for each request."""
 
     def __init__(
--- a/martenjunction/tunnels/server.py
+++ b/martenjunction/tunnels/server.py
@@ -7,7 +7,6 @@
 import math
 
 from tornado import iostream
-from tornado import tcpserver
 
 from martenjunction import addresses
 from martenjunction import errors
@@ -16,6 +15,7 @@
 from martenjunction import timers
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_paths
+from martenjunction.http1 import accepting
 from martenjunction.http1 import streams
 from martenjunction.tunnels import framing
 from martenjunction.tunnels import handshake
@@ -51,9 +51,11 @@
     BROKEN = "broken"
 
 
-class TunnelServer(tcpserver.TCPServer):
+class TunnelServer(accepting.AcceptingServer):
     """Passes bytes between peers and endpoints."""
 
+    _name = "tunnels"
+
     def __init__(
         self,
         key: str,
