Name what ended a box and the lines that it lost

An error that ended the process, such as an address in use at the start, was on standard error alone: the log ended without a line. Lines that a slow reader of the log had no room for were counted, but the count was told nowhere, and lines that waited at the end of the process were lost with it.

--- a/martenjunction/cmd/box_daemon.py
+++ b/martenjunction/cmd/box_daemon.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import atexit
 import faulthandler
 import gc
 import logging
@@ -31,7 +32,7 @@
         SettingsError: If the settings are invalid.
     """
     settings = box_settings.read(path)
-    logs.start_bounded(settings.box)
+    atexit.register(logs.start_bounded(settings.box).finish)
     daemon = gateway.Gateway(settings)
     loop = asyncio.get_running_loop()
     stops: list[asyncio.Task[None]] = []
@@ -61,7 +62,8 @@
 def run() -> int:
     """Runs the daemon; returns the exit code.
 
-    A fatal signal prints the stacks of all threads to standard error.
+    A fatal signal prints the stacks of all threads to standard error; an error
+    that ends the daemon is logged.
     """
     faulthandler.enable()
     # What the imports made stays: a collection of all of it takes a long turn
@@ -74,4 +76,8 @@
     except errors.SettingsError as error:
         logging.getLogger(__name__).error("%s", error)
         return 1
+    except BaseException:
+        # The trace goes to standard error, which is not part of the log.
+        logging.getLogger(__name__).critical("the daemon failed", exc_info=True)
+        raise
     return 0
--- a/tests/box_processes.py
+++ b/tests/box_processes.py
@@ -90,6 +90,7 @@
     folder: pathlib.Path,
     settings: box_settings.BoxSettings,
     program: Sequence[str] = ("-m", "martenjunction.cmd.box"),
+    stdout: int = asyncio.subprocess.PIPE,
 ) -> Box:
     file = folder / f"{settings.box}.toml"
     file.write_text(builders.settings_text(settings))
@@ -97,13 +98,16 @@
         sys.executable,
         *program,
         env={**os.environ, box_settings.SETTINGS_VARIABLE: str(file)},
-        stdout=asyncio.subprocess.PIPE,
+        stdout=stdout,
     )
-    assert process.stdout is not None
-    output = asyncio.create_task(process.stdout.read())
+    output = asyncio.create_task(_read(process.stdout))
     return Box(settings, process, os.pidfd_open(process.pid), output)
 
 
+async def _read(output: asyncio.StreamReader | None) -> bytes:
+    return b"" if output is None else await output.read()
+
+
 def settings_of(
     fleet: boxes.Boxes, box: str, **changes: Any
 ) -> box_settings.BoxSettings:
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -233,3 +233,16 @@
     assert b" 200 " in await client.answer()
     lines = await stop_box(box)
     assert "MemoryError()" in [x.get("error") for x in lines]
+
+
+async def test_address_in_use_ends_the_process_with_a_line(
+    started: Started,
+) -> None:
+    first = await started.ready()
+    second = await started.start(callers=first.settings.callers)
+    assert await second.until_ended() == 1
+    lines = await second.log()
+    assert lines[-1]["message_type"] == "log"
+    assert lines[-1]["level"] == "critical"
+    assert "Address already in use" in str(lines[-1]["error"])
+    await stop_box(first)
