Count a late answer of a plain endpoint once a later one is late

An endpoint of a plain service that stopped for 1.2 s got no work from a box for many seconds after: the one request that had waited there was averaged in as a response time, 0.03 s became 0.2 s, and the estimate of an idle endpoint comes back by 2 in 100 a tick only. A box that had moved its requests instead trusted the endpoint at its first answer.

A response time of over four times the expected one now counts once a request that was sent after it takes as long, or while the endpoint counts as slow. Until then the endpoint is tried with one request at a time. A request given up without an answer counts at once, as before: its endpoint has not gone on.

Measured: in tests/test_short_silences.py the next request after the late answer went to the other endpoint before, and goes to this one now.

--- a/martenjunction/decisions/boxes/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -11,6 +11,7 @@
 from martenjunction.decisions.boxes import endpoint_outcomes
 from martenjunction.decisions.boxes import engine_profiles
 from martenjunction.decisions.boxes import prefill_demand
+from martenjunction.decisions.boxes import response_times
 
 # Fraction of an engine's prefill rate up to which long prompts are sent to it.
 # While it prefills without a break, its streams get a token only after each
@@ -35,9 +36,6 @@
 # Maximum fraction of the slots that count as taken by more urgent requests.
 MAX_PREFERRED_FRACTION = 0.95
 
-# Initial estimate in seconds of a plain service's response time.
-INITIAL_RESPONSE_S = 0.03
-
 # Weight of one observation of an engine's slowness, and the number of
 # observations that the initial value of 1 counts for. Single first events may
 # be several times late because requests arrive at the same moment, not because
@@ -164,7 +162,7 @@
         self.cache_tokens = cache_tokens
         self.failures = estimates.Average(0.0, weight=0.15)
         self.outcomes = endpoint_outcomes.EndpointOutcomes()
-        self.response_s = estimates.Average(INITIAL_RESPONSE_S, weight=0.15)
+        self.response_s = response_times.ResponseTimes()
         self.hold_s = estimates.Average(INITIAL_HOLD_S, HOLD_WEIGHT)
         self.slowness = estimates.Average(
             1.0, SLOWNESS_WEIGHT, start_counts=SLOWNESS_INITIAL_WEIGHT
@@ -198,7 +196,7 @@
         return (
             self.failures.value > NEGLIGIBLE
             or abs(self.slowness.value - 1.0) > NEGLIGIBLE
-            or abs(self.response_s.value - INITIAL_RESPONSE_S) > NEGLIGIBLE
+            or self.response_s.deviation_s > NEGLIGIBLE
         )
 
     def failure_part(self, now: float) -> float:
@@ -217,7 +215,7 @@
         """
         self.failures.drift(0.0, part)
         self.slowness.drift(1.0, part)
-        self.response_s.drift(INITIAL_RESPONSE_S, part)
+        self.response_s.drift(part)
 
     def record_sent(self, unread: int, now: float) -> None:
         """Records prefill tokens that this box sends to the endpoint."""
@@ -313,7 +311,7 @@
         running = self.loads.running(now)
         if not demand.is_engine:
             excess = max(0.0, (running + 1 - self.slots) / self.slots)
-            return self.response_s.value * (
+            return self.response_s.expected_s(self.loads.own_running) * (
                 1 + excess + 0.5 * running / self.slots
             )
         expected_s = self._queue_s(demand, unread, now)
--- a/martenjunction/routing/endpoints/endpoint_registry.py
+++ b/martenjunction/routing/endpoints/endpoint_registry.py
@@ -38,6 +38,7 @@
 
     Attributes:
         first_event_at: Listening time of the first event of a stream, or None.
+        answered: Whether bytes of an answer came.
         move_requested: Whether the endpoint is silent, so that the request
             should be moved to another one.
         endpoint_restarted: Whether the endpoint restarted, which ended the
@@ -74,6 +75,7 @@
         self.last_received_at = listened
         self.waiting = True
         self.first_event_at: float | None = None
+        self.answered = False
         self.move_requested = False
         self.endpoint_restarted = False
         self.resumed = resumed
@@ -446,6 +448,7 @@
             self._paths.note_heard(record.id, now)
         self._ejection.note_response(record, now)
         record.refusals.record_answer(ticket.started_at)
+        ticket.answered = True
         ticket.move_requested = False
         ticket.last_received_at = listened
 
@@ -520,7 +523,17 @@
         if ticket.first_event_at is not None:
             record.hold_s.add(self._listening_time(now) - ticket.first_event_at)
         if not failed and not ticket.demand.is_engine:
-            record.response_s.add(self._listening_time(now) - ticket.sent_at)
+            self._learn_response_time(ticket, now)
+
+    def _learn_response_time(self, ticket: RunTicket, now: float) -> None:
+        """Learns from the time that a run at a plain endpoint took."""
+        listened = self._listening_time(now)
+        took_s = listened - ticket.sent_at
+        times = ticket.record.response_s
+        if ticket.answered:
+            times.add(took_s, ticket.sent_at, listened)
+        else:
+            times.add_unanswered(took_s)
 
     def note_refusal(self, endpoint_id: str, now: float) -> None:
         """Records that an endpoint, full or leaving, refused a request."""
