Begin with half a turn, and parse peers' frames in smaller pieces

Twenty connections that began to send in one iteration of the event loop had a whole turn each in it: 25 to 37 ms on peers' links and at a daemon's own interface, in which nobody else was served.

A connection that had nothing to read now begins with half a turn, and has a whole one only after it waited for it. Only a whole turn counts as a sign that its peer never pauses. The first piece of a peer's bytes that was parsed held up to 341 empty frames, whatever was left of the budget; pieces now begin with 128 bytes and grow to 2 KB while each holds few frames.

--- a/martenjunction/fair_turns.py
+++ b/martenjunction/fair_turns.py
@@ -21,6 +21,10 @@
 # takes a few milliseconds at most.
 TURN_BYTES = 1024 * 1024
 
+# The same for the first turn after a connection had nothing to read: many that
+# begin at the same time have it in one iteration of the event loop.
+FIRST_TURN_BYTES = 512 * 1024
+
 # What a read costs beside its bytes, and what it costs to parse and forward a
 # part of a message, as a number of bytes that are read.
 PART_COST = 16 * 1024
@@ -104,6 +108,7 @@
     def __init__(self) -> None:
         """Makes an unspent budget."""
         self._spent = 0
+        self._limit = FIRST_TURN_BYTES
         self._spent_at = -math.inf
         self._waiting = False
 
@@ -114,13 +119,13 @@
 
     @property
     def spent_lately(self) -> bool:
-        """Whether the budget was spent within the last `SPENT_LATELY_S`."""
+        """Whether a whole turn was spent within the last `SPENT_LATELY_S`."""
         return time.monotonic() - self._spent_at <= SPENT_LATELY_S
 
     @property
     def is_spent(self) -> bool:
         """Whether the reader has to wait for its next turn."""
-        return self._spent >= TURN_BYTES
+        return self._spent >= self._limit
 
     def spend(self, cost: int) -> None:
         """Counts bytes that were read, or the cost of what was parsed."""
@@ -129,12 +134,15 @@
     def renew(self) -> None:
         """Begins anew, after the reader was suspended."""
         self._spent = 0
+        self._limit = FIRST_TURN_BYTES
 
     async def pause_if_spent(self) -> None:
         """Waits for the next turn of this connection if its budget is spent."""
         if self.is_spent:
+            if self._limit == TURN_BYTES:
+                self._spent_at = time.monotonic()
             self._spent = 0
-            self._spent_at = time.monotonic()
+            self._limit = TURN_BYTES
             self._waiting = True
             try:
                 await current_queue().wait()
--- a/martenjunction/peers/fair_connections.py
+++ b/martenjunction/peers/fair_connections.py
@@ -14,8 +14,13 @@
 
 from martenjunction import fair_turns
 
-# Bytes that are parsed at once. They hold 341 empty frames of a client.
-PIECE_BYTES = 2048
+# Bytes that are parsed at once: they grow while each piece holds few frames.
+# The smallest holds 21 empty frames of a client, the largest 341.
+MIN_PIECE_BYTES = 128
+MAX_PIECE_BYTES = 2048
+
+# Frames in a piece above which the next piece is the smallest again.
+FEW_FRAMES = 4
 
 
 class _FairConnection(ws.Connection):
@@ -35,6 +40,8 @@
         super().connection_made(transport)
         self._turns = fair_turns.TurnBudget()
         self._unparsed = bytearray()
+        self._piece_bytes = MIN_PIECE_BYTES
+        self._frames = 0
         self._parsing = False
         self._waiting: asyncio.Task[None] | None = None
         # The queue of frames resumes reading; unparsed bytes go first.
@@ -50,6 +57,7 @@
 
     def process_event(self, event: Any) -> None:
         """Processes a frame or a message of the handshake."""
+        self._frames += 1
         self._turns.spend(
             fair_turns.PART_COST
             if isinstance(event, Frame)
@@ -71,10 +79,16 @@
         self._parsing = True
         try:
             while self._unparsed and not self._must_wait:
-                piece = bytes(self._unparsed[:PIECE_BYTES])
-                del self._unparsed[:PIECE_BYTES]
+                piece = bytes(self._unparsed[: self._piece_bytes])
+                del self._unparsed[: self._piece_bytes]
                 self._turns.spend(len(piece))
+                self._frames = 0
                 super().data_received(piece)
+                self._piece_bytes = (
+                    MIN_PIECE_BYTES
+                    if self._frames > FEW_FRAMES
+                    else min(2 * self._piece_bytes, MAX_PIECE_BYTES)
+                )
         finally:
             self._parsing = False
         if self._turns.is_spent and not self.transport.is_closing():
--- a/tests/test_fair_turns_elsewhere.py
+++ b/tests/test_fair_turns_elsewhere.py
@@ -13,21 +13,18 @@
 from websockets import protocol
 from websockets.asyncio import client as ws_client
 
-from martenjunction import events
 from martenjunction import http_server
-from martenjunction import timers
 from martenjunction.endpoints import client
 from martenjunction.endpoints import streams as endpoint_streams
 from martenjunction.http1 import streams
 from martenjunction.peers import codec
 from martenjunction.peers import hub
 from martenjunction.peers import links
-from martenjunction.peers import membership
-from martenjunction.peers import messages
 from martenjunction.tunnels import framing
 from martenjunction.tunnels import server as tunnel_server
 from martenjunction_lab import bench
 from martenjunction_lab import boxes
+from tests import linked_hubs
 from tests import raw_peers
 from tests import turn_counts
 
@@ -274,41 +271,14 @@
 
 # Connections between boxes.
 
-KEY = "key"
-
-UPGRADE = (
-    b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n"
-    b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
-    b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
-)
-
-# A frame without data, as a client sends it.
-EMPTY_PING = b"\x89\x80\x00\x00\x00\x00"
-
 # A frame of a link that acknowledges nothing and has no messages.
 EMPTY_BATCH = b"\x00\x00\x00\x00" + codec.encode_batch([])
 
 
-def member(name: str) -> membership.Member:
-    return membership.Member(name, "zone-a", "", "", "", 1)
-
-
-def new_hub(address: str) -> hub.PeerHub:
-    clock = timers.Timers()
-    return hub.PeerHub(
-        membership.Membership(member("box-1"), clock, lambda: None),
-        KEY,
-        clock,
-        events.Events(),
-        lambda: messages.Heartbeat(0, 0, 0.0),
-        address,
-    )
-
-
 @pytest.fixture
 async def listening() -> AsyncIterator[tuple[hub.PeerHub, str]]:
     address = bench.free_address()
-    made = new_hub(address)
+    made = linked_hubs.new_hub(address)
     await made.start()
     yield made, address
     await made.stop()
@@ -324,7 +294,7 @@
     frames = 20_000
     with counts.start():
         sender = turn_counts.FastSender(
-            listening[1], UPGRADE + EMPTY_PING * frames
+            listening[1], linked_hubs.UPGRADE + linked_hubs.EMPTY_PING * frames
         )
         await boxes.until(lambda: counts.total >= frames)
     sender.close()
@@ -342,7 +312,9 @@
     async with ws_client.connect(
         f"ws://{listening[1]}/", compression=None, proxy=None
     ) as connection:
-        await links.perform_client_handshake(connection, member("box-2"), KEY)
+        await links.perform_client_handshake(
+            connection, linked_hubs.member("box-2"), linked_hubs.KEY
+        )
         with counts.start():
             for _ in range(frames):
                 connection.protocol.send_binary(EMPTY_BATCH)
