Leave descriptors to peers, the store and health checks

Thousands of connections that say nothing, that send slow heads or whose clients do not read took all descriptors of a box. It then accepted neither health checks nor peers, and reached neither endpoints nor the store, until the clients left.

Each server has a share: half of the descriptors for callers, 2 in 100 for each of the platform's and the operators'. Tunnels have a quarter already; the rest is for endpoints, peers, the store and files. At its limit a server ends the connections that have rested longest, some at a time so that the search is rare, and closes new ones only where none rests. A connection rests if no byte of a request has come, which the same state decides that decides about requests, so that no request is cut.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -15,6 +15,7 @@
 from martenjunction import timers
 from martenjunction.decisions.boxes import box_states
 from martenjunction.decisions.boxes import config_freshness
+from martenjunction.decisions.boxes import connection_share
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.decisions.boxes import load_shedding
@@ -53,6 +54,7 @@
 from martenjunction.routing.limits import prober
 from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.log import closing_log
+from martenjunction.routing.log import connection_log
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.log import usage_log
 from martenjunction.routing.messages import peer_stamps
@@ -138,6 +140,7 @@
         self.events = events.Events()
         self.metrics = metrics.Metrics()
         self.log = decision_log.DecisionLog(self.timers.now)
+        self.connection_log = connection_log.ConnectionLog(self.log)
         self._leaving_since: float | None = None
         self._stopping = False
         self._max_member_count = 1
@@ -398,6 +401,7 @@
             self._limits,
             self.bodies,
             lambda: self.memory.accepts_clients,
+            connection_share.CALLERS_FRACTION,
         )
         self._ready = self._server("ready", self._serve_ready)
         self._entry = self._server("entry", self._serve_entry)
@@ -567,7 +571,11 @@
         limits: Callable[[], messages.ClientLimits] = lambda: SERVICE_LIMITS,
         gate: body_gate.BodyGate | None = None,
         accepts: Callable[[], bool] = lambda: True,
+        fraction: float = connection_share.SERVICE_FRACTION,
     ) -> server.Server:
+        share = connection_share.ConnectionShare(
+            connection_share.limit(self._settings.max_descriptors, fraction)
+        )
         return server.Server(
             name,
             handler,
@@ -575,6 +583,8 @@
             closing_log.ClosingLog(self.log, self.metrics),
             gate,
             accepts,
+            share,
+            self.connection_log.watch(name, share),
         )
 
     # Handlers for requests from callers, the platform and operators.
@@ -684,6 +694,8 @@
                 "loop_delay_s": self.timers.worst_delay,
                 "turn_waits": float(turns.waits),
                 "turn_longest_wait_s": turns.longest_wait_s,
+                "caller_connections": float(self._callers.connections),
+                **self.connection_log.gauges(),
                 **self.bodies.gauges(),
                 **self.answers.gauges(),
                 **self.memory.gauges(),
--- a/martenjunction/http1/close_reports.py
+++ b/martenjunction/http1/close_reports.py
@@ -19,6 +19,7 @@
     LAST_ANSWER = "last-answer"
     FRAMING = "excess-framing"
     REFUSED = "request-refused"
+    ROOM = "room"
     FAILED = "internal-error"
     CLIENT = "client"
 
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -5,11 +5,14 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import sys
+import time
 
 from tornado import iostream
 
 from martenjunction import addresses
 from martenjunction import errors
+from martenjunction.decisions.boxes import connection_share
 from martenjunction.http1 import accepting
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import close_reports
@@ -40,6 +43,8 @@
         on_closed: close_reports.OnClosed = close_reports.ignore_report,
         gate: body_gate.BodyGate | None = None,
         accepts: Callable[[], bool] = lambda: True,
+        share: connection_share.ConnectionShare | None = None,
+        on_share: Callable[[], None] = lambda: None,
     ) -> None:
         """Initializes the server; `listen_on` starts it.
 
@@ -54,6 +59,8 @@
             gate: Grants the memory of request bodies; unlimited if left out.
             accepts: Returns whether new connections are served; otherwise they
                 are closed, with nothing read from them.
+            share: Limits the connections; unlimited if left out.
+            on_share: Called after each change of the share's state.
         """
         super().__init__(max_buffer_size=streams.MAX_BUFFER_BYTES)
         self._name = name
@@ -62,7 +69,10 @@
         self._on_closed = on_closed
         self._gate = gate or body_gate.OpenGate()
         self._accepts = accepts
-        self._connections: set[server_connection.ServerConnection] = set()
+        self._share = share or connection_share.ConnectionShare(sys.maxsize)
+        self._on_share = on_share
+        # Ordered by the time at which they last began to rest.
+        self._connections: dict[server_connection.ServerConnection, None] = {}
         self._finishing = False
         self._ended = asyncio.Event()
 
@@ -107,7 +117,7 @@
         self, stream: iostream.IOStream, address: tuple[str, int]
     ) -> Awaitable[None] | None:
         """Registers a connection and returns the task that serves it."""
-        if not self._accepts():
+        if not self._accepts() or not self._make_room():
             stream.close()
             return None
         streams.set_client_options(stream.socket)
@@ -115,7 +125,7 @@
             stream, self._limits, self._gate
         )
         # Registered before its task first runs, so that a shutdown sees it.
-        self._connections.add(connection)
+        self._connections[connection] = None
         if self._finishing:
             connection.close_when_idle()
         return self._run_connection(connection)
@@ -137,7 +147,8 @@
             logger.exception("%s: failed to serve a connection", self._name)
         finally:
             connection.abort(reason)
-            self._connections.discard(connection)
+            self._connections.pop(connection, None)
+            self._note_closed()
             self._check_ended()
             closing = connection.closing(self._name)
             if _is_reported(closing):
@@ -169,6 +180,8 @@
                 )
             if not connection.prepare_next_request():
                 return close_reports.CloseReason.LAST_ANSWER
+            self._connections.pop(connection, None)
+            self._connections[connection] = None
 
     async def _handle(
         self,
@@ -194,6 +207,36 @@
             logger.error("%s: the handler sent no response", self._name)
             await connection.answer(502, [], b"", close=True)
 
+    def _make_room(self) -> bool:
+        """Ends idle connections for a new one; returns whether it may stay."""
+        before = self._share.state
+        now = time.monotonic()
+        excess = self._share.excess(len(self._connections), now)
+        ended = self._end_longest_rests(excess) if excess else 0
+        admitted = self._share.admit(len(self._connections), ended, now)
+        if self._share.state is not before:
+            self._on_share()
+        return admitted
+
+    def _end_longest_rests(self, count: int) -> int:
+        """Ends idle connections; returns how many, `count` at most."""
+        found = []
+        for connection in self._connections:
+            if connection.end_rest():
+                found.append(connection)
+                if len(found) == count:
+                    break
+        # Their descriptors are free, before their tasks have ended.
+        for connection in found:
+            del self._connections[connection]
+        return len(found)
+
+    def _note_closed(self) -> None:
+        before = self._share.state
+        self._share.note_closed(len(self._connections))
+        if self._share.state is not before:
+            self._on_share()
+
     def _check_ended(self) -> None:
         if self._finishing and not self._connections:
             self._ended.set()
@@ -215,5 +258,9 @@
 
 # Expected reasons, which are not reported unless a request is in flight.
 _UNREPORTED = frozenset(
-    {close_reports.CloseReason.CLIENT, close_reports.CloseReason.LAST_ANSWER}
+    {
+        close_reports.CloseReason.CLIENT,
+        close_reports.CloseReason.LAST_ANSWER,
+        close_reports.CloseReason.ROOM,
+    }
 )
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -267,6 +267,15 @@
                 self._set_timer(SHUTDOWN_READ_TIMEOUT_S, self._timeout_reason)
         self._close_if_idle()
 
+    def end_rest(self) -> bool:
+        """Closes the connection if it is idle; returns whether it was."""
+        if self.closed or self._state is not _State.RESTING:
+            return False
+        if self._source.bytes_waiting:
+            return False
+        self.abort(close_reports.CloseReason.ROOM)
+        return True
+
     def abort(self, reason: close_reports.CloseReason) -> None:
         """Closes the connection; data in the socket's buffer is still sent.
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from martenjunction.decisions.boxes import connection_share
 from martenjunction_lab import boxes
 from tests import box_processes
 from tests import keep_alive_connections as kept
@@ -25,6 +26,10 @@
 LACK_S = 2.0
 MAX_BUSY_S = 0.5
 
+# Descriptors of a box, and connections that clients open to each server.
+MAX_DESCRIPTORS = 256
+CONNECTIONS = 300
+
 # Seconds within which a box accepts again.
 RETURN_S = 10.0
 
@@ -63,6 +68,19 @@
         assert b" 200 " in await client.answer()
         return client
 
+    async def ask(self, client: kept.KeptConnection) -> bytes:
+        client.send(REQUEST)
+        return await client.answer()
+
+    async def join(self) -> None:
+        """Adds a box that the first one has to link to."""
+        peer = await self.fleet.add_box(
+            "box-2", seeds=(self.box.settings.peers,)
+        )
+        async with asyncio.timeout(RETURN_S):
+            while "box-1" not in peer.peers.boxes():
+                await asyncio.sleep(0.05)
+
     def limit_descriptors(self, count: int) -> None:
         pid = self.box.process.pid
         _, most = resource.prlimit(pid, resource.RLIMIT_NOFILE)
@@ -129,3 +147,70 @@
     assert all("cannot accept" in str(x["text"]) for x in errors)
     closed = [x for x in lines if x["message_type"] == "connection-closed"]
     assert {x["why"] for x in closed} <= {"stop"}
+
+
+# What clients do that hold many connections.
+SILENT = b""
+SLOW_HEAD = b"POST /safe/x HTTP/1.1\r\n"
+
+
+@pytest.mark.parametrize("sent", [SILENT, SLOW_HEAD, REQUEST])
+async def test_clients_leave_descriptors_to_the_others(
+    started: Started, sent: bytes
+) -> None:
+    fleet = started.fleet
+    box = await started.start(max_descriptors=MAX_DESCRIPTORS)
+    started.limit_descriptors(MAX_DESCRIPTORS)
+    client = await started.serves()
+    servers = [box.settings.callers]
+    if sent != SLOW_HEAD:
+        servers.append(box.settings.ready)
+    for address in servers:
+        for number in range(CONNECTIONS):
+            silent = await started.connect(address)
+            silent.send(sent)
+            if number % 20 == 0:
+                client.send(REQUEST)
+                assert b" 200 " in await client.answer()
+    assert started.open_descriptors() < MAX_DESCRIPTORS
+    await started.join()
+    fleet.configure(builders.config_document(version=8, routes=[]))
+    async with asyncio.timeout(RETURN_S):
+        while b" 404 " not in await started.ask(client):
+            await asyncio.sleep(0.05)
+    await box.until_ready()
+    if sent != SLOW_HEAD:
+        # Their connections rest: the oldest end for new ones.
+        assert b" 404 " in await started.ask(
+            await started.connect(box.settings.callers)
+        )
+    lines = await started.stop()
+    assert not [x for x in lines if x.get("level") == "error"]
+    changes = [x for x in lines if x["message_type"] == "connection-share"]
+    states = [x["state"] for x in changes if x["server"] == "callers"]
+    expected = "full" if sent == SLOW_HEAD else "short"
+    assert expected in states
+    assert len(states) <= 4
+
+
+def test_share_ends_rests_before_it_closes_new_connections() -> None:
+    share = connection_share.ConnectionShare(128)
+    assert share.excess(127, now=1.0) == 0
+    assert share.admit(127, ended=0, now=1.0)
+    assert share.state is connection_share.State.ROOM
+    # A batch, so that the search is rare.
+    assert share.excess(128, now=1.0) == 2
+    assert share.admit(126, ended=2, now=1.0)
+    assert share.state is connection_share.State.SHORT
+    assert share.excess(128, now=2.0) == 2
+    assert not share.admit(128, ended=0, now=2.0)
+    assert share.state is connection_share.State.FULL
+    # None rested: no search for a moment.
+    assert share.excess(128, now=2.01) == 0
+    assert not share.admit(128, ended=0, now=2.01)
+    assert share.excess(128, now=2.1) == 2
+    share.note_closed(120)
+    assert share.state is connection_share.State.FULL
+    share.note_closed(115)
+    assert share.state is connection_share.State.ROOM
+    assert (share.ended, share.refused) == (2, 2)
