Bound the answers of the store and of health checks

The body of a store's answer was read, and kept, for up to 4 s whatever its size, and that of a health check was read for up to 0.5 s: at the speed of a loopback socket gigabytes, in a process that the platform ends at 150 MB.

A store's answer has at most 8 MB: a page of some 1 MB that ends with an object of two values of 1 MB each, twice as long in JSON. A larger one is none, and the connection is closed. Changes that do not fit are taken as lost history, so that the box lists anew, in pages, instead of repeating the same watch without an end. A health check with more than 1 MB is not healthy.

A document of 1 MB in quotation marks, a list of 12,000 entries and a watch with 10,000 changes are read as before.

--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -40,6 +40,10 @@
     """The platform did not respond; the call may have taken effect."""
 
 
+class PlatformAnswerTooLargeError(PlatformUnavailableError):
+    """The platform's response has more bytes than any that it may send."""
+
+
 class PlatformRefusedError(PlatformError):
     """The platform responded that it did not execute the call."""
 
--- a/martenjunction/platform/http_calls.py
+++ b/martenjunction/platform/http_calls.py
@@ -14,6 +14,10 @@
 PART_TIMEOUT_S = 1.0
 BODY_TIMEOUT_S = 4.0
 
+# Maximum bytes of a body. A page of a list has some 1 MB, and ends with an
+# object whose two values may have 1 MB each; JSON may take twice as much.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
 # Maximum number of idle connections that are kept for later calls.
 MAX_IDLE_CONNECTIONS = 3
 
@@ -62,6 +66,7 @@
 
         Raises:
             PlatformRefusedError: If the call may not be sent any more.
+            PlatformAnswerTooLargeError: If the body is too large.
             PlatformUnavailableError: If there is no response; the call may have
                 been carried out.
         """
@@ -78,6 +83,9 @@
                 head = await connection.read_head()
             async with connection.response_timeout(BODY_TIMEOUT_S):
                 content = await _body(connection)
+        except errors.PlatformAnswerTooLargeError:
+            self._give_up(connection)
+            raise
         except (errors.TransportError, TimeoutError) as error:
             self._give_up(connection)
             raise errors.PlatformUnavailableError(
@@ -126,10 +134,19 @@
 
 
 async def _body(connection: client.ClientConnection) -> bytes:
-    parts: list[bytes] = []
+    """Reads a body.
+
+    Raises:
+        PlatformAnswerTooLargeError: If it is too large.
+    """
+    body = bytearray()
     while True:
         async with connection.response_timeout(PART_TIMEOUT_S):
             part = await connection.read_body()
         if not part:
-            return b"".join(parts)
-        parts.append(part)
+            return bytes(body)
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            raise errors.PlatformAnswerTooLargeError(
+                f"a body of more than {MAX_BODY_BYTES} bytes"
+            )
--- a/martenjunction/platform/store.py
+++ b/martenjunction/platform/store.py
@@ -209,17 +209,24 @@
 
         Raises:
             HistoryLostError: If the store has dropped changes since `after`,
-                or has been restored from a backup since then.
+                has been restored from a backup since then, or sends more of
+                them than a response may have.
             PlatformError: If the store rejects or does not answer the call.
         """
         wait_ms = str(round(wait_s * 1000))
         query = {"watch": str(after.number), "wait_ms": wait_ms}
-        response = await self._call(
-            "watch",
-            "GET",
-            _path(kind, query=query),
-            timeout_s=wait_s + CALL_TIMEOUT_S,
-        )
+        try:
+            response = await self._call(
+                "watch",
+                "GET",
+                _path(kind, query=query),
+                timeout_s=wait_s + CALL_TIMEOUT_S,
+            )
+        except errors.PlatformAnswerTooLargeError as error:
+            # The same watch would fail again; a list comes in pages.
+            raise errors.HistoryLostError(
+                f"the changes after {after} do not fit into a response"
+            ) from error
         if response.status == 410:
             raise errors.HistoryLostError(
                 f"the store has dropped changes after {after}"
--- a/martenjunction/routing/limits/prober.py
+++ b/martenjunction/routing/limits/prober.py
@@ -17,6 +17,10 @@
 # Timeout of a health check, in seconds.
 PROBE_TIMEOUT_S = 0.5
 
+# Maximum bytes of the body of a health check's response. An endpoint that sends
+# more is not healthy.
+MAX_BODY_BYTES = 1024 * 1024
+
 
 class Prober:
     """Reinstates endpoints that receive no repeatable request."""
@@ -99,8 +103,11 @@
                 host = (b"Host", endpoint.address.encode())
                 connection.send(b"GET", path.encode(), [host], b"")
                 head = await connection.read_head()
-                while await connection.read_body():
-                    pass
+                received = 0
+                while part := await connection.read_body():
+                    received += len(part)
+                    if received > MAX_BODY_BYTES:
+                        return False
             # Another endpoint that took over its address may be healthy.
             is_same = not notices.is_from_other_endpoint(head, endpoint.entry)
             return head.status == 200 and is_same
--- /dev/null
+++ b/tests/test_bounded_answers.py
@@ -0,0 +1,120 @@
+"""Answers of the store and of health checks that have no end.
+
+Guards against bodies that a box holds, or reads, for as long as their sender
+likes.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+
+import pytest
+
+from martenjunction import errors
+from martenjunction.platform import http_calls
+from martenjunction.platform import store
+from martenjunction.routing.limits import prober
+from martenjunction_lab import boxes
+from martenjunction_lab import platform
+from tests import routing_builders as builders
+
+MB = 1024 * 1024
+
+# Bytes that may lie between a sender and its receiver, in sockets and streams.
+BETWEEN_BYTES = 24 * MB
+
+
+class EndlessServer:
+    """Answers every request with a body that never ends."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.sent = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+            part = b"%x\r\n%s\r\n" % (MB, bytes(MB))
+            while True:
+                writer.write(part)
+                await writer.drain()
+                self.sent += MB
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+@pytest.fixture
+async def endless() -> AsyncIterator[EndlessServer]:
+    made = EndlessServer()
+    await made.start()
+    yield made
+    made.stop()
+
+
+async def test_store_sends_no_answer_without_an_end(
+    endless: EndlessServer,
+) -> None:
+    client = store.StoreClient(endless.address)
+    with pytest.raises(errors.PlatformUnavailableError):
+        await client.get("k", "a")
+    with pytest.raises(errors.PlatformUnavailableError):
+        await client.list("k")
+    assert endless.sent <= 2 * (http_calls.MAX_BODY_BYTES + BETWEEN_BYTES)
+
+
+async def test_changes_that_do_not_fit_are_listed_anew(
+    endless: EndlessServer,
+) -> None:
+    client = store.StoreClient(endless.address)
+    with pytest.raises(errors.HistoryLostError):
+        await client.watch("k", builders.rev(1), 1.0)
+
+
+async def test_large_documents_and_many_entries_are_read() -> None:
+    server = platform.Platform(seed=3)
+    server.start()
+    client = store.StoreClient(server.address)
+    # Every byte of the value takes two in JSON.
+    server.write("k", "large", '"' * MB)
+    entry = {"service": "s", "address": "10.0.0.1:8000", "padding": "x" * 200}
+    for number in range(12_000):
+        server.write("entries", f"n{number:05d}", entry)
+    read = await client.get("k", "large")
+    assert read is not None and len(read.spec) > 2 * MB
+    assert len((await client.list("entries")).objects) == 12_000
+    changes = await client.watch("entries", builders.rev(2001), 1.0)
+    assert len(changes.changes) == 10_000
+    client.close()
+    await server.stop()
+
+
+async def test_endless_health_check_is_not_read_on(
+    endless: EndlessServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(prober, "PROBE_TIMEOUT_S", 3.0)
+    fleet = boxes.Boxes()
+    await fleet.start(builders.config_document(), boxes=1)
+    gateway = fleet.gateways[0]
+    endpoint = dataclasses.replace(
+        builders.endpoint("i-1"), address=endless.address
+    )
+    try:
+        assert not await gateway.prober._ask(endpoint, "/healthz")
+    finally:
+        await fleet.stop()
+    assert endless.sent <= prober.MAX_BODY_BYTES + BETWEEN_BYTES
