Log and count connections of peers and daemons ended for framing

A connection at a daemon's own servers whose chunk framing outweighed its data, and a peer's connection with malformed or too large frames, were ended without a line and without a count; an operator could not tell them from connections that the other side closed.

The daemon's servers now write connection-closed with excess-framing and count excess_framing, as a box does for its clients. A link that this side ended for its frames is refused as one that violates the protocol: counted, and logged at the bounded rate. A close that the peer began is not.

--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -141,7 +141,9 @@
             self._on_load,
             self.cells.mark_unreachable,
         )
-        self._listeners = listeners.Listeners(settings, self.callers, self)
+        self._listeners = listeners.Listeners(
+            settings, self.callers, self, self.metrics
+        )
         self._connect()
 
     @property
--- a/martenjunction/fair_streams.py
+++ b/martenjunction/fair_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import cast
 
 from tornado import httputil
@@ -24,10 +25,18 @@
 
     _turns: fair_turns.TurnBudget
     _body: framing.ChunkedBody
+    _on_excess: Callable[[], None]
 
     @classmethod
-    def over(cls, stream: iostream.IOStream) -> "FairStream":
-        """Returns a stream that replaces one that was not used yet."""
+    def over(
+        cls, stream: iostream.IOStream, on_excess: Callable[[], None]
+    ) -> "FairStream":
+        """Returns a stream that replaces one that was not used yet.
+
+        Args:
+            stream: The stream to replace.
+            on_excess: Called if the framing of a body outweighs its data.
+        """
         made = cls(
             stream.socket,
             max_buffer_size=stream.max_buffer_size,
@@ -35,6 +44,7 @@
         )
         made._turns = fair_turns.TurnBudget()
         made._body = framing.ChunkedBody(0)
+        made._on_excess = on_excess
         return made
 
     @property
@@ -63,6 +73,7 @@
             HTTPInputError: If the framing of the body outweighs its data.
         """
         if self._body.is_excessive(parsed=True):
+            self._on_excess()
             raise httputil.HTTPInputError(
                 "the framing of a body outweighs its data"
             )
--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from collections.abc import Callable
 import enum
 from typing import Any
 from typing import cast
@@ -57,14 +58,26 @@
 class Server(httpserver.HTTPServer):
     """An HTTP server that closes only connections without a request."""
 
-    def initialize(self, *args: Any, **kwargs: Any) -> None:
+    def initialize(
+        self,
+        *args: Any,
+        on_excess_framing: Callable[[], None] = lambda: None,
+        **kwargs: Any,
+    ) -> None:
         """Initializes the server, as `httpserver.HTTPServer` does.
 
         The idle and body timeouts are handled here because the library's
         timers also close connections whose reader has already been woken for
         received bytes.
+
+        Args:
+            args: Arguments of the library's server.
+            on_excess_framing: Called for each connection that is ended because
+                the framing of a body outweighs its data.
+            kwargs: Arguments of the library's server.
         """
         super().initialize(*args, **kwargs)
+        self._on_excess_framing = on_excess_framing
         self._timeouts: dict[Stage, float | None] = {
             Stage.HEAD: self.conn_params.header_timeout,
             Stage.BODY: self.conn_params.body_timeout,
@@ -110,7 +123,7 @@
         self, stream: iostream.IOStream, address: tuple[Any, ...]
     ) -> None:
         """Starts to serve a connection."""
-        fair = fair_streams.FairStream.over(stream)
+        fair = fair_streams.FairStream.over(stream, self._on_excess_framing)
         self._open_connections[fair] = _Connection(fair, self._timeouts)
         super().handle_stream(fair, address)
 
--- a/martenjunction/listeners.py
+++ b/martenjunction/listeners.py
@@ -3,15 +3,18 @@
 import socket
 from typing import Any
 
+import eliot
 from tornado import web
 
 from martenjunction import addresses
 from martenjunction import http_server
+from martenjunction import metrics
 from martenjunction.callers import chat
 from martenjunction.callers import lists
 from martenjunction.callers import plain
 from martenjunction.callers import service as caller_service
 from martenjunction.config import settings as daemon_settings
+from martenjunction.http1 import close_reports
 from martenjunction.operators import handlers as operator_handlers
 
 # Idle timeout of a connection and timeout of a request body, in seconds.
@@ -30,6 +33,7 @@
         settings: daemon_settings.DaemonSettings,
         callers: caller_service.CallerService,
         daemon: operator_handlers.OperatedDaemon,
+        counters: metrics.Metrics,
     ) -> None:
         """Initializes the servers, which do not listen yet.
 
@@ -37,10 +41,12 @@
             settings: The daemon's settings.
             callers: The service that handles callers' requests.
             daemon: The daemon that handles operators' requests.
+            counters: Counts connections ended for excessive framing.
         """
         self._settings = settings
         self._callers = callers
         self._daemon = daemon
+        self._metrics = counters
         self._servers: list[http_server.Server] = []
 
     @property
@@ -92,11 +98,19 @@
             max_body_size=self._settings.body_limit,
             idle_connection_timeout=IDLE_CONNECTION,
             body_timeout=BODY_TIMEOUT,
+            on_excess_framing=self._note_excess_framing,
         )
         host_name, port = addresses.split_address(address)
         server.listen(port, host_name, backlog=BACKLOG)
         self._servers.append(server)
 
+    def _note_excess_framing(self) -> None:
+        """Counts and logs a connection that is ended for its framing."""
+        self._metrics.count("excess_framing", side="client")
+        eliot.log_message(
+            http_server.CLOSED, why=close_reports.CloseReason.FRAMING
+        )
+
 
 def _caller_application(
     callers: caller_service.CallerService,
--- a/martenjunction/peers/fair_connections.py
+++ b/martenjunction/peers/fair_connections.py
@@ -7,10 +7,11 @@
 import asyncio
 from typing import Any
 
+from websockets import exceptions as ws_exceptions
+from websockets import frames
 from websockets.asyncio import client as ws_client
 from websockets.asyncio import connection as ws
 from websockets.asyncio import server as ws_server
-from websockets.frames import Frame
 
 from martenjunction import fair_turns
 
@@ -22,6 +23,13 @@
 # Frames in a piece above which the next piece is the smallest again.
 FEW_FRAMES = 4
 
+# Close codes for malformed and for too large frames.
+_FRAMING_CODES = {
+    frames.CloseCode.PROTOCOL_ERROR,
+    frames.CloseCode.INVALID_DATA,
+    frames.CloseCode.MESSAGE_TOO_BIG,
+}
+
 
 class _FairConnection(ws.Connection):
     """Parses what it receives in pieces, within a budget a turn."""
@@ -60,7 +68,7 @@
         self._frames += 1
         self._turns.spend(
             fair_turns.PART_COST
-            if isinstance(event, Frame)
+            if isinstance(event, frames.Frame)
             else fair_turns.HEAD_COST
         )
         super().process_event(event)
@@ -111,3 +119,16 @@
 
 class FairClientConnection(_FairConnection, ws_client.ClientConnection):
     """A connection to a peer."""
+
+
+def was_ended_for_framing(error: ws_exceptions.ConnectionClosed) -> bool:
+    """Returns whether this side ended a connection for what it received.
+
+    Args:
+        error: The end of the connection.
+    """
+    return (
+        error.sent is not None
+        and not error.rcvd_then_sent
+        and error.sent.code in _FRAMING_CODES
+    )
--- a/martenjunction/peers/links.py
+++ b/martenjunction/peers/links.py
@@ -18,6 +18,7 @@
 from martenjunction import mailbox
 from martenjunction import timers
 from martenjunction.peers import codec
+from martenjunction.peers import fair_connections
 from martenjunction.peers import flow
 from martenjunction.peers import membership
 from martenjunction.peers import messages
@@ -239,8 +240,9 @@
             async for frame in self._connection:
                 self._last_received_at = self._timers.stall_adjusted_now()
                 self._read(frame, receive)
-        except ws_exceptions.ConnectionClosed:
-            return
+        except ws_exceptions.ConnectionClosed as error:
+            if fair_connections.was_ended_for_framing(error):
+                raise errors.PeerError(str(error)) from error
         finally:
             self._closed = True
             writer.cancel()
