--- a/martenjunction/routing/log/closing_log.py
+++ b/martenjunction/routing/log/closing_log.py
@@ -2,6 +2,7 @@
 
 from martenjunction import metrics
 from martenjunction.http1 import close_reports
+from martenjunction.http1 import messages
 from martenjunction.platform import headers
 from martenjunction.routing.log import decision_log
 
@@ -35,12 +36,16 @@
             "error": closed.error,
             "client_end": closed.peer_end.value,
         }
-        request = closed.request or closed.unanswered
-        if request is not None:
-            fields["id"] = headers.decode_request(request.headers).id
         if closed.reason is close_reports.CloseReason.FRAMING:
             self._metrics.count("excess_framing", side="client")
-        if closed.request is None:
-            self._log.write("connection-closed", **fields)
+        if closed.request is not None:
+            request_id = _id(closed.request)
+            self._log.write("request-after-close", id=request_id, **fields)
             return
-        self._log.write("request-after-close", **fields)
+        if closed.unanswered is not None:
+            fields["request"] = _id(closed.unanswered)
+        self._log.write("connection-closed", **fields)
+
+
+def _id(request: messages.Request) -> str:
+    return headers.decode_request(request.headers).id
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -99,7 +99,7 @@
     end(client.socket)
     line = await closed_line(log)
     assert (line["why"], line["under_way"]) == ("client", True)
-    assert (line["id"], line["client_end"]) == ("r1", told)
+    assert (line["request"], line["client_end"]) == ("r1", told)
     assert bool(line["error"]) == (told == "reset")
     client.close()
 
@@ -148,7 +148,7 @@
     fleet.gateways[0]._callers.close_all()
     line = await closed_line(log)
     assert (line["why"], line["client_end"]) == ("stop", "open")
-    assert (line["id"], line["error"]) == ("r1", "")
+    assert (line["request"], line["error"]) == ("r1", "")
     client.close()
 
 
@@ -170,7 +170,7 @@
     connection._stream.close(exc_info=OSError(number, "of the socket"))
     line = await closed_line(log)
     assert (line["why"], line["under_way"]) == ("client", True)
-    assert (line["id"], line["client_end"]) == ("r1", told.value)
+    assert (line["request"], line["client_end"]) == ("r1", told.value)
     assert "of the socket" in line["error"]
     client.close()
 
