Find clients that fell silent within a stream in seconds again

Four of them, which come to 3 s, count as silence. A client that is alive acknowledges probes of its closed window, so that the count does not rise. Where the kernel does not tell, the client counts as alive.

--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -42,6 +42,17 @@
 UNREAD_TIMEOUT_MS = 60_000
 
 
+# Transmissions in a row without an acknowledgement after which a peer counts as
+# unreachable. Each waits twice as long as the one before, the first for 0.2 s:
+# four of them come to 3 s.
+MAX_UNACKNOWLEDGED = 4
+
+# Offsets in `struct tcp_info` of the numbers of transmissions of the same data,
+# and of probes of a closed window, since the last acknowledgement.
+_RETRANSMITTED = 2
+_PROBES_SENT = 3
+
+
 def set_socket_options(sock: socket.socket) -> None:
     """Sets socket options that detect an unreachable peer in seconds.
 
@@ -85,6 +96,25 @@
         )
 
 
+def is_unreachable(stream: iostream.IOStream) -> bool:
+    """Returns whether a peer has acknowledged nothing for some seconds.
+
+    Sent data and probes of a closed window count, so that a peer that does not
+    read is not taken for one that fell silent.
+    """
+    if stream.closed():
+        return False
+    try:
+        info = stream.socket.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _PROBES_SENT + 1
+        )
+    except OSError:
+        return False
+    if len(info) <= _PROBES_SENT:
+        return False
+    return info[_RETRANSMITTED] + info[_PROBES_SENT] >= MAX_UNACKNOWLEDGED
+
+
 def new_stream() -> iostream.IOStream:
     """Returns a stream over a new, unconnected socket.
 
