Share the memory for bytes that wait in tunnels

Up to 256 KB could wait for the slow receiver of each tunnel, and 64 KB more were read after that, both ways. With the 512 tunnels that the descriptors of a box allow this is 320 MB, where the platform ends the process at 150 MB.

All tunnels together have a tenth of the memory now: the more are open, the less may wait in each, down to 4 KB, and the less is read at once. Few tunnels keep the window of 256 KB.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -202,6 +202,7 @@
             self.paths,
             lambda: not self.leaving,
             settings.max_descriptors,
+            settings.memory_bytes,
             self.timers,
         )
         self.pool = pool.EndpointPool(self._connection_share, self.connector)
--- a/martenjunction/tunnels/server.py
+++ b/martenjunction/tunnels/server.py
@@ -32,6 +32,16 @@
 # while more than that wait.
 MAX_WAITING_BYTES = 256 * 1024
 
+# The same where there are many tunnels, at least.
+MIN_WAITING_BYTES = 4 * 1024
+
+# Part of this box's memory for bytes that wait in all tunnels together.
+MEMORY_FRACTION = 0.1
+
+# Parts in which a tunnel holds bytes: both ways, what waits, and what was read
+# after that.
+PARTS_PER_TUNNEL = 4
+
 # Part of this box's descriptors for tunnels, which take two each.
 DESCRIPTORS_FRACTION = 0.25
 
@@ -63,6 +73,7 @@
         paths: endpoint_paths.EndpointPaths,
         accepts: Callable[[], bool],
         max_descriptors: int,
+        memory_bytes: int,
         clock: timers.Timers,
     ) -> None:
         """Initializes the server; `listen_on` starts it.
@@ -73,6 +84,7 @@
             paths: The paths of this box to them.
             accepts: Returns whether new tunnels are opened.
             max_descriptors: File descriptors of this box.
+            memory_bytes: Memory of this box, in bytes.
             clock: Provides the time.
         """
         super().__init__(max_buffer_size=streams.MAX_BUFFER_BYTES)
@@ -81,6 +93,7 @@
         self._paths = paths
         self._accepts = accepts
         self._max_tunnels = int(max_descriptors * DESCRIPTORS_FRACTION / 2)
+        self._waiting_bytes = int(memory_bytes * MEMORY_FRACTION)
         self._timers = clock
         self._streams: set[iostream.IOStream] = set()
         self._tunnels = 0
@@ -209,8 +222,12 @@
         self._tunnels += 1
         self._served += 1
         loop = asyncio.get_running_loop()
-        from_peer = loop.create_task(_copy(stream, upstream, False))
-        from_endpoint = loop.create_task(_copy(upstream, stream, True))
+        from_peer = loop.create_task(
+            _copy(stream, upstream, False, self._window)
+        )
+        from_endpoint = loop.create_task(
+            _copy(upstream, stream, True, self._window)
+        )
         copies = {from_peer, from_endpoint}
         try:
             await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
@@ -229,6 +246,12 @@
                 one.cancel()
             await asyncio.gather(*copies, return_exceptions=True)
 
+    def _window(self) -> int:
+        """Returns how many bytes may wait for one receiver."""
+        parts = PARTS_PER_TUNNEL * max(1, self._tunnels)
+        share = self._waiting_bytes // parts
+        return min(MAX_WAITING_BYTES, max(MIN_WAITING_BYTES, share))
+
     def _log_malformed(self, error: errors.PeerError) -> None:
         now = self._timers.now()
         if now - self._logged_at >= LOG_INTERVAL_S:
@@ -237,16 +260,28 @@
 
 
 async def _copy(
-    source: iostream.IOStream, target: iostream.IOStream, framed: bool
+    source: iostream.IOStream,
+    target: iostream.IOStream,
+    framed: bool,
+    window: Callable[[], int] = lambda: MAX_WAITING_BYTES,
 ) -> _End:
-    """Passes bytes on; returns how the source, or the target, ended."""
+    """Passes bytes on; returns how the source, or the target, ended.
+
+    Args:
+        source: Where the bytes come from.
+        target: Where they go.
+        framed: Whether the bytes are framed for a peer.
+        window: Returns how many bytes may wait for the target.
+    """
     waiting = 0
     turns = fair_turns.TurnBudget()
     try:
         while True:
             await turns.pause_if_spent()
+            size = min(streams.CHUNK_BYTES, window())
+            source.read_chunk_size = size
             reading = asyncio.ensure_future(
-                source.read_bytes(streams.CHUNK_BYTES, partial=True)
+                source.read_bytes(size, partial=True)
             )
             if not reading.done():
                 turns.renew()
@@ -255,7 +290,7 @@
             written = target.write(framing.encode(data) if framed else data)
             written.add_done_callback(streams.retrieve_exception)
             waiting += len(data)
-            if waiting > MAX_WAITING_BYTES:
+            if waiting > window():
                 await written
                 waiting = 0
     except iostream.StreamClosedError as error:
--- a/tests/test_bounded_answers.py
+++ b/tests/test_bounded_answers.py
@@ -4,7 +4,6 @@
 likes.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 import dataclasses
 
@@ -16,6 +15,7 @@
 from martenjunction.routing.limits import prober
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
+from tests import endless_server
 from tests import routing_builders as builders
 
 MB = 1024 * 1024
@@ -24,50 +24,16 @@
 BETWEEN_BYTES = 24 * MB
 
 
-class EndlessServer:
-    """Answers every request with a body that never ends."""
-
-    def __init__(self) -> None:
-        self.address = ""
-        self.sent = 0
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    def stop(self) -> None:
-        assert self._server is not None
-        self._server.close()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(
-                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            )
-            part = b"%x\r\n%s\r\n" % (MB, bytes(MB))
-            while True:
-                writer.write(part)
-                await writer.drain()
-                self.sent += MB
-        except (ConnectionError, asyncio.IncompleteReadError):
-            writer.close()
-
-
 @pytest.fixture
-async def endless() -> AsyncIterator[EndlessServer]:
-    made = EndlessServer()
+async def endless() -> AsyncIterator[endless_server.EndlessServer]:
+    made = endless_server.EndlessServer()
     await made.start()
     yield made
     made.stop()
 
 
 async def test_store_sends_no_answer_without_an_end(
-    endless: EndlessServer,
+    endless: endless_server.EndlessServer,
 ) -> None:
     client = store.StoreClient(endless.address)
     with pytest.raises(errors.PlatformUnavailableError):
@@ -78,7 +44,7 @@
 
 
 async def test_changes_that_do_not_fit_are_listed_anew(
-    endless: EndlessServer,
+    endless: endless_server.EndlessServer,
 ) -> None:
     client = store.StoreClient(endless.address)
     with pytest.raises(errors.HistoryLostError):
@@ -104,7 +70,7 @@
 
 
 async def test_endless_health_check_is_not_read_on(
-    endless: EndlessServer, monkeypatch: pytest.MonkeyPatch
+    endless: endless_server.EndlessServer, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(prober, "PROBE_TIMEOUT_S", 3.0)
     fleet = boxes.Boxes()
