Bound the bytes that wait for a slow peer

The messages that wait for a peer were bounded by their number, 20,000, and not by their bytes.

They have at most the bytes of a frame now; beyond it the connection is closed, as it is beyond 20,000 messages. Status messages, of which only the newest waits, are not counted, as before.

--- a/martenjunction/peers/outbox.py
+++ b/martenjunction/peers/outbox.py
@@ -9,6 +9,10 @@
 # Maximum number of queued messages, not counting those that are replaced.
 MAX_QUEUED = 20_000
 
+# Maximum bytes of them. All queued messages go into one frame, and the peer
+# closes a connection over which a larger one comes.
+MAX_QUEUED_BYTES = codec.MAX_MESSAGE
+
 
 class Outbox:
     """A priority queue that keeps only the newest status message.
@@ -33,6 +37,7 @@
         self._limit = limit
         self._urgent: list[codec.Encoded] = []
         self._others: list[codec.Encoded] = []
+        self._queued_bytes = 0
         self._latest: dict[str, codec.Encoded] = {}
         self._has_work = asyncio.Event()
 
@@ -51,7 +56,12 @@
             raise mailbox.MailboxFullError(
                 f"the outbox has reached its limit of {self._limit} messages"
             )
+        elif self._queued_bytes + len(message.data) > MAX_QUEUED_BYTES:
+            raise mailbox.MailboxFullError(
+                f"the outbox has reached its limit of {MAX_QUEUED_BYTES} bytes"
+            )
         else:
+            self._queued_bytes += len(message.data)
             (self._urgent if message.urgent else self._others).append(message)
         self._has_work.set()
 
@@ -83,6 +93,7 @@
         """Removes and returns the sendable messages, urgent ones first."""
         messages = [*self._urgent, *self._others]
         self._urgent, self._others = [], []
+        self._queued_bytes = 0
         if self._flow.is_open:
             messages += self._latest.values()
             self._latest = {}
--- a/tests/test_peer_flow.py
+++ b/tests/test_peer_flow.py
@@ -181,6 +181,19 @@
         queue.put(codec.Encoded(URGENT))
 
 
+def test_outbox_rejects_more_bytes_than_a_frame_may_have() -> None:
+    # Guards against 20,000 large messages that wait for a peer that is slow.
+    queue = outbox.Outbox(control())
+    large = codec.Encoded(URGENT)
+    large.data = bytes(codec.MAX_MESSAGE // 4)
+    for _ in range(2):
+        for _ in range(4):
+            queue.put(large)
+        with pytest.raises(mailbox.MailboxFullError):
+            queue.put(large)
+        assert len(queue.take_all()) == 4
+
+
 # Queries to peers.
 
 
