--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -117,6 +117,7 @@
     return CopiedRun(first, second, task)
 
 
+@pytest.mark.simulated_time
 async def test_copied_run_resumes_at_the_endpoint_with_the_copy(
     fleet: boxes.Boxes,
 ) -> None:
