End trials in simulated time after a limit

Three trials on broken builds did not end within their limits. The simulated loop had no end of time: a trial with a timer that is set again and again and a wait that nothing ends went on for as long as it was let (a loop of sleeps of 0.1 s: stopped after 10 s, exit code 124).

A loop may have a limit of simulated time now, after which it raises StuckError, and a minute more for cleaning up. Tests have 600 s. The three trials were not played again: that this was their cause is not shown.

--- a/martenjunction_lab/simulated/loop.py
+++ b/martenjunction_lab/simulated/loop.py
@@ -42,6 +42,10 @@
 MAX_REAL_WAIT_S = 10.0
 THREAD_POLL_S = 0.01
 
+# Simulated time, in seconds, that a loop past its limit has for cleaning up
+# before it is stopped again.
+CLEANUP_S = 60.0
+
 # Iterations without a jump after which the loop counts as caught in a cycle.
 MAX_ITERATIONS = 500_000
 
@@ -57,9 +61,10 @@
 class _Clock(selectors.DefaultSelector):
     """Advances the time in place of waiting for a timer."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit_s: float) -> None:
         super().__init__()
         self.now = START_S
+        self._ends_at = START_S + limit_s
         self.jobs = 0
         self.jumps = 0
         self._iterations = 0
@@ -114,6 +119,9 @@
 
     def _jump(self, timeout: float) -> None:
         """Goes to the first multiple of the resolution not before a timer."""
+        if self.now >= self._ends_at:
+            self._ends_at = self.now + CLEANUP_S
+            raise StuckError(f"not ended by {self.now}")
         steps = math.ceil((self.now + timeout) / RESOLUTION_S - 1e-6)
         self.now = max(self.now, steps * RESOLUTION_S)
         self.jumps += 1
@@ -129,17 +137,20 @@
     the same `PYTHONHASHSEED`, as far as the kernel delivers in the same order.
     """
 
-    def __init__(self, seed: int | None = None) -> None:
+    def __init__(
+        self, seed: int | None = None, limit_s: float = math.inf
+    ) -> None:
         """Makes a loop at time `START_S`.
 
         Args:
             seed: Decides what code leaves to chance; drawn if left out.
+            limit_s: Simulated seconds after which it raises `StuckError`.
         """
         if seed is None:
             seed = random.SystemRandom().randrange(MAX_SEED)
         self._seed = seed
         self._generator = _seeded_generator(seed)
-        self._clock = _Clock()
+        self._clock = _Clock(limit_s)
         self._started_at = time.time()
         super().__init__(self._clock)
         self._clock.ignore()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,6 +23,9 @@
 # Seed of tests in simulated time, so that they give the same verdict each time.
 DEFAULT_SEED = 1
 
+# Simulated time, in seconds, after which a test counts as one without an end.
+MAX_SIMULATED_S = 600.0
+
 
 def pytest_addoption(parser: pytest.Parser) -> None:
     parser.addoption(
@@ -49,7 +52,8 @@
 
 def _simulated_loop(item: pytest.Item) -> asyncio.AbstractEventLoop:
     """Returns a loop whose seed is shown if the test fails."""
-    loop = simulated_loop.SimulatedLoop(item.config.option.simulated_seed)
+    seed = item.config.option.simulated_seed
+    loop = simulated_loop.SimulatedLoop(seed, MAX_SIMULATED_S)
     print(f"--simulated-seed {loop.seed}")
     return loop
 
--- a/tests/test_simulated_loop.py
+++ b/tests/test_simulated_loop.py
@@ -190,6 +190,25 @@
     loop.close()
 
 
+def test_trial_without_an_end_is_reported() -> None:
+    # Timers that are set again and again kept a loop going for ever.
+    async def tick() -> None:
+        while True:
+            await asyncio.sleep(0.1)
+
+    loop = simulated_loop.SimulatedLoop(limit_s=LONG_S)
+    task = loop.create_task(tick())
+    with pytest.raises(simulated_loop.StuckError):
+        loop.run_until_complete(task)
+    assert loop.time() == pytest.approx(
+        simulated_loop.START_S + LONG_S, abs=0.2
+    )
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        loop.run_until_complete(task)
+    loop.close()
+
+
 @pytest.mark.simulated_time
 async def test_marked_tests_run_in_simulated_time() -> None:
     assert isinstance(asyncio.get_running_loop(), simulated_loop.SimulatedLoop)
