Do not give up an answer that was read whole

An answer without a length stayed among those that may be given up until its client had it. As memory ran short, a large one that waited as a fallback was emptied and would have been delivered without its body. One that was being written could not be emptied: the BufferError was raised in the turn of whichever answer had grown, so that another request failed, and its memory counted as free while it was still held.

An answer that was read whole now counts like one with a length: it stays in the budget until its client has it, and answers that still grow are given up in its place.

The random test of the decisions also completes answers.

--- a/martenjunction/decisions/boxes/answer_memory.py
+++ b/martenjunction/decisions/boxes/answer_memory.py
@@ -30,7 +30,7 @@
 
     Attributes:
         workspace: Whose request it answers; None without any.
-        sized: Whether all of it was reserved in advance.
+        sized: Whether all of it was reserved in advance, or read.
         size: Bytes that are held.
         given_up: Whether it was chosen to be given up.
     """
@@ -122,6 +122,20 @@
             return
         self._set_size(answer, size)
 
+    def complete(self, answer: HeldAnswer) -> None:
+        """Records that all of an answer was read.
+
+        It counts as one with a length from then on: its memory is free only
+        once its client has it.
+
+        Args:
+            answer: The answer, which was not given up.
+        """
+        if answer in self._unsized:
+            self._unsized_bytes -= answer.counted
+            self._unsized.discard(answer)
+        answer.sized = True
+
     def excess(self) -> list[HeldAnswer]:
         """Returns the answers to give up; each is returned once."""
         chosen = []
--- a/martenjunction/endpoints/attempt.py
+++ b/martenjunction/endpoints/attempt.py
@@ -43,6 +43,9 @@
             AnswerGivenUpError: If there is no memory for it any more.
         """
 
+    def complete(self) -> None:
+        """Keeps the response from being given up: all of it was read."""
+
     def drop(self) -> None:
         """Gives back the memory of the response that was begun last."""
 
@@ -144,6 +147,7 @@
                     raise errors.EndpointBrokenError("response body too large")
             # It may have been given up since its last part.
             holder.resize(len(body))
+            holder.complete()
         except BaseException:
             # The exception keeps this frame, and with it the body.
             body.clear()
--- a/martenjunction/routing/limits/answer_admission.py
+++ b/martenjunction/routing/limits/answer_admission.py
@@ -54,6 +54,10 @@
         if answer.given_up:
             raise errors.AnswerGivenUpError("no memory for the response")
 
+    def complete(self) -> None:
+        """Keeps the answer from being given up: all of it was read."""
+        self._answers.complete(self._held[-1])
+
     def drop(self) -> None:
         """Gives back the memory of the answer that was begun last."""
         self._answers.end(self._held.pop())
@@ -130,6 +134,11 @@
         if shrinks:
             self._bodies.grant()
 
+    def complete(self, answer: answer_memory.HeldAnswer) -> None:
+        """Records that all of an answer was read; it is not given up."""
+        self._discards.pop(answer, None)
+        self._memory.complete(answer)
+
     def end(self, answer: answer_memory.HeldAnswer) -> None:
         """Gives back the memory of an answer."""
         self._discards.pop(answer, None)
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -134,6 +134,13 @@
             assert given_up in self.held
             assert not given_up.is_small or given_up.size == 0
 
+    @stateful.precondition(lambda self: self.held)
+    @stateful.rule(data=strategies.data())
+    def complete(self, data: strategies.DataObject) -> None:
+        answer = data.draw(strategies.sampled_from(self.held))
+        if not answer.given_up:
+            self.memory.complete(answer)
+
     @stateful.precondition(lambda self: self.held or self.waiting)
     @stateful.rule(data=strategies.data())
     def end(self, data: strategies.DataObject) -> None:
@@ -148,6 +155,7 @@
     def shed(self) -> None:
         answer = self.memory.shed()
         assert answer is None or answer in self.held
+        assert answer is None or not answer.sized
 
     @stateful.invariant()
     def counts_what_is_held(self) -> None:
