Do not end a stream as complete whose last event was given up

A stream whose endpoint ends it within an event is cut off towards its client, so that it does not look complete. Where the memory of that event had been given up since the stream's last part, nothing of it was left to tell, and the stream ended as complete. It is now asked once more at the end, as for bodies.

test_stream_given_up_within_an_event_is_not_complete fails before this change.

--- a/martenjunction/endpoints/attempt.py
+++ b/martenjunction/endpoints/attempt.py
@@ -178,6 +178,8 @@
                     yield events
                     events = await self._next_events(splitter, len(events))
                 holder.resize(splitter.buffered)
+            # It may have been given up since its last part.
+            holder.resize(splitter.buffered)
             if splitter.partial:
                 raise errors.StreamTruncatedError(
                     "stream ended within an event"
--- a/tests/test_delivered_answers.py
+++ b/tests/test_delivered_answers.py
@@ -1,13 +1,16 @@
 """Answers that are given up for want of memory once they were read.
 
-Guards against a whole answer that is emptied before its client has it, and
-against an error of one answer in the turn of another one.
+Guards against a whole answer that is emptied before its client has it, against
+an error of one answer in the turn of another one, and against a stream that
+ends within an event as if it were complete.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
+from martenjunction import errors
 from martenjunction import metrics
 from martenjunction.decisions.boxes import memory_budget
 from martenjunction.endpoints import attempt
@@ -34,9 +37,13 @@
 
     def __init__(self, *parts: bytes) -> None:
         self._parts = [*parts, b""]
+        self.before_end: Callable[[], None] = lambda: None
 
     async def read_body(self) -> bytes:
-        return self._parts.pop(0)
+        part = self._parts.pop(0)
+        if not part:
+            self.before_end()
+        return part
 
     def abort(self) -> None:
         pass
@@ -72,3 +79,13 @@
         read = await made_attempt(other).body(answers.holder("b"))
         answers.shed()
         assert len(read) in (0, 500_000)
+
+
+async def test_stream_given_up_within_an_event_is_not_complete(
+    answers: answer_admission.AnswerAdmission,
+) -> None:
+    connection = Connection(b"data: 1\n\n", b"data: " + bytes(MB // 2))
+    connection.before_end = answers.shed
+    with pytest.raises(errors.AnswerGivenUpError):
+        async for _ in made_attempt(connection).events(answers.holder("a")):
+            pass
