Wait until the kernel has ended other threads in the test of held signals

Python takes a thread off its list, and lets it be joined, before the kernel has ended it, and until then it may receive the signal of the process.

The test waits until the kernel lists no other thread; its assertions are as before.

--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -13,6 +13,7 @@
 import signal
 import sys
 import threading
+import time
 
 import pytest
 
@@ -40,8 +41,9 @@
 # Seconds to wait for the signals to be held.
 HOLD_LIMIT_S = 0.05
 
-# Seconds within which threads of earlier tests end.
+# Seconds within which threads of earlier tests end, and between two looks.
 THREAD_LIMIT_S = 10.0
+THREAD_POLL_S = 0.001
 
 # Seconds within which a program that was stopped exits.
 END_LIMIT_S = 30.0
@@ -179,14 +181,21 @@
         await program.discard()
 
 
+def wait_for_other_threads() -> None:
+    """Waits until the kernel lists no thread of this process but this one.
+
+    A thread that was joined takes signals until the kernel has ended it.
+    """
+    deadline = time.monotonic() + THREAD_LIMIT_S
+    while len(os.listdir("/proc/self/task")) > 1:
+        assert time.monotonic() < deadline, threading.enumerate()
+        time.sleep(THREAD_POLL_S)
+
+
 def test_held_signals_are_delivered_on_release() -> None:
     received: list[int] = []
-    # A thread that waits for a process of an earlier test would take the
-    # signal: only this thread holds it.
-    for thread in threading.enumerate():
-        if thread is not threading.current_thread():
-            thread.join(THREAD_LIMIT_S)
-            assert not thread.is_alive()
+    # Another thread would take the signal: only this one holds it.
+    wait_for_other_threads()
     earlier = signal.signal(
         signal.SIGHUP, lambda number, _: received.append(number)
     )
