Have the stand-in of the store say that dropped history is gone

A watch after revision 1 got the last 10,000 of 12,000 changes as if they were all: the stand-in dropped the oldest changes, but not the revision up to which it answers. It answers 410 for those now, as the users' store does for history that is gone.

--- a/martenjunction_lab/platform_objects.py
+++ b/martenjunction_lab/platform_objects.py
@@ -80,9 +80,7 @@
 
     def __init__(self) -> None:
         self._objects: dict[tuple[str, str], Kept] = {}
-        self._changes: collections.deque[Kept] = collections.deque(
-            maxlen=MAX_CHANGES
-        )
+        self._changes: collections.deque[Kept] = collections.deque()
         self._version = 0
         self._oldest = 0
         self._era = 1
@@ -133,6 +131,8 @@
         kept = Kept(kind, name, self._version, spec)
         self._objects[(kind, name)] = kept
         self._changes.append(kept)
+        if len(self._changes) > MAX_CHANGES:
+            self._oldest = self._changes.popleft().revision
         self._wake()
         return kept
 
