End slow heads for new clients at the limit of descriptors

Clients whose heads stay incomplete kept new clients out until the heads timed out, for seconds or what the configuration says: only connections that rest were ended for new ones. A connection whose head is not complete a second after its first byte ends next, after those that rest. No request was read from it.

--- a/martenjunction/decisions/boxes/connection_share.py
+++ b/martenjunction/decisions/boxes/connection_share.py
@@ -4,8 +4,9 @@
 requests slowly, or do not read their answers. Each connection takes a
 descriptor, and without descriptors a box reaches neither endpoints nor peers
 nor the store. A server therefore has a share of them. At its limit the
-connections that have rested longest end, some at a time; where none rests, or
-each was used a moment ago, new connections are closed.
+connections that have rested longest end, some at a time, and then those whose
+heads are not complete; where there are none, or each began a moment ago, new
+connections are closed.
 """
 
 import enum
@@ -23,6 +24,10 @@
 # ended for others: clients that send regularly keep theirs.
 KEPT_REST_S = 1.0
 
+# Seconds after its first byte within which a head is not ended for others: a
+# second transmission of its end is still in time.
+MAX_HEAD_S = 1.0
+
 # Part of the limit that is made free at a time, so that the search for
 # connections that rest is rare.
 BATCH_FRACTION = 1 / 64
@@ -39,7 +44,7 @@
 
     Attributes:
         ROOM: No connection is ended.
-        SHORT: Connections that rest are ended.
+        SHORT: Connections that rest or send slow heads are ended.
         FULL: New connections are closed as well.
     """
 
@@ -94,7 +99,7 @@
 
     @property
     def ended(self) -> int:
-        """Number of connections that were ended while they rested."""
+        """Number of connections that were ended for new ones."""
         return self._ended
 
     @property
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import itertools
 import logging
 import sys
 import time
@@ -212,20 +213,23 @@
         before = self._share.state
         now = time.monotonic()
         excess = self._share.excess(len(self._connections), now)
-        ended = self._end_longest_rests(excess) if excess else 0
+        ended = self._end_oldest(excess) if excess else 0
         admitted = self._share.admit(len(self._connections), ended, now)
         if self._share.state is not before:
             self._on_share()
         return admitted
 
-    def _end_longest_rests(self, count: int) -> int:
-        """Ends idle connections; returns how many, `count` at most."""
-        found = []
-        for connection in self._connections:
-            if connection.end_rest(connection_share.KEPT_REST_S):
-                found.append(connection)
-                if len(found) == count:
-                    break
+    def _end_oldest(self, count: int) -> int:
+        """Ends connections that carry no request, those that rest first.
+
+        Returns:
+            How many were ended, `count` at most.
+        """
+        found: list[server_connection.ServerConnection] = []
+        for end in (_end_rest, _end_slow_head):
+            left = count - len(found)
+            ended = filter(end, self._connections)
+            found += itertools.islice(ended, left)
         # Their descriptors are free, before their tasks have ended.
         for connection in found:
             del self._connections[connection]
@@ -242,6 +246,14 @@
             self._ended.set()
 
 
+def _end_rest(connection: server_connection.ServerConnection) -> bool:
+    return connection.end_rest(connection_share.KEPT_REST_S)
+
+
+def _end_slow_head(connection: server_connection.ServerConnection) -> bool:
+    return connection.end_slow_head(connection_share.MAX_HEAD_S)
+
+
 def _is_reported(closing: close_reports.ClosedConnection) -> bool:
     """Returns whether a closed connection is reported.
 
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -90,6 +90,8 @@
         self._response_count = 0
         self._received = 0
         self._idle_since = time.monotonic()
+        # When the head began that is not complete yet.
+        self._head_since: float | None = None
         self._peer = streams.peer_address(stream)
         self._report: close_reports.ClosedConnection | None = None
 
@@ -288,6 +290,24 @@
         self.abort(close_reports.CloseReason.ROOM)
         return True
 
+    def end_slow_head(self, least_s: float) -> bool:
+        """Closes the connection if a head stays incomplete.
+
+        Args:
+            least_s: Seconds since the head began.
+
+        Returns:
+            Whether it was closed.
+        """
+        if self.closed or self._head_since is None or self._response_started:
+            return False
+        if time.monotonic() - self._head_since < least_s:
+            return False
+        if self._source.bytes_waiting:
+            return False
+        self.abort(close_reports.CloseReason.ROOM)
+        return True
+
     def abort(self, reason: close_reports.CloseReason) -> None:
         """Closes the connection; data in the socket's buffer is still sent.
 
@@ -301,14 +321,11 @@
         self._source.abort()
 
     async def _read_head(self) -> h11.Request | None:
-        limits = self._limits()
         if self._state is _State.READING:
-            self._set_timer(
-                limits.header_timeout_s, close_reports.CloseReason.SLOW_HEAD
-            )
+            self._start_head()
         else:
             self._set_timer(
-                limits.idle_timeout_s, close_reports.CloseReason.IDLE
+                self._limits().idle_timeout_s, close_reports.CloseReason.IDLE
             )
         turns = self._source.turns
         while True:
@@ -323,6 +340,7 @@
             if isinstance(event, h11.Request):
                 turns.spend(fair_turns.HEAD_COST)
                 self._set_timer(None)
+                self._head_since = None
                 return event
             if event is not h11.NEED_DATA:
                 return None
@@ -332,11 +350,15 @@
                 return None
             if data and self._state is _State.RESTING:
                 self._transition(_Event.BYTES_CAME)
-                self._set_timer(
-                    limits.header_timeout_s, close_reports.CloseReason.SLOW_HEAD
-                )
+                self._start_head()
             self._parser.receive_data(data)
 
+    def _start_head(self) -> None:
+        self._head_since = time.monotonic()
+        self._set_timer(
+            self._limits().header_timeout_s, close_reports.CloseReason.SLOW_HEAD
+        )
+
     async def _read(self) -> bytes:
         """Waits for data.
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -181,12 +181,13 @@
         while b" 404 " not in await started.ask(client):
             await asyncio.sleep(0.05)
     await box.until_ready()
-    if sent != SLOW_HEAD:
-        # Their connections rest: the oldest end for new ones.
-        await asyncio.sleep(connection_share.KEPT_REST_S)
-        assert b" 404 " in await started.ask(
-            await started.connect(box.settings.callers)
-        )
+    # Their connections rest, or send slow heads: the oldest end for new ones.
+    await asyncio.sleep(
+        max(connection_share.KEPT_REST_S, connection_share.MAX_HEAD_S)
+    )
+    assert b" 404 " in await started.ask(
+        await started.connect(box.settings.callers)
+    )
     lines = await started.stop()
     assert not [x for x in lines if x.get("level") == "error"]
     changes = [x for x in lines if x["message_type"] == "connection-share"]
@@ -195,6 +196,20 @@
     assert len(states) <= 4
 
 
+async def test_incomplete_heads_keep_no_new_client_out(
+    started: Started,
+) -> None:
+    document = builders.config_document(version=8)
+    document["limits"]["header_timeout_ms"] = 60_000
+    started.fleet.configure(document)
+    box = await started.start(max_descriptors=MAX_DESCRIPTORS)
+    for _ in range(CONNECTIONS):
+        (await started.connect(box.settings.callers)).send(SLOW_HEAD)
+    await asyncio.sleep(connection_share.MAX_HEAD_S)
+    await started.serves()
+    await started.stop()
+
+
 def test_share_ends_rests_before_it_closes_new_connections() -> None:
     share = connection_share.ConnectionShare(128)
     assert share.excess(127, now=1.0) == 0
