End no connection of an endpoint or tunnel for reading late

Callers got 502 (unknown-outcome) where an endpoint, or the box that a tunnel leads through, was alive and read nothing of a body for 4.5 s: the user timeout of 3 s counts a closed window as silence, although the peer's kernel acknowledges its probes.

Streams of endpoints, tunnels and clients look at the kernel's record of the connection a second after a write, and every half a second while something is unacknowledged. They close after 3 s without any acknowledgement and three unanswered transmissions. Keep-alive probes find silence while nothing is sent. The time between transmissions is limited where the kernel can do that, so that a peer that falls silent behind a closed window is found as early. The look at each part of a stream to a client is gone.

--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -22,6 +22,7 @@
 from martenjunction.http1 import request_errors
 from martenjunction.http1 import server_connection
 from martenjunction.http1 import streams
+from martenjunction.http1 import watched_streams
 
 logger = logging.getLogger(__name__)
 
@@ -123,7 +124,9 @@
             return None
         streams.set_client_options(stream.socket)
         connection = server_connection.ServerConnection(
-            stream, self._limits, self._gate
+            watched_streams.WatchedStream.over(stream),
+            self._limits,
+            self._gate,
         )
         # Registered before its task first runs, so that a shutdown sees it.
         self._connections[connection] = None
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
-import errno
 import http
 import time
 
@@ -213,9 +212,6 @@
         Raises:
             ConnectionLostError: If the client disconnected or fell silent.
         """
-        if streams.is_unreachable(self._stream):
-            self._stream.close(TimeoutError(errno.ETIMEDOUT, "unacknowledged"))
-            raise errors.ConnectionLostError("the client fell silent")
         await self._flush(self._pieces(data))
 
     async def end(self) -> None:
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+import contextlib
 import socket
 from typing import Any
 from typing import cast
@@ -15,6 +16,7 @@
 from martenjunction.http1 import messages
 from martenjunction.http1 import peeks
 from martenjunction.http1 import peer_ends
+from martenjunction.http1 import watched_streams
 
 # Maximum bytes per read of a socket.
 CHUNK_BYTES = 64 * 1024
@@ -25,10 +27,6 @@
 # Size in bytes up to which the pieces of a message are joined for one write.
 MAX_JOINED_BYTES = 16 * 1024
 
-# Milliseconds for which sent data, or a keep-alive probe, may stay
-# unacknowledged (tcp(7)). Where it is set, it decides when probes give up.
-USER_TIMEOUT_MS = 3000
-
 # Seconds without traffic before the first keep-alive probe, seconds between
 # probes, and number of unanswered probes that end a connection where no user
 # timeout does (tcp(7)).
@@ -36,40 +34,35 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
 
-
 # Milliseconds for which a client may take nothing of a response. Not less than
 # the default time limit of a route, which ends a response that comes too late.
 UNREAD_TIMEOUT_MS = 60_000
 
-
-# Transmissions in a row without an acknowledgement after which a peer counts as
-# unreachable. Each waits twice as long as the one before, the first for 0.2 s:
-# four of them come to 3 s.
-MAX_UNACKNOWLEDGED = 4
-
-# Offsets in `struct tcp_info` of the numbers of transmissions of the same data,
-# and of probes of a closed window, since the last acknowledgement.
-_RETRANSMITTED = 2
-_PROBES_SENT = 3
+# Option that limits the time between transmissions of the same data, and
+# between probes of a closed window (since Linux 6.15), and its value in
+# milliseconds. The time doubles with each, up to minutes otherwise.
+_TCP_RTO_MAX_MS = 44
+MAX_RETRANSMISSION_MS = 1000
 
 
 def set_socket_options(sock: socket.socket) -> None:
-    """Sets socket options that detect an unreachable peer in seconds.
+    """Sets socket options of a connection to an endpoint or of a tunnel.
 
-    A peer that does not read for as long counts as unreachable, too.
+    A peer that falls silent while its window is closed is found in seconds,
+    too, where the kernel has the option for that.
     """
     set_client_options(sock)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-    )
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, MAX_RETRANSMISSION_MS
+        )
 
 
 def set_client_options(sock: socket.socket) -> None:
     """Sets socket options of a client's connection.
 
-    Probes detect an unreachable client in seconds while nothing is sent to it.
-    A user timeout would end connections of clients that are alive and do not
-    read: it counts a closed window, although the client acknowledges probes.
+    Probes detect an unreachable client in seconds while nothing is sent to it,
+    and a `WatchedStream` while something is.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -96,26 +89,7 @@
         )
 
 
-def is_unreachable(stream: iostream.IOStream) -> bool:
-    """Returns whether a peer has acknowledged nothing for some seconds.
-
-    Sent data and probes of a closed window count, so that a peer that does not
-    read is not taken for one that fell silent.
-    """
-    if stream.closed():
-        return False
-    try:
-        info = stream.socket.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, _PROBES_SENT + 1
-        )
-    except OSError:
-        return False
-    if len(info) <= _PROBES_SENT:
-        return False
-    return info[_RETRANSMITTED] + info[_PROBES_SENT] >= MAX_UNACKNOWLEDGED
-
-
-def new_stream() -> iostream.IOStream:
+def new_stream() -> watched_streams.WatchedStream:
     """Returns a stream over a new, unconnected socket.
 
     Raises:
@@ -126,7 +100,7 @@
         set_socket_options(sock)
     except OSError as error:
         raise errors.NoSocketError(str(error)) from error
-    return iostream.IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
+    return watched_streams.WatchedStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
 
 
 async def connect(
--- /dev/null
+++ b/martenjunction/http1/watched_streams.py
@@ -0,0 +1,90 @@
+"""Streams that find a peer which acknowledges nothing any more.
+
+The kernel's user timeout (tcp(7)) would also end connections of peers that are
+alive and do not read: it counts a closed window, although the peer's kernel
+acknowledges the probes of it.
+"""
+
+import asyncio
+import errno
+import socket
+import struct
+
+from tornado import iostream
+
+# Milliseconds without any acknowledgement after which a peer to which something
+# was sent counts as unreachable.
+SILENCE_MS = 3000
+
+# Unanswered transmissions in a row without which it does not, however long ago
+# it was heard of.
+MIN_TRANSMISSIONS = 3
+
+# Seconds from a write to the first look for its acknowledgement, and between
+# further looks while something is unacknowledged.
+FIRST_LOOK_S = 1.0
+NEXT_LOOK_S = 0.5
+
+# Of `struct tcp_info`: transmissions of the same data, and probes of a closed
+# window, since the last acknowledgement; segments unacknowledged; milliseconds
+# since the last acknowledgement; bytes not sent yet.
+_INFO = struct.Struct("=2xBB20xI28xI84xI")
+
+
+class WatchedStream(iostream.IOStream):
+    """A stream that closes once its peer is unreachable.
+
+    Only data that waits for its acknowledgement is watched; keep-alive probes
+    find a peer that falls silent while there is none.
+    """
+
+    _look: asyncio.TimerHandle | None = None
+
+    @classmethod
+    def over(cls, stream: iostream.IOStream) -> "WatchedStream":
+        """Returns a stream that replaces one that was not used yet."""
+        return cls(
+            stream.socket,
+            max_buffer_size=stream.max_buffer_size,
+            read_chunk_size=stream.read_chunk_size,
+        )
+
+    def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
+        """Writes data; see `IOStream.write`."""
+        if self._look is None:
+            self._look_in(FIRST_LOOK_S)
+        return super().write(data)
+
+    def close_fd(self) -> None:
+        """Closes the socket."""
+        if self._look is not None:
+            self._look.cancel()
+        super().close_fd()
+
+    def _look_in(self, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._look = loop.call_later(delay_s, self._look_at_peer)
+
+    def _look_at_peer(self) -> None:
+        """Closes the stream if its peer is unreachable."""
+        self._look = None
+        if self.closed():
+            return
+        try:
+            info = self.socket.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _INFO.size
+            )
+        except OSError:
+            return
+        if len(info) < _INFO.size:
+            return
+        retransmissions, probes, unacknowledged, silent_ms, unsent = (
+            _INFO.unpack(info)
+        )
+        if (
+            retransmissions + probes >= MIN_TRANSMISSIONS
+            and silent_ms >= SILENCE_MS
+        ):
+            self.close(TimeoutError(errno.ETIMEDOUT, "unacknowledged"))
+        elif unacknowledged or unsent or self.writing():
+            self._look_in(NEXT_LOOK_S)
--- a/martenjunction/tunnels/server.py
+++ b/martenjunction/tunnels/server.py
@@ -17,6 +17,7 @@
 from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.http1 import accepting
 from martenjunction.http1 import streams
+from martenjunction.http1 import watched_streams
 from martenjunction.tunnels import framing
 from martenjunction.tunnels import handshake
 
@@ -129,6 +130,7 @@
         self, stream: iostream.IOStream, address: tuple[str, int]
     ) -> None:
         """Serves one peer's connection."""
+        stream = watched_streams.WatchedStream.over(stream)
         self._streams.add(stream)
         try:
             streams.set_socket_options(stream.socket)
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -9,14 +9,14 @@
 
 import pytest
 
-from martenjunction.http1 import streams
+from martenjunction.http1 import watched_streams
 from tests import gateway_requests
 from tests import request_changes
 from tests import whole_answers
 
 # Seconds for which a client does not read: longer than the kernel bears a
 # silent peer.
-UNREAD_S = streams.USER_TIMEOUT_MS / 1000 + 1.5
+UNREAD_S = watched_streams.SILENCE_MS / 1000 + 1.5
 
 # Sizes of an answer that the kernel holds as a whole, and of one that does not
 # fit into its buffers.
--- a/tests/test_socket_options.py
+++ b/tests/test_socket_options.py
@@ -3,12 +3,19 @@
 import asyncio
 import socket
 
+import pytest
+
 from martenjunction.http1 import client
+from martenjunction.http1 import peer_ends
 from martenjunction.http1 import server
 from martenjunction.http1 import server_connection
 from martenjunction.http1 import streams
+from martenjunction.http1 import watched_streams
 from martenjunction.platform import documents
+from martenjunction_lab import boxes
 from tests import raw_peers
+from tests import request_changes
+from tests import test_dark_clients
 
 # Options by which the kernel gives up, of level IPPROTO_TCP.
 PROBES = {
@@ -17,9 +24,15 @@
     socket.TCP_KEEPCNT: streams.KEEPALIVE_COUNT,
 }
 
-# Longest silence, in seconds, of a caller to which nothing is sent.
+# Longest silence, in seconds, of a peer.
 MAX_SILENCE_S = 4.0
 
+# Seconds by which the kernel's timers may be late.
+MARGIN_S = 0.3
+
+# Seconds for which a peer that is alive takes nothing.
+UNREAD_S = watched_streams.SILENCE_MS / 1000 + 1.5
+
 
 def user_timeout_ms(sock: socket.socket) -> int:
     return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
@@ -31,30 +44,48 @@
         assert sock.getsockopt(socket.IPPROTO_TCP, option) == value
 
 
-def assert_gives_up(sock: socket.socket) -> None:
-    assert_probes(sock)
-    assert user_timeout_ms(sock) == streams.USER_TIMEOUT_MS
-
-
-def test_user_timeout_ends_idle_connections_after_a_probe() -> None:
-    # TCP_USER_TIMEOUT decides when probes give up, whatever their count: one
-    # must have been sent and gone unanswered by then.
-    first_probe_ms = streams.KEEPALIVE_IDLE_S * 1000
-    interval_ms = streams.KEEPALIVE_INTERVAL_S * 1000
-    assert first_probe_ms + interval_ms <= streams.USER_TIMEOUT_MS
-
-
+@pytest.mark.parametrize("state", ["idle", "sent", "under way", "unread"])
 async def test_connections_to_endpoints_and_tunnels_give_up(
-    peer: raw_peers.RawPeer,
+    peer: raw_peers.RawPeer, state: str
 ) -> None:
+    # A peer may fall silent while nothing is sent, before it is, while its
+    # answer is awaited, or after it left a body unread.
     connection = client.ClientConnection(peer.address)
     await connection.open(1.0)
+    other = await peer.accept()
     assert connection._stream is not None
-    assert_gives_up(connection._stream.socket)
+    sock = connection._stream.socket
+    assert_probes(sock)
+    assert user_timeout_ms(sock) == 0
+    ended = asyncio.Event()
+    assert connection._source is not None
+    connection._source.on_end(ended.set)
+    if state == "sent":
+        test_dark_clients.fall_silent(other)
+    if state != "idle":
+        body = bytes(request_changes.LARGE_BYTES if state == "unread" else 5)
+        headers = [(b"Host", b"a"), (b"Content-Length", b"%d" % len(body))]
+        connection.send(b"POST", b"/", headers, body)
+    if state in ("unread", "under way"):
+        await asyncio.sleep(UNREAD_S)
+        assert not ended.is_set()
+    test_dark_clients.fall_silent(other)
+    async with asyncio.timeout(MAX_SILENCE_S + MARGIN_S):
+        await ended.wait()
+    assert connection._source.peer_end is peer_ends.PeerEnd.TIMED_OUT
+    connection.abort()
+
+
+async def test_accepted_tunnels_give_up(fleet: boxes.Boxes) -> None:
+    box = fleet.gateways[0]
     stream = streams.new_stream()
-    assert_gives_up(stream.socket)
+    await streams.connect(stream, box.members.own.tunnels, 1.0)
+    await boxes.until(lambda: bool(box.tunnels._streams))
+    [accepted] = box.tunnels._streams
+    assert isinstance(accepted, watched_streams.WatchedStream)
+    assert_probes(accepted.socket)
+    assert user_timeout_ms(accepted.socket) == 0
     stream.close()
-    connection.abort()
 
 
 async def test_connections_of_callers_give_up() -> None:
