Round Retry-After up, so that a short wait is not told as none

Callers were told 'Retry-After: 0.00' when the first grant of a rate limit was less than 5 ms away, and a time that lay up to 5 ms before it otherwise: the header was rounded to the nearest hundredth of a second. The refusal is 'endpoints-limited', and the time it names came from the grants: 0.0030 s.

Of the three cases of test_retry_after_is_never_shorter_than_the_wait two failed before.

--- a/martenjunction/platform/headers.py
+++ b/martenjunction/platform/headers.py
@@ -1,6 +1,7 @@
 """Headers of requests and responses on the platform."""
 
 import dataclasses
+import math
 
 from martenjunction.http1 import messages
 
@@ -233,8 +234,11 @@
 
 
 def retry_after(seconds: float) -> tuple[bytes, bytes]:
-    """Returns the Retry-After header for a client."""
-    return RETRY_AFTER, f"{seconds:.2f}".encode()
+    """Returns the Retry-After header for a client, in hundredths of a second.
+
+    The time is rounded up: rounded to nearest, a short one would become 0.
+    """
+    return RETRY_AFTER, f"{math.ceil(seconds * 100) / 100:.2f}".encode()
 
 
 def _parts(value: bytes) -> tuple[PromptPart, ...]:
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -121,6 +121,15 @@
     assert headers.was_not_executed(head) is not_run
 
 
+@pytest.mark.parametrize(
+    ("seconds", "value"), [(0.003, b"0.01"), (0.25, b"0.25"), (0.251, b"0.26")]
+)
+def test_retry_after_is_never_shorter_than_the_wait(
+    seconds: float, value: bytes
+) -> None:
+    assert headers.retry_after(seconds) == (b"Retry-After", value)
+
+
 @pytest.mark.parametrize(
     ("echoed", "status", "ours"),
     [
