Leave memory for large answers to workspaces that hold less

Eight answers of 8 MB of one workspace whose clients did not read filled the budget of a box, and answers over 64 KB of all other workspaces waited until one of them ended.

A workspace is now granted a large answer with a length while it would hold at most twice what is free. Of those that wait, the workspace that holds least comes first, and of its answers the smallest; a workspace's oldest one has its turn after 16 others, not counting those of workspaces that held less. Answers without a length are given up first at the workspace that holds most of all large answers, with a length or without.

--- a/martenjunction/decisions/boxes/answer_memory.py
+++ b/martenjunction/decisions/boxes/answer_memory.py
@@ -3,15 +3,16 @@
 Load pattern: endpoints answer faster than clients read, or without end, many at
 once. An answer is held until its client has it. One that announces its length
 waits, unread, until all of it fits or no other one is held, so that each that
-was begun can end. One that does not is known to be endless only after it was
+was begun can end; a workspace that holds much leaves memory to the others. One
+that does not is known to be endless only after it was
 read. Such answers share a part of the memory, and beyond it the largest one of
 the workspace that holds most is given up. Small answers never wait and are
 never given up.
 """
 
-import collections
 import dataclasses
 
+from martenjunction.decisions.boxes import answer_queue
 from martenjunction.decisions.boxes import memory_budget
 
 # Size in bytes up to which an answer is neither delayed nor given up.
@@ -21,6 +22,11 @@
 # is left to those with a length and to bodies of requests.
 UNSIZED_FRACTION = 0.5
 
+# Bytes of large answers up to which a workspace is granted another one, for
+# each byte that is free before. One workspace alone comes to about two thirds
+# of the capacity, four to two ninths each: something is left to the next one.
+SHARE_FACTOR = 2.0
+
 # Bytes that a growing buffer takes for each byte that it holds.
 GROWTH_FACTOR = 1.125
 
@@ -65,8 +71,10 @@
             budget: What the box holds for others.
         """
         self._budget = budget
-        self._waiting: collections.OrderedDict[HeldAnswer, int] = (
-            collections.OrderedDict()
+        # Bytes of large answers by workspace.
+        self._by_workspace: dict[str | None, int] = {}
+        self._waiting: answer_queue.AnswerQueue[HeldAnswer] = (
+            answer_queue.AnswerQueue(self._held_by)
         )
         self._unsized: set[HeldAnswer] = set()
         self._unsized_bytes = 0
@@ -95,22 +103,24 @@
             returns it.
         """
         answer.sized = True
-        if size > SMALL_ANSWER_BYTES and (
-            self._waiting or not self._fits(answer, size)
-        ):
-            self._waiting[answer] = size
-            return False
+        if size > SMALL_ANSWER_BYTES:
+            workspace = answer.workspace
+            if not (
+                self._waiting.may_pass(workspace)
+                and self._fits(workspace, size)
+            ):
+                self._waiting.add(workspace, answer, size)
+                return False
+            self._waiting.pass_by(workspace)
         self._set_size(answer, size)
         return True
 
     def next_granted(self) -> HeldAnswer | None:
-        """Reserves the first answer that waits, if it fits."""
-        if not self._waiting:
-            return None
-        answer, size = next(iter(self._waiting.items()))
-        if not self._fits(answer, size):
+        """Reserves the answer that comes first of those that wait and fit."""
+        taken = self._waiting.take(self._fits)
+        if taken is None:
             return None
-        del self._waiting[answer]
+        answer, size = taken
         self._set_size(answer, size)
         return answer
 
@@ -154,7 +164,7 @@
 
     def end(self, answer: HeldAnswer) -> None:
         """Counts an answer as no longer held or waiting."""
-        self._waiting.pop(answer, None)
+        self._waiting.remove(answer.workspace, answer)
         self._set_size(answer, 0)
 
     def _give_up_largest(self) -> HeldAnswer:
@@ -173,6 +183,8 @@
             return
         before, was_small = answer.counted, answer.is_small
         answer.size = size
+        if not (was_small and answer.is_small):
+            self._count_large(answer, 0 if was_small else before)
         grown = answer.counted - before
         if grown > 0:
             self._budget.hold(grown)
@@ -188,13 +200,27 @@
             self._unsized.add(answer)
             self._unsized_bytes += answer.counted
 
-    def _fits(self, answer: HeldAnswer, size: int) -> bool:
+    def _count_large(self, answer: HeldAnswer, before: int) -> None:
+        """Counts a change of a large answer's memory for its workspace."""
+        now = 0 if answer.is_small else answer.counted
+        held = self._held_by(answer.workspace) + now - before
+        if held:
+            self._by_workspace[answer.workspace] = held
+        else:
+            del self._by_workspace[answer.workspace]
+
+    def _held_by(self, workspace: str | None) -> int:
+        return self._by_workspace.get(workspace, 0)
+
+    def _fits(self, workspace: str | None, size: int) -> bool:
         if not self._sized:
             # Bodies are held until their answers are delivered: answers that
             # all waited for them would never be.
             return True
-        whole = HeldAnswer(answer.workspace, True, size).counted
-        return self._budget.held + whole <= self._budget.capacity
+        whole = HeldAnswer(workspace, True, size).counted
+        free = self._budget.capacity - self._budget.held
+        share = SHARE_FACTOR * free - self._held_by(workspace)
+        return whole <= min(free, share)
 
     def _is_excessive(self) -> bool:
         capacity = self._budget.capacity
@@ -204,10 +230,9 @@
         )
 
     def _largest(self) -> HeldAnswer:
-        by_workspace: collections.Counter[str | None] = collections.Counter()
-        for answer in self._unsized:
-            by_workspace[answer.workspace] += answer.counted
-        workspace = by_workspace.most_common(1)[0][0]
+        workspace = max(
+            (one.workspace for one in self._unsized), key=self._held_by
+        )
         return max(
             (one for one in self._unsized if one.workspace == workspace),
             key=lambda one: one.size,
