Keep what each memory level gives up in one table

What a level gives up was spread over the thresholds, a dictionary of callables that was built per guard, and two comparisons. One table now says for each level when it holds and what is given up; the guard reads it.

Tests are unchanged.

--- a/martenjunction/decisions/boxes/memory_levels.py
+++ b/martenjunction/decisions/boxes/memory_levels.py
@@ -6,6 +6,7 @@
 fallen well below its threshold, so that a box does not change to and fro.
 """
 
+import dataclasses
 import enum
 
 
@@ -28,13 +29,34 @@
     REFUSE_CLIENTS = 4
 
 
-# Part of the limit from which a level holds; above the part that the budget of
-# bodies and answers fills.
-THRESHOLDS = {
-    Level.TRIM: 0.78,
-    Level.REFUSE_BODIES: 0.82,
-    Level.SHED_ANSWERS: 0.86,
-    Level.REFUSE_CLIENTS: 0.92,
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measures:
+    """When a level holds, and what is given up while it does.
+
+    Attributes:
+        threshold: Part of the limit from which it holds; above the part that
+            the budget of bodies and answers fills.
+        closes_resting: Whether connections that rest at endpoints are closed.
+        refuses_bodies: Whether bodies that do not fit are refused.
+        sheds_answers: Whether the largest answers are given up.
+        accepts_clients: Whether new connections of clients are served.
+    """
+
+    threshold: float
+    closes_resting: bool = True
+    refuses_bodies: bool = True
+    sheds_answers: bool = True
+    accepts_clients: bool = True
+
+
+MEASURES = {
+    Level.NORMAL: Measures(
+        0.0, closes_resting=False, refuses_bodies=False, sheds_answers=False
+    ),
+    Level.TRIM: Measures(0.78, refuses_bodies=False, sheds_answers=False),
+    Level.REFUSE_BODIES: Measures(0.82, sheds_answers=False),
+    Level.SHED_ANSWERS: Measures(0.86),
+    Level.REFUSE_CLIENTS: Measures(0.92, accepts_clients=False),
 }
 
 # Part of the limit by which memory has to fall below the threshold of a level
@@ -59,6 +81,11 @@
         """The level that holds."""
         return self._level
 
+    @property
+    def measures(self) -> Measures:
+        """What is given up at that level."""
+        return MEASURES[self._level]
+
     def note(self, used_bytes: int) -> bool:
         """Takes in how much memory is used; returns whether the level changed.
 
@@ -75,6 +102,7 @@
 
 def _highest(used: float) -> Level:
     return max(
-        (level for level, least in THRESHOLDS.items() if used >= least),
-        default=Level.NORMAL,
+        level
+        for level, measures in MEASURES.items()
+        if used >= measures.threshold
     )
--- a/martenjunction/routing/limits/memory_guard.py
+++ b/martenjunction/routing/limits/memory_guard.py
@@ -1,16 +1,11 @@
 """Gives up what costs callers least as a box's memory runs short."""
 
-from collections.abc import Callable
-import functools
-
 from martenjunction.decisions.boxes import memory_levels
 from martenjunction.endpoints import pool
 from martenjunction.routing.limits import answer_admission
 from martenjunction.routing.limits import body_admission
 from martenjunction.routing.log import decision_log
 
-Level = memory_levels.Level
-
 
 class MemoryGuard:
     """Acts on the level of a box's memory."""
@@ -35,27 +30,24 @@
         self._levels = memory_levels.MemoryLevels(limit_bytes)
         self._limit = limit_bytes
         self._bodies = bodies
+        self._answers = answers
         self._connections = connections
         self._log = log
-        self._actions: dict[Level, Callable[[], None]] = {
-            Level.REFUSE_BODIES: functools.partial(
-                bodies.set_refusing, refusing=True
-            ),
-            Level.SHED_ANSWERS: answers.shed,
-        }
         bodies.on_sample(self._take_sample)
 
     @property
     def accepts_clients(self) -> bool:
         """Whether new connections of clients are served."""
-        return self._levels.level < Level.REFUSE_CLIENTS
+        return self._levels.measures.accepts_clients
 
     def gauges(self) -> dict[str, float]:
         """Returns the values for metrics."""
         return {"memory_level": float(self._levels.level)}
 
     def _take_sample(self, resident: int) -> None:
-        if self._levels.note(resident):
+        changed = self._levels.note(resident)
+        measures = self._levels.measures
+        if changed:
             self._log.write(
                 "memory-level",
                 level=self._levels.level.name.lower().replace("_", "-"),
@@ -63,10 +55,8 @@
                 limit=self._limit,
                 held=self._bodies.budget.held,
             )
-            if self._levels.level >= Level.TRIM:
-                self._connections.close()
-        level = self._levels.level
-        self._bodies.set_refusing(False)
-        for least, act in self._actions.items():
-            if level >= least:
-                act()
+        if changed and measures.closes_resting:
+            self._connections.close()
+        self._bodies.set_refusing(measures.refuses_bodies)
+        if measures.sheds_answers:
+            self._answers.shed()
