Refuse trailers of very many fields before they are parsed

A chunked body now keeps what is parsed next of it, and a trailer of more than 100 lines is refused like a head: 431 for a request, a syntax error for an answer.

Before: 4 of 4 tests of refusals failed (13,095 fields were parsed); now 4 of 4 pass, beside one that compares with the parser wherever reads end.

--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -1,5 +1,6 @@
 """Checks that framing is unambiguous, and bounds that of chunked bodies."""
 
+import enum
 import re
 
 import h11
@@ -19,6 +20,10 @@
 # The first empty line of a message, as h11 finds it.
 _END_OF_HEAD = re.compile(rb"\n\r?\n")
 
+# The line before a chunk, after what is unread of the end of the one before.
+# A size of 0 is followed by the trailer.
+_CHUNK_LINE = re.compile(rb"\r?\n?([0-9A-Fa-f]+)(?:[ \t;][^\n]*)?\r\n")
+
 _WITH_FIELDS = (
     h11.Request,
     h11.InformationalResponse,
@@ -53,11 +58,20 @@
     return received.count(b"\n", 0, end.start()) > MAX_FIELDS
 
 
+class _Place(enum.Enum):
+    """What is parsed next of a chunked body."""
+
+    CHUNK_LINE = "chunk-line"
+    DATA = "data"
+    TRAILER = "trailer"
+
+
 class ChunkedBody:
     """Compares the framing of a chunked body with its data.
 
     Tiny chunks and chunk extensions cost processor time without bringing data,
-    and a limit of the body's size does not count them.
+    and a limit of the body's size does not count them. A trailer of very many
+    fields is told before it is parsed.
     """
 
     def __init__(self, received: int) -> None:
@@ -69,6 +83,27 @@
         self._received = received
         self._data = 0
         self._parsed_framing = 0
+        self._next = _Place.CHUNK_LINE
+
+    def has_too_many_lines(self, unparsed: bytes) -> bool:
+        """Returns whether a trailer with too many fields is parsed next.
+
+        Call it before each part is parsed.
+
+        Args:
+            unparsed: What was received and is not parsed yet.
+        """
+        start = 0
+        if self._next is _Place.CHUNK_LINE:
+            line = _CHUNK_LINE.match(unparsed)
+            if line is not None:
+                is_last = not line[1].strip(b"0")
+                self._next = _Place.TRAILER if is_last else _Place.DATA
+                start = line.end()
+        # A trailer is like a head whose first line is empty.
+        return self._next is _Place.TRAILER and begins_with_too_many_lines(
+            b"\n" + unparsed[start:]
+        )
 
     def is_excessive(self, parsed: bool) -> bool:
         """Returns whether the framing outweighs the data.
@@ -90,6 +125,7 @@
         """Counts bytes of data that were parsed."""
         self._data += size
         if ends_chunk:
+            self._next = _Place.CHUNK_LINE
             self._parsed_framing += MIN_CHUNK_FRAMING_BYTES
 
 
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -463,6 +463,12 @@
         turns = self._source.turns
         while True:
             await turns.pause_if_spent()
+            if chunked is not None and chunked.has_too_many_lines(
+                self._parser.trailing_data[0]
+            ):
+                raise request_errors.RequestSyntaxError(
+                    431, "too many header fields"
+                )
             event = self._next_event()
             if isinstance(event, h11.Data):
                 turns.spend(fair_turns.PART_COST)
--- a/tests/test_long_heads.py
+++ b/tests/test_long_heads.py
@@ -118,6 +118,81 @@
     peer.close()
 
 
+# What comes before the trailer.
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+
+
+@ENDS
+async def test_long_trailer_of_a_request_is_refused_unparsed(
+    end: bytes, fields: turn_counts.TurnCount
+) -> None:
+    with serving() as address:
+        head = REQUEST.replace(b"GET", b"POST")
+        sender = turn_counts.FastSender(address, head + CHUNKED + LONG + end)
+        async with asyncio.timeout(LIMIT_S):
+            answer = await sender.answer()
+        sender.close()
+    assert answer.startswith(b"HTTP/1.1 431")
+    # Those of the head alone, and no error of the parser.
+    assert fields.total == 2
+
+
+@ENDS
+async def test_long_trailer_of_an_answer_is_an_error_unparsed(
+    end: bytes, fields: turn_counts.TurnCount
+) -> None:
+    peer = raw_peers.RawPeer()
+    connection = client.ClientConnection(peer.address)
+    await connection.open(5.0)
+    connection.send(b"GET", b"/", [(b"Host", b"api.example")], b"")
+    sender = await peer.accept()
+    sender.settimeout(5.0)
+    sender.sendall(ANSWER + CHUNKED + LONG + end)
+    async with asyncio.timeout(LIMIT_S):
+        await connection.read_head()
+        assert await connection.read_body() == b"x"
+        with pytest.raises(errors.HttpSyntaxError, match="too many header"):
+            await connection.read_body()
+    assert fields.total == 1
+    connection.abort()
+    peer.close()
+
+
+# Guards against data that is taken for a trailer, and a trailer for data,
+# wherever the reads end.
+@hypothesis.given(
+    st.lists(st.sampled_from([b"0\r\n" + b"\n" * 200, b"x", b"\n0"])),
+    st.sampled_from([0, 1, framing.MAX_FIELDS, framing.MAX_FIELDS + 1]),
+    st.sampled_from([b"0", b"000;a=\r", b"0 "]),
+    st.lists(st.integers(1, 40), max_size=40),
+)
+def test_trailers_are_told_from_data(
+    parts: list[bytes], count: int, last: bytes, cuts: list[int]
+) -> None:
+    sent = b"".join(b"%X;e\r\n%b\r\n" % (len(p), p) for p in parts)
+    sent += last + b"\r\n" + b"a: b\r\n" * count + b"\r\n" + b"\n" * 200
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+    parser.send(h11.EndOfMessage())
+    parser.receive_data(ANSWER + b"Transfer-Encoding: chunked\r\n\r\n")
+    parser.next_event()
+    body = framing.ChunkedBody(0)
+    while True:
+        refused = body.has_too_many_lines(parser.trailing_data[0])
+        if refused:
+            break
+        event = parser.next_event()
+        if isinstance(event, h11.Data):
+            body.note_data(len(event.data), event.chunk_end)
+        elif isinstance(event, h11.EndOfMessage):
+            break
+        else:
+            size = cuts.pop() if cuts else len(sent)
+            parser.receive_data(sent[:size])
+            sent = sent[size:]
+    assert refused is (count > framing.MAX_FIELDS)
+
+
 FIELD = st.sampled_from([b"a:", b"ab: c", b"F1: " + b"x" * 200])
 LINE_END = st.sampled_from([b"\r\n", b"\n"])
 COUNTS = st.integers(framing.MAX_FIELDS - 2, framing.MAX_FIELDS + 2)
