Move shares of endpoints' connections out of the gateway

The gateway answered how many connections a box may have to an endpoint of a service. limits/connection_shares.py does; the code is moved as it was. One test asks the new class, with the same assertions.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -47,6 +47,7 @@
 from martenjunction.routing.limits import answer_admission
 from martenjunction.routing.limits import body_admission
 from martenjunction.routing.limits import brittleness_sync
+from martenjunction.routing.limits import connection_shares
 from martenjunction.routing.limits import endpoint_notices
 from martenjunction.routing.limits import leaving_sync
 from martenjunction.routing.limits import limit_sync
@@ -205,7 +206,12 @@
             settings.memory_bytes,
             self.timers,
         )
-        self.pool = pool.EndpointPool(self._connection_share, self.connector)
+        self.connection_shares = connection_shares.ConnectionShares(
+            self.admitter, self.members
+        )
+        self.pool = pool.EndpointPool(
+            self.connection_shares.share, self.connector
+        )
         self.budget = retry_budget.RetryBudget(
             settings.retry_ratio,
             settings.retry_allowance,
@@ -751,13 +757,6 @@
         config = self.admitter.config
         return messages.ClientLimits() if config is None else config.limits
 
-    def _connection_share(self, service: str) -> int:
-        config = self.admitter.config
-        known = config.services.get(service) if config else None
-        limit = known.max_connections if known is not None else 1
-        boxes = max(1, len(self.members.live_members()))
-        return max(2, int(limit * pool.CONNECTION_LIMIT_FRACTION / boxes))
-
     def _on_members_changed(self) -> None:
         self._max_member_count = max(
             self._max_member_count, len(self.members.members)
--- a/tests/test_forwarded_bytes.py
+++ b/tests/test_forwarded_bytes.py
@@ -182,7 +182,9 @@
             for box in made.gateways
         )
     )
-    shares = [box._connection_share(service.name) for box in made.gateways]
+    shares = [
+        box.connection_shares.share(service.name) for box in made.gateways
+    ]
     await made.stop()
     assert 0.5 * service.max_connections < sum(shares)
     assert sum(shares) <= service.max_connections
