Move readiness and the state of a stop out of the gateway

The gateway judged whether the box accepts clients, what state it tells other boxes, and since when it stops. decisions/boxes/stop_state.py and routing/ports/readiness.py do, and readiness answers the platform's question. The package ports is new in the table of packages. Tests ask the new classes, with the same assertions.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -13,13 +13,13 @@
 from martenjunction import fair_turns
 from martenjunction import metrics
 from martenjunction import timers
-from martenjunction.decisions.boxes import box_states
 from martenjunction.decisions.boxes import config_freshness
 from martenjunction.decisions.boxes import connection_share
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.decisions.boxes import load_shedding
 from martenjunction.decisions.boxes import retry_budget
+from martenjunction.decisions.boxes import stop_state
 from martenjunction.decisions.boxes import tier_precedence
 from martenjunction.decisions.boxes import tunnel_choice
 from martenjunction.decisions.duties import lease
@@ -59,6 +59,7 @@
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.log import usage_log
 from martenjunction.routing.messages import peer_stamps
+from martenjunction.routing.ports import readiness
 from martenjunction.routing.quarantine import part_quarantine
 from martenjunction.routing.quarantine import request_quarantine
 from martenjunction.routing.requests import exchange
@@ -142,8 +143,7 @@
         self.metrics = metrics.Metrics()
         self.log = decision_log.DecisionLog(self.timers.now)
         self.connection_log = connection_log.ConnectionLog(self.log)
-        self._leaving_since: float | None = None
-        self._stopping = False
+        self.stop_state = stop_state.StopState()
         self._max_member_count = 1
         self._dial_scheduled = False
         self._exchanges: set[exchange.Exchange] = set()
@@ -258,7 +258,7 @@
             self.members,
             self.timers,
             self.log,
-            self._state,
+            lambda: self.readiness.state(),
             self._rng,
         )
         self.box_states.on_contradicted(self.follower.check_own_entry)
@@ -270,7 +270,7 @@
             self.registry,
             self.timers,
             self.log,
-            self._is_ready,
+            lambda: self.readiness.is_ready(),
             lambda: self.connector.reaches_endpoints,
             self.follower,
             self.overlay,
@@ -280,7 +280,7 @@
             self.members,
             self.overlay,
             self.sync.last_heard,
-            lambda: self.leaving or self._stopping,
+            lambda: self.stop_state.ending,
             self.timers,
             self.log,
         )
@@ -289,7 +289,7 @@
             self.overlay,
             self.sync,
             self.box_states,
-            self._is_ready,
+            lambda: self.readiness.is_ready(),
             lambda: self.connector.reaches_endpoints,
             self._rng,
         )
@@ -380,6 +380,16 @@
             self.pool,
             self.log,
         )
+        self.readiness = readiness.Readiness(
+            self.stop_state,
+            self.admitter,
+            self.endpoint_list,
+            self.memory,
+            self.freshness,
+            self.connector,
+            lambda: self._settings,
+            self.timers,
+        )
         self.duties = self._build_duties()
         self._context = offers.ExchangeContext(
             self.admitter,
@@ -390,7 +400,7 @@
             self.log,
             self.metrics,
             settings.zone,
-            self._stopping_for_s,
+            lambda: self.stop_state.leaving_for_s(self.timers.now()),
             settings.stop_s - STOP_MARGIN_S,
             request_content.ContentKeys(_peer_key(settings)),
             self.quarantine,
@@ -410,14 +420,14 @@
             lambda: self.memory.accepts_clients,
             connection_share.CALLERS_FRACTION,
         )
-        self._ready = self._server("ready", self._serve_ready)
+        self._ready = self._server("ready", self.readiness.serve)
         self._entry = self._server("entry", self._serve_entry)
         self._operator = self._server("operator", self._serve_operator)
 
     @property
     def leaving(self) -> bool:
         """Whether a graceful shutdown has begun."""
-        return self._leaving_since is not None
+        return self.stop_state.leaving
 
     async def start(self) -> None:
         """Brings the daemon up; it listens when this returns."""
@@ -471,7 +481,7 @@
         if self.leaving:
             return
         started_at = self.timers.now()
-        self._leaving_since = started_at
+        self.stop_state.leave(started_at)
         self.log.write("stop-begins", held=len(self._exchanges))
         self.members.mark_leaving(
             self._settings.box, self.members.own.incarnation
@@ -507,7 +517,7 @@
 
     async def stop(self) -> None:
         """Stops at once; in-flight requests get a final response first."""
-        self._stopping = True
+        self.stop_state.stop()
         servers = (self._callers, self._ready, self._entry, self._operator)
         for listening in servers:
             listening.finish()
@@ -533,7 +543,7 @@
         return {
             "box": self._settings.box,
             "leaving": self.leaving,
-            "ready": self._is_ready(),
+            "ready": self.readiness.is_ready(),
             "held": len(self._exchanges),
             **box_dump.component_states(
                 self.store_cache,
@@ -608,14 +618,6 @@
         finally:
             self._exchanges.discard(running)
 
-    async def _serve_ready(
-        self,
-        connection: server_connection.ServerConnection,
-        request: messages.Request,
-    ) -> None:
-        status = 200 if self._is_ready() else 503
-        await connection.answer(status, [], b"")
-
     async def _serve_operator(
         self,
         connection: server_connection.ServerConnection,
@@ -719,37 +721,11 @@
             return lease.MAX_RANK
         return self.overlay.rank
 
-    def _is_ready(self) -> bool:
-        config = self.admitter.config
-        if self.leaving or config is None or not self.endpoint_list.has_listing:
-            return False
-        if not self.memory.accepts_clients:
-            return False
-        if self.freshness.is_lagging(self.timers.now()):
-            return False
-        if not config.needs_keys or not self._settings.keys_fail_closed:
-            return True
-        return self.freshness.allows_keys_at(self.timers.now())
-
-    def _state(self) -> box_states.State:
-        """Returns the state of this box, unless it leaves."""
-        if not self._is_ready():
-            return box_states.State.UNREADY
-        if not self.connector.reaches_endpoints:
-            return box_states.State.CUT_OFF
-        return box_states.State.READY
-
     def _on_path_cut(self, endpoint_id: str, connections_lost: bool) -> None:
         self.registry.note_path_cut(
             endpoint_id, connections_lost, self.timers.now()
         )
 
-    def _stopping_for_s(self) -> float | None:
-        """Returns seconds since a graceful shutdown began, or None."""
-        if self._leaving_since is None:
-            return None
-        return self.timers.now() - self._leaving_since
-
     def _status(self) -> Any:
         return self.sync.heartbeat()
 
--- a/tests/gateway_requests.py
+++ b/tests/gateway_requests.py
@@ -129,3 +129,8 @@
     ]
     await fleet.until_listed()
     return made
+
+
+def leaving_for_s(box: gateway.Gateway) -> float:
+    """Returns seconds since a box's graceful shutdown began, or 0."""
+    return box.stop_state.leaving_for_s(box.timers.now()) or 0.0
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -130,7 +130,7 @@
     box = fleet.gateways[0]
     stopping = asyncio.create_task(box.leave())
     await boxes.until(
-        lambda: (box._stopping_for_s() or 0) > exchange.STREAM_ADMISSION_S
+        lambda: requests.leaving_for_s(box) > exchange.STREAM_ADMISSION_S
     )
     head, _ = await requests.ask(fleet, "/chat/")
     assert head.status == 503
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -226,14 +226,14 @@
     assert left[0].timers.now() - began <= LOST_S
     # One of those that are left reads from the store, and all stay ready.
     await boxes.until(lambda: sum(g.follower.is_synced for g in left) == 1)
-    assert all(g._is_ready() for g in left)
+    assert all(g.readiness.is_ready() for g in left)
 
 
 async def test_started_box_needs_few_calls_to_the_store(
     few: boxes.Boxes,
 ) -> None:
     made = await few.add_box("box-new", zone="zone-1")
-    await boxes.until(made._is_ready)
+    await boxes.until(made.readiness.is_ready)
     assert sum(made.store.calls.values()) <= 3
 
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -165,7 +165,7 @@
     )
     stopping = asyncio.create_task(box.leave())
     await boxes.until(
-        lambda: (box._stopping_for_s() or 0.0) > exchange.MIN_ADMISSION_S
+        lambda: requests.leaving_for_s(box) > exchange.MIN_ADMISSION_S
     )
     connection.send(raw_request("last", "/safe/x"))
     answer = await connection.answer()
--- a/tests/test_routing_packages.py
+++ b/tests/test_routing_packages.py
@@ -20,6 +20,7 @@
     "store": {"access", "fleet", "log", "messages"},
     "limits": {"access", "endpoints", "fleet", "log", "messages"},
     "quarantine": {"access", "endpoints", "fleet", "log", "messages"},
+    "ports": {"access", "endpoints", "limits"},
     "sync": {"endpoints", "fleet", "log", "messages", "store"},
     "requests": {
         "access",
