Move the requests that a box holds out of the gateway

The gateway kept the set of requests in flight, served, moved and ended them. routing/requests/held_requests.py does. Tests look into the new class, with the same assertions.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -62,7 +62,7 @@
 from martenjunction.routing.ports import readiness
 from martenjunction.routing.quarantine import part_quarantine
 from martenjunction.routing.quarantine import request_quarantine
-from martenjunction.routing.requests import exchange
+from martenjunction.routing.requests import held_requests
 from martenjunction.routing.requests import offers
 from martenjunction.routing.store import follower
 from martenjunction.routing.store import store_cache
@@ -146,7 +146,6 @@
         self.stop_state = stop_state.StopState()
         self._max_member_count = 1
         self._dial_scheduled = False
-        self._exchanges: set[exchange.Exchange] = set()
         self._stopped = asyncio.Event()
         own = membership.Member(
             settings.box,
@@ -412,9 +411,10 @@
             self.origins,
             self.answers,
         )
+        self.held = held_requests.HeldRequests(self._context)
         self._callers = self._server(
             "callers",
-            self._serve_caller,
+            self.held.serve,
             self._limits,
             self.bodies,
             lambda: self.memory.accepts_clients,
@@ -482,7 +482,7 @@
             return
         started_at = self.timers.now()
         self.stop_state.leave(started_at)
-        self.log.write("stop-begins", held=len(self._exchanges))
+        self.log.write("stop-begins", held=len(self.held))
         self.members.mark_leaving(
             self._settings.box, self.members.own.incarnation
         )
@@ -496,7 +496,7 @@
         removal = loop.create_task(self.follower.remove_own_entry())
         while self.timers.now() < deadline:
             lingered = self.timers.now() - started_at > LINGER_S
-            if lingered and not self._exchanges:
+            if lingered and not self.held:
                 # Requests that are still being read have no exchange yet, so
                 # each connection checks that it is idle before it closes.
                 self._callers.finish()
@@ -507,7 +507,7 @@
         removal.cancel()
         release.cancel()
         self.usage.write()
-        self.log.write("stopped", cut_off=len(self._exchanges))
+        self.log.write("stopped", cut_off=len(self.held))
         await self.stop()
         self._stopped.set()
 
@@ -521,8 +521,7 @@
         servers = (self._callers, self._ready, self._entry, self._operator)
         for listening in servers:
             listening.finish()
-        for running in list(self._exchanges):
-            running.stop(exchange.Ending.STOPPED)
+        self.held.stop()
         waits = [asyncio.ensure_future(s.wait_ended()) for s in servers]
         await asyncio.wait(waits, timeout=FINAL_RESPONSES_TIMEOUT_S)
         for listening, wait in zip(servers, waits, strict=True):
@@ -544,7 +543,7 @@
             "box": self._settings.box,
             "leaving": self.leaving,
             "ready": self.readiness.is_ready(),
-            "held": len(self._exchanges),
+            "held": len(self.held),
             **box_dump.component_states(
                 self.store_cache,
                 self.freshness,
@@ -606,18 +605,6 @@
 
     # Handlers for requests from callers, the platform and operators.
 
-    async def _serve_caller(
-        self,
-        connection: server_connection.ServerConnection,
-        request: messages.Request,
-    ) -> None:
-        running = exchange.Exchange(self._context, connection, request)
-        self._exchanges.add(running)
-        try:
-            await running.run()
-        finally:
-            self._exchanges.discard(running)
-
     async def _serve_operator(
         self,
         connection: server_connection.ServerConnection,
@@ -667,7 +654,7 @@
         return metrics_text.render(
             self.metrics,
             {
-                "held_requests": float(len(self._exchanges)),
+                "held_requests": float(len(self.held)),
                 "endpoint_runs": float(self.registry.running),
                 "endpoint_connections_opened": float(self.pool.total_opened),
                 **{
@@ -753,9 +740,7 @@
         now = self.timers.now()
         self.store_cache.expire()
         self.registry.tick(now)
-        for running in self._exchanges:
-            if running.should_move:
-                running.move()
+        self.held.move()
 
     def _log_stall(self, delay_s: float) -> None:
         self.log.write("held-up", ms=round(delay_s * 1000, 1))
--- a/tests/test_answers_in_short_memory.py
+++ b/tests/test_answers_in_short_memory.py
@@ -105,7 +105,7 @@
         requests.ask(fleet, "/unsafe/", "r1", **DEADLINE)
     )
     await boxes.until(lambda: gauge(fleet, "memory_answers_waiting") == 1)
-    [running] = box._exchanges
+    [running] = box.held.exchanges
     assert running._task is not None
     running._task.cancel()
     other.close()
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -218,7 +218,7 @@
     changes = {"Martenjunction-Deadline-Ms": "400"}
     asking = asyncio.create_task(ask_large(fleet, "r1", **changes))
     await boxes.until(lambda: bool(made.received))
-    [running] = fleet.gateways[0]._exchanges
+    [running] = fleet.gateways[0].held.exchanges
     assert len(running._request.body) == len(LARGE)
     assert await asking == 504
     assert not running._request.body
--- a/tests/test_ready_and_closed.py
+++ b/tests/test_ready_and_closed.py
@@ -149,7 +149,7 @@
     run = await peer.accept()
     assert await peer.request(run)
     run.send(sealed(b"answer"))
-    [running] = fleet.gateways[0]._exchanges
+    [running] = fleet.gateways[0].held.exchanges
     running.move()
     head, got = await asked
     assert (head.status, got) == (200, b"answer")
@@ -163,7 +163,7 @@
     asked = asyncio.create_task(requests.ask(fleet, "/digest/"))
     run = await peer.accept()
     assert await peer.request(run)
-    [running] = fleet.gateways[0]._exchanges
+    [running] = fleet.gateways[0].held.exchanges
     assert running.ticket is not None
     running.ticket.move_requested = True
     body = requests.WHOLE_STREAM
