Move the answers to clients that ask where to go out of the gateway

The test of processes whose entry handler fails replaces the handler of the new class, with the same assertions.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -7,7 +7,6 @@
 import random
 import time
 from typing import Any
-from urllib import parse
 
 from martenjunction import events
 from martenjunction import fair_turns
@@ -33,7 +32,6 @@
 from martenjunction.peers import membership
 from martenjunction.platform import box_settings
 from martenjunction.platform import documents
-from martenjunction.platform import headers
 from martenjunction.platform import store
 from martenjunction.routing import box_dump
 from martenjunction.routing.access import admission
@@ -59,6 +57,8 @@
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.log import usage_log
 from martenjunction.routing.messages import peer_stamps
+from martenjunction.routing.ports import entry_answers
+from martenjunction.routing.ports import query_fields
 from martenjunction.routing.ports import readiness
 from martenjunction.routing.quarantine import part_quarantine
 from martenjunction.routing.quarantine import request_quarantine
@@ -85,11 +85,6 @@
 # may still be accepted.
 KEY_MARGIN_S = 0.25
 
-# Time to live of a resolve response, in seconds. Some clients cache one for
-# three times as long, and all of them should have switched to another box well
-# before a graceful shutdown ends.
-ENTRY_TTL_S = 1.0
-
 # Seconds before the platform kills a stopping box at which the box ends the
 # requests that are still in flight.
 STOP_MARGIN_S = 0.4
@@ -100,7 +95,7 @@
 
 # Minimum time, in seconds, for which a stopping box keeps serving, even when
 # idle, because clients may use a cached resolve response: three times
-# ENTRY_TTL_S plus a margin.
+# entry_answers.ENTRY_TTL_S plus a margin.
 LINGER_S = 3.5
 
 KB = 1000
@@ -421,7 +416,12 @@
             connection_share.CALLERS_FRACTION,
         )
         self._ready = self._server("ready", self.readiness.serve)
-        self._entry = self._server("entry", self._serve_entry)
+        self._entry = self._server(
+            "entry",
+            entry_answers.EntryAnswers(
+                self.reachable, lambda: self._settings
+            ).serve,
+        )
         self._operator = self._server("operator", self._serve_operator)
 
     @property
@@ -617,32 +617,12 @@
             await connection.answer(200, [], text)
         elif request.path == LIFT_PATH and request.method == b"POST":
             known = self.quarantine.lift(
-                _query_fields(request).get(CONTENT_FIELD, "")
+                query_fields.decode(request).get(CONTENT_FIELD, "")
             )
             await connection.answer(200 if known else 404, [], b"")
         else:
             await connection.answer(404, [], b"")
 
-    async def _serve_entry(
-        self,
-        connection: server_connection.ServerConnection,
-        request: messages.Request,
-    ) -> None:
-        if request.path != headers.ENTRY_PATH:
-            await connection.answer(404, [], b"")
-            return
-        _, zone = documents.decode_resolve_query(_query_fields(request))
-        addresses = self.reachable.entries(zone)
-        if not addresses:
-            await connection.answer(503, [], b"")
-            return
-        ttl = min(ENTRY_TTL_S, self._settings.max_entry_ttl_s)
-        await connection.answer(
-            200,
-            [(b"Content-Type", b"application/json")],
-            documents.encode_resolve_response(addresses, ttl),
-        )
-
     def _metrics_text(self) -> bytes:
         # Imported on first use because it takes 2 MB of memory, which matters
         # on a small box.
@@ -750,12 +730,6 @@
         self.pool.expire()
 
 
-def _query_fields(request: messages.Request) -> dict[str, str]:
-    """Returns the fields of a request's query string."""
-    text = request.target.partition(b"?")[2].decode("latin-1")
-    return dict(parse.parse_qsl(text))
-
-
 def _peer_key(settings: box_settings.BoxSettings) -> str:
     """Returns the key that all boxes of one platform share.
 
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -35,8 +35,8 @@
 FAILING_BOX = """
 import asyncio, sys
 from tornado import ioloop
-from martenjunction import gateway
 from martenjunction.cmd import box
+from martenjunction.routing.ports import entry_answers
 
 async def fail_in_task():
     raise ValueError("in a task")
@@ -56,7 +56,7 @@
         raise MemoryError
     await connection.answer(200, [], b"")
 
-gateway.Gateway._serve_entry = serve
+entry_answers.EntryAnswers.serve = serve
 sys.exit(box.main())
 """
 
