Move a box's own records and changes of members out of the gateway

own_records.py says what a box tells of itself to other boxes and to the store; routing/fleet/member_changes.py counts the boxes and connects to the first that become known. The code is moved as it was.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -2,15 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
-import hashlib
 import json
 import random
-import time
 from typing import Any
 
 from martenjunction import events
 from martenjunction import fair_turns
 from martenjunction import metrics
+from martenjunction import own_records
 from martenjunction import timers
 from martenjunction.decisions.boxes import config_freshness
 from martenjunction.decisions.boxes import connection_share
@@ -31,7 +30,6 @@
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.platform import box_settings
-from martenjunction.platform import documents
 from martenjunction.platform import store
 from martenjunction.routing import box_dump
 from martenjunction.routing.access import admission
@@ -42,6 +40,7 @@
 from martenjunction.routing.fleet import box_ends
 from martenjunction.routing.fleet import box_state_sync
 from martenjunction.routing.fleet import fleet_overlay
+from martenjunction.routing.fleet import member_changes
 from martenjunction.routing.limits import answer_admission
 from martenjunction.routing.limits import body_admission
 from martenjunction.routing.limits import brittleness_sync
@@ -98,8 +97,6 @@
 # entry_answers.ENTRY_TTL_S plus a margin.
 LINGER_S = 3.5
 
-KB = 1000
-
 # Seconds after the first start of the whole fleet at which seeds are connected
 # to if no other box is listed: all boxes have the same few seeds.
 SEEDS_AFTER_S = 3.0
@@ -139,21 +136,10 @@
         self.log = decision_log.DecisionLog(self.timers.now)
         self.connection_log = connection_log.ConnectionLog(self.log)
         self.stop_state = stop_state.StopState()
-        self._max_member_count = 1
-        self._dial_scheduled = False
         self._stopped = asyncio.Event()
-        own = membership.Member(
-            settings.box,
-            settings.zone,
-            settings.callers,
-            "",
-            settings.peers,
-            incarnation=time.time_ns(),
-            link_kb=int(settings.link_bytes_s / KB),
-            tunnels=settings.tunnels,
-        )
+        own = own_records.member(settings)
         self.members = membership.Membership(
-            own, self.timers, self._on_members_changed
+            own, self.timers, lambda: self.member_changes.note()
         )
         self.freshness = config_freshness.ConfigFreshness(
             settings.key_lifetime_s, KEY_MARGIN_S, settings.change_s
@@ -175,7 +161,7 @@
         self.paths = endpoint_paths.EndpointPaths()
         self.tunnel_dialer = dialer.TunnelDialer(
             settings.box,
-            _peer_key(settings),
+            own_records.peer_key(settings),
             lambda: self.reachable.tunnel_peers(),
             lambda box: self.reachable.reaches(box),
             tunnel_choice.TunnelPeers(settings.zone, self._rng),
@@ -190,9 +176,13 @@
             self._rng,
         )
         self.registry.observe_paths(self.connector)
-        self.connector.on_cut(self._on_path_cut)
+        self.connector.on_cut(
+            lambda endpoint_id, lost: self.registry.note_path_cut(
+                endpoint_id, lost, self.timers.now()
+            )
+        )
         self.tunnels = tunnel_server.TunnelServer(
-            _peer_key(settings),
+            own_records.peer_key(settings),
             self.endpoint_list,
             self.paths,
             lambda: not self.leaving,
@@ -210,22 +200,14 @@
             settings.retry_ratio,
             settings.retry_allowance,
             settings.retry_window_s,
-            lambda: self._max_member_count,
+            lambda: self.member_changes.max_count,
         )
         self.store = store.StoreClient(settings.store)
         self.follower = follower.StoreFollower(
             self.store,
             self.store_cache,
             self.members,
-            documents.BoxEntry(
-                settings.box,
-                settings.zone,
-                settings.callers,
-                settings.peers,
-                own.incarnation,
-                link_kb=own.link_kb,
-                tunnels=own.tunnels,
-            ),
+            own_records.store_entry(settings, own),
             self.log,
             self._rng,
             settings.link_bytes_s,
@@ -235,7 +217,7 @@
         stamps = peer_stamps.PeerStamps()
         self.peers = hub.PeerHub(
             self.members,
-            _peer_key(settings),
+            own_records.peer_key(settings),
             self.timers,
             self.events,
             self._status,
@@ -246,6 +228,9 @@
             stamps=stamps,
             seeds_after_s=SEEDS_AFTER_S if settings.first_start else 0.0,
         )
+        self.member_changes = member_changes.MemberChanges(
+            self.members, self.peers
+        )
         self.box_states = box_state_sync.BoxStateSync(
             self.overlay,
             self.peers,
@@ -396,13 +381,13 @@
             settings.zone,
             lambda: self.stop_state.leaving_for_s(self.timers.now()),
             settings.stop_s - STOP_MARGIN_S,
-            request_content.ContentKeys(_peer_key(settings)),
+            request_content.ContentKeys(own_records.peer_key(settings)),
             self.quarantine,
             self.liveness,
             self.grants,
             tier_precedence.TierPrecedence(),
             self.duties,
-            origins.StreamKeys(_peer_key(settings)),
+            origins.StreamKeys(own_records.peer_key(settings)),
             self.origins,
             self.answers,
         )
@@ -688,11 +673,6 @@
             return lease.MAX_RANK
         return self.overlay.rank
 
-    def _on_path_cut(self, endpoint_id: str, connections_lost: bool) -> None:
-        self.registry.note_path_cut(
-            endpoint_id, connections_lost, self.timers.now()
-        )
-
     def _status(self) -> Any:
         return self.sync.heartbeat()
 
@@ -700,22 +680,6 @@
         config = self.admitter.config
         return messages.ClientLimits() if config is None else config.limits
 
-    def _on_members_changed(self) -> None:
-        self._max_member_count = max(
-            self._max_member_count, len(self.members.members)
-        )
-        if not self.peers.boxes() and not self._dial_scheduled:
-            # Dial now rather than at the next heartbeat, up to 0.5 s later.
-            # Until then this box would serve without the peers' records of
-            # requests that crash endpoints. All boxes of a list come first, as
-            # their number decides which of them this box connects to.
-            self._dial_scheduled = True
-            asyncio.get_running_loop().call_soon(self._dial)
-
-    def _dial(self) -> None:
-        self._dial_scheduled = False
-        self.peers.dial()
-
     def _watch(self) -> None:
         now = self.timers.now()
         self.store_cache.expire()
@@ -728,13 +692,3 @@
     def _close_idle(self) -> None:
         self.pool.prune(set(self.endpoint_list.entries))
         self.pool.expire()
-
-
-def _peer_key(settings: box_settings.BoxSettings) -> str:
-    """Returns the key that all boxes of one platform share.
-
-    The platform provides no secret for peers, so the key is derived from the
-    store address. It keeps out daemons of other deployments but does not
-    protect against an attacker.
-    """
-    return hashlib.sha256(settings.store.encode()).hexdigest()
