Build a box's parts in a module of their own

gateway.py built all parts and started them. box_parts.py builds and connects them; the gateway is the parts plus their start and end.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -1,77 +1,29 @@
-"""The application of a box on the platform: wires its components."""
+"""The application of a box on the platform: starts and stops its parts."""
 
 import asyncio
 from collections.abc import Callable
 import json
-import random
 from typing import Any
 
-from martenjunction import events
+from martenjunction import box_parts
 from martenjunction import fair_turns
-from martenjunction import metrics
 from martenjunction import own_records
-from martenjunction import timers
-from martenjunction.decisions.boxes import config_freshness
 from martenjunction.decisions.boxes import connection_share
-from martenjunction.decisions.boxes import endpoint_list
-from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.decisions.boxes import load_shedding
-from martenjunction.decisions.boxes import retry_budget
-from martenjunction.decisions.boxes import stop_state
 from martenjunction.decisions.boxes import tier_precedence
-from martenjunction.decisions.boxes import tunnel_choice
-from martenjunction.decisions.duties import lease
-from martenjunction.duties import fleet_duties
-from martenjunction.endpoints import pool
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import messages
 from martenjunction.http1 import server
 from martenjunction.http1 import server_connection
-from martenjunction.peers import hub
-from martenjunction.peers import membership
 from martenjunction.platform import box_settings
-from martenjunction.platform import store
 from martenjunction.routing import box_dump
-from martenjunction.routing.access import admission
 from martenjunction.routing.access import request_content
-from martenjunction.routing.endpoints import endpoint_connector
-from martenjunction.routing.endpoints import endpoint_liveness
-from martenjunction.routing.endpoints import endpoint_registry
-from martenjunction.routing.fleet import box_ends
-from martenjunction.routing.fleet import box_state_sync
-from martenjunction.routing.fleet import fleet_overlay
-from martenjunction.routing.fleet import member_changes
-from martenjunction.routing.limits import answer_admission
-from martenjunction.routing.limits import body_admission
-from martenjunction.routing.limits import brittleness_sync
-from martenjunction.routing.limits import connection_shares
-from martenjunction.routing.limits import endpoint_notices
-from martenjunction.routing.limits import leaving_sync
-from martenjunction.routing.limits import limit_sync
-from martenjunction.routing.limits import memory_guard
-from martenjunction.routing.limits import prober
-from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.log import closing_log
-from martenjunction.routing.log import connection_log
-from martenjunction.routing.log import decision_log
-from martenjunction.routing.log import usage_log
-from martenjunction.routing.messages import peer_stamps
 from martenjunction.routing.ports import entry_answers
 from martenjunction.routing.ports import query_fields
-from martenjunction.routing.ports import readiness
-from martenjunction.routing.quarantine import part_quarantine
-from martenjunction.routing.quarantine import request_quarantine
 from martenjunction.routing.requests import held_requests
 from martenjunction.routing.requests import offers
-from martenjunction.routing.store import follower
-from martenjunction.routing.store import store_cache
 from martenjunction.routing.streams import origins
-from martenjunction.routing.sync import load_exchange
-from martenjunction.routing.sync import outcome_report
-from martenjunction.routing.sync import peer_sync
-from martenjunction.routing.sync import reachable_boxes
-from martenjunction.tunnels import dialer
-from martenjunction.tunnels import server as tunnel_server
 
 # Seconds between checks for silent endpoints, expired entries and requests
 # that should move to another endpoint.
@@ -80,10 +32,6 @@
 # Seconds between checks for idle connections.
 IDLE_CHECK_INTERVAL_S = 0.5
 
-# Safety margin, in seconds, subtracted from the time for which a removed key
-# may still be accepted.
-KEY_MARGIN_S = 0.25
-
 # Seconds before the platform kills a stopping box at which the box ends the
 # requests that are still in flight.
 STOP_MARGIN_S = 0.4
@@ -97,10 +45,6 @@
 # entry_answers.ENTRY_TTL_S plus a margin.
 LINGER_S = 3.5
 
-# Seconds after the first start of the whole fleet at which seeds are connected
-# to if no other box is listed: all boxes have the same few seeds.
-SEEDS_AFTER_S = 3.0
-
 # Limits of the ports for the platform and operators, whose requests have no
 # body.
 SERVICE_LIMITS = messages.ClientLimits(max_body_bytes=16 * 1024)
@@ -113,7 +57,7 @@
 CONTENT_FIELD = "content"
 
 
-class Gateway:
+class Gateway(box_parts.BoxParts):
     """One box's daemon on the platform, as a library object."""
 
     def __init__(
@@ -128,248 +72,8 @@
             resident_bytes: Returns the box's resident memory; that of the
                 process if left out.
         """
-        self._settings = settings
-        self._rng = random.Random()
-        self.timers = timers.Timers()
-        self.events = events.Events()
-        self.metrics = metrics.Metrics()
-        self.log = decision_log.DecisionLog(self.timers.now)
-        self.connection_log = connection_log.ConnectionLog(self.log)
-        self.stop_state = stop_state.StopState()
+        super().__init__(settings, resident_bytes)
         self._stopped = asyncio.Event()
-        own = own_records.member(settings)
-        self.members = membership.Membership(
-            own, self.timers, lambda: self.member_changes.note()
-        )
-        self.freshness = config_freshness.ConfigFreshness(
-            settings.key_lifetime_s, KEY_MARGIN_S, settings.change_s
-        )
-        self.admitter = admission.Admitter(
-            self.freshness, settings.keys_fail_closed, self._rng
-        )
-        self.endpoint_list = endpoint_list.EndpointList()
-        self.registry = endpoint_registry.EndpointRegistry(
-            self.endpoint_list, self.log, self._rng
-        )
-        self.store_cache = store_cache.StoreCache(
-            self.admitter,
-            self.endpoint_list,
-            self.freshness,
-            self.log,
-            self.timers.now,
-        )
-        self.paths = endpoint_paths.EndpointPaths()
-        self.tunnel_dialer = dialer.TunnelDialer(
-            settings.box,
-            own_records.peer_key(settings),
-            lambda: self.reachable.tunnel_peers(),
-            lambda box: self.reachable.reaches(box),
-            tunnel_choice.TunnelPeers(settings.zone, self._rng),
-            self.timers,
-        )
-        self.connector = endpoint_connector.EndpointConnector(
-            self.paths,
-            self.endpoint_list,
-            self.tunnel_dialer,
-            self.timers,
-            self.log,
-            self._rng,
-        )
-        self.registry.observe_paths(self.connector)
-        self.connector.on_cut(
-            lambda endpoint_id, lost: self.registry.note_path_cut(
-                endpoint_id, lost, self.timers.now()
-            )
-        )
-        self.tunnels = tunnel_server.TunnelServer(
-            own_records.peer_key(settings),
-            self.endpoint_list,
-            self.paths,
-            lambda: not self.leaving,
-            settings.max_descriptors,
-            settings.memory_bytes,
-            self.timers,
-        )
-        self.connection_shares = connection_shares.ConnectionShares(
-            self.admitter, self.members
-        )
-        self.pool = pool.EndpointPool(
-            self.connection_shares.share, self.connector
-        )
-        self.budget = retry_budget.RetryBudget(
-            settings.retry_ratio,
-            settings.retry_allowance,
-            settings.retry_window_s,
-            lambda: self.member_changes.max_count,
-        )
-        self.store = store.StoreClient(settings.store)
-        self.follower = follower.StoreFollower(
-            self.store,
-            self.store_cache,
-            self.members,
-            own_records.store_entry(settings, own),
-            self.log,
-            self._rng,
-            settings.link_bytes_s,
-            settings.first_start,
-        )
-        self.overlay = fleet_overlay.FleetOverlay(self.members, self.timers.now)
-        stamps = peer_stamps.PeerStamps()
-        self.peers = hub.PeerHub(
-            self.members,
-            own_records.peer_key(settings),
-            self.timers,
-            self.events,
-            self._status,
-            settings.peers,
-            settings.seeds,
-            silence_timeout_s=peer_sync.LINK_SILENCE_TIMEOUT_S,
-            arrangement=self.overlay,
-            stamps=stamps,
-            seeds_after_s=SEEDS_AFTER_S if settings.first_start else 0.0,
-        )
-        self.member_changes = member_changes.MemberChanges(
-            self.members, self.peers
-        )
-        self.box_states = box_state_sync.BoxStateSync(
-            self.overlay,
-            self.peers,
-            self.members,
-            self.timers,
-            self.log,
-            lambda: self.readiness.state(),
-            self._rng,
-        )
-        self.box_states.on_contradicted(self.follower.check_own_entry)
-        self.sync = peer_sync.PeerSync(
-            self.peers,
-            self.members,
-            self.store_cache,
-            self.freshness,
-            self.registry,
-            self.timers,
-            self.log,
-            lambda: self.readiness.is_ready(),
-            lambda: self.connector.reaches_endpoints,
-            self.follower,
-            self.overlay,
-            stamps,
-        )
-        self.box_ends = box_ends.BoxEnds(
-            self.members,
-            self.overlay,
-            self.sync.last_heard,
-            lambda: self.stop_state.ending,
-            self.timers,
-            self.log,
-        )
-        self.reachable = reachable_boxes.ReachableBoxes(
-            self.members,
-            self.overlay,
-            self.sync,
-            self.box_states,
-            lambda: self.readiness.is_ready(),
-            lambda: self.connector.reaches_endpoints,
-            self._rng,
-        )
-        self.load_exchange = load_exchange.LoadExchange(
-            self.overlay, self.peers, self.registry, self.timers, self._rng
-        )
-        self.outcomes = outcome_report.OutcomeReports(
-            self.peers, self.registry, self.overlay, self.timers
-        )
-        self.usage = usage_log.UsageLog(
-            self.timers, self.peers, lambda: self.store.calls, self.log
-        )
-        self.leaving_endpoints = leaving_sync.LeavingSync(
-            self.endpoint_list, self.peers, self.members, self.log
-        )
-        self.limits = limit_sync.LimitSync(
-            self.registry, self.peers, self.members, self.timers, self.log
-        )
-        self.brittleness = brittleness_sync.BrittlenessSync(
-            self.registry, self.peers, self.members, self.timers, self.log
-        )
-        self.grants = rate_grants.RateGrants(
-            self.registry,
-            self.limits,
-            self.peers,
-            self.members,
-            self.sync.responsive_peers,
-            self.timers,
-        )
-        self.notices = endpoint_notices.EndpointNotices(
-            self.leaving_endpoints,
-            self.limits,
-            self.brittleness,
-            self.registry,
-            self.timers.now,
-            self.log,
-        )
-        self.pool.on_head(self.notices.take)
-        self.liveness = endpoint_liveness.EndpointLiveness(
-            self.registry, self.connector.is_down
-        )
-        self.parts = part_quarantine.PartQuarantine(
-            self.endpoint_list,
-            self.peers,
-            self.members,
-            self.timers,
-            self.events,
-            self.log,
-            self.sync.responsive_peers,
-        )
-        self.quarantine = request_quarantine.RequestQuarantine(
-            self.endpoint_list,
-            self.liveness,
-            self.peers,
-            self.members,
-            self.timers,
-            self.events,
-            self.log,
-            self.sync.responsive_peers,
-            self.parts,
-        )
-        self.origins = origins.StreamOrigins(
-            self.endpoint_list,
-            self.peers,
-            self.members,
-            self.timers,
-            self.log,
-            lambda: self.freshness.age_s(self.timers.now()),
-        )
-        self.prober = prober.Prober(
-            self.registry, self.pool, self.admitter, self.grants, self.timers
-        )
-        self.bodies = body_admission.BodyAdmission(
-            settings.memory_bytes,
-            self.admitter,
-            self.timers,
-            self.metrics,
-            self.log,
-            resident_bytes,
-        )
-        self.answers = answer_admission.AnswerAdmission(
-            self.bodies, self.metrics
-        )
-        self.memory = memory_guard.MemoryGuard(
-            settings.memory_bytes,
-            self.bodies,
-            self.answers,
-            self.pool,
-            self.log,
-        )
-        self.readiness = readiness.Readiness(
-            self.stop_state,
-            self.admitter,
-            self.endpoint_list,
-            self.memory,
-            self.freshness,
-            self.connector,
-            lambda: self._settings,
-            self.timers,
-        )
-        self.duties = self._build_duties()
         self._context = offers.ExchangeContext(
             self.admitter,
             self.registry,
@@ -546,25 +250,6 @@
             "duties": self.duties.dump(),
         }
 
-    def _build_duties(
-        self,
-    ) -> fleet_duties.FleetDuties | fleet_duties.NoDuties:
-        if self._settings.duties is None:
-            return fleet_duties.NoDuties()
-        return fleet_duties.FleetDuties(
-            self._settings.duties,
-            self.members,
-            self.overlay,
-            self._duty_rank,
-            self.peers,
-            self.store,
-            lambda: self.admitter.config,
-            self.registry,
-            self.timers,
-            self.log,
-            self._rng,
-        )
-
     def _server(
         self,
         name: str,
@@ -666,16 +351,6 @@
 
     # Callbacks for the components.
 
-    def _duty_rank(self) -> int:
-        """Returns the order in which this box takes the duties over."""
-        if not self.follower.has_listed:
-            # All boxes of a fleet that has just started would be the first.
-            return lease.MAX_RANK
-        return self.overlay.rank
-
-    def _status(self) -> Any:
-        return self.sync.heartbeat()
-
     def _limits(self) -> messages.ClientLimits:
         config = self.admitter.config
         return messages.ClientLimits() if config is None else config.limits
