Move metrics and the answers to operators out of the gateway

routing/ports/operator_answers.py answers on the port for operators, box_gauges.py names the metrics of a box's parts.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -2,11 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
-import json
 from typing import Any
 
+from martenjunction import box_gauges
 from martenjunction import box_parts
-from martenjunction import fair_turns
 from martenjunction import own_records
 from martenjunction.decisions.boxes import connection_share
 from martenjunction.decisions.boxes import load_shedding
@@ -14,13 +13,12 @@
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import messages
 from martenjunction.http1 import server
-from martenjunction.http1 import server_connection
 from martenjunction.platform import box_settings
 from martenjunction.routing import box_dump
 from martenjunction.routing.access import request_content
 from martenjunction.routing.log import closing_log
 from martenjunction.routing.ports import entry_answers
-from martenjunction.routing.ports import query_fields
+from martenjunction.routing.ports import operator_answers
 from martenjunction.routing.requests import held_requests
 from martenjunction.routing.requests import offers
 from martenjunction.routing.streams import origins
@@ -49,13 +47,6 @@
 # body.
 SERVICE_LIMITS = messages.ClientLimits(max_body_bytes=16 * 1024)
 
-METRICS_PATH = b"/metrics"
-DUMP_PATH = b"/dump"
-LIFT_PATH = b"/lift"
-
-# Query field that identifies the quarantined request to lift.
-CONTENT_FIELD = "content"
-
 
 class Gateway(box_parts.BoxParts):
     """One box's daemon on the platform, as a library object."""
@@ -111,7 +102,12 @@
                 self.reachable, lambda: self._settings
             ).serve,
         )
-        self._operator = self._server("operator", self._serve_operator)
+        self._operator = self._server(
+            "operator",
+            operator_answers.OperatorAnswers(
+                self._metrics_text, self.dump, self.quarantine
+            ).serve,
+        )
 
     @property
     def leaving(self) -> bool:
@@ -273,84 +269,13 @@
             self.connection_log.watch(name, share),
         )
 
-    # Handlers for requests from callers, the platform and operators.
-
-    async def _serve_operator(
-        self,
-        connection: server_connection.ServerConnection,
-        request: messages.Request,
-    ) -> None:
-        if request.path == METRICS_PATH:
-            await connection.answer(200, [], self._metrics_text())
-        elif request.path == DUMP_PATH:
-            text = json.dumps(self.dump(), indent=1).encode()
-            await connection.answer(200, [], text)
-        elif request.path == LIFT_PATH and request.method == b"POST":
-            known = self.quarantine.lift(
-                query_fields.decode(request).get(CONTENT_FIELD, "")
-            )
-            await connection.answer(200 if known else 404, [], b"")
-        else:
-            await connection.answer(404, [], b"")
+    # Callbacks for the components.
 
     def _metrics_text(self) -> bytes:
-        # Imported on first use because it takes 2 MB of memory, which matters
-        # on a small box.
-        from martenjunction import metrics_text
-
-        calls = self.store.calls
-        turns = fair_turns.current_queue()
-        now = self.timers.now()
-        return metrics_text.render(
-            self.metrics,
-            {
-                "held_requests": float(len(self.held)),
-                "endpoint_runs": float(self.registry.running),
-                "endpoint_connections_opened": float(self.pool.total_opened),
-                **{
-                    f"endpoint_connections_{cause.replace('-', '_')}": float(
-                        count
-                    )
-                    for cause, count in self.pool.failed.items()
-                },
-                "tunnels_opened": float(self.tunnel_dialer.opened),
-                "tunnels_failed": float(self.tunnel_dialer.failed),
-                "tunnels_open_for_peers": float(self.tunnels.open),
-                "tunnels_served": float(self.tunnels.served),
-                "endpoints_listed": float(len(self.endpoint_list.entries)),
-                "endpoints_ejected": float(self.registry.ejected_count()),
-                "store_calls": float(sum(calls.values())),
-                "config_version": float(self.store_cache.version),
-                "repeats_refused": float(self.budget.refused),
-                "endpoints_leaving": float(len(self.endpoint_list.leaving)),
-                "endpoints_resting": float(self.registry.backoff_count(now)),
-                "endpoints_limited": float(len(self.registry.limits.limited())),
-                "endpoints_brittle": float(
-                    len(self.registry.brittle.limited())
-                ),
-                "grants_given": float(self.grants.granted),
-                "grants_refused": float(self.grants.refused),
-                "stream_origins": float(self.origins.count),
-                "suspects": float(len(self.quarantine.dump())),
-                "quarantined_refused": float(self.quarantine.refused),
-                "suspected_parts": float(len(self.parts.dump())),
-                "quarantined_parts_refused": float(self.parts.refused),
-                "store_returns": float(self.store_cache.store_returns),
-                "entries_unreadable": float(self.store_cache.unreadable),
-                "loop_delay_s": self.timers.worst_delay,
-                "turn_waits": float(turns.waits),
-                "turn_longest_wait_s": turns.longest_wait_s,
-                "caller_connections": float(self._callers.connections),
-                **self.connection_log.gauges(),
-                **self.bodies.gauges(),
-                **self.answers.gauges(),
-                **self.memory.gauges(),
-                **self.duties.counters(),
-            },
+        return box_gauges.metrics_text(
+            self, len(self.held), self._callers.connections
         )
 
-    # Callbacks for the components.
-
     def _limits(self) -> messages.ClientLimits:
         config = self.admitter.config
         return messages.ClientLimits() if config is None else config.limits
--- a/tests/test_routing_packages.py
+++ b/tests/test_routing_packages.py
@@ -20,7 +20,7 @@
     "store": {"access", "fleet", "log", "messages"},
     "limits": {"access", "endpoints", "fleet", "log", "messages"},
     "quarantine": {"access", "endpoints", "fleet", "log", "messages"},
-    "ports": {"access", "endpoints", "limits", "sync"},
+    "ports": {"access", "endpoints", "limits", "quarantine", "sync"},
     "sync": {"endpoints", "fleet", "log", "messages", "store"},
     "requests": {
         "access",
