Free what was read from a refused connection while the rest is dropped

A refused connection lingers for up to a second, so that its client can read the refusal. Meanwhile the parser, the exception's frames and the reader each kept the last part that was read, up to 64 KB each, in no ledger: 100 clients with endless bodies that begin anew left some 350 sockets open, and a box with a limit of 100 MB took more than the ledger and its own need together.

The exception is left before the answer, the parser is replaced, and no part is kept while the next one is awaited.

--- a/martenjunction/http1/discarding.py
+++ b/martenjunction/http1/discarding.py
@@ -48,10 +48,11 @@
     with contextlib.suppress(TimeoutError, errors.ConnectionLostError):
         async with asyncio.timeout(MAX_DROP_S):
             while dropped < MAX_DROPPED_BYTES:
-                data = await source.read()
-                if not data:
+                # No part is kept while the next one is awaited.
+                size = len(await source.read())
+                if not size:
                     return dropped
-                dropped += len(data)
+                dropped += size
     while time.monotonic() < ends_at and not _has_ended(stream):
         await asyncio.sleep(CHECK_INTERVAL_S)
     return dropped
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -163,13 +163,18 @@
     ) -> close_reports.CloseReason:
         """Serves all requests; returns why the connection is to be closed."""
         while True:
+            refusal = None
             try:
                 request = await connection.read_request()
             except request_errors.RequestSyntaxError as error:
                 logger.info("%s: request rejected: %s", self._name, error)
-                await connection.answer(error.status, [], b"", close=True)
-                await connection.drop_unread(error.reason)
-                return error.reason
+                refusal = error.status, error.reason
+            # The exception keeps its frames, and with them what was read last.
+            if refusal is not None:
+                status, reason = refusal
+                await connection.answer(status, [], b"", close=True)
+                await connection.drop_unread(reason)
+                return reason
             if request is None:
                 return close_reports.CloseReason.CLIENT
             try:
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -252,6 +252,8 @@
         if self.closed:
             return
         report = self._build_report(reason)
+        # The parser holds what was read and not parsed.
+        self._parser = h11.Connection(h11.SERVER)
         dropped = await discarding.drop(self._stream, self._source)
         self._received += dropped
         if self._report is None:
--- a/tests/test_endless_senders_process.py
+++ b/tests/test_endless_senders_process.py
@@ -27,6 +27,7 @@
     (300, 100, "endpoint: chunks of 16 KB, plain"),
     (150, 100, "endpoint: one endless line, stream"),
     (150, 20, "client: body in chunks of 16 KB"),
+    (100, 100, "client: body in chunks of 16 KB"),
     (300, 100, "client: body in chunks of 16 KB"),
 ]
 
