Count a peer's silence from the first unacknowledged write

A living endpoint was cut off after an outage of 2.0 s or more where its connection had been idle before: silence was counted from the last acknowledgement, also while nothing was sent, and the limit of 3.0 s came before the fifth transmission. A host that fell silent is still found in 4 s.

An answer that had been passed to a tunnel whose other end read late was reset when the tunnel's box closed it: the kernel gives up on a closed connection after few transmissions where their interval is limited.

Answers to callers without a key have no share: such callers are unrelated, and one that did not read held up the others (trial of the decisions).

--- a/martenjunction/decisions/boxes/answer_memory.py
+++ b/martenjunction/decisions/boxes/answer_memory.py
@@ -219,6 +219,9 @@
             return True
         whole = HeldAnswer(workspace, True, size).counted
         free = self._budget.capacity - self._budget.held
+        if workspace is None:
+            # Requests without a key come from unrelated callers.
+            return whole <= free
         share = SHARE_FACTOR * free - self._held_by(workspace)
         return whole <= min(free, share)
 
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -299,6 +299,9 @@
         """
         if self.closed or self._head_since is None or self._response_started:
             return False
+        if self._response_count:
+            # The client may still read the response before.
+            return False
         if time.monotonic() - self._head_since < least_s:
             return False
         if self._source.bytes_waiting:
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
-import contextlib
 import socket
 from typing import Any
 from typing import cast
@@ -38,12 +37,6 @@
 # the default time limit of a route, which ends a response that comes too late.
 UNREAD_TIMEOUT_MS = 60_000
 
-# Option that limits the time between transmissions of the same data, and
-# between probes of a closed window (since Linux 6.15), and its value in
-# milliseconds. The time doubles with each, up to minutes otherwise.
-_TCP_RTO_MAX_MS = 44
-MAX_RETRANSMISSION_MS = 1000
-
 
 def set_socket_options(sock: socket.socket) -> None:
     """Sets socket options of a connection to an endpoint or of a tunnel.
@@ -52,10 +45,7 @@
     too, where the kernel has the option for that.
     """
     set_client_options(sock)
-    with contextlib.suppress(OSError):
-        sock.setsockopt(
-            socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, MAX_RETRANSMISSION_MS
-        )
+    watched_streams.limit_retransmission(sock)
 
 
 def set_client_options(sock: socket.socket) -> None:
--- a/martenjunction/http1/watched_streams.py
+++ b/martenjunction/http1/watched_streams.py
@@ -6,15 +6,24 @@
 """
 
 import asyncio
+import contextlib
 import errno
 import socket
 import struct
+import time
 
 from tornado import iostream
 
 # Milliseconds without any acknowledgement after which a peer to which something
-# was sent counts as unreachable.
-SILENCE_MS = 3000
+# was sent counts as unreachable. By then it was sent five times.
+SILENCE_MS = 3800
+
+# Option that limits the time between transmissions of the same data, and
+# between probes of a closed window (since Linux 6.15), and its values in
+# milliseconds. The time doubles with each, up to minutes by default.
+_TCP_RTO_MAX_MS = 44
+MAX_RETRANSMISSION_MS = 1000
+_DEFAULT_RETRANSMISSION_MS = 120_000
 
 # Unanswered transmissions in a row without which it does not, however long ago
 # it was heard of.
@@ -31,6 +40,17 @@
 _INFO = struct.Struct("=2xBB20xI28xI84xI")
 
 
+def limit_retransmission(sock: socket.socket) -> None:
+    """Has the kernel ask a peer behind a closed window once a second.
+
+    Older kernels do not have the option.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, MAX_RETRANSMISSION_MS
+        )
+
+
 class WatchedStream(iostream.IOStream):
     """A stream that closes once its peer is unreachable.
 
@@ -39,6 +59,7 @@
     """
 
     _look: asyncio.TimerHandle | None = None
+    _watched_since = 0.0
 
     @classmethod
     def over(cls, stream: iostream.IOStream) -> "WatchedStream":
@@ -52,13 +73,25 @@
     def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
         """Writes data; see `IOStream.write`."""
         if self._look is None:
+            self._watched_since = time.monotonic()
             self._look_in(FIRST_LOOK_S)
         return super().write(data)
 
     def close_fd(self) -> None:
-        """Closes the socket."""
+        """Closes the socket.
+
+        What the kernel still holds is sent as patiently as by default: with
+        the limit it would be given up while the peer does not read.
+        """
         if self._look is not None:
             self._look.cancel()
+        if self.socket is not None:
+            with contextlib.suppress(OSError):
+                self.socket.setsockopt(
+                    socket.IPPROTO_TCP,
+                    _TCP_RTO_MAX_MS,
+                    _DEFAULT_RETRANSMISSION_MS,
+                )
         super().close_fd()
 
     def _look_in(self, delay_s: float) -> None:
@@ -81,9 +114,11 @@
         retransmissions, probes, unacknowledged, silent_ms, unsent = (
             _INFO.unpack(info)
         )
+        # Before the write nothing was to be acknowledged.
+        watched_ms = (time.monotonic() - self._watched_since) * 1000
         if (
             retransmissions + probes >= MIN_TRANSMISSIONS
-            and silent_ms >= SILENCE_MS
+            and min(silent_ms, watched_ms) >= SILENCE_MS
         ):
             self.close(TimeoutError(errno.ETIMEDOUT, "unacknowledged"))
         elif unacknowledged or unsent or self.writing():
