--- a/martenjunction/decisions/boxes/endpoint_list.py
+++ b/martenjunction/decisions/boxes/endpoint_list.py
@@ -107,47 +107,28 @@
         Returns:
             Ids of endpoints that may no longer receive requests as a result.
         """
-        steps = self.peer_view_steps(
-            changed, ready, revision, now, lapsed, leaving
-        )
-        return list(itertools.chain.from_iterable(steps))
-
-    def peer_view_steps(
-        self,
-        changed: Sequence[tuple[model.Endpoint, revisions.Revision]],
-        ready: Set[str],
-        revision: revisions.Revision,
-        now: float,
-        lapsed: Set[str] = frozenset(),
-        leaving: Set[str] = frozenset(),
-    ) -> Iterator[list[str]]:
-        """Does what `apply_peer_view` does, step by step.
-
-        Yields:
-            Ids of endpoints that may no longer receive requests as a result of
-            a step.
-        """
         if revision < self._revision:
-            return
+            return []
         self._changes += 1
-        reported = (
+        reported = [
             (_as_reported_by_box(e, ready), entry_revision)
             for e, entry_revision in changed
             if e.id not in lapsed
-        )
-        yield from self._take_steps(
+        ]
+        steps = self._take_steps(
             reported,
             (ready | leaving) - lapsed,
             ended_endpoints.Evidence(revision, reported=True),
             now,
         )
+        removed = list(itertools.chain.from_iterable(steps))
         for endpoint, entry_revision in changed:
             if endpoint.id in lapsed and self._in_grace(now):
                 self._add_lapsed(endpoint, entry_revision)
         for endpoint_id in self.lapsed:
             if endpoint_id in ready and endpoint_id not in lapsed:
                 self._end_reported_lapse(self.entries[endpoint_id])
-        yield [i for i in leaving if self.mark_draining(i, revision)]
+        return removed + [i for i in leaving if self.mark_draining(i, revision)]
 
     def begin_era(self, revision: revisions.Revision, now: float) -> None:
         """Handles a restore of the store from an older copy.
--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -93,6 +93,8 @@
         Args:
             unparsed: What was received and is not parsed yet.
         """
+        if not unparsed:
+            return False
         start = 0
         if self._next is _Place.CHUNK_LINE:
             line = _CHUNK_LINE.match(unparsed)
--- a/martenjunction/routing/store/listing_turns.py
+++ b/martenjunction/routing/store/listing_turns.py
@@ -1,15 +1,13 @@
 """Decodes and applies a list of endpoints in turns of the event loop.
 
 Load pattern: a list of ten thousand endpoints and more, which a box reads when
-it starts to read from the store, and when the store has lost its history, or
-gets from a peer when it knows none of them. The list is applied to a draft, so
-that others see either the state before or the one after, and a change that
-arrives meanwhile is not overtaken.
+it starts to read from the store, and when the store has lost its history. The
+list is applied to a draft, so that others see either the state before or the
+one after, and a change that arrives meanwhile is not overtaken.
 """
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 import sys
@@ -31,10 +29,6 @@
 
 Row = unreadable_entries.Row
 
-# Applies a list to a draft, a step at a time; yields ids of endpoints that may
-# no longer receive requests.
-Steps = Callable[[endpoint_list.EndpointList], Iterable[list[str]]]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DecodedList:
@@ -98,7 +92,6 @@
     decoded: DecodedList,
     revision: revisions.Revision,
     now: Callable[[], float],
-    take_steps: Steps,
 ) -> AppliedList | None:
     """Applies a list in turns, unless a newer one was applied.
 
@@ -107,7 +100,6 @@
         decoded: The list.
         revision: The store's revision of the list.
         now: Returns the current time.
-        take_steps: Applies the list to a draft.
 
     Returns:
         What changed; None if the endpoints are known to a newer revision.
@@ -124,7 +116,7 @@
         removed: list[str] = []
         for (name, entry_revision, _), _ in decoded.unreadable:
             removed += draft.apply_unparsable(name, entry_revision)
-        steps = take_steps(draft)
+        steps = draft.listing_steps(decoded.entries, revision, now())
         async for removed_now in fair_turns.in_turns(steps, per_turn):
             removed += removed_now
         if listed.adopt(draft):
--- a/martenjunction/routing/store/store_cache.py
+++ b/martenjunction/routing/store/store_cache.py
@@ -1,7 +1,6 @@
 """A box's local copy of the store's configuration and endpoints."""
 
 from collections.abc import Callable
-from collections.abc import Iterator
 from collections.abc import Sequence
 
 from martenjunction import errors
@@ -149,65 +148,16 @@
         for name, entry_revision, spec in rows:
             self._entries[name] = (entry_revision, spec)
         self._forget_unlisted()
-        self._log_view(view, len(entries), source)
-        self._report_removed(removed, revision, source)
-
-    async def apply_view_in_turns(
-        self, view: peer_messages.View, source: str
-    ) -> None:
-        """Does what `apply_view` does; others have their turns meanwhile.
-
-        Nothing changes if a newer list or view is applied meanwhile.
-        """
-        revision = view.revision
-        if revision < self._listed.revision:
-            return
-        decoded = await listing_turns.decode(view.rows())
-        sets = set(view.ready), set(view.lapsed), set(view.leaving)
-
-        def take_steps(
-            draft: endpoint_list.EndpointList,
-        ) -> Iterator[list[str]]:
-            ready, lapsed, leaving = sets
-            return draft.peer_view_steps(
-                decoded.entries, ready, revision, self._now(), lapsed, leaving
-            )
-
-        applied = await listing_turns.apply(
-            self._listed, decoded, revision, self._now, take_steps
-        )
-        if applied is None:
-            return
-        self._keep_documents(decoded, applied, revision, source)
-        self._log_view(view, len(decoded.entries), source)
-        self._report_removed(applied.removed, revision, source)
-        listing_turns.release_later(decoded, applied)
-
-    def _log_view(
-        self, view: peer_messages.View, changed: int, source: str
-    ) -> None:
         self._log.write(
             "endpoints-told",
-            era=view.revision.era,
-            revision=view.revision.number,
-            changed=changed,
+            era=revision.era,
+            revision=revision.number,
+            changed=len(entries),
             count=len(self._listed.entries),
             lapsed=len(view.lapsed),
             source=source,
         )
-
-    def _keep_documents(
-        self,
-        decoded: listing_turns.DecodedList,
-        applied: listing_turns.AppliedList,
-        revision: revisions.Revision,
-        source: str,
-    ) -> None:
-        """Keeps the documents of a list that was applied in turns."""
-        self._note_era(applied.known, revision, source)
-        self._unreadable.update(decoded.rows.keys(), decoded.unreadable)
-        self._entries.update(decoded.rows)
-        self._forget_unlisted()
+        self._report_removed(removed, revision, source)
 
     def _forget_unlisted(self) -> None:
         """Drops the documents of entries that are no longer listed.
@@ -271,17 +221,14 @@
             return
         decoded = await listing_turns.decode(objects)
         applied = await listing_turns.apply(
-            self._listed,
-            decoded,
-            revision,
-            self._now,
-            lambda draft: draft.listing_steps(
-                decoded.entries, revision, self._now()
-            ),
+            self._listed, decoded, revision, self._now
         )
         if applied is None:
             return
-        self._keep_documents(decoded, applied, revision, source)
+        self._note_era(applied.known, revision, source)
+        self._unreadable.update(decoded.rows.keys(), decoded.unreadable)
+        self._entries.update(decoded.rows)
+        self._forget_unlisted()
         self._log.write(
             "endpoints-listed",
             era=revision.era,
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -1,6 +1,5 @@
 """Exchanges status, configuration and endpoint state with the other boxes."""
 
-import asyncio
 from collections.abc import Callable
 
 from martenjunction import errors
@@ -21,7 +20,6 @@
 from martenjunction.routing.messages import peer_messages
 from martenjunction.routing.messages import peer_stamps
 from martenjunction.routing.store import follower
-from martenjunction.routing.store import listing_turns
 from martenjunction.routing.store import store_cache
 from martenjunction.routing.store import store_reading
 from martenjunction.routing.sync import load_report
@@ -107,7 +105,6 @@
         self._conflicting_version: int | None = None
         self._views = peer_views.PeerViews(peers, clock)
         self._queries = peer_queries.PeerQueries()
-        self._long_views: set[asyncio.Task[None]] = set()
         self._load_report = load_report.LoadReport(
             peers,
             registry,
@@ -474,33 +471,14 @@
         )
 
     def _on_view(self, box: str, view: peer_messages.View) -> None:
-        """Takes a peer's view in: a long one in turns of the event loop.
-
-        Its query counts as under way until then, so that it is not repeated.
-        """
-        if len(view.changed) > listing_turns.ENTRIES_PER_TURN:
-            task = asyncio.get_running_loop().create_task(
-                self._take_long_view(box, view)
-            )
-            self._long_views.add(task)
-            task.add_done_callback(self._long_views.discard)
-            return
-        if view.has_endpoints:
-            self._cache.apply_view(view, box)
-        self._finish_view(view)
-
-    async def _take_long_view(self, box: str, view: peer_messages.View) -> None:
-        if view.has_endpoints:
-            await self._cache.apply_view_in_turns(view, box)
-        self._finish_view(view)
-
-    def _finish_view(self, view: peer_messages.View) -> None:
         asked_at = self._queries.complete_query(view.number)
         same = view.version == self._cache.version
         if asked_at is not None and view.age_ms >= 0 and same:
             self._freshness.confirm(asked_at - view.age_ms * MS)
-        if view.has_endpoints and self._place.is_sparse:
-            self._announce_change()
+        if view.has_endpoints:
+            self._cache.apply_view(view, box)
+            if self._place.is_sparse:
+                self._announce_change()
         entries = self._registry.listed.entries
         self._is_missing_entries = any(
             i not in entries and i not in view.lapsed for i in view.ready
