--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -102,6 +102,12 @@
     assert memory.next_granted() is large
 
 
+def test_callers_without_a_key_do_not_share_a_part_of_the_memory() -> None:
+    memory = made()
+    unread = [answer_memory.HeldAnswer(None) for _ in range(4)]
+    assert all(memory.reserve(answer, 8 * MB) for answer in unread)
+
+
 @pytest.mark.parametrize("stream", [None, "other"])
 def test_large_answer_is_passed_over_a_bounded_number_of_times(
     stream: str | None,
--- a/tests/test_socket_options.py
+++ b/tests/test_socket_options.py
@@ -27,6 +27,10 @@
 # Longest silence, in seconds, of a peer.
 MAX_SILENCE_S = 4.0
 
+# Seconds of an outage that a connection outlasts, and the option that ends it.
+OUTAGE_S = 2.7
+SO_DETACH_FILTER = 27
+
 # Seconds by which the kernel's timers may be late.
 MARGIN_S = 0.3
 
@@ -76,6 +80,24 @@
     connection.abort()
 
 
+# Guards against silence that is counted while nothing was sent.
+@pytest.mark.parametrize("rested_s", [0.0, 1.9])
+async def test_connection_outlasts_an_outage(
+    peer: raw_peers.RawPeer, rested_s: float
+) -> None:
+    connection = client.ClientConnection(peer.address)
+    await connection.open(1.0)
+    other = await peer.accept()
+    await asyncio.sleep(rested_s)
+    test_dark_clients.fall_silent(other)
+    connection.send(b"GET", b"/", [(b"Host", b"a")], b"")
+    await asyncio.sleep(OUTAGE_S)
+    other.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+    await asyncio.sleep(MAX_SILENCE_S + MARGIN_S - OUTAGE_S)
+    assert not connection.readable
+    connection.abort()
+
+
 async def test_accepted_tunnels_give_up(fleet: boxes.Boxes) -> None:
     box = fleet.gateways[0]
     stream = streams.new_stream()
