Set the limit of retransmissions in one place

Reading the change once more: the option was set by the same lines when a connection is opened and before it is closed, and the comment on the least number of transmissions no longer stood beside the time that it belongs to. No change of behaviour; 74 tests of socket options, late readers, tunnels, the gateway and the packages passed, with the linter and the types.

--- a/martenjunction/http1/watched_streams.py
+++ b/martenjunction/http1/watched_streams.py
@@ -18,6 +18,10 @@
 # was sent counts as unreachable. By then it was sent five times.
 SILENCE_MS = 3800
 
+# Unanswered transmissions in a row below which a peer does not count as
+# unreachable, however long ago its last acknowledgement was.
+MIN_TRANSMISSIONS = 3
+
 # Option that limits the time between transmissions of the same data, and
 # between probes of a closed window (since Linux 6.15), and its values in
 # milliseconds. The time doubles with each, up to minutes by default.
@@ -25,10 +29,6 @@
 MAX_RETRANSMISSION_MS = 1000
 _DEFAULT_RETRANSMISSION_MS = 120_000
 
-# Unanswered transmissions in a row without which it does not, however long ago
-# it was heard of.
-MIN_TRANSMISSIONS = 3
-
 # Seconds from a write to the first look for its acknowledgement, and between
 # further looks while something is unacknowledged.
 FIRST_LOOK_S = 1.0
@@ -45,10 +45,12 @@
 
     Older kernels do not have the option.
     """
+    _set_retransmission(sock, MAX_RETRANSMISSION_MS)
+
+
+def _set_retransmission(sock: socket.socket, longest_ms: int) -> None:
     with contextlib.suppress(OSError):
-        sock.setsockopt(
-            socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, MAX_RETRANSMISSION_MS
-        )
+        sock.setsockopt(socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, longest_ms)
 
 
 class WatchedStream(iostream.IOStream):
@@ -86,12 +88,7 @@
         if self._look is not None:
             self._look.cancel()
         if self.socket is not None:
-            with contextlib.suppress(OSError):
-                self.socket.setsockopt(
-                    socket.IPPROTO_TCP,
-                    _TCP_RTO_MAX_MS,
-                    _DEFAULT_RETRANSMISSION_MS,
-                )
+            _set_retransmission(self.socket, _DEFAULT_RETRANSMISSION_MS)
         super().close_fd()
 
     def _look_in(self, delay_s: float) -> None:
