Log whether the origin of a stream was recorded or concluded

A line told only of origins that were not found, so that a stream that was bound by a conclusion looked like one that was bound by a record: the four hypotheses on streams joined from two versions could not be told apart. The line stream-origin has the service, the version and the basis.

--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -71,7 +71,7 @@
             peers: Connections to the other boxes.
             members: The boxes of the fleet.
             clock: The clock and timers.
-            log: Records streams whose origin is not known.
+            log: Records what the origin of a stream was found from.
             list_age_s: Returns the age in seconds of what this box knows of
                 the store, or None.
         """
@@ -134,8 +134,13 @@
         origin = found.origin
         if not found.recorded and self._contradicts(origin, lifetime_s):
             origin = None
-        if origin is None:
-            self._log.write("stream-unknown", stream=str(key), service=service)
+        self._log.write(
+            "stream-unknown" if origin is None else "stream-origin",
+            stream=str(key),
+            service=service if origin is None else origin.service,
+            version=None if origin is None else origin.version,
+            recorded=found.recorded,
+        )
         return origin
 
     def hand_over(self) -> None:
