--- a/martenjunction_lab/fast_senders/processes.py
+++ b/martenjunction_lab/fast_senders/processes.py
@@ -6,12 +6,12 @@
 import json
 import os
 import pathlib
-import random
 import sys
 from typing import Any
 
 from martenjunction import errors
 from martenjunction.platform import box_settings
+from martenjunction_lab import box_processes
 from martenjunction_lab import boxes
 from martenjunction_lab import settings_files
 from martenjunction_lab.fast_senders import forms
@@ -79,17 +79,8 @@
 def own_settings(
     fleet: boxes.Boxes, name: str = "box-1", memory_bytes: int = MEMORY_BYTES
 ) -> box_settings.BoxSettings:
-    """Returns a box's settings with a random loopback address.
-
-    The port of the metrics is the same for all boxes.
-    """
-    parts = (127, *(random.randint(1, 254) for _ in range(3)))
-    return boxes.settings(
-        name,
-        fleet.store.address,
-        ip=".".join(str(part) for part in parts),
-        memory_bytes=memory_bytes,
-    )
+    """Returns the settings of a box that is a process of its own."""
+    return box_processes.settings_of(fleet, name, memory_bytes=memory_bytes)
 
 
 @contextlib.asynccontextmanager
--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -246,6 +246,7 @@
         part = _chunk if self.framed else bytes
         writer.write(_head(200, pairs))
         left = asyncio.ensure_future(reader.read(1))
+        left.add_done_callback(_take_reset)
         break_after = self._breaks_after(request, first)
         for number in range(first, self._events + 1):
             if break_after is not None and number > break_after:
@@ -322,6 +323,12 @@
 _NOT_RUN = {Behaviour.REFUSE: 503, Behaviour.MISDIRECTED: 421}
 
 
+def _take_reset(pending: asyncio.Future[bytes]) -> None:
+    """Takes in that the caller reset the connection, which is no fault."""
+    if not pending.cancelled():
+        pending.exception()
+
+
 async def _end_read(pending: asyncio.Future[bytes]) -> None:
     """Ends a read; a reader refuses the next one while it is under way."""
     pending.cancel()
--- a/martenjunction_lab/trial_fleet.py
+++ b/martenjunction_lab/trial_fleet.py
@@ -77,14 +77,27 @@
         await self.boxes.start(config, count, **changes)
         for service, replicas in made.items():
             for one in replicas:
-                one.queue_s = WORK_S
-                await one.start()
-                self.made.append(one)
-                self.boxes.replicas.append(one)
-                self._services[one.id] = service
-                self.record(one)
+                await self.add(service, one)
         await boxes.until(self._all_listed)
 
+    async def add(
+        self, service: str, one: Made, slots: int | None = None
+    ) -> None:
+        """Starts a replica, which records itself in the store.
+
+        Args:
+            service: Its service.
+            one: The replica.
+            slots: Requests that it works on at once; those of its service if
+                left out.
+        """
+        one.queue_s = WORK_S
+        await one.start()
+        self.made.append(one)
+        self.boxes.replicas.append(one)
+        self._services[one.id] = service
+        self.record(one, slots)
+
     async def stop(self) -> None:
         """Stops everything at once."""
         await self.boxes.stop()
--- a/martenjunction_lab/versioned_streams.py
+++ b/martenjunction_lab/versioned_streams.py
@@ -11,13 +11,11 @@
 import time
 from typing import Any
 
-from martenjunction import errors
 from martenjunction import gateway
-from martenjunction.endpoints import event_stream
-from martenjunction.http1 import client
 from martenjunction_lab import boxes
-from martenjunction_lab import replica
+from martenjunction_lab import stream_clients
 from martenjunction_lab import trial_fleet
+from martenjunction_lab import versioned_engines
 
 OLD = "v1.1"
 NEW = "v1.2"
@@ -25,6 +23,11 @@
 # Seconds that a client gives each of its tries.
 DEADLINE_S = 4.0
 
+# Seconds to the next try after a refusal without a time, and after a broken
+# stream.
+REFUSED_PAUSE_S = 0.05
+BROKEN_PAUSE_S = 0.02
+
 # Seconds from the announcement of an engine that leaves to its end.
 DRAIN_S = 1.0
 
@@ -131,64 +134,9 @@
         return statistics.median(self.first_event_s or [0.0]) * 1000
 
 
-class _ClientStream:
-    """What a client has of one stream.
-
-    Attributes:
-        first_id: Id of the request that brought the first event; empty before.
-        last_event: Number of the last event that came; 0 before the first.
-        versions: Software versions that wrote its events.
-        torn: Whether an event was missing or came twice.
-        complete: Whether the last event and the end came.
-    """
-
-    def __init__(self, total: int) -> None:
-        self.first_id = ""
-        self.last_event = 0
-        self.versions: set[str] = set()
-        self.torn = False
-        self.complete = False
-        self._total = total
-
-    def take(self, request_id: str, event: event_stream.StreamEvent) -> None:
-        """Takes in an event."""
-        number = int(event.id or 0)
-        self.torn |= number != self.last_event + 1
-        self.last_event = number
-        self.first_id = self.first_id or request_id
-        self.versions.add(event.data.split(b"data: ")[1].split()[0].decode())
-
-    def end(self) -> None:
-        """Takes in the end of an answer that came whole."""
-        self.complete = self.last_event >= self._total
-
-
-class VersionedReplica(replica.Replica):
-    """An engine that writes its software version into its events."""
-
-    def __init__(
-        self, endpoint_id: str, fleet: "VersionedFleet", version: str
-    ) -> None:
-        """Makes it; `start` brings it up."""
-        super().__init__(endpoint_id, fleet.trial.events)
-        self._fleet = fleet
-        self.version = version
-        self.event_pause_s = fleet.trial.pause_s
-        self.serves = True
-
-    def _event_text(self, number: int) -> str:
-        return f"{self.version} t{number}"
-
-    def _breaks_after(
-        self, request: replica.Received, first: int
-    ) -> int | None:
-        draw = self._fleet.draw
-        if draw.random() >= self._fleet.trial.breaking:
-            return None
-        return draw.randint(first, self._events)
-
-
-class VersionedFleet(trial_fleet.TrialFleet[VersionedReplica]):
+class VersionedFleet(
+    trial_fleet.TrialFleet[versioned_engines.VersionedReplica]
+):
     """Boxes, engines of two versions, and clients that take streams up."""
 
     def __init__(self, trial: Trial) -> None:
@@ -207,7 +155,14 @@
         trial = self.trial
         versions = [OLD] * trial.old + [NEW] * trial.new
         made = [
-            VersionedReplica(f"i-{number}", self, version)
+            versioned_engines.VersionedReplica(
+                f"i-{number}",
+                version,
+                trial.events,
+                trial.pause_s,
+                trial.breaking,
+                self.draw,
+            )
             for number, version in enumerate(versions, 1)
         ]
         try:
@@ -228,7 +183,9 @@
         for box in ended:
             self.outcome.messages.update(box.peers.traffic().by_kind)
 
-    def _entry_fields(self, one: VersionedReplica) -> dict[str, str]:
+    def _entry_fields(
+        self, one: versioned_engines.VersionedReplica
+    ) -> dict[str, str]:
         return {"version": one.version}
 
     async def _replace_engines(self, until: float) -> None:
@@ -269,7 +226,7 @@
 
     async def _stream(self) -> None:
         """Has a client get one stream, over some tries."""
-        held = _ClientStream(self.trial.events)
+        held = stream_clients.ClientStream(self.trial.events)
         for number in range(self.trial.tries):
             before = held.last_event
             counted = bool(before) and self._has_two(held)
@@ -285,62 +242,33 @@
             if held.complete:
                 break
             await asyncio.sleep(pause_s)
-        self.outcome.mixed += len(held.versions) > 1
+        self.outcome.mixed += held.joined
         self.outcome.torn += held.torn
         self.outcome.whole += held.complete
 
-    def _has_two(self, held: _ClientStream) -> bool:
+    def _has_two(self, held: stream_clients.ClientStream) -> bool:
         """Returns whether two engines of a stream's version serve."""
         serving = [
             m for m in self.made if m.serves and m.version in held.versions
         ]
         return len(serving) >= 2
 
-    async def _try(self, held: _ClientStream) -> float:
+    async def _try(self, held: stream_clients.ClientStream) -> float:
         """Makes one try; returns seconds to wait before the next."""
         self._numbers += 1
         request_id = f"r{self._numbers}"
-        pairs = self._headers(request_id, held)
         address = self.draw.choice(self.boxes.gateways).members.own.callers
-        connection = client.ClientConnection(address)
+        is_new = not held.last_event
         began_at = time.monotonic()
-        try:
-            async with asyncio.timeout(DEADLINE_S):
-                await connection.open(1.0)
-                connection.send(b"POST", self.trial.path.encode(), pairs, b"{}")
-                head = await connection.read_head()
-                if head.status != 200:
-                    code = (await connection.read_body()).decode("latin-1")
-                    self.outcome.refused[code] += 1
-                    return float(head.get(b"retry-after") or 0.05)
-                splitter = event_stream.EventSplitter()
-                while part := await connection.read_body():
-                    for event in splitter.feed(part):
-                        if not held.last_event:
-                            taken_s = time.monotonic() - began_at
-                            self.outcome.first_event_s.append(taken_s)
-                        held.take(request_id, event)
-                held.end()
-        except (errors.TransportError, TimeoutError):
-            return 0.02
-        finally:
-            connection.abort()
-        return 0.02
-
-    def _headers(
-        self, request_id: str, held: _ClientStream
-    ) -> list[tuple[bytes, bytes]]:
-        fields = {
-            "Host": "api.example",
-            "Martenjunction-Attempt-Id": request_id,
-            "Martenjunction-Deadline-Ms": str(int(DEADLINE_S * 1000)),
-            "Authorization": "Bearer key-of-one",
-            "Martenjunction-Token-Counts": "500,80",
-            "Martenjunction-Prefix-Hash": PROMPT,
-            "Content-Length": "2",
-        }
-        if held.last_event:
-            fields["Last-Event-Id"] = str(held.last_event)
-            if not self.trial.hidden:
-                fields["Resumes"] = held.first_id
-        return [(n.encode(), v.encode()) for n, v in fields.items()]
+        fields = stream_clients.headers(
+            request_id, held, DEADLINE_S, PROMPT, self.trial.hidden
+        )
+        answer = await stream_clients.attempt(
+            address, self.trial.path, fields, held, DEADLINE_S
+        )
+        if is_new and held.first_event_at is not None:
+            self.outcome.first_event_s.append(held.first_event_at - began_at)
+        if answer.is_refusal:
+            self.outcome.refused[answer.refusal] += 1
+            return answer.retry_after_s or REFUSED_PAUSE_S
+        return BROKEN_PAUSE_S
