Show that streams are joined from versions after records are gone

Without a record a box concludes that the one version listed for as long as the route's timeout began the stream. A stream lives as long as its client wants it, over several attempts, and the timeout may have been longer, or the service another one.

--- /dev/null
+++ b/martenjunction_lab/stream_losses/__init__.py
@@ -0,0 +1,1 @@
+"""Clients take up streams after boxes lost what they knew of them."""
--- /dev/null
+++ b/martenjunction_lab/stream_losses/trials.py
@@ -0,0 +1,107 @@
+"""What is played while boxes lose what they know of streams."""
+
+import dataclasses
+import enum
+
+
+class Versions(enum.StrEnum):
+    """How the software versions of the engines follow each other."""
+
+    ONE = "one"
+    SIDE_BY_SIDE = "two side by side"
+    REPLACED = "the old one leaves at each loss"
+
+
+@dataclasses.dataclass(frozen=True)
+class Trial:
+    """A trial with some losses, one after the other.
+
+    At a loss, in this order and where the trial has it: the engines of the old
+    version lose their entries and serve on for a while, the operator changes
+    the configuration, and the boxes are killed.
+
+    Attributes:
+        boxes: How many boxes there are.
+        killed: How many of them are killed at once at a loss.
+        away_s: Shortest and longest time in seconds until a killed box starts
+            again.
+        others_away_s: Further seconds for all killed boxes but one.
+        versions: How versions follow each other.
+        engines: Engines of each version.
+        linger_s: Seconds for which engines without an entry serve on.
+        timeout_s: The route's timeout, in seconds.
+        later_timeout_s: The route's timeout from the first loss on, in seconds;
+            0 if it is not changed.
+        is_moved: Whether the route leads to another service from the first loss
+            on, which has one version of its own.
+        deadline_s: Seconds for which a client wants its stream, over all of its
+            attempts.
+        events: Events of a stream.
+        pause_s: Seconds between two events.
+        breaking: Part of the runs that break off inside an event.
+        per_s: Streams that begin a second.
+        losses: How many losses there are.
+        loss_each_s: Seconds between two losses, and before the first.
+        seconds: For how long streams are begun.
+        seed: Decides the rest.
+    """
+
+    boxes: int = 4
+    killed: int = 4
+    away_s: tuple[float, float] = (0.2, 0.7)
+    others_away_s: float = 0.0
+    versions: Versions = Versions.REPLACED
+    engines: int = 4
+    linger_s: float = 2.0
+    timeout_s: float = 3.0
+    later_timeout_s: float = 0.0
+    is_moved: bool = False
+    deadline_s: float = 3.0
+    events: int = 40
+    pause_s: float = 0.05
+    breaking: float = 0.0
+    per_s: float = 25.0
+    losses: int = 3
+    loss_each_s: float = 6.0
+    seconds: float = 24.0
+    seed: int = 1
+
+
+TRIALS = {
+    "side-by-side": Trial(versions=Versions.SIDE_BY_SIDE),
+    "old-leaves": Trial(),
+    "longer-deadline": Trial(timeout_s=2.0, deadline_s=10.0),
+    "longer-deadline-no-kill": Trial(killed=0, timeout_s=2.0, deadline_s=10.0),
+    "longer-deadline-side-by-side": Trial(
+        versions=Versions.SIDE_BY_SIDE, timeout_s=2.0, deadline_s=10.0
+    ),
+    "shorter-timeout": Trial(
+        timeout_s=8.0, later_timeout_s=1.5, deadline_s=8.0
+    ),
+    "shorter-timeout-no-kill": Trial(
+        killed=0, timeout_s=8.0, later_timeout_s=1.5, deadline_s=8.0
+    ),
+    "moved": Trial(
+        versions=Versions.ONE,
+        is_moved=True,
+        timeout_s=2.0,
+        deadline_s=10.0,
+    ),
+    "moved-no-kill": Trial(
+        killed=0,
+        versions=Versions.ONE,
+        is_moved=True,
+        timeout_s=2.0,
+        deadline_s=10.0,
+    ),
+    "all-but-one": Trial(killed=3, versions=Versions.SIDE_BY_SIDE),
+    "one-back-earlier": Trial(
+        others_away_s=2.0, timeout_s=2.0, deadline_s=10.0
+    ),
+    "two-losses": Trial(
+        timeout_s=2.0,
+        deadline_s=10.0,
+        loss_each_s=2.5,
+        losses=6,
+    ),
+}
