Conclude a stream's origin only where it can have begun nowhere else

Callers got whole answers that were joined from two software versions. Where no record of a stream was found, a box concluded that it began at the only version that the service had for as long as the route's timeout. That bounds one request and is read from the configuration of now; a stream lives as long as its client takes it up. Versions were forgotten after 120 s, a box that knew of two versions did not count against one that concluded, and the service was taken from the route of now.

Each version seen within an hour counts, at each service to which the path was routed within it. A box concludes if it watched for that long without a gap, or since the first start of the fleet; one that knows of another origin outvotes all conclusions. This works as it needs no bound on what clients do.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -287,8 +287,11 @@
             self.members,
             self.timers,
             self.log,
+            self.metrics,
             lambda: self.freshness.age_s(self.timers.now()),
+            first_start=settings.first_start,
         )
+        self.admitter.on_activation(self.origins.apply_config)
         self.prober = prober.Prober(
             self.registry, self.pool, self.admitter, self.grants, self.timers
         )
--- /dev/null
+++ b/martenjunction/decisions/boxes/served_routes.py
@@ -0,0 +1,164 @@
+"""Services to which the streams of a path were routed lately.
+
+Load pattern: operators move and split routes while streams run, so that the
+service to which a path leads now need not be the one that began its streams.
+"""
+
+import dataclasses
+import math
+
+from martenjunction import model
+from martenjunction.decisions.boxes import served_versions
+
+
+@dataclasses.dataclass(slots=True)
+class _RouteHistory:
+    """The services of one host and prefix.
+
+    Attributes:
+        since: Time since which the route exists without a break.
+        left_at: Time at which it was removed, or None.
+        services: Time at which each service was removed from the route, or
+            None if it is there.
+    """
+
+    since: float
+    left_at: float | None = None
+    services: dict[str, float | None] = dataclasses.field(default_factory=dict)
+
+
+class ServedRoutes:
+    """The routes of streams, with those that were changed lately."""
+
+    def __init__(
+        self,
+        lifetime_s: float = served_versions.STREAM_LIFETIME_S,
+        *,
+        first_start: bool = False,
+    ) -> None:
+        """Initializes the routes before the first configuration.
+
+        Args:
+            lifetime_s: Seconds for which a stream may be taken up.
+            first_start: Whether no stream began before the first configuration.
+        """
+        self._lifetime_s = lifetime_s
+        self._first_start = first_start
+        self._watched_since: float | None = None
+        self._version = 0
+        self._hosts: dict[str, dict[str, _RouteHistory]] = {}
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration that was applied last; 0 for none."""
+        return self._version
+
+    def apply(self, config: model.RoutingConfig, now: float) -> None:
+        """Records the routes of a configuration that comes into force."""
+        since = now
+        if self._watched_since is None:
+            since = -math.inf if self._first_start else now
+            self._watched_since = since
+        self._version = config.version
+        current = {
+            (route.host, route.prefix): {t.service for t in route.targets}
+            for route in config.routes
+            if route.kind is model.RouteKind.STREAM
+        }
+        for (host, prefix), services in current.items():
+            prefixes = self._hosts.setdefault(host, {})
+            known = prefixes.setdefault(prefix, _RouteHistory(since))
+            if known.left_at is not None:
+                known.since, known.left_at = now, None
+            known.services.update(dict.fromkeys(services))
+        self._mark_removed(current, now)
+
+    def restore(self, version: int) -> bool:
+        """Takes the routes of a configuration as unchanged before its arrival.
+
+        Args:
+            version: Version of the configuration under which no route had
+                been changed for the lifetime of a stream.
+
+        Returns:
+            Whether that configuration is in force and the only one so far.
+        """
+        histories = [h for p in self._hosts.values() for h in p.values()]
+        first = self._watched_since
+        if version != self._version or first is None:
+            return False
+        if any(h.since != first or h.left_at is not None for h in histories):
+            return False
+        self._watched_since = -math.inf
+        for history in histories:
+            history.since = -math.inf
+        return True
+
+    def services(
+        self, host: str, path: str, now: float
+    ) -> tuple[frozenset[str], bool]:
+        """Returns the services that may have begun streams of a path.
+
+        Args:
+            host: The host, as `model.host_name` returns it.
+            path: The path.
+            now: The current time.
+
+        Returns:
+            The known services, and whether there can be no others.
+        """
+        if self._watched_since is None:
+            return frozenset(), False
+        prefixes = self._hosts.get(host, {})
+        matching = [p for p in prefixes if path.startswith(p)]
+        found: set[str] = set()
+        for prefix in sorted(matching, key=len, reverse=True):
+            history = prefixes[prefix]
+            found.update(
+                service
+                for service, left_at in history.services.items()
+                if self._is_recent(left_at, now)
+            )
+            if history.left_at is None and (
+                now - history.since >= self._lifetime_s
+            ):
+                # It had precedence over the shorter ones all the time.
+                return frozenset(found), True
+        return frozenset(found), now - self._watched_since >= self._lifetime_s
+
+    def is_settled(self, now: float) -> bool:
+        """Returns whether no route was changed for the life of a stream."""
+        if self._watched_since is None:
+            return False
+        return all(
+            history.left_at is None
+            and now - history.since >= self._lifetime_s
+            and not any(
+                left_at is not None and self._is_recent(left_at, now)
+                for left_at in history.services.values()
+            )
+            for prefixes in self._hosts.values()
+            for history in prefixes.values()
+            if self._is_recent(history.left_at, now)
+        )
+
+    def _is_recent(self, left_at: float | None, now: float) -> bool:
+        return left_at is None or now - left_at <= self._lifetime_s
+
+    def _mark_removed(
+        self, current: dict[tuple[str, str], set[str]], now: float
+    ) -> None:
+        for host, prefixes in list(self._hosts.items()):
+            for prefix, history in list(prefixes.items()):
+                services = current.get((host, prefix), set())
+                if (host, prefix) not in current and history.left_at is None:
+                    history.left_at = now
+                for service, left_at in list(history.services.items()):
+                    if service not in services and left_at is None:
+                        history.services[service] = now
+                    elif not self._is_recent(left_at, now):
+                        del history.services[service]
+                if not self._is_recent(history.left_at, now):
+                    del prefixes[prefix]
+            if not prefixes:
+                del self._hosts[host]
--- a/martenjunction/decisions/boxes/served_versions.py
+++ b/martenjunction/decisions/boxes/served_versions.py
@@ -1,15 +1,19 @@
 """Software versions of which each service had endpoints lately.
 
 Load pattern: most of the time one version serves alone, so that a stream of
-which nothing is known can only have begun there.
+which nothing is recorded can only have begun there.
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+import math
 
 from martenjunction import model
 
-# Seconds for which a version that has left is remembered.
-HISTORY_S = 120.0
+# Seconds for which a version that has left may have streams that clients take
+# up. Only a client decides when it gives its stream up, after any number of
+# requests, so that no time limit of a request bounds this.
+STREAM_LIFETIME_S = 3600.0
 
 # Maximum time in seconds between two looks at the list. After a longer gap,
 # versions may have come and gone unseen.
@@ -17,12 +21,25 @@
 
 
 class ServedVersions:
-    """The versions that were listed, and since when this box watches."""
+    """The versions that may have begun streams, and what is known of others."""
 
-    def __init__(self) -> None:
-        self._watched_since: float | None = None
-        self._last_look_at = 0.0
-        self._last_listed_at: dict[str, dict[str, float]] = {}
+    def __init__(
+        self,
+        lifetime_s: float = STREAM_LIFETIME_S,
+        *,
+        first_start: bool = False,
+    ) -> None:
+        """Initializes the versions before the first look.
+
+        Args:
+            lifetime_s: Seconds for which a version that has left is kept.
+            first_start: Whether no stream began before the first look.
+        """
+        self._lifetime_s = lifetime_s
+        self._watched_since = -math.inf if first_start else math.inf
+        self._last_look_at: float | None = None
+        self._settled: set[str] = set()
+        self._last_seen_at: dict[str, dict[str, float]] = {}
 
     def look(self, endpoints: Iterable[model.Endpoint], now: float) -> None:
         """Records the endpoints that are listed now.
@@ -31,49 +48,57 @@
             endpoints: All listed endpoints.
             now: The current time.
         """
-        if self._watched_since is None or now - self._last_look_at > MAX_GAP_S:
+        last_look_at, self._last_look_at = self._last_look_at, now
+        if last_look_at is None:
+            self._watched_since = min(self._watched_since, now)
+        elif now - last_look_at > MAX_GAP_S:
             self._watched_since = now
-        self._last_look_at = now
+            self._settled.clear()
         for endpoint in endpoints:
-            versions = self._last_listed_at.setdefault(endpoint.service, {})
-            versions[endpoint.version] = now
-        for versions in self._last_listed_at.values():
-            for version, listed_at in list(versions.items()):
-                if now - listed_at > HISTORY_S:
+            self.note(endpoint.service, endpoint.version, now)
+        for service, versions in list(self._last_seen_at.items()):
+            for version, seen_at in list(versions.items()):
+                if now - seen_at > self._lifetime_s:
                     del versions[version]
+            if not versions:
+                del self._last_seen_at[service]
+
+    def note(self, service: str, version: str, now: float) -> None:
+        """Records that a version of a service may begin streams now."""
+        self._last_seen_at.setdefault(service, {})[version] = now
 
-    def versions(self, service: str, for_s: float, now: float) -> set[str]:
-        """Returns the versions of a service that were listed lately.
+    def restore(self, settled: Mapping[str, str], now: float) -> None:
+        """Takes over which services had a single version before the first look.
 
         Args:
-            service: The service.
-            for_s: Seconds back from now; at most `HISTORY_S`.
+            settled: The version by service.
             now: The current time.
         """
-        listed = self._last_listed_at.get(service, {})
-        return {
-            v for v, listed_at in listed.items() if now - listed_at <= for_s
-        }
+        for service, version in settled.items():
+            self.note(service, version, now)
+            self._settled.add(service)
 
-    def only_version(
-        self, service: str, for_s: float, now: float
-    ) -> str | None:
-        """Returns the one version that a service had lately, if it is certain.
+    def versions(self, service: str, now: float) -> frozenset[str]:
+        """Returns the known versions that may have streams of a service."""
+        seen = self._last_seen_at.get(service, {})
+        return frozenset(
+            v for v, at in seen.items() if now - at <= self._lifetime_s
+        )
 
-        Args:
-            service: The service.
-            for_s: Seconds back from now for which it must have been the only
-                one; at most `HISTORY_S`.
-            now: The current time.
+    def is_complete(self, service: str, now: float) -> bool:
+        """Returns whether no version besides the known ones has streams."""
+        last_look_at = self._last_look_at
+        if last_look_at is None or now - last_look_at > MAX_GAP_S:
+            return False
+        if service in self._settled:
+            return True
+        return now - self._watched_since >= self._lifetime_s
 
-        Returns:
-            The version; None if there were several or none, or if this box has
-            not watched the list for that long.
-        """
-        since = self._watched_since
-        if since is None or now - since < for_s:
-            return None
-        if now - self._last_look_at > MAX_GAP_S:
-            return None
-        versions = self.versions(service, for_s, now)
-        return versions.pop() if len(versions) == 1 else None
+    def settled(self, now: float) -> dict[str, str]:
+        """Returns the services of which a single version may have streams."""
+        found: dict[str, str] = {}
+        for service in self._last_seen_at:
+            versions = self.versions(service, now)
+            if len(versions) == 1 and self.is_complete(service, now):
+                found[service] = next(iter(versions))
+        return found
--- /dev/null
+++ b/martenjunction/decisions/boxes/stream_conclusions.py
@@ -0,0 +1,108 @@
+"""Concludes where a stream of which nothing is recorded began.
+
+Load pattern: boxes end with their records, while a client whose stream broke
+off takes it up at a box that never saw it. Mostly one version of one service
+could have begun it.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+from martenjunction import model
+from martenjunction.decisions.boxes import served_routes
+from martenjunction.decisions.boxes import served_versions
+from martenjunction.decisions.boxes import stream_table
+
+Basis = stream_table.Basis
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settled:
+    """What makes conclusions possible after the loss of all boxes.
+
+    Attributes:
+        config_version: The configuration, of which no route was changed lately.
+        versions: Services of which a single version may have streams.
+    """
+
+    config_version: int
+    versions: Mapping[str, str]
+
+
+class StreamConclusions:
+    """The origins that streams may have, by their host and path."""
+
+    def __init__(self, *, first_start: bool = False) -> None:
+        """Initializes the origins.
+
+        Args:
+            first_start: Whether no stream began before this box started.
+        """
+        self._versions = served_versions.ServedVersions(first_start=first_start)
+        self._routes = served_routes.ServedRoutes(first_start=first_start)
+
+    def apply_config(self, config: model.RoutingConfig, now: float) -> None:
+        """Takes in a configuration that comes into force."""
+        self._routes.apply(config, now)
+
+    def look(self, endpoints: Iterable[model.Endpoint], now: float) -> None:
+        """Takes in the endpoints that are listed now."""
+        self._versions.look(endpoints, now)
+
+    def note(self, origin: stream_table.StreamOrigin, now: float) -> None:
+        """Takes in that a stream began."""
+        self._versions.note(origin.service, origin.version, now)
+
+    def conclude(
+        self, host: str, path: str, now: float
+    ) -> stream_table.Finding:
+        """Returns where streams of a path can have begun.
+
+        Args:
+            host: The host, as `model.host_name` returns it.
+            path: The path.
+            now: The current time.
+        """
+        services, is_complete = self._routes.services(host, path, now)
+        possible = {
+            stream_table.StreamOrigin(service, version)
+            for service in services
+            for version in self._versions.versions(service, now)
+        }
+        if len(possible) > 1:
+            return stream_table.AMBIGUOUS
+        if not possible:
+            return stream_table.UNKNOWN
+        is_complete = is_complete and all(
+            self._versions.is_complete(service, now) for service in services
+        )
+        basis = Basis.SINGLE if is_complete else Basis.SEEN
+        return stream_table.Finding(possible.pop(), basis)
+
+    def settled(self, now: float) -> Settled:
+        """Returns what a box may conclude that starts after the loss of all."""
+        if not self._routes.is_settled(now):
+            return Settled(self._routes.version, {})
+        return Settled(self._routes.version, self._versions.settled(now))
+
+    def restore(self, settled: Settled, now: float) -> bool:
+        """Takes over what was settled before this box started.
+
+        Args:
+            settled: What was settled as all boxes ended.
+            now: The current time.
+
+        Returns:
+            Whether it still holds: the configuration is the same, and no other
+            version of its services is known.
+        """
+        holds = {
+            service: version
+            for service, version in settled.versions.items()
+            if self._versions.versions(service, now) <= {version}
+        }
+        if not holds or not self._routes.restore(settled.config_version):
+            return False
+        self._versions.restore(holds, now)
+        return True
--- a/martenjunction/decisions/boxes/stream_table.py
+++ b/martenjunction/decisions/boxes/stream_table.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+import enum
 
 # Maximum number of remembered streams. Beyond it, the oldest of the caller with
 # the most streams is forgotten.
@@ -45,36 +46,60 @@
     version: str
 
 
+class Basis(enum.StrEnum):
+    """What a finding rests on."""
+
+    RECORD = "record"
+    SINGLE = "single"
+    SEEN = "seen"
+    SEVERAL = "several"
+    NOTHING = "nothing"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
     """Where a stream began, as far as one or more boxes know.
 
     Attributes:
         origin: The origin, or None if it is not known.
-        recorded: Whether it was recorded; otherwise it follows from the service
-            having had a single version for as long as the stream may last.
+        basis: What that rests on. `RECORD`: it was recorded; without an origin,
+            several were. `SINGLE`: it could begin nowhere else. `SEEN`: it
+            could begin there, and maybe elsewhere, where this box did not
+            watch. `SEVERAL`: it could begin at several origins.
     """
 
     origin: StreamOrigin | None
-    recorded: bool = False
+    basis: Basis = Basis.NOTHING
+
+    @property
+    def recorded(self) -> bool:
+        """Whether the origin was recorded."""
+        return self.basis is Basis.RECORD
 
 
 UNKNOWN = Finding(None)
+AMBIGUOUS = Finding(None, Basis.SEVERAL)
 
 
 def combine(findings: Iterable[Finding]) -> Finding:
     """Returns what follows from the findings of several boxes.
 
-    Records go before conclusions. Findings that contradict each other tell
-    nothing.
+    Records go before conclusions, and records that contradict each other tell
+    nothing. A conclusion holds only if no box knows of another origin.
     """
     found = list(findings)
     recorded = {f.origin for f in found if f.recorded}
     if recorded:
         only = recorded.pop() if len(recorded) == 1 else None
-        return Finding(only, recorded=True)
-    concluded = {f.origin for f in found if f.origin is not None}
-    return Finding(concluded.pop()) if len(concluded) == 1 else UNKNOWN
+        return Finding(only, Basis.RECORD)
+    possible = {f.origin for f in found if f.origin is not None}
+    bases = {f.basis for f in found}
+    if len(possible) > 1 or Basis.SEVERAL in bases:
+        return AMBIGUOUS
+    if not possible:
+        return UNKNOWN
+    is_certain = Basis.SINGLE in bases
+    return Finding(possible.pop(), Basis.SINGLE if is_certain else Basis.SEEN)
 
 
 @dataclasses.dataclass(slots=True)
--- a/martenjunction/model.py
+++ b/martenjunction/model.py
@@ -141,6 +141,11 @@
     tier: int | None = None
 
 
+def host_name(host: str) -> str:
+    """Returns a host in lower case and without its port."""
+    return host.lower().rpartition(":")[0] if ":" in host else host.lower()
+
+
 @dataclasses.dataclass(frozen=True)
 class RoutingConfig:
     """One version of the whole configuration; versions only increase.
@@ -191,8 +196,7 @@
             host: The host, in any case, with or without a port.
             path: The path without the query string.
         """
-        name = host.lower().rpartition(":")[0] if ":" in host else host.lower()
-        for route in self._by_host.get(name, ()):
+        for route in self._by_host.get(host_name(host), ()):
             if path.startswith(route.prefix):
                 return route
         return None
--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -13,7 +13,7 @@
 T = TypeVar("T")
 
 # Version of the protocol. Daemons with different versions do not connect.
-PROTOCOL = 13
+PROTOCOL = 14
 
 # Maximum size of a received message in bytes.
 MAX_MESSAGE = 4 * 1024 * 1024
--- a/martenjunction/routing/access/admission.py
+++ b/martenjunction/routing/access/admission.py
@@ -1,5 +1,6 @@
 """Admits requests: selects the route and checks the key."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 
@@ -73,17 +74,26 @@
         self._fail_closed = fail_closed
         self._rng = rng
         self._config: model.RoutingConfig | None = None
+        self._listeners: list[Callable[[model.RoutingConfig], None]] = []
 
     @property
     def config(self) -> model.RoutingConfig | None:
         """The active configuration, or None."""
         return self._config
 
+    def on_activation(
+        self, listener: Callable[[model.RoutingConfig], None]
+    ) -> None:
+        """Calls a listener with each configuration that comes into force."""
+        self._listeners.append(listener)
+
     def activate(self, config: model.RoutingConfig) -> bool:
         """Activates a configuration if it is newer; returns whether it was."""
         if self._config is not None and config.version <= self._config.version:
             return False
         self._config = config
+        for listener in self._listeners:
+            listener(config)
         return True
 
     def admit(
--- a/martenjunction/routing/requests/stream_binding.py
+++ b/martenjunction/routing/requests/stream_binding.py
@@ -47,7 +47,7 @@
     if admitted.route.kind is not model.RouteKind.STREAM or not takes_up:
         return StreamBinding(admitted)
     origin = await context.origins.find(
-        state.stream_key, admitted.service.name, admitted.route.timeout_s
+        state.stream_key, admitted.host, admitted.path
     )
     if origin is not None:
         bound = context.admitter.at_service(admitted, origin.service)
--- a/martenjunction/routing/streams/messages.py
+++ b/martenjunction/routing/streams/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from martenjunction.decisions.boxes import stream_table
 from martenjunction.peers import codec
 
 
@@ -35,9 +36,8 @@
         number: Correlates the answer with this message; unique for `box`.
         caller: Digest of the caller.
         stream: Digest of the id of the request that began it.
-        service: The service to which it is routed now.
-        lifetime_ms: Milliseconds for which a stream of its route may be taken
-            up.
+        host: The host of its requests.
+        path: The path of its requests.
         hops: Number of boxes that forwarded this message.
     """
 
@@ -45,8 +45,8 @@
     number: int
     caller: bytes
     stream: bytes
-    service: str
-    lifetime_ms: int
+    host: str
+    path: str
     hops: int
 
 
@@ -58,16 +58,15 @@
     Attributes:
         box: The box that wants to know.
         number: The number of the `AskStreamOrigin` message.
-        found: Whether the origin is known.
-        recorded: Whether it was recorded; otherwise it follows from there
-            having been a single version.
-        service: The service, if the origin is known.
-        version: The software version, if the origin is known.
+        basis: What the finding rests on.
+        found: Whether there is an origin.
+        service: The service, if there is an origin.
+        version: The software version, if there is an origin.
     """
 
     box: str
     number: int
+    basis: stream_table.Basis
     found: bool
-    recorded: bool
     service: str
     version: str
--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -6,10 +6,12 @@
 
 import xxhash
 
+from martenjunction import metrics
+from martenjunction import model
 from martenjunction import timers
 from martenjunction.decisions import rendezvous
 from martenjunction.decisions.boxes import endpoint_list
-from martenjunction.decisions.boxes import served_versions
+from martenjunction.decisions.boxes import stream_conclusions
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.peers import hub
 from martenjunction.peers import membership
@@ -29,9 +31,11 @@
 # a service has a single version.
 MAX_LIST_AGE_S = 2.6
 
-# Maximum length of a service or version name accepted from a peer, and maximum
-# lifetime of a record.
+# Maximum length of a service or version name accepted from a peer, maximum
+# length of a path of which anything is concluded, and maximum lifetime of a
+# record.
 MAX_NAME = 256
+MAX_PATH = 2048
 MAX_LIFETIME_MS = 600_000
 
 # Size of the digest of a request id, in bytes.
@@ -40,6 +44,8 @@
 
 MS = 0.001
 
+Basis = stream_table.Basis
+
 
 class StreamOrigins:
     """Knows at which software version streams began.
@@ -62,7 +68,10 @@
         members: membership.Membership,
         clock: timers.Timers,
         log: decision_log.DecisionLog,
+        counters: metrics.Metrics,
         list_age_s: Callable[[], float | None],
+        *,
+        first_start: bool = False,
     ) -> None:
         """Initializes the records; `start` subscribes to peer messages.
 
@@ -72,17 +81,22 @@
             members: The boxes of the fleet.
             clock: The clock and timers.
             log: Records what the origin of a stream was found from.
+            counters: Counts it.
             list_age_s: Returns the age in seconds of what this box knows of
                 the store, or None.
+            first_start: Whether the whole fleet starts for the first time.
         """
         self._listed = listed
         self._peers = peers
         self._members = members
         self._timers = clock
         self._log = log
+        self._metrics = counters
         self._list_age_s = list_age_s
         self._table = stream_table.StreamTable()
-        self._versions = served_versions.ServedVersions()
+        self._conclusions = stream_conclusions.StreamConclusions(
+            first_start=first_start
+        )
         self._pending: dict[str, list[stream_table.StreamRecord]] = {}
         self._queries = queries.OriginQueries(
             peers, members, clock, self._find_locally
@@ -112,67 +126,74 @@
             origin: Where it began.
             lifetime_s: Seconds for which it may be taken up.
         """
-        expires_at = self._timers.now() + lifetime_s
-        self._tell([self._table.record(key, origin, expires_at)])
+        now = self._timers.now()
+        self._conclusions.note(origin, now)
+        self._tell([self._table.record(key, origin, now + lifetime_s)])
 
     async def find(
-        self, key: stream_table.StreamKey, service: str, lifetime_s: float
+        self, key: stream_table.StreamKey, host: str, path: str
     ) -> stream_table.StreamOrigin | None:
         """Finds out where a stream that a client takes up began.
 
         Args:
             key: The stream.
-            service: The service to which it is routed now.
-            lifetime_s: Seconds for which a stream of its route may be taken up.
+            host: The host of its requests.
+            path: The path of its requests.
 
         Returns:
             The origin, or None if no box can tell.
         """
-        found = self._find_locally(key, service, lifetime_s)
-        if not found.recorded:
-            found = await self._queries.ask(key, service, lifetime_s, found)
-        origin = found.origin
-        if not found.recorded and self._contradicts(origin, lifetime_s):
-            origin = None
+        host = model.host_name(host)
+        finding = self._find_locally(key, host, path)
+        if not finding.recorded:
+            finding = await self._queries.ask(key, host, path, finding)
+        is_known = finding.recorded or finding.basis is Basis.SINGLE
+        origin = finding.origin if is_known else None
+        self._metrics.count("stream_origins_found", basis=finding.basis)
         self._log.write(
             "stream-unknown" if origin is None else "stream-origin",
             stream=str(key),
-            service=service if origin is None else origin.service,
+            basis=finding.basis,
+            service=None if origin is None else origin.service,
             version=None if origin is None else origin.version,
-            recorded=found.recorded,
         )
         return origin
 
+    def apply_config(self, config: model.RoutingConfig) -> None:
+        """Takes in a configuration that comes into force."""
+        self._conclusions.apply_config(config, self._timers.now())
+
+    def settled(self) -> stream_conclusions.Settled:
+        """Returns what a box may conclude after the loss of all boxes."""
+        return self._conclusions.settled(self._timers.now())
+
+    def restore_settled(self, settled: stream_conclusions.Settled) -> bool:
+        """Takes over what was settled; returns whether it still holds."""
+        now = self._timers.now()
+        self._look(now)
+        return self._conclusions.restore(settled, now)
+
     def hand_over(self) -> None:
         """Tells other boxes of all streams, before this box stops."""
         self._tell(self._table)
 
-    def _contradicts(
-        self, origin: stream_table.StreamOrigin | None, lifetime_s: float
-    ) -> bool:
-        """Returns whether this box knows versions besides a concluded one."""
-        if origin is None:
-            return False
-        known = self._versions.versions(
-            origin.service, lifetime_s, self._timers.now()
-        )
-        return bool(known - {origin.version})
-
     def _find_locally(
-        self, key: stream_table.StreamKey, service: str, lifetime_s: float
+        self, key: stream_table.StreamKey, host: str, path: str
     ) -> stream_table.Finding:
         now = self._timers.now()
         record = self._table.find(key, now)
         if record is not None:
-            return stream_table.Finding(record.origin, recorded=True)
-        age_s = self._list_age_s()
-        if age_s is None or age_s > MAX_LIST_AGE_S:
-            return stream_table.UNKNOWN
-        self._look(now)
-        version = self._versions.only_version(service, lifetime_s, now)
-        if version is None:
+            return stream_table.Finding(record.origin, Basis.RECORD)
+        if max(len(host), len(path)) > MAX_PATH:
             return stream_table.UNKNOWN
-        return stream_table.Finding(stream_table.StreamOrigin(service, version))
+        if self._listed.has_listing:
+            self._look(now)
+        finding = self._conclusions.conclude(host, path, now)
+        age_s = self._list_age_s()
+        is_current = age_s is not None and age_s <= MAX_LIST_AGE_S
+        if finding.basis is Basis.SINGLE and not is_current:
+            return stream_table.Finding(finding.origin, Basis.SEEN)
+        return finding
 
     def _tell(self, records: Iterable[stream_table.StreamRecord]) -> None:
         live = {member.box for member in self._members.live_members()}
@@ -208,10 +229,10 @@
             if max(len(service), len(version)) > MAX_NAME:
                 continue
             lifetime_s = min(max(0, lifetime_ms), MAX_LIFETIME_MS) * MS
+            origin = stream_table.StreamOrigin(service, version)
+            self._conclusions.note(origin, now)
             self._table.record(
-                stream_table.StreamKey(caller, stream),
-                stream_table.StreamOrigin(service, version),
-                now + lifetime_s,
+                stream_table.StreamKey(caller, stream), origin, now + lifetime_s
             )
 
     def _check(self) -> None:
@@ -221,7 +242,7 @@
             self._look(now)
 
     def _look(self, now: float) -> None:
-        self._versions.look(
+        self._conclusions.look(
             (listed.endpoint for listed in self._listed.entries.values()), now
         )
 
--- a/martenjunction/routing/streams/queries.py
+++ b/martenjunction/routing/streams/queries.py
@@ -22,11 +22,7 @@
 MAX_HOPS = 5
 MAX_REMEMBERED = 1024
 
-MS = 0.001
-
-FindLocally = Callable[
-    [stream_table.StreamKey, str, float], stream_table.Finding
-]
+FindLocally = Callable[[stream_table.StreamKey, str, str], stream_table.Finding]
 _QuestionId = tuple[str, int]
 
 
@@ -86,16 +82,16 @@
     async def ask(
         self,
         key: stream_table.StreamKey,
-        service: str,
-        lifetime_s: float,
+        host: str,
+        path: str,
         own: stream_table.Finding,
     ) -> stream_table.Finding:
         """Asks the connected boxes where a stream began.
 
         Args:
             key: The stream.
-            service: The service to which it is routed now.
-            lifetime_s: Seconds for which a stream of its route may be taken up.
+            host: The host of its requests.
+            path: The path of its requests.
             own: What this box knows.
 
         Returns:
@@ -107,8 +103,8 @@
             self._last_number,
             key.caller,
             key.stream,
-            service,
-            int(lifetime_s / MS),
+            host,
+            path,
             0,
         )
         return await self._ask(question, self._peers.boxes(), own)
@@ -142,7 +138,7 @@
 
     def _on_ask(self, box: str, ask: messages.AskStreamOrigin) -> None:
         key = stream_table.StreamKey(ask.caller, ask.stream)
-        own = self._find_locally(key, ask.service, ask.lifetime_ms * MS)
+        own = self._find_locally(key, ask.host, ask.path)
         others = [b for b in self._peers.boxes() if b not in (box, ask.box)]
         if own.recorded or not others or not self._passes_on(ask):
             self._answer(box, ask, own)
@@ -181,8 +177,8 @@
             messages.StreamOriginAnswer(
                 ask.box,
                 ask.number,
+                finding.basis,
                 origin is not None,
-                finding.recorded,
                 "" if origin is None else origin.service,
                 "" if origin is None else origin.version,
             ),
@@ -195,9 +191,10 @@
         origin = None
         if answer.found:
             origin = stream_table.StreamOrigin(answer.service, answer.version)
-        question.findings.append(stream_table.Finding(origin, answer.recorded))
+        finding = stream_table.Finding(origin, answer.basis)
+        question.findings.append(finding)
         question.awaited.discard(box)
-        if (answer.recorded or not question.awaited) and (
+        if (finding.recorded or not question.awaited) and (
             not question.done.done()
         ):
             question.done.set_result(None)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -11,7 +11,6 @@
 import pytest
 
 from martenjunction import timers
-from martenjunction.decisions.boxes import served_versions
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.routing.streams import queries
 from martenjunction_lab import boxes
@@ -58,8 +57,20 @@
     assert table.find(key(39, caller=2), 1.0) is not None
 
 
-findings = st.builds(
-    stream_table.Finding, st.sampled_from([None, OLD, NEW]), st.booleans()
+Basis = stream_table.Basis
+
+findings = st.one_of(
+    st.builds(
+        stream_table.Finding,
+        st.sampled_from([None, OLD, NEW]),
+        st.just(Basis.RECORD),
+    ),
+    st.builds(
+        stream_table.Finding,
+        st.sampled_from([OLD, NEW]),
+        st.sampled_from([Basis.SINGLE, Basis.SEEN]),
+    ),
+    st.sampled_from([stream_table.UNKNOWN, stream_table.AMBIGUOUS]),
 )
 
 
@@ -73,42 +84,23 @@
     ]
     origins = {f.origin for f in deciding}
     expected = origins.pop() if len(origins) == 1 else None
+    if not any(f.recorded for f in found) and stream_table.AMBIGUOUS in found:
+        expected = None
     assert result.origin == expected
     assert stream_table.combine(reversed(found)) == result
+    if result.basis is Basis.SINGLE:
+        assert any(f.basis is Basis.SINGLE for f in found)
 
 
-def engine(number: int, version: str) -> Any:
-    return types.SimpleNamespace(id=f"e{number}", service="s", version=version)
-
-
-def watched(*versions: str, for_s: int) -> served_versions.ServedVersions:
-    """Returns what a box knows that saw some versions for some seconds."""
-    watching = served_versions.ServedVersions()
-    listed = [engine(n, version) for n, version in enumerate(versions)]
-    for second in range(for_s + 1):
-        watching.look(listed, float(second))
-    return watching
-
-
-def test_single_version_is_concluded_only_after_the_life_of_a_stream() -> None:
-    assert watched("v1", for_s=4).only_version("s", 5.0, 4.0) is None
-    assert watched("v1", for_s=5).only_version("s", 5.0, 5.0) == "v1"
-    assert watched("v1", "v2", for_s=9).only_version("s", 5.0, 9.0) is None
-
-
-def test_version_that_left_counts_for_the_life_of_a_stream() -> None:
-    watching = watched("v1", "v2", for_s=9)
-    for second in range(10, 16):
-        watching.look([engine(1, "v2")], float(second))
-        is_old_possible = second - 9 <= 5
-        expected = None if is_old_possible else "v2"
-        assert watching.only_version("s", 5.0, float(second)) == expected
-
-
-def test_box_that_was_suspended_concludes_nothing() -> None:
-    watching = watched("v1", for_s=9)
-    watching.look([engine(1, "v1")], 60.0)
-    assert watching.only_version("s", 5.0, 60.0) is None
+def test_conclusion_does_not_outvote_a_box_that_knows_another_version() -> None:
+    single = stream_table.Finding(OLD, Basis.SINGLE)
+    for other in (
+        stream_table.AMBIGUOUS,
+        stream_table.Finding(NEW, Basis.SEEN),
+    ):
+        assert stream_table.combine([single, other]) == stream_table.AMBIGUOUS
+    known = stream_table.Finding(OLD, Basis.RECORD)
+    assert stream_table.combine([stream_table.AMBIGUOUS, known]) == known
 
 
 class Line:
@@ -157,12 +149,14 @@
 
 
 async def ask(line: Line) -> stream_table.Finding:
-    return await line.queries[0].ask(key(1), "s", 5.0, stream_table.UNKNOWN)
+    return await line.queries[0].ask(
+        key(1), builders.HOST, "/a/", stream_table.UNKNOWN
+    )
 
 
 async def test_boxes_pass_a_question_on_to_those_that_the_asker_lacks() -> None:
-    recorded = stream_table.Finding(NEW, recorded=True)
-    concluded = stream_table.Finding(OLD)
+    recorded = stream_table.Finding(NEW, Basis.RECORD)
+    concluded = stream_table.Finding(OLD, Basis.SINGLE)
     line = Line(5, {1: concluded, 4: recorded})
     assert await ask(line) == recorded
 
--- a/tests/test_streams_large_fleet.py
+++ b/tests/test_streams_large_fleet.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from martenjunction import metrics
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.routing.streams import origins
 from martenjunction.routing.streams import queries
@@ -33,6 +34,7 @@
                 box.members,
                 box.clock,
                 box.known._log,
+                metrics.Metrics(),
                 lambda: None,
             )
             self.origins[name].start()
@@ -56,7 +58,7 @@
         """Returns what a box finds out, and the seconds that it takes."""
         began = self.made.simulation.now
         finding = asyncio.ensure_future(
-            self.origins[at].find(key, builders.ENGINE, 5.0)
+            self.origins[at].find(key, builders.HOST, "/digest/")
         )
         while not finding.done():
             await self.advance(STEP_S)
