Keep where a stream began for as long as its client may take it up

Callers whose deadline is longer than the route's timeout got 503 stream-unknown for a stream that broke off after the timeout, although its box was alive: the record ended with the timeout, which bounds one request. It ends with the deadline that the client names, 600 s at most.

test_record_lasts_as_long_as_the_client_may_take_its_stream_up: 503 in place of 200 before (timeout 2 s, deadline 9 s, taken up after 4 s).

--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -337,7 +337,7 @@
                 stream_table.StreamOrigin(
                     endpoint.service, self._state.stream_version
                 ),
-                route.timeout_s,
+                self._state.client_waits_s,
             )
 
     def _count_continuation(self, endpoint: model.Endpoint) -> None:
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -87,6 +87,7 @@
             context.stream_keys.key(
                 self._facts.key, self._facts.resumes or self._facts.id
             ),
+            self._facts.deadline_s,
             resume_from=self._facts.resume_from or "",
         )
         self._admission: admission.Admission | None = None
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -134,6 +134,8 @@
         resume_from: Id of the last event that the client has of an earlier
             response, or empty if it takes up no stream.
         stream_key: Identifies the stream over the client's tries.
+        client_waits_s: Seconds for which the client waits from the arrival of
+            the request, or None if it does not say so.
         part_keys: The parts of the prompt that other requests share.
         stream_version: Software version that wrote the first event of the
             stream, or None if there is none or it is not known.
@@ -149,6 +151,7 @@
     received_at: float
     content: content_key.ContentKey
     stream_key: stream_table.StreamKey
+    client_waits_s: float | None = None
     part_keys: tuple[content_key.ContentKey, ...] = ()
     is_retry: bool = False
     progress: outcomes.RequestProgress = dataclasses.field(
--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -33,10 +33,10 @@
 
 # Maximum length of a service or version name accepted from a peer, maximum
 # length of a path of which anything is concluded, and maximum lifetime of a
-# record.
+# record in seconds.
 MAX_NAME = 256
 MAX_PATH = 2048
-MAX_LIFETIME_MS = 600_000
+MAX_LIFETIME_S = 600.0
 
 # Size of the digest of a request id, in bytes.
 STREAM_BYTES = 16
@@ -117,17 +117,21 @@
         self,
         key: stream_table.StreamKey,
         origin: stream_table.StreamOrigin,
-        lifetime_s: float,
+        client_waits_s: float | None,
     ) -> None:
         """Records that a client is sent the first event of a stream.
 
         Args:
             key: The stream.
             origin: Where it began.
-            lifetime_s: Seconds for which it may be taken up.
+            client_waits_s: Seconds for which its client may take it up, or
+                None if the client does not say so.
         """
         now = self._timers.now()
         self._conclusions.note(origin, now)
+        lifetime_s = MAX_LIFETIME_S
+        if client_waits_s is not None:
+            lifetime_s = min(client_waits_s, MAX_LIFETIME_S)
         self._tell([self._table.record(key, origin, now + lifetime_s)])
 
     async def find(
@@ -228,7 +232,7 @@
                 continue
             if max(len(service), len(version)) > MAX_NAME:
                 continue
-            lifetime_s = min(max(0, lifetime_ms), MAX_LIFETIME_MS) * MS
+            lifetime_s = min(max(0, lifetime_ms) * MS, MAX_LIFETIME_S)
             origin = stream_table.StreamOrigin(service, version)
             self._conclusions.note(origin, now)
             self._table.record(
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -168,6 +168,26 @@
     assert line.asked == 2 * 3
 
 
+@pytest.mark.parametrize(
+    ("deadline_ms", "wait_s", "status"),
+    [("9000", 4.0, 200), ("9000", 9.5, 503), ("3000", 4.0, 503)],
+)
+@pytest.mark.simulated_time
+async def test_record_lasts_as_long_as_the_client_may_take_its_stream_up(
+    fleet: boxes.Boxes, deadline_ms: str, wait_s: float, status: int
+) -> None:
+    made = await two_versions(fleet)
+    waits = {"Martenjunction-Deadline-Ms": deadline_ms}
+    await requests.ask(fleet, "/digest/", "r1", **waits)
+    [began] = [m for m in made if m.received]
+    await asyncio.sleep(wait_s)
+    taken_up = {"Resumes": "r1", "Last-Event-Id": "2"}
+    head, _ = await requests.ask(fleet, "/digest/", "r9", **taken_up)
+    assert head.status == status
+    if status == 200:
+        assert [m.id for m in made if len(m.received) == 2] == [began.id]
+
+
 async def two_versions(fleet: boxes.Boxes) -> list[replica.Replica]:
     """Adds an engine of each of two versions."""
     made = await requests.engines(fleet)
