Tell clients when asking for a stream of unknown origin can succeed

A refusal named 0.1 s, whoever could know more: clients asked again and again until their deadline. A box that has just started, that is not connected to all live boxes, or that one of them did not answer, names 0.3 s; where all have answered and none knows, asking again cannot succeed, and the refusal names the whole time for which the client waits.

--- a/martenjunction/routing/requests/stream_binding.py
+++ b/martenjunction/routing/requests/stream_binding.py
@@ -7,9 +7,9 @@
 from martenjunction.routing.access import admission
 from martenjunction.routing.requests import offers
 
-# Retry-After, in seconds, if it is not known where a stream began. Another box
-# may know it.
-RETRY_UNKNOWN_S = 0.1
+# Retry-After, in seconds, if it may be found out soon where a stream began: a
+# box that starts connects to the others, or reads the records in the store.
+RETRY_STARTING_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,16 +46,33 @@
     takes_up = facts.resume_from or facts.resumes
     if admitted.route.kind is not model.RouteKind.STREAM or not takes_up:
         return StreamBinding(admitted)
-    origin = await context.origins.find(
+    answer = await context.origins.find(
         state.stream_key, admitted.host, admitted.path
     )
-    if origin is not None:
-        bound = context.admitter.at_service(admitted, origin.service)
+    if answer.origin is not None:
+        bound = context.admitter.at_service(admitted, answer.origin.service)
         if bound is not None:
-            return StreamBinding(bound, origin.version)
+            return StreamBinding(bound, answer.origin.version)
     raise admission.RefusalError(
         503,
         "stream-unknown",
         "it is not known where this stream began",
-        RETRY_UNKNOWN_S,
+        _retry_after_s(state, admitted, is_final=answer.is_final),
+    )
+
+
+def _retry_after_s(
+    state: offers.RequestState,
+    admitted: admission.Admission,
+    *,
+    is_final: bool,
+) -> float:
+    """Returns after how many seconds asking again can succeed.
+
+    If it never can, that is the time for which the client waits.
+    """
+    if not is_final:
+        return RETRY_STARTING_S
+    return max(
+        RETRY_STARTING_S, state.client_waits_s or admitted.route.timeout_s
     )
--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 
 import xxhash
 
@@ -31,6 +32,9 @@
 # a service has a single version.
 MAX_LIST_AGE_S = 2.6
 
+# Seconds after its start in which a box may not be connected to all others.
+START_S = 3.0
+
 # Maximum length of a service or version name accepted from a peer, maximum
 # length of a path of which anything is concluded, and maximum lifetime of a
 # record in seconds.
@@ -47,6 +51,19 @@
 Basis = stream_table.Basis
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginAnswer:
+    """Where a stream began.
+
+    Attributes:
+        origin: The origin, or None if no box can tell.
+        is_final: Whether asking again cannot tell more.
+    """
+
+    origin: stream_table.StreamOrigin | None
+    is_final: bool
+
+
 class StreamOrigins:
     """Knows at which software version streams began.
 
@@ -57,9 +74,11 @@
 
     Attributes:
         boxes_told: Number of boxes that are told of each stream.
+        is_restoring: Returns whether records may still come from the store.
     """
 
     boxes_told: int = BOXES_TOLD
+    is_restoring: Callable[[], bool] = staticmethod(lambda: False)
 
     def __init__(
         self,
@@ -92,6 +111,7 @@
         self._timers = clock
         self._log = log
         self._metrics = counters
+        self._started_at = clock.now()
         self._list_age_s = list_age_s
         self._table = stream_table.StreamTable()
         self._conclusions = stream_conclusions.StreamConclusions(
@@ -136,21 +156,21 @@
 
     async def find(
         self, key: stream_table.StreamKey, host: str, path: str
-    ) -> stream_table.StreamOrigin | None:
+    ) -> OriginAnswer:
         """Finds out where a stream that a client takes up began.
 
         Args:
             key: The stream.
             host: The host of its requests.
             path: The path of its requests.
-
-        Returns:
-            The origin, or None if no box can tell.
         """
         host = model.host_name(host)
         finding = self._find_locally(key, host, path)
+        is_final = True
         if not finding.recorded:
-            finding = await self._queries.ask(key, host, path, finding)
+            answers = await self._queries.ask(key, host, path, finding)
+            finding = answers.finding
+            is_final = answers.is_complete and not self._is_starting()
         is_known = finding.recorded or finding.basis is Basis.SINGLE
         origin = finding.origin if is_known else None
         self._metrics.count("stream_origins_found", basis=finding.basis)
@@ -158,10 +178,11 @@
             "stream-unknown" if origin is None else "stream-origin",
             stream=str(key),
             basis=finding.basis,
+            final=is_final,
             service=None if origin is None else origin.service,
             version=None if origin is None else origin.version,
         )
-        return origin
+        return OriginAnswer(origin, is_final)
 
     def apply_config(self, config: model.RoutingConfig) -> None:
         """Takes in a configuration that comes into force."""
@@ -181,6 +202,11 @@
         """Tells other boxes of all streams, before this box stops."""
         self._tell(self._table)
 
+    def _is_starting(self) -> bool:
+        """Returns whether this box may not know of all boxes or records yet."""
+        since_start_s = self._timers.now() - self._started_at
+        return since_start_s < START_S or self.is_restoring()
+
     def _find_locally(
         self, key: stream_table.StreamKey, host: str, path: str
     ) -> stream_table.Finding:
--- a/martenjunction/routing/streams/queries.py
+++ b/martenjunction/routing/streams/queries.py
@@ -41,6 +41,19 @@
     done: asyncio.Future[None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answers:
+    """What boxes know of a stream.
+
+    Attributes:
+        finding: What follows from all that answered in time.
+        is_complete: Whether all boxes answered that may know it.
+    """
+
+    finding: stream_table.Finding
+    is_complete: bool
+
+
 class OriginQueries:
     """Questions to the connected boxes, and those that they ask.
 
@@ -85,7 +98,7 @@
         host: str,
         path: str,
         own: stream_table.Finding,
-    ) -> stream_table.Finding:
+    ) -> Answers:
         """Asks the connected boxes where a stream began.
 
         Args:
@@ -97,6 +110,7 @@
         Returns:
             What all boxes know that answered in time.
         """
+        boxes = self._peers.boxes()
         self._last_number += 1
         question = messages.AskStreamOrigin(
             self._members.own.box,
@@ -107,16 +121,20 @@
             path,
             0,
         )
-        return await self._ask(question, self._peers.boxes(), own)
+        answers = await self._ask(question, boxes, own)
+        return dataclasses.replace(
+            answers,
+            is_complete=answers.is_complete and self._reaches_all(len(boxes)),
+        )
 
     async def _ask(
         self,
         ask: messages.AskStreamOrigin,
         boxes: list[str],
         own: stream_table.Finding,
-    ) -> stream_table.Finding:
+    ) -> Answers:
         if not boxes:
-            return own
+            return Answers(own, is_complete=True)
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         question = _Question(set(boxes), [own], done)
         question_id = (ask.box, ask.number)
@@ -126,7 +144,9 @@
             await self._wait(done, ANSWER_TIMEOUT_S - HOP_S * ask.hops)
         finally:
             del self._questions[question_id]
-        return stream_table.combine(question.findings)
+        return Answers(
+            stream_table.combine(question.findings), not question.awaited
+        )
 
     async def _wait(self, done: asyncio.Future[None], limit_s: float) -> None:
         until = self._timers.stall_adjusted_now() + limit_s
@@ -146,12 +166,22 @@
 
         async def pass_on() -> None:
             further = dataclasses.replace(ask, hops=ask.hops + 1)
-            self._answer(box, ask, await self._ask(further, others, own))
+            answers = await self._ask(further, others, own)
+            self._answer(box, ask, answers.finding)
 
         task = asyncio.get_running_loop().create_task(pass_on())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _reaches_all(self, links: int) -> bool:
+        """Returns whether a question reaches all live boxes.
+
+        Args:
+            links: Number of boxes to which this one is connected.
+        """
+        live = self._members.live_members()
+        return not self._members.is_full_mesh or links + 1 >= len(live)
+
     def _passes_on(self, ask: messages.AskStreamOrigin) -> bool:
         """Returns whether boxes that the sender may not reach are asked."""
         linked = len(self._peers.boxes()) + 1
