--- a/tools/broken_builds.py
+++ b/tools/broken_builds.py
@@ -253,6 +253,38 @@
         "self._acts_from = now",
         f"{LEASE_TESTS}::test_new_holder_waits_for_the_calls_of_the_former_one",
     ),
+    BrokenBuild(
+        "a version that left is forgotten with a request's time limit",
+        "martenjunction/decisions/boxes/served_versions.py",
+        "STREAM_LIFETIME_S = 3600.0",
+        "STREAM_LIFETIME_S = 2.0",
+        "tests/test_stream_conclusions.py::"
+        "test_version_that_left_long_after_a_request_may_last_still_counts",
+    ),
+    BrokenBuild(
+        "streams are concluded from the services of now",
+        "martenjunction/decisions/boxes/served_routes.py",
+        "history.services[service] = now",
+        "del history.services[service]",
+        "tests/test_stream_conclusions.py::"
+        "test_stream_is_not_concluded_where_its_route_led_elsewhere",
+    ),
+    BrokenBuild(
+        "a conclusion outvotes a box that knows another version",
+        "martenjunction/decisions/boxes/stream_table.py",
+        "if len(possible) > 1 or Basis.SEVERAL in bases:",
+        "if len(possible) > 1:",
+        "tests/test_stream_origins.py::"
+        "test_conclusion_does_not_outvote_a_box_that_knows_another_version",
+    ),
+    BrokenBuild(
+        "a box that was suspended concludes",
+        "martenjunction/decisions/boxes/served_versions.py",
+        "elif now - last_look_at > MAX_GAP_S:",
+        "elif now - last_look_at > 3600.0:",
+        "tests/test_stream_conclusions.py::"
+        "test_box_that_was_suspended_concludes_nothing",
+    ),
 )
 
 
