--- a/martenjunction_lab/settings_files.py
+++ b/martenjunction_lab/settings_files.py
@@ -15,6 +15,7 @@
 ip = "{settings.ip}"
 port_range = [{first_port}, {first_port + 15}]
 seeds = {json.dumps(list(settings.seeds))}
+bootstrap = {json.dumps(settings.first_start)}
 unknown = "skipped"
 [listen]
 frontend = "{settings.callers}"
--- a/martenjunction_lab/stream_losses/process_fleet.py
+++ b/martenjunction_lab/stream_losses/process_fleet.py
@@ -1,6 +1,7 @@
 """Boxes as processes that are killed."""
 
 import asyncio
+import dataclasses
 import pathlib
 import signal
 import tempfile
@@ -39,7 +40,9 @@
 
     async def _start_boxes(self) -> None:
         self._settings = [
-            box_processes.settings_of(self.boxes, f"box-{number + 1}")
+            box_processes.settings_of(
+                self.boxes, f"box-{number + 1}", first_start=True
+            )
             for number in range(self.trial.boxes)
         ]
         await asyncio.gather(
@@ -48,6 +51,10 @@
         await asyncio.gather(
             *(one.until_ready() for one in self._running.values())
         )
+        self._settings = [
+            dataclasses.replace(made, first_start=False)
+            for made in self._settings
+        ]
 
     async def _kill(self, boxes: list[int]) -> None:
         killed = [self._running.pop(box) for box in boxes]
