Pass nothing on for clients whose end waits at the socket

Callers that left while a box was held up had their requests sent to an endpoint all the same. The run was given up in the next iteration of the event loop: the endpoint found the connection ended, then the client's was closed without an answer.

Cause: before a request is sent, its connection was asked whether it is closed. That is known only once the loop has handled the client's FIN or reset. What arrives while one iteration takes long is handled in the next one, and all requests that go on in the same iteration are sent on by then: a check and an act on it in different turns. The endpoint's connection is chosen by what its socket says; the client's was not.

The socket of the client is now peeked at right before the request is sent.

--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -18,6 +18,7 @@
 from martenjunction.http1 import discarding
 from martenjunction.http1 import framing
 from martenjunction.http1 import messages
+from martenjunction.http1 import peer_ends
 from martenjunction.http1 import request_errors
 from martenjunction.http1 import streams
 
@@ -40,6 +41,7 @@
 # its deadline.
 SHUTDOWN_READ_TIMEOUT_S = 1.0
 
+_OPEN = peer_ends.PeerEnd.OPEN
 _State = connection_state.State
 _Event = connection_state.Event
 
@@ -114,6 +116,15 @@
         """Whether the connection is closed."""
         return self._state is _State.CLOSED or self._stream.closed()
 
+    @property
+    def client_left(self) -> bool:
+        """Whether it is closed, or the client has ended its sending side.
+
+        Also peeks at the socket, with one system call: the event loop sees
+        that end only in its next iteration.
+        """
+        return self.closed or self._source.peer_end is not _OPEN
+
     def closing(self, server: str) -> close_reports.ClosedConnection:
         """Returns a report on the closed, or still open, connection.
 
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -131,9 +131,9 @@
             ConnectionLostError: If the client disconnected; nothing was sent.
         """
         endpoint, run = offer.endpoint, offer.run
-        if self._connection.closed:
-            # The close callback runs one loop iteration later and would abort
-            # the run right after it was sent.
+        if self._connection.client_left:
+            # The callback for that comes in a later iteration of the event loop
+            # and would abort the run right after it was sent.
             self._state.failure = CLIENT_LEFT
             offer.permit.close()
             self._context.grants.refund(offer.grant)
