Tell in the log how many lines a second left out

At most 40 lines a second of one kind are written. How many more there were was told by the dump alone, so that the log of a box that has ended since could not tell 40 connections that ended together from a thousand: the rest left no line.

The first line of a later second is now preceded by `lines-left-out` with the kind and the count. The test failed before: nothing told of the lines.

--- a/martenjunction/routing/log/decision_log.py
+++ b/martenjunction/routing/log/decision_log.py
@@ -1,11 +1,12 @@
 """Rate-limited, non-blocking log of decisions."""
 
+import collections
 from collections.abc import Callable
 from typing import Any
 
 import eliot
 
-# Maximum lines of one kind per second; further lines are only counted.
+# Maximum lines of one kind per second; one line says how many are left out.
 MAX_LINES_PER_S = 40
 
 
@@ -19,9 +20,10 @@
             now: Returns the steady-clock time in seconds.
         """
         self._now = now
-        self._current_second: dict[str, int] = {}
-        self._line_counts: dict[str, int] = {}
-        self._dropped: dict[str, int] = {}
+        self._second = 0
+        # Lines of the current second by kind, including those left out.
+        self._line_counts: collections.Counter[str] = collections.Counter()
+        self._dropped: collections.Counter[str] = collections.Counter()
 
     @property
     def dropped(self) -> dict[str, int]:
@@ -36,12 +38,23 @@
             fields: The inputs and the outcome of the decision.
         """
         now = self._now()
-        second = int(now)
-        if self._current_second.get(kind) != second:
-            self._current_second[kind] = second
-            self._line_counts[kind] = 0
+        if int(now) != self._second:
+            self._second = int(now)
+            self._report_dropped(now)
         self._line_counts[kind] += 1
         if self._line_counts[kind] > MAX_LINES_PER_S:
-            self._dropped[kind] = self._dropped.get(kind, 0) + 1
+            self._dropped[kind] += 1
             return
         eliot.log_message(kind, at=round(now, 4), **fields)
+
+    def _report_dropped(self, now: float) -> None:
+        """Says which lines of the last second were left out; forgets it."""
+        for kind, count in self._line_counts.items():
+            if count > MAX_LINES_PER_S:
+                eliot.log_message(
+                    "lines-left-out",
+                    at=round(now, 4),
+                    kind=kind,
+                    count=count - MAX_LINES_PER_S,
+                )
+        self._line_counts.clear()
