Fail the trials of an ejected endpoint by its trial runs alone

Every overdue run of an ejected endpoint counted as a failed trial in each review, and so did late first tokens and faults of runs that were granted before the ejection. Only runs granted after the last ejection, or calls sent after it, fail a trial.

Both new tests failed before.

--- a/martenjunction/decisions/cells/dispatcher.py
+++ b/martenjunction/decisions/cells/dispatcher.py
@@ -129,7 +129,7 @@
         """Records that an endpoint could not be reached."""
         endpoint = self._cell.endpoints.by_name.get(name)
         if endpoint is not None:
-            self._outliers.fault(endpoint, now, reached=False)
+            self._outliers.fault(endpoint, now, now, reached=False)
 
     # Request events.
 
@@ -193,7 +193,7 @@
             return
         self._cell.pace.first_token(seconds)
         ratio = seconds / max(run.predicted_first_token, MIN_PREDICTION)
-        self._outliers.observe(endpoint, ratio, now)
+        self._outliers.observe(endpoint, ratio, run.granted, now)
         endpoint.speed.learn(seconds, run.uncached, run.batch)
 
     def ended(self, end: dispatch_types.RunEnd, now: float) -> None:
@@ -216,7 +216,7 @@
             endpoint.speed.interval_s.add(end.token_interval_s)
         if end.ending in dispatch_types.FAULTS:
             reached = end.ending is not dispatch_types.Ending.NOT_REACHED
-            self._outliers.fault(endpoint, now, reached)
+            self._outliers.fault(endpoint, run.granted, now, reached)
 
     def forget_entry(self, entry: str, now: float) -> None:
         """Drops all requests of an entry daemon that has failed."""
@@ -258,7 +258,9 @@
         self._cell.endpoints.refresh_all(now)
         listed = self._cell.endpoints.by_name.values()
         for overdue in placement.overdue_runs(listed, now):
-            self._outliers.observe(overdue.endpoint, overdue.ratio, now)
+            self._outliers.observe(
+                overdue.endpoint, overdue.ratio, overdue.granted, now
+            )
         return [
             self._sheds.shed(ask, dispatch_types.ShedReason.DELAY, 0.0)
             for ask in self._hopeless_requests(now)
--- a/martenjunction/decisions/cells/outliers.py
+++ b/martenjunction/decisions/cells/outliers.py
@@ -16,37 +16,50 @@
         self._counts = cell.counts
 
     def observe(
-        self, endpoint: placement.Endpoint, ratio: float, now: float
+        self,
+        endpoint: placement.Endpoint,
+        ratio: float,
+        granted: float,
+        now: float,
     ) -> None:
-        """Records one ratio of observed to predicted time."""
+        """Records one ratio of observed to predicted time.
+
+        Args:
+            endpoint: The endpoint.
+            ratio: Observed over predicted time.
+            granted: When the observed run was granted.
+            now: The current time.
+        """
         endpoint.health.observe(ratio)
         if endpoint.health.state is endpoint_states.EndpointState.EJECTED:
-            passed = ratio < endpoint_states.OUTLIER_RATIO
-            event = (
-                endpoint_states.EndpointEvent.TRIAL_PASSED
-                if passed
-                else endpoint_states.EndpointEvent.TRIAL_FAILED
-            )
-            endpoint.health.move(event, now)
+            if ratio < endpoint_states.OUTLIER_RATIO:
+                endpoint.health.move(
+                    endpoint_states.EndpointEvent.TRIAL_PASSED, now
+                )
+            else:
+                self._fail_trial(endpoint, granted, now)
             self._endpoints.refresh(endpoint, now)
             return
         self.evaluate(endpoint, now)
 
     def fault(
-        self, endpoint: placement.Endpoint, now: float, reached: bool
+        self,
+        endpoint: placement.Endpoint,
+        granted: float,
+        now: float,
+        reached: bool,
     ) -> None:
         """Records one failed run or call.
 
         Args:
             endpoint: The endpoint.
+            granted: When the run was granted or the call was sent.
             now: The current time.
             reached: Whether the endpoint was reached.
         """
         endpoint.health.fault(reached)
         if endpoint.health.state is endpoint_states.EndpointState.EJECTED:
-            endpoint.health.move(
-                endpoint_states.EndpointEvent.TRIAL_FAILED, now
-            )
+            self._fail_trial(endpoint, granted, now)
         self.evaluate(endpoint, now)
 
     def evaluate(self, endpoint: placement.Endpoint, now: float) -> None:
@@ -67,6 +80,19 @@
             self._counts.ejected += 1
             self._endpoints.refresh(endpoint, now)
 
+    def _fail_trial(
+        self, endpoint: placement.Endpoint, granted: float, now: float
+    ) -> None:
+        """Extends an ejection unless the run was granted before it.
+
+        Such a run shows only what the endpoint was ejected for, and one run
+        that stays overdue fails one trial.
+        """
+        if granted > endpoint.health.ejected_at:
+            endpoint.health.move(
+                endpoint_states.EndpointEvent.TRIAL_FAILED, now
+            )
+
     def _may_eject(self) -> bool:
         ejected = sum(
             e.health.state is endpoint_states.EndpointState.EJECTED
--- a/martenjunction/decisions/cells/placement.py
+++ b/martenjunction/decisions/cells/placement.py
@@ -262,10 +262,17 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Overdue:
-    """An endpoint with a run whose first token is long overdue."""
+    """An endpoint with a run whose first token is long overdue.
+
+    Attributes:
+        endpoint: The endpoint.
+        ratio: Time waited over predicted time.
+        granted: When the run was granted.
+    """
 
     endpoint: Endpoint
     ratio: float
+    granted: float
 
 
 def overdue_runs(endpoints: Iterable[Endpoint], now: float) -> list[Overdue]:
@@ -279,7 +286,7 @@
             due = max(run.predicted_first_token * OVERDUE_RATIO, MIN_OVERDUE_S)
             if waited > due:
                 ratio = waited / max(run.predicted_first_token, 0.01)
-                found.append(Overdue(endpoint, ratio))
+                found.append(Overdue(endpoint, ratio, run.granted))
                 break
     return found
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -263,6 +263,37 @@
     assert state is endpoint_states.EndpointState.ROUTING
 
 
+def test_runs_before_an_ejection_fail_no_trial() -> None:
+    # Runs that a short stall delayed kept an endpoint ejected for 60 s.
+    cell = builders.cell(endpoints=2, slots=4)
+    for number in range(8):
+        cell.submit(builders.ask(f"r{number}"), 0.0)
+    cell.step(0.0)
+    health = cell.endpoints["e1"].health
+    health.move(endpoint_states.EndpointEvent.OUTLIER, 0.0)
+    for number in range(5, 15):
+        cell.review(number * 0.2)
+    for run in list(cell.endpoints["e1"].runs.values()):
+        cell.first_token(run.ask.request_id, 3.0, 3.0)
+        broken = dispatch_types.Ending.BROKEN
+        cell.ended(builders.end(run.ask.request_id, broken), 3.0)
+    assert health.trial_due(endpoint_states.INITIAL_PROBE_DELAY_S)
+
+
+def test_overdue_run_fails_one_trial() -> None:
+    cell = builders.cell(endpoints=2)
+    health = cell.endpoints["e1"].health
+    health.move(endpoint_states.EndpointEvent.OUTLIER, 0.0)
+    cell.review(2.0)
+    for number in range(2):
+        cell.submit(builders.ask(f"r{number}", arrived=2.0), 2.0)
+    cell.step(2.0)
+    assert cell.endpoints["e1"].runs
+    for number in range(15, 30):
+        cell.review(number * 0.2)
+    assert health.ejections == 2
+
+
 def test_unreachable_endpoint_is_reinstated_by_a_load_report() -> None:
     cell = builders.cell(endpoints=2, slots=2)
     cell.mark_unreachable("e1", 0.0)
