Release what moved at the previous owner of its cell

A cell that changed its owner left its waiting requests and runs at the previous one, which learnt of no end of them. When it owned the cell again, it counted their slots as occupied: an endpoint that was ejected meanwhile could get no trial, and after several changes nothing was granted. Requests that move are withdrawn at the previous owner; withdrawals and ends that could not be sent are sent before the next message to it.

The new tests failed before.

--- a/martenjunction/cells/broker.py
+++ b/martenjunction/cells/broker.py
@@ -13,13 +13,11 @@
 from martenjunction.cells import cell_choice
 from martenjunction.cells import directory
 from martenjunction.cells import messages
+from martenjunction.cells import releases
 from martenjunction.decisions.cells import dispatch_types
 
 logger = logging.getLogger(__name__)
 
-# Sends a message to the owner of a cell; returns whether it could be sent.
-SendToOwner = Callable[[str, messages.FromEntry], bool]
-
 # Returns the candidate owners of a cell, best first, without unreachable boxes.
 # This box is always included.
 Owners = Callable[[directory.CellInfo], list[str]]
@@ -105,7 +103,7 @@
         zone: str,
         clock: timers.Timers,
         owners: Owners,
-        send: SendToOwner,
+        send: releases.SendToOwner,
         rng: random.Random | None = None,
     ) -> None:
         """Initializes the broker without cells.
@@ -122,6 +120,7 @@
         self._timers = clock
         self._owners = owners
         self._send = send
+        self._releases = releases.Releases(send)
         self._choice = cell_choice.CellChoice(
             zone, clock, rng or random.Random()
         )
@@ -255,7 +254,7 @@
             return
         for ticket in list(self._tickets.values()):
             if ticket.cell.name in changed:
-                self._move(ticket)
+                self._move(ticket, ticket.cell)
 
     def delay(self, cell: str, tier: int) -> float | None:
         """Returns a cell's latest predicted delay in seconds, or None."""
@@ -278,8 +277,9 @@
     def _send_to_owner(
         self, ticket: Ticket, message: messages.FromEntry
     ) -> None:
-        if not self._send(ticket.owner, message):
-            # The next call of `reassign` moves the request to another owner.
+        if not self._releases.send(ticket.owner, message):
+            # The next call of `reassign` moves an open request to another
+            # owner.
             logger.debug("cell owner %s cannot be reached", ticket.owner)
 
     def _ask_message(self, ticket: Ticket) -> messages.SlotRequested:
@@ -287,8 +287,13 @@
             ticket.ask, ticket.cell.name, self._timers.now()
         )
 
-    def _move(self, ticket: Ticket) -> None:
-        ticket.owner = self._current_owner[ticket.cell.name]
+    def _move(self, ticket: Ticket, cell: directory.CellInfo) -> None:
+        """Moves a request to the current owner of a cell."""
+        # A previous owner may own the cell again, and would still count it.
+        withdrawal = messages.Withdraw(ticket.cell.name, ticket.ask.request_id)
+        self._send_to_owner(ticket, withdrawal)
+        ticket.cell = cell
+        ticket.owner = self._current_owner[cell.name]
         ticket.ask = dataclasses.replace(ticket.ask, exempt_from_shedding=True)
         self._counts.moved += 1
         message: messages.FromEntry = self._ask_message(ticket)
@@ -307,9 +312,8 @@
         ] or cells
         if not candidates:
             return
-        ticket.cell = candidates[0]
-        self._owner_of(ticket.cell)
-        self._move(ticket)
+        self._owner_of(candidates[0])
+        self._move(ticket, candidates[0])
 
     def _close(self, ticket: Ticket) -> None:
         ticket.state = TicketState.OVER
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -17,6 +17,7 @@
 
     def __init__(self) -> None:
         self.owner = "box-2"
+        self.unreachable = ""
         self.sent: list[tuple[str, messages.FromEntry]] = []
         self.broker = broker.Broker(
             "box-1",
@@ -29,6 +30,8 @@
         self.broker.set_cells(cells("s/r/0", "e1", "e2"))
 
     def send(self, box: str, message: messages.FromEntry) -> bool:
+        if box == self.unreachable:
+            return False
         self.sent.append((box, message))
         return True
 
@@ -68,6 +71,44 @@
     assert message.endpoint == "e1"
 
 
+WITHDRAWN = ("box-2", messages.Withdraw("s/r/0", "r1"))
+
+
+@pytest.mark.parametrize("granted", [False, True])
+def test_previous_owner_does_not_keep_what_moved(granted: bool) -> None:
+    # Owners that got their cell back counted runs that had long ended, and
+    # granted nothing more.
+    fleet = Fleet()
+    fleet.place()
+    if granted:
+        fleet.grant("box-2")
+    fleet.owner = "box-3"
+    fleet.broker.reassign()
+    assert fleet.sent[-2] == WITHDRAWN
+
+
+@pytest.mark.parametrize("ends", [False, True])
+def test_unreachable_owner_learns_later_what_moved_or_ended(
+    ends: bool,
+) -> None:
+    fleet = Fleet()
+    ticket = fleet.place()
+    fleet.grant("box-2")
+    fleet.unreachable = "box-2"
+    if ends:
+        end = dispatch_types.RunEnd("r1", dispatch_types.Ending.COMPLETE)
+        fleet.broker.ended(ticket, end)
+    fleet.owner = "box-3"
+    fleet.broker.reassign()
+    assert WITHDRAWN not in fleet.sent
+    fleet.owner, fleet.unreachable = "box-2", ""
+    fleet.broker.reassign()
+    fleet.broker.place(builders.ask("r2"), "s")
+    in_order = [message for box, message in fleet.sent if box == "box-2"]
+    assert in_order[1] == WITHDRAWN[1]
+    assert in_order.count(WITHDRAWN[1]) == 1
+
+
 @pytest.mark.parametrize("sender", ["box-2", "box-3"])
 def test_stale_grant_is_returned(sender: str) -> None:
     fleet = Fleet()
