--- a/martenjunction/routing/endpoints/endpoint_registry.py
+++ b/martenjunction/routing/endpoints/endpoint_registry.py
@@ -5,8 +5,6 @@
 import math
 import random
 import time
-from typing import Any
-from typing import Protocol
 
 from martenjunction import model
 from martenjunction.decisions import endpoint_refusals
@@ -17,6 +15,8 @@
 from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.routing.endpoints import endpoint_ejection
+from martenjunction.routing.endpoints import endpoint_reports
+from martenjunction.routing.endpoints import run_tracker
 from martenjunction.routing.endpoints import service_engines
 from martenjunction.routing.log import decision_log
 
@@ -28,117 +28,6 @@
 # best-case values on each tick.
 IDLE_DECAY = 0.02
 
-# Lower and upper bound of the ratio of observed to predicted latency.
-SLOWNESS_BOUNDS = (0.3, 4.0)
-
-# Maximum slowness of an engine whose token pauses are used to learn the profile
-# of its service.
-MAX_LEARNING_SLOWNESS = 1.5
-
-
-class RunTicket:
-    """Tracks one in-flight request at one endpoint.
-
-    Attributes:
-        first_event_at: Listening time of the first event of a stream, or None.
-        answered: Whether bytes of an answer came.
-        move_requested: Whether the endpoint is silent, so that the request
-            should be moved to another one.
-        endpoint_restarted: Whether the endpoint restarted, which ended the
-            run.
-        resumed: Whether the run continues an earlier one, so that only a part
-            of its prompt is read.
-        direct: Whether its connection is this box's own.
-        paused: Whether its answer is not read for now.
-    """
-
-    def __init__(
-        self,
-        choice: endpoint_choice.Choice,
-        demand: endpoint_records.Demand,
-        now: float,
-        listened: float,
-        resumed: bool = False,
-        direct: bool = True,
-    ) -> None:
-        """Initializes the ticket of a request that is about to be sent.
-
-        Args:
-            choice: The selected endpoint and its predicted latency.
-            demand: The resources that the request needs.
-            now: The current time.
-            listened: The current time on the registry's listening clock.
-            resumed: Whether the run continues an earlier one.
-            direct: Whether its connection is this box's own.
-        """
-        self.record = choice.record
-        self.choice = choice
-        self.demand = demand
-        self.started_at = now
-        self.sent_at = listened
-        self.last_received_at = listened
-        self.waiting = True
-        self.first_event_at: float | None = None
-        self.answered = False
-        self.move_requested = False
-        self.endpoint_restarted = False
-        self.resumed = resumed
-        self.direct = direct
-        self.paused = False
-
-
-def describe(choice: endpoint_choice.Choice) -> dict[str, Any]:
-    """Returns the inputs of an endpoint selection, for the log."""
-    return {
-        "endpoint": choice.record.id,
-        "predicted_ms": round(choice.predicted_s * 1000, 1),
-        "unread": choice.prefill_tokens,
-        "running": choice.running,
-        "ahead": choice.tokens_ahead,
-        "debt": choice.debt,
-        "short": choice.short_running,
-        "hold_ms": round(choice.record.hold_s.value * 1000, 1),
-        "slowness": round(choice.record.slowness.value, 2),
-        "failing": round(choice.failure_part, 2),
-    }
-
-
-# The load of one box at one endpoint: endpoint id, urgency, whether the prompts
-# are long, number of in-flight requests of that kind, and their prompt tokens
-# that are not processed yet.
-LoadRow = tuple[str, int, bool, int, int]
-
-
-# Requests of one box at one endpoint: endpoint id, requests that ended and
-# requests that failed, each per second.
-OutcomeRow = tuple[str, float, float]
-
-
-class EndpointPathObserver(Protocol):
-    """Knows the paths of this box to endpoints."""
-
-    def is_trusted(self, endpoint_id: str) -> bool:
-        """Returns whether a failure may be held against the endpoint."""
-
-    def note_heard(self, endpoint_id: str, now: float) -> None:
-        """Records bytes that came over an own connection."""
-
-    def check(self, endpoint_id: str) -> None:
-        """Checks the path to an endpoint that is unusually quiet."""
-
-
-class _NoPaths:
-    """Paths that are never in doubt."""
-
-    def is_trusted(self, endpoint_id: str) -> bool:
-        return True
-
-    def note_heard(self, endpoint_id: str, now: float) -> None:
-        pass
-
-    def check(self, endpoint_id: str) -> None:
-        pass
-
 
 class EndpointRegistry:
     """Tracks the endpoints of all services and selects one per request."""
@@ -160,7 +49,7 @@
         self._ejection = endpoint_ejection.EjectionTracker(log)
         self._rng = rng
         self._records: dict[str, endpoint_records.EndpointRecord] = {}
-        self._tickets: set[RunTicket] = set()
+        self._tickets: set[run_tracker.RunTicket] = set()
         self._last_received: dict[str, float] = {}
         self._engines = service_engines.ServiceEngines(log)
         self._limits = endpoint_limits.LimitTable()
@@ -170,7 +59,7 @@
         self._scale = 1.0
         self._last_tick_at = math.inf
         self._stalled_s = 0.0
-        self._paths: EndpointPathObserver = _NoPaths()
+        self._paths: run_tracker.EndpointPathObserver = run_tracker.NoPaths()
 
     @property
     def listed(self) -> endpoint_list.EndpointList:
@@ -202,7 +91,7 @@
         """The number of in-flight requests."""
         return len(self._tickets)
 
-    def observe_paths(self, paths: EndpointPathObserver) -> None:
+    def observe_paths(self, paths: run_tracker.EndpointPathObserver) -> None:
         """Sets the object that knows the paths of this box to endpoints."""
         self._paths = paths
 
@@ -420,7 +309,7 @@
         now: float,
         resumed: bool = False,
         direct: bool = True,
-    ) -> RunTicket:
+    ) -> run_tracker.RunTicket:
         """Records that a request is sent to the selected endpoint.
 
         Args:
@@ -430,7 +319,7 @@
             resumed: Whether the run continues an earlier one.
             direct: Whether its connection is this box's own.
         """
-        ticket = RunTicket(
+        ticket = run_tracker.RunTicket(
             choice, demand, now, self._listening_time(now), resumed, direct
         )
         choice.record.loads.add(demand.load_key, 1, choice.prefill_tokens)
@@ -439,7 +328,7 @@
         self._tickets.add(ticket)
         return ticket
 
-    def note_response(self, ticket: RunTicket, now: float) -> None:
+    def note_response(self, ticket: run_tracker.RunTicket, now: float) -> None:
         """Records that an endpoint responded, whatever the response is.
 
         Args:
@@ -458,7 +347,7 @@
         ticket.last_received_at = listened
 
     @contextlib.contextmanager
-    def paused(self, ticket: RunTicket) -> Iterator[None]:
+    def paused(self, ticket: run_tracker.RunTicket) -> Iterator[None]:
         """Does not count time in which this box reads nothing of an answer.
 
         Args:
@@ -474,7 +363,9 @@
             ticket.sent_at += listened - began_at
             ticket.last_received_at = listened
 
-    def note_events(self, ticket: RunTicket, now: float, events: int) -> None:
+    def note_events(
+        self, ticket: run_tracker.RunTicket, now: float, events: int
+    ) -> None:
         """Records events of a successful stream, and learns from them.
 
         Args:
@@ -497,13 +388,18 @@
             if not ticket.resumed:
                 self._learn_first_event(ticket, pause_s)
 
-    def _learn_first_event(self, ticket: RunTicket, seconds: float) -> None:
+    def _learn_first_event(
+        self, ticket: run_tracker.RunTicket, seconds: float
+    ) -> None:
         """Learns from the time to the first event of a prompt that was read."""
         record = ticket.record
         # The prediction already includes the slowness factor.
         ratio = seconds * record.slowness.value / ticket.choice.predicted_s
         record.slowness.add(
-            min(max(ratio, SLOWNESS_BOUNDS[0]), SLOWNESS_BOUNDS[1])
+            min(
+                max(ratio, run_tracker.SLOWNESS_BOUNDS[0]),
+                run_tracker.SLOWNESS_BOUNDS[1],
+            )
         )
         if (
             ticket.choice.tokens_ahead == 0
@@ -517,18 +413,24 @@
             )
 
     def _learn_pause(
-        self, ticket: RunTicket, pause_s: float, events: int, now: float
+        self,
+        ticket: run_tracker.RunTicket,
+        pause_s: float,
+        events: int,
+        now: float,
     ) -> None:
         """Learns from a stream pause that overlapped with prefill."""
         record = ticket.record
         if not events or not record.loads.backlog_tokens(now):
             return
-        if record.slowness.value > MAX_LEARNING_SLOWNESS:
+        if record.slowness.value > run_tracker.MAX_LEARNING_SLOWNESS:
             return
         tokens = events * ticket.demand.tokens_per_event
         self._engines.note_token_pause(ticket.demand.service, pause_s / tokens)
 
-    def end(self, ticket: RunTicket, now: float, failed: bool) -> None:
+    def end(
+        self, ticket: run_tracker.RunTicket, now: float, failed: bool
+    ) -> None:
         """Records the end of a run at an endpoint."""
         record = ticket.record
         self._tickets.discard(ticket)
@@ -551,7 +453,9 @@
         if not failed and not ticket.demand.is_engine:
             self._learn_response_time(ticket, now)
 
-    def _learn_response_time(self, ticket: RunTicket, now: float) -> None:
+    def _learn_response_time(
+        self, ticket: run_tracker.RunTicket, now: float
+    ) -> None:
         """Learns from the time that a run at a plain endpoint took."""
         listened = self._listening_time(now)
         took_s = listened - ticket.sent_at
@@ -612,7 +516,7 @@
         """Ejects silent endpoints and drops the records of removed ones."""
         self._stalled_s += self._stall_s(now)
         self._last_tick_at = now
-        pending: dict[str, list[RunTicket]] = {}
+        pending: dict[str, list[run_tracker.RunTicket]] = {}
         for ticket in self._tickets:
             if not ticket.paused:
                 pending.setdefault(ticket.record.id, []).append(ticket)
@@ -643,7 +547,7 @@
         self._decay_idle()
         self._engines.recompute(now)
 
-    def loads(self) -> list[LoadRow]:
+    def loads(self) -> list[endpoint_reports.LoadRow]:
         """Returns the non-zero loads of this box, for the other boxes."""
         return [
             (
@@ -666,7 +570,7 @@
             if record.sent_tokens
         ]
 
-    def outcome_rows(self, now: float) -> list[OutcomeRow]:
+    def outcome_rows(self, now: float) -> list[endpoint_reports.OutcomeRow]:
         """Returns what ended and failed at endpoints that fail some requests.
 
         They fail at this box or at others, whose rates this box's rates are
@@ -679,7 +583,7 @@
         ]
 
     def update_peer_outcomes(
-        self, source: str, rows: list[OutcomeRow], now: float
+        self, source: str, rows: list[endpoint_reports.OutcomeRow], now: float
     ) -> None:
         """Replaces what another box, or all others, reported."""
         reported = {row[0] for row in rows}
@@ -708,7 +612,7 @@
                 record.update_peer_sent(box, total, now)
 
     def update_peer_loads(
-        self, box: str, rows: list[LoadRow], now: float
+        self, box: str, rows: list[endpoint_reports.LoadRow], now: float
     ) -> None:
         """Replaces the endpoint loads reported by another box."""
         reported: dict[
@@ -758,7 +662,9 @@
     def _stall_s(self, now: float) -> float:
         return max(0.0, now - self._last_tick_at - MAX_TICK_GAP_S)
 
-    def _is_silent(self, tickets: list[RunTicket], now: float) -> bool:
+    def _is_silent(
+        self, tickets: list[run_tracker.RunTicket], now: float
+    ) -> bool:
         """Returns whether the endpoint of some runs, all there, is silent."""
         record = tickets[0].record
         return endpoint_ejection.is_silent(
@@ -768,7 +674,9 @@
             self._listening_time(now),
         )
 
-    def _was_moved_early(self, ticket: RunTicket, now: float) -> bool:
+    def _was_moved_early(
+        self, ticket: run_tracker.RunTicket, now: float
+    ) -> bool:
         """Returns whether a run ends after a short silence of its endpoint."""
         return ticket.move_requested and endpoint_ejection.is_short_silence(
             ticket.sent_at,
@@ -776,7 +684,9 @@
             self._listening_time(now),
         )
 
-    def _is_quiet(self, tickets: list[RunTicket], now: float) -> bool:
+    def _is_quiet(
+        self, tickets: list[run_tracker.RunTicket], now: float
+    ) -> bool:
         """Returns whether an endpoint is quiet for longer than expected."""
         return endpoint_ejection.is_quiet(
             tickets[0].record,
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -15,7 +15,8 @@
 from martenjunction.http1 import server_connection
 from martenjunction.platform import headers
 from martenjunction.routing.access import admission
-from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_selector
+from martenjunction.routing.endpoints import run_tracker
 from martenjunction.routing.requests import offers
 
 # Statuses that would tell the client that the request did not run.
@@ -60,7 +61,7 @@
         self._state = state
         self._admitted = admitted
         self._running: attempt.Attempt | None = None
-        self._ticket: endpoint_registry.RunTicket | None = None
+        self._ticket: run_tracker.RunTicket | None = None
         self._fallback: Answer | None = None
         self._run_counted = False
         workspace = admitted.workspace
@@ -69,7 +70,7 @@
         )
 
     @property
-    def ticket(self) -> endpoint_registry.RunTicket | None:
+    def ticket(self) -> run_tracker.RunTicket | None:
         """The ticket of the current run, or None."""
         return self._ticket
 
@@ -152,7 +153,7 @@
         self._run_counted = False
         self._state.choices.append(
             {
-                **endpoint_registry.describe(offer.choice),
+                **endpoint_selector.describe(offer.choice),
                 "version": endpoint.version,
             }
         )
@@ -245,7 +246,7 @@
     async def _receive(
         self,
         offer: offers.Offer,
-        ticket: endpoint_registry.RunTicket,
+        ticket: run_tracker.RunTicket,
     ) -> bool:
         endpoint, run = offer.endpoint, offer.run
         head = await run.head()
@@ -293,7 +294,7 @@
         self,
         head: messages.ResponseHead,
         offer: offers.Offer,
-        ticket: endpoint_registry.RunTicket,
+        ticket: run_tracker.RunTicket,
     ) -> None:
         """Forwards a stream event by event."""
         run = offer.run
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -14,7 +14,7 @@
 from martenjunction.http1 import server_connection
 from martenjunction.platform import headers
 from martenjunction.routing.access import admission
-from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import run_tracker
 from martenjunction.routing.requests import endpoint_runs
 from martenjunction.routing.requests import offers
 from martenjunction.routing.requests import request_account
@@ -97,7 +97,7 @@
         self._runs: endpoint_runs.EndpointRuns | None = None
 
     @property
-    def ticket(self) -> endpoint_registry.RunTicket | None:
+    def ticket(self) -> run_tracker.RunTicket | None:
         """The ticket of the current run, or None."""
         return None if self._runs is None else self._runs.ticket
 
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -26,6 +26,7 @@
 from martenjunction.routing.access import request_content
 from martenjunction.routing.endpoints import endpoint_liveness
 from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_selector
 from martenjunction.routing.limits import answer_admission
 from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.log import decision_log
@@ -507,7 +508,7 @@
         )
         pause = load_shedding.retry_after_s(prospect)
         if pause is not None:
-            self._state.choices.append(endpoint_registry.describe(choice))
+            self._state.choices.append(endpoint_selector.describe(choice))
             raise admission.RefusalError(
                 503, "shed", "the predicted latency exceeds the target", pause
             )
--- a/martenjunction/routing/sync/load_report.py
+++ b/martenjunction/routing/sync/load_report.py
@@ -6,6 +6,7 @@
 from martenjunction.peers import codec
 from martenjunction.peers import hub
 from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_reports
 from martenjunction.routing.fleet import fleet_overlay
 from martenjunction.routing.messages import peer_messages
 
@@ -18,7 +19,7 @@
 LOADS_BYTES_PER_S = 24_000
 
 MakeStatus = Callable[
-    [list[endpoint_registry.LoadRow], list[tuple[str, int]]],
+    [list[endpoint_reports.LoadRow], list[tuple[str, int]]],
     peer_messages.BoxStatus,
 ]
 
--- a/martenjunction/routing/sync/outcome_report.py
+++ b/martenjunction/routing/sync/outcome_report.py
@@ -8,6 +8,7 @@
 from martenjunction.peers import codec
 from martenjunction.peers import hub
 from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_reports
 from martenjunction.routing.fleet import fleet_overlay
 
 # Interval in seconds between two reports.
@@ -91,7 +92,7 @@
 
 def _decode(
     message: OutcomeReport,
-) -> list[endpoint_registry.OutcomeRow]:
+) -> list[endpoint_reports.OutcomeRow]:
     """Returns the rows of a report.
 
     Raises:
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -14,6 +14,7 @@
 from martenjunction.peers import membership
 from martenjunction.peers import messages
 from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_reports
 from martenjunction.routing.fleet import fleet_overlay
 from martenjunction.routing.fleet import peer_views
 from martenjunction.routing.log import decision_log
@@ -141,7 +142,7 @@
     def _status(
         self,
         tells_loads: bool,
-        loads: list[endpoint_registry.LoadRow],
+        loads: list[endpoint_reports.LoadRow],
         sent: list[tuple[str, int]],
     ) -> peer_messages.BoxStatus:
         engines = self._registry.engines.rows(self._timers.now())
--- a/tests/test_routing_decisions.py
+++ b/tests/test_routing_decisions.py
@@ -12,7 +12,7 @@
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import load_shedding
 from martenjunction.decisions.boxes import retry_budget
-from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import run_tracker
 from tests import routing_builders as builders
 
 # Freshness of the configuration.
@@ -199,10 +199,10 @@
 
 def test_one_late_first_event_does_not_make_an_engine_slow() -> None:
     record = builders.record()
-    record.slowness.add(endpoint_registry.SLOWNESS_BOUNDS[1])
+    record.slowness.add(run_tracker.SLOWNESS_BOUNDS[1])
     assert record.slowness.value < 1.2
     for _ in range(40):
-        record.slowness.add(endpoint_registry.SLOWNESS_BOUNDS[1])
+        record.slowness.add(run_tracker.SLOWNESS_BOUNDS[1])
     assert record.slowness.value > 3.0
 
 
--- a/tests/test_short_silences.py
+++ b/tests/test_short_silences.py
@@ -7,6 +7,7 @@
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import response_times
 from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import run_tracker
 from martenjunction.routing.log import decision_log
 from tests import routing_builders as builders
 
@@ -48,7 +49,7 @@
         assert found is not None
         return found[0].id
 
-    def send(self, avoided: str = "other") -> endpoint_registry.RunTicket:
+    def send(self, avoided: str = "other") -> run_tracker.RunTicket:
         """Sends a request to the endpoint that stops, or to the other one."""
         found = self.registry.choose(
             self._service, self._demand, {avoided}, self.now
@@ -56,7 +57,7 @@
         assert found is not None
         return self.registry.begin(found[1], self._demand, self.now)
 
-    def answer(self, ticket: endpoint_registry.RunTicket) -> None:
+    def answer(self, ticket: run_tracker.RunTicket) -> None:
         """Lets a request be answered."""
         self.registry.note_response(ticket, self.now)
         self.registry.end(ticket, self.now, False)
