Give the records of endpoints a table of their own

The registry held the records and all that is done with them. The records, the list, the engines and the limits of endpoints are an EndpointTable now; callers that look records up take it.

--- a/martenjunction/box_gauges.py
+++ b/martenjunction/box_gauges.py
@@ -42,8 +42,12 @@
             "repeats_refused": float(box.budget.refused),
             "endpoints_leaving": float(len(box.endpoint_list.leaving)),
             "endpoints_resting": float(box.registry.backoff_count(now)),
-            "endpoints_limited": float(len(box.registry.limits.limited())),
-            "endpoints_brittle": float(len(box.registry.brittle.limited())),
+            "endpoints_limited": float(
+                len(box.registry.table.limits.limited())
+            ),
+            "endpoints_brittle": float(
+                len(box.registry.table.brittle.limited())
+            ),
             "grants_given": float(box.grants.granted),
             "grants_refused": float(box.grants.refused),
             "stream_origins": float(box.origins.count),
--- a/martenjunction/duties/scaling_duty.py
+++ b/martenjunction/duties/scaling_duty.py
@@ -123,7 +123,7 @@
                 },
                 now,
             )
-        endpoints = self._registry.listed.ready(service.name)
+        endpoints = self._registry.table.listed.ready(service.name)
         ready = collections.Counter(
             engine_orders.Subject(endpoint.zone, endpoint.reclaimable)
             for endpoint in endpoints
@@ -146,13 +146,13 @@
         endpoints: list[model.Endpoint],
         now: float,
     ) -> engine_orders.Demand:
-        engines = self._registry.engines
+        engines = self._registry.table.engines
         rates = engines.prefill_demand(service.name, now)
         assert service.engine is not None
         running = sum(
-            self._registry.records[endpoint.id].loads.running(now)
+            self._registry.table.records[endpoint.id].loads.running(now)
             for endpoint in endpoints
-            if endpoint.id in self._registry.records
+            if endpoint.id in self._registry.table.records
         )
         return engine_orders.Demand(
             rates.short + rates.long,
--- a/martenjunction/routing/box_dump.py
+++ b/martenjunction/routing/box_dump.py
@@ -53,7 +53,7 @@
                 "revision": listed.revision.number,
                 "connections": connections.open_connections(endpoint_id),
             }
-            for endpoint_id, listed in registry.listed.entries.items()
+            for endpoint_id, listed in registry.table.listed.entries.items()
         },
         "records": {
             record.id: {
@@ -65,10 +65,10 @@
                 if now < record.refusals.backoff_until
                 else 0.0,
             }
-            for record in registry.records.values()
+            for record in registry.table.records.values()
         },
-        "leaving": registry.listed.leaving,
-        "engines": registry.engines.dump(now),
+        "leaving": registry.table.listed.leaving,
+        "engines": registry.table.engines.dump(now),
         "peers": {
             member.box: peers.is_connected(member.box)
             for member in members.members.values()
--- a/martenjunction/routing/endpoints/endpoint_liveness.py
+++ b/martenjunction/routing/endpoints/endpoint_liveness.py
@@ -59,7 +59,7 @@
         Returns:
             Whether it is known to have crashed.
         """
-        listed = self._registry.listed
+        listed = self._registry.table.listed
         if listed.restarted(endpoint.id):
             self._on_ended(endpoint.id)
             return True
--- a/martenjunction/routing/endpoints/endpoint_registry.py
+++ b/martenjunction/routing/endpoints/endpoint_registry.py
@@ -10,24 +10,19 @@
 from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions.boxes import endpoint_choice
-from martenjunction.decisions.boxes import endpoint_limits
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.routing.endpoints import endpoint_ejection
 from martenjunction.routing.endpoints import endpoint_reports
+from martenjunction.routing.endpoints import endpoint_table
 from martenjunction.routing.endpoints import run_tracker
-from martenjunction.routing.endpoints import service_engines
 from martenjunction.routing.log import decision_log
 
 # Maximum time between two ticks, in seconds, that counts as listening time.
 # Ticks are due every 0.1 s; a longer gap means that this box was stalled.
 MAX_TICK_GAP_S = 0.15
 
-# Fraction by which the statistics of an idle endpoint move back towards their
-# best-case values on each tick.
-IDLE_DECAY = 0.02
-
 
 class EndpointRegistry:
     """Tracks the endpoints of all services and selects one per request."""
@@ -45,46 +40,21 @@
             log: Receives a line for each endpoint ejected or reinstated.
             rng: Breaks ties.
         """
-        self._listed = listed
+        self._table = endpoint_table.EndpointTable(listed, log)
         self._ejection = endpoint_ejection.EjectionTracker(log)
         self._rng = rng
-        self._records: dict[str, endpoint_records.EndpointRecord] = {}
         self._tickets: set[run_tracker.RunTicket] = set()
         self._last_received: dict[str, float] = {}
-        self._engines = service_engines.ServiceEngines(log)
-        self._limits = endpoint_limits.LimitTable()
-        self._brittle = endpoint_limits.LimitTable()
         self._reported_by: dict[str, set[str]] = {}
         self._outcomes_by: dict[str, set[str]] = {}
-        self._scale = 1.0
         self._last_tick_at = math.inf
         self._stalled_s = 0.0
         self._paths: run_tracker.EndpointPathObserver = run_tracker.NoPaths()
 
     @property
-    def listed(self) -> endpoint_list.EndpointList:
-        """The platform's endpoint list, as last seen by this box."""
-        return self._listed
-
-    @property
-    def records(self) -> dict[str, endpoint_records.EndpointRecord]:
-        """The endpoint records by endpoint id; read-only."""
-        return self._records
-
-    @property
-    def engines(self) -> service_engines.ServiceEngines:
-        """The engine profiles and prefill demand of each service."""
-        return self._engines
-
-    @property
-    def limits(self) -> endpoint_limits.LimitTable:
-        """The rate limits of endpoints, in requests per second."""
-        return self._limits
-
-    @property
-    def brittle(self) -> endpoint_limits.LimitTable:
-        """The rejections per second beyond which endpoints crash."""
-        return self._brittle
+    def table(self) -> endpoint_table.EndpointTable:
+        """The records of endpoints."""
+        return self._table
 
     @property
     def running(self) -> int:
@@ -105,7 +75,7 @@
             connections_lost: Whether its open connections are lost as well.
             now: The current time.
         """
-        record = self._records.get(endpoint_id)
+        record = self._table.records.get(endpoint_id)
         if record is None:
             return
         self._ejection.reinstate(record, now)
@@ -118,8 +88,8 @@
         """Returns the number of listed endpoints that are ejected."""
         return sum(
             record.health.state is endpoint_states.EndpointState.EJECTED
-            for record in self._records.values()
-            if record.id in self._listed.entries
+            for record in self._table.records.values()
+            if record.id in self._table.listed.entries
         )
 
     def choose(
@@ -146,12 +116,12 @@
         """
         endpoints = {
             endpoint.id: endpoint
-            for endpoint in self._listed.ready(service.name)
+            for endpoint in self._table.listed.ready(service.name)
             if endpoint.id not in avoid
-            and self._limits.is_open(endpoint.id, now)
-            and self._brittle.is_open(endpoint.id, now)
+            and self._table.limits.is_open(endpoint.id, now)
+            and self._table.brittle.is_open(endpoint.id, now)
         }
-        records = [self._record(e, service) for e in endpoints.values()]
+        records = [self._table.record(e, service) for e in endpoints.values()]
         choice = endpoint_choice.choose(records, demand, now, self._rng, apart)
         if choice is None:
             return None
@@ -168,7 +138,7 @@
             return set()
         return {
             endpoint.id
-            for endpoint in self._listed.ready(service)
+            for endpoint in self._table.listed.ready(service)
             if endpoint.version != version
         }
 
@@ -179,8 +149,8 @@
         endpoint may have announced a back-off, a rate limit or its shutdown
         since it was selected.
         """
-        record = self._records.get(endpoint_id)
-        return self._listed.is_ready(endpoint_id) and (
+        record = self._table.records.get(endpoint_id)
+        return self._table.listed.is_ready(endpoint_id) and (
             record is None or record.accepts(now)
         )
 
@@ -198,12 +168,12 @@
         times = [
             max(
                 record.refusals.opens_in_s(record.loads.own_running, now),
-                self._limits.opens_in_s(record.id, now),
-                self._brittle.opens_in_s(record.id, now),
+                self._table.limits.opens_in_s(record.id, now),
+                self._table.brittle.opens_in_s(record.id, now),
             )
             for record in (
-                self._record(endpoint, service)
-                for endpoint in self._listed.ready(service.name)
+                self._table.record(endpoint, service)
+                for endpoint in self._table.listed.ready(service.name)
             )
         ]
         first_s = min(times, default=0.0)
@@ -217,23 +187,23 @@
     def limited(self, service: str) -> bool:
         """Returns whether any endpoint of a service announces a rate limit."""
         return any(
-            self._limits.per_s(endpoint.id) is not None
-            for endpoint in self._listed.ready(service)
+            self._table.limits.per_s(endpoint.id) is not None
+            for endpoint in self._table.listed.ready(service)
         )
 
     def is_brittle(self, service: str) -> bool:
         """Returns whether endpoints of a service crash when they reject."""
         return any(
-            self._brittle.per_s(endpoint.id) is not None
-            for endpoint in self._listed.ready(service)
+            self._table.brittle.per_s(endpoint.id) is not None
+            for endpoint in self._table.listed.ready(service)
         )
 
     def place_opens_in_s(self, service: str, now: float) -> float:
         """Returns the seconds until a place may be asked for; 0 for now."""
         return min(
             (
-                self._brittle.opens_in_s(endpoint.id, now)
-                for endpoint in self._listed.ready(service)
+                self._table.brittle.opens_in_s(endpoint.id, now)
+                for endpoint in self._table.listed.ready(service)
             ),
             default=0.0,
         )
@@ -245,7 +215,7 @@
             endpoint_id: The endpoint.
             now: The current time.
         """
-        record = self._records.get(endpoint_id)
+        record = self._table.records.get(endpoint_id)
         if record is not None:
             record.refusals.begin_ramp_up(now)
 
@@ -253,7 +223,7 @@
         """Returns the number of endpoints in back-off for this box."""
         return sum(
             now < record.refusals.backoff_until
-            for record in self._records.values()
+            for record in self._table.records.values()
         )
 
     def start_backoff(
@@ -271,7 +241,7 @@
         Returns:
             Seconds by which the back-off was extended; 0 if it was not.
         """
-        record = self._records.get(endpoint_id)
+        record = self._table.records.get(endpoint_id)
         if record is None:
             return 0.0
         return record.refusals.start_backoff(seconds, self._rng.random(), now)
@@ -287,8 +257,10 @@
             now: The current time.
         """
         return any(
-            self._record(endpoint, service).loads.running_below(urgency, now)
-            for endpoint in self._listed.ready(service.name)
+            self._table.record(endpoint, service).loads.running_below(
+                urgency, now
+            )
+            for endpoint in self._table.listed.ready(service.name)
         )
 
     def evaluate(
@@ -299,7 +271,7 @@
         now: float,
     ) -> endpoint_choice.Choice:
         """Returns the prediction for a request at a given endpoint."""
-        record = self._record(endpoint, service)
+        record = self._table.record(endpoint, service)
         return endpoint_choice.evaluate(record, demand, False, now)
 
     def begin(
@@ -408,7 +380,7 @@
             # Excludes prompts with shared parts that count as uncached. The
             # engine may have cached them unknown to this box, so that a
             # restarted box would greatly overestimate its engines.
-            self._engines.note_prefill_time(
+            self._table.engines.note_prefill_time(
                 ticket.demand.service, ticket.choice.prefill_tokens, seconds
             )
 
@@ -426,7 +398,9 @@
         if record.slowness.value > run_tracker.MAX_LEARNING_SLOWNESS:
             return
         tokens = events * ticket.demand.tokens_per_event
-        self._engines.note_token_pause(ticket.demand.service, pause_s / tokens)
+        self._table.engines.note_token_pause(
+            ticket.demand.service, pause_s / tokens
+        )
 
     def end(
         self, ticket: run_tracker.RunTicket, now: float, failed: bool
@@ -467,7 +441,7 @@
 
     def note_refusal(self, endpoint_id: str, now: float) -> None:
         """Records that an endpoint, full or leaving, refused a request."""
-        self._records[endpoint_id].refusals.record_refusal(now)
+        self._table.records[endpoint_id].refusals.record_refusal(now)
 
     def note_unreachable(
         self, endpoint_id: str, now: float, cause: str
@@ -479,13 +453,13 @@
             now: The current time.
             cause: The error, for the log.
         """
-        record = self._records.get(endpoint_id)
+        record = self._table.records.get(endpoint_id)
         if record is not None:
             self._ejection.note_unreachable(record, now, cause)
 
     def note_broken_response(self, endpoint_id: str, now: float) -> None:
         """Records that a response of an endpoint was broken off."""
-        record = self._records.get(endpoint_id)
+        record = self._table.records.get(endpoint_id)
         if record is not None:
             self._ejection.note_broken_response(record, now)
 
@@ -497,18 +471,18 @@
         """
         return [
             record.id
-            for record in self._records.values()
+            for record in self._table.records.values()
             if endpoint_ejection.due_for_probe(record, now)
             and self.accepts(record.id, now)
-            and self._limits.is_open(record.id, now)
-            and self._brittle.is_open(record.id, now)
+            and self._table.limits.is_open(record.id, now)
+            and self._table.brittle.is_open(record.id, now)
         ]
 
     def note_probe_result(
         self, endpoint_id: str, healthy: bool, now: float
     ) -> None:
         """Records the result of a health check of an ejected endpoint."""
-        record = self._records.get(endpoint_id)
+        record = self._table.records.get(endpoint_id)
         if record is not None:
             self._ejection.note_probe_result(record, healthy, now)
 
@@ -531,21 +505,12 @@
         for ticket in self._tickets:
             # The connection may stay open: a box partitioned from the endpoint
             # learns of its restart from the store or from a peer.
-            if self._listed.restarted(ticket.record.id):
+            if self._table.listed.restarted(ticket.record.id):
                 ticket.endpoint_restarted = True
-        for removed in [
-            i for i in self._records if i not in self._listed.entries
-        ]:
-            record = self._records[removed]
-            # Its back-off still applies if the entry reappears, unless the
-            # endpoint restarted.
-            in_backoff = now < record.refusals.backoff_until
-            keep_backoff = in_backoff and not self._listed.restarted(removed)
-            if record.loads.own_running == 0 and not keep_backoff:
-                del self._records[removed]
-                self._last_received.pop(removed, None)
-        self._decay_idle()
-        self._engines.recompute(now)
+        for removed in self._table.drop_removed(now):
+            self._last_received.pop(removed, None)
+        self._table.decay_idle()
+        self._table.engines.recompute(now)
 
     def loads(self) -> list[endpoint_reports.LoadRow]:
         """Returns the non-zero loads of this box, for the other boxes."""
@@ -557,7 +522,7 @@
                 load.running,
                 max(0, load.backlog_tokens),
             )
-            for record in self._records.values()
+            for record in self._table.records.values()
             for key, load in record.loads.own.items()
             if load.running
         ]
@@ -566,7 +531,7 @@
         """Returns the total tokens that this box has sent to each engine."""
         return [
             (record.id, record.sent_tokens)
-            for record in self._records.values()
+            for record in self._table.records.values()
             if record.sent_tokens
         ]
 
@@ -578,7 +543,7 @@
         """
         return [
             (record.id, *record.outcomes.own_rates(now))
-            for record in self._records.values()
+            for record in self._table.records.values()
             if record.outcomes.failure_part(now)
         ]
 
@@ -588,26 +553,20 @@
         """Replaces what another box, or all others, reported."""
         reported = {row[0] for row in rows}
         for gone in self._outcomes_by.get(source, set()) - reported:
-            if gone in self._records:
-                self._records[gone].outcomes.remove_peer(source)
+            if gone in self._table.records:
+                self._table.records[gone].outcomes.remove_peer(source)
         self._outcomes_by[source] = reported
         for endpoint_id, ended, failed in rows:
-            record = self._records.get(endpoint_id)
+            record = self._table.records.get(endpoint_id)
             if record is not None:
                 record.outcomes.update_peer(source, ended, failed, now)
 
-    def set_load_scale(self, scale: float) -> None:
-        """Sets the ratio of the total load to the load of reachable boxes."""
-        self._scale = scale
-        for record in self._records.values():
-            record.loads.scale = scale
-
     def update_peer_sent(
         self, box: str, rows: list[tuple[str, int]], now: float
     ) -> None:
         """Updates the total tokens that another box has sent to each engine."""
         for endpoint_id, total in rows:
-            record = self._records.get(endpoint_id)
+            record = self._table.records.get(endpoint_id)
             if record is not None:
                 record.update_peer_sent(box, total, now)
 
@@ -629,28 +588,12 @@
         if not reported:
             del self._reported_by[box]
         for endpoint_id in previous | set(reported):
-            record = self._records.get(endpoint_id)
+            record = self._table.records.get(endpoint_id)
             if record is not None:
                 record.loads.update_peer(
                     box, reported.get(endpoint_id, {}), now
                 )
 
-    def _record(
-        self, endpoint: model.Endpoint, service: model.Service
-    ) -> endpoint_records.EndpointRecord:
-        record = self._records.get(endpoint.id)
-        if record is None:
-            cache_tokens = service.engine.cache_tokens if service.engine else 0
-            record = endpoint_records.EndpointRecord(
-                endpoint.id, endpoint.zone, endpoint.slots, cache_tokens
-            )
-            record.loads.scale = self._scale
-            self._records[endpoint.id] = record
-        if service.engine is not None:
-            record.profile = self._engines.profile(service.name)
-        record.limited = self._limits.per_s(endpoint.id) is not None
-        return record
-
     def _listening_time(self, now: float) -> float:
         """Returns the time on a clock that pauses while this box is stalled.
 
@@ -697,9 +640,3 @@
             self._last_received.get(tickets[0].record.id, 0.0),
             self._listening_time(now),
         )
-
-    def _decay_idle(self) -> None:
-        """Decays the statistics of idle endpoints to their best-case values."""
-        for record in self._records.values():
-            if record.has_history and record.loads.own_running == 0:
-                record.decay(IDLE_DECAY)
--- a/martenjunction/routing/limits/brittleness_sync.py
+++ b/martenjunction/routing/limits/brittleness_sync.py
@@ -27,14 +27,14 @@
     def _table_of(
         self, registry: endpoint_registry.EndpointRegistry
     ) -> endpoint_limits.LimitTable:
-        return registry.brittle
+        return registry.table.brittle
 
     def _on_cleared(self, endpoint_id: str) -> None:
         """Does nothing: the endpoint had as much work as it bears."""
 
     def _cover_services(self) -> None:
         """Assumes the same of endpoints of a service that said nothing."""
-        listed = self._registry.listed
+        listed = self._registry.table.listed
         for endpoint_id in self._limits.limited():
             known = listed.entries.get(endpoint_id)
             report = self._limits.reports[endpoint_id]
--- a/martenjunction/routing/limits/limit_sync.py
+++ b/martenjunction/routing/limits/limit_sync.py
@@ -141,14 +141,14 @@
     def _table_of(
         self, registry: endpoint_registry.EndpointRegistry
     ) -> endpoint_limits.LimitTable:
-        return registry.limits
+        return registry.table.limits
 
     def _on_cleared(self, endpoint_id: str) -> None:
         self._registry.clear_limit(endpoint_id, self._timers.now())
 
     def _check(self) -> None:
         now = self._timers.now()
-        self._limits.prune(self._registry.listed.entries, now)
+        self._limits.prune(self._registry.table.listed.entries, now)
         self._send_due()
         for endpoint_id in [
             i
--- a/martenjunction/routing/limits/place_grants.py
+++ b/martenjunction/routing/limits/place_grants.py
@@ -111,7 +111,7 @@
             entry.table.retain(live_boxes)
             self._serve_queue(endpoint_id, entry)
             if (
-                self._registry.brittle.per_s(endpoint_id) is None
+                self._registry.table.brittle.per_s(endpoint_id) is None
                 and not entry.queue
             ):
                 del self._endpoints[endpoint_id]
@@ -127,11 +127,11 @@
                 entry.table.release(waiting.box)
 
     def _take(self, endpoint_id: str, entry: _Endpoint, box: str) -> bool:
-        listed = self._registry.listed.entries.get(endpoint_id)
+        listed = self._registry.table.listed.entries.get(endpoint_id)
         if listed is None:
             return False
         now = self._timers.now()
-        record = self._registry.records.get(endpoint_id)
+        record = self._registry.table.records.get(endpoint_id)
         running = 0 if record is None else record.loads.running(now)
         return entry.table.take(box, listed.endpoint.slots, running, now)
 
--- a/martenjunction/routing/limits/prober.py
+++ b/martenjunction/routing/limits/prober.py
@@ -64,7 +64,7 @@
         if config is None:
             return
         for endpoint_id in self._registry.due_for_probe(self._timers.now()):
-            listed = self._registry.listed.entries[endpoint_id]
+            listed = self._registry.table.listed.entries[endpoint_id]
             service = config.services.get(listed.endpoint.service)
             if service is None or endpoint_id in self._probes:
                 continue
--- a/martenjunction/routing/limits/rate_grants.py
+++ b/martenjunction/routing/limits/rate_grants.py
@@ -93,8 +93,8 @@
             clock: The clock and timers.
         """
         self._registry = registry
-        self._limits = registry.limits
-        self._brittle = registry.brittle
+        self._limits = registry.table.limits
+        self._brittle = registry.table.brittle
         self._members = members
         self._places = place_grants.PlaceGrants(registry, clock)
         self._limit_sync = sync
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -295,7 +295,7 @@
 
     def _demand(self, admitted: admission.Admission) -> endpoint_records.Demand:
         engine = admitted.service.engine
-        engines = self._context.registry.engines
+        engines = self._context.registry.table.engines
         name = admitted.service.name
         now = time.monotonic()
         return endpoint_records.Demand(
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -300,7 +300,9 @@
                 return None
             endpoint, choice = chosen
             if choice.record.limited and self._should_yield(now):
-                self._avoid.update(self._context.registry.limits.limited())
+                self._avoid.update(
+                    self._context.registry.table.limits.limited()
+                )
                 continue
             if not self._state.offers and self._demand.is_engine:
                 self._note_prefill_demand(choice, now)
@@ -373,7 +375,7 @@
         """Records the prefill demand, once per request."""
         if not self._demand_noted:
             self._demand_noted = True
-            self._context.registry.engines.note_prefill_demand(
+            self._context.registry.table.engines.note_prefill_demand(
                 self._demand.service,
                 choice.prefill_tokens,
                 self._demand.is_long,
@@ -407,7 +409,7 @@
 
     def _is_unchanged(self, endpoint: model.Endpoint) -> bool:
         """Returns whether an endpoint still has the version of its choice."""
-        listed = self._context.registry.listed.entries.get(endpoint.id)
+        listed = self._context.registry.table.listed.entries.get(endpoint.id)
         return (
             listed is not None and listed.endpoint.version == endpoint.version
         )
@@ -474,7 +476,7 @@
             return None
         now = time.monotonic()
         # At a rate-limited endpoint the run would have to wait for a grant.
-        excluded = set(self._context.registry.limits.limited())
+        excluded = set(self._context.registry.table.limits.limited())
         excluded |= self._other_versions(offer.endpoint.version)
         chosen = self._context.registry.choose(
             self._admitted.service, self._demand, self._avoid | excluded, now
--- a/martenjunction/routing/sync/fleet_loads.py
+++ b/martenjunction/routing/sync/fleet_loads.py
@@ -38,16 +38,20 @@
             key = endpoint_loads.LoadKey(urgency, is_long)
             row = load_sums.endpoint_key(endpoint_id), key
             own.loads[row] = endpoint_loads.Load(running, unread)
-        for record in self._registry.records.values():
+        for record in self._registry.table.records.values():
             rate = record.sent_per_s(now)
             if rate >= 1.0:
                 own.sent_per_s[load_sums.endpoint_key(record.id)] = rate
         for endpoint_id, ended, failed in self._registry.outcome_rows(now):
             key_number = load_sums.endpoint_key(endpoint_id)
             own.outcomes[key_number] = ended, failed
-        for name, rate, token_us, short, long in self._registry.engines.rows(
-            now
-        ):
+        for (
+            name,
+            rate,
+            token_us,
+            short,
+            long,
+        ) in self._registry.table.engines.rows(now):
             own.demand[name] = prefill_demand.PrefillRates(short, long)
             if rate or token_us:
                 own.estimates[name] = [
@@ -64,7 +68,7 @@
             now: The current time.
         """
         others = total.without(self._own)
-        records = self._registry.records
+        records = self._registry.table.records
         ids = {load_sums.endpoint_key(i): i for i in records}
         rows = [
             (
@@ -91,7 +95,7 @@
         self._apply_engines(others, now)
 
     def _apply_engines(self, others: load_sums.LoadSums, now: float) -> None:
-        engines = self._registry.engines
+        engines = self._registry.table.engines
         for name, rates in others.demand.items():
             row = (name, 0, 0, round(rates.short), round(rates.long))
             engines.update_peer(FLEET, [row], now)
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -145,12 +145,12 @@
         loads: list[endpoint_reports.LoadRow],
         sent: list[tuple[str, int]],
     ) -> peer_messages.BoxStatus:
-        engines = self._registry.engines.rows(self._timers.now())
+        engines = self._registry.table.engines.rows(self._timers.now())
         return peer_messages.BoxStatus(
             self._is_ready(),
             self._reaches_endpoints(),
             self._cache.version,
-            self._registry.listed.revision,
+            self._registry.table.listed.revision,
             self._reader.is_synced,
             self._age_ms(),
             self._members.own.link_kb,
@@ -225,7 +225,7 @@
             status.long_demand,
             strict=False,
         )
-        self._registry.engines.update_peer(box, engines, now)
+        self._registry.table.engines.update_peer(box, engines, now)
         if not status.has_loads:
             return
         loads = zip(
@@ -246,16 +246,16 @@
         return peer_stamps.PeerStamp(
             self._age_ms(),
             self._cache.version,
-            self._registry.listed.revision,
+            self._registry.table.listed.revision,
             reads,
             reads or self._is_fed,
-            self._registry.listed.contact.ages(self._timers.now()),
+            self._registry.table.listed.contact.ages(self._timers.now()),
         )
 
     def _on_store_contact(
         self, ages: store_contact.ContactAges, asked_at: float | None
     ) -> None:
-        contact = self._registry.listed.contact
+        contact = self._registry.table.listed.contact
         contact.note_told(ages, asked_at, self._timers.now())
 
     def _on_stamp(
@@ -281,7 +281,7 @@
         """Queries a peer that knows more than this box."""
         self._reader.update_era(revision.era)
         behind = self._note_version(version, box)
-        if behind or revision > self._registry.listed.revision:
+        if behind or revision > self._registry.table.listed.revision:
             self._query(box)
 
     def _note_version(self, version: int, box: str) -> bool:
@@ -341,7 +341,7 @@
             lambda: self._views.reader_states(self._members.monitored_peers()),
             self._parent_is_fed,
         )
-        self._registry.set_load_scale(self._load_scale())
+        self._registry.table.set_load_scale(self._load_scale())
         self._announce_change()
 
     def _parent_is_fed(self) -> bool:
@@ -354,7 +354,7 @@
         state = (
             self._reader.is_synced,
             self._cache.version,
-            self._registry.listed.revision,
+            self._registry.table.listed.revision,
         )
         if state == self._announced_state:
             return
@@ -431,15 +431,15 @@
                 0 if conflicting else self._cache.version,
                 revisions.NONE
                 if self._is_missing_entries
-                else self._registry.listed.revision,
-                self._registry.listed.digest(),
+                else self._registry.table.listed.revision,
+                self._registry.table.listed.digest(),
             ),
         )
         if not sent:
             self._queries.drop_peer(box)
 
     def _on_ask(self, box: str, ask: peer_messages.AskView) -> None:
-        listed = self._registry.listed
+        listed = self._registry.table.listed
         update = self._cache.documents.update_for(ask.version)
         if update is not None:
             self._peers.send(box, update)
@@ -480,7 +480,7 @@
             self._cache.apply_view(view, box)
             if self._place.is_sparse:
                 self._announce_change()
-        entries = self._registry.listed.entries
+        entries = self._registry.table.listed.entries
         self._is_missing_entries = any(
             i not in entries and i not in view.lapsed for i in view.ready
         )
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -191,7 +191,9 @@
                 name = f"box-{index}"
                 other.update_peer_loads(name, book.loads(), now)
                 other.update_peer_sent(name, book.sent_tokens(), now)
-                other.engines.update_peer(name, book.engines.rows(now), now)
+                other.table.engines.update_peer(
+                    name, book.table.engines.rows(now), now
+                )
 
     def _tell_sums(self, now: float, index: int) -> None:
         total = load_sums.total(part.take(now) for part in self._sums)
@@ -213,7 +215,7 @@
             self._result(arrival).refused += 1
             return
         endpoint, choice = chosen
-        book.engines.note_prefill_demand(
+        book.table.engines.note_prefill_demand(
             SERVICE, choice.prefill_tokens, demand.is_long, now
         )
         pause_s = load_shedding.retry_after_s(
@@ -273,9 +275,9 @@
             self._shortest,
             kind.pause_s,
             self._load.engine_kind.tokens_per_event,
-            book.engines.profile(SERVICE),
-            book.engines.prefill_demand(SERVICE, now),
-            book.engines.peer_prefill_per_s(SERVICE, now),
+            book.table.engines.profile(SERVICE),
+            book.table.engines.prefill_demand(SERVICE, now),
+            book.table.engines.peer_prefill_per_s(SERVICE, now),
         )
 
     def _wake(self, now: float, engine: engines.Engine) -> None:
@@ -327,7 +329,7 @@
         for name in sorted(set(self._engines) - self._leaving)[:count]:
             self._leaving.add(name)
             for book in self._books:
-                book.listed.mark_draining(name, revisions.Revision(1, 2))
+                book.table.listed.mark_draining(name, revisions.Revision(1, 2))
             self._at(now + self._load.notice_s, self._lose, name)
 
     def _join(self, now: float, count: int) -> None:
@@ -337,7 +339,7 @@
             kind = self._load.engine_kind
             self._engines[name] = engines.Engine(name, kind)
             for book in self._books:
-                book.listed.apply_entry(
+                book.table.listed.apply_entry(
                     self._endpoint(name), revisions.Revision(1, 2)
                 )
 
@@ -350,4 +352,4 @@
             request.book.end(request.ticket, now, failed=True)
             self._result(request.arrival).lost += 1
         for book in self._books:
-            book.listed.mark_draining(name, revisions.Revision(1, 2))
+            book.table.listed.mark_draining(name, revisions.Revision(1, 2))
--- a/tests/test_answers_beside_bodies.py
+++ b/tests/test_answers_beside_bodies.py
@@ -89,7 +89,7 @@
         lambda: box.answers.gauges()["memory_answers_waiting"] == 3
     )
     await asyncio.sleep(1.0)
-    health = box.registry._records[endpoint.id].health
+    health = box.registry.table.records[endpoint.id].health
     ejected = health.state is endpoint_states.EndpointState.EJECTED
     other.close()
     box.bodies.release(LIMIT_BYTES)
--- a/tests/test_brittle_endpoints.py
+++ b/tests/test_brittle_endpoints.py
@@ -132,13 +132,13 @@
     [said, *others] = [e.id for e in second.endpoint_list.ready(builders.PLAIN)]
     first.brittleness.report_limit(said, 4.0, 0.0)
     await boxes.until(
-        lambda: set(second.registry.brittle.limited()) == {said, *others}
+        lambda: set(second.registry.table.brittle.limited()) == {said, *others}
     )
     for endpoint_id in (said, *others):
         second.brittleness.report_limit(
             endpoint_id, None, asyncio.get_running_loop().time()
         )
-    await boxes.until(lambda: not first.registry.brittle.limited())
+    await boxes.until(lambda: not first.registry.table.brittle.limited())
     await asyncio.sleep(0.3)
-    assert not second.registry.brittle.limited()
+    assert not second.registry.table.brittle.limited()
     await fleet.stop()
--- a/tests/test_endpoint_outcomes.py
+++ b/tests/test_endpoint_outcomes.py
@@ -133,7 +133,7 @@
     other = made.gateways[1].registry
 
     def is_known() -> bool:
-        record = other.records.get(made.replicas[0].id)
+        record = other.table.records.get(made.replicas[0].id)
         now = made.gateways[1].timers.now()
         return record is not None and record.failure_part(now) > 0.2
 
--- a/tests/test_endpoint_refusals.py
+++ b/tests/test_endpoint_refusals.py
@@ -212,7 +212,7 @@
     box = fleet.gateways[0]
     for _ in range(9):
         box.registry.note_broken_response(made.id, box.timers.now() - 60.0)
-    assert box.registry.records[made.id].health.state == "ejected"
+    assert box.registry.table.records[made.id].health.state == "ejected"
     assert box.registry.due_for_probe(box.timers.now()) == []
     assert box.registry.due_for_probe(box.timers.now() + 60.0) == [made.id]
 
@@ -262,5 +262,5 @@
     box = fleet.gateways[0]
     for number in range(60):
         await requests.ask(fleet, "/safe/", f"r{number}")
-    assert box.registry.records[made[0].id].failures.value > 0
+    assert box.registry.table.records[made[0].id].failures.value > 0
     assert len(made[0].received) < len(made[1].received) / 4
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -117,7 +117,7 @@
         *(requests.ask(fleet, "/unsafe/", f"r{number}") for number in range(12))
     )
     assert {head.status for head, _ in answers} == {200}
-    ejected = box.registry.records[made[0].id].health
+    ejected = box.registry.table.records[made[0].id].health
     assert ejected.state == "ejected"
     await made[0].start_again()
     await boxes.until(lambda: ejected.state == "routing")
--- a/tests/test_gateway_engines.py
+++ b/tests/test_gateway_engines.py
@@ -22,7 +22,7 @@
 async def test_boxes_share_learned_engine_profiles() -> None:
     made = boxes.Boxes()
     await made.start(builders.config_document(), boxes=2)
-    first, second = (box.registry.engines for box in made.gateways)
+    first, second = (box.registry.table.engines for box in made.gateways)
     for _ in range(engine_profiles.MIN_PREFILLS):
         first.note_prefill_time(builders.ENGINE, 9_000, 0.265)
     for _ in range(
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -48,7 +48,7 @@
         box.registry.update_peer_loads("box-9", rows, box.timers.now())
 
     for endpoint in box.endpoint_list.ready(builders.ENGINE):
-        box.registry._record(endpoint, service)
+        box.registry.table.record(endpoint, service)
     report_loads(chat)
     refused, _ = await requests.ask(fleet, "/chat/", "r1")
     report_loads(chat, digest)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -88,7 +88,7 @@
 
     def running(self, name: str) -> int:
         """Returns the requests there, as known to a box."""
-        record = self.made.boxes[name].registry.records["e1"]
+        record = self.made.boxes[name].registry.table.records["e1"]
         return record.loads.running(self.made.simulation.now)
 
     def begin(self, name: str) -> None:
@@ -96,7 +96,7 @@
         registry = self.made.boxes[name].registry
         now = self.made.simulation.now
         choice = registry.evaluate(
-            registry.listed.entries["e1"].endpoint,
+            registry.table.listed.entries["e1"].endpoint,
             SERVICE,
             KEY,
             now,
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -38,10 +38,10 @@
         await requests.ask(fleet, "/chat/", f"r{number}", **prompt)
     registry = fleet.gateways[0].registry
     registry.tick(fleet.gateways[0].timers.now())
-    assert registry.engines.profile(builders.ENGINE) == (
+    assert registry.table.engines.profile(builders.ENGINE) == (
         engine_profiles.EngineProfile()
     )
-    for record in registry.records.values():
+    for record in registry.table.records.values():
         assert record.cached_tokens([("a1", 100)]) == 0
         assert record.slowness.value == 1.0
 
@@ -86,7 +86,7 @@
     @property
     def rate(self) -> float:
         """The learned prefill rate in tokens per second."""
-        profile = self.registry.engines.profile(builders.ENGINE)
+        profile = self.registry.table.engines.profile(builders.ENGINE)
         return profile.prefill_tokens_per_s
 
     def _advance(self, seconds: float) -> None:
--- a/tests/test_limit_gate.py
+++ b/tests/test_limit_gate.py
@@ -82,7 +82,7 @@
     for one in made:
         limited_replicas.report_limit(fleet, one, 0.0)
     asked: list[int] = []
-    engines = fleet.gateways[0].registry.engines
+    engines = fleet.gateways[0].registry.table.engines
     monkeypatch.setattr(
         engines,
         "note_prefill_demand",
@@ -155,7 +155,7 @@
     [made] = await limited_replicas.start(fleet, builders.PLAIN, 1)
     made.always(behaviour)
     await requests.ask(fleet, "/safe/")
-    assert fleet.gateways[0].registry.limits.per_s(made.id) == 1.0
+    assert fleet.gateways[0].registry.table.limits.per_s(made.id) == 1.0
 
 
 async def test_health_check_response_does_not_clear_a_limit(
@@ -170,7 +170,7 @@
         box.endpoint_list.entries[made.id].endpoint, "/healthz"
     )
     assert made.received
-    assert box.registry.limits.per_s(made.id) == 2.0
+    assert box.registry.table.limits.per_s(made.id) == 2.0
 
 
 async def test_dump_shows_limits_and_their_holders(
--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -171,7 +171,7 @@
     while now < end:
         book.tick(now)
         now += TICK_INTERVAL_S
-    return book.records["e1"].health.state.value
+    return book.table.records["e1"].health.state.value
 
 
 def test_stall_of_this_box_is_not_silence_of_its_endpoints() -> None:
@@ -181,7 +181,7 @@
     book = book_with_runs(2)
     tick_until(book, 0.0, 0.2)
     book.tick(5.0)
-    assert book.records["e1"].health.state == "routing"
+    assert book.table.records["e1"].health.state == "routing"
     assert not any(ticket.move_requested for ticket in book._tickets)
 
 
--- a/tests/test_rate_grants.py
+++ b/tests/test_rate_grants.py
@@ -21,7 +21,7 @@
 
 async def test_all_boxes_learn_of_a_limit_and_of_its_end() -> None:
     fleet = await fleet_with_limit(2.0)
-    limits = [box.registry.limits for box in fleet.boxes.values()]
+    limits = [box.registry.table.limits for box in fleet.boxes.values()]
     assert {known.per_s(ENDPOINT) for known in limits} == {2.0}
     assert fleet.linked.sent <= fleet.linked.links
     fleet.now += 1.0
@@ -135,7 +135,9 @@
     fleet.now += 1.0
     for name, box in fleet.boxes.items():
         if name != "box-3":
-            box.registry.limits.apply_peer_report(ENDPOINT, None, fleet.now)
+            box.registry.table.limits.apply_peer_report(
+                ENDPOINT, None, fleet.now
+            )
     asker = fleet.boxes["box-3"]
     assert await asker.grants.acquire(ENDPOINT) is not None
-    assert asker.registry.limits.per_s(ENDPOINT) is None
+    assert asker.registry.table.limits.per_s(ENDPOINT) is None
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -148,7 +148,7 @@
     made = await with_one(fleet)
     box = fleet.gateways[0]
     await requests.ask(fleet, "/safe/")
-    record = box.registry.records[f"{made.id}/1"]
+    record = box.registry.table.records[f"{made.id}/1"]
     record.slowness.add(5.0)
     record.refusals.record_refusal(box.timers.now())
     box.registry.start_backoff(f"{made.id}/1", 100.0, box.timers.now())
@@ -158,11 +158,11 @@
     restarted_id = await restart(fleet, made)
     head, _ = await requests.ask(fleet, "/safe/")
     assert head.status == 200
-    fresh = box.registry.records[restarted_id]
+    fresh = box.registry.table.records[restarted_id]
     assert fresh is not record
     assert fresh.health.state == "routing"
     assert fresh.slowness.value < 2.0
-    await boxes.until(lambda: f"{made.id}/1" not in box.registry.records)
+    await boxes.until(lambda: f"{made.id}/1" not in box.registry.table.records)
 
 
 async def test_cached_parts_and_copies_end_with_the_incarnation(
@@ -171,14 +171,14 @@
     made = await with_one(fleet, builders.ENGINE)
     box = fleet.gateways[0]
     await requests.ask(fleet, "/chat/")
-    record = box.registry.records[f"{made.id}/1"]
+    record = box.registry.table.records[f"{made.id}/1"]
     assert record.cached_tokens([("aa", 100), ("bb", 400)]) == 500
     fleet.record(made, builders.ENGINE, born=2)
     await boxes.until(lambda: box.endpoint_list.is_ready(f"{made.id}/2"))
     # Copies of a KV cache are requested from the incarnation that holds them.
     assert not box.endpoint_list.is_ready(f"{made.id}/1")
     await requests.ask(fleet, "/chat/", "r2")
-    fresh = box.registry.records[f"{made.id}/2"]
+    fresh = box.registry.table.records[f"{made.id}/2"]
     assert fresh is not record
     # The request's own part has to be prefilled again.
     assert fresh.sent_tokens >= 400
@@ -194,7 +194,7 @@
         asyncio.create_task(requests.ask(fleet, "/unsafe/", f"r{n}"))
         for n in range(3)
     ]
-    record = box.registry.records
+    record = box.registry.table.records
     await boxes.until(
         lambda: (
             record[f"{made.id}/1"].health.state == "ejected"
--- a/tests/test_short_silences.py
+++ b/tests/test_short_silences.py
@@ -39,7 +39,7 @@
     @property
     def failure_part(self) -> float:
         """The part of requests that fail at the endpoint that stops."""
-        return self.registry.records["stops"].failure_part(self.now)
+        return self.registry.table.records["stops"].failure_part(self.now)
 
     def choose(self) -> str:
         """Returns the name of the endpoint for a request."""
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -357,7 +357,7 @@
     linked.cut(mode)
     answers = await asyncio.gather(*sending)
     assert [status for status, _ in answers] == [200] * 6
-    for record in linked.cut_off.registry.records.values():
+    for record in linked.cut_off.registry.table.records.values():
         assert record.failures.value == 0.0
         assert record.outcomes.failure_part(time.monotonic()) == 0.0
     await asyncio.sleep(1.0)
@@ -365,7 +365,7 @@
         assert box.registry.ejected_count() == 0
         assert all(
             record.failure_part(time.monotonic()) == 0.0
-            for record in box.registry.records.values()
+            for record in box.registry.table.records.values()
         )
     for box in linked.boxes.gateways:
         assert not box.quarantine.dump()
