Part what boxes tell each other of runs from the registry

Loads, outcomes and sent tokens, told and taken in, are EndpointReports; it needs the records alone.

--- a/martenjunction/routing/endpoints/endpoint_registry.py
+++ b/martenjunction/routing/endpoints/endpoint_registry.py
@@ -11,7 +11,6 @@
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_list
-from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.routing.endpoints import endpoint_ejection
 from martenjunction.routing.endpoints import endpoint_reports
@@ -45,8 +44,7 @@
         self._rng = rng
         self._tickets: set[run_tracker.RunTicket] = set()
         self._last_received: dict[str, float] = {}
-        self._reported_by: dict[str, set[str]] = {}
-        self._outcomes_by: dict[str, set[str]] = {}
+        self._reports = endpoint_reports.EndpointReports(self._table)
         self._last_tick_at = math.inf
         self._stalled_s = 0.0
         self._paths: run_tracker.EndpointPathObserver = run_tracker.NoPaths()
@@ -56,6 +54,11 @@
         """The records of endpoints."""
         return self._table
 
+    @property
+    def reports(self) -> endpoint_reports.EndpointReports:
+        """What boxes tell each other of their runs at endpoints."""
+        return self._reports
+
     @property
     def running(self) -> int:
         """The number of in-flight requests."""
@@ -512,88 +515,6 @@
         self._table.decay_idle()
         self._table.engines.recompute(now)
 
-    def loads(self) -> list[endpoint_reports.LoadRow]:
-        """Returns the non-zero loads of this box, for the other boxes."""
-        return [
-            (
-                record.id,
-                key.urgency,
-                key.is_long,
-                load.running,
-                max(0, load.backlog_tokens),
-            )
-            for record in self._table.records.values()
-            for key, load in record.loads.own.items()
-            if load.running
-        ]
-
-    def sent_tokens(self) -> list[tuple[str, int]]:
-        """Returns the total tokens that this box has sent to each engine."""
-        return [
-            (record.id, record.sent_tokens)
-            for record in self._table.records.values()
-            if record.sent_tokens
-        ]
-
-    def outcome_rows(self, now: float) -> list[endpoint_reports.OutcomeRow]:
-        """Returns what ended and failed at endpoints that fail some requests.
-
-        They fail at this box or at others, whose rates this box's rates are
-        added to.
-        """
-        return [
-            (record.id, *record.outcomes.own_rates(now))
-            for record in self._table.records.values()
-            if record.outcomes.failure_part(now)
-        ]
-
-    def update_peer_outcomes(
-        self, source: str, rows: list[endpoint_reports.OutcomeRow], now: float
-    ) -> None:
-        """Replaces what another box, or all others, reported."""
-        reported = {row[0] for row in rows}
-        for gone in self._outcomes_by.get(source, set()) - reported:
-            if gone in self._table.records:
-                self._table.records[gone].outcomes.remove_peer(source)
-        self._outcomes_by[source] = reported
-        for endpoint_id, ended, failed in rows:
-            record = self._table.records.get(endpoint_id)
-            if record is not None:
-                record.outcomes.update_peer(source, ended, failed, now)
-
-    def update_peer_sent(
-        self, box: str, rows: list[tuple[str, int]], now: float
-    ) -> None:
-        """Updates the total tokens that another box has sent to each engine."""
-        for endpoint_id, total in rows:
-            record = self._table.records.get(endpoint_id)
-            if record is not None:
-                record.update_peer_sent(box, total, now)
-
-    def update_peer_loads(
-        self, box: str, rows: list[endpoint_reports.LoadRow], now: float
-    ) -> None:
-        """Replaces the endpoint loads reported by another box."""
-        reported: dict[
-            str, dict[endpoint_loads.LoadKey, endpoint_loads.Load]
-        ] = {}
-        for endpoint_id, urgency, is_long, running, unread in rows:
-            key = endpoint_loads.LoadKey(urgency, is_long)
-            loads = reported.setdefault(endpoint_id, {})
-            loads[key] = endpoint_loads.Load(running, unread)
-        # Visits only endpoints in this or the previous report, which are a few
-        # even with 56 engines.
-        previous = self._reported_by.get(box, set())
-        self._reported_by[box] = set(reported)
-        if not reported:
-            del self._reported_by[box]
-        for endpoint_id in previous | set(reported):
-            record = self._table.records.get(endpoint_id)
-            if record is not None:
-                record.loads.update_peer(
-                    box, reported.get(endpoint_id, {}), now
-                )
-
     def _listening_time(self, now: float) -> float:
         """Returns the time on a clock that pauses while this box is stalled.
 
--- a/martenjunction/routing/sync/fleet_loads.py
+++ b/martenjunction/routing/sync/fleet_loads.py
@@ -34,7 +34,7 @@
             is_long,
             running,
             unread,
-        ) in self._registry.loads():
+        ) in self._registry.reports.loads():
             key = endpoint_loads.LoadKey(urgency, is_long)
             row = load_sums.endpoint_key(endpoint_id), key
             own.loads[row] = endpoint_loads.Load(running, unread)
@@ -42,7 +42,9 @@
             rate = record.sent_per_s(now)
             if rate >= 1.0:
                 own.sent_per_s[load_sums.endpoint_key(record.id)] = rate
-        for endpoint_id, ended, failed in self._registry.outcome_rows(now):
+        for endpoint_id, ended, failed in self._registry.reports.outcome_rows(
+            now
+        ):
             key_number = load_sums.endpoint_key(endpoint_id)
             own.outcomes[key_number] = ended, failed
         for (
@@ -81,7 +83,7 @@
             for (number, key), load in others.loads.items()
             if number in ids
         ]
-        self._registry.update_peer_loads(FLEET, rows, now)
+        self._registry.reports.update_peer_loads(FLEET, rows, now)
         for number, endpoint_id in ids.items():
             records[endpoint_id].update_fleet_rate(
                 others.sent_per_s.get(number, 0.0), now
@@ -91,7 +93,7 @@
             for number, (ended, failed) in others.outcomes.items()
             if number in ids
         ]
-        self._registry.update_peer_outcomes(FLEET, outcomes, now)
+        self._registry.reports.update_peer_outcomes(FLEET, outcomes, now)
         self._apply_engines(others, now)
 
     def _apply_engines(self, others: load_sums.LoadSums, now: float) -> None:
--- a/martenjunction/routing/sync/load_report.py
+++ b/martenjunction/routing/sync/load_report.py
@@ -70,12 +70,12 @@
             or not (self._registry.running or self._has_reported)
         ):
             return
-        sent = dict(self._registry.sent_tokens())
+        sent = dict(self._registry.reports.sent_tokens())
         changed = [
             row for row in sent.items() if row not in self._reported_sent
         ]
         self._reported_sent = set(sent.items())
-        status = self._make_status(self._registry.loads(), changed)
+        status = self._make_status(self._registry.reports.loads(), changed)
         self._has_reported = self._registry.running > 0
         self._peers.broadcast(status)
         peers = len(self._peers.boxes())
--- a/martenjunction/routing/sync/outcome_report.py
+++ b/martenjunction/routing/sync/outcome_report.py
@@ -72,7 +72,7 @@
     def _report(self) -> None:
         """Reports to all peers while an endpoint fails some requests."""
         now = self._timers.now()
-        rows = self._registry.outcome_rows(now)
+        rows = self._registry.reports.outcome_rows(now)
         if self._place.is_sparse or not (rows or self._has_reported):
             return
         self._has_reported = bool(rows)
@@ -87,7 +87,9 @@
     def _on_report(self, box: str, message: OutcomeReport) -> None:
         rows = _decode(message)
         if not self._place.is_sparse:
-            self._registry.update_peer_outcomes(box, rows, self._timers.now())
+            self._registry.reports.update_peer_outcomes(
+                box, rows, self._timers.now()
+            )
 
 
 def _decode(
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -236,9 +236,9 @@
             status.unread,
             strict=False,
         )
-        self._registry.update_peer_loads(box, list(loads), now)
+        self._registry.reports.update_peer_loads(box, list(loads), now)
         sent = zip(status.engines, status.sent, strict=False)
-        self._registry.update_peer_sent(box, list(sent), now)
+        self._registry.reports.update_peer_sent(box, list(sent), now)
 
     def _stamp(self) -> peer_stamps.PeerStamp:
         """Returns the stamp of a frame that is about to be sent."""
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -189,8 +189,10 @@
         for other in self._books:
             if other is not book:
                 name = f"box-{index}"
-                other.update_peer_loads(name, book.loads(), now)
-                other.update_peer_sent(name, book.sent_tokens(), now)
+                other.reports.update_peer_loads(name, book.reports.loads(), now)
+                other.reports.update_peer_sent(
+                    name, book.reports.sent_tokens(), now
+                )
                 other.table.engines.update_peer(
                     name, book.table.engines.rows(now), now
                 )
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -45,7 +45,7 @@
             for stand_in in made
             for key in keys
         ]
-        box.registry.update_peer_loads("box-9", rows, box.timers.now())
+        box.registry.reports.update_peer_loads("box-9", rows, box.timers.now())
 
     for endpoint in box.endpoint_list.ready(builders.ENGINE):
         box.registry.table.record(endpoint, service)
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -227,7 +227,9 @@
         box.store_cache.apply_report(
             peer_messages.EndpointsRemoved(("i-1/1",), (cause.value,), later)
         )
-    box.registry.update_peer_loads("box-2", [("i-1/1", 0, False, 9, 900)], 0.0)
+    box.registry.reports.update_peer_loads(
+        "box-2", [("i-1/1", 0, False, 9, 900)], 0.0
+    )
     is_ready = box.endpoint_list.is_ready("i-1/2")
     await made.stop()
     assert is_ready
--- a/tests/test_short_silences.py
+++ b/tests/test_short_silences.py
@@ -129,7 +129,7 @@
     for ticket in waiting:
         box.registry.end(ticket, box.now, True)
     assert box.failure_part == 0.0
-    assert box.registry.outcome_rows(box.now) == []
+    assert box.registry.reports.outcome_rows(box.now) == []
 
 
 def test_request_moved_after_a_long_silence_is_a_failure() -> None:
@@ -139,4 +139,6 @@
     assert waiting.move_requested
     box.registry.end(waiting, box.now, True)
     assert box.failure_part > 0.1
-    assert [row[0] for row in box.registry.outcome_rows(box.now)] == ["stops"]
+    assert [row[0] for row in box.registry.reports.outcome_rows(box.now)] == [
+        "stops"
+    ]
