--- a/martenjunction/box_gauges.py
+++ b/martenjunction/box_gauges.py
@@ -36,12 +36,12 @@
             "tunnels_open_for_peers": float(box.tunnels.open),
             "tunnels_served": float(box.tunnels.served),
             "endpoints_listed": float(len(box.endpoint_list.entries)),
-            "endpoints_ejected": float(box.registry.ejected_count()),
+            "endpoints_ejected": float(box.registry.health.ejected_count()),
             "store_calls": float(sum(calls.values())),
             "config_version": float(box.store_cache.version),
             "repeats_refused": float(box.budget.refused),
             "endpoints_leaving": float(len(box.endpoint_list.leaving)),
-            "endpoints_resting": float(box.registry.backoff_count(now)),
+            "endpoints_resting": float(box.registry.health.backoff_count(now)),
             "endpoints_limited": float(
                 len(box.registry.table.limits.limited())
             ),
--- a/martenjunction/routing/endpoints/endpoint_liveness.py
+++ b/martenjunction/routing/endpoints/endpoint_liveness.py
@@ -104,4 +104,6 @@
 
     def _note_unreachable(self, endpoint: model.Endpoint, cause: str) -> None:
         # Spares the other runs there from detecting this one by one.
-        self._registry.note_unreachable(endpoint.id, time.monotonic(), cause)
+        self._registry.health.note_unreachable(
+            endpoint.id, time.monotonic(), cause
+        )
--- a/martenjunction/routing/endpoints/endpoint_registry.py
+++ b/martenjunction/routing/endpoints/endpoint_registry.py
@@ -8,11 +8,11 @@
 
 from martenjunction import model
 from martenjunction.decisions import endpoint_refusals
-from martenjunction.decisions import endpoint_states
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.routing.endpoints import endpoint_ejection
+from martenjunction.routing.endpoints import endpoint_health
 from martenjunction.routing.endpoints import endpoint_reports
 from martenjunction.routing.endpoints import endpoint_table
 from martenjunction.routing.endpoints import run_tracker
@@ -45,6 +45,9 @@
         self._tickets: set[run_tracker.RunTicket] = set()
         self._last_received: dict[str, float] = {}
         self._reports = endpoint_reports.EndpointReports(self._table)
+        self._health = endpoint_health.EndpointHealth(
+            self._table, self._ejection, rng
+        )
         self._last_tick_at = math.inf
         self._stalled_s = 0.0
         self._paths: run_tracker.EndpointPathObserver = run_tracker.NoPaths()
@@ -59,6 +62,11 @@
         """What boxes tell each other of their runs at endpoints."""
         return self._reports
 
+    @property
+    def health(self) -> endpoint_health.EndpointHealth:
+        """Which endpoints accept work."""
+        return self._health
+
     @property
     def running(self) -> int:
         """The number of in-flight requests."""
@@ -81,20 +89,12 @@
         record = self._table.records.get(endpoint_id)
         if record is None:
             return
-        self._ejection.reinstate(record, now)
+        self._health.note_path_cut(endpoint_id, now)
         if connections_lost:
             for ticket in self._tickets:
                 if ticket.record is record and ticket.direct:
                     ticket.move_requested = True
 
-    def ejected_count(self) -> int:
-        """Returns the number of listed endpoints that are ejected."""
-        return sum(
-            record.health.state is endpoint_states.EndpointState.EJECTED
-            for record in self._table.records.values()
-            if record.id in self._table.listed.entries
-        )
-
     def choose(
         self,
         service: model.Service,
@@ -145,18 +145,6 @@
             if endpoint.version != version
         }
 
-    def accepts(self, endpoint_id: str, now: float) -> bool:
-        """Returns whether an endpoint currently accepts work.
-
-        Callers check this again right before sending a request, because the
-        endpoint may have announced a back-off, a rate limit or its shutdown
-        since it was selected.
-        """
-        record = self._table.records.get(endpoint_id)
-        return self._table.listed.is_ready(endpoint_id) and (
-            record is None or record.accepts(now)
-        )
-
     def opens_in_s(self, service: model.Service, now: float) -> float | None:
         """Returns when the first endpoint of a service accepts work again.
 
@@ -211,44 +199,6 @@
             default=0.0,
         )
 
-    def clear_limit(self, endpoint_id: str, now: float) -> None:
-        """Records that an endpoint no longer announces a rate limit.
-
-        Args:
-            endpoint_id: The endpoint.
-            now: The current time.
-        """
-        record = self._table.records.get(endpoint_id)
-        if record is not None:
-            record.refusals.begin_ramp_up(now)
-
-    def backoff_count(self, now: float) -> int:
-        """Returns the number of endpoints in back-off for this box."""
-        return sum(
-            now < record.refusals.backoff_until
-            for record in self._table.records.values()
-        )
-
-    def start_backoff(
-        self, endpoint_id: str, seconds: float, now: float
-    ) -> float:
-        """Starts or extends the back-off that an endpoint requested.
-
-        The back-off applies to this box only.
-
-        Args:
-            endpoint_id: The endpoint.
-            seconds: The requested duration.
-            now: The current time.
-
-        Returns:
-            Seconds by which the back-off was extended; 0 if it was not.
-        """
-        record = self._table.records.get(endpoint_id)
-        if record is None:
-            return 0.0
-        return record.refusals.start_backoff(seconds, self._rng.random(), now)
-
     def serves_lower_tiers(
         self, service: model.Service, urgency: int, now: float
     ) -> bool:
@@ -442,53 +392,6 @@
         else:
             times.add_unanswered(took_s)
 
-    def note_refusal(self, endpoint_id: str, now: float) -> None:
-        """Records that an endpoint, full or leaving, refused a request."""
-        self._table.records[endpoint_id].refusals.record_refusal(now)
-
-    def note_unreachable(
-        self, endpoint_id: str, now: float, cause: str
-    ) -> None:
-        """Records that no connection to an endpoint could be made.
-
-        Args:
-            endpoint_id: The endpoint.
-            now: The current time.
-            cause: The error, for the log.
-        """
-        record = self._table.records.get(endpoint_id)
-        if record is not None:
-            self._ejection.note_unreachable(record, now, cause)
-
-    def note_broken_response(self, endpoint_id: str, now: float) -> None:
-        """Records that a response of an endpoint was broken off."""
-        record = self._table.records.get(endpoint_id)
-        if record is not None:
-            self._ejection.note_broken_response(record, now)
-
-    def due_for_probe(self, now: float) -> list[str]:
-        """Returns the ids of ejected endpoints to probe.
-
-        These are endpoints that no request has tried. A health check counts as
-        a request, so endpoints in back-off are not probed.
-        """
-        return [
-            record.id
-            for record in self._table.records.values()
-            if endpoint_ejection.due_for_probe(record, now)
-            and self.accepts(record.id, now)
-            and self._table.limits.is_open(record.id, now)
-            and self._table.brittle.is_open(record.id, now)
-        ]
-
-    def note_probe_result(
-        self, endpoint_id: str, healthy: bool, now: float
-    ) -> None:
-        """Records the result of a health check of an ejected endpoint."""
-        record = self._table.records.get(endpoint_id)
-        if record is not None:
-            self._ejection.note_probe_result(record, healthy, now)
-
     def tick(self, now: float) -> None:
         """Ejects silent endpoints and drops the records of removed ones."""
         self._stalled_s += self._stall_s(now)
--- a/martenjunction/routing/limits/endpoint_notices.py
+++ b/martenjunction/routing/limits/endpoint_notices.py
@@ -74,7 +74,7 @@
     def _back_off(
         self, endpoint: model.Endpoint, status: int, asked_s: float
     ) -> None:
-        longer_s = self._registry.start_backoff(
+        longer_s = self._registry.health.start_backoff(
             endpoint.id, asked_s, self._now()
         )
         if longer_s:
--- a/martenjunction/routing/limits/limit_sync.py
+++ b/martenjunction/routing/limits/limit_sync.py
@@ -144,7 +144,7 @@
         return registry.table.limits
 
     def _on_cleared(self, endpoint_id: str) -> None:
-        self._registry.clear_limit(endpoint_id, self._timers.now())
+        self._registry.health.clear_limit(endpoint_id, self._timers.now())
 
     def _check(self) -> None:
         now = self._timers.now()
--- a/martenjunction/routing/limits/prober.py
+++ b/martenjunction/routing/limits/prober.py
@@ -63,7 +63,9 @@
         config = self._admitter.config
         if config is None:
             return
-        for endpoint_id in self._registry.due_for_probe(self._timers.now()):
+        for endpoint_id in self._registry.health.due_for_probe(
+            self._timers.now()
+        ):
             listed = self._registry.table.listed.entries[endpoint_id]
             service = config.services.get(listed.endpoint.service)
             if service is None or endpoint_id in self._probes:
@@ -82,7 +84,7 @@
                 healthy = await self._ask(endpoint, path)
             finally:
                 self._gate.release(grant, False)
-            self._registry.note_probe_result(
+            self._registry.health.note_probe_result(
                 endpoint.id, healthy, self._timers.now()
             )
         finally:
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -178,7 +178,7 @@
             self._state.connection_broken = isinstance(
                 error.__cause__, errors.TransportError
             )
-            registry.note_broken_response(endpoint.id, time.monotonic())
+            registry.health.note_broken_response(endpoint.id, time.monotonic())
             self._report_invalid(endpoint, run, error)
             self._state.progress.record(outcomes.Event.BROKEN)
             if self._state.connection_broken:
@@ -255,7 +255,9 @@
             run.finish()
             self._state.refusals += 1
             self._state.progress.record(outcomes.Event.REFUSED)
-            self._context.registry.note_refusal(endpoint.id, time.monotonic())
+            self._context.registry.health.note_refusal(
+                endpoint.id, time.monotonic()
+            )
             self._state.failure = f"{endpoint.id}: refused with {head.status}"
             return False
         success = 200 <= head.status < 300
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -318,7 +318,7 @@
             except errors.EndpointNotReachedError as error:
                 self._state.offers.append(endpoint.id)
                 self._avoid.add(endpoint.id)
-                self._context.registry.note_unreachable(
+                self._context.registry.health.note_unreachable(
                     endpoint.id, time.monotonic(), str(error)
                 )
                 continue
@@ -396,7 +396,9 @@
             if grant is None:
                 self._state.grant_denied = True
             elif self._is_unchanged(endpoint) and (
-                self._context.registry.accepts(endpoint.id, time.monotonic())
+                self._context.registry.health.accepts(
+                    endpoint.id, time.monotonic()
+                )
             ):
                 return grant
             else:
@@ -425,7 +427,7 @@
             < MIN_COPY_AGE_S
         ):
             return False
-        return self._context.registry.accepts(
+        return self._context.registry.health.accepts(
             self._copy_endpoint.id, time.monotonic()
         )
 
--- a/martenjunction_lab/telling_endpoints.py
+++ b/martenjunction_lab/telling_endpoints.py
@@ -147,7 +147,9 @@
             await self.send_steadily(trial.per_s, until, self._send_one)
             await self.settle()
             self.outcome.barred = sum(
-                not box.registry.accepts(f"{name}/{start}", time.monotonic())
+                not box.registry.health.accepts(
+                    f"{name}/{start}", time.monotonic()
+                )
                 for box in self.boxes.gateways
                 for name, start in self.outcome.returns
             )
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -145,7 +145,7 @@
     for number in range(endpoint_states.MAX_FAULTS):
         status, _ = await ask(fleet, "/unsafe/", f"r{number}")
         assert status == 502
-    assert fleet.gateways[0].registry.ejected_count() == 1
+    assert fleet.gateways[0].registry.health.ejected_count() == 1
     await fleet.add_replica(builders.PLAIN)
     await fleet.until_listed()
     before = endpoint.requests
--- a/tests/test_endpoint_refusals.py
+++ b/tests/test_endpoint_refusals.py
@@ -211,10 +211,14 @@
     await requests.ask(fleet, "/unsafe/")
     box = fleet.gateways[0]
     for _ in range(9):
-        box.registry.note_broken_response(made.id, box.timers.now() - 60.0)
+        box.registry.health.note_broken_response(
+            made.id, box.timers.now() - 60.0
+        )
     assert box.registry.table.records[made.id].health.state == "ejected"
-    assert box.registry.due_for_probe(box.timers.now()) == []
-    assert box.registry.due_for_probe(box.timers.now() + 60.0) == [made.id]
+    assert box.registry.health.due_for_probe(box.timers.now()) == []
+    assert box.registry.health.due_for_probe(box.timers.now() + 60.0) == [
+        made.id
+    ]
 
 
 async def test_malformed_backoff_is_ignored(fleet: boxes.Boxes) -> None:
@@ -246,7 +250,7 @@
     await requests.check_change_while_connecting(
         fleet,
         monkeypatch,
-        lambda box, name: box.registry.start_backoff(
+        lambda box, name: box.registry.health.start_backoff(
             name, 30.0, box.timers.now()
         ),
     )
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -76,9 +76,11 @@
         elif outcome == "error":
             self.registry.note_response(ticket, self.now)
         elif outcome == "refused":
-            self.registry.note_refusal(ticket.record.id, self.now)
+            self.registry.health.note_refusal(ticket.record.id, self.now)
         elif outcome == "broken":
-            self.registry.note_broken_response(ticket.record.id, self.now)
+            self.registry.health.note_broken_response(
+                ticket.record.id, self.now
+            )
         failed = outcome not in ("success", "resumed")
         self.registry.end(ticket, self.now, failed)
         self._advance(2.0)
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -151,9 +151,11 @@
     record = box.registry.table.records[f"{made.id}/1"]
     record.slowness.add(5.0)
     record.refusals.record_refusal(box.timers.now())
-    box.registry.start_backoff(f"{made.id}/1", 100.0, box.timers.now())
+    box.registry.health.start_backoff(f"{made.id}/1", 100.0, box.timers.now())
     for _ in range(9):
-        box.registry.note_broken_response(f"{made.id}/1", box.timers.now())
+        box.registry.health.note_broken_response(
+            f"{made.id}/1", box.timers.now()
+        )
     assert record.health.state == "ejected"
     restarted_id = await restart(fleet, made)
     head, _ = await requests.ask(fleet, "/safe/")
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -362,7 +362,7 @@
         assert record.outcomes.failure_part(time.monotonic()) == 0.0
     await asyncio.sleep(1.0)
     for box in linked.others:
-        assert box.registry.ejected_count() == 0
+        assert box.registry.health.ejected_count() == 0
         assert all(
             record.failure_part(time.monotonic()) == 0.0
             for record in box.registry.table.records.values()
