Part the choice of an endpoint from the registry

EndpointSelector chooses and predicts, and tells when endpoints of a service open and whether they are limited.

--- a/martenjunction/routing/endpoints/endpoint_registry.py
+++ b/martenjunction/routing/endpoints/endpoint_registry.py
@@ -6,14 +6,13 @@
 import random
 import time
 
-from martenjunction import model
-from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.routing.endpoints import endpoint_ejection
 from martenjunction.routing.endpoints import endpoint_health
 from martenjunction.routing.endpoints import endpoint_reports
+from martenjunction.routing.endpoints import endpoint_selector
 from martenjunction.routing.endpoints import endpoint_table
 from martenjunction.routing.endpoints import run_tracker
 from martenjunction.routing.log import decision_log
@@ -41,10 +40,10 @@
         """
         self._table = endpoint_table.EndpointTable(listed, log)
         self._ejection = endpoint_ejection.EjectionTracker(log)
-        self._rng = rng
         self._tickets: set[run_tracker.RunTicket] = set()
         self._last_received: dict[str, float] = {}
         self._reports = endpoint_reports.EndpointReports(self._table)
+        self._selector = endpoint_selector.EndpointSelector(self._table, rng)
         self._health = endpoint_health.EndpointHealth(
             self._table, self._ejection, rng
         )
@@ -67,6 +66,11 @@
         """Which endpoints accept work."""
         return self._health
 
+    @property
+    def selector(self) -> endpoint_selector.EndpointSelector:
+        """Selects one endpoint per request."""
+        return self._selector
+
     @property
     def running(self) -> int:
         """The number of in-flight requests."""
@@ -95,138 +99,6 @@
                 if ticket.record is record and ticket.direct:
                     ticket.move_requested = True
 
-    def choose(
-        self,
-        service: model.Service,
-        demand: endpoint_records.Demand,
-        avoid: set[str],
-        now: float,
-        apart: bool = False,
-    ) -> tuple[model.Endpoint, endpoint_choice.Choice] | None:
-        """Selects an endpoint for a request.
-
-        Args:
-            service: The service.
-            demand: The resources that the request needs.
-            avoid: Ids of endpoints to exclude.
-            now: The current time.
-            apart: Whether to prefer the endpoint with the fewest in-flight
-                requests.
-
-        Returns:
-            The endpoint and the selection data, or None if no endpoint is
-            available.
-        """
-        endpoints = {
-            endpoint.id: endpoint
-            for endpoint in self._table.listed.ready(service.name)
-            if endpoint.id not in avoid
-            and self._table.limits.is_open(endpoint.id, now)
-            and self._table.brittle.is_open(endpoint.id, now)
-        }
-        records = [self._table.record(e, service) for e in endpoints.values()]
-        choice = endpoint_choice.choose(records, demand, now, self._rng, apart)
-        if choice is None:
-            return None
-        return endpoints[choice.record.id], choice
-
-    def other_versions(self, service: str, version: str | None) -> set[str]:
-        """Returns the ids of a service's endpoints of other software versions.
-
-        Args:
-            service: The service.
-            version: The software version; None for any.
-        """
-        if version is None:
-            return set()
-        return {
-            endpoint.id
-            for endpoint in self._table.listed.ready(service)
-            if endpoint.version != version
-        }
-
-    def opens_in_s(self, service: model.Service, now: float) -> float | None:
-        """Returns when the first endpoint of a service accepts work again.
-
-        Args:
-            service: The service.
-            now: The current time.
-
-        Returns:
-            Seconds from now, with random jitter added; None if an endpoint
-            accepts work now or none is known.
-        """
-        times = [
-            max(
-                record.refusals.opens_in_s(record.loads.own_running, now),
-                self._table.limits.opens_in_s(record.id, now),
-                self._table.brittle.opens_in_s(record.id, now),
-            )
-            for record in (
-                self._table.record(endpoint, service)
-                for endpoint in self._table.listed.ready(service.name)
-            )
-        ]
-        first_s = min(times, default=0.0)
-        if not first_s:
-            return None
-        # Without jitter, clients refused together would retry together.
-        return first_s + self._rng.uniform(
-            0.0, endpoint_refusals.RAMP_UP_STEP_S
-        )
-
-    def limited(self, service: str) -> bool:
-        """Returns whether any endpoint of a service announces a rate limit."""
-        return any(
-            self._table.limits.per_s(endpoint.id) is not None
-            for endpoint in self._table.listed.ready(service)
-        )
-
-    def is_brittle(self, service: str) -> bool:
-        """Returns whether endpoints of a service crash when they reject."""
-        return any(
-            self._table.brittle.per_s(endpoint.id) is not None
-            for endpoint in self._table.listed.ready(service)
-        )
-
-    def place_opens_in_s(self, service: str, now: float) -> float:
-        """Returns the seconds until a place may be asked for; 0 for now."""
-        return min(
-            (
-                self._table.brittle.opens_in_s(endpoint.id, now)
-                for endpoint in self._table.listed.ready(service)
-            ),
-            default=0.0,
-        )
-
-    def serves_lower_tiers(
-        self, service: model.Service, urgency: int, now: float
-    ) -> bool:
-        """Returns whether lower-tier requests are running at a service.
-
-        Args:
-            service: The service.
-            urgency: The urgency to compare with.
-            now: The current time.
-        """
-        return any(
-            self._table.record(endpoint, service).loads.running_below(
-                urgency, now
-            )
-            for endpoint in self._table.listed.ready(service.name)
-        )
-
-    def evaluate(
-        self,
-        endpoint: model.Endpoint,
-        service: model.Service,
-        demand: endpoint_records.Demand,
-        now: float,
-    ) -> endpoint_choice.Choice:
-        """Returns the prediction for a request at a given endpoint."""
-        record = self._table.record(endpoint, service)
-        return endpoint_choice.evaluate(record, demand, False, now)
-
     def begin(
         self,
         choice: endpoint_choice.Choice,
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -331,13 +331,13 @@
 
     async def _refuse_unsent(self, admitted: admission.Admission) -> None:
         """Refuses a request that did not run, with a Retry-After."""
-        opens_in_s = self._context.registry.opens_in_s(
+        opens_in_s = self._context.registry.selector.opens_in_s(
             admitted.service, time.monotonic()
         )
         service = admitted.service.name
-        limited = self._context.registry.limited(
+        limited = self._context.registry.selector.limited(
             service
-        ) or self._context.registry.is_brittle(service)
+        ) or self._context.registry.selector.is_brittle(service)
         if limited and (opens_in_s is not None or self._state.grant_denied):
             self._context.precedence.record_refusal(
                 admitted.service.name, admitted.route.tier, time.monotonic()
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -287,7 +287,7 @@
             excluded = permit.excluded_ids() | self._other_versions(
                 self._state.stream_version
             )
-            chosen = self._context.registry.choose(
+            chosen = self._context.registry.selector.choose(
                 self._admitted.service,
                 self._demand,
                 self._avoid | excluded,
@@ -333,7 +333,7 @@
 
     def _other_versions(self, version: str | None) -> set[str]:
         """Returns the ids of endpoints of other software versions."""
-        return self._context.registry.other_versions(
+        return self._context.registry.selector.other_versions(
             self._admitted.service.name, version
         )
 
@@ -345,10 +345,10 @@
             too long is refused, so that its client may come back.
         """
         service = self._admitted.service
-        registry = self._context.registry
-        if not registry.is_brittle(service.name):
+        selector = self._context.registry.selector
+        if not selector.is_brittle(service.name):
             return False
-        wait_s = max(MIN_HOLD_S, registry.place_opens_in_s(service.name, now))
+        wait_s = max(MIN_HOLD_S, selector.place_opens_in_s(service.name, now))
         held_s = now + wait_s - self._state.received_at
         if (
             held_s > MAX_HOLD_FRACTION * self._admitted.route.target_s
@@ -447,7 +447,7 @@
             self._admitted.service.name, now
         ):
             return None
-        choice = self._context.registry.evaluate(
+        choice = self._context.registry.selector.evaluate(
             endpoint, self._admitted.service, self._demand, now
         )
         try:
@@ -480,7 +480,7 @@
         # At a rate-limited endpoint the run would have to wait for a grant.
         excluded = set(self._context.registry.table.limits.limited())
         excluded |= self._other_versions(offer.endpoint.version)
-        chosen = self._context.registry.choose(
+        chosen = self._context.registry.selector.choose(
             self._admitted.service, self._demand, self._avoid | excluded, now
         )
         if chosen is None:
@@ -498,7 +498,7 @@
         Raises:
             RefusalError: If the request is shed; nothing was sent.
         """
-        if self._context.registry.serves_lower_tiers(
+        if self._context.registry.selector.serves_lower_tiers(
             self._admitted.service, self._demand.urgency, now
         ):
             # Endpoints serve it before the lower tiers, so it is not shed
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -212,7 +212,7 @@
         """Decides on a request, which may have been refused before."""
         book = self._books[number % len(self._books)]
         demand = self._demand(book, number, arrival, now)
-        chosen = book.choose(self._service, demand, set(), now)
+        chosen = book.selector.choose(self._service, demand, set(), now)
         if chosen is None:
             self._result(arrival).refused += 1
             return
@@ -225,7 +225,7 @@
                 choice.predicted_s, arrival.kind.target_s, again, choice.busy
             )
         )
-        if pause_s is not None and not book.serves_lower_tiers(
+        if pause_s is not None and not book.selector.serves_lower_tiers(
             self._service, demand.urgency, now
         ):
             if self._load.returns and not again:
--- a/tests/request_changes.py
+++ b/tests/request_changes.py
@@ -246,8 +246,8 @@
 
 def _await_place(site: Site, kind: str, act: Act) -> None:
     """Has the request find no place at first, and wait for one."""
-    registry = site.box.registry
-    choose = registry.choose
+    selector = site.box.registry.selector
+    choose = selector.choose
     waits: list[asyncio.Future[None]] = []
 
     def choose_later(*args: Any, **kwargs: Any) -> Any:
@@ -256,9 +256,9 @@
         waits.append(asyncio.ensure_future(_run(act)))
         return None
 
-    registry.choose = choose_later  # type: ignore[method-assign]
-    registry.is_brittle = lambda service: True  # type: ignore[method-assign]
-    registry.place_opens_in_s = (  # type: ignore[method-assign]
+    selector.choose = choose_later  # type: ignore[method-assign]
+    selector.is_brittle = lambda service: True  # type: ignore[method-assign]
+    selector.place_opens_in_s = (  # type: ignore[method-assign]
         lambda service, now: PLACE_S
     )
 
--- a/tests/test_endpoint_outcomes.py
+++ b/tests/test_endpoint_outcomes.py
@@ -78,7 +78,7 @@
     ) -> None:
         book.tick(now)
         demand = builders.demand((), service=builders.PLAIN, is_engine=False)
-        chosen = book.choose(self._service, demand, set(), now)
+        chosen = book.selector.choose(self._service, demand, set(), now)
         assert chosen is not None
         endpoint, choice = chosen
         self.sent[endpoint.id] += counts
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -82,7 +82,7 @@
             box.listed.apply_listing(
                 [(endpoint, builders.rev(3))], builders.rev(5), now=0.0
             )
-            box.registry.evaluate(
+            box.registry.selector.evaluate(
                 endpoint, SERVICE, KEY, self.made.simulation.now
             )
 
@@ -95,7 +95,7 @@
         """Lets a box send a request there."""
         registry = self.made.boxes[name].registry
         now = self.made.simulation.now
-        choice = registry.evaluate(
+        choice = registry.selector.evaluate(
             registry.table.listed.entries["e1"].endpoint,
             SERVICE,
             KEY,
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -66,7 +66,9 @@
         """Sends a request that ends with an outcome."""
         prompt = ((f"own-{next(self._numbers)}", 9_000),)
         demand = builders.demand(prompt)
-        chosen = self.registry.choose(self._service, demand, set(), self.now)
+        chosen = self.registry.selector.choose(
+            self._service, demand, set(), self.now
+        )
         assert chosen is not None
         resumed = outcome == "resumed"
         ticket = self.registry.begin(chosen[1], demand, self.now, resumed)
--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -157,7 +157,7 @@
     demand = builders.demand(service=builders.PLAIN, is_engine=False)
     service = builders.config().services[builders.PLAIN]
     for _ in range(count):
-        chosen = book.choose(service, demand, set(), 0.0)
+        chosen = book.selector.choose(service, demand, set(), 0.0)
         assert chosen is not None
         book.begin(chosen[1], demand, 0.0)
     return book
--- a/tests/test_short_silences.py
+++ b/tests/test_short_silences.py
@@ -43,7 +43,7 @@
 
     def choose(self) -> str:
         """Returns the name of the endpoint for a request."""
-        found = self.registry.choose(
+        found = self.registry.selector.choose(
             self._service, self._demand, set(), self.now
         )
         assert found is not None
@@ -51,7 +51,7 @@
 
     def send(self, avoided: str = "other") -> run_tracker.RunTicket:
         """Sends a request to the endpoint that stops, or to the other one."""
-        found = self.registry.choose(
+        found = self.registry.selector.choose(
             self._service, self._demand, {avoided}, self.now
         )
         assert found is not None
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -283,7 +283,8 @@
     await boxes.until(
         lambda: (
             len(box.endpoint_list.entries) == len(fleet.replicas)
-            and len(box.registry.other_versions(builders.ENGINE, "v2")) == 1
+            and len(box.registry.selector.other_versions(builders.ENGINE, "v2"))
+            == 1
         )
     )
     versions = {
