Part runs and their silences from the registry

RunTracker holds the tickets of runs, learns from them, and says which endpoints are quiet or silent; its time is a ListeningClock, which pauses in stalls.

--- a/martenjunction/box_gauges.py
+++ b/martenjunction/box_gauges.py
@@ -25,7 +25,7 @@
         box.metrics,
         {
             "held_requests": float(held),
-            "endpoint_runs": float(box.registry.running),
+            "endpoint_runs": float(box.registry.runs.running),
             "endpoint_connections_opened": float(box.pool.total_opened),
             **{
                 f"endpoint_connections_{cause.replace('-', '_')}": float(count)
--- a/martenjunction/routing/endpoints/run_tracker.py
+++ b/martenjunction/routing/endpoints/run_tracker.py
@@ -1,9 +1,15 @@
-"""Tracks the runs of this box at endpoints."""
+"""Tracks the runs of this box at endpoints, and their silences."""
 
+from collections.abc import Iterator
+import contextlib
+import time
 from typing import Protocol
 
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.routing.endpoints import endpoint_ejection
+from martenjunction.routing.endpoints import endpoint_table
+from martenjunction.routing.endpoints import listening_clock
 
 # Lower and upper bound of the ratio of observed to predicted latency.
 SLOWNESS_BOUNDS = (0.3, 4.0)
@@ -89,3 +95,249 @@
 
     def check(self, endpoint_id: str) -> None:
         """Does nothing."""
+
+
+class RunTracker:
+    """Tracks the runs of this box at endpoints, and learns from them."""
+
+    def __init__(
+        self,
+        table: endpoint_table.EndpointTable,
+        ejection: endpoint_ejection.EjectionTracker,
+    ) -> None:
+        """Initializes a tracker without runs.
+
+        Args:
+            table: The endpoints.
+            ejection: Ejects and reinstates endpoints.
+        """
+        self._listed = table.listed
+        self._engines = table.engines
+        self._ejection = ejection
+        self._clock = listening_clock.ListeningClock()
+        self._tickets: set[RunTicket] = set()
+        self._last_received: dict[str, float] = {}
+        self._paths: EndpointPathObserver = NoPaths()
+
+    @property
+    def running(self) -> int:
+        """The number of in-flight requests."""
+        return len(self._tickets)
+
+    def observe_paths(self, paths: EndpointPathObserver) -> None:
+        """Sets the object that knows the paths of this box to endpoints."""
+        self._paths = paths
+
+    def begin(
+        self,
+        choice: endpoint_choice.Choice,
+        demand: endpoint_records.Demand,
+        now: float,
+        resumed: bool = False,
+        direct: bool = True,
+    ) -> RunTicket:
+        """Records that a request is sent to the selected endpoint.
+
+        Args:
+            choice: The selected endpoint.
+            demand: The resources that the request needs.
+            now: The current time.
+            resumed: Whether the run continues an earlier one.
+            direct: Whether its connection is this box's own.
+        """
+        ticket = RunTicket(
+            choice, demand, now, self._clock.time(now), resumed, direct
+        )
+        choice.record.loads.add(demand.load_key, 1, choice.prefill_tokens)
+        if demand.is_engine:
+            choice.record.record_sent(choice.prefill_tokens, now)
+        self._tickets.add(ticket)
+        return ticket
+
+    def note_response(self, ticket: RunTicket, now: float) -> None:
+        """Records that an endpoint responded, whatever the response is.
+
+        Args:
+            ticket: The run.
+            now: The current time.
+        """
+        record = ticket.record
+        listened = self._clock.time(now)
+        self._last_received[record.id] = listened
+        if ticket.direct:
+            self._paths.note_heard(record.id, now)
+        self._ejection.note_response(record, now)
+        record.refusals.record_answer(ticket.started_at)
+        ticket.answered = True
+        ticket.move_requested = False
+        ticket.last_received_at = listened
+
+    @contextlib.contextmanager
+    def paused(self, ticket: RunTicket) -> Iterator[None]:
+        """Does not count time in which this box reads nothing of an answer.
+
+        Args:
+            ticket: The run, of whose answer the head was read.
+        """
+        began_at = self._clock.time(time.monotonic())
+        ticket.paused = True
+        try:
+            yield
+        finally:
+            ticket.paused = False
+            listened = self._clock.time(time.monotonic())
+            ticket.sent_at += listened - began_at
+            ticket.last_received_at = listened
+
+    def note_events(self, ticket: RunTicket, now: float, events: int) -> None:
+        """Records events of a successful stream, and learns from them.
+
+        Args:
+            ticket: The run.
+            now: The current time.
+            events: The number of complete events.
+        """
+        pause_s = self._clock.time(now) - ticket.last_received_at
+        self.note_response(ticket, now)
+        if not ticket.waiting:
+            self._learn_pause(ticket, pause_s, events, now)
+            return
+        ticket.waiting = False
+        ticket.first_event_at = ticket.last_received_at
+        ticket.record.loads.add(
+            ticket.demand.load_key, 0, -ticket.choice.prefill_tokens
+        )
+        if ticket.demand.is_engine:
+            ticket.record.record_cached(ticket.demand.parts)
+            if not ticket.resumed:
+                self._learn_first_event(ticket, pause_s)
+
+    def _learn_first_event(self, ticket: RunTicket, seconds: float) -> None:
+        """Learns from the time to the first event of a prompt that was read."""
+        record = ticket.record
+        # The prediction already includes the slowness factor.
+        ratio = seconds * record.slowness.value / ticket.choice.predicted_s
+        record.slowness.add(
+            min(max(ratio, SLOWNESS_BOUNDS[0]), SLOWNESS_BOUNDS[1])
+        )
+        if (
+            ticket.choice.tokens_ahead == 0
+            and ticket.choice.repeated_prefill_tokens == 0
+        ):
+            # Excludes prompts with shared parts that count as uncached. The
+            # engine may have cached them unknown to this box, so that a
+            # restarted box would greatly overestimate its engines.
+            self._engines.note_prefill_time(
+                ticket.demand.service, ticket.choice.prefill_tokens, seconds
+            )
+
+    def _learn_pause(
+        self, ticket: RunTicket, pause_s: float, events: int, now: float
+    ) -> None:
+        """Learns from a stream pause that overlapped with prefill."""
+        record = ticket.record
+        if not events or not record.loads.backlog_tokens(now):
+            return
+        if record.slowness.value > MAX_LEARNING_SLOWNESS:
+            return
+        tokens = events * ticket.demand.tokens_per_event
+        self._engines.note_token_pause(ticket.demand.service, pause_s / tokens)
+
+    def end(self, ticket: RunTicket, now: float, failed: bool) -> None:
+        """Records the end of a run at an endpoint."""
+        record = ticket.record
+        self._tickets.discard(ticket)
+        unread = ticket.choice.prefill_tokens if ticket.waiting else 0
+        record.loads.add(ticket.demand.load_key, -1, -unread)
+        ticket.waiting = False
+        in_backoff = now < record.refusals.backoff_until
+        if not failed or (
+            not in_backoff
+            and self._paths.is_trusted(record.id)
+            and not self._was_moved_early(ticket, now)
+        ):
+            # The back-off alone keeps work away; afterwards the endpoint gets
+            # its full share again. A path that is in doubt says nothing about
+            # the endpoint, here or at the boxes that are told of failures.
+            record.failures.add(1.0 if failed else 0.0)
+            record.outcomes.record(failed, now)
+        if ticket.first_event_at is not None:
+            record.hold_s.add(self._clock.time(now) - ticket.first_event_at)
+        if not failed and not ticket.demand.is_engine:
+            self._learn_response_time(ticket, now)
+
+    def _learn_response_time(self, ticket: RunTicket, now: float) -> None:
+        """Learns from the time that a run at a plain endpoint took."""
+        listened = self._clock.time(now)
+        took_s = listened - ticket.sent_at
+        times = ticket.record.response_s
+        if ticket.answered:
+            times.add(took_s, ticket.sent_at, listened)
+        else:
+            times.add_unanswered(took_s)
+
+    def move(self, record: endpoint_records.EndpointRecord) -> None:
+        """Has the runs at an endpoint moved that this box itself connects to.
+
+        Args:
+            record: The endpoint.
+        """
+        for ticket in self._tickets:
+            if ticket.record is record and ticket.direct:
+                ticket.move_requested = True
+
+    def tick(self, now: float) -> None:
+        """Ejects silent endpoints and marks runs that are to end there."""
+        self._clock.tick(now)
+        pending: dict[str, list[RunTicket]] = {}
+        for ticket in self._tickets:
+            if not ticket.paused:
+                pending.setdefault(ticket.record.id, []).append(ticket)
+        for tickets in pending.values():
+            if not self._is_silent(tickets, now):
+                if self._is_quiet(tickets, now):
+                    self._paths.check(tickets[0].record.id)
+                continue
+            self._ejection.note_silence(tickets[0].record, now)
+            for ticket in tickets:
+                ticket.move_requested = True
+        for ticket in self._tickets:
+            # The connection may stay open: a box partitioned from the endpoint
+            # learns of its restart from the store or from a peer.
+            if self._listed.restarted(ticket.record.id):
+                ticket.endpoint_restarted = True
+
+    def forget(self, endpoint_ids: list[str]) -> None:
+        """Forgets when endpoints that are gone were last heard of."""
+        for endpoint_id in endpoint_ids:
+            self._last_received.pop(endpoint_id, None)
+
+    def _is_silent(self, tickets: list[RunTicket], now: float) -> bool:
+        """Returns whether the endpoint of some runs, all there, is silent."""
+        record = tickets[0].record
+        return endpoint_ejection.is_silent(
+            record,
+            [ticket.sent_at for ticket in tickets],
+            self._last_received.get(record.id, 0.0),
+            self._clock.time(now),
+        )
+
+    def _was_moved_early(self, ticket: RunTicket, now: float) -> bool:
+        """Returns whether a run ends after a short silence of its endpoint."""
+        return ticket.move_requested and endpoint_ejection.is_short_silence(
+            ticket.sent_at,
+            self._last_received.get(ticket.record.id, 0.0),
+            self._clock.time(now),
+        )
+
+    def _is_quiet(self, tickets: list[RunTicket], now: float) -> bool:
+        """Returns whether an endpoint is quiet for longer than expected."""
+        return endpoint_ejection.is_quiet(
+            tickets[0].record,
+            [ticket.sent_at for ticket in tickets],
+            max(t.choice.predicted_s for t in tickets if t.waiting)
+            if any(t.waiting for t in tickets)
+            else 0.0,
+            self._last_received.get(tickets[0].record.id, 0.0),
+            self._clock.time(now),
+        )
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -141,7 +141,7 @@
             self._context.pool.release(endpoint.id, run.connection)
             raise errors.ConnectionLostError("the client left")
         registry = self._context.registry
-        ticket = registry.begin(
+        ticket = registry.runs.begin(
             offer.choice,
             demand,
             time.monotonic(),
@@ -194,7 +194,7 @@
             raise
         finally:
             self._running = self._ticket = None
-            registry.end(ticket, time.monotonic(), failed)
+            registry.runs.end(ticket, time.monotonic(), failed)
             offer.permit.close()
             self._context.grants.release(offer.grant, aborted)
             self._context.pool.release(endpoint.id, run.connection)
@@ -270,7 +270,7 @@
             await self._forward_events(head, offer, ticket)
             return True
         body = await run.body(self._answers)
-        self._context.registry.note_response(ticket, time.monotonic())
+        self._context.registry.runs.note_response(ticket, time.monotonic())
         self._count_run(offer)
         run.finish()
         offer.permit.record_answer(success)
@@ -303,7 +303,7 @@
         pairs = headers.client_headers(head.headers)
         async for events in run.events(self._answers):
             now = time.monotonic()
-            self._context.registry.note_events(ticket, now, len(events))
+            self._context.registry.runs.note_events(ticket, now, len(events))
             self._count_run(offer)
             self._state.note_events(now)
             offer.permit.note_events(now)
@@ -390,7 +390,7 @@
     def _paused(self) -> contextlib.AbstractContextManager[None]:
         """Keeps an endpoint whose answer is not read from being silent."""
         assert self._ticket is not None
-        return self._context.registry.paused(self._ticket)
+        return self._context.registry.runs.paused(self._ticket)
 
     def close(self) -> None:
         """Gives back the memory of the responses."""
--- a/martenjunction/routing/sync/load_report.py
+++ b/martenjunction/routing/sync/load_report.py
@@ -67,7 +67,7 @@
         if (
             self._place.is_sparse
             or now < self._due
-            or not (self._registry.running or self._has_reported)
+            or not (self._registry.runs.running or self._has_reported)
         ):
             return
         sent = dict(self._registry.reports.sent_tokens())
@@ -76,7 +76,7 @@
         ]
         self._reported_sent = set(sent.items())
         status = self._make_status(self._registry.reports.loads(), changed)
-        self._has_reported = self._registry.running > 0
+        self._has_reported = self._registry.runs.running > 0
         self._peers.broadcast(status)
         peers = len(self._peers.boxes())
         size = peers * len(codec.Encoded(status).data)
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -234,7 +234,7 @@
             else:
                 self._result(arrival).refused += 1
             return
-        ticket = book.begin(choice, demand, now)
+        ticket = book.runs.begin(choice, demand, now)
         self._requests[number] = _Request(arrival, book, ticket, arrival.at_s)
         engine = self._engines[endpoint.id]
         engine.submit(
@@ -254,7 +254,7 @@
         if request is None or not request.first:
             return
         del self._requests[number]
-        request.book.end(request.ticket, now, failed=False)
+        request.book.runs.end(request.ticket, now, failed=False)
         self._engines[request.at].cancel(number)
         self._ask(now, next(self._repeated), request.arrival, True)
 
@@ -310,11 +310,11 @@
         )
         request.first = False
         request.heard_at = now
-        request.book.note_events(request.ticket, now, 1)
+        request.book.runs.note_events(request.ticket, now, 1)
         if run.events:
             return
         del self._requests[run.number]
-        request.book.end(request.ticket, now, failed=False)
+        request.book.runs.end(request.ticket, now, failed=False)
         result = self._result(request.arrival)
         if request.late:
             result.late += 1
@@ -351,7 +351,7 @@
         held = [n for n, r in self._requests.items() if r.at == name]
         for number in held:
             request = self._requests.pop(number)
-            request.book.end(request.ticket, now, failed=True)
+            request.book.runs.end(request.ticket, now, failed=True)
             self._result(request.arrival).lost += 1
         for book in self._books:
             book.table.listed.mark_draining(name, revisions.Revision(1, 2))
--- a/tests/test_endpoint_outcomes.py
+++ b/tests/test_endpoint_outcomes.py
@@ -82,11 +82,11 @@
         assert chosen is not None
         endpoint, choice = chosen
         self.sent[endpoint.id] += counts
-        ticket = book.begin(choice, demand, now)
+        ticket = book.runs.begin(choice, demand, now)
         failed = endpoint.id == "failing"
         now += ERROR_S if failed else ANSWER_S
-        book.note_response(ticket, now)
-        book.end(ticket, now, failed)
+        book.runs.note_response(ticket, now)
+        book.runs.end(ticket, now, failed)
 
     def _tell(self, now: float) -> None:
         total = load_sums.total(loads.take(now) for loads in self._loads)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -101,7 +101,7 @@
             KEY,
             now,
         )
-        registry.begin(choice, KEY, now)
+        registry.runs.begin(choice, KEY, now)
 
 
 def test_all_boxes_know_the_sum_of_the_loads_in_time() -> None:
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -71,12 +71,12 @@
         )
         assert chosen is not None
         resumed = outcome == "resumed"
-        ticket = self.registry.begin(chosen[1], demand, self.now, resumed)
+        ticket = self.registry.runs.begin(chosen[1], demand, self.now, resumed)
         self._advance(PREFILL_S + 0.015 if outcome == "success" else ERROR_S)
         if outcome in ("success", "resumed"):
-            self.registry.note_events(ticket, self.now, 1)
+            self.registry.runs.note_events(ticket, self.now, 1)
         elif outcome == "error":
-            self.registry.note_response(ticket, self.now)
+            self.registry.runs.note_response(ticket, self.now)
         elif outcome == "refused":
             self.registry.health.note_refusal(ticket.record.id, self.now)
         elif outcome == "broken":
@@ -84,7 +84,7 @@
                 ticket.record.id, self.now
             )
         failed = outcome not in ("success", "resumed")
-        self.registry.end(ticket, self.now, failed)
+        self.registry.runs.end(ticket, self.now, failed)
         self._advance(2.0)
 
     @property
--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -159,7 +159,7 @@
     for _ in range(count):
         chosen = book.selector.choose(service, demand, set(), 0.0)
         assert chosen is not None
-        book.begin(chosen[1], demand, 0.0)
+        book.runs.begin(chosen[1], demand, 0.0)
     return book
 
 
@@ -182,7 +182,7 @@
     tick_until(book, 0.0, 0.2)
     book.tick(5.0)
     assert book.table.records["e1"].health.state == "routing"
-    assert not any(ticket.move_requested for ticket in book._tickets)
+    assert not any(ticket.move_requested for ticket in book.runs._tickets)
 
 
 def test_silent_endpoint_is_detected_before_and_after_a_stall() -> None:
--- a/tests/test_ready_and_closed.py
+++ b/tests/test_ready_and_closed.py
@@ -188,7 +188,7 @@
     with pytest.raises(errors.ConnectionLostError):
         await exchange_on(fleet, connection).run()
     assert requests.arrivals(made) == 0
-    assert fleet.gateways[0].registry.running == 0
+    assert fleet.gateways[0].registry.runs.running == 0
 
 
 async def test_failure_of_the_watch_leaves_no_run_behind(
@@ -203,7 +203,7 @@
     connection.on_watch = fail
     await exchange_on(fleet, connection).run()
     assert connection.statuses == [502]
-    await boxes.until(lambda: fleet.gateways[0].registry.running == 0)
+    await boxes.until(lambda: fleet.gateways[0].registry.runs.running == 0)
 
 
 async def test_unexpected_error_after_a_send_is_answered_and_logged(
@@ -218,7 +218,7 @@
     def fail(*_: object) -> NoReturn:
         raise RuntimeError("registry failure")
 
-    monkeypatch.setattr(fleet.gateways[0].registry, "note_response", fail)
+    monkeypatch.setattr(fleet.gateways[0].registry.runs, "note_response", fail)
     head, _ = await requests.ask(fleet, "/unsafe/")
     assert head.status == 502
     assert requests.runs(made) == 1
--- a/tests/test_short_silences.py
+++ b/tests/test_short_silences.py
@@ -55,12 +55,12 @@
             self._service, self._demand, {avoided}, self.now
         )
         assert found is not None
-        return self.registry.begin(found[1], self._demand, self.now)
+        return self.registry.runs.begin(found[1], self._demand, self.now)
 
     def answer(self, ticket: run_tracker.RunTicket) -> None:
         """Lets a request be answered."""
-        self.registry.note_response(ticket, self.now)
-        self.registry.end(ticket, self.now, False)
+        self.registry.runs.note_response(ticket, self.now)
+        self.registry.runs.end(ticket, self.now, False)
 
     def wait(self, seconds: float) -> None:
         """Lets time pass."""
@@ -127,7 +127,7 @@
     box.wait(0.6)
     assert all(ticket.move_requested for ticket in waiting)
     for ticket in waiting:
-        box.registry.end(ticket, box.now, True)
+        box.registry.runs.end(ticket, box.now, True)
     assert box.failure_part == 0.0
     assert box.registry.reports.outcome_rows(box.now) == []
 
@@ -137,7 +137,7 @@
     waiting = box.send()
     box.wait(1.8)
     assert waiting.move_requested
-    box.registry.end(waiting, box.now, True)
+    box.registry.runs.end(waiting, box.now, True)
     assert box.failure_part > 0.1
     assert [row[0] for row in box.registry.reports.outcome_rows(box.now)] == [
         "stops"
