Have callers hold the part of the registry that they need

Modules that look at loads, limits or outcomes kept the whole registry. Each keeps the parts that it uses; grants of places and duties are given the table alone.

--- a/martenjunction/duties/duty.py
+++ b/martenjunction/duties/duty.py
@@ -13,7 +13,7 @@
 from martenjunction.duties import record
 from martenjunction.platform import box_settings
 from martenjunction.platform import duty_calls
-from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_table
 from martenjunction.routing.log import decision_log
 
 
@@ -66,7 +66,7 @@
     calls: duty_calls.DutyCalls
     wall_time: Callable[[float], float]
     config: Callable[[], model.RoutingConfig | None]
-    endpoints: endpoint_registry.EndpointRegistry
+    endpoints: endpoint_table.EndpointTable
     log: decision_log.DecisionLog
     rng: random.Random
 
--- a/martenjunction/duties/fleet_duties.py
+++ b/martenjunction/duties/fleet_duties.py
@@ -104,7 +104,7 @@
             self._calls,
             wall.at,
             config,
-            registry,
+            registry.table,
             log,
             rng,
         )
--- a/martenjunction/duties/scaling_duty.py
+++ b/martenjunction/duties/scaling_duty.py
@@ -14,7 +14,7 @@
 from martenjunction.duties import record
 from martenjunction.platform import box_settings
 from martenjunction.platform import duty_calls
-from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_table
 from martenjunction.routing.log import decision_log
 
 # Seconds after taking the duties over before the first order, in which the
@@ -34,7 +34,7 @@
     def __init__(
         self,
         config: Callable[[], model.RoutingConfig | None],
-        registry: endpoint_registry.EndpointRegistry,
+        table: endpoint_table.EndpointTable,
         calls: duty_calls.DutyCalls,
         log: decision_log.DecisionLog,
     ) -> None:
@@ -42,12 +42,12 @@
 
         Args:
             config: Returns the configuration in force, or None.
-            registry: The endpoints, their loads, and the demand.
+            table: The endpoints, their loads, and the demand.
             calls: Makes the orders.
             log: Receives a line for each order.
         """
         self._config = config
-        self._registry = registry
+        self._table = table
         self._calls = calls
         self._log = log
         self._planners: dict[str, engine_orders.OrderPlanner] = {}
@@ -123,7 +123,7 @@
                 },
                 now,
             )
-        endpoints = self._registry.table.listed.ready(service.name)
+        endpoints = self._table.listed.ready(service.name)
         ready = collections.Counter(
             engine_orders.Subject(endpoint.zone, endpoint.reclaimable)
             for endpoint in endpoints
@@ -146,13 +146,13 @@
         endpoints: list[model.Endpoint],
         now: float,
     ) -> engine_orders.Demand:
-        engines = self._registry.table.engines
+        engines = self._table.engines
         rates = engines.prefill_demand(service.name, now)
         assert service.engine is not None
         running = sum(
-            self._registry.table.records[endpoint.id].loads.running(now)
+            self._table.records[endpoint.id].loads.running(now)
             for endpoint in endpoints
-            if endpoint.id in self._registry.table.records
+            if endpoint.id in self._table.records
         )
         return engine_orders.Demand(
             rates.short + rates.long,
--- a/martenjunction/routing/endpoints/endpoint_liveness.py
+++ b/martenjunction/routing/endpoints/endpoint_liveness.py
@@ -41,7 +41,8 @@
             is_down: Returns whether an endpoint's port refuses connections;
                 see `EndpointConnector.is_down`.
         """
-        self._registry = registry
+        self._health = registry.health
+        self._table = registry.table
         self._is_down = is_down
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._on_ended: EndCallback = lambda endpoint_id: None
@@ -59,7 +60,7 @@
         Returns:
             Whether it is known to have crashed.
         """
-        listed = self._registry.table.listed
+        listed = self._table.listed
         if listed.restarted(endpoint.id):
             self._on_ended(endpoint.id)
             return True
@@ -104,6 +105,4 @@
 
     def _note_unreachable(self, endpoint: model.Endpoint, cause: str) -> None:
         # Spares the other runs there from detecting this one by one.
-        self._registry.health.note_unreachable(
-            endpoint.id, time.monotonic(), cause
-        )
+        self._health.note_unreachable(endpoint.id, time.monotonic(), cause)
--- a/martenjunction/routing/limits/brittleness_sync.py
+++ b/martenjunction/routing/limits/brittleness_sync.py
@@ -2,7 +2,7 @@
 
 from martenjunction import events
 from martenjunction.decisions.boxes import endpoint_limits
-from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_table
 from martenjunction.routing.limits import limit_sync
 from martenjunction.routing.messages import peer_messages
 
@@ -24,17 +24,17 @@
             "brittle", limit_sync.CHECK_INTERVAL_S, self._cover_services
         )
 
-    def _table_of(
-        self, registry: endpoint_registry.EndpointRegistry
+    def _limits_of(
+        self, table: endpoint_table.EndpointTable
     ) -> endpoint_limits.LimitTable:
-        return registry.table.brittle
+        return table.brittle
 
     def _on_cleared(self, endpoint_id: str) -> None:
         """Does nothing: the endpoint had as much work as it bears."""
 
     def _cover_services(self) -> None:
         """Assumes the same of endpoints of a service that said nothing."""
-        listed = self._registry.table.listed
+        listed = self._table.listed
         for endpoint_id in self._limits.limited():
             known = listed.entries.get(endpoint_id)
             report = self._limits.reports[endpoint_id]
--- a/martenjunction/routing/limits/endpoint_notices.py
+++ b/martenjunction/routing/limits/endpoint_notices.py
@@ -42,7 +42,7 @@
         self._leaving = leaving
         self._limits = limits
         self._brittleness = brittleness
-        self._registry = registry
+        self._health = registry.health
         self._now = now
         self._log = log
 
@@ -74,9 +74,7 @@
     def _back_off(
         self, endpoint: model.Endpoint, status: int, asked_s: float
     ) -> None:
-        longer_s = self._registry.health.start_backoff(
-            endpoint.id, asked_s, self._now()
-        )
+        longer_s = self._health.start_backoff(endpoint.id, asked_s, self._now())
         if longer_s:
             self._log.write(
                 "endpoint-rests",
--- a/martenjunction/routing/limits/limit_sync.py
+++ b/martenjunction/routing/limits/limit_sync.py
@@ -8,6 +8,7 @@
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_table
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.messages import peer_messages
 
@@ -61,8 +62,9 @@
             clock: The clock and timers.
             log: Records each limit that begins, changes or ends.
         """
-        self._registry = registry
-        self._limits = self._table_of(registry)
+        self._health = registry.health
+        self._table = registry.table
+        self._limits = self._limits_of(self._table)
         self._peers = peers
         self._members = members
         self._timers = clock
@@ -138,17 +140,17 @@
         if change.per_s is None:
             self._on_cleared(endpoint_id)
 
-    def _table_of(
-        self, registry: endpoint_registry.EndpointRegistry
+    def _limits_of(
+        self, table: endpoint_table.EndpointTable
     ) -> endpoint_limits.LimitTable:
-        return registry.table.limits
+        return table.limits
 
     def _on_cleared(self, endpoint_id: str) -> None:
-        self._registry.health.clear_limit(endpoint_id, self._timers.now())
+        self._health.clear_limit(endpoint_id, self._timers.now())
 
     def _check(self) -> None:
         now = self._timers.now()
-        self._limits.prune(self._registry.table.listed.entries, now)
+        self._limits.prune(self._table.listed.entries, now)
         self._send_due()
         for endpoint_id in [
             i
--- a/martenjunction/routing/limits/place_grants.py
+++ b/martenjunction/routing/limits/place_grants.py
@@ -7,7 +7,7 @@
 
 from martenjunction import timers
 from martenjunction.decisions.boxes import place_table
-from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import endpoint_table
 
 # Seconds for which a request waits in line for a place. Without lines, boxes
 # would ask for one endpoint after the other, and the more the fuller all are.
@@ -51,16 +51,16 @@
 
     def __init__(
         self,
-        registry: endpoint_registry.EndpointRegistry,
+        table: endpoint_table.EndpointTable,
         clock: timers.Timers,
     ) -> None:
         """Initializes the grants without any endpoint.
 
         Args:
-            registry: Knows the endpoints and what runs there.
+            table: Knows the endpoints and what runs there.
             clock: Provides the time.
         """
-        self._registry = registry
+        self._table = table
         self._timers = clock
         self._endpoints: dict[str, _Endpoint] = {}
 
@@ -111,7 +111,7 @@
             entry.table.retain(live_boxes)
             self._serve_queue(endpoint_id, entry)
             if (
-                self._registry.table.brittle.per_s(endpoint_id) is None
+                self._table.brittle.per_s(endpoint_id) is None
                 and not entry.queue
             ):
                 del self._endpoints[endpoint_id]
@@ -127,11 +127,11 @@
                 entry.table.release(waiting.box)
 
     def _take(self, endpoint_id: str, entry: _Endpoint, box: str) -> bool:
-        listed = self._registry.table.listed.entries.get(endpoint_id)
+        listed = self._table.listed.entries.get(endpoint_id)
         if listed is None:
             return False
         now = self._timers.now()
-        record = self._registry.table.records.get(endpoint_id)
+        record = self._table.records.get(endpoint_id)
         running = 0 if record is None else record.loads.running(now)
         return entry.table.take(box, listed.endpoint.slots, running, now)
 
--- a/martenjunction/routing/limits/prober.py
+++ b/martenjunction/routing/limits/prober.py
@@ -42,7 +42,8 @@
             gate: Grants requests to endpoints with a rate limit.
             clock: Provides the time and periodic callbacks.
         """
-        self._registry = registry
+        self._health = registry.health
+        self._table = registry.table
         self._connections = connections
         self._admitter = admitter
         self._gate = gate
@@ -63,10 +64,8 @@
         config = self._admitter.config
         if config is None:
             return
-        for endpoint_id in self._registry.health.due_for_probe(
-            self._timers.now()
-        ):
-            listed = self._registry.table.listed.entries[endpoint_id]
+        for endpoint_id in self._health.due_for_probe(self._timers.now()):
+            listed = self._table.listed.entries[endpoint_id]
             service = config.services.get(listed.endpoint.service)
             if service is None or endpoint_id in self._probes:
                 continue
@@ -84,7 +83,7 @@
                 healthy = await self._ask(endpoint, path)
             finally:
                 self._gate.release(grant, False)
-            self._registry.health.note_probe_result(
+            self._health.note_probe_result(
                 endpoint.id, healthy, self._timers.now()
             )
         finally:
--- a/martenjunction/routing/limits/rate_grants.py
+++ b/martenjunction/routing/limits/rate_grants.py
@@ -92,11 +92,10 @@
             responsive_peers: Returns the live peers with a recent status.
             clock: The clock and timers.
         """
-        self._registry = registry
         self._limits = registry.table.limits
         self._brittle = registry.table.brittle
         self._members = members
-        self._places = place_grants.PlaceGrants(registry, clock)
+        self._places = place_grants.PlaceGrants(registry.table, clock)
         self._limit_sync = sync
         self._peers = peers
         self._selector = holders.HolderSelector(members, responsive_peers)
--- a/martenjunction/routing/sync/fleet_loads.py
+++ b/martenjunction/routing/sync/fleet_loads.py
@@ -21,7 +21,8 @@
             registry: The endpoints.
             priority: Priority of this box's estimates; see `load_sums`.
         """
-        self._registry = registry
+        self._reports = registry.reports
+        self._table = registry.table
         self._priority = priority
         self._own = load_sums.LoadSums()
 
@@ -34,17 +35,15 @@
             is_long,
             running,
             unread,
-        ) in self._registry.reports.loads():
+        ) in self._reports.loads():
             key = endpoint_loads.LoadKey(urgency, is_long)
             row = load_sums.endpoint_key(endpoint_id), key
             own.loads[row] = endpoint_loads.Load(running, unread)
-        for record in self._registry.table.records.values():
+        for record in self._table.records.values():
             rate = record.sent_per_s(now)
             if rate >= 1.0:
                 own.sent_per_s[load_sums.endpoint_key(record.id)] = rate
-        for endpoint_id, ended, failed in self._registry.reports.outcome_rows(
-            now
-        ):
+        for endpoint_id, ended, failed in self._reports.outcome_rows(now):
             key_number = load_sums.endpoint_key(endpoint_id)
             own.outcomes[key_number] = ended, failed
         for (
@@ -53,7 +52,7 @@
             token_us,
             short,
             long,
-        ) in self._registry.table.engines.rows(now):
+        ) in self._table.engines.rows(now):
             own.demand[name] = prefill_demand.PrefillRates(short, long)
             if rate or token_us:
                 own.estimates[name] = [
@@ -70,7 +69,7 @@
             now: The current time.
         """
         others = total.without(self._own)
-        records = self._registry.table.records
+        records = self._table.records
         ids = {load_sums.endpoint_key(i): i for i in records}
         rows = [
             (
@@ -83,7 +82,7 @@
             for (number, key), load in others.loads.items()
             if number in ids
         ]
-        self._registry.reports.update_peer_loads(FLEET, rows, now)
+        self._reports.update_peer_loads(FLEET, rows, now)
         for number, endpoint_id in ids.items():
             records[endpoint_id].update_fleet_rate(
                 others.sent_per_s.get(number, 0.0), now
@@ -93,11 +92,11 @@
             for number, (ended, failed) in others.outcomes.items()
             if number in ids
         ]
-        self._registry.reports.update_peer_outcomes(FLEET, outcomes, now)
+        self._reports.update_peer_outcomes(FLEET, outcomes, now)
         self._apply_engines(others, now)
 
     def _apply_engines(self, others: load_sums.LoadSums, now: float) -> None:
-        engines = self._registry.table.engines
+        engines = self._table.engines
         for name, rates in others.demand.items():
             row = (name, 0, 0, round(rates.short), round(rates.long))
             engines.update_peer(FLEET, [row], now)
--- a/martenjunction/routing/sync/load_report.py
+++ b/martenjunction/routing/sync/load_report.py
@@ -46,7 +46,8 @@
                 load, and of tokens sent to each engine.
         """
         self._peers = peers
-        self._registry = registry
+        self._reports = registry.reports
+        self._runs = registry.runs
         self._place = place
         self._timers = clock
         self._make_status = make_status
@@ -67,16 +68,16 @@
         if (
             self._place.is_sparse
             or now < self._due
-            or not (self._registry.runs.running or self._has_reported)
+            or not (self._runs.running or self._has_reported)
         ):
             return
-        sent = dict(self._registry.reports.sent_tokens())
+        sent = dict(self._reports.sent_tokens())
         changed = [
             row for row in sent.items() if row not in self._reported_sent
         ]
         self._reported_sent = set(sent.items())
-        status = self._make_status(self._registry.reports.loads(), changed)
-        self._has_reported = self._registry.runs.running > 0
+        status = self._make_status(self._reports.loads(), changed)
+        self._has_reported = self._runs.running > 0
         self._peers.broadcast(status)
         peers = len(self._peers.boxes())
         size = peers * len(codec.Encoded(status).data)
--- a/martenjunction/routing/sync/outcome_report.py
+++ b/martenjunction/routing/sync/outcome_report.py
@@ -57,7 +57,7 @@
             clock: The clock and timers.
         """
         self._peers = peers
-        self._registry = registry
+        self._reports = registry.reports
         self._place = place
         self._timers = clock
         self._has_reported = False
@@ -72,7 +72,7 @@
     def _report(self) -> None:
         """Reports to all peers while an endpoint fails some requests."""
         now = self._timers.now()
-        rows = self._registry.reports.outcome_rows(now)
+        rows = self._reports.outcome_rows(now)
         if self._place.is_sparse or not (rows or self._has_reported):
             return
         self._has_reported = bool(rows)
@@ -87,9 +87,7 @@
     def _on_report(self, box: str, message: OutcomeReport) -> None:
         rows = _decode(message)
         if not self._place.is_sparse:
-            self._registry.reports.update_peer_outcomes(
-                box, rows, self._timers.now()
-            )
+            self._reports.update_peer_outcomes(box, rows, self._timers.now())
 
 
 def _decode(
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -90,7 +90,8 @@
         self._members = members
         self._cache = cache
         self._freshness = freshness
-        self._registry = registry
+        self._reports = registry.reports
+        self._table = registry.table
         self._timers = clock
         self._log = log
         self._is_ready = is_ready
@@ -145,12 +146,12 @@
         loads: list[endpoint_reports.LoadRow],
         sent: list[tuple[str, int]],
     ) -> peer_messages.BoxStatus:
-        engines = self._registry.table.engines.rows(self._timers.now())
+        engines = self._table.engines.rows(self._timers.now())
         return peer_messages.BoxStatus(
             self._is_ready(),
             self._reaches_endpoints(),
             self._cache.version,
-            self._registry.table.listed.revision,
+            self._table.listed.revision,
             self._reader.is_synced,
             self._age_ms(),
             self._members.own.link_kb,
@@ -225,7 +226,7 @@
             status.long_demand,
             strict=False,
         )
-        self._registry.table.engines.update_peer(box, engines, now)
+        self._table.engines.update_peer(box, engines, now)
         if not status.has_loads:
             return
         loads = zip(
@@ -236,9 +237,9 @@
             status.unread,
             strict=False,
         )
-        self._registry.reports.update_peer_loads(box, list(loads), now)
+        self._reports.update_peer_loads(box, list(loads), now)
         sent = zip(status.engines, status.sent, strict=False)
-        self._registry.reports.update_peer_sent(box, list(sent), now)
+        self._reports.update_peer_sent(box, list(sent), now)
 
     def _stamp(self) -> peer_stamps.PeerStamp:
         """Returns the stamp of a frame that is about to be sent."""
@@ -246,16 +247,16 @@
         return peer_stamps.PeerStamp(
             self._age_ms(),
             self._cache.version,
-            self._registry.table.listed.revision,
+            self._table.listed.revision,
             reads,
             reads or self._is_fed,
-            self._registry.table.listed.contact.ages(self._timers.now()),
+            self._table.listed.contact.ages(self._timers.now()),
         )
 
     def _on_store_contact(
         self, ages: store_contact.ContactAges, asked_at: float | None
     ) -> None:
-        contact = self._registry.table.listed.contact
+        contact = self._table.listed.contact
         contact.note_told(ages, asked_at, self._timers.now())
 
     def _on_stamp(
@@ -281,7 +282,7 @@
         """Queries a peer that knows more than this box."""
         self._reader.update_era(revision.era)
         behind = self._note_version(version, box)
-        if behind or revision > self._registry.table.listed.revision:
+        if behind or revision > self._table.listed.revision:
             self._query(box)
 
     def _note_version(self, version: int, box: str) -> bool:
@@ -341,7 +342,7 @@
             lambda: self._views.reader_states(self._members.monitored_peers()),
             self._parent_is_fed,
         )
-        self._registry.table.set_load_scale(self._load_scale())
+        self._table.set_load_scale(self._load_scale())
         self._announce_change()
 
     def _parent_is_fed(self) -> bool:
@@ -354,7 +355,7 @@
         state = (
             self._reader.is_synced,
             self._cache.version,
-            self._registry.table.listed.revision,
+            self._table.listed.revision,
         )
         if state == self._announced_state:
             return
@@ -431,15 +432,15 @@
                 0 if conflicting else self._cache.version,
                 revisions.NONE
                 if self._is_missing_entries
-                else self._registry.table.listed.revision,
-                self._registry.table.listed.digest(),
+                else self._table.listed.revision,
+                self._table.listed.digest(),
             ),
         )
         if not sent:
             self._queries.drop_peer(box)
 
     def _on_ask(self, box: str, ask: peer_messages.AskView) -> None:
-        listed = self._registry.table.listed
+        listed = self._table.listed
         update = self._cache.documents.update_for(ask.version)
         if update is not None:
             self._peers.send(box, update)
@@ -480,7 +481,7 @@
             self._cache.apply_view(view, box)
             if self._place.is_sparse:
                 self._announce_change()
-        entries = self._registry.table.listed.entries
+        entries = self._table.listed.entries
         self._is_missing_entries = any(
             i not in entries and i not in view.lapsed for i in view.ready
         )
--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -123,7 +123,7 @@
     monkeypatch.setattr(prober, "PROBE_TIMEOUT_S", raw_peers.BLOCK_S / 2)
     connections = pool.EndpointPool(lambda _: 4)
     probes = prober.Prober(
-        None,  # type: ignore[arg-type]
+        book_with_runs(0),
         connections,
         None,  # type: ignore[arg-type]
         None,  # type: ignore[arg-type]
