Move what exchanges share and the state of a request out of the offers

The module of the offers had 540 lines, a quarter of them the classes that all modules of a request's way use.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -19,8 +19,8 @@
 from martenjunction.routing.log import closing_log
 from martenjunction.routing.ports import entry_answers
 from martenjunction.routing.ports import operator_answers
+from martenjunction.routing.requests import exchange_context
 from martenjunction.routing.requests import held_requests
-from martenjunction.routing.requests import offers
 from martenjunction.routing.streams import origins
 
 # Seconds between checks for silent endpoints, expired entries and requests
@@ -65,7 +65,7 @@
         """
         super().__init__(settings, resident_bytes)
         self._stopped = asyncio.Event()
-        self._context = offers.ExchangeContext(
+        self._context = exchange_context.ExchangeContext(
             self.admitter,
             self.registry,
             self.pool,
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -17,7 +17,9 @@
 from martenjunction.routing.access import admission
 from martenjunction.routing.endpoints import endpoint_selector
 from martenjunction.routing.endpoints import run_tracker
+from martenjunction.routing.requests import exchange_context
 from martenjunction.routing.requests import offers
+from martenjunction.routing.requests import request_state
 
 # Statuses that would tell the client that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -40,10 +42,10 @@
 
     def __init__(
         self,
-        context: offers.ExchangeContext,
+        context: exchange_context.ExchangeContext,
         connection: server_connection.ServerConnection,
         request: messages.Request,
-        state: offers.RequestState,
+        state: request_state.RequestState,
         admitted: admission.Admission,
     ) -> None:
         """Initializes the runs of an admitted request.
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -16,8 +16,10 @@
 from martenjunction.routing.access import admission
 from martenjunction.routing.endpoints import run_tracker
 from martenjunction.routing.requests import endpoint_runs
+from martenjunction.routing.requests import exchange_context
 from martenjunction.routing.requests import offers
 from martenjunction.routing.requests import request_account
+from martenjunction.routing.requests import request_state
 from martenjunction.routing.requests import stream_binding
 
 logger = logging.getLogger(__name__)
@@ -65,7 +67,7 @@
 
     def __init__(
         self,
-        context: offers.ExchangeContext,
+        context: exchange_context.ExchangeContext,
         connection: server_connection.ServerConnection,
         request: messages.Request,
     ) -> None:
@@ -80,7 +82,7 @@
         self._connection = connection
         self._request = request
         self._facts = headers.decode_request(request.headers)
-        self._state = offers.RequestState(
+        self._state = request_state.RequestState(
             self._facts.id,
             request.received_at,
             context.content_keys.key(request, self._facts),
--- a/martenjunction/routing/requests/held_requests.py
+++ b/martenjunction/routing/requests/held_requests.py
@@ -5,13 +5,13 @@
 from martenjunction.http1 import messages
 from martenjunction.http1 import server_connection
 from martenjunction.routing.requests import exchange
-from martenjunction.routing.requests import offers
+from martenjunction.routing.requests import exchange_context
 
 
 class HeldRequests:
     """Serves requests of callers and knows those that are in flight."""
 
-    def __init__(self, context: offers.ExchangeContext) -> None:
+    def __init__(self, context: exchange_context.ExchangeContext) -> None:
         """Initializes the set, which is empty.
 
         Args:
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -1,38 +1,24 @@
 """Selects the endpoints that a request is sent to, one at a time."""
 
 import asyncio
-from collections.abc import Callable
 import dataclasses
 import time
-from typing import Any
-from typing import Protocol
 
 from martenjunction import errors
-from martenjunction import metrics
 from martenjunction import model
 from martenjunction.decisions import outcomes
-from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.decisions.boxes import load_shedding
-from martenjunction.decisions.boxes import retry_budget
-from martenjunction.decisions.boxes import stream_table
-from martenjunction.decisions.boxes import tier_precedence
 from martenjunction.endpoints import attempt
-from martenjunction.endpoints import pool
 from martenjunction.http1 import client
 from martenjunction.platform import headers
 from martenjunction.routing.access import admission
-from martenjunction.routing.access import request_content
-from martenjunction.routing.endpoints import endpoint_liveness
-from martenjunction.routing.endpoints import endpoint_registry
 from martenjunction.routing.endpoints import endpoint_selector
-from martenjunction.routing.limits import answer_admission
 from martenjunction.routing.limits import rate_grants
-from martenjunction.routing.log import decision_log
 from martenjunction.routing.quarantine import permits
-from martenjunction.routing.quarantine import request_quarantine
-from martenjunction.routing.streams import origins
+from martenjunction.routing.requests import exchange_context
+from martenjunction.routing.requests import request_state
 
 # Maximum number of endpoints tried per request, including refusals and failed
 # connections.
@@ -57,131 +43,6 @@
 MIN_TIME_LEFT_S = 0.01
 
 
-class UsageMeter(Protocol):
-    """Counts the requests that began to run."""
-
-    def record_run(self, workspace: str | None) -> None:
-        """Counts a request of a workspace; None for one without any."""
-
-
-@dataclasses.dataclass(frozen=True)
-class ExchangeContext:
-    """The objects shared by all exchanges.
-
-    Attributes:
-        admitter: Admits requests.
-        registry: The endpoint registry.
-        pool: The endpoint connection pool.
-        budget: The retry budget.
-        deadlines: Distinguishes requests of retrying clients from new ones.
-        log: The decision log.
-        metrics: Counts outcomes.
-        zone: The box's availability zone.
-        stopping_for_s: Returns the seconds since a planned stop began, or None
-            if there is none.
-        stop_limit_s: Seconds after which a planned stop ends the remaining
-            requests.
-        content_keys: Computes the content keys that identify resent requests.
-        quarantine: Quarantines requests that crash endpoints.
-        liveness: Checks whether endpoints crashed.
-        grants: Grants requests to endpoints with a rate limit.
-        precedence: Decides which tiers go first at those endpoints.
-        usage: Counts the requests that began to run.
-        stream_keys: Computes the keys of streams.
-        origins: Knows at which software version streams began.
-        answers: Grants the memory of answers.
-    """
-
-    admitter: admission.Admitter
-    registry: endpoint_registry.EndpointRegistry
-    pool: pool.EndpointPool
-    budget: retry_budget.RetryBudget
-    deadlines: load_shedding.DeadlineTracker
-    log: decision_log.DecisionLog
-    metrics: metrics.Metrics
-    zone: str
-    stopping_for_s: Callable[[], float | None]
-    stop_limit_s: float
-    content_keys: request_content.ContentKeys
-    quarantine: request_quarantine.RequestQuarantine
-    liveness: endpoint_liveness.EndpointLiveness
-    grants: rate_grants.RateGrants
-    precedence: tier_precedence.TierPrecedence
-    usage: UsageMeter
-    stream_keys: origins.StreamKeys
-    origins: origins.StreamOrigins
-    answers: answer_admission.AnswerAdmission
-
-    def closing(self) -> bool:
-        """Returns whether connections close after their response."""
-        return self.stopping_for_s() is not None
-
-
-@dataclasses.dataclass(slots=True)
-class RequestState:
-    """The progress of one request.
-
-    Attributes:
-        id: The request id.
-        received_at: Steady-clock time when the head was complete.
-        content: The content key.
-        is_retry: Whether this is a retry of a refused request.
-        progress: Whether and how far the request has run.
-        offers: Ids of the endpoints tried.
-        choices: The inputs of each endpoint selection, for the log.
-        refusals: The number of endpoints that reported not running it.
-        grant_denied: Whether an endpoint's rate limit left no grant for it.
-        connection_broken: Whether the connection of the last run broke.
-        resume_from: Id of the last event that the client has of an earlier
-            response, or empty if it takes up no stream.
-        stream_key: Identifies the stream over the client's tries.
-        client_waits_s: Seconds for which the client waits from the arrival of
-            the request, or None if it does not say so.
-        part_keys: The parts of the prompt that other requests share.
-        stream_version: Software version that wrote the first event of the
-            stream, or None if there is none or it is not known.
-        delivered_id: Id of the last event sent to the client, or None.
-        first_event_at: When the first event was received, or None.
-        last_event_at: When the last event was received.
-        longest_pause_s: The longest pause between events, in seconds.
-        status: The status sent to the client; 0 before that.
-        failure: The reason for a failure, for the log; empty if there is none.
-    """
-
-    id: str
-    received_at: float
-    content: content_key.ContentKey
-    stream_key: stream_table.StreamKey
-    client_waits_s: float | None = None
-    part_keys: tuple[content_key.ContentKey, ...] = ()
-    is_retry: bool = False
-    progress: outcomes.RequestProgress = dataclasses.field(
-        default_factory=outcomes.RequestProgress
-    )
-    offers: list[str] = dataclasses.field(default_factory=list)
-    choices: list[dict[str, Any]] = dataclasses.field(default_factory=list)
-    refusals: int = 0
-    grant_denied: bool = False
-    connection_broken: bool = False
-    resume_from: str = ""
-    stream_version: str | None = None
-    delivered_id: str | None = None
-    first_event_at: float | None = None
-    last_event_at: float = 0.0
-    longest_pause_s: float = 0.0
-    status: int = 0
-    failure: str = ""
-
-    def note_events(self, now: float) -> None:
-        """Records that stream events were received."""
-        if self.first_event_at is None:
-            self.first_event_at = now
-        else:
-            pause = now - self.last_event_at
-            self.longest_pause_s = max(self.longest_pause_s, pause)
-        self.last_event_at = now
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Offer:
     """A selected endpoint with a connection that is ready to send.
@@ -208,10 +69,10 @@
 
     def __init__(
         self,
-        context: ExchangeContext,
+        context: exchange_context.ExchangeContext,
         admitted: admission.Admission,
         demand: endpoint_records.Demand,
-        state: RequestState,
+        state: request_state.RequestState,
     ) -> None:
         """Initializes the selection for an admitted request.
 
--- a/martenjunction/routing/requests/request_account.py
+++ b/martenjunction/routing/requests/request_account.py
@@ -5,15 +5,16 @@
 from martenjunction import model
 from martenjunction.decisions import outcomes
 from martenjunction.platform import headers
-from martenjunction.routing.requests import offers
+from martenjunction.routing.requests import exchange_context
+from martenjunction.routing.requests import request_state
 
 # Maximum number of parts of a prompt that are logged.
 MAX_PARTS_LOGGED = 16
 
 
 def record_result(
-    context: offers.ExchangeContext,
-    state: offers.RequestState,
+    context: exchange_context.ExchangeContext,
+    state: request_state.RequestState,
     route: model.Route | None,
     result: str,
     facts: headers.RequestMetadata,
@@ -57,7 +58,7 @@
 
 
 def _stream_fields(
-    state: offers.RequestState, facts: headers.RequestMetadata
+    state: request_state.RequestState, facts: headers.RequestMetadata
 ) -> dict[str, object]:
     """Returns the fields that tell where a stream began and was taken up."""
     fields: dict[str, object] = {}
@@ -70,7 +71,7 @@
 
 
 def _timing_fields(
-    state: offers.RequestState, prompt_tokens: int
+    state: request_state.RequestState, prompt_tokens: int
 ) -> dict[str, object]:
     """Returns the fields that explain a slow response."""
     fields: dict[str, object] = {"choices": state.choices}
--- a/martenjunction/routing/requests/stream_binding.py
+++ b/martenjunction/routing/requests/stream_binding.py
@@ -5,7 +5,8 @@
 from martenjunction import model
 from martenjunction.platform import headers
 from martenjunction.routing.access import admission
-from martenjunction.routing.requests import offers
+from martenjunction.routing.requests import exchange_context
+from martenjunction.routing.requests import request_state
 
 # Retry-After, in seconds, if it may be found out soon where a stream began: a
 # box that starts connects to the others, or reads the records in the store.
@@ -26,9 +27,9 @@
 
 
 async def bind(
-    context: offers.ExchangeContext,
+    context: exchange_context.ExchangeContext,
     facts: headers.RequestMetadata,
-    state: offers.RequestState,
+    state: request_state.RequestState,
     admitted: admission.Admission,
 ) -> StreamBinding:
     """Returns what a request is bound to by the stream that it takes up.
@@ -62,7 +63,7 @@
 
 
 def _retry_after_s(
-    state: offers.RequestState,
+    state: request_state.RequestState,
     admitted: admission.Admission,
     *,
     is_final: bool,
