--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -19,20 +19,12 @@
 from martenjunction.routing.quarantine import permits
 from martenjunction.routing.requests import exchange_context
 from martenjunction.routing.requests import request_state
+from martenjunction.routing.requests import run_copies
 
 # Maximum number of endpoints tried per request, including refusals and failed
 # connections.
 MAX_OFFERS = 4
 
-# Time, in seconds, from the first event of a run after which its copy is
-# assumed to be at the second engine; copies are sent several times a second. A
-# run sent there before its copy arrived would run a second time.
-MIN_COPY_AGE_S = 0.75
-
-# Maximum size, in bytes, of the prompt memory of a run that is copied. Larger
-# copies cost more than they save.
-MAX_COPIED_BYTES = 60_000_000
-
 # Minimum time, in seconds, for which a request waits for room at endpoints that
 # must not turn requests away, and the part of its latency target for which it
 # waits at most.
@@ -279,15 +271,12 @@
 
     def _may_continue(self) -> bool:
         """Returns whether the run can resume from the copy of its memory."""
-        if self._copy_endpoint is None or self._state.first_event_at is None:
+        if self._copy_endpoint is None or not run_copies.has_arrived(
+            self._state
+        ):
             return False
         if self._copy_endpoint.version != self._state.stream_version:
             return False
-        if (
-            self._state.last_event_at - self._state.first_event_at
-            < MIN_COPY_AGE_S
-        ):
-            return False
         return self._context.registry.health.accepts(
             self._copy_endpoint.id, time.monotonic()
         )
@@ -326,15 +315,8 @@
         """Returns where the run's memory is copied to or resumed from."""
         if offer.continues:
             return headers.CopyPlan(copy_from=offer.endpoint.address)
-        engine = self._admitted.service.engine
-        if (
-            engine is None
-            or not engine.keeps_copies
-            or self._admitted.route.repeatable
-            or self._admitted.route.kind is not model.RouteKind.STREAM
-            or self._demand.is_long
-            or self._demand.prompt_tokens * engine.cache_token_bytes
-            > MAX_COPIED_BYTES
+        if not run_copies.is_worthwhile(
+            self._admitted.service, self._admitted.route, self._demand
         ):
             return None
         now = time.monotonic()
--- a/tests/test_gateway_engines.py
+++ b/tests/test_gateway_engines.py
@@ -10,7 +10,7 @@
 from martenjunction.decisions.boxes import engine_profiles
 from martenjunction.platform import documents
 from martenjunction.routing.endpoints import service_engines
-from martenjunction.routing.requests import offers
+from martenjunction.routing.requests import run_copies
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from tests import gateway_requests as requests
@@ -77,7 +77,7 @@
     config = builders.config_document(9)
     engine = config["services"][1]["engine"]
     engine["backups"] = True
-    limit = offers.MAX_COPIED_BYTES // PROMPT_TOKENS
+    limit = run_copies.MAX_COPIED_BYTES // PROMPT_TOKENS
     engine["kv_bytes"] = limit + 1 if dear else limit
     fleet.configure(config)
     made = await requests.engines(fleet)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -9,7 +9,7 @@
 from martenjunction import errors
 from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.http1 import messages
-from martenjunction.routing.requests import offers
+from martenjunction.routing.requests import run_copies
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
@@ -108,7 +108,7 @@
     made = await engines_that_keep_copies(fleet)
     for stand_in in made:
         stand_in.break_after = 3
-        stand_in.event_pause_s = offers.MIN_COPY_AGE_S / 2
+        stand_in.event_pause_s = run_copies.MIN_COPY_AGE_S / 2
     patient = {"Martenjunction-Deadline-Ms": "9000"}
     task = asyncio.create_task(requests.ask(fleet, "/chat/", **patient))
     await boxes.until(lambda: requests.arrivals(made) == 1)
