Settle services by the paths that lead to them

A route that was added anywhere kept all services from being settled, and a path was compared with each prefix of its host.

--- a/martenjunction/decisions/boxes/served_routes.py
+++ b/martenjunction/decisions/boxes/served_routes.py
@@ -4,12 +4,19 @@
 service to which a path leads now need not be the one that began its streams.
 """
 
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Set
 import dataclasses
 import math
 
 from martenjunction import model
 from martenjunction.decisions.boxes import served_versions
 
+# Maximum age in seconds of the services that are unsettled; with time alone,
+# they only become fewer.
+UNSETTLED_AGE_S = 10.0
+
 
 @dataclasses.dataclass(slots=True)
 class _RouteHistory:
@@ -46,7 +53,10 @@
         self._first_start = first_start
         self._watched_since: float | None = None
         self._version = 0
+        self._is_first = False
         self._hosts: dict[str, dict[str, _RouteHistory]] = {}
+        self._unsettled: frozenset[str] | None = None
+        self._unsettled_at = 0.0
 
     @property
     def version(self) -> int:
@@ -59,7 +69,9 @@
         if self._watched_since is None:
             since = -math.inf if self._first_start else now
             self._watched_since = since
+        self._is_first = self._version == 0
         self._version = config.version
+        self._unsettled = None
         current = {
             (route.host, route.prefix): {t.service for t in route.targets}
             for route in config.routes
@@ -73,25 +85,23 @@
             known.services.update(dict.fromkeys(services))
         self._mark_removed(current, now)
 
-    def restore(self, version: int) -> bool:
-        """Takes the routes of a configuration as unchanged before its arrival.
+    def restore(self, version: int, settled: Set[str]) -> bool:
+        """Takes over which routes led nowhere else before their arrival.
 
         Args:
-            version: Version of the configuration under which no route had
-                been changed for the lifetime of a stream.
+            version: Version of the configuration for which that holds.
+            settled: Services to all of whose routes it applies.
 
         Returns:
             Whether that configuration is in force and the only one so far.
         """
-        histories = [h for p in self._hosts.values() for h in p.values()]
-        first = self._watched_since
-        if version != self._version or first is None:
-            return False
-        if any(h.since != first or h.left_at is not None for h in histories):
+        if version != self._version or not self._is_first:
             return False
-        self._watched_since = -math.inf
-        for history in histories:
-            history.since = -math.inf
+        for prefixes in self._hosts.values():
+            for history in prefixes.values():
+                if history.services.keys() <= settled:
+                    history.since = -math.inf
+        self._unsettled = None
         return True
 
     def services(
@@ -110,15 +120,9 @@
         if self._watched_since is None:
             return frozenset(), False
         prefixes = self._hosts.get(host, {})
-        matching = [p for p in prefixes if path.startswith(p)]
         found: set[str] = set()
-        for prefix in sorted(matching, key=len, reverse=True):
-            history = prefixes[prefix]
-            found.update(
-                service
-                for service, left_at in history.services.items()
-                if self._is_recent(left_at, now)
-            )
+        for history in _matching(prefixes, path):
+            found |= self._recent_services(history, now)
             if history.left_at is None and (
                 now - history.since >= self._lifetime_s
             ):
@@ -126,21 +130,41 @@
                 return frozenset(found), True
         return frozenset(found), now - self._watched_since >= self._lifetime_s
 
-    def is_settled(self, now: float) -> bool:
-        """Returns whether no route was changed for the life of a stream."""
-        if self._watched_since is None:
-            return False
-        return all(
-            history.left_at is None
-            and now - history.since >= self._lifetime_s
-            and not any(
-                left_at is not None and self._is_recent(left_at, now)
-                for left_at in history.services.values()
-            )
-            for prefixes in self._hosts.values()
-            for history in prefixes.values()
-            if self._is_recent(history.left_at, now)
-        )
+    def unsettled(self, now: float) -> frozenset[str]:
+        """Returns the services of paths that may have led to several of them.
+
+        Args:
+            now: The current time.
+        """
+        if (
+            self._unsettled is None
+            or now - self._unsettled_at > UNSETTLED_AGE_S
+        ):
+            self._unsettled = self._find_unsettled(now)
+            self._unsettled_at = now
+        return self._unsettled
+
+    def _find_unsettled(self, now: float) -> frozenset[str]:
+        found: set[str] = set()
+        for prefixes in self._hosts.values():
+            for prefix, history in prefixes.items():
+                services = self._recent_services(history, now)
+                was_always = now - history.since >= self._lifetime_s
+                if history.left_at is not None or not was_always:
+                    for shorter in _matching(prefixes, prefix):
+                        services |= self._recent_services(shorter, now)
+                    if self._watched_since != -math.inf and not was_always:
+                        found |= services
+                if len(services) > 1:
+                    found |= services
+        return frozenset(found)
+
+    def _recent_services(self, history: _RouteHistory, now: float) -> set[str]:
+        return {
+            service
+            for service, left_at in history.services.items()
+            if self._is_recent(left_at, now)
+        }
 
     def _is_recent(self, left_at: float | None, now: float) -> bool:
         return left_at is None or now - left_at <= self._lifetime_s
@@ -162,3 +186,18 @@
                     del prefixes[prefix]
             if not prefixes:
                 del self._hosts[host]
+
+
+def _matching(
+    prefixes: Mapping[str, _RouteHistory], path: str
+) -> Iterator[_RouteHistory]:
+    """Yields the histories whose prefix begins a path, the longest first.
+
+    Prefixes begin and end with a slash.
+    """
+    end = path.rfind("/")
+    while end >= 0:
+        history = prefixes.get(path[: end + 1])
+        if history is not None:
+            yield history
+        end = path.rfind("/", 0, end)
--- a/martenjunction/decisions/boxes/stream_conclusions.py
+++ b/martenjunction/decisions/boxes/stream_conclusions.py
@@ -22,8 +22,9 @@
     """What makes conclusions possible after the loss of all boxes.
 
     Attributes:
-        config_version: The configuration, of which no route was changed lately.
-        versions: Services of which a single version may have streams.
+        config_version: The configuration.
+        versions: Services of which a single version may have streams, and whose
+            paths led to no other service lately; the version by service.
     """
 
     config_version: int
@@ -82,9 +83,20 @@
 
     def settled(self, now: float) -> Settled:
         """Returns what a box may conclude that starts after the loss of all."""
-        if not self._routes.is_settled(now):
-            return Settled(self._routes.version, {})
-        return Settled(self._routes.version, self._versions.settled(now))
+        unsettled = self._routes.unsettled(now)
+        versions = self._versions.settled(now)
+        return Settled(
+            self._routes.version,
+            {s: v for s, v in versions.items() if s not in unsettled},
+        )
+
+    def may_be_several(self, service: str, now: float) -> bool:
+        """Returns whether streams of a service may have several origins."""
+        versions = self._versions.versions(service, now)
+        is_certain = len(versions) == 1 and self._versions.is_complete(
+            service, now
+        )
+        return not is_certain or service in self._routes.unsettled(now)
 
     def restore(self, settled: Settled, now: float) -> bool:
         """Takes over what was settled before this box started.
@@ -102,7 +114,9 @@
             for service, version in settled.versions.items()
             if self._versions.versions(service, now) <= {version}
         }
-        if not holds or not self._routes.restore(settled.config_version):
-            return False
-        self._versions.restore(holds, now)
-        return True
+        is_restored = bool(holds) and self._routes.restore(
+            settled.config_version, holds.keys()
+        )
+        if is_restored:
+            self._versions.restore(holds, now)
+        return is_restored
--- a/tests/test_stream_conclusions.py
+++ b/tests/test_stream_conclusions.py
@@ -151,10 +151,40 @@
     routes.apply(config(2, ("/a/", builders.PLAIN)), 1.0)
     both = frozenset({builders.ENGINE, builders.PLAIN})
     assert routes.services(builders.HOST, "/a/", 6.0) == (both, True)
-    assert not routes.is_settled(6.0)
+    assert routes.unsettled(6.0) == both
     only = frozenset({builders.PLAIN})
     assert routes.services(builders.HOST, "/a/", 6.1) == (only, True)
-    assert routes.is_settled(6.1)
+    routes.apply(config(3, ("/a/", builders.PLAIN)), 6.1)
+    assert routes.unsettled(6.1) == set()
+
+
+AT_A = ("/a/", builders.ENGINE)
+BELOW_A = ("/a/b/", builders.PLAIN)
+BESIDE_A = ("/b/", builders.PLAIN)
+MOVED = ("/a/", builders.PLAIN)
+BOTH = {builders.ENGINE, builders.PLAIN}
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "unsettled"),
+    [
+        ([AT_A], [AT_A], set()),
+        ([AT_A], [AT_A, BESIDE_A], set()),
+        ([AT_A], [AT_A, BELOW_A], BOTH),
+        ([AT_A, BELOW_A], [AT_A], BOTH),
+        ([AT_A, BELOW_A], [AT_A, BELOW_A], set()),
+        ([AT_A], [MOVED], BOTH),
+    ],
+)
+def test_services_of_paths_that_were_rerouted_are_not_settled(
+    before: list[tuple[str, str]],
+    after: list[tuple[str, str]],
+    unsettled: set[str],
+) -> None:
+    routes = served_routes.ServedRoutes(5.0, first_start=True)
+    for version, pairs in enumerate((before, after), 1):
+        routes.apply(config(version, *pairs), float(version))
+    assert routes.unsettled(3.0) == unsettled
 
 
 def started(version: str, config_version: int) -> Any:
