--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -8,7 +8,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
-import re
 import socket
 import struct
 import time
@@ -18,13 +17,10 @@
 
 from martenjunction import errors
 from martenjunction import fair_turns
-from martenjunction.http1 import framing
 from martenjunction.http1 import messages
+from martenjunction.http1 import response_parser
 from martenjunction.http1 import streams
 
-# Maximum size of a response head, in bytes.
-MAX_HEAD_BYTES = 64 * 1024
-
 # Maximum number of interim responses before a final one.
 MAX_INTERIM_RESPONSES = 8
 
@@ -38,10 +34,6 @@
 # Value of SO_LINGER by which closing a socket resets it (socket(7)).
 _NO_LINGER = struct.pack("ii", 1, 0)
 
-_KEEP_ALIVE_TIMEOUT = re.compile(
-    rb"timeout\s*=\s*(\d+(?:\.\d+)?)", re.IGNORECASE
-)
-
 
 class ClientConnection:
     """A client connection that carries one request at a time."""
@@ -62,12 +54,7 @@
         self._on_head = on_head
         self._stream: iostream.IOStream | None = None
         self._source: streams.ByteSource | None = None
-        self._parser = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
-        self._request: h11.Request | None = None
-        self._head: messages.ResponseHead | None = None
-        self._chunked: framing.ChunkedBody | None = None
+        self._parser = response_parser.ResponseParser()
         self._closed = False
         self._idle_since = 0.0
         self._sent_at = 0.0
@@ -206,13 +193,7 @@
         if not self.is_reusable() or self._stream is None:
             raise errors.ConnectError("the connection is closed")
         request = h11.Request(method=method, target=target, headers=headers)
-        events: list[h11.Event] = [request]
-        if body:
-            events.append(h11.Data(data=body))  # type: ignore[arg-type]
-        pieces = []
-        for event in (*events, h11.EndOfMessage()):
-            pieces += self._parser.send_with_data_passthrough(event) or []
-        self._request = request
+        pieces = self._parser.frame(request, body)
         self._sent_at = time.monotonic()
         try:
             streams.write(self._stream, pieces)
@@ -247,7 +228,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
-            self._chunked = None
+            self._parser.end_body()
             return b""
         raise errors.ConnectionLostError("closed within a response")
 
@@ -269,27 +250,7 @@
         Raises:
             ConnectionLostError: If the server closes the connection instead.
         """
-        if self._head is None or self._head.closes or self._request is None:
-            raise errors.ConnectionLostError("closed after a stale response")
-        rest, ended = self._parser.trailing_data
-        if ended:
-            raise errors.ConnectionLostError("closed after a stale response")
-        parser = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
-        # The new parser needs the method to frame the response. Its output is
-        # discarded: nothing is sent again.
-        parser.send(
-            h11.Request(
-                method=self._request.method,
-                target=self._request.target,
-                headers=[(b"Host", b"")],
-            )
-        )
-        parser.send(h11.EndOfMessage())
-        if rest:
-            parser.receive_data(rest)
-        self._parser = parser
+        self._parser.expect_another_response()
 
     def finish(self) -> bool:
         """Finishes an exchange whose response was read completely.
@@ -298,18 +259,8 @@
             Whether the connection can carry another request; otherwise it is
             closed.
         """
-        head = self._head
-        rest, ended = self._parser.trailing_data
-        whole = (
-            self._parser.our_state is h11.DONE
-            and self._parser.their_state is h11.DONE
-        )
         if (
-            not whole
-            or rest
-            or ended
-            or head is None
-            or head.closes
+            not self._parser.may_carry_another()
             or self._stream is None
             or self._stream.writing()
             or self._stream.closed()
@@ -329,7 +280,8 @@
 
     def keep_alive_timeout(self) -> float | None:
         """Returns the server's keep-alive timeout in seconds, if announced."""
-        return self._head.keep_alive_s if self._head is not None else None
+        head = self._parser.head
+        return head.keep_alive_s if head is not None else None
 
     def abort(self) -> None:
         """Closes the connection immediately; a pending read fails."""
@@ -351,13 +303,8 @@
         self.abort()
 
     def _take_head(self, event: h11.Response) -> messages.ResponseHead:
-        head = _parse_head(event)
+        head = self._parser.take_head(event)
         head.sent_at = self._sent_at
-        self._head = head
-        self._chunked = None
-        if head.get(b"transfer-encoding") is not None:
-            rest = len(self._parser.trailing_data[0])
-            self._chunked = framing.ChunkedBody(rest)
         self._on_head(head)
         return head
 
@@ -367,74 +314,16 @@
         turns = self._source.turns
         while True:
             await turns.pause_if_spent()
-            if (
-                self._parser.their_state is h11.SEND_RESPONSE
-                and framing.begins_with_too_many_lines(
-                    self._parser.trailing_data[0]
-                )
-            ):
-                raise errors.HttpSyntaxError("too many header fields")
-            if self._chunked is not None and self._chunked.has_too_many_lines(
-                self._parser.trailing_data[0]
-            ):
-                raise errors.HttpSyntaxError("too many header fields")
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                if self._parser.trailing_data[1]:
-                    # The server closed the connection before the end.
-                    raise errors.ConnectionLostError(str(error)) from error
-                raise errors.HttpSyntaxError(str(error)) from error
+            event = self._parser.next_event()
             if event is not h11.NEED_DATA:
-                if framing.has_too_many_fields(event):
-                    raise errors.HttpSyntaxError("too many header fields")
-                self._count(event)
+                is_part = isinstance(event, (h11.Data, h11.EndOfMessage))
+                turns.spend(
+                    fair_turns.PART_COST if is_part else fair_turns.HEAD_COST
+                )
+                self._parser.note_event(event)
                 return event  # type: ignore[return-value]
-            if self._chunked is not None:
-                _check_framing(self._chunked, parsed=True)
             try:
                 data = await self._source.read()
             except OSError as error:
                 raise errors.ConnectionLostError(str(error)) from error
-            if self._chunked is not None:
-                self._chunked.note_received(len(data))
-            try:
-                self._parser.receive_data(data)
-            except RuntimeError as error:
-                raise errors.ConnectionLostError(
-                    "data after the end of the connection"
-                ) from error
-
-    def _count(self, event: object) -> None:
-        """Counts the cost and the data of a part of a response."""
-        assert self._source is not None
-        is_part = isinstance(event, (h11.Data, h11.EndOfMessage))
-        self._source.turns.spend(
-            fair_turns.PART_COST if is_part else fair_turns.HEAD_COST
-        )
-        if isinstance(event, h11.Data) and self._chunked is not None:
-            self._chunked.note_data(len(event.data), event.chunk_end)
-            _check_framing(self._chunked, parsed=False)
-
-
-def _check_framing(body: framing.ChunkedBody, parsed: bool) -> None:
-    """Rejects a body whose framing outweighs its data.
-
-    Raises:
-        ExcessFramingError: If it does.
-    """
-    if body.is_excessive(parsed):
-        raise errors.ExcessFramingError(
-            "the framing of a body outweighs its data"
-        )
-
-
-def _parse_head(event: h11.Response) -> messages.ResponseHead:
-    headers = [(bytes(n), bytes(v)) for n, v in event.headers.raw_items()]
-    head = messages.ResponseHead(event.status_code, headers)
-    connection = (head.get(b"connection") or b"").lower()
-    head.closes = b"close" in connection or event.http_version == b"1.0"
-    match = _KEEP_ALIVE_TIMEOUT.search(head.get(b"keep-alive") or b"")
-    if match is not None:
-        head.keep_alive_s = float(match.group(1))
-    return head
+            self._parser.receive(data)
