Part this box's own entry from what the follower reads

No change of behaviour; 129 tests of the store's return and readers, lapsed entries, what boxes believe, pages of lists, the pages and the packages passed, with the linter and the types.

--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -13,6 +13,8 @@
 from martenjunction.platform import documents
 from martenjunction.platform import store
 from martenjunction.routing.log import decision_log
+from martenjunction.routing.store import box_entries
+from martenjunction.routing.store import own_entry
 from martenjunction.routing.store import store_cache
 
 # Timeout in seconds of a watch call. The store closes watches that it no longer
@@ -24,10 +26,6 @@
 BOXES_INTERVAL_S = 8.0
 BOXES_INTERVAL_IDLE_S = 30.0
 
-# Maximum staleness in seconds of such a list. Until that time has passed since
-# this box wrote its own entry, a list without the entry proves nothing.
-MAX_LIST_AGE_S = 10.0
-
 # The same for a box of a large fleet that is connected: the others tell it of
 # boxes that join.
 BOXES_INTERVAL_TOLD_S = 300.0
@@ -46,9 +44,6 @@
 # Seconds of silence after which a box's entry is removed.
 DEAD_AFTER_S = 12.0
 
-# Era in which no entry was ever checked.
-UNCHECKED_ERA = -1
-
 # Back-off in seconds after a failed call: the initial value, the maximum for
 # the first box of a group, and the maximum for a box that reads in its place.
 INITIAL_BACKOFF_S = 0.1
@@ -89,7 +84,10 @@
         self._client = client
         self._cache = cache
         self._members = members
-        self._own = own
+        self._decoder = box_entries.BoxEntryDecoder(log)
+        self._own_entry = own_entry.OwnEntry(
+            client, own, self._decoder.decode, log
+        )
         self._log = log
         self._rng = rng
         self._follow_task: asyncio.Task[None] | None = None
@@ -98,13 +96,7 @@
         self._synced = False
         self._first = True
         self._listed: dict[str, revisions.Revision] = {}
-        self._unreadable_entries: dict[str, revisions.Revision] = {}
-        self._own_entry_written = False
-        self._own_entry_written_at = 0.0
         self._has_listed = False
-        self._leaving = False
-        # The store's era in which the own entry was last checked or written.
-        self._own_entry_era = 0
         self._era_changed = asyncio.Event()
         client.on_era_change(self._on_era_change)
 
@@ -163,18 +155,12 @@
 
     def check_own_entry(self) -> None:
         """Checks this box's entry soon: others may have removed it."""
-        self._own_entry_era = UNCHECKED_ERA
+        self._own_entry.check_again()
         self._era_changed.set()
 
     async def remove_own_entry(self) -> None:
         """Removes this box's entry; a failure is logged but not retried."""
-        self._leaving = True
-        try:
-            await self._client.delete(
-                documents.BOX_KIND, self._own.box, revision=None
-            )
-        except errors.PlatformError as error:
-            self._log.write("own-entry-kept", why=str(error))
+        await self._own_entry.remove()
 
     async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
         """Repeats a step indefinitely, with back-off after failures."""
@@ -326,7 +312,7 @@
     async def _follow_boxes(self) -> None:
         # The own entry comes first, so that of two boxes that start together
         # at least one lists the other.
-        await self._ensure_own_entry()
+        await self._own_entry.ensure(self._first_start)
         first_start, self._first_start = self._first_start, False
         if first_start:
             await asyncio.sleep(
@@ -340,19 +326,19 @@
         )
         present: dict[str, revisions.Revision] = {}
         for found in listing.objects:
-            entry = self._decode_box(found)
+            entry = self._decoder.decode(found)
             if entry is None:
                 continue
             present[entry.box] = found.revision
-            self._members.update_listed(_member(entry), True, entry.leaving)
+            self._members.update_listed(
+                box_entries.to_member(entry), True, entry.leaving
+            )
         for gone in set(self._listed) - set(present):
             member = self._members.members.get(gone)
             if member is not None:
                 self._members.update_listed(member, False, False)
         self._listed = present
-        age_s = time.monotonic() - self._own_entry_written_at
-        if self._own.box not in present and age_s > MAX_LIST_AGE_S:
-            self._own_entry_written = False
+        self._own_entry.note_list(present)
         wait = BOXES_INTERVAL_IDLE_S
         if not self._has_listed:
             # If all boxes start at once, the others are not listed yet.
@@ -372,7 +358,7 @@
     async def _wait_for_next_list(self, wait_s: float) -> None:
         """Waits until the next list is due or the store's era changes."""
         self._era_changed.clear()
-        if self._client.era == self._own_entry_era:
+        if self._client.era == self._own_entry.era:
             try:
                 async with asyncio.timeout(wait_s):
                     await self._era_changed.wait()
@@ -380,62 +366,6 @@
                 return
         await asyncio.sleep(OWN_ENTRY_JITTER_S * self._rng.random())
 
-    async def _ensure_own_entry(self) -> None:
-        """Writes the own entry if the store lacks it or holds another version.
-
-        A restored store may lack the entry or hold one from an earlier start.
-        A box that is being stopped removes a restored entry instead.
-        """
-        era = self._client.era
-        known = self._own_entry_written or self._leaving
-        if known and era != self._own_entry_era:
-            found = await self._client.get(documents.BOX_KIND, self._own.box)
-            if self._leaving:
-                await self._client.delete(
-                    documents.BOX_KIND, self._own.box, revision=None
-                )
-            elif found is None or self._decode_box(found) != self._own:
-                self._log.write("own-entry-reverted", present=found is not None)
-                self._own_entry_written = False
-            self._own_entry_era = era
-        if not self._own_entry_written and not self._leaving:
-            await self._write_own_entry()
-
-    def _decode_box(
-        self, found: store.StoredObject
-    ) -> documents.BoxEntry | None:
-        """Returns a box's entry; None if it cannot be decoded."""
-        try:
-            return documents.decode_box(found.name, found.spec)
-        except errors.PlatformError as error:
-            if self._unreadable_entries.get(found.name) != found.revision:
-                self._unreadable_entries[found.name] = found.revision
-                self._log.write(
-                    "entry-unreadable", entry=found.name, why=str(error)
-                )
-            return None
-
-    async def _write_own_entry(self) -> None:
-        """Writes the own entry over that of an earlier start of this box."""
-        spec = documents.encode_box(self._own)
-        box = self._own.box
-        try:
-            if self._first_start:
-                await self._client.create(documents.BOX_KIND, box, spec)
-            else:
-                await self._client.replace(
-                    documents.BOX_KIND, box, spec, revision=None
-                )
-        except errors.ObjectMissingError:
-            await self._client.create(documents.BOX_KIND, box, spec)
-        except errors.VersionConflictError:
-            await self._client.replace(
-                documents.BOX_KIND, box, spec, revision=None
-            )
-        self._own_entry_written = True
-        self._own_entry_written_at = time.monotonic()
-        self._own_entry_era = self._client.era
-
     async def _remove_dead(self) -> None:
         """Removes the entries of boxes that have been silent for too long."""
         for box in self._members.silent_boxes(DEAD_AFTER_S):
@@ -447,16 +377,3 @@
             except errors.VersionConflictError:
                 continue
             self._log.write("box-entry-removed", removed=box)
-
-
-def _member(entry: documents.BoxEntry) -> membership.Member:
-    return membership.Member(
-        entry.box,
-        entry.zone,
-        entry.callers,
-        "",
-        entry.peers,
-        entry.incarnation,
-        link_kb=entry.link_kb,
-        tunnels=entry.tunnels,
-    )
