--- a/martenjunction/decisions/boxes/stream_table.py
+++ b/martenjunction/decisions/boxes/stream_table.py
@@ -139,13 +139,13 @@
         return None if record is None or record.expires_at <= now else record
 
     def record(
-        self, key: StreamKey, origin: StreamOrigin, expires_at: float
+        self, key: StreamKey, origin: StreamOrigin | None, expires_at: float
     ) -> StreamRecord:
         """Records where a stream began and returns the result.
 
         Args:
             key: The stream.
-            origin: Where it began.
+            origin: Where it began, or None if two origins were reported.
             expires_at: Time until which it may be taken up.
         """
         known = self._records.pop(key, None)
