Keep origins of streams in the store beyond the loss of all boxes

After all boxes were lost at once, no take-up of a stream went on while two versions served: what boxes knew of streams went with them.

Each box writes the streams that it began beside their first event, one call at a time, and reads those of all boxes at its start and when the store went back in time. The dump has a section on it, /metrics counts records, calls and failures.

--- a/martenjunction/box_gauges.py
+++ b/martenjunction/box_gauges.py
@@ -61,6 +61,7 @@
             "turn_waits": float(turns.waits),
             "turn_longest_wait_s": turns.longest_wait_s,
             "caller_connections": float(caller_connections),
+            **box.archive.gauges(),
             **box.connection_log.gauges(),
             **box.bodies.gauges(),
             **box.answers.gauges(),
--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -48,6 +48,7 @@
 from martenjunction.routing.quarantine import request_quarantine
 from martenjunction.routing.store import follower
 from martenjunction.routing.store import store_cache
+from martenjunction.routing.streams import archive
 from martenjunction.routing.streams import origins
 from martenjunction.routing.sync import load_exchange
 from martenjunction.routing.sync import outcome_report
@@ -292,6 +293,18 @@
             first_start=settings.first_start,
         )
         self.admitter.on_activation(self.origins.apply_config)
+        self.archive = archive.StreamArchive(
+            self.store,
+            self.origins,
+            settings.box,
+            self._live_boxes,
+            lambda: self._duty_rank() == 0,
+            self.timers,
+            self.log,
+            self._rng,
+            settings.link_bytes_s,
+        )
+        self.origins.is_restoring = lambda: not self.archive.restored
         self.prober = prober.Prober(
             self.registry, self.pool, self.admitter, self.grants, self.timers
         )
@@ -351,5 +364,11 @@
             return lease.MAX_RANK
         return self.overlay.rank
 
+    def _live_boxes(self) -> set[str] | None:
+        """Returns the live boxes, or None as long as they are not listed."""
+        if not self.follower.has_listed:
+            return None
+        return {member.box for member in self.members.live_snapshot()}
+
     def _status(self) -> Any:
         return self.sync.heartbeat()
--- a/martenjunction/decisions/boxes/origin_archive.py
+++ b/martenjunction/decisions/boxes/origin_archive.py
@@ -23,7 +23,7 @@
 
 # Minimum interval in seconds between two writes of a box, and the part of its
 # link that they may use.
-MIN_INTERVAL_S = 0.25
+MIN_INTERVAL_S = 0.5
 LINK_FRACTION = 0.1
 
 # Maximum back-off in seconds after failed writes, or the interval if that is
@@ -93,11 +93,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Service:
-    """Counts of a service's entries, and the longest lifetime in seconds."""
+    """Counts of a service's entries."""
 
     entries: int = 0
     pending: int = 0
-    lifetime_s: float = 0.0
 
 
 class OriginArchive:
@@ -110,7 +109,7 @@
 
     def __init__(
         self,
-        may_be_mixed: Callable[[str, float], bool],
+        may_be_mixed: Callable[[str], bool],
         phase: float,
         link_bytes_s: float,
         max_bytes: int = MAX_OBJECT_BYTES,
@@ -118,9 +117,8 @@
         """Initializes an archive, which writes nothing until `restore`.
 
         Args:
-            may_be_mixed: Returns whether streams of several versions of a
-                service may live; called with the service and the longest
-                lifetime of its streams in seconds.
+            may_be_mixed: Returns whether streams of a service may have several
+                origins.
             phase: Part of an interval by which the first write is delayed;
                 spreads the writes of boxes.
             link_bytes_s: Bandwidth of the box's link in bytes per second.
@@ -177,29 +175,27 @@
             self._bytes / (self._link_bytes_s * LINK_FRACTION),
         )
 
-    def add(self, record: stream_table.StreamRecord, now: float) -> None:
+    def add(self, record: stream_table.StreamRecord) -> None:
         """Adds a stream that began at this box, or whose record changed."""
-        self._put(record, record.expires_at - now, archived=False)
+        self._put(record, archived=False)
 
     def restore(
         self,
         records: Iterable[stream_table.StreamRecord],
         revision: revisions.Revision | None,
-        now: float,
     ) -> None:
         """Takes in the box's object as the store holds it.
 
         Args:
             records: Its records.
             revision: Its revision; None if there is no object.
-            now: The current time.
         """
         self._readable = True
         self._revision = revision
         for entry in self._entries.values():
             self._set_archived(entry, False)
         for record in records:
-            self._put(record, record.expires_at - now, archived=True)
+            self._put(record, archived=True)
 
     def poll(self, boxes: int, now: float) -> Write | Clear | None:
         """Returns the call that is due, if any.
@@ -216,10 +212,7 @@
             return None
         if now - self._expired_at >= EXPIRY_INTERVAL_S:
             self._expire(now)
-        mixed = {
-            service: self._is_mixed(service, counts)
-            for service, counts in self._services.items()
-        }
+        mixed = {service: self._is_mixed(service) for service in self._services}
         if any(
             mixed[service] and counts.pending
             for service, counts in self._services.items()
@@ -295,13 +288,12 @@
         self._revision = revision
         self._failures = 0
 
-    def _is_mixed(self, service: str | None, counts: _Service) -> bool:
-        return service is None or self._may_be_mixed(service, counts.lifetime_s)
+    def _is_mixed(self, service: str | None) -> bool:
+        return service is None or self._may_be_mixed(service)
 
     def _put(
         self,
         record: stream_table.StreamRecord,
-        lifetime_s: float,
         archived: bool,
     ) -> None:
         known = self._entries.get(record.key)
@@ -323,15 +315,13 @@
         counts = self._services.setdefault(service, _Service())
         counts.entries += 1
         counts.pending += not archived
-        counts.lifetime_s = max(counts.lifetime_s, lifetime_s)
         while self._bytes > self._max_bytes:
             self._evict()
 
     def _evict(self) -> None:
         most = max(self._by_caller.values(), key=len)
         entry = self._entries[next(iter(most))]
-        counts = self._services[entry.service]
-        self.dropped += entry.archived or self._is_mixed(entry.service, counts)
+        self.dropped += entry.archived or self._is_mixed(entry.service)
         self._remove(entry)
 
     def _expire(self, now: float) -> None:
--- a/martenjunction/decisions/boxes/settled_services.py
+++ b/martenjunction/decisions/boxes/settled_services.py
@@ -29,16 +29,13 @@
     Attributes:
         config_version: Version of the configuration; 0 if none is known.
         versions: The only version that may have living streams, by service.
-        lifetimes_ms: The longest lifetime of a stream in milliseconds, by
-            service.
     """
 
     config_version: int
     versions: Mapping[str, str]
-    lifetimes_ms: Mapping[str, int]
 
 
-NOTHING = Settled(0, {}, {})
+NOTHING = Settled(0, {})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,17 +160,10 @@
 def _remaining(stored: Settled, wanted: Settled) -> Settled:
     """Returns what is stored and still holds."""
     if stored.config_version != wanted.config_version:
-        return Settled(wanted.config_version, {}, {})
+        return Settled(wanted.config_version, {})
     versions = {
         service: version
         for service, version in stored.versions.items()
         if wanted.versions.get(service) == version
     }
-    lifetimes_ms = {
-        service: max(
-            stored.lifetimes_ms.get(service, 0),
-            wanted.lifetimes_ms.get(service, 0),
-        )
-        for service in versions
-    }
-    return Settled(wanted.config_version, versions, lifetimes_ms)
+    return Settled(wanted.config_version, versions)
--- a/martenjunction/decisions/boxes/stream_conclusions.py
+++ b/martenjunction/decisions/boxes/stream_conclusions.py
@@ -6,31 +6,16 @@
 """
 
 from collections.abc import Iterable
-from collections.abc import Mapping
-import dataclasses
 
 from martenjunction import model
 from martenjunction.decisions.boxes import served_routes
 from martenjunction.decisions.boxes import served_versions
+from martenjunction.decisions.boxes import settled_services
 from martenjunction.decisions.boxes import stream_table
 
 Basis = stream_table.Basis
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Settled:
-    """What makes conclusions possible after the loss of all boxes.
-
-    Attributes:
-        config_version: The configuration.
-        versions: Services of which a single version may have streams, and whose
-            paths led to no other service lately; the version by service.
-    """
-
-    config_version: int
-    versions: Mapping[str, str]
-
-
 class StreamConclusions:
     """The origins that streams may have, by their host and path."""
 
@@ -43,6 +28,11 @@
         self._versions = served_versions.ServedVersions(first_start=first_start)
         self._routes = served_routes.ServedRoutes(first_start=first_start)
 
+    @property
+    def has_config(self) -> bool:
+        """Whether a configuration was applied."""
+        return self._routes.version > 0
+
     def apply_config(self, config: model.RoutingConfig, now: float) -> None:
         """Takes in a configuration that comes into force."""
         self._routes.apply(config, now)
@@ -81,11 +71,11 @@
         basis = Basis.SINGLE if is_complete else Basis.SEEN
         return stream_table.Finding(possible.pop(), basis)
 
-    def settled(self, now: float) -> Settled:
+    def settled(self, now: float) -> settled_services.Settled:
         """Returns what a box may conclude that starts after the loss of all."""
         unsettled = self._routes.unsettled(now)
         versions = self._versions.settled(now)
-        return Settled(
+        return settled_services.Settled(
             self._routes.version,
             {s: v for s, v in versions.items() if s not in unsettled},
         )
@@ -98,7 +88,7 @@
         )
         return not is_certain or service in self._routes.unsettled(now)
 
-    def restore(self, settled: Settled, now: float) -> bool:
+    def restore(self, settled: settled_services.Settled, now: float) -> bool:
         """Takes over what was settled before this box started.
 
         Args:
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -136,6 +136,7 @@
         self.brittleness.start(self.events)
         self.grants.start()
         self.origins.start()
+        self.archive.start()
         self.usage.start()
         self.prober.start()
         self.connector.start()
@@ -216,6 +217,7 @@
         await self.duties.stop()
         await self.prober.stop()
         await self.liveness.stop()
+        await self.archive.stop()
         await self.connector.stop()
         await self.follower.stop()
         await self.timers.stop()
@@ -244,6 +246,7 @@
             "suspects": self.quarantine.dump(),
             "suspected_parts": self.parts.dump(),
             "duties": self.duties.dump(),
+            "streams": self.archive.dump(),
         }
 
     def _server(
--- a/martenjunction/platform/stream_documents.py
+++ b/martenjunction/platform/stream_documents.py
@@ -60,7 +60,7 @@
     number: Annotated[int, msgspec.Meta(ge=0)]
     config_version: int
     # Version and longest lifetime in milliseconds by service.
-    services: dict[_Name, tuple[_Name, Annotated[int, msgspec.Meta(ge=0)]]]
+    services: dict[_Name, _Name]
 
 
 def encode_records(
@@ -138,10 +138,7 @@
         "format": 1,
         "number": number,
         "config_version": settled.config_version,
-        "services": {
-            service: (version, settled.lifetimes_ms.get(service, 0))
-            for service, version in settled.versions.items()
-        },
+        "services": dict(settled.versions),
     }
 
 
@@ -155,11 +152,7 @@
         PlatformError: If it is malformed, too large or of another format.
     """
     wire: _Settled = _decode(spec, _Settled)
-    settled = settled_services.Settled(
-        wire.config_version,
-        {service: version for service, (version, _) in wire.services.items()},
-        {service: life for service, (_, life) in wire.services.items()},
-    )
+    settled = settled_services.Settled(wire.config_version, wire.services)
     return settled, wire.number
 
 
--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -12,6 +12,8 @@
 from martenjunction import timers
 from martenjunction.decisions import rendezvous
 from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import origin_archive
+from martenjunction.decisions.boxes import settled_services
 from martenjunction.decisions.boxes import stream_conclusions
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.peers import hub
@@ -32,6 +34,9 @@
 # a service has a single version.
 MAX_LIST_AGE_S = 2.6
 
+# Maximum time in seconds from reading what was settled to its use.
+RESTORE_WAIT_S = 5.0
+
 # Seconds after its start in which a box may not be connected to all others.
 START_S = 3.0
 
@@ -75,10 +80,13 @@
     Attributes:
         boxes_told: Number of boxes that are told of each stream.
         is_restoring: Returns whether records may still come from the store.
+        recorder: Called with each record of a stream that begins at this box,
+            and again if it changes; None for nobody.
     """
 
     boxes_told: int = BOXES_TOLD
     is_restoring: Callable[[], bool] = staticmethod(lambda: False)
+    recorder: Callable[[stream_table.StreamRecord], None] | None = None
 
     def __init__(
         self,
@@ -117,6 +125,8 @@
         self._conclusions = stream_conclusions.StreamConclusions(
             first_start=first_start
         )
+        self._to_restore: settled_services.Settled | None = None
+        self._restore_until = 0.0
         self._pending: dict[str, list[stream_table.StreamRecord]] = {}
         self._queries = queries.OriginQueries(
             peers, members, clock, self._find_locally
@@ -152,7 +162,27 @@
         lifetime_s = MAX_LIFETIME_S
         if client_waits_s is not None:
             lifetime_s = min(client_waits_s, MAX_LIFETIME_S)
-        self._tell([self._table.record(key, origin, now + lifetime_s)])
+        record = self._table.record(key, origin, now + lifetime_s)
+        if self.recorder is not None:
+            self.recorder(record)
+        self._tell([record])
+
+    def restore(
+        self, record: origin_archive.ArchivedRecord
+    ) -> stream_table.StreamRecord:
+        """Merges a record that was kept outside the box; returns the result.
+
+        It counts as alive for all of its remaining time from now on.
+        """
+        now = self._timers.now()
+        if record.origin is not None:
+            self._conclusions.note(record.origin, now)
+        expires_at = now + record.left_ms * MS
+        return self._table.record(record.key, record.origin, expires_at)
+
+    def may_be_mixed(self, service: str) -> bool:
+        """Returns whether streams of a service may have several origins."""
+        return self._conclusions.may_be_several(service, self._timers.now())
 
     async def find(
         self, key: stream_table.StreamKey, host: str, path: str
@@ -188,15 +218,31 @@
         """Takes in a configuration that comes into force."""
         self._conclusions.apply_config(config, self._timers.now())
 
-    def settled(self) -> stream_conclusions.Settled:
+    def settled(self) -> settled_services.Settled:
         """Returns what a box may conclude after the loss of all boxes."""
         return self._conclusions.settled(self._timers.now())
 
-    def restore_settled(self, settled: stream_conclusions.Settled) -> bool:
-        """Takes over what was settled; returns whether it still holds."""
+    def restore_settled(self, settled: settled_services.Settled) -> None:
+        """Takes over what was settled before this box started.
+
+        That waits for the configuration and the endpoints, to which it is
+        compared.
+        """
+        self._to_restore = settled
+        self._restore_until = self._timers.now() + RESTORE_WAIT_S
+        self._restore_settled()
+
+    def _restore_settled(self) -> None:
         now = self._timers.now()
-        self._look(now)
-        return self._conclusions.restore(settled, now)
+        settled = self._to_restore
+        if settled is None:
+            return
+        if now > self._restore_until:
+            self._to_restore = None
+        elif self._conclusions.has_config and self._listed.has_listing:
+            self._to_restore = None
+            self._look(now)
+            self._conclusions.restore(settled, now)
 
     def hand_over(self) -> None:
         """Tells other boxes of all streams, before this box stops."""
@@ -270,6 +316,7 @@
         self._table.expire(now)
         if self._listed.has_listing:
             self._look(now)
+        self._restore_settled()
 
     def _look(self, now: float) -> None:
         self._conclusions.look(
--- a/tests/test_origin_archive.py
+++ b/tests/test_origin_archive.py
@@ -37,9 +37,9 @@
     mixed: bool = True, **changes: Any
 ) -> origin_archive.OriginArchive:
     made = origin_archive.OriginArchive(
-        lambda service, lifetime_s: mixed, 0.5, LINK_BYTES_S, **changes
+        lambda service: mixed, 0.5, LINK_BYTES_S, **changes
     )
-    made.restore([], None, 0.0)
+    made.restore([], None)
     return made
 
 
@@ -88,14 +88,14 @@
         # What was read has lasted, whatever this box was told of its write.
         self.acknowledged |= {r.key for r in rows}
         revision = builders.rev(self.revision) if self.spec else None
-        self.archive.restore(records, revision, self.now)
+        self.archive.restore(records, revision)
 
     def begin(self, number: int, version: str) -> None:
         if key(number) not in self.begun:
             expires_at = self.now + LIFETIME_S
             self.begun[key(number)] = (version, expires_at)
             made = self.table.record(key(number), origin(version), expires_at)
-            self.archive.add(made, self.now)
+            self.archive.add(made)
 
     def apply(self, call: origin_archive.Write) -> bool:
         expected = call.revision and call.revision.number
@@ -189,7 +189,7 @@
     now, times = 100.0, []
     for number, (seconds, result) in enumerate(calls):
         now += seconds
-        archive.add(record(number, "v1", now + LIFETIME_S), now)
+        archive.add(record(number, "v1", now + LIFETIME_S))
         if archive.poll(boxes, now) is None:
             continue
         times.append(now)
@@ -216,7 +216,7 @@
 ) -> None:
     archive = make_archive(max_bytes=1000)
     for number, (caller, version) in enumerate(begun):
-        archive.add(record(number, version, 99.0, caller), 0.0)
+        archive.add(record(number, version, 99.0, caller))
     archive.poll(1, 0.0)
     call = archive.poll(1, 1.0)
     assert isinstance(call, origin_archive.Write)
@@ -228,13 +228,13 @@
 
 def test_nothing_is_written_while_one_version_serves_alone() -> None:
     archive = make_archive(mixed=False)
-    archive.add(record(1, "v1", 99.0), 0.0)
+    archive.add(record(1, "v1", 99.0))
     assert [archive.poll(1, float(at)) for at in range(9)] == [None] * 9
 
 
 def test_object_is_cleared_once_when_its_records_have_expired() -> None:
     archive = make_archive()
-    archive.add(record(1, "v1", 5.0), 0.0)
+    archive.add(record(1, "v1", 5.0))
     archive.poll(1, 0.0)
     assert isinstance(archive.poll(1, 1.0), origin_archive.Write)
     archive.written(builders.rev(3))
@@ -351,7 +351,7 @@
     world = SettledWorld()
     for config, version, what in order:
         world.now += settled_services.MAX_BACKOFF_S + 0.1
-        wanted = Settled(config, {"s": version} if version else {}, {})
+        wanted = Settled(config, {"s": version} if version else {})
         if what == "leave":
             world.services = settled_services.SettledServices()
         elif what == "late" and world.late:
@@ -363,9 +363,9 @@
 
 def test_change_of_configuration_takes_all_services_out() -> None:
     world = SettledWorld(now=9.0)
-    world.run(Settled(1, {"s": "v1"}, {"s": 900}), True)
+    world.run(Settled(1, {"s": "v1"}), True)
     world.now += settled_services.ADD_DELAY_S
-    world.run(Settled(1, {"s": "v1"}, {"s": 900}), True)
-    assert world.stored[0] == Settled(1, {"s": "v1"}, {"s": 900})
-    world.run(Settled(2, {"s": "v1"}, {"s": 900}), True)
-    assert world.stored[0] == Settled(2, {}, {})
+    world.run(Settled(1, {"s": "v1"}), True)
+    assert world.stored[0] == Settled(1, {"s": "v1"})
+    world.run(Settled(2, {"s": "v1"}), True)
+    assert world.stored[0] == Settled(2, {})
--- a/tests/test_stream_conclusions.py
+++ b/tests/test_stream_conclusions.py
@@ -9,6 +9,7 @@
 from martenjunction import model
 from martenjunction.decisions.boxes import served_routes
 from martenjunction.decisions.boxes import served_versions
+from martenjunction.decisions.boxes import settled_services
 from martenjunction.decisions.boxes import stream_conclusions
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.platform import documents
@@ -212,7 +213,7 @@
 ) -> None:
     conclusions = started(version, config_version)
     assert conclude(conclusions, "/a/", 0.0).basis is Basis.SEEN
-    settled = stream_conclusions.Settled(7, {builders.ENGINE: "v1"})
+    settled = settled_services.Settled(7, {builders.ENGINE: "v1"})
     assert conclusions.restore(settled, 0.0) is (basis is Basis.SINGLE)
     assert conclude(conclusions, "/a/", 0.0).basis is basis
     assert bool(conclusions.settled(0.0).versions) is (basis is Basis.SINGLE)
