Read on for clients that still send when they are refused

A refused client that sent for over 1 s after its refusal, or more than 256 KB that its window held back, met a reset and lost the response. The rest of a body is now dropped for as long as the pause that a body may have (10 s), up to max_body_bytes, 256 KB every 50 ms, and no further once the client has ended its side. A server that finishes waits for 1 s, as for a body that is half read. Outside a body, and for framing that outweighs its data, 256 KB and 1 s hold.

--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -88,6 +88,9 @@
         self._shutting_down = False
         self._unanswered: messages.Request | None = None
         self._unread = False
+        # Where the current body ends, in bytes received.
+        self._body_end = 0
+        self._discarder = discarding.Discarder(stream, self._source)
         self._response_count = 0
         self._received = 0
         self._idle_since = time.monotonic()
@@ -151,6 +154,7 @@
             RequestNotTakenError: If the connection was closed meanwhile.
             ConnectionLostError: If the client disconnected within it.
         """
+        self._body_end = 0
         head = await self._read_head()
         if head is None:
             return None
@@ -162,6 +166,7 @@
         )
         self._bodiless = request.method == b"HEAD"
         max_body_bytes = self._limits().max_body_bytes
+        self._body_end = self._find_body_end(request, max_body_bytes)
         length = framing.check(request, max_body_bytes)
         try:
             request.body = await self._take_body(
@@ -265,8 +270,12 @@
         report = self._build_report(reason)
         # The parser holds what was read and not parsed.
         self._parser = h11.Connection(h11.SERVER)
-        dropped = await discarding.drop(self._stream, self._source)
-        self._received += dropped
+        rest = max(0, self._body_end - self._received)
+        if reason is close_reports.CloseReason.FRAMING:
+            rest = 0
+        self._received += await self._discarder.drop(
+            rest, self._limits().max_body_bytes, BODY_TIMEOUT_S
+        )
         if self._report is None:
             self._report = dataclasses.replace(report, received=self._received)
 
@@ -278,6 +287,7 @@
         """
         if not self._shutting_down:
             self._shutting_down = True
+            self._discarder.shorten(SHUTDOWN_READ_TIMEOUT_S)
             if self._state is _State.READING:
                 self._set_timer(SHUTDOWN_READ_TIMEOUT_S, self._timeout_reason)
         self._close_if_idle()
@@ -398,6 +408,21 @@
             )
         return event  # type: ignore[return-value]
 
+    def _find_body_end(self, request: messages.Request, most: int) -> int:
+        """Returns where a body ends, or could end if it is chunked.
+
+        Args:
+            request: The request, with its head read.
+            most: Maximum size of a body in bytes.
+
+        Returns:
+            The position in bytes received on the connection.
+        """
+        length = messages.header(request.headers, b"content-length")
+        chunked = messages.header(request.headers, b"transfer-encoding")
+        size = most if chunked is not None else int(length or 0)
+        return self._received - len(self._parser.trailing_data[0]) + size
+
     async def _take_body(
         self, request: messages.Request, length: int | None, max_bytes: int
     ) -> messages.Body:
