Play losses of all boxes by a command and in simulated time

martenjunction-lab stream-losses plays trials with some seeds, prints a table and draws attempts to take up streams over time. The fleet of the trials also runs with boxes of one process, in simulated time. New trials: a version that comes just before the loss and leaves while all boxes are away, one version alone.

--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -21,6 +21,8 @@
 from martenjunction_lab.replays import loads
 from martenjunction_lab.replays import report
 from martenjunction_lab.spread import table
+from martenjunction_lab.stream_losses import series
+from martenjunction_lab.stream_losses import trials
 
 
 @cappa.command(help="Run both users' fleets under a burst, in one process.")
@@ -166,6 +168,51 @@
             print(trial.row(played, uvloop.run(trial.play(played))), flush=True)
 
 
+@cappa.command(help="Let clients take streams up after boxes were killed.")
+@dataclasses.dataclass
+class StreamLosses:
+    """Prints what became of streams after boxes lost what they knew."""
+
+    names: Annotated[
+        str, cappa.Arg(long="--trials", help="Trials, comma-separated.")
+    ] = ",".join(trials.TRIALS)
+    seeds: Annotated[str, cappa.Arg(long=True, help="Seeds, first..last.")] = (
+        "1"
+    )
+    jobs: Annotated[int, cappa.Arg(long=True, help="Trials at once.")] = 1
+    simulated: Annotated[
+        bool, cappa.Arg(long=True, help="Play in simulated time.")
+    ] = False
+    plot: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long=True, help="Picture of the attempts over time."),
+    ] = None
+    logs: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long=True, help="Folder for the logs of boxes."),
+    ] = None
+
+    def __call__(self) -> None:
+        """Plays each trial with each seed."""
+        # Loads matplotlib, which other commands need not wait for.
+        from martenjunction_lab.stream_losses import report
+
+        played = series.Series(
+            self.names.split(","),
+            series.parse_seeds(self.seeds),
+            self.jobs,
+            self.simulated,
+            self.logs,
+        )
+        seen = {}
+        print(report.headings())
+        for name, seed, outcome in played.play():
+            print(report.row(name, seed, outcome), flush=True)
+            seen[f"{name}, seed {seed}"] = outcome
+        if self.plot is not None:
+            report.plot(seen, self.plot)
+
+
 @cappa.command(
     name="martenjunction-lab", help="Stand-ins, load and experiments."
 )
@@ -174,7 +221,7 @@
     """The command and its subcommands."""
 
     subcommand: cappa.Subcommands[
-        Demo | Compare | Replay | Spread | Capacity | Senders
+        Demo | Compare | Replay | Spread | Capacity | Senders | StreamLosses
     ]
 
 
--- a/martenjunction_lab/stream_losses/fleet.py
+++ b/martenjunction_lab/stream_losses/fleet.py
@@ -17,6 +17,10 @@
 # Seconds before a loss at which the engines of a new version start.
 NEW_VERSION_LEAD_S = 1.5
 
+# Shortest and longest time in seconds from the start of engines that leave at a
+# loss to the kill of the boxes.
+BRIEF_LEAD_S = (0.6, 1.2)
+
 # Shortest and longest time in seconds from the old version's end and the
 # operator's change to the kill of the boxes.
 CHANGE_LEAD_S = (0.05, 0.5)
@@ -30,7 +34,7 @@
 MAX_WAIT_SHARE = 1 / 3
 
 # Seconds before its deadline from which on a client does not try again.
-MIN_LEFT_S = 0.05
+MIN_LEFT_S = 0.2
 
 # Statuses after which clients do not try again.
 FINAL_STATUSES = frozenset({400, 401, 404, 413, 431})
@@ -56,6 +60,7 @@
         self.trial = trial
         self.outcome = outcome.Outcome()
         self._versions = 0
+        self._streams = 0
         self._requests = 0
         self._listed: list[versioned_engines.VersionedReplica] = []
         self._routed_to = trial_fleet.ENGINE
@@ -122,6 +127,12 @@
             await self.add(service, one, trial_fleet.SLOTS[trial_fleet.ENGINE])
             self._listed.append(one)
 
+    def _listed_engines(self) -> list[versioned_engines.VersionedReplica]:
+        """Returns the listed engines of the first service."""
+        return [
+            one for one in self.of(trial_fleet.ENGINE) if one in self._listed
+        ]
+
     async def _remove(self, one: versioned_engines.VersionedReplica) -> None:
         self.boxes.forget(one)
         self._listed.remove(one)
@@ -133,16 +144,16 @@
     async def _lose(self) -> None:
         trial = self.trial
         replaced = trial.versions is trials.Versions.REPLACED
+        brief = trial.versions is trials.Versions.BRIEF
         for number in range(1, trial.losses + 1):
             loss_at = self._began_at + number * trial.loss_each_s
-            old = [
-                one
-                for one in self.of(trial_fleet.ENGINE)
-                if one in self._listed
-            ]
+            old = self._listed_engines()
             if replaced:
                 await self._until(loss_at - NEW_VERSION_LEAD_S)
                 await self._start_version()
+            if brief:
+                await self._until(loss_at - self.draw.uniform(*BRIEF_LEAD_S))
+                await self._start_version()
             await self._until(loss_at - self.draw.uniform(*CHANGE_LEAD_S))
             self.outcome.losses_s.append(time.monotonic() - self._began_at)
             if replaced:
@@ -154,6 +165,10 @@
                     self._routed_to = configuration.OTHER
             await self._until(loss_at)
             await self._kill_some()
+            if brief:
+                for one in self._listed_engines():
+                    if one not in old:
+                        self.spawn(self._remove(one))
 
     async def _kill_some(self) -> None:
         trial = self.trial
@@ -176,36 +191,27 @@
 
     async def _stream(self) -> None:
         """Has a client get one stream, over attempts until its deadline."""
+        self._streams += 1
+        stream = self._streams
         held = stream_clients.ClientStream(self.trial.events)
-        refusals = 0
         ends_at = time.monotonic() + self.trial.deadline_s
         while (left_s := ends_at - time.monotonic()) > MIN_LEFT_S:
-            before = held.last_event
-            after_loss = self._is_after_loss(held)
-            ending, pause_s = await self._attempt(held, left_s)
-            if before and after_loss and ending is outcome.Ending.REFUSED:
-                refusals += 1
+            pause_s = await self._attempt(stream, held, left_s)
             if held.complete or pause_s is None:
                 break
             await asyncio.sleep(pause_s)
-        self._note(held, refusals)
-
-    def _note(self, held: stream_clients.ClientStream, refusals: int) -> None:
         self.outcome.streams += held.last_event > 0
         self.outcome.joined += held.joined
         self.outcome.torn += held.torn
         self.outcome.whole += held.complete
-        if refusals:
-            self.outcome.refusals.append(refusals)
 
     async def _attempt(
-        self, held: stream_clients.ClientStream, left_s: float
-    ) -> tuple[outcome.Ending, float | None]:
-        """Makes an attempt.
+        self, stream: int, held: stream_clients.ClientStream, left_s: float
+    ) -> float | None:
+        """Makes an attempt at a stream.
 
         Returns:
-            How it ended, and the seconds to wait before the next; None if there
-            is to be none.
+            Seconds to wait before the next; None if there is to be none.
         """
         self._requests += 1
         before, was_joined = held.last_event, held.joined
@@ -230,16 +236,16 @@
             ending = outcome.Ending.REFUSED
         if before:
             self.outcome.take_ups.append(
-                outcome.TakeUp(began_s, ending, after_loss, is_served)
+                outcome.TakeUp(stream, began_s, ending, after_loss, is_served)
             )
         if not answer.is_refusal:
-            return ending, BROKEN_PAUSE_S
+            return BROKEN_PAUSE_S
         if before:
             self.outcome.refused[f"{answer.status} {answer.refusal}"] += 1
         if answer.status in FINAL_STATUSES:
-            return ending, None
+            return None
         told_s = answer.retry_after_s or REFUSED_PAUSE_S
-        return ending, min(told_s, left_s * MAX_WAIT_SHARE)
+        return min(told_s, left_s * MAX_WAIT_SHARE)
 
     def _is_after_loss(self, held: stream_clients.ClientStream) -> bool:
         """Returns whether a loss came since a stream's first event."""
--- a/martenjunction_lab/stream_losses/outcome.py
+++ b/martenjunction_lab/stream_losses/outcome.py
@@ -19,6 +19,7 @@
     """An attempt to take up a stream.
 
     Attributes:
+        stream: Number of the stream.
         at_s: Seconds from the start of the trial.
         ending: How it ended.
         after_loss: Whether a loss lies between it and the first event.
@@ -26,6 +27,7 @@
             which the route leads.
     """
 
+    stream: int
     at_s: float
     ending: Ending
     after_loss: bool
@@ -43,7 +45,6 @@
         whole: Those that came to their end.
         take_ups: All attempts to take up a stream.
         refused: Refused attempts by status and body.
-        refusals: For each stream that was refused after a loss, how often.
         losses_s: Seconds from the start of the trial to each loss.
     """
 
@@ -55,7 +56,6 @@
     refused: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
-    refusals: list[int] = dataclasses.field(default_factory=list)
     losses_s: list[float] = dataclasses.field(default_factory=list)
 
     def after_loss(self, ending: Ending, is_served: bool | None = None) -> int:
@@ -72,3 +72,29 @@
             and is_served in (None, one.is_served)
             for one in self.take_ups
         )
+
+    @property
+    def refusals(self) -> list[int]:
+        """For each stream that was refused after a loss, how often it was."""
+        counted = collections.Counter(
+            one.stream
+            for one in self.take_ups
+            if one.after_loss and one.ending is Ending.REFUSED
+        )
+        return list(counted.values())
+
+    def streams_after_loss(self, *endings: Ending) -> int:
+        """Returns how many streams had an attempt after a loss that ended so.
+
+        Only attempts while the version of the stream was served count.
+
+        Args:
+            endings: The ways in which it may have ended.
+        """
+        return len(
+            {
+                one.stream
+                for one in self.take_ups
+                if one.after_loss and one.is_served and one.ending in endings
+            }
+        )
--- a/martenjunction_lab/stream_losses/trials.py
+++ b/martenjunction_lab/stream_losses/trials.py
@@ -10,6 +10,7 @@
     ONE = "one"
     SIDE_BY_SIDE = "two side by side"
     REPLACED = "the old one leaves at each loss"
+    BRIEF = "a new one comes before each loss and leaves right after it"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,6 +95,8 @@
         timeout_s=2.0,
         deadline_s=10.0,
     ),
+    "one-version": Trial(versions=Versions.ONE, deadline_s=10.0),
+    "brief-version": Trial(versions=Versions.BRIEF, deadline_s=10.0),
     "all-but-one": Trial(killed=3, versions=Versions.SIDE_BY_SIDE),
     "one-back-earlier": Trial(
         others_away_s=2.0, timeout_s=2.0, deadline_s=10.0
@@ -105,3 +108,45 @@
         losses=6,
     ),
 }
+
+_KILLED = Trial(
+    timeout_s=1.0,
+    deadline_s=6.0,
+    linger_s=1.0,
+    per_s=40.0,
+    seconds=3.5,
+    losses=1,
+    loss_each_s=3.0,
+)
+_NOT_KILLED = Trial(
+    killed=0,
+    timeout_s=1.0,
+    deadline_s=4.0,
+    linger_s=1.0,
+    seconds=5.0,
+    losses=1,
+    loss_each_s=2.5,
+)
+
+# Trials of some 10 s.
+SHORT = {
+    "short-longer-deadline": _KILLED,
+    "short-longer-deadline-no-kill": _NOT_KILLED,
+    "short-shorter-timeout": dataclasses.replace(
+        _KILLED, timeout_s=6.0, later_timeout_s=0.8
+    ),
+    "short-moved": dataclasses.replace(
+        _KILLED, versions=Versions.ONE, is_moved=True
+    ),
+    "short-moved-no-kill": dataclasses.replace(
+        _NOT_KILLED, versions=Versions.ONE, is_moved=True
+    ),
+    "short-brief-version": dataclasses.replace(
+        _KILLED, versions=Versions.BRIEF
+    ),
+    "short-side-by-side": dataclasses.replace(
+        _KILLED, versions=Versions.SIDE_BY_SIDE
+    ),
+    "short-one-version": dataclasses.replace(_KILLED, versions=Versions.ONE),
+    "short-one-back-earlier": dataclasses.replace(_KILLED, others_away_s=1.5),
+}
