Break boxes on purpose, and name the promises on streams taken up

Nineteen broken builds for promises on kept connections, changes of the configuration, planned stops, keys, streams and lists that may be old. One of them undoes two mechanisms, since a key that cannot be verified is refused at admission and before the send; with the first alone gone, the check passed.

The builds have a module of their own, for its length.

--- /dev/null
+++ b/tools/broken_box_builds.py
@@ -0,0 +1,192 @@
+"""Broken builds of boxes on the users' platform."""
+
+from tools import broken_build
+
+BrokenBuild = broken_build.BrokenBuild
+
+ENDPOINT_LIST = "martenjunction/decisions/boxes/endpoint_list.py"
+GATEWAY = "martenjunction/gateway.py"
+SERVER_CONNECTION = "martenjunction/http1/server_connection.py"
+ADMISSION = "martenjunction/routing/access/admission.py"
+ENDPOINT_RUNS = "martenjunction/routing/requests/endpoint_runs.py"
+EXCHANGE = "martenjunction/routing/requests/exchange.py"
+OFFERS = "martenjunction/routing/requests/offers.py"
+STREAM_BINDING = "martenjunction/routing/requests/stream_binding.py"
+ORIGINS = "martenjunction/routing/streams/origins.py"
+QUERIES = "martenjunction/routing/streams/queries.py"
+
+BUILDS = (
+    BrokenBuild(
+        "a client's socket is not asked before a send",
+        ENDPOINT_RUNS,
+        "if self._connection.client_left:",
+        "if self._connection.closed:",
+        "tests/test_clients_gone_in_a_turn.py::test_requests_of_clients_that_left_are_not_passed_on",
+    ),
+    BrokenBuild(
+        "requests are taken from closed connections",
+        SERVER_CONNECTION,
+        "        if self.closed:\n            raise request_errors",
+        "        if False:\n            raise request_errors",
+        "tests/test_kept_connection_orders.py::test_no_interleaving_loses_a_request",
+    ),
+    BrokenBuild(
+        "a timeout does not look at waiting bytes",
+        SERVER_CONNECTION,
+        "        if self._source.bytes_waiting:\n            # After",
+        "        if False:\n            # After",
+        "tests/test_kept_connections.py::test_request_racing_with_idle_timeout_is_answered",
+    ),
+    BrokenBuild(
+        "a raised idle timeout is not looked at",
+        SERVER_CONNECTION,
+        "and left > TIMER_TOLERANCE_S",
+        "and left > 1e9",
+        "tests/test_kept_connections.py::test_raised_idle_timeout_applies_to_open_connections",
+    ),
+    BrokenBuild(
+        "an unexpected error after a send is not answered",
+        EXCHANGE,
+        'await self._refuse(502, "internal-error", None)',
+        "self._connection.abort(close_reports.CloseReason.FAILED)",
+        "tests/test_ready_and_closed.py::test_unexpected_error_after_a_send_is_answered_and_logged",
+    ),
+    BrokenBuild(
+        "a waiting request keeps a key that was taken away",
+        ADMISSION,
+        "if admission.key not in self._config.workspaces:",
+        "if False:",
+        "tests/test_behind.py::test_waiting_request_is_checked_against_the_new_configuration",
+    ),
+    BrokenBuild(
+        "any change ends requests that wait",
+        ADMISSION,
+        "        return route is not None and any(",
+        "        return route is None and any(",
+        "tests/test_behind.py::test_waiting_request_proceeds_if_its_route_is_unchanged",
+    ),
+    BrokenBuild(
+        "a box that lags serves",
+        ADMISSION,
+        "if self._freshness.is_lagging(received_at):",
+        "if False:",
+        "tests/test_behind.py::test_lagging_box_refuses_requests",
+    ),
+    BrokenBuild(
+        "keys do not expire with the configuration",
+        ADMISSION,
+        "if self._fail_closed and not",
+        "if False and not",
+        "tests/test_gateway_beliefs.py::test_keys_are_refused_once_they_cannot_be_verified",
+        also=(
+            ADMISSION,
+            "return not self._fail_closed or self",
+            "return True or self",
+        ),
+    ),
+    BrokenBuild(
+        "the end of a stop gives no final answers",
+        GATEWAY,
+        "        self.held.stop()\n",
+        "",
+        "tests/test_planned_stop.py::test_request_that_outlasts_a_stop_gets_a_final_answer",
+    ),
+    BrokenBuild(
+        "half a request holds a stop up",
+        SERVER_CONNECTION,
+        "            if self._state is _State.READING:\n"
+        "                self._set_timer(SHUT",
+        "            if False:\n                self._set_timer(SHUT",
+        "tests/test_planned_stop.py::test_partial_request_does_not_delay_a_stop",
+    ),
+    BrokenBuild(
+        "a stream goes on at any version",
+        OFFERS,
+        "            excluded = permit.excluded_ids() | self._other_versions(\n"
+        "                self._state.stream_version\n"
+        "            )",
+        "            excluded = permit.excluded_ids()",
+        "tests/test_versioned_streams.py::test_stream_goes_on_only_at_the_version_that_began_it",
+    ),
+    BrokenBuild(
+        "a stream of unknown origin goes anywhere",
+        STREAM_BINDING,
+        "    raise admission.RefusalError(",
+        "    return StreamBinding(admitted)\n    raise admission.RefusalError(",
+        "tests/test_stream_origins.py::test_stream_is_taken_up_only_where_its_origin_is_known",
+    ),
+    BrokenBuild(
+        "origins are not told to other boxes",
+        ORIGINS,
+        "        self._tell([self._table.record(key, origin, expires_at)])",
+        "        self._table.record(key, origin, expires_at)",
+        "tests/test_streams_large_fleet.py::test_stream_of_a_lost_box_is_found_across_a_large_fleet",
+    ),
+    BrokenBuild(
+        "a box that stops keeps its records",
+        ORIGINS,
+        "        self._tell(self._table)",
+        "        self._tell([])",
+        "tests/test_stream_origins.py::test_box_that_stops_hands_its_records_over",
+    ),
+    BrokenBuild(
+        "questions are not passed on",
+        QUERIES,
+        "if ask.hops >= MAX_HOPS or",
+        "if True or",
+        "tests/test_stream_origins.py::test_boxes_pass_a_question_on_to_those_that_the_asker_lacks",
+    ),
+    BrokenBuild(
+        "a copy of a run is used at another version",
+        OFFERS,
+        "        excluded |= self._other_versions(offer.endpoint.version)\n",
+        "",
+        "tests/test_stream_origins.py::test_copy_of_a_run_is_kept_at_its_version",
+    ),
+    BrokenBuild(
+        "an old list counts",
+        ENDPOINT_LIST,
+        "        if revision < self._revision:\n            return\n",
+        "",
+        "tests/test_endpoint_list.py::test_outdated_listing_changes_nothing",
+    ),
+    BrokenBuild(
+        "an endpoint's version is not looked at again",
+        OFFERS,
+        " and listed.endpoint.version == endpoint.version",
+        "",
+        "tests/test_stream_origins.py::test_endpoint_whose_version_changes_before_the_send_is_not_used",
+    ),
+    BrokenBuild(
+        "a version that left is forgotten with a request's time limit",
+        "martenjunction/decisions/boxes/served_versions.py",
+        "STREAM_LIFETIME_S = 3600.0",
+        "STREAM_LIFETIME_S = 2.0",
+        "tests/test_stream_conclusions.py::"
+        "test_version_that_left_long_after_a_request_may_last_still_counts",
+    ),
+    BrokenBuild(
+        "streams are concluded from the services of now",
+        "martenjunction/decisions/boxes/served_routes.py",
+        "history.services[service] = now",
+        "del history.services[service]",
+        "tests/test_stream_conclusions.py::"
+        "test_stream_is_not_concluded_where_its_route_led_elsewhere",
+    ),
+    BrokenBuild(
+        "a conclusion outvotes a box that knows another version",
+        "martenjunction/decisions/boxes/stream_table.py",
+        "if len(possible) > 1 or Basis.SEVERAL in bases:",
+        "if len(possible) > 1:",
+        "tests/test_stream_origins.py::"
+        "test_conclusion_does_not_outvote_a_box_that_knows_another_version",
+    ),
+    BrokenBuild(
+        "a box that was suspended concludes",
+        "martenjunction/decisions/boxes/served_versions.py",
+        "elif now - last_look_at > MAX_GAP_S:",
+        "elif now - last_look_at > 3600.0:",
+        "tests/test_stream_conclusions.py::"
+        "test_box_that_was_suspended_concludes_nothing",
+    ),
+)
--- a/tools/broken_builds.py
+++ b/tools/broken_builds.py
@@ -5,13 +5,15 @@
 """
 
 from concurrent import futures
-import dataclasses
 import pathlib
 import shutil
 import subprocess
 import sys
 import tempfile
 
+from tools import broken_box_builds
+from tools import broken_build
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 COPIED = (
     "martenjunction",
@@ -30,27 +32,7 @@
 LEASE_TESTS = "tests/test_lease_decisions.py"
 
 
-@dataclasses.dataclass(frozen=True)
-class BrokenBuild:
-    """One mechanism undone.
-
-    Attributes:
-        name: What is undone.
-        file: Where.
-        old: The text that does it.
-        new: What stands there in its place.
-        scenario: The scenario that has to notice, or the id of a test.
-        also: A second mechanism that has to go as well, since each of the two
-            is enough: file, old and new text.
-    """
-
-    name: str
-    file: str
-    old: str
-    new: str
-    scenario: str
-    also: tuple[str, str, str] | None = None
-
+BrokenBuild = broken_build.BrokenBuild
 
 BUILDS = (
     BrokenBuild(
@@ -253,38 +235,7 @@
         "self._acts_from = now",
         f"{LEASE_TESTS}::test_new_holder_waits_for_the_calls_of_the_former_one",
     ),
-    BrokenBuild(
-        "a version that left is forgotten with a request's time limit",
-        "martenjunction/decisions/boxes/served_versions.py",
-        "STREAM_LIFETIME_S = 3600.0",
-        "STREAM_LIFETIME_S = 2.0",
-        "tests/test_stream_conclusions.py::"
-        "test_version_that_left_long_after_a_request_may_last_still_counts",
-    ),
-    BrokenBuild(
-        "streams are concluded from the services of now",
-        "martenjunction/decisions/boxes/served_routes.py",
-        "history.services[service] = now",
-        "del history.services[service]",
-        "tests/test_stream_conclusions.py::"
-        "test_stream_is_not_concluded_where_its_route_led_elsewhere",
-    ),
-    BrokenBuild(
-        "a conclusion outvotes a box that knows another version",
-        "martenjunction/decisions/boxes/stream_table.py",
-        "if len(possible) > 1 or Basis.SEVERAL in bases:",
-        "if len(possible) > 1:",
-        "tests/test_stream_origins.py::"
-        "test_conclusion_does_not_outvote_a_box_that_knows_another_version",
-    ),
-    BrokenBuild(
-        "a box that was suspended concludes",
-        "martenjunction/decisions/boxes/served_versions.py",
-        "elif now - last_look_at > MAX_GAP_S:",
-        "elif now - last_look_at > 3600.0:",
-        "tests/test_stream_conclusions.py::"
-        "test_box_that_was_suspended_concludes_nothing",
-    ),
+    *broken_box_builds.BUILDS,
 )
 
 
