Suspend boxes and hide first requests in trials of stream losses

The box that lives on may be suspended while a version comes and goes, and clients may leave out which request began their stream. What a part of such a trial raises now fails it.

--- a/martenjunction_lab/stream_losses/fleet.py
+++ b/martenjunction_lab/stream_losses/fleet.py
@@ -2,7 +2,9 @@
 
 import abc
 import asyncio
+from collections.abc import Coroutine
 import time
+from typing import Any
 
 from martenjunction_lab import stream_clients
 from martenjunction_lab import trial_fleet
@@ -60,6 +62,7 @@
         self.trial = trial
         self.outcome = outcome.Outcome()
         self._versions = 0
+        self._parts: list[asyncio.Task[Any]] = []
         self._streams = 0
         self._requests = 0
         self._listed: list[versioned_engines.VersionedReplica] = []
@@ -67,7 +70,11 @@
         self._began_at = 0.0
 
     async def run(self) -> outcome.Outcome:
-        """Plays the trial; returns what was seen."""
+        """Plays the trial; returns what was seen.
+
+        Raises:
+            Exception: What a part of the trial raised.
+        """
         trial = self.trial
         try:
             await self.start(configuration.document(trial), 0, {})
@@ -83,10 +90,18 @@
             until = self._began_at + trial.seconds
             await self.send_steadily(trial.per_s, until, self._stream)
             await self.settle()
+            for part in self._parts:
+                part.result()
         finally:
             await self.stop()
         return self.outcome
 
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Has a part of the trial run; `run` raises what it raises."""
+        task = super().spawn(work)
+        self._parts.append(task)
+        return task
+
     @abc.abstractmethod
     def _addresses(self) -> list[str]:
         """Returns the addresses of all boxes, running or not."""
@@ -103,6 +118,14 @@
     async def _start_again(self, box: int) -> None:
         """Starts a box that was killed."""
 
+    async def _suspend(self, box: int) -> None:
+        """Suspends a box for the trial's time.
+
+        Raises:
+            NotImplementedError: If boxes have no process of their own.
+        """
+        raise NotImplementedError
+
     def _entry_fields(
         self, one: versioned_engines.VersionedReplica
     ) -> dict[str, str]:
@@ -148,11 +171,15 @@
         for number in range(1, trial.losses + 1):
             loss_at = self._began_at + number * trial.loss_each_s
             old = self._listed_engines()
+            killed = self.draw.sample(range(trial.boxes), trial.killed)
             if replaced:
                 await self._until(loss_at - NEW_VERSION_LEAD_S)
                 await self._start_version()
             if brief:
                 await self._until(loss_at - self.draw.uniform(*BRIEF_LEAD_S))
+                if trial.suspended_s:
+                    for box in set(range(trial.boxes)) - set(killed):
+                        self.spawn(self._suspend(box))
                 await self._start_version()
             await self._until(loss_at - self.draw.uniform(*CHANGE_LEAD_S))
             self.outcome.losses_s.append(time.monotonic() - self._began_at)
@@ -164,15 +191,14 @@
                 if trial.is_moved:
                     self._routed_to = configuration.OTHER
             await self._until(loss_at)
-            await self._kill_some()
+            await self._kill_some(killed)
             if brief:
                 for one in self._listed_engines():
                     if one not in old:
                         self.spawn(self._remove(one))
 
-    async def _kill_some(self) -> None:
+    async def _kill_some(self, killed: list[int]) -> None:
         trial = self.trial
-        killed = self.draw.sample(range(trial.boxes), trial.killed)
         await self._kill(killed)
         for number, box in enumerate(killed):
             away_s = self.draw.uniform(*trial.away_s)
@@ -218,7 +244,7 @@
         began_s = time.monotonic() - self._began_at
         after_loss, is_served = self._is_after_loss(held), self._is_served(held)
         fields = stream_clients.headers(
-            f"r{self._requests}", held, left_s, PROMPT
+            f"r{self._requests}", held, left_s, PROMPT, self.trial.hidden
         )
         answer = await stream_clients.attempt(
             self.draw.choice(self._addresses()),
--- a/martenjunction_lab/stream_losses/process_fleet.py
+++ b/martenjunction_lab/stream_losses/process_fleet.py
@@ -62,6 +62,10 @@
             one.signal(signal.SIGKILL)
         await asyncio.gather(*(one.discard() for one in killed))
 
+    async def _suspend(self, box: int) -> None:
+        with self._running[box].suspended():
+            await asyncio.sleep(self.trial.suspended_s)
+
     async def _start_again(self, box: int) -> None:
         settings = self._settings[box]
         with (self._folder / f"{settings.box}.log").open("ab") as log:
--- a/martenjunction_lab/stream_losses/trials.py
+++ b/martenjunction_lab/stream_losses/trials.py
@@ -27,6 +27,8 @@
         away_s: Shortest and longest time in seconds until a killed box starts
             again.
         others_away_s: Further seconds for all killed boxes but one.
+        suspended_s: Seconds for which the other boxes get no processor time
+            from the start of a brief version on; only for box processes.
         versions: How versions follow each other.
         engines: Engines of each version.
         linger_s: Seconds for which engines without an entry serve on.
@@ -37,6 +39,8 @@
             on, which has one version of its own.
         deadline_s: Seconds for which a client wants its stream, over all of its
             attempts.
+        hidden: Whether clients do not say which request brought the first
+            event of the stream that they take up.
         events: Events of a stream.
         pause_s: Seconds between two events.
         breaking: Part of the runs that break off inside an event.
@@ -51,6 +55,7 @@
     killed: int = 4
     away_s: tuple[float, float] = (0.2, 0.7)
     others_away_s: float = 0.0
+    suspended_s: float = 0.0
     versions: Versions = Versions.REPLACED
     engines: int = 4
     linger_s: float = 2.0
@@ -58,6 +63,7 @@
     later_timeout_s: float = 0.0
     is_moved: bool = False
     deadline_s: float = 3.0
+    hidden: bool = False
     events: int = 40
     pause_s: float = 0.05
     breaking: float = 0.0
@@ -144,6 +150,10 @@
     "short-brief-version": dataclasses.replace(
         _KILLED, versions=Versions.BRIEF
     ),
+    "short-brief-version-unseen": dataclasses.replace(
+        _KILLED, killed=3, suspended_s=1.8, versions=Versions.BRIEF
+    ),
+    "short-hidden": dataclasses.replace(_KILLED, hidden=True),
     "short-side-by-side": dataclasses.replace(
         _KILLED, versions=Versions.SIDE_BY_SIDE
     ),
--- a/martenjunction_lab/trial_fleet.py
+++ b/martenjunction_lab/trial_fleet.py
@@ -174,11 +174,12 @@
             self.spawn(send())
             due += self.draw.uniform(0.5, 1.5) * pause_s
 
-    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Has a part of the trial run beside the others."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def settle(self) -> None:
         """Waits until all parts have ended."""
