--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -19,12 +19,12 @@
 from martenjunction.http1 import framing
 from martenjunction.http1 import messages
 from martenjunction.http1 import peer_ends
+from martenjunction.http1 import read_timers
+from martenjunction.http1 import request_bodies
 from martenjunction.http1 import request_errors
+from martenjunction.http1 import request_input
 from martenjunction.http1 import streams
 
-# Maximum seconds between two reads of a request body.
-BODY_TIMEOUT_S = 10.0
-
 # Seconds by which a timeout is extended that expires while bytes are unread:
 # enough for the reader to consume them.
 TIMEOUT_EXTENSION_S = 0.1
@@ -36,11 +36,6 @@
 # no more than this is left of it, in seconds.
 TIMER_TOLERANCE_S = 0.001
 
-# Seconds within which a partly received request must be complete once its
-# connection is shutting down: an incomplete body would delay the shutdown until
-# its deadline.
-SHUTDOWN_READ_TIMEOUT_S = 1.0
-
 _OPEN = peer_ends.PeerEnd.OPEN
 _State = connection_state.State
 _Event = connection_state.Event
@@ -70,29 +65,26 @@
             limits: Returns the current limits for clients.
             gate: Grants the memory of request bodies.
         """
-        self._gate = gate
         self._stream = stream
         self._limits = limits
         self._source = streams.ByteSource(stream)
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
+        self._timer = read_timers.ReadTimer(self._on_timeout)
+        self._input = request_input.RequestInput(
+            self._source, self._timer, limits().max_header_bytes, self.abort
+        )
+        self._bodies = request_bodies.BodyReader(
+            self._input, self._timer, limits, gate, self._write_event
         )
         self._response_started = False
         self._close_announced = False
-        self._timer: asyncio.TimerHandle | None = None
-        self._timeout_reason = close_reports.CloseReason.IDLE
-        # Set after a timeout, until the data that was read before is parsed.
-        self._expired: close_reports.CloseReason | None = None
         self._bodiless = False
         self._state = _State.RESTING
         self._shutting_down = False
         self._unanswered: messages.Request | None = None
-        self._unread = False
         # Where the current body ends, in bytes received.
         self._body_end = 0
         self._discarder = discarding.Discarder(stream, self._source)
         self._response_count = 0
-        self._received = 0
         self._idle_since = time.monotonic()
         # When the head began that is not complete yet.
         self._head_since: float | None = None
@@ -107,7 +99,7 @@
     @property
     def unread(self) -> bool:
         """Whether the body of the current request is not read."""
-        return self._unread
+        return self._bodies.unread
 
     @property
     def unanswered(self) -> bool:
@@ -166,10 +158,10 @@
         )
         self._bodiless = request.method == b"HEAD"
         max_body_bytes = self._limits().max_body_bytes
-        self._body_end = self._find_body_end(request, max_body_bytes)
+        self._body_end = self._bodies.find_end(request, max_body_bytes)
         length = framing.check(request, max_body_bytes)
         try:
-            request.body = await self._take_body(
+            request.body = await self._bodies.take(
                 request, length, max_body_bytes
             )
             self._accept_request(request)
@@ -177,12 +169,12 @@
             self.release(request)
             raise
         # A chunked body may be shorter than what was reserved.
-        self._reduce_reserved(request, len(request.body))
+        self._bodies.reduce_reserved(request, len(request.body))
         return request
 
     def release(self, request: messages.Request) -> None:
         """Gives back the memory that was reserved for a request."""
-        self._reduce_reserved(request, 0)
+        self._bodies.reduce_reserved(request, 0)
 
     def on_disconnect(self, callback: Callable[[], None] | None) -> None:
         """Sets the callback for a client that disconnects, or None."""
@@ -245,15 +237,15 @@
         if self._close_announced or self.closed:
             return False
         if (
-            self._parser.our_state is not h11.DONE
-            or self._parser.their_state is not h11.DONE
+            self._input.parser.our_state is not h11.DONE
+            or self._input.parser.their_state is not h11.DONE
         ):
             return False
-        self._parser.start_next_cycle()
+        self._input.parser.start_next_cycle()
         streams.limit_unread(self._stream, False)
         self._transition(_Event.REQUEST_ENDED)
         self._idle_since = time.monotonic()
-        if self._parser.trailing_data[0]:
+        if self._input.unparsed:
             self._transition(_Event.BYTES_CAME)
         return not (self._shutting_down and self._close_if_idle())
 
@@ -264,20 +256,22 @@
             reason: Reason for the report. The client may close the connection
                 meanwhile.
         """
-        self._set_timer(None)
+        self._timer.cancel()
         if self.closed:
             return
         report = self._build_report(reason)
         # The parser holds what was read and not parsed.
-        self._parser = h11.Connection(h11.SERVER)
-        rest = max(0, self._body_end - self._received)
+        self._input.parser = h11.Connection(h11.SERVER)
+        rest = max(0, self._body_end - self._input.received)
         if reason is close_reports.CloseReason.FRAMING:
             rest = 0
-        self._received += await self._discarder.drop(
-            rest, self._limits().max_body_bytes, BODY_TIMEOUT_S
+        self._input.received += await self._discarder.drop(
+            rest, self._limits().max_body_bytes, request_bodies.BODY_TIMEOUT_S
         )
         if self._report is None:
-            self._report = dataclasses.replace(report, received=self._received)
+            self._report = dataclasses.replace(
+                report, received=self._input.received
+            )
 
     def close_when_idle(self) -> None:
         """Closes the connection as soon as it is idle.
@@ -287,9 +281,8 @@
         """
         if not self._shutting_down:
             self._shutting_down = True
-            self._discarder.shorten(SHUTDOWN_READ_TIMEOUT_S)
-            if self._state is _State.READING:
-                self._set_timer(SHUTDOWN_READ_TIMEOUT_S, self._timeout_reason)
+            self._discarder.shorten(read_timers.SHUTDOWN_READ_TIMEOUT_S)
+            self._timer.shut_down(self._state is _State.READING)
         self._close_if_idle()
 
     def end_rest(self, kept_rest_s: float) -> bool:
@@ -336,7 +329,7 @@
         Args:
             reason: Reason for the report; the first call determines it.
         """
-        self._set_timer(None)
+        self._timer.cancel()
         if self._report is None and not self._stream.closed():
             self._report = self._build_report(reason)
         self._transition(_Event.CLOSED)
@@ -346,212 +339,43 @@
         if self._state is _State.READING:
             self._start_head()
         else:
-            self._set_timer(
+            self._timer.set(
                 self._limits().idle_timeout_s, close_reports.CloseReason.IDLE
             )
         turns = self._source.turns
         while True:
             await turns.pause_if_spent()
-            if framing.begins_with_too_many_lines(
-                self._parser.trailing_data[0]
-            ):
+            if framing.begins_with_too_many_lines(self._input.unparsed):
                 raise request_errors.RequestSyntaxError(
                     431, "too many header fields"
                 )
-            event = self._next_event()
+            event = self._input.next_event()
             if isinstance(event, h11.Request):
                 turns.spend(fair_turns.HEAD_COST)
-                self._set_timer(None)
+                self._timer.cancel()
                 self._head_since = None
                 return event
             if event is not h11.NEED_DATA:
                 return None
             try:
-                data = await self._read()
+                data = await self._input.read()
             except errors.ConnectionLostError:
                 return None
             if data and self._state is _State.RESTING:
                 self._transition(_Event.BYTES_CAME)
                 self._start_head()
-            self._parser.receive_data(data)
+            self._input.parser.receive_data(data)
 
     def _start_head(self) -> None:
         self._head_since = time.monotonic()
-        self._set_timer(
+        self._timer.set(
             self._limits().header_timeout_s, close_reports.CloseReason.SLOW_HEAD
         )
 
-    async def _read(self) -> bytes:
-        """Waits for data.
-
-        Raises:
-            ConnectionLostError: If the client disconnected, or did not pause
-                until after a timeout.
-        """
-        if self._expired is not None:
-            self.abort(self._expired)
-            raise errors.ConnectionLostError("timed out")
-        data = await self._source.read()
-        self._received += len(data)
-        return data
-
-    def _next_event(self) -> h11.Event | type[h11.NEED_DATA]:
-        try:
-            event = self._parser.next_event()
-        except h11.RemoteProtocolError as error:
-            raise request_errors.RequestSyntaxError(
-                error.error_status_hint, str(error)
-            ) from error
-        if framing.has_too_many_fields(event):
-            raise request_errors.RequestSyntaxError(
-                431, "too many header fields"
-            )
-        return event  # type: ignore[return-value]
-
-    def _find_body_end(self, request: messages.Request, most: int) -> int:
-        """Returns where a body ends, or could end if it is chunked.
-
-        Args:
-            request: The request, with its head read.
-            most: Maximum size of a body in bytes.
-
-        Returns:
-            The position in bytes received on the connection.
-        """
-        length = messages.header(request.headers, b"content-length")
-        chunked = messages.header(request.headers, b"transfer-encoding")
-        size = most if chunked is not None else int(length or 0)
-        return self._received - len(self._parser.trailing_data[0]) + size
-
-    async def _take_body(
-        self, request: messages.Request, length: int | None, max_bytes: int
-    ) -> messages.Body:
-        """Reads a body, as far as it is read at all.
-
-        Args:
-            request: The request, with its head read.
-            length: The length of the body in bytes, or None if it is chunked.
-            max_bytes: The most bytes that the body can have.
-        """
-        size = max_bytes if length is None else length
-        if length is not None and self._leaves_unread(request, length):
-            return b""
-        if length is None and self._gate.refuses(request):
-            # More is not read unless the request is admitted by then.
-            size = min(size, discarding.MAX_READ_BYTES)
-        await self._reserve(request, size)
-        if length is not None and self._leaves_unread(request, length):
-            return b""
-        if self._parser.they_are_waiting_for_100_continue:
-            self._write_event(
-                h11.InformationalResponse(status_code=100, headers=[])
-            )
-        chunked = None
-        if length is None:
-            chunked = framing.ChunkedBody(len(self._parser.trailing_data[0]))
-        return await self._read_body(request, chunked, max_bytes)
-
-    def _leaves_unread(self, request: messages.Request, size: int) -> bool:
-        """Leaves the rest of a large body unread if its request is refused.
-
-        Args:
-            request: The request.
-            size: What is known of the size of its body, in bytes.
-        """
-        if size <= discarding.MAX_READ_BYTES:
-            return False
-        if request.discarded or self._gate.refuses(request):
-            request.discarded = self._unread = True
-        return self._unread
-
-    async def _reserve(self, request: messages.Request, size: int) -> None:
-        """Waits for memory for `size` more bytes of a body."""
-        if size <= 0:
-            return
-        reservation = await self._gate.reserve(request, size)
-        request.reserved += reservation.size
-        request.discarded = not reservation.keeps_body
-
-    def _reduce_reserved(self, request: messages.Request, size: int) -> None:
-        if request.reserved > size:
-            self._gate.release(request.reserved - size)
-            request.reserved = size
-
-    async def _read_body(
-        self,
-        request: messages.Request,
-        chunked: framing.ChunkedBody | None,
-        max_bytes: int,
-    ) -> messages.Body:
-        body = bytearray()
-        try:
-            return await self._read_parts(body, request, chunked, max_bytes)
-        except BaseException:
-            # The exception keeps its frames, and with them the body, until the
-            # client has its refusal.
-            body.clear()
-            raise
-
-    async def _read_parts(
-        self,
-        body: bytearray,
-        request: messages.Request,
-        chunked: framing.ChunkedBody | None,
-        max_bytes: int,
-    ) -> messages.Body:
-        size = 0
-        decided = chunked is None
-        turns = self._source.turns
-        while True:
-            await turns.pause_if_spent()
-            if chunked is not None and chunked.has_too_many_lines(
-                self._parser.trailing_data[0]
-            ):
-                raise request_errors.RequestSyntaxError(
-                    431, "too many header fields"
-                )
-            event = self._next_event()
-            if isinstance(event, h11.Data):
-                turns.spend(fair_turns.PART_COST)
-                size += len(event.data)
-                if chunked is not None:
-                    chunked.note_data(len(event.data), event.chunk_end)
-                    _check_framing(chunked, parsed=False)
-                if not request.discarded:
-                    body += event.data
-                if size > self._limits().max_body_bytes:
-                    raise request_errors.RequestSyntaxError(
-                        413, "request body too large"
-                    )
-                if not decided and size > discarding.MAX_READ_BYTES:
-                    decided = True
-                    self._set_timer(None)
-                    if self._leaves_unread(request, size):
-                        return b""
-                    await self._reserve(request, max_bytes - request.reserved)
-                    if self._leaves_unread(request, size):
-                        return b""
-            elif isinstance(event, h11.EndOfMessage):
-                turns.spend(fair_turns.PART_COST)
-                self._set_timer(None)
-                return body
-            elif event is h11.NEED_DATA:
-                self._set_timer(
-                    BODY_TIMEOUT_S, close_reports.CloseReason.SLOW_BODY
-                )
-                if chunked is not None:
-                    _check_framing(chunked, parsed=True)
-                data = await self._read()
-                if chunked is not None:
-                    chunked.note_received(len(data))
-                self._parser.receive_data(data)
-            else:
-                raise errors.ConnectionLostError("closed within a request body")
-
     def _send_head(
         self, status: int, headers: messages.Headers, close: bool
     ) -> None:
-        if close or self._shutting_down or self._unread:
+        if close or self._shutting_down or self._bodies.unread:
             headers = [*headers, (b"Connection", b"close")]
             self._close_announced = True
         reason = (
@@ -565,7 +389,7 @@
         self._write_event(head)
 
     def _write_event(self, event: h11.Event) -> None:
-        data = self._parser.send(event)
+        data = self._input.parser.send(event)
         self._write([data] if data else [])
 
     def _pieces(self, data: messages.Body | None) -> Sequence[messages.Body]:
@@ -576,7 +400,7 @@
             event = h11.Data(data=data)  # type: ignore[arg-type]
         else:
             return []
-        return self._parser.send_with_data_passthrough(event) or []
+        return self._input.parser.send_with_data_passthrough(event) or []
 
     def _write(
         self, pieces: Sequence[messages.Body]
@@ -597,25 +421,6 @@
         except iostream.StreamClosedError as error:
             raise errors.ConnectionLostError("client disconnected") from error
 
-    def _set_timer(
-        self,
-        seconds: float | None,
-        reason: close_reports.CloseReason = close_reports.CloseReason.IDLE,
-        final: bool = False,
-    ) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        self._expired = None
-        if seconds is not None:
-            self._timeout_reason = reason
-            if self._shutting_down:
-                seconds = min(seconds, SHUTDOWN_READ_TIMEOUT_S)
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(
-                seconds, self._on_timeout, reason, final
-            )
-
     def _on_timeout(
         self, reason: close_reports.CloseReason, final: bool
     ) -> None:
@@ -623,7 +428,7 @@
         reading = self._state is _State.READING
         endless = reading and self._source.never_pauses
         if final and endless:
-            self._expired = reason
+            self._timer.expired = reason
             return
         if self._source.bytes_waiting:
             # After the event loop was blocked, the timeout expires in the same
@@ -632,14 +437,14 @@
             extension_s = (
                 READING_EXTENSION_S if endless else TIMEOUT_EXTENSION_S
             )
-            self._set_timer(extension_s, reason, final=endless)
+            self._timer.set(extension_s, reason, final=endless)
             return
         left = self._remaining_idle_s()
         if (
             reason is close_reports.CloseReason.IDLE
             and left > TIMER_TOLERANCE_S
         ):
-            self._set_timer(left, reason)
+            self._timer.set(left, reason)
             return
         self.abort(reason)
 
@@ -688,22 +493,8 @@
             self._response_count,
             self.unanswered,
             self._source.bytes_waiting,
-            self._received,
+            self._input.received,
             "" if self._source.error is None else repr(self._source.error),
             peer_end=peer_end,
             unanswered=self._unanswered,
         )
-
-
-def _check_framing(body: framing.ChunkedBody, parsed: bool) -> None:
-    """Rejects a body whose framing outweighs its data.
-
-    Raises:
-        RequestSyntaxError: If it does.
-    """
-    if body.is_excessive(parsed):
-        raise request_errors.RequestSyntaxError(
-            400,
-            "the framing of a body outweighs its data",
-            close_reports.CloseReason.FRAMING,
-        )
--- a/tests/test_dropped_bodies.py
+++ b/tests/test_dropped_bodies.py
@@ -5,7 +5,8 @@
 import pytest
 
 from martenjunction.http1 import discarding
-from martenjunction.http1 import server_connection
+from martenjunction.http1 import read_timers
+from martenjunction.http1 import request_bodies
 from tests import test_refused_bodies as refused
 
 MB = 1024 * 1024
@@ -49,9 +50,7 @@
     took_s = await listening.until_unconnected()
     sending.cancel()
     client.close()
-    assert (
-        took_s <= server_connection.SHUTDOWN_READ_TIMEOUT_S + refused.AT_ONCE_S
-    )
+    assert took_s <= read_timers.SHUTDOWN_READ_TIMEOUT_S + refused.AT_ONCE_S
 
 
 @pytest.mark.parametrize(("length", "status"), refused.UNREAD)
@@ -65,7 +64,7 @@
     pause_s: float,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(server_connection, "BODY_TIMEOUT_S", BODY_LIMIT_S)
+    monkeypatch.setattr(request_bodies, "BODY_TIMEOUT_S", BODY_LIMIT_S)
     listening = refused.Listening(lambda: True)
     client = await refused.connect(listening.address)
     client.send_head("/x", "", f"Content-Length: {length}")
@@ -77,7 +76,7 @@
     client.close()
     assert took_s <= BODY_LIMIT_S + refused.AT_ONCE_S
     # The listening server takes no larger bodies.
-    assert connection._received <= 4 * MB + 128 * 1024
+    assert connection._input.received <= 4 * MB + 128 * 1024
 
 
 async def test_what_is_dropped_outside_a_body_is_bounded() -> None:
@@ -92,4 +91,6 @@
     sending.cancel()
     client.close()
     assert took_s <= discarding.CLOSE_TIMEOUT_S + refused.AT_ONCE_S
-    assert connection._received <= discarding.MIN_DROPPED_BYTES + 256 * 1024
+    assert (
+        connection._input.received <= discarding.MIN_DROPPED_BYTES + 256 * 1024
+    )
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -23,6 +23,7 @@
 from martenjunction.http1 import client
 from martenjunction.http1 import framing
 from martenjunction.http1 import messages
+from martenjunction.http1 import read_timers
 from martenjunction.http1 import server
 from martenjunction.http1 import server_connection
 from martenjunction_lab import bench
@@ -31,7 +32,7 @@
 LIMIT_S = 30.0
 
 # Longer than a stop gives a request that is partly received.
-STOP_READ_S = server_connection.SHUTDOWN_READ_TIMEOUT_S + 0.05
+STOP_READ_S = read_timers.SHUTDOWN_READ_TIMEOUT_S + 0.05
 
 # Parts of a message that one connection may have parsed in a turn.
 MAX_PARTS = fair_turns.TURN_BYTES // fair_turns.PART_COST + 1
--- a/tests/test_kept_connection_orders.py
+++ b/tests/test_kept_connection_orders.py
@@ -19,6 +19,7 @@
 from hypothesis import strategies
 
 from martenjunction.http1 import messages
+from martenjunction.http1 import request_bodies
 from martenjunction.http1 import server
 from martenjunction.http1 import server_connection
 from martenjunction_lab import bench
@@ -272,7 +273,7 @@
 def test_no_interleaving_loses_a_request(
     steps: list[tuple[str, int, float]],
 ) -> None:
-    with mock.patch.object(server_connection, "BODY_TIMEOUT_S", 2 * IDLE_S):
+    with mock.patch.object(request_bodies, "BODY_TIMEOUT_S", 2 * IDLE_S):
         scenario = asyncio.run(_run_steps(steps))
     assert not scenario.handled_after_close
     assert len(set(scenario.handled)) == len(scenario.handled)
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -24,6 +24,7 @@
 
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import messages
+from martenjunction.http1 import request_bodies
 from martenjunction.http1 import server
 from martenjunction.http1 import server_connection
 from martenjunction_lab import bench
@@ -101,7 +102,7 @@
 async def test_body_racing_with_its_timeout_is_answered(
     served: tuple[Handler, str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(server_connection, "BODY_TIMEOUT_S", IDLE_S)
+    monkeypatch.setattr(request_bodies, "BODY_TIMEOUT_S", IDLE_S)
     handler, address = served
     connections = await keep_alive_connections.open_used_connections(
         address, COUNT, GET % 0
