Give the fake connection of a test what a run asks of it

Since runs ask whether a client has left, test_request_of_a_disconnected_client_is_not_sent failed with an AttributeError: its fake connection had only closed. A closed fake has left as well now. The test failed before and passes, and fails again with the check taken out of endpoint_runs.

--- a/tests/test_ready_and_closed.py
+++ b/tests/test_ready_and_closed.py
@@ -31,6 +31,10 @@
         self.statuses: list[int] = []
         self.on_watch: Callable[[], None] = lambda: None
 
+    @property
+    def client_left(self) -> bool:
+        return self.closed
+
     def on_disconnect(self, callback: Callable[[], None] | None) -> None:
         if callback is not None:
             self.on_watch()
