Break eight more mechanisms of boxes; see a leaving client's run end in time

Broken builds for entries that lapse in an outage, older versions, waiting bytes at a stop, clients that leave, time limits, idle connections to endpoints, streams that break off and documents that cannot be read: 8 of 8 are noticed.

One was not: the check that a client that leaves ends its run waited without a bound and passed at the request's time limit, with nothing watching the client. It now asks for half a second, as the check of ends of clients does, and fails on that build.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,10 @@
 
 Behaviour = replica.Behaviour
 
+# Seconds within which the run of a client that left is cancelled, long before
+# the time limit of its request.
+CANCELLED_S = 0.5
+
 
 async def test_request_reaches_a_replica_unchanged(fleet: boxes.Boxes) -> None:
     made = await requests.two_plain(fleet)
@@ -230,4 +234,5 @@
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await task
-    await boxes.until(lambda: any(r.cancelled for r in made))
+    async with asyncio.timeout(CANCELLED_S):
+        await boxes.until(lambda: any(r.cancelled for r in made))
--- a/tools/broken_box_builds.py
+++ b/tools/broken_box_builds.py
@@ -11,8 +11,10 @@
 ENDPOINT_RUNS = "martenjunction/routing/requests/endpoint_runs.py"
 EXCHANGE = "martenjunction/routing/requests/exchange.py"
 OFFERS = "martenjunction/routing/requests/offers.py"
+STORE_CACHE = "martenjunction/routing/store/store_cache.py"
 STREAM_BINDING = "martenjunction/routing/requests/stream_binding.py"
 ORIGINS = "martenjunction/routing/streams/origins.py"
+POOL = "martenjunction/endpoints/pool.py"
 QUERIES = "martenjunction/routing/streams/queries.py"
 
 BUILDS = (
@@ -188,5 +190,62 @@
         "elif now - last_look_at > 3600.0:",
         "tests/test_stream_conclusions.py::"
         "test_box_that_was_suspended_concludes_nothing",
+        "entries that lapsed in an outage are dropped at once",
+        ENDPOINT_LIST,
+        "        if self._in_grace(now):\n",
+        "        if False:\n",
+        "tests/test_endpoint_list.py::test_entry_that_lapsed_in_an_outage_is_kept_until_its_grace_ends",
+    ),
+    BrokenBuild(
+        "an older version confirms the configuration",
+        STORE_CACHE,
+        "        if version < self.version:\n",
+        "        if False:\n",
+        "tests/test_store_returns.py::test_keys_expire_while_the_store_has_an_older_config",
+    ),
+    BrokenBuild(
+        "a stop does not look at waiting bytes",
+        SERVER_CONNECTION,
+        "if self._state is _State.RESTING and not self._source.bytes_waiting:",
+        "if self._state is _State.RESTING:",
+        "tests/test_planned_stop.py::test_request_read_at_the_end_of_a_stop_is_answered",
+    ),
+    BrokenBuild(
+        "a client that leaves does not end its run",
+        EXCHANGE,
+        "lambda: self.stop(Ending.CLIENT_LEFT)",
+        "lambda: None",
+        "tests/test_gateway.py::test_client_that_leaves_ends_the_run",
+    ),
+    BrokenBuild(
+        "the time limit of a request does not end it",
+        EXCHANGE,
+        "max(0.0, time_left_s), self.stop",
+        "60.0 + time_left_s, self.stop",
+        "tests/test_gateway.py::test_timeout_of_the_route_ends_a_request_that_was_sent",
+    ),
+    BrokenBuild(
+        "an idle connection's socket is not looked at",
+        POOL,
+        "if fresh and connection.is_quiet():",
+        "if fresh:",
+        "tests/test_endpoint_connections.py::test_idle_connection_with_unprocessed_close_is_not_reused",
+    ),
+    BrokenBuild(
+        "a stream that breaks off ends as if complete",
+        EXCHANGE,
+        "        if isinstance(error, _StreamBrokenError):\n",
+        "        if isinstance(error, _StreamBrokenError):\n"
+        "            await self._connection.end()\n"
+        "            return\n",
+        "tests/test_gateway_streams.py::test_broken_stream_that_may_not_be_resumed_never_looks_complete",
+    ),
+    BrokenBuild(
+        "a config that cannot be read counts as none",
+        STORE_CACHE,
+        "            self._unreadable.add(documents.CONFIG_NAME, spec, error)\n"
+        "            return\n",
+        "            raise\n",
+        "tests/test_entries.py::test_malformed_configuration_does_not_count_as_store_loss",
     ),
 )
