--- a/martenjunction_lab/stream_losses/trials.py
+++ b/martenjunction_lab/stream_losses/trials.py
@@ -73,6 +73,23 @@
     seconds: float = 24.0
     seed: int = 1
 
+    def slowed(self, factor: float) -> "Trial":
+        """Returns the trial with all of its times longer, for slow machines.
+
+        The time for which boxes are away stays, as they start more slowly.
+        """
+        return dataclasses.replace(
+            self,
+            linger_s=self.linger_s * factor,
+            timeout_s=self.timeout_s * factor,
+            later_timeout_s=self.later_timeout_s * factor,
+            deadline_s=self.deadline_s * factor,
+            pause_s=self.pause_s * factor,
+            per_s=self.per_s / factor,
+            loss_each_s=self.loss_each_s * factor,
+            seconds=self.seconds * factor,
+        )
+
 
 TRIALS = {
     "side-by-side": Trial(versions=Versions.SIDE_BY_SIDE),
