--- a/tests/test_streams_after_loss.py
+++ b/tests/test_streams_after_loss.py
@@ -26,19 +26,24 @@
 TIMEOUT_S = 60.0
 
 
-@pytest.fixture
-async def fleet() -> AsyncIterator[boxes.Boxes]:
-    made = boxes.Boxes()
+async def start(fleet: boxes.Boxes, count: int = BOXES) -> None:
+    """Starts boxes and two engines of each of two versions."""
     document = builders.relaxed_config_document()
     for route in document["routes"]:
         route["timeout_ms"] = TIMEOUT_S * 1000
-    await made.start(document, boxes=BOXES)
+    await fleet.start(document, boxes=count)
     for number in range(4):
-        one = await made.add_replica(builders.ENGINE, slots=64)
+        one = await fleet.add_replica(builders.ENGINE, slots=64)
         version = f"v{number // 2 + 1}"
-        made.record(one, builders.ENGINE, slots=64, version=version)
-    await made.until_listed()
-    await boxes.until(lambda: all(b.archive.restored for b in made.gateways))
+        fleet.record(one, builders.ENGINE, slots=64, version=version)
+    await fleet.until_listed()
+    await until_restored(fleet)
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[boxes.Boxes]:
+    made = boxes.Boxes()
+    await start(made)
     yield made
     await made.stop()
 
