--- a/tools/broken_box_builds.py
+++ b/tools/broken_box_builds.py
@@ -190,6 +190,8 @@
         "elif now - last_look_at > 3600.0:",
         "tests/test_stream_conclusions.py::"
         "test_box_that_was_suspended_concludes_nothing",
+    ),
+    BrokenBuild(
         "entries that lapsed in an outage are dropped at once",
         ENDPOINT_LIST,
         "        if self._in_grace(now):\n",
