Announce requests to their owner over a new connection

Grants and ends that were lost with a connection between two daemons were never sent again: a request whose grant was lost waited without end, and its slot stayed occupied. Each request is withdrawn and announced to its owner when a connection to it is made; it keeps its arrival.

The new tests failed before: there was nothing that announced them.

--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -311,6 +311,7 @@
         self.events.connect(
             events.PEER_CONNECTED, lambda _: self._links.resend_all()
         )
+        self.events.connect(events.PEER_CONNECTED, self.broker.announce_to)
         self.add_dump("daemon", self._describe)
         self.add_dump("config", lambda: dumps.of_config(self.store))
         self.add_dump("members", lambda: dumps.of_members(self.members))
--- a/martenjunction/cells/broker.py
+++ b/martenjunction/cells/broker.py
@@ -256,6 +256,16 @@
             if ticket.cell.name in changed:
                 self._move(ticket, ticket.cell)
 
+    def announce_to(self, owner: str) -> None:
+        """Announces all requests to an owner with a new connection.
+
+        Messages of both sides are lost with a connection, and an owner drops
+        the requests of a box that it cannot reach.
+        """
+        for ticket in list(self._tickets.values()):
+            if ticket.owner == owner:
+                self._move(ticket, ticket.cell)
+
     def delay(self, cell: str, tier: int) -> float | None:
         """Returns a cell's latest predicted delay in seconds, or None."""
         return self._choice.delay(cell, tier)
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -87,6 +87,27 @@
     assert fleet.sent[-2] == WITHDRAWN
 
 
+@pytest.mark.parametrize(
+    ("granted", "kind"),
+    [(False, messages.SlotRequested), (True, messages.AnnounceRun)],
+)
+def test_owner_with_a_new_connection_learns_of_all_requests(
+    granted: bool, kind: type[messages.FromEntry]
+) -> None:
+    # A request whose grant was lost with a connection waited for ever.
+    fleet = Fleet()
+    fleet.place()
+    if granted:
+        fleet.grant("box-2")
+    fleet.sent.clear()
+    fleet.broker.announce_to("box-3")
+    assert not fleet.sent
+    fleet.broker.announce_to("box-2")
+    assert fleet.sent[0] == WITHDRAWN
+    assert [box for box, _ in fleet.sent] == ["box-2", "box-2"]
+    assert isinstance(fleet.sent[1][1], kind)
+
+
 @pytest.mark.parametrize("ends", [False, True])
 def test_unreachable_owner_learns_later_what_moved_or_ended(
     ends: bool,
