--- a/tests/stream_loss_table.py
+++ b/tests/stream_loss_table.py
@@ -60,8 +60,10 @@
     await fleet.stop()
     older = seen[True, True], seen[True, True] + seen[True, False]
     younger = seen[False, True], seen[False, True] + seen[False, False]
+    versions = collections.Counter(began.values())
     return (
-        f"{count} boxes: {writes / seconds:.1f} writes/s,"
+        f"{count} boxes, {dict(sorted(versions.items()))}:"
+        f" {writes / seconds:.1f} writes/s,"
         f" {sum(sizes)} bytes, largest {max(sizes, default=0)};"
         f" gone on {older[0]} of {older[1]},"
         f" younger {younger[0]} of {younger[1]}"
--- a/tests/test_streams_after_loss.py
+++ b/tests/test_streams_after_loss.py
@@ -65,7 +65,12 @@
         *(ask(fleet, number, name) for number, name in enumerate(names))
     )
     asked = versions_asked(fleet)
-    began = {name: version for name in names for version in asked[name]}
+    return {name: version for name in names for version in asked[name]}
+
+
+async def begin_at_both(fleet: boxes.Boxes) -> dict[str, str]:
+    """Begins streams at both versions; returns the version of each."""
+    began = await begin(fleet)
     assert set(began.values()) == {"v1", "v2"}
     return began
 
@@ -118,7 +123,7 @@
 async def test_streams_go_on_after_two_losses_of_all_boxes(
     fleet: boxes.Boxes,
 ) -> None:
-    began = await begin(fleet)
+    began = await begin_at_both(fleet)
     await asyncio.sleep(1.0)
     for count in (BOXES, 1, BOXES):
         await lose_all(fleet, count)
@@ -130,11 +135,11 @@
 async def test_store_that_is_away_delays_restoring_not_serving(
     fleet: boxes.Boxes,
 ) -> None:
-    began = await begin(fleet)
+    began = await begin_at_both(fleet)
     await asyncio.sleep(1.0)
     fleet.store.faults = platform.PlatformFaults(silent=True)
     began_at = time.monotonic()
-    later = await begin(fleet)
+    later = await begin_at_both(fleet)
     assert time.monotonic() - began_at < 1.0
     [box, *_] = fleet.gateways
     await asyncio.sleep(5.0)
@@ -159,7 +164,7 @@
 async def test_bad_records_lose_nothing_else(
     fleet: boxes.Boxes, spec: Any
 ) -> None:
-    began = await begin(fleet)
+    began = await begin_at_both(fleet)
     await asyncio.sleep(1.0)
     for name in ("a-foreign-writer", "zz", stream_documents.SETTLED_NAME):
         fleet.store.write(KIND, name, spec)
@@ -175,7 +180,7 @@
     fleet: boxes.Boxes,
 ) -> None:
     copy = fleet.store.copy()
-    began = await begin(fleet)
+    began = await begin_at_both(fleet)
     await asyncio.sleep(1.0)
     fleet.store.go_back(copy)
     for one in fleet.replicas:
