--- a/tests/test_streams_after_loss.py
+++ b/tests/test_streams_after_loss.py
@@ -13,6 +13,7 @@
 
 from martenjunction.decisions.boxes import settled_services
 from martenjunction.platform import stream_documents
+from martenjunction.routing.streams import archive
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from tests import gateway_requests as requests
@@ -212,3 +213,15 @@
     began_at = time.monotonic()
     await boxes.until(lambda: stored() == {})
     assert time.monotonic() - began_at < 0.2
+
+
+async def test_object_of_a_box_that_never_returns_is_removed(
+    fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(archive, "SWEEP_INTERVAL_S", 30.0)
+    fleet.store.write(KIND, "box-gone", stream_documents.encode_records([]))
+    fleet.store.write(KIND, "box-of-later", {"format": 2})
+    await asyncio.sleep(125.0)
+    assert [one.name for one in fleet.store.entries(KIND, "")] == [
+        "box-of-later"
+    ]
