--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -25,6 +25,8 @@
 Behaviour = replica.Behaviour
 Word = telling_endpoints.Word
 
+pytestmark = pytest.mark.simulated_time
+
 SHORT = telling_endpoints.Trial(from_s=1.0, seconds=5.0)
 
 
