Conclude nothing from a watch that was not complete

A review showed, each with a test, that a stream could still be joined: a box concluded without the answer of one that may know another version; looks at an old list hid that versions came and went; routes had no gap of the watch; services settled in an earlier era of the store, or asked for long ago, were taken over; a first start was believed however late the first look came; and a box concluded before it had read the records.

A conclusion needs the answers of all live boxes, a current list without a gap, and the records; a gap holds for routes as well. What is settled is used once, within 5 s of the question, from the era that wrote it. Records are read when they are needed, so that a box that starts makes no further call.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -305,6 +305,7 @@
             settings.link_bytes_s,
         )
         self.origins.is_restoring = lambda: not self.archive.restored
+        self.origins.request_restore = self.archive.request
         self.prober = prober.Prober(
             self.registry, self.pool, self.admitter, self.grants, self.timers
         )
--- a/martenjunction/decisions/boxes/origin_archive.py
+++ b/martenjunction/decisions/boxes/origin_archive.py
@@ -163,6 +163,14 @@
         """Number of failed calls since the last successful one."""
         return self._failures
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether records wait that have to be written."""
+        return any(
+            counts.pending and self._is_mixed(service)
+            for service, counts in self._services.items()
+        )
+
     def interval_s(self, boxes: int) -> float:
         """Returns the seconds between two writes of a box.
 
--- a/martenjunction/decisions/boxes/served_routes.py
+++ b/martenjunction/decisions/boxes/served_routes.py
@@ -41,16 +41,17 @@
         self,
         lifetime_s: float = served_versions.STREAM_LIFETIME_S,
         *,
-        first_start: bool = False,
+        first_start_at: float | None = None,
     ) -> None:
         """Initializes the routes before the first configuration.
 
         Args:
             lifetime_s: Seconds for which a stream may be taken up.
-            first_start: Whether no stream began before the first configuration.
+            first_start_at: Time before which no stream began, or None if that
+                is not known.
         """
         self._lifetime_s = lifetime_s
-        self._first_start = first_start
+        self._first_start_at = first_start_at
         self._watched_since: float | None = None
         self._version = 0
         self._is_first = False
@@ -67,7 +68,7 @@
         """Records the routes of a configuration that comes into force."""
         since = now
         if self._watched_since is None:
-            since = -math.inf if self._first_start else now
+            since = served_versions.watch_begin(self._first_start_at, now)
             self._watched_since = since
         self._is_first = self._version == 0
         self._version = config.version
@@ -85,6 +86,16 @@
             known.services.update(dict.fromkeys(services))
         self._mark_removed(current, now)
 
+    def note_gap(self, now: float) -> None:
+        """Records that routes may have been changed unseen until now."""
+        if self._watched_since is None:
+            return
+        self._watched_since = now
+        self._unsettled = None
+        for prefixes in self._hosts.values():
+            for history in prefixes.values():
+                history.since = now
+
     def restore(self, version: int, settled: Set[str]) -> bool:
         """Takes over which routes led nowhere else before their arrival.
 
--- a/martenjunction/decisions/boxes/served_versions.py
+++ b/martenjunction/decisions/boxes/served_versions.py
@@ -19,6 +19,22 @@
 # versions may have come and gone unseen.
 MAX_GAP_S = 2.0
 
+# Maximum time in seconds from the first start of a fleet to the first look, for
+# no stream to have begun before.
+MAX_FIRST_LOOK_S = 10.0
+
+
+def watch_begin(first_start_at: float | None, now: float) -> float:
+    """Returns since when a watch is complete that begins now.
+
+    Args:
+        first_start_at: Time before which no stream began, or None.
+        now: The current time.
+    """
+    if first_start_at is None or now - first_start_at > MAX_FIRST_LOOK_S:
+        return now
+    return -math.inf
+
 
 class ServedVersions:
     """The versions that may have begun streams, and what is known of others."""
@@ -27,33 +43,40 @@
         self,
         lifetime_s: float = STREAM_LIFETIME_S,
         *,
-        first_start: bool = False,
+        first_start_at: float | None = None,
     ) -> None:
         """Initializes the versions before the first look.
 
         Args:
             lifetime_s: Seconds for which a version that has left is kept.
-            first_start: Whether no stream began before the first look.
+            first_start_at: Time before which no stream began, or None if that
+                is not known.
         """
         self._lifetime_s = lifetime_s
-        self._watched_since = -math.inf if first_start else math.inf
+        self._first_start_at = first_start_at
+        self._watched_since = math.inf
         self._last_look_at: float | None = None
         self._settled: set[str] = set()
         self._last_seen_at: dict[str, dict[str, float]] = {}
 
-    def look(self, endpoints: Iterable[model.Endpoint], now: float) -> None:
+    def look(self, endpoints: Iterable[model.Endpoint], now: float) -> bool:
         """Records the endpoints that are listed now.
 
         Args:
             endpoints: All listed endpoints.
             now: The current time.
+
+        Returns:
+            Whether the watch had a gap before this look.
         """
         last_look_at, self._last_look_at = self._last_look_at, now
+        has_gap = False
         if last_look_at is None:
-            self._watched_since = min(self._watched_since, now)
+            self._watched_since = watch_begin(self._first_start_at, now)
         elif now - last_look_at > MAX_GAP_S:
             self._watched_since = now
             self._settled.clear()
+            has_gap = True
         for endpoint in endpoints:
             self.note(endpoint.service, endpoint.version, now)
         for service, versions in list(self._last_seen_at.items()):
@@ -62,6 +85,7 @@
                     del versions[version]
             if not versions:
                 del self._last_seen_at[service]
+        return has_gap
 
     def note(self, service: str, version: str, now: float) -> None:
         """Records that a version of a service may begin streams now."""
--- a/martenjunction/decisions/boxes/stream_conclusions.py
+++ b/martenjunction/decisions/boxes/stream_conclusions.py
@@ -19,14 +19,17 @@
 class StreamConclusions:
     """The origins that streams may have, by their host and path."""
 
-    def __init__(self, *, first_start: bool = False) -> None:
+    def __init__(self, first_start_at: float | None = None) -> None:
         """Initializes the origins.
 
         Args:
-            first_start: Whether no stream began before this box started.
+            first_start_at: Time before which no stream began, or None if that
+                is not known.
         """
-        self._versions = served_versions.ServedVersions(first_start=first_start)
-        self._routes = served_routes.ServedRoutes(first_start=first_start)
+        self._versions = served_versions.ServedVersions(
+            first_start_at=first_start_at
+        )
+        self._routes = served_routes.ServedRoutes(first_start_at=first_start_at)
 
     @property
     def has_config(self) -> bool:
@@ -39,7 +42,8 @@
 
     def look(self, endpoints: Iterable[model.Endpoint], now: float) -> None:
         """Takes in the endpoints that are listed now."""
-        self._versions.look(endpoints, now)
+        if self._versions.look(endpoints, now):
+            self._routes.note_gap(now)
 
     def note(self, origin: stream_table.StreamOrigin, now: float) -> None:
         """Takes in that a stream began."""
@@ -71,6 +75,10 @@
         basis = Basis.SINGLE if is_complete else Basis.SEEN
         return stream_table.Finding(possible.pop(), basis)
 
+    def nothing_settled(self) -> settled_services.Settled:
+        """Returns that no service is settled."""
+        return settled_services.Settled(self._routes.version, {})
+
     def settled(self, now: float) -> settled_services.Settled:
         """Returns what a box may conclude that starts after the loss of all."""
         unsettled = self._routes.unsettled(now)
--- a/martenjunction/platform/stream_documents.py
+++ b/martenjunction/platform/stream_documents.py
@@ -59,7 +59,8 @@
     # Changes with each write, so that each write has an effect.
     number: Annotated[int, msgspec.Meta(ge=0)]
     config_version: int
-    # Version and longest lifetime in milliseconds by service.
+    era: Annotated[int, msgspec.Meta(ge=0)]
+    # The version by service.
     services: dict[_Name, _Name]
 
 
@@ -126,24 +127,26 @@
 
 
 def encode_settled(
-    settled: settled_services.Settled, number: int
+    settled: settled_services.Settled, number: int, era: int
 ) -> dict[str, Any]:
     """Returns the object about settled services as a mapping.
 
     Args:
         settled: The services.
         number: A number that differs from that of the last write.
+        era: The era of the store.
     """
     return {
         "format": 1,
         "number": number,
+        "era": era,
         "config_version": settled.config_version,
         "services": dict(settled.versions),
     }
 
 
-def decode_settled(spec: bytes) -> tuple[settled_services.Settled, int]:
-    """Decodes the object about settled services, with its number.
+def decode_settled(spec: bytes) -> tuple[settled_services.Settled, int, int]:
+    """Decodes the object about settled services, with its number and era.
 
     Args:
         spec: The object's JSON.
@@ -153,7 +156,7 @@
     """
     wire: _Settled = _decode(spec, _Settled)
     settled = settled_services.Settled(wire.config_version, wire.services)
-    return settled, wire.number
+    return settled, wire.number, wire.era
 
 
 def _decode(spec: bytes, expected_type: Any) -> Any:
--- a/martenjunction/routing/streams/archive.py
+++ b/martenjunction/routing/streams/archive.py
@@ -68,13 +68,18 @@
         Restored services are among them as long as they hold.
         """
 
-    def restore_settled(self, settled: settled_services.Settled) -> None:
-        """Takes in what the store holds of settled services."""
+    def restore_settled(
+        self, settled: settled_services.Settled, asked_at: float
+    ) -> None:
+        """Takes in what the store held of settled services at some time."""
 
 
 class StreamArchive:
     """Writes the records of this box, and reads those of all boxes once.
 
+    They are read when they are needed: for a stream of unknown origin, before
+    the first write, and by the box that acts for the fleet.
+
     Attributes:
         restored: Whether the records were read since the start.
     """
@@ -106,6 +111,7 @@
             link_bytes_s: Bandwidth of this box's link in bytes per second.
         """
         self.restored = False
+        self._is_requested = False
         self._client = client
         self._origins = origins
         self._box = box
@@ -137,8 +143,14 @@
             return 0.0
         return max(0.0, self._list_at - self._timers.now()) + LIST_S
 
+    def request(self) -> None:
+        """Has the records read, if they were not yet."""
+        if not self.restored and not self._is_requested:
+            self._is_requested = True
+            self._tick()
+
     def start(self) -> None:
-        """Begins to read and subscribes to timers."""
+        """Subscribes to timers."""
         self._origins.recorder = self._record
         self._timers.subscribe("stream-archive", TICK_S, self._tick)
         self._tick()
@@ -192,7 +204,7 @@
             return
         self._task = None
         if self._client.era != self._read_era:
-            if now >= self._list_at:
+            if now >= self._list_at and self._is_needed(is_first):
                 self._begin(self._restore())
         elif live is None:
             return
@@ -205,6 +217,15 @@
             self._swept_at = now
             self._begin(self._sweep(live))
 
+    def _is_needed(self, is_first: bool) -> bool:
+        """Returns whether the records have to be read now."""
+        return (
+            self.restored
+            or self._is_requested
+            or is_first
+            or self._archive.has_pending
+        )
+
     def _begin(self, call: Any) -> None:
         self._calls += 1
         self._task = asyncio.get_running_loop().create_task(call)
@@ -234,7 +255,8 @@
             # Decoding takes some milliseconds per object.
             await asyncio.sleep(0)
         self._archive.restore(own, revision)
-        self._origins.restore_settled(settled)
+        if not self.restored:
+            self._origins.restore_settled(settled, began_at)
         self._settled.forget()
         self._restored_records = records
         self._list_failures = 0
--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -80,12 +80,14 @@
     Attributes:
         boxes_told: Number of boxes that are told of each stream.
         is_restoring: Returns whether records may still come from the store.
+        request_restore: Has the records read from the store.
         recorder: Called with each record of a stream that begins at this box,
             and again if it changes; None for nobody.
     """
 
     boxes_told: int = BOXES_TOLD
     is_restoring: Callable[[], bool] = staticmethod(lambda: False)
+    request_restore: Callable[[], None] = staticmethod(lambda: None)
     recorder: Callable[[stream_table.StreamRecord], None] | None = None
 
     def __init__(
@@ -123,7 +125,7 @@
         self._list_age_s = list_age_s
         self._table = stream_table.StreamTable()
         self._conclusions = stream_conclusions.StreamConclusions(
-            first_start=first_start
+            clock.now() if first_start else None
         )
         self._to_restore: settled_services.Settled | None = None
         self._restore_until = 0.0
@@ -196,12 +198,17 @@
         """
         host = model.host_name(host)
         finding = self._find_locally(key, host, path)
-        is_final = True
+        is_final = is_known = True
         if not finding.recorded:
             answers = await self._queries.ask(key, host, path, finding)
             finding = answers.finding
             is_final = answers.is_complete and not self._is_starting()
-        is_known = finding.recorded or finding.basis is Basis.SINGLE
+            is_known = finding.recorded or (
+                # A box that does not answer may know of another version.
+                answers.is_complete and finding.basis is Basis.SINGLE
+            )
+        if not is_known:
+            self.request_restore()
         origin = finding.origin if is_known else None
         self._metrics.count("stream_origins_found", basis=finding.basis)
         self._log.write(
@@ -220,16 +227,25 @@
 
     def settled(self) -> settled_services.Settled:
         """Returns what a box may conclude after the loss of all boxes."""
-        return self._conclusions.settled(self._timers.now())
+        now = self._timers.now()
+        if not self._look_if_current(now):
+            return self._conclusions.nothing_settled()
+        return self._conclusions.settled(now)
 
-    def restore_settled(self, settled: settled_services.Settled) -> None:
+    def restore_settled(
+        self, settled: settled_services.Settled, asked_at: float
+    ) -> None:
         """Takes over what was settled before this box started.
 
         That waits for the configuration and the endpoints, to which it is
         compared.
+
+        Args:
+            settled: The services.
+            asked_at: Time at which the store was asked for them.
         """
         self._to_restore = settled
-        self._restore_until = self._timers.now() + RESTORE_WAIT_S
+        self._restore_until = asked_at + RESTORE_WAIT_S
         self._restore_settled()
 
     def _restore_settled(self) -> None:
@@ -239,9 +255,8 @@
             return
         if now > self._restore_until:
             self._to_restore = None
-        elif self._conclusions.has_config and self._listed.has_listing:
+        elif self._conclusions.has_config and self._look_if_current(now):
             self._to_restore = None
-            self._look(now)
             self._conclusions.restore(settled, now)
 
     def hand_over(self) -> None:
@@ -262,11 +277,8 @@
             return stream_table.Finding(record.origin, Basis.RECORD)
         if max(len(host), len(path)) > MAX_PATH:
             return stream_table.UNKNOWN
-        if self._listed.has_listing:
-            self._look(now)
+        is_current = self._look_if_current(now) and not self.is_restoring()
         finding = self._conclusions.conclude(host, path, now)
-        age_s = self._list_age_s()
-        is_current = age_s is not None and age_s <= MAX_LIST_AGE_S
         if finding.basis is Basis.SINGLE and not is_current:
             return stream_table.Finding(finding.origin, Basis.SEEN)
         return finding
@@ -314,10 +326,21 @@
     def _check(self) -> None:
         now = self._timers.now()
         self._table.expire(now)
-        if self._listed.has_listing:
-            self._look(now)
+        self._look_if_current(now)
         self._restore_settled()
 
+    def _look_if_current(self, now: float) -> bool:
+        """Looks at the list unless it is old; returns whether it did.
+
+        Looks at an old list would hide that versions come and go meanwhile.
+        """
+        age_s = self._list_age_s()
+        is_current = age_s is not None and age_s <= MAX_LIST_AGE_S
+        if not is_current or not self._listed.has_listing:
+            return False
+        self._look(now)
+        return True
+
     def _look(self, now: float) -> None:
         self._conclusions.look(
             (listed.endpoint for listed in self._listed.entries.values()), now
--- a/martenjunction/routing/streams/settled_record.py
+++ b/martenjunction/routing/streams/settled_record.py
@@ -88,12 +88,16 @@
         self, found: store.StoredObject
     ) -> tuple[settled_services.Settled, int]:
         try:
-            return stream_documents.decode_settled(found.spec)
+            settled, number, era = stream_documents.decode_settled(found.spec)
         except errors.PlatformError as error:
             self._log.write(
                 "entry-unreadable", entry=found.name, why=str(error)
             )
             return settled_services.NOTHING, 0
+        if era != found.revision.era:
+            # The store was restored from a copy that may lack later changes.
+            return settled_services.NOTHING, number
+        return settled, number
 
     async def _run(
         self, call: settled_services.Read | settled_services.Write
@@ -116,7 +120,9 @@
             self._services.read(*self._decode(found), found.revision)
 
     async def _write(self, call: settled_services.Write) -> None:
-        spec = stream_documents.encode_settled(call.settled, call.number)
+        spec = stream_documents.encode_settled(
+            call.settled, call.number, self._client.era
+        )
         if call.revision is None:
             made = await self._client.create(KIND, NAME, spec)
         else:
--- a/tests/test_gateway_engines.py
+++ b/tests/test_gateway_engines.py
@@ -120,10 +120,10 @@
     store = made.store
     await boxes.until(lambda: store.calls["old-read"] > 0)
     store.faults = platform.PlatformFaults(old_lists_empty=True)
-    writes, lists = store.calls["write"], store.calls["old-read"]
+    [before] = store.entries(documents.BOX_KIND, "")
+    lists = store.calls["old-read"]
     await boxes.until(lambda: store.calls["old-read"] > lists)
     await asyncio.sleep(0.2)
-    assert store.calls["write"] == writes
-    entries = store.entries(documents.BOX_KIND, "")
-    assert len(entries) == 1
+    [after] = store.entries(documents.BOX_KIND, "")
+    assert after.revision == before.revision
     await made.stop()
--- /dev/null
+++ b/tests/test_incomplete_watches.py
@@ -0,0 +1,150 @@
+"""Conclusions about streams that rest on an incomplete watch."""
+
+import time
+import types
+from typing import Any
+
+import msgspec
+
+from martenjunction import metrics
+from martenjunction.decisions.boxes import served_versions
+from martenjunction.decisions.boxes import settled_services
+from martenjunction.decisions.boxes import stream_conclusions
+from martenjunction.decisions.boxes import stream_table
+from martenjunction.platform import store
+from martenjunction.platform import stream_documents
+from martenjunction.routing.streams import origins
+from martenjunction.routing.streams import settled_record
+from tests import routing_builders as builders
+from tests import test_stream_conclusions as conclusions
+
+Basis = stream_table.Basis
+ROUTE = ("/a/", builders.ENGINE)
+KEY = stream_table.StreamKey(bytes(8), bytes(16))
+SETTLED = settled_services.Settled(1, {builders.ENGINE: "v1"})
+
+
+class Box:
+    """The origins of a box whose list of endpoints has a given age."""
+
+    def __init__(
+        self, first_start: bool = True, peers: tuple[str, ...] = ()
+    ) -> None:
+        self.now = 0.0
+        self.age_s = 0.1
+        endpoint = types.SimpleNamespace(service=builders.ENGINE, version="v1")
+        listed: Any = types.SimpleNamespace(
+            has_listing=True,
+            entries={"e": types.SimpleNamespace(endpoint=endpoint)},
+        )
+        hub: Any = types.SimpleNamespace(
+            subscribe=lambda *_: None,
+            boxes=lambda: list(peers),
+            send=lambda *_: None,
+            send_to=lambda *_: None,
+        )
+        own = types.SimpleNamespace(box="own")
+        members: Any = types.SimpleNamespace(
+            own=own, is_full_mesh=True, live_members=lambda: [own, *peers]
+        )
+        clock: Any = types.SimpleNamespace(
+            now=lambda: self.now,
+            subscribe=lambda *_: None,
+            stall_adjusted_now=time.monotonic,
+        )
+        log: Any = types.SimpleNamespace(write=lambda *_, **__: None)
+        self.origins = origins.StreamOrigins(
+            listed,
+            hub,
+            members,
+            clock,
+            log,
+            metrics.Metrics(),
+            lambda: self.age_s,
+            first_start=first_start,
+        )
+        self.origins.apply_config(conclusions.config(1, ROUTE))
+
+    def run(self, until: float) -> None:
+        while self.now < until:
+            self.now += 0.5
+            self.origins._check()
+
+    def basis(self) -> Basis:
+        return self.origins._find_locally(KEY, builders.HOST, "/a/b/").basis
+
+
+def test_version_may_have_come_and_gone_while_the_list_was_old() -> None:
+    box = Box()
+    box.run(60.0)
+    assert box.basis() is Basis.SINGLE
+    assert box.origins.settled().versions
+    box.age_s = 600.0
+    box.run(660.0)
+    assert box.basis() is Basis.SEEN
+    assert not box.origins.settled().versions
+    box.age_s = 0.1
+    box.run(661.0)
+    assert box.basis() is Basis.SEEN
+    assert not box.origins.settled().versions
+
+
+async def test_nothing_is_concluded_while_a_box_has_not_answered() -> None:
+    box = Box(peers=("other",))
+    box.run(60.0)
+    answer = await box.origins.find(KEY, builders.HOST, "/a/b/")
+    assert answer.origin is None
+    assert not answer.is_final
+    alone = Box()
+    alone.run(60.0)
+    answer = await alone.origins.find(KEY, builders.HOST, "/a/b/")
+    assert answer.origin == stream_table.StreamOrigin(builders.ENGINE, "v1")
+
+
+def test_nothing_is_concluded_before_the_records_are_read() -> None:
+    box = Box()
+    box.origins.is_restoring = lambda: True
+    box.run(60.0)
+    assert box.basis() is Basis.SEEN
+
+
+def test_settled_services_that_were_asked_for_long_ago_are_not_used() -> None:
+    for asked_at, basis in ((29.0, Basis.SINGLE), (0.0, Basis.SEEN)):
+        box = Box(first_start=False)
+        box.run(30.0)
+        box.origins.restore_settled(SETTLED, asked_at)
+        assert box.basis() is basis
+
+
+def test_settled_services_of_an_earlier_era_are_not_used() -> None:
+    client: Any = None
+    log: Any = types.SimpleNamespace(write=lambda *_, **__: None)
+    record = settled_record.SettledRecord(client, client, log)
+    spec = stream_documents.encode_settled(SETTLED, 3, 1)
+    for era, expected in ((1, SETTLED), (2, settled_services.NOTHING)):
+        found = store.StoredObject(
+            stream_documents.SETTLED_NAME,
+            builders.rev(5, era),
+            msgspec.json.encode(spec),
+        )
+        assert record.decode(found) == expected
+
+
+def test_route_may_have_been_moved_and_back_in_a_gap_of_the_watch() -> None:
+    made = stream_conclusions.StreamConclusions(first_start_at=0.0)
+    listed: Any = [types.SimpleNamespace(service=builders.ENGINE, version="v1")]
+    made.apply_config(conclusions.config(1, ROUTE), 0.0)
+    made.look(listed, 0.0)
+    assert conclusions.conclude(made, "/a/", 0.0).basis is Basis.SINGLE
+    made.look(listed, 600.0)
+    made.apply_config(conclusions.config(4, ROUTE), 600.0)
+    assert conclusions.conclude(made, "/a/", 600.0).basis is Basis.SEEN
+    for second in range(601, 600 + 3599):
+        made.look(listed, float(second))
+    assert conclusions.conclude(made, "/a/", 4198.0).basis is Basis.SEEN
+
+
+def test_first_look_long_after_the_first_start_shows_nothing_before() -> None:
+    watching = served_versions.ServedVersions(first_start_at=0.0)
+    watching.look([conclusions.engine(1, "v1")], 300.0)
+    assert not watching.is_complete("s", 300.0)
--- a/tests/test_stream_conclusions.py
+++ b/tests/test_stream_conclusions.py
@@ -26,7 +26,9 @@
     *versions: str, for_s: int, first_start: bool = False
 ) -> served_versions.ServedVersions:
     """Returns what a box knows that saw some versions for some seconds."""
-    watching = served_versions.ServedVersions(5.0, first_start=first_start)
+    watching = served_versions.ServedVersions(
+        5.0, first_start_at=0.0 if first_start else None
+    )
     listed = [engine(n, version) for n, version in enumerate(versions)]
     for second in range(for_s + 1):
         watching.look(listed, float(second))
@@ -55,7 +57,7 @@
 
 
 def test_version_that_left_long_after_a_request_may_last_still_counts() -> None:
-    watching = served_versions.ServedVersions(first_start=True)
+    watching = served_versions.ServedVersions(first_start_at=0.0)
     for second in range(1200):
         version = "v1" if second < 20 else "v2"
         watching.look([engine(1, version)], float(second))
@@ -134,7 +136,7 @@
 def test_stream_is_not_concluded_where_its_route_led_elsewhere(
     changes: list[list[tuple[str, str]]], path: str, basis: Basis
 ) -> None:
-    conclusions = stream_conclusions.StreamConclusions(first_start=True)
+    conclusions = stream_conclusions.StreamConclusions(first_start_at=0.0)
     listed = [
         types.SimpleNamespace(service=service, version=version)
         for service, version in (E1, P1)
@@ -147,7 +149,7 @@
 
 
 def test_route_that_was_moved_counts_for_the_life_of_a_stream() -> None:
-    routes = served_routes.ServedRoutes(5.0, first_start=True)
+    routes = served_routes.ServedRoutes(5.0, first_start_at=0.0)
     routes.apply(config(1, ("/a/", builders.ENGINE)), 0.0)
     routes.apply(config(2, ("/a/", builders.PLAIN)), 1.0)
     both = frozenset({builders.ENGINE, builders.PLAIN})
@@ -182,7 +184,7 @@
     after: list[tuple[str, str]],
     unsettled: set[str],
 ) -> None:
-    routes = served_routes.ServedRoutes(5.0, first_start=True)
+    routes = served_routes.ServedRoutes(5.0, first_start_at=0.0)
     for version, pairs in enumerate((before, after), 1):
         routes.apply(config(version, *pairs), float(version))
     assert routes.unsettled(3.0) == unsettled
--- a/tests/test_streams_after_loss.py
+++ b/tests/test_streams_after_loss.py
@@ -118,6 +118,8 @@
 
 
 async def until_restored(fleet: boxes.Boxes) -> None:
+    for box in fleet.gateways:
+        box.archive.request()
     await boxes.until(lambda: all(b.archive.restored for b in fleet.gateways))
 
 
@@ -223,5 +225,6 @@
     fleet.store.write(KIND, "box-of-later", {"format": 2})
     await asyncio.sleep(125.0)
     assert [one.name for one in fleet.store.entries(KIND, "")] == [
-        "box-of-later"
+        "box-of-later",
+        stream_documents.SETTLED_NAME,
     ]
