--- a/tests/test_failing_parts.py
+++ b/tests/test_failing_parts.py
@@ -4,6 +4,7 @@
 that another request, or a change, has broken.
 """
 
+import operator
 from typing import Any
 
 import pytest
@@ -27,8 +28,8 @@
     ("pool", "acquire"),
     ("quarantine", "is_valid"),
     ("quarantine", "permit"),
-    ("registry", "begin"),
-    ("registry", "choose"),
+    ("registry.runs", "begin"),
+    ("registry.selector", "choose"),
 )
 WITH_ANSWER = (
     ("answers", "begin"),
@@ -40,13 +41,13 @@
     ("metrics", "count"),
     ("pool", "release"),
     ("quarantine", "record_answer"),
-    ("registry", "end"),
-    ("registry", "note_response"),
+    ("registry.runs", "end"),
+    ("registry.runs", "note_response"),
 )
 AFTER_BREAK = (
     ("liveness", "check"),
     ("quarantine", "note_unconfirmed_end"),
-    ("registry", "note_broken_response"),
+    ("registry.health", "note_broken_response"),
 )
 CASES = [
     *((Behaviour.SERVE, case) for case in (*BEFORE, *WITH_ANSWER)),
@@ -78,7 +79,9 @@
         raise RuntimeError("injected")
 
     with monkeypatch.context() as patch:
-        patch.setattr(type(getattr(fleet.gateways[0], part)), method, fail)
+        patch.setattr(
+            type(operator.attrgetter(part)(fleet.gateways[0])), method, fail
+        )
         await client.send("r1", f"/{kind}/a", b"hello")
         answer = await client.receive()
         await boxes.until(lambda: not fleet.gateways[0].held.exchanges)
