--- a/martenjunction/http1/request_bodies.py
+++ b/martenjunction/http1/request_bodies.py
@@ -50,21 +50,6 @@
         self._write_event = write_event
         self.unread = False
 
-    def find_end(self, request: messages.Request, most: int) -> int:
-        """Returns where a body ends, or could end if it is chunked.
-
-        Args:
-            request: The request, with its head read.
-            most: Maximum size of a body in bytes.
-
-        Returns:
-            The position in bytes received on the connection.
-        """
-        length = messages.header(request.headers, b"content-length")
-        chunked = messages.header(request.headers, b"transfer-encoding")
-        size = most if chunked is not None else int(length or 0)
-        return self._input.received - len(self._input.unparsed) + size
-
     async def take(
         self, request: messages.Request, length: int | None, max_bytes: int
     ) -> messages.Body:
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -81,9 +81,6 @@
         self._state = _State.RESTING
         self._shutting_down = False
         self._unanswered: messages.Request | None = None
-        # Where the current body ends, in bytes received.
-        self._body_end = 0
-        self._discarder = discarding.Discarder(stream, self._source)
         self._response_count = 0
         self._idle_since = time.monotonic()
         # When the head began that is not complete yet.
@@ -146,7 +143,6 @@
             RequestNotTakenError: If the connection was closed meanwhile.
             ConnectionLostError: If the client disconnected within it.
         """
-        self._body_end = 0
         head = await self._read_head()
         if head is None:
             return None
@@ -158,7 +154,6 @@
         )
         self._bodiless = request.method == b"HEAD"
         max_body_bytes = self._limits().max_body_bytes
-        self._body_end = self._bodies.find_end(request, max_body_bytes)
         length = framing.check(request, max_body_bytes)
         try:
             request.body = await self._bodies.take(
@@ -262,12 +257,8 @@
         report = self._build_report(reason)
         # The parser holds what was read and not parsed.
         self._input.parser = h11.Connection(h11.SERVER)
-        rest = max(0, self._body_end - self._input.received)
-        if reason is close_reports.CloseReason.FRAMING:
-            rest = 0
-        self._input.received += await self._discarder.drop(
-            rest, self._limits().max_body_bytes, request_bodies.BODY_TIMEOUT_S
-        )
+        dropped = await discarding.drop(self._stream, self._source)
+        self._input.received += dropped
         if self._report is None:
             self._report = dataclasses.replace(
                 report, received=self._input.received
@@ -281,7 +272,6 @@
         """
         if not self._shutting_down:
             self._shutting_down = True
-            self._discarder.shorten(read_timers.SHUTDOWN_READ_TIMEOUT_S)
             self._timer.shut_down(self._state is _State.READING)
         self._close_if_idle()
 
--- a/tests/test_refused_bodies.py
+++ b/tests/test_refused_bodies.py
@@ -80,10 +80,6 @@
         async with asyncio.timeout(LIMIT_S):
             assert await self._reader.read() == b""
 
-    async def send_all(self, data: bytes) -> None:
-        self._writer.write(data)
-        await self._writer.drain()
-
     async def send_slowly(self, data: bytes, pause_s: float) -> None:
         """Sends data again and again until the connection is reset."""
         with contextlib.suppress(ConnectionError):
@@ -320,6 +316,28 @@
     await listening.until_unconnected()
 
 
+@pytest.mark.parametrize(("length", "status"), UNREAD)
+@pytest.mark.parametrize(
+    ("data", "pause_s"), [(bytes(64 * 1024), 0.0), (bytes(1024), 0.02)]
+)
+async def test_what_is_dropped_is_bounded(
+    length: int, status: int, data: bytes, pause_s: float
+) -> None:
+    listening = Listening(lambda: True)
+    client = await connect(listening.address)
+    client.send_head("/x", "", f"Content-Length: {length}")
+    await client.answer()
+    [connection] = listening.server._connections
+    sending = asyncio.create_task(client.send_slowly(data, pause_s))
+    took_s = await listening.until_unconnected()
+    sending.cancel()
+    client.close()
+    assert took_s <= discarding.MAX_DROP_S + AT_ONCE_S
+    assert (
+        connection._input.received <= discarding.MAX_DROPPED_BYTES + 128 * 1024
+    )
+
+
 async def test_client_that_closes_is_not_waited_for() -> None:
     listening = Listening(lambda: True)
     client = await connect(listening.address)
