--- a/tests/test_refused_bodies.py
+++ b/tests/test_refused_bodies.py
@@ -80,6 +80,10 @@
         async with asyncio.timeout(LIMIT_S):
             assert await self._reader.read() == b""
 
+    async def send_all(self, data: bytes) -> None:
+        self._writer.write(data)
+        await self._writer.drain()
+
     async def send_slowly(self, data: bytes, pause_s: float) -> None:
         """Sends data again and again until the connection is reset."""
         with contextlib.suppress(ConnectionError):
