--- a/martenjunction/decisions/boxes/origin_archive.py
+++ b/martenjunction/decisions/boxes/origin_archive.py
@@ -9,11 +9,11 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 import dataclasses
 import math
 
 from martenjunction import revisions
+from martenjunction.decisions import backoff
 from martenjunction.decisions.boxes import stream_table
 
 # Writes per second that the store takes from all boxes together, and the part
@@ -214,18 +214,14 @@
             boxes: Number of boxes of the fleet.
             now: The current time.
         """
-        if self._in_flight is not None or now < self._retry_at:
+        if self._in_flight is not None or not self._readable:
             return None
-        if not self._readable:
+        if now < self._retry_at:
             return None
         if now - self._expired_at >= EXPIRY_INTERVAL_S:
             self._expire(now)
-        mixed = {service: self._is_mixed(service) for service in self._services}
-        if any(
-            mixed[service] and counts.pending
-            for service, counts in self._services.items()
-        ):
-            return self._write(mixed, self.interval_s(boxes), now)
+        if self.has_pending:
+            return self._write(self.interval_s(boxes), now)
         self._due_at = None
         if self._revision is not None and not self.archived:
             self._begin([], now)
@@ -248,9 +244,10 @@
     def failed(self, boxes: int, now: float) -> None:
         """Records that a call was refused, or that its result is unknown."""
         self._in_flight = None
-        backoff_s = self.interval_s(boxes) * 2.0 ** min(self._failures, 16)
-        longest_s = max(self.interval_s(boxes), MAX_BACKOFF_S)
-        self._retry_at = now + min(backoff_s, longest_s)
+        interval_s = self.interval_s(boxes)
+        self._retry_at = now + backoff.pause_s(
+            interval_s, self._failures, max(interval_s, MAX_BACKOFF_S)
+        )
         self._failures += 1
 
     def conflicted(self) -> None:
@@ -261,19 +258,18 @@
         self._in_flight = None
         self._readable = False
 
-    def _write(
-        self, mixed: Mapping[str | None, bool], interval_s: float, now: float
-    ) -> Write | None:
+    def _write(self, interval_s: float, now: float) -> Write | None:
         if self._due_at is None:
             earliest = self._called_at + interval_s
             self._due_at = max(earliest, now + self._phase * interval_s)
         if now < self._due_at:
             return None
         self._expire(now)
+        mixed = {s for s in self._services if self._is_mixed(s)}
         entries = [
             entry
             for entry in self._entries.values()
-            if entry.archived or mixed.get(entry.service, False)
+            if entry.archived or entry.service in mixed
         ]
         self._begin(entries, now)
         records = tuple(
--- a/martenjunction/decisions/boxes/settled_services.py
+++ b/martenjunction/decisions/boxes/settled_services.py
@@ -13,6 +13,7 @@
 import dataclasses
 
 from martenjunction import revisions
+from martenjunction.decisions import backoff
 
 # Seconds for which a service must be settled before it is added.
 ADD_DELAY_S = 2.0
@@ -147,8 +148,9 @@
     def failed(self, now: float) -> None:
         """Records that a call failed or that its result is unknown."""
         self._in_flight = False
-        backoff_s = INITIAL_BACKOFF_S * 2.0 ** min(self._failures, 16)
-        self._retry_at = now + min(backoff_s, MAX_BACKOFF_S)
+        self._retry_at = now + backoff.pause_s(
+            INITIAL_BACKOFF_S, self._failures, MAX_BACKOFF_S
+        )
         self._failures += 1
 
     def conflicted(self) -> None:
--- a/martenjunction/routing/streams/archive.py
+++ b/martenjunction/routing/streams/archive.py
@@ -13,6 +13,7 @@
 from martenjunction import errors
 from martenjunction import revisions
 from martenjunction import timers
+from martenjunction.decisions import backoff
 from martenjunction.decisions import bounded
 from martenjunction.decisions.boxes import abandoned_objects
 from martenjunction.decisions.boxes import origin_archive
@@ -38,9 +39,6 @@
 # Maximum number of malformed objects remembered, so that each is logged once.
 MAX_UNREADABLE = 256
 
-# Expected duration in seconds of a list.
-LIST_S = 0.2
-
 MS = 0.001
 
 
@@ -136,13 +134,6 @@
         self._unreadable_count = 0
         self._calls = 0
 
-    @property
-    def ready_in_s(self) -> float:
-        """Estimated seconds until the records are read; 0 if they are."""
-        if self.restored:
-            return 0.0
-        return max(0.0, self._list_at - self._timers.now()) + LIST_S
-
     def request(self) -> None:
         """Has the records read, if they were not yet."""
         if not self.restored and not self._is_requested:
@@ -180,7 +171,6 @@
         """Returns the state for the operators' dump."""
         return {
             "restored": self.restored,
-            "ready_in_s": round(self.ready_in_s, 3),
             "era": self._read_era,
             **{name: round(v, 3) for name, v in self.gauges().items()},
             "settled": self._settled.dump(),
@@ -309,9 +299,10 @@
     def _list_failed(self, error: errors.PlatformError) -> None:
         if not self._list_failures:
             self._log.write("streams-not-restored", why=str(error))
-        backoff_s = INITIAL_BACKOFF_S * 2.0 ** min(self._list_failures, 16)
+        self._list_at = self._timers.now() + backoff.pause_s(
+            INITIAL_BACKOFF_S, self._list_failures, MAX_BACKOFF_S
+        )
         self._list_failures += 1
-        self._list_at = self._timers.now() + min(backoff_s, MAX_BACKOFF_S)
 
     async def _write(
         self,
