Look at the endpoints again only if the list has changed

The box that acts for the fleet went through all listed endpoints ten times a second for what is settled, and each box at each question on a stream.

--- a/martenjunction/decisions/boxes/entry_table.py
+++ b/martenjunction/decisions/boxes/entry_table.py
@@ -48,6 +48,11 @@
         """When the store answered any box, and was away."""
         return self._contact
 
+    @property
+    def changes(self) -> int:
+        """A number that rises with each change of the entries."""
+        return self._changes
+
     @property
     def revision(self) -> revisions.Revision:
         """Revision of the store up to which changes have been applied."""
--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -127,6 +127,10 @@
         self._conclusions = stream_conclusions.StreamConclusions(
             clock.now() if first_start else None
         )
+        # The changes of the list at the last look, and when the next one is due
+        # without a change.
+        self._looked_at_changes = -1
+        self._look_at = 0.0
         self._to_restore: settled_services.Settled | None = None
         self._restore_until = 0.0
         self._pending: dict[str, list[stream_table.StreamRecord]] = {}
@@ -338,13 +342,15 @@
         is_current = age_s is not None and age_s <= MAX_LIST_AGE_S
         if not is_current or not self._listed.has_listing:
             return False
-        self._look(now)
-        return True
-
-    def _look(self, now: float) -> None:
+        changes = self._listed.changes
+        if changes == self._looked_at_changes and now < self._look_at:
+            return True
+        self._looked_at_changes = changes
+        self._look_at = now + CHECK_INTERVAL_S
         self._conclusions.look(
-            (listed.endpoint for listed in self._listed.entries.values()), now
+            (entry.endpoint for entry in self._listed.entries.values()), now
         )
+        return True
 
 
 class StreamKeys:
--- a/tests/test_incomplete_watches.py
+++ b/tests/test_incomplete_watches.py
@@ -35,6 +35,7 @@
         endpoint = types.SimpleNamespace(service=builders.ENGINE, version="v1")
         listed: Any = types.SimpleNamespace(
             has_listing=True,
+            changes=1,
             entries={"e": types.SimpleNamespace(endpoint=endpoint)},
         )
         hub: Any = types.SimpleNamespace(
