--- a/martenjunction/http1/close_reports.py
+++ b/martenjunction/http1/close_reports.py
@@ -44,6 +44,10 @@
         peer_end: How the client had ended its side by then.
         unanswered: The accepted request that has no complete response, or
             None.
+        kept_s: Seconds for which it may rest, by the limits at its last
+            response, or at its acceptance if there was none.
+        told_s: Seconds for which its client was told that it may rest, or
+            None if it was told nothing.
     """
 
     server: str
@@ -58,6 +62,8 @@
     request: messages.Request | None = None
     peer_end: peer_ends.PeerEnd = peer_ends.PeerEnd.OPEN
     unanswered: messages.Request | None = None
+    kept_s: float = 0.0
+    told_s: int | None = None
 
 
 OnClosed = Callable[[ClosedConnection], None]
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -83,6 +83,7 @@
         self._unanswered: messages.Request | None = None
         self._response_count = 0
         self._idle_since = time.monotonic()
+        self._kept_s = limits().idle_timeout_s
         # When the head began that is not complete yet.
         self._head_since: float | None = None
         self._peer = streams.peer_address(stream)
@@ -375,6 +376,7 @@
             status_code=status, headers=headers, reason=reason.encode()
         )
         self._response_started = True
+        self._kept_s = self._limits().idle_timeout_s
         streams.limit_unread(self._stream, True)
         self._write_event(head)
 
@@ -487,4 +489,5 @@
             "" if self._source.error is None else repr(self._source.error),
             peer_end=peer_end,
             unanswered=self._unanswered,
+            kept_s=self._kept_s,
         )
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -147,6 +147,7 @@
     [closed] = handler.closed
     assert closed.reason is close_reports.CloseReason.IDLE
     assert (closed.answered, closed.in_flight) == (1, False)
+    assert closed.kept_s == IDLE_S
     assert not closed.bytes_waiting
     connection.close()
 
