--- a/martenjunction_lab/kept_clients.py
+++ b/martenjunction_lab/kept_clients.py
@@ -11,6 +11,7 @@
 import enum
 import itertools
 import random
+import re
 
 import h11
 
@@ -29,6 +30,9 @@
 # Bytes taken from a socket at once.
 CHUNK_BYTES = 64 * 1024
 
+# The time in seconds in a `Keep-Alive` header.
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout=(\d+)")
+
 # Statuses by which an answer promises that the request never ran.
 PROMISES = frozenset({408, 421, 429, 503})
 
@@ -91,6 +95,12 @@
         self._status: int | None = None
         self._heard = False
         self._told_to_close = False
+        self._told_rest_s: int | None = None
+
+    @property
+    def told_rest_s(self) -> int | None:
+        """Seconds for which the last answer says that it may rest."""
+        return self._told_rest_s
 
     @property
     def told_to_close(self) -> bool:
@@ -178,8 +188,11 @@
 
     def _note_head(self, head: h11.Response) -> None:
         self._status = head.status_code
-        connection = dict(head.headers).get(b"connection", b"")
+        headers = dict(head.headers)
+        connection = headers.get(b"connection", b"")
         self._told_to_close = b"close" in connection.lower()
+        told = _KEEP_ALIVE_TIMEOUT.search(headers.get(b"keep-alive", b""))
+        self._told_rest_s = None if told is None else int(told[1])
 
     async def _receive_bytes(self) -> bytes:
         try:
