Tell clients how long their connections may rest, and keep to it

Clients saw whole requests end with neither an answer nor a refusal: a box closed connections at rest by the idle time of its configuration, of which it told its clients nothing, so that a request could cross the close.

Answers now carry Keep-Alive with whole seconds, and the connection is held for half a second longer, whatever the configuration becomes meanwhile: a longer idle time holds at once, a shorter one from the next answer on. While a server is short of descriptors its clients are told one second. Nothing is told where it would not be true: below one second, to HTTP/1.0, and on connections that close.

--- a/martenjunction/decisions/boxes/connection_share.py
+++ b/martenjunction/decisions/boxes/connection_share.py
@@ -10,6 +10,7 @@
 """
 
 import enum
+import math
 
 # Parts of a box's descriptors for connections of callers, and for those of each
 # further server. Tunnels have a part as well; the rest is for connections to
@@ -28,6 +29,10 @@
 # second transmission of its end is still in time.
 MAX_HEAD_S = 1.0
 
+# Seconds for which connections may rest while there is little room: their
+# clients are told so, and those that come back later connect anew.
+SHORT_IDLE_TIMEOUT_S = 1.0
+
 # Part of the limit that is made free at a time, so that the search for
 # connections that rest is rare.
 BATCH_FRACTION = 1 / 64
@@ -107,6 +112,11 @@
         """Number of new connections that were closed."""
         return self._refused
 
+    @property
+    def max_idle_timeout_s(self) -> float:
+        """The longest idle timeout of connections, in seconds."""
+        return math.inf if self._state is State.ROOM else SHORT_IDLE_TIMEOUT_S
+
     def excess(self, open_count: int, now: float) -> int:
         """Returns how many connections to end for a new one.
 
--- a/martenjunction/endpoints/pool.py
+++ b/martenjunction/endpoints/pool.py
@@ -10,6 +10,7 @@
 
 from martenjunction import errors
 from martenjunction import model
+from martenjunction.decisions import rest_times
 from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.http1 import client
 from martenjunction.http1 import messages
@@ -17,10 +18,6 @@
 # Fraction of an endpoint's connection limit that all boxes together use.
 CONNECTION_LIMIT_FRACTION = 0.85
 
-# Seconds by which an idle connection is closed before the endpoint's idle
-# timeout.
-IDLE_TIMEOUT_MARGIN_S = 1.0
-
 # Maximum idle time in seconds of a connection for a request that may not be
 # repeated: if it were lost, its outcome would have to be reported as unknown.
 MAX_UNREPEATABLE_IDLE_S = 2.0
@@ -232,7 +229,7 @@
         idle_s = now - connection.idle_since
         return (
             not connection.is_reusable()
-            or idle_s > _keep_alive_s(connection) - IDLE_TIMEOUT_MARGIN_S
+            or idle_s > _reusable_s(connection)
             or self._connector.reuse(endpoint_id, connection) is Reuse.NEVER
         )
 
@@ -245,7 +242,7 @@
             if reuse is Reuse.LATER:
                 continue
             entry.idle.remove(connection)
-            limit = _keep_alive_s(connection) - IDLE_TIMEOUT_MARGIN_S
+            limit = _reusable_s(connection)
             if not repeatable:
                 limit = min(limit, MAX_UNREPEATABLE_IDLE_S)
             fresh = reuse is Reuse.NOW and now - connection.idle_since < limit
@@ -272,6 +269,8 @@
         entry.idle = kept
 
 
-def _keep_alive_s(connection: client.ClientConnection) -> float:
-    announced = connection.keep_alive_timeout()
-    return DEFAULT_KEEP_ALIVE_S if announced is None else announced
+def _reusable_s(connection: client.ClientConnection) -> float:
+    told_s = connection.keep_alive_timeout()
+    return rest_times.reusable_s(
+        DEFAULT_KEEP_ALIVE_S if told_s is None else told_s
+    )
--- a/martenjunction/http1/close_reports.py
+++ b/martenjunction/http1/close_reports.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 
+from martenjunction.decisions import rest_times
 from martenjunction.http1 import messages
 from martenjunction.http1 import peer_ends
 
@@ -44,10 +45,9 @@
         peer_end: How the client had ended its side by then.
         unanswered: The accepted request that has no complete response, or
             None.
-        kept_s: Seconds for which it may rest, by the limits at its last
-            response, or at its acceptance if there was none.
-        told_s: Seconds for which its client was told that it may rest, or
-            None if it was told nothing.
+        rest_time: For how long it may rest, and what its client was told, by
+            the limits at its last response, or at its acceptance if there was
+            none.
     """
 
     server: str
@@ -62,8 +62,7 @@
     request: messages.Request | None = None
     peer_end: peer_ends.PeerEnd = peer_ends.PeerEnd.OPEN
     unanswered: messages.Request | None = None
-    kept_s: float = 0.0
-    told_s: int | None = None
+    rest_time: rest_times.RestTime = rest_times.untold(0.0)
 
 
 OnClosed = Callable[[ClosedConnection], None]
--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -58,6 +58,16 @@
     return received.count(b"\n", 0, end.start()) > MAX_FIELDS
 
 
+def lets_persist(head: h11.Request) -> bool:
+    """Returns whether a request lets its connection carry another one."""
+    if head.http_version < b"1.1":
+        return False
+    return not any(
+        name == b"connection" and b"close" in value.lower()
+        for name, value in head.headers
+    )
+
+
 class _Place(enum.Enum):
     """What is parsed next of a chunked body."""
 
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -125,7 +125,7 @@
         streams.set_client_options(stream.socket)
         connection = server_connection.ServerConnection(
             watched_streams.WatchedStream.over(stream),
-            self._limits,
+            self._current_limits,
             self._gate,
         )
         # Registered before its task first runs, so that a shutdown sees it.
@@ -216,6 +216,13 @@
             logger.error("%s: the handler sent no response", self._name)
             await connection.answer(502, [], b"", close=True)
 
+    def _current_limits(self) -> messages.ClientLimits:
+        limits = self._limits()
+        longest_s = self._share.max_idle_timeout_s
+        if limits.idle_timeout_s <= longest_s:
+            return limits
+        return dataclasses.replace(limits, idle_timeout_s=longest_s)
+
     def _make_room(self) -> bool:
         """Ends idle connections for a new one; returns whether it may stay."""
         before = self._share.state
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -23,6 +23,7 @@
 from martenjunction.http1 import request_bodies
 from martenjunction.http1 import request_errors
 from martenjunction.http1 import request_input
+from martenjunction.http1 import resting
 from martenjunction.http1 import streams
 
 # Seconds by which a timeout is extended that expires while bytes are unread:
@@ -82,8 +83,9 @@
         self._shutting_down = False
         self._unanswered: messages.Request | None = None
         self._response_count = 0
-        self._idle_since = time.monotonic()
-        self._kept_s = limits().idle_timeout_s
+        self._rest = resting.Rest(limits)
+        # Whether the current request lets the connection carry another one.
+        self._persists = False
         # When the head began that is not complete yet.
         self._head_since: float | None = None
         self._peer = streams.peer_address(stream)
@@ -154,6 +156,7 @@
             received_at=time.monotonic(),
         )
         self._bodiless = request.method == b"HEAD"
+        self._persists = framing.lets_persist(head)
         max_body_bytes = self._limits().max_body_bytes
         length = framing.check(request, max_body_bytes)
         try:
@@ -240,7 +243,7 @@
         self._input.parser.start_next_cycle()
         streams.limit_unread(self._stream, False)
         self._transition(_Event.REQUEST_ENDED)
-        self._idle_since = time.monotonic()
+        self._rest.begin()
         if self._input.unparsed:
             self._transition(_Event.BYTES_CAME)
         return not (self._shutting_down and self._close_if_idle())
@@ -285,8 +288,7 @@
         """
         if self.closed or self._state is not _State.RESTING:
             return False
-        rested_s = time.monotonic() - self._idle_since
-        if self._response_count and rested_s < kept_rest_s:
+        if self._response_count and self._rest.rested_s < kept_rest_s:
             return False
         if self._source.bytes_waiting:
             return False
@@ -331,7 +333,7 @@
             self._start_head()
         else:
             self._timer.set(
-                self._limits().idle_timeout_s, close_reports.CloseReason.IDLE
+                self._rest.remaining_s, close_reports.CloseReason.IDLE
             )
         turns = self._source.turns
         while True:
@@ -369,6 +371,8 @@
         if close or self._shutting_down or self._bodies.unread:
             headers = [*headers, (b"Connection", b"close")]
             self._close_announced = True
+        elif self._persists:
+            headers = [*headers, *self._rest.tell()]
         reason = (
             http.HTTPStatus(status).phrase if status in _KNOWN_STATUS else ""
         )
@@ -376,7 +380,6 @@
             status_code=status, headers=headers, reason=reason.encode()
         )
         self._response_started = True
-        self._kept_s = self._limits().idle_timeout_s
         streams.limit_unread(self._stream, True)
         self._write_event(head)
 
@@ -431,7 +434,7 @@
             )
             self._timer.set(extension_s, reason, final=endless)
             return
-        left = self._remaining_idle_s()
+        left = self._rest.remaining_s
         if (
             reason is close_reports.CloseReason.IDLE
             and left > TIMER_TOLERANCE_S
@@ -440,11 +443,6 @@
             return
         self.abort(reason)
 
-    def _remaining_idle_s(self) -> float:
-        """Returns the remaining idle time in seconds, by current limits."""
-        rested = time.monotonic() - self._idle_since
-        return self._limits().idle_timeout_s - rested
-
     def _accept_request(self, request: messages.Request) -> None:
         """Accepts a request if the connection is still open.
 
@@ -470,7 +468,7 @@
     def _record_response(self) -> None:
         self._response_count += 1
         self._unanswered = None
-        self._idle_since = time.monotonic()
+        self._rest.begin()
 
     def _build_report(
         self, reason: close_reports.CloseReason
@@ -481,7 +479,7 @@
             "",
             reason,
             self._peer,
-            time.monotonic() - self._idle_since,
+            self._rest.rested_s,
             self._response_count,
             self.unanswered,
             self._source.bytes_waiting,
@@ -489,5 +487,5 @@
             "" if self._source.error is None else repr(self._source.error),
             peer_end=peer_end,
             unanswered=self._unanswered,
-            kept_s=self._kept_s,
+            rest_time=self._rest.time,
         )
--- a/martenjunction/routing/log/closing_log.py
+++ b/martenjunction/routing/log/closing_log.py
@@ -35,10 +35,10 @@
             "received": closed.received,
             "error": closed.error,
             "client_end": closed.peer_end.value,
-            "may_rest_s": round(closed.kept_s, 3),
+            "may_rest_s": round(closed.rest_time.held_s, 3),
         }
-        if closed.told_s is not None:
-            fields["told_s"] = closed.told_s
+        if closed.rest_time.told_s is not None:
+            fields["told_s"] = closed.rest_time.told_s
         if closed.reason is close_reports.CloseReason.FRAMING:
             self._metrics.count("excess_framing", side="client")
         if closed.request is not None:
--- a/martenjunction_lab/delayed_links.py
+++ b/martenjunction_lab/delayed_links.py
@@ -26,6 +26,7 @@
         self._target = target
         self._one_way_s = one_way_s
         self._server: asyncio.Server | None = None
+        self._serving: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Starts to listen."""
@@ -33,22 +34,39 @@
         self._server = await asyncio.start_server(self._serve, host, port)
 
     async def stop(self) -> None:
-        """Stops listening; connections end with those of their targets."""
+        """Stops listening and ends all connections."""
         if self._server is not None:
             self._server.close()
+        for task in self._serving:
+            task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
+        try:
+            await self._connect(reader, writer)
+        finally:
+            self._serving.discard(task)
+            writer.close()
+
+    async def _connect(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         host, port = addresses.split_address(self._target)
         try:
             far_reader, far_writer = await asyncio.open_connection(host, port)
         except OSError:
-            writer.close()
             return
-        await asyncio.gather(
-            self._relay(reader, far_writer), self._relay(far_reader, writer)
-        )
+        try:
+            await asyncio.gather(
+                self._relay(reader, far_writer), self._relay(far_reader, writer)
+            )
+        finally:
+            far_writer.close()
 
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -60,6 +78,7 @@
             except OSError:
                 data = b""
             if not data:
-                loop.call_later(self._one_way_s, writer.close)
+                await asyncio.sleep(self._one_way_s)
+                writer.close()
                 return
             loop.call_later(self._one_way_s, writer.write, data)
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -22,6 +22,7 @@
 
 import pytest
 
+from martenjunction.decisions import rest_times
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import messages
 from martenjunction.http1 import request_bodies
@@ -147,7 +148,7 @@
     [closed] = handler.closed
     assert closed.reason is close_reports.CloseReason.IDLE
     assert (closed.answered, closed.in_flight) == (1, False)
-    assert closed.kept_s == IDLE_S
+    assert closed.rest_time == rest_times.RestTime(told_s=1, held_s=1.5)
     assert not closed.bytes_waiting
     connection.close()
 
