Refuse requests that take too long with 408

A head or body that took longer than its time limit ended with a closed connection. The client of a request that may not be repeated could not tell whether it ran; a 408 promises that it did not, and the product's own daemon sends one. The timeout now ends the read of the request, which is then refused like a malformed one, and what the client still sends is dropped for a second so that the refusal is not lost.

Three tests that asked for a closed connection ask for a 408 before it.

--- a/martenjunction/http1/request_input.py
+++ b/martenjunction/http1/request_input.py
@@ -1,10 +1,10 @@
 """Reads and parses what a client sends."""
 
-from collections.abc import Callable
+import asyncio
+import http
 
 import h11
 
-from martenjunction import errors
 from martenjunction import fair_turns
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import framing
@@ -12,6 +12,8 @@
 from martenjunction.http1 import request_errors
 from martenjunction.http1 import streams
 
+REQUEST_TIMEOUT = http.HTTPStatus.REQUEST_TIMEOUT.value
+
 
 class RequestInput:
     """What a client sends over one connection.
@@ -26,7 +28,6 @@
         source: streams.ByteSource,
         timer: read_timers.ReadTimer,
         max_header_bytes: int,
-        abort: Callable[[close_reports.CloseReason], None],
     ) -> None:
         """Initializes the input of an accepted connection.
 
@@ -34,11 +35,10 @@
             source: Reads from the stream.
             timer: The timeout of the connection.
             max_header_bytes: Maximum size of a head, in bytes.
-            abort: Closes the connection.
         """
         self._source = source
         self._timer = timer
-        self._abort = abort
+        self._reader: asyncio.Task[object] | None = None
         self.parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=max_header_bytes
         )
@@ -58,16 +58,49 @@
         """Waits for data.
 
         Raises:
-            ConnectionLostError: If the client disconnected, or did not pause
-                until after a timeout.
+            ConnectionLostError: If the client disconnected.
+            RequestSyntaxError: If the timeout of the request is over.
         """
-        if self._timer.expired is not None:
-            self._abort(self._timer.expired)
-            raise errors.ConnectionLostError("timed out")
-        data = await self._source.read()
+        self._check_expired()
+        self._reader = asyncio.current_task()
+        try:
+            data = await self._source.read()
+        except asyncio.CancelledError:
+            if self._timer.expired is None or self._is_cancelled_otherwise():
+                raise
+            self._check_expired()
+            raise
+        finally:
+            self._reader = None
         self.received += len(data)
         return data
 
+    def expire(self, reason: close_reports.CloseReason) -> None:
+        """Ends the read of a request whose timeout is over.
+
+        Args:
+            reason: Which timeout it is.
+        """
+        self._timer.expired = reason
+        if self._reader is not None:
+            self._reader.cancel()
+
+    def _is_cancelled_otherwise(self) -> bool:
+        """Takes the request of `expire` back; returns whether others remain."""
+        assert self._reader is not None
+        return self._reader.uncancel() > 0
+
+    def _check_expired(self) -> None:
+        """Rejects a request whose timeout is over.
+
+        Raises:
+            RequestSyntaxError: If it is.
+        """
+        if self._timer.expired is not None:
+            raise request_errors.RequestSyntaxError(
+                REQUEST_TIMEOUT, "too slow", self._timer.expired
+            )
+
     def next_event(self) -> h11.Event | type[h11.NEED_DATA]:
         """Returns the next part of a request, or that data is needed.
 
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -71,7 +71,7 @@
         self._source = streams.ByteSource(stream)
         self._timer = read_timers.ReadTimer(self._on_timeout)
         self._input = request_input.RequestInput(
-            self._source, self._timer, limits().max_header_bytes, self.abort
+            self._source, self._timer, limits().max_header_bytes
         )
         self._bodies = request_bodies.BodyReader(
             self._input, self._timer, limits, gate, self._write_event
@@ -419,11 +419,11 @@
     def _on_timeout(
         self, reason: close_reports.CloseReason, final: bool
     ) -> None:
-        """Closes the connection unless the awaited bytes have arrived."""
+        """Ends the rest or the read unless the awaited bytes have arrived."""
         reading = self._state is _State.READING
         endless = reading and self._source.never_pauses
         if final and endless:
-            self._timer.expired = reason
+            self._input.expire(reason)
             return
         if self._source.bytes_waiting:
             # After the event loop was blocked, the timeout expires in the same
@@ -441,7 +441,10 @@
         ):
             self._timer.set(left, reason)
             return
-        self.abort(reason)
+        if reading:
+            self._input.expire(reason)
+        else:
+            self.abort(reason)
 
     def _accept_request(self, request: messages.Request) -> None:
         """Accepts a request if the connection is still open.
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -121,7 +121,9 @@
 
 async def test_incomplete_head_times_out(echo: tuple[Echo, str]) -> None:
     handler, address = echo
-    assert await exchange_raw(address, POST) == b""
+    answer = await exchange_raw(address, POST)
+    assert answer.startswith(b"HTTP/1.1 408 ")
+    assert answer.endswith(b"\r\n\r\n")
     assert not handler.received
 
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -182,6 +182,7 @@
     await connection.connect(address)
     connection.send(GET % 1 + (GET % 2)[:9])
     assert b" 200 " in await connection.answer()
+    assert (await connection.answer()).startswith(b"HTTP/1.1 408 ")
     assert await connection.ended()
     async with asyncio.timeout(keep_alive_connections.TIMEOUT_S):
         while not handler.closed:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -146,6 +146,8 @@
     kept[1].send(whole[:-2])
     assert await stops_by_itself(fleet.gateways[0])
     for connection in kept:
+        answer = await connection.answer()
+        assert answer.startswith(b"HTTP/1.1 408 ")
         assert await connection.ended()
         connection.close()
 
