Use no connection to the store that may be closing

A call on a connection that the store closes as it said it would has no answer, and the effect of a write is then unknown. Connections are used again for a second less than the store's Keep-Alive tells; where it tells none, as before.

test_store_call_uses_no_connection_that_may_be_closing fails without the check.

--- a/martenjunction/platform/http_calls.py
+++ b/martenjunction/platform/http_calls.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+import time
 
 from martenjunction import errors
+from martenjunction.decisions import rest_times
 from martenjunction.http1 import client
 from martenjunction.http1 import messages
 
@@ -122,7 +124,7 @@
     async def _connect(self) -> client.ClientConnection:
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_quiet():
+            if connection.is_quiet() and not _is_expired(connection):
                 return connection
             connection.abort()
         connection = client.ClientConnection(self._address)
@@ -133,6 +135,15 @@
         return connection
 
 
+def _is_expired(connection: client.ClientConnection) -> bool:
+    """Returns whether the service may be about to close a connection."""
+    told_s = connection.keep_alive_timeout()
+    if told_s is None:
+        return False
+    rested_s = time.monotonic() - connection.idle_since
+    return rested_s >= rest_times.reusable_s(told_s)
+
+
 async def _body(connection: client.ClientConnection) -> bytes:
     """Reads a body.
 
--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -106,6 +106,26 @@
     calls.close()
 
 
+async def test_store_call_uses_no_connection_that_may_be_closing(
+    peer: raw_peers.RawPeer,
+) -> None:
+    # Guards against writes whose effect is unknown: the store closes a kept
+    # connection as it said, and the call is on its way.
+    calls = store.StoreClient(peer.address)
+    reply = raw_peers.answer(OBJECT).replace(
+        b"\r\n", b"\r\nKeep-Alive: timeout=2\r\n", 1
+    )
+    for rest_s, opened in ((0.0, True), (0.2, False), (1.1, True)):
+        await asyncio.sleep(rest_s)
+        asking = asyncio.create_task(calls.get("config", "main"))
+        if opened:
+            other_side = await peer.accept()
+        assert await peer.request(other_side)
+        other_side.send(reply)
+        assert await asking is not None
+    calls.close()
+
+
 async def test_lack_of_descriptors_fails_the_store_call(
     peer: raw_peers.RawPeer, monkeypatch: pytest.MonkeyPatch
 ) -> None:
