Tell callers of the product's own interface how long connections may rest

The same cause as on the users' platform: a caller that is told nothing cannot know when the daemon closes its connection.

--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import enum
+import functools
 from typing import Any
 from typing import cast
 
@@ -24,6 +25,7 @@
 from martenjunction import fair_streams
 from martenjunction import http_headers
 from martenjunction.decisions import outcomes
+from martenjunction.decisions import rest_times
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import peeks
 
@@ -78,8 +80,9 @@
         """
         super().initialize(*args, **kwargs)
         self._on_excess_framing = on_excess_framing
+        idle_s = self.conn_params.header_timeout
         self._timeouts: dict[Stage, float | None] = {
-            Stage.HEAD: self.conn_params.header_timeout,
+            Stage.HEAD: idle_s,
             Stage.BODY: self.conn_params.body_timeout,
             Stage.ANSWER: None,
         }
@@ -87,7 +90,11 @@
         self.conn_params.body_timeout = None
         self._open_connections: dict[iostream.IOStream, _Connection] = {}
         if isinstance(self.request_callback, web.Application):
-            self.request_callback.add_transform(_AnnounceClose)
+            told_s = rest_times.told(idle_s or 0.0).told_s
+            transform = functools.partial(_ConnectionHeaders, told_s)
+            self.request_callback.add_transform(
+                cast(type[web.OutputTransform], transform)
+            )
 
     def disable_keep_alive(self) -> None:
         """Closes each connection after its next response.
@@ -280,12 +287,28 @@
         self._delegate.on_connection_close()
 
 
-class _AnnounceClose(web.OutputTransform):
-    """Adds `Connection: close` to each response after `disable_keep_alive`."""
+class _ConnectionHeaders(web.OutputTransform):
+    """Tells callers how long their connection may rest.
 
-    def __init__(self, request: httputil.HTTPServerRequest) -> None:
+    After `disable_keep_alive` each response says `Connection: close`.
+    """
+
+    def __init__(
+        self, told_s: int | None, request: httputil.HTTPServerRequest
+    ) -> None:
+        """Initializes the transform of one response.
+
+        Args:
+            told_s: Seconds to tell, or None for nothing.
+            request: The request.
+        """
+        self._told_s = told_s
         connection = cast(http1connection.HTTP1Connection, request.connection)
         self._parameters = connection.params
+        self._persists = (
+            request.version == "HTTP/1.1"
+            and "close" not in request.headers.get("Connection", "").lower()
+        )
 
     def transform_first_chunk(
         self,
@@ -296,6 +319,13 @@
     ) -> tuple[int, httputil.HTTPHeaders, bytes]:
         if self._parameters.no_keep_alive:
             headers["Connection"] = "close"
+        elif (
+            self._told_s is not None
+            and self._persists
+            and "Connection" not in headers
+        ):
+            headers["Connection"] = "keep-alive"
+            headers["Keep-Alive"] = f"timeout={self._told_s}"
         return status_code, headers, chunk
 
 
--- a/tests/test_callers_times.py
+++ b/tests/test_callers_times.py
@@ -46,6 +46,16 @@
             assert await caller.read_remaining() == b""
 
 
+async def test_caller_is_told_how_long_its_connection_may_rest() -> None:
+    async with builders.running(builders.spec()) as fleet:
+        [caller] = await builders.connect_callers(fleet, 1)
+        caller.send(builders.request(builders.MODELS))
+        _, head, _ = await caller.read_response()
+    told = builders.header_value(head, "Keep-Alive")
+    assert told == f"timeout={int(listeners.IDLE_CONNECTION) - 1}"
+    assert builders.header_value(head, "Connection") == "keep-alive"
+
+
 async def test_started_head_has_its_own_timeout(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
