--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -23,6 +23,7 @@
 from martenjunction.http1 import request_bodies
 from martenjunction.http1 import request_errors
 from martenjunction.http1 import request_input
+from martenjunction.http1 import resting
 from martenjunction.http1 import streams
 
 # Seconds by which a timeout is extended that expires while bytes are unread:
@@ -70,7 +71,7 @@
         self._source = streams.ByteSource(stream)
         self._timer = read_timers.ReadTimer(self._on_timeout)
         self._input = request_input.RequestInput(
-            self._source, self._timer, limits().max_header_bytes, self.abort
+            self._source, self._timer, limits().max_header_bytes
         )
         self._bodies = request_bodies.BodyReader(
             self._input, self._timer, limits, gate, self._write_event
@@ -82,7 +83,9 @@
         self._shutting_down = False
         self._unanswered: messages.Request | None = None
         self._response_count = 0
-        self._idle_since = time.monotonic()
+        self._rest = resting.Rest(limits)
+        # Whether the current request lets the connection carry another one.
+        self._persists = False
         # When the head began that is not complete yet.
         self._head_since: float | None = None
         self._peer = streams.peer_address(stream)
@@ -153,6 +156,7 @@
             received_at=time.monotonic(),
         )
         self._bodiless = request.method == b"HEAD"
+        self._persists = framing.lets_persist(head)
         max_body_bytes = self._limits().max_body_bytes
         length = framing.check(request, max_body_bytes)
         try:
@@ -239,7 +243,7 @@
         self._input.parser.start_next_cycle()
         streams.limit_unread(self._stream, False)
         self._transition(_Event.REQUEST_ENDED)
-        self._idle_since = time.monotonic()
+        self._rest.begin()
         if self._input.unparsed:
             self._transition(_Event.BYTES_CAME)
         return not (self._shutting_down and self._close_if_idle())
@@ -284,8 +288,7 @@
         """
         if self.closed or self._state is not _State.RESTING:
             return False
-        rested_s = time.monotonic() - self._idle_since
-        if self._response_count and rested_s < kept_rest_s:
+        if self._response_count and self._rest.rested_s < kept_rest_s:
             return False
         if self._source.bytes_waiting:
             return False
@@ -330,7 +333,7 @@
             self._start_head()
         else:
             self._timer.set(
-                self._limits().idle_timeout_s, close_reports.CloseReason.IDLE
+                self._rest.remaining_s, close_reports.CloseReason.IDLE
             )
         turns = self._source.turns
         while True:
@@ -368,6 +371,8 @@
         if close or self._shutting_down or self._bodies.unread:
             headers = [*headers, (b"Connection", b"close")]
             self._close_announced = True
+        elif self._persists:
+            headers = [*headers, *self._rest.tell()]
         reason = (
             http.HTTPStatus(status).phrase if status in _KNOWN_STATUS else ""
         )
@@ -414,11 +419,11 @@
     def _on_timeout(
         self, reason: close_reports.CloseReason, final: bool
     ) -> None:
-        """Closes the connection unless the awaited bytes have arrived."""
+        """Ends the rest or the read unless the awaited bytes have arrived."""
         reading = self._state is _State.READING
         endless = reading and self._source.never_pauses
         if final and endless:
-            self._timer.expired = reason
+            self._input.expire(reason)
             return
         if self._source.bytes_waiting:
             # After the event loop was blocked, the timeout expires in the same
@@ -429,19 +434,17 @@
             )
             self._timer.set(extension_s, reason, final=endless)
             return
-        left = self._remaining_idle_s()
+        left = self._rest.remaining_s
         if (
             reason is close_reports.CloseReason.IDLE
             and left > TIMER_TOLERANCE_S
         ):
             self._timer.set(left, reason)
             return
-        self.abort(reason)
-
-    def _remaining_idle_s(self) -> float:
-        """Returns the remaining idle time in seconds, by current limits."""
-        rested = time.monotonic() - self._idle_since
-        return self._limits().idle_timeout_s - rested
+        if reading:
+            self._input.expire(reason)
+        else:
+            self.abort(reason)
 
     def _accept_request(self, request: messages.Request) -> None:
         """Accepts a request if the connection is still open.
@@ -468,7 +471,7 @@
     def _record_response(self) -> None:
         self._response_count += 1
         self._unanswered = None
-        self._idle_since = time.monotonic()
+        self._rest.begin()
 
     def _build_report(
         self, reason: close_reports.CloseReason
@@ -479,7 +482,7 @@
             "",
             reason,
             self._peer,
-            time.monotonic() - self._idle_since,
+            self._rest.rested_s,
             self._response_count,
             self.unanswered,
             self._source.bytes_waiting,
@@ -487,4 +490,5 @@
             "" if self._source.error is None else repr(self._source.error),
             peer_end=peer_end,
             unanswered=self._unanswered,
+            rest_time=self._rest.time,
         )
