Do not take a head that is cut for a whole one

A line without its line feed now breaks the transfer.

tests/test_cut_heads.py: 4 of 48 rows failed before, all of this client (chunks, no length, 204, 304); 48 pass. Rows of the boxes' connections passed before.

--- a/martenjunction/endpoints/streams.py
+++ b/martenjunction/endpoints/streams.py
@@ -83,6 +83,9 @@
         self._head_size += len(line)
         if self._head_size > MAX_HEADER_BYTES:
             return 0
+        if not line.endswith(b"\n"):
+            # libcurl also hands over what came before the connection ended.
+            return 0
         if line.startswith(b"HTTP/"):
             self._head_lines = [line]
         elif line.strip():
