--- a/martenjunction_lab/delayed_links.py
+++ b/martenjunction_lab/delayed_links.py
@@ -27,6 +27,12 @@
         self._one_way_s = one_way_s
         self._server: asyncio.Server | None = None
         self._serving: set[asyncio.Task[None]] = set()
+        self._refused = 0
+
+    @property
+    def refused(self) -> int:
+        """Connections that ended because nobody listened at the target."""
+        return self._refused
 
     async def start(self) -> None:
         """Starts to listen."""
@@ -60,6 +66,7 @@
         try:
             far_reader, far_writer = await asyncio.open_connection(host, port)
         except OSError:
+            self._refused += 1
             return
         try:
             await asyncio.gather(
