Leave a new connection time for its first request at a shutdown

A client that had connected as a box ended its planned stop had its request closed unread: the box took the connection for one at rest. The product's own daemon leaves such a connection a second; so do the boxes now.

test_first_request_is_answered_at_a_shutdown failed before.

--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -37,6 +37,10 @@
 # no more than this is left of it, in seconds.
 TIMER_TOLERANCE_S = 0.001
 
+# Seconds after which a connection that carried no request ends at a shutdown. A
+# client that had to connect sends its request in its next packet.
+FIRST_REQUEST_GRACE_S = 1.0
+
 _OPEN = peer_ends.PeerEnd.OPEN
 _State = connection_state.State
 _Event = connection_state.Event
@@ -120,6 +124,13 @@
         """
         return self.closed or self._source.peer_end is not _OPEN
 
+    @property
+    def _first_request_s(self) -> float:
+        """Seconds within which the first request is likely to arrive."""
+        if self._response_count:
+            return 0.0
+        return FIRST_REQUEST_GRACE_S - self._rest.rested_s
+
     def closing(self, server: str) -> close_reports.ClosedConnection:
         """Returns a report on the closed, or still open, connection.
 
@@ -460,9 +471,16 @@
         self._unanswered = request
 
     def _close_if_idle(self) -> bool:
-        """Closes an idle connection; returns whether it is closed."""
+        """Closes an idle connection; returns whether it is closed.
+
+        One that was just accepted is left some time for its first request.
+        """
         if self._state is _State.RESTING and not self._source.bytes_waiting:
-            self.abort(close_reports.CloseReason.STOPPED)
+            left_s = self._first_request_s
+            if left_s > 0.0:
+                self._timer.set(left_s, close_reports.CloseReason.STOPPED)
+            else:
+                self.abort(close_reports.CloseReason.STOPPED)
         return self.closed
 
     def _transition(self, event: connection_state.Event) -> None:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -153,6 +153,36 @@
     connection.close()
 
 
+async def test_first_request_is_answered_at_a_shutdown() -> None:
+    # Guards against whole requests without an answer: a client connects, the
+    # server shuts down before its request is there, and closed the connection.
+    handler = Handler()
+    listening = server.Server("test", handler, lambda: LIMITS)
+    address = bench.free_address()
+    listening.listen_on(address)
+    used, first, never = [
+        keep_alive_connections.KeptConnection() for _ in range(3)
+    ]
+    for connection in (used, first, never):
+        await connection.connect(address)
+    used.send(GET % 0)
+    assert b" 200 " in await used.answer()
+    await asyncio.sleep(0.1)
+    listening.finish()
+    await asyncio.sleep(0.1)
+    first.send(GET % 1)
+    answer = await first.answer()
+    assert b" 200 " in answer
+    assert b"onnection: close" in answer
+    assert await used.ended()
+    assert await never.ended()
+    await asyncio.wait_for(
+        listening.wait_ended(), keep_alive_connections.TIMEOUT_S
+    )
+    for connection in (used, first, never):
+        connection.close()
+
+
 async def test_raised_idle_timeout_applies_to_open_connections() -> None:
     limits = [messages.ClientLimits(idle_timeout_s=IDLE_S)]
     handler = Handler()
