Refuse slow requests with 408 beside a stop, too

Cause: the reader that a time limit cancels looked at the timer for the reason. A stop in the same turn of the event loop sets the timer anew, which clears it, and the reader ended as if its task were cancelled otherwise: the connection closed without a word.

Change: the reason of the cancellation is kept until the reader has run, and a reader is cancelled once.

--- a/martenjunction/http1/request_input.py
+++ b/martenjunction/http1/request_input.py
@@ -39,6 +39,9 @@
         self._source = source
         self._timer = timer
         self._reader: asyncio.Task[object] | None = None
+        # Why `expire` cancelled the reader. Unlike the timer's reason it holds
+        # until the reader has run, whatever the timer is set to meanwhile.
+        self._cancelled_by: close_reports.CloseReason | None = None
         self.parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=max_header_bytes
         )
@@ -61,17 +64,18 @@
             ConnectionLostError: If the client disconnected.
             RequestSyntaxError: If the timeout of the request is over.
         """
-        self._check_expired()
+        if self._timer.expired is not None:
+            raise _too_slow(self._timer.expired)
         self._reader = asyncio.current_task()
         try:
             data = await self._source.read()
         except asyncio.CancelledError:
-            if self._timer.expired is None or self._is_cancelled_otherwise():
+            reason = self._cancelled_by
+            if reason is None or self._is_cancelled_otherwise():
                 raise
-            self._check_expired()
-            raise
+            raise _too_slow(reason) from None
         finally:
-            self._reader = None
+            self._reader = self._cancelled_by = None
         self.received += len(data)
         return data
 
@@ -82,7 +86,8 @@
             reason: Which timeout it is.
         """
         self._timer.expired = reason
-        if self._reader is not None:
+        if self._reader is not None and self._cancelled_by is None:
+            self._cancelled_by = reason
             self._reader.cancel()
 
     def _is_cancelled_otherwise(self) -> bool:
@@ -90,17 +95,6 @@
         assert self._reader is not None
         return self._reader.uncancel() > 0
 
-    def _check_expired(self) -> None:
-        """Rejects a request whose timeout is over.
-
-        Raises:
-            RequestSyntaxError: If it is.
-        """
-        if self._timer.expired is not None:
-            raise request_errors.RequestSyntaxError(
-                REQUEST_TIMEOUT, "too slow", self._timer.expired
-            )
-
     def next_event(self) -> h11.Event | type[h11.NEED_DATA]:
         """Returns the next part of a request, or that data is needed.
 
@@ -118,3 +112,12 @@
                 431, "too many header fields"
             )
         return event  # type: ignore[return-value]
+
+
+def _too_slow(
+    reason: close_reports.CloseReason,
+) -> request_errors.RequestSyntaxError:
+    """Returns the error that rejects a request whose timeout is over."""
+    return request_errors.RequestSyntaxError(
+        REQUEST_TIMEOUT, "too slow", reason
+    )
