Tell no rest to callers whose request is left unread

Cause: tornado closes a connection whose request is answered before it is read, as one without a known key is. The response told a rest of 74 s.

Change: such a response says that the connection closes.

--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -290,7 +290,8 @@
 class _ConnectionHeaders(web.OutputTransform):
     """Tells callers how long their connection may rest.
 
-    After `disable_keep_alive` each response says `Connection: close`.
+    A response says `Connection: close` after `disable_keep_alive`, and if its
+    request is not read by then: tornado closes the connection after it.
     """
 
     def __init__(
@@ -304,7 +305,7 @@
         """
         self._told_s = told_s
         connection = cast(http1connection.HTTP1Connection, request.connection)
-        self._parameters = connection.params
+        self._connection = connection
         self._persists = (
             request.version == "HTTP/1.1"
             and "close" not in request.headers.get("Connection", "").lower()
@@ -317,7 +318,11 @@
         chunk: bytes,
         finishing: bool,
     ) -> tuple[int, httputil.HTTPHeaders, bytes]:
-        if self._parameters.no_keep_alive:
+        # tornado has no public API for the second.
+        if (
+            self._connection.params.no_keep_alive
+            or not self._connection._read_finished
+        ):
             headers["Connection"] = "close"
         elif (
             self._told_s is not None
