Count the rest of a connection from the end of its response's delivery

Cause: the rest began as the socket took the last byte of a response. A client counts from the moment at which it has the response; over a slow link, or where it reads late, that is seconds later, and its connection closed within the time that it was told.

Change: while the client's kernel lacks a part of a response, the rest begins anew, for up to 10 s; it is looked at every 0.25 s, half of the margin. What a client leaves in its own receive buffer is not seen.

Processor time was not measured: a connection that rests for over 0.25 s costs one timer and one ioctl more.

--- a/martenjunction/http1/resting.py
+++ b/martenjunction/http1/resting.py
@@ -6,6 +6,10 @@
 from martenjunction.decisions import rest_times
 from martenjunction.http1 import messages
 
+# Seconds within which a response that was written counts as on its way. A slow
+# link takes as long for a large one.
+MAX_DELIVERY_S = 10.0
+
 
 class Rest:
     """How long a connection has rested, and for how long it may."""
@@ -17,7 +21,7 @@
             limits: Returns the current limits for clients.
         """
         self._limits = limits
-        self._since = time.monotonic()
+        self._since = self._written_at = time.monotonic()
         self._time = rest_times.untold(limits().idle_timeout_s)
 
     @property
@@ -42,7 +46,16 @@
 
     def begin(self) -> None:
         """Records that the connection begins to rest."""
-        self._since = time.monotonic()
+        self._since = self._written_at = time.monotonic()
+
+    def begin_anew(self) -> None:
+        """Records that the last response is still on its way.
+
+        A client that never reads it does not keep its connection by that.
+        """
+        now = time.monotonic()
+        if now - self._written_at < MAX_DELIVERY_S:
+            self._since = now
 
     def tell(self) -> messages.Headers:
         """Returns the headers of a response that tell the client its time."""
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -12,6 +12,7 @@
 
 from martenjunction import errors
 from martenjunction import fair_turns
+from martenjunction.decisions import rest_times
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import connection_state
@@ -37,6 +38,10 @@
 # no more than this is left of it, in seconds.
 TIMER_TOLERANCE_S = 0.001
 
+# Seconds between two looks whether the client's kernel has the whole response,
+# from which on its connection rests.
+LOOK_INTERVAL_S = rest_times.SERVER_MARGIN_S / 2
+
 _OPEN = peer_ends.PeerEnd.OPEN
 _State = connection_state.State
 _Event = connection_state.Event
@@ -333,7 +338,8 @@
             self._start_head()
         else:
             self._timer.set(
-                self._rest.remaining_s, close_reports.CloseReason.IDLE
+                min(self._rest.remaining_s, LOOK_INTERVAL_S),
+                close_reports.CloseReason.IDLE,
             )
         turns = self._source.turns
         while True:
@@ -434,13 +440,16 @@
             )
             self._timer.set(extension_s, reason, final=endless)
             return
-        left = self._rest.remaining_s
-        if (
-            reason is close_reports.CloseReason.IDLE
-            and left > TIMER_TOLERANCE_S
-        ):
-            self._timer.set(left, reason)
-            return
+        if reason is close_reports.CloseReason.IDLE:
+            delivering = streams.is_delivering(self._stream)
+            if delivering:
+                self._rest.begin_anew()
+            left = self._rest.remaining_s
+            if left > TIMER_TOLERANCE_S:
+                if delivering:
+                    left = min(left, LOOK_INTERVAL_S)
+                self._timer.set(left, reason)
+                return
         if reading:
             self._input.expire(reason)
         else:
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+import fcntl
 import socket
+import termios
 from typing import Any
 from typing import cast
 
@@ -79,6 +81,14 @@
         )
 
 
+def is_delivering(stream: iostream.IOStream) -> bool:
+    """Returns whether the peer's kernel lacks a part of what was written."""
+    if stream.closed():
+        return False
+    queued = fcntl.ioctl(stream.socket, termios.TIOCOUTQ, bytes(4))
+    return any(queued)
+
+
 def new_stream() -> watched_streams.WatchedStream:
     """Returns a stream over a new, unconnected socket.
 
