--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,6 +10,7 @@
 
 from martenjunction import errors
 from martenjunction import http_headers
+from martenjunction import listeners
 from martenjunction.endpoints import client
 from martenjunction.endpoints import streams
 from martenjunction_lab import answers
@@ -205,7 +206,9 @@
     assert head.status == 200
     assert answer["path"] == "/tags"
     assert answer["body"] == "lot 7"
-    assert head.get("Keep-Alive") is None
+    # The daemon's own, for the caller's connection.
+    told = [value for name, value in head.headers if name == "Keep-Alive"]
+    assert told == [f"timeout={int(listeners.IDLE_CONNECTION) - 1}"]
 
 
 async def test_entry_names_this_box(
