Take no other loss of a connection for the client's leaving

The loss of a client's connection and that of any other had one error type. One that escaped from the parts that talk to endpoints ended its request as if its client had left: the endpoint's connection and the client's closed in one turn, without an answer, which is the form of the reported record. A cancellation that came from a future of another task did the same. No call is known to let one escape.

Client loss is a type of its own now, and only that and the cancellation of the connection's own task end a request without an answer; so does an unexpected error before a request is passed on, which gets 503.

--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -160,6 +160,14 @@
     """The connection closed before the message was complete."""
 
 
+class ClientLostError(ConnectionLostError):
+    """A client disconnected before it had its response.
+
+    A type of its own: the loss of another connection must not count as the
+    client's leaving, which ends a request without a response.
+    """
+
+
 class LocalCloseError(TransportError):
     """This daemon closed the connection.
 
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import http
 import itertools
 import logging
 import sys
@@ -29,6 +30,9 @@
 # Maximum length of the queue of connections to accept.
 BACKLOG = 1024
 
+# Status of a request that was not passed to the handler.
+_NOT_RUN = http.HTTPStatus.SERVICE_UNAVAILABLE.value
+
 Handler = Callable[
     [server_connection.ServerConnection, messages.Request], Awaitable[None]
 ]
@@ -169,6 +173,13 @@
             except request_errors.RequestSyntaxError as error:
                 logger.info("%s: request rejected: %s", self._name, error)
                 refusal = error.status, error.reason
+            except errors.ConnectionLostError:
+                raise
+            except (Exception, asyncio.CancelledError):
+                if _is_cancelled():
+                    raise
+                logger.exception("%s: failed to read a request", self._name)
+                refusal = _NOT_RUN, close_reports.CloseReason.FAILED
             # The exception keeps its frames, and with them what was read last.
             if refusal is not None:
                 status, reason = refusal
@@ -200,13 +211,15 @@
         """Calls the handler; responds with 502 if it sends no response.
 
         Raises:
-            ConnectionLostError: If the client disconnected.
+            ClientLostError: If the client disconnected.
         """
         try:
             await self._handler(connection, request)
-        except errors.ConnectionLostError:
+        except errors.ClientLostError:
             raise
-        except Exception:
+        except (Exception, asyncio.CancelledError):
+            if _is_cancelled():
+                raise
             logger.exception("%s: the handler raised an exception", self._name)
         if not connection.unanswered or connection.answering:
             return
@@ -269,6 +282,15 @@
     return connection.end_slow_head(connection_share.MAX_HEAD_S)
 
 
+def _is_cancelled() -> bool:
+    """Returns whether the current task itself is cancelled.
+
+    A future that it awaits may also have been cancelled by another task.
+    """
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _is_reported(closing: close_reports.ClosedConnection) -> bool:
     """Returns whether a closed connection is reported.
 
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -211,7 +211,7 @@
             close: Whether to close the connection after the response.
 
         Raises:
-            ConnectionLostError: If the client disconnected.
+            ClientLostError: If the client disconnected.
         """
         length = (b"Content-Length", str(len(body)).encode())
         self._send_head(status, [*headers, length], close)
@@ -225,7 +225,7 @@
         """Sends the head of a response of unknown length.
 
         Raises:
-            ConnectionLostError: If the client disconnected.
+            ClientLostError: If the client disconnected.
         """
         self._send_head(status, headers, close)
 
@@ -233,7 +233,7 @@
         """Sends a part of the body; waits until the socket accepted it.
 
         Raises:
-            ConnectionLostError: If the client disconnected or fell silent.
+            ClientLostError: If the client disconnected or fell silent.
         """
         await self._flush(self._pieces(data))
 
@@ -241,7 +241,7 @@
         """Completes the response.
 
         Raises:
-            ConnectionLostError: If the client disconnected.
+            ClientLostError: If the client disconnected.
         """
         await self._flush(self._pieces(None))
         self._record_response()
@@ -422,7 +422,7 @@
         try:
             return streams.write(self._stream, pieces)
         except iostream.StreamClosedError as error:
-            raise errors.ConnectionLostError("client disconnected") from error
+            raise errors.ClientLostError("client disconnected") from error
 
     async def _flush(self, pieces: Sequence[messages.Body]) -> None:
         written = self._write(pieces)
@@ -431,7 +431,7 @@
         try:
             await asyncio.shield(written)
         except iostream.StreamClosedError as error:
-            raise errors.ConnectionLostError("client disconnected") from error
+            raise errors.ClientLostError("client disconnected") from error
 
     def _on_timeout(
         self, reason: close_reports.CloseReason, final: bool
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -131,7 +131,7 @@
             Whether the client has its final response.
 
         Raises:
-            ConnectionLostError: If the client disconnected; nothing was sent.
+            ClientLostError: If the client disconnected; nothing was sent.
         """
         endpoint, run = offer.endpoint, offer.run
         if self._connection.client_left:
@@ -141,7 +141,7 @@
             offer.permit.close()
             self._context.grants.refund(offer.grant)
             self._context.pool.release(endpoint.id, run.connection)
-            raise errors.ConnectionLostError("the client left")
+            raise errors.ClientLostError("the client left")
         registry = self._context.registry
         ticket = registry.runs.begin(
             offer.choice,
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -134,7 +134,7 @@
         """Serves the request.
 
         Raises:
-            ConnectionLostError: If the client disconnected.
+            ClientLostError: If the client disconnected.
         """
         try:
             await self._serve()
@@ -142,7 +142,7 @@
             await self._refuse(
                 refusal.status, refusal.code, refusal.retry_after
             )
-        except errors.ConnectionLostError:
+        except errors.ClientLostError:
             raise
         except Exception as error:
             logger.exception("request %s failed", self._facts.id)
@@ -241,7 +241,7 @@
             return
         if isinstance(error, admission.RefusalError):
             raise error
-        if isinstance(error, errors.ConnectionLostError):
+        if isinstance(error, errors.ClientLostError):
             self._ending = Ending.CLIENT_LEFT
         raise error
 
@@ -262,7 +262,7 @@
         )
         if self._ending is Ending.CLIENT_LEFT:
             self._connection.abort(close_reports.CloseReason.CLIENT)
-            raise errors.ConnectionLostError("the client left")
+            raise errors.ClientLostError("the client left")
         if self._connection.answering:
             self._connection.abort(close_reports.CloseReason.ANSWER_BROKEN)
         elif runs.fallback is not None:
