--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -1,10 +1,7 @@
 """Server side of a persistent HTTP/1.1 connection."""
 
-import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
 import dataclasses
-import http
 import time
 
 import h11
@@ -24,6 +21,7 @@
 from martenjunction.http1 import request_bodies
 from martenjunction.http1 import request_errors
 from martenjunction.http1 import request_input
+from martenjunction.http1 import response_writer
 from martenjunction.http1 import resting
 from martenjunction.http1 import streams
 
@@ -50,8 +48,6 @@
 _State = connection_state.State
 _Event = connection_state.Event
 
-_KNOWN_STATUS = {status.value for status in http.HTTPStatus}
-
 
 class ServerConnection:
     """A client connection that may carry several requests.
@@ -82,19 +78,17 @@
         self._input = request_input.RequestInput(
             self._source, self._timer, limits().max_header_bytes
         )
+        self._rest = resting.Rest(limits)
+        self._output = response_writer.ResponseWriter(
+            stream, self._input, self._rest
+        )
         self._bodies = request_bodies.BodyReader(
-            self._input, self._timer, limits, gate, self._write_event
+            self._input, self._timer, limits, gate, self._output.write_event
         )
-        self._response_started = False
-        self._close_announced = False
-        self._bodiless = False
         self._state = _State.RESTING
         self._shutting_down = False
         self._unanswered: messages.Request | None = None
         self._response_count = 0
-        self._rest = resting.Rest(limits)
-        # Whether the current request lets the connection carry another one.
-        self._persists = False
         # When the head began that is not complete yet.
         self._head_since: float | None = None
         self._peer = streams.peer_address(stream)
@@ -103,7 +97,7 @@
     @property
     def answering(self) -> bool:
         """Whether a response head was sent for the current request."""
-        return self._response_started
+        return self._output.started
 
     @property
     def unread(self) -> bool:
@@ -171,8 +165,7 @@
             [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()],
             received_at=time.monotonic(),
         )
-        self._bodiless = request.method == b"HEAD"
-        self._persists = framing.lets_persist(head)
+        self._output.begin_request(head)
         max_body_bytes = self._limits().max_body_bytes
         length = framing.check(request, max_body_bytes)
         try:
@@ -215,8 +208,7 @@
         """
         length = (b"Content-Length", str(len(body)).encode())
         self._send_head(status, [*headers, length], close)
-        shown = b"" if self._bodiless else body
-        await self._flush([*self._pieces(shown), *self._pieces(None)])
+        await self._output.end_body(body)
         self._record_response()
 
     async def begin(
@@ -235,7 +227,7 @@
         Raises:
             ClientLostError: If the client disconnected or fell silent.
         """
-        await self._flush(self._pieces(data))
+        await self._output.send_body(data)
 
     async def end(self) -> None:
         """Completes the response.
@@ -243,13 +235,13 @@
         Raises:
             ClientLostError: If the client disconnected.
         """
-        await self._flush(self._pieces(None))
+        await self._output.end_body()
         self._record_response()
 
     def prepare_next_request(self) -> bool:
         """Prepares for the next request; returns whether one may follow."""
-        self._response_started = False
-        if self._close_announced or self.closed:
+        self._output.end_request()
+        if self._output.close_announced or self.closed:
             return False
         if (
             self._input.parser.our_state is not h11.DONE
@@ -320,7 +312,7 @@
         Returns:
             Whether it was closed.
         """
-        if self.closed or self._head_since is None or self._response_started:
+        if self.closed or self._head_since is None or self._output.started:
             return False
         if self._response_count:
             # The client may still read the response before.
@@ -385,53 +377,8 @@
     def _send_head(
         self, status: int, headers: messages.Headers, close: bool
     ) -> None:
-        if close or self._shutting_down or self._bodies.unread:
-            headers = [*headers, (b"Connection", b"close")]
-            self._close_announced = True
-        elif self._persists:
-            headers = [*headers, *self._rest.tell()]
-        reason = (
-            http.HTTPStatus(status).phrase if status in _KNOWN_STATUS else ""
-        )
-        head = h11.Response(
-            status_code=status, headers=headers, reason=reason.encode()
-        )
-        self._response_started = True
-        streams.limit_unread(self._stream, True)
-        self._write_event(head)
-
-    def _write_event(self, event: h11.Event) -> None:
-        data = self._input.parser.send(event)
-        self._write([data] if data else [])
-
-    def _pieces(self, data: messages.Body | None) -> Sequence[messages.Body]:
-        """Returns the pieces of a part of the body; None ends the body."""
-        if data is None:
-            event: h11.Event = h11.EndOfMessage()
-        elif data:
-            event = h11.Data(data=data)  # type: ignore[arg-type]
-        else:
-            return []
-        return self._input.parser.send_with_data_passthrough(event) or []
-
-    def _write(
-        self, pieces: Sequence[messages.Body]
-    ) -> "asyncio.Future[None] | None":
-        if not any(pieces):
-            return None
-        try:
-            return streams.write(self._stream, pieces)
-        except iostream.StreamClosedError as error:
-            raise errors.ClientLostError("client disconnected") from error
-
-    async def _flush(self, pieces: Sequence[messages.Body]) -> None:
-        written = self._write(pieces)
-        if written is None:
-            return
-        try:
-            await asyncio.shield(written)
-        except iostream.StreamClosedError as error:
-            raise errors.ClientLostError("client disconnected") from error
+        closes = close or self._shutting_down or self._bodies.unread
+        self._output.send_head(status, headers, closes)
 
     def _on_timeout(
         self, reason: close_reports.CloseReason, final: bool
