--- a/tools/broken_box_builds.py
+++ b/tools/broken_box_builds.py
@@ -67,6 +67,38 @@
         "        if False:\n            self._input.expire(reason)",
         "tests/test_slow_requests.py::test_request_that_takes_too_long_is_refused_with_408",
     ),
+    BrokenBuild(
+        "another lost connection counts as the client's",
+        "martenjunction/errors.py",
+        "class ClientLostError(ConnectionLostError):",
+        "ClientLostError = ConnectionLostError\n\n\nclass _Unused(Exception):",
+        "tests/test_failing_parts.py::test_request_is_answered_though_a_part_fails",
+    ),
+    BrokenBuild(
+        "a cancelled future ends a request without an answer",
+        "martenjunction/http1/server.py",
+        "            await self._handler(connection, request)\n"
+        "        except errors.ClientLostError:\n            raise\n"
+        "        except (Exception, asyncio.CancelledError):\n",
+        "            await self._handler(connection, request)\n"
+        "        except errors.ClientLostError:\n            raise\n"
+        "        except Exception:\n",
+        "tests/test_failing_parts.py::test_request_is_answered_though_a_part_fails",
+    ),
+    BrokenBuild(
+        "a new connection ends at once at a shutdown",
+        SERVER_CONNECTION,
+        "if left_s > 0.0:",
+        "if False:",
+        "tests/test_kept_connections.py::test_first_request_is_answered_at_a_shutdown",
+    ),
+    BrokenBuild(
+        "a rest begins before its response is delivered",
+        SERVER_CONNECTION,
+        "            if delivering:\n                self._rest.begin_anew()",
+        "            if False:\n                self._rest.begin_anew()",
+        "tests/test_rest_review.py::test_rest_that_was_told_begins_once_the_response_is_read",
+    ),
     BrokenBuild(
         "half a line ends a head",
         "martenjunction/endpoints/streams.py",
