Follow the store's lists beside an object that no decoder reads

Cause: a page of a list, the answer to a watch and a single object were decoded in one call together with content that others wrote. Content nested too deep (RecursionError, which nothing caught), with a lone surrogate or NaN, or a revision of an odd type failed the answer for all its objects: no box followed the list any more, and a configuration like that counted as the loss of the store and ended the watches of endpoints too.

Change: an answer that fails is split into its objects by a scanner of JSON's structure, iterative and in turns of the event loop, and each is decoded by itself. Odd content is handed on and refused by the decoder of its kind: the object counts as unreadable, as any that its own decoder refuses. A revision that cannot be read is that of the page; an object without a readable name is left out of a list. A watch reports odd content at its revision; a change that names no object, or no revision, loses the history, so that a list gets past it, after the back-off of a failed call. What decoders raise is known in one module. Boxes' entries are remembered as endpoints' are, bounded and by digest in place of the whole document.

--- a/martenjunction/duties/record.py
+++ b/martenjunction/duties/record.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from martenjunction import decoding
 from martenjunction import errors
 from martenjunction.decisions.duties import lease
 
@@ -96,8 +97,8 @@
         PlatformError: If it is malformed.
     """
     try:
-        return msgspec.json.decode(spec, type=DutyRecord)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return decoding.from_json(spec, DutyRecord)
+    except errors.MalformedError as error:
         raise errors.PlatformError(f"malformed duty record: {error}") from error
 
 
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -32,6 +32,10 @@
     """A policy cannot be parsed or failed at run time."""
 
 
+class MalformedError(MartenjunctionError, ValueError):
+    """Data of another process cannot be decoded."""
+
+
 class PlatformError(MartenjunctionError):
     """A call to the platform's object API failed."""
 
@@ -182,3 +186,7 @@
 
 class HistoryLostError(PlatformError):
     """The platform no longer has the changes since the requested revision."""
+
+
+class UnreadableChangeError(HistoryLostError):
+    """The platform reported a change that does not tell of which object."""
--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from martenjunction import addresses
+from martenjunction import decoding
 from martenjunction import errors
 from martenjunction import model
 from martenjunction.http1 import messages
@@ -23,15 +24,6 @@
 MS = 0.001
 MAX_PORT = 65535
 
-# Errors of the decoder for malformed input: its own, and those of Python for
-# invalid Unicode, too long numbers and excessive nesting.
-_DECODE_ERRORS = (
-    msgspec.MsgspecError,
-    ValueError,
-    OverflowError,
-    RecursionError,
-)
-
 # Default time limit of a route in seconds.
 DEFAULT_TIMEOUT_S = 60.0
 
@@ -175,7 +167,7 @@
         PlatformError: If the document is malformed.
     """
     try:
-        wire = msgspec.json.decode(spec, type=_Config)
+        wire = decoding.from_json(spec, _Config)
         return model.RoutingConfig(
             version=wire.version,
             routes=tuple(_route(route) for route in wire.routes),
@@ -193,7 +185,7 @@
                 wire.limits.idle_timeout_ms * MS,
             ),
         )
-    except (*_DECODE_ERRORS, KeyError) as error:
+    except (ValueError, OverflowError, KeyError) as error:
         raise errors.PlatformError(
             f"malformed configuration: {error}"
         ) from error
@@ -261,9 +253,9 @@
         PlatformError: If the entry is malformed.
     """
     try:
-        wire = msgspec.json.decode(spec, type=_Endpoint)
+        wire = decoding.from_json(spec, _Endpoint)
         _check_address(wire.address)
-    except _DECODE_ERRORS as error:
+    except ValueError as error:
         raise errors.PlatformError(
             f"malformed endpoint entry: {error}"
         ) from error
@@ -311,12 +303,12 @@
         PlatformError: If the entry is malformed or names another box.
     """
     try:
-        entry = msgspec.json.decode(spec, type=BoxEntry)
+        entry = decoding.from_json(spec, BoxEntry)
         _check_address(entry.callers)
         _check_address(entry.peers)
         if entry.tunnels:
             _check_address(entry.tunnels)
-    except _DECODE_ERRORS as error:
+    except ValueError as error:
         raise errors.PlatformError(f"malformed box entry: {error}") from error
     if entry.box != name:
         raise errors.PlatformError(f"the entry of {name} names box {entry.box}")
--- a/martenjunction/platform/store.py
+++ b/martenjunction/platform/store.py
@@ -1,9 +1,12 @@
 """Client of the platform's object store that counts its calls."""
 
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import dataclasses
 from typing import Any
+from typing import TypeVar
 from urllib import parse
 
 import msgspec
@@ -12,6 +15,7 @@
 from martenjunction import revisions
 from martenjunction.http1 import messages
 from martenjunction.platform import http_calls
+from martenjunction.platform import store_answers
 
 # Timeout in seconds for the head of a response, in addition to the wait of a
 # watch.
@@ -24,32 +28,7 @@
 _ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 18
 
-
-class _Meta(msgspec.Struct):
-    name: str
-    revision: int = 0
-    deletion_pending: bool = False
-
-
-class _Object(msgspec.Struct):
-    metadata: _Meta
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class _Listing(msgspec.Struct):
-    current_rev: int
-    entries: list[_Object] = []
-    has_more: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    deleted: bool = False
-
-
-class _Events(msgspec.Struct):
-    current_rev: int
-    events: list[_Event] = []
+T = TypeVar("T")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,10 +55,12 @@
             `revision`.
         revision: The store's revision from which a watch reports all changes
             that the list may lack.
+        unnamed: The number of objects left out for lack of a readable name.
     """
 
     objects: tuple[StoredObject, ...]
     revision: revisions.Revision
+    unnamed: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,7 +140,7 @@
         response = await self._call("get", "GET", _path(kind, name))
         if response.status == 404:
             return None
-        return _object(_decode(response, _Object), response.era)
+        return await _object_in(response)
 
     async def list(self, kind: str, allow_stale: bool = False) -> Listing:
         """Returns the current version of all objects of a kind.
@@ -173,6 +154,7 @@
             PlatformError: If the store rejects or does not answer a call.
         """
         objects: list[StoredObject] = []
+        unnamed = 0
         after: str | None = None
         first: revisions.Revision | None = None
         for _ in range(MAX_PAGES):
@@ -181,7 +163,7 @@
                 query["allow_stale"] = "1"
             path = _path(kind, query=query)
             response = await self._call("list", "GET", path)
-            page = _decode(response, _Listing)
+            page = await _decode(response, store_answers.decode_page)
             era = response.era
             # Entries of earlier pages may change before the later pages.
             first = first or revisions.Revision(era, page.current_rev)
@@ -190,8 +172,9 @@
                     f"pages of {kind} are from eras {first.era} and {era}"
                 )
             objects.extend(_object(entry, era) for entry in page.entries)
+            unnamed += page.unnamed
             if not page.has_more or not page.entries:
-                return Listing(tuple(objects), first)
+                return Listing(tuple(objects), first, unnamed)
             # Despite the parameter's name, the next page starts after a name,
             # not a revision.
             after = page.entries[-1].metadata.name
@@ -210,7 +193,7 @@
         Raises:
             HistoryLostError: If the store has dropped changes since `after`,
                 has been restored from a backup since then, or sends more of
-                them than a response may have.
+                them than a response may have, or one that cannot be read.
             PlatformError: If the store rejects or does not answer the call.
         """
         wait_ms = str(round(wait_s * 1000))
@@ -231,7 +214,7 @@
             raise errors.HistoryLostError(
                 f"the store has dropped changes after {after}"
             )
-        decoded = _decode(response, _Events)
+        decoded = await _decode(response, store_answers.decode_events)
         if response.era != after.era:
             # The store may already have reused this number, so that changes
             # would be missed.
@@ -304,10 +287,9 @@
         response = await self._call(
             "delete", "DELETE", _path(kind, name, query)
         )
-        if response.status == 409:
-            raise errors.VersionConflictError(name, _revision_in(response.body))
+        await _check_conflict(name, response)
         if response.status not in (200, 204, 404):
-            _decode(response, _Object)
+            _check_status(response)
 
     def close(self) -> None:
         """Closes all idle connections."""
@@ -320,9 +302,8 @@
         response = await self._call(operation, method, path, body)
         if response.status == 404:
             raise errors.ObjectMissingError(f"{name} does not exist")
-        if response.status == 409:
-            raise errors.VersionConflictError(name, _revision_in(response.body))
-        return _object(_decode(response, _Object), response.era)
+        await _check_conflict(name, response)
+        return await _object_in(response)
 
     def _check_era(self, name: str, revision: revisions.Revision) -> None:
         """Rejects a condition on a revision of an earlier era.
@@ -378,27 +359,41 @@
     return int(value)
 
 
-def _object(wire: _Object, era: int) -> StoredObject:
+def _object(wire: store_answers.WireObject, era: int) -> StoredObject:
     revision = revisions.Revision(era, wire.metadata.revision)
     return StoredObject(wire.metadata.name, revision, bytes(wire.spec))
 
 
-def _decode(response: _Response, expected_type: Any) -> Any:
+async def _object_in(response: _Response) -> StoredObject:
+    wire = await _decode(response, store_answers.decode_object)
+    return _object(wire, response.era)
+
+
+def _check_status(response: _Response) -> None:
     if response.status in (429, 503):
         raise errors.PlatformRefusedError(f"status {response.status}")
     if response.status not in (200, 201):
         raise errors.PlatformUnavailableError(f"status {response.status}")
+
+
+async def _decode(
+    response: _Response, decode: Callable[[bytes], Awaitable[T]]
+) -> T:
+    _check_status(response)
     try:
-        return msgspec.json.decode(response.body, type=expected_type)
-    except msgspec.MsgspecError as error:
+        return await decode(response.body)
+    except errors.MalformedError as error:
         raise errors.PlatformUnavailableError(
             f"malformed response: {error}"
         ) from error
 
 
-def _revision_in(body: bytes) -> int:
-    """Returns the revision in a rejected conditional write, or 0."""
-    try:
-        return msgspec.json.decode(body, type=_Object).metadata.revision
-    except msgspec.MsgspecError:
-        return 0
+async def _check_conflict(name: str, response: _Response) -> None:
+    """Raises VersionConflictError if a conditional write was rejected."""
+    if response.status != 409:
+        return
+    current = 0
+    with contextlib.suppress(errors.MalformedError):
+        found = await store_answers.decode_object(response.body)
+        current = found.metadata.revision
+    raise errors.VersionConflictError(name, current)
--- a/martenjunction/platform/stream_documents.py
+++ b/martenjunction/platform/stream_documents.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from martenjunction import decoding
 from martenjunction import errors
 from martenjunction.decisions.boxes import origin_archive
 from martenjunction.decisions.boxes import settled_services
@@ -163,8 +164,8 @@
     if len(spec) > MAX_BYTES:
         raise errors.PlatformError(f"an object of {len(spec)} bytes")
     try:
-        return msgspec.json.decode(spec, type=expected_type)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return decoding.from_json(spec, expected_type)
+    except errors.MalformedError as error:
         raise errors.PlatformError(f"malformed object: {error}") from error
 
 
--- a/martenjunction/routing/store/box_entries.py
+++ b/martenjunction/routing/store/box_entries.py
@@ -1,11 +1,11 @@
 """Decodes the boxes' entries in the store."""
 
 from martenjunction import errors
-from martenjunction import revisions
 from martenjunction.peers import membership
 from martenjunction.platform import documents
 from martenjunction.platform import store
 from martenjunction.routing.log import decision_log
+from martenjunction.routing.store import unreadable_entries
 
 
 class BoxEntryDecoder:
@@ -17,20 +17,21 @@
         Args:
             log: Gets a line for each change of an unreadable entry.
         """
-        self._log = log
-        self._unreadable_entries: dict[str, revisions.Revision] = {}
+        self._unreadable = unreadable_entries.UnreadableEntries(log)
+
+    def note_list(self, listing: store.Listing) -> None:
+        """Records how many entries of a list have no name."""
+        self._unreadable.note_unnamed(listing.unnamed)
 
     def decode(self, found: store.StoredObject) -> documents.BoxEntry | None:
         """Returns a box's entry; None if it cannot be decoded."""
         try:
-            return documents.decode_box(found.name, found.spec)
+            entry = documents.decode_box(found.name, found.spec)
         except errors.PlatformError as error:
-            if self._unreadable_entries.get(found.name) != found.revision:
-                self._unreadable_entries[found.name] = found.revision
-                self._log.write(
-                    "entry-unreadable", entry=found.name, why=str(error)
-                )
+            self._unreadable.add(found.name, found.spec, error)
             return None
+        self._unreadable.remove(found.name)
+        return entry
 
 
 def to_member(entry: documents.BoxEntry) -> membership.Member:
--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -282,6 +282,7 @@
             [(o.name, o.revision, o.spec) for o in listing.objects],
             listing.revision,
             "store",
+            listing.unnamed,
         )
         await self._watch(
             documents.ENDPOINT_KIND,
@@ -299,10 +300,18 @@
 
         An answer without changes does not advance the revision, as changes
         that a failing watch did not deliver would otherwise be skipped.
+
+        Raises:
+            PlatformError: If a watch fails, or reports a change that cannot be
+                read.
         """
         while True:
             try:
                 answer = await self._client.watch(kind, after, WATCH_TIMEOUT_S)
+            except errors.UnreadableChangeError:
+                # The list that follows gets past the change. It is a failed
+                # call, so that further such changes do not make a loop.
+                raise
             except errors.HistoryLostError:
                 return
             for change in answer.changes:
@@ -324,6 +333,7 @@
         listing = await self._client.list(
             documents.BOX_KIND, allow_stale=not first_start
         )
+        self._decoder.note_list(listing)
         present: dict[str, revisions.Revision] = {}
         for found in listing.objects:
             entry = self._decoder.decode(found)
--- a/martenjunction/routing/store/store_cache.py
+++ b/martenjunction/routing/store/store_cache.py
@@ -206,6 +206,7 @@
         objects: Sequence[listing_turns.Row],
         revision: revisions.Revision,
         source: str,
+        unnamed: int = 0,
     ) -> None:
         """Applies a complete list of endpoints; it is decoded in turns.
 
@@ -216,7 +217,9 @@
             objects: Id, revision and document of each entry.
             revision: The store's revision when the list was read.
             source: Source of the list, for the log.
+            unnamed: The number of further entries without a readable name.
         """
+        self._unreadable.note_unnamed(unnamed)
         if revision < self._listed.revision:
             return
         decoded = await listing_turns.decode(objects)
--- a/martenjunction/routing/store/unreadable_entries.py
+++ b/martenjunction/routing/store/unreadable_entries.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from collections.abc import Set
 
+import xxhash
+
 from martenjunction import errors
 from martenjunction import revisions
 from martenjunction.routing.log import decision_log
@@ -24,7 +26,9 @@
             log: Gets a line for each unreadable entry.
         """
         self._log = log
-        self._entries: dict[str, bytes] = {}
+        # A digest of each document, which may be large, by its entry's name.
+        self._digests: dict[str, bytes] = {}
+        self._unnamed = 0
         self._count = 0
 
     @property
@@ -40,17 +44,30 @@
             spec: Its document.
             error: Why it cannot be decoded.
         """
-        if self._entries.get(name) == spec:
+        digest = xxhash.xxh3_128_digest(spec)
+        if self._digests.get(name) == digest:
             return
-        if len(self._entries) >= MAX_UNREADABLE:
-            self._entries.clear()
-        self._entries[name] = spec
+        if len(self._digests) >= MAX_UNREADABLE:
+            self._digests.clear()
+        self._digests[name] = digest
         self._count += 1
         self._log.write("entry-unreadable", entry=name, why=str(error))
 
+    def note_unnamed(self, count: int) -> None:
+        """Records how many entries of a list have no name that can be read.
+
+        A larger number is logged and counted.
+        """
+        if count > self._unnamed:
+            self._count += count - self._unnamed
+            self._log.write(
+                "entry-unreadable", entry="", why=f"{count} without a name"
+            )
+        self._unnamed = count
+
     def remove(self, name: str) -> None:
         """Records that an entry is readable or gone."""
-        self._entries.pop(name, None)
+        self._digests.pop(name, None)
 
     def update(
         self,
@@ -64,7 +81,7 @@
             unreadable: Those that cannot be decoded, each with the reason.
         """
         readable = names - {name for (name, _, _), _ in unreadable}
-        for name in self._entries.keys() & readable:
-            del self._entries[name]
+        for name in self._digests.keys() & readable:
+            del self._digests[name]
         for (name, _, spec), error in unreadable:
             self.add(name, spec, error)
--- a/martenjunction_lab/platform.py
+++ b/martenjunction_lab/platform.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any
 
+import msgspec
 from tornado import web
 
 from martenjunction.objects import client as object_client
@@ -256,6 +257,17 @@
         if not bucket.take(rate):
             raise web.HTTPError(429)
 
+    def write(self, chunk: Any) -> None:
+        """Writes text, or a document that may hold JSON as it is to be sent.
+
+        Args:
+            chunk: Text, or a document whose parts may be `msgspec.Raw`.
+        """
+        if isinstance(chunk, dict):
+            self.set_header("Content-Type", "application/json")
+            chunk = msgspec.json.encode(chunk)
+        super().write(chunk)
+
     async def meet_outage(self) -> None:
         """Leaves a call without an answer while the store is away."""
         if self._platform.faults.silent:
