Follow objects and boxes beside one that no decoder reads

Cause: the product's own daemons decoded all objects of a list or a watch, and all listed boxes, and one that failed failed the call; content nested too deep raised RecursionError, which ended the reading task. An object that holds a number in place of text was passed on to other daemons, whose decoder of messages refuses the batch with PeerError, which ends the link.

Change: an object that cannot be decoded is left out and logged; its last readable version stays active, as that of an invalid one does. One that does not hold text by key is not applied and not passed on. Peers' messages and deltas go through the shared decoding.

--- a/martenjunction/decoding.py
+++ b/martenjunction/decoding.py
@@ -4,6 +4,7 @@
 see one of them.
 """
 
+import json
 from typing import Any
 from typing import TypeVar
 
@@ -37,6 +38,24 @@
         raise errors.MalformedError(str(error)) from error
 
 
+def value_from_json(data: bytes) -> Any:
+    """Decodes JSON of any type, as `from_json` does."""
+    any_type: Any = Any
+    return from_json(data, any_type)
+
+
+def lenient_value_from_json(data: bytes) -> Any:
+    """Decodes JSON that may hold lone surrogates, as models write them.
+
+    Raises:
+        MalformedError: If it is no JSON, or nested too deep.
+    """
+    try:
+        return json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise errors.MalformedError(str(error)) from error
+
+
 def from_cbor(data: bytes) -> Any:
     """Decodes CBOR.
 
--- a/martenjunction/objects/client.py
+++ b/martenjunction/objects/client.py
@@ -4,15 +4,18 @@
 kind; the rest is its name.
 """
 
+from collections.abc import Iterable
+import logging
 from typing import Any
 
-import msgspec
-
+from martenjunction import decoding
 from martenjunction import errors
 from martenjunction import revisions
 from martenjunction.objects import model
 from martenjunction.platform import store
 
+logger = logging.getLogger(__name__)
+
 KIND_PREFIX = "martenjunction-"
 LISTED_KIND = "martenjunction-listed"
 
@@ -79,6 +82,8 @@
     async def list_objects(self, prefix: str) -> model.ObjectList:
         """Returns all objects whose keys start with a prefix.
 
+        Objects that cannot be decoded are left out and logged.
+
         Args:
             prefix: The first part of the keys, including the slash.
 
@@ -89,10 +94,7 @@
         listing = await self._store.list(kind)
         return model.ObjectList(
             listing.revision.number,
-            [
-                _object(prefix + stored.name, stored)
-                for stored in listing.objects
-            ],
+            _readable(prefix, listing.objects),
         )
 
     async def watch(
@@ -106,9 +108,9 @@
             wait: Seconds to wait for the first change.
 
         Returns:
-            The objects changed since then, where deleted ones have no value;
-            or None if the version is too old and the objects must be listed
-            again.
+            The objects changed since then, where deleted ones have no value
+            and those that cannot be decoded are left out and logged; or None if
+            the version is too old and the objects must be listed again.
 
         Raises:
             PlatformError: If the platform rejects or does not answer the call.
@@ -126,30 +128,32 @@
                 model.PlatformObject(
                     prefix + name, change.object.revision.number
                 )
-                if change.deleted
-                else _object(prefix + name, change.object)
                 for name, change in newest.items()
-            ],
+                if change.deleted
+            ]
+            + _readable(
+                prefix,
+                [c.object for c in newest.values() if not c.deleted],
+            ),
         )
 
     async def boxes(self, after: int) -> model.BoxList:
         """Returns the boxes that changed after a version of the list.
 
+        Boxes that cannot be decoded are left out and logged.
+
         Raises:
-            PlatformError: If the platform rejects or does not answer the call,
-                or if the list is malformed.
+            PlatformError: If the platform rejects or does not answer the call.
         """
         listing = await self._store.list(LISTED_KIND)
-        try:
-            boxes = [
-                msgspec.json.decode(stored.spec, type=model.ListedBox)
-                for stored in listing.objects
-                if stored.revision.number > after
-            ]
-        except msgspec.MsgspecError as error:
-            raise errors.PlatformUnavailableError(
-                f"malformed list of boxes: {error}"
-            ) from error
+        boxes = []
+        for stored in listing.objects:
+            if stored.revision.number <= after:
+                continue
+            try:
+                boxes.append(decoding.from_json(stored.spec, model.ListedBox))
+            except errors.MalformedError as error:
+                logger.warning("unreadable box %s: %s", stored.name, error)
         newest = max(
             (stored.revision.number for stored in listing.objects), default=0
         )
@@ -162,10 +166,23 @@
     return KIND_PREFIX + first, name
 
 
+def _readable(
+    prefix: str, found: Iterable[store.StoredObject]
+) -> list[model.PlatformObject]:
+    """Returns the objects that can be decoded; logs the others."""
+    objects = []
+    for stored in found:
+        try:
+            objects.append(_object(prefix + stored.name, stored))
+        except errors.PlatformUnavailableError as error:
+            logger.warning("unreadable object: %s", error)
+    return objects
+
+
 def _object(key: str, stored: store.StoredObject) -> model.PlatformObject:
     try:
-        value = msgspec.json.decode(stored.spec)
-    except msgspec.MsgspecError as error:
+        value = decoding.value_from_json(stored.spec)
+    except errors.MalformedError as error:
         raise errors.PlatformUnavailableError(
             f"malformed value of {key}: {error}"
         ) from error
--- a/martenjunction/objects/configuration.py
+++ b/martenjunction/objects/configuration.py
@@ -67,6 +67,20 @@
     return values if isinstance(values, dict) else None
 
 
+def is_readable(item: model.PlatformObject) -> bool:
+    """Returns whether an object was deleted, or holds text by key."""
+    value = item.value
+    if value is None:
+        return True
+    if not isinstance(value, dict):
+        return False
+    values = value.get("values")
+    return values is None or (
+        isinstance(values, dict)
+        and all(isinstance(text, str) for text in values.values())
+    )
+
+
 def diff_values(
     old: dict[str, str] | None, new: dict[str, str] | None
 ) -> list[str]:
--- a/martenjunction/objects/feed.py
+++ b/martenjunction/objects/feed.py
@@ -158,11 +158,14 @@
     def _apply(self, listed: model.ObjectList) -> None:
         self._last_response_at = self._timers.now()
         self._known_version = listed.version
-        objects = [
-            store.ConfigObject(
-                item.key, item.version, configuration.values_of(item)
-            )
-            for item in listed.objects
-        ]
+        objects = []
+        for item in listed.objects:
+            if not configuration.is_readable(item):
+                # The last readable version stays active, and no other daemon
+                # is told what it could not decode.
+                logger.warning("%s does not hold text by key", item.key)
+                continue
+            values = configuration.values_of(item)
+            objects.append(store.ConfigObject(item.key, item.version, values))
         if objects:
             self._on_objects(objects)
--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -7,6 +7,7 @@
 import cbor2
 import msgspec
 
+from martenjunction import decoding
 from martenjunction import errors
 from martenjunction import registry
 
@@ -87,10 +88,9 @@
             unknown or has fields of the wrong number or type.
     """
     try:
-        batch = cbor2.loads(data)
-    except Exception as error:
-        # The decoder raises several types of error for malformed input.
-        raise errors.PeerError(f"malformed CBOR: {error}") from error
+        batch = decoding.from_cbor(data)
+    except errors.MalformedError as error:
+        raise errors.PeerError(str(error)) from error
     if not isinstance(batch, list):
         raise errors.PeerError("a batch is not a list of messages")
     return [_decode(parts) for parts in batch]
--- a/martenjunction/peers/document_delta.py
+++ b/martenjunction/peers/document_delta.py
@@ -9,6 +9,7 @@
 
 import cbor2
 
+from martenjunction import decoding
 from martenjunction import errors
 
 # Documents are split at this byte, so that each object of a JSON array is a
@@ -92,9 +93,8 @@
 def _parts(delta: bytes) -> list[Any]:
     decompressor = zlib.decompressobj()
     try:
-        parts = cbor2.loads(decompressor.decompress(delta, MAX_BYTES))
-    except Exception as error:
-        # The decoders raise several types of error for malformed input.
+        parts = decoding.from_cbor(decompressor.decompress(delta, MAX_BYTES))
+    except (zlib.error, errors.MalformedError) as error:
         raise errors.PeerError(f"malformed delta: {error}") from error
     if not isinstance(parts, list):
         raise errors.PeerError("a delta is not a list of parts")
