Take an engine's event that cannot be read for a broken response

Cause: an event nested too deep raised RecursionError, and one that is no object, or whose choices are no list of objects, raised AttributeError or KeyError as the whole response was assembled: the request ended with an error of the daemon itself.

Change: chat bodies, operators' questions and engines' events go through the shared decoding; an event that is no object breaks the response, and choices of another shape hold no text.

--- a/martenjunction/callers/chat.py
+++ b/martenjunction/callers/chat.py
@@ -8,6 +8,7 @@
 import pydantic
 from tornado import iostream
 
+from martenjunction import decoding
 from martenjunction import errors
 from martenjunction import http_headers
 from martenjunction.callers import handlers
@@ -69,9 +70,9 @@
 
     def _parse_body(self) -> tuple[dict[str, Any], ChatBody]:
         try:
-            raw = json.loads(self.body)
+            raw = decoding.lenient_value_from_json(self.body)
             body = _BODY.validate_python(raw)
-        except (ValueError, RecursionError) as error:
+        except ValueError as error:
             raise errors.CallerError(
                 400, "bad-request", _describe_error(error)
             ) from error
--- a/martenjunction/endpoints/engine_protocol.py
+++ b/martenjunction/endpoints/engine_protocol.py
@@ -9,6 +9,7 @@
 import json
 from typing import Any
 
+from martenjunction import decoding
 from martenjunction import errors
 from martenjunction import http_headers
 from martenjunction.endpoints import client
@@ -170,7 +171,7 @@
         """Returns the parsed chunks of all complete events.
 
         Raises:
-            EndpointBrokenError: If an event is not JSON.
+            EndpointBrokenError: If an event is not a JSON object.
         """
         parsed = []
         for event in b"".join(self._events).split(EVENT_END):
@@ -178,11 +179,14 @@
             if not data or data == b"[DONE]":
                 continue
             try:
-                parsed.append(json.loads(data))
-            except ValueError as error:
+                chunk = decoding.lenient_value_from_json(data)
+            except errors.MalformedError as error:
                 raise errors.EndpointBrokenError(
                     "event is not valid JSON"
                 ) from error
+            if not isinstance(chunk, dict):
+                raise errors.EndpointBrokenError("event is not an object")
+            parsed.append(chunk)
         return parsed
 
     def _check_sequence(self, whole: bytes) -> None:
@@ -217,10 +221,16 @@
     return b""
 
 
+def _first_choice(chunk: dict[str, Any]) -> dict[str, Any]:
+    """Returns the first choice of a chunk; {} if it has none."""
+    choices = chunk.get("choices")
+    first = choices[0] if isinstance(choices, list) and choices else {}
+    return first if isinstance(first, dict) else {}
+
+
 def _extract_content(chunk: dict[str, Any]) -> str:
-    choices = chunk.get("choices") or [{}]
-    delta = choices[0].get("delta") or {}
-    return str(delta.get("content") or "")
+    delta = _first_choice(chunk).get("delta")
+    return str((delta if isinstance(delta, dict) else {}).get("content") or "")
 
 
 def assemble(delivered: Delivered) -> dict[str, Any]:
@@ -233,7 +243,7 @@
     if not chunks:
         raise errors.EndpointBrokenError("response without a chunk")
     last = chunks[-1]
-    reason = (last.get("choices") or [{}])[0].get("finish_reason")
+    reason = _first_choice(last).get("finish_reason")
     return {
         "id": last.get("id"),
         "object": "chat.completion",
--- a/martenjunction/operators/handlers.py
+++ b/martenjunction/operators/handlers.py
@@ -8,6 +8,9 @@
 
 from tornado import web
 
+from martenjunction import decoding
+from martenjunction import errors
+
 BEARER_PREFIX = "Bearer "
 
 
@@ -83,8 +86,8 @@
     def post(self) -> None:
         """Responds with how a described request would be routed."""
         try:
-            question = json.loads(self.request.body)
-        except ValueError as error:
+            question = decoding.lenient_value_from_json(self.request.body)
+        except errors.MalformedError as error:
             raise web.HTTPError(400) from error
         self.write(self._daemon.explain(question))
 
