--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -213,6 +213,39 @@
             report.plot(seen, self.plot)
 
 
+@cappa.command(help="Decode odd inputs and look for what decoders do wrong.")
+@dataclasses.dataclass
+class Fuzz:
+    """Fuzzes the decoders of what comes from outside."""
+
+    targets: Annotated[
+        list[str], cappa.Arg(help="Names of targets; all if left out.")
+    ] = dataclasses.field(default_factory=list)
+    seconds: Annotated[
+        float, cappa.Arg(long=True, help="Seconds for each target.")
+    ] = 10.0
+    count: Annotated[
+        int | None,
+        cappa.Arg(long=True, help="Inputs of each target, for any time."),
+    ] = None
+    seed: Annotated[int, cappa.Arg(long=True, help="Decides the inputs.")] = 1
+    out: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long=True, help="Folder for lines, a plot and findings."),
+    ] = None
+
+    def __call__(self) -> None:
+        """Fuzzes one target after the other; fails if a fault is found."""
+        # Loads matplotlib, which other commands need not wait for.
+        from martenjunction_lab.fuzz import session
+
+        sys.exit(
+            session.play(
+                self.targets, self.seconds, self.count, self.seed, self.out
+            )
+        )
+
+
 @cappa.command(
     name="martenjunction-lab", help="Stand-ins, load and experiments."
 )
@@ -221,7 +254,14 @@
     """The command and its subcommands."""
 
     subcommand: cappa.Subcommands[
-        Demo | Compare | Replay | Spread | Capacity | Senders | StreamLosses
+        Demo
+        | Compare
+        | Replay
+        | Spread
+        | Capacity
+        | Senders
+        | StreamLosses
+        | Fuzz
     ]
 
 
--- /dev/null
+++ b/martenjunction_lab/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded fuzzing of what the product decodes from outside."""
