Ignore counts and deadlines in headers that are no plain numbers

A count of 5,000 digits, or one in other digits, raised an exception where the headers of a request are decoded: the request got 502. A count of 400 digits got 502 where it met a float. Counts now have 12 digits at most, deadlines are finite, and others are ignored as malformed.

--- a/martenjunction/platform/headers.py
+++ b/martenjunction/platform/headers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import re
 
 from martenjunction.http1 import messages
 
@@ -50,6 +51,10 @@
 MS = 0.001
 LOWEST_URGENCY = 9
 
+# A number of tokens or requests. What is worked out from more digits may be no
+# finite number.
+_COUNT = re.compile(r"[0-9]{1,12}")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -245,20 +250,25 @@
     parts = []
     for text in value.decode("latin-1").split(","):
         name, _, tokens = text.strip().partition(":")
-        if name and tokens.isdigit():
+        if name and _COUNT.fullmatch(tokens):
             parts.append(PromptPart(name, int(tokens)))
     return tuple(parts)
 
 
 def _integers(value: bytes) -> list[int]:
-    try:
-        return [int(part) for part in value.split(b",")] if value else []
-    except ValueError:
+    """Returns the counts in a header; none if one of them is malformed."""
+    texts = [text.strip() for text in value.decode("latin-1").split(",")]
+    if not all(map(_COUNT.fullmatch, texts)):
         return []
+    return list(map(int, texts))
 
 
 def _number(value: bytes | None) -> float | None:
+    """Returns the finite number in a header, or None."""
+    if value is None or b"_" in value:
+        return None
     try:
-        return float(value) if value is not None else None
+        number = float(value)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
--- /dev/null
+++ b/tests/test_odd_fields.py
@@ -0,0 +1,58 @@
+"""Odd values in fields of requests, which spoil no request.
+
+Guards against values that no client is expected to send: they are ignored, and
+a request that has one is served.
+"""
+
+import pytest
+
+from martenjunction.http1 import messages
+from martenjunction.platform import headers
+from martenjunction_lab import boxes
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+
+TOKENS = "Martenjunction-Token-Counts"
+PARTS = "Martenjunction-Prefix-Hash"
+DIGITS = "9" * 400
+# Python converts no more than 4,300 digits.
+MANY_DIGITS = "9" * 5000
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (TOKENS, DIGITS),
+        (TOKENS, "500,-80"),
+        (TOKENS, "1_000,80"),
+        (PARTS, f"aa:{DIGITS}"),
+        (PARTS, f"aa:{MANY_DIGITS}"),
+    ],
+)
+async def test_request_with_odd_counts_is_served(
+    fleet: boxes.Boxes, name: str, value: str
+) -> None:
+    for service in (builders.ENGINE, builders.PLAIN):
+        await fleet.add_replica(service)
+    await fleet.until_listed()
+    for path in ("/chat/", "/safe/"):
+        head, _ = await requests.ask(fleet, path, **{name: value})
+        assert head.status == 200, path
+
+
+def test_part_whose_length_is_no_ascii_number_is_ignored() -> None:
+    fields = [(PARTS.encode(), b"aa:\xb2,bb:4")]
+    parts = headers.decode_request(fields).parts
+    assert [part.id for part in parts] == ["bb"]
+
+
+@pytest.mark.parametrize("value", ["nan", "inf", "-inf", "1e400", "1_000"])
+def test_deadline_that_is_no_plain_number_is_ignored(value: str) -> None:
+    fields = [(b"Martenjunction-Deadline-Ms", value.encode())]
+    assert headers.decode_request(fields).deadline_s is None
+
+
+@pytest.mark.parametrize("value", ["-3,4,8", f"3,4,{DIGITS}", "3,4,\xb2"])
+def test_odd_load_of_an_endpoint_is_ignored(value: str) -> None:
+    fields = [(b"martenjunction-replica-load", value.encode("latin-1"))]
+    assert headers.load_of(messages.ResponseHead(200, fields)) is None
