Pass on fields that endpoints need, whatever Connection lists

A client that listed Host in its Connection header got 502 from an exception, and one that listed the request's id ran into its deadline (504), as the endpoint's answers could not be told from others'. A sender must not list fields that are meant for all recipients; those that an endpoint needs are now passed on.

--- a/martenjunction/http1/messages.py
+++ b/martenjunction/http1/messages.py
@@ -27,18 +27,24 @@
     return None
 
 
-def without(headers: Headers, dropped: frozenset[bytes]) -> Headers:
+def without(
+    headers: Headers,
+    dropped: frozenset[bytes],
+    end_to_end: frozenset[bytes] = frozenset(),
+) -> Headers:
     """Returns headers without given names and without hop-by-hop headers.
 
     Args:
         headers: Names and values.
         dropped: Names to remove, in lower case.
+        end_to_end: Names, in lower case, that the Connection header must not
+            list (RFC 9110, section 7.6.1).
     """
     named: set[bytes] = set()
     for key, value in headers:
         if key.lower() == b"connection":
             named.update(part.strip().lower() for part in value.split(b","))
-    gone = HOP_BY_HOP | dropped | named
+    gone = HOP_BY_HOP | dropped | (named - end_to_end)
     return [(key, value) for key, value in headers if key.lower() not in gone]
 
 
--- a/martenjunction/platform/headers.py
+++ b/martenjunction/platform/headers.py
@@ -48,6 +48,18 @@
 )
 _FRAMING_HEADERS = frozenset({b"content-length"})
 
+# Headers of a request without which an endpoint cannot answer it.
+_END_TO_END = frozenset(
+    {
+        b"host",
+        _REQUEST_ID.lower(),
+        _RESUMES,
+        LAST_EVENT_ID.lower(),
+        _PROMPT_PARTS,
+        _TOKENS,
+    }
+)
+
 MS = 0.001
 LOWEST_URGENCY = 9
 
@@ -171,7 +183,7 @@
             the client's own header.
         copies: Endpoints that keep or provide a copy of the KV cache, or None.
     """
-    forwarded = messages.without(headers, _NOT_FORWARDED)
+    forwarded = messages.without(headers, _NOT_FORWARDED, _END_TO_END)
     if resume_from is not None:
         name = LAST_EVENT_ID.lower()
         forwarded = [(n, v) for n, v in forwarded if n.lower() != name]
--- a/tests/test_odd_fields.py
+++ b/tests/test_odd_fields.py
@@ -56,3 +56,20 @@
 def test_odd_load_of_an_endpoint_is_ignored(value: str) -> None:
     fields = [(b"martenjunction-replica-load", value.encode("latin-1"))]
     assert headers.load_of(messages.ResponseHead(200, fields)) is None
+
+
+@pytest.mark.parametrize(
+    "named", ["close, Host", "martenjunction-attempt-id", "host, x-own"]
+)
+async def test_connection_header_takes_no_field_that_endpoints_need(
+    fleet: boxes.Boxes, named: str
+) -> None:
+    made = await requests.two_plain(fleet)
+    head, _ = await requests.ask(
+        fleet, "/safe/", **{"Connection": named, "X-Own": "1"}
+    )
+    assert head.status == 200
+    [got] = [r for stand_in in made for r in stand_in.received]
+    assert got.headers.get("martenjunction-attempt-id") == "r1"
+    assert got.headers.get("host")
+    assert ("x-own" in got.headers) == ("x-own" not in named)
