Refuse requests for tunnels with 501

CONNECT was forwarded like other methods. After an answer of 2xx the parser takes what follows as a tunnel, so that the box got no answer out: the client of the test waited for 10 s without one. It is now refused before anything behind it is read, and no endpoint sees it.

--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -152,8 +152,12 @@
         The length of the body in bytes, or None if it is chunked.
 
     Raises:
-        RequestSyntaxError: If the framing is ambiguous or the body too large.
+        RequestSyntaxError: If the framing is ambiguous, the body too large, or
+            the request for a tunnel.
     """
+    if request.method == b"CONNECT":
+        # What follows it would be no request.
+        raise request_errors.RequestSyntaxError(501, "a tunnel is requested")
     names = [name.lower() for name, _ in request.headers]
     coded = names.count(b"transfer-encoding")
     lengths = names.count(b"content-length")
--- a/tests/test_odd_fields.py
+++ b/tests/test_odd_fields.py
@@ -4,6 +4,8 @@
 a request that has one is served.
 """
 
+import asyncio
+
 import pytest
 
 from martenjunction.http1 import messages
@@ -73,3 +75,22 @@
     assert got.headers.get("martenjunction-attempt-id") == "r1"
     assert got.headers.get("host")
     assert ("x-own" in got.headers) == ("x-own" not in named)
+
+
+async def test_connect_is_refused(fleet: boxes.Boxes) -> None:
+    made = await requests.two_plain(fleet)
+    fields = requests.request_headers("r1").items()
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields)
+    host, _, port = fleet.addresses[0].partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        f"CONNECT /safe/ HTTP/1.1\r\nHost: {builders.HOST}\r\n{lines}\r\n"
+        "GET /safe/ HTTP/1.1\r\nHost: a\r\n\r\n".encode()
+    )
+    async with asyncio.timeout(10.0):
+        answer = await reader.read()
+    writer.close()
+    assert answer.startswith(b"HTTP/1.1 501 ")
+    assert b"connection: close" in answer.lower()
+    assert answer.count(b"HTTP/1.1 ") == 1
+    assert not [r for stand_in in made for r in stand_in.received]
