Reject settings files of other types, numbers or encodings

Text that is not UTF-8, nesting, numbers of 5,000 digits, an infinite memory limit or a section that is none raised errors that neither the start nor a reload expects; a number as the box's name, or a bandwidth that is no number, was accepted.

--- a/martenjunction/platform/box_settings.py
+++ b/martenjunction/platform/box_settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 import tomllib
 from typing import Any
 
@@ -130,11 +131,19 @@
     try:
         with open(path, "rb") as file:
             table = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
+        # The decoder's own error is a ValueError, as are those of Python for
+        # invalid Unicode and too long numbers.
         raise errors.SettingsError(str(error), path) from error
     try:
         return _decode(table)
-    except (KeyError, TypeError, ValueError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise errors.SettingsError(
             f"missing or invalid setting: {error}", path
         ) from error
@@ -146,36 +155,63 @@
     limits = table["limits"]
     bounds = table["bounds"]
     return BoxSettings(
-        box=table["node"],
-        zone=table["zone"],
-        region=table["region"],
-        ip=table["ip"],
-        zones=dict(table.get("zones", {})),
-        callers=listen["frontend"],
-        ready=listen["ready"],
-        entry=listen["directory"],
+        box=_text(table["node"]),
+        zone=_text(table["zone"]),
+        region=_text(table["region"]),
+        ip=_text(table["ip"]),
+        zones={
+            _text(zone): _text(region)
+            for zone, region in table.get("zones", {}).items()
+        },
+        callers=_text(listen["frontend"]),
+        ready=_text(listen["ready"]),
+        entry=_text(listen["directory"]),
         # Not used from outside, so that daemons can use it for their peers.
-        peers=listen["control_plane"],
-        seeds=tuple(table.get("seeds", ())),
-        store=table["platform"]["address"],
+        peers=_text(listen["control_plane"]),
+        seeds=tuple(map(_text, table.get("seeds", ()))),
+        store=_text(table["platform"]["address"]),
         memory_bytes=int(limits["memory_mb"]) * MEGABYTE,
         max_descriptors=int(limits["max_fds"]),
-        link_bytes_s=limits["link_mbps"] * MEGABIT / BITS_PER_BYTE,
-        drain_s=bounds["drain_ms"] * MS,
-        stop_s=float(bounds["grace_s"]),
-        key_lifetime_s=bounds["revoke_ms"] * MS,
-        change_s=bounds["config_ms"] * MS,
+        link_bytes_s=_number(limits["link_mbps"]) * MEGABIT / BITS_PER_BYTE,
+        drain_s=_number(bounds["drain_ms"]) * MS,
+        stop_s=_number(bounds["grace_s"]),
+        key_lifetime_s=_number(bounds["revoke_ms"]) * MS,
+        change_s=_number(bounds["config_ms"]) * MS,
         keys_fail_closed=bool(bounds["fail_closed"]),
-        retry_ratio=float(bounds["retry_ratio"]),
-        retry_window_s=float(bounds["retry_window_s"]),
-        retry_allowance=float(bounds["retry_slack"]),
-        max_entry_ttl_s=float(bounds["ttl_max_s"]),
+        retry_ratio=_number(bounds["retry_ratio"]),
+        retry_window_s=_number(bounds["retry_window_s"]),
+        retry_allowance=_number(bounds["retry_slack"]),
+        max_entry_ttl_s=_number(bounds["ttl_max_s"]),
         first_start=bool(table.get("bootstrap", False)),
         duties=_decode_duties(table.get("cloud", {}), bounds),
         tunnels=_tunnels_address(table),
     )
 
 
+def _text(value: object) -> str:
+    """Returns a setting that is text.
+
+    Raises:
+        TypeError: If it is of another type.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a string")
+    return value
+
+
+def _number(value: Any) -> float:
+    """Returns a setting that is a finite number.
+
+    Raises:
+        TypeError: If it is of another type.
+        ValueError: If it is not finite.
+    """
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value!r} is not finite")
+    return number
+
+
 def _tunnels_address(table: dict[str, Any]) -> str:
     """Returns an address within the range of ports for daemons, or ""."""
     ports = table.get("port_range", ())
@@ -197,13 +233,13 @@
     )
     if not kinds:
         return None
-    window_s = float(bounds["window_s"])
+    window_s = _number(bounds["window_s"])
     if window_s <= 0:
         raise ValueError(f"window_s is {window_s}")
     return DutySettings(
-        address=cloud["address"],
+        address=_text(cloud["address"]),
         kinds=kinds,
-        no_return_s=bounds["lease_ms"] * MS,
+        no_return_s=_number(bounds["lease_ms"]) * MS,
         window_s=window_s,
-        usage_due_s=float(bounds["usage_late_s"]),
+        usage_due_s=_number(bounds["usage_late_s"]),
     )
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -33,6 +33,36 @@
     assert read == dataclasses.replace(settings, zones={})
 
 
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ('node = "edge-a-1"', 'node = "\xff"'),
+        ('node = "edge-a-1"', "node = 1"),
+        ('ip = "', 'ip = ["'),
+        ("seeds = [", "seeds = [1, "),
+        ("unknown", "x = " + "[" * 3000 + "\nunknown"),
+        ("unknown", "x = " + "9" * 5000 + "\nunknown"),
+        ("memory_mb = ", "memory_mb = inf #"),
+        ("link_mbps = ", "link_mbps = nan #"),
+        ("retry_ratio = ", 'retry_ratio = "x" #'),
+        ("[platform]", '[cloud]\nduties = ["metering"]\n[platform]'),
+        ("bootstrap = false", 'cloud = "x"'),
+        ("bootstrap = false", "zones = [[1, 2]]"),
+        ("bootstrap = false", "listen = 1"),
+    ],
+)
+def test_settings_of_other_types_are_rejected(
+    tmp_path: pathlib.Path, old: str, new: str
+) -> None:
+    settings = boxes.settings("edge-a-1", "10.200.0.1:8223", metrics_port=9464)
+    text = builders.settings_text(settings)
+    assert old in text
+    file = tmp_path / "local.toml"
+    file.write_bytes(text.replace(old, new, 1).encode("latin-1"))
+    with pytest.raises(errors.SettingsError):
+        box_settings.read(str(file))
+
+
 @pytest.mark.parametrize("broken", ["", "node = ", "node = 'x'"])
 def test_incomplete_settings_are_rejected(
     tmp_path: pathlib.Path, broken: str
