--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -239,6 +239,7 @@
         # Loads matplotlib, which other commands need not wait for.
         from martenjunction_lab.fuzz import session
 
+        logging.disable(logging.ERROR)
         sys.exit(
             session.play(
                 self.targets, self.seconds, self.count, self.seed, self.out
--- a/martenjunction_lab/fuzz/session.py
+++ b/martenjunction_lab/fuzz/session.py
@@ -1,7 +1,6 @@
 """Fuzzes several targets one after the other and writes what was found."""
 
 from collections.abc import Sequence
-import logging
 import pathlib
 
 # Importing the families registers their targets.
@@ -35,7 +34,6 @@
     Raises:
         MartenjunctionError: If there is no target of a name.
     """
-    logging.disable(logging.ERROR)
     played = []
     for name in names or list(targets.registered):
         run = runs.run(name, seed, None if count else seconds, count)
