Count chunks of an engine that are no chunks as a broken answer

A chunk that is no object, choices or a delta of another type, and nesting beyond the limit raised errors that callers of the assembly do not expect. A chunk that is no object in JSON now breaks the answer; choices of other types have no content.

--- a/martenjunction/endpoints/engine_protocol.py
+++ b/martenjunction/endpoints/engine_protocol.py
@@ -170,7 +170,7 @@
         """Returns the parsed chunks of all complete events.
 
         Raises:
-            EndpointBrokenError: If an event is not JSON.
+            EndpointBrokenError: If an event is not an object in JSON.
         """
         parsed = []
         for event in b"".join(self._events).split(EVENT_END):
@@ -178,11 +178,14 @@
             if not data or data == b"[DONE]":
                 continue
             try:
-                parsed.append(json.loads(data))
-            except ValueError as error:
+                chunk = json.loads(data)
+            except (ValueError, RecursionError) as error:
                 raise errors.EndpointBrokenError(
                     "event is not valid JSON"
                 ) from error
+            if not isinstance(chunk, dict):
+                raise errors.EndpointBrokenError("event is not a chunk")
+            parsed.append(chunk)
         return parsed
 
     def _check_sequence(self, whole: bytes) -> None:
@@ -217,10 +220,17 @@
     return b""
 
 
+def _first_choice(chunk: dict[str, Any]) -> dict[str, Any]:
+    """Returns a chunk's first choice; empty if it has none."""
+    choices = chunk.get("choices")
+    first = choices[0] if isinstance(choices, list) and choices else None
+    return first if isinstance(first, dict) else {}
+
+
 def _extract_content(chunk: dict[str, Any]) -> str:
-    choices = chunk.get("choices") or [{}]
-    delta = choices[0].get("delta") or {}
-    return str(delta.get("content") or "")
+    delta = _first_choice(chunk).get("delta")
+    content = delta.get("content") if isinstance(delta, dict) else None
+    return content if isinstance(content, str) else ""
 
 
 def assemble(delivered: Delivered) -> dict[str, Any]:
@@ -233,7 +243,7 @@
     if not chunks:
         raise errors.EndpointBrokenError("response without a chunk")
     last = chunks[-1]
-    reason = (last.get("choices") or [{}])[0].get("finish_reason")
+    reason = _first_choice(last).get("finish_reason")
     return {
         "id": last.get("id"),
         "object": "chat.completion",
--- a/martenjunction_lab/fuzz/families/__init__.py
+++ b/martenjunction_lab/fuzz/families/__init__.py
@@ -1,6 +1,7 @@
 """Targets by family; importing the modules registers them."""
 
 from martenjunction_lab.fuzz.families import documents
+from martenjunction_lab.fuzz.families import engine_streams
 from martenjunction_lab.fuzz.families import event_streams
 from martenjunction_lab.fuzz.families import header_fields
 from martenjunction_lab.fuzz.families import http_requests
@@ -12,6 +13,7 @@
 
 __all__ = [
     "documents",
+    "engine_streams",
     "event_streams",
     "header_fields",
     "http_requests",
