--- a/martenjunction_lab/fuzz/http_messages.py
+++ b/martenjunction_lab/fuzz/http_messages.py
@@ -135,18 +135,43 @@
 )
 
 
+# Fields and bodies that fit together.
+_SOUND = (
+    ((), b""),
+    ((b"Content-Length: 5",), b"hello"),
+    ((b"Content-Length: 0",), b""),
+    ((b"content-length: 5, 5",), b"hello"),
+    ((b"Transfer-Encoding: chunked",), b"5\r\nhello\r\n0\r\n\r\n"),
+    ((b"Transfer-Encoding: Chunked",), b"2;a=b\r\nhe\r\n1\r\nl\r\n0\r\n\r\n"),
+    ((b"Transfer-Encoding: chunked",), b"1\r\nh\r\n0\r\nX: y\r\n\r\n"),
+)
+
+# Share of messages that are sound, and of the parts of others that are odd.
+_SOUND_SHARE = 0.5
+_ODD_SHARE = 0.25
+
+
 def _message(rng: random.Random, starts: tuple[bytes, ...]) -> bytes:
-    lines = [b"Host: a"] if rng.random() < 0.9 else []
-    lines += rng.choices(_FRAMING, k=rng.choice((0, 1, 1, 1, 2)))
-    lines += rng.choices(_FIELDS, k=rng.choice((0, 0, 1, 2)))
-    if rng.random() < 0.5:
-        rng.shuffle(lines)
-    # Most messages keep to one end of lines.
-    ends = _EOL if rng.random() < 0.2 else _EOL[:1]
-    head = b"".join(
-        line + rng.choice(ends) for line in (rng.choice(starts), *lines)
-    )
-    return head + rng.choice(ends) + rng.choice(_BODIES)
+    fields, body = rng.choice(_SOUND)
+    lines = [b"Host: a", *fields]
+    start, ends = starts[0], _EOL[:1]
+    if rng.random() >= _SOUND_SHARE:
+        if rng.random() < _ODD_SHARE:
+            start = rng.choice(starts)
+        if rng.random() < _ODD_SHARE:
+            lines[rng.randrange(len(lines))] = rng.choice(_FRAMING)
+        if rng.random() < _ODD_SHARE:
+            lines.append(rng.choice(_FRAMING))
+        if rng.random() < _ODD_SHARE:
+            lines += rng.choices(_FIELDS, k=2)
+            rng.shuffle(lines)
+        if rng.random() < _ODD_SHARE:
+            body = rng.choice(_BODIES)
+        if rng.random() < _ODD_SHARE:
+            # Most lines of a head still end as they should.
+            ends = _EOL
+    head = b"".join(line + rng.choice(ends) for line in (start, *lines))
+    return head + rng.choice(ends) + body
 
 
 def _messages(rng: random.Random, starts: tuple[bytes, ...]) -> bytes:
