--- a/martenjunction/endpoints/engine_protocol.py
+++ b/martenjunction/endpoints/engine_protocol.py
@@ -230,7 +230,8 @@
 
 def _extract_content(chunk: dict[str, Any]) -> str:
     delta = _first_choice(chunk).get("delta")
-    return str((delta if isinstance(delta, dict) else {}).get("content") or "")
+    content = delta.get("content") if isinstance(delta, dict) else None
+    return content if isinstance(content, str) else ""
 
 
 def assemble(delivered: Delivered) -> dict[str, Any]:
--- a/martenjunction/platform/headers.py
+++ b/martenjunction/platform/headers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import re
 
 from martenjunction.http1 import messages
 
@@ -47,9 +48,25 @@
 )
 _FRAMING_HEADERS = frozenset({b"content-length"})
 
+# Headers of a request without which an endpoint cannot answer it.
+_END_TO_END = frozenset(
+    {
+        b"host",
+        _REQUEST_ID.lower(),
+        _RESUMES,
+        LAST_EVENT_ID.lower(),
+        _PROMPT_PARTS,
+        _TOKENS,
+    }
+)
+
 MS = 0.001
 LOWEST_URGENCY = 9
 
+# A number of tokens or requests. What is worked out from more digits may be no
+# finite number.
+_COUNT = re.compile(r"[0-9]{1,12}")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -166,7 +183,7 @@
             the client's own header.
         copies: Endpoints that keep or provide a copy of the KV cache, or None.
     """
-    forwarded = messages.without(headers, _NOT_FORWARDED)
+    forwarded = messages.without(headers, _NOT_FORWARDED, _END_TO_END)
     if resume_from is not None:
         name = LAST_EVENT_ID.lower()
         forwarded = [(n, v) for n, v in forwarded if n.lower() != name]
@@ -245,20 +262,25 @@
     parts = []
     for text in value.decode("latin-1").split(","):
         name, _, tokens = text.strip().partition(":")
-        if name and tokens.isdigit():
+        if name and _COUNT.fullmatch(tokens):
             parts.append(PromptPart(name, int(tokens)))
     return tuple(parts)
 
 
 def _integers(value: bytes) -> list[int]:
-    try:
-        return [int(part) for part in value.split(b",")] if value else []
-    except ValueError:
+    """Returns the counts in a header; none if one of them is malformed."""
+    texts = [text.strip() for text in value.decode("latin-1").split(",")]
+    if not all(map(_COUNT.fullmatch, texts)):
         return []
+    return list(map(int, texts))
 
 
 def _number(value: bytes | None) -> float | None:
+    """Returns the finite number in a header, or None."""
+    if value is None or b"_" in value:
+        return None
     try:
-        return float(value) if value is not None else None
+        number = float(value)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
