Reject names and paths that HTTP cannot carry where they come in

An endpoint's entry whose name holds a line end was accepted, and each request to it raised an error that nobody expects; so did a workspace's name and a health path in a configuration. A batch of peers whose message has a number of thousands of digits as its type raised ValueError as the error was worded. The fuzzer found them; the entry, the configuration and the batch are refused now.

--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -16,6 +16,9 @@
 # Version of the protocol. Daemons with different versions do not connect.
 PROTOCOL = 14
 
+# Characters of an unknown message type that an error shows.
+MAX_SHOWN = 80
+
 # Maximum size of a received message in bytes.
 MAX_MESSAGE = 4 * 1024 * 1024
 
@@ -101,7 +104,8 @@
         raise errors.PeerError("a message is not a list that starts with a tag")
     tag = parts[0]
     if not isinstance(tag, str) or tag not in message_types:
-        raise errors.PeerError(f"unknown message type {tag!r}")
+        shown = tag[:MAX_SHOWN] if isinstance(tag, str) else type(tag).__name__
+        raise errors.PeerError(f"unknown message type {shown!r}")
     cls = message_types.get(tag)
     names = _shape(cls).names
     if len(names) != len(parts) - 1:
--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import math
+import re
 import socket
 from typing import Annotated
 from typing import Any
@@ -21,9 +22,19 @@
 ENDPOINT_KIND = "servers"
 BOX_KIND = "martenjunction-boxes"
 
+# Text that a header of a request can carry: no control characters, no space at
+# its ends. And a path.
+_FIELD_VALUE = re.compile(
+    r"[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?"
+)
+_PATH = re.compile(r"/[!-~]*")
+
 MS = 0.001
 MAX_PORT = 65535
 
+# Characters of what is refused that an error shows.
+MAX_SHOWN = 80
+
 # Default time limit of a route in seconds.
 DEFAULT_TIMEOUT_S = 60.0
 
@@ -173,7 +184,9 @@
             routes=tuple(_route(route) for route in wire.routes),
             services={s.name: _service(s) for s in wire.services},
             workspaces={
-                key: model.Workspace(workspace.name, workspace.priority)
+                key: model.Workspace(
+                    _field_value(workspace.name), workspace.priority
+                )
                 for workspace in wire.tenants or ()
                 for key in workspace.api_keys
             },
@@ -236,6 +249,8 @@
             wire.scaling.spot_price,
             dict(sorted(wire.scaling.zone_prices.items())),
         )
+    if not _PATH.fullmatch(wire.health_path):
+        raise ValueError(f"service {wire.name!r} has an invalid health path")
     return model.Service(
         wire.name, wire.health_path, wire.max_conns, engine, scaling
     )
@@ -255,6 +270,7 @@
     try:
         wire = decoding.from_json(spec, _Endpoint)
         _check_address(wire.address)
+        _field_value(name)
     except ValueError as error:
         raise errors.PlatformError(
             f"malformed endpoint entry: {error}"
@@ -276,6 +292,17 @@
     )
 
 
+def _field_value(text: str) -> str:
+    """Returns text that is sent as the value of a header.
+
+    Raises:
+        ValueError: If a header cannot carry it.
+    """
+    if not _FIELD_VALUE.fullmatch(text):
+        raise ValueError(f"not the value of a header: {text[:MAX_SHOWN]!r}")
+    return text
+
+
 def _check_address(address: str) -> None:
     """Checks that an address consists of an IP address and a port.
 
