Give the list of endpoints an age of its own

Callers saw: a box took up a stream at a version that it had concluded to be the only one, while it had not heard of endpoints for seconds.

Cause: conclusions asked for the age of the configuration. A query confirms that each 0.6 s, whether or not the watch of endpoints is open.

A query that the store answers now counts for the list only if a watch of it was open before the query. A list that is read counts from its query, and the end of the watch, or a new era of the store, ends the confirmations. Other boxes take the age from the answer to their query, and in a large fleet from the stamp of a frame (2 bytes more), if the sender's list holds no more than theirs. Conclusions use the higher one of the two ages.

A watch that is open and hears nothing still counts as heard.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -162,6 +162,7 @@
             own_records.store_entry(settings, own),
             self.log,
             self._rng,
+            self.endpoint_list.age,
             settings.link_bytes_s,
             settings.first_start,
         )
@@ -289,7 +290,7 @@
             self.timers,
             self.log,
             self.metrics,
-            lambda: self.freshness.age_s(self.timers.now()),
+            self._store_age_s,
             first_start=settings.first_start,
         )
         self.admitter.on_activation(self.origins.apply_config)
@@ -371,5 +372,13 @@
             return None
         return {member.box for member in self.members.live_snapshot()}
 
+    def _store_age_s(self) -> float | None:
+        """Returns the age of the configuration or the list, the higher one."""
+        now = self.timers.now()
+        ages = self.freshness.age_s(now), self.endpoint_list.age.age_s(now)
+        if ages[0] is None or ages[1] is None:
+            return None
+        return max(ages[0], ages[1])
+
     def _status(self) -> Any:
         return self.sync.heartbeat()
--- a/martenjunction/decisions/boxes/entry_table.py
+++ b/martenjunction/decisions/boxes/entry_table.py
@@ -12,6 +12,7 @@
 from martenjunction.decisions import bounded
 from martenjunction.decisions.boxes import ended_endpoints
 from martenjunction.decisions.boxes import entry_states
+from martenjunction.decisions.boxes import list_age
 from martenjunction.decisions.boxes import restored_entries
 from martenjunction.decisions.boxes import store_contact
 from martenjunction.decisions.boxes import unchecked_reports
@@ -36,6 +37,7 @@
         self._restored = restored_entries.RestoredEntries()
         self._digest: int | None = None
         self._contact = store_contact.StoreContact()
+        self._age = list_age.ListAge()
         self._unchecked = unchecked_reports.UncheckedReports()
         self._revision = revisions.NONE
         # The number of changes so far, and that of the table that this one is a
@@ -48,6 +50,11 @@
         """When the store answered any box, and was away."""
         return self._contact
 
+    @property
+    def age(self) -> list_age.ListAge:
+        """When the list was last known to have all changes."""
+        return self._age
+
     @property
     def changes(self) -> int:
         """A number that rises with each change of the entries."""
@@ -134,7 +141,7 @@
     def draft(self) -> Self:
         """Returns a copy to change in several steps; see `adopt`.
 
-        It shares the contact with the store, which it only reads.
+        It shares the contact with the store and the age, which it only reads.
         """
         made = copy.copy(self)
         made._listed = dict(self._listed)
--- a/martenjunction/routing/messages/peer_messages.py
+++ b/martenjunction/routing/messages/peer_messages.py
@@ -120,6 +120,8 @@
         age_ms: Milliseconds since its configuration was confirmed as the
             newest; -1 if it never was.
         version: The version of that configuration.
+        list_age_ms: Milliseconds since its list of endpoints was known to have
+            all changes, or `list_age.UNKNOWN_AGE_MS`.
         revision: The store's revision up to which it knows the endpoints.
         has_endpoints: Whether the fields below are set; they are not if the
             receiver is up to date.
@@ -138,6 +140,7 @@
     number: int
     age_ms: int
     version: int
+    list_age_ms: int
     revision: revisions.Revision
     has_endpoints: bool
     ready: tuple[str, ...]
--- a/martenjunction/routing/messages/peer_stamps.py
+++ b/martenjunction/routing/messages/peer_stamps.py
@@ -6,12 +6,13 @@
 
 from martenjunction import errors
 from martenjunction import revisions
+from martenjunction.decisions.boxes import list_age
 from martenjunction.decisions.boxes import store_contact
 
 # Age that a box reports if its configuration was never confirmed.
 NEVER_CONFIRMED = -1
 
-_FORMAT = struct.Struct(">iQQQBiii")
+_FORMAT = struct.Struct(">iQQQBiiiH")
 _READS = 1
 _FED = 2
 _SETTLED = 4
@@ -30,6 +31,8 @@
         fed: Whether its confirmation is its own or comes from its parent, so
             that a box below it may rely on it.
         contact: When the store answered any box, and was away before.
+        list_age_ms: Milliseconds since its list of endpoints was known to have
+            all changes, or `list_age.UNKNOWN_AGE_MS`.
     """
 
     age_ms: int
@@ -38,6 +41,7 @@
     reads: bool
     fed: bool
     contact: store_contact.ContactAges = store_contact.NO_CONTACT
+    list_age_ms: int = list_age.UNKNOWN_AGE_MS
 
 
 class PeerStamps:
@@ -90,11 +94,12 @@
             stamp.contact.lost_ms,
             stamp.contact.since_ms,
             stamp.contact.until_ms,
+            stamp.list_age_ms,
         )
 
     def decode(self, data: bytes) -> PeerStamp:
         """Returns the stamp whose bytes a received frame has."""
-        age_ms, version, era, number, flags, lost, since, until = (
+        age_ms, version, era, number, flags, lost, since, until, list_age_ms = (
             _FORMAT.unpack(data)
         )
         return PeerStamp(
@@ -106,6 +111,7 @@
             store_contact.ContactAges(
                 lost, since, until, bool(flags & _SETTLED)
             ),
+            list_age_ms,
         )
 
     def take_early(self, asked_at: float | None, stamp: PeerStamp) -> None:
--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -8,6 +8,7 @@
 
 from martenjunction import errors
 from martenjunction import revisions
+from martenjunction.decisions.boxes import list_age
 from martenjunction.decisions.boxes import store_readers
 from martenjunction.peers import membership
 from martenjunction.platform import documents
@@ -62,6 +63,7 @@
         own: documents.BoxEntry,
         log: decision_log.DecisionLog,
         rng: random.Random,
+        age: list_age.ListAge,
         link_bytes_s: float,
         first_start: bool = False,
     ) -> None:
@@ -74,6 +76,7 @@
             own: This box's entry.
             log: Records failed calls and changes of the reader role.
             rng: Random source for jitter.
+            age: Receives the age of the list of endpoints.
             link_bytes_s: Bandwidth of this box's link in bytes per second.
             first_start: Whether the whole fleet starts for the first time.
         """
@@ -90,6 +93,7 @@
         )
         self._log = log
         self._rng = rng
+        self._list_age = age
         self._follow_task: asyncio.Task[None] | None = None
         self._read_task: asyncio.Task[None] | None = None
         self._watch_tasks: list[asyncio.Task[None]] = []
@@ -220,6 +224,7 @@
             self._watch_tasks.append(loop.create_task(self._repeat(step)))
 
     def _stop_watches(self) -> None:
+        self._list_age.end_watch()
         for task in self._watch_tasks:
             task.cancel()
         self._watch_tasks = []
@@ -228,6 +233,7 @@
         """Restarts the watches, as the store was restored from a copy."""
         self._log.write("store-era-changed", era=era)
         self._era_changed.set()
+        self._list_age.end_watch()
         # A pending watch may get no event for the restore. The restart is
         # deferred because the caller may be one of the watches to cancel.
         asyncio.get_running_loop().call_soon(self._restart_watches)
@@ -254,6 +260,7 @@
             documents.CONFIG_KIND, documents.CONFIG_NAME
         )
         self._cache.store_answered(asked_at)
+        self._list_age.note_answered(asked_at)
         if found is not None:
             self._document_bytes = len(found.spec)
             self._cache.apply_config(found.spec, asked_at, "store")
@@ -277,17 +284,23 @@
             self._cache.apply_newer_config(found.spec, "watch")
 
     async def _watch_endpoints(self) -> None:
+        asked_at = time.monotonic()
         listing = await self._client.list(documents.ENDPOINT_KIND)
         await self._cache.apply_listing(
             [(o.name, o.revision, o.spec) for o in listing.objects],
             listing.revision,
             "store",
         )
-        await self._watch(
-            documents.ENDPOINT_KIND,
-            listing.revision,
-            self._cache.apply_endpoint_change,
-        )
+        self._list_age.confirm(asked_at)
+        self._list_age.begin_watch(time.monotonic())
+        try:
+            await self._watch(
+                documents.ENDPOINT_KIND,
+                listing.revision,
+                self._cache.apply_endpoint_change,
+            )
+        finally:
+            self._list_age.end_watch()
 
     async def _watch(
         self,
--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -111,8 +111,8 @@
             clock: The clock and timers.
             log: Records what the origin of a stream was found from.
             counters: Counts it.
-            list_age_s: Returns the age in seconds of what this box knows of
-                the store, or None.
+            list_age_s: Returns the age in seconds of the configuration or the
+                list of endpoints, the higher one, or None.
             first_start: Whether the whole fleet starts for the first time.
         """
         self._listed = listed
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -251,6 +251,7 @@
             reads,
             reads or self._is_fed,
             self._table.listed.contact.ages(self._timers.now()),
+            self._table.listed.age.age_ms(self._timers.now()),
         )
 
     def _on_store_contact(
@@ -273,9 +274,21 @@
             and stamp.version == self._cache.version
         ):
             self._freshness.confirm(asked_at - stamp.age_ms * MS)
+        self._note_list_age(stamp.list_age_ms, stamp.revision, asked_at)
         if box == self._place.parent(overlay.Tree.PRIMARY):
             self._is_fed = stamp.fed
 
+    def _note_list_age(
+        self,
+        age_ms: int,
+        revision: revisions.Revision,
+        asked_at: float | None,
+    ) -> None:
+        """Takes the age of a peer's list, unless that has more entries."""
+        listed = self._table.listed
+        if revision <= listed.revision and not self._is_missing_entries:
+            listed.age.note_told(age_ms, asked_at)
+
     def _follow(
         self, box: str, version: int, revision: revisions.Revision
     ) -> None:
@@ -460,6 +473,7 @@
                 ask.number,
                 self._age_ms(),
                 self._cache.version,
+                listed.age.age_ms(self._timers.now()),
                 listed.revision,
                 has_endpoints,
                 tuple(listed.ready_ids()) if has_endpoints else (),
@@ -485,6 +499,7 @@
         self._is_missing_entries = any(
             i not in entries and i not in view.lapsed for i in view.ready
         )
+        self._note_list_age(view.list_age_ms, view.revision, asked_at)
 
 
 def _query_order(peer: store_readers.PeerReaderState) -> tuple[bool, float]:
--- a/tests/test_list_in_turns.py
+++ b/tests/test_list_in_turns.py
@@ -187,7 +187,7 @@
     ready = tuple(i for i in sorted(listed.entries) if i != "e00003")
     cache.apply_view(
         peer_messages.View(
-            1, 0, 0, rev(20), True, ready, (), (), (), (), (), ()
+            1, 0, 0, 0, rev(20), True, ready, (), (), (), (), (), ()
         ),
         "box-2",
     )
--- a/tests/test_peer_stamps.py
+++ b/tests/test_peer_stamps.py
@@ -19,6 +19,7 @@
     True,
     False,
     store_contact.ContactAges(6000, 2000, store_contact.MAX_AGE_MS, True),
+    700,
 )
 
 
