Read again what other boxes may have written as settled

Callers saw: after the loss of all boxes a stream may be taken up at a version that was written as the only one by a box that knew less.

Cause: two boxes that do not know each other act for the fleet at once. The one that goes on compares what holds with what it wrote itself, finds no difference and makes no call, so it never meets the other's write. Nothing tells it.

The box that acts for the fleet now reads the object again 30 s after its last call, as old as the list of boxes by which such boxes find out, and at once after a failed call. A write that is due goes first; its condition tells the same. It costs a read each 30 s for the whole fleet.

--- a/martenjunction/decisions/boxes/settled_services.py
+++ b/martenjunction/decisions/boxes/settled_services.py
@@ -7,6 +7,9 @@
 What is written must never be wrong, as a box that starts relies on it. Services
 are therefore taken out at once and added after a delay, and each write has an
 effect, so that an earlier one that is done late does not meet its condition.
+
+Boxes that do not know each other may all write as the first one. The one that
+goes on reads again what the store holds, as nothing else tells it.
 """
 
 from collections.abc import Mapping
@@ -18,6 +21,10 @@
 # Seconds for which a service must be settled before it is added.
 ADD_DELAY_S = 2.0
 
+# Seconds after a call after which the store is read again. Boxes that do not
+# know each other find out from the list of boxes, which is as old.
+CHECK_INTERVAL_S = 30.0
+
 # Back-off in seconds after a failed call: the first and the longest one.
 INITIAL_BACKOFF_S = 0.25
 MAX_BACKOFF_S = 4.0
@@ -72,6 +79,7 @@
         self._wanted = NOTHING
         self._wanted_since = 0.0
         self._retry_at = 0.0
+        self._check_at = 0.0
         self._failures = 0
 
     @property
@@ -106,19 +114,24 @@
         if not wanted.config_version:
             return None
         if self._stored is None:
-            self._in_flight = True
-            return Read()
+            return self._begin_read(now)
         target = _remaining(self._stored, wanted)
         if now - self._wanted_since >= ADD_DELAY_S:
             target = wanted
         if target == self._stored and not self._must_write:
-            return None
+            return self._begin_read(now) if now >= self._check_at else None
         self._in_flight = True
+        self._check_at = now + CHECK_INTERVAL_S
         self._must_write = True
         self._number += 1
         self._writing = target
         return Write(target, self._revision, self._number)
 
+    def _begin_read(self, now: float) -> Read:
+        self._in_flight = True
+        self._check_at = now + CHECK_INTERVAL_S
+        return Read()
+
     def read(
         self,
         settled: Settled,
@@ -148,6 +161,7 @@
     def failed(self, now: float) -> None:
         """Records that a call failed or that its result is unknown."""
         self._in_flight = False
+        self._check_at = now
         self._retry_at = now + backoff.pause_s(
             INITIAL_BACKOFF_S, self._failures, MAX_BACKOFF_S
         )
