Give boxes that may not know their fleet two retries

Callers saw: nothing by themselves; after a start of all boxes services got more repeats than the operator allows.

Cause: a box takes its share of the allowance from the most boxes that it has known. Until it has listed the others it takes itself for the only one, and so does each of its peers: six boxes granted three times the allowance.

Together boxes keep to the allowance if they are at most half as many as it has retries. What it costs: a box that meets more failures than that right after its start, or that started while the store is away, answers 503 or 502 where it tried another endpoint before.

The test handed out the number 1, by which a box alone and a box that does not know its peers cannot be told apart. It now asks six real boxes that start while the store's lists lack all entries, and asks that all find each other.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -152,7 +152,7 @@
             settings.retry_ratio,
             settings.retry_allowance,
             settings.retry_window_s,
-            lambda: self.member_changes.max_count,
+            self._max_boxes,
         )
         self.store = store.StoreClient(settings.store)
         self.follower = follower.StoreFollower(
@@ -372,6 +372,12 @@
             return None
         return {member.box for member in self.members.live_snapshot()}
 
+    def _max_boxes(self) -> int | None:
+        """Returns the most boxes known at a time; None while starting."""
+        if not self.follower.knows_boxes:
+            return None
+        return self.member_changes.max_count
+
     def _store_age_s(self) -> float | None:
         """Returns the age of the configuration or the list, the higher one."""
         now = self.timers.now()
--- a/martenjunction/decisions/boxes/retry_budget.py
+++ b/martenjunction/decisions/boxes/retry_budget.py
@@ -1,4 +1,9 @@
-"""Retry budget of each service."""
+"""Retry budget of each service.
+
+Load pattern: all boxes start at once, before any knows of the others, and each
+meets requests that fail. The allowance is of the whole fleet, so a box that may
+not know its peers yet must not take itself for the only one.
+"""
 
 import collections
 from collections.abc import Callable
@@ -8,6 +13,10 @@
 RATIO_FRACTION = 0.6
 ALLOWANCE_FRACTION = 0.5
 
+# Retries of a box that may not know its peers: boxes of a fleet of up to half
+# as many as the allowance keep to it together.
+UNKNOWN_SHARE = 2.0
+
 
 class RetryBudget:
     """The retries of one box, limited by service to the box's share."""
@@ -17,7 +26,7 @@
         ratio: float,
         allowance: float,
         window_s: float,
-        boxes: Callable[[], int],
+        boxes: Callable[[], int | None],
     ) -> None:
         """Initializes the budget.
 
@@ -25,7 +34,8 @@
             ratio: Retries allowed per request, over all boxes.
             allowance: Retries allowed in addition, over all boxes.
             window_s: Length in seconds of the sliding window for both.
-            boxes: Returns the maximum number of boxes.
+            boxes: Returns the maximum number of boxes, or None as long as this
+                box may not know of all.
         """
         self._ratio = ratio * RATIO_FRACTION
         self._allowance = allowance * ALLOWANCE_FRACTION
@@ -48,13 +58,19 @@
         """Consumes a retry if the budget allows it; returns whether it did."""
         requests = self._count(self._requests, service, now)
         retries = self._count(self._retries, service, now)
-        share = self._allowance / max(1, self._boxes())
-        if retries + 1 > requests * self._ratio + share:
+        if retries + 1 > requests * self._ratio + self._share():
             self._refused += 1
             return False
         self._add(self._retries, service, now)
         return True
 
+    def _share(self) -> float:
+        """Returns the box's share of the allowance."""
+        boxes = self._boxes()
+        if boxes is None:
+            return min(UNKNOWN_SHARE, self._allowance)
+        return self._allowance / max(1, boxes)
+
     def _add(
         self,
         table: dict[str, collections.deque[float]],
--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -100,7 +100,7 @@
         self._synced = False
         self._first = True
         self._listed: dict[str, revisions.Revision] = {}
-        self._has_listed = False
+        self._lists = 0
         self._era_changed = asyncio.Event()
         client.on_era_change(self._on_era_change)
 
@@ -112,7 +112,12 @@
     @property
     def has_listed(self) -> bool:
         """Whether the boxes' entries were listed since the start."""
-        return self._has_listed
+        return self._lists > 0
+
+    @property
+    def knows_boxes(self) -> bool:
+        """Whether the entries of boxes that started with this one were read."""
+        return self._lists > 1
 
     @property
     def first_list_delay_s(self) -> float:
@@ -353,9 +358,9 @@
         self._listed = present
         self._own_entry.note_list(present)
         wait = BOXES_INTERVAL_IDLE_S
-        if not self._has_listed:
+        self._lists += 1
+        if self._lists == 1:
             # If all boxes start at once, the others are not listed yet.
-            self._has_listed = True
             wait = INITIAL_BOXES_INTERVAL_S
         elif self._read_task is not None:
             await self._remove_dead()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -100,6 +100,8 @@
     fleet: boxes.Boxes, behaviour: Behaviour
 ) -> None:
     made = await requests.two_plain(fleet)
+    # A box that may not know its fleet has few retries.
+    await boxes.until(lambda: fleet.gateways[0].follower.knows_boxes)
     made[0].always(behaviour)
     made[1].plan(behaviour)
     head, _ = await requests.ask(fleet, "/unsafe/")
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -349,6 +349,8 @@
     made = await linked.add_endpoints(4)
     for one in made:
         one.queue_s = 0.1
+    # A box that may not know its fleet has few retries.
+    await boxes.until(lambda: linked.cut_off.follower.knows_boxes)
     sending = [
         asyncio.ensure_future(linked.send(f"r{number}", "safe"))
         for number in range(6)
--- a/tests/test_unwatched_changes.py
+++ b/tests/test_unwatched_changes.py
@@ -3,11 +3,11 @@
 import asyncio
 
 from martenjunction import revisions
-from martenjunction.decisions.boxes import retry_budget
 from martenjunction.decisions.boxes import settled_services
 from martenjunction.routing.streams import origins
 from martenjunction_lab import boxes
 from tests import gateway_requests
+from tests import routing_builders as builders
 
 SINGLE = settled_services.Settled(1, {"s": "v1"})
 NOTHING = settled_services.Settled(1, {})
@@ -70,15 +70,28 @@
     assert not store.settled.versions
 
 
-def test_boxes_that_start_alone_keep_to_the_allowance_together() -> None:
+async def test_boxes_that_start_alone_keep_to_the_allowance_together() -> None:
+    # The budgets count no request, so that only the allowance is left.
     allowance = 20
-    budgets = [
-        retry_budget.RetryBudget(0.2, float(allowance), 10.0, lambda: 1)
-        for _ in range(6)
-    ]
-    taken = sum(
-        budget.try_acquire("s", 0.01 * number)
-        for budget in budgets
-        for number in range(2 * allowance)
+    started = boxes.Boxes()
+    started.store.faults.old_lists_empty = True
+    await started.start(
+        builders.config_document(), 6, retry_allowance=float(allowance)
     )
-    assert taken <= allowance
+    try:
+        budgets = [box.budget for box in started.gateways]
+        taken = 0
+        for step in range(60):
+            now = started.gateways[0].timers.now()
+            taken += sum(
+                budget.try_acquire("s", now)
+                for budget in budgets
+                for _ in range(allowance)
+            )
+            started.store.faults.old_lists_empty = step < 20
+            await asyncio.sleep(0.1)
+        assert taken <= allowance
+        counts = [box.member_changes.max_count for box in started.gateways]
+        assert counts == [6] * 6
+    finally:
+        await started.stop()
