--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -152,7 +152,7 @@
             settings.retry_ratio,
             settings.retry_allowance,
             settings.retry_window_s,
-            lambda: self.member_changes.max_count,
+            self._max_boxes,
         )
         self.store = store.StoreClient(settings.store)
         self.follower = follower.StoreFollower(
@@ -162,6 +162,7 @@
             own_records.store_entry(settings, own),
             self.log,
             self._rng,
+            self.endpoint_list.age,
             settings.link_bytes_s,
             settings.first_start,
         )
@@ -289,7 +290,7 @@
             self.timers,
             self.log,
             self.metrics,
-            lambda: self.freshness.age_s(self.timers.now()),
+            self._store_age_s,
             first_start=settings.first_start,
         )
         self.admitter.on_activation(self.origins.apply_config)
@@ -371,5 +372,19 @@
             return None
         return {member.box for member in self.members.live_snapshot()}
 
+    def _max_boxes(self) -> int | None:
+        """Returns the most boxes known at a time; None while starting."""
+        if not self.follower.knows_boxes:
+            return None
+        return self.member_changes.max_count
+
+    def _store_age_s(self) -> float | None:
+        """Returns the age of the configuration or the list, the higher one."""
+        now = self.timers.now()
+        ages = self.freshness.age_s(now), self.endpoint_list.age.age_s(now)
+        if ages[0] is None or ages[1] is None:
+            return None
+        return max(ages[0], ages[1])
+
     def _status(self) -> Any:
         return self.sync.heartbeat()
