Keep absurd slots and load reports from counting for other endpoints

Cause: an entry's slots had no upper bound. Endpoints are reserved for short prompts by the mean of the service's slots, which one entry of 10^18 sets for all; one of 10^400 doesn't fit into a float, so that choosing an endpoint raised OverflowError. Load reports to the product's own daemons had no bounds either, nor a check for NaN.

Change: more than 100,000 slots count as that many, the reservation goes by the median, and a load report out of range is refused as a malformed one is. Times of entries (cold_left_ms) reach no timer: nothing reads them.

--- a/martenjunction/decisions/boxes/endpoint_choice.py
+++ b/martenjunction/decisions/boxes/endpoint_choice.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 import random
+import statistics
 
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import rendezvous
@@ -172,7 +173,8 @@
     total = short + demand.prefill_rates.long / LONG_PREFILL_FRACTION
     count = round(len(order) * short / total) if total else 0
     running = sum(record.loads.short_running(now) for record in records)
-    slots = sum(record.slots for record in records) / max(1, len(records))
+    # The median: one endpoint that names too many changes nothing for others.
+    slots = statistics.median([r.slots for r in records]) if records else 1
     prefill_s = demand.profile.prefill_s(demand.prefill_rates.short)
     count = max(
         1,
--- a/martenjunction/endpoints/loads.py
+++ b/martenjunction/endpoints/loads.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+from typing import Annotated
 
 import pydantic
 from tornado import ioloop
@@ -22,6 +23,12 @@
 MAX_POLLS_PER_S = 5.0
 MAX_REPORT_BYTES = 4096
 
+# Bounds of the numbers in a report; others would outweigh all endpoints.
+MAX_REQUESTS = 1_000_000
+MAX_AGE_MS = 3_600_000.0
+
+_Count = Annotated[int, pydantic.Field(ge=0, le=MAX_REQUESTS)]
+
 
 @dataclasses.dataclass(frozen=True)
 class Load:
@@ -33,9 +40,11 @@
         age_ms: Age of the report in milliseconds.
     """
 
-    running: int
-    waiting: int = 0
-    age_ms: float = 0.0
+    running: _Count
+    waiting: _Count = 0
+    age_ms: Annotated[
+        float, pydantic.Field(ge=0.0, le=MAX_AGE_MS, allow_inf_nan=False)
+    ] = 0.0
 
 
 _ADAPTER = pydantic.TypeAdapter(Load)
--- a/martenjunction/platform/documents.py
+++ b/martenjunction/platform/documents.py
@@ -24,6 +24,10 @@
 MS = 0.001
 MAX_PORT = 65535
 
+# More requests than any endpoint works on at once. A larger number counts as
+# this one: it would not fit into the calculations with other endpoints.
+MAX_SLOTS = 100_000
+
 # Default time limit of a route in seconds.
 DEFAULT_TIMEOUT_S = 60.0
 
@@ -265,7 +269,7 @@
         service=wire.service,
         address=wire.address,
         zone=wire.zone,
-        slots=wire.slots,
+        slots=min(wire.slots, MAX_SLOTS),
         state=model.EndpointState.READY
         if ready
         else model.EndpointState.DRAINING,
--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -97,3 +97,8 @@
         )
     )
     return made
+
+
+def number(value: int) -> msgspec.Raw:
+    """Returns a number of any size as the stand-in of the store takes it."""
+    return msgspec.Raw(str(value).encode())
