--- a/martenjunction_lab/fuzz/families/__init__.py
+++ b/martenjunction_lab/fuzz/families/__init__.py
@@ -10,6 +10,7 @@
 from martenjunction_lab.fuzz.families import settings
 from martenjunction_lab.fuzz.families import store_pages
 from martenjunction_lab.fuzz.families import stream_records
+from martenjunction_lab.fuzz.families import tunnels
 
 __all__ = [
     "documents",
@@ -22,4 +23,5 @@
     "settings",
     "store_pages",
     "stream_records",
+    "tunnels",
 ]
--- a/martenjunction_lab/fuzz/http_messages.py
+++ b/martenjunction_lab/fuzz/http_messages.py
@@ -154,7 +154,8 @@
 def _message(rng: random.Random, starts: tuple[bytes, ...]) -> bytes:
     fields, body = rng.choice(_SOUND)
     lines = [b"Host: a", *fields]
-    start, ends = starts[0], _EOL[:1]
+    start = starts[0]
+    ends: tuple[bytes, ...] = _EOL[:1]
     if rng.random() >= _SOUND_SHARE:
         if rng.random() < _ODD_SHARE:
             start = rng.choice(starts)
