Refuse messages of peers with values that cannot be handled

A trial gave the handlers of a box 39,000 messages of the right types with absurd values: 640 raised OverflowError, KeyError and the like, for integers of 400 digits or negative versions. Such an error ended the task of the connection unexpectedly; it was neither counted nor told as a refusal. It is now an error of the peer, and the link comes back.

--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -436,7 +436,13 @@
             raise errors.PeerError(
                 f"unexpected message {type(message).__name__}"
             )
-        handler(link.box, message)
+        try:
+            handler(link.box, message)
+        except (ArithmeticError, LookupError, ValueError) as error:
+            # The peer sent values of the right types that no sound one sends.
+            raise errors.PeerError(
+                f"a {type(message).__name__} cannot be handled: {error!r}"
+            ) from error
 
     def _remove_link(self, link: links.Link) -> None:
         self._closed_counts.add(link.counts)
