--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,6 +13,8 @@
 from martenjunction import errors
 from martenjunction.platform import documents
 from martenjunction.platform import store
+from martenjunction.routing.log import decision_log
+from martenjunction.routing.store import box_entries
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from tests import gateway_requests as requests
@@ -147,6 +149,24 @@
     assert raised.value.current == 1
 
 
+def test_unreadable_entries_are_told_once_a_change(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    told: list[str] = []
+    log = decision_log.DecisionLog(lambda: 0.0)
+    monkeypatch.setattr(log, "write", lambda kind, **of: told.append(of["why"]))
+    decoder = box_entries.BoxEntryDecoder(log)
+    for number, odd in enumerate(["deep alone", "surrogate", "surrogate"]):
+        spec = odd_entries.CONTENT[odd]
+        found = store.StoredObject("a", builders.rev(number), spec)
+        for _ in range(3):
+            assert decoder.decode(found) is None
+    assert len(told) == 2
+    for unnamed in (0, 2, 2, 1, 1, 0):
+        decoder.note_list(store.Listing((), builders.rev(9), unnamed))
+    assert told[2:] == ["2 without a name"]
+
+
 # End-to-end tests.
 
 SOME = ["deep lists", "deep alone", "surrogate", "no number", "digits", "port"]
