Tell a run that the box gives up from a reset by the endpoint

Seen: at the end of a stop two requests that may be repeated ran twice, with `i-2: reset` in the log and an answer by i-1. Operators read that the endpoint had reset the connection.

Cause: a read that waits while the box itself closes the connection failed as `reset`. A box does that to move a repeatable request off a silent endpoint. The endpoint may have begun it, and routes of that kind allow it to run twice. The check counted such requests as doubled.

The log says `aborted` now where this side ended the connection.

--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -300,8 +300,10 @@
             data = await asyncio.shield(pending)
         except iostream.StreamClosedError as error:
             self._pending = None
-            if self.error is not None or self._aborted:
+            if self.error is not None:
                 raise errors.ConnectionLostError("reset") from error
+            if self._aborted:
+                raise errors.ConnectionLostError("aborted") from error
             return b""
         self._pending = None
         if self._aborted:
