Read on for refused clients without memory, at a rate they share

Cause: of the body of a refused request 256 KB were read within 1 s. A client that sent for longer met a reset in place of its answer. A first mend read on with one buffer for each connection, and cost others memory and answers.

Change: the rest of a refused body is dropped in the kernel (MSG_TRUNC), which takes no memory of the process: 256 KB each 0.05 s for a client and 16 MB for all of a server, those refused first come first. A client is waited for as long as its body ends within 10 s at its rate; one that is not read for 1 s is given up. Clients that still send 1 s after their refusal are ended for new ones where connections get few, and a planned stop waits 1 s for them.

One of the four cases of test_what_is_dropped_is_bounded contradicts it: a client that sends 4 MB in one piece and goes on was to be read for 256 KB only, and nothing tells it from one that ends. That case is now test_sender_without_end_is_read_to_the_end_of_its_body: the body and 256 KB, in the time that these take at the rate of one client, and 1 s. The three other cases and the other bounds hold unchanged.

--- a/martenjunction/http1/discarding.py
+++ b/martenjunction/http1/discarding.py
@@ -1,8 +1,8 @@
 """Bodies that are not read, because their request is refused.
 
 Closing a socket with unread bytes resets the connection, and a client that
-still sends may then lose the response. Some of the rest is therefore read and
-dropped before.
+still sends may then lose the response. The rest is therefore read and dropped
+before, as far as `refused_bodies` decides.
 """
 
 import asyncio
@@ -10,55 +10,132 @@
 import socket
 import time
 
-from tornado import iostream
-
-from martenjunction import errors
+from martenjunction.decisions.boxes import refused_bodies
 from martenjunction.http1 import peeks
-from martenjunction.http1 import streams
+from martenjunction.http1 import watched_streams
 
 # Size in bytes up to which the body of a refused request is read, so that its
 # connection can carry others.
 MAX_READ_BYTES = 64 * 1024
 
-# Maximum size in bytes and duration in seconds of what is dropped.
-MAX_DROPPED_BYTES = 256 * 1024
-MAX_DROP_S = 1.0
-
-# Seconds between two looks at a connection that is not read any more.
-CHECK_INTERVAL_S = 0.05
-
-
-async def drop(stream: iostream.IOStream, source: streams.ByteSource) -> int:
-    """Drops what a client sends after the last response, within bounds.
-
-    Once enough is dropped, the client still has the rest of the time to read
-    the response and to close the connection.
-
-    Args:
-        stream: The client's stream; its sending side is closed.
-        source: The receiving side.
-
-    Returns:
-        The number of bytes that were dropped.
-    """
-    ends_at = time.monotonic() + MAX_DROP_S
-    with contextlib.suppress(OSError):
-        stream.socket.shutdown(socket.SHUT_WR)
-    dropped = 0
-    with contextlib.suppress(TimeoutError, errors.ConnectionLostError):
-        async with asyncio.timeout(MAX_DROP_S):
-            while dropped < MAX_DROPPED_BYTES:
-                # No part is kept while the next one is awaited.
-                size = len(await source.read())
-                if not size:
-                    return dropped
-                dropped += size
-    while time.monotonic() < ends_at and not _has_ended(stream):
-        await asyncio.sleep(CHECK_INTERVAL_S)
-    return dropped
-
-
-def _has_ended(stream: iostream.IOStream) -> bool:
-    return (
-        stream.closed() or peeks.peek(stream.socket) is peeks.PendingInput.END
-    )
+# Maximum size in bytes and duration in seconds of what is dropped outside a
+# body.
+MAX_DROPPED_BYTES = refused_bodies.MAX_DROPPED_BYTES
+MAX_DROP_S = refused_bodies.MAX_DROP_S
+
+_ENDED = refused_bodies.Phase.ENDED
+
+_DROP = socket.MSG_TRUNC | socket.MSG_DONTWAIT
+
+# The kernel drops the data (`MSG_TRUNC`, tcp(7)) and writes nothing into it.
+_UNUSED = bytearray(refused_bodies.READ_BYTES)
+
+
+class Drop:
+    """What one refused client goes on to send."""
+
+    def __init__(
+        self,
+        stream: watched_streams.WatchedStream,
+        body: refused_bodies.RefusedBody,
+    ) -> None:
+        """Ends the sending side.
+
+        Args:
+            stream: The client's stream, which nobody reads.
+            body: Decides how much is read.
+        """
+        self._stream = stream
+        self._body = body
+        self.ended: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        if stream.socket is None:
+            return
+        with contextlib.suppress(OSError):
+            stream.socket.shutdown(socket.SHUT_WR)
+
+    def advance(self, shared: int) -> int:
+        """Reads what may be read now.
+
+        Args:
+            shared: What is left to all connections, in bytes.
+
+        Returns:
+            The number of bytes that were read.
+        """
+        if self.ended.done():
+            return 0
+        now = time.monotonic()
+        granted = self._body.grant(shared)
+        size = 0
+        if granted:
+            size = self._read(granted, now)
+        elif peeks.peek(self._stream.socket) is peeks.PendingInput.END:
+            self._body.note_left()
+        self._body.note_time(now)
+        if self._body.phase is _ENDED:
+            self.ended.set_result(None)
+        return size
+
+    def _read(self, granted: int, now: float) -> int:
+        """Reads what the socket has; returns the number of bytes."""
+        sock = self._stream.socket
+        try:
+            size = (
+                0 if sock is None else sock.recv_into(_UNUSED, granted, _DROP)
+            )
+        except BlockingIOError:
+            self._body.note_read(0, now)
+            return 0
+        except OSError:
+            size = 0
+        if not size:
+            self._body.note_left()
+            return 0
+        self._body.note_read(size, now)
+        if size == granted and peeks.has_sent_all(sock):
+            self._body.note_sent(now)
+        return size
+
+
+class Discarder:
+    """Drops what the clients of a server send after their refusal."""
+
+    def __init__(self) -> None:
+        """Initializes it without any client."""
+        # In the order in which their requests were refused.
+        self._drops: dict[Drop, None] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def drop(
+        self,
+        stream: watched_streams.WatchedStream,
+        body: refused_bodies.RefusedBody,
+    ) -> None:
+        """Drops what a client sends after the last response, within bounds.
+
+        Args:
+            stream: The client's stream, which nobody reads; its sending side is
+                closed.
+            body: Decides how much is read.
+        """
+        drop = Drop(stream, body)
+        body.note_read(stream.drop_buffered(), time.monotonic())
+        self._drops[drop] = None
+        if self._timer is None:
+            self._advance()
+        try:
+            await drop.ended
+        finally:
+            del self._drops[drop]
+
+    def _advance(self) -> None:
+        shared = refused_bodies.SHARED_READ_BYTES
+        for drop in self._drops:
+            shared -= drop.advance(shared)
+        self._timer = None
+        if self._drops:
+            self._timer = asyncio.get_running_loop().call_later(
+                refused_bodies.READ_INTERVAL_S, self._advance
+            )
--- a/martenjunction/http1/peeks.py
+++ b/martenjunction/http1/peeks.py
@@ -1,6 +1,7 @@
 """Peeks at the receive buffer of a socket."""
 
 import enum
+import select
 import socket
 
 
@@ -43,3 +44,18 @@
     except OSError as error:
         return PendingInput.END, error
     return PendingInput.BYTES if waiting else PendingInput.END, None
+
+
+def has_sent_all(sock: socket.socket | None) -> bool:
+    """Returns whether the peer ended its sending side.
+
+    Bytes that it sent before may be unread, where `peek` finds them first.
+
+    Args:
+        sock: A connected socket, or None if it was closed.
+    """
+    if sock is None:
+        return True
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -17,6 +17,7 @@
 from martenjunction.http1 import accepting
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import close_reports
+from martenjunction.http1 import discarding
 from martenjunction.http1 import messages
 from martenjunction.http1 import peer_ends
 from martenjunction.http1 import request_errors
@@ -73,6 +74,7 @@
         self._accepts = accepts
         self._share = share or connection_share.ConnectionShare(sys.maxsize)
         self._on_share = on_share
+        self._discarder = discarding.Discarder()
         # Ordered by the time at which they last began to rest.
         self._connections: dict[server_connection.ServerConnection, None] = {}
         self._finishing = False
@@ -127,6 +129,7 @@
             watched_streams.WatchedStream.over(stream),
             self._current_limits,
             self._gate,
+            self._discarder,
         )
         # Registered before its task first runs, so that a shutdown sees it.
         self._connections[connection] = None
@@ -241,7 +244,7 @@
             How many were ended, `count` at most.
         """
         found: list[server_connection.ServerConnection] = []
-        for end in (_end_rest, _end_slow_head):
+        for end in (_end_rest, _end_slow_head, _end_drop):
             left = count - len(found)
             ended = filter(end, self._connections)
             found += itertools.islice(ended, left)
@@ -269,6 +272,10 @@
     return connection.end_slow_head(connection_share.MAX_HEAD_S)
 
 
+def _end_drop(connection: server_connection.ServerConnection) -> bool:
+    return connection.end_drop(discarding.MAX_DROP_S)
+
+
 def _is_reported(closing: close_reports.ClosedConnection) -> bool:
     """Returns whether a closed connection is reported.
 
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -12,6 +12,7 @@
 
 from martenjunction import errors
 from martenjunction import fair_turns
+from martenjunction.decisions.boxes import refused_bodies
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import connection_state
@@ -25,6 +26,7 @@
 from martenjunction.http1 import request_input
 from martenjunction.http1 import resting
 from martenjunction.http1 import streams
+from martenjunction.http1 import watched_streams
 
 # Seconds by which a timeout is extended that expires while bytes are unread:
 # enough for the reader to consume them.
@@ -55,9 +57,10 @@
 
     def __init__(
         self,
-        stream: iostream.IOStream,
+        stream: watched_streams.WatchedStream,
         limits: Callable[[], messages.ClientLimits],
         gate: body_gate.BodyGate,
+        discarder: discarding.Discarder,
     ) -> None:
         """Initializes the connection over an accepted stream.
 
@@ -65,8 +68,12 @@
             stream: The accepted stream.
             limits: Returns the current limits for clients.
             gate: Grants the memory of request bodies.
+            discarder: Drops what is sent after the last response.
         """
         self._stream = stream
+        self._discarder = discarder
+        # What is dropped after the last response.
+        self._dropped: refused_bodies.RefusedBody | None = None
         self._limits = limits
         self._source = streams.ByteSource(stream)
         self._timer = read_timers.ReadTimer(self._on_timeout)
@@ -261,8 +268,12 @@
         report = self._build_report(reason)
         # The parser holds what was read and not parsed.
         self._input.parser = h11.Connection(h11.SERVER)
-        dropped = await discarding.drop(self._stream, self._source)
-        self._input.received += dropped
+        now = time.monotonic()
+        self._dropped = refused_bodies.RefusedBody(self._bodies.rest, now)
+        if self._shutting_down:
+            self._dropped.shorten(read_timers.SHUTDOWN_READ_TIMEOUT_S, now)
+        await self._discarder.drop(self._stream, self._dropped)
+        self._input.received += self._dropped.dropped
         if self._report is None:
             self._report = dataclasses.replace(
                 report, received=self._input.received
@@ -277,6 +288,10 @@
         if not self._shutting_down:
             self._shutting_down = True
             self._timer.shut_down(self._state is _State.READING)
+            if self._dropped is not None:
+                self._dropped.shorten(
+                    read_timers.SHUTDOWN_READ_TIMEOUT_S, time.monotonic()
+                )
         self._close_if_idle()
 
     def end_rest(self, kept_rest_s: float) -> bool:
@@ -316,6 +331,22 @@
         self.abort(close_reports.CloseReason.ROOM)
         return True
 
+    def end_drop(self, least_s: float) -> bool:
+        """Closes the connection if only what is dropped is awaited from it.
+
+        Args:
+            least_s: Seconds since the last response.
+
+        Returns:
+            Whether it was closed.
+        """
+        if self.closed or self._dropped is None:
+            return False
+        if self._dropped.open_for(time.monotonic()) < least_s:
+            return False
+        self.abort(close_reports.CloseReason.ROOM)
+        return True
+
     def abort(self, reason: close_reports.CloseReason) -> None:
         """Closes the connection; data in the socket's buffer is still sent.
 
--- a/martenjunction/http1/watched_streams.py
+++ b/martenjunction/http1/watched_streams.py
@@ -91,6 +91,10 @@
             _set_retransmission(self.socket, _DEFAULT_RETRANSMISSION_MS)
         super().close_fd()
 
+    def drop_buffered(self) -> int:
+        """Frees what was read and not asked for; returns its size in bytes."""
+        return len(self._consume(self._read_buffer_size))
+
     def _look_in(self, delay_s: float) -> None:
         loop = asyncio.get_running_loop()
         self._look = loop.call_later(delay_s, self._look_at_peer)
--- a/tests/test_dropped_bodies.py
+++ b/tests/test_dropped_bodies.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from martenjunction.decisions.boxes import connection_share
+from martenjunction.decisions.boxes import refused_bodies
 from martenjunction.http1 import discarding
 from martenjunction.http1 import read_timers
 from tests import test_refused_bodies as refused
@@ -64,3 +66,84 @@
     assert (
         connection._input.received <= discarding.MAX_DROPPED_BYTES + 256 * 1024
     )
+
+
+async def test_sender_without_end_is_read_to_the_end_of_its_body() -> None:
+    listening = refused.Listening(lambda: True)
+    client = await refused.connect(listening.address)
+    client.send_head("/x", "", f"Content-Length: {4 * MB}")
+    await client.answer()
+    [connection] = listening.server._connections
+    sending = asyncio.create_task(client.send_slowly(bytes(64 * 1024), 0.0))
+    took_s = await listening.until_unconnected()
+    sending.cancel()
+    client.close()
+    reads = 4 * MB / refused_bodies.READ_BYTES
+    longest_s = reads * refused_bodies.READ_INTERVAL_S + discarding.MAX_DROP_S
+    assert took_s <= longest_s + refused.AT_ONCE_S
+    most = 4 * MB + discarding.MAX_DROPPED_BYTES
+    assert connection._input.received <= most + 128 * 1024
+
+
+async def test_finishing_server_waits_no_longer_for_a_client_in_time() -> None:
+    listening = refused.Listening(lambda: True)
+    client = await refused.connect(listening.address)
+    client.send_head("/x", "", f"Content-Length: {4 * MB}")
+    await client.answer()
+    sending = asyncio.create_task(client.send_slowly(bytes(16 * 1024), 0.02))
+    await asyncio.sleep(discarding.MAX_DROP_S + refused.AT_ONCE_S)
+    assert listening.server.connections
+    listening.server.finish()
+    took_s = await listening.until_unconnected()
+    sending.cancel()
+    client.close()
+    assert took_s <= read_timers.SHUTDOWN_READ_TIMEOUT_S + refused.AT_ONCE_S
+
+
+async def test_client_that_is_dropped_makes_room_for_a_new_one() -> None:
+    share = connection_share.ConnectionShare(1)
+    listening = refused.Listening(lambda: True, share)
+    client = await refused.connect(listening.address)
+    client.send_head("/x", "", f"Content-Length: {4 * MB}")
+    await client.answer()
+    sending = asyncio.create_task(client.send_slowly(bytes(16 * 1024), 0.02))
+    await asyncio.sleep(discarding.MAX_DROP_S)
+    second = await refused.connect(listening.address)
+    second.send_head("/x", "", f"Content-Length: {4 * MB}")
+    head, _ = await second.answer(refused.AT_ONCE_S)
+    assert head.startswith(b"HTTP/1.1 401 ")
+    sending.cancel()
+    client.close()
+    second.close()
+    await listening.until_unconnected()
+
+
+def test_all_refused_clients_share_what_is_read() -> None:
+    body = refused_bodies.RefusedBody(4 * MB, 0.0)
+    assert body.grant(4 * MB) == refused_bodies.READ_BYTES
+    assert body.grant(1000) == 1000
+    assert body.grant(-1) == 0
+
+
+def test_body_that_takes_too_long_is_not_waited_for() -> None:
+    needed = 4 * MB * refused_bodies.READ_INTERVAL_S / refused_bodies.MAX_BODY_S
+    for size, phase in (
+        (needed * 0.9, refused_bodies.Phase.ENDED),
+        (needed * 1.1, refused_bodies.Phase.BODY),
+    ):
+        body = refused_bodies.RefusedBody(4 * MB, 0.0)
+        for number in range(22):
+            assert number > 18 or body.phase is refused_bodies.Phase.BODY
+            body.note_read(int(size), 0.0)
+        assert body.phase is phase
+        body.note_time(refused_bodies.MAX_BODY_S)
+        assert body.phase is refused_bodies.Phase.ENDED
+
+
+def test_body_is_given_up_that_stays_unread() -> None:
+    body = refused_bodies.RefusedBody(4 * MB, 0.0)
+    body.note_read(MB, 1.0)
+    body.note_time(1.9)
+    assert body.phase is refused_bodies.Phase.BODY
+    body.note_time(2.0)
+    assert body.phase is refused_bodies.Phase.ENDED
--- a/tests/test_refused_bodies.py
+++ b/tests/test_refused_bodies.py
@@ -14,6 +14,7 @@
 import pytest
 
 from martenjunction import gateway
+from martenjunction.decisions.boxes import connection_share
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import discarding
 from martenjunction.http1 import messages
@@ -280,7 +281,11 @@
 class Listening:
     """A server that asks a gate."""
 
-    def __init__(self, refuses: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        refuses: Callable[[], bool],
+        share: connection_share.ConnectionShare | None = None,
+    ) -> None:
         self.handler = Handler()
         self.gate = Gate(refuses)
         self.address = bench.free_address()
@@ -289,6 +294,7 @@
             self.handler,
             lambda: messages.ClientLimits(max_body_bytes=4 * MB),
             gate=self.gate,
+            share=share,
         )
         self.server.listen_on(self.address)
 
@@ -320,9 +326,13 @@
     await listening.until_unconnected()
 
 
-@pytest.mark.parametrize(("length", "status"), UNREAD)
 @pytest.mark.parametrize(
-    ("data", "pause_s"), [(bytes(64 * 1024), 0.0), (bytes(1024), 0.02)]
+    ("length", "status", "data", "pause_s"),
+    [
+        (4 * MB, 401, bytes(1024), 0.02),
+        (64 * MB, 413, bytes(64 * 1024), 0.0),
+        (64 * MB, 413, bytes(1024), 0.02),
+    ],
 )
 async def test_what_is_dropped_is_bounded(
     length: int, status: int, data: bytes, pause_s: float
