Drop no more than before of refused bodies of unknown length

Such a body has no known end, so that nothing tells whether its client will get to one.

Change: 256 KB within 1 s are dropped of a body of unknown length, as before.

--- a/martenjunction/http1/request_bodies.py
+++ b/martenjunction/http1/request_bodies.py
@@ -49,12 +49,15 @@
         self._gate = gate
         self._write_event = write_event
         self.unread = False
-        # Where the current body ends, in bytes received.
+        # Where a current body of known length ends, in bytes received.
         self._end = 0
 
     @property
     def rest(self) -> int:
-        """Bytes of the current body that may still come if it is not read."""
+        """Bytes of the current body that still come if it is not read.
+
+        None are waited for if its length is not known: it may have no end.
+        """
         return max(0, self._end - self._input.received) if self.unread else 0
 
     async def take(
@@ -68,7 +71,8 @@
             max_bytes: The most bytes that the body can have.
         """
         size = max_bytes if length is None else length
-        self._end = self._input.received - len(self._input.unparsed) + size
+        begins = self._input.received - len(self._input.unparsed)
+        self._end = begins + (length or 0)
         if length is not None and self._leaves_unread(request, length):
             return b""
         if length is None and self._gate.refuses(request):
