--- a/martenjunction_lab/fuzz/families/http_requests.py
+++ b/martenjunction_lab/fuzz/families/http_requests.py
@@ -14,6 +14,7 @@
 from martenjunction import errors
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import close_reports
+from martenjunction.http1 import discarding
 from martenjunction.http1 import messages
 from martenjunction.http1 import request_errors
 from martenjunction.http1 import server_connection
@@ -109,6 +110,7 @@
         _Stream(received, sock),  # type: ignore[arg-type]
         lambda: _LIMITS,
         body_gate.OpenGate(),
+        discarding.Discarder(),
     )
     taken: list[Taken] = []
     refused = 0
