Raise the protocol's version for the age of lists

Stamps and views hold an age more since the list of endpoints has one, so that boxes of the earlier version would end their links on the first message. They now refuse each other as they connect.

--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -14,7 +14,7 @@
 T = TypeVar("T")
 
 # Version of the protocol. Daemons with different versions do not connect.
-PROTOCOL = 14
+PROTOCOL = 15
 
 # Characters of an unknown message type that an error shows.
 MAX_SHOWN = 80
