--- a/tests/test_changes_within_requests.py
+++ b/tests/test_changes_within_requests.py
@@ -121,9 +121,9 @@
     await client.send("r0", "/safe/first", b"first")
     assert (await client.receive()).whole
     [connection] = site.box._callers._connections
-    idle_s = site.box._limits().idle_timeout_s
-    connection._idle_since = time.monotonic() - idle_s + EARLY_S
-    assert connection._remaining_idle_s() > 0.0
+    rest = connection._rest
+    rest._since = time.monotonic() - rest.time.held_s + EARLY_S
+    assert rest.remaining_s > 0.0
     connection._on_timeout(close_reports.CloseReason.IDLE, False)
     assert connection.closed
     client.close()
