Ask in one place for how long a connection is used again

The pool of endpoints and the calls to the platform each handled a server that told nothing by themselves. What is assumed then is a parameter now.

--- a/martenjunction/decisions/rest_times.py
+++ b/martenjunction/decisions/rest_times.py
@@ -63,10 +63,11 @@
     return RestTime(told_s, max(idle_timeout_s, told_s + SERVER_MARGIN_S))
 
 
-def reusable_s(told_s: float) -> float:
+def reusable_s(told_s: float | None, assumed_s: float) -> float:
     """Returns for how long a client uses a connection again, in seconds.
 
     Args:
-        told_s: What the server told, in seconds.
+        told_s: What the server told, in seconds, or None for nothing.
+        assumed_s: What is assumed of a server that told nothing, in seconds.
     """
-    return told_s - CLIENT_MARGIN_S
+    return (assumed_s if told_s is None else told_s) - CLIENT_MARGIN_S
--- a/martenjunction/endpoints/pool.py
+++ b/martenjunction/endpoints/pool.py
@@ -270,7 +270,6 @@
 
 
 def _reusable_s(connection: client.ClientConnection) -> float:
-    told_s = connection.keep_alive_timeout()
     return rest_times.reusable_s(
-        DEFAULT_KEEP_ALIVE_S if told_s is None else told_s
+        connection.keep_alive_timeout(), DEFAULT_KEEP_ALIVE_S
     )
--- a/martenjunction/platform/http_calls.py
+++ b/martenjunction/platform/http_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import time
 
 from martenjunction import errors
@@ -137,11 +138,10 @@
 
 def _is_expired(connection: client.ClientConnection) -> bool:
     """Returns whether the service may be about to close a connection."""
-    told_s = connection.keep_alive_timeout()
-    if told_s is None:
-        return False
-    rested_s = time.monotonic() - connection.idle_since
-    return rested_s >= rest_times.reusable_s(told_s)
+    reusable_s = rest_times.reusable_s(
+        connection.keep_alive_timeout(), math.inf
+    )
+    return time.monotonic() - connection.idle_since >= reusable_s
 
 
 async def _body(connection: client.ClientConnection) -> bytes:
