--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -27,40 +27,28 @@
 from martenjunction.http1 import messages
 from martenjunction.http1 import request_bodies
 from martenjunction.http1 import server
-from martenjunction.http1 import server_connection
 from martenjunction_lab import bench
 from tests import keep_alive_connections
 from tests import raw_peers
+from tests import recording_handlers
 
 COUNT = 12
 IDLE_S = 1.0
 
+# Seconds that each response takes.
+DELAY_S = 0.01
+
+Served = tuple[recording_handlers.RecordingHandler, str]
+
 GET = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
 POST = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
 
 LIMITS = messages.ClientLimits(header_timeout_s=IDLE_S, idle_timeout_s=IDLE_S)
 
 
-class Handler:
-    """Responds after a short delay and records the requests."""
-
-    def __init__(self) -> None:
-        self.received: list[bytes] = []
-        self.closed: list[close_reports.ClosedConnection] = []
-
-    async def __call__(
-        self,
-        connection: server_connection.ServerConnection,
-        request: messages.Request,
-    ) -> None:
-        self.received.append(request.target)
-        await asyncio.sleep(0.01)
-        await connection.answer(200, [], request.target)
-
-
 @pytest.fixture
-async def served() -> AsyncIterator[tuple[Handler, str]]:
-    handler = Handler()
+async def served() -> AsyncIterator[Served]:
+    handler = recording_handlers.RecordingHandler(DELAY_S)
     listening = server.Server(
         "test", handler, lambda: LIMITS, handler.closed.append
     )
@@ -71,7 +59,7 @@
 
 
 async def test_request_racing_with_idle_timeout_is_answered(
-    served: tuple[Handler, str],
+    served: Served,
 ) -> None:
     handler, address = served
     connections = await keep_alive_connections.open_used_connections(
@@ -85,7 +73,7 @@
 
 
 async def test_head_racing_with_its_timeout_is_answered(
-    served: tuple[Handler, str],
+    served: Served,
 ) -> None:
     handler, address = served
     connections = await keep_alive_connections.open_used_connections(
@@ -101,7 +89,7 @@
 
 
 async def test_body_racing_with_its_timeout_is_answered(
-    served: tuple[Handler, str], monkeypatch: pytest.MonkeyPatch
+    served: Served, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(request_bodies, "BODY_TIMEOUT_S", IDLE_S)
     handler, address = served
@@ -118,7 +106,7 @@
 
 
 async def test_request_of_disconnected_client_is_not_passed_on(
-    served: tuple[Handler, str],
+    served: Served,
 ) -> None:
     handler, address = served
     connections = await keep_alive_connections.open_used_connections(
@@ -135,17 +123,14 @@
 
 
 async def test_idle_connection_is_closed_and_reported(
-    served: tuple[Handler, str],
+    served: Served,
 ) -> None:
     handler, address = served
     [connection] = await keep_alive_connections.open_used_connections(
         address, 1, GET % 0
     )
     assert await connection.ended()
-    async with asyncio.timeout(keep_alive_connections.TIMEOUT_S):
-        while not handler.closed:
-            await asyncio.sleep(0.01)
-    [closed] = handler.closed
+    closed = await handler.only_closed()
     assert closed.reason is close_reports.CloseReason.IDLE
     assert (closed.answered, closed.in_flight) == (1, False)
     assert closed.rest_time == rest_times.RestTime(told_s=1, held_s=1.5)
@@ -156,7 +141,7 @@
 async def test_first_request_is_answered_at_a_shutdown() -> None:
     # Guards against whole requests without an answer: a client connects, the
     # server shuts down before its request is there, and closed the connection.
-    handler = Handler()
+    handler = recording_handlers.RecordingHandler(DELAY_S)
     listening = server.Server("test", handler, lambda: LIMITS)
     address = bench.free_address()
     listening.listen_on(address)
@@ -185,7 +170,7 @@
 
 async def test_raised_idle_timeout_applies_to_open_connections() -> None:
     limits = [messages.ClientLimits(idle_timeout_s=IDLE_S)]
-    handler = Handler()
+    handler = recording_handlers.RecordingHandler(DELAY_S)
     listening = server.Server("test", handler, lambda: limits[0])
     address = bench.free_address()
     listening.listen_on(address)
@@ -202,7 +187,7 @@
 
 async def test_partial_pipelined_request_has_header_timeout() -> None:
     limits = messages.ClientLimits(header_timeout_s=0.2, idle_timeout_s=60.0)
-    handler = Handler()
+    handler = recording_handlers.RecordingHandler(DELAY_S)
     listening = server.Server(
         "test", handler, lambda: limits, handler.closed.append
     )
@@ -214,10 +199,7 @@
     assert b" 200 " in await connection.answer()
     assert (await connection.answer()).startswith(b"HTTP/1.1 408 ")
     assert await connection.ended()
-    async with asyncio.timeout(keep_alive_connections.TIMEOUT_S):
-        while not handler.closed:
-            await asyncio.sleep(0.01)
-    [closed] = handler.closed
+    closed = await handler.only_closed()
     assert closed.reason is close_reports.CloseReason.SLOW_HEAD
     connection.close()
     listening.close_all()
--- a/tests/test_slow_requests.py
+++ b/tests/test_slow_requests.py
@@ -14,40 +14,26 @@
 from martenjunction.http1 import messages
 from martenjunction.http1 import request_bodies
 from martenjunction.http1 import server
-from martenjunction.http1 import server_connection
 from martenjunction_lab import bench
 from tests import keep_alive_connections
+from tests import recording_handlers
 
 LIMIT_S = 0.2
 
+Served = tuple[recording_handlers.RecordingHandler, str]
+
 HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
 CHUNKED = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 LIMITS = messages.ClientLimits(header_timeout_s=LIMIT_S, idle_timeout_s=60.0)
 
 
-class Handler:
-    """Answers each request, and records how connections ended."""
-
-    def __init__(self) -> None:
-        self.received: list[bytes] = []
-        self.closed: list[close_reports.ClosedConnection] = []
-
-    async def __call__(
-        self,
-        connection: server_connection.ServerConnection,
-        request: messages.Request,
-    ) -> None:
-        self.received.append(request.target)
-        await connection.answer(200, [], b"ok")
-
-
 @pytest.fixture
 async def served(
     monkeypatch: pytest.MonkeyPatch,
-) -> AsyncIterator[tuple[Handler, str]]:
+) -> AsyncIterator[Served]:
     monkeypatch.setattr(request_bodies, "BODY_TIMEOUT_S", LIMIT_S)
-    handler = Handler()
+    handler = recording_handlers.RecordingHandler()
     listening = server.Server(
         "test", handler, lambda: LIMITS, handler.closed.append
     )
@@ -69,7 +55,7 @@
     ids=["first-line", "head", "body", "chunked-body"],
 )
 async def test_request_that_takes_too_long_is_refused_with_408(
-    served: tuple[Handler, str],
+    served: Served,
     begun: bytes,
     reason: close_reports.CloseReason,
     used: bool,
@@ -86,16 +72,13 @@
     assert b"onnection: close" in refusal
     assert await connection.ended()
     connection.close()
-    async with asyncio.timeout(keep_alive_connections.TIMEOUT_S):
-        while not handler.closed:
-            await asyncio.sleep(0.01)
-    [closed] = handler.closed
+    closed = await handler.only_closed()
     assert closed.reason is reason
     assert len(handler.received) == used
 
 
 async def test_request_that_trickles_in_is_refused_with_408(
-    served: tuple[Handler, str],
+    served: Served,
 ) -> None:
     handler, address = served
     connection = keep_alive_connections.KeptConnection()
