Plan the failure of the endpoint that a request reaches

Seen: `test_safe_request_is_tried_at_another_replica` had the first of two endpoints fail.

Cause: which endpoint gets the first request is drawn. The other one answers sooner than the initial estimate of 30 ms, so that later requests, sent one after the other, stay there.

The endpoint that gets the first request fails now, and keeps failing. The test also asserts that the request went on to the other one.

--- a/tests/gateway_requests.py
+++ b/tests/gateway_requests.py
@@ -115,6 +115,38 @@
         stand_in.plan(behaviour)
 
 
+def plan_where_first_sent(
+    monkeypatch: pytest.MonkeyPatch,
+    made: list[replica.Replica],
+    behaviour: Behaviour,
+) -> None:
+    """Plans the behaviour of the replica that gets the next request.
+
+    It is kept for all later requests there; which replica it is depends on a
+    draw.
+    """
+    first: list[replica.Replica] = []
+
+    def watch(stand_in: replica.Replica) -> None:
+        answer = stand_in._answer
+
+        async def answer_as_planned(
+            request: replica.Received,
+            planned: Behaviour,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> bool:
+            if not first:
+                first.append(stand_in)
+            chosen = behaviour if stand_in in first else planned
+            return await answer(request, chosen, reader, writer)
+
+        monkeypatch.setattr(stand_in, "_answer", answer_as_planned)
+
+    for stand_in in made:
+        watch(stand_in)
+
+
 def runs(made: list[replica.Replica], request_id: str = "r1") -> int:
     return sum(stand_in.runs[request_id] for stand_in in made)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -158,14 +158,16 @@
     ],
 )
 async def test_safe_request_is_tried_at_another_replica(
-    fleet: boxes.Boxes, behaviour: Behaviour
+    fleet: boxes.Boxes,
+    monkeypatch: pytest.MonkeyPatch,
+    behaviour: Behaviour,
 ) -> None:
     made = await requests.two_plain(fleet)
-    made[0].always(behaviour)
-    made[1].plan(Behaviour.SERVE)
+    requests.plan_where_first_sent(monkeypatch, made, behaviour)
     for number in range(4):
         head, _ = await requests.ask(fleet, "/safe/", f"r{number}")
         assert head.status == 200
+    assert [stand_in.received[0].id for stand_in in made] == ["r0", "r0"]
 
 
 async def test_retries_are_limited_by_the_route(
