Test the priority of tiers in simulated time

Seen: `test_request_of_a_higher_tier_gets_the_grant` counts the grants of two tiers over 4 s of real time.

Cause: the test. Where requests take long, the higher tier asks less often than its endpoint grants, and the lower one rightly gets the rest.

The loop in simulated time takes the machine's speed out. The check is as it was.

--- a/tests/test_tier_precedence.py
+++ b/tests/test_tier_precedence.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import pytest
+
 from martenjunction.decisions.boxes import tier_precedence
 from martenjunction_lab import boxes
 from tests import gateway_requests as requests
@@ -43,6 +45,7 @@
     assert len(made._services) == tier_precedence.MAX_SERVICES
 
 
+@pytest.mark.simulated_time
 async def test_request_of_a_higher_tier_gets_the_grant(
     fleet: boxes.Boxes,
 ) -> None:
