Test the pauses after refusals where they decide

Cause: the test. Beside an endpoint that takes 50 ms, the cost of one refusal alone makes the refusing one the worse choice. The pauses are at most 1.6 s of real time, so that slow requests rightly get more tries there.

A second row has an endpoint that takes 150 ms, and both run in simulated time. The check and the row of 50 ms are as they were.

--- a/tests/test_endpoint_refusals.py
+++ b/tests/test_endpoint_refusals.py
@@ -256,13 +256,16 @@
     )
 
 
+@pytest.mark.simulated_time
+@pytest.mark.parametrize("queue_s", [0.05, 0.15])
 async def test_endpoint_that_refuses_at_once_does_not_look_idle(
-    fleet: boxes.Boxes,
+    fleet: boxes.Boxes, queue_s: float
 ) -> None:
-    # Even without a requested back-off, it is tried less and less often.
+    # Even without a requested back-off, it is tried less and less often. At the
+    # longer time its refusals alone do not make it the worse choice.
     made = await requests.two_plain(fleet)
     made[0].always(Behaviour.REFUSE)
-    made[1].queue_s = 0.05
+    made[1].queue_s = queue_s
     box = fleet.gateways[0]
     for number in range(60):
         await requests.ask(fleet, "/safe/", f"r{number}")
