Have requests overlap where an endpoint has to be ejected

Seen: `test_ejected_endpoint_without_repeatable_requests_is_reinstated` sends 12 requests at once, and takes it that some go to the stopped one of two endpoints.

Cause: the test. The other endpoint answers in a few milliseconds. Requests that do not overlap, and those after the first answers, all go there.

Requests wait at the other endpoint for 50 ms now, and the test runs in simulated time. The checks are as they were.

--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from martenjunction import errors
 from martenjunction.routing.requests import exchange
 from martenjunction_lab import boxes
@@ -12,6 +14,9 @@
 
 Behaviour = replica.Behaviour
 
+# Seconds for which requests wait at a replica, beside others that are sent.
+QUEUE_S = 0.05
+
 
 async def test_draining_replica_gets_no_new_work(fleet: boxes.Boxes) -> None:
     made = await requests.two_plain(fleet)
@@ -106,13 +111,15 @@
     assert box.store_cache.version == 9
 
 
+@pytest.mark.simulated_time
 async def test_ejected_endpoint_without_repeatable_requests_is_reinstated(
     fleet: boxes.Boxes,
 ) -> None:
     made = await requests.two_plain(fleet)
     box = fleet.gateways[0]
     await made[0].stop()
-    # Concurrent requests are spread over both replicas.
+    # Requests that wait at the other replica are spread over both.
+    made[1].queue_s = QUEUE_S
     answers = await asyncio.gather(
         *(requests.ask(fleet, "/unsafe/", f"r{number}") for number in range(12))
     )
