Have requests overlap where an endpoint has to fail

Seen: `test_boxes_of_a_small_fleet_report_failures` sends eight requests at a time until one of two endpoints has failed some of them.

Requests wait at both endpoints for 50 ms now, and the test runs in simulated time. The check is as it was.

--- a/tests/test_endpoint_outcomes.py
+++ b/tests/test_endpoint_outcomes.py
@@ -30,6 +30,9 @@
 ANSWER_S = 0.09
 ERROR_S = 0.001
 
+# Seconds for which requests wait at an endpoint, beside others that are sent.
+QUEUE_S = 0.05
+
 
 class _Fleet:
     """Boxes that each send a request every few seconds, in simulated time."""
@@ -113,19 +116,21 @@
     assert part[alone] >= 3 * part[together]
 
 
+@pytest.mark.simulated_time
 async def test_boxes_of_a_small_fleet_report_failures() -> None:
     """Box 1 learns of failures that only box 0 meets.
 
     The first of eight requests in a row went to an endpoint that was drawn, the
     others to whichever had answered quickly: in 2 of 6 runs nothing failed at
     box 0, and the request of box 1 could meet the failure itself. So box 1
-    sends nothing once the endpoint fails, and box 0 sends eight at a time,
-    which go to both endpoints, until box 1 knows.
+    sends nothing once the endpoint fails, and box 0 sends eight at a time until
+    box 1 knows. They wait at their endpoints, so that they go to both.
     """
     made = boxes.Boxes()
     await made.start(builders.relaxed_config_document(), boxes=2)
     for _ in range(2):
-        await made.add_replica(builders.PLAIN)
+        stand_in = await made.add_replica(builders.PLAIN)
+        stand_in.queue_s = QUEUE_S
     await made.until_listed()
     headers = requests.request_headers("s1")
     await boxes.call(made.addresses[1], "POST", "/safe/", headers, b"hello")
