Count a response as begun once its head is written

Seen, by injection: an error between the decision to respond and the first byte closed the connection of a request that had run, without an answer.

Cause: the response counted as begun before its head was written, so that the error was taken for one within a response, which can only break off.

It counts as begun after the head is written; before, the request gets 502. No call is known that raises such an error.

--- a/martenjunction/http1/response_writer.py
+++ b/martenjunction/http1/response_writer.py
@@ -82,9 +82,9 @@
         head = h11.Response(
             status_code=status, headers=headers, reason=reason.encode()
         )
-        self.started = True
         streams.limit_unread(self._stream, True)
         self.write_event(head)
+        self.started = True
 
     def write_event(self, event: h11.Event) -> None:
         """Writes a head, or an interim response.
