Forget a check of an endpoint that fails

Cause: the runs share the task of a check, which was forgotten only after a result.

A check that fails is logged, finds nothing and is forgotten like the others; a cancelled one finds nothing for the run that waits for it. No call is known that lets such an error escape.

--- a/martenjunction/routing/endpoints/endpoint_liveness.py
+++ b/martenjunction/routing/endpoints/endpoint_liveness.py
@@ -7,12 +7,15 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import logging
 import time
 
 from martenjunction import errors
 from martenjunction import model
 from martenjunction.routing.endpoints import endpoint_registry
 
+logger = logging.getLogger(__name__)
+
 # Maximum time, in seconds, that a request waits for the check. Connections are
 # made or refused within a few milliseconds, and a retry should not be delayed
 # if nothing answers.
@@ -72,10 +75,10 @@
             loop = asyncio.get_running_loop()
             check_task = loop.create_task(self._check(endpoint))
             self._checks[endpoint.id] = check_task
-        elif check_task.done() and check_task.result():
+        elif _found_ended(check_task):
             self._on_ended(endpoint.id)
         await asyncio.wait([check_task], timeout=CHECK_TIMEOUT_S)
-        return check_task.done() and check_task.result()
+        return _found_ended(check_task)
 
     async def stop(self) -> None:
         """Cancels the running checks."""
@@ -85,10 +88,15 @@
         await asyncio.gather(*check_tasks, return_exceptions=True)
 
     async def _check(self, endpoint: model.Endpoint) -> bool:
-        ended = await self._refuses_connections(endpoint)
-        asyncio.get_running_loop().call_later(
-            RESULT_TTL_S, self._checks.pop, endpoint.id, None
-        )
+        try:
+            ended = await self._refuses_connections(endpoint)
+        except Exception:
+            logger.exception("failed to check endpoint %s", endpoint.id)
+            ended = False
+        finally:
+            asyncio.get_running_loop().call_later(
+                RESULT_TTL_S, self._checks.pop, endpoint.id, None
+            )
         if ended:
             self._on_ended(endpoint.id)
         return ended
@@ -106,3 +114,14 @@
     def _note_unreachable(self, endpoint: model.Endpoint, cause: str) -> None:
         # Spares the other runs there from detecting this one by one.
         self._health.note_unreachable(endpoint.id, time.monotonic(), cause)
+
+
+def _found_ended(check_task: asyncio.Task[bool]) -> bool:
+    """Returns whether a check is complete and found a crashed endpoint.
+
+    A check that was cancelled is not an answer, and not an error of the run
+    that waits for it.
+    """
+    if not check_task.done() or check_task.cancelled():
+        return False
+    return check_task.result()
