Go on with a planned stop where a step of it fails

Seen, by injection: an error in what a stopping box tells others ended its stop. The requests under way were never ended and lost their answers as the platform killed the process; the log had no line of it.

Cause: nobody awaits the task of a stop, and what ends the requests comes after all other steps in it.

A step that fails is logged and the next one runs; the requests are ended and the process ends whatever fails before. The product's own daemon does the same. No call is known that raises such an error.

--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -15,6 +15,7 @@
 from martenjunction import metrics_text
 from martenjunction import planned_stop
 from martenjunction import rankings
+from martenjunction import stop_steps
 from martenjunction import timers
 from martenjunction import wiring
 from martenjunction.callers import service as caller_service
@@ -203,16 +204,25 @@
             return
         self._draining = True
         logger.info("graceful shutdown started")
-        self.events.emit(events.LEAVING)
-        self.sync.announce_leaving(self.members.own)
-        self.members.mark_leaving(
-            self._settings.box, self.members.own.incarnation
+        own = self.members.own
+        stop_steps.run(
+            [
+                lambda: self.events.emit(events.LEAVING),
+                lambda: self.sync.announce_leaving(own),
+                lambda: self.members.mark_leaving(
+                    self._settings.box, own.incarnation
+                ),
+            ]
         )
-        await planned_stop.end_service(
-            self._settings, self._listeners, self.callers
-        )
-        await self.stop()
-        self._drained.set()
+        try:
+            await planned_stop.end_service(
+                self._settings, self._listeners, self.callers
+            )
+        finally:
+            try:
+                await self.stop()
+            finally:
+                self._drained.set()
 
     async def wait_drained(self) -> None:
         """Waits until a graceful shutdown has completed."""
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -7,6 +7,7 @@
 from martenjunction import box_gauges
 from martenjunction import box_parts
 from martenjunction import own_records
+from martenjunction import stop_steps
 from martenjunction import timers
 from martenjunction.decisions.boxes import connection_share
 from martenjunction.decisions.boxes import load_shedding
@@ -170,17 +171,37 @@
         started_at = self.timers.now()
         self.stop_state.leave(started_at)
         self.log.write("stop-begins", held=len(self.held))
-        self.members.mark_leaving(
-            self._settings.box, self.members.own.incarnation
+        stop_steps.run(
+            [
+                self._mark_leaving,
+                self.sync.announce_leaving,
+                self.box_states.leave,
+                self.sync.announce,
+                self.origins.hand_over,
+            ]
         )
-        self.sync.announce_leaving()
-        self.box_states.leave()
-        self.sync.announce()
-        self.origins.hand_over()
-        deadline = started_at + self._settings.stop_s - STOP_MARGIN_S
         loop = asyncio.get_running_loop()
         release = loop.create_task(self.duties.leave())
         removal = loop.create_task(self.follower.remove_own_entry())
+        try:
+            await self._drain(started_at)
+        finally:
+            removal.cancel()
+            release.cancel()
+            stop_steps.run([self.usage.write])
+            self.log.write("stopped", cut_off=len(self.held))
+            try:
+                await self.stop()
+            finally:
+                self._stopped.set()
+
+    async def _drain(self, started_at: float) -> None:
+        """Serves until no request is in flight or the stop time is near.
+
+        Args:
+            started_at: Time at which the shutdown began.
+        """
+        deadline = started_at + self._settings.stop_s - STOP_MARGIN_S
         while self.timers.now() < deadline:
             lingered = self.timers.now() - started_at > LINGER_S
             if lingered and not self.held:
@@ -191,12 +212,11 @@
                 break
             remaining = max(0.0, deadline - self.timers.now())
             await asyncio.sleep(min(WATCH_INTERVAL_S, remaining))
-        removal.cancel()
-        release.cancel()
-        self.usage.write()
-        self.log.write("stopped", cut_off=len(self.held))
-        await self.stop()
-        self._stopped.set()
+
+    def _mark_leaving(self) -> None:
+        self.members.mark_leaving(
+            self._settings.box, self.members.own.incarnation
+        )
 
     async def wait_stopped(self) -> None:
         """Waits until a graceful shutdown has completed."""
