Judge trials by rules on what was promised

Cause: each trial looked for its own faults, and a promise was checked only where a trial had thought of it.

Limits of time bind only undisturbed parts. Events got fields, all with defaults, where a rule could not be judged without them: the digest of a body, the endpoints that a request may use, the run that wrote an event of a stream, the routes that need no key, the ends of a link, planned work and restarts; an endpoint that returns is an event of its own. The order of events and the disturbed spans are made once until an event is added.

--- a/martenjunction_lab/promises/events.py
+++ b/martenjunction_lab/promises/events.py
@@ -5,11 +5,16 @@
 are seconds on one clock.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import enum
+from typing import Any
 from typing import TypeVar
 
+from martenjunction_lab.promises import spans
+from martenjunction_lab.promises import terms
+
 
 class RouteKind(enum.StrEnum):
     """How a route's requests may run."""
@@ -71,6 +76,7 @@
         resumes: Id of the request whose stream it goes on with; empty for none.
         after_event: Number of the last event that its client has of that
             stream; 0 for none.
+        most_endpoints: Endpoints that may run it; 0 if not known.
     """
 
     request: str
@@ -87,6 +93,7 @@
     key: str = ""
     resumes: str = ""
     after_event: int = 0
+    most_endpoints: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,6 +109,7 @@
             it says none.
         endpoint: The endpoint that the answer names; empty for none.
         retry_after_s: The time that a refusal names; None for none.
+        body_digest: Of the body; empty if not known.
     """
 
     request: str
@@ -111,6 +119,7 @@
     answers: str = ""
     endpoint: str = ""
     retry_after_s: float | None = None
+    body_digest: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,12 +131,14 @@
         number: Number of the event, from 1 on.
         total: Events of the whole stream.
         version: Software version of the endpoint that wrote it.
+        attempt: The arrival whose run wrote it; 0 if not known.
     """
 
     request: str
     number: int
     total: int
     version: str = ""
+    attempt: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,9 +183,11 @@
 
     Attributes:
         attempt: The arrival.
+        status: The status of the refusal; 0 if not known.
     """
 
     attempt: int
+    status: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -196,11 +209,13 @@
         attempt: The arrival.
         how: How it ended.
         status: The status that the endpoint returned; 0 for none.
+        body_digest: Of the body that it returned; empty if not known.
     """
 
     attempt: int
     how: RunEnd
     status: int = 0
+    body_digest: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -211,11 +226,13 @@
         version: Its version.
         services: The service of each route.
         keys: The keys that it holds.
+        public: The routes that need no key; None if not known.
     """
 
     version: int
     services: dict[str, str]
     keys: frozenset[str]
+    public: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -231,6 +248,17 @@
     box: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Returns(Event):
+    """An endpoint that had left was listed as ready again.
+
+    Attributes:
+        endpoint: The endpoint.
+    """
+
+    endpoint: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BoxStops(Event):
     """A box was told to stop.
@@ -250,46 +278,24 @@
         until: When it ended.
         kind: Name of the behaviour.
         part: Name of the box, endpoint or link; `store` for the store.
+        ends: The boxes and endpoints that a link connects; they count as
+            disturbed too.
+        planned: Whether it is planned work, such as a reload.
+        restarts: Whether the part's process ended and another one began.
     """
 
     until: float
     kind: str
     part: str
+    ends: tuple[str, ...] = ()
+    planned: bool = False
+    restarts: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Terms:
-    """Figures of the promises that are judged, in seconds unless named.
-
-    Attributes:
-        contact_s: Time without a disturbance after which time limits bind.
-        change_s: Time within which a configuration is in force.
-        revoke_s: Time after which no box runs a request with a lost key.
-        drain_s: Time after which a leaving endpoint gets no more work.
-        grace_s: Time that a box has to stop.
-        gone_s: Time within which an endpoint hears that a client has left.
-        late_s: Time after a time limit within which a final answer is due.
-        retry_ratio: Retries of a request that a service gets, at most.
-        retry_allowance: Retries beyond these in a window.
-        retry_window_s: The length of a window.
-        min_served: Part of the requests that is served while nothing is
-            disturbed.
-    """
-
-    contact_s: float = 2.0
-    change_s: float = 2.0
-    revoke_s: float = 5.0
-    drain_s: float = 2.0
-    grace_s: float = 8.0
-    gone_s: float = 0.5
-    late_s: float = 0.5
-    retry_ratio: float = 0.2
-    retry_allowance: float = 52.0
-    retry_window_s: float = 10.0
-    min_served: float = 0.99
+Terms = terms.Terms
 
-
-E_co = TypeVar("E_co", bound=Event)
+EventT = TypeVar("EventT", bound=Event)
+ResultT = TypeVar("ResultT")
 
 
 class History:
@@ -301,15 +307,34 @@
         """Takes events that were seen before."""
         self.terms = terms or Terms()
         self._events = list(events)
+        self._derived: dict[Callable[[History], Any], Any] = {}
+        self._of: dict[type[Event], list[Any]] = {}
+
+    @property
+    def end(self) -> float:
+        """When the last event was seen; 0 if there is none."""
+        ordered = self._ordered(Event)
+        return ordered[-1].at if ordered else 0.0
 
     def add(self, event: Event) -> None:
         """Adds an event; events may come in any order of their times."""
         self._events.append(event)
+        self._derived.clear()
+        self._of.clear()
 
-    def of(self, kind: type[E_co]) -> list[E_co]:
+    def of(self, kind: type[EventT]) -> list[EventT]:
         """Returns the events of a kind, in the order of their times."""
-        found = [event for event in self._events if isinstance(event, kind)]
-        return sorted(found, key=lambda event: event.at)
+        return list(self._ordered(kind))
+
+    def derived(self, build: Callable[["History"], ResultT]) -> ResultT:
+        """Returns what a function makes of this history.
+
+        The function is called once until an event is added.
+        """
+        if build not in self._derived:
+            self._derived[build] = build(self)
+        result: ResultT = self._derived[build]
+        return result
 
     def calm(self, part: str, since: float, until: float) -> bool:
         """Returns whether a part and the store were not disturbed.
@@ -319,10 +344,54 @@
             since: Begin of the time; `contact_s` before it counts as well.
             until: Its end.
         """
-        since -= self.terms.contact_s
-        return not any(
-            event.part in (part, "store")
-            and event.at <= until
-            and event.until >= since
-            for event in self.of(Disturbance)
+        return all(
+            self.undisturbed(name, since, until) for name in (part, "store")
         )
+
+    def undisturbed(
+        self,
+        part: str | None,
+        since: float,
+        until: float,
+        planned: bool = True,
+    ) -> bool:
+        """Returns whether a part alone was not disturbed.
+
+        Args:
+            part: A box, an endpoint or the store; None for all parts.
+            since: Begin of the time; `contact_s` before it counts as well.
+            until: Its end.
+            planned: Whether planned work, a box's stop too, counts.
+        """
+        found = self.derived(_disturbances)[planned]
+        return not found.overlap(part, since - self.terms.contact_s, until)
+
+    def _ordered(self, kind: type[EventT]) -> list[EventT]:
+        if Event not in self._of:
+            # Events of the same time have an order that does not depend on
+            # that in which they were added.
+            self._of[Event] = sorted(
+                self._events, key=lambda event: (event.at, repr(event))
+            )
+        if kind not in self._of:
+            everything = self._of[Event]
+            self._of[kind] = [
+                event for event in everything if isinstance(event, kind)
+            ]
+        return self._of[kind]
+
+
+def _disturbances(history: History) -> dict[bool, spans.PartSpans]:
+    """Returns when parts were disturbed, with and without planned work."""
+    made: list[tuple[bool, tuple[str, ...], spans.Span]] = [
+        (event.planned, (event.part, *event.ends), (event.at, event.until))
+        for event in history.of(Disturbance)
+    ]
+    grace_s = history.terms.grace_s
+    for stop in history.of(BoxStops):
+        made.append((True, (stop.box,), (stop.at, stop.at + grace_s)))
+    unplanned = [(parts, span) for planned, parts, span in made if not planned]
+    return {
+        True: spans.PartSpans((parts, span) for _, parts, span in made),
+        False: spans.PartSpans(unplanned),
+    }
--- /dev/null
+++ b/tests/promise_change_cases.py
@@ -0,0 +1,217 @@
+"""Pairs of histories for the rules on changes and streams."""
+
+from typing import Any
+
+from martenjunction_lab.promises import events
+from tests import promise_histories as histories
+
+BROKEN_OFF = events.RunEnd.BROKEN_OFF
+START = histories.START
+LENIENT = histories.LENIENT
+Kind = events.RouteKind
+Case = histories.Case
+
+served = histories.served
+sent = histories.sent
+arrived = histories.arrived
+run = histories.run
+ended = histories.ended
+refused = histories.refused
+configured = histories.configured
+disturbed = histories.disturbed
+pieces = histories.pieces
+
+
+def _with(kind: type[events.Event], **changes: Any) -> list[events.Event]:
+    return histories.replaced(served(), kind, **changes)
+
+
+def _changed(at: float, *more: events.Event) -> list[events.Event]:
+    """Version 2 moves the route; a request is sent then to the old service."""
+    return [
+        configured(1, START - 50),
+        configured(2, START, "s2"),
+        *served(at=at),
+        *more,
+    ]
+
+
+def _moved_back(at: float, *more: events.Event) -> list[events.Event]:
+    """A box runs a request at the new service, then one at the old one."""
+    return [
+        *_changed(at, *more),
+        *served("r0", START, 9, service="s2"),
+    ]
+
+
+def _revoked(at: float, **changes: Any) -> list[events.Event]:
+    """A key is taken away; a request is sent then that runs by it."""
+    return [
+        configured(1, START - 50),
+        configured(2, START, keys=frozenset({"k2"}), **changes),
+        # What is disturbed binds a lost key all the same.
+        disturbed("b1", START, START + 100),
+        *served(at=at),
+    ]
+
+
+def _denied(status: int, **changes: Any) -> list[events.Event]:
+    return [configured(1, START - 50), sent(**changes), refused(status)]
+
+
+def _added(at: float) -> events.Configured:
+    """Version 2 adds a route."""
+    return configured(2, at, services={"chat": "s1", "new": "s1"})
+
+
+def _leaving(
+    at: float, *more: events.Event, box: str = ""
+) -> list[events.Event]:
+    return [events.Leaves(START, "e1", box), *served(at=at), *more]
+
+
+def _taken_up(*numbers: int, **changes: Any) -> list[events.Event]:
+    """A stream that broke off after an event, and was taken up."""
+    return [
+        sent("r0", START - 1, kind=Kind.RESUMABLE),
+        arrived("r0", START - 0.99, 9),
+        *run(START - 0.98, 9, how=BROKEN_OFF),
+        *pieces(1, request="r0", at=START - 1, attempt=9),
+        ended("r0", START - 0.8, whole=False),
+        sent(kind=Kind.RESUMABLE, resumes="r0", after_event=1),
+        arrived(),
+        *run(),
+        *pieces(*numbers, **changes),
+        ended(),
+    ]
+
+
+def _taken_up_at_end() -> list[events.Event]:
+    """A whole stream that is taken up after its last event."""
+    return [
+        *histories.streamed(1, 2, 3),
+        sent("r2", START + 1, kind=Kind.RESUMABLE, resumes="r1", after_event=3),
+        arrived("r2", START + 1.01, 2),
+        *run(START + 1.02, 2),
+        ended("r2", START + 1.2),
+    ]
+
+
+def _two_runs(kind: Kind, second: int, *last: int) -> list[events.Event]:
+    """A stream that breaks off and goes on with a run of another arrival."""
+    return [
+        sent(kind=kind),
+        arrived(),
+        *run(how=BROKEN_OFF, lasts_s=0.02),
+        *pieces(1),
+        arrived(at=START + 0.05, attempt=2, endpoint="e2"),
+        *([] if kind is Kind.STREAM else run(START + 0.05, 2)),
+        *pieces(2, at=START + 0.05, attempt=second),
+        *pieces(*last, at=START + 0.07),
+        ended(whole=False),
+    ]
+
+
+CASES = [
+    Case("own-tenant", _with(events.Arrived, tenant="t2"), served()),
+    Case(
+        "own-tenant",
+        [configured(1, START - 50), *_with(events.Arrived, tenant="")],
+        [
+            configured(1, START - 50, public=frozenset({"chat"})),
+            *_with(events.Arrived, tenant=""),
+        ],
+    ),
+    Case("key-kept", _with(events.Arrived, saw_key=True), served()),
+    Case("lost-key", _revoked(START + 5.1), _revoked(START + 4.9)),
+    Case(
+        "lost-key",
+        _revoked(START + 50),
+        _revoked(START + 50, public=frozenset({"chat"})),
+    ),
+    Case(
+        "allowed-run",
+        [configured(1, START - 50, "s2"), *served()],
+        [configured(1, START - 50), *served()],
+    ),
+    Case(
+        "allowed-run",
+        [configured(1, START - 50), *served(key="k2")],
+        [
+            configured(1, START - 50, public=frozenset({"chat"})),
+            *served(key="k2"),
+        ],
+    ),
+    Case("denied", _denied(404), _denied(404, route="other"), terms=LENIENT),
+    Case("denied", _denied(401), _denied(401, key="k2"), terms=LENIENT),
+    Case("change-in-force", _changed(START + 2.1), _changed(START + 1.9)),
+    Case(
+        "change-in-force",
+        _changed(START + 2.1),
+        _changed(START + 2.1, disturbed("store", START - 2, START - 1.8)),
+    ),
+    Case(
+        "change-in-force",
+        [*_denied(404, route="new"), _added(START - 2.1)],
+        [*_denied(404, route="new"), _added(START - 1.9)],
+        terms=LENIENT,
+    ),
+    Case("never-back", _moved_back(START + 1), _moved_back(START)),
+    Case(
+        "never-back",
+        _moved_back(START + 1, disturbed("b1", START, START + 9)),
+        _moved_back(
+            START + 1, disturbed("b1", START + 0.5, START + 9, restarts=True)
+        ),
+    ),
+    Case(
+        "leaving-endpoint",
+        _leaving(START + 2.0),
+        _leaving(START + 1.99),
+        about="e1",
+    ),
+    Case(
+        "leaving-endpoint",
+        _leaving(START + 9),
+        _leaving(START + 9, events.Returns(START + 8, "e1")),
+        about="e1",
+    ),
+    Case(
+        "leaving-endpoint",
+        _leaving(START + 9, disturbed("store", START, START + 9), box="b1"),
+        _leaving(START + 9, disturbed("store", START, START + 9), box="b2"),
+        about="e1",
+    ),
+    Case(
+        "stream-order",
+        histories.streamed(1, 3),
+        histories.streamed(1, 2, 3),
+    ),
+    Case("stream-order", histories.streamed(1, 2, 2, 3), served()),
+    Case(
+        "stream-order",
+        _taken_up(1, 2, 3),
+        _taken_up(2, 3),
+        terms=LENIENT,
+    ),
+    Case(
+        "stream-run",
+        _two_runs(Kind.STREAM, 2),
+        _two_runs(Kind.STREAM, 1),
+        terms=LENIENT,
+    ),
+    Case(
+        "stream-run",
+        _two_runs(Kind.RESUMABLE, 2, 3),
+        _two_runs(Kind.RESUMABLE, 2),
+        terms=LENIENT,
+    ),
+    Case(
+        "stream-version",
+        _taken_up(2, 3, version="v2"),
+        _taken_up(2, 3),
+        terms=LENIENT,
+    ),
+    Case("stream-end", histories.streamed(1, 2), histories.streamed(1, 2, 3)),
+    Case("stream-end", histories.streamed(), _taken_up_at_end()),
+]
--- /dev/null
+++ b/tests/test_promise_judge.py
@@ -0,0 +1,131 @@
+"""Guards against broken promises that the judge of trials does not find.
+
+Each rule is held against a history that breaks its promise alone, and one that
+just keeps it.
+"""
+
+import random
+import time
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from martenjunction_lab.promises import events
+from martenjunction_lab.promises import judge
+from martenjunction_lab.promises import rules
+from tests import promise_answer_cases
+from tests import promise_change_cases
+from tests import promise_histories as histories
+from tests import promises_page
+
+# Events of a long history, and seconds of processor time to judge it.
+LONG_EVENTS = 50_000
+MAX_S = 20.0
+
+START = histories.START
+CASES = [*promise_answer_cases.CASES, *promise_change_cases.CASES]
+IDS = [f"{number}-{case.promise}" for number, case in enumerate(CASES, 1)]
+all_cases = pytest.mark.parametrize("case", CASES, ids=IDS)
+
+
+@all_cases
+def test_broken_promise_is_found_with_its_trace(
+    case: histories.Case,
+) -> None:
+    found = judge.broken(events.History(case.breaks, case.terms))
+    assert {made.promise for made in found} == {case.promise}
+    assert case.about in {made.about for made in found}
+    for made in found:
+        assert list(made.trace) == sorted(made.trace, key=lambda its: its.at)
+        of_it = [
+            event
+            for event in case.breaks
+            if getattr(event, "request", None) == made.about
+        ]
+        assert made.trace
+        assert all(event in made.trace for event in of_it)
+        assert str(made).startswith(f"{made.promise}: {made.about} at ")
+        assert str(made).count("\n") == len(made.trace)
+
+
+@all_cases
+def test_kept_promise_is_sound(case: histories.Case) -> None:
+    found = judge.broken(events.History(case.keeps, case.terms))
+    assert not found, "\n".join(map(str, found))
+
+
+def test_each_rule_has_a_case() -> None:
+    names = [rule.name for rule in rules.in_order()]
+    assert sorted(set(names)) == sorted(names)
+    assert set(names) == {case.promise for case in CASES}
+
+
+def test_sections_are_those_of_the_page_in_its_order() -> None:
+    lines = promises_page.PAGE.read_text(encoding="utf-8").splitlines()
+    headings = [line[3:] for line in lines if line.startswith("## ")]
+    order = [headings.index(section.value) for section in rules.Section]
+    assert order == sorted(order)
+    sections = [rule.section for rule in rules.in_order()]
+    assert sections == sorted(sections, key=list(rules.Section).index)
+
+
+@given(st.sampled_from(CASES), st.randoms())
+def test_order_in_which_events_are_added_changes_nothing(
+    case: histories.Case, rng: random.Random
+) -> None:
+    expected = judge.broken(events.History(case.breaks, case.terms))
+    shuffled = list(case.breaks)
+    rng.shuffle(shuffled)
+    history = events.History(terms=case.terms)
+    for event in shuffled:
+        history.add(event)
+    assert judge.broken(history) == expected
+
+
+def test_event_that_is_added_after_a_judgement_counts() -> None:
+    history = events.History(histories.served())
+    assert not judge.broken(history)
+    history.add(events.RunBegan(START + 1, 1))
+    assert [made.promise for made in judge.broken(history)] == ["once"]
+
+
+@pytest.mark.parametrize(
+    ("made", "calm"),
+    [
+        (histories.disturbed("b1", START - 9, START - 2.1), True),
+        (histories.disturbed("b1", START - 9, START - 2.0), False),
+        (histories.disturbed("b1", START + 1.0, START + 9), False),
+        (histories.disturbed("b1", START + 1.1, START + 9), True),
+        (histories.disturbed("b2", START, START + 9), True),
+        (histories.disturbed("store", START, START + 9), False),
+        (histories.disturbed("l", START, START, ends=("b1", "e1")), False),
+        (events.BoxStops(START - 10.0, "b1"), False),
+        (events.BoxStops(START - 10.1, "b1"), True),
+        (events.BoxStops(START, "b2"), True),
+    ],
+)
+def test_calm_is_told_by_part_and_time(made: events.Event, calm: bool) -> None:
+    short = histories.disturbed("b1", START - 8, START - 7)
+    history = events.History([made, short])
+    assert history.calm("b1", START, START + 1.0) is calm
+
+
+def test_long_history_is_judged_in_time() -> None:
+    count = LONG_EVENTS // 6
+    made = histories.many(
+        count,
+        lambda number: [
+            *histories.served(f"r{number}", START + number / 50, number),
+            histories.disturbed(
+                f"b{number % 20}", START + number / 50, START + number / 50
+            ),
+        ],
+    )
+    made += [histories.configured(n, START + n) for n in range(1, 100)]
+    made += [events.Leaves(START + n, f"e{n % 20}") for n in range(2, 100)]
+    begun = time.process_time()
+    judge.broken(events.History(made))
+    took_s = time.process_time() - begun
+    print(f"{len(made)} events judged in {took_s:.2f} s")
+    assert took_s < MAX_S
