Find runs that begin after their client has left

Cause: a run counted as not ended only if it had begun before its client was known to have left. One that waited at its endpoint and began later was missed; its endpoint never heard of the client.

--- a/martenjunction_lab/promises/limit_rules.py
+++ b/martenjunction_lab/promises/limit_rules.py
@@ -63,10 +63,9 @@
         if sent.kind is events.RouteKind.UNSAFE or bound >= history.end:
             continue
         for attempt, arrived in case.arrivals:
-            is_open = attempt.runs and attempt.runs[0].at <= bound
             if (
-                is_open
-                and attempt.ended_at > bound
+                attempt.runs
+                and arrived.at <= bound < attempt.ended_at
                 and history.calm(sent.box, case.left_at, bound)
                 and history.undisturbed(arrived.endpoint, case.left_at, bound)
             ):
--- a/tests/promise_answer_cases.py
+++ b/tests/promise_answer_cases.py
@@ -32,29 +32,13 @@
     return [sent(), arrived(), *run(status=status), answer]
 
 
-def _retried(count: int, gap_s: float) -> list[events.Event]:
-    """Five safe requests 1 s apart, of which some arrive again later."""
-
-    def build(number: int) -> list[events.Event]:
-        request, at = f"r{number}", START + number
-        limits = {"timeout_at": at + 30, "deadline_at": at + 30}
-        made = served(request, at, number, kind=Kind.SAFE, **limits)
-        if number <= count:
-            second = START + 6 + number * gap_s
-            made.append(arrived(request, second, 100 + number, endpoint="e2"))
-            made.append(events.TurnedAway(second, 100 + number, 503))
-        return made
-
-    return histories.many(5, build)
-
-
 def _lost(count: int, **changes: Any) -> list[events.Event]:
     def build(number: int) -> list[events.Event]:
         request = f"r{number}"
         return [
             sent(request),
             arrived(request, attempt=number),
-            ended(request, status=0, **changes),
+            ended(request, **{"status": 0, **changes}),
         ]
 
     return histories.many(count, build)
@@ -96,15 +80,38 @@
     ]
 
 
-def _back(unserved: int) -> list[events.Event]:
+def _back(
+    unserved: int, at: float = START + 10, before: int = 0, later: int = 0
+) -> list[events.Event]:
+    """Requests before a disturbance of one second, and soon after it.
+
+    Args:
+        unserved: Requests of a hundred that are refused after it.
+        at: When these are sent, in seconds.
+        before: Requests of a hundred that are refused before it.
+        later: Requests that are served 30 s later.
+    """
     return [
-        *_many(0, START),
+        *_many(before, START),
         disturbed("b1", START + 5, START + 6),
-        *_many(unserved, START + 9),
-        *_many(0, START + 40),
+        *_many(unserved, at),
+        *_many(0, START + 40)[: 5 * later],
+    ]
+
+
+def _leaving_early() -> list[events.Event]:
+    """A client leaves before its request has run."""
+    return [
+        sent(kind=Kind.SAFE),
+        arrived(),
+        events.Left(START + 0.5, "r1"),
     ]
 
 
+def _turned_away() -> events.Arrived:
+    return arrived(at=START + 0.05, attempt=9, endpoint="e9")
+
+
 def _late(at: float, **changes: Any) -> list[events.Event]:
     """A request that is ended by its time limit."""
     return [
@@ -196,7 +203,7 @@
     ),
     Case(
         "final-answer",
-        _late(START + 15),
+        _late(START + 15, deadline_at=START + 10.5),
         _late(START + 15, deadline_at=START + 10.2),
         terms=LENIENT,
         excused_by=histories.BOX_PARTS,
@@ -231,15 +238,50 @@
         _left(START + 0.1, Kind.UNSAFE, START + 1.1),
         excused_by=histories.PARTS,
     ),
+    Case(
+        "left-run-ended",
+        [*_leaving_early(), events.RunBegan(START + 1.1, 1)],
+        [*_leaving_early(), events.TurnedAway(START + 1.1, 1)],
+        excused_by=histories.PARTS,
+    ),
+    Case(
+        "left-run-ended",
+        [*_leaving_early(), events.RunBegan(START + 0.1, 1), END],
+        [*_leaving_early(), events.RunBegan(START + 0.1, 1)],
+        excused_by=histories.PARTS,
+    ),
     Case(
         "endpoints-per-request",
         _at_endpoints(ANSWERED, ANSWERED, ANSWERED),
         _at_endpoints(ANSWERED, BROKEN_OFF, ANSWERED),
         terms=LENIENT,
     ),
-    # Five requests and an allowance of two: three retries, in ten seconds.
-    Case("retry-budget", _retried(4, 0.0), _retried(3, 0.0), "s1"),
-    Case("retry-budget", _retried(4, 3.3), _retried(4, 5.1), "s1"),
+    Case(
+        "endpoints-per-request",
+        _at_endpoints(CANCELLED, ANSWERED, ANSWERED),
+        [*_at_endpoints(CANCELLED, ANSWERED), _turned_away()],
+        terms=LENIENT,
+    ),
+    Case(
+        "retry-budget",
+        histories.retried(4, 0.0),
+        histories.retried(3, 0.0),
+        "s1",
+    ),
+    Case(
+        "retry-budget",
+        histories.retried(4, 3.3),
+        histories.retried(4, 3.4),
+        "s1",
+        terms=histories.NO_RATIO,
+    ),
+    Case(
+        "lost",
+        _lost(2),
+        _lost(2, status=200, whole=False),
+        terms=LENIENT,
+        excused_by=("b1", "e1"),
+    ),
     Case("lost", _lost(2), _lost(1), terms=LENIENT, excused_by=("b1", "e1")),
     Case(
         "planned-work",
@@ -250,13 +292,13 @@
     Case(
         "planned-work",
         _stopping(START + 6.8, status=0),
-        _stopping(START + 6.8, status=504, whole=True, source=BOX),
+        _stopping(START + 1.0, status=504, whole=True, source=BOX),
         excused_by=("b1", "e1"),
     ),
     Case(
         "planned-work",
-        [*_lost(1), disturbed("b1", START, START + 1, planned=True)],
-        [*_lost(1), disturbed("b1", START, START + 1)],
+        [*_lost(2), disturbed("b1", START, START + 1, planned=True)],
+        [*_lost(2), disturbed("b1", START, START + 1)],
         terms=LENIENT,
         excused_by=("b1", "e1"),
     ),
@@ -269,10 +311,26 @@
     ),
     Case(
         "back-to-work",
-        _back(76),
-        _back(75),
+        _back(76, later=100),
+        _back(75, later=100),
         about="76 of 100 requests",
         terms=LENIENT,
         excused_by=histories.PARTS,
     ),
+    Case(
+        "back-to-work",
+        _back(76, START + 30),
+        _back(76, START + 30, later=20),
+        about="76 of 100 requests",
+        terms=LENIENT,
+        excused_by=histories.PARTS,
+    ),
+    Case(
+        "back-to-work",
+        _back(100, before=75),
+        _back(100, before=76),
+        about="100 of 100 requests",
+        terms=LENIENT,
+        excused_by=histories.PARTS,
+    ),
 ]
--- a/tests/promise_histories.py
+++ b/tests/promise_histories.py
@@ -24,6 +24,7 @@
 # Figures that small histories can break; LENIENT asks for none to be served.
 TERMS = events.Terms(retry_allowance=2.0, max_lost=1)
 LENIENT = dataclasses.replace(TERMS, min_served=0.0)
+NO_RATIO = dataclasses.replace(TERMS, retry_ratio=0.0, retry_allowance=3.0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -172,6 +173,32 @@
     ]
 
 
+def retried(
+    count: int, gap_s: float = 0.0, requests: int = 5, at: float = START + 6
+) -> Events:
+    """Returns safe requests at once, and arrivals beyond the first of each.
+
+    Args:
+        count: How many come again, some seconds apart.
+        gap_s: These seconds.
+        requests: How many clients send.
+        at: When the first one comes again, in seconds.
+    """
+    limits = {"timeout_at": at + 60, "deadline_at": at + 60}
+    made = many(
+        requests,
+        lambda number: served(
+            f"r{number}", START + 1, number, kind=Kind.SAFE, **limits
+        ),
+    )
+    for number in range(count):
+        came_at, attempt = at + number * gap_s, int(at * 1000) + number
+        request = f"r{number % requests + 1}"
+        made.append(arrived(request, came_at, attempt, endpoint="e2"))
+        made.append(events.TurnedAway(came_at, attempt, 503))
+    return made
+
+
 def many(count: int, build: Callable[[int], Events]) -> Events:
     """Returns the events of as many requests as are asked for."""
     return [event for number in range(1, count + 1) for event in build(number)]
--- a/tests/test_promise_judge.py
+++ b/tests/test_promise_judge.py
@@ -101,6 +101,31 @@
     assert judge.broken(history) == expected
 
 
+@pytest.mark.parametrize(
+    ("retries", "at", "windows"),
+    [
+        # The requests of the window before count, and none before that.
+        (3, START + 10.5, 0),
+        (3, START + 11.5, 1),
+        (2, START + 40.0, 0),
+        (3, START + 40.0, 1),
+        (9, START + 6.0, 1),
+    ],
+)
+def test_windows_with_too_many_retries_are_told_once(
+    retries: int, at: float, windows: int
+) -> None:
+    made = histories.retried(retries, at=at)
+    found = judge.broken(events.History(made, histories.TERMS))
+    assert [broken.about for broken in found] == ["s1"] * windows
+    for broken in found:
+        assert len(broken.trace) == retries
+        assert broken.at == at
+    again = histories.retried(4, at=at + 50)
+    history = events.History([*made, *again[-8:]], histories.TERMS)
+    assert len(judge.broken(history)) == windows + 1
+
+
 def test_event_that_is_added_after_a_judgement_counts() -> None:
     history = events.History(histories.served())
     assert not judge.broken(history)
