Record trials on kept connections as events for the judge

Cause: clients of kept connections and stand-ins of endpoints kept ids and counts, but no times and no ends of runs, which the judge needs.

An endpoint's stand-in records arrivals, refusals, runs and how they ended; a client's record has the times, the headers and up to 64 KB of the body of its answer. Events of a stream that came at one time have a place.

--- a/martenjunction_lab/fast_senders/soak.py
+++ b/martenjunction_lab/fast_senders/soak.py
@@ -18,6 +18,7 @@
 
 from martenjunction_lab import boxes
 from martenjunction_lab import kept_clients
+from martenjunction_lab import kept_tallies
 from martenjunction_lab import replica
 from martenjunction_lab.fast_senders import forms
 from martenjunction_lab.fast_senders import processes
@@ -54,7 +55,7 @@
         ended: Boxes whose process ended by itself.
     """
 
-    tally: kept_clients.Tally
+    tally: kept_tallies.Tally
     memory: int
     ended: list[str]
 
@@ -165,7 +166,7 @@
         sampling.cancel()
         records = [record for made in clients for record in made.records]
         return Outcome(
-            kept_clients.tally(records, self._fleet.replicas),
+            kept_tallies.tally(records, self._fleet.replicas),
             self._memory,
             [
                 box.process.settings.box
--- a/martenjunction_lab/kept_clients.py
+++ b/martenjunction_lab/kept_clients.py
@@ -1,22 +1,22 @@
 """Clients that keep their connections and use them until they end.
 
 What became of each request is told apart by what its client saw; beside what
-the replicas saw, that shows which requests were taken and not answered.
+the replicas saw (`kept_tallies.py`), that shows which requests were taken and
+not answered.
 """
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
 import enum
 import itertools
 import random
 import re
+import time
 
 import h11
 
 from martenjunction import addresses
-from martenjunction_lab import replica
 
 # Seconds after which a request without any end fails the trial.
 ANSWER_LIMIT_S = 60.0
@@ -30,15 +30,12 @@
 # Bytes taken from a socket at once.
 CHUNK_BYTES = 64 * 1024
 
+# Bytes that are kept of the body of an answer.
+KEPT_BYTES = 64 * 1024
+
 # The time in seconds in a `Keep-Alive` header.
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout=(\d+)")
 
-# Statuses by which an answer promises that the request never ran.
-PROMISES = frozenset({408, 421, 429, 503})
-
-# Statuses by which it leaves open whether the request ran.
-UNSURE = frozenset({502, 504})
-
 
 class Fate(enum.StrEnum):
     """How a request ended for its client."""
@@ -74,16 +71,30 @@
         ask: The request.
         fate: How it ended.
         status: The status of its answer, or None if there was none.
+        headers: Those of its answer, with names in lower case.
+        body: What came of the answer's body, `KEPT_BYTES` at most.
+        connection: Name of its connection.
+        kept: Whether the connection had carried a request before.
+        sent_at: When it was sent, in seconds on the monotonic clock.
+        ended_at: When it ended, on the same clock.
     """
 
     ask: Ask
     fate: Fate
     status: int | None
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    connection: str = ""
+    kept: bool = False
+    sent_at: float = 0.0
+    ended_at: float = 0.0
 
 
 class KeptConnection:
     """A connection that carries one request after the other."""
 
+    _names = itertools.count(1)
+
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -91,9 +102,10 @@
         self._reader = reader
         self._writer = writer
         self._parser = h11.Connection(h11.CLIENT)
+        self._name = f"c{next(self._names)}"
         self._ask: Ask | None = None
-        self._status: int | None = None
-        self._heard = False
+        self._sent = 0
+        self._begin_answer()
         self._told_to_close = False
         self._told_rest_s: int | None = None
 
@@ -125,8 +137,8 @@
     def send(self, ask: Ask) -> None:
         """Hands a request to the socket, whatever answers said before."""
         self._ask = ask
-        self._status = None
-        self._heard = False
+        self._sent += 1
+        self._begin_answer()
         # A parser of its own for each request: that of an answer that ends
         # the connection takes no other one.
         self._parser = h11.Connection(h11.CLIENT)
@@ -153,7 +165,17 @@
         assert self._ask is not None
         async with asyncio.timeout(ANSWER_LIMIT_S):
             whole = await self._receive_answer()
-        record = Record(self._ask, self._fate(whole), self._status)
+        record = Record(
+            self._ask,
+            self._fate(whole),
+            self._status,
+            self._headers,
+            bytes(self._body),
+            self._name,
+            self._sent > 1,
+            self._sent_at,
+            time.monotonic(),
+        )
         self._ask = None
         if not whole:
             self.close()
@@ -163,6 +185,14 @@
         """Closes the connection."""
         self._writer.close()
 
+    def _begin_answer(self) -> None:
+        """Forgets the answer before."""
+        self._sent_at = time.monotonic()
+        self._status: int | None = None
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+        self._heard = False
+
     def _fate(self, whole: bool) -> Fate:
         if not whole:
             return Fate.BROKEN if self._heard else Fate.CLOSED
@@ -183,12 +213,18 @@
                 return False
             if isinstance(event, h11.Response):
                 self._note_head(event)
+            if isinstance(event, h11.Data):
+                self._body += event.data[: KEPT_BYTES - len(self._body)]
             if event is h11.NEED_DATA:
                 self._parser.receive_data(await self._receive_bytes())
 
     def _note_head(self, head: h11.Response) -> None:
         self._status = head.status_code
         headers = dict(head.headers)
+        self._headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in head.headers
+        }
         connection = headers.get(b"connection", b"")
         self._told_to_close = b"close" in connection.lower()
         told = _KEEP_ALIVE_TIMEOUT.search(headers.get(b"keep-alive", b""))
@@ -328,74 +364,3 @@
             else:
                 connection.close()
         self._connections = kept
-
-
-@dataclasses.dataclass(frozen=True)
-class Tally:
-    """What became of requests, by their clients and by the replicas.
-
-    Attributes:
-        answered: Ids with a whole success.
-        refused: Ids with another whole answer.
-        cut_off: Those of them whose answer leaves open whether they ran.
-        untaken: Ids that no replica saw and whose connection was closed
-            without an answer.
-        lost: Ids that reached a replica and whose connection was closed
-            without an answer.
-        broken: Ids whose answer broke off.
-        cancelled: Ids that a replica found given up.
-        false_promises: Ids that ran and were told not to have run.
-        doubled: Ids that ran more than once.
-    """
-
-    answered: list[str]
-    refused: list[str]
-    cut_off: list[str]
-    untaken: list[str]
-    lost: list[str]
-    broken: list[str]
-    cancelled: list[str]
-    false_promises: list[str]
-    doubled: list[str]
-
-    def __str__(self) -> str:
-        """Returns the numbers of each."""
-        fields = dataclasses.asdict(self)
-        return ", ".join(f"{name} {len(ids)}" for name, ids in fields.items())
-
-
-def tally(
-    records: Iterable[Record], replicas: Iterable[replica.Replica]
-) -> Tally:
-    """Compares what clients and replicas saw.
-
-    Args:
-        records: Requests that ended.
-        replicas: All replicas that could have got them.
-    """
-    records = list(records)
-    replicas = list(replicas)
-    arrived = {got.id for made in replicas for got in made.received}
-    cancelled = {its for made in replicas for its in made.cancelled}
-    by_fate: dict[Fate, list[str]] = {fate: [] for fate in Fate}
-    for record in records:
-        by_fate[record.fate].append(record.ask.id)
-
-    def runs(request_id: str) -> int:
-        return sum(made.runs[request_id] for made in replicas)
-
-    closed = by_fate[Fate.CLOSED]
-    unsure = [rec.ask.id for rec in records if rec.status in UNSURE]
-    ids = [record.ask.id for record in records]
-    promised = [rec.ask.id for rec in records if rec.status in PROMISES]
-    return Tally(
-        answered=by_fate[Fate.ANSWERED],
-        refused=by_fate[Fate.REFUSED],
-        cut_off=unsure,
-        untaken=[its for its in closed if its not in arrived],
-        lost=[its for its in closed if its in arrived],
-        broken=by_fate[Fate.BROKEN],
-        cancelled=[its for its in ids if its in cancelled],
-        false_promises=[its for its in promised if runs(its)],
-        doubled=[its for its in ids if runs(its) > 1],
-    )
--- a/martenjunction_lab/promises/events.py
+++ b/martenjunction_lab/promises/events.py
@@ -132,6 +132,7 @@
         total: Events of the whole stream.
         version: Software version of the endpoint that wrote it.
         attempt: The arrival whose run wrote it; 0 if not known.
+        place: Its place among those that came at the same time.
     """
 
     request: str
@@ -139,6 +140,7 @@
     total: int
     version: str = ""
     attempt: int = 0
+    place: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -339,10 +341,7 @@
     def calm(self, part: str, since: float, until: float) -> bool:
         """Returns whether a part and the store were not disturbed.
 
-        Args:
-            part: A box or an endpoint.
-            since: Begin of the time; `contact_s` before it counts as well.
-            until: Its end.
+        The arguments are those of `undisturbed`.
         """
         return all(
             self.undisturbed(name, since, until) for name in (part, "store")
@@ -368,11 +367,7 @@
 
     def _ordered(self, kind: type[EventT]) -> list[EventT]:
         if Event not in self._of:
-            # Events of the same time have an order that does not depend on
-            # that in which they were added.
-            self._of[Event] = sorted(
-                self._events, key=lambda event: (event.at, repr(event))
-            )
+            self._of[Event] = sorted(self._events, key=_order)
         if kind not in self._of:
             everything = self._of[Event]
             self._of[kind] = [
@@ -381,6 +376,13 @@
         return self._of[kind]
 
 
+def _order(event: Event) -> tuple[float, int, int, str]:
+    """Returns a key that orders events, also those of the same time."""
+    if isinstance(event, Piece):
+        return event.at, event.place, event.number, repr(event)
+    return event.at, 0, 0, repr(event)
+
+
 def _disturbances(history: History) -> dict[bool, spans.PartSpans]:
     """Returns when parts were disturbed, with and without planned work."""
     made: list[tuple[bool, tuple[str, ...], spans.Span]] = [
--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -9,6 +9,11 @@
 import dataclasses
 import enum
 
+from martenjunction_lab.promises import endpoint_views
+from martenjunction_lab.promises import events as trial_events
+
+RunEnd = trial_events.RunEnd
+
 
 class Behaviour(enum.Enum):
     """What a replica makes of a request."""
@@ -35,12 +40,14 @@
         target: Path and query.
         headers: Names in lower case, values.
         body: Its body.
+        attempt: Number of its arrival; 0 for a health check.
     """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    attempt: int = 0
 
     @property
     def id(self) -> str:
@@ -76,6 +83,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.cancelled: list[str] = []
         self.connections = 0
+        self.view = endpoint_views.EndpointView(endpoint_id)
         self._events = events
         self._plan: collections.deque[Behaviour] = collections.deque()
         self._default = Behaviour.SERVE
@@ -144,7 +152,12 @@
             headers[name.strip().lower()] = value.strip()
         length = int(headers.get("content-length", "0"))
         body = await reader.readexactly(length)
-        return Received(method, target, headers, body)
+        request = Received(method, target, headers, body)
+        if request.id:
+            asked = endpoint_views.digest(method, target, body)
+            attempt = self.view.arrived(request.id, headers, asked)
+            request = dataclasses.replace(request, attempt=attempt)
+        return request
 
     async def _answer(
         self,
@@ -164,21 +177,30 @@
             if status == 421:
                 mark = {"Martenjunction-Replica-Id": "another"}
             mark.update(self._notices(request, status))
+            self.view.turned_away(request.attempt, status)
             writer.write(_whole(status, mark, b""))
             return True
         if self.queue_s and await self._leaves_queue(reader):
             self.cancelled.append(request.id)
             return False
         self.runs[request.id] += 1
+        self.view.began(request.attempt)
         if behaviour is Behaviour.RESET:
+            self.view.ended(request.attempt, RunEnd.BROKEN_OFF)
             return False
         if behaviour is Behaviour.BARE_503:
+            self.view.ended(request.attempt, RunEnd.ANSWERED, 503)
             writer.write(_whole(503, self._notices(request, 503), b""))
             return True
         streamed = request.target.startswith(("/chat/", "/digest/"))
         if streamed and behaviour is Behaviour.SERVE:
             return await self._stream(request, reader, writer)
         answer = self._plain(request, behaviour)
+        how = RunEnd.ANSWERED
+        if behaviour is Behaviour.HALF:
+            how = RunEnd.BROKEN_OFF
+        status = 500 if behaviour is Behaviour.FAIL else 200
+        self.view.ended(request.attempt, how, status)
         if behaviour is Behaviour.HALF:
             writer.write(answer[:-4])
             await writer.drain()
@@ -250,6 +272,7 @@
         break_after = self._breaks_after(request, first)
         for number in range(first, self._events + 1):
             if break_after is not None and number > break_after:
+                self.view.ended(request.attempt, RunEnd.BROKEN_OFF, 200)
                 writer.write(part(b"id: 99\nda"))
                 await writer.drain()
                 if not self.framed:
@@ -259,14 +282,17 @@
             if self.silent_after is not None and number > self.silent_after:
                 await left
                 self.cancelled.append(request.id)
+                self.view.ended(request.attempt, RunEnd.CANCELLED, 200)
                 return False
             text = self._event_text(number)
             writer.write(part(f"id: {number}\ndata: {text}\n\n".encode()))
             done, _ = await asyncio.wait([left], timeout=self.event_pause_s)
             if done:
                 self.cancelled.append(request.id)
+                self.view.ended(request.attempt, RunEnd.CANCELLED, 200)
                 return False
         await _end_read(left)
+        self.view.ended(request.attempt, RunEnd.ANSWERED, 200)
         if not self.framed:
             await writer.drain()
             writer.close()
--- a/tests/kept_deployment.py
+++ b/tests/kept_deployment.py
@@ -9,6 +9,7 @@
 from martenjunction.platform import box_settings
 from martenjunction_lab import boxes
 from martenjunction_lab import kept_clients
+from martenjunction_lab import kept_tallies
 from tests import box_processes
 from tests import gateway_requests as requests
 
@@ -71,7 +72,7 @@
         """Fails unless each accepted request got a complete response."""
         await asyncio.sleep(SETTLE_S)
         records = [rec for made in self.clients for rec in made.records]
-        found = kept_clients.tally(records, self.fleet.replicas)
+        found = kept_tallies.tally(records, self.fleet.replicas)
         logger.info("tally: %s", found)
         assert found.answered, str(found)
         faults = {
--- a/tests/promise_change_cases.py
+++ b/tests/promise_change_cases.py
@@ -97,6 +97,18 @@
     ]
 
 
+def _at_once(total: int, *numbers: int) -> list[events.Event]:
+    """A stream whose events came in one chunk; their places if told."""
+    places = {number: place for place, number in enumerate(numbers)}
+    made = [
+        events.Piece(
+            START + 0.1, "r1", number, total, place=places.get(number, 0)
+        )
+        for number in range(1, total + 1)
+    ]
+    return [*histories.streamed(), *made]
+
+
 def _two_runs(kind: Kind, second: int, *last: int) -> list[events.Event]:
     """A stream that breaks off and goes on with a run of another arrival."""
     return [
@@ -198,6 +210,14 @@
         histories.streamed(1, 2, 3),
     ),
     Case("stream-order", histories.streamed(1, 2, 2, 3), served()),
+    Case(
+        "stream-order",
+        histories.replaced(
+            histories.streamed(1, 2, 3, 2), events.Piece, at=START + 0.05
+        ),
+        _at_once(12),
+    ),
+    Case("stream-order", _at_once(3, 2, 1, 3), _at_once(3, 1, 2, 3)),
     Case(
         "stream-order",
         _taken_up(1, 2, 3),
--- a/tests/told_rests.py
+++ b/tests/told_rests.py
@@ -17,6 +17,7 @@
 from martenjunction_lab import boxes
 from martenjunction_lab import delayed_links
 from martenjunction_lab import kept_clients
+from martenjunction_lab import kept_tallies
 from tests import box_processes
 from tests import gateway_requests as requests
 from tests import routing_builders as builders
@@ -123,7 +124,7 @@
         """Connections, a request on each, that no box accepted."""
         return sum(link.refused for link in self._links)
 
-    async def run(self, troubles: bool = False) -> kept_clients.Tally:
+    async def run(self, troubles: bool = False) -> kept_tallies.Tally:
         """Plays the changes; returns what became of all requests.
 
         Args:
@@ -152,7 +153,7 @@
         await asyncio.gather(*traffic)
         await self._stop()
         records = [rec for client in self._clients for rec in client.records]
-        return kept_clients.tally(records, self.fleet.replicas)
+        return kept_tallies.tally(records, self.fleet.replicas)
 
     async def _start(self) -> None:
         await self.fleet.start(document(7, IDLE_TIMES_S[-1]), boxes=0)
