--- a/martenjunction_lab/promises/change_rules.py
+++ b/martenjunction_lab/promises/change_rules.py
@@ -101,11 +101,13 @@
     for event in history.of(events.Disturbance):
         if event.restarts:
             restarts[event.part].append(event.at)
+    for times in restarts.values():
+        times.sort()
     lives: dict[tuple[str, int], _Effects] = collections.defaultdict(_Effects)
     for made in configurations.handlings(history):
         if not made.versions:
             continue
-        begins = sorted(restarts[made.sent.box])
+        begins = restarts[made.sent.box]
         life = bisect.bisect_right(begins, made.sent.at)
         effects = lives[made.sent.box, life]
         newest = effects.newest_before(made.sent.at)
