--- a/tools/broken_box_builds.py
+++ b/tools/broken_box_builds.py
@@ -309,4 +309,38 @@
         "            raise\n",
         "tests/test_entries.py::test_malformed_configuration_does_not_count_as_store_loss",
     ),
+    BrokenBuild(
+        "the clock limits the final responses",
+        GATEWAY,
+        "await timers.wait_while_running(waits, FINAL_RESPONSES_TIMEOUT_S)",
+        "await asyncio.wait(waits, timeout=FINAL_RESPONSES_TIMEOUT_S)",
+        "tests/test_held_up_stops.py::test_request_gets_its_final_answer_at_the_end_of_a_stop",
+    ),
+    BrokenBuild(
+        "a failed step ends a stop",
+        "martenjunction/stop_steps.py",
+        "except Exception:",
+        "except ZeroDivisionError:",
+        "tests/test_failing_stops.py::test_requests_get_a_final_answer_though_a_step_of_a_stop_fails",
+    ),
+    BrokenBuild(
+        "a response begins before its head is written",
+        "martenjunction/http1/response_writer.py",
+        "        streams.limit_unread(self._stream, True)\n",
+        "        self.started = True\n"
+        "        streams.limit_unread(self._stream, True)\n",
+        "tests/test_failing_heads.py::test_request_is_answered_though_its_first_head_fails",
+    ),
+    BrokenBuild(
+        "a check that fails is kept",
+        "martenjunction/routing/endpoints/endpoint_liveness.py",
+        "        except Exception:\n",
+        "        except ZeroDivisionError:\n",
+        "tests/test_failing_checks.py::test_failed_check_is_not_shared_for_longer_than_a_result",
+        also=(
+            "martenjunction/routing/endpoints/endpoint_liveness.py",
+            "        finally:\n            asyncio",
+            "        else:\n            asyncio",
+        ),
+    ),
 )
