Play drawn pairs of behaviours in simulated time

Cause: stand-ins misbehave one kind at a time, and each trial has a way of its own to say how.

`martenjunction-lab pairs` plays seeds in worker processes, prints each play and a table of pairs, and writes what plays a failing seed again. The judge is a module that is given by name.

--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -17,6 +17,8 @@
 from martenjunction_lab.capacity import page
 from martenjunction_lab.fast_senders import forms
 from martenjunction_lab.fast_senders import trial
+from martenjunction_lab.promises import pairs_report
+from martenjunction_lab.promises import play_pairs
 from martenjunction_lab.replays import ablations
 from martenjunction_lab.replays import loads
 from martenjunction_lab.replays import report
@@ -213,6 +215,54 @@
             report.plot(seen, self.plot)
 
 
+@cappa.command(help="Play drawn pairs of behaviours and judge what was seen.")
+@dataclasses.dataclass
+class Pairs:
+    """Plays pairs in simulated time; fails if a promise is broken."""
+
+    seeds: Annotated[str, cappa.Arg(long=True, help="Seeds, first..last.")] = (
+        "1"
+    )
+    jobs: Annotated[int, cappa.Arg(long=True, help="Plays at once.")] = 1
+    kinds: Annotated[
+        str,
+        cappa.Arg(long=True, help="Kinds, comma-separated; all if empty."),
+    ] = ""
+    alone: Annotated[
+        bool, cappa.Arg(long=True, help="Play each kind alone.")
+    ] = False
+    trace: Annotated[
+        bool, cappa.Arg(long=True, help="Print all events of each play.")
+    ] = False
+    judge: Annotated[str, cappa.Arg(long=True, help="Module of the judge.")] = (
+        play_pairs.JUDGE
+    )
+    failing: Annotated[
+        pathlib.Path,
+        cappa.Arg(long=True, help="File for the seeds that failed."),
+    ] = pathlib.Path("out/failing-pairs.jsonl")
+
+    def __call__(self) -> None:
+        """Plays and prints."""
+        played = play_pairs.Series(
+            series.parse_seeds(self.seeds),
+            tuple(name for name in self.kinds.split(",") if name),
+            self.alone,
+            self.jobs,
+            self.judge,
+            self.trace,
+        )
+        print(pairs_report.headings())
+        seen = []
+        for outcome in played.play():
+            print(pairs_report.row(outcome), flush=True)
+            if outcome.broken or self.trace:
+                print(pairs_report.details(outcome), flush=True)
+            seen.append(dataclasses.replace(outcome, trace=()))
+        print(pairs_report.table(seen))
+        sys.exit(bool(pairs_report.write_failing(played, seen, self.failing)))
+
+
 @cappa.command(help="Decode odd inputs and look for what decoders do wrong.")
 @dataclasses.dataclass
 class Fuzz:
@@ -262,6 +312,7 @@
         | Capacity
         | Senders
         | StreamLosses
+        | Pairs
         | Fuzz
     ]
 
