Let pairs show a request that is sent again and a run that goes on

Cause: seen on broken builds. The routes of requests that may run once allowed one attempt, so that nothing was ever sent again; streams ended by themselves within the 0.5 s that endpoints have to hear that a client left; and the judge of the tests excused boxes wherever the endpoint was disturbed.

All routes allow two attempts, streams take 0.8 s, and a box has to end the runs of clients that left at a hanging endpoint as well. The played pairs of the test are ones that showed something.

Measured on scratch copies with one part broken: the pair of clients that leave and an endpoint that hangs fails if a client that leaves does not end its run (two plays of clients that leave alone did not show it), the pair of resets and half answers if a request that may run once is sent again. Not shown in two plays: a waiting request that keeps a key that was taken away; nothing waits under this load.

--- a/martenjunction_lab/promises/configuration.py
+++ b/martenjunction_lab/promises/configuration.py
@@ -40,12 +40,13 @@
     "header_timeout_ms": 3000,
     "idle_timeout_ms": 15000,
 }
+# No route has a limit of one attempt, which would hide that a request is sent
+# again that may run once.
 _FIELDS: dict[str, dict[str, Any]] = {
     "safe": {"route_kind": "safe"},
-    "unsafe": {"route_kind": "unsafe", "max_attempts": 1},
+    "unsafe": {"route_kind": "unsafe"},
     "chat": {
         "route_kind": "streaming",
-        "max_attempts": 1,
         "priority": 0,
         "gap_goal_ms": 250,
         "sticky": True,
--- a/martenjunction_lab/promises/endpoints.py
+++ b/martenjunction_lab/promises/endpoints.py
@@ -14,7 +14,7 @@
 
 # Events of a stream, and seconds between two of them.
 STREAM_EVENTS = 8
-EVENT_PAUSE_S = 0.05
+EVENT_PAUSE_S = 0.1
 
 # The software version of all endpoints.
 VERSION = "v1"
--- a/martenjunction_lab/promises/fleet.py
+++ b/martenjunction_lab/promises/fleet.py
@@ -23,6 +23,9 @@
     trial_fleet.ENGINE: 4,
 }
 
+# Requests a second of the clients' steady load.
+PER_S = 40.0
+
 # Seconds for which a plain endpoint works on a request: long enough that some
 # are under way whenever a part is disturbed.
 PLAIN_WORK_S = 0.1
--- a/martenjunction_lab/promises/other_behaviours.py
+++ b/martenjunction_lab/promises/other_behaviours.py
@@ -16,9 +16,6 @@
 # was restored from a copy has lost.
 RENEWAL_S = 0.5
 
-# Requests a second of the clients' steady load.
-USUAL_PER_S = 40.0
-
 # The key that the operator takes away.
 LOST_KEY = "key-of-three"
 
@@ -120,7 +117,7 @@
     loop = asyncio.get_running_loop()
     played.spawn(
         played.send_steadily(
-            USUAL_PER_S * behaviour.strength,
+            fleet.PER_S * behaviour.strength,
             loop.time() + behaviour.for_s,
             played.clients.send,
         )
--- a/martenjunction_lab/promises/trial.py
+++ b/martenjunction_lab/promises/trial.py
@@ -7,7 +7,6 @@
 from martenjunction_lab.promises import behaviours
 from martenjunction_lab.promises import events
 from martenjunction_lab.promises import fleet
-from martenjunction_lab.promises import other_behaviours
 from martenjunction_lab.simulated import loop as simulated_loop
 
 
@@ -23,7 +22,7 @@
     """
 
     played: tuple[behaviours.Behaviour, ...]
-    per_s: float = other_behaviours.USUAL_PER_S
+    per_s: float = fleet.PER_S
     seconds: float = 10.0
     seed: int = 1
 
--- a/tests/pair_judge.py
+++ b/tests/pair_judge.py
@@ -156,7 +156,6 @@
         due = left.at + history.terms.gone_s
         for run in runs[left.request]:
             calm = history.calm(sent[left.request].box, left.at, due)
-            calm &= history.calm(run.endpoint, left.at, due)
             if calm and ends.get(run.attempt, due + 1.0) > due:
                 yield f"{left.request} ran on after its client left"
 
--- a/tests/test_promise_pairs.py
+++ b/tests/test_promise_pairs.py
@@ -28,6 +28,13 @@
 # The part of the requests that is served under a pair, at least.
 MIN_SERVED = 0.9
 
+# Seeds of overlapping pairs, by their kinds.
+PAIRS = (
+    (22, ("clients-leave", "endpoint-hangs")),
+    (2, ("endpoint-answers-half", "endpoint-resets")),
+    (2, ("box-stops", "store-restored")),
+)
+
 # Behaviours in one trial, each on a part of its own.
 MANY = (
     Behaviour("endpoint-refuses", 0.5, 3.0, on="plain-service-1"),
@@ -42,9 +49,11 @@
 )
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
-async def test_drawn_pair_breaks_no_promise(seed: int) -> None:
-    played = trial.Trial(schedule.draw_pair(seed), seed=seed)
+@pytest.mark.parametrize(("seed", "kinds"), PAIRS)
+async def test_drawn_pair_breaks_no_promise(
+    seed: int, kinds: tuple[str, ...]
+) -> None:
+    played = trial.Trial(schedule.draw_pair(seed, kinds), seed=seed)
     seen = await trial.play_here(played)
     assert not pair_judge.broken(seen.history)
     assert seen.served + seen.left >= MIN_SERVED * seen.requests
@@ -65,17 +74,28 @@
     assert sorted(began + away) == sorted(arrived)
     runs = history.of(events.RunEnded)
     assert sorted(one.attempt for one in runs) == sorted(began)
-    served = {one.attempt: one for one in runs if one.status == 200}
-    for one in history.of(events.Ended):
-        if one.status == 200 and one.whole:
-            assert one.endpoint in {
-                arrived[attempt].endpoint
-                for attempt in served
-                if arrived[attempt].request == one.request
-            }
+    _assert_named_endpoints(history, arrived)
     _assert_marks(history, arrived)
 
 
+def _assert_named_endpoints(
+    history: events.History, arrived: dict[int, events.Arrived]
+) -> None:
+    """Asserts that successes name the endpoint that wrote their heads.
+
+    A box may have another endpoint go on with a stream after its head.
+    """
+    pieces = {one.request for one in history.of(events.Piece)}
+    ran = collections.defaultdict(list)
+    for run in history.of(events.RunEnded):
+        one = arrived[run.attempt]
+        if run.status == 200 or one.request in pieces:
+            ran[one.request].append(one.endpoint)
+    for ended in history.of(events.Ended):
+        if ended.status == 200 and ended.whole:
+            assert ended.endpoint in ran[ended.request]
+
+
 def _assert_marks(
     history: events.History, arrived: dict[int, events.Arrived]
 ) -> None:
