Close the connections of an endpoint that ends in the order of their begins

Cause: a replica that ends closes a set of connections.

The boxes see those ends in the order in which the kernel tells them, within one simulated millisecond.

--- a/martenjunction_lab/promises/endpoints.py
+++ b/martenjunction_lab/promises/endpoints.py
@@ -74,6 +74,7 @@
         self._draw = draw
         self._starts = 0
         self._listens = False
+        self._open: dict[asyncio.StreamWriter, None] = {}
 
     @property
     def name(self) -> str:
@@ -95,8 +96,20 @@
     async def stop(self) -> None:
         """Closes the port and every connection."""
         self._listens = False
+        # A set has no order that a seed decides.
+        for writer in list(self._open):
+            writer.transport.abort()
         await super().stop()
 
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._open[writer] = None
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            del self._open[writer]
+
     async def _answer(
         self,
         request: replica.Received,
