Look at more of what decoders return, and at one page of a list

Cause: builds of the decoders that were broken by hand went unnoticed. No target looked at revisions, at ports, at negative indexes or at the length of a tunnel's frame, none read the era in a head, and few inputs had an odd address. `store-lists` counted the 200 pages that a client asks for as one slow input. The oracle of `http-requests` took a Content-Length that goes on in the next line for two lengths (`5,` and `5`).

Change: rules for these in the targets, the target `store-eras`, addresses in a tenth of the endpoint entries. A sound last page follows the input of `store-lists`. The oracle joins the lines of a field before it counts lengths (RFC 9112, 5.2); that is stricter elsewhere: `5` and, in the next line, `, 6` now count as two lengths. Tests of the memory that a large difference takes, of a run before its base, of an event without an end and of metadata with a key that cannot be decoded. `store-contents` encodes its sound entry once.

No whole run of the checks was made.

--- a/martenjunction_lab/fuzz/families/documents.py
+++ b/martenjunction_lab/fuzz/families/documents.py
@@ -1,5 +1,6 @@
 """Endpoint entries, box entries and configurations of the store."""
 
+import json
 import math
 import random
 from typing import Any
@@ -79,6 +80,36 @@
     BOX, "zone-a", "10.0.0.1:80", "10.0.0.1:81", 4, False, 9000, "10.0.0.1:82"
 )
 
+# Parts of addresses, and the share of entries with an address of them.
+_HOSTS = (
+    "10.0.0.1",
+    "10.0.0.256",
+    "10.0.0",
+    "010.0.0.1",
+    "[::1]",
+    "::1",
+    "[fe80::1%eth0]",
+    "localhost",
+    "10.0.0.1\r\n",
+    "",
+)
+_PORTS = (
+    "80",
+    "0",
+    "-1",
+    "+1",
+    "65535",
+    "65536",
+    "1000000",
+    "8" * 5000,
+    " 80",
+    "8_0",
+    "\u0663",
+    "80/",
+    "",
+)
+_ADDRESS_SHARE = 0.1
+
 
 def _document(value: Any) -> spans.Document:
     return spans.json_document(value, odd_values.JSON, odd_values.LARGE_JSON)
@@ -90,14 +121,19 @@
 
     declared = (errors.PlatformError,)
     _sound = _document(ENDPOINT)
+    _before, _after = _document({**ENDPOINT, "address": "@"}).data.split(b'"@"')
 
     def generate(self, rng: random.Random) -> bytes:
-        """Returns an entry."""
+        """Returns an entry, sometimes a sound one but for its address."""
+        if rng.random() < _ADDRESS_SHARE:
+            address = f"{rng.choice(_HOSTS)}:{rng.choice(_PORTS)}"
+            return self._before + json.dumps(address).encode() + self._after
         return spans.mutate(rng, self._sound)
 
     def check(self, data: bytes) -> None:
         """Decodes an entry; its numbers are in range."""
         endpoint = documents.decode_endpoint("e-1", data)
+        _check_ports(endpoint.address)
         if endpoint.slots < 1 or not 0 <= endpoint.cold_s < math.inf:
             raise targets.OracleError("numbers of an endpoint out of range")
 
@@ -138,6 +174,7 @@
     def check(self, data: bytes) -> None:
         """Decodes an entry; it is the same after it was encoded again."""
         entry = documents.decode_box(BOX, data)
+        _check_ports(entry.callers, entry.peers, entry.tunnels)
         again = _document(documents.encode_box(entry)).data
         if documents.decode_box(BOX, again) != entry:
             raise targets.OracleError("the entry changes when it is encoded")
@@ -179,6 +216,17 @@
         _check_sendable("name of a workspace", b"/", sent)
 
 
+def _check_ports(*addresses: str) -> None:
+    """Checks that the port of each address, unless it is empty, exists.
+
+    Raises:
+        OracleError: If one does not.
+    """
+    for address in filter(None, addresses):
+        if not 0 < int(address.rpartition(":")[2]) <= documents.MAX_PORT:
+            raise targets.OracleError("an address has no such port")
+
+
 def _check_sendable(
     what: str, target: bytes, fields: list[tuple[bytes, bytes]]
 ) -> None:
--- a/martenjunction_lab/fuzz/families/http_requests.py
+++ b/martenjunction_lab/fuzz/families/http_requests.py
@@ -31,6 +31,9 @@
 _LENGTH = re.compile(rb"^content-length[ \t]*:[ \t]*([^\r\n]*)", re.I | re.M)
 _END_OF_HEAD = re.compile(rb"\n\r?\n")
 
+# Where a field goes on in the next line (RFC 9112, section 5.2).
+_FOLD = re.compile(rb"\r?\n[ \t]+")
+
 
 class _Stream:
     """Stands for an accepted stream on which pieces of bytes arrive."""
@@ -191,6 +194,7 @@
     """
     end = _END_OF_HEAD.search(received.lstrip(b"\r\n"))
     head = received.lstrip(b"\r\n")[: end.start()] if end else received
+    head = _FOLD.sub(b" ", head)
     codings = len(_CODING.findall(head))
     lengths = {value.strip() for value in _LENGTH.findall(head)}
     parts = {part.strip() for v in lengths for part in v.split(b",")}
--- a/martenjunction_lab/fuzz/families/store_pages.py
+++ b/martenjunction_lab/fuzz/families/store_pages.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterable
+from collections.abc import Sequence
 import json
 import random
 from typing import Any
@@ -19,19 +21,29 @@
 KIND = "servers"
 _REVISION = revisions.Revision(1, 5)
 
+# Bounds of the numbers that the store counts with.
+_MAX_REVISION = 2**63 - 1
+_MAX_ERA = 10**18 - 1
+
 
 class _Calls:
-    """Gives each call of the store's client the same answer."""
+    """Gives the calls of the store's client their answers.
+
+    The last answer is given to all calls that follow.
+    """
 
-    def __init__(self, body: bytes) -> None:
-        self._body = body
+    def __init__(self, bodies: Sequence[bytes], era: bytes) -> None:
+        self._bodies = list(reversed(bodies))
+        self._era = era
 
     async def call(
         self, *_: Any
     ) -> tuple[messages.ResponseHead, bytes, "_Calls"]:
         """Returns the head, the body and the connection."""
-        head = messages.ResponseHead(200, [(b"store-era", b"1")])
-        return head, self._body, self
+        head = messages.ResponseHead(200, [(b"store-era", self._era)])
+        bodies = self._bodies
+        body = bodies.pop() if len(bodies) > 1 else bodies[0]
+        return head, body, self
 
     def release(self, connection: "_Calls") -> None:
         """Does nothing."""
@@ -77,32 +89,57 @@
 
     def answer(
         self,
-        data: bytes,
         call: Callable[[store.StoreClient], Coroutine[Any, Any, Any]],
+        *bodies: bytes,
+        era: bytes = b"1",
     ) -> Any:
-        """Returns what a call returns for an answer."""
+        """Returns what a call returns for answers.
+
+        Args:
+            call: Makes the call, which may take several answers.
+            bodies: The answers; the last one counts for all that follow.
+            era: The era that each of them tells.
+        """
         client = store.StoreClient("10.0.0.1:80")
-        client._http = _Calls(data)  # type: ignore[assignment]
+        client._http = _Calls(bodies, era)  # type: ignore[assignment]
         return self._loop.run_until_complete(call(client))
 
 
+def _check_revisions(
+    found: revisions.Revision | None, objects: Iterable[store.StoredObject]
+) -> None:
+    """Checks the revision of an answer, if it has one, and of its objects.
+
+    Raises:
+        OracleError: If one of them is out of range.
+    """
+    numbers = [stored.revision.number for stored in objects]
+    if found is not None:
+        numbers.append(found.number)
+    if not all(0 <= number <= _MAX_REVISION for number in numbers):
+        raise targets.OracleError("a revision is out of range")
+
+
 def _json(value: Any) -> spans.Document:
     return spans.json_document(value, odd_values.JSON, odd_values.LARGE_JSON)
 
 
 @targets.registered.register("store-lists")
 class StoreLists(_StoreTarget):
-    """Pages of a list."""
+    """Pages of a list; a sound one follows that is the last."""
 
     _sound = _json(_page(documents.ENDPOINT))
 
     def generate(self, rng: random.Random) -> bytes:
-        """Returns a page that is the last one."""
+        """Returns the first page, most often the only one."""
         return spans.mutate(rng, self._sound)
 
     def check(self, data: bytes) -> None:
-        """Reads a list."""
-        self.answer(data, lambda client: client.list(KIND))
+        """Reads a list; its revisions are in range."""
+        listing = self.answer(
+            lambda client: client.list(KIND), data, self._sound.data
+        )
+        _check_revisions(listing.revision, listing.objects)
 
 
 @targets.registered.register("store-watches")
@@ -127,8 +164,13 @@
         return spans.mutate(rng, self._sound)
 
     def check(self, data: bytes) -> None:
-        """Reads changes."""
-        self.answer(data, lambda client: client.watch(KIND, _REVISION, 1.0))
+        """Reads changes; their revisions are in range."""
+        found = self.answer(
+            lambda client: client.watch(KIND, _REVISION, 1.0), data
+        )
+        _check_revisions(
+            found.revision, [change.object for change in found.changes]
+        )
 
 
 @targets.registered.register("store-objects")
@@ -142,8 +184,47 @@
         return spans.mutate(rng, self._sound)
 
     def check(self, data: bytes) -> None:
-        """Reads an object."""
-        self.answer(data, lambda client: client.get(KIND, "e-1"))
+        """Reads an object; its revision is in range."""
+        found = self.answer(lambda client: client.get(KIND, "e-1"), data)
+        _check_revisions(None, [found])
+
+
+@targets.registered.register("store-eras")
+class StoreEras(_StoreTarget):
+    """Eras in the heads of answers."""
+
+    _body = _json(_stored("e-1", 6, None)).data
+
+    def generate(self, rng: random.Random) -> bytes:
+        """Returns an era."""
+        return b"".join(rng.choices(_ERA_PARTS, k=rng.randint(0, 3)))
+
+    def check(self, data: bytes) -> None:
+        """Reads an object; its era is in range."""
+        found = self.answer(
+            lambda client: client.get(KIND, "e-1"), self._body, era=data
+        )
+        if not 0 <= found.revision.era <= _MAX_ERA:
+            raise targets.OracleError("an era is out of range")
+
+
+_ERA_PARTS = (
+    b"0",
+    b"1",
+    b"-1",
+    b"+1",
+    b"1_0",
+    b"1.0",
+    b"1e3",
+    b" ",
+    b"9" * 18,
+    b"9" * 19,
+    b"9" * 400,
+    b"9" * 5000,
+    b"\xb2",
+    "\u0663".encode(),
+    b"x",
+)
 
 
 @targets.registered.register("store-contents")
@@ -163,7 +244,7 @@
         """Reads a list; the other objects are in it."""
         page = self._before + data + self._after
         try:
-            listing = self.answer(page, lambda client: client.list(KIND))
+            listing = self.answer(lambda client: client.list(KIND), page)
         except errors.PlatformError as error:
             if not _is_json(data):
                 raise
@@ -207,7 +288,8 @@
 def _member(rng: random.Random) -> bytes:
     """Returns a sound entry with one more member."""
     content = rng.choice((_nested, _text, _number))(rng)
-    return b'{"extra":' + content + b"," + _json(documents.ENDPOINT).data[1:]
+    return b'{"extra":' + content + b"," + _SOUND_MEMBERS
 
 
+_SOUND_MEMBERS = _json(documents.ENDPOINT).data[1:]
 _CONTENTS = (_nested, _text, _number, _member)
--- a/martenjunction_lab/fuzz/families/stream_records.py
+++ b/martenjunction_lab/fuzz/families/stream_records.py
@@ -23,6 +23,12 @@
 ]
 
 
+class _Indexes(msgspec.Struct):
+    """The callers of records, of all that their object holds."""
+
+    caller_of: list[int]
+
+
 @targets.registered.register("stream-records")
 class StreamRecords(targets.Target):
     """Origins of the streams of one box."""
@@ -41,6 +47,9 @@
     def check(self, data: bytes) -> None:
         """Decodes records; they are the same after they were encoded again."""
         records = stream_documents.decode_records(data)
+        indexes = msgspec.json.decode(data, type=_Indexes).caller_of
+        if min(indexes, default=0) < 0:
+            raise targets.OracleError("a negative index is taken")
         again = msgspec.json.encode(stream_documents.encode_records(records))
         if stream_documents.decode_records(again) != records:
             raise targets.OracleError("records change when they are encoded")
--- a/martenjunction_lab/fuzz/families/tunnels.py
+++ b/martenjunction_lab/fuzz/families/tunnels.py
@@ -10,6 +10,10 @@
 from martenjunction_lab.fuzz import targets
 
 _KEY = "key"
+
+# Maximum length of the bytes of a frame.
+_MAX_FRAME_BYTES = 64 * 1024
+
 _REQUEST = handshake.TunnelRequest("e-1/17", "10.0.0.1:80", "edge-a-1")
 _FRAMES = (
     framing.END,
@@ -64,11 +68,36 @@
     def check(self, data: bytes) -> None:
         """Decodes frames; pieces and turns change nothing."""
         whole = _decode([data])
+        plain = _read_plainly(data)
+        if plain is None:
+            if not whole[2]:
+                raise targets.OracleError("what are no frames is taken")
+        elif whole != (*plain, False):
+            raise targets.OracleError("frames are decoded otherwise")
         for cut in pieces.ways(data):
             if _decode(cut) != whole:
                 raise targets.OracleError("pieces change what is decoded")
 
 
+def _read_plainly(data: bytes) -> tuple[bytes, bool] | None:
+    """Returns the bytes, and whether they ended; None if they are no frames."""
+    found = bytearray()
+    position, ended = 0, False
+    while position < len(data):
+        if ended:
+            return None
+        start = position + len(framing.END)
+        if start > len(data):
+            break
+        size = int.from_bytes(data[position:start], "big")
+        if size > _MAX_FRAME_BYTES:
+            return None
+        ended = size == 0
+        position = start + size
+        found += data[start:position]
+    return bytes(found), ended
+
+
 def _decode(cut: list[bytes]) -> tuple[bytes, bool, bool]:
     """Returns the bytes, whether they ended, and whether they are no frames."""
     decoder = framing.FrameDecoder()
--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -44,6 +44,7 @@
     + b"]" * DEPTH
     + b',"revision":%d}',
     "surrogate label": rb'{"name":%s,"label":"\ud800","revision":%d}',
+    "surrogate key": rb'{"\ud800":1,"name":%s,"revision":%d}',
 }
 
 # The same, but without a name that can be read.
--- a/tests/test_document_delta.py
+++ b/tests/test_document_delta.py
@@ -1,8 +1,10 @@
 """Tests the delta encoding of documents."""
 
+import tracemalloc
 import zlib
 
 import cbor2
+from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -43,6 +45,7 @@
         max_leaves=10,
     )
 )
+@example([-1, 1])
 def test_well_formed_delta_of_wrong_types_is_rejected(value: object) -> None:
     packed = zlib.compress(cbor2.dumps([[0, 2], value]))
     if value in RUNS_OF_TWO_PIECES:
@@ -59,6 +62,29 @@
         document_delta.apply(base, packed)
 
 
+@pytest.mark.parametrize(
+    ("base", "parts"),
+    [
+        (b"x" * 1024 * 1024, [[0, 1]] * 64),
+        (b"", [b"x" * 64 * 1024 * 1024]),
+    ],
+    ids=["runs", "literal"],
+)
+def test_delta_to_a_large_document_takes_little_memory(
+    base: bytes, parts: list[object]
+) -> None:
+    # 64 MiB are neither decompressed nor put together before they are refused.
+    packed = zlib.compress(cbor2.dumps(parts), 1)
+    tracemalloc.start()
+    try:
+        with pytest.raises(errors.PeerError):
+            document_delta.apply(base, packed)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < 4 * document_delta.MAX_BYTES
+
+
 def test_delta_is_small_for_a_small_change() -> None:
     base, target = fleet.document(7, 1452), fleet.document(8, 1452)
     assert len(document_delta.encode(base, target)) < len(target) // 100
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -213,6 +213,25 @@
     assert first == again != other
 
 
+@pytest.mark.parametrize(
+    ("fields", "ambiguous"),
+    [
+        (b"Content-Length: 5,\r\n 5", False),
+        (b"Content-Length: 5\r\n\t, 6", True),
+        (b"Content-Length: 5\n , 6", True),
+        (b"Content-Length: 5, 5", False),
+        (b"Content-Length: 5, 6", True),
+        (b"Content-Length:\r\n 5\r\nTransfer-Encoding: chunked", True),
+        (b"X: y\r\n Transfer-Encoding: a\r\nContent-Length: 5", False),
+    ],
+)
+def test_field_that_goes_on_in_the_next_line_counts_whole(
+    fields: bytes, ambiguous: bool
+) -> None:
+    head = b"POST / HTTP/1.1\r\n" + fields + b"\r\n\r\n"
+    assert families.http_requests.is_ambiguous(head) == ambiguous
+
+
 def test_pieces_are_what_was_cut() -> None:
     for size in (0, 1, 2, 100):
         data = bytes(range(size))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -81,7 +81,8 @@
         ("b", b"2"),
     ]
     # An unreadable revision counts as that of the page.
-    known = 1 if odd in ("deep finalizers", "surrogate label") else 2
+    readable = ("deep finalizers", "surrogate label", "surrogate key")
+    known = 1 if odd in readable else 2
     assert listing.objects[0].revision.number == known
 
 
--- a/tests/test_odd_events.py
+++ b/tests/test_odd_events.py
@@ -1,13 +1,14 @@
-"""Events of engines that cannot be read.
+"""Events of endpoints that cannot be read.
 
-An event nested too deep, or one that is no object, was not taken for a broken
-response: the request ended with an error of the daemon itself.
+An event of an engine that is nested too deep, or no object, was not taken for a
+broken response: the request ended with an error of the daemon itself.
 """
 
 import pytest
 
 from martenjunction import errors
 from martenjunction.endpoints import engine_protocol
+from martenjunction.endpoints import event_stream
 from tests import odd_entries
 
 ODD_EVENTS = {
@@ -35,3 +36,12 @@
     delivered.feed(b'data: {"choices":%s}\n\n' % choices)
     answer = engine_protocol.assemble(delivered)
     assert answer["choices"][0]["message"]["content"] == ""
+
+
+@pytest.mark.parametrize("piece", [1000, 64 * 1024])
+def test_event_without_an_end_breaks_its_stream(piece: int) -> None:
+    splitter = event_stream.EventSplitter()
+    for _ in range(event_stream.MAX_EVENT_BYTES // piece):
+        assert splitter.feed(b"x" * piece) == []
+    with pytest.raises(errors.EndpointBrokenError):
+        splitter.feed(b"x" * piece)
