Excuse runs that a box gave up in the soak of fast senders

Cause: the check. All requests of the soak may be repeated, and a box gives the run of one up at an endpoint that stands still.

Such requests are no fault any more, by the logs of all processes of a box; any other second run fails as before.

--- a/martenjunction_lab/fast_senders/soak.py
+++ b/martenjunction_lab/fast_senders/soak.py
@@ -44,6 +44,9 @@
 REST_S = 0.05
 DEADLINE_MS = "4000"
 
+# Cause in the log of a request whose time limit has passed.
+_TIMED_OUT = "timed-out"
+
 
 @dataclasses.dataclass
 class Outcome:
@@ -53,21 +56,27 @@
         tally: What became of the clients' requests.
         memory: Most resident memory of a box, in bytes.
         ended: Boxes whose process ended by itself.
+        given_up: Ids of requests, all of which may be repeated, whose run a box
+            gave up by its log.
     """
 
     tally: kept_tallies.Tally
     memory: int
     ended: list[str]
+    given_up: frozenset[str]
 
     @property
     def faults(self) -> set[str]:
-        """Ids of requests that were lost, broken off, doubled or denied."""
+        """Ids of requests that were lost, broken off, doubled or denied.
+
+        A request that ran twice is no fault if a box gave its first run up.
+        """
         found = self.tally
         return {
             *found.lost,
             *found.broken,
             *found.false_promises,
-            *found.doubled,
+            *(set(found.doubled) - self.given_up),
         }
 
 
@@ -82,11 +91,14 @@
                 the tests.
         """
         self._start = start
+        self._earlier: list[Any] = []
         self.process: Any = None
         self.is_stopping = False
 
     async def restart(self) -> None:
         """Starts the process and waits until it is ready."""
+        if self.process is not None:
+            self._earlier.append(self.process)
         self.process = await self._start()
         await self.process.until_ready()
         self.is_stopping = False
@@ -96,9 +108,18 @@
         if self.is_stopping:
             return
         self.is_stopping = True
+        await self.stop()
+        await self.restart()
+
+    async def stop(self) -> None:
+        """Stops it as planned."""
         self.process.signal(signal.SIGTERM)
         await self.process.until_ended()
-        await self.restart()
+
+    async def log(self) -> list[dict[str, Any]]:
+        """Returns the log lines of all its processes, which have ended."""
+        logs = [await made.log() for made in [*self._earlier, self.process]]
+        return [line for log in logs for line in log]
 
     async def suspend(self, seconds: float) -> None:
         """Gives it no processor time for a while."""
@@ -165,14 +186,27 @@
         await asyncio.gather(*traffic)
         sampling.cancel()
         records = [record for made in clients for record in made.records]
+        ended = [
+            box.process.settings.box
+            for box in self._boxes
+            if not box.process.running
+        ]
+        await asyncio.gather(*(box.stop() for box in self._boxes))
         return Outcome(
             kept_tallies.tally(records, self._fleet.replicas),
             self._memory,
-            [
-                box.process.settings.box
-                for box in self._boxes
-                if not box.process.running
-            ],
+            ended,
+            await self._given_up(),
+        )
+
+    async def _given_up(self) -> frozenset[str]:
+        """Returns the ids of requests whose run a box gave up by its log."""
+        logs = [await box.log() for box in self._boxes]
+        return frozenset(
+            str(line["id"])
+            for log in logs
+            for line in log
+            if "id" in line and _is_given_up(line)
         )
 
     def _draw(self) -> list[Awaitable[None]]:
@@ -229,6 +263,18 @@
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
 
+def _is_given_up(line: dict[str, Any]) -> bool:
+    """Returns whether a log line tells that the box gave a run up.
+
+    It names only the last cause: where the request went on at another endpoint
+    until its time limit, the box had given the first run up as well, since no
+    endpoint of a trial breaks a run off.
+    """
+    why = str(line.get("why"))
+    moved = len(line.get("endpoints", ())) > 1
+    return why.endswith(kept_tallies.GIVEN_UP) or (moved and why == _TIMED_OUT)
+
+
 async def _hang_up(box: Box) -> None:
     box.process.signal(signal.SIGHUP)
 
--- a/martenjunction_lab/kept_tallies.py
+++ b/martenjunction_lab/kept_tallies.py
@@ -20,6 +20,9 @@
 # Statuses by which it leaves open whether the request ran.
 UNSURE = frozenset({502, 504})
 
+# End of the cause in a box's log if the box gave a run up.
+GIVEN_UP = ": aborted"
+
 # Prefix of a seal, before the endpoint's id; an event of a stream.
 _SEAL = "seal-"
 _STREAM_EVENT = re.compile(rb"id: (\d+)\ndata: [^\n]*\n\n")
--- a/tests/kept_deployment.py
+++ b/tests/kept_deployment.py
@@ -23,9 +23,6 @@
 # Paths whose requests may run more than once.
 REPEATABLE = ("/safe/", "/open/")
 
-# End of the cause in the log if a box gave a run up.
-GIVEN_UP = ": aborted"
-
 
 class Deployment:
     """Box processes and the clients of each."""
@@ -92,7 +89,7 @@
         return {
             str(line["id"])
             for line in lines
-            if str(line.get("why")).endswith(GIVEN_UP)
+            if str(line.get("why")).endswith(kept_tallies.GIVEN_UP)
         }
 
     async def _log_lines(self, ids: set[str]) -> list[dict[str, object]]:
