Judge the seeded pairs by their stricter rules again

Cause: as the trials of pairs were joined with the judge of all trials, their own shorter judge went. Some of its rules are stricter: it asks for the end of a run whose client left, and for no work at an endpoint that leaves, on disturbed endpoints too, and for an answer to each request in calm. The seeded tests lost those checks by that.

They ask both judges now.

--- a/tests/test_promise_pairs.py
+++ b/tests/test_promise_pairs.py
@@ -20,6 +20,7 @@
 from martenjunction_lab.promises import play_pairs
 from martenjunction_lab.promises import schedule
 from martenjunction_lab.promises import trial
+from tests import pair_judge
 
 pytestmark = pytest.mark.simulated_time
 
@@ -56,6 +57,7 @@
     played = trial.Trial(schedule.draw_pair(seed, kinds), seed=seed)
     seen = await trial.play_here(played)
     assert not judge.broken(seen.history)
+    assert not pair_judge.broken(seen.history)
     assert seen.served + seen.left >= MIN_SERVED * seen.requests
 
 
@@ -161,6 +163,7 @@
         assert one.kind is events.RouteKind.RESUMABLE
         assert one.after_event >= last[one.resumes]
     assert not judge.broken(seen.history)
+    assert not pair_judge.broken(seen.history)
 
 
 async def test_moved_route_is_recorded_with_its_service() -> None:
