Name the bounds of dropped bodies in one place

Cause: `discarding` repeated two names of `refused_bodies`, which decides.

Callers and tests take them from there; values and bounds are as they were.

--- a/martenjunction/http1/discarding.py
+++ b/martenjunction/http1/discarding.py
@@ -18,11 +18,6 @@
 # connection can carry others.
 MAX_READ_BYTES = 64 * 1024
 
-# Maximum size in bytes and duration in seconds of what is dropped outside a
-# body.
-MAX_DROPPED_BYTES = refused_bodies.MAX_DROPPED_BYTES
-MAX_DROP_S = refused_bodies.MAX_DROP_S
-
 _ENDED = refused_bodies.Phase.ENDED
 
 _DROP = socket.MSG_TRUNC | socket.MSG_DONTWAIT
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -15,6 +15,7 @@
 from martenjunction import addresses
 from martenjunction import errors
 from martenjunction.decisions.boxes import connection_share
+from martenjunction.decisions.boxes import refused_bodies
 from martenjunction.http1 import accepting
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import close_reports
@@ -295,7 +296,7 @@
 
 
 def _end_drop(connection: server_connection.ServerConnection) -> bool:
-    return connection.end_drop(discarding.MAX_DROP_S)
+    return connection.end_drop(refused_bodies.MAX_DROP_S)
 
 
 def _is_reported(closing: close_reports.ClosedConnection) -> bool:
--- a/tests/test_dropped_bodies.py
+++ b/tests/test_dropped_bodies.py
@@ -6,7 +6,6 @@
 
 from martenjunction.decisions.boxes import connection_share
 from martenjunction.decisions.boxes import refused_bodies
-from martenjunction.http1 import discarding
 from martenjunction.http1 import read_timers
 from tests import test_refused_bodies as refused
 
@@ -62,9 +61,10 @@
     took_s = await listening.until_unconnected()
     sending.cancel()
     client.close()
-    assert took_s <= discarding.MAX_DROP_S + refused.AT_ONCE_S
+    assert took_s <= refused_bodies.MAX_DROP_S + refused.AT_ONCE_S
     assert (
-        connection._input.received <= discarding.MAX_DROPPED_BYTES + 256 * 1024
+        connection._input.received
+        <= refused_bodies.MAX_DROPPED_BYTES + 256 * 1024
     )
 
 
@@ -79,9 +79,11 @@
     sending.cancel()
     client.close()
     reads = 4 * MB / refused_bodies.READ_BYTES
-    longest_s = reads * refused_bodies.READ_INTERVAL_S + discarding.MAX_DROP_S
+    longest_s = (
+        reads * refused_bodies.READ_INTERVAL_S + refused_bodies.MAX_DROP_S
+    )
     assert took_s <= longest_s + refused.AT_ONCE_S
-    most = 4 * MB + discarding.MAX_DROPPED_BYTES
+    most = 4 * MB + refused_bodies.MAX_DROPPED_BYTES
     assert connection._input.received <= most + 128 * 1024
 
 
@@ -91,7 +93,7 @@
     client.send_head("/x", "", f"Content-Length: {4 * MB}")
     await client.answer()
     sending = asyncio.create_task(client.send_slowly(bytes(16 * 1024), 0.02))
-    await asyncio.sleep(discarding.MAX_DROP_S + refused.AT_ONCE_S)
+    await asyncio.sleep(refused_bodies.MAX_DROP_S + refused.AT_ONCE_S)
     assert listening.server.connections
     listening.server.finish()
     took_s = await listening.until_unconnected()
@@ -107,7 +109,7 @@
     client.send_head("/x", "", f"Content-Length: {4 * MB}")
     await client.answer()
     sending = asyncio.create_task(client.send_slowly(bytes(16 * 1024), 0.02))
-    await asyncio.sleep(discarding.MAX_DROP_S)
+    await asyncio.sleep(refused_bodies.MAX_DROP_S)
     second = await refused.connect(listening.address)
     second.send_head("/x", "", f"Content-Length: {4 * MB}")
     head, _ = await second.answer(refused.AT_ONCE_S)
--- a/tests/test_refused_bodies.py
+++ b/tests/test_refused_bodies.py
@@ -15,6 +15,7 @@
 
 from martenjunction import gateway
 from martenjunction.decisions.boxes import connection_share
+from martenjunction.decisions.boxes import refused_bodies
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import discarding
 from martenjunction.http1 import messages
@@ -346,9 +347,10 @@
     took_s = await listening.until_unconnected()
     sending.cancel()
     client.close()
-    assert took_s <= discarding.MAX_DROP_S + AT_ONCE_S
+    assert took_s <= refused_bodies.MAX_DROP_S + AT_ONCE_S
     assert (
-        connection._input.received <= discarding.MAX_DROPPED_BYTES + 128 * 1024
+        connection._input.received
+        <= refused_bodies.MAX_DROPPED_BYTES + 128 * 1024
     )
 
 
