Share what trials and tests wrote twice

`endpoint_views.arrival` and `digest`, `kept_tallies.tells_given_up`, `gateway_requests.replace_first_reached` and `raw_request` serve all of them. What is asserted is as it was. Two tests send the usual headers of a request as well.

--- a/martenjunction_lab/fast_senders/soak.py
+++ b/martenjunction_lab/fast_senders/soak.py
@@ -270,9 +270,10 @@
     until its time limit, the box had given the first run up as well, since no
     endpoint of a trial breaks a run off.
     """
-    why = str(line.get("why"))
     moved = len(line.get("endpoints", ())) > 1
-    return why.endswith(kept_tallies.GIVEN_UP) or (moved and why == _TIMED_OUT)
+    return kept_tallies.tells_given_up(line) or (
+        moved and line.get("why") == _TIMED_OUT
+    )
 
 
 async def _hang_up(box: Box) -> None:
--- a/martenjunction_lab/kept_tallies.py
+++ b/martenjunction_lab/kept_tallies.py
@@ -21,7 +21,7 @@
 UNSURE = frozenset({502, 504})
 
 # End of the cause in a box's log if the box gave a run up.
-GIVEN_UP = ": aborted"
+_GIVEN_UP = ": aborted"
 
 # Prefix of a seal, before the endpoint's id; an event of a stream.
 _SEAL = "seal-"
@@ -99,6 +99,11 @@
     )
 
 
+def tells_given_up(line: Mapping[str, object]) -> bool:
+    """Returns whether a line of a box's log tells that it gave a run up."""
+    return str(line.get("why")).endswith(_GIVEN_UP)
+
+
 @dataclasses.dataclass(frozen=True)
 class Route:
     """What a request's route says of it.
--- a/martenjunction_lab/promises/clients.py
+++ b/martenjunction_lab/promises/clients.py
@@ -11,6 +11,7 @@
 from martenjunction.http1 import messages
 from martenjunction_lab import boxes
 from martenjunction_lab.promises import configuration
+from martenjunction_lab.promises import endpoint_views
 from martenjunction_lab.promises import endpoints
 from martenjunction_lab.promises import events
 
@@ -251,7 +252,7 @@
             self._operator.services[route],
             now + DEADLINE_S,
             now + configuration.TIMEOUT_S,
-            endpoints.digest(
+            endpoint_views.digest(
                 "POST", _target(route, box), stream.first.encode()
             ),
             "" if route in _KEYLESS else configuration.TENANTS[key],
--- a/martenjunction_lab/promises/endpoint_views.py
+++ b/martenjunction_lab/promises/endpoint_views.py
@@ -47,18 +47,9 @@
             The number of the arrival.
         """
         attempt = next(_numbers)
-        left_ms = headers.get("martenjunction-deadline-ms")
         self._seen.append(
-            events.Arrived(
-                time.monotonic(),
-                request,
-                attempt,
-                self._endpoint,
-                self._service,
-                asked,
-                headers.get("martenjunction-tenant", ""),
-                "authorization" in headers,
-                None if left_ms is None else int(left_ms) / 1000,
+            arrival(
+                request, attempt, self._endpoint, self._service, headers, asked
             )
         )
         return attempt
@@ -83,6 +74,38 @@
             self._seen.append(event)
 
 
+def arrival(
+    request: str,
+    attempt: int,
+    endpoint: str,
+    service: str,
+    headers: Mapping[str, str],
+    asked: str,
+) -> events.Arrived:
+    """Returns that an endpoint has just read a request.
+
+    Args:
+        request: Its id.
+        attempt: The number of the arrival.
+        endpoint: The endpoint.
+        service: Its service; empty if not known.
+        headers: The request's headers, with names in lower case.
+        asked: The digest of what it asks for.
+    """
+    left_ms = headers.get("martenjunction-deadline-ms")
+    return events.Arrived(
+        time.monotonic(),
+        request,
+        attempt,
+        endpoint,
+        service,
+        asked,
+        headers.get("martenjunction-tenant", ""),
+        "authorization" in headers,
+        None if left_ms is None else int(left_ms) / 1000,
+    )
+
+
 def digest(method: str, target: str, body: bytes) -> str:
     """Returns a digest of what a request asks for.
 
--- a/martenjunction_lab/promises/endpoints.py
+++ b/martenjunction_lab/promises/endpoints.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import contextvars
-import hashlib
 import itertools
 import random
 import time
 
 from martenjunction_lab import replica
+from martenjunction_lab.promises import endpoint_views
 from martenjunction_lab.promises import events
 
 Behaviour = replica.Behaviour
@@ -34,12 +34,6 @@
 _breaks: contextvars.ContextVar[bool] = contextvars.ContextVar("breaks")
 
 
-def digest(method: str, target: str, body: bytes) -> str:
-    """Returns what identifies the content of a request."""
-    head = f"{method} {target}\n".encode()
-    return hashlib.sha256(head + body).hexdigest()[:16]
-
-
 class RecordingReplica(replica.Replica):
     """A replica that records arrivals and runs.
 
@@ -177,19 +171,16 @@
     def _record_arrival(self, request: replica.Received) -> int:
         """Records a request; returns the number of its arrival."""
         attempt = next(self._attempts)
-        headers = request.headers
-        left_ms = headers.get("martenjunction-deadline-ms")
         self._history.add(
-            events.Arrived(
-                time.monotonic(),
+            endpoint_views.arrival(
                 request.id,
                 attempt,
                 self.name,
                 self._service,
-                digest(request.method, request.target, request.body),
-                headers.get("martenjunction-tenant", ""),
-                "authorization" in headers,
-                None if left_ms is None else int(left_ms) / 1000,
+                request.headers,
+                endpoint_views.digest(
+                    request.method, request.target, request.body
+                ),
             )
         )
         return attempt
--- a/tests/gateway_requests.py
+++ b/tests/gateway_requests.py
@@ -1,6 +1,7 @@
 """Sends requests to a box with fake replicas, for end-to-end tests."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 import pytest
@@ -15,6 +16,23 @@
 
 Behaviour = replica.Behaviour
 
+# How a replica answers a request, and how a test has one answer: by the
+# replica, its own way to answer, the request and its connection.
+Serve = Callable[
+    [replica.Received, Behaviour, asyncio.StreamReader, asyncio.StreamWriter],
+    Awaitable[bool],
+]
+Answer = Callable[
+    [
+        replica.Replica,
+        Serve,
+        replica.Received,
+        asyncio.StreamReader,
+        asyncio.StreamWriter,
+    ],
+    Awaitable[bool],
+]
+
 WHOLE_STREAM = b"".join(
     f"id: {number}\ndata: t{number}\n\n".encode() for number in range(1, 6)
 )
@@ -33,6 +51,17 @@
     return headers
 
 
+def raw_request(request_id: str, path: str, deadline_ms: int = 9000) -> bytes:
+    """Returns the bytes of a request with a short body."""
+    pairs = request_headers(request_id)
+    pairs["Martenjunction-Deadline-Ms"] = str(deadline_ms)
+    pairs["Host"] = "api.example"
+    pairs["Content-Length"] = "5"
+    lines = [f"{name}: {value}" for name, value in pairs.items()]
+    head = "\r\n".join([f"POST {path} HTTP/1.1", *lines])
+    return f"{head}\r\n\r\nhello".encode()
+
+
 async def ask(
     fleet: boxes.Boxes, path: str, request_id: str = "r1", **changes: str
 ) -> tuple[messages.ResponseHead, bytes]:
@@ -115,22 +144,23 @@
         stand_in.plan(behaviour)
 
 
-def plan_where_first_sent(
-    monkeypatch: pytest.MonkeyPatch,
-    made: list[replica.Replica],
-    behaviour: Behaviour,
-) -> None:
-    """Plans the behaviour of the replica that gets the next request.
+def replace_first_reached(
+    monkeypatch: pytest.MonkeyPatch, made: list[replica.Replica], answer: Answer
+) -> list[replica.Replica]:
+    """Replaces the answers of the replica that gets the next request.
 
-    It is kept for all later requests there; which replica it is depends on a
-    draw.
+    Which replica that is depends on draws and on response times measured
+    before.
+
+    Returns:
+        The replica, once a request has reached it.
     """
     first: list[replica.Replica] = []
 
     def watch(stand_in: replica.Replica) -> None:
-        answer = stand_in._answer
+        serve = stand_in._answer
 
-        async def answer_as_planned(
+        async def answer_if_first(
             request: replica.Received,
             planned: Behaviour,
             reader: asyncio.StreamReader,
@@ -138,13 +168,37 @@
         ) -> bool:
             if not first:
                 first.append(stand_in)
-            chosen = behaviour if stand_in in first else planned
-            return await answer(request, chosen, reader, writer)
+            if stand_in in first:
+                return await answer(stand_in, serve, request, reader, writer)
+            return await serve(request, planned, reader, writer)
 
-        monkeypatch.setattr(stand_in, "_answer", answer_as_planned)
+        monkeypatch.setattr(stand_in, "_answer", answer_if_first)
 
     for stand_in in made:
         watch(stand_in)
+    return first
+
+
+def plan_where_first_sent(
+    monkeypatch: pytest.MonkeyPatch,
+    made: list[replica.Replica],
+    behaviour: Behaviour,
+) -> None:
+    """Plans the behaviour of the replica that gets the next request.
+
+    It is kept for all later requests there.
+    """
+
+    async def behave(
+        _: replica.Replica,
+        serve: Serve,
+        request: replica.Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        return await serve(request, behaviour, reader, writer)
+
+    replace_first_reached(monkeypatch, made, behave)
 
 
 def runs(made: list[replica.Replica], request_id: str = "r1") -> int:
--- a/tests/kept_deployment.py
+++ b/tests/kept_deployment.py
@@ -89,7 +89,7 @@
         return {
             str(line["id"])
             for line in lines
-            if str(line.get("why")).endswith(kept_tallies.GIVEN_UP)
+            if kept_tallies.tells_given_up(line)
         }
 
     async def _log_lines(self, ids: set[str]) -> list[dict[str, object]]:
--- a/tests/test_endpoint_failures.py
+++ b/tests/test_endpoint_failures.py
@@ -11,9 +11,9 @@
 
 from martenjunction_lab import bench
 from martenjunction_lab import boxes
+from tests import gateway_requests
 from tests import keep_alive_connections
 from tests import routing_builders as builders
-from tests import test_planned_stop
 
 
 class Endpoint:
@@ -85,7 +85,7 @@
     await boxes.until(lambda: bool(box.dump()["ready"]))
     connection = keep_alive_connections.KeptConnection()
     await connection.connect(fleet.addresses[0])
-    connection.send(test_planned_stop.raw_request("r1", path))
+    connection.send(gateway_requests.raw_request("r1", path))
     answer = await connection.answer()
     assert endpoint.runs >= 1
     assert answer.startswith(b"HTTP/1.1 %d " % status)
--- a/tests/test_failing_stops.py
+++ b/tests/test_failing_stops.py
@@ -19,12 +19,7 @@
 
 STOP_S = 1.4
 
-REQUEST = (
-    f"POST /unsafe/x HTTP/1.1\r\nHost: {builders.HOST}\r\n"
-    f"Authorization: Bearer {builders.KEY}\r\n"
-    "Martenjunction-Deadline-Ms: 9000\r\n"
-    "Martenjunction-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\nhello"
-).encode()
+REQUEST = requests.raw_request("r1", "/unsafe/x")
 
 
 @pytest.mark.parametrize("step", ["sync.announce_leaving", "usage.write"])
--- a/tests/test_held_up_stops.py
+++ b/tests/test_held_up_stops.py
@@ -16,6 +16,7 @@
 from martenjunction.http1 import client
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
+from tests import gateway_requests
 from tests import keep_alive_connections
 from tests import raw_peers
 from tests import routing_builders as builders
@@ -31,12 +32,7 @@
 # what endpoints have sent may still be read.
 LATER_S = client.READY_GRACE_S / 2
 
-REQUEST = (
-    f"POST /unsafe/x HTTP/1.1\r\nHost: {builders.HOST}\r\n"
-    f"Authorization: Bearer {builders.KEY}\r\n"
-    "Martenjunction-Deadline-Ms: 9000\r\n"
-    "Martenjunction-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\nhello"
-).encode()
+REQUEST = gateway_requests.raw_request("r1", "/unsafe/x")
 
 HoldUp = Callable[[pytest.MonkeyPatch], None]
 
--- a/tests/test_held_up_stops_process.py
+++ b/tests/test_held_up_stops_process.py
@@ -16,6 +16,7 @@
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import box_processes
+from tests import gateway_requests
 from tests import keep_alive_connections
 from tests import routing_builders as builders
 
@@ -33,13 +34,6 @@
 # Seconds in which all requests that are sent reach their endpoints.
 SETTLE_S = 0.3
 
-REQUEST = (
-    f"POST /unsafe/x HTTP/1.1\r\nHost: {builders.HOST}\r\n"
-    f"Authorization: Bearer {builders.KEY}\r\n"
-    f"Martenjunction-Deadline-Ms: {DEADLINE_S * 1000}\r\n"
-    "Martenjunction-Attempt-Id: r{number}\r\nContent-Length: 5\r\n\r\nhello"
-)
-
 
 class TricklingReplica(replica.Replica):
     """A replica whose responses take longer than any stop."""
@@ -98,7 +92,11 @@
     for number in range(CLIENTS):
         connection = keep_alive_connections.KeptConnection()
         await connection.connect(box.settings.callers)
-        connection.send(REQUEST.format(number=number).encode())
+        connection.send(
+            gateway_requests.raw_request(
+                f"r{number}", "/unsafe/x", DEADLINE_S * 1000
+            )
+        )
         connections.append(connection)
     await asyncio.sleep(SETTLE_S)
     box.signal(signal.SIGTERM)
--- a/tests/test_kept_connections_process.py
+++ b/tests/test_kept_connections_process.py
@@ -32,6 +32,7 @@
 from martenjunction_lab import kept_clients
 from martenjunction_lab import replica
 from tests import box_processes
+from tests import gateway_requests as requests
 from tests import kept_deployment
 from tests import routing_builders as builders
 
@@ -201,8 +202,10 @@
 
 async def run_and_hold(
     stand_in: replica.Replica,
+    _: requests.Serve,
     request: replica.Received,
     reader: asyncio.StreamReader,
+    __: asyncio.StreamWriter,
 ) -> bool:
     """Runs a request and answers nothing until its caller leaves."""
     stand_in.runs[request.id] += 1
@@ -210,40 +213,6 @@
     return False
 
 
-def silence_first_reached(
-    replicas: list[replica.Replica], monkeypatch: pytest.MonkeyPatch
-) -> list[replica.Replica]:
-    """Silences the replica that gets the next request.
-
-    Which one that is depends on response times measured before.
-
-    Returns:
-        The silent replica, once a request has reached it.
-    """
-    silent: list[replica.Replica] = []
-
-    def silence(stand_in: replica.Replica) -> None:
-        serve = stand_in._answer
-
-        async def answer(
-            request: replica.Received,
-            behaviour: replica.Behaviour,
-            reader: asyncio.StreamReader,
-            writer: asyncio.StreamWriter,
-        ) -> bool:
-            if not silent:
-                silent.append(stand_in)
-            if stand_in in silent:
-                return await run_and_hold(stand_in, request, reader)
-            return await serve(request, behaviour, reader, writer)
-
-        monkeypatch.setattr(stand_in, "_answer", answer)
-
-    for stand_in in replicas:
-        silence(stand_in)
-    return silent
-
-
 async def test_repeatable_request_that_a_box_gives_up_may_run_twice(
     site: kept_deployment.Deployment, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -251,7 +220,9 @@
     clients = site.add_clients(site.boxes[0], 1, ("/safe/x",))
     await clients.open(2)
     await clients.warm_up()
-    silent = silence_first_reached(site.fleet.replicas, monkeypatch)
+    silent = requests.replace_first_reached(
+        monkeypatch, site.fleet.replicas, run_and_hold
+    )
     await clients.receive(clients.send(2))
     assert len(silent) == 1
     site.boxes[0].signal(signal.SIGTERM)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -43,16 +43,6 @@
 WAIT_S = 0.1
 
 
-def raw_request(request_id: str, path: str) -> bytes:
-    pairs = requests.request_headers(request_id)
-    pairs["Martenjunction-Deadline-Ms"] = "9000"
-    pairs["Host"] = "api.example"
-    pairs["Content-Length"] = "5"
-    lines = [f"{name}: {value}" for name, value in pairs.items()]
-    head = "\r\n".join([f"POST {path} HTTP/1.1", *lines])
-    return f"{head}\r\n\r\nhello".encode()
-
-
 async def stops_by_itself(box: gateway.Gateway) -> bool:
     """Runs a planned stop; returns whether the connections end in time.
 
@@ -78,12 +68,12 @@
     made = await requests.two_plain(fleet)
     box = fleet.gateways[0]
     kept = await keep_alive_connections.open_used_connections(
-        fleet.addresses[0], COUNT, raw_request("first", path)
+        fleet.addresses[0], COUNT, requests.raw_request("first", path)
     )
     stopping = asyncio.create_task(box.leave())
     await boxes.until(lambda: box.leaving)
     for connection in kept:
-        connection.send(raw_request("last", path))
+        connection.send(requests.raw_request("last", path))
     raw_peers.block_event_loop(LINGER_S + 0.2)
     answers = [await connection.answer() for connection in kept]
     served = sum(b" 200 " in answer for answer in answers)
@@ -101,13 +91,13 @@
     await fleet.add_box("box-1", stop_s=1.5)
     made = await requests.two_plain(fleet)
     kept = await keep_alive_connections.open_used_connections(
-        fleet.addresses[0], COUNT, raw_request("first", "/unsafe/x")
+        fleet.addresses[0], COUNT, requests.raw_request("first", "/unsafe/x")
     )
     for stand_in in made:
         stand_in.always(replica.Behaviour.HANG)
     arrived = requests.arrivals(made)
     for connection in kept:
-        connection.send(raw_request("last", "/unsafe/x"))
+        connection.send(requests.raw_request("last", "/unsafe/x"))
     await boxes.until(lambda: requests.arrivals(made) > arrived)
     await fleet.gateways[0].leave()
     answers = [await connection.answer() for connection in kept]
@@ -125,7 +115,7 @@
     monkeypatch.setattr(gateway, "LINGER_S", 0.2)
     await requests.two_plain(fleet)
     kept = await keep_alive_connections.open_used_connections(
-        fleet.addresses[0], COUNT, raw_request("first", "/safe/x")
+        fleet.addresses[0], COUNT, requests.raw_request("first", "/safe/x")
     )
     assert await stops_by_itself(fleet.gateways[0])
     assert all([await connection.ended() for connection in kept])
@@ -138,9 +128,9 @@
 ) -> None:
     monkeypatch.setattr(gateway, "LINGER_S", 0.2)
     await requests.two_plain(fleet)
-    whole = raw_request("half", "/safe/x")
+    whole = requests.raw_request("half", "/safe/x")
     kept = await keep_alive_connections.open_used_connections(
-        fleet.addresses[0], 2, raw_request("first", "/safe/x")
+        fleet.addresses[0], 2, requests.raw_request("first", "/safe/x")
     )
     kept[0].send(whole[:20])
     kept[1].send(whole[:-2])
@@ -163,13 +153,13 @@
     await requests.two_plain(fleet)
     box = fleet.gateways[0]
     [connection] = await keep_alive_connections.open_used_connections(
-        fleet.addresses[0], 1, raw_request("first", "/safe/x")
+        fleet.addresses[0], 1, requests.raw_request("first", "/safe/x")
     )
     stopping = asyncio.create_task(box.leave())
     await boxes.until(
         lambda: requests.leaving_for_s(box) > exchange.MIN_ADMISSION_S
     )
-    connection.send(raw_request("last", "/safe/x"))
+    connection.send(requests.raw_request("last", "/safe/x"))
     answer = await connection.answer()
     assert answer[9:12] == status
     assert (b"etry-after" in answer.lower()) == (status == b"503")
