Log whom a conclusion on a stream rests on

Cause: the line of a stream that is taken up did not tell who was asked and how old the list was, so that the hypotheses of boxes out of step look alike. Change: asked, heard, live and list_age_s in stream-origin and stream-unknown.

--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -203,8 +203,10 @@
         host = model.host_name(host)
         finding = self._find_locally(key, host, path)
         is_final = is_known = True
+        asked = heard = 0
         if not finding.recorded:
             answers = await self._queries.ask(key, host, path, finding)
+            asked, heard = answers.asked, answers.heard
             finding = answers.finding
             is_final = answers.is_complete and not self._is_starting()
             is_known = finding.recorded or (
@@ -220,6 +222,10 @@
             stream=str(key),
             basis=finding.basis,
             final=is_final,
+            asked=asked,
+            heard=heard,
+            live=len(self._members.live_members()),
+            list_age_s=self._rounded_list_age_s(),
             service=None if origin is None else origin.service,
             version=None if origin is None else origin.version,
         )
@@ -327,6 +333,10 @@
                 stream_table.StreamKey(caller, stream), origin, now + lifetime_s
             )
 
+    def _rounded_list_age_s(self) -> float | None:
+        age_s = self._list_age_s()
+        return None if age_s is None else round(age_s, 3)
+
     def _check(self) -> None:
         now = self._timers.now()
         self._table.expire(now)
--- a/martenjunction/routing/streams/queries.py
+++ b/martenjunction/routing/streams/queries.py
@@ -48,10 +48,14 @@
     Attributes:
         finding: What follows from all that answered in time.
         is_complete: Whether all boxes answered that may know it.
+        asked: Number of connected boxes that were asked.
+        heard: Number of these that answered.
     """
 
     finding: stream_table.Finding
     is_complete: bool
+    asked: int
+    heard: int
 
 
 class OriginQueries:
@@ -134,7 +138,7 @@
         own: stream_table.Finding,
     ) -> Answers:
         if not boxes:
-            return Answers(own, is_complete=True)
+            return Answers(own, is_complete=True, asked=0, heard=0)
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         question = _Question(set(boxes), [own], done)
         question_id = (ask.box, ask.number)
@@ -145,7 +149,10 @@
         finally:
             del self._questions[question_id]
         return Answers(
-            stream_table.combine(question.findings), not question.awaited
+            stream_table.combine(question.findings),
+            is_complete=not question.awaited,
+            asked=len(boxes),
+            heard=len(boxes) - len(question.awaited),
         )
 
     async def _wait(self, done: asyncio.Future[None], limit_s: float) -> None:
