Let simulated time pass where a timer is almost due

Cause: a timer due by less than the rounding of the time, and by more than the resolution within which the event loop runs it, was never reached: the time was set to itself again and again. Change: a wait advances the time by one step at least.

--- a/martenjunction_lab/simulated/loop.py
+++ b/martenjunction_lab/simulated/loop.py
@@ -118,12 +118,16 @@
         return super().select(THREAD_POLL_S)
 
     def _jump(self, timeout: float) -> None:
-        """Goes to the first multiple of the resolution not before a timer."""
+        """Goes to the first multiple of the resolution not before a timer.
+
+        That is after the present time: the loop waits, so the timer is not due.
+        """
         if self.now >= self._ends_at:
             self._ends_at = self.now + CLEANUP_S
             raise StuckError(f"not ended by {self.now}")
         steps = math.ceil((self.now + timeout) / RESOLUTION_S - 1e-6)
-        self.now = max(self.now, steps * RESOLUTION_S)
+        due_at = steps * RESOLUTION_S
+        self.now = due_at if due_at > self.now else self.now + RESOLUTION_S
         self.jumps += 1
         self._iterations = 0
 
--- a/tests/test_simulated_loop.py
+++ b/tests/test_simulated_loop.py
@@ -144,6 +144,28 @@
     assert simulated_loop.run(main()) == pytest.approx(30.0, abs=0.01)
 
 
+def test_timer_a_rounding_error_away_is_reached() -> None:
+    loop = simulated_loop.SimulatedLoop(1)
+    began_at = loop.time()
+    # The loop runs timers that are due within the resolution of its clock.
+    resolution_s = time.get_clock_info("monotonic").resolution
+    reached: list[float] = []
+
+    def reach() -> None:
+        reached.append(loop.time())
+        loop.stop()
+
+    loop.call_at(began_at + 1.5 * resolution_s, reach)
+    stuck = threading.Timer(MAX_REAL_S, loop.call_soon_threadsafe, [loop.stop])
+    stuck.start()
+    loop.run_forever()
+    stuck.cancel()
+    loop.close()
+    assert reached
+    late_s = reached[0] - began_at
+    assert late_s == pytest.approx(simulated_loop.RESOLUTION_S, abs=1e-6)
+
+
 def test_hold_up_makes_timers_late() -> None:
     async def main() -> float:
         loop = asyncio.get_running_loop()
