--- a/martenjunction_lab/trial_fleet.py
+++ b/martenjunction_lab/trial_fleet.py
@@ -144,10 +144,18 @@
                 left out.
         """
         self._starts[one.id] = self._starts.get(one.id, 0) + 1
+        self._write_entry(one, "ready", slots)
+
+    def announce_leaving(self, one: Made) -> None:
+        """Writes that a replica leaves."""
+        self._write_entry(one, "draining", None)
+
+    def _write_entry(self, one: Made, state: str, slots: int | None) -> None:
         service = self._services[one.id]
         self.boxes.record(
             one,
             service,
+            state=state,
             slots=slots or SLOTS[service],
             born=self._starts[one.id],
             **self._entry_fields(one),
--- a/tests/test_incomplete_watches.py
+++ b/tests/test_incomplete_watches.py
@@ -28,10 +28,14 @@
     """The origins of a box whose list of endpoints has a given age."""
 
     def __init__(
-        self, first_start: bool = True, peers: tuple[str, ...] = ()
+        self,
+        first_start: bool = True,
+        peers: tuple[str, ...] = (),
+        full_mesh: bool = True,
     ) -> None:
         self.now = 0.0
         self.age_s = 0.1
+        self.linked = list(peers)
         endpoint = types.SimpleNamespace(service=builders.ENGINE, version="v1")
         listed: Any = types.SimpleNamespace(
             has_listing=True,
@@ -40,13 +44,15 @@
         )
         hub: Any = types.SimpleNamespace(
             subscribe=lambda *_: None,
-            boxes=lambda: list(peers),
+            boxes=lambda: list(self.linked),
             send=lambda *_: None,
             send_to=lambda *_: None,
         )
         own = types.SimpleNamespace(box="own")
         members: Any = types.SimpleNamespace(
-            own=own, is_full_mesh=True, live_members=lambda: [own, *peers]
+            own=own,
+            is_full_mesh=full_mesh,
+            live_members=lambda: [own, *peers],
         )
         clock: Any = types.SimpleNamespace(
             now=lambda: self.now,
@@ -149,3 +155,12 @@
     watching = served_versions.ServedVersions(first_start_at=0.0)
     watching.look([conclusions.engine(1, "v1")], 300.0)
     assert not watching.is_complete("s", 300.0)
+
+
+async def test_nothing_is_concluded_by_a_box_that_can_ask_nobody() -> None:
+    box = Box(peers=("other",), full_mesh=False)
+    box.linked.clear()
+    box.run(60.0)
+    answer = await box.origins.find(KEY, builders.HOST, "/a/b/")
+    assert answer.origin is None
+    assert not answer.is_final
