Conclude where a stream began from what the store holds now

Cause: a box that lost its links counted a question to nobody as answered by all, and its list as current for 2.6 s: longer than silent links last, and longer than a version that joins needs to begin streams elsewhere. A client that took such a stream up there got events of two versions. A box that passed a question on did not tell whom it could not ask. Change: a conclusion needs that as many boxes were heard as are live, each counted once, with gaps passed on, and that a read of the endpoints and the configuration that began after the client came shows nothing else. Looks at the list count from the time up to which it is known, so that looks at an old one hide no gap. No two time-outs are compared. A stream whose origin is recorded, or that nobody takes up, costs nothing more. A box that starts again draws its first question number, as others remember the numbers before.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -47,6 +47,7 @@
 from martenjunction.routing.quarantine import part_quarantine
 from martenjunction.routing.quarantine import request_quarantine
 from martenjunction.routing.store import follower
+from martenjunction.routing.store import fresh_reading
 from martenjunction.routing.store import store_cache
 from martenjunction.routing.streams import archive
 from martenjunction.routing.streams import origins
@@ -283,6 +284,14 @@
             self.sync.responsive_peers,
             self.parts,
         )
+        self.fresh_reading = fresh_reading.FreshReading(
+            self.store,
+            self.store_cache,
+            self.endpoint_list,
+            lambda: len(self.members.live_snapshot()),
+            self.timers,
+            self.log,
+        )
         self.origins = origins.StreamOrigins(
             self.endpoint_list,
             self.peers,
@@ -291,6 +300,7 @@
             self.log,
             self.metrics,
             self._store_age_s,
+            self.fresh_reading.read,
             first_start=settings.first_start,
         )
         self.admitter.on_activation(self.origins.apply_config)
--- a/martenjunction/decisions/boxes/endpoint_list.py
+++ b/martenjunction/decisions/boxes/endpoint_list.py
@@ -123,7 +123,7 @@
         )
         removed = list(itertools.chain.from_iterable(steps))
         for endpoint, entry_revision in changed:
-            if endpoint.id in lapsed and self._in_grace(now):
+            if endpoint.id in lapsed and self.in_grace(now):
                 self._add_lapsed(endpoint, entry_revision)
         for endpoint_id in self.lapsed:
             if endpoint_id in ready and endpoint_id not in lapsed:
@@ -290,7 +290,7 @@
             self._ended.note_listed(restored.endpoint.id)
             if restored.endpoint.entry not in self.entry_names:
                 self.apply_entry(restored.endpoint, restored.revision)
-        if self._in_grace(now):
+        if self.in_grace(now):
             return []
         removed: list[str] = []
         for endpoint_id in self.lapsed:
--- a/martenjunction/decisions/boxes/entry_table.py
+++ b/martenjunction/decisions/boxes/entry_table.py
@@ -294,7 +294,8 @@
         )
         return [endpoint_id]
 
-    def _in_grace(self, now: float) -> bool:
+    def in_grace(self, now: float) -> bool:
+        """Returns whether live endpoints may still have to write entries."""
         return self._contact.in_grace or self._restored.in_grace(now)
 
     def _apply_missing(
@@ -320,7 +321,7 @@
             return []
         if reported and not listed.lapsed:
             self._unchecked.add(listed.endpoint.entry, now)
-        in_grace = self._in_grace(now)
+        in_grace = self.in_grace(now)
         news = EntryNews.MISSING_IN_GRACE if in_grace else EntryNews.MISSING
         if entry_states.next_state(listed.state, news) is EntryState.LAPSED:
             self._set_lapsed(listed, reported)
--- a/martenjunction/decisions/boxes/served_versions.py
+++ b/martenjunction/decisions/boxes/served_versions.py
@@ -15,8 +15,8 @@
 # requests, so that no time limit of a request bounds this.
 STREAM_LIFETIME_S = 3600.0
 
-# Maximum time in seconds between two looks at the list. After a longer gap,
-# versions may have come and gone unseen.
+# Maximum time in seconds between the times up to which two looks at the list
+# know all changes. After a longer gap, versions may have come and gone unseen.
 MAX_GAP_S = 2.0
 
 # Maximum time in seconds from the first start of a fleet to the first look, for
@@ -56,24 +56,31 @@
         self._first_start_at = first_start_at
         self._watched_since = math.inf
         self._last_look_at: float | None = None
+        # Time up to which the last look knows all changes.
+        self._known_until = -math.inf
         self._settled: set[str] = set()
         self._last_seen_at: dict[str, dict[str, float]] = {}
 
-    def look(self, endpoints: Iterable[model.Endpoint], now: float) -> bool:
-        """Records the endpoints that are listed now.
+    def look(
+        self, endpoints: Iterable[model.Endpoint], now: float, as_of: float
+    ) -> bool:
+        """Records the listed endpoints.
 
         Args:
             endpoints: All listed endpoints.
             now: The current time.
+            as_of: Time before which all changes of the list are in.
 
         Returns:
             Whether the watch had a gap before this look.
         """
         last_look_at, self._last_look_at = self._last_look_at, now
+        known_until = self._known_until
+        self._known_until = max(known_until, as_of)
         has_gap = False
         if last_look_at is None:
             self._watched_since = watch_begin(self._first_start_at, now)
-        elif now - last_look_at > MAX_GAP_S:
+        elif as_of - known_until > MAX_GAP_S:
             self._watched_since = now
             self._settled.clear()
             has_gap = True
--- a/martenjunction/decisions/boxes/stream_conclusions.py
+++ b/martenjunction/decisions/boxes/stream_conclusions.py
@@ -40,9 +40,17 @@
         """Takes in a configuration that comes into force."""
         self._routes.apply(config, now)
 
-    def look(self, endpoints: Iterable[model.Endpoint], now: float) -> None:
-        """Takes in the endpoints that are listed now."""
-        if self._versions.look(endpoints, now):
+    def look(
+        self, endpoints: Iterable[model.Endpoint], now: float, as_of: float
+    ) -> None:
+        """Takes in the listed endpoints.
+
+        Args:
+            endpoints: All listed endpoints.
+            now: The current time.
+            as_of: Time before which all changes of the list are in.
+        """
+        if self._versions.look(endpoints, now, as_of):
             self._routes.note_gap(now)
 
     def note(self, origin: stream_table.StreamOrigin, now: float) -> None:
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -239,6 +239,7 @@
         await self.prober.stop()
         await self.liveness.stop()
         await self.archive.stop()
+        await self.fresh_reading.stop()
         await self.connector.stop()
         await self.follower.stop()
         await self.timers.stop()
--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -14,7 +14,7 @@
 T = TypeVar("T")
 
 # Version of the protocol. Daemons with different versions do not connect.
-PROTOCOL = 15
+PROTOCOL = 16
 
 # Characters of an unknown message type that an error shows.
 MAX_SHOWN = 80
--- a/martenjunction/routing/streams/messages.py
+++ b/martenjunction/routing/streams/messages.py
@@ -62,6 +62,9 @@
         found: Whether there is an origin.
         service: The service, if there is an origin.
         version: The software version, if there is an origin.
+        heard: Number of boxes that the answer speaks for; 0 if those were
+            counted elsewhere.
+        has_gap: Whether a box that was asked did not answer in time.
     """
 
     box: str
@@ -70,3 +73,5 @@
     found: bool
     service: str
     version: str
+    heard: int
+    has_gap: bool
--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -1,6 +1,7 @@
 """Tells other boxes where streams began, and finds out from them."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
@@ -19,6 +20,7 @@
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing.log import decision_log
+from martenjunction.routing.store import fresh_reading
 from martenjunction.routing.streams import messages
 from martenjunction.routing.streams import queries
 
@@ -99,6 +101,7 @@
         log: decision_log.DecisionLog,
         counters: metrics.Metrics,
         list_age_s: Callable[[], float | None],
+        fresh_list: Callable[[], Awaitable[fresh_reading.FreshList | None]],
         *,
         first_start: bool = False,
     ) -> None:
@@ -113,6 +116,8 @@
             counters: Counts it.
             list_age_s: Returns the age in seconds of the configuration or the
                 list of endpoints, the higher one, or None.
+            fresh_list: Reads the endpoints and the configuration anew; None if
+                the store does not tell.
             first_start: Whether the whole fleet starts for the first time.
         """
         self._listed = listed
@@ -123,6 +128,7 @@
         self._metrics = counters
         self._started_at = clock.now()
         self._list_age_s = list_age_s
+        self._fresh_list = fresh_list
         self._table = stream_table.StreamTable()
         self._conclusions = stream_conclusions.StreamConclusions(
             clock.now() if first_start else None
@@ -203,16 +209,22 @@
         host = model.host_name(host)
         finding = self._find_locally(key, host, path)
         is_final = is_known = True
-        asked = heard = 0
+        asked, heard, live = 0, 0, 0
         if not finding.recorded:
             answers = await self._queries.ask(key, host, path, finding)
-            asked, heard = answers.asked, answers.heard
+            asked, heard = answers.asked, answers.heard.boxes
+            live = len(self._members.live_members())
             finding = answers.finding
-            is_final = answers.is_complete and not self._is_starting()
+            # A box that does not answer may know of another version.
+            is_final = answers.heard.covers(live)
+            if finding.basis is Basis.SINGLE and is_final:
+                listed = await self._confirm(key, host, path, finding)
+                is_final = listed is not None
+                finding = listed or finding
             is_known = finding.recorded or (
-                # A box that does not answer may know of another version.
-                answers.is_complete and finding.basis is Basis.SINGLE
+                is_final and finding.basis is Basis.SINGLE
             )
+            is_final = is_final and not self._is_starting()
         if not is_known:
             self.request_restore()
         origin = finding.origin if is_known else None
@@ -224,13 +236,38 @@
             final=is_final,
             asked=asked,
             heard=heard,
-            live=len(self._members.live_members()),
+            live=live,
             list_age_s=self._rounded_list_age_s(),
             service=None if origin is None else origin.service,
             version=None if origin is None else origin.version,
         )
         return OriginAnswer(origin, is_final)
 
+    async def _confirm(
+        self,
+        key: stream_table.StreamKey,
+        host: str,
+        path: str,
+        finding: stream_table.Finding,
+    ) -> stream_table.Finding | None:
+        """Compares a conclusion with what the store holds now.
+
+        A version that joined since the list was known may have begun the
+        stream, and so may the new service of a route that was moved since then.
+
+        Returns:
+            The conclusion, or what goes against it; None if the store does not
+            tell.
+        """
+        fresh = await self._fresh_list()
+        if fresh is None:
+            return None
+        now = self._timers.now()
+        self._conclusions.look(fresh.endpoints, now, fresh.asked_at)
+        return stream_table.combine(
+            [finding, self._find_locally(key, host, path)]
+        )
+
     def apply_config(self, config: model.RoutingConfig) -> None:
         """Takes in a configuration that comes into force."""
         self._conclusions.apply_config(config, self._timers.now())
@@ -349,8 +386,9 @@
         Looks at an old list would hide that versions come and go meanwhile.
         """
         age_s = self._list_age_s()
-        is_current = age_s is not None and age_s <= MAX_LIST_AGE_S
-        if not is_current or not self._listed.has_listing:
+        if age_s is None or age_s > MAX_LIST_AGE_S:
+            return False
+        if not self._listed.has_listing:
             return False
         changes = self._listed.changes
         if changes == self._looked_at_changes and now < self._look_at:
@@ -358,7 +396,9 @@
         self._looked_at_changes = changes
         self._look_at = now + CHECK_INTERVAL_S
         self._conclusions.look(
-            (entry.endpoint for entry in self._listed.entries.values()), now
+            (entry.endpoint for entry in self._listed.entries.values()),
+            now,
+            now - age_s,
         )
         return True
 
--- a/martenjunction/routing/streams/queries.py
+++ b/martenjunction/routing/streams/queries.py
@@ -4,8 +4,10 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import random
 
 from martenjunction import timers
+from martenjunction.decisions.boxes import fleet_evidence
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.peers import hub
 from martenjunction.peers import membership
@@ -18,10 +20,13 @@
 HOP_S = 0.04
 
 # Maximum number of times that a question is passed on, and questions that are
-# remembered so that each box passes one on once.
+# remembered so that each box passes one on, and counts, once.
 MAX_HOPS = 5
 MAX_REMEMBERED = 1024
 
+# Size of the first number of a question.
+NUMBER_BITS = 32
+
 FindLocally = Callable[[stream_table.StreamKey, str, str], stream_table.Finding]
 _QuestionId = tuple[str, int]
 
@@ -33,11 +38,13 @@
     Attributes:
         awaited: Boxes that have not answered yet.
         findings: What this box and those that answered know.
+        heard: Whom each box that answered has heard.
         done: Set when no further answer is needed.
     """
 
     awaited: set[str]
     findings: list[stream_table.Finding]
+    heard: list[fleet_evidence.Heard]
     done: asyncio.Future[None]
 
 
@@ -47,15 +54,13 @@
 
     Attributes:
         finding: What follows from all that answered in time.
-        is_complete: Whether all boxes answered that may know it.
+        heard: The boxes that this rests on.
         asked: Number of connected boxes that were asked.
-        heard: Number of these that answered.
     """
 
     finding: stream_table.Finding
-    is_complete: bool
+    heard: fleet_evidence.Heard
     asked: int
-    heard: int
 
 
 class OriginQueries:
@@ -84,9 +89,10 @@
         self._members = members
         self._timers = clock
         self._find_locally = find_locally
-        self._last_number = 0
+        # A box that starts again must not repeat numbers that others remember.
+        self._last_number = random.Random().getrandbits(NUMBER_BITS)
         self._questions: dict[_QuestionId, _Question] = {}
-        self._passed_on: collections.OrderedDict[_QuestionId, None] = (
+        self._received: collections.OrderedDict[_QuestionId, None] = (
             collections.OrderedDict()
         )
         self._tasks: set[asyncio.Task[None]] = set()
@@ -114,7 +120,6 @@
         Returns:
             What all boxes know that answered in time.
         """
-        boxes = self._peers.boxes()
         self._last_number += 1
         question = messages.AskStreamOrigin(
             self._members.own.box,
@@ -125,11 +130,7 @@
             path,
             0,
         )
-        answers = await self._ask(question, boxes, own)
-        return dataclasses.replace(
-            answers,
-            is_complete=answers.is_complete and self._reaches_all(len(boxes)),
-        )
+        return await self._ask(question, self._peers.boxes(), own)
 
     async def _ask(
         self,
@@ -138,9 +139,9 @@
         own: stream_table.Finding,
     ) -> Answers:
         if not boxes:
-            return Answers(own, is_complete=True, asked=0, heard=0)
+            return Answers(own, fleet_evidence.OWN, asked=0)
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        question = _Question(set(boxes), [own], done)
+        question = _Question(set(boxes), [own], [], done)
         question_id = (ask.box, ask.number)
         self._questions[question_id] = question
         try:
@@ -150,9 +151,10 @@
             del self._questions[question_id]
         return Answers(
             stream_table.combine(question.findings),
-            is_complete=not question.awaited,
+            fleet_evidence.combine(
+                fleet_evidence.OWN, question.heard, len(boxes)
+            ),
             asked=len(boxes),
-            heard=len(boxes) - len(question.awaited),
         )
 
     async def _wait(self, done: asyncio.Future[None], limit_s: float) -> None:
@@ -166,47 +168,49 @@
     def _on_ask(self, box: str, ask: messages.AskStreamOrigin) -> None:
         key = stream_table.StreamKey(ask.caller, ask.stream)
         own = self._find_locally(key, ask.host, ask.path)
+        if own.recorded:
+            self._answer(box, ask, own, fleet_evidence.OWN)
+            return
+        if not self._is_new(ask):
+            self._answer(box, ask, own, fleet_evidence.COUNTED)
+            return
         others = [b for b in self._peers.boxes() if b not in (box, ask.box)]
-        if own.recorded or not others or not self._passes_on(ask):
-            self._answer(box, ask, own)
+        if not others or not self._passes_on(ask):
+            self._answer(box, ask, own, fleet_evidence.OWN)
             return
 
         async def pass_on() -> None:
             further = dataclasses.replace(ask, hops=ask.hops + 1)
             answers = await self._ask(further, others, own)
-            self._answer(box, ask, answers.finding)
+            self._answer(box, ask, answers.finding, answers.heard)
 
         task = asyncio.get_running_loop().create_task(pass_on())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _reaches_all(self, links: int) -> bool:
-        """Returns whether a question reaches all live boxes.
-
-        Args:
-            links: Number of boxes to which this one is connected.
-        """
-        live = self._members.live_members()
-        return not self._members.is_full_mesh or links + 1 >= len(live)
+    def _is_new(self, ask: messages.AskStreamOrigin) -> bool:
+        """Returns whether a question comes for the first time."""
+        question_id = (ask.box, ask.number)
+        if ask.box == self._members.own.box or question_id in self._received:
+            return False
+        self._received[question_id] = None
+        if len(self._received) > MAX_REMEMBERED:
+            self._received.popitem(last=False)
+        return True
 
     def _passes_on(self, ask: messages.AskStreamOrigin) -> bool:
         """Returns whether boxes that the sender may not reach are asked."""
         linked = len(self._peers.boxes()) + 1
-        if ask.hops >= MAX_HOPS or linked >= len(self._members.live_members()):
-            return False
-        question_id = (ask.box, ask.number)
-        if ask.box == self._members.own.box or question_id in self._passed_on:
-            return False
-        self._passed_on[question_id] = None
-        if len(self._passed_on) > MAX_REMEMBERED:
-            self._passed_on.popitem(last=False)
-        return True
+        return ask.hops < MAX_HOPS and linked < len(
+            self._members.live_members()
+        )
 
     def _answer(
         self,
         box: str,
         ask: messages.AskStreamOrigin,
         finding: stream_table.Finding,
+        heard: fleet_evidence.Heard,
     ) -> None:
         origin = finding.origin
         self._peers.send(
@@ -218,6 +222,8 @@
                 origin is not None,
                 "" if origin is None else origin.service,
                 "" if origin is None else origin.version,
+                heard.boxes,
+                heard.has_gap,
             ),
         )
 
@@ -229,8 +235,12 @@
         if answer.found:
             origin = stream_table.StreamOrigin(answer.service, answer.version)
         finding = stream_table.Finding(origin, answer.basis)
-        question.findings.append(finding)
-        question.awaited.discard(box)
+        if box in question.awaited:
+            question.awaited.discard(box)
+            question.findings.append(finding)
+            question.heard.append(
+                fleet_evidence.Heard(max(0, answer.heard), answer.has_gap)
+            )
         if (finding.recorded or not question.awaited) and (
             not question.done.done()
         ):
--- a/tests/test_incomplete_watches.py
+++ b/tests/test_incomplete_watches.py
@@ -13,6 +13,7 @@
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.platform import store
 from martenjunction.platform import stream_documents
+from martenjunction.routing.store import fresh_reading
 from martenjunction.routing.streams import origins
 from martenjunction.routing.streams import settled_record
 from tests import routing_builders as builders
@@ -36,7 +37,11 @@
         self.now = 0.0
         self.age_s = 0.1
         self.linked = list(peers)
-        endpoint = types.SimpleNamespace(service=builders.ENGINE, version="v1")
+        endpoint: Any = types.SimpleNamespace(
+            service=builders.ENGINE, version="v1"
+        )
+        # What the store holds; None while it does not answer.
+        self.stored: list[Any] | None = [endpoint]
         listed: Any = types.SimpleNamespace(
             has_listing=True,
             changes=1,
@@ -68,10 +73,16 @@
             log,
             metrics.Metrics(),
             lambda: self.age_s,
+            self.fresh_list,
             first_start=first_start,
         )
         self.origins.apply_config(conclusions.config(1, ROUTE))
 
+    async def fresh_list(self) -> fresh_reading.FreshList | None:
+        if self.stored is None:
+            return None
+        return fresh_reading.FreshList(tuple(self.stored), self.now)
+
     def run(self, until: float) -> None:
         while self.now < until:
             self.now += 0.5
@@ -141,19 +152,19 @@
     made = stream_conclusions.StreamConclusions(first_start_at=0.0)
     listed: Any = [types.SimpleNamespace(service=builders.ENGINE, version="v1")]
     made.apply_config(conclusions.config(1, ROUTE), 0.0)
-    made.look(listed, 0.0)
+    made.look(listed, 0.0, 0.0)
     assert conclusions.conclude(made, "/a/", 0.0).basis is Basis.SINGLE
-    made.look(listed, 600.0)
+    made.look(listed, 600.0, 600.0)
     made.apply_config(conclusions.config(4, ROUTE), 600.0)
     assert conclusions.conclude(made, "/a/", 600.0).basis is Basis.SEEN
     for second in range(601, 600 + 3599):
-        made.look(listed, float(second))
+        made.look(listed, float(second), float(second))
     assert conclusions.conclude(made, "/a/", 4198.0).basis is Basis.SEEN
 
 
 def test_first_look_long_after_the_first_start_shows_nothing_before() -> None:
     watching = served_versions.ServedVersions(first_start_at=0.0)
-    watching.look([conclusions.engine(1, "v1")], 300.0)
+    watching.look([conclusions.engine(1, "v1")], 300.0, 300.0)
     assert not watching.is_complete("s", 300.0)
 
 
@@ -164,3 +175,35 @@
     answer = await box.origins.find(KEY, builders.HOST, "/a/b/")
     assert answer.origin is None
     assert not answer.is_final
+
+
+async def test_version_that_joined_since_the_list_was_known_is_not_missed() -> (
+    None
+):
+    box = Box()
+    box.run(60.0)
+    joined: Any = types.SimpleNamespace(service=builders.ENGINE, version="v2")
+    assert box.stored is not None
+    box.stored.append(joined)
+    answer = await box.origins.find(KEY, builders.HOST, "/a/b/")
+    assert answer.origin is None
+
+
+async def test_nothing_is_concluded_while_the_store_does_not_answer() -> None:
+    box = Box()
+    box.run(60.0)
+    box.stored = None
+    answer = await box.origins.find(KEY, builders.HOST, "/a/b/")
+    assert answer.origin is None
+    assert not answer.is_final
+
+
+def test_looks_at_a_list_that_gets_older_hide_no_gap() -> None:
+    box = Box()
+    box.run(60.0)
+    # No change reaches the box for 4.5 s, and its list counts as current for
+    # the first of them.
+    for age_s in (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 4.5, 0.1):
+        box.age_s = age_s
+        box.run(box.now + 0.5)
+    assert box.basis() is Basis.SEEN
--- a/tests/test_stream_conclusions.py
+++ b/tests/test_stream_conclusions.py
@@ -31,7 +31,7 @@
     )
     listed = [engine(n, version) for n, version in enumerate(versions)]
     for second in range(for_s + 1):
-        watching.look(listed, float(second))
+        watching.look(listed, float(second), float(second))
     return watching
 
 
@@ -50,7 +50,7 @@
 def test_version_that_left_counts_for_the_life_of_a_stream() -> None:
     watching = watched("v1", "v2", for_s=9)
     for second in range(10, 16):
-        watching.look([engine(1, "v2")], float(second))
+        watching.look([engine(1, "v2")], float(second), float(second))
         is_old_possible = second - 9 <= 5
         expected = {} if is_old_possible else {"s": "v2"}
         assert watching.settled(float(second)) == expected
@@ -60,7 +60,7 @@
     watching = served_versions.ServedVersions(first_start_at=0.0)
     for second in range(1200):
         version = "v1" if second < 20 else "v2"
-        watching.look([engine(1, version)], float(second))
+        watching.look([engine(1, version)], float(second), float(second))
     assert watching.versions("s", 1199.0) == {"v1", "v2"}
 
 
@@ -68,7 +68,7 @@
 def test_box_that_was_suspended_concludes_nothing(first_start: bool) -> None:
     watching = watched("v1", for_s=9, first_start=first_start)
     watching.restore({"s": "v1"}, 9.0)
-    watching.look([engine(1, "v1")], 60.0)
+    watching.look([engine(1, "v1")], 60.0, 60.0)
     assert watching.settled(60.0) == {}
 
 
@@ -143,7 +143,7 @@
     ]
     for number, routes in enumerate(changes):
         conclusions.apply_config(config(number + 1, *routes), float(number))
-        conclusions.look(listed, float(number))  # type: ignore[arg-type]
+        conclusions.look(listed, float(number), float(number))  # type: ignore[arg-type]
     now = float(len(changes) - 1)
     assert conclude(conclusions, path, now).basis is basis
 
@@ -198,7 +198,7 @@
     listed: Any = types.SimpleNamespace(
         service=builders.ENGINE, version=version
     )
-    conclusions.look([listed], 0.0)
+    conclusions.look([listed], 0.0, 0.0)
     return conclusions
 
 
--- a/tests/test_streams_large_fleet.py
+++ b/tests/test_streams_large_fleet.py
@@ -19,6 +19,10 @@
 MAX_LINKS = 12
 
 
+async def no_list() -> None:
+    """Reads nothing, as a store that is away."""
+
+
 class OriginFleet:
     """Simulated boxes that tell and ask each other where streams began."""
 
@@ -36,6 +40,7 @@
                 box.known._log,
                 metrics.Metrics(),
                 lambda: None,
+                no_list,
             )
             self.origins[name].start()
 
