Give keys and messages of streams modules of their own

Change: keys.py, origin_codec.py; what the store held is a value of decisions/boxes/fleet_evidence.py.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import random
-from typing import Any
 
 from martenjunction import events
 from martenjunction import metrics
@@ -174,7 +173,7 @@
             own_records.peer_key(settings),
             self.timers,
             self.events,
-            self._status,
+            lambda: self.sync.heartbeat(),
             settings.peers,
             settings.seeds,
             silence_timeout_s=peer_sync.LINK_SILENCE_TIMEOUT_S,
@@ -288,7 +287,7 @@
             self.store,
             self.store_cache,
             self.endpoint_list,
-            lambda: len(self.members.live_snapshot()),
+            self.members,
             self.timers,
             self.log,
         )
@@ -395,6 +394,3 @@
         if ages[0] is None or ages[1] is None:
             return None
         return max(ages[0], ages[1])
-
-    def _status(self) -> Any:
-        return self.sync.heartbeat()
--- a/martenjunction/decisions/boxes/fleet_evidence.py
+++ b/martenjunction/decisions/boxes/fleet_evidence.py
@@ -8,6 +8,21 @@
 from collections.abc import Iterable
 import dataclasses
 
+from martenjunction import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FreshList:
+    """What the store held at some time after `asked_at`.
+
+    Attributes:
+        endpoints: All endpoints whose entries can be decoded.
+        asked_at: Time on the steady clock before which all changes are in.
+    """
+
+    endpoints: tuple[model.Endpoint, ...]
+    asked_at: float
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heard:
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -23,7 +23,7 @@
 from martenjunction.routing.ports import operator_answers
 from martenjunction.routing.requests import exchange_context
 from martenjunction.routing.requests import held_requests
-from martenjunction.routing.streams import origins
+from martenjunction.routing.streams import keys
 
 # Seconds between checks for silent endpoints, expired entries and requests
 # that should move to another endpoint.
@@ -84,7 +84,7 @@
             self.grants,
             tier_precedence.TierPrecedence(),
             self.duties,
-            origins.StreamKeys(own_records.peer_key(settings)),
+            keys.StreamKeys(own_records.peer_key(settings)),
             self.origins,
             self.answers,
         )
--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -21,7 +21,6 @@
 from martenjunction.peers import fair_connections
 from martenjunction.peers import links
 from martenjunction.peers import membership
-from martenjunction.peers import messages
 from martenjunction.peers import topology
 
 logger = logging.getLogger(__name__)
@@ -77,7 +76,7 @@
         key: str,
         clock: timers.Timers,
         emitter: events.Events,
-        heartbeat: Callable[[], messages.Heartbeat],
+        heartbeat: Callable[[], Any],
         listen: str,
         seeds: tuple[str, ...] = (),
         rng: random.Random | None = None,
--- a/martenjunction/routing/requests/exchange_context.py
+++ b/martenjunction/routing/requests/exchange_context.py
@@ -17,6 +17,7 @@
 from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.quarantine import request_quarantine
+from martenjunction.routing.streams import keys
 from martenjunction.routing.streams import origins
 
 
@@ -71,7 +72,7 @@
     grants: rate_grants.RateGrants
     precedence: tier_precedence.TierPrecedence
     usage: UsageMeter
-    stream_keys: origins.StreamKeys
+    stream_keys: keys.StreamKeys
     origins: origins.StreamOrigins
     answers: answer_admission.AnswerAdmission
 
--- a/martenjunction/routing/store/fresh_reading.py
+++ b/martenjunction/routing/store/fresh_reading.py
@@ -5,15 +5,14 @@
 """
 
 import asyncio
-from collections.abc import Callable
-import dataclasses
 import math
 
 from martenjunction import errors
-from martenjunction import model
 from martenjunction import revisions
 from martenjunction import timers
 from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import fleet_evidence
+from martenjunction.peers import membership
 from martenjunction.platform import documents
 from martenjunction.platform import store
 from martenjunction.routing.log import decision_log
@@ -28,19 +27,6 @@
 READS_PER_S = 100
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FreshList:
-    """What the store held at some time after `asked_at`.
-
-    Attributes:
-        endpoints: All endpoints whose entries can be decoded.
-        asked_at: Time on the steady clock before which all changes are in.
-    """
-
-    endpoints: tuple[model.Endpoint, ...]
-    asked_at: float
-
-
 class FreshReading:
     """Reads from the store by this box itself, whatever its peers tell it."""
 
@@ -49,7 +35,7 @@
         client: store.StoreClient,
         cache: store_cache.StoreCache,
         listed: endpoint_list.EndpointList,
-        count_boxes: Callable[[], int],
+        members: membership.Membership,
         clock: timers.Timers,
         log: decision_log.DecisionLog,
     ) -> None:
@@ -59,21 +45,23 @@
             client: The store's client.
             cache: Receives the configuration.
             listed: The endpoints that this box knows.
-            count_boxes: Returns the number of live boxes.
+            members: The boxes of the fleet.
             clock: Provides the time.
             log: Records reads that failed.
         """
         self._client = client
         self._cache = cache
         self._listed = listed
-        self._count_boxes = count_boxes
+        self._members = members
         self._timers = clock
         self._log = log
         self._began_at = -math.inf
-        self._running: asyncio.Task[FreshList | None] | None = None
-        self._next: asyncio.Task[FreshList | None] | None = None
+        self._running: asyncio.Task[fleet_evidence.FreshList | None] | None = (
+            None
+        )
+        self._next: asyncio.Task[fleet_evidence.FreshList | None] | None = None
 
-    async def read(self) -> FreshList | None:
+    async def read(self) -> fleet_evidence.FreshList | None:
         """Returns what the store holds now, by a read that begins after now.
 
         Returns:
@@ -95,11 +83,12 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _begin(self) -> FreshList | None:
+    async def _begin(self) -> fleet_evidence.FreshList | None:
         """Reads once the read before has ended and the interval has passed."""
         if self._running is not None:
             await asyncio.wait([self._running])
-        due_at = self._began_at + self._count_boxes() / READS_PER_S
+        interval_s = len(self._members.live_snapshot()) / READS_PER_S
+        due_at = self._began_at + interval_s
         await asyncio.sleep(max(0.0, due_at - self._timers.now()))
         # From here on, decisions need the next read.
         self._running, self._next = self._next, None
@@ -110,7 +99,7 @@
             self._log.write("fresh-read-failed", why=str(error))
             return None
 
-    async def _read(self, asked_at: float) -> FreshList | None:
+    async def _read(self, asked_at: float) -> fleet_evidence.FreshList | None:
         listing, found = await asyncio.gather(
             self._client.list(documents.ENDPOINT_KIND),
             self._client.get(documents.CONFIG_KIND, documents.CONFIG_NAME),
@@ -124,7 +113,7 @@
         if self._may_lack_entries(listing.revision):
             return None
         endpoints = tuple(endpoint for endpoint, _ in decoded.entries)
-        return FreshList(endpoints, asked_at)
+        return fleet_evidence.FreshList(endpoints, asked_at)
 
     def _may_lack_entries(self, revision: revisions.Revision) -> bool:
         """Returns whether live endpoints may still have to write theirs."""
--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -6,13 +6,12 @@
 from collections.abc import Iterable
 import dataclasses
 
-import xxhash
-
 from martenjunction import metrics
 from martenjunction import model
 from martenjunction import timers
 from martenjunction.decisions import rendezvous
 from martenjunction.decisions.boxes import endpoint_list
+from martenjunction.decisions.boxes import fleet_evidence
 from martenjunction.decisions.boxes import origin_archive
 from martenjunction.decisions.boxes import settled_services
 from martenjunction.decisions.boxes import stream_conclusions
@@ -20,8 +19,8 @@
 from martenjunction.peers import hub
 from martenjunction.peers import membership
 from martenjunction.routing.log import decision_log
-from martenjunction.routing.store import fresh_reading
 from martenjunction.routing.streams import messages
+from martenjunction.routing.streams import origin_codec
 from martenjunction.routing.streams import queries
 
 # Linked boxes that are told where a stream began. Boxes may end together, this
@@ -42,16 +41,8 @@
 # Seconds after its start in which a box may not be connected to all others.
 START_S = 3.0
 
-# Maximum length of a service or version name accepted from a peer, maximum
-# length of a path of which anything is concluded, and maximum lifetime of a
-# record in seconds.
-MAX_NAME = 256
+# Maximum length of a path of which anything is concluded.
 MAX_PATH = 2048
-MAX_LIFETIME_S = 600.0
-
-# Size of the digest of a request id, in bytes.
-STREAM_BYTES = 16
-CALLER_BYTES = 8
 
 MS = 0.001
 
@@ -101,7 +92,7 @@
         log: decision_log.DecisionLog,
         counters: metrics.Metrics,
         list_age_s: Callable[[], float | None],
-        fresh_list: Callable[[], Awaitable[fresh_reading.FreshList | None]],
+        fresh_list: Callable[[], Awaitable[fleet_evidence.FreshList | None]],
         *,
         first_start: bool = False,
     ) -> None:
@@ -171,9 +162,9 @@
         """
         now = self._timers.now()
         self._conclusions.note(origin, now)
-        lifetime_s = MAX_LIFETIME_S
+        lifetime_s = origin_codec.MAX_LIFETIME_S
         if client_waits_s is not None:
-            lifetime_s = min(client_waits_s, MAX_LIFETIME_S)
+            lifetime_s = min(client_waits_s, origin_codec.MAX_LIFETIME_S)
         record = self._table.record(key, origin, now + lifetime_s)
         if self.recorder is not None:
             self.recorder(record)
@@ -346,29 +337,13 @@
         pending, self._pending = self._pending, {}
         now = self._timers.now()
         for box, records in pending.items():
-            self._peers.send(box, _encode(records, now))
+            self._peers.send(box, origin_codec.encode(records, now))
 
     def _on_origins(self, box: str, message: messages.StreamOrigins) -> None:
         now = self._timers.now()
-        rows = zip(
-            message.callers,
-            message.streams,
-            message.services,
-            message.versions,
-            message.lifetimes_ms,
-            strict=False,
-        )
-        for caller, stream, service, version, lifetime_ms in rows:
-            if len(caller) != CALLER_BYTES or len(stream) != STREAM_BYTES:
-                continue
-            if max(len(service), len(version)) > MAX_NAME:
-                continue
-            lifetime_s = min(max(0, lifetime_ms) * MS, MAX_LIFETIME_S)
-            origin = stream_table.StreamOrigin(service, version)
+        for key, origin, lifetime_s in origin_codec.decode(message):
             self._conclusions.note(origin, now)
-            self._table.record(
-                stream_table.StreamKey(caller, stream), origin, now + lifetime_s
-            )
+            self._table.record(key, origin, now + lifetime_s)
 
     def _rounded_list_age_s(self) -> float | None:
         age_s = self._list_age_s()
@@ -401,45 +376,3 @@
             now - age_s,
         )
         return True
-
-
-class StreamKeys:
-    """Computes stream keys, which are equal on all boxes of a fleet."""
-
-    def __init__(self, fleet_key: str) -> None:
-        """Initializes the hash seed.
-
-        Args:
-            fleet_key: A secret shared by all boxes of a fleet.
-        """
-        self._seed = xxhash.xxh3_64_intdigest(fleet_key.encode())
-
-    def key(self, api_key: str | None, request: str) -> stream_table.StreamKey:
-        """Returns the key of a stream.
-
-        Args:
-            api_key: The API key of the caller, or None.
-            request: Id of the request that brought the first event.
-        """
-        caller = (api_key or "").encode("latin-1")
-        return stream_table.StreamKey(
-            xxhash.xxh3_64_digest(caller, seed=self._seed),
-            xxhash.xxh3_128_digest(request.encode("latin-1"), seed=self._seed),
-        )
-
-
-def _encode(
-    records: list[stream_table.StreamRecord], now: float
-) -> messages.StreamOrigins:
-    known = [
-        (record.key, record.origin, int((record.expires_at - now) / MS))
-        for record in records
-        if record.origin is not None
-    ]
-    return messages.StreamOrigins(
-        tuple(key.caller for key, _, _ in known),
-        tuple(key.stream for key, _, _ in known),
-        tuple(origin.service for _, origin, _ in known),
-        tuple(origin.version for _, origin, _ in known),
-        tuple(left_ms for _, _, left_ms in known),
-    )
--- a/tests/test_incomplete_watches.py
+++ b/tests/test_incomplete_watches.py
@@ -7,13 +7,13 @@
 import msgspec
 
 from martenjunction import metrics
+from martenjunction.decisions.boxes import fleet_evidence
 from martenjunction.decisions.boxes import served_versions
 from martenjunction.decisions.boxes import settled_services
 from martenjunction.decisions.boxes import stream_conclusions
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.platform import store
 from martenjunction.platform import stream_documents
-from martenjunction.routing.store import fresh_reading
 from martenjunction.routing.streams import origins
 from martenjunction.routing.streams import settled_record
 from tests import routing_builders as builders
@@ -78,10 +78,10 @@
         )
         self.origins.apply_config(conclusions.config(1, ROUTE))
 
-    async def fresh_list(self) -> fresh_reading.FreshList | None:
+    async def fresh_list(self) -> fleet_evidence.FreshList | None:
         if self.stored is None:
             return None
-        return fresh_reading.FreshList(tuple(self.stored), self.now)
+        return fleet_evidence.FreshList(tuple(self.stored), self.now)
 
     def run(self, until: float) -> None:
         while self.now < until:
