--- a/tests/test_streams_large_fleet.py
+++ b/tests/test_streams_large_fleet.py
@@ -6,6 +6,7 @@
 import pytest
 
 from martenjunction import metrics
+from martenjunction.decisions.boxes import fleet_evidence
 from martenjunction.decisions.boxes import stream_table
 from martenjunction.routing.streams import origins
 from martenjunction.routing.streams import queries
@@ -89,3 +90,22 @@
         assert simulated.asked() - before <= MAX_LINKS * count
         assert origin == ORIGIN
         assert seconds < queries.ANSWER_TIMEOUT_S
+
+
+@pytest.mark.parametrize("count", [36, 87, 195])
+async def test_question_hears_each_box_of_a_large_fleet_once(
+    count: int,
+) -> None:
+    simulated = OriginFleet(count)
+    draw = random.Random(count)
+    for number in range(4):
+        at = draw.choice(sorted(simulated.origins))
+        key = stream_table.StreamKey(b"c" * 8, number.to_bytes(16, "big"))
+        asking = asyncio.ensure_future(
+            simulated.origins[at]._queries.ask(
+                key, builders.HOST, "/digest/", stream_table.UNKNOWN
+            )
+        )
+        while not asking.done():
+            await simulated.advance(STEP_S)
+        assert asking.result().heard == fleet_evidence.Heard(count)
