Apply the changes of a watch in turns

Cause: the changes of one answer of the store, up to 8 MiB of them, were applied in one turn of the event loop, and the entries of boxes were decoded in one; those that cannot be decoded take an error each. Change: both go in turns of as many entries as a list of endpoints. A watch that is cancelled between two turns is followed by a whole list, as before. The test of pages counts with the turn counts that other tests use; its bounds are the same.

--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -7,6 +7,7 @@
 import time
 
 from martenjunction import errors
+from martenjunction import fair_turns
 from martenjunction import revisions
 from martenjunction.decisions.boxes import list_age
 from martenjunction.decisions.boxes import store_readers
@@ -15,6 +16,7 @@
 from martenjunction.platform import store
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.store import box_entries
+from martenjunction.routing.store import listing_turns
 from martenjunction.routing.store import own_entry
 from martenjunction.routing.store import store_cache
 
@@ -332,7 +334,9 @@
                 raise
             except errors.HistoryLostError:
                 return
-            for change in answer.changes:
+            async for change in fair_turns.in_turns(
+                answer.changes, listing_turns.ENTRIES_PER_TURN
+            ):
                 after = max(after, change.object.revision)
                 apply(change)
 
@@ -353,7 +357,9 @@
         )
         self._decoder.note_list(listing)
         present: dict[str, revisions.Revision] = {}
-        for found in listing.objects:
+        async for found in fair_turns.in_turns(
+            listing.objects, listing_turns.ENTRIES_PER_TURN
+        ):
             entry = self._decoder.decode(found)
             if entry is None:
                 continue
--- a/tests/test_page_turns.py
+++ b/tests/test_page_turns.py
@@ -5,10 +5,8 @@
 members of one object, and for the changes of a watch.
 """
 
-import asyncio
 from collections.abc import Iterator
 import contextlib
-from typing import Any
 
 import pytest
 
@@ -16,6 +14,7 @@
 from martenjunction import fair_turns
 from martenjunction.platform import json_parts
 from martenjunction.platform import store_answers
+from tests import turn_counts
 
 OBJECTS = 5000
 
@@ -28,62 +27,32 @@
 NAMELESS = b'{"metadata":{"revision":1}}'
 
 
-class Turns:
-    """Counts steps within a turn of the event loop.
-
-    Attributes:
-        steps: The number of all steps.
-        longest: The largest number of a turn.
-    """
-
-    def __init__(self) -> None:
-        self.steps = 0
-        self.longest = 0
-        self._in_turn = 0
-
-    def count(self) -> None:
-        self.steps += 1
-        self._in_turn += 1
-        self.longest = max(self.longest, self._in_turn)
-
-    async def run(self) -> None:
-        """Is the other task that waits for its turns."""
-        while True:
-            self._in_turn = 0
-            await asyncio.sleep(0)
-
-
 @contextlib.contextmanager
-def counted(monkeypatch: pytest.MonkeyPatch) -> Iterator[Turns]:
+def counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Iterator[turn_counts.TurnCount]:
     """Counts items, the objects that are tried, and the keys of members."""
-    turns = Turns()
+    turns = turn_counts.TurnCount()
     decode, key = store_answers._object, json_parts._key
     split = json_parts.items
 
     def counted_items(data: bytes) -> Iterator[bytes | None]:
         for item in split(data):
             if item is not None:
-                turns.count()
+                turns.add()
             yield item
 
     async def counted_object(
         data: bytes, revision: int | None
     ) -> store_answers.WireObject:
-        turns.count()
+        turns.add()
         return await decode(data, revision)
 
-    def counted_key(data: bytes) -> Any:
-        turns.count()
-        return key(data)
-
     monkeypatch.setattr(store_answers, "_object", counted_object)
-    monkeypatch.setattr(json_parts, "_key", counted_key)
+    monkeypatch.setattr(json_parts, "_key", turns.counting(key))
     monkeypatch.setattr(json_parts, "items", counted_items)
-    other = asyncio.create_task(turns.run())
-    try:
+    with turns.start():
         yield turns
-    finally:
-        other.cancel()
 
 
 def page(items: list[bytes]) -> bytes:
@@ -107,7 +76,7 @@
     with counted(monkeypatch) as turns:
         found = await store_answers.decode_page(page([item] * OBJECTS))
     assert found.unnamed == OBJECTS
-    assert turns.steps >= OBJECTS
+    assert turns.total >= OBJECTS
     assert turns.longest <= MAX_PER_TURN
 
 
@@ -123,7 +92,7 @@
     with counted(monkeypatch) as turns:
         found = await store_answers.decode_page(page([item]))
     assert [each.metadata.name for each in found.entries] == ["a"]
-    assert turns.steps >= OBJECTS
+    assert turns.total >= OBJECTS
     assert turns.longest <= MAX_PER_TURN
 
 
@@ -135,7 +104,7 @@
     with counted(monkeypatch) as turns:
         found = await store_answers.decode_events(watch(objects))
     assert len(found.events) == OBJECTS
-    assert turns.steps >= OBJECTS
+    assert turns.total >= OBJECTS
     assert turns.longest <= MAX_PER_TURN
 
 
@@ -148,7 +117,7 @@
         pytest.raises(errors.UnreadableChangeError),
     ):
         await store_answers.decode_events(watch([item] * OBJECTS))
-    assert turns.steps < 10
+    assert turns.total < 10
 
 
 @pytest.mark.parametrize(
