Take entries that became unreadable out in turns

Cause: a list of endpoints is applied to its draft in turns, but for the entries that cannot be decoded, which were all taken out before the first turn ended. Change: they are steps of the same turns. The new test fails before (607 in a turn).

--- a/martenjunction/routing/store/listing_turns.py
+++ b/martenjunction/routing/store/listing_turns.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
+import itertools
 import sys
 
 from martenjunction import errors
@@ -114,9 +115,13 @@
         if draft.is_new_era(revision):
             draft.begin_era(revision, now())
         removed: list[str] = []
-        for (name, entry_revision, _), _ in decoded.unreadable:
-            removed += draft.apply_unparsable(name, entry_revision)
-        steps = draft.listing_steps(decoded.entries, revision, now())
+        steps = itertools.chain(
+            (
+                draft.apply_unparsable(name, entry_revision)
+                for (name, entry_revision, _), _ in decoded.unreadable
+            ),
+            draft.listing_steps(decoded.entries, revision, now()),
+        )
         async for removed_now in fair_turns.in_turns(steps, per_turn):
             removed += removed_now
         if listed.adopt(draft):
--- a/tests/test_list_in_turns.py
+++ b/tests/test_list_in_turns.py
@@ -110,6 +110,24 @@
     assert applied.longest <= listing_turns.ENTRIES_PER_TURN
 
 
+async def test_entries_that_became_unreadable_are_handled_in_several_turns(
+    cache: store_cache.StoreCache, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await cache.apply_listing(rows(range(ENTRIES), 3), rev(9), "store")
+    applied = turn_counts.TurnCount()
+    method = endpoint_list.EndpointList.apply_unparsable
+    monkeypatch.setattr(
+        endpoint_list.EndpointList,
+        "apply_unparsable",
+        _counting_method(applied, method),
+    )
+    odd = rows(range(ENTRIES), 11, address="nowhere")
+    with applied.start():
+        await cache.apply_listing(odd, rev(12), "store")
+    assert applied.total == ENTRIES
+    assert applied.longest <= listing_turns.ENTRIES_PER_TURN
+
+
 # A full collection of garbage looked at four objects for each entry.
 async def test_entries_make_collections_of_garbage_no_longer(
     cache: store_cache.StoreCache,
