Remember which unreadable entries were told in long lists

Cause: at most 256 unreadable entries are remembered, and all were forgotten when one more came, so that a list with more of them was counted and logged as a whole each time, in one turn of the event loop. Change: the first 256 of a list are told by name and the others as a number, when that grows. Names that are no longer unreadable make room. A change beyond the bound takes the place of the oldest one. The new test uses the call that tells a whole list, which is new.

--- a/martenjunction/routing/store/store_cache.py
+++ b/martenjunction/routing/store/store_cache.py
@@ -229,7 +229,7 @@
         if applied is None:
             return
         self._note_era(applied.known, revision, source)
-        self._unreadable.update(decoded.rows.keys(), decoded.unreadable)
+        self._unreadable.note_list(decoded.rows.keys(), decoded.unreadable)
         self._entries.update(decoded.rows)
         self._forget_unlisted()
         self._log.write(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,6 +15,7 @@
 from martenjunction.platform import store
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.store import box_entries
+from martenjunction.routing.store import unreadable_entries
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from tests import gateway_requests as requests
@@ -168,6 +169,36 @@
     assert told[2:] == ["2 without a name"]
 
 
+@pytest.mark.parametrize("beyond", [1, unreadable_entries.MAX_UNREADABLE])
+def test_many_unreadable_entries_are_told_once_a_change(
+    monkeypatch: pytest.MonkeyPatch, beyond: int
+) -> None:
+    told: list[tuple[str, str]] = []
+    log = decision_log.DecisionLog(lambda: 0.0)
+    monkeypatch.setattr(
+        log, "write", lambda kind, **of: told.append((of["entry"], of["why"]))
+    )
+    found = unreadable_entries.UnreadableEntries(log)
+    most = unreadable_entries.MAX_UNREADABLE
+    names = [f"e{number:05d}" for number in range(most + beyond)]
+
+    def note_list(names: list[str], spec: bytes) -> None:
+        error = errors.PlatformError("odd")
+        rows = [((name, builders.rev(1), spec), error) for name in names]
+        found.note_list({*names, "sound"}, rows)
+
+    for _ in range(3):
+        note_list(names, b"1")
+    assert [entry for entry, _ in told] == [*names[:most], ""]
+    assert told[-1][1] == f"{beyond} more that cannot be decoded"
+    assert found.count == most + beyond
+    # Others take the place of those that are listed no longer.
+    note_list(names[most:], b"1")
+    note_list(names[most:], b"2")
+    assert found.count == most + 3 * beyond
+    assert len(told) == most + 1 + 2 * beyond
+
+
 # End-to-end tests.
 
 SOME = ["deep lists", "deep alone", "surrogate", "no number", "digits", "port"]
