Break the turns of a page by hand

Cause: the table of broken builds had none for the turns in which a page of the store is split. Change: two builds, and their rows.

--- a/tools/broken_decoder_builds.py
+++ b/tools/broken_decoder_builds.py
@@ -122,6 +122,24 @@
         "    except errors.MalformedError:\n        raise\n",
         "tests/test_odd_entries.py::test_list_keeps_an_object_with_odd_metadata",
     ),
+    BrokenBuild(
+        "all objects of a page are tried in one turn",
+        STORE_ANSWERS,
+        "            await json_parts.next_turn()\n"
+        "            continue\n"
+        "        if not item",
+        "            continue\n        if not item",
+        "tests/test_page_turns.py"
+        "::test_page_of_unreadable_objects_shares_the_event_loop",
+    ),
+    BrokenBuild(
+        "all members of an object are split in one turn",
+        JSON_PARTS,
+        "            paused_at = at\n            yield\n    _check_end",
+        "            paused_at = at\n    _check_end",
+        "tests/test_page_turns.py"
+        "::test_object_of_many_members_shares_the_event_loop",
+    ),
     BrokenBuild(
         "a port has no upper bound",
         DOCUMENTS,
