Let only the larger part of a fleet remove entries soon

Callers saw boxes vanish from the store that lived: a box that was cut off removed the entries of all others, since it took its own silence for theirs. In a fleet of more than 32 boxes it did so at once: it called boxes silent until the rest would have been a full mesh, and boxes that it had never been connected to then counted as silent since they were listed.

The decision has a module of its own. Silence counts after 12 s, as before, at a box that hears at least as many other boxes as it does not hear, and has done so for 12 s; elsewhere after 60 s, as half of a fleet may be gone for good. A box that was held up or got connections back waits for 12 s. In a large fleet, where a box hears of most others at second hand, what is called silent counts once it grows no more. In a full mesh, silence counts from when it became one.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -46,6 +46,7 @@
 from martenjunction.routing.ports import readiness
 from martenjunction.routing.quarantine import part_quarantine
 from martenjunction.routing.quarantine import request_quarantine
+from martenjunction.routing.store import dead_entries
 from martenjunction.routing.store import follower
 from martenjunction.routing.store import store_cache
 from martenjunction.routing.streams import archive
@@ -164,6 +165,13 @@
             self._rng,
             self.endpoint_list.age,
             settings.link_bytes_s,
+            dead_entries.DeadEntries(
+                self.store,
+                self.members,
+                lambda box: self.sync.is_heard(box),
+                self.timers,
+                self.log,
+            ),
             settings.first_start,
         )
         self.overlay = fleet_overlay.FleetOverlay(self.members, self.timers.now)
--- a/martenjunction/peers/membership.py
+++ b/martenjunction/peers/membership.py
@@ -90,6 +90,8 @@
         self._members = {own.box: own}
         self._live: list[Member] | None = None
         self._live_at = 0.0
+        self._was_full_mesh = True
+        self._full_mesh_since = 0.0
         self._on_ended: OnEnded = lambda ended, incarnation: None
 
     @property
@@ -136,6 +138,7 @@
             if live != self._live:
                 self._live = live
             self._live_at = now
+            self._note_size(len(live), now)
         return self._live
 
     def known_members(self) -> list[Member]:
@@ -148,6 +151,12 @@
             and (member.silent_since is not None or self._is_live(member, now))
         ]
 
+    def _note_size(self, live: int, now: float) -> None:
+        is_full_mesh = live <= MAX_FULL_MESH_SIZE
+        if is_full_mesh and not self._was_full_mesh:
+            self._full_mesh_since = now
+        self._was_full_mesh = is_full_mesh
+
     def _changed(self) -> None:
         self._live = None
         self._on_change()
@@ -262,7 +271,9 @@
         """Returns listed boxes that have been silent for the given seconds.
 
         The time counts from the last heartbeat, or from the first listing of a
-        box without any. In a large fleet, boxes that others tell of are left
+        box without any, and in a fleet that has become a full mesh at the
+        earliest from then on, as boxes were not connected before. In a large
+        fleet, boxes that others tell of are left
         out, and those of other zones unless they are called silent.
         """
         now = self._timers.stall_adjusted_now()
@@ -277,7 +288,7 @@
                 or member.silent_since is not None
             )
             and (is_full_mesh or not member.told)
-            and now - _last_sign(member) > seconds
+            and now - self._silent_from(member, is_full_mesh) > seconds
         ]
 
     def _note_restart(self, known: Member | None, started: Member) -> None:
@@ -306,10 +317,10 @@
             and now - member.last_heartbeat_at < HEARTBEAT_LIFETIME_S
         )
 
-
-def _last_sign(member: Member) -> float:
-    """Returns the time since which a daemon may be silent."""
-    return max(
-        member.silent_since or 0.0,
-        member.last_heartbeat_at or member.listed_since,
-    )
+    def _silent_from(self, member: Member, is_full_mesh: bool) -> float:
+        """Returns the time since which a daemon may be silent."""
+        return max(
+            member.silent_since or 0.0,
+            member.last_heartbeat_at or member.listed_since,
+            self._full_mesh_since if is_full_mesh else 0.0,
+        )
--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -15,6 +15,7 @@
 from martenjunction.platform import store
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.store import box_entries
+from martenjunction.routing.store import dead_entries
 from martenjunction.routing.store import own_entry
 from martenjunction.routing.store import store_cache
 
@@ -42,9 +43,6 @@
 # after the store was restored; spreads the calls of a large fleet.
 OWN_ENTRY_JITTER_S = 1.0
 
-# Seconds of silence after which a box's entry is removed.
-DEAD_AFTER_S = 12.0
-
 # Back-off in seconds after a failed call: the initial value, the maximum for
 # the first box of a group, and the maximum for a box that reads in its place.
 INITIAL_BACKOFF_S = 0.1
@@ -65,6 +63,7 @@
         rng: random.Random,
         age: list_age.ListAge,
         link_bytes_s: float,
+        dead: dead_entries.DeadEntries,
         first_start: bool = False,
     ) -> None:
         """Initializes the follower; `start` starts its tasks.
@@ -78,8 +77,10 @@
             rng: Random source for jitter.
             age: Receives the age of the list of endpoints.
             link_bytes_s: Bandwidth of this box's link in bytes per second.
+            dead: Removes the entries of boxes that are gone.
             first_start: Whether the whole fleet starts for the first time.
         """
+        self._dead_entries = dead
         self._first_start = first_start
         self._first_list_delay_s = 1.2 * FIRST_START_S if first_start else 0.0
         self._link_bytes_s = link_bytes_s
@@ -130,6 +131,7 @@
 
     def start(self) -> None:
         """Starts following the boxes' entries; `read` starts reading."""
+        self._dead_entries.start()
         loop = asyncio.get_running_loop()
         self._follow_task = loop.create_task(self._repeat(self._follow_boxes))
 
@@ -373,7 +375,7 @@
             # If all boxes start at once, the others are not listed yet.
             wait = INITIAL_BOXES_INTERVAL_S
         elif self._read_task is not None:
-            await self._remove_dead()
+            await self._dead_entries.remove(self._listed)
             wait = BOXES_INTERVAL_S
         elif self._is_told():
             wait = BOXES_INTERVAL_TOLD_S
@@ -393,15 +395,3 @@
             except TimeoutError:
                 return
         await asyncio.sleep(OWN_ENTRY_JITTER_S * self._rng.random())
-
-    async def _remove_dead(self) -> None:
-        """Removes the entries of boxes that have been silent for too long."""
-        for box in self._members.silent_boxes(DEAD_AFTER_S):
-            revision = self._listed.get(box)
-            if revision is None:
-                continue
-            try:
-                await self._client.delete(documents.BOX_KIND, box, revision)
-            except errors.VersionConflictError:
-                continue
-            self._log.write("box-entry-removed", removed=box)
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -195,6 +195,10 @@
         """Returns whether a ready box lately said that it reaches endpoints."""
         return self._views.reaches_endpoints(box)
 
+    def is_heard(self, box: str) -> bool:
+        """Returns whether something came from a connected box lately."""
+        return self._views.is_recent(box)
+
     def responsive_peers(self) -> list[membership.Member]:
         """Returns the live boxes that can be asked.
 
