Tell the operator why two boxes cannot connect

Boxes that are given the store under different addresses have different keys and never connect. One of them logged that a box did not prove that it has the key, the other that no frame came; at most one such line a minute was written for all peers together, and none said what to do.

The handshake has a module of its own.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -188,6 +188,7 @@
             arrangement=self.overlay,
             stamps=stamps,
             seeds_after_s=SEEDS_AFTER_S if settings.first_start else 0.0,
+            key_source=own_records.peer_key_source(settings),
         )
         self.member_changes = member_changes.MemberChanges(
             self.members, self.peers
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -82,6 +82,26 @@
     """A peer violated the protocol between daemons."""
 
 
+class PeerMismatchError(PeerError):
+    """A peer has other settings, so that the two cannot connect.
+
+    Attributes:
+        box: The peer's box, as it says.
+        mismatch: What differs; see `peers.handshake.Mismatch`.
+    """
+
+    def __init__(self, box: str, mismatch: str) -> None:
+        """Initializes the error.
+
+        Args:
+            box: The peer's box.
+            mismatch: What differs.
+        """
+        super().__init__(f"{box} has another {mismatch}")
+        self.box = box
+        self.mismatch = mismatch
+
+
 class EndpointError(MartenjunctionError):
     """An endpoint did not return a complete response."""
 
--- a/martenjunction/own_records.py
+++ b/martenjunction/own_records.py
@@ -52,3 +52,8 @@
     protect against an attacker.
     """
     return hashlib.sha256(settings.store.encode()).hexdigest()
+
+
+def peer_key_source(settings: box_settings.BoxSettings) -> str:
+    """Returns what all boxes have to be given alike for their keys to agree."""
+    return f"the same address of the store ({settings.store} here)"
--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -1,6 +1,7 @@
 """Maintains connections to other daemons and dispatches messages."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import logging
@@ -19,9 +20,11 @@
 from martenjunction import timers
 from martenjunction.peers import codec
 from martenjunction.peers import fair_connections
+from martenjunction.peers import handshake as handshakes
 from martenjunction.peers import links
 from martenjunction.peers import membership
 from martenjunction.peers import messages
+from martenjunction.peers import refusals
 from martenjunction.peers import topology
 
 logger = logging.getLogger(__name__)
@@ -85,6 +88,7 @@
         arrangement: topology.Topology | None = None,
         stamps: links.Stamps | None = None,
         seeds_after_s: float = 0.0,
+        key_source: str = "the same key",
     ) -> None:
         """Initializes the hub without opening connections.
 
@@ -103,7 +107,9 @@
             stamps: Makes and takes the stamps of frames.
             seeds_after_s: Seconds from now at which the seeds are used at the
                 earliest.
+            key_source: See `refusals.Refusals`.
         """
+        self._refusals = refusals.Refusals(key_source)
         self._seeds_at = clock.now() + seeds_after_s
         self._topology = arrangement or topology.ZoneMesh(members)
         self._stamps = stamps or links.NoStamps()
@@ -327,7 +333,7 @@
         """
         sparse = self._topology.is_sparse
         timeout_s = (
-            SPARSE_CONNECT_TIMEOUT_S if sparse else links.HANDSHAKE_TIMEOUT
+            SPARSE_CONNECT_TIMEOUT_S if sparse else handshakes.HANDSHAKE_TIMEOUT
         )
         began_at = self._timers.stall_adjusted_now()
         try:
@@ -347,25 +353,42 @@
             return UNREACHABLE_ATTEMPTS if waited_s >= timeout_s else 1
         except (OSError, ws_exceptions.WebSocketException):
             return 1
-        await self._handle(connection, links.perform_client_handshake)
+        await self._handle(
+            connection,
+            handshakes.perform_client_handshake(
+                connection, self._members.own, self._key, member.box
+            ),
+            dialed=True,
+        )
         return 0
 
     async def _accept(self, connection: ws_server.ServerConnection) -> None:
-        await self._handle(connection, links.perform_server_handshake)
+        await self._handle(
+            connection,
+            handshakes.perform_server_handshake(
+                connection, self._members.own, self._key
+            ),
+            dialed=False,
+        )
 
     async def _handle(
-        self, connection: ws.Connection, handshake: Callable[..., Any]
+        self,
+        connection: ws.Connection,
+        handshake: Awaitable[membership.Member],
+        dialed: bool,
     ) -> None:
         box = "an unknown peer"
         try:
-            member = await handshake(connection, self._members.own, self._key)
+            member = await handshake
             box = member.box
-            dialed = handshake is links.perform_client_handshake
             await self._run_link(
                 links.Link(
                     connection, member, self._timers, self._stamps, dialed
                 )
             )
+        except errors.PeerMismatchError as error:
+            self._refused += 1
+            self._refusals.note(error)
         except errors.PeerError as error:
             self._refused += 1
             self._log_refused(box, error)
@@ -392,6 +415,7 @@
         is_preferred = not open_links or self._replaces(link, open_links[0])
         open_links.insert(0 if is_preferred else len(open_links), link)
         self._members.record_connected(link.member)
+        self._refusals.forget(link.box)
         self._events.emit(events.PEER_CONNECTED, link.box)
         link.send(self._heartbeat())
         for message in self._waiting.pop(link.box, ()):
--- a/martenjunction/peers/links.py
+++ b/martenjunction/peers/links.py
@@ -4,10 +4,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
-import hashlib
-import hmac
 import logging
-import secrets
 from typing import Any
 from typing import Protocol
 
@@ -21,18 +18,10 @@
 from martenjunction.peers import fair_connections
 from martenjunction.peers import flow
 from martenjunction.peers import membership
-from martenjunction.peers import messages
 from martenjunction.peers import outbox
 
 logger = logging.getLogger(__name__)
 
-HANDSHAKE_TIMEOUT = 2.0
-NONCE_BYTES = 16
-
-# Maximum size in bytes of a frame of the handshake. Its sender is not
-# authenticated yet.
-MAX_HANDSHAKE_BYTES = 16 * 1024
-
 # High-water mark of a connection's write buffer in bytes. Messages beyond it
 # stay in the outbox, where they can still be reordered or replaced.
 WRITE_LIMIT = 8 * 1024
@@ -115,20 +104,6 @@
         self.by_kind.update(other.by_kind)
 
 
-def proof(key: str, message_name: str, nonce: bytes, box: str) -> bytes:
-    """Returns the HMAC by which a daemon proves that it knows the key.
-
-    Args:
-        key: The shared secret of all daemons.
-        message_name: The name of the sender's handshake message; prevents
-            reflection of a proof to its sender.
-        nonce: Random bytes from the verifying side.
-        box: The box that authenticates itself.
-    """
-    text = b"\x00".join((message_name.encode(), nonce, box.encode()))
-    return hmac.digest(key.encode(), text, hashlib.sha256)
-
-
 class Link:
     """An authenticated connection to one peer."""
 
@@ -285,110 +260,3 @@
     def _count_kinds(self, batch: list[codec.Encoded]) -> None:
         for message in batch:
             self._counts.by_kind[message.tag] += 1
-
-
-async def perform_server_handshake(
-    connection: ws.Connection, own: membership.Member, key: str
-) -> membership.Member:
-    """Performs the handshake on the accepting side.
-
-    Raises:
-        PeerError: If the caller does not know the key, uses another protocol
-            version, or does not complete the handshake in time.
-    """
-    nonce = secrets.token_bytes(NONCE_BYTES)
-    await _send_message(connection, messages.Challenge(codec.PROTOCOL, nonce))
-    hello = await _receive_message(connection, messages.Hello)
-    if hello.protocol != codec.PROTOCOL:
-        raise errors.PeerError(f"unsupported protocol version {hello.protocol}")
-    expected = proof(key, "hello", nonce, hello.box)
-    if not hmac.compare_digest(expected, hello.proof):
-        raise errors.PeerError(f"{hello.box} did not prove that it has the key")
-    await _send_message(
-        connection,
-        messages.Welcome(
-            own.box,
-            own.zone,
-            own.callers,
-            own.operators,
-            own.peers,
-            own.tunnels,
-            own.link_kb,
-            own.incarnation,
-            proof(key, "welcome", hello.nonce, own.box),
-        ),
-    )
-    return _member(hello)
-
-
-async def perform_client_handshake(
-    connection: ws.Connection, own: membership.Member, key: str
-) -> membership.Member:
-    """Performs the handshake on the connecting side.
-
-    Raises:
-        PeerError: If the called daemon does not know the key, uses another
-            protocol version, or does not complete the handshake in time.
-    """
-    challenge = await _receive_message(connection, messages.Challenge)
-    if challenge.protocol != codec.PROTOCOL:
-        raise errors.PeerError(
-            f"unsupported protocol version {challenge.protocol}"
-        )
-    nonce = secrets.token_bytes(NONCE_BYTES)
-    await _send_message(
-        connection,
-        messages.Hello(
-            codec.PROTOCOL,
-            own.box,
-            own.zone,
-            own.callers,
-            own.operators,
-            own.peers,
-            own.tunnels,
-            own.link_kb,
-            own.incarnation,
-            nonce,
-            proof(key, "hello", challenge.nonce, own.box),
-        ),
-    )
-    welcome = await _receive_message(connection, messages.Welcome)
-    expected = proof(key, "welcome", nonce, welcome.box)
-    if not hmac.compare_digest(expected, welcome.proof):
-        raise errors.PeerError(
-            f"{welcome.box} did not prove that it has the key"
-        )
-    return _member(welcome)
-
-
-def _member(message: messages.Hello | messages.Welcome) -> membership.Member:
-    return membership.Member(
-        message.box,
-        message.zone,
-        message.callers,
-        message.operators,
-        message.peers,
-        message.incarnation,
-        link_kb=message.link_kb,
-        tunnels=message.tunnels,
-    )
-
-
-async def _send_message(connection: ws.Connection, message: Any) -> None:
-    await connection.send(codec.encode_batch([message]))
-
-
-async def _receive_message(connection: ws.Connection, kind: type[Any]) -> Any:
-    try:
-        async with asyncio.timeout(HANDSHAKE_TIMEOUT):
-            frame = await connection.recv()
-    except (TimeoutError, ws_exceptions.ConnectionClosed) as error:
-        raise errors.PeerError("no frame during the handshake") from error
-    if isinstance(frame, str):
-        raise errors.PeerError("unexpected text frame")
-    if len(frame) > MAX_HANDSHAKE_BYTES:
-        raise errors.PeerError("a frame of the handshake is too long")
-    for message in codec.decode_batch(frame):
-        if isinstance(message, kind):
-            return message
-    raise errors.PeerError(f"no {kind.__name__} in the handshake")
--- a/martenjunction/peers/messages.py
+++ b/martenjunction/peers/messages.py
@@ -57,6 +57,20 @@
     proof: bytes
 
 
+@codec.message("refusal")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Ends a handshake of daemons that cannot connect.
+
+    Attributes:
+        box: The sender.
+        mismatch: What differs; see `handshake.Mismatch`.
+    """
+
+    box: str
+    mismatch: str
+
+
 @codec.message("beat")
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
--- a/tests/test_ended_for_framing.py
+++ b/tests/test_ended_for_framing.py
@@ -10,7 +10,7 @@
 from websockets.asyncio import client as ws_client
 
 from martenjunction.peers import codec
-from martenjunction.peers import links
+from martenjunction.peers import handshake
 from martenjunction_lab import bench
 from martenjunction_lab import boxes
 from tests import caller_builders
@@ -62,7 +62,7 @@
     async with ws_client.connect(
         f"ws://{address}/", compression=None, proxy=None
     ) as connection:
-        await links.perform_client_handshake(
+        await handshake.perform_client_handshake(
             connection, linked_hubs.member("box-2"), linked_hubs.KEY
         )
         await boxes.until(lambda: hub.is_connected("box-2"))
@@ -83,7 +83,7 @@
     async with ws_client.connect(
         f"ws://{address}/", compression=None, proxy=None
     ) as connection:
-        await links.perform_client_handshake(
+        await handshake.perform_client_handshake(
             connection, linked_hubs.member("box-2"), linked_hubs.KEY
         )
         await boxes.until(lambda: hub.is_connected("box-2"))
--- a/tests/test_fair_turns_elsewhere.py
+++ b/tests/test_fair_turns_elsewhere.py
@@ -18,6 +18,7 @@
 from martenjunction.endpoints import streams as endpoint_streams
 from martenjunction.http1 import streams
 from martenjunction.peers import codec
+from martenjunction.peers import handshake
 from martenjunction.peers import hub
 from martenjunction.peers import links
 from martenjunction.tunnels import framing
@@ -312,7 +313,7 @@
     async with ws_client.connect(
         f"ws://{listening[1]}/", compression=None, proxy=None
     ) as connection:
-        await links.perform_client_handshake(
+        await handshake.perform_client_handshake(
             connection, linked_hubs.member("box-2"), linked_hubs.KEY
         )
         with counts.start():
@@ -337,6 +338,6 @@
         f"ws://{listening[1]}/", compression=None, proxy=None
     ) as connection:
         await connection.recv()
-        await connection.send(b"\x80" * (links.MAX_HANDSHAKE_BYTES + 1))
+        await connection.send(b"\x80" * (handshake.MAX_HANDSHAKE_BYTES + 1))
         await boxes.until(lambda: listening[0].refused == 1)
     assert not counts.total
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,7 +9,7 @@
 from martenjunction import timers
 from martenjunction.cells import messages as cell_messages
 from martenjunction.peers import codec
-from martenjunction.peers import links
+from martenjunction.peers import handshake
 from martenjunction.peers import membership
 from martenjunction.peers import messages
 from tests import builders
@@ -61,10 +61,10 @@
 
 def test_proofs_differ_by_side_and_key() -> None:
     nonce = b"n" * 16
-    assert links.proof("k", "hello", nonce, "b") != links.proof(
+    assert handshake.proof("k", "hello", nonce, "b") != handshake.proof(
         "k", "welcome", nonce, "b"
     )
-    assert links.proof("k", "hello", nonce, "b") != links.proof(
+    assert handshake.proof("k", "hello", nonce, "b") != handshake.proof(
         "other", "hello", nonce, "b"
     )
 
