Count silent boxes in the shares of an endpoint's connections

In a large fleet that was cut, each part divided the connections that an endpoint accepts from all boxes by the boxes that it still heard, so that all parts together went beyond the endpoint's limit, and endpoints reset connections. A box that is silent may live and use its share: it counts until it is forgotten or leaves, as it does for limits on rates.

--- a/martenjunction/peers/membership.py
+++ b/martenjunction/peers/membership.py
@@ -90,6 +90,7 @@
         self._members = {own.box: own}
         self._live: list[Member] | None = None
         self._live_at = 0.0
+        self._known_count = 1
         self._was_full_mesh = True
         self._full_mesh_since = 0.0
         self._on_ended: OnEnded = lambda ended, incarnation: None
@@ -104,6 +105,12 @@
         """All known daemons by box; callers must not modify it."""
         return self._members
 
+    @property
+    def known_count(self) -> int:
+        """Number of daemons that are not leaving, silent ones included."""
+        self.live_snapshot()
+        return self._known_count
+
     @property
     def is_full_mesh(self) -> bool:
         """Whether the fleet is small enough for a full mesh."""
@@ -130,11 +137,9 @@
         """
         now = self._timers.stall_adjusted_now()
         if self._live is None or now - self._live_at >= LIVE_CACHE_S:
-            live = [
-                member
-                for member in self._members.values()
-                if member.leaving_since is None and self._is_live(member, now)
-            ]
+            known = self.known_members()
+            live = [m for m in known if m.silent_since is None]
+            self._known_count = len(known)
             if live != self._live:
                 self._live = live
             self._live_at = now
--- a/martenjunction/routing/limits/connection_shares.py
+++ b/martenjunction/routing/limits/connection_shares.py
@@ -25,5 +25,6 @@
         config = self._admitter.config
         known = config.services.get(service) if config else None
         limit = known.max_connections if known is not None else 1
-        boxes = max(1, len(self._members.live_members()))
+        # A box that is silent may live, and use its share, beyond a cut.
+        boxes = max(1, self._members.known_count)
         return max(2, int(limit * pool.CONNECTION_LIMIT_FRACTION / boxes))
