Keep a box that is cut off behind while nobody tells it otherwise

A box that was told of a newer configuration and was cut off before it had it forgot the change after 1.2 s: it drops a version that no box it hears has, and it heard none. It then served by the old configuration until its keys were no longer confirmed, instead of refusing once it was behind for too long.

A version is dropped only if a box was heard lately or the store answers this one.

--- a/martenjunction/routing/fleet/peer_views.py
+++ b/martenjunction/routing/fleet/peer_views.py
@@ -93,15 +93,19 @@
         """Returns what a box last said, however long ago, or None."""
         return self._views.get(box)
 
-    def newest_version(self) -> int:
-        """Returns the newest version that any box lately reported, or 0."""
+    def newest_version(self) -> int | None:
+        """Returns the newest version that any box lately reported.
+
+        Returns:
+            The version; None if no box was heard lately.
+        """
         return max(
             (
                 known.stamp.version
                 for known in self._views.values()
                 if self._is_valid(known)
             ),
-            default=0,
+            default=None,
         )
 
     def reader_states(
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -352,7 +352,9 @@
     def _update_role(self) -> None:
         """Starts or stops reading the store and announces changes at once."""
         now = self._timers.now()
-        self._freshness.drop_versions_above(above=self._views.newest_version())
+        newest = self._views.newest_version()
+        if newest is not None or self._reader.is_synced:
+            self._freshness.drop_versions_above(above=newest or 0)
         age_s = self._freshness.age_s(now)
         self._reading.update(
             age_s,
