Grant a limit once where a fleet is cut between zones

The holder of an endpoint grants its limit times the part of the boxes that it reaches. In a fleet of more than 32 boxes it compared the boxes of one zone only. A part that lacked the zone of a key took the boxes of another zone and compared these with all of the key's zone, so that it reached all of them, and so did the part with that zone: both granted 0.9 of the limit for as long as the cut lasted.

The part is now of all boxes.

--- a/martenjunction/routing/fleet/holders.py
+++ b/martenjunction/routing/fleet/holders.py
@@ -49,12 +49,26 @@
             rendezvous.owner([m.box for m in candidates], key) or self.own_box
         )
 
-    def reachable_fraction(self, key: str) -> float:
-        """Returns the fraction of the candidate boxes that are responsive."""
-        responsive = self._candidates(key, self._responsive_peers())
+    def reachable_fraction(self) -> float:
+        """Returns the fraction of the known boxes that are responsive.
+
+        It is of all boxes, as the candidates of a part of the fleet may be in
+        another zone than those of the rest.
+        """
+        responsive = self._boxes(self._responsive_peers())
         own = self._members.own
         others = [m for m in self._members.known_members() if m is not own]
-        return min(1.0, len(responsive) / len(self._candidates(key, others)))
+        return min(1.0, len(responsive) / len(self._boxes(others)))
+
+    def _boxes(
+        self, others: list[membership.Member]
+    ) -> list[membership.Member]:
+        """Returns other boxes, and this one unless it is shutting down."""
+        own = self._members.own
+        if own in self._members.live_members() or not others:
+            return [own, *others]
+        # Other boxes no longer select a box that is shutting down.
+        return others
 
     def _candidates(
         self, key: str, others: list[membership.Member]
@@ -64,10 +78,8 @@
         In a large fleet all candidates are in one availability zone, so that a
         connection that is lost between zones concerns fewer keys.
         """
+        boxes = self._boxes(others)
         believed = self._members.live_members()
-        own = self._members.own
-        # Other boxes no longer select a box that is shutting down.
-        boxes = [own, *others] if own in believed or not others else others
         if len(believed) <= membership.MAX_FULL_MESH_SIZE:
             return boxes
         zones = {member.zone for member in boxes}
--- a/martenjunction/routing/limits/rate_grants.py
+++ b/martenjunction/routing/limits/rate_grants.py
@@ -252,7 +252,7 @@
         self._places.ask(
             endpoint_id,
             box,
-            self._selector.reachable_fraction(endpoint_id),
+            self._selector.reachable_fraction(),
             answer_place,
         )
 
@@ -267,7 +267,7 @@
             bounded.put(self._buckets, endpoint_id, bucket, MAX_BUCKETS)
         bucket.used_at = now
         wait_s = bucket.grants.take(
-            limit, self._selector.reachable_fraction(endpoint_id), now
+            limit, self._selector.reachable_fraction(), now
         )
         self._granted += not wait_s
         return wait_s
