--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -45,6 +45,7 @@
 from martenjunction.routing.ports import readiness
 from martenjunction.routing.quarantine import part_quarantine
 from martenjunction.routing.quarantine import request_quarantine
+from martenjunction.routing.store import dead_entries
 from martenjunction.routing.store import follower
 from martenjunction.routing.store import fresh_reading
 from martenjunction.routing.store import store_cache
@@ -164,6 +165,13 @@
             self._rng,
             self.endpoint_list.age,
             settings.link_bytes_s,
+            dead_entries.DeadEntries(
+                self.store,
+                self.members,
+                lambda box: self.sync.is_heard(box),
+                self.timers,
+                self.log,
+            ),
             settings.first_start,
         )
         self.overlay = fleet_overlay.FleetOverlay(self.members, self.timers.now)
@@ -180,6 +188,7 @@
             arrangement=self.overlay,
             stamps=stamps,
             seeds_after_s=SEEDS_AFTER_S if settings.first_start else 0.0,
+            key_source=own_records.peer_key_source(settings),
         )
         self.member_changes = member_changes.MemberChanges(
             self.members, self.peers
@@ -347,15 +356,8 @@
             lambda: self._settings,
             self.timers,
         )
-        self.duties = self._build_duties()
-
-    def _build_duties(
-        self,
-    ) -> fleet_duties.FleetDuties | fleet_duties.NoDuties:
-        if self._settings.duties is None:
-            return fleet_duties.NoDuties()
-        return fleet_duties.FleetDuties(
-            self._settings.duties,
+        self.duties = fleet_duties.build(
+            settings.duties,
             self.members,
             self.overlay,
             self._duty_rank,
--- a/martenjunction/duties/fleet_duties.py
+++ b/martenjunction/duties/fleet_duties.py
@@ -182,3 +182,17 @@
             "usage_unknown_outcome": float(totals["unknown_outcome"]),
             "usage_windows_given_up": float(totals["given_up"]),
         }
+
+
+def build(
+    settings: box_settings.DutySettings | None, *parts: Any
+) -> FleetDuties | NoDuties:
+    """Returns the duties of a deployment, which may have none.
+
+    Args:
+        settings: Its duties, or None.
+        parts: The other arguments of `FleetDuties`.
+    """
+    if settings is None:
+        return NoDuties()
+    return FleetDuties(settings, *parts)
--- a/martenjunction/routing/sync/peer_sync.py
+++ b/martenjunction/routing/sync/peer_sync.py
@@ -195,6 +195,10 @@
         """Returns whether a ready box lately said that it reaches endpoints."""
         return self._views.reaches_endpoints(box)
 
+    def is_heard(self, box: str) -> bool:
+        """Returns whether something came from a connected box lately."""
+        return self._views.is_recent(box)
+
     def responsive_peers(self) -> list[membership.Member]:
         """Returns the live boxes that can be asked.
 
@@ -348,7 +352,9 @@
     def _update_role(self) -> None:
         """Starts or stops reading the store and announces changes at once."""
         now = self._timers.now()
-        self._freshness.drop_versions_above(above=self._views.newest_version())
+        newest = self._views.newest_version()
+        if newest is not None or self._reader.is_synced:
+            self._freshness.drop_versions_above(above=newest or 0)
         age_s = self._freshness.age_s(now)
         self._reading.update(
             age_s,
--- a/martenjunction_lab/out_of_step/holds.py
+++ b/martenjunction_lab/out_of_step/holds.py
@@ -8,6 +8,7 @@
 
 from martenjunction import errors
 from martenjunction import gateway
+from martenjunction.peers import handshake
 from martenjunction.peers import hub
 from martenjunction.peers import links
 from martenjunction.peers import membership
@@ -71,7 +72,7 @@
             await asyncio.sleep(
                 hub.SPARSE_CONNECT_TIMEOUT_S
                 if peers._topology.is_sparse
-                else links.HANDSHAKE_TIMEOUT
+                else handshake.HANDSHAKE_TIMEOUT
             )
             return hub.UNREACHABLE_ATTEMPTS
 
