Do not count a hold-up of a box as an endpoint's failure to connect

Cause: the time limits of connections to endpoints ran on by the clock while the box's process was held up. A connection that was established meanwhile and its limit are due in the same turn of the event loop, and the limit was looked at first: the endpoint counted as not reached and was ejected, its path as failed, a path that returned as cut again, and a sample of other endpoints as not reached. Change: these limits are measured on the clock without stalls (`Timers.wait_first`).

--- a/martenjunction/routing/endpoints/endpoint_connector.py
+++ b/martenjunction/routing/endpoints/endpoint_connector.py
@@ -74,6 +74,7 @@
         self._log = log
         self._rng = rng
         self._tasks: set[_Attempt] = set()
+        self._late: set[asyncio.Task[None]] = set()
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._checked_at: dict[str, float] = {}
         self._cut_off_since: float | None = None
@@ -113,7 +114,7 @@
 
     async def stop(self) -> None:
         """Cancels all attempts and checks."""
-        tasks = [*self._tasks, *self._checks.values()]
+        tasks = [*self._tasks, *self._late, *self._checks.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -123,10 +124,11 @@
     ) -> client.ClientConnection:
         """Returns a new connection; see `pool.Connector.open`.
 
-        A peer is asked as well if the own connection is late or fails.
+        A peer is asked as well if the own connection is late or fails. Stalls
+        of this box do not count as time in which an endpoint is not reached.
         """
         plan = self._paths.plan(endpoint.id)
-        began_at = self._timers.now()
+        began_at = self._timers.stall_adjusted_now()
         deadline = began_at + plan.timeout_s
         tunnel_at = began_at + plan.tunnel_after_s
         direct: _Attempt | None = None
@@ -135,7 +137,7 @@
             direct = self._start(self._open_direct(endpoint, on_head))
         try:
             while True:
-                now = self._timers.now()
+                now = self._timers.stall_adjusted_now()
                 if tunnel is None and now >= tunnel_at:
                     if direct is not None and not direct.done():
                         self._note_late(endpoint.id)
@@ -154,11 +156,7 @@
                 if not pending or now >= deadline:
                     raise _failure(direct)
                 until = deadline if tunnel is not None else tunnel_at
-                done, _ = await asyncio.wait(
-                    pending,
-                    timeout=max(0.0, until - now),
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
+                done = await self._timers.wait_first(pending, until)
                 for task in done:
                     if task.exception() is None:
                         return task.result()
@@ -241,16 +239,16 @@
             self._start(self._open_direct(other, _ignore_head))
             for other in sample
         ]
+        until = self._timers.stall_adjusted_now() + SAMPLE_TIMEOUT_S
+        pending = set(tries)
         try:
-            async with asyncio.timeout(SAMPLE_TIMEOUT_S):
-                for finished in asyncio.as_completed(tries):
-                    try:
-                        await finished
-                    except errors.ConnectError:
-                        continue
+            while pending:
+                done = await self._timers.wait_first(pending, until)
+                if not done:
+                    return False
+                if any(one.exception() is None for one in done):
                     return True
-        except TimeoutError:
-            return False
+                pending -= done
         finally:
             for one in tries:
                 one.add_done_callback(_close_unused)
@@ -345,14 +343,18 @@
         if direct is None or direct.done():
             return
         direct.add_done_callback(_close_unused)
-        left_s = began_at + endpoint_paths.MAX_CONNECT_S - self._timers.now()
-        asyncio.get_running_loop().call_later(
-            max(0.0, left_s), self._give_up, endpoint.id, direct
+        late = asyncio.get_running_loop().create_task(
+            self._await_result(endpoint.id, direct, began_at)
         )
+        self._late.add(late)
+        late.add_done_callback(self._late.discard)
 
-    def _give_up(self, endpoint_id: str, direct: _Attempt) -> None:
-        """Counts an own connection that is still missing as failed."""
-        if not direct.done():
+    async def _await_result(
+        self, endpoint_id: str, direct: _Attempt, began_at: float
+    ) -> None:
+        """Counts an own connection that is too late as failed."""
+        until = began_at + endpoint_paths.MAX_CONNECT_S
+        if not await self._timers.wait_first([direct], until):
             direct.cancel()
             self._note_failed(endpoint_id, False)
 
@@ -390,13 +392,11 @@
     async def _check_own(self, endpoint: model.Endpoint) -> None:
         """Checks whether own connections work again."""
         was_cut = self._paths.state(endpoint.id) is _State.CUT
+        began_at = self._timers.stall_adjusted_now()
         attempt = self._start(self._open_direct(endpoint, _ignore_head))
-        done, _ = await asyncio.wait(
-            [attempt], timeout=endpoint_paths.MAX_CONNECT_S
-        )
         attempt.add_done_callback(_close_unused)
-        if not done:
-            self._give_up(endpoint.id, attempt)
+        await self._await_result(endpoint.id, attempt, began_at)
+        if not attempt.done():
             return
         if was_cut and attempt.exception() is None:
             # The others may have returned together with this one.
--- a/martenjunction/timers.py
+++ b/martenjunction/timers.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 import logging
 import math
 import time
 from typing import Any
+from typing import TypeVar
 
 logger = logging.getLogger(__name__)
 
@@ -21,6 +23,8 @@
 
 Tick = Callable[[], None]
 
+_F = TypeVar("_F", bound=asyncio.Future[Any])
+
 
 async def wait_while_running(
     futures: Iterable[asyncio.Future[Any]], timeout_s: float
@@ -108,6 +112,31 @@
         now = self.now()
         return now - self._stalled_s - self._current_stall_s(now)
 
+    async def wait_first(
+        self, futures: Collection[_F], until: float
+    ) -> set[_F]:
+        """Waits for the first of some futures.
+
+        A stall uses up nothing of the limit: what happened during it is seen
+        after it, when the limit by the clock is due as well.
+
+        Args:
+            futures: What is waited for; it is not cancelled.
+            until: Time of `stall_adjusted_now` at which the wait ends.
+
+        Returns:
+            The futures that are done; none if the time is reached before.
+        """
+        while True:
+            left_s = until - self.stall_adjusted_now()
+            done, _ = await asyncio.wait(
+                futures,
+                timeout=max(0.0, left_s),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if done or self.stall_adjusted_now() >= until:
+                return done
+
     def subscribe(self, name: str, interval: float, tick: Tick) -> Subscription:
         """Calls `tick` every `interval` seconds.
 
