Count a connection established in a suspended process

Cause: a wait for events that a suspension of the process interrupts returns none once its time is over, so that the time limit of a connect is handled before the socket's event: a connection that the kernel had established counted as late. Change: at its time limit a connect looks at the socket; what that has finished is waited for a few turns of the event loop. Measured: a process that is suspended for 2.5 s, with a limit of 1.6 s, tells that its connection, accepted after 1 s, timed out without the change, and that it is connected with it (the new test).

--- a/martenjunction/http1/peeks.py
+++ b/martenjunction/http1/peeks.py
@@ -59,3 +59,16 @@
     poll = select.poll()
     poll.register(sock, select.POLLRDHUP)
     return bool(poll.poll(0))
+
+
+def has_connected_or_failed(sock: socket.socket | None) -> bool:
+    """Returns whether the outcome of a pending connect is known.
+
+    Args:
+        sock: A socket that was told to connect, or None if it was closed.
+    """
+    if sock is None:
+        return True
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT)
+    return bool(poll.poll(0))
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -28,6 +28,10 @@
 # Size in bytes up to which the pieces of a message are joined for one write.
 MAX_JOINED_BYTES = 16 * 1024
 
+# Seconds after the time limit of a connect in which the event loop handles one
+# that its socket has finished: a few iterations.
+CONNECTED_GRACE_S = 0.1
+
 # Seconds without traffic before the first keep-alive probe, seconds between
 # probes, and number of unanswered probes that end a connection where no user
 # timeout does (tcp(7)).
@@ -124,6 +128,12 @@
         # timeout: a connection that was established while the event loop was
         # blocked still counts.
         await asyncio.wait([connecting], timeout=timeout_s)
+        if not connecting.done() and peeks.has_connected_or_failed(
+            stream.socket
+        ):
+            # A wait for events that was interrupted, as by a suspension of this
+            # process, ends without them.
+            await asyncio.wait([connecting], timeout=CONNECTED_GRACE_S)
         if not connecting.done():
             raise TimeoutError
         connecting.result()
--- a/tests/test_held_up_connects.py
+++ b/tests/test_held_up_connects.py
@@ -9,7 +9,9 @@
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import random
+import signal
 import socket
+import sys
 from typing import Any
 
 import msgspec
@@ -218,3 +220,51 @@
     assert spent_s < endpoint_paths.CONNECT_TIMEOUT_S + SEEN_S
     await made.stop()
     listener.close()
+
+
+# Connects with a time limit and tells whether it was reached.
+CONNECTING = """
+import asyncio, sys
+from martenjunction import errors
+from martenjunction.http1 import client
+
+async def main():
+    connection = client.ClientConnection(sys.argv[1])
+    opening = asyncio.create_task(connection.open(float(sys.argv[2])))
+    await asyncio.sleep(0.1)
+    print("connecting", flush=True)
+    try:
+        await opening
+    except errors.ConnectError as error:
+        print(repr(error.__cause__))
+    else:
+        print("connected")
+
+asyncio.run(main())
+"""
+
+# Time limit of that connection, in seconds, and seconds for which its process
+# is suspended: the kernel sends a SYN packet again after a second.
+SUSPENDED_LIMIT_S = 1.6
+SUSPENDED_S = 2.5
+
+
+async def test_connection_established_in_a_suspended_process_counts() -> None:
+    # A wait for events that was interrupted returns none after its time limit.
+    listener = FullListener()
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        CONNECTING,
+        listener.address,
+        str(SUSPENDED_LIMIT_S),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    assert await process.stdout.readline() == b"connecting\n"
+    process.send_signal(signal.SIGSTOP)
+    await asyncio.gather(listener.accept(), asyncio.sleep(SUSPENDED_S))
+    process.send_signal(signal.SIGCONT)
+    assert await process.stdout.read() == b"connected\n"
+    await process.wait()
+    listener.close()
