Do not count a hold-up of a box as its peers' failure to open a tunnel

Cause: the same as for own connections: the limits of a tunnel ran on by the clock while the process of the box that asks was held up, so that the peer's answer was not waited for and the endpoint counted as not reached. Change: the dialer measures its limits on the clock without stalls, and it alone limits the wait for the answer. Measured: the new test, a hold-up of 0.6 s after the first step of the connection to the peer, fails without the change and passes with it.

--- a/martenjunction/tunnels/connection.py
+++ b/martenjunction/tunnels/connection.py
@@ -48,24 +48,20 @@
         return False
 
     async def open(self, timeout_s: float) -> None:
-        """Opens the tunnel.
+        """Opens the tunnel; the caller limits the wait for the answer.
 
         Args:
-            timeout_s: Timeout in seconds.
+            timeout_s: Timeout, in seconds, of the connection to the peer.
 
         Raises:
             NoSocketError: If this box cannot create a socket.
             TunnelRefusedError: If the peer opens no tunnel.
-            ConnectError: If the peer does not answer; nothing was sent to the
+            ConnectError: If the peer is not reached; nothing was sent to the
                 endpoint.
         """
         try:
-            async with asyncio.timeout(timeout_s):
-                await super().open(timeout_s)
-                status = await self._request_tunnel()
-        except TimeoutError as error:
-            self.abort()
-            raise errors.ConnectError(f"no answer from {self.via}") from error
+            await super().open(timeout_s)
+            status = await self._request_tunnel()
         except asyncio.CancelledError:
             self.abort()
             raise
--- a/martenjunction/tunnels/dialer.py
+++ b/martenjunction/tunnels/dialer.py
@@ -79,6 +79,8 @@
     ) -> connection.TunnelConnection:
         """Opens a tunnel through the first of some peers that answers.
 
+        Stalls of this box do not count as time in which no peer answers.
+
         Args:
             endpoint: The endpoint.
             on_head: Called with the head of every final response.
@@ -88,30 +90,31 @@
             PortRefusedError: If the endpoint refused a peer's connection.
             ConnectError: If no peer opened a tunnel.
         """
-        now = self._timers.now()
-        waiting = self._choice.select(self._peers(), now)
+        waiting = self._choice.select(self._peers(), self._timers.now())
         if not waiting:
             raise errors.ConnectError("no peer to tunnel through")
         request = handshake.encode_request(
             handshake.TunnelRequest(endpoint.id, endpoint.address, self._box),
             self._key,
         )
-        deadline = now + timeout_s
+        deadline = self._timers.stall_adjusted_now() + timeout_s
         tries: set[asyncio.Task[connection.TunnelConnection]] = set()
         refused = False
         try:
             while waiting or tries:
-                left_s = deadline - self._timers.now()
-                if left_s <= 0.0:
+                now = self._timers.stall_adjusted_now()
+                if now >= deadline:
                     break
+                until = deadline
                 if waiting:
                     peer = waiting.pop(0)
-                    tries.add(self._start(peer, request, on_head, left_s))
-                done, tries = await asyncio.wait(
-                    tries,
-                    timeout=min(left_s, HEDGE_S) if waiting else left_s,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
+                    tries.add(
+                        self._start(peer, request, on_head, deadline - now)
+                    )
+                    if waiting:
+                        until = min(deadline, now + HEDGE_S)
+                done = await self._timers.wait_first(tries, until)
+                tries -= done
                 for one in done:
                     error = one.exception()
                     if error is None:
--- a/tests/test_held_up_connects.py
+++ b/tests/test_held_up_connects.py
@@ -27,6 +27,7 @@
 from martenjunction.routing.endpoints import endpoint_connector
 from martenjunction.routing.log import decision_log
 from martenjunction.tunnels import dialer
+from martenjunction.tunnels import handshake
 from tests import raw_peers
 from tests import routing_builders as builders
 
@@ -180,6 +181,26 @@
     assert await connections.connector.confirm_failure("e1")
 
 
+@pytest.mark.usefixtures("hold_up")
+async def test_peer_opens_a_tunnel_after_a_hold_up(
+    peer: raw_peers.RawPeer, others: raw_peers.RawPeer
+) -> None:
+    made = Connections([peer.address], (others.address,))
+    await made.start()
+    endpoint = made.endpoints[0]
+    now = made.timers.now()
+    made.paths.note_peer_reached(endpoint.id, now)
+    made.paths.note_failed(endpoint.id, False, now)
+    opening = asyncio.create_task(made.pool.acquire(endpoint, False))
+    other_side = await others.accept()
+    assert await others.request(other_side)
+    other_side.send(handshake.encode_answer(handshake.Status.CONNECTED))
+    connection = await opening
+    assert not connection.is_direct
+    connection.abort()
+    await made.stop()
+
+
 class FullListener:
     """A listener whose full accept queue drops the SYN packets of others."""
 
