Do not take an endpoint that is sending for a silent one

Cause: the time of the last byte of an endpoint was set where a plain answer was complete, or a stream had a complete event. An endpoint whose answers take longer than 0.4 s counted as silent while it sent: it was ejected, and its requests that may be repeated were moved. Change: each part of a body that arrives counts.

--- a/martenjunction/endpoints/attempt.py
+++ b/martenjunction/endpoints/attempt.py
@@ -71,6 +71,7 @@
         self._identified = False
         self._length: int | None = None
         self._received = 0
+        self._on_bytes: Callable[[], None] = lambda: None
 
     @property
     def connection(self) -> client.ClientConnection:
@@ -82,6 +83,10 @@
         """Bytes of bodies that were received."""
         return self._received
 
+    def on_bytes(self, callback: Callable[[], None]) -> None:
+        """Sets the callback for each part of a body that arrives."""
+        self._on_bytes = callback
+
     def send(self, request: messages.Request, pairs: messages.Headers) -> None:
         """Writes the request to the socket.
 
@@ -231,6 +236,7 @@
         try:
             while part := await self._connection.read_body():
                 self._received += len(part)
+                self._on_bytes()
                 yield part
         except errors.TransportError as error:
             self.abort()
--- a/martenjunction/routing/endpoints/run_tracker.py
+++ b/martenjunction/routing/endpoints/run_tracker.py
@@ -162,15 +162,23 @@
             now: The current time.
         """
         record = ticket.record
-        listened = self._clock.time(now)
-        self._last_received[record.id] = listened
-        if ticket.direct:
-            self._paths.note_heard(record.id, now)
+        self.note_bytes(ticket, now)
         self._ejection.note_response(record, now)
         record.refusals.record_answer(ticket.started_at)
         ticket.answered = True
         ticket.move_requested = False
-        ticket.last_received_at = listened
+        ticket.last_received_at = self._clock.time(now)
+
+    def note_bytes(self, ticket: RunTicket, now: float) -> None:
+        """Records that an endpoint, which is not silent, sent something.
+
+        Args:
+            ticket: The run.
+            now: The current time.
+        """
+        self._last_received[ticket.record.id] = self._clock.time(now)
+        if ticket.direct:
+            self._paths.note_heard(ticket.record.id, now)
 
     @contextlib.contextmanager
     def paused(self, ticket: RunTicket) -> Iterator[None]:
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -151,6 +151,7 @@
             run.connection.is_direct,
         )
         self._running, self._ticket = run, ticket
+        run.on_bytes(lambda: registry.runs.note_bytes(ticket, time.monotonic()))
         offer.permit.note_sent(endpoint)
         self._run_counted = False
         self._state.choices.append(
