Tell a request without time from one without an endpoint

Cause: a request whose time was over before an endpoint was chosen, as after a hold-up of its box, was logged as `no endpoint available`; whether an endpoint had been lost could not be told. Change: the log says `no time left`. What the client gets is as before.

--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -34,6 +34,9 @@
 # Minimum time before the deadline, in seconds, for sending a request.
 MIN_TIME_LEFT_S = 0.01
 
+# Failure of a request that was offered to no endpoint in that time.
+NO_TIME_LEFT = "no time left"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Offer:
@@ -364,6 +367,7 @@
         if len(self._state.offers) >= MAX_OFFERS:
             return False
         if self._admitted.deadline - time.monotonic() < MIN_TIME_LEFT_S:
+            self._state.failure = self._state.failure or NO_TIME_LEFT
             return False
         runs = self._state.progress.attempts - self._state.refusals
         if runs >= self._admitted.route.max_attempts:
