Let all clients of a stand-in connect, and tell what is left

Cause: the endpoint of the lab's fast senders let 64 connections wait to be accepted, where 100 are opened at once. The kernel drops the others and sends them again after a second; a box waits for 0.4 s, so that the endpoint truly counted as not reached and other requests were refused as not run. Change: 1,024 may wait. No bound and no check changes.

--- a/martenjunction_lab/fast_senders/sender.py
+++ b/martenjunction_lab/fast_senders/sender.py
@@ -33,6 +33,11 @@
 
 CLOSED = 0
 
+# Connections that an endpoint may have waiting to be accepted: those of all its
+# clients, whose threads keep it from accepting them. The kernel drops others
+# for a second, in which the endpoint counts as not reached.
+BACKLOG = 1024
+
 
 @dataclasses.dataclass(frozen=True)
 class End:
@@ -104,7 +109,7 @@
     def __init__(self, form: forms.Form) -> None:
         """Listens on a free loopback port."""
         self._form = form
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
 
     @property
     def address(self) -> str:
