Watch descriptors that are no sockets in simulated time

Cause: the simulated loop took each descriptor for a socket, and libcurl has its event loop watch a pipe or an event counter as well: daemons of the product's own interface could not run in simulated time. Change: the option of sockets is set on sockets only. Measured: the new test fails without the change; tests/test_simulated_loop.py passes.

--- a/martenjunction_lab/simulated/loop.py
+++ b/martenjunction_lab/simulated/loop.py
@@ -13,10 +13,12 @@
 import asyncio
 from collections.abc import Coroutine
 import math
+import os
 import random
 import select
 import selectors
 import socket
+import stat
 import time
 from typing import Any
 from typing import TypeVar
@@ -232,6 +234,8 @@
 
 def _send_at_once(descriptor: int) -> None:
     """Switches Nagle's algorithm off where a descriptor is a TCP socket."""
+    if not stat.S_ISSOCK(os.fstat(descriptor).st_mode):
+        return
     sock = socket.socket(fileno=descriptor)
     try:
         if sock.type == socket.SOCK_STREAM and sock.family in _TCP_FAMILIES:
--- a/tests/test_simulated_loop.py
+++ b/tests/test_simulated_loop.py
@@ -1,6 +1,7 @@
 """The event loop in simulated time."""
 
 import asyncio
+import os
 import random
 import threading
 import time
@@ -102,6 +103,22 @@
     assert simulated_loop.run(main()) == 0.0
 
 
+def test_descriptors_that_are_no_sockets_are_watched() -> None:
+    # libcurl has the loop watch a pipe or an event counter of its own.
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        readable, writable = os.pipe()
+        is_readable = asyncio.Event()
+        loop.add_reader(readable, is_readable.set)
+        os.write(writable, b"x")
+        await is_readable.wait()
+        loop.remove_reader(readable)
+        os.close(readable)
+        os.close(writable)
+
+    simulated_loop.run(main())
+
+
 def test_time_stands_still_while_a_thread_works() -> None:
     async def main() -> float:
         loop = asyncio.get_running_loop()
