Leave stalls of the process out of the times of runs

Cause: answers that arrive while a daemon is held up are read after it. The owner of a cell and the entry daemon took the times of runs by the clock, so a hold-up of 0.3 s or more made the engine that served an outlier. It was ejected, and where the other engines were in a back-off every later request was shed. A hold-up longer than the stall limit of a class also had its runs cancelled as silent. Change: times to the first token, intervals between tokens, the time for which a slot is occupied, overdue runs and the silence of a run are measured without stalls.

--- a/martenjunction/callers/service.py
+++ b/martenjunction/callers/service.py
@@ -285,7 +285,7 @@
         self._parts.emitter.emit(events.REQUEST_ENDED, request, result)
 
     def _check_stalls(self) -> None:
-        now = self._parts.clock.now()
+        now = self._parts.clock.stall_adjusted_now()
         for active in list(self._relays.values()):
             active.check_stalled(now)
 
--- a/martenjunction/cells/cell.py
+++ b/martenjunction/cells/cell.py
@@ -121,6 +121,7 @@
         self._task: asyncio.Task[None] | None = None
         self._subscriptions: list[timers.Subscription] = []
         self._last_review = 0.0
+        self._noted_stall_s = clock.total_stall_s()
         self._lost_entries: dict[str, float] = {}
         self._handlers: dict[type[Any], Callable[[Any, float], None]] = {
             FromBox: self._on_message,
@@ -190,6 +191,7 @@
         while True:
             batch = await self._mailbox.get_all()
             now = self._timers.now()
+            self._note_stalls()
             for message in batch:
                 try:
                     self._handlers[type(message)](message, now)
@@ -199,6 +201,12 @@
                     )
             self._deliver(self._decider.step(now))
 
+    def _note_stalls(self) -> None:
+        total_s = self._timers.total_stall_s()
+        if total_s > self._noted_stall_s:
+            self._decider.note_stall(total_s - self._noted_stall_s)
+            self._noted_stall_s = total_s
+
     def _deliver(self, decisions: list[dispatch_types.Decision]) -> None:
         for decision in decisions:
             message = messages.from_decision(self._name, decision)
--- a/martenjunction/decisions/cells/dispatch_types.py
+++ b/martenjunction/decisions/cells/dispatch_types.py
@@ -79,6 +79,7 @@
         cancelling: Whether it is being preempted.
         guaranteed: Whether it was granted through its tier's guaranteed
             share. It is then not preempted, which would defeat the share.
+        stalled_s: Seconds since the grant in which this process was stalled.
     """
 
     ask: SlotRequest
@@ -90,6 +91,11 @@
     first_token: float | None = None
     cancelling: bool = False
     guaranteed: bool = False
+    stalled_s: float = 0.0
+
+    def observed_s(self, now: float) -> float:
+        """Returns the seconds since the grant, without stalls."""
+        return now - self.granted - self.stalled_s
 
 
 class ShedReason(enum.StrEnum):
--- a/martenjunction/decisions/cells/dispatcher.py
+++ b/martenjunction/decisions/cells/dispatcher.py
@@ -178,7 +178,7 @@
         Args:
             request_id: The run.
             seconds: Time from grant to first token, measured by its entry
-                daemon.
+                daemon without its stalls.
             now: The current time.
         """
         run = self._cell.runs.find(request_id)
@@ -207,7 +207,7 @@
             return
         if end.ending is dispatch_types.Ending.COMPLETE:
             self._cell.endpoints.answered(run, now)
-            self._cell.pace.completed(now - run.granted)
+            self._cell.pace.completed(run.observed_s(now))
         if end.ending is dispatch_types.Ending.REFUSED:
             self._cell.endpoints.refused(endpoint.name, end.backoff_s, now)
         if end.answered:
@@ -218,6 +218,18 @@
             reached = end.ending is not dispatch_types.Ending.NOT_REACHED
             self._outliers.fault(endpoint, run.granted, now, reached)
 
+    def note_stall(self, seconds: float) -> None:
+        """Excludes a stall of this process from the durations of all runs.
+
+        Answers that arrive during a stall are read after it, so it would be
+        taken for slowness of the endpoints.
+
+        Args:
+            seconds: Duration of the stall.
+        """
+        for run in self._cell.runs:
+            run.stalled_s += seconds
+
     def forget_entry(self, entry: str, now: float) -> None:
         """Drops all requests of an entry daemon that has failed."""
         for ask in list(self.waiting_requests()):
--- a/martenjunction/decisions/cells/placement.py
+++ b/martenjunction/decisions/cells/placement.py
@@ -282,7 +282,7 @@
         for run in endpoint.runs.values():
             if run.first_token is not None:
                 continue
-            waited = now - run.granted
+            waited = run.observed_s(now)
             due = max(run.predicted_first_token * OVERDUE_RATIO, MIN_OVERDUE_S)
             if waited > due:
                 ratio = waited / max(run.predicted_first_token, 0.01)
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -134,7 +134,11 @@
             self._stop_after_run = reason
 
     def check_stalled(self, now: float) -> None:
-        """Cancels a repeatable run that exceeds its stall timeout."""
+        """Cancels a repeatable run that exceeds its stall timeout.
+
+        Args:
+            now: The current time, from `Timers.stall_adjusted_now`.
+        """
         if self._stream is None or self._sink_blocked:
             return
         if not self._request.repeatable:
@@ -246,9 +250,9 @@
         request = make(endpoint.address)
         if not resume:
             self._progress.record(outcomes.Event.SENT)
-            self._run_started = self._context.clock.now()
+            self._run_started = self._context.clock.stall_adjusted_now()
             self._run_first_token = None
-        self._last_activity_at = self._context.clock.now()
+        self._last_activity_at = self._context.clock.stall_adjusted_now()
         self._stream = self._context.http.open(request)
         try:
             await conversation.relay(
@@ -294,13 +298,14 @@
         return ending
 
     def _on_first_token(self) -> None:
-        now = self._context.clock.now()
+        clock = self._context.clock
+        now = clock.stall_adjusted_now()
         self._last_activity_at = now
         if self._run_first_token is not None:
             return
         self._run_first_token = now - self._run_started
         if self._first_token is None:
-            self._first_token = now - self._request.arrived
+            self._first_token = clock.now() - self._request.arrived
         self._progress.record(outcomes.Event.ANSWERING)
         if self._ticket is not None:
             self._context.broker.first_token(
@@ -310,7 +315,7 @@
     def _finish_run(self, ending: dispatch_types.Ending) -> None:
         if self._ticket is None:
             return
-        duration = self._context.clock.now() - self._run_started
+        duration = self._context.clock.stall_adjusted_now() - self._run_started
         interval = None
         if self._run_first_token is not None and self.conversation.tokens > 1:
             streaming = duration - self._run_first_token
--- a/martenjunction/timers.py
+++ b/martenjunction/timers.py
@@ -106,7 +106,11 @@
         would make all of them appear silent at once.
         """
         now = self.now()
-        return now - self._stalled_s - self._current_stall_s(now)
+        return now - self._total_stall_s(now)
+
+    def total_stall_s(self) -> float:
+        """Returns the seconds by which `stall_adjusted_now` lags behind."""
+        return self._total_stall_s(self.now())
 
     def subscribe(self, name: str, interval: float, tick: Tick) -> Subscription:
         """Calls `tick` every `interval` seconds.
@@ -175,6 +179,10 @@
             await asyncio.sleep(max(self.RESOLUTION, wake - self.now()))
             self.wake()
 
+    def _total_stall_s(self, now: float) -> float:
+        """Returns the duration of all stalls in seconds."""
+        return self._stalled_s + self._current_stall_s(now)
+
     def _current_stall_s(self, now: float) -> float:
         """Returns the duration of the current stall in seconds."""
         return max(0.0, now - self._wake_at - STALL_THRESHOLD_S)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -294,6 +294,24 @@
     assert health.ejections == 2
 
 
+def test_stall_of_this_process_makes_no_run_overdue() -> None:
+    cell = builders.cell(endpoints=2, slots=4)
+    for number in range(8):
+        cell.submit(builders.ask(f"r{number}"), 0.0)
+    cell.step(0.0)
+    for run in list(cell.endpoints["e2"].runs.values()):
+        cell.first_token(run.ask.request_id, 0.05, 0.05)
+    cell.note_stall(3.0)
+    health = cell.endpoints["e1"].health
+    for now in (3.1, 3.3, 3.5):
+        cell.review(now)
+    assert health.state is endpoint_states.EndpointState.ROUTING
+    # Silence after the stall counts.
+    for now in (3.8, 4.0, 4.2):
+        cell.review(now)
+    assert health.state is endpoint_states.EndpointState.EJECTED
+
+
 def test_unreachable_endpoint_is_reinstated_by_a_load_report() -> None:
     cell = builders.cell(endpoints=2, slots=2)
     cell.mark_unreachable("e1", 0.0)
