Let requests wait for the probe of an ejected engine

Cause: a cell whose engines were ejected or in a back-off predicted the rest of the back-off as the delay of a request. All with less patience were shed, and an ejected engine, which gets a probe 2 s after its ejection, got none. Change: where an ejected engine is not in a back-off, the delay is at most the one that a cell without engines in rotation predicts.

--- a/martenjunction/decisions/cells/cell_endpoints.py
+++ b/martenjunction/decisions/cells/cell_endpoints.py
@@ -116,6 +116,14 @@
         ]
         return min(ends, default=0.0)
 
+    def has_ejected(self, now: float) -> bool:
+        """Returns whether any ejected endpoint is not in a back-off."""
+        ejected = endpoint_states.EndpointState.EJECTED
+        return any(
+            endpoint.health.state is ejected and not endpoint.rests(now)
+            for endpoint in self._by_name.values()
+        )
+
     def refresh_all(self, now: float) -> None:
         """Applies time-dependent changes to all endpoints."""
         endpoints = list(self._by_name.values())
--- a/martenjunction/decisions/cells/cell_state.py
+++ b/martenjunction/decisions/cells/cell_state.py
@@ -46,7 +46,12 @@
 
     def predicted_delay(self, tier: int, now: float) -> float:
         """Returns the predicted queueing delay of a new request in seconds."""
+        places = self.endpoints.places
+        delay = self.pace.delay(tier, self.waiting, places, now)
         rest_s = self.endpoints.backoff_left_s(now)
-        if rest_s and not self.endpoints.places.slots:
-            return rest_s
-        return self.pace.delay(tier, self.waiting, self.endpoints.places, now)
+        if not rest_s or places.slots:
+            return delay
+        # An ejected endpoint may be reinstated before a back-off ends, but
+        # only if requests wait for its probe.
+        may_reinstate = self.endpoints.has_ejected(now)
+        return min(rest_s, delay) if may_reinstate else rest_s
--- a/tests/test_cell_rests.py
+++ b/tests/test_cell_rests.py
@@ -8,6 +8,7 @@
 import pytest
 
 from martenjunction import errors
+from martenjunction.decisions import endpoint_states
 from martenjunction.decisions.cells import dispatch_types
 from martenjunction.decisions.cells import dispatcher
 from martenjunction.endpoints import engine_protocol
@@ -84,6 +85,31 @@
     assert cell.submit(builders.ask("third", patience=9.0), 0.1) == []
 
 
+def test_request_waits_for_the_probe_of_an_ejected_endpoint() -> None:
+    # Such requests were shed for the back-off of the other endpoint, so nothing
+    # was sent that could end the ejection.
+    cell = builders.cell(endpoints=2)
+    cell.submit(builders.ask("first"), 0.0)
+    [(_, resting)] = grants(cell, 0.0)
+    refuse(cell, "first", 0.0, 60.0)
+    [ejected] = set(cell.endpoints) - {resting}
+    health = cell.endpoints[ejected].health
+    health.move(endpoint_states.EndpointEvent.OUTLIER, 0.0)
+    cell.review(0.1)
+    assert cell.submit(builders.ask("second", patience=9.0), 0.1) == []
+    probed_at = endpoint_states.INITIAL_PROBE_DELAY_S
+    cell.review(probed_at)
+    assert grants(cell, probed_at) == [("second", ejected)]
+
+
+def test_backoff_that_ends_before_a_probe_is_waited_for() -> None:
+    cell = cell_in_backoff(endpoints=2)
+    health = cell.endpoints["e2"].health
+    health.move(endpoint_states.EndpointEvent.OUTLIER, 0.0)
+    cell.review(0.1)
+    assert cell.predicted_delay(1, 0.1) == pytest.approx(REST_S - 0.1)
+
+
 def test_endpoint_that_refuses_without_a_backoff_is_deprioritized() -> None:
     cell = builders.cell(endpoints=2, slots=4)
     cell.submit(builders.ask("first"), 0.0)
