Count no run of a previous owner as overdue

Cause: a run that a new owner of a cell takes over has no prediction, and the new owner does not know whether its first token has come. From 0.75 s after its grant it counted as overdue, with a ratio of 75 and more, at each review, and three such observations ejected its engine. Change: only runs with a prediction count. Measured: the new test fails without the change; tests/test_dispatcher.py, test_cell_rests.py, test_cell_limits.py, test_cell_hold_ups.py and test_broker.py pass.

--- a/martenjunction/decisions/cells/placement.py
+++ b/martenjunction/decisions/cells/placement.py
@@ -280,12 +280,14 @@
     found = []
     for endpoint in endpoints:
         for run in endpoint.runs.values():
-            if run.first_token is not None:
+            predicted = run.predicted_first_token
+            # A run of a previous owner has no prediction.
+            if run.first_token is not None or predicted <= 0.0:
                 continue
             waited = run.observed_s(now)
-            due = max(run.predicted_first_token * OVERDUE_RATIO, MIN_OVERDUE_S)
+            due = max(predicted * OVERDUE_RATIO, MIN_OVERDUE_S)
             if waited > due:
-                ratio = waited / max(run.predicted_first_token, 0.01)
+                ratio = waited / max(predicted, 0.01)
                 found.append(Overdue(endpoint, ratio, run.granted))
                 break
     return found
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -294,6 +294,19 @@
     assert health.ejections == 2
 
 
+def test_runs_of_a_previous_owner_make_no_endpoint_slow() -> None:
+    # Such a run has no prediction, and its first token may have come. Its
+    # endpoint was ejected a second after each change of owner.
+    cell = builders.cell(endpoints=2, slots=4)
+    for number in range(3):
+        ask = builders.ask(f"r{number}")
+        cell.adopt(dispatch_types.Run(ask, "e1", 0.0))
+    for number in range(1, 30):
+        cell.review(number * 0.2)
+    state = cell.endpoints["e1"].health.state
+    assert state is endpoint_states.EndpointState.ROUTING
+
+
 def test_stall_of_this_process_makes_no_run_overdue() -> None:
     cell = builders.cell(endpoints=2, slots=4)
     for number in range(8):
