Read on for a few refused clients that send in chunks

Cause: nothing was waited for of a refused body of unknown length, as it may have no end. A client that sent such a body for more than 1 s met a reset in place of its answer. Change: a server reads on for eight of them at a time, each up to the size that any body may have, 10 s, or 1 s without a byte. Others, and those that were refused for lack of memory, are dropped as before.

--- a/martenjunction/http1/discarding.py
+++ b/martenjunction/http1/discarding.py
@@ -19,6 +19,7 @@
 MAX_READ_BYTES = 64 * 1024
 
 _ENDED = refused_bodies.Phase.ENDED
+_OPEN = refused_bodies.Phase.OPEN
 
 _DROP = socket.MSG_TRUNC | socket.MSG_DONTWAIT
 
@@ -50,6 +51,11 @@
         with contextlib.suppress(OSError):
             stream.socket.shutdown(socket.SHUT_WR)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether a body of unknown length is read on for."""
+        return self._body.phase is _OPEN
+
     def advance(self, shared: int) -> int:
         """Reads what may be read now.
 
@@ -101,6 +107,8 @@
         """Initializes it without any client."""
         # In the order in which their requests were refused.
         self._drops: dict[Drop, None] = {}
+        # Those with a body of unknown length that is read on for.
+        self._open: set[Drop] = set()
         self._timer: asyncio.TimerHandle | None = None
 
     async def drop(
@@ -116,7 +124,13 @@
             body: Decides how much is read.
         """
         drop = Drop(stream, body)
-        body.note_read(stream.drop_buffered(), time.monotonic())
+        now = time.monotonic()
+        body.note_read(stream.drop_buffered(), now)
+        if body.phase is _OPEN:
+            if len(self._open) < refused_bodies.MAX_OPEN_BODIES:
+                self._open.add(drop)
+            else:
+                body.note_excess(now)
         self._drops[drop] = None
         if self._timer is None:
             self._advance()
@@ -124,11 +138,14 @@
             await drop.ended
         finally:
             del self._drops[drop]
+            self._open.discard(drop)
 
     def _advance(self) -> None:
         shared = refused_bodies.SHARED_READ_BYTES
         for drop in self._drops:
             shared -= drop.advance(shared)
+            if not drop.is_open:
+                self._open.discard(drop)
         self._timer = None
         if self._drops:
             self._timer = asyncio.get_running_loop().call_later(
--- a/martenjunction/http1/request_bodies.py
+++ b/martenjunction/http1/request_bodies.py
@@ -49,16 +49,28 @@
         self._gate = gate
         self._write_event = write_event
         self.unread = False
-        # Where a current body of known length ends, in bytes received.
+        # Where the current body ends at the latest, in bytes received.
         self._end = 0
+        self._is_length_known = True
+        self._lacks_memory = False
+
+    @property
+    def is_length_known(self) -> bool:
+        """Whether the length of the current body is known."""
+        return self._is_length_known
 
     @property
     def rest(self) -> int:
-        """Bytes of the current body that still come if it is not read.
+        """Bytes of the current body that may still come if it is not read.
 
-        None are waited for if its length is not known: it may have no end.
+        If its length is not known, it may have any that is allowed, but none
+        are waited for if there was no memory for it.
         """
-        return max(0, self._end - self._input.received) if self.unread else 0
+        if not self.unread or (
+            self._lacks_memory and not self._is_length_known
+        ):
+            return 0
+        return max(0, self._end - self._input.received)
 
     async def take(
         self, request: messages.Request, length: int | None, max_bytes: int
@@ -72,7 +84,9 @@
         """
         size = max_bytes if length is None else length
         begins = self._input.received - len(self._input.unparsed)
-        self._end = begins + (length or 0)
+        self._end = begins + size
+        self._is_length_known = length is not None
+        self._lacks_memory = False
         if length is not None and self._leaves_unread(request, length):
             return b""
         if length is None and self._gate.refuses(request):
@@ -115,7 +129,7 @@
             return
         reservation = await self._gate.reserve(request, size)
         request.reserved += reservation.size
-        request.discarded = not reservation.keeps_body
+        request.discarded = self._lacks_memory = not reservation.keeps_body
 
     async def _read_body(
         self,
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -276,7 +276,9 @@
         # The parser holds what was read and not parsed.
         self._input.parser = h11.Connection(h11.SERVER)
         now = time.monotonic()
-        self._dropped = refused_bodies.RefusedBody(self._bodies.rest, now)
+        self._dropped = refused_bodies.RefusedBody(
+            self._bodies.rest, now, self._bodies.is_length_known
+        )
         if self._shutting_down:
             self._dropped.shorten(read_timers.SHUTDOWN_READ_TIMEOUT_S, now)
         await self._discarder.drop(self._stream, self._dropped)
