--- a/martenjunction/timers.py
+++ b/martenjunction/timers.py
@@ -110,7 +110,11 @@
         would make all of them appear silent at once.
         """
         now = self.now()
-        return now - self._stalled_s - self._current_stall_s(now)
+        return now - self._total_stall_s(now)
+
+    def total_stall_s(self) -> float:
+        """Returns the seconds by which `stall_adjusted_now` lags behind."""
+        return self._total_stall_s(self.now())
 
     async def wait_first(
         self, futures: Collection[_F], until: float
@@ -204,6 +208,10 @@
             await asyncio.sleep(max(self.RESOLUTION, wake - self.now()))
             self.wake()
 
+    def _total_stall_s(self, now: float) -> float:
+        """Returns the duration of all stalls in seconds."""
+        return self._stalled_s + self._current_stall_s(now)
+
     def _current_stall_s(self, now: float) -> float:
         """Returns the duration of the current stall in seconds."""
         return max(0.0, now - self._wake_at - STALL_THRESHOLD_S)
