Leave no version out that was listed while a box was out of step

Cause: a review that had not seen the work showed that streams could still be joined: a box that lost the others reads the list anew within 2 s, and a version that had come and gone by then was never seen; looks are samples, so one between two of them was not seen either. Fresh reads moved the time up to which a list counts as known, which hid gaps. A box that leaves stood for a live one that nobody asked, and a question counted twice after 1,024 others. And conclusions were lost: with a small link, which confirms its list every 2.9 s; in fleets of 87 and more, whose reads waited longer than they may; after a read that hung. Change: a version counts as soon as it is listed, by whatever is applied. A box that lists anew reads the changes since the revision that it knew, and a fresh read does so as well; if the store does not have them any more, that is a gap. A fresh read is no look, has to be as new as what this box knew, and does not count while an entry cannot be decoded that was written since, or while entries may lack. Reads are paced by their calls, and a read that hangs delays the next by 0.3 s.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -163,7 +163,7 @@
             own_records.store_entry(settings, own),
             self.log,
             self._rng,
-            self.endpoint_list.age,
+            self.endpoint_list,
             settings.link_bytes_s,
             dead_entries.DeadEntries(
                 self.store,
@@ -296,6 +296,7 @@
             self.store,
             self.store_cache,
             self.endpoint_list,
+            self.freshness,
             self.members,
             self.timers,
             self.log,
--- a/martenjunction/decisions/boxes/entry_table.py
+++ b/martenjunction/decisions/boxes/entry_table.py
@@ -44,6 +44,8 @@
         # draft of when it was copied.
         self._changes = 0
         self._drafted_at = 0
+        self._versions: set[tuple[str, str]] = set()
+        self._has_gap = False
 
     @property
     def contact(self) -> store_contact.StoreContact:
@@ -90,6 +92,25 @@
         """Ids of the endpoints whose entries are missing for the moment."""
         return [i for i, listed in self._listed.items() if listed.lapsed]
 
+    def note_version(self, endpoint: model.Endpoint) -> None:
+        """Records that an endpoint was listed, however briefly."""
+        self._versions.add((endpoint.service, endpoint.version))
+
+    def note_gap(self) -> None:
+        """Records that entries may have come and gone unseen until now."""
+        self._has_gap = True
+
+    def take_gap(self) -> bool:
+        """Returns whether there was a gap since the last call."""
+        taken, self._has_gap = self._has_gap, False
+        return taken
+
+    def take_versions(self) -> set[tuple[str, str]]:
+        """Returns services and versions listed since the last call."""
+        taken = set(self._versions)
+        self._versions.clear()
+        return taken
+
     def is_new_era(self, revision: revisions.Revision) -> bool:
         """Returns whether the store was restored before a later revision."""
         return self.has_listing and revision.era > self._revision.era
@@ -150,6 +171,7 @@
         made._ended = self._ended.copy()
         made._restored = self._restored.copy()
         made._unchecked = self._unchecked.copy()
+        made._versions = set(self._versions)
         made._drafted_at = self._changes
         return made
 
@@ -177,6 +199,7 @@
         self._unchecked = draft._unchecked
         self._revision = draft._revision
         self._digest = draft._digest
+        self._versions |= draft._versions
         return True
 
     def mark_leaving(self, endpoint_id: str) -> bool:
@@ -272,6 +295,7 @@
         ):
             self._digest = None
         self._listed[endpoint.id] = Listed(endpoint, revision, state)
+        self.note_version(endpoint)
         self._current_ids[endpoint.entry] = endpoint.id
 
     def _remove(
--- a/martenjunction/decisions/boxes/fleet_evidence.py
+++ b/martenjunction/decisions/boxes/fleet_evidence.py
@@ -8,19 +8,18 @@
 from collections.abc import Iterable
 import dataclasses
 
-from martenjunction import model
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FreshList:
-    """What the store held at some time after `asked_at`.
+    """What the store held at some time after `asked_at`, and since then.
 
     Attributes:
-        endpoints: All endpoints whose entries can be decoded.
+        versions: Services and versions of all endpoints that are listed, or
+            were since the revision that the box knew before.
         asked_at: Time on the steady clock before which all changes are in.
     """
 
-    endpoints: tuple[model.Endpoint, ...]
+    versions: frozenset[tuple[str, str]]
     asked_at: float
 
 
@@ -51,6 +50,15 @@
 COUNTED = Heard(0)
 
 
+def without_sender(heard: Heard) -> Heard:
+    """Returns what a box has heard without the box itself.
+
+    A box that is not among the live ones, as it leaves, must not stand for one
+    that is.
+    """
+    return Heard(max(0, heard.boxes - 1), heard.has_gap)
+
+
 def combine(own: Heard, answered: Iterable[Heard], asked: int) -> Heard:
     """Returns who was heard by a box and those that it asked.
 
--- a/martenjunction/decisions/boxes/served_versions.py
+++ b/martenjunction/decisions/boxes/served_versions.py
@@ -15,9 +15,11 @@
 # requests, so that no time limit of a request bounds this.
 STREAM_LIFETIME_S = 3600.0
 
-# Maximum time in seconds between the times up to which two looks at the list
-# know all changes. After a longer gap, versions may have come and gone unseen.
+# Maximum time in seconds between two looks at the list, and between the times
+# up to which two looks know all changes. After a longer gap, versions may have
+# come and gone unseen. A box with a small link confirms its list every 3 s.
 MAX_GAP_S = 2.0
+MAX_UNKNOWN_S = 4.0
 
 # Maximum time in seconds from the first start of a fleet to the first look, for
 # no stream to have begun before.
@@ -80,9 +82,11 @@
         has_gap = False
         if last_look_at is None:
             self._watched_since = watch_begin(self._first_start_at, now)
-        elif as_of - known_until > MAX_GAP_S:
-            self._watched_since = now
-            self._settled.clear()
+        elif (
+            now - last_look_at > MAX_GAP_S
+            or as_of - known_until > MAX_UNKNOWN_S
+        ):
+            self.note_gap(now)
             has_gap = True
         for endpoint in endpoints:
             self.note(endpoint.service, endpoint.version, now)
@@ -94,6 +98,11 @@
                 del self._last_seen_at[service]
         return has_gap
 
+    def note_gap(self, now: float) -> None:
+        """Records that versions may have come and gone unseen until now."""
+        self._watched_since = now
+        self._settled.clear()
+
     def note(self, service: str, version: str, now: float) -> None:
         """Records that a version of a service may begin streams now."""
         self._last_seen_at.setdefault(service, {})[version] = now
--- a/martenjunction/decisions/boxes/stream_conclusions.py
+++ b/martenjunction/decisions/boxes/stream_conclusions.py
@@ -53,6 +53,21 @@
         if self._versions.look(endpoints, now, as_of):
             self._routes.note_gap(now)
 
+    def note_gap(self, now: float) -> None:
+        """Takes in that versions may have come and gone unseen until now."""
+        self._versions.note_gap(now)
+        self._routes.note_gap(now)
+
+    def note_listed(
+        self, versions: Iterable[tuple[str, str]], now: float
+    ) -> None:
+        """Takes in services and versions that are or were listed.
+
+        Unlike a look, that shows nothing of the time since the last one.
+        """
+        for service, version in versions:
+            self._versions.note(service, version, now)
+
     def note(self, origin: stream_table.StreamOrigin, now: float) -> None:
         """Takes in that a stream began."""
         self._versions.note(origin.service, origin.version, now)
--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -9,7 +9,7 @@
 from martenjunction import errors
 from martenjunction import fair_turns
 from martenjunction import revisions
-from martenjunction.decisions.boxes import list_age
+from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import store_readers
 from martenjunction.peers import membership
 from martenjunction.platform import documents
@@ -18,6 +18,7 @@
 from martenjunction.routing.store import box_entries
 from martenjunction.routing.store import dead_entries
 from martenjunction.routing.store import listing_turns
+from martenjunction.routing.store import missed_changes
 from martenjunction.routing.store import own_entry
 from martenjunction.routing.store import store_cache
 
@@ -63,7 +64,7 @@
         own: documents.BoxEntry,
         log: decision_log.DecisionLog,
         rng: random.Random,
-        age: list_age.ListAge,
+        listed: endpoint_list.EndpointList,
         link_bytes_s: float,
         dead: dead_entries.DeadEntries,
         first_start: bool = False,
@@ -77,7 +78,7 @@
             own: This box's entry.
             log: Records failed calls and changes of the reader role.
             rng: Random source for jitter.
-            age: Receives the age of the list of endpoints.
+            listed: The endpoints; receives their age.
             link_bytes_s: Bandwidth of this box's link in bytes per second.
             dead: Removes the entries of boxes that are gone.
             first_start: Whether the whole fleet starts for the first time.
@@ -96,7 +97,8 @@
         )
         self._log = log
         self._rng = rng
-        self._list_age = age
+        self._listed_endpoints = listed
+        self._list_age = listed.age
         self._follow_task: asyncio.Task[None] | None = None
         self._read_task: asyncio.Task[None] | None = None
         self._watch_tasks: list[asyncio.Task[None]] = []
@@ -294,6 +296,7 @@
 
     async def _watch_endpoints(self) -> None:
         asked_at = time.monotonic()
+        known = self._listed_endpoints.revision
         listing = await self._client.list(documents.ENDPOINT_KIND)
         await self._cache.apply_listing(
             [(o.name, o.revision, o.spec) for o in listing.objects],
@@ -301,6 +304,9 @@
             "store",
             listing.unnamed,
         )
+        await missed_changes.note(
+            self._client, self._listed_endpoints, known, self._log
+        )
         self._list_age.confirm(asked_at)
         self._list_age.begin_watch(time.monotonic())
         try:
--- a/martenjunction/routing/store/fresh_reading.py
+++ b/martenjunction/routing/store/fresh_reading.py
@@ -10,6 +10,7 @@
 from martenjunction import errors
 from martenjunction import revisions
 from martenjunction import timers
+from martenjunction.decisions.boxes import config_freshness
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import fleet_evidence
 from martenjunction.peers import membership
@@ -17,14 +18,30 @@
 from martenjunction.platform import store
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.store import listing_turns
+from martenjunction.routing.store import missed_changes
 from martenjunction.routing.store import store_cache
 
-# Seconds for which a decision waits.
-LIMIT_S = 0.5
+# Seconds for which a decision waits, and after which a read that gets no answer
+# holds up no later one. The configuration alone may take 0.6 s over a link of
+# 5 Mbit/s.
+LIMIT_S = 1.0
+HANG_S = 0.3
 
-# Reads a second by all boxes together, of two calls each. The store takes 2,000
-# calls a second.
-READS_PER_S = 100
+# Calls a second for reads by all boxes together: half of what the store takes.
+CALLS_PER_S = 1000
+
+# Calls of a read besides those of the list, which has a call for each page.
+OTHER_CALLS = 2
+
+
+def interval_s(boxes: int, calls: int) -> float:
+    """Returns the minimum seconds between two reads of one box.
+
+    Args:
+        boxes: Number of live boxes, which may all read.
+        calls: Calls that a read takes.
+    """
+    return boxes * calls / CALLS_PER_S
 
 
 class FreshReading:
@@ -35,6 +52,7 @@
         client: store.StoreClient,
         cache: store_cache.StoreCache,
         listed: endpoint_list.EndpointList,
+        freshness: config_freshness.ConfigFreshness,
         members: membership.Membership,
         clock: timers.Timers,
         log: decision_log.DecisionLog,
@@ -45,6 +63,7 @@
             client: The store's client.
             cache: Receives the configuration.
             listed: The endpoints that this box knows.
+            freshness: Tells whether the configuration was the newest.
             members: The boxes of the fleet.
             clock: Provides the time.
             log: Records reads that failed.
@@ -52,24 +71,30 @@
         self._client = client
         self._cache = cache
         self._listed = listed
+        self._freshness = freshness
         self._members = members
         self._timers = clock
         self._log = log
         self._began_at = -math.inf
-        self._running: asyncio.Task[fleet_evidence.FreshList | None] | None = (
-            None
-        )
+        self._calls = OTHER_CALLS + 1
+        self._last: asyncio.Task[fleet_evidence.FreshList | None] | None = None
         self._next: asyncio.Task[fleet_evidence.FreshList | None] | None = None
+        self._tasks: set[asyncio.Task[fleet_evidence.FreshList | None]] = set()
+        self._is_stopped = False
 
     async def read(self) -> fleet_evidence.FreshList | None:
         """Returns what the store holds now, by a read that begins after now.
 
         Returns:
-            None if the store does not answer in time, or if it may lack entries
-            of live endpoints for the moment.
+            None if the store does not answer in time, or if its answer may lack
+            a version that this box does not know.
         """
+        if self._is_stopped:
+            return None
         if self._next is None:
             self._next = asyncio.get_running_loop().create_task(self._begin())
+            self._tasks.add(self._next)
+            self._next.add_done_callback(self._tasks.discard)
         try:
             async with asyncio.timeout(LIMIT_S):
                 return await asyncio.shield(self._next)
@@ -78,20 +103,20 @@
 
     async def stop(self) -> None:
         """Ends all reads."""
-        tasks = [t for t in (self._running, self._next) if t is not None]
-        for task in tasks:
+        self._is_stopped = True
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _begin(self) -> fleet_evidence.FreshList | None:
         """Reads once the read before has ended and the interval has passed."""
-        if self._running is not None:
-            await asyncio.wait([self._running])
-        interval_s = len(self._members.live_snapshot()) / READS_PER_S
-        due_at = self._began_at + interval_s
+        if self._last is not None:
+            await asyncio.wait([self._last], timeout=HANG_S)
+        boxes = len(self._members.live_snapshot())
+        due_at = self._began_at + interval_s(boxes, self._calls)
         await asyncio.sleep(max(0.0, due_at - self._timers.now()))
         # From here on, decisions need the next read.
-        self._running, self._next = self._next, None
+        self._last, self._next = self._next, None
         self._began_at = self._timers.now()
         try:
             return await self._read(self._began_at)
@@ -100,23 +125,45 @@
             return None
 
     async def _read(self, asked_at: float) -> fleet_evidence.FreshList | None:
-        listing, found = await asyncio.gather(
+        known = self._listed.revision
+        lists_before = self._client.calls.get("list", 0)
+        # The changes show versions that were listed since then and are gone.
+        listing, missed, config = await asyncio.gather(
             self._client.list(documents.ENDPOINT_KIND),
+            missed_changes.read(self._client, known),
             self._client.get(documents.CONFIG_KIND, documents.CONFIG_NAME),
         )
-        if found is None:
+        lists = self._client.calls.get("list", 0) - lists_before
+        self._calls = OTHER_CALLS + lists
+        if config is None or self._may_lack_entries(known, listing.revision):
+            return None
+        self._cache.apply_config(config.spec, asked_at, "store")
+        confirmed_at = self._freshness.confirmed_at
+        if confirmed_at is None or confirmed_at < asked_at:
             return None
-        self._cache.apply_config(found.spec, asked_at, "store")
         decoded = await listing_turns.decode(
             [(o.name, o.revision, o.spec) for o in listing.objects]
         )
-        if self._may_lack_entries(listing.revision):
+        unreadable = [*decoded.unreadable, *missed.unreadable]
+        if any(row[1] > known for row, _ in unreadable):
+            # Another version may have written it than the one known before.
             return None
-        endpoints = tuple(endpoint for endpoint, _ in decoded.entries)
-        return fleet_evidence.FreshList(endpoints, asked_at)
-
-    def _may_lack_entries(self, revision: revisions.Revision) -> bool:
-        """Returns whether live endpoints may still have to write theirs."""
-        return self._listed.in_grace(
-            self._timers.now()
-        ) or self._listed.is_new_era(revision)
+        entries = [*decoded.entries, *missed.entries]
+        versions = frozenset((e.service, e.version) for e, _ in entries)
+        return fleet_evidence.FreshList(versions, asked_at)
+
+    def _may_lack_entries(
+        self, known: revisions.Revision, listed: revisions.Revision
+    ) -> bool:
+        """Returns whether live endpoints may have no entry for the moment.
+
+        Args:
+            known: The revision that this box knew before the read.
+            listed: The revision of the list.
+        """
+        return (
+            listed < known
+            or listed.era != known.era
+            or self._listed.contact.is_lost
+            or self._listed.in_grace(self._timers.now())
+        )
--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -254,7 +254,7 @@
         if fresh is None:
             return None
         now = self._timers.now()
-        self._conclusions.look(fresh.endpoints, now, fresh.asked_at)
+        self._conclusions.note_listed(fresh.versions, now)
         return stream_table.combine(
             [finding, self._find_locally(key, host, path)]
         )
@@ -360,6 +360,9 @@
 
         Looks at an old list would hide that versions come and go meanwhile.
         """
+        self._conclusions.note_listed(self._listed.take_versions(), now)
+        if self._listed.take_gap():
+            self._conclusions.note_gap(now)
         age_s = self._list_age_s()
         if age_s is None or age_s > MAX_LIST_AGE_S:
             return False
--- a/martenjunction/routing/streams/queries.py
+++ b/martenjunction/routing/streams/queries.py
@@ -19,10 +19,14 @@
 ANSWER_TIMEOUT_S = 0.25
 HOP_S = 0.04
 
-# Maximum number of times that a question is passed on, and questions that are
-# remembered so that each box passes one on, and counts, once.
+# Maximum number of times that a question is passed on.
 MAX_HOPS = 5
-MAX_REMEMBERED = 1024
+
+# Seconds for which a question is remembered, so that each box passes it on, and
+# counts, once, and the maximum number of them. Beyond it, a question is not
+# passed on, and this box does not count, so that the asking box knows of a gap.
+REMEMBER_S = 2.0
+MAX_REMEMBERED = 16384
 
 # Size of the first number of a question.
 NUMBER_BITS = 32
@@ -92,7 +96,7 @@
         # A box that starts again must not repeat numbers that others remember.
         self._last_number = random.Random().getrandbits(NUMBER_BITS)
         self._questions: dict[_QuestionId, _Question] = {}
-        self._received: collections.OrderedDict[_QuestionId, None] = (
+        self._received: collections.OrderedDict[_QuestionId, float] = (
             collections.OrderedDict()
         )
         self._tasks: set[asyncio.Task[None]] = set()
@@ -193,9 +197,15 @@
         question_id = (ask.box, ask.number)
         if ask.box == self._members.own.box or question_id in self._received:
             return False
-        self._received[question_id] = None
-        if len(self._received) > MAX_REMEMBERED:
-            self._received.popitem(last=False)
+        now = self._timers.stall_adjusted_now()
+        while self._received:
+            oldest = next(iter(self._received.items()))
+            if now - oldest[1] <= REMEMBER_S:
+                break
+            del self._received[oldest[0]]
+        if len(self._received) >= MAX_REMEMBERED:
+            return False
+        self._received[question_id] = now
         return True
 
     def _passes_on(self, ask: messages.AskStreamOrigin) -> bool:
@@ -238,9 +248,10 @@
         if box in question.awaited:
             question.awaited.discard(box)
             question.findings.append(finding)
-            question.heard.append(
-                fleet_evidence.Heard(max(0, answer.heard), answer.has_gap)
-            )
+            heard = fleet_evidence.Heard(max(0, answer.heard), answer.has_gap)
+            if not any(m.box == box for m in self._members.live_members()):
+                heard = fleet_evidence.without_sender(heard)
+            question.heard.append(heard)
         if (finding.recorded or not question.awaited) and (
             not question.done.done()
         ):
--- a/tests/test_fresh_reading.py
+++ b/tests/test_fresh_reading.py
@@ -52,7 +52,7 @@
     joined = await fleet.add_replica(builders.ENGINE)
     fleet.record(joined, builders.ENGINE, version="v2")
     second = await read(box)
-    assert {one.version for one in second.endpoints} == {"v1", "v2"}
+    assert {version for _, version in second.versions} == {"v1", "v2"}
     await first
 
 
--- a/tests/test_incomplete_watches.py
+++ b/tests/test_incomplete_watches.py
@@ -45,6 +45,8 @@
         listed: Any = types.SimpleNamespace(
             has_listing=True,
             changes=1,
+            take_versions=set,
+            take_gap=lambda: False,
             entries={"e": types.SimpleNamespace(endpoint=endpoint)},
         )
         hub: Any = types.SimpleNamespace(
@@ -57,7 +59,10 @@
         members: Any = types.SimpleNamespace(
             own=own,
             is_full_mesh=full_mesh,
-            live_members=lambda: [own, *peers],
+            live_members=lambda: [
+                own,
+                *(types.SimpleNamespace(box=name) for name in peers),
+            ],
         )
         clock: Any = types.SimpleNamespace(
             now=lambda: self.now,
@@ -81,7 +86,9 @@
     async def fresh_list(self) -> fleet_evidence.FreshList | None:
         if self.stored is None:
             return None
-        return fleet_evidence.FreshList(tuple(self.stored), self.now)
+        return fleet_evidence.FreshList(
+            frozenset((e.service, e.version) for e in self.stored), self.now
+        )
 
     def run(self, until: float) -> None:
         while self.now < until:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -140,7 +140,9 @@
         )
         members: Any = types.SimpleNamespace(
             own=types.SimpleNamespace(box=box),
-            live_members=lambda: self.boxes,
+            live_members=lambda: [
+                types.SimpleNamespace(box=name) for name in self.boxes
+            ],
             is_full_mesh=False,
         )
         made = queries.OriginQueries(
