--- a/tests/test_out_of_step_review.py
+++ b/tests/test_out_of_step_review.py
@@ -277,6 +277,17 @@
     assert sum(counted) == 1
 
 
+async def test_box_that_passes_a_question_on_tells_of_its_gap() -> None:
+    """The asking box hears of a box that another one asked in vain."""
+    box = Asked(["asker", "silent"], live=4)
+    box.on[messages.AskStreamOrigin]("asker", ask(1))
+    while len(box.sent) < 2:
+        await asyncio.sleep(0.01)
+    [(to, further), (back, answer)] = box.sent
+    assert (to, further.hops) == ("silent", 2)
+    assert (back, answer.heard, answer.has_gap) == ("asker", 1, True)
+
+
 async def test_box_that_leaves_does_not_stand_for_a_live_one() -> None:
     """Boxes that leave answer still, and do not count as live."""
     # Live are this box, "a" and one without a link; "leaving" is not live.
