--- a/tests/test_incomplete_watches.py
+++ b/tests/test_incomplete_watches.py
@@ -208,8 +208,8 @@
 def test_looks_at_a_list_that_gets_older_hide_no_gap() -> None:
     box = Box()
     box.run(60.0)
-    # No change reaches the box for 4.4 s. Its list counts as current until it is
-    # 2.6 s old, and the looks are 2 s apart.
+    # No change reaches the box for 4.4 s. Its list counts as current for the
+    # first 2.6 s, and the looks are 2 s apart.
     for age_s in (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 0.1):
         box.age_s = age_s
         box.run(box.now + 0.5)
