--- a/martenjunction/routing/streams/origins.py
+++ b/martenjunction/routing/streams/origins.py
@@ -207,15 +207,15 @@
             live = len(self._members.live_members())
             finding = answers.finding
             # A box that does not answer may know of another version.
-            is_final = answers.heard.covers(live)
-            if finding.basis is Basis.SINGLE and is_final:
-                listed = await self._confirm(key, host, path, finding)
-                is_final = listed is not None
-                finding = listed or finding
+            is_certain = answers.heard.covers(live)
+            if finding.basis is Basis.SINGLE and is_certain:
+                confirmed = await self._confirm(key, host, path, finding)
+                is_certain = confirmed is not None
+                finding = confirmed or finding
             is_known = finding.recorded or (
-                is_final and finding.basis is Basis.SINGLE
+                is_certain and finding.basis is Basis.SINGLE
             )
-            is_final = is_final and not self._is_starting()
+            is_final = is_certain and not self._is_starting()
         if not is_known:
             self.request_restore()
         origin = finding.origin if is_known else None
