Let clients of two trials wait after a refusal by one rule

Cause: trials of boxes out of step wrote the rule of lost streams again. Change: one function and its constants in stream_clients; nothing else changes.

--- a/martenjunction_lab/out_of_step/fleet.py
+++ b/martenjunction_lab/out_of_step/fleet.py
@@ -24,14 +24,6 @@
 EVENTS = 20
 EVENT_PAUSE_S = 0.02
 
-# Seconds before its deadline from which on a client does not try again, and to
-# the next attempt after a refusal without a time.
-MIN_LEFT_S = 0.2
-REFUSED_PAUSE_S = 0.05
-
-# The part of the time left for which clients wait at most as they are told.
-MAX_WAIT_SHARE = 1 / 3
-
 
 class OutOfStepFleet(
     trial_fleet.TrialFleet[versioned_engines.VersionedReplica]
@@ -155,7 +147,9 @@
         prompt = f"{self._streams:x}:500"
         held = stream_clients.ClientStream(EVENTS)
         ends_at = time.monotonic() + self.trial.deadline_s
-        while (left_s := ends_at - time.monotonic()) > MIN_LEFT_S:
+        while (
+            left_s := ends_at - time.monotonic()
+        ) > stream_clients.MIN_LEFT_S:
             pause_s = await self._attempt(held, left_s, prompt)
             if held.complete:
                 break
@@ -180,8 +174,7 @@
             counts.refused += answer.is_refusal
         if not answer.is_refusal:
             return self.draw.uniform(*self.trial.pause_s)
-        told_s = answer.retry_after_s or REFUSED_PAUSE_S
-        return min(told_s, left_s * MAX_WAIT_SHARE)
+        return stream_clients.refused_pause_s(answer, left_s)
 
     async def _send(
         self,
--- a/martenjunction_lab/stream_clients.py
+++ b/martenjunction_lab/stream_clients.py
@@ -12,6 +12,14 @@
 # Seconds that a new connection is given to come up.
 CONNECT_LIMIT_S = 1.0
 
+# Seconds before its deadline from which on a client does not try again, and to
+# the next attempt after a refusal without a time.
+MIN_LEFT_S = 0.2
+REFUSED_PAUSE_S = 0.05
+
+# The part of the time left for which clients wait at most as they are told.
+MAX_WAIT_SHARE = 1 / 3
+
 
 class ClientStream:
     """What a client has of one stream.
@@ -79,6 +87,17 @@
         return self.status is not None and self.status != 200
 
 
+def refused_pause_s(answer: Answer, left_s: float) -> float:
+    """Returns seconds to the next attempt after a refusal.
+
+    Args:
+        answer: The refusal.
+        left_s: Seconds that the client gives the stream.
+    """
+    told_s = answer.retry_after_s or REFUSED_PAUSE_S
+    return min(told_s, left_s * MAX_WAIT_SHARE)
+
+
 def headers(
     request_id: str,
     held: ClientStream,
--- a/martenjunction_lab/stream_losses/fleet.py
+++ b/martenjunction_lab/stream_losses/fleet.py
@@ -27,17 +27,9 @@
 # operator's change to the kill of the boxes.
 CHANGE_LEAD_S = (0.05, 0.5)
 
-# Seconds to the next attempt after a refusal without a time, and after a broken
-# stream.
-REFUSED_PAUSE_S = 0.05
+# Seconds to the next attempt after a broken stream.
 BROKEN_PAUSE_S = 0.05
 
-# The part of the time left for which clients wait at most as they are told.
-MAX_WAIT_SHARE = 1 / 3
-
-# Seconds before its deadline from which on a client does not try again.
-MIN_LEFT_S = 0.2
-
 # Statuses after which clients do not try again.
 FINAL_STATUSES = frozenset({400, 401, 404, 413, 431})
 
@@ -221,7 +213,9 @@
         stream = self._streams
         held = stream_clients.ClientStream(self.trial.events)
         ends_at = time.monotonic() + self.trial.deadline_s
-        while (left_s := ends_at - time.monotonic()) > MIN_LEFT_S:
+        while (
+            left_s := ends_at - time.monotonic()
+        ) > stream_clients.MIN_LEFT_S:
             pause_s = await self._attempt(stream, held, left_s)
             if held.complete or pause_s is None:
                 break
@@ -270,8 +264,7 @@
             self.outcome.refused[f"{answer.status} {answer.refusal}"] += 1
         if answer.status in FINAL_STATUSES:
             return None
-        told_s = answer.retry_after_s or REFUSED_PAUSE_S
-        return min(told_s, left_s * MAX_WAIT_SHARE)
+        return stream_clients.refused_pause_s(answer, left_s)
 
     def _is_after_loss(self, held: stream_clients.ClientStream) -> bool:
         """Returns whether a loss came since a stream's first event."""
