Account for every request that was read, and end none without a word

Callers saw: a connection that was closed under a request, by an error, at the limit of a stop or as the client ended its sending side, closed without a byte.

Cause: nothing compared the requests that were read with those that ended, and several paths close a client's stream, tornado itself among them. The test of clients that end only their sending side asked for no byte; it asks for the 502 now, and for the cancelled run and the line as before.

--- a/martenjunction/box_gauges.py
+++ b/martenjunction/box_gauges.py
@@ -2,17 +2,18 @@
 
 from martenjunction import box_parts
 from martenjunction import fair_turns
+from martenjunction.http1 import server
 
 
 def metrics_text(
-    box: box_parts.BoxParts, held: int, caller_connections: int
+    box: box_parts.BoxParts, held: int, callers: server.Server
 ) -> bytes:
     """Returns all metrics of a box in text format.
 
     Args:
         box: The parts of the box.
         held: Requests in flight.
-        caller_connections: Open connections of callers.
+        callers: The server for callers.
     """
     # Imported on first use because it takes 2 MB of memory, which matters
     # on a small box.
@@ -60,7 +61,8 @@
             "loop_delay_s": box.timers.worst_delay,
             "turn_waits": float(turns.waits),
             "turn_longest_wait_s": turns.longest_wait_s,
-            "caller_connections": float(caller_connections),
+            "caller_connections": float(callers.connections),
+            **callers.ledger.gauges(),
             **box.archive.gauges(),
             **box.connection_log.gauges(),
             **box.bodies.gauges(),
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -297,9 +297,7 @@
     # Callbacks for the components.
 
     def _metrics_text(self) -> bytes:
-        return box_gauges.metrics_text(
-            self, len(self.held), self._callers.connections
-        )
+        return box_gauges.metrics_text(self, len(self.held), self._callers)
 
     def _limits(self) -> messages.ClientLimits:
         config = self.admitter.config
--- a/martenjunction/http1/close_reports.py
+++ b/martenjunction/http1/close_reports.py
@@ -7,6 +7,7 @@
 from martenjunction.decisions import rest_times
 from martenjunction.http1 import messages
 from martenjunction.http1 import peer_ends
+from martenjunction.http1 import request_ledger
 
 
 class CloseReason(enum.StrEnum):
@@ -48,6 +49,8 @@
         rest_time: For how long it may rest, and what its client was told, by
             the limits at its last response, or at its acceptance if there was
             none.
+        end: How its last request ended, or None if it had none.
+        events: Its last events, with the seconds that have passed since.
     """
 
     server: str
@@ -63,6 +66,8 @@
     peer_end: peer_ends.PeerEnd = peer_ends.PeerEnd.OPEN
     unanswered: messages.Request | None = None
     rest_time: rest_times.RestTime = rest_times.untold(0.0)
+    end: request_ledger.End | None = None
+    events: tuple[tuple[float, str], ...] = ()
 
 
 OnClosed = Callable[[ClosedConnection], None]
--- a/martenjunction/http1/server.py
+++ b/martenjunction/http1/server.py
@@ -23,6 +23,7 @@
 from martenjunction.http1 import messages
 from martenjunction.http1 import peer_ends
 from martenjunction.http1 import request_errors
+from martenjunction.http1 import request_ledger
 from martenjunction.http1 import server_connection
 from martenjunction.http1 import streams
 from martenjunction.http1 import watched_streams
@@ -80,6 +81,7 @@
         self._share = share or connection_share.ConnectionShare(sys.maxsize)
         self._on_share = on_share
         self._discarder = discarding.Discarder()
+        self._ledger = request_ledger.RequestLedger()
         # Ordered by the time at which they last began to rest.
         self._connections: dict[server_connection.ServerConnection, None] = {}
         self._finishing = False
@@ -90,6 +92,11 @@
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def ledger(self) -> request_ledger.RequestLedger:
+        """The account of all requests whose head was read."""
+        return self._ledger
+
     def listen_on(self, address: str) -> None:
         """Starts to listen.
 
@@ -135,6 +142,7 @@
             self._current_limits,
             self._gate,
             self._discarder,
+            self._ledger,
         )
         # Registered before its task first runs, so that a shutdown sees it.
         self._connections[connection] = None
--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -14,6 +14,7 @@
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import connection_state
 from martenjunction.http1 import discarding
+from martenjunction.http1 import final_responses
 from martenjunction.http1 import framing
 from martenjunction.http1 import messages
 from martenjunction.http1 import peer_ends
@@ -21,6 +22,7 @@
 from martenjunction.http1 import request_bodies
 from martenjunction.http1 import request_errors
 from martenjunction.http1 import request_input
+from martenjunction.http1 import request_ledger
 from martenjunction.http1 import response_writer
 from martenjunction.http1 import resting
 from martenjunction.http1 import streams
@@ -46,6 +48,7 @@
 LOOK_INTERVAL_S = rest_times.SERVER_MARGIN_S / 2
 
 _OPEN = peer_ends.PeerEnd.OPEN
+_End = request_ledger.End
 _State = connection_state.State
 _Event = connection_state.Event
 
@@ -65,6 +68,7 @@
         limits: Callable[[], messages.ClientLimits],
         gate: body_gate.BodyGate,
         discarder: discarding.Discarder,
+        ledger: request_ledger.RequestLedger,
     ) -> None:
         """Initializes the connection over an accepted stream.
 
@@ -73,8 +77,13 @@
             limits: Returns the current limits for clients.
             gate: Grants the memory of request bodies.
             discarder: Drops what is sent after the last response.
+            ledger: Accounts for the requests.
         """
         self._stream = stream
+        self._ledger = ledger
+        # The current request in the ledger; None before its head is read.
+        self._entry: request_ledger.LedgerEntry | None = None
+        self._events = request_ledger.ConnectionEvents()
         self._discarder = discarder
         # What is dropped after the last response.
         self._dropped: refused_bodies.RefusedBody | None = None
@@ -98,6 +107,8 @@
         # When the head began that is not complete yet.
         self._head_since: float | None = None
         self._peer = streams.peer_address(stream)
+        # Whoever closes the stream, a request that was read gets a response.
+        stream.before_close = self._end_request
         self._report: close_reports.ClosedConnection | None = None
 
     @property
@@ -145,7 +156,12 @@
         closing = self._report or self._build_report(
             close_reports.CloseReason.CLIENT
         )
-        return dataclasses.replace(closing, server=server)
+        return dataclasses.replace(
+            closing,
+            server=server,
+            end=None if self._entry is None else self._entry.end,
+            events=self._events.timeline(),
+        )
 
     async def read_request(self) -> messages.Request | None:
         """Waits for a request and reads it completely.
@@ -165,6 +181,8 @@
         head = await self._read_head()
         if head is None:
             return None
+        self._entry = self._ledger.begin()
+        self._events.note("head-read")
         request = messages.Request(
             bytes(head.method),
             bytes(head.target),
@@ -255,6 +273,7 @@
         ):
             return False
         self._input.parser.start_next_cycle()
+        self._entry = None
         streams.limit_unread(self._stream, False)
         self._transition(_Event.REQUEST_ENDED)
         self._rest.begin()
@@ -363,10 +382,14 @@
             reason: Reason for the report; the first call determines it.
         """
         self._timer.cancel()
+        if self._state is not _State.CLOSED:
+            self._events.note(f"close:{reason}")
         if self._report is None and not self._stream.closed():
             self._report = self._build_report(reason)
         self._transition(_Event.CLOSED)
         self._source.abort()
+        # One whose head was parsed after the stream had closed.
+        self._end_request()
 
     async def _read_head(self) -> h11.Request | None:
         if self._state is _State.READING:
@@ -396,6 +419,7 @@
             except errors.ConnectionLostError:
                 return None
             if data and self._state is _State.RESTING:
+                self._events.note("bytes-came")
                 self._transition(_Event.BYTES_CAME)
                 self._start_head()
             self._input.parser.receive_data(data)
@@ -411,6 +435,7 @@
     ) -> None:
         closes = close or self._shutting_down or self._bodies.unread
         self._output.send_head(status, headers, closes)
+        self._events.note("head-sent")
 
     def _on_timeout(
         self, reason: close_reports.CloseReason, final: bool
@@ -456,7 +481,28 @@
         if self.closed:
             raise request_errors.RequestNotTakenError(request)
         self._transition(_Event.REQUEST_TAKEN)
+        self._events.note("taken")
         self._unanswered = request
+        if self._entry is not None:
+            self._entry.taken = True
+
+    def _end_request(self) -> None:
+        """Ends the current request as its connection is closed."""
+        entry = self._entry
+        if entry is None:
+            # Of a request whose head is not parsed yet.
+            if self._state is _State.READING or self._source.has_pending_result:
+                self._stream.send_last(final_responses.NOT_RUN)
+            return
+        if entry.end is not None:
+            return
+        started = self._output.started
+        was_told = not started and self._stream.send_last(
+            final_responses.RESPONSES[entry.taken]
+        )
+        entry.finish(
+            entry.end_at_close(self._source.peer_end, started, was_told)
+        )
 
     def _close_if_idle(self) -> bool:
         """Closes an idle connection; returns whether it is closed.
@@ -476,6 +522,10 @@
 
     def _record_response(self) -> None:
         self._response_count += 1
+        if self._entry is not None:
+            taken = self._entry.taken
+            self._entry.finish(_End.ANSWERED if taken else _End.REFUSED)
+        self._events.note("answered")
         self._unanswered = None
         self._rest.begin()
 
--- a/martenjunction/http1/watched_streams.py
+++ b/martenjunction/http1/watched_streams.py
@@ -14,6 +14,8 @@
 
 from tornado import iostream
 
+from martenjunction import closing_streams
+
 # Milliseconds without any acknowledgement after which a peer to which something
 # was sent counts as unreachable. By then it was sent five times.
 SILENCE_MS = 3800
@@ -53,7 +55,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, longest_ms)
 
 
-class WatchedStream(iostream.IOStream):
+class WatchedStream(closing_streams.ClosingStream):
     """A stream that closes once its peer is unreachable.
 
     Only data that waits for its acknowledgement is watched; keep-alive probes
--- a/martenjunction/routing/log/closing_log.py
+++ b/martenjunction/routing/log/closing_log.py
@@ -3,6 +3,7 @@
 from martenjunction import metrics
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import messages
+from martenjunction.http1 import request_ledger
 from martenjunction.platform import headers
 from martenjunction.routing.log import decision_log
 
@@ -47,7 +48,12 @@
             return
         if closed.unanswered is not None:
             fields["request"] = _id(closed.unanswered)
+        if closed.end is not None:
+            fields["end"] = closed.end.value
         self._log.write("connection-closed", **fields)
+        if closed.end in request_ledger.UNEXPECTED:
+            events = [[round(ago, 4), name] for ago, name in closed.events]
+            self._log.write("request-without-answer", events=events, **fields)
 
 
 def _id(request: messages.Request) -> str:
--- a/martenjunction_lab/fuzz/families/http_requests.py
+++ b/martenjunction_lab/fuzz/families/http_requests.py
@@ -17,6 +17,7 @@
 from martenjunction.http1 import discarding
 from martenjunction.http1 import messages
 from martenjunction.http1 import request_errors
+from martenjunction.http1 import request_ledger
 from martenjunction.http1 import server_connection
 from martenjunction_lab.fuzz import http_messages
 from martenjunction_lab.fuzz import pieces
@@ -114,6 +115,7 @@
         lambda: _LIMITS,
         body_gate.OpenGate(),
         discarding.Discarder(),
+        request_ledger.RequestLedger(),
     )
     taken: list[Taken] = []
     refused = 0
--- a/tests/recording_handlers.py
+++ b/tests/recording_handlers.py
@@ -1,10 +1,12 @@
-"""A handler for tests of servers that records what it is given."""
+"""Handlers and logs for tests of servers that record what they are given."""
 
 import asyncio
+from typing import Any
 
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import messages
 from martenjunction.http1 import server_connection
+from martenjunction.routing.log import decision_log
 from tests import keep_alive_connections
 
 
@@ -32,3 +34,17 @@
                 await asyncio.sleep(0.01)
         [closed] = self.closed
         return closed
+
+
+class Lines(decision_log.DecisionLog):
+    """Keeps the lines."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda: 0.0)
+        self.written: list[tuple[str, dict[str, Any]]] = []
+
+    def write(self, kind: str, **fields: Any) -> None:
+        self.written.append((kind, fields))
+
+    def of(self, kind: str) -> list[dict[str, Any]]:
+        return [fields for name, fields in self.written if name == kind]
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -16,11 +16,11 @@
 from martenjunction import metrics
 from martenjunction.http1 import peer_ends
 from martenjunction.routing.log import closing_log
-from martenjunction.routing.log import decision_log
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests
 from tests import raw_peers
+from tests import recording_handlers
 from tests import request_changes
 from tests import whole_answers
 
@@ -55,28 +55,14 @@
 End = Callable[[socket.socket], None]
 
 
-class Lines(decision_log.DecisionLog):
-    """Keeps the lines."""
-
-    def __init__(self) -> None:
-        super().__init__(lambda: 0.0)
-        self.written: list[tuple[str, dict[str, Any]]] = []
-
-    def write(self, kind: str, **fields: Any) -> None:
-        self.written.append((kind, fields))
-
-    def of(self, kind: str) -> list[dict[str, Any]]:
-        return [fields for name, fields in self.written if name == kind]
-
-
 async def hanging_request(
     fleet: boxes.Boxes, kind: str = "safe"
-) -> tuple[whole_answers.Client, Lines]:
+) -> tuple[whole_answers.Client, recording_handlers.Lines]:
     """Has a request hang at an endpoint; returns its client and the lines."""
     [endpoint, _] = await gateway_requests.two_plain(fleet)
     for stand_in in fleet.replicas:
         stand_in.always(replica.Behaviour.HANG)
-    box, log = fleet.gateways[0], Lines()
+    box, log = fleet.gateways[0], recording_handlers.Lines()
     box._callers._on_closed = closing_log.ClosingLog(log, metrics.Metrics())
     client = whole_answers.Client(fleet.addresses[0])
     await client.open()
@@ -85,7 +71,7 @@
     return client, log
 
 
-async def closed_line(log: Lines) -> dict[str, Any]:
+async def closed_line(log: recording_handlers.Lines) -> dict[str, Any]:
     await boxes.until(lambda: bool(log.of("connection-closed")))
     [line] = log.of("connection-closed")
     return line
@@ -109,15 +95,17 @@
     fleet: boxes.Boxes, kind: str
 ) -> None:
     # A FIN alone does not tell whether the client still reads; its run is
-    # cancelled in time for the case that it does not.
+    # cancelled in time for the case that it does not, and it is told for the
+    # case that it does.
     client, log = await hanging_request(fleet, kind)
     half_close(client.socket)
     async with asyncio.timeout(CANCELLED_S):
         while not any(made.cancelled for made in fleet.replicas):
             await asyncio.sleep(0.01)
     answer = await client.receive()
-    assert (answer.status, answer.body, answer.whole) == (0, b"", False)
-    assert (await closed_line(log))["client_end"] == "fin"
+    assert (answer.status, answer.body, answer.whole) == (502, b"", True)
+    line = await closed_line(log)
+    assert (line["client_end"], line["end"]) == ("fin", "client-gone")
     assert gateway_requests.arrivals(fleet.replicas) == 1
     client.close()
 
@@ -179,7 +167,7 @@
     # Its answer is held by the kernel, so that no request is under way.
     site = request_changes.Site()
     await site.start()
-    log = Lines()
+    log = recording_handlers.Lines()
     site.box._callers._on_closed = closing_log.ClosingLog(
         log, metrics.Metrics()
     )
