Respond to callers of the product's own daemon as their connection is closed

Cause: the same as at boxes: the end of what a caller sends, or the limit of a stop, closed a connection under its request without a byte. Change: the same hook; 502 with the outcome unknown, or 503 with not-run while the body is read. Measured: the new test fails with the hook left out; three broken builds, each noticed.

--- a/martenjunction/fair_streams.py
+++ b/martenjunction/fair_streams.py
@@ -8,21 +8,26 @@
 from tornado import httputil
 from tornado import iostream
 
+from martenjunction import closing_streams
 from martenjunction import errors
 from martenjunction import fair_turns
 from martenjunction.http1 import framing
 from martenjunction.http1 import streams
 
 
-class FairStream(iostream.IOStream):
+class FairStream(closing_streams.ClosingStream):
     """A server's stream that waits for its turn once its budget is spent.
 
     tornado's own pauses let each connection go on in each iteration of the
     event loop, and its limit of a body's size does not count the framing. A
     read of a body whose framing outweighs its data raises `HTTPInputError`,
     which tornado answers with 400.
+
+    Attributes:
+        has_written: Whether anything was written since this was last unset.
     """
 
+    has_written = False
     _turns: fair_turns.TurnBudget
     _body: framing.ChunkedBody
     _on_excess: Callable[[], None]
@@ -56,6 +61,11 @@
         """
         return self._turns.waiting or self._turns.spent_lately
 
+    def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
+        """Writes data; see `IOStream.write`."""
+        self.has_written = True
+        return super().write(data)
+
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
     ) -> Awaitable[bytes]:
--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 import enum
 import functools
+import http
 from typing import Any
 from typing import cast
 
@@ -171,6 +172,7 @@
         self._used = False
         self._head_timeout_set = False
         self._timer: asyncio.TimerHandle | None = None
+        stream.before_close = self._send_final
         self.enter(Stage.HEAD)
 
     @property
@@ -191,6 +193,8 @@
     def enter(self, stage: Stage) -> None:
         """Enters a stage and starts its timeout."""
         self._stage = stage
+        if stage is Stage.HEAD:
+            self._stream.has_written = False
         self._head_timeout_set = False
         self._used = self._used or stage is not Stage.HEAD
         self._set_timer(self._timeouts[stage])
@@ -252,6 +256,15 @@
         else:
             self._reject()
 
+    def _send_final(self) -> None:
+        """Responds to a request whose connection is closed without an answer.
+
+        Called for each close, such as that at the end of what a caller sends.
+        """
+        response = _FINAL_RESPONSES.get(self._stage)
+        if response is not None and not self._stream.has_written:
+            self._stream.send_last(response)
+
     def _reject(self) -> None:
         """Rejects a request that was not received in full, so it never ran."""
         if not self._stream.writing():
@@ -367,8 +380,27 @@
     Stage.BODY: close_reports.CloseReason.SLOW_BODY,
 }
 
-_TIMEOUT_RESPONSE = (
-    "HTTP/1.1 408 Request Timeout\r\n"
-    f"{http_headers.OUTCOME}: {outcomes.Outcome.NOT_RUN}\r\n"
-    "Content-Length: 0\r\nConnection: close\r\n\r\n"
-).encode()
+
+def _empty_response(
+    status: http.HTTPStatus, outcome: outcomes.Outcome
+) -> bytes:
+    return (
+        f"HTTP/1.1 {status.value} {status.phrase}\r\n"
+        f"{http_headers.OUTCOME}: {outcome}\r\n"
+        "Content-Length: 0\r\nConnection: close\r\n\r\n"
+    ).encode()
+
+
+_TIMEOUT_RESPONSE = _empty_response(
+    http.HTTPStatus.REQUEST_TIMEOUT, outcomes.Outcome.NOT_RUN
+)
+
+# By the stage in which a connection is closed without any other response.
+_FINAL_RESPONSES = {
+    Stage.BODY: _empty_response(
+        http.HTTPStatus.SERVICE_UNAVAILABLE, outcomes.Outcome.NOT_RUN
+    ),
+    Stage.ANSWER: _empty_response(
+        http.HTTPStatus.BAD_GATEWAY, outcomes.Outcome.UNKNOWN
+    ),
+}
--- a/tests/caller_builders.py
+++ b/tests/caller_builders.py
@@ -89,6 +89,9 @@
     def disconnect(self) -> None:
         self._socket.close()
 
+    def end_sending(self) -> None:
+        self._socket.shutdown(socket.SHUT_WR)
+
     async def _receive(self) -> bool:
         loop = asyncio.get_running_loop()
         try:
--- a/tests/test_callers_leave.py
+++ b/tests/test_callers_leave.py
@@ -17,6 +17,7 @@
 from martenjunction import mailbox
 from martenjunction.cells import broker
 from martenjunction.cells import messages
+from martenjunction.decisions import outcomes
 from martenjunction_lab import bench
 from martenjunction_lab import plain
 from tests import caller_builders as builders
@@ -105,6 +106,22 @@
     assert service.runs == {"first": 1}
 
 
+async def test_caller_that_ends_its_sending_side_is_told(
+    fleet: bench.Bench,
+) -> None:
+    (service,) = fleet.outside.plains.values()
+    service.faults = plain.PlainFaults(delay_s=builders.SHORT_TIMEOUT_S)
+    (caller,) = await builders.connect_callers(fleet, 1)
+    caller.send(builders.request(builders.PLAIN_CALL, b"lot"))
+    async with asyncio.timeout(builders.WAIT_TIMEOUT_S):
+        while not service.running:
+            await asyncio.sleep(0.01)
+    caller.end_sending()
+    head = await caller.read_head()
+    assert head.startswith("HTTP/1.1 502 ")
+    assert f": {outcomes.Outcome.UNKNOWN}" in head
+
+
 async def test_request_disconnected_when_its_slot_is_granted_is_not_run(
     fleet: bench.Bench, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tools/broken_box_builds.py
+++ b/tools/broken_box_builds.py
@@ -343,4 +343,25 @@
             "        else:\n            asyncio",
         ),
     ),
+    BrokenBuild(
+        "a client's connection closes without a last response",
+        "martenjunction/http1/server_connection.py",
+        "was_told = not started and self._stream.send_last(",
+        "was_told = False and self._stream.send_last(",
+        "tests/test_request_ledger.py::test_close_of_all_connections_tells_each_client",
+    ),
+    BrokenBuild(
+        "the end of what a client sends closes unseen",
+        "martenjunction/closing_streams.py",
+        "if self.before_close is not None:",
+        "if False:",
+        "tests/test_client_ends.py::test_client_that_ends_its_sending_side_has_left",
+    ),
+    BrokenBuild(
+        "a caller's connection closes without a last response",
+        "martenjunction/http_server.py",
+        "if response is not None and not self._stream.has_written:",
+        "if False:",
+        "tests/test_callers_leave.py::test_caller_that_ends_its_sending_side_is_told",
+    ),
 )
