--- a/tests/test_dark_clients.py
+++ b/tests/test_dark_clients.py
@@ -17,6 +17,7 @@
 from martenjunction.routing.log import closing_log
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
+from tests import recording_handlers
 from tests import request_changes
 from tests import test_client_ends
 from tests import whole_answers
@@ -77,7 +78,7 @@
         stand_in.event_pause_s = EVENT_PAUSE_S
         if path == "/unsafe/a":
             hold_requests(stand_in)
-    log = test_client_ends.Lines()
+    log = recording_handlers.Lines()
     site.box._callers._on_closed = closing_log.ClosingLog(
         log, metrics.Metrics()
     )
