Keep the record of a client's connection in a class of its own

Cause: the state machine of the connection had grown by the ledger. Change: what it has carried, its report and the end of its request stand in connection_record; a head that is not complete at a close gets 503 too, unless it was refused before.

--- a/martenjunction/http1/server_connection.py
+++ b/martenjunction/http1/server_connection.py
@@ -12,9 +12,9 @@
 from martenjunction.decisions.boxes import refused_bodies
 from martenjunction.http1 import body_gate
 from martenjunction.http1 import close_reports
+from martenjunction.http1 import connection_record
 from martenjunction.http1 import connection_state
 from martenjunction.http1 import discarding
-from martenjunction.http1 import final_responses
 from martenjunction.http1 import framing
 from martenjunction.http1 import messages
 from martenjunction.http1 import peer_ends
@@ -48,7 +48,6 @@
 LOOK_INTERVAL_S = rest_times.SERVER_MARGIN_S / 2
 
 _OPEN = peer_ends.PeerEnd.OPEN
-_End = request_ledger.End
 _State = connection_state.State
 _Event = connection_state.Event
 
@@ -80,10 +79,6 @@
             ledger: Accounts for the requests.
         """
         self._stream = stream
-        self._ledger = ledger
-        # The current request in the ledger; None before its head is read.
-        self._entry: request_ledger.LedgerEntry | None = None
-        self._events = request_ledger.ConnectionEvents()
         self._discarder = discarder
         # What is dropped after the last response.
         self._dropped: refused_bodies.RefusedBody | None = None
@@ -102,14 +97,13 @@
         )
         self._state = _State.RESTING
         self._shutting_down = False
-        self._unanswered: messages.Request | None = None
-        self._response_count = 0
         # When the head began that is not complete yet.
         self._head_since: float | None = None
-        self._peer = streams.peer_address(stream)
+        self._record = connection_record.ConnectionRecord(
+            stream, self._source, self._input, self._output, self._rest, ledger
+        )
         # Whoever closes the stream, a request that was read gets a response.
         stream.before_close = self._end_request
-        self._report: close_reports.ClosedConnection | None = None
 
     @property
     def answering(self) -> bool:
@@ -124,7 +118,7 @@
     @property
     def unanswered(self) -> bool:
         """Whether an accepted request has no complete response yet."""
-        return self._unanswered is not None
+        return self._record.unanswered is not None
 
     @property
     def closed(self) -> bool:
@@ -143,7 +137,7 @@
     @property
     def _first_request_s(self) -> float:
         """Seconds within which the first request is likely to arrive."""
-        if self._response_count:
+        if self._record.response_count:
             return 0.0
         return FIRST_REQUEST_GRACE_S - self._rest.rested_s
 
@@ -153,15 +147,7 @@
         Args:
             server: Name of the server that accepted it.
         """
-        closing = self._report or self._build_report(
-            close_reports.CloseReason.CLIENT
-        )
-        return dataclasses.replace(
-            closing,
-            server=server,
-            end=None if self._entry is None else self._entry.end,
-            events=self._events.timeline(),
-        )
+        return self._record.closing(server)
 
     async def read_request(self) -> messages.Request | None:
         """Waits for a request and reads it completely.
@@ -181,8 +167,7 @@
         head = await self._read_head()
         if head is None:
             return None
-        self._entry = self._ledger.begin()
-        self._events.note("head-read")
+        self._record.begin_request()
         request = messages.Request(
             bytes(head.method),
             bytes(head.target),
@@ -273,7 +258,7 @@
         ):
             return False
         self._input.parser.start_next_cycle()
-        self._entry = None
+        self._record.prepare_next_request()
         streams.limit_unread(self._stream, False)
         self._transition(_Event.REQUEST_ENDED)
         self._rest.begin()
@@ -291,7 +276,7 @@
         self._timer.cancel()
         if self.closed:
             return
-        report = self._build_report(reason)
+        report = self._record.build_report(reason)
         # The parser holds what was read and not parsed.
         self._input.parser = h11.Connection(h11.SERVER)
         now = time.monotonic()
@@ -302,8 +287,8 @@
             self._dropped.shorten(read_timers.SHUTDOWN_READ_TIMEOUT_S, now)
         await self._discarder.drop(self._stream, self._dropped)
         self._input.received += self._dropped.dropped
-        if self._report is None:
-            self._report = dataclasses.replace(
+        if self._record.report is None:
+            self._record.report = dataclasses.replace(
                 report, received=self._input.received
             )
 
@@ -331,7 +316,7 @@
         """
         if self.closed or self._state is not _State.RESTING:
             return False
-        if self._response_count and self._rest.rested_s < kept_rest_s:
+        if self._record.response_count and self._rest.rested_s < kept_rest_s:
             return False
         if self._source.bytes_waiting:
             return False
@@ -349,7 +334,7 @@
         """
         if self.closed or self._head_since is None or self._output.started:
             return False
-        if self._response_count:
+        if self._record.response_count:
             # The client may still read the response before.
             return False
         if time.monotonic() - self._head_since < least_s:
@@ -382,14 +367,11 @@
             reason: Reason for the report; the first call determines it.
         """
         self._timer.cancel()
-        if self._state is not _State.CLOSED:
-            self._events.note(f"close:{reason}")
-        if self._report is None and not self._stream.closed():
-            self._report = self._build_report(reason)
-        self._transition(_Event.CLOSED)
+        self._record.begin_close(reason, self._state)
         self._source.abort()
         # One whose head was parsed after the stream had closed.
         self._end_request()
+        self._transition(_Event.CLOSED)
 
     async def _read_head(self) -> h11.Request | None:
         if self._state is _State.READING:
@@ -419,7 +401,7 @@
             except errors.ConnectionLostError:
                 return None
             if data and self._state is _State.RESTING:
-                self._events.note("bytes-came")
+                self._record.note("bytes-came")
                 self._transition(_Event.BYTES_CAME)
                 self._start_head()
             self._input.parser.receive_data(data)
@@ -435,7 +417,7 @@
     ) -> None:
         closes = close or self._shutting_down or self._bodies.unread
         self._output.send_head(status, headers, closes)
-        self._events.note("head-sent")
+        self._record.note("head-sent")
 
     def _on_timeout(
         self, reason: close_reports.CloseReason, final: bool
@@ -481,28 +463,10 @@
         if self.closed:
             raise request_errors.RequestNotTakenError(request)
         self._transition(_Event.REQUEST_TAKEN)
-        self._events.note("taken")
-        self._unanswered = request
-        if self._entry is not None:
-            self._entry.taken = True
+        self._record.take_request(request)
 
     def _end_request(self) -> None:
-        """Ends the current request as its connection is closed."""
-        entry = self._entry
-        if entry is None:
-            # Of a request whose head is not parsed yet.
-            if self._state is _State.READING or self._source.has_pending_result:
-                self._stream.send_last(final_responses.NOT_RUN)
-            return
-        if entry.end is not None:
-            return
-        started = self._output.started
-        was_told = not started and self._stream.send_last(
-            final_responses.RESPONSES[entry.taken]
-        )
-        entry.finish(
-            entry.end_at_close(self._source.peer_end, started, was_told)
-        )
+        self._record.end_request(self._state)
 
     def _close_if_idle(self) -> bool:
         """Closes an idle connection; returns whether it is closed.
@@ -521,30 +485,5 @@
         self._state = connection_state.next_state(self._state, event)
 
     def _record_response(self) -> None:
-        self._response_count += 1
-        if self._entry is not None:
-            taken = self._entry.taken
-            self._entry.finish(_End.ANSWERED if taken else _End.REFUSED)
-        self._events.note("answered")
-        self._unanswered = None
+        self._record.record_response()
         self._rest.begin()
-
-    def _build_report(
-        self, reason: close_reports.CloseReason
-    ) -> close_reports.ClosedConnection:
-        # Asked first: it may find the error.
-        peer_end = self._source.peer_end
-        return close_reports.ClosedConnection(
-            "",
-            reason,
-            self._peer,
-            self._rest.rested_s,
-            self._response_count,
-            self.unanswered,
-            self._source.bytes_waiting,
-            self._input.received,
-            "" if self._source.error is None else repr(self._source.error),
-            peer_end=peer_end,
-            unanswered=self._unanswered,
-            rest_time=self._rest.time,
-        )
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -177,7 +177,7 @@
     assert (await client.receive()).whole
     [connection] = site.box._callers._connections
     await client.send("r1", "/safe/a", b"x" * UNREAD_BYTES)
-    await boxes.until(lambda: connection._response_count == 2)
+    await boxes.until(lambda: connection._record.response_count == 2)
     connection._stream.socket.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, GIVE_UP_MS
     )
--- a/tests/test_request_ledger.py
+++ b/tests/test_request_ledger.py
@@ -150,6 +150,33 @@
     assert served.ends == {End.ANSWERED: 1, End.UNREAD: 1}
 
 
+async def test_head_that_is_not_complete_is_refused_at_the_close(
+    served: Served,
+) -> None:
+    connection = await kept(served)
+    connection.send(HALF_POST[:9])
+    await asyncio.sleep(0.05)
+    served.listening.close_all()
+    assert (await connection.answer()).startswith(b"HTTP/1.1 503 ")
+    assert served.ends == {End.ANSWERED: 1}
+
+
+async def test_resting_connection_is_closed_without_a_response(
+    served: Served,
+) -> None:
+    connection = await kept(served)
+    served.listening.close_all()
+    assert await connection.ended()
+
+
+async def test_malformed_head_is_refused_once(served: Served) -> None:
+    connection = await kept(served)
+    connection.send(b"GET / HTTP/1.1\r\nno field\r\n\r\n")
+    assert (await connection.answer()).startswith(b"HTTP/1.1 400 ")
+    assert await connection.ended()
+    assert served.ends == {End.ANSWERED: 1}
+
+
 async def test_malformed_body_is_refused_once(served: Served) -> None:
     connection = await kept(served)
     connection.send(
--- a/tools/broken_box_builds.py
+++ b/tools/broken_box_builds.py
@@ -345,7 +345,7 @@
     ),
     BrokenBuild(
         "a client's connection closes without a last response",
-        "martenjunction/http1/server_connection.py",
+        "martenjunction/http1/connection_record.py",
         "was_told = not started and self._stream.send_last(",
         "was_told = False and self._stream.send_last(",
         "tests/test_request_ledger.py::test_close_of_all_connections_tells_each_client",
