Have soaks fail on connections that are closed under their requests

Cause: a request that met a closed connection counts as one that got 502 since it gets a final response, which three trials take.

--- a/martenjunction_lab/box_processes.py
+++ b/martenjunction_lab/box_processes.py
@@ -21,6 +21,10 @@
 READY_LIMIT_S = 30.0
 END_LIMIT_S = 60.0
 
+# Kind of the line on a request that the box ended without a response of its
+# handler.
+_UNANSWERED = "request-without-answer"
+
 
 @dataclasses.dataclass
 class Box:
@@ -68,6 +72,13 @@
         text = await self.output
         return [json.loads(line) for line in text.splitlines()]
 
+    async def unanswered(self) -> list[dict[str, object]]:
+        """Returns the lines on connections closed under their requests.
+
+        Waits until the process has exited.
+        """
+        return [line for line in await self.log() if tells_unanswered(line)]
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal unless the process has exited.
 
@@ -98,6 +109,11 @@
         os.close(self.pidfd)
 
 
+def tells_unanswered(line: dict[str, Any]) -> bool:
+    """Returns whether a line tells of a connection closed under a request."""
+    return bool(line["message_type"] == _UNANSWERED)
+
+
 async def start(
     folder: pathlib.Path,
     settings: box_settings.BoxSettings,
--- a/martenjunction_lab/fast_senders/soak.py
+++ b/martenjunction_lab/fast_senders/soak.py
@@ -16,6 +16,7 @@
 
 import psutil
 
+from martenjunction_lab import box_processes
 from martenjunction_lab import boxes
 from martenjunction_lab import kept_clients
 from martenjunction_lab import kept_tallies
@@ -58,12 +59,14 @@
         ended: Boxes whose process ended by itself.
         given_up: Ids of requests, all of which may be repeated, whose run a box
             gave up by its log.
+        unanswered: Ids of requests whose connection a box closed under them.
     """
 
     tally: kept_tallies.Tally
     memory: int
     ended: list[str]
     given_up: frozenset[str]
+    unanswered: frozenset[str]
 
     @property
     def faults(self) -> set[str]:
@@ -77,6 +80,7 @@
             *found.broken,
             *found.false_promises,
             *(set(found.doubled) - self.given_up),
+            *self.unanswered,
         }
 
 
@@ -196,17 +200,20 @@
             kept_tallies.tally(records, self._fleet.replicas),
             self._memory,
             ended,
-            await self._given_up(),
+            await self._ids_told("id", _is_given_up),
+            await self._ids_told("request", box_processes.tells_unanswered),
         )
 
-    async def _given_up(self) -> frozenset[str]:
-        """Returns the ids of requests whose run a box gave up by its log."""
+    async def _ids_told(
+        self, field: str, is_told: Callable[[dict[str, Any]], bool]
+    ) -> frozenset[str]:
+        """Returns the ids of requests that lines of the boxes' logs tell of."""
         logs = [await box.log() for box in self._boxes]
         return frozenset(
-            str(line["id"])
+            str(line[field])
             for log in logs
             for line in log
-            if "id" in line and _is_given_up(line)
+            if field in line and is_told(line)
         )
 
     def _draw(self) -> list[Awaitable[None]]:
--- a/tests/kept_deployment.py
+++ b/tests/kept_deployment.py
@@ -80,6 +80,8 @@
             *(set(found.doubled) - await self._repeated(records)),
         }
         assert not faults, f"{found}: {await self._log_lines(faults)}"
+        for box in self.boxes:
+            assert box.running or not await box.unanswered()
 
     async def _repeated(self, records: list[kept_clients.Record]) -> set[str]:
         """Returns the repeatable ids whose run a stopped box gave up."""
--- a/tests/test_told_rests_process.py
+++ b/tests/test_told_rests_process.py
@@ -22,15 +22,19 @@
 async def test_requests_beside_changes_of_the_idle_time_are_answered(
     tmp_path: pathlib.Path, seed: int
 ) -> None:
-    found = await told_rests.Play(seed, tmp_path).run()
+    play = told_rests.Play(seed, tmp_path)
+    found = await play.run()
     assert found.answered
     assert not found.untaken and not found.lost, str(found)
+    assert not play.unanswered
 
 
 async def test_suspended_and_restarted_boxes_lose_nothing(
     tmp_path: pathlib.Path,
 ) -> None:
-    found = await told_rests.Play(3, tmp_path).run(troubles=True)
+    play = told_rests.Play(3, tmp_path)
+    found = await play.run(troubles=True)
     assert found.answered
     assert not found.lost and not found.broken, str(found)
     assert not found.doubled and not found.false_promises, str(found)
+    assert not play.unanswered
--- a/tests/told_rests.py
+++ b/tests/told_rests.py
@@ -108,7 +108,12 @@
 
 
 class Play:
-    """Boxes as processes behind delayed links, and their clients."""
+    """Boxes as processes behind delayed links, and their clients.
+
+    Attributes:
+        fleet: The endpoints and the store.
+        unanswered: Lines on connections closed under their requests.
+    """
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
         self.fleet = boxes.Boxes()
@@ -118,6 +123,7 @@
         self._running: list[box_processes.Box] = []
         self._links: list[delayed_links.DelayedLink] = []
         self._clients: list[Client] = []
+        self.unanswered: list[dict[str, object]] = []
 
     @property
     def refused(self) -> int:
@@ -200,6 +206,7 @@
             await link.stop()
         for box in self._running:
             await box.discard()
+            self.unanswered += await box.unanswered()
         await self.fleet.stop()
 
 
@@ -208,7 +215,11 @@
         with tempfile.TemporaryDirectory() as folder:
             play = Play(seed, pathlib.Path(folder))
             found = await play.run(troubles=True)
-        print(f"seed {seed}: {found}, not accepted {play.refused}", flush=True)
+        print(
+            f"seed {seed}: {found}, not accepted {play.refused},"
+            f" without an answer {len(play.unanswered)}",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
