Cut the links of a trial of refusals in simulated time

Cause: the trial waits 0.05 s before it cuts the links, while requests wait 0.1 s at their endpoints; beside load 24 the pause was so long that they were answered (one failure in a whole run). Change: the trial runs in simulated time; checks and bounds are the same.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -373,6 +373,7 @@
         assert not box.quarantine.dump()
 
 
+@pytest.mark.simulated_time
 async def test_refusals_of_all_endpoints_are_no_crashes_under_requests(
     linked: LinkedFleet,
 ) -> None:
