--- a/martenjunction_lab/fuzz/families/http_requests.py
+++ b/martenjunction_lab/fuzz/families/http_requests.py
@@ -58,6 +58,10 @@
         """Takes all."""
         return _done(None)
 
+    def send_last(self, data: bytes) -> bool:
+        """Takes all, as the stream is closed."""
+        return True
+
     def closed(self) -> bool:
         """Returns whether it was closed by the server."""
         return self._closed
