Leave out a peer's odd message and take the rest of its frame

Cause: a message of a peer that could not be decoded, or that its handler could not take, ended its whole batch and its link.

Change: an odd message is left out, counted by kind (peer_messages_odd), logged once a minute for each kind and box, and the rest of the frame is taken. Where a message is no sound CBOR, the ends of the items are found without decoding them. A batch whose ends are not known, or with data behind its last item beside an odd message, ends its link as before. Frames whose messages are all left out are acknowledged, as their sender counts them.

--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -96,6 +96,9 @@
             self._heartbeat,
             settings.listen_peers or settings.peers,
             settings.seeds,
+            on_odd=lambda kind: self.metrics.count(
+                "peer_messages_odd", kind=kind
+            ),
         )
         self._rankings = rankings.Rankings(
             settings,
--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -189,6 +189,9 @@
             stamps=stamps,
             seeds_after_s=SEEDS_AFTER_S if settings.first_start else 0.0,
             key_source=own_records.peer_key_source(settings),
+            on_odd=lambda kind: self.metrics.count(
+                "peer_messages_odd", kind=kind
+            ),
         )
         self.member_changes = member_changes.MemberChanges(
             self.members, self.peers
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -82,6 +82,10 @@
     """A peer violated the protocol between daemons."""
 
 
+class TooManyOddMessagesError(PeerError):
+    """A peer sends too many messages that cannot be read."""
+
+
 class PeerMismatchError(PeerError):
     """A peer has other settings, so that the two cannot connect.
 
--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -1,5 +1,6 @@
 """Encodes typed messages in CBOR as a list of the tag and the fields."""
 
+from collections.abc import Callable
 import dataclasses
 from typing import Any
 from typing import TypeVar
@@ -10,6 +11,8 @@
 from martenjunction import decoding
 from martenjunction import errors
 from martenjunction import registry
+from martenjunction.peers import cbor_items
+from martenjunction.peers import odd_rows
 
 T = TypeVar("T")
 
@@ -22,13 +25,25 @@
 # Maximum size of a received message in bytes.
 MAX_MESSAGE = 4 * 1024 * 1024
 
+# The kind of messages whose type is not known.
+UNKNOWN = "unknown"
+
+# Called with the kind of a message that is left out, or rows of it, and why.
+OnOdd = Callable[[str, str], None]
+
 message_types: registry.Registry[type[Any]] = registry.Registry("message")
 _tags: dict[type[Any], str] = {}
 _urgent: set[str] = set()
 _replacing: set[str] = set()
+_rows: dict[str, tuple[odd_rows.Columns, ...]] = {}
 
 
-def message(tag: str, urgent: bool = False, replaces: bool = False) -> Any:
+def message(
+    tag: str,
+    urgent: bool = False,
+    replaces: bool = False,
+    rows: tuple[odd_rows.Columns, ...] = (),
+) -> Any:
     """Returns a decorator that registers a data class as a message type.
 
     Args:
@@ -36,6 +51,8 @@
         urgent: Whether the message is sent before other queued messages.
         replaces: Whether the message replaces a queued message of the same
             type. Its method `after` then returns the merged message.
+        rows: The fields that have an item for each row, for each kind of rows
+            of which one can be left out alone.
     """
 
     def decorate(cls: type[T]) -> type[T]:
@@ -45,6 +62,7 @@
             _urgent.add(tag)
         if replaces:
             _replacing.add(tag)
+        _rows[tag] = rows
         return cls
 
     return decorate
@@ -78,28 +96,90 @@
     return b"".join((head, *(message.data for message in messages)))
 
 
+# A batch without messages.
+EMPTY_BATCH = join([])
+
+
 def encode_batch(values: list[Any]) -> bytes:
     """Returns the CBOR encoding of a batch of messages."""
     return join([Encoded(value) for value in values])
 
 
-def decode_batch(data: bytes) -> list[Any]:
+def tag_of(value: Any) -> str:
+    """Returns the tag of a message."""
+    return _tags[type(value)]
+
+
+def decode_batch(data: bytes, on_odd: OnOdd | None = None) -> list[Any]:
     """Decodes a batch of messages from a peer.
 
+    A message is odd if it is unknown or has fields of the wrong number or type.
+
+    Args:
+        data: The batch.
+        on_odd: Called for each odd message, which is left out. If left out
+            itself, an odd message is an error.
+
     Raises:
-        PeerError: If the data is not a batch of messages, or if a message is
-            unknown or has fields of the wrong number or type.
+        PeerError: If the data is not a batch of messages, or if the end of an
+            odd message is not known.
     """
     try:
         batch = decoding.from_cbor(data)
     except errors.MalformedError as error:
-        raise errors.PeerError(str(error)) from error
+        if on_odd is None:
+            raise errors.PeerError(str(error)) from error
+        return _decode_apart(data, on_odd)
     if not isinstance(batch, list):
         raise errors.PeerError("a batch is not a list of messages")
-    return [_decode(parts) for parts in batch]
+    try:
+        return [_decode(parts) for parts in batch]
+    except errors.PeerError:
+        if on_odd is None:
+            raise
+    # The data after an odd message may be a part of it.
+    _split(data)
+    return _decode_others(batch, on_odd)
+
+
+def _split(data: bytes) -> list[bytes]:
+    try:
+        return cbor_items.split_array(data)
+    except errors.MalformedError as error:
+        raise errors.PeerError(f"not a batch of messages: {error}") from error
 
 
-def _decode(parts: Any) -> Any:
+def _decode_apart(data: bytes, on_odd: OnOdd) -> list[Any]:
+    """Decodes a batch with a message that is not sound CBOR."""
+    items = []
+    for item in _split(data):
+        try:
+            items.append(decoding.from_cbor(item))
+        except errors.MalformedError as error:
+            on_odd(UNKNOWN, str(error)[:MAX_SHOWN])
+    return _decode_others(items, on_odd)
+
+
+def _decode_others(batch: list[Any], on_odd: OnOdd) -> list[Any]:
+    """Decodes messages, or the sound rows of one; leaves out odd ones."""
+    messages = []
+    for parts in batch:
+        try:
+            messages.append(_decode(parts, on_odd))
+        except errors.TooManyOddMessagesError:
+            raise
+        except errors.PeerError as error:
+            on_odd(_kind(parts), str(error))
+    return messages
+
+
+def _kind(parts: Any) -> str:
+    tag = parts[0] if isinstance(parts, list) and parts else None
+    known = isinstance(tag, str) and tag in message_types
+    return str(tag) if known else UNKNOWN
+
+
+def _decode(parts: Any, on_odd: OnOdd | None = None) -> Any:
     if not isinstance(parts, list) or not parts:
         raise errors.PeerError("a message is not a list that starts with a tag")
     tag = parts[0]
@@ -112,16 +192,33 @@
         raise errors.PeerError(
             f"{tag} has an unexpected number of fields: {len(parts) - 1}"
         )
+    fields = _as_mapping(cls, names, parts[1:])
     try:
-        return msgspec.convert(
-            _as_mapping(cls, names, parts[1:]), cls, builtin_types=(bytes,)
-        )
+        return _to_message(tag, cls, fields)
+    except errors.PeerError:
+        if on_odd is None or not _rows[tag]:
+            raise
+    sound, dropped = odd_rows.drop(
+        cls, fields, _rows[tag], _convert, msgspec.ValidationError
+    )
+    value = _to_message(tag, cls, sound)
+    on_odd(tag, f"{dropped} rows with values of the wrong type")
+    return value
+
+
+def _to_message(tag: str, cls: type[Any], fields: dict[str, Any]) -> Any:
+    try:
+        return _convert(fields, cls)
     except msgspec.ValidationError as error:
         raise errors.PeerError(
             f"{tag} has a field of the wrong type"
         ) from error
 
 
+def _convert(value: Any, kind: Any) -> Any:
+    return msgspec.convert(value, kind, builtin_types=(bytes,))
+
+
 def _fields(value: Any) -> list[Any]:
     return [
         _fields(item) if _has_shape(type(item)) else item
--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -23,6 +23,7 @@
 from martenjunction.peers import handshake as handshakes
 from martenjunction.peers import links
 from martenjunction.peers import membership
+from martenjunction.peers import odd_messages
 from martenjunction.peers import refusals
 from martenjunction.peers import topology
 
@@ -88,6 +89,7 @@
         stamps: links.Stamps | None = None,
         seeds_after_s: float = 0.0,
         key_source: str = "the same key",
+        on_odd: Callable[[str], None] = lambda kind: None,
     ) -> None:
         """Initializes the hub without opening connections.
 
@@ -107,7 +109,9 @@
             seeds_after_s: Seconds from now at which the seeds are used at the
                 earliest.
             key_source: See `refusals.Refusals`.
+            on_odd: See `odd_messages.OddMessages`.
         """
+        self._odd = odd_messages.OddMessages(clock.now, on_odd)
         self._refusals = refusals.Refusals(key_source)
         self._seeds_at = clock.now() + seeds_after_s
         self._topology = arrangement or topology.ZoneMesh(members)
@@ -420,7 +424,10 @@
         for message in self._waiting.pop(link.box, ()):
             link.send(message)
         try:
-            await link.run(lambda message: self._receive(link, message))
+            await link.run(
+                lambda message: self._receive(link, message),
+                lambda kind, why: self._odd.note(link.box, kind, why),
+            )
         finally:
             self._remove_link(link)
 
@@ -453,19 +460,36 @@
                 if surplus.dialed and now - surplus.opened_at > SIMULTANEOUS_S:
                     surplus.close()
 
+    def note_odd_rows(self, box: str, message: Any, count: int) -> None:
+        """Records rows of a message that its handler leaves out, if any.
+
+        Raises:
+            TooManyOddMessagesError: If the peer sends too many odd messages.
+        """
+        if count:
+            self._odd.note(
+                box, codec.tag_of(message), f"{count} rows cannot be"
+            )
+
     def _receive(self, link: links.Link, message: Any) -> None:
+        """Handles a message; one that no sound peer sends is left out."""
         handler = self._handlers.get(type(message))
         if handler is None:
-            raise errors.PeerError(
-                f"unexpected message {type(message).__name__}"
-            )
+            self._odd.note(link.box, codec.tag_of(message), "not expected")
+            return
         try:
             handler(link.box, message)
-        except (ArithmeticError, LookupError, ValueError) as error:
-            # The peer sent values of the right types that no sound one sends.
-            raise errors.PeerError(
-                f"a {type(message).__name__} cannot be handled: {error!r}"
-            ) from error
+        except errors.TooManyOddMessagesError:
+            raise
+        except (
+            errors.PeerError,
+            ArithmeticError,
+            LookupError,
+            ValueError,
+        ) as error:
+            # Its values are of the right types, and no sound peer sends them.
+            why = f"cannot be handled: {error!r}"[: codec.MAX_SHOWN]
+            self._odd.note(link.box, codec.tag_of(message), why)
 
     def _remove_link(self, link: links.Link) -> None:
         self._closed_counts.add(link.counts)
--- a/martenjunction/peers/links.py
+++ b/martenjunction/peers/links.py
@@ -201,11 +201,16 @@
         if transport is not None:
             transport.abort()
 
-    async def run(self, receive: Callable[[Any], None]) -> None:
+    async def run(
+        self,
+        receive: Callable[[Any], None],
+        on_odd: codec.OnOdd | None = None,
+    ) -> None:
         """Sends and receives messages until the connection is closed.
 
         Args:
             receive: Called with each received message.
+            on_odd: See `codec.decode_batch`.
 
         Raises:
             PeerError: If the peer violates the protocol.
@@ -214,7 +219,7 @@
         try:
             async for frame in self._connection:
                 self._last_received_at = self._timers.stall_adjusted_now()
-                self._read(frame, receive)
+                self._read(frame, receive, on_odd)
         except ws_exceptions.ConnectionClosed as error:
             if fair_connections.was_ended_for_framing(error):
                 raise errors.PeerError(str(error)) from error
@@ -223,7 +228,12 @@
             writer.cancel()
             self.close()
 
-    def _read(self, frame: str | bytes, receive: Callable[[Any], None]) -> None:
+    def _read(
+        self,
+        frame: str | bytes,
+        receive: Callable[[Any], None],
+        on_odd: codec.OnOdd | None,
+    ) -> None:
         if isinstance(frame, str):
             raise errors.PeerError("unexpected text frame")
         self._counts.bytes_in += len(frame)
@@ -231,7 +241,8 @@
         size = self._stamps.size
         if len(payload) < size:
             raise errors.PeerError("a frame is shorter than its stamp")
-        batch = codec.decode_batch(payload[size:])
+        data = payload[size:]
+        batch = codec.decode_batch(data, on_odd)
         asked_at = self._flow.acked_sent_at
         stamp = self._stamps.decode(payload[:size])
         self._stamps.take_early(asked_at, stamp)
@@ -240,7 +251,8 @@
             receive(message)
         # Afterwards, as the messages may bring what the stamp tells of.
         self._stamps.take(self.box, asked_at, stamp)
-        if batch:
+        # The peer counts a frame of which all messages are left out as well.
+        if batch or data != codec.EMPTY_BATCH:
             self._flow.record_processed()
         self._outbox.wake()
 
--- a/martenjunction_lab/fuzz/cbor_spans.py
+++ b/martenjunction_lab/fuzz/cbor_spans.py
@@ -32,9 +32,19 @@
     )
 
 
+def is_one_item(data: bytes) -> bool:
+    """Returns whether data is one item whose end does not depend on others."""
+    try:
+        return _scan(data, 0, []) == len(data)
+    except (IndexError, OverflowError, RecursionError, MemoryError):
+        return False
+
+
 def _scan(data: bytes, start: int, values: list[spans.Span]) -> int:
     """Records the spans of an item; returns the position after it."""
     major, argument = data[start] >> 5, data[start] & 31
+    if argument > max(_ARGUMENT_BYTES):
+        raise IndexError("an item of an unknown length")
     position = start + 1
     size = _ARGUMENT_BYTES.get(argument, 0)
     if size:
--- a/martenjunction_lab/fuzz/families/peers.py
+++ b/martenjunction_lab/fuzz/families/peers.py
@@ -114,6 +114,52 @@
             raise targets.OracleError("a batch changes when it is encoded")
 
 
+def _encoded_messages() -> list[bytes]:
+    """Returns a sound message of each type, encoded."""
+    return [
+        codec.Encoded(sample(codec.message_types.get(tag))).data
+        for tag in codec.message_types
+    ]
+
+
+@targets.registered.register("peer-messages")
+class PeerMessages(targets.Target):
+    """Messages of peers, in a batch between sound ones."""
+
+    declared = (errors.PeerError,)
+    _messages = _encoded_messages()
+    _sound = tuple(map(cbor_spans.of_encoded, _messages))
+
+    def generate(self, rng: random.Random) -> bytes:
+        """Returns a message."""
+        return spans.mutate(rng, rng.choice(self._sound))
+
+    def check(self, data: bytes) -> None:
+        """Decodes the message between others, which stay as they are."""
+        place = len(data) % len(self._messages)
+        before = self._messages[place]
+        after = self._messages[place - 1]
+        odd: list[str] = []
+        try:
+            decoded = codec.decode_batch(
+                b"\x83" + before + data + after,
+                lambda kind, _: odd.append(kind),
+            )
+        except errors.PeerError:
+            if cbor_spans.is_one_item(data):
+                raise targets.OracleError(
+                    "a message spoils its batch"
+                ) from None
+            raise
+        if not cbor_spans.is_one_item(data):
+            return
+        encoded = [codec.Encoded(message).data for message in decoded]
+        if encoded[:1] != [before] or encoded[-1:] != [after]:
+            raise targets.OracleError("a message spoils its neighbours")
+        if len(encoded) != 3 and (len(encoded), len(odd)) != (2, 1):
+            raise targets.OracleError("a message is lost and not counted")
+
+
 def _json(value: Any) -> bytes:
     return spans.json_document(value, (), ()).data
 
--- a/tests/linked_hubs.py
+++ b/tests/linked_hubs.py
@@ -1,5 +1,7 @@
 """Hubs of connections between boxes, and bytes that peers send to them."""
 
+from typing import Any
+
 from martenjunction import events
 from martenjunction import timers
 from martenjunction.peers import hub
@@ -22,7 +24,7 @@
     return membership.Member(name, "zone-a", "", "", "", 1)
 
 
-def new_hub(address: str) -> hub.PeerHub:
+def new_hub(address: str, **settings: Any) -> hub.PeerHub:
     clock = timers.Timers()
     return hub.PeerHub(
         membership.Membership(member("box-1"), clock, lambda: None),
@@ -31,4 +33,5 @@
         events.Events(),
         lambda: messages.Heartbeat(0, 0, 0.0),
         address,
+        **settings,
     )
