--- a/tools/broken_decoder_builds.py
+++ b/tools/broken_decoder_builds.py
@@ -12,6 +12,7 @@
 DECODING = "martenjunction/decoding.py"
 DELTAS = "martenjunction/peers/document_delta.py"
 DOCUMENTS = "martenjunction/platform/documents.py"
+ODD_MESSAGES = "tests/test_odd_messages.py"
 ENGINES = "martenjunction/endpoints/engine_protocol.py"
 EVENT_STREAMS = "martenjunction/endpoints/event_stream.py"
 HANDSHAKES = "martenjunction/tunnels/handshake.py"
@@ -91,6 +92,41 @@
         "_SEPARATOR_BYTES = 2",
         "tests/test_fair_turns.py::test_events_are_the_same_however_their_bytes_arrive",
     ),
+    BrokenBuild(
+        "an odd message ends its batch",
+        CODEC,
+        "            on_odd(_kind(parts), str(error))\n",
+        "            raise\n",
+        f"{ODD_MESSAGES}::test_neighbours_of_an_odd_message_are_taken",
+    ),
+    BrokenBuild(
+        "the data behind an odd message is not looked at",
+        CODEC,
+        "    _split(data)\n    return",
+        "    return",
+        f"{ODD_MESSAGES}::test_batch_without_known_ends_of_messages_ends_its_link",
+    ),
+    BrokenBuild(
+        "an odd row spoils its message",
+        CODEC,
+        "if on_odd is None or not _rows[tag]:",
+        "if on_odd is None or _rows[tag] is not None:",
+        f"{ODD_MESSAGES}::test_neighbours_of_an_odd_row_are_taken",
+    ),
+    BrokenBuild(
+        "a peer sends any number of odd messages",
+        "martenjunction/peers/odd_messages.py",
+        "if held.left < 1.0:",
+        "if held.left < -1e9:",
+        f"{ODD_MESSAGES}::test_too_many_odd_messages_end_their_link",
+    ),
+    BrokenBuild(
+        "a view is applied as far as its columns go",
+        "martenjunction/routing/messages/peer_messages.py",
+        "self.entries, strict=True",
+        "self.entries, strict=False",
+        f"{ODD_MESSAGES}::test_view_whose_columns_do_not_fit_is_asked_for_again",
+    ),
 )
 
 OTHERS = (
