Show a decoder's error on one line of the log

Cause: the error of a message that is no sound CBOR can hold line ends of the peer's text, and was put into the log line as it is.

Change: it is shown as a quoted text.

Measured: 249 tests of 13 files pass.

--- a/martenjunction/peers/codec.py
+++ b/martenjunction/peers/codec.py
@@ -156,7 +156,7 @@
         try:
             items.append(decoding.from_cbor(item))
         except errors.MalformedError as error:
-            on_odd(UNKNOWN, str(error)[:MAX_SHOWN])
+            on_odd(UNKNOWN, repr(str(error))[:MAX_SHOWN])
     return _decode_others(items, on_odd)
 
 
