--- a/tests/silent_connections.py
+++ b/tests/silent_connections.py
@@ -39,7 +39,7 @@
 # Seconds that a request leaves for its answer, and after which its end counts
 # as late: a suspended box may read it late, and end it late again.
 DEADLINE_S = 1.5
-LATE_S = DEADLINE_S + 1.5
+LATE_S = DEADLINE_S + 1.0
 
 # Seconds after which a client gives a silent connection up.
 PATIENCE_S = 2.0
