Count tiny chunks of a body as they are received

Cause: the excess of framing was found after 4,096 parsed chunks, 64 in each turn of the loop, so that the time limit came first where turns are late. Change: chunks that their framing outweighs are counted in what was received, before they are parsed; the bound and what counts are the same.

--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -24,6 +24,17 @@
 # A size of 0 is followed by the trailer.
 _CHUNK_LINE = re.compile(rb"\r?\n?([0-9A-Fa-f]+)(?:[ \t;][^\n]*)?\r\n")
 
+# A chunk that is outweighed by its framing.
+_TINY_CHUNK_SIZES = range(1, MIN_CHUNK_FRAMING_BYTES)
+_TINY_CHUNK = b"(?:%b)\\r\\n" % b"|".join(
+    b"%d\\r\\n[\\x00-\\xff]{%d}" % (size, size) for size in _TINY_CHUNK_SIZES
+)
+
+# Such chunks that follow each other, after what is unread of the end of the one
+# before, and the size of each.
+_TINY_CHUNKS = re.compile(rb"\r?\n?((?:%b)++)" % _TINY_CHUNK)
+_TINY_CHUNK_SIZE = re.compile(b"(?=(.))" + _TINY_CHUNK)
+
 _WITH_FIELDS = (
     h11.Request,
     h11.InformationalResponse,
@@ -94,6 +105,29 @@
         self._data = 0
         self._parsed_framing = 0
         self._next = _Place.CHUNK_LINE
+        self._is_scanned = False
+        self._excess_follows = False
+
+    def scan(self, unparsed: bytes) -> None:
+        """Looks for chunks that make the framing outweigh the data.
+
+        Very many chunks are parsed in many turns of the event loop, which may
+        take longer than the request. Call it before each part is parsed.
+
+        Args:
+            unparsed: What was received and is not parsed yet.
+        """
+        if self._is_scanned or self._next is not _Place.CHUNK_LINE:
+            return
+        self._is_scanned = True
+        if (chunks := _TINY_CHUNKS.match(unparsed)) is None:
+            return
+        sizes = b"".join(_TINY_CHUNK_SIZE.findall(chunks[1]))
+        data = sum(n * sizes.count(b"%d" % n) for n in _TINY_CHUNK_SIZES)
+        framing = MIN_CHUNK_FRAMING_BYTES * len(sizes)
+        self._excess_follows = _outweighs(
+            self._parsed_framing + framing, self._data + data
+        )
 
     def has_too_many_lines(self, unparsed: bytes) -> bool:
         """Returns whether a trailer with too many fields is parsed next.
@@ -122,16 +156,17 @@
 
         Args:
             parsed: Whether all that was received is parsed. Otherwise only the
-                least framing of the parsed chunks counts.
+                least framing of the parsed and scanned chunks counts.
         """
         framing = (
             self._received - self._data if parsed else self._parsed_framing
         )
-        return framing > self._data + MAX_EXCESS_BYTES
+        return self._excess_follows or _outweighs(framing, self._data)
 
     def note_received(self, size: int) -> None:
         """Counts bytes that were received."""
         self._received += size
+        self._is_scanned = False
 
     def note_data(self, size: int, ends_chunk: bool = False) -> None:
         """Counts bytes of data that were parsed."""
@@ -141,6 +176,10 @@
             self._parsed_framing += MIN_CHUNK_FRAMING_BYTES
 
 
+def _outweighs(framing: int, data: int) -> bool:
+    return framing > data + MAX_EXCESS_BYTES
+
+
 def check(request: messages.Request, max_body_bytes: int) -> int | None:
     """Rejects framing that two parsers could interpret differently.
 
--- a/martenjunction/http1/request_bodies.py
+++ b/martenjunction/http1/request_bodies.py
@@ -158,12 +158,13 @@
         turns = self._input.turns
         while True:
             await turns.pause_if_spent()
-            if chunked is not None and chunked.has_too_many_lines(
-                self._input.unparsed
-            ):
-                raise request_errors.RequestSyntaxError(
-                    431, "too many header fields"
-                )
+            if chunked is not None:
+                unparsed = self._input.unparsed
+                chunked.scan(unparsed)
+                if chunked.has_too_many_lines(unparsed):
+                    raise request_errors.RequestSyntaxError(
+                        431, "too many header fields"
+                    )
             event = self._input.next_event()
             if isinstance(event, h11.Data):
                 turns.spend(fair_turns.PART_COST)
--- a/martenjunction/http1/response_parser.py
+++ b/martenjunction/http1/response_parser.py
@@ -63,10 +63,11 @@
             )
         ):
             raise errors.HttpSyntaxError("too many header fields")
-        if self._chunked is not None and self._chunked.has_too_many_lines(
-            self._parser.trailing_data[0]
-        ):
-            raise errors.HttpSyntaxError("too many header fields")
+        if self._chunked is not None:
+            unparsed = self._parser.trailing_data[0]
+            self._chunked.scan(unparsed)
+            if self._chunked.has_too_many_lines(unparsed):
+                raise errors.HttpSyntaxError("too many header fields")
         try:
             event = self._parser.next_event()
         except h11.RemoteProtocolError as error:
