Report the data of chunks that were counted before they were parsed

Cause: since tiny chunks are counted as they are received, the log's line on such an answer told 0 or 1 bytes received; tests/test_endless_answers.py (tiny-chunks, 1024) failed. Change: the error names the data that was received and is not parsed, and the attempt adds it.

--- a/martenjunction/endpoints/attempt.py
+++ b/martenjunction/endpoints/attempt.py
@@ -214,15 +214,23 @@
     async def _skip_body(self) -> None:
         """Reads the body of a response to another request."""
         size = 0
-        while part := await self._connection.read_body():
+        while part := await self._read_part():
             size += len(part)
-            self._received += len(part)
             if size > MAX_BUFFERED_BODY_BYTES:
                 self.abort()
                 raise errors.EndpointBrokenError(
                     "body of a response to another request too large"
                 )
 
+    async def _read_part(self) -> bytes:
+        try:
+            part = await self._connection.read_body()
+        except errors.ExcessFramingError as error:
+            self._received += error.unparsed
+            raise
+        self._received += len(part)
+        return part
+
     async def _next_events(
         self, splitter: event_stream.EventSplitter, taken: int
     ) -> list[event_stream.StreamEvent]:
@@ -234,8 +242,7 @@
 
     async def _read_parts(self) -> AsyncIterator[bytes]:
         try:
-            while part := await self._connection.read_body():
-                self._received += len(part)
+            while part := await self._read_part():
                 self._on_bytes()
                 yield part
         except errors.TransportError as error:
--- a/martenjunction/errors.py
+++ b/martenjunction/errors.py
@@ -213,7 +213,15 @@
 
 
 class ExcessFramingError(HttpSyntaxError):
-    """The framing of a body outweighs its data."""
+    """The framing of a body outweighs its data.
+
+    Attributes:
+        unparsed: Bytes of data that were received and are not parsed.
+    """
+
+    def __init__(self, message: str, unparsed: int = 0) -> None:
+        self.unparsed = unparsed
+        super().__init__(message)
 
 
 class HistoryLostError(PlatformError):
--- a/martenjunction/http1/framing.py
+++ b/martenjunction/http1/framing.py
@@ -106,7 +106,12 @@
         self._parsed_framing = 0
         self._next = _Place.CHUNK_LINE
         self._is_scanned = False
-        self._excess_follows = False
+        self._unparsed_excess = 0
+
+    @property
+    def unparsed_excess(self) -> int:
+        """Bytes of data in the chunks that `scan` found, or 0."""
+        return self._unparsed_excess
 
     def scan(self, unparsed: bytes) -> None:
         """Looks for chunks that make the framing outweigh the data.
@@ -125,9 +130,8 @@
         sizes = b"".join(_TINY_CHUNK_SIZE.findall(chunks[1]))
         data = sum(n * sizes.count(b"%d" % n) for n in _TINY_CHUNK_SIZES)
         framing = MIN_CHUNK_FRAMING_BYTES * len(sizes)
-        self._excess_follows = _outweighs(
-            self._parsed_framing + framing, self._data + data
-        )
+        if _outweighs(self._parsed_framing + framing, self._data + data):
+            self._unparsed_excess = data
 
     def has_too_many_lines(self, unparsed: bytes) -> bool:
         """Returns whether a trailer with too many fields is parsed next.
@@ -161,7 +165,7 @@
         framing = (
             self._received - self._data if parsed else self._parsed_framing
         )
-        return self._excess_follows or _outweighs(framing, self._data)
+        return bool(self._unparsed_excess) or _outweighs(framing, self._data)
 
     def note_received(self, size: int) -> None:
         """Counts bytes that were received."""
--- a/martenjunction/http1/response_parser.py
+++ b/martenjunction/http1/response_parser.py
@@ -176,7 +176,7 @@
     """
     if body.is_excessive(parsed):
         raise errors.ExcessFramingError(
-            "the framing of a body outweighs its data"
+            "the framing of a body outweighs its data", body.unparsed_excess
         )
 
 
