Explore the orders of events on one client connection

Cause: that every request that was read has one end was shown by single tests and by random interleavings of a server alone.

--- /dev/null
+++ b/martenjunction_lab/explore/rig.py
@@ -0,0 +1,235 @@
+"""A box's path from a client's bytes to endpoints, without its other parts.
+
+The server, its connections, the exchanges, the registry, pool and connector of
+endpoints are those of a box. Store, peers and periodic checks do not run.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import functools
+import json
+import math
+
+from tornado import iostream
+from tornado import netutil
+
+from martenjunction import errors
+from martenjunction import gateway
+from martenjunction import revisions
+from martenjunction import timers
+from martenjunction.http1 import close_reports
+from martenjunction.http1 import messages
+from martenjunction.http1 import server
+from martenjunction.http1 import streams
+from martenjunction.platform import box_settings
+from martenjunction.platform import store
+from martenjunction_lab import boxes
+from martenjunction_lab.explore import client
+from martenjunction_lab.explore import configurations
+from martenjunction_lab.explore import endpoints
+from martenjunction_lab.simulated import loop as simulated_loop
+
+# Seconds without a confirmation of the store for which keys hold.
+_NO_LIMIT_S = 1e6
+
+_ENTRY_SERVICES = (
+    configurations.PLAIN_SERVICE,
+    configurations.PLAIN_SERVICE,
+    configurations.ENGINE_SERVICE,
+)
+
+_connect = streams.connect
+
+
+class Stop(enum.IntEnum):
+    """How far a planned stop has come."""
+
+    NONE = 0
+    LEAVING = 1
+    FINISHING = 2
+    ENDING = 3
+    CLOSED = 4
+
+
+@dataclasses.dataclass(eq=False)
+class Sent:
+    """A request of the client.
+
+    Attributes:
+        id: Its id.
+        kind: The kind of its route.
+        began_at: Time of its first byte.
+        timeout_s: Seconds that it may take.
+        rest: What is not sent of it.
+        complete: Whether all of it was sent while the connection was open.
+        done_at: Time of its last byte.
+    """
+
+    id: str
+    kind: str
+    began_at: float
+    timeout_s: float
+    rest: bytes = b""
+    complete: bool = False
+    done_at: float = 0.0
+
+
+class Rig:
+    """One box, three endpoints and one client connection."""
+
+    def __init__(self) -> None:
+        """Builds it in the running loop."""
+        running = asyncio.get_running_loop()
+        assert isinstance(running, simulated_loop.SimulatedLoop)
+        self.loop = running
+        self.gateway = gateway.Gateway(_settings(), resident_bytes=lambda: 0)
+        self.configuration = "usual"
+        self.shortest_idle_s = configurations.idle_s(self.configuration)
+        self._version = 0
+        self.configure(self.configuration)
+        self.endpoints = [endpoints.Endpoint() for _ in _ENTRY_SERVICES]
+        for number, service in enumerate(_ENTRY_SERVICES):
+            self._list_endpoint(number, service)
+        self.reports: list[close_reports.ClosedConnection] = []
+        self.server = server.Server(
+            "callers",
+            self.gateway.held.serve,
+            self._limits,
+            self.reports.append,
+        )
+        [listening] = netutil.bind_sockets(0, "127.0.0.1")
+        self.server.add_sockets([listening])
+        self.client = client.Client(listening.getsockname())
+        self.sent: list[Sent] = []
+        self.connect_delay_s: float | None = 0.0
+        self.mute = False
+        self.stop_stage = Stop.NONE
+        self.held_up_s = 0.0
+        # When the play was over and its connections were to end.
+        self.over_at = math.inf
+        # Counts how often the loop came to rest.
+        self.turn = 0
+        self._stopping: asyncio.Task[None] | None = None
+        self.gateway.timers.start()
+
+    @property
+    def runs(self) -> list[endpoints.Run]:
+        """All runs at all endpoints, in order of their arrival."""
+        found = [run for made in self.endpoints for run in made.runs]
+        return sorted(found, key=lambda run: (run.at, run.request_id))
+
+    @property
+    def waiting_runs(self) -> list[endpoints.Run]:
+        """The runs without a complete answer."""
+        return [run for run in self.runs if run.waits]
+
+    @property
+    def unanswered(self) -> list[Sent]:
+        """The requests without a complete response."""
+        return self.sent[len(self.client.responses) :]
+
+    @property
+    def rested_since(self) -> float:
+        """Time of the last response, or of the connection's start."""
+        answered = self.client.responses
+        return answered[-1].at if answered else self.client.opened_at
+
+    def configure(self, name: str) -> None:
+        """Puts a configuration in force."""
+        self._version += 1
+        self.configuration = name
+        self.shortest_idle_s = min(
+            self.shortest_idle_s, configurations.idle_s(name)
+        )
+        self.gateway.store_cache.apply_config(
+            configurations.document(name, self._version),
+            self.loop.time(),
+            "lab",
+        )
+
+    def hold_up(self, seconds: float) -> None:
+        """Lets time pass in which the box does nothing."""
+        self.held_up_s += max(0.0, seconds)
+        self.loop.hold_up(max(0.0, seconds))
+
+    async def connect(
+        self, stream: iostream.IOStream, address: str, timeout_s: float
+    ) -> None:
+        """Connects to an endpoint as late as this play says."""
+        delay_s = self.connect_delay_s
+        if delay_s is None or delay_s >= timeout_s:
+            # A connection that is never established ends by its timeout.
+            await asyncio.sleep(timeout_s)
+            raise errors.ConnectError("not established in time")
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        await _connect(stream, address, timeout_s - delay_s)
+
+    def leave(self) -> None:
+        """Begins a planned stop, as `Gateway.leave` does."""
+        self.stop_stage = max(self.stop_stage, Stop.LEAVING)
+        self.gateway.stop_state.leave(self.loop.time())
+
+    def finish(self) -> None:
+        """Closes connections as they become idle."""
+        self.stop_stage = max(self.stop_stage, Stop.FINISHING)
+        self.server.finish()
+
+    def stop(self) -> None:
+        """Ends all requests, as `Gateway.stop` does at its limit."""
+        self.stop_stage = Stop.ENDING
+        self.gateway.stop_state.stop()
+        self.server.finish()
+        self.gateway.held.stop()
+        self._stopping = self.loop.create_task(self._close_all())
+
+    async def end(self) -> None:
+        """Ends everything that is left."""
+        self.server.close_all()
+        if self._stopping is not None:
+            self._stopping.cancel()
+        self.client.close(True)
+        for made in self.endpoints:
+            made.close()
+        await self.gateway.liveness.stop()
+        await self.gateway.connector.stop()
+        await self.gateway.timers.stop()
+        self.gateway.pool.close()
+
+    async def _close_all(self) -> None:
+        waits = [asyncio.ensure_future(self.server.wait_ended())]
+        await timers.wait_while_running(
+            waits, gateway.FINAL_RESPONSES_TIMEOUT_S
+        )
+        waits[0].cancel()
+        self.stop_stage = Stop.CLOSED
+        self.server.close_all()
+
+    def _limits(self) -> messages.ClientLimits:
+        config = self.gateway.admitter.config
+        return messages.ClientLimits() if config is None else config.limits
+
+    def _list_endpoint(self, number: int, service: str) -> None:
+        spec = {
+            "service": service,
+            "address": self.endpoints[number].address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+        }
+        revision = revisions.Revision(1, number + 1)
+        entry = store.StoredObject(
+            f"e{number + 1}", revision, json.dumps(spec).encode()
+        )
+        self.gateway.store_cache.apply_endpoint_change(
+            store.Change(entry, False)
+        )
+
+
+@functools.cache
+def _settings() -> box_settings.BoxSettings:
+    return boxes.settings("box-1", "127.0.0.1:1", key_lifetime_s=_NO_LIMIT_S)
--- a/martenjunction_lab/simulated/loop.py
+++ b/martenjunction_lab/simulated/loop.py
@@ -179,6 +179,15 @@
         """Returns the simulated Unix time in seconds."""
         return self._started_at + self._clock.now - START_S
 
+    def due_in(self) -> list[float]:
+        """Returns the seconds until each timer that is set, in order."""
+        handles: list[asyncio.TimerHandle] = self._scheduled  # type: ignore[attr-defined]
+        return sorted(
+            handle.when() - self.time()
+            for handle in handles
+            if not handle.cancelled()
+        )
+
     def hold_up(self, seconds: float) -> None:
         """Lets time pass in which the loop does nothing, as a stall does."""
         self._clock.now += seconds
