Raise an error where a response without a body meets a lost client

Cause: if the write of a response's head finds that the client has reset the connection, the stream closes within it and the request ends as the client's; a response without a body has nothing more to write, so nothing raised an error and the request was recorded as refused or answered as well: two ends in the ledger. Change: the end of a response asks whether the stream is closed if it has nothing to write.

--- a/martenjunction/http1/response_writer.py
+++ b/martenjunction/http1/response_writer.py
@@ -138,6 +138,9 @@
     async def _flush(self, pieces: Sequence[messages.Body]) -> None:
         written = self._write(pieces)
         if written is None:
+            # The write of the head may have found that the client is gone.
+            if self._stream.closed():
+                raise errors.ClientLostError("client disconnected")
             return
         try:
             await asyncio.shield(written)
