--- a/tools/broken_builds.py
+++ b/tools/broken_builds.py
@@ -13,6 +13,7 @@
 
 from tools import broken_box_builds
 from tools import broken_build
+from tools import broken_connection_builds
 from tools import broken_decoder_builds
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -22,6 +23,7 @@
     "features",
     "examples",
     "tests",
+    "tools",
     "pyproject.toml",
 )
 AT_ONCE = 3
@@ -241,7 +243,11 @@
     *broken_decoder_builds.OF_PROMISES,
 )
 
-ALL = (*BUILDS, *broken_decoder_builds.OTHERS)
+ALL = (
+    *BUILDS,
+    *broken_decoder_builds.OTHERS,
+    *broken_connection_builds.BUILDS,
+)
 
 
 def _copy(name: str, copy: pathlib.Path) -> None:
