--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -231,6 +231,27 @@
     alone: Annotated[
         bool, cappa.Arg(long=True, help="Play each kind alone.")
     ] = False
+    every: Annotated[
+        bool,
+        cappa.Arg(
+            long="--all",
+            help="Play each pair once, with one seed after the other.",
+        ),
+    ] = False
+    among: Annotated[
+        str,
+        cappa.Arg(
+            long="--with", help="Kinds of which each pair has one, with --all."
+        ),
+    ] = ""
+    first: Annotated[
+        int,
+        cappa.Arg(long="--from", help="Number of the first pair, with --all."),
+    ] = 0
+    count: Annotated[
+        int | None,
+        cappa.Arg(long=True, help="How many pairs are played, with --all."),
+    ] = None
     trace: Annotated[
         bool, cappa.Arg(long=True, help="Print all events of each play.")
     ] = False
@@ -246,11 +267,15 @@
         """Plays and prints."""
         played = play_pairs.Series(
             series.parse_seeds(self.seeds),
-            tuple(name for name in self.kinds.split(",") if name),
+            _names(self.kinds),
             self.alone,
             self.jobs,
             self.judge,
             self.trace,
+            self.every,
+            _names(self.among),
+            self.first,
+            self.count,
         )
         print(pairs_report.headings())
         seen = []
@@ -259,10 +284,16 @@
             if outcome.broken or self.trace:
                 print(pairs_report.details(outcome), flush=True)
             seen.append(dataclasses.replace(outcome, trace=()))
-        print(pairs_report.table(seen))
+        table = pairs_report.results if self.every else pairs_report.table
+        print(table(seen))
         sys.exit(bool(pairs_report.write_failing(played, seen, self.failing)))
 
 
+def _names(listed: str) -> tuple[str, ...]:
+    """Returns the names of a comma-separated list."""
+    return tuple(name for name in listed.split(",") if name)
+
+
 @cappa.command(help="Decode odd inputs and look for what decoders do wrong.")
 @dataclasses.dataclass
 class Fuzz:
--- a/martenjunction_lab/promises/pairs_report.py
+++ b/martenjunction_lab/promises/pairs_report.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Sequence
 import json
 import pathlib
 
@@ -53,6 +54,31 @@
     return "\n".join(lines)
 
 
+def results(outcomes: Sequence[play_pairs.Outcome]) -> str:
+    """Returns a table of Markdown with a row for each play.
+
+    Args:
+        outcomes: The plays.
+    """
+    lines = [
+        "| pair | requests | served | promises broken | seed |",
+        "|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| {one.name} | {one.requests} | {one.served} | {len(one.broken)} "
+        f"| {one.seed} |"
+        for one in outcomes
+    ]
+    sums = [
+        len(outcomes),
+        sum(one.requests for one in outcomes),
+        sum(one.served for one in outcomes),
+        sum(len(one.broken) for one in outcomes),
+    ]
+    lines.append("| all {} | {} | {} | {} | |".format(*sums))
+    return "\n".join(lines)
+
+
 def write_failing(
     series: play_pairs.Series,
     outcomes: Iterable[play_pairs.Outcome],
--- a/martenjunction_lab/promises/play_pairs.py
+++ b/martenjunction_lab/promises/play_pairs.py
@@ -68,6 +68,12 @@
         jobs: Plays at once.
         judge: Module of the judge.
         traces: Whether all events are returned.
+        every: Whether each pair is played once, with one seed after the
+            other, rather than a drawn pair with each seed.
+        among: Kinds of which each of these pairs has at least one; any if
+            empty.
+        first: Number of the first of these pairs that is played, from 0.
+        count: How many of them are played; None for all that follow.
     """
 
     seeds: range
@@ -76,6 +82,10 @@
     jobs: int = 1
     judge: str = JUDGE
     traces: bool = False
+    every: bool = False
+    among: tuple[str, ...] = ()
+    first: int = 0
+    count: int | None = None
 
     def play(self) -> Iterator[Outcome]:
         """Yields what was seen of each play, in order."""
@@ -86,8 +96,7 @@
         with futures.ProcessPoolExecutor(self.jobs, context) as pool:
             played = [
                 pool.submit(_play, self, seed, drawn)
-                for seed in self.seeds
-                for drawn in self._drawn(seed)
+                for seed, drawn in self.draw()
             ]
             for future in played:
                 yield future.result()
@@ -100,12 +109,31 @@
         ]
         if self.alone:
             words.append(f"--alone --kinds {outcome.name}")
+        elif self.every:
+            named = sorted({one.kind for one in outcome.played})
+            number = schedule.all_pairs(named).index((named[0], named[-1]))
+            words.append(
+                f"--all --kinds {','.join(named)} --from {number} --count 1"
+            )
         elif self.kinds:
             words.append(f"--kinds {','.join(self.kinds)}")
         if self.judge != JUDGE:
             words.append(f"--judge {self.judge}")
         return " ".join(words)
 
+    def draw(self) -> Iterator[tuple[int, tuple[behaviours.Behaviour, ...]]]:
+        """Yields the seed and the behaviours of each play."""
+        if not self.every:
+            for seed in self.seeds:
+                for drawn in self._drawn(seed):
+                    yield seed, drawn
+            return
+        pairs = schedule.all_pairs(self.kinds, self.among)
+        last = None if self.count is None else self.first + self.count
+        for number in range(len(pairs))[self.first : last]:
+            seed = self.seeds[number % len(self.seeds)]
+            yield seed, schedule.draw_named_pair(seed, pairs[number])
+
     def _drawn(self, seed: int) -> list[tuple[behaviours.Behaviour, ...]]:
         if not self.alone:
             return [schedule.draw_pair(seed, self.kinds)]
--- a/martenjunction_lab/promises/schedule.py
+++ b/martenjunction_lab/promises/schedule.py
@@ -47,6 +47,31 @@
     ]
 
 
+def all_pairs(
+    kinds: Sequence[str] = (), among: Sequence[str] = ()
+) -> list[tuple[str, str]]:
+    """Returns each pair of kinds once, in the order of their names.
+
+    Each kind pairs with itself as well.
+
+    Args:
+        kinds: The kinds; all if empty.
+        among: Kinds of which each pair has at least one; any if empty.
+
+    Raises:
+        KeyError: If there is no such kind.
+    """
+    chosen = {behaviours.KINDS[name].name for name in kinds}
+    wanted = {behaviours.KINDS[name].name for name in among}
+    return [
+        pair
+        for pair in itertools.combinations_with_replacement(
+            sorted(chosen or behaviours.KINDS), 2
+        )
+        if not wanted or wanted.intersection(pair)
+    ]
+
+
 def draw_pair(
     seed: int, kinds: Sequence[str] = ()
 ) -> tuple[behaviours.Behaviour, ...]:
@@ -63,14 +88,24 @@
         KeyError: If there is no such kind.
     """
     draw = random.Random(f"pair {seed}")
-    drawn = list(draw.choice(pairs(kinds)))
-    draw.shuffle(drawn)
-    first = _draw(draw, drawn[0], draw.uniform(*BEGINS_S), "")
-    at_s = first.at_s + first.for_s + draw.uniform(0.0, MAX_PAUSE_S)
-    if draw.random() < 0.5:
-        at_s = first.at_s + draw.uniform(0.0, first.for_s)
-    taken = first.on if drawn[0] == drawn[1] else ""
-    return first, _draw(draw, drawn[1], at_s, taken)
+    return _draw_two(draw, draw.choice(pairs(kinds)))
+
+
+def draw_named_pair(
+    seed: int, kinds: tuple[str, str]
+) -> tuple[behaviours.Behaviour, ...]:
+    """Draws two behaviours of the kinds of a pair.
+
+    A kind that can be on one part only follows itself there.
+
+    Args:
+        seed: Decides when, where and how strong.
+        kinds: The kinds.
+
+    Raises:
+        KeyError: If there is no such kind.
+    """
+    return _draw_two(random.Random(f"named {seed} {kinds}"), kinds)
 
 
 def draw_one(seed: int, kind: str) -> tuple[behaviours.Behaviour, ...]:
@@ -88,6 +123,21 @@
     return _NAMES[behaviours.KINDS[kind].part]
 
 
+def _draw_two(
+    draw: random.Random, kinds: tuple[str, str]
+) -> tuple[behaviours.Behaviour, ...]:
+    """Draws two behaviours, which overlap or follow each other."""
+    drawn = list(kinds)
+    draw.shuffle(drawn)
+    first = _draw(draw, drawn[0], draw.uniform(*BEGINS_S), "")
+    at_s = first.at_s + first.for_s + draw.uniform(0.0, MAX_PAUSE_S)
+    one_part = drawn[0] == drawn[1] and len(_names(drawn[0])) == 1
+    if draw.random() < 0.5 and not one_part:
+        at_s = first.at_s + draw.uniform(0.0, first.for_s)
+    taken = first.on if drawn[0] == drawn[1] and not one_part else ""
+    return first, _draw(draw, drawn[1], at_s, taken)
+
+
 def _draw(
     draw: random.Random, name: str, at_s: float, taken: str
 ) -> behaviours.Behaviour:
--- a/tests/test_promise_pairs.py
+++ b/tests/test_promise_pairs.py
@@ -221,6 +221,32 @@
         schedule.draw_pair(1, ("store-dwon",))
 
 
+def test_all_pairs_have_a_fixed_order_and_go_on_where_they_were_left() -> None:
+    named = schedule.all_pairs()
+    kinds = len(behaviours.KINDS)
+    assert len(set(named)) == kinds * (kinds + 1) // 2
+    assert named == sorted(named)
+    with_one = schedule.all_pairs(among=("box-killed",))
+    assert with_one == [pair for pair in named if "box-killed" in pair]
+    whole = list(play_pairs.Series(range(7, 12), every=True).draw())
+    assert [seed for seed, _ in whole[:6]] == [7, 8, 9, 10, 11, 7]
+    assert [tuple(sorted(b.kind for b in two)) for _, two in whole] == named
+    parts = [
+        play_pairs.Series(
+            range(7, 12), every=True, first=first, count=count
+        ).draw()
+        for first, count in ((0, 100), (100, 3), (103, None))
+    ]
+    assert [one for part in parts for one in part] == whole
+
+
+def test_kind_of_a_single_part_follows_itself() -> None:
+    for seed in range(50):
+        first, second = schedule.draw_named_pair(seed, ("store-down",) * 2)
+        assert first.on == second.on
+        assert second.at_s >= first.at_s + first.for_s
+
+
 # Reports.
 
 
@@ -243,6 +269,30 @@
     assert told["command"].endswith("pairs --trace --seeds 2")
 
 
+def test_failing_pair_of_all_is_drawn_again_by_its_command() -> None:
+    series = play_pairs.Series(range(1, 4), every=True)
+    for seed, played in series.draw():
+        outcome = dataclasses.replace(_outcome(seed), played=played)
+        words = series.command(outcome).split()
+        told = dict(zip(words, words[1:], strict=False))
+        again = play_pairs.Series(
+            range(int(told["--seeds"]), int(told["--seeds"]) + 1),
+            tuple(told["--kinds"].split(",")),
+            every=True,
+            first=int(told["--from"]),
+            count=int(told["--count"]),
+        )
+        assert "--all" in words
+        assert list(again.draw()) == [(seed, played)]
+
+
+def test_results_have_a_row_for_each_play() -> None:
+    text = pairs_report.results([_outcome(1, "no end"), _outcome(2)])
+    rows = text.splitlines()
+    assert rows[2] == f"| {_outcome(1).name} | 10 | 9 | 1 | 1 |"
+    assert rows[-1] == "| all 2 | 20 | 18 | 1 | |"
+
+
 def test_table_has_plays_and_broken_promises_of_each_pair() -> None:
     alone = dataclasses.replace(_outcome(4), played=MANY[:1])
     text = pairs_report.table([_outcome(1, "no end"), _outcome(2), alone])
