Play open connections that fall silent while new ones work

Three kinds of behaviour have the kernel drop what arrives on open connections to endpoints, between boxes or to the store, by a socket filter; two rules of the judge ask for a final answer by the client's deadline, and that what is sent later and may be repeated is served.

--- a/martenjunction_lab/promises/behaviours.py
+++ b/martenjunction_lab/promises/behaviours.py
@@ -1,6 +1,6 @@
 """What stand-ins do to boxes, as one typed description, and who applies it.
 
-`endpoint_behaviours` and `other_behaviours` fill the registry.
+`endpoint_behaviours`, `other_behaviours` and `silent_links` fill the registry.
 """
 
 from collections.abc import AsyncIterator
@@ -63,6 +63,7 @@
         for_s: Shortest and longest time that is drawn, in seconds.
         share: Smallest and largest share that is drawn.
         strength: Smallest and largest strength that is drawn.
+        event: What is recorded of it.
     """
 
     name: str
@@ -71,6 +72,7 @@
     for_s: tuple[float, float]
     share: tuple[float, float]
     strength: tuple[float, float]
+    event: type[events.Disturbance] = events.Disturbance
 
 
 KINDS: dict[str, Kind] = {}
@@ -82,6 +84,7 @@
     for_s: tuple[float, float] = (1.0, 2.5),
     share: tuple[float, float] = (1.0, 1.0),
     strength: tuple[float, float] = (1.0, 1.0),
+    event: type[events.Disturbance] = events.Disturbance,
 ) -> Callable[[Applier], Applier]:
     """Registers a function that behaves before its `yield`, and ends it after.
 
@@ -91,6 +94,7 @@
         for_s: Shortest and longest time that is drawn, in seconds.
         share: Smallest and largest share that is drawn.
         strength: Smallest and largest strength that is drawn.
+        event: What is recorded of it.
     """
 
     def register(applier: Applier) -> Applier:
@@ -101,6 +105,7 @@
             for_s,
             share,
             strength,
+            event,
         )
         return applier
 
@@ -136,7 +141,6 @@
         began: When it began.
         parts: Names of what was disturbed.
     """
+    made = KINDS[behaviour.kind].event
     for part in sorted(parts):
-        played.history.add(
-            events.Disturbance(began, time.monotonic(), behaviour.kind, part)
-        )
+        played.history.add(made(began, time.monotonic(), behaviour.kind, part))
--- a/martenjunction_lab/promises/judge.py
+++ b/martenjunction_lab/promises/judge.py
@@ -6,6 +6,7 @@
 from martenjunction_lab.promises import limit_rules
 from martenjunction_lab.promises import rules
 from martenjunction_lab.promises import service_rules
+from martenjunction_lab.promises import silences
 from martenjunction_lab.promises import stream_rules
 
 # Importing a module registers its rules.
@@ -15,6 +16,7 @@
     change_rules,
     stream_rules,
     service_rules,
+    silences,
 )
 
 
--- a/martenjunction_lab/promises/schedule.py
+++ b/martenjunction_lab/promises/schedule.py
@@ -10,6 +10,7 @@
 from martenjunction_lab.promises import endpoint_behaviours  # noqa: F401
 from martenjunction_lab.promises import fleet
 from martenjunction_lab.promises import other_behaviours  # noqa: F401
+from martenjunction_lab.promises import silent_links  # noqa: F401
 
 Part = behaviours.Part
 
--- a/martenjunction_lab/promises/service_rules.py
+++ b/martenjunction_lab/promises/service_rules.py
@@ -46,10 +46,10 @@
     """Nearly all requests are served while nothing is disturbed."""
     judged = [
         case
-        for case, sent in _owed(history)
+        for case, sent in owed(history)
         if history.undisturbed(None, sent.at, _waited_until(case, sent))
     ]
-    yield from _too_few(history.terms.min_served, "served", judged)
+    yield from too_few(history.terms.min_served, "served", judged)
 
 
 @rules.rule("back-to-work", rules.Section.BOXES)
@@ -61,13 +61,13 @@
     contact_s = history.terms.contact_s
     begin = min(event.at for event in disturbances)
     back = max(event.until for event in disturbances) + contact_s
-    owed = _owed(history)
-    before = [case for case, sent in owed if sent.at < begin]
-    after = [case for case, sent in owed if sent.at >= back]
-    soon = [case for case, sent in owed if 0 <= sent.at - back <= contact_s]
+    due = owed(history)
+    before = [case for case, sent in due if sent.at < begin]
+    after = [case for case, sent in due if sent.at >= back]
+    soon = [case for case, sent in due if 0 <= sent.at - back <= contact_s]
     part = history.terms.recovered
-    if not list(_too_few(part, "back-to-work", before)):
-        yield from _too_few(part, "back-to-work", soon or after)
+    if not list(too_few(part, "back-to-work", before)):
+        yield from too_few(part, "back-to-work", soon or after)
 
 
 def _is_cut(
@@ -121,7 +121,7 @@
     return found
 
 
-def _owed(
+def owed(
     history: events.History,
 ) -> list[tuple[cases.Case, events.Sent]]:
     """Returns the requests whose clients waited for a success.
@@ -146,7 +146,7 @@
     return min(case.ended_at, sent.deadline_at)
 
 
-def _too_few(
+def too_few(
     part: float, promise: str, judged: list[cases.Case]
 ) -> Iterator[rules.Broken]:
     """Yields one that was broken if too few requests were served."""
--- a/martenjunction_lab/simulated/loop.py
+++ b/martenjunction_lab/simulated/loop.py
@@ -72,6 +72,12 @@
         self._iterations = 0
         self._real_wait_s = 0.0
         self._ignored = 0
+        self._pace: tuple[float, float] | None = None
+
+    def keep_pace(self) -> None:
+        """From now on the time advances no faster than real time."""
+        if self._pace is None:
+            self._pace = self.now, time.perf_counter()
 
     def ignore(self) -> None:
         """Counts what is registered now as nothing to wait for."""
@@ -98,6 +104,8 @@
         if self.jobs or timeout is None:
             return self._wait_in_real_time()
         self._real_wait_s = 0.0
+        if events := self._wait_for_pace(timeout):
+            return events
         self._jump(timeout)
         return []
 
@@ -119,6 +127,26 @@
         self._real_wait_s += THREAD_POLL_S
         return super().select(THREAD_POLL_S)
 
+    def _wait_for_pace(
+        self, timeout: float
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Waits until real time has come to the next timer, if it has to.
+
+        Returns what was ready before; the time has then moved to there.
+        """
+        if self._pace is None:
+            return []
+        began, real_began = self._pace
+        due_at = self.now + timeout
+        ahead_s = due_at - began - (time.perf_counter() - real_began)
+        if ahead_s <= 0.0:
+            return []
+        events = super().select(ahead_s)
+        passed_at = began + time.perf_counter() - real_began
+        if events and self.now + RESOLUTION_S <= passed_at:
+            self._jump(min(passed_at, due_at) - self.now - RESOLUTION_S)
+        return events
+
     def _jump(self, timeout: float) -> None:
         """Goes to the first multiple of the resolution not before a timer.
 
@@ -192,6 +220,13 @@
         """Lets time pass in which the loop does nothing, as a stall does."""
         self._clock.now += seconds
 
+    def keep_pace(self) -> None:
+        """From now on its time advances no faster than real time.
+
+        For what the kernel times, such as probes of connections.
+        """
+        self._clock.keep_pace()
+
     def run_forever(self) -> None:
         """Runs until it is stopped; clocks and generators follow it."""
         with (
--- a/tests/promise_service_cases.py
+++ b/tests/promise_service_cases.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from martenjunction_lab.promises import events
+from martenjunction_lab.promises import silences
 from tests import promise_histories as histories
 
 BOX = events.Source.BOX
@@ -14,6 +15,8 @@
 Kind = events.RouteKind
 Case = histories.Case
 
+SILENCE = silences.Silence(START, START, "silence", "all")
+
 # The box and the endpoint of each request.
 ENDS = ("b1", "e1")
 
@@ -38,6 +41,10 @@
     return histories.many(count, build)
 
 
+def _refused_later() -> events.Event:
+    return ended(at=START + 1.5, status=503, source=BOX)
+
+
 def _many(unserved: int, at: float) -> list[events.Event]:
     """A hundred requests, of which some are refused."""
 
@@ -242,4 +249,18 @@
         about="1 of 1 requests",
         excused_by=histories.PARTS,
     ),
+    Case(
+        "answered-past-silence",
+        [SILENCE, sent(), ended(at=START + 1, status=0), END],
+        [SILENCE, sent(), ended(at=START + 1, status=504, source=BOX), END],
+        terms=LENIENT,
+        excused_by=histories.BOX_PARTS,
+    ),
+    Case(
+        "served-past-silence",
+        [SILENCE, sent(at=START + 1, kind=Kind.SAFE), _refused_later()],
+        [SILENCE, sent(at=START + 1), _refused_later()],
+        about="1 of 1 requests",
+        excused_by=histories.PARTS,
+    ),
 ]
