Leave connections to endpoints on which nothing is acknowledged

Cause: an open connection that falls silent for good while new ones work was waited for until the endpoint counted as silent, 0.4 s with several requests there and 1.5 s with one, which is the time of most clients. Requests that were moved went on over idle connections that were silent as well, and runs on fresh connections were taken away with those on silent ones.

Change: the kernel tells that nothing of a request was acknowledged by its first retransmission timeout. Such a run is moved if it may be repeated, is no evidence against its endpoint, and closes the idle connections to it that were not used since; those to all endpoints once there are two such endpoints within 3 s. A request that was moved gets a new connection.

Streams that are under way are lost as before (docs/findings.md).

--- a/martenjunction/endpoints/pool.py
+++ b/martenjunction/endpoints/pool.py
@@ -25,6 +25,10 @@
 # Keep-alive timeout in seconds that is assumed if the endpoint announces none.
 DEFAULT_KEEP_ALIVE_S = 4.0
 
+# Seconds within which connections to several endpoints that acknowledge nothing
+# are taken for silent together, as after a loss of state on their way.
+UNHEARD_WINDOW_S = 3.0
+
 
 OnHead = Callable[[model.Endpoint, messages.ResponseHead], None]
 OnConnectionHead = Callable[[messages.ResponseHead], None]
@@ -112,6 +116,7 @@
         self._opened = 0
         self._failed: collections.Counter[str] = collections.Counter()
         self._on_head: OnHead = lambda endpoint, head: None
+        self._unheard: dict[str, float] = {}
 
     @property
     def total_opened(self) -> int:
@@ -133,13 +138,14 @@
         self._on_head = callback
 
     async def acquire(
-        self, endpoint: model.Endpoint, repeatable: bool
+        self, endpoint: model.Endpoint, repeatable: bool, fresh: bool = False
     ) -> client.ClientConnection:
         """Returns an idle or new connection for exclusive use.
 
         Args:
             endpoint: The endpoint.
             repeatable: Whether the request may be executed more than once.
+            fresh: Whether idle connections are closed before.
 
         Raises:
             EndpointBusyError: If this box has reached its limit or has no
@@ -147,6 +153,8 @@
             EndpointNotReachedError: If the connection cannot be opened.
         """
         entry = self._endpoints.setdefault(endpoint.id, _Endpoint())
+        if fresh:
+            self._close_idle(entry, lambda _: True)
         connection = self._acquire_idle(endpoint.id, entry, repeatable)
         return connection or await self.connect(endpoint)
 
@@ -181,11 +189,36 @@
         connection.abort()
         entry.open -= 1
 
+    def note_unheard(self, endpoint_id: str, sent_at: float) -> None:
+        """Closes idle connections that may be silent like another one.
+
+        These are the connections to its endpoint that were not used since, and
+        those to all endpoints once it is not the only one.
+
+        Args:
+            endpoint_id: The endpoint that acknowledges nothing.
+            sent_at: Monotonic time at which something was sent to it.
+        """
+        self._unheard[endpoint_id] = sent_at
+        recent = [
+            other
+            for other, at in self._unheard.items()
+            if abs(sent_at - at) <= UNHEARD_WINDOW_S
+        ]
+        doubted = [endpoint_id] if len(recent) < 2 else list(self._endpoints)
+        for other in doubted:
+            if other in self._endpoints:
+                self._close_idle(
+                    self._endpoints[other],
+                    lambda its: its.idle_since <= sent_at,
+                )
+
     def prune(self, endpoint_ids: set[str]) -> None:
         """Closes idle connections to all other endpoints."""
         for endpoint_id in list(self._endpoints):
             if endpoint_id in endpoint_ids:
                 continue
+            self._unheard.pop(endpoint_id, None)
             entry = self._endpoints[endpoint_id]
             self._close_idle(entry, lambda _: True)
             if entry.open <= 0:
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -88,6 +88,7 @@
             self.origins,
             self.answers,
         )
+        self.registry.runs.on_unheard(self.pool.note_unheard)
         self.held = held_requests.HeldRequests(self._context)
         self._callers = self._server(
             "callers",
--- a/martenjunction/http1/client.py
+++ b/martenjunction/http1/client.py
@@ -20,6 +20,7 @@
 from martenjunction.http1 import messages
 from martenjunction.http1 import response_parser
 from martenjunction.http1 import streams
+from martenjunction.http1 import watched_streams
 
 # Maximum number of interim responses before a final one.
 MAX_INTERIM_RESPONSES = 8
@@ -102,6 +103,12 @@
         self._source = streams.ByteSource(stream)
         self._idle_since = time.monotonic()
 
+    def is_unheard(self) -> bool:
+        """Returns whether the server does not acknowledge what was sent."""
+        return self._stream is not None and watched_streams.is_unheard(
+            self._stream
+        )
+
     @property
     def readable(self) -> bool:
         """Whether unread data or an end of the connection is pending.
--- a/martenjunction/http1/watched_streams.py
+++ b/martenjunction/http1/watched_streams.py
@@ -50,6 +50,29 @@
     _set_retransmission(sock, MAX_RETRANSMISSION_MS)
 
 
+def is_unheard(stream: iostream.IOStream) -> bool:
+    """Returns whether a peer does not acknowledge what was sent to it.
+
+    Its first retransmission timeout is over: what was lost once is usually sent
+    again before. The kernel of a process that stands still acknowledges it all
+    the same.
+    """
+    info = None if stream.closed() else _read_info(stream.socket)
+    if info is None:
+        return False
+    retransmissions, _, unacknowledged, _, _ = info
+    return unacknowledged > 0 and retransmissions > 0
+
+
+def _read_info(sock: socket.socket) -> tuple[int, ...] | None:
+    """Returns the fields of `_INFO`, or None if the kernel has them not."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _INFO.size)
+    except OSError:
+        return None
+    return _INFO.unpack(info) if len(info) == _INFO.size else None
+
+
 def _set_retransmission(sock: socket.socket, longest_ms: int) -> None:
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, longest_ms)
@@ -106,17 +129,10 @@
         self._look = None
         if self.closed():
             return
-        try:
-            info = self.socket.getsockopt(
-                socket.IPPROTO_TCP, socket.TCP_INFO, _INFO.size
-            )
-        except OSError:
+        info = _read_info(self.socket)
+        if info is None:
             return
-        if len(info) < _INFO.size:
-            return
-        retransmissions, probes, unacknowledged, silent_ms, unsent = (
-            _INFO.unpack(info)
-        )
+        retransmissions, probes, unacknowledged, silent_ms, unsent = info
         # Before the write nothing was to be acknowledged.
         watched_ms = (time.monotonic() - self._watched_since) * 1000
         if (
--- a/martenjunction/routing/endpoints/run_tracker.py
+++ b/martenjunction/routing/endpoints/run_tracker.py
@@ -1,5 +1,6 @@
 """Tracks the runs of this box at endpoints, and their silences."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import time
@@ -33,6 +34,8 @@
             of its prompt is read.
         direct: Whether its connection is this box's own.
         paused: Whether its answer is not read for now.
+        unheard: Whether the endpoint acknowledges nothing of the request. Its
+            connection may be silent for good while new ones work.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         listened: float,
         resumed: bool = False,
         direct: bool = True,
+        is_unheard: Callable[[], bool] = bool,
     ) -> None:
         """Initializes the ticket of a request that is about to be sent.
 
@@ -53,6 +57,8 @@
             listened: The current time on the registry's listening clock.
             resumed: Whether the run continues an earlier one.
             direct: Whether its connection is this box's own.
+            is_unheard: Returns whether the other side of its connection
+                acknowledges nothing.
         """
         self.record = choice.record
         self.choice = choice
@@ -68,6 +74,8 @@
         self.resumed = resumed
         self.direct = direct
         self.paused = False
+        self.unheard = False
+        self.is_unheard = is_unheard
 
 
 class EndpointPathObserver(Protocol):
@@ -118,6 +126,7 @@
         self._tickets: set[RunTicket] = set()
         self._last_received: dict[str, float] = {}
         self._paths: EndpointPathObserver = NoPaths()
+        self._on_unheard: Callable[[str, float], None] = lambda its_id, at: None
 
     @property
     def running(self) -> int:
@@ -128,6 +137,15 @@
         """Sets the object that knows the paths of this box to endpoints."""
         self._paths = paths
 
+    def on_unheard(self, callback: Callable[[str, float], None]) -> None:
+        """Sets the callback for an endpoint that acknowledges nothing.
+
+        Args:
+            callback: Called with the endpoint's id, and the time at which the
+                request was sent to it.
+        """
+        self._on_unheard = callback
+
     def begin(
         self,
         choice: endpoint_choice.Choice,
@@ -135,6 +153,7 @@
         now: float,
         resumed: bool = False,
         direct: bool = True,
+        is_unheard: Callable[[], bool] = bool,
     ) -> RunTicket:
         """Records that a request is sent to the selected endpoint.
 
@@ -144,9 +163,12 @@
             now: The current time.
             resumed: Whether the run continues an earlier one.
             direct: Whether its connection is this box's own.
+            is_unheard: Returns whether the other side of its connection
+                acknowledges nothing.
         """
+        listened = self._clock.time(now)
         ticket = RunTicket(
-            choice, demand, now, self._clock.time(now), resumed, direct
+            choice, demand, now, listened, resumed, direct, is_unheard
         )
         choice.record.loads.add(demand.load_key, 1, choice.prefill_tokens)
         if demand.is_engine:
@@ -297,9 +319,10 @@
     def tick(self, now: float) -> None:
         """Ejects silent endpoints and marks runs that are to end there."""
         self._clock.tick(now)
+        self._find_unheard()
         pending: dict[str, list[RunTicket]] = {}
         for ticket in self._tickets:
-            if not ticket.paused:
+            if not ticket.paused and not ticket.unheard:
                 pending.setdefault(ticket.record.id, []).append(ticket)
         for tickets in pending.values():
             if not self._is_silent(tickets, now):
@@ -320,6 +343,18 @@
         for endpoint_id in endpoint_ids:
             self._last_received.pop(endpoint_id, None)
 
+    def _find_unheard(self) -> None:
+        """Marks runs whose endpoint acknowledges nothing to end there.
+
+        That is found on the connection alone, long before an endpoint that
+        runs a request may count as silent, and is no evidence against it.
+        """
+        for ticket in self._tickets:
+            if ticket.answered or ticket.unheard or not ticket.is_unheard():
+                continue
+            ticket.unheard = ticket.move_requested = True
+            self._on_unheard(ticket.record.id, ticket.started_at)
+
     def _is_silent(self, tickets: list[RunTicket], now: float) -> bool:
         """Returns whether the endpoint of some runs, all there, is silent."""
         record = tickets[0].record
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -112,6 +112,7 @@
         silent.
         """
         if self._running is not None and not self.readable:
+            self._state.moved = True
             self._running.abort()
 
     async def run(
@@ -149,6 +150,7 @@
             time.monotonic(),
             offer.continues or self._state.delivered_id is not None,
             run.connection.is_direct,
+            run.connection.is_unheard,
         )
         self._running, self._ticket = run, ticket
         run.on_bytes(lambda: registry.runs.note_bytes(ticket, time.monotonic()))
@@ -181,7 +183,10 @@
             self._state.connection_broken = isinstance(
                 error.__cause__, errors.TransportError
             )
-            registry.health.note_broken_response(endpoint.id, time.monotonic())
+            if not ticket.unheard:
+                registry.health.note_broken_response(
+                    endpoint.id, time.monotonic()
+                )
             self._report_invalid(endpoint, run, error)
             self._state.progress.record(outcomes.Event.BROKEN)
             if self._state.connection_broken:
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -165,7 +165,9 @@
                 self._shed_if_late(choice, now)
             try:
                 connection = await self._context.pool.acquire(
-                    endpoint, self._admitted.route.repeatable
+                    endpoint,
+                    self._admitted.route.repeatable,
+                    fresh=self._state.moved,
                 )
             except errors.EndpointBusyError as error:
                 self._state.failure = f"{endpoint.id}: {error}"
--- a/tools/broken_box_builds.py
+++ b/tools/broken_box_builds.py
@@ -18,6 +18,20 @@
 QUERIES = "martenjunction/routing/streams/queries.py"
 
 BUILDS = (
+    BrokenBuild(
+        "an unheard connection is waited for",
+        "martenjunction/routing/endpoints/run_tracker.py",
+        "ticket.unheard = ticket.move_requested = True",
+        "ticket.unheard = True",
+        "tests/test_silent_links.py::test_unheard_run_is_moved_and_is_no_evidence_against_its_endpoint",
+    ),
+    BrokenBuild(
+        "silent connections are used again",
+        POOL,
+        "if len(recent) < 2 else list(self._endpoints)",
+        "if recent else []",
+        "tests/test_silent_links.py::test_idle_connections_are_closed_once_two_endpoints_are_unheard",
+    ),
     BrokenBuild(
         "a client's socket is not asked before a send",
         ENDPOINT_RUNS,
