Open a new connection for a moved request without closing idle ones

Cause: a request that was moved closed all idle connections to its next endpoint, though most of them are sound where it was moved from a slow one.

--- a/martenjunction/endpoints/pool.py
+++ b/martenjunction/endpoints/pool.py
@@ -145,7 +145,7 @@
         Args:
             endpoint: The endpoint.
             repeatable: Whether the request may be executed more than once.
-            fresh: Whether idle connections are closed before.
+            fresh: Whether no idle connection is used.
 
         Raises:
             EndpointBusyError: If this box has reached its limit or has no
@@ -154,7 +154,11 @@
         """
         entry = self._endpoints.setdefault(endpoint.id, _Endpoint())
         if fresh:
-            self._close_idle(entry, lambda _: True)
+            limit = self._connection_limit(endpoint.service)
+            if entry.idle and entry.open >= limit:
+                oldest = entry.idle[0]
+                self._close_idle(entry, lambda its: its is oldest)
+            return await self.connect(endpoint)
         connection = self._acquire_idle(endpoint.id, entry, repeatable)
         return connection or await self.connect(endpoint)
 
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -112,7 +112,7 @@
         silent.
         """
         if self._running is not None and not self.readable:
-            self._state.moved = True
+            self._state.needs_new_connection = True
             self._running.abort()
 
     async def run(
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -167,7 +167,7 @@
                 connection = await self._context.pool.acquire(
                     endpoint,
                     self._admitted.route.repeatable,
-                    fresh=self._state.moved,
+                    fresh=self._state.needs_new_connection,
                 )
             except errors.EndpointBusyError as error:
                 self._state.failure = f"{endpoint.id}: {error}"
--- a/martenjunction/routing/requests/request_state.py
+++ b/martenjunction/routing/requests/request_state.py
@@ -23,7 +23,8 @@
         refusals: The number of endpoints that reported not running it.
         grant_denied: Whether an endpoint's rate limit left no grant for it.
         connection_broken: Whether the connection of the last run broke.
-        moved: Whether it was taken from an endpoint that was not heard.
+        needs_new_connection: Whether its last connection was silent, so that
+            idle ones may be as well.
         resume_from: Id of the last event that the client has of an earlier
             response, or empty if it takes up no stream.
         stream_key: Identifies the stream over the client's tries.
@@ -55,7 +56,7 @@
     refusals: int = 0
     grant_denied: bool = False
     connection_broken: bool = False
-    moved: bool = False
+    needs_new_connection: bool = False
     resume_from: str = ""
     stream_version: str | None = None
     delivered_id: str | None = None
