--- a/tests/gateway_requests.py
+++ b/tests/gateway_requests.py
@@ -100,9 +100,9 @@
     acquire = box.pool.acquire
 
     async def acting(
-        endpoint: model.Endpoint, repeatable: bool
+        endpoint: model.Endpoint, repeatable: bool, fresh: bool = False
     ) -> client.ClientConnection:
-        connection = await acquire(endpoint, repeatable)
+        connection = await acquire(endpoint, repeatable, fresh)
         asked.append(endpoint.id)
         if len(asked) == 1:
             act(endpoint.id)
