Count connections closed under their requests in plays of pairs

Cause: the judge takes the 502 of such a close for an answer. Change: the ledgers of the boxes that run at the end are asked.

--- a/martenjunction_lab/promises/fleet.py
+++ b/martenjunction_lab/promises/fleet.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from martenjunction import gateway
+from martenjunction.http1 import request_ledger
 from martenjunction_lab import trial_fleet
 from martenjunction_lab.promises import clients
 from martenjunction_lab.promises import configuration
@@ -72,6 +73,15 @@
         self._leaving: set[str] = set()
         self._looks: asyncio.Task[None] | None = None
 
+    @property
+    def closed_under(self) -> int:
+        """Requests whose connection a running box closed under them."""
+        return sum(
+            box._callers.ledger.ends[end]
+            for box in self.boxes.gateways
+            for end in request_ledger.UNEXPECTED
+        )
+
     async def begin(self) -> None:
         """Starts everything, and waits until all is known."""
         attempts = itertools.count(1)
--- a/martenjunction_lab/promises/play_pairs.py
+++ b/martenjunction_lab/promises/play_pairs.py
@@ -165,10 +165,13 @@
     seen = trial.play(played)
     real_s = time.perf_counter() - began
     history = seen.history
+    broken = [str(one) for one in judge(history)]
+    if seen.closed_under:
+        broken.append(f"closed-under: {seen.closed_under} requests")
     return Outcome(
         played.seed,
         played.played,
-        tuple(str(one) for one in judge(history)),
+        tuple(broken),
         seen.requests,
         seen.served,
         seen.left,
--- a/martenjunction_lab/promises/trial.py
+++ b/martenjunction_lab/promises/trial.py
@@ -34,10 +34,13 @@
     Attributes:
         history: All events.
         simulated_s: Simulated seconds from the first request to the last end.
+        closed_under: Requests whose connection a box closed under them, by the
+            ledgers of the boxes that run at the end.
     """
 
     history: events.History
     simulated_s: float
+    closed_under: int = 0
 
     @property
     def requests(self) -> int:
@@ -75,7 +78,8 @@
             trial.per_s, began + trial.seconds, played.clients.send
         )
         await played.settle()
-        return Play(played.history, time.monotonic() - began)
+        seconds = time.monotonic() - began
+        return Play(played.history, seconds, played.closed_under)
     finally:
         await played.stop()
 
