Have tests of final answers fail where only the close gives one

Cause: a review showed that four builds broken by hand passed tests made to notice them, since a request gets 502 as its connection closes. Change: in eleven modules no request may end so, and two tests with processes look at the boxes' logs.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Generator
 from collections.abc import Iterator
+from unittest import mock
 
 # Imported before any test runs. Otherwise its pytest plugin imports it in the
 # terminal summary, where parsing it for assertion rewriting can fail on Python
@@ -12,6 +14,7 @@
 import pytest
 
 from martenjunction.endpoints import client
+from martenjunction.http1 import request_ledger
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from martenjunction_lab.simulated import loop as simulated_loop
@@ -27,6 +30,25 @@
 MAX_SIMULATED_S = 600.0
 
 
+# Modules in whose tests no connection may be closed under a request. A final
+# response at the close would pass for that of the request's handler there.
+HANDLERS_ANSWER = frozenset(
+    {
+        "tests.test_changes_within_requests",
+        "tests.test_failing_checks",
+        "tests.test_failing_heads",
+        "tests.test_failing_parts",
+        "tests.test_failing_stops",
+        "tests.test_gateway",
+        "tests.test_gateway_beliefs",
+        "tests.test_held_up_stops",
+        "tests.test_http1",
+        "tests.test_planned_stop",
+        "tests.test_ready_and_closed",
+    }
+)
+
+
 def pytest_addoption(parser: pytest.Parser) -> None:
     parser.addoption(
         "--simulated-seed",
@@ -42,6 +64,26 @@
     )
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_call(item: pytest.Item) -> Generator[None, None, None]:
+    if item.module.__name__ not in HANDLERS_ANSWER:  # type: ignore[attr-defined]
+        yield
+        return
+    found: list[request_ledger.End] = []
+    finish = request_ledger.LedgerEntry.finish
+
+    def recording(
+        entry: request_ledger.LedgerEntry, end: request_ledger.End
+    ) -> None:
+        if end in request_ledger.UNEXPECTED:
+            found.append(end)
+        finish(entry, end)
+
+    with mock.patch.object(request_ledger.LedgerEntry, "finish", recording):
+        yield
+    assert not found, f"connections closed under requests: {found}"
+
+
 def pytest_asyncio_loop_factories(
     config: pytest.Config, item: pytest.Item
 ) -> dict[str, Callable[[], asyncio.AbstractEventLoop]]:
--- a/tests/test_held_up_stops_process.py
+++ b/tests/test_held_up_stops_process.py
@@ -109,6 +109,7 @@
     for connection in connections:
         connection.close()
     assert await box.until_ended() == 0
+    assert not await box.unanswered()
     await box.discard()
     await fleet.stop()
     ran = sum(made.runs.total() for made in fleet.replicas)
--- a/tests/test_kept_connections_process.py
+++ b/tests/test_kept_connections_process.py
@@ -362,6 +362,7 @@
     box.signal(signal.SIGTERM)
     await clients.receive(sent)
     assert await box.until_ended() == 0
+    assert not await box.unanswered()
     records = {record.ask.id: record for record in clients.records}
     return [records[its] for its in sorted(held)]
 
