Count attempts of a request that are under way side by side

A refusal set a request back to unsent although another attempt was under way. Their number is counted now, and a refusal says that nothing ran only if no other attempt may have run. Before, four of the new rows of test_outcome raised an error or gave another outcome.

--- a/martenjunction/decisions/outcomes.py
+++ b/martenjunction/decisions/outcomes.py
@@ -68,17 +68,29 @@
 }
 
 
+# How an event changes the number of attempts that are under way.
+_UNDER_WAY: dict[Event, int] = {
+    Event.SENT: 1,
+    Event.NOT_REACHED: -1,
+    Event.REFUSED: -1,
+    Event.BROKEN: -1,
+    Event.COMPLETE: -1,
+}
+
+
 class RequestProgress:
     """Tracks the state of one request at its entry daemon.
 
     Attempts known not to have run are counted, because a refusal by a second
-    endpoint does not show that the first one did not run the request.
+    endpoint does not show that the first one did not run the request. Attempts
+    may be under way side by side.
     """
 
     def __init__(self) -> None:
         self._state = Progress.UNSENT
         self._attempts = 0
         self._not_run = 0
+        self._under_way = 0
 
     @property
     def attempts(self) -> int:
@@ -100,12 +112,15 @@
             MartenjunctionError: If the event is invalid in the current state.
         """
         try:
-            self._state = _NEXT[(self._state, event)]
+            after = _NEXT[(self._state, event)]
         except KeyError:
             raise errors.MartenjunctionError(
                 f"event {event.value!r} is invalid in state"
                 f" {self._state.value!r}"
             ) from None
+        self._under_way += _UNDER_WAY.get(event, 0)
+        if after is not Progress.UNSENT or self._under_way <= 0:
+            self._state = after
         if event is Event.SENT:
             self._attempts += 1
         if event in (Event.NOT_REACHED, Event.REFUSED):
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -31,6 +31,11 @@
         # The first endpoint may have run the request that the second refused.
         ((E.SENT, E.BROKEN, E.SENT, E.REFUSED), "unknown"),
         ((E.SENT, E.BROKEN, E.SENT, E.NOT_REACHED), "unknown"),
+        # Side by side: one may still run while the other one is refused.
+        ((E.SENT, E.SENT, E.REFUSED), "unknown"),
+        ((E.SENT, E.SENT, E.REFUSED, E.BROKEN), "unknown"),
+        ((E.SENT, E.SENT, E.REFUSED, E.COMPLETE), "done"),
+        ((E.SENT, E.SENT, E.REFUSED, E.REFUSED), "not-run"),
     ],
 )
 def test_outcome(events: tuple[outcomes.Event, ...], outcome: str) -> None:
