Learn from each service what counts as a silent endpoint

Repeatable requests got 502 at a third of their time, a dozen in one turn, and sound endpoints were ejected as silent: 0.4 s without a byte counted as silence of any plain endpoint, a figure of one deployment, and all requests there were ended, one that was sent a millisecond before as well.

How long responses take is learned by service, length of prompt and whether a body has begun (the product-limit estimate, so that what still waits or was given up counts as waiting for longer). An endpoint is ejected only if a sound one would be as quiet with a probability of at most 0.001; what it left unanswered itself does not count for it. While little is known, nothing is silent. A request is marked only if it has itself waited for long, and only as late where the endpoint is not ejected; a stream then stays. What this box gave up is no failure of the endpoint.

Two tests of silence had boxes that knew no response time yet; they get answers first, and hold the same bounds.

--- a/martenjunction/decisions/boxes/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -199,6 +199,11 @@
             or self.response_s.deviation_s > NEGLIGIBLE
         )
 
+    @property
+    def is_ejected(self) -> bool:
+        """Whether it gets no requests but trials."""
+        return self.health.state is endpoint_states.EndpointState.EJECTED
+
     def failure_part(self, now: float) -> float:
         """Returns the part of the requests that fail there.
 
@@ -279,7 +284,7 @@
 
     def is_eligible(self, now: float) -> bool:
         """Returns whether the endpoint is healthy or due for a probe."""
-        if self.health.state is endpoint_states.EndpointState.EJECTED:
+        if self.is_ejected:
             return self.loads.own_running == 0 and self.health.trial_due(now)
         return not self.refusals.is_deprioritized(now)
 
--- a/martenjunction/routing/endpoints/endpoint_ejection.py
+++ b/martenjunction/routing/endpoints/endpoint_ejection.py
@@ -4,9 +4,9 @@
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.routing.log import decision_log
 
-# Time, in seconds, without a byte from an endpoint with pending responses,
-# after which it is ejected. A plain service answers within tens of
-# milliseconds; an engine's running streams send an event every 20 to 250 ms.
+# Time, in seconds, without a byte from an endpoint with pending responses, from
+# which on its silence is judged by the response times of its service. Shorter
+# pauses do not matter to callers.
 PLAIN_SILENCE_TIMEOUT_S = 0.4
 ENGINE_SILENCE_TIMEOUT_S = 1.0
 SINGLE_SILENCE_TIMEOUT_S = 1.5
@@ -22,34 +22,40 @@
 PROBE_DELAY_S = 1.5
 
 
-def is_silent(
+def is_quiet_for_long(
     record: endpoint_records.EndpointRecord,
     pending_since: list[float],
+    unanswered: int,
     last_received_at: float,
     now: float,
 ) -> bool:
-    """Returns whether an endpoint with pending responses is silent.
+    """Returns whether an endpoint sent nothing for long enough to be judged.
 
     Args:
         record: The endpoint.
         pending_since: The send times of its pending requests.
+        unanswered: Number of requests since its last byte, pending or not.
         last_received_at: When the last byte was received; 0 for never.
         now: The current time.
     """
-    if _is_ejected(record) or not pending_since:
-        return False
-    timeout_s = (
-        ENGINE_SILENCE_TIMEOUT_S
-        if record.cache_tokens
-        else PLAIN_SILENCE_TIMEOUT_S
-    )
-    if len(pending_since) == 1:
+    timeout_s = _silence_timeout_s(record)
+    if unanswered == 1:
         # A single response may be slow by itself.
         timeout_s = max(timeout_s, SINGLE_SILENCE_TIMEOUT_S)
     since = max(min(pending_since), last_received_at)
     return now - since > timeout_s
 
 
+def has_waited_for_long(
+    record: endpoint_records.EndpointRecord, waiting_since: float, now: float
+) -> bool:
+    """Returns whether a request at a silent endpoint has itself waited.
+
+    One that was sent to it only just now may be answered with the first ones.
+    """
+    return now - waiting_since > _silence_timeout_s(record)
+
+
 def is_short_silence(
     sent_at: float, last_received_at: float, now: float
 ) -> bool:
@@ -133,8 +139,9 @@
     def note_silence(
         self, record: endpoint_records.EndpointRecord, now: float
     ) -> None:
-        """Ejects a silent endpoint."""
-        self._eject(record, "silent", now)
+        """Ejects a silent endpoint, unless it is ejected already."""
+        if not _is_ejected(record):
+            self._eject(record, "silent", now)
 
     def reinstate(
         self, record: endpoint_records.EndpointRecord, now: float
@@ -185,3 +192,9 @@
 
 def _is_ejected(record: endpoint_records.EndpointRecord) -> bool:
     return record.health.state is endpoint_states.EndpointState.EJECTED
+
+
+def _silence_timeout_s(record: endpoint_records.EndpointRecord) -> float:
+    if record.cache_tokens:
+        return ENGINE_SILENCE_TIMEOUT_S
+    return PLAIN_SILENCE_TIMEOUT_S
--- a/martenjunction/routing/endpoints/run_tracker.py
+++ b/martenjunction/routing/endpoints/run_tracker.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import math
 import time
 from typing import Protocol
 
@@ -11,6 +12,8 @@
 from martenjunction.routing.endpoints import endpoint_ejection
 from martenjunction.routing.endpoints import endpoint_table
 from martenjunction.routing.endpoints import listening_clock
+from martenjunction.routing.endpoints import run_ticket
+from martenjunction.routing.endpoints import silence_watch
 
 # Lower and upper bound of the ratio of observed to predicted latency.
 SLOWNESS_BOUNDS = (0.3, 4.0)
@@ -20,64 +23,6 @@
 MAX_LEARNING_SLOWNESS = 1.5
 
 
-class RunTicket:
-    """Tracks one in-flight request at one endpoint.
-
-    Attributes:
-        first_event_at: Listening time of the first event of a stream, or None.
-        answered: Whether bytes of an answer came.
-        move_requested: Whether the endpoint is silent, so that the request
-            should be moved to another one.
-        endpoint_restarted: Whether the endpoint restarted, which ended the
-            run.
-        resumed: Whether the run continues an earlier one, so that only a part
-            of its prompt is read.
-        direct: Whether its connection is this box's own.
-        paused: Whether its answer is not read for now.
-        unheard: Whether the endpoint acknowledges nothing of the request. Its
-            connection may be silent for good while new ones work.
-    """
-
-    def __init__(
-        self,
-        choice: endpoint_choice.Choice,
-        demand: endpoint_records.Demand,
-        now: float,
-        listened: float,
-        resumed: bool = False,
-        direct: bool = True,
-        is_unheard: Callable[[], bool] = bool,
-    ) -> None:
-        """Initializes the ticket of a request that is about to be sent.
-
-        Args:
-            choice: The selected endpoint and its predicted latency.
-            demand: The resources that the request needs.
-            now: The current time.
-            listened: The current time on the registry's listening clock.
-            resumed: Whether the run continues an earlier one.
-            direct: Whether its connection is this box's own.
-            is_unheard: Returns whether the other side of its connection
-                acknowledges nothing.
-        """
-        self.record = choice.record
-        self.choice = choice
-        self.demand = demand
-        self.started_at = now
-        self.sent_at = listened
-        self.last_received_at = listened
-        self.waiting = True
-        self.first_event_at: float | None = None
-        self.answered = False
-        self.move_requested = False
-        self.endpoint_restarted = False
-        self.resumed = resumed
-        self.direct = direct
-        self.paused = False
-        self.unheard = False
-        self.is_unheard = is_unheard
-
-
 class EndpointPathObserver(Protocol):
     """Knows the paths of this box to endpoints."""
 
@@ -122,8 +67,9 @@
         self._listed = table.listed
         self._engines = table.engines
         self._ejection = ejection
+        self._silences = silence_watch.SilenceWatch(ejection)
         self._clock = listening_clock.ListeningClock()
-        self._tickets: set[RunTicket] = set()
+        self._tickets: set[run_ticket.RunTicket] = set()
         self._last_received: dict[str, float] = {}
         self._paths: EndpointPathObserver = NoPaths()
         self._on_unheard: Callable[[str, float], None] = lambda its_id, at: None
@@ -154,7 +100,8 @@
         resumed: bool = False,
         direct: bool = True,
         is_unheard: Callable[[], bool] = bool,
-    ) -> RunTicket:
+        patience_s: float = math.inf,
+    ) -> run_ticket.RunTicket:
         """Records that a request is sent to the selected endpoint.
 
         Args:
@@ -165,10 +112,18 @@
             direct: Whether its connection is this box's own.
             is_unheard: Returns whether the other side of its connection
                 acknowledges nothing.
+            patience_s: Seconds below which its answer is not late.
         """
         listened = self._clock.time(now)
-        ticket = RunTicket(
-            choice, demand, now, listened, resumed, direct, is_unheard
+        ticket = run_ticket.RunTicket(
+            choice,
+            demand,
+            now,
+            listened,
+            resumed,
+            direct,
+            is_unheard,
+            patience_s,
         )
         choice.record.loads.add(demand.load_key, 1, choice.prefill_tokens)
         if demand.is_engine:
@@ -176,7 +131,7 @@
         self._tickets.add(ticket)
         return ticket
 
-    def note_response(self, ticket: RunTicket, now: float) -> None:
+    def note_response(self, ticket: run_ticket.RunTicket, now: float) -> None:
         """Records that an endpoint responded, whatever the response is.
 
         Args:
@@ -188,22 +143,24 @@
         self._ejection.note_response(record, now)
         record.refusals.record_answer(ticket.started_at)
         ticket.answered = True
-        ticket.move_requested = False
+        ticket.move_requested = ticket.keeps_running = False
         ticket.last_received_at = self._clock.time(now)
 
-    def note_bytes(self, ticket: RunTicket, now: float) -> None:
+    def note_bytes(self, ticket: run_ticket.RunTicket, now: float) -> None:
         """Records that an endpoint, which is not silent, sent something.
 
         Args:
             ticket: The run.
             now: The current time.
         """
-        self._last_received[ticket.record.id] = self._clock.time(now)
+        listened = self._clock.time(now)
+        self._silences.note_bytes(ticket, listened)
+        ticket.bytes_at = self._last_received[ticket.record.id] = listened
         if ticket.direct:
             self._paths.note_heard(ticket.record.id, now)
 
     @contextlib.contextmanager
-    def paused(self, ticket: RunTicket) -> Iterator[None]:
+    def paused(self, ticket: run_ticket.RunTicket) -> Iterator[None]:
         """Does not count time in which this box reads nothing of an answer.
 
         Args:
@@ -218,8 +175,12 @@
             listened = self._clock.time(time.monotonic())
             ticket.sent_at += listened - began_at
             ticket.last_received_at = listened
+            if ticket.bytes_at is not None:
+                ticket.bytes_at = listened
 
-    def note_events(self, ticket: RunTicket, now: float, events: int) -> None:
+    def note_events(
+        self, ticket: run_ticket.RunTicket, now: float, events: int
+    ) -> None:
         """Records events of a successful stream, and learns from them.
 
         Args:
@@ -242,7 +203,9 @@
             if not ticket.resumed:
                 self._learn_first_event(ticket, pause_s)
 
-    def _learn_first_event(self, ticket: RunTicket, seconds: float) -> None:
+    def _learn_first_event(
+        self, ticket: run_ticket.RunTicket, seconds: float
+    ) -> None:
         """Learns from the time to the first event of a prompt that was read."""
         record = ticket.record
         # The prediction already includes the slowness factor.
@@ -262,7 +225,11 @@
             )
 
     def _learn_pause(
-        self, ticket: RunTicket, pause_s: float, events: int, now: float
+        self,
+        ticket: run_ticket.RunTicket,
+        pause_s: float,
+        events: int,
+        now: float,
     ) -> None:
         """Learns from a stream pause that overlapped with prefill."""
         record = ticket.record
@@ -273,18 +240,26 @@
         tokens = events * ticket.demand.tokens_per_event
         self._engines.note_token_pause(ticket.demand.service, pause_s / tokens)
 
-    def end(self, ticket: RunTicket, now: float, failed: bool) -> None:
+    def end(
+        self, ticket: run_ticket.RunTicket, now: float, failed: bool
+    ) -> None:
         """Records the end of a run at an endpoint."""
         record = ticket.record
         self._tickets.discard(ticket)
         unread = ticket.choice.prefill_tokens if ticket.waiting else 0
         record.loads.add(ticket.demand.load_key, -1, -unread)
+        self._silences.note_end(
+            ticket, self._clock.time(now), failed and not ticket.given_up
+        )
         ticket.waiting = False
         in_backoff = now < record.refusals.backoff_until
-        if not failed or (
-            not in_backoff
-            and self._paths.is_trusted(record.id)
-            and not self._was_moved_early(ticket, now)
+        if not ticket.given_up and (
+            not failed
+            or (
+                not in_backoff
+                and self._paths.is_trusted(record.id)
+                and not self._was_moved_early(ticket, now)
+            )
         ):
             # The back-off alone keeps work away; afterwards the endpoint gets
             # its full share again. A path that is in doubt says nothing about
@@ -296,7 +271,9 @@
         if not failed and not ticket.demand.is_engine:
             self._learn_response_time(ticket, now)
 
-    def _learn_response_time(self, ticket: RunTicket, now: float) -> None:
+    def _learn_response_time(
+        self, ticket: run_ticket.RunTicket, now: float
+    ) -> None:
         """Learns from the time that a run at a plain endpoint took."""
         listened = self._clock.time(now)
         took_s = listened - ticket.sent_at
@@ -315,23 +292,19 @@
         for ticket in self._tickets:
             if ticket.record is record and ticket.direct:
                 ticket.move_requested = True
+                ticket.keeps_running = False
 
     def tick(self, now: float) -> None:
         """Ejects silent endpoints and marks runs that are to end there."""
         self._clock.tick(now)
         self._find_unheard()
-        pending: dict[str, list[RunTicket]] = {}
-        for ticket in self._tickets:
-            if not ticket.paused and not ticket.unheard:
-                pending.setdefault(ticket.record.id, []).append(ticket)
-        for tickets in pending.values():
-            if not self._is_silent(tickets, now):
-                if self._is_quiet(tickets, now):
-                    self._paths.check(tickets[0].record.id)
-                continue
-            self._ejection.note_silence(tickets[0].record, now)
-            for ticket in tickets:
-                ticket.move_requested = True
+        self._silences.judge(
+            [t for t in self._tickets if not t.paused and not t.unheard],
+            self._last_received,
+            self._clock.time(now),
+            now,
+            self._paths.check,
+        )
         for ticket in self._tickets:
             # The connection may stay open: a box partitioned from the endpoint
             # learns of its restart from the store or from a peer.
@@ -342,6 +315,7 @@
         """Forgets when endpoints that are gone were last heard of."""
         for endpoint_id in endpoint_ids:
             self._last_received.pop(endpoint_id, None)
+        self._silences.forget(endpoint_ids)
 
     def _find_unheard(self) -> None:
         """Marks runs whose endpoint acknowledges nothing to end there.
@@ -353,34 +327,15 @@
             if ticket.answered or ticket.unheard or not ticket.is_unheard():
                 continue
             ticket.unheard = ticket.move_requested = True
+            ticket.keeps_running = False
             self._on_unheard(ticket.record.id, ticket.started_at)
 
-    def _is_silent(self, tickets: list[RunTicket], now: float) -> bool:
-        """Returns whether the endpoint of some runs, all there, is silent."""
-        record = tickets[0].record
-        return endpoint_ejection.is_silent(
-            record,
-            [ticket.sent_at for ticket in tickets],
-            self._last_received.get(record.id, 0.0),
-            self._clock.time(now),
-        )
-
-    def _was_moved_early(self, ticket: RunTicket, now: float) -> bool:
+    def _was_moved_early(
+        self, ticket: run_ticket.RunTicket, now: float
+    ) -> bool:
         """Returns whether a run ends after a short silence of its endpoint."""
         return ticket.move_requested and endpoint_ejection.is_short_silence(
             ticket.sent_at,
             self._last_received.get(ticket.record.id, 0.0),
             self._clock.time(now),
         )
-
-    def _is_quiet(self, tickets: list[RunTicket], now: float) -> bool:
-        """Returns whether an endpoint is quiet for longer than expected."""
-        return endpoint_ejection.is_quiet(
-            tickets[0].record,
-            [ticket.sent_at for ticket in tickets],
-            max(t.choice.predicted_s for t in tickets if t.waiting)
-            if any(t.waiting for t in tickets)
-            else 0.0,
-            self._last_received.get(tickets[0].record.id, 0.0),
-            self._clock.time(now),
-        )
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -16,7 +16,7 @@
 from martenjunction.platform import headers
 from martenjunction.routing.access import admission
 from martenjunction.routing.endpoints import endpoint_selector
-from martenjunction.routing.endpoints import run_tracker
+from martenjunction.routing.endpoints import run_ticket
 from martenjunction.routing.requests import exchange_context
 from martenjunction.routing.requests import offers
 from martenjunction.routing.requests import request_state
@@ -63,7 +63,7 @@
         self._state = state
         self._admitted = admitted
         self._running: attempt.Attempt | None = None
-        self._ticket: run_tracker.RunTicket | None = None
+        self._ticket: run_ticket.RunTicket | None = None
         self._fallback: Answer | None = None
         self._run_counted = False
         workspace = admitted.workspace
@@ -72,7 +72,7 @@
         )
 
     @property
-    def ticket(self) -> run_tracker.RunTicket | None:
+    def ticket(self) -> run_ticket.RunTicket | None:
         """The ticket of the current run, or None."""
         return self._ticket
 
@@ -254,7 +254,7 @@
     async def _receive(
         self,
         offer: offers.Offer,
-        ticket: run_tracker.RunTicket,
+        ticket: run_ticket.RunTicket,
     ) -> bool:
         endpoint, run = offer.endpoint, offer.run
         head = await run.head()
@@ -304,7 +304,7 @@
         self,
         head: messages.ResponseHead,
         offer: offers.Offer,
-        ticket: run_tracker.RunTicket,
+        ticket: run_ticket.RunTicket,
     ) -> None:
         """Forwards a stream event by event."""
         run = offer.run
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -14,7 +14,7 @@
 from martenjunction.http1 import server_connection
 from martenjunction.platform import headers
 from martenjunction.routing.access import admission
-from martenjunction.routing.endpoints import run_tracker
+from martenjunction.routing.endpoints import run_ticket
 from martenjunction.routing.requests import endpoint_runs
 from martenjunction.routing.requests import exchange_context
 from martenjunction.routing.requests import offers
@@ -99,7 +99,7 @@
         self._runs: endpoint_runs.EndpointRuns | None = None
 
     @property
-    def ticket(self) -> run_tracker.RunTicket | None:
+    def ticket(self) -> run_ticket.RunTicket | None:
         """The ticket of the current run, or None."""
         return None if self._runs is None else self._runs.ticket
 
--- a/martenjunction_lab/replays/replay.py
+++ b/martenjunction_lab/replays/replay.py
@@ -18,7 +18,7 @@
 from martenjunction.decisions.boxes import load_shedding
 from martenjunction.decisions.boxes import load_sums
 from martenjunction.routing.endpoints import endpoint_registry
-from martenjunction.routing.endpoints import run_tracker
+from martenjunction.routing.endpoints import run_ticket
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.sync import fleet_loads
 from martenjunction_lab.replays import engines
@@ -63,7 +63,7 @@
 class _Request:
     arrival: loads.Arrival
     book: endpoint_registry.EndpointRegistry
-    ticket: run_tracker.RunTicket
+    ticket: run_ticket.RunTicket
     heard_at: float
     late: bool = False
     first: bool = True
--- a/martenjunction_lab/slow_endpoints.py
+++ b/martenjunction_lab/slow_endpoints.py
@@ -59,7 +59,7 @@
     Attributes:
         statuses: Responses by route and status.
         times_s: Seconds of the successful responses, by route.
-        ejections: Ejections of endpoints that are sound.
+        ejections: Why endpoints that are sound were ejected.
         out_after_s: Seconds until the first box ejected the endpoint that
             answers nothing; None if none did.
         extra_runs: Runs beyond the first one of each request.
@@ -67,7 +67,7 @@
 
     statuses: collections.Counter[tuple[str, int]]
     times_s: dict[str, list[float]]
-    ejections: int = 0
+    ejections: list[str] = dataclasses.field(default_factory=list)
     out_after_s: float | None = None
     extra_runs: int = 0
 
@@ -139,7 +139,9 @@
         conditions, fleet = self._conditions, self._fleet
         services = trial_fleet.in_services(self._make, conditions.endpoints, 0)
         await fleet.start(config, conditions.boxes, services)
+        # The first destination gets the lines that were written before it.
         eliot.add_destinations(self._note_line)
+        self._found.ejections.clear()
         try:
             if conditions.silent_from_s is not None:
                 fleet.spawn(self._fall_silent(conditions.silent_from_s))
@@ -195,6 +197,6 @@
         if self._silent_at is None or not line["endpoint"].startswith(
             f"{silent.id}/"
         ):
-            self._found.ejections += 1
+            self._found.ejections.append(line["why"])
         elif self._found.out_after_s is None:
             self._found.out_after_s = time.monotonic() - self._silent_at
--- a/tests/test_own_hold_ups.py
+++ b/tests/test_own_hold_ups.py
@@ -164,9 +164,16 @@
 
 TICK_INTERVAL_S = 0.1
 
+# Answers of an endpoint before it falls silent, and the time that each took.
+ANSWERED = 50
+USUAL_S = 0.01
+
 
 def book_with_runs(count: int) -> endpoint_registry.EndpointRegistry:
-    """Returns a registry whose one endpoint has runs started at 0.0."""
+    """Returns a registry whose one endpoint has runs started at 0.0.
+
+    It has answered others before them, so that its silence can be judged.
+    """
     listed = endpoint_list.EndpointList()
     listed.apply_listing(
         [(builders.endpoint(), builders.rev(1))], builders.rev(5), now=0.0
@@ -176,6 +183,12 @@
     )
     demand = builders.demand(service=builders.PLAIN, is_engine=False)
     service = builders.config().services[builders.PLAIN]
+    for _ in range(ANSWERED):
+        chosen = book.selector.choose(service, demand, set(), 0.0)
+        assert chosen is not None
+        answered = book.runs.begin(chosen[1], demand, 0.0)
+        book.runs.note_response(answered, USUAL_S)
+        book.runs.end(answered, USUAL_S, False)
     for _ in range(count):
         chosen = book.selector.choose(service, demand, set(), 0.0)
         assert chosen is not None
--- a/tests/test_short_silences.py
+++ b/tests/test_short_silences.py
@@ -7,7 +7,7 @@
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import response_times
 from martenjunction.routing.endpoints import endpoint_registry
-from martenjunction.routing.endpoints import run_tracker
+from martenjunction.routing.endpoints import run_ticket
 from martenjunction.routing.log import decision_log
 from tests import routing_builders as builders
 
@@ -49,7 +49,7 @@
         assert found is not None
         return found[0].id
 
-    def send(self, avoided: str = "other") -> run_tracker.RunTicket:
+    def send(self, avoided: str = "other") -> run_ticket.RunTicket:
         """Sends a request to the endpoint that stops, or to the other one."""
         found = self.registry.selector.choose(
             self._service, self._demand, {avoided}, self.now
@@ -57,7 +57,7 @@
         assert found is not None
         return self.registry.runs.begin(found[1], self._demand, self.now)
 
-    def answer(self, ticket: run_tracker.RunTicket) -> None:
+    def answer(self, ticket: run_ticket.RunTicket) -> None:
         """Lets a request be answered."""
         self.registry.runs.note_response(ticket, self.now)
         self.registry.runs.end(ticket, self.now, False)
--- a/tests/test_slow_answers.py
+++ b/tests/test_slow_answers.py
@@ -90,6 +90,9 @@
 async def test_endpoint_that_stops_within_its_answers_is_silent(
     fleet: boxes.Boxes, slow: SlowReplica
 ) -> None:
+    # A whole answer first, which shows the usual pauses between its parts.
+    head, _ = await requests.ask(fleet, "/safe/", "whole")
+    assert head.status == 200
     slow.plan(*[replica.Behaviour.HALF] * 3)
     asked = [
         asyncio.create_task(requests.ask(fleet, "/safe/", f"r{number}"))
--- a/tests/test_slow_sound_endpoints.py
+++ b/tests/test_slow_sound_endpoints.py
@@ -56,5 +56,5 @@
     found = await slow_endpoints.play(conditions, config, SEED)
     sent = sum(found.statuses.values())
     assert set(found.statuses) == {("safe", 200), ("unsafe", 200)}, found
-    assert found.ejections == 0
+    assert not found.ejections
     assert found.extra_runs <= MAX_EXTRA_PART * sent
