Run a second attempt of a late request beside the first

A repeatable request whose endpoint seemed silent was ended there before another endpoint was tried, and got 502 where none was left: up to 62 of 171 requests to sound endpoints whose responses take up to 10 s. One on a connection that is silent while its endpoint answers others stayed until its deadline: 102 of 137 got 504.

Such a request now gets a second attempt while the first one may still answer, if its own limits, the retry budget and an endpoint that is not ejected allow one. The first final response is delivered and ends the other attempt, which counts neither for nor against its endpoint. What is only late gets one if an endpoint is idle. A stream cannot run twice at a time: it leaves a silent endpoint only if another one would take it. The last attempt ends at the deadline, or where its endpoint has restarted. What may run once never gets a second attempt.

--- a/martenjunction/decisions/boxes/response_survival.py
+++ b/martenjunction/decisions/boxes/response_survival.py
@@ -34,8 +34,12 @@
 TAIL_SAMPLES = 50
 TAIL_EXPONENT = 2.0
 
-# Part of the requests of a service that may count as late.
+# Part of the requests of a service that may count as late. Where more than that
+# get no response at all, a request is late beyond a multiple of the longest
+# response time, of a number of responses at least.
 LATE_FRACTION = 0.03
+LATE_TIME_FACTOR = 2.0
+LATE_SAMPLES = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,10 +138,14 @@
             now: The current time.
 
         Returns:
-            The time that `LATE_FRACTION` of the requests exceed; infinite if
-            that is not known.
+            The time that `LATE_FRACTION` of the requests exceed, or that no
+            response comes near to; infinite if neither is known.
         """
-        return self._observed(pending, now).exceeded_by(LATE_FRACTION)
+        answered_s = [s.seconds for s in self._samples if s.answered]
+        exceeded_s = self._observed(pending, now).exceeded_by(LATE_FRACTION)
+        if len(answered_s) < LATE_SAMPLES:
+            return exceeded_s
+        return min(exceeded_s, LATE_TIME_FACTOR * max(answered_s))
 
     def _observed(
         self, pending: Iterable[PendingRun], now: float, judged: str = ""
--- a/martenjunction/decisions/boxes/retry_budget.py
+++ b/martenjunction/decisions/boxes/retry_budget.py
@@ -54,11 +54,15 @@
         """Records a request for a service."""
         self._add(self._requests, service, now)
 
-    def try_acquire(self, service: str, now: float) -> bool:
-        """Consumes a retry if the budget allows it; returns whether it did."""
+    def is_available(self, service: str, now: float) -> bool:
+        """Returns whether the budget allows a retry."""
         requests = self._count(self._requests, service, now)
         retries = self._count(self._retries, service, now)
-        if retries + 1 > requests * self._ratio + self._share():
+        return retries + 1 <= requests * self._ratio + self._share()
+
+    def try_acquire(self, service: str, now: float) -> bool:
+        """Consumes a retry if the budget allows it; returns whether it did."""
+        if not self.is_available(service, now):
             self._refused += 1
             return False
         self._add(self._retries, service, now)
--- /dev/null
+++ b/martenjunction/routing/requests/attempts.py
@@ -0,0 +1,160 @@
+"""The attempts of one request, one after the other or side by side.
+
+Answers the load pattern of endpoints that fall silent or answer late. A request
+that may be repeated gets a second endpoint while the first may still answer,
+and the first response counts. A stream cannot run twice at a time, so it leaves
+an endpoint only if that is silent and another one would take it.
+"""
+
+import asyncio
+import time
+
+from martenjunction import model
+from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.routing.access import admission
+from martenjunction.routing.endpoints import run_ticket
+from martenjunction.routing.requests import endpoint_runs
+from martenjunction.routing.requests import exchange_context
+from martenjunction.routing.requests import offers
+from martenjunction.routing.requests import request_state
+
+
+class Attempts:
+    """Sends one request to endpoints until one has answered it."""
+
+    def __init__(
+        self,
+        context: exchange_context.ExchangeContext,
+        admitted: admission.Admission,
+        demand: endpoint_records.Demand,
+        state: request_state.RequestState,
+        runs: endpoint_runs.EndpointRuns,
+    ) -> None:
+        """Initializes the attempts of an admitted request.
+
+        Args:
+            context: The objects shared by all exchanges.
+            admitted: The admitted request.
+            demand: The resources that it needs.
+            state: Its progress.
+            runs: Its runs at endpoints.
+        """
+        self._context = context
+        self._admitted = admitted
+        self._demand = demand
+        self._state = state
+        self._runs = runs
+        self._offers = offers.Offers(context, admitted, demand, state)
+        self._beside: set[asyncio.Task[bool]] = set()
+        self._is_selecting = False
+        # Whether a suspected request runs, which is tried at one endpoint.
+        self._is_isolated = False
+
+    @property
+    def should_move(self) -> bool:
+        """Whether another endpoint should be tried, if there is one."""
+        tickets = self._runs.tickets
+        if any(ticket.endpoint_restarted for ticket in tickets):
+            # It is not running the request any more.
+            return True
+        if not self._admitted.route.repeatable:
+            # A silent endpoint may still be running the request.
+            return False
+        # Another attempt that has no endpoint yet is waited for.
+        return not self._is_selecting and all(
+            self._may_leave(ticket) for ticket in tickets
+        )
+
+    async def run(self) -> bool:
+        """Tries endpoints.
+
+        Returns:
+            Whether the client has its final response.
+
+        Raises:
+            RefusalError: If the request may not be sent and never ran.
+            ClientLostError: If the client disconnected.
+        """
+        try:
+            while (offer := await self._offers.next()) is not None:
+                if await self._send(offer) or await self._wait_for_others():
+                    return True
+            return False
+        finally:
+            await self._cancel_others()
+
+    def move(self) -> None:
+        """Tries another endpoint, unless bytes of a response are waiting."""
+        tickets = self._runs.tickets
+        if not tickets or self._runs.readable:
+            return
+        if any(ticket.endpoint_restarted for ticket in tickets):
+            self._state.needs_new_connection = True
+            self._runs.abort_lost()
+        elif not self._is_isolated and self._offers.has_next(
+            only_idle=any(ticket.keeps_running for ticket in tickets)
+        ):
+            self._state.needs_new_connection = True
+            if self._is_stream:
+                self._runs.give_up()
+            else:
+                self._begin_beside()
+
+    @property
+    def _is_stream(self) -> bool:
+        return self._admitted.route.kind is model.RouteKind.STREAM
+
+    def _may_leave(self, ticket: run_ticket.RunTicket) -> bool:
+        return ticket.move_requested and not (
+            self._is_stream and ticket.keeps_running
+        )
+
+    def _begin_beside(self) -> None:
+        """Begins another attempt beside the ones that are under way."""
+        self._context.metrics.count("second_attempts")
+        self._context.log.write(
+            "second-attempt",
+            id=self._state.id,
+            waited_s=round(time.monotonic() - self._state.received_at, 3),
+            endpoints=list(self._state.offers),
+        )
+        self._is_selecting = True
+        loop = asyncio.get_running_loop()
+        self._beside.add(loop.create_task(self._try_next()))
+
+    async def _try_next(self) -> bool:
+        try:
+            offer = await self._offers.next()
+        finally:
+            self._is_selecting = False
+        return offer is not None and await self._send(offer)
+
+    async def _send(self, offer: offers.Offer) -> bool:
+        self._is_isolated = offer.permit.isolated
+        self._offers.note_sent(offer.endpoint.id)
+        return await self._runs.run(
+            self._demand, offer, self._offers.plan_copy(offer)
+        )
+
+    async def _wait_for_others(self) -> bool:
+        """Waits for the attempts beside one that has ended.
+
+        Returns:
+            Whether the client has its final response.
+        """
+        while self._beside:
+            done, _ = await asyncio.wait(
+                self._beside, return_when=asyncio.FIRST_COMPLETED
+            )
+            self._beside -= done
+            results = [task.result() for task in done]
+            if any(results):
+                return True
+        return False
+
+    async def _cancel_others(self) -> None:
+        """Ends the attempts whose response is not needed."""
+        for task in self._beside:
+            task.cancel()
+        if self._beside:
+            await asyncio.gather(*self._beside, return_exceptions=True)
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -15,9 +15,9 @@
 from martenjunction.platform import headers
 from martenjunction.routing.access import admission
 from martenjunction.routing.endpoints import run_ticket
+from martenjunction.routing.requests import attempts
 from martenjunction.routing.requests import endpoint_runs
 from martenjunction.routing.requests import exchange_context
-from martenjunction.routing.requests import offers
 from martenjunction.routing.requests import request_account
 from martenjunction.routing.requests import request_state
 from martenjunction.routing.requests import stream_binding
@@ -97,21 +97,23 @@
         self._timer: asyncio.TimerHandle | None = None
         self._ending: Ending | None = None
         self._runs: endpoint_runs.EndpointRuns | None = None
+        self._attempts: attempts.Attempts | None = None
 
     @property
     def ticket(self) -> run_ticket.RunTicket | None:
-        """The ticket of the current run, or None."""
-        return None if self._runs is None else self._runs.ticket
+        """The ticket of the first of the current runs, or None."""
+        tickets = [] if self._runs is None else self._runs.tickets
+        return tickets[0] if tickets else None
 
     @property
     def should_move(self) -> bool:
-        """Whether the request should be moved to another endpoint."""
-        return self._runs is not None and self._runs.should_move
+        """Whether another endpoint should be tried."""
+        return self._attempts is not None and self._attempts.should_move
 
     def move(self) -> None:
-        """Aborts the current run, so that another endpoint may be tried."""
-        if self._runs is not None:
-            self._runs.move()
+        """Tries another endpoint, if one is left."""
+        if self._attempts is not None:
+            self._attempts.move()
 
     def stop(self, ending: Ending) -> None:
         """Ends the request and its run at an endpoint.
@@ -284,16 +286,11 @@
                 admitted.service.name, self._facts
             )
         demand = self._demand(admitted)
-        chosen = offers.Offers(self._context, admitted, demand, self._state)
-        while True:
-            offer = await chosen.next()
-            if offer is None:
-                await self._finish_without_endpoint(admitted, runs)
-                return
-            chosen.note_sent(offer.endpoint.id)
-            copies = chosen.plan_copy(offer)
-            if await runs.run(demand, offer, copies):
-                return
+        self._attempts = attempts.Attempts(
+            self._context, admitted, demand, self._state, runs
+        )
+        if not await self._attempts.run():
+            await self._finish_without_endpoint(admitted, runs)
 
     def _demand(self, admitted: admission.Admission) -> endpoint_records.Demand:
         engine = admitted.service.engine
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -93,6 +93,29 @@
         self._avoid.add(endpoint_id)
         self._repeat_granted = False
 
+    def has_next(self, only_idle: bool) -> bool:
+        """Returns whether another endpoint would probably take the request.
+
+        Asked before a run is given up, or gets another one beside it. Reserves
+        nothing.
+
+        Args:
+            only_idle: Whether an endpoint that is busy does not count.
+        """
+        now = time.monotonic()
+        if not self._may_run() or not self._context.budget.is_available(
+            self._admitted.service.name, now
+        ):
+            return False
+        avoid = self._avoid | self._other_versions(self._state.stream_version)
+        chosen = self._context.registry.selector.choose(
+            self._admitted.service, self._demand, avoid, now, apart=True
+        )
+        if chosen is None:
+            return False
+        _, choice = chosen
+        return not (choice.record.is_ejected or (only_idle and choice.busy))
+
     async def next(self) -> Offer | None:
         """Returns the next endpoint, with a connection, or None.
 
@@ -365,7 +388,8 @@
                 503, "shed", "the predicted latency exceeds the target", pause
             )
 
-    def _may_offer(self) -> bool:
+    def _may_run(self) -> bool:
+        """Returns whether the request's own limits allow another run."""
         if len(self._state.offers) >= MAX_OFFERS:
             return False
         if self._admitted.deadline - time.monotonic() < MIN_TIME_LEFT_S:
@@ -374,7 +398,10 @@
         runs = self._state.progress.attempts - self._state.refusals
         if runs >= self._admitted.route.max_attempts:
             return False
-        if runs and not self._admitted.route.repeatable:
+        return not runs or self._admitted.route.repeatable
+
+    def _may_offer(self) -> bool:
+        if not self._may_run():
             return False
         if not self._context.admitter.still_allowed(
             self._admitted, self._state.received_at, time.monotonic()
--- a/tests/test_closing_gate.py
+++ b/tests/test_closing_gate.py
@@ -84,16 +84,24 @@
     ("http1.client", "ClientConnection.reset"): {"self.abort"},
     ("http1.discarding", "Drop.__init__"): {"stream.socket.shutdown"},
     ("http1.server", "Server.handle_stream"): {"stream.close"},
-    ("routing.requests.endpoint_runs", "EndpointRuns._receive"): {"run.abort"},
-    ("routing.requests.endpoint_runs", "EndpointRuns.close"): {
+    ("routing.requests.endpoint_run", "EndpointRun._receive"): {"run.abort"},
+    ("routing.requests.endpoint_run", "EndpointRun.abort"): {"self._run.abort"},
+    ("routing.requests.endpoint_run", "EndpointRun.close"): {
         "self._answers.close"
     },
-    ("routing.requests.endpoint_runs", "EndpointRuns.move"): {
-        "self._running.abort"
+    ("routing.requests.endpoint_run", "EndpointRun.give_up"): {
+        "self._run.abort"
     },
-    ("routing.requests.endpoint_runs", "EndpointRuns.run"): {
+    ("routing.requests.endpoint_run", "EndpointRun.run"): {
         "run.abort",
-        "offer.permit.close",
+        "self._offer.permit.close",
+    },
+    ("routing.requests.endpoint_runs", "EndpointRuns.abort_lost"): {
+        "run.abort"
+    },
+    ("routing.requests.endpoint_runs", "EndpointRuns.close"): {"run.close"},
+    ("routing.requests.endpoint_runs", "EndpointRuns.run"): {
+        "offer.permit.close"
     },
     ("routing.requests.exchange", "Exchange.run"): {"self._runs.close"},
     ("routing.requests.offers", "Offers.next"): {"permit.close"},
--- a/tests/test_response_survival.py
+++ b/tests/test_response_survival.py
@@ -74,6 +74,13 @@
     assert quiet(survival, 2.0, before_s=1.5) > SILENT
 
 
+def test_request_is_late_where_many_are_never_answered() -> None:
+    survival = known([0.03] * 50)
+    for _ in range(10):
+        survival.add("silent", NOW - 5.0, NOW - 3.5, answered=False)
+    assert survival.late_after_s((), NOW) < 0.1
+
+
 def test_late_requests_are_few() -> None:
     draw = random.Random(1)
     times_s = [draw.expovariate(1.0) for _ in range(256)]
--- a/tools/broken_connection_builds.py
+++ b/tools/broken_connection_builds.py
@@ -8,7 +8,7 @@
 CONNECTION_RECORD = "martenjunction/http1/connection_record.py"
 RESTING = "martenjunction/http1/resting.py"
 EXCHANGE = "martenjunction/routing/requests/exchange.py"
-ENDPOINT_RUNS = "martenjunction/routing/requests/endpoint_runs.py"
+ENDPOINT_RUN = "martenjunction/routing/requests/endpoint_run.py"
 REQUEST_BODIES = "martenjunction/http1/request_bodies.py"
 
 # The timer is stopped twice as a request is taken.
@@ -48,7 +48,7 @@
     ),
     BrokenBuild(
         "an endpoint's error counts as the loss of the client",
-        ENDPOINT_RUNS,
+        ENDPOINT_RUN,
         "        except errors.EndpointError as error:\n",
         "        except errors.EndpointError as error:\n"
         '            raise errors.ClientLostError("lost") from error\n',
