Judge many quiet endpoints without holding up the event loop

Requests of all callers waited: a box with 500 quiet endpoints of one service, two runs each, judged them for 0.38 s ten times a second (0.10 s with 100 endpoints of ten runs each; load 13). Endpoints are quiet in such numbers wherever responses take seconds.

All observed times of a service were sorted anew for each endpoint. They are sorted once a time now, and what an endpoint left unanswered itself is left out in one pass; at most 100 endpoints are judged at a time, in turn, so that 500 take half a second.

The tests of response times ask for the observed times first; their bounds are as before.

--- a/martenjunction/decisions/boxes/response_survival.py
+++ b/martenjunction/decisions/boxes/response_survival.py
@@ -14,7 +14,9 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import heapq
 import math
+import operator
 
 # Number of ended requests that are remembered.
 MAX_SAMPLES = 256
@@ -106,23 +108,71 @@
         """
         self._samples.append(_Sample(endpoint_id, now - sent_at, answered))
 
-    def quiet_probability(
-        self,
-        waits: Iterable[Wait],
-        pending: Iterable[PendingRun],
-        judged: str,
-        now: float,
-    ) -> float:
+    def observe(
+        self, pending: Iterable[PendingRun], now: float
+    ) -> "ObservedTimes":
+        """Returns what is known of the service's response times.
+
+        Args:
+            pending: All requests of the service without a response.
+            now: The current time.
+        """
+        return ObservedTimes(
+            [sample.seconds for sample in self._samples if sample.answered],
+            [
+                *(
+                    (sample.endpoint_id, sample.seconds)
+                    for sample in self._samples
+                    if not sample.answered
+                ),
+                *((run.endpoint_id, now - run.sent_at) for run in pending),
+            ],
+        )
+
+
+class ObservedTimes:
+    """The response times of one service at one moment.
+
+    Sorted once for all endpoints that are judged.
+    """
+
+    def __init__(
+        self, answered_s: list[float], unanswered: list[tuple[str, float]]
+    ) -> None:
+        """Initializes the times.
+
+        Args:
+            answered_s: Response times in seconds.
+            unanswered: The endpoint of each other request, and the seconds that
+                it waited.
+        """
+        self._answered_s = sorted(answered_s)
+        unanswered_s = sorted(seconds for _, seconds in unanswered)
+        waiting = PRIOR_SURVIVORS + len(answered_s) + len(unanswered_s)
+        # How many requests waited until each response time.
+        self._waiting = [
+            waiting - number - bisect.bisect_right(unanswered_s, seconds)
+            for number, seconds in enumerate(self._answered_s)
+        ]
+        self._by_endpoint: dict[str, list[float]] = {}
+        for endpoint_id, seconds in unanswered:
+            self._by_endpoint.setdefault(endpoint_id, []).append(seconds)
+        longest = {its_id: max(s) for its_id, s in self._by_endpoint.items()}
+        # Those of two endpoints: the other one's counts if one is left out.
+        self._longest = heapq.nlargest(
+            2, longest.items(), key=operator.itemgetter(1)
+        )
+
+    def quiet_probability(self, waits: Iterable[Wait], judged: str) -> float:
         """Returns how likely a sound endpoint is as quiet as a given one.
 
         Args:
             waits: How long its requests have waited since it last sent
                 anything, those that have ended without a response as well.
-            pending: All requests of the service without a response.
-            judged: The id of the endpoint.
-            now: The current time.
+            judged: The id of the endpoint. Requests that it left unanswered are
+                not what it is compared with.
         """
-        usual = self._observed(pending, now, judged)
+        usual = self._without(judged)
         probability = 1.0
         for wait in waits:
             longer = usual.survival(wait.seconds / SILENT_TIME_FACTOR)
@@ -130,49 +180,31 @@
             probability *= min(1.0, longer / before)
         return probability
 
-    def late_after_s(self, pending: Iterable[PendingRun], now: float) -> float:
+    def late_after_s(self) -> float:
         """Returns the seconds after which a request counts as late.
 
-        Args:
-            pending: All requests of the service without a response.
-            now: The current time.
-
         Returns:
             The time that `LATE_FRACTION` of the requests exceed, or that no
             response comes near to; infinite if neither is known.
         """
-        answered_s = [s.seconds for s in self._samples if s.answered]
-        exceeded_s = self._observed(pending, now).exceeded_by(LATE_FRACTION)
-        if len(answered_s) < LATE_SAMPLES:
+        exceeded_s = self._without("").exceeded_by(LATE_FRACTION)
+        if len(self._answered_s) < LATE_SAMPLES:
             return exceeded_s
-        return min(exceeded_s, LATE_TIME_FACTOR * max(answered_s))
-
-    def _observed(
-        self, pending: Iterable[PendingRun], now: float, judged: str = ""
-    ) -> "_Observed":
-        """Returns what was observed of the service's requests.
-
-        Args:
-            pending: All requests of the service without a response.
-            now: The current time.
-            judged: The endpoint that is judged. Requests that it left
-                unanswered are not what it is compared with.
-        """
-        unanswered_s = [
-            sample.seconds
-            for sample in self._samples
-            if not sample.answered and sample.endpoint_id != judged
-        ]
-        unanswered_s += [
-            now - run.sent_at for run in pending if run.endpoint_id != judged
-        ]
-        return _Observed(
-            [sample.seconds for sample in self._samples if sample.answered],
-            unanswered_s,
+        return min(exceeded_s, LATE_TIME_FACTOR * self._answered_s[-1])
+
+    def _without(self, endpoint_id: str) -> "_Survival":
+        """Returns the estimate without what an endpoint left unanswered."""
+        left_s = sorted(self._by_endpoint.get(endpoint_id, ()))
+        others_s = [s for its_id, s in self._longest if its_id != endpoint_id]
+        return _Survival(
+            self._answered_s,
+            self._waiting,
+            left_s,
+            max([*self._answered_s[-1:], *others_s], default=0.0),
         )
 
 
-class _Observed:
+class _Survival:
     """The product-limit estimate of a survival function (Kaplan-Meier, 1958).
 
     A request that was given up, or still waits, is known to take longer than it
@@ -181,28 +213,32 @@
     """
 
     def __init__(
-        self, answered_s: list[float], unanswered_s: list[float]
+        self,
+        answered_s: list[float],
+        waiting: list[int],
+        left_out_s: list[float],
+        longest_s: float,
     ) -> None:
         """Initializes the estimate.
 
         Args:
-            answered_s: Response times in seconds.
-            unanswered_s: Seconds that each other request waited.
+            answered_s: Response times in seconds, in order.
+            waiting: How many requests waited until each of them.
+            left_out_s: Seconds that those of them waited that do not count, in
+                order.
+            longest_s: The longest time that counts.
         """
-        self._longest_s = max([*answered_s, *unanswered_s], default=0.0)
+        self._longest_s = longest_s
         self._has_tail = len(answered_s) >= TAIL_SAMPLES
-        self._times: list[float] = []
+        self._times = answered_s
         self._fractions: list[float] = []
-        waiting = len(answered_s) + len(unanswered_s) + PRIOR_SURVIVORS
         fraction = 1.0
-        for seconds, answered in sorted(
-            [(s, True) for s in answered_s] + [(s, False) for s in unanswered_s]
-        ):
-            if answered:
-                fraction *= 1.0 - 1.0 / waiting
-                self._times.append(seconds)
-                self._fractions.append(fraction)
-            waiting -= 1
+        out = len(left_out_s)
+        for seconds, count in zip(answered_s, waiting, strict=True):
+            while out and left_out_s[-out] <= seconds:
+                out -= 1
+            fraction *= 1.0 - 1.0 / (count - out)
+            self._fractions.append(fraction)
 
     def survival(self, seconds: float) -> float:
         """Returns the part of the requests that take longer.
--- a/martenjunction/routing/endpoints/silence_watch.py
+++ b/martenjunction/routing/endpoints/silence_watch.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import heapq
 import math
 
 from martenjunction.decisions.boxes import response_survival
@@ -19,6 +20,10 @@
 # Runs without a response that are remembered of an endpoint.
 MAX_UNANSWERED = 8
 
+# Quiet endpoints that are judged at a time. A box has hundreds of them if
+# responses take seconds, and it judges them many times a second.
+MAX_JUDGED = 100
+
 # Probability that a sound endpoint is as quiet, below which what may be
 # repeated gets a second endpoint. That costs less than an ejection in error.
 SECOND_PROBABILITY = 0.2
@@ -74,6 +79,8 @@
         # Runs that ended without a response since their endpoint last sent
         # anything.
         self._unanswered: dict[str, collections.deque[_EndedRun]] = {}
+        # When each quiet endpoint was last judged, in listening time.
+        self._judged_at: dict[str, float] = {}
 
     def note_bytes(self, ticket: run_ticket.RunTicket, now: float) -> None:
         """Learns from the time until bytes of a body came.
@@ -127,27 +134,29 @@
             now: The current time.
             check_path: Checks the path to an endpoint that is quiet.
         """
-        pending = _Pending(tickets)
+        pending = _Pending(tickets, self._survivals, listened)
+        quiet = []
         for endpoint_id, waiting in pending.by_endpoint.items():
             last = last_received.get(endpoint_id, 0.0)
-            record = waiting[0].record
-            unanswered = len(self._unanswered.get(endpoint_id, ()))
-            if not endpoint_ejection.is_quiet_for_long(
-                record,
+            if endpoint_ejection.is_quiet_for_long(
+                waiting[0].record,
                 [ticket.sent_at for ticket in waiting],
-                len(waiting) + unanswered,
+                len(waiting) + len(self._unanswered.get(endpoint_id, ())),
                 last,
                 listened,
             ):
-                if _is_quiet(waiting, last, listened):
-                    check_path(endpoint_id)
-                continue
+                quiet.append(endpoint_id)
+            elif _is_quiet(waiting, last, listened):
+                check_path(endpoint_id)
+        for endpoint_id in self._next_judged(quiet, listened):
+            last = last_received.get(endpoint_id, 0.0)
+            waiting = pending.by_endpoint[endpoint_id]
             probability = self._quiet_probability(
                 endpoint_id, pending, last, listened
             )
             is_silent = probability <= response_survival.SILENT_PROBABILITY
             if is_silent:
-                self._ejection.note_silence(record, now)
+                self._ejection.note_silence(waiting[0].record, now)
             else:
                 check_path(endpoint_id)
             if probability <= SECOND_PROBABILITY:
@@ -155,6 +164,18 @@
                     _request_move(ticket, listened, not is_silent)
         self._find_late(pending, listened)
 
+    def _next_judged(self, quiet: list[str], listened: float) -> list[str]:
+        """Returns the endpoints whose turn it is to be judged."""
+        self._judged_at = {
+            endpoint_id: self._judged_at.get(endpoint_id, -math.inf)
+            for endpoint_id in quiet
+        }
+        chosen = heapq.nsmallest(
+            MAX_JUDGED, quiet, key=self._judged_at.__getitem__
+        )
+        self._judged_at.update(dict.fromkeys(chosen, listened))
+        return chosen
+
     def _quiet_probability(
         self,
         endpoint_id: str,
@@ -178,9 +199,7 @@
                 )
             )
         return math.prod(
-            self._survival(kind).quiet_probability(
-                of_kind, pending.by_kind[kind], endpoint_id, listened
-            )
+            pending.observed(kind).quiet_probability(of_kind, endpoint_id)
             for kind, of_kind in waits.items()
         )
 
@@ -193,9 +212,7 @@
                 continue
             kind = kind_of(ticket)
             if kind not in limits:
-                limits[kind] = self._survival(kind).late_after_s(
-                    pending.by_kind[kind], listened
-                )
+                limits[kind] = pending.observed(kind).late_after_s()
             if waited_s > limits[kind] and not ticket.move_requested:
                 ticket.move_requested = ticket.keeps_running = True
 
@@ -213,21 +230,40 @@
 
 
 class _Pending:
-    """The runs that wait for bytes, by endpoint and by kind."""
+    """The runs that wait for bytes, and what is known of their kinds."""
 
-    def __init__(self, tickets: Iterable[run_ticket.RunTicket]) -> None:
+    def __init__(
+        self,
+        tickets: Iterable[run_ticket.RunTicket],
+        survivals: dict[RunKind, response_survival.ResponseSurvival],
+        listened: float,
+    ) -> None:
         self.tickets = list(tickets)
+        self._survivals = survivals
+        self._listened = listened
+        self._observed: dict[RunKind, response_survival.ObservedTimes] = {}
         self.by_endpoint: dict[str, list[run_ticket.RunTicket]] = {}
-        self.by_kind: dict[RunKind, list[response_survival.PendingRun]] = (
+        self._by_kind: dict[RunKind, list[response_survival.PendingRun]] = (
             collections.defaultdict(list)
         )
         for ticket in self.tickets:
             endpoint_id = ticket.record.id
             self.by_endpoint.setdefault(endpoint_id, []).append(ticket)
-            self.by_kind[kind_of(ticket)].append(
+            self._by_kind[kind_of(ticket)].append(
                 response_survival.PendingRun(endpoint_id, ticket.waiting_since)
             )
 
+    def observed(self, kind: RunKind) -> response_survival.ObservedTimes:
+        """Returns the response times of a kind, those of pending runs too."""
+        if kind not in self._observed:
+            known = self._survivals.get(kind)
+            if known is None:
+                known = response_survival.ResponseSurvival()
+            self._observed[kind] = known.observe(
+                self._by_kind[kind], self._listened
+            )
+        return self._observed[kind]
+
 
 def _request_move(
     ticket: run_ticket.RunTicket, listened: float, keeps_running: bool
--- a/tests/test_response_survival.py
+++ b/tests/test_response_survival.py
@@ -27,13 +27,13 @@
 ) -> float:
     """Returns how likely a sound endpoint leaves requests waiting so long."""
     waits = [response_survival.Wait(each, before_s) for each in waits_s]
-    return survival.quiet_probability(waits, pending, "judged", NOW)
+    return survival.observe(pending, NOW).quiet_probability(waits, "judged")
 
 
 def test_nothing_is_silent_or_late_while_nothing_is_known() -> None:
     survival = known([])
     assert quiet(survival, 60.0, 60.0) == 1.0
-    assert survival.late_after_s((), NOW) == math.inf
+    assert survival.observe((), NOW).late_after_s() == math.inf
 
 
 def test_long_waits_at_a_fast_service_are_silence() -> None:
@@ -78,12 +78,12 @@
     survival = known([0.03] * 50)
     for _ in range(10):
         survival.add("silent", NOW - 5.0, NOW - 3.5, answered=False)
-    assert survival.late_after_s((), NOW) < 0.1
+    assert survival.observe((), NOW).late_after_s() < 0.1
 
 
 def test_late_requests_are_few() -> None:
     draw = random.Random(1)
     times_s = [draw.expovariate(1.0) for _ in range(256)]
-    late_after_s = known(times_s).late_after_s((), NOW)
+    late_after_s = known(times_s).observe((), NOW).late_after_s()
     late = sum(seconds > late_after_s for seconds in times_s)
     assert 0 < late <= response_survival.LATE_FRACTION * len(times_s)
