Send nothing to a second endpoint once a response is on its way

A second endpoint ran a request for nothing: its search for one, or the wait for a connection there, ended while the first response was being delivered to a client that reads slowly. Only attempts that were running ended with the response. Besides, a request whose response was on its way could be moved when its endpoint's paths were found silent. After a success, such a run raised an error inside.

An offer that comes after the response is given back, and nothing is moved any more. The list of calls that close has one more, which gives back an offer.

--- a/martenjunction/routing/requests/attempts.py
+++ b/martenjunction/routing/requests/attempts.py
@@ -84,9 +84,9 @@
             await self._cancel_others()
 
     def move(self) -> None:
-        """Tries another endpoint, unless bytes of a response are waiting."""
+        """Tries another endpoint, unless a response is there or waiting."""
         tickets = self._runs.tickets
-        if not tickets or self._runs.readable:
+        if not tickets or self._runs.readable or self._runs.responding:
             return
         if any(ticket.endpoint_restarted for ticket in tickets):
             self._state.needs_new_connection = True
@@ -130,6 +130,9 @@
         return offer is not None and await self._send(offer)
 
     async def _send(self, offer: offers.Offer) -> bool:
+        if self._runs.responding:
+            self._offers.give_back(offer)
+            return False
         self._is_isolated = offer.permit.isolated
         self._offers.note_sent(offer.endpoint.id)
         return await self._runs.run(
--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -57,6 +57,11 @@
         """A failure response to deliver if no endpoint succeeds, or None."""
         return self._fallback
 
+    @property
+    def responding(self) -> bool:
+        """Whether one of the runs has the final response."""
+        return self._responding is not None
+
     @property
     def readable(self) -> bool:
         """Whether bytes from an endpoint are waiting to be read."""
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -135,9 +135,13 @@
             if offer is None or permit.is_valid():
                 return offer
             # In the meantime, an endpoint crashed while running this request.
-            permit.close()
-            self._context.grants.refund(offer.grant)
-            self._context.pool.release(offer.endpoint.id, offer.run.connection)
+            self.give_back(offer)
+
+    def give_back(self, offer: Offer) -> None:
+        """Gives back an offer over which nothing is sent."""
+        offer.permit.close()
+        self._context.grants.refund(offer.grant)
+        self._context.pool.release(offer.endpoint.id, offer.run.connection)
 
     async def _permit(self) -> permits.Permit | None:
         """Returns a permit to send the request; None if it may not run again.
--- a/tests/test_closing_gate.py
+++ b/tests/test_closing_gate.py
@@ -104,6 +104,7 @@
         "offer.permit.close"
     },
     ("routing.requests.exchange", "Exchange.run"): {"self._runs.close"},
+    ("routing.requests.offers", "Offers.give_back"): {"offer.permit.close"},
     ("routing.requests.offers", "Offers.next"): {"permit.close"},
 }
 
--- a/tests/test_silence_review.py
+++ b/tests/test_silence_review.py
@@ -1,21 +1,97 @@
 """Second attempts and the watch over silence, at their edges.
 
-Judging hundreds of endpoints held up the event loop.
+Judging hundreds of endpoints held up the event loop. A second attempt was sent
+after the first response was on its way.
 """
 
+import asyncio
+from collections.abc import AsyncIterator
 import time
 
+import pytest
+
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import response_survival
 from martenjunction.routing.endpoints import endpoint_ejection
 from martenjunction.routing.endpoints import run_ticket
 from martenjunction.routing.endpoints import silence_watch
 from martenjunction.routing.log import decision_log
+from martenjunction.routing.requests import endpoint_run
+from martenjunction.routing.requests import endpoint_runs
+from martenjunction_lab import boxes
 from tests import routing_builders as builders
+from tests import two_endpoints
+
+# Some turns of the timers, far less than the time that requests have.
+SETTLED_S = 0.4
 
 TICK_INTERVAL_S = 0.1
 
 
+class HeldDelivery:
+    """Holds up responses as a client does that reads slowly."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.began = asyncio.Event()
+        self.may_end = asyncio.Event()
+        deliver = endpoint_runs.EndpointRuns.deliver
+
+        async def held(
+            runs: endpoint_runs.EndpointRuns, answer: endpoint_run.Answer
+        ) -> None:
+            self.began.set()
+            await self.may_end.wait()
+            await deliver(runs, answer)
+
+        monkeypatch.setattr(endpoint_runs.EndpointRuns, "deliver", held)
+
+
+@pytest.fixture
+async def two(
+    fleet: boxes.Boxes,
+) -> AsyncIterator[two_endpoints.TwoEndpoints]:
+    async with two_endpoints.listed_at(fleet) as made:
+        yield made
+
+
+@pytest.mark.parametrize("status", ["200 OK", "404 Not Found"])
+async def test_nothing_is_sent_beside_a_response_on_its_way(
+    fleet: boxes.Boxes,
+    two: two_endpoints.TwoEndpoints,
+    monkeypatch: pytest.MonkeyPatch,
+    status: str,
+) -> None:
+    delivery = HeldDelivery(monkeypatch)
+    acquire = fleet.gateways[0].pool.acquire
+    asked = await two.ask()
+
+    async def slow_acquire(*args: object, **more: object) -> object:
+        connection = await acquire(*args, **more)  # type: ignore[arg-type]
+        await delivery.began.wait()
+        return connection
+
+    monkeypatch.setattr(fleet.gateways[0].pool, "acquire", slow_acquire)
+    two.search_second()
+    two.first.send(two_endpoints.response(b"first", status))
+    assert not await two.second_is_sent(SETTLED_S)
+    delivery.may_end.set()
+    head, got = await asked
+    assert (head.status, got) == (int(status[:3]), b"first")
+
+
+async def test_response_on_its_way_is_not_moved(
+    two: two_endpoints.TwoEndpoints, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    delivery = HeldDelivery(monkeypatch)
+    asked = await two.ask()
+    two.first.send(two_endpoints.response(b"first"))
+    await delivery.began.wait()
+    two.search_second()
+    assert not await two.second_is_sent(SETTLED_S)
+    delivery.may_end.set()
+    assert (await asked)[1] == b"first"
+
+
 class Watched:
     """A service of 500 endpoints with two runs each, all of them waiting."""
 
