End an attempt that waits for memory when another one responds

A client whose request had its response from a second endpoint got no answer to its next request on that connection, and the connection was aborted at the deadline of the first one: the other attempt had a long response and waited for memory to read it. Closing its connection did not wake it, and the request waited for it.

The wait ends with the attempt now. The new test failed before: the request was still held 0.4 s after its response, 9 s before its deadline.

--- a/martenjunction/routing/limits/answer_admission.py
+++ b/martenjunction/routing/limits/answer_admission.py
@@ -71,6 +71,11 @@
         """Gives back the memory of the answer that was begun last."""
         self._answers.end(self._held.pop())
 
+    def give_up(self) -> None:
+        """Ends the wait for the memory of an answer, if it waits."""
+        for answer in self._held:
+            self._answers.end_wait(answer)
+
     def close(self) -> None:
         """Gives back the memory of all answers."""
         for answer in self._held:
@@ -143,6 +148,14 @@
         finally:
             self._grants.pop(answer, None)
 
+    def end_wait(self, answer: answer_memory.HeldAnswer) -> None:
+        """Ends the wait of an answer that nobody needs, if it waits."""
+        grant = self._grants.get(answer)
+        if grant is not None and not grant.done():
+            grant.set_exception(
+                errors.AnswerGivenUpError("the response is not needed")
+            )
+
     def resize(self, answer: answer_memory.HeldAnswer, size: int) -> None:
         """Counts what is held of an answer; may give up others."""
         shrinks = size < answer.size
--- a/martenjunction/routing/requests/endpoint_run.py
+++ b/martenjunction/routing/requests/endpoint_run.py
@@ -134,6 +134,8 @@
         """Ends a run that its endpoint may still answer."""
         self._ticket.given_up = True
         self._run.abort()
+        # It may wait for memory, not for its connection.
+        self._answers.give_up()
 
     def supersede(self) -> None:
         """Ends the run, as another one responds to the client."""
--- a/tests/test_silence_review.py
+++ b/tests/test_silence_review.py
@@ -1,7 +1,8 @@
 """Second attempts and the watch over silence, at their edges.
 
 Judging hundreds of endpoints held up the event loop. A second attempt was sent
-after the first response was on its way.
+after the first response was on its way. An answered request stayed until its
+deadline for an attempt that waited for memory.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
 from martenjunction.routing.requests import endpoint_run
 from martenjunction.routing.requests import endpoint_runs
 from martenjunction_lab import boxes
+from tests import gateway_requests as requests
 from tests import routing_builders as builders
 from tests import two_endpoints
 
@@ -46,6 +48,23 @@
         monkeypatch.setattr(endpoint_runs.EndpointRuns, "deliver", held)
 
 
+async def ask_on_kept_connection(
+    fleet: boxes.Boxes, two: two_endpoints.TwoEndpoints
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Sends a request; the client keeps its connection after the response."""
+    host, port = fleet.addresses[0].rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(requests.raw_request("r1", "/safe/"))
+    two.first = await two.next_run()
+    return reader, writer
+
+
+async def until_none_is_held(fleet: boxes.Boxes) -> None:
+    async with asyncio.timeout(SETTLED_S):
+        while len(fleet.gateways[0].held):
+            await asyncio.sleep(0.01)
+
+
 @pytest.fixture
 async def two(
     fleet: boxes.Boxes,
@@ -92,6 +111,24 @@
     assert (await asked)[1] == b"first"
 
 
+async def test_attempt_that_waits_for_memory_ends_with_the_request(
+    fleet: boxes.Boxes,
+    two: two_endpoints.TwoEndpoints,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    answers = fleet.gateways[0].answers
+    reader, writer = await ask_on_kept_connection(fleet, two)
+    await two.try_second()
+    monkeypatch.setattr(answers, "reserve", lambda _, length: length < 100)
+    two.first.send(two_endpoints.response(b"x" * 1000))
+    await asyncio.sleep(0.05)
+    two.second.send(two_endpoints.response(b"second"))
+    assert await reader.readuntil(b"second")
+    await until_none_is_held(fleet)
+    assert not answers._grants and not answers._discards
+    writer.close()
+
+
 class Watched:
     """A service of 500 endpoints with two runs each, all of them waiting."""
 
