Abort nothing once the client has its response

A deadline, a stop or a client that left, a moment after the response of a second attempt, had the connection aborted with the rest of the response in it: the request was still held until the other attempt had ended, and counted as one without a complete response.

What has been delivered is not concluded again. The new test failed before with a connection aborted as answer-broken.

--- a/martenjunction/routing/requests/endpoint_runs.py
+++ b/martenjunction/routing/requests/endpoint_runs.py
@@ -46,12 +46,18 @@
         self._ended: list[endpoint_run.EndpointRun] = []
         self._responding: endpoint_run.EndpointRun | None = None
         self._fallback: endpoint_run.Answer | None = None
+        self._delivered = False
 
     @property
     def tickets(self) -> list[run_ticket.RunTicket]:
         """The tickets of the current runs."""
         return [run.ticket for run in self._running]
 
+    @property
+    def delivered(self) -> bool:
+        """Whether the client has a complete response."""
+        return self._delivered
+
     @property
     def fallback(self) -> endpoint_run.Answer | None:
         """A failure response to deliver if no endpoint succeeds, or None."""
@@ -145,3 +151,4 @@
         await self._connection.answer(
             answer.status, answer.headers, answer.body, self._context.closing()
         )
+        self._delivered = True
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -259,6 +259,9 @@
             await self._refuse(502, "internal-error", None)
 
     async def _conclude_aborted(self, runs: endpoint_runs.EndpointRuns) -> None:
+        if runs.delivered:
+            # Only other attempts were ended.
+            return
         self._state.failure = (
             self._ending.value if self._ending else "cancelled"
         )
--- a/tests/test_silence_review.py
+++ b/tests/test_silence_review.py
@@ -2,7 +2,8 @@
 
 Judging hundreds of endpoints held up the event loop. A second attempt was sent
 after the first response was on its way. An answered request stayed until its
-deadline for an attempt that waited for memory.
+deadline for an attempt that waited for memory. A deadline right after the
+response had its connection aborted.
 """
 
 import asyncio
@@ -13,12 +14,14 @@
 
 from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import response_survival
+from martenjunction.http1 import server_connection
 from martenjunction.routing.endpoints import endpoint_ejection
 from martenjunction.routing.endpoints import run_ticket
 from martenjunction.routing.endpoints import silence_watch
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.requests import endpoint_run
 from martenjunction.routing.requests import endpoint_runs
+from martenjunction.routing.requests import exchange
 from martenjunction_lab import boxes
 from tests import gateway_requests as requests
 from tests import routing_builders as builders
@@ -129,6 +132,36 @@
     writer.close()
 
 
+async def test_deadline_right_after_the_response_aborts_nothing(
+    fleet: boxes.Boxes,
+    two: two_endpoints.TwoEndpoints,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    aborted: list[object] = []
+    monkeypatch.setattr(
+        server_connection.ServerConnection,
+        "abort",
+        lambda _, reason: aborted.append(reason),
+    )
+    deliver = endpoint_runs.EndpointRuns.deliver
+    reader, writer = await ask_on_kept_connection(fleet, two)
+    await two.try_second()
+    running = two.exchange
+
+    async def then_ends(
+        runs: endpoint_runs.EndpointRuns, answer: endpoint_run.Answer
+    ) -> None:
+        await deliver(runs, answer)
+        running._end(exchange.Ending.TIMED_OUT)
+
+    monkeypatch.setattr(endpoint_runs.EndpointRuns, "deliver", then_ends)
+    two.second.send(two_endpoints.response(b"second"))
+    assert await reader.readuntil(b"second")
+    await until_none_is_held(fleet)
+    assert not aborted
+    writer.close()
+
+
 class Watched:
     """A service of 500 endpoints with two runs each, all of them waiting."""
 
