Count a second attempt only where an endpoint was found

A late request for which no endpoint could be had, such as one that another box would have to permit, searched for one ten times a second until its deadline, asked other boxes for permits each time, and each search was logged and counted as a second attempt.

Attempts are counted once an endpoint is found; after a search in vain the next one waits, twice as long each time, from 0.2 s up to 5 s.

--- a/martenjunction/routing/requests/attempts.py
+++ b/martenjunction/routing/requests/attempts.py
@@ -10,6 +10,7 @@
 import time
 
 from martenjunction import model
+from martenjunction.decisions import backoff
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.routing.access import admission
 from martenjunction.routing.endpoints import run_ticket
@@ -18,6 +19,10 @@
 from martenjunction.routing.requests import offers
 from martenjunction.routing.requests import request_state
 
+# Pauses, in seconds, after searches for another endpoint that found none.
+FIRST_SEARCH_PAUSE_S = 0.2
+MAX_SEARCH_PAUSE_S = 5.0
+
 
 class Attempts:
     """Sends one request to endpoints until one has answered it."""
@@ -47,6 +52,10 @@
         self._offers = offers.Offers(context, admitted, demand, state)
         self._beside: set[asyncio.Task[bool]] = set()
         self._is_selecting = False
+        # Searches beside other attempts that found no endpoint, and the time
+        # of the next one.
+        self._searches = 0
+        self._search_from = 0.0
         # Whether a suspected request runs, which is tried at one endpoint.
         self._is_isolated = False
 
@@ -111,6 +120,13 @@
 
     def _begin_beside(self) -> None:
         """Begins another attempt beside the ones that are under way."""
+        if time.monotonic() < self._search_from:
+            return
+        self._is_selecting = True
+        loop = asyncio.get_running_loop()
+        self._beside.add(loop.create_task(self._try_next()))
+
+    def _note_second(self) -> None:
         self._context.metrics.count("second_attempts")
         self._context.log.write(
             "second-attempt",
@@ -118,21 +134,30 @@
             waited_s=round(time.monotonic() - self._state.received_at, 3),
             endpoints=list(self._state.offers),
         )
-        self._is_selecting = True
-        loop = asyncio.get_running_loop()
-        self._beside.add(loop.create_task(self._try_next()))
 
     async def _try_next(self) -> bool:
+        offer = None
         try:
             offer = await self._offers.next()
         finally:
             self._is_selecting = False
+            if offer is None:
+                self._pause_search()
         return offer is not None and await self._send(offer)
 
+    def _pause_search(self) -> None:
+        """Has the next search wait, as the last one found no endpoint."""
+        self._search_from = time.monotonic() + backoff.pause_s(
+            FIRST_SEARCH_PAUSE_S, self._searches, MAX_SEARCH_PAUSE_S
+        )
+        self._searches += 1
+
     async def _send(self, offer: offers.Offer) -> bool:
         if self._runs.responding:
             self._offers.give_back(offer)
             return False
+        if self._runs.tickets:
+            self._note_second()
         self._is_isolated = offer.permit.isolated
         self._offers.note_sent(offer.endpoint.id)
         return await self._runs.run(
--- a/tests/test_silence_review.py
+++ b/tests/test_silence_review.py
@@ -3,7 +3,8 @@
 Judging hundreds of endpoints held up the event loop. A second attempt was sent
 after the first response was on its way. An answered request stayed until its
 deadline for an attempt that waited for memory. A deadline right after the
-response had its connection aborted.
+response had its connection aborted. A search that found no endpoint was counted
+and logged ten times a second.
 """
 
 import asyncio
@@ -22,6 +23,7 @@
 from martenjunction.routing.requests import endpoint_run
 from martenjunction.routing.requests import endpoint_runs
 from martenjunction.routing.requests import exchange
+from martenjunction.routing.requests import offers
 from martenjunction_lab import boxes
 from tests import gateway_requests as requests
 from tests import routing_builders as builders
@@ -51,6 +53,11 @@
         monkeypatch.setattr(endpoint_runs.EndpointRuns, "deliver", held)
 
 
+def second_attempts(fleet: boxes.Boxes) -> int:
+    counters = fleet.gateways[0].metrics.counters()
+    return sum(v for name, _, v in counters if name == "second_attempts")
+
+
 async def ask_on_kept_connection(
     fleet: boxes.Boxes, two: two_endpoints.TwoEndpoints
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -162,6 +169,27 @@
     writer.close()
 
 
+async def test_search_without_a_result_is_no_second_attempt(
+    fleet: boxes.Boxes,
+    two: two_endpoints.TwoEndpoints,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    searches = 0
+
+    async def find_none(_: offers.Offers) -> None:
+        nonlocal searches
+        searches += 1
+
+    asked = await two.ask()
+    monkeypatch.setattr(offers.Offers, "next", find_none)
+    two.search_second()
+    await asyncio.sleep(8 * TICK_INTERVAL_S)
+    assert second_attempts(fleet) == 0
+    assert 1 <= searches <= 4
+    two.first.send(two_endpoints.response(b"first"))
+    assert (await asked)[1] == b"first"
+
+
 class Watched:
     """A service of 500 endpoints with two runs each, all of them waiting."""
 
