Run a request that became suspected at one endpoint at a time

A request that was sent freely, and had become suspected of ending endpoints by the time its answer was late, got a trial at a second endpoint while the first one still ran it: if it ends endpoints, both go. Only a first run that was itself a trial was kept from that.

An offer for a trial is given back while another attempt is under way. The new test failed before: the second endpoint got the request. New cases without a fault found: a client that leaves two attempts, and what a superseded one and a kept failure response leave behind.

--- a/martenjunction/routing/requests/attempts.py
+++ b/martenjunction/routing/requests/attempts.py
@@ -153,7 +153,11 @@
         self._searches += 1
 
     async def _send(self, offer: offers.Offer) -> bool:
-        if self._runs.responding:
+        if self._runs.responding or (
+            offer.permit.isolated and self._runs.tickets
+        ):
+            # The request may have become suspected while it runs elsewhere.
+            self._is_isolated = offer.permit.isolated
             self._offers.give_back(offer)
             return False
         if self._runs.tickets:
--- a/tests/test_silence_review.py
+++ b/tests/test_silence_review.py
@@ -4,7 +4,8 @@
 after the first response was on its way. An answered request stayed until its
 deadline for an attempt that waited for memory. A deadline right after the
 response had its connection aborted. A search that found no endpoint was counted
-and logged ten times a second.
+and logged ten times a second. A request that had become suspected ran at two
+endpoints at a time.
 """
 
 import asyncio
@@ -20,6 +21,7 @@
 from martenjunction.routing.endpoints import run_ticket
 from martenjunction.routing.endpoints import silence_watch
 from martenjunction.routing.log import decision_log
+from martenjunction.routing.quarantine import permits
 from martenjunction.routing.requests import endpoint_run
 from martenjunction.routing.requests import endpoint_runs
 from martenjunction.routing.requests import exchange
@@ -190,6 +192,48 @@
     assert (await asked)[1] == b"first"
 
 
+async def test_request_that_became_suspected_runs_at_one_endpoint(
+    two: two_endpoints.TwoEndpoints, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asked = await two.ask()
+    monkeypatch.setattr(permits.Permit, "isolated", property(lambda _: True))
+    two.search_second()
+    assert not await two.second_is_sent(SETTLED_S)
+    two.first.send(two_endpoints.response(b"first"))
+    assert (await asked)[1] == b"first"
+
+
+async def test_client_that_leaves_ends_both_attempts(
+    fleet: boxes.Boxes, two: two_endpoints.TwoEndpoints
+) -> None:
+    asked = await two.ask()
+    await two.try_second()
+    asked.cancel()
+    assert await two_endpoints.is_closed(two.first)
+    assert await two_endpoints.is_closed(two.second)
+    await until_none_is_held(fleet)
+    assert fleet.gateways[0].registry.runs.running == 0
+
+
+async def test_superseded_attempt_leaves_nothing_behind(
+    fleet: boxes.Boxes, two: two_endpoints.TwoEndpoints
+) -> None:
+    box = fleet.gateways[0]
+    asked = await two.ask()
+    await two.try_second()
+    two.first.send(two_endpoints.response(b"f", "500 Internal Server Error"))
+    await asyncio.sleep(0.05)
+    two.second.send(two_endpoints.response(b"second"))
+    assert (await asked)[1] == b"second"
+    await until_none_is_held(fleet)
+    assert box.registry.runs.running == 0
+    assert not box.answers._discards
+    assert all(
+        each.loads.own_running == 0
+        for each in box.registry.table.records.values()
+    )
+
+
 class Watched:
     """A service of 500 endpoints with two runs each, all of them waiting."""
 
