Ask for all engines where no more are asked for than are drawn

The test was wrong. It asked a draw of long prompts to leave reserved engines out; of two engines two are to be drawn, so the sample draws nothing and holds both, as it does where other boxes send little. A cost keeps long prompts off the reserved one there.

Change, tests only: the example is pinned; up to two engines the sample has to be all of them, above that the check is as it was. A new test asks that long prompts choose no reserved engine of 2, 3 and 8, with 50 seeds each.

Measured: the pinned example failed on the check before; with the cost left out, the new test fails with two engines.

--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -3,10 +3,13 @@
 import dataclasses
 import random
 
+from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from martenjunction.decisions.boxes import candidates
+from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.decisions.boxes import endpoint_records
 
@@ -38,12 +41,19 @@
     record.loads.add(endpoint_loads.LoadKey(0, False), record.slots, 0)
 
 
+def queue_prompts(record: endpoint_records.EndpointRecord) -> None:
+    """Lets an engine have four long prompts to read."""
+    unread = 4 * LONG.prompt_tokens
+    record.loads.add(endpoint_loads.LoadKey(0, True), 4, unread)
+
+
 @given(
     count=st.integers(1, 40),
     holding=st.sets(st.integers(0, 39), max_size=5),
     reserved=st.sets(st.integers(0, 39), max_size=20),
     seed=st.integers(0, 1_000),
 )
+@example(count=2, holding=set(), reserved={0}, seed=1)
 def test_a_sample_is_small_and_holds_all_that_hold_shared_parts(
     count: int, holding: set[int], reserved: set[int], seed: int
 ) -> None:
@@ -62,11 +72,27 @@
     assert holders | {owner} <= set(ids)
     drawn = set(ids) - holders - {owner}
     assert len(drawn) <= candidates.MIN_DRAWN
-    if len(kept & {record.id for record in records}) < count:
+    if count <= candidates.MIN_DRAWN:
+        # Nothing is drawn; a cost keeps long prompts off reserved engines.
+        assert weighed == records
+    elif len(kept & {record.id for record in records}) < count:
         # Long prompts are drawn for the engines that are not reserved.
         assert not drawn & kept
 
 
+@pytest.mark.parametrize("count", [2, 3, 8])
+def test_long_prompts_stay_off_reserved_engines(count: int) -> None:
+    records = engine_records(count)
+    reserved = endpoint_choice.reserved_for_short(records, LONG, NOW)
+    assert reserved
+    for record in records:
+        if record.id not in reserved:
+            queue_prompts(record)
+    for seed in range(50):
+        choice = endpoint_choice.choose(records, LONG, NOW, random.Random(seed))
+        assert choice is not None and choice.record.id not in reserved
+
+
 def test_all_engines_are_drawn_alike() -> None:
     records = engine_records(10)
     rng = random.Random(1)
