Leave the end of what a caller sends unread behind its next request

Callers of the product's own daemon saw: a next request sent together with the end of the sending side, before the daemon had begun to wait for it, got no byte on uvloop; nor did two requests sent so together.

Cause: tornado keeps the limit of the last head (`_read_max_bytes`) after the read. While no read is pending it takes it as the number of bytes to read, so it read the next request and the end behind it, and closed the socket. The response before was complete, and the hook of the close took it for the one of the request that was closed. The request was delivered from the buffer afterwards and not admitted, as its connection was closed. On asyncio the daemon begins to wait before it reads; the stream did the same there.

Change: a stream forgets the limit as the read ends, so that it stops at the first bytes of the next request and serves it. The close no longer comes between two requests, so the guard against two responses is as it was.

--- a/martenjunction/fair_streams.py
+++ b/martenjunction/fair_streams.py
@@ -102,6 +102,15 @@
         reading = super().read_bytes(num_bytes, partial)
         return self._in_turn(reading, fair_turns.PART_COST, partial)
 
+    def _read_from_buffer(self, pos: int) -> None:
+        """Ends a read, without its limit being kept for the time after it.
+
+        tornado would read up to the limit of the last head while no read is
+        pending, and close at the end that follows a request in the buffer.
+        """
+        self._read_max_bytes = None
+        super()._read_from_buffer(pos)
+
     def _in_turn(
         self, awaitable: Awaitable[bytes], cost: int, is_data: bool | None
     ) -> Awaitable[bytes]:
--- a/tests/test_closing_review.py
+++ b/tests/test_closing_review.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 from typing import NoReturn
 
 import pytest
+from tornado import iostream
 
 from martenjunction import closing_streams
+from martenjunction import fair_streams
 from martenjunction.http1 import request_ledger
 from martenjunction_lab import bench
 from martenjunction_lab import boxes
@@ -22,6 +25,7 @@
 fleet = builders.fleet
 
 BODY = b"lot"
+HEAD = b"GET / HTTP/1.1\r\n\r\n"
 
 
 def fail() -> None:
@@ -74,6 +78,41 @@
     assert (await caller.read_head()).startswith("HTTP/1.1 ")
 
 
+async def test_end_behind_a_request_that_is_not_read_yet_closes_nothing() -> (
+    None
+):
+    ours, theirs = socket.socketpair()
+    accepted = iostream.IOStream(ours)
+    stream = fair_streams.FairStream.over(accepted, lambda: None)
+    first = stream.read_until_regex(b"\r\n\r\n", max_bytes=64 * 1024)
+    with theirs:
+        theirs.send(HEAD)
+        assert await first == HEAD
+        stream.set_close_callback(lambda: None)
+        theirs.send(HEAD)
+        theirs.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(0.05)
+        assert not stream.closed()
+        assert await stream.read_until_regex(b"\r\n\r\n") == HEAD
+        with pytest.raises(iostream.StreamClosedError):
+            await stream.read_until_regex(b"\r\n\r\n")
+
+
+async def test_each_request_of_a_caller_that_ends_its_sending_side_is_told(
+    fleet: bench.Bench,
+) -> None:
+    (service,) = fleet.outside.plains.values()
+    service.faults = plain.PlainFaults(delay_s=builders.SHORT_TIMEOUT_S)
+    (caller,) = await builders.connect_callers(fleet, 1)
+    call = builders.request(builders.PLAIN_CALL, BODY)
+    caller.send(call + builders.request(builders.MODELS))
+    caller.end_sending()
+    received = await caller.read_remaining()
+    first, second = re.findall(rb"HTTP/1\.1 (\d+) ", received)
+    # The end of what a caller sends ends a request that it finds under way.
+    assert first == b"200" and second in {b"200", b"502"}
+
+
 async def test_unexpected_error_is_answered_before_the_close(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
