End peers that ping without reading, or send on after they failed

What was seen: the answers to pings of a peer that reads none of them wait in the box, before the peer has proved anything as well as after: 45.8 MB in 4 s of one sender at full speed, and growing. After a failed opening handshake, either way, or a close frame, the box reads on at full speed: 690 MB in 2 s as a client, and for 10 s as a server.

Cause: the library writes the answer to each ping at once, and discards what follows a failure until the connection is closed.

--- a/martenjunction/peers/fair_connections.py
+++ b/martenjunction/peers/fair_connections.py
@@ -23,6 +23,14 @@
 # Frames in a piece above which the next piece is the smallest again.
 FEW_FRAMES = 4
 
+# Pings that a peer may send while what waits for it exceeds the write limit:
+# the answer to each would wait as well.
+MAX_UNREAD_PINGS = 64
+
+# Bytes that are read on after this side has ended what was sent to it, so that
+# the peer may see why.
+MAX_DISCARDED_BYTES = 256 * 1024
+
 # Close codes for malformed and for too large frames.
 _FRAMING_CODES = {
     frames.CloseCode.PROTOCOL_ERROR,
@@ -50,6 +58,8 @@
         self._unparsed = bytearray()
         self._piece_bytes = MIN_PIECE_BYTES
         self._frames = 0
+        self._unread_pings = 0
+        self._discarded = 0
         self._parsing = False
         self._waiting: asyncio.Task[None] | None = None
         # The queue of frames resumes reading; unparsed bytes go first.
@@ -60,6 +70,11 @@
         if self._waiting is None:
             # A loop reads from each connection once in an iteration.
             self._turns.renew()
+        if self.protocol.close_expected():
+            self._discarded += len(data)
+        if self._discarded > MAX_DISCARDED_BYTES:
+            self.transport.abort()
+            return
         self._unparsed += data
         self._parse()
 
@@ -72,6 +87,11 @@
             else fair_turns.HEAD_COST
         )
         super().process_event(event)
+        if (
+            isinstance(event, frames.Frame)
+            and event.opcode is frames.Opcode.PING
+        ):
+            self._note_ping()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the connection; what is not parsed yet is discarded."""
@@ -80,6 +100,16 @@
             self._waiting.cancel()
         super().connection_lost(exc)
 
+    def _note_ping(self) -> None:
+        """Ends the connection of a peer that pings on and reads nothing."""
+        # `paused` is the library's: whether writing is paused.
+        self._unread_pings = self._unread_pings + 1 if self.paused else 0
+        if self._unread_pings > MAX_UNREAD_PINGS:
+            self.protocol.fail(
+                frames.CloseCode.PROTOCOL_ERROR, "too many unread pings"
+            )
+            self.transport.abort()
+
     def _parse(self) -> None:
         """Parses pieces until the budget is spent or the queue is full."""
         if self._parsing or self._waiting is not None:
--- a/tests/endless_endpoints.py
+++ b/tests/endless_endpoints.py
@@ -1,4 +1,4 @@
-"""An endpoint that sends without end, as fast as its socket takes it."""
+"""Endpoints and callers that send without end, as fast as sockets take it."""
 
 from collections.abc import Callable
 import dataclasses
@@ -181,3 +181,35 @@
         finally:
             self.sending -= 1
             self.most_sent = max(self.most_sent, sent)
+
+
+class EndlessCaller:
+    """Sends to a server without end, in a thread, and never reads.
+
+    Attributes:
+        sent: Bytes that the socket took after the first ones.
+        ended: Set once the connection is closed.
+    """
+
+    def __init__(self, address: str, begin: bytes, again: bytes) -> None:
+        host, _, port = address.partition(":")
+        self.sent = 0
+        self.ended = threading.Event()
+        self._socket = socket.create_connection((host, int(port)))
+        threading.Thread(
+            target=self._send,
+            args=(begin, again * max(1, WRITE_BYTES // len(again))),
+            daemon=True,
+        ).start()
+
+    def stop(self) -> None:
+        self._socket.close()
+
+    def _send(self, begin: bytes, again: bytes) -> None:
+        try:
+            self._socket.sendall(begin)
+            while True:
+                self._socket.sendall(again)
+                self.sent += len(again)
+        except OSError:
+            self.ended.set()
