Take only short messages of peers that have proved nothing

What was seen: each connection to the port for peers could make the box keep a message of 4 MB for 2 s, without the key: 60 of them took 256 MB.

Cause: the limit of a message in the handshake was checked after all of it had been received.

Change: a server's connection takes 16 KB until the caller has proved that it has the key, and is refused by the head of the frame. A failure of a connection within the handshake is logged with its cause.

One of the two new tests failed before; the other holds that a known peer may send 4 MB.

--- a/martenjunction/peers/handshake.py
+++ b/martenjunction/peers/handshake.py
@@ -57,7 +57,8 @@
     """Performs the handshake on the accepting side.
 
     Args:
-        connection: The connection.
+        connection: The connection, which takes messages of up to
+            `MAX_HANDSHAKE_BYTES`; afterwards those of a link.
         own: This daemon.
         key: The shared secret of all daemons.
 
@@ -73,6 +74,8 @@
     expected = proof(key, "hello", nonce, hello.box)
     if not hmac.compare_digest(expected, hello.proof):
         await _refuse(connection, own, hello.box, Mismatch.KEY)
+    # Before the caller may send a longer message.
+    connection.protocol.max_message_size = codec.MAX_MESSAGE
     await _send_message(
         connection,
         messages.Welcome(
@@ -170,8 +173,10 @@
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT):
             frame = await connection.recv()
-    except (TimeoutError, ws_exceptions.ConnectionClosed) as error:
+    except TimeoutError as error:
         raise errors.PeerError("no frame during the handshake") from error
+    except ws_exceptions.ConnectionClosed as error:
+        raise errors.PeerError(f"closed in the handshake: {error}") from error
     if isinstance(frame, str):
         raise errors.PeerError("unexpected text frame")
     if len(frame) > MAX_HANDSHAKE_BYTES:
--- a/martenjunction/peers/hub.py
+++ b/martenjunction/peers/hub.py
@@ -234,7 +234,7 @@
             create_connection=fair_connections.FairServerConnection,
             compression=None,
             ping_interval=None,
-            max_size=codec.MAX_MESSAGE,
+            max_size=handshakes.MAX_HANDSHAKE_BYTES,
             write_limit=links.WRITE_LIMIT,
         )
         self._timers.subscribe(
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -1,11 +1,12 @@
 """Peers that send without end, before and after they are known.
 
 Guards against what a box keeps for them: answers to pings that they do not
-read; and against bytes that it reads on after their connection failed.
+read, and long messages of callers that have not proved anything yet.
 """
 
 import asyncio
 from collections.abc import AsyncIterator
+import socket
 
 import pytest
 from websockets.asyncio import client as ws_client
@@ -15,6 +16,7 @@
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.decisions.boxes import tunnel_choice
+from martenjunction.peers import codec
 from martenjunction.peers import handshake
 from martenjunction.peers import hub
 from martenjunction.tunnels import connection
@@ -105,6 +107,35 @@
     other.transport.abort()
 
 
+async def test_long_message_of_an_unknown_caller_is_refused_by_its_head(
+    listening: tuple[hub.PeerHub, str],
+) -> None:
+    size = handshake.MAX_HANDSHAKE_BYTES + 1
+    loop = asyncio.get_running_loop()
+    host, _, port = listening[1].partition(":")
+    with socket.socket() as caller:
+        caller.setblocking(False)
+        await loop.sock_connect(caller, (host, int(port)))
+        await loop.sock_sendall(caller, linked_hubs.UPGRADE)
+        await loop.sock_recv(caller, 64 * 1024)
+        frame = b"\x82\xff" + size.to_bytes(8, "big") + bytes(4)
+        await loop.sock_sendall(caller, frame)
+        async with asyncio.timeout(handshake.HANDSHAKE_TIMEOUT / 2):
+            while await loop.sock_recv(caller, 64 * 1024):
+                pass
+
+
+async def test_peer_sends_long_messages_once_it_is_known(
+    listening: tuple[hub.PeerHub, str],
+) -> None:
+    known = await link(listening[1])
+    await boxes.until(lambda: listening[0].is_connected("box-2"))
+    await known.send(bytes(codec.MAX_MESSAGE))
+    # It is read as a whole, and is no batch.
+    await boxes.until(lambda: listening[0].refused == 1)
+    assert listening[0].traffic().bytes_in == codec.MAX_MESSAGE
+
+
 async def test_peer_that_pings_and_reads_nothing_is_ended(
     listening: tuple[hub.PeerHub, str], caplog: pytest.LogCaptureFixture
 ) -> None:
