Bound the lists that a box takes from the store

What was seen: a store whose lists go on and on made a box keep up to 200 pages before it gave up: 215 MB with pages of 1 MB, 1,515 MB with pages of 7 MB (a page may have 8 MB).

Cause: the number of pages was bounded, not what is kept of them.

Change: the objects of a list may take a quarter of the box's memory (64 MB where it is not limited), with 512 bytes for each beside its content, and a list whose next page ends with the same name again is refused. The call fails as with too many pages, and the box goes on with what it knows.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -155,7 +155,7 @@
             settings.retry_window_s,
             self._max_boxes,
         )
-        self.store = store.StoreClient(settings.store)
+        self.store = store.StoreClient(settings.store, settings.memory_bytes)
         self.follower = follower.StoreFollower(
             self.store,
             self.store_cache,
--- a/martenjunction/platform/store.py
+++ b/martenjunction/platform/store.py
@@ -15,15 +15,13 @@
 from martenjunction import revisions
 from martenjunction.http1 import messages
 from martenjunction.platform import http_calls
+from martenjunction.platform import list_extent
 from martenjunction.platform import store_answers
 
 # Timeout in seconds for the head of a response, in addition to the wait of a
 # watch.
 CALL_TIMEOUT_S = 1.0
 
-# Maximum number of pages of a list.
-MAX_PAGES = 200
-
 # Header of all responses; increases when the store is restored from a backup.
 _ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 18
@@ -97,12 +95,14 @@
 class StoreClient:
     """Reads, watches and writes objects of the store."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, memory_bytes: int | None = None) -> None:
         """Initializes the client, which connects on first use.
 
         Args:
             address: IP address and port of the store.
+            memory_bytes: Memory of this box, in bytes, if it is limited.
         """
+        self._memory_bytes = memory_bytes
         self._http = http_calls.HttpCalls(address)
         self._calls: collections.Counter[str] = collections.Counter()
         self._era = 0
@@ -157,13 +157,14 @@
         unnamed = 0
         after: str | None = None
         first: revisions.Revision | None = None
-        for _ in range(MAX_PAGES):
+        extent = list_extent.ListExtent(self._memory_bytes)
+        while True:
             query = {} if after is None else {"since_rev": after}
             if allow_stale:
                 query["allow_stale"] = "1"
-            path = _path(kind, query=query)
-            response = await self._call("list", "GET", path)
+            response = await self._call("list", "GET", _path(kind, query=query))
             page = await _decode(response, store_answers.decode_page)
+            extent.add(page)
             era = response.era
             # Entries of earlier pages may change before the later pages.
             first = first or revisions.Revision(era, page.current_rev)
@@ -178,7 +179,6 @@
             # Despite the parameter's name, the next page starts after a name,
             # not a revision.
             after = page.entries[-1].metadata.name
-        raise errors.PlatformRefusedError(f"{kind} has too many pages")
 
     async def watch(
         self, kind: str, after: revisions.Revision, wait_s: float
