Take late requests in a planned stop only if they can end in it

Late in the grace period, callers of requests that may not be repeated got 504, unknown outcome, after their request had been passed on.

- The time needed was five times the latency target, also where endpoints take longer.
Four times the response time predicted at the chosen endpoint counts as well now.
- A request was judged once, before it waited for a connection, a grant or a place.
It is judged again before it is first sent.
- The drain ran by the grace period that a reload had brought, admission by the one that the process had started with.
The limit is fixed as the stop begins, for both.

The log tells each decision with the seconds since the stop began, those needed and those left, and `stopped`, now written at the very end, sums the stop up.

A box that stops at once or has reached its limit refuses what comes after.

--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -23,6 +23,7 @@
 from martenjunction.routing.ports import operator_answers
 from martenjunction.routing.requests import exchange_context
 from martenjunction.routing.requests import held_requests
+from martenjunction.routing.requests import stop_gate
 from martenjunction.routing.streams import keys
 
 # Seconds between checks for silent endpoints, expired entries and requests
@@ -67,6 +68,9 @@
         """
         super().__init__(settings, resident_bytes)
         self._stopped = asyncio.Event()
+        self._stop_gate = stop_gate.StopGate(
+            self.stop_state, self.timers, self.log
+        )
         self._context = exchange_context.ExchangeContext(
             self.admitter,
             self.registry,
@@ -77,7 +81,7 @@
             self.metrics,
             settings.zone,
             lambda: self.stop_state.leaving_for_s(self.timers.now()),
-            settings.stop_s - STOP_MARGIN_S,
+            self._stop_gate,
             request_content.ContentKeys(own_records.peer_key(settings)),
             self.quarantine,
             self.liveness,
@@ -170,7 +174,8 @@
         if self.leaving:
             return
         started_at = self.timers.now()
-        self.stop_state.leave(started_at)
+        limit_s = self._settings.stop_s - STOP_MARGIN_S
+        self.stop_state.leave(started_at, limit_s)
         self.log.write("stop-begins", held=len(self.held))
         stop_steps.run(
             [
@@ -185,24 +190,31 @@
         release = loop.create_task(self.duties.leave())
         removal = loop.create_task(self.follower.remove_own_entry())
         try:
-            await self._drain(started_at)
+            await self._drain(started_at, limit_s)
         finally:
             removal.cancel()
             release.cancel()
             stop_steps.run([self.usage.write])
-            self.log.write("stopped", cut_off=len(self.held))
+            cut_off = len(self.held)
             try:
                 await self.stop()
             finally:
+                self.log.write(
+                    "stopped",
+                    cut_off=cut_off,
+                    unanswered=len(self.held),
+                    **self._stop_gate.summary(),
+                )
                 self._stopped.set()
 
-    async def _drain(self, started_at: float) -> None:
+    async def _drain(self, started_at: float, limit_s: float) -> None:
         """Serves until no request is in flight or the stop time is near.
 
         Args:
             started_at: Time at which the shutdown began.
+            limit_s: Seconds after which requests in flight are ended.
         """
-        deadline = started_at + self._settings.stop_s - STOP_MARGIN_S
+        deadline = started_at + limit_s
         while self.timers.now() < deadline:
             lingered = self.timers.now() - started_at > LINGER_S
             if lingered and not self.held:
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -6,7 +6,6 @@
 import time
 
 from martenjunction import errors
-from martenjunction import model
 from martenjunction.decisions import outcomes
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.http1 import close_reports
@@ -27,24 +26,6 @@
 # Retry-After, in seconds, if no endpoint accepts the request.
 RETRY_BUSY_S = 0.25
 
-# Time, in seconds, from the start of a planned stop after which new streams are
-# refused: they would be cut off when the box is killed. By then, clients have
-# learned of other boxes.
-STREAM_ADMISSION_S = 2.8
-
-# Time, in seconds, from the start of a planned stop during which all other
-# requests are admitted, whatever their latency target.
-MIN_ADMISSION_S = 0.5
-
-# Multiple of the latency target that must fit into the rest of a planned stop
-# for a request to be admitted. Otherwise, a request at a slow endpoint would be
-# cut off with an unknown outcome.
-STOP_TARGET_FACTOR = 5
-
-# Retry-After, in seconds, during a planned stop; another box takes the retry.
-RETRY_STOPPING_S = 0.05
-
-
 # Retry-After, in seconds, if no endpoint of a stream's version accepts it. One
 # that crashed takes seconds to start again.
 RETRY_VERSION_S = 1.0
@@ -173,7 +154,7 @@
             self._state,
             admitted,
         )
-        self._refuse_if_stopping(admitted)
+        self._context.stop.admit(self._facts.id, admitted)
         self._state.is_retry = self._context.deadlines.is_retry(
             admitted.route.name, self._facts.deadline_s
         )
@@ -204,28 +185,6 @@
             if self._task is not None:
                 self._task.cancel()
 
-    def _refuse_if_stopping(self, admitted: admission.Admission) -> None:
-        """Refuses a request that could outlast a planned stop of this box.
-
-        Raises:
-            RefusalError: If the client should retry at another box.
-        """
-        stopping_s = self._context.stopping_for_s()
-        if stopping_s is None:
-            return
-        time_left_s = admitted.deadline - time.monotonic()
-        needed_s = min(
-            STOP_TARGET_FACTOR * admitted.route.target_s, time_left_s
-        )
-        latest_s = self._context.stop_limit_s - needed_s
-        latest_s = max(latest_s, MIN_ADMISSION_S)
-        if admitted.route.kind is model.RouteKind.STREAM:
-            latest_s = min(latest_s, STREAM_ADMISSION_S)
-        if stopping_s > latest_s:
-            raise admission.RefusalError(
-                503, "stopping", "this box is being stopped", RETRY_STOPPING_S
-            )
-
     async def _conclude(self, runs: endpoint_runs.EndpointRuns) -> None:
         """Sends the final response if the attempts sent none."""
         assert self._task is not None
@@ -290,11 +249,32 @@
             if offer is None:
                 await self._finish_without_endpoint(admitted, runs)
                 return
+            self._confirm_during_stop(admitted, offer)
             chosen.note_sent(offer.endpoint.id)
             copies = chosen.plan_copy(offer)
             if await runs.run(demand, offer, copies):
                 return
 
+    def _confirm_during_stop(
+        self, admitted: admission.Admission, offer: offers.Offer
+    ) -> None:
+        """Refuses a request that waited until too late in a planned stop.
+
+        Raises:
+            RefusalError: If it ran nowhere and could outlast the stop.
+        """
+        if self._state.progress.outcome is not outcomes.Outcome.NOT_RUN:
+            return
+        try:
+            self._context.stop.confirm(
+                self._facts.id, admitted, offer.choice.predicted_s
+            )
+        except admission.RefusalError:
+            offer.permit.close()
+            self._context.grants.refund(offer.grant)
+            self._context.pool.release(offer.endpoint.id, offer.run.connection)
+            raise
+
     def _demand(self, admitted: admission.Admission) -> endpoint_records.Demand:
         engine = admitted.service.engine
         engines = self._context.registry.table.engines
@@ -372,6 +352,8 @@
         )
 
     def _record_result(self) -> None:
+        if self._ending is Ending.STOPPED:
+            self._context.stop.record_ended(self._state.progress.outcome)
         admitted = self._admission
         request_account.record_result(
             self._context,
--- a/martenjunction/routing/requests/exchange_context.py
+++ b/martenjunction/routing/requests/exchange_context.py
@@ -17,6 +17,7 @@
 from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.quarantine import request_quarantine
+from martenjunction.routing.requests import stop_gate
 from martenjunction.routing.streams import keys
 from martenjunction.routing.streams import origins
 
@@ -43,8 +44,7 @@
         zone: The box's availability zone.
         stopping_for_s: Returns the seconds since a planned stop began, or None
             if there is none.
-        stop_limit_s: Seconds after which a planned stop ends the remaining
-            requests.
+        stop: Takes or refuses requests during a planned stop.
         content_keys: Computes the content keys that identify resent requests.
         quarantine: Quarantines requests that crash endpoints.
         liveness: Checks whether endpoints crashed.
@@ -65,7 +65,7 @@
     metrics: metrics.Metrics
     zone: str
     stopping_for_s: Callable[[], float | None]
-    stop_limit_s: float
+    stop: stop_gate.StopGate
     content_keys: request_content.ContentKeys
     quarantine: request_quarantine.RequestQuarantine
     liveness: endpoint_liveness.EndpointLiveness
