--- a/martenjunction/routing/requests/attempts.py
+++ b/martenjunction/routing/requests/attempts.py
@@ -11,6 +11,7 @@
 
 from martenjunction import model
 from martenjunction.decisions import backoff
+from martenjunction.decisions import outcomes
 from martenjunction.decisions.boxes import endpoint_records
 from martenjunction.routing.access import admission
 from martenjunction.routing.endpoints import run_ticket
@@ -160,6 +161,7 @@
             self._is_isolated = offer.permit.isolated
             self._offers.give_back(offer)
             return False
+        self._confirm_during_stop(offer)
         if self._runs.tickets:
             self._note_second()
         self._is_isolated = offer.permit.isolated
@@ -168,6 +170,22 @@
             self._demand, offer, self._offers.plan_copy(offer)
         )
 
+    def _confirm_during_stop(self, offer: offers.Offer) -> None:
+        """Refuses a request that waited until too late in a planned stop.
+
+        Raises:
+            RefusalError: If it ran nowhere and could outlast the stop.
+        """
+        if self._state.progress.outcome is not outcomes.Outcome.NOT_RUN:
+            return
+        try:
+            self._context.stop.confirm(
+                self._state.id, self._admitted, offer.choice.predicted_s
+            )
+        except admission.RefusalError:
+            self._offers.give_back(offer)
+            raise
+
     async def _wait_for_others(self) -> bool:
         """Waits for the attempts beside one that has ended.
 
