Keep the last attempt of a relayed request that is only slow

Callers of the product's own interface got 502 from engines that were all sound and slow: each attempt without a token for the class's stall limit was cancelled, the third and last one as well, and the first one where no other engine or retry was left.

A run is cancelled as stalled only if another one may follow it: while attempts and the retry budget allow one, and its tokens can be continued. The last one ends at the class's time limit, as other requests do. Two tests with prompts of some seconds at four engines and at one, and a limit of 300 ms: both had 502 before, 200 now.

--- a/martenjunction/decisions/retries.py
+++ b/martenjunction/decisions/retries.py
@@ -21,13 +21,18 @@
         """Number of retries denied."""
         return self._refused
 
+    @property
+    def is_available(self) -> bool:
+        """Whether a retry is available."""
+        return self._balance >= 1.0
+
     def success(self) -> None:
         """Records a complete answer."""
         self._balance = min(self._reserve, self._balance + self._ratio)
 
     def take(self) -> bool:
         """Consumes one retry; returns whether one was available."""
-        if self._balance < 1.0:
+        if not self.is_available:
             self._refused += 1
             return False
         self._balance -= 1.0
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -144,7 +144,8 @@
         if not self._request.repeatable:
             return
         limit = self._request.service_class.stall
-        if now - self._last_activity_at > limit:
+        # The last attempt may still be answered.
+        if now - self._last_activity_at > limit and self._may_follow():
             self.stop(broker.StopReason.STALLED)
 
     async def _run(self) -> results.Result:
@@ -379,13 +380,28 @@
             "the endpoint did not answer in full",
         )
 
-    def _may_retry(self, ending: dispatch_types.Ending) -> bool:
+    def _attempts_after_run(self) -> int:
+        """Returns the attempts without progress, with the current run."""
         # A run that delivered more tokens does not count as an attempt: the
         # response length, the time limit and the retry budget bound these.
-        made_progress = self.conversation.tokens > self._tokens_before_run
-        self._attempts_without_progress = (
-            0 if made_progress else self._attempts_without_progress + 1
+        if self.conversation.tokens > self._tokens_before_run:
+            return 0
+        return self._attempts_without_progress + 1
+
+    def _may_follow(self) -> bool:
+        """Returns whether another run may follow the current one."""
+        return (
+            self._stop_after_run is None
+            and self._attempts_after_run() < retries.MAX_ATTEMPTS
+            and self._context.budget.is_available
+            and (
+                self._progress.outcome is not outcomes.Outcome.RAN_PARTLY
+                or self.conversation.can_continue
+            )
         )
+
+    def _may_retry(self, ending: dispatch_types.Ending) -> bool:
+        self._attempts_without_progress = self._attempts_after_run()
         if self._attempts_without_progress >= retries.MAX_ATTEMPTS:
             return False
         if not self._progress.may_retry(self._request.repeatable):
