Try the events of two attempts of a request in all orders

No fault was found: no order raises an error before a response is complete, and a request counts as not run exactly where each attempt that was sent was refused.

--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -1,5 +1,7 @@
 """Tests of the outcomes reported to callers, for all orders of events."""
 
+import itertools
+
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -70,3 +72,50 @@
             open_attempts -= 1
         if progress.outcome == "not-run":
             assert open_attempts <= 0
+
+
+ATTEMPTS = [
+    (E.SENT, E.REFUSED),
+    (E.SENT, E.BROKEN),
+    (E.SENT, E.COMPLETE),
+    (E.SENT, E.ANSWERING, E.BROKEN),
+]
+
+
+def in_all_orders(
+    first: tuple[outcomes.Event, ...], second: tuple[outcomes.Event, ...]
+) -> list[list[tuple[int, outcomes.Event]]]:
+    """Returns all orders of events, each with its attempt."""
+    length = len(first) + len(second)
+    found = []
+    for places in itertools.combinations(range(length), len(first)):
+        of_first, of_second = iter(first), iter(second)
+        found.append(
+            [
+                (1, next(of_first)) if at in places else (2, next(of_second))
+                for at in range(length)
+            ]
+        )
+    return found
+
+
+@pytest.mark.parametrize("first", ATTEMPTS)
+@pytest.mark.parametrize("second", ATTEMPTS)
+def test_two_attempts_in_all_orders(
+    first: tuple[outcomes.Event, ...], second: tuple[outcomes.Event, ...]
+) -> None:
+    for order in in_all_orders(first, second):
+        progress = outcomes.RequestProgress()
+        sent, refused = set(), set()
+        for attempt, event in order:
+            progress.record(event)
+            if event is E.COMPLETE:
+                # The other attempt is superseded.
+                assert progress.outcome is outcomes.Outcome.DONE
+                break
+            if event is E.SENT:
+                sent.add(attempt)
+            elif event is E.REFUSED:
+                refused.add(attempt)
+            not_run = progress.outcome is outcomes.Outcome.NOT_RUN
+            assert not_run == (sent == refused), order
