Close a daemon's transfers whose responses nobody reads any more

What was seen: an engine that refuses a request, answers another one or reports its load without end kept a transfer of the daemon each time, with its connection and up to 64 KB, for up to 24 hours. The number of transfers is bounded; the ones after that wait in the client without a limit of time.

Cause: a relay let go of a stream that had failed without ending its transfer. So did the poll of a load, which had no time limit, and the request to cancel a run, whose response nobody reads.

Change: all three end their transfers; a poll and a request to cancel a run have 5 s.

--- a/martenjunction/endpoints/client.py
+++ b/martenjunction/endpoints/client.py
@@ -20,6 +20,9 @@
 # transfers.
 TRANSFER_TIMEOUT_S = 24 * 3600.0
 
+# Seconds for a request whose response nobody reads.
+NOTICE_TIMEOUT_S = 5.0
+
 # Errors that curl reports if no connection was established, provided that no
 # byte of the request was sent over an earlier connection.
 _BEFORE_SENDING = frozenset(
@@ -100,6 +103,11 @@
         future.add_done_callback(lambda done: _report_end(stream, done))
         return stream
 
+    def notify(self, request: EndpointRequest) -> None:
+        """Sends a request whose response nobody reads."""
+        stream = self.open(request)
+        self.io_loop.call_later(NOTICE_TIMEOUT_S, self.cancel, stream)
+
     def cancel(self, stream: streams.EndpointStream) -> None:
         """Cancels a transfer immediately and closes its connection."""
         stream.aborted = True
--- a/martenjunction/endpoints/loads.py
+++ b/martenjunction/endpoints/loads.py
@@ -1,5 +1,6 @@
 """Polls endpoints for their load, which they report with a delay."""
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 import logging
@@ -23,6 +24,9 @@
 MAX_POLLS_PER_S = 5.0
 MAX_REPORT_BYTES = 4096
 
+# Seconds for a poll.
+POLL_TIMEOUT_S = 5.0
+
 # Bounds of the numbers in a report; others would outweigh all endpoints.
 MAX_REQUESTS = 1_000_000
 MAX_AGE_MS = 3_600_000.0
@@ -106,13 +110,20 @@
         )
         stream = self._http.open(request)
         try:
-            head = await stream.head()
-            body = await stream.read()
+            async with asyncio.timeout(POLL_TIMEOUT_S):
+                head = await stream.head()
+                body = await stream.read()
             if head.status == 200 and len(body) <= MAX_REPORT_BYTES:
                 self._on_load(endpoint.name, _ADAPTER.validate_json(body))
         except errors.EndpointNotReachedError:
             self._on_unreachable(endpoint.name)
-        except (errors.EndpointError, pydantic.ValidationError) as error:
-            logger.info("no load report from %s: %s", endpoint.name, error)
+        except (
+            errors.EndpointError,
+            pydantic.ValidationError,
+            TimeoutError,
+        ) as error:
+            logger.info("no load report from %s: %r", endpoint.name, error)
         finally:
+            if not stream.ended:
+                self._http.cancel(stream)
             self._in_flight.discard(endpoint.name)
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -285,6 +285,9 @@
             self._response_head = (
                 self._stream.received_head or self._response_head
             )
+            if not self._stream.ended:
+                # What the endpoint goes on to send is for nobody.
+                self._context.http.cancel(self._stream)
             self._stream = None
         return self._record_ending(dispatch_types.Ending.COMPLETE)
 
@@ -351,7 +354,7 @@
         if cancel_request is not None:
             # The response is not awaited: the engine also ends a run whose
             # stream is not resumed.
-            self._context.http.open(cancel_request)
+            self._context.http.notify(cancel_request)
 
     # After a run.
 
--- a/tests/endless_endpoints.py
+++ b/tests/endless_endpoints.py
@@ -13,6 +13,9 @@
 
 HEALTH_PATH = b"/healthz"
 
+# Headers with the id of a request, of a box and of a daemon.
+_ID_HEADERS = (b"martenjunction-attempt-id:", b"x-request-id:")
+
 # Id of a request that was never sent.
 OTHER_ID = b"another"
 
@@ -23,6 +26,7 @@
         [
             b"HTTP/1.1 200 OK",
             b"Martenjunction-Attempt-Id: " + request_id,
+            b"X-Request-Id: " + request_id,
             b"Martenjunction-Replica-Seal: 3e1b",
             *lines,
             b"\r\n",
@@ -165,7 +169,7 @@
     def _answer(self, connection: socket.socket, head: bytes) -> None:
         name = b""
         for line in head.split(b"\r\n"):
-            if line.lower().startswith(b"martenjunction-attempt-id:"):
+            if line.lower().startswith(_ID_HEADERS):
                 name = line.partition(b":")[2].strip()
         if HEALTH_PATH not in head.split(b"\r\n")[0]:
             self.requests += 1
