Bound what a daemon keeps of an engine's response

What was seen: a daemon kept all of an event that never ends (16 MB in 3 s, and a copy of it for each part received: turns of up to 0.09 s), and all events of a response that never ends (300 MB in 3 s), until the time limit of the class, 300 s by default. An error response without end to a caller that asked for no stream was kept as well.

Cause: the events of a response are kept so that another engine can continue it or it can be assembled, whatever their size.

Change: an event may have 1 MB, as on a box of the platform, and an error response 1 MB. Beyond 16 MB the events of a response are not kept: a streamed one is passed on as before, but is not continued elsewhere after a failure or a preemption; one to be assembled ends with an error.

--- a/martenjunction/callers/chat.py
+++ b/martenjunction/callers/chat.py
@@ -25,6 +25,11 @@
 from martenjunction.relay import sinks
 
 DEFAULT_KIND = "chat"
+
+# Maximum bytes of an error response of an engine, which is kept until it is
+# complete.
+MAX_ERROR_BYTES = 1024 * 1024
+
 ERROR_EVENT = "event: error\ndata: {}\n\n"
 
 
@@ -172,13 +177,21 @@
 
     async def start(self, head: streams.ResponseHead) -> None:
         """Records an engine's error response, whose body is forwarded."""
+        self._error_body.clear()
         if head.status >= 400:
             self._error_head = head
 
     async def write(self, data: bytes) -> None:
-        """Buffers an error body; the relay collects content chunks."""
+        """Buffers an error body; the relay collects content chunks.
+
+        Raises:
+            EndpointBrokenError: If an error body is too long.
+        """
         if self._error_head is not None:
             self._error_body += data
+        if len(self._error_body) > MAX_ERROR_BYTES:
+            self._error_body.clear()
+            raise errors.EndpointBrokenError("the error response is too long")
 
     async def end(
         self, result: results.Result, conversation: runs.EngineConversation
--- a/martenjunction/endpoints/engine_protocol.py
+++ b/martenjunction/endpoints/engine_protocol.py
@@ -13,6 +13,7 @@
 from martenjunction import errors
 from martenjunction import http_headers
 from martenjunction.endpoints import client
+from martenjunction.endpoints import event_stream
 from martenjunction.endpoints import streams
 
 CHAT_PATH = "/v1/chat/completions"
@@ -22,6 +23,10 @@
 EVENT_END = b"\n\n"
 ID_FIELD = b"id: "
 
+# Maximum bytes of a response that are kept, so that another engine can continue
+# it or it can be assembled.
+MAX_KEPT_BYTES = 16 * 1024 * 1024
+
 # Statuses with which an engine reports that it did not start the request.
 REFUSED_STATUS = frozenset({429, 503})
 
@@ -122,12 +127,15 @@
 
     Takes bytes as they arrive and returns complete events, each exactly once.
     An incomplete event is buffered until the rest arrives, and is discarded
-    when the run is continued.
+    when the run is continued. Of a response that is too long to be kept, only
+    the number of tokens is.
     """
 
     def __init__(self) -> None:
         self._tail = b""
         self._events: list[bytes] = []
+        self._kept_bytes = 0
+        self._is_kept = True
         self._tokens = 0
         self._done = False
 
@@ -141,22 +149,29 @@
         """Whether the response is complete."""
         return self._done
 
+    @property
+    def is_kept(self) -> bool:
+        """Whether all events are kept, rather than too long for that."""
+        return self._is_kept
+
     def feed(self, data: bytes) -> bytes:
         """Adds received bytes; returns the events that are now complete.
 
         Raises:
+            EndpointBrokenError: If an event exceeds the maximum size.
             EndpointMismatchError: If an event id is out of sequence.
         """
         data = self._tail + data
         end = data.rfind(EVENT_END)
-        if end < 0:
-            self._tail = data
+        end = 0 if end < 0 else end + len(EVENT_END)
+        if len(data) - end > event_stream.MAX_EVENT_BYTES:
+            raise errors.EndpointBrokenError("event too large")
+        self._tail = data[end:]
+        if not end:
             return b""
-        end += len(EVENT_END)
         whole = data[:end]
-        self._tail = data[end:]
         self._check_sequence(whole)
-        self._events.append(whole)
+        self._keep(whole)
         return whole
 
     def drop_tail(self) -> None:
@@ -189,6 +204,14 @@
             parsed.append(chunk)
         return parsed
 
+    def _keep(self, whole: bytes) -> None:
+        self._kept_bytes += len(whole)
+        self._is_kept = self._kept_bytes <= MAX_KEPT_BYTES
+        if self._is_kept:
+            self._events.append(whole)
+        else:
+            self._events.clear()
+
     def _check_sequence(self, whole: bytes) -> None:
         numbered = whole.count(b"\n" + ID_FIELD)
         numbered += whole.startswith(ID_FIELD)
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -365,7 +365,8 @@
         if ending is dispatch_types.Ending.COMPLETE:
             self._context.budget.success()
             return self._result(outcomes.Outcome.DONE)
-        if ending is dispatch_types.Ending.PREEMPTED:
+        is_preempted = ending is dispatch_types.Ending.PREEMPTED
+        if is_preempted and self.conversation.can_continue:
             self._preemptions += 1
             self._stop = None
             return None
--- a/martenjunction/relay/runs.py
+++ b/martenjunction/relay/runs.py
@@ -103,8 +103,8 @@
 
     @property
     def can_continue(self) -> bool:
-        """Always true: engines continue from the tokens delivered so far."""
-        return True
+        """Whether the tokens are kept from which an engine continues."""
+        return self._delivered.is_kept
 
     @property
     def delivered(self) -> engine_protocol.Delivered:
@@ -149,6 +149,10 @@
             await sink.start(head)
         while data := await stream.read():
             events = self._delivered.feed(data)
+            if not self._delivered.is_kept and not self._chat.body.get(
+                "stream"
+            ):
+                raise errors.EndpointBrokenError("the response is too long")
             if events:
                 on_first_token()
                 await sink.write(events)
--- a/tests/test_endless_daemon.py
+++ b/tests/test_endless_daemon.py
@@ -1,7 +1,8 @@
 """Endpoints and callers that send to a daemon without end.
 
-Guards against transfers that stay open behind their requests until there are
-none left.
+Guards against what a daemon keeps of an event that never ends, or of a response
+that does not, and against transfers that stay open behind their requests until
+there are none left.
 """
 
 import asyncio
@@ -9,12 +10,20 @@
 from collections.abc import Iterator
 import dataclasses
 import time
+from unittest import mock
 
 import pytest
 
+from martenjunction import errors
+from martenjunction.cells import broker
+from martenjunction.config import fleet as fleet_config
+from martenjunction.decisions.cells import dispatch_types
 from martenjunction.endpoints import client
 from martenjunction.endpoints import engine_protocol
+from martenjunction.endpoints import event_stream
 from martenjunction.endpoints import loads
+from martenjunction.relay import relay
+from martenjunction.relay import results
 from martenjunction_lab import bench
 from martenjunction_lab import fleets
 from tests import caller_builders
@@ -32,6 +41,9 @@
 ENDED_S = 10.0
 OTHERS_S = 1.0
 
+# Bytes of an event that are received at once.
+PART_BYTES = 64 * 1024
+
 POST = (
     f"POST {caller_builders.CHAT} HTTP/1.1\r\nHost: x\r\n"
     f"Authorization: Bearer {fleets.FIELD_KEY}\r\n"
@@ -54,6 +66,8 @@
     "length": (POST + b"Content-Length: 10000000000\r\n\r\n", bytes(1024)),
 }
 
+EVENT = endless_endpoints.chunk(b": x\n\n" * 100)
+
 
 def refusal(status: bytes) -> endless_endpoints.Form:
     head = b"HTTP/1.1 " + status + b"\r\n" + endless_endpoints.CHUNKED
@@ -68,8 +82,20 @@
         name: (endless_endpoints.FORMS[name], True)
         for name in ("status-line", "head", "interim", "noise", "trailers")
     },
+    "one event": (endless_endpoints.STREAM_FORMS["line"], True),
+    "no events": (endless_endpoints.FORMS["until-close"], True),
     "other": (endless_endpoints.FORMS["other-chunks"], True),
     "refusal": (refusal(b"503 Service Unavailable"), True),
+    "error": (refusal(b"400 Bad Request"), False),
+    "events, assembled": (
+        endless_endpoints.Form(
+            lambda name: endless_endpoints.sealed_head(
+                name, endless_endpoints.CHUNKED
+            ),
+            EVENT,
+        ),
+        False,
+    ),
 }
 
 Redirect = Callable[
@@ -198,3 +224,45 @@
     await until_closed(endpoint)
     assert endpoint.requests == 1
     http.close()
+
+
+def test_event_without_end_is_an_error() -> None:
+    delivered = engine_protocol.Delivered()
+    parts = event_stream.MAX_EVENT_BYTES // PART_BYTES
+    for _ in range(parts):
+        assert not delivered.feed(bytes(PART_BYTES))
+    with pytest.raises(errors.EndpointBrokenError):
+        delivered.feed(bytes(PART_BYTES))
+
+
+def test_response_is_passed_on_although_it_is_too_long_to_be_kept() -> None:
+    delivered = engine_protocol.Delivered()
+    number = 0
+    while delivered.is_kept:
+        number += 1
+        event = b"id: %d\ndata: %b\n\n" % (number, bytes(MB // 2))
+        assert delivered.feed(event) == event
+        assert number <= 2 * engine_protocol.MAX_KEPT_BYTES // MB
+    assert delivered.tokens == number
+    assert not delivered.text()
+
+
+@pytest.mark.parametrize(
+    ("kept_bytes", "code"),
+    [(100, None), (10, results.FailureCode.ENDPOINT_FAILED)],
+)
+def test_preempted_run_goes_on_elsewhere_if_its_response_is_kept(
+    monkeypatch: pytest.MonkeyPatch,
+    kept_bytes: int,
+    code: results.FailureCode | None,
+) -> None:
+    monkeypatch.setattr(engine_protocol, "MAX_KEPT_BYTES", kept_bytes)
+    request = mock.Mock(chat={}, arrived=0.0)
+    request.service.kind = fleet_config.ServiceKind.ENGINE
+    context = mock.Mock()
+    context.clock.now.return_value = 1.0
+    made = relay.Relay(request, mock.Mock(), context)
+    made.conversation.delivered.feed(b"id: 1\ndata: x\n\n")
+    made.stop(broker.StopReason.PREEMPTED)
+    result = made._evaluate_run(dispatch_types.Ending.PREEMPTED)
+    assert (None if result is None else result.code) is code
