--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -286,6 +286,9 @@
             self._response_head = (
                 self._stream.received_head or self._response_head
             )
+            if not self._stream.ended:
+                # What the endpoint goes on to send is for nobody.
+                self._context.http.cancel(self._stream)
             self._stream = None
         return self._record_ending(dispatch_types.Ending.COMPLETE)
 
@@ -352,7 +355,7 @@
         if cancel_request is not None:
             # The response is not awaited: the engine also ends a run whose
             # stream is not resumed.
-            self._context.http.open(cancel_request)
+            self._context.http.notify(cancel_request)
 
     # After a run.
 
@@ -363,7 +366,8 @@
         if ending is dispatch_types.Ending.COMPLETE:
             self._context.budget.success()
             return self._result(outcomes.Outcome.DONE)
-        if ending is dispatch_types.Ending.PREEMPTED:
+        is_preempted = ending is dispatch_types.Ending.PREEMPTED
+        if is_preempted and self.conversation.can_continue:
             self._preemptions += 1
             self._stop = None
             return None
