Explore periodic checks, slow endpoints and second attempts

Explorations left the periodic checks out, and endpoints answered at once or never. So they saw neither the failures that replaced answers of slow sound endpoints, nor what becomes of a request that has two attempts, nor a check that does not ask for bytes that wait.

Change: the rig runs the periodic checks of a box. Endpoints also answer by themselves after 10 ms to 3 s, pause, fall silent and restart; streams may be resumed. New invariants: no failure of the box's own replaces an answer that was coming in time, no run goes on for more than 0.5 s after the response or after its client has left, and no stream runs twice at a time. Every step is played first in known situations, under each configuration; half of the walks begin in one, and what was seldom seen is weighed more. The loop does not wait for the kernel, except to confirm a counterexample.

--- a/martenjunction_lab/explore/client.py
+++ b/martenjunction_lab/explore/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import re
 import socket
 import struct
@@ -49,6 +50,7 @@
         opened_at: Time at which it connected.
         ended_at: Time at which the server's end was seen, or None.
         left: Whether the client ended its side in any way.
+        left_at: Time at which it did.
         gone: Whether it can receive nothing any more.
     """
 
@@ -63,6 +65,7 @@
         self.opened_at = self._loop.time()
         self.ended_at: float | None = None
         self.left = False
+        self.left_at = math.inf
         self.gone = False
         self._loop.add_reader(self._socket, self.receive)
 
@@ -105,7 +108,7 @@
     def half_close(self) -> None:
         """Ends the sending side."""
         self.receive()
-        self.left = True
+        self._leave()
         try:
             self._socket.shutdown(socket.SHUT_WR)
         except OSError:
@@ -116,13 +119,19 @@
         if self.gone:
             return
         self.receive()
-        self.left = self.gone = True
+        self._leave()
+        self.gone = True
         self._loop.remove_reader(self._socket)
         if by_reset:
             reset(self._socket)
         else:
             self._socket.close()
 
+    def _leave(self) -> None:
+        if not self.left:
+            self.left = True
+            self.left_at = self._loop.time()
+
     def _end(self) -> None:
         if self.ended_at is None:
             self.ended_at = self._loop.time()
--- a/martenjunction_lab/explore/configurations.py
+++ b/martenjunction_lab/explore/configurations.py
@@ -6,6 +6,7 @@
 SAFE = "safe"
 UNSAFE = "unsafe"
 STREAM = "chat"
+RESUMABLE = "talk"
 PLAIN_SERVICE = "plain"
 ENGINE_SERVICE = "engine"
 
@@ -16,6 +17,7 @@
     "long-rest": {"idle_timeout_ms": 4000},
     "short-times": {"timeout_ms": 300, "header_timeout_ms": 100},
     "small": {"max_body_bytes": 2},
+    "patient": {"timeout_ms": 5000},
 }
 
 _USUAL = {
@@ -79,6 +81,14 @@
         "gap_goal_ms": 250,
         "sticky": True,
     },
+    RESUMABLE: {
+        "route_kind": "streaming",
+        "service": ENGINE_SERVICE,
+        "max_attempts": 2,
+        "gap_goal_ms": 250,
+        "resumable": True,
+        "sticky": True,
+    },
 }
 _SERVICES = [
     {"name": PLAIN_SERVICE, "health_path": "/healthz", "max_conns": 96},
--- a/tools/broken_connection_builds.py
+++ b/tools/broken_connection_builds.py
@@ -8,6 +8,7 @@
 CONNECTION_RECORD = "martenjunction/http1/connection_record.py"
 RESTING = "martenjunction/http1/resting.py"
 EXCHANGE = "martenjunction/routing/requests/exchange.py"
+ATTEMPTS = "martenjunction/routing/requests/attempts.py"
 ENDPOINT_RUN = "martenjunction/routing/requests/endpoint_run.py"
 REQUEST_BODIES = "martenjunction/http1/request_bodies.py"
 
@@ -22,6 +23,15 @@
     "test_short_exploration_finds_no_counterexample"
 )
 
+EXPLORED_RESTS = (
+    "tests/test_explore_connection.py::"
+    "test_events_in_situations_show_no_counterexample[rest]"
+)
+EXPLORED_CHECKS = (
+    "tests/test_explore_connection.py::"
+    "test_events_in_situations_show_no_counterexample[check]"
+)
+
 BUILDS = (
     BrokenBuild(
         "the state is not asked before a stop closes a connection",
@@ -92,6 +102,13 @@
         "return allowed_s - self.rested_s - 1.5",
         SHORT_EXPLORATION,
     ),
+    BrokenBuild(
+        "a shorter idle time holds at once",
+        RESTING,
+        "max(self._time.held_s, self._limits().idle_timeout_s)",
+        "self._limits().idle_timeout_s",
+        EXPLORED_RESTS,
+    ),
     BrokenBuild(
         "a request that may have run is said not to have run",
         EXCHANGE,
@@ -117,4 +134,11 @@
         "if True:",
         SHORT_EXPLORATION,
     ),
+    BrokenBuild(
+        "a move does not ask for bytes that wait",
+        ATTEMPTS,
+        "self._runs.readable",
+        "False",
+        EXPLORED_CHECKS,
+    ),
 )
