Notice a client that leaves while its next request is unread

A client sent a second request before it had the first response, and left. Its connection was closed at once, but the run of its first request went on: 1.5 s, until the endpoint counted as silent, or 2.9 s, to the end of its answer.

Cause: the end of a connection was told by the read that was pending. That read was done, with the bytes of the second request.

Change: the close of the stream tells it as well.

--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -295,10 +295,15 @@
         """
         self._end_callback = callback
         if callback is None:
+            self._stream.set_close_callback(None)
             return
         self.prefetch()
         assert self._pending is not None
         self._pending.add_done_callback(self._on_read_done)
+        # A read that is done, as bytes of another request came, tells no end.
+        self._stream.set_close_callback(self._on_closed)
+        if self._stream.closed():
+            asyncio.get_running_loop().call_soon(self._on_closed)
 
     async def read(self) -> bytes:
         """Waits for data.
@@ -345,6 +350,10 @@
         return pending
 
     def _on_read_done(self, future: "asyncio.Future[bytes]") -> None:
-        failed = not future.cancelled() and future.exception() is not None
-        if failed and self._end_callback is not None:
-            self._end_callback()
+        if not future.cancelled() and future.exception() is not None:
+            self._on_closed()
+
+    def _on_closed(self) -> None:
+        callback, self._end_callback = self._end_callback, None
+        if callback is not None:
+            callback()
--- a/tests/test_explore_connection.py
+++ b/tests/test_explore_connection.py
@@ -94,11 +94,21 @@
     assert not outcome.broken, outcome.timeline
 
 
+def test_reset_behind_unread_requests_is_noticed() -> None:
+    order = "config-patient after-3000 safe stream& wait-50 two reset&"
+    outcome = plays.play(tuple(order.split()), traced=True)
+    assert outcome.possible
+    assert not outcome.broken, outcome.timeline
+
+
 @pytest.mark.parametrize(
     "order",
     [
         # A response whose head meets a reset, and that has no body.
         "half-body~ config-small~ reset",
+        # A client that leaves while its next request is unread.
+        "config-patient after-3000 unsafe safe~ half-close~",
+        "config-patient after-3000 safe stream fin",
     ],
 )
 def test_order_that_once_broke_an_invariant(order: str) -> None:
