--- a/martenjunction/platform/list_extent.py
+++ b/martenjunction/platform/list_extent.py
@@ -7,8 +7,9 @@
 MAX_PAGES = 200
 
 # Part of a box's memory for the objects of a list, and their maximum size in
-# bytes where its memory is not limited.
-MEMORY_FRACTION = 0.25
+# bytes where its memory is not limited. The archived streams of a large fleet
+# have to fit in.
+MEMORY_FRACTION = 0.5
 MAX_BYTES = 64 * 1024 * 1024
 
 # Bytes that an object takes beside its name and its content.
