Leave a silent endpoint with a stream only for one that takes it

A stream got 502 where its endpoint could still have answered: it left that one as another seemed free, which then had no grant, no connection or no permit for it. The choice was asked for before the run was ended, all the rest after it.

The other endpoint is found first, with its connection and grant. Then the run is ended, if it may still be left, and the request is sent there once it has ended, within 50 ms; otherwise the offer is given back. A stream that may go on from a copy of its memory is ended first, as before.

--- a/martenjunction/routing/requests/attempts.py
+++ b/martenjunction/routing/requests/attempts.py
@@ -24,6 +24,10 @@
 FIRST_SEARCH_PAUSE_S = 0.2
 MAX_SEARCH_PAUSE_S = 5.0
 
+# Time, in seconds, for which a stream waits for the end of the run that it
+# leaves, which may be writing to its client.
+MAX_LEAVE_S = 0.05
+
 
 class Attempts:
     """Sends one request to endpoints until one has answered it."""
@@ -105,7 +109,7 @@
             only_idle=any(ticket.keeps_running for ticket in tickets)
         ):
             self._state.needs_new_connection = True
-            if self._is_stream:
+            if self._is_stream and self._offers.may_continue:
                 self._runs.give_up()
             else:
                 self._begin_beside()
@@ -162,7 +166,11 @@
             self._offers.give_back(offer)
             return False
         self._confirm_during_stop(offer)
-        if self._runs.tickets:
+        if self._runs.tickets and self._is_stream:
+            if not await self._leave():
+                self._offers.give_back(offer)
+                return False
+        elif self._runs.tickets:
             self._note_second()
         self._is_isolated = offer.permit.isolated
         self._offers.note_sent(offer.endpoint.id)
@@ -186,6 +194,22 @@
             self._offers.give_back(offer)
             raise
 
+    async def _leave(self) -> bool:
+        """Ends the runs of a stream that another endpoint would take now.
+
+        Returns:
+            Whether they have ended. They stay if they may still be answered.
+        """
+        if self._runs.readable or not all(
+            self._may_leave(ticket) for ticket in self._runs.tickets
+        ):
+            return False
+        self._runs.give_up()
+        until = time.monotonic() + MAX_LEAVE_S
+        while self._runs.tickets and time.monotonic() < until:
+            await asyncio.sleep(0.001)
+        return not self._runs.tickets
+
     async def _wait_for_others(self) -> bool:
         """Waits for the attempts beside one that has ended.
 
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -163,7 +163,7 @@
             return None
 
     async def _select_endpoint(self, permit: permits.Permit) -> Offer | None:
-        if self._state.connection_broken and self._may_continue():
+        if self._state.connection_broken and self.may_continue:
             return await self._continue_at_copy(permit)
         while self._may_offer():
             now = time.monotonic()
@@ -301,7 +301,8 @@
             listed is not None and listed.endpoint.version == endpoint.version
         )
 
-    def _may_continue(self) -> bool:
+    @property
+    def may_continue(self) -> bool:
         """Returns whether the run can resume from the copy of its memory."""
         if self._copy_endpoint is None or not run_copies.has_arrived(
             self._state
--- a/tests/two_endpoints.py
+++ b/tests/two_endpoints.py
@@ -105,14 +105,16 @@
 
 
 @contextlib.asynccontextmanager
-async def listed_at(fleet: boxes.Boxes) -> AsyncIterator[TwoEndpoints]:
+async def listed_at(
+    fleet: boxes.Boxes, service: str = builders.PLAIN
+) -> AsyncIterator[TwoEndpoints]:
     """Lists two endpoints whose bytes a test sends itself."""
     peers = [raw_peers.RawPeer(), raw_peers.RawPeer()]
     for number, peer in enumerate(peers):
         listed = replica.Replica(f"i-raw-{number}")
         listed.address = peer.address
         fleet.replicas.append(listed)
-        fleet.record(listed, builders.PLAIN)
+        fleet.record(listed, service)
     await fleet.until_listed()
     yield TwoEndpoints(fleet, list(peers))
     for peer in peers:
