Count the events of a stream in what it needs late in a stop

A stream that came within the 2.8 s was taken if five times the target of its first event was left, however long its events take; its caller then got a part of it. What it needs is judged by the time predicted to the first event and twice the mean time from there to the last at its endpoint, right before it is sent.

--- a/martenjunction/decisions/boxes/stop_admission.py
+++ b/martenjunction/decisions/boxes/stop_admission.py
@@ -22,10 +22,13 @@
 # outcome.
 TARGET_FACTOR = 5
 
-# The same of the predicted response time; response_times.MAX_RATIO tells up to
-# which multiple a response time counts as expected.
+# The same of the predicted response time of a plain endpoint;
+# response_times.MAX_RATIO tells up to which multiple it counts as expected.
 PREDICTED_FACTOR = 4
 
+# The same of the mean time from the first to the last event of a stream.
+EVENTS_FACTOR = 2
+
 
 class Reason(enum.StrEnum):
     """Why a request is taken or refused.
@@ -74,25 +77,27 @@
         is_stream: Whether its response is a stream.
         target_s: Its latency target in seconds.
         time_left_s: Seconds until its deadline.
-        predicted_s: Predicted response time at its endpoint in seconds; 0 if
-            none was chosen yet.
+        predicted_s: Predicted time in seconds to its response, or to the first
+            event, at its endpoint; 0 if none was chosen yet.
+        events_s: Mean time in seconds from the first to the last event of
+            streams there.
     """
 
     is_stream: bool
     target_s: float
     time_left_s: float
     predicted_s: float = 0.0
+    events_s: float = 0.0
 
     @property
     def seconds(self) -> float:
         """Seconds within which its response is expected."""
-        return min(
-            max(
-                TARGET_FACTOR * self.target_s,
-                PREDICTED_FACTOR * self.predicted_s,
-            ),
-            self.time_left_s,
-        )
+        if self.is_stream:
+            expected_s = self.predicted_s + EVENTS_FACTOR * self.events_s
+        else:
+            expected_s = PREDICTED_FACTOR * self.predicted_s
+        needed_s = max(TARGET_FACTOR * self.target_s, expected_s)
+        return min(needed_s, self.time_left_s)
 
 
 def judge(stop: StopTime, need: Need) -> Reason:
--- a/martenjunction/routing/requests/exchange.py
+++ b/martenjunction/routing/requests/exchange.py
@@ -266,9 +266,7 @@
         if self._state.progress.outcome is not outcomes.Outcome.NOT_RUN:
             return
         try:
-            self._context.stop.confirm(
-                self._facts.id, admitted, offer.choice.predicted_s
-            )
+            self._context.stop.confirm(self._facts.id, admitted, offer.choice)
         except admission.RefusalError:
             offer.permit.close()
             self._context.grants.refund(offer.grant)
--- a/martenjunction/routing/requests/stop_gate.py
+++ b/martenjunction/routing/requests/stop_gate.py
@@ -7,6 +7,7 @@
 from martenjunction import model
 from martenjunction import timers
 from martenjunction.decisions import outcomes
+from martenjunction.decisions.boxes import endpoint_choice
 from martenjunction.decisions.boxes import stop_admission
 from martenjunction.decisions.boxes import stop_state
 from martenjunction.routing.access import admission
@@ -46,7 +47,7 @@
         Raises:
             RefusalError: If the client should retry at another box.
         """
-        reason = self._judge(request_id, admitted, 0.0, "refused")
+        reason = self._judge(request_id, admitted, None, "refused")
         if reason is None:
             return
         if reason in stop_admission.TAKEN:
@@ -59,19 +60,19 @@
         self,
         request_id: str,
         admitted: admission.Admission,
-        predicted_s: float,
+        choice: endpoint_choice.Choice,
     ) -> None:
         """Refuses a request that ran nowhere, before it is sent.
 
         Args:
             request_id: Its id.
             admitted: The admitted request.
-            predicted_s: Predicted response time of its endpoint in seconds.
+            choice: Its endpoint.
 
         Raises:
             RefusalError: If the client should retry at another box.
         """
-        reason = self._judge(request_id, admitted, predicted_s, "withdrawn")
+        reason = self._judge(request_id, admitted, choice, "withdrawn")
         if reason is not None and reason not in stop_admission.TAKEN:
             self._withdrawn[reason] += 1
             raise _refusal()
@@ -93,7 +94,7 @@
         self,
         request_id: str,
         admitted: admission.Admission,
-        predicted_s: float,
+        choice: endpoint_choice.Choice | None,
         refused: str,
     ) -> stop_admission.Reason | None:
         """Returns the decision, or None if the box is not being stopped."""
@@ -105,7 +106,8 @@
             route.kind is model.RouteKind.STREAM,
             route.target_s,
             admitted.deadline - time.monotonic(),
-            predicted_s,
+            0.0 if choice is None else choice.predicted_s,
+            0.0 if choice is None else choice.record.hold_s.value,
         )
         reason = stop_admission.judge(stop, need)
         taken = reason in stop_admission.TAKEN
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -45,6 +45,23 @@
     assert stop_admission.judge(stop, need) is reason
 
 
+@pytest.mark.parametrize(
+    ("predicted_s", "events_s", "reason"),
+    [
+        (0.0, 0.0, Reason.FITS),
+        (0.6, 2.0, Reason.FITS),
+        (0.6, 2.3, Reason.LATE),
+        (5.2, 0.0, Reason.LATE),
+    ],
+)
+def test_stream_is_taken_if_its_last_event_is_expected_within_the_stop(
+    predicted_s: float, events_s: float, reason: stop_admission.Reason
+) -> None:
+    need = stop_admission.Need(True, 0.2, 20.0, predicted_s, events_s)
+    stop = stop_admission.StopTime(2.5, LIMIT_S)
+    assert stop_admission.judge(stop, need) is reason
+
+
 def test_box_that_ends_takes_no_request() -> None:
     state = stop_state.StopState()
     assert state.stop_time(1.0) is None
