--- a/martenjunction/routing/requests/attempts.py
+++ b/martenjunction/routing/requests/attempts.py
@@ -188,7 +188,7 @@
             return
         try:
             self._context.stop.confirm(
-                self._state.id, self._admitted, offer.choice.predicted_s
+                self._state.id, self._admitted, offer.choice
             )
         except admission.RefusalError:
             self._offers.give_back(offer)
