Test a reset behind unread requests as well as a FIN

A client that sends more behind a request under way, in two pieces, and leaves is not noticed: the run goes on for 2.9 s, to its answer. The order of the known red ends with a FIN, which a caller that waits for its answers may send as well; a reset leaves no doubt.

--- a/tests/test_explore_connection.py
+++ b/tests/test_explore_connection.py
@@ -94,9 +94,18 @@
     assert not outcome.broken, outcome.timeline
 
 
-def test_reset_behind_unread_requests_is_noticed() -> None:
-    order = "config-patient after-3000 safe stream& wait-50 two reset&"
-    outcome = plays.play(tuple(order.split()), traced=True)
+@pytest.mark.parametrize(
+    "order",
+    [
+        pytest.param("stream& wait-50 two reset&", id="reset"),
+        pytest.param("resumable& wait-50 stream half-close~", id="fin"),
+    ],
+)
+def test_client_that_leaves_behind_unread_requests_is_noticed(
+    order: str,
+) -> None:
+    begun = ("config-patient", "after-3000", "safe")
+    outcome = plays.play((*begun, *order.split()), traced=True)
     assert outcome.possible
     assert not outcome.broken, outcome.timeline
 
