Undo the look for waiting bytes in one place of the broken build

The text that the build replaces stands in two places of `attempts` since a silent endpoint is left with a stream only for one that takes it, so that its test failed.

--- a/tools/broken_connection_builds.py
+++ b/tools/broken_connection_builds.py
@@ -137,8 +137,8 @@
     BrokenBuild(
         "a move does not ask for bytes that wait",
         ATTEMPTS,
-        "self._runs.readable",
-        "False",
+        "if not tickets or self._runs.readable or",
+        "if not tickets or",
         EXPLORED_CHECKS,
     ),
 )
