Ask an endpoint's record whether it is ejected

The tracker of ejections had a function for that beside the property that the record has got. Behaviour is as before: 168 tests of eight modules on silence, hold-ups, restarts and routing pass, and formatter, linter and type check are clean.

--- a/martenjunction/routing/endpoints/endpoint_ejection.py
+++ b/martenjunction/routing/endpoints/endpoint_ejection.py
@@ -97,7 +97,7 @@
 def due_for_probe(record: endpoint_records.EndpointRecord, now: float) -> bool:
     """Returns whether an ejected endpoint needs a health check."""
     return (
-        _is_ejected(record)
+        record.is_ejected
         and record.loads.own_running == 0
         and record.health.trial_due(now - PROBE_DELAY_S)
     )
@@ -118,7 +118,7 @@
         self, record: endpoint_records.EndpointRecord, now: float
     ) -> None:
         """Reinstates an ejected endpoint that responds."""
-        if _is_ejected(record):
+        if record.is_ejected:
             self._apply(record, endpoint_states.EndpointEvent.TRIAL_PASSED, now)
 
     def note_unreachable(
@@ -140,7 +140,7 @@
         self, record: endpoint_records.EndpointRecord, now: float
     ) -> None:
         """Ejects a silent endpoint, unless it is ejected already."""
-        if not _is_ejected(record):
+        if not record.is_ejected:
             self._eject(record, "silent", now)
 
     def reinstate(
@@ -166,7 +166,7 @@
         self, record: endpoint_records.EndpointRecord, why: str, now: float
     ) -> None:
         event = endpoint_states.EndpointEvent.OUTLIER
-        if _is_ejected(record):
+        if record.is_ejected:
             if not record.health.trial_due(now):
                 # The failed request was sent before the ejection.
                 return
@@ -190,10 +190,6 @@
             )
 
 
-def _is_ejected(record: endpoint_records.EndpointRecord) -> bool:
-    return record.health.state is endpoint_states.EndpointState.EJECTED
-
-
 def _silence_timeout_s(record: endpoint_records.EndpointRecord) -> float:
     if record.cache_tokens:
         return ENGINE_SILENCE_TIMEOUT_S
