Notice a client that leaves behind several unread requests

A client that sent more behind a request under way, in two pieces, and then left, was not noticed: the first piece was read ahead, the second one stayed in the socket, and no read came to the end behind it. The run went on for nobody, up to its whole time.

While bytes that were read ahead wait for their reader, the socket is asked each 0.1 s whether its peer has ended its side (poll(2), POLLRDHUP), and how a connection ended is found behind unread bytes as well (SO_ERROR). A connection without requests sent ahead costs nothing more.

--- a/martenjunction/http1/peeks.py
+++ b/martenjunction/http1/peeks.py
@@ -1,6 +1,7 @@
 """Peeks at the receive buffer of a socket."""
 
 import enum
+import os
 import select
 import socket
 
@@ -61,6 +62,20 @@
     return bool(poll.poll(0))
 
 
+def take_error(sock: socket.socket | None) -> OSError | None:
+    """Returns the error that ended a connection, which is reported once.
+
+    It is found behind unread bytes as well.
+
+    Args:
+        sock: A connected socket, or None if it was closed.
+    """
+    if sock is None:
+        return None
+    number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return OSError(number, os.strerror(number)) if number else None
+
+
 def has_connected_or_failed(sock: socket.socket | None) -> bool:
     """Returns whether the outcome of a pending connect is known.
 
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -14,6 +14,7 @@
 from martenjunction import addresses
 from martenjunction import errors
 from martenjunction import fair_turns
+from martenjunction.http1 import end_looks
 from martenjunction.http1 import messages
 from martenjunction.http1 import peeks
 from martenjunction.http1 import peer_ends
@@ -211,6 +212,9 @@
         self._peek_error: OSError | None = None
         self._end_at_abort = peer_ends.PeerEnd.OPEN
         self._turns = fair_turns.TurnBudget()
+        self._end_look = end_looks.EndLook(
+            lambda: stream.socket, self._on_closed
+        )
 
     @property
     def turns(self) -> fair_turns.TurnBudget:
@@ -246,10 +250,13 @@
 
     @property
     def peer_end(self) -> peer_ends.PeerEnd:
-        """How the peer ended its sending side before this one was closed."""
+        """How the peer ended its sending side before this one was closed.
+
+        The end is found behind unread bytes as well.
+        """
         if self._aborted:
             return self._end_at_abort
-        ended = self._stream.closed() or self._peek() is peeks.PendingInput.END
+        ended = self._stream.closed() or self._has_peer_ended()
         if self.error is not None:
             return peer_ends.classify(self.error)
         return peer_ends.PeerEnd.FIN if ended else peer_ends.PeerEnd.OPEN
@@ -296,6 +303,7 @@
         self._end_callback = callback
         if callback is None:
             self._stream.set_close_callback(None)
+            self._end_look.cancel()
             return
         self.prefetch()
         assert self._pending is not None
@@ -349,11 +357,28 @@
         self._peek_error = self._peek_error or error
         return pending
 
+    def _has_peer_ended(self) -> bool:
+        pending = self._peek()
+        if pending is not peeks.PendingInput.BYTES:
+            return pending is peeks.PendingInput.END
+        if not peeks.has_sent_all(self._stream.socket):
+            return False
+        self._peek_error = self._peek_error or peeks.take_error(
+            self._stream.socket
+        )
+        return True
+
     def _on_read_done(self, future: "asyncio.Future[bytes]") -> None:
-        if not future.cancelled() and future.exception() is not None:
+        if future.cancelled():
+            return
+        if future.exception() is not None:
             self._on_closed()
+        elif self._end_callback is not None:
+            # Bytes of another request, which is not read yet.
+            self._end_look.start()
 
     def _on_closed(self) -> None:
+        self._end_look.cancel()
         callback, self._end_callback = self._end_callback, None
         if callback is not None:
             callback()
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -29,6 +29,9 @@
 # Option value with which a close resets the connection.
 NO_LINGER = struct.pack("ii", 1, 0)
 
+# A request that is sent before the one before it is answered.
+NEXT_REQUEST = b"GET /safe/b HTTP/1.1\r\nHost: any\r\n\r\n"
+
 # Milliseconds after which the kernel gives up on a client that does not read,
 # and the size of a body whose answer it holds as a whole.
 GIVE_UP_MS = 300
@@ -90,6 +93,28 @@
     client.close()
 
 
+@pytest.mark.parametrize(("end", "told"), ENDS)
+async def test_end_behind_unread_requests_is_told(
+    fleet: boxes.Boxes, end: End, told: str
+) -> None:
+    client, log = await hanging_request(fleet)
+    [connection] = fleet.gateways[0]._callers._connections
+    for _ in range(2):
+        # The box reads each piece apart; the last one stays in its socket.
+        client.socket.send(NEXT_REQUEST)
+        await asyncio.sleep(0.02)
+    assert connection._source.bytes_waiting
+    end(client.socket)
+    async with asyncio.timeout(CANCELLED_S):
+        while not any(made.cancelled for made in fleet.replicas):
+            await asyncio.sleep(0.01)
+    line = await closed_line(log)
+    assert (line["under_way"], line["client_end"]) == (True, told)
+    assert (line["request"], line["end"]) == ("r1", "client-gone")
+    assert gateway_requests.arrivals(fleet.replicas) == 1
+    client.close()
+
+
 @pytest.mark.parametrize("kind", ["safe", "unsafe"])
 async def test_client_that_ends_its_sending_side_has_left(
     fleet: boxes.Boxes, kind: str
