Give back what was offered to a stream whose client leaves

A stream that moves waits for the end of the run that it leaves, for up to 50 ms if that is writing to its client. A request that ended within that time (its client left, its time was over, the box stopped) gave nothing back of what it had been offered: the connection stayed open and counted against the box's limit for the endpoint for good, a place at a brittle endpoint was taken for 15 s, and a trial of a suspected request was not ended.

What was offered is given back however the wait ends.

--- a/martenjunction/routing/requests/attempts.py
+++ b/martenjunction/routing/requests/attempts.py
@@ -167,8 +167,7 @@
             return False
         self._confirm_during_stop(offer)
         if self._runs.tickets and self._is_stream:
-            if not await self._leave():
-                self._offers.give_back(offer)
+            if not await self._leave_for(offer):
                 return False
         elif self._runs.tickets:
             self._note_second()
@@ -194,6 +193,21 @@
             self._offers.give_back(offer)
             raise
 
+    async def _leave_for(self, offer: offers.Offer) -> bool:
+        """Ends the runs of a stream, or gives back what was offered to it.
+
+        Returns:
+            Whether they have ended.
+        """
+        left = False
+        try:
+            left = await self._leave()
+        finally:
+            if not left:
+                # Its client may have left, or its time may be over.
+                self._offers.give_back(offer)
+        return left
+
     async def _leave(self) -> bool:
         """Ends the runs of a stream that another endpoint would take now.
 
--- /dev/null
+++ b/tests/test_attempts_beside_trouble.py
@@ -0,0 +1,52 @@
+"""Second attempts under way while something else goes wrong.
+
+What was offered to a stream as its client left was never given back: the
+connection stayed open, and counted, for good.
+"""
+
+import asyncio
+import socket
+
+from martenjunction import gateway
+from martenjunction_lab import boxes
+from tests import gateway_requests as requests
+from tests import routing_builders as builders
+from tests import two_endpoints
+
+
+async def test_offer_is_given_back_as_the_client_of_a_stream_leaves(
+    fleet: boxes.Boxes,
+) -> None:
+    async with two_endpoints.listed_at(fleet, builders.ENGINE) as two:
+        box = fleet.gateways[0]
+        client = await _send_request(fleet.addresses[0], "/digest/")
+        two.first = await two.next_run()
+        await two.fill_client()
+        ticket = two.exchange.ticket
+        assert ticket is not None
+        ticket.move_requested = True
+        two.exchange.move()
+        # The run is given up, and does not end: it writes to its client.
+        await boxes.until(lambda: ticket.given_up)
+        assert _open_connections(box) == 2
+        client.close()
+        await boxes.until(lambda: not box.held.exchanges)
+        box.pool.close()
+        assert _open_connections(box) == 0
+
+
+async def _send_request(address: str, path: str) -> socket.socket:
+    """Sends a request whose client reads nothing."""
+    loop = asyncio.get_running_loop()
+    client = socket.socket()
+    client.setblocking(False)
+    host, _, port = address.rpartition(":")
+    await loop.sock_connect(client, (host, int(port)))
+    await loop.sock_sendall(client, requests.raw_request("r1", path))
+    return client
+
+
+def _open_connections(box: gateway.Gateway) -> int:
+    """Returns the connections of a box to endpoints that its pool counts."""
+    ids = box.endpoint_list.entries
+    return sum(box.pool.open_connections(its_id) for its_id in ids)
--- a/tests/two_endpoints.py
+++ b/tests/two_endpoints.py
@@ -15,6 +15,19 @@
 
 Response = tuple[messages.ResponseHead, bytes]
 
+# The head of a stream that is an answer to `r1`.
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nMartenjunction-Attempt-Id: r1\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+    b"Martenjunction-Replica-Seal: seal\r\n\r\n"
+)
+
+# Bytes of an event, of which a few fill the buffers of a connection, and time
+# in seconds after which a box has passed one on.
+_EVENT_BYTES = 512 * 1024
+_PASSED_ON_S = 0.05
+_MAX_EVENTS = 40
+
 
 class TwoEndpoints:
     """A box before two endpoints, and a request that one of them has."""
@@ -49,6 +62,17 @@
         ticket.move_requested = ticket.keeps_running = True
         self.exchange.move()
 
+    async def fill_client(self) -> None:
+        """Has the first run answer until its client takes no more."""
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(self.first, STREAM_HEAD)
+        for number in range(1, _MAX_EVENTS):
+            await loop.sock_sendall(self.first, _event(number, _EVENT_BYTES))
+            await asyncio.sleep(_PASSED_ON_S)
+            if self.exchange._connection._stream.writing():
+                return
+        raise AssertionError("the client takes all")
+
     async def second_is_sent(self, within_s: float) -> bool:
         """Returns whether the other endpoint gets the request in time."""
         [peer] = self._peers
@@ -85,6 +109,12 @@
             return connection
 
 
+def _event(number: int, size: int) -> bytes:
+    """Returns an event of a stream, in a chunk of its own."""
+    part = b"id: %d\ndata: %b\n\n" % (number, b"x" * size)
+    return b"%x\r\n%b\r\n" % (len(part), part)
+
+
 def response(body: bytes, status: str = "200 OK", *more: str) -> bytes:
     whole = raw_peers.answer(
         body,
