Close connections that are established as nobody waits for them

A second attempt that is selecting its endpoint ends as the first one answers. If its connection, or a tunnel through a peer, had been established in the same turn of the event loop, nobody had it and nobody closed it: the endpoint kept it open. The same held for the second of two, own and through a peer, that were established together.

Whatever `open` does not return is closed once it is there.

--- a/martenjunction/routing/endpoints/endpoint_connector.py
+++ b/martenjunction/routing/endpoints/endpoint_connector.py
@@ -133,6 +133,7 @@
         tunnel_at = began_at + plan.tunnel_after_s
         direct: _Attempt | None = None
         tunnel: _Attempt | None = None
+        used: _Attempt | None = None
         if plan.direct:
             direct = self._start(self._open_direct(endpoint, on_head))
         try:
@@ -159,11 +160,16 @@
                 done = await self._timers.wait_first(pending, until)
                 for task in done:
                     if task.exception() is None:
+                        used = task
                         return task.result()
                 if direct in done:
                     tunnel_at = now
         finally:
-            self._abandon(endpoint, direct, tunnel, began_at)
+            if direct is not None and direct is not used:
+                self._abandon(endpoint, direct, began_at)
+            if tunnel is not None and tunnel is not used:
+                tunnel.cancel()
+                tunnel.add_done_callback(_close_unused)
 
     def reuse(
         self, endpoint_id: str, connection: client.ClientConnection
@@ -327,22 +333,16 @@
         return task
 
     def _abandon(
-        self,
-        endpoint: model.Endpoint,
-        direct: _Attempt | None,
-        tunnel: _Attempt | None,
-        began_at: float,
+        self, endpoint: model.Endpoint, direct: _Attempt, began_at: float
     ) -> None:
-        """Ends the attempts that are not used.
+        """Closes an own connection that nobody waits for, also a new one.
 
-        An own connection that is late is waited for a little longer if a peer
-        reached the endpoint: its result decides about the path.
+        One that is late is waited for a little longer if a peer reached the
+        endpoint: its result decides about the path.
         """
-        if tunnel is not None and not tunnel.done():
-            tunnel.cancel()
-        if direct is None or direct.done():
-            return
         direct.add_done_callback(_close_unused)
+        if direct.done():
+            return
         late = asyncio.get_running_loop().create_task(
             self._await_result(endpoint.id, direct, began_at)
         )
--- a/tests/test_attempts_beside_trouble.py
+++ b/tests/test_attempts_beside_trouble.py
@@ -1,15 +1,20 @@
 """Second attempts under way while something else goes wrong.
 
 What was offered to a stream as its client left was never given back: the
-connection stayed open, and counted, for good.
+connection stayed open, and counted, for good. So did a connection that was
+established as the response of another attempt arrived.
 """
 
 import asyncio
 import socket
 
+import pytest
+
 from martenjunction import gateway
 from martenjunction_lab import boxes
+from martenjunction_lab import replica
 from tests import gateway_requests as requests
+from tests import raw_peers
 from tests import routing_builders as builders
 from tests import two_endpoints
 
@@ -50,3 +55,26 @@
     """Returns the connections of a box to endpoints that its pool counts."""
     ids = box.endpoint_list.entries
     return sum(box.pool.open_connections(its_id) for its_id in ids)
+
+
+@pytest.mark.parametrize("turns", range(1, 16))
+async def test_connection_is_closed_if_nobody_waits_for_it_any_more(
+    fleet: boxes.Boxes, peer: raw_peers.RawPeer, turns: int
+) -> None:
+    listed = replica.Replica("i-raw")
+    listed.address = peer.address
+    fleet.replicas.append(listed)
+    fleet.record(listed, builders.PLAIN)
+    await fleet.until_listed()
+    box = fleet.gateways[0]
+    [entry] = box.endpoint_list.entries.values()
+    acquiring = asyncio.create_task(box.pool.acquire(entry.endpoint, True))
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    acquiring.cancel()
+    await asyncio.wait([acquiring])
+    if not acquiring.cancelled():
+        acquiring.result().abort()
+    async with asyncio.timeout(2.0):
+        connection = await peer.accept()
+        assert not await peer.request(connection)
