Return a grant that arrives as its request ends

A second attempt that waits for a grant ends as the first one answers. If the grant had come in the same turn of the event loop, nobody returned it: a request less was sent to a rate-limited endpoint, and a place at a brittle one was taken for 15 s.

A grant that is there as its request is cancelled goes back to the box that gave it.

--- a/martenjunction/routing/limits/rate_grants.py
+++ b/martenjunction/routing/limits/rate_grants.py
@@ -226,7 +226,14 @@
             return True
 
         self._decide(endpoint_id, self._selector.own_box, answer)
-        return await decided
+        try:
+            return await decided
+        except asyncio.CancelledError:
+            if not decided.cancelled():
+                self._return_unwanted(
+                    endpoint_id, self._selector.own_box, decided.result()
+                )
+            raise
 
     def _decide(
         self, endpoint_id: str, box: str, answer: place_grants.Answer
@@ -303,12 +310,31 @@
         try:
             if self._peers.send_soon(holder, message):
                 await asyncio.wait([response], timeout=limit_s)
+        except asyncio.CancelledError:
+            if response.done():
+                self._return_unwanted(
+                    endpoint_id, holder, response.result().wait_ms
+                )
+            raise
         finally:
             del self._pending[number]
         if not response.done():
             return NO_ANSWER_BACKOFF_S
         return response.result().wait_ms * MS
 
+    def _return_unwanted(
+        self, endpoint_id: str, holder: str, wait: float
+    ) -> None:
+        """Returns a grant that came as its request ended.
+
+        Args:
+            endpoint_id: The endpoint.
+            holder: The box that decided.
+            wait: The decision; 0 if it is a grant.
+        """
+        if not wait:
+            self.refund(RateGrant(endpoint_id, holder))
+
     def _next_number(self) -> int:
         self._last_number += 1
         return self._last_number
--- a/tests/test_rate_grants.py
+++ b/tests/test_rate_grants.py
@@ -1,5 +1,7 @@
 """Rate grants that one box, the holder, gives to a large fleet."""
 
+import asyncio
+
 import pytest
 
 from martenjunction.decisions import grant_bucket
@@ -19,6 +21,19 @@
     return fleet
 
 
+def asker_and_holder(
+    fleet: limited_fleet.LimitedBoxes,
+) -> tuple[limited_fleet.Box, limited_fleet.Box]:
+    """Returns a box that asks for grants, and the one that it asks."""
+    return next(
+        (box, fleet.boxes[box.grants.holder(ENDPOINT)])
+        for box in fleet.boxes.values()
+        if fleet.boxes[box.grants.holder(ENDPOINT)].grants.holder(ENDPOINT)
+        == box.grants.holder(ENDPOINT)
+        != box.name
+    )
+
+
 async def test_all_boxes_learn_of_a_limit_and_of_its_end() -> None:
     fleet = await fleet_with_limit(2.0)
     limits = [box.registry.table.limits for box in fleet.boxes.values()]
@@ -105,13 +120,7 @@
     # This happens if the holder or the asking box is suspended meanwhile.
     monkeypatch.setattr(rate_grants, "ANSWER_LIMIT_S", 0.01)
     fleet = await fleet_with_limit(2.0)
-    asker, holder = next(
-        (box, fleet.boxes[box.grants.holder(ENDPOINT)])
-        for box in fleet.boxes.values()
-        if fleet.boxes[box.grants.holder(ENDPOINT)].grants.holder(ENDPOINT)
-        == box.grants.holder(ENDPOINT)
-        != box.name
-    )
+    asker, holder = asker_and_holder(fleet)
     await holder.grants.acquire(ENDPOINT)
     fleet.now += 10.0
     questions: list[tuple[str, peer_messages.AskGrant]] = []
@@ -141,3 +150,46 @@
     asker = fleet.boxes["box-3"]
     assert await asker.grants.acquire(ENDPOINT) is not None
     assert asker.registry.table.limits.per_s(ENDPOINT) is None
+
+
+@pytest.mark.parametrize("turns", range(1, 12))
+async def test_grant_that_arrives_as_nobody_waits_is_returned(
+    turns: int,
+) -> None:
+    fleet = await fleet_with_limit(2.0)
+    asker, holder = asker_and_holder(fleet)
+    await holder.grants.acquire(ENDPOINT)
+    fleet.now += 10.0
+    asking = asyncio.create_task(asker.grants.acquire(ENDPOINT))
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    if asking.cancel():
+        await asyncio.wait([asking])
+        await fleet.settle()
+        # The bucket is back at its maximum of two grants.
+        assert await holder.grants.acquire(ENDPOINT) is not None
+        assert await holder.grants.acquire(ENDPOINT) is not None
+
+
+async def test_place_that_is_free_as_its_request_ends_is_returned() -> None:
+    fleet = await fleet_with_limit(2.0)
+    _, holder = asker_and_holder(fleet)
+    fleet.report_limit(holder.name, None)
+    brittle = holder.registry.table.brittle
+    brittle.apply_response(ENDPOINT, 1.0, fleet.now, fleet.now)
+    taken = []
+    while True:
+        waiting = asyncio.create_task(holder.grants.acquire(ENDPOINT))
+        await asyncio.sleep(0)
+        if not waiting.done():
+            break
+        taken.append(waiting.result())
+    assert taken
+    holder.grants.release(taken[0], False)
+    waiting.cancel()
+    await asyncio.wait([waiting])
+    assert waiting.cancelled()
+    again = asyncio.create_task(holder.grants.acquire(ENDPOINT))
+    await asyncio.sleep(0)
+    assert again.done()
+    assert again.result() is not None
