Close the second of two tunnels that open in the same turn

If several peers had opened a tunnel in the same turn of the event loop, all but the first were neither used nor closed: the peers kept a connection to the endpoint, and the box counted them as tunnels through those peers for good, which its choice of a peer weighs.

They are closed.

--- a/martenjunction/tunnels/dialer.py
+++ b/martenjunction/tunnels/dialer.py
@@ -114,8 +114,9 @@
                     if waiting:
                         until = min(deadline, now + HEDGE_S)
                 done = await self._timers.wait_first(tries, until)
-                tries -= done
                 for one in done:
+                    # Another one may have succeeded as well: it is closed.
+                    tries.remove(one)
                     error = one.exception()
                     if error is None:
                         self._opened += 1
--- a/tests/test_held_up_connects.py
+++ b/tests/test_held_up_connects.py
@@ -72,17 +72,18 @@
         )
         rng = random.Random(1)
         self.choice = tunnel_choice.TunnelPeers("zone-a", rng)
+        self.dialer = dialer.TunnelDialer(
+            "box-1",
+            "key",
+            lambda: self.peers,
+            lambda box: True,
+            self.choice,
+            self.timers,
+        )
         self.connector = endpoint_connector.EndpointConnector(
             self.paths,
             listed,
-            dialer.TunnelDialer(
-                "box-1",
-                "key",
-                lambda: self.peers,
-                lambda box: True,
-                self.choice,
-                self.timers,
-            ),
+            self.dialer,
             self.timers,
             decision_log.DecisionLog(lambda: 0.0),
             rng,
@@ -289,3 +290,23 @@
     assert await process.stdout.read() == b"connected\n"
     await process.wait()
     listener.close()
+
+
+async def test_second_of_two_tunnels_that_open_together_is_closed(
+    peer: raw_peers.RawPeer, others: raw_peers.RawPeer
+) -> None:
+    made = Connections([], (peer.address, others.address))
+    await made.start()
+    opening = asyncio.create_task(
+        made.dialer.open(builders.endpoint(), lambda head: None, 1.0)
+    )
+    sides = [await one.accept() for one in (peer, others)]
+    for one, side in zip((peer, others), sides, strict=True):
+        assert await one.request(side)
+    for side in sides:
+        side.send(handshake.encode_answer(handshake.Status.CONNECTED))
+    raw_peers.block_event_loop(0.01)
+    (await opening).abort()
+    for one, side in zip((peer, others), sides, strict=True):
+        assert not await one.request(side)
+    await made.stop()
