Tell in a request's last line how each of its runs ended

`second-attempt` told that another attempt had begun, and nothing told how it or the first one ended: whether both were sent, which one broke off, which was ended because the other one answered.

--- a/martenjunction/routing/requests/endpoint_run.py
+++ b/martenjunction/routing/requests/endpoint_run.py
@@ -20,6 +20,7 @@
 from martenjunction.routing.requests import exchange_context
 from martenjunction.routing.requests import offers
 from martenjunction.routing.requests import request_state
+from martenjunction.routing.requests import run_ends
 
 # Statuses that would tell the client that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -108,6 +109,7 @@
         self._responder = responder
         self._counted = False
         self._superseded = False
+        self._end = run_ends.RunEnd.FAILED
         self._ticket = context.registry.runs.begin(
             offer.choice,
             demand,
@@ -183,26 +185,48 @@
             run.send(self._request, self._build_headers(endpoint, copies))
             self._record(outcomes.Event.SENT)
             finished = await self._receive()
+            if finished:
+                self._end = run_ends.RunEnd.ANSWERED
             failed = not finished
             aborted = False
             return finished
-        except errors.EndpointNotReachedError:
+        except errors.EndpointNotReachedError as error:
+            self._note_failed(error)
             aborted = False
             self._context.grants.refund(self._offer.grant)
             return False
         except errors.EndpointError as error:
+            self._note_failed(error)
             await self._record_failure(error)
             return False
-        except BaseException:
+        except BaseException as error:
+            self._note_failed(error)
             run.abort()
             failed = False
             raise
         finally:
+            self._record_end()
             registry.runs.end(ticket, time.monotonic(), failed)
             self._offer.permit.close()
             self._context.grants.release(self._offer.grant, aborted)
             self._context.pool.release(endpoint.id, run.connection)
 
+    def _note_failed(self, error: BaseException) -> None:
+        self._end = run_ends.end_of_failed(error, self._ticket.given_up)
+
+    def _record_end(self) -> None:
+        """Records how the run ended, for the log and metrics."""
+        if self._superseded:
+            self._end = run_ends.RunEnd.SUPERSEDED
+        self._context.metrics.count("run_ends", how=self._end.value)
+        self._state.runs.append(
+            {
+                "endpoint": self._offer.endpoint.id,
+                "ended": self._end.value,
+                "after_s": round(time.monotonic() - self._state.received_at, 3),
+            }
+        )
+
     def _record(self, event: outcomes.Event) -> None:
         """Records progress, unless another run has completed the request."""
         if not self._superseded:
@@ -281,6 +305,7 @@
             await run.body(self._answers)
             run.finish()
             self._state.refusals += 1
+            self._end = run_ends.RunEnd.REFUSED
             self._record(outcomes.Event.REFUSED)
             self._context.registry.health.note_refusal(
                 offer.endpoint.id, time.monotonic()
--- a/martenjunction/routing/requests/request_account.py
+++ b/martenjunction/routing/requests/request_account.py
@@ -33,7 +33,9 @@
     context.metrics.count("requests", kind=kind, result=result)
     context.metrics.observe("request_s", duration_s, kind=kind)
     served = state.progress.outcome is outcomes.Outcome.DONE
-    shared = {} if served else _part_fields(facts)
+    more = {} if served else _part_fields(facts)
+    if len(state.runs) > 1 or not served:
+        more["runs"] = state.runs
     context.log.write(
         "request" if served else "request-failed",
         id=state.id,
@@ -47,7 +49,7 @@
         ms=round(duration_s * 1000, 1),
         **_timing_fields(state, facts.prompt_tokens),
         **_stream_fields(state, facts),
-        **shared,
+        **more,
     )
 
 
--- a/martenjunction/routing/requests/request_state.py
+++ b/martenjunction/routing/requests/request_state.py
@@ -20,6 +20,7 @@
         progress: Whether and how far the request has run.
         offers: Ids of the endpoints tried.
         choices: The inputs of each endpoint selection, for the log.
+        runs: How and when each run ended, for the log.
         refusals: The number of endpoints that reported not running it.
         grant_denied: Whether an endpoint's rate limit left no grant for it.
         connection_broken: Whether the connection of the last run broke.
@@ -53,6 +54,7 @@
     )
     offers: list[str] = dataclasses.field(default_factory=list)
     choices: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    runs: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     refusals: int = 0
     grant_denied: bool = False
     connection_broken: bool = False
--- a/tests/test_attempts_beside_trouble.py
+++ b/tests/test_attempts_beside_trouble.py
@@ -6,18 +6,23 @@
 """
 
 import asyncio
+import collections
 import socket
+from typing import Any
 
 import pytest
 
 from martenjunction import gateway
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
+from tests import caller_builders
 from tests import gateway_requests as requests
 from tests import raw_peers
 from tests import routing_builders as builders
 from tests import two_endpoints
 
+log_lines = caller_builders.log_lines
+
 
 async def test_offer_is_given_back_as_the_client_of_a_stream_leaves(
     fleet: boxes.Boxes,
@@ -78,3 +83,46 @@
     async with asyncio.timeout(2.0):
         connection = await peer.accept()
         assert not await peer.request(connection)
+
+
+_REFUSAL = two_endpoints.response(
+    b"", "503 Service Unavailable", "Martenjunction-Not-Executed: 1"
+)
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "ends"),
+    [
+        (b"", two_endpoints.response(b"x"), ["superseded", "answered"]),
+        (_REFUSAL, two_endpoints.response(b"x"), ["refused", "answered"]),
+        (None, two_endpoints.response(b"x"), ["broken", "answered"]),
+        (None, None, ["broken", "broken"]),
+        (b"", b"", ["cancelled", "cancelled"]),
+    ],
+)
+async def test_last_line_of_a_request_tells_how_each_run_ended(
+    fleet: boxes.Boxes,
+    log_lines: list[dict[str, Any]],
+    first: bytes | None,
+    second: bytes | None,
+    ends: list[str],
+) -> None:
+    async with two_endpoints.listed_at(fleet) as two:
+        asked = await two.ask()
+        await two.try_second()
+        for run, answer in ((two.first, first), (two.second, second)):
+            if answer is None:
+                run.close()
+            elif answer:
+                run.send(answer)
+            await asyncio.sleep(0.1)
+        await asked
+    [line] = [one for one in log_lines if "runs" in one]
+    assert sorted(run["ended"] for run in line["runs"]) == sorted(ends)
+    assert len({run["endpoint"] for run in line["runs"]}) == 2
+    counted = {
+        dict(labels)["how"]: count
+        for name, labels, count in fleet.gateways[0].metrics.counters()
+        if name == "run_ends"
+    }
+    assert counted == collections.Counter(ends)
