Play each kind of request and each trouble beside a second attempt

A table in simulated time has a request of each kind, whose second attempt is selecting or running where it may have one, meet each of 16 events: the endpoints pause, reset, leave or start again, answers are given up, the second endpoint answers first, the client sends its next request, half-closes or resets, the box stops, and routes, keys or the time limit change. Each has one response, which is true, a response that is ready is delivered, and the box holds nothing afterwards.

--- a/tests/test_attempts_beside_trouble.py
+++ b/tests/test_attempts_beside_trouble.py
@@ -19,6 +19,7 @@
 from tests import gateway_requests as requests
 from tests import raw_peers
 from tests import routing_builders as builders
+from tests import troubled_request
 from tests import two_endpoints
 
 log_lines = caller_builders.log_lines
@@ -126,3 +127,20 @@
         if name == "run_ends"
     }
     assert counted == collections.Counter(ends)
+
+
+@pytest.mark.simulated_time
+@pytest.mark.parametrize(
+    ("path", "selecting", "event", "answers"), list(troubled_request.cases())
+)
+async def test_request_has_one_true_response_whatever_happens(
+    monkeypatch: pytest.MonkeyPatch,
+    path: str,
+    selecting: bool,
+    event: str,
+    answers: bool,
+) -> None:
+    async with troubled_request.asked_at_two(path) as asked:
+        await asked.begin(monkeypatch, selecting)
+        await troubled_request.EVENTS[event](asked)
+        await asked.end(answers)
