Explore connections over sockets in memory

Cause: plays over loopback depend on when the kernel delivers and acknowledges. Without waits for it an order could lead to another state, with them a play takes about twice as long, and an acknowledgement that is late in real time set a timer of 0.5 s in simulated time.

Change: sockets in memory, with Linux's outcomes, and a selector of them; the real modules run on them unchanged. Explorations use them; a counterexample is played again over loopback before it counts. What the kernel acknowledges by its own time counts as acknowledged in both.

--- a/martenjunction_lab/explore/client.py
+++ b/martenjunction_lab/explore/client.py
@@ -7,6 +7,8 @@
 import socket
 import struct
 
+from martenjunction_lab.simulated import sockets
+
 # Value of SO_LINGER by which closing a socket resets it (socket(7)).
 _NO_LINGER = struct.pack("ii", 1, 0)
 
@@ -54,10 +56,12 @@
         gone: Whether it can receive nothing any more.
     """
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self, network: sockets.Network, address: sockets.Address
+    ) -> None:
         """Connects to a server that listens."""
         self._loop = asyncio.get_running_loop()
-        self._socket = socket.create_connection(address)
+        self._socket = network.connect(address)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket.setblocking(False)
         self._rest = b""
@@ -85,7 +89,7 @@
         if not self.is_open:
             return False
         try:
-            return self._socket.send(data) == len(data)
+            return bool(self._socket.send(data) == len(data))
         except OSError:
             self._end()
             return False
--- a/martenjunction_lab/explore/endpoints.py
+++ b/martenjunction_lab/explore/endpoints.py
@@ -8,6 +8,7 @@
 import socket
 
 from martenjunction_lab.explore import client
+from martenjunction_lab.simulated import sockets
 
 _BACKLOG = 64
 _RECEIVE_BYTES = 65536
@@ -176,8 +177,9 @@
         answer_after_s: Seconds after which it answers by itself, or None.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, network: sockets.Network) -> None:
         """Starts to listen."""
+        self._network = network
         self._loop = asyncio.get_running_loop()
         self.answer_after_s: float | None = None
         self._pauses_until = 0.0
@@ -248,10 +250,7 @@
     def listen(self) -> None:
         """Accepts connections."""
         if self._listening is None:
-            sock = socket.create_server(
-                ("127.0.0.1", self._port), backlog=_BACKLOG
-            )
-            sock.setblocking(False)
+            sock = self._network.listen(self._port, _BACKLOG)
             self._port = sock.getsockname()[1]
             self._listening = sock
             self._loop.add_reader(sock, self._accept)
--- a/martenjunction_lab/explore/plays.py
+++ b/martenjunction_lab/explore/plays.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import logging
 import math
@@ -10,13 +11,16 @@
 
 import xxhash
 
+from martenjunction.http1 import peeks
 from martenjunction.http1 import streams
+from martenjunction.http1 import watched_streams
 from martenjunction_lab.explore import configurations
 from martenjunction_lab.explore import endpoints
 from martenjunction_lab.explore import events
 from martenjunction_lab.explore import judge
 from martenjunction_lab.explore import rig
 from martenjunction_lab.simulated import loop as simulated_loop
+from martenjunction_lab.simulated import sockets
 
 # Simulated seconds after which a play counts as one without an end.
 LIMIT_S = 60.0
@@ -68,7 +72,7 @@
     seed: int = 1,
     traced: bool = False,
     most: int | None = None,
-    settling_s: float = simulated_loop.SETTLING_S,
+    in_memory: bool = False,
 ) -> Outcome:
     """Plays an order.
 
@@ -78,18 +82,19 @@
         traced: Whether the outcome has a timeline.
         most: If given, impossible events are left out of the order, and it ends
             after so many possible ones.
-        settling_s: Real seconds of waits for sockets; see `SimulatedLoop`.
+        in_memory: Whether the sockets are in memory, and not over loopback.
     """
     noted = _Errors()
     root = logging.getLogger()
     root.addHandler(noted)
+    memory = sockets.Memory() if in_memory else None
     try:
         with asyncio.Runner(
             loop_factory=lambda: simulated_loop.SimulatedLoop(
-                seed, LIMIT_S, settling_s
+                seed, LIMIT_S, network=memory
             )
         ) as runner:
-            outcome = runner.run(_play(order, traced, most))
+            outcome = runner.run(_play(order, traced, most, memory))
     except simulated_loop.StuckError as error:
         return Outcome(order, True, broken=(f"stuck: {error}",))
     finally:
@@ -101,15 +106,36 @@
     )
 
 
-async def _play(order: events.Order, traced: bool, most: int | None) -> Outcome:
-    made = rig.Rig()
-    with mock.patch.object(streams, "connect", made.connect):
+async def _play(
+    order: events.Order,
+    traced: bool,
+    most: int | None,
+    memory: sockets.Memory | None,
+) -> Outcome:
+    made = rig.Rig(memory or sockets.Loopback())
+    parts: list[tuple[Any, str, Any]] = [
+        (streams, "connect", made.connect),
+        (streams, "new_stream", made.new_stream),
+        # The kernel acknowledges later by its own time.
+        (streams, "fcntl", sockets.ControlModule),
+        (watched_streams, "_read_info", _acknowledged),
+    ]
+    if memory is not None:
+        parts.append((peeks, "select", sockets.PollModule))
+    with contextlib.ExitStack() as stack:
+        for module, name, part in parts:
+            stack.enter_context(mock.patch.object(module, name, part))
         try:
             return await _play_on(made, order, traced, most)
         finally:
             await made.end()
 
 
+def _acknowledged(sock: Any) -> tuple[int, ...]:
+    """Tells that nothing that was sent is unacknowledged."""
+    return 0, 0, 0, 0, 0
+
+
 async def _play_on(
     made: rig.Rig, order: events.Order, traced: bool, most: int | None
 ) -> Outcome:
--- a/martenjunction_lab/explore/rig.py
+++ b/martenjunction_lab/explore/rig.py
@@ -13,7 +13,6 @@
 import math
 
 from tornado import iostream
-from tornado import netutil
 
 from martenjunction import errors
 from martenjunction import gateway
@@ -23,6 +22,7 @@
 from martenjunction.http1 import messages
 from martenjunction.http1 import server
 from martenjunction.http1 import streams
+from martenjunction.http1 import watched_streams
 from martenjunction.platform import box_settings
 from martenjunction.platform import store
 from martenjunction_lab import boxes
@@ -30,6 +30,7 @@
 from martenjunction_lab.explore import configurations
 from martenjunction_lab.explore import endpoints
 from martenjunction_lab.simulated import loop as simulated_loop
+from martenjunction_lab.simulated import sockets
 
 # Seconds without a confirmation of the store for which keys hold.
 _NO_LIMIT_S = 1e6
@@ -87,11 +88,12 @@
 class Rig:
     """One box, four endpoints and one client connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, network: sockets.Network) -> None:
         """Builds it in the running loop."""
         running = asyncio.get_running_loop()
         assert isinstance(running, simulated_loop.SimulatedLoop)
         self.loop = running
+        self._network = network
         self.gateway = gateway.Gateway(_settings(), resident_bytes=lambda: 0)
         self.configuration = "usual"
         self.shortest_idle_s = configurations.idle_s(self.configuration)
@@ -99,7 +101,7 @@
         self._version = 0
         self._listed = 0
         self.configure(self.configuration)
-        self.endpoints = [endpoints.Endpoint() for _ in _ENTRY_SERVICES]
+        self.endpoints = [endpoints.Endpoint(network) for _ in _ENTRY_SERVICES]
         for number, service in enumerate(_ENTRY_SERVICES):
             self._list_endpoint(number, service)
         self.reports: list[close_reports.ClosedConnection] = []
@@ -109,9 +111,9 @@
             self._limits,
             self.reports.append,
         )
-        [listening] = netutil.bind_sockets(0, "127.0.0.1")
+        listening = network.listen(0, server.BACKLOG)
         self.server.add_sockets([listening])
-        self.client = client.Client(listening.getsockname())
+        self.client = client.Client(network, listening.getsockname())
         self.connect_delay_s: float | None = 0.0
         self.mute = False
         self.stop_stage = Stop.NONE
@@ -187,6 +189,14 @@
         self.held_up_s += max(0.0, seconds)
         self.loop.hold_up(max(0.0, seconds))
 
+    def new_stream(self) -> watched_streams.WatchedStream:
+        """Returns a stream over a new socket of its network."""
+        sock = self._network.new()
+        streams.set_socket_options(sock)
+        return watched_streams.WatchedStream(
+            sock, max_buffer_size=streams.MAX_BUFFER_BYTES
+        )
+
     async def connect(
         self, stream: iostream.IOStream, address: str, timeout_s: float
     ) -> None:
--- a/martenjunction_lab/explore/search.py
+++ b/martenjunction_lab/explore/search.py
@@ -225,8 +225,8 @@
 def _play_quickly(
     order: events.Order, seed: int, most: int | None = None
 ) -> plays.Outcome:
-    """Plays an order without waits; a counterexample is played with them."""
-    outcome = plays.play(order, seed, most=most, settling_s=0.0)
+    """Plays an order in memory; a counterexample is played over loopback."""
+    outcome = plays.play(order, seed, most=most, in_memory=True)
     if outcome.broken:
         return plays.play(order, seed, most=most)
     return outcome
--- a/martenjunction_lab/simulated/loop.py
+++ b/martenjunction_lab/simulated/loop.py
@@ -1,4 +1,6 @@
-"""An event loop in simulated time, with real code and real loopback sockets.
+"""An event loop in simulated time, with real code.
+
+Its sockets are those of the kernel, over loopback, or such in memory.
 
 The time moves only when no callback is ready, no socket has anything to read
 or room that somebody waits for, and no thread works for the loop. It then jumps
@@ -24,6 +26,9 @@
 from typing import TypeVar
 from unittest import mock
 
+from martenjunction_lab.simulated import selection
+from martenjunction_lab.simulated import sockets
+
 T = TypeVar("T")
 
 # Simulated time at which a loop begins, in seconds. Far from 0, which code may
@@ -60,11 +65,13 @@
     """Simulated time can't advance any more."""
 
 
-class _Clock(selectors.DefaultSelector):
+class _Clock(selection.Selector):
     """Advances the time in place of waiting for a timer."""
 
-    def __init__(self, limit_s: float, settling_s: float) -> None:
-        super().__init__()
+    def __init__(
+        self, limit_s: float, settling_s: float, network: sockets.Memory | None
+    ) -> None:
+        super().__init__(network)
         self._settling_s = settling_s
         self.now = START_S
         self._ends_at = START_S + limit_s
@@ -88,7 +95,8 @@
         self, fileobj: Any, events: int, data: Any = None
     ) -> selectors.SelectorKey:
         key = super().register(fileobj, events, data)
-        _send_at_once(key.fd)
+        if key.fd < sockets.FIRST_DESCRIPTOR:
+            _send_at_once(key.fd)
         return key
 
     def select(
@@ -97,8 +105,10 @@
         self._iterations += 1
         if self._iterations > MAX_ITERATIONS:
             raise StuckError(f"always something to do at {self.now}")
+        if self.network is not None and (events := self.select_memory()):
+            return events
         if timeout is not None and timeout <= 0.0:
-            return super().select(0)
+            return [] if self.network is not None else super().select(0)
         if events := self._settled():
             self._real_wait_s = 0.0
             return events
@@ -177,6 +187,7 @@
         seed: int | None = None,
         limit_s: float = math.inf,
         settling_s: float = SETTLING_S,
+        network: sockets.Memory | None = None,
     ) -> None:
         """Makes a loop at time `START_S`.
 
@@ -186,12 +197,14 @@
             settling_s: Real seconds of each wait for sockets before the time
                 moves. Without waits (0) the outcome of a trial may depend on
                 what else the machine does, though it rarely does.
+            network: Sockets in memory that it selects as well. The kernel's
+                are then looked at only before the time moves.
         """
         if seed is None:
             seed = random.SystemRandom().randrange(MAX_SEED)
         self._seed = seed
         self._generator = _seeded_generator(seed)
-        self._clock = _Clock(limit_s, settling_s)
+        self._clock = _Clock(limit_s, settling_s, network)
         self._started_at = time.time()
         super().__init__(self._clock)
         self._clock.ignore()
