Play events behind unread requests and after a second attempt

Cause: no situation had requests that arrived in pieces behind one in use, and none had an event after a second attempt had begun.

Change: 2 and 15 situations of these kinds, and the broken build "the end behind unread bytes is not looked for", which the first of them notices.

--- a/martenjunction_lab/explore/situations.py
+++ b/martenjunction_lab/explore/situations.py
@@ -38,6 +38,17 @@
     for name in configurations.LIMITS
     if name != "usual"
 )
+# Requests that arrived in several pieces, and are unread behind one in use.
+UNREAD: tuple[events.Order, ...] = tuple(
+    ("config-patient", "after-3000", kind, "stream", "two")
+    for kind in ("safe", "resumable")
+)
+# A second attempt that has begun, and what the first one made of its run.
+MOVED: tuple[events.Order, ...] = tuple(
+    (*order, step)
+    for order in (LATE[0], LATE[2], LATE[3])
+    for step in ("answer-part", "fail", "reject", "break", "pause")
+)
 
-GROUPS = (RESTING, CHECKED, LATE, IN_USE)
+GROUPS = (RESTING, CHECKED, LATE, IN_USE, UNREAD, MOVED)
 ALL: tuple[events.Order, ...] = tuple(itertools.chain(*GROUPS))
--- a/tests/test_explore_connection.py
+++ b/tests/test_explore_connection.py
@@ -30,12 +30,14 @@
 SITUATIONS = {
     "rest": situations.RESTING[1:2],
     "check": situations.CHECKED[:1],
+    "unread": situations.UNREAD[:1],
 }
 
 # Where builds are noticed that walks do not reach.
 SITUATION_OF = {
     broken_connection_builds.EXPLORED_RESTS: "rest",
     broken_connection_builds.EXPLORED_CHECKS: "check",
+    broken_connection_builds.EXPLORED_UNREAD: "unread",
 }
 
 # Seeds under which few walks notice a build for which the usual one takes many.
--- a/tools/broken_connection_builds.py
+++ b/tools/broken_connection_builds.py
@@ -11,6 +11,7 @@
 ATTEMPTS = "martenjunction/routing/requests/attempts.py"
 ENDPOINT_RUN = "martenjunction/routing/requests/endpoint_run.py"
 REQUEST_BODIES = "martenjunction/http1/request_bodies.py"
+STREAMS = "martenjunction/http1/streams.py"
 
 # The timer is stopped twice as a request is taken.
 END_OF_BODY = (
@@ -31,6 +32,10 @@
     "tests/test_explore_connection.py::"
     "test_events_in_situations_show_no_counterexample[check]"
 )
+EXPLORED_UNREAD = (
+    "tests/test_explore_connection.py::"
+    "test_events_in_situations_show_no_counterexample[unread]"
+)
 
 BUILDS = (
     BrokenBuild(
@@ -141,4 +146,11 @@
         "if not tickets or",
         EXPLORED_CHECKS,
     ),
+    BrokenBuild(
+        "the end behind unread bytes is not looked for",
+        STREAMS,
+        "            self._end_look.start()\n",
+        "            pass\n",
+        EXPLORED_UNREAD,
+    ),
 )
