Enumerate further orders after known situations, in several processes

Cause: after a known situation only one event was enumerated, and an order of the breadth-first part in a state that a situation had shown was never continued, nor was that of the situation.

The command moves to a module of its own.

--- a/martenjunction_lab/cmd.py
+++ b/martenjunction_lab/cmd.py
@@ -15,6 +15,7 @@
 from martenjunction_lab import demo
 from martenjunction_lab import scenarios
 from martenjunction_lab.capacity import page
+from martenjunction_lab.explore import commands
 from martenjunction_lab.fast_senders import forms
 from martenjunction_lab.fast_senders import trial
 from martenjunction_lab.promises import pairs_report
@@ -328,50 +329,6 @@
         )
 
 
-@cappa.command(help="Play every order of events on one client connection.")
-@dataclasses.dataclass
-class Connection:
-    """Explores what happens to the requests of one connection."""
-
-    depth: Annotated[
-        int, cappa.Arg(long=True, help="Steps of orders that are enumerated.")
-    ] = 2
-    walks: Annotated[
-        int, cappa.Arg(long=True, help="Number of random walks.")
-    ] = 500
-    seed: Annotated[
-        int, cappa.Arg(long=True, help="Decides walks and boxes' chances.")
-    ] = 1
-    jobs: Annotated[int, cappa.Arg(long=True, help="Number of processes.")] = 1
-    seconds: Annotated[
-        float, cappa.Arg(long=True, help="Real seconds at most.")
-    ] = float("inf")
-    order: Annotated[
-        str, cappa.Arg(long=True, help="Steps to play instead, with spaces.")
-    ] = ""
-
-    def __call__(self) -> None:
-        """Explores; fails if an invariant is broken."""
-        # Loads a whole box, which other commands need not wait for.
-        from martenjunction_lab.explore import session
-
-        if self.order:
-            sys.exit(session.replay(self.order, self.seed))
-        sys.exit(
-            session.explore(
-                self.depth, self.walks, self.seed, self.jobs, self.seconds
-            )
-        )
-
-
-@cappa.command(help="Play every order of events, up to a depth.")
-@dataclasses.dataclass
-class Explore:
-    """Explores orders of events."""
-
-    subcommand: cappa.Subcommands[Connection]
-
-
 @cappa.command(
     name="martenjunction-lab", help="Stand-ins, load and experiments."
 )
@@ -389,7 +346,7 @@
         | StreamLosses
         | Pairs
         | Fuzz
-        | Explore
+        | commands.Explore
     ]
 
 
--- a/martenjunction_lab/explore/search.py
+++ b/martenjunction_lab/explore/search.py
@@ -9,6 +9,7 @@
 import functools
 import logging
 import multiprocessing
+import os
 import random
 import time
 
@@ -31,8 +32,10 @@
 # Part of the walks that begin in a known situation.
 _SITUATION_FRACTION = 0.5
 
-# Plays handed to a process at a time.
-_CHUNK = 32
+# Plays handed to a process at a time, and the most processes unless another
+# number is asked for.
+_CHUNK = 16
+_MAX_JOBS = 4
 
 # Most plays that minimise a counterexample.
 _MAX_TRIALS = 400
@@ -80,18 +83,28 @@
         default_factory=collections.Counter
     )
 
-    def note(self, outcome: plays.Outcome) -> bool:
-        """Counts a play; returns whether its state is new."""
+    def note(self, outcome: plays.Outcome) -> None:
+        """Counts a play."""
         if not outcome.possible:
             self.impossible += 1
-            return False
+            return
         self.orders += 1
         self.taken.update(outcome.order)
         for text in outcome.broken:
             self.broken.setdefault(kind(text), outcome)
-        is_new = bool(outcome.state) and outcome.state not in self.states
         self.states.add(outcome.state)
-        return is_new
+
+
+@dataclasses.dataclass(frozen=True)
+class _Asked:
+    """What is to be explored; see `explore`."""
+
+    begun: Sequence[events.Order]
+    begun_depth: int
+    depth: int
+    walks: int
+    seed: int
+    in_memory: bool
 
 
 def kind(text: str) -> str:
@@ -99,6 +112,11 @@
     return text.partition(":")[0]
 
 
+def usual_jobs() -> int:
+    """Returns the number of processes that use this machine's processors."""
+    return min(_MAX_JOBS, len(os.sched_getaffinity(0)))
+
+
 def explore(
     depth: int,
     walks: int,
@@ -107,6 +125,8 @@
     limit_s: float = float("inf"),
     stop_at_first: bool = False,
     begun: Sequence[events.Order] | None = None,
+    begun_depth: int = 1,
+    in_memory: bool = True,
 ) -> Found:
     """Explores orders.
 
@@ -119,6 +139,10 @@
         stop_at_first: Whether it ends with the first counterexample.
         begun: Orders after each of which every step is played first; all
             known situations if left out, unless the depth is 0.
+        begun_depth: Steps of the longest orders that are enumerated after
+            those.
+        in_memory: Whether sockets are in memory, unless an order breaks an
+            invariant.
     """
     if begun is None:
         begun = situations.ALL if depth else ()
@@ -129,50 +153,67 @@
         found.seconds = time.perf_counter() - began_at
         return found.seconds > limit_s or (stop_at_first and bool(found.broken))
 
-    play = functools.partial(_play, seed)
+    asked = _Asked(begun, begun_depth, depth, walks, seed, in_memory)
     if jobs == 1:
-        _explore(found, map, play, begun, depth, walks, seed, is_over)
+        _explore(found, map, asked, is_over)
     else:
         context = multiprocessing.get_context("spawn")
         with context.Pool(jobs, _be_quiet) as pool:
             ordered = functools.partial(pool.imap, chunksize=_CHUNK)
-            _explore(found, ordered, play, begun, depth, walks, seed, is_over)
+            _explore(found, ordered, asked, is_over)
     is_over()
     return found
 
 
 def _explore(
+    found: Found, ordered: _Map, asked: _Asked, is_over: Callable[[], bool]
+) -> None:
+    play = functools.partial(_play, asked.seed, asked.in_memory)
+    for front, depth in (
+        (list(asked.begun), asked.begun_depth),
+        ([()], asked.depth),
+    ):
+        for level in _enumerate(found, ordered, play, front, depth, is_over):
+            if front == [()]:
+                found.depth = level
+        if is_over():
+            return
+    for begin in range(0, asked.walks, _ROUND):
+        numbers = range(begin, min(asked.walks, begin + _ROUND))
+        walk = functools.partial(
+            _walk, asked.seed, asked.in_memory, _weights(found)
+        )
+        for outcome in ordered(walk, ((str(number),) for number in numbers)):
+            found.note(outcome)
+            if is_over():
+                return
+
+
+def _enumerate(
     found: Found,
     ordered: _Map,
     play: Callable[[events.Order], plays.Outcome],
-    begun: Sequence[events.Order],
+    front: Sequence[events.Order],
     depth: int,
-    walks: int,
-    seed: int,
     is_over: Callable[[], bool],
-) -> None:
-    orders = ((*order, step) for order in begun for step in events.STEPS)
-    for outcome in ordered(play, orders):
-        found.note(outcome)
-        if is_over():
-            return
-    front: list[events.Order] = [()]
+) -> Iterator[int]:
+    """Plays all orders that continue others; yields the depths it has done.
+
+    Of those with the same state only the first is continued.
+    """
+    continued: set[str] = set()
     for level in range(1, depth + 1):
         orders = ((*order, step) for order in front for step in events.STEPS)
         following = []
         for outcome in ordered(play, orders):
-            if found.note(outcome):
-                following.append(outcome.order)
-            if is_over():
-                return
-        front, found.depth = following, level
-    for begin in range(0, walks, _ROUND):
-        numbers = range(begin, min(walks, begin + _ROUND))
-        walk = functools.partial(_walk, seed, _weights(found))
-        for outcome in ordered(walk, ((str(number),) for number in numbers)):
             found.note(outcome)
+            if outcome.state and outcome.state not in continued:
+                continued.add(outcome.state)
+                following.append(outcome.order)
             if is_over():
                 return
+        front = following
+        yield level
 
 
 def _weights(found: Found) -> list[float]:
@@ -218,22 +259,18 @@
     return any(kind(text) == name for text in outcome.broken)
 
 
-def _play(seed: int, order: events.Order) -> plays.Outcome:
-    return _play_quickly(order, seed)
-
-
-def _play_quickly(
-    order: events.Order, seed: int, most: int | None = None
+def _play(
+    seed: int, in_memory: bool, order: events.Order, most: int | None = None
 ) -> plays.Outcome:
-    """Plays an order in memory; a counterexample is played over loopback."""
-    outcome = plays.play(order, seed, most=most, in_memory=True)
-    if outcome.broken:
+    """Plays an order; a counterexample is played over loopback."""
+    outcome = plays.play(order, seed, most=most, in_memory=in_memory)
+    if outcome.broken and in_memory:
         return plays.play(order, seed, most=most)
     return outcome
 
 
 def _walk(
-    seed: int, weights: list[float], number: events.Order
+    seed: int, in_memory: bool, weights: list[float], number: events.Order
 ) -> plays.Outcome:
     drawn = random.Random(f"{seed}/{number[0]}")
     length = drawn.randint(SHORTEST_WALK, LONGEST_WALK)
@@ -243,7 +280,7 @@
     if drawn.random() < _SITUATION_FRACTION:
         begun = drawn.choice(drawn.choice(situations.GROUPS))
         steps, length = begun + steps, len(begun) + length
-    return _play_quickly(steps, seed, length)
+    return _play(seed, in_memory, steps, length)
 
 
 def _be_quiet() -> None:
--- a/martenjunction_lab/explore/session.py
+++ b/martenjunction_lab/explore/session.py
@@ -13,7 +13,8 @@
     seed: int,
     jobs: int,
     limit_s: float = float("inf"),
-    stop_at_first: bool = False,
+    begun_depth: int = 1,
+    in_memory: bool = True,
 ) -> int:
     """Explores; returns 1 if an invariant was broken, otherwise 0.
 
@@ -21,14 +22,26 @@
         depth: Steps of the longest orders that are enumerated.
         walks: Number of random walks.
         seed: Decides the walks, and what a box leaves to chance.
-        jobs: Number of processes.
+        jobs: Number of processes; 0 for as many as usual.
         limit_s: Real seconds after which it ends.
-        stop_at_first: Whether it ends with the first counterexample.
+        begun_depth: Steps of the longest orders that are enumerated after each
+            known situation.
+        in_memory: Whether sockets are in memory at first.
     """
     logging.disable(logging.WARNING)
-    found = search.explore(depth, walks, seed, jobs, limit_s, stop_at_first)
+    jobs = jobs or search.usual_jobs()
+    found = search.explore(
+        depth,
+        walks,
+        seed,
+        jobs,
+        limit_s,
+        begun_depth=begun_depth,
+        in_memory=in_memory,
+    )
     print(
-        f"orders {found.orders}, states {len(found.states)}, "
+        f"processes {jobs}, orders {found.orders}, "
+        f"impossible {found.impossible}, states {len(found.states)}, "
         f"depth {found.depth}, {found.seconds:.1f} s, "
         f"{found.orders / found.seconds:.0f} orders a second, "
         f"counterexamples {len(found.broken)}"
