--- a/martenjunction_lab/explore/situations.py
+++ b/martenjunction_lab/explore/situations.py
@@ -51,4 +51,7 @@
 )
 
 GROUPS = (RESTING, CHECKED, LATE, IN_USE, UNREAD, MOVED)
-ALL: tuple[events.Order, ...] = tuple(itertools.chain(*GROUPS))
+# Those of large groups come last.
+ALL: tuple[events.Order, ...] = tuple(
+    itertools.chain(RESTING, CHECKED, UNREAD, LATE, IN_USE, MOVED)
+)
--- a/martenjunction_lab/simulated/loop.py
+++ b/martenjunction_lab/simulated/loop.py
@@ -107,8 +107,14 @@
             raise StuckError(f"always something to do at {self.now}")
         if self.network is not None and (events := self.select_memory()):
             return events
-        if timeout is not None and timeout <= 0.0:
-            return [] if self.network is not None else super().select(0)
+        is_due = timeout is not None and timeout <= 0.0
+        if self.network is not None and not self.jobs and timeout is not None:
+            # Nothing of the kernel's is waited for.
+            if not is_due:
+                self._jump(timeout)
+            return []
+        if is_due:
+            return super().select(0)
         if events := self._settled():
             self._real_wait_s = 0.0
             return events
