Count how each request of a daemon ends

A request whose head the daemon had read could end without a trace: its connections had no ledger, so a close under a request was neither counted nor logged as one without an answer.

Each connection has a record that begins an entry of the ledger that boxes use as a head is read, and ends it once: as its response is handed to the kernel, or as the connection is closed, with how the caller had ended its side. Metrics have the same names; an end that no request should have writes the line request-without-answer with the connection's last events. Responses are as before.

--- a/martenjunction/application.py
+++ b/martenjunction/application.py
@@ -267,6 +267,7 @@
                 "platform_calls": float(sum(calls.values())),
                 "config_revision": float(self.store.revision),
                 "loop_delay_s": self.timers.worst_delay,
+                **self._listeners.ledger.gauges(),
             },
         )
 
--- a/martenjunction/callers/handlers.py
+++ b/martenjunction/callers/handlers.py
@@ -62,6 +62,7 @@
 
     def prepare(self) -> None:
         """Checks the key and the content length before reading the body."""
+        http_server.name_request(self.request.connection, self._request_id)
         try:
             self._workspace = self._callers.authenticate(
                 self.request.headers.get("Authorization", "")
--- a/martenjunction/fair_streams.py
+++ b/martenjunction/fair_streams.py
@@ -29,9 +29,11 @@
     Attributes:
         has_written: Whether a final response was written, or a part of it,
             since this was last unset.
+        request_id: Id of the current request for the log; "" for none.
     """
 
     has_written = False
+    request_id = ""
     _turns: fair_turns.TurnBudget
     _body: framing.ChunkedBody
     _on_excess: Callable[[], None]
--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -22,6 +22,7 @@
 from tornado import iostream
 from tornado import web
 
+from martenjunction import caller_records
 from martenjunction import connection_headers
 from martenjunction import errors
 from martenjunction import fair_streams
@@ -30,6 +31,7 @@
 from martenjunction.decisions import rest_times
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import peeks
+from martenjunction.http1 import request_ledger
 
 # Seconds to complete a request head that had begun when the idle timeout
 # expired.
@@ -66,6 +68,7 @@
         self,
         *args: Any,
         on_excess_framing: Callable[[], None] = lambda: None,
+        ledger: request_ledger.RequestLedger | None = None,
         **kwargs: Any,
     ) -> None:
         """Initializes the server, as `httpserver.HTTPServer` does.
@@ -78,10 +81,12 @@
             args: Arguments of the library's server.
             on_excess_framing: Called for each connection that is ended because
                 the framing of a body outweighs its data.
+            ledger: Accounts for the requests, or None for one of its own.
             kwargs: Arguments of the library's server.
         """
         super().initialize(*args, **kwargs)
         self._on_excess_framing = on_excess_framing
+        self._ledger = ledger or request_ledger.RequestLedger()
         idle_s = self.conn_params.header_timeout
         self._timeouts: dict[Stage, float | None] = {
             Stage.HEAD: idle_s,
@@ -135,7 +140,8 @@
     ) -> None:
         """Starts to serve a connection."""
         fair = fair_streams.FairStream.over(stream, self._on_excess_framing)
-        self._open_connections[fair] = _Connection(fair, self._timeouts)
+        record = caller_records.CallerRecord(fair, self._ledger)
+        self._open_connections[fair] = _Connection(fair, record, self._timeouts)
         super().handle_stream(fair, address)
 
     def start_request(
@@ -144,7 +150,7 @@
         """Starts to wait for the next request on a connection."""
         delegate = super().start_request(server_conn, request_conn)
         connection = self._open_connections[_stream_of(server_conn)]
-        connection.enter(Stage.HEAD)
+        connection.await_request(request_conn)
         return _StageTracker(delegate, connection)
 
     def on_close(self, server_conn: object) -> None:
@@ -159,15 +165,18 @@
     def __init__(
         self,
         stream: fair_streams.FairStream,
+        record: caller_records.CallerRecord,
         timeouts: dict[Stage, float | None],
     ) -> None:
         """Initializes the state of a newly accepted connection.
 
         Args:
             stream: The connection's stream.
+            record: Accounts for its requests.
             timeouts: The timeout of each stage in seconds; None for none.
         """
         self._stream = stream
+        self._record = record
         self._timeouts = timeouts
         self._loop = asyncio.get_running_loop()
         self._accepted = self._loop.time()
@@ -175,7 +184,7 @@
         self._used = False
         self._head_timeout_set = False
         self._timer: asyncio.TimerHandle | None = None
-        stream.before_close = self._send_final
+        stream.before_close = self._end_request
         self.enter(Stage.HEAD)
 
     @property
@@ -193,6 +202,21 @@
         age = self._loop.time() - self._accepted
         return not self._used and age < FIRST_REQUEST_GRACE
 
+    def await_request(self, exchange: httputil.HTTPConnection) -> None:
+        """Waits for the next request, which the exchange will read."""
+        self._record.await_request(exchange)
+        self.enter(Stage.HEAD)
+
+    def begin_body(self) -> None:
+        """Records that the head of a request was read."""
+        self._record.begin_request()
+        self.enter(Stage.BODY)
+
+    def begin_answer(self) -> None:
+        """Records that a request was read completely."""
+        self._record.take_request()
+        self.enter(Stage.ANSWER)
+
     def enter(self, stage: Stage) -> None:
         """Enters a stage and starts its timeout."""
         self._stage = stage
@@ -264,15 +288,22 @@
         else:
             self._reject()
 
-    def _send_final(self) -> None:
-        """Responds to a request whose connection is closed without an answer.
+    def _end_request(self) -> None:
+        """Ends the request whose connection is closed.
 
         Called for each close, such as that at the end of what a caller sends.
         """
+        # Asked first: what is sent to a peer that left resets the connection.
+        peer_end = caller_records.find_peer_end(self._stream)
+        self._record.end_at_close(peer_end, was_told=self._send_final())
+
+    def _send_final(self) -> bool:
+        """Responds to a request without an answer; returns whether it did."""
         if self._stream.has_written:
-            return
+            return False
         if self._stage is not Stage.HEAD or self._has_unparsed_bytes:
-            self._stream.send_last(_FINAL_RESPONSES[self._stage])
+            return self._stream.send_last(_FINAL_RESPONSES[self._stage])
+        return False
 
     def _reject(self) -> None:
         """Rejects a request that was not received in full, so it never ran."""
@@ -295,14 +326,14 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> Awaitable[None] | None:
-        self._connection.enter(Stage.BODY)
+        self._connection.begin_body()
         return self._delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         return self._delegate.data_received(chunk)
 
     def finish(self) -> None:
-        self._connection.enter(Stage.ANSWER)
+        self._connection.begin_answer()
         self._delegate.finish()
 
     def on_connection_close(self) -> None:
@@ -313,10 +344,16 @@
     connection: httputil.HTTPConnection | None,
 ) -> close_reports.CloseReason:
     """Returns the reason for which a request's connection was closed."""
-    error = cast(http1connection.HTTP1Connection, connection).stream.error
-    if isinstance(error, errors.LocalCloseError):
-        return close_reports.CloseReason(error.reason)
-    return close_reports.CloseReason.CLIENT
+    stream = cast(http1connection.HTTP1Connection, connection).stream
+    return caller_records.reason_of(stream.error)
+
+
+def name_request(
+    connection: httputil.HTTPConnection | None, request_id: str
+) -> None:
+    """Sets the id by which the log names a connection's current request."""
+    stream = cast(http1connection.HTTP1Connection, connection).stream
+    cast(fair_streams.FairStream, stream).request_id = request_id
 
 
 def abort(
--- a/martenjunction/listeners.py
+++ b/martenjunction/listeners.py
@@ -15,6 +15,7 @@
 from martenjunction.callers import service as caller_service
 from martenjunction.config import settings as daemon_settings
 from martenjunction.http1 import close_reports
+from martenjunction.http1 import request_ledger
 from martenjunction.operators import handlers as operator_handlers
 
 # Idle timeout of a connection and timeout of a request body, in seconds.
@@ -48,6 +49,12 @@
         self._daemon = daemon
         self._metrics = counters
         self._servers: list[http_server.Server] = []
+        self._ledger = request_ledger.RequestLedger()
+
+    @property
+    def ledger(self) -> request_ledger.RequestLedger:
+        """Accounts for the requests of callers."""
+        return self._ledger
 
     @property
     def sockets(self) -> list[socket.socket]:
@@ -65,10 +72,12 @@
         self._listen(
             _caller_application(self._callers),
             settings.listen_callers or settings.callers,
+            self._ledger,
         )
         self._listen(
             operator_handlers.application(self._daemon, settings.operator_key),
             settings.operators,
+            request_ledger.RequestLedger(),
         )
 
     def disable_keep_alive(self) -> None:
@@ -91,7 +100,12 @@
         for server in self._servers:
             await server.close_all_connections()
 
-    def _listen(self, application: web.Application, address: str) -> None:
+    def _listen(
+        self,
+        application: web.Application,
+        address: str,
+        ledger: request_ledger.RequestLedger,
+    ) -> None:
         server = http_server.Server(
             application,
             max_header_size=self._settings.header_limit,
@@ -99,6 +113,7 @@
             idle_connection_timeout=IDLE_CONNECTION,
             body_timeout=BODY_TIMEOUT,
             on_excess_framing=self._note_excess_framing,
+            ledger=ledger,
         )
         host_name, port = addresses.split_address(address)
         server.listen(port, host_name, backlog=BACKLOG)
--- a/tests/test_closing_gate.py
+++ b/tests/test_closing_gate.py
@@ -15,6 +15,7 @@
     *sorted((PACKAGE / "http1").glob("*.py")),
     *sorted((PACKAGE / "callers").glob("*.py")),
     *sorted((PACKAGE / "routing" / "requests").glob("*.py")),
+    PACKAGE / "caller_records.py",
     PACKAGE / "closing_streams.py",
     PACKAGE / "fair_streams.py",
     PACKAGE / "http_server.py",
