--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -9,9 +9,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import enum
 import functools
-import http
 from typing import Any
 from typing import cast
 
@@ -23,11 +21,10 @@
 from tornado import web
 
 from martenjunction import caller_records
+from martenjunction import caller_stages
 from martenjunction import connection_headers
 from martenjunction import errors
 from martenjunction import fair_streams
-from martenjunction import http_headers
-from martenjunction.decisions import outcomes
 from martenjunction.decisions import rest_times
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import peeks
@@ -53,12 +50,7 @@
 AFTER_CLOSE = "request-after-close"
 
 
-class Stage(enum.Enum):
-    """The stage of a connection's current request."""
-
-    HEAD = "head"
-    BODY = "body"
-    ANSWER = "answer"
+_Stage = caller_stages.Stage
 
 
 class Server(httpserver.HTTPServer):
@@ -88,10 +80,10 @@
         self._on_excess_framing = on_excess_framing
         self._ledger = ledger or request_ledger.RequestLedger()
         idle_s = self.conn_params.header_timeout
-        self._timeouts: dict[Stage, float | None] = {
-            Stage.HEAD: idle_s,
-            Stage.BODY: self.conn_params.body_timeout,
-            Stage.ANSWER: None,
+        self._timeouts: dict[_Stage, float | None] = {
+            _Stage.HEAD: idle_s,
+            _Stage.BODY: self.conn_params.body_timeout,
+            _Stage.ANSWER: None,
         }
         self.conn_params.header_timeout = None
         self.conn_params.body_timeout = None
@@ -166,7 +158,7 @@
         self,
         stream: fair_streams.FairStream,
         record: caller_records.CallerRecord,
-        timeouts: dict[Stage, float | None],
+        timeouts: dict[_Stage, float | None],
     ) -> None:
         """Initializes the state of a newly accepted connection.
 
@@ -180,18 +172,18 @@
         self._timeouts = timeouts
         self._loop = asyncio.get_running_loop()
         self._accepted = self._loop.time()
-        self._stage = Stage.HEAD
+        self._stage = _Stage.HEAD
         self._used = False
         self._head_timeout_set = False
         self._timer: asyncio.TimerHandle | None = None
         stream.before_close = self._end_request
-        self.enter(Stage.HEAD)
+        self.enter(_Stage.HEAD)
 
     @property
     def in_request(self) -> bool:
         """Whether any byte of a request arrived since the last response."""
         return (
-            self._stage is not Stage.HEAD
+            self._stage is not _Stage.HEAD
             or self._has_unread_bytes
             or self._head_started
         )
@@ -205,25 +197,25 @@
     def await_request(self, exchange: httputil.HTTPConnection) -> None:
         """Waits for the next request, which the exchange will read."""
         self._record.await_request(exchange)
-        self.enter(Stage.HEAD)
+        self.enter(_Stage.HEAD)
 
     def begin_body(self) -> None:
         """Records that the head of a request was read."""
         self._record.begin_request()
-        self.enter(Stage.BODY)
+        self.enter(_Stage.BODY)
 
     def begin_answer(self) -> None:
         """Records that a request was read completely."""
         self._record.take_request()
-        self.enter(Stage.ANSWER)
+        self.enter(_Stage.ANSWER)
 
-    def enter(self, stage: Stage) -> None:
+    def enter(self, stage: _Stage) -> None:
         """Enters a stage and starts its timeout."""
         self._stage = stage
-        if stage is Stage.HEAD:
+        if stage is _Stage.HEAD:
             self._stream.has_written = False
         self._head_timeout_set = False
-        self._used = self._used or stage is not Stage.HEAD
+        self._used = self._used or stage is not _Stage.HEAD
         self._set_timer(self._timeouts[stage])
 
     def close(self) -> None:
@@ -236,7 +228,7 @@
         Logs only a request whose head is incomplete. For any other, the
         handler writes the log line because it knows the request id.
         """
-        if self._stage is Stage.HEAD and self.in_request:
+        if self._stage is _Stage.HEAD and self.in_request:
             eliot.log_message(CLOSED, request_id=None, why=reason)
         self._stream.close(errors.LocalCloseError(reason))
 
@@ -263,7 +255,7 @@
     @property
     def _sends_without_pause(self) -> bool:
         """Whether the client sends a body faster than it is read."""
-        return self._stage is Stage.BODY and self._stream.never_pauses
+        return self._stage is _Stage.BODY and self._stream.never_pauses
 
     @property
     def _head_started(self) -> bool:
@@ -282,7 +274,7 @@
             self._set_timer(RECHECK_INTERVAL)
         elif not self.in_request:
             self.close()
-        elif self._stage is Stage.HEAD and not self._head_timeout_set:
+        elif self._stage is _Stage.HEAD and not self._head_timeout_set:
             self._head_timeout_set = True
             self._set_timer(HEAD_TIMEOUT)
         else:
@@ -301,14 +293,16 @@
         """Responds to a request without an answer; returns whether it did."""
         if self._stream.has_written:
             return False
-        if self._stage is not Stage.HEAD or self._has_unparsed_bytes:
-            return self._stream.send_last(_FINAL_RESPONSES[self._stage])
+        if self._stage is not _Stage.HEAD or self._has_unparsed_bytes:
+            return self._stream.send_last(
+                caller_stages.FINAL_RESPONSES[self._stage]
+            )
         return False
 
     def _reject(self) -> None:
         """Rejects a request that was not received in full, so it never ran."""
         if not self._stream.writing():
-            self._stream.write(_TIMEOUT_RESPONSE)
+            self._stream.write(caller_stages.TIMEOUT_RESPONSE)
         self.abort(_TIMEOUT_REASONS[self._stage])
 
 
@@ -375,34 +369,6 @@
 
 
 _TIMEOUT_REASONS = {
-    Stage.HEAD: close_reports.CloseReason.SLOW_HEAD,
-    Stage.BODY: close_reports.CloseReason.SLOW_BODY,
-}
-
-
-def _empty_response(
-    status: http.HTTPStatus, outcome: outcomes.Outcome
-) -> bytes:
-    return (
-        f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-        f"{http_headers.OUTCOME}: {outcome}\r\n"
-        "Content-Length: 0\r\nConnection: close\r\n\r\n"
-    ).encode()
-
-
-_TIMEOUT_RESPONSE = _empty_response(
-    http.HTTPStatus.REQUEST_TIMEOUT, outcomes.Outcome.NOT_RUN
-)
-
-_UNREAD_RESPONSE = _empty_response(
-    http.HTTPStatus.SERVICE_UNAVAILABLE, outcomes.Outcome.NOT_RUN
-)
-
-# By the stage in which a connection is closed without any other response.
-_FINAL_RESPONSES = {
-    Stage.HEAD: _UNREAD_RESPONSE,
-    Stage.BODY: _UNREAD_RESPONSE,
-    Stage.ANSWER: _empty_response(
-        http.HTTPStatus.BAD_GATEWAY, outcomes.Outcome.UNKNOWN
-    ),
+    _Stage.HEAD: close_reports.CloseReason.SLOW_HEAD,
+    _Stage.BODY: close_reports.CloseReason.SLOW_BODY,
 }
--- a/tools/broken_box_builds.py
+++ b/tools/broken_box_builds.py
@@ -379,7 +379,7 @@
     BrokenBuild(
         "a caller's connection closes without a last response",
         "martenjunction/http_server.py",
-        "if self._stage is not Stage.HEAD or self._has_unparsed_bytes:",
+        "if self._stage is not _Stage.HEAD or self._has_unparsed_bytes:",
         "if False:",
         "tests/test_callers_leave.py::test_caller_that_ends_its_sending_side_is_told",
     ),
