Hold runs that a daemon cancelled against no engine

A repeatable run that was silent for longer than its class's stall limit was cancelled by its daemon and told to the cell as broken, which counts as a fault of the engine: three in a row ejected an engine that was only slow. Such a run ends as cancelled now, as one whose caller left or whose time was over did; its request still leaves the engine out. First tokens that are overdue are judged by the cell as before.

--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -491,12 +491,12 @@
             self._relay._sink_blocked = False
 
 
-# Run endings for runs that the relay cancelled.
+# Run endings for runs that the relay cancelled, no faults of endpoints.
 _STOP_ENDINGS: dict[broker.StopReason | None, dispatch_types.Ending] = {
     broker.StopReason.PREEMPTED: dispatch_types.Ending.PREEMPTED,
     broker.StopReason.CALLER_LEFT: dispatch_types.Ending.CANCELLED,
     broker.StopReason.TIME_LIMIT: dispatch_types.Ending.CANCELLED,
-    broker.StopReason.STALLED: dispatch_types.Ending.BROKEN,
+    broker.StopReason.STALLED: dispatch_types.Ending.CANCELLED,
 }
 
 # Progress events for the endings of runs, from which the outcome is derived.
--- a/tests/test_relayed_stalls.py
+++ b/tests/test_relayed_stalls.py
@@ -7,7 +7,6 @@
 import dataclasses
 
 from martenjunction.decisions import retries
-from martenjunction_lab import bench
 from martenjunction_lab import engine
 from martenjunction_lab import standins
 from tests import caller_builders as callers
@@ -17,8 +16,17 @@
 STALL = "300ms"
 
 
-async def ask_slow_engines(count: int) -> tuple[int, bench.Bench]:
-    """Returns the status of a request to slow engines, and the bench."""
+@dataclasses.dataclass(frozen=True)
+class Asked:
+    """What became of a request: its status, runs, and faults of engines."""
+
+    status: int
+    runs: int
+    faults: list[int]
+
+
+async def ask_slow_engines(count: int) -> Asked:
+    """Asks slow engines once."""
     usual = callers.spec()
     outside = dataclasses.replace(
         usual.outside,
@@ -35,15 +43,28 @@
         )
         status, _, _ = await caller.read_response()
         caller.disconnect()
-        return status, made
+        faults = [
+            endpoint.health.faults
+            for task in made.daemons[0].cells.tasks.values()
+            for endpoint in task.dispatcher.endpoints.values()
+        ]
+        return Asked(status, callers.started_runs(made), faults)
 
 
 async def test_last_attempt_is_not_ended_as_silent() -> None:
-    status, made = await ask_slow_engines(4)
-    assert status == 200
-    assert callers.started_runs(made) <= retries.MAX_ATTEMPTS
+    asked = await ask_slow_engines(4)
+    assert asked.status == 200
+    assert asked.runs <= retries.MAX_ATTEMPTS
 
 
 async def test_request_to_the_only_engine_is_not_ended_as_silent() -> None:
-    status, _ = await ask_slow_engines(1)
-    assert status == 200
+    asked = await ask_slow_engines(1)
+    assert asked.status == 200
+
+
+async def test_cancelled_runs_are_no_failures_of_their_engines() -> None:
+    # Three failures in a row eject an engine that only was slow.
+    asked = await ask_slow_engines(4)
+    assert asked.runs == retries.MAX_ATTEMPTS
+    assert len(asked.faults) > retries.MAX_ATTEMPTS
+    assert not any(asked.faults)
