--- a/martenjunction/decisions/boxes/stop_state.py
+++ b/martenjunction/decisions/boxes/stop_state.py
@@ -1,6 +1,6 @@
 """Whether a box is being stopped, and since when."""
 
-from martenjunction.decisions.boxes import stop_admission
+from martenjunction.decisions import stop_admission
 
 
 class StopState:
--- a/martenjunction/routing/requests/stop_gate.py
+++ b/martenjunction/routing/requests/stop_gate.py
@@ -7,8 +7,8 @@
 from martenjunction import model
 from martenjunction import timers
 from martenjunction.decisions import outcomes
+from martenjunction.decisions import stop_admission
 from martenjunction.decisions.boxes import endpoint_choice
-from martenjunction.decisions.boxes import stop_admission
 from martenjunction.decisions.boxes import stop_state
 from martenjunction.routing.access import admission
 from martenjunction.routing.log import decision_log
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -5,7 +5,7 @@
 import pytest
 
 from martenjunction import errors
-from martenjunction.decisions.boxes import stop_admission
+from martenjunction.decisions import stop_admission
 from martenjunction_lab import boxes
 from martenjunction_lab import platform
 from martenjunction_lab import replica
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -23,7 +23,7 @@
 import pytest
 
 from martenjunction import gateway
-from martenjunction.decisions.boxes import stop_admission
+from martenjunction.decisions import stop_admission
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from martenjunction.decisions.boxes import stop_admission
+from martenjunction.decisions import stop_admission
 from martenjunction.decisions.boxes import stop_state
 
 Reason = stop_admission.Reason
