Judge a request by the limit in force when the box may have read it

Cause: the judge took the first unanswered request of an earlier turn to be read. If the response before it was sent in the moment in which that turn ended, the box reads it after the next event, here under a longer limit that this event put in force: "late" was told of a request that had its response in time.

Change: it counts as read only if time has passed since the response before it. In all other cases the check is as strict as before.

--- a/martenjunction_lab/explore/events.py
+++ b/martenjunction_lab/explore/events.py
@@ -397,7 +397,7 @@
 async def settle(made: rig.Rig, seconds: float = SETTLE_S) -> None:
     """Lets the loop run until it has nothing to do for some time."""
     await asyncio.sleep(seconds)
-    made.turn += 1
+    made.note_rest()
 
 
 def _seconds(made: rig.Rig, name: str) -> float:
--- a/martenjunction_lab/explore/plays.py
+++ b/martenjunction_lab/explore/plays.py
@@ -181,7 +181,7 @@
         if not made.mute:
             _answer_runs(made)
         await asyncio.sleep(_next_look_s(made))
-        made.turn += 1
+        made.note_rest()
     if made.waiting_runs:
         await asyncio.sleep(judge.GOES_ON_S + _MARGIN_S)
     if not made.client.left and made.client.ended_at is None:
--- a/martenjunction_lab/explore/rig.py
+++ b/martenjunction_lab/explore/rig.py
@@ -120,8 +120,9 @@
         self.held_up_s = 0.0
         # When the play was over and its connections were to end.
         self.over_at = math.inf
-        # Counts how often the loop came to rest.
+        # Counts how often the loop came to rest, and when it last did.
         self.turn = 0
+        self._rested_at = running.time()
         self._stopping: asyncio.Task[None] | None = None
         periodic = self.gateway.timers
         self._checks = (
@@ -184,6 +185,11 @@
             "lab",
         )
 
+    def note_rest(self) -> None:
+        """Notes that the loop had nothing to do before the present moment."""
+        self.turn += 1
+        self._rested_at = self.loop.time()
+
     def hold_up(self, seconds: float) -> None:
         """Lets time pass in which the box does nothing."""
         self.held_up_s += max(0.0, seconds)
@@ -254,8 +260,11 @@
 
     def _note_timeout(self, timeout_s: float) -> None:
         """Widens the timeouts of requests that the box may not have read."""
+        # A request is read once the response before it is sent, and that may
+        # be in the moment in which a rest ended.
+        is_read = bool(self.sent) and self.rested_since < self._rested_at
         for number, sent in enumerate(self.unanswered):
-            if number == 0 and sent.turn < self.turn:
+            if number == 0 and is_read and sent.turn < self.turn:
                 continue
             sent.timeout_s = max(sent.timeout_s, timeout_s)
             sent.least_timeout_s = min(sent.least_timeout_s, timeout_s)
--- a/tests/test_explore_connection.py
+++ b/tests/test_explore_connection.py
@@ -120,6 +120,9 @@
         # A client that leaves while its next request is unread.
         "config-patient after-3000 unsafe safe~ half-close~",
         "config-patient after-3000 safe stream fin",
+        # A longer limit that is in force as the next request is read.
+        "unsafe wait-300 hold-80& two~ late-50 break-reset~ wait-50 safe& "
+        "config-patient~ wait-rest",
     ],
 )
 def test_order_that_once_broke_an_invariant(order: str) -> None:
