--- a/martenjunction_lab/explore/situations.py
+++ b/martenjunction_lab/explore/situations.py
@@ -43,7 +43,8 @@
     ("config-patient", "after-3000", kind, "stream", "two")
     for kind in ("safe", "resumable")
 )
-# A second attempt that has begun, and what the first one made of its run.
+# What the first endpoint makes of a late run: of a plain request beside a
+# second attempt, of a stream before one.
 MOVED: tuple[events.Order, ...] = tuple(
     (*order, step)
     for order in (LATE[0], LATE[2], LATE[3])
--- a/tests/test_explore_connection.py
+++ b/tests/test_explore_connection.py
@@ -138,6 +138,21 @@
     assert first.possible
 
 
+def test_orders_in_a_state_that_a_situation_showed_are_continued(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def play(order: events.Order, seed: int, **_: object) -> plays.Outcome:
+        return plays.Outcome(order, True, state=" ".join(sorted({*order})))
+
+    monkeypatch.setattr(plays, "play", play)
+    monkeypatch.setattr(events, "STEPS", ("a", "b"))
+    # After the situation two, then two of one step and four of two.
+    assert search.explore(2, 0, SEED, begun=[("a",)]).orders == 8
+    # Of those of two steps only that with a state of its own is continued.
+    found = search.explore(0, 0, SEED, begun=[("c",)], begun_depth=3)
+    assert found.orders == 8
+
+
 def test_impossible_event_ends_a_play() -> None:
     assert not plays.play(("answer",)).possible
 
