--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -9,9 +9,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import enum
 import functools
-import http
 from typing import Any
 from typing import cast
 
@@ -22,13 +20,15 @@
 from tornado import iostream
 from tornado import web
 
+from martenjunction import caller_records
+from martenjunction import caller_stages
+from martenjunction import connection_headers
 from martenjunction import errors
 from martenjunction import fair_streams
-from martenjunction import http_headers
-from martenjunction.decisions import outcomes
 from martenjunction.decisions import rest_times
 from martenjunction.http1 import close_reports
 from martenjunction.http1 import peeks
+from martenjunction.http1 import request_ledger
 
 # Seconds to complete a request head that had begun when the idle timeout
 # expired.
@@ -50,12 +50,7 @@
 AFTER_CLOSE = "request-after-close"
 
 
-class Stage(enum.Enum):
-    """The stage of a connection's current request."""
-
-    HEAD = "head"
-    BODY = "body"
-    ANSWER = "answer"
+_Stage = caller_stages.Stage
 
 
 class Server(httpserver.HTTPServer):
@@ -65,6 +60,7 @@
         self,
         *args: Any,
         on_excess_framing: Callable[[], None] = lambda: None,
+        ledger: request_ledger.RequestLedger | None = None,
         **kwargs: Any,
     ) -> None:
         """Initializes the server, as `httpserver.HTTPServer` does.
@@ -77,22 +73,26 @@
             args: Arguments of the library's server.
             on_excess_framing: Called for each connection that is ended because
                 the framing of a body outweighs its data.
+            ledger: Accounts for the requests, or None for one of its own.
             kwargs: Arguments of the library's server.
         """
         super().initialize(*args, **kwargs)
         self._on_excess_framing = on_excess_framing
+        self._ledger = ledger or request_ledger.RequestLedger()
         idle_s = self.conn_params.header_timeout
-        self._timeouts: dict[Stage, float | None] = {
-            Stage.HEAD: idle_s,
-            Stage.BODY: self.conn_params.body_timeout,
-            Stage.ANSWER: None,
+        self._timeouts: dict[_Stage, float | None] = {
+            _Stage.HEAD: idle_s,
+            _Stage.BODY: self.conn_params.body_timeout,
+            _Stage.ANSWER: None,
         }
         self.conn_params.header_timeout = None
         self.conn_params.body_timeout = None
         self._open_connections: dict[iostream.IOStream, _Connection] = {}
         if isinstance(self.request_callback, web.Application):
             told_s = rest_times.told(idle_s or 0.0).told_s
-            transform = functools.partial(_ConnectionHeaders, told_s)
+            transform = functools.partial(
+                connection_headers.ConnectionHeaders, told_s
+            )
             self.request_callback.add_transform(
                 cast(type[web.OutputTransform], transform)
             )
@@ -132,7 +132,8 @@
     ) -> None:
         """Starts to serve a connection."""
         fair = fair_streams.FairStream.over(stream, self._on_excess_framing)
-        self._open_connections[fair] = _Connection(fair, self._timeouts)
+        record = caller_records.CallerRecord(fair, self._ledger)
+        self._open_connections[fair] = _Connection(fair, record, self._timeouts)
         super().handle_stream(fair, address)
 
     def start_request(
@@ -141,7 +142,7 @@
         """Starts to wait for the next request on a connection."""
         delegate = super().start_request(server_conn, request_conn)
         connection = self._open_connections[_stream_of(server_conn)]
-        connection.enter(Stage.HEAD)
+        connection.await_request(request_conn)
         return _StageTracker(delegate, connection)
 
     def on_close(self, server_conn: object) -> None:
@@ -156,30 +157,33 @@
     def __init__(
         self,
         stream: fair_streams.FairStream,
-        timeouts: dict[Stage, float | None],
+        record: caller_records.CallerRecord,
+        timeouts: dict[_Stage, float | None],
     ) -> None:
         """Initializes the state of a newly accepted connection.
 
         Args:
             stream: The connection's stream.
+            record: Accounts for its requests.
             timeouts: The timeout of each stage in seconds; None for none.
         """
         self._stream = stream
+        self._record = record
         self._timeouts = timeouts
         self._loop = asyncio.get_running_loop()
         self._accepted = self._loop.time()
-        self._stage = Stage.HEAD
+        self._stage = _Stage.HEAD
         self._used = False
         self._head_timeout_set = False
         self._timer: asyncio.TimerHandle | None = None
-        stream.before_close = self._send_final
-        self.enter(Stage.HEAD)
+        stream.before_close = self._end_request
+        self.enter(_Stage.HEAD)
 
     @property
     def in_request(self) -> bool:
         """Whether any byte of a request arrived since the last response."""
         return (
-            self._stage is not Stage.HEAD
+            self._stage is not _Stage.HEAD
             or self._has_unread_bytes
             or self._head_started
         )
@@ -190,13 +194,28 @@
         age = self._loop.time() - self._accepted
         return not self._used and age < FIRST_REQUEST_GRACE
 
-    def enter(self, stage: Stage) -> None:
+    def await_request(self, exchange: httputil.HTTPConnection) -> None:
+        """Waits for the next request, which the exchange will read."""
+        self._record.await_request(exchange)
+        self.enter(_Stage.HEAD)
+
+    def begin_body(self) -> None:
+        """Records that the head of a request was read."""
+        self._record.begin_request()
+        self.enter(_Stage.BODY)
+
+    def begin_answer(self) -> None:
+        """Records that a request was read completely."""
+        self._record.take_request()
+        self.enter(_Stage.ANSWER)
+
+    def enter(self, stage: _Stage) -> None:
         """Enters a stage and starts its timeout."""
         self._stage = stage
-        if stage is Stage.HEAD:
+        if stage is _Stage.HEAD:
             self._stream.has_written = False
         self._head_timeout_set = False
-        self._used = self._used or stage is not Stage.HEAD
+        self._used = self._used or stage is not _Stage.HEAD
         self._set_timer(self._timeouts[stage])
 
     def close(self) -> None:
@@ -209,7 +228,7 @@
         Logs only a request whose head is incomplete. For any other, the
         handler writes the log line because it knows the request id.
         """
-        if self._stage is Stage.HEAD and self.in_request:
+        if self._stage is _Stage.HEAD and self.in_request:
             eliot.log_message(CLOSED, request_id=None, why=reason)
         self._stream.close(errors.LocalCloseError(reason))
 
@@ -236,7 +255,7 @@
     @property
     def _sends_without_pause(self) -> bool:
         """Whether the client sends a body faster than it is read."""
-        return self._stage is Stage.BODY and self._stream.never_pauses
+        return self._stage is _Stage.BODY and self._stream.never_pauses
 
     @property
     def _head_started(self) -> bool:
@@ -255,26 +274,35 @@
             self._set_timer(RECHECK_INTERVAL)
         elif not self.in_request:
             self.close()
-        elif self._stage is Stage.HEAD and not self._head_timeout_set:
+        elif self._stage is _Stage.HEAD and not self._head_timeout_set:
             self._head_timeout_set = True
             self._set_timer(HEAD_TIMEOUT)
         else:
             self._reject()
 
-    def _send_final(self) -> None:
-        """Responds to a request whose connection is closed without an answer.
+    def _end_request(self) -> None:
+        """Ends the request whose connection is closed.
 
         Called for each close, such as that at the end of what a caller sends.
         """
+        # Asked first: what is sent to a peer that left resets the connection.
+        peer_end = caller_records.find_peer_end(self._stream)
+        self._record.end_at_close(peer_end, was_told=self._send_final())
+
+    def _send_final(self) -> bool:
+        """Responds to a request without an answer; returns whether it did."""
         if self._stream.has_written:
-            return
-        if self._stage is not Stage.HEAD or self._has_unparsed_bytes:
-            self._stream.send_last(_FINAL_RESPONSES[self._stage])
+            return False
+        if self._stage is not _Stage.HEAD or self._has_unparsed_bytes:
+            return self._stream.send_last(
+                caller_stages.FINAL_RESPONSES[self._stage]
+            )
+        return False
 
     def _reject(self) -> None:
         """Rejects a request that was not received in full, so it never ran."""
         if not self._stream.writing():
-            self._stream.write(_TIMEOUT_RESPONSE)
+            self._stream.write(caller_stages.TIMEOUT_RESPONSE)
         self.abort(_TIMEOUT_REASONS[self._stage])
 
 
@@ -292,75 +320,34 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> Awaitable[None] | None:
-        self._connection.enter(Stage.BODY)
+        self._connection.begin_body()
         return self._delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         return self._delegate.data_received(chunk)
 
     def finish(self) -> None:
-        self._connection.enter(Stage.ANSWER)
+        self._connection.begin_answer()
         self._delegate.finish()
 
     def on_connection_close(self) -> None:
         self._delegate.on_connection_close()
 
 
-class _ConnectionHeaders(web.OutputTransform):
-    """Tells callers how long their connection may rest.
-
-    A response says `Connection: close` after `disable_keep_alive`, and if its
-    request is not read by then: tornado closes the connection after it.
-    """
-
-    def __init__(
-        self, told_s: int | None, request: httputil.HTTPServerRequest
-    ) -> None:
-        """Initializes the transform of one response.
-
-        Args:
-            told_s: Seconds to tell, or None for nothing.
-            request: The request.
-        """
-        self._told_s = told_s
-        connection = cast(http1connection.HTTP1Connection, request.connection)
-        self._connection = connection
-        self._persists = (
-            request.version == "HTTP/1.1"
-            and "close" not in request.headers.get("Connection", "").lower()
-        )
-
-    def transform_first_chunk(
-        self,
-        status_code: int,
-        headers: httputil.HTTPHeaders,
-        chunk: bytes,
-        finishing: bool,
-    ) -> tuple[int, httputil.HTTPHeaders, bytes]:
-        # tornado has no public API for the second.
-        if (
-            self._connection.params.no_keep_alive
-            or not self._connection._read_finished
-        ):
-            headers["Connection"] = "close"
-        elif (
-            self._told_s is not None
-            and self._persists
-            and "Connection" not in headers
-        ):
-            headers["Connection"] = "keep-alive"
-            headers["Keep-Alive"] = f"timeout={self._told_s}"
-        return status_code, headers, chunk
-
-
 def close_reason(
     connection: httputil.HTTPConnection | None,
 ) -> close_reports.CloseReason:
     """Returns the reason for which a request's connection was closed."""
-    error = cast(http1connection.HTTP1Connection, connection).stream.error
-    if isinstance(error, errors.LocalCloseError):
-        return close_reports.CloseReason(error.reason)
-    return close_reports.CloseReason.CLIENT
+    stream = cast(http1connection.HTTP1Connection, connection).stream
+    return caller_records.reason_of(stream.error)
+
+
+def name_request(
+    connection: httputil.HTTPConnection | None, request_id: str
+) -> None:
+    """Sets the id by which the log names a connection's current request."""
+    stream = cast(http1connection.HTTP1Connection, connection).stream
+    cast(fair_streams.FairStream, stream).request_id = request_id
 
 
 def abort(
@@ -382,34 +369,6 @@
 
 
 _TIMEOUT_REASONS = {
-    Stage.HEAD: close_reports.CloseReason.SLOW_HEAD,
-    Stage.BODY: close_reports.CloseReason.SLOW_BODY,
-}
-
-
-def _empty_response(
-    status: http.HTTPStatus, outcome: outcomes.Outcome
-) -> bytes:
-    return (
-        f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-        f"{http_headers.OUTCOME}: {outcome}\r\n"
-        "Content-Length: 0\r\nConnection: close\r\n\r\n"
-    ).encode()
-
-
-_TIMEOUT_RESPONSE = _empty_response(
-    http.HTTPStatus.REQUEST_TIMEOUT, outcomes.Outcome.NOT_RUN
-)
-
-_UNREAD_RESPONSE = _empty_response(
-    http.HTTPStatus.SERVICE_UNAVAILABLE, outcomes.Outcome.NOT_RUN
-)
-
-# By the stage in which a connection is closed without any other response.
-_FINAL_RESPONSES = {
-    Stage.HEAD: _UNREAD_RESPONSE,
-    Stage.BODY: _UNREAD_RESPONSE,
-    Stage.ANSWER: _empty_response(
-        http.HTTPStatus.BAD_GATEWAY, outcomes.Outcome.UNKNOWN
-    ),
+    _Stage.HEAD: close_reports.CloseReason.SLOW_HEAD,
+    _Stage.BODY: close_reports.CloseReason.SLOW_BODY,
 }
