Refuse what cannot end in a daemon's drain

A daemon took each request that came in its drain. What queued longer than the drain lasted was ended at its limit with 504, and what ran then was cut off with an unknown outcome, although another daemon would have taken it.

The decision is that of a box's stop (decisions/stop_admission.py): the class's target, the predicted delay of its cells and the expected length of its response have to fit into what is left. It is asked as a request comes, and each 0.5 s while it waits for an endpoint; what does not fit gets 503 box-leaving, not run, with a time to come back. A limit of its own for streams applies to boxes only, where lengths are not known.

--- a/martenjunction/callers/service.py
+++ b/martenjunction/callers/service.py
@@ -11,6 +11,7 @@
 from martenjunction import events
 from martenjunction import metrics
 from martenjunction import timers
+from martenjunction.callers import drain_gate
 from martenjunction.callers import keys
 from martenjunction.cells import broker
 from martenjunction.claims import keeper
@@ -20,6 +21,7 @@
 from martenjunction.decisions import estimates
 from martenjunction.decisions import outcomes
 from martenjunction.decisions import policies
+from martenjunction.decisions import retries
 from martenjunction.relay import relay
 from martenjunction.relay import requests
 from martenjunction.relay import results
@@ -37,9 +39,6 @@
 # Seconds after which a caller rejected by an overloaded daemon may retry.
 OVERLOAD_RETRY_AFTER = 2.0
 
-# The same for a daemon whose graceful shutdown has reached its time limit.
-SHUTDOWN_RETRY_AFTER = 1.0
-
 
 @dataclasses.dataclass(frozen=True)
 class EntryAddress:
@@ -91,6 +90,9 @@
         self._lengths = estimates.LengthEstimates()
         self._relays: dict[str, relay.Relay] = {}
         self._stopped = False
+        self._gate = drain_gate.DrainGate(
+            parts.clock, parts.tools.broker.service_delay
+        )
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -124,6 +126,11 @@
         """In-flight requests as a fraction of `max_held`."""
         return len(self._relays) / self._settings.max_held
 
+    @property
+    def gate(self) -> drain_gate.DrainGate:
+        """Admits requests during a graceful shutdown."""
+        return self._gate
+
     def set_config(self, config: fleet.FleetConfig) -> None:
         """Activates a configuration for new requests."""
         previous = self._config
@@ -192,14 +199,14 @@
 
         Raises:
             CallerError: If the daemon is overloaded for the request's tier,
-                or shutting down.
+                or it could outlast a graceful shutdown.
         """
-        if self._stopped:
+        if self._stopped or not self._gate.admits(request):
             raise errors.CallerError(
                 503,
                 "box-leaving",
                 "this box leaves",
-                SHUTDOWN_RETRY_AFTER,
+                retries.LEAVING_RETRY_AFTER_S,
             )
         tier = request.service_class.tier
         if self.utilization >= ADMISSION_LIMITS[tier]:
@@ -288,6 +295,8 @@
         now = self._parts.clock.stall_adjusted_now()
         for active in list(self._relays.values()):
             active.check_stalled(now)
+            if not self._gate.keeps(active.request):
+                active.refuse_unsent()
 
     def stop_all(self) -> None:
         """Stops all in-flight requests at the limit of a graceful shutdown.
--- a/martenjunction/cells/broker.py
+++ b/martenjunction/cells/broker.py
@@ -42,6 +42,7 @@
     TIME_LIMIT = "time-limit"
     STALLED = "stalled"
     PREEMPTED = "preempted"
+    LEAVING = "leaving"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -270,6 +271,12 @@
         """Returns a cell's latest predicted delay in seconds, or None."""
         return self._choice.delay(cell, tier)
 
+    def service_delay(self, service: str, tier: int) -> float:
+        """Returns the least predicted delay of a service's cells in seconds."""
+        cells = self._choice.of_service(service)
+        delays = [self.delay(cell.name, tier) or 0.0 for cell in cells]
+        return min(delays, default=0.0)
+
     # Owners.
 
     def _owner_of(self, cell: directory.CellInfo) -> str:
--- a/martenjunction/decisions/retries.py
+++ b/martenjunction/decisions/retries.py
@@ -49,6 +49,10 @@
     return min(INITIAL_BACKOFF_S * 2.0 ** (attempt - 1), MAX_BACKOFF_S) * jitter
 
 
+# Seconds after which a caller may retry that a leaving daemon refused; another
+# daemon takes the retry.
+LEAVING_RETRY_AFTER_S = 1.0
+
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
 
--- a/martenjunction/decisions/stop_admission.py
+++ b/martenjunction/decisions/stop_admission.py
@@ -58,10 +58,12 @@
     Attributes:
         since_s: Seconds since it began.
         limit_s: Seconds after its start at which remaining requests are ended.
+        streams_s: Seconds after its start from which new streams are refused.
     """
 
     since_s: float
     limit_s: float
+    streams_s: float = STREAM_ADMISSION_S
 
     @property
     def left_s(self) -> float:
@@ -104,7 +106,7 @@
     """Returns why a request is taken or refused; see `TAKEN`."""
     if stop.left_s <= 0:
         return Reason.OVER
-    if need.is_stream and stop.since_s > STREAM_ADMISSION_S:
+    if need.is_stream and stop.since_s > stop.streams_s:
         return Reason.LATE_STREAM
     if need.seconds <= stop.left_s:
         return Reason.FITS
--- a/martenjunction/planned_stop.py
+++ b/martenjunction/planned_stop.py
@@ -29,6 +29,7 @@
         listening: The daemon's servers.
         callers: The service that holds the requests.
     """
+    callers.gate.begin(settings.drain_limit)
     listening.disable_keep_alive()
     try:
         async with asyncio.timeout(settings.drain_limit):
@@ -37,6 +38,7 @@
             await _finish_requests(listening, callers)
     except TimeoutError:
         await _end_requests(listening, callers)
+    logger.info("requests during the shutdown: %s", callers.gate.reasons)
 
 
 async def _finish_requests(
--- a/martenjunction/relay/relay.py
+++ b/martenjunction/relay/relay.py
@@ -133,6 +133,11 @@
         else:
             self._stop_after_run = reason
 
+    def refuse_unsent(self) -> None:
+        """Ends a request that was sent to no endpoint, as not run."""
+        if not self._progress.attempts:
+            self.stop(broker.StopReason.LEAVING)
+
     def check_stalled(self, now: float) -> None:
         """Cancels a repeatable run that exceeds its stall timeout.
 
@@ -447,7 +452,11 @@
         )
 
     def _stopped(self, reason: broker.StopReason) -> results.Result:
-        return self._failed(_STOP_CODES[reason], _STOP_MESSAGES[reason])
+        return self._failed(
+            _STOP_CODES[reason],
+            _STOP_MESSAGES[reason],
+            _STOP_RETRY_AFTER.get(reason),
+        )
 
     def _failed(
         self,
@@ -514,11 +523,16 @@
     broker.StopReason.TIME_LIMIT: results.FailureCode.TIME_LIMIT,
     broker.StopReason.STALLED: results.FailureCode.ENDPOINT_FAILED,
     broker.StopReason.PREEMPTED: results.FailureCode.ENDPOINT_FAILED,
+    broker.StopReason.LEAVING: results.FailureCode.LEAVING,
 }
 
+# Seconds after which the caller may retry, elsewhere.
+_STOP_RETRY_AFTER = {broker.StopReason.LEAVING: retries.LEAVING_RETRY_AFTER_S}
+
 _STOP_MESSAGES = {
     broker.StopReason.CALLER_LEFT: "the caller left",
     broker.StopReason.TIME_LIMIT: "the class's time limit has passed",
     broker.StopReason.STALLED: "the endpoint fell silent",
     broker.StopReason.PREEMPTED: "preempted",
+    broker.StopReason.LEAVING: "this box leaves",
 }
--- a/martenjunction/relay/results.py
+++ b/martenjunction/relay/results.py
@@ -14,6 +14,7 @@
     TIME_LIMIT = "time-limit"
     ENDPOINT_FAILED = "endpoint-failed"
     CALLER_LEFT = "caller-left"
+    LEAVING = "box-leaving"
     CLAIM_UNAVAILABLE = "claim-unavailable"
     ALREADY_CLAIMED = "already-claimed"
     ALREADY_RAN = "already-ran"
@@ -27,6 +28,7 @@
     FailureCode.TIME_LIMIT: 504,
     FailureCode.ENDPOINT_FAILED: 502,
     FailureCode.CALLER_LEFT: 499,
+    FailureCode.LEAVING: 503,
     FailureCode.CLAIM_UNAVAILABLE: 503,
     FailureCode.ALREADY_CLAIMED: 409,
     FailureCode.ALREADY_RAN: 409,
