Notice a daemon's caller that resets behind unread requests

While bytes of a further request wait in its buffer, tornado does not listen for the end of a connection. A caller that sent requests ahead and reset its connection was not noticed, and its run went on for nobody.

A FIN behind unread requests closes nothing, as before: such a caller may still read its answers. The table of what may close a caller's connection has the new place.

--- a/martenjunction/fair_streams.py
+++ b/martenjunction/fair_streams.py
@@ -30,10 +30,12 @@
         has_written: Whether a final response was written, or a part of it,
             since this was last unset.
         request_id: Id of the current request for the log; "" for none.
+        on_read_ahead: Called once bytes were read that nobody asked for.
     """
 
     has_written = False
     request_id = ""
+    on_read_ahead: Callable[[], None] | None = None
     _turns: fair_turns.TurnBudget
     _body: framing.ChunkedBody
     _on_excess: Callable[[], None]
@@ -104,6 +106,22 @@
         reading = super().read_bytes(num_bytes, partial)
         return self._in_turn(reading, fair_turns.PART_COST, partial)
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes were read that are not parsed yet."""
+        # tornado has no public API for this.
+        return self._read_buffer_size > 0
+
+    def _handle_read(self) -> None:
+        """Reads what the peer sent.
+
+        tornado does not listen for the end of a connection while its buffer
+        holds bytes.
+        """
+        super()._handle_read()
+        if self.on_read_ahead and self.has_unread and not self.reading():
+            self.on_read_ahead()
+
     def _read_from_buffer(self, pos: int) -> None:
         """Ends a read, without its limit being kept for the time after it.
 
--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -27,6 +27,7 @@
 from martenjunction import fair_streams
 from martenjunction.decisions import rest_times
 from martenjunction.http1 import close_reports
+from martenjunction.http1 import end_looks
 from martenjunction.http1 import peeks
 from martenjunction.http1 import request_ledger
 
@@ -148,7 +149,7 @@
     def on_close(self, server_conn: object) -> None:
         """Removes a closed connection."""
         super().on_close(server_conn)
-        self._open_connections.pop(_stream_of(server_conn)).cancel_timer()
+        self._open_connections.pop(_stream_of(server_conn)).cancel_timers()
 
 
 class _Connection:
@@ -176,7 +177,11 @@
         self._used = False
         self._head_timeout_set = False
         self._timer: asyncio.TimerHandle | None = None
+        self._end_look = end_looks.EndLook(
+            lambda: stream.socket, self._on_peer_end
+        )
         stream.before_close = self._end_request
+        stream.on_read_ahead = self._on_read_ahead
         self.enter(_Stage.HEAD)
 
     @property
@@ -197,6 +202,7 @@
     def await_request(self, exchange: httputil.HTTPConnection) -> None:
         """Waits for the next request, which the exchange will read."""
         self._record.await_request(exchange)
+        self._end_look.cancel()
         self.enter(_Stage.HEAD)
 
     def begin_body(self) -> None:
@@ -208,6 +214,8 @@
         """Records that a request was read completely."""
         self._record.take_request()
         self.enter(_Stage.ANSWER)
+        if self._stream.has_unread:
+            self._on_read_ahead()
 
     def enter(self, stage: _Stage) -> None:
         """Enters a stage and starts its timeout."""
@@ -232,9 +240,10 @@
             eliot.log_message(CLOSED, request_id=None, why=reason)
         self._stream.close(errors.LocalCloseError(reason))
 
-    def cancel_timer(self) -> None:
-        """Cancels the timer."""
+    def cancel_timers(self) -> None:
+        """Cancels the timers."""
         self._set_timer(None)
+        self._end_look.cancel()
 
     @property
     def _has_unread_bytes(self) -> bool:
@@ -259,8 +268,7 @@
 
     @property
     def _head_started(self) -> bool:
-        # tornado has no public API for this.
-        return self._stream._read_buffer_size > 0
+        return self._stream.has_unread
 
     def _set_timer(self, seconds: float | None) -> None:
         if self._timer is not None:
@@ -280,6 +288,23 @@
         else:
             self._reject()
 
+    def _on_read_ahead(self) -> None:
+        if self._stage is _Stage.ANSWER:
+            self._end_look.start()
+
+    def _on_peer_end(self) -> None:
+        """Closes a connection that its peer reset behind unread requests.
+
+        A peer that only ended its sending side may still read its responses.
+        """
+        if self._stream.closed():
+            return
+        error = peeks.take_error(self._stream.socket)
+        if error is None:
+            self._end_look.start()
+        else:
+            self._stream.close(error)
+
     def _end_request(self) -> None:
         """Ends the request whose connection is closed.
 
--- a/tests/caller_builders.py
+++ b/tests/caller_builders.py
@@ -10,6 +10,7 @@
 import json
 import os
 import socket
+import struct
 from typing import Any
 
 import eliot
@@ -89,6 +90,11 @@
     def disconnect(self) -> None:
         self._socket.close()
 
+    def reset(self) -> None:
+        linger = struct.pack("ii", 1, 0)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self._socket.close()
+
     def end_sending(self) -> None:
         self._socket.shutdown(socket.SHUT_WR)
 
--- a/tests/test_callers_leave.py
+++ b/tests/test_callers_leave.py
@@ -26,6 +26,9 @@
 event_loop_policy = builders.event_loop_policy
 fleet = builders.fleet
 
+# Seconds within which a run is cancelled whose caller left.
+END_NOTICED_S = 0.5
+
 
 @pytest.mark.parametrize("passes", range(1, 9))
 async def test_request_on_a_closed_connection_is_not_run(
@@ -163,3 +166,21 @@
         caller.disconnect()
     await asyncio.sleep(builders.LEAD_S)
     assert not builders.running_handlers()
+
+
+@pytest.mark.parametrize("together", [False, True])
+async def test_reset_behind_unread_requests_cancels_the_run(
+    fleet: bench.Bench, together: bool
+) -> None:
+    (caller,) = await builders.connect_callers(fleet, 1)
+    chat = builders.chat(builders.UNENDING_TOKENS, stream=False)
+    sent = builders.request(builders.CHAT, chat)
+    ahead = builders.request(builders.MODELS)
+    caller.send(sent + ahead if together else sent)
+    await builders.wait_until_in_flight(fleet, 1)
+    for _ in range(2):
+        caller.send(ahead)
+        await asyncio.sleep(0.05)
+    caller.reset()
+    async with asyncio.timeout(END_NOTICED_S):
+        await builders.wait_until_in_flight(fleet, 0)
--- a/tests/test_closing_gate.py
+++ b/tests/test_closing_gate.py
@@ -62,6 +62,7 @@
     ("http_server", "Server.finish"): {"connection.close"},
     ("http_server", "_Connection.close"): {"self._stream.close"},
     ("http_server", "_Connection.abort"): {"self._stream.close"},
+    ("http_server", "_Connection._on_peer_end"): {"self._stream.close"},
     ("http_server", "_Connection._on_timeout"): {"self.close"},
     ("http_server", "_Connection._reject"): {"self.abort"},
     ("http_server", "abort"): {"stream.close"},
