Answer a plain call that broke off behind its head with its error

A plain service whose response broke off behind its head, before any byte of the body was passed on, had its caller's connection closed as if a part of it had been sent. The caller got an empty 502 with the outcome unknown, and the ledger an end that no request should have (given-up, request-without-answer).

The head is sent with the first bytes of the body, so until then an error response can be sent: 502 with the outcome, here ran-partly, the code and the usual body. Headers of the response that broke off are dropped.

--- a/martenjunction/callers/plain.py
+++ b/martenjunction/callers/plain.py
@@ -123,8 +123,7 @@
         self._has_no_body = handler.request.method == "HEAD"
 
     async def start(self, head: streams.ResponseHead) -> None:
-        """Sends the status and headers."""
-        self._started = True
+        """Sets the status and headers, which are sent with the body."""
         handler = self._handler
         reason = handlers.reason_phrase(head.status)
         handler.set_status(head.status, reason)
@@ -139,6 +138,7 @@
         """Sends a chunk of the body."""
         if self._has_no_body:
             return
+        self._started = True
         try:
             self._handler.write(data)
             await self._handler.flush()
@@ -155,5 +155,7 @@
         if result.code is results.FailureCode.CALLER_LEFT:
             return
         if failed or result.outcome is not outcomes.Outcome.DONE:
+            # The headers may be those of a response that broke off.
+            handler.clear()
             handler.write_result(result)
         await handler.finish()
--- a/tests/test_daemon_ledger.py
+++ b/tests/test_daemon_ledger.py
@@ -2,12 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
+import json
 import re
 from typing import Any
 
 import pytest
 
+from martenjunction import errors
+from martenjunction import http_headers
+from martenjunction.endpoints import streams
 from martenjunction.http1 import request_ledger
+from martenjunction.relay import sinks
 from martenjunction_lab import bench
 from martenjunction_lab import plain
 from tests import caller_builders as builders
@@ -144,3 +149,29 @@
     assert line["request_id"]
     names = [name for _, name in line["events"]]
     assert names[-3:] == ["head-read", "taken", "close:stop"]
+
+
+async def test_response_that_breaks_off_after_its_head_gets_an_error_response(
+    fleet: bench.Bench,
+    log_lines: list[dict[str, Any]],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def break_off(
+        stream: streams.EndpointStream,
+        sink: sinks.Sink,
+        head: streams.ResponseHead,
+    ) -> None:
+        await sink.start(head)
+        raise errors.EndpointBrokenError("no body")
+
+    monkeypatch.setattr("martenjunction.relay.runs._forward_body", break_off)
+    caller = await connect(fleet)
+    caller.send(builders.request(builders.PLAIN_CALL, BODY))
+    status, head, body = await caller.read_response()
+    assert (status, builders.header_value(head, http_headers.OUTCOME)) == (
+        502,
+        "ran-partly",
+    )
+    assert json.loads(body)["error"]["code"] == "endpoint-failed"
+    await assert_end(fleet, End.ANSWERED)
+    assert not unanswered(log_lines)
