Count the buffers of connections whose bodies are read

Cause: the budget of bodies counted 320 KiB for each connection that waits, and nothing once its body was read. A box of 100 MiB with 43.5 MiB of its own granted eight bodies of 4 MB at once, 30.5 of 31.4 MiB, and came to 82 MiB as they filled: 1 to 2 MiB unparsed, and the rest the connections of some 250 refused clients that were dropped meanwhile.

Change: a reservation of more than 16 KiB counts the buffers of its connection until the body is read, given up or refused.

--- a/martenjunction/decisions/boxes/memory_budget.py
+++ b/martenjunction/decisions/boxes/memory_budget.py
@@ -4,7 +4,8 @@
 until its request has its response. Bodies that fit are taken at once; others
 wait, unread, in the order of their tiers; what waits too long or would wait
 behind more than fits is refused, the lowest tier first. A body that was taken
-is never given up for another one.
+is never given up for another one. While it is read, the buffers of its
+connection take memory beside it.
 """
 
 import bisect
@@ -95,6 +96,7 @@
         self._own = ASSUMED_OWN_FRACTION * limit_bytes
         self._measured = False
         self._held = 0
+        self._reading = 0
         self._number = 0
         self._waiting: list[WaitingBody] = []
         self._state = State.ROOM
@@ -106,7 +108,7 @@
 
     @property
     def held(self) -> int:
-        """Bytes that are held, without the connections that wait."""
+        """Bytes that are held, without buffers of connections."""
         return self._held
 
     @property
@@ -150,6 +152,14 @@
         """Counts bytes that are no longer held."""
         self._held -= size
 
+    def begin_read(self) -> None:
+        """Counts the buffers of a connection whose large body is read."""
+        self._reading += 1
+
+    def end_read(self, count: int = 1) -> None:
+        """Counts the buffers of connections as free; see `begin_read`."""
+        self._reading -= count
+
     def wait(
         self, size: int, tier: int
     ) -> tuple[WaitingBody, list[WaitingBody]]:
@@ -198,8 +208,8 @@
         # One body is always taken: it may be larger than the capacity.
         if not self._held:
             return True
-        unread = CONNECTION_BYTES * len(self._waiting)
-        return self._held + unread + size <= self.capacity
+        buffers = CONNECTION_BYTES * (len(self._waiting) + self._reading)
+        return self._held + buffers + size <= self.capacity
 
     def _waiting_bytes(self) -> int:
         return sum(body.size for body in self._waiting)
--- a/martenjunction/http1/body_gate.py
+++ b/martenjunction/http1/body_gate.py
@@ -14,10 +14,13 @@
         size: Its size in bytes.
         keeps_body: Whether the body may be kept; otherwise it is read and
             discarded.
+        buffered: Whether the buffers of its connection count, until `end_read`
+            is called.
     """
 
     size: int
     keeps_body: bool
+    buffered: bool = False
 
 
 class BodyGate(Protocol):
@@ -43,6 +46,13 @@
             size: The most bytes that the body can have.
         """
 
+    def end_read(self, count: int) -> None:
+        """Gives back the buffers of reservations, as their body is read.
+
+        Args:
+            count: How many reservations had them.
+        """
+
     def release(self, size: int) -> None:
         """Gives back memory that was reserved."""
 
@@ -60,5 +70,8 @@
         """Returns that the body may be kept."""
         return Reservation(size, True)
 
+    def end_read(self, count: int) -> None:
+        """Does nothing."""
+
     def release(self, size: int) -> None:
         """Does nothing."""
--- a/martenjunction/http1/request_bodies.py
+++ b/martenjunction/http1/request_bodies.py
@@ -53,6 +53,8 @@
         self._end = 0
         self._is_length_known = True
         self._lacks_memory = False
+        # Reservations of the current body that count its buffers.
+        self._buffered = 0
 
     @property
     def is_length_known(self) -> bool:
@@ -92,6 +94,21 @@
         if length is None and self._gate.refuses(request):
             # More is not read unless the request is admitted by then.
             size = min(size, discarding.MAX_READ_BYTES)
+        try:
+            return await self._read(request, length, size, max_bytes)
+        finally:
+            if self._buffered:
+                self._gate.end_read(self._buffered)
+                self._buffered = 0
+
+    async def _read(
+        self,
+        request: messages.Request,
+        length: int | None,
+        size: int,
+        max_bytes: int,
+    ) -> messages.Body:
+        """Reads a body once there is memory for `size` bytes of it."""
         await self._reserve(request, size)
         if length is not None and self._leaves_unread(request, length):
             return b""
@@ -129,6 +146,7 @@
             return
         reservation = await self._gate.reserve(request, size)
         request.reserved += reservation.size
+        self._buffered += reservation.buffered
         request.discarded = self._lacks_memory = not reservation.keeps_body
 
     async def _read_body(
--- a/martenjunction/routing/limits/body_admission.py
+++ b/martenjunction/routing/limits/body_admission.py
@@ -113,7 +113,10 @@
     ) -> body_gate.Reservation:
         """Waits for the memory of a body; see `body_gate.BodyGate`."""
         if self._budget.take(size):
-            return body_gate.Reservation(size, True)
+            buffered = size > memory_budget.SMALL_BODY_BYTES
+            if buffered:
+                self._budget.begin_read()
+            return body_gate.Reservation(size, True, buffered)
         facts = headers.decode_request(request.headers)
         limit_s = MAX_WAIT_S
         if facts.deadline_s is not None:
@@ -125,10 +128,15 @@
             "memory_bodies", result="waited" if granted else "refused"
         )
         if granted:
-            return body_gate.Reservation(size, True)
+            return body_gate.Reservation(size, True, buffered=True)
         self._budget.hold(memory_budget.CONNECTION_BYTES)
         return body_gate.Reservation(memory_budget.CONNECTION_BYTES, False)
 
+    def end_read(self, count: int) -> None:
+        """Gives back buffers; see `body_gate.BodyGate`."""
+        self._budget.end_read(count)
+        self.grant()
+
     def release(self, size: int) -> None:
         """Gives back memory that was reserved or held."""
         self._budget.give_back(size)
@@ -138,6 +146,7 @@
         """Grants what waits and fits, after memory was given back."""
         self._on_room()
         while (body := self._budget.next_taken()) is not None:
+            self._budget.begin_read()
             self._grants.pop(body).set_result(True)
         self._log_state()
 
@@ -162,6 +171,7 @@
             if not grant.done():
                 self._leave(body, refused=False)
             elif grant.result():
+                self._budget.end_read()
                 self.release(size)
             raise
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -116,9 +116,33 @@
     assert made.capacity == before
 
 
+def test_buffers_of_bodies_under_way_leave_less_for_others() -> None:
+    made = budget()
+    for _ in range(3):
+        assert made.take(BODY_BYTES)
+        made.begin_read()
+    buffers = 3 * memory_budget.CONNECTION_BYTES
+    left = made.capacity - 3 * BODY_BYTES - buffers
+    assert not made.take(left + 1)
+    assert made.take(left)
+    made.end_read(3)
+    assert made.take(buffers)
+    assert not made.take(memory_budget.SMALL_BODY_BYTES + 1)
+
+
 # A box with a budget.
 
 
+def has_buffers(budget: memory_budget.MemoryBudget) -> bool:
+    """Returns whether the budget counts more than what is held."""
+    # One body is taken beside nothing, however large.
+    budget.hold(1)
+    left = budget.capacity - budget.held
+    taken = budget.take(left)
+    budget.give_back(left + 1 if taken else 1)
+    return not taken
+
+
 @contextlib.contextmanager
 def full_budget(fleet: boxes.Boxes) -> Iterator[None]:
     bodies = fleet.gateways[0].bodies
@@ -188,6 +212,38 @@
     await boxes.until(lambda: bodies.gauges()["memory_held_bytes"] == 0)
 
 
+@pytest.mark.parametrize("ends", ["rest", "leaves", "waits"])
+async def test_buffers_count_while_a_body_is_read(
+    ends: str, fleet: boxes.Boxes
+) -> None:
+    # A hundred endless bodies brought a box of 100 MiB to 82: the connections
+    # of those under way were not counted.
+    await fleet.add_replica(builders.PLAIN)
+    await fleet.until_listed()
+    bodies = fleet.gateways[0].bodies
+    connection = client.ClientConnection(fleet.addresses[0])
+    await connection.open(5.0)
+    assert connection._stream is not None
+    pairs = requests.request_headers("r1") | {"Host": "api.example"}
+    lines = [f"{name}: {value}\r\n" for name, value in pairs.items()]
+    head = "".join(["POST /unsafe/x HTTP/1.1\r\n", *lines])
+    with full_budget(fleet) if ends == "waits" else contextlib.nullcontext():
+        connection._stream.write(
+            f"{head}Content-Length: 40000\r\n\r\nhalf".encode()
+        )
+        await boxes.until(lambda: bodies.gauges()["memory_held_bytes"] > 0)
+        await asyncio.sleep(0.1)
+    await boxes.until(lambda: bodies.gauges()["memory_held_bytes"] == 40_000)
+    assert has_buffers(bodies.budget)
+    if ends == "leaves":
+        connection.abort()
+    else:
+        connection._stream.write(bytes(40_000 - len("half")))
+    await boxes.until(lambda: bodies.gauges()["memory_held_bytes"] == 0)
+    assert not has_buffers(bodies.budget)
+    connection.abort()
+
+
 async def test_chunked_body_holds_only_its_length(fleet: boxes.Boxes) -> None:
     made = await fleet.add_replica(builders.PLAIN)
     await fleet.until_listed()
