Free a client's connection as soon as it is closed

Cause: two reference cycles kept each closed connection until a full collection: its read timer held a method of it, and its look for the end of the peer a method of its source. A read that found the end kept itself by the traceback of the error. A box of 100 MiB beside a hundred refused clients that began anew had 300 to 650 closed connections, and no full collection in seven seconds.

Change: the timer holds its owner weakly, the look holds its callback only while it looks, and a failed read drops its future.

--- a/martenjunction/http1/end_looks.py
+++ b/martenjunction/http1/end_looks.py
@@ -17,26 +17,26 @@
     bytes wait for their reader.
     """
 
-    def __init__(
-        self,
-        get_socket: Callable[[], socket.socket | None],
-        on_end: Callable[[], None],
-    ) -> None:
+    def __init__(self, get_socket: Callable[[], socket.socket | None]) -> None:
         """Initializes it; it looks once `start` is called.
 
         Args:
             get_socket: Returns the socket, or None if it was closed.
-            on_end: Called once the peer has ended its side.
         """
         self._get_socket = get_socket
-        self._on_end = on_end
         self._next: asyncio.TimerHandle | None = None
 
-    def start(self) -> None:
-        """Looks from now on, unless it does so already."""
+    def start(self, on_end: Callable[[], None]) -> None:
+        """Looks from now on, unless it does so already.
+
+        Args:
+            on_end: Called once the peer has ended its side. It is kept only
+                while it may be called: its owner would be part of a reference
+                cycle.
+        """
         if self._next is None:
             loop = asyncio.get_running_loop()
-            self._next = loop.call_later(LOOK_INTERVAL_S, self._look)
+            self._next = loop.call_later(LOOK_INTERVAL_S, self._look, on_end)
 
     def cancel(self) -> None:
         """Looks no more."""
@@ -44,9 +44,9 @@
             self._next.cancel()
             self._next = None
 
-    def _look(self) -> None:
+    def _look(self, on_end: Callable[[], None]) -> None:
         self._next = None
         if peeks.has_sent_all(self._get_socket()):
-            self._on_end()
+            on_end()
         else:
-            self.start()
+            self.start(on_end)
--- a/martenjunction/http1/read_timers.py
+++ b/martenjunction/http1/read_timers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import weakref
 
 from martenjunction.http1 import close_reports
 
@@ -25,10 +26,12 @@
         """Initializes a timer that is not set.
 
         Args:
-            on_timeout: Called with the reason of a timeout, and whether it is
-                extended no more.
+            on_timeout: Method of the timer's owner that is called with the
+                reason of a timeout, and whether it is extended no more.
         """
-        self._on_timeout = on_timeout
+        # The owner would be part of a reference cycle, and its memory not free
+        # until a collection.
+        self._on_timeout = weakref.WeakMethod(on_timeout)
         self._timer: asyncio.TimerHandle | None = None
         self._reason = close_reports.CloseReason.IDLE
         self._shutting_down = False
@@ -69,4 +72,8 @@
         if self._shutting_down:
             seconds = min(seconds, SHUTDOWN_READ_TIMEOUT_S)
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self._on_timeout, reason, final)
+        self._timer = loop.call_later(seconds, self._expire, reason, final)
+
+    def _expire(self, reason: close_reports.CloseReason, final: bool) -> None:
+        if (on_timeout := self._on_timeout()) is not None:
+            on_timeout(reason, final)
--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -212,9 +212,7 @@
         self._peek_error: OSError | None = None
         self._end_at_abort = peer_ends.PeerEnd.OPEN
         self._turns = fair_turns.TurnBudget()
-        self._end_look = end_looks.EndLook(
-            lambda: stream.socket, self._on_closed
-        )
+        self._end_look = end_looks.EndLook(lambda: stream.socket)
 
     @property
     def turns(self) -> fair_turns.TurnBudget:
@@ -333,6 +331,8 @@
             data = await asyncio.shield(pending)
         except iostream.StreamClosedError as error:
             self._pending = None
+            # The error keeps this frame, which would keep the error.
+            del pending
             if self.error is not None:
                 raise errors.ConnectionLostError("reset") from error
             if self._aborted:
@@ -375,7 +375,7 @@
             self._on_closed()
         elif self._end_callback is not None:
             # Bytes of another request, which is not read yet.
-            self._end_look.start()
+            self._end_look.start(self._on_closed)
 
     def _on_closed(self) -> None:
         self._end_look.cancel()
