Bound a body's wait for memory by its route's time as well

Cause: a body waited for memory for 1 s or 0.4 of the time that its client gives the request. A route with a shorter time limit ends the request by that limit, so that a body could be read when it was too late to be answered, or be refused only after its time was over.

Change: the wait is bounded by 0.4 of either time. The decision is a function of decisions/boxes/memory_budget.py.

--- a/martenjunction/decisions/boxes/memory_budget.py
+++ b/martenjunction/decisions/boxes/memory_budget.py
@@ -36,6 +36,22 @@
 # Size in bytes up to which a body is taken at once: waiting would not help.
 SMALL_BODY_BYTES = 16 * 1024
 
+# Longest wait of a body in seconds, and the most of the time that its client or
+# its route gives the request: the rest is needed to read it and to answer.
+MAX_WAIT_S = 1.0
+MAX_WAIT_FRACTION = 0.4
+
+
+def longest_wait_s(deadline_s: float | None, timeout_s: float | None) -> float:
+    """Returns how long a body waits at most, in seconds.
+
+    Args:
+        deadline_s: Seconds that the client gives its request, or None.
+        timeout_s: Time limit of the route in seconds, or None without a route.
+    """
+    times_s = [time for time in (deadline_s, timeout_s) if time is not None]
+    return min([MAX_WAIT_S, *(MAX_WAIT_FRACTION * time for time in times_s)])
+
 
 class State(enum.StrEnum):
     """How much room there is.
--- a/martenjunction/routing/limits/body_admission.py
+++ b/martenjunction/routing/limits/body_admission.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from martenjunction import metrics
+from martenjunction import model
 from martenjunction import process_memory
 from martenjunction import timers
 from martenjunction.decisions.boxes import memory_budget
@@ -16,11 +17,6 @@
 # Seconds between samples of the process's memory.
 SAMPLE_INTERVAL_S = 0.5
 
-# Longest wait of a body in seconds, and the most of the time that its client
-# gives the request.
-MAX_WAIT_S = 1.0
-MAX_WAIT_FRACTION = 0.4
-
 # Parts of the limit at which the resident memory is logged, and the part by
 # which it has to fall below one before that one is logged again.
 LOGGED_FRACTIONS = (0.7, 0.8, 0.9, 0.95)
@@ -118,11 +114,13 @@
                 self._budget.begin_read()
             return body_gate.Reservation(size, True, buffered)
         facts = headers.decode_request(request.headers)
-        limit_s = MAX_WAIT_S
-        if facts.deadline_s is not None:
-            limit_s = min(limit_s, MAX_WAIT_FRACTION * facts.deadline_s)
+        route = self._find_route(facts, request)
         granted = not self._refusing and await self._wait(
-            size, self._tier(facts, request), limit_s
+            size,
+            LOWEST_TIER if route is None else route.tier,
+            memory_budget.longest_wait_s(
+                facts.deadline_s, None if route is None else route.timeout_s
+            ),
         )
         self._metrics.count(
             "memory_bodies", result="waited" if granted else "refused"
@@ -181,14 +179,13 @@
         # The next one may be smaller.
         self.grant()
 
-    def _tier(
+    def _find_route(
         self, facts: headers.RequestMetadata, request: messages.Request
-    ) -> int:
+    ) -> model.Route | None:
         config = self._admitter.config
         if config is None:
-            return LOWEST_TIER
-        route = config.find_route(facts.host, request.path.decode("latin-1"))
-        return LOWEST_TIER if route is None else route.tier
+            return None
+        return config.find_route(facts.host, request.path.decode("latin-1"))
 
     def _sample(self) -> None:
         measure = self._resident_bytes or process_memory.resident_bytes
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 import contextlib
 import pathlib
+import time
 
 import pytest
 
@@ -25,6 +26,9 @@
 BODY_BYTES = 4 * MB
 CLIENTS = 60
 
+# Time limit of a brief route, in milliseconds.
+ROUTE_MS = 800
+
 State = memory_budget.State
 
 
@@ -130,6 +134,13 @@
     assert not made.take(memory_budget.SMALL_BODY_BYTES + 1)
 
 
+def test_body_waits_for_a_part_of_the_shortest_time() -> None:
+    longest_s = memory_budget.longest_wait_s
+    assert longest_s(None, None) == memory_budget.MAX_WAIT_S
+    part = memory_budget.MAX_WAIT_FRACTION
+    assert longest_s(0.5, 2.0) == longest_s(2.0, 0.5) == part * 0.5
+
+
 # A box with a budget.
 
 
@@ -197,6 +208,24 @@
     assert await asking == 200
 
 
+async def test_body_waits_no_longer_than_the_route_allows() -> None:
+    # Bodies waited for 1 s and then had too little of their route's time left.
+    fleet = boxes.Boxes()
+    document = builders.config_document()
+    for route in document["routes"]:
+        route["timeout_ms"] = ROUTE_MS
+    await fleet.start(document)
+    await fleet.add_replica(builders.PLAIN)
+    await fleet.until_listed()
+    with full_budget(fleet):
+        began_at = time.monotonic()
+        changes = {"Martenjunction-Deadline-Ms": "4000"}
+        assert await ask_large(fleet, "r1", **changes) == 503
+        took_s = time.monotonic() - began_at
+    await fleet.stop()
+    assert took_s < ROUTE_MS / 1000
+
+
 async def test_client_that_leaves_gives_its_memory_back(
     fleet: boxes.Boxes,
 ) -> None:
