--- a/martenjunction/decisions/boxes/memory_budget.py
+++ b/martenjunction/decisions/boxes/memory_budget.py
@@ -4,7 +4,8 @@
 until its request has its response. Bodies that fit are taken at once; others
 wait, unread, in the order of their tiers; what waits too long or would wait
 behind more than fits is refused, the lowest tier first. A body that was taken
-is never given up for another one.
+is never given up for another one. While it is read, the buffers of its
+connection take memory beside it.
 """
 
 import bisect
@@ -35,6 +36,22 @@
 # Size in bytes up to which a body is taken at once: waiting would not help.
 SMALL_BODY_BYTES = 16 * 1024
 
+# Longest wait of a body in seconds, and the most of the time that its client or
+# its route gives the request: the rest is needed to read it and to answer.
+MAX_WAIT_S = 1.0
+MAX_WAIT_FRACTION = 0.4
+
+
+def longest_wait_s(deadline_s: float | None, timeout_s: float | None) -> float:
+    """Returns how long a body waits at most, in seconds.
+
+    Args:
+        deadline_s: Seconds that the client gives its request, or None.
+        timeout_s: Time limit of the route in seconds, or None without a route.
+    """
+    times_s = [time for time in (deadline_s, timeout_s) if time is not None]
+    return min([MAX_WAIT_S, *(MAX_WAIT_FRACTION * time for time in times_s)])
+
 
 class State(enum.StrEnum):
     """How much room there is.
@@ -95,6 +112,7 @@
         self._own = ASSUMED_OWN_FRACTION * limit_bytes
         self._measured = False
         self._held = 0
+        self._reading = 0
         self._number = 0
         self._waiting: list[WaitingBody] = []
         self._state = State.ROOM
@@ -106,7 +124,7 @@
 
     @property
     def held(self) -> int:
-        """Bytes that are held, without the connections that wait."""
+        """Bytes that are held, without buffers of connections."""
         return self._held
 
     @property
@@ -150,6 +168,14 @@
         """Counts bytes that are no longer held."""
         self._held -= size
 
+    def begin_read(self) -> None:
+        """Counts the buffers of a connection whose large body is read."""
+        self._reading += 1
+
+    def end_read(self, count: int = 1) -> None:
+        """Counts the buffers of connections as free; see `begin_read`."""
+        self._reading -= count
+
     def wait(
         self, size: int, tier: int
     ) -> tuple[WaitingBody, list[WaitingBody]]:
@@ -198,8 +224,8 @@
         # One body is always taken: it may be larger than the capacity.
         if not self._held:
             return True
-        unread = CONNECTION_BYTES * len(self._waiting)
-        return self._held + unread + size <= self.capacity
+        buffers = CONNECTION_BYTES * (len(self._waiting) + self._reading)
+        return self._held + buffers + size <= self.capacity
 
     def _waiting_bytes(self) -> int:
         return sum(body.size for body in self._waiting)
