--- a/martenjunction/http_server.py
+++ b/martenjunction/http_server.py
@@ -177,9 +177,7 @@
         self._used = False
         self._head_timeout_set = False
         self._timer: asyncio.TimerHandle | None = None
-        self._end_look = end_looks.EndLook(
-            lambda: stream.socket, self._on_peer_end
-        )
+        self._end_look = end_looks.EndLook(lambda: stream.socket)
         stream.before_close = self._end_request
         stream.on_read_ahead = self._on_read_ahead
         self.enter(_Stage.HEAD)
@@ -290,7 +288,7 @@
 
     def _on_read_ahead(self) -> None:
         if self._stage is _Stage.ANSWER:
-            self._end_look.start()
+            self._end_look.start(self._on_peer_end)
 
     def _on_peer_end(self) -> None:
         """Closes a connection that its peer reset behind unread requests.
@@ -301,7 +299,7 @@
             return
         error = peeks.take_error(self._stream.socket)
         if error is None:
-            self._end_look.start()
+            self._end_look.start(self._on_peer_end)
         else:
             self._stream.close(error)
 
