--- a/martenjunction_lab/troubled_endpoints.py
+++ b/martenjunction_lab/troubled_endpoints.py
@@ -35,15 +35,31 @@
         super().__init__(endpoint_id)
         self._draw = draw
         self._seen = seen
+        self._open: dict[asyncio.StreamWriter, None] = {}
         self.listens = True
         self.flows = asyncio.Event()
         self.flows.set()
 
     def reset(self) -> None:
         """Closes all connections; it goes on to listen."""
-        for writer in sorted(self._writers, key=id):
+        # A set has no order that a seed decides.
+        for writer in list(self._open):
             writer.transport.abort()
 
+    async def stop(self) -> None:
+        """Closes the port and every connection."""
+        self.reset()
+        await super().stop()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._open[writer] = None
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            del self._open[writer]
+
     async def _answer(
         self,
         request: replica.Received,
