--- a/tools/broken_connection_builds.py
+++ b/tools/broken_connection_builds.py
@@ -149,7 +149,7 @@
     BrokenBuild(
         "the end behind unread bytes is not looked for",
         STREAMS,
-        "            self._end_look.start()\n",
+        "            self._end_look.start(self._on_closed)\n",
         "            pass\n",
         EXPLORED_UNREAD,
     ),
