Prefer endpoints that are not in doubt for requests that run once

Cause: a request that may run once went to an endpoint that had just fallen silent until that was ejected, which takes seconds since silence is judged by learned times. No second attempt can follow it.

Change: an endpoint whose requests wait without any response for longer than twice what nine in ten of their kind take is in doubt. What may run once prefers another endpoint with a free slot; it is never refused for that. The first response ends the doubt. If its last request ended without one, a health check does. One that fails is told to the other boxes as one failure, which is taken back with the doubt. Bytes of streams that go on count for nothing.

--- a/martenjunction/decisions/boxes/endpoint_choice.py
+++ b/martenjunction/decisions/boxes/endpoint_choice.py
@@ -104,7 +104,8 @@
 
     Endpoints in back-off are never selected. Endpoints that are ejected or that
     recently refused a request are selected only if there is no alternative.
-    Half-open probes use only requests that may be repeated.
+    Half-open probes use only requests that may be repeated. Others get an
+    endpoint that is in doubt only if no other one has a free slot.
 
     Args:
         records: Endpoints that are listed as ready.
@@ -127,6 +128,8 @@
         if probes:
             return evaluate(rng.choice(probes), demand, False, now)
     eligible = [r for r in healthy if r.is_eligible(now)] or healthy or records
+    if not demand.repeatable:
+        eligible = _undoubted(eligible, now)
     if isolated:
         fewest = min(r.loads.running(now) for r in eligible)
         eligible = [r for r in eligible if r.loads.running(now) <= fewest]
@@ -214,6 +217,17 @@
     )
 
 
+def _undoubted(
+    records: list[endpoint_records.EndpointRecord], now: float
+) -> list[endpoint_records.EndpointRecord]:
+    """Returns the endpoints with a free slot that are not in doubt, if any."""
+    return [
+        r
+        for r in records
+        if not r.doubt.is_doubted(now) and r.has_free_slot(now)
+    ] or records
+
+
 def _cost_s(
     choice: Choice, demand: endpoint_records.Demand, reserved: bool
 ) -> float:
--- a/martenjunction/decisions/boxes/endpoint_outcomes.py
+++ b/martenjunction/decisions/boxes/endpoint_outcomes.py
@@ -51,6 +51,24 @@
         """Returns this box's requests that ended and failed per second."""
         return self._ended.rate(now), self._failed.rate(now)
 
+    def told_rates(
+        self, unhealthy: bool, now: float
+    ) -> tuple[float, float] | None:
+        """Returns what the other boxes are told; None for nothing.
+
+        Requests left unanswered, and a failed health check after them, are
+        told as one failure, which is taken back with the doubt.
+
+        Args:
+            unhealthy: Whether the endpoint is in doubt by both.
+            now: The current time.
+        """
+        if not unhealthy and not self.failure_part(now):
+            return None
+        ended, failed = self.own_rates(now)
+        doubt_per_s = unhealthy / DECAY_S
+        return ended + doubt_per_s, failed + doubt_per_s
+
     def update_peer(
         self, source: str, ended: float, failed: float, now: float
     ) -> None:
--- a/martenjunction/decisions/boxes/endpoint_records.py
+++ b/martenjunction/decisions/boxes/endpoint_records.py
@@ -7,6 +7,7 @@
 from martenjunction.decisions import endpoint_refusals
 from martenjunction.decisions import endpoint_states
 from martenjunction.decisions import estimates
+from martenjunction.decisions.boxes import endpoint_doubt
 from martenjunction.decisions.boxes import endpoint_loads
 from martenjunction.decisions.boxes import endpoint_outcomes
 from martenjunction.decisions.boxes import engine_profiles
@@ -172,6 +173,7 @@
         )
         self.refusals = endpoint_refusals.Refusals()
         self.limited = False
+        self.doubt = endpoint_doubt.EndpointDoubt()
         self.profile = engine_profiles.EngineProfile()
         self.loads = endpoint_loads.EndpointLoads()
         self._parts: collections.OrderedDict[str, int] = (
--- a/martenjunction/decisions/boxes/response_survival.py
+++ b/martenjunction/decisions/boxes/response_survival.py
@@ -36,6 +36,10 @@
 TAIL_SAMPLES = 50
 TAIL_EXPONENT = 2.0
 
+# Part of the requests of a service that take longer than usual, at most. Times
+# are multiplied by `SILENT_TIME_FACTOR` as well.
+UNUSUAL_FRACTION = 0.1
+
 # Part of the requests of a service that may count as late. Where more than that
 # get no response at all, a request is late beyond a multiple of the longest
 # response time, of a number of responses at least.
@@ -95,6 +99,11 @@
             maxlen=MAX_SAMPLES
         )
 
+    @property
+    def known(self) -> int:
+        """Number of requests that are remembered."""
+        return len(self._samples)
+
     def add(
         self, endpoint_id: str, sent_at: float, now: float, answered: bool
     ) -> None:
@@ -108,6 +117,21 @@
         """
         self._samples.append(_Sample(endpoint_id, now - sent_at, answered))
 
+    def usual_s(self) -> float:
+        """Returns the seconds within which responses usually come.
+
+        Those without a response do not count: no verdict depends on it.
+
+        Returns:
+            A time that few requests exceed; infinite if too few were answered.
+        """
+        answered_s = sorted(s.seconds for s in self._samples if s.answered)
+        assumed = PRIOR_SURVIVORS + len(answered_s)
+        index = math.ceil((1.0 - UNUSUAL_FRACTION) * assumed) - 1
+        if index >= len(answered_s):
+            return math.inf
+        return SILENT_TIME_FACTOR * answered_s[index]
+
     def observe(
         self, pending: Iterable[PendingRun], now: float
     ) -> "ObservedTimes":
--- a/martenjunction/routing/endpoints/endpoint_health.py
+++ b/martenjunction/routing/endpoints/endpoint_health.py
@@ -46,7 +46,7 @@
         )
 
     def due_for_probe(self, now: float) -> list[str]:
-        """Returns the ids of ejected endpoints to probe.
+        """Returns the ids of ejected endpoints, or of ones in doubt, to probe.
 
         These are endpoints that no request has tried. A health check counts as
         a request, so endpoints in back-off are not probed.
@@ -54,7 +54,11 @@
         return [
             record.id
             for record in self._records.values()
-            if endpoint_ejection.due_for_probe(record, now)
+            if (
+                endpoint_ejection.due_for_probe(record, now)
+                if record.is_ejected
+                else record.doubt.is_check_due(now)
+            )
             and self.accepts(record.id, now)
             and self._limits.is_open(record.id, now)
             and self._brittle.is_open(record.id, now)
@@ -63,9 +67,12 @@
     def note_probe_result(
         self, endpoint_id: str, healthy: bool, now: float
     ) -> None:
-        """Records the result of a health check of an ejected endpoint."""
+        """Records the result of a health check."""
         record = self._records.get(endpoint_id)
-        if record is not None:
+        if record is None:
+            return
+        record.doubt.note_check(healthy, now)
+        if record.is_ejected:
             self._ejection.note_probe_result(record, healthy, now)
 
     def note_unreachable(
--- a/martenjunction/routing/endpoints/endpoint_reports.py
+++ b/martenjunction/routing/endpoints/endpoint_reports.py
@@ -53,13 +53,16 @@
         """Returns what ended and failed at endpoints that fail some requests.
 
         They fail at this box or at others, whose rates this box's rates are
-        added to.
+        added to, or left requests and a health check unanswered.
         """
-        return [
-            (record.id, *record.outcomes.own_rates(now))
+        told = (
+            (
+                record.id,
+                record.outcomes.told_rates(record.doubt.is_unhealthy, now),
+            )
             for record in self._records.values()
-            if record.outcomes.failure_part(now)
-        ]
+        )
+        return [(its_id, *rates) for its_id, rates in told if rates is not None]
 
     def update_peer_outcomes(
         self, source: str, rows: list[OutcomeRow], now: float
--- a/martenjunction/routing/endpoints/run_tracker.py
+++ b/martenjunction/routing/endpoints/run_tracker.py
@@ -128,6 +128,8 @@
         if demand.is_engine:
             choice.record.record_sent(choice.prefill_tokens, now)
         self._tickets.add(ticket)
+        usual_s = self._silences.usual_s(silence_watch.kind_of(ticket))
+        choice.record.doubt.note_sent(usual_s, now)
         return ticket
 
     def note_response(self, ticket: run_ticket.RunTicket, now: float) -> None:
@@ -154,6 +156,8 @@
         """
         listened = self._clock.time(now)
         self._silences.note_bytes(ticket, listened)
+        if ticket.bytes_at is None:
+            ticket.record.doubt.note_answered(now)
         ticket.bytes_at = self._last_received[ticket.record.id] = listened
         if ticket.direct:
             self._paths.note_heard(ticket.record.id, now)
@@ -245,6 +249,8 @@
         """Records the end of a run at an endpoint."""
         record = ticket.record
         self._tickets.discard(ticket)
+        if ticket.bytes_at is None:
+            record.doubt.note_ended(now)
         unread = ticket.choice.prefill_tokens if ticket.waiting else 0
         record.loads.add(ticket.demand.load_key, -1, -unread)
         self._silences.note_end(
--- a/martenjunction/routing/endpoints/silence_watch.py
+++ b/martenjunction/routing/endpoints/silence_watch.py
@@ -24,6 +24,9 @@
 # responses take seconds, and it judges them many times a second.
 MAX_JUDGED = 100
 
+# Part of the known runs that are added before the usual time is learned again.
+USUAL_AGE = 0.1
+
 # Probability that a sound endpoint is as quiet, below which what may be
 # repeated gets a second endpoint. That costs less than an ejection in error.
 SECOND_PROBABILITY = 0.05
@@ -79,9 +82,20 @@
         # Runs that ended without a response since their endpoint last sent
         # anything.
         self._unanswered: dict[str, collections.deque[_EndedRun]] = {}
+        # Usual times of each kind, and of how many more runs it is known since.
+        self._usual_s: dict[RunKind, float] = {}
+        self._added: collections.Counter[RunKind] = collections.Counter()
         # When each quiet endpoint was last judged, in listening time.
         self._judged_at: dict[str, float] = {}
 
+    def usual_s(self, kind: RunKind) -> float:
+        """Returns the seconds within which runs of a kind are usually answered.
+
+        Returns:
+            Seconds; infinite if that is not known.
+        """
+        return self._usual_s.get(kind, math.inf)
+
     def note_bytes(self, ticket: run_ticket.RunTicket, now: float) -> None:
         """Learns from the time until bytes of a body came.
 
@@ -223,9 +237,13 @@
     def _add(
         self, ticket: run_ticket.RunTicket, now: float, answered: bool
     ) -> None:
-        self._survival(kind_of(ticket)).add(
-            ticket.record.id, ticket.waiting_since, now, answered
-        )
+        kind = kind_of(ticket)
+        survival = self._survival(kind)
+        survival.add(ticket.record.id, ticket.waiting_since, now, answered)
+        self._added[kind] += 1
+        if self._added[kind] > USUAL_AGE * survival.known:
+            self._added[kind] = 0
+            self._usual_s[kind] = survival.usual_s()
 
     def _survival(self, kind: RunKind) -> response_survival.ResponseSurvival:
         return self._survivals.setdefault(
--- a/martenjunction/routing/limits/prober.py
+++ b/martenjunction/routing/limits/prober.py
@@ -1,4 +1,4 @@
-"""Probes ejected endpoints that receive no trial request."""
+"""Probes endpoints, ejected or in doubt, that receive no trial request."""
 
 import asyncio
 
--- a/martenjunction_lab/slow_endpoints.py
+++ b/martenjunction_lab/slow_endpoints.py
@@ -95,6 +95,10 @@
         """Answers nothing any more, health checks included."""
         self._answers.clear()
 
+    def go_on(self) -> None:
+        """Answers again, what has waited as well."""
+        self._answers.set()
+
     async def _answer(
         self,
         request: replica.Received,
