--- a/martenjunction_lab/troubled_attempts.py
+++ b/martenjunction_lab/troubled_attempts.py
@@ -53,10 +53,6 @@
 # Troubles under which most requests are refused.
 _REFUSING = frozenset({"config-without-key", "config-other-service"})
 
-# Looks at what a box holds, until it is nothing, and seconds between them.
-MAX_LOOKS = 20
-LOOK_S = 0.25
-
 Context = contextlib.AbstractAsyncContextManager[None]
 _TROUBLES: dict[str, Callable[["TroubledFleet"], Context]] = {}
 
@@ -209,14 +205,9 @@
                 await boxes.until(functools.partial(_is_idle, made))
             except TimeoutError:
                 self.found.ledger.append("a request is held for good")
-            # What was given up, and health checks, may end after that.
-            looks = 0
-            while (found := list(troubled_judge.held(made, self.made))) and (
-                looks < MAX_LOOKS
-            ):
-                looks += 1
-                await asyncio.sleep(LOOK_S)
-            self.found.ledger += found
+            # Requests that were given up end after that.
+            await asyncio.sleep(0.5)
+            self.found.ledger += troubled_judge.held(made, self.made)
 
 
 class _ShortBoxes(boxes.Boxes):
