--- a/tests/test_explore_connection.py
+++ b/tests/test_explore_connection.py
@@ -30,12 +30,14 @@
 SITUATIONS = {
     "rest": situations.RESTING[1:2],
     "check": situations.CHECKED[:1],
+    "unread": situations.UNREAD[:1],
 }
 
 # Where builds are noticed that walks do not reach.
 SITUATION_OF = {
     broken_connection_builds.EXPLORED_RESTS: "rest",
     broken_connection_builds.EXPLORED_CHECKS: "check",
+    broken_connection_builds.EXPLORED_UNREAD: "unread",
 }
 
 # Seeds under which few walks notice a build for which the usual one takes many.
@@ -118,6 +120,9 @@
         # A client that leaves while its next request is unread.
         "config-patient after-3000 unsafe safe~ half-close~",
         "config-patient after-3000 safe stream fin",
+        # A longer limit that is in force as the next request is read.
+        "unsafe wait-300 hold-80& two~ late-50 break-reset~ wait-50 safe& "
+        "config-patient~ wait-rest",
     ],
 )
 def test_order_that_once_broke_an_invariant(order: str) -> None:
@@ -133,6 +138,21 @@
     assert first.possible
 
 
+def test_orders_in_a_state_that_a_situation_showed_are_continued(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def play(order: events.Order, seed: int, **_: object) -> plays.Outcome:
+        return plays.Outcome(order, True, state=" ".join(sorted({*order})))
+
+    monkeypatch.setattr(plays, "play", play)
+    monkeypatch.setattr(events, "STEPS", ("a", "b"))
+    # After the situation two, then two of one step and four of two.
+    assert search.explore(2, 0, SEED, begun=[("a",)]).orders == 8
+    # Of those of two steps only that with a state of its own is continued.
+    found = search.explore(0, 0, SEED, begun=[("c",)], begun_depth=3)
+    assert found.orders == 8
+
+
 def test_impossible_event_ends_a_play() -> None:
     assert not plays.play(("answer",)).possible
 
