Count no tunnel that a box without a free socket did not open

A tunnel counts through its peer from the begin of its attempt until this side closes it. An attempt that found no free socket closed nothing, so a box that was short of descriptors counted it through that peer for good, which its choice of a peer weighs.

Each attempt that fails is closed, in one place.

--- a/martenjunction/tunnels/connection.py
+++ b/martenjunction/tunnels/connection.py
@@ -62,7 +62,8 @@
         try:
             await super().open(timeout_s)
             status = await self._request_tunnel()
-        except asyncio.CancelledError:
+        except (errors.ConnectError, asyncio.CancelledError):
+            # This box may have no socket.
             self.abort()
             raise
         if status != handshake.Status.CONNECTED:
@@ -98,5 +99,4 @@
             iostream.UnsatisfiableReadError,
             errors.PeerError,
         ) as error:
-            self.abort()
             raise errors.ConnectError(f"{self.via}: {error}") from error
--- a/tests/test_held_up_connects.py
+++ b/tests/test_held_up_connects.py
@@ -23,6 +23,7 @@
 from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.decisions.boxes import tunnel_choice
 from martenjunction.endpoints import pool
+from martenjunction.http1 import streams
 from martenjunction.http1 import watched_streams
 from martenjunction.routing.endpoints import endpoint_connector
 from martenjunction.routing.log import decision_log
@@ -310,3 +311,20 @@
     for one, side in zip((peer, others), sides, strict=True):
         assert not await one.request(side)
     await made.stop()
+
+
+async def test_tunnel_that_has_no_socket_is_not_counted(
+    monkeypatch: pytest.MonkeyPatch, peer: raw_peers.RawPeer
+) -> None:
+    def fail() -> None:
+        raise errors.NoSocketError("too many open files")
+
+    monkeypatch.setattr(streams, "new_stream", fail)
+    made = Connections([], (peer.address,))
+    counted: list[int] = []
+    monkeypatch.setattr(
+        made.choice, "add", lambda box, change: counted.append(change)
+    )
+    with pytest.raises(errors.ConnectError):
+        await made.dialer.open(builders.endpoint(), lambda head: None, 1.0)
+    assert counted == [1, -1]
