Release a trial that is granted as its request ends

A request whose content is suspected asks the holder for a trial. If the grant had come in the same turn of the event loop in which the request ended (its client left, its time was over, another attempt answered), nobody told the holder, and other requests of that content waited until the trial's time was over. An answer that came after that turn was released already.

A grant that is there as its request is cancelled is released in the same way.

--- a/martenjunction/routing/quarantine/trial_grants.py
+++ b/martenjunction/routing/quarantine/trial_grants.py
@@ -157,6 +157,10 @@
             if not self._peers.send_soon(holder, message):
                 return None
             await self._wait(response)
+        except asyncio.CancelledError:
+            if response.done():
+                self._release_unwanted(response.result())
+            raise
         finally:
             del self._pending[number]
         if not response.done():
@@ -233,12 +237,17 @@
         waiting = self._pending.get(answer.number)
         for key, held in suspect_codec.decode(answer.suspect):
             self._merge(box, key, held)
-            if answer.granted and waiting is None:
-                # Nobody waits for the answer any more: release the trial.
-                self.report_over(key, held.trials)
-        if waiting is not None and not waiting.done():
+        if waiting is None:
+            self._release_unwanted(answer)
+        elif not waiting.done():
             waiting.set_result(answer)
 
+    def _release_unwanted(self, answer: suspect_messages.TrialAnswer) -> None:
+        """Releases a trial for which nobody waits any more."""
+        if answer.granted:
+            for key, held in suspect_codec.decode(answer.suspect):
+                self.report_over(key, held.trials)
+
     def _on_over(self, box: str, over: suspect_messages.TrialOver) -> None:
         key = content_key.ContentKey(over.caller, over.content)
         holder = self._selector.holder(str(key))
--- a/tests/test_suspect_trials.py
+++ b/tests/test_suspect_trials.py
@@ -284,6 +284,30 @@
     assert suspect is not None and suspect.trial_until == 0.0
 
 
+async def test_trial_granted_as_its_request_is_cancelled_is_released() -> None:
+    linked = linked_boxes.LinkedBoxes()
+    members = [
+        membership.Member(node.name, f"zone-{node.zone}", "", "", "")
+        for node in linked.nodes.values()
+    ]
+    nodes = [TrialNode(node, members) for node in linked.nodes.values()]
+    for node in nodes:
+        ruling = suspect_table.SuspectDecision(suspect_table.Verdict.FREE)
+        node.table.record_crash(KEY, builders.PLAIN, "e1", ruling, "v1", 0.0)
+    asking = asyncio.create_task(nodes[0].trials.ask(KEY, frozenset()))
+    while not asking.done() and not any(
+        response.done() for response in nodes[0].trials._pending.values()
+    ):
+        await asyncio.sleep(0)
+    asking.cancel()
+    await asyncio.wait([asking])
+    assert asking.cancelled()
+    await asyncio.sleep(SETTLE_S)
+    [holder] = [node for node in nodes if node.granted]
+    suspect = holder.table.find(KEY)
+    assert suspect is not None and suspect.trial_until == 0.0
+
+
 async def test_request_quarantined_by_the_holder_is_refused_at_once(
     fleet: boxes.Boxes,
 ) -> None:
