Notice a tunnel's peer that leaves behind unread bytes

A tunnel reads nothing from its peer while more than its share waits for an endpoint that does not read. If the peer was gone by then, as the client of the request had left, its reset was not noticed: the tunnel and its connection to the endpoint stayed open until the endpoint read or was found unreachable.

What an endpoint sent before its end is still passed on, as before.

--- a/martenjunction/tunnels/server.py
+++ b/martenjunction/tunnels/server.py
@@ -16,6 +16,7 @@
 from martenjunction.decisions.boxes import endpoint_list
 from martenjunction.decisions.boxes import endpoint_paths
 from martenjunction.http1 import accepting
+from martenjunction.http1 import end_looks
 from martenjunction.http1 import streams
 from martenjunction.http1 import watched_streams
 from martenjunction.tunnels import framing
@@ -29,7 +30,7 @@
 # Seconds within which the endpoint must accept the connection.
 CONNECT_TIMEOUT_S = 0.25
 
-# Bytes that may wait for a slow receiver. The other side's end is noticed late
+# Bytes that may wait for a slow receiver. An endpoint's end is noticed late
 # while more than that wait.
 MAX_WAITING_BYTES = 256 * 1024
 
@@ -293,7 +294,37 @@
             written.add_done_callback(streams.retrieve_exception)
             waiting += len(data)
             if waiting > window():
-                await written
+                if framed:
+                    await written
+                else:
+                    await _wait_written(written, source)
                 waiting = 0
     except iostream.StreamClosedError as error:
         return _End.CLOSED if error.real_error is None else _End.BROKEN
+
+
+async def _wait_written(
+    written: "asyncio.Future[None]", peer: iostream.IOStream
+) -> None:
+    """Waits until an endpoint takes bytes, as long as their sender is there.
+
+    Args:
+        written: Done once the socket has accepted the bytes.
+        peer: Where they came from; closed if its other side has ended.
+
+    Raises:
+        StreamClosedError: If one of the two sides has ended.
+    """
+    ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+    look = end_looks.EndLook(lambda: peer.socket)
+    look.start(lambda: ended.set_result(None))
+    try:
+        await asyncio.wait(
+            [written, ended], return_when=asyncio.FIRST_COMPLETED
+        )
+    finally:
+        look.cancel()
+    if ended.done():
+        peer.close()
+        raise iostream.StreamClosedError
+    written.result()
--- a/tests/test_tunnel_memory.py
+++ b/tests/test_tunnel_memory.py
@@ -1,12 +1,14 @@
 """What waits in tunnels whose receivers do not read.
 
 Guards against a bound for each tunnel alone, which lets hundreds of them hold
-more than the memory of their box.
+more than the memory of their box, and against tunnels that stay open behind
+unread bytes of a peer that is gone.
 """
 
 import asyncio
 from collections.abc import AsyncIterator
 import socket
+import struct
 
 import pytest
 from tornado import iostream
@@ -30,6 +32,9 @@
 SETTLED_S = 0.5
 SETTLE_LIMIT_S = 30.0
 
+# Seconds within which the end of a peer is noticed.
+NOTICED_S = 1.0
+
 
 class OpenTunnels(tunnel_server.TunnelServer):
     """Opens a tunnel to any endpoint."""
@@ -111,3 +116,23 @@
         await stream.read_bytes(16 * MB - 1)
     stream.close()
     endpoint.stop()
+
+
+async def test_reset_of_a_peer_is_noticed_behind_unread_bytes(
+    tunnels: tuple[OpenTunnels, str],
+) -> None:
+    server, address = tunnels
+    with socket.create_server(("127.0.0.1", 0)) as endpoint:
+        host, port = endpoint.getsockname()
+        stream = await open_tunnel(address, f"{host}:{port}")
+        sent = stream.write(b"x" * 12 * MB)
+        sent.add_done_callback(streams.retrieve_exception)
+        await settled_bytes(server)
+        assert server.open == 1
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        stream.close()
+        async with asyncio.timeout(NOTICED_S):
+            while server.open:
+                await asyncio.sleep(0.02)
