Free a connection that is read after its stream has closed

A read that begins on a closed stream fails at once, and its error kept the frame that kept its future: a reference cycle with the stream and its source, until a full collection.

The future has the error without its traceback.

--- a/martenjunction/http1/streams.py
+++ b/martenjunction/http1/streams.py
@@ -281,7 +281,8 @@
             )
         except iostream.StreamClosedError as error:
             pending = asyncio.get_running_loop().create_future()
-            pending.set_exception(error)
+            # The traceback keeps this frame, which would keep the error.
+            pending.set_exception(error.with_traceback(None))
         self._pending = pending
         if pending.done():
             # A callback would hold the data until the reader waits, which it
--- a/tests/test_closed_connection_memory.py
+++ b/tests/test_closed_connection_memory.py
@@ -12,6 +12,8 @@
 
 import pytest
 
+from martenjunction.http1 import streams
+from tests import raw_peers
 from tests import test_dropped_bodies as dropped
 from tests import test_refused_bodies as refused
 
@@ -47,3 +49,18 @@
     await asyncio.sleep(0.05)
     assert kept() is None
     assert stream() is None
+
+
+@pytest.mark.usefixtures("no_collections")
+async def test_read_of_a_closed_stream_keeps_nothing(
+    peer: raw_peers.RawPeer,
+) -> None:
+    stream = streams.new_stream()
+    await streams.connect(stream, peer.address, 1.0)
+    source = streams.ByteSource(stream)
+    kept = weakref.ref(source), weakref.ref(stream)
+    stream.close()
+    assert await source.read() == b""
+    del source, stream
+    await asyncio.sleep(0)
+    assert [ref() for ref in kept] == [None, None]
