Build the boxes that know of a crash once, and put a property first

Two tests of trials built the same linked boxes line by line; one function does. FairStream.has_unread stands before the methods, as elsewhere. Behaviour and assertions are as before.

--- a/martenjunction/fair_streams.py
+++ b/martenjunction/fair_streams.py
@@ -69,6 +69,12 @@
         """
         return self._turns.waiting or self._turns.spent_lately
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes were read that are not parsed yet."""
+        # tornado has no public API for this.
+        return self._read_buffer_size > 0
+
     def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
         """Writes data; see `IOStream.write`."""
         if bytes(data[: len(_INTERIM)]) != _INTERIM:
@@ -106,12 +112,6 @@
         reading = super().read_bytes(num_bytes, partial)
         return self._in_turn(reading, fair_turns.PART_COST, partial)
 
-    @property
-    def has_unread(self) -> bool:
-        """Whether bytes were read that are not parsed yet."""
-        # tornado has no public API for this.
-        return self._read_buffer_size > 0
-
     def _handle_read(self) -> None:
         """Reads what the peer sent.
 
--- a/tests/test_suspect_trials.py
+++ b/tests/test_suspect_trials.py
@@ -285,15 +285,7 @@
 
 
 async def test_trial_granted_as_its_request_is_cancelled_is_released() -> None:
-    linked = linked_boxes.LinkedBoxes()
-    members = [
-        membership.Member(node.name, f"zone-{node.zone}", "", "", "")
-        for node in linked.nodes.values()
-    ]
-    nodes = [TrialNode(node, members) for node in linked.nodes.values()]
-    for node in nodes:
-        ruling = suspect_table.SuspectDecision(suspect_table.Verdict.FREE)
-        node.table.record_crash(KEY, builders.PLAIN, "e1", ruling, "v1", 0.0)
+    nodes = nodes_of_a_suspect()
     asking = asyncio.create_task(nodes[0].trials.ask(KEY, frozenset()))
     while not asking.done() and not any(
         response.done() for response in nodes[0].trials._pending.values()
@@ -365,7 +357,8 @@
         return trial_grants.TrialRuling(True)
 
 
-async def test_one_of_87_boxes_grants_one_trial() -> None:
+def nodes_of_a_suspect() -> list[TrialNode]:
+    """Returns linked boxes, all of which know of one crash."""
     linked = linked_boxes.LinkedBoxes()
     members = [
         membership.Member(node.name, f"zone-{node.zone}", "", "", "")
@@ -375,6 +368,11 @@
     for node in nodes:
         ruling = suspect_table.SuspectDecision(suspect_table.Verdict.FREE)
         node.table.record_crash(KEY, builders.PLAIN, "e1", ruling, "v1", 0.0)
+    return nodes
+
+
+async def test_one_of_87_boxes_grants_one_trial() -> None:
+    nodes = nodes_of_a_suspect()
     pending = [node.trials.ask(KEY, frozenset()) for node in nodes]
     rulings = await asyncio.gather(*pending)
     assert sum(ruling.granted for ruling in rulings) == 1
