--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,12 +12,19 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# FORM=silent: all open connections to the store fall silent, in place of one
+# answer that is lost. The store then closes connections that are idle.
+SILENT = os.environ.get("FORM") == "silent"
+IDLE_S = 0.5
 
 DRAIN_S = 2.0
 CONTACT_S = 3.0
-# The replica serves on for `drain_ms`, and a little longer, after the store has
-# taken that it is draining.
-SERVES_ON_S = DRAIN_S + 1.5
+# Boxes are in touch once the store has been stable for `contact_ms`, and it is
+# stable `contact_ms` after the disruption.
+IN_TOUCH_S = 2 * CONTACT_S
+# The replica serves on for `drain_ms`, and longer, after the store has taken
+# that it is draining.
+SERVES_ON_S = DRAIN_S + 2.5
 REQUESTS_PER_S = 40
 WORK_S = 0.2
 LIMIT_S = 90.0
@@ -26,6 +33,7 @@
 async def _play() -> int:
     notes = record.Record(FOLDER / "record.txt")
     kept = store.Store(notes)
+    kept.idle_s = IDLE_S if SILENT else None
     await kept.start()
     kept.put("config", "main", fleet.config_document())
     copies: replica.Copies = {}
@@ -62,12 +70,17 @@
                 return True
             return False
 
-        kept.loses = loses
+        began = notes.now()
+        if SILENT and TROUBLE:
+            notes.note(f"{kept.fall_silent()} connections fall silent")
+        elif not SILENT:
+            kept.loses = loses
         await add()
         await asyncio.sleep(0.1)
         kept.loses = lambda call, path: False
         notes.note(f"the store loses no more answers; {lost} were lost")
-        await asyncio.sleep(CONTACT_S + 0.5)
+        ended = notes.now()
+        await asyncio.sleep(CONTACT_S + 0.2)
         # One of the first replicas leaves as planned.
         leaving = replicas[0]
         leaving.write_entry("draining")
@@ -85,7 +98,9 @@
         kept.stop()
         for one in replicas:
             one.end()
-    return _judge(notes, leaving, acked, replies)
+    notes.note(f"result: the disruption lasted from {began:.2f} to {ended:.2f}")
+    in_touch_from = max(acked + DRAIN_S, ended + IN_TOUCH_S)
+    return _judge(notes, leaving, acked, in_touch_from, replies)
 
 
 async def _send(
@@ -128,17 +143,18 @@
     notes: record.Record,
     leaving: replica.Replica,
     acked: float,
+    judged_from: float,
     replies: list[fleet.Reply],
 ) -> int:
-    late = [at - acked for at, _ in leaving.arrivals if at - acked > DRAIN_S]
+    late = [at - acked for at, _ in leaving.arrivals if at > judged_from]
     cut = [run.id for run in leaving.runs if run.how == "cut off"]
     served = sum(reply.status == 200 for reply in replies)
     by_id = {reply.id: reply.status for reply in replies}
     notes.note(
         f"result: {served} of {len(replies)} requests were served;"
-        f" {len(late)} reached {leaving.id} later than {DRAIN_S} s after the"
-        f" store had taken that it was draining"
-        f" (the last {max(late, default=0.0):.2f} s after)"
+        f" {len(late)} reached {leaving.id} from boxes in touch later than"
+        f" {DRAIN_S} s after the store had taken at {acked:.2f} that it was"
+        f" draining (the last {max(late, default=0.0):.2f} s after)"
     )
     notes.note(
         f"result: runs that {leaving.id} cut off as it ended:"
--- a/review/kit_2/store.py
+++ b/review/kit_2/store.py
@@ -22,13 +22,15 @@
         address: Where it listens.
         loses: Asked with the kind of a call (get, list, watch, write) and its
             path, once the call is carried out; True has its answer lost.
+        idle_s: Seconds after which an idle connection is closed, or None.
     """
 
     def __init__(self, notes: record.Record) -> None:
         """Makes an empty store."""
         self.address = ""
         self.loses: Callable[[str, str], bool] = lambda call, path: False
-        self.waiting: dict[str, int] = {}
+        self.idle_s: float | None = None
+        self._silent: set[asyncio.StreamWriter] = set()
         self._notes = notes
         self._revision = 0
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
@@ -54,6 +56,15 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def fall_silent(self) -> int:
+        """Has all open connections say nothing more; new ones work.
+
+        Returns:
+            How many they are.
+        """
+        self._silent = set(self._writers)
+        return len(self._silent)
+
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Writes an object, as the operator and replicas do."""
         held = self._objects.get((kind, name))
@@ -100,11 +111,12 @@
         self._writers.add(writer)
         try:
             while not self._stopped:
-                message = await wire.read_head(reader)
+                async with asyncio.timeout(self.idle_s):
+                    message = await wire.read_head(reader)
                 message.body = await wire.read_body(reader, message)
                 await asyncio.sleep(LATENCY_S)
                 call, path, status, document = await self._handle(message)
-                if self.loses(call, path):
+                if writer in self._silent or self.loses(call, path):
                     self._notes.note(f"store: answer to {call} {path} is lost")
                     # The connection says nothing more.
                     await reader.read()
@@ -113,7 +125,7 @@
                 pairs = {"Content-Type": "application/json"}
                 writer.write(wire.answer(status, pairs, body))
                 await writer.drain()
-        except (EOFError, OSError, asyncio.LimitOverrunError):
+        except (EOFError, OSError, TimeoutError, asyncio.LimitOverrunError):
             return
         except asyncio.CancelledError:
             # Only the end of the script cancels it.
@@ -156,31 +168,24 @@
         self, kind: str, since: int, wait_s: float
     ) -> tuple[int, Any]:
         until = time.monotonic() + wait_s
-        self.waiting[kind] = self.waiting.get(kind, 0) + 1
-        try:
-            while True:
-                first = self._history[0][1] if self._history else 1
-                if since < first - 1:
-                    return 410, {}
-                events = [
-                    {"object": made, "deleted": gone}
-                    for _, revision, k, made, gone in self._history
-                    if k == kind and revision > since
-                ]
-                left = until - time.monotonic()
-                if events or left <= 0:
-                    return 200, {
-                        "events": events,
-                        "current_rev": self._revision,
-                    }
-                changed = self._changed
-                try:
-                    async with asyncio.timeout(left):
-                        await changed.wait()
-                except TimeoutError:
-                    continue
-        finally:
-            self.waiting[kind] -= 1
+        while True:
+            first = self._history[0][1] if self._history else 1
+            if since < first - 1:
+                return 410, {}
+            events = [
+                {"object": made, "deleted": gone}
+                for _, revision, k, made, gone in self._history
+                if k == kind and revision > since
+            ]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "current_rev": self._revision}
+            changed = self._changed
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                continue
 
     def _write(
         self,
