Check a watch of the store that says nothing

What callers saw: after one lost answer to a watch of `servers`, or once its connection fell silent, all boxes went on sending requests to an endpoint that had left, for up to 9 s; those that ran as it ended got 502.

Cause: a box waited 9 s for the answer to a watch, and meanwhile each answered read of the configuration, over another connection, counted as proof that the list of endpoints was current. The other boxes took that age from it.

Change: the configuration is read as a list, which tells the store's revision. It proves the list of endpoints only up to the revision that the list has. A watch that nothing proved for half of the time within which a change must be acted upon is checked by a watch that does not wait. The watch of the configuration is checked in the same way where its document is large and read less often. An empty check costs one call, and late answers cause no lists.

Tests that counted `get` calls of the configuration count its reads instead; the one that held back confirmations holds back the same step.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -13,6 +13,7 @@
 from martenjunction.decisions.boxes import retry_budget
 from martenjunction.decisions.boxes import stop_state
 from martenjunction.decisions.boxes import tunnel_choice
+from martenjunction.decisions.boxes import watch_checks
 from martenjunction.decisions.duties import lease
 from martenjunction.duties import fleet_duties
 from martenjunction.endpoints import pool
@@ -165,6 +166,7 @@
             self._rng,
             self.endpoint_list,
             settings.link_bytes_s,
+            watch_checks.interval_s(settings.drain_s, settings.change_s),
             dead_entries.DeadEntries(
                 self.store,
                 self.members,
--- a/martenjunction/decisions/boxes/list_age.py
+++ b/martenjunction/decisions/boxes/list_age.py
@@ -4,11 +4,15 @@
 that brings changes of endpoints is cut, or while a box hears of changes only
 through others. What rests on the list then must not count it as current.
 
-A query that the store answers proves the list only if a watch of it was open
-before the query: the store closes watches that it no longer feeds. An answer of
-a watch without changes proves nothing, as a watch may fail to deliver some.
+An answer of the store on one connection proves nothing of a watch on another
+one, which may be dead: it proves the list only if it tells a revision up to
+which the list is known to have all changes. A watch has to be open as well. The
+revision rises with changes of other kinds too; a check that asks for changes
+since the list and gets none then proves the list up to its own revision.
 """
 
+from martenjunction import revisions
+
 # Age in a message that stands for an age that is not known.
 UNKNOWN_AGE_MS = 0xFFFF
 
@@ -28,6 +32,7 @@
     def __init__(self) -> None:
         self._confirmed_at: float | None = None
         self._watched_since: float | None = None
+        self._checked_revision = revisions.NONE
 
     def confirm(self, asked_at: float) -> None:
         """Records that the list has all changes before a given time."""
@@ -42,15 +47,36 @@
         """Records that no watch of the list is open."""
         self._watched_since = None
 
-    def note_answered(self, asked_at: float) -> None:
-        """Records that the store answered a query that is not of the list.
+    def note_revision(
+        self,
+        store: revisions.Revision,
+        listed: revisions.Revision,
+        asked_at: float,
+    ) -> None:
+        """Records which revision the store had when it answered a query.
 
         Args:
+            store: The store's revision.
+            listed: The revision up to which changes were applied to the list.
             asked_at: Time at which the query was sent.
         """
-        if self._watched_since is not None and self._watched_since <= asked_at:
+        if self._watched_since is None or self._watched_since > asked_at:
+            return
+        if store <= max(listed, self._checked_revision):
             self.confirm(asked_at)
 
+    def note_unchanged(
+        self, store: revisions.Revision, asked_at: float
+    ) -> None:
+        """Records that a query for changes since the list found none.
+
+        Args:
+            store: The store's revision as it answered.
+            asked_at: Time at which the query was sent.
+        """
+        self._checked_revision = max(self._checked_revision, store)
+        self.confirm(asked_at)
+
     def note_told(self, age_ms: int, asked_at: float | None) -> None:
         """Records the age of the list of another box, which holds no more.
 
--- a/martenjunction/routing/store/follower.py
+++ b/martenjunction/routing/store/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 import random
 import time
 
@@ -16,16 +17,13 @@
 from martenjunction.platform import store
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.store import box_entries
+from martenjunction.routing.store import checked_watch
 from martenjunction.routing.store import dead_entries
 from martenjunction.routing.store import listing_turns
 from martenjunction.routing.store import missed_changes
 from martenjunction.routing.store import own_entry
 from martenjunction.routing.store import store_cache
 
-# Timeout in seconds of a watch call. The store closes watches that it no longer
-# feeds, and a lost connection is detected by the other calls.
-WATCH_TIMEOUT_S = 8.0
-
 # Intervals in seconds at which the boxes' entries are listed: by a box that
 # reads for others, and by one that already has all its connections.
 BOXES_INTERVAL_S = 8.0
@@ -66,6 +64,7 @@
         rng: random.Random,
         listed: endpoint_list.EndpointList,
         link_bytes_s: float,
+        check_interval_s: float,
         dead: dead_entries.DeadEntries,
         first_start: bool = False,
     ) -> None:
@@ -80,6 +79,8 @@
             rng: Random source for jitter.
             listed: The endpoints; receives their age.
             link_bytes_s: Bandwidth of this box's link in bytes per second.
+            check_interval_s: Seconds without proof after which an open watch
+                is checked.
             dead: Removes the entries of boxes that are gone.
             first_start: Whether the whole fleet starts for the first time.
         """
@@ -87,7 +88,9 @@
         self._first_start = first_start
         self._first_list_delay_s = 1.2 * FIRST_START_S if first_start else 0.0
         self._link_bytes_s = link_bytes_s
+        self._check_interval_s = check_interval_s
         self._document_bytes = 0
+        self._config_read_at = -math.inf
         self._client = client
         self._cache = cache
         self._members = members
@@ -124,6 +127,11 @@
         """Whether the entries of boxes that started with this one were read."""
         return self._lists > 1
 
+    @property
+    def config_read_at(self) -> float:
+        """Time of the last query for the configuration that was answered."""
+        return self._config_read_at
+
     @property
     def first_list_delay_s(self) -> float:
         """Seconds after the start at which the entries are listed at last."""
@@ -265,13 +273,18 @@
         )
 
     async def _confirm_config(self) -> bool:
-        """Reads the configuration; returns whether there is one."""
+        """Reads the configuration; returns whether there is one.
+
+        It is read as a list, which tells the store's revision as well.
+        """
         asked_at = time.monotonic()
-        found = await self._client.get(
-            documents.CONFIG_KIND, documents.CONFIG_NAME
-        )
+        listing = await self._client.list(documents.CONFIG_KIND)
+        found = _config_in(listing)
+        self._config_read_at = asked_at
         self._cache.store_answered(asked_at)
-        self._list_age.note_answered(asked_at)
+        self._list_age.note_revision(
+            listing.revision, self._listed_endpoints.revision, asked_at
+        )
         if found is not None:
             self._document_bytes = len(found.spec)
             self._cache.apply_config(found.spec, asked_at, "store")
@@ -281,9 +294,14 @@
         listing = await self._client.list(documents.CONFIG_KIND)
         for found in listing.objects:
             self._apply_watched(found)
-        await self._watch(
-            documents.CONFIG_KIND, listing.revision, self._apply_config_change
+        watched = checked_watch.Watched(
+            documents.CONFIG_KIND,
+            self._apply_config_change,
+            lambda now: now - self._config_read_at,
+            # Only a confirmation proves that no key was revoked.
+            lambda revision, asked_at: None,
         )
+        await self._watch(watched, listing.revision)
 
     def _apply_config_change(self, change: store.Change) -> None:
         if not change.deleted:
@@ -309,44 +327,30 @@
         )
         self._list_age.confirm(asked_at)
         self._list_age.begin_watch(time.monotonic())
+        watched = checked_watch.Watched(
+            documents.ENDPOINT_KIND,
+            self._cache.apply_endpoint_change,
+            self._list_age.age_s,
+            self._list_age.note_unchanged,
+        )
         try:
-            await self._watch(
-                documents.ENDPOINT_KIND,
-                listing.revision,
-                self._cache.apply_endpoint_change,
-            )
+            await self._watch(watched, listing.revision)
         finally:
             self._list_age.end_watch()
 
     async def _watch(
-        self,
-        kind: str,
-        after: revisions.Revision,
-        apply: Callable[[store.Change], None],
+        self, watched: checked_watch.Watched, after: revisions.Revision
     ) -> None:
-        """Applies changes of a kind until the store has lost its history.
-
-        An answer without changes does not advance the revision, as changes
-        that a failing watch did not deliver would otherwise be skipped.
+        """Watches a kind until the store has lost its history.
 
         Raises:
             PlatformError: If a watch fails, or reports a change that cannot be
                 read.
         """
-        while True:
-            try:
-                answer = await self._client.watch(kind, after, WATCH_TIMEOUT_S)
-            except errors.UnreadableChangeError:
-                # The list that follows gets past the change. It is a failed
-                # call, so that further such changes do not make a loop.
-                raise
-            except errors.HistoryLostError:
-                return
-            async for change in fair_turns.in_turns(
-                answer.changes, listing_turns.ENTRIES_PER_TURN
-            ):
-                after = max(after, change.object.revision)
-                apply(change)
+        watch = checked_watch.CheckedWatch(
+            self._client, watched, self._check_interval_s, self._log
+        )
+        await watch.follow(after)
 
     async def _follow_boxes(self) -> None:
         # The own entry comes first, so that of two boxes that start together
@@ -407,3 +411,11 @@
             except TimeoutError:
                 return
         await asyncio.sleep(OWN_ENTRY_JITTER_S * self._rng.random())
+
+
+def _config_in(listing: store.Listing) -> store.StoredObject | None:
+    """Returns the configuration among the objects of its kind."""
+    for found in listing.objects:
+        if found.name == documents.CONFIG_NAME:
+            return found
+    return None
--- a/martenjunction_lab/platform.py
+++ b/martenjunction_lab/platform.py
@@ -33,6 +33,8 @@
         silent: Takes calls and never answers.
         resets: Closes the connection of every call.
         deaf: Watches hear of no change.
+        lose_watches: Answers to watches are lost, and their connections say
+            nothing more.
         delay_s: Seconds that every call takes.
         lose_replies: Part of writes that take effect and are not answered.
         list_lag_s: Seconds by which the list of boxes lags.
@@ -45,6 +47,7 @@
     silent: bool = False
     resets: bool = False
     deaf: bool = False
+    lose_watches: bool = False
     delay_s: float = 0.002
     lose_replies: float = 0.0
     list_lag_s: float = 0.0
@@ -347,6 +350,8 @@
             float(self.get_argument("wait_ms", "0")) / 1000,
         )
         await self.meet_outage()
+        if self._platform.faults.lose_watches:
+            await asyncio.sleep(3600)
         if self._platform.faults.down:
             raise web.HTTPError(503)
         if changes is None:
--- a/tests/gateway_requests.py
+++ b/tests/gateway_requests.py
@@ -220,3 +220,10 @@
 def leaving_for_s(box: gateway.Gateway) -> float:
     """Returns seconds since a box's graceful shutdown began, or 0."""
     return box.stop_state.leaving_for_s(box.timers.now()) or 0.0
+
+
+async def until_config_read(box: gateway.Gateway, times: int) -> None:
+    """Waits until a box that reads has read the configuration some times."""
+    for _ in range(times):
+        read_at = box.follower.config_read_at
+        await boxes.until(lambda at=read_at: box.follower.config_read_at > at)  # type: ignore[misc]
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -213,8 +213,7 @@
     box = fleet.gateways[0]
     await boxes.until(lambda: box.store_cache.version == 7)
     fleet.configure({"version": "eight"})
-    calls = box.store.calls["get"]
-    await boxes.until(lambda: box.store.calls["get"] > calls + 2)
+    await requests.until_config_read(box, 3)
     assert box.store_cache.version == 7
     assert box.store_cache.store_answers
     fleet.configure(builders.config_document(9))
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -89,10 +89,11 @@
     await boxes.until(lambda: box.store_cache.version == 7)
     await boxes.until(lambda: fleet.store.calls["watch"] >= 2)
 
-    async def never(kind: str, name: str) -> None:
+    async def never() -> bool:
         await asyncio.sleep(3600)
+        return False
 
-    box.store.get = never  # type: ignore[method-assign, assignment]
+    box.follower._confirm_config = never  # type: ignore[method-assign]
     fleet.store.faults = platform.PlatformFaults(deaf=True)
     fleet.configure(builders.config_document(9))
     fleet.store.forget_history()
@@ -105,9 +106,8 @@
     box = fleet.gateways[0]
     fleet.configure(builders.config_document(9))
     await boxes.until(lambda: box.store_cache.version == 9)
-    calls = box.store.calls["get"]
     fleet.configure(builders.config_document(8, routes=[]))
-    await boxes.until(lambda: box.store.calls["get"] > calls + 1)
+    await requests.until_config_read(box, 2)
     assert box.store_cache.version == 9
 
 
--- a/tests/test_list_age.py
+++ b/tests/test_list_age.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from martenjunction import revisions
 from martenjunction.decisions.boxes import list_age
 from martenjunction.peers import membership
 from martenjunction.routing.streams import origins
@@ -13,18 +14,34 @@
 
 def test_answer_proves_the_list_only_while_a_watch_was_open() -> None:
     age = list_age.ListAge()
-    age.note_answered(1.0)
+    held = revisions.Revision(1, 5)
+    age.note_revision(held, held, 1.0)
     assert age.age_s(2.0) is None
     age.confirm(2.0)
     age.begin_watch(3.0)
-    age.note_answered(2.9)  # Asked before the watch was open.
+    age.note_revision(held, held, 2.9)  # Asked before the watch was open.
     assert age.age_s(4.0) == 2.0
-    age.note_answered(3.5)
+    age.note_revision(held, held, 3.5)
     age.end_watch()
-    age.note_answered(4.0)
+    age.note_revision(held, held, 4.0)
     assert age.age_s(4.0) == 0.5
 
 
+# An answer on another connection passed for one of the watch, which was dead.
+def test_answer_proves_the_list_only_up_to_a_revision_it_holds() -> None:
+    age = list_age.ListAge()
+    held = revisions.Revision(1, 5)
+    age.confirm(1.0)
+    age.begin_watch(1.0)
+    age.note_revision(revisions.Revision(1, 6), held, 2.0)
+    age.note_revision(revisions.Revision(2, 1), held, 2.5)
+    assert age.age_s(3.0) == 2.0
+    age.note_unchanged(revisions.Revision(1, 8), 3.0)
+    age.note_revision(revisions.Revision(1, 8), held, 4.0)
+    age.note_revision(revisions.Revision(1, 9), held, 5.0)
+    assert age.age_s(5.0) == 1.0
+
+
 def test_told_age_counts_from_the_question_and_never_lowers() -> None:
     age = list_age.ListAge()
     for told in (list_age.UNKNOWN_AGE_MS, -1):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -279,8 +279,7 @@
     fleet.store.write(
         documents.CONFIG_KIND, documents.CONFIG_NAME, odd_entries.raw(odd)
     )
-    calls = box.store.calls["get"]
-    await boxes.until(lambda: box.store.calls["get"] > calls + 2)
+    await requests.until_config_read(box, 3)
     assert box.store_cache.store_answers
     await odd_entries.replace_replica(fleet)
     fleet.configure(builders.config_document(9))
