Continue a broken stream once its first run is over

Cause: a connection that breaks was taken for the end of the run behind it. The check whether the endpoint had crashed decided about the count of usage alone.

Change: the run continues once there is evidence that it is over: its endpoint has ended, answers under another id, or reports its runs without it, in a report that is younger than the run. An endpoint that is not reached is not waited for. The line of a request tells why a run did not continue.

The stand-in with room for some requests has a module of its own.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -25,6 +25,7 @@
 from martenjunction.routing.endpoints import endpoint_connector
 from martenjunction.routing.endpoints import endpoint_liveness
 from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import run_reports
 from martenjunction.routing.fleet import box_ends
 from martenjunction.routing.fleet import box_state_sync
 from martenjunction.routing.fleet import fleet_overlay
@@ -277,6 +278,7 @@
         self.liveness = endpoint_liveness.EndpointLiveness(
             self.registry, self.connector.is_down
         )
+        self.run_reports = run_reports.RunReports(self.pool, self.endpoint_list)
         self.parts = part_quarantine.PartQuarantine(
             self.endpoint_list,
             self.peers,
--- a/martenjunction/gateway.py
+++ b/martenjunction/gateway.py
@@ -85,6 +85,7 @@
             request_content.ContentKeys(own_records.peer_key(settings)),
             self.quarantine,
             self.liveness,
+            self.run_reports,
             self.grants,
             tier_precedence.TierPrecedence(),
             self.duties,
@@ -251,6 +252,7 @@
         await self.duties.stop()
         await self.prober.stop()
         await self.liveness.stop()
+        await self.run_reports.stop()
         await self.archive.stop()
         await self.fresh_reading.stop()
         await self.connector.stop()
--- a/martenjunction/routing/requests/endpoint_run.py
+++ b/martenjunction/routing/requests/endpoint_run.py
@@ -243,6 +243,7 @@
         self._state.connection_broken = isinstance(
             error.__cause__, errors.TransportError
         )
+        self._state.broken_run = None
         if isinstance(error, errors.AnswerGivenUpError):
             # This box lacks the memory.
             self._ticket.given_up = True
@@ -258,6 +259,9 @@
             self._offer.permit.record_broken_run(endpoint)
             if not await self._context.liveness.check(endpoint):
                 self._count_run()
+                self._state.broken_run = request_state.BrokenRun(
+                    endpoint, self._state.first_event_at or time.monotonic()
+                )
 
     def _report_invalid(self, error: errors.EndpointError) -> None:
         """Logs a response that was invalid or too large, not broken off."""
--- a/martenjunction/routing/requests/exchange_context.py
+++ b/martenjunction/routing/requests/exchange_context.py
@@ -13,6 +13,7 @@
 from martenjunction.routing.access import request_content
 from martenjunction.routing.endpoints import endpoint_liveness
 from martenjunction.routing.endpoints import endpoint_registry
+from martenjunction.routing.endpoints import run_reports
 from martenjunction.routing.limits import answer_admission
 from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.log import decision_log
@@ -48,6 +49,7 @@
         content_keys: Computes the content keys that identify resent requests.
         quarantine: Quarantines requests that crash endpoints.
         liveness: Checks whether endpoints crashed.
+        run_reports: Waits for the ends of runs whose connections broke.
         grants: Grants requests to endpoints with a rate limit.
         precedence: Decides which tiers go first at those endpoints.
         usage: Counts the requests that began to run.
@@ -69,6 +71,7 @@
     content_keys: request_content.ContentKeys
     quarantine: request_quarantine.RequestQuarantine
     liveness: endpoint_liveness.EndpointLiveness
+    run_reports: run_reports.RunReports
     grants: rate_grants.RateGrants
     precedence: tier_precedence.TierPrecedence
     usage: UsageMeter
--- a/martenjunction/routing/requests/offers.py
+++ b/martenjunction/routing/requests/offers.py
@@ -17,9 +17,9 @@
 from martenjunction.routing.endpoints import endpoint_selector
 from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.quarantine import permits
+from martenjunction.routing.requests import continuations
 from martenjunction.routing.requests import exchange_context
 from martenjunction.routing.requests import request_state
-from martenjunction.routing.requests import run_copies
 
 # Maximum number of endpoints tried per request, including refusals and failed
 # connections.
@@ -31,12 +31,6 @@
 MIN_HOLD_S = 0.01
 MAX_HOLD_FRACTION = 0.5
 
-# Minimum time before the deadline, in seconds, for sending a request.
-MIN_TIME_LEFT_S = 0.01
-
-# Failure of a request that was offered to no endpoint in that time.
-NO_TIME_LEFT = "no time left"
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Offer:
@@ -82,7 +76,9 @@
         self._demand = demand
         self._state = state
         self._avoid: set[str] = set()
-        self._copy_endpoint: model.Endpoint | None = None
+        self._continuation = continuations.Continuation(
+            context, admitted, demand, state
+        )
         self._repeat_granted = False
         self._demand_noted = False
         self._denied: set[str] = set()
@@ -123,6 +119,8 @@
             RefusalError: If the request may not be sent and never ran.
         """
         while True:
+            if not await self._continuation.may_go_on():
+                return None
             permit = await self._permit()
             if permit is None:
                 return None
@@ -164,7 +162,10 @@
 
     async def _select_endpoint(self, permit: permits.Permit) -> Offer | None:
         if self._state.connection_broken and self.may_continue:
-            return await self._continue_at_copy(permit)
+            endpoint = self._continuation.take()
+            if endpoint is None:
+                return None
+            return await self._continue_at(endpoint, permit)
         while self._may_offer():
             now = time.monotonic()
             excluded = permit.excluded_ids() | self._other_versions(
@@ -237,7 +238,8 @@
         held_s = now + wait_s - self._state.received_at
         if (
             held_s > MAX_HOLD_FRACTION * self._admitted.route.target_s
-            or now + wait_s > self._admitted.deadline - MIN_TIME_LEFT_S
+            or now + wait_s
+            > self._admitted.deadline - continuations.MIN_TIME_LEFT_S
         ):
             return False
         await asyncio.sleep(wait_s)
@@ -304,42 +306,24 @@
     @property
     def may_continue(self) -> bool:
         """Returns whether the run can resume from the copy of its memory."""
-        if self._copy_endpoint is None or not run_copies.has_arrived(
-            self._state
-        ):
-            return False
-        if self._copy_endpoint.version != self._state.stream_version:
-            return False
-        return self._context.registry.health.accepts(
-            self._copy_endpoint.id, time.monotonic()
-        )
-
-    async def _continue_at_copy(self, permit: permits.Permit) -> Offer | None:
-        """Returns the endpoint holding the copy of the run, if reachable.
+        return self._continuation.obstacle() is None
 
-        Resuming from the copied memory continues the same run, so it is also
-        allowed for requests that may not be repeated.
-        """
-        endpoint = self._copy_endpoint
-        assert endpoint is not None
-        self._copy_endpoint = None
-        now = time.monotonic()
-        if self._admitted.deadline - now < MIN_TIME_LEFT_S:
-            return None
-        if not self._context.budget.try_acquire(
-            self._admitted.service.name, now
-        ):
-            return None
+    async def _continue_at(
+        self, endpoint: model.Endpoint, permit: permits.Permit
+    ) -> Offer | None:
+        """Returns the endpoint holding the copy of the run, if reachable."""
         choice = self._context.registry.selector.evaluate(
-            endpoint, self._admitted.service, self._demand, now
+            endpoint, self._admitted.service, self._demand, time.monotonic()
         )
         try:
             connection = await self._context.pool.acquire(endpoint, False)
         except errors.EndpointError as error:
             self._state.failure = f"{endpoint.id}: {error}"
+            self._state.continuation = "endpoint of the copy not reached"
             return None
         grant = await self._grant(endpoint, connection)
         if grant is None:
+            self._state.continuation = "no grant for the endpoint of the copy"
             return None
         run = attempt.Attempt(connection, self._state.id)
         return Offer(endpoint, choice, run, permit, grant, continues=True)
@@ -348,21 +332,9 @@
         """Returns where the run's memory is copied to or resumed from."""
         if offer.continues:
             return headers.CopyPlan(copy_from=offer.endpoint.address)
-        if not run_copies.is_worthwhile(
-            self._admitted.service, self._admitted.route, self._demand
-        ):
-            return None
-        now = time.monotonic()
-        # At a rate-limited endpoint the run would have to wait for a grant.
-        excluded = set(self._context.registry.table.limits.limited())
-        excluded |= self._other_versions(offer.endpoint.version)
-        chosen = self._context.registry.selector.choose(
-            self._admitted.service, self._demand, self._avoid | excluded, now
+        return self._continuation.plan(
+            self._avoid | self._other_versions(offer.endpoint.version)
         )
-        if chosen is None:
-            return None
-        self._copy_endpoint = chosen[0]
-        return headers.CopyPlan(copy_to=self._copy_endpoint.address)
 
     def _shed_if_late(
         self,
@@ -397,8 +369,13 @@
         """Returns whether the request's own limits allow another run."""
         if len(self._state.offers) >= MAX_OFFERS:
             return False
-        if self._admitted.deadline - time.monotonic() < MIN_TIME_LEFT_S:
-            self._state.failure = self._state.failure or NO_TIME_LEFT
+        if (
+            self._admitted.deadline - time.monotonic()
+            < continuations.MIN_TIME_LEFT_S
+        ):
+            self._state.failure = (
+                self._state.failure or continuations.NO_TIME_LEFT
+            )
             return False
         runs = self._state.progress.attempts - self._state.refusals
         if runs >= self._admitted.route.max_attempts:
--- a/martenjunction/routing/requests/request_account.py
+++ b/martenjunction/routing/requests/request_account.py
@@ -36,6 +36,8 @@
     more = {} if served else _part_fields(facts)
     if len(state.runs) > 1 or not served:
         more["runs"] = state.runs
+    if state.continuation:
+        more["continuation"] = state.continuation
     context.log.write(
         "request" if served else "request-failed",
         id=state.id,
--- a/martenjunction/routing/requests/request_state.py
+++ b/martenjunction/routing/requests/request_state.py
@@ -3,11 +3,25 @@
 import dataclasses
 from typing import Any
 
+from martenjunction import model
 from martenjunction.decisions import outcomes
 from martenjunction.decisions.boxes import content_key
 from martenjunction.decisions.boxes import stream_table
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokenRun:
+    """A run whose connection broke, and that may go on.
+
+    Attributes:
+        endpoint: Its endpoint.
+        begun_at: Time at which the run was known to have begun.
+    """
+
+    endpoint: model.Endpoint
+    begun_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class RequestState:
     """The progress of one request.
@@ -24,6 +38,9 @@
         refusals: The number of endpoints that reported not running it.
         grant_denied: Whether an endpoint's rate limit left no grant for it.
         connection_broken: Whether the connection of the last run broke.
+        broken_run: That run, unless its endpoint is known to have ended.
+        continuation: Why a run whose connection broke did not continue from the
+            copy of its memory, for the log; empty if it did, or none broke.
         needs_new_connection: Whether its last connection was silent, so that
             idle ones may be as well.
         resume_from: Id of the last event that the client has of an earlier
@@ -58,6 +75,8 @@
     refusals: int = 0
     grant_denied: bool = False
     connection_broken: bool = False
+    broken_run: BrokenRun | None = None
+    continuation: str = ""
     needs_new_connection: bool = False
     resume_from: str = ""
     stream_version: str | None = None
--- a/martenjunction_lab/brittle_endpoints.py
+++ b/martenjunction_lab/brittle_endpoints.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from martenjunction import errors
+from martenjunction_lab import crowded_replica
 from martenjunction_lab import replica
 from martenjunction_lab import trial_fleet
 
@@ -104,7 +105,7 @@
         ]
 
 
-class BrittleReplica(replica.CrowdedReplica):
+class BrittleReplica(crowded_replica.CrowdedReplica):
     """A replica with little room."""
 
     def __init__(self, endpoint_id: str, fleet: "BrittleFleet") -> None:
--- a/martenjunction_lab/late_answers.py
+++ b/martenjunction_lab/late_answers.py
@@ -14,6 +14,7 @@
 from martenjunction import errors
 from martenjunction.http1 import client
 from martenjunction_lab import boxes
+from martenjunction_lab import crowded_replica
 from martenjunction_lab import replica
 from martenjunction_lab import trial_fleet
 
@@ -101,7 +102,7 @@
         self._writer.write(data)
 
 
-class LateReplica(replica.CrowdedReplica):
+class LateReplica(crowded_replica.CrowdedReplica):
     """A replica with little room that gives some answers twice.
 
     Attributes:
--- a/martenjunction_lab/replica.py
+++ b/martenjunction_lab/replica.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import enum
+import json
 
 from martenjunction_lab.promises import endpoint_views
 from martenjunction_lab.promises import events as trial_events
@@ -69,19 +70,24 @@
         their connection, and `echoes` whether answers hold the body of the
         request; `event_pause_s` is the time between events and
         `queue_s` that for which a request waits before it runs, both in
-        seconds.
+        seconds. `works_on` says whether a stream that breaks off after
+        `break_after` events is reset while its run goes on.
         """
         self.id = endpoint_id
         self.address = ""
         self.event_pause_s = 0.01
         self.queue_s = 0.0
         self.break_after: int | None = None
+        self.works_on = False
+        self.reports = True
+        self.asked_reports = 0
         self.framed = True
         self.echoes = True
         self.silent_after: int | None = None
         self.received: list[Received] = []
         self.runs: collections.Counter[str] = collections.Counter()
         self.cancelled: list[str] = []
+        self.at_work: set[str] = set()
         self.connections = 0
         self.view = endpoint_views.EndpointView(endpoint_id)
         self._events = events
@@ -130,6 +136,9 @@
                 request = await self._read(reader)
                 if not self.echoes:
                     request = dataclasses.replace(request, body=b"")
+                if request.target == "/report":
+                    self._answer_report(writer)
+                    continue
                 self.received.append(request)
                 behaviour = (
                     self._plan.popleft() if self._plan else self._default
@@ -221,6 +230,16 @@
         """Returns what the head of an answer says of this replica."""
         return {}
 
+    def _answer_report(self, writer: asyncio.StreamWriter) -> None:
+        """Answers with the runs that are under way."""
+        self.asked_reports += 1
+        if not self.reports:
+            writer.write(_whole(404, {}, b""))
+            return
+        runs = [[request_id, 500, 1, 0] for request_id in sorted(self.at_work)]
+        report = {"phase": "prefill_decode", "runs": runs}
+        writer.write(_whole(200, {}, json.dumps(report).encode()))
+
     def _event_text(self, number: int) -> str:
         """Returns the data of an event."""
         return f"t{number}"
@@ -250,11 +269,31 @@
         headers.update(self._notices(request, status))
         return _whole(status, headers, b"answer to " + request.body)
 
+    async def _work_on(
+        self, request: Received, number: int, writer: asyncio.StreamWriter
+    ) -> None:
+        """Resets the connection of a stream and goes on with its run."""
+        writer.transport.abort()
+        await asyncio.sleep((self._events + 1 - number) * self.event_pause_s)
+        self.view.ended(request.attempt, RunEnd.BROKEN_OFF, 200)
+
     async def _stream(
         self,
         request: Received,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+    ) -> bool:
+        self.at_work.add(request.id)
+        try:
+            return await self._stream_events(request, reader, writer)
+        finally:
+            self.at_work.discard(request.id)
+
+    async def _stream_events(
+        self,
+        request: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         first = int(request.headers.get("last-event-id", "0")) + 1
         pairs = {
@@ -272,6 +311,9 @@
         break_after = self._breaks_after(request, first)
         for number in range(first, self._events + 1):
             if break_after is not None and number > break_after:
+                if self.works_on:
+                    await self._work_on(request, number, writer)
+                    return False
                 self.view.ended(request.attempt, RunEnd.BROKEN_OFF, 200)
                 writer.write(part(b"id: 99\nda"))
                 await writer.drain()
@@ -302,50 +344,6 @@
         return True
 
 
-class CrowdedReplica(Replica):
-    """A replica that rejects requests for which it has no room."""
-
-    def __init__(self, endpoint_id: str, slots: int) -> None:
-        """Makes it; `start` brings it up.
-
-        Args:
-            endpoint_id: The id under which it is listed.
-            slots: Requests that it works on at once.
-        """
-        super().__init__(endpoint_id)
-        self._slots = slots
-        self._present = 0
-        self._working = asyncio.Semaphore(slots)
-
-    async def _answer(
-        self,
-        request: Received,
-        behaviour: Behaviour,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> bool:
-        if request.method != "POST":
-            return await super()._answer(request, behaviour, reader, writer)
-        if self._present >= self._slots + self._places():
-            self._note_rejection()
-            return await super()._answer(
-                request, Behaviour.REFUSE, reader, writer
-            )
-        self._present += 1
-        try:
-            async with self._working:
-                return await super()._answer(request, behaviour, reader, writer)
-        finally:
-            self._present -= 1
-
-    def _places(self) -> int:
-        """Returns how many requests may wait."""
-        return 0
-
-    def _note_rejection(self) -> None:
-        """Called before a request is rejected."""
-
-
 _NOT_RUN = {Behaviour.REFUSE: 503, Behaviour.MISDIRECTED: 421}
 
 
