Drop connections to the store that may be silent with another one

What callers saw: nothing yet; found by reading for the incident of lost watches. If all open connections to the store fall silent together, each kept one cost a call its timeout of a second, one after the other, while new ones work, and for that long the store passed for lost.

Change: a call that gets no answer closes the idle connections that were not used since it was sent.

--- a/martenjunction/platform/http_calls.py
+++ b/martenjunction/platform/http_calls.py
@@ -74,6 +74,7 @@
                 been carried out.
         """
         connection = await self._connect()
+        began_at = time.monotonic()
         if not may_send():
             self._keep(connection)
             raise errors.PlatformRefusedError(f"{operation} was not sent")
@@ -91,6 +92,7 @@
             raise
         except (errors.TransportError, TimeoutError) as error:
             self._give_up(connection)
+            self._close_idle_since(began_at)
             raise errors.PlatformUnavailableError(
                 f"no response to {operation}: {error or 'time-out'}"
             ) from error
@@ -105,6 +107,20 @@
         else:
             connection.abort()
 
+    def _close_idle_since(self, failed_at: float) -> None:
+        """Closes connections that were not used since a call that failed.
+
+        All connections that were open then may have fallen silent together, and
+        each would cost a call its timeout.
+
+        Args:
+            failed_at: Time at which that call was sent.
+        """
+        doubted = [c for c in self._idle if c.idle_since <= failed_at]
+        self._idle = [c for c in self._idle if c.idle_since > failed_at]
+        for connection in doubted:
+            connection.abort()
+
     def release(self, connection: client.ClientConnection) -> None:
         """Keeps a connection for later calls, if it may carry one."""
         if connection.finish():
