--- a/martenjunction_lab/platform.py
+++ b/martenjunction_lab/platform.py
@@ -13,6 +13,7 @@
 
 from martenjunction.objects import client as object_client
 from martenjunction.objects import model
+from martenjunction_lab import duty_log
 from martenjunction_lab import platform_objects
 from martenjunction_lab import servers
 
@@ -33,8 +34,9 @@
         silent: Takes calls and never answers.
         resets: Closes the connection of every call.
         deaf: Watches hear of no change.
-        lose_watches: Answers to watches are lost, and their connections say
-            nothing more.
+        lose_watches: Part of the answers to watches that are lost; their
+            connections say nothing more.
+        lose_reads: The same of gets and lists.
         delay_s: Seconds that every call takes.
         lose_replies: Part of writes that take effect and are not answered.
         list_lag_s: Seconds by which the list of boxes lags.
@@ -47,7 +49,8 @@
     silent: bool = False
     resets: bool = False
     deaf: bool = False
-    lose_watches: bool = False
+    lose_watches: float = 0.0
+    lose_reads: float = 0.0
     delay_s: float = 0.002
     lose_replies: float = 0.0
     list_lag_s: float = 0.0
@@ -55,48 +58,6 @@
     reads_per_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True)
-class DutyCall:
-    """A call of a duty, as it arrived.
-
-    Attributes:
-        path: What is called: usage or scale.
-        holder: The daemon that holds the duty.
-        fence: Its fencing token.
-        body: What it says.
-    """
-
-    path: str
-    holder: str
-    fence: int
-    body: dict[str, Any]
-
-
-class DutyLog:
-    """The calls of duties that were accepted, and how the next ones fare."""
-
-    def __init__(self) -> None:
-        """Makes an empty log that accepts all calls."""
-        self.accepted: list[DutyCall] = []
-        self.statuses: collections.deque[int] = collections.deque()
-
-    @property
-    def usage(self) -> dict[int, dict[str, int]]:
-        """The counts of each window that was reported."""
-        return {
-            call.body["window_id"]: call.body["counts"]
-            for call in self.accepted
-            if call.path == "usage"
-        }
-
-    def take(self, call: DutyCall) -> int:
-        """Takes a call; returns the status of its answer."""
-        status = self.statuses.popleft() if self.statuses else 200
-        if status == 200:
-            self.accepted.append(call)
-        return status
-
-
 class Platform(servers.StandIn):
     """Objects by kind and name, under one counter of revisions."""
 
@@ -113,7 +74,7 @@
         self.rng = random.Random(seed)
         self.writes = platform_objects.Bucket()
         self.reads = platform_objects.Bucket()
-        self.duties = DutyLog()
+        self.duties = duty_log.DutyLog()
         self._objects = platform_objects.Objects()
 
     def handlers(self) -> list[Any]:
@@ -259,6 +220,8 @@
             raise web.HTTPError(503)
         if not bucket.take(rate):
             raise web.HTTPError(429)
+        if kind == "read":
+            await self.lose(faults.lose_reads)
 
     def write(self, chunk: Any) -> None:
         """Writes text, or a document that may hold JSON as it is to be sent.
@@ -271,6 +234,11 @@
             chunk = msgspec.json.encode(chunk)
         super().write(chunk)
 
+    async def lose(self, part: float) -> None:
+        """Leaves a part of the calls that were carried out unanswered."""
+        if self._platform.rng.random() < part:
+            await asyncio.sleep(3600)
+
     async def meet_outage(self) -> None:
         """Leaves a call without an answer while the store is away."""
         if self._platform.faults.silent:
@@ -350,8 +318,7 @@
             float(self.get_argument("wait_ms", "0")) / 1000,
         )
         await self.meet_outage()
-        if self._platform.faults.lose_watches:
-            await asyncio.sleep(3600)
+        await self.lose(self._platform.faults.lose_watches)
         if self._platform.faults.down:
             raise web.HTTPError(503)
         if changes is None:
@@ -370,7 +337,7 @@
 class _DutyHandler(_Handler):
     def post(self, path: str) -> None:
         headers = self.request.headers
-        call = DutyCall(
+        call = duty_log.DutyCall(
             path,
             headers["Martenjunction-Duty-Holder"],
             int(headers["Martenjunction-Fencing-Token"]),
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -19,7 +19,7 @@
 from martenjunction.platform import box_settings
 from martenjunction.platform import http_calls
 from martenjunction_lab import boxes
-from martenjunction_lab import platform
+from martenjunction_lab import duty_log
 from martenjunction_lab import replica
 from tests import duty_builders
 from tests import gateway_requests as requests
@@ -292,9 +292,9 @@
 
 
 def test_platform_keeps_no_refused_calls() -> None:
-    log = platform.DutyLog()
+    log = duty_log.DutyLog()
     log.statuses.append(503)
-    call = platform.DutyCall("usage", "b", 1, {"window_id": 1, "counts": {}})
+    call = duty_log.DutyCall("usage", "b", 1, {"window_id": 1, "counts": {}})
     assert log.take(call) == 503
     assert log.take(call) == 200
     assert log.usage == {1: {}}
--- a/tests/test_lost_watches.py
+++ b/tests/test_lost_watches.py
@@ -34,7 +34,7 @@
 
 async def _lose_watches(fleet: boxes.Boxes) -> None:
     """Has the answers to all watches that are open get lost."""
-    fleet.store.faults = platform.PlatformFaults(lose_watches=True)
+    fleet.store.faults = platform.PlatformFaults(lose_watches=1.0)
     fleet.store.write("servers", "i-9", {})
     fleet.configure(builders.config_document(8))
     await asyncio.sleep(0.1)
@@ -79,6 +79,34 @@
     assert not fleet.gateways[0].endpoint_list.is_ready(made[0].id)
 
 
+# Answers to reads and watches are lost by chance, as by a store in trouble.
+# Boxes are in touch again 3 s after it.
+@pytest.mark.parametrize("seed", range(1, 7))
+async def test_endpoint_that_left_and_key_are_known_after_lost_answers(
+    fleet: boxes.Boxes, seed: int
+) -> None:
+    fleet.store.rng.seed(seed)
+    made = await requests.two_plain(fleet)
+    await fleet.add_box("box-2")
+    await fleet.until_listed()
+    await asyncio.sleep(3.0)
+    fleet.store.faults = platform.PlatformFaults(
+        lose_reads=0.35, lose_watches=0.35
+    )
+    for number in range(9):
+        fleet.store.write("notes", "n-1", {"number": number})
+        fleet.record(made[1], builders.PLAIN, slots=6 + number % 2)
+        await asyncio.sleep(0.5)
+    fleet.store.faults = platform.PlatformFaults()
+    await asyncio.sleep(3.0)
+    fleet.record(made[0], builders.PLAIN, state="draining")
+    fleet.configure(builders.config_document(9, tenants=[]))
+    await asyncio.sleep(DRAIN_S)
+    for box in fleet.gateways:
+        assert not box.endpoint_list.is_ready(made[0].id)
+        assert box.store_cache.version == 9
+
+
 # A configuration that takes long to transfer is read less often, and only its
 # watch tells of a change in time.
 async def test_configuration_is_in_force_though_its_watch_was_lost(
