Add broken builds of the watches and runs that are judged by evidence

The text of the build "a copy of a run is used at another version" follows the code, which moved; its test fails for it as before.

--- a/tools/broken_box_builds.py
+++ b/tools/broken_box_builds.py
@@ -214,8 +214,8 @@
     BrokenBuild(
         "a copy of a run is used at another version",
         OFFERS,
-        "        excluded |= self._other_versions(offer.endpoint.version)\n",
-        "",
+        "self._avoid | self._other_versions(offer.endpoint.version)",
+        "self._avoid",
         "tests/test_stream_origins.py::test_copy_of_a_run_is_kept_at_its_version",
     ),
     BrokenBuild(
--- a/tools/broken_builds.py
+++ b/tools/broken_builds.py
@@ -15,6 +15,7 @@
 from tools import broken_build
 from tools import broken_connection_builds
 from tools import broken_decoder_builds
+from tools import broken_evidence_builds
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 COPIED = (
@@ -240,6 +241,7 @@
         f"{LEASE_TESTS}::test_new_holder_waits_for_the_calls_of_the_former_one",
     ),
     *broken_box_builds.BUILDS,
+    *broken_evidence_builds.BUILDS,
     *broken_decoder_builds.OF_PROMISES,
 )
 
