Have a daemon follow the configuration though a watch was lost

What callers saw: nothing yet; found as a related path of lost watches. After a lost answer to its watch, a daemon that reads for its zone went on with the old configuration for up to 21 s.

Cause: it waits 20 s and the timeout of a call, while its other calls are answered.

Change: the list of boxes, which it reads each second, tells the platform's version. Where that is higher than what it knows, it asks a watch that does not wait. A quiet platform gets no more calls.

--- a/martenjunction/objects/client.py
+++ b/martenjunction/objects/client.py
@@ -157,7 +157,7 @@
         newest = max(
             (stored.revision.number for stored in listing.objects), default=0
         )
-        return model.BoxList(newest, boxes)
+        return model.BoxList(newest, boxes, listing.revision.number)
 
 
 def split_key(key: str) -> tuple[str, str]:
--- a/martenjunction/objects/feed.py
+++ b/martenjunction/objects/feed.py
@@ -22,6 +22,11 @@
 logger = logging.getLogger(__name__)
 
 WATCH_WAIT_S = 20.0
+
+# Seconds for which the platform may wait for a change that is looked for beside
+# an open watch: changes that there were are told at once.
+CHECK_WAIT_S = 0.001
+
 BOXES_INTERVAL_S = 1.0
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 5.0
@@ -132,6 +137,27 @@
         changed = await self._platform.watch(
             fleet.KEY_PREFIX, self._known_version, WATCH_WAIT_S
         )
+        await self._apply_changes(changed)
+
+    async def _check_watch(self, platform_version: int) -> None:
+        """Looks for changes that an open watch did not tell.
+
+        Its answer may be lost, or its connection silent, while the platform
+        answers all other calls.
+
+        Args:
+            platform_version: The version of the last change of any object.
+        """
+        if not 0 < self._known_version < platform_version:
+            return
+        changed = await self._platform.watch(
+            fleet.KEY_PREFIX, self._known_version, CHECK_WAIT_S
+        )
+        if changed is None or changed.version > self._known_version:
+            await self._apply_changes(changed)
+
+    async def _apply_changes(self, changed: model.ObjectList | None) -> None:
+        """Applies the answer to a watch; lists all objects if it has none."""
         if changed is None:
             await self._list()
             return
@@ -154,6 +180,7 @@
         self._known_boxes_version = listed.version
         if listed.boxes:
             self._on_boxes(listed.boxes)
+        await self._check_watch(listed.platform_version)
 
     def _apply(self, listed: model.ObjectList) -> None:
         self._last_response_at = self._timers.now()
--- a/martenjunction/objects/model.py
+++ b/martenjunction/objects/model.py
@@ -62,7 +62,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class BoxList:
-    """Boxes that changed after a version, and the current version."""
+    """Boxes that changed after a version, and the current version.
+
+    Attributes:
+        version: The version of the box that changed last.
+        boxes: The boxes.
+        platform_version: The version of the last change of any object.
+    """
 
     version: int
     boxes: list[ListedBox]
+    platform_version: int
