Count questions for reports towards the rate limits of endpoints

Endpoints with a rate limit reject, or fall over at, what goes beyond it.

Change: each question takes a grant; without one the endpoint is not asked. The module moves to the package of requests, as that of endpoints imports no limits.

Evidence: test_endpoint_without_a_grant_left_is_not_asked fails on the code before, which asked and went on.

--- a/martenjunction/box_parts.py
+++ b/martenjunction/box_parts.py
@@ -25,7 +25,6 @@
 from martenjunction.routing.endpoints import endpoint_connector
 from martenjunction.routing.endpoints import endpoint_liveness
 from martenjunction.routing.endpoints import endpoint_registry
-from martenjunction.routing.endpoints import run_reports
 from martenjunction.routing.fleet import box_ends
 from martenjunction.routing.fleet import box_state_sync
 from martenjunction.routing.fleet import fleet_overlay
@@ -47,6 +46,7 @@
 from martenjunction.routing.ports import readiness
 from martenjunction.routing.quarantine import part_quarantine
 from martenjunction.routing.quarantine import request_quarantine
+from martenjunction.routing.requests import run_reports
 from martenjunction.routing.store import dead_entries
 from martenjunction.routing.store import follower
 from martenjunction.routing.store import fresh_reading
@@ -278,7 +278,9 @@
         self.liveness = endpoint_liveness.EndpointLiveness(
             self.registry, self.connector.is_down
         )
-        self.run_reports = run_reports.RunReports(self.pool, self.endpoint_list)
+        self.run_reports = run_reports.RunReports(
+            self.pool, self.endpoint_list, self.grants
+        )
         self.parts = part_quarantine.PartQuarantine(
             self.endpoint_list,
             self.peers,
--- a/martenjunction/routing/requests/exchange_context.py
+++ b/martenjunction/routing/requests/exchange_context.py
@@ -13,11 +13,11 @@
 from martenjunction.routing.access import request_content
 from martenjunction.routing.endpoints import endpoint_liveness
 from martenjunction.routing.endpoints import endpoint_registry
-from martenjunction.routing.endpoints import run_reports
 from martenjunction.routing.limits import answer_admission
 from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.log import decision_log
 from martenjunction.routing.quarantine import request_quarantine
+from martenjunction.routing.requests import run_reports
 from martenjunction.routing.requests import stop_gate
 from martenjunction.routing.streams import keys
 from martenjunction.routing.streams import origins
--- a/martenjunction/routing/endpoints/run_reports.py
+++ b/martenjunction/routing/requests/run_reports.py
@@ -16,6 +16,7 @@
 from martenjunction.http1 import client
 from martenjunction.platform import notices
 from martenjunction.platform import run_report
+from martenjunction.routing.limits import rate_grants
 
 # Interval in seconds between two questions to an endpoint, and the timeout of
 # one.
@@ -52,13 +53,16 @@
         self,
         connections: pool.EndpointPool,
         listed: endpoint_list.EndpointList,
+        grants: rate_grants.RateGrants,
     ) -> None:
         """Initializes the reports; nothing is asked until a run is waited for.
 
         Args:
             connections: Connections to endpoints.
             listed: The endpoints.
+            grants: Grants requests to endpoints with a rate limit.
         """
+        self._grants = grants
         self._connections = connections
         self._listed = listed
         self._waiters: dict[str, set[_Waiter]] = {}
@@ -167,12 +171,24 @@
                 return None, run_fates.Report(asked_at, Standing.SILENT)
         report = run_fates.Report(asked_at, Standing.UNREACHED)
         if connection.is_direct:
-            report = await self._read_report(endpoint, connection)
+            report = await self._read_granted(endpoint, connection)
         if connection.closed:
             self._close(endpoint, connection)
             return None, report
         return connection, report
 
+    async def _read_granted(
+        self, endpoint: model.Endpoint, connection: client.ClientConnection
+    ) -> run_fates.Report:
+        """Reads one report; it counts towards a rate limit like a request."""
+        grant = await self._grants.acquire(endpoint.id)
+        if grant is None:
+            return run_fates.Report(time.monotonic(), Standing.SILENT)
+        try:
+            return await self._read_report(endpoint, connection)
+        finally:
+            self._grants.release(grant, False)
+
     async def _read_report(
         self, endpoint: model.Endpoint, connection: client.ClientConnection
     ) -> run_fates.Report:
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -9,8 +9,9 @@
 from martenjunction.decisions.boxes import run_fates
 from martenjunction.endpoints import pool
 from martenjunction.platform import run_report
-from martenjunction.routing.endpoints import run_reports
+from martenjunction.routing.limits import rate_grants
 from martenjunction.routing.requests import run_copies
+from martenjunction.routing.requests import run_reports
 from martenjunction_lab import boxes
 from martenjunction_lab import replica
 from tests import gateway_requests as requests
@@ -99,6 +100,27 @@
     assert not run.second.received
 
 
+# Questions to an endpoint count towards its rate limit.
+async def test_endpoint_without_a_grant_left_is_not_asked(
+    fleet: boxes.Boxes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    run = await streams.begin_copied_run(fleet)
+    run.first.works_on, run.second.break_after = True, None
+    grants = fleet.gateways[0].grants
+    acquire = grants.acquire
+
+    async def deny_first(endpoint_id: str) -> rate_grants.RateGrant | None:
+        if endpoint_id == run.first.id:
+            return None
+        return await acquire(endpoint_id)
+
+    monkeypatch.setattr(grants, "acquire", deny_first)
+    with pytest.raises(errors.TransportError):
+        await run.task
+    assert run.first.asked_reports == 0
+    assert not run.second.received
+
+
 async def test_request_line_tells_why_a_stream_did_not_continue(
     fleet: boxes.Boxes,
 ) -> None:
