Send a resumed stream again once its first run is over

What callers saw: nothing they could tell; a stream that may be resumed was sent again behind its last event right after a reset, while its first endpoint went on with the run.

Change: it waits for the end of a run that is reported as well, and goes on where nothing tells of the run for half a second.

Evidence: test_resumed_stream_is_sent_again_once_its_first_run_is_over fails on the code before and passes.

--- a/martenjunction/routing/requests/continuations.py
+++ b/martenjunction/routing/requests/continuations.py
@@ -1,15 +1,16 @@
-"""Decides when a run goes on at the endpoint that holds a copy of its memory.
+"""Decides when a run whose connection broke goes on at another endpoint.
 
 Resuming from the copied memory continues the same run, so it is also allowed
 for requests that may not be repeated. It must not begin while the first
-endpoint is still at work: a connection that broke does not end the run behind
-it.
+endpoint is still at work, and nor must a stream that is resumed behind its last
+event: a connection that broke does not end the run behind it.
 """
 
 import time
 
 from martenjunction import model
 from martenjunction.decisions.boxes import endpoint_records
+from martenjunction.decisions.boxes import run_fates
 from martenjunction.platform import headers
 from martenjunction.routing.access import admission
 from martenjunction.routing.requests import exchange_context
@@ -19,6 +20,10 @@
 # Minimum time before the deadline, in seconds, for sending a request.
 MIN_TIME_LEFT_S = 0.01
 
+# Time, in seconds, for which a stream that may be resumed waits for an endpoint
+# that does not tell whether its run is over. It may run a second time.
+MAX_UNKNOWN_S = 0.5
+
 # Failure of a request that was offered to no endpoint in that time.
 NO_TIME_LEFT = "no time left"
 
@@ -62,7 +67,10 @@
         return None
 
     async def may_go_on(self) -> bool:
-        """Waits until a run whose connection broke is over, if it can resume.
+        """Waits until a run whose connection broke is over, if it can go on.
+
+        A stream that may be resumed goes on without a copy, and also where its
+        endpoint does not tell for a while.
 
         Returns:
             Whether the request may be sent again as far as that run goes.
@@ -70,22 +78,40 @@
         if not (self._state.connection_broken and self._demand.is_engine):
             return True
         self._state.continuation = self.obstacle() or ""
+        resumes = (
+            self._admitted.route.repeatable
+            and self._state.delivered_id is not None
+        )
         broken = self._state.broken_run
-        if self._state.continuation or broken is None:
+        if broken is None or (self._state.continuation and not resumes):
             return True
-        fate = await self._context.run_reports.until_over(
-            broken.endpoint,
-            self._state.id,
-            broken.begun_at,
-            self._admitted.deadline - MIN_TIME_LEFT_S,
-        )
+        fate = await self._fate(broken, resumes)
         self._context.metrics.count("broken_runs_awaited", fate=fate.value)
-        if not fate.may_continue:
+        if not fate.may_continue and not (
+            resumes and fate is run_fates.RunFate.UNKNOWN
+        ):
             self._state.continuation = f"run {fate.value}"
             return False
         self._state.broken_run = None
         return True
 
+    async def _fate(
+        self, broken: request_state.BrokenRun, resumes: bool
+    ) -> run_fates.RunFate:
+        """Returns what is known of a run once it is over, or time is up."""
+        deadline = self._admitted.deadline - MIN_TIME_LEFT_S
+        limits = [deadline]
+        if resumes:
+            limits.insert(0, min(deadline, time.monotonic() + MAX_UNKNOWN_S))
+        fate = run_fates.RunFate.UNKNOWN
+        for limit in limits:
+            fate = await self._context.run_reports.until_over(
+                broken.endpoint, self._state.id, broken.begun_at, limit
+            )
+            if fate is not run_fates.RunFate.AT_WORK:
+                break
+        return fate
+
     def take(self) -> model.Endpoint | None:
         """Returns the endpoint of the copy, once, if the request may go on."""
         endpoint, self._endpoint = self._endpoint, None
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -56,6 +56,43 @@
     assert arrived - ended <= run_reports.ASK_INTERVAL_S + 0.1
 
 
+# A stream that may be resumed was sent again while its first run went on.
+async def test_resumed_stream_is_sent_again_once_its_first_run_is_over(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await streams.engines_that_keep_copies(fleet)
+    for stand_in in made:
+        stand_in.break_after, stand_in.works_on = 3, True
+        stand_in.event_pause_s = run_copies.MIN_COPY_AGE_S / 2
+    task = asyncio.create_task(requests.ask(fleet, "/digest/", **PATIENT))
+    await boxes.until(lambda: requests.arrivals(made) == 1)
+    [first] = [s for s in made if s.received]
+    [second] = [s for s in made if not s.received]
+    second.break_after = None
+    await asyncio.sleep(0.1)
+    ended, arrived = await asyncio.gather(_end_of_work(first), _arrival(second))
+    _, body = await task
+    assert body == requests.WHOLE_STREAM
+    assert second.received[0].headers["last-event-id"] == "3"
+    assert ended - arrived <= STILL_AT_WORK_S
+    assert arrived - ended <= run_reports.ASK_INTERVAL_S + 0.1
+
+
+async def test_resumed_stream_is_sent_again_though_nothing_tells_of_its_run(
+    fleet: boxes.Boxes,
+) -> None:
+    made = await streams.engines_that_keep_copies(fleet)
+    for stand_in in made:
+        stand_in.break_after, stand_in.reports = 3, False
+    task = asyncio.create_task(requests.ask(fleet, "/digest/", **PATIENT))
+    await boxes.until(lambda: requests.arrivals(made) == 1)
+    for stand_in in made:
+        if not stand_in.received:
+            stand_in.break_after = None
+    _, body = await task
+    assert body == requests.WHOLE_STREAM
+
+
 async def test_stream_continues_at_once_where_its_endpoint_has_ended(
     fleet: boxes.Boxes,
 ) -> None:
--- a/tools/broken_evidence_builds.py
+++ b/tools/broken_evidence_builds.py
@@ -22,7 +22,7 @@
     BrokenBuild(
         "a broken connection ends the run behind it",
         "martenjunction/routing/requests/continuations.py",
-        "if self._state.continuation or broken is None:",
+        "if broken is None or (self._state.continuation and not resumes):",
         "if True:",
         "tests/test_lost_answers.py::test_stream_continues_only_once_the_run_it_lost_is_over",
     ),
