Follow a constant that moved to another module

Cause: the minimum time for sending stands beside the continuation of runs now, and a test read it at its old place. The test asserts the same and passes.

--- a/tests/test_refused_late.py
+++ b/tests/test_refused_late.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from martenjunction.routing.requests import offers
+from martenjunction.routing.requests import continuations
 from martenjunction_lab import boxes
 from tests import gateway_requests as requests
 
@@ -37,7 +37,7 @@
     # Guards against looking for endpoints that were lost: a request that a
     # stall of its box held up for its whole time was logged like one.
     await requests.two_plain(fleet)
-    too_short_ms = int(offers.MIN_TIME_LEFT_S * 1000) - 2
+    too_short_ms = int(continuations.MIN_TIME_LEFT_S * 1000) - 2
     line = await refusal(fleet, str(too_short_ms))
     assert (line["why"], line["endpoints"]) == ("no time left", [])
 
