Name two places that close connections to endpoints

Cause: the reports of endpoints are read in the package of requests, in which a test lists each place that closes a connection. The two new ones close connections to endpoints, of which the list has others; none closes a client's. The check is as strict as before.

--- a/tests/test_closing_gate.py
+++ b/tests/test_closing_gate.py
@@ -108,6 +108,10 @@
     ("routing.requests.exchange", "Exchange.run"): {"self._runs.close"},
     ("routing.requests.offers", "Offers.give_back"): {"offer.permit.close"},
     ("routing.requests.offers", "Offers.next"): {"permit.close"},
+    ("routing.requests.run_reports", "RunReports._close"): {"connection.abort"},
+    ("routing.requests.run_reports", "RunReports._read_report"): {
+        "connection.abort"
+    },
 }
 
 
