Restore a check that a rewrite of a test had dropped

Cause: gave the test of an endpoint that is not reached a bound of time, and lost its check that the stream comes whole. The product is unchanged.

--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -152,7 +152,8 @@
     # The first endpoint makes two more events after the reset.
     broke = ended - 2 * run.first.event_pause_s
     assert arrived - broke <= 0.25
-    await run.task
+    _, body = await run.task
+    assert body == requests.WHOLE_STREAM
 
 
 async def test_stream_does_not_continue_while_its_endpoint_tells_nothing(
